--- /dev/null
+++ b/cmd/courier/main.go
@@ -0,0 +1,60 @@
+// Command courier is seamloom's data plane: it lets inquiries in, picks their
+// servers and streams their replies.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/adapters/courier"
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+func main() {
+	root := &cobra.Command{Use: "courier", Short: "seamloom's data plane", SilenceUsage: true, SilenceErrors: true,
+		Long: "courier lets callers' inquiries in, picks a prefill and a decode server for each, and streams the reply.\n" +
+			"Settings come from a JSON file (--settings) and from flags, which go over it.\n" +
+			"SIGTERM drains and ends; SIGHUP reads the settings again."}
+	root.AddCommand(serveCommand(), streamCommand())
+	if failure := root.Execute(); failure != nil {
+		program.Explain(os.Stderr, failure)
+		os.Exit(2)
+	}
+}
+
+func serveCommand() *cobra.Command {
+	command := &cobra.Command{Use: "serve", Short: "run the daemon", Args: cobra.NoArgs,
+		Example: "  courier serve --name courier-1 --address 127.0.0.1:7201 --district north \\\n" +
+			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
+	flags := program.AddFlags(command, roster.Courier)
+	patience := command.Flags().Duration("drain", 20*time.Second, "how long running inquiries may go on after SIGTERM")
+	command.RunE = func(*cobra.Command, []string) error {
+		chosen, mistakes := flags.Read()
+		if mistakes != nil {
+			return mistakes
+		}
+		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
+		process, failure := courier.Start(chosen, logger)
+		if failure != nil {
+			return failure
+		}
+		if !program.Wait(process.Dead(), func() { reload(flags, process) }) {
+			logger.Error("ended_by_itself")
+			os.Exit(1)
+		}
+		return process.Drain(*patience)
+	}
+	return command
+}
+
+func reload(flags *program.Flags, process *courier.Process) {
+	next, mistakes := flags.Read()
+	if mistakes != nil {
+		program.Explain(os.Stderr, mistakes)
+		return
+	}
+	process.Reload(next)
+}
--- /dev/null
+++ b/cmd/courier/stream.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// mostEventLine bounds one event on standard input.
+const mostEventLine = 16 << 20
+
+func streamCommand() *cobra.Command {
+	options := seamloom.Options{Supported: seamloom.Supported(nil)}
+	command := &cobra.Command{Use: "stream", Short: "run the bare core: events as JSON lines in, decisions as JSON lines out", Args: cobra.NoArgs,
+		Long: "stream reads one event a line from standard input, applies it to the core, and writes each decision as a line.\n" +
+			"Nothing else happens: no clock is read and nothing is sent. The same events give the same decisions.",
+		Example: "  courier stream --name courier-1 --district north < events.jsonl > decisions.jsonl"}
+	command.Flags().StringVar(&options.Courier, "name", "courier", "the courier's name")
+	command.Flags().StringVar(&options.District, "district", "", "the courier's zone")
+	command.Flags().IntVar(&options.MostInquiries, "most-inquiries", seamloom.DefaultMostInquiries, "how many inquiries are let in at once")
+	command.RunE = func(*cobra.Command, []string) error {
+		return streamCore(seamloom.New(options), os.Stdin, os.Stdout)
+	}
+	return command
+}
+
+func streamCore(core *seamloom.Core, source io.Reader, target io.Writer) error {
+	lines := bufio.NewScanner(source)
+	lines.Buffer(make([]byte, 0, 64<<10), mostEventLine)
+	written := bufio.NewWriter(target)
+	encoder := json.NewEncoder(written)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var event seamloom.Event
+		if failure := json.Unmarshal(lines.Bytes(), &event); failure != nil {
+			return trouble.At(trouble.Malformed, "standard input", failure.Error())
+		}
+		for _, decision := range core.Apply(event) {
+			if failure := encoder.Encode(decision); failure != nil {
+				return trouble.Wrap(trouble.Unreachable, failure)
+			}
+		}
+		if failure := written.Flush(); failure != nil {
+			return trouble.Wrap(trouble.Unreachable, failure)
+		}
+	}
+	return trouble.Wrap(trouble.Malformed, lines.Err())
+}
--- /dev/null
+++ b/cmd/expediter/main.go
@@ -0,0 +1,62 @@
+// Command expediter is seamloom's control plane, and the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/adapters/expediter"
+	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+func main() {
+	root := &cobra.Command{Use: "expediter", Short: "seamloom's control plane and operators' tool", SilenceUsage: true, SilenceErrors: true,
+		Long: "expediter serve runs one of the three control-plane daemons.\n" +
+			"The other subcommands speak to any expediter (--to) and read or change the fleet."}
+	root.AddCommand(serveCommand())
+	root.AddCommand(operatorCommands()...)
+	if failure := root.Execute(); failure != nil {
+		code := 2
+		if coded, found := failure.(*operatorTrouble); found {
+			code = coded.code
+		} else {
+			program.Explain(os.Stderr, failure)
+		}
+		os.Exit(code)
+	}
+}
+
+func serveCommand() *cobra.Command {
+	command := &cobra.Command{Use: "serve", Short: "run the daemon", Args: cobra.NoArgs,
+		Long: "serve runs one control-plane daemon. SIGTERM ends it; SIGHUP reads the settings again.",
+		Example: "  expediter serve --name expediter-1 --address 127.0.0.1:7101 --district north --data-folder /var/lib/seamloom \\\n" +
+			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
+	flags := program.AddFlags(command, roster.Expediter)
+	command.RunE = func(*cobra.Command, []string) error {
+		chosen, mistakes := flags.Read()
+		if mistakes != nil {
+			return mistakes
+		}
+		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
+		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{})
+		if failure != nil {
+			return failure
+		}
+		if !program.Wait(process.Dead(), func() {
+			next, mistakes := flags.Read()
+			if mistakes != nil {
+				program.Explain(os.Stderr, mistakes)
+				return
+			}
+			process.Reload(next)
+		}) {
+			logger.Error("ended_by_itself")
+			os.Exit(1)
+		}
+		return process.Stop()
+	}
+	return command
+}
--- /dev/null
+++ b/cmd/expediter/operator.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// operatorTrouble ends a subcommand with a code that scripts can tell apart:
+// 1 refused, 3 unknown outcome, 4 unreachable or no primary.
+type operatorTrouble struct {
+	code int
+	said string
+}
+
+func (failure *operatorTrouble) Error() string { return failure.said }
+
+// operator speaks to one of the expediters.
+type operator struct {
+	addresses []string
+	patience  time.Duration
+	client    *http.Client
+}
+
+func operatorCommands() []*cobra.Command {
+	get := subcommand("get", "print the configuration in force and its version", cobra.NoArgs, func(operator *operator, command *cobra.Command, _ []string) error {
+		return operator.call(http.MethodGet, "/v1/configuration", nil, nil)
+	})
+	status := subcommand("status", "print primary, backup, keepers, members, flags, duties and orders", cobra.NoArgs, func(operator *operator, command *cobra.Command, _ []string) error {
+		return operator.call(http.MethodGet, "/v1/status", nil, nil)
+	})
+	put := subcommand("put FILE", "replace the whole configuration; - reads standard input", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		return operator.change(command, http.MethodPut, arguments[0])
+	})
+	patch := subcommand("patch FILE", "merge a partial configuration (RFC 7396); - reads standard input", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		return operator.change(command, http.MethodPatch, arguments[0])
+	})
+	for _, command := range []*cobra.Command{put, patch} {
+		command.Flags().String("expected", "", "the version that is changed, such as 2.9 (default: the one in force now)")
+		command.Flags().String("change", "", "an id for this change, to ask for it later (default: a new one)")
+	}
+	evacuate := subcommand("evacuate DISTRICT", "keep new work out of a zone's servers", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		reason, _ := command.Flags().GetString("reason")
+		body, failure := json.Marshal(map[string]string{"reason": reason})
+		if failure != nil {
+			return trouble.Wrap(trouble.Malformed, failure)
+		}
+		return operator.call(http.MethodPost, "/v1/evacuations/"+url.PathEscape(arguments[0]), newChange(), body)
+	})
+	evacuate.Flags().String("reason", "", "why, for other operators")
+	restore := subcommand("restore DISTRICT", "lift a zone's evacuation", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		return operator.call(http.MethodDelete, "/v1/evacuations/"+url.PathEscape(arguments[0]), newChange(), nil)
+	})
+	change := subcommand("change ID", "find out what became of a change with an unknown outcome", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		return operator.call(http.MethodGet, "/v1/changes/"+url.PathEscape(arguments[0]), nil, nil)
+	})
+	retire := subcommand("retire NODE", "take a stopped node that will not come back out of the record", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		return operator.call(http.MethodPost, "/v1/members/"+url.PathEscape(arguments[0])+"/retire", nil, nil)
+	})
+	flags := subcommand("flags [NAME]", "list the feature flags, or explain one: who lacks it, and why it is not enabled yet", cobra.MaximumNArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		query := url.Values{}
+		if len(arguments) == 1 {
+			query.Set("name", arguments[0])
+		}
+		return operator.call(http.MethodGet, "/v1/flags", query, nil)
+	})
+	return []*cobra.Command{get, status, put, patch, evacuate, restore, change, retire, flags}
+}
+
+func newChange() url.Values { return url.Values{"change": {uuid.NewString()}} }
+
+func subcommand(use, short string, arguments cobra.PositionalArgs, run func(*operator, *cobra.Command, []string) error) *cobra.Command {
+	command := &cobra.Command{Use: use, Short: short, Args: arguments}
+	to := command.Flags().String("to", "127.0.0.1:7101", "addresses of expediters, with commas between; each is tried")
+	patience := command.Flags().Duration("patience", 12*time.Second, "how long to wait for the answer")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		return run(&operator{addresses: strings.Split(*to, ","), patience: *patience, client: &http.Client{Timeout: *patience}}, command, arguments)
+	}
+	return command
+}
+
+func (operator *operator) change(command *cobra.Command, method, path string) error {
+	var body []byte
+	var failure error
+	if path == "-" {
+		body, failure = io.ReadAll(os.Stdin)
+	} else {
+		body, failure = os.ReadFile(path)
+	}
+	if failure != nil {
+		return trouble.At(trouble.Missing, path, failure.Error())
+	}
+	query := newChange()
+	if id, _ := command.Flags().GetString("change"); id != "" {
+		query.Set("change", id)
+	}
+	expected, _ := command.Flags().GetString("expected")
+	if expected == "" {
+		answered, failure := operator.ask(http.MethodGet, "/v1/configuration", nil, nil)
+		if failure != nil {
+			return failure
+		}
+		var current struct {
+			Version string `json:"version"`
+		}
+		if failure := json.Unmarshal(answered.body, &current); failure != nil || current.Version == "" {
+			return operator.show(answered)
+		}
+		expected = current.Version
+	}
+	query.Set("expected", expected)
+	return operator.call(method, "/v1/configuration", query, body)
+}
+
+type answered struct {
+	status int
+	body   []byte
+}
+
+// ask tries one expediter after another, but goes on only when the call
+// certainly changed nothing.
+func (operator *operator) ask(method, path string, query url.Values, body []byte) (answered, error) {
+	last := "no address"
+	for _, address := range operator.addresses {
+		outbound, failure := http.NewRequest(method, "http://"+address+path+"?"+query.Encode(), bytes.NewReader(body))
+		if failure != nil {
+			return answered{}, trouble.Wrap(trouble.Malformed, failure)
+		}
+		inbound, failure := operator.client.Do(outbound)
+		if failure != nil {
+			last = failure.Error()
+			if method == http.MethodGet || strings.Contains(last, "connection refused") {
+				continue
+			}
+			return answered{}, &operatorTrouble{code: 3, said: printed("the outcome is unknown: " + last + "; ask with: expediter change " + query.Get("change"))}
+		}
+		content, failure := io.ReadAll(inbound.Body)
+		_ = inbound.Body.Close()
+		if failure != nil {
+			return answered{}, &operatorTrouble{code: 3, said: printed("the answer broke off: " + failure.Error())}
+		}
+		return answered{status: inbound.StatusCode, body: content}, nil
+	}
+	return answered{}, &operatorTrouble{code: 4, said: printed("no expediter was reached: " + last)}
+}
+
+func printed(text string) string {
+	_, _ = io.WriteString(os.Stderr, text+"\n")
+	return text
+}
+
+func (operator *operator) call(method, path string, query url.Values, body []byte) error {
+	answered, failure := operator.ask(method, path, query, body)
+	if failure != nil {
+		return failure
+	}
+	return operator.show(answered)
+}
+
+func (operator *operator) show(answered answered) error {
+	var indented bytes.Buffer
+	if json.Indent(&indented, answered.body, "", "  ") != nil {
+		indented.Reset()
+		indented.Write(answered.body)
+	}
+	_, _ = os.Stdout.WriteString(strings.TrimRight(indented.String(), "\n") + "\n")
+	switch {
+	case answered.status < 300:
+		return nil
+	case answered.status == http.StatusServiceUnavailable && bytes.Contains(answered.body, []byte(`"unknown"`)):
+		return &operatorTrouble{code: 3, said: "unknown outcome"}
+	case answered.status == http.StatusServiceUnavailable:
+		return &operatorTrouble{code: 4, said: "no primary"}
+	}
+	return &operatorTrouble{code: 1, said: "status " + strconv.Itoa(answered.status)}
+}
--- /dev/null
+++ b/cmd/rehearsal/main.go
@@ -0,0 +1,185 @@
+// Command rehearsal is seamloom's test kit: it starts a whole fleet on this
+// machine, with stand-ins for callers, model servers and the platform, lets
+// things fail, and judges what the stand-ins wrote down.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+type plan struct {
+	deployment string
+	folder     string
+	binaries   string
+	seed       uint64
+	length     time.Duration
+	faults     string
+	market     string
+	long       float64
+	short      float64
+	asJSON     bool
+}
+
+var faultNames = map[string]func() rehearsal.Fault{
+	"kill-courier":   rehearsal.KillCourier,
+	"kill-primary":   rehearsal.KillPrimary,
+	"crash-server":   rehearsal.CrashServer,
+	"freeze-primary": func() rehearsal.Fault { return rehearsal.Freeze("primary", 6*time.Second) },
+	"freeze-courier": func() rehearsal.Fault { return rehearsal.Freeze("courier", 6*time.Second) },
+	"evacuate":       rehearsal.EvacuateZone,
+}
+
+func main() {
+	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(fleetCommand(), runCommand())
+	if failure := root.Execute(); failure != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
+		os.Exit(1)
+	}
+}
+
+func common(command *cobra.Command, chosen *plan) {
+	own, _ := os.Executable()
+	set := command.Flags()
+	set.StringVar(&chosen.deployment, "deployment", "sahil", "sahil or kochloeffel")
+	set.StringVar(&chosen.folder, "folder", "", "folder for settings, logs, disks and the book (default: a new one)")
+	set.StringVar(&chosen.binaries, "binaries", filepath.Dir(own), "where courier and expediter are")
+	set.StringVar(&chosen.market, "market", "pair", "the couriers' market: pair or least_loaded")
+	set.Uint64Var(&chosen.seed, "seed", 1, "the same seed gives the same inquiries and the same faults")
+	set.Float64Var(&chosen.long, "long", 8, "long-prompt inquiries a second")
+	set.Float64Var(&chosen.short, "short", 10, "short chats a second")
+}
+
+func (chosen *plan) start() (*rehearsal.Fleet, error) {
+	deployment, found := rehearsal.DeploymentNamed(chosen.deployment)
+	if !found {
+		return nil, trouble.New(trouble.NoSuch, "no deployment "+chosen.deployment)
+	}
+	if chosen.folder == "" {
+		folder, failure := os.MkdirTemp("", "rehearsal-")
+		if failure != nil {
+			return nil, trouble.Wrap(trouble.Disk, failure)
+		}
+		chosen.folder = folder
+	} else if failure := os.MkdirAll(chosen.folder, 0o755); failure != nil {
+		return nil, trouble.Wrap(trouble.Disk, failure)
+	}
+	fleet, failure := rehearsal.NewFleet(deployment, chosen.folder, chosen.binaries, map[string]any{"market": chosen.market})
+	if failure != nil {
+		return nil, failure
+	}
+	began := time.Now()
+	if failure := fleet.Begin(30 * time.Second); failure != nil {
+		fleet.Close()
+		return nil, failure
+	}
+	_, _ = fmt.Fprintf(os.Stderr, "the fleet was ready in %s\n", time.Since(began).Round(time.Millisecond))
+	return fleet, nil
+}
+
+func interrupted() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+}
+
+func fleetCommand() *cobra.Command {
+	chosen := &plan{}
+	command := &cobra.Command{Use: "fleet", Short: "start a fleet on this machine and leave it running until interrupted", Args: cobra.NoArgs}
+	common(command, chosen)
+	configured := command.Flags().Bool("configured", true, "put the deployment's first configuration")
+	load := command.Flags().Bool("load", false, "let callers send inquiries")
+	command.RunE = func(*cobra.Command, []string) error {
+		fleet, failure := chosen.start()
+		if failure != nil {
+			return failure
+		}
+		defer fleet.Close()
+		day := rehearsal.NewDay(fleet, chosen.seed, os.Stderr)
+		if *configured {
+			if failure := day.Open(); failure != nil {
+				return failure
+			}
+		}
+		fmt.Print(fleet.Describe())
+		lifetime, end := interrupted()
+		defer end()
+		if *load {
+			day.Callers.SetRates(chosen.long, chosen.short)
+			day.Callers.Run(lifetime)
+			fmt.Print(rehearsal.Judge(fleet.Book.Entries()))
+		}
+		<-lifetime.Done()
+		return nil
+	}
+	return command
+}
+
+func runCommand() *cobra.Command {
+	chosen := &plan{}
+	command := &cobra.Command{Use: "run", Short: "one seeded day with faults, and the checkers' verdict", Args: cobra.NoArgs,
+		Example: "  rehearsal run --deployment sahil --seed 7 --seconds 40s --faults kill-courier,crash-server,kill-primary"}
+	common(command, chosen)
+	var known []string
+	for name := range faultNames {
+		known = append(known, name)
+	}
+	command.Flags().DurationVar(&chosen.length, "length", 30*time.Second, "how long the day is")
+	command.Flags().StringVar(&chosen.faults, "faults", "", "faults in their order, with commas between: "+strings.Join(known, ", "))
+	command.Flags().BoolVar(&chosen.asJSON, "json", false, "print the verdict as JSON")
+	command.RunE = func(*cobra.Command, []string) error {
+		var faults []rehearsal.Fault
+		for _, name := range strings.Split(chosen.faults, ",") {
+			if name == "" {
+				continue
+			}
+			make, found := faultNames[name]
+			if !found {
+				return trouble.New(trouble.NoSuch, "no fault "+name)
+			}
+			faults = append(faults, make())
+		}
+		fleet, failure := chosen.start()
+		if failure != nil {
+			return failure
+		}
+		defer fleet.Close()
+		day := rehearsal.NewDay(fleet, chosen.seed, os.Stderr)
+		day.Long, day.Short = chosen.long, chosen.short
+		if failure := day.Open(); failure != nil {
+			return failure
+		}
+		lifetime, end := interrupted()
+		defer end()
+		verdict := day.Run(lifetime, chosen.length, faults)
+		if failure := fleet.Book.Save(filepath.Join(chosen.folder, "book.jsonl")); failure != nil {
+			return failure
+		}
+		if chosen.asJSON {
+			encoded, failure := json.MarshalIndent(verdict, "", "  ")
+			if failure != nil {
+				return trouble.Wrap(trouble.Malformed, failure)
+			}
+			fmt.Println(string(encoded))
+		} else {
+			fmt.Print(verdict)
+		}
+		_, _ = fmt.Fprintln(os.Stderr, "the book and the logs are in", chosen.folder)
+		if verdict.Violations() > 0 {
+			return trouble.New(trouble.Contradictory, "something happened that must never happen")
+		}
+		return nil
+	}
+	return command
+}
--- /dev/null
+++ b/core.go
@@ -0,0 +1,227 @@
+package seamloom
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// Core is one courier's deterministic core. Apply may be called from several
+// threads; fed from one, the same events give the same decisions.
+type Core struct {
+	options  Options
+	market   *pass.Market
+	desk     *pass.Desk
+	balance  *pass.Balance
+	enabled  atomic.Pointer[FlagList]
+	rejected atomic.Int64
+
+	mutex     sync.Mutex
+	duties    []Duty
+	dutyEnds  time.Time
+	orders    map[string]Order
+	evacuated *menu.Configuration
+	commanded map[string]time.Time
+	nextTurn  time.Time
+}
+
+// New makes a core.
+//
+// Example:
+//
+//	core := seamloom.New(seamloom.Options{Courier: "courier-1", District: "north", Supported: seamloom.Supported(nil)})
+func New(options Options) *Core {
+	if options.MostInquiries <= 0 {
+		options.MostInquiries = DefaultMostInquiries
+	}
+	market := pass.NewMarket(options.Courier, options.District, options.LeastLoaded)
+	return &Core{options: options, market: market, desk: pass.NewDesk(market, options.District, options.MostInquiries),
+		balance: pass.NewBalance(), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}}
+}
+
+// Apply takes one event and returns what is to be done now.
+//
+// Example:
+//
+//	for _, decision := range core.Apply(seamloom.Event{Kind: "ticked", At: now}) { carryOut(decision) }
+func (core *Core) Apply(event Event) []Decision {
+	switch event.Kind {
+	case pass.Ticked:
+		return append(core.desk.Tick(event.At), core.dutiful(event.At)...)
+	case pass.ServersListed:
+		core.market.List(event.Servers)
+	case pass.LoadReported:
+		if event.Load != nil {
+			core.market.Report(event.At, *event.Load)
+		}
+	case pass.MenuReceived:
+		core.applyMenu(event)
+	case pass.HoldRenewed:
+		core.applyHold(event)
+	case pass.FlagsRead:
+		enabled := event.Enabled
+		core.enabled.Store(&enabled)
+		core.desk.SetPassOn(core.Restricted())
+	case pass.OrdersRead:
+		core.mutex.Lock()
+		core.orders = event.Orders
+		core.mutex.Unlock()
+	case pass.InquiryArrived:
+		if event.Inquiry != nil {
+			return core.desk.Arrive(event.At, event.Inquiry)
+		}
+	case pass.ClaimAnswered:
+		return core.desk.Claimed(event.At, event.ID, event.Outcome, event.Detail)
+	case pass.PrefillAnswered:
+		return core.desk.Prefilled(event.At, event.ID, event.Run, event.Outcome, event.Handle)
+	case pass.PieceReceived:
+		return core.desk.Piece(event.At, event.ID, event.Run, event.Piece, event.Text)
+	case pass.DecodeEnded:
+		return core.desk.Decoded(event.At, event.ID, event.Run, event.Outcome, event.Piece)
+	case pass.OriginLeft:
+		return core.desk.Leave(event.At, event.ID)
+	case pass.DrainStarted:
+		core.desk.Drain()
+	}
+	return nil
+}
+
+func (core *Core) applyMenu(event Event) {
+	configuration, failure := menu.Check(event.Menu)
+	if failure != nil {
+		// A configuration is checked before it is accepted; one that this build
+		// can't read leaves the courier without a hold for it.
+		core.rejected.Add(1)
+		return
+	}
+	if core.desk.SetProgram(pass.Compile(configuration, event.Epoch, event.Number)) {
+		core.mutex.Lock()
+		core.evacuated = configuration
+		core.mutex.Unlock()
+	}
+}
+
+func (core *Core) applyHold(event Event) {
+	core.desk.Renew(event.HoldEnds, event.Epoch, event.Number)
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	core.duties = event.Duties
+	core.dutyEnds = event.HoldEnds
+}
+
+// InForce is the version of the configuration in force, as epoch and number.
+//
+// Example:
+//
+//	epoch, number := core.InForce()
+func (core *Core) InForce() (epoch, number uint64) { return core.desk.InForce() }
+
+// HoldEnds is when the courier's hold runs out.
+//
+// Example:
+//
+//	ready := now.Before(core.HoldEnds())
+func (core *Core) HoldEnds() time.Time { return core.desk.HoldEnds() }
+
+// Enabled is the enabled set that the core has read.
+//
+// Example:
+//
+//	record, failure := recipe.WritePair(pair, name, core.Enabled())
+func (core *Core) Enabled() FlagList {
+	if enabled := core.enabled.Load(); enabled != nil {
+		return *enabled
+	}
+	return nil
+}
+
+// Restricted tells whether the node lacks an enabled flag, or has not read the
+// enabled set yet: it then writes no records and takes no duties.
+//
+// Example:
+//
+//	if core.Restricted() { ... }
+func (core *Core) Restricted() bool {
+	enabled := core.enabled.Load()
+	return enabled == nil || len(core.options.Supported.Lacks(*enabled)) > 0
+}
+
+// InFlight counts the inquiries that have no final line yet.
+//
+// Example:
+//
+//	drained := core.InFlight() == 0
+func (core *Core) InFlight() int { return core.desk.InFlight() }
+
+// Counts tells what the core has done, by name, for metrics.
+//
+// Example:
+//
+//	core.Counts()["complete"]
+func (core *Core) Counts() map[string]int64 {
+	tallies := core.desk.Tallies()
+	first, extra := core.desk.Budget().Counts()
+	return map[string]int64{"arrived": tallies.Arrived.Load(), "complete": tallies.Complete.Load(),
+		"refused": tallies.Refused.Load(), "failed": tallies.Failed.Load(), "unknown": tallies.Unknown.Load(),
+		"first_dispatches": int64(first), "extra_tries": int64(extra), "in_flight": int64(core.desk.InFlight()),
+		"unreadable_configurations": core.rejected.Load()}
+}
+
+// dutiful does what the held duties ask for: the parts duty decides orders,
+// and each server's key lets its holder carry them out.
+func (core *Core) dutiful(now time.Time) []Decision {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	if !now.Before(core.dutyEnds) || now.Before(core.nextTurn) || len(core.duties) == 0 {
+		return nil
+	}
+	core.nextTurn = now.Add(100 * time.Millisecond)
+	servers, loads := core.market.Loads(now)
+	var decisions []Decision
+	for _, duty := range core.duties {
+		if duty.Key == rota.PartsKey {
+			if orders := core.balance.Decide(now, servers, loads, core.orders, core.evacuated.Evacuated); len(orders) > 0 {
+				decisions = append(decisions, Decision{Kind: pass.GiveOrders, Duty: duty, Orders: orders, NotAfter: core.dutyEnds})
+			}
+			continue
+		}
+		name, isServer := strings.CutPrefix(duty.Key, rota.ServerKey(""))
+		order, ordered := core.orders[name]
+		load, reported := loads[name]
+		if !isServer || !ordered || !reported || string(load.Part) == order.Part || now.Sub(core.commanded[name]) < time.Second {
+			continue
+		}
+		for _, server := range servers {
+			if server.Name == name {
+				core.commanded[name] = now
+				standing := order
+				decisions = append(decisions, Decision{Kind: pass.Command, Server: name, Address: server.Address, Duty: duty,
+					Part: pass.Part(order.Part), Order: &standing, NotAfter: core.dutyEnds})
+			}
+		}
+	}
+	sort.SliceStable(decisions, func(left, right int) bool { return decisions[left].Server < decisions[right].Server })
+	return decisions
+}
+
+// ReadOrders decodes the standing orders' records with the core's own list.
+//
+// Example:
+//
+//	orders := core.ReadOrders(records)
+func (core *Core) ReadOrders(records map[string]recipe.Record) map[string]Order {
+	orders := map[string]Order{}
+	for server, record := range records {
+		if order, failure := recipe.ReadOrder(record, core.options.Supported); failure == nil {
+			orders[server] = order
+		}
+	}
+	return orders
+}
--- /dev/null
+++ b/internal/adapters/courier/inquirybody.go
@@ -0,0 +1,102 @@
+package courier
+
+import (
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fastjson"
+	"go.uber.org/multierr"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// MostInquiryBytes bounds an inquiry's body.
+const MostInquiryBytes = 4 << 20
+
+// tokenBytes is how many bytes of a prompt count as one token when the caller
+// does not say how many there are.
+const tokenBytes = 4
+
+// readInquiry checks an inquiry's body and names all its mistakes.
+func readInquiry(now time.Time, body []byte) (*pass.Inquiry, error) {
+	root, failure := fastjson.ParseBytes(body)
+	if failure != nil || !utf8.Valid(body) {
+		return nil, trouble.At(trouble.Malformed, "/", "the body is no JSON")
+	}
+	object, failure := root.Object()
+	if failure != nil {
+		return nil, trouble.At(trouble.WrongType, "/", "an object is needed")
+	}
+	inquiry := &pass.Inquiry{Repeatable: true, PromptTokens: -1, Pieces: 1}
+	limit := 0
+	texts := map[string]*string{"id": &inquiry.ID, "service": &inquiry.Service, "origin": &inquiry.Origin, "prompt": &inquiry.Prompt, "prefix": &inquiry.Prefix}
+	numbers := map[string]*int{"limit_milliseconds": &limit, "prompt_tokens": &inquiry.PromptTokens, "prefix_tokens": &inquiry.PrefixTokens, "pieces": &inquiry.Pieces}
+	var mistakes error
+	object.Visit(func(key []byte, value *fastjson.Value) {
+		name := string(key)
+		if target, found := texts[name]; found {
+			text, failure := value.StringBytes()
+			if failure != nil {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a text is needed"))
+				return
+			}
+			*target = string(text)
+		} else if target, found := numbers[name]; found {
+			number, failure := value.Int()
+			if failure != nil || number < 0 || number > 100_000_000 {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a whole number that is not negative is needed"))
+				return
+			}
+			*target = number
+		} else if name == "repeatable" {
+			repeatable, failure := value.Bool()
+			if failure != nil {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/repeatable", "true or false is needed"))
+				return
+			}
+			inquiry.Repeatable = repeatable
+		} else {
+			mistakes = multierr.Append(mistakes, trouble.At(trouble.UnknownField, "/"+name, "no such field"))
+		}
+	})
+	if mistakes != nil {
+		return nil, mistakes
+	}
+	if inquiry.Service == "" {
+		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/service", "the service is needed"))
+	}
+	if inquiry.ID == "" || len(inquiry.ID) > 128 {
+		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/id", "an id of at most 128 bytes is needed"))
+	} else if !inquiry.Repeatable {
+		if _, failure := madeAt(inquiry.ID); failure != nil {
+			mistakes = multierr.Append(mistakes, failure)
+		}
+	}
+	if inquiry.PromptTokens < 0 {
+		inquiry.PromptTokens = len(inquiry.Prompt)/tokenBytes + 1
+	}
+	if inquiry.PrefixTokens > inquiry.PromptTokens {
+		mistakes = multierr.Append(mistakes, trouble.At(trouble.Contradictory, "/prefix_tokens", "the prefix is longer than the prompt, "+strconv.Itoa(inquiry.PromptTokens)))
+	}
+	if inquiry.Pieces < 1 {
+		mistakes = multierr.Append(mistakes, trouble.At(trouble.OutOfRange, "/pieces", "at least one piece is needed"))
+	}
+	if limit > 0 {
+		inquiry.Limit = now.Add(time.Duration(limit) * time.Millisecond)
+	}
+	return inquiry, mistakes
+}
+
+// madeAt reads from an id when it was made: ids of inquiries that may not be
+// repeated are UUIDs of version 7, so that old ones can be told and refused.
+func madeAt(id string) (time.Time, error) {
+	parsed, failure := uuid.Parse(id)
+	if failure != nil || parsed.Version() != 7 {
+		return time.Time{}, trouble.At(trouble.Malformed, "/id", "an inquiry that may not be repeated has a UUID of version 7 as its id")
+	}
+	seconds, nanoseconds := parsed.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds), nil
+}
--- /dev/null
+++ b/internal/adapters/courier/journal.go
@@ -0,0 +1,72 @@
+package courier
+
+import (
+	"sync"
+
+	"seamloom.example/seamloom/internal/recipe"
+)
+
+// journal keeps the newest records of this courier and of those that name it
+// their neighbour, and folds what is known of one inquiry.
+type journal struct {
+	mutex   sync.Mutex
+	records []recipe.Record
+	next    int
+	outbox  []recipe.Record
+}
+
+const mostRecords = 16384
+
+func newJournal() *journal { return &journal{records: make([]recipe.Record, 0, mostRecords)} }
+
+// append notes a record; own ones also go to a neighbour.
+func (journal *journal) append(record recipe.Record, own bool) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if len(journal.records) < mostRecords {
+		journal.records = append(journal.records, record)
+	} else {
+		journal.records[journal.next] = record
+		journal.next = (journal.next + 1) % mostRecords
+	}
+	if own && len(journal.outbox) < mostRecords {
+		journal.outbox = append(journal.outbox, record)
+	}
+}
+
+func (journal *journal) takeOutbox() []recipe.Record {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	outbox := journal.outbox
+	journal.outbox = nil
+	return outbox
+}
+
+// trace is what a journal knows of one inquiry.
+type trace struct {
+	Inquiry string         `json:"inquiry"`
+	Pairs   []recipe.Pair  `json:"pairs"`
+	Retries []recipe.Entry `json:"retries,omitempty"`
+}
+
+func (journal *journal) fold(inquiry string, supported recipe.List) (trace, bool) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	folded := trace{Inquiry: inquiry}
+	for _, record := range journal.records {
+		if record.Key != inquiry {
+			continue
+		}
+		switch record.Kind {
+		case recipe.PairRecord:
+			if pair, failure := recipe.ReadPair(record, supported); failure == nil {
+				folded.Pairs = append(folded.Pairs, pair)
+			}
+		case recipe.RetryRecord:
+			if entry, failure := recipe.ReadEntry(record); failure == nil {
+				folded.Retries = append(folded.Retries, entry)
+			}
+		}
+	}
+	return folded, len(folded.Pairs) > 0
+}
--- /dev/null
+++ b/internal/adapters/courier/replyline.go
@@ -0,0 +1,74 @@
+package courier
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// ReplyLine is one line of a reply: a numbered piece, or the final line.
+type ReplyLine struct {
+	Inquiry string       `json:"inquiry"`
+	Piece   int          `json:"piece,omitempty"`
+	Text    string       `json:"text,omitempty"`
+	Final   pass.Final   `json:"final,omitempty"`
+	Pieces  int          `json:"pieces,omitempty"`
+	Ran     *bool        `json:"ran,omitempty"`
+	Type    trouble.Kind `json:"type,omitempty"`
+	Detail  string       `json:"detail,omitempty"`
+	// RetryAfterSeconds says when to come back; it stands in the header too.
+	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
+}
+
+func lineOf(decision pass.Decision) ReplyLine {
+	if decision.Kind == pass.SendPiece {
+		return ReplyLine{Inquiry: decision.ID, Piece: decision.Piece, Text: decision.Text}
+	}
+	line := ReplyLine{Inquiry: decision.ID, Final: decision.Final, Pieces: decision.Pieces, Type: decision.Cause, Detail: decision.Detail,
+		RetryAfterSeconds: retrySeconds(decision.Retry)}
+	switch decision.Final {
+	case pass.Refused:
+		never := false
+		line.Ran = &never
+	case pass.Complete, pass.Failed:
+		did := true
+		line.Ran = &did
+	}
+	return line
+}
+
+func retrySeconds(retry time.Duration) int { return int(math.Ceil(retry.Seconds())) }
+
+func (line ReplyLine) encode() []byte {
+	encoded, _ := json.Marshal(line)
+	return append(encoded, '\n')
+}
+
+// statusOf is the status of a reply whose first line is the final one.
+func statusOf(line ReplyLine) int {
+	switch line.Final {
+	case pass.Complete, "":
+		return http.StatusOK
+	case pass.Unknown:
+		return http.StatusGatewayTimeout
+	case pass.Failed:
+		return http.StatusBadGateway
+	}
+	switch line.Type {
+	case trouble.UnknownService, trouble.NoRoute:
+		return http.StatusNotFound
+	case trouble.RouteRefuses:
+		return http.StatusForbidden
+	case trouble.OutOfRange, trouble.TooNew:
+		return http.StatusBadRequest
+	case trouble.Duplicate, trouble.TooOld:
+		return http.StatusConflict
+	case trouble.Busy, trouble.BudgetSpent:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/adapters/courier/stream.go
@@ -0,0 +1,52 @@
+package courier
+
+import (
+	"sync"
+
+	"seamloom.example/seamloom/internal/pass"
+)
+
+// stream carries one inquiry's decisions to the thread that answers its
+// origin. It gives pieces in their order and the final line after them all,
+// whichever threads they came from.
+type stream struct {
+	mutex  sync.Mutex
+	pieces map[int]pass.Decision
+	last   *pass.Decision
+	sent   int
+	woken  chan struct{}
+}
+
+func newStream() *stream {
+	return &stream{pieces: map[int]pass.Decision{}, woken: make(chan struct{}, 1)}
+}
+
+func (stream *stream) put(decision pass.Decision) {
+	stream.mutex.Lock()
+	if decision.Kind == pass.SendPiece {
+		stream.pieces[decision.Piece] = decision
+	} else {
+		final := decision
+		stream.last = &final
+	}
+	stream.mutex.Unlock()
+	select {
+	case stream.woken <- struct{}{}:
+	default:
+	}
+}
+
+// next gives the next decision that may be sent, if it is there.
+func (stream *stream) next() (pass.Decision, bool) {
+	stream.mutex.Lock()
+	defer stream.mutex.Unlock()
+	if decision, found := stream.pieces[stream.sent+1]; found {
+		delete(stream.pieces, decision.Piece)
+		stream.sent++
+		return decision, true
+	}
+	if stream.last != nil && stream.sent >= stream.last.Pieces {
+		return *stream.last, true
+	}
+	return pass.Decision{}, false
+}
--- /dev/null
+++ b/internal/adapters/directory/directory.go
@@ -0,0 +1,75 @@
+// Package directory reads the platform's lists of servers and nodes over HTTP.
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Directory asks one platform.
+type Directory struct {
+	client *http.Client
+}
+
+// patience is how long the platform may take to answer.
+const patience = time.Second
+
+// New makes a directory over a transport.
+//
+// Example:
+//
+//	platform := directory.New(hotline.Transport(nil))
+func New(transport http.RoundTripper) *Directory {
+	return &Directory{client: &http.Client{Transport: transport}}
+}
+
+// Servers reads the server list.
+//
+// Example:
+//
+//	servers, failure := platform.Servers(lifetime, "127.0.0.1:7000")
+func (directory *Directory) Servers(lifetime context.Context, address string) ([]roster.Server, error) {
+	var list struct {
+		Servers []roster.Server `json:"servers"`
+	}
+	failure := directory.read(lifetime, "http://"+address+"/v1/servers", &list)
+	return list.Servers, failure
+}
+
+// Nodes reads the node list.
+//
+// Example:
+//
+//	nodes, failure := platform.Nodes(lifetime, "127.0.0.1:7000")
+func (directory *Directory) Nodes(lifetime context.Context, address string) ([]roster.Node, error) {
+	var list struct {
+		Nodes []roster.Node `json:"nodes"`
+	}
+	failure := directory.read(lifetime, "http://"+address+"/v1/nodes", &list)
+	return list.Nodes, failure
+}
+
+func (directory *Directory) read(lifetime context.Context, location string, target any) error {
+	lifetime, end := context.WithTimeout(lifetime, patience)
+	defer end()
+	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodGet, location, nil)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	inbound, failure := directory.client.Do(outbound)
+	if failure != nil {
+		return trouble.Wrap(trouble.Unreachable, failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	if inbound.StatusCode != http.StatusOK {
+		return trouble.New(trouble.Unreachable, "the platform answers "+strconv.Itoa(inbound.StatusCode))
+	}
+	return trouble.Wrap(trouble.Garbage, json.NewDecoder(io.LimitReader(inbound.Body, 4<<20)).Decode(target))
+}
--- /dev/null
+++ b/internal/adapters/expediter/operators.go
@@ -0,0 +1,486 @@
+package expediter
+
+import (
+	"bytes"
+	"encoding/json"
+	stderrors "errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fastjson"
+	"goji.io"
+	"goji.io/pat"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+const (
+	changePatience  = 3 * time.Second
+	inForcePatience = 6 * time.Second
+	forwardPatience = 10 * time.Second
+	forwardedHeader = "Seamloom-Forwarded"
+)
+
+func (process *Process) operatorRoutes(mux *goji.Mux) {
+	mux.HandleFunc(pat.Get("/v1/configuration"), process.onPrimary(process.getConfiguration))
+	mux.HandleFunc(pat.Put("/v1/configuration"), process.onPrimary(process.putConfiguration))
+	mux.HandleFunc(pat.Patch("/v1/configuration"), process.onPrimary(process.patchConfiguration))
+	mux.HandleFunc(pat.Post("/v1/evacuations/:district"), process.onPrimary(process.evacuate))
+	mux.HandleFunc(pat.Delete("/v1/evacuations/:district"), process.onPrimary(process.restore))
+	mux.HandleFunc(pat.Get("/v1/changes/:id"), process.onPrimary(process.getChange))
+	mux.HandleFunc(pat.Get("/v1/status"), process.onPrimary(process.getStatus))
+	mux.HandleFunc(pat.Get("/v1/flags"), process.onPrimary(process.getFlags))
+	mux.HandleFunc(pat.Post("/v1/members/:name/retire"), process.onPrimary(process.retire))
+	mux.HandleFunc(pat.Get("/v1/health"), func(writer http.ResponseWriter, _ *http.Request) {
+		answerJSON(writer, http.StatusOK, map[string]any{"healthy": true})
+	})
+	mux.HandleFunc(pat.Get("/v1/ready"), process.getReady)
+	mux.HandleFunc(pat.Get("/v1/metrics"), process.getMetrics)
+}
+
+func answerJSON(writer http.ResponseWriter, status int, content any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(content)
+}
+
+// operatorAnswer is what operators read of a change.
+type operatorAnswer struct {
+	Outcome  string             `json:"outcome"`
+	Version  string             `json:"version,omitempty"`
+	Change   string             `json:"change,omitempty"`
+	Type     trouble.Kind       `json:"type,omitempty"`
+	Detail   string             `json:"detail,omitempty"`
+	Failures []*trouble.Trouble `json:"failures,omitempty"`
+	How      string             `json:"how,omitempty"`
+}
+
+// onPrimary carries the call out here, or passes it to the primary once.
+func (process *Process) onPrimary(answer http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, inbound *http.Request) {
+		if _, _, failure := process.ruling(); failure == nil {
+			answer(writer, inbound)
+			return
+		}
+		address := process.steward.Charter().Primary.Address
+		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.keeper.Seat().Address {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
+			return
+		}
+		process.forward(writer, inbound, address)
+	}
+}
+
+func (process *Process) forward(writer http.ResponseWriter, inbound *http.Request, address string) {
+	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	if failure != nil {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: failure.Error()})
+		return
+	}
+	query := inbound.URL.Query()
+	reads := inbound.Method == http.MethodGet
+	if !reads && query.Get("change") == "" {
+		query.Set("change", uuid.NewString())
+	}
+	location := *inbound.URL
+	location.Scheme, location.Host, location.RawQuery = "http", address, query.Encode()
+	var touched atomic.Bool
+	lifetime := httptrace.WithClientTrace(inbound.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
+	outbound, failure := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
+	if failure != nil {
+		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: failure.Error()})
+		return
+	}
+	outbound.Header.Set(forwardedHeader, "1")
+	outbound.Header.Set("If-Match", inbound.Header.Get("If-Match"))
+	answered, failure := process.operatorsClient.Do(outbound)
+	if failure != nil {
+		if reads || !touched.Load() {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary can't be reached; ask again"})
+			return
+		}
+		answerUnknown(writer, query.Get("change"))
+		return
+	}
+	defer func() { _ = answered.Body.Close() }()
+	content, failure := io.ReadAll(answered.Body)
+	if failure != nil {
+		if reads {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary's answer broke off; ask again"})
+			return
+		}
+		answerUnknown(writer, query.Get("change"))
+		return
+	}
+	writer.Header().Set("Content-Type", answered.Header.Get("Content-Type"))
+	writer.WriteHeader(answered.StatusCode)
+	_, _ = writer.Write(content)
+}
+
+func answerUnknown(writer http.ResponseWriter, change string) {
+	answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "unknown", Type: trouble.Unknown, Change: change,
+		Detail: "it can't be known yet whether the change was accepted", How: "GET /v1/changes/" + change})
+}
+
+// readable is the committed view for a read: the hold is checked after the
+// view was taken, so that it was the newest at some moment of the call.
+func (process *Process) readable(writer http.ResponseWriter) (*reign, *larder.View, *larder.State, bool) {
+	current, view, failure := process.ruling()
+	var state *larder.State
+	if failure == nil {
+		state, failure = process.state(current, view)
+	}
+	if failure == nil && !process.steward.Holds() {
+		failure = trouble.New(trouble.NoPrimary, "the hold ran out")
+	}
+	if failure != nil {
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
+		return nil, nil, nil, false
+	}
+	return current, view, state, true
+}
+
+func (process *Process) getConfiguration(writer http.ResponseWriter, _ *http.Request) {
+	_, view, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	version := view.VersionOf(larder.MenuDrawer).String()
+	writer.Header().Set("ETag", `"`+version+`"`)
+	answerJSON(writer, http.StatusOK, map[string]any{"version": version, "configuration": json.RawMessage(state.Menu)})
+}
+
+// expectedVersion reads the version that the operator changes from.
+func expectedVersion(inbound *http.Request) (*larder.Version, error) {
+	text := inbound.URL.Query().Get("expected")
+	if text == "" {
+		text = strings.Trim(inbound.Header.Get("If-Match"), `"`)
+	}
+	epoch, number, found := strings.Cut(text, ".")
+	if !found {
+		return nil, trouble.At(trouble.Missing, "expected", "the version that is changed is needed, such as expected=2.9")
+	}
+	var version larder.Version
+	var failure error
+	if version.Epoch, failure = strconv.ParseUint(epoch, 10, 64); failure == nil {
+		version.Number, failure = strconv.ParseUint(number, 10, 64)
+	}
+	if failure != nil {
+		return nil, trouble.At(trouble.Malformed, "expected", "a version is two numbers, such as 2.9")
+	}
+	return &version, nil
+}
+
+func (process *Process) putConfiguration(writer http.ResponseWriter, inbound *http.Request) {
+	process.edit(writer, inbound, true, func(_, body []byte) ([]byte, error) {
+		// fastjson writes the text anew, so that what is kept is compact.
+		value, failure := fastjson.ParseBytes(body)
+		if failure != nil {
+			return nil, &menu.Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Malformed, "/", failure.Error())}}
+		}
+		return value.MarshalTo(nil), nil
+	})
+}
+
+func (process *Process) patchConfiguration(writer http.ResponseWriter, inbound *http.Request) {
+	process.edit(writer, inbound, true, func(text, body []byte) ([]byte, error) {
+		merged, failure := menu.Merge(text, body)
+		var found *trouble.Trouble
+		if stderrors.As(failure, &found) {
+			return nil, &menu.Findings{Troubles: []*trouble.Trouble{found}}
+		}
+		return merged, failure
+	})
+}
+
+func (process *Process) evacuate(writer http.ResponseWriter, inbound *http.Request) {
+	district := pat.Param(inbound, "district")
+	process.edit(writer, inbound, false, func(text, body []byte) ([]byte, error) {
+		reason := fastjson.GetString(body, "reason")
+		return menu.Evacuate(text, district, reason)
+	})
+}
+
+func (process *Process) restore(writer http.ResponseWriter, inbound *http.Request) {
+	district := pat.Param(inbound, "district")
+	process.edit(writer, inbound, false, func(text, _ []byte) ([]byte, error) { return menu.Restore(text, district) })
+}
+
+// edit changes the configuration and answers "accepted" only when it is in
+// force everywhere.
+func (process *Process) edit(writer http.ResponseWriter, inbound *http.Request, versioned bool, edit func(text, body []byte) ([]byte, error)) {
+	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	if failure != nil {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Failures: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", failure.Error())}})
+		return
+	}
+	var expected *larder.Version
+	if versioned {
+		if expected, failure = expectedVersion(inbound); failure != nil {
+			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
+			return
+		}
+	}
+	change := inbound.URL.Query().Get("change")
+	if change == "" {
+		change = uuid.NewString()
+	}
+	current, _, failure := process.ruling()
+	if failure != nil {
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
+		return
+	}
+	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, expected, func(text []byte) ([]byte, error) { return edit(text, body) }), changePatience)
+	if failure != nil {
+		process.answerChangeTrouble(writer, change, failure)
+		return
+	}
+	if !process.awaitInForce(inbound, current, version) {
+		answerUnknown(writer, change)
+		return
+	}
+	process.logger.Info("configuration_accepted", "version", version.String(), "change", change)
+	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String(), Change: change})
+}
+
+func (process *Process) answerChangeTrouble(writer http.ResponseWriter, change string, failure error) {
+	var findings *menu.Findings
+	if stderrors.As(failure, &findings) {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: "refused", Change: change, Failures: findings.Troubles})
+		return
+	}
+	said := &trouble.Trouble{}
+	_ = stderrors.As(failure, &said)
+	switch said.Kind {
+	case trouble.VersionConflict:
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Version: said.Detail, Detail: "the configuration is at another version"})
+	case trouble.Duplicate:
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
+	case trouble.NotPrimary, trouble.NoPrimary:
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
+	default:
+		answerUnknown(writer, change)
+	}
+}
+
+// awaitInForce waits until every courier that has a hold has confirmed the
+// version, or its hold ran out. Its own hold is checked last.
+func (process *Process) awaitInForce(inbound *http.Request, current *reign, version larder.Version) bool {
+	ends := time.NewTimer(inForcePatience)
+	defer ends.Stop()
+	look := time.NewTicker(50 * time.Millisecond)
+	defer look.Stop()
+	for {
+		rung := process.confirmed.wait()
+		ruling, view, failure := process.ruling()
+		if failure != nil || ruling != current {
+			return false
+		}
+		state, failure := process.state(current, view)
+		if failure != nil {
+			return false
+		}
+		if len(current.holds.Lagging(process.clock.Now(), version.Number, couriers(state))) == 0 {
+			return process.steward.Holds()
+		}
+		select {
+		case <-rung:
+		case <-look.C:
+		case <-ends.C:
+			return false
+		case <-inbound.Context().Done():
+			return false
+		case <-process.tomb.Dying():
+			return false
+		}
+	}
+}
+
+func couriers(state *larder.State) []string {
+	var names []string
+	for name, member := range state.Members {
+		if member.Kind == roster.Courier {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (process *Process) getChange(writer http.ResponseWriter, inbound *http.Request) {
+	_, _, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	id := pat.Param(inbound, "id")
+	for _, note := range state.Changes {
+		if note.ID == id {
+			answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Change: id, Version: note.Version.String()})
+			return
+		}
+	}
+	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Change: id, Type: trouble.NoSuch,
+		Detail: "the change is not among the last " + strconv.Itoa(larder.MostChangeNotes) + " that were accepted"})
+}
+
+func (process *Process) retire(writer http.ResponseWriter, inbound *http.Request) {
+	name := pat.Param(inbound, "name")
+	current, _, _, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	if _, live := current.holds.Live(process.clock.Now())[name]; live {
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: name + " is running; stop it first"})
+		return
+	}
+	version, failure := process.submit(inbound.Context(), larder.Retire(name), changePatience)
+	if trouble.KindOf(failure) == trouble.NoSuch {
+		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: failure.Error()})
+		return
+	}
+	if failure != nil {
+		process.answerChangeTrouble(writer, "", failure)
+		return
+	}
+	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String()})
+}
+
+// flagAnswer is what operators read of a flag.
+type flagAnswer struct {
+	recipe.Description
+	Enabled  bool     `json:"enabled"`
+	Lacking  []string `json:"lacking,omitempty"`
+	Stopped  []string `json:"lacking_and_stopped,omitempty"`
+	Why      string   `json:"why"`
+	Settling bool     `json:"settling,omitempty"`
+}
+
+func (process *Process) flagAnswers(current *reign, state *larder.State) []flagAnswer {
+	now := process.clock.Now()
+	live := current.holds.Live(now)
+	process.mutex.Lock()
+	settling := now.Sub(current.settledFrom) < time.Duration(process.chosen.FlagSettle)*time.Millisecond
+	process.mutex.Unlock()
+	var answers []flagAnswer
+	for _, description := range recipe.Book() {
+		answer := flagAnswer{Description: description, Enabled: state.Flags.Enabled.Has(description.Name), Lacking: state.Lacking(description.Name)}
+		for _, name := range answer.Lacking {
+			if _, running := live[name]; !running && state.Members[name].Kind == roster.Courier {
+				answer.Stopped = append(answer.Stopped, name)
+			}
+		}
+		switch {
+		case answer.Enabled:
+			answer.Why = "enabled: nodes write the new format; it is never disabled"
+		case len(answer.Lacking) > 0:
+			answer.Why = "not enabled: the members in \"lacking\" do not support it; upgrade them, or retire those that will not come back"
+		case settling:
+			answer.Settling = true
+			answer.Why = "not enabled yet: the members changed a moment ago"
+		default:
+			answer.Why = "not enabled yet: the primary does so at its next round"
+		}
+		answers = append(answers, answer)
+	}
+	return answers
+}
+
+func (process *Process) getFlags(writer http.ResponseWriter, inbound *http.Request) {
+	current, _, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	answers := process.flagAnswers(current, state)
+	name := inbound.URL.Query().Get("name")
+	if name == "" {
+		answerJSON(writer, http.StatusOK, map[string]any{"flags": answers})
+		return
+	}
+	for _, answer := range answers {
+		if string(answer.Name) == name {
+			answerJSON(writer, http.StatusOK, answer)
+			return
+		}
+	}
+	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: "no flag " + name})
+}
+
+// memberAnswer is what operators read of a member.
+type memberAnswer struct {
+	roster.Member
+	Running    bool `json:"running"`
+	Restricted bool `json:"restricted"`
+}
+
+func (process *Process) getStatus(writer http.ResponseWriter, _ *http.Request) {
+	current, view, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	now := process.clock.Now()
+	live := current.holds.Live(now)
+	charter := process.steward.Charter()
+	members := map[string]memberAnswer{}
+	for name, member := range state.Members {
+		_, running := live[name]
+		if member.Kind == roster.Expediter {
+			running = process.steward.Sees(member.Address)
+		}
+		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
+	}
+	orders := map[string]recipe.Order{}
+	for server, record := range state.Orders.Records {
+		if order, failure := recipe.ReadOrder(record, process.supported); failure == nil {
+			orders[server] = order
+		}
+	}
+	batches, changes := process.store.Work()
+	answerJSON(writer, http.StatusOK, map[string]any{
+		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
+		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
+		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
+		"lagging":        current.holds.Lagging(now, view.VersionOf(larder.MenuDrawer).Number, couriers(state)),
+		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.since).Milliseconds(),
+		"keys": rota.DefaultTerms(),
+	})
+}
+
+func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
+	silence := process.clock.Now().Sub(process.followed.Heard())
+	status := http.StatusOK
+	if silence > 3*time.Second {
+		status = http.StatusServiceUnavailable
+	}
+	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.steward.Holds(), "epoch": process.steward.Charter().Epoch})
+}
+
+func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
+	batches, changes := process.store.Work()
+	leads := 0
+	if process.steward.Holds() {
+		leads = 1
+	}
+	version := process.store.Copy().Version()
+	damaged := 0
+	if process.store.Copy().Damage() != "" {
+		damaged = 1
+	}
+	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, line := range []struct {
+		name  string
+		value uint64
+	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.steward.Charter().Epoch}, {"seamloom_copy_number", version.Number},
+		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes}} {
+		_, _ = io.WriteString(writer, line.name+" "+strconv.FormatUint(line.value, 10)+"\n")
+	}
+}
--- /dev/null
+++ b/internal/adapters/follower/follower.go
@@ -0,0 +1,310 @@
+// Package follower keeps a node up to date: it asks the primary with the
+// versions that it has and is answered when there is news.
+package follower
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Follower asks for one node.
+type Follower struct {
+	caller  *hotline.Caller
+	clock   *wallclock.Clock
+	member  roster.Member
+	inForce func() larder.Version
+	take    func(News)
+
+	mutex      sync.Mutex
+	primary    string
+	seeds      []string
+	contacts   []string
+	neighbours []string
+	drawers    map[string]larder.Drawer
+	charter    larder.Charter
+	heard      time.Time
+	dark       map[string]time.Time
+}
+
+// News is one answer of the primary, as the node takes it.
+type News struct {
+	Asked   time.Time
+	Answer  NewsAnswer
+	Changed map[string]larder.Drawer
+}
+
+const (
+	// newsWait is how long the primary holds a question back without news.
+	newsWait = 700 * time.Millisecond
+	// newsPatience is how long one question may take altogether.
+	newsPatience = 1400 * time.Millisecond
+	// retryPause is the pause after a round in which nobody led.
+	retryPause = 80 * time.Millisecond
+	// darkTime is how long an address that did not answer is asked last.
+	darkTime = 3 * time.Second
+)
+
+// New makes a follower for a member. Take is called for every answer, in turn.
+//
+// Example:
+//
+//	followed := follower.New(caller, clock, member, seeds, inForce, take)
+func New(caller *hotline.Caller, clock *wallclock.Clock, member roster.Member, seeds []string, inForce func() larder.Version, take func(News)) *Follower {
+	return &Follower{caller: caller, clock: clock, member: member, seeds: seeds, inForce: inForce, take: take,
+		drawers: map[string]larder.Drawer{}, dark: map[string]time.Time{}}
+}
+
+// SetContacts gives the expediters' addresses that the platform lists, and the
+// neighbours that may relay.
+//
+// Example:
+//
+//	followed.SetContacts(expediters, neighbours)
+func (follower *Follower) SetContacts(contacts, neighbours []string) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.contacts, follower.neighbours = contacts, neighbours
+}
+
+// SetSeeds exchanges the seeds, after a reload.
+//
+// Example:
+//
+//	followed.SetSeeds(chosen.Seeds)
+func (follower *Follower) SetSeeds(seeds []string) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.seeds = seeds
+}
+
+// Charter is the newest charter heard of.
+//
+// Example:
+//
+//	charter := followed.Charter()
+func (follower *Follower) Charter() larder.Charter {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.charter
+}
+
+// Heard is when the primary answered last.
+//
+// Example:
+//
+//	silence := clock.Now().Sub(followed.Heard())
+func (follower *Follower) Heard() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.heard
+}
+
+// Drawer is the newest content of a drawer that the node has.
+//
+// Example:
+//
+//	content := followed.Drawer(larder.OrdersDrawer).Content
+func (follower *Follower) Drawer(name string) larder.Drawer {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.drawers[name]
+}
+
+// Run asks until its lifetime ends.
+//
+// Example:
+//
+//	followed.Run(lifetime)
+func (follower *Follower) Run(lifetime context.Context) {
+	for lifetime.Err() == nil {
+		asked := follower.clock.Now()
+		var answer NewsAnswer
+		if failure := follower.Ask(lifetime, NewsPath, follower.question(), &answer, newsPatience); failure == nil {
+			follower.takeAnswer(asked, answer)
+			continue
+		}
+		pause := time.NewTimer(retryPause)
+		select {
+		case <-lifetime.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+}
+
+func (follower *Follower) question() NewsQuestion {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	have := map[string]larder.Version{}
+	for name, drawer := range follower.drawers {
+		have[name] = drawer.Version
+	}
+	return NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Patience: newsWait}
+}
+
+func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) {
+	follower.mutex.Lock()
+	for name, drawer := range answer.Drawers {
+		if drawer.Version.Before(follower.drawers[name].Version) {
+			// An older primary's word: versions never go back.
+			follower.mutex.Unlock()
+			return
+		}
+	}
+	if answer.Menu.Before(follower.drawers[larder.MenuDrawer].Version) {
+		follower.mutex.Unlock()
+		return
+	}
+	for name, drawer := range answer.Drawers {
+		follower.drawers[name] = drawer
+	}
+	follower.heard = follower.clock.Now()
+	follower.mutex.Unlock()
+	follower.take(News{Asked: asked, Answer: answer, Changed: answer.Drawers})
+}
+
+// leadsAnswer is the part that all answers of expediters have in common.
+type leadsAnswer struct {
+	Leads   bool           `msgpack:"leads"`
+	Charter larder.Charter `msgpack:"charter"`
+}
+
+// Ask sends a message to the primary, wherever it is, or through a neighbour
+// when it can't be reached. The answer must say whether its giver leads.
+//
+// Example:
+//
+//	failure := followed.Ask(lifetime, follower.ClaimPath, question, &answer, time.Second)
+func (follower *Follower) Ask(lifetime context.Context, path string, question, answer any, patience time.Duration) error {
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	reply, failure := follower.AskRaw(lifetime, path, body, patience)
+	if failure != nil {
+		relayed, relayFailure := follower.viaNeighbour(lifetime, path, body, patience)
+		if relayFailure != nil {
+			return failure
+		}
+		reply = relayed
+	}
+	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(reply, answer))
+}
+
+// AskRaw sends an encoded message to the primary without a neighbour's help.
+//
+// Example:
+//
+//	reply, failure := followed.AskRaw(lifetime, path, body, time.Second)
+func (follower *Follower) AskRaw(lifetime context.Context, path string, body []byte, patience time.Duration) ([]byte, error) {
+	asked := map[string]bool{}
+	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
+	for _, address := range follower.candidates() {
+		for address != "" && !asked[address] && lifetime.Err() == nil {
+			asked[address] = true
+			reply, failure := follower.caller.CallRaw(lifetime, address, path, body, patience)
+			if failure != nil {
+				last = failure
+				if kind := trouble.KindOf(failure); kind != trouble.Unreachable && kind != trouble.Garbage {
+					return nil, failure
+				}
+				follower.forget(address)
+				break
+			}
+			var said leadsAnswer
+			if failure := msgpack.Unmarshal(reply, &said); failure != nil {
+				last = trouble.Wrap(trouble.Garbage, failure)
+				break
+			}
+			follower.learn(address, said)
+			if said.Leads {
+				return reply, nil
+			}
+			last = trouble.New(trouble.NoPrimary, "no expediter leads")
+			address = said.Charter.Primary.Address
+		}
+	}
+	return nil, last
+}
+
+func (follower *Follower) learn(address string, said leadsAnswer) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if said.Charter.Epoch > follower.charter.Epoch {
+		follower.charter = said.Charter
+	}
+	if said.Leads {
+		follower.primary = address
+	} else if follower.primary == address {
+		follower.primary = ""
+	}
+}
+
+func (follower *Follower) forget(address string) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.dark[address] = follower.clock.Now()
+	if follower.primary == address {
+		follower.primary = ""
+	}
+}
+
+func (follower *Follower) candidates() []string {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	candidates := []string{follower.primary, follower.charter.Primary.Address, follower.charter.Backup.Address}
+	for _, seat := range follower.charter.Electors() {
+		candidates = append(candidates, seat.Address)
+	}
+	candidates = append(candidates, follower.seeds...)
+	candidates = append(candidates, follower.contacts...)
+	// Who did not answer just now is asked after all others.
+	sort.SliceStable(candidates, func(left, right int) bool {
+		return !follower.isDark(candidates[left]) && follower.isDark(candidates[right])
+	})
+	return candidates
+}
+
+func (follower *Follower) isDark(address string) bool {
+	since, found := follower.dark[address]
+	return found && follower.clock.Now().Sub(since) < darkTime
+}
+
+func (follower *Follower) viaNeighbour(lifetime context.Context, path string, body []byte, patience time.Duration) ([]byte, error) {
+	follower.mutex.Lock()
+	neighbours := append([]string(nil), follower.neighbours...)
+	follower.mutex.Unlock()
+	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
+	for _, address := range neighbours {
+		var reply []byte
+		failure := follower.caller.Call(lifetime, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, patience+200*time.Millisecond)
+		if failure == nil {
+			return reply, nil
+		}
+		last = failure
+	}
+	return nil, last
+}
+
+// Relay passes another node's message to the primary.
+//
+// Example:
+//
+//	reply, failure := followed.Relay(lifetime, question)
+func (follower *Follower) Relay(lifetime context.Context, question RelayQuestion) ([]byte, error) {
+	switch question.Path {
+	case NewsPath, ClaimPath, OrdersPath:
+		return follower.AskRaw(lifetime, question.Path, question.Body, newsPatience)
+	}
+	return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
+}
--- /dev/null
+++ b/internal/adapters/follower/newsquestion.go
@@ -0,0 +1,19 @@
+package follower
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// NewsQuestion is what a node asks the primary, over and over: what it is,
+// which versions it has, and which configuration it has in force.
+type NewsQuestion struct {
+	Member   roster.Member             `msgpack:"member"`
+	Have     map[string]larder.Version `msgpack:"have"`
+	InForce  larder.Version            `msgpack:"in_force"`
+	Released []rota.Duty               `msgpack:"released,omitempty"`
+	Patience time.Duration             `msgpack:"patience"`
+}
--- /dev/null
+++ b/internal/adapters/hotline/caller.go
@@ -0,0 +1,124 @@
+// Package hotline carries msgpack messages over HTTP between seamloom's own
+// processes. Each message has a checksum and a bounded size.
+package hotline
+
+import (
+	"bytes"
+	"context"
+	"hash/crc32"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// MostBytes is the largest message. It leaves room for the largest
+// configuration, in a snapshot with all the rest.
+const MostBytes = 64 << 20
+
+const checksumHeader = "Seamloom-Checksum"
+
+// Caller calls other processes.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller makes a caller. Detours replace addresses when dialling: the
+// rehearsal's relays stand there.
+//
+// Example:
+//
+//	caller := hotline.NewCaller(nil)
+func NewCaller(detours map[string]string) *Caller {
+	return &Caller{client: &http.Client{Transport: Transport(detours)}}
+}
+
+// Transport is a plain HTTP/1.1 transport that follows the detours.
+//
+// Example:
+//
+//	client := &http.Client{Transport: hotline.Transport(nil)}
+func Transport(detours map[string]string) *http.Transport {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext: func(lifetime context.Context, network, address string) (net.Conn, error) {
+			if detour, found := detours[address]; found {
+				address = detour
+			}
+			return dialer.DialContext(lifetime, network, address)
+		},
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+}
+
+// Call sends a message and reads the answer, within the patience.
+//
+// Example:
+//
+//	failure := caller.Call(lifetime, "127.0.0.1:7101", "/hotline/hello", own, &answer, time.Second)
+func (caller *Caller) Call(lifetime context.Context, address, path string, question, answer any, patience time.Duration) error {
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	answered, failure := caller.CallRaw(lifetime, address, path, body, patience)
+	if failure != nil {
+		return failure
+	}
+	if answer == nil {
+		return nil
+	}
+	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(answered, answer))
+}
+
+// CallRaw sends an encoded message and returns the encoded answer, as relays
+// do for others.
+//
+// Example:
+//
+//	answer, failure := caller.CallRaw(lifetime, address, path, body, time.Second)
+func (caller *Caller) CallRaw(lifetime context.Context, address, path string, body []byte, patience time.Duration) ([]byte, error) {
+	lifetime, end := context.WithTimeout(lifetime, patience)
+	defer end()
+	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Garbage, failure)
+	}
+	outbound.Header.Set("Content-Type", "application/msgpack")
+	outbound.Header.Set(checksumHeader, checksum(body))
+	inbound, failure := caller.client.Do(outbound)
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	answer, failure := io.ReadAll(io.LimitReader(inbound.Body, MostBytes+1))
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	if len(answer) > MostBytes {
+		return nil, trouble.New(trouble.Oversize, "an answer of more than the largest size")
+	}
+	if inbound.Header.Get(checksumHeader) != checksum(answer) {
+		return nil, trouble.New(trouble.Garbage, "the answer's checksum is wrong")
+	}
+	if inbound.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	said := &trouble.Trouble{}
+	if msgpack.Unmarshal(answer, said) != nil || said.Kind == "" {
+		return nil, trouble.New(trouble.Unreachable, "status "+strconv.Itoa(inbound.StatusCode))
+	}
+	return nil, said
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func checksum(body []byte) string {
+	return strconv.FormatUint(uint64(crc32.Checksum(body, castagnoli)), 16)
+}
--- /dev/null
+++ b/internal/adapters/pantry/realdisk.go
@@ -0,0 +1,88 @@
+package pantry
+
+import "os"
+
+// RealDisk is the machine's file system.
+type RealDisk struct{}
+
+// MakeFolder makes a folder and its parents.
+//
+// Example:
+//
+//	failure := pantry.RealDisk{}.MakeFolder("/var/lib/seamloom")
+func (RealDisk) MakeFolder(path string) error { return os.MkdirAll(path, 0o755) }
+
+// WriteSynced writes a file and syncs it.
+//
+// Example:
+//
+//	failure := pantry.RealDisk{}.WriteSynced("/var/lib/seamloom/note", content)
+func (RealDisk) WriteSynced(path string, content []byte) error {
+	file, failure := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
+	if failure != nil {
+		return failure
+	}
+	if _, failure := file.Write(content); failure != nil {
+		_ = file.Close()
+		return failure
+	}
+	if failure := file.Sync(); failure != nil {
+		_ = file.Close()
+		return failure
+	}
+	return file.Close()
+}
+
+// Rename gives a file its name.
+//
+// Example:
+//
+//	failure := pantry.RealDisk{}.Rename("note.aside", "note")
+func (RealDisk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// SyncFolder syncs a folder, so that a rename in it lasts.
+//
+// Example:
+//
+//	failure := pantry.RealDisk{}.SyncFolder("/var/lib/seamloom")
+func (RealDisk) SyncFolder(path string) error {
+	folder, failure := os.Open(path)
+	if failure != nil {
+		return failure
+	}
+	if failure := folder.Sync(); failure != nil {
+		_ = folder.Close()
+		return failure
+	}
+	return folder.Close()
+}
+
+// List names the files of a folder.
+//
+// Example:
+//
+//	names, failure := pantry.RealDisk{}.List("/var/lib/seamloom")
+func (RealDisk) List(path string) ([]string, error) {
+	entries, failure := os.ReadDir(path)
+	var names []string
+	for _, entry := range entries {
+		if !entry.IsDir() {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, failure
+}
+
+// Read reads a whole file.
+//
+// Example:
+//
+//	content, failure := pantry.RealDisk{}.Read("note")
+func (RealDisk) Read(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// Remove deletes a file.
+//
+// Example:
+//
+//	failure := pantry.RealDisk{}.Remove("note")
+func (RealDisk) Remove(path string) error { return os.Remove(path) }
--- /dev/null
+++ b/internal/adapters/settings/settings.go
@@ -0,0 +1,226 @@
+// Package settings reads and checks the settings of the processes, from a file
+// and from flags.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"reflect"
+	"regexp"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+	"go.uber.org/multierr"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Settings are what a process is told of its place.
+type Settings struct {
+	Kind          roster.NodeKind
+	Name          string
+	Address       string
+	District      string
+	Seeds         []string
+	Platform      string
+	DataFolder    string
+	LogLevel      string
+	Market        string
+	MostInquiries int
+	FlagSettle    int
+	Withhold      []string
+	Detours       map[string]string
+}
+
+// Defaults are the settings before file and flags.
+//
+// Example:
+//
+//	chosen := settings.Defaults(roster.Courier)
+func Defaults(kind roster.NodeKind) Settings {
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000}
+}
+
+// ReadFile takes the settings of a JSON file over those given.
+//
+// Example:
+//
+//	failure := chosen.ReadFile("courier.json")
+func (settings *Settings) ReadFile(path string) error {
+	text, failure := os.ReadFile(path)
+	if failure != nil {
+		return trouble.At(trouble.Missing, "settings file", failure.Error())
+	}
+	root, failure := fastjson.ParseBytes(text)
+	if failure != nil {
+		return trouble.At(trouble.Malformed, path, failure.Error())
+	}
+	object, failure := root.Object()
+	if failure != nil {
+		return trouble.At(trouble.WrongType, path, "an object is needed")
+	}
+	var mistakes error
+	object.Visit(func(key []byte, value *fastjson.Value) {
+		mistakes = multierr.Append(mistakes, settings.readField(string(key), value))
+	})
+	return mistakes
+}
+
+func (settings *Settings) readField(name string, value *fastjson.Value) error {
+	texts := map[string]*string{"name": &settings.Name, "address": &settings.Address, "district": &settings.District,
+		"platform": &settings.Platform, "data_folder": &settings.DataFolder, "log_level": &settings.LogLevel, "market": &settings.Market}
+	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
+	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle}
+	if target, found := texts[name]; found {
+		text, failure := value.StringBytes()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "a text is needed")
+		}
+		*target = string(text)
+		return nil
+	}
+	if target, found := numbers[name]; found {
+		number, failure := value.Int()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "a whole number is needed")
+		}
+		*target = number
+		return nil
+	}
+	if target, found := lists[name]; found {
+		entries, failure := value.Array()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "a list of texts is needed")
+		}
+		*target = nil
+		for position, entry := range entries {
+			text, failure := entry.StringBytes()
+			if failure != nil {
+				return trouble.At(trouble.WrongType, name+"/"+strconv.Itoa(position), "a text is needed")
+			}
+			*target = append(*target, string(text))
+		}
+		return nil
+	}
+	if name == "detours" {
+		object, failure := value.Object()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "an object is needed")
+		}
+		settings.Detours = map[string]string{}
+		var mistakes error
+		object.Visit(func(key []byte, value *fastjson.Value) {
+			text, failure := value.StringBytes()
+			if failure != nil {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, name+"/"+string(key), "an address is needed"))
+				return
+			}
+			settings.Detours[string(key)] = string(text)
+		})
+		return mistakes
+	}
+	return trouble.At(trouble.UnknownField, name, "no such setting")
+}
+
+var nameShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Check names all mistakes at once.
+//
+// Example:
+//
+//	if failure := chosen.Check(); failure != nil { fmt.Fprintln(os.Stderr, failure) }
+func (settings *Settings) Check() error {
+	var mistakes error
+	wrong := func(kind trouble.Kind, path, detail string) {
+		mistakes = multierr.Append(mistakes, trouble.At(kind, path, detail))
+	}
+	for path, name := range map[string]string{"name": settings.Name, "district": settings.District} {
+		if !nameShape.MatchString(name) {
+			wrong(trouble.Missing, path, "needs a name of letters, digits, dots, dashes and underscores, 64 at most")
+		}
+	}
+	addresses := map[string]string{"address": settings.Address, "platform": settings.Platform}
+	seen := map[string]bool{}
+	for position, seed := range settings.Seeds {
+		addresses["seeds/"+strconv.Itoa(position)] = seed
+		if seen[seed] {
+			wrong(trouble.Contradictory, "seeds/"+strconv.Itoa(position), "the seed "+seed+" stands twice")
+		}
+		seen[seed] = true
+	}
+	if len(settings.Seeds) != 3 {
+		wrong(trouble.OutOfRange, "seeds", "three seeds are needed, there are "+strconv.Itoa(len(settings.Seeds)))
+	}
+	for path, address := range addresses {
+		if parsed, failure := netip.ParseAddrPort(address); failure != nil || parsed.Port() == 0 {
+			wrong(trouble.Malformed, path, "needs an IP number and a port, such as 127.0.0.1:7101, not \""+address+"\"")
+		}
+	}
+	switch settings.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		wrong(trouble.OutOfRange, "log_level", "is debug, info, warn or error, not \""+settings.LogLevel+"\"")
+	}
+	if settings.Kind == roster.Expediter && settings.DataFolder == "" {
+		wrong(trouble.Missing, "data_folder", "an expediter keeps files")
+	}
+	if settings.Kind == roster.Courier {
+		if settings.DataFolder != "" {
+			wrong(trouble.Contradictory, "data_folder", "a courier keeps no files")
+		}
+		if settings.Market != "pair" && settings.Market != "least_loaded" {
+			wrong(trouble.OutOfRange, "market", "is pair or least_loaded, not \""+settings.Market+"\"")
+		}
+		if settings.MostInquiries < 1 {
+			wrong(trouble.OutOfRange, "most_inquiries", "must be at least 1")
+		}
+	}
+	if settings.FlagSettle < 0 {
+		wrong(trouble.OutOfRange, "flag_settle_milliseconds", "must not be negative")
+	}
+	for position, flag := range settings.Withhold {
+		if !recipe.Supported(nil).Has(recipe.Flag(flag)) {
+			wrong(trouble.OutOfRange, "withhold_flags/"+strconv.Itoa(position), "this build has no flag "+flag)
+		}
+	}
+	return mistakes
+}
+
+// Supported is the build's list less what the settings withhold.
+//
+// Example:
+//
+//	core := seamloom.New(seamloom.Options{Supported: chosen.Supported()})
+func (settings *Settings) Supported() recipe.List {
+	var withheld recipe.List
+	for _, flag := range settings.Withhold {
+		withheld = append(withheld, recipe.Flag(flag))
+	}
+	return recipe.Supported(withheld)
+}
+
+// Reload takes from the next settings what may change while the process runs,
+// and names what may not and has changed.
+//
+// Example:
+//
+//	stays := chosen.Reload(next)
+func (settings *Settings) Reload(next Settings) []string {
+	var stays []string
+	old, fresh := reflect.ValueOf(settings).Elem(), reflect.ValueOf(next)
+	for position := range old.NumField() {
+		name := old.Type().Field(position).Name
+		if reflect.DeepEqual(old.Field(position).Interface(), fresh.Field(position).Interface()) {
+			continue
+		}
+		switch name {
+		case "Seeds", "Platform", "LogLevel":
+			old.Field(position).Set(fresh.Field(position))
+		default:
+			stays = append(stays, name)
+		}
+	}
+	return stays
+}
--- /dev/null
+++ b/internal/adapters/stove/decodeorder.go
@@ -0,0 +1,11 @@
+package stove
+
+// DecodeOrder is the body of POST /v1/decode. Source is the address of the
+// server that read the prompt, from which its memory is fetched.
+type DecodeOrder struct {
+	Inquiry string `json:"inquiry"`
+	Run     int    `json:"run"`
+	Handle  string `json:"handle"`
+	Source  string `json:"source"`
+	Pieces  int    `json:"pieces"`
+}
--- /dev/null
+++ b/internal/adapters/stove/prefillanswer.go
@@ -0,0 +1,8 @@
+package stove
+
+// PrefillAnswer is the answer to POST /v1/prefill.
+type PrefillAnswer struct {
+	Inquiry string `json:"inquiry"`
+	Run     int    `json:"run"`
+	Handle  string `json:"handle"`
+}
--- /dev/null
+++ b/internal/adapters/stove/prefillorder.go
@@ -0,0 +1,11 @@
+package stove
+
+// PrefillOrder is the body of POST /v1/prefill.
+type PrefillOrder struct {
+	Inquiry      string `json:"inquiry"`
+	Run          int    `json:"run"`
+	Prompt       string `json:"prompt,omitempty"`
+	PromptTokens int    `json:"prompt_tokens"`
+	Prefix       string `json:"prefix,omitempty"`
+	PrefixTokens int    `json:"prefix_tokens,omitempty"`
+}
--- /dev/null
+++ b/internal/adapters/wallclock/clock.go
@@ -0,0 +1,45 @@
+// Package wallclock is the clock of the processes.
+package wallclock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Clock tells a time that starts at the wall clock's and then follows the
+// machine's boot time: it neither jumps when the wall clock is set nor stands
+// still while the machine sleeps.
+type Clock struct {
+	began time.Time
+	boot  time.Duration
+}
+
+// New starts a clock.
+//
+// Example:
+//
+//	clock := wallclock.New()
+func New() *Clock { return &Clock{began: time.Now().Round(0), boot: sinceBoot()} }
+
+// Now is the time, for holds, limits and patience.
+//
+// Example:
+//
+//	ends := clock.Now().Add(hold)
+func (clock *Clock) Now() time.Time { return clock.began.Add(sinceBoot() - clock.boot) }
+
+// Wall is what the machine's wall clock says, which may jump.
+//
+// Example:
+//
+//	goal := clock.Wall().Add(-retention)
+func (clock *Clock) Wall() time.Time { return time.Now().Round(0) }
+
+func sinceBoot() time.Duration {
+	var moment unix.Timespec
+	if failure := unix.ClockGettime(unix.CLOCK_BOOTTIME, &moment); failure != nil {
+		panic("wallclock: the machine has no boot-time clock: " + failure.Error())
+	}
+	return time.Duration(moment.Nano())
+}
--- /dev/null
+++ b/internal/larder/changes.go
@@ -0,0 +1,248 @@
+package larder
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Change alters the state in its turn, one after another, as the version that
+// it will be part of. MenuVersion is that of the configuration before it.
+type Change func(state *State, version, menuVersion Version) error
+
+// ChangeMenu replaces the configuration's text by what edit makes of it. With
+// an expected version it is refused when that is not the current one.
+//
+// Example:
+//
+//	store.Submit(larder.ChangeMenu("change-1", &expected, edit), done)
+func ChangeMenu(id string, expected *Version, edit func(text []byte) ([]byte, error)) Change {
+	return func(state *State, version, menuVersion Version) error {
+		for _, note := range state.Changes {
+			if id != "" && note.ID == id {
+				return trouble.New(trouble.Duplicate, "the change "+id+" was accepted as version "+note.Version.String())
+			}
+		}
+		if expected != nil && *expected != menuVersion {
+			return trouble.New(trouble.VersionConflict, menuVersion.String())
+		}
+		text, failure := edit(state.Menu)
+		if failure != nil {
+			return failure
+		}
+		if _, failure := menu.Check(text); failure != nil {
+			return failure
+		}
+		state.Menu = text
+		state.Touch(MenuDrawer)
+		if id != "" {
+			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version})
+			if excess := len(state.Changes) - MostChangeNotes; excess > 0 {
+				state.Changes = state.Changes[excess:]
+			}
+			state.Touch(ChangesDrawer)
+		}
+		return nil
+	}
+}
+
+// Register records a member with its supported list, as it says now.
+//
+// Example:
+//
+//	store.Submit(larder.Register(member), done)
+func Register(member roster.Member) Change {
+	return func(state *State, _, _ Version) error {
+		if recorded, found := state.Members[member.Name]; found && recorded.Same(member) {
+			return nil
+		}
+		state.Members[member.Name] = member
+		state.Touch(MembersDrawer)
+		return nil
+	}
+}
+
+// Retire takes a stopped member out of the record, as an operator asks.
+//
+// Example:
+//
+//	store.Submit(larder.Retire("courier-9"), done)
+func Retire(name string) Change {
+	return func(state *State, _, _ Version) error {
+		if _, found := state.Members[name]; !found {
+			return trouble.New(trouble.NoSuch, "no member "+name)
+		}
+		delete(state.Members, name)
+		state.Touch(MembersDrawer)
+		return nil
+	}
+}
+
+// EnableFlags enables every flag of this build that all recorded members
+// support. It is serialized with registrations, and flags are never disabled.
+//
+// Example:
+//
+//	store.Submit(larder.EnableFlags(supported), done)
+func EnableFlags(supported recipe.List) Change {
+	return func(state *State, _, _ Version) error {
+		enabled := state.Flags.Enabled
+		for _, flag := range supported {
+			if len(state.Lacking(flag)) == 0 && len(state.Members) > 0 {
+				enabled = enabled.With(flag)
+			}
+		}
+		if len(enabled) != len(state.Flags.Enabled) {
+			state.Flags.Enabled = enabled
+			state.Touch(FlagsDrawer)
+		}
+		return nil
+	}
+}
+
+// Lacking names the recorded members that do not support a flag.
+//
+// Example:
+//
+//	blockers := state.Lacking(recipe.PairPrice)
+func (state *State) Lacking(flag recipe.Flag) []string {
+	var lacking []string
+	for name, member := range state.Members {
+		if !member.Supported.Has(flag) {
+			lacking = append(lacking, name)
+		}
+	}
+	return lacking
+}
+
+// GrantDuties records new holders, each under a new fence. A grant made from a
+// record that has changed since is passed over.
+//
+// Example:
+//
+//	store.Submit(larder.GrantDuties(grants, recorded), done)
+func GrantDuties(grants []rota.Duty, seen map[string]rota.Duty) Change {
+	return func(state *State, _, _ Version) error {
+		for _, grant := range grants {
+			if state.Rota.Duties[grant.Key] != seen[grant.Key] {
+				continue
+			}
+			member, found := state.Members[grant.Holder]
+			if !found || member.Restricted(state.Flags.Enabled) {
+				continue
+			}
+			state.Rota.Fence++
+			grant.Fence = state.Rota.Fence
+			state.Rota.Duties[grant.Key] = grant
+			state.Touch(RotaDrawer)
+		}
+		return nil
+	}
+}
+
+// GiveOrders records orders from the holder of the parts duty. Orders under an
+// older fence are refused.
+//
+// Example:
+//
+//	store.Submit(larder.GiveOrders(duty, orders, supported), done)
+func GiveOrders(duty rota.Duty, orders []recipe.Order, supported recipe.List) Change {
+	return func(state *State, _, _ Version) error {
+		if state.Rota.Duties[rota.PartsKey] != duty {
+			return trouble.New(trouble.NotHolder, "the duty "+rota.PartsKey+" has changed hands")
+		}
+		enabled := state.Flags.Enabled
+		if len(supported.Lacks(enabled)) > 0 {
+			return trouble.New(trouble.Restricted, "this node may not write orders")
+		}
+		for _, order := range orders {
+			record, failure := recipe.WriteOrder(order, duty.Holder, state.Orders.Number+1, enabled)
+			if failure != nil {
+				return failure
+			}
+			state.Orders.Number++
+			state.Orders.Records[order.Server] = record
+			state.Touch(OrdersDrawer)
+		}
+		return nil
+	}
+}
+
+// Retention is how long a claim is kept at least. An id older than the horizon
+// is refused. The value is ours.
+const Retention = 10 * time.Minute
+
+// Claim takes an inquiry id for one courier's run, once. The same courier may
+// ask again for the same nonce, since an answer can be lost.
+//
+// Example:
+//
+//	store.Submit(larder.Claim(made, entry), done)
+func Claim(made time.Time, entry recipe.Entry) Change {
+	return func(state *State, _, _ Version) error {
+		if made.Before(state.Horizon) {
+			return trouble.New(trouble.TooOld, "inquiries that may not be repeated are remembered from "+state.Horizon.UTC().Format(time.RFC3339))
+		}
+		if !state.Horizon.IsZero() && made.After(state.Horizon.Add(Retention+time.Hour)) {
+			return trouble.New(trouble.TooNew, "the inquiry's id is from the future")
+		}
+		drawer := claimsDrawer(made)
+		if record, found := state.Claims[drawer][entry.Inquiry]; found {
+			earlier, failure := recipe.ReadEntry(record)
+			if failure != nil {
+				return failure
+			}
+			if earlier.Courier == entry.Courier && earlier.Cause == entry.Cause {
+				return nil
+			}
+			return trouble.New(trouble.Duplicate, "taken by "+earlier.Courier+" at "+earlier.At.UTC().Format(time.RFC3339Nano))
+		}
+		record, failure := recipe.WriteEntry(recipe.RecoverRecord, entry)
+		if failure != nil {
+			return failure
+		}
+		if state.Claims[drawer] == nil {
+			state.Claims[drawer] = map[string]recipe.Record{}
+		}
+		state.Claims[drawer][entry.Inquiry] = record
+		state.Touch(drawer)
+		return nil
+	}
+}
+
+// MoveHorizon forgets claims that are older than the retention. It moves at
+// most by step, which the caller draws from monotonic time, so that a clock
+// that jumps forward neither forgets claims nor refuses new ones.
+//
+// Example:
+//
+//	store.Submit(larder.MoveHorizon(wallClock, 2*elapsed), done)
+func MoveHorizon(wall time.Time, step time.Duration) Change {
+	return func(state *State, _, _ Version) error {
+		goal := wall.Add(-Retention)
+		if state.Horizon.IsZero() {
+			state.Horizon = goal
+			state.Touch(HorizonDrawer)
+			return nil
+		}
+		if furthest := state.Horizon.Add(step); goal.After(furthest) {
+			goal = furthest
+		}
+		if !goal.After(state.Horizon) {
+			return nil
+		}
+		state.Horizon = goal
+		state.Touch(HorizonDrawer)
+		for drawer := range state.Claims {
+			if claimsDrawerEnds(drawer).Before(goal) {
+				delete(state.Claims, drawer)
+				state.Touch(drawer)
+			}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/larder/charter.go
@@ -0,0 +1,80 @@
+package larder
+
+// Charter is what the epoch keepers keep: who is primary and who is in sync
+// with it, and who the keepers are. While a keeper is exchanged, Incoming is
+// the next set, and both sets must agree to everything.
+type Charter struct {
+	Epoch    uint64 `msgpack:"epoch" json:"epoch"`
+	Primary  Seat   `msgpack:"primary" json:"primary"`
+	Backup   Seat   `msgpack:"backup" json:"backup"`
+	Keepers  []Seat `msgpack:"keepers" json:"keepers"`
+	Incoming []Seat `msgpack:"incoming,omitempty" json:"incoming,omitempty"`
+}
+
+// Blank tells whether there is no charter yet.
+//
+// Example:
+//
+//	if keeper.Charter().Blank() { ... }
+func (charter Charter) Blank() bool { return charter.Epoch == 0 }
+
+// InSync tells whether the copy of the identity has everything answered.
+//
+// Example:
+//
+//	if charter.InSync(identity) { /* it may take over */ }
+func (charter Charter) InSync(identity Identity) bool {
+	return identity != "" && (charter.Primary.Identity == identity || charter.Backup.Identity == identity)
+}
+
+// Electors lists the keepers of both sets, each once.
+//
+// Example:
+//
+//	for _, seat := range charter.Electors() { ask(seat) }
+func (charter Charter) Electors() []Seat {
+	electors := append([]Seat(nil), charter.Keepers...)
+	for _, seat := range charter.Incoming {
+		if !hasSeat(electors, seat.Identity) {
+			electors = append(electors, seat)
+		}
+	}
+	return electors
+}
+
+// Keeps tells whether the identity is a keeper of either set.
+//
+// Example:
+//
+//	if charter.Keeps(identity) { ... }
+func (charter Charter) Keeps(identity Identity) bool {
+	return hasSeat(charter.Keepers, identity) || hasSeat(charter.Incoming, identity)
+}
+
+// Quorum tells whether those who granted are a majority of each set.
+//
+// Example:
+//
+//	won := charter.Quorum(map[larder.Identity]bool{"a": true, "b": true})
+func (charter Charter) Quorum(granted map[Identity]bool) bool {
+	return majority(charter.Keepers, granted) && (len(charter.Incoming) == 0 || majority(charter.Incoming, granted))
+}
+
+func majority(seats []Seat, granted map[Identity]bool) bool {
+	count := 0
+	for _, seat := range seats {
+		if granted[seat.Identity] {
+			count++
+		}
+	}
+	return count*2 > len(seats)
+}
+
+func hasSeat(seats []Seat, identity Identity) bool {
+	for _, seat := range seats {
+		if seat.Identity == identity {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/larder/copy.go
@@ -0,0 +1,204 @@
+package larder
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Copy is one disk's copy of the larder: a file for each version, holding the
+// drawers that the version changed. Files whose drawers are all newer
+// elsewhere are removed.
+type Copy struct {
+	mutex   sync.Mutex
+	shelf   Shelf
+	version Version
+	drawers map[string]Drawer
+	places  map[string]Version
+	files   map[string]bool
+	damage  string
+}
+
+// OpenCopy reads a copy from its shelf. A copy with a damaged or missing file
+// opens, but says so, and must be replaced from the other.
+//
+// Example:
+//
+//	copied, failure := larder.OpenCopy(shelf)
+func OpenCopy(shelf Shelf) (*Copy, error) {
+	files, damaged, failure := shelf.Load()
+	if failure != nil {
+		return nil, failure
+	}
+	copied := &Copy{shelf: shelf, drawers: map[string]Drawer{}, places: map[string]Version{}, files: map[string]bool{}}
+	batches := map[Version]Batch{}
+	var newest Batch
+	for name, content := range files {
+		copied.files[name] = true
+		var batch Batch
+		if msgpack.Unmarshal(content, &batch) != nil || fileName(batch.Version) != name {
+			damaged = append(damaged, name)
+			continue
+		}
+		batches[batch.Version] = batch
+		if newest.Version.Before(batch.Version) {
+			newest = batch
+		}
+	}
+	copied.version = newest.Version
+	for name, place := range newest.Places {
+		drawer, found := batches[place].Drawers[name]
+		if !found {
+			copied.damage = fmt.Sprintf("the file of version %s is missing, which holds %s", place, name)
+			continue
+		}
+		copied.drawers[name] = drawer
+		copied.places[name] = place
+	}
+	if len(damaged) > 0 {
+		sort.Strings(damaged)
+		copied.damage = fmt.Sprintf("damaged files: %v", damaged)
+		for _, name := range damaged {
+			copied.files[name] = true
+		}
+	}
+	return copied, nil
+}
+
+// Damage says what is wrong with the copy, or nothing.
+//
+// Example:
+//
+//	if copied.Damage() != "" { /* fetch the other copy */ }
+func (copied *Copy) Damage() string {
+	copied.mutex.Lock()
+	defer copied.mutex.Unlock()
+	return copied.damage
+}
+
+// Version is the newest version that the copy holds.
+//
+// Example:
+//
+//	base := copied.Version()
+func (copied *Copy) Version() Version {
+	copied.mutex.Lock()
+	defer copied.mutex.Unlock()
+	return copied.version
+}
+
+// Drawers is the copy's content. The map is the caller's, the bytes are not.
+//
+// Example:
+//
+//	drawers := copied.Drawers()
+func (copied *Copy) Drawers() map[string]Drawer {
+	copied.mutex.Lock()
+	defer copied.mutex.Unlock()
+	drawers := make(map[string]Drawer, len(copied.drawers))
+	for name, drawer := range copied.drawers {
+		drawers[name] = drawer
+	}
+	return drawers
+}
+
+// Write syncs a batch to disk and takes it up. The same batch again changes
+// nothing; one that does not follow the copy's version is refused as Behind.
+//
+// Example:
+//
+//	failure := copied.Write(batch)
+func (copied *Copy) Write(batch Batch) error {
+	copied.mutex.Lock()
+	defer copied.mutex.Unlock()
+	if copied.damage != "" {
+		return trouble.New(trouble.Damaged, copied.damage)
+	}
+	if batch.Version == copied.version {
+		return nil
+	}
+	if batch.Base != copied.version || !copied.version.Before(batch.Version) {
+		return trouble.New(trouble.Behind, fmt.Sprintf("the copy is at %s, the batch follows %s", copied.version, batch.Base))
+	}
+	return copied.keep(batch)
+}
+
+// Rewrite replaces the whole copy by a snapshot, in one file.
+//
+// Example:
+//
+//	failure := copied.Rewrite(snapshot)
+func (copied *Copy) Rewrite(snapshot Snapshot) error {
+	copied.mutex.Lock()
+	defer copied.mutex.Unlock()
+	if snapshot.Version == copied.version && copied.damage == "" {
+		return nil
+	}
+	// A copy may hold one version more than the snapshot: a batch that was
+	// synced here and never answered. It is still under way at the primary, so
+	// that finding it again after a crash is harmless.
+	copied.drawers = map[string]Drawer{}
+	copied.places = map[string]Version{}
+	copied.damage = "a rewrite was broken off"
+	if failure := copied.keep(Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}); failure != nil {
+		return failure
+	}
+	copied.damage = ""
+	return nil
+}
+
+func (copied *Copy) keep(batch Batch) error {
+	places := map[string]Version{}
+	for name, place := range copied.places {
+		places[name] = place
+	}
+	for name := range batch.Drawers {
+		places[name] = batch.Version
+	}
+	for _, name := range batch.Removed {
+		delete(places, name)
+	}
+	batch.Places = places
+	encoded, failure := msgpack.Marshal(batch)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	file := fileName(batch.Version)
+	if failure := copied.shelf.Save(file, encoded); failure != nil {
+		return failure
+	}
+	copied.files[file] = true
+	copied.version = batch.Version
+	copied.places = places
+	for name, drawer := range batch.Drawers {
+		copied.drawers[name] = drawer
+	}
+	for _, name := range batch.Removed {
+		delete(copied.drawers, name)
+	}
+	needed := map[string]bool{file: true}
+	for _, place := range places {
+		needed[fileName(place)] = true
+	}
+	var useless []string
+	for name := range copied.files {
+		if !needed[name] {
+			useless = append(useless, name)
+		}
+	}
+	// Files that only take room are no failure of the write.
+	if copied.shelf.Remove(useless) == nil {
+		for _, name := range useless {
+			delete(copied.files, name)
+		}
+	}
+	return nil
+}
+
+func fileName(version Version) string {
+	return fmt.Sprintf("version-%020d-%020d", version.Epoch, version.Number)
+}
--- /dev/null
+++ b/internal/larder/hello.go
@@ -0,0 +1,20 @@
+package larder
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Hello is what expediters tell each other of themselves.
+type Hello struct {
+	Seat       Seat            `msgpack:"seat"`
+	Kind       roster.NodeKind `msgpack:"kind"`
+	Blank      bool            `msgpack:"blank"`
+	Restricted bool            `msgpack:"restricted"`
+	Charter    Charter         `msgpack:"charter"`
+	Leads      bool            `msgpack:"leads"`
+	HoldLeft   time.Duration   `msgpack:"hold_left"`
+	Version    Version         `msgpack:"version"`
+	Damage     string          `msgpack:"damage,omitempty"`
+}
--- /dev/null
+++ b/internal/larder/keeper.go
@@ -0,0 +1,257 @@
+package larder
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// PrimaryHold is how long a keeper holds still for the primary it confirmed.
+// The value is ours.
+const PrimaryHold = 1500 * time.Millisecond
+
+// Keeper is an epoch witness. It keeps only the charter and the highest epoch
+// that it has promised, both synced before it answers.
+type Keeper struct {
+	mutex    sync.Mutex
+	shelf    Shelf
+	self     Seat
+	note     keeperNote
+	holder   Identity
+	holdEnds time.Time
+}
+
+type keeperNote struct {
+	Identity Identity `msgpack:"identity"`
+	Sequence uint64   `msgpack:"sequence"`
+	Promised uint64   `msgpack:"promised"`
+	Charter  Charter  `msgpack:"charter"`
+}
+
+// OpenKeeper reads the keeper's note from its shelf. When there is none, or
+// the newest is damaged, the disk counts as blank and fresh is the identity
+// that it takes. A keeper that starts holds still for one hold, since it may
+// have confirmed a primary just before it stopped.
+//
+// Example:
+//
+//	keeper, blank, failure := larder.OpenKeeper(now, shelf, seat, fresh)
+func OpenKeeper(now time.Time, shelf Shelf, seat Seat, fresh Identity) (*Keeper, bool, error) {
+	files, damaged, failure := shelf.Load()
+	if failure != nil {
+		return nil, false, failure
+	}
+	keeper := &Keeper{shelf: shelf, self: seat, holdEnds: now.Add(PrimaryHold)}
+	var names []string
+	for name := range files {
+		names = append(names, name)
+	}
+	names = append(names, damaged...)
+	sort.Strings(names)
+	if len(names) > 0 {
+		newest := names[len(names)-1]
+		if content, intact := files[newest]; intact && msgpack.Unmarshal(content, &keeper.note) == nil && keeper.note.Identity != "" {
+			keeper.self.Identity = keeper.note.Identity
+			return keeper, false, nil
+		}
+	}
+	keeper.note = keeperNote{Identity: fresh, Sequence: uint64(len(names))}
+	keeper.self.Identity = fresh
+	if failure := shelf.Remove(names); failure != nil {
+		return nil, true, failure
+	}
+	return keeper, true, keeper.save(keeper.note)
+}
+
+// Seat is the keeper's own seat.
+//
+// Example:
+//
+//	keeper.Seat().Identity
+func (keeper *Keeper) Seat() Seat {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.self
+}
+
+// Charter is the newest charter that the keeper has accepted.
+//
+// Example:
+//
+//	charter := keeper.Charter()
+func (keeper *Keeper) Charter() Charter {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.note.Charter
+}
+
+// Promised is the highest epoch that the keeper has promised.
+//
+// Example:
+//
+//	next := keeper.Promised() + 1
+func (keeper *Keeper) Promised() uint64 {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.note.Promised
+}
+
+// HoldEnds tells when the hold that the keeper gave a primary runs out.
+//
+// Example:
+//
+//	if keeper.HoldEnds().Before(now) { /* nobody is primary here */ }
+func (keeper *Keeper) HoldEnds() time.Time {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.holdEnds
+}
+
+// Prepare promises an epoch to a candidate, unless a higher or equal one is
+// promised or another primary's hold runs.
+//
+// Example:
+//
+//	promise := keeper.Prepare(now, 4, candidate)
+func (keeper *Keeper) Prepare(now time.Time, epoch uint64, candidate Identity) (Promise, error) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
+	switch {
+	case keeper.note.Charter.Blank():
+		promise.Refusal = trouble.NotAdmitted
+	case epoch <= keeper.note.Promised:
+		promise.Refusal = trouble.OldEpoch
+	case now.Before(keeper.holdEnds) && keeper.holder != candidate:
+		promise.Refusal = trouble.HoldActive
+	default:
+		note := keeper.note
+		note.Promised = epoch
+		if failure := keeper.save(note); failure != nil {
+			return promise, failure
+		}
+		promise.Granted = true
+		promise.Promised = epoch
+	}
+	return promise, nil
+}
+
+// Accept takes a charter, unless a higher epoch is promised. A blank keeper
+// takes only one that names it: that is how it is admitted.
+//
+// Example:
+//
+//	promise, failure := keeper.Accept(now, charter)
+func (keeper *Keeper) Accept(now time.Time, charter Charter) (Promise, error) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
+	switch {
+	case charter.Epoch < keeper.note.Promised || charter.Epoch < keeper.note.Charter.Epoch:
+		promise.Refusal = trouble.OldEpoch
+	case keeper.note.Charter.Blank() && !charter.Keeps(keeper.self.Identity):
+		promise.Refusal = trouble.NotAdmitted
+	case charter.Epoch == keeper.note.Charter.Epoch && charter.Primary.Identity != keeper.note.Charter.Primary.Identity:
+		promise.Refusal = trouble.OldEpoch
+	default:
+		note := keeper.note
+		note.Promised = charter.Epoch
+		note.Charter = charter
+		if failure := keeper.save(note); failure != nil {
+			return promise, failure
+		}
+		promise.Granted = true
+		promise.Promised = charter.Epoch
+		promise.Charter = charter
+	}
+	return promise, nil
+}
+
+// Confirm gives the primary of the epoch its hold: for that long the keeper
+// promises no other epoch to another candidate.
+//
+// Example:
+//
+//	promise := keeper.Confirm(now, 4, primary)
+func (keeper *Keeper) Confirm(now time.Time, epoch uint64, primary Identity) Promise {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
+	if keeper.note.Charter.Blank() {
+		promise.Refusal = trouble.NotAdmitted
+		return promise
+	}
+	if epoch < keeper.note.Promised || epoch < keeper.note.Charter.Epoch {
+		promise.Refusal = trouble.OldEpoch
+		return promise
+	}
+	keeper.holder = primary
+	if ends := now.Add(PrimaryHold); ends.After(keeper.holdEnds) {
+		keeper.holdEnds = ends
+	}
+	promise.Granted = true
+	return promise
+}
+
+// Vow promises an epoch on the candidate's own disk, by the same rule as for
+// another candidate, whether or not this disk is a keeper's.
+//
+// Example:
+//
+//	failure := keeper.Vow(now, 4, keeper.Seat().Identity)
+func (keeper *Keeper) Vow(now time.Time, epoch uint64, candidate Identity) error {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	if epoch <= keeper.note.Promised {
+		return trouble.New(trouble.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+	}
+	if now.Before(keeper.holdEnds) && keeper.holder != candidate {
+		return trouble.New(trouble.HoldActive, "another primary's hold runs")
+	}
+	note := keeper.note
+	note.Promised = epoch
+	return keeper.save(note)
+}
+
+// Learn takes the identity's promise as a backup: it must never again serve an
+// older epoch.
+//
+// Example:
+//
+//	failure := keeper.Learn(message.Epoch)
+func (keeper *Keeper) Learn(epoch uint64) error {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	if epoch < keeper.note.Promised {
+		return trouble.New(trouble.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+	}
+	if epoch == keeper.note.Promised {
+		return nil
+	}
+	note := keeper.note
+	note.Promised = epoch
+	return keeper.save(note)
+}
+
+func (keeper *Keeper) save(note keeperNote) error {
+	old := keeper.note.Sequence
+	note.Sequence = old + 1
+	encoded, failure := msgpack.Marshal(note)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	if failure := keeper.shelf.Save(noteName(note.Sequence), encoded); failure != nil {
+		return failure
+	}
+	keeper.note = note
+	// The older file only takes room: that it stays is no failure.
+	_ = keeper.shelf.Remove([]string{noteName(old)})
+	return nil
+}
+
+func noteName(sequence uint64) string { return fmt.Sprintf("keeper-%020d", sequence) }
--- /dev/null
+++ b/internal/larder/snapshot.go
@@ -0,0 +1,8 @@
+package larder
+
+// Snapshot is a whole copy on its way to a new backup.
+type Snapshot struct {
+	Epoch   uint64            `msgpack:"epoch"`
+	Version Version           `msgpack:"version"`
+	Drawers map[string]Drawer `msgpack:"drawers"`
+}
--- /dev/null
+++ b/internal/larder/state.go
@@ -0,0 +1,141 @@
+package larder
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// State is the larder's content as the primary works on it. Changes check
+// first and then alter, so that a refused change leaves nothing behind.
+type State struct {
+	Menu    []byte
+	Members map[string]roster.Member
+	Flags   Flags
+	Rota    Duties
+	Orders  Orders
+	Changes []ChangeNote
+	Horizon time.Time
+	Claims  map[string]map[string]recipe.Record
+	dirty   map[string]bool
+}
+
+// NewState is the content of a larder that was just formed.
+//
+// Example:
+//
+//	state := larder.NewState()
+func NewState() *State {
+	return &State{Menu: []byte(`{}`), Members: map[string]roster.Member{}, Rota: Duties{Duties: map[string]rota.Duty{}},
+		Orders: Orders{Records: map[string]recipe.Record{}}, Claims: map[string]map[string]recipe.Record{}, dirty: map[string]bool{}}
+}
+
+// ReadState decodes the drawers of a copy.
+//
+// Example:
+//
+//	state, failure := larder.ReadState(copied.Drawers())
+func ReadState(drawers map[string]Drawer) (*State, error) {
+	state := NewState()
+	for name, drawer := range drawers {
+		var failure error
+		if len(drawer.Content) == 0 {
+			continue
+		}
+		switch name {
+		case MenuDrawer:
+			state.Menu = drawer.Content
+		case MembersDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Members)
+		case FlagsDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Flags)
+		case RotaDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Rota)
+		case OrdersDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Orders)
+		case ChangesDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Changes)
+		case HorizonDrawer:
+			failure = msgpack.Unmarshal(drawer.Content, &state.Horizon)
+		default:
+			if strings.HasPrefix(name, ClaimsPrefix) {
+				claims := map[string]recipe.Record{}
+				failure = msgpack.Unmarshal(drawer.Content, &claims)
+				state.Claims[name] = claims
+			}
+		}
+		if failure != nil {
+			return nil, trouble.Wrap(trouble.Garbage, failure)
+		}
+	}
+	return state, nil
+}
+
+// Touch marks a drawer as changed.
+//
+// Example:
+//
+//	state.Menu = text
+//	state.Touch(larder.MenuDrawer)
+func (state *State) Touch(drawer string) { state.dirty[drawer] = true }
+
+// pack encodes the changed drawers and forgets that they were changed.
+func (state *State) pack(version Version) (map[string]Drawer, []string, error) {
+	drawers := map[string]Drawer{}
+	var removed []string
+	for name := range state.dirty {
+		var value any
+		switch name {
+		case MenuDrawer:
+			drawers[name] = Drawer{Version: version, Content: state.Menu}
+			continue
+		case MembersDrawer:
+			value = state.Members
+		case FlagsDrawer:
+			value = state.Flags
+		case RotaDrawer:
+			value = state.Rota
+		case OrdersDrawer:
+			value = state.Orders
+		case ChangesDrawer:
+			value = state.Changes
+		case HorizonDrawer:
+			value = state.Horizon
+		default:
+			claims, found := state.Claims[name]
+			if !found {
+				removed = append(removed, name)
+				continue
+			}
+			value = claims
+		}
+		content, failure := msgpack.Marshal(value)
+		if failure != nil {
+			return nil, nil, trouble.Wrap(trouble.Garbage, failure)
+		}
+		drawers[name] = Drawer{Version: version, Content: content}
+	}
+	state.dirty = map[string]bool{}
+	sort.Strings(removed)
+	return drawers, removed, nil
+}
+
+// ClaimSpan is how much time of inquiry ids one claims drawer covers.
+const ClaimSpan = 5 * time.Second
+
+func claimsDrawer(made time.Time) string {
+	return ClaimsPrefix + strconv.FormatInt(made.UnixMilli()/ClaimSpan.Milliseconds(), 10)
+}
+
+func claimsDrawerEnds(name string) time.Time {
+	span, _ := strconv.ParseInt(strings.TrimPrefix(name, ClaimsPrefix), 10, 64)
+	return time.UnixMilli((span + 1) * ClaimSpan.Milliseconds())
+}
--- /dev/null
+++ b/internal/larder/store.go
@@ -0,0 +1,332 @@
+package larder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Done is told how a change ended: the committed version, or the trouble.
+type Done func(version Version, failure error)
+
+type ticket struct {
+	change  Change
+	done    Done
+	failure error
+}
+
+// Store is one expediter's part in the larder: its copy, and, while it is
+// primary, the working state and the changes that wait. One batch is under way
+// at a time; changes that arrive meanwhile share the next one and its sync.
+type Store struct {
+	mutex    sync.Mutex
+	copied   *Copy
+	keeper   *Keeper
+	leading  bool
+	frozen   bool
+	epoch    uint64
+	working  *State
+	pending  []ticket
+	batch    *Batch
+	riding   []ticket
+	view     atomic.Pointer[View]
+	batches  uint64
+	answered uint64
+}
+
+// NewStore joins a copy and the keeper of the same disk.
+//
+// Example:
+//
+//	store := larder.NewStore(copied, keeper)
+func NewStore(copied *Copy, keeper *Keeper) *Store {
+	return &Store{copied: copied, keeper: keeper}
+}
+
+// Lead makes the store the primary of an epoch: it takes its own copy as the
+// committed state, under a first version of the new epoch.
+//
+// Example:
+//
+//	failure := store.Lead(charter.Epoch)
+func (store *Store) Lead(epoch uint64) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.leading {
+		store.epoch = epoch
+		return nil
+	}
+	if damage := store.copied.Damage(); damage != "" {
+		return trouble.New(trouble.Damaged, damage)
+	}
+	base := store.copied.Version()
+	stamped := Version{Epoch: epoch, Number: base.Number + 1}
+	if failure := store.copied.Write(Batch{Version: stamped, Base: base}); failure != nil {
+		return failure
+	}
+	drawers := store.copied.Drawers()
+	working, failure := ReadState(drawers)
+	if failure != nil {
+		return failure
+	}
+	store.leading, store.frozen, store.epoch, store.working = true, false, epoch, working
+	store.view.Store(&View{Version: stamped, Drawers: drawers})
+	return nil
+}
+
+// Leading tells whether the store is a primary's.
+//
+// Example:
+//
+//	if store.Leading() { ... }
+func (store *Store) Leading() bool {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.leading
+}
+
+// StepDown ends being primary. What was under way has an unknown outcome;
+// what still waited was not accepted.
+//
+// Example:
+//
+//	store.StepDown()
+func (store *Store) StepDown() {
+	store.mutex.Lock()
+	riding, pending := store.riding, store.pending
+	store.leading, store.working, store.batch, store.riding, store.pending = false, nil, nil, nil, nil
+	store.view.Store(nil)
+	store.mutex.Unlock()
+	for _, rider := range riding {
+		rider.done(Version{}, trouble.New(trouble.Unknown, "the primary changed while the change was under way"))
+	}
+	for _, waiting := range pending {
+		waiting.done(Version{}, trouble.New(trouble.NotPrimary, "the change was not accepted"))
+	}
+}
+
+// View is the committed state while the store is a primary's, else nil. Who
+// reads it must hold the primary's hold.
+//
+// Example:
+//
+//	view := store.View()
+func (store *Store) View() *View { return store.view.Load() }
+
+// Submit queues a change; done is called once, from another thread or this.
+//
+// Example:
+//
+//	store.Submit(larder.Register(member), func(version larder.Version, failure error) { ... })
+func (store *Store) Submit(change Change, done Done) {
+	store.mutex.Lock()
+	if !store.leading {
+		store.mutex.Unlock()
+		done(Version{}, trouble.New(trouble.NotPrimary, "the change was not accepted"))
+		return
+	}
+	store.pending = append(store.pending, ticket{change: change, done: done})
+	store.mutex.Unlock()
+}
+
+// Begin gives the batch to be synced on both copies now: the one under way,
+// stamped with the present epoch, or a new one made of all waiting changes.
+//
+// Example:
+//
+//	if batch, found := store.Begin(); found { ... }
+func (store *Store) Begin() (Batch, bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if !store.leading || store.frozen {
+		return Batch{}, false
+	}
+	view := store.view.Load()
+	version := Version{Epoch: store.epoch, Number: view.Version.Number + 1}
+	if store.batch != nil {
+		if store.batch.Version != version {
+			store.batch.Version = version
+			for name, drawer := range store.batch.Drawers {
+				drawer.Version = version
+				store.batch.Drawers[name] = drawer
+			}
+		}
+		return *store.batch, true
+	}
+	if len(store.pending) == 0 {
+		return Batch{}, false
+	}
+	store.riding, store.pending = store.pending, nil
+	menuVersion := view.VersionOf(MenuDrawer)
+	for position := range store.riding {
+		rider := &store.riding[position]
+		rider.failure = rider.change(store.working, version, menuVersion)
+		if store.working.dirty[MenuDrawer] {
+			menuVersion = version
+		}
+	}
+	drawers, removed, failure := store.working.pack(version)
+	if failure != nil {
+		for position := range store.riding {
+			store.riding[position].failure = failure
+		}
+	}
+	store.batch = &Batch{Version: version, Base: view.Version, Drawers: drawers, Removed: removed}
+	return *store.batch, true
+}
+
+// Empty tells whether a batch changes nothing and needs no sync.
+//
+// Example:
+//
+//	if batch.Empty() { store.Commit(batch) }
+func (batch Batch) Empty() bool { return len(batch.Drawers) == 0 && len(batch.Removed) == 0 }
+
+// KeepOwn syncs the batch on this store's own copy.
+//
+// Example:
+//
+//	failure := store.KeepOwn(batch)
+func (store *Store) KeepOwn(batch Batch) error {
+	batch.Base = store.copied.Version()
+	return store.copied.Write(batch)
+}
+
+// Commit shows a batch that is synced on both copies and tells its changes. It
+// returns false when the store no longer leads the batch's epoch.
+//
+// Example:
+//
+//	store.Commit(batch)
+func (store *Store) Commit(batch Batch) bool {
+	store.mutex.Lock()
+	if !store.leading || store.frozen || store.batch == nil || store.batch.Version != batch.Version {
+		store.mutex.Unlock()
+		return false
+	}
+	riding := store.riding
+	store.batch, store.riding = nil, nil
+	version := store.view.Load().Version
+	if !batch.Empty() {
+		version = batch.Version
+		store.view.Store(store.view.Load().after(batch))
+		store.batches++
+	}
+	store.answered += uint64(len(riding))
+	store.mutex.Unlock()
+	for _, rider := range riding {
+		rider.done(version, rider.failure)
+	}
+	return true
+}
+
+func (view *View) after(batch Batch) *View {
+	drawers := make(map[string]Drawer, len(view.Drawers)+len(batch.Drawers))
+	for name, drawer := range view.Drawers {
+		drawers[name] = drawer
+	}
+	for name, drawer := range batch.Drawers {
+		drawers[name] = drawer
+	}
+	for _, name := range batch.Removed {
+		delete(drawers, name)
+	}
+	return &View{Version: batch.Version, Drawers: drawers}
+}
+
+// Work counts the synced batches and the changes answered by them.
+//
+// Example:
+//
+//	batches, changes := store.Work()
+func (store *Store) Work() (batches, changes uint64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.batches, store.answered
+}
+
+// Freeze stops commits while a new pair is being granted, and cuts the
+// snapshot that the new backup starts from.
+//
+// Example:
+//
+//	snapshot, leading := store.Freeze()
+func (store *Store) Freeze() (Snapshot, bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if !store.leading {
+		return Snapshot{}, false
+	}
+	store.frozen = true
+	view := store.view.Load()
+	return Snapshot{Epoch: store.epoch, Version: view.Version, Drawers: view.Drawers}, true
+}
+
+// Thaw lets commits go on, with the granted pair.
+//
+// Example:
+//
+//	store.Thaw(charter.Epoch)
+func (store *Store) Thaw(epoch uint64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.frozen = false
+	store.epoch = epoch
+}
+
+// Replicate is the backup's side of a write: it refuses an older epoch than it
+// has promised, and a batch that does not follow its copy.
+//
+// Example:
+//
+//	failure := store.Replicate(epoch, batch)
+func (store *Store) Replicate(epoch uint64, batch Batch) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if failure := store.follow(epoch); failure != nil {
+		return failure
+	}
+	return store.copied.Write(batch)
+}
+
+// Install is the new backup's side of a snapshot.
+//
+// Example:
+//
+//	failure := store.Install(snapshot)
+func (store *Store) Install(snapshot Snapshot) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if failure := store.follow(snapshot.Epoch); failure != nil {
+		return failure
+	}
+	return store.copied.Rewrite(snapshot)
+}
+
+func (store *Store) follow(epoch uint64) error {
+	if store.leading {
+		return trouble.New(trouble.OldEpoch, "this copy leads")
+	}
+	return store.keeper.Learn(epoch)
+}
+
+// Vow promises the epoch on the store's own disk, between two writes of an
+// older primary and never during one.
+//
+// Example:
+//
+//	failure := store.Vow(now, epoch, identity)
+func (store *Store) Vow(now time.Time, epoch uint64, candidate Identity) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.keeper.Vow(now, epoch, candidate)
+}
+
+// Copy is the store's copy, for status and for candidates' checks.
+//
+// Example:
+//
+//	store.Copy().Damage()
+func (store *Store) Copy() *Copy { return store.copied }
--- /dev/null
+++ b/internal/larder/view.go
@@ -0,0 +1,21 @@
+package larder
+
+// View is one committed state, never altered once it is shown.
+type View struct {
+	Version Version
+	Drawers map[string]Drawer
+}
+
+// VersionOf is the version that a drawer had its last change in.
+//
+// Example:
+//
+//	view.VersionOf(larder.MenuDrawer)
+func (view *View) VersionOf(drawer string) Version { return view.Drawers[drawer].Version }
+
+// State decodes the view.
+//
+// Example:
+//
+//	state, failure := view.State()
+func (view *View) State() (*State, error) { return ReadState(view.Drawers) }
--- /dev/null
+++ b/internal/menu/evacuation.go
@@ -0,0 +1,7 @@
+package menu
+
+// Evacuation keeps work out of a district's servers until it is lifted.
+type Evacuation struct {
+	District string
+	Reason   string
+}
--- /dev/null
+++ b/internal/menu/findings.go
@@ -0,0 +1,29 @@
+package menu
+
+import "seamloom.example/seamloom/internal/trouble"
+
+// Findings are all the failures that a check met, each with path and type.
+type Findings struct {
+	Troubles []*trouble.Trouble `json:"failures"`
+}
+
+// MostFindings bounds how many failures one check reports.
+const MostFindings = 100
+
+// Error says how many failures there are, and the first.
+//
+// Example:
+//
+//	findings.Error() // "2 failures, the first: wrong_type at /services"
+func (findings *Findings) Error() string {
+	if len(findings.Troubles) == 1 {
+		return findings.Troubles[0].Error()
+	}
+	return "several failures, the first: " + findings.Troubles[0].Error()
+}
+
+func (findings *Findings) add(kind trouble.Kind, path, detail string) {
+	if len(findings.Troubles) < MostFindings {
+		findings.Troubles = append(findings.Troubles, trouble.At(kind, path, detail))
+	}
+}
--- /dev/null
+++ b/internal/pass/balance.go
@@ -0,0 +1,184 @@
+package pass
+
+import (
+	"sort"
+	"time"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Balance decides which servers take which part. It changes one server at a
+// time, only after the same need was seen several times, rests after each
+// change, and keeps at least one server of each part.
+type Balance struct {
+	needs     map[Part]int
+	lastTurn  time.Time
+	lastAsked time.Time
+}
+
+// The balance's measures. The values are ours.
+const (
+	balanceBeat  = 500 * time.Millisecond
+	balanceRest  = 6 * time.Second
+	balanceTimes = 3
+	// heavy is a prefill backlog or a share of decode slots that asks for more
+	// servers; light is one that can spare some.
+	heavyBacklog = 600 * time.Millisecond
+	lightBacklog = 200 * time.Millisecond
+	heavySlots   = 0.70
+	lightSlots   = 0.45
+	// switchPatience is how long a server may finish what it runs.
+	switchPatience = 20 * time.Second
+)
+
+// NewBalance starts without memory.
+//
+// Example:
+//
+//	balance := pass.NewBalance()
+func NewBalance() *Balance { return &Balance{needs: map[Part]int{}} }
+
+// Decide gives the orders that are needed now. Evacuated and leaving servers
+// count for nothing; a leaving one is told to drain.
+//
+// Example:
+//
+//	orders := balance.Decide(now, servers, loads, standing, evacuated)
+func (balance *Balance) Decide(now time.Time, servers []roster.Server, loads map[string]Load, standing map[string]recipe.Order, evacuated func(string) bool) []recipe.Order {
+	if now.Sub(balance.lastAsked) < balanceBeat {
+		return nil
+	}
+	balance.lastAsked = now
+	var orders []recipe.Order
+	var prefill, decode, vacant []roster.Server
+	part := func(server roster.Server) Part {
+		if order, found := standing[server.Name]; found {
+			return Part(order.Part)
+		}
+		return NoPart
+	}
+	ordered := append([]roster.Server(nil), servers...)
+	sort.Slice(ordered, func(left, right int) bool { return ordered[left].Name < ordered[right].Name })
+	for _, server := range ordered {
+		load, reported := loads[server.Name]
+		switch {
+		case server.Leaving || (reported && load.Leaving):
+			if reported && part(server) != Drain {
+				orders = append(orders, recipe.Order{Server: server.Name, Part: string(Drain), Patience: switchPatience, Cause: "the platform takes the server away"})
+			}
+		case !reported:
+		case part(server) == Prefill:
+			if !evacuated(server.District) {
+				prefill = append(prefill, server)
+			}
+		case part(server) == Decode:
+			if !evacuated(server.District) {
+				decode = append(decode, server)
+			}
+		default:
+			vacant = append(vacant, server)
+		}
+	}
+	give := func(server roster.Server, to Part, cause string) {
+		orders = append(orders, recipe.Order{Server: server.Name, Part: string(to), Patience: switchPatience, Cause: cause})
+	}
+	// Servers without a part come first: two of five read prompts, each
+	// district in turn.
+	sort.SliceStable(vacant, func(left, right int) bool {
+		return roster.Weight("first part", vacant[left].Name) > roster.Weight("first part", vacant[right].Name)
+	})
+	prefills, decodes := len(prefill), len(decode)
+	inDistrict := map[string]int{}
+	for _, server := range prefill {
+		inDistrict[server.District]++
+	}
+	for len(vacant) > 0 {
+		if prefills*3 < decodes*2 || prefills == 0 {
+			sort.SliceStable(vacant, func(left, right int) bool {
+				return inDistrict[vacant[left].District] < inDistrict[vacant[right].District]
+			})
+			give(vacant[0], Prefill, "a server without a part")
+			inDistrict[vacant[0].District]++
+			prefills++
+		} else {
+			give(vacant[0], Decode, "a server without a part")
+			decodes++
+		}
+		vacant = vacant[1:]
+	}
+	if len(orders) > 0 {
+		balance.lastTurn = now
+		return orders
+	}
+	// The floor: one of each, whatever the pressure.
+	if len(prefill) == 0 && len(decode) > 1 {
+		give(lightest(decode, loads), Prefill, "no server reads prompts")
+	} else if len(decode) == 0 && len(prefill) > 1 {
+		give(lightest(prefill, loads), Decode, "no server answers")
+	}
+	if len(orders) > 0 {
+		balance.lastTurn = now
+		return orders
+	}
+	if len(prefill) == 0 || len(decode) == 0 {
+		return nil
+	}
+	backlog, slots := pressures(prefill, decode, loads)
+	needPrefill := backlog > heavyBacklog && slots < heavySlots && len(decode) > 1
+	needDecode := slots > heavySlots && backlog < heavyBacklog && len(prefill) > 1
+	needPrefill = needPrefill && (slots < lightSlots || backlog > 2*heavyBacklog)
+	needDecode = needDecode && (backlog < lightBacklog || slots > 0.9)
+	balance.count(Prefill, needPrefill)
+	balance.count(Decode, needDecode)
+	if now.Sub(balance.lastTurn) < balanceRest {
+		return nil
+	}
+	switch {
+	case balance.needs[Prefill] >= balanceTimes:
+		give(lightest(decode, loads), Prefill, "prompts wait while answers have room")
+	case balance.needs[Decode] >= balanceTimes:
+		give(lightest(prefill, loads), Decode, "answers wait while prompts have room")
+	}
+	if len(orders) > 0 {
+		balance.lastTurn = now
+		balance.needs = map[Part]int{}
+	}
+	return orders
+}
+
+func (balance *Balance) count(part Part, needed bool) {
+	if needed {
+		balance.needs[part]++
+	} else {
+		balance.needs[part] = 0
+	}
+}
+
+// pressures are the mean backlog of prompts and the share of slots in use.
+func pressures(prefill, decode []roster.Server, loads map[string]Load) (time.Duration, float64) {
+	var backlog time.Duration
+	for _, server := range prefill {
+		backlog += seconds(loads[server.Name].PrefillQueueTokens, loads[server.Name].PrefillRate)
+	}
+	active, slots := 0, 0
+	for _, server := range decode {
+		active += loads[server.Name].DecodeActive
+		slots += loads[server.Name].DecodeSlots
+	}
+	return backlog / time.Duration(len(prefill)), float64(active) / float64(max(slots, 1))
+}
+
+func lightest(servers []roster.Server, loads map[string]Load) roster.Server {
+	best := servers[0]
+	weigh := func(server roster.Server) int {
+		load := loads[server.Name]
+		return load.PrefillQueueTokens + 1000*(load.DecodeActive+load.PrefillWaiting)
+	}
+	for _, server := range servers[1:] {
+		if weigh(server) < weigh(best) {
+			best = server
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/pass/budget.go
@@ -0,0 +1,56 @@
+package pass
+
+import "sync"
+
+// Budget bounds extra tries to a fifth of the first dispatches, and to a
+// handful at once.
+type Budget struct {
+	mutex sync.Mutex
+	first int
+	extra int
+	spare int
+}
+
+const (
+	triesShare = 5
+	mostSpare  = 10 * triesShare
+)
+
+// First earns a fifth of an extra try.
+//
+// Example:
+//
+//	budget.First()
+func (budget *Budget) First() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.first++
+	budget.spare = min(budget.spare+1, mostSpare)
+}
+
+// Extra spends one extra try, if there is one.
+//
+// Example:
+//
+//	if !budget.Extra() { return trouble.BudgetSpent }
+func (budget *Budget) Extra() bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	if budget.spare < triesShare {
+		return false
+	}
+	budget.spare -= triesShare
+	budget.extra++
+	return true
+}
+
+// Counts tells how many first dispatches and extra tries there were.
+//
+// Example:
+//
+//	first, extra := budget.Counts()
+func (budget *Budget) Counts() (first, extra int) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return budget.first, budget.extra
+}
--- /dev/null
+++ b/internal/pass/decision.go
@@ -0,0 +1,39 @@
+package pass
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Decision is one thing to be done. NotAfter is checked again just before the
+// act: past it the act is left undone and its outcome is NotStarted.
+type Decision struct {
+	Kind     DecisionKind `json:"decision"`
+	ID       string       `json:"id,omitempty"`
+	Run      int          `json:"run,omitempty"`
+	Inquiry  *Inquiry     `json:"inquiry,omitempty"`
+	NotAfter time.Time    `json:"not_after"`
+
+	Server        string `json:"server,omitempty"`
+	Address       string `json:"address,omitempty"`
+	SourceAddress string `json:"source_address,omitempty"`
+	Handle        string `json:"handle,omitempty"`
+
+	Piece  int          `json:"piece,omitempty"`
+	Text   string       `json:"text,omitempty"`
+	Final  Final        `json:"final,omitempty"`
+	Cause  trouble.Kind `json:"cause,omitempty"`
+	Detail string       `json:"detail,omitempty"`
+	Pieces int          `json:"pieces,omitempty"`
+	// Retry is when the caller may come back.
+	Retry time.Duration `json:"retry,omitempty"`
+
+	Part   Part           `json:"part,omitempty"`
+	Duty   rota.Duty      `json:"duty"`
+	Order  *recipe.Order  `json:"order,omitempty"`
+	Orders []recipe.Order `json:"orders,omitempty"`
+	Pair   *recipe.Pair   `json:"pair,omitempty"`
+}
--- /dev/null
+++ b/internal/pass/decisionkind.go
@@ -0,0 +1,19 @@
+package pass
+
+// DecisionKind names a sort of decision.
+type DecisionKind string
+
+// The kinds of decision.
+const (
+	ClaimInquiry    DecisionKind = "claim"
+	DispatchPrefill DecisionKind = "prefill"
+	DispatchDecode  DecisionKind = "decode"
+	SendPiece       DecisionKind = "send_piece"
+	Finish          DecisionKind = "finish"
+	Cancel          DecisionKind = "cancel"
+	GiveOrders      DecisionKind = "give_orders"
+	Command         DecisionKind = "command"
+	NotePair        DecisionKind = "note_pair"
+	NoteRetry       DecisionKind = "note_retry"
+	PassOn          DecisionKind = "pass_on"
+)
--- /dev/null
+++ b/internal/pass/eventkind.go
@@ -0,0 +1,22 @@
+package pass
+
+// EventKind names a sort of event.
+type EventKind string
+
+// The kinds of event.
+const (
+	Ticked          EventKind = "ticked"
+	ServersListed   EventKind = "servers_listed"
+	LoadReported    EventKind = "load_reported"
+	MenuReceived    EventKind = "menu_received"
+	HoldRenewed     EventKind = "hold_renewed"
+	FlagsRead       EventKind = "flags_read"
+	OrdersRead      EventKind = "orders_read"
+	InquiryArrived  EventKind = "inquiry_arrived"
+	ClaimAnswered   EventKind = "claim_answered"
+	PrefillAnswered EventKind = "prefill_answered"
+	PieceReceived   EventKind = "piece_received"
+	DecodeEnded     EventKind = "decode_ended"
+	OriginLeft      EventKind = "origin_left"
+	DrainStarted    EventKind = "drain_started"
+)
--- /dev/null
+++ b/internal/pass/market.go
@@ -0,0 +1,291 @@
+// Package pass owns the market in which inquiries bid for prefill and decode
+// servers, the dispatch of the chosen pair, and what is done in trouble.
+package pass
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Market finds the pair of servers for an inquiry as a whole: the prefill
+// server's ask, the hand-over between the two, and the decode server's ask.
+type Market struct {
+	mutex    sync.Mutex
+	board    atomic.Pointer[board]
+	courier  string
+	district string
+	plain    bool
+}
+
+type board struct {
+	stalls  []*Stall
+	byName  map[string]*Stall
+	listing []roster.Server
+}
+
+// NewMarket makes a courier's market. A plain one picks the least loaded
+// servers one by one, for comparison.
+//
+// Example:
+//
+//	market := pass.NewMarket("courier-1", "north", false)
+func NewMarket(courier, district string, plain bool) *Market {
+	market := &Market{courier: courier, district: district, plain: plain}
+	market.board.Store(&board{byName: map[string]*Stall{}})
+	return market
+}
+
+// List takes the platform's server list.
+//
+// Example:
+//
+//	market.List(servers)
+func (market *Market) List(servers []roster.Server) {
+	market.mutex.Lock()
+	defer market.mutex.Unlock()
+	old := market.board.Load()
+	next := &board{byName: map[string]*Stall{}, listing: servers}
+	for _, server := range servers {
+		stall := &Stall{server: server, promised: &atomic.Int64{}}
+		if earlier, found := old.byName[server.Name]; found && earlier.server.Address == server.Address {
+			stall.report.Store(earlier.report.Load())
+			stall.avoid.Store(earlier.avoid.Load())
+			stall.promised = earlier.promised
+		}
+		next.byName[server.Name] = stall
+		next.stalls = append(next.stalls, stall)
+	}
+	sort.Slice(next.stalls, func(left, right int) bool { return next.stalls[left].server.Name < next.stalls[right].server.Name })
+	market.board.Store(next)
+}
+
+// Report takes a server's load report.
+//
+// Example:
+//
+//	market.Report(now, load)
+func (market *Market) Report(now time.Time, load Load) {
+	if stall, found := market.board.Load().byName[load.Server]; found {
+		stall.report.Store(&report{load: load, at: now})
+	}
+}
+
+// Avoid keeps a server out of the market for a while, after trouble with it.
+//
+// Example:
+//
+//	market.Avoid(now, "stove-1")
+func (market *Market) Avoid(now time.Time, server string) {
+	if stall, found := market.board.Load().byName[server]; found {
+		stall.avoid.Store(now.Add(avoidTime).UnixNano())
+	}
+}
+
+// Bid is the offer that an inquiry takes up.
+type Bid struct {
+	Prefill  *Stall
+	Decode   *Stall
+	Price    time.Duration
+	HandOver time.Duration
+}
+
+// crossing is what is added for work that leaves the courier's district.
+const crossing = 30 * time.Millisecond
+
+// spread is how far apart two asks must be for every courier to prefer the
+// same one: within it the inquiry's own hash decides, so that couriers with
+// the same stale view do not all run to one server.
+const spread = 0.25
+
+// Choose finds the pair with the lowest price, among servers that allowed says
+// may be used and whose names are not in tried.
+//
+// Example:
+//
+//	bid, found := market.Choose(now, inquiry, ruling, allowed, nil)
+func (market *Market) Choose(now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+	current := market.board.Load()
+	var best Bid
+	found := false
+	bestPrice := 0.0
+	for _, prefill := range current.stalls {
+		if !allowed(prefill.server) || tried[prefill.server.Name] {
+			continue
+		}
+		prefillAsk, offered := market.askPrefill(now, prefill, inquiry, ruling)
+		if !offered {
+			continue
+		}
+		for _, decode := range current.stalls {
+			if decode == prefill || !allowed(decode.server) || tried[decode.server.Name] {
+				continue
+			}
+			decodeAsk, handOver, offered := market.askDecode(now, prefill, decode, inquiry)
+			if !offered {
+				continue
+			}
+			sum := prefillAsk + handOver + decodeAsk
+			noise := float64(roster.Weight(inquiry.ID+"/"+prefill.server.Name, decode.server.Name)%1024) / 1024
+			price := float64(sum+5*time.Millisecond) * (1 + spread*noise)
+			if market.plain {
+				price = market.plainPrice(now, prefill, decode)
+			}
+			if !found || price < bestPrice {
+				best, bestPrice, found = Bid{Prefill: prefill, Decode: decode, Price: sum, HandOver: handOver}, price, true
+			}
+		}
+	}
+	return best, found
+}
+
+// plainPrice is that of a plain least-loaded choice, without prefixes,
+// hand-over, districts or own work in flight.
+func (market *Market) plainPrice(now time.Time, prefill, decode *Stall) float64 {
+	first, second := prefill.fresh(now), decode.fresh(now)
+	return float64(first.load.PrefillWaiting)*1000 + float64(second.load.DecodeActive)
+}
+
+// ChooseDecode finds another decode server for a prompt that is already read.
+//
+// Example:
+//
+//	bid, found := market.ChooseDecode(now, inquiry, prefill, allowed, tried)
+func (market *Market) ChooseDecode(now time.Time, inquiry *Inquiry, source string, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+	current := market.board.Load()
+	prefill, found := current.byName[source]
+	if !found {
+		return Bid{}, false
+	}
+	var best Bid
+	found = false
+	for _, decode := range current.stalls {
+		if decode == prefill || !allowed(decode.server) || tried[decode.server.Name] {
+			continue
+		}
+		ask, handOver, offered := market.askDecode(now, prefill, decode, inquiry)
+		if offered && (!found || ask+handOver < best.Price) {
+			best, found = Bid{Prefill: prefill, Decode: decode, Price: ask + handOver, HandOver: handOver}, true
+		}
+	}
+	return best, found
+}
+
+func seconds(amount, rate int) time.Duration {
+	return time.Duration(float64(amount) / float64(max(rate, 1)) * float64(time.Second))
+}
+
+func (market *Market) askPrefill(now time.Time, stall *Stall, inquiry *Inquiry, ruling *Ruling) (time.Duration, bool) {
+	current := stall.fresh(now)
+	if current == nil || current.load.Part != Prefill || stall.avoided(now) {
+		return 0, false
+	}
+	warmth := current.warmth(now)
+	waiting := current.load.PrefillWaiting + int(current.prefills.Load())
+	if float64(waiting) >= max(1, float64(current.load.PrefillRoom)*warmth) {
+		return 0, false
+	}
+	uncached := inquiry.PromptTokens - min(inquiry.PrefixTokens, current.load.Prefixes[inquiry.Prefix])
+	queued := current.load.PrefillQueueTokens + int(current.prefillTokens.Load())
+	ask := seconds(queued+max(uncached, 1), current.load.PrefillRate)
+	ask = time.Duration(float64(ask) / warmth)
+	if ruling.HomeFirst && stall.server.District != market.district {
+		ask += crossing
+	}
+	return ask, true
+}
+
+func (market *Market) askDecode(now time.Time, prefill, decode *Stall, inquiry *Inquiry) (ask, handOver time.Duration, offered bool) {
+	current := decode.fresh(now)
+	if current == nil || current.load.Part != Decode || decode.avoided(now) {
+		return 0, 0, false
+	}
+	warmth := current.warmth(now)
+	busy := current.load.DecodeActive + int(current.decodes.Load()+decode.promised.Load())
+	slots := max(1, int(float64(current.load.DecodeSlots)*warmth))
+	need := inquiry.PromptTokens + inquiry.Pieces
+	if busy >= slots || current.load.MemoryFree-int(current.memory.Load()) < need {
+		return 0, 0, false
+	}
+	rate := current.load.LinkRate
+	if source := prefill.report.Load(); source != nil && source.load.LinkRate < rate {
+		rate = source.load.LinkRate
+	}
+	handOver = seconds(inquiry.PromptTokens, rate)
+	if prefill.server.District != decode.server.District {
+		handOver += handOver/2 + crossing/2
+	}
+	// A fuller server makes pieces more slowly, and leaves less room for the
+	// inquiries that come next.
+	fullness := float64(busy) / float64(slots)
+	ask = time.Duration(float64(inquiry.Pieces) * float64(current.load.PieceTime) * (0.25 + fullness*fullness))
+	return ask, handOver, true
+}
+
+// Reserve counts a bid's prefill until the server's next report shows it, and
+// keeps the decode server's room until the prompt is read.
+//
+// Example:
+//
+//	market.Reserve(bid, inquiry)
+func (market *Market) Reserve(bid Bid, inquiry *Inquiry) {
+	if current := bid.Prefill.report.Load(); current != nil {
+		uncached := inquiry.PromptTokens - min(inquiry.PrefixTokens, current.load.Prefixes[inquiry.Prefix])
+		current.prefillTokens.Add(int64(uncached))
+		current.prefills.Add(1)
+	}
+	bid.Decode.promised.Add(1)
+}
+
+// Release gives a reserved decode room back.
+//
+// Example:
+//
+//	market.Release(bid)
+func (market *Market) Release(bid Bid) { bid.Decode.promised.Add(-1) }
+
+// Take counts a decode until the server's next report shows it.
+//
+// Example:
+//
+//	market.Take(bid, inquiry)
+func (market *Market) Take(bid Bid, inquiry *Inquiry) {
+	if current := bid.Decode.report.Load(); current != nil {
+		current.decodes.Add(1)
+		current.memory.Add(int64(inquiry.PromptTokens + inquiry.Pieces))
+	}
+}
+
+// Relief estimates when there may be room again.
+//
+// Example:
+//
+//	retry := market.Relief(now)
+func (market *Market) Relief(now time.Time) time.Duration {
+	relief := time.Second
+	for _, stall := range market.board.Load().stalls {
+		if current := stall.fresh(now); current != nil && current.load.Part == Prefill {
+			relief = max(relief, seconds(current.load.PrefillQueueTokens, current.load.PrefillRate)/2)
+		}
+	}
+	return min(relief, 10*time.Second)
+}
+
+// Loads lists the servers with the reports that count now.
+//
+// Example:
+//
+//	for _, load := range market.Loads(now) { ... }
+func (market *Market) Loads(now time.Time) ([]roster.Server, map[string]Load) {
+	current := market.board.Load()
+	loads := map[string]Load{}
+	for _, stall := range current.stalls {
+		if report := stall.report.Load(); report != nil && now.Sub(report.at) <= reportFresh {
+			loads[stall.server.Name] = report.load
+		}
+	}
+	return current.listing, loads
+}
--- /dev/null
+++ b/internal/pass/opcode.go
@@ -0,0 +1,16 @@
+package pass
+
+// opcode is one step of a compiled route.
+type opcode uint8
+
+const (
+	// needs skip to the next route when the inquiry is otherwise.
+	needDistrict opcode = iota
+	needOrigin
+	needPrefix
+	needAtLeast
+	needBelow
+	// actions end the program.
+	actRefuse
+	actSend
+)
--- /dev/null
+++ b/internal/pass/program.go
@@ -0,0 +1,149 @@
+package pass
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Program is a configuration compiled for the inquiry's path: for each service
+// the steps of its routes, in order. It is never altered; a new configuration
+// is a new program.
+type Program struct {
+	epoch       uint64
+	number      uint64
+	services    map[string]*compiledService
+	evacuations map[string]bool
+}
+
+type compiledService struct {
+	service menu.Service
+	steps   []step
+}
+
+type step struct {
+	code   opcode
+	text   string
+	number int
+	next   int
+	ruling *Ruling
+}
+
+// Compile makes the program of a configuration.
+//
+// Example:
+//
+//	program := pass.Compile(configuration, version.Epoch, version.Number)
+func Compile(configuration *menu.Configuration, epoch, number uint64) *Program {
+	program := &Program{epoch: epoch, number: number, services: map[string]*compiledService{}, evacuations: map[string]bool{}}
+	for district := range configuration.Evacuations {
+		program.evacuations[district] = true
+	}
+	for name, service := range configuration.Services {
+		program.services[name] = &compiledService{service: service}
+	}
+	for _, route := range configuration.Routes {
+		if route.Match.Service != "" {
+			program.services[route.Match.Service].add(route)
+			continue
+		}
+		for _, compiled := range program.services {
+			compiled.add(route)
+		}
+	}
+	return program
+}
+
+func (compiled *compiledService) add(route menu.Route) {
+	first := len(compiled.steps)
+	need := func(wanted bool, code opcode, text string, number int) {
+		if wanted {
+			compiled.steps = append(compiled.steps, step{code: code, text: text, number: number})
+		}
+	}
+	match := route.Match
+	need(match.District != "", needDistrict, match.District, 0)
+	need(match.Origin != "", needOrigin, match.Origin, 0)
+	need(match.Prefix != "", needPrefix, match.Prefix, 0)
+	need(match.PromptTokensAtLeast > 0, needAtLeast, "", match.PromptTokensAtLeast)
+	need(match.PromptTokensBelow > 0, needBelow, "", match.PromptTokensBelow)
+	ruling := &Ruling{Route: route.Name, Service: compiled.service, HomeFirst: route.To.HomeFirst}
+	code := actSend
+	if route.To.Refuse {
+		code = actRefuse
+	}
+	if len(route.To.Districts) > 0 {
+		ruling.Districts = map[string]bool{}
+		for _, district := range route.To.Districts {
+			ruling.Districts[district] = true
+		}
+	}
+	compiled.steps = append(compiled.steps, step{code: code, ruling: ruling})
+	for position := first; position < len(compiled.steps); position++ {
+		compiled.steps[position].next = len(compiled.steps)
+	}
+}
+
+// Rule interprets the program for one inquiry that arrived in a district.
+//
+// Example:
+//
+//	ruling, failure := program.Rule(inquiry, "north")
+func (program *Program) Rule(inquiry *Inquiry, district string) (*Ruling, *trouble.Trouble) {
+	compiled, found := program.services[inquiry.Service]
+	if !found {
+		return nil, trouble.New(trouble.UnknownService, inquiry.Service)
+	}
+	if inquiry.PromptTokens > compiled.service.MaxPromptTokens {
+		return nil, trouble.At(trouble.OutOfRange, "/prompt_tokens", "the service takes fewer tokens")
+	}
+	if inquiry.Pieces > compiled.service.MaxPieces {
+		return nil, trouble.At(trouble.OutOfRange, "/pieces", "the service makes fewer pieces")
+	}
+	for position := 0; position < len(compiled.steps); {
+		step := &compiled.steps[position]
+		holds := true
+		switch step.code {
+		case needDistrict:
+			holds = district == step.text
+		case needOrigin:
+			holds = inquiry.Origin == step.text
+		case needPrefix:
+			holds = inquiry.Prefix == step.text
+		case needAtLeast:
+			holds = inquiry.PromptTokens >= step.number
+		case needBelow:
+			holds = inquiry.PromptTokens < step.number
+		case actRefuse:
+			return step.ruling, trouble.New(trouble.RouteRefuses, step.ruling.Route)
+		case actSend:
+			return step.ruling, nil
+		}
+		if holds {
+			position++
+		} else {
+			position = step.next
+		}
+	}
+	return nil, trouble.New(trouble.NoRoute, "no route matches the inquiry")
+}
+
+// Allows tells whether work may go to a server under the ruling.
+//
+// Example:
+//
+//	if program.Allows(ruling, server) { ... }
+func (program *Program) Allows(ruling *Ruling, server roster.Server) bool {
+	return !program.evacuations[server.District] && (ruling.Districts == nil || ruling.Districts[server.District])
+}
+
+// limit is the latest moment of an inquiry that came now.
+func (ruling *Ruling) limit(now, asked time.Time) time.Time {
+	latest := now.Add(ruling.Service.Limit)
+	if asked.IsZero() || asked.After(latest) {
+		return latest
+	}
+	return asked
+}
--- /dev/null
+++ b/internal/pass/stall.go
@@ -0,0 +1,55 @@
+package pass
+
+import (
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Stall is one server's place in the market: what it is, its last load report,
+// and this courier's own work that the report can't show yet. Its counters are
+// atomics, so that several threads may trade at once.
+type Stall struct {
+	server roster.Server
+	report atomic.Pointer[report]
+	avoid  atomic.Int64
+	// promised counts the inquiries whose prompts are being read for this
+	// server to answer; it is shared by the stall's successors in new lists.
+	promised *atomic.Int64
+}
+
+type report struct {
+	load          Load
+	at            time.Time
+	prefillTokens atomic.Int64
+	prefills      atomic.Int64
+	decodes       atomic.Int64
+	memory        atomic.Int64
+}
+
+// reportFresh is how long a load report counts; a server that has not reported
+// for longer is offered no work. rampTime is how long a cold server's room
+// grows. The values are ours.
+const (
+	reportFresh = 1500 * time.Millisecond
+	rampTime    = 8 * time.Second
+	avoidTime   = 2 * time.Second
+)
+
+func (stall *Stall) fresh(now time.Time) *report {
+	current := stall.report.Load()
+	if current == nil || now.Sub(current.at) > reportFresh || current.load.Leaving || stall.server.Leaving {
+		return nil
+	}
+	return current
+}
+
+// warmth is the share of its room that a server may use: a tenth when it has
+// just started, all of it after the ramp.
+func (current *report) warmth(now time.Time) float64 {
+	age := current.load.Age + now.Sub(current.at)
+	return min(1, 0.1+0.9*float64(age)/float64(rampTime))
+}
+
+func (stall *Stall) avoided(now time.Time) bool { return now.UnixNano() < stall.avoid.Load() }
--- /dev/null
+++ b/internal/pass/ticket.go
@@ -0,0 +1,22 @@
+package pass
+
+import "time"
+
+// ticket is what the desk knows of one inquiry that was let in.
+type ticket struct {
+	inquiry    *Inquiry
+	ruling     *Ruling
+	stage      stage
+	run        int
+	bid        Bid
+	reserved   bool
+	tried      map[string]bool
+	dispatches int
+	started    bool
+	everRan    bool
+	handle     string
+	handleFrom Bid
+	pieces     int
+	patience   time.Time
+	arrived    time.Time
+}
--- /dev/null
+++ b/internal/recipe/entry.go
@@ -0,0 +1,41 @@
+package recipe
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Entry notes an extra try (a retry record) or who has taken an inquiry that
+// may not be repeated (a recover record).
+type Entry struct {
+	Inquiry string    `msgpack:"inquiry" json:"inquiry"`
+	Courier string    `msgpack:"courier" json:"courier"`
+	Run     int       `msgpack:"run" json:"run"`
+	At      time.Time `msgpack:"at" json:"at"`
+	Cause   string    `msgpack:"cause,omitempty" json:"cause,omitempty"`
+}
+
+// WriteEntry makes a retry or recover record.
+//
+// Example:
+//
+//	record, failure := recipe.WriteEntry(recipe.RecoverRecord, entry)
+func WriteEntry(kind RecordKind, entry Entry) (Record, error) {
+	record := NewRecord(kind, entry.Inquiry, entry.Courier, uint64(entry.Run))
+	return record, record.Put("entry", entry)
+}
+
+// ReadEntry reads a retry or recover record.
+//
+// Example:
+//
+//	entry, failure := recipe.ReadEntry(record)
+func ReadEntry(record Record) (Entry, error) {
+	var entry Entry
+	found, failure := record.Read("entry", &entry)
+	if failure == nil && !found {
+		failure = trouble.New(trouble.Garbage, "an entry without a format that this build reads")
+	}
+	return entry, failure
+}
--- /dev/null
+++ b/internal/recipe/record.go
@@ -0,0 +1,60 @@
+// Package recipe owns record formats: the flags, the supported lists and the
+// records' codecs. Every record has fixed fields, which never change, and a
+// features map, in which a new format is a new key beside the old one.
+package recipe
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Record is what nodes write for each other. Kind, Key, Writer and Number are
+// the fixed fields; everything that may ever change is in Features.
+type Record struct {
+	Kind     RecordKind                    `msgpack:"kind"`
+	Key      string                        `msgpack:"key"`
+	Writer   string                        `msgpack:"writer"`
+	Number   uint64                        `msgpack:"number"`
+	Features map[string]msgpack.RawMessage `msgpack:"features"`
+}
+
+// NewRecord starts a record with an empty features map.
+//
+// Example:
+//
+//	record := recipe.NewRecord(recipe.OrderRecord, "stove-1", "courier-2", 7)
+func NewRecord(kind RecordKind, key, writer string, number uint64) Record {
+	return Record{Kind: kind, Key: key, Writer: writer, Number: number, Features: map[string]msgpack.RawMessage{}}
+}
+
+// Put writes one key of the features map.
+//
+// Example:
+//
+//	failure := record.Put("order", recipe.Order{Part: "decode"})
+func (record *Record) Put(key string, value any) error {
+	encoded, failure := msgpack.Marshal(value)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	record.Features[key] = encoded
+	return nil
+}
+
+// Read decodes one key of the features map; it tells false when the record
+// does not have the key, as an older record does not.
+//
+// Example:
+//
+//	found, failure := record.Read("order_v2", &order)
+func (record Record) Read(key string, value any) (bool, error) {
+	encoded, found := record.Features[key]
+	if !found {
+		return false, nil
+	}
+	if failure := msgpack.Unmarshal(encoded, value); failure != nil {
+		return false, trouble.Wrap(trouble.Garbage, failure)
+	}
+	return true, nil
+}
--- /dev/null
+++ b/internal/recipe/streammessage.go
@@ -0,0 +1,35 @@
+package recipe
+
+import "seamloom.example/seamloom/internal/trouble"
+
+// StreamMessage is one line of a reply on its way between two nodes.
+type StreamMessage struct {
+	Inquiry string `msgpack:"inquiry"`
+	Line    []byte `msgpack:"line"`
+	Status  int    `msgpack:"status"`
+	Retry   int    `msgpack:"retry"`
+}
+
+// WriteStreamMessage makes the message's record.
+//
+// Example:
+//
+//	record, failure := recipe.WriteStreamMessage(message, "courier-1", 4)
+func WriteStreamMessage(message StreamMessage, writer string, number uint64) (Record, error) {
+	record := NewRecord(StreamRecord, message.Inquiry, writer, number)
+	return record, record.Put("stream", message)
+}
+
+// ReadStreamMessage reads the message's record.
+//
+// Example:
+//
+//	message, failure := recipe.ReadStreamMessage(record)
+func ReadStreamMessage(record Record) (StreamMessage, error) {
+	var message StreamMessage
+	found, failure := record.Read("stream", &message)
+	if failure == nil && !found {
+		failure = trouble.New(trouble.Garbage, "a stream message without a format that this build reads")
+	}
+	return message, failure
+}
--- /dev/null
+++ b/internal/rehearsal/book.go
@@ -0,0 +1,68 @@
+// Package rehearsal is the test kit: stand-ins for callers, model servers and
+// the platform, faulty links, a whole fleet on one machine, and checkers that
+// read what the stand-ins wrote down.
+package rehearsal
+
+import (
+	"encoding/json"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Book is the record of one rehearsal, in the order in which things happened
+// on this one machine.
+type Book struct {
+	mutex   sync.Mutex
+	entries []Entry
+}
+
+// Note writes an entry down, at this moment unless it says another.
+//
+// Example:
+//
+//	book.Note(rehearsal.Entry{Kind: rehearsal.ServerBorn, Server: "stove-1"})
+func (book *Book) Note(entry Entry) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if entry.At.IsZero() {
+		entry.At = time.Now()
+	}
+	book.entries = append(book.entries, entry)
+}
+
+// Entries gives all entries in the order of their time.
+//
+// Example:
+//
+//	verdict := rehearsal.Judge(book.Entries())
+func (book *Book) Entries() []Entry {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	entries := append([]Entry(nil), book.entries...)
+	sort.SliceStable(entries, func(left, right int) bool { return entries[left].At.Before(entries[right].At) })
+	return entries
+}
+
+// Save writes the book as JSON lines.
+//
+// Example:
+//
+//	failure := book.Save("book.jsonl")
+func (book *Book) Save(path string) error {
+	file, failure := os.Create(path)
+	if failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	encoder := json.NewEncoder(file)
+	for _, entry := range book.Entries() {
+		if failure := encoder.Encode(entry); failure != nil {
+			_ = file.Close()
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+	}
+	return trouble.Wrap(trouble.Disk, file.Close())
+}
--- /dev/null
+++ b/internal/rehearsal/day.go
@@ -0,0 +1,282 @@
+package rehearsal
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Day is one rehearsal: a fleet under steady traffic with swings, operators at
+// work, faults in a seeded order, and an end-of-day read.
+type Day struct {
+	Fleet     *Fleet
+	Callers   *Callers
+	Operators *Operators
+	Long      float64
+	Short     float64
+	random    *rand.Rand
+	log       io.Writer
+	edition   int
+	mutex     sync.Mutex
+}
+
+// Fault is one thing that fails in a day.
+type Fault struct {
+	Name string
+	Run  func(lifetime context.Context, day *Day)
+}
+
+// NewDay prepares a day over a fleet that is ready.
+//
+// Example:
+//
+//	day := rehearsal.NewDay(fleet, 1, os.Stdout)
+func NewDay(fleet *Fleet, seed uint64, log io.Writer) *Day {
+	return &Day{Fleet: fleet, Callers: NewCallers(fleet, seed, 0.3), Operators: NewOperators(fleet), Long: 8, Short: 10,
+		random: rand.New(rand.NewPCG(seed, 11)), log: log}
+}
+
+// Say notes on the day's log what the rehearsal does.
+//
+// Example:
+//
+//	day.Say("kill %s", name)
+func (day *Day) Say(format string, values ...any) {
+	day.mutex.Lock()
+	defer day.mutex.Unlock()
+	_, _ = fmt.Fprintf(day.log, time.Now().Format("15:04:05.000 ")+format+"\n", values...)
+}
+
+// Open puts the first edition, so that there is a configuration.
+//
+// Example:
+//
+//	failure := day.Open()
+func (day *Day) Open() error {
+	if Await(15*time.Second, func() bool { return day.NextEdition() }) {
+		return nil
+	}
+	return trouble.New(trouble.NoPrimary, "the first configuration was not accepted")
+}
+
+// NextEdition reads the configuration at any expediter and puts the next
+// edition over it; it tells whether that was accepted.
+//
+// Example:
+//
+//	accepted := day.NextEdition()
+func (day *Day) NextEdition() bool {
+	node := day.anyExpediter()
+	if node == nil {
+		return false
+	}
+	current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+	if failure != nil || current.Status != http.StatusOK {
+		return false
+	}
+	day.mutex.Lock()
+	day.edition++
+	edition := day.edition
+	day.mutex.Unlock()
+	return day.Operators.PutEdition(node, edition, current.Version).Outcome == "accepted"
+}
+
+func (day *Day) anyExpediter() *NodeProcess {
+	day.mutex.Lock()
+	defer day.mutex.Unlock()
+	var running []*NodeProcess
+	for _, node := range day.Fleet.Expediters {
+		if node.Running() {
+			running = append(running, node)
+		}
+	}
+	if len(running) == 0 {
+		return nil
+	}
+	return running[day.random.IntN(len(running))]
+}
+
+// Run lets traffic flow for the length of the day, with a swing towards long
+// prompts and one towards long answers, editions every other second, and the
+// faults spread evenly.
+//
+// Example:
+//
+//	verdict := day.Run(lifetime, 40*time.Second, faults)
+func (day *Day) Run(lifetime context.Context, length time.Duration, faults []Fault) Verdict {
+	lifetime, end := context.WithTimeout(lifetime, length)
+	defer end()
+	day.Callers.SetRates(day.Long, day.Short)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { day.Callers.Run(lifetime) })
+	tasks.Go(func() { day.look(lifetime) })
+	tasks.Go(func() { day.operate(lifetime) })
+	tasks.Go(func() { day.swing(lifetime, length) })
+	gap := length / time.Duration(len(faults)+1)
+	for _, fault := range faults {
+		if !pauseFor(lifetime, gap) {
+			break
+		}
+		day.Say("fault: %s", fault.Name)
+		day.Fleet.Book.Note(Entry{Kind: FaultBegan, Cause: fault.Name})
+		fault.Run(lifetime, day)
+	}
+	<-lifetime.Done()
+	tasks.Wait()
+	day.EndOfDayRead()
+	return Judge(day.Fleet.Book.Entries())
+}
+
+// EndOfDayRead reads the configuration at every expediter that answers.
+//
+// Example:
+//
+//	day.EndOfDayRead()
+func (day *Day) EndOfDayRead() {
+	for _, node := range day.Fleet.Expediters {
+		if node.Running() {
+			Await(12*time.Second, func() bool {
+				_, edition := day.Operators.ReadEdition(node)
+				return edition >= 0
+			})
+		}
+	}
+}
+
+func (day *Day) look(lifetime context.Context) {
+	for pauseFor(lifetime, 250*time.Millisecond) {
+		day.Operators.LookAtEditions()
+	}
+}
+
+func (day *Day) operate(lifetime context.Context) {
+	for pauseFor(lifetime, 2*time.Second) {
+		day.NextEdition()
+		if node := day.anyExpediter(); node != nil {
+			day.Operators.ReadEdition(node)
+		}
+	}
+}
+
+func (day *Day) swing(lifetime context.Context, length time.Duration) {
+	if !pauseFor(lifetime, length/4) {
+		return
+	}
+	day.Callers.SetRates(day.Long*1.7, day.Short*0.4)
+	if !pauseFor(lifetime, length/4) {
+		return
+	}
+	day.Callers.SetRates(day.Long*0.3, day.Short*2)
+	if !pauseFor(lifetime, length/4) {
+		return
+	}
+	day.Callers.SetRates(day.Long, day.Short)
+}
+
+// KillCourier kills a courier and starts it again after a while.
+//
+// Example:
+//
+//	faults := []rehearsal.Fault{rehearsal.KillCourier()}
+func KillCourier() Fault {
+	return Fault{Name: "kill and restart a courier", Run: func(lifetime context.Context, day *Day) {
+		node := day.Fleet.Couriers[day.random.IntN(len(day.Fleet.Couriers))]
+		day.Say("kill %s", node.Node.Name)
+		node.Kill()
+		pauseFor(lifetime, time.Second)
+		if failure := node.Begin(); failure != nil {
+			day.Say("restart failed: %v", failure)
+		}
+	}}
+}
+
+// KillPrimary kills the primary and starts it again after a while.
+//
+// Example:
+//
+//	faults := []rehearsal.Fault{rehearsal.KillPrimary()}
+func KillPrimary() Fault {
+	return Fault{Name: "kill and restart the primary", Run: func(lifetime context.Context, day *Day) {
+		node := day.Fleet.Primary()
+		if node == nil {
+			day.Say("no primary to kill")
+			return
+		}
+		day.Say("kill %s", node.Node.Name)
+		node.Kill()
+		pauseFor(lifetime, 4*time.Second)
+		if failure := node.Begin(); failure != nil {
+			day.Say("restart failed: %v", failure)
+		}
+	}}
+}
+
+// CrashServer crashes a model server and replaces it, cold, after a while.
+//
+// Example:
+//
+//	faults := []rehearsal.Fault{rehearsal.CrashServer()}
+func CrashServer() Fault {
+	return Fault{Name: "crash and replace a server", Run: func(lifetime context.Context, day *Day) {
+		names := []string{}
+		for _, standIn := range day.Fleet.StandIns {
+			names = append(names, standIn.plan.Name)
+		}
+		name := names[day.random.IntN(len(names))]
+		day.Say("crash %s", name)
+		day.Fleet.Server(name).Crash()
+		pauseFor(lifetime, 1500*time.Millisecond)
+		if failure := day.Fleet.Replace(name); failure != nil {
+			day.Say("replacement failed: %v", failure)
+		}
+	}}
+}
+
+// Freeze stops the process in a role and wakes it after its holds ran out.
+//
+// Example:
+//
+//	faults := []rehearsal.Fault{rehearsal.Freeze("primary", 6*time.Second)}
+func Freeze(role string, length time.Duration) Fault {
+	return Fault{Name: "freeze and wake the " + role, Run: func(lifetime context.Context, day *Day) {
+		node := day.Fleet.Couriers[day.random.IntN(len(day.Fleet.Couriers))]
+		if role == "primary" {
+			if node = day.Fleet.Primary(); node == nil {
+				return
+			}
+		}
+		day.Say("freeze %s", node.Node.Name)
+		node.Signal(syscall.SIGSTOP)
+		pauseFor(lifetime, length)
+		node.Signal(syscall.SIGCONT)
+	}}
+}
+
+// EvacuateZone evacuates a zone and restores it after a while.
+//
+// Example:
+//
+//	faults := []rehearsal.Fault{rehearsal.EvacuateZone()}
+func EvacuateZone() Fault {
+	return Fault{Name: "evacuate and restore a zone", Run: func(lifetime context.Context, day *Day) {
+		district := day.Fleet.Deployment.Districts[day.random.IntN(len(day.Fleet.Deployment.Districts))]
+		node := day.anyExpediter()
+		if node == nil || !day.Operators.Evacuate(node, district) {
+			day.Say("evacuation of %s was not accepted", district)
+			return
+		}
+		day.Say("evacuated %s", district)
+		pauseFor(lifetime, 7*time.Second)
+		Await(10*time.Second, func() bool {
+			node := day.anyExpediter()
+			return node != nil && day.Operators.Restore(node, district)
+		})
+	}}
+}
--- /dev/null
+++ b/internal/rehearsal/deployment.go
@@ -0,0 +1,73 @@
+package rehearsal
+
+import "strconv"
+
+// Deployment is the shape of one user's fleet.
+type Deployment struct {
+	Name      string
+	Districts []string
+	Couriers  int
+	Servers   int
+	Long      Kind
+	Short     Kind
+}
+
+// Kind is one kind of streamed inquiry.
+type Kind struct {
+	Service      string
+	LeastTokens  int
+	MostTokens   int
+	PrefixTokens int
+	Prefixes     int
+	LeastPieces  int
+	MostPieces   int
+}
+
+// Sahil is the desk for zones: nine servers, three expediters, seven couriers.
+//
+// Example:
+//
+//	day := rehearsal.NewDay(rehearsal.Sahil(), 1)
+func Sahil() Deployment {
+	return Deployment{Name: "sahil", Districts: []string{"harbour", "medina", "dunes"}, Couriers: 7, Servers: 9,
+		Long:  Kind{Service: "zone-verdict", LeastTokens: 2500, MostTokens: 6000, PrefixTokens: 1800, Prefixes: 6, LeastPieces: 6, MostPieces: 16},
+		Short: Kind{Service: "rider-chat", LeastTokens: 60, MostTokens: 300, PrefixTokens: 40, Prefixes: 2, LeastPieces: 20, MostPieces: 50}}
+}
+
+// Kochloeffel is the pantry desk: twelve servers on the same three zones.
+//
+// Example:
+//
+//	day := rehearsal.NewDay(rehearsal.Kochloeffel(), 1)
+func Kochloeffel() Deployment {
+	return Deployment{Name: "kochloeffel", Districts: []string{"nord", "mitte", "sued"}, Couriers: 7, Servers: 12,
+		Long:  Kind{Service: "pantry-check", LeastTokens: 1500, MostTokens: 5000, PrefixTokens: 1000, Prefixes: 8, LeastPieces: 5, MostPieces: 12},
+		Short: Kind{Service: "step-rewrite", LeastTokens: 80, MostTokens: 400, PrefixTokens: 60, Prefixes: 3, LeastPieces: 16, MostPieces: 40}}
+}
+
+// DeploymentNamed finds a deployment, or tells false.
+//
+// Example:
+//
+//	deployment, found := rehearsal.DeploymentNamed("sahil")
+func DeploymentNamed(name string) (Deployment, bool) {
+	for _, deployment := range []Deployment{Sahil(), Kochloeffel()} {
+		if deployment.Name == name {
+			return deployment, true
+		}
+	}
+	return Deployment{}, false
+}
+
+// Configuration is the deployment's first configuration. Each edition of it
+// has a route whose name tells the edition, so that any caller can see which
+// one is in force at a courier.
+//
+// Example:
+//
+//	text := deployment.Configuration(1)
+func (deployment Deployment) Configuration(edition int) string {
+	return `{"services":{"` + deployment.Long.Service + `":{"limit_milliseconds":20000},"` + deployment.Short.Service +
+		`":{"limit_milliseconds":20000},"edition":{}},"routes":{"edition-` + strconv.Itoa(edition) +
+		`":{"order":0,"match":{"service":"edition"},"to":{"refuse":true}},"all":{"order":9,"to":{"home_first":true}}}}`
+}
--- /dev/null
+++ b/internal/rehearsal/entry.go
@@ -0,0 +1,33 @@
+package rehearsal
+
+import "time"
+
+// Entry is one line of the book: what a stand-in or a caller saw itself.
+type Entry struct {
+	At         time.Time `json:"at"`
+	Kind       EntryKind `json:"kind"`
+	Server     string    `json:"server,omitempty"`
+	District   string    `json:"district,omitempty"`
+	Inquiry    string    `json:"inquiry,omitempty"`
+	Run        int       `json:"run,omitempty"`
+	Handle     string    `json:"handle,omitempty"`
+	Repeatable bool      `json:"repeatable,omitempty"`
+	Courier    string    `json:"courier,omitempty"`
+	Service    string    `json:"service,omitempty"`
+
+	Holder string `json:"holder,omitempty"`
+	Fence  uint64 `json:"fence,omitempty"`
+	Part   string `json:"part,omitempty"`
+	Cause  string `json:"cause,omitempty"`
+
+	Final   string        `json:"final,omitempty"`
+	Status  int           `json:"status,omitempty"`
+	Asked   int           `json:"asked,omitempty"`
+	Texts   []string      `json:"texts,omitempty"`
+	Pieces  int           `json:"pieces,omitempty"`
+	Took    time.Duration `json:"took,omitempty"`
+	Edition int           `json:"edition,omitempty"`
+	Depth   int           `json:"depth,omitempty"`
+	Age     time.Duration `json:"age,omitempty"`
+	Flags   []string      `json:"flags,omitempty"`
+}
--- /dev/null
+++ b/internal/rehearsal/entrykind.go
@@ -0,0 +1,34 @@
+package rehearsal
+
+// EntryKind names a sort of entry.
+type EntryKind string
+
+// The kinds of entry. The servers', the platform's, the callers' and the
+// operators' own notes.
+const (
+	PrefillAsked    EntryKind = "prefill_asked"
+	PrefillStarted  EntryKind = "prefill_started"
+	DecodeAsked     EntryKind = "decode_asked"
+	DecodeStarted   EntryKind = "decode_started"
+	MemoryTaken     EntryKind = "memory_taken"
+	MemoryRefused   EntryKind = "memory_refused"
+	Commanded       EntryKind = "commanded"
+	CommandRefused  EntryKind = "command_refused"
+	ServerBorn      EntryKind = "server_born"
+	ServerCrashed   EntryKind = "server_crashed"
+	ServerLeaving   EntryKind = "server_leaving"
+	Sent            EntryKind = "sent"
+	Replied         EntryKind = "replied"
+	EditionSeen     EntryKind = "edition_seen"
+	EditionAsked    EntryKind = "edition_asked"
+	EditionAccepted EntryKind = "edition_accepted"
+	EditionRefused  EntryKind = "edition_refused"
+	EditionUnknown  EntryKind = "edition_unknown"
+	EditionRead     EntryKind = "edition_read"
+	EvacuationAsked EntryKind = "evacuation_asked"
+	Evacuated       EntryKind = "evacuated"
+	RestoreAsked    EntryKind = "restore_asked"
+	FaultBegan      EntryKind = "fault_began"
+	ClosingFault    EntryKind = "closing_fault"
+	MemberKnown     EntryKind = "member_known"
+)
--- /dev/null
+++ b/internal/rehearsal/finding.go
@@ -0,0 +1,19 @@
+package rehearsal
+
+// Finding is what one checker says: how often it was broken, examples, and the
+// worst value beside its limit where it has one.
+type Finding struct {
+	Checker    string   `json:"checker"`
+	Looked     int      `json:"looked_at"`
+	Violations int      `json:"violations"`
+	Examples   []string `json:"examples,omitempty"`
+	Worst      string   `json:"worst,omitempty"`
+	Limit      string   `json:"limit,omitempty"`
+}
+
+func (finding *Finding) violate(example string) {
+	finding.Violations++
+	if len(finding.Examples) < 5 {
+		finding.Examples = append(finding.Examples, example)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/fleet.go
@@ -0,0 +1,297 @@
+package rehearsal
+
+import (
+	"fmt"
+	"net"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Fleet is a whole deployment on one machine: nodes as processes, and
+// stand-ins for servers and platform.
+type Fleet struct {
+	Deployment Deployment
+	Book       *Book
+	Platform   *Platform
+	Couriers   []*NodeProcess
+	Expediters []*NodeProcess
+	folder     string
+	binaries   string
+	extra      map[string]any
+
+	mutex    sync.Mutex
+	StandIns []*StandIn
+	plans    map[string]ServerPlan
+}
+
+// NewFleet lays a fleet out in a folder; binaries is where courier and
+// expediter are. Extra settings go to every courier and expediter.
+//
+// Example:
+//
+//	fleet, failure := rehearsal.NewFleet(rehearsal.Sahil(), folder, "bin", nil)
+func NewFleet(deployment Deployment, folder, binaries string, extra map[string]any) (*Fleet, error) {
+	book := &Book{}
+	platform, failure := StartPlatform(book)
+	if failure != nil {
+		return nil, failure
+	}
+	fleet := &Fleet{Deployment: deployment, Book: book, Platform: platform, folder: folder, binaries: binaries, extra: extra, plans: map[string]ServerPlan{}}
+	for position := range deployment.Servers {
+		district := deployment.Districts[position%len(deployment.Districts)]
+		if _, failure := fleet.AddServer(DefaultPlan("stove-"+strconv.Itoa(position+1), district)); failure != nil {
+			return nil, failure
+		}
+	}
+	addresses, failure := freeAddresses(3 + deployment.Couriers)
+	if failure != nil {
+		return nil, failure
+	}
+	seeds := addresses[:3]
+	for position, address := range addresses {
+		kind, name := roster.Expediter, "expediter-"+strconv.Itoa(position+1)
+		if position >= 3 {
+			kind, name = roster.Courier, "courier-"+strconv.Itoa(position-2)
+		}
+		district := deployment.Districts[position%len(deployment.Districts)]
+		fleet.AddNode(kind, name, address, district, seeds)
+	}
+	return fleet, nil
+}
+
+// freeAddresses finds loopback addresses that nobody listens on.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	var listeners []net.Listener
+	for range count {
+		listener, failure := net.Listen("tcp", "127.0.0.1:0")
+		if failure != nil {
+			return nil, trouble.Wrap(trouble.Unreachable, failure)
+		}
+		listeners = append(listeners, listener)
+		addresses = append(addresses, listener.Addr().String())
+	}
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+	return addresses, nil
+}
+
+// AddServer starts a stand-in server and lists it with the platform.
+//
+// Example:
+//
+//	server, failure := fleet.AddServer(rehearsal.DefaultPlan("stove-10", "north"))
+func (fleet *Fleet) AddServer(plan ServerPlan) (*StandIn, error) {
+	standIn, failure := StartStandIn(plan, "127.0.0.1:0", fleet.Book)
+	if failure != nil {
+		return nil, failure
+	}
+	fleet.mutex.Lock()
+	fleet.StandIns = append(fleet.StandIns, standIn)
+	fleet.plans[plan.Name] = plan
+	fleet.mutex.Unlock()
+	fleet.Platform.ListServer(roster.Server{Name: plan.Name, Address: standIn.Address(), District: plan.District})
+	return standIn, nil
+}
+
+// AddNode lays out a node and lists it with the platform; it does not start it.
+//
+// Example:
+//
+//	node := fleet.AddNode(roster.Courier, "courier-8", address, "north", seeds)
+func (fleet *Fleet) AddNode(kind roster.NodeKind, name, address, district string, seeds []string) *NodeProcess {
+	node := &NodeProcess{Node: roster.Node{Name: name, Kind: kind, Address: address, District: district}, folder: fleet.folder,
+		binary: filepath.Join(fleet.binaries, string(kind)), settings: map[string]any{"name": name, "address": address, "district": district,
+			"seeds": seeds, "platform": fleet.Platform.Address()}}
+	for setting, value := range fleet.extra {
+		if setting == "market" && kind != roster.Courier {
+			continue
+		}
+		node.settings[setting] = value
+	}
+	if kind == roster.Expediter {
+		node.settings["data_folder"] = filepath.Join(fleet.folder, name+"-disk")
+		fleet.Expediters = append(fleet.Expediters, node)
+	} else {
+		fleet.Couriers = append(fleet.Couriers, node)
+	}
+	fleet.Platform.ListNode(node.Node)
+	return node
+}
+
+// Begin starts every node and waits until all are ready and every server has a
+// part.
+//
+// Example:
+//
+//	failure := fleet.Begin(20 * time.Second)
+func (fleet *Fleet) Begin(patience time.Duration) error {
+	for _, node := range fleet.Nodes() {
+		if failure := node.Begin(); failure != nil {
+			return failure
+		}
+	}
+	return fleet.AwaitReady(patience)
+}
+
+// Nodes lists expediters and couriers.
+//
+// Example:
+//
+//	for _, node := range fleet.Nodes() { node.Kill() }
+func (fleet *Fleet) Nodes() []*NodeProcess {
+	return append(append([]*NodeProcess(nil), fleet.Expediters...), fleet.Couriers...)
+}
+
+// AwaitReady waits until every running node is ready and every server has a
+// part.
+//
+// Example:
+//
+//	failure := fleet.AwaitReady(20 * time.Second)
+func (fleet *Fleet) AwaitReady(patience time.Duration) error {
+	missing := ""
+	if Await(patience, func() bool {
+		missing = ""
+		for _, node := range fleet.Nodes() {
+			if node.Running() && !node.Ready() {
+				missing = node.Node.Name
+				return false
+			}
+		}
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		for _, standIn := range fleet.StandIns {
+			if standIn.lifetime.Err() == nil && standIn.Part() == "" {
+				missing = standIn.plan.Name
+				return false
+			}
+		}
+		return true
+	}) {
+		return nil
+	}
+	return trouble.New(trouble.Unreachable, "not ready in "+patience.String()+": "+missing)
+}
+
+// Await looks again and again until the condition holds or the patience ends.
+//
+// Example:
+//
+//	ready := rehearsal.Await(5*time.Second, node.Ready)
+func Await(patience time.Duration, condition func() bool) bool {
+	ends := time.NewTimer(patience)
+	defer ends.Stop()
+	look := time.NewTicker(30 * time.Millisecond)
+	defer look.Stop()
+	for {
+		if condition() {
+			return true
+		}
+		select {
+		case <-ends.C:
+			return false
+		case <-look.C:
+		}
+	}
+}
+
+// Primary finds the expediter that leads at this moment, or nil.
+//
+// Example:
+//
+//	fleet.Primary().Kill()
+func (fleet *Fleet) Primary() *NodeProcess {
+	for _, node := range fleet.Expediters {
+		var ready struct {
+			Leads bool `json:"leads"`
+		}
+		if !node.Running() {
+			continue
+		}
+		if _, failure := node.ReadJSON("/v1/ready", &ready); failure == nil && ready.Leads {
+			return node
+		}
+	}
+	return nil
+}
+
+// Replace starts a server in the place of one that crashed, cold.
+//
+// Example:
+//
+//	failure := fleet.Replace("stove-1")
+func (fleet *Fleet) Replace(name string) error {
+	fleet.mutex.Lock()
+	plan, found := fleet.plans[name]
+	for position, standIn := range fleet.StandIns {
+		if standIn.plan.Name == name {
+			fleet.StandIns = append(fleet.StandIns[:position], fleet.StandIns[position+1:]...)
+			break
+		}
+	}
+	fleet.mutex.Unlock()
+	if !found {
+		return trouble.New(trouble.NoSuch, "no server "+name)
+	}
+	_, failure := fleet.AddServer(plan)
+	return failure
+}
+
+// Server finds a stand-in by name.
+//
+// Example:
+//
+//	fleet.Server("stove-1").Crash()
+func (fleet *Fleet) Server(name string) *StandIn {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, standIn := range fleet.StandIns {
+		if standIn.plan.Name == name {
+			return standIn
+		}
+	}
+	return nil
+}
+
+// Close ends all nodes and stand-ins that this fleet started.
+//
+// Example:
+//
+//	defer fleet.Close()
+func (fleet *Fleet) Close() {
+	for _, node := range fleet.Nodes() {
+		node.Kill()
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, standIn := range fleet.StandIns {
+		standIn.end()
+		_ = standIn.server.Close()
+	}
+	fleet.Platform.Close()
+}
+
+// Describe says where everything listens.
+//
+// Example:
+//
+//	fmt.Print(fleet.Describe())
+func (fleet *Fleet) Describe() string {
+	text := fmt.Sprintf("deployment %s in %s\nplatform   %s\n", fleet.Deployment.Name, fleet.folder, fleet.Platform.Address())
+	for _, node := range fleet.Nodes() {
+		text += fmt.Sprintf("%-12s %s  district %s\n", node.Node.Name, node.Node.Address, node.Node.District)
+	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, standIn := range fleet.StandIns {
+		text += fmt.Sprintf("%-12s %s  district %s\n", standIn.plan.Name, standIn.Address(), standIn.plan.District)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/rehearsal/nodeprocess.go
@@ -0,0 +1,181 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// NodeProcess is one courier or expediter as a process of its own.
+type NodeProcess struct {
+	Node     roster.Node
+	binary   string
+	folder   string
+	settings map[string]any
+	command  *exec.Cmd
+	ended    chan struct{}
+}
+
+var probe = &http.Client{Timeout: 700 * time.Millisecond}
+
+// Begin starts the process with its settings file; its log goes to a file.
+//
+// Example:
+//
+//	failure := node.Begin()
+func (node *NodeProcess) Begin() error {
+	text, failure := json.MarshalIndent(node.settings, "", "  ")
+	if failure != nil {
+		return trouble.Wrap(trouble.Malformed, failure)
+	}
+	settingsPath := filepath.Join(node.folder, node.Node.Name+".json")
+	if failure := os.WriteFile(settingsPath, text, 0o644); failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	logFile, failure := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	command := exec.Command(node.binary, "serve", "--settings", settingsPath)
+	command.Stdout, command.Stderr = logFile, logFile
+	// The node ends with the rehearsal, however that ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if failure := command.Start(); failure != nil {
+		_ = logFile.Close()
+		return trouble.Wrap(trouble.Unreachable, failure)
+	}
+	ended := make(chan struct{})
+	node.command, node.ended = command, ended
+	go func() {
+		_ = command.Wait()
+		_ = logFile.Close()
+		close(ended)
+	}()
+	return nil
+}
+
+// LogPath is the file that the process logs to.
+//
+// Example:
+//
+//	text, failure := os.ReadFile(node.LogPath())
+func (node *NodeProcess) LogPath() string {
+	return filepath.Join(node.folder, node.Node.Name+".log")
+}
+
+// Running tells whether the process has not ended.
+//
+// Example:
+//
+//	if node.Running() { ... }
+func (node *NodeProcess) Running() bool {
+	if node.ended == nil {
+		return false
+	}
+	select {
+	case <-node.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends the process a signal.
+//
+// Example:
+//
+//	node.Signal(syscall.SIGSTOP)
+func (node *NodeProcess) Signal(signal syscall.Signal) {
+	if node.Running() {
+		_ = node.command.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once and waits until it is gone.
+//
+// Example:
+//
+//	node.Kill()
+func (node *NodeProcess) Kill() {
+	if node.Running() {
+		_ = node.command.Process.Kill()
+		<-node.ended
+	}
+}
+
+// Stop asks the process to drain, and waits for its end.
+//
+// Example:
+//
+//	ended := node.Stop(20 * time.Second)
+func (node *NodeProcess) Stop(patience time.Duration) bool {
+	if !node.Running() {
+		return true
+	}
+	_ = node.command.Process.Signal(syscall.SIGTERM)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-node.ended:
+		return true
+	case <-timer.C:
+		node.Kill()
+		return false
+	}
+}
+
+// WipeDisk takes the whole data folder away; the process must have ended.
+//
+// Example:
+//
+//	failure := node.WipeDisk()
+func (node *NodeProcess) WipeDisk() error {
+	folder, found := node.settings["data_folder"].(string)
+	if !found || !strings.HasPrefix(folder, node.folder) {
+		return trouble.New(trouble.Missing, "the node has no disk")
+	}
+	return trouble.Wrap(trouble.Disk, os.RemoveAll(folder))
+}
+
+// Set changes a setting for the next start.
+//
+// Example:
+//
+//	node.Set("withhold_flags", []string{"order_patience"})
+func (node *NodeProcess) Set(name string, value any) { node.settings[name] = value }
+
+// Ready asks the process whether it is ready.
+//
+// Example:
+//
+//	if node.Ready() { ... }
+func (node *NodeProcess) Ready() bool {
+	inbound, failure := probe.Get("http://" + node.Node.Address + "/v1/ready")
+	if failure != nil {
+		return false
+	}
+	_ = inbound.Body.Close()
+	return inbound.StatusCode == http.StatusOK
+}
+
+// ReadJSON reads one of the process's pages.
+//
+// Example:
+//
+//	failure := node.ReadJSON("/v1/status", &status)
+func (node *NodeProcess) ReadJSON(path string, target any) (int, error) {
+	inbound, failure := probe.Get("http://" + node.Node.Address + path)
+	if failure != nil {
+		return 0, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	return inbound.StatusCode, trouble.Wrap(trouble.Garbage, json.NewDecoder(inbound.Body).Decode(target))
+}
--- /dev/null
+++ b/internal/rehearsal/operators.go
@@ -0,0 +1,190 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Operators are the stand-ins of those who change the fleet. They write down
+// what they asked, and what was answered.
+type Operators struct {
+	fleet  *Fleet
+	client *http.Client
+}
+
+// NewOperators makes operators for a fleet.
+//
+// Example:
+//
+//	operators := rehearsal.NewOperators(fleet)
+func NewOperators(fleet *Fleet) *Operators {
+	return &Operators{fleet: fleet, client: &http.Client{Timeout: 12 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+}
+
+// Answer is what an operator reads.
+type Answer struct {
+	Status        int             `json:"-"`
+	Outcome       string          `json:"outcome"`
+	Version       string          `json:"version"`
+	Change        string          `json:"change"`
+	Type          string          `json:"type"`
+	Configuration json.RawMessage `json:"configuration"`
+}
+
+// Call sends one operator's call to an expediter.
+//
+// Example:
+//
+//	answer, failure := operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+func (operators *Operators) Call(node *NodeProcess, method, path string, query url.Values, body string) (Answer, error) {
+	outbound, failure := http.NewRequest(method, "http://"+node.Node.Address+path+"?"+query.Encode(), bytes.NewReader([]byte(body)))
+	if failure != nil {
+		return Answer{}, trouble.Wrap(trouble.Malformed, failure)
+	}
+	inbound, failure := operators.client.Do(outbound)
+	if failure != nil {
+		return Answer{}, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	content, failure := io.ReadAll(inbound.Body)
+	answer := Answer{Status: inbound.StatusCode}
+	if failure != nil || json.Unmarshal(content, &answer) != nil {
+		return answer, trouble.New(trouble.Garbage, string(content))
+	}
+	return answer, nil
+}
+
+// PutEdition puts the deployment's configuration of an edition, from the
+// version expected, and notes how it was answered.
+//
+// Example:
+//
+//	answer := operators.PutEdition(node, 2, "1.4")
+func (operators *Operators) PutEdition(node *NodeProcess, edition int, expected string) Answer {
+	operators.fleet.Book.Note(Entry{Kind: EditionAsked, Edition: edition, Courier: node.Node.Name})
+	query := url.Values{"expected": {expected}, "change": {uuid.NewString()}}
+	// The old edition's route goes and the new one's comes; evacuations stay.
+	patch := operators.fleet.Deployment.Configuration(edition)
+	if edition > 1 {
+		gone := ""
+		for earlier := max(1, edition-40); earlier < edition; earlier++ {
+			gone += `"edition-` + strconv.Itoa(earlier) + `":null,`
+		}
+		patch = strings.Replace(patch, `"routes":{`, `"routes":{`+gone, 1)
+	}
+	answer, failure := operators.Call(node, http.MethodPatch, "/v1/configuration", query, patch)
+	entry := Entry{Kind: EditionUnknown, Edition: edition, Courier: node.Node.Name, Status: answer.Status}
+	switch {
+	case failure == nil && answer.Outcome == "accepted":
+		entry.Kind = EditionAccepted
+	case failure == nil && answer.Outcome == "not_accepted":
+		entry.Kind = EditionRefused
+	case failure != nil && strings.Contains(failure.Error(), "connection refused"):
+		entry.Kind = EditionRefused
+	}
+	entry.Cause = answer.Version
+	operators.fleet.Book.Note(entry)
+	return answer
+}
+
+// ReadEdition reads the configuration, and notes which edition it is.
+//
+// Example:
+//
+//	answer, edition := operators.ReadEdition(node)
+func (operators *Operators) ReadEdition(node *NodeProcess) (Answer, int) {
+	began := time.Now()
+	answer, failure := operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+	if failure != nil || answer.Status != http.StatusOK {
+		return answer, -1
+	}
+	edition := editionOf(answer.Configuration)
+	// The read is as old as its asking, for those who judge it.
+	operators.fleet.Book.Note(Entry{Kind: EditionRead, At: time.Now(), Edition: edition, Courier: node.Node.Name, Took: time.Since(began)})
+	return answer, edition
+}
+
+func editionOf(configuration []byte) int {
+	var parsed struct {
+		Routes map[string]json.RawMessage `json:"routes"`
+	}
+	_ = json.Unmarshal(configuration, &parsed)
+	for name := range parsed.Routes {
+		if number, found := strings.CutPrefix(name, "edition-"); found {
+			edition, _ := strconv.Atoi(number)
+			return edition
+		}
+	}
+	return 0
+}
+
+// Evacuate evacuates a district and notes the moment of acceptance.
+//
+// Example:
+//
+//	accepted := operators.Evacuate(node, "north")
+func (operators *Operators) Evacuate(node *NodeProcess, district string) bool {
+	operators.fleet.Book.Note(Entry{Kind: EvacuationAsked, District: district})
+	answer, failure := operators.Call(node, http.MethodPost, "/v1/evacuations/"+url.PathEscape(district), nil, `{"reason":"rehearsal"}`)
+	if failure == nil && answer.Outcome == "accepted" {
+		operators.fleet.Book.Note(Entry{Kind: Evacuated, District: district})
+		return true
+	}
+	return false
+}
+
+// Restore lifts an evacuation; the asking is noted, since it may take effect
+// before it is answered.
+//
+// Example:
+//
+//	operators.Restore(node, "north")
+func (operators *Operators) Restore(node *NodeProcess, district string) bool {
+	operators.fleet.Book.Note(Entry{Kind: RestoreAsked, District: district})
+	answer, failure := operators.Call(node, http.MethodDelete, "/v1/evacuations/"+url.PathEscape(district), nil, "")
+	return failure == nil && answer.Outcome == "accepted"
+}
+
+// LookAtEditions asks every running courier, as a caller, which edition is in
+// force there: the route that refuses the service "edition" is named by it.
+//
+// Example:
+//
+//	operators.LookAtEditions()
+func (operators *Operators) LookAtEditions() {
+	for _, node := range operators.fleet.Couriers {
+		if node.Running() {
+			operators.lookAtEdition(node)
+		}
+	}
+}
+
+func (operators *Operators) lookAtEdition(node *NodeProcess) {
+	began := time.Now()
+	body := `{"id":"` + uuid.NewString() + `","service":"edition","pieces":1,"prompt_tokens":1}`
+	inbound, failure := probe.Post("http://"+node.Node.Address+"/v1/inquiries", "application/json", bytes.NewReader([]byte(body)))
+	if failure != nil {
+		return
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	var line struct {
+		Detail string `json:"detail"`
+	}
+	if inbound.StatusCode != http.StatusForbidden || json.NewDecoder(inbound.Body).Decode(&line) != nil {
+		return
+	}
+	if number, found := strings.CutPrefix(line.Detail, "edition-"); found {
+		edition, _ := strconv.Atoi(number)
+		operators.fleet.Book.Note(Entry{Kind: EditionSeen, Courier: node.Node.Name, Edition: edition, Took: time.Since(began)})
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platform.go
@@ -0,0 +1,133 @@
+package rehearsal
+
+import (
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Platform is the stand-in of what lists servers and nodes.
+type Platform struct {
+	book    *Book
+	address string
+	server  *http.Server
+
+	mutex   sync.Mutex
+	servers map[string]roster.Server
+	nodes   map[string]roster.Node
+}
+
+// StartPlatform begins the platform at any port.
+//
+// Example:
+//
+//	platform, failure := rehearsal.StartPlatform(book)
+func StartPlatform(book *Book) (*Platform, error) {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	platform := &Platform{book: book, address: listener.Addr().String(), servers: map[string]roster.Server{}, nodes: map[string]roster.Node{}}
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get("/v1/servers"), func(writer http.ResponseWriter, _ *http.Request) {
+		say(writer, http.StatusOK, map[string]any{"servers": platform.listServers()})
+	})
+	mux.HandleFunc(pat.Get("/v1/nodes"), func(writer http.ResponseWriter, _ *http.Request) {
+		say(writer, http.StatusOK, map[string]any{"nodes": platform.listNodes()})
+	})
+	platform.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = platform.server.Serve(listener) }()
+	return platform, nil
+}
+
+// Address is where the platform listens.
+//
+// Example:
+//
+//	address := platform.Address()
+func (platform *Platform) Address() string { return platform.address }
+
+// Close ends the platform.
+//
+// Example:
+//
+//	platform.Close()
+func (platform *Platform) Close() { _ = platform.server.Close() }
+
+// ListServer adds a server or changes it.
+//
+// Example:
+//
+//	platform.ListServer(roster.Server{Name: "stove-1", Address: address, District: "north"})
+func (platform *Platform) ListServer(server roster.Server) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.servers[server.Name] = server
+	if server.Leaving {
+		platform.book.Note(Entry{Kind: ServerLeaving, Server: server.Name})
+	}
+}
+
+// UnlistServer takes a server off the list.
+//
+// Example:
+//
+//	platform.UnlistServer("stove-1")
+func (platform *Platform) UnlistServer(name string) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	delete(platform.servers, name)
+	platform.book.Note(Entry{Kind: ServerLeaving, Server: name})
+}
+
+// ListNode adds a node or changes it.
+//
+// Example:
+//
+//	platform.ListNode(roster.Node{Name: "courier-1", Kind: roster.Courier, Address: address})
+func (platform *Platform) ListNode(node roster.Node) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.nodes[node.Name] = node
+}
+
+// UnlistNode takes a node off the list.
+//
+// Example:
+//
+//	platform.UnlistNode("courier-1")
+func (platform *Platform) UnlistNode(name string) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	delete(platform.nodes, name)
+}
+
+func (platform *Platform) listServers() []roster.Server {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	servers := []roster.Server{}
+	for _, server := range platform.servers {
+		servers = append(servers, server)
+	}
+	sort.Slice(servers, func(left, right int) bool { return servers[left].Name < servers[right].Name })
+	return servers
+}
+
+func (platform *Platform) listNodes() []roster.Node {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	nodes := []roster.Node{}
+	for _, node := range platform.nodes {
+		nodes = append(nodes, node)
+	}
+	sort.Slice(nodes, func(left, right int) bool { return nodes[left].Name < nodes[right].Name })
+	return nodes
+}
