--- /dev/null
+++ b/internal/rehearsal/serverplan.go
@@ -0,0 +1,28 @@
+package rehearsal
+
+import "time"
+
+// ServerPlan is how a stand-in server behaves.
+type ServerPlan struct {
+	Name        string
+	District    string
+	PrefillRate int
+	PrefillRoom int
+	DecodeSlots int
+	PieceTime   time.Duration
+	Memory      int
+	LinkRate    int
+	HandleLife  time.Duration
+	ColdTime    time.Duration
+	Prefixes    int
+}
+
+// DefaultPlan is a server of middling speed.
+//
+// Example:
+//
+//	plan := rehearsal.DefaultPlan("stove-1", "north")
+func DefaultPlan(name, district string) ServerPlan {
+	return ServerPlan{Name: name, District: district, PrefillRate: 20_000, PrefillRoom: 12, DecodeSlots: 16, PieceTime: 8 * time.Millisecond,
+		Memory: 200_000, LinkRate: 400_000, HandleLife: 5 * time.Second, ColdTime: 4 * time.Second, Prefixes: 8}
+}
--- /dev/null
+++ b/internal/rehearsal/verdict.go
@@ -0,0 +1,116 @@
+package rehearsal
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Verdict is what all checkers say of a book, with how the replies ended.
+type Verdict struct {
+	Findings []Finding      `json:"findings"`
+	Replies  map[string]int `json:"replies"`
+	Share    float64        `json:"complete_share"`
+	Median   time.Duration  `json:"median"`
+	Tail     time.Duration  `json:"ninety_fifth"`
+}
+
+// Judge runs every checker over the entries.
+//
+// Example:
+//
+//	verdict := rehearsal.Judge(book.Entries())
+func Judge(entries []Entry) Verdict {
+	verdict := Verdict{Replies: map[string]int{}}
+	for _, check := range checkers {
+		verdict.Findings = append(verdict.Findings, check(entries))
+	}
+	var lengths []time.Duration
+	total := 0
+	for _, entry := range entries {
+		if entry.Kind != Replied {
+			continue
+		}
+		total++
+		final := entry.Final
+		if final == "" {
+			final = "no final line"
+		}
+		if final != "complete" {
+			final += " (" + entry.Cause + ")"
+			if entry.Final == "" {
+				final = "no final line"
+			}
+		} else {
+			lengths = append(lengths, entry.Took)
+		}
+		verdict.Replies[final]++
+	}
+	verdict.Share = float64(len(lengths)) / float64(max(total, 1))
+	sort.Slice(lengths, func(left, right int) bool { return lengths[left] < lengths[right] })
+	if len(lengths) > 0 {
+		verdict.Median, verdict.Tail = lengths[len(lengths)/2], lengths[len(lengths)*95/100]
+	}
+	return verdict
+}
+
+// Violations counts the broken rules of all checkers.
+//
+// Example:
+//
+//	if verdict.Violations() > 0 { os.Exit(1) }
+func (verdict Verdict) Violations() int {
+	count := 0
+	for _, finding := range verdict.Findings {
+		count += finding.Violations
+	}
+	return count
+}
+
+// Finding is what one checker says.
+//
+// Example:
+//
+//	verdict.Finding("no second run").Violations
+func (verdict Verdict) Finding(checker string) Finding {
+	for _, finding := range verdict.Findings {
+		if finding.Checker == checker {
+			return finding
+		}
+	}
+	return Finding{}
+}
+
+// String writes the verdict for people.
+//
+// Example:
+//
+//	fmt.Print(verdict)
+func (verdict Verdict) String() string {
+	var text strings.Builder
+	for _, finding := range verdict.Findings {
+		mark := "held  "
+		if finding.Violations > 0 {
+			mark = "BROKEN"
+		}
+		_, _ = fmt.Fprintf(&text, "%s  %-52s looked at %6d", mark, finding.Checker, finding.Looked)
+		if finding.Worst != "" {
+			_, _ = fmt.Fprintf(&text, "  worst %s (limit %s)", finding.Worst, finding.Limit)
+		}
+		_, _ = fmt.Fprintln(&text)
+		for _, example := range finding.Examples {
+			_, _ = fmt.Fprintf(&text, "        %s\n", example)
+		}
+	}
+	var finals []string
+	for final := range verdict.Replies {
+		finals = append(finals, final)
+	}
+	sort.Strings(finals)
+	for _, final := range finals {
+		_, _ = fmt.Fprintf(&text, "replies  %-40s %6d\n", final, verdict.Replies[final])
+	}
+	_, _ = fmt.Fprintf(&text, "complete %.1f%%, median %s, 95th of 100 %s, violations %d\n", 100*verdict.Share, verdict.Median.Round(time.Millisecond), verdict.Tail.Round(time.Millisecond), verdict.Violations())
+	return text.String()
+}
--- /dev/null
+++ b/internal/roster/member.go
@@ -0,0 +1,37 @@
+package roster
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/recipe"
+)
+
+// Member is a node as it is recorded, running or stopped.
+type Member struct {
+	Name      string      `msgpack:"name" json:"name"`
+	Kind      NodeKind    `msgpack:"kind" json:"kind"`
+	Address   string      `msgpack:"address" json:"address"`
+	District  string      `msgpack:"district" json:"district"`
+	Supported recipe.List `msgpack:"supported" json:"supported"`
+	Since     time.Time   `msgpack:"since" json:"since"`
+}
+
+// Restricted tells whether the member lacks an enabled flag.
+//
+// Example:
+//
+//	if member.Restricted(enabled) { ... }
+func (member Member) Restricted(enabled recipe.List) bool {
+	return len(member.Supported.Lacks(enabled)) > 0
+}
+
+// Same tells whether recording the other member would change nothing.
+//
+// Example:
+//
+//	if recorded.Same(asked) { return nil }
+func (member Member) Same(other Member) bool {
+	return member.Name == other.Name && member.Kind == other.Kind && member.Address == other.Address &&
+		member.District == other.District && len(member.Supported.Lacks(other.Supported)) == 0 &&
+		len(other.Supported.Lacks(member.Supported)) == 0
+}
--- /dev/null
+++ b/internal/roster/node.go
@@ -0,0 +1,9 @@
+package roster
+
+// Node is a node as the platform lists it.
+type Node struct {
+	Name     string   `json:"name"`
+	Kind     NodeKind `json:"kind"`
+	Address  string   `json:"address"`
+	District string   `json:"district"`
+}
--- /dev/null
+++ b/internal/roster/nodekind.go
@@ -0,0 +1,12 @@
+// Package roster owns who there is: servers and nodes, the neighbours that
+// rendezvous hashing names, and who is live.
+package roster
+
+// NodeKind tells data plane from control plane.
+type NodeKind string
+
+// The kinds of node.
+const (
+	Courier   NodeKind = "courier"
+	Expediter NodeKind = "expediter"
+)
--- /dev/null
+++ b/internal/rota/holds.go
@@ -0,0 +1,114 @@
+package rota
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Holds is the primary's memory of what it has granted to couriers. It is
+// never written down: a new primary takes every hold of the old one to be
+// fresh at its own beginning, and waits it out.
+type Holds struct {
+	mutex   sync.Mutex
+	terms   Terms
+	since   time.Time
+	holders map[string]*holderState
+}
+
+type holderState struct {
+	until    time.Time
+	liveFrom time.Time
+	confirms uint64
+}
+
+// NewHolds starts the memory at the moment its owner became primary.
+//
+// Example:
+//
+//	holds := rota.NewHolds(rota.DefaultTerms(), now)
+func NewHolds(terms Terms, since time.Time) *Holds {
+	return &Holds{terms: terms, since: since, holders: map[string]*holderState{}}
+}
+
+// Grant notes that the holder was given a hold now, and the number of the
+// configuration that it says it has in force.
+//
+// Example:
+//
+//	holds.Grant(now, "courier-1", 12)
+func (holds *Holds) Grant(now time.Time, holder string, inForce uint64) {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	state, found := holds.holders[holder]
+	if !found || state.until.Before(now) {
+		state = &holderState{liveFrom: now}
+		holds.holders[holder] = state
+	}
+	state.until = now.Add(holds.terms.Hold + holds.terms.Drift)
+	if inForce > state.confirms {
+		state.confirms = inForce
+	}
+}
+
+// Lagging lists the holders whose hold may still let in under a configuration
+// older than the number. While the old primary's holds may run it also names
+// the holders of that time that have not confirmed to this one.
+//
+// Example:
+//
+//	accepted := len(holds.Lagging(now, 12, couriers)) == 0
+func (holds *Holds) Lagging(now time.Time, number uint64, recorded []string) []string {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	var lagging []string
+	for holder, state := range holds.holders {
+		if now.Before(state.until) && state.confirms < number {
+			lagging = append(lagging, holder)
+		}
+	}
+	if now.Before(holds.since.Add(holds.terms.Hold + holds.terms.Drift)) {
+		for _, holder := range recorded {
+			if _, found := holds.holders[holder]; !found {
+				lagging = append(lagging, holder)
+			}
+		}
+	}
+	sort.Strings(lagging)
+	return lagging
+}
+
+// Live lists the nodes whose hold runs, with how long each has been live.
+//
+// Example:
+//
+//	for name, age := range holds.Live(now) { ... }
+func (holds *Holds) Live(now time.Time) map[string]time.Duration {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	live := map[string]time.Duration{}
+	for holder, state := range holds.holders {
+		if now.Before(state.until) {
+			live[holder] = now.Sub(state.liveFrom)
+		}
+	}
+	return live
+}
+
+// Note takes what a holder says it has in force, without renewing its hold.
+//
+// Example:
+//
+//	holds.Note(now, "courier-1", 12)
+func (holds *Holds) Note(now time.Time, holder string, inForce uint64) {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	state, found := holds.holders[holder]
+	if !found {
+		state = &holderState{until: holds.since.Add(holds.terms.Hold + holds.terms.Drift), liveFrom: now}
+		holds.holders[holder] = state
+	}
+	if inForce > state.confirms {
+		state.confirms = inForce
+	}
+}
--- /dev/null
+++ b/internal/rota/keys.go
@@ -0,0 +1,128 @@
+package rota
+
+import (
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Keys is the primary's memory of when each duty's hold ends. Which node has a
+// key, and its fence, are durable; when the hold ends is not: a new primary
+// takes every recorded holder to have renewed at its own beginning.
+type Keys struct {
+	mutex    sync.Mutex
+	terms    Terms
+	since    time.Time
+	renewed  map[string]time.Time
+	released map[string]time.Time
+}
+
+// NewKeys starts the memory at the moment its owner became primary.
+//
+// Example:
+//
+//	keys := rota.NewKeys(rota.DefaultTerms(), now)
+func NewKeys(terms Terms, since time.Time) *Keys {
+	return &Keys{terms: terms, since: since, renewed: map[string]time.Time{}, released: map[string]time.Time{}}
+}
+
+// Renew tells which of the recorded duties the node may go on holding, and
+// marks them renewed. A duty that another settled node should have is left
+// out, so that the node lets go of it.
+//
+// Example:
+//
+//	mine := keys.Renew(now, "courier-1", recorded, candidates)
+func (keys *Keys) Renew(now time.Time, node string, recorded map[string]Duty, candidates map[string]time.Duration) []Duty {
+	keys.mutex.Lock()
+	defer keys.mutex.Unlock()
+	var renewed []Duty
+	for key, duty := range recorded {
+		if duty.Holder != node {
+			continue
+		}
+		if _, released := keys.released[keyAt(key, duty.Fence)]; released {
+			continue
+		}
+		if _, may := candidates[node]; !may {
+			continue
+		}
+		if desired := keys.desired(key, candidates, true); desired != "" && desired != node {
+			continue
+		}
+		keys.renewed[keyAt(key, duty.Fence)] = now
+		renewed = append(renewed, duty)
+	}
+	sort.Slice(renewed, func(left, right int) bool { return renewed[left].Key < renewed[right].Key })
+	return renewed
+}
+
+// Release notes that the holder has let go of a duty by itself; it is not
+// renewed again under that fence.
+//
+// Example:
+//
+//	keys.Release(now, duty)
+func (keys *Keys) Release(now time.Time, duty Duty) {
+	keys.mutex.Lock()
+	defer keys.mutex.Unlock()
+	name := keyAt(duty.Key, duty.Fence)
+	if _, found := keys.released[name]; !found {
+		keys.released[name] = now
+	}
+}
+
+// Vacant lists the grants to make now: wanted keys with no recorded holder,
+// or whose holder's hold ended, plus the rest between two holders.
+//
+// Example:
+//
+//	grants := keys.Vacant(now, wanted, recorded, candidates)
+func (keys *Keys) Vacant(now time.Time, wanted []string, recorded map[string]Duty, candidates map[string]time.Duration) []Duty {
+	keys.mutex.Lock()
+	defer keys.mutex.Unlock()
+	var grants []Duty
+	for _, key := range wanted {
+		if duty, found := recorded[key]; found && now.Before(keys.freeFrom(duty)) {
+			continue
+		}
+		if holder := keys.desired(key, candidates, false); holder != "" {
+			grants = append(grants, Duty{Key: key, Holder: holder})
+		}
+	}
+	return grants
+}
+
+func (keys *Keys) freeFrom(duty Duty) time.Time {
+	name := keyAt(duty.Key, duty.Fence)
+	if released, found := keys.released[name]; found {
+		return released.Add(keys.terms.Rest)
+	}
+	last, found := keys.renewed[name]
+	if !found {
+		last = keys.since
+	}
+	return last.Add(keys.terms.Hold + keys.terms.Drift + keys.terms.Rest)
+}
+
+// desired is the live node with the heaviest weight for the key. A key that
+// somebody has moves only to a node that has been live for some time.
+func (keys *Keys) desired(key string, candidates map[string]time.Duration, settledOnly bool) string {
+	var names []string
+	for name, age := range candidates {
+		if !settledOnly || age >= keys.terms.Settled {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return roster.Ranked(key, names)[0]
+}
+
+func keyAt(key string, fence uint64) string {
+	return key + "#" + strconv.FormatUint(fence, 10)
+}
--- /dev/null
+++ b/internal/trouble/trouble.go
@@ -0,0 +1,77 @@
+// Package trouble gives every failure in seamloom a type.
+package trouble
+
+import (
+	stderrors "errors"
+
+	"github.com/juju/errors"
+)
+
+// Trouble is a failure with a kind that programs can act on, and, for checks,
+// the path of the value that it is about.
+type Trouble struct {
+	Kind   Kind   `json:"type" msgpack:"type"`
+	Path   string `json:"path,omitempty" msgpack:"path,omitempty"`
+	Detail string `json:"detail,omitempty" msgpack:"detail,omitempty"`
+}
+
+// Error says the trouble in one line.
+//
+// Example:
+//
+//	trouble.New(trouble.NoPrimary, "ask again").Error() // "no_primary: ask again"
+func (trouble *Trouble) Error() string {
+	text := string(trouble.Kind)
+	if trouble.Path != "" {
+		text += " at " + trouble.Path
+	}
+	if trouble.Detail != "" {
+		text += ": " + trouble.Detail
+	}
+	return text
+}
+
+// New makes a trouble of a kind.
+//
+// Example:
+//
+//	return trouble.New(trouble.NoHold, "the courier's hold ran out")
+func New(kind Kind, detail string) *Trouble { return &Trouble{Kind: kind, Detail: detail} }
+
+// At makes a trouble about the value at a path.
+//
+// Example:
+//
+//	return trouble.At(trouble.WrongType, "/routes/chat/order", "a whole number is needed")
+func At(kind Kind, path, detail string) *Trouble {
+	return &Trouble{Kind: kind, Path: path, Detail: detail}
+}
+
+// Wrap keeps the cause's text under a kind, and traces where it was met.
+//
+// Example:
+//
+//	return trouble.Wrap(trouble.Disk, cause)
+func Wrap(kind Kind, cause error) error {
+	if cause == nil {
+		return nil
+	}
+	var typed *Trouble
+	if stderrors.As(cause, &typed) {
+		return errors.Trace(cause)
+	}
+	return errors.Trace(New(kind, cause.Error()))
+}
+
+// KindOf finds the kind of a failure, or Unsorted when it has none.
+//
+// Example:
+//
+//	if trouble.KindOf(failure) == trouble.VersionConflict { ... }
+func KindOf(failure error) Kind {
+	var typed *Trouble
+	if stderrors.As(failure, &typed) {
+		return typed.Kind
+	}
+	return Unsorted
+}
--- /dev/null
+++ b/options.go
@@ -0,0 +1,17 @@
+package seamloom
+
+// Options say which courier a core decides for.
+type Options struct {
+	// Courier is the node's name, and District the zone that it serves first.
+	Courier  string
+	District string
+	// MostInquiries bounds the inquiries that are let in at once.
+	MostInquiries int
+	// Supported is the build's list of flags.
+	Supported FlagList
+	// LeastLoaded replaces the market by a plain least-loaded choice.
+	LeastLoaded bool
+}
+
+// DefaultMostInquiries is how many inquiries a courier lets in at once.
+const DefaultMostInquiries = 512
