Core: regrant past unused promises, admit a newcomer primary; stream records

Cause: a keeper that had promised an epoch nobody was granted could never confirm the present one, and a primary that was no keeper did not count itself as the newcomer for a lost keeper's place.

--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -76,6 +76,9 @@
 		answer(writer, http.StatusBadRequest, ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(failure), Detail: failure.Error()})
 		return
 	}
+	if passed {
+		writer = newRecordWriter(writer, inquiry.ID, process.chosen.Name)
+	}
 	stream := newStream()
 	process.mutex.Lock()
 	_, busy := process.streams[inquiry.ID]
--- a/internal/adapters/courier/passing.go
+++ b/internal/adapters/courier/passing.go
@@ -9,8 +9,12 @@
 	"strconv"
 	"sync/atomic"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"seamloom.example/seamloom/internal/adapters/follower"
+	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
@@ -65,42 +69,53 @@
 			answer(writer, http.StatusGatewayTimeout, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Unreachable, Detail: "the courier that it was passed to did not answer"})
 			return
 		}
-		for _, name := range []string{"Content-Type", "Retry-After"} {
-			writer.Header().Set(name, answered.Header.Get(name))
-		}
-		writer.WriteHeader(answered.StatusCode)
-		failure = copyLines(writer, answered.Body)
+		copyRecords(writer, answered.Body, inquiry.ID)
 		_ = answered.Body.Close()
-		if failure != nil {
-			final := pass.Failed
-			_, _ = writer.Write(ReplyLine{Inquiry: inquiry.ID, Final: final, Type: trouble.Unreachable, Detail: "the reply broke off between two couriers"}.encode())
-		}
 		return
 	}
 	answer(writer, http.StatusServiceUnavailable, refused)
 }
 
-// copyLines gives whole lines on as they come, so that a reply that breaks off
-// never ends inside one.
-func copyLines(writer http.ResponseWriter, source io.Reader) error {
+// copyRecords gives the lines of stream records on as they come. A reply that
+// breaks off ends with a line that says what is known.
+func copyRecords(writer http.ResponseWriter, source io.Reader, inquiry string) {
 	flusher := http.NewResponseController(writer)
-	var pending []byte
-	chunk := make([]byte, 16<<10)
-	for {
-		count, failure := source.Read(chunk)
-		pending = append(pending, chunk[:count]...)
-		if end := bytes.LastIndexByte(pending, '\n'); end >= 0 {
-			if _, failure := writer.Write(pending[:end+1]); failure != nil {
-				return nil
+	decoder := msgpack.NewDecoder(io.LimitReader(source, hotline.MostBytes))
+	for number := uint64(1); ; number++ {
+		var record recipe.Record
+		failure := decoder.Decode(&record)
+		var message recipe.StreamMessage
+		if failure == nil {
+			message, failure = recipe.ReadStreamMessage(record)
+		}
+		var line ReplyLine
+		if failure == nil {
+			failure = json.Unmarshal(message.Line, &line)
+		}
+		if failure != nil || record.Number != number || message.Inquiry != inquiry {
+			broken := ReplyLine{Inquiry: inquiry, Type: trouble.Unreachable, Detail: "the reply broke off between two couriers"}
+			if number == 1 {
+				broken.Final = pass.Unknown
+				answer(writer, http.StatusGatewayTimeout, broken)
+				return
 			}
-			_ = flusher.Flush()
-			pending = append([]byte(nil), pending[end+1:]...)
+			broken.Final, broken.Pieces = pass.Failed, int(number)-1
+			_, _ = writer.Write(broken.encode())
+			return
 		}
-		if failure == io.EOF && len(pending) == 0 {
-			return nil
+		if number == 1 {
+			writer.Header().Set("Content-Type", "application/jsonl")
+			if message.Retry > 0 {
+				writer.Header().Set("Retry-After", strconv.Itoa(message.Retry))
+			}
+			writer.WriteHeader(message.Status)
 		}
-		if failure != nil {
-			return trouble.New(trouble.Unreachable, "broke off after "+strconv.Itoa(len(pending))+" bytes of a line")
+		if _, failure := writer.Write(message.Line); failure != nil {
+			return
+		}
+		_ = flusher.Flush()
+		if line.Final != "" {
+			return
 		}
 	}
 }
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -154,9 +154,12 @@
 func (process *Process) Reload(next settings.Settings) {
 	process.mutex.Lock()
 	stays := process.chosen.Reload(next)
-	seeds := process.chosen.Seeds
+	seeds, level := process.chosen.Seeds, process.chosen.LogLevel
 	process.mutex.Unlock()
 	process.followed.SetSeeds(seeds)
+	if parsed, failure := log.ParseLevel(level); failure == nil {
+		process.logger.SetLevel(parsed)
+	}
 	process.logger.Info("reloaded", "needs_restart", stays)
 }
 
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -46,6 +46,7 @@
 	contacts   []string
 
 	unsettled   bool
+	outrun      bool
 	backupFails time.Time
 	diskBusy    time.Time
 	backoff     time.Time
@@ -471,12 +472,29 @@
 		}
 		return false
 	}
+	steward.outrun = outdated
 	steward.mutex.Lock()
 	steward.holdEnds = asked.Add(PrimaryHold - holdDrift)
 	steward.mutex.Unlock()
 	return true
 }
 
+// regrant asks for the same charter under a higher epoch, when a keeper has
+// promised one that nobody was granted and so can't confirm the present one.
+func (steward *Steward) regrant(charter Charter) {
+	steward.outrun = false
+	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+		return base, base.Epoch == charter.Epoch && base.Primary.Identity == charter.Primary.Identity
+	})
+	if failure != nil {
+		steward.observe("not_regranted", "cause", failure)
+		steward.unsettled = true
+		return
+	}
+	steward.store.Thaw(won.Epoch)
+	steward.confirm(won)
+}
+
 func (steward *Steward) resign(cause string, newer Charter) {
 	steward.mutex.Lock()
 	steward.holdEnds = time.Time{}
@@ -505,6 +523,9 @@
 	if !steward.store.Leading() {
 		return
 	}
+	if steward.outrun && !steward.unsettled {
+		steward.regrant(charter)
+	}
 	steward.ensureBackup()
 	steward.ensureKeepers()
 }
@@ -713,6 +734,10 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	var newcomer Seat
+	if !charter.Keeps(own) {
+		// A primary that came as a newcomer itself.
+		newcomer = steward.keeper.Seat()
+	}
 	for _, known := range steward.known {
 		hello := known.hello
 		if hello.Kind != roster.Expediter || charter.Keeps(hello.Seat.Identity) || steward.clock().Sub(known.lastSeen) > applicantFresh {
--- a/internal/pass/decision.go
+++ b/internal/pass/decision.go
@@ -15,7 +15,7 @@
 	ID       string       `json:"id,omitempty"`
 	Run      int          `json:"run,omitempty"`
 	Inquiry  *Inquiry     `json:"inquiry,omitempty"`
-	NotAfter time.Time    `json:"not_after"`
+	NotAfter time.Time    `json:"not_after,omitzero"`
 
 	Server        string `json:"server,omitempty"`
 	Address       string `json:"address,omitempty"`
@@ -32,7 +32,7 @@
 	Retry time.Duration `json:"retry,omitempty"`
 
 	Part   Part           `json:"part,omitempty"`
-	Duty   rota.Duty      `json:"duty"`
+	Duty   rota.Duty      `json:"duty,omitzero"`
 	Order  *recipe.Order  `json:"order,omitempty"`
 	Orders []recipe.Order `json:"orders,omitempty"`
 	Pair   *recipe.Pair   `json:"pair,omitempty"`
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -27,7 +27,7 @@
 	Load    *Load           `json:"load,omitempty"`
 	Server  string          `json:"server,omitempty"`
 
-	HoldEnds time.Time               `json:"hold_ends"`
+	HoldEnds time.Time               `json:"hold_ends,omitzero"`
 	Number   uint64                  `json:"number,omitempty"`
 	Epoch    uint64                  `json:"epoch,omitempty"`
 	Menu     []byte                  `json:"menu,omitempty"`
