--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -461,7 +461,7 @@
 	if silence > 3*time.Second {
 		status = http.StatusServiceUnavailable
 	}
-	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.steward.Holds(), "epoch": process.steward.Charter().Epoch})
+	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.steward.Holds(), "identity": process.keeper.Seat().Identity, "epoch": process.steward.Charter().Epoch})
 }
 
 func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/internal/rehearsal/checkers_test.go
@@ -0,0 +1,73 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+)
+
+// cleanDay is a book in which nothing that must never happen happens.
+func cleanDay(start time.Time) []Entry {
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	return []Entry{
+		{At: at(0), Kind: ServerBorn, Server: "stove-1", District: "north"},
+		{At: at(0), Kind: ServerBorn, Server: "stove-2", District: "south"},
+		{At: at(10), Kind: MemberKnown, Holder: "courier-1", Flags: []string{"order_patience"}},
+		{At: at(20), Kind: Commanded, Server: "stove-1", Holder: "courier-1", Fence: 1, Part: "prefill", Cause: "first"},
+		{At: at(30), Kind: EditionAsked, Edition: 1},
+		{At: at(40), Kind: EditionAccepted, Edition: 1},
+		{At: at(50), Kind: EditionSeen, Courier: "courier-1", Edition: 1},
+		{At: at(60), Kind: EditionRefused, Edition: 9},
+		{At: at(70), Kind: EditionRead, Edition: 1},
+		{At: at(5000), Kind: Sent, Inquiry: "one", Asked: 2},
+		{At: at(5001), Kind: PrefillAsked, Inquiry: "one", Run: 1, Server: "stove-1", District: "north", Age: 5 * time.Second},
+		{At: at(5001), Kind: PrefillStarted, Inquiry: "one", Run: 1, Server: "stove-1", District: "north"},
+		{At: at(5002), Kind: MemoryTaken, Inquiry: "one", Run: 1, Handle: "memory-1", Server: "stove-1"},
+		{At: at(5002), Kind: DecodeAsked, Inquiry: "one", Run: 1, Server: "stove-2", District: "south", Age: 5 * time.Second},
+		{At: at(5003), Kind: DecodeStarted, Inquiry: "one", Run: 1, Server: "stove-2", District: "south"},
+		{At: at(5010), Kind: Replied, Inquiry: "one", Asked: 2, Pieces: 2, Final: "complete", Texts: []string{"1|" + PieceText("one", 1, 1), "2|" + PieceText("one", 1, 2)}, Took: 10 * time.Millisecond},
+		{At: at(5020), Kind: Replied, Inquiry: "two", Final: "refused"},
+		{At: at(6000), Kind: ServerLeaving, Server: "stove-1"},
+		{At: at(6000), Kind: Evacuated, District: "north"},
+		{At: at(7000), Kind: ClosingFault, Cause: "the end"},
+		{At: at(9000), Kind: Replied, Inquiry: "three", Asked: 1, Pieces: 1, Final: "complete", Texts: []string{"1|" + PieceText("three", 1, 1)}, Took: time.Second},
+	}
+}
+
+// TestEachCheckerCatchesASeededViolation seeds one violation for each checker
+// and wants that checker, and no clean book, to speak.
+func TestEachCheckerCatchesASeededViolation(test *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
+	if verdict := Judge(cleanDay(start)); verdict.Violations() != 0 {
+		test.Fatalf("a clean day is judged broken:\n%s", verdict)
+	}
+	seeded := map[string][]Entry{
+		"no second run":                                      {{At: at(5100), Kind: PrefillStarted, Inquiry: "one", Run: 2, Server: "stove-2"}},
+		"refused means it never runs":                        {{At: at(5100), Kind: PrefillStarted, Inquiry: "two", Run: 1, Server: "stove-2"}},
+		"replies are whole and the origin's own":             {{At: at(5100), Kind: Replied, Inquiry: "four", Asked: 2, Texts: []string{"1|" + PieceText("four", 1, 1), "2|" + PieceText("four", 2, 2)}}},
+		"prompt memory is taken once and by its own inquiry": {{At: at(5100), Kind: MemoryTaken, Inquiry: "four", Run: 1, Handle: "memory-1"}},
+		"no new work for a leaving server":                   {{At: at(9200), Kind: PrefillAsked, Inquiry: "four", Server: "stove-1", Age: 9 * time.Second}},
+		"no new work for an evacuated zone":                  {{At: at(11100), Kind: DecodeAsked, Inquiry: "four", Server: "stove-3", District: "north", Age: 9 * time.Second}},
+		"an accepted configuration is in force":              {{At: at(200), Kind: EditionAccepted, Edition: 2}, {At: at(2300), Kind: EditionSeen, Courier: "courier-2", Edition: 1}},
+		"configurations never go back":                       {{At: at(200), Kind: EditionSeen, Courier: "courier-1", Edition: 3}, {At: at(300), Kind: EditionSeen, Courier: "courier-1", Edition: 2}},
+		"refused configurations take no effect":              {{At: at(200), Kind: EditionSeen, Courier: "courier-3", Edition: 9}},
+		"reads are never older than what was accepted":       {{At: at(200), Kind: EditionAccepted, Edition: 2}, {At: at(210), Kind: EditionRead, Edition: 1}},
+		"extra tries stay under a fifth":                     {{At: at(5100), Kind: PrefillAsked, Inquiry: "one", Run: 2, Server: "stove-2", Age: 9 * time.Second}},
+		"a cold server is not flooded":                       {{At: at(100), Kind: PrefillAsked, Inquiry: "four", Server: "stove-2", Depth: 9, Age: time.Second}},
+		"one node at a time commands a server":               {{At: at(2000), Kind: Commanded, Server: "stove-1", Holder: "courier-2", Fence: 2}},
+		"a new format waits for every known member":          {{At: at(15), Kind: MemberKnown, Holder: "courier-2"}},
+		"service returns after a closing fault":              {{At: at(10000), Kind: ClosingFault, Cause: "another end"}},
+	}
+	if len(seeded) != len(checkers) {
+		test.Fatalf("%d violations for %d checkers", len(seeded), len(checkers))
+	}
+	for checker, entries := range seeded {
+		book := &Book{}
+		for _, entry := range append(cleanDay(start), entries...) {
+			book.Note(entry)
+		}
+		if verdict := Judge(book.Entries()); verdict.Finding(checker).Violations == 0 {
+			test.Errorf("%s does not see its seeded violation", checker)
+		}
+	}
+}
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -225,10 +225,7 @@
 //	faults := []rehearsal.Fault{rehearsal.CrashServer()}
 func CrashServer() Fault {
 	return Fault{Name: "crash and replace a server", Run: func(lifetime context.Context, day *Day) {
-		names := []string{}
-		for _, standIn := range day.Fleet.StandIns {
-			names = append(names, standIn.plan.Name)
-		}
+		names := day.Fleet.ServerNames()
 		name := names[day.random.IntN(len(names))]
 		day.Say("crash %s", name)
 		day.Fleet.Server(name).Crash()
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -25,7 +25,7 @@
 	extra      map[string]any
 
 	mutex    sync.Mutex
-	StandIns []*StandIn
+	standIns []*StandIn
 	plans    map[string]ServerPlan
 }
 
@@ -93,7 +93,7 @@
 		return nil, failure
 	}
 	fleet.mutex.Lock()
-	fleet.StandIns = append(fleet.StandIns, standIn)
+	fleet.standIns = append(fleet.standIns, standIn)
 	fleet.plans[plan.Name] = plan
 	fleet.mutex.Unlock()
 	fleet.Platform.ListServer(roster.Server{Name: plan.Name, Address: standIn.Address(), District: plan.District})
@@ -167,7 +167,7 @@
 		}
 		fleet.mutex.Lock()
 		defer fleet.mutex.Unlock()
-		for _, standIn := range fleet.StandIns {
+		for _, standIn := range fleet.standIns {
 			if standIn.lifetime.Err() == nil && standIn.Part() == "" {
 				missing = standIn.plan.Name
 				return false
@@ -230,9 +230,9 @@
 func (fleet *Fleet) Replace(name string) error {
 	fleet.mutex.Lock()
 	plan, found := fleet.plans[name]
-	for position, standIn := range fleet.StandIns {
+	for position, standIn := range fleet.standIns {
 		if standIn.plan.Name == name {
-			fleet.StandIns = append(fleet.StandIns[:position], fleet.StandIns[position+1:]...)
+			fleet.standIns = append(fleet.standIns[:position], fleet.standIns[position+1:]...)
 			break
 		}
 	}
@@ -244,6 +244,21 @@
 	return failure
 }
 
+// ServerNames lists the stand-in servers.
+//
+// Example:
+//
+//	name := fleet.ServerNames()[0]
+func (fleet *Fleet) ServerNames() []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var names []string
+	for _, standIn := range fleet.standIns {
+		names = append(names, standIn.plan.Name)
+	}
+	return names
+}
+
 // Server finds a stand-in by name.
 //
 // Example:
@@ -252,7 +267,7 @@
 func (fleet *Fleet) Server(name string) *StandIn {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	for _, standIn := range fleet.StandIns {
+	for _, standIn := range fleet.standIns {
 		if standIn.plan.Name == name {
 			return standIn
 		}
@@ -271,7 +286,7 @@
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	for _, standIn := range fleet.StandIns {
+	for _, standIn := range fleet.standIns {
 		standIn.end()
 		_ = standIn.server.Close()
 	}
@@ -290,7 +305,7 @@
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	for _, standIn := range fleet.StandIns {
+	for _, standIn := range fleet.standIns {
 		text += fmt.Sprintf("%-12s %s  district %s\n", standIn.plan.Name, standIn.Address(), standIn.plan.District)
 	}
 	return text
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,8 +21,10 @@
 	binary   string
 	folder   string
 	settings map[string]any
-	command  *exec.Cmd
-	ended    chan struct{}
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 var probe = &http.Client{Timeout: 700 * time.Millisecond}
@@ -53,7 +56,9 @@
 		return trouble.Wrap(trouble.Unreachable, failure)
 	}
 	ended := make(chan struct{})
+	node.mutex.Lock()
 	node.command, node.ended = command, ended
+	node.mutex.Unlock()
 	go func() {
 		_ = command.Wait()
 		_ = logFile.Close()
@@ -77,25 +82,35 @@
 //
 //	if node.Running() { ... }
 func (node *NodeProcess) Running() bool {
-	if node.ended == nil {
-		return false
-	}
+	_, ended := node.present()
 	select {
-	case <-node.ended:
+	case <-ended:
 		return false
 	default:
 		return true
 	}
 }
 
+// present is the process that was begun last, and what is closed at its end.
+func (node *NodeProcess) present() (*exec.Cmd, <-chan struct{}) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if node.ended == nil {
+		never := make(chan struct{})
+		close(never)
+		return nil, never
+	}
+	return node.command, node.ended
+}
+
 // Signal sends the process a signal.
 //
 // Example:
 //
 //	node.Signal(syscall.SIGSTOP)
 func (node *NodeProcess) Signal(signal syscall.Signal) {
-	if node.Running() {
-		_ = node.command.Process.Signal(signal)
+	if command, _ := node.present(); node.Running() {
+		_ = command.Process.Signal(signal)
 	}
 }
 
@@ -105,9 +120,9 @@
 //
 //	node.Kill()
 func (node *NodeProcess) Kill() {
-	if node.Running() {
-		_ = node.command.Process.Kill()
-		<-node.ended
+	if command, ended := node.present(); node.Running() {
+		_ = command.Process.Kill()
+		<-ended
 	}
 }
 
@@ -120,11 +135,12 @@
 	if !node.Running() {
 		return true
 	}
-	_ = node.command.Process.Signal(syscall.SIGTERM)
+	command, ended := node.present()
+	_ = command.Process.Signal(syscall.SIGTERM)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
-	case <-node.ended:
+	case <-ended:
 		return true
 	case <-timer.C:
 		node.Kill()
