Claims: the same id arriving again at one courier is a second inquiry

Cause: a claim was told apart by a nonce of the courier's process, so that the same id sent twice to one courier was granted twice and ran twice; and claims were granted before the horizon was set, so that ids of any age passed. Before: a used id ran again at the same courier; an id years old ran. After: both are answered 409, at every courier. Now a nonce stands for one arrival, and no claim is granted before there is a horizon. Tests: bad input, rolling upgrade, porcupine on configuration histories, determinism, formats, holds, market, balance.

--- /dev/null
+++ b/core_test.go
@@ -0,0 +1,91 @@
+package seamloom
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// TestSameEventsGiveTheSameDecisions feeds two cores one long random stream.
+func TestSameEventsGiveTheSameDecisions(test *testing.T) {
+	random := rand.New(rand.NewPCG(8, 8))
+	cores := []*Core{}
+	for range 2 {
+		cores = append(cores, New(Options{Courier: "courier-1", District: "north", Supported: Supported(nil)}))
+	}
+	now := time.Unix(3_000_000, 0)
+	servers := []Server{}
+	for number := range 6 {
+		servers = append(servers, Server{Name: fmt.Sprint("s", number), Address: fmt.Sprint("s", number), District: []string{"north", "south"}[number%2]})
+	}
+	runs := map[string]int{}
+	var dispatched []string
+	seen := map[pass.DecisionKind]int{}
+	feed := func(event Event) {
+		event.At = now
+		var texts []string
+		for _, core := range cores {
+			decisions := core.Apply(event)
+			encoded, failure := json.Marshal(decisions)
+			if failure != nil {
+				test.Fatal(failure)
+			}
+			texts = append(texts, string(encoded))
+			if core == cores[0] {
+				for _, decision := range decisions {
+					seen[decision.Kind]++
+					if decision.Kind == pass.DispatchPrefill || decision.Kind == pass.DispatchDecode {
+						runs[decision.ID] = decision.Run
+						dispatched = append(dispatched, decision.ID)
+					}
+				}
+			}
+		}
+		if texts[0] != texts[1] {
+			test.Fatalf("%+v:\n%s\n%s", event, texts[0], texts[1])
+		}
+	}
+	feed(Event{Kind: pass.ServersListed, Servers: servers})
+	feed(Event{Kind: pass.FlagsRead})
+	feed(Event{Kind: pass.MenuReceived, Epoch: 1, Number: 1, Menu: []byte(`{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)})
+	outcomes := []pass.Outcome{pass.Done, pass.Done, pass.Done, pass.NotStarted, pass.Broken, pass.Uncertain, pass.Lapsed}
+	for number := range 4000 {
+		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+		if number%20 == 0 {
+			feed(Event{Kind: pass.HoldRenewed, HoldEnds: now.Add(4 * time.Second), Epoch: 1, Number: 1, Duties: []Duty{{Key: rota.PartsKey, Holder: "courier-1", Fence: 1}}})
+			for position, server := range servers {
+				part := []pass.Part{pass.Prefill, pass.Decode}[position/2%2]
+				feed(Event{Kind: pass.LoadReported, Load: &Load{Server: server.Name, Part: part, Age: time.Hour, PrefillRate: 20_000, PrefillRoom: 8,
+					DecodeSlots: 16, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000, PrefillQueueTokens: random.IntN(4000)}})
+			}
+		}
+		id := fmt.Sprint("inquiry-", random.IntN(number+1))
+		if len(dispatched) > 0 && random.IntN(2) == 0 {
+			id = dispatched[len(dispatched)-1-random.IntN(min(8, len(dispatched)))]
+		}
+		switch random.IntN(7) {
+		case 0, 1:
+			feed(Event{Kind: pass.InquiryArrived, Inquiry: &Inquiry{ID: fmt.Sprint("inquiry-", number), Service: "chat", Repeatable: random.IntN(3) > 0, PromptTokens: 100 + random.IntN(900), Pieces: 2}})
+		case 2:
+			feed(Event{Kind: pass.ClaimAnswered, ID: id, Outcome: pass.Done})
+		case 3:
+			feed(Event{Kind: pass.PrefillAnswered, ID: id, Run: runs[id], Outcome: outcomes[random.IntN(len(outcomes))], Handle: "handle"})
+		case 4:
+			feed(Event{Kind: pass.PieceReceived, ID: id, Run: runs[id], Piece: 1 + random.IntN(2), Text: "text"})
+		case 5:
+			feed(Event{Kind: pass.DecodeEnded, ID: id, Run: runs[id], Piece: 2, Outcome: outcomes[random.IntN(len(outcomes))]})
+		case 6:
+			feed(Event{Kind: pass.Ticked})
+		}
+	}
+	for _, kind := range []pass.DecisionKind{pass.ClaimInquiry, pass.DispatchPrefill, pass.DispatchDecode, pass.SendPiece, pass.Finish, pass.Cancel, pass.NoteRetry, pass.GiveOrders} {
+		if seen[kind] == 0 {
+			test.Errorf("the stream brought about no %s", kind)
+		}
+	}
+}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -44,7 +44,6 @@
 	server    *http.Server
 	journal   *journal
 	passing   *http.Client
-	nonce     string
 
 	mutex   sync.Mutex
 	chosen  settings.Settings
@@ -77,7 +76,7 @@
 		stove: stove.New(hotline.Transport(chosen.Detours)), reports: stove.New(hotline.Transport(chosen.Detours)),
 		core: seamloom.New(seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 			Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}),
-		passing: &http.Client{Transport: hotline.Transport(chosen.Detours)}, journal: newJournal(), nonce: uuid.NewString(), streams: map[string]*stream{}, running: map[string]context.CancelFunc{},
+		passing: &http.Client{Transport: hotline.Transport(chosen.Detours)}, journal: newJournal(), streams: map[string]*stream{}, running: map[string]context.CancelFunc{},
 		members: map[string]roster.Member{}, watched: map[string]context.CancelFunc{}}
 	process.lifetime = process.tomb.Context(context.Background())
 	member := roster.Member{Name: chosen.Name, Kind: roster.Courier, Address: chosen.Address, District: chosen.District, Supported: supported}
@@ -318,7 +317,7 @@
 		return
 	}
 	question := expediter.ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: decision.ID, Courier: process.chosen.Name, Run: 1,
-		At: process.clock.Wall(), Cause: process.nonce}}
+		At: process.clock.Wall(), Cause: uuid.NewString()}}
 	for process.lifetime.Err() == nil && process.clock.Now().Before(decision.NotAfter) {
 		var answer expediter.LedAnswer
 		failure := process.followed.Ask(process.lifetime, follower.ClaimPath, question, &answer, time.Second)
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -204,7 +204,7 @@
 	leading := process.store.Leading()
 	if leading && process.reign == nil {
 		now := process.clock.Now()
-		process.reign = &reign{since: now, holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms(), now), settledFrom: now, horizonAt: now}
+		process.reign = &reign{since: now, holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms(), now), settledFrom: now}
 	}
 	if !leading && process.reign != nil {
 		process.reign = nil
@@ -350,6 +350,9 @@
 	settled := now.Sub(current.settledFrom) >= time.Duration(process.chosen.FlagSettle)*time.Millisecond
 	horizonDue := now.Sub(current.horizonAt) >= 2*time.Second
 	step := 2 * now.Sub(current.horizonAt)
+	if current.horizonAt.IsZero() {
+		step = 0
+	}
 	if horizonDue {
 		current.horizonAt = now
 	}
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -176,18 +176,22 @@
 // is refused. The value is ours.
 const Retention = 10 * time.Minute
 
-// Claim takes an inquiry id for one courier's run, once. The same courier may
-// ask again for the same nonce, since an answer can be lost.
+// Claim takes an inquiry id for one arrival at a courier, once. The entry's
+// cause is a nonce of that arrival: with it the courier may ask again, since an
+// answer can be lost. The same id arriving again has another nonce.
 //
 // Example:
 //
 //	store.Submit(larder.Claim(made, entry), done)
 func Claim(made time.Time, entry recipe.Entry) Change {
 	return func(state *State, _, _ Version) error {
+		if state.Horizon.IsZero() {
+			return trouble.New(trouble.NoPrimary, "the larder was formed a moment ago; ask again")
+		}
 		if made.Before(state.Horizon) {
 			return trouble.New(trouble.TooOld, "inquiries that may not be repeated are remembered from "+state.Horizon.UTC().Format(time.RFC3339))
 		}
-		if !state.Horizon.IsZero() && made.After(state.Horizon.Add(Retention+time.Hour)) {
+		if made.After(state.Horizon.Add(Retention + time.Hour)) {
 			return trouble.New(trouble.TooNew, "the inquiry's id is from the future")
 		}
 		drawer := claimsDrawer(made)
--- /dev/null
+++ b/internal/pass/balance_test.go
@@ -0,0 +1,75 @@
+package pass
+
+import (
+	"testing"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// TestBalanceFollowsASwingWithoutFlapping lets prompts pile up and then
+// answers, and wants few turns, never below one server of each part.
+func TestBalanceFollowsASwingWithoutFlapping(test *testing.T) {
+	balance := NewBalance()
+	var servers []roster.Server
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		servers = append(servers, roster.Server{Name: name, District: "north"})
+	}
+	standing := map[string]recipe.Order{}
+	now := noon
+	turns := 0
+	round := func(backlog int, active int) {
+		loads := map[string]Load{}
+		for _, server := range servers {
+			load := Load{Server: server.Name, Part: Part(standing[server.Name].Part), PrefillRate: 20_000, DecodeSlots: 16}
+			if load.Part == Prefill {
+				load.PrefillQueueTokens = backlog
+			}
+			if load.Part == Decode {
+				load.DecodeActive = active
+			}
+			loads[server.Name] = load
+		}
+		for _, order := range balance.Decide(now, servers, loads, standing, func(string) bool { return false }) {
+			standing[order.Server] = order
+			turns++
+		}
+		now = now.Add(balanceBeat)
+	}
+	count := func(part Part) int {
+		count := 0
+		for _, order := range standing {
+			if Part(order.Part) == part {
+				count++
+			}
+		}
+		return count
+	}
+	round(0, 0)
+	if count(Prefill) != 2 || count(Decode) != 3 {
+		test.Fatalf("first parts: %v", standing)
+	}
+	turns = 0
+	for range 80 {
+		round(30_000, 1)
+	}
+	if count(Decode) != 1 {
+		test.Errorf("while prompts pile up: %v", standing)
+	}
+	if turns > 3 {
+		test.Errorf("%d turns in one swing", turns)
+	}
+	for range 120 {
+		round(0, 15)
+	}
+	if count(Prefill) != 1 {
+		test.Errorf("while answers pile up: %v", standing)
+	}
+	turns = 0
+	for number := range 40 {
+		round(30_000*(number%2), 8)
+	}
+	if turns != 0 {
+		test.Errorf("%d turns without a lasting need", turns)
+	}
+}
--- /dev/null
+++ b/internal/pass/desk_test.go
@@ -0,0 +1,226 @@
+package pass
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+var noon = time.Unix(2_000_000, 0)
+
+// newTestDesk is a desk with two prefill and two decode servers and a hold.
+func newTestDesk(test *testing.T) *Desk {
+	test.Helper()
+	market := NewMarket("courier-1", "north", false)
+	market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south"},
+		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
+	desk := NewDesk(market, "north", 100)
+	reportLoads(desk, noon)
+	configure(test, desk, 1, `{"services":{"chat":{"tries":3}},"routes":{"all":{"to":{}}}}`)
+	desk.Renew(noon.Add(4*time.Second), 1, 1)
+	return desk
+}
+
+func reportLoads(desk *Desk, now time.Time) {
+	for _, name := range []string{"p1", "p2"} {
+		desk.market.Report(now, Load{Server: name, Part: Prefill, Age: time.Hour, PrefillRate: 20_000, PrefillRoom: 8, LinkRate: 400_000})
+	}
+	for _, name := range []string{"d1", "d2"} {
+		desk.market.Report(now, Load{Server: name, Part: Decode, Age: time.Hour, DecodeSlots: 16, PieceTime: 8 * time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
+	}
+}
+
+func configure(test *testing.T, desk *Desk, number uint64, text string) bool {
+	test.Helper()
+	configuration, failure := menu.Check([]byte(text))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	return desk.SetProgram(Compile(configuration, 1, number))
+}
+
+func arrive(desk *Desk, now time.Time, id string, repeatable bool) []Decision {
+	return desk.Arrive(now, &Inquiry{ID: id, Service: "chat", Repeatable: repeatable, PromptTokens: 500, Pieces: 3})
+}
+
+func find(decisions []Decision, kind DecisionKind) *Decision {
+	for position := range decisions {
+		if decisions[position].Kind == kind {
+			return &decisions[position]
+		}
+	}
+	return nil
+}
+
+// earn gives the budget room for extra tries.
+func earn(desk *Desk) {
+	for range 20 {
+		desk.budget.First()
+	}
+}
+
+func TestInquiryThatMayNotBeRepeatedIsDispatchedAgainOnlyIfCertainlyNotStarted(test *testing.T) {
+	for outcome, want := range map[Outcome]Final{Uncertain: Unknown, Broken: Failed} {
+		desk := newTestDesk(test)
+		earn(desk)
+		if find(arrive(desk, noon, "one", false), ClaimInquiry) == nil {
+			test.Fatal("not claimed before its dispatch")
+		}
+		if find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill) == nil {
+			test.Fatal("not dispatched after its claim")
+		}
+		decisions := desk.Prefilled(noon, "one", 1, outcome, "")
+		if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != want {
+			test.Errorf("after %s: %+v", outcome, decisions)
+		}
+	}
+	desk := newTestDesk(test)
+	earn(desk)
+	arrive(desk, noon, "one", false)
+	first := find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill)
+	second := find(desk.Prefilled(noon, "one", 1, NotStarted, ""), DispatchPrefill)
+	if second == nil || second.Server == first.Server {
+		test.Errorf("not tried elsewhere though it certainly did not start: %+v", second)
+	}
+}
+
+func TestNothingIsDispatchedPastItsLimitOrWithoutAHold(test *testing.T) {
+	desk := newTestDesk(test)
+	if final := find(arrive(desk, noon.Add(4*time.Second), "late", true), Finish); final == nil || final.Cause != trouble.NoHold {
+		test.Errorf("let in without a hold: %+v", final)
+	}
+	inquiry := &Inquiry{ID: "one", Service: "chat", Repeatable: false, PromptTokens: 500, Pieces: 3, Limit: noon.Add(time.Second)}
+	desk.Arrive(noon, inquiry)
+	decisions := desk.Claimed(noon.Add(time.Second), "one", Done, "")
+	if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != Refused {
+		test.Errorf("after the limit: %+v", decisions)
+	}
+	// A prompt that was read while the hold ran out waits for the next one.
+	arrive(desk, noon, "two", true)
+	after := noon.Add(4 * time.Second)
+	if decisions := desk.Prefilled(after, "two", 1, Done, "handle"); len(decisions) != 0 {
+		test.Errorf("dispatched without a hold: %+v", decisions)
+	}
+	reportLoads(desk, after)
+	desk.Renew(after.Add(4*time.Second), 1, 1)
+	if decode := find(desk.Tick(after), DispatchDecode); decode == nil || decode.Handle != "handle" || !decode.NotAfter.Equal(after.Add(4*time.Second)) {
+		test.Errorf("not dispatched under the new hold: %+v", decode)
+	}
+}
+
+func TestStreamIsNeverSplicedAndNeverRunAgainAfterItsFirstPiece(test *testing.T) {
+	desk := newTestDesk(test)
+	earn(desk)
+	arrive(desk, noon, "one", true)
+	desk.Prefilled(noon, "one", 1, Done, "handle")
+	if piece := find(desk.Piece(noon, "one", 1, 1, "a"), SendPiece); piece == nil {
+		test.Fatal("the first piece was not sent")
+	}
+	if late := desk.Piece(noon, "one", 2, 2, "b"); len(late) != 0 {
+		test.Errorf("a piece of another run was taken: %+v", late)
+	}
+	decisions := desk.Decoded(noon, "one", 1, Uncertain, 0)
+	if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != Failed || final.Pieces != 1 {
+		test.Errorf("after the first piece: %+v", decisions)
+	}
+	arrive(desk, noon, "two", true)
+	desk.Prefilled(noon, "two", 1, Done, "handle")
+	if final := find(desk.Piece(noon, "two", 1, 2, "b"), Finish); final == nil || final.Final != Failed {
+		test.Errorf("a stream with a missing piece went on: %+v", final)
+	}
+}
+
+func TestExtraTriesStayWithinTheBudget(test *testing.T) {
+	desk := newTestDesk(test)
+	extra := 0
+	for number := range 100 {
+		id := fmt.Sprint(number)
+		arrive(desk, noon, id, true)
+		for run := 1; run < 10; run++ {
+			reportLoads(desk, noon)
+			if find(desk.Prefilled(noon, id, run, NotStarted, ""), DispatchPrefill) == nil {
+				break
+			}
+			extra++
+		}
+	}
+	if first, counted := desk.budget.Counts(); extra == 0 || extra != counted || extra*5 > first {
+		test.Errorf("%d extra tries (%d counted) for %d first ones", extra, counted, first)
+	}
+}
+
+func TestConfigurationInForceNeverGoesBack(test *testing.T) {
+	desk := newTestDesk(test)
+	if !configure(test, desk, 5, `{"services":{},"routes":{}}`) {
+		test.Fatal("a newer configuration was not taken")
+	}
+	if configure(test, desk, 4, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`) {
+		test.Error("an older configuration was taken")
+	}
+	if desk.Renew(noon.Add(time.Hour), 1, 1) {
+		test.Error("a hold for another configuration was taken")
+	}
+	if final := find(arrive(desk, noon, "one", true), Finish); final == nil || final.Cause != trouble.UnknownService {
+		test.Errorf("%+v", final)
+	}
+}
+
+func TestEvacuatedAndLeavingServersGetNoWork(test *testing.T) {
+	desk := newTestDesk(test)
+	configure(test, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{}}}`)
+	desk.Renew(noon.Add(4*time.Second), 1, 2)
+	if dispatched := find(arrive(desk, noon, "one", true), DispatchPrefill); dispatched == nil || dispatched.Server != "p2" {
+		test.Errorf("with north evacuated: %+v", dispatched)
+	}
+	if decode := find(desk.Prefilled(noon, "one", 1, Done, "handle"), DispatchDecode); decode == nil || decode.Server != "d2" {
+		test.Errorf("with north evacuated: %+v", decode)
+	}
+	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south", Leaving: true},
+		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
+	if final := find(arrive(desk, noon, "two", true), Finish); final == nil || final.Final != Refused {
+		test.Errorf("with the last server leaving: %+v", final)
+	}
+	configure(test, desk, 3, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{},"south":{}}}`)
+	desk.Renew(noon.Add(4*time.Second), 1, 3)
+	if final := find(arrive(desk, noon, "three", true), Finish); final == nil || final.Cause != trouble.Evacuated || final.Retry == 0 {
+		test.Errorf("with every district evacuated: %+v", final)
+	}
+}
+
+func TestRoutesAreAskedInTheirOrder(test *testing.T) {
+	configuration, failure := menu.Check([]byte(`{"services":{"chat":{}},"routes":{
+		"z-first":{"order":1,"match":{"service":"chat","prompt_tokens_at_least":1000},"to":{"refuse":true}},
+		"a-second":{"order":2,"match":{"origin":"vip"},"to":{"districts":["south"]}},
+		"b-third":{"order":2,"to":{"districts":["north"]}}}}`))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	program := Compile(configuration, 1, 1)
+	for origin, tokens := range map[string]int{"vip": 10, "other": 10, "long": 1000} {
+		ruling, refusal := program.Rule(&Inquiry{Service: "chat", Origin: origin, PromptTokens: tokens}, "north")
+		want := map[string]string{"vip": "a-second", "other": "b-third", "long": "z-first"}[origin]
+		if ruling == nil || ruling.Route != want || (refusal != nil) != (origin == "long") {
+			test.Errorf("%s: %+v, %v", origin, ruling, refusal)
+		}
+	}
+}
+
+func TestColdServerIsOfferedLittle(test *testing.T) {
+	desk := newTestDesk(test)
+	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
+	desk.market.Report(noon, Load{Server: "p1", Part: Prefill, PrefillRate: 20_000, PrefillRoom: 20, LinkRate: 400_000})
+	desk.market.Report(noon, Load{Server: "d1", Part: Decode, Age: time.Hour, DecodeSlots: 100, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
+	dispatched := 0
+	for number := range 20 {
+		if find(arrive(desk, noon, fmt.Sprint(number), true), DispatchPrefill) != nil {
+			dispatched++
+		}
+	}
+	if dispatched == 0 || dispatched > 3 {
+		test.Errorf("a server that has just started was given %d prompts at once", dispatched)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/history_test.go
@@ -0,0 +1,135 @@
+package rehearsal
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+)
+
+// registerInput is a read, or a change from one edition to another.
+type registerInput struct {
+	read     bool
+	expected int
+	next     int
+}
+
+// registerOutput is the edition that a read returned, or how a change ended.
+type registerOutput struct {
+	edition int
+	outcome string
+}
+
+// register is the configuration as one register with compare and set. A change
+// with an unknown outcome may have taken effect at any later time, or never.
+var register = porcupine.Model{
+	Init: func() any { return 1 },
+	Step: func(state, input, output any) (bool, any) {
+		current, asked, answered := state.(int), input.(registerInput), output.(registerOutput)
+		switch {
+		case asked.read:
+			return answered.edition == current, current
+		case answered.outcome == "accepted":
+			return current == asked.expected, asked.next
+		case answered.outcome == "conflict":
+			return current != asked.expected, current
+		}
+		if current == asked.expected {
+			return true, asked.next
+		}
+		return true, current
+	},
+}
+
+// TestConfigurationHistoryIsLinearizable lets operators race each other at
+// different expediters while primaries are killed, and has porcupine judge
+// what they read.
+func TestConfigurationHistoryIsLinearizable(test *testing.T) {
+	fleet := startFleet(test, Sahil(), nil)
+	day := openDay(test, fleet, 5)
+	began := time.Now()
+	var mutex sync.Mutex
+	var history []porcupine.Operation
+	edition := 1
+	note := func(client int, asked registerInput, answered registerOutput, from, to time.Duration) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		history = append(history, porcupine.Operation{ClientId: client, Input: asked, Output: answered, Call: from.Nanoseconds(), Return: to.Nanoseconds()})
+	}
+	fresh := func() int {
+		mutex.Lock()
+		defer mutex.Unlock()
+		edition++
+		return edition
+	}
+	never := time.Hour
+	var operators sync.WaitGroup
+	ends := began.Add(20 * time.Second)
+	for client := range 4 {
+		operators.Go(func() {
+			random := rand.New(rand.NewPCG(5, uint64(client)))
+			for time.Now().Before(ends) {
+				node := fleet.Expediters[random.IntN(3)]
+				from := time.Since(began)
+				current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+				if failure != nil || current.Status != http.StatusOK {
+					pauseFor(test.Context(), 50*time.Millisecond)
+					continue
+				}
+				seen := editionOf(current.Configuration)
+				note(client, registerInput{read: true}, registerOutput{edition: seen}, from, time.Since(began))
+				next := fresh()
+				from = time.Since(began)
+				query := url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}
+				answer, failure := day.Operators.Call(fleet.Expediters[random.IntN(3)], http.MethodPut, "/v1/configuration", query, fleet.Deployment.Configuration(next))
+				to, outcome := time.Since(began), "unknown"
+				switch {
+				case failure == nil && answer.Outcome == "accepted":
+					outcome = "accepted"
+				case failure == nil && answer.Type == "version_conflict":
+					outcome = "conflict"
+				case failure == nil && answer.Outcome == "not_accepted":
+					continue
+				default:
+					to = never
+				}
+				note(client, registerInput{expected: seen, next: next}, registerOutput{outcome: outcome}, from, to)
+			}
+		})
+	}
+	for range 2 {
+		pauseFor(test.Context(), 6*time.Second)
+		if primary := fleet.Primary(); primary != nil {
+			primary.Kill()
+			pauseFor(test.Context(), time.Second)
+			if failure := primary.Begin(); failure != nil {
+				test.Error(failure)
+			}
+		}
+	}
+	operators.Wait()
+	accepted := 0
+	for _, operation := range history {
+		if operation.Output.(registerOutput).outcome == "accepted" {
+			accepted++
+		}
+	}
+	test.Logf("%d operations, %d accepted changes", len(history), accepted)
+	if accepted < 10 {
+		test.Errorf("only %d changes were accepted: the history shows nothing", accepted)
+	}
+	if result := porcupine.CheckOperationsTimeout(register, history, time.Minute); result != porcupine.Ok {
+		test.Errorf("the history is not that of one register: %v", result)
+	}
+	// The check itself can fail: a read of something long replaced is seen.
+	stale := append(append([]porcupine.Operation(nil), history...), porcupine.Operation{ClientId: 9, Input: registerInput{read: true},
+		Output: registerOutput{edition: 1}, Call: time.Since(began).Nanoseconds(), Return: time.Since(began).Nanoseconds() + 1})
+	if result := porcupine.CheckOperationsTimeout(register, stale, time.Minute); result == porcupine.Ok {
+		test.Error("porcupine does not see a stale read")
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/input_test.go
@@ -0,0 +1,178 @@
+package rehearsal
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/adapters/courier"
+)
+
+func post(test *testing.T, address, path, body string) (int, http.Header, string) {
+	test.Helper()
+	inbound, failure := (&http.Client{Timeout: 20 * time.Second}).Post("http://"+address+path, "application/json", bytes.NewReader([]byte(body)))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	content, failure := io.ReadAll(inbound.Body)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	return inbound.StatusCode, inbound.Header, string(content)
+}
+
+// TestBadInputIsRefusedWithItsReason sends what callers and operators must not
+// send, to a running fleet, and wants each refused by type and nothing changed.
+func TestBadInputIsRefusedWithItsReason(test *testing.T) {
+	fleet := startFleet(test, Sahil(), nil)
+	day := openDay(test, fleet, 6)
+	front := fleet.Couriers[0].Node.Address
+	for name, want := range map[string]struct {
+		body   string
+		status int
+		kind   string
+	}{
+		"no JSON":                {`{"id":`, 400, "malformed"},
+		"a list":                 {`[]`, 400, "wrong_type"},
+		"an unknown field":       {`{"id":"a","service":"rider-chat","colour":"red"}`, 400, "unknown_field"},
+		"no service":             {`{"id":"a"}`, 400, "missing"},
+		"a wrong type":           {`{"id":"a","service":"rider-chat","pieces":"many"}`, 400, "wrong_type"},
+		"an id without its time": {`{"id":"a","service":"rider-chat","repeatable":false}`, 400, "malformed"},
+		"an unknown service":     {`{"id":"a","service":"nothing"}`, 404, "unknown_service"},
+		"too long a prompt":      {`{"id":"a","service":"rider-chat","prompt_tokens":90000000}`, 400, "out_of_range"},
+		"a body that is too big": {`{"id":"a","service":"rider-chat","prompt":"` + strings.Repeat("x", courier.MostInquiryBytes) + `"}`, 413, "oversize"},
+	} {
+		status, _, body := post(test, front, "/v1/inquiries", want.body)
+		if status != want.status || !strings.Contains(body, `"type":"`+want.kind+`"`) || !strings.Contains(body, `"ran":false`) {
+			test.Errorf("%s: %d %.200s", name, status, body)
+		}
+	}
+	// The same id of an inquiry that may not be repeated, at another courier.
+	id := courier.NewInquiryID()
+	once := `{"id":"` + id + `","service":"rider-chat","repeatable":false,"prompt_tokens":80,"pieces":3}`
+	if status, _, body := post(test, front, "/v1/inquiries", once); status != 200 || !strings.Contains(body, `"final":"complete"`) {
+		test.Errorf("an inquiry that may not be repeated: %d %s", status, body)
+	}
+	for _, node := range fleet.Couriers[:3] {
+		if status, _, body := post(test, node.Node.Address, "/v1/inquiries", once); status != 409 || !strings.Contains(body, "duplicate_inquiry") {
+			test.Errorf("a used id at %s: %d %s", node.Node.Name, status, body)
+		}
+	}
+	old := "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
+	if status, _, body := post(test, front, "/v1/inquiries", strings.Replace(once, id, old, 1)); status != 409 || !strings.Contains(body, "inquiry_too_old") {
+		test.Errorf("an id from years ago: %d %s", status, body)
+	}
+	before, edition := day.Operators.ReadEdition(fleet.Expediters[0])
+	for name, want := range map[string]struct {
+		method, body, expected string
+		status                 int
+		kinds                  []string
+	}{
+		"no JSON":              {http.MethodPut, `{`, before.Version, 422, []string{"malformed"}},
+		"all mistakes at once": {http.MethodPut, `{"services":{"a":{"tries":99}},"routes":{"r":{"order":"x"}},"colour":1}`, before.Version, 422, []string{"out_of_range", "wrong_type", "missing", "unknown_field"}},
+		"a contradiction":      {http.MethodPatch, `{"routes":{"r":{"match":{"service":"nothing"},"to":{"refuse":true}}}}`, before.Version, 422, []string{"contradictory"}},
+		"an old version":       {http.MethodPut, `{}`, "1.1", 409, []string{"version_conflict", before.Version}},
+		"no version":           {http.MethodPut, `{}`, "", 400, []string{"missing"}},
+		"too big":              {http.MethodPut, `{"services":{"a":{"` + strings.Repeat("x", 17<<20) + `":1}}}`, before.Version, 422, []string{"oversize"}},
+	} {
+		for _, node := range fleet.Expediters {
+			outbound, failure := http.NewRequest(want.method, "http://"+node.Node.Address+"/v1/configuration?"+url.Values{"expected": {want.expected}}.Encode(), strings.NewReader(want.body))
+			if failure != nil {
+				test.Fatal(failure)
+			}
+			inbound, failure := day.Operators.client.Do(outbound)
+			if failure != nil {
+				test.Errorf("%s: %v", name, failure)
+				continue
+			}
+			content, _ := io.ReadAll(inbound.Body)
+			_ = inbound.Body.Close()
+			for _, kind := range want.kinds {
+				if inbound.StatusCode != want.status || !strings.Contains(string(content), kind) {
+					test.Errorf("%s at %s: %d %.300s", name, node.Node.Name, inbound.StatusCode, content)
+				}
+			}
+		}
+	}
+	if after, still := day.Operators.ReadEdition(fleet.Expediters[1]); after.Version != before.Version || still != edition {
+		test.Errorf("refused changes took effect: %s became %s", before.Version, after.Version)
+	}
+	// Garbage between the processes.
+	for _, node := range fleet.Nodes() {
+		for _, path := range []string{"/hotline/news", "/hotline/hello", "/hotline/larder/replicate", "/hotline/relay"} {
+			if status, _, _ := post(test, node.Node.Address, path, "\x93garbage"); status == 200 {
+				test.Errorf("%s took garbage at %s", node.Node.Name, path)
+			}
+		}
+		if !node.Ready() {
+			test.Errorf("%s is not ready after garbage", node.Node.Name)
+		}
+	}
+}
+
+// TestSettingsNameAllMistakesAtOnce starts programs with bad settings.
+func TestSettingsNameAllMistakesAtOnce(test *testing.T) {
+	output, failure := exec.Command(filepath.Join(binaries, "courier"), "serve", "--name", "not a name", "--address", "here", "--seeds", "127.0.0.1:1,127.0.0.1:1", "--market", "bazaar").CombinedOutput()
+	exit, ended := failure.(*exec.ExitError)
+	if !ended || exit.ExitCode() != 2 {
+		test.Fatalf("bad settings ended with %v", failure)
+	}
+	for _, mistake := range []string{"name", "address", "district", "seeds", "platform", "market", "stands twice"} {
+		if !strings.Contains(string(output), mistake) {
+			test.Errorf("%q is not named in:\n%s", mistake, output)
+		}
+	}
+	if strings.Contains(string(output), "panic") {
+		test.Errorf("a panic:\n%s", output)
+	}
+	if output, failure := exec.Command(filepath.Join(binaries, "expediter"), "--help").CombinedOutput(); failure != nil || !strings.Contains(string(output), "evacuate") {
+		test.Errorf("help: %v\n%s", failure, output)
+	}
+}
+
+// TestStreamGivesTheSameDecisionsForTheSameEvents runs the bare core as a
+// program, twice.
+func TestStreamGivesTheSameDecisionsForTheSameEvents(test *testing.T) {
+	events := strings.Join([]string{
+		`{"event":"servers_listed","at":"2026-01-02T18:00:00Z","servers":[{"name":"a","address":"10.0.0.1:80","district":"north"},{"name":"b","address":"10.0.0.2:80","district":"north"}]}`,
+		`{"event":"load_reported","at":"2026-01-02T18:00:00Z","load":{"server":"a","part":"prefill","age":3600000000000,"prefill_rate":20000,"prefill_room":8,"link_rate":400000}}`,
+		`{"event":"load_reported","at":"2026-01-02T18:00:00Z","load":{"server":"b","part":"decode","age":3600000000000,"decode_slots":8,"piece_time":8000000,"memory_free":100000,"link_rate":400000}}`,
+		`{"event":"flags_read","at":"2026-01-02T18:00:00Z"}`,
+		`{"event":"menu_received","at":"2026-01-02T18:00:00Z","epoch":1,"number":1,"menu":"` + "eyJzZXJ2aWNlcyI6eyJjaGF0Ijp7fX0sInJvdXRlcyI6eyJhbGwiOnsidG8iOnt9fX19" + `"}`,
+		`{"event":"hold_renewed","at":"2026-01-02T18:00:00Z","epoch":1,"number":1,"hold_ends":"2026-01-02T18:00:04Z"}`,
+		`{"event":"inquiry_arrived","at":"2026-01-02T18:00:01Z","inquiry":{"id":"one","service":"chat","repeatable":true,"prompt_tokens":100,"pieces":2}}`,
+		`{"event":"prefill_answered","at":"2026-01-02T18:00:01Z","id":"one","run":1,"outcome":"done","handle":"h"}`,
+	}, "\n") + "\n"
+	var outputs []string
+	for range 2 {
+		command := exec.Command(filepath.Join(binaries, "courier"), "stream", "--name", "courier-1", "--district", "north")
+		command.Stdin = strings.NewReader(events)
+		output, failure := command.Output()
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		outputs = append(outputs, string(output))
+	}
+	if outputs[0] != outputs[1] {
+		test.Errorf("two runs differ:\n%s\n%s", outputs[0], outputs[1])
+	}
+	var kinds []string
+	for _, line := range strings.Split(strings.TrimSpace(outputs[0]), "\n") {
+		var decision struct{ Decision string }
+		if failure := json.Unmarshal([]byte(line), &decision); failure != nil {
+			test.Fatal(failure)
+		}
+		kinds = append(kinds, decision.Decision)
+	}
+	if got := strings.Join(kinds, " "); got != "note_pair prefill decode" {
+		test.Errorf("decisions: %s", got)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/upgrade_test.go
@@ -0,0 +1,132 @@
+package rehearsal
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+var oldRelease = []string{"order_patience", "pair_price"}
+
+func (fleet *Fleet) noteMember(node *NodeProcess, flags ...string) {
+	fleet.Book.Note(Entry{Kind: MemberKnown, Holder: node.Node.Name, Flags: flags})
+}
+
+// restart stops a node in an orderly way and begins it as another release.
+func restart(test *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
+	test.Helper()
+	node.Stop(25 * time.Second)
+	begin(test, fleet, node, withheld)
+}
+
+func begin(test *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
+	test.Helper()
+	node.Set("withhold_flags", append([]string{}, withheld...))
+	if failure := node.Begin(); failure != nil {
+		test.Fatal(failure)
+	}
+	if !Await(20*time.Second, node.Ready) {
+		test.Fatalf("%s is not ready again", node.Node.Name)
+	}
+	if len(withheld) == 0 {
+		fleet.noteMember(node, oldRelease...)
+	} else {
+		fleet.noteMember(node)
+	}
+}
+
+// enabledFlags asks for the flags that are enabled, -1 when nobody can tell.
+func enabledFlags(fleet *Fleet) int {
+	for _, node := range fleet.Expediters {
+		var answer struct {
+			Flags []struct {
+				Enabled bool
+			}
+		}
+		if !node.Running() {
+			continue
+		}
+		if code, failure := node.ReadJSON("/v1/flags", &answer); failure == nil && code == http.StatusOK {
+			count := 0
+			for _, flag := range answer.Flags {
+				if flag.Enabled {
+					count++
+				}
+			}
+			return count
+		}
+	}
+	return -1
+}
+
+// TestRollingUpgradeEnablesFlagsOnlyWithTheLastMember restarts a fleet of the
+// older release node by node under traffic, rolls one back and forward, keeps
+// the last one stopped, and wants the flags enabled by the nodes themselves
+// only when it is back; then a node of the older release starts restricted and
+// still serves.
+func TestRollingUpgradeEnablesFlagsOnlyWithTheLastMember(test *testing.T) {
+	fleet := startFleet(test, Sahil(), map[string]any{"withhold_flags": oldRelease, "flag_settle_milliseconds": 1000})
+	for _, node := range fleet.Nodes() {
+		fleet.noteMember(node)
+	}
+	day := NewDay(fleet, 4, io.Discard)
+	if failure := day.Open(); failure != nil {
+		test.Fatal(failure)
+	}
+	lifetime, end := context.WithCancel(context.Background())
+	defer end()
+	day.Callers.SetRates(2, 3)
+	var traffic sync.WaitGroup
+	traffic.Go(func() { day.Callers.Run(lifetime) })
+	defer traffic.Wait()
+	defer end()
+	nodes := fleet.Nodes()
+	last := nodes[len(nodes)-1]
+	for _, node := range nodes[:len(nodes)-1] {
+		restart(test, fleet, node, nil)
+	}
+	back := fleet.Couriers[1]
+	restart(test, fleet, back, oldRelease)
+	restart(test, fleet, back, nil)
+	last.Kill()
+	// Long past the settling time the stopped member still counts.
+	pauseFor(lifetime, 4*time.Second)
+	if enabled := enabledFlags(fleet); enabled != 0 {
+		test.Fatalf("%d flags are enabled while a recorded member that is stopped lacks them", enabled)
+	}
+	begin(test, fleet, last, nil)
+	if !Await(15*time.Second, func() bool { return enabledFlags(fleet) == 2 }) {
+		test.Fatalf("the flags were not enabled when the last member was recorded: %d", enabledFlags(fleet))
+	}
+	// An older release comes back to a fleet that has gone on.
+	restart(test, fleet, last, oldRelease)
+	var ready struct{ Restricted bool }
+	if !Await(10*time.Second, func() bool {
+		_, failure := last.ReadJSON("/v1/ready", &ready)
+		return failure == nil && ready.Restricted
+	}) {
+		test.Fatal("a node that lacks an enabled flag does not say that it is restricted")
+	}
+	complete := 0
+	others := NewCallers(fleet, 5, 0.3)
+	for range 10 {
+		question, entry := others.question(fleet.Deployment.Short, last)
+		if reply := others.Send(lifetime, last.Node.Address, question, entry); reply.Final == "complete" {
+			complete++
+		} else {
+			test.Logf("restricted: %s %s", reply.Final, reply.Cause)
+		}
+	}
+	if complete < 8 {
+		test.Errorf("a restricted courier completed %d of 10 inquiries", complete)
+	}
+	if enabled := enabledFlags(fleet); enabled != 2 {
+		test.Errorf("flags were disabled again: %d of 2 are left", enabled)
+	}
+	end()
+	traffic.Wait()
+	wantClean(test, Judge(fleet.Book.Entries()), 0.9)
+}
