--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -31,6 +31,7 @@
 	long       float64
 	short      float64
 	asJSON     bool
+	once       float64
 }
 
 var faultNames = map[string]func() rehearsal.Fault{
@@ -137,6 +138,7 @@
 	}
 	command.Flags().DurationVar(&chosen.length, "length", 30*time.Second, "how long the day is")
 	command.Flags().StringVar(&chosen.faults, "faults", "", "faults in their order, with commas between: "+strings.Join(known, ", "))
+	command.Flags().Float64Var(&chosen.once, "once", 0.3, "the share of inquiries that may not be repeated")
 	command.Flags().BoolVar(&chosen.asJSON, "json", false, "print the verdict as JSON")
 	command.RunE = func(*cobra.Command, []string) error {
 		var faults []rehearsal.Fault
@@ -157,6 +159,7 @@
 		defer fleet.Close()
 		day := rehearsal.NewDay(fleet, chosen.seed, os.Stderr)
 		day.Long, day.Short = chosen.long, chosen.short
+		day.Callers.Once = chosen.once
 		if failure := day.Open(); failure != nil {
 			return failure
 		}
@@ -166,6 +169,17 @@
 		if failure := fleet.Book.Save(filepath.Join(chosen.folder, "book.jsonl")); failure != nil {
 			return failure
 		}
+		for _, node := range fleet.Expediters {
+			var status struct {
+				Batches int `json:"synced_batches"`
+				Changes int `json:"answered_changes"`
+			}
+			if primary := fleet.Primary(); primary == node {
+				if _, failure := node.ReadJSON("/v1/status", &status); failure == nil {
+					_, _ = fmt.Fprintf(os.Stderr, "the primary answered %d changes with %d synced batches\n", status.Changes, status.Batches)
+				}
+			}
+		}
 		if chosen.asJSON {
 			encoded, failure := json.MarshalIndent(verdict, "", "  ")
 			if failure != nil {
--- a/internal/rehearsal/callers.go
+++ b/internal/rehearsal/callers.go
@@ -28,7 +28,8 @@
 	waiting   sync.WaitGroup
 	longRate  atomic.Int64
 	shortRate atomic.Int64
-	once      float64
+	// Once is the share of inquiries that may not be repeated.
+	Once float64
 }
 
 // NewCallers makes callers with a seed. The share once of the inquiries may
@@ -38,7 +39,7 @@
 //
 //	callers := rehearsal.NewCallers(fleet, 1, 0.3)
 func NewCallers(fleet *Fleet, seed uint64, once float64) *Callers {
-	return &Callers{fleet: fleet, random: rand.New(rand.NewPCG(seed, 77)), once: once,
+	return &Callers{fleet: fleet, random: rand.New(rand.NewPCG(seed, 77)), Once: once,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
 }
 
@@ -114,7 +115,7 @@
 }
 
 func (callers *Callers) question(kind Kind, node *NodeProcess) (Question, Entry) {
-	repeatable := callers.random.Float64() >= callers.once
+	repeatable := callers.random.Float64() >= callers.Once
 	question := Question{ID: courier.NewInquiryID(), Service: kind.Service, Origin: "origin-" + strconv.Itoa(callers.number%50), Repeatable: repeatable,
 		Limit: 15_000, PromptTokens: kind.LeastTokens + callers.random.IntN(kind.MostTokens-kind.LeastTokens),
 		Prefix: kind.Service + "-" + strconv.Itoa(callers.random.IntN(kind.Prefixes)), PrefixTokens: kind.PrefixTokens,
