--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -10,6 +10,7 @@
 
 	"seamloom.example/seamloom/internal/adapters/courier"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/roster"
 )
 
@@ -37,7 +38,7 @@
 			return mistakes
 		}
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := courier.Start(chosen, logger)
+		process, failure := courier.Start(chosen, logger, wallclock.New())
 		if failure != nil {
 			return failure
 		}
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -9,6 +9,7 @@
 	"seamloom.example/seamloom/internal/adapters/expediter"
 	"seamloom.example/seamloom/internal/adapters/pantry"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/roster"
 )
 
@@ -41,7 +42,7 @@
 			return mistakes
 		}
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{})
+		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New())
 		if failure != nil {
 			return failure
 		}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 
 	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -32,20 +33,14 @@
 	short      float64
 	asJSON     bool
 	once       float64
-}
-
-var faultNames = map[string]func() rehearsal.Fault{
-	"kill-courier":   rehearsal.KillCourier,
-	"kill-primary":   rehearsal.KillPrimary,
-	"crash-server":   rehearsal.CrashServer,
-	"freeze-primary": func() rehearsal.Fault { return rehearsal.Freeze("primary", 6*time.Second) },
-	"freeze-courier": func() rehearsal.Fault { return rehearsal.Freeze("courier", 6*time.Second) },
-	"evacuate":       rehearsal.EvacuateZone,
+	closing    string
+	linked     bool
+	staged     bool
 }
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand())
+	root.AddCommand(fleetCommand(), runCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
 	if failure := root.Execute(); failure != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
 		os.Exit(1)
@@ -82,6 +77,14 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if chosen.linked {
+		if failure := fleet.LinkNodes(); failure != nil {
+			return nil, failure
+		}
+	}
+	if chosen.staged {
+		fleet.Stage()
+	}
 	began := time.Now()
 	if failure := fleet.Begin(30 * time.Second); failure != nil {
 		fleet.Close()
@@ -132,12 +135,9 @@
 	command := &cobra.Command{Use: "run", Short: "one seeded day with faults, and the checkers' verdict", Args: cobra.NoArgs,
 		Example: "  rehearsal run --deployment sahil --seed 7 --seconds 40s --faults kill-courier,crash-server,kill-primary"}
 	common(command, chosen)
-	var known []string
-	for name := range faultNames {
-		known = append(known, name)
-	}
 	command.Flags().DurationVar(&chosen.length, "length", 30*time.Second, "how long the day is")
-	command.Flags().StringVar(&chosen.faults, "faults", "", "faults in their order, with commas between: "+strings.Join(known, ", "))
+	command.Flags().StringVar(&chosen.faults, "faults", "", "faults in their order, with commas between: "+strings.Join(rehearsal.FaultNames(), ", "))
+	command.Flags().StringVar(&chosen.closing, "closing", "", "a fault at the end of the day, after which service must return in time")
 	command.Flags().Float64Var(&chosen.once, "once", 0.3, "the share of inquiries that may not be repeated")
 	command.Flags().BoolVar(&chosen.asJSON, "json", false, "print the verdict as JSON")
 	command.RunE = func(*cobra.Command, []string) error {
@@ -146,11 +146,13 @@
 			if name == "" {
 				continue
 			}
-			make, found := faultNames[name]
+			fault, found := rehearsal.FaultNamed(name)
 			if !found {
 				return trouble.New(trouble.NoSuch, "no fault "+name)
 			}
-			faults = append(faults, make())
+			chosen.linked = chosen.linked || fault.Links
+			chosen.staged = chosen.staged || fault.Staged
+			faults = append(faults, fault)
 		}
 		fleet, failure := chosen.start()
 		if failure != nil {
@@ -166,6 +168,9 @@
 		lifetime, end := interrupted()
 		defer end()
 		verdict := day.Run(lifetime, chosen.length, faults)
+		if closing, found := rehearsal.FaultNamed(chosen.closing); found {
+			verdict = day.Close(lifetime, closing)
+		}
 		if failure := fleet.Book.Save(filepath.Join(chosen.folder, "book.jsonl")); failure != nil {
 			return failure
 		}
--- /dev/null
+++ b/cmd/rehearsal/stage.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/adapters/courier"
+	"seamloom.example/seamloom/internal/adapters/expediter"
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// stageCommand runs a node with a faulty disk and a wall clock that jumps, both
+// told by a faults file.
+func stageCommand(kind roster.NodeKind) *cobra.Command {
+	command := &cobra.Command{Use: "stage-" + string(kind), Short: "run one " + string(kind) + " with a faulty disk and clock", Args: cobra.NoArgs, Hidden: true}
+	flags := program.AddFlags(command, kind)
+	path := command.Flags().String("faults", "", "the faults file")
+	command.RunE = func(*cobra.Command, []string) error {
+		chosen, mistakes := flags.Read()
+		if mistakes != nil {
+			return mistakes
+		}
+		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
+		faults := func() rehearsal.NodeFaults { return rehearsal.ReadNodeFaults(*path) }
+		clock := wallclock.Over(func() time.Time { return time.Now().Add(faults().Jump) })
+		if kind == roster.Courier {
+			process, failure := courier.Start(chosen, logger, clock)
+			if failure != nil {
+				return failure
+			}
+			if program.Wait(process.Dead(), func() {}) {
+				return process.Drain(10 * time.Second)
+			}
+			return trouble.New(trouble.Unsorted, "ended by itself")
+		}
+		process, failure := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock)
+		if failure != nil {
+			return failure
+		}
+		if program.Wait(process.Dead(), func() {
+			if next, mistakes := flags.Read(); mistakes == nil {
+				process.Reload(next)
+			}
+		}) {
+			return process.Stop()
+		}
+		return trouble.New(trouble.Unsorted, "ended by itself")
+	}
+	return command
+}
--- /dev/null
+++ b/cmd/taster/main.go
@@ -0,0 +1,224 @@
+// Command taster checks a proposed configuration against the fleet as it is.
+// It changes nothing.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fastjson"
+
+	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// The exit codes, for scripts.
+const (
+	fine        = 0
+	failures    = 1
+	wrongUse    = 2
+	malformed   = 3
+	unreachable = 4
+	raced       = 5
+	warnings    = 10
+)
+
+// report is what taster prints.
+type report struct {
+	Result  string        `json:"result"`
+	Version string        `json:"checked_against,omitempty"`
+	Remarks []menu.Remark `json:"remarks"`
+	Detail  string        `json:"detail,omitempty"`
+}
+
+type taster struct {
+	addresses []string
+	asPatch   bool
+	asJSON    bool
+	expected  string
+	client    *http.Client
+}
+
+func main() {
+	taster := &taster{client: &http.Client{Timeout: 5 * time.Second}}
+	var to string
+	code := fine
+	root := &cobra.Command{Use: "taster FILE", Short: "check a proposed configuration against the fleet as it is", Args: cobra.ExactArgs(1), SilenceUsage: true, SilenceErrors: true,
+		Long: "taster reads a whole configuration (or, with --patch, a partial one) from FILE or, with -, from standard input,\n" +
+			"and checks it against the fleet: its servers and zones, the room that evacuations leave, and its members' formats.\n" +
+			"Nothing is changed.\n\n" +
+			"Exit codes: 0 fine, 1 errors, 2 wrong use, 3 malformed input, 4 the fleet can't be reached,\n" +
+			"5 the configuration in force changed meanwhile, 10 warnings only.",
+		Example: "  taster proposed.json --to 127.0.0.1:7101,127.0.0.1:7102\n  taster --patch change.json --expected 4.17 --json --to 127.0.0.1:7101",
+		RunE: func(_ *cobra.Command, arguments []string) error {
+			taster.addresses = strings.Split(to, ",")
+			var said report
+			code, said = taster.check(arguments[0])
+			taster.print(said)
+			return nil
+		}}
+	root.Flags().StringVar(&to, "to", "127.0.0.1:7101", "addresses of expediters, with commas between")
+	root.Flags().BoolVar(&taster.asPatch, "patch", false, "FILE is a merge patch (RFC 7396) for the configuration in force")
+	root.Flags().BoolVar(&taster.asJSON, "json", false, "print JSON")
+	root.Flags().StringVar(&taster.expected, "expected", "", "the version that the proposal was written for")
+	if failure := root.Execute(); failure != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "taster:", failure)
+		os.Exit(wrongUse)
+	}
+	os.Exit(code)
+}
+
+func (taster *taster) print(said report) {
+	if taster.asJSON {
+		if said.Remarks == nil {
+			said.Remarks = []menu.Remark{}
+		}
+		encoded, _ := json.MarshalIndent(said, "", "  ")
+		fmt.Println(string(encoded))
+		return
+	}
+	for _, remark := range said.Remarks {
+		fmt.Printf("%-8s %s\n", remark.Level, remark.Error())
+	}
+	fmt.Println(strings.TrimSpace(said.Result + " " + said.Detail))
+}
+
+// status is the part of an expediter's status that a tasting needs.
+type status struct {
+	Configuration string          `json:"configuration_version"`
+	Servers       []roster.Server `json:"servers"`
+	Members       map[string]struct {
+		Kind       roster.NodeKind `json:"kind"`
+		Running    bool            `json:"running"`
+		Restricted bool            `json:"restricted"`
+	} `json:"members"`
+	Flags []struct {
+		Name    recipe.Flag `json:"name"`
+		Enabled bool        `json:"enabled"`
+	} `json:"flags"`
+}
+
+type current struct {
+	Version       string          `json:"version"`
+	Configuration json.RawMessage `json:"configuration"`
+}
+
+func (taster *taster) check(path string) (int, report) {
+	var text []byte
+	var failure error
+	if path == "-" {
+		text, failure = io.ReadAll(os.Stdin)
+	} else {
+		text, failure = os.ReadFile(path)
+	}
+	if failure == nil {
+		failure = fastjson.ValidateBytes(text)
+	}
+	if failure != nil {
+		return malformed, report{Result: "malformed", Detail: failure.Error(), Remarks: []menu.Remark{{Level: menu.ErrorLevel, Trouble: *trouble.At(trouble.Malformed, "/", failure.Error())}}}
+	}
+	var before current
+	var fleet status
+	if failure := taster.read("/v1/configuration", &before); failure != nil {
+		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	}
+	if failure := taster.read("/v1/status", &fleet); failure != nil {
+		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	}
+	if taster.asPatch {
+		if text, failure = menu.Merge(before.Configuration, text); failure != nil {
+			return malformed, report{Result: "malformed", Detail: failure.Error(), Version: before.Version}
+		}
+	}
+	inForce, _ := menu.Check(before.Configuration)
+	said := report{Result: "fine", Version: before.Version, Remarks: menu.Taste(text, inForce, taster.facts(fleet))}
+	// What was checked against must still be in force when the answer is given.
+	var after current
+	if failure := taster.read("/v1/configuration", &after); failure != nil {
+		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	}
+	if after.Version != before.Version || (taster.expected != "" && taster.expected != after.Version) {
+		said.Result, said.Detail = "raced", "the configuration in force is "+after.Version
+		return raced, said
+	}
+	for _, remark := range said.Remarks {
+		if remark.Level == menu.ErrorLevel {
+			said.Result = "errors"
+			return failures, said
+		}
+	}
+	if len(said.Remarks) > 0 {
+		said.Result = "warnings"
+		return warnings, said
+	}
+	return fine, said
+}
+
+func (taster *taster) read(path string, target any) error {
+	var last error = trouble.New(trouble.Unreachable, "no address")
+	for _, address := range taster.addresses {
+		inbound, failure := taster.client.Get("http://" + address + path)
+		if failure != nil {
+			last = trouble.Wrap(trouble.Unreachable, failure)
+			continue
+		}
+		failure = json.NewDecoder(inbound.Body).Decode(target)
+		_ = inbound.Body.Close()
+		if inbound.StatusCode == http.StatusOK && failure == nil {
+			return nil
+		}
+		last = trouble.New(trouble.Unreachable, fmt.Sprintf("%s answers %d", address, inbound.StatusCode))
+	}
+	return last
+}
+
+// facts asks every listed server for its pressure.
+func (taster *taster) facts(fleet status) menu.Facts {
+	var facts menu.Facts
+	for name, member := range fleet.Members {
+		if member.Kind != roster.Courier {
+			continue
+		}
+		facts.Couriers++
+		if member.Restricted {
+			facts.Restricted = append(facts.Restricted, name)
+		}
+		if !member.Running {
+			facts.Stopped = append(facts.Stopped, name)
+		}
+	}
+	for _, flag := range fleet.Flags {
+		if !flag.Enabled {
+			facts.Blocked = append(facts.Blocked, string(flag.Name))
+		}
+	}
+	stoves := stove.New(hotline.Transport(nil))
+	lifetime, end := context.WithTimeout(context.Background(), 2*time.Second)
+	defer end()
+	facts.Servers = make([]menu.ServerFacts, len(fleet.Servers))
+	var asking sync.WaitGroup
+	for position, server := range fleet.Servers {
+		asking.Go(func() {
+			known := menu.ServerFacts{Name: server.Name, District: server.District, Leaving: server.Leaving}
+			if load, failure := stoves.Load(lifetime, server.Address); failure == nil {
+				known.Reported, known.Part, known.Active, known.Slots = true, string(load.Part), load.DecodeActive, load.DecodeSlots
+				known.Leaving = known.Leaving || load.Leaving
+			}
+			facts.Servers[position] = known
+		})
+	}
+	asking.Wait()
+	return facts
+}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,7 @@
 	running map[string]context.CancelFunc
 	servers []roster.Server
 	members map[string]roster.Member
+	nodes   []roster.Node
 	watched map[string]context.CancelFunc
 	listed  time.Time
 }
@@ -68,10 +70,10 @@
 //
 // Example:
 //
-//	process, failure := courier.Start(chosen, logger)
-func Start(chosen settings.Settings, logger *log.Logger) (*Process, error) {
+//	process, failure := courier.Start(chosen, logger, wallclock.New())
+func Start(chosen settings.Settings, logger *log.Logger, clock *wallclock.Clock) (*Process, error) {
 	supported := chosen.Supported()
-	process := &Process{logger: logger, clock: wallclock.New(), chosen: chosen, supported: supported,
+	process := &Process{logger: logger, clock: clock, chosen: chosen, supported: supported,
 		caller: hotline.NewCaller(chosen.Detours), platform: directory.New(hotline.Transport(chosen.Detours)),
 		stove: stove.New(hotline.Transport(chosen.Detours)), reports: stove.New(hotline.Transport(chosen.Detours)),
 		core: seamloom.New(seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
@@ -213,8 +215,13 @@
 func (process *Process) setNeighbours() {
 	process.mutex.Lock()
 	var contacts []string
+	for _, node := range process.nodes {
+		if node.Kind == roster.Expediter {
+			contacts = append(contacts, node.Address)
+		}
+	}
 	for _, member := range process.members {
-		if member.Kind == roster.Expediter {
+		if member.Kind == roster.Expediter && !slices.Contains(contacts, member.Address) {
 			contacts = append(contacts, member.Address)
 		}
 	}
@@ -252,6 +259,12 @@
 		return
 	}
 	process.apply(pass.Event{Kind: pass.ServersListed, Servers: servers})
+	if nodes, failure := process.platform.Nodes(process.lifetime, address); failure == nil {
+		process.mutex.Lock()
+		process.nodes = nodes
+		process.mutex.Unlock()
+		process.setNeighbours()
+	}
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	process.servers, process.listed = servers, process.clock.Now()
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -21,7 +21,6 @@
 	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -445,16 +444,28 @@
 		}
 	}
 	batches, changes := process.store.Work()
+	process.mutex.Lock()
+	servers := process.servers
+	process.mutex.Unlock()
 	answerJSON(writer, http.StatusOK, map[string]any{
+		"servers": servers, "claims_horizon": process.horizon(view),
 		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
 		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
 		"lagging":        current.holds.Lagging(now, view.VersionOf(larder.MenuDrawer).Number, couriers(state)),
 		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.since).Milliseconds(),
-		"keys": rota.DefaultTerms(),
 	})
 }
 
+// horizon is the age before which claims are forgotten.
+func (process *Process) horizon(view *larder.View) time.Time {
+	state, failure := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
+	if failure != nil {
+		return time.Time{}
+	}
+	return state.Horizon
+}
+
 func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
 	silence := process.clock.Now().Sub(process.followed.Heard())
 	status := http.StatusOK
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -70,9 +70,9 @@
 //
 // Example:
 //
-//	process, failure := expediter.Start(chosen, logger, pantry.RealDisk{})
-func Start(chosen settings.Settings, logger *log.Logger, disk pantry.Disk) (*Process, error) {
-	process := &Process{logger: logger, clock: wallclock.New(), chosen: chosen, supported: chosen.Supported(),
+//	process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New())
+func Start(chosen settings.Settings, logger *log.Logger, disk pantry.Disk, clock *wallclock.Clock) (*Process, error) {
+	process := &Process{logger: logger, clock: clock, chosen: chosen, supported: chosen.Supported(),
 		caller: hotline.NewCaller(chosen.Detours), platform: directory.New(hotline.Transport(chosen.Detours)),
 		news: newBell(), work: newBell(), confirmed: newBell(),
 		operatorsClient: &http.Client{Transport: hotline.Transport(chosen.Detours), Timeout: forwardPatience}}
--- a/internal/adapters/wallclock/clock.go
+++ b/internal/adapters/wallclock/clock.go
@@ -13,6 +13,7 @@
 type Clock struct {
 	began time.Time
 	boot  time.Duration
+	wall  func() time.Time
 }
 
 // New starts a clock.
@@ -20,7 +21,17 @@
 // Example:
 //
 //	clock := wallclock.New()
-func New() *Clock { return &Clock{began: time.Now().Round(0), boot: sinceBoot()} }
+func New() *Clock { return Over(time.Now) }
+
+// Over starts a clock over another source of the wall clock's time, such as
+// one that jumps in rehearsals.
+//
+// Example:
+//
+//	clock := wallclock.Over(jumping.Now)
+func Over(wall func() time.Time) *Clock {
+	return &Clock{began: wall().Round(0), boot: sinceBoot(), wall: wall}
+}
 
 // Now is the time, for holds, limits and patience.
 //
@@ -34,7 +45,7 @@
 // Example:
 //
 //	goal := clock.Wall().Add(-retention)
-func (clock *Clock) Wall() time.Time { return time.Now().Round(0) }
+func (clock *Clock) Wall() time.Time { return clock.wall().Round(0) }
 
 func sinceBoot() time.Duration {
 	var moment unix.Timespec
--- /dev/null
+++ b/internal/menu/remark.go
@@ -0,0 +1,16 @@
+package menu
+
+import "seamloom.example/seamloom/internal/trouble"
+
+// Remark is one thing that a tasting found: an error, which the fleet would
+// refuse, or a warning, which it would take.
+type Remark struct {
+	Level string `json:"level"`
+	trouble.Trouble
+}
+
+// The levels of a remark.
+const (
+	ErrorLevel   = "error"
+	WarningLevel = "warning"
+)
--- /dev/null
+++ b/internal/menu/taste.go
@@ -0,0 +1,175 @@
+package menu
+
+import (
+	stderrors "errors"
+	"sort"
+	"strconv"
+	"strings"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// The kinds of warning.
+const (
+	UnknownDistrict trouble.Kind = "unknown_district"
+	NoServersLeft   trouble.Kind = "no_servers_left"
+	NoPartLeft      trouble.Kind = "no_part_left"
+	LittleRoom      trouble.Kind = "little_room"
+	NeverReached    trouble.Kind = "never_reached"
+	NoRouteTo       trouble.Kind = "no_route_to_service"
+	MixedFormats    trouble.Kind = "mixed_formats"
+	FewCouriers     trouble.Kind = "few_couriers"
+	Shrinks         trouble.Kind = "service_disappears"
+)
+
+// Taste checks a proposed configuration against the fleet as it is and the
+// configuration in force. It changes nothing.
+//
+// Example:
+//
+//	remarks := menu.Taste(proposed, current, facts)
+func Taste(proposed []byte, current *Configuration, facts Facts) []Remark {
+	configuration, failure := Check(proposed)
+	var findings *Findings
+	if stderrors.As(failure, &findings) {
+		var remarks []Remark
+		for _, finding := range findings.Troubles {
+			remarks = append(remarks, Remark{Level: ErrorLevel, Trouble: *finding})
+		}
+		return remarks
+	}
+	tasting := &tasting{configuration: configuration, facts: facts, districts: map[string]int{}}
+	for _, server := range facts.Servers {
+		if !server.Leaving {
+			tasting.districts[server.District]++
+		}
+	}
+	tasting.evacuations()
+	tasting.routes()
+	tasting.room()
+	tasting.services(current)
+	tasting.members()
+	sort.SliceStable(tasting.remarks, func(left, right int) bool { return tasting.remarks[left].Path < tasting.remarks[right].Path })
+	return tasting.remarks
+}
+
+type tasting struct {
+	configuration *Configuration
+	facts         Facts
+	districts     map[string]int
+	remarks       []Remark
+}
+
+func (tasting *tasting) warn(kind trouble.Kind, path, detail string) {
+	tasting.remarks = append(tasting.remarks, Remark{Level: WarningLevel, Trouble: *trouble.At(kind, path, detail)})
+}
+
+func (tasting *tasting) evacuations() {
+	for district := range tasting.configuration.Evacuations {
+		if tasting.districts[district] == 0 {
+			tasting.warn(UnknownDistrict, "/evacuations/"+escape(district), "no listed server is in this district")
+		}
+	}
+}
+
+func (tasting *tasting) routes() {
+	caught := map[string]string{}
+	for _, route := range tasting.configuration.Routes {
+		path := "/routes/" + escape(route.Name)
+		service := route.Match.Service
+		if earlier, found := caught[""]; found {
+			tasting.warn(NeverReached, path, "the route "+earlier+" matches everything before it")
+			continue
+		}
+		if earlier, found := caught[service]; found && service != "" {
+			tasting.warn(NeverReached, path, "the route "+earlier+" matches everything of "+service+" before it")
+			continue
+		}
+		if bare := route.Match; bare == (Match{Service: service}) {
+			caught[service] = route.Name
+		}
+		if route.To.Refuse {
+			continue
+		}
+		left := 0
+		for position, district := range route.To.Districts {
+			if tasting.districts[district] == 0 {
+				tasting.warn(UnknownDistrict, path+"/to/districts/"+strconv.Itoa(position), "no listed server is in the district "+district)
+			}
+			if !tasting.configuration.Evacuated(district) {
+				left += tasting.districts[district]
+			}
+		}
+		if len(route.To.Districts) == 0 {
+			for district, count := range tasting.districts {
+				if !tasting.configuration.Evacuated(district) {
+					left += count
+				}
+			}
+		}
+		if left == 0 {
+			tasting.warn(NoServersLeft, path, "its inquiries would be refused: no server of its districts is left")
+		}
+	}
+}
+
+// room looks at the parts and slots that evacuations leave.
+func (tasting *tasting) room() {
+	parts, leftParts := map[string]int{}, map[string]int{}
+	active, slots, reported := 0, 0, 0
+	for _, server := range tasting.facts.Servers {
+		if !server.Reported || server.Leaving {
+			continue
+		}
+		reported++
+		parts[server.Part]++
+		active += server.Active
+		if !tasting.configuration.Evacuated(server.District) {
+			leftParts[server.Part]++
+			slots += server.Slots
+		}
+	}
+	if reported == 0 || len(tasting.configuration.Evacuations) == 0 {
+		return
+	}
+	for _, part := range []string{"prefill", "decode"} {
+		if parts[part] > 0 && leftParts[part] == 0 {
+			tasting.warn(NoPartLeft, "/evacuations", "no server with the part "+part+" is left until parts change")
+		}
+	}
+	if slots > 0 && active*10 > slots*8 {
+		tasting.warn(LittleRoom, "/evacuations", "answers under way fill "+strconv.Itoa(active*100/slots)+" of 100 slots that are left")
+	}
+}
+
+func (tasting *tasting) services(current *Configuration) {
+	for name := range tasting.configuration.Services {
+		reached := false
+		for _, route := range tasting.configuration.Routes {
+			reached = reached || route.Match.Service == "" || route.Match.Service == name
+		}
+		if !reached {
+			tasting.warn(NoRouteTo, "/services/"+escape(name), "no route can match its inquiries")
+		}
+	}
+	if current == nil {
+		return
+	}
+	for name := range current.Services {
+		if _, found := tasting.configuration.Services[name]; !found {
+			tasting.warn(Shrinks, "/services/"+escape(name), "the service in force now would be gone")
+		}
+	}
+}
+
+func (tasting *tasting) members() {
+	if restricted := tasting.facts.Restricted; len(restricted) > 0 {
+		tasting.warn(MixedFormats, "/", "members that lack an enabled flag pass their inquiries on: "+strings.Join(restricted, ", "))
+	}
+	if blocked := tasting.facts.Blocked; len(blocked) > 0 {
+		tasting.warn(MixedFormats, "/", "an upgrade is under way; flags that wait: "+strings.Join(blocked, ", "))
+	}
+	if stopped := len(tasting.facts.Stopped); stopped > 0 && stopped*2 >= tasting.facts.Couriers {
+		tasting.warn(FewCouriers, "/", "half of the couriers or more do not run: "+strings.Join(tasting.facts.Stopped, ", "))
+	}
+}
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -27,12 +27,6 @@
 	mutex     sync.Mutex
 }
 
-// Fault is one thing that fails in a day.
-type Fault struct {
-	Name string
-	Run  func(lifetime context.Context, day *Day)
-}
-
 // NewDay prepares a day over a fleet that is ready.
 //
 // Example:
@@ -81,19 +75,22 @@
 	if failure != nil || current.Status != http.StatusOK {
 		return false
 	}
+	return day.Operators.PutEdition(node, day.takeEdition(), current.Version).Outcome == "accepted"
+}
+
+func (day *Day) takeEdition() int {
 	day.mutex.Lock()
+	defer day.mutex.Unlock()
 	day.edition++
-	edition := day.edition
-	day.mutex.Unlock()
-	return day.Operators.PutEdition(node, edition, current.Version).Outcome == "accepted"
+	return day.edition
 }
 
 func (day *Day) anyExpediter() *NodeProcess {
 	day.mutex.Lock()
 	defer day.mutex.Unlock()
 	var running []*NodeProcess
-	for _, node := range day.Fleet.Expediters {
-		if node.Running() {
+	for _, node := range day.Fleet.Nodes() {
+		if node.Node.Kind == roster.Expediter && node.Running() {
 			running = append(running, node)
 		}
 	}
@@ -119,14 +116,17 @@
 	tasks.Go(func() { day.look(lifetime) })
 	tasks.Go(func() { day.operate(lifetime) })
 	tasks.Go(func() { day.swing(lifetime, length) })
+	began := time.Now()
 	gap := length / time.Duration(len(faults)+1)
-	for _, fault := range faults {
-		if !pauseFor(lifetime, gap) {
+	for number, fault := range faults {
+		if !pauseFor(lifetime, time.Until(began.Add(gap*time.Duration(number+1)))) {
+			day.Say("the day was too short for %s", fault.Name)
 			break
 		}
 		day.Say("fault: %s", fault.Name)
 		day.Fleet.Book.Note(Entry{Kind: FaultBegan, Cause: fault.Name})
 		fault.Run(lifetime, day)
+		day.Say("over: %s", fault.Name)
 	}
 	<-lifetime.Done()
 	tasks.Wait()
@@ -134,14 +134,34 @@
 	return Judge(day.Fleet.Book.Entries())
 }
 
+// Close ends the day with a fault under traffic, and lets the checkers see
+// whether service returns in time.
+//
+// Example:
+//
+//	verdict := day.Close(lifetime, fault)
+func (day *Day) Close(lifetime context.Context, fault Fault) Verdict {
+	lifetime, end := context.WithTimeout(lifetime, returnLimit+8*time.Second)
+	defer end()
+	day.Callers.SetRates(day.Long, day.Short)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { day.Callers.Run(lifetime) })
+	day.Fleet.Book.Note(Entry{Kind: ClosingFault, Cause: fault.Name})
+	fault.Run(lifetime, day)
+	<-lifetime.Done()
+	tasks.Wait()
+	day.EndOfDayRead()
+	return Judge(day.Fleet.Book.Entries())
+}
+
 // EndOfDayRead reads the configuration at every expediter that answers.
 //
 // Example:
 //
 //	day.EndOfDayRead()
 func (day *Day) EndOfDayRead() {
-	for _, node := range day.Fleet.Expediters {
-		if node.Running() {
+	for _, node := range day.Fleet.Nodes() {
+		if node.Node.Kind == roster.Expediter && node.Running() {
 			Await(12*time.Second, func() bool {
 				_, edition := day.Operators.ReadEdition(node)
 				return edition >= 0
@@ -179,101 +199,3 @@
 	}
 	day.Callers.SetRates(day.Long, day.Short)
 }
-
-// KillCourier kills a courier and starts it again after a while.
-//
-// Example:
-//
-//	faults := []rehearsal.Fault{rehearsal.KillCourier()}
-func KillCourier() Fault {
-	return Fault{Name: "kill and restart a courier", Run: func(lifetime context.Context, day *Day) {
-		node := day.Fleet.Couriers[day.random.IntN(len(day.Fleet.Couriers))]
-		day.Say("kill %s", node.Node.Name)
-		node.Kill()
-		pauseFor(lifetime, time.Second)
-		if failure := node.Begin(); failure != nil {
-			day.Say("restart failed: %v", failure)
-		}
-	}}
-}
-
-// KillPrimary kills the primary and starts it again after a while.
-//
-// Example:
-//
-//	faults := []rehearsal.Fault{rehearsal.KillPrimary()}
-func KillPrimary() Fault {
-	return Fault{Name: "kill and restart the primary", Run: func(lifetime context.Context, day *Day) {
-		node := day.Fleet.Primary()
-		if node == nil {
-			day.Say("no primary to kill")
-			return
-		}
-		day.Say("kill %s", node.Node.Name)
-		node.Kill()
-		pauseFor(lifetime, 4*time.Second)
-		if failure := node.Begin(); failure != nil {
-			day.Say("restart failed: %v", failure)
-		}
-	}}
-}
-
-// CrashServer crashes a model server and replaces it, cold, after a while.
-//
-// Example:
-//
-//	faults := []rehearsal.Fault{rehearsal.CrashServer()}
-func CrashServer() Fault {
-	return Fault{Name: "crash and replace a server", Run: func(lifetime context.Context, day *Day) {
-		names := day.Fleet.ServerNames()
-		name := names[day.random.IntN(len(names))]
-		day.Say("crash %s", name)
-		day.Fleet.Server(name).Crash()
-		pauseFor(lifetime, 1500*time.Millisecond)
-		if failure := day.Fleet.Replace(name); failure != nil {
-			day.Say("replacement failed: %v", failure)
-		}
-	}}
-}
-
-// Freeze stops the process in a role and wakes it after its holds ran out.
-//
-// Example:
-//
-//	faults := []rehearsal.Fault{rehearsal.Freeze("primary", 6*time.Second)}
-func Freeze(role string, length time.Duration) Fault {
-	return Fault{Name: "freeze and wake the " + role, Run: func(lifetime context.Context, day *Day) {
-		node := day.Fleet.Couriers[day.random.IntN(len(day.Fleet.Couriers))]
-		if role == "primary" {
-			if node = day.Fleet.Primary(); node == nil {
-				return
-			}
-		}
-		day.Say("freeze %s", node.Node.Name)
-		node.Signal(syscall.SIGSTOP)
-		pauseFor(lifetime, length)
-		node.Signal(syscall.SIGCONT)
-	}}
-}
-
-// EvacuateZone evacuates a zone and restores it after a while.
-//
-// Example:
-//
-//	faults := []rehearsal.Fault{rehearsal.EvacuateZone()}
-func EvacuateZone() Fault {
-	return Fault{Name: "evacuate and restore a zone", Run: func(lifetime context.Context, day *Day) {
-		district := day.Fleet.Deployment.Districts[day.random.IntN(len(day.Fleet.Deployment.Districts))]
-		node := day.anyExpediter()
-		if node == nil || !day.Operators.Evacuate(node, district) {
-			day.Say("evacuation of %s was not accepted", district)
-			return
-		}
-		day.Say("evacuated %s", district)
-		pauseFor(lifetime, 7*time.Second)
-		Await(10*time.Second, func() bool {
-			node := day.anyExpediter()
-			return node != nil && day.Operators.Restore(node, district)
-		})
-	}}
-}
--- /dev/null
+++ b/internal/rehearsal/faults.go
@@ -0,0 +1,635 @@
+package rehearsal
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Fault is one thing that fails in a day, with what it needs of the fleet.
+type Fault struct {
+	Name   string
+	Links  bool
+	Staged bool
+	Run    func(lifetime context.Context, day *Day)
+}
+
+// faults are all that the brief names under "What fails".
+var faults = map[string]Fault{
+	"kill-courier":         {Run: killOne(roster.Courier, time.Second)},
+	"kill-primary":         {Run: killPrimary(4 * time.Second)},
+	"kill-backup":          {Run: killSeat("backup", 4*time.Second)},
+	"power-loss":           {Staged: true, Run: powerLoss},
+	"lose-disk":            {Run: loseDisk},
+	"slow-disk":            {Staged: true, Run: diskFault(NodeFaults{Disk: "slow", Delay: 80 * time.Millisecond}, 4*time.Second)},
+	"stall-disk":           {Staged: true, Run: diskFault(NodeFaults{Disk: "stall"}, 5*time.Second)},
+	"full-disk":            {Staged: true, Run: diskFault(NodeFaults{Disk: "full"}, 5*time.Second)},
+	"damaged-disk":         {Staged: true, Run: damagedDisk},
+	"clock-forward":        {Staged: true, Run: jump(2 * time.Hour)},
+	"clock-back":           {Staged: true, Run: jump(-2 * time.Hour)},
+	"freeze-primary":       {Run: freeze("primary", 6*time.Second)},
+	"freeze-courier":       {Run: freeze("courier", 6*time.Second)},
+	"freeze-holder":        {Run: freeze("holder", 9*time.Second)},
+	"herd-couriers":        {Run: herd(roster.Courier)},
+	"herd-expediters":      {Run: herd(roster.Expediter)},
+	"cold-start":           {Run: herd("")},
+	"lose-zone":            {Run: loseZone},
+	"crash-server":         {Run: crashServer},
+	"dark-server":          {Run: darkServer},
+	"replace-servers":      {Run: replaceServers},
+	"leave-server":         {Run: leaveServer},
+	"lapse-handles":        {Run: lapseHandles},
+	"slow-links":           {Run: slowLinks},
+	"flood":                {Run: flood},
+	"cut-primary":          {Links: true, Run: cutPrimary},
+	"cut-core":             {Links: true, Run: cutCore},
+	"one-way":              {Links: true, Run: oneWay},
+	"isolate-courier":      {Links: true, Run: isolateCourier},
+	"bad-links":            {Links: true, Run: badLinks},
+	"evacuate":             {Run: evacuate(1)},
+	"evacuate-two":         {Run: evacuate(2)},
+	"evacuate-all":         {Run: evacuate(3)},
+	"storm":                {Run: storm},
+	"race":                 {Run: race},
+	"large-configuration":  {Run: largeConfiguration},
+	"exchange-seeds":       {Run: exchangeSeeds},
+	"replace-core":         {Run: replaceCore},
+	"kill-during-repair":   {Run: killDuringRepair},
+	"restart-with-traffic": {Run: restartAll},
+}
+
+// FaultNamed finds a fault.
+//
+// Example:
+//
+//	fault, found := rehearsal.FaultNamed("kill-primary")
+func FaultNamed(name string) (Fault, bool) {
+	fault, found := faults[name]
+	fault.Name = name
+	return fault, found
+}
+
+// FaultNames lists all faults in order.
+//
+// Example:
+//
+//	fmt.Println(strings.Join(rehearsal.FaultNames(), " "))
+func FaultNames() []string {
+	var names []string
+	for name := range faults {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (day *Day) draw(count int) int {
+	day.mutex.Lock()
+	defer day.mutex.Unlock()
+	return day.random.IntN(count)
+}
+
+func (day *Day) running(kind roster.NodeKind) []*NodeProcess {
+	var running []*NodeProcess
+	for _, node := range day.Fleet.Nodes() {
+		if (kind == "" || node.Node.Kind == kind) && node.Running() {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
+func (day *Day) begin(node *NodeProcess) {
+	if failure := node.Begin(); failure != nil {
+		day.Say("%s did not begin: %v", node.Node.Name, failure)
+	}
+}
+
+func killOne(kind roster.NodeKind, away time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		nodes := day.running(kind)
+		day.killFor(lifetime, nodes[day.draw(len(nodes))], away)
+	}
+}
+
+func (day *Day) killFor(lifetime context.Context, node *NodeProcess, away time.Duration) {
+	day.Say("kill %s", node.Node.Name)
+	node.Kill()
+	pauseFor(lifetime, away)
+	day.begin(node)
+}
+
+// primary waits for a primary.
+func (day *Day) primary() *NodeProcess {
+	var primary *NodeProcess
+	Await(10*time.Second, func() bool {
+		primary = day.Fleet.Primary()
+		return primary != nil
+	})
+	return primary
+}
+
+func killPrimary(away time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		if primary := day.primary(); primary != nil {
+			day.killFor(lifetime, primary, away)
+		}
+	}
+}
+
+// seat finds the node in a seat of the charter, as the primary says.
+func (day *Day) seat(name string) *NodeProcess {
+	primary := day.primary()
+	if primary == nil {
+		return nil
+	}
+	var status map[string]any
+	if _, failure := primary.ReadJSON("/v1/status", &status); failure != nil {
+		return nil
+	}
+	seat, _ := status[name].(map[string]any)
+	for _, node := range day.Fleet.Nodes() {
+		if seat != nil && node.Node.Name == seat["name"] {
+			return node
+		}
+	}
+	return nil
+}
+
+func killSeat(name string, away time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		if node := day.seat(name); node != nil {
+			day.killFor(lifetime, node, away)
+		}
+	}
+}
+
+// powerLoss kills primary and backup right after an acceptance; what was not
+// synced is gone.
+func powerLoss(lifetime context.Context, day *Day) {
+	backup := day.seat("backup")
+	primary := day.primary()
+	Await(8*time.Second, day.NextEdition)
+	if primary == nil || backup == nil {
+		return
+	}
+	primary.Kill()
+	backup.Kill()
+	day.Say("power loss of %s and %s", primary.Node.Name, backup.Node.Name)
+	pauseFor(lifetime, time.Second)
+	day.begin(primary)
+	day.begin(backup)
+}
+
+// loseDisk takes the primary's whole disk right after an acceptance.
+func loseDisk(lifetime context.Context, day *Day) {
+	primary := day.primary()
+	Await(8*time.Second, day.NextEdition)
+	if primary == nil {
+		return
+	}
+	primary.Kill()
+	if failure := primary.WipeDisk(); failure != nil {
+		day.Say("%v", failure)
+	}
+	day.Say("%s has lost its disk", primary.Node.Name)
+	pauseFor(lifetime, time.Second)
+	day.begin(primary)
+}
+
+// killDuringRepair kills the node that takes a lost one's place.
+func killDuringRepair(lifetime context.Context, day *Day) {
+	primary := day.primary()
+	if primary == nil {
+		return
+	}
+	primary.Kill()
+	if failure := primary.WipeDisk(); failure != nil {
+		day.Say("%v", failure)
+	}
+	day.begin(primary)
+	next := day.primary()
+	if next == nil {
+		return
+	}
+	pauseFor(lifetime, 300*time.Millisecond)
+	day.killFor(lifetime, next, time.Second)
+}
+
+func diskFault(faults NodeFaults, length time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		node := day.primary()
+		if day.draw(2) == 0 {
+			node = day.seat("backup")
+		}
+		if node == nil {
+			return
+		}
+		day.Say("%s disk of %s", faults.Disk, node.Node.Name)
+		_ = node.SetFaults(faults)
+		pauseFor(lifetime, length)
+		_ = node.SetFaults(NodeFaults{})
+	}
+}
+
+// damagedDisk restarts the backup on a disk that returns damage.
+func damagedDisk(lifetime context.Context, day *Day) {
+	node := day.seat("backup")
+	if node == nil {
+		return
+	}
+	day.Say("damaged disk of %s", node.Node.Name)
+	node.Kill()
+	_ = node.SetFaults(NodeFaults{Disk: "damage"})
+	day.begin(node)
+	pauseFor(lifetime, 5*time.Second)
+	_ = node.SetFaults(NodeFaults{})
+}
+
+func jump(length time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		for _, node := range day.running("") {
+			if day.draw(2) == 0 {
+				day.Say("the clock of %s jumps by %s", node.Node.Name, length)
+				_ = node.SetFaults(NodeFaults{Jump: length})
+			}
+		}
+		pauseFor(lifetime, 6*time.Second)
+		for _, node := range day.running("") {
+			_ = node.SetFaults(NodeFaults{})
+		}
+	}
+}
+
+func freeze(role string, length time.Duration) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		nodes := day.running(roster.Courier)
+		node := nodes[day.draw(len(nodes))]
+		switch role {
+		case "primary":
+			node = day.primary()
+		case "holder":
+			node = day.holder()
+		}
+		if node == nil {
+			return
+		}
+		day.Say("freeze %s", node.Node.Name)
+		node.Signal(syscall.SIGSTOP)
+		pauseFor(lifetime, length)
+		node.Signal(syscall.SIGCONT)
+	}
+}
+
+// holder finds the courier that has the duty of deciding the parts.
+func (day *Day) holder() *NodeProcess {
+	primary := day.primary()
+	if primary == nil {
+		return nil
+	}
+	var status struct {
+		Duties map[string]struct{ Holder string }
+	}
+	if _, failure := primary.ReadJSON("/v1/status", &status); failure != nil {
+		return nil
+	}
+	for _, node := range day.running(roster.Courier) {
+		if node.Node.Name == status.Duties["parts"].Holder {
+			return node
+		}
+	}
+	return nil
+}
+
+func herd(kind roster.NodeKind) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		nodes := day.running(kind)
+		day.Say("kill %d nodes", len(nodes))
+		for _, node := range nodes {
+			node.Kill()
+		}
+		pauseFor(lifetime, 500*time.Millisecond)
+		for _, node := range nodes {
+			day.begin(node)
+		}
+	}
+}
+
+// restartAll stops and begins every node in an orderly way, one after another.
+func restartAll(_ context.Context, day *Day) {
+	for _, node := range day.running("") {
+		node.Stop(20 * time.Second)
+		day.begin(node)
+		Await(15*time.Second, node.Ready)
+	}
+}
+
+func loseZone(lifetime context.Context, day *Day) {
+	district := day.Fleet.Deployment.Districts[day.draw(len(day.Fleet.Deployment.Districts))]
+	day.Say("lose %s", district)
+	var nodes []*NodeProcess
+	for _, node := range day.running("") {
+		if node.Node.District == district {
+			node.Kill()
+			nodes = append(nodes, node)
+		}
+	}
+	names := day.Fleet.ServersOf(district)
+	for _, name := range names {
+		day.Fleet.Server(name).Crash()
+	}
+	pauseFor(lifetime, 6*time.Second)
+	for _, node := range nodes {
+		day.begin(node)
+	}
+	for _, name := range names {
+		_ = day.Fleet.Replace(name)
+	}
+}
+
+func (day *Day) anyServer() string {
+	names := day.Fleet.ServerNames()
+	return names[day.draw(len(names))]
+}
+
+func crashServer(lifetime context.Context, day *Day) {
+	name := day.anyServer()
+	day.Say("crash %s", name)
+	day.Fleet.Server(name).Crash()
+	pauseFor(lifetime, 1500*time.Millisecond)
+	if failure := day.Fleet.Replace(name); failure != nil {
+		day.Say("replacement failed: %v", failure)
+	}
+}
+
+func darkServer(lifetime context.Context, day *Day) {
+	name := day.anyServer()
+	day.Say("%s goes dark", name)
+	server := day.Fleet.Server(name)
+	server.SetDark(true)
+	pauseFor(lifetime, 4*time.Second)
+	server.SetDark(false)
+}
+
+func replaceServers(lifetime context.Context, day *Day) {
+	for _, name := range day.Fleet.ServerNames()[:3] {
+		day.Fleet.Server(name).Crash()
+		_ = day.Fleet.Replace(name)
+		if !pauseFor(lifetime, 3*time.Second) {
+			return
+		}
+	}
+}
+
+// leaveServer shows a server leaving: in the list, or in its load report.
+func leaveServer(lifetime context.Context, day *Day) {
+	name := day.anyServer()
+	server := day.Fleet.Server(name)
+	listed := roster.Server{Name: name, Address: server.Address(), District: server.plan.District, Leaving: true}
+	if day.draw(2) == 0 {
+		day.Say("%s leaves by the list", name)
+		day.Fleet.Platform.ListServer(listed)
+	} else {
+		day.Say("%s leaves by its load report", name)
+		day.Fleet.Book.Note(Entry{Kind: ServerLeaving, Server: name})
+		server.SetLeaving(true)
+	}
+	pauseFor(lifetime, 6*time.Second)
+	server.Crash()
+	_ = day.Fleet.Replace(name)
+}
+
+func lapseHandles(lifetime context.Context, day *Day) {
+	for _, name := range day.Fleet.ServerNames()[:3] {
+		day.Fleet.Server(name).SetHandleLife(time.Microsecond)
+	}
+	pauseFor(lifetime, 3*time.Second)
+	for _, name := range day.Fleet.ServerNames()[:3] {
+		day.Fleet.Server(name).SetHandleLife(5 * time.Second)
+	}
+}
+
+func slowLinks(lifetime context.Context, day *Day) {
+	for _, name := range day.Fleet.ServerNames()[:4] {
+		day.Fleet.Server(name).SlowLink(40)
+	}
+	pauseFor(lifetime, 5*time.Second)
+	for _, name := range day.Fleet.ServerNames()[:4] {
+		day.Fleet.Server(name).SlowLink(1)
+	}
+}
+
+func flood(lifetime context.Context, day *Day) {
+	day.Callers.SetRates(day.Long*5, day.Short*5)
+	pauseFor(lifetime, 5*time.Second)
+	day.Callers.SetRates(day.Long, day.Short)
+}
+
+func (day *Day) darken(lifetime context.Context, length time.Duration, chosen func(from, to string) bool) {
+	day.Fleet.Links.Each(chosen, func(relay *Relay) { relay.SetDark(true) })
+	pauseFor(lifetime, length)
+	day.Fleet.Links.Heal()
+}
+
+func cutPrimary(lifetime context.Context, day *Day) {
+	primary := day.primary()
+	if primary == nil {
+		return
+	}
+	name := primary.Node.Name
+	day.Say("cut %s from the other expediters", name)
+	day.darken(lifetime, 7*time.Second, func(from, to string) bool {
+		return (from == name && isExpediter(to)) || (to == name && isExpediter(from))
+	})
+}
+
+func isExpediter(name string) bool { return strings.HasPrefix(name, "expediter-") }
+
+func cutCore(lifetime context.Context, day *Day) {
+	day.Say("cut the core from all couriers")
+	day.darken(lifetime, 6*time.Second, func(from, to string) bool { return isExpediter(from) != isExpediter(to) })
+}
+
+func oneWay(lifetime context.Context, day *Day) {
+	primary := day.primary()
+	if primary == nil {
+		return
+	}
+	name := primary.Node.Name
+	inwards := day.draw(2) == 0
+	day.Say("one way: %s, inwards %v", name, inwards)
+	day.darken(lifetime, 7*time.Second, func(from, to string) bool {
+		return (inwards && to == name) || (!inwards && from == name)
+	})
+}
+
+func isolateCourier(lifetime context.Context, day *Day) {
+	nodes := day.running(roster.Courier)
+	name := nodes[day.draw(len(nodes))].Node.Name
+	day.Say("isolate %s", name)
+	day.darken(lifetime, 7*time.Second, func(from, to string) bool { return from == name || to == name })
+}
+
+// badLinks delays some links, duplicates the messages of others, and breaks
+// circuits now and then.
+func badLinks(lifetime context.Context, day *Day) {
+	chance := func(string, string) bool { return day.draw(3) == 0 }
+	day.Fleet.Links.Each(chance, func(relay *Relay) { relay.SetDelay(60 * time.Millisecond) })
+	day.Fleet.Links.Each(chance, func(relay *Relay) { relay.SetDuplicate(true); relay.Drop() })
+	for range 6 {
+		if !pauseFor(lifetime, time.Second) {
+			break
+		}
+		day.Fleet.Links.Each(chance, func(relay *Relay) { relay.Drop() })
+	}
+	day.Fleet.Links.Heal()
+}
+
+func evacuate(count int) func(context.Context, *Day) {
+	return func(lifetime context.Context, day *Day) {
+		districts := day.Fleet.Deployment.Districts
+		first := day.draw(len(districts))
+		var evacuating sync.WaitGroup
+		for number := range count {
+			district := districts[(first+number)%len(districts)]
+			evacuating.Go(func() {
+				node := day.anyExpediter()
+				accepted := node != nil && day.Operators.Evacuate(node, district)
+				day.Say("evacuate %s: %v", district, accepted)
+			})
+		}
+		evacuating.Wait()
+		pauseFor(lifetime, 6500*time.Millisecond)
+		for number := range count {
+			district := districts[(first+number)%len(districts)]
+			Await(10*time.Second, func() bool {
+				node := day.anyExpediter()
+				return node != nil && day.Operators.Restore(node, district)
+			})
+		}
+	}
+}
+
+func storm(lifetime context.Context, day *Day) {
+	ends := time.Now().Add(5 * time.Second)
+	for time.Now().Before(ends) && lifetime.Err() == nil {
+		day.NextEdition()
+	}
+}
+
+// race lets operators change the configuration from the same version; one wins
+// at most.
+func race(lifetime context.Context, day *Day) {
+	for range 5 {
+		node := day.anyExpediter()
+		if node == nil || !pauseFor(lifetime, 100*time.Millisecond) {
+			return
+		}
+		current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+		if failure != nil || current.Status != http.StatusOK {
+			continue
+		}
+		var racing sync.WaitGroup
+		for range 4 {
+			edition := day.takeEdition()
+			racing.Go(func() {
+				if node := day.anyExpediter(); node != nil {
+					day.Operators.PutEdition(node, edition, current.Version)
+				}
+			})
+		}
+		racing.Wait()
+	}
+}
+
+// largeConfiguration puts many thousand routes and takes them away again.
+func largeConfiguration(lifetime context.Context, day *Day) {
+	var many, none strings.Builder
+	for number := range 8000 {
+		comma := ","
+		if number == 0 {
+			comma = ""
+		}
+		_, _ = fmt.Fprintf(&many, `%s"many-%d":{"order":5,"match":{"service":"%s","origin":"nobody-%d"},"to":{"districts":["%s"]}}`,
+			comma, number, day.Fleet.Deployment.Short.Service, number, day.Fleet.Deployment.Districts[number%3])
+		_, _ = fmt.Fprintf(&none, `%s"many-%d":null`, comma, number)
+	}
+	for _, routes := range []string{many.String(), none.String()} {
+		accepted := Await(20*time.Second, func() bool {
+			node := day.anyExpediter()
+			if node == nil {
+				return false
+			}
+			current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+			if failure != nil {
+				return false
+			}
+			answer, failure := day.Operators.Call(node, http.MethodPatch, "/v1/configuration", url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}, `{"routes":{`+routes+`}}`)
+			return failure == nil && answer.Outcome == "accepted"
+		})
+		day.Say("a configuration of %d bytes was accepted: %v", len(routes), accepted)
+		pauseFor(lifetime, 4*time.Second)
+	}
+}
+
+// exchangeSeeds gives every node other seeds and has it read them.
+func exchangeSeeds(_ context.Context, day *Day) {
+	var expediters, couriers []string
+	for _, node := range day.running(roster.Expediter) {
+		expediters = append(expediters, node.Node.Address)
+	}
+	for _, node := range day.running(roster.Courier) {
+		couriers = append(couriers, node.Node.Address)
+	}
+	for _, node := range day.running("") {
+		node.Set("seeds", []string{couriers[day.draw(len(couriers)/2)], couriers[len(couriers)/2+day.draw(len(couriers)/2)], expediters[day.draw(len(expediters))]})
+		if failure := node.WriteSettings(); failure != nil {
+			day.Say("%v", failure)
+		}
+		node.Signal(syscall.SIGHUP)
+	}
+	day.Say("seeds exchanged")
+}
+
+// replaceCore replaces every expediter by an empty one at a new address, one
+// after another.
+func replaceCore(lifetime context.Context, day *Day) {
+	for number, old := range day.running(roster.Expediter) {
+		seeds := []string{}
+		for _, other := range day.running(roster.Expediter) {
+			if other != old && len(seeds) < 2 {
+				seeds = append(seeds, other.Node.Address)
+			}
+		}
+		for _, other := range day.running(roster.Courier) {
+			if len(seeds) < 3 {
+				seeds = append(seeds, other.Node.Address)
+			}
+		}
+		addresses, failure := freeAddresses(1)
+		if failure != nil {
+			day.Say("%v", failure)
+			return
+		}
+		old.Kill()
+		_ = old.WipeDisk()
+		day.Fleet.Platform.UnlistNode(old.Node.Name)
+		fresh := day.Fleet.AddNode(roster.Expediter, fmt.Sprintf("expediter-%d", 11+number), addresses[0], old.Node.District, seeds)
+		fresh.staged = old.staged
+		day.begin(fresh)
+		day.Say("%s gives way to %s: whole again %v", old.Node.Name, fresh.Node.Name, Await(25*time.Second, day.Fleet.CoreIsWhole))
+		if lifetime.Err() != nil {
+			return
+		}
+	}
+}
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
@@ -20,6 +23,7 @@
 	Platform   *Platform
 	Couriers   []*NodeProcess
 	Expediters []*NodeProcess
+	Links      *Links
 	folder     string
 	binaries   string
 	extra      map[string]any
@@ -115,6 +119,8 @@
 		}
 		node.settings[setting] = value
 	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	if kind == roster.Expediter {
 		node.settings["data_folder"] = filepath.Join(fleet.folder, name+"-disk")
 		fleet.Expediters = append(fleet.Expediters, node)
@@ -125,6 +131,17 @@
 	return node
 }
 
+// Stage makes the nodes run with a faulty disk and a faulty clock.
+//
+// Example:
+//
+//	fleet.Stage()
+func (fleet *Fleet) Stage() {
+	for _, node := range fleet.Nodes() {
+		node.staged = true
+	}
+}
+
 // Begin starts every node and waits until all are ready and every server has a
 // part.
 //
@@ -137,7 +154,20 @@
 			return failure
 		}
 	}
-	return fleet.AwaitReady(patience)
+	if failure := fleet.AwaitReady(patience); failure != nil {
+		return failure
+	}
+	withheld, _ := fleet.extra["withhold_flags"].([]string)
+	for _, node := range fleet.Nodes() {
+		var flags []string
+		for _, flag := range recipe.Supported(nil) {
+			if !slices.Contains(withheld, string(flag)) {
+				flags = append(flags, string(flag))
+			}
+		}
+		fleet.Book.Note(Entry{Kind: MemberKnown, Holder: node.Node.Name, Flags: flags})
+	}
+	return nil
 }
 
 // Nodes lists expediters and couriers.
@@ -146,6 +176,8 @@
 //
 //	for _, node := range fleet.Nodes() { node.Kill() }
 func (fleet *Fleet) Nodes() []*NodeProcess {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	return append(append([]*NodeProcess(nil), fleet.Expediters...), fleet.Couriers...)
 }
 
@@ -208,11 +240,11 @@
 //
 //	fleet.Primary().Kill()
 func (fleet *Fleet) Primary() *NodeProcess {
-	for _, node := range fleet.Expediters {
+	for _, node := range fleet.Nodes() {
 		var ready struct {
 			Leads bool `json:"leads"`
 		}
-		if !node.Running() {
+		if node.Node.Kind != roster.Expediter || !node.Running() {
 			continue
 		}
 		if _, failure := node.ReadJSON("/v1/ready", &ready); failure == nil && ready.Leads {
@@ -259,6 +291,23 @@
 	return names
 }
 
+// ServersOf lists the stand-in servers of a district.
+//
+// Example:
+//
+//	names := fleet.ServersOf("harbour")
+func (fleet *Fleet) ServersOf(district string) []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	var names []string
+	for _, standIn := range fleet.standIns {
+		if standIn.plan.District == district {
+			names = append(names, standIn.plan.Name)
+		}
+	}
+	return names
+}
+
 // Server finds a stand-in by name.
 //
 // Example:
@@ -284,6 +333,9 @@
 	for _, node := range fleet.Nodes() {
 		node.Kill()
 	}
+	if fleet.Links != nil {
+		fleet.Links.Close()
+	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	for _, standIn := range fleet.standIns {
@@ -310,3 +362,44 @@
 	}
 	return text
 }
+
+// CoreIsWhole tells whether the primary has a backup, and each keeper seat is
+// held by a running expediter's present disk.
+//
+// Example:
+//
+//	whole := rehearsal.Await(20*time.Second, fleet.CoreIsWhole)
+func (fleet *Fleet) CoreIsWhole() bool {
+	primary := fleet.Primary()
+	if primary == nil {
+		return false
+	}
+	var status struct {
+		Backup  struct{ Name string }
+		Keepers []struct {
+			Name     string
+			Identity string
+		}
+		Incoming []struct{} `json:"incoming_keepers"`
+	}
+	if code, failure := primary.ReadJSON("/v1/status", &status); failure != nil || code != http.StatusOK {
+		return false
+	}
+	if status.Backup.Name == "" || len(status.Incoming) > 0 || len(status.Keepers) != 3 {
+		return false
+	}
+	for _, seat := range status.Keepers {
+		alive := false
+		for _, node := range fleet.Nodes() {
+			var ready struct{ Identity string }
+			if node.Node.Name == seat.Name && node.Running() {
+				_, failure := node.ReadJSON("/v1/ready", &ready)
+				alive = failure == nil && ready.Identity == seat.Identity
+			}
+		}
+		if !alive {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/rehearsal/fleet_test.go
+++ b/internal/rehearsal/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, failure)
 		os.Exit(1)
 	}
-	build := exec.Command("go", "build", "-race", "-o", folder+string(filepath.Separator), "seamloom.example/seamloom/cmd/courier", "seamloom.example/seamloom/cmd/expediter")
+	build := exec.Command("go", "build", "-race", "-o", folder+string(filepath.Separator), "seamloom.example/seamloom/cmd/courier", "seamloom.example/seamloom/cmd/expediter", "seamloom.example/seamloom/cmd/rehearsal")
 	build.Stderr = os.Stderr
 	if failure := build.Run(); failure != nil {
 		fmt.Fprintln(os.Stderr, failure)
@@ -73,6 +72,19 @@
 	return day
 }
 
+func named(test *testing.T, names ...string) []Fault {
+	test.Helper()
+	var chosen []Fault
+	for _, name := range names {
+		fault, found := FaultNamed(name)
+		if !found {
+			test.Fatalf("no fault %s", name)
+		}
+		chosen = append(chosen, fault)
+	}
+	return chosen
+}
+
 func wantClean(test *testing.T, verdict Verdict, floor float64) {
 	test.Helper()
 	test.Logf("\n%s", verdict)
@@ -87,7 +99,7 @@
 func TestDayOfSahilWithKills(test *testing.T) {
 	fleet := startFleet(test, Sahil(), nil)
 	day := openDay(test, fleet, 1)
-	verdict := day.Run(context.Background(), 28*time.Second, []Fault{KillCourier(), CrashServer(), KillPrimary()})
+	verdict := day.Run(context.Background(), 28*time.Second, named(test, "kill-courier", "crash-server", "kill-primary"))
 	wantClean(test, verdict, 0.85)
 	if again := fleet.Primary(); again == nil {
 		test.Error("no primary at the end of the day")
@@ -97,7 +109,7 @@
 func TestDayOfKochloeffelWithFreezesAndEvacuation(test *testing.T) {
 	fleet := startFleet(test, Kochloeffel(), nil)
 	day := openDay(test, fleet, 2)
-	verdict := day.Run(context.Background(), 40*time.Second, []Fault{Freeze("primary", 6*time.Second), EvacuateZone(), Freeze("courier", 6*time.Second)})
+	verdict := day.Run(context.Background(), 40*time.Second, named(test, "freeze-primary", "evacuate", "freeze-courier"))
 	wantClean(test, verdict, 0.75)
 	if evacuations := evacuationsIn(fleet.Book.Entries()); evacuations == 0 {
 		test.Error("no evacuation was accepted: the day shows nothing of it")
@@ -136,7 +148,7 @@
 			test.Fatal(failure)
 		}
 		// Whole again: three keepers, all of them disks that are there.
-		if !Await(25*time.Second, func() bool { return coreIsWhole(fleet) }) {
+		if !Await(25*time.Second, func() bool { return fleet.CoreIsWhole() }) {
 			test.Fatalf("round %d: the core is not whole again", round)
 		}
 	}
@@ -146,40 +158,3 @@
 		test.Errorf("%+v", finding)
 	}
 }
-
-// coreIsWhole tells whether the primary has a backup, and each keeper seat is
-// held by a running expediter's present disk.
-func coreIsWhole(fleet *Fleet) bool {
-	primary := fleet.Primary()
-	if primary == nil {
-		return false
-	}
-	var status struct {
-		Backup  struct{ Name string }
-		Keepers []struct {
-			Name     string
-			Identity string
-		}
-		Incoming []struct{} `json:"incoming_keepers"`
-	}
-	if code, failure := primary.ReadJSON("/v1/status", &status); failure != nil || code != http.StatusOK {
-		return false
-	}
-	if status.Backup.Name == "" || len(status.Incoming) > 0 || len(status.Keepers) != 3 {
-		return false
-	}
-	for _, seat := range status.Keepers {
-		alive := false
-		for _, node := range fleet.Expediters {
-			var ready struct{ Identity string }
-			if node.Node.Name == seat.Name && node.Running() {
-				_, failure := node.ReadJSON("/v1/ready", &ready)
-				alive = failure == nil && ready.Identity == seat.Identity
-			}
-		}
-		if !alive {
-			return false
-		}
-	}
-	return true
-}
--- /dev/null
+++ b/internal/rehearsal/links.go
@@ -0,0 +1,68 @@
+package rehearsal
+
+// Links are the relays between the nodes of a fleet, one for each direction in
+// which circuits are opened.
+type Links struct {
+	relays map[[2]string]*Relay
+}
+
+// LinkNodes puts a relay on every link between nodes. It is called before the
+// nodes begin; nodes that are added later are reached directly.
+//
+// Example:
+//
+//	failure := fleet.LinkNodes()
+func (fleet *Fleet) LinkNodes() error {
+	fleet.Links = &Links{relays: map[[2]string]*Relay{}}
+	for _, from := range fleet.Nodes() {
+		detours := map[string]string{}
+		for _, to := range fleet.Nodes() {
+			if from == to {
+				continue
+			}
+			relay, failure := StartRelay(to.Node.Address)
+			if failure != nil {
+				return failure
+			}
+			fleet.Links.relays[[2]string{from.Node.Name, to.Node.Name}] = relay
+			detours[to.Node.Address] = relay.Address()
+		}
+		from.Set("detours", detours)
+	}
+	return nil
+}
+
+// Each does something to every link that chosen picks.
+//
+// Example:
+//
+//	links.Each(func(from, to string) bool { return from == "courier-1" }, func(relay *rehearsal.Relay) { relay.SetDark(true) })
+func (links *Links) Each(chosen func(from, to string) bool, act func(relay *Relay)) {
+	for ends, relay := range links.relays {
+		if chosen(ends[0], ends[1]) {
+			act(relay)
+		}
+	}
+}
+
+// Heal ends all faults of all links.
+//
+// Example:
+//
+//	links.Heal()
+func (links *Links) Heal() {
+	links.Each(func(string, string) bool { return true }, func(relay *Relay) {
+		relay.SetDark(false)
+		relay.SetDelay(0)
+		relay.SetDuplicate(false)
+	})
+}
+
+// Close ends all relays.
+//
+// Example:
+//
+//	links.Close()
+func (links *Links) Close() {
+	links.Each(func(string, string) bool { return true }, func(relay *Relay) { relay.Close() })
+}
--- /dev/null
+++ b/internal/rehearsal/nodefaults.go
@@ -0,0 +1,49 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// NodeFaults is what a staged node reads from its faults file before each act
+// of its disk and each look at its wall clock.
+type NodeFaults struct {
+	// Disk is "", "slow", "stall", "full" or "damage".
+	Disk string `json:"disk"`
+	// Delay is how much longer a slow disk takes for each act.
+	Delay time.Duration `json:"delay"`
+	// Jump is added to the wall clock.
+	Jump time.Duration `json:"jump"`
+}
+
+// ReadNodeFaults reads a faults file; a missing one has no faults.
+//
+// Example:
+//
+//	faults := rehearsal.ReadNodeFaults("expediter-1.faults")
+func ReadNodeFaults(path string) NodeFaults {
+	var faults NodeFaults
+	if text, failure := os.ReadFile(path); failure == nil {
+		_ = json.Unmarshal(text, &faults)
+	}
+	return faults
+}
+
+// Write puts the faults into a file, whole at once.
+//
+// Example:
+//
+//	failure := rehearsal.NodeFaults{Disk: "full"}.Write("expediter-1.faults")
+func (faults NodeFaults) Write(path string) error {
+	text, failure := json.Marshal(faults)
+	if failure != nil {
+		return trouble.Wrap(trouble.Malformed, failure)
+	}
+	if failure := os.WriteFile(path+".new", text, 0o644); failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	return trouble.Wrap(trouble.Disk, os.Rename(path+".new", path))
+}
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -21,6 +21,7 @@
 	binary   string
 	folder   string
 	settings map[string]any
+	staged   bool
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -35,19 +36,18 @@
 //
 //	failure := node.Begin()
 func (node *NodeProcess) Begin() error {
-	text, failure := json.MarshalIndent(node.settings, "", "  ")
-	if failure != nil {
-		return trouble.Wrap(trouble.Malformed, failure)
-	}
-	settingsPath := filepath.Join(node.folder, node.Node.Name+".json")
-	if failure := os.WriteFile(settingsPath, text, 0o644); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if failure := node.WriteSettings(); failure != nil {
+		return failure
 	}
+	settingsPath := node.settingsPath()
 	logFile, failure := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if failure != nil {
 		return trouble.Wrap(trouble.Disk, failure)
 	}
 	command := exec.Command(node.binary, "serve", "--settings", settingsPath)
+	if node.staged {
+		command = exec.Command(filepath.Join(filepath.Dir(node.binary), "rehearsal"), "stage-"+string(node.Node.Kind), "--settings", settingsPath, "--faults", node.faultsPath())
+	}
 	command.Stdout, command.Stderr = logFile, logFile
 	// The node ends with the rehearsal, however that ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -67,6 +67,24 @@
 	return nil
 }
 
+func (node *NodeProcess) settingsPath() string {
+	return filepath.Join(node.folder, node.Node.Name+".json")
+}
+
+// WriteSettings writes the settings file, which a running process reads again
+// at SIGHUP.
+//
+// Example:
+//
+//	failure := node.WriteSettings()
+func (node *NodeProcess) WriteSettings() error {
+	text, failure := json.MarshalIndent(node.settings, "", "  ")
+	if failure != nil {
+		return trouble.Wrap(trouble.Malformed, failure)
+	}
+	return trouble.Wrap(trouble.Disk, os.WriteFile(node.settingsPath(), text, 0o644))
+}
+
 // LogPath is the file that the process logs to.
 //
 // Example:
@@ -76,6 +94,17 @@
 	return filepath.Join(node.folder, node.Node.Name+".log")
 }
 
+func (node *NodeProcess) faultsPath() string {
+	return filepath.Join(node.folder, node.Node.Name+".faults")
+}
+
+// SetFaults tells a staged node the faults of its disk and clock.
+//
+// Example:
+//
+//	node.SetFaults(rehearsal.NodeFaults{Disk: "stall"})
+func (node *NodeProcess) SetFaults(faults NodeFaults) error { return faults.Write(node.faultsPath()) }
+
 // Running tells whether the process has not ended.
 //
 // Example:
--- /dev/null
+++ b/internal/rehearsal/relay.go
@@ -0,0 +1,188 @@
+package rehearsal
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Relay is one faulty link: a loopback listener that carries circuits from one
+// node to another, and can go dark, delay, drop or duplicate what it carries.
+type Relay struct {
+	target   string
+	listener net.Listener
+
+	mutex     sync.Mutex
+	dark      bool
+	delay     time.Duration
+	duplicate bool
+	circuits  map[net.Conn]bool
+	changed   *sync.Cond
+}
+
+// StartRelay begins a relay towards an address.
+//
+// Example:
+//
+//	relay, failure := rehearsal.StartRelay("127.0.0.1:7101")
+func StartRelay(target string) (*Relay, error) {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	relay := &Relay{target: target, listener: listener, circuits: map[net.Conn]bool{}}
+	relay.changed = sync.NewCond(&relay.mutex)
+	go relay.accept()
+	return relay, nil
+}
+
+// Address is where the relay listens.
+//
+// Example:
+//
+//	detours[target] = relay.Address()
+func (relay *Relay) Address() string { return relay.listener.Addr().String() }
+
+// SetDark stops the link in silence: circuits stay open and carry nothing.
+//
+// Example:
+//
+//	relay.SetDark(true)
+func (relay *Relay) SetDark(dark bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.dark = dark
+	relay.changed.Broadcast()
+}
+
+// SetDelay holds everything back for a while.
+//
+// Example:
+//
+//	relay.SetDelay(200 * time.Millisecond)
+func (relay *Relay) SetDelay(delay time.Duration) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.delay = delay
+}
+
+// SetDuplicate sends every message of new circuits twice.
+//
+// Example:
+//
+//	relay.SetDuplicate(true)
+func (relay *Relay) SetDuplicate(duplicate bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.duplicate = duplicate
+}
+
+// Drop breaks every open circuit.
+//
+// Example:
+//
+//	relay.Drop()
+func (relay *Relay) Drop() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for circuit := range relay.circuits {
+		_ = circuit.Close()
+	}
+}
+
+// Close ends the relay.
+//
+// Example:
+//
+//	defer relay.Close()
+func (relay *Relay) Close() {
+	_ = relay.listener.Close()
+	relay.SetDark(false)
+	relay.Drop()
+}
+
+func (relay *Relay) accept() {
+	for {
+		caller, failure := relay.listener.Accept()
+		if failure != nil {
+			return
+		}
+		go relay.carry(caller)
+	}
+}
+
+func (relay *Relay) carry(caller net.Conn) {
+	relay.keep(caller, true)
+	defer relay.keep(caller, false)
+	if !relay.pass() {
+		return
+	}
+	target, failure := net.Dial("tcp", relay.target)
+	if failure != nil {
+		return
+	}
+	relay.keep(target, true)
+	defer relay.keep(target, false)
+	targets := []net.Conn{target}
+	relay.mutex.Lock()
+	duplicate := relay.duplicate
+	relay.mutex.Unlock()
+	if duplicate {
+		if second, failure := net.Dial("tcp", relay.target); failure == nil {
+			relay.keep(second, true)
+			defer relay.keep(second, false)
+			targets = append(targets, second)
+			go relay.copy(second, nil)
+		}
+	}
+	var both sync.WaitGroup
+	both.Go(func() { relay.copy(caller, targets); _ = target.Close() })
+	both.Go(func() { relay.copy(target, []net.Conn{caller}); _ = caller.Close() })
+	both.Wait()
+}
+
+func (relay *Relay) keep(circuit net.Conn, open bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if open {
+		relay.circuits[circuit] = true
+		return
+	}
+	delete(relay.circuits, circuit)
+	_ = circuit.Close()
+}
+
+// pass waits while the link is dark, and for its delay.
+func (relay *Relay) pass() bool {
+	relay.mutex.Lock()
+	for relay.dark {
+		relay.changed.Wait()
+	}
+	delay := relay.delay
+	relay.mutex.Unlock()
+	if delay > 0 {
+		timer := time.NewTimer(delay)
+		<-timer.C
+	}
+	return true
+}
+
+func (relay *Relay) copy(from net.Conn, to []net.Conn) {
+	chunk := make([]byte, 64<<10)
+	for {
+		count, failure := from.Read(chunk)
+		if count > 0 {
+			relay.pass()
+			for _, circuit := range to {
+				if _, failure := circuit.Write(chunk[:count]); failure != nil && circuit == to[0] {
+					return
+				}
+			}
+		}
+		if failure != nil {
+			return
+		}
+	}
+}
