--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -40,7 +41,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
 	if failure := root.Execute(); failure != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
 		os.Exit(1)
@@ -141,50 +142,10 @@
 	command.Flags().Float64Var(&chosen.once, "once", 0.3, "the share of inquiries that may not be repeated")
 	command.Flags().BoolVar(&chosen.asJSON, "json", false, "print the verdict as JSON")
 	command.RunE = func(*cobra.Command, []string) error {
-		var faults []rehearsal.Fault
-		for _, name := range strings.Split(chosen.faults, ",") {
-			if name == "" {
-				continue
-			}
-			fault, found := rehearsal.FaultNamed(name)
-			if !found {
-				return trouble.New(trouble.NoSuch, "no fault "+name)
-			}
-			chosen.linked = chosen.linked || fault.Links
-			chosen.staged = chosen.staged || fault.Staged
-			faults = append(faults, fault)
-		}
-		fleet, failure := chosen.start()
+		verdict, failure := chosen.run(os.Stderr)
 		if failure != nil {
 			return failure
 		}
-		defer fleet.Close()
-		day := rehearsal.NewDay(fleet, chosen.seed, os.Stderr)
-		day.Long, day.Short = chosen.long, chosen.short
-		day.Callers.Once = chosen.once
-		if failure := day.Open(); failure != nil {
-			return failure
-		}
-		lifetime, end := interrupted()
-		defer end()
-		verdict := day.Run(lifetime, chosen.length, faults)
-		if closing, found := rehearsal.FaultNamed(chosen.closing); found {
-			verdict = day.Close(lifetime, closing)
-		}
-		if failure := fleet.Book.Save(filepath.Join(chosen.folder, "book.jsonl")); failure != nil {
-			return failure
-		}
-		for _, node := range fleet.Expediters {
-			var status struct {
-				Batches int `json:"synced_batches"`
-				Changes int `json:"answered_changes"`
-			}
-			if primary := fleet.Primary(); primary == node {
-				if _, failure := node.ReadJSON("/v1/status", &status); failure == nil {
-					_, _ = fmt.Fprintf(os.Stderr, "the primary answered %d changes with %d synced batches\n", status.Changes, status.Batches)
-				}
-			}
-		}
 		if chosen.asJSON {
 			encoded, failure := json.MarshalIndent(verdict, "", "  ")
 			if failure != nil {
@@ -202,3 +163,50 @@
 	}
 	return command
 }
+
+// run starts a fleet, runs one day on it, and judges its book.
+func (chosen *plan) run(log io.Writer) (rehearsal.Verdict, error) {
+	var verdict rehearsal.Verdict
+	var faults []rehearsal.Fault
+	for _, name := range strings.Split(chosen.faults, ",") {
+		if name == "" {
+			continue
+		}
+		fault, found := rehearsal.FaultNamed(name)
+		if !found {
+			return verdict, trouble.New(trouble.NoSuch, "no fault "+name)
+		}
+		faults = append(faults, fault)
+	}
+	closing, closes := rehearsal.FaultNamed(chosen.closing)
+	if chosen.closing != "" && !closes {
+		return verdict, trouble.New(trouble.NoSuch, "no fault "+chosen.closing)
+	}
+	for _, fault := range append([]rehearsal.Fault{closing}, faults...) {
+		chosen.linked = chosen.linked || fault.Links
+		chosen.staged = chosen.staged || fault.Staged
+	}
+	fleet, failure := chosen.start()
+	if failure != nil {
+		return verdict, failure
+	}
+	defer fleet.Close()
+	day := rehearsal.NewDay(fleet, chosen.seed, log)
+	day.Long, day.Short = chosen.long, chosen.short
+	day.Callers.Once = chosen.once
+	if failure := day.Open(); failure != nil {
+		return verdict, failure
+	}
+	lifetime, end := interrupted()
+	defer end()
+	verdict = day.Run(lifetime, chosen.length, faults)
+	if closes {
+		verdict = day.Close(lifetime, closing)
+	}
+	if primary := fleet.Primary(); primary != nil {
+		_, _ = fmt.Fprintf(log, "the primary answered %d changes with %d synced versions; %d configurations and %d bytes of news went out in %d answers\n",
+			primary.Metric("seamloom_answered_changes_total"), primary.Metric("seamloom_synced_batches_total"), primary.Metric("seamloom_configurations_sent_total"),
+			primary.Metric("seamloom_news_drawer_bytes_total"), primary.Metric("seamloom_news_answers_total"))
+	}
+	return verdict, fleet.Book.Save(filepath.Join(chosen.folder, "book.jsonl"))
+}
--- a/internal/adapters/expediter/hotline.go
+++ b/internal/adapters/expediter/hotline.go
@@ -172,10 +172,22 @@
 		if latest == nil || !process.steward.Holds() {
 			return follower.NewsAnswer{Charter: process.steward.Charter()}, nil
 		}
+		process.count(answer)
 		return answer, nil
 	}
 }
 
+// count adds an answer's drawers to what news has cost.
+func (process *Process) count(answer follower.NewsAnswer) {
+	process.newsAnswers.Add(1)
+	for name, drawer := range answer.Drawers {
+		process.newsBytes.Add(uint64(len(drawer.Content)))
+		if name == larder.MenuDrawer {
+			process.menusSent.Add(1)
+		}
+	}
+}
+
 func newer(view *larder.View, have map[string]larder.Version) map[string]larder.Drawer {
 	drawers := map[string]larder.Drawer{}
 	for _, name := range followedDrawers {
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -492,7 +492,9 @@
 		name  string
 		value uint64
 	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.steward.Charter().Epoch}, {"seamloom_copy_number", version.Number},
-		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes}} {
+		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
+		{"seamloom_news_answers_total", process.newsAnswers.Load()}, {"seamloom_news_drawer_bytes_total", process.newsBytes.Load()},
+		{"seamloom_configurations_sent_total", process.menusSent.Load()}} {
 		_, _ = io.WriteString(writer, line.name+" "+strconv.FormatUint(line.value, 10)+"\n")
 	}
 }
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,6 +31,9 @@
 
 // Process is one expediter.
 type Process struct {
+	newsAnswers     atomic.Uint64
+	newsBytes       atomic.Uint64
+	menusSent       atomic.Uint64
 	tomb            tomb.Tomb
 	lifetime        context.Context
 	logger          *log.Logger
--- a/internal/adapters/follower/follower.go
+++ b/internal/adapters/follower/follower.go
@@ -45,9 +45,12 @@
 
 const (
 	// newsWait is how long the primary holds a question back without news.
-	newsWait = 700 * time.Millisecond
+	newsWait = 600 * time.Millisecond
 	// newsPatience is how long one question may take altogether.
-	newsPatience = 1400 * time.Millisecond
+	newsPatience = 1200 * time.Millisecond
+	// searchPatience is how long each address may take while the primary is
+	// looked for. It leaves room for a registration's sync.
+	searchPatience = 500 * time.Millisecond
 	// retryPause is the pause after a round in which nobody led.
 	retryPause = 80 * time.Millisecond
 	// darkTime is how long an address that did not answer is asked last.
@@ -129,7 +132,8 @@
 	for lifetime.Err() == nil {
 		asked := follower.clock.Now()
 		var answer NewsAnswer
-		if failure := follower.Ask(lifetime, NewsPath, follower.question(), &answer, newsPatience); failure == nil {
+		question, patience := follower.question()
+		if failure := follower.Ask(lifetime, NewsPath, question, &answer, patience); failure == nil {
 			follower.takeAnswer(asked, answer)
 			continue
 		}
@@ -142,14 +146,22 @@
 	}
 }
 
-func (follower *Follower) question() NewsQuestion {
+// question asks a primary that is known to hold it back until there is news;
+// one that is still looked for is to answer at once, so that those who are dark
+// cost little time.
+func (follower *Follower) question() (NewsQuestion, time.Duration) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	have := map[string]larder.Version{}
 	for name, drawer := range follower.drawers {
 		have[name] = drawer.Version
 	}
-	return NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Patience: newsWait}
+	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce()}
+	if follower.primary == "" {
+		return question, searchPatience
+	}
+	question.Patience = newsWait
+	return question, newsPatience
 }
 
 func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) {
--- a/internal/rehearsal/days_test.go
+++ b/internal/rehearsal/days_test.go
@@ -76,6 +76,37 @@
 	}
 }
 
+// TestReadsMendTheCopyThatIsOut stops the expediter that is neither primary nor
+// backup, changes the configuration, and wants its copy mended soon after it is
+// back: by the reads of operators, with the sweep five seconds away at most.
+func TestReadsMendTheCopyThatIsOut(test *testing.T) {
+	fleet := startFleet(test, Sahil(), nil)
+	day := openDay(test, fleet, 34)
+	if !Await(15*time.Second, fleet.CoreIsWhole) {
+		test.Fatal("the core is not whole")
+	}
+	primary, backup := fleet.Primary(), day.seat("backup")
+	var third *NodeProcess
+	for _, node := range fleet.Expediters {
+		if node != primary && node != backup {
+			third = node
+		}
+	}
+	third.Kill()
+	if !Await(10*time.Second, day.NextEdition) {
+		test.Fatal("no edition was accepted")
+	}
+	if failure := third.Begin(); failure != nil {
+		test.Fatal(failure)
+	}
+	if !Await(15*time.Second, func() bool {
+		day.Operators.ReadEdition(primary)
+		return third.Metric("seamloom_copy_number") >= primary.Metric("seamloom_copy_number")-3 && third.Metric("seamloom_copy_number") > 0
+	}) {
+		test.Errorf("the third copy is at %d, the primary at %d", third.Metric("seamloom_copy_number"), primary.Metric("seamloom_copy_number"))
+	}
+}
+
 // TestEveryFaultOfTheBriefHasANameAndRuns wants no fault without a body.
 func TestEveryFaultOfTheBriefHasANameAndRuns(test *testing.T) {
 	for _, name := range FaultNames() {
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -1,11 +1,13 @@
 package rehearsal
 
 import (
+	"bufio"
 	"encoding/json"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -224,3 +226,26 @@
 	defer func() { _ = inbound.Body.Close() }()
 	return inbound.StatusCode, trouble.Wrap(trouble.Garbage, json.NewDecoder(inbound.Body).Decode(target))
 }
+
+// Metric reads one of the process's metrics; -1 when it can't be had.
+//
+// Example:
+//
+//	batches := node.Metric("seamloom_synced_batches_total")
+func (node *NodeProcess) Metric(name string) int {
+	inbound, failure := probe.Get("http://" + node.Node.Address + "/v1/metrics")
+	if failure != nil {
+		return -1
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	lines := bufio.NewScanner(inbound.Body)
+	for lines.Scan() {
+		if value, found := strings.CutPrefix(lines.Text(), name+" "); found {
+			number, failure := strconv.Atoi(value)
+			if failure == nil {
+				return number
+			}
+		}
+	}
+	return -1
+}
