--- a/cmd/expediter/operator.go
+++ b/cmd/expediter/operator.go
@@ -75,7 +75,7 @@
 		}
 		return operator.call(http.MethodGet, "/v1/flags", query, nil)
 	})
-	return []*cobra.Command{get, status, put, patch, evacuate, restore, change, retire, flags}
+	return []*cobra.Command{get, status, put, patch, evacuate, restore, change, retire, flags, usageCommand()}
 }
 
 func newChange() url.Values { return url.Values{"change": {uuid.NewString()}} }
--- /dev/null
+++ b/cmd/expediter/usage.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/adapters/usage"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// usageCommand gathers every running courier's ledger into one file.
+func usageCommand() *cobra.Command {
+	command := subcommand("usage FILE", "export usage of all running couriers as CSV or Parquet", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
+		format, _ := command.Flags().GetString("format")
+		write := usage.WriteCSV
+		switch format {
+		case "csv":
+		case "parquet":
+			write = usage.WriteParquet
+		default:
+			return trouble.At(trouble.OutOfRange, "format", "is csv or parquet, not \""+format+"\"")
+		}
+		rows, failure := operator.usage()
+		if failure != nil {
+			return failure
+		}
+		file, failure := os.Create(arguments[0])
+		if failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+		if failure := write(file, rows); failure != nil {
+			_ = file.Close()
+			return failure
+		}
+		return trouble.Wrap(trouble.Disk, file.Close())
+	})
+	command.Flags().String("format", "csv", "csv or parquet")
+	return command
+}
+
+func (operator *operator) usage() ([]usage.Row, error) {
+	answered, failure := operator.ask(http.MethodGet, "/v1/status", nil, nil)
+	if failure != nil {
+		return nil, failure
+	}
+	if answered.status != http.StatusOK {
+		return nil, operator.show(answered)
+	}
+	var status struct {
+		Members map[string]struct {
+			Kind    string `json:"kind"`
+			Address string `json:"address"`
+			Running bool   `json:"running"`
+		} `json:"members"`
+	}
+	if failure := json.Unmarshal(answered.body, &status); failure != nil {
+		return nil, trouble.Wrap(trouble.Garbage, failure)
+	}
+	var all []usage.Row
+	for name, member := range status.Members {
+		if member.Kind != "courier" || !member.Running {
+			continue
+		}
+		inbound, failure := operator.client.Get("http://" + member.Address + "/v1/usage")
+		if failure != nil {
+			printed(name + " did not tell its usage: " + failure.Error())
+			continue
+		}
+		var rows []usage.Row
+		failure = json.NewDecoder(inbound.Body).Decode(&rows)
+		_ = inbound.Body.Close()
+		if failure != nil {
+			return nil, trouble.Wrap(trouble.Garbage, failure)
+		}
+		all = append(all, rows...)
+	}
+	usage.Sort(all)
+	return all, nil
+}
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -14,6 +14,7 @@
 
 	"seamloom.example/seamloom/internal/adapters/follower"
 	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/usage"
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
@@ -31,6 +32,9 @@
 	})
 	mux.HandleFunc(pat.Get("/v1/inquiries/:id"), process.getTrace)
 	mux.HandleFunc(pat.Get("/v1/health"), func(writer http.ResponseWriter, _ *http.Request) { answer(writer, http.StatusOK, ReplyLine{}) })
+	mux.HandleFunc(pat.Get("/v1/usage"), func(writer http.ResponseWriter, _ *http.Request) {
+		answerJSON(writer, http.StatusOK, process.ledger.Rows())
+	})
 	mux.HandleFunc(pat.Get("/v1/ready"), process.getReady)
 	mux.HandleFunc(pat.Get("/v1/metrics"), process.getMetrics)
 	mux.Handle(pat.Post(follower.RelayPath), hotline.Answerer(func(lifetime context.Context, question follower.RelayQuestion) ([]byte, error) {
@@ -135,6 +139,8 @@
 			_ = flusher.Flush()
 			continue
 		}
+		process.ledger.Note(process.clock.Wall(), usage.Row{Courier: process.chosen.Name, Service: inquiry.Service, Origin: inquiry.Origin,
+			Final: string(decision.Final), PromptTokens: int64(inquiry.PromptTokens), Pieces: int64(decision.Pieces)})
 		if decision.Pieces > 0 {
 			_, _ = writer.Write(line.encode())
 			return
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -21,6 +21,7 @@
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/usage"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/pass"
@@ -44,6 +45,7 @@
 	supported recipe.List
 	server    *http.Server
 	journal   *journal
+	ledger    *usage.Ledger
 	passing   *http.Client
 
 	mutex   sync.Mutex
@@ -78,7 +80,7 @@
 		stove: stove.New(hotline.Transport(chosen.Detours)), reports: stove.New(hotline.Transport(chosen.Detours)),
 		core: seamloom.New(seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 			Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}),
-		passing: &http.Client{Transport: hotline.Transport(chosen.Detours)}, journal: newJournal(), streams: map[string]*stream{}, running: map[string]context.CancelFunc{},
+		passing: &http.Client{Transport: hotline.Transport(chosen.Detours)}, journal: newJournal(), ledger: usage.NewLedger(), streams: map[string]*stream{}, running: map[string]context.CancelFunc{},
 		members: map[string]roster.Member{}, watched: map[string]context.CancelFunc{}}
 	process.lifetime = process.tomb.Context(context.Background())
 	member := roster.Member{Name: chosen.Name, Kind: roster.Courier, Address: chosen.Address, District: chosen.District, Supported: supported}
--- /dev/null
+++ b/internal/adapters/usage/export.go
@@ -0,0 +1,43 @@
+package usage
+
+import (
+	"encoding/csv"
+	"io"
+	"strconv"
+
+	"github.com/parquet-go/parquet-go"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Columns are the names of a row's fields, in order, in both formats.
+var Columns = []string{"minute", "courier", "service", "origin", "final", "inquiries", "prompt_tokens", "pieces"}
+
+// WriteCSV writes rows with a line of names first.
+//
+// Example:
+//
+//	failure := usage.WriteCSV(file, rows)
+func WriteCSV(target io.Writer, rows []Row) error {
+	writer := csv.NewWriter(target)
+	if failure := writer.Write(Columns); failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	for _, row := range rows {
+		if failure := writer.Write([]string{row.Minute, row.Courier, row.Service, row.Origin, row.Final, strconv.FormatInt(row.Inquiries, 10),
+			strconv.FormatInt(row.PromptTokens, 10), strconv.FormatInt(row.Pieces, 10)}); failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+	}
+	writer.Flush()
+	return trouble.Wrap(trouble.Disk, writer.Error())
+}
+
+// WriteParquet writes rows with their schema.
+//
+// Example:
+//
+//	failure := usage.WriteParquet(file, rows)
+func WriteParquet(target io.Writer, rows []Row) error {
+	return trouble.Wrap(trouble.Disk, parquet.Write(target, rows))
+}
--- /dev/null
+++ b/internal/adapters/usage/ledger.go
@@ -0,0 +1,89 @@
+package usage
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// MostRows bounds a courier's ledger; past it the oldest minutes are dropped.
+const MostRows = 50_000
+
+// Ledger is one courier's usage, in memory: it ends with the process.
+type Ledger struct {
+	mutex sync.Mutex
+	rows  map[Row]*Row
+}
+
+// NewLedger starts an empty ledger.
+//
+// Example:
+//
+//	ledger := usage.NewLedger()
+func NewLedger() *Ledger { return &Ledger{rows: map[Row]*Row{}} }
+
+// Note adds one inquiry that has ended.
+//
+// Example:
+//
+//	ledger.Note(now, usage.Row{Courier: "courier-1", Service: "chat", Final: "complete", PromptTokens: 80, Pieces: 12})
+func (ledger *Ledger) Note(now time.Time, ended Row) {
+	ended.Minute = now.UTC().Truncate(time.Minute).Format(time.RFC3339)
+	key := Row{Minute: ended.Minute, Courier: ended.Courier, Service: ended.Service, Origin: ended.Origin, Final: ended.Final}
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	row, found := ledger.rows[key]
+	if !found {
+		if len(ledger.rows) >= MostRows {
+			ledger.dropOldest()
+		}
+		fresh := key
+		row = &fresh
+		ledger.rows[key] = row
+	}
+	row.Inquiries++
+	row.PromptTokens += ended.PromptTokens
+	row.Pieces += ended.Pieces
+}
+
+func (ledger *Ledger) dropOldest() {
+	oldest := ""
+	for key := range ledger.rows {
+		if oldest == "" || key.Minute < oldest {
+			oldest = key.Minute
+		}
+	}
+	for key := range ledger.rows {
+		if key.Minute == oldest {
+			delete(ledger.rows, key)
+		}
+	}
+}
+
+// Rows lists the ledger in order.
+//
+// Example:
+//
+//	rows := ledger.Rows()
+func (ledger *Ledger) Rows() []Row {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	rows := make([]Row, 0, len(ledger.rows))
+	for _, row := range ledger.rows {
+		rows = append(rows, *row)
+	}
+	Sort(rows)
+	return rows
+}
+
+// Sort orders rows by minute, courier, service, origin and end.
+//
+// Example:
+//
+//	usage.Sort(rows)
+func Sort(rows []Row) {
+	name := func(row Row) string {
+		return row.Minute + "\x00" + row.Courier + "\x00" + row.Service + "\x00" + row.Origin + "\x00" + row.Final
+	}
+	sort.Slice(rows, func(left, right int) bool { return name(rows[left]) < name(rows[right]) })
+}
--- /dev/null
+++ b/internal/adapters/usage/row.go
@@ -0,0 +1,15 @@
+// Package usage counts what was used, and writes it as CSV or Parquet.
+package usage
+
+// Row is the usage of one service by one origin in one minute, at one courier,
+// by how the replies ended. Its tags are the schema of both formats.
+type Row struct {
+	Minute       string `json:"minute" parquet:"minute"`
+	Courier      string `json:"courier" parquet:"courier,dict"`
+	Service      string `json:"service" parquet:"service,dict"`
+	Origin       string `json:"origin" parquet:"origin,dict"`
+	Final        string `json:"final" parquet:"final,dict"`
+	Inquiries    int64  `json:"inquiries" parquet:"inquiries"`
+	PromptTokens int64  `json:"prompt_tokens" parquet:"prompt_tokens"`
+	Pieces       int64  `json:"pieces" parquet:"pieces"`
+}
