--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -236,12 +236,18 @@
 	if change == "" {
 		change = uuid.NewString()
 	}
-	current, _, failure := process.ruling()
+	current, view, failure := process.ruling()
 	if failure != nil {
 		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
 		return
 	}
-	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, expected, func(text []byte) ([]byte, error) { return edit(text, body) }), changePatience)
+	editText := func(text []byte) ([]byte, error) { return edit(text, body) }
+	drawer, found := view.Drawers[larder.MenuDrawer]
+	if !found {
+		drawer.Content = menu.Empty().Text
+	}
+	prepared := larder.PrepareMenu(drawer.Version, drawer.Content, editText)
+	version, failure := process.submit(inbound.Context(), larder.ChangePreparedMenu(change, expected, prepared, editText), changePatience)
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
 		return
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -21,6 +21,17 @@
 //
 //	store.Submit(larder.ChangeMenu("change-1", &expected, edit), done)
 func ChangeMenu(id string, expected *Version, edit func(text []byte) ([]byte, error)) Change {
+	return ChangePreparedMenu(id, expected, PreparedMenu{}, edit)
+}
+
+// ChangePreparedMenu is ChangeMenu with the edit of one version made already,
+// so that a large configuration is not checked in the changes' turn.
+//
+// Example:
+//
+//	prepared := larder.PrepareMenu(menuVersion, text, edit)
+//	store.Submit(larder.ChangePreparedMenu("change-1", nil, prepared, edit), done)
+func ChangePreparedMenu(id string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
 	return func(state *State, version, menuVersion Version) error {
 		for _, note := range state.Changes {
 			if id != "" && note.ID == id {
@@ -30,14 +41,13 @@
 		if expected != nil && *expected != menuVersion {
 			return trouble.New(trouble.VersionConflict, menuVersion.String())
 		}
-		text, failure := edit(state.Menu)
-		if failure != nil {
-			return failure
+		if !prepared.made || prepared.base != menuVersion {
+			prepared = PrepareMenu(menuVersion, state.Menu, edit)
 		}
-		if _, failure := menu.Check(text); failure != nil {
-			return failure
+		if prepared.failure != nil {
+			return prepared.failure
 		}
-		state.Menu = text
+		state.Menu = prepared.text
 		state.Touch(MenuDrawer)
 		if id != "" {
 			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version})
