--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
