Market: couriers share what a report shows; a lost hand-over costs two tries

Cause: under twice the load each of seven couriers took the whole room that a report showed, and a run after a lost hand-over was paid as one extra try.

--- a/core.go
+++ b/core.go
@@ -87,6 +87,8 @@
 		return core.desk.Decoded(event.At, event.ID, event.Run, event.Outcome, event.Piece)
 	case pass.OriginLeft:
 		return core.desk.Leave(event.At, event.ID)
+	case pass.CouriersCounted:
+		core.market.SetCouriers(int(event.Number))
 	case pass.DrainStarted:
 		core.desk.Drain()
 	}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -204,6 +204,13 @@
 		process.mutex.Lock()
 		process.members = state.Members
 		process.mutex.Unlock()
+		couriers := uint64(0)
+		for _, member := range state.Members {
+			if member.Kind == roster.Courier {
+				couriers++
+			}
+		}
+		process.apply(pass.Event{Kind: pass.CouriersCounted, Number: couriers})
 		process.setNeighbours()
 	}
 	if news.Answer.Hold > 0 {
--- a/internal/pass/budget.go
+++ b/internal/pass/budget.go
@@ -28,19 +28,19 @@
 	budget.spare = min(budget.spare+1, mostSpare)
 }
 
-// Extra spends one extra try, if there is one.
+// Extra spends so many extra tries, if there are as many.
 //
 // Example:
 //
-//	if !budget.Extra() { return trouble.BudgetSpent }
-func (budget *Budget) Extra() bool {
+//	if !budget.Extra(1) { return trouble.BudgetSpent }
+func (budget *Budget) Extra(count int) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
-	if budget.spare < triesShare {
+	if budget.spare < count*triesShare {
 		return false
 	}
-	budget.spare -= triesShare
-	budget.extra++
+	budget.spare -= count * triesShare
+	budget.extra += count
 	return true
 }
 
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -263,9 +263,14 @@
 	if entry.dispatches == 0 {
 		desk.budget.First()
 	} else {
-		if entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra() {
+		cost := 1
+		if entry.answering {
+			cost = 2
+		}
+		if entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(cost) {
 			return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
 		}
+		entry.answering = false
 		decisions = append(decisions, Decision{Kind: NoteRetry, ID: inquiry.ID, Run: entry.run + 1})
 	}
 	entry.dispatches++
@@ -325,7 +330,7 @@
 		}
 		return desk.giveUp(now, shard, entry, trouble.Busy)
 	}
-	if extra && (entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra()) {
+	if extra && (entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(1)) {
 		return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
 	}
 	var decisions []Decision
@@ -333,7 +338,7 @@
 		entry.dispatches++
 		decisions = append(decisions, Decision{Kind: NoteRetry, ID: inquiry.ID, Run: entry.run})
 	}
-	entry.bid, entry.stage = bid, decoding
+	entry.bid, entry.stage, entry.answering = bid, decoding, true
 	desk.market.Take(bid, inquiry)
 	entry.patience = now.Add(leastPatience + 4*bid.HandOver)
 	return append(decisions, Decision{Kind: DispatchDecode, ID: inquiry.ID, Run: entry.run, Inquiry: inquiry, NotAfter: earlier(inquiry.Limit, holdEnds),
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -153,6 +153,42 @@
 	}
 }
 
+// TestARunAfterALostHandOverCostsTwoTries: it asks a prefill and a decode server
+// again.
+func TestARunAfterALostHandOverCostsTwoTries(test *testing.T) {
+	desk := newTestDesk(test)
+	earn(desk)
+	arrive(desk, noon, "one", true)
+	desk.Prefilled(noon, "one", 1, Done, "handle")
+	if find(desk.Decoded(noon, "one", 1, Lapsed, 0), DispatchPrefill) == nil {
+		test.Fatal("a lapsed handle was not made anew")
+	}
+	if _, extra := desk.budget.Counts(); extra != 2 {
+		test.Errorf("the run cost %d tries", extra)
+	}
+}
+
+// TestCouriersShareAColdServersRoom: what seven couriers may send to a cold
+// server between two reports stays within its room.
+func TestCouriersShareAColdServersRoom(test *testing.T) {
+	sent := 0
+	for courier := range 7 {
+		desk := newTestDesk(test)
+		desk.market.SetCouriers(7)
+		desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
+		desk.market.Report(noon, Load{Server: "p1", Part: Prefill, Age: time.Second, PrefillRate: 20_000, PrefillRoom: 12, LinkRate: 400_000})
+		desk.market.Report(noon, Load{Server: "d1", Part: Decode, Age: time.Hour, DecodeSlots: 100, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
+		for number := range 10 {
+			if find(arrive(desk, noon, fmt.Sprint(courier, "/", number), true), DispatchPrefill) != nil {
+				sent++
+			}
+		}
+	}
+	if sent == 0 || sent > 8 {
+		test.Errorf("seven couriers sent %d prompts to a server one second old", sent)
+	}
+}
+
 func TestConfigurationInForceNeverGoesBack(test *testing.T) {
 	desk := newTestDesk(test)
 	if !configure(test, desk, 5, `{"services":{},"routes":{}}`) {
--- a/internal/pass/eventkind.go
+++ b/internal/pass/eventkind.go
@@ -19,4 +19,5 @@
 	DecodeEnded     EventKind = "decode_ended"
 	OriginLeft      EventKind = "origin_left"
 	DrainStarted    EventKind = "drain_started"
+	CouriersCounted EventKind = "couriers_counted"
 )
--- a/internal/pass/market.go
+++ b/internal/pass/market.go
@@ -19,6 +19,7 @@
 	courier  string
 	district string
 	plain    bool
+	couriers atomic.Int64
 }
 
 type board struct {
@@ -39,6 +40,24 @@
 	return market
 }
 
+// SetCouriers tells how many couriers share the servers.
+//
+// Example:
+//
+//	market.SetCouriers(7)
+func (market *Market) SetCouriers(count int) { market.couriers.Store(int64(count)) }
+
+// share is how much of the room left this courier may fill before it sees the
+// next report: twice its own part, since not all others come at once; of a cold
+// server only its own part; but one at least.
+func (market *Market) share(left, warmth float64) int64 {
+	couriers := max(1, market.couriers.Load())
+	if couriers == 1 {
+		return int64(left)
+	}
+	return max(1, int64(left*(1+warmth*warmth)/float64(couriers)))
+}
+
 // List takes the platform's server list.
 //
 // Example:
@@ -184,13 +203,19 @@
 		return 0, false
 	}
 	warmth := current.warmth(now)
-	waiting := current.load.PrefillWaiting + int(current.prefills.Load())
-	if float64(waiting) >= max(1, float64(current.load.PrefillRoom)*warmth) {
+	// What was read since the report has left the queue; of a cold server that
+	// is not counted on.
+	queued := float64(current.load.PrefillQueueTokens) + float64(current.prefillTokens.Load())
+	still := 1.0
+	if queued > 0 && warmth == 1 {
+		still = max(0, 1-now.Sub(current.at).Seconds()*float64(current.load.PrefillRate)/queued)
+	}
+	left := max(1, float64(current.load.PrefillRoom)*warmth) - still*float64(current.load.PrefillWaiting)
+	if left < 1 || int64(still*float64(current.prefills.Load())) >= market.share(left, warmth) {
 		return 0, false
 	}
 	uncached := inquiry.PromptTokens - min(inquiry.PrefixTokens, current.load.Prefixes[inquiry.Prefix])
-	queued := current.load.PrefillQueueTokens + int(current.prefillTokens.Load())
-	ask := seconds(queued+max(uncached, 1), current.load.PrefillRate)
+	ask := seconds(int(still*queued)+max(uncached, 1), current.load.PrefillRate)
 	ask = time.Duration(float64(ask) / warmth)
 	if ruling.HomeFirst && stall.server.District != market.district {
 		ask += crossing
@@ -204,10 +229,16 @@
 		return 0, 0, false
 	}
 	warmth := current.warmth(now)
-	busy := current.load.DecodeActive + int(current.decodes.Load()+decode.promised.Load())
+	mine := current.decodes.Load() + decode.promised.Load()
+	busy := current.load.DecodeActive + int(mine)
 	slots := max(1, int(float64(current.load.DecodeSlots)*warmth))
+	left := float64(slots - current.load.DecodeActive)
 	need := inquiry.PromptTokens + inquiry.Pieces
-	if busy >= slots || current.load.MemoryFree-int(current.memory.Load()) < need {
+	full := busy >= slots
+	if warmth < 1 {
+		full = left < 1 || mine >= market.share(left, warmth)
+	}
+	if full || current.load.MemoryFree-int(current.memory.Load()) < need {
 		return 0, 0, false
 	}
 	rate := current.load.LinkRate
--- a/internal/pass/ticket.go
+++ b/internal/pass/ticket.go
@@ -12,6 +12,8 @@
 	reserved   bool
 	tried      map[string]bool
 	dispatches int
+	// answering tells that a decode server was asked: a further run asks again.
+	answering  bool
 	started    bool
 	everRan    bool
 	handle     string
