--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -19,6 +19,7 @@
 	"seamloom.example/seamloom/internal/adapters/expediter"
 	"seamloom.example/seamloom/internal/adapters/follower"
 	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/stove"
 	"seamloom.example/seamloom/internal/adapters/usage"
@@ -96,29 +97,14 @@
 		}
 		return nil
 	})
-	process.every(platformPause, process.readPlatform)
-	process.every(tickPause, func() { process.apply(pass.Event{Kind: pass.Ticked}) })
-	process.every(crumbsPause, process.dropCrumbs)
+	program.Every(&process.tomb, platformPause, process.readPlatform)
+	program.Every(&process.tomb, tickPause, func() { process.apply(pass.Event{Kind: pass.Ticked}) })
+	program.Every(&process.tomb, crumbsPause, process.dropCrumbs)
 	process.tomb.Go(func() error { process.followed.Run(process.lifetime); return nil })
 	logger.Info("listening", "address", chosen.Address, "supported", supported)
 	return process, nil
 }
 
-func (process *Process) every(pause time.Duration, task func()) {
-	process.tomb.Go(func() error {
-		ticker := time.NewTicker(pause)
-		defer ticker.Stop()
-		for {
-			task()
-			select {
-			case <-process.tomb.Dying():
-				return nil
-			case <-ticker.C:
-			}
-		}
-	})
-}
-
 // Drain stops letting in, waits for what runs until the patience ends, and
 // ends the process.
 //
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -454,8 +454,13 @@
 	process.mutex.Lock()
 	servers := process.servers
 	process.mutex.Unlock()
+	holds := map[string]int64{}
+	for name, age := range live {
+		holds[name] = age.Milliseconds()
+	}
 	answerJSON(writer, http.StatusOK, map[string]any{
-		"servers": servers, "claims_horizon": process.horizon(view),
+		"holds_live_milliseconds": holds,
+		"servers":                 servers, "claims_horizon": process.horizon(view),
 		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
 		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -20,6 +20,7 @@
 	"seamloom.example/seamloom/internal/adapters/follower"
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/larder"
@@ -125,10 +126,10 @@
 		}
 		return nil
 	})
-	process.every(150*time.Millisecond, process.tick)
-	process.every(300*time.Millisecond, process.housekeeping)
-	process.every(500*time.Millisecond, process.readPlatform)
-	process.every(sweepPause, process.sweep)
+	program.Every(&process.tomb, 150*time.Millisecond, process.tick)
+	program.Every(&process.tomb, 300*time.Millisecond, process.housekeeping)
+	program.Every(&process.tomb, 500*time.Millisecond, process.readPlatform)
+	program.Every(&process.tomb, sweepPause, process.sweep)
 	process.tomb.Go(process.commit)
 	process.tomb.Go(func() error { process.followed.Run(process.lifetime); return nil })
 	logger.Info("listening", "address", chosen.Address, "identity", string(keeper.Seat().Identity), "blank", blank)
@@ -148,22 +149,6 @@
 
 func (process *Process) observe(event string, detail ...any) { process.logger.Info(event, detail...) }
 
-// every runs a task over and over until the process ends.
-func (process *Process) every(pause time.Duration, task func()) {
-	process.tomb.Go(func() error {
-		ticker := time.NewTicker(pause)
-		defer ticker.Stop()
-		for {
-			task()
-			select {
-			case <-process.tomb.Dying():
-				return nil
-			case <-ticker.C:
-			}
-		}
-	})
-}
-
 // Stop hands over, if this is the primary, and ends the process. What was not
 // answered yet has no known outcome.
 //
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -8,10 +8,12 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
 	"go.uber.org/multierr"
+	"gopkg.in/tomb.v2"
 
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/roster"
@@ -138,3 +140,23 @@
 		}
 	}
 }
+
+// Every runs a task over and over, with a pause between, until the tomb dies.
+//
+// Example:
+//
+//	program.Every(&process.tomb, time.Second, process.sweep)
+func Every(owner *tomb.Tomb, pause time.Duration, task func()) {
+	owner.Go(func() error {
+		ticker := time.NewTicker(pause)
+		defer ticker.Stop()
+		for {
+			task()
+			select {
+			case <-owner.Dying():
+				return nil
+			case <-ticker.C:
+			}
+		}
+	})
+}
--- a/internal/rehearsal/callers.go
+++ b/internal/rehearsal/callers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/adapters/courier"
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -89,12 +90,7 @@
 }
 
 func (callers *Callers) pick() *NodeProcess {
-	var running []*NodeProcess
-	for _, node := range callers.fleet.Couriers {
-		if node.Running() {
-			running = append(running, node)
-		}
-	}
+	running := callers.fleet.Running(roster.Courier)
 	if len(running) == 0 {
 		return nil
 	}
--- a/internal/rehearsal/checkers.go
+++ b/internal/rehearsal/checkers.go
@@ -127,56 +127,39 @@
 // checkLeaving: no work is asked of a server long after the platform showed it
 // leaving.
 func checkLeaving(entries []Entry) Finding {
-	finding := Finding{Checker: "no new work for a leaving server", Limit: leavingLimit.String()}
-	left := map[string]time.Time{}
-	var worst time.Duration
-	for _, entry := range entries {
-		switch entry.Kind {
-		case ServerLeaving:
-			if _, found := left[entry.Server]; !found {
-				left[entry.Server] = entry.At
-			}
-		case ServerBorn:
-			delete(left, entry.Server)
-		case PrefillAsked, DecodeAsked:
-			since, found := left[entry.Server]
-			if !found {
-				continue
-			}
-			finding.Looked++
-			late := entry.At.Sub(since)
-			worst = max(worst, late)
-			if late > leavingLimit {
-				finding.violate(fmt.Sprintf("%s asked %s after %s was leaving", entry.Inquiry, late, entry.Server))
-			}
-		}
-	}
-	finding.Worst = worst.String()
-	return finding
+	return checkClosed("no new work for a leaving server", leavingLimit, entries, func(entry Entry) string { return entry.Server }, ServerLeaving, ServerBorn)
 }
 
 // checkEvacuated: no work is asked of an evacuated zone's servers long after
 // the evacuation was accepted.
 func checkEvacuated(entries []Entry) Finding {
-	finding := Finding{Checker: "no new work for an evacuated zone", Limit: evacuateLimit.String()}
-	evacuated := map[string]time.Time{}
+	return checkClosed("no new work for an evacuated zone", evacuateLimit, entries, func(entry Entry) string { return entry.District }, Evacuated, RestoreAsked)
+}
+
+// checkClosed: no work is asked of a place longer than the limit after it was
+// closed, until it is opened again.
+func checkClosed(name string, limit time.Duration, entries []Entry, place func(Entry) string, closes, opens EntryKind) Finding {
+	finding := Finding{Checker: name, Limit: limit.String()}
+	closed := map[string]time.Time{}
 	var worst time.Duration
 	for _, entry := range entries {
+		since, found := closed[place(entry)]
 		switch entry.Kind {
-		case Evacuated:
-			evacuated[entry.District] = entry.At
-		case RestoreAsked:
-			delete(evacuated, entry.District)
+		case closes:
+			finding.Looked++
+			if !found {
+				closed[place(entry)] = entry.At
+			}
+		case opens:
+			delete(closed, place(entry))
 		case PrefillAsked, DecodeAsked:
-			since, found := evacuated[entry.District]
 			if !found {
 				continue
 			}
-			finding.Looked++
 			late := entry.At.Sub(since)
 			worst = max(worst, late)
-			if late > evacuateLimit {
-				finding.violate(fmt.Sprintf("%s asked %s after %s was evacuated", entry.Inquiry, late, entry.District))
+			if late > limit {
+				finding.violate(fmt.Sprintf("%s asked %s after %s was closed", entry.Inquiry, late, place(entry)))
 			}
 		}
 	}
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -88,12 +88,7 @@
 func (day *Day) anyExpediter() *NodeProcess {
 	day.mutex.Lock()
 	defer day.mutex.Unlock()
-	var running []*NodeProcess
-	for _, node := range day.Fleet.Nodes() {
-		if node.Node.Kind == roster.Expediter && node.Running() {
-			running = append(running, node)
-		}
-	}
+	running := day.Fleet.Running(roster.Expediter)
 	if len(running) == 0 {
 		return nil
 	}
@@ -160,13 +155,11 @@
 //
 //	day.EndOfDayRead()
 func (day *Day) EndOfDayRead() {
-	for _, node := range day.Fleet.Nodes() {
-		if node.Node.Kind == roster.Expediter && node.Running() {
-			Await(12*time.Second, func() bool {
-				_, edition := day.Operators.ReadEdition(node)
-				return edition >= 0
-			})
-		}
+	for _, node := range day.Fleet.Running(roster.Expediter) {
+		Await(12*time.Second, func() bool {
+			_, edition := day.Operators.ReadEdition(node)
+			return edition >= 0
+		})
 	}
 }
 
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -100,13 +100,7 @@
 }
 
 func (day *Day) running(kind roster.NodeKind) []*NodeProcess {
-	var running []*NodeProcess
-	for _, node := range day.Fleet.Nodes() {
-		if (kind == "" || node.Node.Kind == kind) && node.Running() {
-			running = append(running, node)
-		}
-	}
-	return running
+	return day.Fleet.Running(kind)
 }
 
 func (day *Day) begin(node *NodeProcess) {
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -183,6 +183,21 @@
 	return append(append([]*NodeProcess(nil), fleet.Expediters...), fleet.Couriers...)
 }
 
+// Running lists the nodes of a kind, or of any, that have not ended.
+//
+// Example:
+//
+//	for _, node := range fleet.Running(roster.Courier) { ... }
+func (fleet *Fleet) Running(kind roster.NodeKind) []*NodeProcess {
+	var running []*NodeProcess
+	for _, node := range fleet.Nodes() {
+		if (kind == "" || node.Node.Kind == kind) && node.Running() {
+			running = append(running, node)
+		}
+	}
+	return running
+}
+
 // AwaitReady waits until every running node is ready and every server has a
 // part.
 //
--- a/internal/rehearsal/input_test.go
+++ b/internal/rehearsal/input_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -118,6 +120,98 @@
 	}
 }
 
+// TestCallersLeavingCancelsTheirWork closes a caller's circuit in the middle of
+// a reply and wants the server to stop soon, long before it would be done.
+func TestCallersLeavingCancelsTheirWork(test *testing.T) {
+	fleet := startFleet(test, Sahil(), nil)
+	openDay(test, fleet, 7)
+	lifetime, leave := context.WithCancel(context.Background())
+	defer leave()
+	body := `{"id":"leaver","service":"rider-chat","prompt_tokens":80,"pieces":500}`
+	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+fleet.Couriers[0].Node.Address+"/v1/inquiries", strings.NewReader(body))
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	inbound, failure := http.DefaultClient.Do(outbound)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	if _, failure := inbound.Body.Read(make([]byte, 10)); failure != nil {
+		test.Fatal(failure)
+	}
+	active := func() int {
+		count := 0
+		for _, name := range fleet.ServerNames() {
+			count += fleet.Server(name).Active()
+		}
+		return count
+	}
+	if active() != 1 {
+		test.Fatalf("%d answers are under way", active())
+	}
+	leave()
+	if !Await(2*time.Second, func() bool { return active() == 0 }) {
+		test.Error("the server goes on for a caller that has left")
+	}
+}
+
+// TestOperatorsCommandLine uses the subcommands as scripts do.
+func TestOperatorsCommandLine(test *testing.T) {
+	fleet := startFleet(test, Sahil(), nil)
+	openDay(test, fleet, 8)
+	var addresses []string
+	for _, node := range fleet.Expediters {
+		addresses = append(addresses, node.Node.Address)
+	}
+	file := filepath.Join(test.TempDir(), "usage.parquet")
+	run := func(arguments ...string) (int, string) {
+		command := exec.Command(filepath.Join(binaries, "expediter"), append(arguments, "--to", strings.Join(addresses, ","))...)
+		output, _ := command.CombinedOutput()
+		return command.ProcessState.ExitCode(), string(output)
+	}
+	patch := filepath.Join(test.TempDir(), "patch.json")
+	for _, step := range []struct {
+		arguments []string
+		text      string
+		code      int
+		shows     string
+	}{
+		{[]string{"get"}, "", 0, `"edition-1"`},
+		{[]string{"status"}, "", 0, `"holds_live_milliseconds"`},
+		{[]string{"evacuate", "medina", "--reason", "power work"}, "", 0, `"accepted"`},
+		{[]string{"get"}, "", 0, "power work"},
+		{[]string{"restore", "medina"}, "", 0, `"accepted"`},
+		{[]string{"patch", patch, "--change", "change-1"}, `{"routes":{"extra":{"order":3,"to":{}}}}`, 0, `"accepted"`},
+		{[]string{"patch", patch, "--change", "change-1"}, `{"routes":{"extra":null}}`, 1, "duplicate"},
+		{[]string{"change", "change-1"}, "", 0, `"accepted"`},
+		{[]string{"change", "change-2"}, "", 1, "not_accepted"},
+		{[]string{"put", patch, "--expected", "1.1"}, `{}`, 1, "version_conflict"},
+		{[]string{"patch", patch}, `{"colour":1}`, 1, "/colour"},
+		{[]string{"flags"}, "", 0, "order_patience"},
+		{[]string{"flags", "order_patience"}, "", 0, `"why"`},
+		{[]string{"flags", "no_such"}, "", 1, "no_such"},
+		{[]string{"retire", "courier-1"}, "", 1, "running"},
+		{[]string{"retire", "nobody"}, "", 1, "no_such"},
+		{[]string{"usage", file, "--format", "parquet"}, "", 0, ""},
+		{[]string{"usage", file, "--format", "cloth"}, "", 2, "csv or parquet"},
+	} {
+		if failure := os.WriteFile(patch, []byte(step.text), 0o644); failure != nil {
+			test.Fatal(failure)
+		}
+		if code, output := run(step.arguments...); code != step.code || !strings.Contains(output, step.shows) {
+			test.Errorf("%v: exit %d, not %d, or no %q in\n%.400s", step.arguments, code, step.code, step.shows, output)
+		}
+	}
+	if written, failure := os.Stat(file); failure != nil || written.Size() == 0 {
+		test.Errorf("no usage file: %v", failure)
+	}
+	addresses = []string{"127.0.0.1:9"}
+	if code, output := run("get"); code != 4 {
+		test.Errorf("no expediter: exit %d\n%s", code, output)
+	}
+}
+
 // TestSettingsNameAllMistakesAtOnce starts programs with bad settings.
 func TestSettingsNameAllMistakesAtOnce(test *testing.T) {
 	output, failure := exec.Command(filepath.Join(binaries, "courier"), "serve", "--name", "not a name", "--address", "here", "--seeds", "127.0.0.1:1,127.0.0.1:1", "--market", "bazaar").CombinedOutput()
--- a/internal/rehearsal/operators.go
+++ b/internal/rehearsal/operators.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -162,10 +163,8 @@
 //
 //	operators.LookAtEditions()
 func (operators *Operators) LookAtEditions() {
-	for _, node := range operators.fleet.Couriers {
-		if node.Running() {
-			operators.lookAtEdition(node)
-		}
+	for _, node := range operators.fleet.Running(roster.Courier) {
+		operators.lookAtEdition(node)
 	}
 }
 
--- a/internal/rehearsal/standin.go
+++ b/internal/rehearsal/standin.go
@@ -163,6 +163,17 @@
 	return standIn.part
 }
 
+// Active counts the answers under way.
+//
+// Example:
+//
+//	if server.Active() == 0 { ... }
+func (standIn *StandIn) Active() int {
+	standIn.mutex.Lock()
+	defer standIn.mutex.Unlock()
+	return standIn.active
+}
+
 // shade leaves every call without an answer while the server is dark. What was
 // dark when it came is never done.
 func (standIn *StandIn) shade(next http.Handler) http.Handler {
--- a/internal/rehearsal/upgrade_test.go
+++ b/internal/rehearsal/upgrade_test.go
@@ -97,7 +97,30 @@
 	if enabled := enabledFlags(fleet); enabled != 0 {
 		test.Fatalf("%d flags are enabled while a recorded member that is stopped lacks them", enabled)
 	}
+	// A member of the older release joins meanwhile, and stops for good.
+	addresses, failure := freeAddresses(1)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	var seeds []string
+	for _, node := range fleet.Expediters {
+		seeds = append(seeds, node.Node.Address)
+	}
+	newcomer := fleet.AddNode("courier", "courier-8", addresses[0], fleet.Deployment.Districts[0], seeds)
+	begin(test, fleet, newcomer, oldRelease)
+	newcomer.Kill()
 	begin(test, fleet, last, nil)
+	pauseFor(lifetime, 4*time.Second)
+	if enabled := enabledFlags(fleet); enabled != 0 {
+		test.Fatalf("%d flags are enabled while a member that joined and stopped lacks them", enabled)
+	}
+	if !Await(15*time.Second, func() bool {
+		answer, failure := day.Operators.Call(fleet.Expediters[0], http.MethodPost, "/v1/members/courier-8/retire", nil, "")
+		return failure == nil && answer.Outcome == "accepted"
+	}) {
+		test.Fatal("a stopped member could not be retired")
+	}
+	fleet.noteMember(newcomer, oldRelease...)
 	if !Await(15*time.Second, func() bool { return enabledFlags(fleet) == 2 }) {
 		test.Fatalf("the flags were not enabled when the last member was recorded: %d", enabledFlags(fleet))
 	}
