--- a/core.go
+++ b/core.go
@@ -29,6 +29,7 @@
 	orders    map[string]Order
 	evacuated *menu.Configuration
 	commanded map[string]time.Time
+	announced map[string]uint64
 	nextTurn  time.Time
 }
 
@@ -43,7 +44,7 @@
 	}
 	market := pass.NewMarket(options.Courier, options.District, options.LeastLoaded)
 	return &Core{options: options, market: market, desk: pass.NewDesk(market, options.District, options.MostInquiries),
-		balance: pass.NewBalance(), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}}
+		balance: pass.NewBalance(), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
 }
 
 // Apply takes one event and returns what is to be done now.
@@ -204,12 +205,17 @@
 		name, isServer := strings.CutPrefix(duty.Key, rota.ServerKey(""))
 		order, ordered := core.orders[name]
 		load, reported := loads[name]
-		if !isServer || !ordered || !reported || string(load.Part) == order.Part || now.Sub(core.commanded[name]) < time.Second {
+		if !isServer || !ordered || !reported || now.Sub(core.commanded[name]) < time.Second {
+			continue
+		}
+		// A new holder commands once in any case: the server learns the fence,
+		// and refuses what an older holder may still send after a long sleep.
+		if string(load.Part) == order.Part && core.announced[name] == duty.Fence {
 			continue
 		}
 		for _, server := range servers {
 			if server.Name == name {
-				core.commanded[name] = now
+				core.commanded[name], core.announced[name] = now, duty.Fence
 				standing := order
 				decisions = append(decisions, Decision{Kind: pass.Command, Server: name, Address: server.Address, Duty: duty,
 					Part: pass.Part(order.Part), Order: &standing, NotAfter: core.dutyEnds})
--- a/core_test.go
+++ b/core_test.go
@@ -89,3 +89,36 @@
 		}
 	}
 }
+
+// TestNewHolderTellsTheServerItsFence wants one command for each new fence, even
+// when the server has the part already, and none without the duty's hold.
+func TestNewHolderTellsTheServerItsFence(test *testing.T) {
+	core := New(Options{Courier: "courier-1", District: "north", Supported: Supported(nil)})
+	now := time.Unix(3_000_000, 0)
+	core.Apply(Event{Kind: pass.ServersListed, At: now, Servers: []Server{{Name: "s", Address: "s", District: "north"}}})
+	core.Apply(Event{Kind: pass.OrdersRead, At: now, Orders: map[string]Order{"s": {Server: "s", Part: "decode"}}})
+	commands := func(fence uint64) int {
+		count := 0
+		for range 30 {
+			now = now.Add(200 * time.Millisecond)
+			core.Apply(Event{Kind: pass.LoadReported, At: now, Load: &Load{Server: "s", Part: pass.Decode}})
+			if fence > 0 {
+				core.Apply(Event{Kind: pass.HoldRenewed, At: now, HoldEnds: now.Add(time.Second), Duties: []Duty{{Key: rota.ServerKey("s"), Holder: "courier-1", Fence: fence}}})
+			}
+			for _, decision := range core.Apply(Event{Kind: pass.Ticked, At: now}) {
+				if decision.Kind == pass.Command && decision.Duty.Fence == fence && decision.NotAfter.Equal(now.Add(time.Second)) {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	if first, second := commands(4), commands(9); first != 1 || second != 1 {
+		test.Errorf("%d commands under the first fence, %d under the second", first, second)
+	}
+	core.Apply(Event{Kind: pass.OrdersRead, At: now, Orders: map[string]Order{"s": {Server: "s", Part: "prefill"}}})
+	now = now.Add(5 * time.Second)
+	if late := commands(0); late != 0 {
+		test.Errorf("%d commands after the hold ran out", late)
+	}
+}
--- a/internal/adapters/courier/decisions.go
+++ b/internal/adapters/courier/decisions.go
@@ -23,7 +23,9 @@
 			stream.put(decision)
 		}
 		if decision.Kind == pass.Finish {
-			process.endRun(decision.ID, decision.Run)
+			for run := 1; run <= decision.Run; run++ {
+				process.endRun(decision.ID, run)
+			}
 		}
 	case pass.ClaimInquiry:
 		go process.claim(decision)
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -44,7 +43,6 @@
 	core      *seamloom.Core
 	followed  *follower.Follower
 	supported recipe.List
-	server    *http.Server
 	journal   *journal
 	ledger    *usage.Ledger
 	passing   *http.Client
@@ -86,17 +84,9 @@
 	process.lifetime = process.tomb.Context(context.Background())
 	member := roster.Member{Name: chosen.Name, Kind: roster.Courier, Address: chosen.Address, District: chosen.District, Supported: supported}
 	process.followed = follower.New(process.caller, process.clock, member, chosen.Seeds, process.inForce, process.takeNews)
-	listener, failure := net.Listen("tcp", chosen.Address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
+		return nil, failure
 	}
-	process.server = &http.Server{Handler: process.mux(), ReadHeaderTimeout: 5 * time.Second}
-	process.tomb.Go(func() error {
-		if failure := process.server.Serve(listener); failure != http.ErrServerClosed {
-			return trouble.Wrap(trouble.Unreachable, failure)
-		}
-		return nil
-	})
 	program.Every(&process.tomb, platformPause, process.readPlatform)
 	program.Every(&process.tomb, tickPause, func() { process.apply(pass.Event{Kind: pass.Ticked}) })
 	program.Every(&process.tomb, crumbsPause, process.dropCrumbs)
@@ -120,11 +110,7 @@
 	for process.core.InFlight() > 0 && process.clock.Now().Before(ends) {
 		<-ticker.C
 	}
-	shutdown, end := context.WithTimeout(context.Background(), time.Second)
-	defer end()
-	_ = process.server.Shutdown(shutdown)
 	process.tomb.Kill(nil)
-	_ = process.server.Close()
 	return process.tomb.Wait()
 }
 
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -46,7 +45,6 @@
 	steward         *larder.Steward
 	followed        *follower.Follower
 	supported       recipe.List
-	server          *http.Server
 	news            *bell
 	work            *bell
 	confirmed       *bell
@@ -115,17 +113,9 @@
 		&peers{lifetime: process.lifetime, caller: process.caller}, process.observe)
 	member := roster.Member{Name: chosen.Name, Kind: roster.Expediter, Address: chosen.Address, District: chosen.District, Supported: process.supported}
 	process.followed = follower.New(process.caller, process.clock, member, chosen.Seeds, func() larder.Version { return larder.Version{} }, process.takeNews)
-	listener, failure := net.Listen("tcp", chosen.Address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
+		return nil, failure
 	}
-	process.server = &http.Server{Handler: process.mux(), ReadHeaderTimeout: 5 * time.Second}
-	process.tomb.Go(func() error {
-		if failure := process.server.Serve(listener); failure != http.ErrServerClosed {
-			return trouble.Wrap(trouble.Unreachable, failure)
-		}
-		return nil
-	})
 	program.Every(&process.tomb, 150*time.Millisecond, process.tick)
 	program.Every(&process.tomb, 300*time.Millisecond, process.housekeeping)
 	program.Every(&process.tomb, 500*time.Millisecond, process.readPlatform)
@@ -170,10 +160,6 @@
 		}
 	}
 	process.tomb.Kill(nil)
-	shutdown, end := context.WithTimeout(context.Background(), time.Second)
-	defer end()
-	_ = process.server.Shutdown(shutdown)
-	_ = process.server.Close()
 	return process.tomb.Wait()
 }
 
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -3,7 +3,10 @@
 package program
 
 import (
+	"context"
 	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -17,6 +20,7 @@
 
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
 )
 
 // Flags holds the settings flags of one command.
@@ -160,3 +164,31 @@
 		}
 	})
 }
+
+// Serve listens and answers until the tomb dies; then circuits get a moment to
+// end by themselves.
+//
+// Example:
+//
+//	failure := program.Serve(&process.tomb, "127.0.0.1:7101", mux)
+func Serve(owner *tomb.Tomb, address string, handler http.Handler) error {
+	listener, failure := net.Listen("tcp", address)
+	if failure != nil {
+		return trouble.Wrap(trouble.Unreachable, failure)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	owner.Go(func() error {
+		if failure := server.Serve(listener); failure != http.ErrServerClosed {
+			return trouble.Wrap(trouble.Unreachable, failure)
+		}
+		return nil
+	})
+	owner.Go(func() error {
+		<-owner.Dying()
+		shutdown, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		_ = server.Shutdown(shutdown)
+		return trouble.Wrap(trouble.Unreachable, server.Close())
+	})
+	return nil
+}
--- a/internal/recipe/entry.go
+++ b/internal/recipe/entry.go
@@ -1,10 +1,6 @@
 package recipe
 
-import (
-	"time"
-
-	"seamloom.example/seamloom/internal/trouble"
-)
+import "time"
 
 // Entry notes an extra try (a retry record) or who has taken an inquiry that
 // may not be repeated (a recover record).
@@ -33,9 +29,6 @@
 //	entry, failure := recipe.ReadEntry(record)
 func ReadEntry(record Record) (Entry, error) {
 	var entry Entry
-	found, failure := record.Read("entry", &entry)
-	if failure == nil && !found {
-		failure = trouble.New(trouble.Garbage, "an entry without a format that this build reads")
-	}
+	_, failure := record.readNewest(nil, format{"", "entry", &entry})
 	return entry, failure
 }
--- /dev/null
+++ b/internal/recipe/format.go
@@ -0,0 +1,38 @@
+package recipe
+
+import "seamloom.example/seamloom/internal/trouble"
+
+// format is one key of a record's features map, with the flag that allows it;
+// the first format of a record needs none.
+type format struct {
+	flag  Flag
+	key   string
+	value any
+}
+
+// putFormats writes every format that the enabled flags allow, side by side.
+func (record *Record) putFormats(enabled List, formats ...format) error {
+	for _, format := range formats {
+		if format.flag != "" && !enabled.Has(format.flag) {
+			continue
+		}
+		if failure := record.Put(format.key, format.value); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
+// readNewest reads the first of the formats, newest first, that the build
+// supports and the record has, and returns its key.
+func (record Record) readNewest(supported List, formats ...format) (string, error) {
+	for _, format := range formats {
+		if format.flag != "" && !supported.Has(format.flag) {
+			continue
+		}
+		if found, failure := record.Read(format.key, format.value); found || failure != nil {
+			return format.key, failure
+		}
+	}
+	return "", trouble.New(trouble.Garbage, "a record of kind "+string(record.Kind)+" without a format that this build reads")
+}
--- a/internal/recipe/order.go
+++ b/internal/recipe/order.go
@@ -1,10 +1,6 @@
 package recipe
 
-import (
-	"time"
-
-	"seamloom.example/seamloom/internal/trouble"
-)
+import "time"
 
 // Order tells a model server which part to take: "prefill", "decode" or
 // "drain". Patience and Cause exist only in the second format.
@@ -31,13 +27,7 @@
 //	record, failure := recipe.WriteOrder(order, "courier-1", 9, enabled)
 func WriteOrder(order Order, writer string, number uint64, enabled List) (Record, error) {
 	record := NewRecord(OrderRecord, order.Server, writer, number)
-	if failure := record.Put("order", orderFirst{Server: order.Server, Part: order.Part}); failure != nil {
-		return record, failure
-	}
-	if enabled.Has(OrderPatience) {
-		return record, record.Put("order_v2", order)
-	}
-	return record, nil
+	return record, record.putFormats(enabled, format{"", "order", orderFirst{Server: order.Server, Part: order.Part}}, format{OrderPatience, "order_v2", order})
 }
 
 // ReadOrder reads the newest key that this build supports and falls back.
@@ -47,18 +37,10 @@
 //	order, failure := recipe.ReadOrder(record, supported)
 func ReadOrder(record Record, supported List) (Order, error) {
 	var order Order
-	if supported.Has(OrderPatience) {
-		if found, failure := record.Read("order_v2", &order); found || failure != nil {
-			return order, failure
-		}
-	}
 	var first orderFirst
-	found, failure := record.Read("order", &first)
-	if failure != nil {
-		return order, failure
-	}
-	if !found {
-		return order, trouble.New(trouble.Garbage, "an order without a format that this build reads")
+	key, failure := record.readNewest(supported, format{OrderPatience, "order_v2", &order}, format{"", "order", &first})
+	if key == "order" {
+		order = Order{Server: first.Server, Part: first.Part, Patience: DefaultPatience}
 	}
-	return Order{Server: first.Server, Part: first.Part, Patience: DefaultPatience}, nil
+	return order, failure
 }
--- a/internal/recipe/pair.go
+++ b/internal/recipe/pair.go
@@ -1,10 +1,6 @@
 package recipe
 
-import (
-	"time"
-
-	"seamloom.example/seamloom/internal/trouble"
-)
+import "time"
 
 // Pair says which servers an inquiry's run was given. Price and HandOver exist
 // only in the second format.
@@ -32,13 +28,7 @@
 func WritePair(pair Pair, writer string, enabled List) (Record, error) {
 	record := NewRecord(PairRecord, pair.Inquiry, writer, uint64(pair.Run))
 	first := pairFirst{Inquiry: pair.Inquiry, Run: pair.Run, Prefill: pair.Prefill, Decode: pair.Decode}
-	if failure := record.Put("pair", first); failure != nil {
-		return record, failure
-	}
-	if enabled.Has(PairPrice) {
-		return record, record.Put("pair_v2", pair)
-	}
-	return record, nil
+	return record, record.putFormats(enabled, format{"", "pair", first}, format{PairPrice, "pair_v2", pair})
 }
 
 // ReadPair reads the newest key that this build supports and falls back.
@@ -48,18 +38,10 @@
 //	pair, failure := recipe.ReadPair(record, supported)
 func ReadPair(record Record, supported List) (Pair, error) {
 	var pair Pair
-	if supported.Has(PairPrice) {
-		if found, failure := record.Read("pair_v2", &pair); found || failure != nil {
-			return pair, failure
-		}
-	}
 	var first pairFirst
-	found, failure := record.Read("pair", &first)
-	if failure != nil {
-		return pair, failure
-	}
-	if !found {
-		return pair, trouble.New(trouble.Garbage, "a pair without a format that this build reads")
+	key, failure := record.readNewest(supported, format{PairPrice, "pair_v2", &pair}, format{"", "pair", &first})
+	if key == "pair" {
+		pair = Pair{Inquiry: first.Inquiry, Run: first.Run, Prefill: first.Prefill, Decode: first.Decode}
 	}
-	return Pair{Inquiry: first.Inquiry, Run: first.Run, Prefill: first.Prefill, Decode: first.Decode}, nil
+	return pair, failure
 }
--- a/internal/recipe/streammessage.go
+++ b/internal/recipe/streammessage.go
@@ -1,7 +1,5 @@
 package recipe
 
-import "seamloom.example/seamloom/internal/trouble"
-
 // StreamMessage is one line of a reply on its way between two nodes.
 type StreamMessage struct {
 	Inquiry string `msgpack:"inquiry"`
@@ -27,9 +25,6 @@
 //	message, failure := recipe.ReadStreamMessage(record)
 func ReadStreamMessage(record Record) (StreamMessage, error) {
 	var message StreamMessage
-	found, failure := record.Read("stream", &message)
-	if failure == nil && !found {
-		failure = trouble.New(trouble.Garbage, "a stream message without a format that this build reads")
-	}
+	_, failure := record.readNewest(nil, format{"", "stream", &message})
 	return message, failure
 }
