--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -312,7 +312,9 @@
 	}
 	question := expediter.ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: decision.ID, Courier: process.chosen.Name, Run: 1,
 		At: process.clock.Wall(), Cause: uuid.NewString()}}
-	for process.lifetime.Err() == nil && process.clock.Now().Before(decision.NotAfter) {
+	// Without a hold there would be no dispatch: then the caller is told at once
+	// that the inquiry never ran, and when to come back.
+	for process.lifetime.Err() == nil && process.clock.Now().Before(decision.NotAfter) && process.clock.Now().Before(process.core.HoldEnds()) {
 		var answer expediter.LedAnswer
 		failure := process.followed.Ask(process.lifetime, follower.ClaimPath, question, &answer, time.Second)
 		switch kind := trouble.KindOf(failure); {
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -339,7 +339,7 @@
 		current.membersAt, current.settledFrom = version, now
 	}
 	settled := now.Sub(current.settledFrom) >= time.Duration(process.chosen.FlagSettle)*time.Millisecond
-	horizonDue := now.Sub(current.horizonAt) >= 2*time.Second
+	horizonDue := now.Sub(current.horizonAt) >= horizonPause
 	step := 2 * now.Sub(current.horizonAt)
 	if current.horizonAt.IsZero() {
 		step = 0
@@ -442,6 +442,9 @@
 // leavePatience is how long a primary tries to hand over before it ends.
 const leavePatience = 1500 * time.Millisecond
 
+// horizonPause is the time between two moves of the claims' horizon.
+const horizonPause = 10 * time.Second
+
 // sweepPause is the time between two sweeps.
 const sweepPause = 5 * time.Second
 
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -39,6 +39,9 @@
 const (
 	leastPatience = 2 * time.Second
 	piecePatience = 3 * time.Second
+	// holdPatience is how long an inquiry that was let in waits for the next
+	// hold.
+	holdPatience = 2 * time.Second
 )
 
 // NewDesk makes the desk of a courier that holds at most so many inquiries.
@@ -252,9 +255,9 @@
 	}
 	holdEnds := desk.HoldEnds()
 	if !now.Before(holdEnds) {
-		entry.stage = ready
-		return nil
+		return desk.awaitHold(now, shard, entry, ready)
 	}
+	entry.holdless = time.Time{}
 	bid, found := desk.choose(now, entry)
 	if !found {
 		return desk.giveUp(now, shard, entry, trouble.Busy)
@@ -286,6 +289,19 @@
 			Server: bid.Prefill.server.Name, Address: bid.Prefill.server.Address})
 }
 
+// awaitHold keeps an inquiry that was let in for the next hold, but not until
+// its limit: when none comes soon its caller is told so.
+func (desk *Desk) awaitHold(now time.Time, shard *shard, entry *ticket, stage stage) []Decision {
+	if entry.holdless.IsZero() {
+		entry.holdless = now
+	}
+	if now.Sub(entry.holdless) > holdPatience {
+		return desk.giveUp(now, shard, entry, trouble.NoHold)
+	}
+	entry.stage = stage
+	return nil
+}
+
 func earlier(left, right time.Time) time.Time {
 	if left.Before(right) {
 		return left
@@ -302,9 +318,9 @@
 	}
 	holdEnds := desk.HoldEnds()
 	if !now.Before(holdEnds) {
-		entry.stage = handing
-		return nil
+		return desk.awaitHold(now, shard, entry, handing)
 	}
+	entry.holdless = time.Time{}
 	desk.release(entry)
 	program := desk.program.Load()
 	allowed := func(server roster.Server) bool { return program.Allows(entry.ruling, server) }
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -112,6 +112,24 @@
 	}
 }
 
+// TestGivenUpInquiryIsAnsweredAtOnce lets the hold stay away: the caller is told
+// soon, long before the limit, and when to come back.
+func TestGivenUpInquiryIsAnsweredAtOnce(test *testing.T) {
+	desk := newTestDesk(test)
+	arrive(desk, noon, "one", false)
+	after := noon.Add(4 * time.Second)
+	if decisions := desk.Claimed(after, "one", Done, ""); len(decisions) != 0 {
+		test.Errorf("without a hold: %+v", decisions)
+	}
+	if decisions := desk.Tick(after.Add(holdPatience)); len(decisions) != 0 {
+		test.Errorf("given up early: %+v", decisions)
+	}
+	final := find(desk.Tick(after.Add(holdPatience+time.Millisecond)), Finish)
+	if final == nil || final.Final != Refused || final.Cause != trouble.NoHold || final.Retry == 0 {
+		test.Errorf("when no hold comes: %+v", final)
+	}
+}
+
 func TestStreamIsNeverSplicedAndNeverRunAgainAfterItsFirstPiece(test *testing.T) {
 	desk := newTestDesk(test)
 	earn(desk)
--- a/internal/pass/ticket.go
+++ b/internal/pass/ticket.go
@@ -21,4 +21,5 @@
 	pieces     int
 	patience   time.Time
 	arrived    time.Time
+	holdless   time.Time
 }
