--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -247,7 +247,7 @@
 		drawer.Content = menu.Empty().Text
 	}
 	prepared := larder.PrepareMenu(drawer.Version, drawer.Content, editText)
-	version, failure := process.submit(inbound.Context(), larder.ChangePreparedMenu(change, expected, prepared, editText), changePatience)
+	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, expected, prepared, editText), changePatience)
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
 		return
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -14,23 +14,15 @@
 type Change func(state *State, version, menuVersion Version) error
 
 // ChangeMenu replaces the configuration's text by what edit makes of it. With
-// an expected version it is refused when that is not the current one.
-//
-// Example:
-//
-//	store.Submit(larder.ChangeMenu("change-1", &expected, edit), done)
-func ChangeMenu(id string, expected *Version, edit func(text []byte) ([]byte, error)) Change {
-	return ChangePreparedMenu(id, expected, PreparedMenu{}, edit)
-}
-
-// ChangePreparedMenu is ChangeMenu with the edit of one version made already,
-// so that a large configuration is not checked in the changes' turn.
+// an expected version it is refused when that is not the current one. An edit
+// that was prepared for the version it meets is not made again, so that a large
+// configuration is not checked in the changes' turn.
 //
 // Example:
 //
 //	prepared := larder.PrepareMenu(menuVersion, text, edit)
-//	store.Submit(larder.ChangePreparedMenu("change-1", nil, prepared, edit), done)
-func ChangePreparedMenu(id string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
+//	store.Submit(larder.ChangeMenu("change-1", &expected, prepared, edit), done)
+func ChangeMenu(id string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
 	return func(state *State, version, menuVersion Version) error {
 		for _, note := range state.Changes {
 			if id != "" && note.ID == id {
--- a/internal/menu/check_test.go
+++ b/internal/menu/check_test.go
@@ -2,7 +2,6 @@
 
 import (
 	stderrors "errors"
-	"strings"
 	"testing"
 
 	"seamloom.example/seamloom/internal/trouble"
@@ -60,7 +59,7 @@
 	if failure != nil {
 		test.Fatal(failure)
 	}
-	if configuration, failure := Check(text); failure != nil || strings.Join(configuration.EvacuatedDistricts(), " ") != "north south" {
+	if configuration, failure := Check(text); failure != nil || len(configuration.Evacuations) != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
 		test.Fatalf("%s: %v", text, failure)
 	}
 	if text, failure = Restore(text, "north"); failure != nil {
--- a/internal/menu/configuration.go
+++ b/internal/menu/configuration.go
@@ -2,11 +2,7 @@
 // evacuations, how they are checked, and how a partial one is merged.
 package menu
 
-import (
-	"sort"
-
-	"github.com/valyala/fastjson"
-)
+import "github.com/valyala/fastjson"
 
 // Configuration is a checked configuration. Text is its JSON.
 type Configuration struct {
@@ -36,20 +32,6 @@
 	return found
 }
 
-// Districts lists the evacuated districts in order.
-//
-// Example:
-//
-//	configuration.EvacuatedDistricts() // ["north"]
-func (configuration *Configuration) EvacuatedDistricts() []string {
-	districts := make([]string, 0, len(configuration.Evacuations))
-	for district := range configuration.Evacuations {
-		districts = append(districts, district)
-	}
-	sort.Strings(districts)
-	return districts
-}
-
 // Evacuate is the configuration's text with the district evacuated.
 //
 // Example:
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -201,7 +201,7 @@
 	}
 	settled := *inquiry
 	settled.Limit = ruling.limit(now, inquiry.Limit)
-	entry := &ticket{inquiry: &settled, ruling: ruling, tried: map[string]bool{}, arrived: now, stage: ready}
+	entry := &ticket{inquiry: &settled, ruling: ruling, tried: map[string]bool{}, stage: ready}
 	bid, found := desk.choose(now, entry)
 	if !found {
 		if desk.nowhere(program, ruling) {
--- a/internal/pass/ticket.go
+++ b/internal/pass/ticket.go
@@ -13,13 +13,11 @@
 	tried      map[string]bool
 	dispatches int
 	// answering tells that a decode server was asked: a further run asks again.
-	answering  bool
-	started    bool
-	everRan    bool
-	handle     string
-	handleFrom Bid
-	pieces     int
-	patience   time.Time
-	arrived    time.Time
-	holdless   time.Time
+	answering bool
+	started   bool
+	everRan   bool
+	handle    string
+	pieces    int
+	patience  time.Time
+	holdless  time.Time
 }
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -386,15 +386,20 @@
 	}
 }
 
-// leaveServer shows a server leaving: in the list, or in its load report.
+// leaveServer shows a server leaving: in the list, by its absence, or in its
+// load report.
 func leaveServer(lifetime context.Context, day *Day) {
 	name := day.anyServer()
 	server := day.Fleet.Server(name)
 	listed := roster.Server{Name: name, Address: server.Address(), District: server.plan.District, Leaving: true}
-	if day.draw(2) == 0 {
+	switch day.draw(3) {
+	case 0:
 		day.Say("%s leaves by the list", name)
 		day.Fleet.Platform.ListServer(listed)
-	} else {
+	case 1:
+		day.Say("%s is listed no more", name)
+		day.Fleet.Platform.UnlistServer(name)
+	default:
 		day.Say("%s leaves by its load report", name)
 		day.Fleet.Book.Note(Entry{Kind: ServerLeaving, Server: name})
 		server.SetLeaving(true)
--- a/internal/trouble/kind.go
+++ b/internal/trouble/kind.go
@@ -40,12 +40,10 @@
 	NoRoute        Kind = "no_route"
 	RouteRefuses   Kind = "route_refuses"
 	Evacuated      Kind = "every_district_evacuated"
-	NoServers      Kind = "no_servers"
 	Busy           Kind = "busy"
 	ServerFailed   Kind = "server_failed"
 	BudgetSpent    Kind = "extra_tries_spent"
 	LimitPassed    Kind = "limit_passed"
 	OriginLeft     Kind = "origin_left"
 	Draining       Kind = "draining"
-	HandleLapsed   Kind = "handle_lapsed"
 )
