Changes: the same change brought twice is accepted, not refused; duties granted once

Cause: a link that duplicates messages brought one change twice to the primary; the first to be answered was the second, and it was told not_accepted while the change took effect. And a key that its holder had not asked for yet was given again every 300 ms, each time under a new fence. After: the change's digest tells the same change from another under its id; the same one is accepted again with its version. Ruled out: a race of two operators, a lost answer (that is called unknown).

--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	stderrors "errors"
 	"io"
@@ -247,11 +249,15 @@
 		drawer.Content = menu.Empty().Text
 	}
 	prepared := larder.PrepareMenu(drawer.Version, drawer.Content, editText)
-	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, expected, prepared, editText), changePatience)
+	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, digestOf(inbound, body), expected, prepared, editText), changePatience)
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
 		return
 	}
+	// The same change sent again is answered with the version that holds now.
+	if _, view, failure := process.ruling(); failure == nil && view.VersionOf(larder.MenuDrawer).Before(version) {
+		version = view.VersionOf(larder.MenuDrawer)
+	}
 	if !process.awaitInForce(inbound, current, version) {
 		answerUnknown(writer, change)
 		return
@@ -260,6 +266,17 @@
 	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String(), Change: change})
 }
 
+// digestOf tells one change from another: by its method, place, expected version
+// and body.
+func digestOf(inbound *http.Request, body []byte) string {
+	digest := sha256.New()
+	for _, part := range []string{inbound.Method, inbound.URL.Path, inbound.URL.Query().Get("expected"), inbound.Header.Get("If-Match"), string(body)} {
+		_, _ = digest.Write([]byte(part))
+		_, _ = digest.Write([]byte{0})
+	}
+	return hex.EncodeToString(digest.Sum(nil)[:16])
+}
+
 func (process *Process) answerChangeTrouble(writer http.ResponseWriter, change string, failure error) {
 	var findings *menu.Findings
 	if stderrors.As(failure, &findings) {
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -195,7 +195,7 @@
 	leading := process.store.Leading()
 	if leading && process.reign == nil {
 		now := process.clock.Now()
-		process.reign = &reign{since: now, holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms(), now), settledFrom: now}
+		process.reign = &reign{since: now, holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), settledFrom: now}
 	}
 	if !leading && process.reign != nil {
 		process.reign = nil
--- a/internal/larder/changenote.go
+++ b/internal/larder/changenote.go
@@ -5,6 +5,8 @@
 type ChangeNote struct {
 	ID      string  `msgpack:"id" json:"id"`
 	Version Version `msgpack:"version" json:"version"`
+	// Digest tells the same change sent again from another under its id.
+	Digest string `msgpack:"digest" json:"digest"`
 }
 
 // MostChangeNotes bounds how many changes are remembered.
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -21,13 +21,19 @@
 // Example:
 //
 //	prepared := larder.PrepareMenu(menuVersion, text, edit)
-//	store.Submit(larder.ChangeMenu("change-1", &expected, prepared, edit), done)
-func ChangeMenu(id string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
+//	store.Submit(larder.ChangeMenu("change-1", digest, &expected, prepared, edit), done)
+func ChangeMenu(id, digest string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
 	return func(state *State, version, menuVersion Version) error {
 		for _, note := range state.Changes {
-			if id != "" && note.ID == id {
-				return trouble.New(trouble.Duplicate, "the change "+id+" was accepted as version "+note.Version.String())
+			if id == "" || note.ID != id {
+				continue
+			}
+			if note.Digest == digest {
+				// The same change again, as a link may bring it twice: it was
+				// accepted, and saying anything else would be wrong.
+				return nil
 			}
+			return trouble.New(trouble.Duplicate, "another change with the id "+id+" was accepted as version "+note.Version.String())
 		}
 		if expected != nil && *expected != menuVersion {
 			return trouble.New(trouble.VersionConflict, menuVersion.String())
@@ -41,7 +47,7 @@
 		state.Menu = prepared.text
 		state.Touch(MenuDrawer)
 		if id != "" {
-			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version})
+			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version, Digest: digest})
 			if excess := len(state.Changes) - MostChangeNotes; excess > 0 {
 				state.Changes = state.Changes[excess:]
 			}
--- a/internal/larder/store_test.go
+++ b/internal/larder/store_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// TestSameChangeAgainIsAccepted sends one change twice, as a link may, and then
+// another under its id.
+func TestSameChangeAgainIsAccepted(test *testing.T) {
+	store := newLeader(test)
+	put := func(text string) func([]byte) ([]byte, error) {
+		return func([]byte) ([]byte, error) { return []byte(text), nil }
+	}
+	first := ChangeMenu("change-1", "digest-1", &Version{}, PreparedMenu{}, put(`{"services":{"a":{}}}`))
+	if failure := do(test, store, first); failure != nil {
+		test.Fatal(failure)
+	}
+	version := store.View().VersionOf(MenuDrawer)
+	if failure := do(test, store, first); failure != nil || store.View().VersionOf(MenuDrawer) != version {
+		test.Errorf("the same change again: %v, version %s became %s", failure, version, store.View().VersionOf(MenuDrawer))
+	}
+	if failure := do(test, store, ChangeMenu("change-1", "digest-2", &version, PreparedMenu{}, put(`{}`))); trouble.KindOf(failure) != trouble.Duplicate {
+		test.Errorf("another change under the same id: %v", failure)
+	}
+}
+
 // TestClaimsAreKeptThroughClockJumps moves the wall clock forward and back and
 // wants no claim forgotten early and no new one refused.
 func TestClaimsAreKeptThroughClockJumps(test *testing.T) {
--- a/internal/rota/keys.go
+++ b/internal/rota/keys.go
@@ -11,11 +11,10 @@
 
 // Keys is the primary's memory of when each duty's hold ends. Which node has a
 // key, and its fence, are durable; when the hold ends is not: a new primary
-// takes every recorded holder to have renewed at its own beginning.
+// takes every recorded holder to have renewed when it first sees the record.
 type Keys struct {
 	mutex    sync.Mutex
 	terms    Terms
-	since    time.Time
 	renewed  map[string]time.Time
 	released map[string]time.Time
 }
@@ -24,9 +23,9 @@
 //
 // Example:
 //
-//	keys := rota.NewKeys(rota.DefaultTerms(), now)
-func NewKeys(terms Terms, since time.Time) *Keys {
-	return &Keys{terms: terms, since: since, renewed: map[string]time.Time{}, released: map[string]time.Time{}}
+//	keys := rota.NewKeys(rota.DefaultTerms())
+func NewKeys(terms Terms) *Keys {
+	return &Keys{terms: terms, renewed: map[string]time.Time{}, released: map[string]time.Time{}}
 }
 
 // Renew tells which of the recorded duties the node may go on holding, and
@@ -86,7 +85,7 @@
 	defer keys.mutex.Unlock()
 	var grants []Duty
 	for _, key := range wanted {
-		if duty, found := recorded[key]; found && now.Before(keys.freeFrom(duty)) {
+		if duty, found := recorded[key]; found && now.Before(keys.freeFrom(now, duty)) {
 			continue
 		}
 		if holder := keys.desired(key, candidates, false); holder != "" {
@@ -96,14 +95,17 @@
 	return grants
 }
 
-func (keys *Keys) freeFrom(duty Duty) time.Time {
+// freeFrom is when a duty may be given to the next holder. One that was given
+// just now, and not renewed yet, counts from when it is first seen.
+func (keys *Keys) freeFrom(now time.Time, duty Duty) time.Time {
 	name := keyAt(duty.Key, duty.Fence)
 	if released, found := keys.released[name]; found {
 		return released.Add(keys.terms.Rest)
 	}
 	last, found := keys.renewed[name]
 	if !found {
-		last = keys.since
+		last = now
+		keys.renewed[name] = now
 	}
 	return last.Add(keys.terms.Hold + keys.terms.Drift + keys.terms.Rest)
 }
