--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -75,7 +75,7 @@
 	if failure != nil || current.Status != http.StatusOK {
 		return false
 	}
-	return day.Operators.PutEdition(node, day.takeEdition(), current.Version).Outcome == "accepted"
+	return day.Operators.PutEdition(node, day.takeEdition(), current).Outcome == "accepted"
 }
 
 func (day *Day) takeEdition() int {
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -567,7 +567,7 @@
 			edition := day.takeEdition()
 			racing.Go(func() {
 				if node := day.anyExpediter(); node != nil {
-					day.Operators.PutEdition(node, edition, current.Version)
+					day.Operators.PutEdition(node, edition, current)
 				}
 			})
 		}
--- a/internal/rehearsal/operators.go
+++ b/internal/rehearsal/operators.go
@@ -65,23 +65,19 @@
 	return answer, nil
 }
 
-// PutEdition puts the deployment's configuration of an edition, from the
-// version expected, and notes how it was answered.
+// PutEdition puts the deployment's configuration of an edition over the current
+// one, and notes how it was answered. The current edition's route goes and the
+// new one's comes; evacuations stay.
 //
 // Example:
 //
-//	answer := operators.PutEdition(node, 2, "1.4")
-func (operators *Operators) PutEdition(node *NodeProcess, edition int, expected string) Answer {
+//	answer := operators.PutEdition(node, 2, current)
+func (operators *Operators) PutEdition(node *NodeProcess, edition int, current Answer) Answer {
 	operators.fleet.Book.Note(Entry{Kind: EditionAsked, Edition: edition, Courier: node.Node.Name})
-	query := url.Values{"expected": {expected}, "change": {uuid.NewString()}}
-	// The old edition's route goes and the new one's comes; evacuations stay.
+	query := url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}
 	patch := operators.fleet.Deployment.Configuration(edition)
-	if edition > 1 {
-		gone := ""
-		for earlier := max(1, edition-40); earlier < edition; earlier++ {
-			gone += `"edition-` + strconv.Itoa(earlier) + `":null,`
-		}
-		patch = strings.Replace(patch, `"routes":{`, `"routes":{`+gone, 1)
+	if before := editionOf(current.Configuration); before > 0 {
+		patch = strings.Replace(patch, `"routes":{`, `"routes":{"edition-`+strconv.Itoa(before)+`":null,`, 1)
 	}
 	answer, failure := operators.Call(node, http.MethodPatch, "/v1/configuration", query, patch)
 	entry := Entry{Kind: EditionUnknown, Edition: edition, Courier: node.Node.Name, Status: answer.Status}
@@ -120,13 +116,16 @@
 		Routes map[string]json.RawMessage `json:"routes"`
 	}
 	_ = json.Unmarshal(configuration, &parsed)
+	// There is one; were there two, the older would be the one that is wrong.
+	oldest := 0
 	for name := range parsed.Routes {
 		if number, found := strings.CutPrefix(name, "edition-"); found {
-			edition, _ := strconv.Atoi(number)
-			return edition
+			if edition, _ := strconv.Atoi(number); oldest == 0 || edition < oldest {
+				oldest = edition
+			}
 		}
 	}
-	return 0
+	return oldest
 }
 
 // Evacuate evacuates a district and notes the moment of acceptance.
