--- a/internal/rehearsal/input_test.go
+++ b/internal/rehearsal/input_test.go
@@ -107,6 +107,26 @@
 	if after, still := day.Operators.ReadEdition(fleet.Expediters[1]); after.Version != before.Version || still != edition {
 		test.Errorf("refused changes took effect: %s became %s", before.Version, after.Version)
 	}
+	defer func() {
+		// Two of three are gone: no change is accepted, and that is said; callers
+		// are refused at once when the hold has run out.
+		fleet.Expediters[0].Kill()
+		fleet.Expediters[1].Kill()
+		if !Await(12*time.Second, func() bool {
+			answer, failure := day.Operators.Call(fleet.Expediters[2], http.MethodPut, "/v1/configuration", url.Values{"expected": {before.Version}}, `{}`)
+			return failure == nil && answer.Status == http.StatusServiceUnavailable && answer.Outcome == "not_accepted" && answer.Type == "no_primary"
+		}) {
+			test.Error("without a core a change is not answered 503, not accepted")
+		}
+		refusal := func() bool {
+			began := time.Now()
+			status, header, body := post(test, front, "/v1/inquiries", `{"id":"late","service":"rider-chat","pieces":1}`)
+			return status == http.StatusServiceUnavailable && strings.Contains(body, "no_hold") && header.Get("Retry-After") != "" && time.Since(began) < 2*time.Second
+		}
+		if !Await(12*time.Second, refusal) {
+			test.Error("without a core a caller is not refused at once with the time to come back")
+		}
+	}()
 	// Garbage between the processes.
 	for _, node := range fleet.Nodes() {
 		for _, path := range []string{"/hotline/news", "/hotline/hello", "/hotline/larder/replicate", "/hotline/relay"} {
