--- a/cmd/taster/main.go
+++ b/cmd/taster/main.go
@@ -18,6 +18,8 @@
 
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
@@ -204,9 +206,9 @@
 			facts.Blocked = append(facts.Blocked, string(flag.Name))
 		}
 	}
-	stoves := stove.New(hotline.Transport(nil))
 	lifetime, end := context.WithTimeout(context.Background(), 2*time.Second)
 	defer end()
+	stoves := stove.New(lifetime, threads.New(lifetime, wallclock.New()), hotline.Transport(nil))
 	facts.Servers = make([]menu.ServerFacts, len(fleet.Servers))
 	var asking sync.WaitGroup
 	for position, server := range fleet.Servers {
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -1,159 +1,90 @@
 package courier
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"sort"
 	"strconv"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/vmihailenco/msgpack/v5"
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/adapters/follower"
 	"seamloom.example/seamloom/internal/adapters/hotline"
-	"seamloom.example/seamloom/internal/adapters/usage"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
 func (process *Process) mux() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post("/v1/inquiries"), func(writer http.ResponseWriter, inbound *http.Request) {
-		process.serveInquiry(writer, inbound, false)
+		process.serveInquiry(writer, inbound, nil)
 	})
-	mux.HandleFunc(pat.Post(follower.PassPath), func(writer http.ResponseWriter, inbound *http.Request) {
-		process.serveInquiry(writer, inbound, true)
+	mux.HandleFunc(pat.Post(hatch.PassPath), func(writer http.ResponseWriter, inbound *http.Request) {
+		process.serveInquiry(writer, inbound, &hatch.Passage{Nonce: inbound.Header.Get(passageHeader), Incarnation: inbound.Header.Get(incarnationHeader)})
 	})
 	mux.HandleFunc(pat.Get("/v1/inquiries/:id"), process.getTrace)
-	mux.HandleFunc(pat.Get("/v1/health"), func(writer http.ResponseWriter, _ *http.Request) { answer(writer, http.StatusOK, ReplyLine{}) })
+	mux.HandleFunc(pat.Get("/v1/health"), func(writer http.ResponseWriter, _ *http.Request) {
+		answerJSON(writer, http.StatusOK, map[string]any{"healthy": true})
+	})
 	mux.HandleFunc(pat.Get("/v1/usage"), func(writer http.ResponseWriter, _ *http.Request) {
 		answerJSON(writer, http.StatusOK, process.ledger.Rows())
 	})
 	mux.HandleFunc(pat.Get("/v1/ready"), process.getReady)
 	mux.HandleFunc(pat.Get("/v1/metrics"), process.getMetrics)
-	mux.Handle(pat.Post(follower.RelayPath), hotline.Answerer(func(lifetime context.Context, question follower.RelayQuestion) ([]byte, error) {
-		return process.followed.Relay(lifetime, question)
-	}))
-	mux.Handle(pat.Post(follower.CrumbsPath), hotline.Answerer(func(_ context.Context, records []recipe.Record) (bool, error) {
-		for _, record := range records {
-			process.journal.append(record, false)
-		}
-		return true, nil
-	}))
-	// A courier may stand among another process's seeds: it says where the
-	// core is.
-	mux.Handle(pat.Post(follower.HelloPath), hotline.Answerer(func(context.Context, larder.Hello) (larder.Hello, error) {
-		return larder.Hello{Kind: roster.Courier, Charter: process.followed.Charter()}, nil
-	}))
-	mux.Handle(pat.Post(follower.NewsPath), hotline.Answerer(func(context.Context, follower.NewsQuestion) (follower.NewsAnswer, error) {
-		return follower.NewsAnswer{Charter: process.followed.Charter()}, nil
-	}))
-	return mux
-}
-
-func answer(writer http.ResponseWriter, status int, line ReplyLine) {
-	writer.Header().Set("Content-Type", "application/json")
-	if line.RetryAfterSeconds > 0 {
-		writer.Header().Set("Retry-After", strconv.Itoa(line.RetryAfterSeconds))
+	for path, answer := range process.conduct.Answers() {
+		mux.Handle(pat.Post(path), hotline.Answerer(answer))
 	}
-	writer.WriteHeader(status)
-	_, _ = writer.Write(line.encode())
+	return mux
 }
 
 // serveInquiry takes an inquiry from its origin, or from a restricted courier
 // that passed it on; one that was passed on is not passed on again.
-func (process *Process) serveInquiry(writer http.ResponseWriter, inbound *http.Request, passed bool) {
-	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, MostInquiryBytes))
-	never := false
+func (process *Process) serveInquiry(writer http.ResponseWriter, inbound *http.Request, passage *hatch.Passage) {
+	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, hatch.MostInquiryBytes))
 	if failure != nil {
-		answer(writer, http.StatusRequestEntityTooLarge, ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.Oversize, Detail: failure.Error()})
+		refuse(writer, trouble.At(trouble.Oversize, "/", failure.Error()))
 		return
 	}
-	inquiry, failure := readInquiry(process.clock.Now(), body)
+	inquiry, failure := hatch.ReadInquiry(process.clock.Now(), body)
 	if failure != nil {
-		answer(writer, http.StatusBadRequest, ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(failure), Detail: failure.Error()})
+		refuse(writer, failure)
 		return
 	}
-	if passed {
-		writer = newRecordWriter(writer, inquiry.ID, process.chosen.Name)
-	}
-	stream := newStream()
-	process.mutex.Lock()
-	_, busy := process.streams[inquiry.ID]
-	if !busy {
-		process.streams[inquiry.ID] = stream
-	}
-	process.mutex.Unlock()
-	if busy {
-		answer(writer, http.StatusConflict, ReplyLine{Inquiry: inquiry.ID, Final: pass.Refused, Ran: &never, Type: trouble.Duplicate, Detail: "the inquiry is under way"})
+	origin := &reply{writer: writer, flusher: http.NewResponseController(writer), inbound: inbound}
+	arrival := hatch.Arrival{Inquiry: inquiry, Body: body, Passage: passage}
+	if passage == nil {
+		process.conduct.Serve(arrival, origin)
 		return
 	}
-	defer func() {
-		process.mutex.Lock()
-		delete(process.streams, inquiry.ID)
-		process.mutex.Unlock()
-	}()
-	process.apply(pass.Event{Kind: pass.InquiryArrived, Inquiry: inquiry})
-	process.reply(writer, inbound, stream, body, inquiry, passed)
+	writer.Header().Set("Content-Type", "application/msgpack")
+	encoder := msgpack.NewEncoder(writer)
+	process.conduct.Serve(arrival, &hatch.RecordReply{Inquiry: inquiry.ID, Writer: process.chosen.Name, Left: origin.WhenLeft, Send: func(record recipe.Record) error {
+		if failure := encoder.Encode(record); failure != nil {
+			return failure
+		}
+		return origin.flusher.Flush()
+	}})
 }
 
-func (process *Process) reply(writer http.ResponseWriter, inbound *http.Request, stream *stream, body []byte, inquiry *pass.Inquiry, passed bool) {
-	flusher := http.NewResponseController(writer)
-	for {
-		decision, found := stream.next()
-		if !found {
-			select {
-			case <-stream.woken:
-			case <-inbound.Context().Done():
-				process.apply(pass.Event{Kind: pass.OriginLeft, ID: inquiry.ID})
-				return
-			case <-process.tomb.Dying():
-				// The process ends in the middle: what happened to the run is
-				// not known here any more.
-				if stream.sent == 0 {
-					answer(writer, http.StatusGatewayTimeout, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Draining})
-				} else {
-					_, _ = writer.Write(ReplyLine{Inquiry: inquiry.ID, Final: pass.Failed, Type: trouble.Draining, Pieces: stream.sent}.encode())
-				}
-				return
-			}
-			continue
-		}
-		if decision.Kind == pass.PassOn {
-			process.passOn(writer, inbound, body, inquiry, passed)
-			return
-		}
-		line := lineOf(decision)
-		if decision.Kind == pass.SendPiece {
-			if decision.Piece == 1 {
-				writer.Header().Set("Content-Type", "application/jsonl")
-				writer.WriteHeader(http.StatusOK)
-			}
-			_, _ = writer.Write(line.encode())
-			_ = flusher.Flush()
-			continue
-		}
-		process.ledger.Note(process.clock.Wall(), usage.Row{Courier: process.chosen.Name, Service: inquiry.Service, Origin: inquiry.Origin,
-			Final: string(decision.Final), PromptTokens: int64(inquiry.PromptTokens), Pieces: int64(decision.Pieces)})
-		if decision.Pieces > 0 {
-			_, _ = writer.Write(line.encode())
-			return
-		}
-		answer(writer, statusOf(line), line)
-		return
+// refuse answers what is no inquiry.
+func refuse(writer http.ResponseWriter, failure error) {
+	never := false
+	line := hatch.ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(failure), Detail: failure.Error()}
+	status := http.StatusBadRequest
+	if line.Type == trouble.Oversize {
+		status = http.StatusRequestEntityTooLarge
 	}
+	answerJSON(writer, status, line)
 }
 
 func (process *Process) getTrace(writer http.ResponseWriter, inbound *http.Request) {
-	folded, found := process.journal.fold(pat.Param(inbound, "id"), process.supported)
+	folded, found := process.conduct.Journal().Fold(pat.Param(inbound, "id"), process.supported)
 	if !found {
-		answer(writer, http.StatusNotFound, ReplyLine{Inquiry: folded.Inquiry, Type: trouble.NoSuch, Detail: "this courier's journal has nothing of it"})
+		answerJSON(writer, http.StatusNotFound, hatch.ReplyLine{Inquiry: folded.Inquiry, Type: trouble.NoSuch, Detail: "this courier's journal has nothing of it"})
 		return
 	}
 	answerJSON(writer, http.StatusOK, folded)
@@ -164,9 +95,9 @@
 	process.mutex.Lock()
 	servers := len(process.servers)
 	process.mutex.Unlock()
-	version := process.inForce()
-	content := map[string]any{"ready": now.Before(process.core.HoldEnds()) && servers > 0 && !process.core.Draining(), "configuration": version.String(),
-		"servers": servers, "restricted": process.core.Restricted()}
+	version := process.conduct.InForce()
+	content := map[string]any{"ready": now.Before(process.conduct.Core().HoldEnds()) && servers > 0 && !process.conduct.Core().Draining(), "configuration": version.String(),
+		"servers": servers, "restricted": process.conduct.Core().Restricted()}
 	status := http.StatusOK
 	if content["ready"] == false {
 		status = http.StatusServiceUnavailable
@@ -176,13 +107,13 @@
 
 func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	counts := process.core.Counts()
-	counts["configuration_number"] = int64(process.inForce().Number)
-	if process.core.Restricted() {
+	counts := process.conduct.Core().Counts()
+	counts["configuration_number"] = int64(process.conduct.InForce().Number)
+	if process.conduct.Core().Restricted() {
 		counts["restricted"] = 1
 	}
-	counts["hold_left_milliseconds"] = max(0, process.core.HoldEnds().Sub(process.clock.Now()).Milliseconds())
-	counts["news_silence_milliseconds"] = min(time.Hour.Milliseconds(), process.clock.Now().Sub(process.followed.Heard()).Milliseconds())
+	counts["hold_left_milliseconds"] = max(0, process.conduct.Core().HoldEnds().Sub(process.clock.Now()).Milliseconds())
+	counts["news_silence_milliseconds"] = min(time.Hour.Milliseconds(), process.clock.Now().Sub(process.conduct.Heard()).Milliseconds())
 	names := make([]string, 0, len(counts))
 	for name := range counts {
 		names = append(names, name)
@@ -192,10 +123,3 @@
 		_, _ = io.WriteString(writer, "seamloom_"+name+" "+strconv.FormatInt(counts[name], 10)+"\n")
 	}
 }
-
-// NewInquiryID makes an id that tells when it was made.
-//
-// Example:
-//
-//	id := courier.NewInquiryID()
-func NewInquiryID() string { return uuid.Must(uuid.NewV7()).String() }
--- /dev/null
+++ b/internal/adapters/courier/reply.go
@@ -0,0 +1,52 @@
+package courier
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+)
+
+// reply is an origin at the other end of an HTTP circuit.
+type reply struct {
+	writer  http.ResponseWriter
+	flusher *http.ResponseController
+	inbound *http.Request
+}
+
+// Begin gives status and headers.
+//
+// Example:
+//
+//	reply.Begin(http.StatusOK, 0)
+func (reply *reply) Begin(status, retrySeconds int) {
+	kind := "application/jsonl"
+	if status != http.StatusOK {
+		kind = "application/json"
+	}
+	if reply.writer.Header().Get("Content-Type") == "" {
+		reply.writer.Header().Set("Content-Type", kind)
+	}
+	if retrySeconds > 0 {
+		reply.writer.Header().Set("Retry-After", strconv.Itoa(retrySeconds))
+	}
+	reply.writer.WriteHeader(status)
+}
+
+// Line sends one line.
+//
+// Example:
+//
+//	failure := reply.Line(line)
+func (reply *reply) Line(line []byte) error {
+	if _, failure := reply.writer.Write(line); failure != nil {
+		return failure
+	}
+	return reply.flusher.Flush()
+}
+
+// WhenLeft has act called when the origin closes its circuit.
+//
+// Example:
+//
+//	reply.WhenLeft(stream.leave)
+func (reply *reply) WhenLeft(act func()) { context.AfterFunc(reply.inbound.Context(), act) }
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -19,6 +19,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/recipe"
@@ -27,8 +28,6 @@
 )
 
 const (
-	changePatience  = 3 * time.Second
-	inForcePatience = 6 * time.Second
 	forwardPatience = 10 * time.Second
 	forwardedHeader = "Seamloom-Forwarded"
 )
@@ -70,12 +69,12 @@
 // onPrimary carries the call out here, or passes it to the primary once.
 func (process *Process) onPrimary(answer http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, inbound *http.Request) {
-		if _, _, failure := process.ruling(); failure == nil {
+		if _, _, failure := process.conduct.Ruling(); failure == nil {
 			answer(writer, inbound)
 			return
 		}
-		address := process.steward.Charter().Primary.Address
-		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.keeper.Seat().Address {
+		address := process.conduct.Steward().Charter().Primary.Address
+		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.conduct.Keeper().Seat().Address {
 			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
 			return
 		}
@@ -134,22 +133,13 @@
 		Detail: "it can't be known yet whether the change was accepted", How: "GET /v1/changes/" + change})
 }
 
-// readable is the committed view for a read: the hold is checked after the
-// view was taken, so that it was the newest at some moment of the call.
-func (process *Process) readable(writer http.ResponseWriter) (*reign, *larder.View, *larder.State, bool) {
-	current, view, failure := process.ruling()
-	var state *larder.State
-	if failure == nil {
-		state, failure = process.state(current, view)
-	}
-	if failure == nil && !process.steward.Holds() {
-		failure = trouble.New(trouble.NoPrimary, "the hold ran out")
-	}
+// readable is the committed state for a read; without one the call is answered.
+func (process *Process) readable(writer http.ResponseWriter) (*hatch.Reign, *larder.View, *larder.State, bool) {
+	current, view, state, failure := process.conduct.Read()
 	if failure != nil {
 		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
 		return nil, nil, nil, false
 	}
-	go process.mendCopies(view)
 	return current, view, state, true
 }
 
@@ -238,31 +228,12 @@
 	if change == "" {
 		change = uuid.NewString()
 	}
-	current, view, failure := process.ruling()
-	if failure != nil {
-		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
-		return
-	}
-	editText := func(text []byte) ([]byte, error) { return edit(text, body) }
-	drawer, found := view.Drawers[larder.MenuDrawer]
-	if !found {
-		drawer.Content = menu.Empty().Text
-	}
-	prepared := larder.PrepareMenu(drawer.Version, drawer.Content, editText)
-	version, failure := process.submit(inbound.Context(), larder.ChangeMenu(change, digestOf(inbound, body), expected, prepared, editText), changePatience)
+	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected,
+		Apply: func(text []byte) ([]byte, error) { return edit(text, body) }})
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
 		return
 	}
-	// The same change sent again is answered with the version that holds now.
-	if _, view, failure := process.ruling(); failure == nil && view.VersionOf(larder.MenuDrawer).Before(version) {
-		version = view.VersionOf(larder.MenuDrawer)
-	}
-	if !process.awaitInForce(inbound, current, version) {
-		answerUnknown(writer, change)
-		return
-	}
-	process.logger.Info("configuration_accepted", "version", version.String(), "change", change)
 	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String(), Change: change})
 }
 
@@ -297,49 +268,6 @@
 	}
 }
 
-// awaitInForce waits until every courier that has a hold has confirmed the
-// version, or its hold ran out. Its own hold is checked last.
-func (process *Process) awaitInForce(inbound *http.Request, current *reign, version larder.Version) bool {
-	ends := time.NewTimer(inForcePatience)
-	defer ends.Stop()
-	look := time.NewTicker(50 * time.Millisecond)
-	defer look.Stop()
-	for {
-		rung := process.confirmed.wait()
-		ruling, view, failure := process.ruling()
-		if failure != nil || ruling != current {
-			return false
-		}
-		state, failure := process.state(current, view)
-		if failure != nil {
-			return false
-		}
-		if len(current.holds.Lagging(process.clock.Now(), version.Number, couriers(state))) == 0 {
-			return process.steward.Holds()
-		}
-		select {
-		case <-rung:
-		case <-look.C:
-		case <-ends.C:
-			return false
-		case <-inbound.Context().Done():
-			return false
-		case <-process.tomb.Dying():
-			return false
-		}
-	}
-}
-
-func couriers(state *larder.State) []string {
-	var names []string
-	for name, member := range state.Members {
-		if member.Kind == roster.Courier {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func (process *Process) getChange(writer http.ResponseWriter, inbound *http.Request) {
 	_, _, state, readable := process.readable(writer)
 	if !readable {
@@ -358,15 +286,11 @@
 
 func (process *Process) retire(writer http.ResponseWriter, inbound *http.Request) {
 	name := pat.Param(inbound, "name")
-	current, _, _, readable := process.readable(writer)
-	if !readable {
-		return
-	}
-	if _, live := current.holds.Live(process.clock.Now())[name]; live {
-		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: name + " is running; stop it first"})
+	version, failure := process.conduct.Retire(name)
+	if trouble.KindOf(failure) == trouble.HoldActive {
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: trouble.DetailOf(failure)})
 		return
 	}
-	version, failure := process.submit(inbound.Context(), larder.Retire(name), changePatience)
 	if trouble.KindOf(failure) == trouble.NoSuch {
 		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: failure.Error()})
 		return
@@ -388,12 +312,10 @@
 	Settling bool     `json:"settling,omitempty"`
 }
 
-func (process *Process) flagAnswers(current *reign, state *larder.State) []flagAnswer {
+func (process *Process) flagAnswers(current *hatch.Reign, state *larder.State) []flagAnswer {
 	now := process.clock.Now()
-	live := current.holds.Live(now)
-	process.mutex.Lock()
-	settling := now.Sub(current.settledFrom) < time.Duration(process.chosen.FlagSettle)*time.Millisecond
-	process.mutex.Unlock()
+	live := current.Holds.Live(now)
+	settling := process.conduct.Settling(current)
 	var answers []flagAnswer
 	for _, description := range recipe.Book() {
 		answer := flagAnswer{Description: description, Enabled: state.Flags.Enabled.Has(description.Name), Lacking: state.Lacking(description.Name)}
@@ -451,26 +373,24 @@
 		return
 	}
 	now := process.clock.Now()
-	live := current.holds.Live(now)
-	charter := process.steward.Charter()
+	live := current.Holds.Live(now)
+	charter := process.conduct.Steward().Charter()
 	members := map[string]memberAnswer{}
 	for name, member := range state.Members {
 		_, running := live[name]
 		if member.Kind == roster.Expediter {
-			running = process.steward.Sees(member.Address)
+			running = process.conduct.Steward().Sees(member.Address)
 		}
 		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
 	}
 	orders := map[string]recipe.Order{}
 	for server, record := range state.Orders.Records {
-		if order, failure := recipe.ReadOrder(record, process.supported); failure == nil {
+		if order, failure := recipe.ReadOrder(record, process.conduct.Supported()); failure == nil {
 			orders[server] = order
 		}
 	}
-	batches, changes := process.store.Work()
-	process.mutex.Lock()
-	servers := process.servers
-	process.mutex.Unlock()
+	batches, changes := process.conduct.Store().Work()
+	servers := process.conduct.Servers()
 	holds := map[string]int64{}
 	for name, age := range live {
 		holds[name] = age.Milliseconds()
@@ -481,8 +401,8 @@
 		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
 		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
-		"lagging":        current.holds.Lagging(now, view.VersionOf(larder.MenuDrawer).Number, couriers(state)),
-		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.since).Milliseconds(),
+		"lagging":        current.Lagging(now, view.VersionOf(larder.MenuDrawer), state),
+		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.Since).Milliseconds(),
 	})
 }
 
@@ -496,33 +416,34 @@
 }
 
 func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
-	silence := process.clock.Now().Sub(process.followed.Heard())
+	silence := process.clock.Now().Sub(process.conduct.Heard())
 	status := http.StatusOK
 	if silence > 3*time.Second {
 		status = http.StatusServiceUnavailable
 	}
-	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.steward.Holds(), "identity": process.keeper.Seat().Identity, "epoch": process.steward.Charter().Epoch})
+	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.conduct.Steward().Holds(), "identity": process.conduct.Keeper().Seat().Identity, "epoch": process.conduct.Steward().Charter().Epoch})
 }
 
 func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
-	batches, changes := process.store.Work()
+	batches, changes := process.conduct.Store().Work()
 	leads := 0
-	if process.steward.Holds() {
+	if process.conduct.Steward().Holds() {
 		leads = 1
 	}
-	version := process.store.Copy().Version()
+	version := process.conduct.Store().Copy().Version()
+	answers, bytesSent, menus := process.conduct.NewsCounts()
 	damaged := 0
-	if process.store.Copy().Damage() != "" {
+	if process.conduct.Store().Copy().Damage() != "" {
 		damaged = 1
 	}
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	for _, line := range []struct {
 		name  string
 		value uint64
-	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.steward.Charter().Epoch}, {"seamloom_copy_number", version.Number},
+	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.conduct.Steward().Charter().Epoch}, {"seamloom_copy_number", version.Number},
 		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
-		{"seamloom_news_answers_total", process.newsAnswers.Load()}, {"seamloom_news_drawer_bytes_total", process.newsBytes.Load()},
-		{"seamloom_configurations_sent_total", process.menusSent.Load()}} {
+		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
+		{"seamloom_configurations_sent_total", menus}} {
 		_, _ = io.WriteString(writer, line.name+" "+strconv.FormatUint(line.value, 10)+"\n")
 	}
 }
--- a/internal/adapters/hotline/answerer.go
+++ b/internal/adapters/hotline/answerer.go
@@ -1,7 +1,6 @@
 package hotline
 
 import (
-	"context"
 	stderrors "errors"
 	"io"
 	"net/http"
@@ -11,32 +10,12 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-// Answerer makes an HTTP handler of a function from question to answer.
+// Answerer makes an HTTP handler of what answers encoded messages.
 //
 // Example:
 //
-//	mux.Handle(pat.Post("/hotline/hello"), hotline.Answerer(func(lifetime context.Context, hello larder.Hello) (larder.Hello, error) { ... }))
-func Answerer[Question, Answer any](answer func(lifetime context.Context, question Question) (Answer, error)) http.Handler {
-	return RawAnswerer(func(lifetime context.Context, body []byte) ([]byte, error) {
-		var question Question
-		if failure := msgpack.Unmarshal(body, &question); failure != nil {
-			return nil, trouble.Wrap(trouble.Garbage, failure)
-		}
-		said, failure := answer(lifetime, question)
-		if failure != nil {
-			return nil, failure
-		}
-		encoded, failure := msgpack.Marshal(said)
-		return encoded, trouble.Wrap(trouble.Garbage, failure)
-	})
-}
-
-// RawAnswerer is an Answerer for encoded messages.
-//
-// Example:
-//
-//	mux.Handle(pat.Post("/hotline/relay"), hotline.RawAnswerer(relay))
-func RawAnswerer(answer func(lifetime context.Context, body []byte) ([]byte, error)) http.Handler {
+//	mux.Handle(pat.Post(path), hotline.Answerer(answer))
+func Answerer(answer func(body []byte) ([]byte, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
 		body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, MostBytes))
 		var encoded []byte
@@ -46,7 +25,7 @@
 		case inbound.Header.Get(checksumHeader) != checksum(body):
 			failure = trouble.New(trouble.Garbage, "the question's checksum is wrong")
 		default:
-			encoded, failure = answer(inbound.Context(), body)
+			encoded, failure = answer(body)
 		}
 		status := http.StatusOK
 		if failure != nil {
--- a/internal/adapters/hotline/caller.go
+++ b/internal/adapters/hotline/caller.go
@@ -57,26 +57,6 @@
 	}
 }
 
-// Call sends a message and reads the answer, within the patience.
-//
-// Example:
-//
-//	failure := caller.Call(lifetime, "127.0.0.1:7101", "/hotline/hello", own, &answer, time.Second)
-func (caller *Caller) Call(lifetime context.Context, address, path string, question, answer any, patience time.Duration) error {
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
-	}
-	answered, failure := caller.CallRaw(lifetime, address, path, body, patience)
-	if failure != nil {
-		return failure
-	}
-	if answer == nil {
-		return nil
-	}
-	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(answered, answer))
-}
-
 // CallRaw sends an encoded message and returns the encoded answer, as relays
 // do for others.
 //
--- /dev/null
+++ b/internal/adapters/hotline/line.go
@@ -0,0 +1,22 @@
+package hotline
+
+import (
+	"context"
+	"time"
+)
+
+// Line is a caller for as long as one process lives.
+type Line struct {
+	Caller   *Caller
+	Lifetime context.Context
+}
+
+// CallRaw sends an encoded message and returns the encoded answer.
+//
+// Example:
+//
+//	line := hotline.Line{Caller: hotline.NewCaller(nil), Lifetime: lifetime}
+//	answer, failure := line.CallRaw(address, path, body, time.Second)
+func (line Line) CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error) {
+	return line.Caller.CallRaw(line.Lifetime, address, path, body, patience)
+}
--- a/internal/adapters/stove/cancelorder.go
+++ b/internal/adapters/stove/cancelorder.go
@@ -3,5 +3,6 @@
 // CancelOrder is the body of POST /v1/cancel.
 type CancelOrder struct {
 	Inquiry string `json:"inquiry"`
+	Order   string `json:"order,omitempty"`
 	Run     int    `json:"run"`
 }
--- a/internal/adapters/stove/decodeorder.go
+++ b/internal/adapters/stove/decodeorder.go
@@ -4,6 +4,7 @@
 // server that read the prompt, from which its memory is fetched.
 type DecodeOrder struct {
 	Inquiry string `json:"inquiry"`
+	Order   string `json:"order,omitempty"`
 	Run     int    `json:"run"`
 	Handle  string `json:"handle"`
 	Source  string `json:"source"`
--- /dev/null
+++ b/internal/adapters/stove/guardedbody.go
@@ -0,0 +1,51 @@
+package stove
+
+import (
+	"bytes"
+	"io"
+	"sync/atomic"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// guardedBody is an order on its way. Whether it may still go is asked when its
+// first byte is taken, after every wait for a circuit; an order without its
+// body is none.
+type guardedBody struct {
+	reader *bytes.Reader
+	may    func() bool
+	begun  *atomic.Bool
+}
+
+var tooLate = trouble.New(trouble.LimitPassed, "the order may not go any more")
+
+// Read gives the next bytes, the first of them only if they may still go.
+//
+// Example:
+//
+//	count, failure := body.Read(buffer)
+func (body *guardedBody) Read(buffer []byte) (int, error) {
+	if !body.begun.Load() {
+		if !body.may() {
+			return 0, tooLate
+		}
+		body.begun.Store(true)
+	}
+	return body.reader.Read(buffer)
+}
+
+// Close ends the body.
+//
+// Example:
+//
+//	_ = body.Close()
+func (body *guardedBody) Close() error { return nil }
+
+// renew starts the order anew: the transport asks for it only when nothing of
+// the last try was written.
+func renew(content []byte, may func() bool, begun *atomic.Bool) func() (io.ReadCloser, error) {
+	return func() (io.ReadCloser, error) {
+		begun.Store(false)
+		return &guardedBody{reader: bytes.NewReader(content), may: may, begun: begun}, nil
+	}
+}
--- a/internal/adapters/stove/prefillorder.go
+++ b/internal/adapters/stove/prefillorder.go
@@ -3,6 +3,7 @@
 // PrefillOrder is the body of POST /v1/prefill.
 type PrefillOrder struct {
 	Inquiry      string `json:"inquiry"`
+	Order        string `json:"order,omitempty"`
 	Run          int    `json:"run"`
 	Prompt       string `json:"prompt,omitempty"`
 	PromptTokens int    `json:"prompt_tokens"`
--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/stove/stove.go
@@ -4,50 +4,86 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
 // Stove is the client to all model servers.
 type Stove struct {
-	client *http.Client
+	client   *http.Client
+	lifetime context.Context
+	turns    rota.Turns
+
+	mutex   sync.Mutex
+	running map[string]context.CancelFunc
+}
+
+// New makes a client over a transport, for as long as a process lives.
+//
+// Example:
+//
+//	stove := stove.New(lifetime, turns, hotline.Transport(nil))
+func New(lifetime context.Context, turns rota.Turns, transport http.RoundTripper) *Stove {
+	return &Stove{client: &http.Client{Transport: transport}, lifetime: lifetime, turns: turns, running: map[string]context.CancelFunc{}}
 }
 
-// New makes a client over a transport.
+func runKey(id string, run int) string { return id + "#" + strconv.Itoa(run) }
+
+// beginRun makes the lifetime of a run's dispatch, which ends with its cancel.
+func (stove *Stove) beginRun(decision pass.Decision) context.Context {
+	lifetime, end := context.WithCancel(stove.lifetime)
+	stove.mutex.Lock()
+	defer stove.mutex.Unlock()
+	key := runKey(decision.ID, decision.Run)
+	if earlier, found := stove.running[key]; found {
+		earlier()
+	}
+	stove.running[key] = end
+	return lifetime
+}
+
+// EndRun ends whatever a run still has under way.
 //
 // Example:
 //
-//	stove := stove.New(hotline.Transport(nil))
-func New(transport http.RoundTripper) *Stove {
-	return &Stove{client: &http.Client{Transport: transport}}
+//	stove.EndRun("inquiry-1", 1)
+func (stove *Stove) EndRun(id string, run int) {
+	stove.mutex.Lock()
+	defer stove.mutex.Unlock()
+	if end, found := stove.running[runKey(id, run)]; found {
+		end()
+		delete(stove.running, runKey(id, run))
+	}
 }
 
 // MostLine bounds one line of a stream.
 const MostLine = 1 << 20
 
-// post sends an order. Written tells whether any of it may have reached the
+// post sends an order. Begun tells whether any of it may have reached the
 // server: if not, the server certainly did not start.
-func (stove *Stove) post(lifetime context.Context, address, path string, order any) (inbound *http.Response, written bool, failure error) {
-	body, failure := json.Marshal(order)
+func (stove *Stove) post(lifetime context.Context, address, path string, order any, may func() bool) (inbound *http.Response, begun bool, failure error) {
+	content, failure := json.Marshal(order)
 	if failure != nil {
 		return nil, false, trouble.Wrap(trouble.Garbage, failure)
 	}
 	var touched atomic.Bool
-	lifetime = httptrace.WithClientTrace(lifetime, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	body := renew(content, may, &touched)
+	first, _ := body()
+	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, first)
 	if failure != nil {
 		return nil, false, trouble.Wrap(trouble.Garbage, failure)
 	}
+	outbound.ContentLength, outbound.GetBody = int64(len(content)), body
 	outbound.Header.Set("Content-Type", "application/json")
 	inbound, failure = stove.client.Do(outbound)
 	return inbound, touched.Load(), trouble.Wrap(trouble.Unreachable, failure)
@@ -77,11 +113,11 @@
 //
 // Example:
 //
-//	outcome, handle, detail := stove.Prefill(lifetime, decision)
-func (stove *Stove) Prefill(lifetime context.Context, decision pass.Decision) (pass.Outcome, string, string) {
+//	outcome, handle, detail := stove.Prefill(decision, may)
+func (stove *Stove) Prefill(decision pass.Decision, may func() bool) (pass.Outcome, string, string) {
 	inquiry := decision.Inquiry
-	inbound, written, failure := stove.post(lifetime, decision.Address, "/v1/prefill", PrefillOrder{Inquiry: inquiry.ID, Run: decision.Run,
-		Prompt: inquiry.Prompt, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens})
+	inbound, written, failure := stove.post(stove.beginRun(decision), decision.Address, "/v1/prefill", PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
+		Prompt: inquiry.Prompt, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens}, may)
 	if failure != nil {
 		if !written {
 			return pass.NotStarted, "", failure.Error()
@@ -108,11 +144,11 @@
 //
 // Example:
 //
-//	outcome, pieces, detail := stove.Decode(lifetime, decision, func(piece int, text string) { ... })
-func (stove *Stove) Decode(lifetime context.Context, decision pass.Decision, take func(piece int, text string)) (pass.Outcome, int, string) {
+//	outcome, pieces, detail := stove.Decode(decision, may, func(piece int, text string) { ... })
+func (stove *Stove) Decode(decision pass.Decision, may func() bool, take func(piece int, text string)) (pass.Outcome, int, string) {
 	inquiry := decision.Inquiry
-	inbound, written, failure := stove.post(lifetime, decision.Address, "/v1/decode", DecodeOrder{Inquiry: inquiry.ID, Run: decision.Run,
-		Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces})
+	inbound, written, failure := stove.post(stove.beginRun(decision), decision.Address, "/v1/decode", DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
+		Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces}, may)
 	if failure != nil {
 		if !written {
 			return pass.NotStarted, 0, failure.Error()
@@ -142,31 +178,38 @@
 	return pass.Uncertain, 0, "the stream broke off"
 }
 
-// Cancel has a server stop a run.
+// Cancel breaks a run's circuit and has the server stop it.
 //
 // Example:
 //
-//	failure := stove.Cancel(lifetime, decision)
-func (stove *Stove) Cancel(lifetime context.Context, decision pass.Decision) error {
-	inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/cancel", CancelOrder{Inquiry: decision.ID, Run: decision.Run})
-	if failure == nil {
-		_ = inbound.Body.Close()
-	}
-	return failure
+//	stove.Cancel(decision)
+func (stove *Stove) Cancel(decision pass.Decision) {
+	stove.EndRun(decision.ID, decision.Run)
+	stove.turns.Go(func() {
+		lifetime, end := context.WithTimeout(stove.lifetime, time.Second)
+		defer end()
+		inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/cancel", CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}, func() bool { return true })
+		if failure == nil {
+			_ = inbound.Body.Close()
+		}
+	})
 }
 
-// Command has a server take a part, under the fence of its key's holder.
+// Command has a server take a part, under the fence of its key's holder. One
+// that is late is worse than none: it ends with the duty's hold.
 //
 // Example:
 //
-//	failure := stove.Command(lifetime, decision)
-func (stove *Stove) Command(lifetime context.Context, decision pass.Decision) error {
+//	failure := stove.Command(decision, may)
+func (stove *Stove) Command(decision pass.Decision, may func() bool) error {
 	order := PartOrder{Part: string(decision.Part), Fence: decision.Duty.Fence, Holder: decision.Duty.Holder}
 	if decision.Order != nil {
 		order.PatienceMilliseconds = int(decision.Order.Patience / time.Millisecond)
 		order.Cause = decision.Order.Cause
 	}
-	inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/part", order)
+	lifetime, end := context.WithTimeout(stove.lifetime, min(time.Second, decision.NotAfter.Sub(stove.turns.Now())))
+	defer end()
+	inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/part", order, may)
 	if failure != nil {
 		return failure
 	}
--- /dev/null
+++ b/internal/hatch/counter.go
@@ -0,0 +1,206 @@
+package hatch
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+const (
+	registerPatience = 1200 * time.Millisecond
+	claimPatience    = 1200 * time.Millisecond
+	// mostNewsWait bounds how long a question is held back.
+	mostNewsWait = 2 * time.Second
+)
+
+// Answers is what the expediter answers on the hotline.
+//
+// Example:
+//
+//	encoded, failure := core.Answers().Answer(path, body)
+func (expediter *Expediter) Answers() Answers { return expediter.answers }
+
+func (expediter *Expediter) table() Answers {
+	return Answers{
+		HelloPath: answering(func(hello larder.Hello) (larder.Hello, error) { return expediter.steward.Greet(hello), nil }),
+		PreparePath: answering(func(question keeperQuestion) (larder.Promise, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return larder.Promise{}, failure
+			}
+			return expediter.keeper.Prepare(expediter.turns.Now(), question.Epoch, question.From)
+		}),
+		AcceptPath: answering(func(question keeperQuestion) (larder.Promise, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return larder.Promise{}, failure
+			}
+			return expediter.keeper.Accept(expediter.turns.Now(), question.Charter)
+		}),
+		ConfirmPath: answering(func(question keeperQuestion) (larder.Promise, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return larder.Promise{}, failure
+			}
+			return expediter.keeper.Confirm(expediter.turns.Now(), question.Epoch, question.From), nil
+		}),
+		ReplicatePath: answering(func(question replicateQuestion) (nothing, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return nothing{}, failure
+			}
+			return nothing{}, expediter.store.Replicate(question.Epoch, question.Batch)
+		}),
+		InstallPath: answering(func(question installQuestion) (nothing, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return nothing{}, failure
+			}
+			return nothing{}, expediter.store.Install(question.Snapshot)
+		}),
+		RefreshPath: answering(func(question installQuestion) (nothing, error) {
+			if failure := expediter.mine(question.To); failure != nil {
+				return nothing{}, failure
+			}
+			return nothing{}, expediter.store.Refresh(question.Snapshot)
+		}),
+		NewsPath: answering(expediter.answerNews),
+		ClaimPath: answering(func(question ClaimQuestion) (LedAnswer, error) {
+			return expediter.led(larder.Claim(question.Made, question.Entry))
+		}),
+		OrdersPath: answering(func(question OrdersQuestion) (LedAnswer, error) {
+			return expediter.led(larder.GiveOrders(question.Duty, question.Orders, question.Supported))
+		}),
+	}
+}
+
+// mine guards against messages for another disk at the same address.
+func (expediter *Expediter) mine(identity larder.Identity) error {
+	if own := expediter.keeper.Seat().Identity; identity != own {
+		return trouble.New(trouble.NotAdmitted, "another disk is at this address now")
+	}
+	return nil
+}
+
+// led carries out a node's change if this expediter is primary.
+func (expediter *Expediter) led(change larder.Change) (LedAnswer, error) {
+	if _, _, failure := expediter.Ruling(); failure != nil {
+		return LedAnswer{Charter: expediter.steward.Charter()}, nil
+	}
+	_, failure := expediter.submit(change, claimPatience)
+	if trouble.KindOf(failure) == trouble.NotPrimary {
+		return LedAnswer{Charter: expediter.steward.Charter()}, nil
+	}
+	return LedAnswer{Leads: true}, failure
+}
+
+// followedDrawers are those that nodes follow.
+var followedDrawers = []string{larder.MenuDrawer, larder.MembersDrawer, larder.FlagsDrawer, larder.OrdersDrawer}
+
+// answerNews registers the node if needed, waits for news, and grants a hold
+// for the configuration that the answer confirms.
+func (expediter *Expediter) answerNews(question NewsQuestion) (NewsAnswer, error) {
+	elsewhere := func() (NewsAnswer, error) { return NewsAnswer{Charter: expediter.steward.Charter()}, nil }
+	current, view, failure := expediter.Ruling()
+	if failure != nil {
+		return elsewhere()
+	}
+	name := question.Member.Name
+	courier := question.Member.Kind == roster.Courier
+	if courier {
+		current.Holds.Note(expediter.turns.Now(), name, question.InForce.Number)
+		expediter.confirmed.Ring()
+	}
+	state, failure := expediter.state(current, view)
+	if failure != nil {
+		return NewsAnswer{}, failure
+	}
+	if recorded, found := state.Members[name]; !found || !recorded.Same(question.Member) {
+		member := question.Member
+		member.Since = expediter.turns.Wall()
+		if _, failure := expediter.submit(larder.Register(member), registerPatience); failure != nil {
+			return NewsAnswer{}, failure
+		}
+	}
+	for {
+		if view = expediter.awaitNews(question); view == nil {
+			return elsewhere()
+		}
+		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer), Drawers: newer(view, question.Have)}
+		if courier {
+			state, failure := expediter.state(current, view)
+			if failure != nil {
+				return NewsAnswer{}, failure
+			}
+			// From here the courier may act for as long as the hold says,
+			// counted from when it asked, which was earlier.
+			now := expediter.turns.Now()
+			current.Holds.Grant(now, name, question.InForce.Number)
+			answer.Hold = rota.DefaultTerms().Hold
+			answer.Duties = current.keys.Renew(now, name, state.Rota.Duties, current.candidates(now, state))
+		}
+		// The grant is noted before this look: a configuration committed since
+		// is either seen here, or its change sees the grant and waits for it.
+		latest := expediter.store.View()
+		if latest == nil || !expediter.steward.Holds() {
+			return elsewhere()
+		}
+		if latest.VersionOf(larder.MenuDrawer) == answer.Menu {
+			expediter.count(answer)
+			return answer, nil
+		}
+	}
+}
+
+// count adds an answer's drawers to what news has cost.
+func (expediter *Expediter) count(answer NewsAnswer) {
+	expediter.newsAnswers.Add(1)
+	for name, drawer := range answer.Drawers {
+		expediter.newsBytes.Add(uint64(len(drawer.Content)))
+		if name == larder.MenuDrawer {
+			expediter.menusSent.Add(1)
+		}
+	}
+}
+
+func newer(view *larder.View, have map[string]larder.Version) map[string]larder.Drawer {
+	drawers := map[string]larder.Drawer{}
+	for _, name := range followedDrawers {
+		drawer, found := view.Drawers[name]
+		switch {
+		case !found && name == larder.MenuDrawer:
+			// A fleet that was given no configuration has the empty one.
+			drawer = larder.Drawer{Content: menu.Empty().Text}
+			if _, told := have[name]; told {
+				continue
+			}
+		case !found:
+			if _, told := have[name]; told {
+				continue
+			}
+			drawer = larder.Drawer{}
+		}
+		if version, told := have[name]; !told || version.Before(drawer.Version) {
+			drawers[name] = drawer
+		}
+	}
+	return drawers
+}
+
+// awaitNews returns the view as soon as it has news for the question, or when
+// its patience ends; nil when this expediter is not primary any more.
+func (expediter *Expediter) awaitNews(question NewsQuestion) *larder.View {
+	var seen *larder.View
+	expediter.news.Wait(min(max(question.Patience, 0), mostNewsWait), func() bool {
+		_, view, failure := expediter.Ruling()
+		if failure != nil {
+			seen = nil
+			return true
+		}
+		seen = view
+		return len(newer(view, question.Have)) > 0
+	})
+	if !expediter.turns.Alive() {
+		return nil
+	}
+	return seen
+}
--- /dev/null
+++ b/internal/hatch/courier.go
@@ -0,0 +1,366 @@
+package hatch
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Courier is the data plane's conduct at one node: it follows the primary, has
+// inquiries decided by the core, and carries the decisions out.
+type Courier struct {
+	turns       rota.Turns
+	line        Hotline
+	stove       Stove
+	passing     Passing
+	options     CourierOptions
+	observe     func(event string, detail ...any)
+	core        *seamloom.Core
+	followed    *Follower
+	journal     *Journal
+	answers     Answers
+	passages    passages
+	incarnation string
+
+	mutex   sync.Mutex
+	streams map[string]*stream
+	tokens  map[string]string
+	members map[string]roster.Member
+	nodes   []roster.Node
+}
+
+// The pauses of a courier's rounds. The values are ours.
+const (
+	courierTick = 20 * time.Millisecond
+	crumbsPause = 250 * time.Millisecond
+	neighbours  = 3
+	// claimPause is the time between two tries of a claim.
+	claimPause = 60 * time.Millisecond
+	// actPatience is how long an order or a command may take.
+	actPatience = time.Second
+)
+
+// NewCourier makes the conduct of one courier.
+//
+// Example:
+//
+//	courier := hatch.NewCourier(turns, line, stove, passing, options, observe)
+func NewCourier(turns rota.Turns, line Hotline, stove Stove, passing Passing, options CourierOptions, observe func(string, ...any)) *Courier {
+	courier := &Courier{turns: turns, line: line, stove: stove, passing: passing, options: options, observe: observe,
+		core: seamloom.New(options.Options), journal: newJournal(), incarnation: options.Nonce(),
+		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}}
+	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
+	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
+	courier.answers = courier.table()
+	return courier
+}
+
+// Rounds are what a courier does over and over, each in a thread of its own.
+//
+// Example:
+//
+//	for _, round := range courier.Rounds() { turns.Go(round) }
+func (courier *Courier) Rounds() []func() {
+	return []func(){
+		func() {
+			rota.Every(courier.turns, courierTick, func() { courier.Apply(pass.Event{Kind: pass.Ticked}) })
+		},
+		func() { rota.Every(courier.turns, crumbsPause, courier.dropCrumbs) },
+		courier.followed.Run,
+	}
+}
+
+// Core is the deciding core.
+//
+// Example:
+//
+//	ready := turns.Now().Before(courier.Core().HoldEnds())
+func (courier *Courier) Core() *seamloom.Core { return courier.core }
+
+// Journal is what is known of recent inquiries.
+//
+// Example:
+//
+//	trace, found := courier.Journal().Fold(id, supported)
+func (courier *Courier) Journal() *Journal { return courier.journal }
+
+// Heard is when a primary answered last.
+//
+// Example:
+//
+//	silence := now.Sub(courier.Heard())
+func (courier *Courier) Heard() time.Time { return courier.followed.Heard() }
+
+// SetSeeds exchanges the seeds, after a reload.
+//
+// Example:
+//
+//	courier.SetSeeds(chosen.Seeds)
+func (courier *Courier) SetSeeds(seeds []string) { courier.followed.SetSeeds(seeds) }
+
+// InForce is the version of the configuration in force.
+//
+// Example:
+//
+//	version := courier.InForce()
+func (courier *Courier) InForce() larder.Version {
+	epoch, number := courier.core.InForce()
+	return larder.Version{Epoch: epoch, Number: number}
+}
+
+// Apply feeds one event to the core and carries its decisions out.
+//
+// Example:
+//
+//	courier.Apply(pass.Event{Kind: pass.ServersListed, Servers: servers})
+func (courier *Courier) Apply(event pass.Event) {
+	if event.At.IsZero() {
+		event.At = courier.turns.Now()
+	}
+	for _, decision := range courier.core.Apply(event) {
+		courier.carryOut(decision)
+	}
+}
+
+// Answers is what the courier answers on the hotline.
+//
+// Example:
+//
+//	encoded, failure := courier.Answers().Answer(path, body)
+func (courier *Courier) Answers() Answers { return courier.answers }
+
+func (courier *Courier) table() Answers {
+	return Answers{
+		RelayPath: answering(courier.followed.Relay),
+		CrumbsPath: answering(func(records []recipe.Record) (bool, error) {
+			for _, record := range records {
+				courier.journal.append(record, false)
+			}
+			return true, nil
+		}),
+		// A courier may stand among another process's seeds: it says where the
+		// core is.
+		HelloPath: answering(func(larder.Hello) (larder.Hello, error) {
+			return larder.Hello{Kind: roster.Courier, Charter: courier.followed.Charter()}, nil
+		}),
+		NewsPath: answering(func(NewsQuestion) (NewsAnswer, error) {
+			return NewsAnswer{Charter: courier.followed.Charter()}, nil
+		}),
+		IncarnationPath: answering(func(nothing) (Incarnation, error) {
+			return Incarnation{Incarnation: courier.incarnation}, nil
+		}),
+	}
+}
+
+// takeNews puts a configuration in force before it uses the hold that
+// confirms it.
+func (courier *Courier) takeNews(news News) {
+	if drawer, found := news.Changed[larder.MenuDrawer]; found {
+		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
+		courier.observe("configuration_in_force", "version", drawer.Version.String())
+	}
+	state, failure := larder.ReadState(news.Changed)
+	if failure != nil {
+		courier.observe("news_unreadable", "cause", failure)
+		return
+	}
+	if _, found := news.Changed[larder.FlagsDrawer]; found {
+		courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
+		courier.observe("flags_read", "enabled", state.Flags.Enabled, "restricted", courier.core.Restricted())
+	}
+	if _, found := news.Changed[larder.OrdersDrawer]; found {
+		courier.Apply(pass.Event{Kind: pass.OrdersRead, Orders: courier.core.ReadOrders(state.Orders.Records)})
+	}
+	if _, found := news.Changed[larder.MembersDrawer]; found {
+		courier.mutex.Lock()
+		courier.members = state.Members
+		courier.mutex.Unlock()
+		couriers := uint64(0)
+		for _, member := range state.Members {
+			if member.Kind == roster.Courier {
+				couriers++
+			}
+		}
+		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: couriers})
+		courier.setContacts()
+	}
+	if news.Answer.Hold > 0 {
+		courier.Apply(pass.Event{Kind: pass.HoldRenewed, HoldEnds: news.Asked.Add(news.Answer.Hold), Epoch: news.Answer.Menu.Epoch,
+			Number: news.Answer.Menu.Number, Duties: news.Answer.Duties})
+	}
+}
+
+// SetNodes takes the platform's list of nodes.
+//
+// Example:
+//
+//	courier.SetNodes(nodes)
+func (courier *Courier) SetNodes(nodes []roster.Node) {
+	courier.mutex.Lock()
+	courier.nodes = nodes
+	courier.mutex.Unlock()
+	courier.setContacts()
+}
+
+// setContacts names the expediters that the platform or the record knows, and
+// the few others that this courier knows: by rendezvous hashing over the
+// recorded couriers.
+func (courier *Courier) setContacts() {
+	courier.mutex.Lock()
+	var contacts []string
+	for _, node := range courier.nodes {
+		if node.Kind == roster.Expediter {
+			contacts = append(contacts, node.Address)
+		}
+	}
+	var names []string
+	for name := range courier.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		member := courier.members[name]
+		if member.Kind == roster.Expediter && !slices.Contains(contacts, member.Address) {
+			contacts = append(contacts, member.Address)
+		}
+	}
+	courier.mutex.Unlock()
+	var addresses []string
+	for _, member := range courier.neighbours() {
+		addresses = append(addresses, member.Address)
+	}
+	courier.followed.SetContacts(contacts, addresses)
+}
+
+func (courier *Courier) neighbours() []roster.Member {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	var names []string
+	for name, member := range courier.members {
+		if member.Kind == roster.Courier {
+			names = append(names, name)
+		}
+	}
+	var members []roster.Member
+	for _, name := range roster.Neighbours(courier.options.Courier, names, neighbours) {
+		members = append(members, courier.members[name])
+	}
+	return members
+}
+
+// dropCrumbs gives the newest records to a neighbour, which can tell of them
+// when this courier is gone.
+func (courier *Courier) dropCrumbs() {
+	records := courier.journal.takeOutbox()
+	if len(records) == 0 {
+		return
+	}
+	for _, member := range courier.neighbours() {
+		var answer bool
+		if Call(courier.line, member.Address, CrumbsPath, records, &answer, actPatience) == nil {
+			return
+		}
+	}
+}
+
+func (courier *Courier) nonce() string { return courier.options.Nonce() }
+
+// Serve takes one inquiry and answers its origin; it returns when the reply is
+// over.
+//
+// Example:
+//
+//	courier.Serve(hatch.Arrival{Inquiry: inquiry, Body: body}, reply)
+func (courier *Courier) Serve(arrival Arrival, reply Reply) {
+	inquiry := arrival.Inquiry
+	if !courier.meant(arrival) {
+		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Duplicate, Detail: "this passing-on was brought before, or to another life of this courier"})
+		return
+	}
+	stream := newStream(courier.turns)
+	courier.mutex.Lock()
+	_, busy := courier.streams[inquiry.ID]
+	if !busy {
+		courier.streams[inquiry.ID] = stream
+	}
+	courier.mutex.Unlock()
+	if busy {
+		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Refused, Type: trouble.Duplicate, Detail: "the inquiry is under way"})
+		return
+	}
+	defer func() {
+		courier.mutex.Lock()
+		defer courier.mutex.Unlock()
+		delete(courier.streams, inquiry.ID)
+	}()
+	reply.WhenLeft(stream.leave)
+	courier.Apply(pass.Event{Kind: pass.InquiryArrived, Inquiry: inquiry})
+	courier.answer(arrival, reply, stream)
+}
+
+// meant tells whether a passed-on inquiry was meant for this life of the
+// courier and comes for the first time.
+func (courier *Courier) meant(arrival Arrival) bool {
+	passage := arrival.Passage
+	if passage == nil || passage.Nonce == "" {
+		return true
+	}
+	if passage.Incarnation != "" && passage.Incarnation != courier.incarnation {
+		return false
+	}
+	return courier.passages.first(courier.turns.Now(), passage.Nonce)
+}
+
+func (courier *Courier) answer(arrival Arrival, reply Reply, stream *stream) {
+	inquiry := arrival.Inquiry
+	for {
+		decision, found := stream.next()
+		if !found {
+			if stream.gone() {
+				courier.Apply(pass.Event{Kind: pass.OriginLeft, ID: inquiry.ID})
+				return
+			}
+			stream.bell.Wait(time.Minute, stream.news)
+			if !courier.turns.Alive() {
+				// The process ends in the middle: what happened to the run is
+				// not known here any more.
+				if stream.sent == 0 {
+					sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Draining})
+				} else {
+					_ = reply.Line(ReplyLine{Inquiry: inquiry.ID, Final: pass.Failed, Type: trouble.Draining, Pieces: stream.sent}.encode())
+				}
+				return
+			}
+			continue
+		}
+		if decision.Kind == pass.PassOn {
+			courier.passOn(arrival, reply)
+			return
+		}
+		line := lineOf(decision)
+		if decision.Kind == pass.SendPiece {
+			if decision.Piece == 1 {
+				reply.Begin(line.Status(), 0)
+			}
+			if reply.Line(line.encode()) != nil {
+				stream.leave()
+			}
+			continue
+		}
+		courier.options.Ended(inquiry, decision)
+		if decision.Pieces > 0 {
+			_ = reply.Line(line.encode())
+		} else {
+			sayLine(reply, line)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/internal/hatch/decisions.go
@@ -0,0 +1,161 @@
+package hatch
+
+import (
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// carryOut does one decision. What waits for others runs in its own thread and
+// comes back as an event.
+func (courier *Courier) carryOut(decision pass.Decision) {
+	switch decision.Kind {
+	case pass.SendPiece, pass.Finish, pass.PassOn:
+		courier.mutex.Lock()
+		stream := courier.streams[decision.ID]
+		courier.mutex.Unlock()
+		if stream != nil {
+			stream.put(decision)
+		}
+		if decision.Kind == pass.Finish {
+			for run := 1; run <= decision.Run; run++ {
+				courier.stove.EndRun(decision.ID, run)
+				courier.forgetToken(decision.ID, run)
+			}
+		}
+	case pass.ClaimInquiry:
+		courier.turns.Go(func() { courier.claim(decision) })
+	case pass.DispatchPrefill:
+		decision.Token = courier.newToken(decision)
+		courier.turns.Go(func() { courier.prefill(decision) })
+	case pass.DispatchDecode:
+		decision.Token = courier.newToken(decision)
+		courier.turns.Go(func() { courier.decode(decision) })
+	case pass.Cancel:
+		decision.Token = courier.tokenOf(decision)
+		courier.stove.Cancel(decision)
+	case pass.NotePair:
+		courier.notePair(decision)
+	case pass.NoteRetry:
+		courier.noteRetry(decision)
+	case pass.GiveOrders:
+		courier.turns.Go(func() { courier.giveOrders(decision) })
+	case pass.Command:
+		courier.turns.Go(func() { courier.command(decision) })
+	}
+}
+
+func runKey(id string, run int) string { return id + "#" + strconv.Itoa(run) }
+
+func (courier *Courier) newToken(decision pass.Decision) string {
+	token := courier.nonce()
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	courier.tokens[runKey(decision.ID, decision.Run)] = token
+	return token
+}
+
+func (courier *Courier) tokenOf(decision pass.Decision) string {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	return courier.tokens[runKey(decision.ID, decision.Run)]
+}
+
+func (courier *Courier) forgetToken(id string, run int) {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	delete(courier.tokens, runKey(id, run))
+}
+
+// mayAct is asked just before the act, after every wait.
+func (courier *Courier) mayAct(decision pass.Decision) bool {
+	return courier.turns.Now().Before(decision.NotAfter)
+}
+
+func (courier *Courier) prefill(decision pass.Decision) {
+	event := pass.Event{Kind: pass.PrefillAnswered, ID: decision.ID, Run: decision.Run}
+	event.Outcome, event.Handle, event.Detail = courier.stove.Prefill(decision, func() bool { return courier.mayAct(decision) })
+	courier.Apply(event)
+}
+
+func (courier *Courier) decode(decision pass.Decision) {
+	event := pass.Event{Kind: pass.DecodeEnded, ID: decision.ID, Run: decision.Run}
+	event.Outcome, event.Piece, event.Detail = courier.stove.Decode(decision, func() bool { return courier.mayAct(decision) }, func(piece int, text string) {
+		courier.Apply(pass.Event{Kind: pass.PieceReceived, ID: decision.ID, Run: decision.Run, Piece: piece, Text: text})
+	})
+	courier.Apply(event)
+}
+
+func (courier *Courier) notePair(decision pass.Decision) {
+	if courier.core.Restricted() {
+		return
+	}
+	record, failure := recipe.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
+	if failure == nil {
+		courier.journal.append(record, true)
+	}
+}
+
+func (courier *Courier) noteRetry(decision pass.Decision) {
+	if courier.core.Restricted() {
+		return
+	}
+	record, failure := recipe.WriteEntry(recipe.RetryRecord, recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
+	if failure == nil {
+		courier.journal.append(record, true)
+	}
+}
+
+func (courier *Courier) giveOrders(decision pass.Decision) {
+	if !courier.mayAct(decision) || courier.core.Restricted() {
+		return
+	}
+	var answer LedAnswer
+	failure := courier.followed.Ask(OrdersPath, OrdersQuestion{Duty: decision.Duty, Orders: decision.Orders, Supported: courier.options.Supported}, &answer, actPatience)
+	courier.observe("orders_given", "orders", decision.Orders, "trouble", failure)
+}
+
+func (courier *Courier) command(decision pass.Decision) {
+	if courier.core.Restricted() {
+		return
+	}
+	failure := courier.stove.Command(decision, func() bool { return courier.mayAct(decision) })
+	courier.observe("commanded", "server", decision.Server, "part", decision.Part, "fence", decision.Duty.Fence, "trouble", failure)
+}
+
+// claim asks the primary for an inquiry's id until it is answered, its limit
+// comes, or its origin has had the final word. Asking again is safe: the nonce
+// tells this arrival's own claim.
+func (courier *Courier) claim(decision pass.Decision) {
+	made, failure := MadeAt(decision.ID)
+	event := pass.Event{Kind: pass.ClaimAnswered, ID: decision.ID, Outcome: pass.NotStarted}
+	if failure != nil {
+		courier.Apply(event)
+		return
+	}
+	question := ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: 1,
+		At: courier.turns.Wall(), Cause: courier.nonce()}}
+	// Without a hold there would be no dispatch: then the caller is told at once
+	// that the inquiry never ran, and when to come back.
+	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(courier.core.HoldEnds()) {
+		var answer LedAnswer
+		failure := courier.followed.Ask(ClaimPath, question, &answer, time.Second)
+		switch kind := trouble.KindOf(failure); {
+		case failure == nil && answer.Leads:
+			event.Outcome = pass.Done
+		case kind == trouble.Duplicate:
+			event.Outcome, event.Detail = pass.Duplicate, failure.Error()
+		case kind == trouble.TooOld || kind == trouble.TooNew:
+			event.Outcome, event.Detail = pass.TooOld, failure.Error()
+		default:
+			rota.Pause(courier.turns, claimPause)
+			continue
+		}
+		break
+	}
+	courier.Apply(event)
+}
--- /dev/null
+++ b/internal/hatch/expediter.go
@@ -0,0 +1,421 @@
+package hatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Expediter is the control plane's conduct at one node: the copy and the epoch
+// keeper on its disk, and, while it is primary, the answers to nodes and
+// operators.
+type Expediter struct {
+	turns     rota.Turns
+	line      Hotline
+	options   ExpediterOptions
+	observe   func(event string, detail ...any)
+	keeper    *larder.Keeper
+	store     *larder.Store
+	steward   *larder.Steward
+	followed  *Follower
+	answers   Answers
+	news      rota.Bell
+	work      rota.Bell
+	confirmed rota.Bell
+
+	submitted   atomic.Uint64
+	newsAnswers atomic.Uint64
+	newsBytes   atomic.Uint64
+	menusSent   atomic.Uint64
+
+	mutex   sync.Mutex
+	reign   *Reign
+	servers []roster.Server
+	mending bool
+}
+
+// The pauses of an expediter's rounds. The values are ours.
+const (
+	tickPause         = 150 * time.Millisecond
+	housekeepingPause = 300 * time.Millisecond
+	sweepPause        = 5 * time.Second
+	commitPause       = 100 * time.Millisecond
+	// leavePatience is how long a primary tries to hand over before it ends.
+	leavePatience = 1500 * time.Millisecond
+	// horizonPause is the time between two moves of the claims' horizon.
+	horizonPause = 10 * time.Second
+)
+
+// OpenExpediter opens what the disk holds. A blank or damaged keeper's shelf is
+// a new identity, for which the copy that may lie there is emptied.
+//
+// Example:
+//
+//	core, blank, failure := hatch.OpenExpediter(turns, line, keeping, copies, options, observe)
+func OpenExpediter(turns rota.Turns, line Hotline, keeping, copies larder.Shelf, options ExpediterOptions, observe func(string, ...any)) (*Expediter, bool, error) {
+	seat := larder.Seat{Address: options.Address, Name: options.Name}
+	keeper, blank, failure := larder.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
+	if failure != nil {
+		return nil, false, failure
+	}
+	if blank {
+		// Whatever copy lies here belonged to an identity that is gone.
+		if failure := empty(copies); failure != nil {
+			return nil, true, failure
+		}
+	}
+	copied, failure := larder.OpenCopy(copies)
+	if failure != nil {
+		return nil, blank, failure
+	}
+	if damage := copied.Damage(); damage != "" {
+		observe("copy_damaged", "damage", damage)
+	}
+	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
+		news: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell()}
+	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
+	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
+	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
+	expediter.answers = expediter.table()
+	return expediter, blank, nil
+}
+
+func empty(shelf larder.Shelf) error {
+	files, damaged, failure := shelf.Load()
+	if failure != nil {
+		return failure
+	}
+	for name := range files {
+		damaged = append(damaged, name)
+	}
+	return shelf.Remove(damaged)
+}
+
+// Rounds are what an expediter does over and over, each in a thread of its own.
+//
+// Example:
+//
+//	for _, round := range core.Rounds() { turns.Go(round) }
+func (expediter *Expediter) Rounds() []func() {
+	every := func(pause time.Duration, task func()) func() {
+		return func() { rota.Every(expediter.turns, pause, task) }
+	}
+	return []func(){every(tickPause, expediter.tick), every(housekeepingPause, expediter.housekeep), every(sweepPause, expediter.sweep),
+		expediter.commit, expediter.followed.Run}
+}
+
+// Leave hands over, if this is the primary, and returns when that is done or
+// its patience ended. What was not answered yet has no known outcome.
+//
+// Example:
+//
+//	core.Leave()
+func (expediter *Expediter) Leave() {
+	expediter.steward.Leave()
+	for ends := expediter.turns.Now().Add(leavePatience); expediter.store.Leading() && expediter.turns.Now().Before(ends); {
+		rota.Pause(expediter.turns, 20*time.Millisecond)
+	}
+}
+
+// SetSeeds exchanges the seeds, after a reload.
+//
+// Example:
+//
+//	core.SetSeeds(chosen.Seeds)
+func (expediter *Expediter) SetSeeds(seeds []string) {
+	expediter.steward.SetSeeds(seeds)
+	expediter.followed.SetSeeds(seeds)
+}
+
+// SetServers takes the platform's list of model servers.
+//
+// Example:
+//
+//	core.SetServers(servers)
+func (expediter *Expediter) SetServers(servers []roster.Server) {
+	expediter.mutex.Lock()
+	defer expediter.mutex.Unlock()
+	expediter.servers = servers
+}
+
+// Servers is the platform's list as it was read last.
+//
+// Example:
+//
+//	servers := core.Servers()
+func (expediter *Expediter) Servers() []roster.Server {
+	expediter.mutex.Lock()
+	defer expediter.mutex.Unlock()
+	return expediter.servers
+}
+
+// SetNodes takes the platform's list of nodes.
+//
+// Example:
+//
+//	core.SetNodes(nodes)
+func (expediter *Expediter) SetNodes(nodes []roster.Node) {
+	var contacts []string
+	for _, node := range nodes {
+		if node.Kind == roster.Expediter && node.Address != expediter.options.Address {
+			contacts = append(contacts, node.Address)
+		}
+	}
+	expediter.steward.SetContacts(contacts)
+	expediter.followed.SetContacts(contacts, nil)
+}
+
+// Keeper is the epoch keeper on this disk.
+//
+// Example:
+//
+//	identity := core.Keeper().Seat().Identity
+func (expediter *Expediter) Keeper() *larder.Keeper { return expediter.keeper }
+
+// Store is this disk's part in the larder.
+//
+// Example:
+//
+//	batches, changes := core.Store().Work()
+func (expediter *Expediter) Store() *larder.Store { return expediter.store }
+
+// Steward decides who is primary, from this node's point of view.
+//
+// Example:
+//
+//	leads := core.Steward().Holds()
+func (expediter *Expediter) Steward() *larder.Steward { return expediter.steward }
+
+// Heard is when a primary answered this node last.
+//
+// Example:
+//
+//	silence := now.Sub(core.Heard())
+func (expediter *Expediter) Heard() time.Time { return expediter.followed.Heard() }
+
+// NewsCounts tells how many answers, bytes of drawers and configurations went
+// out.
+//
+// Example:
+//
+//	answers, bytes, menus := core.NewsCounts()
+func (expediter *Expediter) NewsCounts() (answers, bytes, menus uint64) {
+	return expediter.newsAnswers.Load(), expediter.newsBytes.Load(), expediter.menusSent.Load()
+}
+
+func (expediter *Expediter) tick() {
+	expediter.steward.Tick()
+	expediter.mutex.Lock()
+	leading := expediter.store.Leading()
+	ended := false
+	if leading && expediter.reign == nil {
+		expediter.reign = newReign(expediter.turns.Now())
+	}
+	if !leading && expediter.reign != nil {
+		expediter.reign, ended = nil, true
+	}
+	expediter.mutex.Unlock()
+	if ended {
+		expediter.news.Ring()
+	}
+}
+
+// Ruling gives the reign and the committed view if this expediter is primary at
+// this moment.
+//
+// Example:
+//
+//	reign, view, failure := core.Ruling()
+func (expediter *Expediter) Ruling() (*Reign, *larder.View, error) {
+	expediter.mutex.Lock()
+	current := expediter.reign
+	expediter.mutex.Unlock()
+	view := expediter.store.View()
+	if current == nil || view == nil || !expediter.steward.Holds() {
+		return nil, nil, trouble.New(trouble.NoPrimary, "this expediter is not primary")
+	}
+	return current, view, nil
+}
+
+// Read is the committed state for a reader: the hold is checked after the view
+// was taken, so that it was the newest at some moment of the call. The copies
+// that it finds old are mended.
+//
+// Example:
+//
+//	reign, view, state, failure := core.Read()
+func (expediter *Expediter) Read() (*Reign, *larder.View, *larder.State, error) {
+	current, view, failure := expediter.Ruling()
+	if failure != nil {
+		return nil, nil, nil, failure
+	}
+	state, failure := expediter.state(current, view)
+	if failure != nil {
+		return nil, nil, nil, failure
+	}
+	if !expediter.steward.Holds() {
+		return nil, nil, nil, trouble.New(trouble.NoPrimary, "the hold ran out")
+	}
+	expediter.turns.Go(func() { expediter.mendCopies(view) })
+	return current, view, state, nil
+}
+
+// state is the committed state, decoded once for each version.
+func (expediter *Expediter) state(current *Reign, view *larder.View) (*larder.State, error) {
+	expediter.mutex.Lock()
+	defer expediter.mutex.Unlock()
+	if current.state != nil && current.stateAt == view.Version {
+		return current.state, nil
+	}
+	// Claims are many and asked for nowhere but in their own changes.
+	drawers := map[string]larder.Drawer{}
+	for _, name := range []string{larder.MenuDrawer, larder.MembersDrawer, larder.FlagsDrawer, larder.RotaDrawer, larder.OrdersDrawer, larder.ChangesDrawer} {
+		if drawer, found := view.Drawers[name]; found {
+			drawers[name] = drawer
+		}
+	}
+	state, failure := larder.ReadState(drawers)
+	if failure != nil {
+		return nil, failure
+	}
+	current.state, current.stateAt = state, view.Version
+	return state, nil
+}
+
+// commit syncs batches on both copies, one after another.
+func (expediter *Expediter) commit() {
+	for expediter.turns.Alive() {
+		seen := expediter.submitted.Load()
+		if expediter.commitOne() {
+			continue
+		}
+		expediter.work.Wait(commitPause, func() bool { return expediter.submitted.Load() != seen })
+	}
+}
+
+func (expediter *Expediter) commitOne() bool {
+	charter := expediter.steward.Charter()
+	if charter.Backup.Empty() || !expediter.steward.Holds() {
+		return false
+	}
+	batch, found := expediter.store.Begin()
+	if !found || batch.Version.Epoch != charter.Epoch {
+		return false
+	}
+	if !batch.Empty() && !expediter.sync(charter, batch) {
+		return false
+	}
+	if !expediter.store.Commit(batch) {
+		return false
+	}
+	if !batch.Empty() {
+		expediter.news.Ring()
+	}
+	return true
+}
+
+// sync brings a batch to both disks at once and tells whether it is on both.
+func (expediter *Expediter) sync(charter larder.Charter, batch larder.Batch) bool {
+	var mutex sync.Mutex
+	var own error
+	kept := false
+	bell := expediter.turns.NewBell()
+	expediter.turns.Go(func() {
+		expediter.steward.OwnDisk(true)
+		failure := expediter.store.KeepOwn(batch)
+		expediter.steward.OwnDisk(failure != nil)
+		mutex.Lock()
+		own, kept = failure, true
+		mutex.Unlock()
+		bell.Ring()
+	})
+	backup := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(charter.Backup), charter.Backup.Identity, charter.Epoch, batch)
+	expediter.steward.BackupAnswered(backup == nil)
+	ended := func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return kept
+	}
+	// The own disk may stall for as long as it likes: nothing else is written
+	// meanwhile.
+	for !bell.Wait(time.Second, ended) {
+		if !expediter.turns.Alive() {
+			return false
+		}
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	if backup != nil || own != nil {
+		expediter.observe("write_not_synced", "version", batch.Version.String(), "backup", backup, "own", own)
+		return false
+	}
+	return true
+}
+
+// queue hands a change to the next batch.
+func (expediter *Expediter) queue(change larder.Change, done larder.Done) {
+	expediter.store.Submit(change, done)
+	expediter.submitted.Add(1)
+	expediter.work.Ring()
+}
+
+// submit waits until a change is synced on both copies. When that can't be
+// known in time the outcome is called unknown.
+func (expediter *Expediter) submit(change larder.Change, patience time.Duration) (larder.Version, error) {
+	var mutex sync.Mutex
+	var version larder.Version
+	var failure error
+	answered := false
+	bell := expediter.turns.NewBell()
+	expediter.queue(change, func(committed larder.Version, ended error) {
+		mutex.Lock()
+		version, failure, answered = committed, ended, true
+		mutex.Unlock()
+		bell.Ring()
+	})
+	bell.Wait(patience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return answered
+	})
+	mutex.Lock()
+	defer mutex.Unlock()
+	switch {
+	case !answered:
+		return larder.Version{}, trouble.New(trouble.Unknown, "the change was not synced on both copies in time")
+	case failure != nil:
+		return version, failure
+	case !expediter.steward.Holds():
+		return version, trouble.New(trouble.Unknown, "the hold ran out while the change was under way")
+	}
+	return version, nil
+}
+
+// takeNews follows the enabled set as every node does.
+func (expediter *Expediter) takeNews(news News) {
+	drawer, found := news.Changed[larder.FlagsDrawer]
+	if !found {
+		return
+	}
+	state, failure := larder.ReadState(map[string]larder.Drawer{larder.FlagsDrawer: drawer})
+	if failure != nil {
+		expediter.observe("flags_unreadable", "cause", failure)
+		return
+	}
+	lacking := expediter.options.Supported.Lacks(state.Flags.Enabled)
+	expediter.steward.SetRestricted(len(lacking) > 0)
+	expediter.observe("flags_read", "enabled", state.Flags.Enabled, "lacking", lacking)
+}
+
+// Supported is the node's own list of flags.
+//
+// Example:
+//
+//	order, failure := recipe.ReadOrder(record, core.Supported())
+func (expediter *Expediter) Supported() recipe.List { return expediter.options.Supported }
--- a/internal/adapters/follower/follower.go
+++ b/internal/hatch/follower.go
@@ -1,26 +1,23 @@
-// Package follower keeps a node up to date: it asks the primary with the
-// versions that it has and is answered when there is news.
-package follower
+package hatch
 
 import (
-	"context"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
-	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-// Follower asks for one node.
+// Follower keeps one node up to date: it asks the primary with the versions that
+// it has and is answered when there is news.
 type Follower struct {
-	caller  *hotline.Caller
-	clock   *wallclock.Clock
+	turns   rota.Turns
+	line    Hotline
 	member  roster.Member
 	inForce func() larder.Version
 	take    func(News)
@@ -57,13 +54,14 @@
 	darkTime = 3 * time.Second
 )
 
-// New makes a follower for a member. Take is called for every answer, in turn.
+// NewFollower makes a follower for a member. Take is called for every answer,
+// in turn.
 //
 // Example:
 //
-//	followed := follower.New(caller, clock, member, seeds, inForce, take)
-func New(caller *hotline.Caller, clock *wallclock.Clock, member roster.Member, seeds []string, inForce func() larder.Version, take func(News)) *Follower {
-	return &Follower{caller: caller, clock: clock, member: member, seeds: seeds, inForce: inForce, take: take,
+//	followed := hatch.NewFollower(turns, line, member, seeds, inForce, take)
+func NewFollower(turns rota.Turns, line Hotline, member roster.Member, seeds []string, inForce func() larder.Version, take func(News)) *Follower {
+	return &Follower{turns: turns, line: line, member: member, seeds: seeds, inForce: inForce, take: take,
 		drawers: map[string]larder.Drawer{}, dark: map[string]time.Time{}}
 }
 
@@ -123,26 +121,21 @@
 	return follower.drawers[name]
 }
 
-// Run asks until its lifetime ends.
+// Run asks until the process ends.
 //
 // Example:
 //
-//	followed.Run(lifetime)
-func (follower *Follower) Run(lifetime context.Context) {
-	for lifetime.Err() == nil {
-		asked := follower.clock.Now()
+//	turns.Go(followed.Run)
+func (follower *Follower) Run() {
+	for follower.turns.Alive() {
+		asked := follower.turns.Now()
 		var answer NewsAnswer
 		question, patience := follower.question()
-		if failure := follower.Ask(lifetime, NewsPath, question, &answer, patience); failure == nil {
+		if failure := follower.Ask(NewsPath, question, &answer, patience); failure == nil {
 			follower.takeAnswer(asked, answer)
 			continue
 		}
-		pause := time.NewTimer(retryPause)
-		select {
-		case <-lifetime.Done():
-		case <-pause.C:
-		}
-		pause.Stop()
+		rota.Pause(follower.turns, retryPause)
 	}
 }
 
@@ -180,7 +173,7 @@
 	for name, drawer := range answer.Drawers {
 		follower.drawers[name] = drawer
 	}
-	follower.heard = follower.clock.Now()
+	follower.heard = follower.turns.Now()
 	follower.mutex.Unlock()
 	follower.take(News{Asked: asked, Answer: answer, Changed: answer.Drawers})
 }
@@ -196,15 +189,15 @@
 //
 // Example:
 //
-//	failure := followed.Ask(lifetime, follower.ClaimPath, question, &answer, time.Second)
-func (follower *Follower) Ask(lifetime context.Context, path string, question, answer any, patience time.Duration) error {
+//	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second)
+func (follower *Follower) Ask(path string, question, answer any, patience time.Duration) error {
 	body, failure := msgpack.Marshal(question)
 	if failure != nil {
 		return trouble.Wrap(trouble.Garbage, failure)
 	}
-	reply, failure := follower.AskRaw(lifetime, path, body, patience)
+	reply, failure := follower.AskRaw(path, body, patience)
 	if failure != nil && unheard(failure) {
-		reply, failure = follower.viaNeighbour(lifetime, path, body, patience)
+		reply, failure = follower.viaNeighbour(path, body, patience)
 	}
 	if failure != nil {
 		return failure
@@ -226,14 +219,14 @@
 //
 // Example:
 //
-//	reply, failure := followed.AskRaw(lifetime, path, body, time.Second)
-func (follower *Follower) AskRaw(lifetime context.Context, path string, body []byte, patience time.Duration) ([]byte, error) {
+//	reply, failure := followed.AskRaw(path, body, time.Second)
+func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration) ([]byte, error) {
 	asked := map[string]bool{}
 	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
 	for _, address := range follower.candidates() {
-		for address != "" && !asked[address] && lifetime.Err() == nil {
+		for address != "" && !asked[address] && follower.turns.Alive() {
 			asked[address] = true
-			reply, failure := follower.caller.CallRaw(lifetime, address, path, body, patience)
+			reply, failure := follower.line.CallRaw(address, path, body, patience)
 			if failure != nil {
 				last = failure
 				if !unheard(failure) {
@@ -274,7 +267,7 @@
 func (follower *Follower) forget(address string) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.dark[address] = follower.clock.Now()
+	follower.dark[address] = follower.turns.Now()
 	if follower.primary == address {
 		follower.primary = ""
 	}
@@ -298,17 +291,17 @@
 
 func (follower *Follower) isDark(address string) bool {
 	since, found := follower.dark[address]
-	return found && follower.clock.Now().Sub(since) < darkTime
+	return found && follower.turns.Now().Sub(since) < darkTime
 }
 
-func (follower *Follower) viaNeighbour(lifetime context.Context, path string, body []byte, patience time.Duration) ([]byte, error) {
+func (follower *Follower) viaNeighbour(path string, body []byte, patience time.Duration) ([]byte, error) {
 	follower.mutex.Lock()
 	neighbours := append([]string(nil), follower.neighbours...)
 	follower.mutex.Unlock()
 	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
 	for _, address := range neighbours {
 		var reply []byte
-		failure := follower.caller.Call(lifetime, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, patience+200*time.Millisecond)
+		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, patience+200*time.Millisecond)
 		if failure == nil || !unheard(failure) {
 			return reply, failure
 		}
@@ -321,11 +314,11 @@
 //
 // Example:
 //
-//	reply, failure := followed.Relay(lifetime, question)
-func (follower *Follower) Relay(lifetime context.Context, question RelayQuestion) ([]byte, error) {
+//	reply, failure := followed.Relay(question)
+func (follower *Follower) Relay(question RelayQuestion) ([]byte, error) {
 	switch question.Path {
 	case NewsPath, ClaimPath, OrdersPath:
-		return follower.AskRaw(lifetime, question.Path, question.Body, newsPatience)
+		return follower.AskRaw(question.Path, question.Body, newsPatience)
 	}
 	return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
 }
--- /dev/null
+++ b/internal/hatch/hotline.go
@@ -0,0 +1,73 @@
+// Package hatch owns what seamloom's processes say to each other, and how each
+// side acts on it: following the primary's news, granting holds, answering
+// claims, waiting for lagging couriers, giving duties, passing on. Threads,
+// time, disks and circuits are ports, so that a simulation runs this very code.
+package hatch
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Hotline is the port to other processes. A call ends within its patience; a
+// failure of kind Unreachable or Garbage says that no answer was had.
+type Hotline interface {
+	CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error)
+}
+
+// Call sends a message and reads the answer, within the patience.
+//
+// Example:
+//
+//	failure := hatch.Call(line, address, hatch.HelloPath, own, &answer, time.Second)
+func Call(line Hotline, address, path string, question, answer any, patience time.Duration) error {
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	answered, failure := line.CallRaw(address, path, body, patience)
+	if failure != nil || answer == nil {
+		return failure
+	}
+	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(answered, answer))
+}
+
+// answerer turns an encoded question into an encoded answer.
+type answerer func(body []byte) ([]byte, error)
+
+func answering[Question, Answer any](answer func(question Question) (Answer, error)) answerer {
+	return func(body []byte) ([]byte, error) {
+		var question Question
+		if failure := msgpack.Unmarshal(body, &question); failure != nil {
+			return nil, trouble.Wrap(trouble.Garbage, failure)
+		}
+		said, failure := answer(question)
+		if failure != nil {
+			return nil, failure
+		}
+		encoded, failure := msgpack.Marshal(said)
+		return encoded, trouble.Wrap(trouble.Garbage, failure)
+	}
+}
+
+// Answers holds what a process answers on its hotline, by path.
+type Answers map[string]answerer
+
+// Answer answers one message.
+//
+// Example:
+//
+//	encoded, failure := expediter.Answers().Answer(hatch.NewsPath, body)
+func (answers Answers) Answer(path string, body []byte) ([]byte, error) {
+	answer, found := answers[path]
+	if !found {
+		return nil, trouble.New(trouble.NoSuch, "no such path: "+path)
+	}
+	return answer(body)
+}
+
+// nothing is an answer without content.
+type nothing struct{}
--- /dev/null
+++ b/internal/hatch/housekeeping.go
@@ -0,0 +1,117 @@
+package hatch
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// housekeep does what a primary does without being asked: enable flags, give
+// duties, forget old claims.
+func (expediter *Expediter) housekeep() {
+	current, view, failure := expediter.Ruling()
+	if failure != nil {
+		return
+	}
+	state, failure := expediter.state(current, view)
+	if failure != nil {
+		expediter.observe("state_unreadable", "cause", failure)
+		return
+	}
+	now := expediter.turns.Now()
+	expediter.mutex.Lock()
+	if version := view.VersionOf(larder.MembersDrawer); version != current.membersAt {
+		current.membersAt, current.settledFrom = version, now
+	}
+	settled := now.Sub(current.settledFrom) >= expediter.options.FlagSettle
+	horizonDue := now.Sub(current.horizonAt) >= horizonPause
+	step := 2 * now.Sub(current.horizonAt)
+	if current.horizonAt.IsZero() {
+		step = 0
+	}
+	if horizonDue {
+		current.horizonAt = now
+	}
+	expediter.mutex.Unlock()
+	supported := expediter.options.Supported
+	restricted := len(supported.Lacks(state.Flags.Enabled)) > 0
+	if settled && !restricted && len(state.Members) > 0 {
+		for _, flag := range supported {
+			if !state.Flags.Enabled.Has(flag) && len(state.Lacking(flag)) == 0 {
+				expediter.queue(larder.EnableFlags(supported), func(version larder.Version, failure error) {
+					expediter.observe("flags_enabled", "version", version.String(), "trouble", failure)
+				})
+				break
+			}
+		}
+	}
+	if horizonDue && !restricted {
+		expediter.queue(larder.MoveHorizon(expediter.turns.Wall(), step), func(larder.Version, error) {})
+	}
+	expediter.grantDuties(now, current, state)
+}
+
+// Settling tells whether the members changed too short a time ago for a flag to
+// be enabled.
+//
+// Example:
+//
+//	if core.Settling(reign) { ... }
+func (expediter *Expediter) Settling(current *Reign) bool {
+	expediter.mutex.Lock()
+	defer expediter.mutex.Unlock()
+	return expediter.turns.Now().Sub(current.settledFrom) < expediter.options.FlagSettle
+}
+
+func (expediter *Expediter) grantDuties(now time.Time, current *Reign, state *larder.State) {
+	wanted := []string{rota.PartsKey}
+	for _, server := range expediter.Servers() {
+		wanted = append(wanted, rota.ServerKey(server.Name))
+	}
+	grants := current.keys.Vacant(now, wanted, state.Rota.Duties, current.candidates(now, state))
+	if len(grants) == 0 {
+		return
+	}
+	expediter.queue(larder.GrantDuties(grants, state.Rota.Duties), func(version larder.Version, failure error) {
+		expediter.observe("duties_granted", "version", version.String(), "grants", grants, "trouble", failure)
+	})
+}
+
+// sweep reads the own files again, and finds the copies that no read has
+// mended.
+func (expediter *Expediter) sweep() {
+	if mended, failure := expediter.store.Copy().Sweep(); mended > 0 || failure != nil {
+		expediter.observe("copy_swept", "mended", mended, "trouble", failure)
+	}
+	if mended, failure := expediter.keeper.Sweep(); mended || failure != nil {
+		expediter.observe("keeper_swept", "mended", mended, "trouble", failure)
+	}
+	if _, view, failure := expediter.Ruling(); failure == nil {
+		expediter.mendCopies(view)
+	}
+}
+
+// mendCopies brings the copies up to date that are out of the pair and old:
+// after a read, which compares their versions with what it reads, and by the
+// sweep. One round runs at a time.
+func (expediter *Expediter) mendCopies(view *larder.View) {
+	expediter.mutex.Lock()
+	busy := expediter.mending
+	expediter.mending = true
+	expediter.mutex.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		expediter.mutex.Lock()
+		defer expediter.mutex.Unlock()
+		expediter.mending = false
+	}()
+	epoch := expediter.steward.Charter().Epoch
+	for _, seat := range expediter.steward.OldCopies(view.Version) {
+		question := installQuestion{To: seat.Identity, Snapshot: larder.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
+		failure := Call(expediter.line, expediter.steward.Address(seat), RefreshPath, question, nil, installPatience)
+		expediter.observe("copy_mended", "at", seat.Name, "version", view.Version.String(), "trouble", failure)
+	}
+}
--- a/internal/adapters/courier/inquirybody.go
+++ b/internal/hatch/inquirybody.go
@@ -1,4 +1,4 @@
-package courier
+package hatch
 
 import (
 	"strconv"
@@ -20,8 +20,12 @@
 // does not say how many there are.
 const tokenBytes = 4
 
-// readInquiry checks an inquiry's body and names all its mistakes.
-func readInquiry(now time.Time, body []byte) (*pass.Inquiry, error) {
+// ReadInquiry checks an inquiry's body and names all its mistakes.
+//
+// Example:
+//
+//	inquiry, failure := hatch.ReadInquiry(turns.Now(), body)
+func ReadInquiry(now time.Time, body []byte) (*pass.Inquiry, error) {
 	root, failure := fastjson.ParseBytes(body)
 	if failure != nil || !utf8.Valid(body) {
 		return nil, trouble.At(trouble.Malformed, "/", "the body is no JSON")
@@ -71,7 +75,7 @@
 	if inquiry.ID == "" || len(inquiry.ID) > 128 {
 		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/id", "an id of at most 128 bytes is needed"))
 	} else if !inquiry.Repeatable {
-		if _, failure := madeAt(inquiry.ID); failure != nil {
+		if _, failure := MadeAt(inquiry.ID); failure != nil {
 			mistakes = multierr.Append(mistakes, failure)
 		}
 	}
@@ -90,9 +94,13 @@
 	return inquiry, mistakes
 }
 
-// madeAt reads from an id when it was made: ids of inquiries that may not be
+// MadeAt reads from an id when it was made: ids of inquiries that may not be
 // repeated are UUIDs of version 7, so that old ones can be told and refused.
-func madeAt(id string) (time.Time, error) {
+//
+// Example:
+//
+//	made, failure := hatch.MadeAt(id)
+func MadeAt(id string) (time.Time, error) {
 	parsed, failure := uuid.Parse(id)
 	if failure != nil || parsed.Version() != 7 {
 		return time.Time{}, trouble.At(trouble.Malformed, "/id", "an inquiry that may not be repeated has a UUID of version 7 as its id")
@@ -100,3 +108,10 @@
 	seconds, nanoseconds := parsed.Time().UnixTime()
 	return time.Unix(seconds, nanoseconds), nil
 }
+
+// NewInquiryID makes an id that tells when it was made.
+//
+// Example:
+//
+//	id := hatch.NewInquiryID()
+func NewInquiryID() string { return uuid.Must(uuid.NewV7()).String() }
--- a/internal/adapters/courier/journal.go
+++ b/internal/hatch/journal.go
@@ -1,4 +1,4 @@
-package courier
+package hatch
 
 import (
 	"sync"
@@ -6,9 +6,9 @@
 	"seamloom.example/seamloom/internal/recipe"
 )
 
-// journal keeps the newest records of this courier and of those that name it
+// Journal keeps the newest records of this courier and of those that name it
 // their neighbour, and folds what is known of one inquiry.
-type journal struct {
+type Journal struct {
 	mutex   sync.Mutex
 	records []recipe.Record
 	next    int
@@ -17,10 +17,10 @@
 
 const mostRecords = 16384
 
-func newJournal() *journal { return &journal{records: make([]recipe.Record, 0, mostRecords)} }
+func newJournal() *Journal { return &Journal{records: make([]recipe.Record, 0, mostRecords)} }
 
 // append notes a record; own ones also go to a neighbour.
-func (journal *journal) append(record recipe.Record, own bool) {
+func (journal *Journal) append(record recipe.Record, own bool) {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	if len(journal.records) < mostRecords {
@@ -34,7 +34,7 @@
 	}
 }
 
-func (journal *journal) takeOutbox() []recipe.Record {
+func (journal *Journal) takeOutbox() []recipe.Record {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	outbox := journal.outbox
@@ -42,17 +42,22 @@
 	return outbox
 }
 
-// trace is what a journal knows of one inquiry.
-type trace struct {
+// Trace is what a journal knows of one inquiry.
+type Trace struct {
 	Inquiry string         `json:"inquiry"`
 	Pairs   []recipe.Pair  `json:"pairs"`
 	Retries []recipe.Entry `json:"retries,omitempty"`
 }
 
-func (journal *journal) fold(inquiry string, supported recipe.List) (trace, bool) {
+// Fold tells what is known of one inquiry.
+//
+// Example:
+//
+//	folded, found := journal.Fold("inquiry-1", supported)
+func (journal *Journal) Fold(inquiry string, supported recipe.List) (Trace, bool) {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
-	folded := trace{Inquiry: inquiry}
+	folded := Trace{Inquiry: inquiry}
 	for _, record := range journal.records {
 		if record.Key != inquiry {
 			continue
--- a/internal/adapters/follower/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -1,4 +1,4 @@
-package follower
+package hatch
 
 import (
 	"time"
--- /dev/null
+++ b/internal/hatch/passing.go
@@ -0,0 +1,132 @@
+package hatch
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Passing is the port by which an inquiry goes on to another courier.
+type Passing interface {
+	// Pass sends the inquiry's body with its passage, and gives the records of
+	// the reply to take, as they come, until take says no or the origin has
+	// left. Begun is false only when certainly nothing of it has left.
+	Pass(address string, passage Passage, body []byte, whenLeft func(act func()), take func(record recipe.Record) bool) (begun bool)
+}
+
+// Passage marks one passing-on: a link may bring it twice, and to another
+// process than it was meant for.
+type Passage struct {
+	// Nonce is new for each passing-on.
+	Nonce string
+	// Incarnation is the process that it is meant for; empty when that one does
+	// not say what it is, as the first release did not.
+	Incarnation string
+}
+
+// Incarnation is what a courier says of its present life.
+type Incarnation struct {
+	Incarnation string `msgpack:"incarnation"`
+}
+
+// incarnationPatience is how long a courier may take to say which life it is in.
+const incarnationPatience = 500 * time.Millisecond
+
+// capable lists the couriers that lack no enabled flag, this inquiry's own
+// order first.
+func (courier *Courier) capable(inquiry string) []roster.Member {
+	enabled := courier.core.Enabled()
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	var names []string
+	for name, member := range courier.members {
+		if member.Kind == roster.Courier && name != courier.options.Courier && !member.Restricted(enabled) {
+			names = append(names, name)
+		}
+	}
+	var members []roster.Member
+	for _, name := range roster.Ranked(inquiry, names) {
+		members = append(members, courier.members[name])
+	}
+	return members
+}
+
+// passOn gives an inquiry to a capable courier and its reply to the origin, as
+// it comes. Another courier is tried only when the first certainly has not
+// begun.
+func (courier *Courier) passOn(arrival Arrival, reply Reply) {
+	never := false
+	refused := ReplyLine{Inquiry: arrival.Inquiry.ID, Final: pass.Refused, Ran: &never, Type: trouble.Restricted, Detail: "this courier lacks an enabled flag and no capable one was reached", RetryAfterSeconds: 1}
+	if arrival.Passage == nil {
+		for _, member := range courier.capable(arrival.Inquiry.ID) {
+			passage := Passage{Nonce: courier.nonce()}
+			if !arrival.Inquiry.Repeatable {
+				var said Incarnation
+				failure := Call(courier.line, member.Address, IncarnationPath, nothing{}, &said, incarnationPatience)
+				if trouble.KindOf(failure) == trouble.Unreachable && !courier.old(failure) {
+					continue
+				}
+				passage.Incarnation = said.Incarnation
+			}
+			copied := &recordCopy{reply: reply, inquiry: arrival.Inquiry.ID}
+			if !courier.passing.Pass(member.Address, passage, arrival.Body, reply.WhenLeft, copied.take) {
+				continue
+			}
+			if !copied.ended {
+				copied.breakOff()
+			}
+			return
+		}
+	}
+	sayLine(reply, refused)
+}
+
+// old tells whether a failure is that of a release which knows no such path.
+func (courier *Courier) old(failure error) bool {
+	return failure != nil && trouble.KindOf(failure) == trouble.Unreachable && trouble.DetailOf(failure) == "status 404"
+}
+
+// recordCopy gives the lines of stream records on as they come. A reply that
+// breaks off ends with a line that says what is known.
+type recordCopy struct {
+	reply   Reply
+	inquiry string
+	lines   int
+	ended   bool
+}
+
+func (copied *recordCopy) take(record recipe.Record) bool {
+	message, failure := recipe.ReadStreamMessage(record)
+	var line ReplyLine
+	if failure == nil {
+		failure = json.Unmarshal(message.Line, &line)
+	}
+	if failure != nil || record.Number != uint64(copied.lines+1) || message.Inquiry != copied.inquiry {
+		return false
+	}
+	if copied.lines == 0 {
+		copied.reply.Begin(message.Status, message.Retry)
+	}
+	copied.lines++
+	copied.ended = line.Final != ""
+	if failure := copied.reply.Line(message.Line); failure != nil {
+		copied.ended = true
+	}
+	return !copied.ended
+}
+
+func (copied *recordCopy) breakOff() {
+	broken := ReplyLine{Inquiry: copied.inquiry, Type: trouble.Unreachable, Detail: "the reply broke off between two couriers"}
+	if copied.lines == 0 {
+		broken.Final = pass.Unknown
+		copied.reply.Begin(http.StatusGatewayTimeout, 0)
+	} else {
+		broken.Final, broken.Pieces = pass.Failed, copied.lines
+	}
+	_ = copied.reply.Line(broken.encode())
+}
--- /dev/null
+++ b/internal/hatch/paths.go
@@ -0,0 +1,19 @@
+package hatch
+
+// The paths of the messages between seamloom's own processes.
+const (
+	NewsPath        = "/hotline/news"
+	ClaimPath       = "/hotline/claim"
+	OrdersPath      = "/hotline/orders"
+	RelayPath       = "/hotline/relay"
+	PassPath        = "/hotline/pass"
+	CrumbsPath      = "/hotline/crumbs"
+	HelloPath       = "/hotline/hello"
+	IncarnationPath = "/hotline/incarnation"
+	PreparePath     = "/hotline/keeper/prepare"
+	AcceptPath      = "/hotline/keeper/accept"
+	ConfirmPath     = "/hotline/keeper/confirm"
+	ReplicatePath   = "/hotline/larder/replicate"
+	InstallPath     = "/hotline/larder/install"
+	RefreshPath     = "/hotline/larder/refresh"
+)
--- /dev/null
+++ b/internal/hatch/recordreply.go
@@ -0,0 +1,48 @@
+package hatch
+
+import "seamloom.example/seamloom/internal/recipe"
+
+// RecordReply turns the lines of a reply into stream records, for the courier
+// that passed the inquiry on.
+type RecordReply struct {
+	Inquiry string
+	Writer  string
+	// Send brings a record to that courier.
+	Send func(record recipe.Record) error
+	// Left is how its origin's leaving is heard.
+	Left func(act func())
+
+	status int
+	retry  int
+	number uint64
+}
+
+// Begin keeps the status for the records.
+//
+// Example:
+//
+//	reply.Begin(http.StatusTooManyRequests, 2)
+func (reply *RecordReply) Begin(status, retrySeconds int) {
+	reply.status, reply.retry = status, retrySeconds
+}
+
+// Line sends one line as a record.
+//
+// Example:
+//
+//	failure := reply.Line(line)
+func (reply *RecordReply) Line(line []byte) error {
+	reply.number++
+	record, failure := recipe.WriteStreamMessage(recipe.StreamMessage{Inquiry: reply.Inquiry, Line: line, Status: reply.status, Retry: reply.retry}, reply.Writer, reply.number)
+	if failure != nil {
+		return failure
+	}
+	return reply.Send(record)
+}
+
+// WhenLeft has act called when the origin closes its circuit.
+//
+// Example:
+//
+//	reply.WhenLeft(stream.leave)
+func (reply *RecordReply) WhenLeft(act func()) { reply.Left(act) }
--- a/internal/adapters/follower/relayquestion.go
+++ b/internal/hatch/relayquestion.go
@@ -1,4 +1,4 @@
-package follower
+package hatch
 
 // RelayQuestion asks a neighbour to pass a message to the primary.
 type RelayQuestion struct {
--- /dev/null
+++ b/internal/hatch/reply.go
@@ -0,0 +1,27 @@
+package hatch
+
+import "seamloom.example/seamloom/internal/pass"
+
+// Reply is the port to the origin of one inquiry.
+type Reply interface {
+	// Begin gives the status, and when to come back if that is said.
+	Begin(status, retrySeconds int)
+	// Line sends one line; a failure means that the origin is gone.
+	Line(line []byte) error
+	// WhenLeft has act called once if the origin closes its circuit.
+	WhenLeft(act func())
+}
+
+// Arrival is one inquiry as it came to a courier.
+type Arrival struct {
+	Inquiry *pass.Inquiry
+	// Body is what the origin sent, to be passed on as it is.
+	Body []byte
+	// Passage is set when another courier passed it on.
+	Passage *Passage
+}
+
+func sayLine(reply Reply, line ReplyLine) {
+	reply.Begin(line.Status(), line.RetryAfterSeconds)
+	_ = reply.Line(line.encode())
+}
--- a/internal/adapters/courier/replyline.go
+++ b/internal/hatch/replyline.go
@@ -1,4 +1,4 @@
-package courier
+package hatch
 
 import (
 	"encoding/json"
@@ -32,8 +32,12 @@
 		RetryAfterSeconds: retrySeconds(decision.Retry)}
 	switch decision.Final {
 	case pass.Refused:
-		never := false
-		line.Ran = &never
+		// Of an id that is taken nobody says here whether it ran: the arrival
+		// that took it may have.
+		if decision.Cause != trouble.Duplicate {
+			never := false
+			line.Ran = &never
+		}
 	case pass.Complete, pass.Failed:
 		did := true
 		line.Ran = &did
@@ -48,8 +52,12 @@
 	return append(encoded, '\n')
 }
 
-// statusOf is the status of a reply whose first line is the final one.
-func statusOf(line ReplyLine) int {
+// Status is that of a reply whose first line this is.
+//
+// Example:
+//
+//	writer.WriteHeader(line.Status())
+func (line ReplyLine) Status() int {
 	switch line.Final {
 	case pass.Complete, "":
 		return http.StatusOK
--- a/internal/adapters/courier/stream.go
+++ b/internal/hatch/stream.go
@@ -1,9 +1,10 @@
-package courier
+package hatch
 
 import (
 	"sync"
 
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/rota"
 )
 
 // stream carries one inquiry's decisions to the thread that answers its
@@ -14,11 +15,12 @@
 	pieces map[int]pass.Decision
 	last   *pass.Decision
 	sent   int
-	woken  chan struct{}
+	left   bool
+	bell   rota.Bell
 }
 
-func newStream() *stream {
-	return &stream{pieces: map[int]pass.Decision{}, woken: make(chan struct{}, 1)}
+func newStream(turns rota.Turns) *stream {
+	return &stream{pieces: map[int]pass.Decision{}, bell: turns.NewBell()}
 }
 
 func (stream *stream) put(decision pass.Decision) {
@@ -30,10 +32,29 @@
 		stream.last = &final
 	}
 	stream.mutex.Unlock()
-	select {
-	case stream.woken <- struct{}{}:
-	default:
-	}
+	stream.bell.Ring()
+}
+
+// leave notes that the origin is gone.
+func (stream *stream) leave() {
+	stream.mutex.Lock()
+	stream.left = true
+	stream.mutex.Unlock()
+	stream.bell.Ring()
+}
+
+// news tells whether there is anything to do for the thread that answers.
+func (stream *stream) news() bool {
+	stream.mutex.Lock()
+	defer stream.mutex.Unlock()
+	_, found := stream.pieces[stream.sent+1]
+	return found || stream.left || (stream.last != nil && stream.sent >= stream.last.Pieces)
+}
+
+func (stream *stream) gone() bool {
+	stream.mutex.Lock()
+	defer stream.mutex.Unlock()
+	return stream.left
 }
 
 // next gives the next decision that may be sent, if it is there.
--- a/internal/larder/gather.go
+++ b/internal/larder/gather.go
@@ -1,30 +1,41 @@
 package larder
 
-import "sync"
+import (
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// gatherPatience is longer than any one call takes; every call ends by itself.
+const gatherPatience = time.Minute
 
 // gather calls ask for each seat at once and returns when enough is true, or
 // when all have answered. Answers that come later are passed over.
-func gather[Answer any](seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
+func gather[Answer any](turns rota.Turns, seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
 	var mutex sync.Mutex
-	changed := sync.NewCond(&mutex)
+	bell := turns.NewBell()
 	left := len(seats)
 	closed := false
 	for _, seat := range seats {
-		go func() {
+		turns.Go(func() {
 			answer, failure := ask(seat)
 			mutex.Lock()
-			defer mutex.Unlock()
 			if !closed {
 				take(seat, answer, failure)
 			}
 			left--
-			changed.Broadcast()
-		}()
+			mutex.Unlock()
+			bell.Ring()
+		})
 	}
+	bell.Wait(gatherPatience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		closed = left == 0 || enough()
+		return closed
+	})
 	mutex.Lock()
 	defer mutex.Unlock()
-	for left > 0 && !enough() {
-		changed.Wait()
-	}
 	closed = true
 }
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -53,6 +54,40 @@
 	return nil
 }
 
+// threads are real ones, under the clock that the test moves.
+type threads struct{ now func() time.Time }
+
+func (threads threads) Now() time.Time  { return threads.now() }
+func (threads threads) Wall() time.Time { return threads.now() }
+func (threads threads) Go(act func())   { go act() }
+func (threads threads) Alive() bool     { return true }
+func (threads threads) NewBell() rota.Bell {
+	bell := &condition{}
+	bell.rung = sync.NewCond(&bell.mutex)
+	return bell
+}
+
+// condition is a bell without patience: every call of the test's network ends.
+type condition struct {
+	mutex sync.Mutex
+	rung  *sync.Cond
+}
+
+func (condition *condition) Wait(_ time.Duration, over func() bool) bool {
+	condition.mutex.Lock()
+	defer condition.mutex.Unlock()
+	for !over() {
+		condition.rung.Wait()
+	}
+	return true
+}
+
+func (condition *condition) Ring() {
+	condition.mutex.Lock()
+	defer condition.mutex.Unlock()
+	condition.rung.Broadcast()
+}
+
 // machine is one expediter of the simulated core.
 type machine struct {
 	address string
@@ -120,7 +155,7 @@
 		world.test.Fatal(failure)
 	}
 	store := NewStore(copied, keeper)
-	steward := NewSteward(world.clock, []string{"m0", "m1", "m2"}, keeper, store, &wire{world: world, from: machine.address}, func(event string, detail ...any) {
+	steward := NewSteward(threads{world.clock}, []string{"m0", "m1", "m2"}, keeper, store, &wire{world: world, from: machine.address}, func(event string, detail ...any) {
 		world.say("%s %s %v", machine.address, event, detail)
 	})
 	world.mutex.Lock()
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -33,7 +34,7 @@
 // Steward decides who is primary, backup and keeper, from one expediter's
 // point of view. Tick is called by one thread, over and over.
 type Steward struct {
-	clock   func() time.Time
+	turns   rota.Turns
 	seeds   []string
 	kind    roster.NodeKind
 	keeper  *Keeper
@@ -71,9 +72,9 @@
 //
 // Example:
 //
-//	steward := larder.NewSteward(clock, seeds, keeper, store, peers, observe)
-func NewSteward(clock func() time.Time, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
-	return &Steward{clock: clock, seeds: seeds, kind: roster.Expediter, keeper: keeper, store: store, peers: peers,
+//	steward := larder.NewSteward(turns, seeds, keeper, store, peers, observe)
+func NewSteward(turns rota.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
+	return &Steward{turns: turns, seeds: seeds, kind: roster.Expediter, keeper: keeper, store: store, peers: peers,
 		observe: observe, known: map[Identity]*acquaintance{}}
 }
 
@@ -86,7 +87,7 @@
 func (steward *Steward) Holds() bool {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
-	return steward.clock().Before(steward.holdEnds) && steward.store.View() != nil
+	return steward.turns.Now().Before(steward.holdEnds) && steward.store.View() != nil
 }
 
 // SetRestricted tells the steward whether its node lacks an enabled flag; a
@@ -132,7 +133,7 @@
 //	answer := steward.Own()
 func (steward *Steward) Own() Hello {
 	charter := steward.keeper.Charter()
-	left := steward.keeper.HoldEnds().Sub(steward.clock())
+	left := steward.keeper.HoldEnds().Sub(steward.turns.Now())
 	leads := steward.Holds()
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
@@ -152,7 +153,7 @@
 func (steward *Steward) Greet(hello Hello) Hello {
 	steward.note(hello, false)
 	steward.mutex.Lock()
-	steward.greeted = steward.clock()
+	steward.greeted = steward.turns.Now()
 	steward.mutex.Unlock()
 	return steward.Own()
 }
@@ -168,7 +169,7 @@
 		known = &acquaintance{}
 		steward.known[hello.Seat.Identity] = known
 	}
-	known.hello, known.lastSeen = hello, steward.clock()
+	known.hello, known.lastSeen = hello, steward.turns.Now()
 	if answered {
 		known.answered = known.lastSeen
 	}
@@ -224,7 +225,7 @@
 		addresses[address] = true
 	}
 	for _, known := range steward.known {
-		if steward.clock().Sub(known.lastSeen) < time.Minute {
+		if steward.turns.Now().Sub(known.lastSeen) < time.Minute {
 			addresses[known.hello.Seat.Address] = true
 		}
 	}
@@ -236,8 +237,9 @@
 	for address := range addresses {
 		seats = append(seats, Seat{Address: address})
 	}
+	sort.Slice(seats, func(left, right int) bool { return seats[left].Address < seats[right].Address })
 	answered := 0
-	gather(seats, func(seat Seat) (Hello, error) {
+	gather(steward.turns, seats, func(seat Seat) (Hello, error) {
 		hello, failure := steward.peers.Hello(seat.Address, own)
 		if failure == nil {
 			steward.note(hello, true)
@@ -269,7 +271,7 @@
 		seats = append(seats, seat)
 	}
 	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
-	if _, failure := steward.keeper.Accept(steward.clock(), charter); failure != nil {
+	if _, failure := steward.keeper.Accept(steward.turns.Now(), charter); failure != nil {
 		steward.observe("formation_failed", "cause", failure)
 		return
 	}
@@ -283,12 +285,13 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	var found *acquaintance
-	for _, known := range steward.known {
+	for _, identity := range steward.acquaintances() {
+		known := steward.known[identity]
 		if known.hello.Seat.Address == address && (found == nil || known.lastSeen.After(found.lastSeen)) {
 			found = known
 		}
 	}
-	if found == nil || steward.clock().Sub(found.lastSeen) > applicantFresh {
+	if found == nil || steward.turns.Now().Sub(found.lastSeen) > applicantFresh {
 		return Seat{}, false
 	}
 	return found.hello.Seat, found.hello.Blank && found.hello.Kind == roster.Expediter
@@ -298,7 +301,7 @@
 func (steward *Steward) watch() {
 	charter := steward.Charter()
 	own := steward.keeper.Seat()
-	now := steward.clock()
+	now := steward.turns.Now()
 	if !charter.InSync(own.Identity) || steward.store.Copy().Damage() != "" || now.Before(steward.backoff) {
 		return
 	}
@@ -314,7 +317,7 @@
 	steward.mutex.Lock()
 	restricted := steward.restricted
 	steward.mutex.Unlock()
-	gather(charter.Electors(), func(seat Seat) (Hello, error) {
+	gather(steward.turns, charter.Electors(), func(seat Seat) (Hello, error) {
 		if seat.Identity == own.Identity {
 			return steward.Own(), nil
 		}
@@ -345,7 +348,7 @@
 	if failure != nil {
 		// Two candidates part by different patience.
 		spread := time.Duration(roster.Weight("backoff", string(own.Identity))%300) * time.Millisecond
-		steward.backoff = steward.clock().Add(150*time.Millisecond + spread)
+		steward.backoff = steward.turns.Now().Add(150*time.Millisecond + spread)
 		return
 	}
 	if failure := steward.store.Lead(won.Epoch); failure != nil {
@@ -354,7 +357,7 @@
 	}
 	steward.unsettled = false
 	steward.mutex.Lock()
-	steward.backupFails, steward.leadsFrom = time.Time{}, steward.clock()
+	steward.backupFails, steward.leadsFrom = time.Time{}, steward.turns.Now()
 	steward.mutex.Unlock()
 	steward.observe("became_primary", "epoch", won.Epoch)
 	steward.confirm(won)
@@ -377,7 +380,7 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	known, found := steward.known[identity]
-	if !found || steward.clock().Sub(known.answered) > fresh {
+	if !found || steward.turns.Now().Sub(known.answered) > fresh {
 		return Hello{}, false
 	}
 	return known.hello, true
@@ -392,7 +395,7 @@
 		base = known
 	}
 	ballot := max(base.Epoch, steward.keeper.Promised(), steward.ballot) + 1
-	if failure := steward.store.Vow(steward.clock(), ballot, own.Identity); failure != nil {
+	if failure := steward.store.Vow(steward.turns.Now(), ballot, own.Identity); failure != nil {
 		return base, failure
 	}
 	granted := map[Identity]bool{}
@@ -410,7 +413,7 @@
 		}
 		current, newest := base, base
 		highest := uint64(0)
-		gather(seats, func(seat Seat) (Promise, error) {
+		gather(steward.turns, seats, func(seat Seat) (Promise, error) {
 			if seat.Identity == own.Identity {
 				// The vow has promised this epoch on the own disk already.
 				return Promise{Keeper: own.Identity, Granted: true, Charter: steward.keeper.Charter()}, nil
@@ -452,9 +455,9 @@
 	next.Epoch = ballot
 	accepted := map[Identity]bool{}
 	seats := Charter{Keepers: base.Electors(), Incoming: next.Electors()}.Electors()
-	gather(seats, func(seat Seat) (Promise, error) {
+	gather(steward.turns, seats, func(seat Seat) (Promise, error) {
 		if seat.Identity == own.Identity {
-			return steward.keeper.Accept(steward.clock(), next)
+			return steward.keeper.Accept(steward.turns.Now(), next)
 		}
 		return steward.peers.Accept(steward.Address(seat), seat.Identity, next)
 	}, func(seat Seat, promise Promise, failure error) {
@@ -475,11 +478,11 @@
 // confirm renews the primary's own hold from a quorum of keepers.
 func (steward *Steward) confirm(charter Charter) bool {
 	own := steward.keeper.Seat()
-	asked := steward.clock()
+	asked := steward.turns.Now()
 	confirmed := map[Identity]bool{}
 	var newer Charter
 	outdated := false
-	gather(charter.Electors(), func(seat Seat) (Promise, error) {
+	gather(steward.turns, charter.Electors(), func(seat Seat) (Promise, error) {
 		if seat.Identity == own.Identity {
 			return steward.keeper.Confirm(asked, charter.Epoch, own.Identity), nil
 		}
@@ -595,14 +598,14 @@
 	if !busy {
 		steward.diskBusy = time.Time{}
 	} else if steward.diskBusy.IsZero() {
-		steward.diskBusy = steward.clock()
+		steward.diskBusy = steward.turns.Now()
 	}
 }
 
 func (steward *Steward) ownDiskStalls() bool {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
-	return !steward.diskBusy.IsZero() && steward.clock().Sub(steward.diskBusy) > diskPatience
+	return !steward.diskBusy.IsZero() && steward.turns.Now().Sub(steward.diskBusy) > diskPatience
 }
 
 // unheardOf tells whether this primary reaches its backup while no expediter
@@ -618,13 +621,13 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	if steward.leadsFrom.IsZero() {
-		steward.leadsFrom = steward.clock()
+		steward.leadsFrom = steward.turns.Now()
 	}
 	latest := steward.greeted
 	if latest.Before(steward.leadsFrom) {
 		latest = steward.leadsFrom
 	}
-	return steward.clock().Sub(latest) > unheardPatience
+	return steward.turns.Now().Sub(latest) > unheardPatience
 }
 
 // BackupAnswered tells the steward how the last write to the backup ended.
@@ -638,14 +641,14 @@
 	if well {
 		steward.backupFails = time.Time{}
 	} else if steward.backupFails.IsZero() {
-		steward.backupFails = steward.clock()
+		steward.backupFails = steward.turns.Now()
 	}
 }
 
 func (steward *Steward) ensureBackup() {
 	charter := steward.Charter()
 	steward.mutex.Lock()
-	failing := !steward.backupFails.IsZero() && steward.clock().Sub(steward.backupFails) > backupPatience
+	failing := !steward.backupFails.IsZero() && steward.turns.Now().Sub(steward.backupFails) > backupPatience
 	restricted := steward.restricted
 	steward.mutex.Unlock()
 	if !charter.Backup.Empty() && !steward.unsettled && !failing {
@@ -715,25 +718,27 @@
 	var mutex sync.Mutex
 	var outcome error
 	over := false
-	changed := sync.NewCond(&mutex)
-	go func() {
+	bell := steward.turns.NewBell()
+	steward.turns.Go(func() {
 		failure := act()
 		mutex.Lock()
-		defer mutex.Unlock()
 		outcome, over = failure, true
-		changed.Broadcast()
-	}()
+		mutex.Unlock()
+		bell.Ring()
+	})
+	ended := func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return over
+	}
+	// The act ends by itself, later than any patience of this steward.
+	for ends := steward.turns.Now().Add(gatherPatience); !bell.Wait(PrimaryHold/5, ended) && steward.turns.Now().Before(ends); {
+		steward.confirm(charter)
+	}
 	mutex.Lock()
 	defer mutex.Unlock()
-	for !over {
-		timer := time.AfterFunc(PrimaryHold/5, changed.Broadcast)
-		changed.Wait()
-		timer.Stop()
-		if !over {
-			mutex.Unlock()
-			steward.confirm(charter)
-			mutex.Lock()
-		}
+	if !over {
+		return trouble.New(trouble.Unreachable, "the process ends")
 	}
 	return outcome
 }
@@ -757,7 +762,7 @@
 	steward.mutex.Lock()
 	for _, known := range steward.known {
 		hello := known.hello
-		if hello.Kind == roster.Expediter && !hello.Restricted && steward.clock().Sub(known.answered) < backupPatience+steward.beat() {
+		if hello.Kind == roster.Expediter && !hello.Restricted && steward.turns.Now().Sub(known.answered) < backupPatience+steward.beat() {
 			candidates = append(candidates, hello.Seat)
 		}
 	}
@@ -848,9 +853,10 @@
 		// A primary that came as a newcomer itself.
 		newcomer = steward.keeper.Seat()
 	}
-	for _, known := range steward.known {
+	for _, identity := range steward.acquaintances() {
+		known := steward.known[identity]
 		hello := known.hello
-		if hello.Kind != roster.Expediter || charter.Keeps(hello.Seat.Identity) || steward.clock().Sub(known.answered) > applicantFresh {
+		if hello.Kind != roster.Expediter || charter.Keeps(hello.Seat.Identity) || steward.turns.Now().Sub(known.answered) > applicantFresh {
 			continue
 		}
 		if newcomer.Empty() || hello.Seat.Address == gone.Address || hello.Seat.Identity < newcomer.Identity {
@@ -907,7 +913,7 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	for _, known := range steward.known {
-		if known.hello.Seat.Address == address && steward.clock().Sub(known.lastSeen) < applicantFresh {
+		if known.hello.Seat.Address == address && steward.turns.Now().Sub(known.lastSeen) < applicantFresh {
 			return true
 		}
 	}
@@ -925,11 +931,23 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	var old []Seat
-	for identity, known := range steward.known {
-		fresh := steward.clock().Sub(known.lastSeen) < applicantFresh
+	for _, identity := range steward.acquaintances() {
+		known := steward.known[identity]
+		fresh := steward.turns.Now().Sub(known.lastSeen) < applicantFresh
 		if fresh && known.hello.Kind == roster.Expediter && !charter.InSync(identity) && known.hello.Version.Before(version) {
 			old = append(old, known.hello.Seat)
 		}
 	}
 	return old
 }
+
+// acquaintances are the identities that were ever heard, in order, so that the
+// same messages lead to the same choices. The caller has the mutex.
+func (steward *Steward) acquaintances() []Identity {
+	identities := make([]Identity, 0, len(steward.known))
+	for identity := range steward.known {
+		identities = append(identities, identity)
+	}
+	sort.Slice(identities, func(left, right int) bool { return identities[left] < identities[right] })
+	return identities
+}
--- a/internal/pass/budget.go
+++ b/internal/pass/budget.go
@@ -13,7 +13,9 @@
 
 const (
 	triesShare = 5
-	mostSpare  = 10 * triesShare
+	// mostSpare is what a courier that retries nothing saves: one lost hand-over,
+	// which costs two tries, and no more, so that a loss does not bring a burst.
+	mostSpare = 2 * triesShare
 )
 
 // First earns a fifth of an extra try.
--- a/internal/pass/decision.go
+++ b/internal/pass/decision.go
@@ -21,6 +21,9 @@
 	Address       string `json:"address,omitempty"`
 	SourceAddress string `json:"source_address,omitempty"`
 	Handle        string `json:"handle,omitempty"`
+	// Token is new for each order to a server, so that one which a link brings
+	// twice is told. The core leaves it to who carries the decision out.
+	Token string `json:"token,omitempty"`
 
 	Piece  int          `json:"piece,omitempty"`
 	Text   string       `json:"text,omitempty"`
--- a/internal/rehearsal/book.go
+++ b/internal/rehearsal/book.go
@@ -18,6 +18,8 @@
 type Book struct {
 	mutex   sync.Mutex
 	entries []Entry
+	// Clock tells the time of entries; nil means the machine's.
+	Clock func() time.Time
 }
 
 // Note writes an entry down, at this moment unless it says another.
@@ -30,6 +32,9 @@
 	defer book.mutex.Unlock()
 	if entry.At.IsZero() {
 		entry.At = time.Now()
+		if book.Clock != nil {
+			entry.At = book.Clock()
+		}
 	}
 	book.entries = append(book.entries, entry)
 }
--- a/internal/rehearsal/callers.go
+++ b/internal/rehearsal/callers.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/adapters/courier"
+	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
 )
@@ -112,7 +112,7 @@
 
 func (callers *Callers) question(kind Kind, node *NodeProcess) (Question, Entry) {
 	repeatable := callers.random.Float64() >= callers.Once
-	question := Question{ID: courier.NewInquiryID(), Service: kind.Service, Origin: "origin-" + strconv.Itoa(callers.number%50), Repeatable: repeatable,
+	question := Question{ID: hatch.NewInquiryID(), Service: kind.Service, Origin: "origin-" + strconv.Itoa(callers.number%50), Repeatable: repeatable,
 		Limit: 15_000, PromptTokens: kind.LeastTokens + callers.random.IntN(kind.MostTokens-kind.LeastTokens),
 		Prefix: kind.Service + "-" + strconv.Itoa(callers.random.IntN(kind.Prefixes)), PrefixTokens: kind.PrefixTokens,
 		Pieces: kind.LeastPieces + callers.random.IntN(kind.MostPieces-kind.LeastPieces)}
@@ -159,7 +159,7 @@
 	defer func() { _ = inbound.Body.Close() }()
 	lines := bufio.NewScanner(inbound.Body)
 	for lines.Scan() {
-		var line courier.ReplyLine
+		var line hatch.ReplyLine
 		if failure := json.Unmarshal(lines.Bytes(), &line); failure != nil {
 			return inbound.StatusCode, trouble.Wrap(trouble.Garbage, failure)
 		}
--- a/internal/rehearsal/checkers.go
+++ b/internal/rehearsal/checkers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,20 +51,30 @@
 	return finding
 }
 
-// checkRefusedNeverRuns: nothing starts for an inquiry whose caller was told
-// that it never would, before or after that word.
+// checkRefusedNeverRuns: whatever starts belongs to an arrival whose caller was
+// not told that it never would, before or after that word. The same id sent
+// again is another arrival.
 func checkRefusedNeverRuns(entries []Entry) Finding {
 	finding := Finding{Checker: "refused means it never runs"}
 	refused := map[string]bool{}
 	for _, entry := range entries {
 		if entry.Kind == Replied && entry.Final == "refused" && entry.Cause != "duplicate_inquiry" {
-			refused[entry.Inquiry] = true
+			refused[entry.arrivalName()] = true
 			finding.Looked++
 		}
 	}
+	// open are the inquiries with an arrival so far that was not refused;
+	// came those that arrived at all.
+	open, came := map[string]bool{}, map[string]bool{}
 	for _, entry := range entries {
-		if (entry.Kind == PrefillStarted || entry.Kind == DecodeStarted) && refused[entry.Inquiry] {
-			finding.violate(fmt.Sprintf("%s was refused and %s at %s", entry.Inquiry, entry.Kind, entry.Server))
+		switch entry.Kind {
+		case Sent, Replied:
+			came[entry.Inquiry] = true
+			open[entry.Inquiry] = open[entry.Inquiry] || !refused[entry.arrivalName()]
+		case PrefillStarted, DecodeStarted:
+			if came[entry.Inquiry] && !open[entry.Inquiry] {
+				finding.violate(fmt.Sprintf("%s was refused at each arrival and %s at %s", entry.Inquiry, entry.Kind, entry.Server))
+			}
 		}
 	}
 	return finding
@@ -106,6 +117,7 @@
 	taken := map[string]Entry{}
 	runs := map[string]int{}
 	for _, entry := range entries {
+		run := entry.Inquiry + "#" + strconv.Itoa(entry.Run)
 		switch entry.Kind {
 		case MemoryTaken:
 			finding.Looked++
@@ -113,12 +125,12 @@
 				finding.violate(fmt.Sprintf("handle %s taken for %s and for %s", entry.Handle, earlier.Inquiry, entry.Inquiry))
 			}
 			taken[entry.Handle] = entry
-			runs[runName(entry.Inquiry, entry.Run)]++
+			runs[run]++
 		case DecodeStarted:
-			if runs[runName(entry.Inquiry, entry.Run)] == 0 {
+			if runs[run] == 0 {
 				finding.violate(fmt.Sprintf("%s run %d answers without its own memory", entry.Inquiry, entry.Run))
 			}
-			runs[runName(entry.Inquiry, entry.Run)]--
+			runs[run]--
 		}
 	}
 	return finding
@@ -258,30 +270,75 @@
 	return finding
 }
 
+// The window in which extra tries are judged, and what may stand in it beside a
+// fifth: a courier that retried nothing for a while has saved two tries, which a
+// lost hand-over costs. Ten seconds is as long as the fleet takes to get over a
+// loss: a burst of retries during one would show, and there are enough first
+// dispatches in it for a share to mean something.
+const (
+	triesWindow = 10 * time.Second
+	triesSaved  = 2
+)
+
 // checkTries: extra dispatches, counted where they arrive, stay under a fifth
-// of the first ones.
+// of the first ones, in the whole and in each window. An id that its caller
+// sends again has a first dispatch again.
 func checkTries(entries []Entry) Finding {
 	finding := Finding{Checker: "extra tries stay under a fifth", Limit: strconv.FormatFloat(triesShare, 'f', 2, 64)}
-	asked := map[string]int{}
-	first, extra := 0, 0
+	type dispatch struct {
+		at    time.Time
+		extra bool
+	}
+	var window []dispatch
+	asked, sent := map[string]int{}, map[string]int{}
+	couriers := map[string]bool{}
+	first, extra, recentFirst, recentExtra := 0, 0, 0, 0
+	worst := 0.0
 	for _, entry := range entries {
-		if entry.Kind != PrefillAsked && entry.Kind != DecodeAsked {
+		switch entry.Kind {
+		case Sent:
+			sent[entry.Inquiry]++
+			couriers[entry.Courier] = true
+			continue
+		case PrefillAsked, DecodeAsked:
+		default:
 			continue
 		}
 		key := string(entry.Kind) + entry.Inquiry
 		asked[key]++
-		switch {
-		case asked[key] > 1:
+		isExtra := asked[key] > max(1, sent[entry.Inquiry])
+		if !isExtra && entry.Kind == DecodeAsked {
+			continue
+		}
+		window = append(window, dispatch{entry.At, isExtra})
+		if isExtra {
 			extra++
-		case entry.Kind == PrefillAsked:
+			recentExtra++
+		} else {
 			first++
+			recentFirst++
+		}
+		for entry.At.Sub(window[0].at) > triesWindow {
+			if window[0].extra {
+				recentExtra--
+			} else {
+				recentFirst--
+			}
+			window = window[1:]
+		}
+		saved := triesSaved * len(couriers)
+		if recentExtra > saved {
+			worst = max(worst, float64(recentExtra-saved)/float64(max(recentFirst, 1)))
+		}
+		// A retried run asks twice, at a prefill and at a decode server: both count.
+		if float64(recentExtra) > triesShare*float64(recentFirst)+float64(saved) {
+			finding.violate(fmt.Sprintf("%d extra tries for %d first ones within %s", recentExtra, recentFirst, triesWindow))
 		}
 	}
 	finding.Looked = first
 	share := float64(extra) / float64(max(first, 1))
-	finding.Worst = strconv.FormatFloat(share, 'f', 3, 64)
-	// A retried run asks twice, at a prefill and at a decode server: both count.
-	if share > triesShare {
+	finding.Worst = strconv.FormatFloat(share, 'f', 3, 64) + ", in a window " + strconv.FormatFloat(worst, 'f', 3, 64)
+	if float64(extra) > triesShare*float64(first)+float64(triesSaved*len(couriers)) {
 		finding.violate(fmt.Sprintf("%d extra tries for %d first ones", extra, first))
 	}
 	return finding
@@ -338,42 +395,75 @@
 	return finding
 }
 
-// checkFormats: orders of the second format, which servers tell by their
-// cause, come only when every member that is known supports it.
+// formatFlags are the flags that new keys of records wait for.
+var formatFlags = map[string]string{"order_v2": "order_patience", "pair_v2": "pair_price"}
+
+// checkFormats: a record with a new key is seen, on a wire, on a disk or at a
+// server, only after every member that was known when its flag was first seen
+// enabled supported it. Where nobody sees flags enabled, the first record counts.
+// A member gains a flag before its new release begins, and lacks it once the old
+// one is recorded.
 func checkFormats(entries []Entry) Finding {
 	finding := Finding{Checker: "a new format waits for every known member"}
-	lacking := map[string]bool{}
-	// Once every member had it for a while the flag may have been enabled: an
-	// older node that comes later is restricted, and nothing goes back.
-	var since time.Time
-	open := false
+	lacking := map[string]map[string]bool{}
+	opened := map[string]bool{}
+	taps := false
 	for _, entry := range entries {
-		if len(lacking) == 0 && !since.IsZero() && entry.At.Sub(since) > time.Second {
-			open = true
+		taps = taps || entry.Kind == FlagEnabled
+	}
+	open := func(flag, what string) {
+		if opened[flag] {
+			return
+		}
+		opened[flag] = true
+		if len(lacking[flag]) > 0 {
+			finding.violate(fmt.Sprintf("%s while %d known members lack %s", what, len(lacking[flag]), flag))
 		}
+	}
+	seen := func(key, what string) {
+		flag, gated := formatFlags[key]
+		if !gated {
+			return
+		}
+		if taps && !opened[flag] {
+			finding.violate(fmt.Sprintf("%s before %s was enabled", what, flag))
+		}
+		open(flag, what)
+	}
+	for _, entry := range entries {
 		switch entry.Kind {
 		case MemberKnown:
-			lacking[entry.Holder] = true
-			for _, flag := range entry.Flags {
-				if flag == "order_patience" {
-					delete(lacking, entry.Holder)
+			for _, flag := range formatFlags {
+				if lacking[flag] == nil {
+					lacking[flag] = map[string]bool{}
+				}
+				delete(lacking[flag], entry.Holder)
+				if !slices.Contains(entry.Flags, flag) {
+					lacking[flag][entry.Holder] = true
 				}
 			}
-			if since = entry.At; len(lacking) > 0 {
-				since = time.Time{}
-			}
+		case FlagEnabled:
+			open(entry.Cause, "enabled")
+		case RecordSeen:
+			finding.Looked++
+			seen(entry.Cause, "a record with "+entry.Cause+" was seen "+entry.Part)
 		case Commanded:
 			finding.Looked++
-			if entry.Cause != "" && len(lacking) > 0 && !open {
-				finding.violate(fmt.Sprintf("%s was commanded in the new format while %d members lack it", entry.Server, len(lacking)))
+			if entry.Cause != "" {
+				seen("order_v2", entry.Server+" was commanded in the new format")
 			}
 		}
 	}
 	return finding
 }
 
-// checkReturn: after a closing fault, complete replies come again in time, for
-// inquiries that were sent after the fault.
+// returnSent is how many inquiries of a sort must have been sent after a closing
+// fault for that sort to be missed.
+const returnSent = 5
+
+// checkReturn: after a closing fault there are in time, for inquiries sent after
+// it, complete replies of each service, repeatable and not, at each district
+// whose callers go on asking, and an accepted change.
 func checkReturn(entries []Entry) Finding {
 	finding := Finding{Checker: "service returns after a closing fault", Limit: returnLimit.String()}
 	var worst time.Duration
@@ -382,16 +472,49 @@
 			continue
 		}
 		finding.Looked++
-		returned := time.Duration(-1)
+		back := map[string]time.Duration{}
+		asked, sent := map[string]bool{}, map[string]int{}
+		editions := map[int]bool{}
 		for _, later := range entries[position:] {
-			if later.Kind == Replied && later.Final == "complete" && later.At.Add(-later.Took).After(entry.At) {
-				returned = later.At.Sub(entry.At)
-				break
+			sort := fmt.Sprintf("%s at %s, repeatable %v", later.Service, later.District, later.Repeatable)
+			since := later.At.Sub(entry.At)
+			switch later.Kind {
+			case Sent:
+				asked[later.arrivalName()] = true
+				if since < returnLimit {
+					sent[sort]++
+				}
+			case Replied:
+				fresh := asked[later.arrivalName()] || later.At.Add(-later.Took).After(entry.At)
+				if later.Final != "complete" || !fresh {
+					continue
+				}
+				for _, name := range []string{"any reply", sort} {
+					if _, found := back[name]; !found {
+						back[name] = since
+					}
+				}
+			case EditionAsked:
+				editions[later.Edition] = true
+			case EditionAccepted:
+				if _, found := back["a change"]; !found && editions[later.Edition] {
+					back["a change"] = since
+				}
+			}
+		}
+		wanted := []string{"any reply", "a change"}
+		for sort, count := range sent {
+			if count >= returnSent {
+				wanted = append(wanted, sort)
 			}
 		}
-		worst = max(worst, returned)
-		if returned < 0 || returned > returnLimit {
-			finding.violate(fmt.Sprintf("after %s: %s", entry.Cause, returned))
+		slices.Sort(wanted)
+		for _, name := range wanted {
+			since, found := back[name]
+			worst = max(worst, since)
+			if !found || since > returnLimit {
+				finding.violate(fmt.Sprintf("after %s: %s came back %v, after %s", entry.Cause, name, found, since))
+			}
 		}
 	}
 	finding.Worst = worst.String()
--- a/internal/rehearsal/checkers_test.go
+++ b/internal/rehearsal/checkers_test.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -24,15 +25,24 @@
 		{At: at(5002), Kind: MemoryTaken, Inquiry: "one", Run: 1, Handle: "memory-1", Server: "stove-1"},
 		{At: at(5002), Kind: DecodeAsked, Inquiry: "one", Run: 1, Server: "stove-2", District: "south", Age: 5 * time.Second},
 		{At: at(5003), Kind: DecodeStarted, Inquiry: "one", Run: 1, Server: "stove-2", District: "south"},
-		{At: at(5010), Kind: Replied, Inquiry: "one", Asked: 2, Pieces: 2, Final: "complete", Texts: []string{"1|" + PieceText("one", 1, 1), "2|" + PieceText("one", 1, 2)}, Took: 10 * time.Millisecond},
+		{At: at(5010), Kind: Replied, Inquiry: "one", Asked: 2, Pieces: 2, Final: "complete", Texts: []string{"1|" + PieceText("one", "1", 1), "2|" + PieceText("one", "1", 2)}, Took: 10 * time.Millisecond},
 		{At: at(5020), Kind: Replied, Inquiry: "two", Final: "refused"},
 		{At: at(6000), Kind: ServerLeaving, Server: "stove-1"},
 		{At: at(6000), Kind: Evacuated, District: "north"},
 		{At: at(7000), Kind: ClosingFault, Cause: "the end"},
-		{At: at(9000), Kind: Replied, Inquiry: "three", Asked: 1, Pieces: 1, Final: "complete", Texts: []string{"1|" + PieceText("three", 1, 1)}, Took: time.Second},
+		{At: at(7500), Kind: EditionAsked, Edition: 3},
+		{At: at(7600), Kind: EditionAccepted, Edition: 3},
+		{At: at(9000), Kind: Replied, Inquiry: "three", Asked: 1, Pieces: 1, Final: "complete", Texts: []string{"1|" + PieceText("three", "1", 1)}, Took: time.Second},
 	}
 }
 
+func tries(from time.Time, count int) (entries []Entry) {
+	for number := range count {
+		entries = append(entries, Entry{At: from.Add(time.Duration(number) * time.Millisecond), Kind: PrefillAsked, Inquiry: "one", Run: number + 2, Server: "stove-2", Age: 9 * time.Second})
+	}
+	return entries
+}
+
 // TestEachCheckerCatchesASeededViolation seeds one violation for each checker
 // and wants that checker, and no clean book, to speak.
 func TestEachCheckerCatchesASeededViolation(test *testing.T) {
@@ -44,7 +54,7 @@
 	seeded := map[string][]Entry{
 		"no second run":                                      {{At: at(5100), Kind: PrefillStarted, Inquiry: "one", Run: 2, Server: "stove-2"}},
 		"refused means it never runs":                        {{At: at(5100), Kind: PrefillStarted, Inquiry: "two", Run: 1, Server: "stove-2"}},
-		"replies are whole and the origin's own":             {{At: at(5100), Kind: Replied, Inquiry: "four", Asked: 2, Texts: []string{"1|" + PieceText("four", 1, 1), "2|" + PieceText("four", 2, 2)}}},
+		"replies are whole and the origin's own":             {{At: at(5100), Kind: Replied, Inquiry: "four", Asked: 2, Texts: []string{"1|" + PieceText("four", "1", 1), "2|" + PieceText("four", "2", 2)}}},
 		"prompt memory is taken once and by its own inquiry": {{At: at(5100), Kind: MemoryTaken, Inquiry: "four", Run: 1, Handle: "memory-1"}},
 		"no new work for a leaving server":                   {{At: at(9200), Kind: PrefillAsked, Inquiry: "four", Server: "stove-1", Age: 9 * time.Second}},
 		"no new work for an evacuated zone":                  {{At: at(11100), Kind: DecodeAsked, Inquiry: "four", Server: "stove-3", District: "north", Age: 9 * time.Second}},
@@ -52,7 +62,7 @@
 		"configurations never go back":                       {{At: at(200), Kind: EditionSeen, Courier: "courier-1", Edition: 3}, {At: at(300), Kind: EditionSeen, Courier: "courier-1", Edition: 2}},
 		"refused configurations take no effect":              {{At: at(200), Kind: EditionSeen, Courier: "courier-3", Edition: 9}},
 		"reads are never older than what was accepted":       {{At: at(200), Kind: EditionAccepted, Edition: 2}, {At: at(210), Kind: EditionRead, Edition: 1}},
-		"extra tries stay under a fifth":                     {{At: at(5100), Kind: PrefillAsked, Inquiry: "one", Run: 2, Server: "stove-2", Age: 9 * time.Second}},
+		"extra tries stay under a fifth":                     tries(at(5100), 3),
 		"a cold server is not flooded":                       {{At: at(100), Kind: PrefillAsked, Inquiry: "four", Server: "stove-2", Depth: 9, Age: time.Second}},
 		"one node at a time commands a server":               {{At: at(2000), Kind: Commanded, Server: "stove-1", Holder: "courier-2", Fence: 2}},
 		"a new format waits for every known member":          {{At: at(15), Kind: MemberKnown, Holder: "courier-2"}},
@@ -61,6 +71,42 @@
 	if len(seeded) != len(checkers) {
 		test.Fatalf("%d violations for %d checkers", len(seeded), len(checkers))
 	}
+	// The subtler ones.
+	quiet := func(count int) (entries []Entry) {
+		for number := range count {
+			name := "quiet-" + strconv.Itoa(number)
+			entries = append(entries, Entry{At: at(20000 + 200*number), Kind: PrefillAsked, Inquiry: name, Server: "stove-2", Age: 9 * time.Second})
+		}
+		return entries
+	}
+	enabled := Entry{At: at(12), Kind: FlagEnabled, Cause: "pair_price"}
+	sort := func(at time.Time, kind EntryKind, number int) Entry {
+		return Entry{At: at, Kind: kind, Inquiry: "sort-" + strconv.Itoa(number), Service: "chat", District: "south", Final: "refused"}
+	}
+	var unserved []Entry
+	for number := range returnSent {
+		unserved = append(unserved, sort(at(7100+number), Sent, number), sort(at(7200+number), Replied, number))
+	}
+	subtle := []struct {
+		checker string
+		entries []Entry
+	}{
+		{"extra tries stay under a fifth", append(quiet(500), tries(at(60000), 14)...)},
+		{"refused means it never runs", []Entry{{At: at(5000), Kind: Sent, Inquiry: "two"}, {At: at(5100), Kind: PrefillStarted, Inquiry: "two", Server: "stove-2"}, {At: at(5200), Kind: Sent, Inquiry: "two", Arrival: 1}}},
+		{"a new format waits for every known member", []Entry{enabled, {At: at(11), Kind: RecordSeen, Cause: "pair_v2", Part: "on a wire"}}},
+		{"a new format waits for every known member", []Entry{enabled, {At: at(11), Kind: MemberKnown, Holder: "courier-9", Flags: []string{"order_patience"}}}},
+		{"service returns after a closing fault", unserved},
+		{"service returns after a closing fault", []Entry{{At: at(40000), Kind: ClosingFault}, {At: at(41000), Kind: Replied, Final: "complete"}}},
+	}
+	for _, hidden := range subtle {
+		book := &Book{}
+		for _, entry := range append(cleanDay(start), hidden.entries...) {
+			book.Note(entry)
+		}
+		if verdict := Judge(book.Entries()); verdict.Finding(hidden.checker).Violations == 0 {
+			test.Errorf("%s does not see %+v", hidden.checker, hidden.entries[len(hidden.entries)-1])
+		}
+	}
 	for checker, entries := range seeded {
 		book := &Book{}
 		for _, entry := range append(cleanDay(start), entries...) {
--- /dev/null
+++ b/internal/rehearsal/circuit.go
@@ -0,0 +1,55 @@
+package rehearsal
+
+import (
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// Circuit is one call under way at a stand-in: it may be closed by either side.
+type Circuit struct {
+	bell   rota.Bell
+	mutex  sync.Mutex
+	closed bool
+}
+
+// NewCircuit opens a circuit.
+//
+// Example:
+//
+//	circuit := rehearsal.NewCircuit(turns)
+func NewCircuit(turns rota.Turns) *Circuit { return &Circuit{bell: turns.NewBell()} }
+
+// Close ends what is done for the circuit.
+//
+// Example:
+//
+//	circuit.Close()
+func (circuit *Circuit) Close() {
+	circuit.mutex.Lock()
+	circuit.closed = true
+	circuit.mutex.Unlock()
+	circuit.bell.Ring()
+}
+
+// Closed tells whether the circuit is closed.
+//
+// Example:
+//
+//	if circuit.Closed() { return }
+func (circuit *Circuit) Closed() bool {
+	circuit.mutex.Lock()
+	defer circuit.mutex.Unlock()
+	return circuit.closed
+}
+
+// Pause lets work take its time; false means that the circuit was closed.
+//
+// Example:
+//
+//	if !circuit.Pause(8*time.Millisecond) { return }
+func (circuit *Circuit) Pause(length time.Duration) bool {
+	circuit.bell.Wait(length, circuit.Closed)
+	return !circuit.Closed()
+}
--- a/internal/rehearsal/entry.go
+++ b/internal/rehearsal/entry.go
@@ -1,6 +1,9 @@
 package rehearsal
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Entry is one line of the book: what a stand-in or a caller saw itself.
 type Entry struct {
@@ -12,8 +15,10 @@
 	Run        int       `json:"run,omitempty"`
 	Handle     string    `json:"handle,omitempty"`
 	Repeatable bool      `json:"repeatable,omitempty"`
-	Courier    string    `json:"courier,omitempty"`
-	Service    string    `json:"service,omitempty"`
+	// Arrival tells the times apart that a caller sends one id.
+	Arrival int    `json:"arrival,omitempty"`
+	Courier string `json:"courier,omitempty"`
+	Service string `json:"service,omitempty"`
 
 	Holder string `json:"holder,omitempty"`
 	Fence  uint64 `json:"fence,omitempty"`
@@ -31,3 +36,5 @@
 	Age     time.Duration `json:"age,omitempty"`
 	Flags   []string      `json:"flags,omitempty"`
 }
+
+func (entry Entry) arrivalName() string { return entry.Inquiry + "@" + strconv.Itoa(entry.Arrival) }
--- a/internal/rehearsal/entrykind.go
+++ b/internal/rehearsal/entrykind.go
@@ -8,6 +8,7 @@
 const (
 	PrefillAsked    EntryKind = "prefill_asked"
 	PrefillStarted  EntryKind = "prefill_started"
+	OrderRepeated   EntryKind = "order_repeated"
 	DecodeAsked     EntryKind = "decode_asked"
 	DecodeStarted   EntryKind = "decode_started"
 	MemoryTaken     EntryKind = "memory_taken"
@@ -31,4 +32,6 @@
 	FaultBegan      EntryKind = "fault_began"
 	ClosingFault    EntryKind = "closing_fault"
 	MemberKnown     EntryKind = "member_known"
+	RecordSeen      EntryKind = "record_seen"
+	FlagEnabled     EntryKind = "flag_enabled"
 )
--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -81,7 +81,7 @@
 					pauseFor(test.Context(), 50*time.Millisecond)
 					continue
 				}
-				seen := editionOf(current.Configuration)
+				seen := EditionOf(current.Configuration)
 				note(client, registerInput{read: true}, registerOutput{edition: seen}, from, time.Since(began))
 				next := fresh()
 				from = time.Since(began)
--- a/internal/rehearsal/operators.go
+++ b/internal/rehearsal/operators.go
@@ -76,7 +76,7 @@
 	operators.fleet.Book.Note(Entry{Kind: EditionAsked, Edition: edition, Courier: node.Node.Name})
 	query := url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}
 	patch := operators.fleet.Deployment.Configuration(edition)
-	if before := editionOf(current.Configuration); before > 0 {
+	if before := EditionOf(current.Configuration); before > 0 {
 		patch = strings.Replace(patch, `"routes":{`, `"routes":{"edition-`+strconv.Itoa(before)+`":null,`, 1)
 	}
 	answer, failure := operators.Call(node, http.MethodPatch, "/v1/configuration", query, patch)
@@ -105,13 +105,18 @@
 	if failure != nil || answer.Status != http.StatusOK {
 		return answer, -1
 	}
-	edition := editionOf(answer.Configuration)
+	edition := EditionOf(answer.Configuration)
 	// The read is as old as its asking, for those who judge it.
 	operators.fleet.Book.Note(Entry{Kind: EditionRead, At: time.Now(), Edition: edition, Courier: node.Node.Name, Took: time.Since(began)})
 	return answer, edition
 }
 
-func editionOf(configuration []byte) int {
+// EditionOf tells which edition a configuration is.
+//
+// Example:
+//
+//	edition := rehearsal.EditionOf(text)
+func EditionOf(configuration []byte) int {
 	var parsed struct {
 		Routes map[string]json.RawMessage `json:"routes"`
 	}
--- a/internal/rehearsal/standin.go
+++ b/internal/rehearsal/standin.go
@@ -7,8 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,46 +14,21 @@
 	"goji.io/pat"
 
 	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-// StandIn is a model server for rehearsals: a queue of prompts read one by
-// one, slots for answers, bounded memory for prompts, a prefix cache, handles
-// that lapse, a cold start, and a link of some speed. It writes everything
-// that it is asked to do into the book.
+// StandIn is a model server for rehearsals behind HTTP.
 type StandIn struct {
-	plan        ServerPlan
-	book        *Book
-	address     string
-	incarnation string
-	client      *http.Client
-	lifetime    context.Context
-	end         context.CancelFunc
-	server      *http.Server
-
-	mutex       sync.Mutex
-	born        time.Time
-	part        string
-	fence       uint64
-	leaving     bool
-	dark        bool
-	slowLink    int
-	queue       []int
-	reading     bool
-	turn        *sync.Cond
-	active      int
-	memory      int
-	handles     map[string]*promptMemory
-	prefixes    map[string]int
-	prefixOrder []string
-	runs        map[string]context.CancelFunc
-}
-
-type promptMemory struct {
-	inquiry string
-	run     int
-	tokens  int
-	lapses  time.Time
+	*Stovetop
+	address  string
+	client   *http.Client
+	turns    rota.Turns
+	lifetime context.Context
+	end      context.CancelFunc
+	server   *http.Server
 }
 
 // StartStandIn begins a stand-in at an address; an empty one means any port.
@@ -68,24 +41,50 @@
 	if failure != nil {
 		return nil, trouble.Wrap(trouble.Unreachable, failure)
 	}
-	standIn := &StandIn{plan: plan, book: book, address: listener.Addr().String(), incarnation: uuid.NewString(), born: time.Now(),
-		handles: map[string]*promptMemory{}, prefixes: map[string]int{}, runs: map[string]context.CancelFunc{}, slowLink: 1,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
-	standIn.turn = sync.NewCond(&standIn.mutex)
+	standIn := &StandIn{address: listener.Addr().String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	standIn.lifetime, standIn.end = context.WithCancel(context.Background())
+	standIn.turns = threads.New(standIn.lifetime, wallclock.New())
+	standIn.Stovetop = NewStovetop(plan, book, standIn.turns, uuid.NewString, standIn.fetchMemory)
 	mux := goji.NewMux()
-	mux.HandleFunc(pat.Get("/v1/load"), standIn.load)
-	mux.HandleFunc(pat.Post("/v1/prefill"), standIn.prefill)
-	mux.HandleFunc(pat.Post("/v1/decode"), standIn.decode)
-	mux.HandleFunc(pat.Post("/v1/memory"), standIn.giveMemory)
-	mux.HandleFunc(pat.Post("/v1/cancel"), standIn.cancel)
-	mux.HandleFunc(pat.Post("/v1/part"), standIn.takePart)
+	mux.HandleFunc(pat.Get("/v1/load"), func(writer http.ResponseWriter, _ *http.Request) { say(writer, http.StatusOK, standIn.Load()) })
+	mux.HandleFunc(pat.Post("/v1/prefill"), takes(standIn, func(circuit *Circuit, order stove.PrefillOrder, writer http.ResponseWriter) {
+		status, content := standIn.Prefill(circuit, order)
+		say(writer, status, content)
+	}))
+	mux.HandleFunc(pat.Post("/v1/decode"), takes(standIn, standIn.decode))
+	mux.HandleFunc(pat.Post("/v1/memory"), takes(standIn, func(_ *Circuit, question MemoryQuestion, writer http.ResponseWriter) {
+		status, content := standIn.GiveMemory(question)
+		say(writer, status, content)
+	}))
+	mux.HandleFunc(pat.Post("/v1/cancel"), takes(standIn, func(_ *Circuit, order stove.CancelOrder, writer http.ResponseWriter) {
+		standIn.Cancel(order)
+		say(writer, http.StatusOK, map[string]bool{"cancelled": true})
+	}))
+	mux.HandleFunc(pat.Post("/v1/part"), takes(standIn, func(_ *Circuit, order stove.PartOrder, writer http.ResponseWriter) {
+		status, content := standIn.TakePart(order)
+		say(writer, status, content)
+	}))
 	standIn.server = &http.Server{Handler: standIn.shade(mux), BaseContext: func(net.Listener) context.Context { return standIn.lifetime }}
 	go func() { _ = standIn.server.Serve(listener) }()
-	book.Note(Entry{Kind: ServerBorn, Server: plan.Name, District: plan.District})
 	return standIn, nil
 }
 
+// takes reads an order whole before anything is done for it.
+func takes[Order any](standIn *StandIn, act func(circuit *Circuit, order Order, writer http.ResponseWriter)) http.HandlerFunc {
+	return func(writer http.ResponseWriter, inbound *http.Request) {
+		var order Order
+		content, failure := io.ReadAll(inbound.Body)
+		if failure != nil || json.Unmarshal(content, &order) != nil {
+			say(writer, http.StatusBadRequest, Refusal{Type: "malformed"})
+			return
+		}
+		circuit := NewCircuit(standIn.turns)
+		stop := context.AfterFunc(inbound.Context(), circuit.Close)
+		defer stop()
+		act(circuit, order, writer)
+	}
+}
+
 // Address is where the stand-in listens.
 //
 // Example:
@@ -99,89 +98,17 @@
 //
 //	server.Crash()
 func (standIn *StandIn) Crash() {
-	standIn.book.Note(Entry{Kind: ServerCrashed, Server: standIn.plan.Name})
+	standIn.Die()
 	standIn.end()
 	_ = standIn.server.Close()
 	standIn.client.CloseIdleConnections()
-	standIn.mutex.Lock()
-	standIn.turn.Broadcast()
-	standIn.mutex.Unlock()
-}
-
-// SetDark makes the stand-in accept circuits and never answer, or end that.
-//
-// Example:
-//
-//	server.SetDark(true)
-func (standIn *StandIn) SetDark(dark bool) {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.dark = dark
-}
-
-// SetLeaving makes the load reports say that the server leaves.
-//
-// Example:
-//
-//	server.SetLeaving(true)
-func (standIn *StandIn) SetLeaving(leaving bool) {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.leaving = leaving
-}
-
-// SetHandleLife makes handles lapse after another time.
-//
-// Example:
-//
-//	server.SetHandleLife(time.Millisecond)
-func (standIn *StandIn) SetHandleLife(life time.Duration) {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.plan.HandleLife = life
-}
-
-// SlowLink makes the link so many times slower.
-//
-// Example:
-//
-//	server.SlowLink(10)
-func (standIn *StandIn) SlowLink(times int) {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.slowLink = times
-}
-
-// Part is the part that the server has.
-//
-// Example:
-//
-//	if server.Part() == "decode" { ... }
-func (standIn *StandIn) Part() string {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	return standIn.part
-}
-
-// Active counts the answers under way.
-//
-// Example:
-//
-//	if server.Active() == 0 { ... }
-func (standIn *StandIn) Active() int {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	return standIn.active
 }
 
 // shade leaves every call without an answer while the server is dark. What was
 // dark when it came is never done.
 func (standIn *StandIn) shade(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
-		standIn.mutex.Lock()
-		dark := standIn.dark
-		standIn.mutex.Unlock()
-		if dark {
+		if standIn.Dark() {
 			// The body is read so that the closing of the circuit is noticed.
 			_, _ = io.Copy(io.Discard, inbound.Body)
 			<-inbound.Context().Done()
@@ -197,131 +124,7 @@
 	_ = json.NewEncoder(writer).Encode(content)
 }
 
-func refuse(writer http.ResponseWriter, status int, started bool, kind string) {
-	say(writer, status, map[string]any{"started": started, "type": kind})
-}
-
-func (standIn *StandIn) load(writer http.ResponseWriter, _ *http.Request) {
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.sweepHandles()
-	waiting := 0
-	for _, tokens := range standIn.queue {
-		waiting += tokens
-	}
-	prefixes := map[string]int{}
-	for name, tokens := range standIn.prefixes {
-		prefixes[name] = tokens
-	}
-	say(writer, http.StatusOK, stove.LoadReport{Server: standIn.plan.Name, Incarnation: standIn.incarnation, Part: standIn.part, Leaving: standIn.leaving,
-		AgeMilliseconds: int(time.Since(standIn.born).Milliseconds()), PrefillQueueTokens: waiting, PrefillRate: standIn.plan.PrefillRate,
-		PrefillWaiting: len(standIn.queue), PrefillRoom: standIn.plan.PrefillRoom, DecodeActive: standIn.active, DecodeSlots: standIn.plan.DecodeSlots,
-		PieceTimeMicroseconds: int(standIn.plan.PieceTime.Microseconds()), MemoryFree: standIn.plan.Memory - standIn.memory,
-		MemoryTotal: standIn.plan.Memory, LinkRate: standIn.plan.LinkRate / standIn.slowLink, Prefixes: prefixes})
-}
-
-func (standIn *StandIn) sweepHandles() {
-	for name, held := range standIn.handles {
-		if time.Now().After(held.lapses) {
-			delete(standIn.handles, name)
-			standIn.memory -= held.tokens
-		}
-	}
-}
-
-// cold slows a server down that has just started.
-func (standIn *StandIn) cold() float64 {
-	age := time.Since(standIn.born)
-	if age >= standIn.plan.ColdTime {
-		return 1
-	}
-	return 3 - 2*float64(age)/float64(standIn.plan.ColdTime)
-}
-
-func (standIn *StandIn) prefill(writer http.ResponseWriter, inbound *http.Request) {
-	var order stove.PrefillOrder
-	if json.NewDecoder(inbound.Body).Decode(&order) != nil {
-		refuse(writer, http.StatusBadRequest, false, "malformed")
-		return
-	}
-	standIn.mutex.Lock()
-	age := time.Since(standIn.born)
-	standIn.book.Note(Entry{Kind: PrefillAsked, Server: standIn.plan.Name, District: standIn.plan.District, Inquiry: order.Inquiry, Run: order.Run, Depth: len(standIn.queue), Age: age})
-	standIn.sweepHandles()
-	switch {
-	case standIn.part != "prefill":
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusServiceUnavailable, false, "wrong_part")
-		return
-	case len(standIn.queue) >= standIn.plan.PrefillRoom:
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusTooManyRequests, false, "queue_full")
-		return
-	case standIn.memory+order.PromptTokens > standIn.plan.Memory:
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusTooManyRequests, false, "memory_full")
-		return
-	}
-	standIn.memory += order.PromptTokens
-	uncached := order.PromptTokens - min(order.PrefixTokens, standIn.prefixes[order.Prefix])
-	standIn.queue = append(standIn.queue, uncached)
-	standIn.book.Note(Entry{Kind: PrefillStarted, Server: standIn.plan.Name, District: standIn.plan.District, Inquiry: order.Inquiry, Run: order.Run})
-	run, end := context.WithCancel(inbound.Context())
-	defer end()
-	standIn.runs[runName(order.Inquiry, order.Run)] = end
-	for standIn.reading && standIn.lifetime.Err() == nil {
-		standIn.turn.Wait()
-	}
-	standIn.reading = true
-	cost := time.Duration(float64(uncached) / float64(standIn.plan.PrefillRate) * standIn.cold() * float64(time.Second))
-	standIn.mutex.Unlock()
-	finished := pauseFor(run, cost)
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.reading = false
-	delete(standIn.runs, runName(order.Inquiry, order.Run))
-	standIn.queue = removeOne(standIn.queue, uncached)
-	standIn.turn.Broadcast()
-	if !finished {
-		standIn.memory -= order.PromptTokens
-		refuse(writer, http.StatusGone, true, "cancelled")
-		return
-	}
-	if order.Prefix != "" && order.PrefixTokens > 0 {
-		standIn.cache(order.Prefix, order.PrefixTokens)
-	}
-	handle := uuid.NewString()
-	standIn.handles[handle] = &promptMemory{inquiry: order.Inquiry, run: order.Run, tokens: order.PromptTokens, lapses: time.Now().Add(standIn.plan.HandleLife)}
-	say(writer, http.StatusOK, stove.PrefillAnswer{Inquiry: order.Inquiry, Run: order.Run, Handle: handle})
-}
-
-func removeOne(queue []int, tokens int) []int {
-	for position, entry := range queue {
-		if entry == tokens {
-			return append(append([]int(nil), queue[:position]...), queue[position+1:]...)
-		}
-	}
-	return queue
-}
-
-func (standIn *StandIn) cache(prefix string, tokens int) {
-	for position, name := range standIn.prefixOrder {
-		if name == prefix {
-			standIn.prefixOrder = append(standIn.prefixOrder[:position], standIn.prefixOrder[position+1:]...)
-			break
-		}
-	}
-	standIn.prefixOrder = append(standIn.prefixOrder, prefix)
-	standIn.prefixes[prefix] = tokens
-	if len(standIn.prefixOrder) > standIn.plan.Prefixes {
-		delete(standIn.prefixes, standIn.prefixOrder[0])
-		standIn.prefixOrder = standIn.prefixOrder[1:]
-	}
-}
-
-func runName(inquiry string, run int) string { return inquiry + "#" + strconv.Itoa(run) }
-
-// pauseFor lets simulated work take its time; false means it was broken off.
+// pauseFor waits for a length of time; false means it was broken off.
 func pauseFor(lifetime context.Context, length time.Duration) bool {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
@@ -333,191 +136,44 @@
 	}
 }
 
-// memoryQuestion is what a decode server asks a prefill server for.
-type memoryQuestion struct {
-	Handle  string `json:"handle"`
-	Inquiry string `json:"inquiry"`
-	Run     int    `json:"run"`
-	Taker   string `json:"taker"`
-}
-
-type memoryAnswer struct {
-	Tokens   int `json:"tokens"`
-	LinkRate int `json:"link_tokens_per_second"`
-}
-
-func (standIn *StandIn) giveMemory(writer http.ResponseWriter, inbound *http.Request) {
-	var question memoryQuestion
-	if json.NewDecoder(inbound.Body).Decode(&question) != nil {
-		refuse(writer, http.StatusBadRequest, false, "malformed")
-		return
-	}
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	standIn.sweepHandles()
-	held, found := standIn.handles[question.Handle]
-	if !found || held.inquiry != question.Inquiry || held.run != question.Run {
-		standIn.book.Note(Entry{Kind: MemoryRefused, Server: standIn.plan.Name, Inquiry: question.Inquiry, Run: question.Run, Handle: question.Handle, Holder: question.Taker})
-		refuse(writer, http.StatusConflict, false, "handle_lapsed")
-		return
-	}
-	delete(standIn.handles, question.Handle)
-	standIn.memory -= held.tokens
-	standIn.book.Note(Entry{Kind: MemoryTaken, Server: standIn.plan.Name, Inquiry: held.inquiry, Run: held.run, Handle: question.Handle, Holder: question.Taker})
-	say(writer, http.StatusOK, memoryAnswer{Tokens: held.tokens, LinkRate: standIn.plan.LinkRate / standIn.slowLink})
-}
-
-func (standIn *StandIn) decode(writer http.ResponseWriter, inbound *http.Request) {
-	var order stove.DecodeOrder
-	if json.NewDecoder(inbound.Body).Decode(&order) != nil {
-		refuse(writer, http.StatusBadRequest, false, "malformed")
-		return
-	}
-	standIn.mutex.Lock()
-	standIn.book.Note(Entry{Kind: DecodeAsked, Server: standIn.plan.Name, District: standIn.plan.District, Inquiry: order.Inquiry, Run: order.Run, Depth: standIn.active, Age: time.Since(standIn.born)})
-	switch {
-	case standIn.part != "decode":
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusServiceUnavailable, false, "wrong_part")
-		return
-	case standIn.active >= 2*standIn.plan.DecodeSlots:
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusTooManyRequests, false, "slots_full")
-		return
-	case standIn.memory+order.Pieces > standIn.plan.Memory:
-		standIn.mutex.Unlock()
-		refuse(writer, http.StatusTooManyRequests, false, "memory_full")
-		return
-	}
-	standIn.active++
-	run, end := context.WithCancel(inbound.Context())
-	defer end()
-	standIn.runs[runName(order.Inquiry, order.Run)] = end
-	standIn.mutex.Unlock()
-	held := 0
-	defer func() {
-		standIn.mutex.Lock()
-		standIn.active--
-		standIn.memory -= held
-		delete(standIn.runs, runName(order.Inquiry, order.Run))
-		standIn.mutex.Unlock()
-	}()
-	given, status := standIn.fetch(run, order)
-	if status != http.StatusOK {
-		if status == http.StatusConflict {
-			refuse(writer, http.StatusConflict, false, "handle_lapsed")
-		} else {
-			refuse(writer, http.StatusBadGateway, true, "source_lost")
+func (standIn *StandIn) decode(circuit *Circuit, order stove.DecodeOrder, writer http.ResponseWriter) {
+	flusher := http.NewResponseController(writer)
+	encoder := json.NewEncoder(writer)
+	status, content := standIn.Decode(circuit, order, func(line stove.StreamLine) error {
+		if line.Piece == 1 {
+			writer.Header().Set("Content-Type", "application/jsonl")
 		}
-		return
-	}
-	standIn.mutex.Lock()
-	held = given.Tokens + order.Pieces
-	standIn.memory += held
-	standIn.mutex.Unlock()
-	standIn.book.Note(Entry{Kind: DecodeStarted, Server: standIn.plan.Name, District: standIn.plan.District, Inquiry: order.Inquiry, Run: order.Run})
-	standIn.mutex.Lock()
-	rate := min(given.LinkRate, standIn.plan.LinkRate/standIn.slowLink)
-	standIn.mutex.Unlock()
-	if !pauseFor(run, time.Duration(float64(given.Tokens)/float64(max(rate, 1))*float64(time.Second))) {
-		refuse(writer, http.StatusGone, true, "cancelled")
-		return
+		if failure := encoder.Encode(line); failure != nil {
+			return failure
+		}
+		return flusher.Flush()
+	})
+	if content != nil {
+		say(writer, status, content)
 	}
-	standIn.stream(run, writer, order)
 }
 
-// fetch takes the prompt's memory over from the server that read the prompt.
-func (standIn *StandIn) fetch(lifetime context.Context, order stove.DecodeOrder) (memoryAnswer, int) {
-	body, _ := json.Marshal(memoryQuestion{Handle: order.Handle, Inquiry: order.Inquiry, Run: order.Run, Taker: standIn.plan.Name})
-	asking, end := context.WithTimeout(lifetime, 2*time.Second)
+// fetchMemory takes a prompt's memory over from the server that read the
+// prompt.
+func (standIn *StandIn) fetchMemory(_ *Circuit, address string, question MemoryQuestion) (MemoryAnswer, int) {
+	body, failure := json.Marshal(question)
+	if failure != nil {
+		return MemoryAnswer{}, http.StatusBadRequest
+	}
+	asking, end := context.WithTimeout(standIn.lifetime, 2*time.Second)
 	defer end()
-	outbound, failure := http.NewRequestWithContext(asking, http.MethodPost, "http://"+order.Source+"/v1/memory", bytes.NewReader(body))
+	outbound, failure := http.NewRequestWithContext(asking, http.MethodPost, "http://"+address+"/v1/memory", bytes.NewReader(body))
 	if failure != nil {
-		return memoryAnswer{}, http.StatusBadRequest
+		return MemoryAnswer{}, http.StatusBadRequest
 	}
 	inbound, failure := standIn.client.Do(outbound)
 	if failure != nil {
-		return memoryAnswer{}, http.StatusBadGateway
+		return MemoryAnswer{}, http.StatusBadGateway
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	var given memoryAnswer
-	if inbound.StatusCode != http.StatusOK || json.NewDecoder(inbound.Body).Decode(&given) != nil {
-		return given, inbound.StatusCode
-	}
-	return given, http.StatusOK
-}
-
-// PieceText is the text of one piece, by which its reader can tell whose it is
-// and which run made it.
-//
-// Example:
-//
-//	text := rehearsal.PieceText("inquiry-1", 1, 3)
-func PieceText(inquiry string, run, piece int) string {
-	return inquiry + "/" + strconv.Itoa(run) + "/" + strconv.Itoa(piece)
-}
-
-func (standIn *StandIn) stream(run context.Context, writer http.ResponseWriter, order stove.DecodeOrder) {
-	flusher := http.NewResponseController(writer)
-	encoder := json.NewEncoder(writer)
-	writer.Header().Set("Content-Type", "application/jsonl")
-	for piece := 1; piece <= order.Pieces; piece++ {
-		standIn.mutex.Lock()
-		crowd := max(1, float64(standIn.active)/float64(standIn.plan.DecodeSlots))
-		length := time.Duration(float64(standIn.plan.PieceTime) * crowd * (0.5 + standIn.cold()/2))
-		dark := standIn.dark
-		standIn.mutex.Unlock()
-		if dark {
-			<-run.Done()
-		}
-		if !pauseFor(run, length) {
-			return
-		}
-		if encoder.Encode(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Piece: piece, Text: PieceText(order.Inquiry, order.Run, piece)}) != nil {
-			return
-		}
-		_ = flusher.Flush()
-	}
-	_ = encoder.Encode(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Done: true, Pieces: order.Pieces})
-}
-
-func (standIn *StandIn) cancel(writer http.ResponseWriter, inbound *http.Request) {
-	var order stove.CancelOrder
-	if json.NewDecoder(inbound.Body).Decode(&order) != nil {
-		refuse(writer, http.StatusBadRequest, false, "malformed")
-		return
-	}
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	if end, found := standIn.runs[runName(order.Inquiry, order.Run)]; found {
-		end()
-	}
-	for name, held := range standIn.handles {
-		if held.inquiry == order.Inquiry && held.run == order.Run {
-			delete(standIn.handles, name)
-			standIn.memory -= held.tokens
-		}
-	}
-	say(writer, http.StatusOK, map[string]bool{"cancelled": true})
-}
-
-func (standIn *StandIn) takePart(writer http.ResponseWriter, inbound *http.Request) {
-	var order stove.PartOrder
-	if json.NewDecoder(inbound.Body).Decode(&order) != nil {
-		refuse(writer, http.StatusBadRequest, false, "malformed")
-		return
-	}
-	standIn.mutex.Lock()
-	defer standIn.mutex.Unlock()
-	entry := Entry{Kind: Commanded, Server: standIn.plan.Name, Holder: order.Holder, Fence: order.Fence, Part: order.Part, Cause: order.Cause}
-	if order.Fence < standIn.fence {
-		entry.Kind = CommandRefused
-		standIn.book.Note(entry)
-		refuse(writer, http.StatusConflict, false, "old_fence")
-		return
+	var given MemoryAnswer
+	if inbound.StatusCode == http.StatusOK && json.NewDecoder(inbound.Body).Decode(&given) != nil {
+		return given, http.StatusBadGateway
 	}
-	standIn.book.Note(entry)
-	standIn.fence = order.Fence
-	standIn.part = order.Part
-	say(writer, http.StatusOK, map[string]string{"part": standIn.part})
+	return given, inbound.StatusCode
 }
--- /dev/null
+++ b/internal/rehearsal/stovetop.go
@@ -0,0 +1,502 @@
+package rehearsal
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// Stovetop is what a stand-in model server does, whatever carries its calls: a
+// queue of prompts read one by one, slots for answers, bounded memory for
+// prompts, a prefix cache, handles that lapse, a cold start, and a link of some
+// speed. It writes everything that it is asked to do into the book.
+type Stovetop struct {
+	plan        ServerPlan
+	book        *Book
+	turns       rota.Turns
+	fetch       Fetch
+	nonce       func() string
+	incarnation string
+	free        rota.Bell
+
+	mutex       sync.Mutex
+	born        time.Time
+	part        string
+	fence       uint64
+	leaving     bool
+	dark        bool
+	slowLink    int
+	queue       []int
+	reading     bool
+	active      int
+	memory      int
+	handles     map[string]*promptMemory
+	prefixes    map[string]int
+	prefixOrder []string
+	runs        map[string]*Circuit
+	taken       map[string]bool
+	dead        bool
+}
+
+type promptMemory struct {
+	inquiry string
+	run     int
+	order   string
+	tokens  int
+	lapses  time.Time
+}
+
+// Fetch asks another server for a prompt's memory.
+type Fetch func(circuit *Circuit, address string, question MemoryQuestion) (MemoryAnswer, int)
+
+// MemoryQuestion is what a decode server asks a prefill server for.
+type MemoryQuestion struct {
+	Handle  string `json:"handle"`
+	Inquiry string `json:"inquiry"`
+	Run     int    `json:"run"`
+	Taker   string `json:"taker"`
+}
+
+// MemoryAnswer is what the prefill server gives.
+type MemoryAnswer struct {
+	Tokens   int `json:"tokens"`
+	LinkRate int `json:"link_tokens_per_second"`
+}
+
+// Refusal is what a server says with any status but 200.
+type Refusal struct {
+	Started bool   `json:"started"`
+	Type    string `json:"type"`
+}
+
+// NewStovetop starts a server, cold.
+//
+// Example:
+//
+//	top := rehearsal.NewStovetop(plan, book, turns, uuid.NewString, fetch)
+func NewStovetop(plan ServerPlan, book *Book, turns rota.Turns, nonce func() string, fetch Fetch) *Stovetop {
+	book.Note(Entry{Kind: ServerBorn, Server: plan.Name, District: plan.District})
+	return &Stovetop{plan: plan, book: book, turns: turns, fetch: fetch, nonce: nonce, incarnation: nonce(), free: turns.NewBell(), born: turns.Now(),
+		handles: map[string]*promptMemory{}, prefixes: map[string]int{}, runs: map[string]*Circuit{}, taken: map[string]bool{}, slowLink: 1}
+}
+
+// Die notes the crash, with which all memory is gone.
+//
+// Example:
+//
+//	top.Die()
+func (top *Stovetop) Die() {
+	top.book.Note(Entry{Kind: ServerCrashed, Server: top.plan.Name})
+	top.mutex.Lock()
+	top.dead = true
+	var circuits []*Circuit
+	for _, circuit := range top.runs {
+		circuits = append(circuits, circuit)
+	}
+	top.mutex.Unlock()
+	for _, circuit := range circuits {
+		circuit.Close()
+	}
+	top.free.Ring()
+}
+
+// SetDark makes the stand-in accept circuits and never answer, or end that.
+//
+// Example:
+//
+//	top.SetDark(true)
+func (top *Stovetop) SetDark(dark bool) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.dark = dark
+}
+
+// SetLeaving makes the load reports say that the server leaves.
+//
+// Example:
+//
+//	top.SetLeaving(true)
+func (top *Stovetop) SetLeaving(leaving bool) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.leaving = leaving
+}
+
+// SetHandleLife makes handles lapse after another time.
+//
+// Example:
+//
+//	top.SetHandleLife(time.Millisecond)
+func (top *Stovetop) SetHandleLife(life time.Duration) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.plan.HandleLife = life
+}
+
+// SlowLink makes the link so many times slower.
+//
+// Example:
+//
+//	top.SlowLink(10)
+func (top *Stovetop) SlowLink(times int) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.slowLink = times
+}
+
+// Part is the part that the server has.
+//
+// Example:
+//
+//	if top.Part() == "decode" { ... }
+func (top *Stovetop) Part() string {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	return top.part
+}
+
+// Active counts the answers under way.
+//
+// Example:
+//
+//	if top.Active() == 0 { ... }
+func (top *Stovetop) Active() int {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	return top.active
+}
+
+// Dark tells whether the server takes circuits and never answers.
+//
+// Example:
+//
+//	if top.Dark() { ... }
+func (top *Stovetop) Dark() bool {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	return top.dark
+}
+
+// Dead tells whether the server has crashed.
+//
+// Example:
+//
+//	if top.Dead() { ... }
+func (top *Stovetop) Dead() bool {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	return top.dead
+}
+
+// Load is the server's report.
+//
+// Example:
+//
+//	report := top.Load()
+func (top *Stovetop) Load() stove.LoadReport {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.sweepHandles()
+	waiting := 0
+	for _, tokens := range top.queue {
+		waiting += tokens
+	}
+	prefixes := map[string]int{}
+	for name, tokens := range top.prefixes {
+		prefixes[name] = tokens
+	}
+	return stove.LoadReport{Server: top.plan.Name, Incarnation: top.incarnation, Part: top.part, Leaving: top.leaving,
+		AgeMilliseconds: int(top.age().Milliseconds()), PrefillQueueTokens: waiting, PrefillRate: top.plan.PrefillRate,
+		PrefillWaiting: len(top.queue), PrefillRoom: top.plan.PrefillRoom, DecodeActive: top.active, DecodeSlots: top.plan.DecodeSlots,
+		PieceTimeMicroseconds: int(top.plan.PieceTime.Microseconds()), MemoryFree: top.plan.Memory - top.memory,
+		MemoryTotal: top.plan.Memory, LinkRate: top.plan.LinkRate / top.slowLink, Prefixes: prefixes}
+}
+
+func (top *Stovetop) age() time.Duration { return top.turns.Now().Sub(top.born) }
+
+func (top *Stovetop) sweepHandles() {
+	for name, held := range top.handles {
+		if top.turns.Now().After(held.lapses) {
+			delete(top.handles, name)
+			top.memory -= held.tokens
+		}
+	}
+}
+
+// cold slows a server down that has just started.
+func (top *Stovetop) cold() float64 {
+	age := top.age()
+	if age >= top.plan.ColdTime {
+		return 1
+	}
+	return 3 - 2*float64(age)/float64(top.plan.ColdTime)
+}
+
+func (top *Stovetop) note(kind EntryKind, inquiry string, run int) {
+	top.book.Note(Entry{Kind: kind, Server: top.plan.Name, District: top.plan.District, Inquiry: inquiry, Run: run})
+}
+
+// again tells whether an order was had before: a link brought it twice. A
+// server takes an order once, as the protocol asks, and says of the second that
+// it was begun: the first may have been the copy.
+func (top *Stovetop) again(kind, order, inquiry string, run int) bool {
+	if order == "" {
+		return false
+	}
+	if top.taken[kind+order] {
+		top.note(OrderRepeated, inquiry, run)
+		return true
+	}
+	top.taken[kind+order] = true
+	return false
+}
+
+// Prefill reads a prompt, and answers with its handle or a refusal.
+//
+// Example:
+//
+//	status, content := top.Prefill(circuit, order)
+func (top *Stovetop) Prefill(circuit *Circuit, order stove.PrefillOrder) (int, any) {
+	top.mutex.Lock()
+	if top.again("prefill", order.Order, order.Inquiry, order.Run) {
+		top.mutex.Unlock()
+		return http.StatusConflict, Refusal{Started: true, Type: "duplicate_order"}
+	}
+	top.book.Note(Entry{Kind: PrefillAsked, Server: top.plan.Name, District: top.plan.District, Inquiry: order.Inquiry, Run: order.Run, Depth: len(top.queue), Age: top.age()})
+	top.sweepHandles()
+	refusal, status := "", http.StatusTooManyRequests
+	switch {
+	case top.part != "prefill":
+		refusal, status = "wrong_part", http.StatusServiceUnavailable
+	case len(top.queue) >= top.plan.PrefillRoom:
+		refusal = "queue_full"
+	case top.memory+order.PromptTokens > top.plan.Memory:
+		refusal = "memory_full"
+	}
+	if refusal != "" {
+		top.mutex.Unlock()
+		return status, Refusal{Type: refusal}
+	}
+	top.memory += order.PromptTokens
+	uncached := order.PromptTokens - min(order.PrefixTokens, top.prefixes[order.Prefix])
+	top.queue = append(top.queue, uncached)
+	top.note(PrefillStarted, order.Inquiry, order.Run)
+	key := runName(order.Inquiry, order.Run, order.Order)
+	top.runs[key] = circuit
+	top.mutex.Unlock()
+	mine := false
+	finished := false
+	for !top.Dead() && !mine && !circuit.Closed() {
+		top.free.Wait(time.Second, func() bool {
+			top.mutex.Lock()
+			defer top.mutex.Unlock()
+			if !top.reading && !top.dead {
+				top.reading, mine = true, true
+			}
+			return mine || top.dead || circuit.Closed()
+		})
+	}
+	if mine {
+		top.mutex.Lock()
+		cost := time.Duration(float64(uncached) / float64(top.plan.PrefillRate) * top.cold() * float64(time.Second))
+		top.mutex.Unlock()
+		finished = circuit.Pause(cost)
+	}
+	top.mutex.Lock()
+	defer top.free.Ring()
+	defer top.mutex.Unlock()
+	if mine {
+		top.reading = false
+	}
+	delete(top.runs, key)
+	top.queue = removeOne(top.queue, uncached)
+	if !finished {
+		top.memory -= order.PromptTokens
+		return http.StatusGone, Refusal{Started: true, Type: "cancelled"}
+	}
+	if order.Prefix != "" && order.PrefixTokens > 0 {
+		top.cache(order.Prefix, order.PrefixTokens)
+	}
+	handle := top.nonce()
+	top.handles[handle] = &promptMemory{inquiry: order.Inquiry, run: order.Run, order: order.Order, tokens: order.PromptTokens, lapses: top.turns.Now().Add(top.plan.HandleLife)}
+	return http.StatusOK, stove.PrefillAnswer{Inquiry: order.Inquiry, Run: order.Run, Handle: handle}
+}
+
+func removeOne(queue []int, tokens int) []int {
+	for position, entry := range queue {
+		if entry == tokens {
+			return append(append([]int(nil), queue[:position]...), queue[position+1:]...)
+		}
+	}
+	return queue
+}
+
+func (top *Stovetop) cache(prefix string, tokens int) {
+	for position, name := range top.prefixOrder {
+		if name == prefix {
+			top.prefixOrder = append(top.prefixOrder[:position], top.prefixOrder[position+1:]...)
+			break
+		}
+	}
+	top.prefixOrder = append(top.prefixOrder, prefix)
+	top.prefixes[prefix] = tokens
+	if len(top.prefixOrder) > top.plan.Prefixes {
+		delete(top.prefixes, top.prefixOrder[0])
+		top.prefixOrder = top.prefixOrder[1:]
+	}
+}
+
+func runName(inquiry string, run int, order string) string {
+	return inquiry + "#" + strconv.Itoa(run) + "#" + order
+}
+
+// GiveMemory hands a prompt's memory over, once and to its own inquiry and run.
+//
+// Example:
+//
+//	status, content := top.GiveMemory(question)
+func (top *Stovetop) GiveMemory(question MemoryQuestion) (int, any) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	top.sweepHandles()
+	held, found := top.handles[question.Handle]
+	if !found || held.inquiry != question.Inquiry || held.run != question.Run {
+		top.book.Note(Entry{Kind: MemoryRefused, Server: top.plan.Name, Inquiry: question.Inquiry, Run: question.Run, Handle: question.Handle, Holder: question.Taker})
+		return http.StatusConflict, Refusal{Type: "handle_lapsed"}
+	}
+	delete(top.handles, question.Handle)
+	top.memory -= held.tokens
+	top.book.Note(Entry{Kind: MemoryTaken, Server: top.plan.Name, Inquiry: held.inquiry, Run: held.run, Handle: question.Handle, Holder: question.Taker})
+	return http.StatusOK, MemoryAnswer{Tokens: held.tokens, LinkRate: top.plan.LinkRate / top.slowLink}
+}
+
+// Decode takes a prompt's memory up and answers, line by line; with another
+// status than 200 there is a refusal and no line.
+//
+// Example:
+//
+//	status, content := top.Decode(circuit, order, send)
+func (top *Stovetop) Decode(circuit *Circuit, order stove.DecodeOrder, send func(line stove.StreamLine) error) (int, any) {
+	top.mutex.Lock()
+	if top.again("decode", order.Order, order.Inquiry, order.Run) {
+		top.mutex.Unlock()
+		return http.StatusConflict, Refusal{Started: true, Type: "duplicate_order"}
+	}
+	top.book.Note(Entry{Kind: DecodeAsked, Server: top.plan.Name, District: top.plan.District, Inquiry: order.Inquiry, Run: order.Run, Depth: top.active, Age: top.age()})
+	refusal, status := "", http.StatusTooManyRequests
+	switch {
+	case top.part != "decode":
+		refusal, status = "wrong_part", http.StatusServiceUnavailable
+	case top.active >= 2*top.plan.DecodeSlots:
+		refusal = "slots_full"
+	case top.memory+order.Pieces > top.plan.Memory:
+		refusal = "memory_full"
+	}
+	if refusal != "" {
+		top.mutex.Unlock()
+		return status, Refusal{Type: refusal}
+	}
+	top.active++
+	key := runName(order.Inquiry, order.Run, order.Order)
+	top.runs[key] = circuit
+	top.mutex.Unlock()
+	held := 0
+	defer func() {
+		top.mutex.Lock()
+		defer top.mutex.Unlock()
+		top.active--
+		top.memory -= held
+		delete(top.runs, key)
+	}()
+	given, status := top.fetch(circuit, order.Source, MemoryQuestion{Handle: order.Handle, Inquiry: order.Inquiry, Run: order.Run, Taker: top.plan.Name})
+	switch {
+	case status == http.StatusConflict:
+		return status, Refusal{Type: "handle_lapsed"}
+	case status != http.StatusOK:
+		return http.StatusBadGateway, Refusal{Started: true, Type: "source_lost"}
+	}
+	top.mutex.Lock()
+	held = given.Tokens + order.Pieces
+	top.memory += held
+	rate := min(given.LinkRate, top.plan.LinkRate/top.slowLink)
+	top.mutex.Unlock()
+	top.note(DecodeStarted, order.Inquiry, order.Run)
+	if !circuit.Pause(time.Duration(float64(given.Tokens) / float64(max(rate, 1)) * float64(time.Second))) {
+		return http.StatusGone, Refusal{Started: true, Type: "cancelled"}
+	}
+	top.stream(circuit, order, send)
+	return http.StatusOK, nil
+}
+
+// PieceText is the text of one piece, by which its reader can tell whose it is
+// and which run made it.
+//
+// Example:
+//
+//	text := rehearsal.PieceText("inquiry-1", "1", 3)
+func PieceText(inquiry, run string, piece int) string {
+	return inquiry + "/" + run + "/" + strconv.Itoa(piece)
+}
+
+func (top *Stovetop) stream(circuit *Circuit, order stove.DecodeOrder, send func(line stove.StreamLine) error) {
+	run := strconv.Itoa(order.Run) + order.Order
+	for piece := 1; piece <= order.Pieces; piece++ {
+		top.mutex.Lock()
+		crowd := max(1, float64(top.active)/float64(top.plan.DecodeSlots))
+		length := time.Duration(float64(top.plan.PieceTime) * crowd * (0.5 + top.cold()/2))
+		top.mutex.Unlock()
+		for top.Dark() && circuit.Pause(time.Second) {
+		}
+		if !circuit.Pause(length) {
+			return
+		}
+		if send(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Piece: piece, Text: PieceText(order.Inquiry, run, piece)}) != nil {
+			return
+		}
+	}
+	_ = send(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Done: true, Pieces: order.Pieces})
+}
+
+// Cancel stops a run and lets go of its memory.
+//
+// Example:
+//
+//	top.Cancel(order)
+func (top *Stovetop) Cancel(order stove.CancelOrder) {
+	top.mutex.Lock()
+	circuit := top.runs[runName(order.Inquiry, order.Run, order.Order)]
+	for name, held := range top.handles {
+		if held.inquiry == order.Inquiry && held.run == order.Run {
+			delete(top.handles, name)
+			top.memory -= held.tokens
+		}
+	}
+	top.mutex.Unlock()
+	if circuit != nil {
+		circuit.Close()
+	}
+}
+
+// TakePart takes a part from the holder of the server's key.
+//
+// Example:
+//
+//	status, content := top.TakePart(order)
+func (top *Stovetop) TakePart(order stove.PartOrder) (int, any) {
+	top.mutex.Lock()
+	defer top.mutex.Unlock()
+	entry := Entry{Kind: Commanded, Server: top.plan.Name, Holder: order.Holder, Fence: order.Fence, Part: order.Part, Cause: order.Cause}
+	if order.Fence < top.fence {
+		entry.Kind = CommandRefused
+		top.book.Note(entry)
+		return http.StatusConflict, Refusal{Type: "old_fence"}
+	}
+	top.book.Note(entry)
+	top.fence = order.Fence
+	top.part = order.Part
+	return http.StatusOK, map[string]string{"part": top.part}
+}
--- /dev/null
+++ b/internal/rehearsal/world/callers.go
@@ -0,0 +1,240 @@
+package world
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// callers send inquiries at the world's rates until it says stop. The platform
+// hands them to a courier of their district that runs, or to any other.
+func (world *World) callers(until time.Duration) {
+	for world.now < until {
+		total := world.long + world.short
+		world.outside.NewBell().Wait(min(time.Second, time.Duration(world.random.ExpFloat64()/total*float64(time.Second))), never)
+		kind := world.deployment.Short
+		if world.random.Float64()*total < world.long {
+			kind = world.deployment.Long
+		}
+		world.number++
+		district := world.deployment.Districts[world.random.IntN(len(world.deployment.Districts))]
+		question := rehearsal.Question{ID: world.inquiryID(), Service: kind.Service, Origin: "origin-" + strconv.Itoa(world.number%50), Repeatable: world.random.Float64() >= 0.4,
+			Limit: 15_000, PromptTokens: kind.LeastTokens + world.random.IntN(kind.MostTokens-kind.LeastTokens),
+			Prefix: kind.Service + "-" + strconv.Itoa(world.random.IntN(kind.Prefixes)), PrefixTokens: kind.PrefixTokens,
+			Pieces: kind.LeastPieces + world.random.IntN(kind.MostPieces-kind.LeastPieces)}
+		world.outside.Go(func() { world.caller(question, district) })
+	}
+}
+
+// caller sends one inquiry, and perhaps sends it again: it obeys the time to
+// come back, or ignores it, or asks elsewhere after a broken circuit.
+func (world *World) caller(question rehearsal.Question, district string) {
+	for arrival := range 3 {
+		machine := world.courierFor(district)
+		if machine == nil {
+			return
+		}
+		reply, retry := world.send(machine, district, question, arrival)
+		again, pause := world.random.IntN(4), time.Duration(world.random.IntN(300))*time.Millisecond
+		switch {
+		case reply.Final == "refused" && reply.Cause != string(trouble.Duplicate) && again < 2:
+			if again == 0 {
+				pause = retry
+			}
+			world.tempt("an id sent again after a refusal")
+		case reply.Final == "" && again < 3:
+			world.tempt("an id sent again after a broken circuit")
+		case (reply.Final == "unknown" || reply.Final == "failed") && again == 0:
+			world.tempt("an id sent again after its final word")
+		case reply.Final == "complete" && again == 0 && world.random.IntN(20) == 0:
+			world.tempt("an id sent again after its final word")
+		default:
+			return
+		}
+		world.outside.NewBell().Wait(pause, never)
+	}
+}
+
+// courierFor is a courier of the district that runs, or any that does.
+func (world *World) courierFor(district string) *machine {
+	var near, any []*machine
+	for _, machine := range world.machines {
+		if machine.kind == roster.Courier && machine.life != nil && !machine.life.ended && !machine.gone {
+			any = append(any, machine)
+			if machine.district == district {
+				near = append(near, machine)
+			}
+		}
+	}
+	if len(near) > 0 {
+		any = near
+	}
+	if len(any) == 0 {
+		return nil
+	}
+	return any[world.random.IntN(len(any))]
+}
+
+// origin is a caller at the other end of a circuit.
+type origin struct {
+	world  *World
+	there  *life
+	pipe   *pipe
+	left   bool
+	onLeft []func()
+}
+
+// Begin needs nothing: the lines say it all.
+func (origin *origin) Begin(int, int) {}
+
+// Line sends one line.
+func (origin *origin) Line(line []byte) error {
+	if origin.left || !origin.pipe.put(string(line)) {
+		return trouble.New(trouble.Unreachable, "the origin is gone")
+	}
+	return nil
+}
+
+// WhenLeft notes what the courier does then.
+func (origin *origin) WhenLeft(act func()) { origin.onLeft = append(origin.onLeft, act) }
+
+func (origin *origin) leave() {
+	origin.left = true
+	for _, act := range origin.onLeft {
+		origin.world.after(0, origin.there, act)
+	}
+}
+
+// send sends one inquiry to a courier and writes its reply down.
+func (world *World) send(machine *machine, district string, question rehearsal.Question, arrival int) (rehearsal.Entry, time.Duration) {
+	began := world.now
+	entry := rehearsal.Entry{Inquiry: question.ID, Courier: machine.name, Service: question.Service, Repeatable: question.Repeatable, Asked: question.Pieces,
+		Arrival: arrival, District: district}
+	sent := entry
+	sent.Kind = rehearsal.Sent
+	world.Book.Note(sent)
+	leavesAt := -1
+	if world.random.IntN(40) == 0 {
+		leavesAt = world.random.IntN(question.Pieces + 1)
+	}
+	retry := world.exchange(machine, question, leavesAt, &entry)
+	entry.Kind, entry.Took = rehearsal.Replied, world.now-began
+	world.Book.Note(entry)
+	return entry, retry
+}
+
+// exchange carries one inquiry to a courier and reads what comes back; it tells
+// when the caller may come again.
+func (world *World) exchange(machine *machine, question rehearsal.Question, leavesAt int, entry *rehearsal.Entry) time.Duration {
+	body, _ := json.Marshal(question)
+	there, conduct := machine.life, machine.courier
+	replies := newPipe(world, machine.name, "outside", world.outside)
+	caller := &origin{world: world, there: there, pipe: replies}
+	world.carry("outside", machine.name, nil, func() {
+		if there.ended {
+			replies.snap()
+			return
+		}
+		forget := there.atEnd(replies.snap)
+		world.after(0, there, func() {
+			there.Go(func() {
+				defer forget()
+				inquiry, failure := hatch.ReadInquiry(there.Now(), body)
+				if failure != nil {
+					return
+				}
+				if !inquiry.Repeatable {
+					world.claiming[machine.name]++
+					defer func() { world.claiming[machine.name]-- }()
+				}
+				conduct.Serve(hatch.Arrival{Inquiry: inquiry, Body: body}, caller)
+			})
+		})
+	})
+	patience := time.Duration(question.Limit)*time.Millisecond + 5*time.Second
+	for {
+		if leavesAt == len(entry.Texts) {
+			world.tempt("a caller left")
+			caller.leave()
+			entry.Cause = "the caller left"
+			return 0
+		}
+		message, found := replies.take(patience, never)
+		if !found {
+			entry.Cause = "the circuit broke"
+			if !replies.broken {
+				entry.Cause = "no reply in time"
+				caller.leave()
+			}
+			return 0
+		}
+		var line hatch.ReplyLine
+		if json.Unmarshal([]byte(message.(string)), &line) != nil {
+			entry.Cause = "garbage"
+			return 0
+		}
+		if line.Final != "" {
+			entry.Final, entry.Pieces, entry.Cause = string(line.Final), line.Pieces, string(line.Type)
+			return time.Duration(line.RetryAfterSeconds) * time.Second
+		}
+		entry.Texts = append(entry.Texts, strconv.Itoa(line.Piece)+"|"+line.Text)
+	}
+}
+
+// lookAtEdition asks a courier, as a caller, which edition is in force there:
+// the route that refuses the service "edition" is named by it.
+func (world *World) lookAtEdition(machine *machine) {
+	began := world.now
+	entry := rehearsal.Entry{}
+	question := rehearsal.Question{ID: "look-" + world.nonce(), Service: "edition", Repeatable: true, Limit: 1000, PromptTokens: 1, Pieces: 1}
+	body, _ := json.Marshal(question)
+	there, conduct := machine.life, machine.courier
+	// A restricted courier passes on: what one sees there is another's.
+	if there == nil || there.ended || there.frozen || conduct == nil || conduct.Core().Restricted() {
+		return
+	}
+	detail := ""
+	there.Go(func() {
+		inquiry, failure := hatch.ReadInquiry(there.Now(), body)
+		if failure != nil {
+			return
+		}
+		// The moment of asking is that at which the courier takes it up.
+		began = world.now
+		conduct.Serve(hatch.Arrival{Inquiry: inquiry, Body: body}, &looker{take: func(line hatch.ReplyLine) {
+			if line.Type == trouble.RouteRefuses {
+				detail = line.Detail
+			}
+			if number, found := strings.CutPrefix(detail, "edition-"); found {
+				edition, _ := strconv.Atoi(number)
+				entry = rehearsal.Entry{Kind: rehearsal.EditionSeen, Courier: machine.name, Edition: edition, Took: world.now - began}
+				world.Book.Note(entry)
+			}
+		}})
+	})
+}
+
+// looker reads a reply of one line.
+type looker struct{ take func(line hatch.ReplyLine) }
+
+// Begin needs nothing.
+func (*looker) Begin(int, int) {}
+
+// Line reads the line.
+func (looker *looker) Line(content []byte) error {
+	var line hatch.ReplyLine
+	if failure := json.Unmarshal(content, &line); failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	looker.take(line)
+	return nil
+}
+
+// WhenLeft needs nothing: it stays.
+func (*looker) WhenLeft(func()) {}
--- /dev/null
+++ b/internal/rehearsal/world/day.go
@@ -0,0 +1,168 @@
+package world
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Day is how a world's day goes.
+type Day struct {
+	// Faulty is how long faults are drawn; a calm follows, then a closing fault.
+	Faulty time.Duration
+	// Only names the one fault that is drawn; empty means all.
+	Only string
+	// Long and Short are the inquiries of each kind a second.
+	Long, Short float64
+}
+
+// DefaultDay is a day of moderate length.
+//
+// Example:
+//
+//	result := fleet.Run(world.DefaultDay())
+func DefaultDay() Day { return Day{Faulty: 24 * time.Second, Long: 4, Short: 6} }
+
+// The parts of a day beside the faulty one.
+const (
+	opening = 9 * time.Second
+	calm    = 16 * time.Second
+	closing = 13 * time.Second
+	evening = 8 * time.Second
+)
+
+// Result is what a day came to.
+type Result struct {
+	Verdict rehearsal.Verdict
+	// Whole tells whether the core was whole again at the end, without an
+	// operator.
+	Whole       bool
+	Temptations map[string]int
+	Steps       uint64
+}
+
+// Failed tells whether something happened that must not.
+//
+// Example:
+//
+//	if result.Failed() { os.Exit(1) }
+func (result Result) Failed() bool { return result.Verdict.Violations() > 0 || !result.Whole }
+
+func newIdentity(world *World, machine *machine) larder.Identity {
+	return larder.Identity(newIdentityName(machine.name, int(world.nonces)) + world.nonce())
+}
+
+// Run lets a day pass and judges it.
+//
+// Example:
+//
+//	result := world.New(rehearsal.Sahil(), 7).Run(world.DefaultDay())
+func (world *World) Run(day Day) Result {
+	world.long, world.short = day.Long, day.Short
+	faultsFrom := opening
+	faultsEnd := faultsFrom + day.Faulty
+	closes := faultsEnd + calm
+	ends := closes + closing
+	for _, machine := range world.machines {
+		world.outside.Go(func() {
+			world.wait(0, 400)
+			world.start(machine)
+		})
+	}
+	world.outside.Go(func() { world.callers(ends) })
+	world.outside.Go(func() { world.operate(ends) })
+	world.outside.Go(func() { world.drawFaults(faultsFrom, faultsEnd, day.Only) })
+	world.run(faultsEnd)
+	world.faultsOver = true
+	world.run(closes)
+	world.mend()
+	world.run(closes + time.Millisecond)
+	world.outside.Go(world.close)
+	world.run(ends)
+	world.run(ends + evening)
+	for range 10 {
+		world.outside.Go(func() { world.readMenu(true) })
+		world.run(world.now + 2*time.Second)
+		if world.whole() {
+			break
+		}
+	}
+	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Temptations: world.temptations, Steps: world.acted}
+	for _, life := range world.lives {
+		if !life.ended {
+			life.ended = true
+			world.dead = append(world.dead, life)
+		}
+	}
+	world.bury()
+	return result
+}
+
+// drawFaults has faults begin one after another; they last as they last.
+func (world *World) drawFaults(from, until time.Duration, only string) {
+	all := faults()
+	total := 0
+	for _, fault := range all {
+		total += fault.weight
+	}
+	world.outside.NewBell().Wait(from-world.now, never)
+	for world.now < until {
+		drawn := world.random.IntN(total)
+		for _, fault := range all {
+			if only != "" && fault.name != only {
+				continue
+			}
+			if drawn -= fault.weight; drawn < 0 || only != "" {
+				world.say("fault: %s", fault.name)
+				world.Book.Note(rehearsal.Entry{Kind: rehearsal.FaultBegan, Cause: fault.name})
+				world.outside.Go(func() { fault.run(world) })
+				break
+			}
+		}
+		world.wait(300, 4500)
+	}
+}
+
+// mend ends whatever is still wrong, as those who run the fleet would.
+func (world *World) mend() {
+	world.heal()
+	world.platform.down, world.loseAnswers = false, 0
+	for _, machine := range world.machines {
+		if machine.gone {
+			continue
+		}
+		if machine.disk != nil {
+			machine.disk.full, machine.disk.damage, machine.disk.powerFailsIn = false, 0, 0
+		}
+		if machine.life != nil && machine.life.frozen && !machine.life.ended {
+			machine.life.wake()
+		}
+		world.start(machine)
+	}
+}
+
+// close is the fault with which the day ends; service must return after it.
+func (world *World) close() {
+	kinds := []string{"herd of couriers", "herd of expediters", "cold start", "zone", "primary", "power"}
+	kind := kinds[world.random.IntN(len(kinds))]
+	world.say("closing fault: %s", kind)
+	world.Book.Note(rehearsal.Entry{Kind: rehearsal.ClosingFault, Cause: kind})
+	switch kind {
+	case "herd of couriers":
+		world.herd(roster.Courier)
+	case "herd of expediters":
+		world.herd(roster.Expediter)
+	case "cold start":
+		world.herd("")
+	case "zone":
+		loseZone(world)
+	case "primary":
+		world.killFor(world.primary(), 500, 3000)
+	case "power":
+		for _, machine := range world.nodes("") {
+			world.outside.Go(func() { world.powerOffFor(machine, 200, 1500) })
+		}
+	}
+}
