--- /dev/null
+++ b/internal/rehearsal/world/faults.go
@@ -0,0 +1,535 @@
+package world
+
+import (
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// fault is one thing that fails, with how often it is drawn.
+type fault struct {
+	name   string
+	weight int
+	run    func(world *World)
+}
+
+// faults are those of the brief, as far as they are not a matter of real
+// sockets and threads. Each runs in a thread of the outside and may overlap with
+// others.
+func faults() []fault {
+	return []fault{
+		{"kill a courier", 6, func(world *World) { world.killFor(world.anyNode(roster.Courier), 100, 4000) }},
+		{"kill an expediter", 6, func(world *World) { world.killFor(world.anyNode(roster.Expediter), 100, 5000) }},
+		{"kill the primary", 4, func(world *World) { world.killFor(world.primary(), 50, 5000) }},
+		{"power off a machine", 4, func(world *World) { world.powerOffFor(world.anyNode(""), 500, 6000) }},
+		{"power fails at a disk's act", 8, powerFails},
+		{"a disk is lost", 5, loseDisk},
+		{"a full disk", 2, func(world *World) {
+			machine := world.anyNode(roster.Expediter)
+			machine.disk.full = true
+			world.wait(500, 4000)
+			machine.disk.full = false
+		}},
+		{"a damaged file", 3, func(world *World) {
+			machine := world.anyNode(roster.Expediter)
+			machine.disk.damage = 1 + world.random.IntN(2)
+			world.killFor(machine, 100, 500)
+		}},
+		{"freeze a courier", 6, func(world *World) { world.freezeFor(world.anyNode(roster.Courier)) }},
+		{"freeze an expediter", 3, func(world *World) { world.freezeFor(world.anyNode(roster.Expediter)) }},
+		{"freeze the primary", 4, func(world *World) { world.freezeFor(world.primary()) }},
+		{"freeze the holder of the parts", 4, func(world *World) { world.freezeFor(world.holder()) }},
+		{"a wall clock jumps", 3, func(world *World) {
+			if machine := world.anyNode(""); machine.life != nil {
+				machine.life.jump = time.Duration(world.random.IntN(14400)-7200) * time.Second
+			}
+		}},
+		{"isolate a machine", 5, func(world *World) { world.isolate(world.anyNode("").name, true, true) }},
+		{"isolate the primary", 3, func(world *World) { world.isolate(world.nameOf(world.primary()), true, true) }},
+		{"one way", 5, func(world *World) {
+			inwards := world.random.IntN(2) == 0
+			world.isolate(world.anyNode(roster.Expediter).name, inwards, !inwards)
+		}},
+		{"two expediters cut", 4, cutPair},
+		{"the core cut from the couriers", 2, func(world *World) {
+			world.cutFor(func(from, to string) bool {
+				return world.isExpediter(from) != world.isExpediter(to) && from != "outside" && to != "outside"
+			})
+		}},
+		{"bad links", 5, badLinks},
+		{"bad links to servers", 5, badServerLinks},
+		{"slow dials", 3, func(world *World) {
+			world.slowDials = 0.2
+			world.wait(2000, 5000)
+			world.slowDials = 0
+		}},
+		{"a herd of couriers", 1, func(world *World) { world.herd(roster.Courier) }},
+		{"a herd of expediters", 1, func(world *World) { world.herd(roster.Expediter) }},
+		{"all at once", 1, func(world *World) { world.herd("") }},
+		{"a zone is lost", 2, loseZone},
+		{"a server crashes", 5, func(world *World) { world.crashFor(world.anyServer(), 0, 2500) }},
+		{"servers replaced at once", 2, func(world *World) {
+			for range 3 {
+				name := world.anyServer()
+				world.outside.Go(func() { world.crashFor(name, 0, 300) })
+			}
+		}},
+		{"a server goes dark", 3, func(world *World) {
+			top := world.servers[world.anyServer()].top
+			top.SetDark(true)
+			world.wait(1000, 5000)
+			top.SetDark(false)
+		}},
+		{"a server freezes", 2, func(world *World) {
+			life := world.servers[world.anyServer()].life
+			life.freeze()
+			world.wait(500, 4000)
+			life.wake()
+		}},
+		{"a server leaves", 5, leaveServer},
+		{"handles lapse", 2, func(world *World) {
+			top := world.servers[world.anyServer()].top
+			top.SetHandleLife(time.Microsecond)
+			world.wait(1000, 4000)
+			top.SetHandleLife(5 * time.Second)
+		}},
+		{"slow links between servers", 2, func(world *World) {
+			top := world.servers[world.anyServer()].top
+			top.SlowLink(40)
+			world.wait(1000, 5000)
+			top.SlowLink(1)
+		}},
+		{"an evacuation", 5, func(world *World) {
+			world.evacuate(world.anyDistrict(), time.Duration(2000+world.random.IntN(7000))*time.Millisecond)
+		}},
+		{"a race of operators", 3, func(world *World) {
+			for range 3 {
+				world.nextEdition(2 + world.random.IntN(3))
+			}
+		}},
+		{"a storm", 2, func(world *World) {
+			for range 12 {
+				world.outside.Go(func() { world.evacuate("nowhere-"+world.nonce(), 10*time.Millisecond) })
+				world.nextEdition(1)
+			}
+		}},
+		{"a flood", 2, func(world *World) {
+			long, short := world.long, world.short
+			world.long, world.short = long*5, short*5
+			world.wait(1000, 3000)
+			world.long, world.short = long, short
+		}},
+		{"a swing", 2, func(world *World) {
+			long, short := world.long, world.short
+			world.long, world.short = long*1.8, short*0.3
+			world.wait(2000, 4000)
+			world.long, world.short = long*0.2, short*2
+			world.wait(2000, 4000)
+			world.long, world.short = long, short
+		}},
+		{"another release", 5, otherRelease},
+		{"a courier joins", 2, courierJoins},
+		{"the platform is down", 2, func(world *World) {
+			world.platform.down = true
+			world.wait(1000, 6000)
+			world.platform.down = false
+		}},
+		{"a core machine is replaced", 2, replaceCore},
+		{"seeds are exchanged", 2, exchangeSeeds},
+	}
+}
+
+// wait lets an outside thread wait for a drawn length.
+func (world *World) wait(least, most int) {
+	world.outside.NewBell().Wait(time.Duration(least+world.random.IntN(most-least+1))*time.Millisecond, never)
+}
+
+func (world *World) anyDistrict() string {
+	return world.deployment.Districts[world.random.IntN(len(world.deployment.Districts))]
+}
+
+func (world *World) nodes(kind roster.NodeKind) []*machine {
+	var found []*machine
+	for _, machine := range world.machines {
+		if !machine.gone && (kind == "" || machine.kind == kind) {
+			found = append(found, machine)
+		}
+	}
+	return found
+}
+
+func (world *World) anyNode(kind roster.NodeKind) *machine {
+	found := world.nodes(kind)
+	return found[world.random.IntN(len(found))]
+}
+
+func (world *World) anyServer() string {
+	return world.plans[world.random.IntN(len(world.plans))].Name
+}
+
+func (world *World) serversOf(district string) []string {
+	var names []string
+	for _, plan := range world.plans {
+		if plan.District == district {
+			names = append(names, plan.Name)
+		}
+	}
+	return names
+}
+
+func (world *World) isExpediter(name string) bool {
+	machine := world.machineNamed(name)
+	return machine != nil && machine.kind == roster.Expediter
+}
+
+// primary is the expediter that holds, or any.
+func (world *World) primary() *machine {
+	for _, machine := range world.nodes(roster.Expediter) {
+		if machine.life != nil && !machine.life.ended && machine.control != nil && machine.control.Steward().Holds() {
+			return machine
+		}
+	}
+	return world.anyNode(roster.Expediter)
+}
+
+func (world *World) nameOf(machine *machine) string { return machine.name }
+
+// holder is the courier that decides the parts, or any.
+func (world *World) holder() *machine {
+	for _, machine := range world.nodes(roster.Expediter) {
+		if machine.life == nil || machine.life.ended || machine.control == nil {
+			continue
+		}
+		if _, _, state, failure := machine.control.Read(); failure == nil {
+			if holder := world.machineNamed(state.Rota.Duties["parts"].Holder); holder != nil && !holder.gone {
+				return holder
+			}
+		}
+	}
+	return world.anyNode(roster.Courier)
+}
+
+func (world *World) killFor(machine *machine, least, most int) {
+	world.kill(machine)
+	world.wait(least, most)
+	world.start(machine)
+}
+
+func (world *World) powerOffFor(machine *machine, least, most int) {
+	world.say("%s loses its power", machine.name)
+	world.powerOff(machine.name)
+	world.wait(least, most)
+	world.start(machine)
+}
+
+// powerFails has the power fail before one of the disk's next acts.
+func powerFails(world *World) {
+	machine := world.anyNode(roster.Expediter)
+	machine.disk.powerFailsIn = 1 + world.random.IntN(12)
+	world.wait(2000, 5000)
+	machine.disk.powerFailsIn = 0
+	world.wait(200, 2000)
+	world.start(machine)
+}
+
+// whole tells whether a primary with a backup leads and every keeper is the
+// disk that runs at its address, so that one more disk may be lost.
+func (world *World) whole() bool {
+	for _, machine := range world.nodes(roster.Expediter) {
+		if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
+			continue
+		}
+		charter := machine.control.Steward().Charter()
+		if charter.Backup.Empty() || len(charter.Incoming) > 0 || len(charter.Keepers) != 3 {
+			return false
+		}
+		for _, seat := range charter.Keepers {
+			there := world.machineNamed(world.nameAt(seat.Address))
+			if there == nil || there.life == nil || there.life.ended || there.life.frozen || there.control == nil ||
+				there.control.Keeper().Seat().Identity != seat.Identity || there.control.Keeper().Charter().Epoch != charter.Epoch {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// loseDisk takes a machine's whole disk while the core is whole: one disk may be
+// lost, and the next only when that is made good.
+func loseDisk(world *World) {
+	if !world.whole() {
+		return
+	}
+	machine := world.anyNode(roster.Expediter)
+	if world.random.IntN(2) == 0 {
+		machine = world.primary()
+		world.nextEdition(1)
+		if !world.whole() {
+			return
+		}
+	}
+	world.say("%s loses its disk", machine.name)
+	world.tempt("a disk lost")
+	world.kill(machine)
+	machine.disk = newDisk(world)
+	world.wait(50, 2000)
+	world.start(machine)
+}
+
+func (world *World) freezeFor(machine *machine) {
+	if machine.life == nil || machine.life.ended || machine.life.frozen {
+		return
+	}
+	world.say("%s freezes", machine.name)
+	frozen := machine.life
+	frozen.freeze()
+	world.wait(300, 9000)
+	if !frozen.ended {
+		if machine.courier != nil && machine.courier.Core().InFlight() > 0 && frozen.Now().After(machine.courier.Core().HoldEnds()) {
+			world.tempt("a courier woken with inquiries under way, its hold over")
+		}
+		if machine.control != nil && machine.control.Store().Leading() {
+			world.tempt("a primary woken")
+		}
+		world.say("%s wakes", machine.name)
+		frozen.wake()
+	}
+}
+
+// cutFor cuts links for a while.
+func (world *World) cutFor(chosen func(from, to string) bool) {
+	var names []string
+	for _, machine := range world.machines {
+		names = append(names, machine.name)
+	}
+	var cut []*link
+	for _, from := range names {
+		for _, to := range names {
+			if from != to && chosen(from, to) {
+				cut = append(cut, world.link(from, to))
+			}
+		}
+	}
+	for _, link := range cut {
+		link.cut = true
+	}
+	world.wait(300, 8000)
+	for _, link := range cut {
+		link.cut = false
+	}
+}
+
+func (world *World) isolate(name string, inwards, outwards bool) {
+	world.say("%s is cut off, inwards %v, outwards %v", name, inwards, outwards)
+	world.cutFor(func(from, to string) bool { return (inwards && to == name) || (outwards && from == name) })
+}
+
+func cutPair(world *World) {
+	found := world.nodes(roster.Expediter)
+	first := world.random.IntN(len(found))
+	left, right := found[first].name, found[(first+1)%len(found)].name
+	oneWay := world.random.IntN(3) == 0
+	world.say("%s and %s are cut from each other, one way %v", left, right, oneWay)
+	world.cutFor(func(from, to string) bool { return (from == left && to == right) || (!oneWay && from == right && to == left) })
+}
+
+func (world *World) spoil(links []*link, length time.Duration, act func(link *link)) {
+	for _, link := range links {
+		act(link)
+	}
+	world.outside.NewBell().Wait(length, never)
+	for _, link := range links {
+		link.delay, link.loss, link.duplicate = 0, 0, 0
+	}
+}
+
+// badLinks delays, duplicates and loses what nodes say to each other.
+func badLinks(world *World) {
+	var links []*link
+	for _, from := range world.machines {
+		for _, to := range world.machines {
+			if from != to && world.random.IntN(3) == 0 {
+				links = append(links, world.link(from.name, to.name))
+			}
+		}
+	}
+	world.spoil(links, time.Duration(1000+world.random.IntN(5000))*time.Millisecond, func(link *link) {
+		link.delay = time.Duration(world.random.IntN(150)) * time.Millisecond
+		link.duplicate, link.loss = 0.15, 0.04
+	})
+}
+
+// badServerLinks does so between couriers and servers, and loses answers after
+// the work.
+func badServerLinks(world *World) {
+	var links []*link
+	for _, machine := range world.nodes(roster.Courier) {
+		for _, plan := range world.plans {
+			if world.random.IntN(3) == 0 {
+				links = append(links, world.link(machine.name, plan.Name), world.link(plan.Name, machine.name))
+			}
+		}
+	}
+	world.loseAnswers = 0.1
+	world.spoil(links, time.Duration(1000+world.random.IntN(5000))*time.Millisecond, func(link *link) {
+		link.delay = time.Duration(world.random.IntN(60)) * time.Millisecond
+		link.duplicate, link.loss = 0.1, 0.03
+	})
+	world.loseAnswers = 0
+}
+
+func (world *World) herd(kind roster.NodeKind) {
+	world.say("a herd is killed: %s", kind)
+	var killed []*machine
+	for _, machine := range world.nodes(kind) {
+		if machine.life != nil && !machine.life.ended {
+			world.kill(machine)
+			killed = append(killed, machine)
+		}
+	}
+	world.wait(100, 1000)
+	for _, machine := range killed {
+		world.start(machine)
+	}
+}
+
+func loseZone(world *World) {
+	district := world.anyDistrict()
+	world.say("the zone %s is lost", district)
+	for _, machine := range world.nodes("") {
+		if machine.district == district {
+			world.outside.Go(func() { world.powerOffFor(machine, 4000, 7000) })
+		}
+	}
+	for _, name := range world.serversOf(district) {
+		world.outside.Go(func() { world.crashFor(name, 4000, 7000) })
+	}
+}
+
+// crashFor crashes a server and puts a cold one in its place.
+func (world *World) crashFor(name string, least, most int) {
+	if world.servers[name].life.ended {
+		return
+	}
+	if world.servers[name].top.Active() > 0 {
+		world.tempt("answers under way at a server's crash")
+	}
+	world.say("%s crashes", name)
+	world.crashServer(name)
+	world.wait(least, most)
+	world.startServer(world.servers[name].plan)
+}
+
+// leaveServer shows a server leaving: in the list, by its absence, or in its
+// load report; then another comes in its place.
+func leaveServer(world *World) {
+	name := world.anyServer()
+	server := world.servers[name]
+	if server.life.ended {
+		return
+	}
+	way := world.random.IntN(3)
+	for way < 2 && world.platform.down {
+		// What the platform does not show can't be heeded.
+		world.wait(100, 100)
+	}
+	if world.servers[name] != server || server.life.ended {
+		return
+	}
+	listed := world.platform.servers[name]
+	world.Book.Note(rehearsal.Entry{Kind: rehearsal.ServerLeaving, Server: name})
+	if server.top.Active() > 0 {
+		world.tempt("answers under way at a leaving server")
+	}
+	switch way {
+	case 0:
+		listed.Leaving = true
+		world.platform.servers[name] = listed
+	case 1:
+		delete(world.platform.servers, name)
+	default:
+		server.top.SetLeaving(true)
+	}
+	world.say("%s leaves", name)
+	world.wait(4500, 8000)
+	if world.servers[name] == server {
+		world.crashFor(name, 0, 1000)
+	}
+}
+
+// otherRelease restarts a node as the release that it is not, until the last
+// part of the day, in which all become the newest.
+func otherRelease(world *World) {
+	machine := world.anyNode("")
+	if len(machine.withheld) == 0 && !world.faultsOver {
+		machine.withheld = recipe.List{recipe.OrderPatience, recipe.PairPrice}
+		world.tempt("a node restarted as an older release")
+	} else {
+		machine.withheld = nil
+		world.tempt("a node restarted as a newer release")
+	}
+	world.kill(machine)
+	world.wait(200, 4000)
+	world.start(machine)
+}
+
+// courierJoins adds a courier, of the older release at times.
+func courierJoins(world *World) {
+	if len(world.nodes(roster.Courier)) > world.deployment.Couriers+2 {
+		return
+	}
+	number := strconv.Itoa(len(world.machines) + 1)
+	added := world.addMachine(roster.Courier, "courier-"+number, "10.0.1."+number+":1", world.anyDistrict(), world.machines[0].seeds)
+	if world.random.IntN(3) == 0 {
+		added.withheld = recipe.List{recipe.PairPrice}
+	}
+	world.start(added)
+}
+
+// replaceCore puts an empty machine at a new address in the place of one.
+func replaceCore(world *World) {
+	if !world.whole() {
+		return
+	}
+	old := world.anyNode(roster.Expediter)
+	var seeds []string
+	for _, other := range world.nodes("") {
+		if other != old && len(seeds) < 3 {
+			seeds = append(seeds, other.address)
+		}
+	}
+	number := strconv.Itoa(len(world.machines) + 1)
+	world.say("%s gives way to expediter-%s", old.name, number)
+	world.tempt("a core machine replaced")
+	world.powerOff(old.name)
+	old.gone = true
+	added := world.addMachine(roster.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, seeds)
+	world.start(added)
+}
+
+// exchangeSeeds gives running nodes other seeds.
+func exchangeSeeds(world *World) {
+	for _, machine := range world.nodes("") {
+		var seeds []string
+		for range 2 {
+			seeds = append(seeds, world.anyNode(roster.Courier).address)
+		}
+		seeds = append(seeds, world.anyNode(roster.Expediter).address)
+		machine.seeds = seeds
+		if machine.life == nil || machine.life.ended {
+			continue
+		}
+		if machine.courier != nil {
+			machine.courier.SetSeeds(seeds)
+		}
+		if machine.control != nil {
+			machine.control.SetSeeds(seeds)
+		}
+	}
+}
+
+func newIdentityName(name string, lives int) string { return name + "/" + strconv.Itoa(lives) }
--- /dev/null
+++ b/internal/rehearsal/world/life.go
@@ -0,0 +1,227 @@
+package world
+
+import (
+	"cmp"
+	"container/heap"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"seamloom.example/seamloom/internal/rota"
+)
+
+// life is one process from its start to its end. It is the process's threads
+// and clock, as the core packages see them.
+type life struct {
+	world   *World
+	name    string
+	address string
+	// bornAt is when it started, wall what its clock said then, and drift how
+	// much faster than the world its clock runs.
+	bornAt  time.Duration
+	wall    time.Time
+	jump    time.Duration
+	drift   float64
+	ended   bool
+	frozen  bool
+	backlog []*alarm
+	threads map[*thread]bool
+	endings map[uint64]func()
+	answer  func(path string, body []byte) ([]byte, error)
+}
+
+// thread is one of a life's threads, as a coroutine: it runs until it waits.
+type thread struct {
+	life   *life
+	next   func() (struct{}, bool)
+	stop   func()
+	yield  func(struct{}) bool
+	number uint64
+	ended  bool
+}
+
+// killed unwinds the threads of a life that has ended.
+type killed struct{}
+
+// Now is the life's own steady clock.
+func (life *life) Now() time.Time { return life.wall.Add(life.lived()) }
+
+func (life *life) lived() time.Duration {
+	return time.Duration(float64(life.world.now-life.bornAt) * (1 + life.drift))
+}
+
+// Wall is the life's wall clock, which faults set.
+func (life *life) Wall() time.Time { return life.wall.Add(life.lived() + life.jump) }
+
+// Alive tells whether the life goes on.
+func (life *life) Alive() bool { return !life.ended }
+
+// Go starts a thread.
+func (life *life) Go(act func()) {
+	if life.ended {
+		return
+	}
+	started := &thread{life: life, number: life.world.sequence}
+	started.next, started.stop = iter.Pull(func(yield func(struct{}) bool) {
+		defer func() {
+			started.ended = true
+			if cause := recover(); cause != nil {
+				if _, expected := cause.(killed); !expected {
+					panic(cause)
+				}
+			}
+		}()
+		started.yield = yield
+		act()
+	})
+	life.threads[started] = true
+	life.world.after(0, life, func() { started.resume() })
+}
+
+// resume runs the thread until it waits or ends.
+func (thread *thread) resume() {
+	if thread.ended || thread.life.ended {
+		return
+	}
+	before := thread.life.world.running
+	thread.life.world.running = thread
+	_, waits := thread.next()
+	thread.life.world.running = before
+	if !waits {
+		delete(thread.life.threads, thread)
+	}
+	thread.life.world.bury()
+}
+
+// suspend gives the turn back to the world until the thread is resumed.
+func (thread *thread) suspend() {
+	if !thread.yield(struct{}{}) {
+		panic(killed{})
+	}
+}
+
+// end ends the life at once: its threads never run again, and whoever waits for
+// an answer from it hears that the circuit broke, if it can be heard.
+func (life *life) end() {
+	if life.ended {
+		return
+	}
+	life.ended = true
+	life.world.dead = append(life.world.dead, life)
+	for _, number := range slices.Sorted(maps.Keys(life.endings)) {
+		life.endings[number]()
+	}
+	life.endings = nil
+	if life.world.running == nil {
+		life.world.bury()
+	}
+}
+
+// atEnd has something done when the life ends; forget takes that back.
+func (life *life) atEnd(act func()) (forget func()) {
+	if life.ended {
+		act()
+		return func() {}
+	}
+	life.world.sequence++
+	number := life.world.sequence
+	life.endings[number] = act
+	return func() { delete(life.endings, number) }
+}
+
+// bury unwinds the threads of lives that have ended, once none of them runs.
+func (world *World) bury() {
+	if world.running != nil {
+		return
+	}
+	dead := world.dead
+	world.dead = nil
+	for _, life := range dead {
+		threads := slices.Collect(maps.Keys(life.threads))
+		slices.SortFunc(threads, func(left, right *thread) int { return cmp.Compare(left.number, right.number) })
+		for _, thread := range threads {
+			thread.stop()
+		}
+		life.threads = map[*thread]bool{}
+		life.backlog = nil
+	}
+}
+
+// freeze stops the life without ending it; everything that comes waits.
+func (life *life) freeze() { life.frozen = true }
+
+// wake lets a frozen life go on, with all that came meanwhile.
+func (life *life) wake() {
+	life.frozen = false
+	for _, late := range life.backlog {
+		late.at = life.world.now
+		heap.Push(&life.world.due, late)
+	}
+	life.backlog = nil
+}
+
+// NewBell makes a bell.
+func (life *life) NewBell() rota.Bell { return &bell{life: life} }
+
+// bell is a bell under the world's clock.
+type bell struct {
+	life    *life
+	waiters []*waiter
+}
+
+type waiter struct {
+	thread *thread
+	rung   bool
+	late   bool
+}
+
+// Ring has all who wait ask again.
+func (bell *bell) Ring() {
+	for _, waiting := range bell.waiters {
+		if !waiting.rung {
+			waiting.rung = true
+			bell.life.world.after(0, bell.life, waiting.thread.resume)
+		}
+	}
+}
+
+// Wait waits until over is true or the patience ends.
+func (bell *bell) Wait(patience time.Duration, over func() bool) bool {
+	if bell.life.ended {
+		panic(killed{})
+	}
+	if over() {
+		return true
+	}
+	thread := bell.life.world.running
+	if thread == nil || thread.life != bell.life {
+		panic("world: a wait outside of the life's own threads")
+	}
+	waiting := &waiter{thread: thread}
+	bell.waiters = append(bell.waiters, waiting)
+	length := time.Duration(float64(patience) / (1 + bell.life.drift))
+	timer := bell.life.world.after(length, bell.life, func() {
+		waiting.late = true
+		thread.resume()
+	})
+	defer func() {
+		timer.canceled = true
+		for position, other := range bell.waiters {
+			if other == waiting {
+				bell.waiters = append(bell.waiters[:position:position], bell.waiters[position+1:]...)
+				break
+			}
+		}
+	}()
+	for {
+		thread.suspend()
+		waiting.rung = false
+		if over() {
+			return true
+		}
+		if waiting.late {
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/world/links.go
@@ -0,0 +1,145 @@
+package world
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// link is one direction between two machines.
+type link struct {
+	cut       bool
+	delay     time.Duration
+	loss      float64
+	duplicate float64
+}
+
+func (world *World) link(from, to string) *link {
+	ends := [2]string{from, to}
+	found := world.links[ends]
+	if found == nil {
+		found = &link{}
+		world.links[ends] = found
+	}
+	return found
+}
+
+// heal ends all faults of all links.
+func (world *World) heal() {
+	world.links = map[[2]string]*link{}
+	world.slowDials = 0
+}
+
+// latency is how long one message takes.
+func (world *World) latency(over *link) time.Duration {
+	return time.Duration(150+world.random.IntN(1200))*time.Microsecond + over.delay
+}
+
+// carry brings one message over a link, or loses it.
+func (world *World) carry(from, to string, life *life, act func()) bool {
+	over := world.link(from, to)
+	if over.cut || (over.loss > 0 && world.random.Float64() < over.loss) {
+		return false
+	}
+	world.after(world.latency(over), life, act)
+	return true
+}
+
+// dialPatience is how long one tries to open a circuit to a machine that is
+// off.
+const dialPatience = time.Second
+
+// call is one question under way.
+type call struct {
+	caller   *life
+	from, to string
+	bell     *bell
+	over     bool
+	content  any
+	failure  error
+}
+
+// broken tells the caller that the circuit broke, if that can be heard.
+func (call *call) broken() { call.fail("the circuit broke") }
+
+func (call *call) fail(detail string) {
+	call.caller.world.carry(call.to, call.from, call.caller, func() {
+		call.finish(nil, trouble.New(trouble.Unreachable, detail))
+	})
+}
+
+func (call *call) finish(content any, failure error) {
+	if call.over {
+		return
+	}
+	call.over, call.content, call.failure = true, content, failure
+	call.bell.Ring()
+}
+
+// ask has serve answered by the process that runs at the machine when the
+// question comes there; the caller's thread waits until its patience ends. A
+// link may bring the question twice.
+func (here *life) ask(to string, patience time.Duration, serve func(there *life) (any, error)) (any, error) {
+	world := here.world
+	asked := &call{caller: here, from: here.name, to: to, bell: &bell{life: here}}
+	arrive := func(first bool) {
+		there := world.lives[to]
+		if there == nil || there.ended {
+			if !first {
+				return
+			}
+			if world.powered(to) {
+				asked.fail("nobody listens")
+				return
+			}
+			// No circuit comes about.
+			world.after(dialPatience, here, func() { asked.finish(nil, trouble.New(trouble.Unreachable, "nobody listens")) })
+			return
+		}
+		forget := func() {}
+		if first {
+			forget = there.atEnd(asked.broken)
+		}
+		// The question lies there until the process runs.
+		world.after(0, there, func() {
+			there.Go(func() {
+				content, failure := serve(there)
+				if !first {
+					return
+				}
+				forget()
+				world.carry(to, here.name, here, func() { asked.finish(content, failure) })
+			})
+		})
+	}
+	world.carry(here.name, to, nil, func() { arrive(true) })
+	if over := world.link(here.name, to); over.duplicate > 0 && world.random.Float64() < over.duplicate {
+		world.tempt("a question brought twice")
+		world.after(time.Duration(world.random.IntN(2500))*time.Millisecond, nil, func() { arrive(false) })
+	}
+	if !asked.bell.Wait(patience, func() bool { return asked.over }) {
+		return nil, trouble.New(trouble.Unreachable, "no answer in time")
+	}
+	return asked.content, asked.failure
+}
+
+// wire is the hotline of a life.
+type wire struct{ life *life }
+
+// CallRaw sends a message to the process at an address.
+func (wire wire) CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error) {
+	world := wire.life.world
+	world.tapMessage(path, body)
+	content, failure := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
+		answer, failure := there.answer(path, body)
+		if failure != nil {
+			// A failure crosses the wire as its kind and detail.
+			return nil, trouble.New(trouble.KindOf(failure), trouble.DetailOf(failure))
+		}
+		return answer, nil
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	return content.([]byte), nil
+}
--- /dev/null
+++ b/internal/rehearsal/world/operators.go
@@ -0,0 +1,169 @@
+package world
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// operatorPatience is how long an operator waits for an answer.
+const operatorPatience = 12 * time.Second
+
+// atPrimary has an operator ask the expediters, one after another, until one
+// leads. Whoever asks is outside, with a whole link to each.
+func (world *World) atPrimary(serve func(control *hatch.Expediter) (any, error)) (any, error) {
+	var last error = trouble.New(trouble.NoPrimary, "no expediter runs")
+	for _, machine := range world.machines {
+		if machine.kind != roster.Expediter || machine.gone {
+			continue
+		}
+		content, failure := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) {
+			if machine.control == nil {
+				return nil, trouble.New(trouble.NoPrimary, "the disk is being opened")
+			}
+			return serve(machine.control)
+		})
+		if failure == nil {
+			return content, nil
+		}
+		switch trouble.KindOf(failure) {
+		case trouble.NoPrimary, trouble.NotPrimary:
+			last = failure
+			continue
+		case trouble.Unreachable:
+			if trouble.DetailOf(failure) == "nobody listens" {
+				last = failure
+				continue
+			}
+		}
+		return nil, failure
+	}
+	return nil, last
+}
+
+type menuRead struct {
+	version larder.Version
+	text    []byte
+}
+
+// readMenu reads the configuration as an operator does, and notes its edition.
+func (world *World) readMenu(note bool) (menuRead, bool) {
+	began := world.now
+	content, failure := world.atPrimary(func(control *hatch.Expediter) (any, error) {
+		_, view, state, failure := control.Read()
+		if failure != nil {
+			return nil, failure
+		}
+		return menuRead{view.VersionOf(larder.MenuDrawer), state.Menu}, nil
+	})
+	if failure != nil {
+		return menuRead{}, false
+	}
+	read := content.(menuRead)
+	if note {
+		world.Book.Note(rehearsal.Entry{Kind: rehearsal.EditionRead, Edition: rehearsal.EditionOf(read.text), Took: world.now - began})
+	}
+	return read, true
+}
+
+// edit asks for a change, and tells "accepted", "refused" or "unknown".
+func (world *World) edit(edit hatch.Edit) string {
+	_, failure := world.atPrimary(func(control *hatch.Expediter) (any, error) { return control.Edit(edit) })
+	switch {
+	case failure == nil:
+		return "accepted"
+	case trouble.KindOf(failure) == trouble.Unknown, trouble.KindOf(failure) == trouble.Unreachable && trouble.DetailOf(failure) != "nobody listens":
+		world.tempt("a change with an unknown outcome")
+		return "unknown"
+	}
+	return "refused"
+}
+
+// nextEdition reads the configuration and puts the next edition over it; racers
+// do so from the same version at once.
+func (world *World) nextEdition(racers int) bool {
+	read, found := world.readMenu(true)
+	if !found {
+		return false
+	}
+	accepted := false
+	left := racers
+	bell := world.outside.NewBell()
+	for range racers {
+		world.edition++
+		edition := world.edition
+		world.outside.Go(func() {
+			accepted = world.putEdition(edition, read) || accepted
+			left--
+			bell.Ring()
+		})
+	}
+	bell.Wait(time.Minute, func() bool { return left == 0 })
+	return accepted
+}
+
+func (world *World) putEdition(edition int, read menuRead) bool {
+	world.Book.Note(rehearsal.Entry{Kind: rehearsal.EditionAsked, Edition: edition})
+	patch := world.deployment.Configuration(edition)
+	if before := rehearsal.EditionOf(read.text); before > 0 {
+		patch = strings.Replace(patch, `"routes":{`, `"routes":{"edition-`+strconv.Itoa(before)+`":null,`, 1)
+	}
+	outcome := world.edit(hatch.Edit{Change: "edition-" + strconv.Itoa(edition), Digest: patch, Expected: &read.version,
+		Apply: func(text []byte) ([]byte, error) { return menu.Merge(text, []byte(patch)) }})
+	kinds := map[string]rehearsal.EntryKind{"accepted": rehearsal.EditionAccepted, "refused": rehearsal.EditionRefused, "unknown": rehearsal.EditionUnknown}
+	world.Book.Note(rehearsal.Entry{Kind: kinds[outcome], Edition: edition})
+	return outcome == "accepted"
+}
+
+// evacuate closes a district for some time.
+func (world *World) evacuate(district string, length time.Duration) {
+	under := 0
+	for _, name := range world.serversOf(district) {
+		under += world.servers[name].top.Active()
+	}
+	if under > 0 {
+		world.tempt("answers under way at an evacuation")
+	}
+	world.Book.Note(rehearsal.Entry{Kind: rehearsal.EvacuationAsked, District: district})
+	outcome := world.edit(hatch.Edit{Change: "evacuate-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, district, "rehearsal") }})
+	world.say("evacuate %s: %s", district, outcome)
+	if outcome == "accepted" {
+		world.Book.Note(rehearsal.Entry{Kind: rehearsal.Evacuated, District: district})
+	}
+	world.outside.NewBell().Wait(length, never)
+	for range 40 {
+		world.Book.Note(rehearsal.Entry{Kind: rehearsal.RestoreAsked, District: district})
+		if world.edit(hatch.Edit{Change: "restore-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return menu.Restore(text, district) }}) == "accepted" {
+			return
+		}
+		world.outside.NewBell().Wait(700*time.Millisecond, never)
+	}
+}
+
+// operate is the operators' day: an edition every other second, a read of what
+// holds, and a look at every courier.
+func (world *World) operate(until time.Duration) {
+	world.outside.Go(func() {
+		for world.now < until {
+			for _, machine := range world.machines {
+				if machine.kind == roster.Courier {
+					world.lookAtEdition(machine)
+				}
+			}
+			world.outside.NewBell().Wait(200*time.Millisecond, never)
+		}
+	})
+	world.outside.Go(func() {
+		for world.now < until {
+			world.nextEdition(1)
+			world.outside.NewBell().Wait(time.Second, never)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/world/passing.go
@@ -0,0 +1,91 @@
+package world
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+func endedHere(*pass.Inquiry, pass.Decision) {}
+
+// passing carries inquiries from one courier to another.
+type passing struct{ life *life }
+
+// Pass sends an inquiry on and gives the records of its reply to take.
+func (passing *passing) Pass(address string, passage hatch.Passage, body []byte, whenLeft func(act func()), take func(record recipe.Record) bool) bool {
+	here, world := passing.life, passing.life.world
+	to := world.nameAt(address)
+	replies := newPipe(world, to, here.name, here)
+	left, refused := false, false
+	arrive := func(first bool) {
+		there := world.machineNamed(to)
+		if there == nil || there.life == nil || there.life.ended || there.courier == nil {
+			if first && world.powered(to) {
+				refused = true
+				replies.snap()
+			}
+			return
+		}
+		forget := func() {}
+		if first {
+			forget = there.life.atEnd(replies.snap)
+		}
+		conduct, target := there.courier, there.life
+		reply := &hatch.RecordReply{Writer: to, Left: func(act func()) {
+			if first {
+				whenLeft(func() { world.carry(here.name, to, target, act) })
+				here.atEnd(func() { world.carry(here.name, to, target, act) })
+			}
+		}, Send: func(record recipe.Record) error {
+			world.tapRecord(record, "on a wire")
+			if first && (left || !replies.put(record)) {
+				return trouble.New(trouble.Unreachable, "the courier is gone")
+			}
+			return nil
+		}}
+		// The question lies there until the process runs.
+		world.after(0, target, func() {
+			target.Go(func() {
+				defer forget()
+				inquiry, failure := hatch.ReadInquiry(target.Now(), body)
+				if failure != nil {
+					return
+				}
+				reply.Inquiry = inquiry.ID
+				conduct.Serve(hatch.Arrival{Inquiry: inquiry, Body: body, Passage: &passage}, reply)
+			})
+		})
+	}
+	if world.carry(here.name, to, nil, func() { arrive(true) }) {
+		if over := world.link(here.name, to); over.duplicate > 0 && world.random.Float64() < over.duplicate {
+			world.tempt("a passed-on inquiry brought twice")
+			world.after(time.Duration(world.random.IntN(4000))*time.Millisecond, nil, func() { arrive(false) })
+		}
+	}
+	whenLeft(func() {
+		left = true
+		replies.bell.Ring()
+	})
+	for {
+		message, found := replies.take(time.Minute, func() bool { return left })
+		if !found {
+			return !refused
+		}
+		if !take(message.(recipe.Record)) {
+			left = true
+			return true
+		}
+	}
+}
+
+func (world *World) machineNamed(name string) *machine {
+	for _, machine := range world.machines {
+		if machine.name == name {
+			return machine
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/world/stoves.go
@@ -0,0 +1,282 @@
+package world
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// stoves are the circuits of one courier to the model servers.
+type stoves struct {
+	life    *life
+	running map[string]*exchange
+}
+
+// exchange is one order under way at a server.
+type exchange struct {
+	replies *pipe
+	quit    bool
+	refused bool
+	hangUp  func()
+}
+
+// stop closes the courier's side.
+func (exchange *exchange) stop() {
+	exchange.quit = true
+	exchange.replies.bell.Ring()
+	if exchange.hangUp != nil {
+		exchange.hangUp()
+	}
+}
+
+// ended is the last message of an exchange: a status and what came with it.
+type ended struct {
+	status  int
+	content any
+}
+
+func runKey(id string, run int) string { return id + "#" + strconv.Itoa(run) }
+
+// dial waits for a circuit, which may take its time.
+func (stoves *stoves) dial() {
+	world := stoves.life.world
+	length := time.Duration(world.random.IntN(400)) * time.Microsecond
+	if world.slowDials > 0 && world.random.Float64() < world.slowDials {
+		length = time.Duration(world.random.IntN(2500)) * time.Millisecond
+	}
+	stoves.life.NewBell().Wait(length, func() bool { return false })
+}
+
+// order sends one order to a server and returns its exchange, or nil when it
+// certainly did not go.
+func (stoves *stoves) order(decision pass.Decision, may func() bool, serve func(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) (int, any)) *exchange {
+	world := stoves.life.world
+	stoves.dial()
+	if !may() {
+		world.tempt("an order held back after a wait")
+		return nil
+	}
+	to := world.nameAt(decision.Address)
+	begun := &exchange{replies: newPipe(world, to, stoves.life.name, stoves.life)}
+	if earlier, found := stoves.running[runKey(decision.ID, decision.Run)]; found {
+		earlier.stop()
+	}
+	stoves.running[runKey(decision.ID, decision.Run)] = begun
+	arrive := func(first bool) {
+		there := world.servers[to]
+		if there == nil || there.life.ended || there.life.address != decision.Address {
+			if first {
+				begun.refused = true
+				begun.replies.snap()
+			}
+			return
+		}
+		circuit := rehearsal.NewCircuit(there.life)
+		forgetServer := func() {}
+		if first {
+			forgetServer = there.life.atEnd(begun.replies.snap)
+		}
+		hangUp := func() { world.carry(stoves.life.name, to, there.life, circuit.Close) }
+		if first {
+			begun.hangUp = hangUp
+		}
+		forgetCourier := stoves.life.atEnd(hangUp)
+		there.life.Go(func() {
+			defer forgetCourier()
+			if there.top.Dark() {
+				circuit.Pause(time.Minute)
+				return
+			}
+			status, content := serve(there.top, circuit, func(message any) bool {
+				if begun.quit {
+					// The courier has closed its side.
+					return false
+				}
+				return !first || begun.replies.put(message)
+			})
+			if first {
+				forgetServer()
+				if world.loseAnswers > 0 && world.random.Float64() < world.loseAnswers {
+					world.tempt("a server's answer lost after the work")
+					begun.replies.snap()
+					return
+				}
+				begun.replies.put(ended{status, content})
+			}
+		})
+	}
+	if !world.carry(stoves.life.name, to, nil, func() { arrive(true) }) {
+		// It lies in the network until the courier gives up.
+		return begun
+	}
+	if over := world.link(stoves.life.name, to); over.duplicate > 0 && world.random.Float64() < over.duplicate {
+		world.tempt("an order brought twice to a server")
+		world.after(time.Duration(world.random.IntN(800))*time.Millisecond, nil, func() { arrive(false) })
+	}
+	return begun
+}
+
+func refusalOf(message ended) (pass.Outcome, string) {
+	said, told := message.content.(rehearsal.Refusal)
+	switch {
+	case !told:
+		return pass.Uncertain, "status " + strconv.Itoa(message.status)
+	case said.Type == "handle_lapsed":
+		return pass.Lapsed, said.Type
+	case !said.Started:
+		return pass.NotStarted, said.Type
+	}
+	return pass.Broken, said.Type
+}
+
+// lostOutcome is what a circuit without an answer means: where nobody listened
+// nothing was written.
+func (exchange *exchange) lostOutcome() pass.Outcome {
+	if exchange.refused {
+		return pass.NotStarted
+	}
+	return pass.Uncertain
+}
+
+const exchangePatience = 2 * time.Minute
+
+// Prefill has a server read a prompt.
+func (stoves *stoves) Prefill(decision pass.Decision, may func() bool) (pass.Outcome, string, string) {
+	inquiry := decision.Inquiry
+	order := stove.PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens}
+	begun := stoves.order(decision, may, func(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, _ func(any) bool) (int, any) {
+		return top.Prefill(circuit, order)
+	})
+	if begun == nil {
+		return pass.NotStarted, "", "nothing was sent"
+	}
+	message, found := begun.replies.take(exchangePatience, func() bool { return begun.quit })
+	if !found {
+		return begun.lostOutcome(), "", "the circuit broke"
+	}
+	if answer, well := message.(ended).content.(stove.PrefillAnswer); well {
+		return pass.Done, answer.Handle, ""
+	}
+	outcome, detail := refusalOf(message.(ended))
+	return outcome, "", detail
+}
+
+// Decode has a server answer.
+func (stoves *stoves) Decode(decision pass.Decision, may func() bool, take func(piece int, text string)) (pass.Outcome, int, string) {
+	inquiry := decision.Inquiry
+	order := stove.DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces}
+	begun := stoves.order(decision, may, func(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) (int, any) {
+		return top.Decode(circuit, order, func(line stove.StreamLine) error {
+			if !send(line) {
+				return trouble.New(trouble.Unreachable, "the courier is gone")
+			}
+			return nil
+		})
+	})
+	if begun == nil {
+		return pass.NotStarted, 0, "nothing was sent"
+	}
+	for {
+		message, found := begun.replies.take(exchangePatience, func() bool { return begun.quit })
+		if !found {
+			return begun.lostOutcome(), 0, "the stream broke off"
+		}
+		switch said := message.(type) {
+		case stove.StreamLine:
+			if said.Done {
+				return pass.Done, said.Pieces, ""
+			}
+			take(said.Piece, said.Text)
+		case ended:
+			if said.status == http.StatusOK {
+				return pass.Uncertain, 0, "the stream broke off"
+			}
+			outcome, detail := refusalOf(said)
+			return outcome, 0, detail
+		}
+	}
+}
+
+// Command has a server take a part.
+func (stoves *stoves) Command(decision pass.Decision, may func() bool) error {
+	stoves.dial()
+	if !may() {
+		return trouble.New(trouble.LimitPassed, "the command may not go any more")
+	}
+	order := stove.PartOrder{Part: string(decision.Part), Fence: decision.Duty.Fence, Holder: decision.Duty.Holder}
+	if decision.Order != nil {
+		order.Cause = decision.Order.Cause
+	}
+	_, failure := stoves.life.askServer(decision.Address, time.Second, func(top *rehearsal.Stovetop) (int, any) { return top.TakePart(order) })
+	return failure
+}
+
+// Cancel breaks a run's circuit and has the server stop it.
+func (stoves *stoves) Cancel(decision pass.Decision) {
+	stoves.EndRun(decision.ID, decision.Run)
+	order := stove.CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}
+	stoves.life.Go(func() {
+		_, _ = stoves.life.askServer(decision.Address, time.Second, func(top *rehearsal.Stovetop) (int, any) {
+			top.Cancel(order)
+			return http.StatusOK, nil
+		})
+	})
+}
+
+// EndRun ends whatever a run still has under way.
+func (stoves *stoves) EndRun(id string, run int) {
+	if begun, found := stoves.running[runKey(id, run)]; found {
+		delete(stoves.running, runKey(id, run))
+		begun.stop()
+	}
+}
+
+// askServer has a server answer one short question.
+func (here *life) askServer(address string, patience time.Duration, serve func(top *rehearsal.Stovetop) (int, any)) (any, error) {
+	world := here.world
+	to := world.nameAt(address)
+	return here.ask(to, patience, func(there *life) (any, error) {
+		server := world.servers[to]
+		if server == nil || server.life != there || there.address != address {
+			return nil, trouble.New(trouble.Unreachable, "another server is there")
+		}
+		if server.top.Dark() {
+			rehearsal.NewCircuit(there).Pause(time.Minute)
+			return nil, trouble.New(trouble.Unreachable, "dark")
+		}
+		status, content := serve(server.top)
+		if status != http.StatusOK {
+			return content, trouble.New(trouble.NotHolder, "status "+strconv.Itoa(status))
+		}
+		return content, nil
+	})
+}
+
+// server is one model server of the world.
+type server struct {
+	plan rehearsal.ServerPlan
+	life *life
+	top  *rehearsal.Stovetop
+}
+
+// fetchFrom takes a prompt's memory over from another server.
+func (world *World) fetchFrom(here *life) rehearsal.Fetch {
+	return func(_ *rehearsal.Circuit, address string, question rehearsal.MemoryQuestion) (rehearsal.MemoryAnswer, int) {
+		status := http.StatusBadGateway
+		content, failure := here.askServer(address, 2*time.Second, func(top *rehearsal.Stovetop) (int, any) {
+			given, content := top.GiveMemory(question)
+			status = given
+			return http.StatusOK, content
+		})
+		if failure != nil {
+			return rehearsal.MemoryAnswer{}, http.StatusBadGateway
+		}
+		given, _ := content.(rehearsal.MemoryAnswer)
+		return given, status
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/world/taps.go
@@ -0,0 +1,87 @@
+package world
+
+import (
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// The taps read records as they are written, on wires and disks, and note each
+// key of their features that is new.
+
+func (world *World) tapRecord(record recipe.Record, where string) {
+	for key := range record.Features {
+		name := string(record.Kind) + "/" + key + "/" + where
+		if world.seenKeys[name] {
+			continue
+		}
+		world.seenKeys[name] = true
+		world.Book.Note(rehearsal.Entry{Kind: rehearsal.RecordSeen, Cause: key, Part: where, Holder: record.Writer})
+	}
+}
+
+func (world *World) tapMessage(path string, body []byte) {
+	if path != hatch.CrumbsPath {
+		return
+	}
+	var records []recipe.Record
+	if msgpack.Unmarshal(body, &records) == nil {
+		for _, record := range records {
+			world.tapRecord(record, "on a wire")
+		}
+	}
+}
+
+// tapFile reads what a version's file holds, framed as the pantry frames it.
+func (world *World) tapFile(name string, framed []byte) {
+	var batch larder.Batch
+	if !strings.HasPrefix(name, "larder/") || len(framed) < 8 || msgpack.Unmarshal(framed[8:], &batch) != nil {
+		return
+	}
+	state, failure := larder.ReadState(batch.Drawers)
+	if failure != nil {
+		return
+	}
+	for _, flag := range state.Flags.Enabled {
+		if name := "flag/" + string(flag); !world.seenKeys[name] {
+			world.seenKeys[name] = true
+			world.Book.Note(rehearsal.Entry{Kind: rehearsal.FlagEnabled, Cause: string(flag)})
+			world.tempt("a flag enabled")
+		}
+	}
+	for _, record := range state.Orders.Records {
+		world.tapRecord(record, "on a disk")
+	}
+	for _, claims := range state.Claims {
+		for _, record := range claims {
+			world.tapRecord(record, "on a disk")
+			break
+		}
+	}
+}
+
+// noteMember writes down what a member's release reads.
+func (world *World) noteMember(machine *machine) {
+	var flags []string
+	for _, flag := range recipe.Supported(machine.withheld) {
+		flags = append(flags, string(flag))
+	}
+	world.Book.Note(rehearsal.Entry{Kind: rehearsal.MemberKnown, Holder: machine.name, Flags: flags})
+}
+
+// noteOldMember writes down what an older release lacks, once it is recorded:
+// the primary has answered it.
+func (world *World) noteOldMember(machine *machine, begun *life, heard func() time.Time) {
+	begun.Go(func() {
+		for heard().IsZero() {
+			begun.NewBell().Wait(5*time.Millisecond, never)
+		}
+		world.noteMember(machine)
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/world/world.go
@@ -0,0 +1,313 @@
+package world
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+
+	"seamloom.example/seamloom"
+)
+
+// World is one fleet in virtual time.
+type World struct {
+	clockwork
+	Book        *rehearsal.Book
+	deployment  rehearsal.Deployment
+	random      *rand.Rand
+	running     *thread
+	dead        []*life
+	machines    []*machine
+	byAddress   map[string]string
+	lives       map[string]*life
+	servers     map[string]*server
+	plans       []rehearsal.ServerPlan
+	platform    platform
+	links       map[[2]string]*link
+	slowDials   float64
+	loseAnswers float64
+	outside     *life
+	temptations map[string]int
+	nonces      uint64
+	seenKeys    map[string]bool
+	edition     int
+	long, short float64
+	number      int
+	faultsOver  bool
+	claiming    map[string]int
+	trace       hash.Hash
+	Log         func(line string)
+}
+
+// machine is where a node runs: it has an address, perhaps a disk, and settings
+// that its next process reads.
+type machine struct {
+	name     string
+	kind     roster.NodeKind
+	address  string
+	district string
+	seeds    []string
+	withheld recipe.List
+	disk     *disk
+	drift    float64
+	off      bool
+	gone     bool
+	life     *life
+	courier  *hatch.Courier
+	control  *hatch.Expediter
+}
+
+var epoch = time.Unix(1_800_000_000, 0).UTC()
+
+// New lays a world out: the deployment's machines and servers, all cold.
+//
+// Example:
+//
+//	fleet := world.New(rehearsal.Sahil(), 7)
+func New(deployment rehearsal.Deployment, seed uint64) *World {
+	world := &World{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0x5ea)), byAddress: map[string]string{}, lives: map[string]*life{},
+		servers: map[string]*server{}, links: map[[2]string]*link{}, temptations: map[string]int{}, seenKeys: map[string]bool{}, claiming: map[string]int{},
+		trace: sha256.New(), Log: func(string) {}}
+	world.Book = &rehearsal.Book{Clock: func() time.Time { return epoch.Add(world.now) }}
+	world.platform.servers = map[string]roster.Server{}
+	world.outside = world.newLife("outside", "outside", 0)
+	for position := range deployment.Servers {
+		district := deployment.Districts[position%len(deployment.Districts)]
+		world.plans = append(world.plans, rehearsal.DefaultPlan("stove-"+strconv.Itoa(position+1), district))
+	}
+	for _, plan := range world.plans {
+		world.startServer(plan)
+	}
+	seeds := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	for position := range 3 + deployment.Couriers {
+		district := deployment.Districts[position%len(deployment.Districts)]
+		address := "10.0.0." + strconv.Itoa(position+1) + ":1"
+		if position < 3 {
+			world.addMachine(roster.Expediter, "expediter-"+strconv.Itoa(position+1), address, district, seeds)
+		} else {
+			world.addMachine(roster.Courier, "courier-"+strconv.Itoa(position-2), address, district, seeds)
+		}
+	}
+	return world
+}
+
+func (world *World) addMachine(kind roster.NodeKind, name, address, district string, seeds []string) *machine {
+	added := &machine{name: name, kind: kind, address: address, district: district, seeds: seeds, drift: (world.random.Float64() - 0.5) / 25}
+	if kind == roster.Expediter {
+		added.disk = newDisk(world)
+	}
+	world.machines = append(world.machines, added)
+	world.byAddress[address] = name
+	return added
+}
+
+// say adds a line to the trace.
+func (world *World) say(format string, values ...any) {
+	line := fmt.Sprintf("%9.4f ", world.now.Seconds()) + fmt.Sprintf(format, values...)
+	_, _ = world.trace.Write([]byte(line + "\n"))
+	world.Log(line)
+}
+
+// Trace is a digest of everything that happened: the world's steps and the
+// book.
+//
+// Example:
+//
+//	same := first.Trace() == second.Trace()
+func (world *World) Trace() string {
+	whole := sha256.New()
+	_, _ = whole.Write(world.trace.Sum(nil))
+	encoder := json.NewEncoder(whole)
+	for _, entry := range world.Book.Entries() {
+		_ = encoder.Encode(entry)
+	}
+	_ = binary.Write(whole, binary.BigEndian, world.acted)
+	return hex.EncodeToString(whole.Sum(nil))
+}
+
+// tempt counts a moment in which something that must never happen could.
+func (world *World) tempt(what string) { world.temptations[what]++ }
+
+// Temptations tells how often each really occurred.
+//
+// Example:
+//
+//	world.Temptations()["a claim in flight at a kill"]
+func (world *World) Temptations() map[string]int { return world.temptations }
+
+func (world *World) nameAt(address string) string { return world.byAddress[address] }
+
+// powered tells whether a machine answers that nobody listens, or not at all.
+func (world *World) powered(name string) bool {
+	for _, machine := range world.machines {
+		if machine.name == name {
+			return !machine.off && !machine.gone
+		}
+	}
+	return true
+}
+
+func (world *World) nonce() string {
+	world.nonces++
+	return "n" + strconv.FormatUint(world.nonces, 36)
+}
+
+// inquiryID is a UUID of version 7, made at the moment that a caller's clock
+// shows.
+func (world *World) inquiryID() string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(epoch.Add(world.now).UnixMilli())<<16|uint64(world.random.IntN(1<<12)))
+	binary.BigEndian.PutUint64(id[8:], world.random.Uint64())
+	id[6], id[8] = id[6]&0x0f|0x70, id[8]&0x3f|0x80
+	return id.String()
+}
+
+func (world *World) newLife(name, address string, drift float64) *life {
+	begun := &life{world: world, name: name, address: address, bornAt: world.now, wall: epoch.Add(world.now), drift: drift,
+		threads: map[*thread]bool{}, endings: map[uint64]func(){}}
+	world.lives[name] = begun
+	return begun
+}
+
+func (world *World) startServer(plan rehearsal.ServerPlan) {
+	world.nonces++
+	address := "10.1." + strconv.FormatUint(world.nonces>>8, 10) + "." + strconv.FormatUint(world.nonces&0xff, 10) + ":1"
+	begun := world.newLife(plan.Name, address, 0)
+	world.byAddress[address] = plan.Name
+	world.servers[plan.Name] = &server{plan: plan, life: begun, top: rehearsal.NewStovetop(plan, world.Book, begun, world.nonce, world.fetchFrom(begun))}
+	world.platform.servers[plan.Name] = roster.Server{Name: plan.Name, Address: address, District: plan.District}
+}
+
+func (world *World) crashServer(name string) {
+	if server := world.servers[name]; !server.life.ended {
+		server.top.Die()
+		server.life.end()
+	}
+}
+
+// start begins a machine's process, if none runs there.
+func (world *World) start(machine *machine) {
+	if machine.gone || (machine.life != nil && !machine.life.ended) {
+		return
+	}
+	machine.off = false
+	begun := world.newLife(machine.name, machine.address, machine.drift)
+	machine.life, machine.courier, machine.control = begun, nil, nil
+	supported := recipe.Supported(machine.withheld)
+	world.say("%s starts, %d flags", machine.name, len(supported))
+	if len(machine.withheld) == 0 {
+		// From here on it reads the new formats.
+		world.noteMember(machine)
+	}
+	observe := func(event string, detail ...any) { world.say("%s %s %v", machine.name, event, detail) }
+	if machine.kind == roster.Expediter {
+		begun.Go(func() { world.runExpediter(machine, begun, supported, observe) })
+		return
+	}
+	stoves := &stoves{life: begun, running: map[string]*exchange{}}
+	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported}, Address: machine.address,
+		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere}
+	courier := hatch.NewCourier(begun, wire{begun}, stoves, &passing{life: begun}, options, observe)
+	machine.courier = courier
+	begun.answer = courier.Answers().Answer
+	for _, round := range courier.Rounds() {
+		begun.Go(round)
+	}
+	begun.Go(func() { world.watchPlatform(begun, courier) })
+	if len(machine.withheld) > 0 {
+		world.noteOldMember(machine, begun, courier.Heard)
+	}
+}
+
+func (world *World) runExpediter(machine *machine, begun *life, supported recipe.List, observe func(string, ...any)) {
+	machine.disk.owner = begun
+	keeping, _ := pantry.OpenFolder(machine.disk, "keeper")
+	copies, _ := pantry.OpenFolder(machine.disk, "larder")
+	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
+		FlagSettle: 2 * time.Second, Fresh: newIdentity(world, machine)}
+	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
+	if failure != nil {
+		world.say("%s can't open its disk: %v", machine.name, failure)
+		begun.end()
+		return
+	}
+	world.say("%s opened its disk, blank %v", machine.name, blank)
+	machine.control = control
+	begun.answer = control.Answers().Answer
+	for _, round := range control.Rounds() {
+		begun.Go(round)
+	}
+	begun.Go(func() {
+		for begun.Alive() {
+			if !world.platform.down && !world.link("platform", machine.name).cut {
+				control.SetServers(world.platform.listServers())
+				control.SetNodes(world.listNodes())
+			}
+			begun.NewBell().Wait(500*time.Millisecond, never)
+		}
+	})
+	if len(machine.withheld) > 0 {
+		world.noteOldMember(machine, begun, control.Heard)
+	}
+}
+
+// kill ends a machine's process.
+func (world *World) kill(machine *machine) {
+	if machine.life == nil || machine.life.ended {
+		return
+	}
+	if machine.courier != nil && world.claiming[machine.name] > 0 {
+		world.tempt("a claim in flight at a kill")
+	}
+	if machine.courier != nil && machine.courier.Core().InFlight() > 0 {
+		world.tempt("inquiries under way at a kill")
+	}
+	if machine.control != nil && machine.control.Steward().Holds() {
+		world.tempt("a primary killed under its hold")
+	}
+	world.say("%s is killed", machine.name)
+	machine.life.end()
+	if machine.disk != nil {
+		machine.disk.owner = nil
+	}
+}
+
+// powerOff takes a machine away: what was not synced is gone, and nothing
+// answers there, not even that nobody listens.
+func (world *World) powerOff(name string) {
+	for _, machine := range world.machines {
+		if machine.name == name {
+			machine.off = true
+			world.kill(machine)
+			if machine.disk != nil {
+				machine.disk.lose()
+				machine.disk.powerFailsIn = 0
+			}
+		}
+	}
+}
+
+func (world *World) listNodes() []roster.Node {
+	var nodes []roster.Node
+	for _, machine := range world.machines {
+		if !machine.gone {
+			nodes = append(nodes, roster.Node{Name: machine.name, Kind: machine.kind, Address: machine.address, District: machine.district})
+		}
+	}
+	return nodes
+}
+
+func never() bool { return false }
--- a/internal/trouble/trouble.go
+++ b/internal/trouble/trouble.go
@@ -75,3 +75,16 @@
 	}
 	return Unsorted
 }
+
+// DetailOf finds the detail of a failure, or nothing when it has none.
+//
+// Example:
+//
+//	if trouble.DetailOf(failure) == "status 404" { ... }
+func DetailOf(failure error) string {
+	var typed *Trouble
+	if stderrors.As(failure, &typed) {
+		return typed.Detail
+	}
+	return ""
+}
