An expediter that lacks a flag backs the primary up before nobody does

Cause: two of three expediters rolled back after flags were enabled, then the third restarted: no candidate was left for the pair, so that no change and no claim was taken for good. Ruled out: holds, epochs (one primary held throughout). It keeps drawers byte for byte and is exchanged as soon as a capable one is there. TestRestrictedExpediterIsABackupBeforeNone failed before and passes.

--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -650,3 +650,55 @@
 		test.Fatalf("the replaced copy reads %v, %q, %v", again.Drawers(), again.Damage(), failure)
 	}
 }
+
+// TestRestrictedExpediterIsABackupBeforeNone restricts all but the primary,
+// ends the backup, and wants the pair whole with the restricted one that is
+// left, and with the capable one as soon as it is back.
+func TestRestrictedExpediterIsABackupBeforeNone(test *testing.T) {
+	world := newWorld(test, 3)
+	if !world.heal(10 * time.Second) {
+		world.fail("no core was formed")
+	}
+	world.calm = true
+	leader := world.whole()
+	var backup, third *machine
+	for _, machine := range world.machines {
+		switch {
+		case machine == leader:
+		case machine.keeper.Seat().Identity == leader.steward.Charter().Backup.Identity:
+			backup = machine
+		default:
+			third = machine
+		}
+	}
+	third.steward.SetRestricted(true)
+	world.crash(backup)
+	paired := func(with *machine) bool {
+		for range 60 {
+			world.advance(100 * time.Millisecond)
+			for _, machine := range world.machines {
+				if machine.up {
+					machine.steward.Tick()
+				}
+			}
+			world.write(leader)
+			world.check()
+			if leader.steward.Holds() && leader.steward.Charter().Backup.Identity == with.keeper.Seat().Identity {
+				return true
+			}
+		}
+		return false
+	}
+	if !paired(third) {
+		world.fail("no backup is better than a restricted one: %+v", leader.steward.Charter())
+	}
+	before := world.answered
+	world.write(leader)
+	if world.answered == before {
+		world.fail("the pair with a restricted backup takes no writes")
+	}
+	world.start(backup)
+	if !paired(backup) {
+		world.fail("the restricted backup was not exchanged for a capable one: %+v", leader.steward.Charter())
+	}
+}
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -748,8 +748,13 @@
 
 func (steward *Steward) backupCandidates(charter Charter, failing bool) []Seat {
 	var candidates []Seat
+	restricted := map[Identity]bool{}
 	rank := func(seat Seat) int {
 		switch {
+		case restricted[seat.Identity]:
+			// It lacks an enabled flag. It keeps drawers that it does not read,
+			// byte for byte, which is better than no second disk at all.
+			return 4
 		case seat.Identity == charter.Backup.Identity && failing:
 			return 3
 		case seat.Identity == charter.Backup.Identity:
@@ -762,7 +767,12 @@
 	steward.mutex.Lock()
 	for _, known := range steward.known {
 		hello := known.hello
-		if hello.Kind == roster.Expediter && !hello.Restricted && steward.turns.Now().Sub(known.answered) < backupPatience+steward.beat() {
+		if hello.Kind == roster.Expediter && steward.turns.Now().Sub(known.answered) < backupPatience+steward.beat() {
+			if hello.Restricted && !charter.Backup.Empty() && !failing && !steward.unsettled {
+				// A backup that is there is not exchanged for a restricted one.
+				continue
+			}
+			restricted[hello.Seat.Identity] = hello.Restricted
 			candidates = append(candidates, hello.Seat)
 		}
 	}
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -334,7 +334,9 @@
 	left, right := found[first].name, found[(first+1)%len(found)].name
 	oneWay := world.random.IntN(3) == 0
 	world.say("%s and %s are cut from each other, one way %v", left, right, oneWay)
-	world.cutFor(func(from, to string) bool { return (from == left && to == right) || (!oneWay && from == right && to == left) })
+	world.cutFor(func(from, to string) bool {
+		return (from == left && to == right) || (!oneWay && from == right && to == left)
+	})
 }
 
 func (world *World) spoil(links []*link, length time.Duration, act func(link *link)) {
