A restricted backup leads when the primary's own copy is damaged

Cause: a restricted expediter stood only when the other copy in sync was away, and a damaged copy answers but never stands, so that nobody led for good. Ruled out: promises and holds (all keepers were free). TestRestrictedTakesOverFromADamagedCopy failed before and passes.

--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -702,3 +702,42 @@
 		world.fail("the restricted backup was not exchanged for a capable one: %+v", leader.steward.Charter())
 	}
 }
+
+// TestRestrictedTakesOverFromADamagedCopy restarts the primary on a copy that
+// has become damaged while its backup is restricted: the backup must lead, since
+// it has everything and the other can't.
+func TestRestrictedTakesOverFromADamagedCopy(test *testing.T) {
+	world := newWorld(test, 4)
+	if !world.heal(10 * time.Second) {
+		world.fail("no core was formed")
+	}
+	world.calm = true
+	leader := world.whole()
+	world.write(leader)
+	backup := leader.steward.Charter().Backup.Identity
+	for _, machine := range world.machines {
+		if machine.keeper.Seat().Identity == backup {
+			machine.steward.SetRestricted(true)
+		}
+	}
+	world.crash(leader)
+	leader.copies.mutex.Lock()
+	for name := range leader.copies.files {
+		leader.copies.files[name] = []byte("damage")
+	}
+	leader.copies.mutex.Unlock()
+	world.start(leader)
+	for range 100 {
+		world.advance(100 * time.Millisecond)
+		for _, machine := range world.machines {
+			machine.steward.Tick()
+		}
+		world.check()
+		for _, machine := range world.machines {
+			if machine.steward.Holds() {
+				return
+			}
+		}
+	}
+	world.fail("nobody leads, though the backup has everything")
+}
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -364,11 +364,13 @@
 	steward.ensureBackup()
 }
 
+// otherInSyncAlive tells whether the other copy in sync can take over: its node is
+// there, lacks no flag, and its copy is whole.
 func (steward *Steward) otherInSyncAlive(charter Charter) bool {
 	own := steward.keeper.Seat().Identity
 	for _, seat := range []Seat{charter.Primary, charter.Backup} {
 		if !seat.Empty() && seat.Identity != own {
-			if hello, alive := steward.alive(seat.Identity, applicantFresh); alive && !hello.Restricted {
+			if hello, alive := steward.alive(seat.Identity, applicantFresh); alive && !hello.Restricted && hello.Damage == "" {
 				return true
 			}
 		}
