--- /dev/null
+++ b/cmd/rehearsal/removals.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/rehearsal/removals"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// removalPatience bounds one removal's test.
+const removalPatience = 8 * time.Minute
+
+// removalsCommand takes each protection away in a copy of the source and wants
+// its test to fail there.
+func removalsCommand() *cobra.Command {
+	command := &cobra.Command{Use: "removals", Short: "take each protection away in a copy of the source and run the test that must then fail", Args: cobra.NoArgs,
+		Long: "removals copies the source to a scratch folder, takes one protection away, and runs the test that guards it,\n" +
+			"for each protection. It must be run in the source's folder. A test that passes without its protection, and a\n" +
+			"removal that does not apply any more, are failures.",
+		Example: "  rehearsal removals\n  rehearsal removals --match 'claim'"}
+	match := command.Flags().String("match", "", "only removals whose name matches this expression")
+	source := command.Flags().String("source", ".", "the folder of the source")
+	command.RunE = func(*cobra.Command, []string) error {
+		chosen, failure := regexp.Compile(*match)
+		if failure != nil {
+			return trouble.Wrap(trouble.Malformed, failure)
+		}
+		scratch, failure := os.MkdirTemp("", "removals-")
+		if failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+		defer func() { _ = os.RemoveAll(scratch) }()
+		failed := 0
+		for number, removal := range removals.All {
+			if !chosen.MatchString(removal.Name) {
+				continue
+			}
+			said, failure := tryRemoval(removal, *source, filepath.Join(scratch, fmt.Sprint(number)))
+			if failure != nil {
+				failed++
+				said = "NOT SEEN: " + failure.Error()
+			}
+			fmt.Printf("%-66s | %-44s | %s\n", removal.Name, removal.Never, said)
+		}
+		if failed > 0 {
+			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d protections can go without a test seeing it", failed))
+		}
+		return nil
+	}
+	return command
+}
+
+// tryRemoval tells how the test saw the removal.
+func tryRemoval(removal removals.Removal, source, folder string) (string, error) {
+	if failure := os.CopyFS(folder, os.DirFS(source)); failure != nil {
+		return "", trouble.Wrap(trouble.Disk, failure)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if failure := removal.Apply(folder); failure != nil {
+		return "", failure
+	}
+	if output, failure := runIn(folder, "go", "vet", "./internal/hatch", "./internal/larder", "./internal/pass", "./internal/rota", "./internal/adapters/..."); failure != nil {
+		return "", trouble.New(trouble.Malformed, "without it the source does not build: "+output)
+	}
+	if !removal.Worlds {
+		output, failure := runIn(folder, "go", "test", "-count=1", "-run", "^("+removal.Test+")", removal.Package)
+		if failure == nil {
+			return "", trouble.New(trouble.Missing, removal.Test+" passes without it")
+		}
+		if !strings.Contains(output, "--- FAIL: "+removal.Test) {
+			return "", trouble.New(trouble.Malformed, removal.Test+" did not run: "+output)
+		}
+		return removal.Test + " fails", nil
+	}
+	arguments := append([]string{"run", "./cmd/rehearsal", "worlds", "--from", "1", "--count", "600", "--until-failed"}, removal.Flags...)
+	output, failure := runIn(folder, "go", arguments...)
+	found := regexp.MustCompile(`after (\d+) days seed (\d+) FAILED`).FindStringSubmatch(output)
+	if failure == nil || found == nil {
+		return "", trouble.New(trouble.Missing, "no simulated day fails without it")
+	}
+	if !strings.Contains(output, "BROKEN  "+removal.Finds) && !regexp.MustCompile("BROKEN +.*"+regexp.QuoteMeta(removal.Finds)).MatchString(output) && removal.Finds != "" {
+		return "", trouble.New(trouble.Contradictory, "another rule saw it: "+output)
+	}
+	return fmt.Sprintf("worlds: seed %s fails, after %s days", found[2], found[1]), nil
+}
+
+func runIn(folder, program string, arguments ...string) (string, error) {
+	lifetime, end := context.WithTimeout(context.Background(), removalPatience)
+	defer end()
+	command := exec.CommandContext(lifetime, program, arguments...)
+	command.Dir = folder
+	var output bytes.Buffer
+	command.Stdout, command.Stderr = &output, &output
+	failure := command.Run()
+	text := output.String()
+	if len(text) > 4000 {
+		text = text[len(text)-4000:]
+	}
+	return text, failure
+}
--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -16,7 +16,7 @@
 
 // worldsCommand runs many days in virtual time, or replays one.
 func worldsCommand() *cobra.Command {
-	campaign := world.Campaign{Day: world.DefaultDay()}
+	campaign := &world.Campaign{Day: world.DefaultDay()}
 	command := &cobra.Command{Use: "worlds", Short: "many seeded days of whole fleets in virtual time, or the replay of one", Args: cobra.NoArgs,
 		Example: "  rehearsal worlds --from 1 --count 5000\n  rehearsal worlds --from 17 --count 1 --trace\n  rehearsal worlds --only 'a disk is lost' --count 200"}
 	set := command.Flags()
@@ -29,6 +29,7 @@
 	set.Float64Var(&campaign.Day.Short, "short", campaign.Day.Short, "short chats a second")
 	trace := set.Bool("trace", false, "print every step of the first seed's day and its verdict")
 	book := set.String("book", "", "with --trace: save the book here, as JSON lines")
+	untilFailed := set.Bool("until-failed", false, "stop at the first day that fails")
 	each := set.Bool("each", false, "run the count for every fault alone, a line each")
 	command.RunE = func(*cobra.Command, []string) error {
 		debug.SetGCPercent(400)
@@ -62,10 +63,12 @@
 			}
 			return broken(failed)
 		}
-		began := time.Now()
+		began, days := time.Now(), 0
 		tally := campaign.Run(func(seed uint64, result world.Result) {
-			if result.Failed() {
-				fmt.Printf("seed %d FAILED, whole at the end: %v\n%sreplay: rehearsal worlds --from %d --count 1 --trace%s\n", seed, result.Whole, result.Verdict, seed, flags(campaign))
+			days++
+			if result.Failed() && (!*untilFailed || !campaign.Stop.Load()) {
+				campaign.Stop.Store(*untilFailed)
+				fmt.Printf("after %d days seed %d FAILED, whole at the end: %v\n%sreplay: rehearsal worlds --from %d --count 1 --trace%s\n", days, seed, result.Whole, result.Verdict, seed, flags(campaign))
 			}
 		})
 		report(tally, time.Since(began))
@@ -75,7 +78,7 @@
 }
 
 // flags are those by which a day of the campaign is replayed.
-func flags(campaign world.Campaign) string {
+func flags(campaign *world.Campaign) string {
 	text := fmt.Sprintf(" --faulty %s --long %g --short %g", campaign.Day.Faulty, campaign.Day.Long, campaign.Day.Short)
 	if campaign.Deployment != "" {
 		text += " --deployment " + campaign.Deployment
--- /dev/null
+++ b/internal/adapters/stove/stove_test.go
@@ -0,0 +1,58 @@
+package stove
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/pass"
+)
+
+// TestOrderThatWaitedTooLongDoesNotLeave has the circuit come about only after
+// the order may not go any more: nothing may reach the server, and the outcome
+// is certain.
+func TestOrderThatWaitedTooLongDoesNotLeave(test *testing.T) {
+	var orders atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
+		buffer := make([]byte, 1)
+		if count, _ := inbound.Body.Read(buffer); count > 0 {
+			orders.Add(1)
+		}
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	may := atomic.Bool{}
+	may.Store(true)
+	waits := true
+	transport := &http.Transport{DialContext: func(lifetime context.Context, network, address string) (net.Conn, error) {
+		circuit, failure := (&net.Dialer{}).DialContext(lifetime, network, address)
+		if waits {
+			may.Store(false)
+		}
+		return circuit, failure
+	}}
+	stove := New(context.Background(), threads.New(context.Background(), wallclock.New()), transport)
+	decision := pass.Decision{ID: "one", Run: 1, Address: server.Listener.Addr().String(), Inquiry: &pass.Inquiry{ID: "one"}}
+	for _, order := range []func() pass.Outcome{
+		func() pass.Outcome { outcome, _, _ := stove.Prefill(decision, may.Load); return outcome },
+		func() pass.Outcome {
+			outcome, _, _ := stove.Decode(decision, may.Load, func(int, string) {})
+			return outcome
+		},
+	} {
+		may.Store(true)
+		if outcome := order(); outcome != pass.NotStarted || orders.Load() != 0 {
+			test.Errorf("the outcome is %s, and %d orders came", outcome, orders.Load())
+		}
+	}
+	waits = false
+	may.Store(true)
+	if outcome, _, _ := stove.Prefill(decision, may.Load); outcome == pass.NotStarted || orders.Load() != 1 {
+		test.Errorf("an order in time: %s, and %d orders came", outcome, orders.Load())
+	}
+}
--- /dev/null
+++ b/internal/hatch/expediter_test.go
@@ -0,0 +1,108 @@
+package hatch
+
+import (
+	"runtime/debug"
+	"strings"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+func plain(turns rota.Turns) rota.Turns { return turns }
+
+func edition(name string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) { return []byte(`{"routes":{"` + name + `":{"to":{"refuse":true}}}}`), nil }
+}
+
+// TestAnswerWaitsForBothDisks lets the primary's own disk fail, and wants no
+// change accepted that is only on the backup's.
+func TestAnswerWaitsForBothDisks(test *testing.T) {
+	formed, primary := newCore(test, plain)
+	if _, failure := primary.Edit(Edit{Change: "one", Apply: edition("one")}); failure != nil {
+		test.Fatal(failure)
+	}
+	formed.shelfs[primary.options.Address].failing.Store(true)
+	if version, failure := primary.Edit(Edit{Change: "two", Apply: edition("two")}); failure == nil {
+		test.Fatalf("version %s was accepted, though the own disk takes nothing", version)
+	}
+}
+
+// TestGrantSeesAConfigurationThatComesMeanwhile commits a configuration between
+// the look at the newest one and the noting of the grant: the answer must
+// confirm the newer one, or the change would not wait for this courier.
+func TestGrantSeesAConfigurationThatComesMeanwhile(test *testing.T) {
+	hooks := map[rota.Turns]*hookedTurns{}
+	_, primary := newCore(test, func(turns rota.Turns) rota.Turns {
+		hooked := &hookedTurns{Turns: turns}
+		hooks[hooked] = hooked
+		return hooked
+	})
+	question := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier, Address: "c1"}, Have: map[string]larder.Version{}}
+	if _, failure := primary.answerNews(question); failure != nil {
+		test.Fatal(failure)
+	}
+	asked, committed := 0, false
+	hook := func() {
+		// Of the times that answering itself asks for, the second is the grant's.
+		stack := string(debug.Stack())
+		if !strings.Contains(stack, ").answerNews(") || strings.Contains(stack, ").Holds(") {
+			return
+		}
+		if asked++; asked != 2 {
+			return
+		}
+		_, failure := primary.submit(larder.ChangeMenu("meanwhile", "", nil, larder.PreparedMenu{}, edition("meanwhile")), changePatience)
+		committed = failure == nil
+	}
+	question.Patience = 0
+	hooks[primary.turns].hook.Store(&hook)
+	answer, failure := primary.answerNews(question)
+	if failure != nil || !committed {
+		test.Fatalf("committed meanwhile: %v, %v", committed, failure)
+	}
+	if latest := primary.store.View().VersionOf(larder.MenuDrawer); answer.Menu != latest && answer.Leads {
+		test.Fatalf("the hold confirms version %s, and %s was committed before it was granted", answer.Menu, latest)
+	}
+}
+
+// TestFollowerPassesOlderNewsOver brings a node an older primary's word after a
+// newer one's.
+func TestFollowerPassesOlderNewsOver(test *testing.T) {
+	taken := 0
+	follower := NewFollower(hookless{}, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(News) { taken++ })
+	newer, older := larder.Version{Epoch: 3, Number: 9}, larder.Version{Epoch: 2, Number: 8}
+	news := func(version larder.Version) NewsAnswer {
+		return NewsAnswer{Leads: true, Menu: version, Drawers: map[string]larder.Drawer{larder.MenuDrawer: {Version: version}}}
+	}
+	follower.takeAnswer(hookless{}.Now(), news(newer))
+	follower.takeAnswer(hookless{}.Now(), news(older))
+	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: older})
+	if got := follower.Drawer(larder.MenuDrawer).Version; taken != 1 || got != newer {
+		test.Fatalf("%d answers were taken, the node has %s", taken, got)
+	}
+}
+
+// TestMessagesThatAreNoneHaveATypedAnswer gives every path what it does not
+// understand.
+func TestMessagesThatAreNoneHaveATypedAnswer(test *testing.T) {
+	_, primary := newCore(test, plain)
+	strange, failure := msgpack.Marshal([]string{"no question"})
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	for path, answer := range primary.Answers() {
+		for _, body := range [][]byte{nil, []byte("garbage"), strange} {
+			if _, failure := answer(body); trouble.KindOf(failure) == trouble.Unsorted {
+				test.Errorf("%s: %v", path, failure)
+			}
+		}
+	}
+	if _, failure := primary.Answers().Answer("/nowhere", nil); trouble.KindOf(failure) != trouble.NoSuch {
+		test.Errorf("an unknown path: %v", failure)
+	}
+}
--- /dev/null
+++ b/internal/hatch/fleet_test.go
@@ -0,0 +1,128 @@
+package hatch
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// memoryShelf is a folder in memory that can be told to fail.
+type memoryShelf struct {
+	mutex   sync.Mutex
+	files   map[string][]byte
+	failing atomic.Bool
+}
+
+func (shelf *memoryShelf) Save(name string, content []byte) error {
+	if shelf.failing.Load() {
+		return trouble.New(trouble.Disk, "the disk fails")
+	}
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	shelf.files[name] = content
+	return nil
+}
+
+func (shelf *memoryShelf) Load() (map[string][]byte, []string, error) {
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	files := map[string][]byte{}
+	for name, content := range shelf.files {
+		files[name] = content
+	}
+	return files, nil, nil
+}
+
+func (shelf *memoryShelf) Remove(names []string) error {
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	for _, name := range names {
+		delete(shelf.files, name)
+	}
+	return nil
+}
+
+// core is three expediters in one process, joined by direct calls.
+type core struct {
+	mutex  sync.Mutex
+	nodes  map[string]*Expediter
+	shelfs map[string]*memoryShelf
+}
+
+// CallRaw answers at once.
+func (core *core) CallRaw(address, path string, body []byte, _ time.Duration) ([]byte, error) {
+	core.mutex.Lock()
+	node := core.nodes[address]
+	core.mutex.Unlock()
+	if node == nil {
+		return nil, trouble.New(trouble.Unreachable, address)
+	}
+	return node.Answers().Answer(path, body)
+}
+
+// hookedTurns has something done whenever the time is asked for.
+type hookedTurns struct {
+	rota.Turns
+	hook atomic.Pointer[func()]
+}
+
+func (turns *hookedTurns) Now() time.Time {
+	if act := turns.hook.Load(); act != nil {
+		(*act)()
+	}
+	return turns.Turns.Now()
+}
+
+// newCore forms a core and returns its primary.
+func newCore(test *testing.T, wrap func(rota.Turns) rota.Turns) (*core, *Expediter) {
+	test.Helper()
+	lifetime, end := context.WithCancel(context.Background())
+	test.Cleanup(end)
+	formed := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}}
+	turns := threads.New(lifetime, wallclock.New())
+	changed := turns.NewBell()
+	for number := range 3 {
+		address := "m" + strconv.Itoa(number)
+		copies := &memoryShelf{files: map[string][]byte{}}
+		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil), Fresh: larder.Identity("disk-" + address)}
+		node, _, failure := OpenExpediter(wrap(turns), formed, &memoryShelf{files: map[string][]byte{}}, copies, options, func(string, ...any) { changed.Ring() })
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		formed.mutex.Lock()
+		formed.nodes[address], formed.shelfs[address] = node, copies
+		formed.mutex.Unlock()
+	}
+	for _, node := range formed.nodes {
+		for _, round := range node.Rounds() {
+			turns.Go(round)
+		}
+	}
+	var primary *Expediter
+	for range 200 {
+		// The bell rings with each step of the core; a pair makes it writable.
+		changed.Wait(100*time.Millisecond, func() bool {
+			for _, node := range formed.nodes {
+				if _, _, failure := node.Ruling(); failure == nil && !node.Steward().Charter().Backup.Empty() {
+					primary = node
+				}
+			}
+			return primary != nil
+		})
+		if primary != nil {
+			return formed, primary
+		}
+	}
+	test.Fatal("no core was formed")
+	return nil, nil
+}
--- a/internal/larder/store_test.go
+++ b/internal/larder/store_test.go
@@ -192,3 +192,34 @@
 		test.Errorf("orders under a fence that is not in force: %v", failure)
 	}
 }
+
+// TestConfigurationIsCheckedBeforeItIsTaken wants one that does not check to
+// leave nothing behind.
+func TestConfigurationIsCheckedBeforeItIsTaken(test *testing.T) {
+	state := NewState()
+	before := string(state.Menu)
+	change := ChangeMenu("one", "", nil, PreparedMenu{}, func([]byte) ([]byte, error) { return []byte(`{"services":{"a":{"tries":0}}}`), nil })
+	if failure := change(state, Version{1, 2}, Version{}); failure == nil || string(state.Menu) != before || len(state.Changes) != 0 {
+		test.Errorf("it was taken: %v, %s", failure, state.Menu)
+	}
+}
+
+// TestBackupRefusesAnOlderEpoch brings a backup a write of a primary whose epoch
+// is over.
+func TestBackupRefusesAnOlderEpoch(test *testing.T) {
+	keeper, _, failure := OpenKeeper(time.Unix(0, 0), newMemoryShelf(), Seat{Address: "a"}, "a/1")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	copied, failure := OpenCopy(newMemoryShelf())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	store := NewStore(copied, keeper)
+	if failure := store.Replicate(4, Batch{Version: Version{4, 1}}); failure != nil {
+		test.Fatal(failure)
+	}
+	if failure := store.Replicate(3, Batch{Version: Version{4, 2}, Base: Version{4, 1}}); trouble.KindOf(failure) != trouble.OldEpoch {
+		test.Errorf("a deposed primary's write: %v", failure)
+	}
+}
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -278,3 +278,56 @@
 		test.Errorf("a server that has just started was given %d prompts at once", dispatched)
 	}
 }
+
+// TestLateNewsOfAnOlderRun lets the answer to a given-up run come after the next
+// one has begun.
+func TestLateNewsOfAnOlderRun(test *testing.T) {
+	desk := newTestDesk(test)
+	earn(desk)
+	arrive(desk, noon, "one", true)
+	if find(desk.Prefilled(noon, "one", 1, Broken, ""), DispatchPrefill) == nil {
+		test.Fatal("no second run")
+	}
+	if late := desk.Prefilled(noon, "one", 1, Done, "old memory"); len(late) != 0 {
+		test.Errorf("late news of the first run led to %+v", late)
+	}
+}
+
+// TestHandleIsUsedByItsOwnRun wants the second run's decode to take the second
+// run's memory.
+func TestHandleIsUsedByItsOwnRun(test *testing.T) {
+	desk := newTestDesk(test)
+	earn(desk)
+	arrive(desk, noon, "one", true)
+	if decode := find(desk.Prefilled(noon, "one", 1, Done, "first"), DispatchDecode); decode == nil || decode.Handle != "first" {
+		test.Fatalf("the first decode: %+v", decode)
+	}
+	if find(desk.Decoded(noon, "one", 1, Lapsed, 0), DispatchPrefill) == nil {
+		test.Fatal("no second run after the handle lapsed")
+	}
+	if decode := find(desk.Prefilled(noon, "one", 2, Done, "second"), DispatchDecode); decode == nil || decode.Handle != "second" {
+		test.Errorf("the second decode: %+v", decode)
+	}
+}
+
+// TestServerWithoutAFreshReportIsOfferedNothing lets all reports grow old.
+func TestServerWithoutAFreshReportIsOfferedNothing(test *testing.T) {
+	desk := newTestDesk(test)
+	late := noon.Add(reportFresh + time.Millisecond)
+	if decisions := arrive(desk, late, "one", true); find(decisions, DispatchPrefill) != nil {
+		test.Errorf("work went to a server that does not report: %+v", decisions)
+	}
+}
+
+// TestHoldOfAnotherVersionLetsNothingIn renews a hold for a configuration that
+// is not the one in force.
+func TestHoldOfAnotherVersionLetsNothingIn(test *testing.T) {
+	desk := newTestDesk(test)
+	configure(test, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
+	later := noon.Add(5 * time.Second)
+	reportLoads(desk, later)
+	desk.Renew(later.Add(4*time.Second), 1, 1)
+	if decisions := arrive(desk, later, "one", true); find(decisions, DispatchPrefill) != nil {
+		test.Errorf("let in under a hold for an older configuration: %+v", decisions)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/removals/removal.go
@@ -0,0 +1,58 @@
+// Package removals takes the product's protections away, one at a time, in a
+// copy of the source, and runs the test that must then fail. A test that passes
+// without the protection proves nothing of it.
+package removals
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Edit replaces a text that stands once in a file.
+type Edit struct {
+	File string
+	Old  string
+	New  string
+}
+
+// Removal takes one protection away.
+type Removal struct {
+	// Name says which protection.
+	Name string
+	// Never is the line of the brief that it serves.
+	Never string
+	Edits []Edit
+	// Worlds tells that simulated days must find it, in a rule of which Finds is
+	// a part, or that the core is not whole; else Package and Test name the test.
+	Worlds  bool
+	Finds   string
+	Flags   []string
+	Package string
+	Test    string
+}
+
+// Apply makes the edits in a copy of the source. One that does not fit any more
+// is a failure.
+//
+// Example:
+//
+//	failure := removal.Apply(folder)
+func (removal Removal) Apply(folder string) error {
+	for _, edit := range removal.Edits {
+		path := filepath.Join(folder, edit.File)
+		content, failure := os.ReadFile(path)
+		if failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+		if count := strings.Count(string(content), edit.Old); count != 1 {
+			return trouble.At(trouble.NoSuch, edit.File, "the protection stands there other than once: "+edit.Old)
+		}
+		if failure := os.WriteFile(path, []byte(strings.Replace(string(content), edit.Old, edit.New, 1)), 0o644); failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+	}
+	return nil
+}
--- a/internal/rehearsal/world/campaign.go
+++ b/internal/rehearsal/world/campaign.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"sync"
+	"sync/atomic"
 
 	"seamloom.example/seamloom/internal/rehearsal"
 )
@@ -13,6 +14,8 @@
 	First      uint64
 	Count      uint64
 	Day        Day
+	// Stop ends the campaign before its last day.
+	Stop atomic.Bool
 }
 
 const commandsChecker = "one node at a time commands a server"
@@ -39,7 +42,7 @@
 // Example:
 //
 //	deployment, found := campaign.DeploymentOf(7)
-func (campaign Campaign) DeploymentOf(seed uint64) (rehearsal.Deployment, bool) {
+func (campaign *Campaign) DeploymentOf(seed uint64) (rehearsal.Deployment, bool) {
 	name := campaign.Deployment
 	if name == "" {
 		name = []string{"sahil", "kochloeffel"}[seed%2]
@@ -51,8 +54,8 @@
 //
 // Example:
 //
-//	tally := world.Campaign{First: 1, Count: 1000, Day: world.DefaultDay()}.Run(func(uint64, world.Result) {})
-func (campaign Campaign) Run(told func(seed uint64, result Result)) Tally {
+//	tally := (&world.Campaign{First: 1, Count: 1000, Day: world.DefaultDay()}).Run(func(uint64, world.Result) {})
+func (campaign *Campaign) Run(told func(seed uint64, result Result)) Tally {
 	tally := Tally{Violations: map[string]int{}, Temptations: map[string]int{}, Tempted: map[string]int{}, Lowest: 1, Longest: map[string]float64{}}
 	var mutex sync.Mutex
 	var working sync.WaitGroup
@@ -64,7 +67,7 @@
 				seed := next
 				next++
 				mutex.Unlock()
-				if seed >= campaign.First+campaign.Count {
+				if seed >= campaign.First+campaign.Count || campaign.Stop.Load() {
 					return
 				}
 				deployment, _ := campaign.DeploymentOf(seed)
--- a/internal/rehearsal/world/world_test.go
+++ b/internal/rehearsal/world/world_test.go
@@ -30,7 +30,7 @@
 // wants each temptation that the brief's rules are about to have occurred.
 func TestDaysInVirtualTime(test *testing.T) {
 	first, count := seeds(test, usualSeeds)
-	tally := Campaign{First: first, Count: count, Day: DefaultDay()}.Run(func(seed uint64, result Result) {
+	tally := (&Campaign{First: first, Count: count, Day: DefaultDay()}).Run(func(seed uint64, result Result) {
 		if result.Failed() {
 			test.Errorf("seed %d, whole %v\n%s", seed, result.Whole, result.Verdict)
 		}
