--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -37,6 +37,7 @@
 	closing    string
 	linked     bool
 	staged     bool
+	older      string
 	couriers   int
 	servers    int
 }
@@ -57,6 +58,7 @@
 	set.StringVar(&chosen.folder, "folder", "", "folder for settings, logs, disks and the book (default: a new one)")
 	set.StringVar(&chosen.binaries, "binaries", filepath.Dir(own), "where courier and expediter are")
 	set.StringVar(&chosen.market, "market", "pair", "the couriers' market: pair or least_loaded")
+	set.StringVar(&chosen.older, "older-binaries", "", "a folder with an older build's programs, which every other node runs")
 	set.Uint64Var(&chosen.seed, "seed", 1, "the same seed gives the same inquiries and the same faults")
 	set.IntVar(&chosen.couriers, "couriers", 0, "another number of couriers than the deployment's")
 	set.IntVar(&chosen.servers, "servers", 0, "another number of model servers than the deployment's")
@@ -96,6 +98,9 @@
 	if chosen.staged {
 		fleet.Stage()
 	}
+	if chosen.older != "" {
+		fleet.Mix(chosen.older)
+	}
 	began := time.Now()
 	if failure := fleet.Begin(30 * time.Second); failure != nil {
 		fleet.Close()
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -141,6 +141,7 @@
 	day.Callers.SetRates(day.Long, day.Short)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { day.Callers.Run(lifetime) })
+	tasks.Go(func() { day.operate(lifetime) })
 	day.Fleet.Book.Note(Entry{Kind: ClosingFault, Cause: fault.Name})
 	fault.Run(lifetime, day)
 	<-lifetime.Done()
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"path/filepath"
 	"sort"
 	"strings"
 	"sync"
@@ -57,6 +58,7 @@
 	"one-way":              {Links: true, Run: oneWay},
 	"isolate-courier":      {Links: true, Run: isolateCourier},
 	"bad-links":            {Links: true, Run: badLinks},
+	"bad-server-links":     {Links: true, Run: badServerLinks},
 	"evacuate":             {Run: evacuate(1)},
 	"evacuate-two":         {Run: evacuate(2)},
 	"evacuate-all":         {Run: evacuate(3)},
@@ -67,6 +69,7 @@
 	"replace-core":         {Run: replaceCore},
 	"kill-during-repair":   {Run: killDuringRepair},
 	"restart-with-traffic": {Run: restartAll},
+	"upgrade-builds":       {Run: upgradeBuilds},
 }
 
 // FaultNamed finds a fault.
@@ -329,6 +332,22 @@
 	}
 }
 
+// upgradeBuilds stops every node that runs an older build and begins it with the
+// present one, one after another.
+func upgradeBuilds(_ context.Context, day *Day) {
+	for _, node := range day.running("") {
+		present := filepath.Join(day.Fleet.binaries, string(node.Node.Kind))
+		if node.binary == present {
+			continue
+		}
+		day.Say("%s becomes the present build", node.Node.Name)
+		node.Stop(20 * time.Second)
+		node.binary = present
+		day.begin(node)
+		Await(15*time.Second, node.Ready)
+	}
+}
+
 func loseZone(lifetime context.Context, day *Day) {
 	district := day.Fleet.Deployment.Districts[day.draw(len(day.Fleet.Deployment.Districts))]
 	day.Say("lose %s", district)
@@ -495,6 +514,20 @@
 	day.Fleet.Links.Heal()
 }
 
+// badServerLinks duplicates what couriers order of servers, and cuts circuits
+// while answers stream.
+func badServerLinks(lifetime context.Context, day *Day) {
+	chance := func(_, to string) bool { return strings.HasPrefix(to, "stove-") && day.draw(3) == 0 }
+	day.Fleet.Links.Each(chance, func(relay *Relay) { relay.SetDuplicate(true); relay.Drop() })
+	for range 8 {
+		if !pauseFor(lifetime, 700*time.Millisecond) {
+			break
+		}
+		day.Fleet.Links.Each(func(_, to string) bool { return strings.HasPrefix(to, "stove-") && day.draw(8) == 0 }, func(relay *Relay) { relay.Drop() })
+	}
+	day.Fleet.Links.Heal()
+}
+
 func evacuate(count int) func(context.Context, *Day) {
 	return func(lifetime context.Context, day *Day) {
 		districts := day.Fleet.Deployment.Districts
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -133,6 +133,19 @@
 	return node
 }
 
+// Mix has every other node run an older build, whose programs are in a folder.
+//
+// Example:
+//
+//	fleet.Mix("older/bin")
+func (fleet *Fleet) Mix(older string) {
+	for position, node := range fleet.Nodes() {
+		if position%2 == 0 {
+			node.binary = filepath.Join(older, string(node.Node.Kind))
+		}
+	}
+}
+
 // Stage makes the nodes run with a faulty disk and a faulty clock.
 //
 // Example:
--- a/internal/rehearsal/verdict.go
+++ b/internal/rehearsal/verdict.go
@@ -5,6 +5,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
 )
 
 // Verdict is what all checkers say of a book, with how the replies ended.
@@ -32,7 +34,12 @@
 		if entry.Kind != Replied {
 			continue
 		}
-		total++
+		// What the callers brought about themselves says nothing of the fleet: they
+		// left, or sent an id again that was taken.
+		own := entry.Cause == CallerLeft || (entry.Arrival > 0 && entry.Cause == string(trouble.Duplicate))
+		if !own {
+			total++
+		}
 		final := entry.Final
 		if final == "" {
 			final = "no final line"
--- a/internal/rehearsal/world/callers.go
+++ b/internal/rehearsal/world/callers.go
@@ -162,7 +162,7 @@
 		if leavesAt == len(entry.Texts) {
 			world.tempt("a caller left")
 			caller.leave()
-			entry.Cause = "the caller left"
+			entry.Cause = rehearsal.CallerLeft
 			return 0
 		}
 		message, found := replies.take(patience, never)
