Duties: a holder is not renewed once its key is being given to the next

Cause: a grant waits for its record on both disks; while the pair was being mended the old holder came back, was renewed and commanded, and 0.6 s later the record named the next one, which commanded too. Ruled out: late commands (both left under a running hold), a new primary's memory (7.5 s had passed). After: the key is marked as given when the grant is chosen; a grant that gets lost is made again.

--- a/internal/rota/keys.go
+++ b/internal/rota/keys.go
@@ -17,6 +17,9 @@
 	terms    Terms
 	renewed  map[string]time.Time
 	released map[string]time.Time
+	// given are the duties that were given to a next holder, which may not be
+	// recorded yet: they are not renewed any more, and stay free.
+	given map[string]bool
 }
 
 // NewKeys starts the memory at the moment its owner became primary.
@@ -25,7 +28,7 @@
 //
 //	keys := rota.NewKeys(rota.DefaultTerms())
 func NewKeys(terms Terms) *Keys {
-	return &Keys{terms: terms, renewed: map[string]time.Time{}, released: map[string]time.Time{}}
+	return &Keys{terms: terms, renewed: map[string]time.Time{}, released: map[string]time.Time{}, given: map[string]bool{}}
 }
 
 // Renew tells which of the recorded duties the node may go on holding, and
@@ -43,7 +46,7 @@
 		if duty.Holder != node {
 			continue
 		}
-		if _, released := keys.released[keyAt(key, duty.Fence)]; released {
+		if _, released := keys.released[keyAt(key, duty.Fence)]; released || keys.given[keyAt(key, duty.Fence)] {
 			continue
 		}
 		if _, may := candidates[node]; !may {
@@ -89,6 +92,9 @@
 			continue
 		}
 		if holder := keys.desired(key, candidates, false); holder != "" {
+			if duty, found := recorded[key]; found {
+				keys.given[keyAt(key, duty.Fence)] = true
+			}
 			grants = append(grants, Duty{Key: key, Holder: holder})
 		}
 	}
@@ -99,6 +105,9 @@
 // just now, and not renewed yet, counts from when it is first seen.
 func (keys *Keys) freeFrom(now time.Time, duty Duty) time.Time {
 	name := keyAt(duty.Key, duty.Fence)
+	if keys.given[name] {
+		return time.Time{}
+	}
 	if released, found := keys.released[name]; found {
 		return released.Add(keys.terms.Rest)
 	}
--- a/internal/rota/keys_test.go
+++ b/internal/rota/keys_test.go
@@ -81,3 +81,32 @@
 		test.Errorf("a hold that ran out is still waited for: %v", lagging)
 	}
 }
+
+// TestHolderIsNotRenewedOnceItsKeyIsGivenAway brings the old holder back between
+// the choice of the next one and its record: it must not command any more.
+func TestHolderIsNotRenewedOnceItsKeyIsGivenAway(test *testing.T) {
+	terms := DefaultTerms()
+	keys := NewKeys(terms)
+	noon := time.Unix(1000, 0)
+	key := ServerKey("stove-1")
+	recorded := map[string]Duty{key: {Key: key, Holder: "courier-1", Fence: 4}}
+	both := map[string]time.Duration{"courier-1": time.Minute}
+	if len(keys.Renew(noon, "courier-1", recorded, both)) != 1 {
+		test.Fatal("the holder was not renewed at first")
+	}
+	late := noon.Add(terms.Hold + terms.Drift + terms.Rest)
+	if grants := keys.Vacant(late, []string{key}, recorded, map[string]time.Duration{"courier-2": time.Minute}); len(grants) != 1 {
+		test.Fatalf("the key was not given to the next: %v", grants)
+	}
+	// Nobody has been live for long: whoever holds may go on, as far as settling
+	// goes.
+	both = map[string]time.Duration{"courier-1": time.Second, "courier-2": time.Second}
+	for name := range both {
+		if renewed := keys.Renew(late.Add(time.Second), name, recorded, both); len(renewed) != 0 {
+			test.Errorf("%s may command while the key is on its way: %v", name, renewed)
+		}
+	}
+	if again := keys.Vacant(late.Add(2*time.Second), []string{key}, recorded, both); len(again) != 1 {
+		test.Errorf("a grant that got lost is not made again: %v", again)
+	}
+}
