--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -58,8 +58,8 @@
 				campaign.Day.Only = name
 				tally := campaign.Run(func(uint64, world.Result) {})
 				failed = failed || len(tally.Failed) > 0
-				fmt.Printf("%-34s days %d, failed %d, complete %.3f, lowest %.3f, service back after %.2f s at most\n", name, tally.Days, len(tally.Failed),
-					tally.Share, tally.Lowest, tally.Longest["service returns after a closing fault"])
+				fmt.Printf("%-34s days %d, failed %d, complete %.3f, lowest %.3f, longest gap %s, mean %s, service back after %.2f s at most\n", name, tally.Days, len(tally.Failed),
+					tally.Share, tally.Lowest, tally.Gap.Round(10*time.Millisecond), (tally.Gaps / time.Duration(max(tally.Days, 1))).Round(10*time.Millisecond), tally.Longest["service returns after a closing fault"])
 			}
 			return broken(failed)
 		}
--- /dev/null
+++ b/internal/adapters/stove/fuzz_test.go
@@ -0,0 +1,47 @@
+package stove
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// FuzzServerAnswers has a server answer anything with any status: no panic, a
+// load only if it can be true, memory and pieces only of the own inquiry and run.
+func FuzzServerAnswers(fuzzing *testing.F) {
+	fuzzing.Add(200, []byte(`{"server":"a","part":"prefill","prefill_room":-4}`))
+	fuzzing.Add(200, []byte(`{"inquiry":"one","run":1,"handle":"memory"}`))
+	fuzzing.Add(200, []byte("{\"inquiry\":\"one\",\"run\":1,\"piece\":1,\"text\":\"a\"}\n{\"inquiry\":\"two\",\"run\":1,\"done\":true}\n"))
+	fuzzing.Add(409, []byte(`{"started":false,"type":"handle_lapsed"}`))
+	fuzzing.Add(503, []byte(``))
+	var status int
+	var body []byte
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(min(max(status, 200), 599))
+		_, _ = writer.Write(body)
+	}))
+	fuzzing.Cleanup(server.Close)
+	client := New(context.Background(), threads.New(context.Background(), wallclock.New()), &http.Transport{})
+	decision := pass.Decision{ID: "one", Run: 1, Address: server.Listener.Addr().String(), Inquiry: &pass.Inquiry{ID: "one"}}
+	may := func() bool { return true }
+	fuzzing.Fuzz(func(test *testing.T, said int, content []byte) {
+		status, body = said, content
+		if load, failure := client.Load(context.Background(), decision.Address); failure != nil {
+			if trouble.KindOf(failure) == trouble.Unsorted {
+				test.Fatalf("an untyped failure: %v", failure)
+			}
+		} else if load.PrefillRoom < 0 || load.DecodeSlots < 0 || load.MemoryFree < 0 {
+			test.Fatalf("%q passed as %+v", content, load)
+		}
+		if outcome, handle, _ := client.Prefill(decision, may); outcome == pass.Done && handle == "" {
+			test.Fatalf("%q is done without memory", content)
+		}
+		_, _, _ = client.Decode(decision, may, func(piece int, text string) {})
+	})
+}
--- a/internal/adapters/stove/loadreport.go
+++ b/internal/adapters/stove/loadreport.go
@@ -1,9 +1,11 @@
 package stove
 
 import (
+	"strconv"
 	"time"
 
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/trouble"
 )
 
 // LoadReport is the answer to GET /v1/load.
@@ -26,6 +28,37 @@
 	Prefixes              map[string]int `json:"prefixes,omitempty"`
 }
 
+// mostReported bounds every number of a report.
+const mostReported = 1 << 40
+
+// Check refuses a report that can't be true, so that the market never trades on
+// it.
+//
+// Example:
+//
+//	if failure := report.Check(); failure != nil { ... }
+func (report LoadReport) Check() error {
+	numbers := map[string]int{"age_milliseconds": report.AgeMilliseconds, "prefill_queue_tokens": report.PrefillQueueTokens, "prefill_tokens_per_second": report.PrefillRate,
+		"prefill_waiting": report.PrefillWaiting, "prefill_room": report.PrefillRoom, "decode_active": report.DecodeActive, "decode_slots": report.DecodeSlots,
+		"piece_time_microseconds": report.PieceTimeMicroseconds, "memory_free_tokens": report.MemoryFree, "memory_total_tokens": report.MemoryTotal,
+		"link_tokens_per_second": report.LinkRate}
+	for name, number := range numbers {
+		if number < 0 || number > mostReported {
+			return trouble.At(trouble.OutOfRange, "/"+name, strconv.Itoa(number))
+		}
+	}
+	for prefix, tokens := range report.Prefixes {
+		if tokens < 0 {
+			return trouble.At(trouble.OutOfRange, "/prefixes/"+prefix, strconv.Itoa(tokens))
+		}
+	}
+	switch pass.Part(report.Part) {
+	case pass.Prefill, pass.Decode, pass.Drain, pass.NoPart:
+		return nil
+	}
+	return trouble.At(trouble.OutOfRange, "/part", report.Part)
+}
+
 // Load is the report in the core's terms.
 //
 // Example:
--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/stove/stove.go
@@ -240,5 +240,8 @@
 	if failure := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&report); failure != nil {
 		return load, trouble.Wrap(trouble.Garbage, failure)
 	}
+	if failure := report.Check(); failure != nil {
+		return load, failure
+	}
 	return report.Load(), nil
 }
--- /dev/null
+++ b/internal/hatch/fuzz_test.go
@@ -0,0 +1,66 @@
+package hatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// FuzzReadInquiry gives bodies that may be anything: no panic, a typed answer,
+// and nothing out of range that passes.
+func FuzzReadInquiry(fuzzing *testing.F) {
+	for _, body := range []string{`{"id":"one","service":"chat","prompt":"a","pieces":3}`, `{"id":1}`, `[]`, ``, `{"id":"one","service":"chat","pieces":-1}`,
+		`{"id":"01a3185c-affe-7c59-b76c-8c48a0ebeefa","service":"chat","repeatable":false,"prefix_tokens":9,"prompt_tokens":2}`} {
+		fuzzing.Add([]byte(body))
+	}
+	fuzzing.Fuzz(func(test *testing.T, body []byte) {
+		inquiry, failure := ReadInquiry(time.Unix(1, 0), body)
+		if failure != nil {
+			if inquiry == nil && trouble.KindOf(failure) == trouble.Unsorted {
+				test.Fatalf("%q: an untyped failure: %v", body, failure)
+			}
+			return
+		}
+		if inquiry.ID == "" || inquiry.Service == "" || inquiry.Pieces < 1 || inquiry.PromptTokens < 0 || inquiry.PrefixTokens < 0 || inquiry.PrefixTokens > inquiry.PromptTokens {
+			test.Fatalf("%q passed as %+v", body, inquiry)
+		}
+	})
+}
+
+// FuzzMessages gives a primary messages that may be anything, on every path: no
+// panic, and a typed answer.
+func FuzzMessages(fuzzing *testing.F) {
+	// Its process has ended, so that no message waits for others.
+	ended, end := context.WithCancel(context.Background())
+	end()
+	lone := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}}
+	keeping := &memoryShelf{files: map[string][]byte{}}
+	node, _, failure := OpenExpediter(threads.New(ended, wallclock.New()), lone, keeping, &memoryShelf{files: map[string][]byte{}}, ExpediterOptions{Name: "a", Address: "a", Fresh: "disk-a"}, func(string, ...any) {})
+	if failure != nil {
+		fuzzing.Fatal(failure)
+	}
+	paths := []string{HelloPath, PreparePath, AcceptPath, ConfirmPath, ReplicatePath, InstallPath, RefreshPath, NewsPath, ClaimPath, OrdersPath}
+	for number := range paths {
+		for _, seed := range []any{larder.Hello{}, keeperQuestion{To: "disk-a", Epoch: 1}, replicateQuestion{To: "disk-a"}, NewsQuestion{}, []recipe.Record{{}}} {
+			body, failure := msgpack.Marshal(seed)
+			if failure != nil {
+				fuzzing.Fatal(failure)
+			}
+			fuzzing.Add(number, body)
+		}
+	}
+	fuzzing.Fuzz(func(test *testing.T, number int, body []byte) {
+		path := paths[max(number, -number)%len(paths)]
+		if _, failure := node.Answers().Answer(path, body); failure != nil && trouble.KindOf(failure) == trouble.Unsorted {
+			test.Fatalf("%s %x: an untyped failure: %v", path, body, failure)
+		}
+	})
+}
--- a/internal/rehearsal/verdict.go
+++ b/internal/rehearsal/verdict.go
@@ -16,6 +16,8 @@
 	Share    float64        `json:"complete_share"`
 	Median   time.Duration  `json:"median"`
 	Tail     time.Duration  `json:"ninety_fifth"`
+	// Gap is the longest time without a complete reply, under traffic.
+	Gap time.Duration `json:"longest_gap"`
 }
 
 // Judge runs every checker over the entries.
@@ -30,6 +32,7 @@
 	}
 	var lengths []time.Duration
 	total := 0
+	var last time.Time
 	for _, entry := range entries {
 		if entry.Kind != Replied {
 			continue
@@ -51,6 +54,10 @@
 			}
 		} else {
 			lengths = append(lengths, entry.Took)
+			if !last.IsZero() {
+				verdict.Gap = max(verdict.Gap, entry.At.Sub(last))
+			}
+			last = entry.At
 		}
 		verdict.Replies[final]++
 	}
@@ -118,6 +125,6 @@
 	for _, final := range finals {
 		_, _ = fmt.Fprintf(&text, "replies  %-40s %6d\n", final, verdict.Replies[final])
 	}
-	_, _ = fmt.Fprintf(&text, "complete %.1f%%, median %s, 95th of 100 %s, violations %d\n", 100*verdict.Share, verdict.Median.Round(time.Millisecond), verdict.Tail.Round(time.Millisecond), verdict.Violations())
+	_, _ = fmt.Fprintf(&text, "complete %.1f%%, median %s, 95th of 100 %s, longest without one %s, violations %d\n", 100*verdict.Share, verdict.Median.Round(time.Millisecond), verdict.Tail.Round(time.Millisecond), verdict.Gap.Round(time.Millisecond), verdict.Violations())
 	return text.String()
 }
--- a/internal/rehearsal/world/campaign.go
+++ b/internal/rehearsal/world/campaign.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"seamloom.example/seamloom/internal/rehearsal"
 )
@@ -33,7 +34,10 @@
 	// Longest is the worst value of each checker that has a limit in seconds.
 	Longest map[string]float64
 	Replies int
-	Steps   uint64
+	// Gap is the longest time of any day without a complete reply, Gaps their
+	// sum.
+	Gap, Gaps time.Duration
+	Steps     uint64
 }
 
 // DeploymentOf is the deployment of a seed in a campaign: its own, or each in
@@ -88,6 +92,8 @@
 	tally.Days++
 	tally.Steps += result.Steps
 	tally.Share += result.Verdict.Share
+	tally.Gap = max(tally.Gap, result.Verdict.Gap)
+	tally.Gaps += result.Verdict.Gap
 	tally.Lowest = min(tally.Lowest, result.Verdict.Share)
 	if result.Failed() {
 		tally.Failed = append(tally.Failed, seed)
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -40,6 +40,13 @@
 			machine.disk.damage = 1 + world.random.IntN(2)
 			world.killFor(machine, 100, 500)
 		}},
+		{"an expediter is stopped in order", 3, func(world *World) { world.stopFor(world.anyNode(roster.Expediter), 200, 3000) }},
+		{"the primary hands over while a courier is cut off", 3, func(world *World) {
+			name := world.anyNode(roster.Courier).name
+			world.outside.Go(func() { world.isolate(name, true, true) })
+			world.wait(50, 400)
+			world.stopFor(world.primary(), 200, 3000)
+		}},
 		{"freeze a courier", 6, func(world *World) { world.freezeFor(world.anyNode(roster.Courier)) }},
 		{"freeze an expediter", 3, func(world *World) { world.freezeFor(world.anyNode(roster.Expediter)) }},
 		{"freeze the primary", 4, func(world *World) { world.freezeFor(world.primary()) }},
@@ -218,6 +225,32 @@
 	world.start(machine)
 }
 
+// stopFor stops an expediter as its operator does: it hands over first.
+func (world *World) stopFor(machine *machine, least, most int) {
+	if machine.life == nil || machine.life.ended || machine.control == nil {
+		return
+	}
+	stopping, control := machine.life, machine.control
+	if control.Steward().Holds() {
+		world.tempt("a primary handed over")
+	}
+	world.say("%s is stopped", machine.name)
+	left := false
+	stopping.Go(func() {
+		control.Leave()
+		left = true
+	})
+	for range 30 {
+		world.wait(100, 100)
+		if left || stopping.ended {
+			break
+		}
+	}
+	if machine.life == stopping {
+		world.killFor(machine, least, most)
+	}
+}
+
 func (world *World) powerOffFor(machine *machine, least, most int) {
 	world.say("%s loses its power", machine.name)
 	world.powerOff(machine.name)
--- a/internal/rehearsal/world/passing.go
+++ b/internal/rehearsal/world/passing.go
@@ -60,7 +60,7 @@
 		})
 	}
 	if world.carry(here.name, to, nil, func() { arrive(true) }) {
-		if over := world.link(here.name, to); over.duplicate > 0 && world.random.Float64() < over.duplicate {
+		if over := world.link(here.name, to); over.duplicate > 0 && world.random.IntN(2) == 0 {
 			world.tempt("a passed-on inquiry brought twice")
 			world.after(time.Duration(world.random.IntN(4000))*time.Millisecond, nil, func() { arrive(false) })
 		}
--- a/internal/rehearsal/world/wanted.go
+++ b/internal/rehearsal/world/wanted.go
@@ -20,6 +20,7 @@
 	"a question brought twice",
 	"a primary killed under its hold",
 	"a primary woken",
+	"a primary handed over",
 	"a courier woken with inquiries under way, its hold over",
 	"a disk lost",
 	"a file came back damaged",
