A given-up inquiry has its word at once: claims end after 3 s, dark servers after 3.5

Ruled out: holds (bounded at 2 s before). Slow servers that still report are waited for. New checker with a seeded violation, tests for both.

--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -42,6 +42,10 @@
 	courierTick = 20 * time.Millisecond
 	crumbsPause = 250 * time.Millisecond
 	neighbours  = 3
+	// claimTime is how long a claim is tried for altogether: a pair that was
+	// broken is whole again in about a second. Longer would only hold the caller
+	// back.
+	claimTime = 3 * time.Second
 	// claimPause is the time between two tries of a claim.
 	claimPause = 60 * time.Millisecond
 	// actPatience is how long an order or a command may take.
--- a/internal/hatch/decisions.go
+++ b/internal/hatch/decisions.go
@@ -115,7 +115,7 @@
 		return
 	}
 	var answer LedAnswer
-	failure := courier.followed.Ask(OrdersPath, OrdersQuestion{Duty: decision.Duty, Orders: decision.Orders, Supported: courier.options.Supported}, &answer, actPatience)
+	failure := courier.followed.Ask(OrdersPath, OrdersQuestion{Duty: decision.Duty, Orders: decision.Orders, Supported: courier.options.Supported}, &answer, actPatience, decision.NotAfter)
 	courier.observe("orders_given", "orders", decision.Orders, "trouble", failure)
 }
 
@@ -141,9 +141,10 @@
 		At: courier.turns.Wall(), Cause: courier.nonce()}}
 	// Without a hold there would be no dispatch: then the caller is told at once
 	// that the inquiry never ran, and when to come back.
-	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(courier.core.HoldEnds()) {
+	ends := courier.turns.Now().Add(claimTime)
+	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(ends) && courier.turns.Now().Before(courier.core.HoldEnds()) {
 		var answer LedAnswer
-		failure := courier.followed.Ask(ClaimPath, question, &answer, time.Second)
+		failure := courier.followed.Ask(ClaimPath, question, &answer, time.Second, ends)
 		switch kind := trouble.KindOf(failure); {
 		case failure == nil && answer.Leads:
 			event.Outcome = pass.Done
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -131,7 +131,7 @@
 		asked := follower.turns.Now()
 		var answer NewsAnswer
 		question, patience := follower.question()
-		if failure := follower.Ask(NewsPath, question, &answer, patience); failure == nil {
+		if failure := follower.Ask(NewsPath, question, &answer, patience, time.Time{}); failure == nil {
 			follower.takeAnswer(asked, answer)
 			continue
 		}
@@ -185,19 +185,20 @@
 }
 
 // Ask sends a message to the primary, wherever it is, or through a neighbour
-// when it can't be reached. The answer must say whether its giver leads.
+// when it can't be reached. The answer must say whether its giver leads. Each
+// address is given the patience; altogether it ends by a moment, if one is given.
 //
 // Example:
 //
-//	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second)
-func (follower *Follower) Ask(path string, question, answer any, patience time.Duration) error {
+//	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second, ends)
+func (follower *Follower) Ask(path string, question, answer any, patience time.Duration, ends time.Time) error {
 	body, failure := msgpack.Marshal(question)
 	if failure != nil {
 		return trouble.Wrap(trouble.Garbage, failure)
 	}
-	reply, failure := follower.AskRaw(path, body, patience)
+	reply, failure := follower.AskRaw(path, body, patience, ends)
 	if failure != nil && unheard(failure) {
-		reply, failure = follower.viaNeighbour(path, body, patience)
+		reply, failure = follower.viaNeighbour(path, body, patience, ends)
 	}
 	if failure != nil {
 		return failure
@@ -219,14 +220,14 @@
 //
 // Example:
 //
-//	reply, failure := followed.AskRaw(path, body, time.Second)
-func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration) ([]byte, error) {
+//	reply, failure := followed.AskRaw(path, body, time.Second, time.Time{})
+func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
 	asked := map[string]bool{}
 	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
 	for _, address := range follower.candidates() {
-		for address != "" && !asked[address] && follower.turns.Alive() {
+		for address != "" && !asked[address] && follower.turns.Alive() && follower.left(patience, ends) > 0 {
 			asked[address] = true
-			reply, failure := follower.line.CallRaw(address, path, body, patience)
+			reply, failure := follower.line.CallRaw(address, path, body, follower.left(patience, ends))
 			if failure != nil {
 				last = failure
 				if !unheard(failure) {
@@ -294,14 +295,26 @@
 	return found && follower.turns.Now().Sub(since) < darkTime
 }
 
-func (follower *Follower) viaNeighbour(path string, body []byte, patience time.Duration) ([]byte, error) {
+// left is how long a call may take that is given so much patience and must end
+// by a moment, if one is given.
+func (follower *Follower) left(patience time.Duration, ends time.Time) time.Duration {
+	if ends.IsZero() {
+		return patience
+	}
+	return min(patience, ends.Sub(follower.turns.Now()))
+}
+
+func (follower *Follower) viaNeighbour(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
 	follower.mutex.Lock()
 	neighbours := append([]string(nil), follower.neighbours...)
 	follower.mutex.Unlock()
 	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
 	for _, address := range neighbours {
+		if follower.left(patience, ends) <= 0 {
+			break
+		}
 		var reply []byte
-		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, patience+200*time.Millisecond)
+		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, follower.left(patience+200*time.Millisecond, ends))
 		if failure == nil || !unheard(failure) {
 			return reply, failure
 		}
@@ -318,7 +331,7 @@
 func (follower *Follower) Relay(question RelayQuestion) ([]byte, error) {
 	switch question.Path {
 	case NewsPath, ClaimPath, OrdersPath:
-		return follower.AskRaw(question.Path, question.Body, newsPatience)
+		return follower.AskRaw(question.Path, question.Body, newsPatience, time.Time{})
 	}
 	return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
 }
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -615,7 +615,13 @@
 		stall = entry.bid.Decode
 	}
 	if entry.pieces == 0 && !entry.inquiry.Repeatable {
-		return nil
+		if desk.market.reports(now, stall.server) {
+			// It is slow, but there; nothing else could be tried.
+			return nil
+		}
+		// Whether it ran can't be known any more, and waiting would not tell.
+		entry.started = true
+		return desk.giveUp(now, shard, entry, trouble.ServerFailed)
 	}
 	desk.market.Avoid(now, stall.server.Name)
 	decisions := desk.cancelCurrent(entry)
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -331,3 +331,41 @@
 		test.Errorf("let in under a hold for an older configuration: %+v", decisions)
 	}
 }
+
+// TestDarkServerEndsWhatMayNotBeRepeated leaves an inquiry that may not be
+// repeated at a server that reports no more: nothing further can be known, so it
+// is told at once. At one that is slow and reports, it goes on.
+func TestDarkServerEndsWhatMayNotBeRepeated(test *testing.T) {
+	for name, reports := range map[string]bool{"slow": true, "dark": false} {
+		desk := newTestDesk(test)
+		arrive(desk, noon, "one", false)
+		dispatch := find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill)
+		late := noon.Add(3500 * time.Millisecond)
+		if reports {
+			reportLoads(desk, late)
+		}
+		final := find(desk.Tick(late), Finish)
+		if reports && final != nil {
+			test.Errorf("%s: ended, though %s reports: %+v", name, dispatch.Server, final)
+		}
+		if !reports && (final == nil || final.Final != Unknown) {
+			test.Errorf("%s: not told: %+v", name, final)
+		}
+	}
+}
+
+// TestBudgetSavesTwoTriesAndNoMore lets a courier work long without trouble: a
+// loss must not bring a burst of tries that were saved in the quiet.
+func TestBudgetSavesTwoTriesAndNoMore(test *testing.T) {
+	budget := &Budget{}
+	for range 1000 {
+		budget.First()
+	}
+	saved := 0
+	for budget.Extra(1) {
+		saved++
+	}
+	if saved != 2 {
+		test.Errorf("%d tries were saved", saved)
+	}
+}
--- a/internal/pass/market.go
+++ b/internal/pass/market.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// reports tells whether a server is listed and reported a moment ago, leaving or
+// not.
+func (market *Market) reports(now time.Time, server roster.Server) bool {
+	stall, found := market.board.Load().byName[server.Name]
+	if !found || stall.server.Address != server.Address {
+		return false
+	}
+	current := stall.report.Load()
+	return current != nil && now.Sub(current.at) <= reportFresh
+}
+
 // Avoid keeps a server out of the market for a while, after trouble with it.
 //
 // Example:
--- a/internal/rehearsal/checkers.go
+++ b/internal/rehearsal/checkers.go
@@ -23,7 +23,7 @@
 // The checkers read only what stand-ins and callers wrote down.
 var checkers = []func([]Entry) Finding{
 	checkSecondRun, checkRefusedNeverRuns, checkReplies, checkMemory, checkLeaving, checkEvacuated, checkInForce, checkNeverBack,
-	checkRefusedEditions, checkReads, checkTries, checkCold, checkCommands, checkFormats, checkReturn,
+	checkRefusedEditions, checkReads, checkTries, checkCold, checkCommands, checkFormats, checkReturn, checkHeldBack,
 }
 
 // checkSecondRun: an inquiry that may not be repeated is started once at most,
@@ -524,3 +524,44 @@
 	finding.late(worst)
 	return finding
 }
+
+// heldLimit is how long an inquiry that never ran may wait for its word: two
+// seconds for a hold and three for a claim, and what their last tries take.
+const heldLimit = 6 * time.Second
+
+// checkHeldBack: an inquiry that is given up before anything was begun for it has
+// its final word at once, long before its limit.
+func checkHeldBack(entries []Entry) Finding {
+	finding := Finding{Checker: "a given-up inquiry is answered at once", Limit: heldLimit.String()}
+	var worst time.Duration
+	var woken []Entry
+	for _, entry := range entries {
+		if entry.Kind == NodeWoken {
+			woken = append(woken, entry)
+		}
+	}
+	for _, entry := range entries {
+		if entry.Kind != Replied || entry.Final != "refused" {
+			continue
+		}
+		finding.Looked++
+		took := entry.Took
+		// A frozen node can't say anything.
+		for _, sleeper := range woken {
+			from, until := sleeper.At.Add(-sleeper.Took), sleeper.At
+			if began := entry.At.Add(-entry.Took); from.Before(began) {
+				from = began
+			}
+			if until.After(entry.At) {
+				until = entry.At
+			}
+			took -= max(0, until.Sub(from))
+		}
+		worst = max(worst, took)
+		if took > heldLimit {
+			finding.violate(fmt.Sprintf("%s was refused (%s) after %s", entry.Inquiry, entry.Cause, entry.Took))
+		}
+	}
+	finding.late(worst)
+	return finding
+}
--- a/internal/rehearsal/checkers_test.go
+++ b/internal/rehearsal/checkers_test.go
@@ -66,6 +66,7 @@
 		"a cold server is not flooded":                       {{At: at(100), Kind: PrefillAsked, Inquiry: "four", Server: "stove-2", Depth: 9, Age: time.Second}},
 		"one node at a time commands a server":               {{At: at(2000), Kind: Commanded, Server: "stove-1", Holder: "courier-2", Fence: 2}},
 		"a new format waits for every known member":          {{At: at(15), Kind: MemberKnown, Holder: "courier-2"}},
+		"a given-up inquiry is answered at once":             {{At: at(30000), Kind: Replied, Inquiry: "four", Final: "refused", Took: 9 * time.Second}},
 		"service returns after a closing fault":              {{At: at(10000), Kind: ClosingFault, Cause: "another end"}},
 	}
 	if len(seeded) != len(checkers) {
--- a/internal/rehearsal/entrykind.go
+++ b/internal/rehearsal/entrykind.go
@@ -32,6 +32,7 @@
 	FaultBegan      EntryKind = "fault_began"
 	ClosingFault    EntryKind = "closing_fault"
 	MemberKnown     EntryKind = "member_known"
+	NodeWoken       EntryKind = "node_woken"
 	RecordSeen      EntryKind = "record_seen"
 	FlagEnabled     EntryKind = "flag_enabled"
 )
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -283,9 +283,11 @@
 			return
 		}
 		day.Say("freeze %s", node.Node.Name)
+		began := time.Now()
 		node.Signal(syscall.SIGSTOP)
 		pauseFor(lifetime, length)
 		node.Signal(syscall.SIGCONT)
+		day.Fleet.Book.Note(Entry{Kind: NodeWoken, Courier: node.Node.Name, Took: time.Since(began)})
 	}
 }
 
--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -16,6 +16,7 @@
 	commands = "two nodes command one server"
 	formats  = "a new format before every member reads it"
 	returns  = "service does not return"
+	held     = "a given-up inquiry is held back"
 )
 
 // All lists the protections, with the test that guards each.
@@ -46,6 +47,12 @@
 		Edits: []Edit{{"internal/pass/desk.go", "if !found || (run >= 0 && entry.run != run) {", "if !found {"}}},
 	{Name: "a handle belongs to its run", Never: memory, Package: "./internal/pass", Test: "TestHandleIsUsedByItsOwnRun",
 		Edits: []Edit{{"internal/pass/desk.go", "entry.bid, entry.stage, entry.handle = bid, prefilling, \"\"", "entry.bid, entry.stage = bid, prefilling"}, {"internal/pass/desk.go", "		entry.everRan, entry.started, entry.handle = true, false, handle\n", "		entry.everRan, entry.started = true, false\n		if entry.handle == \"\" {\n			entry.handle = handle\n		}\n"}}},
+	{Name: "a dark server ends what may not be repeated", Never: held, Package: "./internal/pass", Test: "TestDarkServerEndsWhatMayNotBeRepeated",
+		Edits: []Edit{{"internal/pass/desk.go", "		if desk.market.reports(now, stall.server) {", "		if true {"}}},
+	{Name: "an inquiry waits two seconds for a hold and no longer", Never: held, Worlds: true, Finds: "answered at once",
+		Edits: []Edit{{"internal/pass/desk.go", "	if now.Sub(entry.holdless) > holdPatience {", "	if false {"}}},
+	{Name: "a claim is tried for three seconds and no longer", Never: held, Worlds: true, Finds: "answered at once", Flags: []string{"--count", "1500"},
+		Edits: []Edit{{"internal/hatch/decisions.go", "	ends := courier.turns.Now().Add(claimTime)\n", "	ends := courier.turns.Now().Add(time.Minute + claimTime)\n"}}},
 	{Name: "a server that is listed as leaving gets nothing", Never: leaving, Worlds: true, Finds: "leaving server",
 		Edits: []Edit{{"internal/pass/stall.go", "|| current.load.Leaving || stall.server.Leaving {", "{"}}},
 	{Name: "a server that does not report gets nothing", Never: leaving, Package: "./internal/pass", Test: "TestServerWithoutAFreshReportIsOfferedNothing",
@@ -88,7 +95,7 @@
 		Edits: []Edit{{"internal/larder/keeper.go", "	if epoch < keeper.note.Promised {\n		return trouble.New(trouble.OldEpoch, fmt.Sprintf(\"epoch %d is promised\", keeper.note.Promised))\n	}\n	if epoch == keeper.note.Promised {", "	if epoch <= keeper.note.Promised {"}}},
 	{Name: "extra tries have a budget", Never: tries, Worlds: true, Finds: "extra tries", Flags: []string{"--long", "12", "--short", "16"},
 		Edits: []Edit{{"internal/pass/budget.go", "	if budget.spare < count*triesShare {", "	if false {"}}},
-	{Name: "a budget saves two tries and no more", Never: tries, Package: "./internal/pass", Test: "TestExtraTriesStayWithinTheBudget",
+	{Name: "a budget saves two tries and no more", Never: tries, Package: "./internal/pass", Test: "TestBudgetSavesTwoTriesAndNoMore",
 		Edits: []Edit{{"internal/pass/budget.go", "budget.spare = min(budget.spare+1, mostSpare)", "budget.spare++"}}},
 	{Name: "a cold server's room grows", Never: cold, Package: "./internal/pass", Test: "TestColdServerIsOfferedLittle",
 		Edits: []Edit{{"internal/pass/stall.go", "	return min(1, 0.1+0.9*float64(age)/float64(rampTime))", "	return 1 + 0*float64(age)"}}},
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -318,8 +318,11 @@
 		return
 	}
 	world.say("%s freezes", machine.name)
-	frozen := machine.life
+	frozen, since := machine.life, world.now
 	frozen.freeze()
+	defer func() {
+		world.Book.Note(rehearsal.Entry{Kind: rehearsal.NodeWoken, Courier: machine.name, Took: world.now - since})
+	}()
 	if world.random.IntN(2) == 0 {
 		world.wait(300, 5000)
 	} else {
