--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"strings"
 	"time"
 
 	"seamloom.example/seamloom/internal/larder"
@@ -51,6 +52,24 @@
 //	if result.Failed() { os.Exit(1) }
 func (result Result) Failed() bool { return result.Verdict.Violations() > 0 || !result.Whole }
 
+// Broke tells whether a rule was broken whose name has the text in it; with no
+// text, whether the day failed at all.
+//
+// Example:
+//
+//	if result.Broke("no second run") { ... }
+func (result Result) Broke(text string) bool {
+	if text == "" {
+		return result.Failed()
+	}
+	for _, finding := range result.Verdict.Findings {
+		if finding.Violations > 0 && strings.Contains(finding.Checker, text) {
+			return true
+		}
+	}
+	return false
+}
+
 func newIdentity(world *World, machine *machine) larder.Identity {
 	return larder.Identity(machine.name + "/" + world.nonce())
 }
