--- /dev/null
+++ b/cmd/rehearsal/each.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// eachCommand runs every fault alone, in a day of its own.
+func eachCommand() *cobra.Command {
+	chosen := &plan{once: 0.3}
+	command := &cobra.Command{Use: "each", Short: "every fault alone, each in a day of its own, as a table", Args: cobra.NoArgs,
+		Example: "  rehearsal each --deployment kochloeffel --length 20s --parallel 3"}
+	common(command, chosen)
+	command.Flags().DurationVar(&chosen.length, "length", 20*time.Second, "how long each day is")
+	parallel := command.Flags().Int("parallel", 1, "how many fleets run at once")
+	command.RunE = func(*cobra.Command, []string) error {
+		base, failure := os.MkdirTemp("", "each-")
+		if failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+		var names []string
+		for _, name := range rehearsal.FaultNames() {
+			if only, found := own[name]; (!found || only == chosen.deployment) && name != "upgrade-builds" {
+				names = append(names, name)
+			}
+		}
+		var mutex sync.Mutex
+		failed, next := 0, 0
+		var working sync.WaitGroup
+		for range *parallel {
+			working.Go(func() {
+				for {
+					mutex.Lock()
+					number := next
+					next++
+					mutex.Unlock()
+					if number >= len(names) {
+						return
+					}
+					today := *chosen
+					today.faults, today.folder = names[number], filepath.Join(base, names[number])
+					verdict, failure := today.run(io.Discard)
+					mutex.Lock()
+					if failure != nil || verdict.Violations() > 0 {
+						failed++
+					}
+					fmt.Printf("| %s | %s | %.3f | %s | %d | %v |\n", chosen.deployment, names[number], verdict.Share, verdict.Gap.Round(10*time.Millisecond), verdict.Violations(), failure)
+					if verdict.Violations() > 0 {
+						fmt.Print(verdict)
+					}
+					mutex.Unlock()
+				}
+			})
+		}
+		working.Wait()
+		if failed > 0 {
+			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d of %d days failed; logs are in %s", failed, len(names), base))
+		}
+		return os.RemoveAll(base)
+	}
+	return command
+}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -44,7 +44,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
 	if failure := root.Execute(); failure != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
 		os.Exit(1)
--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -24,6 +24,7 @@
 	set.Uint64Var(&campaign.First, "from", 1, "the first seed")
 	set.Uint64Var(&campaign.Count, "count", 240, "how many days")
 	set.DurationVar(&campaign.Day.Faulty, "faulty", campaign.Day.Faulty, "how long faults are drawn in each day")
+	set.BoolVar(&campaign.Day.Forming, "forming", false, "trouble the first core while it forms")
 	set.StringVar(&campaign.Day.Only, "only", "", "draw this fault alone")
 	set.Float64Var(&campaign.Day.Long, "long", campaign.Day.Long, "long-prompt inquiries a second")
 	set.Float64Var(&campaign.Day.Short, "short", campaign.Day.Short, "short chats a second")
@@ -84,6 +85,9 @@
 	if campaign.Deployment != "" {
 		text += " --deployment " + campaign.Deployment
 	}
+	if campaign.Day.Forming {
+		text += " --forming"
+	}
 	if campaign.Day.Only != "" {
 		text += fmt.Sprintf(" --only %q", campaign.Day.Only)
 	}
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -14,6 +14,9 @@
 type Day struct {
 	// Faulty is how long faults are drawn; a calm follows, then a closing fault.
 	Faulty time.Duration
+	// Forming troubles the first core while it forms: late machines, and one whose
+	// power fails at its disk's act or whose disk is lost in the middle.
+	Forming bool
 	// Only names the one fault that is drawn; empty means all.
 	Only string
 	// Long and Short are the inquiries of each kind a second.
@@ -38,6 +41,8 @@
 // Result is what a day came to.
 type Result struct {
 	Verdict rehearsal.Verdict
+	// Twice counts the moments at which two expediters could answer as primary.
+	Twice int
 	// Whole tells whether the core was whole again at the end, without an
 	// operator.
 	Whole       bool
@@ -50,7 +55,9 @@
 // Example:
 //
 //	if result.Failed() { os.Exit(1) }
-func (result Result) Failed() bool { return result.Verdict.Violations() > 0 || !result.Whole }
+func (result Result) Failed() bool {
+	return result.Verdict.Violations() > 0 || !result.Whole || result.Twice > 0
+}
 
 // Broke tells whether a rule was broken whose name has the text in it; with no
 // text, whether the day failed at all.
@@ -97,11 +104,18 @@
 	for _, machine := range world.machines {
 		world.outside.Go(func() {
 			world.wait(0, 400)
+			if day.Forming && machine.kind == roster.Expediter {
+				world.wait(0, 4000)
+			}
 			world.start(machine)
 		})
 	}
+	if day.Forming {
+		world.outside.Go(world.loseOneWhileForming)
+	}
 	world.outside.Go(func() { world.callers(ends) })
 	world.outside.Go(func() { world.operate(ends) })
+	world.outside.Go(func() { world.watchPrimaries(ends + evening) })
 	world.outside.Go(func() { world.drawFaults(faultsFrom, faultsEnd, day.Only) })
 	world.run(faultsEnd)
 	world.faultsOver = true
@@ -119,7 +133,7 @@
 			break
 		}
 	}
-	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Temptations: world.temptations, Steps: world.acted}
+	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Twice: world.twice, Temptations: world.temptations, Steps: world.acted}
 	for _, life := range world.lives {
 		if !life.ended {
 			life.ended = true
@@ -143,6 +157,23 @@
 	}
 }
 
+// watchPrimaries looks, over and over, whether two expediters hold at once.
+func (world *World) watchPrimaries(until time.Duration) {
+	for world.now < until {
+		holders := 0
+		for _, machine := range world.machines {
+			if machine.life != nil && !machine.life.ended && !machine.life.frozen && machine.control != nil && machine.control.Steward().Holds() {
+				holders++
+			}
+		}
+		if holders > 1 {
+			world.twice++
+			world.say("%d expediters hold at once", holders)
+		}
+		world.outside.NewBell().Wait(20*time.Millisecond, never)
+	}
+}
+
 // drawFaults has faults begin one after another; they last as they last.
 func (world *World) drawFaults(from, until time.Duration, only string) {
 	all := faults()
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -258,6 +258,30 @@
 	world.start(machine)
 }
 
+// loseOneWhileForming takes one machine away within the first moments of a core:
+// its power fails at one of its disk's first acts, or its whole disk is lost.
+func (world *World) loseOneWhileForming() {
+	machine := world.anyNode(roster.Expediter)
+	if world.random.IntN(2) == 0 {
+		machine.disk.powerFailsIn = 1 + world.random.IntN(14)
+		world.wait(1000, 6000)
+		machine.disk.powerFailsIn = 0
+		world.tempt("the power fails while the first core forms")
+		world.start(machine)
+		return
+	}
+	for len(machine.disk.names) == 0 {
+		world.wait(0, 20)
+	}
+	world.wait(0, 1500)
+	world.say("%s loses its disk", machine.name)
+	world.tempt("a disk lost while the first core forms")
+	world.kill(machine)
+	machine.disk = newDisk(world)
+	world.wait(0, 1500)
+	world.start(machine)
+}
+
 // powerFails has the power fail before one of the disk's next acts.
 func powerFails(world *World) {
 	machine := world.anyNode(roster.Expediter)
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -47,6 +47,7 @@
 	long, short float64
 	number      int
 	faultsOver  bool
+	twice       int
 	claiming    map[string]int
 	evacuating  map[string]bool
 	trace       hash.Hash
--- a/internal/rehearsal/world/world_test.go
+++ b/internal/rehearsal/world/world_test.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	"strconv"
 	"testing"
+	"time"
 
 	"seamloom.example/seamloom/internal/rehearsal"
 )
@@ -72,3 +73,17 @@
 		test.Fatalf("seed %d gave two traces of %d and %d lines", seed, len(lines[0]), len(lines[1]))
 	}
 }
+
+// TestFirstCoreForms troubles the first core while it forms, one disk's loss
+// included, and wants one core, whole, that takes changes, without an operator.
+func TestFirstCoreForms(test *testing.T) {
+	day := DefaultDay()
+	day.Faulty, day.Forming = time.Second, true
+	first, count := seeds(test, usualSeeds/4)
+	tally := (&Campaign{First: first, Count: count, Day: day}).Run(func(seed uint64, result Result) {
+		if result.Failed() {
+			test.Errorf("seed %d, whole %v, two at once %d\n%s", seed, result.Whole, result.Twice, result.Verdict)
+		}
+	})
+	test.Logf("%d days, temptations %v", tally.Days, tally.Temptations)
+}
