Large configurations: only what changed is sent, and claims wait for no check

Cause: with 8000 routes each waiting change was merged and checked anew in the changes' turn (about 0.1 s each, under the store's mutex), merges looked through all fields for each that they set, and each change sent 0.9 MB to each courier. Ruled out: the disks (one sync a batch), the couriers' own check (60 ms, at once). What: evacuations check only what they add; a change whose configuration has moved is made again outside the turn, large ones one after another; merges are one pass; a courier that has an earlier version is sent prefix, middle and suffix with a checksum, if it says that it takes them (older builds do not).

Also: swings of traffic in virtual time with moving and fixed parts, the market's cost and its threads under the race detector.

--- a/cmd/rehearsal/season.go
+++ b/cmd/rehearsal/season.go
@@ -15,7 +15,7 @@
 )
 
 // own lists the faults that only one deployment sees.
-var own = map[string]string{"replace-core": "sahil", "exchange-seeds": "kochloeffel", "large-configuration": "kochloeffel", "freeze-primary": "kochloeffel", "freeze-courier": "kochloeffel", "freeze-holder": "kochloeffel"}
+var own = map[string]string{"replace-core": "sahil", "exchange-seeds": "kochloeffel", "large-configuration": "kochloeffel", "large-storm": "kochloeffel", "freeze-primary": "kochloeffel", "freeze-courier": "kochloeffel", "freeze-holder": "kochloeffel"}
 
 var closings = []string{"herd-couriers", "herd-expediters", "cold-start", "lose-zone", "kill-primary", "power-loss", "crash-server"}
 
--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -25,6 +25,8 @@
 	set.Uint64Var(&campaign.Count, "count", 240, "how many days")
 	set.DurationVar(&campaign.Day.Faulty, "faulty", campaign.Day.Faulty, "how long faults are drawn in each day")
 	set.BoolVar(&campaign.Day.Forming, "forming", false, "trouble the first core while it forms")
+	set.BoolVar(&campaign.Day.Swings, "swings", false, "swings of traffic instead of faults")
+	set.BoolVar(&campaign.Day.FixedParts, "fixed-parts", false, "leave servers the parts that they were given first, for comparison")
 	set.StringVar(&campaign.Day.Only, "only", "", "draw this fault alone")
 	set.Float64Var(&campaign.Day.Long, "long", campaign.Day.Long, "long-prompt inquiries a second")
 	set.Float64Var(&campaign.Day.Short, "short", campaign.Day.Short, "short chats a second")
@@ -67,6 +69,10 @@
 		began, days := time.Now(), 0
 		tally := campaign.Run(func(seed uint64, result world.Result) {
 			days++
+			if campaign.Day.Swings {
+				fmt.Printf("seed %d: %d complete, share %.3f, median %s, 95th %s, parts changed %d, flaps %d\n", seed, result.Verdict.Replies["complete"], result.Verdict.Share,
+					result.Verdict.Median.Round(time.Millisecond), result.Verdict.Tail.Round(time.Millisecond), result.Turns, result.Flaps)
+			}
 			until := command.Flags().Changed("until-broken")
 			if result.Failed() && (!until || (result.Broke(*untilBroken) && !campaign.Stop.Load())) {
 				campaign.Stop.Store(until)
--- a/core.go
+++ b/core.go
@@ -44,7 +44,7 @@
 	}
 	market := pass.NewMarket(options.Courier, options.District, options.LeastLoaded)
 	return &Core{options: options, market: market, desk: pass.NewDesk(market, options.District, options.MostInquiries),
-		balance: pass.NewBalance(), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
+		balance: pass.NewBalance(options.FixedParts), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
 }
 
 // Apply takes one event and returns what is to be done now.
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -228,7 +228,7 @@
 	if change == "" {
 		change = uuid.NewString()
 	}
-	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected,
+	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected, Sound: !versioned,
 		Apply: func(text []byte) ([]byte, error) { return edit(text, body) }})
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
@@ -261,6 +261,8 @@
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Version: said.Detail, Detail: "the configuration is at another version"})
 	case trouble.Duplicate:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
+	case trouble.Busy:
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
 	case trouble.NotPrimary, trouble.NoPrimary:
 		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
 	default:
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -126,6 +126,7 @@
 			return elsewhere()
 		}
 		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer), Drawers: newer(view, question.Have)}
+		answer.shorten(question, current)
 		if courier {
 			state, failure := expediter.state(current, view)
 			if failure != nil {
@@ -151,6 +152,21 @@
 	}
 }
 
+// shorten sends what changed of the configuration instead of all of it, if the
+// node takes that and has a version that was shown here.
+func (answer *NewsAnswer) shorten(question NewsQuestion, current *Reign) {
+	drawer, found := answer.Drawers[larder.MenuDrawer]
+	if !found {
+		return
+	}
+	delta, made := current.editions.towards(drawer, question.Have[larder.MenuDrawer])
+	if !made || !question.Deltas {
+		return
+	}
+	delete(answer.Drawers, larder.MenuDrawer)
+	answer.Deltas = map[string]Delta{larder.MenuDrawer: delta}
+}
+
 // count adds an answer's drawers to what news has cost.
 func (expediter *Expediter) count(answer NewsAnswer) {
 	expediter.newsAnswers.Add(1)
@@ -160,6 +176,10 @@
 			expediter.menusSent.Add(1)
 		}
 	}
+	for _, delta := range answer.Deltas {
+		expediter.newsBytes.Add(uint64(len(delta.Middle)))
+		expediter.menusSent.Add(1)
+	}
 }
 
 func newer(view *larder.View, have map[string]larder.Version) map[string]larder.Drawer {
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -17,6 +17,8 @@
 	Expected *larder.Version
 	// Apply makes the new text of the old one.
 	Apply func(text []byte) ([]byte, error)
+	// Sound tells that it checks by itself what it adds.
+	Sound bool
 }
 
 const (
@@ -31,16 +33,7 @@
 //
 //	version, failure := core.Edit(hatch.Edit{Change: id, Digest: digest, Apply: evacuate})
 func (expediter *Expediter) Edit(edit Edit) (larder.Version, error) {
-	current, view, failure := expediter.Ruling()
-	if failure != nil {
-		return larder.Version{}, failure
-	}
-	drawer, found := view.Drawers[larder.MenuDrawer]
-	if !found {
-		drawer.Content = menu.Empty().Text
-	}
-	prepared := larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply)
-	version, failure := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
+	current, version, failure := expediter.change(edit)
 	if failure != nil {
 		return version, failure
 	}
@@ -55,6 +48,60 @@
 	return version, nil
 }
 
+// change prepares an edit for the newest configuration and submits it, again when
+// that has moved meanwhile. Edits of a large configuration are prepared one after
+// another, so that one whose turn it is need not be made again.
+func (expediter *Expediter) change(edit Edit) (*Reign, larder.Version, error) {
+	ends := expediter.turns.Now().Add(changePatience)
+	for {
+		current, view, failure := expediter.Ruling()
+		if failure != nil {
+			return nil, larder.Version{}, failure
+		}
+		drawer, found := view.Drawers[larder.MenuDrawer]
+		if !found {
+			drawer.Content = menu.Empty().Text
+		}
+		large := len(drawer.Content) >= larder.LargeMenu
+		if large {
+			if !expediter.takeEditTurn(ends) {
+				return nil, larder.Version{}, trouble.New(trouble.Busy, "other changes of this large configuration go first; ask again")
+			}
+			if _, newest, failure := expediter.Ruling(); failure == nil {
+				drawer = newest.Drawers[larder.MenuDrawer]
+			}
+		}
+		prepared := larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
+		version, failure := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
+		if large {
+			expediter.giveEditTurn()
+		}
+		if trouble.KindOf(failure) != trouble.Moved {
+			return current, version, failure
+		}
+		if !expediter.turns.Now().Before(ends) {
+			return nil, larder.Version{}, trouble.New(trouble.Busy, "the configuration changes faster than this change can be made; ask again")
+		}
+	}
+}
+
+func (expediter *Expediter) takeEditTurn(ends time.Time) bool {
+	return expediter.edits.Wait(ends.Sub(expediter.turns.Now()), func() bool {
+		expediter.mutex.Lock()
+		defer expediter.mutex.Unlock()
+		taken := expediter.editing
+		expediter.editing = true
+		return !taken
+	})
+}
+
+func (expediter *Expediter) giveEditTurn() {
+	expediter.mutex.Lock()
+	expediter.editing = false
+	expediter.mutex.Unlock()
+	expediter.edits.Ring()
+}
+
 // awaitInForce waits until every courier that has a hold has confirmed the
 // version, or its hold ran out. Its own hold is checked last.
 func (expediter *Expediter) awaitInForce(current *Reign, version larder.Version) bool {
--- /dev/null
+++ b/internal/hatch/editions.go
@@ -0,0 +1,54 @@
+package hatch
+
+import (
+	"sync"
+
+	"seamloom.example/seamloom/internal/larder"
+)
+
+// editions are the configurations that a primary has shown lately, so that a
+// node which has one of them is sent only what changed.
+type editions struct {
+	mutex sync.Mutex
+	shown []larder.Drawer
+	// made are the deltas towards the newest one, by the version they start from.
+	made map[larder.Version]Delta
+}
+
+// mostEditions bounds the memory, and mostEditionBytes their size together.
+const (
+	mostEditions     = 24
+	mostEditionBytes = 48 << 20
+)
+
+// towards gives the delta from the version that a node has to the newest.
+func (editions *editions) towards(newest larder.Drawer, have larder.Version) (Delta, bool) {
+	editions.mutex.Lock()
+	defer editions.mutex.Unlock()
+	if len(newest.Content) < leastDelta {
+		return Delta{}, false
+	}
+	if count := len(editions.shown); count == 0 || editions.shown[count-1].Version != newest.Version {
+		editions.shown = append(editions.shown, newest)
+		editions.made = map[larder.Version]Delta{}
+		size := 0
+		for _, drawer := range editions.shown {
+			size += len(drawer.Content)
+		}
+		for len(editions.shown) > 1 && (len(editions.shown) > mostEditions || size > mostEditionBytes) {
+			size -= len(editions.shown[0].Content)
+			editions.shown = editions.shown[1:]
+		}
+	}
+	if delta, found := editions.made[have]; found {
+		return delta, true
+	}
+	for _, drawer := range editions.shown {
+		if drawer.Version == have && have != newest.Version {
+			delta := makeDelta(drawer, newest)
+			editions.made[have] = delta
+			return delta, len(delta.Middle) < len(newest.Content)/2
+		}
+	}
+	return Delta{}, false
+}
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -28,6 +28,7 @@
 	news      rota.Bell
 	work      rota.Bell
 	confirmed rota.Bell
+	edits     rota.Bell
 
 	submitted   atomic.Uint64
 	newsAnswers atomic.Uint64
@@ -38,6 +39,7 @@
 	reign   *Reign
 	servers []roster.Server
 	mending bool
+	editing bool
 }
 
 // The pauses of an expediter's rounds. The values are ours.
@@ -78,7 +80,7 @@
 		observe("copy_damaged", "damage", damage)
 	}
 	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
-		news: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell()}
+		news: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
 	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
 	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -149,7 +149,7 @@
 	for name, drawer := range follower.drawers {
 		have[name] = drawer.Version
 	}
-	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce()}
+	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true}
 	if follower.primary == "" {
 		return question, searchPatience
 	}
@@ -159,6 +159,19 @@
 
 func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) {
 	follower.mutex.Lock()
+	for name, delta := range answer.Deltas {
+		drawer, fits := delta.apply(follower.drawers[name])
+		if !fits {
+			// The next question asks for the whole; this answer's hold is not used.
+			delete(follower.drawers, name)
+			follower.mutex.Unlock()
+			return
+		}
+		if answer.Drawers == nil {
+			answer.Drawers = map[string]larder.Drawer{}
+		}
+		answer.Drawers[name] = drawer
+	}
 	for name, drawer := range answer.Drawers {
 		if drawer.Version.Before(follower.drawers[name].Version) {
 			// An older primary's word: versions never go back.
--- a/internal/hatch/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -14,6 +14,7 @@
 	Leads   bool                     `msgpack:"leads"`
 	Charter larder.Charter           `msgpack:"charter"`
 	Drawers map[string]larder.Drawer `msgpack:"drawers,omitempty"`
+	Deltas  map[string]Delta         `msgpack:"deltas,omitempty"`
 	Menu    larder.Version           `msgpack:"menu"`
 	Hold    time.Duration            `msgpack:"hold"`
 	Duties  []rota.Duty              `msgpack:"duties,omitempty"`
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -16,4 +16,6 @@
 	InForce  larder.Version            `msgpack:"in_force"`
 	Released []rota.Duty               `msgpack:"released,omitempty"`
 	Patience time.Duration             `msgpack:"patience"`
+	// Deltas tells that the node takes what changed instead of the whole.
+	Deltas bool `msgpack:"deltas,omitempty"`
 }
--- a/internal/hatch/reign.go
+++ b/internal/hatch/reign.go
@@ -13,6 +13,7 @@
 	Since       time.Time
 	Holds       *rota.Holds
 	keys        *rota.Keys
+	editions    editions
 	membersAt   larder.Version
 	settledFrom time.Time
 	horizonAt   time.Time
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -16,11 +16,12 @@
 // ChangeMenu replaces the configuration's text by what edit makes of it. With
 // an expected version it is refused when that is not the current one. An edit
 // that was prepared for the version it meets is not made again, so that a large
-// configuration is not checked in the changes' turn.
+// configuration is not checked in the changes' turn; one that was prepared for
+// another version is told that the configuration has moved.
 //
 // Example:
 //
-//	prepared := larder.PrepareMenu(menuVersion, text, edit)
+//	prepared := larder.PrepareMenu(menuVersion, text, edit, false)
 //	store.Submit(larder.ChangeMenu("change-1", digest, &expected, prepared, edit), done)
 func ChangeMenu(id, digest string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
 	return func(state *State, version, menuVersion Version) error {
@@ -39,7 +40,10 @@
 			return trouble.New(trouble.VersionConflict, menuVersion.String())
 		}
 		if !prepared.made || prepared.base != menuVersion {
-			prepared = PrepareMenu(menuVersion, state.Menu, edit)
+			if prepared.made && len(state.Menu) >= LargeMenu {
+				return trouble.New(trouble.Moved, menuVersion.String())
+			}
+			prepared = PrepareMenu(menuVersion, state.Menu, edit, false)
 		}
 		if prepared.failure != nil {
 			return prepared.failure
--- a/internal/larder/preparedmenu.go
+++ b/internal/larder/preparedmenu.go
@@ -11,14 +11,19 @@
 	failure error
 }
 
-// PrepareMenu edits and checks one version of the configuration.
+// LargeMenu is the size from which a configuration is not edited and checked in
+// the changes' turn: claims would wait for it.
+const LargeMenu = 64 << 10
+
+// PrepareMenu edits and checks one version of the configuration. A sound edit
+// makes a sound text of a sound one, and needs no check of the whole.
 //
 // Example:
 //
-//	prepared := larder.PrepareMenu(menuVersion, text, edit)
-func PrepareMenu(base Version, text []byte, edit func(text []byte) ([]byte, error)) PreparedMenu {
+//	prepared := larder.PrepareMenu(menuVersion, text, edit, false)
+func PrepareMenu(base Version, text []byte, edit func(text []byte) ([]byte, error), sound bool) PreparedMenu {
 	edited, failure := edit(text)
-	if failure == nil {
+	if failure == nil && !sound {
 		_, failure = menu.Check(edited)
 	}
 	return PreparedMenu{made: true, base: base, text: edited, failure: failure}
--- a/internal/menu/configuration.go
+++ b/internal/menu/configuration.go
@@ -2,7 +2,13 @@
 // evacuations, how they are checked, and how a partial one is merged.
 package menu
 
-import "github.com/valyala/fastjson"
+import (
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
 
 // Configuration is a checked configuration. Text is its JSON.
 type Configuration struct {
@@ -59,5 +65,15 @@
 	evacuations.Set(district, value)
 	patch := arena.NewObject()
 	patch.Set("evacuations", evacuations)
-	return Merge(text, patch.MarshalTo(nil))
+	// Only what is added is checked: the rest was, when it was taken.
+	if value.Type() != fastjson.TypeNull {
+		if _, failure := Check(patch.MarshalTo(nil)); failure != nil {
+			return nil, failure
+		}
+	}
+	merged, failure := Merge(text, patch.MarshalTo(nil))
+	if failure == nil && len(merged) > MostBytes {
+		return nil, &Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")}}
+	}
+	return merged, failure
 }
--- a/internal/menu/merge.go
+++ b/internal/menu/merge.go
@@ -13,7 +13,9 @@
 //
 //	text, failure := menu.Merge(current, []byte(`{"routes":{"chat":null}}`))
 func Merge(text, patch []byte) ([]byte, error) {
-	var targetParser, patchParser fastjson.Parser
+	targetParser, patchParser := parsers.Get(), parsers.Get()
+	defer parsers.Put(targetParser)
+	defer parsers.Put(patchParser)
 	target, failure := targetParser.ParseBytes(text)
 	if failure != nil {
 		return nil, trouble.At(trouble.Malformed, "/", failure.Error())
@@ -25,23 +27,54 @@
 	if change.Type() != fastjson.TypeObject {
 		return nil, trouble.At(trouble.WrongType, "/", "a partial configuration is an object")
 	}
-	return mergeValue(&fastjson.Arena{}, target, change).MarshalTo(nil), nil
+	return appendMerged(nil, target, change), nil
 }
 
-func mergeValue(arena *fastjson.Arena, target, patch *fastjson.Value) *fastjson.Value {
+// appendMerged writes what the patch makes of the target, in one pass over both:
+// a library's object looks through all its fields for each that is set.
+func appendMerged(text []byte, target, patch *fastjson.Value) []byte {
 	if patch.Type() != fastjson.TypeObject {
-		return patch
-	}
-	if target == nil || target.Type() != fastjson.TypeObject {
-		target = arena.NewObject()
+		return patch.MarshalTo(text)
 	}
+	changes := map[string]*fastjson.Value{}
+	var names []string
 	patch.GetObject().Visit(func(key []byte, value *fastjson.Value) {
-		name := string(key)
-		if value.Type() == fastjson.TypeNull {
-			target.Del(name)
-			return
+		if _, found := changes[string(key)]; !found {
+			names = append(names, string(key))
 		}
-		target.Set(name, mergeValue(arena, target.Get(name), value))
+		changes[string(key)] = value
 	})
-	return target
+	arena := &fastjson.Arena{}
+	text = append(text, '{')
+	first := true
+	field := func(name string) {
+		if !first {
+			text = append(text, ',')
+		}
+		first = false
+		text = append(arena.NewString(name).MarshalTo(text), ':')
+	}
+	if target != nil && target.Type() == fastjson.TypeObject {
+		target.GetObject().Visit(func(key []byte, value *fastjson.Value) {
+			change, changed := changes[string(key)]
+			switch {
+			case !changed:
+				field(string(key))
+				text = value.MarshalTo(text)
+			case change.Type() != fastjson.TypeNull:
+				field(string(key))
+				text = appendMerged(text, value, change)
+			}
+			if changed {
+				delete(changes, string(key))
+			}
+		})
+	}
+	for _, name := range names {
+		if change, left := changes[name]; left && change.Type() != fastjson.TypeNull {
+			field(name)
+			text = appendMerged(text, nil, change)
+		}
+	}
+	return append(text, '}')
 }
--- /dev/null
+++ b/internal/menu/place.go
@@ -0,0 +1,29 @@
+package menu
+
+import "strings"
+
+// place is where a value stands in a configuration; its text is made only when a
+// finding needs it.
+type place struct {
+	parent *place
+	name   string
+}
+
+func (at place) field(name string) place { return place{parent: &at, name: name} }
+
+// String is the place as a JSON pointer.
+//
+// Example:
+//
+//	place{}.field("routes").field("a/b").String() // "/routes/a~1b"
+func (at place) String() string {
+	if at.parent == nil {
+		return "/"
+	}
+	before := at.parent.String()
+	return strings.TrimSuffix(before, "/") + "/" + escape(at.name)
+}
+
+func escape(name string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(name, "~", "~0"), "/", "~1")
+}
--- a/internal/pass/balance.go
+++ b/internal/pass/balance.go
@@ -15,6 +15,7 @@
 	needs     map[Part]int
 	lastTurn  time.Time
 	lastAsked time.Time
+	fixed     bool
 }
 
 // The balance's measures. The values are ours.
@@ -32,12 +33,13 @@
 	switchPatience = 20 * time.Second
 )
 
-// NewBalance starts without memory.
+// NewBalance starts without memory. A fixed one changes no part that a server
+// has, save that there must be one of each, for comparison.
 //
 // Example:
 //
-//	balance := pass.NewBalance()
-func NewBalance() *Balance { return &Balance{needs: map[Part]int{}} }
+//	balance := pass.NewBalance(false)
+func NewBalance(fixed bool) *Balance { return &Balance{needs: map[Part]int{}, fixed: fixed} }
 
 // Decide gives the orders that are needed now. Evacuated and leaving servers
 // count for nothing; a leaving one is told to drain.
@@ -121,7 +123,7 @@
 		balance.lastTurn = now
 		return orders
 	}
-	if len(prefill) == 0 || len(decode) == 0 {
+	if len(prefill) == 0 || len(decode) == 0 || balance.fixed {
 		return nil
 	}
 	backlog, slots := pressures(prefill, decode, loads)
--- a/internal/pass/balance_test.go
+++ b/internal/pass/balance_test.go
@@ -10,7 +10,7 @@
 // TestBalanceFollowsASwingWithoutFlapping lets prompts pile up and then
 // answers, and wants few turns, never below one server of each part.
 func TestBalanceFollowsASwingWithoutFlapping(test *testing.T) {
-	balance := NewBalance()
+	balance := NewBalance(false)
 	var servers []roster.Server
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
 		servers = append(servers, roster.Server{Name: name, District: "north"})
--- /dev/null
+++ b/internal/pass/market_test.go
@@ -0,0 +1,93 @@
+package pass
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// newTestMarket has so many servers, two of five of which read prompts.
+func newTestMarket(count int) *Market {
+	market := NewMarket("courier-1", "north", false)
+	var servers []roster.Server
+	for number := range count {
+		servers = append(servers, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[number%3]})
+	}
+	market.List(servers)
+	market.SetCouriers(7)
+	reportAll(market, count, noon)
+	return market
+}
+
+func reportAll(market *Market, count int, now time.Time) {
+	for number := range count {
+		part := Decode
+		if number%5 < 2 {
+			part = Prefill
+		}
+		market.Report(now, Load{Server: fmt.Sprintf("stove-%d", number), Part: part, Age: time.Hour, PrefillRate: 20_000, PrefillRoom: 12, DecodeSlots: 16,
+			PieceTime: 8 * time.Millisecond, MemoryFree: 200_000, LinkRate: 400_000})
+	}
+}
+
+func anywhere(roster.Server) bool { return true }
+
+// BenchmarkChoose is what the market costs an inquiry.
+func BenchmarkChoose(benchmark *testing.B) {
+	for _, count := range []int{9, 12, 100} {
+		benchmark.Run(fmt.Sprintf("%d servers", count), func(benchmark *testing.B) {
+			market := newTestMarket(count)
+			inquiry := &Inquiry{ID: "one", Service: "chat", PromptTokens: 500, Pieces: 20}
+			benchmark.ReportAllocs()
+			for range benchmark.N {
+				if _, found := market.Choose(noon, inquiry, &Ruling{HomeFirst: true}, anywhere, nil); !found {
+					benchmark.Fatal("no pair")
+				}
+			}
+		})
+	}
+}
+
+// TestMarketIsTradedByManyThreads has threads bid, reserve and release while
+// reports and lists are replaced. The race detector watches; room that is
+// reserved must be given back whole.
+func TestMarketIsTradedByManyThreads(test *testing.T) {
+	market := newTestMarket(12)
+	var trading sync.WaitGroup
+	for thread := range 8 {
+		trading.Go(func() {
+			for number := range 400 {
+				inquiry := &Inquiry{ID: fmt.Sprintf("%d-%d", thread, number), PromptTokens: 100, Pieces: 5}
+				bid, found := market.Choose(noon, inquiry, &Ruling{}, anywhere, nil)
+				if !found {
+					continue
+				}
+				market.Reserve(bid, inquiry)
+				if other, found := market.ChooseDecode(noon, inquiry, bid.Prefill.server.Name, anywhere, nil); found {
+					market.Take(other, inquiry)
+				}
+				market.Release(bid)
+			}
+		})
+	}
+	trading.Go(func() {
+		for range 200 {
+			reportAll(market, 12, noon)
+		}
+	})
+	trading.Go(func() {
+		for range 200 {
+			listing, _ := market.Loads(noon)
+			market.List(listing)
+		}
+	})
+	trading.Wait()
+	for _, stall := range market.board.Load().stalls {
+		if left := stall.promised.Load(); left != 0 {
+			test.Errorf("%s has %d rooms promised to nobody", stall.server.Name, left)
+		}
+	}
+}
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -65,6 +65,7 @@
 	"storm":                {Run: storm},
 	"race":                 {Run: race},
 	"large-configuration":  {Run: largeConfiguration},
+	"large-storm":          {Run: largeStorm},
 	"exchange-seeds":       {Run: exchangeSeeds},
 	"replace-core":         {Run: replaceCore},
 	"kill-during-repair":   {Run: killDuringRepair},
@@ -612,6 +613,18 @@
 
 // largeConfiguration puts many thousand routes and takes them away again.
 func largeConfiguration(lifetime context.Context, day *Day) {
+	day.withManyRoutes(lifetime, func() { pauseFor(lifetime, 4*time.Second) })
+}
+
+// largeStorm has a storm of changes over a configuration of many thousand
+// routes.
+func largeStorm(lifetime context.Context, day *Day) {
+	day.withManyRoutes(lifetime, func() { storm(lifetime, day) })
+}
+
+// withManyRoutes puts many thousand routes, lets something happen, and takes them
+// away again.
+func (day *Day) withManyRoutes(lifetime context.Context, act func()) {
 	var many, none strings.Builder
 	for number := range 8000 {
 		comma := ","
@@ -636,7 +649,10 @@
 			return failure == nil && answer.Outcome == "accepted"
 		})
 		day.Say("a configuration of %d bytes was accepted: %v", len(routes), accepted)
-		pauseFor(lifetime, 4*time.Second)
+		if routes == many.String() {
+			act()
+		}
+		pauseFor(lifetime, time.Second)
 	}
 }
 
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -17,6 +17,10 @@
 	// Forming troubles the first core while it forms: late machines, and one whose
 	// power fails at its disk's act or whose disk is lost in the middle.
 	Forming bool
+	// Swings lets traffic swing between many long prompts and many chats, instead
+	// of faults; FixedParts leaves servers the parts that they were given first.
+	Swings     bool
+	FixedParts bool
 	// Only names the one fault that is drawn; empty means all.
 	Only string
 	// Long and Short are the inquiries of each kind a second.
@@ -41,6 +45,9 @@
 // Result is what a day came to.
 type Result struct {
 	Verdict rehearsal.Verdict
+	// Turns counts the parts that servers changed after they had one, Flaps those
+	// that were taken back within fifteen seconds.
+	Turns, Flaps int
 	// Twice counts the moments at which two expediters could answer as primary.
 	Twice int
 	// Whole tells whether the core was whole again at the end, without an
@@ -88,6 +95,7 @@
 //	result := world.New(rehearsal.Sahil(), 7).Run(world.DefaultDay())
 func (world *World) Run(day Day) Result {
 	world.long, world.short = day.Long, day.Short
+	world.fixedParts = day.FixedParts
 	faultsFrom := opening
 	faultsEnd := faultsFrom + day.Faulty
 	closes := faultsEnd + calm
@@ -116,14 +124,20 @@
 	world.outside.Go(func() { world.callers(ends) })
 	world.outside.Go(func() { world.operate(ends) })
 	world.outside.Go(func() { world.watchPrimaries(ends + evening) })
-	world.outside.Go(func() { world.drawFaults(faultsFrom, faultsEnd, day.Only) })
+	if day.Swings {
+		world.outside.Go(func() { world.swing(faultsFrom, ends) })
+	} else {
+		world.outside.Go(func() { world.drawFaults(faultsFrom, faultsEnd, day.Only) })
+	}
 	world.run(faultsEnd)
 	world.faultsOver = true
 	world.outside.Go(world.upgradeAll)
 	world.run(closes)
 	world.mend()
 	world.run(closes + time.Millisecond)
-	world.outside.Go(world.close)
+	if !day.Swings {
+		world.outside.Go(world.close)
+	}
 	world.run(ends)
 	world.run(ends + evening)
 	for range 10 {
@@ -134,6 +148,7 @@
 		}
 	}
 	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Twice: world.twice, Temptations: world.temptations, Steps: world.acted}
+	result.Turns, result.Flaps = turns(world.Book.Entries())
 	for _, life := range world.lives {
 		if !life.ended {
 			life.ended = true
@@ -157,6 +172,46 @@
 	}
 }
 
+// swing lets traffic swing, twelve seconds each way, until the moment.
+func (world *World) swing(from, until time.Duration) {
+	long, short := world.long, world.short
+	world.outside.NewBell().Wait(from-world.now, never)
+	for world.now < until {
+		world.long, world.short = long*2.2, short*0.2
+		world.outside.NewBell().Wait(12*time.Second, never)
+		world.long, world.short = long*0.1, short*3
+		world.outside.NewBell().Wait(12*time.Second, never)
+	}
+}
+
+// flapTime is within how long a part that is taken back counts as a flap.
+const flapTime = 15 * time.Second
+
+// turns counts the changes of parts in a book, and those that were taken back
+// soon.
+func turns(entries []rehearsal.Entry) (changes, flaps int) {
+	type part struct {
+		name  string
+		since time.Time
+		from  string
+	}
+	parts := map[string]part{}
+	for _, entry := range entries {
+		if entry.Kind != rehearsal.Commanded || entry.Part == parts[entry.Server].name {
+			continue
+		}
+		before, known := parts[entry.Server]
+		if known && before.name != "" {
+			changes++
+			if before.from == entry.Part && entry.At.Sub(before.since) < flapTime {
+				flaps++
+			}
+		}
+		parts[entry.Server] = part{entry.Part, entry.At, before.name}
+	}
+	return changes, flaps
+}
+
 // watchPrimaries looks, over and over, whether two expediters hold at once.
 func (world *World) watchPrimaries(until time.Duration) {
 	for world.now < until {
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -48,6 +48,7 @@
 	number      int
 	faultsOver  bool
 	twice       int
+	fixedParts  bool
 	claiming    map[string]int
 	evacuating  map[string]bool
 	trace       hash.Hash
@@ -220,7 +221,7 @@
 		return
 	}
 	stoves := &stoves{life: begun, running: map[string]*exchange{}}
-	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported}, Address: machine.address,
+	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported, FixedParts: world.fixedParts}, Address: machine.address,
 		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere}
 	courier := hatch.NewCourier(begun, wire{begun}, stoves, &passing{life: begun}, options, observe)
 	machine.courier = courier
--- a/internal/trouble/kind.go
+++ b/internal/trouble/kind.go
@@ -21,6 +21,7 @@
 	OldEpoch        Kind = "old_epoch"
 	Unknown         Kind = "outcome_unknown"
 	VersionConflict Kind = "version_conflict"
+	Moved           Kind = "configuration_moved"
 	NoHold          Kind = "no_hold"
 	Restricted      Kind = "restricted"
 	Duplicate       Kind = "duplicate_inquiry"
--- a/options.go
+++ b/options.go
@@ -11,6 +11,8 @@
 	Supported FlagList
 	// LeastLoaded replaces the market by a plain least-loaded choice.
 	LeastLoaded bool
+	// FixedParts leaves every server the part that it was given first.
+	FixedParts bool
 }
 
 // DefaultMostInquiries is how many inquiries a courier lets in at once.
