Programs that cannot start say why and end: busy address, data folder, full disk

Exit code 1 for what the machine did not give, 2 for wrong use; messages are no longer all called settings. A fleet starts without its platform and is ready when it comes; the platform going away is a fault of the rehearsals.

--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -22,7 +22,7 @@
 	root.AddCommand(serveCommand(), streamCommand())
 	if failure := root.Execute(); failure != nil {
 		program.Explain(os.Stderr, failure)
-		os.Exit(2)
+		os.Exit(program.ExitCode(failure))
 	}
 }
 
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -20,7 +20,7 @@
 	root.AddCommand(serveCommand())
 	root.AddCommand(operatorCommands()...)
 	if failure := root.Execute(); failure != nil {
-		code := 2
+		code := program.ExitCode(failure)
 		if coded, found := failure.(*operatorTrouble); found {
 			code = coded.code
 		} else {
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -118,10 +118,25 @@
 //	program.Explain(os.Stderr, mistakes)
 func Explain(target io.Writer, mistakes error) {
 	for _, mistake := range multierr.Errors(mistakes) {
-		_, _ = io.WriteString(target, "settings: "+mistake.Error()+"\n")
+		_, _ = io.WriteString(target, mistake.Error()+"\n")
 	}
 }
 
+// ExitCode is what a program ends with that did not start: 2 for wrong use and
+// settings, 1 for what the machine or others did not give, such as a busy address
+// or a disk.
+//
+// Example:
+//
+//	os.Exit(program.ExitCode(failure))
+func ExitCode(failure error) int {
+	switch trouble.KindOf(failure) {
+	case trouble.Disk, trouble.Unreachable, trouble.Damaged:
+		return 1
+	}
+	return 2
+}
+
 // Wait handles signals until the process is to end: SIGHUP reloads, SIGTERM
 // and SIGINT return true. It returns false when the process ended by itself.
 //
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -71,6 +71,11 @@
 	"kill-during-repair":   {Run: killDuringRepair},
 	"restart-with-traffic": {Run: restartAll},
 	"upgrade-builds":       {Run: upgradeBuilds},
+	"platform-down": {Run: func(lifetime context.Context, day *Day) {
+		day.Fleet.Platform.SetDown(true)
+		pauseFor(lifetime, 6*time.Second)
+		day.Fleet.Platform.SetDown(false)
+	}},
 }
 
 // FaultNamed finds a fault.
--- a/internal/rehearsal/input_test.go
+++ b/internal/rehearsal/input_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"os"
@@ -265,6 +266,90 @@
 	}
 }
 
+// TestProgramsThatCannotStartSayWhy starts programs on a busy address, with a
+// data folder that is none, and on a full disk: each ends at once, with its reason
+// and its exit code.
+func TestProgramsThatCannotStartSayWhy(test *testing.T) {
+	folder := test.TempDir()
+	busy, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer func() { _ = busy.Close() }()
+	addresses, failure := freeAddresses(1)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	file := filepath.Join(folder, "a-file")
+	if failure := os.WriteFile(file, nil, 0o644); failure != nil {
+		test.Fatal(failure)
+	}
+	faults := filepath.Join(folder, "faults")
+	if failure := (NodeFaults{Disk: "full"}).Write(faults); failure != nil {
+		test.Fatal(failure)
+	}
+	common := func(address string) []string {
+		return []string{"--name", "node-1", "--address", address, "--district", "harbour", "--seeds", "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3", "--platform", "127.0.0.1:4"}
+	}
+	for name, want := range map[string]struct {
+		program   string
+		arguments []string
+		says      string
+	}{
+		"busy address":              {"courier", append([]string{"serve"}, common(busy.Addr().String())...), "address already in use"},
+		"a data folder that is one": {"expediter", append([]string{"serve", "--data-folder", file}, common(addresses[0])...), "not a directory"},
+		"a full disk":               {"rehearsal", append([]string{"stage-expediter", "--data-folder", filepath.Join(folder, "disk"), "--faults", faults}, common(addresses[0])...), "no space left"},
+	} {
+		command := exec.Command(filepath.Join(binaries, want.program), want.arguments...)
+		var output strings.Builder
+		command.Stdout, command.Stderr = &output, &output
+		if failure := command.Start(); failure != nil {
+			test.Fatal(failure)
+		}
+		ended := make(chan error, 1)
+		go func() { ended <- command.Wait() }()
+		stuck := time.NewTimer(20 * time.Second)
+		select {
+		case <-ended:
+		case <-stuck.C:
+			_ = command.Process.Kill()
+			test.Errorf("%s: stuck", name)
+		}
+		stuck.Stop()
+		if code := command.ProcessState.ExitCode(); code != 1 || !strings.Contains(output.String(), want.says) || strings.Contains(output.String(), "panic") {
+			test.Errorf("%s: exit code %d:\n%s", name, code, output.String())
+		}
+	}
+}
+
+// TestFleetStartsWithoutAPlatform starts a fleet while the platform is down, and
+// wants it ready soon after that is back.
+func TestFleetStartsWithoutAPlatform(test *testing.T) {
+	fleet, failure := NewFleet(Sahil(), test.TempDir(), binaries, nil)
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	guard(test, fleet)
+	fleet.Platform.SetDown(true)
+	for _, node := range fleet.Nodes() {
+		if failure := node.Begin(); failure != nil {
+			test.Fatal(failure)
+		}
+	}
+	if !Await(20*time.Second, func() bool { return fleet.Primary() != nil }) {
+		test.Fatal("without a platform there is no primary")
+	}
+	for _, node := range fleet.Nodes() {
+		if !node.Running() {
+			test.Errorf("%s ended", node.Node.Name)
+		}
+	}
+	fleet.Platform.SetDown(false)
+	if failure := fleet.AwaitReady(20 * time.Second); failure != nil {
+		test.Fatal(failure)
+	}
+}
+
 // TestStreamGivesTheSameDecisionsForTheSameEvents runs the bare core as a
 // program, twice.
 func TestStreamGivesTheSameDecisionsForTheSameEvents(test *testing.T) {
--- a/internal/rehearsal/platform.go
+++ b/internal/rehearsal/platform.go
@@ -23,6 +23,7 @@
 	mutex   sync.Mutex
 	servers map[string]roster.Server
 	nodes   map[string]roster.Node
+	down    bool
 }
 
 // StartPlatform begins the platform at any port.
@@ -43,11 +44,35 @@
 	mux.HandleFunc(pat.Get("/v1/nodes"), func(writer http.ResponseWriter, _ *http.Request) {
 		say(writer, http.StatusOK, map[string]any{"nodes": platform.listNodes()})
 	})
-	platform.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	platform.server = &http.Server{Handler: platform.shade(mux), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = platform.server.Serve(listener) }()
 	return platform, nil
 }
 
+// SetDown makes the platform answer nothing but that it is down, or end that.
+//
+// Example:
+//
+//	platform.SetDown(true)
+func (platform *Platform) SetDown(down bool) {
+	platform.mutex.Lock()
+	defer platform.mutex.Unlock()
+	platform.down = down
+}
+
+func (platform *Platform) shade(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
+		platform.mutex.Lock()
+		down := platform.down
+		platform.mutex.Unlock()
+		if down {
+			say(writer, http.StatusServiceUnavailable, Refusal{Type: "down"})
+			return
+		}
+		next.ServeHTTP(writer, inbound)
+	})
+}
+
 // Address is where the platform listens.
 //
 // Example:
