--- a/cmd/expediter/operator.go
+++ b/cmd/expediter/operator.go
@@ -37,9 +37,11 @@
 	get := subcommand("get", "print the configuration in force and its version", cobra.NoArgs, func(operator *operator, command *cobra.Command, _ []string) error {
 		return operator.call(http.MethodGet, "/v1/configuration", nil, nil)
 	})
-	status := subcommand("status", "print primary, backup, keepers, members, flags, duties and orders", cobra.NoArgs, func(operator *operator, command *cobra.Command, _ []string) error {
-		return operator.call(http.MethodGet, "/v1/status", nil, nil)
+	status := subcommand("status", "who leads, who is there, flags, duties, orders, and what lags", cobra.NoArgs, func(operator *operator, command *cobra.Command, _ []string) error {
+		asJSON, _ := command.Flags().GetBool("json")
+		return operator.showStatus(asJSON)
 	})
+	status.Flags().Bool("json", false, "print all of it as JSON, for scripts")
 	put := subcommand("put FILE", "replace the whole configuration; - reads standard input", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
 		return operator.change(command, http.MethodPut, arguments[0])
 	})
--- /dev/null
+++ b/cmd/expediter/status.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// statusAnswer is what the status says, as far as people read it.
+type statusAnswer struct {
+	Primary, Backup struct{ Name, Address string }
+	Keepers         []struct{ Name string }
+	Incoming        []struct{ Name string } `json:"incoming_keepers"`
+	Epoch           uint64
+	Version         string
+	Configuration   string `json:"configuration_version"`
+	Since           int64  `json:"primary_since_milliseconds"`
+	Lagging         []string
+	Members         map[string]struct {
+		Kind, District      string
+		Running, Restricted bool
+	}
+	Flags []struct {
+		Name    string
+		Enabled bool
+		Why     string
+		Lacking []string
+	}
+	Duties map[string]struct{ Holder string }
+	Orders map[string]struct{ Part string }
+}
+
+// showStatus prints the status for people, with a line for each thing that wants
+// looking at.
+func (operator *operator) showStatus(asJSON bool) error {
+	answered, failure := operator.ask(http.MethodGet, "/v1/status", nil, nil)
+	if failure != nil {
+		return failure
+	}
+	var status statusAnswer
+	if asJSON || answered.status != http.StatusOK || json.Unmarshal(answered.body, &status) != nil {
+		return operator.show(answered)
+	}
+	fmt.Print(status)
+	return nil
+}
+
+// String writes the status for people.
+//
+// Example:
+//
+//	fmt.Print(status)
+func (status statusAnswer) String() string {
+	var text strings.Builder
+	line := func(format string, values ...any) { _, _ = fmt.Fprintf(&text, format+"\n", values...) }
+	backup := status.Backup.Name
+	if backup == "" {
+		backup = "NONE: nothing is written until there is one"
+	}
+	var keepers []string
+	for _, seat := range status.Keepers {
+		keepers = append(keepers, seat.Name)
+	}
+	line("primary        %s (%s), for %s, epoch %d", status.Primary.Name, status.Primary.Address, (time.Duration(status.Since) * time.Millisecond).Round(time.Second), status.Epoch)
+	line("backup         %s", backup)
+	line("keepers        %s", strings.Join(keepers, ", "))
+	if len(status.Incoming) > 0 {
+		line("               a keeper is being exchanged")
+	}
+	line("configuration  %s, larder at %s", status.Configuration, status.Version)
+	if len(status.Lagging) > 0 {
+		line("lagging        %s", strings.Join(status.Lagging, ", "))
+	}
+	line("")
+	for _, name := range slices.Sorted(maps.Keys(status.Members)) {
+		member := status.Members[name]
+		state := "running"
+		if !member.Running {
+			state = "STOPPED, or not heard"
+		}
+		if member.Restricted {
+			state += ", RESTRICTED: it lacks an enabled flag"
+		}
+		line("%-14s %-10s %-12s %s", name, member.Kind, member.District, state)
+	}
+	line("")
+	for _, flag := range status.Flags {
+		line("flag %-18s %s", flag.Name, flag.Why)
+		if len(flag.Lacking) > 0 {
+			line("     %-18s lacking: %s", "", strings.Join(flag.Lacking, ", "))
+		}
+	}
+	line("")
+	for _, server := range slices.Sorted(maps.Keys(status.Orders)) {
+		line("server %-16s %-8s commanded by %s", server, status.Orders[server].Part, status.Duties["server/"+server].Holder)
+	}
+	line("parts are decided by %s", status.Duties["parts"].Holder)
+	return text.String()
+}
--- /dev/null
+++ b/internal/adapters/expediter/flags.go
@@ -0,0 +1,59 @@
+package expediter
+
+import (
+	"net/http"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+func (process *Process) flagAnswers(current *hatch.Reign, state *larder.State) []flagAnswer {
+	now := process.clock.Now()
+	live := current.Holds.Live(now)
+	settling := process.conduct.Settling(current)
+	var answers []flagAnswer
+	for _, description := range recipe.Book() {
+		answer := flagAnswer{Description: description, Enabled: state.Flags.Enabled.Has(description.Name), Lacking: state.Lacking(description.Name)}
+		for _, name := range answer.Lacking {
+			if _, running := live[name]; !running && state.Members[name].Kind == roster.Courier {
+				answer.Stopped = append(answer.Stopped, name)
+			}
+		}
+		switch {
+		case answer.Enabled:
+			answer.Why = "enabled: nodes write the new format; it is never disabled"
+		case len(answer.Lacking) > 0:
+			answer.Why = "not enabled: the members in \"lacking\" do not support it; upgrade them, or retire those that will not come back"
+		case settling:
+			answer.Settling = true
+			answer.Why = "not enabled yet: the members changed a moment ago"
+		default:
+			answer.Why = "not enabled yet: the primary does so at its next round"
+		}
+		answers = append(answers, answer)
+	}
+	return answers
+}
+
+func (process *Process) getFlags(writer http.ResponseWriter, inbound *http.Request) {
+	current, _, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	answers := process.flagAnswers(current, state)
+	name := inbound.URL.Query().Get("name")
+	if name == "" {
+		answerJSON(writer, http.StatusOK, map[string]any{"flags": answers})
+		return
+	}
+	for _, answer := range answers {
+		if string(answer.Name) == name {
+			answerJSON(writer, http.StatusOK, answer)
+			return
+		}
+	}
+	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: "no flag " + name})
+}
--- /dev/null
+++ b/internal/adapters/expediter/forwarding.go
@@ -0,0 +1,80 @@
+package expediter
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// onPrimary carries the call out here, or passes it to the primary once.
+func (process *Process) onPrimary(answer http.HandlerFunc) http.HandlerFunc {
+	return func(writer http.ResponseWriter, inbound *http.Request) {
+		if _, _, failure := process.conduct.Ruling(); failure == nil {
+			answer(writer, inbound)
+			return
+		}
+		address := process.conduct.Steward().Charter().Primary.Address
+		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.conduct.Keeper().Seat().Address {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
+			return
+		}
+		process.forward(writer, inbound, address)
+	}
+}
+
+func (process *Process) forward(writer http.ResponseWriter, inbound *http.Request, address string) {
+	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	if failure != nil {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: failure.Error()})
+		return
+	}
+	query := inbound.URL.Query()
+	reads := inbound.Method == http.MethodGet
+	if !reads && query.Get("change") == "" {
+		query.Set("change", uuid.NewString())
+	}
+	location := *inbound.URL
+	location.Scheme, location.Host, location.RawQuery = "http", address, query.Encode()
+	var touched atomic.Bool
+	lifetime := httptrace.WithClientTrace(inbound.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
+	outbound, failure := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
+	if failure != nil {
+		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: failure.Error()})
+		return
+	}
+	outbound.Header.Set(forwardedHeader, "1")
+	outbound.Header.Set("If-Match", inbound.Header.Get("If-Match"))
+	answered, failure := process.operatorsClient.Do(outbound)
+	if failure != nil {
+		if reads || !touched.Load() {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary can't be reached; ask again"})
+			return
+		}
+		answerUnknown(writer, query.Get("change"))
+		return
+	}
+	defer func() { _ = answered.Body.Close() }()
+	content, failure := io.ReadAll(answered.Body)
+	if failure != nil {
+		if reads {
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary's answer broke off; ask again"})
+			return
+		}
+		answerUnknown(writer, query.Get("change"))
+		return
+	}
+	writer.Header().Set("Content-Type", answered.Header.Get("Content-Type"))
+	writer.WriteHeader(answered.StatusCode)
+	_, _ = writer.Write(content)
+}
+
+func answerUnknown(writer http.ResponseWriter, change string) {
+	answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "unknown", Type: trouble.Unknown, Change: change,
+		Detail: "it can't be known yet whether the change was accepted", How: "GET /v1/changes/" + change})
+}
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -1,17 +1,14 @@
 package expediter
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	stderrors "errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -66,73 +63,6 @@
 	How      string             `json:"how,omitempty"`
 }
 
-// onPrimary carries the call out here, or passes it to the primary once.
-func (process *Process) onPrimary(answer http.HandlerFunc) http.HandlerFunc {
-	return func(writer http.ResponseWriter, inbound *http.Request) {
-		if _, _, failure := process.conduct.Ruling(); failure == nil {
-			answer(writer, inbound)
-			return
-		}
-		address := process.conduct.Steward().Charter().Primary.Address
-		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.conduct.Keeper().Seat().Address {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
-			return
-		}
-		process.forward(writer, inbound, address)
-	}
-}
-
-func (process *Process) forward(writer http.ResponseWriter, inbound *http.Request, address string) {
-	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
-	if failure != nil {
-		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: failure.Error()})
-		return
-	}
-	query := inbound.URL.Query()
-	reads := inbound.Method == http.MethodGet
-	if !reads && query.Get("change") == "" {
-		query.Set("change", uuid.NewString())
-	}
-	location := *inbound.URL
-	location.Scheme, location.Host, location.RawQuery = "http", address, query.Encode()
-	var touched atomic.Bool
-	lifetime := httptrace.WithClientTrace(inbound.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
-	outbound, failure := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
-	if failure != nil {
-		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: failure.Error()})
-		return
-	}
-	outbound.Header.Set(forwardedHeader, "1")
-	outbound.Header.Set("If-Match", inbound.Header.Get("If-Match"))
-	answered, failure := process.operatorsClient.Do(outbound)
-	if failure != nil {
-		if reads || !touched.Load() {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary can't be reached; ask again"})
-			return
-		}
-		answerUnknown(writer, query.Get("change"))
-		return
-	}
-	defer func() { _ = answered.Body.Close() }()
-	content, failure := io.ReadAll(answered.Body)
-	if failure != nil {
-		if reads {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary's answer broke off; ask again"})
-			return
-		}
-		answerUnknown(writer, query.Get("change"))
-		return
-	}
-	writer.Header().Set("Content-Type", answered.Header.Get("Content-Type"))
-	writer.WriteHeader(answered.StatusCode)
-	_, _ = writer.Write(content)
-}
-
-func answerUnknown(writer http.ResponseWriter, change string) {
-	answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "unknown", Type: trouble.Unknown, Change: change,
-		Detail: "it can't be known yet whether the change was accepted", How: "GET /v1/changes/" + change})
-}
-
 // readable is the committed state for a read; without one the call is answered.
 func (process *Process) readable(writer http.ResponseWriter) (*hatch.Reign, *larder.View, *larder.State, bool) {
 	current, view, state, failure := process.conduct.Read()
@@ -314,138 +244,9 @@
 	Settling bool     `json:"settling,omitempty"`
 }
 
-func (process *Process) flagAnswers(current *hatch.Reign, state *larder.State) []flagAnswer {
-	now := process.clock.Now()
-	live := current.Holds.Live(now)
-	settling := process.conduct.Settling(current)
-	var answers []flagAnswer
-	for _, description := range recipe.Book() {
-		answer := flagAnswer{Description: description, Enabled: state.Flags.Enabled.Has(description.Name), Lacking: state.Lacking(description.Name)}
-		for _, name := range answer.Lacking {
-			if _, running := live[name]; !running && state.Members[name].Kind == roster.Courier {
-				answer.Stopped = append(answer.Stopped, name)
-			}
-		}
-		switch {
-		case answer.Enabled:
-			answer.Why = "enabled: nodes write the new format; it is never disabled"
-		case len(answer.Lacking) > 0:
-			answer.Why = "not enabled: the members in \"lacking\" do not support it; upgrade them, or retire those that will not come back"
-		case settling:
-			answer.Settling = true
-			answer.Why = "not enabled yet: the members changed a moment ago"
-		default:
-			answer.Why = "not enabled yet: the primary does so at its next round"
-		}
-		answers = append(answers, answer)
-	}
-	return answers
-}
-
-func (process *Process) getFlags(writer http.ResponseWriter, inbound *http.Request) {
-	current, _, state, readable := process.readable(writer)
-	if !readable {
-		return
-	}
-	answers := process.flagAnswers(current, state)
-	name := inbound.URL.Query().Get("name")
-	if name == "" {
-		answerJSON(writer, http.StatusOK, map[string]any{"flags": answers})
-		return
-	}
-	for _, answer := range answers {
-		if string(answer.Name) == name {
-			answerJSON(writer, http.StatusOK, answer)
-			return
-		}
-	}
-	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: "no flag " + name})
-}
-
 // memberAnswer is what operators read of a member.
 type memberAnswer struct {
 	roster.Member
 	Running    bool `json:"running"`
 	Restricted bool `json:"restricted"`
 }
-
-func (process *Process) getStatus(writer http.ResponseWriter, _ *http.Request) {
-	current, view, state, readable := process.readable(writer)
-	if !readable {
-		return
-	}
-	now := process.clock.Now()
-	live := current.Holds.Live(now)
-	charter := process.conduct.Steward().Charter()
-	members := map[string]memberAnswer{}
-	for name, member := range state.Members {
-		_, running := live[name]
-		if member.Kind == roster.Expediter {
-			running = process.conduct.Steward().Sees(member.Address)
-		}
-		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
-	}
-	orders := map[string]recipe.Order{}
-	for server, record := range state.Orders.Records {
-		if order, failure := recipe.ReadOrder(record, process.conduct.Supported()); failure == nil {
-			orders[server] = order
-		}
-	}
-	batches, changes := process.conduct.Store().Work()
-	servers := process.conduct.Servers()
-	holds := map[string]int64{}
-	for name, age := range live {
-		holds[name] = age.Milliseconds()
-	}
-	answerJSON(writer, http.StatusOK, map[string]any{
-		"holds_live_milliseconds": holds,
-		"servers":                 servers, "claims_horizon": process.horizon(view),
-		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
-		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
-		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
-		"lagging":        current.Lagging(now, view.VersionOf(larder.MenuDrawer), state),
-		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.Since).Milliseconds(),
-	})
-}
-
-// horizon is the age before which claims are forgotten.
-func (process *Process) horizon(view *larder.View) time.Time {
-	state, failure := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
-	if failure != nil {
-		return time.Time{}
-	}
-	return state.Horizon
-}
-
-func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
-	silence := process.clock.Now().Sub(process.conduct.Heard())
-	status := http.StatusOK
-	if silence > 3*time.Second {
-		status = http.StatusServiceUnavailable
-	}
-	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.conduct.Steward().Holds(), "identity": process.conduct.Keeper().Seat().Identity, "epoch": process.conduct.Steward().Charter().Epoch})
-}
-
-func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
-	batches, changes := process.conduct.Store().Work()
-	leads := 0
-	if process.conduct.Steward().Holds() {
-		leads = 1
-	}
-	version := process.conduct.Store().Copy().Version()
-	answers, bytesSent, menus := process.conduct.NewsCounts()
-	damaged := 0
-	if process.conduct.Store().Copy().Damage() != "" {
-		damaged = 1
-	}
-	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	for _, line := range []struct {
-		name  string
-		value uint64
-	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.conduct.Steward().Charter().Epoch}, {"seamloom_copy_number", version.Number},
-		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
-		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
-		{"seamloom_configurations_sent_total", menus}} {
-		_, _ = io.WriteString(writer, line.name+" "+strconv.FormatUint(line.value, 10)+"\n")
-	}
-}
--- /dev/null
+++ b/internal/adapters/expediter/status.go
@@ -0,0 +1,93 @@
+package expediter
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+func (process *Process) getStatus(writer http.ResponseWriter, _ *http.Request) {
+	current, view, state, readable := process.readable(writer)
+	if !readable {
+		return
+	}
+	now := process.clock.Now()
+	live := current.Holds.Live(now)
+	charter := process.conduct.Steward().Charter()
+	members := map[string]memberAnswer{}
+	for name, member := range state.Members {
+		_, running := live[name]
+		if member.Kind == roster.Expediter {
+			running = process.conduct.Steward().Sees(member.Address)
+		}
+		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
+	}
+	orders := map[string]recipe.Order{}
+	for server, record := range state.Orders.Records {
+		if order, failure := recipe.ReadOrder(record, process.conduct.Supported()); failure == nil {
+			orders[server] = order
+		}
+	}
+	batches, changes := process.conduct.Store().Work()
+	servers := process.conduct.Servers()
+	holds := map[string]int64{}
+	for name, age := range live {
+		holds[name] = age.Milliseconds()
+	}
+	answerJSON(writer, http.StatusOK, map[string]any{
+		"holds_live_milliseconds": holds,
+		"servers":                 servers, "claims_horizon": process.horizon(view),
+		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
+		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
+		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
+		"lagging":        current.Lagging(now, view.VersionOf(larder.MenuDrawer), state),
+		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.Since).Milliseconds(),
+	})
+}
+
+// horizon is the age before which claims are forgotten.
+func (process *Process) horizon(view *larder.View) time.Time {
+	state, failure := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
+	if failure != nil {
+		return time.Time{}
+	}
+	return state.Horizon
+}
+
+func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
+	silence := process.clock.Now().Sub(process.conduct.Heard())
+	status := http.StatusOK
+	if silence > 3*time.Second {
+		status = http.StatusServiceUnavailable
+	}
+	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.conduct.Steward().Holds(), "identity": process.conduct.Keeper().Seat().Identity, "epoch": process.conduct.Steward().Charter().Epoch})
+}
+
+func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
+	batches, changes := process.conduct.Store().Work()
+	leads := 0
+	if process.conduct.Steward().Holds() {
+		leads = 1
+	}
+	version := process.conduct.Store().Copy().Version()
+	answers, bytesSent, menus := process.conduct.NewsCounts()
+	damaged := 0
+	if process.conduct.Store().Copy().Damage() != "" {
+		damaged = 1
+	}
+	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	for _, line := range []struct {
+		name  string
+		value uint64
+	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.conduct.Steward().Charter().Epoch}, {"seamloom_copy_number", version.Number},
+		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
+		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
+		{"seamloom_configurations_sent_total", menus}} {
+		_, _ = io.WriteString(writer, line.name+" "+strconv.FormatUint(line.value, 10)+"\n")
+	}
+}
--- /dev/null
+++ b/internal/larder/acquaintance.go
@@ -0,0 +1,172 @@
+package larder
+
+import (
+	"sort"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Own is the hello that this expediter says.
+//
+// Example:
+//
+//	answer := steward.Own()
+func (steward *Steward) Own() Hello {
+	charter := steward.keeper.Charter()
+	left := steward.keeper.HoldEnds().Sub(steward.turns.Now())
+	leads := steward.Holds()
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if steward.charter.Epoch > charter.Epoch {
+		charter = steward.charter
+	}
+	return Hello{Seat: steward.keeper.Seat(), Kind: steward.kind, Blank: steward.keeper.Charter().Blank(), Restricted: steward.restricted,
+		Charter: charter, Leads: leads, HoldLeft: max(left, 0),
+		Version: steward.store.Copy().Version(), Damage: steward.store.Copy().Damage()}
+}
+
+// Greet takes another's hello and answers it.
+//
+// Example:
+//
+//	answer := steward.Greet(hello)
+func (steward *Steward) Greet(hello Hello) Hello {
+	steward.note(hello, false)
+	steward.mutex.Lock()
+	steward.greeted = steward.turns.Now()
+	steward.mutex.Unlock()
+	return steward.Own()
+}
+
+func (steward *Steward) note(hello Hello, answered bool) {
+	if hello.Seat.Empty() || hello.Seat.Identity == steward.keeper.Seat().Identity {
+		return
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	known, found := steward.known[hello.Seat.Identity]
+	if !found {
+		known = &acquaintance{}
+		steward.known[hello.Seat.Identity] = known
+	}
+	known.hello, known.lastSeen = hello, steward.turns.Now()
+	if answered {
+		known.answered = known.lastSeen
+	}
+	if hello.Charter.Epoch > steward.charter.Epoch {
+		steward.charter = hello.Charter
+	}
+}
+
+// greetAll says hello to every address that may have an expediter.
+func (steward *Steward) greetAll() {
+	own := steward.Own()
+	addresses := map[string]bool{}
+	for _, seat := range steward.Charter().Electors() {
+		addresses[seat.Address] = true
+	}
+	steward.mutex.Lock()
+	for _, address := range steward.seeds {
+		addresses[address] = true
+	}
+	for _, address := range steward.contacts {
+		addresses[address] = true
+	}
+	for _, known := range steward.known {
+		if steward.turns.Now().Sub(known.lastSeen) < time.Minute {
+			addresses[known.hello.Seat.Address] = true
+		}
+	}
+	steward.mutex.Unlock()
+	delete(addresses, own.Seat.Address)
+	// One waits here only for those who should answer: the others' hellos are
+	// noted whenever they come.
+	var seats []Seat
+	for address := range addresses {
+		seats = append(seats, Seat{Address: address})
+	}
+	sort.Slice(seats, func(left, right int) bool { return seats[left].Address < seats[right].Address })
+	answered := 0
+	gather(steward.turns, seats, func(seat Seat) (Hello, error) {
+		hello, failure := steward.peers.Hello(seat.Address, own)
+		if failure == nil {
+			steward.note(hello, true)
+		}
+		return hello, failure
+	}, func(_ Seat, _ Hello, failure error) {
+		if failure == nil {
+			answered++
+		}
+	}, func() bool { return answered >= 2 })
+}
+
+func (steward *Steward) seenAt(address string) (Seat, bool) {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	var found *acquaintance
+	for _, identity := range steward.acquaintances() {
+		known := steward.known[identity]
+		if known.hello.Seat.Address == address && (found == nil || known.lastSeen.After(found.lastSeen)) {
+			found = known
+		}
+	}
+	if found == nil || steward.turns.Now().Sub(found.lastSeen) > applicantFresh {
+		return Seat{}, false
+	}
+	return found.hello.Seat, found.hello.Blank && found.hello.Kind == roster.Expediter
+}
+
+func (steward *Steward) alive(identity Identity, fresh time.Duration) (Hello, bool) {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	known, found := steward.known[identity]
+	if !found || steward.turns.Now().Sub(known.answered) > fresh {
+		return Hello{}, false
+	}
+	return known.hello, true
+}
+
+// Address is where the seat's identity was heard from last.
+//
+// Example:
+//
+//	address := steward.Address(charter.Backup)
+func (steward *Steward) Address(seat Seat) string {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if known, found := steward.known[seat.Identity]; found {
+		return known.hello.Seat.Address
+	}
+	return seat.Address
+}
+
+// Sees tells whether an expediter at the address was heard a moment ago.
+//
+// Example:
+//
+//	running := steward.Sees("127.0.0.1:7102")
+func (steward *Steward) Sees(address string) bool {
+	if address == steward.keeper.Seat().Address {
+		return true
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	for _, known := range steward.known {
+		if known.hello.Seat.Address == address && steward.turns.Now().Sub(known.lastSeen) < applicantFresh {
+			return true
+		}
+	}
+	return false
+}
+
+// acquaintances are the identities that were ever heard, in order, so that the
+// same messages lead to the same choices. The caller has the mutex.
+func (steward *Steward) acquaintances() []Identity {
+	identities := make([]Identity, 0, len(steward.known))
+	for identity := range steward.known {
+		identities = append(identities, identity)
+	}
+	sort.Slice(identities, func(left, right int) bool { return identities[left] < identities[right] })
+	return identities
+}
--- /dev/null
+++ b/internal/larder/standing.go
@@ -0,0 +1,328 @@
+package larder
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// form begins the first core: only from the first seed, and only when all
+// three seeds are blank.
+func (steward *Steward) form() {
+	own := steward.keeper.Seat()
+	steward.mutex.Lock()
+	seeds := steward.seeds
+	steward.mutex.Unlock()
+	if len(seeds) != 3 || seeds[0] != own.Address {
+		return
+	}
+	seats := []Seat{own}
+	for _, address := range seeds[1:] {
+		seat, blank := steward.seenAt(address)
+		if !blank {
+			return
+		}
+		seats = append(seats, seat)
+	}
+	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
+	if _, failure := steward.keeper.Accept(steward.turns.Now(), charter); failure != nil {
+		steward.observe("formation_failed", "cause", failure)
+		return
+	}
+	for _, seat := range seats[1:] {
+		_, _ = steward.peers.Accept(seat.Address, seat.Identity, charter)
+	}
+	steward.observe("core_formed", "keepers", seats)
+}
+
+// watch is what a copy in sync does while another is primary, or none is.
+func (steward *Steward) watch() {
+	charter := steward.Charter()
+	own := steward.keeper.Seat()
+	now := steward.turns.Now()
+	if !charter.InSync(own.Identity) || steward.store.Copy().Damage() != "" || now.Before(steward.backoff) {
+		return
+	}
+	steward.mutex.Lock()
+	leaving := steward.leaving
+	steward.mutex.Unlock()
+	if leaving {
+		return
+	}
+	// A candidate that nobody can elect yet would only disturb the primary, so
+	// it asks first whether a quorum has no hold running.
+	free := map[Identity]bool{}
+	steward.mutex.Lock()
+	restricted := steward.restricted
+	steward.mutex.Unlock()
+	gather(steward.turns, charter.Electors(), func(seat Seat) (Hello, error) {
+		if seat.Identity == own.Identity {
+			return steward.Own(), nil
+		}
+		return steward.peers.Hello(steward.Address(seat), steward.Own())
+	}, func(seat Seat, hello Hello, failure error) {
+		if failure == nil && hello.Seat.Identity == seat.Identity && hello.HoldLeft == 0 && !hello.Leads {
+			free[seat.Identity] = true
+		}
+	}, func() bool { return charter.Quorum(free) })
+	if !charter.Quorum(free) {
+		return
+	}
+	if restricted {
+		// It takes over only when the other copy in sync cannot, and then hands
+		// over as soon as a capable expediter is in sync.
+		steward.backoff = now.Add(2 * time.Second)
+		if steward.otherInSyncAlive(charter) {
+			return
+		}
+	}
+	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+		if !base.InSync(own.Identity) {
+			return base, false
+		}
+		base.Primary, base.Backup = own, Seat{}
+		return base, true
+	})
+	if failure != nil {
+		// Two candidates part by different patience.
+		spread := time.Duration(roster.Weight("backoff", string(own.Identity))%300) * time.Millisecond
+		steward.backoff = steward.turns.Now().Add(150*time.Millisecond + spread)
+		return
+	}
+	if failure := steward.store.Lead(won.Epoch); failure != nil {
+		steward.observe("lead_failed", "cause", failure)
+		return
+	}
+	steward.unsettled = false
+	steward.mutex.Lock()
+	steward.backupFails, steward.leadsFrom = time.Time{}, steward.turns.Now()
+	steward.mutex.Unlock()
+	steward.observe("became_primary", "epoch", won.Epoch)
+	steward.confirm(won)
+	steward.ensureBackup()
+}
+
+// otherInSyncAlive tells whether the other copy in sync can take over: its node is
+// there, lacks no flag, and its copy is whole.
+func (steward *Steward) otherInSyncAlive(charter Charter) bool {
+	own := steward.keeper.Seat().Identity
+	for _, seat := range []Seat{charter.Primary, charter.Backup} {
+		if !seat.Empty() && seat.Identity != own {
+			if hello, alive := steward.alive(seat.Identity, applicantFresh); alive && !hello.Restricted && hello.Damage == "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stand asks for the next epoch: first for promises, by which the newest
+// charter is found, then for acceptance of the charter made from it.
+func (steward *Steward) stand(make func(base Charter) (Charter, bool)) (Charter, error) {
+	own := steward.keeper.Seat()
+	base := steward.keeper.Charter()
+	if known := steward.Charter(); known.Epoch > base.Epoch {
+		base = known
+	}
+	ballot := max(base.Epoch, steward.keeper.Promised(), steward.ballot) + 1
+	if failure := steward.store.Vow(steward.turns.Now(), ballot, own.Identity); failure != nil {
+		return base, failure
+	}
+	granted := map[Identity]bool{}
+	asked := map[Identity]bool{}
+	for {
+		var seats []Seat
+		for _, seat := range base.Electors() {
+			if !asked[seat.Identity] {
+				asked[seat.Identity] = true
+				seats = append(seats, seat)
+			}
+		}
+		if len(seats) == 0 {
+			break
+		}
+		current, newest := base, base
+		highest := uint64(0)
+		gather(steward.turns, seats, func(seat Seat) (Promise, error) {
+			if seat.Identity == own.Identity {
+				// The vow has promised this epoch on the own disk already.
+				return Promise{Keeper: own.Identity, Granted: true, Charter: steward.keeper.Charter()}, nil
+			}
+			promise, failure := steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot, own.Identity)
+			if failure == nil && promise.Refusal == trouble.NotAdmitted && current.Keeps(seat.Identity) {
+				// It was named a keeper and has not heard of it.
+				if _, failure := steward.peers.Accept(steward.Address(seat), seat.Identity, current); failure == nil {
+					return steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot, own.Identity)
+				}
+			}
+			return promise, failure
+		}, func(seat Seat, promise Promise, failure error) {
+			if failure != nil {
+				return
+			}
+			highest = max(highest, promise.Promised)
+			if promise.Charter.Epoch > newest.Epoch {
+				newest = promise.Charter
+			}
+			granted[seat.Identity] = granted[seat.Identity] || promise.Granted
+		}, func() bool { return current.Quorum(granted) })
+		steward.ballot = max(steward.ballot, highest)
+		if !current.Quorum(granted) {
+			return newest, trouble.New(trouble.NoPrimary, "no quorum of keepers promised the epoch")
+		}
+		if newest.Epoch == base.Epoch {
+			break
+		}
+		base = newest
+	}
+	if !base.Quorum(granted) {
+		return base, trouble.New(trouble.NoPrimary, "no quorum of the newest keepers promised the epoch")
+	}
+	next, may := make(base)
+	if !may {
+		return base, trouble.New(trouble.Deposed, "the newest charter does not allow it")
+	}
+	next.Epoch = ballot
+	accepted := map[Identity]bool{}
+	seats := Charter{Keepers: base.Electors(), Incoming: next.Electors()}.Electors()
+	gather(steward.turns, seats, func(seat Seat) (Promise, error) {
+		if seat.Identity == own.Identity {
+			return steward.keeper.Accept(steward.turns.Now(), next)
+		}
+		return steward.peers.Accept(steward.Address(seat), seat.Identity, next)
+	}, func(seat Seat, promise Promise, failure error) {
+		if failure == nil {
+			steward.ballot = max(steward.ballot, promise.Promised)
+			accepted[seat.Identity] = promise.Granted
+		}
+	}, func() bool { return base.Quorum(accepted) && next.Quorum(accepted) })
+	if !base.Quorum(accepted) || !next.Quorum(accepted) {
+		return base, trouble.New(trouble.Unknown, "no quorum of keepers accepted the charter")
+	}
+	steward.mutex.Lock()
+	steward.charter = next
+	steward.mutex.Unlock()
+	return next, nil
+}
+
+// confirm renews the primary's own hold from a quorum of keepers.
+func (steward *Steward) confirm(charter Charter) bool {
+	own := steward.keeper.Seat()
+	asked := steward.turns.Now()
+	confirmed := map[Identity]bool{}
+	var newer Charter
+	outdated := false
+	gather(steward.turns, charter.Electors(), func(seat Seat) (Promise, error) {
+		if seat.Identity == own.Identity {
+			return steward.keeper.Confirm(asked, charter.Epoch, own.Identity), nil
+		}
+		promise, failure := steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
+		if failure == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
+			// It was away when the charter was granted.
+			_, _ = steward.peers.Accept(steward.Address(seat), seat.Identity, charter)
+		}
+		return promise, failure
+	}, func(seat Seat, promise Promise, failure error) {
+		if failure != nil {
+			return
+		}
+		confirmed[seat.Identity] = promise.Granted
+		outdated = outdated || promise.Refusal == trouble.OldEpoch
+		steward.ballot = max(steward.ballot, promise.Promised)
+		if promise.Charter.Epoch > newer.Epoch {
+			newer = promise.Charter
+		}
+	}, func() bool { return charter.Quorum(confirmed) })
+	if newer.Epoch > charter.Epoch && newer.Primary.Identity != own.Identity {
+		steward.resign("deposed", newer)
+		return false
+	}
+	if !charter.Quorum(confirmed) {
+		if outdated {
+			// An epoch was promised and not used, perhaps to this steward
+			// itself: the charter is asked for anew.
+			steward.unsettled = true
+		}
+		return false
+	}
+	steward.outrun = outdated
+	steward.mutex.Lock()
+	steward.holdEnds = asked.Add(PrimaryHold - holdDrift)
+	steward.mutex.Unlock()
+	return true
+}
+
+// regrant asks for the same charter under a higher epoch, when a keeper has
+// promised one that nobody was granted and so can't confirm the present one.
+func (steward *Steward) regrant(charter Charter) {
+	steward.outrun = false
+	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+		return base, base.Epoch == charter.Epoch && base.Primary.Identity == charter.Primary.Identity
+	})
+	if failure != nil {
+		steward.observe("not_regranted", "cause", failure)
+		steward.unsettled = true
+		return
+	}
+	steward.store.Thaw(won.Epoch)
+	steward.confirm(won)
+}
+
+func (steward *Steward) resign(cause string, newer Charter) {
+	steward.mutex.Lock()
+	steward.holdEnds = time.Time{}
+	if newer.Epoch > steward.charter.Epoch {
+		steward.charter = newer
+	}
+	steward.mutex.Unlock()
+	steward.store.StepDown()
+	steward.observe("stepped_down", "cause", cause, "epoch", newer.Epoch)
+}
+
+// unheardOf tells whether this primary reaches its backup while no expediter
+// reaches it: its link has failed in one direction, and nodes that ask it are
+// not heard either.
+func (steward *Steward) unheardOf(charter Charter) bool {
+	if charter.Backup.Empty() || steward.unsettled {
+		return false
+	}
+	if _, alive := steward.alive(charter.Backup.Identity, steward.beat()); !alive {
+		return false
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if steward.leadsFrom.IsZero() {
+		steward.leadsFrom = steward.turns.Now()
+	}
+	latest := steward.greeted
+	if latest.Before(steward.leadsFrom) {
+		latest = steward.leadsFrom
+	}
+	return steward.turns.Now().Sub(latest) > unheardPatience
+}
+
+// handOver makes the backup primary and stays in sync beside it: what a
+// primary does that lacks an enabled flag.
+func (steward *Steward) handOver(charter Charter) {
+	if _, leading := steward.store.Freeze(); !leading {
+		return
+	}
+	// The keepers let go of this primary's hold when they accept the next, so
+	// it stops answering first.
+	steward.mutex.Lock()
+	steward.holdEnds = time.Time{}
+	steward.mutex.Unlock()
+	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+		if base.Primary.Identity != steward.keeper.Seat().Identity || base.Backup.Identity != charter.Backup.Identity {
+			return base, false
+		}
+		base.Primary, base.Backup = base.Backup, Seat{}
+		return base, true
+	})
+	if failure != nil {
+		steward.unsettled = true
+		return
+	}
+	steward.resign("handed_over", won)
+}
--- /dev/null
+++ b/internal/pass/dispatch.go
@@ -0,0 +1,162 @@
+package pass
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// nowhere tells whether evacuations leave a route no listed server.
+func (desk *Desk) nowhere(program *Program, ruling *Ruling) bool {
+	listed, _ := desk.market.Loads(time.Time{})
+	for _, server := range listed {
+		if program.Allows(ruling, server) {
+			return false
+		}
+	}
+	return len(listed) > 0 && len(program.evacuations) > 0
+}
+
+func (desk *Desk) choose(now time.Time, entry *ticket) (Bid, bool) {
+	program := desk.program.Load()
+	return desk.market.Choose(now, entry.inquiry, entry.ruling, func(server roster.Server) bool {
+		return program.Allows(entry.ruling, server)
+	}, entry.tried)
+}
+
+// dispatchPrefill sends a run's prompt to the pair's first server. Each run
+// after the first is an extra try.
+func (desk *Desk) dispatchPrefill(now time.Time, shard *shard, entry *ticket) []Decision {
+	inquiry := entry.inquiry
+	if !now.Before(inquiry.Limit) {
+		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+	}
+	holdEnds := desk.HoldEnds()
+	if !now.Before(holdEnds) {
+		return desk.awaitHold(now, shard, entry, ready)
+	}
+	entry.holdless = time.Time{}
+	bid, found := desk.choose(now, entry)
+	if !found {
+		return desk.giveUp(now, shard, entry, trouble.Busy)
+	}
+	var decisions []Decision
+	if entry.dispatches == 0 {
+		desk.budget.First()
+	} else {
+		cost := 1
+		if entry.answering {
+			cost = 2
+		}
+		if entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(cost) {
+			return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
+		}
+		entry.answering = false
+		decisions = append(decisions, Decision{Kind: NoteRetry, ID: inquiry.ID, Run: entry.run + 1})
+	}
+	entry.dispatches++
+	entry.run++
+	entry.bid, entry.stage, entry.handle = bid, prefilling, ""
+	entry.reserved = true
+	desk.market.Reserve(bid, inquiry)
+	entry.patience = now.Add(leastPatience + 4*bid.Price)
+	pair := &recipe.Pair{Inquiry: inquiry.ID, Run: entry.run, Prefill: bid.Prefill.server.Name, Decode: bid.Decode.server.Name, Price: bid.Price, HandOver: bid.HandOver}
+	return append(decisions,
+		Decision{Kind: NotePair, ID: inquiry.ID, Run: entry.run, Pair: pair},
+		Decision{Kind: DispatchPrefill, ID: inquiry.ID, Run: entry.run, Inquiry: inquiry, NotAfter: earlier(inquiry.Limit, holdEnds),
+			Server: bid.Prefill.server.Name, Address: bid.Prefill.server.Address})
+}
+
+// awaitHold keeps an inquiry that was let in for the next hold, but not until
+// its limit: when none comes soon its caller is told so.
+func (desk *Desk) awaitHold(now time.Time, shard *shard, entry *ticket, stage stage) []Decision {
+	if entry.holdless.IsZero() {
+		entry.holdless = now
+	}
+	if now.Sub(entry.holdless) > holdPatience {
+		return desk.giveUp(now, shard, entry, trouble.NoHold)
+	}
+	entry.stage = stage
+	return nil
+}
+
+func earlier(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
+// dispatchDecode hands the prompt's memory over to the pair's second server,
+// or to another when that one has no room any more.
+func (desk *Desk) dispatchDecode(now time.Time, shard *shard, entry *ticket, extra bool) []Decision {
+	inquiry := entry.inquiry
+	if !now.Before(inquiry.Limit) {
+		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+	}
+	holdEnds := desk.HoldEnds()
+	if !now.Before(holdEnds) {
+		return desk.awaitHold(now, shard, entry, handing)
+	}
+	entry.holdless = time.Time{}
+	desk.release(entry)
+	program := desk.program.Load()
+	allowed := func(server roster.Server) bool { return program.Allows(entry.ruling, server) }
+	source := entry.bid.Prefill.server
+	planned := entry.bid.Decode
+	tried := map[string]bool{}
+	for _, stall := range desk.market.board.Load().stalls {
+		tried[stall.server.Name] = stall.server.Name != planned.server.Name
+	}
+	var bid Bid
+	found := false
+	if !entry.tried[planned.server.Name] {
+		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, allowed, tried)
+	}
+	if !found {
+		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, allowed, entry.tried)
+	}
+	if !found {
+		// A prompt that was read is worth a short wait for room.
+		if now.Before(entry.patience) {
+			entry.stage = handing
+			return nil
+		}
+		return desk.giveUp(now, shard, entry, trouble.Busy)
+	}
+	if extra && (entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(1)) {
+		return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
+	}
+	var decisions []Decision
+	if extra {
+		entry.dispatches++
+		decisions = append(decisions, Decision{Kind: NoteRetry, ID: inquiry.ID, Run: entry.run})
+	}
+	entry.bid, entry.stage, entry.answering = bid, decoding, true
+	desk.market.Take(bid, inquiry)
+	entry.patience = now.Add(leastPatience + 4*bid.HandOver)
+	return append(decisions, Decision{Kind: DispatchDecode, ID: inquiry.ID, Run: entry.run, Inquiry: inquiry, NotAfter: earlier(inquiry.Limit, holdEnds),
+		Server: bid.Decode.server.Name, Address: bid.Decode.server.Address, SourceAddress: source.Address, Handle: entry.handle})
+}
+
+func (desk *Desk) release(entry *ticket) {
+	if entry.reserved {
+		desk.market.Release(entry.bid)
+		entry.reserved = false
+	}
+}
+
+// again tries an inquiry anew if that is allowed: one that may not be repeated
+// only when the server certainly did not start.
+func (desk *Desk) again(now time.Time, shard *shard, entry *ticket, outcome Outcome) []Decision {
+	if !entry.inquiry.Repeatable && entry.everRan {
+		final := Failed
+		if outcome == Uncertain {
+			final = Unknown
+		}
+		return desk.finish(now, shard, entry, final, trouble.ServerFailed)
+	}
+	return desk.dispatchPrefill(now, shard, entry)
+}
--- /dev/null
+++ b/internal/pass/ending.go
@@ -0,0 +1,129 @@
+package pass
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+func (desk *Desk) refuse(inquiry *Inquiry, cause trouble.Kind, detail string, retry time.Duration) []Decision {
+	desk.tallies.Refused.Add(1)
+	return []Decision{{Kind: Finish, ID: inquiry.ID, Final: Refused, Cause: cause, Detail: detail, Retry: retry}}
+}
+
+// giveUp ends an inquiry that gets no further dispatch, with the word that is
+// certain: refused when it never ran, unknown when a server may be running it.
+func (desk *Desk) giveUp(now time.Time, shard *shard, entry *ticket, cause trouble.Kind) []Decision {
+	final := Failed
+	switch {
+	case !entry.everRan && !entry.started:
+		final = Refused
+	case entry.started && !entry.inquiry.Repeatable && entry.pieces == 0:
+		final = Unknown
+	}
+	var decisions []Decision
+	if entry.started {
+		decisions = append(decisions, desk.cancelCurrent(entry)...)
+	}
+	return append(decisions, desk.finish(now, shard, entry, final, cause)...)
+}
+
+func (desk *Desk) cancelCurrent(entry *ticket) []Decision {
+	stall := entry.bid.Prefill
+	if entry.stage == decoding {
+		stall = entry.bid.Decode
+	}
+	if stall == nil {
+		return nil
+	}
+	return []Decision{{Kind: Cancel, ID: entry.inquiry.ID, Run: entry.run, Server: stall.server.Name, Address: stall.server.Address}}
+}
+
+func (desk *Desk) finish(now time.Time, shard *shard, entry *ticket, final Final, cause trouble.Kind) []Decision {
+	desk.release(entry)
+	delete(shard.tickets, entry.inquiry.ID)
+	desk.inFlight.Add(-1)
+	desk.serviceCount(entry.inquiry.Service).Add(-1)
+	desk.tallies.count(final)
+	decision := Decision{Kind: Finish, ID: entry.inquiry.ID, Run: entry.run, Final: final, Cause: cause, Pieces: entry.pieces}
+	if final == Refused || final == Failed {
+		decision.Retry = desk.market.Relief(now)
+	}
+	return []Decision{decision}
+}
+
+// Leave takes the news that the origin closed its circuit.
+//
+// Example:
+//
+//	decisions := desk.Leave(now, "inquiry-1")
+func (desk *Desk) Leave(now time.Time, id string) []Decision {
+	shard, entry := desk.find(id, -1)
+	if entry == nil {
+		return nil
+	}
+	defer shard.mutex.Unlock()
+	entry.started = entry.started || entry.stage == prefilling || entry.stage == decoding
+	return desk.giveUp(now, shard, entry, trouble.OriginLeft)
+}
+
+// Tick ends what has lost its limit or its patience, and goes on with what
+// waited for a hold.
+//
+// Example:
+//
+//	decisions := desk.Tick(now)
+func (desk *Desk) Tick(now time.Time) []Decision {
+	var decisions []Decision
+	for position := range desk.shards {
+		shard := &desk.shards[position]
+		shard.mutex.Lock()
+		for _, id := range sortedIDs(shard.tickets) {
+			decisions = append(decisions, desk.tickOne(now, shard, shard.tickets[id])...)
+		}
+		shard.mutex.Unlock()
+	}
+	return decisions
+}
+
+func (desk *Desk) tickOne(now time.Time, shard *shard, entry *ticket) []Decision {
+	dispatched := entry.stage == prefilling || entry.stage == decoding
+	if !now.Before(entry.inquiry.Limit) {
+		entry.started = entry.started || dispatched
+		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+	}
+	switch entry.stage {
+	case ready:
+		return desk.dispatchPrefill(now, shard, entry)
+	case handing:
+		return desk.dispatchDecode(now, shard, entry, false)
+	case claiming:
+		return nil
+	}
+	if now.Before(entry.patience) {
+		return nil
+	}
+	// The server is dark, or far slower than it asked for.
+	stall := entry.bid.Prefill
+	if entry.stage == decoding {
+		stall = entry.bid.Decode
+	}
+	if entry.pieces == 0 && !entry.inquiry.Repeatable {
+		if desk.market.reports(now, stall.server) {
+			// It is slow, but there; nothing else could be tried.
+			return nil
+		}
+		// Whether it ran can't be known any more, and waiting would not tell.
+		entry.started = true
+		return desk.giveUp(now, shard, entry, trouble.ServerFailed)
+	}
+	desk.market.Avoid(now, stall.server.Name)
+	decisions := desk.cancelCurrent(entry)
+	entry.everRan = true
+	if entry.pieces > 0 {
+		return append(decisions, desk.finish(now, shard, entry, Failed, trouble.ServerFailed)...)
+	}
+	desk.release(entry)
+	entry.tried[stall.server.Name] = true
+	return append(decisions, desk.again(now, shard, entry, Uncertain)...)
+}
--- a/internal/rehearsal/input_test.go
+++ b/internal/rehearsal/input_test.go
@@ -200,7 +200,8 @@
 		shows     string
 	}{
 		{[]string{"get"}, "", 0, `"edition-1"`},
-		{[]string{"status"}, "", 0, `"holds_live_milliseconds"`},
+		{[]string{"status"}, "", 0, "are decided by"},
+		{[]string{"status", "--json"}, "", 0, `"holds_live_milliseconds"`},
 		{[]string{"evacuate", "medina", "--reason", "power work"}, "", 0, `"accepted"`},
 		{[]string{"get"}, "", 0, "power work"},
 		{[]string{"restore", "medina"}, "", 0, `"accepted"`},
