--- a/cmd/rehearsal/each.go
+++ b/cmd/rehearsal/each.go
@@ -50,10 +50,11 @@
 					today.faults, today.folder = names[number], filepath.Join(base, names[number])
 					verdict, failure := today.run(io.Discard)
 					mutex.Lock()
-					if failure != nil || verdict.Violations() > 0 {
+					floor := rehearsal.FloorOf(names[number])
+					if failure != nil || verdict.Violations() > 0 || verdict.Share < floor {
 						failed++
 					}
-					fmt.Printf("| %s | %s | %.3f | %s | %d | %v |\n", chosen.deployment, names[number], verdict.Share, verdict.Gap.Round(10*time.Millisecond), verdict.Violations(), failure)
+					fmt.Printf("| %s | %s | %.3f | %.2f | %s | %d | %v |\n", chosen.deployment, names[number], verdict.Share, floor, verdict.Gap.Round(10*time.Millisecond), verdict.Violations(), failure)
 					if verdict.Violations() > 0 {
 						fmt.Print(verdict)
 					}
