--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -76,7 +76,7 @@
 			until := command.Flags().Changed("until-broken")
 			if result.Failed() && (!until || (result.Broke(*untilBroken) && !campaign.Stop.Load())) {
 				campaign.Stop.Store(until)
-				fmt.Printf("after %d days seed %d FAILED, whole at the end: %v\n%sreplay: rehearsal worlds --from %d --count 1 --trace%s\n", days, seed, result.Whole, result.Verdict, seed, flags(campaign))
+				fmt.Printf("after %d days seed %d FAILED, whole at the end: %v, two primaries at once: %d\n%sreplay: rehearsal worlds --from %d --count 1 --trace%s\n", days, seed, result.Whole, result.Twice, result.Verdict, seed, flags(campaign))
 			}
 		})
 		report(tally, time.Since(began))
