--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -121,6 +121,15 @@
 	if day.Forming {
 		world.outside.Go(world.loseOneWhileForming)
 	}
+	if world.random.IntN(4) == 0 {
+		// The platform comes later than the fleet.
+		world.platform.down = true
+		world.tempt("a start without the platform")
+		world.outside.Go(func() {
+			world.wait(500, 5000)
+			world.platform.down = false
+		})
+	}
 	world.outside.Go(func() { world.callers(ends) })
 	world.outside.Go(func() { world.operate(ends) })
 	world.outside.Go(func() { world.watchPrimaries(ends + evening) })
--- a/internal/rehearsal/world/wanted.go
+++ b/internal/rehearsal/world/wanted.go
@@ -31,6 +31,7 @@
 	"the power fails before a removal",
 	"a core machine replaced",
 	"a flag enabled",
+	"a start without the platform",
 	"a node restarted as an older release",
 	"a node restarted as a newer release",
 }
