--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -32,6 +32,7 @@
 	set.Float64Var(&campaign.Day.Short, "short", campaign.Day.Short, "short chats a second")
 	trace := set.Bool("trace", false, "print every step of the first seed's day and its verdict")
 	book := set.String("book", "", "with --trace: save the book here, as JSON lines")
+	length := set.Duration("for", 0, "begin no further day after this time (default: run all)")
 	untilBroken := set.String("until-broken", "", "stop at the first day that breaks a rule whose name has this in it, or at any that fails if it is empty")
 	each := set.Bool("each", false, "run the count for every fault alone, a line each")
 	command.RunE = func(*cobra.Command, []string) error {
@@ -67,6 +68,10 @@
 			return broken(failed)
 		}
 		began, days := time.Now(), 0
+		if *length > 0 {
+			ends := time.AfterFunc(*length, func() { campaign.Stop.Store(true) })
+			defer ends.Stop()
+		}
 		tally := campaign.Run(func(seed uint64, result world.Result) {
 			days++
 			if campaign.Day.Swings {
