A primary hands over only to a backup that answers

Cause: a primary that was stopped in order within a second of its backup's machine going for good made that machine primary, alone, and gave up the only copy in sync: nobody led any more. Ruled out: the loss of two machines (the stopped one came back with its whole disk). Before: no primary again; after: the handing over is left out and the primary leads when it is back. TestPrimaryDoesNotHandOverToADeadBackup failed before and passes.

--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -305,6 +305,12 @@
 // handOver makes the backup primary and stays in sync beside it: what a
 // primary does that lacks an enabled flag.
 func (steward *Steward) handOver(charter Charter) {
+	// A backup that has gone would take the only other copy in sync with it.
+	hello, failure := steward.peers.Hello(steward.Address(charter.Backup), steward.Own())
+	if failure != nil || hello.Seat.Identity != charter.Backup.Identity || hello.Damage != "" {
+		steward.observe("not_handed_over", "backup", charter.Backup.Name, "cause", failure)
+		return
+	}
 	if _, leading := steward.store.Freeze(); !leading {
 		return
 	}
