--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -114,7 +114,7 @@
 	{Name: "a restricted backup is better than none", Never: returns, Package: "./internal/larder", Test: "TestRestrictedExpediterIsABackupBeforeNone",
 		Edits: []Edit{{"internal/larder/pairing.go", "if hello.Restricted && !charter.Backup.Empty() && !failing && !steward.unsettled {", "if hello.Restricted {"}}},
 	{Name: "a primary hands over only to a backup that answers", Never: returns, Package: "./internal/larder", Test: "TestPrimaryDoesNotHandOverToADeadBackup",
-		Edits: []Edit{{"internal/larder/standing.go", "	if failure != nil || hello.Seat.Identity != charter.Backup.Identity || hello.Damage != \"\" {", "	if false {"}}},
+		Edits: []Edit{{"internal/larder/standing.go", "	if failure != nil || hello.Seat.Identity != charter.Backup.Identity || hello.Damage != \"\" {", "	if failure != nil && hello.Kind == \"nobody\" {"}}},
 	{Name: "an epoch that nobody was granted is asked for anew", Never: returns, Worlds: true, Finds: "", Flags: []string{"--count", "1500"},
 		Edits: []Edit{{"internal/larder/steward.go", "	if steward.outrun && !steward.unsettled {\n		steward.regrant(charter)\n	}\n", ""}}},
 	{Name: "a keeper that is gone is replaced", Never: returns, Worlds: true, Finds: "",
