Menu and roster: the words for opaque calls, engines and listed parts

Cause: parts built beside each other need the same types. Ruled out: a second configuration for calls (operators have one). Before and after: nothing serves yet; the fields are empty until the checker reads them. Conclusion: types only.

--- a/internal/menu/configuration.go
+++ b/internal/menu/configuration.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -16,6 +17,20 @@
 	Services    map[string]Service
 	Routes      []Route
 	Evacuations map[string]Evacuation
+	// Revision is the operator's own number of the configuration; zero if there is
+	// none. A change that gives one must give a higher one.
+	Revision uint64
+	// Limits bound what a caller may send.
+	Limits Limits
+}
+
+// Limits bound what a caller may send and how long it may take or stay idle; zero
+// means the product's default.
+type Limits struct {
+	HeaderBytes    int
+	BodyBytes      int
+	HeaderPatience time.Duration
+	IdlePatience   time.Duration
 }
 
 // Empty is the configuration of a fleet that was given none: it has no
--- a/internal/menu/match.go
+++ b/internal/menu/match.go
@@ -8,4 +8,8 @@
 	Prefix              string
 	PromptTokensAtLeast int
 	PromptTokensBelow   int
+	// Host and PathPrefix match opaque calls; of a host's routes the longest prefix
+	// decides. A route has both or neither.
+	Host       string
+	PathPrefix string
 }
--- a/internal/menu/route.go
+++ b/internal/menu/route.go
@@ -1,5 +1,7 @@
 package menu
 
+import "time"
+
 // Route sends the inquiries that it matches to districts, or refuses them.
 // Routes are asked by Order, then by name; the first that matches decides.
 type Route struct {
@@ -7,4 +9,34 @@
 	Order int
 	Match Match
 	To    Target
+	// Calls says how opaque calls are served; nil for routes of inquiries.
+	Calls *CallRoute
+}
+
+// CallRoute is a route of opaque calls: its match names a host and a path prefix.
+type CallRoute struct {
+	// Shares are the services that serve the calls, with their weights.
+	Shares []Share
+	// Limit is the longest time a call is held, Aim the time within which an answer
+	// has its full worth, Gap the longest pause between two events of a stream.
+	Limit time.Duration
+	Aim   time.Duration
+	Gap   time.Duration
+	// Rank is the urgency among the routes, 0 first.
+	Rank int
+	// Tries is how many servers one call may be sent to.
+	Tries int
+	// Streams tells that answers are streams of events, Repeatable that a call may
+	// run more than once, Resumable that a stream may go on at another server.
+	Streams    bool
+	Repeatable bool
+	Resumable  bool
+	// Sticky tells that calls share parts of their prompts.
+	Sticky bool
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
 }
--- a/internal/menu/service.go
+++ b/internal/menu/service.go
@@ -10,6 +10,35 @@
 	MaxPieces       int
 	InFlight        int
 	Tries           int
+	// Health is the path at which a server answers whether it is well.
+	Health string
+	// Circuits is how many circuits each server takes from all callers together;
+	// zero means that nobody said.
+	Circuits int
+	// Warming is what a server stands after its start.
+	Warming Warming
+	// Engine is what each server of the service is made of.
+	Engine Engine
+}
+
+// Warming is how long a server stays cold after its start and how many inquiries a
+// second it stands meanwhile, from all couriers together.
+type Warming struct {
+	Length    time.Duration
+	PerSecond float64
+}
+
+// Engine is what operators say of a service's servers. Sizes are in tokens, the link
+// in bits a second.
+type Engine struct {
+	Slots        int
+	MemoryTokens int
+	TokenBytes   int
+	LinkBits     float64
+	TokensAPiece int
+	HandleLife   time.Duration
+	PartChange   time.Duration
+	Models       []string
 }
 
 // The bounds and defaults of a service. The values are ours.
