Settings: bootstrap, acknowledging, serving without a hold, further addresses, grace

Cause: the platform that seamloom is to serve on names more than the settings could say: whether a blank disk may form a first core, how long a committed change waits for couriers that are not heard from, how long a courier goes on without a hold, further addresses to listen on and how long what runs may go on after SIGTERM.

Change: the fields are read from file and flags, checked and, where that makes sense, reloaded. Without bootstrap one seed is enough.

--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"os"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -31,7 +30,6 @@
 		Example: "  courier serve --name courier-1 --address 127.0.0.1:7201 --district north \\\n" +
 			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
 	flags := program.AddFlags(command, roster.Courier)
-	patience := command.Flags().Duration("drain", 20*time.Second, "how long running inquiries may go on after SIGTERM")
 	command.RunE = func(*cobra.Command, []string) error {
 		chosen, mistakes := flags.Read()
 		if mistakes != nil {
@@ -46,7 +44,7 @@
 			logger.Error("ended_by_itself")
 			os.Exit(1)
 		}
-		return process.Drain(*patience)
+		return process.Drain(process.Grace())
 	}
 	return command
 }
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -132,6 +132,17 @@
 	process.logger.Info("reloaded", "needs_restart", stays)
 }
 
+// Grace is how long what runs may go on after the process was told to end.
+//
+// Example:
+//
+//	failure := process.Drain(process.Grace())
+func (process *Process) Grace() time.Duration {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.chosen.Grace
+}
+
 func (process *Process) readPlatform() {
 	process.mutex.Lock()
 	address := process.chosen.Platform
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 	"go.uber.org/multierr"
 	"gopkg.in/tomb.v2"
 
@@ -50,10 +51,24 @@
 	set.StringVar(&flags.flagged.Platform, "platform", "", "address of the platform's lists of servers and nodes")
 	set.StringVar(&flags.flagged.LogLevel, "log-level", defaults.LogLevel, "debug, info, warn or error")
 	set.StringVar(&flags.withhold, "withhold-flags", "", "for tests: feature flags that this node claims not to support, with commas between")
+	set.DurationVar(&flags.flagged.Grace, "grace", defaults.Grace, "how long what runs may go on after SIGTERM")
+	set.SetNormalizeFunc(func(_ *pflag.FlagSet, name string) pflag.NormalizedName {
+		if name == "drain" {
+			// The first releases' name.
+			name = "grace"
+		}
+		return pflag.NormalizedName(name)
+	})
 	if kind == roster.Expediter {
+		set.BoolVar(&flags.flagged.Bootstrap, "bootstrap", defaults.Bootstrap, "whether a blank disk may form a first core with the other seeds")
+		set.DurationVar(&flags.flagged.AcknowledgeWait, "acknowledge-wait", defaults.AcknowledgeWait, "how long a committed change waits for couriers that are not heard from; 0: until their holds end")
+		set.StringVar(&flags.flagged.ControlAddress, "control-address", "", "a further address for operators")
 		set.StringVar(&flags.flagged.DataFolder, "data-folder", "", "folder for all files")
 		set.IntVar(&flags.flagged.FlagSettle, "flag-settle-milliseconds", defaults.FlagSettle, "how long the members must not change before a feature flag is enabled")
 	} else {
+		set.DurationVar(&flags.flagged.ServeWithoutHold, "serve-without-hold", defaults.ServeWithoutHold, "how long a courier goes on letting in after its last hold")
+		set.StringVar(&flags.flagged.CallsAddress, "calls-address", "", "a further address for opaque calls")
+		set.StringVar(&flags.flagged.ReadyAddress, "ready-address", "", "a further address that tells whether the courier is ready")
 		set.StringVar(&flags.flagged.Market, "market", defaults.Market, "pair, or least_loaded for comparison")
 		set.IntVar(&flags.flagged.MostInquiries, "most-inquiries", defaults.MostInquiries, "how many inquiries are let in at once")
 	}
@@ -75,12 +90,23 @@
 	texts := map[string][2]*string{"name": {&chosen.Name, &flags.flagged.Name}, "address": {&chosen.Address, &flags.flagged.Address},
 		"district": {&chosen.District, &flags.flagged.District}, "platform": {&chosen.Platform, &flags.flagged.Platform},
 		"log-level": {&chosen.LogLevel, &flags.flagged.LogLevel}, "data-folder": {&chosen.DataFolder, &flags.flagged.DataFolder},
-		"market": {&chosen.Market, &flags.flagged.Market}}
+		"market": {&chosen.Market, &flags.flagged.Market}, "calls-address": {&chosen.CallsAddress, &flags.flagged.CallsAddress},
+		"ready-address": {&chosen.ReadyAddress, &flags.flagged.ReadyAddress}, "control-address": {&chosen.ControlAddress, &flags.flagged.ControlAddress}}
 	for name, pair := range texts {
 		if changed(name) {
 			*pair[0] = *pair[1]
 		}
 	}
+	lengths := map[string][2]*time.Duration{"acknowledge-wait": {&chosen.AcknowledgeWait, &flags.flagged.AcknowledgeWait},
+		"serve-without-hold": {&chosen.ServeWithoutHold, &flags.flagged.ServeWithoutHold}, "grace": {&chosen.Grace, &flags.flagged.Grace}}
+	for name, pair := range lengths {
+		if changed(name) {
+			*pair[0] = *pair[1]
+		}
+	}
+	if changed("bootstrap") {
+		chosen.Bootstrap = flags.flagged.Bootstrap
+	}
 	if changed("most-inquiries") {
 		chosen.MostInquiries = flags.flagged.MostInquiries
 	}
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"regexp"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fastjson"
 	"go.uber.org/multierr"
@@ -32,15 +33,35 @@
 	FlagSettle    int
 	Withhold      []string
 	Detours       map[string]string
+	// Bootstrap allows a blank expediter to form a first core with the other seeds.
+	// Where it is false there is a core already, and a blank disk only joins it.
+	Bootstrap bool
+	// AcknowledgeWait is how long a committed change waits for couriers that are not
+	// heard from; zero: for as long as their holds run.
+	AcknowledgeWait time.Duration
+	// ServeWithoutHold is how long a courier goes on letting in after its last hold;
+	// zero: not at all.
+	ServeWithoutHold time.Duration
+	// CallsAddress, ReadyAddress and ControlAddress are further addresses to listen
+	// on: for opaque calls, for who asks whether the courier is ready, and for
+	// operators. An empty one means the process's own address only.
+	CallsAddress   string
+	ReadyAddress   string
+	ControlAddress string
+	// Grace is how long what runs may go on after the process was told to end.
+	Grace time.Duration
 }
 
+// DefaultGrace is the grace of a process that was told nothing else.
+const DefaultGrace = 20 * time.Second
+
 // Defaults are the settings before file and flags.
 //
 // Example:
 //
 //	chosen := settings.Defaults(roster.Courier)
 func Defaults(kind roster.NodeKind) Settings {
-	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000}
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, Bootstrap: true, Grace: DefaultGrace}
 }
 
 // ReadFile takes the settings of a JSON file over those given.
@@ -70,9 +91,11 @@
 
 func (settings *Settings) readField(name string, value *fastjson.Value) error {
 	texts := map[string]*string{"name": &settings.Name, "address": &settings.Address, "district": &settings.District,
-		"platform": &settings.Platform, "data_folder": &settings.DataFolder, "log_level": &settings.LogLevel, "market": &settings.Market}
+		"platform": &settings.Platform, "data_folder": &settings.DataFolder, "log_level": &settings.LogLevel, "market": &settings.Market,
+		"calls_address": &settings.CallsAddress, "ready_address": &settings.ReadyAddress, "control_address": &settings.ControlAddress}
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
 	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle}
+	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace}
 	if target, found := texts[name]; found {
 		text, failure := value.StringBytes()
 		if failure != nil {
@@ -89,6 +112,26 @@
 		*target = number
 		return nil
 	}
+	if target, found := lengths[name]; found {
+		text, failure := value.StringBytes()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "a text such as 1s or 250ms is needed")
+		}
+		length, failure := time.ParseDuration(string(text))
+		if failure != nil {
+			return trouble.At(trouble.Malformed, name, "a length of time such as 1s or 250ms is needed, not \""+string(text)+"\"")
+		}
+		*target = length
+		return nil
+	}
+	if name == "bootstrap" {
+		chosen, failure := value.Bool()
+		if failure != nil {
+			return trouble.At(trouble.WrongType, name, "true or false is needed")
+		}
+		settings.Bootstrap = chosen
+		return nil
+	}
 	if target, found := lists[name]; found {
 		entries, failure := value.Array()
 		if failure != nil {
@@ -150,9 +193,13 @@
 		}
 		seen[seed] = true
 	}
-	if len(settings.Seeds) != 3 {
-		wrong(trouble.OutOfRange, "seeds", "three seeds are needed, there are "+strconv.Itoa(len(settings.Seeds)))
+	switch count := len(settings.Seeds); {
+	case settings.Bootstrap && count != 3:
+		wrong(trouble.OutOfRange, "seeds", "three seeds are needed, there are "+strconv.Itoa(count))
+	case count < 1 || count > 3:
+		wrong(trouble.OutOfRange, "seeds", "one to three seeds are needed, there are "+strconv.Itoa(count))
 	}
+	settings.checkFurther(addresses, wrong)
 	for path, address := range addresses {
 		if parsed, failure := netip.ParseAddrPort(address); failure != nil || parsed.Port() == 0 {
 			wrong(trouble.Malformed, path, "needs an IP number and a port, such as 127.0.0.1:7101, not \""+address+"\"")
@@ -188,6 +235,32 @@
 	return mistakes
 }
 
+// checkFurther checks the further addresses and the lengths of time.
+func (settings *Settings) checkFurther(addresses map[string]string, wrong func(kind trouble.Kind, path, detail string)) {
+	taken := map[string]string{settings.Address: "address"}
+	for _, further := range []struct {
+		path, address string
+		kind          roster.NodeKind
+	}{{"calls_address", settings.CallsAddress, roster.Courier}, {"ready_address", settings.ReadyAddress, roster.Courier}, {"control_address", settings.ControlAddress, roster.Expediter}} {
+		if further.address == "" {
+			continue
+		}
+		addresses[further.path] = further.address
+		if other, found := taken[further.address]; found {
+			wrong(trouble.Contradictory, further.path, "is the same as "+other)
+		}
+		taken[further.address] = further.path
+		if settings.Kind != further.kind {
+			wrong(trouble.Contradictory, further.path, "is for the kind "+string(further.kind))
+		}
+	}
+	for path, length := range map[string]time.Duration{"acknowledge_wait": settings.AcknowledgeWait, "serve_without_hold": settings.ServeWithoutHold, "grace": settings.Grace} {
+		if length < 0 {
+			wrong(trouble.OutOfRange, path, "must not be negative")
+		}
+	}
+}
+
 // Supported is the build's list less what the settings withhold.
 //
 // Example:
@@ -216,7 +289,7 @@
 			continue
 		}
 		switch name {
-		case "Seeds", "Platform", "LogLevel":
+		case "Seeds", "Platform", "LogLevel", "AcknowledgeWait", "ServeWithoutHold", "Grace":
 			old.Field(position).Set(fresh.Field(position))
 		default:
 			stays = append(stays, name)
