Menu: routes of opaque calls, engines and revisions are read and checked

Cause: the platform's operator sends hosts, path prefixes, weights and engines, which the checker did not know, and builds each change on a numbered revision. Change: the checker reads the new fields with typed findings; an edit may say which revision it builds on, must give a higher one, and keeps evacuations; its digest is its id, so that sent again it is accepted again. An edit without an id that changes nothing is answered when what is there is in force. Inquiries never meet routes of calls. Tests: every invalid kind by path and type; revisions.

--- a/internal/adapters/expediter/forwarding.go
+++ b/internal/adapters/expediter/forwarding.go
@@ -36,7 +36,7 @@
 	}
 	query := inbound.URL.Query()
 	reads := inbound.Method == http.MethodGet
-	if !reads && query.Get("change") == "" {
+	if !reads && query.Get("change") == "" && query.Get("builds_on") == "" {
 		query.Set("change", uuid.NewString())
 	}
 	location := *inbound.URL
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -148,17 +148,26 @@
 		return
 	}
 	var expected *larder.Version
-	if versioned {
+	var builds *uint64
+	if on := inbound.URL.Query().Get("builds_on"); versioned && on != "" {
+		revision, failure := strconv.ParseUint(on, 10, 64)
+		if failure != nil {
+			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: "builds_on is the number of a revision, such as 5"})
+			return
+		}
+		builds = &revision
+	}
+	if versioned && builds == nil {
 		if expected, failure = expectedVersion(inbound); failure != nil {
 			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
 			return
 		}
 	}
 	change := inbound.URL.Query().Get("change")
-	if change == "" {
+	if change == "" && builds == nil {
 		change = uuid.NewString()
 	}
-	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected, Sound: !versioned,
+	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected, Builds: builds, Sound: !versioned,
 		Apply: func(text []byte) ([]byte, error) { return edit(text, body) }})
 	if failure != nil {
 		process.answerChangeTrouble(writer, change, failure)
@@ -171,6 +180,9 @@
 // and body.
 func digestOf(inbound *http.Request, body []byte) string {
 	digest := sha256.New()
+	if on := inbound.URL.Query().Get("builds_on"); on != "" {
+		_, _ = digest.Write([]byte("builds_on=" + on + "\x00"))
+	}
 	for _, part := range []string{inbound.Method, inbound.URL.Path, inbound.URL.Query().Get("expected"), inbound.Header.Get("If-Match"), string(body)} {
 		_, _ = digest.Write([]byte(part))
 		_, _ = digest.Write([]byte{0})
@@ -189,6 +201,8 @@
 	switch said.Kind {
 	case trouble.VersionConflict:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Version: said.Detail, Detail: "the configuration is at another version"})
+	case trouble.RevisionConflict:
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: "the configuration is at revision " + said.Detail})
 	case trouble.Duplicate:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
 	case trouble.Busy:
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -10,11 +10,15 @@
 
 // Edit is one operator's change of the configuration.
 type Edit struct {
-	// Change is its id, and Digest tells it from another under the same id.
+	// Change is its id, and Digest tells it from another under the same id. Without
+	// an id nothing is noted: sent again, it is made again.
 	Change string
 	Digest string
 	// Expected is the version that it is made from, if it insists on one.
 	Expected *larder.Version
+	// Builds is the revision that it builds on, if it insists on one; it then gives
+	// a higher one, and its digest is its id if it has none.
+	Builds *uint64
 	// Apply makes the new text of the old one.
 	Apply func(text []byte) ([]byte, error)
 	// Sound tells that it checks by itself what it adds.
@@ -33,6 +37,9 @@
 //
 //	version, failure := core.Edit(hatch.Edit{Change: id, Digest: digest, Apply: evacuate})
 func (expediter *Expediter) Edit(edit Edit) (larder.Version, error) {
+	if edit.Builds != nil {
+		edit = edit.revising()
+	}
 	current, version, failure := expediter.change(edit)
 	if failure != nil {
 		return version, failure
@@ -48,6 +55,16 @@
 	return version, nil
 }
 
+// revising is an edit that checks the revision it builds on each time it is made.
+func (edit Edit) revising() Edit {
+	builds, apply := *edit.Builds, edit.Apply
+	edit.Apply = func(text []byte) ([]byte, error) { return menu.Revise(text, builds, apply) }
+	if edit.Change == "" {
+		edit.Change = "revision-" + edit.Digest
+	}
+	return edit
+}
+
 // change prepares an edit for the newest configuration and submits it, again when
 // that has moved meanwhile. Edits of a large configuration are prepared one after
 // another, so that one whose turn it is need not be made again.
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -1,6 +1,7 @@
 package larder
 
 import (
+	"bytes"
 	"time"
 
 	"seamloom.example/seamloom/internal/recipe"
@@ -48,6 +49,10 @@
 		if prepared.failure != nil {
 			return prepared.failure
 		}
+		if id == "" && bytes.Equal(prepared.text, state.Menu) {
+			// What it wants holds already.
+			return nil
+		}
 		state.Menu = prepared.text
 		state.Touch(MenuDrawer)
 		if id != "" {
--- /dev/null
+++ b/internal/menu/revise.go
@@ -0,0 +1,61 @@
+package menu
+
+import (
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Revise makes the next revision of a configuration's text: the edit is made only
+// if the text has the revision that it builds on, and must give a higher one. A new
+// text that says nothing of evacuations keeps those in force.
+//
+// Example:
+//
+//	next, failure := menu.Revise(current, 5, func([]byte) ([]byte, error) { return proposed, nil })
+func Revise(text []byte, builds uint64, edit func(text []byte) ([]byte, error)) ([]byte, error) {
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	root, failure := parser.ParseBytes(text)
+	if failure != nil {
+		return nil, trouble.At(trouble.Malformed, "/", failure.Error())
+	}
+	current := root.GetUint64("revision")
+	if current != builds {
+		return nil, trouble.New(trouble.RevisionConflict, strconv.FormatUint(current, 10))
+	}
+	edited, failure := edit(text)
+	if failure != nil {
+		return nil, failure
+	}
+	nextParser := parsers.Get()
+	defer parsers.Put(nextParser)
+	next, failure := nextParser.ParseBytes(edited)
+	if failure != nil {
+		return nil, finding(trouble.Malformed, "/", failure.Error())
+	}
+	if next.Type() != fastjson.TypeObject {
+		return nil, finding(trouble.WrongType, "/", "an object is needed, not "+next.Type().String())
+	}
+	revision, failure := next.Get("revision").Uint64()
+	switch {
+	case !next.Exists("revision"):
+		return nil, finding(trouble.Missing, "/revision", "a change that builds on a revision gives the next one")
+	case failure != nil:
+		return nil, finding(trouble.WrongType, "/revision", "a whole number is needed")
+	case revision <= current:
+		return nil, finding(trouble.OutOfRange, "/revision", "the revision must be above "+strconv.FormatUint(current, 10))
+	}
+	evacuations := root.Get("evacuations")
+	if evacuations == nil || next.Exists("evacuations") {
+		return edited, nil
+	}
+	next.Set("evacuations", evacuations)
+	return next.MarshalTo(make([]byte, 0, len(edited)+64)), nil
+}
+
+func finding(kind trouble.Kind, path, detail string) *Findings {
+	return &Findings{Troubles: []*trouble.Trouble{trouble.At(kind, path, detail)}}
+}
--- /dev/null
+++ b/internal/menu/revise_test.go
@@ -0,0 +1,44 @@
+package menu
+
+import (
+	stderrors "errors"
+	"testing"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+func TestReviseBuildsOnOneRevisionAndRises(test *testing.T) {
+	to := func(text string) func([]byte) ([]byte, error) {
+		return func([]byte) ([]byte, error) { return []byte(text), nil }
+	}
+	for _, row := range []struct {
+		name, current, next, want string
+		builds                    uint64
+		kind                      trouble.Kind
+	}{
+		{"the first", `{}`, `{"revision":3}`, `{"revision":3}`, 0, ""},
+		{"a later one", `{"revision":3}`, `{"revision":9,"services":{}}`, `{"revision":9,"services":{}}`, 3, ""},
+		{"evacuations stay", `{"revision":3,"evacuations":{"n":{"reason":"r"}}}`, `{"revision":4}`, `{"revision":4,"evacuations":{"n":{"reason":"r"}}}`, 3, ""},
+		{"evacuations that are named count", `{"revision":3,"evacuations":{"n":{}}}`, `{"revision":4,"evacuations":{}}`, `{"revision":4,"evacuations":{}}`, 3, ""},
+		{"another base", `{"revision":3}`, `{"revision":9}`, "", 2, trouble.RevisionConflict},
+		{"the first again", `{"revision":3}`, `{"revision":9}`, "", 0, trouble.RevisionConflict},
+		{"not above", `{"revision":3}`, `{"revision":3}`, "", 3, trouble.OutOfRange},
+		{"none", `{"revision":3}`, `{}`, "", 3, trouble.Missing},
+		{"no whole number", `{"revision":3}`, `{"revision":3.5}`, "", 3, trouble.WrongType},
+		{"unreadable", `{"revision":3}`, `{"revision":4`, "", 3, trouble.Malformed},
+		{"a list", `{"revision":3}`, `[]`, "", 3, trouble.WrongType},
+	} {
+		text, failure := Revise([]byte(row.current), row.builds, to(row.next))
+		kind := trouble.Kind("")
+		var findings *Findings
+		switch {
+		case stderrors.As(failure, &findings):
+			kind = findings.Troubles[0].Kind
+		case failure != nil:
+			kind = trouble.KindOf(failure)
+		}
+		if kind != row.kind || string(text) != row.want {
+			test.Errorf("%s: %s, %v", row.name, text, failure)
+		}
+	}
+}
--- a/internal/menu/route.go
+++ b/internal/menu/route.go
@@ -40,3 +40,16 @@
 	Service string
 	Weight  int
 }
+
+// reaches tells whether the route may send something to the service.
+func (route Route) reaches(service string) bool {
+	if route.Calls == nil {
+		return route.Match.Service == "" || route.Match.Service == service
+	}
+	for _, share := range route.Calls.Shares {
+		if share.Service == service && share.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/menu/service.go
+++ b/internal/menu/service.go
@@ -10,6 +10,9 @@
 	MaxPieces       int
 	InFlight        int
 	Tries           int
+	// IDsUsedOnce tells that origins give every try an id of its own: at most one
+	// run then needs no claim.
+	IDsUsedOnce bool
 	// Health is the path at which a server answers whether it is well.
 	Health string
 	// Circuits is how many circuits each server takes from all callers together;
@@ -45,6 +48,7 @@
 const (
 	DefaultLimit           = 30 * time.Second
 	LongestLimit           = 10 * time.Minute
+	LongestCallLimit       = 24 * time.Hour
 	DefaultMaxPromptTokens = 32_000
 	DefaultMaxPieces       = 512
 	DefaultInFlight        = 128
--- a/internal/menu/taste.go
+++ b/internal/menu/taste.go
@@ -75,6 +75,9 @@
 func (tasting *tasting) routes() {
 	caught := map[string]string{}
 	for _, route := range tasting.configuration.Routes {
+		if route.Calls != nil {
+			continue
+		}
 		path := "/routes/" + escape(route.Name)
 		service := route.Match.Service
 		if earlier, found := caught[""]; found {
@@ -146,7 +149,7 @@
 	for name := range tasting.configuration.Services {
 		reached := false
 		for _, route := range tasting.configuration.Routes {
-			reached = reached || route.Match.Service == "" || route.Match.Service == name
+			reached = reached || route.reaches(name)
 		}
 		if !reached {
 			tasting.warn(NoRouteTo, "/services/"+escape(name), "no route can match its inquiries")
--- a/internal/pass/program.go
+++ b/internal/pass/program.go
@@ -45,6 +45,9 @@
 		program.services[name] = &compiledService{service: service}
 	}
 	for _, route := range configuration.Routes {
+		if route.Calls != nil {
+			continue
+		}
 		if route.Match.Service != "" {
 			program.services[route.Match.Service].add(route)
 			continue
