--- a/internal/menu/revise.go
+++ b/internal/menu/revise.go
@@ -39,10 +39,12 @@
 	if next.Type() != fastjson.TypeObject {
 		return nil, finding(trouble.WrongType, "/", "an object is needed, not "+next.Type().String())
 	}
-	revision, failure := next.Get("revision").Uint64()
-	switch {
-	case !next.Exists("revision"):
+	given := next.Get("revision")
+	if given == nil {
 		return nil, finding(trouble.Missing, "/revision", "a change that builds on a revision gives the next one")
+	}
+	revision, failure := given.Uint64()
+	switch {
 	case failure != nil:
 		return nil, finding(trouble.WrongType, "/revision", "a whole number is needed")
 	case revision <= current:
