Window: the core that follows opaque calls, thin

Cause: opaque calls need a core that decides where a prompt is read, where its answer is made, what is tried again and what is refused. Ruled out: the desk's market, which knows prompts, prefixes and rates from reports that these servers don't give.

--- /dev/null
+++ b/internal/window/account.go
@@ -0,0 +1,141 @@
+package window
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// account is what a courier knows of one server from its own work and from reports.
+type account struct {
+	// What this courier has under way there: calls that read, the tokens they read,
+	// calls that run, and the memory that all of them take up.
+	reading       atomic.Int64
+	readingTokens atomic.Int64
+	running       atomic.Int64
+	memory        atomic.Int64
+	// readUntil is when the prompts that this courier's runs read there are read.
+	readUntil atomic.Int64
+
+	heard     atomic.Pointer[heard]
+	coldUntil atomic.Int64
+	trust     trust
+	slow      slowness
+	kept      kept
+	drops     drops
+}
+
+// heard is the latest word of a server's load.
+type heard struct {
+	load Load
+	at   time.Time
+	// others are the calls that are not this courier's own, waiting ones among them.
+	others  float64
+	waiting float64
+}
+
+func newAccount() *account { return &account{} }
+
+// queue adds reading to what runs have the server read.
+func (account *account) queue(now time.Time, reading time.Duration) {
+	for {
+		known := account.readUntil.Load()
+		next := max(known, now.UnixNano()) + int64(reading)
+		if account.readUntil.CompareAndSwap(known, next) {
+			return
+		}
+	}
+}
+
+// queued is how long the server still reads for this courier's runs.
+func (account *account) queued(now time.Time) time.Duration {
+	return max(0, time.Duration(account.readUntil.Load()-now.UnixNano()))
+}
+
+// coolUntil notes that the server is cold up to a time.
+func (account *account) coolUntil(until time.Time) {
+	for {
+		known := account.coldUntil.Load()
+		if known >= until.UnixNano() || account.coldUntil.CompareAndSwap(known, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// hear takes a report.
+func (account *account) hear(now time.Time, load Load) {
+	at := now.Add(-load.Age)
+	earlier := account.heard.Load()
+	if earlier != nil && at.Before(earlier.at) {
+		return
+	}
+	own := float64(account.reading.Load() + account.running.Load())
+	next := &heard{load: load, at: at, others: max(0, float64(load.Running+load.Waiting)-own), waiting: float64(load.Waiting)}
+	if earlier != nil {
+		// One report is a moment; what counts is about how much there is.
+		next.others = smooth(earlier.others, next.others)
+		if next.load.MemoryTotal == 0 {
+			next.load.MemoryTotal = earlier.load.MemoryTotal
+		}
+	}
+	account.heard.Store(next)
+}
+
+// answered takes what an answer said of the server's load.
+func (account *account) answered(now time.Time, load AnswerLoad) {
+	earlier := account.heard.Load()
+	next := &heard{at: now}
+	if earlier != nil {
+		next.load = earlier.load
+	}
+	next.load.Running, next.load.Waiting = load.Running, load.Waiting
+	own := float64(account.reading.Load() + account.running.Load())
+	next.others = max(0, float64(load.Running+load.Waiting)-own)
+	if earlier != nil {
+		next.others = smooth(earlier.others, next.others)
+	}
+	next.waiting = float64(load.Waiting)
+	account.heard.Store(next)
+}
+
+const smoothing = 0.5
+
+func smooth(old, latest float64) float64 { return old + smoothing*(latest-old) }
+
+// others are the calls there that are not this courier's own, as far as is known.
+func (account *account) others() float64 {
+	if heard := account.heard.Load(); heard != nil {
+		return heard.others
+	}
+	return 0
+}
+
+// slowness is how much longer a server takes than others of its kind: 1 is as long.
+type slowness struct{ bits atomic.Uint64 }
+
+const (
+	mostSlow     = 8
+	slowSmooth   = 0.2
+	slowestIsOne = 1.0
+)
+
+func (slowness *slowness) factor() float64 {
+	if bits := slowness.bits.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return slowestIsOne
+}
+
+func (slowness *slowness) note(ratio float64) {
+	for {
+		bits := slowness.bits.Load()
+		known := slowestIsOne
+		if bits != 0 {
+			known = math.Float64frombits(bits)
+		}
+		next := min(max(known+slowSmooth*(min(ratio, mostSlow)-known), slowestIsOne), mostSlow)
+		if slowness.bits.CompareAndSwap(bits, math.Float64bits(next)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/window/backend.go
@@ -0,0 +1,49 @@
+package window
+
+import (
+	"slices"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// backend is a listed model server as this courier sees it. It is replaced with each
+// list; its account goes on as long as the server has the same name and address.
+type backend struct {
+	server roster.Server
+	key    uint64
+	place  int
+	*account
+}
+
+// The parts that a listed server may have.
+const (
+	prefill = "prefill"
+	decode  = "decode"
+)
+
+// part is what the server does now, by the latest word of it.
+func (backend *backend) part() string {
+	if heard := backend.heard.Load(); heard != nil && heard.load.Part != "" {
+		return heard.load.Part
+	}
+	return backend.server.Part
+}
+
+// changing tells that the server changes its part and begins nothing.
+func (backend *backend) changing() bool {
+	heard := backend.heard.Load()
+	return heard != nil && heard.load.Changing
+}
+
+func (backend *backend) reads() bool  { return backend.part() == prefill }
+func (backend *backend) runs() bool   { return backend.part() != prefill }
+func (backend *backend) splits() bool { return backend.part() == decode }
+
+// has tells whether the server has the weights.
+func (backend *backend) has(model string) bool {
+	return model == "" || len(backend.server.Models) == 0 || slices.Contains(backend.server.Models, model)
+}
+
+// cold tells whether the server is still cold.
+func (backend *backend) cold(now time.Time) bool { return now.UnixNano() < backend.coldUntil.Load() }
--- /dev/null
+++ b/internal/window/board.go
@@ -0,0 +1,69 @@
+package window
+
+import (
+	"sort"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// board is all listed servers. It is never altered; a new list is a new board.
+type board struct {
+	all       []*backend
+	byName    map[string]*backend
+	byService map[string][]*backend
+	places    map[string]int
+}
+
+func newBoard() *board {
+	return &board{byName: map[string]*backend{}, byService: map[string][]*backend{}, places: map[string]int{}}
+}
+
+// next is the board of a new list; servers that stay keep their accounts.
+func (old *board) next(now time.Time, servers []roster.Server) *board {
+	next := newBoard()
+	sorted := append([]roster.Server(nil), servers...)
+	sort.Slice(sorted, func(left, right int) bool { return sorted[left].Name < sorted[right].Name })
+	var everywhere []*backend
+	for _, server := range sorted {
+		if _, twice := next.byName[server.Name]; twice {
+			continue
+		}
+		place, known := next.places[server.District]
+		if !known {
+			place = len(next.places)
+			next.places[server.District] = place
+		}
+		listed := &backend{server: server, key: nameKey(server.Name), place: place}
+		if earlier, found := old.byName[server.Name]; found && earlier.server.Address == server.Address {
+			listed.account = earlier.account
+		} else {
+			listed.account = newAccount()
+		}
+		if server.Warming > 0 {
+			listed.coolUntil(now.Add(server.Warming))
+		}
+		next.byName[server.Name] = listed
+		next.all = append(next.all, listed)
+		if server.Service == "" {
+			everywhere = append(everywhere, listed)
+		} else {
+			next.byService[server.Service] = append(next.byService[server.Service], listed)
+		}
+	}
+	if len(everywhere) > 0 {
+		for service, listed := range next.byService {
+			next.byService[service] = append(listed, everywhere...)
+		}
+		next.byService[""] = everywhere
+	}
+	return next
+}
+
+// of lists the servers of a service.
+func (board *board) of(service string) []*backend {
+	if listed, found := board.byService[service]; found {
+		return listed
+	}
+	return board.byService[""]
+}
--- /dev/null
+++ b/internal/window/kept.go
@@ -0,0 +1,90 @@
+package window
+
+import (
+	"container/list"
+	"sync"
+	"sync/atomic"
+)
+
+// kept is what a courier believes a server to keep of the prompts that it sent there:
+// the parts used last, as far as the server's memory goes.
+type kept struct {
+	mutex  sync.Mutex
+	parts  map[uint64]*list.Element
+	order  *list.List
+	tokens int
+	count  atomic.Int64
+}
+
+type keptPart struct {
+	id     uint64
+	tokens int
+	weight int
+}
+
+// block is how many tokens memory goes by.
+const block = 16
+
+// prefix counts the tokens of a chain that are believed to be kept, whole parts from
+// its beginning.
+func (kept *kept) prefix(parts []Part) int {
+	if kept.count.Load() == 0 {
+		return 0
+	}
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	tokens := 0
+	for _, part := range parts {
+		element, found := kept.parts[part.ID]
+		if !found || element.Value.(*keptPart).tokens < part.Tokens {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+// note counts a prompt as used at the server just now. others is how many couriers
+// send such prompts there: own parts of theirs push out as many as this one's.
+func (kept *kept) note(parts []Part, room, others, most int) {
+	if len(parts) == 0 {
+		return
+	}
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	if kept.parts == nil {
+		kept.parts, kept.order = map[uint64]*list.Element{}, list.New()
+	}
+	// The last part gives way first: parts are of use only behind those before.
+	for position := len(parts) - 1; position >= 0; position-- {
+		part := parts[position]
+		weight := (part.Tokens + block - 1) / block * block
+		if position == len(parts)-1 {
+			weight *= max(1, others)
+		}
+		if element, found := kept.parts[part.ID]; found {
+			known := element.Value.(*keptPart)
+			kept.tokens += weight - known.weight
+			known.tokens, known.weight = max(known.tokens, part.Tokens), weight
+			kept.order.MoveToFront(element)
+			continue
+		}
+		kept.parts[part.ID] = kept.order.PushFront(&keptPart{id: part.ID, tokens: part.Tokens, weight: weight})
+		kept.tokens += weight
+	}
+	for kept.order.Len() > 0 && (kept.tokens > room || kept.order.Len() > most) {
+		oldest := kept.order.Back()
+		gone := kept.order.Remove(oldest).(*keptPart)
+		delete(kept.parts, gone.id)
+		kept.tokens -= gone.weight
+	}
+	kept.count.Store(int64(kept.order.Len()))
+}
+
+// forget drops all beliefs, after a start of the server.
+func (kept *kept) forget() {
+	kept.mutex.Lock()
+	defer kept.mutex.Unlock()
+	kept.parts, kept.order, kept.tokens = nil, nil, 0
+	kept.count.Store(0)
+}
--- /dev/null
+++ b/internal/window/options.go
@@ -0,0 +1,42 @@
+package window
+
+import "time"
+
+// Options say for which courier a window decides and what binds all couriers together.
+type Options struct {
+	// Courier is the node's name, District the one whose servers it prefers.
+	Courier  string
+	District string
+	// FurtherTries bounds what all couriers send beyond the first dispatch of each
+	// call, service by service.
+	FurtherTries Allowance
+}
+
+// Allowance bounds further tries: in any span as long as Span, over all couriers, at
+// most Ratio of the calls in it and Slack besides.
+type Allowance struct {
+	Ratio float64
+	Slack float64
+	Span  time.Duration
+}
+
+// DefaultAllowance is what holds where nobody said otherwise.
+//
+// Example:
+//
+//	options.FurtherTries = window.DefaultAllowance()
+func DefaultAllowance() Allowance { return Allowance{Ratio: 0.2, Slack: 10, Span: 10 * time.Second} }
+
+func (options Options) checked() Options {
+	standard := DefaultAllowance()
+	if options.FurtherTries.Ratio <= 0 {
+		options.FurtherTries.Ratio = standard.Ratio
+	}
+	if options.FurtherTries.Slack <= 0 {
+		options.FurtherTries.Slack = standard.Slack
+	}
+	if options.FurtherTries.Span <= 0 {
+		options.FurtherTries.Span = standard.Span
+	}
+	return options
+}
--- /dev/null
+++ b/internal/window/program.go
@@ -0,0 +1,155 @@
+package window
+
+import (
+	"sort"
+	"strings"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Program is a configuration compiled for the calls' path: for each host the steps of
+// its routes, the longest prefix first. It is never altered; a new configuration is a
+// new program.
+type Program struct {
+	epoch       uint64
+	number      uint64
+	hosts       map[string][]step
+	services    map[string]*menu.Service
+	evacuations map[string]bool
+	limits      menu.Limits
+}
+
+// step is one instruction of a host's routes.
+type step struct {
+	code opcode
+	text string
+	// next is where a need that does not hold goes on.
+	next   int
+	ruling *ruling
+}
+
+// ruling is what the route that matched says of its calls.
+type ruling struct {
+	route  *menu.Route
+	calls  *menu.CallRoute
+	shares []share
+	total  uint64
+	// districts are those whose servers may be used; nil means all.
+	districts map[string]bool
+}
+
+func (ruling *ruling) allows(district string) bool {
+	return ruling.districts == nil || ruling.districts[district]
+}
+
+type share struct {
+	service *menu.Service
+	upTo    uint64
+}
+
+// Compile makes the program of a configuration.
+//
+// Example:
+//
+//	program := window.Compile(configuration, version.Epoch, version.Number)
+func Compile(configuration *menu.Configuration, epoch, number uint64) *Program {
+	program := &Program{epoch: epoch, number: number, hosts: map[string][]step{}, services: map[string]*menu.Service{},
+		evacuations: map[string]bool{}, limits: configuration.Limits}
+	for district := range configuration.Evacuations {
+		program.evacuations[district] = true
+	}
+	for name, service := range configuration.Services {
+		service.Name = name
+		program.services[name] = &service
+	}
+	byHost := map[string][]*menu.Route{}
+	for position := range configuration.Routes {
+		route := &configuration.Routes[position]
+		if route.Calls != nil && route.Match.Host != "" {
+			host := strings.ToLower(route.Match.Host)
+			byHost[host] = append(byHost[host], route)
+		}
+	}
+	for host, routes := range byHost {
+		sort.SliceStable(routes, func(left, right int) bool {
+			first, second := routes[left].Match.PathPrefix, routes[right].Match.PathPrefix
+			if len(first) != len(second) {
+				return len(first) > len(second)
+			}
+			return first < second
+		})
+		var steps []step
+		for _, route := range routes {
+			steps = append(steps, program.steps(route, len(steps))...)
+		}
+		program.hosts[host] = steps
+	}
+	return program
+}
+
+func (program *Program) steps(route *menu.Route, at int) []step {
+	ruling := &ruling{route: route, calls: route.Calls}
+	for _, part := range route.Calls.Shares {
+		service, found := program.services[part.Service]
+		if found && part.Weight > 0 {
+			ruling.total += uint64(part.Weight)
+			ruling.shares = append(ruling.shares, share{service: service, upTo: ruling.total})
+		}
+	}
+	if len(route.To.Districts) > 0 {
+		ruling.districts = map[string]bool{}
+		for _, district := range route.To.Districts {
+			ruling.districts[district] = true
+		}
+	}
+	action := step{code: actSend, ruling: ruling}
+	switch {
+	case route.To.Refuse || len(ruling.shares) == 0:
+		action.code = actRefuse
+	case len(ruling.shares) > 1:
+		action.code = actShare
+	}
+	return []step{{code: needPrefix, text: route.Match.PathPrefix, next: at + 2}, action}
+}
+
+// rule interprets the program for one call: its route and the service that serves it.
+func (program *Program) rule(call *Call) (*ruling, *menu.Service) {
+	steps := program.hosts[hostOf(call.Host)]
+	for position := 0; position < len(steps); {
+		step := &steps[position]
+		switch step.code {
+		case needPrefix:
+			if !strings.HasPrefix(call.Path, step.text) {
+				position = step.next
+				continue
+			}
+			position++
+		case actSend:
+			return step.ruling, step.ruling.shares[0].service
+		case actShare:
+			spot := roster.Weight(step.ruling.route.Name, call.ID) % step.ruling.total
+			for _, share := range step.ruling.shares {
+				if spot < share.upTo {
+					return step.ruling, share.service
+				}
+			}
+		case actRefuse:
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// hostOf is a host without its port, in small letters.
+func hostOf(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// later tells whether the program is of a later version than the other one.
+func (program *Program) later(other *Program) bool {
+	return other == nil || program.epoch > other.epoch || program.epoch == other.epoch && program.number > other.number
+}
--- /dev/null
+++ b/internal/window/rendezvous.go
@@ -0,0 +1,37 @@
+package window
+
+import "seamloom.example/seamloom/internal/roster"
+
+// nameKey is the number that stands for a server's name in rendezvous.
+func nameKey(name string) uint64 { return roster.Weight("window", name) }
+
+// weigh is the rendezvous weight of a server for a chain: the same at every courier.
+func weigh(chain, server uint64) uint64 {
+	sum := chain*0x9e3779b97f4a7c15 ^ server
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	sum *= 0xc4ceb9fe1a85ec53
+	return sum ^ sum>>33
+}
+
+// chain is what a call's home goes by: the last part that it shares with others.
+func (call *Call) chain() uint64 {
+	switch length := len(call.Parts); length {
+	case 0:
+		return roster.Weight("call", call.ID)
+	case 1:
+		return call.Parts[0].ID
+	default:
+		return call.Parts[length-2].ID
+	}
+}
+
+// shared are the tokens of the parts that other calls may have as well.
+func (call *Call) shared() int {
+	tokens := 0
+	for position := 0; position < len(call.Parts)-1; position++ {
+		tokens += call.Parts[position].Tokens
+	}
+	return tokens
+}
--- /dev/null
+++ b/internal/window/ticket.go
@@ -0,0 +1,79 @@
+package window
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+)
+
+// Ticket is what a window knows of one call that it let in. One thread holds it at a
+// time.
+type Ticket struct {
+	call    *Call
+	ruling  *ruling
+	service *menu.Service
+	// mark is a number that stands for the call's id.
+	mark    uint64
+	arrived time.Time
+	ends    time.Time
+
+	// dispatch is what is under way now.
+	dispatch dispatch
+	// counted is how many dispatches count as tries: all that reached a server but
+	// the first read that one took up. paid is how many of them the purse paid.
+	counted int
+	paid    int
+	// taken tells that a server took up a read, ran that the call may have run,
+	// begun that a stream's events were passed on.
+	taken bool
+	ran   bool
+	begun bool
+	// direct tells that the prompt's memory could not be had from a reader.
+	direct bool
+	// reader read the prompt; source is the memory that has not been taken yet, and
+	// spent is memory that may be left over and is to be given back.
+	reader *backend
+	source *Source
+	spent  []Source
+	// avoided were tried for this call in vain.
+	avoided []*backend
+	ended   bool
+}
+
+// dispatch is what one server is doing for a call.
+type dispatch struct {
+	backend *backend
+	kind    DecisionKind
+	sent    time.Time
+	source  *Source
+	// unread are the tokens believed to be read now, tokens the memory taken up.
+	unread   int
+	tokens   int
+	expected time.Duration
+	// counted tells that a read was counted as a try when it was sent.
+	counted bool
+}
+
+// Route is the route that the call came on.
+//
+// Example:
+//
+//	gap := ticket.Route().Calls.Gap
+func (ticket *Ticket) Route() *menu.Route { return ticket.ruling.route }
+
+func (ticket *Ticket) avoids(backend *backend) bool {
+	for _, avoided := range ticket.avoided {
+		if avoided == backend || avoided.account == backend.account {
+			return true
+		}
+	}
+	return false
+}
+
+// repeatable tells whether the call may run more than once.
+func (ticket *Ticket) repeatable() bool {
+	return ticket.ruling.calls.Repeatable || ticket.ruling.calls.Streams && ticket.ruling.calls.Resumable
+}
+
+// tokens is the memory that the call takes up at the server that makes its answer.
+func (ticket *Ticket) tokens() int { return ticket.call.PromptTokens + ticket.call.OutputTokens }
--- /dev/null
+++ b/internal/window/window.go
@@ -0,0 +1,164 @@
+package window
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Window follows the calls of one courier. Its methods may be called from several
+// threads; fed from one, the same events give the same decisions.
+type Window struct {
+	options  Options
+	program  atomic.Pointer[Program]
+	board    atomic.Pointer[board]
+	couriers atomic.Int64
+	draining atomic.Bool
+	inFlight atomic.Int64
+
+	// mutex guards what replaces the board and the ledgers' map.
+	mutex   sync.Mutex
+	ledgers atomic.Pointer[map[string]*ledger]
+}
+
+// ledger is what the window keeps for one service.
+type ledger struct {
+	purse purse
+	pace  pace
+	runs  lasting
+}
+
+// unknownCouriers is how many couriers are taken to share the servers while nobody
+// said how many there are.
+const unknownCouriers = 32
+
+// New makes a window that knows nothing yet.
+//
+// Example:
+//
+//	calls := window.New(window.Options{Courier: "courier-1", District: "north"})
+func New(options Options) *Window {
+	window := &Window{options: options.checked()}
+	window.board.Store(newBoard())
+	window.ledgers.Store(&map[string]*ledger{})
+	return window
+}
+
+// SetProgram puts a later version in force; an older one, or the same, is left aside
+// and the answer is false.
+//
+// Example:
+//
+//	if calls.SetProgram(window.Compile(configuration, epoch, number)) { ... }
+func (window *Window) SetProgram(program *Program) bool {
+	for {
+		current := window.program.Load()
+		if program == nil || !program.later(current) {
+			return false
+		}
+		if window.program.CompareAndSwap(current, program) {
+			return true
+		}
+	}
+}
+
+// InForce is the version of the configuration in force, as epoch and number.
+//
+// Example:
+//
+//	epoch, number := calls.InForce()
+func (window *Window) InForce() (epoch, number uint64) {
+	if program := window.program.Load(); program != nil {
+		return program.epoch, program.number
+	}
+	return 0, 0
+}
+
+// Limits bound what a caller may send, by the configuration in force.
+//
+// Example:
+//
+//	most := calls.Limits().BodyBytes
+func (window *Window) Limits() menu.Limits {
+	if program := window.program.Load(); program != nil {
+		return program.limits
+	}
+	return menu.Limits{}
+}
+
+// SetServers takes the list of servers.
+//
+// Example:
+//
+//	calls.SetServers(now, servers)
+func (window *Window) SetServers(now time.Time, servers []roster.Server) {
+	window.mutex.Lock()
+	defer window.mutex.Unlock()
+	window.board.Store(window.board.Load().next(now, servers))
+}
+
+// SetLoads takes what the servers reported of themselves.
+//
+// Example:
+//
+//	calls.SetLoads(now, loads)
+func (window *Window) SetLoads(now time.Time, loads []Load) {
+	board := window.board.Load()
+	for _, load := range loads {
+		if backend, found := board.byName[load.Server]; found {
+			backend.hear(now, load)
+		}
+	}
+}
+
+// SetCouriers tells how many couriers share the servers.
+//
+// Example:
+//
+//	calls.SetCouriers(9)
+func (window *Window) SetCouriers(count int) { window.couriers.Store(int64(count)) }
+
+func (window *Window) sharers() int {
+	if count := window.couriers.Load(); count > 0 {
+		return int(count)
+	}
+	return unknownCouriers
+}
+
+// Drain lets no further calls in.
+//
+// Example:
+//
+//	calls.Drain()
+func (window *Window) Drain() { window.draining.Store(true) }
+
+// InFlight counts the calls that have not ended.
+//
+// Example:
+//
+//	drained := calls.InFlight() == 0
+func (window *Window) InFlight() int { return int(window.inFlight.Load()) }
+
+// ledger is the service's; it is made once.
+func (window *Window) ledger(service string) *ledger {
+	if found, known := (*window.ledgers.Load())[service]; known {
+		return found
+	}
+	window.mutex.Lock()
+	defer window.mutex.Unlock()
+	current := *window.ledgers.Load()
+	if found, known := current[service]; known {
+		return found
+	}
+	next := make(map[string]*ledger, len(current)+1)
+	for name, known := range current {
+		next[name] = known
+	}
+	made := &ledger{}
+	next[service] = made
+	window.ledgers.Store(&next)
+	return made
+}
--- /dev/null
+++ b/internal/window/window_test.go
@@ -0,0 +1,95 @@
+package window
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// plan is a configuration with one split service, a route of long prompts whose
+// streams may go on elsewhere and one of chats that may run once.
+func plan(change func(*menu.Configuration)) *menu.Configuration {
+	service := menu.Service{Name: "desk", Limit: 30 * time.Second, Circuits: 370,
+		Warming: menu.Warming{Length: 3 * time.Second, PerSecond: 12},
+		Engine: menu.Engine{Slots: 64, MemoryTokens: 295_740, TokenBytes: 18_432, LinkBits: 550e9, TokensAPiece: 11,
+			HandleLife: 5 * time.Second, PartChange: 1500 * time.Millisecond, Models: []string{"m"}}}
+	configuration := menu.Empty()
+	configuration.Services = map[string]menu.Service{"desk": service, "other": {Name: "other"}}
+	configuration.Routes = []menu.Route{
+		{Name: "long", Match: menu.Match{Host: "long.example", PathPrefix: "/ask/"}, Calls: &menu.CallRoute{
+			Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 3 * time.Second, Aim: 400 * time.Millisecond,
+			Gap: 250 * time.Millisecond, Rank: 0, Tries: 2, Streams: true, Resumable: true, Sticky: true}},
+		{Name: "chat", Match: menu.Match{Host: "chat.example", PathPrefix: "/"}, Calls: &menu.CallRoute{
+			Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 8 * time.Second, Aim: 500 * time.Millisecond,
+			Gap: 250 * time.Millisecond, Rank: 1, Tries: 1, Streams: true, Sticky: true}},
+	}
+	if change != nil {
+		change(configuration)
+	}
+	return configuration
+}
+
+// servers lists so many servers over three districts, four in ten of them readers.
+func servers(count int) []roster.Server {
+	districts := []string{"north", "south", "west"}
+	var list []roster.Server
+	readers := 0
+	for number := range count {
+		part := decode
+		if readers*10 < 4*(number+1) {
+			part = prefill
+			readers++
+		}
+		list = append(list, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprintf("10.0.%d.%d:8080", number/250, number%250),
+			District: districts[number%3], Service: "desk", Part: part, Slots: 64, Models: []string{"m"}})
+	}
+	return list
+}
+
+func opened(count int) *Window {
+	calls := New(Options{Courier: "courier-1", District: "north"})
+	calls.SetCouriers(9)
+	calls.SetProgram(Compile(plan(nil), 1, 1))
+	calls.SetServers(noon, servers(count))
+	return calls
+}
+
+func longCall(id string, chain uint64) *Call {
+	return &Call{ID: id, Host: "long.example", Path: "/ask/one", Model: "m", PromptTokens: 9190, OutputTokens: 52, Bytes: 18_000,
+		Parts: []Part{{ID: 1, Tokens: 2520}, {ID: chain, Tokens: 3780}, {ID: nameKey(id), Tokens: 2890}}}
+}
+
+func chatCall(id string) *Call {
+	return &Call{ID: id, Host: "chat.example", Path: "/talk", Model: "m", PromptTokens: 826, OutputTokens: 290, Bytes: 1700,
+		Parts: []Part{{ID: 2, Tokens: 119}, {ID: 3, Tokens: 79}, {ID: nameKey(id), Tokens: 628}}}
+}
+
+// TestTwoHalves follows one long call through a reader and a runner, and one chat
+// straight through a runner.
+func TestTwoHalves(test *testing.T) {
+	calls := opened(9)
+	ticket, decision := calls.Arrive(noon, longCall("a", 77))
+	if ticket == nil || decision.Kind != Read || decision.Server.Part != prefill {
+		test.Fatalf("a long prompt: %+v", decision)
+	}
+	decision = calls.Ended(noon.Add(180*time.Millisecond), ticket, Outcome{Result: Complete, Handle: "h"})
+	if decision.Kind != Run || decision.Server.Part != decode || decision.Source == nil || decision.Source.Handle != "h" {
+		test.Fatalf("after the read: %+v", decision)
+	}
+	decision = calls.Ended(noon.Add(600*time.Millisecond), ticket, Outcome{Result: Complete, First: noon.Add(200 * time.Millisecond)})
+	if decision.Kind != Done || calls.InFlight() != 0 {
+		test.Fatalf("after the run: %+v, %d in flight", decision, calls.InFlight())
+	}
+	ticket, decision = calls.Arrive(noon, chatCall("b"))
+	if ticket == nil || decision.Kind != Run || decision.Server.Part != decode || decision.Source != nil || decision.Urgency != 1 {
+		test.Fatalf("a chat: %+v", decision)
+	}
+	if decision = calls.Ended(noon.Add(time.Second), ticket, Outcome{Result: Silent}); decision.Kind != Refuse || decision.Cause != Broken {
+		test.Fatalf("a chat that may have run: %+v", decision)
+	}
+}
