Market: each server is asked once, and cheap pairs first bound the others

Cause: an inquiry priced every pair of servers and digested a long key for each: 0.6 ms at a hundred servers and 72 ms at 1,100, where a node may spend 3.2% of a core on control altogether.

Ruled out: drawing some servers (another choice), sorted asks kept between inquiries (each report and dispatch moves one), a cheaper digest alone (still quadratic).

Change: asks are taken once for each server and sorted; a pair's price is never below its sum, so that the search ends where no pair that is left can be cheaper. Equal prices go to the pair that stands first, as before. The noise's digest is begun once for each prefill server. The plain choice takes the first least of each.

--- a/internal/pass/market.go
+++ b/internal/pass/market.go
@@ -132,51 +132,31 @@
 const spread = 0.25
 
 // Choose finds the pair with the lowest price, among servers that allowed says
-// may be used and whose names are not in tried.
+// may be used and whose names are not in tried. Each server is asked once; pairs
+// are priced from the lowest asks on, until none that is left can be cheaper.
 //
 // Example:
 //
 //	bid, found := market.Choose(now, inquiry, ruling, allowed, nil)
 func (market *Market) Choose(now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
-	current := market.board.Load()
-	var best Bid
-	found := false
-	bestPrice := 0.0
-	for _, prefill := range current.stalls {
-		if !allowed(prefill.server) || tried[prefill.server.Name] {
+	asked := offers.Get().(*offerBook)
+	defer offers.Put(asked)
+	asked.clear()
+	for position, stall := range market.board.Load().stalls {
+		if !allowed(stall.server) || tried[stall.server.Name] {
 			continue
 		}
-		prefillAsk, offered := market.askPrefill(now, prefill, inquiry, ruling)
-		if !offered {
-			continue
+		if ask, offered := market.askPrefill(now, stall, inquiry, ruling); offered {
+			asked.prefill = append(asked.prefill, newOffer(stall, position, ask))
 		}
-		for _, decode := range current.stalls {
-			if decode == prefill || !allowed(decode.server) || tried[decode.server.Name] {
-				continue
-			}
-			decodeAsk, handOver, offered := market.askDecode(now, prefill, decode, inquiry)
-			if !offered {
-				continue
-			}
-			sum := prefillAsk + handOver + decodeAsk
-			noise := float64(roster.Weight(inquiry.ID+"/"+prefill.server.Name, decode.server.Name)%1024) / 1024
-			price := float64(sum+5*time.Millisecond) * (1 + spread*noise)
-			if market.plain {
-				price = market.plainPrice(now, prefill, decode)
-			}
-			if !found || price < bestPrice {
-				best, bestPrice, found = Bid{Prefill: prefill, Decode: decode, Price: sum, HandOver: handOver}, price, true
-			}
+		if ask, offered := market.askDecode(now, stall, inquiry); offered {
+			asked.decode = append(asked.decode, newOffer(stall, position, ask))
 		}
 	}
-	return best, found
-}
-
-// plainPrice is that of a plain least-loaded choice, without prefixes,
-// hand-over, districts or own work in flight.
-func (market *Market) plainPrice(now time.Time, prefill, decode *Stall) float64 {
-	first, second := prefill.fresh(now), decode.fresh(now)
-	return float64(first.load.PrefillWaiting)*1000 + float64(second.load.DecodeActive)
+	if market.plain {
+		return asked.leastLoaded(now, inquiry)
+	}
+	return asked.cheapest(inquiry)
 }
 
 // ChooseDecode finds another decode server for a prompt that is already read.
@@ -196,8 +176,12 @@
 		if decode == prefill || !allowed(decode.server) || tried[decode.server.Name] {
 			continue
 		}
-		ask, handOver, offered := market.askDecode(now, prefill, decode, inquiry)
-		if offered && (!found || ask+handOver < best.Price) {
+		ask, offered := market.askDecode(now, decode, inquiry)
+		if !offered {
+			continue
+		}
+		handOver := newOffer(prefill, 0, 0).handOver(newOffer(decode, 0, 0), inquiry)
+		if !found || ask+handOver < best.Price {
 			best, found = Bid{Prefill: prefill, Decode: decode, Price: ask + handOver, HandOver: handOver}, true
 		}
 	}
@@ -234,10 +218,10 @@
 	return ask, true
 }
 
-func (market *Market) askDecode(now time.Time, prefill, decode *Stall, inquiry *Inquiry) (ask, handOver time.Duration, offered bool) {
+func (market *Market) askDecode(now time.Time, decode *Stall, inquiry *Inquiry) (time.Duration, bool) {
 	current := decode.fresh(now)
 	if current == nil || current.load.Part != Decode || decode.avoided(now) {
-		return 0, 0, false
+		return 0, false
 	}
 	warmth := current.warmth(now)
 	mine := current.decodes.Load() + decode.promised.Load()
@@ -250,21 +234,12 @@
 		full = left < 1 || mine >= market.share(left, warmth)
 	}
 	if full || current.load.MemoryFree-int(current.memory.Load()) < need {
-		return 0, 0, false
-	}
-	rate := current.load.LinkRate
-	if source := prefill.report.Load(); source != nil && source.load.LinkRate < rate {
-		rate = source.load.LinkRate
-	}
-	handOver = seconds(inquiry.PromptTokens, rate)
-	if prefill.server.District != decode.server.District {
-		handOver += handOver/2 + crossing/2
+		return 0, false
 	}
 	// A fuller server makes pieces more slowly, and leaves less room for the
 	// inquiries that come next.
 	fullness := float64(busy) / float64(slots)
-	ask = time.Duration(float64(inquiry.Pieces) * float64(current.load.PieceTime) * (0.25 + fullness*fullness))
-	return ask, handOver, true
+	return time.Duration(float64(inquiry.Pieces) * float64(current.load.PieceTime) * (0.25 + fullness*fullness)), true
 }
 
 // Reserve counts a bid's prefill until the server's next report shows it, and
--- a/internal/pass/market_test.go
+++ b/internal/pass/market_test.go
@@ -37,7 +37,7 @@
 
 // BenchmarkChoose is what the market costs an inquiry.
 func BenchmarkChoose(benchmark *testing.B) {
-	for _, count := range []int{9, 12, 100} {
+	for _, count := range []int{9, 12, 100, 300, 1100} {
 		benchmark.Run(fmt.Sprintf("%d servers", count), func(benchmark *testing.B) {
 			market := newTestMarket(count)
 			inquiry := &Inquiry{ID: "one", Service: "chat", PromptTokens: 500, Pieces: 20}
--- /dev/null
+++ b/internal/pass/offer_test.go
@@ -0,0 +1,91 @@
+package pass
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// everyPair is the choice as its definition says it: every pair is priced, and the
+// first of the lowest is taken.
+func everyPair(market *Market, now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+	var best Bid
+	bestPrice, found := 0.0, false
+	stalls := market.board.Load().stalls
+	for _, prefill := range stalls {
+		prefillAsk, offered := market.askPrefill(now, prefill, inquiry, ruling)
+		if !offered || !allowed(prefill.server) || tried[prefill.server.Name] {
+			continue
+		}
+		for _, decode := range stalls {
+			decodeAsk, offered := market.askDecode(now, decode, inquiry)
+			if !offered || decode == prefill || !allowed(decode.server) || tried[decode.server.Name] {
+				continue
+			}
+			handOver := newOffer(prefill, 0, 0).handOver(newOffer(decode, 0, 0), inquiry)
+			sum := prefillAsk + handOver + decodeAsk
+			price := float64(sum+5*time.Millisecond) * (1 + spread*float64(roster.Weight(inquiry.ID+"/"+prefill.server.Name, decode.server.Name)%1024)/1024)
+			if market.plain {
+				price = float64(prefill.fresh(now).load.PrefillWaiting)*1000 + float64(decode.fresh(now).load.DecodeActive)
+			}
+			if !found || price < bestPrice {
+				best, bestPrice, found = Bid{Prefill: prefill, Decode: decode, Price: sum, HandOver: handOver}, price, true
+			}
+		}
+	}
+	return best, found
+}
+
+// TestChoiceIsThatOfEveryPair has drawn markets, with equal asks and with very
+// different ones, give the pair that pricing every pair gives.
+func TestChoiceIsThatOfEveryPair(test *testing.T) {
+	random := rand.New(rand.NewPCG(3, 1))
+	chosen, none := 0, 0
+	for day := range 400 {
+		market := NewMarket("courier-1", "north", day%5 == 4)
+		market.SetCouriers(1 + random.IntN(9))
+		var servers []roster.Server
+		for number := range 1 + random.IntN(60) {
+			servers = append(servers, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[random.IntN(3)], Leaving: random.IntN(15) == 0})
+		}
+		market.List(servers)
+		alike := day%2 == 0
+		draw := func(most int) int {
+			if alike {
+				return 0
+			}
+			return random.IntN(most)
+		}
+		for _, server := range servers {
+			part := []Part{Prefill, Prefill, Decode, Decode, Decode, Drain}[random.IntN(6)]
+			market.Report(noon, Load{Server: server.Name, Part: part, Age: time.Hour - time.Duration(draw(2))*time.Hour, PrefillRate: 20_000 + draw(9000), PrefillRoom: 12,
+				PrefillWaiting: draw(14), PrefillQueueTokens: draw(40_000), DecodeSlots: 16, DecodeActive: draw(17), PieceTime: 8 * time.Millisecond,
+				MemoryFree: 200_000 - draw(205_000), LinkRate: 400_000 - draw(390_000), Prefixes: map[string]int{"shared": draw(900)}})
+		}
+		for number := range 12 {
+			now := noon.Add(time.Duration(random.IntN(1600)) * time.Millisecond)
+			inquiry := &Inquiry{ID: fmt.Sprintf("%d-%d", day, number), PromptTokens: 1 + random.IntN(6000), Prefix: "shared", PrefixTokens: 800, Pieces: 1 + random.IntN(40)}
+			ruling := &Ruling{HomeFirst: number%2 == 0}
+			allowed := func(server roster.Server) bool { return number%3 != 0 || server.District != "east" }
+			tried := map[string]bool{"stove-1": number%4 == 0}
+			want, wanted := everyPair(market, now, inquiry, ruling, allowed, tried)
+			got, found := market.Choose(now, inquiry, ruling, allowed, tried)
+			if found != wanted || got != want {
+				test.Fatalf("day %d, inquiry %d: got %v, want %v", day, number, got, want)
+			}
+			if !found {
+				none++
+				continue
+			}
+			chosen++
+			market.Reserve(got, inquiry)
+			market.Take(got, inquiry)
+		}
+	}
+	if chosen < 1000 || none < 100 {
+		test.Errorf("%d choices and %d without a pair say little", chosen, none)
+	}
+}
--- a/internal/roster/rendezvous.go
+++ b/internal/roster/rendezvous.go
@@ -15,8 +15,11 @@
 	_, _ = digest.Write([]byte(key))
 	_, _ = digest.Write([]byte{0})
 	_, _ = digest.Write([]byte(name))
-	// FNV alone leaves near names with near sums; the finalizer spreads them.
-	sum := digest.Sum64()
+	return finish(digest.Sum64())
+}
+
+// finish spreads near sums: FNV alone leaves near names with near ones.
+func finish(sum uint64) uint64 {
 	sum ^= sum >> 33
 	sum *= 0xff51afd7ed558ccd
 	sum ^= sum >> 33
--- /dev/null
+++ b/internal/roster/weigher.go
@@ -0,0 +1,37 @@
+package roster
+
+import (
+	"hash"
+	"hash/fnv"
+)
+
+// Weigher weighs many names for one key, which it digests once.
+type Weigher struct{ keyed hash.Cloner }
+
+// NewWeigher digests the key.
+//
+// Example:
+//
+//	weigher := roster.NewWeigher("server/stove-1")
+func NewWeigher(key string) Weigher {
+	digest := fnv.New64a()
+	_, _ = digest.Write([]byte(key))
+	_, _ = digest.Write([]byte{0})
+	return Weigher{keyed: digest.(hash.Cloner)}
+}
+
+// Weight is the rendezvous weight of a name for the key.
+//
+// Example:
+//
+//	weigher.Weight("courier-2") == roster.Weight("server/stove-1", "courier-2")
+func (weigher Weigher) Weight(name string) uint64 {
+	cloned, failure := weigher.keyed.Clone()
+	if failure != nil {
+		// A digest in memory has nothing that could fail.
+		panic("roster: " + failure.Error())
+	}
+	digest := cloned.(hash.Hash64)
+	_, _ = digest.Write([]byte(name))
+	return finish(digest.Sum64())
+}
