Larder: several backups and five spread keepers where more than one loss is borne

Cause: a pair loses an answered write when both its disks go, and three keepers lose their majority with two machines. Change: the setting borne_losses (1 as before). With more, a charter lists as many backups as losses, every write is synced on all of them, keepers are two for each loss and one more with no district's loss taking the majority. New primaries of more than two copies show nothing before the copies are the same. Behind the flag backup_list. Slow or failing newcomers are no longer waited for alone: after 0.6 s the next is tried beside them.

--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -60,7 +60,7 @@
 		return nil, failure
 	}
 	options := hatch.ExpediterOptions{Name: chosen.Name, Address: chosen.Address, District: chosen.District, Seeds: chosen.Seeds, Supported: chosen.Supported(),
-		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, Fresh: larder.Identity(uuid.NewString())}
+		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, Fresh: larder.Identity(uuid.NewString())}
 	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime}
 	conduct, blank, failure := hatch.OpenExpediter(threads.New(process.lifetime, clock), line, keeping, copies, options, process.observe)
 	if failure != nil {
--- a/internal/adapters/expediter/status.go
+++ b/internal/adapters/expediter/status.go
@@ -42,7 +42,7 @@
 	answerJSON(writer, http.StatusOK, map[string]any{
 		"holds_live_milliseconds": holds,
 		"servers":                 servers, "claims_horizon": process.horizon(view),
-		"primary": charter.Primary, "backup": charter.Backup, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
+		"primary": charter.Primary, "backup": charter.Backup, "further_backups": charter.Further, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
 		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
 		"lagging":        current.Lagging(now, view.VersionOf(larder.MenuDrawer), state),
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -64,6 +64,7 @@
 		set.DurationVar(&flags.flagged.AcknowledgeWait, "acknowledge-wait", defaults.AcknowledgeWait, "how long a committed change waits for couriers that are not heard from; 0: until their holds end")
 		set.StringVar(&flags.flagged.ControlAddress, "control-address", "", "a further address for operators")
 		set.StringVar(&flags.flagged.DataFolder, "data-folder", "", "folder for all files")
+		set.IntVar(&flags.flagged.BorneLosses, "borne-losses", defaults.BorneLosses, "how many machines with a disk may be lost at once")
 		set.IntVar(&flags.flagged.FlagSettle, "flag-settle-milliseconds", defaults.FlagSettle, "how long the members must not change before a feature flag is enabled")
 	} else {
 		set.DurationVar(&flags.flagged.ServeWithoutHold, "serve-without-hold", defaults.ServeWithoutHold, "how long a courier goes on letting in after its last hold")
@@ -110,6 +111,9 @@
 	if changed("most-inquiries") {
 		chosen.MostInquiries = flags.flagged.MostInquiries
 	}
+	if changed("borne-losses") {
+		chosen.BorneLosses = flags.flagged.BorneLosses
+	}
 	if changed("flag-settle-milliseconds") {
 		chosen.FlagSettle = flags.flagged.FlagSettle
 	}
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -31,8 +31,10 @@
 	Market        string
 	MostInquiries int
 	FlagSettle    int
-	Withhold      []string
-	Detours       map[string]string
+	// BorneLosses is how many machines with a disk may be lost at once.
+	BorneLosses int
+	Withhold    []string
+	Detours     map[string]string
 	// Bootstrap allows a blank expediter to form a first core with the other seeds.
 	// Where it is false there is a core already, and a blank disk only joins it.
 	Bootstrap bool
@@ -61,7 +63,7 @@
 //
 //	chosen := settings.Defaults(roster.Courier)
 func Defaults(kind roster.NodeKind) Settings {
-	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, Bootstrap: true, Grace: DefaultGrace}
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, Grace: DefaultGrace}
 }
 
 // ReadFile takes the settings of a JSON file over those given.
@@ -94,7 +96,7 @@
 		"platform": &settings.Platform, "data_folder": &settings.DataFolder, "log_level": &settings.LogLevel, "market": &settings.Market,
 		"calls_address": &settings.CallsAddress, "ready_address": &settings.ReadyAddress, "control_address": &settings.ControlAddress}
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
-	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle}
+	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses}
 	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace}
 	if target, found := texts[name]; found {
 		text, failure := value.StringBytes()
@@ -227,6 +229,9 @@
 	if settings.FlagSettle < 0 {
 		wrong(trouble.OutOfRange, "flag_settle_milliseconds", "must not be negative")
 	}
+	if settings.BorneLosses < 1 || settings.BorneLosses > 3 {
+		wrong(trouble.OutOfRange, "borne_losses", "is 1, 2 or 3")
+	}
 	for position, flag := range settings.Withhold {
 		if !recipe.Supported(nil).Has(recipe.Flag(flag)) {
 			wrong(trouble.OutOfRange, "withhold_flags/"+strconv.Itoa(position), "this build has no flag "+flag)
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/multierr"
+
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
@@ -84,6 +86,7 @@
 	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
 		news: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
 	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
+	expediter.steward.Bear(options.BorneLosses, options.District)
 	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
 	expediter.answers = expediter.table()
@@ -292,7 +295,7 @@
 	return state, nil
 }
 
-// commit syncs batches on both copies, one after another.
+// commit syncs batches on every copy in sync, one after another.
 func (expediter *Expediter) commit() {
 	for expediter.turns.Alive() {
 		seen := expediter.submitted.Load()
@@ -324,7 +327,7 @@
 	return true
 }
 
-// sync brings a batch to both disks at once and tells whether it is on both.
+// sync brings a batch to all disks at once and tells whether it is on each.
 func (expediter *Expediter) sync(charter larder.Charter, batch larder.Batch) bool {
 	var mutex sync.Mutex
 	var own error
@@ -339,12 +342,30 @@
 		mutex.Unlock()
 		bell.Ring()
 	})
-	backup := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(charter.Backup), charter.Backup.Identity, charter.Epoch, batch)
-	expediter.steward.BackupAnswered(backup == nil)
+	var missing error
+	waits := 0
+	replicate := func(backup larder.Seat) {
+		failure := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(backup), backup.Identity, charter.Epoch, batch)
+		expediter.steward.BackupAnswered(backup.Identity, failure == nil)
+		mutex.Lock()
+		missing = multierr.Append(missing, failure)
+		mutex.Unlock()
+	}
+	for _, further := range charter.Further {
+		waits++
+		expediter.turns.Go(func() {
+			replicate(further)
+			mutex.Lock()
+			waits--
+			mutex.Unlock()
+			bell.Ring()
+		})
+	}
+	replicate(charter.Backup)
 	ended := func() bool {
 		mutex.Lock()
 		defer mutex.Unlock()
-		return kept
+		return kept && waits == 0
 	}
 	// The own disk may stall for as long as it likes: nothing else is written
 	// meanwhile.
@@ -355,8 +376,8 @@
 	}
 	mutex.Lock()
 	defer mutex.Unlock()
-	if backup != nil || own != nil {
-		expediter.observe("write_not_synced", "version", batch.Version.String(), "backup", backup, "own", own)
+	if missing != nil || own != nil {
+		expediter.observe("write_not_synced", "version", batch.Version.String(), "backup", missing, "own", own)
 		return false
 	}
 	return true
@@ -369,7 +390,7 @@
 	expediter.work.Ring()
 }
 
-// submit waits until a change is synced on both copies. When that can't be
+// submit waits until a change is synced on every copy in sync. When that can't be
 // known in time the outcome is called unknown.
 func (expediter *Expediter) submit(change larder.Change, patience time.Duration) (larder.Version, error) {
 	var mutex sync.Mutex
@@ -414,6 +435,7 @@
 	}
 	lacking := expediter.options.Supported.Lacks(state.Flags.Enabled)
 	expediter.steward.SetRestricted(len(lacking) > 0)
+	expediter.steward.SetBackupList(state.Flags.Enabled.Has(recipe.BackupList))
 	expediter.observe("flags_read", "enabled", state.Flags.Enabled, "lacking", lacking)
 }
 
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -17,6 +17,8 @@
 	// FlagSettle is how long the members must not change before a flag is
 	// enabled.
 	FlagSettle time.Duration
+	// BorneLosses is how many disks may be lost at once; one when it is zero.
+	BorneLosses int
 	// Fresh is the identity that a blank disk takes.
 	Fresh larder.Identity
 }
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -290,7 +290,10 @@
 func (follower *Follower) candidates() []string {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	candidates := []string{follower.primary, follower.charter.Primary.Address, follower.charter.Backup.Address}
+	candidates := []string{follower.primary, follower.charter.Primary.Address}
+	for _, backup := range follower.charter.Backups() {
+		candidates = append(candidates, backup.Address)
+	}
 	for _, seat := range follower.charter.Electors() {
 		candidates = append(candidates, seat.Address)
 	}
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -21,7 +21,11 @@
 	if steward.charter.Epoch > charter.Epoch {
 		charter = steward.charter
 	}
-	return Hello{Seat: steward.keeper.Seat(), Kind: steward.kind, Blank: steward.keeper.Charter().Blank(), Restricted: steward.restricted,
+	seat := steward.keeper.Seat()
+	if steward.borne > 1 {
+		seat.District = steward.district
+	}
+	return Hello{Seat: seat, Kind: steward.kind, Blank: steward.keeper.Charter().Blank(), Restricted: steward.restricted,
 		Charter: charter, Leads: leads, HoldLeft: max(left, 0),
 		Version: steward.store.Copy().Version(), Damage: steward.store.Copy().Damage()}
 }
@@ -33,8 +37,12 @@
 //	answer := steward.Greet(hello)
 func (steward *Steward) Greet(hello Hello) Hello {
 	steward.note(hello, false)
+	charter := steward.Charter()
 	steward.mutex.Lock()
 	steward.greeted = steward.turns.Now()
+	if hello.Leads && hello.Seat.Identity == charter.Primary.Identity {
+		steward.ledBy = steward.greeted
+	}
 	steward.mutex.Unlock()
 	return steward.Own()
 }
@@ -62,6 +70,16 @@
 // greetAll says hello to every address that may have an expediter.
 func (steward *Steward) greetAll() {
 	own := steward.Own()
+	if steward.rests() {
+		return
+	}
+	if steward.quiet() {
+		primary := steward.Charter().Primary
+		if hello, failure := steward.peers.Hello(steward.Address(primary), own); failure == nil {
+			steward.note(hello, true)
+		}
+		return
+	}
 	addresses := map[string]bool{}
 	for _, seat := range steward.Charter().Electors() {
 		addresses[seat.Address] = true
--- a/internal/larder/charter.go
+++ b/internal/larder/charter.go
@@ -2,11 +2,13 @@
 
 // Charter is what the epoch keepers keep: who is primary and who is in sync
 // with it, and who the keepers are. While a keeper is exchanged, Incoming is
-// the next set, and both sets must agree to everything.
+// the next set, and both sets must agree to everything. Further are the backups
+// beside the first; they are written only under the flag backup_list.
 type Charter struct {
 	Epoch    uint64 `msgpack:"epoch" json:"epoch"`
 	Primary  Seat   `msgpack:"primary" json:"primary"`
 	Backup   Seat   `msgpack:"backup" json:"backup"`
+	Further  []Seat `msgpack:"further_backups,omitempty" json:"further_backups,omitempty"`
 	Keepers  []Seat `msgpack:"keepers" json:"keepers"`
 	Incoming []Seat `msgpack:"incoming,omitempty" json:"incoming,omitempty"`
 }
@@ -24,7 +26,47 @@
 //
 //	if charter.InSync(identity) { /* it may take over */ }
 func (charter Charter) InSync(identity Identity) bool {
-	return identity != "" && (charter.Primary.Identity == identity || charter.Backup.Identity == identity)
+	return identity != "" && hasSeat(charter.Copies(), identity)
+}
+
+// Backups lists the copies that every write is synced on besides the primary's.
+//
+// Example:
+//
+//	for _, backup := range charter.Backups() { replicate(backup) }
+func (charter Charter) Backups() []Seat {
+	if charter.Backup.Empty() {
+		return nil
+	}
+	return append([]Seat{charter.Backup}, charter.Further...)
+}
+
+// Copies lists all copies in sync, the primary's first.
+//
+// Example:
+//
+//	several := len(charter.Copies()) > 2
+func (charter Charter) Copies() []Seat {
+	if charter.Primary.Empty() {
+		return nil
+	}
+	return append([]Seat{charter.Primary}, charter.Backups()...)
+}
+
+// With is the charter with other copies.
+//
+// Example:
+//
+//	next := charter.With(own, []larder.Seat{first, second})
+func (charter Charter) With(primary Seat, backups []Seat) Charter {
+	charter.Primary, charter.Backup, charter.Further = primary, Seat{}, nil
+	if len(backups) > 0 {
+		charter.Backup = backups[0]
+	}
+	if len(backups) > 1 {
+		charter.Further = append([]Seat(nil), backups[1:]...)
+	}
+	return charter
 }
 
 // Electors lists the keepers of both sets, each once.
--- a/internal/larder/seating.go
+++ b/internal/larder/seating.go
@@ -1,6 +1,10 @@
 package larder
 
-import "seamloom.example/seamloom/internal/roster"
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
 
 // ensureKeepers exchanges a keeper that is gone for an expediter that is
 // there: first both sets must agree, then only the new one.
@@ -13,7 +17,11 @@
 	if len(charter.Incoming) > 0 {
 		next.Keepers, next.Incoming = charter.Incoming, nil
 	} else {
-		incoming, change := steward.exchange(charter)
+		exchange := steward.exchange
+		if wanted := steward.wanted(); wanted > 1 {
+			exchange = func(charter Charter) ([]Seat, bool) { return steward.spread(charter, 2*wanted+1) }
+		}
+		incoming, change := exchange(charter)
 		if !change {
 			return
 		}
@@ -76,3 +84,35 @@
 	}
 	return incoming, true
 }
+
+// spread plans the next keepers where several losses are borne: those that are gone
+// give way to expediters that are there, there are as many as wanted if they can be
+// had, and no district has so many that its loss would leave no majority.
+func (steward *Steward) spread(charter Charter, wanted int) ([]Seat, bool) {
+	steward.mutex.Lock()
+	settled := steward.turns.Now().Sub(steward.leadsFrom) >= keeperPatience
+	steward.mutex.Unlock()
+	plan := keeperPlan{wanted: wanted}
+	for _, seat := range charter.Keepers {
+		_, alive := steward.alive(seat.Identity, keeperPatience)
+		if seat.Identity == steward.keeper.Seat().Identity {
+			seat, alive = steward.recorded(steward.keeper.Seat()), true
+		} else if hello, known := steward.alive(seat.Identity, time.Minute); known {
+			seat = steward.recorded(hello.Seat)
+		}
+		// A primary that has just begun has not heard from everybody yet.
+		plan.keepers = append(plan.keepers, plannedKeeper{seat: seat, gone: !alive && settled})
+	}
+	if own := steward.keeper.Seat(); !charter.Keeps(own.Identity) {
+		plan.spares = append(plan.spares, steward.recorded(own))
+	}
+	steward.mutex.Lock()
+	for _, identity := range steward.acquaintances() {
+		known := steward.known[identity]
+		if known.hello.Kind == roster.Expediter && !charter.Keeps(identity) && steward.turns.Now().Sub(known.answered) <= staleAnswer {
+			plan.spares = append(plan.spares, known.hello.Seat)
+		}
+	}
+	steward.mutex.Unlock()
+	return plan.next()
+}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -309,9 +309,17 @@
 		world.crash(machine)
 		return
 	}
-	failure := (&wire{world: world, from: machine.address}).Replicate(charter.Backup.Address, charter.Backup.Identity, charter.Epoch, batch)
-	machine.steward.BackupAnswered(failure == nil)
-	if failure != nil {
+	synced := true
+	for _, backup := range charter.Backups() {
+		failure := (&wire{world: world, from: machine.address}).Replicate(backup.Address, backup.Identity, charter.Epoch, batch)
+		machine.steward.BackupAnswered(backup.Identity, failure == nil)
+		synced = synced && failure == nil
+		if !world.calm && world.random.IntN(50) == 0 {
+			world.crash(machine)
+			return
+		}
+	}
+	if !synced {
 		return
 	}
 	if !world.calm && world.random.IntN(25) == 0 {
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -23,7 +23,7 @@
 		if !blank {
 			return
 		}
-		seats = append(seats, seat)
+		seats = append(seats, steward.recorded(seat))
 	}
 	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
 	if _, failure := steward.keeper.Accept(steward.turns.Now(), charter); failure != nil {
@@ -47,7 +47,7 @@
 	steward.mutex.Lock()
 	leaving := steward.leaving
 	steward.mutex.Unlock()
-	if leaving {
+	if leaving || steward.quiet() {
 		return
 	}
 	// A candidate that nobody can elect yet would only disturb the primary, so
@@ -60,13 +60,21 @@
 		if seat.Identity == own.Identity {
 			return steward.Own(), nil
 		}
-		return steward.peers.Hello(steward.Address(seat), steward.Own())
+		hello, failure := steward.peers.Hello(steward.Address(seat), steward.Own())
+		if failure == nil {
+			steward.note(hello, true)
+		}
+		return hello, failure
 	}, func(seat Seat, hello Hello, failure error) {
 		if failure == nil && hello.Seat.Identity == seat.Identity && hello.HoldLeft == 0 && !hello.Leads {
 			free[seat.Identity] = true
 		}
 	}, func() bool { return charter.Quorum(free) })
 	if !charter.Quorum(free) {
+		steward.freeFrom = time.Time{}
+		return
+	}
+	if steward.letsOthersStand(charter) {
 		return
 	}
 	if restricted {
@@ -81,8 +89,7 @@
 		if !base.InSync(own.Identity) {
 			return base, false
 		}
-		base.Primary, base.Backup = own, Seat{}
-		return base, true
+		return base.With(steward.recorded(own), steward.remaining(base)), true
 	})
 	if failure != nil {
 		// Two candidates part by different patience.
@@ -90,25 +97,72 @@
 		steward.backoff = steward.turns.Now().Add(150*time.Millisecond + spread)
 		return
 	}
-	if failure := steward.store.Lead(won.Epoch); failure != nil {
+	lead := steward.store.Lead
+	if !won.Backup.Empty() {
+		lead = steward.store.LeadHidden
+	}
+	if failure := lead(won.Epoch); failure != nil {
 		steward.observe("lead_failed", "cause", failure)
 		return
 	}
-	steward.unsettled = false
+	steward.unsettled = steward.store.Hidden()
+	steward.shortSince = time.Time{}
 	steward.mutex.Lock()
-	steward.backupFails, steward.leadsFrom = time.Time{}, steward.turns.Now()
+	steward.leadsFrom = steward.turns.Now()
+	clear(steward.backupFails)
+	clear(steward.installFails)
 	steward.mutex.Unlock()
 	steward.observe("became_primary", "epoch", won.Epoch)
 	steward.confirm(won)
-	steward.ensureBackup()
+	steward.ensureBackups()
+}
+
+// remaining are the copies that stay in sync beside a new primary. Of a pair none
+// does: the new primary is alone until it has another, and shows what it has. Of
+// more all do, since a second loss must find them: nothing is shown until they are
+// the same.
+func (steward *Steward) remaining(charter Charter) []Seat {
+	if len(charter.Copies()) < 3 {
+		return nil
+	}
+	var others []Seat
+	for _, seat := range append(charter.Backups(), charter.Primary) {
+		if seat.Identity != steward.keeper.Seat().Identity {
+			others = append(others, seat)
+		}
+	}
+	return others
+}
+
+// letsOthersStand tells whether a copy in sync that goes before this one has been
+// heard a moment ago and has its turn to stand: several candidates at once would
+// only take promises from each other.
+func (steward *Steward) letsOthersStand(charter Charter) bool {
+	if len(charter.Copies()) < 3 {
+		return false
+	}
+	now := steward.turns.Now()
+	if steward.freeFrom.IsZero() {
+		steward.freeFrom = now
+	}
+	before := time.Duration(0)
+	for _, seat := range charter.Copies() {
+		if seat.Identity == steward.keeper.Seat().Identity {
+			break
+		}
+		if hello, alive := steward.alive(seat.Identity, staleAnswer); alive && !hello.Restricted && hello.Damage == "" {
+			before++
+		}
+	}
+	return now.Sub(steward.freeFrom) < before*standTurn
 }
 
 // otherInSyncAlive tells whether the other copy in sync can take over: its node is
 // there, lacks no flag, and its copy is whole.
 func (steward *Steward) otherInSyncAlive(charter Charter) bool {
 	own := steward.keeper.Seat().Identity
-	for _, seat := range []Seat{charter.Primary, charter.Backup} {
-		if !seat.Empty() && seat.Identity != own {
+	for _, seat := range charter.Copies() {
+		if seat.Identity != own {
 			if hello, alive := steward.alive(seat.Identity, applicantFresh); alive && !hello.Restricted && hello.Damage == "" {
 				return true
 			}
@@ -247,6 +301,7 @@
 		return false
 	}
 	steward.outrun = outdated
+	steward.confirmedAt = asked
 	steward.mutex.Lock()
 	steward.holdEnds = asked.Add(PrimaryHold - holdDrift)
 	steward.mutex.Unlock()
@@ -287,7 +342,13 @@
 	if charter.Backup.Empty() || steward.unsettled {
 		return false
 	}
-	if _, alive := steward.alive(charter.Backup.Identity, steward.beat()); !alive {
+	reached := false
+	for _, backup := range charter.Backups() {
+		if _, alive := steward.alive(backup.Identity, steward.beat()); alive {
+			reached = true
+		}
+	}
+	if !reached {
 		return false
 	}
 	steward.mutex.Lock()
@@ -305,10 +366,8 @@
 // handOver makes the backup primary and stays in sync beside it: what a
 // primary does that lacks an enabled flag.
 func (steward *Steward) handOver(charter Charter) {
-	// A backup that has gone would take the only other copy in sync with it.
-	hello, failure := steward.peers.Hello(steward.Address(charter.Backup), steward.Own())
-	if failure != nil || hello.Seat.Identity != charter.Backup.Identity || hello.Damage != "" {
-		steward.observe("not_handed_over", "backup", charter.Backup.Name, "cause", failure)
+	next, found := steward.successor(charter)
+	if !found {
 		return
 	}
 	if _, leading := steward.store.Freeze(); !leading {
@@ -320,15 +379,40 @@
 	steward.holdEnds = time.Time{}
 	steward.mutex.Unlock()
 	won, failure := steward.stand(func(base Charter) (Charter, bool) {
-		if base.Primary.Identity != steward.keeper.Seat().Identity || base.Backup.Identity != charter.Backup.Identity {
+		if base.Primary.Identity != steward.keeper.Seat().Identity || !hasSeat(base.Backups(), next.Identity) {
 			return base, false
 		}
-		base.Primary, base.Backup = base.Backup, Seat{}
-		return base, true
+		var others []Seat
+		if len(base.Copies()) > 2 {
+			// All stay in sync: the successor answers nothing before they are the same.
+			for _, seat := range append(base.Backups(), base.Primary) {
+				if seat.Identity != next.Identity {
+					others = append(others, seat)
+				}
+			}
+		}
+		return base.With(next, others), true
 	})
 	if failure != nil {
 		steward.unsettled = true
 		return
 	}
 	steward.resign("handed_over", won)
+	if len(won.Copies()) > 1 {
+		// The successor may be no keeper, and hears of it in this way.
+		steward.greetAll()
+	}
+}
+
+// successor is the backup to hand over to. One that has gone would take a copy in
+// sync with it, the only other one of a pair.
+func (steward *Steward) successor(charter Charter) (Seat, bool) {
+	for _, backup := range charter.Backups() {
+		hello, failure := steward.peers.Hello(steward.Address(backup), steward.Own())
+		if failure == nil && hello.Seat.Identity == backup.Identity && hello.Damage == "" && !(len(charter.Further) > 0 && hello.Restricted) {
+			return backup, true
+		}
+		steward.observe("not_handed_over", "backup", backup.Name, "cause", failure)
+	}
+	return Seat{}, false
 }
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -27,6 +27,16 @@
 	keeperPatience = 4 * time.Second
 	// applicantFresh is how long a newcomer's hello counts.
 	applicantFresh = 3 * time.Second
+	// staleAnswer is after which silence a candidate is tried after the others.
+	staleAnswer = 700 * time.Millisecond
+	// standTurn is how long a copy in sync lets another that goes before it stand.
+	standTurn = 200 * time.Millisecond
+	// installPatience is after how long another candidate is tried beside the one
+	// whose disk takes its time.
+	installPatience = 600 * time.Millisecond
+	// shortPatience is how long a primary looks for a copy in the place of one that
+	// is gone before it goes on with fewer, where several backups are wanted.
+	shortPatience = 2 * time.Second
 )
 
 // Steward decides who is primary, backup and keeper, from one expediter's
@@ -46,16 +56,25 @@
 	restricted bool
 	known      map[Identity]*acquaintance
 	contacts   []string
-
-	unsettled   bool
-	outrun      bool
-	backupFails time.Time
-	diskBusy    time.Time
-	greeted     time.Time
-	leadsFrom   time.Time
-	leaving     bool
-	backoff     time.Time
-	ballot      uint64
+	borne      int
+	district   string
+	backupList bool
+
+	unsettled    bool
+	outrun       bool
+	backupFails  map[Identity]time.Time
+	installFails map[Identity]time.Time
+	shortSince   time.Time
+	diskBusy     time.Time
+	greeted      time.Time
+	ledBy        time.Time
+	roundAt      time.Time
+	confirmedAt  time.Time
+	freeFrom     time.Time
+	leadsFrom    time.Time
+	leaving      bool
+	backoff      time.Time
+	ballot       uint64
 }
 
 // acquaintance is another expediter: when it was heard last, and when it
@@ -73,7 +92,7 @@
 //	steward := larder.NewSteward(turns, seeds, keeper, store, peers, observe)
 func NewSteward(turns rota.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
 	return &Steward{turns: turns, seeds: seeds, kind: roster.Expediter, keeper: keeper, store: store, peers: peers,
-		observe: observe, known: map[Identity]*acquaintance{}}
+		observe: observe, known: map[Identity]*acquaintance{}, borne: 1, backupFails: map[Identity]time.Time{}, installFails: map[Identity]time.Time{}}
 }
 
 // Holds tells whether this expediter is primary at this moment: its own hold
@@ -169,7 +188,9 @@
 		// Its keepers are no longer asked, so that the backup may take over.
 		return
 	}
-	steward.confirm(charter)
+	if steward.confirmDue() {
+		steward.confirm(charter)
+	}
 	if !steward.store.Leading() {
 		return
 	}
@@ -188,7 +209,7 @@
 	if steward.outrun && !steward.unsettled {
 		steward.regrant(charter)
 	}
-	steward.ensureBackup()
+	steward.ensureBackups()
 	steward.ensureKeepers()
 }
 
--- a/internal/larder/store.go
+++ b/internal/larder/store.go
@@ -26,6 +26,7 @@
 	keeper   *Keeper
 	leading  bool
 	frozen   bool
+	hidden   atomic.Bool
 	epoch    uint64
 	working  *State
 	pending  []ticket
@@ -46,12 +47,22 @@
 }
 
 // Lead makes the store the primary of an epoch: it takes its own copy as the
-// committed state, under a first version of the new epoch.
+// committed state, under a first version of the new epoch, and shows it.
 //
 // Example:
 //
 //	failure := store.Lead(charter.Epoch)
-func (store *Store) Lead(epoch uint64) error {
+func (store *Store) Lead(epoch uint64) error { return store.lead(epoch, false) }
+
+// LeadHidden does so while other copies count as in sync: nothing is shown or
+// committed until they are made the same, or no longer count, and Thaw says so.
+//
+// Example:
+//
+//	failure := store.LeadHidden(charter.Epoch)
+func (store *Store) LeadHidden(epoch uint64) error { return store.lead(epoch, true) }
+
+func (store *Store) lead(epoch uint64, hidden bool) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.leading {
@@ -71,7 +82,8 @@
 	if failure != nil {
 		return failure
 	}
-	store.leading, store.frozen, store.epoch, store.working = true, false, epoch, working
+	store.leading, store.frozen, store.epoch, store.working = true, hidden, epoch, working
+	store.hidden.Store(hidden)
 	store.view.Store(&View{Version: stamped, Drawers: drawers})
 	return nil
 }
@@ -98,6 +110,7 @@
 	riding, pending := store.riding, store.pending
 	store.leading, store.working, store.batch, store.riding, store.pending = false, nil, nil, nil, nil
 	store.view.Store(nil)
+	store.hidden.Store(false)
 	store.mutex.Unlock()
 	for _, rider := range riding {
 		rider.done(Version{}, trouble.New(trouble.Unknown, "the primary changed while the change was under way"))
@@ -113,7 +126,19 @@
 // Example:
 //
 //	view := store.View()
-func (store *Store) View() *View { return store.view.Load() }
+func (store *Store) View() *View {
+	if store.hidden.Load() {
+		return nil
+	}
+	return store.view.Load()
+}
+
+// Hidden tells whether the store leads and does not show its state yet.
+//
+// Example:
+//
+//	if store.Hidden() { /* the copies are not the same yet */ }
+func (store *Store) Hidden() bool { return store.hidden.Load() }
 
 // Submit queues a change; done is called once, from another thread or this.
 //
@@ -260,8 +285,26 @@
 		return Snapshot{}, false
 	}
 	store.frozen = true
+	return store.snapshot(), true
+}
+
+// Snapshot is the committed state, while commits go on.
+//
+// Example:
+//
+//	snapshot, leading := store.Snapshot()
+func (store *Store) Snapshot() (Snapshot, bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if !store.leading {
+		return Snapshot{}, false
+	}
+	return store.snapshot(), true
+}
+
+func (store *Store) snapshot() Snapshot {
 	view := store.view.Load()
-	return Snapshot{Epoch: store.epoch, Version: view.Version, Drawers: view.Drawers}, true
+	return Snapshot{Epoch: store.epoch, Version: view.Version, Drawers: view.Drawers}
 }
 
 // Thaw lets commits go on, with the granted pair.
@@ -273,6 +316,20 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.frozen = false
+	store.hidden.Store(false)
+	store.epoch = epoch
+}
+
+// Show shows the state of a store that has become the only copy, while commits
+// stay stopped.
+//
+// Example:
+//
+//	store.Show(charter.Epoch)
+func (store *Store) Show(epoch uint64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.hidden.Store(false)
 	store.epoch = epoch
 }
 
--- a/internal/larder/store_test.go
+++ b/internal/larder/store_test.go
@@ -174,7 +174,7 @@
 	if failure := do(test, store, EnableFlags(supported)); failure != nil || !enabled().Has(recipe.OrderPatience) {
 		test.Errorf("not enabled after c was retired: %v", failure)
 	}
-	if failure := do(test, store, member("c", older)); failure != nil || len(enabled()) != 2 {
+	if failure := do(test, store, member("c", older)); failure != nil || len(enabled()) != len(supported) {
 		test.Errorf("a flag was disabled again: %v", enabled())
 	}
 	// A restricted node gets no duty, and may write no orders.
--- a/internal/recipe/flag.go
+++ b/internal/recipe/flag.go
@@ -11,4 +11,7 @@
 	// OrderPatience lets orders carry "order_v2": the part with the time that
 	// running work is given and the cause of the change.
 	OrderPatience Flag = "order_patience"
+	// BackupList lets charters name more than one backup, and more than three
+	// keepers with their districts.
+	BackupList Flag = "backup_list"
 )
--- a/internal/rehearsal/upgrade_test.go
+++ b/internal/rehearsal/upgrade_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-var oldRelease = []string{"order_patience", "pair_price"}
+var oldRelease = []string{"backup_list", "order_patience", "pair_price"}
 
 func (fleet *Fleet) noteMember(node *NodeProcess, flags ...string) {
 	fleet.Book.Note(Entry{Kind: MemberKnown, Holder: node.Node.Name, Flags: flags})
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -105,7 +105,7 @@
 	if world.random.IntN(2) == 0 {
 		for _, machine := range world.machines {
 			if world.random.IntN(3) == 0 {
-				machine.withheld = recipe.List{recipe.OrderPatience, recipe.PairPrice}
+				machine.withheld = recipe.List{recipe.BackupList, recipe.OrderPatience, recipe.PairPrice}
 			}
 		}
 	}
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -536,7 +536,7 @@
 		return
 	}
 	if len(machine.withheld) == 0 && !world.faultsOver {
-		machine.withheld = recipe.List{recipe.OrderPatience, recipe.PairPrice}
+		machine.withheld = recipe.List{recipe.BackupList, recipe.OrderPatience, recipe.PairPrice}
 		world.tempt("a node restarted as an older release")
 	} else {
 		machine.withheld = nil
