--- /dev/null
+++ b/internal/adapters/calls/chain.go
@@ -0,0 +1,82 @@
+package calls
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"seamloom.example/seamloom/internal/window"
+)
+
+// The bounds of what is read from a call's own figures. The values are ours.
+const (
+	mostParts  = 64
+	mostTokens = 1 << 30
+)
+
+// readParts reads a prompt's chain: ID:TOKENS with commas between, the ids in hex. A
+// chain that can't be read is none: it only says where a prompt is likely to be kept.
+func readParts(text string) []window.Part {
+	if text == "" {
+		return nil
+	}
+	parts := make([]window.Part, 0, 1+min(mostParts, strings.Count(text, ",")))
+	for more := true; more; {
+		var entry string
+		entry, text, more = strings.Cut(text, ",")
+		id, tokens, found := strings.Cut(strings.TrimSpace(entry), ":")
+		if !found || len(parts) == mostParts {
+			return nil
+		}
+		number, failure := strconv.ParseUint(id, 16, 64)
+		if failure != nil {
+			if id == "" {
+				return nil
+			}
+			// Longer ids, or such in other letters, still are names.
+			digest := fnv.New64a()
+			_, _ = digest.Write([]byte(id))
+			number = digest.Sum64()
+		}
+		count, failure := readCount(tokens)
+		if failure != nil {
+			return nil
+		}
+		parts = append(parts, window.Part{ID: number, Tokens: count})
+	}
+	return parts
+}
+
+// readTokens reads the prompt's tokens and the most tokens out.
+func readTokens(text string) (prompt, output int) {
+	first, second, _ := strings.Cut(text, ",")
+	prompt, failure := readCount(first)
+	if failure != nil {
+		return 0, 0
+	}
+	output, failure = readCount(second)
+	if failure != nil {
+		return prompt, 0
+	}
+	return prompt, output
+}
+
+func readCount(text string) (int, error) {
+	count, failure := strconv.ParseUint(strings.TrimSpace(text), 10, 31)
+	return int(min(count, mostTokens)), failure
+}
+
+// readLoad reads running, waiting and slots.
+func readLoad(text string) *window.AnswerLoad {
+	var counts [3]int
+	for position := range counts {
+		var entry string
+		entry, text, _ = strings.Cut(text, ",")
+		count, failure := readCount(entry)
+		if failure != nil {
+			return nil
+		}
+		counts[position] = count
+	}
+	return &window.AnswerLoad{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
+}
--- /dev/null
+++ b/internal/adapters/calls/circuits.go
@@ -0,0 +1,247 @@
+package calls
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// The patience with servers' circuits. The values are ours.
+const (
+	// dialPatience is how long a circuit may take to come up: a server that is there
+	// takes a millisecond.
+	dialPatience = 300 * time.Millisecond
+	// circuitPatience is how long what was sent may go unacknowledged, and how long a
+	// circuit on which nothing is said may be dead before it shows.
+	circuitPatience = 1500 * time.Millisecond
+	// restsUnsaid is how long a circuit is kept when its server does not say how long
+	// it keeps it; restsMargin what is taken off when it does.
+	restsUnsaid = 700 * time.Millisecond
+	restsMargin = 300 * time.Millisecond
+	// mostResting bounds the circuits kept for one server.
+	mostResting = 16
+	// sweepPause is how long resting circuits may outlive their use.
+	sweepPause = time.Second
+	mostHead   = 256 << 10
+)
+
+// Circuits are the connections to model servers that rest between calls, each for one
+// life of a server. A call takes one alone; whether it is used again is decided when
+// the call is over.
+type Circuits struct {
+	transport *http.Transport
+	now       func() time.Time
+
+	mutex   sync.Mutex
+	resting map[life][]*line
+	listed  map[life]bool
+	swept   time.Time
+	opened  uint64
+}
+
+// life is one life of a server at an address.
+type life struct{ name, address string }
+
+func lifeOf(server roster.Server) life { return life{name: server.Name, address: server.Address} }
+
+// line is a circuit with its HTTP/1.1 client.
+type line struct {
+	life    life
+	circuit *circuit
+	client  *http.ClientConn
+}
+
+type circuitKey struct{}
+
+// NewCircuits makes the circuits of a courier. Detours replace addresses when dialling.
+//
+// Example:
+//
+//	circuits := calls.NewCircuits(turns.Now, nil)
+func NewCircuits(now func() time.Time, detours map[string]string) *Circuits {
+	dialer := &net.Dialer{Timeout: dialPatience, Control: shortPatience,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	circuits := &Circuits{now: now, resting: map[life][]*line{}}
+	circuits.transport = &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: mostHead,
+		DialContext: func(lifetime context.Context, network, address string) (net.Conn, error) {
+			if detour, found := detours[address]; found {
+				address = detour
+			}
+			connection, failure := dialer.DialContext(lifetime, network, address)
+			if failure != nil {
+				return nil, failure
+			}
+			circuit := lifetime.Value(circuitKey{}).(*circuit)
+			circuit.Conn = connection
+			return circuit, nil
+		}}
+	return circuits
+}
+
+// shortPatience has a dead circuit show soon.
+func shortPatience(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	if outer := raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(circuitPatience/time.Millisecond))
+	}); outer != nil {
+		return outer
+	}
+	return failure
+}
+
+// take gives a resting circuit that is still good, or opens one. Failing means that
+// nothing was sent.
+func (circuits *Circuits) take(lifetime context.Context, server roster.Server, ends time.Time) (*line, error) {
+	key := lifeOf(server)
+	for {
+		rested := circuits.pop(key)
+		if rested == nil {
+			break
+		}
+		if rested.client.Err() == nil && rested.circuit.begin(ends) {
+			return rested, nil
+		}
+		rested.close()
+	}
+	circuit := &circuit{now: circuits.now}
+	client, failure := circuits.transport.NewClientConn(context.WithValue(lifetime, circuitKey{}, circuit), "http", server.Address)
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	circuits.mutex.Lock()
+	circuits.opened++
+	circuits.mutex.Unlock()
+	opened := &line{life: key, circuit: circuit, client: client}
+	if !circuit.begin(ends) {
+		opened.close()
+		return nil, errShut
+	}
+	return opened, nil
+}
+
+func (circuits *Circuits) pop(key life) *line {
+	circuits.mutex.Lock()
+	defer circuits.mutex.Unlock()
+	resting := circuits.resting[key]
+	if len(resting) == 0 {
+		return nil
+	}
+	last := resting[len(resting)-1]
+	resting[len(resting)-1] = nil
+	circuits.resting[key] = resting[:len(resting)-1]
+	return last
+}
+
+// give takes a circuit back after a whole answer. Rests is what the answer said of how
+// long the server keeps it.
+func (circuits *Circuits) give(used *line, rests time.Duration) {
+	if used.client.Err() != nil || used.client.Available() == 0 {
+		used.close()
+		return
+	}
+	used.circuit.rest(rests)
+	now := circuits.now()
+	var surplus []*line
+	circuits.mutex.Lock()
+	if circuits.listed != nil && !circuits.listed[used.life] {
+		surplus = append(surplus, used)
+	} else {
+		circuits.resting[used.life] = append(circuits.resting[used.life], used)
+	}
+	if now.Sub(circuits.swept) >= sweepPause {
+		circuits.swept = now
+		surplus = append(surplus, circuits.sweep(now)...)
+	}
+	circuits.mutex.Unlock()
+	for _, line := range surplus {
+		line.close()
+	}
+}
+
+// sweep takes out the circuits that rested too long, that their servers closed or that
+// are too many.
+func (circuits *Circuits) sweep(now time.Time) []*line {
+	var surplus []*line
+	for key, resting := range circuits.resting {
+		kept := resting[:0]
+		for position, line := range resting {
+			if line.client.Err() != nil || line.circuit.rested(now) || len(resting)-position > mostResting {
+				surplus = append(surplus, line)
+			} else {
+				kept = append(kept, line)
+			}
+		}
+		clear(resting[len(kept):])
+		if len(kept) == 0 {
+			delete(circuits.resting, key)
+		} else {
+			circuits.resting[key] = kept
+		}
+	}
+	return surplus
+}
+
+// SetServers drops the circuits to lives that are listed no more.
+//
+// Example:
+//
+//	circuits.SetServers(servers)
+func (circuits *Circuits) SetServers(servers []roster.Server) {
+	listed := make(map[life]bool, len(servers))
+	for _, server := range servers {
+		listed[lifeOf(server)] = true
+	}
+	var surplus []*line
+	circuits.mutex.Lock()
+	circuits.listed = listed
+	for key, resting := range circuits.resting {
+		if !listed[key] {
+			surplus = append(surplus, resting...)
+			delete(circuits.resting, key)
+		}
+	}
+	circuits.mutex.Unlock()
+	for _, line := range surplus {
+		line.close()
+	}
+}
+
+// Opened counts the circuits that came up.
+//
+// Example:
+//
+//	before := circuits.Opened()
+func (circuits *Circuits) Opened() uint64 {
+	circuits.mutex.Lock()
+	defer circuits.mutex.Unlock()
+	return circuits.opened
+}
+
+func (line *line) close() {
+	_, _ = line.circuit.end()
+	_ = line.client.Close()
+}
+
+// readRests reads how long a server keeps the circuit.
+func readRests(header http.Header) time.Duration {
+	for _, text := range header["Keep-Alive"] {
+		for entry := range strings.SplitSeq(text, ",") {
+			if seconds, found := strings.CutPrefix(strings.TrimSpace(entry), "timeout="); found {
+				if count, failure := strconv.ParseUint(seconds, 10, 16); failure == nil {
+					return max(0, time.Duration(count)*time.Second-restsMargin)
+				}
+			}
+		}
+	}
+	return restsUnsaid
+}
--- /dev/null
+++ b/internal/adapters/calls/exchange.go
@@ -0,0 +1,538 @@
+package calls
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// The bounds of answers. The values are ours.
+const (
+	// mostKept bounds a failing answer that is kept to be passed on, and an answer
+	// that is passed on only when all of it is there.
+	mostKept = 1 << 20
+	// mostEvent bounds one event of a stream.
+	mostEvent = 4 << 20
+	// mostReadAnswer bounds the answer that names a prompt's memory.
+	mostReadAnswer = 64 << 10
+	// endsMargin is how much longer than a call's end a server's own word is waited
+	// for, which tells more than ours.
+	endsMargin = 60 * time.Millisecond
+	// freePatience is how long giving a handle back may take.
+	freePatience = time.Second
+	copyBuffer   = 16 << 10
+)
+
+// exchange is one call between its origin and the servers.
+type exchange struct {
+	intake  *Intake
+	writer  http.ResponseWriter
+	inbound *http.Request
+	call    *window.Call
+	// target, header and body are the call as it goes on.
+	target string
+	header http.Header
+	body   []byte
+
+	// reader is the server that read the prompt last.
+	reader roster.Server
+	kept   *answer
+	// begun tells that something of an answer was passed on, lastEvent is the id of
+	// the last event that was.
+	begun     atomic.Bool
+	lastEvent string
+	// broken tells that the answer must not look complete.
+	broken bool
+}
+
+// answer is a failing answer that is kept to be passed on.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// dispatch is one sending of the call to one server.
+type dispatch struct {
+	exchange *exchange
+	decision window.Decision
+	line     *line
+	response *http.Response
+	lifetime context.Context
+	cancel   context.CancelFunc
+	timer    *time.Timer
+	outcome  window.Outcome
+}
+
+// send sends the call and waits for the head of the answer. When false is given, the
+// dispatch is over and its outcome is set.
+func (exchange *exchange) send(decision window.Decision, change func(header http.Header)) (*dispatch, bool) {
+	words := &exchange.intake.words
+	lifetime, cancel := context.WithCancel(exchange.inbound.Context())
+	sent := &dispatch{exchange: exchange, decision: decision, lifetime: lifetime, cancel: cancel}
+	now := exchange.intake.now()
+	patience := decision.Ends.Sub(now) + endsMargin
+	if decision.Patience > 0 {
+		patience = min(patience, decision.Patience)
+	}
+	sent.timer = time.AfterFunc(patience, sent.expire)
+	line, failure := exchange.intake.circuits.take(lifetime, decision.Server, decision.Ends)
+	if failure != nil {
+		return sent, sent.fail(window.Unreached)
+	}
+	sent.line = line
+	header := maps.Clone(exchange.header)
+	header[words.Target] = []string{decision.Server.Name}
+	if decision.Urgency >= 0 {
+		header[words.Urgency] = []string{strconv.Itoa(decision.Urgency)}
+	}
+	change(header)
+	left := max(1, decision.Ends.Sub(exchange.intake.now()).Milliseconds())
+	header[words.Limit] = []string{strconv.FormatInt(left, 10)}
+	outbound := (&http.Request{Method: exchange.inbound.Method, URL: &url.URL{Scheme: "http", Host: decision.Server.Address, Opaque: exchange.target},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header, Host: exchange.inbound.Host,
+		Body: http.NoBody, ContentLength: int64(len(exchange.body))}).WithContext(lifetime)
+	if len(exchange.body) > 0 {
+		outbound.Body = io.NopCloser(bytes.NewReader(exchange.body))
+	}
+	if strings.HasPrefix(exchange.target, "//") {
+		// An opaque part with two slashes would be sent in the absolute form.
+		path, query, asked := strings.Cut(exchange.target, "?")
+		outbound.URL = &url.URL{Scheme: "http", Host: decision.Server.Address, Path: exchange.inbound.URL.Path, RawPath: path, RawQuery: query, ForceQuery: asked}
+	}
+	sent.response, failure = line.client.RoundTrip(outbound)
+	if failure != nil {
+		wrote, heard := line.circuit.end()
+		switch {
+		case !wrote:
+			return sent, sent.fail(window.Unreached)
+		case heard && lifetime.Err() == nil:
+			return sent, sent.fail(window.Spoilt)
+		}
+		return sent, sent.fail(window.Silent)
+	}
+	return sent, sent.readHead()
+}
+
+// expire ends a dispatch that takes too long. An origin that takes too long to read is
+// not waited for either.
+func (sent *dispatch) expire() {
+	sent.cancel()
+	if sent.exchange.begun.Load() {
+		_ = http.NewResponseController(sent.exchange.writer).SetWriteDeadline(time.Now())
+	}
+}
+
+// fail ends a dispatch whose answer can't be used; the circuit goes with it.
+func (sent *dispatch) fail(result window.Result) bool {
+	if sent.exchange.inbound.Context().Err() != nil {
+		result = window.Gone
+	}
+	sent.outcome.Result = result
+	sent.timer.Stop()
+	sent.cancel()
+	if sent.line != nil {
+		sent.line.close()
+	}
+	if sent.response != nil {
+		_ = sent.response.Body.Close()
+	}
+	return false
+}
+
+// finish ends a dispatch whose answer was read to its end.
+func (sent *dispatch) finish(result window.Result) {
+	sent.outcome.Result = result
+	sent.timer.Stop()
+	_ = sent.response.Body.Close()
+	if result == window.Misdirected || sent.response.Close {
+		sent.line.close()
+	} else {
+		sent.exchange.intake.circuits.give(sent.line, readRests(sent.response.Header))
+	}
+	sent.cancel()
+}
+
+// readHead judges the head of an answer: whose it is, and whether it is a success. An
+// answer with another call's id belongs to that one.
+func (sent *dispatch) readHead() bool {
+	exchange, response := sent.exchange, sent.response
+	words := &exchange.intake.words
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if id, found := response.Header[words.ID]; found && (len(id) != 1 || id[0] != exchange.call.ID) || !found && success && exchange.call.ID != "" {
+		return sent.fail(window.Spoilt)
+	}
+	sent.outcome.Status = response.StatusCode
+	if load := response.Header[words.Load]; len(load) == 1 {
+		sent.outcome.Load = readLoad(load[0])
+	}
+	if warming := response.Header[words.Warming]; len(warming) == 1 {
+		if count, failure := readCount(warming[0]); failure == nil {
+			sent.outcome.Warming = time.Duration(count) * time.Millisecond
+		}
+	}
+	if success {
+		return true
+	}
+	body, failure := readBounded(response.Body, response.ContentLength, mostKept)
+	if failure != nil {
+		return sent.fail(window.Silent)
+	}
+	sent.outcome.First = exchange.intake.now()
+	result := window.Answered
+	switch _, never := response.Header[words.NotStarted]; {
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		result = window.Misdirected
+	case never:
+		result = window.NotStarted
+	}
+	if result == window.Answered && promises(response.StatusCode) {
+		// The status would promise what the server did not: it goes no further.
+		exchange.kept = nil
+	} else {
+		exchange.kept = &answer{status: response.StatusCode, header: response.Header, body: body}
+	}
+	sent.finish(result)
+	return false
+}
+
+// promises tells whether a status says that a call has not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+var errOversize = io.ErrShortBuffer
+
+// readBounded reads a whole body.
+func readBounded(body io.Reader, length int64, most int) ([]byte, error) {
+	if length > int64(most) {
+		return nil, errOversize
+	}
+	var content []byte
+	if length > 0 {
+		content = make([]byte, 0, length+1)
+	}
+	for {
+		if len(content) == cap(content) {
+			if len(content) > most {
+				return content, errOversize
+			}
+			content = append(content, 0)[:len(content)]
+		}
+		read, failure := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+read]
+		if failure == io.EOF {
+			return content, nil
+		}
+		if failure != nil {
+			return content, failure
+		}
+	}
+}
+
+// Read has a server read the prompt.
+//
+// Example:
+//
+//	outcome := exchange.Read(decision)
+func (exchange *exchange) Read(decision window.Decision) window.Outcome {
+	words := &exchange.intake.words
+	exchange.reader = decision.Server
+	sent, success := exchange.send(decision, func(header http.Header) {
+		header[words.Stage] = []string{words.StageRead}
+	})
+	if !success {
+		return sent.outcome
+	}
+	body, failure := readBounded(sent.response.Body, sent.response.ContentLength, mostReadAnswer)
+	if failure != nil {
+		sent.fail(window.Silent)
+		return sent.outcome
+	}
+	handle := fastjson.GetString(body, words.HandleField)
+	if handle == "" || strings.ContainsAny(handle, "/?#% \r\n") {
+		sent.fail(window.Spoilt)
+		return sent.outcome
+	}
+	sent.outcome.First = exchange.intake.now()
+	sent.outcome.Handle = handle
+	sent.finish(window.Complete)
+	return sent.outcome
+}
+
+// Run has a server make the answer, which is passed on.
+//
+// Example:
+//
+//	outcome := exchange.Run(route, decision)
+func (exchange *exchange) Run(route *menu.CallRoute, decision window.Decision) window.Outcome {
+	words := &exchange.intake.words
+	if exchange.begun.Load() && exchange.lastEvent == "" {
+		// Nothing tells where to go on.
+		return window.Outcome{Result: window.Cut}
+	}
+	sent, success := exchange.send(decision, func(header http.Header) {
+		if decision.Source != nil {
+			header[words.Source] = []string{decision.Source.Address + "/" + decision.Source.Handle}
+		}
+		if exchange.lastEvent != "" {
+			header[lastEventHeader] = []string{exchange.lastEvent}
+		}
+	})
+	if !success {
+		return sent.outcome
+	}
+	if strings.HasPrefix(sent.response.Header.Get("Content-Type"), "text/event-stream") {
+		sent.passEvents(route)
+		return sent.outcome
+	}
+	if exchange.begun.Load() {
+		sent.fail(window.Spoilt)
+		return sent.outcome
+	}
+	sent.passWhole()
+	return sent.outcome
+}
+
+const lastEventHeader = "Last-Event-Id"
+
+// passWhole passes an answer on that is no stream: at once when it is all there, or,
+// when it is too large for that, as it comes.
+func (sent *dispatch) passWhole() {
+	exchange, response := sent.exchange, sent.response
+	body, failure := readBounded(response.Body, response.ContentLength, mostKept)
+	sent.outcome.First = exchange.intake.now()
+	if failure == nil {
+		exchange.passHead(response)
+		if _, failure := exchange.writer.Write(body); failure != nil && failure != http.ErrBodyNotAllowed {
+			sent.fail(window.Gone)
+			return
+		}
+		sent.finish(window.Complete)
+		return
+	}
+	if failure != errOversize {
+		sent.fail(window.Silent)
+		return
+	}
+	sent.extend()
+	exchange.passHead(response)
+	buffer := make([]byte, copyBuffer)
+	for {
+		if _, failure := exchange.writer.Write(body); failure != nil {
+			sent.fail(window.Gone)
+			return
+		}
+		read, failure := response.Body.Read(buffer)
+		body = buffer[:read]
+		if failure == io.EOF {
+			if _, failure := exchange.writer.Write(body); failure != nil {
+				sent.fail(window.Gone)
+				return
+			}
+			sent.finish(window.Complete)
+			return
+		}
+		if failure != nil {
+			sent.fail(window.Cut)
+			return
+		}
+	}
+}
+
+// extend has the dispatch go on to the call's end, now that its server speaks.
+func (sent *dispatch) extend() {
+	sent.timer.Reset(sent.decision.Ends.Sub(sent.exchange.intake.now()) + endsMargin)
+}
+
+// passHead gives the origin the status and the end-to-end headers of an answer.
+func (exchange *exchange) passHead(response *http.Response) {
+	header := exchange.writer.Header()
+	copyEndToEnd(header, response.Header)
+	if response.ContentLength >= 0 {
+		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
+	}
+	exchange.begun.Store(true)
+	exchange.writer.WriteHeader(response.StatusCode)
+}
+
+// passEvents passes a stream on, whole event by whole event, each at once.
+func (sent *dispatch) passEvents(route *menu.CallRoute) {
+	exchange, response := sent.exchange, sent.response
+	resumed := exchange.begun.Load()
+	// A stream may go on from another server: its length is then not the first's.
+	response.ContentLength = -1
+	delete(response.Header, "Content-Length")
+	flusher := http.NewResponseController(exchange.writer)
+	buffered := exchange.intake.buffers.Get().(*[]byte)
+	defer exchange.intake.buffers.Put(buffered)
+	text := (*buffered)[:0]
+	for {
+		if len(text) == cap(text) {
+			if len(text) >= mostEvent {
+				sent.breakOff()
+				return
+			}
+			text = append(text, make([]byte, len(text))...)[:len(text)]
+		}
+		read, ended := response.Body.Read(text[len(text):cap(text)])
+		text = text[:len(text)+read]
+		if read > 0 && sent.outcome.First.IsZero() {
+			sent.outcome.First = exchange.intake.now()
+			sent.extend()
+		}
+		whole, passed := 0, false
+		for {
+			length := eventEnd(text[whole:])
+			if length < 0 {
+				if ended != io.EOF || whole == len(text) {
+					break
+				}
+				// The rest of a stream that ended well is the server's as well.
+				length = len(text) - whole
+			}
+			event := text[whole : whole+length]
+			whole += length
+			if id, found := eventID(event); found {
+				if resumed && !behind(id, exchange.lastEvent) {
+					continue
+				}
+				exchange.lastEvent = id
+			}
+			if !exchange.begun.Load() {
+				exchange.passHead(response)
+			}
+			if _, failure := exchange.writer.Write(event); failure != nil {
+				sent.fail(window.Gone)
+				return
+			}
+			passed = true
+		}
+		if passed && ended == nil {
+			if failure := flusher.Flush(); failure != nil {
+				sent.fail(window.Gone)
+				return
+			}
+		}
+		if ended == io.EOF {
+			if !exchange.begun.Load() {
+				exchange.passHead(response)
+			}
+			sent.finish(window.Complete)
+			return
+		}
+		if ended != nil {
+			sent.breakOff()
+			return
+		}
+		text = text[:copy(text, text[whole:])]
+	}
+}
+
+// breakOff ends a dispatch whose success broke off.
+func (sent *dispatch) breakOff() {
+	if sent.exchange.begun.Load() {
+		sent.fail(window.Cut)
+		return
+	}
+	sent.fail(window.Silent)
+}
+
+// behind tells whether an event comes after another, by their ids: as numbers, or else
+// it is another one.
+func behind(id, last string) bool {
+	number, failure := strconv.ParseUint(id, 10, 64)
+	earlier, trouble := strconv.ParseUint(last, 10, 64)
+	if failure != nil || trouble != nil {
+		return id != last
+	}
+	return number > earlier
+}
+
+// Refuse ends the call with a word of our own.
+//
+// Example:
+//
+//	exchange.Refuse(hatch.Refusal{Cause: window.Full, Status: 503, RetryAfter: 100 * time.Millisecond})
+func (exchange *exchange) Refuse(refusal hatch.Refusal) {
+	if exchange.begun.Load() {
+		exchange.Break()
+		return
+	}
+	header := exchange.writer.Header()
+	if refusal.RetryAfter > 0 {
+		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
+	refuse(exchange.writer, exchange.intake.words.ID, exchange.call.ID, refusal.Status, string(refusal.Cause))
+}
+
+// refuse gives a final word of our own.
+func refuse(writer http.ResponseWriter, idHeader, id string, status int, cause string) {
+	header := writer.Header()
+	if id != "" {
+		header[idHeader] = []string{id}
+	}
+	body := `{"type":"` + cause + `"}`
+	header["Content-Type"] = []string{"application/json"}
+	header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	writer.WriteHeader(status)
+	_, _ = io.WriteString(writer, body)
+}
+
+// Through passes the failing answer of the last dispatch on.
+//
+// Example:
+//
+//	if !exchange.Through() { exchange.Refuse(refusal) }
+func (exchange *exchange) Through() bool {
+	kept := exchange.kept
+	if kept == nil || exchange.begun.Load() {
+		return false
+	}
+	header := exchange.writer.Header()
+	copyEndToEnd(header, kept.header)
+	if exchange.inbound.Method != http.MethodHead {
+		header["Content-Length"] = []string{strconv.Itoa(len(kept.body))}
+	}
+	exchange.writer.WriteHeader(kept.status)
+	_, _ = exchange.writer.Write(kept.body)
+	return true
+}
+
+// Break ends the answer so that it does not look complete.
+//
+// Example:
+//
+//	exchange.Break()
+func (exchange *exchange) Break() { exchange.broken = true }
+
+// Free gives a prompt's memory back, in a thread of its own.
+//
+// Example:
+//
+//	exchange.Free(source)
+func (exchange *exchange) Free(source window.Source) {
+	server := exchange.reader
+	if server.Address != source.Address {
+		server = roster.Server{Address: source.Address}
+	}
+	go exchange.intake.free(server, source.Handle)
+}
--- /dev/null
+++ b/internal/adapters/calls/gate.go
@@ -0,0 +1,192 @@
+package calls
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// The patience with origins. The values are ours.
+const (
+	watchPause   = time.Second
+	bodyPatience = 30 * time.Second
+	// closePatience is how long circuits get to end by themselves at the end.
+	closePatience = 500 * time.Millisecond
+	mostHeadBytes = 1 << 20
+)
+
+// Gate listens for origins and for who asks whether the courier is ready.
+type Gate struct {
+	intake  *Intake
+	now     func() time.Time
+	ready   func() bool
+	servers []*http.Server
+	leaving atomic.Bool
+
+	mutex  sync.Mutex
+	guests map[net.Conn]*guest
+}
+
+// guest is an origin's circuit.
+type guest struct {
+	mutex sync.Mutex
+	state http.ConnState
+	read  bool
+	since time.Time
+}
+
+type guestKey struct{}
+
+// noteRead tells that a call was read whole: from here on its origin owes nothing.
+func noteRead(inbound *http.Request) {
+	if guest, found := inbound.Context().Value(guestKey{}).(*guest); found {
+		guest.mutex.Lock()
+		guest.read = true
+		guest.mutex.Unlock()
+	}
+}
+
+// Open listens on the address for calls and on the one for readiness; either may be
+// empty. Ready tells whether new calls are welcome.
+//
+// Example:
+//
+//	gate, failure := calls.Open(&process.tomb, intake, chosen.CallsAddress, chosen.ReadyAddress, ready)
+func Open(owner *tomb.Tomb, intake *Intake, address, readyAddress string, ready func() bool) (*Gate, error) {
+	gate := &Gate{intake: intake, now: intake.now, ready: ready, guests: map[net.Conn]*guest{}}
+	serving := &http.Server{Handler: http.HandlerFunc(gate.serveCall), MaxHeaderBytes: mostHeadBytes, ConnState: gate.note, ConnContext: gate.greet}
+	asked := &http.Server{Handler: http.HandlerFunc(gate.tellReady), ReadHeaderTimeout: defaultHeaderPatience, IdleTimeout: defaultIdlePatience}
+	for server, address := range map[*http.Server]string{serving: address, asked: readyAddress} {
+		if address == "" {
+			continue
+		}
+		listener, failure := net.Listen("tcp", address)
+		if failure != nil {
+			gate.Close()
+			return nil, trouble.Wrap(trouble.Unreachable, failure)
+		}
+		gate.servers = append(gate.servers, server)
+		owner.Go(func() error {
+			if failure := server.Serve(listener); failure != http.ErrServerClosed {
+				return trouble.Wrap(trouble.Unreachable, failure)
+			}
+			return nil
+		})
+	}
+	owner.Go(func() error { gate.watch(owner.Dying()); return nil })
+	return gate, nil
+}
+
+func (gate *Gate) serveCall(writer http.ResponseWriter, inbound *http.Request) {
+	if gate.leaving.Load() {
+		writer.Header()["Connection"] = []string{"close"}
+	}
+	gate.intake.ServeHTTP(writer, inbound)
+}
+
+func (gate *Gate) tellReady(writer http.ResponseWriter, _ *http.Request) {
+	if gate.leaving.Load() || !gate.ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(writer, "not ready\n")
+		return
+	}
+	_, _ = io.WriteString(writer, "ready\n")
+}
+
+// Leave says to all that the courier is leaving: it is not ready, and circuits end
+// with the answer under way. Calls that still come are taken as before.
+//
+// Example:
+//
+//	gate.Leave()
+func (gate *Gate) Leave() { gate.leaving.Store(true) }
+
+// Close ends all circuits; those under way get a moment.
+//
+// Example:
+//
+//	gate.Close()
+func (gate *Gate) Close() {
+	lifetime, cancel := context.WithTimeout(context.Background(), closePatience)
+	defer cancel()
+	for _, server := range gate.servers {
+		_ = server.Shutdown(lifetime)
+		_ = server.Close()
+	}
+}
+
+func (gate *Gate) greet(lifetime context.Context, connection net.Conn) context.Context {
+	arrived := &guest{since: gate.now()}
+	gate.mutex.Lock()
+	gate.guests[connection] = arrived
+	gate.mutex.Unlock()
+	return context.WithValue(lifetime, guestKey{}, arrived)
+}
+
+func (gate *Gate) note(connection net.Conn, state http.ConnState) {
+	gate.mutex.Lock()
+	known := gate.guests[connection]
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(gate.guests, connection)
+	}
+	gate.mutex.Unlock()
+	if known == nil {
+		return
+	}
+	known.mutex.Lock()
+	known.state, known.since, known.read = state, gate.now(), false
+	known.mutex.Unlock()
+}
+
+// watch closes the circuits of origins that take or rest too long.
+func (gate *Gate) watch(dying <-chan struct{}) {
+	ticker := time.NewTicker(watchPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-dying:
+			return
+		case <-ticker.C:
+			gate.dismiss()
+		}
+	}
+}
+
+func (gate *Gate) dismiss() {
+	limits, now := gate.intake.limits(), gate.now()
+	var late []net.Conn
+	gate.mutex.Lock()
+	for connection, known := range gate.guests {
+		if known.late(now, limits) {
+			late = append(late, connection)
+		}
+	}
+	gate.mutex.Unlock()
+	for _, connection := range late {
+		_ = connection.Close()
+	}
+}
+
+func (guest *guest) late(now time.Time, limits menu.Limits) bool {
+	guest.mutex.Lock()
+	defer guest.mutex.Unlock()
+	rested := now.Sub(guest.since)
+	switch guest.state {
+	case http.StateNew:
+		return rested > limits.HeaderPatience
+	case http.StateIdle:
+		return rested > limits.IdlePatience
+	case http.StateActive:
+		return !guest.read && rested > bodyPatience
+	}
+	return false
+}
--- /dev/null
+++ b/internal/adapters/calls/intake.go
@@ -0,0 +1,174 @@
+package calls
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// The limits that hold when the configuration has none. The values are ours.
+const (
+	defaultHeaderBytes    = 64 << 10
+	defaultBodyBytes      = 16 << 20
+	defaultHeaderPatience = 5 * time.Second
+	defaultIdlePatience   = 60 * time.Second
+)
+
+// Conduct serves one call from its arrival to its end.
+type Conduct interface {
+	Serve(call *window.Call, exchange hatch.Exchange)
+	// Limits bound what an origin may send.
+	Limits() menu.Limits
+}
+
+// Intake takes calls from their origins.
+type Intake struct {
+	words    Words
+	circuits *Circuits
+	conduct  Conduct
+	now      func() time.Time
+	lifetime context.Context
+	buffers  sync.Pool
+}
+
+// NewIntake makes the handler of opaque calls.
+//
+// Example:
+//
+//	intake, failure := calls.NewIntake(lifetime, calls.DefaultWords(), circuits, conduct, turns.Now)
+func NewIntake(lifetime context.Context, words Words, circuits *Circuits, conduct Conduct, now func() time.Time) (*Intake, error) {
+	if failure := words.Check(); failure != nil {
+		return nil, failure
+	}
+	intake := &Intake{words: words, circuits: circuits, conduct: conduct, now: now, lifetime: lifetime}
+	intake.buffers.New = func() any { buffer := make([]byte, copyBuffer); return &buffer }
+	return intake, nil
+}
+
+// limits are the bounds in force, with defaults for what nobody said.
+func (intake *Intake) limits() menu.Limits {
+	limits := intake.conduct.Limits()
+	if limits.HeaderBytes == 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
+	if limits.BodyBytes == 0 {
+		limits.BodyBytes = defaultBodyBytes
+	}
+	if limits.HeaderPatience == 0 {
+		limits.HeaderPatience = defaultHeaderPatience
+	}
+	if limits.IdlePatience == 0 {
+		limits.IdlePatience = defaultIdlePatience
+	}
+	return limits
+}
+
+// ServeHTTP serves one call.
+//
+// Example:
+//
+//	server := &http.Server{Handler: intake}
+func (intake *Intake) ServeHTTP(writer http.ResponseWriter, inbound *http.Request) {
+	arrived := intake.now()
+	words := &intake.words
+	limits := intake.limits()
+	id := inbound.Header.Get(words.ID)
+	if headerBytes(inbound) > limits.HeaderBytes {
+		refuse(writer, words.ID, id, http.StatusRequestHeaderFieldsTooLarge, "oversize")
+		return
+	}
+	if inbound.ContentLength > int64(limits.BodyBytes) {
+		writer.Header()["Connection"] = []string{"close"}
+		refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, "oversize")
+		return
+	}
+	body, failure := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
+	if failure != nil {
+		var oversize *http.MaxBytesError
+		switch {
+		case errors.As(failure, &oversize) || failure == errOversize:
+			refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, "oversize")
+		case inbound.Context().Err() != nil:
+			panic(http.ErrAbortHandler)
+		default:
+			writer.Header()["Connection"] = []string{"close"}
+			refuse(writer, words.ID, id, http.StatusBadRequest, "malformed")
+		}
+		return
+	}
+	noteRead(inbound)
+	call := &window.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(words.Model),
+		Parts: readParts(inbound.Header.Get(words.Parts)), Bytes: len(body), Resumes: inbound.Header.Get(lastEventHeader) != ""}
+	target := inbound.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = inbound.URL.RequestURI()
+	}
+	call.Path, _, _ = strings.Cut(target, "?")
+	call.PromptTokens, call.OutputTokens = readTokens(inbound.Header.Get(words.Tokens))
+	if left, failure := readCount(inbound.Header.Get(words.Limit)); failure == nil {
+		call.Ends = arrived.Add(time.Duration(left) * time.Millisecond)
+	}
+	header := make(http.Header, len(inbound.Header)+4)
+	copyEndToEnd(header, inbound.Header, words.ID, words.Limit, words.Model, words.Tokens, words.Parts)
+	// These are for a courier to say, whatever an origin sent.
+	for _, ours := range [...]string{words.Target, words.Stage, words.Source, words.Urgency, "Expect"} {
+		delete(header, ours)
+	}
+	if _, found := header["User-Agent"]; !found {
+		header["User-Agent"] = nil
+	}
+	served := &exchange{intake: intake, writer: writer, inbound: inbound, call: call, target: target, header: header, body: body}
+	intake.conduct.Serve(call, served)
+	if served.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// headerBytes is about what a head took on the wire.
+func headerBytes(inbound *http.Request) int {
+	count := len(inbound.Method) + len(inbound.RequestURI) + len(inbound.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n")
+	for name, values := range inbound.Header {
+		for _, value := range values {
+			count += len(name) + len(value) + 4
+		}
+	}
+	return count
+}
+
+// free gives a prompt's memory back. That it fails is no harm: memory that nobody
+// takes lapses.
+func (intake *Intake) free(server roster.Server, handle string) {
+	lifetime, cancel := context.WithTimeout(intake.lifetime, freePatience)
+	defer cancel()
+	line, failure := intake.circuits.take(lifetime, server, intake.now().Add(freePatience))
+	if failure != nil {
+		return
+	}
+	header := http.Header{"User-Agent": nil}
+	if server.Name != "" {
+		header[intake.words.Target] = []string{server.Name}
+	}
+	outbound := (&http.Request{Method: http.MethodDelete, URL: &url.URL{Scheme: "http", Host: server.Address, Path: intake.words.HandlePath + handle},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header, Host: server.Address, Body: http.NoBody}).WithContext(lifetime)
+	response, failure := line.client.RoundTrip(outbound)
+	if failure != nil {
+		line.close()
+		return
+	}
+	_, failure = readBounded(response.Body, response.ContentLength, mostReadAnswer)
+	_ = response.Body.Close()
+	if failure != nil || response.Close {
+		line.close()
+		return
+	}
+	intake.circuits.give(line, readRests(response.Header))
+}
--- /dev/null
+++ b/internal/adapters/calls/words.go
@@ -0,0 +1,85 @@
+// Package calls carries opaque calls over HTTP/1.1: from their origins to a courier
+// and on to model servers, with method, path and body unchanged. What the headers are
+// called stands in Words; what is done with a call is decided by the window.
+package calls
+
+import (
+	"net/http"
+	"reflect"
+
+	"go.uber.org/multierr"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Words are the names by which origins, couriers and model servers speak of a call:
+// headers, a path and the fields of an answer.
+type Words struct {
+	// ID is the header with the origin's own id of this sending; a server's answer
+	// has it too.
+	ID string
+	// Limit is the header with the milliseconds that are left.
+	Limit string
+	// Model is the header that names the weights wanted, Tokens the one with the
+	// prompt's tokens and the most tokens out, Parts the one with the prompt's chain.
+	Model  string
+	Tokens string
+	Parts  string
+	// Target is the header that names the server meant.
+	Target string
+	// Stage is the header that asks for one half of the work; its value StageRead
+	// asks that the prompt is read and nothing more.
+	Stage     string
+	StageRead string
+	// Source is the header that names a prompt's memory: address, slash, handle.
+	Source string
+	// Urgency is the header with the rank among a server's calls, 0 first.
+	Urgency string
+	// NotStarted is the header by which a server promises that it did not begin and
+	// never will.
+	NotStarted string
+	// Load is the header with a server's running, waiting and slots; Warming the one
+	// with the milliseconds that it stays cold.
+	Load    string
+	Warming string
+	// HandlePath goes before a handle that is given back with DELETE; HandleField is
+	// the field of the answer that names a prompt's memory.
+	HandlePath  string
+	HandleField string
+}
+
+// DefaultWords are the product's own, as docs/protocol.md has them.
+//
+// Example:
+//
+//	words := calls.DefaultWords()
+func DefaultWords() Words {
+	return Words{ID: "Seamloom-Call", Limit: "Seamloom-Limit-Milliseconds", Model: "Seamloom-Model", Tokens: "Seamloom-Tokens",
+		Parts: "Seamloom-Parts", Target: "Seamloom-Server", Stage: "Seamloom-Stage", StageRead: "prefill", Source: "Seamloom-Source",
+		Urgency: "Seamloom-Urgency", NotStarted: "Seamloom-Not-Started", Load: "Seamloom-Load", Warming: "Seamloom-Warming-Milliseconds",
+		HandlePath: "/v1/handles/", HandleField: "handle"}
+}
+
+// Check names every word that is missing. Headers must be in HTTP's canonical case.
+//
+// Example:
+//
+//	if failure := words.Check(); failure != nil { return nil, failure }
+func (words Words) Check() error {
+	var mistakes error
+	fields := reflect.ValueOf(words)
+	for position := range fields.NumField() {
+		name, text := fields.Type().Field(position).Name, fields.Field(position).String()
+		switch name {
+		case "StageRead", "HandlePath", "HandleField":
+			if text == "" {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "words/"+name, "a word is needed"))
+			}
+		default:
+			if text == "" || http.CanonicalHeaderKey(text) != text {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.Malformed, "words/"+name, "needs a header in canonical case, not \""+text+"\""))
+			}
+		}
+	}
+	return mistakes
+}
--- a/internal/window/outcome.go
+++ b/internal/window/outcome.go
@@ -27,6 +27,19 @@
 	Gone Result = "gone"
 )
 
+// MayHaveRun tells whether the server may have begun the call.
+//
+// Example:
+//
+//	ran = ran || outcome.Result.MayHaveRun()
+func (result Result) MayHaveRun() bool {
+	switch result {
+	case Unreached, NotStarted, Misdirected:
+		return false
+	}
+	return true
+}
+
 // Outcome is what the conduct tells of a dispatch.
 type Outcome struct {
 	Result Result
