Calls: opaque calls over HTTP, conduct, gate and words, thin

Cause: the window decides, but nothing carried its decisions out. Ruled out: the pool of http.Transport, which dials and sends again behind our back, so that it can't be said for certain whether anything was written; http.ClientConn is the same code without the pool. Change: internal/adapters/calls (intake, exchange, circuits, gate), hatch.Calls, the platform's words. Tested with stand-ins: changed nothing, streams event by event, cut and resumed streams, garbage, extra and late answers, resets, leaving origins, patience. Conclusion: stands by itself; not mounted in the processes yet.

--- /dev/null
+++ b/internal/adapters/calls/circuits_test.go
@@ -0,0 +1,152 @@
+package calls
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+func asBody(text string) io.ReadCloser { return io.NopCloser(strings.NewReader(text)) }
+
+func TestACircuitThatRestedTooLongIsNotUsed(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x", "Keep-Alive: timeout=2"))
+		return true
+	})
+	var ahead atomic.Int64
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	courier.circuits.now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	scripted.decide = func(number int, outcome window.Outcome) window.Decision {
+		decision := once(func() roster.Server { return standin.server })(number, outcome)
+		decision.Ends = decision.Ends.Add(time.Hour)
+		return decision
+	}
+	for _, step := range []struct {
+		later    time.Duration
+		circuits int
+	}{{0, 1}, {time.Second, 1}, {1800 * time.Millisecond, 2}} {
+		ahead.Add(int64(step.later))
+		if got := courier.send(t, "id", ""); got.status != 200 || standin.opened() != step.circuits {
+			t.Fatalf("after %v: %+v, %d circuits", step.later, got, standin.opened())
+		}
+	}
+}
+
+func TestACircuitThatItsServerClosedIsNotUsed(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return false
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	for number := range 20 {
+		got := courier.send(t, "id", "body")
+		if got.status != 200 && scripted.last().Result != window.Silent {
+			t.Fatalf("%d: %+v %+v", number, got, scripted.last())
+		}
+		until(t, "the circuit is seen closed", func() bool { return !restingGood(courier.circuits) })
+	}
+	if standin.count() != 20 {
+		t.Fatalf("%d calls for 20", standin.count())
+	}
+}
+
+// restingGood tells whether any circuit rests that looks good.
+func restingGood(circuits *Circuits) bool {
+	circuits.mutex.Lock()
+	defer circuits.mutex.Unlock()
+	for _, resting := range circuits.resting {
+		for _, line := range resting {
+			if line.client.Err() == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestWhatFollowsAWholeAnswerBelongsToNoCall(t *testing.T) {
+	for name, extra := range map[string]string{"bytes": "more bytes", "an answer": whole(200, "id", "again"), "a late answer": "late"} {
+		t.Run(name, func(t *testing.T) {
+			var number atomic.Int64
+			standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+				id := inbound.Header.Get("Seamloom-Call")
+				if number.Add(1) > 1 {
+					circuit.say(whole(200, id, "mine"))
+					return true
+				}
+				if extra != "late" {
+					circuit.say(whole(200, id, "mine") + extra)
+					return true
+				}
+				circuit.say(whole(200, id, "mine"))
+				_, _ = circuit.reader.Peek(1)
+				circuit.say(whole(200, id, "again"))
+				return true
+			})
+			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			courier := newCourier(t, scripted)
+			if got := courier.send(t, "first", "body"); string(got.body) != "mine" {
+				t.Fatalf("%+v", got)
+			}
+			got := courier.send(t, "second", "body")
+			if got.status == 200 && string(got.body) != "mine" || got.status != 200 && (extra != "late" || scripted.last().Result != window.Spoilt) {
+				t.Fatalf("%+v %+v", got, scripted.last())
+			}
+			if got := courier.send(t, "third", "body"); string(got.body) != "mine" {
+				t.Fatalf("%+v", got)
+			}
+		})
+	}
+}
+
+func TestCircuitsToAnEarlierLifeAreDropped(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x", "Keep-Alive: timeout=9"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	courier.circuits.SetServers([]roster.Server{standin.server})
+	_ = courier.send(t, "id", "")
+	next := standin.server
+	next.Name = "life-2"
+	courier.circuits.SetServers([]roster.Server{next})
+	if restingGood(courier.circuits) {
+		t.Fatal("a circuit to a life that is gone still rests")
+	}
+	_ = courier.send(t, "id", "")
+	if standin.opened() != 2 || restingGood(courier.circuits) {
+		t.Fatalf("%d circuits", standin.opened())
+	}
+}
+
+func TestNothingWrittenIsCertain(t *testing.T) {
+	standin := newStandin(t, func(*served, *http.Request) bool { return false })
+	circuits := NewCircuits(time.Now, nil)
+	line, failure := circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if wrote, _ := line.circuit.end(); wrote {
+		t.Fatal("nothing was written")
+	}
+	if _, failure := line.circuit.Write([]byte("x")); failure == nil {
+		t.Fatal("an ended circuit took bytes")
+	}
+	line, failure = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	_, _ = line.circuit.Write([]byte("GET"))
+	if wrote, _ := line.circuit.end(); !wrote {
+		t.Fatal("something was written")
+	}
+}
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -426,7 +426,7 @@
 			}
 			passed = true
 		}
-		if passed && ended == nil {
+		if passed && ended != io.EOF {
 			if failure := flusher.Flush(); failure != nil {
 				sent.fail(window.Gone)
 				return
--- /dev/null
+++ b/internal/adapters/calls/exchange_test.go
@@ -0,0 +1,306 @@
+package calls
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+func TestACallGoesOnUnchangedAndItsAnswerComesBackUnchanged(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "the body", "Keep-Alive: timeout=4", "X-Other: 7"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	body := strings.Repeat("0123456789", 9000)
+	outbound := courier.request(t, http.MethodPost, "/chat//a%2fb/../c?x=%20y&&z", "id-1", body, "X-Kept", "yes", "Connection", "X-Dropped", "X-Dropped", "no",
+		"Seamloom-Server", "forged", "Seamloom-Stage", "prefill", "Seamloom-Source", "forged", "Seamloom-Parts", "5c1e07a2:800,91bd3f06:410", "Seamloom-Tokens", "1460,80", "Seamloom-Model", "m")
+	got := send(outbound)
+	if got.failure != nil || got.status != 200 || string(got.body) != "the body" || got.header.Get("X-Seal") != "seal-id-1" || got.header.Get("X-Other") != "7" || got.header.Get("Keep-Alive") != "" {
+		t.Fatalf("the answer was changed: %+v", got)
+	}
+	inbound, sent := standin.call(0)
+	if inbound.Method != http.MethodPost || inbound.RequestURI != "/chat//a%2fb/../c?x=%20y&&z" || string(sent) != body || inbound.Host != "calls.example" {
+		t.Fatalf("the call was changed: %s %s %s, %d bytes", inbound.Method, inbound.RequestURI, inbound.Host, len(sent))
+	}
+	if inbound.Header.Get("X-Kept") != "yes" || inbound.Header.Get("X-Dropped") != "" || inbound.Header.Get("Seamloom-Server") != "life-1" ||
+		inbound.Header.Get("Seamloom-Stage") != "" || inbound.Header.Get("Seamloom-Source") != "" || inbound.Header.Get("Seamloom-Limit-Milliseconds") == "4000" {
+		t.Fatalf("headers: %v", inbound.Header)
+	}
+	call := scripted.calls[0]
+	if call.Model != "m" || call.PromptTokens != 1460 || call.OutputTokens != 80 || len(call.Parts) != 2 || call.Parts[0] != (window.Part{ID: 0x5c1e07a2, Tokens: 800}) || call.Path != "/chat//a%2fb/../c" || call.Bytes != len(body) {
+		t.Fatalf("the call was misread: %+v", call)
+	}
+}
+
+func TestMethodsWithAndWithoutBodies(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return true
+	})
+	courier := newCourier(t, &scripted{decide: once(func() roster.Server { return standin.server })})
+	for number, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		got := send(courier.request(t, method, "//twice", "id", "", "Idempotency-Key", "key"))
+		if got.status != 200 {
+			t.Fatalf("%s: %+v", method, got)
+		}
+		inbound, body := standin.call(number)
+		if inbound.Method != method || inbound.RequestURI != "//twice" || len(body) != 0 || inbound.TransferEncoding != nil || inbound.Header.Get("Idempotency-Key") != "key" {
+			t.Fatalf("%s went on as %s %s %v %v", method, inbound.Method, inbound.RequestURI, inbound.TransferEncoding, inbound.Header)
+		}
+	}
+	chunked := courier.request(t, http.MethodPost, "/chunks", "id", "")
+	chunked.Body, chunked.ContentLength = http.MaxBytesReader(nil, asBody("in chunks"), 100), -1
+	if got := send(chunked); got.status != 200 {
+		t.Fatalf("%+v", got)
+	}
+	if inbound, body := standin.call(4); string(body) != "in chunks" || inbound.ContentLength != 9 {
+		t.Fatalf("a chunked body went on as %q", body)
+	}
+	if standin.opened() != 1 {
+		t.Fatalf("%d circuits for calls one after the other", standin.opened())
+	}
+}
+
+func TestFailingAnswersAreSorted(t *testing.T) {
+	for name, given := range map[string]struct {
+		answer string
+		result window.Result
+		status int
+	}{
+		"full":                 {whole(503, "id", "busy", "Seamloom-Not-Started: 1", "Seamloom-Load: 3,1,8", "Retry-After: 0.2"), window.NotStarted, 503},
+		"another life":         {whole(421, "id", ""), window.Misdirected, 421},
+		"its own failure":      {whole(500, "id", "oops"), window.Answered, 500},
+		"its own time":         {whole(504, "id", ""), window.Answered, 504},
+		"a promise not given":  {whole(503, "id", "?"), window.Answered, 502},
+		"another call's":       {whole(200, "id-0", "?"), window.Spoilt, 503},
+		"nobody's success":     {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", window.Spoilt, 503},
+		"another's failure":    {whole(503, "id-0", "?", "Seamloom-Not-Started: 1"), window.Spoilt, 503},
+		"garbage":              {"\x00\x01 garbage\r\n\r\n", window.Spoilt, 503},
+		"nothing":              {"", window.Silent, 503},
+		"a body that breaks":   {"HTTP/1.1 200 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
+		"a failing one breaks": {"HTTP/1.1 500 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			standin := newStandin(t, func(circuit *served, _ *http.Request) bool { circuit.say(given.answer); return false })
+			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			got := newCourier(t, scripted).send(t, "id", "body")
+			if got.failure != nil || got.status != given.status || scripted.last().Result != given.result {
+				t.Fatalf("%+v, %+v", got, scripted.last())
+			}
+			if standin.count() != 1 {
+				t.Fatalf("sent %d times", standin.count())
+			}
+			if name == "full" && (got.header.Get("Retry-After") != "0.2" || got.header.Get("X-Seal") != "seal-id" || string(got.body) != "busy" || *scripted.last().Load != (window.AnswerLoad{Running: 3, Waiting: 1, Slots: 8})) {
+				t.Fatalf("%+v, %+v", got, scripted.last().Load)
+			}
+			if given.result == window.Spoilt && got.header.Get("X-Seal") != "" {
+				t.Fatal("a word of our own bears a server's seal")
+			}
+		})
+	}
+}
+
+func TestNobodyListensIsUnreached(t *testing.T) {
+	standin := newStandin(t, nil)
+	_ = standin.listener.Close()
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	newCourier(t, scripted).send(t, "id", "body")
+	if scripted.last().Result != window.Unreached {
+		t.Fatalf("%+v", scripted.last())
+	}
+}
+
+func TestAStreamIsPassedOnEventByEvent(t *testing.T) {
+	further := make(chan string)
+	standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		circuit.say(stream("id"))
+		for text := range further {
+			circuit.say(text)
+		}
+		circuit.say("0\r\n\r\n")
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answered := make(chan *http.Response)
+	go func() {
+		inbound, failure := client.Do(courier.request(t, http.MethodPost, "/", "id", "body"))
+		if failure != nil {
+			t.Error(failure)
+		}
+		answered <- inbound
+	}()
+	further <- chunk(event(1))
+	inbound := <-answered
+	defer func() { _ = inbound.Body.Close() }()
+	buffer := make([]byte, 1000)
+	expect := func(text string) {
+		t.Helper()
+		var got string
+		for len(got) < len(text) {
+			read, failure := inbound.Body.Read(buffer)
+			got += string(buffer[:read])
+			if failure != nil {
+				t.Fatal(failure)
+			}
+		}
+		if got != text {
+			t.Fatalf("%q, not %q", got, text)
+		}
+	}
+	expect(event(1))
+	// Half an event is not passed on; its rest brings it.
+	further <- chunk(event(2)[:9])
+	further <- chunk(event(2)[9:] + event(3) + "id: 4\n")
+	expect(event(2) + event(3))
+	further <- chunk("data: x\n\n")
+	expect("id: 4\ndata: x\n\n")
+	close(further)
+	if read, failure := inbound.Body.Read(buffer); read != 0 || failure == nil || failure.Error() != "EOF" {
+		t.Fatalf("%d %v", read, failure)
+	}
+	until(t, "the call ends", func() bool { return scripted.active.Load() == 0 })
+	if scripted.last().Result != window.Complete || inbound.Header.Get("X-Seal") != "seal-id" {
+		t.Fatalf("%+v", scripted.last())
+	}
+}
+
+func TestAStreamThatBreaksOffDoesNotLookComplete(t *testing.T) {
+	for name, ending := range map[string]string{"between events": "", "in an event": chunk("id: 3\nda"), "in a chunk": "20\r\nid: 3"} {
+		t.Run(name, func(t *testing.T) {
+			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+				circuit.say(stream("id") + chunk(joined(1, 2)) + ending)
+				return false
+			})
+			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			got := newCourier(t, scripted).send(t, "id", "body")
+			if got.failure == nil || string(got.body) != joined(1, 2) || scripted.last().Result != window.Cut {
+				t.Fatalf("%+v, %+v", got, scripted.last())
+			}
+		})
+	}
+}
+
+func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
+	first := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		circuit.say(stream("id") + chunk(joined(1, 2)+"id: 3\nda"))
+		circuit.reset()
+		return false
+	})
+	second := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		// The second one repeats an event: it is passed on once.
+		circuit.say(strings.Replace(stream("id"), "seal-id", "other", 1) + chunk(joined(2, 3, 4)) + "0\r\n\r\n")
+		return true
+	})
+	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+		run := window.Decision{Kind: window.Run, Server: first.server, Ends: time.Now().Add(time.Second), Urgency: 3}
+		switch {
+		case number == 0:
+			return run
+		case number == 1 && outcome.Result == window.Cut:
+			run.Server = second.server
+			return run
+		}
+		return lastWord(outcome)
+	}}
+	got := newCourier(t, scripted).send(t, "id", "body")
+	if got.failure != nil || string(got.body) != joined(1, 2, 3, 4) || got.header.Get("X-Seal") != "seal-id" {
+		t.Fatalf("%+v", got)
+	}
+	if inbound, body := second.call(0); inbound.Header.Get("Last-Event-Id") != "2" || string(body) != "body" || inbound.Header.Get("Seamloom-Urgency") != "3" {
+		t.Fatalf("%v", inbound.Header)
+	}
+}
+
+func TestTwoHalves(t *testing.T) {
+	freed := make(chan string, 1)
+	reader := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		if inbound.Method == http.MethodDelete {
+			freed <- inbound.RequestURI
+			circuit.say(whole(200, "", ""))
+			return true
+		}
+		circuit.say(whole(200, "id", `{"handle":"3fa09c41b7d5","tokens":3}`))
+		return true
+	})
+	runner := newStandin(t, func(circuit *served, _ *http.Request) bool { circuit.say(whole(200, "id", "answer")); return true })
+	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+		ends := time.Now().Add(time.Second)
+		switch number {
+		case 0:
+			return window.Decision{Kind: window.Read, Server: reader.server, Ends: ends, Urgency: -1}
+		case 1:
+			return window.Decision{Kind: window.Run, Server: runner.server, Ends: ends, Urgency: -1, Source: &window.Source{Address: reader.server.Address, Handle: outcome.Handle}}
+		}
+		return window.Decision{Kind: window.Done, Free: []window.Source{{Address: reader.server.Address, Handle: "left over"}}}
+	}}
+	got := newCourier(t, scripted).send(t, "id", "body")
+	if got.status != 200 || string(got.body) != "answer" {
+		t.Fatalf("%+v", got)
+	}
+	reading, body := reader.call(0)
+	running, _ := runner.call(0)
+	if reading.Header.Get("Seamloom-Stage") != "prefill" || string(body) != "body" || running.Header.Get("Seamloom-Stage") != "" ||
+		running.Header.Get("Seamloom-Source") != reader.server.Address+"/3fa09c41b7d5" {
+		t.Fatalf("%v, %v", reading.Header, running.Header)
+	}
+	if path := <-freed; path != "/v1/handles/left%20over" {
+		t.Fatal(path)
+	}
+}
+
+func TestServersWorkEndsWhenTheOriginLeaves(t *testing.T) {
+	for name, text := range map[string]string{"before the head": "", "within the stream": stream("id") + chunk(event(1))} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan bool, 1), make(chan bool, 1)
+			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+				circuit.say(text)
+				begun <- true
+				_, _ = circuit.reader.Peek(1)
+				ended <- true
+				return false
+			})
+			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			courier := newCourier(t, scripted)
+			go func() {
+				<-begun
+				courier.CloseClientConnections()
+			}()
+			_ = courier.send(t, "id", "body")
+			<-ended
+			until(t, "the call ends", func() bool { return scripted.active.Load() == 0 && scripted.last().Result != "" })
+			if scripted.last().Result != window.Gone {
+				t.Fatalf("%+v", scripted.last())
+			}
+		})
+	}
+}
+
+func TestPatienceAndEnds(t *testing.T) {
+	for name, decision := range map[string]window.Decision{
+		"patience": {Ends: time.Now().Add(time.Hour), Patience: 20 * time.Millisecond},
+		"ends":     {Ends: time.Now().Add(50 * time.Millisecond)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			standin := newStandin(t, func(circuit *served, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
+			scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+				if number > 0 {
+					return lastWord(outcome)
+				}
+				decision.Kind, decision.Server = window.Run, standin.server
+				return decision
+			}}
+			got := newCourier(t, scripted).send(t, "id", "body")
+			if got.status != 503 || scripted.last().Result != window.Silent && scripted.last().Result != window.Unreached {
+				t.Fatalf("%+v %+v", got, scripted.last())
+			}
+		})
+	}
+}
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -28,9 +27,7 @@
 type Gate struct {
 	intake  *Intake
 	now     func() time.Time
-	ready   func() bool
 	servers []*http.Server
-	leaving atomic.Bool
 
 	mutex  sync.Mutex
 	guests map[net.Conn]*guest
@@ -56,13 +53,13 @@
 }
 
 // Open listens on the address for calls and on the one for readiness; either may be
-// empty. Ready tells whether new calls are welcome.
+// empty.
 //
 // Example:
 //
-//	gate, failure := calls.Open(&process.tomb, intake, chosen.CallsAddress, chosen.ReadyAddress, ready)
-func Open(owner *tomb.Tomb, intake *Intake, address, readyAddress string, ready func() bool) (*Gate, error) {
-	gate := &Gate{intake: intake, now: intake.now, ready: ready, guests: map[net.Conn]*guest{}}
+//	gate, failure := calls.Open(&process.tomb, intake, chosen.CallsAddress, chosen.ReadyAddress)
+func Open(owner *tomb.Tomb, intake *Intake, address, readyAddress string) (*Gate, error) {
+	gate := &Gate{intake: intake, now: intake.now, guests: map[net.Conn]*guest{}}
 	serving := &http.Server{Handler: http.HandlerFunc(gate.serveCall), MaxHeaderBytes: mostHeadBytes, ConnState: gate.note, ConnContext: gate.greet}
 	asked := &http.Server{Handler: http.HandlerFunc(gate.tellReady), ReadHeaderTimeout: defaultHeaderPatience, IdleTimeout: defaultIdlePatience}
 	for server, address := range map[*http.Server]string{serving: address, asked: readyAddress} {
@@ -87,14 +84,14 @@
 }
 
 func (gate *Gate) serveCall(writer http.ResponseWriter, inbound *http.Request) {
-	if gate.leaving.Load() {
+	if gate.intake.conduct.Leaving() {
 		writer.Header()["Connection"] = []string{"close"}
 	}
 	gate.intake.ServeHTTP(writer, inbound)
 }
 
 func (gate *Gate) tellReady(writer http.ResponseWriter, _ *http.Request) {
-	if gate.leaving.Load() || !gate.ready() {
+	if !gate.intake.conduct.Ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = io.WriteString(writer, "not ready\n")
 		return
@@ -102,14 +99,6 @@
 	_, _ = io.WriteString(writer, "ready\n")
 }
 
-// Leave says to all that the courier is leaving: it is not ready, and circuits end
-// with the answer under way. Calls that still come are taken as before.
-//
-// Example:
-//
-//	gate.Leave()
-func (gate *Gate) Leave() { gate.leaving.Store(true) }
-
 // Close ends all circuits; those under way get a moment.
 //
 // Example:
--- /dev/null
+++ b/internal/adapters/calls/gate_test.go
@@ -0,0 +1,169 @@
+package calls
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// freeAddress is one that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func openGate(t *testing.T, scripted *scripted, now func() time.Time) (gate *Gate, address, readyAddress string) {
+	t.Helper()
+	address, readyAddress = freeAddress(t), freeAddress(t)
+	intake, failure := NewIntake(t.Context(), DefaultWords(), NewCircuits(now, nil), scripted, now)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	owner := &tomb.Tomb{}
+	gate, failure = Open(owner, intake, address, readyAddress)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	t.Cleanup(func() { owner.Kill(nil); gate.Close(); _ = owner.Wait() })
+	return gate, address, readyAddress
+}
+
+func TestReadinessAndLeaving(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	_, address, readyAddress := openGate(t, scripted, time.Now)
+	ask := func(status int) {
+		t.Helper()
+		inbound, failure := http.Get("http://" + readyAddress + "/any")
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		_ = inbound.Body.Close()
+		if inbound.StatusCode != status {
+			t.Fatalf("status %d", inbound.StatusCode)
+		}
+	}
+	ask(200)
+	circuit, failure := net.Dial("tcp", address)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = circuit.Close() }()
+	reader := bufio.NewReader(circuit)
+	call := func() *http.Response {
+		t.Helper()
+		_, _ = io.WriteString(circuit, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
+		inbound, failure := http.ReadResponse(reader, nil)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		_, _ = io.ReadAll(inbound.Body)
+		return inbound
+	}
+	if inbound := call(); inbound.Close || inbound.StatusCode != 200 {
+		t.Fatalf("%+v", inbound)
+	}
+	scripted.leaving.Store(true)
+	ask(503)
+	if inbound := call(); !inbound.Close || inbound.StatusCode != 200 {
+		t.Fatalf("%+v", inbound)
+	}
+}
+
+func TestOriginsThatTakeOrRestTooLongAreDismissed(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
+	var ahead atomic.Int64
+	gate, address, _ := openGate(t, scripted, func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) })
+	slow, failure := net.Dial("tcp", address)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	_, _ = io.WriteString(slow, "POST /x HT")
+	resting, failure := net.Dial("tcp", address)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	_, _ = io.WriteString(resting, "GET /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\n\r\n")
+	inbound, failure := http.ReadResponse(bufio.NewReader(resting), nil)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	_ = inbound.Body.Close()
+	until(t, "both are known", func() bool {
+		gate.mutex.Lock()
+		defer gate.mutex.Unlock()
+		states := map[http.ConnState]int{}
+		for _, known := range gate.guests {
+			known.mutex.Lock()
+			states[known.state]++
+			known.mutex.Unlock()
+		}
+		return states[http.StateNew] == 1 && states[http.StateIdle] == 1
+	})
+	ahead.Store(int64(4 * time.Second))
+	gate.dismiss()
+	_ = slow.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, failure := slow.Read(make([]byte, 1)); failure == nil || strings.Contains(failure.Error(), "timeout") {
+		t.Fatal("a head that takes too long is waited for", failure)
+	}
+	ahead.Store(int64(13 * time.Second))
+	gate.dismiss()
+	_ = resting.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, failure := resting.Read(make([]byte, 1)); failure == nil || !strings.Contains(failure.Error(), "timeout") {
+		t.Fatal("dismissed while it may rest", failure)
+	}
+	ahead.Store(int64(16 * time.Second))
+	gate.dismiss()
+	_ = resting.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, failure := resting.Read(make([]byte, 1)); failure == nil || strings.Contains(failure.Error(), "timeout") {
+		t.Fatal("an origin that rests too long is kept", failure)
+	}
+}
+
+func TestLimitsOnWhatAnOriginSends(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderBytes: 1000, BodyBytes: 100}}
+	courier := newCourier(t, scripted)
+	for status, outbound := range map[int]*http.Request{
+		200: courier.request(t, http.MethodPost, "/", "id", strings.Repeat("x", 100)),
+		413: courier.request(t, http.MethodPost, "/", "id", strings.Repeat("x", 101)),
+		431: courier.request(t, http.MethodPost, "/", "id", "", "X-Long", strings.Repeat("x", 1000)),
+	} {
+		if got := send(outbound); got.status != status {
+			t.Fatalf("%+v, not %d", got, status)
+		}
+	}
+	chunked := courier.request(t, http.MethodPost, "/", "id", "")
+	chunked.Body, chunked.ContentLength = asBody(strings.Repeat("x", 101)), -1
+	if got := send(chunked); got.status != 413 {
+		t.Fatalf("%+v", got)
+	}
+	if standin.count() != 1 {
+		t.Fatalf("%d calls went on", standin.count())
+	}
+}
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -28,6 +28,10 @@
 	Serve(call *window.Call, exchange hatch.Exchange)
 	// Limits bound what an origin may send.
 	Limits() menu.Limits
+	// Ready tells whether calls are welcome, Leaving that circuits are to end with the
+	// answer under way.
+	Ready() bool
+	Leaving() bool
 }
 
 // Intake takes calls from their origins.
--- /dev/null
+++ b/internal/adapters/calls/standin_test.go
@@ -0,0 +1,320 @@
+package calls
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// standin is a model server that speaks as a test says.
+type standin struct {
+	listener net.Listener
+	server   roster.Server
+	// act answers one call on a circuit; false closes the circuit.
+	act func(circuit *served, inbound *http.Request) bool
+
+	mutex    sync.Mutex
+	calls    []*http.Request
+	bodies   [][]byte
+	circuits int
+	open     []net.Conn
+}
+
+type served struct {
+	net.Conn
+	reader *bufio.Reader
+	number int
+}
+
+func (circuit *served) say(text string) { _, _ = io.WriteString(circuit, text) }
+
+// reset closes the circuit so that what is on its way is lost.
+func (circuit *served) reset() {
+	_ = circuit.Conn.(*net.TCPConn).SetLinger(0)
+	_ = circuit.Close()
+}
+
+func newStandin(t *testing.T, act func(circuit *served, inbound *http.Request) bool) *standin {
+	t.Helper()
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	standin := &standin{listener: listener, act: act, server: roster.Server{Name: "life-1", Address: listener.Addr().String()}}
+	var workers sync.WaitGroup
+	workers.Go(func() {
+		for {
+			connection, failure := listener.Accept()
+			if failure != nil {
+				return
+			}
+			standin.mutex.Lock()
+			standin.circuits++
+			circuit := &served{Conn: connection, reader: bufio.NewReader(connection), number: standin.circuits}
+			standin.open = append(standin.open, connection)
+			standin.mutex.Unlock()
+			workers.Go(func() { standin.serve(circuit) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		standin.mutex.Lock()
+		for _, connection := range standin.open {
+			_ = connection.Close()
+		}
+		standin.mutex.Unlock()
+		workers.Wait()
+	})
+	return standin
+}
+
+func (standin *standin) serve(circuit *served) {
+	defer func() { _ = circuit.Close() }()
+	for {
+		inbound, failure := http.ReadRequest(circuit.reader)
+		if failure != nil {
+			return
+		}
+		body, failure := io.ReadAll(inbound.Body)
+		if failure != nil {
+			return
+		}
+		standin.mutex.Lock()
+		standin.calls = append(standin.calls, inbound)
+		standin.bodies = append(standin.bodies, body)
+		standin.mutex.Unlock()
+		if !standin.act(circuit, inbound) {
+			return
+		}
+	}
+}
+
+func (standin *standin) count() int {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	return len(standin.calls)
+}
+
+func (standin *standin) opened() int {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	return standin.circuits
+}
+
+func (standin *standin) call(number int) (*http.Request, []byte) {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	return standin.calls[number], standin.bodies[number]
+}
+
+// whole is an answer with a length.
+func whole(status int, id, body string, headers ...string) string {
+	text := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nSeamloom-Call: " + id + "\r\nX-Seal: seal-" + id + "\r\n"
+	for _, header := range headers {
+		text += header + "\r\n"
+	}
+	return text + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// stream is the head of a chunked stream.
+func stream(id string, headers ...string) string {
+	text := "HTTP/1.1 200 OK\r\nSeamloom-Call: " + id + "\r\nX-Seal: seal-" + id + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+	for _, header := range headers {
+		text += header + "\r\n"
+	}
+	return text + "\r\n"
+}
+
+func chunk(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+}
+
+func event(id int) string {
+	return "id: " + strconv.Itoa(id) + "\ndata: piece " + strconv.Itoa(id) + "\n\n"
+}
+
+// scripted is a conduct that has one server run each call, and gives what the last
+// dispatch told.
+type scripted struct {
+	limits   menu.Limits
+	decide   func(number int, outcome window.Outcome) window.Decision
+	route    menu.CallRoute
+	mutex    sync.Mutex
+	outcomes []window.Outcome
+	calls    []*window.Call
+	active   atomic.Int64
+	leaving  atomic.Bool
+}
+
+// Limits bound what an origin may send.
+func (scripted *scripted) Limits() menu.Limits { return scripted.limits }
+
+// Ready tells whether calls are welcome.
+func (scripted *scripted) Ready() bool { return !scripted.leaving.Load() }
+
+// Leaving tells that circuits are to end.
+func (scripted *scripted) Leaving() bool { return scripted.leaving.Load() }
+
+// Serve carries the script out.
+func (scripted *scripted) Serve(call *window.Call, exchange hatch.Exchange) {
+	scripted.active.Add(1)
+	defer scripted.active.Add(-1)
+	scripted.mutex.Lock()
+	scripted.calls = append(scripted.calls, call)
+	scripted.mutex.Unlock()
+	var outcome window.Outcome
+	for number := 0; ; number++ {
+		decision := scripted.decide(number, outcome)
+		for _, source := range decision.Free {
+			exchange.Free(source)
+		}
+		switch decision.Kind {
+		case window.Read:
+			outcome = exchange.Read(decision)
+		case window.Run:
+			outcome = exchange.Run(&scripted.route, decision)
+		case window.Through:
+			if !exchange.Through() {
+				exchange.Refuse(hatch.Refusal{Cause: window.Broken, Status: http.StatusBadGateway})
+			}
+			return
+		case window.Break:
+			exchange.Break()
+			return
+		case window.Refuse:
+			exchange.Refuse(hatch.Refusal{Cause: decision.Cause, Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter})
+			return
+		case window.Done:
+			return
+		}
+		scripted.mutex.Lock()
+		scripted.outcomes = append(scripted.outcomes, outcome)
+		scripted.mutex.Unlock()
+	}
+}
+
+func (scripted *scripted) last() window.Outcome {
+	scripted.mutex.Lock()
+	defer scripted.mutex.Unlock()
+	if len(scripted.outcomes) == 0 {
+		return window.Outcome{}
+	}
+	return scripted.outcomes[len(scripted.outcomes)-1]
+}
+
+// once runs a call at one server and passes on what comes.
+func once(server func() roster.Server) func(number int, outcome window.Outcome) window.Decision {
+	return func(number int, outcome window.Outcome) window.Decision {
+		if number == 0 {
+			return window.Decision{Kind: window.Run, Server: server(), Ends: time.Now().Add(5 * time.Second), Urgency: -1}
+		}
+		return lastWord(outcome)
+	}
+}
+
+func lastWord(outcome window.Outcome) window.Decision {
+	switch outcome.Result {
+	case window.Complete, window.Gone:
+		return window.Decision{Kind: window.Done}
+	case window.Cut:
+		return window.Decision{Kind: window.Break}
+	case window.Answered, window.NotStarted, window.Misdirected:
+		return window.Decision{Kind: window.Through}
+	}
+	return window.Decision{Kind: window.Refuse, Cause: window.Broken}
+}
+
+type courier struct {
+	*httptest.Server
+	intake   *Intake
+	circuits *Circuits
+	scripted *scripted
+}
+
+func newCourier(t *testing.T, scripted *scripted) *courier {
+	t.Helper()
+	circuits := NewCircuits(time.Now, nil)
+	lifetime, cancel := context.WithCancel(context.Background())
+	intake, failure := NewIntake(lifetime, DefaultWords(), circuits, scripted, time.Now)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	server := httptest.NewServer(intake)
+	server.Config.ErrorLog = nil
+	t.Cleanup(func() { cancel(); server.Close(); circuits.SetServers(nil) })
+	return &courier{Server: server, intake: intake, circuits: circuits, scripted: scripted}
+}
+
+func (courier *courier) request(t *testing.T, method, path, id, body string, headers ...string) *http.Request {
+	t.Helper()
+	outbound, failure := http.NewRequest(method, courier.URL+path, strings.NewReader(body))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	outbound.Host = "calls.example"
+	outbound.Header.Set("Seamloom-Call", id)
+	outbound.Header.Set("Seamloom-Limit-Milliseconds", "4000")
+	for position := 0; position+1 < len(headers); position += 2 {
+		outbound.Header.Set(headers[position], headers[position+1])
+	}
+	return outbound
+}
+
+// reply is what an origin got.
+type reply struct {
+	status  int
+	header  http.Header
+	body    []byte
+	failure error
+}
+
+func send(outbound *http.Request) reply {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	inbound, failure := client.Do(outbound)
+	if failure != nil {
+		return reply{failure: failure}
+	}
+	body, failure := io.ReadAll(inbound.Body)
+	_ = inbound.Body.Close()
+	return reply{status: inbound.StatusCode, header: inbound.Header, body: body, failure: failure}
+}
+
+func (courier *courier) send(t *testing.T, id, body string, headers ...string) reply {
+	t.Helper()
+	return send(courier.request(t, http.MethodPost, "/chat/x", id, body, headers...))
+}
+
+func joined(numbers ...int) string {
+	var text bytes.Buffer
+	for _, number := range numbers {
+		text.WriteString(event(number))
+	}
+	return text.String()
+}
+
+// until waits for what another thread brings about.
+func until(t *testing.T, what string, over func() bool) {
+	t.Helper()
+	ends := time.Now().Add(5 * time.Second)
+	for !over() {
+		if time.Now().After(ends) {
+			t.Fatal("in vain: " + what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"sync/atomic"
+	"time"
 
+	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/window"
 )
@@ -14,15 +18,106 @@
 type Calls struct {
 	turns  rota.Turns
 	window *window.Window
+	// listed is told which servers there are, before any call is sent to them.
+	listed  func(servers []roster.Server)
+	servers atomic.Int64
+	leaving atomic.Bool
 }
 
-// NewCalls makes the conduct over a window.
+// NewCalls makes the conduct over a window. Listed is told which servers there are.
 //
 // Example:
 //
-//	conduct := hatch.NewCalls(turns, window.New(options))
-func NewCalls(turns rota.Turns, window *window.Window) *Calls {
-	return &Calls{turns: turns, window: window}
+//	conduct := hatch.NewCalls(turns, window.New(options), circuits.SetServers)
+func NewCalls(turns rota.Turns, window *window.Window, listed func(servers []roster.Server)) *Calls {
+	return &Calls{turns: turns, window: window, listed: listed}
+}
+
+// SetConfiguration puts a configuration in force, unless a newer one is.
+//
+// Example:
+//
+//	conduct.SetConfiguration(configuration, version)
+func (calls *Calls) SetConfiguration(configuration *menu.Configuration, version larder.Version) {
+	calls.window.SetProgram(window.Compile(configuration, version.Epoch, version.Number))
+}
+
+// SetServers takes the list of servers.
+//
+// Example:
+//
+//	conduct.SetServers(turns.Now(), servers)
+func (calls *Calls) SetServers(now time.Time, servers []roster.Server) {
+	calls.listed(servers)
+	calls.window.SetServers(now, servers)
+	calls.servers.Store(int64(len(servers)))
+}
+
+// SetLoads takes what the servers reported of themselves.
+//
+// Example:
+//
+//	conduct.SetLoads(turns.Now(), loads)
+func (calls *Calls) SetLoads(now time.Time, loads []window.Load) { calls.window.SetLoads(now, loads) }
+
+// SetCouriers tells how many couriers share the servers.
+//
+// Example:
+//
+//	conduct.SetCouriers(9)
+func (calls *Calls) SetCouriers(count int) { calls.window.SetCouriers(count) }
+
+// Ready tells whether calls are welcome: a configuration is in force, servers are
+// known, and the courier is not leaving.
+//
+// Example:
+//
+//	if !conduct.Ready() { status = http.StatusServiceUnavailable }
+func (calls *Calls) Ready() bool {
+	epoch, number := calls.window.InForce()
+	return (epoch > 0 || number > 0) && calls.servers.Load() > 0 && !calls.leaving.Load()
+}
+
+// Leave says that the courier is leaving. Calls that still come are served until
+// Drain.
+//
+// Example:
+//
+//	conduct.Leave()
+func (calls *Calls) Leave() { calls.leaving.Store(true) }
+
+// Leaving tells whether the courier is leaving.
+//
+// Example:
+//
+//	if conduct.Leaving() { header.Set("Connection", "close") }
+func (calls *Calls) Leaving() bool { return calls.leaving.Load() }
+
+// The pauses of leaving. The values are ours.
+const (
+	// noticePause is how long it takes those who ask whether a courier is ready to
+	// send no more: two questions in a row, one a second.
+	noticePause = 2500 * time.Millisecond
+	// leaveMargin is kept of the grace for ending the process.
+	leaveMargin  = time.Second
+	leavingPause = 20 * time.Millisecond
+)
+
+// Retire has the courier leave: it is not ready from now on, serves what still comes
+// until that is noticed, refuses after that, and returns when nothing is under way or
+// the grace is over.
+//
+// Example:
+//
+//	conduct.Retire(8 * time.Second)
+func (calls *Calls) Retire(grace time.Duration) {
+	ends := calls.turns.Now().Add(max(grace-leaveMargin, grace/2))
+	calls.Leave()
+	rota.Pause(calls.turns, min(noticePause, grace/3))
+	calls.window.Drain()
+	for calls.turns.Alive() && calls.window.InFlight() > 0 && calls.turns.Now().Before(ends) {
+		rota.Pause(calls.turns, leavingPause)
+	}
 }
 
 // Limits bound what an origin may send.
