--- a/internal/rehearsal/checkers.go
+++ b/internal/rehearsal/checkers.go
@@ -44,7 +44,7 @@
 		finding.Looked++
 		key := string(entry.Kind) + entry.Inquiry
 		if earlier, found := started[key]; found {
-			finding.violate(fmt.Sprintf("%s %s at %s and again at %s", entry.Inquiry, entry.Kind, earlier, entry.Server))
+			finding.Violate(fmt.Sprintf("%s %s at %s and again at %s", entry.Inquiry, entry.Kind, earlier, entry.Server))
 		}
 		started[key] = entry.Server
 	}
@@ -73,7 +73,7 @@
 			open[entry.Inquiry] = open[entry.Inquiry] || !refused[entry.arrivalName()]
 		case PrefillStarted, DecodeStarted:
 			if came[entry.Inquiry] && !open[entry.Inquiry] {
-				finding.violate(fmt.Sprintf("%s was refused at each arrival and %s at %s", entry.Inquiry, entry.Kind, entry.Server))
+				finding.Violate(fmt.Sprintf("%s was refused at each arrival and %s at %s", entry.Inquiry, entry.Kind, entry.Server))
 			}
 		}
 	}
@@ -94,17 +94,17 @@
 			number, text, _ := strings.Cut(line, "|")
 			parts := strings.Split(text, "/")
 			if len(parts) != 3 || parts[0] != entry.Inquiry || number != strconv.Itoa(position+1) || parts[2] != number {
-				finding.violate(fmt.Sprintf("%s: piece %d reads %s", entry.Inquiry, position+1, line))
+				finding.Violate(fmt.Sprintf("%s: piece %d reads %s", entry.Inquiry, position+1, line))
 				break
 			}
 			if run != "" && run != parts[1] {
-				finding.violate(fmt.Sprintf("%s: pieces of runs %s and %s", entry.Inquiry, run, parts[1]))
+				finding.Violate(fmt.Sprintf("%s: pieces of runs %s and %s", entry.Inquiry, run, parts[1]))
 				break
 			}
 			run = parts[1]
 		}
 		if entry.Final == "complete" && (len(entry.Texts) != entry.Asked || entry.Pieces != entry.Asked) {
-			finding.violate(fmt.Sprintf("%s: complete with %d pieces of %d", entry.Inquiry, len(entry.Texts), entry.Asked))
+			finding.Violate(fmt.Sprintf("%s: complete with %d pieces of %d", entry.Inquiry, len(entry.Texts), entry.Asked))
 		}
 	}
 	return finding
@@ -122,13 +122,13 @@
 		case MemoryTaken:
 			finding.Looked++
 			if earlier, found := taken[entry.Handle]; found {
-				finding.violate(fmt.Sprintf("handle %s taken for %s and for %s", entry.Handle, earlier.Inquiry, entry.Inquiry))
+				finding.Violate(fmt.Sprintf("handle %s taken for %s and for %s", entry.Handle, earlier.Inquiry, entry.Inquiry))
 			}
 			taken[entry.Handle] = entry
 			runs[run]++
 		case DecodeStarted:
 			if runs[run] == 0 {
-				finding.violate(fmt.Sprintf("%s run %d answers without its own memory", entry.Inquiry, entry.Run))
+				finding.Violate(fmt.Sprintf("%s run %d answers without its own memory", entry.Inquiry, entry.Run))
 			}
 			runs[run]--
 		}
@@ -171,7 +171,7 @@
 			late := entry.At.Sub(since)
 			worst = max(worst, late)
 			if late > limit {
-				finding.violate(fmt.Sprintf("%s asked %s after %s was closed", entry.Inquiry, late, place(entry)))
+				finding.Violate(fmt.Sprintf("%s asked %s after %s was closed", entry.Inquiry, late, place(entry)))
 			}
 		}
 	}
@@ -198,7 +198,7 @@
 			}
 			worst = max(worst, late)
 			if late > inForceLimit {
-				finding.violate(fmt.Sprintf("%s shows edition %d, %s after edition %d was accepted", entry.Courier, entry.Edition, late, acceptance.Edition))
+				finding.Violate(fmt.Sprintf("%s shows edition %d, %s after edition %d was accepted", entry.Courier, entry.Edition, late, acceptance.Edition))
 			}
 		}
 	}
@@ -226,7 +226,7 @@
 		}
 		finding.Looked++
 		if entry.Edition < seen[entry.Courier] {
-			finding.violate(fmt.Sprintf("%s shows edition %d after %d", entry.Courier, entry.Edition, seen[entry.Courier]))
+			finding.Violate(fmt.Sprintf("%s shows edition %d after %d", entry.Courier, entry.Edition, seen[entry.Courier]))
 		}
 		seen[entry.Courier] = max(seen[entry.Courier], entry.Edition)
 	}
@@ -245,7 +245,7 @@
 	}
 	for _, entry := range entries {
 		if (entry.Kind == EditionSeen || entry.Kind == EditionRead) && refused[entry.Edition] {
-			finding.violate(fmt.Sprintf("%s shows edition %d, which was refused", entry.Courier, entry.Edition))
+			finding.Violate(fmt.Sprintf("%s shows edition %d, which was refused", entry.Courier, entry.Edition))
 		}
 	}
 	return finding
@@ -263,7 +263,7 @@
 		finding.Looked++
 		for _, acceptance := range accepted {
 			if acceptance.At.Before(entry.At.Add(-entry.Took)) && entry.Edition < acceptance.Edition {
-				finding.violate(fmt.Sprintf("read edition %d, and %d was accepted %s earlier", entry.Edition, acceptance.Edition, entry.At.Sub(acceptance.At)))
+				finding.Violate(fmt.Sprintf("read edition %d, and %d was accepted %s earlier", entry.Edition, acceptance.Edition, entry.At.Sub(acceptance.At)))
 			}
 		}
 	}
@@ -332,14 +332,14 @@
 		}
 		// A retried run asks twice, at a prefill and at a decode server: both count.
 		if float64(recentExtra) > triesShare*float64(recentFirst)+float64(saved) {
-			finding.violate(fmt.Sprintf("%d extra tries for %d first ones within %s", recentExtra, recentFirst, triesWindow))
+			finding.Violate(fmt.Sprintf("%d extra tries for %d first ones within %s", recentExtra, recentFirst, triesWindow))
 		}
 	}
 	finding.Looked = first
 	share := float64(extra) / float64(max(first, 1))
 	finding.Worst = strconv.FormatFloat(share, 'f', 3, 64) + ", in a window " + strconv.FormatFloat(worst, 'f', 3, 64)
 	if float64(extra) > triesShare*float64(first)+float64(triesSaved*len(couriers)) {
-		finding.violate(fmt.Sprintf("%d extra tries for %d first ones", extra, first))
+		finding.Violate(fmt.Sprintf("%d extra tries for %d first ones", extra, first))
 	}
 	return finding
 }
@@ -355,7 +355,7 @@
 		finding.Looked++
 		worst = max(worst, entry.Depth)
 		if entry.Depth > coldDepth {
-			finding.violate(fmt.Sprintf("%s had %d at once, %s old", entry.Server, entry.Depth, entry.Age))
+			finding.Violate(fmt.Sprintf("%s had %d at once, %s old", entry.Server, entry.Depth, entry.Age))
 		}
 	}
 	finding.Worst = strconv.Itoa(worst)
@@ -376,7 +376,7 @@
 		earlier, found := last[entry.Server]
 		last[entry.Server] = entry
 		if entry.Kind == CommandRefused {
-			finding.violate(fmt.Sprintf("%s was commanded by %s under the old fence %d", entry.Server, entry.Holder, entry.Fence))
+			finding.Violate(fmt.Sprintf("%s was commanded by %s under the old fence %d", entry.Server, entry.Holder, entry.Fence))
 		}
 		if !found || earlier.Holder == entry.Holder {
 			continue
@@ -386,7 +386,7 @@
 			shortest = between
 		}
 		if between < turnLimit {
-			finding.violate(fmt.Sprintf("%s was commanded by %s and %s later by %s", entry.Server, earlier.Holder, between, entry.Holder))
+			finding.Violate(fmt.Sprintf("%s was commanded by %s and %s later by %s", entry.Server, earlier.Holder, between, entry.Holder))
 		}
 	}
 	if shortest > 0 {
@@ -417,7 +417,7 @@
 		}
 		opened[flag] = true
 		if len(lacking[flag]) > 0 {
-			finding.violate(fmt.Sprintf("%s while %d known members lack %s", what, len(lacking[flag]), flag))
+			finding.Violate(fmt.Sprintf("%s while %d known members lack %s", what, len(lacking[flag]), flag))
 		}
 	}
 	seen := func(key, what string) {
@@ -426,7 +426,7 @@
 			return
 		}
 		if taps && !opened[flag] {
-			finding.violate(fmt.Sprintf("%s before %s was enabled", what, flag))
+			finding.Violate(fmt.Sprintf("%s before %s was enabled", what, flag))
 		}
 		open(flag, what)
 	}
@@ -517,7 +517,7 @@
 			since, found := back[name]
 			worst = max(worst, since)
 			if !found || since > returnLimit {
-				finding.violate(fmt.Sprintf("after %s: %s came back %v, after %s", entry.Cause, name, found, since))
+				finding.Violate(fmt.Sprintf("after %s: %s came back %v, after %s", entry.Cause, name, found, since))
 			}
 		}
 	}
@@ -559,7 +559,7 @@
 		}
 		worst = max(worst, took)
 		if took > heldLimit {
-			finding.violate(fmt.Sprintf("%s was refused (%s) after %s", entry.Inquiry, entry.Cause, entry.Took))
+			finding.Violate(fmt.Sprintf("%s was refused (%s) after %s", entry.Inquiry, entry.Cause, entry.Took))
 		}
 	}
 	finding.late(worst)
--- a/internal/rehearsal/finding.go
+++ b/internal/rehearsal/finding.go
@@ -15,7 +15,12 @@
 	Seconds float64 `json:"worst_seconds,omitempty"`
 }
 
-func (finding *Finding) violate(example string) {
+// Violate counts one broken rule, and keeps some as examples.
+//
+// Example:
+//
+//	finding.Violate("try 1 ran at two servers")
+func (finding *Finding) Violate(example string) {
 	finding.Violations++
 	if len(finding.Examples) < 5 {
 		finding.Examples = append(finding.Examples, example)
--- /dev/null
+++ b/internal/rehearsal/platformday/book.go
@@ -0,0 +1,68 @@
+// Package platformday plays days of the users' platform over loopback, around the
+// product's programs as they are deployed: model servers with engines, the list of
+// servers, operators, clients and the machines that the programs run on. The rules
+// are judged by what these saw.
+package platformday
+
+import (
+	"encoding/json"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Book is the record of one day.
+type Book struct {
+	mutex  sync.Mutex
+	events []Event
+}
+
+// Note writes an event down, at this moment unless it says another.
+//
+// Example:
+//
+//	book.Note(platformday.Event{Kind: platformday.ServerBorn, Server: "i-1"})
+func (book *Book) Note(event Event) {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	if event.At.IsZero() {
+		event.At = time.Now()
+	}
+	book.events = append(book.events, event)
+}
+
+// Events gives all events in the order of their time.
+//
+// Example:
+//
+//	verdict := platformday.Judge(book.Events(), site)
+func (book *Book) Events() []Event {
+	book.mutex.Lock()
+	defer book.mutex.Unlock()
+	events := append([]Event(nil), book.events...)
+	sort.SliceStable(events, func(left, right int) bool { return events[left].At.Before(events[right].At) })
+	return events
+}
+
+// Save writes the book as JSON lines.
+//
+// Example:
+//
+//	failure := book.Save("book.jsonl")
+func (book *Book) Save(path string) error {
+	file, failure := os.Create(path)
+	if failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	encoder := json.NewEncoder(file)
+	for _, event := range book.Events() {
+		if failure := encoder.Encode(event); failure != nil {
+			_ = file.Close()
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+	}
+	return trouble.Wrap(trouble.Disk, file.Close())
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/checkers.go
@@ -0,0 +1,275 @@
+package platformday
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// A checker holds one rule, by the rule's name, against what the stand-ins saw.
+var checkers = []struct {
+	name  string
+	check func(record *record, finding *rehearsal.Finding)
+}{
+	{"MIXED answers", checkMixed}, {"MIXED handles", checkHandles}, {"UNASKED", checkUnasked}, {"TWICE", checkTwice}, {"REFUSED", checkRefused}, {"DENIED", checkDenied}, {"ROUTE", checkRoute},
+	{"DRAIN servers", checkDrain}, {"DRAIN readiness", checkUnready}, {"LOST", checkLost}, {"CONFIG applied", checkApplied}, {"CONFIG later routes", checkLaterRoutes}, {"CONFIG back", checkBack},
+	{"CONFIG refused", checkRefusedEditions}, {"CONFIG acknowledged", checkAcknowledged}, {"CONFIG read back", checkReadBack}, {"CONFIG held", checkHeld},
+	{"BUDGET", checkBudget}, {"BUDGET servers", checkServers}, {"BUDGET deadline", checkDeadlines}, {"ORDER", checkOrder}, {"FAILBACK", checkFailback}, {"EVAC", checkEvacuated},
+	{"RECOVER", checkRecover}, {"ONE", checkOne}, {"GONE", checkGone}, {"ACKS", checkAcks}, {"ENDED", checkEnded},
+}
+
+// checkMixed: a success bears its server's seal and that run's own events; nothing else
+// reaches a client.
+func checkMixed(record *record, finding *rehearsal.Finding) {
+	for _, event := range record.events {
+		if event.Kind == StrayBytes {
+			finding.Violate(event.Machine + " wrote on a circuit on which no request waited")
+		}
+	}
+	for _, seen := range record.order {
+		ended := seen.ended
+		if !seen.over || ended.Status == 0 && ended.Cause != causeNoAnswer {
+			continue
+		}
+		finding.Looked++
+		name := seen.sent.Try + " at " + seen.sent.Machine
+		if ended.Cause == causeNoAnswer {
+			finding.Violate(name + " got bytes that are no answer")
+			continue
+		}
+		if ended.Bears != "" && ended.Bears != seen.sent.Try {
+			finding.Violate(name + " got the answer of " + ended.Bears)
+		}
+		runs := map[string]bool{}
+		for _, start := range seen.starts {
+			runs[start.Seal] = true
+		}
+		if ended.Status/100 == 2 {
+			// A run whose first event was cut with its server may have no start of its own
+			// in the answer's head; its seal is the server's all the same.
+			if ended.Seal == "" || !runs[ended.Seal] && !record.sealed(ended.Seal, seen) {
+				finding.Violate(fmt.Sprintf("%s got %d with the seal %q, which no server gave to it", name, ended.Status, ended.Seal))
+			}
+		} else if ended.Seal != "" && !slices.ContainsFunc(seen.ends, func(end Event) bool { return end.Seal == ended.Seal && end.Status == ended.Status }) {
+			finding.Violate(fmt.Sprintf("%s got %d under a seal whose server said otherwise", name, ended.Status))
+		}
+		for _, span := range ended.Spans {
+			if span.Whose != seen.sent.Digest || !runs[span.Run] {
+				finding.Violate(fmt.Sprintf("%s got an event of run %s of request %s", name, span.Run, span.Whose))
+				break
+			}
+		}
+	}
+}
+
+// sealed tells whether a server ended an answer of a try under that seal.
+func (record *record) sealed(seal string, seen *trySeen) bool {
+	return slices.ContainsFunc(seen.ends, func(end Event) bool { return end.Seal == seal })
+}
+
+// checkHandles: a request goes on only from its own prompt's memory.
+func checkHandles(record *record, finding *rehearsal.Finding) {
+	for _, event := range record.events {
+		if event.Kind == HandleTaken {
+			finding.Looked++
+			if event.Try != event.Request {
+				finding.Violate(event.Try + " continued from the handle of " + event.Request)
+			}
+		}
+	}
+}
+
+// checkUnasked: what runs, or is read, is what a client sent, unchanged.
+func checkUnasked(record *record, finding *rehearsal.Finding) {
+	for _, event := range record.events {
+		if event.Kind != RunStarted && event.Kind != PromptRead {
+			continue
+		}
+		finding.Looked++
+		seen := record.tries[event.Try]
+		switch {
+		case seen == nil:
+			finding.Violate(event.Server + " ran " + event.Try + ", which no client sent")
+		case seen.sent.Digest != event.Digest:
+			finding.Violate(event.Server + " ran " + event.Try + " changed on its way")
+		}
+	}
+}
+
+// checkTwice: what may not be repeated runs once at most.
+func checkTwice(record *record, finding *rehearsal.Finding) {
+	for _, seen := range record.order {
+		if seen.sent.Repeatable {
+			continue
+		}
+		finding.Looked++
+		if len(seen.starts) > 1 {
+			finding.Violate(fmt.Sprintf("%s ran %d times, at %s and %s", seen.sent.Try, len(seen.starts), seen.starts[0].Server, seen.starts[1].Server))
+		}
+	}
+}
+
+// checkRefused: what may not be repeated and was answered with a promise never runs.
+func checkRefused(record *record, finding *rehearsal.Finding) {
+	for _, seen := range record.order {
+		if seen.sent.Repeatable || !seen.over || !promised(seen.ended.Status) {
+			continue
+		}
+		finding.Looked++
+		if len(seen.starts) > 0 {
+			finding.Violate(fmt.Sprintf("%s was answered %d and ran at %s", seen.sent.Try, seen.ended.Status, seen.starts[0].Server))
+		}
+	}
+}
+
+// checkDenied: proper requests are hardly ever turned away for good.
+func checkDenied(record *record, finding *rehearsal.Finding) {
+	touched, others := 0, 0
+	var example string
+	for _, seen := range record.order {
+		status := seen.ended.Status
+		if !seen.over {
+			continue
+		}
+		finding.Looked++
+		if status/100 != 3 && status/100 != 4 || promised(status) || seen.ended.Seal != "" {
+			continue
+		}
+		always, ever := true, len(record.editions) > 0
+		for _, edition := range record.editions {
+			_, found := edition.Routes[seen.sent.Route]
+			if edition.mayHold(seen.ended.At) && !record.outdated(edition, seen.sent.At) {
+				always = always && found
+			}
+			ever = ever && found
+		}
+		switch {
+		case always && record.contact.inTouch(seen.sent.Machine, seen.sent.At):
+			touched++
+			example = fmt.Sprintf("%s at %s got %d on %s", seen.sent.Try, seen.sent.Machine, status, seen.sent.Route)
+		case ever:
+			others++
+			example = fmt.Sprintf("%s at %s got %d on %s", seen.sent.Try, seen.sent.Machine, status, seen.sent.Route)
+		}
+	}
+	if limit := 5 + len(record.order)/500; touched > limit || others > 10 {
+		finding.Violate(fmt.Sprintf("%d from machines in touch, %d from others, such as %s", touched, others, example))
+	}
+}
+
+// outdated tells whether a newer edition than this one was in force for long enough.
+func (record *record) outdated(edition *editionSeen, at time.Time) bool {
+	return slices.ContainsFunc(record.editions, func(newer *editionSeen) bool {
+		return newer.Revision > edition.Revision && newer.outcome == acknowledged && newer.closed.Add(record.terms.Apply).Before(at)
+	})
+}
+
+// checkRoute: a service runs only what some configuration sends to it.
+func checkRoute(record *record, finding *rehearsal.Finding) {
+	for _, handling := range record.handlings() {
+		if handling.service == "" {
+			continue
+		}
+		finding.Looked++
+		if !slices.ContainsFunc(record.editions, handling.fits) {
+			finding.Violate(fmt.Sprintf("%s on %s ran at the service %s", handling.try.sent.Try, handling.route, handling.service))
+		}
+	}
+}
+
+// checkDrain: no request reaches a server long after the list shows it leaving.
+func checkDrain(record *record, finding *rehearsal.Finding) {
+	worst := time.Duration(0)
+	finding.Limit = record.terms.Drain.String()
+	for _, event := range record.events {
+		since, leaving := record.shown[event.Server]
+		seen := record.tries[event.Try]
+		if event.Kind != Arrived || event.Status == 421 || !leaving || seen == nil {
+			continue
+		}
+		finding.Looked++
+		late := event.At.Sub(since)
+		if !record.contact.inTouch(seen.sent.Machine, event.At) {
+			continue
+		}
+		worst = max(worst, late)
+		if late > record.terms.Drain {
+			finding.Violate(fmt.Sprintf("%s from %s reached %s %s after the list showed it leaving", event.Try, seen.sent.Machine, event.Server, late))
+		}
+	}
+	finding.Worst, finding.Seconds = worst.String(), worst.Seconds()
+}
+
+// checkUnready: machines that are told to end soon call themselves unready.
+func checkUnready(record *record, finding *rehearsal.Finding) {
+	terms, late := 0, 0
+	for _, events := range record.contact.machines {
+		for position, event := range events {
+			if event.Kind != MachineTerm {
+				continue
+			}
+			terms++
+			finding.Looked++
+			until := event.At.Add(6 * time.Second)
+			if position+1 < len(events) && events[position+1].At.Before(until) {
+				until = events[position+1].At
+			}
+			if slices.ContainsFunc(record.events, func(asked Event) bool {
+				return asked.Kind == ReadyAsked && asked.Machine == event.Machine && asked.Status == 200 && asked.At.After(event.At.Add(4*time.Second)) && asked.At.Before(until)
+			}) {
+				late++
+			}
+		}
+	}
+	if late >= 2 && late*4 > terms {
+		finding.Violate(fmt.Sprintf("%d of %d machines were ready four seconds after SIGTERM", late, terms))
+	}
+}
+
+// checkLost: around a planned end of a machine no request that was passed on is broken
+// off, save by its server.
+func checkLost(record *record, finding *rehearsal.Finding) {
+	grace := record.terms.Grace
+	for _, seen := range record.order {
+		if !seen.over || seen.ended.Complete || seen.ended.GaveUp || seen.sent.Probe {
+			continue
+		}
+		events := record.contact.machines[seen.sent.Machine]
+		for _, event := range events {
+			if event.Kind != MachineTerm || seen.ended.At.Before(event.At) || seen.sent.At.After(event.At.Add(grace+time.Second)) || seen.ended.At.After(event.At.Add(grace+time.Second)) {
+				continue
+			}
+			finding.Looked++
+			switch {
+			case len(seen.arrivals) == 0 && seen.ended.At.Sub(seen.sent.At) <= record.terms.LossSlack:
+			case len(seen.arrivals) == 0 && seen.ended.Status == 0 && seen.ended.Cause != "EOF" && seen.ended.Cause != "unexpected EOF":
+				// The circuit was refused or reset before the request was read.
+			case record.brokenByServer(seen):
+			case seen.ended.At.Sub(seen.sent.At) >= seen.sent.Deadline-50*time.Millisecond:
+			case record.contact.unplanned(seen.sent.Machine, seen.sent.At.Add(-record.terms.Contact), seen.ended.At):
+			case slices.ContainsFunc(seen.ends, func(end Event) bool { return end.At.After(event.At.Add(grace / 2)) }) && !seen.sent.At.After(event.At.Add(3*time.Second)):
+			default:
+				finding.Violate(fmt.Sprintf("%s at %s was cut (%s) %s after the SIGTERM", seen.sent.Try, seen.sent.Machine, seen.ended.Cause, seen.ended.At.Sub(event.At).Round(time.Millisecond)))
+			}
+		}
+	}
+}
+
+// brokenByServer tells whether the server of a try broke off, crashed or was silent.
+func (record *record) brokenByServer(seen *trySeen) bool {
+	for _, end := range seen.ends {
+		if end.Cause == "broken off" || end.Cause == "spoilt" || end.Cause == "answer lost" || end.Cause == "dark" {
+			return true
+		}
+	}
+	for _, arrival := range seen.arrivals {
+		if slices.ContainsFunc(record.events, func(event Event) bool {
+			return event.Kind == ServerGone && event.Server == arrival.Server && event.At.After(seen.sent.At.Add(-time.Second)) && event.At.Before(seen.ended.At.Add(time.Second))
+		}) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/circuit.go
@@ -0,0 +1,46 @@
+package platformday
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// circuit is a client's connection to a machine. One request at a time uses it.
+type circuit struct {
+	net.Conn
+	reader  *bufio.Reader
+	machine string
+	// rests is until when the client may take it up again.
+	rests time.Time
+}
+
+// dial connects to a machine; it gets a second to come up.
+func dial(to door) (*circuit, error) {
+	connection, failure := net.DialTimeout("tcp", to.front, time.Second)
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	return &circuit{Conn: connection, reader: bufio.NewReaderSize(connection, 4096), machine: to.machine}, nil
+}
+
+// quiet tells whether nothing came on a resting circuit: stray is true when bytes did.
+func (circuit *circuit) quiet() (open, stray bool) {
+	if circuit.reader.Buffered() > 0 {
+		return false, true
+	}
+	_ = circuit.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
+	_, failure := circuit.reader.Peek(1)
+	_ = circuit.SetReadDeadline(time.Time{})
+	if failure == nil {
+		return false, true
+	}
+	return errors.Is(failure, os.ErrDeadlineExceeded), false
+}
+
+var errNoMachine = trouble.New(trouble.Unreachable, "no machine takes clients")
--- /dev/null
+++ b/internal/rehearsal/platformday/clients.go
@@ -0,0 +1,232 @@
+package platformday
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Clients send requests at a steady seeded rate, whatever becomes of them.
+type Clients struct {
+	book    *Book
+	site    Site
+	gate    *Gate
+	clients []*client
+	waiting sync.WaitGroup
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	times  float64
+	bursts string
+}
+
+// client is one of them: it keeps circuits, or opens a new one for each try.
+type client struct {
+	zone   string
+	number int
+	keeps  bool
+	mutex  sync.Mutex
+	rest   []*circuit
+}
+
+func newClients(book *Book, site Site, gate *Gate, seed uint64) *Clients {
+	clients := &Clients{book: book, site: site, gate: gate, random: rand.New(rand.NewPCG(seed, 3)), times: 1}
+	for _, zone := range site.Zones {
+		for number := range site.Clients {
+			clients.clients = append(clients.clients, &client{zone: zone, number: len(clients.clients)*7919 + number, keeps: number%3 != 0})
+		}
+	}
+	return clients
+}
+
+// press multiplies the traffic of a kind of request, or of all.
+func (clients *Clients) press(class string, times float64) {
+	clients.mutex.Lock()
+	defer clients.mutex.Unlock()
+	clients.bursts, clients.times = class, times
+}
+
+// next draws the pause until the next request, and that request and its client.
+func (clients *Clients) next() (time.Duration, *request, *client) {
+	clients.mutex.Lock()
+	defer clients.mutex.Unlock()
+	total, shares := 0.0, make([]float64, len(clients.site.Classes))
+	for position, class := range clients.site.Classes {
+		shares[position] = class.Share
+		if clients.bursts == class.Name || clients.bursts == "" {
+			shares[position] *= clients.times
+		}
+		total += shares[position]
+	}
+	draw, chosen := clients.random.Float64()*total, 0
+	for position, share := range shares {
+		if draw -= share; draw < 0 {
+			chosen = position
+			break
+		}
+	}
+	class := clients.site.Classes[chosen]
+	gap := time.Duration(clients.random.ExpFloat64() / (clients.site.Rate * total) * float64(time.Second))
+	route := "r-" + class.Name
+	rule := RouteRule{Host: class.Name + ".example", Prefix: "/" + class.Name + "/", Class: class.Name}
+	return gap, newRequest(class, route, rule, clients.random), clients.clients[clients.random.IntN(len(clients.clients))]
+}
+
+// run sends requests until the lifetime ends, then waits for their answers.
+func (clients *Clients) run(lifetime context.Context) {
+	defer clients.waiting.Wait()
+	for {
+		gap, one, sender := clients.next()
+		if !pause(lifetime, min(gap, time.Second)) {
+			return
+		}
+		one.began = time.Now()
+		clients.waiting.Go(func() { clients.converse(one, sender) })
+	}
+}
+
+// converse sends a request and, as clients do, tries again on a new circuit.
+func (clients *Clients) converse(one *request, sender *client) {
+	behind := 0
+	for number := 0; ; number++ {
+		if one.left() <= 0 {
+			return
+		}
+		circuit, failure := clients.circuit(one, sender, number)
+		var again *try
+		if failure != nil {
+			clients.book.Note(Event{Kind: TryEnded, Request: one.id, Class: one.class.Name, Route: one.route, Number: number, Repeatable: one.class.Resumable, Aim: one.class.Aim, Began: one.began, Cause: "no circuit: " + failure.Error()})
+			again = &try{one: one, unread: true}
+		} else {
+			again = one.send(circuit, number, behind, clients.book)
+			clients.rest(sender, circuit, again)
+		}
+		if spans := again.event.Spans; len(spans) > 0 {
+			behind = spans[len(spans)-1].To
+		}
+		wait, comes := again.comesBack()
+		if !comes || number >= one.class.Retries {
+			return
+		}
+		if !pause(context.Background(), wait) {
+			return
+		}
+	}
+}
+
+// comesBack tells whether, and after which pause, a client tries again.
+func (try *try) comesBack() (time.Duration, bool) {
+	event, usual := try.event, 60*time.Millisecond
+	switch event.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return max(usual, min(try.retry, try.one.left()/3)), true
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
+		return 0, false
+	}
+	switch {
+	case event.Status/100 == 2 && event.Complete, event.Cause == causeLeft:
+		return 0, false
+	case try.unread:
+		return usual, true
+	}
+	return usual, try.one.class.Resumable
+}
+
+// circuit takes up a resting circuit, or opens one to a machine of the client's zone: a
+// hash of the client picks it, and further tries meet other machines.
+func (clients *Clients) circuit(one *request, sender *client, number int) (*circuit, error) {
+	if number == 0 {
+		for {
+			circuit := sender.take()
+			if circuit == nil {
+				break
+			}
+			open, stray := circuit.quiet()
+			if stray {
+				clients.book.Note(Event{Kind: StrayBytes, Machine: circuit.machine})
+			}
+			if open {
+				one.machines[circuit.machine] = true
+				return circuit, nil
+			}
+			_ = circuit.Close()
+		}
+	}
+	doors := clients.gate.taking(sender.zone)
+	if len(doors) == 0 {
+		return nil, errNoMachine
+	}
+	to := doors[sender.number%len(doors)]
+	for offset := range doors {
+		if other := doors[(sender.number+offset)%len(doors)]; !one.machines[other.machine] {
+			to = other
+			break
+		}
+	}
+	if number == 0 {
+		to = doors[sender.number%len(doors)]
+	}
+	one.machines[to.machine] = true
+	return dial(to)
+}
+
+func (sender *client) take() *circuit {
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	for len(sender.rest) > 0 {
+		circuit := sender.rest[len(sender.rest)-1]
+		sender.rest = sender.rest[:len(sender.rest)-1]
+		if time.Now().Before(circuit.rests) {
+			return circuit
+		}
+		_ = circuit.Close()
+	}
+	return nil
+}
+
+// rest keeps a circuit for the next request, or closes it.
+func (clients *Clients) rest(sender *client, circuit *circuit, last *try) {
+	if !last.keeps || !sender.keeps {
+		_ = circuit.Close()
+		return
+	}
+	_ = circuit.SetDeadline(time.Time{})
+	sender.mutex.Lock()
+	defer sender.mutex.Unlock()
+	sender.rest = append(sender.rest, circuit)
+}
+
+// probe sends a request on a route straight to a machine, to see which configuration is
+// in force there.
+func (clients *Clients) probe(to door, route string, rule RouteRule) {
+	class := clients.site.classOf(rule.Class)
+	class.Shared, class.OwnTokens, class.MostTokens, class.BodyBytes, class.Deadline = nil, 60, 2, 200, 2*time.Second
+	clients.mutex.Lock()
+	one := newRequest(class, route, rule, clients.random)
+	clients.mutex.Unlock()
+	one.probe, one.leaves = true, false
+	circuit, failure := dial(to)
+	if failure != nil {
+		return
+	}
+	defer func() { _ = circuit.Close() }()
+	one.send(circuit, 0, 0, clients.book)
+}
+
+// close closes what rests.
+func (clients *Clients) close() {
+	for _, sender := range clients.clients {
+		for {
+			circuit := sender.take()
+			if circuit == nil {
+				break
+			}
+			if _, stray := circuit.quiet(); stray {
+				clients.book.Note(Event{Kind: StrayBytes, Machine: circuit.machine})
+			}
+			_ = circuit.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/configcheckers.go
@@ -0,0 +1,223 @@
+package platformday
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// checkApplied: soon after a version was acknowledged nothing is handled as only an older
+// one would.
+func checkApplied(record *record, finding *rehearsal.Finding) {
+	for _, handling := range record.handlings() {
+		if !record.contact.inTouch(handling.machine, handling.sent) || !record.contact.inTouch(handling.machine, handling.at) {
+			continue
+		}
+		due := 0
+		for _, edition := range record.editions {
+			if edition.outcome == acknowledged && !edition.invalid && edition.closed.Add(record.terms.Apply).Before(handling.sent) {
+				due = max(due, edition.Revision)
+			}
+		}
+		finding.Looked++
+		if due == 0 {
+			continue
+		}
+		if _, newest, found := record.span(handling); found && newest < due {
+			finding.Violate(fmt.Sprintf("%s handled %s on %s (%q) as version %d would, with %d in force", handling.machine, handling.try.sent.Try, handling.route, handling.service, newest, due))
+		}
+	}
+}
+
+// checkLaterRoutes: routes that came later are served as the first ones are.
+func checkLaterRoutes(record *record, finding *rehearsal.Finding) {
+	counts := map[bool][2]int{}
+	for _, seen := range record.order {
+		if !seen.over || !record.contact.inTouch(seen.sent.Machine, seen.sent.At) {
+			continue
+		}
+		later := strings.HasPrefix(seen.sent.Route, "r-late-") || strings.HasPrefix(seen.sent.Route, "r-many-")
+		if later {
+			held := slices.ContainsFunc(record.editions, func(edition *editionSeen) bool {
+				_, found := edition.Routes[seen.sent.Route]
+				return found && edition.outcome == acknowledged && edition.closed.Add(record.terms.Apply).Before(seen.sent.At) && !record.outdated(edition, seen.ended.At.Add(record.terms.Apply))
+			})
+			if !held {
+				continue
+			}
+		} else if seen.sent.Probe {
+			continue
+		}
+		count := counts[later]
+		count[0]++
+		if seen.ended.Complete && seen.ended.Status/100 == 2 {
+			count[1]++
+		}
+		counts[later] = count
+		finding.Looked++
+	}
+	firsts, laters := counts[false], counts[true]
+	if laters[0] >= 20 && laters[1]*firsts[0]*4 < firsts[1]*laters[0] {
+		finding.Violate(fmt.Sprintf("%d of %d on later routes, %d of %d on the first", laters[1], laters[0], firsts[1], firsts[0]))
+	}
+}
+
+// checkBack: in one life of its processes a machine never goes back to an older version.
+func checkBack(record *record, finding *rehearsal.Finding) {
+	type effect struct {
+		at      time.Time
+		version int
+	}
+	effects := map[string][]effect{}
+	for _, handling := range record.handlings() {
+		oldest, newest, found := record.span(handling)
+		if !found {
+			continue
+		}
+		finding.Looked++
+		life := fmt.Sprintf("%s#%d", handling.machine, record.contact.life(handling.machine, handling.sent))
+		for _, earlier := range effects[life] {
+			if handling.sent.After(earlier.at.Add(record.terms.RevertSlack)) && newest < earlier.version {
+				finding.Violate(fmt.Sprintf("%s showed version %d and later handled %s on %s as version %d would", handling.machine, earlier.version, handling.try.sent.Try, handling.route, newest))
+				break
+			}
+		}
+		if handling.service != "" {
+			effects[life] = append(effects[life], effect{handling.at, oldest})
+		}
+	}
+}
+
+// checkRefusedEditions: what was refused, lost its race or is invalid takes no effect.
+func checkRefusedEditions(record *record, finding *rehearsal.Finding) {
+	for _, handling := range record.handlings() {
+		if handling.service == "" {
+			continue
+		}
+		finding.Looked++
+		if _, _, found := record.span(handling); found {
+			continue
+		}
+		for _, edition := range record.editions {
+			if !edition.sent.After(handling.at) && handling.fits(edition) {
+				finding.Violate(fmt.Sprintf("%s ran %s on %s, which only version %d (%s) allows", handling.machine, handling.try.sent.Try, handling.route, edition.Revision, edition.outcome))
+				break
+			}
+		}
+	}
+}
+
+// checkAcknowledged: of two changes on top of one version one is acknowledged at most, and
+// no invalid one is.
+func checkAcknowledged(record *record, finding *rehearsal.Finding) {
+	bases := map[int]int{}
+	for _, edition := range record.editions {
+		finding.Looked++
+		if edition.outcome != acknowledged {
+			continue
+		}
+		if edition.invalid {
+			finding.Violate(fmt.Sprintf("the invalid version %d was acknowledged", edition.Revision))
+			continue
+		}
+		if other, twice := bases[edition.base]; twice && other != edition.Revision {
+			finding.Violate(fmt.Sprintf("versions %d and %d on top of %d were both acknowledged", other, edition.Revision, edition.base))
+		}
+		bases[edition.base] = edition.Revision
+	}
+}
+
+// checkReadBack: what is read at the end of the day is the newest acknowledged version or
+// a newer one, and says what was sent under its number.
+func checkReadBack(record *record, finding *rehearsal.Finding) {
+	newest := 0
+	for _, edition := range record.editions {
+		if edition.outcome == acknowledged && !edition.invalid {
+			newest = max(newest, edition.Revision)
+		}
+	}
+	for _, event := range record.events {
+		if event.Kind != ReadBack {
+			continue
+		}
+		finding.Looked++
+		switch {
+		case event.Revision == 0:
+			finding.Violate("the configuration could not be read at the end: " + event.Cause)
+		case event.Revision < newest:
+			finding.Violate(fmt.Sprintf("version %d was read, %d had been acknowledged", event.Revision, newest))
+		case !event.Complete:
+			finding.Violate(fmt.Sprintf("version %d reads otherwise than it was sent: %s", event.Revision, event.Cause))
+		}
+	}
+}
+
+// checkHeld: requests have their answer by their route's own limit.
+func checkHeld(record *record, finding *rehearsal.Finding) {
+	long, late := 0, 0
+	for _, seen := range record.order {
+		longest := time.Duration(0)
+		for _, edition := range record.editions {
+			if edition.mayHold(seen.ended.At) && !record.outdated(edition, seen.sent.At) {
+				longest = max(longest, edition.deadlineOf(seen.sent.Route))
+			}
+		}
+		lasted := seen.ended.At.Sub(seen.sent.At)
+		if !seen.over || longest == 0 || lasted <= longest || !record.contact.inTouch(seen.sent.Machine, seen.sent.At) {
+			continue
+		}
+		finding.Looked++
+		long++
+		if lasted > longest+500*time.Millisecond {
+			late++
+		}
+	}
+	if late >= 8 && late*4 > long {
+		finding.Violate(fmt.Sprintf("%d of %d that lasted longer than their route allows had no answer half a second later", late, long))
+	}
+}
+
+// checkAcks: a proper order of the operators is acknowledged in time while the core is
+// settled.
+func checkAcks(record *record, finding *rehearsal.Finding) {
+	worst := time.Duration(0)
+	judge := func(name string, sent, closed time.Time, routes int) {
+		finding.Looked++
+		limit := record.terms.Acknowledge + time.Duration(routes)*3*time.Millisecond
+		// The wait counts from when the core is settled, and ends when it no longer is.
+		begins := sent
+		for moment := sent; moment.Before(closed); moment = moment.Add(50 * time.Millisecond) {
+			if !record.contact.settled(moment) {
+				begins = moment.Add(50 * time.Millisecond)
+				continue
+			}
+			if moment.Sub(begins) > limit {
+				finding.Violate(fmt.Sprintf("%s was not acknowledged in %s", name, limit))
+				return
+			}
+		}
+		worst = max(worst, closed.Sub(sent))
+	}
+	for _, edition := range record.editions {
+		if !edition.invalid && edition.outcome != refused && !edition.closed.IsZero() {
+			judge(fmt.Sprintf("version %d", edition.Revision), edition.sent, edition.closed, len(edition.Routes))
+		}
+	}
+	for _, event := range record.events {
+		if event.Kind != EvacuateSent {
+			continue
+		}
+		closed := event.At
+		for _, other := range record.events {
+			if other.At.After(event.At) && other.Zone == event.Zone && (other.Kind == Evacuated || other.Kind == TakenBack) {
+				closed = other.At
+				break
+			}
+		}
+		judge("the evacuation of "+event.Zone, event.At, closed, 0)
+	}
+	finding.Worst, finding.Limit, finding.Seconds = worst.Round(time.Millisecond).String(), record.terms.Acknowledge.String(), worst.Seconds()
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/contact.go
@@ -0,0 +1,123 @@
+package platformday
+
+import (
+	"sort"
+	"time"
+)
+
+// contact tells which machines were in touch when: undisturbed for a time, with the core
+// settled for as long.
+type contact struct {
+	length   time.Duration
+	machines map[string][]Event
+	core     []Event
+	size     int
+	closed   time.Time
+}
+
+var disturbing = map[EventKind]bool{MachineUp: true, MachineKilled: true, MachineTerm: true, MachineFrozen: true, MachineThawed: true, MachineGone: true, EndedByItself: true}
+
+func newContact(events []Event, length time.Duration) *contact {
+	contact := &contact{length: length, machines: map[string][]Event{}}
+	members := map[string]bool{}
+	for _, event := range events {
+		if event.Kind == ClosingFault {
+			contact.closed = event.At
+		}
+		if !disturbing[event.Kind] {
+			continue
+		}
+		// A process that ends by itself counts as running all the while.
+		if event.Kind == EndedByItself {
+			continue
+		}
+		contact.machines[event.Machine] = append(contact.machines[event.Machine], event)
+		if event.Core {
+			contact.core = append(contact.core, event)
+			members[event.Machine] = true
+		}
+	}
+	contact.size = len(members)
+	return contact
+}
+
+// before is the last of some events that happened by a moment, by its place; -1 is none.
+func before(events []Event, at time.Time) int {
+	return sort.Search(len(events), func(position int) bool { return events[position].At.After(at) }) - 1
+}
+
+func (contact *contact) running(event Event) bool {
+	return event.Kind == MachineUp || event.Kind == MachineThawed
+}
+
+// calm tells whether a machine's processes ran undisturbed for the time of contact.
+func (contact *contact) calm(machine string, at time.Time) bool {
+	events := contact.machines[machine]
+	last := before(events, at)
+	return last >= 0 && contact.running(events[last]) && at.Sub(events[last].At) >= contact.length
+}
+
+// settled tells whether more than half of the core runs and nothing was done to it for
+// the time of contact, twice that after a closing fault.
+func (contact *contact) settled(at time.Time) bool {
+	last := before(contact.core, at)
+	if last < 0 {
+		return true
+	}
+	length := contact.length
+	if !contact.closed.IsZero() && at.After(contact.closed) {
+		length *= 2
+	}
+	if at.Sub(contact.core[last].At) < length {
+		return false
+	}
+	state := map[string]Event{}
+	for _, event := range contact.core[:last+1] {
+		state[event.Machine] = event
+	}
+	up, members := 0, 0
+	for _, event := range state {
+		if event.Kind == MachineGone {
+			continue
+		}
+		members++
+		if contact.running(event) {
+			up++
+		}
+	}
+	return up*2 > members
+}
+
+// inTouch tells whether a machine is bound by the rules' bounds of time at a moment.
+func (contact *contact) inTouch(machine string, at time.Time) bool {
+	return contact.calm(machine, at) && contact.settled(at)
+}
+
+// unplanned tells whether anything but planned work was done to a machine, or to the
+// core, in a span.
+func (contact *contact) unplanned(machine string, from, to time.Time) bool {
+	planned := map[string]bool{}
+	for _, events := range [][]Event{contact.machines[machine], contact.core} {
+		for _, event := range events {
+			if event.Kind == MachineTerm {
+				planned[event.Machine] = true
+			}
+			start := event.Kind == MachineUp && planned[event.Machine]
+			if event.Kind != MachineTerm && !start && !event.At.Before(from) && !event.At.After(to) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// life numbers the lives of a machine's processes.
+func (contact *contact) life(machine string, at time.Time) int {
+	life := 0
+	for _, event := range contact.machines[machine] {
+		if event.Kind == MachineUp && !event.At.After(at) {
+			life++
+		}
+	}
+	return life
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/day_test.go
@@ -0,0 +1,56 @@
+package platformday
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+func TestMain(suite *testing.M) {
+	// A day starts its machines' processes with the path of their settings and little else:
+	// then this program is the stand-in of one.
+	if os.Getenv(settingsName) != "" {
+		runPassThrough()
+		return
+	}
+	os.Exit(suite.Run())
+}
+
+// oneMachine is a site with a single machine, on which the pass-through runs.
+func oneMachine() Site {
+	site := SmallSite()
+	site.Zones, site.Plain = site.Zones[:1], 0
+	for position := range site.Services {
+		site.Services[position].PerZone, site.Services[position].Readers = 3, 0
+	}
+	site.Rate = 8
+	return site
+}
+
+// TestStandInsAgreeWithEachOther plays a quiet day around the pass-through: nothing is
+// broken that such a thing can hold.
+func TestStandInsAgreeWithEachOther(test *testing.T) {
+	own, failure := os.Executable()
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	role := Role{Name: "through", Run: own, Share: 1, On: "edge", Serves: []string{"edge", "control"}, binaries: ""}
+	role.binaries = own[:len(own)-len("/platformday.test")]
+	day, failure := NewDay(oneMachine(), []Role{role}, 5, test.TempDir(), test.Output())
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	defer day.Close()
+	if failure := day.Begin(20 * time.Second); failure != nil {
+		test.Fatal(failure, day.Logs(10))
+	}
+	verdict := day.Run(Plan{Length: 6})
+	if verdict.Violations() > 0 || verdict.Figures.Served() < 0.95 {
+		test.Errorf("a quiet day:\n%s", verdict)
+	}
+	for _, checker := range []string{"MIXED answers", "UNASKED", "TWICE", "ORDER", "CONFIG read back", "ACKS"} {
+		if verdict.Finding(checker).Looked == 0 {
+			test.Errorf("%s had nothing to look at", checker)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/directory.go
@@ -0,0 +1,163 @@
+package platformday
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// directoryBeat is how often the directory looks at the servers; listPage how many one
+// page of the list holds.
+const (
+	directoryBeat = 100 * time.Millisecond
+	listPage      = 4
+)
+
+// serverPage is an entry of the list.
+type serverPage struct {
+	ID       string      `json:"id"`
+	Backend  string      `json:"backend"`
+	Address  string      `json:"address"`
+	Zone     string      `json:"zone"`
+	Revision string      `json:"revision"`
+	Slots    int         `json:"slots"`
+	State    string      `json:"state"`
+	ColdLeft int64       `json:"coldLeftMs"`
+	Phase    string      `json:"phase"`
+	ModelIDs []modelPage `json:"modelIds"`
+}
+
+// Directory is the platform's list of servers, which is some time behind.
+type Directory struct {
+	Address string
+
+	book *Book
+	park *Park
+	site Site
+	http *http.Server
+	end  context.CancelFunc
+
+	mutex sync.Mutex
+	looks []look
+	asked []time.Time
+}
+
+// look is what the directory saw at one moment.
+type look struct {
+	at      time.Time
+	servers []serverPage
+	crashed map[string]time.Time
+}
+
+// startDirectory begins the list at an address.
+func startDirectory(book *Book, park *Park, site Site, address string) (*Directory, error) {
+	listener, failure := net.Listen("tcp", address)
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	}
+	directory := &Directory{Address: address, book: book, park: park, site: site}
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(pathServers), directory.list)
+	directory.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	var lifetime context.Context
+	lifetime, directory.end = context.WithCancel(context.Background())
+	directory.look(time.Now().Add(-time.Hour))
+	go func() { _ = directory.http.Serve(listener) }()
+	go func() {
+		for pause(lifetime, directoryBeat) {
+			directory.look(time.Now())
+		}
+	}()
+	return directory, nil
+}
+
+// crashedStays is how long a server stays on the list that has crashed.
+const crashedStays = 2 * time.Second
+
+// look writes down which servers there are. One that is gone without having been shown
+// as leaving stays for some seconds.
+func (directory *Directory) look(now time.Time) {
+	servers := directory.park.all()
+	pages := make([]serverPage, 0, len(servers))
+	present := map[string]bool{}
+	for _, server := range servers {
+		page := server.listed(now)
+		present[page.ID] = true
+		pages = append(pages, page)
+	}
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	crashed := map[string]time.Time{}
+	if len(directory.looks) > 0 {
+		last := directory.looks[len(directory.looks)-1]
+		for _, page := range last.servers {
+			since, known := last.crashed[page.ID]
+			if present[page.ID] || page.State == stateDraining {
+				continue
+			}
+			if !known {
+				since = now
+			}
+			if now.Sub(since) < crashedStays {
+				crashed[page.ID] = since
+				pages = append(pages, page)
+			} else {
+				directory.book.Note(Event{Kind: Shown, At: now.Add(directory.site.ListLag + directoryBeat), Server: page.ID, Service: page.Backend, Cause: "gone"})
+			}
+		}
+	}
+	directory.looks = append(directory.looks, look{at: now, servers: pages, crashed: crashed})
+	for len(directory.looks) > 1 && now.Sub(directory.looks[1].at) > directory.site.ListLag {
+		directory.looks = directory.looks[1:]
+	}
+}
+
+// list answers with one page of what was seen a lag ago.
+func (directory *Directory) list(writer http.ResponseWriter, inbound *http.Request) {
+	now := time.Now()
+	directory.mutex.Lock()
+	for len(directory.asked) > 0 && now.Sub(directory.asked[0]) > time.Second {
+		directory.asked = directory.asked[1:]
+	}
+	directory.asked = append(directory.asked, now)
+	over := float64(len(directory.asked)) > directory.site.ListRate
+	seen := directory.looks[0]
+	directory.mutex.Unlock()
+	status := http.StatusOK
+	if over {
+		status = http.StatusTooManyRequests
+	}
+	directory.book.Note(Event{Kind: ListRead, Status: status})
+	if over {
+		writer.WriteHeader(status)
+		return
+	}
+	zone, token := inbound.URL.Query().Get("zone"), inbound.URL.Query().Get("pageToken")
+	skipped, _ := strconv.Atoi(strings.TrimPrefix(token, "p-"))
+	pages := []serverPage{}
+	for _, page := range seen.servers {
+		if zone == "" || page.Zone == zone {
+			pages = append(pages, page)
+		}
+	}
+	var next any
+	pages = pages[min(skipped, len(pages)):]
+	if len(pages) > listPage {
+		pages, next = pages[:listPage], "p-"+strconv.Itoa(skipped+listPage)
+	}
+	say(writer, http.StatusOK, map[string]any{"servers": pages, "nextToken": next})
+}
+
+func (directory *Directory) close() {
+	directory.end()
+	_ = directory.http.Close()
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/edition.go
@@ -0,0 +1,180 @@
+package platformday
+
+import (
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// Edition is one version of the configuration, as an operator holds it.
+type Edition struct {
+	Revision int                  `json:"revision"`
+	Routes   map[string]RouteRule `json:"routes"`
+}
+
+// RouteRule is a route of an edition.
+type RouteRule struct {
+	Host     string         `json:"host"`
+	Prefix   string         `json:"prefix"`
+	Class    string         `json:"class,omitempty"`
+	Deadline int            `json:"deadline"`
+	Services map[string]int `json:"services"`
+}
+
+// idleRoutes is how many routes without traffic of their own an edition begins with.
+const idleRoutes = 6
+
+// FirstEdition is the configuration that a day begins with: a route for each kind of
+// request, and some without traffic.
+//
+// Example:
+//
+//	edition := platformday.FirstEdition(site)
+func FirstEdition(site Site) Edition {
+	edition := Edition{Revision: 3, Routes: map[string]RouteRule{}}
+	for _, class := range site.Classes {
+		edition.Routes["r-"+class.Name] = RouteRule{Host: class.Name + ".example", Prefix: "/" + class.Name + "/", Class: class.Name,
+			Deadline: int(class.Deadline.Milliseconds()), Services: map[string]int{class.Service: 1}}
+	}
+	for number := range idleRoutes {
+		name, rule := idleRule(site, "r-idle-"+strconv.Itoa(number))
+		edition.Routes[name] = rule
+	}
+	return edition
+}
+
+// idleRule is a route that only the kit's probes use.
+func idleRule(site Site, name string) (string, RouteRule) {
+	class := site.Classes[len(site.Classes)-1]
+	return name, RouteRule{Host: name + ".example", Prefix: "/" + name + "/", Class: class.Name, Deadline: int(class.Deadline.Milliseconds()), Services: map[string]int{class.Service: 1}}
+}
+
+// Next copies an edition under another number.
+//
+// Example:
+//
+//	next := edition.Next(edition.Revision + 2)
+func (edition Edition) Next(revision int) Edition {
+	routes := make(map[string]RouteRule, len(edition.Routes))
+	for name, rule := range edition.Routes {
+		rule.Services = maps.Clone(rule.Services)
+		routes[name] = rule
+	}
+	return Edition{Revision: revision, Routes: routes}
+}
+
+// Allows tells whether a request on a route may go to a service.
+//
+// Example:
+//
+//	edition.Allows("r-chat", "desk")
+func (edition Edition) Allows(route, service string) bool {
+	return edition.Routes[route].Services[service] > 0
+}
+
+// page writes the edition as operators send it.
+func (edition Edition) page(site Site) map[string]any {
+	return map[string]any{
+		"revision": edition.Revision, "routes": edition.routePages(site, slices.Sorted(maps.Keys(edition.Routes))), "backends": servicePages(site),
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+func (edition Edition) routePages(site Site, names []string) []any {
+	pages := []any{}
+	for _, name := range names {
+		rule := edition.Routes[name]
+		class := site.classOf(rule.Class)
+		page := map[string]any{
+			"name": name, "host": rule.Host, "pathPrefix": rule.Prefix, "routeKind": "streaming", "deadlineMs": rule.Deadline,
+			"targetMs": class.Aim.Milliseconds(), "priority": class.Priority, "maxTries": class.MaxTries, "sticky": true,
+			"resumable": class.Resumable, "tokenGapMs": class.Pause.Milliseconds(),
+		}
+		services := slices.Sorted(maps.Keys(rule.Services))
+		if len(services) == 1 && rule.Services[services[0]] == 1 {
+			page["backend"] = services[0]
+		} else {
+			split := []any{}
+			for _, service := range services {
+				split = append(split, map[string]any{"backend": service, "weight": rule.Services[service]})
+			}
+			page["split"] = split
+		}
+		pages = append(pages, page)
+	}
+	return pages
+}
+
+func servicePages(site Site) []any {
+	pages := []any{}
+	for _, service := range site.Services {
+		shape := service.Engine
+		pages = append(pages, map[string]any{
+			"name": service.Name, "healthPath": pathHealth, "maxConns": shape.Connections, "protocol": "h1", "tls": false,
+			"coldStartS": shape.Cold.Seconds(), "coldPerS": shape.ColdPerSecond,
+			"runtime": map[string]any{"slots": shape.Slots, "kvCapacity": shape.Capacity, "kvTokenBytes": int(shape.TokenBytes), "linkMbps": shape.LinkMegabits,
+				"stride": 1, "handleTtlS": shape.HandleLife.Seconds(), "roleSwitchS": shape.Switch.Seconds(), "modelIds": []any{map[string]any{"name": modelName}}},
+		})
+	}
+	return pages
+}
+
+// amendment is what turns one edition into the next, as operators send it by name.
+func (edition Edition) amendment(site Site, next Edition) map[string]any {
+	var changed, removed []string
+	for name, rule := range next.Routes {
+		if before, found := edition.Routes[name]; !found || !reflect.DeepEqual(before, rule) {
+			changed = append(changed, name)
+		}
+	}
+	for name := range edition.Routes {
+		if _, found := next.Routes[name]; !found {
+			removed = append(removed, name)
+		}
+	}
+	sort.Strings(changed)
+	sort.Strings(removed)
+	page := map[string]any{"revision": next.Revision}
+	if len(changed) > 0 {
+		page["upsert"] = map[string]any{"routes": next.routePages(site, changed)}
+	}
+	if len(removed) > 0 {
+		page["remove"] = map[string]any{"routes": removed}
+	}
+	return page
+}
+
+// samePage tells whether a configuration that was read says the same as one that was
+// sent; the order of named items says nothing.
+func samePage(sent map[string]any, read []byte) bool {
+	text, failure := json.Marshal(sent)
+	if failure != nil {
+		return false
+	}
+	var left, right map[string]any
+	if json.Unmarshal(text, &left) != nil || json.Unmarshal(read, &right) != nil {
+		return false
+	}
+	for _, page := range []map[string]any{left, right} {
+		for _, list := range []string{"routes", "backends"} {
+			items, _ := page[list].([]any)
+			sort.SliceStable(items, func(first, second int) bool { return itemName(items[first]) < itemName(items[second]) })
+		}
+	}
+	return reflect.DeepEqual(left, right)
+}
+
+func itemName(item any) string {
+	fields, _ := item.(map[string]any)
+	name, _ := fields["name"].(string)
+	return name
+}
+
+// deadlineOf is how long an edition's route may be held.
+func (edition Edition) deadlineOf(route string) time.Duration {
+	return time.Duration(edition.Routes[route].Deadline) * time.Millisecond
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/engine_test.go
@@ -0,0 +1,100 @@
+package platformday
+
+import (
+	"testing"
+	"time"
+)
+
+func smallShape() Shape {
+	return Shape{Slots: 2, Queue: 2, Step: time.Millisecond, TokensPerMillisecond: 10, Chunk: 100, Block: 10, Capacity: 400}
+}
+
+// drive steps an engine until a request is over, and gives the time that took.
+func drive(test *testing.T, engine *engine, now time.Time, one *work) time.Duration {
+	test.Helper()
+	began := now
+	for range 10_000 {
+		if one.stage == over {
+			return now.Sub(began)
+		}
+		length, pieces := engine.plan(now)
+		now = now.Add(length)
+		engine.apply(now, pieces)
+	}
+	test.Fatal("the request is never over")
+	return 0
+}
+
+// TestKeptPartsAreNotReadAgain reads a chain twice, and once more after others took
+// its room.
+func TestKeptPartsAreNotReadAgain(test *testing.T) {
+	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
+	chain := []part{{"shared", 100}, {"own", 50}}
+	first := &work{model: "m", chain: chain, most: 2, arrived: now}
+	engine.enter(first)
+	cold := drive(test, engine, now, first)
+	second := &work{model: "m", chain: chain, most: 2, arrived: now}
+	engine.enter(second)
+	if warm := drive(test, engine, now, second); cold < 15*time.Millisecond || warm > 3*time.Millisecond {
+		test.Errorf("cold %s, warm %s", cold, warm)
+	}
+	if tokens := engine.memory.missing("m", []part{{"shared", 100}, {"other", 50}}); tokens != 50 {
+		test.Errorf("%d tokens are missing of a chain with another end", tokens)
+	}
+	if tokens := engine.memory.missing("m2", chain); tokens != 150 {
+		test.Errorf("%d tokens are missing for another model", tokens)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		filler := &work{model: "m", chain: []part{{id, 120}}, most: 1, arrived: now}
+		engine.enter(filler)
+		drive(test, engine, now, filler)
+	}
+	if tokens := engine.memory.missing("m", chain); tokens != 150 {
+		test.Errorf("%d tokens are missing after others took the room", tokens)
+	}
+	if engine.memory.kept > 400 || engine.memory.fixed != 0 || engine.memory.pinned() != 0 {
+		test.Errorf("kept %d, fixed %d, pinned %d", engine.memory.kept, engine.memory.fixed, engine.memory.pinned())
+	}
+}
+
+// TestMemoryPressurePutsTheNewestBack runs two requests whose tokens don't both fit.
+func TestMemoryPressurePutsTheNewestBack(test *testing.T) {
+	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
+	older := &work{model: "m", chain: []part{{"a", 150}}, most: 80, arrived: now}
+	newer := &work{model: "m", chain: []part{{"b", 150}}, most: 80, arrived: now.Add(time.Second)}
+	if !engine.enter(older) || !engine.enter(newer) {
+		test.Fatal("not let in")
+	}
+	drive(test, engine, now, newer)
+	if engine.putBack == 0 || older.stage != over || older.ending != "" || newer.made != 80 {
+		test.Errorf("put back %d times; older %+v newer %+v", engine.putBack, older, newer)
+	}
+}
+
+// TestUrgentRequestsTakeThePlaceOfOthers fills the queue.
+func TestUrgentRequestsTakeThePlaceOfOthers(test *testing.T) {
+	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
+	var usual []*work
+	for number := range 2 {
+		one := &work{model: "m", most: 1, urgency: 5, arrived: now.Add(time.Duration(number))}
+		usual = append(usual, one)
+		engine.enter(one)
+	}
+	if engine.enter(&work{model: "m", most: 1, urgency: 5, arrived: now.Add(time.Second)}) {
+		test.Error("a full server let another in")
+	}
+	urgent := &work{model: "m", most: 1, urgency: 0, arrived: now.Add(time.Second)}
+	if !engine.enter(urgent) || usual[1].stage != over || usual[1].ending == "" || engine.waiting[0] != urgent {
+		test.Errorf("the urgent request did not take a place: %+v", usual[1])
+	}
+	if engine.enter(&work{model: "m", most: 500, arrived: now}) {
+		test.Error("a request larger than the memory was let in")
+	}
+	late := &work{model: "m", most: 1, arrived: now, ends: now.Add(-time.Second)}
+	engine.waiting = nil
+	engine.enter(late)
+	engine.apply(now, nil)
+	if late.stage != over || late.ending != "deadline" || late.begun {
+		test.Errorf("a request past its deadline: %+v", late)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/mischief.go
@@ -0,0 +1,43 @@
+package platformday
+
+import "math/rand/v2"
+
+// mischief is how a model server misbehaves.
+type mischief struct {
+	// dark: it is silent. lapses: its handles lapse at once. slowed: moves of memory take
+	// so many times as long.
+	dark   bool
+	lapses bool
+	slowed float64
+	// spoils and loses are the shares of answers that are broken off or spoilt, and that
+	// are lost once they were made; late: a second answer comes in the place of the next.
+	spoils float64
+	loses  float64
+	late   bool
+}
+
+// spoiling is what becomes of one answer.
+type spoiling int
+
+const (
+	unspoilt spoiling = iota
+	brokenOff
+	garbage
+	extraLate
+	lost
+)
+
+// draw chooses what becomes of an answer.
+func (mischief mischief) draw(random *rand.Rand) spoiling {
+	draw := random.Float64()
+	switch {
+	case draw < mischief.loses:
+		return lost
+	case draw < mischief.loses+mischief.spoils:
+		if mischief.late && random.IntN(2) == 0 {
+			return extraLate
+		}
+		return []spoiling{brokenOff, garbage}[random.IntN(2)]
+	}
+	return unspoilt
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/operators.go
@@ -0,0 +1,257 @@
+package platformday
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Operators change the configuration and evacuate zones.
+type Operators struct {
+	day    *Day
+	client *http.Client
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	// editions are all that were ever sent, by their revision; current is the newest that
+	// is known to be in force.
+	sent     map[int]map[string]any
+	editions map[int]Edition
+	current  Edition
+	numbers  int
+	// watched are the routes that probes ask for.
+	watched map[string]RouteRule
+}
+
+func newOperators(day *Day, seed uint64) *Operators {
+	return &Operators{day: day, random: rand.New(rand.NewPCG(seed, 11)), sent: map[int]map[string]any{}, editions: map[int]Edition{}, watched: map[string]RouteRule{},
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: follow}}
+}
+
+// follow goes where a 307 sends a caller, twice.
+func follow(_ *http.Request, before []*http.Request) error {
+	if len(before) > 2 {
+		return http.ErrUseLastResponse
+	}
+	return nil
+}
+
+// outcome is how a call of the operators ended.
+type outcome string
+
+const (
+	acknowledged outcome = "acknowledged"
+	refused      outcome = "refused"
+	unclear      outcome = "unclear"
+)
+
+// answer is what came back for one call.
+type answer struct {
+	outcome outcome
+	status  int
+	body    []byte
+	// node is the address that gave it.
+	node string
+}
+
+// call sends one and the same call until it has a clear answer, to any machine that
+// serves control.
+func (operators *Operators) call(lifetime context.Context, method, path string, header http.Header, body []byte) answer {
+	rest, others, hazy := 50*time.Millisecond, 0, false
+	for lifetime.Err() == nil {
+		given, _ := operators.once(lifetime, method, path, header, body)
+		// What is refused after a sending without a clear answer may yet be in force.
+		refusal := refused
+		if hazy {
+			refusal = unclear
+		}
+		switch status := given.status; {
+		case status/100 == 2:
+			given.outcome = acknowledged
+			return given
+		case status == 400, status == 409, status == 412, status == 413, status == 422:
+			given.outcome = refusal
+			return given
+		case status/100 == 4 && status != 408 && status != 429:
+			if others++; others == 3 {
+				given.outcome = refusal
+				return given
+			}
+		default:
+			hazy = true
+		}
+		if !pause(lifetime, rest) {
+			break
+		}
+		rest = min(2*rest, 600*time.Millisecond)
+	}
+	return answer{outcome: unclear}
+}
+
+func (operators *Operators) once(lifetime context.Context, method, path string, header http.Header, body []byte) (answer, error) {
+	node := operators.pick()
+	if node == "" {
+		return answer{}, errNoMachine
+	}
+	patience, end := context.WithTimeout(lifetime, time.Second+time.Duration(len(body)>>16)*100*time.Millisecond)
+	defer end()
+	outbound, failure := http.NewRequestWithContext(patience, method, "http://"+node+path, bytes.NewReader(body))
+	if failure != nil {
+		return answer{}, failure
+	}
+	if header != nil {
+		outbound.Header = header.Clone()
+	}
+	inbound, failure := operators.client.Do(outbound)
+	if failure != nil {
+		return answer{}, failure
+	}
+	defer func() { _ = inbound.Body.Close() }()
+	read, failure := io.ReadAll(inbound.Body)
+	if failure != nil {
+		return answer{}, failure
+	}
+	return answer{status: inbound.StatusCode, body: read, node: inbound.Request.URL.Host}, nil
+}
+
+// pick draws a machine that serves control, from a list that is some time late.
+func (operators *Operators) pick() string {
+	nodes := operators.day.controls(operators.day.Site.Terms.SeedLag)
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[operators.random.IntN(len(nodes))]
+}
+
+// known is the edition that the operators believe to be in force.
+func (operators *Operators) known() Edition {
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	return operators.current
+}
+
+// draft makes the next edition over another, with a number of its own.
+func (operators *Operators) draft(base Edition) Edition {
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	operators.numbers = max(operators.numbers, base.Revision) + 1 + operators.random.IntN(3)
+	return base.Next(operators.numbers)
+}
+
+// watch has the probes ask for a route from now on.
+func (operators *Operators) watch(route string, rule RouteRule) {
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	operators.watched[route] = rule
+}
+
+func (operators *Operators) watchList() map[string]RouteRule {
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	list := make(map[string]RouteRule, len(operators.watched))
+	for route, rule := range operators.watched {
+		list[route] = rule
+	}
+	return list
+}
+
+// propose sends an edition over another until it has a clear answer.
+func (operators *Operators) propose(lifetime context.Context, base, next Edition, amends, invalid bool, spoil func(page map[string]any) []byte) answer {
+	page := next.page(operators.day.Site)
+	operators.mutex.Lock()
+	if !invalid {
+		operators.sent[next.Revision], operators.editions[next.Revision] = page, next
+	}
+	operators.mutex.Unlock()
+	path, text := pathReplace, page
+	if amends {
+		path, text = pathAmend, base.amendment(operators.day.Site, next)
+	}
+	body, _ := json.Marshal(text)
+	if spoil != nil {
+		body = spoil(text)
+	}
+	change := uuid.NewString()[:8]
+	operators.day.Book.Note(Event{Kind: ChangeSent, Change: change, Revision: next.Revision, Base: base.Revision, Invalid: invalid, Edition: &next})
+	header := http.Header{headerBase: {strconv.Itoa(base.Revision)}, "Content-Type": {"application/json"}}
+	given := operators.call(lifetime, http.MethodPost, path, header, body)
+	operators.day.Book.Note(Event{Kind: ChangeClosed, Change: change, Revision: next.Revision, Base: base.Revision, Invalid: invalid, Status: given.status, Cause: string(given.outcome), Edition: &next})
+	if given.outcome == acknowledged && !invalid {
+		operators.mutex.Lock()
+		if next.Revision > operators.current.Revision {
+			operators.current = next
+		}
+		operators.mutex.Unlock()
+	}
+	return given
+}
+
+// read asks for the newest configuration until it comes.
+func (operators *Operators) read(lifetime context.Context) (int, []byte, bool) {
+	given := operators.call(lifetime, http.MethodGet, pathRead, nil, nil)
+	var page struct {
+		Revision int `json:"revision"`
+	}
+	if given.outcome != acknowledged || json.Unmarshal(given.body, &page) != nil {
+		return 0, nil, false
+	}
+	return page.Revision, given.body, true
+}
+
+// resync reads which edition is in force, after a change that was refused or not clearly
+// answered.
+func (operators *Operators) resync(lifetime context.Context) {
+	revision, _, came := operators.read(lifetime)
+	operators.mutex.Lock()
+	defer operators.mutex.Unlock()
+	if edition, known := operators.editions[revision]; came && known {
+		operators.current = edition
+	}
+}
+
+// readBack reads the configuration at the end of the day, again and again for the time
+// of contact, and notes what came last.
+func (operators *Operators) readBack(lifetime context.Context) {
+	asking, end := context.WithTimeout(lifetime, operators.day.Site.Terms.Contact+5*time.Second)
+	defer end()
+	last := Event{Kind: ReadBack, Cause: "nothing came"}
+	began := time.Now()
+	for asking.Err() == nil && time.Since(began) < operators.day.Site.Terms.Contact {
+		if revision, text, came := operators.read(asking); came {
+			operators.mutex.Lock()
+			sent := operators.sent[revision]
+			operators.mutex.Unlock()
+			last.Revision, last.Complete, last.Cause, last.At = revision, sent != nil && samePage(sent, text), "", time.Now()
+			if !last.Complete {
+				last.Cause = string(text[:min(len(text), 600)])
+			}
+		}
+		pause(asking, 300*time.Millisecond)
+	}
+	operators.day.Book.Note(last)
+}
+
+// evacuate asks that nothing more be sent to a zone's servers; takeBack ends that.
+func (operators *Operators) evacuate(lifetime context.Context, zone string) bool {
+	operators.day.Book.Note(Event{Kind: EvacuateSent, Zone: zone})
+	if operators.call(lifetime, http.MethodPost, pathEvacuate+zone, nil, nil).outcome != acknowledged {
+		return false
+	}
+	operators.day.Book.Note(Event{Kind: Evacuated, Zone: zone})
+	return true
+}
+
+func (operators *Operators) takeBack(lifetime context.Context, zone string) bool {
+	operators.day.Book.Note(Event{Kind: TakenBack, Zone: zone})
+	return operators.call(lifetime, http.MethodPost, pathTakeBack+zone, nil, nil).outcome == acknowledged
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/passthrough_test.go
@@ -0,0 +1,153 @@
+package platformday
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"os"
+	"os/signal"
+	"reflect"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// passThrough is the least that can stand in the product's place on one machine: it keeps
+// a configuration in memory and hands requests on. The stand-ins are tried against it.
+type passThrough struct {
+	settings struct {
+		BindAddrs   map[string]string `json:"bindAddrs"`
+		PlatformApi struct{ Address string }
+	}
+	mutex   sync.Mutex
+	current map[string]any
+	text    []byte
+	base    string
+	servers []serverPage
+	turn    atomic.Int64
+}
+
+// runPassThrough is the process of that stand-in, in the test's own program.
+func runPassThrough() {
+	through := &passThrough{}
+	text, failure := os.ReadFile(os.Getenv(settingsName))
+	if failure != nil || json.Unmarshal(text, &through.settings) != nil {
+		os.Exit(1)
+	}
+	go through.readList()
+	control := http.NewServeMux()
+	control.HandleFunc("POST "+pathReplace, through.replace)
+	control.HandleFunc("GET "+pathRead, func(writer http.ResponseWriter, _ *http.Request) {
+		through.mutex.Lock()
+		defer through.mutex.Unlock()
+		_, _ = writer.Write(through.text)
+	})
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+pathReady, func(writer http.ResponseWriter, _ *http.Request) {
+		through.mutex.Lock()
+		defer through.mutex.Unlock()
+		if through.current == nil || len(through.servers) == 0 {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	for name, handler := range map[string]http.Handler{"controlPlane": control, "readiness": ready, "frontHttp": http.HandlerFunc(through.pass)} {
+		go func() { _ = http.ListenAndServe(through.settings.BindAddrs[name], handler) }()
+	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM)
+	<-ended
+}
+
+func (through *passThrough) readList() {
+	for {
+		var all []serverPage
+		token := ""
+		for {
+			answer, failure := http.Get("http://" + through.settings.PlatformApi.Address + pathServers + "?pageToken=" + token)
+			if failure != nil {
+				break
+			}
+			var page struct {
+				Servers   []serverPage
+				NextToken *string
+			}
+			failure = json.NewDecoder(answer.Body).Decode(&page)
+			_ = answer.Body.Close()
+			all = append(all, page.Servers...)
+			if failure != nil || page.NextToken == nil {
+				break
+			}
+			token = *page.NextToken
+		}
+		through.mutex.Lock()
+		through.servers = all
+		through.mutex.Unlock()
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+func (through *passThrough) replace(writer http.ResponseWriter, inbound *http.Request) {
+	body, _ := io.ReadAll(inbound.Body)
+	var page map[string]any
+	through.mutex.Lock()
+	defer through.mutex.Unlock()
+	current := 0.0
+	if through.current != nil {
+		current, _ = through.current["revision"].(float64)
+	}
+	switch {
+	case json.Unmarshal(body, &page) != nil:
+		writer.WriteHeader(http.StatusBadRequest)
+	case reflect.DeepEqual(page, through.current):
+	case inbound.Header.Get(headerBase) != strconv.Itoa(int(current)):
+		writer.WriteHeader(http.StatusPreconditionFailed)
+	default:
+		through.current, through.text = page, body
+	}
+}
+
+// find picks the service of a request, and a server of it that makes tokens.
+func (through *passThrough) find(host, path string) (route bool, server *serverPage) {
+	through.mutex.Lock()
+	defer through.mutex.Unlock()
+	routes, _ := through.current["routes"].([]any)
+	for _, each := range routes {
+		fields, _ := each.(map[string]any)
+		if fields["host"] != host || !strings.HasPrefix(path, fields["pathPrefix"].(string)) {
+			continue
+		}
+		var fitting []serverPage
+		for _, page := range through.servers {
+			if page.Backend == fields["backend"] && page.Phase == stageDecode && page.State == stateServing {
+				fitting = append(fitting, page)
+			}
+		}
+		if len(fitting) == 0 {
+			return true, nil
+		}
+		return true, &fitting[through.turn.Add(1)%int64(len(fitting))]
+	}
+	return false, nil
+}
+
+func (through *passThrough) pass(writer http.ResponseWriter, inbound *http.Request) {
+	route, server := through.find(inbound.Host, inbound.URL.Path)
+	switch {
+	case !route:
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	case server == nil:
+		writer.Header().Set(headerRetryAfter, "0.2")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	onward := &httputil.ReverseProxy{FlushInterval: -1, Rewrite: func(call *httputil.ProxyRequest) {
+		call.Out.URL.Scheme, call.Out.URL.Host, call.Out.Host = "http", server.Address, inbound.Host
+		call.Out.Header.Set(headerTarget, server.ID)
+	}}
+	onward.ServeHTTP(writer, inbound)
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/plan.go
@@ -0,0 +1,178 @@
+package platformday
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/multierr"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Plan is a day as its file gives it.
+type Plan struct {
+	Name   string  `toml:"name"`
+	Seed   uint64  `toml:"seed"`
+	Length float64 `toml:"length_s"`
+	// Rate is how many requests come in a second; 0 means the site's.
+	Rate    float64  `toml:"per_s"`
+	Faults  []Fault  `toml:"fault"`
+	Closing *Closing `toml:"closing"`
+}
+
+// Fault is one trouble, or one planned piece of work, of a day.
+type Fault struct {
+	Kind    string  `toml:"kind"`
+	At      float64 `toml:"at"`
+	For     float64 `toml:"for_s"`
+	Share   float64 `toml:"share"`
+	Count   int     `toml:"count"`
+	Times   float64 `toml:"x"`
+	Gap     float64 `toml:"gap_s"`
+	How     string  `toml:"how"`
+	On      string  `toml:"on"`
+	Zone    string  `toml:"zone"`
+	Service string  `toml:"service"`
+	Class   string  `toml:"class"`
+}
+
+// Closing is the fault at the end of a day, right after a change was acknowledged.
+type Closing struct {
+	Kind string  `toml:"kind"`
+	Down float64 `toml:"down_s"`
+}
+
+// ReadPlan reads a day from a file. Every mistake in it is named.
+//
+// Example:
+//
+//	plan, mistakes := platformday.ReadPlan("day.toml")
+func ReadPlan(path string) (Plan, error) {
+	text, failure := os.ReadFile(path)
+	if failure != nil {
+		return Plan{}, trouble.Wrap(trouble.Disk, failure)
+	}
+	return ParsePlan(text)
+}
+
+// ParsePlan reads a day. Every mistake in it is named.
+//
+// Example:
+//
+//	plan, mistakes := platformday.ParsePlan([]byte("name = \"quiet\"\nlength_s = 15"))
+func ParsePlan(text []byte) (Plan, error) {
+	var plan Plan
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if failure := decoder.Decode(&plan); failure != nil {
+		var strict *toml.StrictMissingError
+		var mistakes error
+		if errors.As(failure, &strict) {
+			for _, missing := range strict.Errors {
+				mistakes = multierr.Append(mistakes, trouble.At(trouble.UnknownField, "/"+strings.Join(missing.Key(), "/"), "no such field"))
+			}
+			return plan, mistakes
+		}
+		return plan, trouble.Wrap(trouble.Malformed, failure)
+	}
+	return plan, plan.Check()
+}
+
+// Check names every mistake of a plan.
+//
+// Example:
+//
+//	mistakes := plan.Check()
+func (plan Plan) Check() (mistakes error) {
+	wrong := func(kind trouble.Kind, path, detail string) {
+		mistakes = multierr.Append(mistakes, trouble.At(kind, path, detail))
+	}
+	if plan.Length < 5 || plan.Length > 600 {
+		wrong(trouble.OutOfRange, "/length_s", "5 to 600 seconds")
+	}
+	if plan.Rate < 0 || plan.Rate > 500 {
+		wrong(trouble.OutOfRange, "/per_s", "0 to 500 requests a second")
+	}
+	for position, fault := range plan.Faults {
+		path := fmt.Sprintf("/fault/%d/", position)
+		if _, found := faultBodies[fault.Kind]; !found {
+			wrong(trouble.NoSuch, path+"kind", "none of "+strings.Join(FaultKinds(), ", "))
+		}
+		if fault.At < 0 || fault.At > plan.Length {
+			wrong(trouble.OutOfRange, path+"at", "within the day's length")
+		}
+		if fault.For < 0 || fault.For > 600 {
+			wrong(trouble.OutOfRange, path+"for_s", "0 to 600 seconds")
+		}
+		if fault.Share < 0 || fault.Share > 1 {
+			wrong(trouble.OutOfRange, path+"share", "0 to 1")
+		}
+		if fault.Count < 0 || fault.Gap < 0 || fault.Times < 0 {
+			wrong(trouble.OutOfRange, path+"count", "count, gap_s and x are not negative")
+		}
+		if fault.On != "" && fault.On != "core" && fault.On != "front" {
+			wrong(trouble.NoSuch, path+"on", "core or front")
+		}
+		if fault.Share > 0 && fault.Count > 0 {
+			wrong(trouble.Contradictory, path+"count", "share or count, not both")
+		}
+	}
+	if plan.Closing != nil {
+		if _, found := closings[plan.Closing.Kind]; !found {
+			wrong(trouble.NoSuch, "/closing/kind", "kill_all, power_off_all or wipe_after_ack")
+		}
+		if plan.Closing.Down < 0 || plan.Closing.Down > 60 {
+			wrong(trouble.OutOfRange, "/closing/down_s", "0 to 60 seconds")
+		}
+	}
+	return mistakes
+}
+
+// seconds turns a plan's number into a length of time.
+func seconds(number float64) time.Duration { return time.Duration(number * float64(time.Second)) }
+
+// lasts is how long the fault lasts, 5 s unless it says.
+func (fault Fault) lasts() time.Duration {
+	if fault.For == 0 {
+		return 5 * time.Second
+	}
+	return seconds(fault.For)
+}
+
+// gap is the pause between steps, 1 s unless it says.
+func (fault Fault) gap() time.Duration {
+	if fault.Gap == 0 {
+		return time.Second
+	}
+	return seconds(fault.Gap)
+}
+
+// share is the share that the fault says, or another.
+func (fault Fault) shareOr(usual float64) float64 {
+	if fault.Share == 0 {
+		return usual
+	}
+	return fault.Share
+}
+
+// times is how strong the fault is, or another strength.
+func (fault Fault) timesOr(usual float64) float64 {
+	if fault.Times == 0 {
+		return usual
+	}
+	return fault.Times
+}
+
+// says tells whether the fault's way holds a word.
+func (fault Fault) says(word string) bool {
+	for _, one := range strings.Fields(fault.How) {
+		if one == word {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/plan_test.go
@@ -0,0 +1,32 @@
+package platformday
+
+import (
+	"strings"
+	"testing"
+
+	"go.uber.org/multierr"
+)
+
+// TestPlansAreChecked wants each mistake of a day file named by its place.
+func TestPlansAreChecked(test *testing.T) {
+	plan, mistakes := ParsePlan([]byte("name = \"good\"\nseed = 3\nlength_s = 20\n[[fault]]\nkind = \"node_kill\"\nat = 4\nfor_s = 2.5\nshare = 0.2\n[closing]\nkind = \"kill_all\"\ndown_s = 1\n"))
+	if mistakes != nil || plan.Faults[0].Kind != "node_kill" || plan.Closing.Down != 1 {
+		test.Fatalf("%+v %v", plan, mistakes)
+	}
+	_, mistakes = ParsePlan([]byte("length_s = 2\n[[fault]]\nkind = \"no_such\"\nat = 900\nshare = 2\ncount = 1\non = \"moon\"\n[closing]\nkind = \"flood\"\n"))
+	text := ""
+	for _, mistake := range multierr.Errors(mistakes) {
+		text += mistake.Error() + "\n"
+	}
+	for _, wanted := range []string{"out_of_range at /length_s", "no_such at /fault/0/kind", "out_of_range at /fault/0/at", "out_of_range at /fault/0/share", "no_such at /fault/0/on", "contradictory at /fault/0/count", "no_such at /closing/kind"} {
+		if !strings.Contains(text, wanted) {
+			test.Errorf("%s is not among\n%s", wanted, text)
+		}
+	}
+	if _, mistakes := ParsePlan([]byte("length_s = 20\n[[fault]]\nkind = \"burst\"\nwhen = 3\n")); mistakes == nil || !strings.Contains(mistakes.Error(), "unknown_field at /fault/when") {
+		test.Errorf("an unknown field: %v", mistakes)
+	}
+	if _, mistakes := ParsePlan([]byte("length_s = [")); mistakes == nil || !strings.Contains(mistakes.Error(), "malformed") {
+		test.Errorf("no TOML: %v", mistakes)
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/record.go
@@ -0,0 +1,148 @@
+package platformday
+
+import (
+	"sort"
+	"time"
+)
+
+// record is a book with what belongs together laid side by side, for the checkers.
+type record struct {
+	events   []Event
+	site     Site
+	terms    Terms
+	contact  *contact
+	tries    map[string]*trySeen
+	order    []*trySeen
+	requests map[string][]*trySeen
+	editions []*editionSeen
+	shown    map[string]time.Time
+}
+
+// trySeen is all that was seen of one try.
+type trySeen struct {
+	sent     Event
+	ended    Event
+	over     bool
+	arrivals []Event
+	turned   []Event
+	starts   []Event
+	reads    []Event
+	ends     []Event
+}
+
+// editionSeen is an edition and how its proposal went.
+type editionSeen struct {
+	Edition
+	change  string
+	base    int
+	invalid bool
+	sent    time.Time
+	closed  time.Time
+	outcome outcome
+}
+
+func newRecord(events []Event, site Site) *record {
+	record := &record{events: events, site: site, terms: site.Terms, contact: newContact(events, site.Terms.Contact), tries: map[string]*trySeen{}, requests: map[string][]*trySeen{}, shown: map[string]time.Time{}}
+	changes := map[string]*editionSeen{}
+	for _, event := range events {
+		seen := record.tries[event.Try]
+		if event.Kind == TrySent {
+			seen = &trySeen{sent: event}
+			record.tries[event.Try] = seen
+			record.order = append(record.order, seen)
+			record.requests[event.Request] = append(record.requests[event.Request], seen)
+		}
+		switch event.Kind {
+		case ChangeSent:
+			changes[event.Change] = &editionSeen{Edition: *event.Edition, change: event.Change, base: event.Base, invalid: event.Invalid, sent: event.At, outcome: unclear}
+			record.editions = append(record.editions, changes[event.Change])
+		case ChangeClosed:
+			if change := changes[event.Change]; change != nil {
+				change.closed, change.outcome = event.At, outcome(event.Cause)
+			}
+		case Shown:
+			if _, known := record.shown[event.Server]; !known {
+				record.shown[event.Server] = event.At
+			}
+		}
+		if seen == nil {
+			continue
+		}
+		switch event.Kind {
+		case TryEnded:
+			seen.ended, seen.over = event, true
+		case Arrived:
+			seen.arrivals = append(seen.arrivals, event)
+		case TurnedAway:
+			seen.turned = append(seen.turned, event)
+		case RunStarted:
+			seen.starts = append(seen.starts, event)
+		case RunEnded:
+			seen.ends = append(seen.ends, event)
+		case PromptRead:
+			seen.reads = append(seen.reads, event)
+		}
+	}
+	sort.SliceStable(record.editions, func(left, right int) bool { return record.editions[left].Revision < record.editions[right].Revision })
+	return record
+}
+
+// mayHold tells whether an edition may be in force by a moment.
+func (edition *editionSeen) mayHold(by time.Time) bool {
+	return !edition.invalid && edition.outcome != refused && !edition.sent.After(by)
+}
+
+// promised tells whether the answer promises that the request never runs.
+func promised(status int) bool {
+	return status == 429 || status == 503 || status == 408 || status == 421
+}
+
+// handling is what a machine did with a request, as far as it shows which configuration
+// it went by.
+type handling struct {
+	try     *trySeen
+	machine string
+	route   string
+	// service is empty when the machine said that there is no such route.
+	service string
+	sent    time.Time
+	at      time.Time
+}
+
+// handlings lists what shows which configuration machines went by, in the order of time.
+func (record *record) handlings() []handling {
+	var handlings []handling
+	for _, seen := range record.order {
+		for _, event := range append(append([]Event(nil), seen.starts...), seen.reads...) {
+			handlings = append(handlings, handling{seen, seen.sent.Machine, seen.sent.Route, event.Service, seen.sent.At, event.At})
+		}
+		if seen.over && seen.ended.Status == 404 && seen.ended.Seal == "" {
+			handlings = append(handlings, handling{seen, seen.sent.Machine, seen.sent.Route, "", seen.sent.At, seen.ended.At})
+		}
+	}
+	sort.SliceStable(handlings, func(left, right int) bool { return handlings[left].at.Before(handlings[right].at) })
+	return handlings
+}
+
+// fits tells whether an edition would have a request handled like that.
+func (handling handling) fits(edition *editionSeen) bool {
+	if handling.service == "" {
+		_, found := edition.Routes[handling.route]
+		return !found
+	}
+	return edition.Allows(handling.route, handling.service)
+}
+
+// span is the oldest and the newest edition that a handling fits, among those that may be
+// in force by then.
+func (record *record) span(handling handling) (oldest, newest int, found bool) {
+	for _, edition := range record.editions {
+		if edition.mayHold(handling.at) && handling.fits(edition) {
+			if !found {
+				oldest, found = edition.Revision, true
+			}
+			newest = edition.Revision
+		}
+	}
+	return oldest, newest, found
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/request.go
@@ -0,0 +1,67 @@
+package platformday
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// request is one thing that a client wants, through all its tries.
+type request struct {
+	id       string
+	class    Class
+	route    string
+	rule     RouteRule
+	path     string
+	parts    string
+	tokens   string
+	body     []byte
+	chunked  bool
+	began    time.Time
+	probe    bool
+	leaves   bool
+	machines map[string]bool
+}
+
+// newRequest draws a request of a kind.
+func newRequest(class Class, route string, rule RouteRule, random *rand.Rand) *request {
+	one := &request{id: uuid.NewString(), class: class, route: route, rule: rule, path: rule.Prefix + strconv.Itoa(random.IntN(1000)), began: time.Now(),
+		chunked: random.IntN(3) == 0, leaves: random.IntN(40) == 0, machines: map[string]bool{}}
+	var chain []string
+	total := 0
+	thing := 0
+	for layer, shared := range class.Shared {
+		thing = random.IntN(shared.Things)
+		chain = append(chain, fmt.Sprintf("%x:%d", len(class.Name)<<24|layer<<16|thing, shared.Tokens))
+		total += shared.Tokens
+	}
+	own := class.OwnTokens/2 + random.IntN(max(1, class.OwnTokens))
+	chain = append(chain, fmt.Sprintf("%x:%d", random.Uint32(), own))
+	one.parts = strings.Join(chain, ",")
+	one.tokens = fmt.Sprintf("%d,%d", total+own, 1+class.MostTokens/2+random.IntN(class.MostTokens))
+	one.body = []byte(`{"ask":"` + one.id + `","text":"` + strings.Repeat("menu ", max(0, class.BodyBytes-60)/5) + `"}`)
+	return one
+}
+
+// header writes what a try says, save its own id and deadline.
+func (one *request) header() http.Header {
+	return http.Header{headerModel: {modelName}, headerTokens: {one.tokens}, headerParts: {one.parts}, "Content-Type": {"application/json"}}
+}
+
+// digest names what the request asks.
+func (one *request) digest() string {
+	return digestOf(http.MethodPost, one.path, one.rule.Host, one.header(), one.body)
+}
+
+// patience is the silence after which the client gives a stream up.
+func (one *request) patience() time.Duration {
+	return max(2*time.Second, 4*one.class.Aim, 8*one.class.Pause)
+}
+
+// left is how long the client still waits.
+func (one *request) left() time.Duration { return one.class.Deadline - time.Since(one.began) }
--- /dev/null
+++ b/internal/rehearsal/platformday/role.go
@@ -0,0 +1,82 @@
+package platformday
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Role is a program of the deploy file, and where it runs.
+type Role struct {
+	Name   string   `toml:"-"`
+	Run    string   `toml:"run"`
+	On     string   `toml:"on"`
+	Share  float64  `toml:"share"`
+	Count  int      `toml:"count"`
+	Apart  bool     `toml:"apart"`
+	Serves []string `toml:"serves"`
+	// binaries is the folder that its program is in.
+	binaries string
+}
+
+// ReadRoles reads the roles of a deploy file; their programs are in a folder.
+//
+// Example:
+//
+//	roles, failure := platformday.ReadRoles("deploy/system.toml", "target")
+func ReadRoles(path, binaries string) ([]Role, error) {
+	text, failure := os.ReadFile(path)
+	if failure != nil {
+		return nil, trouble.Wrap(trouble.Disk, failure)
+	}
+	var file struct {
+		Build string          `toml:"build"`
+		Roles map[string]Role `toml:"roles"`
+	}
+	if failure := toml.Unmarshal(text, &file); failure != nil {
+		return nil, trouble.Wrap(trouble.Malformed, failure)
+	}
+	var roles []Role
+	for name, role := range file.Roles {
+		if role.Run == "" || len(role.Serves) == 0 && role.Share == 0 && role.Count == 0 {
+			return nil, trouble.At(trouble.Missing, "/roles/"+name, "a role needs run, and share or count")
+		}
+		role.Name, role.binaries = name, binaries
+		roles = append(roles, role)
+	}
+	sort.Slice(roles, func(left, right int) bool { return roles[left].Name < roles[right].Name })
+	return roles, nil
+}
+
+// words are the program and its arguments.
+func (role Role) words() []string {
+	words := strings.Fields(role.Run)
+	words[0] = filepath.Join(role.binaries, filepath.Base(words[0]))
+	return words
+}
+
+// serving tells whether the role may be called from outside for that.
+func (role Role) serving(what string) bool { return slices.Contains(role.Serves, what) }
+
+// on tells whether the machine at a place in its zone runs the role; spare machines run
+// none of the roles that a count gives, unless they replace one that did.
+func (role Role) on(place, machines int) bool {
+	wanted := role.Count
+	if role.Share > 0 {
+		wanted = int(math.Ceil(role.Share * float64(machines)))
+	}
+	if role.serving("edge") {
+		wanted = machines
+	}
+	if role.Apart {
+		return place >= machines-wanted
+	}
+	return place < wanted
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/serverscheckers.go
@@ -0,0 +1,306 @@
+package platformday
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// attempts are a try's arrivals at servers that count: all but the first reading that a
+// server takes up.
+func (seen *trySeen) attempts() []Event {
+	var attempts []Event
+	free := true
+	for _, arrival := range seen.arrivals {
+		turned := arrival.Status != 0 || slices.ContainsFunc(seen.turned, func(event Event) bool { return event.Server == arrival.Server && event.Stage == arrival.Stage })
+		if arrival.Stage == stagePrefill && free && !turned {
+			free = false
+			continue
+		}
+		attempts = append(attempts, arrival)
+	}
+	return attempts
+}
+
+// checkBudget: in no window a service gets more repeats than its share of the requests,
+// and some.
+func checkBudget(record *record, finding *rehearsal.Finding) {
+	extras, requests := map[string][]time.Time{}, map[string][]time.Time{}
+	for _, seen := range record.order {
+		for _, service := range record.site.Services {
+			if slices.ContainsFunc(record.editions, func(edition *editionSeen) bool { return edition.Allows(seen.sent.Route, service.Name) }) {
+				requests[service.Name] = append(requests[service.Name], seen.sent.At)
+			}
+		}
+		if attempts := seen.attempts(); len(attempts) > 1 {
+			for _, extra := range attempts[1:] {
+				extras[extra.Service] = append(extras[extra.Service], extra.At)
+			}
+		}
+	}
+	window := record.terms.RetryWindow
+	worst := 0
+	for service, moments := range extras {
+		sort.Slice(moments, func(left, right int) bool { return moments[left].Before(moments[right]) })
+		for position, moment := range moments {
+			finding.Looked++
+			count := 0
+			for count <= position && moment.Sub(moments[position-count]) < window {
+				count++
+			}
+			most := 0
+			for _, shift := range []time.Duration{0, window / 2, window} {
+				from, to := moment.Add(-window-shift), moment.Add(-shift)
+				inside := 0
+				for _, sent := range requests[service] {
+					if sent.After(from) && !sent.After(to) {
+						inside++
+					}
+				}
+				most = max(most, inside)
+			}
+			worst = max(worst, count)
+			if limit := record.terms.RetryRatio*float64(most) + float64(record.terms.RetrySlack); float64(count) > limit {
+				finding.Violate(fmt.Sprintf("%s got %d repeats in %s, %.0f were allowed", service, count, window, limit))
+			}
+		}
+	}
+	finding.Worst = fmt.Sprintf("%d repeats", worst)
+}
+
+// checkServers: hardly any try runs on more servers than its route allows.
+func checkServers(record *record, finding *rehearsal.Finding) {
+	over, example := 0, ""
+	for _, seen := range record.order {
+		servers := map[string]bool{}
+		for _, start := range seen.starts {
+			servers[start.Server] = true
+		}
+		finding.Looked++
+		if limit := record.site.classOf(seen.sent.Class).MaxTries; limit > 0 && len(servers) > limit && !record.brokenByServer(seen) {
+			over++
+			example = seen.sent.Try
+		}
+	}
+	if over > 3 {
+		finding.Violate(fmt.Sprintf("%d tries ran on more servers than their route allows, such as %s", over, example))
+	}
+}
+
+// checkDeadlines: servers are handed no more time than is left.
+func checkDeadlines(record *record, finding *rehearsal.Finding) {
+	sent, wrong, example := 0, 0, ""
+	for _, seen := range record.order {
+		if !record.contact.inTouch(seen.sent.Machine, seen.sent.At) {
+			continue
+		}
+		for _, arrival := range seen.arrivals {
+			finding.Looked++
+			sent++
+			left := seen.sent.Deadline - arrival.At.Sub(seen.sent.At)
+			if arrival.Deadline == 0 || arrival.Deadline > max(left, 0)+500*time.Millisecond {
+				wrong++
+				example = fmt.Sprintf("%s had %s left and %s was handed %s", seen.sent.Try, left, arrival.Server, arrival.Deadline)
+			}
+		}
+	}
+	if wrong > 20 && wrong*5 > sent {
+		finding.Violate(fmt.Sprintf("%d of %d, such as %s", wrong, sent, example))
+	}
+}
+
+// checkOrder: a stream's pieces come in order, none missing and none twice, and those of
+// another run only where the request may be resumed.
+func checkOrder(record *record, finding *rehearsal.Finding) {
+	for request, tries := range record.requests {
+		last := 0
+		for _, seen := range tries {
+			run := ""
+			for _, span := range seen.ended.Spans {
+				finding.Looked++
+				if span.From != last+1 || span.To < span.From || span.ID != span.To {
+					finding.Violate(fmt.Sprintf("%s: pieces %d to %d (id %d) behind %d", request, span.From, span.To, span.ID, last))
+				}
+				if run != "" && run != span.Run && !seen.sent.Repeatable {
+					finding.Violate(fmt.Sprintf("%s: pieces of the runs %s and %s", request, run, span.Run))
+				}
+				last, run = span.To, span.Run
+			}
+			if seen.over && seen.ended.Complete && seen.ended.Status == 200 {
+				finding.Looked++
+				if !slices.ContainsFunc(seen.ends, func(end Event) bool { return end.Complete && end.Tokens == last && (run == "" || end.Seal == run) }) {
+					finding.Violate(fmt.Sprintf("%s: ended as complete with %d pieces, which no run ended with", request, last))
+				}
+			}
+		}
+	}
+}
+
+// checkFailback: a cold server gets no more requests in a second than it can bear.
+func checkFailback(record *record, finding *rehearsal.Finding) {
+	cold := map[string][]Event{}
+	for _, event := range record.events {
+		if event.Kind == Arrived && event.Cold && event.Status != 421 {
+			cold[event.Server] = append(cold[event.Server], event)
+		}
+	}
+	worst := 0
+	for server, arrivals := range cold {
+		limit := record.site.shapeOf(arrivals[0].Service).Engine.ColdPerSecond*record.terms.ColdOverrun + float64(record.terms.ColdSlack)
+		for position, arrival := range arrivals {
+			finding.Looked++
+			count := 0
+			for ; count <= position; count++ {
+				other := arrivals[position-count]
+				if arrival.At.Sub(other.At) >= time.Second {
+					break
+				}
+			}
+			worst = max(worst, count)
+			if float64(count) > limit {
+				finding.Violate(fmt.Sprintf("%s got %d requests in a second while it was cold, %.0f were allowed", server, count, limit))
+			}
+		}
+	}
+	finding.Worst = fmt.Sprintf("%d requests", worst)
+}
+
+// checkEvacuated: nothing reaches an evacuated zone's servers.
+func checkEvacuated(record *record, finding *rehearsal.Finding) {
+	since := map[string]time.Time{}
+	for _, event := range record.events {
+		switch event.Kind {
+		case Evacuated:
+			since[event.Zone] = event.At
+		case TakenBack:
+			delete(since, event.Zone)
+		case Arrived:
+			begun, evacuated := since[event.Zone]
+			seen := record.tries[event.Try]
+			if !evacuated || event.Status == 421 || seen == nil {
+				continue
+			}
+			finding.Looked++
+			if late := event.At.Sub(begun); late > record.terms.Evacuate && record.contact.inTouch(seen.sent.Machine, event.At) {
+				finding.Violate(fmt.Sprintf("%s from %s reached %s in %s %s after its evacuation", event.Try, seen.sent.Machine, event.Server, event.Zone, late))
+			}
+		}
+	}
+}
+
+// checkRecover: after the closing fault requests are served again.
+func checkRecover(record *record, finding *rehearsal.Finding) {
+	var struck, back time.Time
+	for _, event := range record.events {
+		switch event.Kind {
+		case ClosingFault:
+			struck = event.At
+		case ClosingBack:
+			back = event.At
+		}
+	}
+	if back.IsZero() {
+		return
+	}
+	earlier, later := [2]int{}, [2]int{}
+	for _, seen := range record.order {
+		if seen.sent.Probe || seen.sent.Number > 0 {
+			continue
+		}
+		count := &earlier
+		if seen.sent.At.After(back.Add(record.terms.Recovery)) {
+			count = &later
+		} else if seen.sent.At.After(struck) {
+			continue
+		}
+		finding.Looked++
+		count[0]++
+		if record.servedAt(seen.sent.Request) {
+			count[1]++
+		}
+	}
+	finding.Worst = fmt.Sprintf("%d of %d served after it, %d of %d before", later[1], later[0], earlier[1], earlier[0])
+	if earlier[1]*4 >= earlier[0] && earlier[0] > 0 && later[1]*4 < later[0] {
+		finding.Violate(finding.Worst)
+	}
+}
+
+// servedAt tells whether a request was answered whole by any of its tries.
+func (record *record) servedAt(request string) bool {
+	return slices.ContainsFunc(record.requests[request], func(seen *trySeen) bool {
+		return seen.over && seen.ended.Complete && seen.ended.Status/100 == 2
+	})
+}
+
+// checkOne: one holder at a time orders a server about, with fences that rise.
+func checkOne(record *record, finding *rehearsal.Finding) {
+	last, holders := map[string]Event{}, map[string]string{}
+	for _, event := range record.events {
+		if event.Kind != Ordered || event.Status == 421 || event.Status == 400 {
+			continue
+		}
+		finding.Looked++
+		earlier, found := last[event.Server]
+		if found {
+			switch {
+			case event.Fence < earlier.Fence:
+				finding.Violate(fmt.Sprintf("%s got fence %d of %s after fence %d of %s", event.Server, event.Fence, event.Owner, earlier.Fence, earlier.Owner))
+			case event.Owner != earlier.Owner && event.At.Sub(earlier.At) < record.terms.Lease:
+				finding.Violate(fmt.Sprintf("%s got orders of %s and of %s within %s", event.Server, earlier.Owner, event.Owner, event.At.Sub(earlier.At)))
+			}
+		}
+		fence := fmt.Sprintf("%s#%d", event.Server, event.Fence)
+		if holder, known := holders[fence]; known && holder != event.Owner {
+			finding.Violate(fmt.Sprintf("%s got fence %d of %s and of %s", event.Server, event.Fence, holder, event.Owner))
+		}
+		holders[fence], last[event.Server] = event.Owner, event
+	}
+}
+
+// checkGone: what its client has left is given up.
+func checkGone(record *record, finding *rehearsal.Finding) {
+	const soon = 500 * time.Millisecond
+	late, lasting, working := 0, 0, 0
+	for _, seen := range record.order {
+		if !seen.over || !seen.ended.GaveUp || !record.contact.inTouch(seen.sent.Machine, seen.sent.At) {
+			continue
+		}
+		left := seen.ended.At
+		finding.Looked++
+		for _, arrival := range seen.arrivals {
+			if arrival.At.After(left.Add(soon)) {
+				late++
+			}
+		}
+		for _, end := range seen.ends {
+			switch {
+			case end.Cause == "left" && end.At.Before(left.Add(soon)):
+				lasting++
+			case end.At.After(left.Add(soon)):
+				lasting++
+				working++
+			}
+		}
+	}
+	if late > 3 {
+		finding.Violate(fmt.Sprintf("%d requests reached a server half a second after their client had left", late))
+	}
+	if working > 3 && working*4 > lasting {
+		finding.Violate(fmt.Sprintf("servers were still at work on %d of %d whose client had left", working, lasting))
+	}
+}
+
+// checkEnded: no process ends by itself.
+func checkEnded(record *record, finding *rehearsal.Finding) {
+	for _, event := range record.events {
+		if event.Kind == MachineUp {
+			finding.Looked++
+		}
+		if event.Kind == EndedByItself {
+			finding.Violate(event.Machine + " " + event.Cause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/try.go
@@ -0,0 +1,178 @@
+package platformday
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+// try is one sending of a request.
+type try struct {
+	one    *request
+	id     string
+	number int
+	behind int
+	event  Event
+	// unread: the machine can't have read it. retry is the time to come back that it told.
+	unread bool
+	retry  time.Duration
+	keeps  bool
+}
+
+// send writes the request to a machine and reads what comes back.
+func (one *request) send(circuit *circuit, number, behind int, book *Book) *try {
+	try := &try{one: one, id: strings.ReplaceAll(uuid.NewString(), "-", "")[:16], number: number, behind: behind}
+	try.event = Event{Kind: TrySent, Machine: circuit.machine, Try: try.id, Request: one.id, Class: one.class.Name, Route: one.route, Number: number,
+		Repeatable: one.class.Resumable, Probe: one.probe, Digest: one.digest(), Deadline: one.left(), Aim: one.class.Aim, Began: one.began, Behind: behind, At: time.Now()}
+	outbound, failure := http.NewRequest(http.MethodPost, "http://"+one.rule.Host+one.path, bytes.NewReader(one.body))
+	if failure != nil {
+		try.event.Cause = failure.Error()
+		return try
+	}
+	outbound.Header = one.header()
+	outbound.Header.Set(headerTry, try.id)
+	outbound.Header.Set(headerDeadline, strconv.FormatInt(max(1, one.left().Milliseconds()), 10))
+	outbound.Header.Set("Accept-Encoding", "identity")
+	if behind > 0 {
+		outbound.Header.Set(headerLastEvent, strconv.Itoa(behind))
+	}
+	if one.chunked {
+		outbound.ContentLength, outbound.TransferEncoding = -1, []string{"chunked"}
+	}
+	book.Note(try.event)
+	_ = circuit.SetDeadline(one.began.Add(one.class.Deadline))
+	writer := bufio.NewWriterSize(circuit, 32<<10)
+	if failure := outbound.Write(writer); failure != nil {
+		try.ends(failure)
+	} else if failure := writer.Flush(); failure != nil {
+		try.unread = true
+		try.ends(failure)
+	} else {
+		try.read(circuit, outbound)
+	}
+	ended := try.event
+	ended.Kind, ended.At = TryEnded, time.Now()
+	try.event = ended
+	book.Note(ended)
+	return try
+}
+
+// ends notes why the answer isn't whole.
+func (try *try) ends(failure error) {
+	try.event.Complete = false
+	if errors.Is(failure, os.ErrDeadlineExceeded) {
+		try.event.GaveUp, try.event.Cause = true, "silence"
+		return
+	}
+	try.event.Cause = failure.Error()
+}
+
+// listen sets how long the client waits for the next bytes.
+func (try *try) listen(circuit *circuit) {
+	ends := time.Now().Add(try.one.patience())
+	if last := try.one.began.Add(try.one.class.Deadline); last.Before(ends) {
+		ends = last
+	}
+	_ = circuit.SetReadDeadline(ends)
+}
+
+func (try *try) read(circuit *circuit, outbound *http.Request) {
+	try.listen(circuit)
+	answer, failure := http.ReadResponse(circuit.reader, outbound)
+	if failure != nil {
+		try.ends(failure)
+		if strings.Contains(failure.Error(), "malformed") {
+			try.event.Cause = causeNoAnswer
+		}
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	try.event.Status, try.event.Seal, try.event.Bears = answer.StatusCode, answer.Header.Get(headerSeal), answer.Header.Get(headerTry)
+	if text := answer.Header.Get(headerRetryAfter); text != "" {
+		seconds, _ := strconv.ParseFloat(text, 64)
+		try.retry = time.Duration(seconds * float64(time.Second))
+	}
+	if answer.StatusCode/100 != 2 {
+		_, failure = io.Copy(io.Discard, answer.Body)
+	} else {
+		failure = try.readStream(circuit, answer.Body)
+	}
+	if failure != nil {
+		try.ends(failure)
+		return
+	}
+	try.event.Complete = true
+	try.keeps = !answer.Close
+	circuit.rests = time.Now().Add(restsFor(answer.Header.Get("Keep-Alive")))
+}
+
+// restsFor is how long a client takes up a resting circuit again.
+func restsFor(keepAlive string) time.Duration {
+	_, seconds, found := strings.Cut(keepAlive, "timeout=")
+	if count, failure := strconv.Atoi(strings.TrimRight(seconds, " ,;")); found && failure == nil {
+		return time.Duration(count) * time.Second * 4 / 5
+	}
+	return 5 * time.Second
+}
+
+const (
+	causeNoAnswer = "bytes that are no answer"
+	causeLeft     = "the client left"
+)
+
+// readStream reads events as they come.
+func (try *try) readStream(circuit *circuit, body io.Reader) error {
+	lines := bufio.NewReader(body)
+	span, last := Span{ID: -1}, time.Now()
+	for {
+		try.listen(circuit)
+		line, failure := lines.ReadString('\n')
+		line = strings.TrimRight(line, "\r\n")
+		switch {
+		case failure == nil && line == "" && span.ID >= 0:
+			now := time.Now()
+			if try.event.First.IsZero() {
+				try.event.First = now
+			} else {
+				try.event.Stall = max(try.event.Stall, now.Sub(last).Seconds())
+			}
+			last = now
+			try.event.Spans = append(try.event.Spans, span)
+			span = Span{ID: -1}
+			if try.one.leaves && len(try.event.Spans) == 2 {
+				try.event.GaveUp = true
+				return errors.New(causeLeft)
+			}
+		case strings.HasPrefix(line, "id: "):
+			span.ID, _ = strconv.Atoi(line[4:])
+		case strings.HasPrefix(line, "data: "):
+			span.read(line[6:])
+		}
+		if failure == io.EOF {
+			return nil
+		}
+		if failure != nil {
+			return failure
+		}
+	}
+}
+
+// read takes the words of an event apart; what can't be read names nobody.
+func (span *Span) read(text string) {
+	words := strings.Split(text, "/")
+	if len(words) != 3 {
+		return
+	}
+	span.Whose, span.Run = words[0], words[1]
+	from, to, _ := strings.Cut(words[2], "-")
+	span.From, _ = strconv.Atoi(from)
+	span.To, _ = strconv.Atoi(to)
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/verdict.go
@@ -0,0 +1,88 @@
+package platformday
+
+import (
+	"fmt"
+	"strings"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// Verdict is what all checkers say of a day, and its figures.
+type Verdict struct {
+	Findings []rehearsal.Finding `json:"findings"`
+	Figures  Figures             `json:"figures"`
+}
+
+// Judge holds every rule against what was seen.
+//
+// Example:
+//
+//	verdict := platformday.Judge(book.Events(), platformday.SmallSite())
+func Judge(events []Event, site Site) Verdict {
+	record, verdict := newRecord(events, site), Verdict{}
+	for _, checker := range checkers {
+		finding := rehearsal.Finding{Checker: checker.name}
+		checker.check(record, &finding)
+		verdict.Findings = append(verdict.Findings, finding)
+	}
+	verdict.Figures = figuresOf(record)
+	return verdict
+}
+
+// Violations counts the broken rules.
+//
+// Example:
+//
+//	if verdict.Violations() > 0 { os.Exit(1) }
+func (verdict Verdict) Violations() int {
+	count := 0
+	for _, finding := range verdict.Findings {
+		count += finding.Violations
+	}
+	return count
+}
+
+// Finding is what one checker says.
+//
+// Example:
+//
+//	verdict.Finding("TWICE").Violations
+func (verdict Verdict) Finding(checker string) rehearsal.Finding {
+	for _, finding := range verdict.Findings {
+		if finding.Checker == checker {
+			return finding
+		}
+	}
+	return rehearsal.Finding{}
+}
+
+// String writes the verdict for people.
+//
+// Example:
+//
+//	fmt.Print(verdict)
+func (verdict Verdict) String() string {
+	var text strings.Builder
+	for _, finding := range verdict.Findings {
+		mark := "held  "
+		if finding.Violations > 0 {
+			mark = "BROKEN"
+		}
+		_, _ = fmt.Fprintf(&text, "%s  %-20s looked at %6d", mark, finding.Checker, finding.Looked)
+		if finding.Violations > 0 {
+			_, _ = fmt.Fprintf(&text, "  broken %d times", finding.Violations)
+		}
+		if finding.Worst != "" {
+			_, _ = fmt.Fprintf(&text, "  worst %s", finding.Worst)
+		}
+		if finding.Limit != "" {
+			_, _ = fmt.Fprintf(&text, " (limit %s)", finding.Limit)
+		}
+		_, _ = fmt.Fprintln(&text)
+		for _, example := range finding.Examples {
+			_, _ = fmt.Fprintf(&text, "        %s\n", example)
+		}
+	}
+	_, _ = fmt.Fprint(&text, verdict.Figures)
+	return text.String()
+}
--- /dev/null
+++ b/internal/rehearsal/platformday/words.go
@@ -0,0 +1,42 @@
+package platformday
+
+// The platform's names on the wire, as its pages give them. They stand in the
+// test kit and in platform/, and nowhere else in the repository.
+const (
+	headerTry        = "X-Attempt-Id"
+	headerSeal       = "X-Server-Seal"
+	headerDeadline   = "X-Deadline-Ms"
+	headerTarget     = "X-Target-Server"
+	headerServer     = "X-Server-Id"
+	headerLoad       = "X-Server-Load"
+	headerCold       = "X-Cold-Ms"
+	headerNotRun     = "X-Not-Executed"
+	headerModel      = "X-Model"
+	headerTokens     = "X-Token-Count"
+	headerParts      = "X-Prompt-Prefix"
+	headerUrgency    = "X-Request-Urgency"
+	headerStage      = "X-Work-Phase"
+	headerSource     = "X-Kv-Source"
+	headerExpected   = "X-Expected-Revision"
+	headerRevision   = "X-Weight-Revisions"
+	headerLastEvent  = "Last-Event-Id"
+	headerBase       = "X-Base-Revision"
+	headerRetryAfter = "Retry-After"
+
+	pathServers   = "/servers"
+	pathReport    = "/report"
+	pathHealth    = "/health"
+	pathOrder     = "/order"
+	pathHandle    = "/kv-handle/"
+	pathReady     = "/readiness"
+	pathReplace   = "/Config.Replace"
+	pathAmend     = "/Config.Amend"
+	pathRead      = "/Config.Read"
+	pathEvacuate  = "/Evacuation.Begin/"
+	pathTakeBack  = "/Evacuation.Finish/"
+	settingsName  = "SEAMLOOM_NODE_FILE"
+	stagePrefill  = "prefill"
+	stageDecode   = "decode"
+	stateServing  = "serving"
+	stateDraining = "draining"
+)
