--- /dev/null
+++ b/internal/adapters/expediter/fleet.go
@@ -0,0 +1,59 @@
+package expediter
+
+import (
+	"net/http"
+
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+)
+
+// Edit changes the configuration if this expediter is primary, and returns once the
+// change is in force.
+//
+// Example:
+//
+//	version, failure := process.Edit(hatch.Edit{Builds: &revision, Digest: digest, Apply: replace})
+func (process *Process) Edit(edit hatch.Edit) (larder.Version, error) {
+	return process.conduct.Edit(edit)
+}
+
+// Configuration is the newest configuration that was acknowledged, if this expediter
+// is primary.
+//
+// Example:
+//
+//	text, failure := process.Configuration()
+func (process *Process) Configuration() ([]byte, error) {
+	_, _, state, failure := process.conduct.Read()
+	if failure != nil {
+		return nil, failure
+	}
+	return state.Menu, nil
+}
+
+// Leads tells whether this expediter is primary at this moment, and else the hotline
+// address of the one that is, as far as it has heard; empty if it has heard of none.
+//
+// Example:
+//
+//	if leads, elsewhere := process.Leads(); !leads && elsewhere != "" { ... }
+func (process *Process) Leads() (leads bool, elsewhere string) {
+	if _, _, failure := process.conduct.Ruling(); failure == nil {
+		return true, ""
+	}
+	address := process.conduct.Steward().Charter().Primary.Address
+	if address == process.conduct.Keeper().Seat().Address {
+		return false, ""
+	}
+	return false, address
+}
+
+// Answer listens on a further address for as long as the process lives.
+//
+// Example:
+//
+//	failure := process.Answer(chosen.ControlAddress, handler)
+func (process *Process) Answer(address string, handler http.Handler) error {
+	return program.Serve(&process.tomb, address, handler)
+}
--- a/internal/menu/check.go
+++ b/internal/menu/check.go
@@ -40,6 +40,11 @@
 		findings.add(trouble.Malformed, "/", "the text is not UTF-8")
 		return nil, findings
 	}
+	// The validator is stricter than the parser, which takes anything for a number.
+	if failure := fastjson.ValidateBytes(text); failure != nil {
+		findings.add(trouble.Malformed, "/", failure.Error())
+		return nil, findings
+	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	root, failure := parser.ParseBytes(text)
--- a/internal/menu/configuration.go
+++ b/internal/menu/configuration.go
@@ -53,28 +53,48 @@
 	return found
 }
 
-// Evacuate is the configuration's text with the district evacuated.
+// Evacuate is the configuration's text with the district evacuated: the very text
+// if it is so for that reason already.
 //
 // Example:
 //
 //	text, failure := menu.Evacuate(configuration.Text, "north", "power work")
 func Evacuate(text []byte, district, reason string) ([]byte, error) {
+	if current, evacuated, failure := evacuationOf(text, district); failure != nil || evacuated && current == reason {
+		return text, failure
+	}
 	arena := &fastjson.Arena{}
 	evacuation := arena.NewObject()
 	evacuation.Set("reason", arena.NewString(reason))
 	return mergeOne(text, arena, district, evacuation)
 }
 
-// Restore is the configuration's text with the district's evacuation lifted.
+// Restore is the configuration's text with the district's evacuation lifted: the
+// very text if there is none.
 //
 // Example:
 //
 //	text, failure := menu.Restore(configuration.Text, "north")
 func Restore(text []byte, district string) ([]byte, error) {
+	if _, evacuated, failure := evacuationOf(text, district); failure != nil || !evacuated {
+		return text, failure
+	}
 	arena := &fastjson.Arena{}
 	return mergeOne(text, arena, district, arena.NewNull())
 }
 
+// evacuationOf tells whether the text has the district evacuated, and why.
+func evacuationOf(text []byte, district string) (reason string, evacuated bool, failure error) {
+	parser := parsers.Get()
+	defer parsers.Put(parser)
+	root, failure := parser.ParseBytes(text)
+	if failure != nil {
+		return "", false, trouble.At(trouble.Malformed, "/", failure.Error())
+	}
+	found := root.Get("evacuations", district)
+	return string(found.GetStringBytes("reason")), found != nil, nil
+}
+
 func mergeOne(text []byte, arena *fastjson.Arena, district string, value *fastjson.Value) ([]byte, error) {
 	evacuations := arena.NewObject()
 	evacuations.Set(district, value)
