--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -44,9 +45,13 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), platformDayCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
 	if failure := root.Execute(); failure != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
+		var mistaken mistaken
+		if errors.As(failure, &mistaken) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
