Programs: signals are caught from the start, settings files are looked at, memory has a limit

Cause: a signal to reload that came while a process still started ended it; the platform changes settings files also without a signal; the collector knew no limit, and the primary peaked at 228 MB with 8,000 routes.

--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -31,16 +31,18 @@
 			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
 	flags := program.AddFlags(command, roster.Courier)
 	command.RunE = func(*cobra.Command, []string) error {
+		signals := program.CatchSignals()
 		chosen, mistakes := flags.Read()
 		if mistakes != nil {
 			return mistakes
 		}
+		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
 		process, failure := courier.Start(chosen, logger, wallclock.New())
 		if failure != nil {
 			return failure
 		}
-		if !program.Wait(process.Dead(), func() { reload(flags, process) }) {
+		if !signals.Wait(process.Dead(), flags.File(), func() { reload(flags, process) }) {
 			logger.Error("ended_by_itself")
 			os.Exit(1)
 		}
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -37,16 +37,18 @@
 			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
 	flags := program.AddFlags(command, roster.Expediter)
 	command.RunE = func(*cobra.Command, []string) error {
+		signals := program.CatchSignals()
 		chosen, mistakes := flags.Read()
 		if mistakes != nil {
 			return mistakes
 		}
+		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
 		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New())
 		if failure != nil {
 			return failure
 		}
-		if !program.Wait(process.Dead(), func() {
+		if !signals.Wait(process.Dead(), flags.File(), func() {
 			next, mistakes := flags.Read()
 			if mistakes != nil {
 				program.Explain(os.Stderr, mistakes)
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -7,10 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -51,6 +48,7 @@
 	set.StringVar(&flags.flagged.Platform, "platform", "", "address of the platform's lists of servers and nodes")
 	set.StringVar(&flags.flagged.LogLevel, "log-level", defaults.LogLevel, "debug, info, warn or error")
 	set.StringVar(&flags.withhold, "withhold-flags", "", "for tests: feature flags that this node claims not to support, with commas between")
+	set.IntVar(&flags.flagged.MostMemory, "most-memory-megabytes", 0, "how much memory the process may take; 0: nobody said")
 	set.DurationVar(&flags.flagged.Grace, "grace", defaults.Grace, "how long what runs may go on after SIGTERM")
 	set.SetNormalizeFunc(func(_ *pflag.FlagSet, name string) pflag.NormalizedName {
 		if name == "drain" {
@@ -76,6 +74,13 @@
 	return flags
 }
 
+// File is the settings file that the flags name, if any.
+//
+// Example:
+//
+//	signals.Wait(process.Dead(), flags.File(), reload)
+func (flags *Flags) File() string { return flags.file }
+
 // Read makes the settings of file and flags and names all mistakes at once.
 //
 // Example:
@@ -111,6 +116,9 @@
 	if changed("most-inquiries") {
 		chosen.MostInquiries = flags.flagged.MostInquiries
 	}
+	if changed("most-memory-megabytes") {
+		chosen.MostMemory = flags.flagged.MostMemory
+	}
 	if changed("borne-losses") {
 		chosen.BorneLosses = flags.flagged.BorneLosses
 	}
@@ -167,29 +175,6 @@
 	return 2
 }
 
-// Wait handles signals until the process is to end: SIGHUP reloads, SIGTERM
-// and SIGINT return true. It returns false when the process ended by itself.
-//
-// Example:
-//
-//	if program.Wait(process.Dead(), reload) { process.Stop() }
-func Wait(dead <-chan struct{}, reload func()) bool {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-dead:
-			return false
-		case caught := <-signals:
-			if caught != syscall.SIGHUP {
-				return true
-			}
-			reload()
-		}
-	}
-}
-
 // Every runs a task over and over, with a pause between, until the tomb dies.
 //
 // Example:
--- /dev/null
+++ b/internal/adapters/program/signals.go
@@ -0,0 +1,90 @@
+package program
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// Signals are those that a process acts on. They are caught from its very start, so
+// that none that comes while it still starts ends it.
+type Signals struct {
+	caught chan os.Signal
+}
+
+// CatchSignals is called first of all.
+//
+// Example:
+//
+//	signals := program.CatchSignals()
+func CatchSignals() *Signals {
+	signals := &Signals{caught: make(chan os.Signal, 8)}
+	signal.Notify(signals.caught, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+// filePause is the time between two looks at a settings file.
+const filePause = 3 * time.Second
+
+// Wait handles signals until the process is to end: SIGHUP reloads, SIGTERM and
+// SIGINT return true. A settings file, if one is named, is also looked at now and
+// then, and a change of it reloads. It returns false when the process ended by
+// itself.
+//
+// Example:
+//
+//	if signals.Wait(process.Dead(), "courier.json", reload) { process.Stop() }
+func (signals *Signals) Wait(dead <-chan struct{}, file string, reload func()) bool {
+	defer signal.Stop(signals.caught)
+	var looks <-chan time.Time
+	seen := lookAt(file)
+	if file != "" {
+		ticker := time.NewTicker(filePause)
+		defer ticker.Stop()
+		looks = ticker.C
+	}
+	for {
+		select {
+		case <-dead:
+			return false
+		case caught := <-signals.caught:
+			if caught != syscall.SIGHUP {
+				return true
+			}
+			seen = lookAt(file)
+			reload()
+		case <-looks:
+			if found := lookAt(file); found != seen && found != (fileState{}) {
+				seen = found
+				reload()
+			}
+		}
+	}
+}
+
+// fileState tells one content of a file from another, as far as its folder says.
+type fileState struct {
+	changed time.Time
+	size    int64
+}
+
+func lookAt(file string) fileState {
+	if file == "" {
+		return fileState{}
+	}
+	found, failure := os.Stat(file)
+	if failure != nil {
+		return fileState{}
+	}
+	return fileState{changed: found.ModTime(), size: found.Size()}
+}
+
+// Wait is Signals.Wait for a process that has no settings file to look at.
+//
+// Example:
+//
+//	if program.Wait(process.Dead(), reload) { process.Stop() }
+func Wait(dead <-chan struct{}, reload func()) bool {
+	return CatchSignals().Wait(dead, "", reload)
+}
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -31,6 +31,8 @@
 	Market        string
 	MostInquiries int
 	FlagSettle    int
+	// MostMemory is how many megabytes the process may take; zero: nobody said.
+	MostMemory int
 	// BorneLosses is how many machines with a disk may be lost at once.
 	BorneLosses int
 	Withhold    []string
@@ -96,7 +98,8 @@
 		"platform": &settings.Platform, "data_folder": &settings.DataFolder, "log_level": &settings.LogLevel, "market": &settings.Market,
 		"calls_address": &settings.CallsAddress, "ready_address": &settings.ReadyAddress, "control_address": &settings.ControlAddress}
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
-	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses}
+	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses,
+		"most_memory_megabytes": &settings.MostMemory}
 	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace}
 	if target, found := texts[name]; found {
 		text, failure := value.StringBytes()
@@ -229,6 +232,9 @@
 	if settings.FlagSettle < 0 {
 		wrong(trouble.OutOfRange, "flag_settle_milliseconds", "must not be negative")
 	}
+	if settings.MostMemory < 0 {
+		wrong(trouble.OutOfRange, "most_memory_megabytes", "must not be negative")
+	}
 	if settings.BorneLosses < 1 || settings.BorneLosses > 3 {
 		wrong(trouble.OutOfRange, "borne_losses", "is 1, 2 or 3")
 	}
