--- /dev/null
+++ b/cmd/rehearsal/capacity.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"seamloom.example/seamloom/internal/rehearsal/capacity"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// capacityCommand measures what control costs as a fleet grows.
+func capacityCommand() *cobra.Command {
+	plan := capacity.Plan{Repeats: 3}
+	command := &cobra.Command{Use: "capacity", Short: "what control costs at several sizes of the fleet, on hollow nodes", Args: cobra.NoArgs,
+		Example: "  rehearsal capacity --folder docs/capacity\n  rehearsal capacity --only 'market choice' --repeats 5\n  rehearsal capacity --sizes nodes=10,30 --sizes servers=9,100"}
+	set := command.Flags()
+	set.StringVar(&plan.Only, "only", "", "measure only the activities whose role and name have this in them")
+	set.IntVar(&plan.Repeats, "repeats", plan.Repeats, "how many times everything is measured")
+	sizes := set.StringArray("sizes", nil, "other sizes of a dimension, as nodes=10,30")
+	folder := set.String("folder", "", "write readings.csv and a plot of each line into this folder (default: the lines alone, to the screen)")
+	quiet := set.Bool("quiet", false, "don't say what is measured at the moment")
+	command.RunE = func(*cobra.Command, []string) error {
+		var failure error
+		if plan.Sizes, failure = readSizes(*sizes); failure != nil {
+			return failure
+		}
+		if !*quiet {
+			plan.Told = func(activity capacity.Activity, dimension capacity.Dimension, size, repeat int) {
+				_, _ = fmt.Fprintf(os.Stderr, "%d: %s: %s, %d %s\n", repeat+1, activity.Role, activity.Name, size, dimension)
+			}
+		}
+		readings, failure := plan.Run(capacity.Activities())
+		if failure != nil {
+			return failure
+		}
+		fits := capacity.FitAll(readings)
+		if failure := capacity.WriteFits(os.Stdout, fits); failure != nil {
+			return trouble.Wrap(trouble.Disk, failure)
+		}
+		if *folder == "" {
+			return nil
+		}
+		return saveCapacity(*folder, readings, fits)
+	}
+	return command
+}
+
+// readSizes reads sizes such as nodes=10,30.
+func readSizes(texts []string) (map[capacity.Dimension][]int, error) {
+	sizes := map[capacity.Dimension][]int{}
+	for _, text := range texts {
+		name, list, _ := strings.Cut(text, "=")
+		if _, found := capacity.Sizes[capacity.Dimension(name)]; !found {
+			return nil, trouble.New(trouble.NoSuch, "no dimension "+name)
+		}
+		for _, entry := range strings.Split(list, ",") {
+			size, failure := strconv.Atoi(entry)
+			if failure != nil || size < 1 {
+				return nil, trouble.At(trouble.OutOfRange, name, "needs sizes such as 10,30")
+			}
+			sizes[capacity.Dimension(name)] = append(sizes[capacity.Dimension(name)], size)
+		}
+	}
+	return sizes, nil
+}
+
+func saveCapacity(folder string, readings []capacity.Reading, fits []capacity.Fit) error {
+	if failure := os.MkdirAll(folder, 0o755); failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	file, failure := os.Create(filepath.Join(folder, "readings.csv"))
+	if failure != nil {
+		return trouble.Wrap(trouble.Disk, failure)
+	}
+	defer func() { _ = file.Close() }()
+	if failure := capacity.WriteCSV(file, readings); failure != nil {
+		return failure
+	}
+	for _, fit := range fits {
+		if failure := fit.Plot(readings, folder); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/capacity/core.go
@@ -0,0 +1,266 @@
+package capacity
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// core is a hollow control plane: expediters in one process, with their copies in
+// memory, joined by calls that carry the real msgpack.
+type core struct {
+	line    *line
+	turns   *threads.Threads
+	end     context.CancelFunc
+	seats   []*hatch.Expediter
+	shelves []*shelf
+	// members are the couriers that the seed registered.
+	members []roster.Member
+	// have are the versions that a courier in touch has.
+	have map[string]larder.Version
+}
+
+const formPatience = 30 * time.Second
+
+// newCore forms a core of so many expediters.
+func newCore(seats int) (*core, error) {
+	lifetime, end := context.WithCancel(context.Background())
+	formed := &core{line: newLine(), turns: threads.New(lifetime, wallclock.New()), end: end}
+	var nodes []roster.Node
+	var seeds []string
+	for number := range seats {
+		name := "expediter-" + strconv.Itoa(number+1)
+		address := "10.0.0." + strconv.Itoa(number+1) + ":7100"
+		nodes = append(nodes, roster.Node{Name: name, Kind: roster.Expediter, Address: address, District: districtOf(number)})
+		if number < 3 {
+			seeds = append(seeds, address)
+		}
+	}
+	changed := formed.turns.NewBell()
+	for _, node := range nodes {
+		copies := newShelf()
+		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: recipe.Supported(nil),
+			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab")}
+		seat, _, failure := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
+		if failure != nil {
+			end()
+			return nil, failure
+		}
+		seat.SetNodes(nodes)
+		formed.line.join(node.Address, seat.Answers())
+		formed.seats, formed.shelves = append(formed.seats, seat), append(formed.shelves, copies)
+	}
+	for _, seat := range formed.seats {
+		for _, round := range seat.Rounds() {
+			formed.turns.Go(round)
+		}
+	}
+	for ends := formed.turns.Now().Add(formPatience); !formed.whole(); changed.Wait(50*time.Millisecond, formed.whole) {
+		if formed.turns.Now().After(ends) {
+			end()
+			return nil, trouble.New(trouble.NoPrimary, "the hollow core was not formed")
+		}
+	}
+	return formed, nil
+}
+
+// whole tells whether the core has a primary and a backup, and every seat is recorded.
+func (core *core) whole() bool {
+	primary := core.primary()
+	if primary == nil || primary.Steward().Charter().Backup.Empty() {
+		return false
+	}
+	_, view, failure := primary.Ruling()
+	if failure != nil {
+		return false
+	}
+	state, failure := view.State()
+	return failure == nil && len(state.Members) == len(core.seats) && len(state.Flags.Enabled) > 0
+}
+
+// primary is the expediter that leads.
+func (core *core) primary() *hatch.Expediter {
+	for _, seat := range core.seats {
+		if _, _, failure := seat.Ruling(); failure == nil {
+			return seat
+		}
+	}
+	return nil
+}
+
+// place is the primary's position among the seats.
+func (core *core) place(seat *hatch.Expediter) int {
+	for position, other := range core.seats {
+		if other == seat {
+			return position
+		}
+	}
+	return 0
+}
+
+// submit has a change committed and waits for it.
+func (core *core) submit(change larder.Change) error {
+	var mutex sync.Mutex
+	var failure error
+	over := false
+	bell := core.turns.NewBell()
+	core.primary().Store().Submit(change, func(_ larder.Version, ended error) {
+		mutex.Lock()
+		failure, over = ended, true
+		mutex.Unlock()
+		bell.Ring()
+	})
+	if !bell.Wait(formPatience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return over
+	}) {
+		return trouble.New(trouble.Unknown, "a change of the hollow core took too long")
+	}
+	return failure
+}
+
+// claim has a courier take an inquiry's id, over the wire.
+func (core *core) claim(made time.Time, nonce string) error {
+	question := hatch.ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: uuid.Must(uuid.NewV7()).String(), Courier: "courier-217", Cause: nonce, At: made}}
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	encoded, failure := core.primary().Answers().Answer(hatch.ClaimPath, body)
+	if failure != nil {
+		return failure
+	}
+	var answer hatch.LedAnswer
+	if msgpack.Unmarshal(encoded, &answer) != nil || !answer.Leads {
+		return trouble.New(trouble.NoPrimary, "the hollow core has lost its primary")
+	}
+	return nil
+}
+
+// seed fills the larder as a fleet of the sizes would have, and lets its couriers
+// take their duties.
+func (core *core) seed(sizes Sized) error {
+	core.members = membersOf(sizes[Nodes])
+	duties := map[string]rota.Duty{rota.PartsKey: {Key: rota.PartsKey, Holder: core.holder(rota.PartsKey), Fence: 1}}
+	orders := map[string]recipe.Record{}
+	for number, server := range ServersOf(sizes[Servers]) {
+		key := rota.ServerKey(server.Name)
+		duties[key] = rota.Duty{Key: key, Holder: core.holder(key), Fence: uint64(number + 2)}
+		record, failure := recipe.WriteOrder(recipe.Order{Server: server.Name, Part: string(partOf(number)), Patience: 20 * time.Second, Cause: "prompts wait while answers have room"},
+			"courier-1", uint64(number+1), recipe.Supported(nil))
+		if failure != nil {
+			return failure
+		}
+		orders[server.Name] = record
+	}
+	text := Configuration(sizes, 1)
+	failure := core.submit(func(state *larder.State, _, _ larder.Version) error {
+		for _, member := range core.members {
+			state.Members[member.Name] = member
+		}
+		state.Menu = text
+		state.Flags.Enabled = recipe.Supported(nil)
+		state.Rota = larder.Duties{Duties: duties, Fence: uint64(len(duties) + 1)}
+		state.Orders = larder.Orders{Records: orders, Number: uint64(len(orders))}
+		for _, drawer := range []string{larder.MembersDrawer, larder.MenuDrawer, larder.FlagsDrawer, larder.RotaDrawer, larder.OrdersDrawer} {
+			state.Touch(drawer)
+		}
+		return nil
+	})
+	if failure != nil {
+		return failure
+	}
+	core.primary().SetServers(ServersOf(sizes[Servers]))
+	return core.settle()
+}
+
+// holder is whom rendezvous hashing names for a key.
+func (core *core) holder(key string) string {
+	weigher := roster.NewWeigher(key)
+	holder, heaviest := "", uint64(0)
+	for _, member := range core.members {
+		if weight := weigher.Weight(member.Name); weight >= heaviest {
+			holder, heaviest = member.Name, weight
+		}
+	}
+	return holder
+}
+
+// settle has every courier ask until there is nothing new for it.
+func (core *core) settle() error {
+	for range 100 {
+		news, answer, failure := core.ask(0, nil)
+		if failure != nil {
+			return failure
+		}
+		_ = news
+		core.have = map[string]larder.Version{}
+		for name, drawer := range answer.Drawers {
+			core.have[name] = drawer.Version
+		}
+		quiet := true
+		for position := range core.members {
+			_, answer, failure := core.ask(position, core.have)
+			if failure != nil {
+				return failure
+			}
+			quiet = quiet && len(answer.Drawers) == 0 && len(answer.Deltas) == 0
+		}
+		if quiet {
+			return nil
+		}
+	}
+	return trouble.New(trouble.Unsorted, "the hollow core does not come to rest")
+}
+
+// question is what a courier that has those versions asks.
+func (core *core) question(position int, have map[string]larder.Version) []byte {
+	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[larder.MenuDrawer], Deltas: true}
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		panic("capacity: " + failure.Error())
+	}
+	return body
+}
+
+// ask has a courier ask the primary.
+func (core *core) ask(position int, have map[string]larder.Version) (size int, answer hatch.NewsAnswer, failure error) {
+	encoded, failure := core.primary().Answers().Answer(hatch.NewsPath, core.question(position, have))
+	if failure != nil {
+		return 0, answer, failure
+	}
+	if failure := msgpack.Unmarshal(encoded, &answer); failure != nil {
+		return 0, answer, trouble.Wrap(trouble.Garbage, failure)
+	}
+	if !answer.Leads {
+		return 0, answer, trouble.New(trouble.NoPrimary, "the hollow core has lost its primary")
+	}
+	return len(encoded), answer, nil
+}
+
+// withCore runs a measurement on a hollow core that is filled to the sizes.
+func withCore(sizes Sized, act func(core *core) error) error {
+	formed, failure := newCore(sizes[Seats])
+	if failure != nil {
+		return failure
+	}
+	defer formed.end()
+	if failure := formed.seed(sizes); failure != nil {
+		return failure
+	}
+	return act(formed)
+}
--- /dev/null
+++ b/internal/rehearsal/capacity/reading_test.go
@@ -0,0 +1,27 @@
+package capacity
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestReadingsSurviveTheirFile writes readings and reads them again.
+func TestReadingsSurviveTheirFile(test *testing.T) {
+	readings := []Reading{{Role: "courier", Activity: "market choice, all", Measure: "processor time", Unit: "us", Dimension: Servers, Size: 1100, Repeat: 2, Value: 512.5, Load: 0.25},
+		{Role: "a \"role\"", Activity: "x", Measure: "bytes", Unit: "B", Dimension: Nodes, Size: 10, Value: 1e9}}
+	var file bytes.Buffer
+	if failure := WriteCSV(&file, readings); failure != nil {
+		test.Fatal(failure)
+	}
+	again, failure := ReadCSV(&file)
+	if failure != nil || !slices.Equal(again, readings) {
+		test.Errorf("%v, %v", again, failure)
+	}
+	for _, broken := range []string{"role,activity\n", strings.Join(columns, ",") + "\na,b,c,d,nodes,ten,0,1,0\n"} {
+		if _, failure := ReadCSV(strings.NewReader(broken)); failure == nil {
+			test.Errorf("%q was read", broken)
+		}
+	}
+}
