Window: slow servers, doubted hand-overs, calls to cold servers counted before

Cause: a read that waited behind others' was given up after 400 ms and its server taken for slow, which sent the next ones elsewhere and read shared parts twice; chats that runners read themselves held up others' tokens. Ruled out: a smaller weight for waits.

--- a/internal/window/account.go
+++ b/internal/window/account.go
@@ -1,7 +1,6 @@
 package window
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 )
@@ -19,10 +18,12 @@
 
 	heard     atomic.Pointer[heard]
 	coldUntil atomic.Int64
-	trust     trust
-	slow      slowness
-	kept      kept
-	drops     drops
+	// trust is in the server as such, hands in the memory that it hands over or takes.
+	trust trust
+	hands trust
+	slow  slowness
+	kept  kept
+	drops drops
 }
 
 // heard is the latest word of a server's load.
@@ -109,33 +110,3 @@
 	}
 	return 0
 }
-
-// slowness is how much longer a server takes than others of its kind: 1 is as long.
-type slowness struct{ bits atomic.Uint64 }
-
-const (
-	mostSlow     = 8
-	slowSmooth   = 0.2
-	slowestIsOne = 1.0
-)
-
-func (slowness *slowness) factor() float64 {
-	if bits := slowness.bits.Load(); bits != 0 {
-		return math.Float64frombits(bits)
-	}
-	return slowestIsOne
-}
-
-func (slowness *slowness) note(ratio float64) {
-	for {
-		bits := slowness.bits.Load()
-		known := slowestIsOne
-		if bits != 0 {
-			known = math.Float64frombits(bits)
-		}
-		next := min(max(known+slowSmooth*(min(ratio, mostSlow)-known), slowestIsOne), mostSlow)
-		if slowness.bits.CompareAndSwap(bits, math.Float64bits(next)) {
-			return
-		}
-	}
-}
--- a/internal/window/arrive.go
+++ b/internal/window/arrive.go
@@ -1,7 +1,10 @@
 package window
 
 import (
+	"cmp"
 	"time"
+
+	"seamloom.example/seamloom/internal/menu"
 )
 
 // Arrive lets a call in, or refuses it; then there is no ticket.
@@ -22,9 +25,13 @@
 	if ruling == nil {
 		return nil, Decision{Kind: Refuse, Cause: NoRoute}
 	}
-	ends := call.Ends
-	if longest := now.Add(ruling.calls.Limit); ruling.calls.Limit > 0 && (ends.IsZero() || longest.Before(ends)) {
-		ends = longest
+	limit := ruling.calls.Limit
+	if limit <= 0 {
+		limit = cmp.Or(service.Limit, menu.DefaultLimit)
+	}
+	ends := now.Add(limit)
+	if !call.Ends.IsZero() && call.Ends.Before(ends) {
+		ends = call.Ends
 	}
 	if !now.Before(ends) {
 		return nil, Decision{Kind: Refuse, Cause: Late}
@@ -34,14 +41,22 @@
 	}
 	ticket := &Ticket{call: call, ruling: ruling, service: service, mark: nameKey(call.ID), arrived: now, ends: ends}
 	choice := window.weighing(now, ticket)
-	kind, offer, found := choice.best(true, true)
-	late := found && span(offer.time) > ends.Sub(now)
-	if !found || late && choice.free < freeEnough {
-		return nil, refusal(Full, choice.relief(offer, found), ends.Sub(now))
+	kind, way, found := choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(true) })
+	if !found || choice.late(way) {
+		return nil, refusal(Full, choice.relief(way, found), ends.Sub(now))
 	}
 	window.inFlight.Add(1)
 	choice.ledger.purse.first(now, window.options.FurtherTries, choice.sharers)
-	return ticket, choice.send(kind, offer)
+	return ticket, choice.send(kind, way)
+}
+
+// late tells that a call would not begin in time, and that this is for want of places:
+// while half of them are free nothing is refused.
+func (choice *choice) late(offer offer) bool {
+	if span(offer.time) <= choice.ticket.ends.Sub(choice.now) {
+		return false
+	}
+	return choice.free < freeEnough || choice.busy(offer.backend) >= freeEnough*choice.slots(offer.backend)
 }
 
 // The measures of refusals. The values are ours.
--- a/internal/window/choice.go
+++ b/internal/window/choice.go
@@ -11,6 +11,7 @@
 // milliseconds; what is priced otherwise is turned into them.
 type choice struct {
 	window   *Window
+	costs    costs
 	program  *Program
 	now      time.Time
 	ticket   *Ticket
@@ -19,13 +20,16 @@
 	backends []*backend
 	sharers  int
 
-	chain  uint64
-	shared int
-	pace   float64
+	chain                      uint64
+	home, nextHome, runnerHome *backend
+	shared                     int
+	pace                       float64
 	// free is how much of the places there is not taken, from 0 to 1.
 	free float64
 	// soonest is when a place may be had, if none is now.
 	soonest float64
+	// warmOnly leaves cold servers out, after another thread was first.
+	warmOnly bool
 }
 
 // offer is one way that a call may go on.
@@ -39,28 +43,14 @@
 	unread int
 }
 
-// What things cost beside their time, in milliseconds. The values are ours.
+// What moving memory takes, in milliseconds and tokens a millisecond, and how much of a
+// server's memory may be filled. The values are ours.
 const (
-	// crossingKilobyte is for a body that goes to another district, by size.
-	crossingKilobyte = 0.6
-	// moveThousand is for a prompt's memory that is moved, by thousand tokens;
-	// between districts it is that much more.
-	moveThousand   = 1.2
-	moveFar        = 2.5
-	moveSetup      = 4.0
-	moveTokens     = 4000.0
-	rereadThousand = 10.0
-	distrust       = 2000.0
-	coldCost       = 60.0
-	// pauseRoom is how long a run of reading may hold up the tokens of others.
-	pauseRoom  = 180.0
-	pauseHarm  = 30.0
-	slotHarm   = 60.0
-	readerRank = 0.8
-	nextRank   = 0.25
-	jitter     = 4.0
-	// memoryUsed is how much of a server's memory may be filled.
+	moveSetup  = 4.0
+	moveTokens = 4000.0
 	memoryUsed = 0.95
+	// othersRead is how many tokens a call of other couriers is taken to read.
+	othersRead = 1500.0
 )
 
 func (window *Window) weighing(now time.Time, ticket *Ticket) *choice {
@@ -70,7 +60,7 @@
 		service = current
 	}
 	ledger := window.ledger(service.Name)
-	return &choice{window: window, program: program, now: now, ticket: ticket, service: service, ledger: ledger,
+	return &choice{window: window, costs: window.costs, program: program, now: now, ticket: ticket, service: service, ledger: ledger,
 		backends: window.board.Load().of(service.Name), sharers: window.sharers(),
 		chain: ticket.call.chain(), shared: ticket.call.shared(), pace: ledger.pace.tokens(), soonest: math.Inf(1)}
 }
@@ -88,7 +78,7 @@
 	}
 	if backend.cold(choice.now) {
 		rate, takes := choice.coldRate(backend)
-		if !takes || !backend.drops.ready(choice.now, rate) {
+		if !takes || choice.warmOnly || !backend.drops.ready(choice.now, rate) {
 			choice.soonest = min(choice.soonest, 1000/max(rate, 0.5))
 			return false
 		}
@@ -170,16 +160,16 @@
 func (choice *choice) burdens(backend *backend) float64 {
 	cost := 0.0
 	if backend.server.District != choice.window.options.District {
-		cost += crossingKilobyte * float64(choice.ticket.call.Bytes) / 1024
+		cost += choice.costs.crossingKilobyte * float64(choice.ticket.call.Bytes) / 1024
 	}
 	if backend.trust.doubted(choice.now, backend.running.Load()+backend.reading.Load()) {
-		cost += distrust
+		cost += choice.costs.distrust
 	}
 	if choice.ticket.avoids(backend) {
-		cost += distrust
+		cost += choice.costs.distrust
 	}
 	if backend.cold(choice.now) {
-		cost += coldCost
+		cost += choice.costs.cold
 	}
 	return cost
 }
@@ -187,31 +177,29 @@
 // spread sets equal servers apart, for each call differently, so that couriers that
 // see the same do not all run to one.
 func (choice *choice) spread(backend *backend) float64 {
-	return float64(weigh(backend.key, choice.ticket.mark)%1024) / 1024 * jitter
+	return float64(weigh(backend.key, choice.ticket.mark)%1024) / 1024 * choice.costs.spread
 }
 
 // direct weighs a run at a server that reads the prompt itself.
 func (choice *choice) direct(backend *backend) (offer, bool) {
-	call := choice.ticket.call
 	if !choice.admits(backend, choice.ticket.tokens()) {
 		return offer{}, false
 	}
-	unread := max(call.PromptTokens-backend.kept.prefix(call.Parts), 1)
-	pace := choice.pace / backend.slow.factor()
+	unread, again := choice.unread(backend)
+	pace := choice.pace / backend.slow.factor(choice.now)
 	busy := choice.busy(backend)
 	cost := choice.burdens(backend) + choice.spread(backend)
 	ahead := milliseconds(backend.queued(choice.now))
 	if backend.splits() {
 		pace /= 2
-		held := (ahead + float64(unread)/pace) / pauseRoom
-		cost += held * held * pauseHarm * (1 + busy)
+		held := (ahead + unread/pace) / choice.costs.pauseRoom
+		cost += held * held * choice.costs.pauseHarm * (1 + busy)
 	}
-	again := max(0, choice.shared-(call.PromptTokens-unread))
-	cost += rereadThousand * float64(again) / 1000
-	time := directCost + ahead + float64(unread)/pace + choice.queue(backend, busy) + choice.tight(backend, choice.ticket.tokens())
+	cost += choice.costs.again * again / 1000
+	time := directCost + ahead + unread/pace + choice.queue(backend, busy) + choice.tight(backend, choice.ticket.tokens())
 	fullness := busy / choice.slots(backend)
-	cost += time + slotHarm*fullness*fullness
-	return offer{backend: backend, cost: cost, time: time, own: time, unread: unread}, true
+	cost += time + choice.costs.fullness*fullness*fullness
+	return offer{backend: backend, cost: cost, time: time, own: time, unread: int(unread)}, true
 }
 
 // sourced weighs a run with memory that another server read, but for the move.
@@ -222,7 +210,13 @@
 	busy := choice.busy(backend)
 	time := directCost + choice.queue(backend, busy) + choice.tight(backend, choice.ticket.tokens())
 	fullness := busy / choice.slots(backend)
-	cost := choice.burdens(backend) + choice.spread(backend) + time + slotHarm*fullness*fullness
+	cost := choice.burdens(backend) + choice.spread(backend) + time + choice.costs.fullness*fullness*fullness
+	if backend.hands.doubted(choice.now, backend.running.Load()) {
+		cost += choice.costs.distrust
+	}
+	if backend != choice.runnerHome {
+		cost += choice.costs.awayThousand * float64(choice.shared) / 1000
+	}
 	return offer{backend: backend, cost: cost, time: time, own: time}, true
 }
 
@@ -230,67 +224,126 @@
 func (choice *choice) move(near bool) (cost, time float64) {
 	thousands := float64(choice.ticket.call.PromptTokens) / 1000
 	time = moveSetup + thousands*1000/moveTokens
-	cost = time + thousands*moveThousand
+	cost = time + thousands*choice.costs.moveThousand
 	if !near {
 		time *= 2
-		cost = time + thousands*moveThousand*moveFar
+		cost = time + thousands*choice.costs.moveThousand*choice.costs.moveFar
 	}
 	return cost, time
 }
 
-// read weighs a read at a server. belief is how surely the home rule says that it
-// keeps the shared parts.
-func (choice *choice) read(backend *backend, belief float64) (offer, bool) {
+// read weighs a read at a server.
+func (choice *choice) read(backend *backend) (offer, bool) {
 	call := choice.ticket.call
 	if !choice.admits(backend, call.PromptTokens) {
 		return offer{}, false
 	}
-	keeps := max(float64(backend.kept.prefix(call.Parts)), belief*float64(choice.shared))
-	unread := max(float64(call.PromptTokens)-keeps, 1)
-	pace := choice.pace / backend.slow.factor()
-	ahead := float64(backend.readingTokens.Load()) + backend.others()*unread/2
+	unread, again := choice.unread(backend)
+	pace := choice.pace / backend.slow.factor(choice.now)
+	ahead := float64(backend.readingTokens.Load()) + backend.others()*othersRead
 	time := readsCost + (ahead+unread)/pace + choice.tight(backend, call.PromptTokens)
-	cost := choice.burdens(backend) + choice.spread(backend) + time
-	cost += rereadThousand * max(0, float64(choice.shared)-keeps) / 1000
+	cost := choice.burdens(backend) + choice.spread(backend) + choice.costs.second + time + (choice.costs.waitWeight-1)*ahead/pace
+	cost += choice.costs.again * again / 1000
+	if backend.hands.doubted(choice.now, backend.reading.Load()) {
+		cost += choice.costs.distrust
+	}
 	return offer{backend: backend, cost: cost, time: time, own: time, unread: int(unread)}, true
 }
 
-// homes are the two readers that rendezvous names for the call's chain.
-func (choice *choice) homes() (first, second *backend) {
-	var firstWeight, secondWeight uint64
+// homes are the servers that rendezvous names for the call's chain, the same at every
+// courier: two readers, and the runner beside the first of them.
+func (choice *choice) homes() {
+	var readerWeight, nextWeight, farWeight uint64
+	var runners [mostPlaces]*backend
+	var weights [mostPlaces]uint64
+	var far *backend
+	choice.home, choice.nextHome, choice.runnerHome = nil, nil, nil
 	for _, backend := range choice.backends {
-		if !backend.reads() || !choice.open(backend) {
+		if !choice.open(backend) {
 			continue
 		}
 		weight := weigh(choice.chain, backend.key)
-		switch {
-		case first == nil || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = backend, weight
-		case second == nil || weight > secondWeight:
-			second, secondWeight = backend, weight
+		if backend.reads() {
+			switch {
+			case choice.home == nil || weight > readerWeight:
+				choice.nextHome, nextWeight = choice.home, readerWeight
+				choice.home, readerWeight = backend, weight
+			case choice.nextHome == nil || weight > nextWeight:
+				choice.nextHome, nextWeight = backend, weight
+			}
+			continue
+		}
+		if far == nil || weight > farWeight {
+			far, farWeight = backend, weight
+		}
+		if place := backend.place % mostPlaces; runners[place] == nil || weight > weights[place] {
+			runners[place], weights[place] = backend, weight
+		}
+	}
+	choice.runnerHome = far
+	if choice.home != nil {
+		if near := runners[choice.home.place%mostPlaces]; near != nil {
+			choice.runnerHome = near
+		}
+	}
+}
+
+// belief is how surely a server keeps the call's shared parts by the home rule.
+func (choice *choice) belief(backend *backend) float64 {
+	switch {
+	case backend.cold(choice.now):
+		return 0
+	case backend == choice.home:
+		return choice.costs.home
+	case backend == choice.nextHome:
+		return choice.costs.next
+	case backend == choice.runnerHome:
+		return choice.costs.runner
+	}
+	return 0
+}
+
+// unread is how many of the call's tokens a server would have to read, as far as is
+// believed, and how many of them are shared.
+func (choice *choice) unread(backend *backend) (unread, again float64) {
+	keeps := max(float64(backend.kept.prefix(choice.ticket.call.Parts)), choice.belief(backend)*float64(choice.shared))
+	return max(float64(choice.ticket.call.PromptTokens)-keeps, 1), max(float64(choice.shared)-keeps, 0)
+}
+
+// find is the best way that may be gone now: a call to a cold server is counted before
+// it is sent.
+func (choice *choice) find(way func() (DecisionKind, offer, bool)) (DecisionKind, offer, bool) {
+	for {
+		kind, best, found := way()
+		if !found || !best.backend.cold(choice.now) {
+			return kind, best, found
 		}
+		if rate, _ := choice.coldRate(best.backend); best.backend.drops.take(choice.now, rate) {
+			return kind, best, found
+		}
+		choice.warmOnly = true
 	}
-	return first, second
 }
 
-// best finds the way with the lowest cost: a read, or a run. mayRead and mayRun say
-// what the call still may.
-func (choice *choice) best(mayRead, mayRun bool) (kind DecisionKind, best offer, found bool) {
+// cheapest finds the way with the lowest cost: a read, or a run. mayRead says whether the
+// call may still be read elsewhere.
+func (choice *choice) cheapest(mayRead bool) (kind DecisionKind, best offer, found bool) {
 	var near [mostPlaces]offer
 	var farthest offer
 	places, taken := 0.0, 0.0
 	anyRun := false
+	choice.homes()
 	for _, backend := range choice.backends {
 		if !backend.runs() || !choice.open(backend) {
 			continue
 		}
 		places += choice.slots(backend)
 		taken += min(choice.busy(backend), choice.slots(backend))
-		if mayRun {
-			if offered, may := choice.direct(backend); may && (!found || offered.cost < best.cost) {
-				kind, best, found = Run, offered, true
-			}
+		if offered, may := choice.direct(backend); may && (!found || offered.cost < best.cost) {
+			kind, best, found = Run, offered, true
+		}
+		if !mayRead {
+			continue
 		}
 		if offered, may := choice.sourced(backend); may {
 			if !anyRun || offered.cost < farthest.cost {
@@ -307,20 +360,11 @@
 	if !mayRead || !anyRun {
 		return kind, best, found
 	}
-	home, next := choice.homes()
 	for _, backend := range choice.backends {
 		if !backend.reads() || !choice.open(backend) {
 			continue
 		}
-		belief := 0.0
-		switch {
-		case backend.cold(choice.now):
-		case backend == home:
-			belief = readerRank
-		case backend == next:
-			belief = nextRank
-		}
-		offered, may := choice.read(backend, belief)
+		offered, may := choice.read(backend)
 		if !may {
 			continue
 		}
@@ -344,7 +388,8 @@
 const mostPlaces = 16
 
 // runner finds the server that makes the answer from memory that a reader has.
-func (choice *choice) runner(reader *backend) (best offer, found bool) {
+func (choice *choice) runner(reader *backend) (kind DecisionKind, best offer, found bool) {
+	choice.homes()
 	for _, backend := range choice.backends {
 		if !backend.splits() || !choice.open(backend) {
 			continue
@@ -361,5 +406,5 @@
 			best, found = offered, true
 		}
 	}
-	return best, found
+	return Run, best, found
 }
--- /dev/null
+++ b/internal/window/costs.go
@@ -0,0 +1,42 @@
+package window
+
+// costs turn into milliseconds what a way costs beside its time. They were tuned in
+// the package's simulated world.
+type costs struct {
+	// crossingKilobyte is for a body that goes to another district, by size.
+	crossingKilobyte float64
+	// moveThousand is for a prompt's memory that is moved, by thousand tokens; between
+	// districts it costs moveFar times as much.
+	moveThousand float64
+	moveFar      float64
+	// again is for a thousand shared tokens that another server has read.
+	again float64
+	// second is for a request more.
+	second float64
+	// distrust and cold are for servers that failed or are cold.
+	distrust float64
+	cold     float64
+	// pauseRoom is how long reading may hold up the tokens of others, pauseHarm what
+	// each of them loses when it is filled.
+	pauseRoom float64
+	pauseHarm float64
+	// fullness is for a server whose places are all taken, by the square.
+	fullness float64
+	// spread is how far apart equal servers are set.
+	spread float64
+	// waitWeight is how much a wait for others' reading counts against what is kept.
+	waitWeight float64
+	// home and next are how surely the first and second reader of a chain are
+	// believed to keep it.
+	home float64
+	next float64
+	// runner is how surely the runner beside a chain's first reader keeps it, and
+	// awayThousand what a run elsewhere costs, by thousand shared tokens.
+	runner       float64
+	awayThousand float64
+}
+
+func standardCosts() costs {
+	return costs{crossingKilobyte: 0.6, moveThousand: 1.2, moveFar: 2.5, again: 150, second: 10, distrust: 2000, cold: 60,
+		pauseRoom: 60, pauseHarm: 30, fullness: 60, spread: 4, waitWeight: 1, home: 0.8, next: 0.25, runner: 0.5, awayThousand: 3}
+}
--- a/internal/window/drops.go
+++ b/internal/window/drops.go
@@ -21,11 +21,15 @@
 	return drops.level >= 1
 }
 
-func (drops *drops) take(now time.Time, rate float64) {
+func (drops *drops) take(now time.Time, rate float64) bool {
 	drops.mutex.Lock()
 	defer drops.mutex.Unlock()
 	drops.fill(now, rate)
+	if drops.level < 1 {
+		return false
+	}
 	drops.level--
+	return true
 }
 
 func (drops *drops) fill(now time.Time, rate float64) {
--- a/internal/window/ended.go
+++ b/internal/window/ended.go
@@ -73,7 +73,8 @@
 			// The memory may be gone, or the server be full: it reads the prompt itself.
 			ticket.spent = append(ticket.spent, *sent.source)
 			ticket.direct = true
-			ticket.reader.trust.fail(now)
+			ticket.reader.hands.fail(now)
+			backend.hands.fail(now)
 			return window.next(now, ticket, lastWord{})
 		}
 	case Answered:
@@ -99,24 +100,23 @@
 
 // next finds the next dispatch, or ends the call.
 func (window *Window) next(now time.Time, ticket *Ticket, answer lastWord) Decision {
-	if ticket.ran && !ticket.repeatable() || !now.Before(ticket.ends) || ticket.counted >= max(1, ticket.ruling.calls.Tries) {
+	if ticket.ran && !ticket.repeatable() || ticket.begun && !ticket.ruling.calls.Resumable || !now.Before(ticket.ends) || ticket.counted >= max(1, ticket.ruling.calls.Tries) {
 		return window.end(now, ticket, answer, soon)
 	}
 	choice := window.weighing(now, ticket)
 	var kind DecisionKind
-	var offer offer
 	var found bool
+	var way offer
 	if ticket.source != nil {
-		kind = Run
-		offer, found = choice.runner(ticket.reader)
+		kind, way, found = choice.find(func() (DecisionKind, offer, bool) { return choice.runner(ticket.reader) })
 	} else {
 		// A further read is paid as well and takes a try of its own.
 		further := ticket.taken || ticket.begun
 		mayRead := !ticket.direct && (!further || ticket.counted+1 < ticket.ruling.calls.Tries)
-		kind, offer, found = choice.best(mayRead, true)
+		kind, way, found = choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(mayRead) })
 	}
-	if !found || ticket.avoids(offer.backend) || span(offer.time) > ticket.ends.Sub(now) && choice.free < freeEnough && ticket.source == nil {
-		return window.end(now, ticket, answer, choice.relief(offer, found))
+	if !found || ticket.avoids(way.backend) || ticket.source == nil && choice.late(way) {
+		return window.end(now, ticket, answer, choice.relief(way, found))
 	}
 	if owed := ticket.counted - ticket.paid; owed > 0 {
 		if !choice.ledger.purse.spend(now, owed, window.options.FurtherTries, choice.sharers) {
@@ -124,7 +124,7 @@
 		}
 		ticket.paid += owed
 	}
-	decision := choice.send(kind, offer)
+	decision := choice.send(kind, way)
 	if kind == Read && ticket.taken {
 		ticket.dispatch.counted = true
 		ticket.counted++
@@ -166,6 +166,12 @@
 func (window *Window) learn(now time.Time, ticket *Ticket, sent dispatch, first time.Time) {
 	backend := sent.backend
 	backend.trust.succeed()
+	if sent.source != nil {
+		backend.hands.succeed()
+		if ticket.reader != nil {
+			ticket.reader.hands.succeed()
+		}
+	}
 	if first.IsZero() || first.Before(sent.sent) {
 		return
 	}
@@ -174,9 +180,17 @@
 		window.ledger(ticket.service.Name).pace.note(sent.unread, took)
 	}
 	if sent.expected > 0 {
-		backend.slow.note(backend.slow.factor() * float64(took) / float64(sent.expected+slack))
+		ratio := float64(took) / float64(sent.expected+slack)
+		if sent.kind == Read {
+			ratio /= usualWait
+		}
+		backend.slow.note(now, ratio)
 	}
 }
 
 // slack is what any answer may take longer without telling of a slow server.
 const slack = 20 * time.Millisecond
+
+// usualWait is how many times what was expected a read may take without telling of a
+// slow server: it waits for the reads of other couriers.
+const usualWait = 2
--- a/internal/window/send.go
+++ b/internal/window/send.go
@@ -6,7 +6,7 @@
 // least so long. The values are ours.
 const (
 	readPatience      = 4
-	leastReadPatience = 400 * time.Millisecond
+	leastReadPatience = 800 * time.Millisecond
 	runPatience       = 8
 	leastRunPatience  = time.Second
 )
@@ -16,9 +16,6 @@
 	ticket, backend := choice.ticket, offer.backend
 	now := choice.now
 	ticket.dispatch = dispatch{backend: backend, kind: kind, sent: now, unread: offer.unread, expected: span(offer.own)}
-	if rate, _ := choice.coldRate(backend); backend.cold(now) {
-		backend.drops.take(now, rate)
-	}
 	decision := Decision{Kind: kind, Server: backend.server, Ends: ticket.ends, Urgency: ticket.ruling.calls.Rank}
 	if len(ticket.spent) > 0 {
 		decision.Free, ticket.spent = ticket.spent, nil
@@ -35,7 +32,7 @@
 		decision.Source = sent.source
 		backend.running.Add(1)
 		if sent.source == nil {
-			pace := choice.pace / backend.slow.factor()
+			pace := choice.pace / backend.slow.factor(now)
 			if backend.splits() {
 				pace /= 2
 			}
--- /dev/null
+++ b/internal/window/slowness.go
@@ -0,0 +1,51 @@
+package window
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// slowness is how much longer a server takes than was expected, for a while: 1 is as
+// long.
+type slowness struct{ known atomic.Pointer[slow] }
+
+type slow struct {
+	factor float64
+	at     time.Time
+}
+
+// The measures of slowness. The values are ours.
+const (
+	mostSlow     = 8.0
+	slowSmooth   = 0.2
+	slowHalfLife = 3 * time.Second
+)
+
+func (slowness *slowness) factor(now time.Time) float64 {
+	if known := slowness.known.Load(); known != nil {
+		return known.now(now)
+	}
+	return 1
+}
+
+func (slow *slow) now(now time.Time) float64 {
+	age := max(0, now.Sub(slow.at))
+	return 1 + (slow.factor-1)*math.Exp2(-float64(age)/float64(slowHalfLife))
+}
+
+func (slowness *slowness) note(now time.Time, ratio float64) {
+	seen := min(max(ratio, 1), mostSlow)
+	for {
+		known := slowness.known.Load()
+		factor := 1.0
+		if known != nil {
+			factor = known.now(now)
+		} else if seen == 1 {
+			return
+		}
+		if slowness.known.CompareAndSwap(known, &slow{factor: factor + slowSmooth*(seen-factor), at: now}) {
+			return
+		}
+	}
+}
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -13,6 +13,7 @@
 // threads; fed from one, the same events give the same decisions.
 type Window struct {
 	options  Options
+	costs    costs
 	program  atomic.Pointer[Program]
 	board    atomic.Pointer[board]
 	couriers atomic.Int64
@@ -41,7 +42,7 @@
 //
 //	calls := window.New(window.Options{Courier: "courier-1", District: "north"})
 func New(options Options) *Window {
-	window := &Window{options: options.checked()}
+	window := &Window{options: options.checked(), costs: standardCosts()}
 	window.board.Store(newBoard())
 	window.ledgers.Store(&map[string]*ledger{})
 	return window
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -35,13 +35,16 @@
 }
 
 // servers lists so many servers over three districts, four in ten of them readers.
-func servers(count int) []roster.Server {
+func servers(count int) []roster.Server { return divided(count, 4) }
+
+// divided lists so many servers, so many in ten of them readers.
+func divided(count, tenths int) []roster.Server {
 	districts := []string{"north", "south", "west"}
 	var list []roster.Server
 	readers := 0
 	for number := range count {
 		part := decode
-		if readers*10 < 4*(number+1) {
+		if readers*10 < tenths*(number+1) {
 			part = prefill
 			readers++
 		}
--- /dev/null
+++ b/internal/window/world_test.go
@@ -0,0 +1,775 @@
+package window
+
+import (
+	"container/heap"
+	"container/list"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// world is a small fleet in virtual time: couriers with a window each, servers that
+// work in steps, and origins. It compares choices; it is no stand-in of a server.
+type world struct {
+	now      time.Time
+	queue    moments
+	sequence int
+	random   *rand.Rand
+	engine   engineSheet
+	windows  []*Window
+	places   []string
+	servers  map[string]*worldServer
+	list     []roster.Server
+	tally    map[string]*classTally
+	seen     map[uint64]bool
+
+	sharedRead, sharedAgain, read int
+	nearMoves, farMoves           float64
+	crossed                       float64
+	extra, dispatches             int
+	news                          time.Duration
+	calls                         int
+	ways                          map[string]*wayTally
+	onLate                        func(*asked, time.Duration)
+}
+
+// wayTally is how many dispatches went one way, and what was read again there.
+type wayTally struct{ count, again, believed, unread int }
+
+func (world *world) wayOf(name string) *wayTally {
+	found, known := world.ways[name]
+	if !known {
+		found = &wayTally{}
+		world.ways[name] = found
+	}
+	return found
+}
+
+// engineSheet is what servers are made of.
+type engineSheet struct {
+	step, perRunning, perThousand float64
+	readPace, pairs, first, setup float64
+	piece, memory, stride, slots  int
+	bytesAToken, linkBitsAMilli   float64
+	reportLag                     time.Duration
+	inDistrict, betweenDistricts  float64
+}
+
+func sheet() engineSheet {
+	return engineSheet{step: 3.09, perRunning: 0.102, perThousand: 0.00183, readPace: 56.9, pairs: 0.165, first: 13, setup: 3.3,
+		piece: 4096, memory: 295_740, stride: 11, slots: 64, bytesAToken: 18_432, linkBitsAMilli: 550e6,
+		reportLag: 100 * time.Millisecond, inDistrict: 0.2, betweenDistricts: 0.9}
+}
+
+type moment struct {
+	at       time.Time
+	sequence int
+	act      func()
+}
+
+type moments []moment
+
+func (moments moments) Len() int { return len(moments) }
+func (moments moments) Less(left, right int) bool {
+	if !moments[left].at.Equal(moments[right].at) {
+		return moments[left].at.Before(moments[right].at)
+	}
+	return moments[left].sequence < moments[right].sequence
+}
+func (moments moments) Swap(left, right int) {
+	moments[left], moments[right] = moments[right], moments[left]
+}
+func (moments *moments) Push(value any) { *moments = append(*moments, value.(moment)) }
+func (moments *moments) Pop() any {
+	old := *moments
+	last := old[len(old)-1]
+	*moments = old[:len(old)-1]
+	return last
+}
+
+func (world *world) after(milliseconds float64, act func()) {
+	world.sequence++
+	heap.Push(&world.queue, moment{at: world.now.Add(span(milliseconds)), sequence: world.sequence, act: act})
+}
+
+func (world *world) run(until time.Time) {
+	for len(world.queue) > 0 && !world.queue[0].at.After(until) {
+		next := heap.Pop(&world.queue).(moment)
+		world.now = next.at
+		next.act()
+	}
+	world.now = until
+}
+
+// worldServer is one server of the world.
+type worldServer struct {
+	world    *world
+	listed   roster.Server
+	part     string
+	down     bool
+	dark     bool
+	life     int
+	waiting  []*job
+	running  []*job
+	working  bool
+	cache    map[uint64]*list.Element
+	order    *list.List
+	cachedIn int
+	pinned   int
+	handles  map[string]int
+	linkFree time.Time
+	past     []Load
+	arrivals []time.Time
+}
+
+type cached struct {
+	id     uint64
+	tokens int
+}
+
+// job is one call at one server.
+type job struct {
+	call     *Call
+	reads    bool
+	life     int
+	moved    bool
+	unread   int
+	left     int
+	made     int
+	started  bool
+	last     time.Time
+	longest  time.Duration
+	tokens   int
+	priority int
+	first    func()
+	ended    func(Result)
+	gone     bool
+	way      string
+	believed int
+}
+
+func (server *worldServer) kept(parts []Part, use bool) int {
+	tokens := 0
+	for _, part := range parts {
+		entry, found := server.cache[part.ID]
+		if !found || entry.Value.(*cached).tokens < part.Tokens {
+			break
+		}
+		if use {
+			server.order.MoveToFront(entry)
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
+func (server *worldServer) keep(parts []Part) {
+	for position := len(parts) - 1; position >= 0; position-- {
+		part := parts[position]
+		if entry, found := server.cache[part.ID]; found {
+			kept := entry.Value.(*cached)
+			server.cachedIn += max(0, part.Tokens-kept.tokens)
+			kept.tokens = max(kept.tokens, part.Tokens)
+			server.order.MoveToFront(entry)
+			continue
+		}
+		server.cache[part.ID] = server.order.PushFront(&cached{id: part.ID, tokens: part.Tokens})
+		server.cachedIn += part.Tokens
+	}
+	for server.cachedIn+server.pinned > server.world.engine.memory && server.order.Len() > 0 {
+		gone := server.order.Remove(server.order.Back()).(*cached)
+		server.cachedIn -= gone.tokens
+		delete(server.cache, gone.id)
+	}
+}
+
+// take has the server take a job; false tells that it turns it away.
+func (server *worldServer) take(job *job) bool {
+	engine := server.world.engine
+	if len(server.waiting) >= 192 || job.tokens > engine.memory {
+		return false
+	}
+	job.life = server.life
+	server.waiting = append(server.waiting, job)
+	server.wake()
+	return true
+}
+
+func (server *worldServer) wake() {
+	if server.working || server.down || server.dark {
+		return
+	}
+	server.admit()
+	if len(server.running) == 0 {
+		return
+	}
+	server.working = true
+	engine := server.world.engine
+	duration := engine.step
+	makers, context := 0, 0
+	var reading *job
+	for _, job := range server.running {
+		if job.unread > 0 {
+			if reading == nil {
+				reading = job
+			}
+			continue
+		}
+		makers++
+		context += job.tokens
+	}
+	duration += engine.perRunning*float64(makers) + engine.perThousand*float64(context)/1000
+	chunk := 0
+	if reading != nil {
+		pace, piece := engine.readPace, engine.piece
+		if server.part == decode {
+			pace, piece = pace/2, piece/4
+		}
+		chunk = min(reading.unread, piece)
+		done := reading.call.PromptTokens - reading.unread
+		duration += float64(chunk)/pace + engine.pairs*float64(chunk)*(float64(done)+float64(chunk)/2)/1e6
+	}
+	life := server.life
+	server.world.after(duration, func() {
+		server.working = false
+		if life != server.life {
+			return
+		}
+		server.stepped(reading, chunk)
+		server.wake()
+	})
+}
+
+func (server *worldServer) admit() {
+	for len(server.waiting) > 0 && len(server.running) < server.world.engine.slots {
+		job := server.waiting[0]
+		if server.pinned+job.tokens > server.world.engine.memory {
+			return
+		}
+		server.waiting = server.waiting[1:]
+		if job.gone {
+			continue
+		}
+		if !job.moved {
+			keeps := server.kept(job.call.Parts, true)
+			job.unread = max(job.call.PromptTokens-keeps, 1)
+			again := server.world.sharedAgain
+			server.world.countRead(job.call, keeps)
+			way := server.world.wayOf(job.way)
+			way.count++
+			way.again += server.world.sharedAgain - again
+			way.unread += job.unread
+			way.believed += job.believed
+		}
+		server.pinned += job.tokens
+		server.running = append(server.running, job)
+	}
+}
+
+func (world *world) countRead(call *Call, keeps int) {
+	at := 0
+	for position, part := range call.Parts {
+		if at >= keeps {
+			world.read += part.Tokens
+			if position < len(call.Parts)-1 {
+				world.sharedRead += part.Tokens
+				if world.seen[part.ID] {
+					world.sharedAgain += part.Tokens
+				}
+				world.seen[part.ID] = true
+			}
+		}
+		at += part.Tokens
+	}
+}
+
+func (server *worldServer) stepped(reading *job, chunk int) {
+	now := server.world.now
+	var stay []*job
+	for _, job := range server.running {
+		switch {
+		case job.gone:
+			server.pinned -= job.tokens
+			continue
+		case job == reading:
+			job.unread -= chunk
+			if job.unread == 0 {
+				server.keep(job.call.Parts)
+			}
+			if job.unread == 0 && job.reads {
+				server.world.after(0, func() { job.ended(Complete) })
+				continue
+			}
+		case job.unread == 0:
+			job.made++
+			if job.made%server.world.engine.stride == 0 || job.made >= job.left {
+				if !job.started {
+					job.started = true
+					job.first()
+				} else {
+					job.longest = max(job.longest, now.Sub(job.last))
+				}
+				job.last = now
+			}
+			if job.made >= job.left {
+				server.pinned -= job.tokens
+				job.ended(Complete)
+				continue
+			}
+		}
+		stay = append(stay, job)
+	}
+	server.running = stay
+}
+
+func (server *worldServer) empty() {
+	server.cache, server.order, server.cachedIn, server.handles = map[uint64]*list.Element{}, list.New(), 0, map[string]int{}
+}
+
+// crash ends all that the server does.
+func (server *worldServer) crash(dark bool) {
+	jobs := append(append([]*job(nil), server.waiting...), server.running...)
+	server.life++
+	server.waiting, server.running, server.pinned = nil, nil, 0
+	server.empty()
+	server.working = false
+	if dark {
+		server.dark = true
+		return
+	}
+	server.down = true
+	for _, job := range jobs {
+		switch {
+		case job.started:
+			job.ended(Cut)
+		default:
+			job.ended(Silent)
+		}
+	}
+}
+
+func (server *worldServer) report() Load {
+	return Load{Server: server.listed.Name, Part: server.part, Waiting: len(server.waiting), Running: len(server.running),
+		MemoryUsed: server.pinned, MemoryTotal: server.world.engine.memory}
+}
+
+// classTally is how the calls of one class went.
+type classTally struct {
+	owed, earned   float64
+	calls, inAim   int
+	late, lost     int
+	refused        int
+	paused         int
+	first          []float64
+	served, broken int
+}
+
+func (tally *classTally) at(share float64) float64 {
+	if len(tally.first) == 0 {
+		return 0
+	}
+	sort.Float64s(tally.first)
+	return tally.first[min(len(tally.first)-1, int(share*float64(len(tally.first))))]
+}
+
+// class is a sort of call in the world.
+type class struct {
+	name           string
+	host, path     string
+	perSecond      float64
+	chains         []chainLink
+	own, ownSpread float64
+	ownMost        float64
+	pieces, spread float64
+	mostPieces     float64
+	bytes          int
+	worth, late    float64
+	aim, deadline  time.Duration
+	gap            time.Duration
+}
+
+type chainLink struct {
+	mean, spread, most float64
+	things             int
+}
+
+func longClass() class {
+	return class{name: "long", host: "long.example", path: "/ask/", perSecond: 22.2,
+		chains: []chainLink{{2520, 0.4, 6290, 4}, {3780, 0.7, 11300, 84}}, own: 2890, ownSpread: 1, ownMost: 39600,
+		pieces: 4.73, spread: 1.4, mostPieces: 18.9, bytes: 18000, worth: 3, late: 0.9,
+		aim: 400 * time.Millisecond, deadline: 3 * time.Second, gap: 250 * time.Millisecond}
+}
+
+func chatClass() class {
+	return class{name: "chat", host: "chat.example", path: "/", perSecond: 28,
+		chains: []chainLink{{119, 0.4, 298, 40}, {79.4, 0.7, 238, 158}}, own: 628, ownSpread: 1, ownMost: 3310,
+		pieces: 26.5, spread: 0.69, mostPieces: 86.7, bytes: 1700, worth: 2, late: 0.6,
+		aim: 500 * time.Millisecond, deadline: 8 * time.Second, gap: 250 * time.Millisecond}
+}
+
+// drawn is a log-normal draw with a mean.
+func drawn(random *rand.Rand, mean, spread, most float64) float64 {
+	return min(mean*math.Exp(spread*random.NormFloat64()-spread*spread/2), most)
+}
+
+func newWorld(seed uint64, couriers, count int, shape func(*Window)) *world {
+	return dividedWorld(seed, couriers, servers(count), shape)
+}
+
+func dividedWorld(seed uint64, couriers int, list []roster.Server, shape func(*Window)) *world {
+	world := &world{now: noon, random: rand.New(rand.NewPCG(seed, 7)), engine: sheet(), servers: map[string]*worldServer{},
+		tally: map[string]*classTally{}, seen: map[uint64]bool{}, ways: map[string]*wayTally{}, news: 400 * time.Millisecond}
+	world.list = list
+	for _, listed := range world.list {
+		world.servers[listed.Name] = &worldServer{world: world, listed: listed, part: listed.Part}
+		world.servers[listed.Name].empty()
+	}
+	districts := []string{"north", "south", "west"}
+	for number := range couriers {
+		calls := New(Options{Courier: fmt.Sprintf("courier-%d", number), District: districts[number%3],
+			FurtherTries: Allowance{Ratio: 0.2, Slack: 58, Span: 10 * time.Second}})
+		calls.SetCouriers(couriers)
+		calls.SetProgram(Compile(plan(nil), 1, 1))
+		calls.SetServers(noon, world.list)
+		if shape != nil {
+			shape(calls)
+		}
+		world.windows = append(world.windows, calls)
+		world.places = append(world.places, districts[number%3])
+		number := number
+		world.after(world.random.Float64()*milliseconds(world.news), func() { world.renew(number) })
+	}
+	world.after(0, world.sample)
+	return world
+}
+
+// sample keeps what the servers reported, for the lag.
+func (world *world) sample() {
+	for _, listed := range world.list {
+		server := world.servers[listed.Name]
+		server.past = append(server.past, server.report())
+		if len(server.past) > 20 {
+			server.past = server.past[1:]
+		}
+	}
+	world.after(20, world.sample)
+}
+
+func (world *world) renew(number int) {
+	var loads []Load
+	for _, listed := range world.list {
+		server := world.servers[listed.Name]
+		if server.down || server.dark {
+			continue
+		}
+		// What is read by one node and handed on is older than the server's own lag.
+		old := min(len(server.past), 10)
+		load := server.past[len(server.past)-old]
+		load.Age = world.engine.reportLag
+		loads = append(loads, load)
+	}
+	world.windows[number].SetLoads(world.now, loads)
+	world.after(milliseconds(world.news), func() { world.renew(number) })
+}
+
+// traffic has origins ask from now until a time.
+func (world *world) traffic(class class, until time.Time) {
+	world.after(world.random.ExpFloat64()*1000/class.perSecond, func() {
+		if world.now.After(until) {
+			return
+		}
+		world.ask(class)
+		world.traffic(class, until)
+	})
+}
+
+func (world *world) ask(class class) {
+	world.calls++
+	id := fmt.Sprintf("%s-%d", class.name, world.calls)
+	call := &Call{ID: id, Host: class.host, Path: class.path + "x", Model: "m", Ends: world.now.Add(class.deadline)}
+	parent := uint64(0)
+	for depth, link := range class.chains {
+		thing := uint64(world.random.IntN(link.things))
+		if depth > 0 {
+			// A deeper thing lies under one of those above.
+			parent = thing % uint64(class.chains[depth-1].things)
+			call.Parts[0] = world.thing(class, 0, parent)
+		}
+		call.Parts = append(call.Parts, world.thing(class, depth, thing))
+	}
+	own := max(16, int(drawn(world.random, class.own, class.ownSpread, class.ownMost)))
+	call.Parts = append(call.Parts, Part{ID: nameKey(id), Tokens: own})
+	for _, part := range call.Parts {
+		call.PromptTokens += part.Tokens
+	}
+	call.OutputTokens = max(1, int(drawn(world.random, class.pieces, class.spread, class.mostPieces)*float64(world.engine.stride)))
+	call.Bytes = class.bytes * call.PromptTokens / int(class.own+class.chains[0].mean+class.chains[1].mean)
+	tally := world.tallyOf(class.name)
+	tally.calls++
+	tally.owed += class.worth
+	number := world.random.IntN(len(world.windows))
+	ticket, decision := world.windows[number].Arrive(world.now, call)
+	world.follow(&asked{class: class, call: call, at: world.now, courier: number, ticket: ticket}, decision)
+}
+
+// thing is one shared part of a class's prompts, the same each time.
+func (world *world) thing(class class, depth int, thing uint64) Part {
+	link := class.chains[depth]
+	id := weigh(nameKey(class.name)+uint64(depth), thing)
+	random := rand.New(rand.NewPCG(id, 3))
+	return Part{ID: id, Tokens: max(16, int(drawn(random, link.mean, link.spread, link.most)))}
+}
+
+func (world *world) tallyOf(name string) *classTally {
+	tally, found := world.tally[name]
+	if !found {
+		tally = &classTally{}
+		world.tally[name] = tally
+	}
+	return tally
+}
+
+// asked is one call's way through the world.
+type asked struct {
+	class   class
+	call    *Call
+	at      time.Time
+	courier int
+	ticket  *Ticket
+	first   time.Time
+	longest time.Duration
+	log     string
+}
+
+func (world *world) way(courier int, server *worldServer) float64 {
+	if world.places[courier] == server.listed.District {
+		return world.engine.inDistrict
+	}
+	return world.engine.betweenDistricts
+}
+
+func (world *world) follow(asked *asked, decision Decision) {
+	tally := world.tallyOf(asked.class.name)
+	for _, source := range decision.Free {
+		world.free(source)
+	}
+	switch decision.Kind {
+	case Read, Run:
+		world.dispatch(asked, decision)
+	case Refuse:
+		if decision.Cause.NeverRan() {
+			tally.refused++
+		} else {
+			tally.lost++
+		}
+	case Done:
+		tally.served++
+		took := asked.first.Sub(asked.at) + 2*time.Millisecond
+		tally.first = append(tally.first, milliseconds(took))
+		switch {
+		case took <= asked.class.aim && asked.longest <= asked.class.gap:
+			tally.inAim++
+			tally.earned += asked.class.worth
+		default:
+			if asked.longest > asked.class.gap {
+				tally.paused++
+			}
+			tally.late++
+			if world.onLate != nil {
+				world.onLate(asked, took)
+			}
+			tally.earned += asked.class.late
+		}
+	default:
+		tally.broken++
+	}
+}
+
+// rank tells which reader of the call's chain a server is.
+func (world *world) rank(call *Call, server *worldServer) string {
+	rank := 0
+	for _, other := range world.servers {
+		if other.part == prefill && weigh(call.chain(), nameKey(other.listed.Name)) > weigh(call.chain(), nameKey(server.listed.Name)) {
+			rank++
+		}
+	}
+	return fmt.Sprintf(" %d", rank)
+}
+
+func (world *world) free(source Source) {
+	for _, server := range world.servers {
+		if server.listed.Address == source.Address {
+			server.pinned -= server.handles[source.Handle]
+			delete(server.handles, source.Handle)
+		}
+	}
+}
+
+func (world *world) dispatch(asked *asked, decision Decision) {
+	server := world.servers[decision.Server.Name]
+	way := world.way(asked.courier, server)
+	asked.log += fmt.Sprintf("%s %s +%dms unread %d expected %v; ", decision.Kind, decision.Server.Name, world.now.Sub(asked.at).Milliseconds(), asked.ticket.dispatch.unread, asked.ticket.dispatch.expected)
+	world.dispatches++
+	if way != world.engine.inDistrict {
+		world.crossed += float64(asked.call.Bytes) / 1e9
+	}
+	done := false
+	var job_ *job
+	end := func(outcome Outcome) {
+		if done {
+			return
+		}
+		done = true
+		if job_ != nil {
+			job_.gone = true
+			asked.longest = max(asked.longest, job_.longest)
+		}
+		world.follow(asked, world.windows[asked.courier].Ended(world.now, asked.ticket, outcome))
+	}
+	if decision.Patience > 0 {
+		world.after(milliseconds(decision.Patience), func() {
+			if job_ == nil || !job_.started {
+				end(Outcome{Result: Silent})
+			}
+		})
+	}
+	world.after(milliseconds(decision.Ends.Sub(world.now)), func() {
+		if job_ != nil && job_.started {
+			end(Outcome{Result: Cut, First: asked.first})
+		} else {
+			end(Outcome{Result: Silent})
+		}
+	})
+	world.after(way, func() {
+		switch {
+		case server.down:
+			world.after(way, func() { end(Outcome{Result: Unreached}) })
+			return
+		case server.dark:
+			return
+		}
+		server.arrivals = append(server.arrivals, world.now)
+		turn := func(result Result) {
+			world.after(way, func() {
+				end(Outcome{Result: result, Status: 503, Load: &AnswerLoad{Running: len(server.running), Waiting: len(server.waiting), Slots: world.engine.slots}})
+			})
+		}
+		if decision.Kind == Read != (server.part == prefill) {
+			turn(Misdirected)
+			return
+		}
+		job := &job{call: asked.call, reads: decision.Kind == Read, left: asked.call.OutputTokens, tokens: asked.call.PromptTokens}
+		job_ = job
+		job.way = asked.class.name + " " + string(decision.Kind)
+		if job.reads {
+			job.way += world.rank(asked.call, server)
+		}
+		job.believed = asked.ticket.dispatch.unread
+		if !job.reads {
+			job.tokens += asked.call.OutputTokens
+		}
+		job.first = func() {
+			if !asked.first.IsZero() {
+				return
+			}
+			asked.first = world.now.Add(span(way))
+		}
+		job.ended = func(result Result) {
+			outcome := Outcome{Result: result, First: asked.first}
+			if job.reads && result == Complete {
+				handle := fmt.Sprintf("h%d", world.sequence)
+				server.handles[handle] = job.tokens
+				outcome = Outcome{Result: Complete, Handle: handle}
+				world.after(5000, func() {
+					if _, held := server.handles[handle]; held {
+						server.pinned -= server.handles[handle]
+						delete(server.handles, handle)
+					}
+				})
+			}
+			outcome.Load = &AnswerLoad{Running: len(server.running), Waiting: len(server.waiting), Slots: world.engine.slots}
+			if result != Complete {
+				outcome.Load = nil
+			}
+			world.after(way, func() { end(outcome) })
+		}
+		begin := func() {
+			if server.down || server.dark || done {
+				return
+			}
+			if !server.take(job) {
+				turn(NotStarted)
+			}
+		}
+		if decision.Source == nil {
+			world.after(world.engine.first, begin)
+			return
+		}
+		world.move(server, asked.call, *decision.Source, job, begin, turn)
+	})
+}
+
+func (world *world) move(server *worldServer, call *Call, source Source, job *job, begin func(), turn func(Result)) {
+	var reader *worldServer
+	for _, other := range world.servers {
+		if other.listed.Address == source.Address {
+			reader = other
+		}
+	}
+	held, found := reader.handles[source.Handle]
+	if reader.down || reader.dark || !found {
+		turn(NotStarted)
+		return
+	}
+	delete(reader.handles, source.Handle)
+	gigabytes := float64(call.PromptTokens) * world.engine.bytesAToken / 1e9
+	took := world.engine.setup + gigabytes*8e9/world.engine.linkBitsAMilli
+	if reader.listed.District != server.listed.District {
+		took *= 2
+		world.farMoves += gigabytes
+	} else {
+		world.nearMoves += gigabytes
+	}
+	start := server.linkFree
+	if start.Before(world.now) {
+		start = world.now
+	}
+	server.linkFree = start.Add(span(took))
+	world.after(milliseconds(server.linkFree.Sub(world.now)), func() {
+		reader.pinned -= held
+		job.moved, job.unread = true, 0
+		server.keep(call.Parts)
+		begin()
+	})
+}
+
+// String tells how the world's calls went.
+func (world *world) String() string {
+	text := ""
+	var names []string
+	for name := range world.tally {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		tally := world.tally[name]
+		text += fmt.Sprintf("%s: worth %.3f, in aim %.3f, late %d (pauses %d), refused %d, lost %d, broken %d, first event p50 %.0f p95 %.0f p99 %.0f ms\n", name,
+			tally.earned/tally.owed, float64(tally.inAim)/float64(tally.calls), tally.late, tally.paused, tally.refused, tally.lost, tally.broken,
+			tally.at(0.5), tally.at(0.95), tally.at(0.99))
+	}
+	names = nil
+	for name := range world.ways {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		way := world.ways[name]
+		text += fmt.Sprintf("  %s: %d, again %d, unread %d believed %d\n", name, way.count, way.again, way.unread, way.believed)
+	}
+	return text + fmt.Sprintf("read %d tokens, shared %d, again %d; moves near %.1f far %.1f GB; bodies crossed %.4f GB; %d dispatches for %d calls",
+		world.read, world.sharedRead, world.sharedAgain, world.nearMoves, world.farMoves, world.crossed, world.dispatches, world.calls)
+}
