Window: histories, budgets, cold servers and homes under test; what a choice costs

Ruled out: tests through the processes, which meet few of the ways. After: 100 seeds of random endings, each played twice; budgets and cold servers over 1 to 85 couriers with starts between; homes that agree.

--- /dev/null
+++ b/internal/window/bounds_test.go
@@ -0,0 +1,205 @@
+package window
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+)
+
+// arrivals are the moments of what is bounded over a span of time.
+type arrivals []time.Time
+
+// most is how many fall into any span of the length, and how many of the others fall
+// into the same.
+func (arrivals arrivals) most(length time.Duration, others arrivals) (most int, beside int) {
+	first, otherFirst, otherLast := 0, 0, 0
+	for last, at := range arrivals {
+		for at.Sub(arrivals[first]) >= length {
+			first++
+		}
+		for otherLast < len(others) && !others[otherLast].After(at) {
+			otherLast++
+		}
+		for otherFirst < otherLast && at.Sub(others[otherFirst]) >= length {
+			otherFirst++
+		}
+		if last-first+1 > most {
+			most, beside = last-first+1, otherLast-otherFirst
+		}
+	}
+	return most, beside
+}
+
+// TestFurtherTriesStayInTheBudget has all that couriers send fail in ways that want a
+// further try, with starts of couriers between, and wants no span of ten seconds with
+// more further tries than are allowed.
+func TestFurtherTriesStayInTheBudget(test *testing.T) {
+	for _, couriers := range []int{1, 3, 9, 30, 85} {
+		for seed := range uint64(4) {
+			random := rand.New(rand.NewPCG(seed, 5))
+			allowance := Allowance{Ratio: 0.2, Slack: 58, Span: 10 * time.Second}
+			if couriers > 10 {
+				allowance.Slack = 216
+			}
+			start := func(number int) *Window {
+				calls := New(Options{Courier: fmt.Sprintf("courier-%d", number), District: "north", FurtherTries: allowance})
+				calls.SetCouriers(couriers)
+				calls.SetProgram(Compile(plan(func(configuration *menu.Configuration) { configuration.Routes[0].Calls.Tries = 5 }), 1, 1))
+				calls.SetServers(noon, servers(9))
+				return calls
+			}
+			var windows []*Window
+			for number := range couriers {
+				windows = append(windows, start(number))
+			}
+			var asked, extra arrivals
+			for now := noon; now.Before(noon.Add(60 * time.Second)); now = now.Add(20 * time.Millisecond) {
+				number := random.IntN(couriers)
+				if random.IntN(200) == 0 {
+					windows[number] = start(number)
+				}
+				ticket, decision := windows[number].Arrive(now, longCall(fmt.Sprint(now.UnixNano()), uint64(random.IntN(20))))
+				asked = append(asked, now)
+				counted, taken := 0, false
+				for ticket != nil && (decision.Kind == Read || decision.Kind == Run) {
+					outcome := Outcome{Result: []Result{NotStarted, Silent, Misdirected, Cut}[random.IntN(4)], First: now}
+					if decision.Kind == Read && random.IntN(2) == 0 {
+						outcome = Outcome{Result: Complete, Handle: "h"}
+					}
+					if decision.Kind == Run || outcome.Result != Complete || taken {
+						counted++
+						if counted > 1 {
+							extra = append(extra, now)
+						}
+					}
+					taken = taken || outcome.Result == Complete
+					decision = windows[number].Ended(now, ticket, outcome)
+				}
+			}
+			most, beside := extra.most(allowance.Span, asked)
+			if allowed := allowance.Ratio*float64(beside) + allowance.Slack; float64(most) > allowed {
+				test.Errorf("%d couriers: %d further tries for %d calls in a span, %.0f allowed", couriers, most, beside, allowed)
+			}
+			if len(extra) == 0 {
+				test.Errorf("%d couriers tried nothing further", couriers)
+			}
+		}
+	}
+}
+
+// TestColdServersGetFewCalls has all couriers press on servers that all are cold, and
+// wants no second with more calls at one of them than it stands.
+func TestColdServersGetFewCalls(test *testing.T) {
+	for _, couriers := range []int{1, 3, 9, 30, 85} {
+		for _, known := range []bool{true, false} {
+			var windows []*Window
+			for number := range couriers {
+				calls := New(Options{Courier: fmt.Sprintf("courier-%d", number), District: "north"})
+				if known {
+					calls.SetCouriers(couriers)
+				}
+				calls.SetProgram(Compile(plan(nil), 1, 1))
+				list := servers(9)
+				for position := range list {
+					list[position].Warming = 30 * time.Second
+				}
+				calls.SetServers(noon, list)
+				windows = append(windows, calls)
+			}
+			random := rand.New(rand.NewPCG(uint64(couriers), 5))
+			sent := map[string]arrivals{}
+			total := 0
+			for now := noon; now.Before(noon.Add(20 * time.Second)); now = now.Add(time.Millisecond) {
+				number := random.IntN(couriers)
+				// Now and then all of them are left alone, so that each has saved up.
+				if now.Sub(noon)%(5*time.Second) > 3*time.Second {
+					continue
+				}
+				call := chatCall(fmt.Sprint(now.UnixNano()))
+				if random.IntN(2) == 0 {
+					call = longCall(call.ID, uint64(random.IntN(20)))
+				}
+				ticket, decision := windows[number].Arrive(now, call)
+				for ticket != nil && (decision.Kind == Read || decision.Kind == Run) {
+					sent[decision.Server.Name] = append(sent[decision.Server.Name], now)
+					total++
+					decision = windows[number].Ended(now, ticket, Outcome{Result: Complete, Handle: "h", First: now})
+				}
+			}
+			for name, arrivals := range sent {
+				if most, _ := arrivals.most(time.Second, nil); most > 23 {
+					test.Errorf("%d couriers, known %v: %s got %d calls in a second", couriers, known, name, most)
+				}
+			}
+			if total == 0 && known {
+				test.Errorf("%d couriers: nothing was sent", couriers)
+			}
+		}
+	}
+}
+
+// TestHomesAgree wants couriers to come to the same reader for a chain without talk,
+// and few chains to move when a server leaves.
+func TestHomesAgree(test *testing.T) {
+	home := func(courier, district string, count int, without string, chain uint64) string {
+		calls := New(Options{Courier: courier, District: district})
+		calls.SetProgram(Compile(plan(nil), 1, 1))
+		list := servers(count)
+		for position := range list {
+			list[position].Leaving = list[position].Name == without
+		}
+		calls.SetServers(noon, list)
+		call := longCall("a", chain)
+		choice := calls.weighing(noon, &Ticket{call: call, ruling: calls.program.Load().hosts["long.example"][1].ruling,
+			service: calls.program.Load().services["desk"], ends: noon.Add(time.Second)})
+		choice.homes()
+		return choice.home.server.Name + " " + choice.runnerHome.server.Name
+	}
+	counts := map[string]int{}
+	moved := 0
+	const chains = 300
+	for chain := range uint64(chains) {
+		first, second := home("courier-1", "north", 20, "", chain), home("courier-2", "west", 20, "", chain)
+		if first != second {
+			test.Fatalf("chain %d: %s and %s", chain, first, second)
+		}
+		counts[first]++
+		if home("courier-1", "north", 20, "stove-0", chain) != first {
+			moved++
+		}
+	}
+	readers := 0
+	for _, server := range servers(20) {
+		if server.Part == prefill {
+			readers++
+		}
+	}
+	if moved > chains*2/readers {
+		test.Errorf("%d of %d chains moved when one of %d readers left", moved, chains, readers)
+	}
+	if len(counts) < readers {
+		test.Errorf("%d homes of %d readers", len(counts), readers)
+	}
+}
+
+// BenchmarkArrive measures what a choice costs at several sizes.
+func BenchmarkArrive(benchmark *testing.B) {
+	for _, count := range []int{9, 60, 140, 1100} {
+		benchmark.Run(fmt.Sprint(count), func(benchmark *testing.B) {
+			calls := opened(count)
+			for number := range 2000 {
+				ticket, _ := calls.Arrive(noon, longCall(fmt.Sprint(number), uint64(number%100)))
+				calls.Ended(noon, ticket, Outcome{Result: Gone})
+			}
+			call := longCall("a", 7)
+			benchmark.ReportAllocs()
+			for benchmark.Loop() {
+				ticket, _ := calls.Arrive(noon, call)
+				calls.Ended(noon, ticket, Outcome{Result: Gone})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/window/history_test.go
@@ -0,0 +1,300 @@
+package window
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// history drives one window with random events and judges each decision by what a
+// call's dispatches were and how they ended.
+type history struct {
+	test     *testing.T
+	random   *rand.Rand
+	calls    *Window
+	now      time.Time
+	list     []roster.Server
+	evacuees map[string]bool
+	number   uint64
+	open     []*followed
+	log      []Decision
+}
+
+// followed is one call of a history.
+type followed struct {
+	call     *Call
+	ticket   *Ticket
+	decision Decision
+	route    *menu.CallRoute
+	// arrivals are dispatches that may have reached a server, taken the reads that a
+	// server took up, runs those that may have run.
+	arrivals, taken, runs int
+	passed                bool
+	handles               map[string]int
+	steps                 int
+}
+
+func newHistory(test *testing.T, seed uint64) *history {
+	history := &history{test: test, random: rand.New(rand.NewPCG(seed, 11)), now: noon, list: servers(9), evacuees: map[string]bool{}, number: 1,
+		calls: New(Options{Courier: "courier-1", District: "north", FurtherTries: Allowance{Ratio: 0.2, Slack: 200, Span: 10 * time.Second}})}
+	history.calls.SetCouriers(3)
+	history.configure()
+	history.calls.SetServers(history.now, history.list)
+	return history
+}
+
+func (history *history) configure() {
+	history.calls.SetProgram(Compile(plan(func(configuration *menu.Configuration) {
+		for district := range history.evacuees {
+			configuration.Evacuations = map[string]menu.Evacuation{district: {}}
+		}
+		configuration.Routes[0].Calls.Tries = 3
+		configuration.Routes = append(configuration.Routes, menu.Route{Name: "plain", Match: menu.Match{Host: "plain.example", PathPrefix: "/"},
+			Calls: &menu.CallRoute{Shares: []menu.Share{{Service: "desk", Weight: 3}, {Service: "other", Weight: 1}}, Limit: 5 * time.Second, Tries: 3}},
+			menu.Route{Name: "again", Match: menu.Match{Host: "again.example", PathPrefix: "/"},
+				Calls: &menu.CallRoute{Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 5 * time.Second, Tries: 2, Repeatable: true}})
+	}), 1, history.number))
+	history.number++
+}
+
+func (history *history) step(number int) {
+	history.now = history.now.Add(time.Duration(history.random.IntN(30)) * time.Millisecond)
+	switch draw := history.random.IntN(100); {
+	case draw < 35 && len(history.open) < 60:
+		history.arrive(number)
+	case draw < 90 && len(history.open) > 0:
+		position := history.random.IntN(len(history.open))
+		history.end(history.open[position])
+	case draw < 93:
+		history.relist()
+	case draw < 96:
+		history.report()
+	case draw < 97:
+		if len(history.evacuees) > 0 {
+			history.evacuees = map[string]bool{}
+		} else {
+			history.evacuees = map[string]bool{[]string{"north", "south", "west"}[history.random.IntN(3)]: true}
+		}
+		history.configure()
+	}
+}
+
+func (history *history) arrive(number int) {
+	id := fmt.Sprintf("call-%d", number)
+	var call *Call
+	switch history.random.IntN(4) {
+	case 0:
+		call = chatCall(id)
+	case 1:
+		call = longCall(id, uint64(history.random.IntN(20)))
+	default:
+		call = longCall(id, uint64(history.random.IntN(20)))
+		call.Host = []string{"plain.example", "again.example"}[history.random.IntN(2)]
+	}
+	call.Ends = history.now.Add(time.Duration(100+history.random.IntN(4000)) * time.Millisecond)
+	ticket, decision := history.calls.Arrive(history.now, call)
+	followed := &followed{call: call, ticket: ticket, handles: map[string]int{}}
+	if ticket != nil {
+		followed.route = ticket.Route().Calls
+		history.open = append(history.open, followed)
+	} else if decision.Kind != Refuse {
+		history.test.Fatalf("no ticket with %+v", decision)
+	}
+	history.judge(followed, decision)
+}
+
+// judge checks a decision when it is made.
+func (history *history) judge(followed *followed, decision Decision) {
+	history.log = append(history.log, decision)
+	followed.decision = decision
+	followed.steps++
+	fail := func(format string, arguments ...any) {
+		history.test.Helper()
+		history.test.Fatalf("%s: %s: %+v", followed.call.ID, fmt.Sprintf(format, arguments...), decision)
+	}
+	for _, source := range decision.Free {
+		followed.handles[source.Handle]--
+		if followed.handles[source.Handle] < 0 {
+			fail("given back twice")
+		}
+	}
+	if followed.steps > 20 {
+		fail("no end")
+	}
+	switch decision.Kind {
+	case Read, Run:
+		server := decision.Server
+		if server.Leaving || history.evacuees[server.District] || server.Service != followed.ticket.service.Name {
+			fail("a server that is not open to the call")
+		}
+		if (decision.Kind == Read) != (server.Part == prefill) {
+			fail("the wrong part")
+		}
+		if followed.arrivals >= followed.route.Tries {
+			fail("more tries than %d", followed.route.Tries)
+		}
+		repeatable := followed.route.Repeatable || followed.route.Resumable
+		if followed.runs > 0 && !repeatable {
+			fail("it may have run")
+		}
+		if followed.passed && !followed.route.Resumable {
+			fail("a stream that may not go on elsewhere")
+		}
+		if decision.Ends.After(followed.call.Ends) || !history.now.Before(decision.Ends) {
+			fail("the limit")
+		}
+		if decision.Source != nil {
+			if followed.handles[decision.Source.Handle] != 1 {
+				fail("memory that there is not")
+			}
+		}
+		return
+	case Refuse:
+		if decision.Cause.NeverRan() == (followed.runs > 0) {
+			fail("a promise after %d runs", followed.runs)
+		}
+		if left := followed.call.Ends.Sub(history.now); left > 0 && decision.RetryAfter > left/3 {
+			fail("to come back later than an origin waits")
+		}
+		if followed.passed {
+			fail("a word of our own behind an answer that began")
+		}
+	case Break:
+		if !followed.passed {
+			fail("nothing to break")
+		}
+	}
+	for handle, left := range followed.handles {
+		if left != 0 {
+			fail("memory %s is left over", handle)
+		}
+	}
+	for position, other := range history.open {
+		if other == followed {
+			history.open = append(history.open[:position], history.open[position+1:]...)
+			break
+		}
+	}
+}
+
+// end ends a call's dispatch in a random way.
+func (history *history) end(followed *followed) {
+	decision := followed.decision
+	outcome := Outcome{Result: Complete}
+	kinds := []Result{Complete, Complete, Complete, Complete, Unreached, NotStarted, Misdirected, Silent, Spoilt, Answered, Cut, Gone}
+	outcome.Result = kinds[history.random.IntN(len(kinds))]
+	if decision.Kind == Read && outcome.Result == Cut {
+		outcome.Result = Silent
+	}
+	if history.random.IntN(4) == 0 {
+		outcome.Load = &AnswerLoad{Running: history.random.IntN(70), Waiting: history.random.IntN(3), Slots: 64}
+	}
+	if history.random.IntN(20) == 0 {
+		outcome.Warming = time.Second
+	}
+	if outcome.Result == Answered {
+		outcome.Status = []int{400, 500, 504}[history.random.IntN(3)]
+	}
+	if outcome.Result != Unreached && (decision.Kind == Run || outcome.Result != Complete || followed.taken > 0) {
+		followed.arrivals++
+	}
+	if decision.Kind == Read {
+		if outcome.Result == Complete {
+			followed.taken++
+			outcome.Handle = fmt.Sprintf("%s-%d", followed.call.ID, followed.taken)
+			followed.handles[outcome.Handle] = 1
+		}
+	} else {
+		outcome.First = history.now
+		switch outcome.Result {
+		case Unreached, NotStarted, Misdirected:
+		case Cut:
+			followed.passed = true
+			followed.runs++
+		default:
+			followed.runs++
+		}
+		if decision.Source != nil {
+			switch outcome.Result {
+			case Unreached, NotStarted, Misdirected, Gone:
+				// It is still there, or may be: it is used or given back.
+			default:
+				followed.handles[decision.Source.Handle]--
+			}
+		}
+	}
+	next := history.calls.Ended(history.now, followed.ticket, outcome)
+	if outcome.Result == Gone || outcome.Result == Complete && decision.Kind == Run {
+		if next.Kind != Done {
+			history.test.Fatalf("%s: %s and then %+v", followed.call.ID, outcome.Result, next)
+		}
+	}
+	history.judge(followed, next)
+}
+
+func (history *history) relist() {
+	next := append([]roster.Server(nil), history.list...)
+	position := history.random.IntN(len(next))
+	switch history.random.IntN(4) {
+	case 0:
+		next[position].Leaving = true
+	case 1:
+		next = append(next[:position], next[position+1:]...)
+	case 2:
+		next[position].Warming = time.Second
+	default:
+		next = servers(9)
+	}
+	if len(next) < 4 {
+		next = servers(9)
+	}
+	history.list = next
+	history.calls.SetServers(history.now, next)
+}
+
+func (history *history) report() {
+	var loads []Load
+	for _, server := range history.list {
+		loads = append(loads, Load{Server: server.Name, Part: server.Part, Waiting: history.random.IntN(3), Running: history.random.IntN(66),
+			MemoryUsed: history.random.IntN(300_000), MemoryTotal: 295_740, Age: 300 * time.Millisecond})
+	}
+	history.calls.SetLoads(history.now, loads)
+}
+
+func (history *history) play(steps int) {
+	for number := range steps {
+		history.step(number)
+	}
+	for len(history.open) > 0 {
+		history.end(history.open[0])
+	}
+	if left := history.calls.InFlight(); left != 0 {
+		history.test.Fatalf("%d calls in flight at the end", left)
+	}
+	for _, backend := range history.calls.board.Load().all {
+		if backend.reading.Load() != 0 || backend.running.Load() != 0 || backend.readingTokens.Load() != 0 || backend.account.memory.Load() != 0 {
+			history.test.Fatalf("%s keeps work on its account", backend.server.Name)
+		}
+	}
+}
+
+// TestHistories plays many random histories, each twice.
+func TestHistories(test *testing.T) {
+	seeds := uint64(100)
+	if testing.Short() {
+		seeds = 30
+	}
+	for seed := range seeds {
+		first, second := newHistory(test, seed), newHistory(test, seed)
+		first.play(1500)
+		second.play(1500)
+		if !reflect.DeepEqual(first.log, second.log) {
+			test.Fatalf("seed %d: the same events gave other decisions", seed)
+		}
+	}
+}
