A lost disk is taken in as soon as the blank one answers at its address

Cause: a keeper whose disk was lost kept its place for 4 s after it was heard last, even while a blank disk answered at its address. Just back, it counted as caught up 4 s after its start, a moment before it was seated: a second loss then stopped the core for good. Ruled out: slow elections; the seat was given 0.1 s after the 4 s had passed. Change: a keeper whose address another disk answers from is gone at once.

--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -88,7 +88,10 @@
 				drawer = newest.Drawers[larder.MenuDrawer]
 			}
 		}
-		prepared := larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
+		var prepared larder.PreparedMenu
+		if !expediter.noted(current, view, edit) {
+			prepared = larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
+		}
 		version, failure := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
 		if large {
 			expediter.giveEditTurn()
@@ -102,6 +105,21 @@
 	}
 }
 
+// noted tells whether the very change was committed before: then it is answered in
+// its turn, and need not be prepared.
+func (expediter *Expediter) noted(current *Reign, view *larder.View, edit Edit) bool {
+	state, failure := expediter.state(current, view)
+	if failure != nil || edit.Change == "" {
+		return false
+	}
+	for _, note := range state.Changes {
+		if note.ID == edit.Change && note.Digest == edit.Digest {
+			return true
+		}
+	}
+	return false
+}
+
 func (expediter *Expediter) takeEditTurn(ends time.Time) bool {
 	return expediter.edits.Wait(ends.Sub(expediter.turns.Now()), func() bool {
 		expediter.mutex.Lock()
--- a/internal/larder/seating.go
+++ b/internal/larder/seating.go
@@ -41,6 +41,24 @@
 	steward.observe("keepers_granted", "epoch", won.Epoch, "keepers", won.Keepers, "incoming", won.Incoming)
 }
 
+// replaced tells whether another disk answers at the keeper's address since the
+// keeper was heard last: its own is lost, and nothing is to be waited for.
+func (steward *Steward) replaced(seat Seat) bool {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	address, lastSeen := seat.Address, time.Time{}
+	if known, found := steward.known[seat.Identity]; found {
+		address, lastSeen = known.hello.Seat.Address, known.lastSeen
+	}
+	for identity, other := range steward.known {
+		if identity != seat.Identity && other.hello.Kind == roster.Expediter && other.hello.Seat.Address == address &&
+			other.answered.After(lastSeen) && steward.turns.Now().Sub(other.answered) <= applicantFresh {
+			return true
+		}
+	}
+	return false
+}
+
 func (steward *Steward) exchange(charter Charter) ([]Seat, bool) {
 	var gone Seat
 	own := steward.keeper.Seat().Identity
@@ -48,7 +66,7 @@
 		if seat.Identity == own {
 			continue
 		}
-		if _, alive := steward.alive(seat.Identity, keeperPatience); !alive {
+		if _, alive := steward.alive(seat.Identity, keeperPatience); !alive || steward.replaced(seat) {
 			gone = seat
 		}
 	}
@@ -101,7 +119,7 @@
 			seat = steward.recorded(hello.Seat)
 		}
 		// A primary that has just begun has not heard from everybody yet.
-		plan.keepers = append(plan.keepers, plannedKeeper{seat: seat, gone: !alive && settled})
+		plan.keepers = append(plan.keepers, plannedKeeper{seat: seat, gone: !alive && settled || steward.replaced(seat)})
 	}
 	if own := steward.keeper.Seat(); !charter.Keeps(own.Identity) {
 		plan.spares = append(plan.spares, steward.recorded(own))
