--- /dev/null
+++ b/internal/hatch/edit_test.go
@@ -0,0 +1,162 @@
+package hatch
+
+import (
+	stderrors "errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// revision is an edit that builds on one revision and gives the next, told from others
+// by a word.
+func revision(builds, next uint64, word string) Edit {
+	text := fmt.Sprintf(`{"revision":%d,"annotations":{"word":%q}}`, next, word)
+	return Edit{Builds: &builds, Digest: fmt.Sprintf("%d %s", builds, text), Apply: func([]byte) ([]byte, error) { return []byte(text), nil }}
+}
+
+func evacuation(district string) Edit {
+	return Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, district, "") }}
+}
+
+func (core *core) mustBe(test *testing.T, primary *Expediter, want string) larder.Version {
+	test.Helper()
+	_, view, state, failure := primary.Read()
+	if failure != nil || !strings.Contains(string(state.Menu), want) {
+		test.Fatalf("%v: no %s in the configuration", failure, want)
+	}
+	return view.VersionOf(larder.MenuDrawer)
+}
+
+func TestEditsBuildOnRevisions(test *testing.T) {
+	formed, primary := newCore(test, plain)
+	for _, row := range []struct {
+		name string
+		edit Edit
+		kind trouble.Kind
+	}{
+		{"the first", revision(0, 3, "a"), ""},
+		{"it again", revision(0, 3, "a"), ""},
+		{"another with its number", revision(0, 3, "b"), trouble.RevisionConflict},
+		{"a later one", revision(3, 10, "c"), ""},
+		{"the first once more", revision(0, 3, "a"), ""},
+		{"one on an old base", revision(3, 12, "d"), trouble.RevisionConflict},
+		{"one on a base that is not there yet", revision(11, 12, "d"), trouble.RevisionConflict},
+	} {
+		if _, failure := primary.Edit(row.edit); (failure == nil) != (row.kind == "") || row.kind != "" && trouble.KindOf(failure) != row.kind {
+			test.Errorf("%s: %v", row.name, failure)
+		}
+	}
+	formed.mustBe(test, primary, `"word":"c"`)
+	var findings *menu.Findings
+	for name, edit := range map[string]Edit{"not above": revision(10, 10, "e"), "below": revision(10, 4, "e")} {
+		if _, failure := primary.Edit(edit); !stderrors.As(failure, &findings) || findings.Troubles[0].Path != "/revision" {
+			test.Errorf("%s: %v", name, failure)
+		}
+	}
+	formed.mustBe(test, primary, `"word":"c"`)
+}
+
+func TestOneOfManyRacingEditsWins(test *testing.T) {
+	formed, primary := newCore(test, plain)
+	for builds := range uint64(6) {
+		var group sync.WaitGroup
+		ended := make([]error, 8)
+		for position := range ended {
+			group.Go(func() { _, ended[position] = primary.Edit(revision(builds, builds+1, fmt.Sprint("racer-", position))) })
+		}
+		group.Wait()
+		winner := -1
+		for position, failure := range ended {
+			switch {
+			case failure == nil && winner < 0:
+				winner = position
+			case trouble.KindOf(failure) != trouble.RevisionConflict:
+				test.Fatalf("on %d: %v", builds, ended)
+			}
+		}
+		if winner < 0 {
+			test.Fatalf("on %d nobody won", builds)
+		}
+		formed.mustBe(test, primary, fmt.Sprintf(`"word":"racer-%d"`, winner))
+	}
+}
+
+// TestAcceptedEditIsAcceptedAgainByTheNextPrimary hands over and sends again.
+func TestAcceptedEditIsAcceptedAgainByTheNextPrimary(test *testing.T) {
+	formed, primary := newCore(test, plain)
+	edit := revision(0, 1, "again")
+	if _, failure := primary.Edit(edit); failure != nil {
+		test.Fatal(failure)
+	}
+	primary.Leave()
+	var next *Expediter
+	waited := primary.turns.NewBell()
+	for range 200 {
+		waited.Wait(20*time.Millisecond, func() bool { return false })
+		for _, node := range formed.nodes {
+			if _, _, failure := node.Ruling(); failure == nil && node != primary && !node.Steward().Charter().Backup.Empty() {
+				next = node
+			}
+		}
+		if next != nil {
+			break
+		}
+	}
+	if next == nil {
+		test.Fatal("nobody leads after the first has left")
+	}
+	if _, failure := next.Edit(edit); failure != nil {
+		test.Fatalf("sent again to the next primary: %v", failure)
+	}
+	if _, failure := next.Edit(revision(0, 9, "late")); trouble.KindOf(failure) != trouble.RevisionConflict {
+		test.Fatalf("on an old base: %v", failure)
+	}
+	formed.mustBe(test, next, `"word":"again"`)
+}
+
+func TestEvacuationThatHoldsIsNotMadeAgain(test *testing.T) {
+	formed, primary := newCore(test, plain)
+	if _, failure := primary.Edit(revision(0, 1, "a")); failure != nil {
+		test.Fatal(failure)
+	}
+	if _, failure := primary.Edit(evacuation("north")); failure != nil {
+		test.Fatal(failure)
+	}
+	first := formed.mustBe(test, primary, `"evacuations":{"north"`)
+	for range 3 {
+		if version, failure := primary.Edit(evacuation("north")); failure != nil || version != first {
+			test.Fatalf("begun again: %s, not %s: %v", version, first, failure)
+		}
+	}
+	// A replacement keeps it, and both may be under way at once.
+	var group sync.WaitGroup
+	var failures [3]error
+	group.Go(func() { _, failures[0] = primary.Edit(revision(1, 2, "b")) })
+	group.Go(func() { _, failures[1] = primary.Edit(evacuation("south")) })
+	group.Go(func() { _, failures[2] = primary.Edit(evacuation("north")) })
+	group.Wait()
+	if failure := stderrors.Join(failures[:]...); failure != nil {
+		test.Fatal(failure)
+	}
+	_, _, state, _ := primary.Read()
+	configuration, failure := menu.Check(state.Menu)
+	if failure != nil || configuration.Revision != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
+		test.Fatalf("%s: %v", state.Menu, failure)
+	}
+	lift := Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Restore(text, "north") }}
+	for range 2 {
+		if _, failure := primary.Edit(lift); failure != nil {
+			test.Fatal(failure)
+		}
+	}
+	if _, failure := primary.Edit(evacuation("north")); failure != nil {
+		test.Fatal(failure)
+	}
+	formed.mustBe(test, primary, `"north"`)
+}
