--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -38,7 +38,7 @@
 		}
 		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := courier.Start(chosen, logger, wallclock.New())
+		process, failure := courier.Start(chosen, logger, wallclock.New(), courier.Ports{})
 		if failure != nil {
 			return failure
 		}
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -44,7 +44,7 @@
 		}
 		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New())
+		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
 		if failure != nil {
 			return failure
 		}
--- a/cmd/rehearsal/stage.go
+++ b/cmd/rehearsal/stage.go
@@ -30,7 +30,7 @@
 		faults := func() rehearsal.NodeFaults { return rehearsal.ReadNodeFaults(*path) }
 		clock := wallclock.Over(func() time.Time { return time.Now().Add(faults().Jump) })
 		if kind == roster.Courier {
-			process, failure := courier.Start(chosen, logger, clock)
+			process, failure := courier.Start(chosen, logger, clock, courier.Ports{})
 			if failure != nil {
 				return failure
 			}
@@ -39,7 +39,7 @@
 			}
 			return trouble.New(trouble.Unsorted, "ended by itself")
 		}
-		process, failure := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock)
+		process, failure := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock, expediter.Ports{})
 		if failure != nil {
 			return failure
 		}
--- /dev/null
+++ b/internal/adapters/courier/commands.go
@@ -0,0 +1,34 @@
+package courier
+
+import (
+	"context"
+
+	"seamloom.example/seamloom/internal/adapters/ports"
+	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/pass"
+)
+
+// commanding has servers commanded by a platform's own orders, if there are any.
+func commanding(kitchen *stove.Stove, orders ports.Orders) hatch.Stove {
+	if orders == nil {
+		return kitchen
+	}
+	return &orderly{Stove: kitchen, orders: orders}
+}
+
+// orderly is a client to model servers whose parts are ordered in a platform's way.
+type orderly struct {
+	*stove.Stove
+	orders ports.Orders
+}
+
+// Command has a server take a part. One that is late is worse than none: it ends
+// with the duty's hold.
+//
+// Example:
+//
+//	failure := orderly.Command(decision, may)
+func (orderly *orderly) Command(decision pass.Decision, may func() bool) error {
+	return orderly.Within(decision, func(lifetime context.Context) error { return orderly.orders.Order(lifetime, decision, may) })
+}
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -92,9 +92,7 @@
 
 func (process *Process) getReady(writer http.ResponseWriter, _ *http.Request) {
 	now := process.clock.Now()
-	process.mutex.Lock()
-	servers := len(process.servers)
-	process.mutex.Unlock()
+	servers := len(process.conduct.Servers())
 	version := process.conduct.InForce()
 	content := map[string]any{"ready": now.Before(process.conduct.Core().HoldEnds()) && servers > 0 && !process.conduct.Core().Draining(), "configuration": version.String(),
 		"servers": servers, "restricted": process.conduct.Core().Restricted()}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -16,6 +16,7 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/directory"
 	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/ports"
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/stove"
@@ -25,7 +26,6 @@
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
 )
 
 // Process is one courier.
@@ -34,46 +34,54 @@
 	lifetime  context.Context
 	logger    *log.Logger
 	clock     *wallclock.Clock
-	platform  *directory.Directory
-	reports   *stove.Stove
 	conduct   *hatch.Courier
 	supported recipe.List
 	ledger    *usage.Ledger
 
-	mutex   sync.Mutex
-	chosen  settings.Settings
-	servers []roster.Server
-	watched map[string]context.CancelFunc
+	mutex  sync.Mutex
+	chosen settings.Settings
 }
 
-const (
-	tickPause     = 20 * time.Millisecond
-	platformPause = 400 * time.Millisecond
-	loadPause     = 150 * time.Millisecond
-	loadPatience  = 700 * time.Millisecond
-)
+// tickPause lies between two looks at what is still running while the process ends.
+const tickPause = 20 * time.Millisecond
+
+// Ports are what a courier reaches a platform by. Those left out are the product's
+// own.
+type Ports struct {
+	Directory ports.Directory
+	Orders    ports.Orders
+	// Board offers opaque calls to servers. A courier with one follows the servers'
+	// reports in the news; one without asks servers itself, for the market of
+	// inquiries.
+	Board hatch.Board
+}
 
 // Start listens and begins to work.
 //
 // Example:
 //
-//	process, failure := courier.Start(chosen, logger, wallclock.New())
-func Start(chosen settings.Settings, logger *log.Logger, clock *wallclock.Clock) (*Process, error) {
+//	process, failure := courier.Start(chosen, logger, wallclock.New(), courier.Ports{})
+func Start(chosen settings.Settings, logger *log.Logger, clock *wallclock.Clock, reached Ports) (*Process, error) {
 	supported := chosen.Supported()
-	process := &Process{logger: logger, clock: clock, chosen: chosen, supported: supported, platform: directory.New(hotline.Transport(chosen.Detours)),
-		ledger: usage.NewLedger(), watched: map[string]context.CancelFunc{}}
+	process := &Process{logger: logger, clock: clock, chosen: chosen, supported: supported, ledger: usage.NewLedger()}
 	process.lifetime = process.tomb.Context(context.Background())
 	turns := threads.New(process.lifetime, clock)
-	process.reports = stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
+	if reached.Directory == nil {
+		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
+	}
+	kitchen := stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
-		Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd}
+		Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
+		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: reached.Board}
+	if reached.Board == nil {
+		options.Pressures = kitchen
+	}
 	process.conduct = hatch.NewCourier(turns, hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime},
-		stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours)),
+		commanding(kitchen, reached.Orders),
 		&passing{client: &http.Client{Transport: hotline.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
 	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
 		return nil, failure
 	}
-	program.Every(&process.tomb, platformPause, process.readPlatform)
 	for _, round := range process.conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
 	}
@@ -83,6 +91,29 @@
 
 func (process *Process) observe(event string, detail ...any) { process.logger.Info(event, detail...) }
 
+// Conduct is what the courier does, for who mounts further ways in.
+//
+// Example:
+//
+//	conduct := process.Conduct()
+func (process *Process) Conduct() *hatch.Courier { return process.conduct }
+
+// Answer listens on a further address for as long as the process lives.
+//
+// Example:
+//
+//	failure := process.Answer(chosen.ReadyAddress, handler)
+func (process *Process) Answer(address string, handler http.Handler) error {
+	return program.Serve(&process.tomb, address, handler)
+}
+
+// platform is the address of the platform's lists.
+func (process *Process) platform() string {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.chosen.Platform
+}
+
 // noteEnd counts an inquiry's use.
 func (process *Process) noteEnd(inquiry *pass.Inquiry, decision pass.Decision) {
 	process.ledger.Note(process.clock.Wall(), usage.Row{Courier: process.chosen.Name, Service: inquiry.Service, Origin: inquiry.Origin,
@@ -142,56 +173,3 @@
 	defer process.mutex.Unlock()
 	return process.chosen.Grace
 }
-
-func (process *Process) readPlatform() {
-	process.mutex.Lock()
-	address := process.chosen.Platform
-	process.mutex.Unlock()
-	servers, failure := process.platform.Servers(process.lifetime, address)
-	if failure != nil {
-		process.logger.Debug("platform_unreachable", "cause", failure)
-		return
-	}
-	process.conduct.Apply(pass.Event{Kind: pass.ServersListed, Servers: servers})
-	if nodes, failure := process.platform.Nodes(process.lifetime, address); failure == nil {
-		process.conduct.SetNodes(nodes)
-	}
-	process.mutex.Lock()
-	defer process.mutex.Unlock()
-	process.servers = servers
-	current := map[string]bool{}
-	for _, server := range servers {
-		key := server.Name + "@" + server.Address
-		current[key] = true
-		if _, found := process.watched[key]; !found {
-			lifetime, end := context.WithCancel(process.lifetime)
-			process.watched[key] = end
-			process.tomb.Go(func() error { process.watchLoad(lifetime, server); return nil })
-		}
-	}
-	for key, end := range process.watched {
-		if !current[key] {
-			end()
-			delete(process.watched, key)
-		}
-	}
-}
-
-// watchLoad reads one server's pressure until the platform lists it no more.
-func (process *Process) watchLoad(lifetime context.Context, server roster.Server) {
-	ticker := time.NewTicker(loadPause)
-	defer ticker.Stop()
-	for {
-		asking, end := context.WithTimeout(lifetime, loadPatience)
-		load, failure := process.reports.Load(asking, server.Address)
-		end()
-		if failure == nil && load.Server == server.Name {
-			process.conduct.Apply(pass.Event{Kind: pass.LoadReported, Load: &load})
-		}
-		select {
-		case <-lifetime.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -18,6 +18,7 @@
 	"seamloom.example/seamloom/internal/adapters/directory"
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/adapters/ports"
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/threads"
@@ -32,7 +33,6 @@
 	lifetime        context.Context
 	logger          *log.Logger
 	clock           *wallclock.Clock
-	platform        *directory.Directory
 	conduct         *hatch.Expediter
 	operatorsClient *http.Client
 
@@ -40,15 +40,20 @@
 	chosen settings.Settings
 }
 
-const platformPause = 500 * time.Millisecond
+// Ports are what an expediter reaches a platform by. Those left out are the
+// product's own; without Reports no report is read for the couriers.
+type Ports struct {
+	Directory ports.Directory
+	Reports   ports.Reports
+}
 
 // Start opens the disk, listens and begins to work.
 //
 // Example:
 //
-//	process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New())
-func Start(chosen settings.Settings, logger *log.Logger, disk pantry.Disk, clock *wallclock.Clock) (*Process, error) {
-	process := &Process{logger: logger, clock: clock, chosen: chosen, platform: directory.New(hotline.Transport(chosen.Detours)),
+//	process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
+func Start(chosen settings.Settings, logger *log.Logger, disk pantry.Disk, clock *wallclock.Clock, reached Ports) (*Process, error) {
+	process := &Process{logger: logger, clock: clock, chosen: chosen,
 		operatorsClient: &http.Client{Transport: hotline.Transport(chosen.Detours), Timeout: forwardPatience}}
 	process.lifetime = process.tomb.Context(context.Background())
 	keeping, failure := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
@@ -59,8 +64,15 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if reached.Directory == nil {
+		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
+	}
 	options := hatch.ExpediterOptions{Name: chosen.Name, Address: chosen.Address, District: chosen.District, Seeds: chosen.Seeds, Supported: chosen.Supported(),
-		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, Fresh: larder.Identity(uuid.NewString())}
+		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, Fresh: larder.Identity(uuid.NewString()),
+		AcknowledgeWait: chosen.AcknowledgeWait, Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}}
+	if reached.Reports != nil {
+		options.Reports = ports.Asking{Reports: reached.Reports, Lifetime: process.lifetime}
+	}
 	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime}
 	conduct, blank, failure := hatch.OpenExpediter(threads.New(process.lifetime, clock), line, keeping, copies, options, process.observe)
 	if failure != nil {
@@ -70,7 +82,6 @@
 	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
 		return nil, failure
 	}
-	program.Every(&process.tomb, platformPause, process.readPlatform)
 	for _, round := range conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
 	}
@@ -87,6 +98,20 @@
 	return mux
 }
 
+// Conduct is what the expediter does, for who mounts further ways in.
+//
+// Example:
+//
+//	version, failure := process.Conduct().Edit(edit)
+func (process *Process) Conduct() *hatch.Expediter { return process.conduct }
+
+// platform is the address of the platform's lists.
+func (process *Process) platform() string {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.chosen.Platform
+}
+
 func (process *Process) observe(event string, detail ...any) { process.logger.Info(event, detail...) }
 
 // Stop hands over, if this is the primary, and ends the process. What was not
@@ -116,23 +141,12 @@
 func (process *Process) Reload(next settings.Settings) {
 	process.mutex.Lock()
 	stays := process.chosen.Reload(next)
-	seeds, level := process.chosen.Seeds, process.chosen.LogLevel
+	seeds, level, wait := process.chosen.Seeds, process.chosen.LogLevel, process.chosen.AcknowledgeWait
 	process.mutex.Unlock()
 	process.conduct.SetSeeds(seeds)
+	process.conduct.SetAcknowledgeWait(wait)
 	if parsed, failure := log.ParseLevel(level); failure == nil {
 		process.logger.SetLevel(parsed)
 	}
 	process.logger.Info("reloaded", "needs_restart", stays)
 }
-
-func (process *Process) readPlatform() {
-	process.mutex.Lock()
-	address := process.chosen.Platform
-	process.mutex.Unlock()
-	if servers, failure := process.platform.Servers(process.lifetime, address); failure == nil {
-		process.conduct.SetServers(servers)
-	}
-	if nodes, failure := process.platform.Nodes(process.lifetime, address); failure == nil {
-		process.conduct.SetNodes(nodes)
-	}
-}
--- /dev/null
+++ b/internal/adapters/ports/ports.go
@@ -0,0 +1,73 @@
+// Package ports are what the processes reach a platform by. The product has adapters
+// of its own; a platform that speaks otherwise gives others.
+package ports
+
+import (
+	"context"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// Directory reads the lists that the platform has at an address. Where there is no
+// list of nodes, Nodes fails with the kind NoSuch and is not called again.
+type Directory interface {
+	Servers(lifetime context.Context, address string) ([]roster.Server, error)
+	Nodes(lifetime context.Context, address string) ([]roster.Node, error)
+}
+
+// Reports asks a model server for its load.
+type Reports interface {
+	Report(lifetime context.Context, server roster.Server) (window.Load, error)
+}
+
+// Orders commands a model server to take a part, under the fence of its key's
+// holder. May is asked at the last moment before anything leaves.
+type Orders interface {
+	Order(lifetime context.Context, decision pass.Decision, may func() bool) error
+}
+
+// Here reads a platform's lists for as long as one process lives, at the address
+// that its settings name at the moment.
+type Here struct {
+	Directory Directory
+	Lifetime  context.Context
+	Address   func() string
+}
+
+// Servers reads the list of servers.
+//
+// Example:
+//
+//	servers, failure := here.Servers()
+func (here Here) Servers() ([]roster.Server, error) {
+	return here.Directory.Servers(here.Lifetime, here.Address())
+}
+
+// Nodes reads the list of nodes.
+//
+// Example:
+//
+//	nodes, failure := here.Nodes()
+func (here Here) Nodes() ([]roster.Node, error) {
+	return here.Directory.Nodes(here.Lifetime, here.Address())
+}
+
+// Asking asks servers for their loads for as long as one process lives.
+type Asking struct {
+	Reports  Reports
+	Lifetime context.Context
+}
+
+// Report asks one server, within the patience.
+//
+// Example:
+//
+//	load, failure := asking.Report(server, 700*time.Millisecond)
+func (asking Asking) Report(server roster.Server, patience time.Duration) (window.Load, error) {
+	lifetime, end := context.WithTimeout(asking.Lifetime, patience)
+	defer end()
+	return asking.Reports.Report(lifetime, server)
+}
--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/stove/stove.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
@@ -207,17 +208,40 @@
 		order.PatienceMilliseconds = int(decision.Order.Patience / time.Millisecond)
 		order.Cause = decision.Order.Cause
 	}
+	return stove.Within(decision, func(lifetime context.Context) error {
+		inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/part", order, may)
+		if failure != nil {
+			return failure
+		}
+		defer func() { _ = inbound.Body.Close() }()
+		if inbound.StatusCode != http.StatusOK {
+			return trouble.New(trouble.NotHolder, "status "+strconv.Itoa(inbound.StatusCode))
+		}
+		return nil
+	})
+}
+
+// Within has a command given in a lifetime that ends with the duty's hold, and soon
+// in any case.
+//
+// Example:
+//
+//	failure := stove.Within(decision, func(lifetime context.Context) error { return send(lifetime) })
+func (stove *Stove) Within(decision pass.Decision, act func(lifetime context.Context) error) error {
 	lifetime, end := context.WithTimeout(stove.lifetime, min(time.Second, decision.NotAfter.Sub(stove.turns.Now())))
 	defer end()
-	inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/part", order, may)
-	if failure != nil {
-		return failure
-	}
-	defer func() { _ = inbound.Body.Close() }()
-	if inbound.StatusCode != http.StatusOK {
-		return trouble.New(trouble.NotHolder, "status "+strconv.Itoa(inbound.StatusCode))
-	}
-	return nil
+	return act(lifetime)
+}
+
+// Pressure reads a server's pressure within a patience, for the market of inquiries.
+//
+// Example:
+//
+//	load, failure := stove.Pressure(server, 700*time.Millisecond)
+func (stove *Stove) Pressure(server roster.Server, patience time.Duration) (pass.Load, error) {
+	lifetime, end := context.WithTimeout(stove.lifetime, patience)
+	defer end()
+	return stove.Load(lifetime, server.Address)
 }
 
 // Load reads a server's pressure.
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -106,8 +106,9 @@
 	}
 	name := question.Member.Name
 	courier := question.Member.Kind == roster.Courier
+	arrived := expediter.turns.Now()
 	if courier {
-		current.Holds.Note(expediter.turns.Now(), name, question.InForce.Number)
+		current.Holds.Note(arrived, name, question.InForce.Number)
 		expediter.confirmed.Ring()
 	}
 	state, failure := expediter.state(current, view)
@@ -127,6 +128,9 @@
 		}
 		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer), Drawers: newer(view, question.Have)}
 		answer.shorten(question, current)
+		now := expediter.turns.Now()
+		answer.Held = now.Sub(arrived)
+		expediter.lists.tell(now, question, &answer)
 		if courier {
 			state, failure := expediter.state(current, view)
 			if failure != nil {
@@ -134,10 +138,10 @@
 			}
 			// From here the courier may act for as long as the hold says,
 			// counted from when it asked, which was earlier.
-			now := expediter.turns.Now()
 			current.Holds.Grant(now, name, question.InForce.Number)
 			answer.Hold = rota.DefaultTerms().Hold
 			answer.Duties = current.keys.Renew(now, name, state.Rota.Duties, current.candidates(now, state))
+			answer.Couriers = current.couriers(now, state)
 		}
 		// The grant is noted before this look: a configuration committed since
 		// is either seen here, or its change sees the grant and waits for it.
@@ -217,7 +221,7 @@
 			return true
 		}
 		seen = view
-		return len(newer(view, question.Have)) > 0
+		return len(newer(view, question.Have)) > 0 || expediter.lists.newer(question)
 	})
 	if !expediter.turns.Alive() {
 		return nil
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -7,6 +7,7 @@
 
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
@@ -35,6 +36,10 @@
 	tokens  map[string]string
 	members map[string]roster.Member
 	nodes   []roster.Node
+
+	listMutex sync.Mutex
+	listing   roster.Listing
+	watched   map[string]bool
 }
 
 // The pauses of a courier's rounds. The values are ours.
@@ -60,9 +65,10 @@
 func NewCourier(turns rota.Turns, line Hotline, stove Stove, passing Passing, options CourierOptions, observe func(string, ...any)) *Courier {
 	courier := &Courier{turns: turns, line: line, stove: stove, passing: passing, options: options, observe: observe,
 		core: seamloom.New(options.Options), journal: newJournal(), incarnation: options.Nonce(),
-		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}}
+		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}, watched: map[string]bool{}}
 	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
+	courier.followed.Follow(options.Directory != nil, options.Board != nil)
 	courier.answers = courier.table()
 	return courier
 }
@@ -73,13 +79,17 @@
 //
 //	for _, round := range courier.Rounds() { turns.Go(round) }
 func (courier *Courier) Rounds() []func() {
-	return []func(){
+	rounds := []func(){
 		func() {
 			rota.Every(courier.turns, courierTick, func() { courier.Apply(pass.Event{Kind: pass.Ticked}) })
 		},
 		func() { rota.Every(courier.turns, crumbsPause, courier.dropCrumbs) },
 		courier.followed.Run,
 	}
+	if courier.options.Directory != nil {
+		rounds = append(rounds, courier.readList, courier.readNodes)
+	}
+	return rounds
 }
 
 // Core is the deciding core.
@@ -169,6 +179,7 @@
 func (courier *Courier) takeNews(news News) {
 	if drawer, found := news.Changed[larder.MenuDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
+		courier.showBoard(drawer)
 		courier.observe("configuration_in_force", "version", drawer.Version.String())
 	}
 	state, failure := larder.ReadState(news.Changed)
@@ -187,27 +198,48 @@
 		courier.mutex.Lock()
 		courier.members = state.Members
 		courier.mutex.Unlock()
-		couriers := uint64(0)
-		for _, member := range state.Members {
-			if member.Kind == roster.Courier {
-				couriers++
-			}
+		if news.Answer.Couriers == 0 {
+			// An older release's primary does not count them.
+			courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(len(couriersOf(state.Members)))})
 		}
-		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: couriers})
 		courier.setContacts()
 	}
+	courier.takeLists(news)
 	if news.Answer.Hold > 0 {
 		courier.Apply(pass.Event{Kind: pass.HoldRenewed, HoldEnds: news.Asked.Add(news.Answer.Hold), Epoch: news.Answer.Menu.Epoch,
 			Number: news.Answer.Menu.Number, Duties: news.Answer.Duties})
 	}
 }
 
-// SetNodes takes the platform's list of nodes.
-//
-// Example:
-//
-//	courier.SetNodes(nodes)
-func (courier *Courier) SetNodes(nodes []roster.Node) {
+// showBoard puts a configuration in force for calls. One that this build can't read
+// was counted already, and leaves the older one.
+func (courier *Courier) showBoard(drawer larder.Drawer) {
+	if courier.options.Board == nil {
+		return
+	}
+	if configuration, failure := menu.Check(drawer.Content); failure == nil {
+		courier.options.Board.SetConfiguration(configuration, drawer.Version)
+	}
+}
+
+// takeLists takes what the news says of servers and of those who share them.
+func (courier *Courier) takeLists(news News) {
+	if count := news.Answer.Couriers; count > 0 {
+		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(count)})
+		if courier.options.Board != nil {
+			courier.options.Board.SetCouriers(count)
+		}
+	}
+	if news.Servers != nil {
+		courier.takeServers(news.Servers.At, news.Servers.Servers)
+	}
+	if len(news.Loads) > 0 && courier.options.Board != nil {
+		courier.options.Board.SetLoads(courier.turns.Now(), news.Loads)
+	}
+}
+
+// setNodes takes the platform's list of nodes.
+func (courier *Courier) setNodes(nodes []roster.Node) {
 	courier.mutex.Lock()
 	courier.nodes = nodes
 	courier.mutex.Unlock()
@@ -244,15 +276,21 @@
 	courier.followed.SetContacts(contacts, addresses)
 }
 
-func (courier *Courier) neighbours() []roster.Member {
-	courier.mutex.Lock()
-	defer courier.mutex.Unlock()
+// couriersOf are the names of the couriers among recorded members.
+func couriersOf(members map[string]roster.Member) []string {
 	var names []string
-	for name, member := range courier.members {
+	for name, member := range members {
 		if member.Kind == roster.Courier {
 			names = append(names, name)
 		}
 	}
+	return names
+}
+
+func (courier *Courier) neighbours() []roster.Member {
+	courier.mutex.Lock()
+	defer courier.mutex.Unlock()
+	names := couriersOf(courier.members)
 	var members []roster.Member
 	for _, name := range roster.Neighbours(courier.options.Courier, names, neighbours) {
 		members = append(members, courier.members[name])
--- a/internal/hatch/courieroptions.go
+++ b/internal/hatch/courieroptions.go
@@ -10,6 +10,12 @@
 	seamloom.Options
 	Address string
 	Seeds   []string
+	// Directory reads the platform's lists where the news does not tell them.
+	Directory Directory
+	// Pressures reads servers' loads for the market of inquiries; none: it has none.
+	Pressures Pressures
+	// Board offers calls to servers; none: this courier takes no calls.
+	Board Board
 	// Nonce gives a text that is new each time.
 	Nonce func() string
 	// Ended is told how each inquiry ended that this courier decided on.
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -28,6 +28,8 @@
 const (
 	changePatience  = 3 * time.Second
 	inForcePatience = 6 * time.Second
+	// roundTrip is what an answer and the next question may take on their way.
+	roundTrip = 150 * time.Millisecond
 )
 
 // Edit changes the configuration and returns the version once it is in force
@@ -137,11 +139,24 @@
 	expediter.edits.Ring()
 }
 
+// SetAcknowledgeWait chooses how long a committed change waits for couriers that are
+// not heard from; zero: for as long as their holds run.
+//
+// Example:
+//
+//	core.SetAcknowledgeWait(time.Second)
+func (expediter *Expediter) SetAcknowledgeWait(length time.Duration) {
+	expediter.acknowledgeWait.Store(int64(length))
+}
+
 // awaitInForce waits until every courier that has a hold has confirmed the
-// version, or its hold ran out. Its own hold is checked last.
+// version, or its hold ran out; where a wait is chosen, until every courier that was
+// heard from within it has, or the wait has passed. Its own hold is checked last.
 func (expediter *Expediter) awaitInForce(current *Reign, version larder.Version) bool {
 	everywhere := false
-	ends := expediter.turns.Now().Add(inForcePatience)
+	committed := expediter.turns.Now()
+	wait := time.Duration(expediter.acknowledgeWait.Load())
+	ends := committed.Add(inForcePatience)
 	for expediter.turns.Now().Before(ends) {
 		lost := false
 		// Holds run out without a ring: the wait is cut into short ones.
@@ -156,7 +171,13 @@
 				lost = true
 				return true
 			}
-			everywhere = len(current.Lagging(expediter.turns.Now(), version, state)) == 0
+			now := expediter.turns.Now()
+			if wait > 0 {
+				// A question that is held back counts from when it came.
+				everywhere = now.Sub(committed) >= wait || len(current.behind(now, version, max(wait, newsWait+roundTrip))) == 0
+			} else {
+				everywhere = len(current.Lagging(now, version, state)) == 0
+			}
 			return everywhere
 		})
 		if over || !expediter.turns.Alive() {
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -28,6 +28,8 @@
 	followed  *Follower
 	answers   Answers
 	news      rota.Bell
+	reigns    rota.Bell
+	lists     lists
 	work      rota.Bell
 	confirmed rota.Bell
 	edits     rota.Bell
@@ -37,9 +39,10 @@
 	newsBytes   atomic.Uint64
 	menusSent   atomic.Uint64
 
+	acknowledgeWait atomic.Int64
+
 	mutex    sync.Mutex
 	reign    *Reign
-	servers  []roster.Server
 	mending  bool
 	mendedAt time.Time
 	editing  bool
@@ -84,11 +87,13 @@
 		observe("copy_damaged", "damage", damage)
 	}
 	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
-		news: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
+		news: turns.NewBell(), reigns: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
 	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
 	expediter.steward.Bear(options.BorneLosses, options.District)
 	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
+	expediter.followed.Follow(options.Directory != nil, false)
+	expediter.SetAcknowledgeWait(options.AcknowledgeWait)
 	expediter.answers = expediter.table()
 	return expediter, blank, nil
 }
@@ -113,8 +118,15 @@
 	every := func(pause time.Duration, task func()) func() {
 		return func() { rota.Every(expediter.turns, pause, task) }
 	}
-	return []func(){every(tickPause, expediter.tick), every(housekeepingPause, expediter.housekeep), every(sweepPause, expediter.sweep),
+	rounds := []func(){every(tickPause, expediter.tick), every(housekeepingPause, expediter.housekeep), every(sweepPause, expediter.sweep),
 		expediter.commit, expediter.followed.Run}
+	if expediter.options.Directory != nil {
+		rounds = append(rounds, expediter.readServers, expediter.readNodes)
+	}
+	if expediter.options.Reports != nil {
+		rounds = append(rounds, expediter.readReports)
+	}
+	return rounds
 }
 
 // Leave hands over, if this is the primary, and returns when that is done or
@@ -140,34 +152,17 @@
 	expediter.followed.SetSeeds(seeds)
 }
 
-// SetServers takes the platform's list of model servers.
-//
-// Example:
-//
-//	core.SetServers(servers)
-func (expediter *Expediter) SetServers(servers []roster.Server) {
-	expediter.mutex.Lock()
-	defer expediter.mutex.Unlock()
-	expediter.servers = servers
-}
-
 // Servers is the platform's list as it was read last.
 //
 // Example:
 //
 //	servers := core.Servers()
 func (expediter *Expediter) Servers() []roster.Server {
-	expediter.mutex.Lock()
-	defer expediter.mutex.Unlock()
-	return expediter.servers
+	return expediter.lists.servers(expediter.turns.Now())
 }
 
-// SetNodes takes the platform's list of nodes.
-//
-// Example:
-//
-//	core.SetNodes(nodes)
-func (expediter *Expediter) SetNodes(nodes []roster.Node) {
+// setNodes takes the platform's list of nodes.
+func (expediter *Expediter) setNodes(nodes []roster.Node) {
 	var contacts []string
 	for _, node := range nodes {
 		if node.Kind == roster.Expediter && node.Address != expediter.options.Address {
@@ -220,15 +215,20 @@
 	expediter.steward.Tick()
 	expediter.mutex.Lock()
 	leading := expediter.store.Leading()
-	ended := false
-	if leading && expediter.reign == nil {
+	begun, ended := leading && expediter.reign == nil, !leading && expediter.reign != nil
+	if begun {
 		expediter.reign = newReign(expediter.turns.Now())
 	}
-	if !leading && expediter.reign != nil {
-		expediter.reign, ended = nil, true
+	if ended {
+		expediter.reign = nil
 	}
 	expediter.mutex.Unlock()
+	if begun {
+		expediter.lists.begin(expediter.steward.Charter().Epoch)
+		expediter.reigns.Ring()
+	}
 	if ended {
+		expediter.lists.end()
 		expediter.news.Ring()
 	}
 }
@@ -422,8 +422,12 @@
 	return version, nil
 }
 
-// takeNews follows the enabled set as every node does.
+// takeNews follows the enabled set as every node does, and the list of servers, to
+// lead with it at once.
 func (expediter *Expediter) takeNews(news News) {
+	if news.Servers != nil && !expediter.lists.leading() {
+		expediter.lists.take(news.Servers.At, news.Servers.Servers)
+	}
 	drawer, found := news.Changed[larder.FlagsDrawer]
 	if !found {
 		return
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -19,6 +19,13 @@
 	FlagSettle time.Duration
 	// BorneLosses is how many disks may be lost at once; one when it is zero.
 	BorneLosses int
+	// AcknowledgeWait is how long a committed change waits for couriers that are not
+	// heard from; zero: for as long as their holds run.
+	AcknowledgeWait time.Duration
 	// Fresh is the identity that a blank disk takes.
 	Fresh larder.Identity
+	// Directory reads the platform's lists, and Reports the servers' loads, for the
+	// whole fleet while this expediter is primary.
+	Directory Directory
+	Reports   Reports
 }
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -11,6 +11,7 @@
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // Follower keeps one node up to date: it asks the primary with the versions that
@@ -31,6 +32,11 @@
 	charter    larder.Charter
 	heard      time.Time
 	dark       map[string]time.Time
+
+	lists, loads bool
+	listMark     uint64
+	loadsMark    uint64
+	listing      roster.Listing
 }
 
 // News is one answer of the primary, as the node takes it.
@@ -38,6 +44,16 @@
 	Asked   time.Time
 	Answer  NewsAnswer
 	Changed map[string]larder.Drawer
+	// Servers is the list as the primary has it, if it has one.
+	Servers *Listed
+	// Loads are the servers' reports, if there are newer ones.
+	Loads []window.Load
+}
+
+// Listed is a list of servers and when it was read.
+type Listed struct {
+	At      time.Time
+	Servers []roster.Server
 }
 
 const (
@@ -65,6 +81,28 @@
 		drawers: map[string]larder.Drawer{}, dark: map[string]time.Time{}}
 }
 
+// Follow chooses whether the list of servers and their reports are followed, too.
+//
+// Example:
+//
+//	followed.Follow(true, true)
+func (follower *Follower) Follow(lists, loads bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.lists, follower.loads = lists, loads
+}
+
+// ForgetList has the primary tell its list of servers anew.
+//
+// Example:
+//
+//	followed.ForgetList()
+func (follower *Follower) ForgetList() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.listMark = 0
+}
+
 // SetContacts gives the expediters' addresses that the platform lists, and the
 // neighbours that may relay.
 //
@@ -149,7 +187,8 @@
 	for name, drawer := range follower.drawers {
 		have[name] = drawer.Version
 	}
-	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true}
+	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true,
+		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
 	if follower.primary == "" {
 		return question, searchPatience
 	}
@@ -187,8 +226,36 @@
 		follower.drawers[name] = drawer
 	}
 	follower.heard = follower.turns.Now()
+	news := News{Asked: asked, Answer: answer, Changed: answer.Drawers}
+	follower.takeLists(&news)
 	follower.mutex.Unlock()
-	follower.take(News{Asked: asked, Answer: answer, Changed: answer.Drawers})
+	follower.take(news)
+}
+
+// takeLists takes the list of servers and their reports out of an answer. The caller
+// has the mutex. An age counts from the latest moment at which the question surely
+// had not been answered yet, so that nothing is taken for younger than it is.
+func (follower *Follower) takeLists(news *News) {
+	told := news.Asked.Add(news.Answer.Held)
+	if said := news.Answer.Servers; said != nil {
+		at := told.Add(-said.Age)
+		if said.Sent {
+			follower.listing = roster.Listing{}
+			follower.listing.Take(at, said.Servers)
+			follower.listMark = said.Mark
+		}
+		if said.Mark == follower.listMark {
+			follower.listing.Confirm(at)
+			news.Servers = &Listed{At: at, Servers: follower.listing.Servers(at)}
+		}
+	}
+	if said := news.Answer.Loads; said != nil && follower.loads {
+		follower.loadsMark = said.Mark
+		late := follower.turns.Now().Sub(told)
+		for _, line := range said.Lines {
+			news.Loads = append(news.Loads, line.load(late))
+		}
+	}
 }
 
 // leadsAnswer is the part that all answers of expediters have in common.
--- /dev/null
+++ b/internal/hatch/listreading.go
@@ -0,0 +1,145 @@
+package hatch
+
+import (
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// A courier has the list of servers from the primary. The values are ours.
+const (
+	// listPatience is how old the list may be before the courier reads it itself,
+	// firstListPatience how long a courier that has none waits for the primary's.
+	listPatience      = 1500 * time.Millisecond
+	firstListPatience = 300 * time.Millisecond
+	// ownListPause lies between two reads of its own, and up to ownListSpread more,
+	// so that the fleet does not read all at once.
+	ownListPause  = time.Second
+	ownListSpread = 500 * time.Millisecond
+	// pressurePause lies between two reads of a server's load by a courier itself.
+	pressurePause    = 150 * time.Millisecond
+	pressurePatience = 700 * time.Millisecond
+)
+
+// Servers is the list of servers as the courier knows it.
+//
+// Example:
+//
+//	ready := len(courier.Servers()) > 0
+func (courier *Courier) Servers() []roster.Server {
+	courier.listMutex.Lock()
+	defer courier.listMutex.Unlock()
+	return courier.listing.Servers(courier.turns.Now())
+}
+
+// takeServers takes a list that was read at a moment, by whomever.
+func (courier *Courier) takeServers(at time.Time, servers []roster.Server) {
+	courier.listMutex.Lock()
+	defer courier.listMutex.Unlock()
+	if !courier.listing.Take(at, servers) {
+		return
+	}
+	now := courier.turns.Now()
+	listed := courier.listing.Servers(now)
+	courier.Apply(pass.Event{Kind: pass.ServersListed, At: now, Servers: listed})
+	if courier.options.Board != nil {
+		courier.options.Board.SetServers(now, listed)
+	}
+	courier.watchPressures(listed)
+}
+
+// readList reads the list itself while there is no news of it.
+func (courier *Courier) readList() {
+	began := courier.turns.Now()
+	for reads := 0; courier.turns.Alive(); {
+		if left := courier.listDue(began).Sub(courier.turns.Now()); left > 0 {
+			// Clocks are coarse: a pause of nothing would be made over and over.
+			rota.Pause(courier.turns, max(left, time.Millisecond))
+			continue
+		}
+		asked := courier.turns.Now()
+		servers, failure := courier.options.Directory.Servers()
+		if failure == nil {
+			courier.takeServers(asked, servers)
+			// Whatever list the primary has is told anew, since this one differs.
+			courier.followed.ForgetList()
+		}
+		courier.observe("list_read_itself", "servers", len(servers), "trouble", failure)
+		reads++
+		rota.Pause(courier.turns, ownListPause+courier.spread(reads))
+	}
+}
+
+// listDue is when the courier is to read the list itself, if no news of it comes.
+func (courier *Courier) listDue(began time.Time) time.Time {
+	courier.listMutex.Lock()
+	defer courier.listMutex.Unlock()
+	if at := courier.listing.At(); !at.IsZero() {
+		return at.Add(listPatience + courier.spread(0)/4)
+	}
+	return began.Add(firstListPatience + courier.spread(0))
+}
+
+// spread is a length of time that differs from courier to courier.
+func (courier *Courier) spread(reads int) time.Duration {
+	return time.Duration(roster.Weight("read "+strconv.Itoa(reads), courier.options.Courier) % uint64(ownListSpread))
+}
+
+// readNodes reads the platform's list of nodes, where there is one.
+func (courier *Courier) readNodes() {
+	for courier.turns.Alive() {
+		nodes, failure := courier.options.Directory.Nodes()
+		if trouble.KindOf(failure) == trouble.NoSuch {
+			return
+		}
+		if failure == nil {
+			courier.setNodes(nodes)
+		}
+		rota.Pause(courier.turns, nodesPause)
+	}
+}
+
+// watchPressures has each listed server's load read for the market of inquiries. The
+// caller has the list's mutex.
+func (courier *Courier) watchPressures(servers []roster.Server) {
+	if courier.options.Pressures == nil {
+		return
+	}
+	listed := map[string]bool{}
+	for _, server := range servers {
+		key := server.Name + "@" + server.Address
+		listed[key] = true
+		if !courier.watched[key] {
+			courier.watched[key] = true
+			courier.turns.Go(func() { courier.watchPressure(key, server) })
+		}
+	}
+	for key := range courier.watched {
+		if !listed[key] {
+			delete(courier.watched, key)
+		}
+	}
+}
+
+// watchPressure reads one server's load until it is listed no more.
+func (courier *Courier) watchPressure(key string, server roster.Server) {
+	watched := func() bool {
+		courier.listMutex.Lock()
+		defer courier.listMutex.Unlock()
+		return courier.watched[key]
+	}
+	for courier.turns.Alive() && watched() {
+		began := courier.turns.Now()
+		load, failure := courier.options.Pressures.Pressure(server, pressurePatience)
+		if failure == nil && load.Server == server.Name {
+			courier.Apply(pass.Event{Kind: pass.LoadReported, Load: &load})
+		}
+		if left := pressurePause - courier.turns.Now().Sub(began); left > 0 {
+			rota.Pause(courier.turns, left)
+		}
+	}
+}
--- /dev/null
+++ b/internal/hatch/lists.go
@@ -0,0 +1,281 @@
+package hatch
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// lists is what an expediter knows of the platform's list of servers and of their
+// reports. The primary reads both for the whole fleet; the others have the list from
+// the news, so that they lead with it at once.
+type lists struct {
+	mutex   sync.Mutex
+	listing roster.Listing
+	// epoch is that of the reign whose marks these are, and zero outside of one.
+	epoch     uint64
+	changes   uint64
+	rounds    uint64
+	reports   map[string]report
+	asking    map[string]bool
+	wantedAt  time.Time
+	failedFor string
+}
+
+// report is one server's, with when it was asked for.
+type report struct {
+	load window.Load
+	at   time.Time
+}
+
+// The pauses of reading. The values are ours.
+const (
+	listPause   = 500 * time.Millisecond
+	reportPause = 333 * time.Millisecond
+	// reportPatience is how long a server may take to report. A round waits no
+	// longer than roundPatience: a late report goes out with the next.
+	reportPatience = 700 * time.Millisecond
+	roundPatience  = 120 * time.Millisecond
+	// reportKept is how long a report that no other followed is passed on.
+	reportKept = 3 * time.Second
+	// wantedTime is how long after a courier's last question reports are read for.
+	wantedTime = 3 * time.Second
+	nodesPause = 500 * time.Millisecond
+)
+
+// mark tells one list, or one round of reports, from all others: an epoch has one
+// primary.
+func mark(epoch, count uint64) uint64 { return epoch<<32 | count&0xffffffff }
+
+func (lists *lists) listMark() uint64 {
+	if lists.epoch == 0 || lists.listing.At().IsZero() {
+		return 0
+	}
+	return mark(lists.epoch, lists.changes)
+}
+
+func (lists *lists) reportsMark() uint64 {
+	if lists.epoch == 0 || lists.rounds == 0 {
+		return 0
+	}
+	return mark(lists.epoch, lists.rounds)
+}
+
+// begin starts a reign's own marks, from what is known; end ends them.
+func (lists *lists) begin(epoch uint64) {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	lists.epoch, lists.changes, lists.rounds, lists.reports, lists.asking = epoch, 1, 0, map[string]report{}, map[string]bool{}
+}
+
+func (lists *lists) end() {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	lists.epoch = 0
+}
+
+func (lists *lists) leading() bool {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	return lists.epoch != 0
+}
+
+// take takes a list and tells whether it changed anything.
+func (lists *lists) take(at time.Time, servers []roster.Server) bool {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	changed := lists.listing.Take(at, servers)
+	if changed {
+		lists.changes++
+	}
+	return changed
+}
+
+// servers is the list as it is known now.
+func (lists *lists) servers(now time.Time) []roster.Server {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	return lists.listing.Servers(now)
+}
+
+// newer tells whether there is a list or a round of reports that the asker has not.
+func (lists *lists) newer(question NewsQuestion) bool {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	return question.Lists && lists.listMark() != 0 && lists.listMark() != question.ListMark ||
+		question.Loads && lists.reportsMark() != 0 && lists.reportsMark() != question.LoadsMark
+}
+
+// tell writes into an answer what the asker follows and has not.
+func (lists *lists) tell(now time.Time, question NewsQuestion, answer *NewsAnswer) {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	if question.Loads {
+		lists.wantedAt = now
+	}
+	if current := lists.listMark(); question.Lists && current != 0 {
+		answer.Servers = &ServersNews{Mark: current, Age: now.Sub(lists.listing.At())}
+		if current != question.ListMark {
+			answer.Servers.Sent, answer.Servers.Servers = true, lists.listing.Servers(now)
+		}
+	}
+	if current := lists.reportsMark(); question.Loads && current != 0 && current != question.LoadsMark {
+		answer.Loads = &LoadsNews{Mark: current}
+		for _, reported := range lists.reports {
+			if age := now.Sub(reported.at); age < reportKept {
+				answer.Loads.Lines = append(answer.Loads.Lines, reportOf(reported.load, age))
+			}
+		}
+		slices.SortFunc(answer.Loads.Lines, func(left, right loadReport) int { return strings.Compare(left.Server, right.Server) })
+	}
+}
+
+// wanted lists the servers to ask for a report now: those listed that are not being
+// asked, if a courier follows reports.
+func (lists *lists) wanted(now time.Time) []roster.Server {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	if lists.epoch == 0 || lists.wantedAt.IsZero() || now.Sub(lists.wantedAt) > wantedTime {
+		return nil
+	}
+	var wanted []roster.Server
+	for _, server := range lists.listing.Servers(now) {
+		if !lists.asking[server.Name] {
+			lists.asking[server.Name] = true
+			wanted = append(wanted, server)
+		}
+	}
+	return wanted
+}
+
+// note takes a server's answer, or that there was none.
+func (lists *lists) note(epoch uint64, server string, at time.Time, load window.Load, failure error) {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	if lists.epoch != epoch {
+		return
+	}
+	delete(lists.asking, server)
+	if failure == nil && load.Server == server && !at.Before(lists.reports[server].at) {
+		lists.reports[server] = report{load: load, at: at}
+	}
+}
+
+// round ends a round of reading and forgets the servers that are gone.
+func (lists *lists) round(now time.Time) {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	for name, reported := range lists.reports {
+		if now.Sub(reported.at) >= reportKept {
+			delete(lists.reports, name)
+		}
+	}
+	if lists.epoch != 0 {
+		lists.rounds++
+	}
+}
+
+// readServers reads the platform's list for the fleet for as long as this expediter
+// leads, and at once when it begins to.
+func (expediter *Expediter) readServers() {
+	for expediter.turns.Alive() {
+		if !expediter.lists.leading() {
+			expediter.reigns.Wait(time.Minute, expediter.lists.leading)
+			continue
+		}
+		asked := expediter.turns.Now()
+		servers, failure := expediter.options.Directory.Servers()
+		// A list that could not be read leaves what is known as it is.
+		if failure == nil && expediter.lists.take(asked, servers) {
+			expediter.news.Ring()
+		}
+		expediter.noteListTrouble(failure)
+		if left := listPause - expediter.turns.Now().Sub(asked); left > 0 {
+			rota.Pause(expediter.turns, left)
+		}
+	}
+}
+
+// noteListTrouble logs that the list can't be read, and that it can again, once.
+func (expediter *Expediter) noteListTrouble(failure error) {
+	cause := ""
+	if failure != nil {
+		cause = string(trouble.KindOf(failure))
+	}
+	expediter.lists.mutex.Lock()
+	told := expediter.lists.failedFor == cause
+	expediter.lists.failedFor = cause
+	expediter.lists.mutex.Unlock()
+	if !told {
+		expediter.observe("list_read", "trouble", failure)
+	}
+}
+
+// readReports asks all servers for their load, over and over, while this expediter
+// leads and a courier follows reports.
+func (expediter *Expediter) readReports() {
+	for expediter.turns.Alive() {
+		if !expediter.lists.leading() {
+			expediter.reigns.Wait(time.Minute, expediter.lists.leading)
+			continue
+		}
+		began := expediter.turns.Now()
+		if wanted := expediter.lists.wanted(began); len(wanted) > 0 {
+			expediter.askAll(wanted)
+			expediter.lists.round(expediter.turns.Now())
+			expediter.news.Ring()
+		}
+		if left := reportPause - expediter.turns.Now().Sub(began); left > 0 {
+			rota.Pause(expediter.turns, left)
+		}
+	}
+}
+
+// askAll asks servers at once and waits for those that answer soon.
+func (expediter *Expediter) askAll(servers []roster.Server) {
+	expediter.lists.mutex.Lock()
+	epoch := expediter.lists.epoch
+	expediter.lists.mutex.Unlock()
+	bell := expediter.turns.NewBell()
+	var mutex sync.Mutex
+	left := len(servers)
+	for _, server := range servers {
+		expediter.turns.Go(func() {
+			asked := expediter.turns.Now()
+			load, failure := expediter.options.Reports.Report(server, reportPatience)
+			expediter.lists.note(epoch, server.Name, asked, load, failure)
+			mutex.Lock()
+			left--
+			last := left == 0
+			mutex.Unlock()
+			if last {
+				bell.Ring()
+			}
+		})
+	}
+	bell.Wait(roundPatience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return left == 0
+	})
+}
+
+// readNodes reads the platform's list of nodes, where there is one.
+func (expediter *Expediter) readNodes() {
+	for expediter.turns.Alive() {
+		nodes, failure := expediter.options.Directory.Nodes()
+		if trouble.KindOf(failure) == trouble.NoSuch {
+			return
+		}
+		if failure == nil {
+			expediter.setNodes(nodes)
+		}
+		rota.Pause(expediter.turns, nodesPause)
+	}
+}
--- /dev/null
+++ b/internal/hatch/loadsnews.go
@@ -0,0 +1,42 @@
+package hatch
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/window"
+)
+
+// LoadsNews are the servers' reports as the primary read them last. Its mark tells
+// one round of reading from another.
+type LoadsNews struct {
+	Mark  uint64       `msgpack:"mark"`
+	Lines []loadReport `msgpack:"lines"`
+}
+
+// loadReport is one server's report, as short as it can be: three times a second it
+// goes to every courier.
+type loadReport struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The encoder reads the tag.
+
+	Server      string
+	Part        string
+	Changing    bool
+	Orders      uint64
+	Waiting     int
+	Running     int
+	MemoryUsed  int
+	MemoryTotal int
+	Handles     int
+	// Age is in milliseconds.
+	Age int64
+}
+
+func reportOf(load window.Load, age time.Duration) loadReport {
+	return loadReport{Server: load.Server, Part: load.Part, Changing: load.Changing, Orders: load.Orders, Waiting: load.Waiting, Running: load.Running,
+		MemoryUsed: load.MemoryUsed, MemoryTotal: load.MemoryTotal, Handles: load.Handles, Age: (load.Age + age).Milliseconds()}
+}
+
+func (report loadReport) load(age time.Duration) window.Load {
+	return window.Load{Server: report.Server, Part: report.Part, Changing: report.Changing, Orders: report.Orders, Waiting: report.Waiting, Running: report.Running,
+		MemoryUsed: report.MemoryUsed, MemoryTotal: report.MemoryTotal, Handles: report.Handles, Age: time.Duration(report.Age)*time.Millisecond + age}
+}
--- a/internal/hatch/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -18,4 +18,11 @@
 	Menu    larder.Version           `msgpack:"menu"`
 	Hold    time.Duration            `msgpack:"hold"`
 	Duties  []rota.Duty              `msgpack:"duties,omitempty"`
+	// Held is how long the question was held back, so that ages are counted from
+	// no earlier than they were told.
+	Held time.Duration `msgpack:"held,omitempty"`
+	// Couriers is how many couriers share the servers.
+	Couriers int          `msgpack:"couriers,omitempty"`
+	Servers  *ServersNews `msgpack:"servers,omitempty"`
+	Loads    *LoadsNews   `msgpack:"loads,omitempty"`
 }
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -18,4 +18,10 @@
 	Patience time.Duration             `msgpack:"patience"`
 	// Deltas tells that the node takes what changed instead of the whole.
 	Deltas bool `msgpack:"deltas,omitempty"`
+	// Lists tells that the node follows the list of servers, and Loads that it
+	// follows their reports; the marks are of those that it has.
+	Lists     bool   `msgpack:"lists,omitempty"`
+	ListMark  uint64 `msgpack:"list_mark,omitempty"`
+	Loads     bool   `msgpack:"loads,omitempty"`
+	LoadsMark uint64 `msgpack:"loads_mark,omitempty"`
 }
--- a/internal/hatch/reign.go
+++ b/internal/hatch/reign.go
@@ -38,6 +38,26 @@
 	return live
 }
 
+// countedTime is how long a courier that is not heard from any more counts among
+// those that share the servers; for as long a new primary counts all that are
+// recorded. The value is ours.
+const countedTime = 10 * time.Second
+
+// couriers is how many couriers share the servers.
+func (reign *Reign) couriers(now time.Time, state *larder.State) int {
+	heard := len(reign.Holds.HeardWithin(now, countedTime))
+	if now.Sub(reign.Since) >= countedTime {
+		return heard
+	}
+	return max(heard, len(couriersOf(state.Members)))
+}
+
+// behind lists the couriers that were heard from within a time and have not
+// confirmed a version.
+func (reign *Reign) behind(now time.Time, version larder.Version, within time.Duration) []string {
+	return reign.Holds.Behind(now, version.Number, within)
+}
+
 // Lagging lists the couriers that may still let in under a configuration older
 // than the version.
 //
@@ -45,11 +65,5 @@
 //
 //	everywhere := len(reign.Lagging(now, version, state)) == 0
 func (reign *Reign) Lagging(now time.Time, version larder.Version, state *larder.State) []string {
-	var couriers []string
-	for name, member := range state.Members {
-		if member.Kind == roster.Courier {
-			couriers = append(couriers, name)
-		}
-	}
-	return reign.Holds.Lagging(now, version.Number, couriers)
+	return reign.Holds.Lagging(now, version.Number, couriersOf(state.Members))
 }
--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -27,6 +27,7 @@
 	end     context.CancelFunc
 	seats   []*hatch.Expediter
 	shelves []*shelf
+	lists   *lists
 	// members are the couriers that the seed registered.
 	members []roster.Member
 	// have are the versions that a courier in touch has.
@@ -49,17 +50,17 @@
 			seeds = append(seeds, address)
 		}
 	}
+	formed.lists = &lists{nodes: nodes}
 	changed := formed.turns.NewBell()
 	for _, node := range nodes {
 		copies := newShelf()
 		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: recipe.Supported(nil),
-			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab")}
+			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists}
 		seat, _, failure := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
 		if failure != nil {
 			end()
 			return nil, failure
 		}
-		seat.SetNodes(nodes)
 		formed.line.join(node.Address, seat.Answers())
 		formed.seats, formed.shelves = append(formed.seats, seat), append(formed.shelves, copies)
 	}
@@ -184,7 +185,12 @@
 	if failure != nil {
 		return failure
 	}
-	core.primary().SetServers(ServersOf(sizes[Servers]))
+	core.lists.set(ServersOf(sizes[Servers]))
+	for ends := core.turns.Now().Add(formPatience); len(core.primary().Servers()) != sizes[Servers]; rota.Pause(core.turns, 20*time.Millisecond) {
+		if core.turns.Now().After(ends) {
+			return trouble.New(trouble.Unsorted, "the hollow core has not read its list of servers")
+		}
+	}
 	return core.settle()
 }
 
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -7,10 +7,11 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/adapters/stove"
-	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/rehearsal"
 	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // platform is what lists servers and nodes.
@@ -27,41 +28,54 @@
 	return servers
 }
 
-// watchPlatform reads the lists for a courier, and each listed server's load.
-func (world *World) watchPlatform(here *life, courier *hatch.Courier) {
-	watched := map[string]bool{}
-	for here.Alive() {
-		if !world.platform.down && !world.link("platform", here.name).cut {
-			servers := world.platform.listServers()
-			courier.Apply(pass.Event{Kind: pass.ServersListed, Servers: servers})
-			courier.SetNodes(world.listNodes())
-			listed := map[string]bool{}
-			for _, server := range servers {
-				listed[server.Address] = true
-				if !watched[server.Address] {
-					watched[server.Address] = true
-					here.Go(func() { world.watchLoad(here, courier, server, watched) })
-				}
-			}
-			for address := range watched {
-				if !listed[address] {
-					delete(watched, address)
-				}
-			}
-		}
-		here.NewBell().Wait(400*time.Millisecond, never)
+// lists is the platform's directory and the servers' reports, as one life reaches
+// them.
+type lists struct {
+	world *World
+	life  *life
+}
+
+func (lists lists) reached() error {
+	if lists.world.platform.down || lists.world.link("platform", lists.life.name).cut {
+		return trouble.New(trouble.Unreachable, "the platform")
+	}
+	return nil
+}
+
+// Servers reads the list of servers.
+func (lists lists) Servers() ([]roster.Server, error) {
+	if failure := lists.reached(); failure != nil {
+		return nil, failure
+	}
+	return lists.world.platform.listServers(), nil
+}
+
+// Nodes reads the list of nodes.
+func (lists lists) Nodes() ([]roster.Node, error) {
+	if failure := lists.reached(); failure != nil {
+		return nil, failure
 	}
+	return lists.world.listNodes(), nil
 }
 
-func (world *World) watchLoad(here *life, courier *hatch.Courier, server roster.Server, watched map[string]bool) {
-	for watched[server.Address] {
-		content, failure := here.askServer(server.Address, 700*time.Millisecond, func(top *rehearsal.Stovetop) (int, any) {
-			return http.StatusOK, top.Load()
-		})
-		if failure == nil {
-			load := content.(stove.LoadReport).Load()
-			courier.Apply(pass.Event{Kind: pass.LoadReported, Load: &load})
-		}
-		here.NewBell().Wait(200*time.Millisecond, never)
+func (lists lists) ask(server roster.Server, patience time.Duration) (pass.Load, error) {
+	content, failure := lists.life.askServer(server.Address, patience, func(top *rehearsal.Stovetop) (int, any) {
+		return http.StatusOK, top.Load()
+	})
+	if failure != nil {
+		return pass.Load{}, failure
 	}
+	return content.(stove.LoadReport).Load(), nil
+}
+
+// Pressure reads a server's load for the market of inquiries.
+func (lists lists) Pressure(server roster.Server, patience time.Duration) (pass.Load, error) {
+	return lists.ask(server, patience)
+}
+
+// Report reads a server's load for all couriers.
+func (lists lists) Report(server roster.Server, patience time.Duration) (window.Load, error) {
+	load, failure := lists.ask(server, patience)
+	return window.Load{Server: load.Server, Part: string(load.Part), Waiting: load.PrefillWaiting, Running: load.DecodeActive,
+		MemoryUsed: load.MemoryTotal - load.MemoryFree, MemoryTotal: load.MemoryTotal}, failure
 }
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -224,14 +224,13 @@
 	}
 	stoves := &stoves{life: begun, running: map[string]*exchange{}}
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported, FixedParts: world.fixedParts}, Address: machine.address,
-		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere}
+		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}, Pressures: lists{world, begun}}
 	courier := hatch.NewCourier(begun, wire{begun}, stoves, &passing{life: begun}, options, observe)
 	machine.courier = courier
 	begun.answer = courier.Answers().Answer
 	for _, round := range courier.Rounds() {
 		begun.Go(round)
 	}
-	begun.Go(func() { world.watchPlatform(begun, courier) })
 	if len(machine.withheld) > 0 {
 		world.noteOldMember(machine, begun, courier.Heard)
 	}
@@ -242,7 +241,7 @@
 	keeping, _ := pantry.OpenFolder(machine.disk, "keeper")
 	copies, _ := pantry.OpenFolder(machine.disk, "larder")
 	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
-		FlagSettle: 2 * time.Second, Fresh: newIdentity(world, machine)}
+		FlagSettle: 2 * time.Second, Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
 	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
 	if failure != nil {
 		world.say("%s can't open its disk: %v", machine.name, failure)
@@ -255,15 +254,6 @@
 	for _, round := range control.Rounds() {
 		begun.Go(round)
 	}
-	begun.Go(func() {
-		for begun.Alive() {
-			if !world.platform.down && !world.link("platform", machine.name).cut {
-				control.SetServers(world.platform.listServers())
-				control.SetNodes(world.listNodes())
-			}
-			begun.NewBell().Wait(500*time.Millisecond, never)
-		}
-	})
 	if len(machine.withheld) > 0 {
 		world.noteOldMember(machine, begun, control.Heard)
 	}
--- /dev/null
+++ b/internal/roster/listing.go
@@ -0,0 +1,127 @@
+package roster
+
+import (
+	"slices"
+	"time"
+)
+
+// Listing is what a node knows of the platform's list of servers, from whoever read
+// it. Reads come from several readers, late and out of turn: a server whose leaving
+// was seen once stays leaving, and one that has vanished is not brought back by a
+// read that is no newer. It has no lock of its own.
+type Listing struct {
+	at      time.Time
+	servers []Server
+	// coldUntil is when a server is warm, by the reader's clock.
+	coldUntil map[string]time.Time
+	leaving   map[string]bool
+	gone      map[string]time.Time
+}
+
+const (
+	// listLag is how far two reads of one list may differ in what they know. The
+	// value is ours.
+	listLag = time.Second
+	// goneKept is how long a vanished server is remembered.
+	goneKept = time.Minute
+	// coldStep is the least change of a server's warming that counts as one.
+	coldStep = 300 * time.Millisecond
+)
+
+// Take takes a list that was read at a moment and tells whether anything changed
+// that matters to who offers work to servers. One that is older than what is known
+// changes nothing.
+//
+// Example:
+//
+//	if listing.Take(now, servers) { window.SetServers(now, listing.Servers(now)) }
+func (listing *Listing) Take(at time.Time, servers []Server) bool {
+	if !listing.at.IsZero() && at.Before(listing.at) {
+		return false
+	}
+	first := listing.at.IsZero()
+	if listing.leaving == nil {
+		listing.leaving, listing.gone = map[string]bool{}, map[string]time.Time{}
+	}
+	before := map[string]Server{}
+	for _, server := range listing.servers {
+		before[server.Name] = server
+	}
+	var next []Server
+	coldUntil := map[string]time.Time{}
+	changed := false
+	for _, server := range servers {
+		if vanished, found := listing.gone[server.Name]; found && at.Sub(vanished) < listLag {
+			continue
+		}
+		delete(listing.gone, server.Name)
+		until := at.Add(server.Warming)
+		server.Warming = 0
+		if server.Leaving {
+			listing.leaving[server.Name] = true
+		}
+		server.Leaving = listing.leaving[server.Name]
+		earlier, known := before[server.Name]
+		delete(before, server.Name)
+		if !known || !earlier.same(server) {
+			changed = true
+		}
+		// Each read tells the same end a little differently.
+		if old := listing.coldUntil[server.Name]; known && until.Sub(old).Abs() < coldStep {
+			until = old
+		} else if known && (until.After(at) || old.After(at)) {
+			changed = true
+		}
+		coldUntil[server.Name] = until
+		next = append(next, server)
+	}
+	for name := range before {
+		changed = true
+		listing.gone[name] = at
+	}
+	for name, vanished := range listing.gone {
+		if at.Sub(vanished) > goneKept {
+			delete(listing.gone, name)
+			delete(listing.leaving, name)
+		}
+	}
+	listing.at, listing.servers, listing.coldUntil = at, next, coldUntil
+	return changed || first
+}
+
+// Confirm notes that the list was read again at a moment and had not changed.
+//
+// Example:
+//
+//	listing.Confirm(answered.Add(-age))
+func (listing *Listing) Confirm(at time.Time) {
+	if !listing.at.IsZero() && at.After(listing.at) {
+		listing.at = at
+	}
+}
+
+// At is when the list was read; zero if it never was.
+//
+// Example:
+//
+//	age := now.Sub(listing.At())
+func (listing *Listing) At() time.Time { return listing.at }
+
+// Servers is the list, with each server's warming as it is now.
+//
+// Example:
+//
+//	for _, server := range listing.Servers(now) { ... }
+func (listing *Listing) Servers(now time.Time) []Server {
+	servers := slices.Clone(listing.servers)
+	for position := range servers {
+		servers[position].Warming = max(0, listing.coldUntil[servers[position].Name].Sub(now))
+	}
+	return servers
+}
+
+// same tells whether two entries of one server say the same, its warming aside.
+func (server Server) same(other Server) bool {
+	return server.Name == other.Name && server.Address == other.Address && server.District == other.District && server.Leaving == other.Leaving &&
+		server.Service == other.Service && server.Part == other.Part && server.Slots == other.Slots && slices.Equal(server.Models, other.Models)
+}
--- a/internal/rota/holds.go
+++ b/internal/rota/holds.go
@@ -19,6 +19,7 @@
 type holderState struct {
 	until    time.Time
 	liveFrom time.Time
+	heard    time.Time
 	confirms uint64
 }
 
@@ -46,6 +47,7 @@
 		holds.holders[holder] = state
 	}
 	state.until = now.Add(holds.terms.Hold + holds.terms.Drift)
+	state.heard = now
 	if inForce > state.confirms {
 		state.confirms = inForce
 	}
@@ -108,7 +110,45 @@
 		state = &holderState{until: holds.since.Add(holds.terms.Hold + holds.terms.Drift), liveFrom: now}
 		holds.holders[holder] = state
 	}
+	state.heard = now
 	if inForce > state.confirms {
 		state.confirms = inForce
 	}
 }
+
+// HeardWithin lists the holders that asked within a time.
+//
+// Example:
+//
+//	count := len(holds.HeardWithin(now, 10*time.Second))
+func (holds *Holds) HeardWithin(now time.Time, length time.Duration) []string {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	var heard []string
+	for holder, state := range holds.holders {
+		if now.Sub(state.heard) <= length {
+			heard = append(heard, holder)
+		}
+	}
+	sort.Strings(heard)
+	return heard
+}
+
+// Behind lists the holders that asked within a time and have not confirmed the
+// number.
+//
+// Example:
+//
+//	told := len(holds.Behind(now, 12, time.Second)) == 0
+func (holds *Holds) Behind(now time.Time, number uint64, within time.Duration) []string {
+	holds.mutex.Lock()
+	defer holds.mutex.Unlock()
+	var behind []string
+	for holder, state := range holds.holders {
+		if now.Sub(state.heard) <= within && state.confirms < number {
+			behind = append(behind, holder)
+		}
+	}
+	sort.Strings(behind)
+	return behind
+}
