--- /dev/null
+++ b/internal/window/pools.go
@@ -0,0 +1,202 @@
+package window
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/recipe"
+)
+
+// Pools decides how many servers of a service read prompts and how many make answers.
+// An order costs the server's work for a while and moves the homes of some chains, so
+// that it is given only for a need that was seen several times, and then rested upon.
+type Pools struct {
+	mutex    sync.Mutex
+	services map[string]*pool
+	asked    time.Time
+}
+
+type pool struct {
+	seen    int
+	towards string
+	ordered time.Time
+	last    string
+}
+
+// The measures of the pools. The values are ours.
+const (
+	poolsBeat  = 500 * time.Millisecond
+	poolsTimes = 3
+	poolsRest  = 3 * time.Second
+	// turnRest is the rest before an order that takes the last one back.
+	turnRest = 12 * time.Second
+	// readersBusy is the part of the readers that may be busy, readersIdle what must be
+	// left of it when one reader less does the same.
+	readersBusy = 0.42
+	readersIdle = 0.35
+	// slotsUsed is the part of the runners' slots that may be used, slotsPressed the
+	// part at which a reader is taken back for them.
+	slotsUsed    = 0.3
+	slotsPressed = 0.5
+	// fewestRunners is the part of the servers that make answers in any case: the parts
+	// are late to follow when more answers are wanted.
+	fewestRunners = 0.3
+	// sharedOrders is how many servers there are for each order given at once.
+	sharedOrders = 20
+	partPatience = 20 * time.Second
+)
+
+// NewPools starts without memory.
+//
+// Example:
+//
+//	pools := window.NewPools()
+func NewPools() *Pools { return &Pools{services: map[string]*pool{}} }
+
+// Decide gives the orders that are needed now, by what the window knows of its servers.
+//
+// Example:
+//
+//	orders := pools.Decide(now, calls)
+func (pools *Pools) Decide(now time.Time, window *Window) []recipe.Order {
+	pools.mutex.Lock()
+	defer pools.mutex.Unlock()
+	program := window.program.Load()
+	if program == nil || now.Sub(pools.asked) < poolsBeat {
+		return nil
+	}
+	pools.asked = now
+	var orders []recipe.Order
+	for _, name := range program.names {
+		found, known := pools.services[name]
+		if !known {
+			found = &pool{}
+			pools.services[name] = found
+		}
+		orders = append(orders, found.decide(now, window, program, program.services[name])...)
+	}
+	return orders
+}
+
+func (pool *pool) decide(now time.Time, window *Window, program *Program, service *menu.Service) []recipe.Order {
+	var readers, runners []*backend
+	for _, backend := range window.board.Load().byService[service.Name] {
+		switch {
+		case backend.server.Leaving || program.evacuations[backend.server.District]:
+		case backend.changing():
+			return nil
+		case backend.reads():
+			readers = append(readers, backend)
+		case backend.splits():
+			runners = append(runners, backend)
+		}
+	}
+	if len(readers)+len(runners) < 2 {
+		return nil
+	}
+	give := func(from []*backend, part, cause string, count int) []recipe.Order {
+		pool.seen, pool.towards, pool.ordered, pool.last = 0, "", now, part
+		var orders []recipe.Order
+		for range count {
+			chosen := lightest(from, readers, part)
+			orders = append(orders, recipe.Order{Server: chosen.server.Name, Part: part, Patience: partPatience, Cause: cause})
+			if from, readers, runners = moved(chosen, part, readers, runners); len(from) < 2 {
+				break
+			}
+		}
+		return orders
+	}
+	// The floor: one of each, whatever the pressure.
+	switch {
+	case now.Sub(pool.ordered) < poolsRest:
+		return nil
+	case len(readers) == 0:
+		return give(runners, prefill, "no server reads prompts", 1)
+	case len(runners) == 0:
+		return give(readers, decode, "no server makes answers", 1)
+	}
+	ledger := window.ledger(service.Name)
+	busy, running, known := ledger.pressure.now(now, ledger.pace.tokens(), window.sharers())
+	if !known {
+		return nil
+	}
+	slots := float64(service.Engine.Slots)
+	if slots == 0 {
+		slots = unknownSlots
+	}
+	all := len(readers) + len(runners)
+	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), int(math.Ceil(float64(all)*fewestRunners))), all-1)
+	wanted := min(max(1, int(math.Ceil(busy/readersBusy))), all-leastRunners)
+	part := ""
+	switch {
+	case wanted > len(readers) && busy > readersBusy*float64(len(readers)):
+		part = prefill
+	case len(readers) > 1 && running > slotsPressed*slots*float64(len(runners)) && busy < readersIdle*float64(len(readers)-1):
+		part = decode
+	}
+	if part == "" || part != pool.towards {
+		pool.seen, pool.towards = 0, part
+	}
+	if part == "" {
+		return nil
+	}
+	pool.seen++
+	if pool.seen < poolsTimes || pool.last != "" && pool.last != part && now.Sub(pool.ordered) < turnRest {
+		return nil
+	}
+	count := 1 + all/sharedOrders
+	if part == prefill {
+		return give(runners, prefill, "prompts wait while answers have room", min(count, wanted-len(readers)))
+	}
+	return give(readers, decode, "answers wait while prompts have room", 1)
+}
+
+// lightest is the server that is best given the part: in the district that has the
+// fewest with it for its size, with the least to do.
+func lightest(from, readers []*backend, part string) *backend {
+	in, all := map[string]int{}, map[string]int{}
+	for _, backend := range readers {
+		in[backend.server.District]++
+	}
+	for _, backend := range from {
+		all[backend.server.District]++
+	}
+	weight := func(backend *backend) float64 {
+		share := float64(in[backend.server.District]) / float64(in[backend.server.District]+all[backend.server.District])
+		if part == decode {
+			share = -float64(in[backend.server.District])
+		}
+		work := backend.others() + float64(backend.running.Load()+backend.reading.Load())
+		return share*districtWeight + work
+	}
+	best := from[0]
+	for _, backend := range from[1:] {
+		if weight(backend) < weight(best) {
+			best = backend
+		}
+	}
+	return best
+}
+
+const districtWeight = 1000
+
+// moved is the two pools with a server given the part; from is the pool that it left.
+func moved(chosen *backend, part string, readers, runners []*backend) (from, nextReaders, nextRunners []*backend) {
+	without := func(pool []*backend) []*backend {
+		var left []*backend
+		for _, backend := range pool {
+			if backend != chosen {
+				left = append(left, backend)
+			}
+		}
+		return left
+	}
+	if part == prefill {
+		nextReaders, nextRunners = append(without(readers), chosen), without(runners)
+		return nextRunners, nextReaders, nextRunners
+	}
+	nextReaders, nextRunners = without(readers), append(without(runners), chosen)
+	return nextReaders, nextReaders, nextRunners
+}
--- /dev/null
+++ b/internal/window/pools_test.go
@@ -0,0 +1,124 @@
+package window
+
+import (
+	"testing"
+	"time"
+)
+
+// poolDay gives a window's servers steady work and carries the pools' orders out.
+type poolDay struct {
+	calls  *Window
+	pools  *Pools
+	parts  map[string]string
+	now    time.Time
+	orders int
+}
+
+func newPoolDay(count int) *poolDay {
+	day := &poolDay{calls: opened(count), pools: NewPools(), parts: map[string]string{}, now: noon}
+	for _, server := range servers(count) {
+		day.parts[server.Name] = server.Part
+	}
+	return day
+}
+
+func (day *poolDay) readers() int {
+	readers := 0
+	for _, part := range day.parts {
+		if part == prefill {
+			readers++
+		}
+	}
+	return readers
+}
+
+// last lets so much time pass with so many calls at each reader and at each runner.
+func (day *poolDay) last(span time.Duration, atReader, atRunner int) {
+	for ends := day.now.Add(span); day.now.Before(ends); day.now = day.now.Add(100 * time.Millisecond) {
+		var loads []Load
+		for _, server := range servers(len(day.parts)) {
+			load := Load{Server: server.Name, Part: day.parts[server.Name], Running: atRunner, MemoryTotal: 295_740}
+			if load.Part == prefill {
+				load.Running = atReader
+			}
+			loads = append(loads, load)
+		}
+		day.calls.SetLoads(day.now, loads)
+		for _, order := range day.pools.Decide(day.now, day.calls) {
+			day.parts[order.Server] = order.Part
+			day.orders++
+		}
+	}
+}
+
+// TestPoolsFollowTheWork lets prompts pile up, then answers, and then lets both come
+// and go, and wants few orders and some of each part.
+func TestPoolsFollowTheWork(test *testing.T) {
+	day := newPoolDay(9)
+	day.last(10*time.Second, 0, 5)
+	if day.orders != 0 {
+		test.Errorf("%d orders without a need", day.orders)
+	}
+	day.last(30*time.Second, 4, 5)
+	if day.readers() != 6 || day.orders != 2 {
+		test.Errorf("while prompts pile up: %d readers by %d orders", day.readers(), day.orders)
+	}
+	day.last(60*time.Second, 0, 60)
+	if day.readers() > 2 || day.readers() < 1 {
+		test.Errorf("while answers pile up: %d readers", day.readers())
+	}
+	before := day.orders
+	for range 40 {
+		day.last(300*time.Millisecond, 4, 5)
+		day.last(1200*time.Millisecond, 0, 20)
+	}
+	if day.orders > before {
+		test.Errorf("%d orders without a lasting need", day.orders-before)
+	}
+}
+
+// TestPoolsKeepOneOfEach wants a reader and a runner while two servers are open, and
+// the readers in all districts.
+func TestPoolsKeepOneOfEach(test *testing.T) {
+	day := newPoolDay(9)
+	for name := range day.parts {
+		day.parts[name] = decode
+	}
+	day.last(time.Second, 0, 1)
+	if day.readers() != 1 {
+		test.Errorf("%d readers of none", day.readers())
+	}
+	day.last(30*time.Second, 1, 1)
+	districts := map[string]int{}
+	for _, server := range servers(9) {
+		if day.parts[server.Name] == prefill {
+			districts[server.District]++
+		}
+	}
+	if len(districts) != 3 || districts["north"] > 2 || districts["south"] > 2 || districts["west"] > 2 {
+		test.Errorf("readers by district: %v", districts)
+	}
+	for name := range day.parts {
+		day.parts[name] = prefill
+	}
+	day.last(4*time.Second, 1, 1)
+	if day.readers() == 9 {
+		test.Error("no server makes answers")
+	}
+}
+
+// TestPoolsHelpThePressed plays more traffic than the parts were made for, with and
+// without orders.
+func TestPoolsHelpThePressed(test *testing.T) {
+	left, managed := newWorld(3, 9, 9, nil), newWorld(3, 9, 9, nil)
+	managed.pool(NewPools())
+	day(left, 1.4, 30*time.Second)
+	day(managed, 1.4, 30*time.Second)
+	test.Logf("left alone\n%s\nwith %d orders\n%s", left, managed.orders, managed)
+	if managed.score(1500) <= left.score(1500) {
+		test.Errorf("%.4f with orders, %.4f without", managed.score(1500), left.score(1500))
+	}
+	if managed.orders > 4 {
+		test.Errorf("%d orders", managed.orders)
+	}
+}
--- /dev/null
+++ b/internal/window/pressure.go
@@ -0,0 +1,70 @@
+package window
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// pressure is how much a service's servers have to do, as a mean over the last
+// seconds: from reports of all servers, and from what this courier has read.
+type pressure struct {
+	mutex sync.Mutex
+	// busy is how many readers had a call when they reported, running how many calls
+	// the runners had.
+	busy    float64
+	running float64
+	heard   time.Time
+	// tokens is the sum of what this courier had read, older ones counting less.
+	tokens float64
+	sent   time.Time
+	since  time.Time
+}
+
+// pressureSpan is how far back the pressure reaches. The value is ours.
+const pressureSpan = 3 * time.Second
+
+func faded(age time.Duration) float64 {
+	return math.Exp(-float64(max(0, age)) / float64(pressureSpan))
+}
+
+// read counts tokens that a server is given to read.
+func (pressure *pressure) read(now time.Time, tokens int) {
+	pressure.mutex.Lock()
+	defer pressure.mutex.Unlock()
+	if pressure.since.IsZero() {
+		pressure.since = now
+	}
+	pressure.tokens = pressure.tokens*faded(now.Sub(pressure.sent)) + float64(tokens)
+	pressure.sent = now
+}
+
+// reported takes how much the readers and the runners of a service had to do.
+func (pressure *pressure) reported(now time.Time, busy, running float64) {
+	pressure.mutex.Lock()
+	defer pressure.mutex.Unlock()
+	left := faded(now.Sub(pressure.heard))
+	if pressure.heard.IsZero() {
+		left = 0
+	}
+	pressure.busy = pressure.busy*left + busy*(1-left)
+	pressure.running = pressure.running*left + running*(1-left)
+	pressure.heard = now
+}
+
+// now is the demand: how many readers are kept busy, by reports and by the tokens of
+// this courier and as many others like it, and how many calls run.
+func (pressure *pressure) now(now time.Time, pace float64, couriers int) (busy, running float64, known bool) {
+	pressure.mutex.Lock()
+	defer pressure.mutex.Unlock()
+	if pressure.heard.IsZero() || now.Sub(pressure.heard) > pressureSpan {
+		return 0, 0, false
+	}
+	span := pressureSpan.Seconds()
+	if watched := now.Sub(pressure.since).Seconds(); !pressure.since.IsZero() {
+		// What has not been watched for long has not summed up yet.
+		span *= max(1-math.Exp(-watched/span), 0.2)
+	}
+	own := pressure.tokens * faded(now.Sub(pressure.sent)) / span / (pace * 1000) * float64(couriers)
+	return max(pressure.busy, (pressure.busy+own)/2), pressure.running, true
+}
--- a/internal/window/program.go
+++ b/internal/window/program.go
@@ -16,6 +16,7 @@
 	number      uint64
 	hosts       map[string][]step
 	services    map[string]*menu.Service
+	names       []string
 	evacuations map[string]bool
 	limits      menu.Limits
 }
@@ -62,7 +63,9 @@
 	for name, service := range configuration.Services {
 		service.Name = name
 		program.services[name] = &service
+		program.names = append(program.names, name)
 	}
+	sort.Strings(program.names)
 	byHost := map[string][]*menu.Route{}
 	for position := range configuration.Routes {
 		route := &configuration.Routes[position]
--- a/internal/window/sweep_test.go
+++ b/internal/window/sweep_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"seamloom.example/seamloom/internal/roster"
 )
 
 // score is a world's worth less some prices, as a share of what was owed.
@@ -23,7 +25,7 @@
 	if os.Getenv("SWEEP") == "" {
 		test.Skip("compares costs by hand")
 	}
-	list := servers(9)
+	list, pooled := servers(9), false
 	run := func(name string, change func(*costs)) {
 		text := fmt.Sprintf("%-28s", name)
 		for _, factor := range []float64{0.6, 1, 1.4} {
@@ -35,7 +37,10 @@
 				waiting.Add(1)
 				go func() {
 					defer waiting.Done()
-					worlds[seed] = dividedWorld(seed+10, 9, list, func(calls *Window) { change(&calls.costs) })
+					worlds[seed] = dividedWorld(seed+10, 9, append([]roster.Server(nil), list...), func(calls *Window) { change(&calls.costs) })
+					if pooled {
+						worlds[seed].pool(NewPools())
+					}
 					day(worlds[seed], factor, 30*time.Second)
 				}()
 			}
@@ -46,13 +51,19 @@
 				aim += float64(world.tally["long"].inAim) / float64(world.tally["long"].calls) / seeds
 				chat += float64(world.tally["chat"].inAim) / float64(world.tally["chat"].calls) / seeds
 			}
-			text += fmt.Sprintf(" | %.4f long %.3f chat %.3f again %4.0fk", score, aim, chat, again)
+			orders := 0.0
+			for _, world := range worlds {
+				orders += float64(world.orders) / seeds
+			}
+			text += fmt.Sprintf(" | %.1f orders %.4f long %.3f chat %.3f again %4.0fk", orders, score, aim, chat, again)
 		}
 		fmt.Println(text)
 	}
 	run("standard", func(*costs) {})
-	for _, tenths := range []int{3, 5, 6} {
-		list = divided(9, tenths)
-		run(fmt.Sprintf("readers %d in ten", tenths), func(*costs) {})
+	for _, tenths := range []int{4, 3, 6} {
+		for _, managed := range []bool{false, true} {
+			list, pooled = divided(9, tenths), managed
+			run(fmt.Sprintf("readers %d in ten, %v", tenths, managed), func(*costs) {})
+		}
 	}
 }
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -30,6 +30,8 @@
 	purse purse
 	pace  pace
 	runs  lasting
+	// pressure is what the parts of its servers go by.
+	pressure pressure
 }
 
 // unknownCouriers is how many couriers are taken to share the servers while nobody
@@ -108,11 +110,44 @@
 //	calls.SetLoads(now, loads)
 func (window *Window) SetLoads(now time.Time, loads []Load) {
 	board := window.board.Load()
+	var sums []pressed
 	for _, load := range loads {
-		if backend, found := board.byName[load.Server]; found {
-			backend.hear(now, load)
+		backend, found := board.byName[load.Server]
+		if !found {
+			continue
 		}
+		backend.hear(now, load)
+		sums = add(sums, backend, load)
 	}
+	for _, sum := range sums {
+		window.ledger(sum.service).pressure.reported(now, sum.busy, sum.running)
+	}
+}
+
+// pressed is what a service's servers reported together.
+type pressed struct {
+	service       string
+	busy, running float64
+}
+
+func add(sums []pressed, backend *backend, load Load) []pressed {
+	position := -1
+	for at := range sums {
+		if sums[at].service == backend.server.Service {
+			position = at
+		}
+	}
+	if position < 0 {
+		position = len(sums)
+		sums = append(sums, pressed{service: backend.server.Service})
+	}
+	calls := float64(load.Running + load.Waiting)
+	if backend.reads() {
+		sums[position].busy += min(1, calls)
+	} else {
+		sums[position].running += calls
+	}
+	return sums
 }
 
 // SetCouriers tells how many couriers share the servers.
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -30,7 +30,7 @@
 	sharedRead, sharedAgain, read int
 	nearMoves, farMoves           float64
 	crossed                       float64
-	extra, dispatches             int
+	orders, dispatches            int
 	news                          time.Duration
 	calls                         int
 	ways                          map[string]*wayTally
@@ -112,6 +112,10 @@
 	part     string
 	down     bool
 	dark     bool
+	changing bool
+	// refuses has it fail to hand over any memory, slow makes all it does longer.
+	refuses  bool
+	slow     float64
 	life     int
 	waiting  []*job
 	running  []*job
@@ -233,6 +237,7 @@
 		done := reading.call.PromptTokens - reading.unread
 		duration += float64(chunk)/pace + engine.pairs*float64(chunk)*(float64(done)+float64(chunk)/2)/1e6
 	}
+	duration *= max(server.slow, 1)
 	life := server.life
 	server.world.after(duration, func() {
 		server.working = false
@@ -353,7 +358,7 @@
 }
 
 func (server *worldServer) report() Load {
-	return Load{Server: server.listed.Name, Part: server.part, Waiting: len(server.waiting), Running: len(server.running),
+	return Load{Server: server.listed.Name, Part: server.part, Changing: server.changing, Waiting: len(server.waiting), Running: len(server.running),
 		MemoryUsed: server.pinned, MemoryTotal: server.world.engine.memory}
 }
 
@@ -447,6 +452,45 @@
 	return world
 }
 
+// order has a server change its part: it ends what runs and is back a while later.
+func (world *world) order(name, part string) {
+	server := world.servers[name]
+	if server.changing || server.part == part {
+		return
+	}
+	world.orders++
+	server.changing = true
+	var wait func()
+	wait = func() {
+		if len(server.running)+len(server.waiting) > 0 && !server.down {
+			world.after(20, wait)
+			return
+		}
+		world.after(1500, func() {
+			server.part, server.changing = part, false
+			for position := range world.list {
+				if world.list[position].Name == name {
+					world.list[position].Part = part
+				}
+			}
+			world.after(800, func() {
+				for _, calls := range world.windows {
+					calls.SetServers(world.now, world.list)
+				}
+			})
+		})
+	}
+	wait()
+}
+
+// pool has the first courier decide on the servers' parts.
+func (world *world) pool(pools *Pools) {
+	for _, order := range pools.Decide(world.now, world.windows[0]) {
+		world.order(order.Server, order.Part)
+	}
+	world.after(100, func() { world.pool(pools) })
+}
+
 // sample keeps what the servers reported, for the lag.
 func (world *world) sample() {
 	for _, listed := range world.list {
@@ -658,6 +702,10 @@
 				end(Outcome{Result: result, Status: 503, Load: &AnswerLoad{Running: len(server.running), Waiting: len(server.waiting), Slots: world.engine.slots}})
 			})
 		}
+		if server.changing {
+			turn(NotStarted)
+			return
+		}
 		if decision.Kind == Read != (server.part == prefill) {
 			turn(Misdirected)
 			return
@@ -721,7 +769,7 @@
 		}
 	}
 	held, found := reader.handles[source.Handle]
-	if reader.down || reader.dark || !found {
+	if reader.down || reader.dark || reader.refuses || !found {
 		turn(NotStarted)
 		return
 	}
