Core: calls by events, its window, and parts by the work of calls

Cause: an embedder could not drive opaque calls, and the parts duty knew only the market's reports, which servers with listed parts don't give. Ruled out: a second duty (one holder decides all parts), commands that are repeated before a report can show the first (each has a price). Before: no events for calls; the balance gave no orders. After: call_arrived and call_ended give decisions, a pressed reader pool gets its order and each ordered server one command. Conclusion: one core for both.

--- a/core.go
+++ b/core.go
@@ -11,6 +11,7 @@
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // Core is one courier's deterministic core. Apply may be called from several
@@ -20,6 +21,8 @@
 	market   *pass.Market
 	desk     *pass.Desk
 	balance  *pass.Balance
+	calls    *window.Window
+	pools    *window.Pools
 	enabled  atomic.Pointer[FlagList]
 	rejected atomic.Int64
 
@@ -31,6 +34,7 @@
 	commanded map[string]time.Time
 	announced map[string]uint64
 	nextTurn  time.Time
+	tickets   map[string]*window.Ticket
 }
 
 // New makes a core.
@@ -44,6 +48,7 @@
 	}
 	market := pass.NewMarket(options.Courier, options.District, options.LeastLoaded)
 	return &Core{options: options, market: market, desk: pass.NewDesk(market, options.District, options.MostInquiries),
+		calls: window.New(window.Options{Courier: options.Courier, District: options.District, FurtherTries: options.FurtherTries}), pools: window.NewPools(), tickets: map[string]*window.Ticket{},
 		balance: pass.NewBalance(options.FixedParts), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
 }
 
@@ -58,6 +63,7 @@
 		return append(core.desk.Tick(event.At), core.dutiful(event.At)...)
 	case pass.ServersListed:
 		core.market.List(event.Servers)
+		core.calls.SetServers(event.At, event.Servers)
 	case pass.LoadReported:
 		if event.Load != nil {
 			core.market.Report(event.At, *event.Load)
@@ -74,6 +80,16 @@
 		core.mutex.Lock()
 		core.orders = event.Orders
 		core.mutex.Unlock()
+	case pass.LoadsReported:
+		core.calls.SetLoads(event.At, event.Loads)
+	case pass.CallArrived:
+		if event.Call != nil {
+			return core.callArrived(event)
+		}
+	case pass.CallEnded:
+		if event.Result != nil {
+			return core.callEnded(event)
+		}
 	case pass.InquiryArrived:
 		if event.Inquiry != nil {
 			return core.desk.Arrive(event.At, event.Inquiry)
@@ -90,8 +106,10 @@
 		return core.desk.Leave(event.At, event.ID)
 	case pass.CouriersCounted:
 		core.market.SetCouriers(int(event.Number))
+		core.calls.SetCouriers(int(event.Number))
 	case pass.DrainStarted:
 		core.desk.Drain()
+		core.calls.Drain()
 	}
 	return nil
 }
@@ -104,6 +122,7 @@
 		core.rejected.Add(1)
 		return
 	}
+	core.calls.SetProgram(window.Compile(configuration, event.Epoch, event.Number))
 	if core.desk.SetProgram(pass.Compile(configuration, event.Epoch, event.Number)) {
 		core.mutex.Lock()
 		core.evacuated = configuration
@@ -119,6 +138,40 @@
 	core.dutyEnds = event.HoldEnds
 }
 
+// Calls is the part of the core that follows opaque calls. A program that serves each
+// call in a thread of its own asks it directly; it needs no call events then.
+//
+// Example:
+//
+//	ticket, decision := core.Calls().Arrive(now, call)
+func (core *Core) Calls() *window.Window { return core.calls }
+
+func (core *Core) callArrived(event Event) []Decision {
+	ticket, decision := core.calls.Arrive(event.At, event.Call)
+	if ticket != nil {
+		core.mutex.Lock()
+		core.tickets[event.Call.ID] = ticket
+		core.mutex.Unlock()
+	}
+	return []Decision{{Kind: pass.CallDecided, ID: event.Call.ID, Call: &decision}}
+}
+
+func (core *Core) callEnded(event Event) []Decision {
+	core.mutex.Lock()
+	ticket, found := core.tickets[event.ID]
+	core.mutex.Unlock()
+	if !found {
+		return nil
+	}
+	decision := core.calls.Ended(event.At, ticket, *event.Result)
+	if decision.Kind != window.Read && decision.Kind != window.Run {
+		core.mutex.Lock()
+		delete(core.tickets, event.ID)
+		core.mutex.Unlock()
+	}
+	return []Decision{{Kind: pass.CallDecided, ID: event.ID, Call: &decision}}
+}
+
 // InForce is the version of the configuration in force, as epoch and number.
 //
 // Example:
@@ -197,13 +250,22 @@
 	var decisions []Decision
 	for _, duty := range core.duties {
 		if duty.Key == rota.PartsKey {
-			if orders := core.balance.Decide(now, servers, loads, core.orders, core.evacuated.Evacuated); len(orders) > 0 {
+			if orders := core.balanced(now, servers, loads); len(orders) > 0 {
 				decisions = append(decisions, Decision{Kind: pass.GiveOrders, Duty: duty, Orders: orders, NotAfter: core.dutyEnds})
 			}
 			continue
 		}
 		name, isServer := strings.CutPrefix(duty.Key, rota.ServerKey(""))
 		order, ordered := core.orders[name]
+		if part, changing, listed := core.calls.Part(name); isServer && ordered && listed {
+			// A listed part needs an order only when it is another one: orders have a
+			// price. What was ordered shows in the reports a while later.
+			if changing || part == order.Part || now.Sub(core.commanded[name]) < commandShows {
+				continue
+			}
+			decisions = append(decisions, core.commandFor(now, name, duty, order, servers)...)
+			continue
+		}
 		load, reported := loads[name]
 		if !isServer || !ordered || !reported || now.Sub(core.commanded[name]) < time.Second {
 			continue
@@ -213,19 +275,39 @@
 		if string(load.Part) == order.Part && core.announced[name] == duty.Fence {
 			continue
 		}
-		for _, server := range servers {
-			if server.Name == name {
-				core.commanded[name], core.announced[name] = now, duty.Fence
-				standing := order
-				decisions = append(decisions, Decision{Kind: pass.Command, Server: name, Address: server.Address, Duty: duty,
-					Part: pass.Part(order.Part), Order: &standing, NotAfter: core.dutyEnds})
-			}
-		}
+		decisions = append(decisions, core.commandFor(now, name, duty, order, servers)...)
 	}
 	sort.SliceStable(decisions, func(left, right int) bool { return decisions[left].Server < decisions[right].Server })
 	return decisions
 }
 
+// commandShows is how long it may take until an order that a server took shows in what
+// is reported of it. The value is ours.
+const commandShows = 3 * time.Second
+
+func (core *Core) commandFor(now time.Time, name string, duty Duty, order Order, servers []Server) []Decision {
+	for _, server := range servers {
+		if server.Name == name {
+			core.commanded[name], core.announced[name] = now, duty.Fence
+			return []Decision{{Kind: pass.Command, Server: name, Address: server.Address, Duty: duty,
+				Part: pass.Part(order.Part), Order: &order, NotAfter: core.dutyEnds}}
+		}
+	}
+	return nil
+}
+
+// balanced are the orders that the parts duty gives now: by the work of calls where the
+// list says what servers do, by the market's reports otherwise.
+func (core *Core) balanced(now time.Time, servers []Server, loads map[string]Load) []Order {
+	if !core.calls.Divided() {
+		return core.balance.Decide(now, servers, loads, core.orders, core.evacuated.Evacuated)
+	}
+	if core.options.FixedParts {
+		return nil
+	}
+	return core.pools.Decide(now, core.calls)
+}
+
 // ReadOrders decodes the standing orders' records with the core's own list.
 //
 // Example:
--- /dev/null
+++ b/core_calls_test.go
@@ -0,0 +1,118 @@
+package seamloom
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/window"
+)
+
+const callMenu = `{"services":{"desk":{"engine":{"slots":64,"memory_tokens":295740}}},
+"routes":{"long":{"match":{"host":"ask.example","path_prefix":"/"},"calls":{"shares":[{"service":"desk","weight":1}],"limit_milliseconds":3000,"tries":2,"streams":true,"resumable":true}}}}`
+
+func callServers(count int) []Server {
+	var servers []Server
+	for number := range count {
+		part := "decode"
+		if number < 2 {
+			part = "prefill"
+		}
+		servers = append(servers, Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprintf("10.0.0.%d:80", number),
+			District: []string{"north", "south"}[number%2], Service: "desk", Part: part, Slots: 64})
+	}
+	return servers
+}
+
+func callCore(now time.Time) *Core {
+	core := New(Options{Courier: "courier-1", District: "north", Supported: Supported(nil)})
+	core.Apply(Event{Kind: pass.FlagsRead, At: now})
+	core.Apply(Event{Kind: pass.CouriersCounted, At: now, Number: 3})
+	core.Apply(Event{Kind: pass.ServersListed, At: now, Servers: callServers(6)})
+	core.Apply(Event{Kind: pass.MenuReceived, At: now, Epoch: 1, Number: 1, Menu: []byte(callMenu)})
+	return core
+}
+
+// TestCoreFollowsCalls drives an opaque call by events from its arrival to its end.
+func TestCoreFollowsCalls(test *testing.T) {
+	now := time.Unix(3_000_000, 0)
+	core := callCore(now)
+	step := func(event Event) window.Decision {
+		now = now.Add(10 * time.Millisecond)
+		event.At = now
+		decisions := core.Apply(event)
+		if len(decisions) != 1 || decisions[0].Kind != pass.CallDecided || decisions[0].ID != "one" || decisions[0].Call == nil {
+			test.Fatalf("%s: %+v", event.Kind, decisions)
+		}
+		return *decisions[0].Call
+	}
+	call := &Call{ID: "one", Host: "ask.example", Path: "/x", PromptTokens: 9000, OutputTokens: 50, Parts: []CallPart{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}}
+	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Kind != window.Read {
+		test.Fatalf("arrived: %+v", decision)
+	}
+	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete, Handle: "h"}}); decision.Kind != window.Run || decision.Source == nil {
+		test.Fatalf("read: %+v", decision)
+	}
+	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decision.Kind != window.Done {
+		test.Fatalf("run: %+v", decision)
+	}
+	if decisions := core.Apply(Event{Kind: pass.CallEnded, At: now, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decisions != nil || core.Calls().InFlight() != 0 {
+		test.Fatalf("a call that is over: %+v", decisions)
+	}
+	call.Host = "nobody.example"
+	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Cause != window.NoRoute {
+		test.Fatalf("no route: %+v", decision)
+	}
+}
+
+// TestHolderGivesPartsByTheWorkOfCalls has readers pressed, wants an order from the
+// holder of the parts duty, and one command from the holder of the server's until the
+// server says that it has the part.
+func TestHolderGivesPartsByTheWorkOfCalls(test *testing.T) {
+	now := time.Unix(3_000_000, 0)
+	core := callCore(now)
+	part := map[string]string{}
+	changing := map[string]bool{}
+	orders := map[string]Order{}
+	commands := map[string]int{}
+	for range 150 {
+		now = now.Add(100 * time.Millisecond)
+		var loads []CallLoad
+		duties := []Duty{{Key: rota.PartsKey, Holder: "courier-1", Fence: 4}}
+		for _, server := range callServers(6) {
+			load := CallLoad{Server: server.Name, Part: server.Part, Changing: changing[server.Name], Running: 3, MemoryTotal: 295_740}
+			if part[server.Name] != "" {
+				load.Part = part[server.Name]
+			}
+			loads = append(loads, load)
+			duties = append(duties, Duty{Key: rota.ServerKey(server.Name), Holder: "courier-1", Fence: 9})
+		}
+		core.Apply(Event{Kind: pass.LoadsReported, At: now, Loads: loads})
+		core.Apply(Event{Kind: pass.HoldRenewed, At: now, HoldEnds: now.Add(time.Second), Duties: duties})
+		for _, decision := range core.Apply(Event{Kind: pass.Ticked, At: now}) {
+			switch decision.Kind {
+			case pass.GiveOrders:
+				for _, order := range decision.Orders {
+					orders[order.Server] = order
+				}
+				core.Apply(Event{Kind: pass.OrdersRead, At: now, Orders: orders})
+			case pass.Command:
+				commands[decision.Server]++
+				if decision.Duty.Fence != 9 || string(decision.Part) != orders[decision.Server].Part || !decision.NotAfter.Equal(now.Add(time.Second)) {
+					test.Fatalf("%+v", decision)
+				}
+				part[decision.Server] = string(decision.Part)
+			}
+		}
+	}
+	if len(orders) != 2 || len(commands) != 2 {
+		test.Errorf("orders %v, commands %v", orders, commands)
+	}
+	for server, count := range commands {
+		if count != 1 {
+			test.Errorf("%s was commanded %d times", server, count)
+		}
+	}
+}
--- a/examples/embedded/main.go
+++ b/examples/embedded/main.go
@@ -13,9 +13,11 @@
 )
 
 func main() {
-	if failure := tell(os.Stdout); failure != nil {
-		_, _ = io.WriteString(os.Stderr, failure.Error()+"\n")
-		os.Exit(1)
+	for _, story := range []func(io.Writer) error{tell, tellCall} {
+		if failure := story(os.Stdout); failure != nil {
+			_, _ = io.WriteString(os.Stderr, failure.Error()+"\n")
+			os.Exit(1)
+		}
 	}
 }
 
--- a/internal/pass/decision.go
+++ b/internal/pass/decision.go
@@ -6,6 +6,7 @@
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // Decision is one thing to be done. NotAfter is checked again just before the
@@ -39,4 +40,6 @@
 	Order  *recipe.Order  `json:"order,omitempty"`
 	Orders []recipe.Order `json:"orders,omitempty"`
 	Pair   *recipe.Pair   `json:"pair,omitempty"`
+	// Call is what is next with the opaque call ID.
+	Call *window.Decision `json:"call,omitempty"`
 }
--- a/internal/pass/decisionkind.go
+++ b/internal/pass/decisionkind.go
@@ -16,4 +16,6 @@
 	NotePair        DecisionKind = "note_pair"
 	NoteRetry       DecisionKind = "note_retry"
 	PassOn          DecisionKind = "pass_on"
+	// CallDecided is what is next with an opaque call.
+	CallDecided DecisionKind = "call"
 )
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -6,6 +6,7 @@
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // Event is one thing that happened, at a time. Which fields it has besides
@@ -27,6 +28,12 @@
 	Load    *Load           `json:"load,omitempty"`
 	Server  string          `json:"server,omitempty"`
 
+	// Call arrived, Result is how its dispatch ended, Loads are what servers of calls
+	// reported.
+	Call   *window.Call    `json:"call,omitempty"`
+	Result *window.Outcome `json:"result,omitempty"`
+	Loads  []window.Load   `json:"loads,omitempty"`
+
 	HoldEnds time.Time               `json:"hold_ends,omitzero"`
 	Number   uint64                  `json:"number,omitempty"`
 	Epoch    uint64                  `json:"epoch,omitempty"`
--- a/internal/pass/eventkind.go
+++ b/internal/pass/eventkind.go
@@ -20,4 +20,8 @@
 	OriginLeft      EventKind = "origin_left"
 	DrainStarted    EventKind = "drain_started"
 	CouriersCounted EventKind = "couriers_counted"
+	// LoadsReported, CallArrived and CallEnded are about opaque calls.
+	LoadsReported EventKind = "loads_reported"
+	CallArrived   EventKind = "call_arrived"
+	CallEnded     EventKind = "call_ended"
 )
--- a/internal/window/board.go
+++ b/internal/window/board.go
@@ -13,6 +13,8 @@
 	byName    map[string]*backend
 	byService map[string][]*backend
 	places    map[string]int
+	// divided tells that the list says of a server what part it has.
+	divided bool
 }
 
 func newBoard() *board {
@@ -44,6 +46,7 @@
 			listed.coolUntil(now.Add(server.Warming))
 		}
 		next.byName[server.Name] = listed
+		next.divided = next.divided || server.Part != ""
 		next.all = append(next.all, listed)
 		if server.Service == "" {
 			everywhere = append(everywhere, listed)
--- a/internal/window/call.go
+++ b/internal/window/call.go
@@ -9,27 +9,27 @@
 // Call is one opaque inquiry as it arrived at a courier.
 type Call struct {
 	// ID is the origin's, used once.
-	ID string
+	ID string `json:"id"`
 	// Host and Path find the route.
-	Host string
-	Path string
+	Host string `json:"host"`
+	Path string `json:"path"`
 	// Model names the weights wanted.
-	Model string
+	Model string `json:"model,omitempty"`
 	// Parts is the prompt's chain, in order; the last part is the call's own.
-	Parts []Part
+	Parts []Part `json:"parts,omitempty"`
 	// PromptTokens and OutputTokens are the origin's own figures.
-	PromptTokens int
-	OutputTokens int
+	PromptTokens int `json:"prompt_tokens,omitempty"`
+	OutputTokens int `json:"output_tokens,omitempty"`
 	// Bytes is the size of the body.
-	Bytes int
+	Bytes int `json:"bytes,omitempty"`
 	// Ends is the origin's limit; the route's may be sooner.
-	Ends time.Time
+	Ends time.Time `json:"ends,omitzero"`
 	// Resumes tells that the origin goes on behind an event of an earlier stream.
-	Resumes bool
+	Resumes bool `json:"resumes,omitempty"`
 }
 
 // Part is one part of a prompt's chain, shared with other prompts or the call's own.
 type Part struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `json:"id"`
+	Tokens int    `json:"tokens"`
 }
--- a/internal/window/decision.go
+++ b/internal/window/decision.go
@@ -51,25 +51,25 @@
 
 // Source names a prompt's memory at the server that read it.
 type Source struct {
-	Address string
-	Handle  string
+	Address string `json:"address"`
+	Handle  string `json:"handle"`
 }
 
 // Decision is the next thing to be done with a call.
 type Decision struct {
-	Kind       DecisionKind
-	Cause      Cause
-	RetryAfter time.Duration
-	Server     roster.Server
-	Source     *Source
+	Kind       DecisionKind  `json:"kind"`
+	Cause      Cause         `json:"cause,omitempty"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	Server     roster.Server `json:"server,omitzero"`
+	Source     *Source       `json:"source,omitempty"`
 	// Ends is when the server's work is to end at the latest: what is left of it
 	// travels as the server's limit.
-	Ends time.Time
+	Ends time.Time `json:"ends,omitzero"`
 	// Patience ends a dispatch whose server says nothing; zero means no such end
 	// before Ends.
-	Patience time.Duration
+	Patience time.Duration `json:"patience,omitempty"`
 	// Urgency is passed to the server, 0 first; -1 leaves it out.
-	Urgency int
+	Urgency int `json:"urgency,omitempty"`
 	// Free are handles that will not be taken and are to be given back.
-	Free []Source
+	Free []Source `json:"free,omitempty"`
 }
--- a/internal/window/load.go
+++ b/internal/window/load.go
@@ -4,18 +4,18 @@
 
 // Load is what a model server reported of itself, read for all couriers.
 type Load struct {
-	Server string `msgpack:"server"`
+	Server string `json:"server" msgpack:"server"`
 	// Part is prefill or decode; Changing that an order is being carried out; Orders
 	// how many it took.
-	Part     string `msgpack:"part"`
-	Changing bool   `msgpack:"changing,omitempty"`
-	Orders   uint64 `msgpack:"orders,omitempty"`
+	Part     string `json:"part" msgpack:"part"`
+	Changing bool   `json:"changing,omitempty" msgpack:"changing,omitempty"`
+	Orders   uint64 `json:"orders,omitempty" msgpack:"orders,omitempty"`
 	// Waiting and Running are calls; MemoryUsed and MemoryTotal are tokens.
-	Waiting     int `msgpack:"waiting"`
-	Running     int `msgpack:"running"`
-	MemoryUsed  int `msgpack:"memory_used"`
-	MemoryTotal int `msgpack:"memory_total"`
-	Handles     int `msgpack:"handles"`
+	Waiting     int `json:"waiting" msgpack:"waiting"`
+	Running     int `json:"running" msgpack:"running"`
+	MemoryUsed  int `json:"memory_used" msgpack:"memory_used"`
+	MemoryTotal int `json:"memory_total" msgpack:"memory_total"`
+	Handles     int `json:"handles" msgpack:"handles"`
 	// Age is how old the report was when it was passed on.
-	Age time.Duration `msgpack:"age"`
+	Age time.Duration `json:"age" msgpack:"age"`
 }
--- a/internal/window/outcome.go
+++ b/internal/window/outcome.go
@@ -42,22 +42,22 @@
 
 // Outcome is what the conduct tells of a dispatch.
 type Outcome struct {
-	Result Result
+	Result Result `json:"result"`
 	// Status is the server's, if it gave one.
-	Status int
+	Status int `json:"status,omitempty"`
 	// Handle is the prompt's memory after a Read that is Complete.
-	Handle string
+	Handle string `json:"handle,omitempty"`
 	// Load is what the server said of itself in its answer, if it did.
-	Load *AnswerLoad
+	Load *AnswerLoad `json:"load,omitempty"`
 	// Warming is how long the server says it stays cold.
-	Warming time.Duration
+	Warming time.Duration `json:"warming,omitempty"`
 	// First is when the first event or byte of the answer came; zero if none did.
-	First time.Time
+	First time.Time `json:"first,omitzero"`
 }
 
 // AnswerLoad is what a server's answer says of its load.
 type AnswerLoad struct {
-	Running int
-	Waiting int
-	Slots   int
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
 }
--- a/internal/window/pools.go
+++ b/internal/window/pools.go
@@ -55,6 +55,27 @@
 //	pools := window.NewPools()
 func NewPools() *Pools { return &Pools{services: map[string]*pool{}} }
 
+// Divided tells whether the list says of servers what part they have.
+//
+// Example:
+//
+//	if calls.Divided() { orders = pools.Decide(now, calls) }
+func (window *Window) Divided() bool { return window.board.Load().divided }
+
+// Part is what a listed server does, and whether it changes that now. Listed is false
+// for a server that isn't listed or has no part.
+//
+// Example:
+//
+//	part, changing, listed := calls.Part("stove-1")
+func (window *Window) Part(server string) (part string, changing, listed bool) {
+	backend, found := window.board.Load().byName[server]
+	if !found || backend.server.Part == "" {
+		return "", false, false
+	}
+	return backend.part(), backend.changing(), true
+}
+
 // Decide gives the orders that are needed now, by what the window knows of its servers.
 //
 // Example:
--- a/options.go
+++ b/options.go
@@ -1,5 +1,7 @@
 package seamloom
 
+import "seamloom.example/seamloom/internal/window"
+
 // Options say which courier a core decides for.
 type Options struct {
 	// Courier is the node's name, and District the zone that it serves first.
@@ -13,6 +15,9 @@
 	LeastLoaded bool
 	// FixedParts leaves every server the part that it was given first.
 	FixedParts bool
+	// FurtherTries bounds what all couriers send beyond the first dispatch of each
+	// opaque call; what is left out is window.DefaultAllowance.
+	FurtherTries window.Allowance
 }
 
 // DefaultMostInquiries is how many inquiries a courier lets in at once.
--- a/seamloom.go
+++ b/seamloom.go
@@ -10,6 +10,7 @@
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // The types of the stream. They are documented where they are made.
@@ -28,6 +29,17 @@
 	Duty = rota.Duty
 	// Order is what a model server is to do.
 	Order = recipe.Order
+	// Call is one opaque inquiry: its method, path and body are passed on unchanged.
+	Call = window.Call
+	// CallPart is one part of a call's prompt.
+	CallPart = window.Part
+	// CallOutcome is how a dispatch of a call ended, CallDecision what is next.
+	CallOutcome  = window.Outcome
+	CallDecision = window.Decision
+	// CallLoad is what a server of calls reported of itself.
+	CallLoad = window.Load
+	// Allowance bounds further tries.
+	Allowance = window.Allowance
 	// Flag names one breaking change of a record format.
 	Flag = recipe.Flag
 	// FlagList is a set of flags.
