--- /dev/null
+++ b/internal/adapters/calls/bench_test.go
@@ -0,0 +1,135 @@
+package calls
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// scan answers calls on raw circuits with as little work as possible, so that what is
+// measured is the courier.
+func scan(listener net.Listener, answer []byte, pieces int) {
+	for {
+		connection, failure := listener.Accept()
+		if failure != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = connection.Close() }()
+			reader := bufio.NewReaderSize(connection, 64<<10)
+			for {
+				length := 0
+				for {
+					line, failure := reader.ReadSlice('\n')
+					if failure != nil {
+						return
+					}
+					if text, found := strings.CutPrefix(string(line), "Content-Length: "); found {
+						length, _ = strconv.Atoi(strings.TrimSpace(text))
+					}
+					if len(line) <= 2 {
+						break
+					}
+				}
+				if _, failure := reader.Discard(length); failure != nil {
+					return
+				}
+				if pieces == 0 {
+					_, _ = connection.Write(answer)
+					continue
+				}
+				_, _ = connection.Write(answer)
+				for piece := range pieces {
+					_, _ = io.WriteString(connection, chunk(event(piece+1)))
+				}
+				_, _ = io.WriteString(connection, "0\r\n\r\n")
+			}
+		}()
+	}
+}
+
+// halves is a conduct that has each call read at one server and run at another.
+type halves struct {
+	scripted
+	reader, runner roster.Server
+}
+
+// Serve reads and runs.
+func (halves *halves) Serve(_ *window.Call, exchange hatch.Exchange) {
+	ends := time.Now().Add(5 * time.Second)
+	decision := window.Decision{Kind: window.Run, Server: halves.runner, Ends: ends, Urgency: 1}
+	if halves.reader.Address != "" {
+		outcome := exchange.Read(window.Decision{Kind: window.Read, Server: halves.reader, Ends: ends, Urgency: 1})
+		decision.Source = &window.Source{Address: halves.reader.Address, Handle: outcome.Handle}
+	}
+	if outcome := exchange.Run(&halves.route, decision); outcome.Result != window.Complete {
+		panic(outcome.Result)
+	}
+}
+
+func benchmarkCalls(b *testing.B, read bool, pieces, size int) {
+	open := func(answer string, pieces int) roster.Server {
+		listener, failure := net.Listen("tcp", "127.0.0.1:0")
+		if failure != nil {
+			b.Fatal(failure)
+		}
+		b.Cleanup(func() { _ = listener.Close() })
+		go scan(listener, []byte(answer), pieces)
+		return roster.Server{Name: "life", Address: listener.Addr().String()}
+	}
+	conduct := &halves{runner: open(stream("id", "Keep-Alive: timeout=9", "X-Weight: 1"), pieces)}
+	if pieces == 0 {
+		conduct.runner = open(whole(200, "id", "answer", "Keep-Alive: timeout=9"), 0)
+	}
+	if read {
+		conduct.reader = open(whole(200, "id", `{"handle":"3fa09c41b7d5","tokens":3}`, "Keep-Alive: timeout=9"), 0)
+	}
+	circuits := NewCircuits(time.Now, nil)
+	intake, failure := NewIntake(b.Context(), DefaultWords(), circuits, conduct, time.Now)
+	if failure != nil {
+		b.Fatal(failure)
+	}
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		b.Fatal(failure)
+	}
+	server := &http.Server{Handler: intake}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	origin, failure := net.Dial("tcp", listener.Addr().String())
+	if failure != nil {
+		b.Fatal(failure)
+	}
+	request := "POST /chat/x HTTP/1.1\r\nHost: calls.example\r\nSeamloom-Call: id\r\nSeamloom-Model: m\r\nSeamloom-Tokens: 1460,80\r\nSeamloom-Parts: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n" +
+		"Seamloom-Limit-Milliseconds: 3000\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
+	reader := bufio.NewReaderSize(origin, 64<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = io.WriteString(origin, request)
+		for {
+			line, failure := reader.ReadSlice('\n')
+			if failure != nil {
+				b.Fatal(failure)
+			}
+			if pieces > 0 && string(line) == "0\r\n" || pieces == 0 && len(line) == 2 {
+				_, _ = reader.Discard(map[bool]int{true: 2, false: 6}[pieces > 0])
+				break
+			}
+		}
+	}
+}
+
+func BenchmarkAStreamInTwoHalves(b *testing.B) { benchmarkCalls(b, true, 26, 1700) }
+func BenchmarkAShortStreamWithALongPrompt(b *testing.B) {
+	benchmarkCalls(b, true, 5, 18000)
+}
+func BenchmarkAWholeAnswer(b *testing.B) { benchmarkCalls(b, false, 0, 1700) }
