--- /dev/null
+++ b/internal/adapters/courier/calls_test.go
@@ -0,0 +1,86 @@
+package courier
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/settings"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func get(t *testing.T, address string) *http.Response {
+	t.Helper()
+	inbound, failure := http.Get("http://" + address + "/x")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	_ = inbound.Body.Close()
+	return inbound
+}
+
+func TestACourierServesCallsAndSaysWhenItIsReady(t *testing.T) {
+	chosen := settings.Defaults(roster.Courier)
+	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
+	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), freeAddress(t)
+	chosen.Seeds = []string{freeAddress(t), freeAddress(t), freeAddress(t)}
+	chosen.Platform = freeAddress(t)
+	process, failure := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{})
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	// Nothing is known yet: not ready, and no call is let in.
+	if status := get(t, chosen.ReadyAddress).StatusCode; status != http.StatusServiceUnavailable {
+		t.Fatalf("ready with %d", status)
+	}
+	if inbound := get(t, chosen.CallsAddress); inbound.StatusCode != http.StatusServiceUnavailable || inbound.Header.Get("Retry-After") == "" {
+		t.Fatalf("%+v", inbound)
+	}
+	process.calls.conduct.SetConfiguration(menu.Empty(), larder.Version{Epoch: 1, Number: 1})
+	process.calls.conduct.SetServers(time.Now(), []roster.Server{{Name: "stove-1", Address: freeAddress(t)}})
+	if status := get(t, chosen.ReadyAddress).StatusCode; status != http.StatusOK {
+		t.Fatalf("not ready with %d", status)
+	}
+	if inbound := get(t, chosen.CallsAddress); inbound.StatusCode != http.StatusNotFound {
+		t.Fatalf("%+v", inbound)
+	}
+	if failure := process.Drain(300 * time.Millisecond); failure != nil {
+		t.Fatal(failure)
+	}
+	if _, failure := net.Dial("tcp", chosen.CallsAddress); failure == nil {
+		t.Fatal("a process that ended listens")
+	}
+}
+
+func TestAnAddressThatIsTakenEndsTheStart(t *testing.T) {
+	taken, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = taken.Close() }()
+	chosen := settings.Defaults(roster.Courier)
+	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
+	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), taken.Addr().String()
+	if _, failure := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{}); failure == nil {
+		t.Fatal("started at an address that is taken")
+	}
+	if _, failure := net.Dial("tcp", chosen.CallsAddress); failure == nil {
+		t.Fatal("a process that did not start listens")
+	}
+}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -14,6 +14,7 @@
 	"net/http"
 
 	"seamloom.example/seamloom"
+	"seamloom.example/seamloom/internal/adapters/calls"
 	"seamloom.example/seamloom/internal/adapters/directory"
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/ports"
@@ -26,6 +27,7 @@
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // Process is one courier.
@@ -37,6 +39,7 @@
 	conduct   *hatch.Courier
 	supported recipe.List
 	ledger    *usage.Ledger
+	calls     counterCalls
 
 	mutex  sync.Mutex
 	chosen settings.Settings
@@ -54,6 +57,11 @@
 	// reports in the news; one without asks servers itself, for the market of
 	// inquiries.
 	Board hatch.Board
+	// Words are the headers and paths of opaque calls.
+	Words *calls.Words
+	// FurtherTries bounds what all couriers send beyond the first dispatch of each
+	// opaque call.
+	FurtherTries window.Allowance
 }
 
 // Start listens and begins to work.
@@ -69,6 +77,12 @@
 	if reached.Directory == nil {
 		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
 	}
+	if failure := process.prepareCalls(turns, reached); failure != nil {
+		return nil, failure
+	}
+	if reached.Board == nil && process.calls.conduct != nil {
+		reached.Board = process.calls.conduct
+	}
 	kitchen := stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 		Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
@@ -82,6 +96,9 @@
 	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
 		return nil, failure
 	}
+	if failure := process.openCalls(); failure != nil {
+		return nil, process.giveUp(failure)
+	}
 	for _, round := range process.conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
 	}
@@ -132,6 +149,7 @@
 	ends := process.clock.Now().Add(patience)
 	ticker := time.NewTicker(tickPause)
 	defer ticker.Stop()
+	process.retireCalls(patience)
 	for process.conduct.Core().InFlight() > 0 && process.clock.Now().Before(ends) {
 		<-ticker.C
 	}
