--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/stove/stove.go
@@ -77,16 +77,28 @@
 	if failure != nil {
 		return nil, false, trouble.Wrap(trouble.Garbage, failure)
 	}
+	return Post(lifetime, stove.client, "http://"+address+path, http.Header{"Content-Type": {"application/json"}}, content, may)
+}
+
+// Post sends an order. May is asked at once and again when its body is taken, after
+// every wait for a circuit; begun tells whether any of it may have reached the server.
+//
+// Example:
+//
+//	inbound, begun, failure := stove.Post(lifetime, client, "http://127.0.0.1:7201/v1/part", header, content, may)
+func Post(lifetime context.Context, client *http.Client, location string, header http.Header, content []byte, may func() bool) (inbound *http.Response, begun bool, failure error) {
+	if !may() {
+		return nil, false, tooLate
+	}
 	var touched atomic.Bool
 	body := renew(content, may, &touched)
 	first, _ := body()
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, first)
+	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, location, first)
 	if failure != nil {
 		return nil, false, trouble.Wrap(trouble.Garbage, failure)
 	}
-	outbound.ContentLength, outbound.GetBody = int64(len(content)), body
-	outbound.Header.Set("Content-Type", "application/json")
-	inbound, failure = stove.client.Do(outbound)
+	outbound.ContentLength, outbound.GetBody, outbound.Header = int64(len(content)), body, header
+	inbound, failure = client.Do(outbound)
 	return inbound, touched.Load(), trouble.Wrap(trouble.Unreachable, failure)
 }
 
