A machine without a disk sends operators on instead of ending

Cause: where the deploy file puts the control plane on more machines than have disks, the expediter ended at once for want of a folder, over and over. Ruled out: keeping state in memory there; a core that counts such copies loses what it acknowledged with their power. Change: a signpost stands in: it keeps nothing, asks the expediters who leads when it is asked itself, and sends the operator there. A hello from nobody leaves no trace.

--- /dev/null
+++ b/internal/adapters/expediter/signpost.go
@@ -0,0 +1,103 @@
+package expediter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/charmbracelet/log"
+	"gopkg.in/tomb.v2"
+
+	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/settings"
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// Signpost is the process that stands in for an expediter on a machine without a disk:
+// it sends operators on to the primary.
+type Signpost struct {
+	tomb    tomb.Tomb
+	conduct *hatch.Signpost
+}
+
+// StartSignpost makes a signpost.
+//
+// Example:
+//
+//	signpost := expediter.StartSignpost(chosen, logger, wallclock.New())
+func StartSignpost(chosen settings.Settings, logger *log.Logger, clock *wallclock.Clock) *Signpost {
+	signpost := &Signpost{}
+	lifetime := signpost.tomb.Context(context.Background())
+	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: lifetime}
+	signpost.conduct = hatch.NewSignpost(threads.New(lifetime, clock), line, chosen.Seeds)
+	signpost.tomb.Go(func() error {
+		<-signpost.tomb.Dying()
+		return nil
+	})
+	logger.Info("no_disk", "what", "operators are sent on to the primary; nothing is kept here")
+	return signpost
+}
+
+// Answer listens on an address for as long as the process lives.
+//
+// Example:
+//
+//	failure := signpost.Answer(chosen.ControlAddress, handler)
+func (signpost *Signpost) Answer(address string, handler http.Handler) error {
+	return program.Serve(&signpost.tomb, address, handler)
+}
+
+// Edit changes nothing here.
+//
+// Example:
+//
+//	_, failure := signpost.Edit(edit) // no_primary
+func (signpost *Signpost) Edit(hatch.Edit) (larder.Version, error) {
+	return larder.Version{}, trouble.New(trouble.NoPrimary, "nothing is kept here")
+}
+
+// Configuration is not kept here.
+//
+// Example:
+//
+//	_, failure := signpost.Configuration() // no_primary
+func (signpost *Signpost) Configuration() ([]byte, error) {
+	return nil, trouble.New(trouble.NoPrimary, "nothing is kept here")
+}
+
+// Leads is never true; it gives the hotline address of the primary, if one is found.
+//
+// Example:
+//
+//	_, elsewhere := signpost.Leads()
+func (signpost *Signpost) Leads() (leads bool, elsewhere string) {
+	return false, signpost.conduct.Leader()
+}
+
+// Reload takes the seeds.
+//
+// Example:
+//
+//	signpost.Reload(next)
+func (signpost *Signpost) Reload(next settings.Settings) { signpost.conduct.SetSeeds(next.Seeds) }
+
+// Dead is closed when the process has ended by itself.
+//
+// Example:
+//
+//	<-signpost.Dead()
+func (signpost *Signpost) Dead() <-chan struct{} { return signpost.tomb.Dead() }
+
+// Stop ends the process.
+//
+// Example:
+//
+//	failure := signpost.Stop()
+func (signpost *Signpost) Stop() error {
+	signpost.tomb.Kill(nil)
+	return signpost.tomb.Wait()
+}
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -218,10 +218,10 @@
 	if settings.Kind == roster.Expediter && settings.DataFolder == "" {
 		wrong(trouble.Missing, "data_folder", "an expediter keeps files")
 	}
+	if settings.Kind != roster.Expediter && settings.DataFolder != "" {
+		wrong(trouble.Contradictory, "data_folder", "a "+string(settings.Kind)+" keeps no files")
+	}
 	if settings.Kind == roster.Courier {
-		if settings.DataFolder != "" {
-			wrong(trouble.Contradictory, "data_folder", "a courier keeps no files")
-		}
 		if settings.Market != "pair" && settings.Market != "least_loaded" {
 			wrong(trouble.OutOfRange, "market", "is pair or least_loaded, not \""+settings.Market+"\"")
 		}
@@ -261,7 +261,7 @@
 			wrong(trouble.Contradictory, further.path, "is the same as "+other)
 		}
 		taken[further.address] = further.path
-		if settings.Kind != further.kind {
+		if settings.Kind != further.kind && !(settings.Kind == roster.Signpost && further.kind == roster.Expediter) {
 			wrong(trouble.Contradictory, further.path, "is for the kind "+string(further.kind))
 		}
 	}
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -36,6 +36,10 @@
 //
 //	answer := steward.Greet(hello)
 func (steward *Steward) Greet(hello Hello) Hello {
+	if hello.Seat.Empty() {
+		// Somebody who only wants to know who leads.
+		return steward.Own()
+	}
 	steward.note(hello, false)
 	charter := steward.Charter()
 	steward.mutex.Lock()
--- a/internal/roster/nodekind.go
+++ b/internal/roster/nodekind.go
@@ -9,4 +9,6 @@
 const (
 	Courier   NodeKind = "courier"
 	Expediter NodeKind = "expediter"
+	// Signpost is an expediter's stand-in on a machine without a disk.
+	Signpost NodeKind = "signpost"
 )
