A courier may go on for a chosen time after its last hold

Cause: on a platform where a machine out of touch is bound by no time, refusing for want of a hold only loses what could be served; and opaque calls asked for no hold.

Change: serve_without_hold. The desk of inquiries and the calls let in until the last hold's end and that long after it; zero, the product's setting, refuses as before. A life without any hold has nothing to serve with. Duties and commands look at the hold alone. The platform's courier reads the platform's list and gives its orders.

Ruled out: longer holds. A change would wait for them, and so would a next holder.

--- a/core.go
+++ b/core.go
@@ -183,9 +183,24 @@
 //
 // Example:
 //
-//	ready := now.Before(core.HoldEnds())
+//	left := core.HoldEnds().Sub(now)
 func (core *Core) HoldEnds() time.Time { return core.desk.HoldEnds() }
 
+// SetServeWithoutHold chooses how long the courier goes on letting in after its last
+// hold, with its last configuration. Duties always need a hold.
+//
+// Example:
+//
+//	core.SetServeWithoutHold(time.Minute)
+func (core *Core) SetServeWithoutHold(length time.Duration) { core.desk.SetServeWithoutHold(length) }
+
+// ServesUntil is until when the courier lets in.
+//
+// Example:
+//
+//	ready := now.Before(core.ServesUntil())
+func (core *Core) ServesUntil() time.Time { return core.desk.ServesUntil() }
+
 // Enabled is the enabled set that the core has read.
 //
 // Example:
--- a/internal/adapters/courier/calls_test.go
+++ b/internal/adapters/courier/calls_test.go
@@ -53,6 +53,7 @@
 		t.Fatalf("%+v", inbound)
 	}
 	process.calls.conduct.SetConfiguration(menu.Empty(), larder.Version{Epoch: 1, Number: 1})
+	process.calls.conduct.SetServing(time.Now().Add(time.Hour))
 	process.calls.conduct.SetServers(time.Now(), []roster.Server{{Name: "stove-1", Address: freeAddress(t)}})
 	if status := get(t, chosen.ReadyAddress).StatusCode; status != http.StatusOK {
 		t.Fatalf("not ready with %d", status)
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -94,7 +94,7 @@
 	now := process.clock.Now()
 	servers := len(process.conduct.Servers())
 	version := process.conduct.InForce()
-	content := map[string]any{"ready": now.Before(process.conduct.Core().HoldEnds()) && servers > 0 && !process.conduct.Core().Draining(), "configuration": version.String(),
+	content := map[string]any{"ready": now.Before(process.conduct.Core().ServesUntil()) && servers > 0 && !process.conduct.Core().Draining(), "configuration": version.String(),
 		"servers": servers, "restricted": process.conduct.Core().Restricted()}
 	status := http.StatusOK
 	if content["ready"] == false {
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -86,7 +86,8 @@
 	kitchen := stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 		Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
-		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: reached.Board}
+		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: reached.Board,
+		ServeWithoutHold: chosen.ServeWithoutHold}
 	if reached.Board == nil {
 		options.Pressures = kitchen
 	}
@@ -172,9 +173,10 @@
 func (process *Process) Reload(next settings.Settings) {
 	process.mutex.Lock()
 	stays := process.chosen.Reload(next)
-	seeds, level := process.chosen.Seeds, process.chosen.LogLevel
+	seeds, level, without := process.chosen.Seeds, process.chosen.LogLevel, process.chosen.ServeWithoutHold
 	process.mutex.Unlock()
 	process.conduct.SetSeeds(seeds)
+	process.conduct.SetServeWithoutHold(without)
 	if parsed, failure := log.ParseLevel(level); failure == nil {
 		process.logger.SetLevel(parsed)
 	}
--- a/internal/hatch/board.go
+++ b/internal/hatch/board.go
@@ -13,6 +13,9 @@
 type Board interface {
 	// SetConfiguration puts a configuration in force, unless a newer one is.
 	SetConfiguration(configuration *menu.Configuration, version larder.Version)
+	// SetServing tells until when calls may be let in: not beyond the courier's hold
+	// and what it goes on without one.
+	SetServing(until time.Time)
 	SetServers(now time.Time, servers []roster.Server)
 	SetLoads(now time.Time, loads []window.Load)
 	// SetCouriers tells how many couriers share the servers.
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -22,6 +22,8 @@
 	listed  func(servers []roster.Server)
 	servers atomic.Int64
 	leaving atomic.Bool
+	// serving is until when calls are let in; nil: nobody bounds it.
+	serving atomic.Pointer[time.Time]
 }
 
 // NewCalls makes the conduct over a window. Listed is told which servers there are.
@@ -42,6 +44,23 @@
 	calls.window.SetProgram(window.Compile(configuration, version.Epoch, version.Number))
 }
 
+// SetServing bounds until when calls are let in.
+//
+// Example:
+//
+//	conduct.SetServing(holdEnds)
+func (calls *Calls) SetServing(until time.Time) { calls.serving.Store(&until) }
+
+// serves tells whether calls may be let in now.
+func (calls *Calls) serves() bool {
+	until := calls.serving.Load()
+	return until == nil || calls.turns.Now().Before(*until)
+}
+
+// unheldRetry is when a call may come back that met a courier without a hold: the
+// next news is a moment away, or another courier has it.
+const unheldRetry = 300 * time.Millisecond
+
 // SetServers takes the list of servers.
 //
 // Example:
@@ -75,7 +94,7 @@
 //	if !conduct.Ready() { status = http.StatusServiceUnavailable }
 func (calls *Calls) Ready() bool {
 	epoch, number := calls.window.InForce()
-	return (epoch > 0 || number > 0) && calls.servers.Load() > 0 && !calls.leaving.Load()
+	return (epoch > 0 || number > 0) && calls.servers.Load() > 0 && !calls.leaving.Load() && calls.serves()
 }
 
 // Leave says that the courier is leaving. Calls that still come are served until
@@ -133,6 +152,10 @@
 //
 //	conduct.Serve(call, exchange)
 func (calls *Calls) Serve(call *window.Call, exchange Exchange) {
+	if !calls.serves() {
+		exchange.Refuse(Refusal{Cause: window.NotReady, Status: statusOf(window.NotReady), RetryAfter: unheldRetry})
+		return
+	}
 	ticket, decision := calls.window.Arrive(calls.turns.Now(), call)
 	ran := false
 	for {
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -69,6 +69,7 @@
 	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
 	courier.followed.Follow(options.Directory != nil, options.Board != nil)
+	courier.SetServeWithoutHold(options.ServeWithoutHold)
 	courier.answers = courier.table()
 	return courier
 }
@@ -120,6 +121,24 @@
 //	courier.SetSeeds(chosen.Seeds)
 func (courier *Courier) SetSeeds(seeds []string) { courier.followed.SetSeeds(seeds) }
 
+// SetServeWithoutHold chooses how long the courier goes on letting in after its last
+// hold. Duties always need a hold.
+//
+// Example:
+//
+//	courier.SetServeWithoutHold(time.Minute)
+func (courier *Courier) SetServeWithoutHold(length time.Duration) {
+	courier.core.SetServeWithoutHold(length)
+	courier.showServing()
+}
+
+// showServing tells the board until when calls may be let in.
+func (courier *Courier) showServing() {
+	if courier.options.Board != nil {
+		courier.options.Board.SetServing(courier.core.ServesUntil())
+	}
+}
+
 // InForce is the version of the configuration in force.
 //
 // Example:
@@ -208,6 +227,7 @@
 	if news.Answer.Hold > 0 {
 		courier.Apply(pass.Event{Kind: pass.HoldRenewed, HoldEnds: news.Asked.Add(news.Answer.Hold), Epoch: news.Answer.Menu.Epoch,
 			Number: news.Answer.Menu.Number, Duties: news.Answer.Duties})
+		courier.showServing()
 	}
 }
 
--- a/internal/hatch/courieroptions.go
+++ b/internal/hatch/courieroptions.go
@@ -1,6 +1,8 @@
 package hatch
 
 import (
+	"time"
+
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/pass"
 )
@@ -16,6 +18,8 @@
 	Pressures Pressures
 	// Board offers calls to servers; none: this courier takes no calls.
 	Board Board
+	// ServeWithoutHold is how long the courier goes on letting in after its last hold.
+	ServeWithoutHold time.Duration
 	// Nonce gives a text that is new each time.
 	Nonce func() string
 	// Ended is told how each inquiry ended that this courier decided on.
--- a/internal/hatch/decisions.go
+++ b/internal/hatch/decisions.go
@@ -142,7 +142,7 @@
 	// Without a hold there would be no dispatch: then the caller is told at once
 	// that the inquiry never ran, and when to come back.
 	ends := courier.turns.Now().Add(claimTime)
-	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(ends) && courier.turns.Now().Before(courier.core.HoldEnds()) {
+	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(ends) && courier.turns.Now().Before(courier.core.ServesUntil()) {
 		var answer LedAnswer
 		failure := courier.followed.Ask(ClaimPath, question, &answer, time.Second, ends)
 		switch kind := trouble.KindOf(failure); {
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -20,11 +20,13 @@
 	shards   [16]shard
 	program  atomic.Pointer[Program]
 	holdEnds atomic.Pointer[time.Time]
-	passOn   atomic.Bool
-	draining atomic.Bool
-	inFlight atomic.Int64
-	service  sync.Map
-	tallies  Tallies
+	// withoutHold is how long the desk goes on after its last hold.
+	withoutHold atomic.Int64
+	passOn      atomic.Bool
+	draining    atomic.Bool
+	inFlight    atomic.Int64
+	service     sync.Map
+	tallies     Tallies
 }
 
 type shard struct {
@@ -106,7 +108,7 @@
 //
 // Example:
 //
-//	if now.Before(desk.HoldEnds()) { ... }
+//	left := desk.HoldEnds().Sub(now)
 func (desk *Desk) HoldEnds() time.Time {
 	if ends := desk.holdEnds.Load(); ends != nil {
 		return *ends
@@ -114,6 +116,28 @@
 	return time.Time{}
 }
 
+// SetServeWithoutHold chooses how long the desk goes on after its last hold, with the
+// configuration that is in force.
+//
+// Example:
+//
+//	desk.SetServeWithoutHold(time.Minute)
+func (desk *Desk) SetServeWithoutHold(length time.Duration) { desk.withoutHold.Store(int64(length)) }
+
+// ServesUntil is until when the desk lets in; without any hold in its life it lets
+// nothing in.
+//
+// Example:
+//
+//	if now.Before(desk.ServesUntil()) { ... }
+func (desk *Desk) ServesUntil() time.Time {
+	ends := desk.HoldEnds()
+	if ends.IsZero() {
+		return ends
+	}
+	return ends.Add(time.Duration(desk.withoutHold.Load()))
+}
+
 // SetPassOn tells whether the courier lacks an enabled flag and passes its
 // inquiries to a capable node.
 //
@@ -182,7 +206,7 @@
 		return []Decision{{Kind: PassOn, ID: inquiry.ID, Inquiry: inquiry}}
 	}
 	program := desk.program.Load()
-	if program == nil || !now.Before(desk.HoldEnds()) {
+	if program == nil || !now.Before(desk.ServesUntil()) {
 		return desk.refuse(inquiry, trouble.NoHold, "the configuration in force is not confirmed", time.Second)
 	}
 	ruling, failure := program.Rule(inquiry, desk.district)
--- a/internal/pass/dispatch.go
+++ b/internal/pass/dispatch.go
@@ -33,7 +33,7 @@
 	if !now.Before(inquiry.Limit) {
 		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
 	}
-	holdEnds := desk.HoldEnds()
+	holdEnds := desk.ServesUntil()
 	if !now.Before(holdEnds) {
 		return desk.awaitHold(now, shard, entry, ready)
 	}
@@ -96,7 +96,7 @@
 	if !now.Before(inquiry.Limit) {
 		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
 	}
-	holdEnds := desk.HoldEnds()
+	holdEnds := desk.ServesUntil()
 	if !now.Before(holdEnds) {
 		return desk.awaitHold(now, shard, entry, handing)
 	}
