--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -23,6 +23,7 @@
 	set.IntVar(&plan.Repeats, "repeats", plan.Repeats, "how many times everything is measured")
 	sizes := set.StringArray("sizes", nil, "other sizes of a dimension, as nodes=10,30")
 	folder := set.String("folder", "", "write readings.csv and a plot of each line into this folder (default: the lines alone, to the screen)")
+	processes := set.Bool("processes", false, "measure fleets with real processes too, whose programs are beside this one")
 	quiet := set.Bool("quiet", false, "don't say what is measured at the moment")
 	command.RunE = func(*cobra.Command, []string) error {
 		var failure error
@@ -34,7 +35,15 @@
 				_, _ = fmt.Fprintf(os.Stderr, "%d: %s: %s, %d %s\n", repeat+1, activity.Role, activity.Name, size, dimension)
 			}
 		}
-		readings, failure := plan.Run(capacity.Activities())
+		activities := capacity.Activities()
+		if *processes {
+			binaries, found := capacity.BinariesBeside()
+			if !found {
+				return trouble.New(trouble.Missing, "courier and expediter are not beside this program")
+			}
+			activities = append(activities, capacity.FleetActivities(binaries)...)
+		}
+		readings, failure := plan.Run(activities)
 		if failure != nil {
 			return failure
 		}
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// Number is the running process's number, or zero.
+//
+// Example:
+//
+//	path := "/proc/" + strconv.Itoa(node.Number()) + "/stat"
+func (node *NodeProcess) Number() int {
+	if command, _ := node.present(); node.Running() {
+		return command.Process.Pid
+	}
+	return 0
+}
+
 // Kill ends the process at once and waits until it is gone.
 //
 // Example:
