rehearsal regions: a large fleet of several regions in virtual time

Cause: 330 nodes in four regions with 20 ms between them can't be run on one machine, and what a loss costs there can't be read off smaller fleets.

Change: layouts with regions, zones and a distance between them; the control alone is rehearsed, servers are listed and don't work.

--- /dev/null
+++ b/internal/rehearsal/world/layout.go
@@ -0,0 +1,146 @@
+package world
+
+import (
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// Layout is a fleet of several regions, whose control alone is rehearsed: servers are
+// listed and neither report nor work.
+type Layout struct {
+	// Zones are the zones of each region.
+	Zones [][]string
+	// Between is how long a message takes from one region to another, beside what it
+	// takes within one.
+	Between  time.Duration
+	Couriers int
+	Servers  int
+	// Expediters are the machines set aside for control; the first three are seeds and
+	// lie in three regions, if there are so many.
+	Expediters  int
+	BorneLosses int
+	// Routes is how many routes the configuration has.
+	Routes int
+}
+
+// FutureLayout is the fleet of two years from now.
+//
+// Example:
+//
+//	layout := world.FutureLayout()
+func FutureLayout() Layout {
+	return Layout{Zones: [][]string{{"east-1", "east-2", "east-3"}, {"west-1", "west-2", "west-3"}, {"north-1", "north-2", "north-3"}, {"south-1", "south-2"}},
+		Between: 20 * time.Millisecond, Couriers: 324, Servers: 1100, Expediters: 6, BorneLosses: 1, Routes: 300}
+}
+
+// zones are all zones, one of each region in turn.
+func (layout Layout) zones() []string {
+	var zones []string
+	for position := 0; ; position++ {
+		before := len(zones)
+		for _, region := range layout.Zones {
+			if position < len(region) {
+				zones = append(zones, region[position])
+			}
+		}
+		if len(zones) == before {
+			return zones
+		}
+	}
+}
+
+// region is the number of a zone's region, or -1.
+func (layout Layout) region(zone string) int {
+	for number, region := range layout.Zones {
+		for _, name := range region {
+			if name == zone {
+				return number
+			}
+		}
+	}
+	return -1
+}
+
+// NewLaidOut lays out a fleet of several regions.
+//
+// Example:
+//
+//	fleet := world.NewLaidOut(world.FutureLayout(), 1)
+func NewLaidOut(layout Layout, seed uint64) *World {
+	zones := layout.zones()
+	world := New(rehearsal.Deployment{Name: "regions", Districts: zones, Long: rehearsal.Sahil().Long, Short: rehearsal.Sahil().Short}, seed)
+	world.layout = &layout
+	// The deployment without couriers has three expediters; the layout's are others.
+	world.machines, world.byAddress = nil, map[string]string{}
+	var seeds []string
+	for position := range min(3, layout.Expediters) {
+		seeds = append(seeds, "10.0.0."+strconv.Itoa(position+1)+":1")
+	}
+	for position := range layout.Expediters {
+		world.addMachine(roster.Expediter, "expediter-"+strconv.Itoa(position+1), "10.0.0."+strconv.Itoa(position+1)+":1", zones[position%len(zones)], seeds)
+	}
+	for position := range layout.Couriers {
+		address := "10.2." + strconv.Itoa(position/250) + "." + strconv.Itoa(position%250+1) + ":1"
+		world.addMachine(roster.Courier, "courier-"+strconv.Itoa(position+1), address, zones[position%len(zones)], seeds)
+	}
+	for position := range layout.Servers {
+		name := "stove-" + strconv.Itoa(position+1)
+		world.platform.servers[name] = roster.Server{Name: name, Address: "10.3." + strconv.Itoa(position/250) + "." + strconv.Itoa(position%250+1) + ":1", District: zones[position%len(zones)]}
+	}
+	return world
+}
+
+// far is how much longer a message takes between two machines than within a region.
+func (world *World) far(from, to string) time.Duration {
+	if world.layout == nil {
+		return 0
+	}
+	here, there := world.machineNamed(from), world.machineNamed(to)
+	if here == nil || there == nil || world.layout.region(here.district) == world.layout.region(there.district) {
+		return 0
+	}
+	return world.layout.Between
+}
+
+func (world *World) borneLosses() int {
+	if world.layout == nil {
+		return 0
+	}
+	return world.layout.BorneLosses
+}
+
+// listExpediters are the nodes that the expediters of a laid-out fleet are told of;
+// couriers are told of none.
+func (world *World) listExpediters() []roster.Node {
+	var nodes []roster.Node
+	for _, node := range world.listNodes() {
+		if node.Kind == roster.Expediter {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// Traffic is what went over the hotline.
+type Traffic struct {
+	Messages int
+	Bytes    int
+}
+
+func (world *World) countTraffic(path string, bytes int) {
+	count := world.traffic[path]
+	world.traffic[path] = Traffic{count.Messages + 1, count.Bytes + bytes}
+}
+
+// sum is all traffic so far.
+func (world *World) sum() Traffic {
+	var all Traffic
+	for _, count := range world.traffic {
+		all.Messages += count.Messages
+		all.Bytes += count.Bytes
+	}
+	return all
+}
--- a/internal/rehearsal/world/links.go
+++ b/internal/rehearsal/world/links.go
@@ -8,6 +8,8 @@
 
 // link is one direction between two machines.
 type link struct {
+	// far is the distance between two regions.
+	far       time.Duration
 	cut       bool
 	delay     time.Duration
 	loss      float64
@@ -18,7 +20,7 @@
 	ends := [2]string{from, to}
 	found := world.links[ends]
 	if found == nil {
-		found = &link{}
+		found = &link{far: world.far(from, to)}
 		world.links[ends] = found
 	}
 	return found
@@ -32,7 +34,7 @@
 
 // latency is how long one message takes.
 func (world *World) latency(over *link) time.Duration {
-	return time.Duration(150+world.random.IntN(1200))*time.Microsecond + over.delay
+	return time.Duration(150+world.random.IntN(1200))*time.Microsecond + over.delay + over.far
 }
 
 // carry brings one message over a link, or loses it.
@@ -133,6 +135,7 @@
 	world.countSnapshot(path, body)
 	content, failure := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
 		answer, failure := there.answer(path, body)
+		world.countTraffic(path, len(body)+len(answer))
 		if failure != nil {
 			// A failure crosses the wire as its kind and detail.
 			return nil, trouble.New(trouble.KindOf(failure), trouble.DetailOf(failure))
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -55,6 +55,12 @@
 	if failure := lists.reached(); failure != nil {
 		return nil, failure
 	}
+	if lists.world.layout != nil {
+		if !lists.world.isExpediter(lists.life.name) {
+			return nil, trouble.New(trouble.NoSuch, "a list of nodes")
+		}
+		return lists.world.listExpediters(), nil
+	}
 	return lists.world.listNodes(), nil
 }
 
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -54,7 +54,11 @@
 	claiming      map[string]int
 	evacuating    map[string]bool
 	trace         hash.Hash
-	Log           func(line string)
+	// layout is set when the fleet has several regions.
+	layout *Layout
+	// traffic are the messages between nodes, by path, and those of each node.
+	traffic map[string]Traffic
+	Log     func(line string)
 }
 
 // machine is where a node runs: it has an address, perhaps a disk, and settings
@@ -85,7 +89,7 @@
 func New(deployment rehearsal.Deployment, seed uint64) *World {
 	world := &World{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0x5ea)), byAddress: map[string]string{}, lives: map[string]*life{},
 		servers: map[string]*server{}, links: map[[2]string]*link{}, temptations: map[string]int{}, seenKeys: map[string]bool{}, claiming: map[string]int{}, evacuating: map[string]bool{},
-		trace: sha256.New(), Log: func(string) {}}
+		trace: sha256.New(), traffic: map[string]Traffic{}, Log: func(string) {}}
 	world.Book = &rehearsal.Book{Clock: func() time.Time { return epoch.Add(world.now) }}
 	world.platform.servers = map[string]roster.Server{}
 	world.outside = world.newLife("outside", "outside", 0)
@@ -224,7 +228,10 @@
 	}
 	stoves := &stoves{life: begun, running: map[string]*exchange{}}
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported, FixedParts: world.fixedParts}, Address: machine.address,
-		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}, Pressures: lists{world, begun}}
+		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}}
+	if world.layout == nil {
+		options.Pressures = lists{world, begun}
+	}
 	courier := hatch.NewCourier(begun, wire{begun}, stoves, &passing{life: begun}, options, observe)
 	machine.courier = courier
 	begun.answer = courier.Answers().Answer
@@ -241,7 +248,7 @@
 	keeping, _ := pantry.OpenFolder(machine.disk, "keeper")
 	copies, _ := pantry.OpenFolder(machine.disk, "larder")
 	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
-		FlagSettle: 2 * time.Second, Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
+		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
 	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
 	if failure != nil {
 		world.say("%s can't open its disk: %v", machine.name, failure)
