One window a courier: the core's, fed by the courier's events

Cause: a courier that serves opaque calls had two windows, the core's, which decides parts, and one of the process, which knew the calls. Configurations were checked twice.

Change: the conduct of calls is made over the core's window. News feeds the core by events alone; hatch.Board is told only what the window does not know: until when calls may be let in, and the servers' circuits. A courier that serves calls still has the market of inquiries, unless the platform's servers speak none.

--- a/internal/adapters/courier/calls.go
+++ b/internal/adapters/courier/calls.go
@@ -12,25 +12,35 @@
 // counterCalls are what serves opaque calls in a process, if its settings name an
 // address for them.
 type counterCalls struct {
-	conduct *hatch.Calls
-	intake  *calls.Intake
-	gate    *calls.Gate
+	circuits *calls.Circuits
+	conduct  *hatch.Calls
+	intake   *calls.Intake
+	gate     *calls.Gate
 }
 
-// prepareCalls makes what serves opaque calls; nothing listens yet.
-func (process *Process) prepareCalls(turns *threads.Threads, reached Ports) error {
+// prepareCalls makes the conduct of opaque calls over the core's window.
+func (process *Process) prepareCalls(turns *threads.Threads) func(deciding *window.Window) hatch.Board {
 	chosen := process.chosen
 	if chosen.CallsAddress == "" && chosen.ReadyAddress == "" {
 		return nil
 	}
+	process.calls.circuits = calls.NewCircuits(turns.Now, chosen.Detours)
+	return func(deciding *window.Window) hatch.Board {
+		process.calls.conduct = hatch.NewCalls(turns, deciding, process.calls.circuits.SetServers)
+		return process.calls.conduct
+	}
+}
+
+// takeCalls makes the intake of calls; nothing listens yet.
+func (process *Process) takeCalls(turns *threads.Threads, reached Ports) error {
+	if process.calls.conduct == nil {
+		return nil
+	}
 	words := calls.DefaultWords()
 	if reached.Words != nil {
 		words = *reached.Words
 	}
-	circuits := calls.NewCircuits(turns.Now, chosen.Detours)
-	deciding := window.New(window.Options{Courier: chosen.Name, District: chosen.District, FurtherTries: reached.FurtherTries})
-	process.calls.conduct = hatch.NewCalls(turns, deciding, circuits.SetServers)
-	intake, failure := calls.NewIntake(process.lifetime, words, circuits, process.calls.conduct, turns.Now)
+	intake, failure := calls.NewIntake(process.lifetime, words, process.calls.circuits, process.calls.conduct, turns.Now)
 	process.calls.intake = intake
 	return failure
 }
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -53,12 +53,11 @@
 type Ports struct {
 	Directory ports.Directory
 	Orders    ports.Orders
-	// Board offers opaque calls to servers. A courier with one follows the servers'
-	// reports in the news; one without asks servers itself, for the market of
-	// inquiries.
-	Board hatch.Board
 	// Words are the headers and paths of opaque calls.
 	Words *calls.Words
+	// CallsOnly tells that servers speak no inquiries: they are not asked for what the
+	// market of inquiries needs.
+	CallsOnly bool
 	// FurtherTries bounds what all couriers send beyond the first dispatch of each
 	// opaque call.
 	FurtherTries window.Allowance
@@ -77,23 +76,20 @@
 	if reached.Directory == nil {
 		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
 	}
-	if failure := process.prepareCalls(turns, reached); failure != nil {
-		return nil, failure
-	}
-	if reached.Board == nil && process.calls.conduct != nil {
-		reached.Board = process.calls.conduct
-	}
 	kitchen := stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
-		Supported: supported, LeastLoaded: chosen.Market == "least_loaded"}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
-		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: reached.Board,
+		Supported: supported, LeastLoaded: chosen.Market == "least_loaded", FurtherTries: reached.FurtherTries}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
+		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: process.prepareCalls(turns),
 		ServeWithoutHold: chosen.ServeWithoutHold}
-	if reached.Board == nil {
+	if !reached.CallsOnly {
 		options.Pressures = kitchen
 	}
 	process.conduct = hatch.NewCourier(turns, hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime},
 		commanding(kitchen, reached.Orders),
 		&passing{client: &http.Client{Transport: hotline.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
+	if failure := process.takeCalls(turns, reached); failure != nil {
+		return nil, failure
+	}
 	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
 		return nil, failure
 	}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -7,7 +7,6 @@
 
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
@@ -25,6 +24,7 @@
 	options     CourierOptions
 	observe     func(event string, detail ...any)
 	core        *seamloom.Core
+	board       Board
 	followed    *Follower
 	journal     *Journal
 	answers     Answers
@@ -68,7 +68,10 @@
 		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}, watched: map[string]bool{}}
 	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
-	courier.followed.Follow(options.Directory != nil, options.Board != nil)
+	if options.Board != nil {
+		courier.board = options.Board(courier.core.Calls())
+	}
+	courier.followed.Follow(options.Directory != nil, courier.board != nil)
 	courier.SetServeWithoutHold(options.ServeWithoutHold)
 	courier.answers = courier.table()
 	return courier
@@ -134,8 +137,8 @@
 
 // showServing tells the board until when calls may be let in.
 func (courier *Courier) showServing() {
-	if courier.options.Board != nil {
-		courier.options.Board.SetServing(courier.core.ServesUntil())
+	if courier.board != nil {
+		courier.board.SetServing(courier.core.ServesUntil())
 	}
 }
 
@@ -198,7 +201,6 @@
 func (courier *Courier) takeNews(news News) {
 	if drawer, found := news.Changed[larder.MenuDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
-		courier.showBoard(drawer)
 		courier.observe("configuration_in_force", "version", drawer.Version.String())
 	}
 	state, failure := larder.ReadState(news.Changed)
@@ -231,30 +233,16 @@
 	}
 }
 
-// showBoard puts a configuration in force for calls. One that this build can't read
-// was counted already, and leaves the older one.
-func (courier *Courier) showBoard(drawer larder.Drawer) {
-	if courier.options.Board == nil {
-		return
-	}
-	if configuration, failure := menu.Check(drawer.Content); failure == nil {
-		courier.options.Board.SetConfiguration(configuration, drawer.Version)
-	}
-}
-
 // takeLists takes what the news says of servers and of those who share them.
 func (courier *Courier) takeLists(news News) {
 	if count := news.Answer.Couriers; count > 0 {
 		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(count)})
-		if courier.options.Board != nil {
-			courier.options.Board.SetCouriers(count)
-		}
 	}
 	if news.Servers != nil {
 		courier.takeServers(news.Servers.At, news.Servers.Servers)
 	}
-	if len(news.Loads) > 0 && courier.options.Board != nil {
-		courier.options.Board.SetLoads(courier.turns.Now(), news.Loads)
+	if len(news.Loads) > 0 {
+		courier.Apply(pass.Event{Kind: pass.LoadsReported, Loads: news.Loads})
 	}
 }
 
--- a/internal/hatch/courieroptions.go
+++ b/internal/hatch/courieroptions.go
@@ -5,6 +5,7 @@
 
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // CourierOptions say which courier a core is.
@@ -16,8 +17,9 @@
 	Directory Directory
 	// Pressures reads servers' loads for the market of inquiries; none: it has none.
 	Pressures Pressures
-	// Board offers calls to servers; none: this courier takes no calls.
-	Board Board
+	// Board makes who serves opaque calls over the core's window; none: this courier
+	// takes no calls, and follows no reports.
+	Board func(deciding *window.Window) Board
 	// ServeWithoutHold is how long the courier goes on letting in after its last hold.
 	ServeWithoutHold time.Duration
 	// Nonce gives a text that is new each time.
--- a/internal/hatch/listreading.go
+++ b/internal/hatch/listreading.go
@@ -45,10 +45,10 @@
 	}
 	now := courier.turns.Now()
 	listed := courier.listing.Servers(now)
-	courier.Apply(pass.Event{Kind: pass.ServersListed, At: now, Servers: listed})
-	if courier.options.Board != nil {
-		courier.options.Board.SetServers(now, listed)
+	if courier.board != nil {
+		courier.board.SetServers(now, listed)
 	}
+	courier.Apply(pass.Event{Kind: pass.ServersListed, At: now, Servers: listed})
 	courier.watchPressures(listed)
 }
 
