--- a/internal/rehearsal/capacity/activities.go
+++ b/internal/rehearsal/capacity/activities.go
@@ -8,5 +8,5 @@
 //
 //	readings, failure := capacity.Plan{Repeats: 3}.Run(capacity.Activities())
 func Activities() []Activity {
-	return slices.Concat(courierActivities(), callActivities(), primaryActivities(), seatActivities())
+	return slices.Concat(courierActivities(), callActivities(), newsActivities(), primaryActivities(), seatActivities(), transportActivities())
 }
--- a/internal/rehearsal/capacity/activity_test.go
+++ b/internal/rehearsal/capacity/activity_test.go
@@ -6,7 +6,7 @@
 )
 
 // tiny are sizes at which everything is measured in a moment.
-var tiny = map[Dimension][]int{Nodes: {3}, Servers: {9}, Routes: {5}, Tenants: {2}, Models: {2}, Claims: {4}, Seats: {3}, Pieces: {3}}
+var tiny = map[Dimension][]int{Nodes: {3}, Servers: {9}, Routes: {5}, Tenants: {2}, Models: {2}, Claims: {4}, Seats: {3}, Pieces: {3}, Bytes: {100}}
 
 // TestEveryActivityIsMeasured runs each at a tiny size and wants figures that are
 // some.
--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -55,7 +55,7 @@
 	for _, node := range nodes {
 		copies := newShelf()
 		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: recipe.Supported(nil),
-			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists}
+			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists, Reports: formed.lists}
 		seat, _, failure := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
 		if failure != nil {
 			end()
--- a/internal/rehearsal/capacity/courier.go
+++ b/internal/rehearsal/capacity/courier.go
@@ -33,8 +33,8 @@
 		{Role: courierRole, Name: "configuration change", Dimensions: []Dimension{Routes, Tenants, Models}, Measure: measureTakingMenu},
 		{Role: courierRole, Name: "membership", Dimensions: []Dimension{Nodes}, Measure: measureTakingMembers},
 		{Role: courierRole, Name: "duty orders", Dimensions: []Dimension{Servers}, Measure: measureTakingOrders},
-		{Role: courierRole, Name: "load news: one report taken", Dimensions: []Dimension{Servers}, Measure: measureTakingReport},
-		{Role: courierRole, Name: "list news: the list taken", Dimensions: []Dimension{Servers}, Measure: measureTakingList},
+		{Role: courierRole, Name: "report taken by the market", Dimensions: []Dimension{Servers}, Measure: measureTakingReport},
+		{Role: courierRole, Name: "list read and taken by the market", Dimensions: []Dimension{Servers}, Measure: measureTakingList},
 		{Role: courierRole, Name: "market choice", Dimensions: []Dimension{Servers}, Measure: measureChoice},
 		{Role: courierRole, Name: "inquiry", Dimensions: []Dimension{Servers, Routes, Pieces}, Measure: measureInquiry},
 		{Role: courierRole, Name: "ticks at rest", Dimensions: []Dimension{Servers}, Measure: measureTicks},
@@ -251,8 +251,7 @@
 	life := &shortLife{Threads: newTurns(), line: line}
 	conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
 		Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
-	rounds := conduct.Rounds()
-	follow := rounds[len(rounds)-1]
+	follow := conduct.Rounds()[2]
 	cost = Meter{}.Measure(func(int) {
 		life.ends = line.asked.Load() + int64(len(answers))
 		follow()
@@ -321,8 +320,7 @@
 		life := &shortLife{Threads: newTurns(), line: line, ends: int64(len(answers))}
 		conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
 			Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
-		rounds := conduct.Rounds()
-		rounds[len(rounds)-1]()
+		conduct.Rounds()[2]()
 	})
 	share := float64(len(answers))
 	cost.Processor, cost.Bytes = time.Duration(float64(cost.Processor)/share), cost.Bytes/share
@@ -390,8 +388,7 @@
 	passed := &takenOver{}
 	conduct := hatch.NewCourier(life, line, nil, passed, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0),
 		Supported: recipe.Supported(recipe.List{recipe.OrderPatience})}, Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
-	rounds := conduct.Rounds()
-	rounds[len(rounds)-1]()
+	conduct.Rounds()[2]()
 	life.ends = 1 << 40
 	noteCost(note, "an inquiry, circuits not counted", Meter{}.Measure(func(number int) {
 		conduct.Serve(hatch.Arrival{Inquiry: newInquiry(number, 1, 1), Body: []byte("{}")}, silent{})
--- a/internal/rehearsal/capacity/fleet.go
+++ b/internal/rehearsal/capacity/fleet.go
@@ -25,6 +25,7 @@
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // watched is how long a fleet over loopback is looked at.
@@ -37,7 +38,11 @@
 //	activities := append(capacity.Activities(), capacity.FleetActivities("bin")...)
 func FleetActivities(binaries string) []Activity {
 	return []Activity{
-		{Role: primaryRole, Name: "whole role over loopback", Dimensions: []Dimension{Nodes}, Measure: func(sizes Sized, note Note) error { return measureFleet(binaries, sizes, note) }},
+		{Role: primaryRole, Name: "whole role over loopback, no servers", Dimensions: []Dimension{Nodes}, Measure: func(sizes Sized, note Note) error {
+			sizes[Servers] = 0
+			return measureFleet(binaries, sizes, note)
+		}},
+		{Role: primaryRole, Name: "whole role over loopback, nodes that take calls", Dimensions: []Dimension{Servers}, Measure: func(sizes Sized, note Note) error { return measureFleet(binaries, sizes, note) }},
 		{Role: courierRole, Name: "whole process over loopback, no traffic", Dimensions: []Dimension{Servers}, Measure: func(sizes Sized, note Note) error { return measureCourier(binaries, sizes, note) }},
 	}
 }
@@ -99,12 +104,12 @@
 	for position, member := range membersOf(couriers) {
 		line := hollowLine{Line: hotline.Line{Caller: hotline.NewCaller(nil), Lifetime: lifetime}, messages: &fleet.messages, bytes: &fleet.bytes}
 		conduct := hatch.NewCourier(fleet.turns, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: member.Name, District: member.District, Supported: recipe.Supported(nil)},
-			Address: member.Address, Seeds: seeds, Nonce: uuid.NewString, Ended: func(*pass.Inquiry, pass.Decision) {}}, func(string, ...any) {})
+			Address: member.Address, Seeds: seeds, Nonce: uuid.NewString, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{},
+			Board: hatch.NewCalls(fleet.turns, window.New(window.Options{Courier: member.Name, District: member.District}), func([]roster.Server) {})}, func(string, ...any) {})
 		laid.Platform.ListNode(roster.Node{Name: member.Name, Kind: roster.Courier, Address: member.Address, District: member.District})
 		fleet.couriers = append(fleet.couriers, conduct)
-		rounds := conduct.Rounds()
 		// Only the news is followed: ticks and crumbs cost without it.
-		follow := rounds[len(rounds)-1]
+		follow := conduct.Rounds()[2]
 		fleet.turns.Go(func() {
 			// They don't come all in one moment.
 			rota.Pause(fleet.turns, time.Duration(position)*2*time.Millisecond)
@@ -180,7 +185,7 @@
 // measureFleet looks at a core that hollow couriers follow: at rest, under single
 // changes, and under changes without pause.
 func measureFleet(binaries string, sizes Sized, note Note) error {
-	fleet, failure := newFleet(binaries, sizes[Nodes], 0, 0)
+	fleet, failure := newFleet(binaries, sizes[Nodes], sizes[Servers], 0)
 	if failure != nil {
 		return failure
 	}
@@ -209,7 +214,10 @@
 		took := time.Since(began)
 		note("messages to the primary, "+of, "a second", float64(fleet.messages.Load()-messages)/took.Seconds())
 		note("bytes of a courier's messages, "+of, "B a second", float64(fleet.bytes.Load()-bytes)/took.Seconds()/float64(sizes[Nodes]))
-		note("processor of a hollow courier, "+of, "% of a core", 100*float64(processTime()-own)/float64(took)/float64(sizes[Nodes]))
+		if sizes[Servers] == 0 {
+			// The stand-in servers are in this process too.
+			note("processor of a hollow courier, "+of, "% of a core", 100*float64(processTime()-own)/float64(took)/float64(sizes[Nodes]))
+		}
 		for position, node := range fleet.Expediters {
 			used, failure := consumed(node.Number())
 			if failure != nil {
