--- a/internal/rehearsal/capacity/fleet.go
+++ b/internal/rehearsal/capacity/fleet.go
@@ -105,7 +105,7 @@
 		line := hollowLine{Line: hotline.Line{Caller: hotline.NewCaller(nil), Lifetime: lifetime}, messages: &fleet.messages, bytes: &fleet.bytes}
 		conduct := hatch.NewCourier(fleet.turns, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: member.Name, District: member.District, Supported: recipe.Supported(nil)},
 			Address: member.Address, Seeds: seeds, Nonce: uuid.NewString, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{},
-			Board: hatch.NewCalls(fleet.turns, window.New(window.Options{Courier: member.Name, District: member.District}), func([]roster.Server) {})}, func(string, ...any) {})
+			Board: boardOf(fleet.turns)}, func(string, ...any) {})
 		laid.Platform.ListNode(roster.Node{Name: member.Name, Kind: roster.Courier, Address: member.Address, District: member.District})
 		fleet.couriers = append(fleet.couriers, conduct)
 		// Only the news is followed: ticks and crumbs cost without it.
@@ -312,6 +312,13 @@
 	return folder, true
 }
 
+// boardOf makes the conduct of calls over a core's window, without circuits.
+func boardOf(turns rota.Turns) func(deciding *window.Window) hatch.Board {
+	return func(deciding *window.Window) hatch.Board {
+		return hatch.NewCalls(turns, deciding, func([]roster.Server) {})
+	}
+}
+
 // hollowStove is model servers that do nothing.
 type hollowStove struct{}
 
--- a/internal/rehearsal/capacity/news.go
+++ b/internal/rehearsal/capacity/news.go
@@ -13,7 +13,6 @@
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
 )
 
 const readerRole = "reader of the list"
@@ -139,9 +138,8 @@
 		line.answers = append(line.answers, encoded)
 	}
 	life := &shortLife{Threads: newTurns(), line: line, ends: 1}
-	calls := hatch.NewCalls(newTurns(), window.New(window.Options{Courier: "courier-1", District: districtOf(0)}), func([]roster.Server) {})
 	conduct := hatch.NewCourier(life, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
-		Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{}, Board: calls}, func(string, ...any) {})
+		Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{}, Board: boardOf(life)}, func(string, ...any) {})
 	// The third round follows the news.
 	follow := conduct.Rounds()[2]
 	follow()
