Couriers and expediters rest while there is nothing to do

Cause: a courier looked at its inquiries 50 times a second and at its crumbs four times, an expediter for changes to commit ten times and for housekeeping three times, whether there was anything or not. Each wake-up is paid for on the platform.

Change: a courier ticks each 20 ms while inquiries are under way, each 200 ms while it has duties only, and else when something stirs it. Crumbs go out when there are any. An expediter looks for changes each 100 ms only while one waits, and keeps house only while it leads.

--- a/core.go
+++ b/core.go
@@ -231,6 +231,17 @@
 //	drained := core.InFlight() == 0
 func (core *Core) InFlight() int { return core.desk.InFlight() }
 
+// Dutiful tells whether the courier has duties.
+//
+// Example:
+//
+//	if core.Dutiful() { pause = 200 * time.Millisecond }
+func (core *Core) Dutiful() bool {
+	core.mutex.Lock()
+	defer core.mutex.Unlock()
+	return len(core.duties) > 0
+}
+
 // Draining tells whether the core lets nothing in any more.
 //
 // Example:
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"seamloom.example/seamloom"
@@ -17,14 +18,19 @@
 // Courier is the data plane's conduct at one node: it follows the primary, has
 // inquiries decided by the core, and carries the decisions out.
 type Courier struct {
-	turns       rota.Turns
-	line        Hotline
-	stove       Stove
-	passing     Passing
-	options     CourierOptions
-	observe     func(event string, detail ...any)
-	core        *seamloom.Core
-	board       Board
+	turns   rota.Turns
+	line    Hotline
+	stove   Stove
+	passing Passing
+	options CourierOptions
+	observe func(event string, detail ...any)
+	core    *seamloom.Core
+	board   Board
+	// stirred rings when there is more to do than before, crumbs when records are to
+	// go to a neighbour.
+	stirred     rota.Bell
+	resting     atomic.Int64
+	crumbs      rota.Bell
 	followed    *Follower
 	journal     *Journal
 	answers     Answers
@@ -45,6 +51,10 @@
 // The pauses of a courier's rounds. The values are ours.
 const (
 	courierTick = 20 * time.Millisecond
+	// dutyTick is the tick of a courier that has duties and no inquiries, and
+	// restTick of one that has neither.
+	dutyTick    = 200 * time.Millisecond
+	restTick    = time.Minute
 	crumbsPause = 250 * time.Millisecond
 	neighbours  = 3
 	// claimTime is how long a claim is tried for altogether: a pair that was
@@ -64,7 +74,7 @@
 //	courier := hatch.NewCourier(turns, line, stove, passing, options, observe)
 func NewCourier(turns rota.Turns, line Hotline, stove Stove, passing Passing, options CourierOptions, observe func(string, ...any)) *Courier {
 	courier := &Courier{turns: turns, line: line, stove: stove, passing: passing, options: options, observe: observe,
-		core: seamloom.New(options.Options), journal: newJournal(), incarnation: options.Nonce(),
+		core: seamloom.New(options.Options), stirred: turns.NewBell(), crumbs: turns.NewBell(), journal: newJournal(), incarnation: options.Nonce(),
 		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}, watched: map[string]bool{}}
 	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
@@ -84,10 +94,8 @@
 //	for _, round := range courier.Rounds() { turns.Go(round) }
 func (courier *Courier) Rounds() []func() {
 	rounds := []func(){
-		func() {
-			rota.Every(courier.turns, courierTick, func() { courier.Apply(pass.Event{Kind: pass.Ticked}) })
-		},
-		func() { rota.Every(courier.turns, crumbsPause, courier.dropCrumbs) },
+		courier.tick,
+		courier.leaveCrumbs,
 		courier.followed.Run,
 	}
 	if courier.options.Directory != nil {
@@ -96,6 +104,35 @@
 	return rounds
 }
 
+// tick lets the core see the time go on: often while inquiries are under way, seldom
+// while there are only duties, and hardly ever otherwise.
+func (courier *Courier) tick() {
+	for courier.turns.Alive() {
+		courier.Apply(pass.Event{Kind: pass.Ticked})
+		pause := courier.tickPause()
+		// Whoever gives the core more to do looks at this after it has, and rings.
+		courier.resting.Store(int64(pause))
+		courier.stirred.Wait(pause, func() bool { return courier.tickPause() < pause })
+	}
+}
+
+// stir wakes the ticking if it rests for longer than it should.
+func (courier *Courier) stir() {
+	if int64(courier.tickPause()) < courier.resting.Load() {
+		courier.stirred.Ring()
+	}
+}
+
+func (courier *Courier) tickPause() time.Duration {
+	switch {
+	case courier.core.InFlight() > 0:
+		return courierTick
+	case courier.core.Dutiful():
+		return dutyTick
+	}
+	return restTick
+}
+
 // Core is the deciding core.
 //
 // Example:
@@ -230,6 +267,7 @@
 		courier.Apply(pass.Event{Kind: pass.HoldRenewed, HoldEnds: news.Asked.Add(news.Answer.Hold), Epoch: news.Answer.Menu.Epoch,
 			Number: news.Answer.Menu.Number, Duties: news.Answer.Duties})
 		courier.showServing()
+		courier.stir()
 	}
 }
 
@@ -306,6 +344,15 @@
 	return members
 }
 
+// leaveCrumbs does so whenever there are any.
+func (courier *Courier) leaveCrumbs() {
+	for courier.turns.Alive() {
+		courier.crumbs.Wait(restTick, courier.journal.outgoing)
+		courier.dropCrumbs()
+		rota.Pause(courier.turns, crumbsPause)
+	}
+}
+
 // dropCrumbs gives the newest records to a neighbour, which can tell of them
 // when this courier is gone.
 func (courier *Courier) dropCrumbs() {
@@ -353,6 +400,7 @@
 	}()
 	reply.WhenLeft(stream.leave)
 	courier.Apply(pass.Event{Kind: pass.InquiryArrived, Inquiry: inquiry})
+	courier.stir()
 	courier.answer(arrival, reply, stream)
 }
 
--- a/internal/hatch/decisions.go
+++ b/internal/hatch/decisions.go
@@ -97,6 +97,7 @@
 	record, failure := recipe.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
 	if failure == nil {
 		courier.journal.append(record, true)
+		courier.crumbs.Ring()
 	}
 }
 
@@ -107,6 +108,7 @@
 	record, failure := recipe.WriteEntry(recipe.RetryRecord, recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
 	if failure == nil {
 		courier.journal.append(record, true)
+		courier.crumbs.Ring()
 	}
 }
 
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -54,7 +54,9 @@
 	housekeepingPause = 300 * time.Millisecond
 	sweepPause        = 5 * time.Second
 	commitPause       = 100 * time.Millisecond
-	mendPause         = time.Second
+	// idlePause lies between two looks when there is nothing to do.
+	idlePause = time.Second
+	mendPause = time.Second
 	// leavePatience is how long a primary tries to hand over before it ends.
 	leavePatience = 1500 * time.Millisecond
 	// horizonPause is the time between two moves of the claims' horizon.
@@ -118,7 +120,7 @@
 	every := func(pause time.Duration, task func()) func() {
 		return func() { rota.Every(expediter.turns, pause, task) }
 	}
-	rounds := []func(){every(tickPause, expediter.tick), every(housekeepingPause, expediter.housekeep), every(sweepPause, expediter.sweep),
+	rounds := []func(){every(tickPause, expediter.tick), expediter.keepHouse, every(sweepPause, expediter.sweep),
 		expediter.commit, expediter.followed.Run}
 	if expediter.options.Directory != nil {
 		rounds = append(rounds, expediter.readServers, expediter.readNodes)
@@ -302,7 +304,11 @@
 		if expediter.commitOne() {
 			continue
 		}
-		expediter.work.Wait(commitPause, func() bool { return expediter.submitted.Load() != seen })
+		pause := idlePause
+		if expediter.store.Waiting() {
+			pause = commitPause
+		}
+		expediter.work.Wait(pause, func() bool { return expediter.submitted.Load() != seen })
 	}
 }
 
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -7,6 +7,21 @@
 	"seamloom.example/seamloom/internal/rota"
 )
 
+// keepHouse does so for as long as this expediter leads, and rests while it does not.
+func (expediter *Expediter) keepHouse() {
+	for expediter.turns.Alive() {
+		if !expediter.lists.leading() {
+			expediter.reigns.Wait(time.Minute, expediter.lists.leading)
+			continue
+		}
+		next := expediter.turns.Now().Add(housekeepingPause)
+		expediter.housekeep()
+		if left := next.Sub(expediter.turns.Now()); left > 0 {
+			rota.Pause(expediter.turns, left)
+		}
+	}
+}
+
 // housekeep does what a primary does without being asked: enable flags, give
 // duties, forget old claims.
 func (expediter *Expediter) housekeep() {
--- a/internal/hatch/journal.go
+++ b/internal/hatch/journal.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// outgoing tells whether there are records for a neighbour.
+func (journal *Journal) outgoing() bool {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	return len(journal.outbox) > 0
+}
+
 func (journal *Journal) takeOutbox() []recipe.Record {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
--- a/internal/larder/store.go
+++ b/internal/larder/store.go
@@ -272,6 +272,17 @@
 	return store.batches, store.answered
 }
 
+// Waiting tells whether a change waits to be committed or is under way.
+//
+// Example:
+//
+//	if !store.Waiting() { pause = time.Second }
+func (store *Store) Waiting() bool {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.batch != nil || len(store.pending) > 0
+}
+
 // Freeze stops commits while a new pair is being granted, and cuts the
 // snapshot that the new backup starts from.
 //
