Calls: no answer made up for an origin that left; silent streams go on elsewhere

Ruled out: shorter keep-alive probes, which count in seconds. A last server's promise is not passed on when an earlier one may have begun. Tests for each fail without the change.

--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -55,8 +55,10 @@
 	// the last event that was.
 	begun     atomic.Bool
 	lastEvent string
-	// broken tells that the answer must not look complete.
+	// broken tells that the answer must not look complete, said that the origin got
+	// one, or the beginning of one.
 	broken bool
+	said   bool
 }
 
 // answer is a failing answer that is kept to be passed on.
@@ -84,8 +86,7 @@
 	words := &exchange.intake.words
 	lifetime, cancel := context.WithCancel(exchange.inbound.Context())
 	sent := &dispatch{exchange: exchange, decision: decision, lifetime: lifetime, cancel: cancel}
-	now := exchange.intake.now()
-	patience := decision.Ends.Sub(now) + endsMargin
+	patience := sent.left()
 	if decision.Patience > 0 {
 		patience = min(patience, decision.Patience)
 	}
@@ -132,7 +133,7 @@
 // not waited for either.
 func (sent *dispatch) expire() {
 	sent.cancel()
-	if sent.exchange.begun.Load() {
+	if sent.exchange.begun.Load() && !sent.exchange.intake.now().Before(sent.decision.Ends) {
 		_ = http.NewResponseController(sent.exchange.writer).SetWriteDeadline(time.Now())
 	}
 }
@@ -142,6 +143,9 @@
 	if sent.exchange.inbound.Context().Err() != nil {
 		result = window.Gone
 	}
+	if result == window.Gone {
+		sent.exchange.broken = true
+	}
 	sent.outcome.Result = result
 	sent.timer.Stop()
 	sent.cancel()
@@ -359,8 +363,11 @@
 }
 
 // extend has the dispatch go on to the call's end, now that its server speaks.
-func (sent *dispatch) extend() {
-	sent.timer.Reset(sent.decision.Ends.Sub(sent.exchange.intake.now()) + endsMargin)
+func (sent *dispatch) extend() { sent.timer.Reset(sent.left()) }
+
+// left is how long the dispatch may go on at the most.
+func (sent *dispatch) left() time.Duration {
+	return sent.decision.Ends.Sub(sent.exchange.intake.now()) + endsMargin
 }
 
 // passHead gives the origin the status and the end-to-end headers of an answer.
@@ -371,6 +378,7 @@
 		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
 	exchange.begun.Store(true)
+	exchange.said = true
 	exchange.writer.WriteHeader(response.StatusCode)
 }
 
@@ -393,7 +401,16 @@
 			}
 			text = append(text, make([]byte, len(text))...)[:len(text)]
 		}
+		silence := sent.decision.Silence
+		if silence > 0 && exchange.begun.Load() {
+			sent.timer.Reset(min(silence, sent.left()))
+		} else {
+			silence = 0
+		}
 		read, ended := response.Body.Read(text[len(text):cap(text)])
+		if silence > 0 {
+			sent.extend()
+		}
 		text = text[:len(text)+read]
 		if read > 0 && sent.outcome.First.IsZero() {
 			sent.outcome.First = exchange.intake.now()
@@ -477,6 +494,7 @@
 		exchange.Break()
 		return
 	}
+	exchange.said = true
 	header := exchange.writer.Header()
 	if refusal.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
@@ -507,6 +525,7 @@
 	if kept == nil || exchange.begun.Load() {
 		return false
 	}
+	exchange.said = true
 	header := exchange.writer.Header()
 	copyEndToEnd(header, kept.header)
 	if exchange.inbound.Method != http.MethodHead {
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -1,6 +1,8 @@
 package calls
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -304,3 +306,87 @@
 		})
 	}
 }
+
+// TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp: an origin that looks gone must not
+// read an empty success.
+func TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = origin.Close() }()
+	_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
+	until(t, "the call reaches the server", func() bool { return standin.count() == 1 })
+	_ = origin.(*net.TCPConn).CloseWrite()
+	if text, _ := io.ReadAll(origin); len(text) != 0 {
+		t.Fatalf("got %q", text)
+	}
+	if scripted.last().Result != window.Gone {
+		t.Fatalf("%+v", scripted.last())
+	}
+}
+
+func TestASilentStreamGoesOnElsewhere(t *testing.T) {
+	first := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		circuit.say(stream("id") + chunk(joined(1)))
+		_, _ = circuit.reader.Peek(1)
+		return false
+	})
+	second := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		circuit.say(stream("id") + chunk(joined(2)) + "0\r\n\r\n")
+		return true
+	})
+	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+		run := window.Decision{Kind: window.Run, Server: first.server, Ends: time.Now().Add(5 * time.Second), Silence: 30 * time.Millisecond, Urgency: -1}
+		switch {
+		case number == 0:
+			return run
+		case number == 1 && outcome.Result == window.Cut:
+			run.Server = second.server
+			return run
+		}
+		return lastWord(outcome)
+	}}
+	got := newCourier(t, scripted).send(t, "id", "body")
+	if got.failure != nil || string(got.body) != joined(1, 2) {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestAnOriginThatDoesNotReadIsNotWaitedFor past the call's end, and its server is not
+// taken to be silent meanwhile.
+func TestAnOriginThatDoesNotReadIsNotWaitedFor(t *testing.T) {
+	piece := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
+	standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+		circuit.say(stream("id"))
+		for range 1000 {
+			if _, failure := io.WriteString(circuit, chunk(piece)); failure != nil {
+				return false
+			}
+		}
+		return false
+	})
+	var ends time.Time
+	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+		if number == 0 {
+			ends = time.Now().Add(300 * time.Millisecond)
+			return window.Decision{Kind: window.Run, Server: standin.server, Ends: ends, Silence: 30 * time.Millisecond, Urgency: -1}
+		}
+		return lastWord(outcome)
+	}}
+	courier := newCourier(t, scripted)
+	origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = origin.Close() }()
+	_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
+	until(t, "the call begins", func() bool { return scripted.active.Load() == 1 })
+	until(t, "the call ends", func() bool { return scripted.active.Load() == 0 })
+	if time.Now().Before(ends) {
+		t.Fatal("cut before its end")
+	}
+}
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -132,7 +132,8 @@
 	}
 	served := &exchange{intake: intake, writer: writer, inbound: inbound, call: call, target: target, header: header, body: body}
 	intake.conduct.Serve(call, served)
-	if served.broken {
+	if served.broken || !served.said {
+		// Returning would look like an answer.
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -157,12 +157,14 @@
 		return
 	}
 	ticket, decision := calls.window.Arrive(calls.turns.Now(), call)
-	ran := false
+	// ran tells that a server may have begun the call, before that an earlier one than
+	// the last may have.
+	ran, before := false, false
+	var outcome window.Outcome
 	for {
 		for _, source := range decision.Free {
 			exchange.Free(source)
 		}
-		var outcome window.Outcome
 		switch decision.Kind {
 		case window.Read:
 			outcome = exchange.Read(decision)
@@ -171,8 +173,12 @@
 			}
 		case window.Run:
 			outcome = exchange.Run(ticket.Route().Calls, decision)
-			ran = ran || outcome.Result.MayHaveRun()
+			before, ran = ran, ran || outcome.Result.MayHaveRun()
 		default:
+			if decision.Kind == window.Through && before && !outcome.Result.MayHaveRun() {
+				// The last server's promise is not the whole truth.
+				decision = window.Decision{Kind: window.Refuse, Cause: window.Broken}
+			}
 			conclude(exchange, decision, ran)
 			return
 		}
--- a/internal/window/decision.go
+++ b/internal/window/decision.go
@@ -68,6 +68,9 @@
 	// Patience ends a dispatch whose server says nothing; zero means no such end
 	// before Ends.
 	Patience time.Duration `json:"patience,omitempty"`
+	// Silence ends a dispatch whose stream has begun and then brings nothing for so
+	// long, so that it goes on elsewhere; zero means no such end before Ends.
+	Silence time.Duration `json:"silence,omitempty"`
 	// Urgency is passed to the server, 0 first; -1 leaves it out.
 	Urgency int `json:"urgency,omitempty"`
 	// Free are handles that will not be taken and are to be given back.
--- a/internal/window/send.go
+++ b/internal/window/send.go
@@ -54,6 +54,7 @@
 		if ticket.repeatable() && !ticket.begun && (ticket.call.PromptTokens <= easilyRead || ticket.counted+2 < ticket.ruling.calls.Tries) {
 			decision.Patience = choice.patience(max(runPatience*sent.expected, leastRunPatience))
 		}
+		decision.Silence = choice.silence()
 	}
 	backend.account.memory.Add(int64(sent.tokens))
 	// What reads a prompt keeps it from now on, as far as the next calls go; memory that
