--- /dev/null
+++ b/internal/larder/several_test.go
@@ -0,0 +1,300 @@
+package larder
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// severalWorlds are the shapes that bear two losses: six disks in three districts,
+// and eight in four.
+var severalWorlds = []struct{ machines, districts int }{{6, 3}, {8, 4}}
+
+func simulatedSeeds(usual uint64) uint64 {
+	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+		return asked
+	}
+	return usual
+}
+
+// pick gives a machine by chance.
+func (world *world) pick() *machine { return world.machines[world.random.IntN(len(world.machines))] }
+
+// wipe takes a machine's disk while it loses its power, as often as may be since the
+// core was whole.
+func (world *world) wipe(machine *machine) bool {
+	if world.whole() != nil {
+		world.spare = world.borne
+	}
+	if world.spare == 0 {
+		return false
+	}
+	world.spare--
+	world.wiped++
+	world.mutex.Lock()
+	machine.up = false
+	world.mutex.Unlock()
+	machine.keeping = newMemoryShelf()
+	world.say("%s loses its disk", machine.address)
+	return true
+}
+
+// severalFault is a fault beside those of step.
+func (world *world) severalFault() {
+	switch world.random.IntN(60) {
+	case 0:
+		// Two disks at once, right after whatever was answered last.
+		world.wipe(world.pick())
+		world.wipe(world.pick())
+	case 1:
+		world.wipe(world.pick())
+	case 2:
+		// A district loses its power, and at times its disks.
+		district := world.pick().district
+		lost := world.random.IntN(2) == 0
+		for _, machine := range world.machines {
+			if machine.district == district && machine.up {
+				if !lost || !world.wipe(machine) {
+					world.crash(machine)
+				}
+			}
+		}
+	case 3:
+		world.everything(world.random.IntN(3))
+	case 4:
+		// A district is cut off, one way or both.
+		district := world.pick().district
+		way := world.random.IntN(3)
+		world.mutex.Lock()
+		for _, from := range world.machines {
+			for _, to := range world.machines {
+				if from.district == district && to.district != district && way != 1 {
+					world.cut[from.address+">"+to.address] = true
+				}
+				if from.district != district && to.district == district && way != 0 {
+					world.cut[from.address+">"+to.address] = true
+				}
+			}
+		}
+		world.mutex.Unlock()
+		world.say("%s is cut off", district)
+	case 5:
+		world.replace()
+	}
+}
+
+// everything takes all power, and some disks with it, and gives it back.
+func (world *world) everything(wiped int) {
+	for range wiped {
+		world.wipe(world.pick())
+	}
+	for _, machine := range world.machines {
+		if machine.up {
+			world.crash(machine)
+		}
+	}
+	world.advance(time.Duration(200+world.random.IntN(800)) * time.Millisecond)
+	for _, machine := range world.machines {
+		world.start(machine)
+	}
+}
+
+// replace puts an empty machine at a new address in a machine's place, and names
+// other seeds to all.
+func (world *world) replace() {
+	position := world.random.IntN(len(world.machines))
+	old := world.machines[position]
+	if !world.wipe(old) {
+		return
+	}
+	world.offered++
+	added := &machine{address: "n" + strconv.Itoa(world.offered), district: old.district, keeping: newMemoryShelf(), copies: newMemoryShelf()}
+	world.mutex.Lock()
+	world.machines = append(append([]*machine{}, world.machines...), added)
+	world.machines = append(world.machines[:position:position], world.machines[position+1:]...)
+	world.mutex.Unlock()
+	world.seeds = nil
+	for _, machine := range world.machines[world.random.IntN(len(world.machines)-3):][:3] {
+		world.seeds = append(world.seeds, machine.address)
+	}
+	for _, machine := range world.machines {
+		if machine != added {
+			machine.steward.SetSeeds(world.seeds)
+		}
+	}
+	world.say("%s gives way to %s, seeds %v", old.address, added.address, world.seeds)
+	world.start(added)
+}
+
+// shares are in how many parts the seeds are run side by side.
+const shares = 4
+
+// TestTwoLossesAtOnce drives cores that bear two losses through lost disks, two at
+// once or one while the other is being made good, lost and cut districts, power lost
+// everywhere, exchanged machines, and all faults of the smaller core.
+func TestTwoLossesAtOnce(test *testing.T) {
+	for _, shape := range severalWorlds {
+		for share := range uint64(shares) {
+			test.Run(strconv.Itoa(shape.machines)+"/"+strconv.FormatUint(share, 10), func(test *testing.T) {
+				test.Parallel()
+				answered, wiped := 0, 0
+				for seed := share; seed < simulatedSeeds(24); seed += shares {
+					world := newWorldOf(test, seed, shape.machines, shape.districts, 2)
+					world.bearLosses(seed)
+					answered, wiped = answered+world.answered, wiped+world.wiped
+				}
+				test.Logf("%d writes were accepted, disks were lost %d times", answered, wiped)
+			})
+		}
+	}
+}
+
+// bearLosses is one seed's life of a core.
+func (world *world) bearLosses(seed uint64) {
+	for step := range 400 {
+		if step%40 == 0 && !world.heal(30*time.Second) {
+			world.fail("seed %d: the core is not whole", seed)
+		}
+		world.step()
+		world.severalFault()
+		world.check()
+	}
+	if !world.heal(30 * time.Second) {
+		world.fail("seed %d: the core is not whole again", seed)
+	}
+}
+
+// acknowledge has the primary answer one more change.
+func (world *world) acknowledge() *machine {
+	before := world.answered
+	for range 100 {
+		if leader := world.whole(); leader != nil {
+			world.write(leader)
+			if world.answered > before {
+				return leader
+			}
+		}
+		world.tick(100 * time.Millisecond)
+	}
+	world.fail("no change is answered")
+	return nil
+}
+
+// tick lets time pass, and all who run do what is due.
+func (world *world) tick(length time.Duration) {
+	world.advance(length)
+	for _, machine := range world.machines {
+		if machine.up && !machine.frozen {
+			machine.steward.Tick()
+			world.check()
+		}
+	}
+}
+
+// losses lists every set of machines that may be lost at once: any two, or one
+// district.
+func (world *world) losses() [][]int {
+	var sets [][]int
+	for first := range world.machines {
+		for second := range first {
+			sets = append(sets, []int{second, first})
+		}
+	}
+	return sets
+}
+
+// TestEveryPairOfDisksLost wipes every two disks right after an answer, while the
+// others go on or lose their power, too, and wants the answered change and a core
+// that is whole again; likewise every district, whose two machines are such a pair.
+func TestEveryPairOfDisksLost(test *testing.T) {
+	for _, shape := range severalWorlds {
+		for seed := range simulatedSeeds(2) {
+			for _, others := range []bool{false, true} {
+				for _, pair := range newWorldOf(test, seed, shape.machines, shape.districts, 2).losses() {
+					world := newWorldOf(test, seed, shape.machines, shape.districts, 2)
+					world.calm = true
+					if !world.heal(15 * time.Second) {
+						world.fail("no core was formed")
+					}
+					for range 2 + seed%5 {
+						world.acknowledge()
+					}
+					for _, position := range pair {
+						if !world.wipe(world.machines[position]) {
+							world.fail("the core was not whole")
+						}
+					}
+					for _, machine := range world.machines {
+						if machine.up && others {
+							world.crash(machine)
+						}
+					}
+					world.advance(time.Second)
+					for range 200 {
+						// The wiped come back later than the others.
+						for _, machine := range world.machines {
+							if !machine.up && !containsMachine(world.machines, pair, machine) {
+								world.start(machine)
+							}
+						}
+						world.tick(100 * time.Millisecond)
+						if world.leader() != nil {
+							break
+						}
+					}
+					if world.leader() == nil {
+						world.fail("nobody leads after the loss of %v, others %v", pair, others)
+					}
+					if !world.heal(30 * time.Second) {
+						world.fail("the core is not whole again after the loss of %v, others %v", pair, others)
+					}
+					world.acknowledge()
+				}
+			}
+		}
+	}
+}
+
+// leader is who may answer now.
+func (world *world) leader() *machine {
+	for _, machine := range world.machines {
+		if machine.up && !machine.frozen && machine.steward.Holds() {
+			return machine
+		}
+	}
+	return nil
+}
+
+func containsMachine(machines []*machine, positions []int, wanted *machine) bool {
+	for _, position := range positions {
+		if machines[position] == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPairOfDisksIsLostByAPair shows that the test above can fail: a core that bears
+// one loss does not bear two.
+func TestPairOfDisksIsLostByAPair(test *testing.T) {
+	world := newWorldOf(test, 1, 6, 3, 1)
+	world.calm = true
+	if !world.heal(15 * time.Second) {
+		world.fail("no core was formed")
+	}
+	leader := world.acknowledge()
+	backup := leader.steward.Charter().Backup.Identity
+	for _, machine := range world.machines {
+		if machine == leader || machine.keeper.Seat().Identity == backup {
+			world.crash(machine)
+			machine.keeping = newMemoryShelf()
+		}
+	}
+	for range 100 {
+		world.tick(100 * time.Millisecond)
+	}
+	if world.leader() != nil {
+		world.fail("somebody leads without the copies")
+	}
+}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -90,15 +90,16 @@
 
 // machine is one expediter of the simulated core.
 type machine struct {
-	address string
-	keeping *memoryShelf
-	copies  *memoryShelf
-	keeper  *Keeper
-	store   *Store
-	steward *Steward
-	up      bool
-	frozen  bool
-	lives   int
+	address  string
+	district string
+	keeping  *memoryShelf
+	copies   *memoryShelf
+	keeper   *Keeper
+	store    *Store
+	steward  *Steward
+	up       bool
+	frozen   bool
+	lives    int
 }
 
 // world is a core of machines under a clock that the test moves.
@@ -115,12 +116,24 @@
 	tried    int
 	answered int
 	log      []string
+	// borne is how many disks may be lost at once, and spare how many may be lost
+	// now, since the core was whole.
+	borne     int
+	spare     int
+	districts int
+	seeds     []string
+	offered   int
+	wiped     int
 }
 
-func newWorld(test *testing.T, seed uint64) *world {
-	world := &world{test: test, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}}
-	for number := range 3 {
-		world.machines = append(world.machines, &machine{address: "m" + strconv.Itoa(number), keeping: newMemoryShelf(), copies: newMemoryShelf()})
+func newWorld(test *testing.T, seed uint64) *world { return newWorldOf(test, seed, 3, 3, 1) }
+
+// newWorldOf is a core of machines in districts, which bears some losses at once.
+func newWorldOf(test *testing.T, seed uint64, machines, districts, borne int) *world {
+	world := &world{test: test, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}, borne: borne, districts: districts,
+		seeds: []string{"m0", "m1", "m2"}}
+	for number := range machines {
+		world.machines = append(world.machines, &machine{address: "m" + strconv.Itoa(number), district: "d" + strconv.Itoa(number%districts), keeping: newMemoryShelf(), copies: newMemoryShelf()})
 	}
 	for _, machine := range world.machines {
 		world.start(machine)
@@ -155,9 +168,11 @@
 		world.test.Fatal(failure)
 	}
 	store := NewStore(copied, keeper)
-	steward := NewSteward(threads{world.clock}, []string{"m0", "m1", "m2"}, keeper, store, &wire{world: world, from: machine.address}, func(event string, detail ...any) {
+	steward := NewSteward(threads{world.clock}, world.seeds, keeper, store, &wire{world: world, from: machine.address, life: machine.lives}, func(event string, detail ...any) {
 		world.say("%s %s %v", machine.address, event, detail)
 	})
+	steward.Bear(world.borne, machine.district)
+	steward.SetBackupList(world.borne > 1)
 	world.mutex.Lock()
 	machine.keeper, machine.store, machine.steward = keeper, store, steward
 	machine.up, machine.frozen = true, false
@@ -169,12 +184,20 @@
 type wire struct {
 	world *world
 	from  string
+	// life is which of the machine's processes sends; one that has ended sends
+	// nothing. None is a test's own.
+	life int
 }
 
 func (wire *wire) reach(address string) (*machine, error) {
 	world := wire.world
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
+	for _, machine := range world.machines {
+		if wire.life > 0 && machine.address == wire.from && (!machine.up || machine.lives != wire.life) {
+			return nil, trouble.New(trouble.Unreachable, "the sender has ended")
+		}
+	}
 	for _, machine := range world.machines {
 		if machine.address == address && machine.up && !machine.frozen && !world.cut[wire.from+">"+address] {
 			// A late call reaches the life that it was sent to.
@@ -235,6 +258,7 @@
 }
 
 func (wire *wire) Install(address string, backup Identity, snapshot Snapshot) error {
+	wire.mayEnd()
 	machine, failure := wire.keeperAt(address, backup)
 	if failure != nil {
 		return failure
@@ -243,6 +267,33 @@
 	return machine.store.Install(snapshot)
 }
 
+// mayEnd has the sender lose its power and at times its disk in the middle of what
+// it does, where more than one loss is borne.
+func (wire *wire) mayEnd() {
+	world := wire.world
+	if world.borne == 1 || world.calm {
+		return
+	}
+	world.mutex.Lock()
+	drawn := world.random.IntN(24)
+	world.mutex.Unlock()
+	if drawn > 1 {
+		return
+	}
+	for _, machine := range world.machines {
+		if machine.address != wire.from || !machine.up {
+			continue
+		}
+		world.crash(machine)
+		if drawn == 0 && world.spare > 0 {
+			world.spare--
+			world.wiped++
+			world.say("%s loses its disk in the middle", machine.address)
+			machine.keeping = newMemoryShelf()
+		}
+	}
+}
+
 // again keeps a message back that the network will bring a second time.
 func (world *world) again(message func()) {
 	world.mutex.Lock()
@@ -344,21 +395,27 @@
 			continue
 		}
 		charter := machine.steward.Charter()
-		if charter.Backup.Empty() || len(charter.Incoming) > 0 {
+		if len(charter.Backups()) != world.borne || len(charter.Incoming) > 0 || len(charter.Keepers) != 2*world.borne+1 {
 			continue
 		}
-		healthy := 0
-		for _, seat := range charter.Keepers {
-			for _, other := range world.machines {
-				if other.up && other.keeper.Seat().Identity == seat.Identity && other.keeper.Charter().Epoch == charter.Epoch {
-					healthy++
-				}
-			}
-		}
+		healthy, there := 0, 0
+		inDistrict := map[string]int{}
+		most := 0
 		for _, other := range world.machines {
-			if other.up && other.keeper.Seat().Identity == charter.Backup.Identity && healthy == 3 {
-				return machine
+			if !other.up {
+				continue
+			}
+			if hasSeat(charter.Backups(), other.keeper.Seat().Identity) {
+				there++
 			}
+			if hasSeat(charter.Keepers, other.keeper.Seat().Identity) && other.keeper.Charter().Epoch == charter.Epoch {
+				healthy++
+				inDistrict[other.district]++
+				most = max(most, inDistrict[other.district])
+			}
+		}
+		if there == world.borne && healthy == 2*world.borne+1 && most <= world.borne {
+			return machine
 		}
 	}
 	return nil
@@ -436,10 +493,7 @@
 		world.cut = map[string]bool{}
 		world.mutex.Unlock()
 	case 8:
-		if world.whole() != nil && machine.up {
-			world.crash(machine)
-			machine.keeping = newMemoryShelf()
-			world.say("%s loses its disk", machine.address)
+		if world.whole() != nil && machine.up && world.wipe(machine) {
 			world.start(machine)
 		}
 	case 9:
@@ -458,6 +512,9 @@
 
 // heal ends all faults and gives the core time.
 func (world *world) heal(length time.Duration) bool {
+	before := world.calm
+	world.calm = true
+	defer func() { world.calm = before }()
 	world.mutex.Lock()
 	world.cut = map[string]bool{}
 	for _, machine := range world.machines {
