A blank disk that may only join forms no core, whatever its seeds are

Cause: three blank machines named as each other's seeds formed a core of their own, seen in the simulation of two losses with exchanged seeds after a loss of all power. Change: the setting bootstrap false reaches the steward.

--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -91,6 +91,9 @@
 	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
 		news: turns.NewBell(), reigns: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
 	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
+	if options.JoinsOnly {
+		expediter.steward.JoinOnly()
+	}
 	expediter.steward.Bear(options.BorneLosses, options.District)
 	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -17,6 +17,8 @@
 	// FlagSettle is how long the members must not change before a flag is
 	// enabled.
 	FlagSettle time.Duration
+	// JoinsOnly keeps a blank disk from forming a first core.
+	JoinsOnly bool
 	// BorneLosses is how many disks may be lost at once; one when it is zero.
 	BorneLosses int
 	// AcknowledgeWait is how long a committed change waits for couriers that are not
--- a/internal/larder/several_test.go
+++ b/internal/larder/several_test.go
@@ -114,7 +114,7 @@
 	world.machines = append(append([]*machine{}, world.machines...), added)
 	world.machines = append(world.machines[:position:position], world.machines[position+1:]...)
 	world.mutex.Unlock()
-	world.seeds = nil
+	world.seeds, world.formed = nil, true
 	for _, machine := range world.machines[world.random.IntN(len(world.machines)-3):][:3] {
 		world.seeds = append(world.seeds, machine.address)
 	}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -124,6 +124,7 @@
 	seeds     []string
 	offered   int
 	wiped     int
+	formed    bool
 }
 
 func newWorld(test *testing.T, seed uint64) *world { return newWorldOf(test, seed, 3, 3, 1) }
@@ -171,6 +172,9 @@
 	steward := NewSteward(threads{world.clock}, world.seeds, keeper, store, &wire{world: world, from: machine.address, life: machine.lives}, func(event string, detail ...any) {
 		world.say("%s %s %v", machine.address, event, detail)
 	})
+	if world.borne > 1 && (machine.lives > 1 || world.formed) {
+		steward.JoinOnly()
+	}
 	steward.Bear(world.borne, machine.district)
 	steward.SetBackupList(world.borne > 1)
 	world.mutex.Lock()
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -12,9 +12,9 @@
 func (steward *Steward) form() {
 	own := steward.keeper.Seat()
 	steward.mutex.Lock()
-	seeds := steward.seeds
+	seeds, joinsOnly := steward.seeds, steward.joinsOnly
 	steward.mutex.Unlock()
-	if len(seeds) != 3 || seeds[0] != own.Address {
+	if joinsOnly || len(seeds) != 3 || seeds[0] != own.Address {
 		return
 	}
 	seats := []Seat{own}
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -59,6 +59,7 @@
 	borne      int
 	district   string
 	backupList bool
+	joinsOnly  bool
 
 	unsettled    bool
 	outrun       bool
@@ -131,6 +132,18 @@
 	steward.leaving = true
 }
 
+// JoinOnly keeps this expediter from forming a first core: there is one already,
+// which a blank disk joins, whatever the seeds are.
+//
+// Example:
+//
+//	steward.JoinOnly()
+func (steward *Steward) JoinOnly() {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	steward.joinsOnly = true
+}
+
 // SetContacts gives addresses besides the seeds and the charter's to say hello
 // to, as the platform lists them.
 //
