--- a/internal/larder/several_test.go
+++ b/internal/larder/several_test.go
@@ -298,3 +298,37 @@
 		world.fail("somebody leads without the copies")
 	}
 }
+
+// TestSecondLossInTheMiddleOfATakeover loses the primary's disk right after an answer,
+// and the successor's when it has been granted the epoch and before it has brought
+// anybody its copy: the third copy must still count as in sync.
+func TestSecondLossInTheMiddleOfATakeover(test *testing.T) {
+	for _, shape := range severalWorlds {
+		world := newWorldOf(test, 1, shape.machines, shape.districts, 2)
+		world.calm = true
+		if !world.heal(15 * time.Second) {
+			world.fail("no core was formed")
+		}
+		leader := world.acknowledge()
+		world.wipe(leader)
+		ended := false
+		world.installs = func(from string) {
+			for _, machine := range world.machines {
+				if machine.address == from && machine.store.Leading() && !ended {
+					ended = true
+					world.wipe(machine)
+				}
+			}
+		}
+		for range 100 {
+			world.tick(100 * time.Millisecond)
+		}
+		if !ended || world.leader() == nil {
+			world.fail("ended in the middle %v, and nobody leads", ended)
+		}
+		if !world.heal(30 * time.Second) {
+			world.fail("the core is not whole again")
+		}
+		world.acknowledge()
+	}
+}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -125,6 +125,8 @@
 	offered   int
 	wiped     int
 	formed    bool
+	// installs is told who brings a snapshot, just before.
+	installs func(from string)
 }
 
 func newWorld(test *testing.T, seed uint64) *world { return newWorldOf(test, seed, 3, 3, 1) }
@@ -275,6 +277,9 @@
 // it does, where more than one loss is borne.
 func (wire *wire) mayEnd() {
 	world := wire.world
+	if world.installs != nil {
+		world.installs(wire.from)
+	}
 	if world.borne == 1 || world.calm {
 		return
 	}
