--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -22,6 +22,7 @@
 	set.StringVar(&plan.Only, "only", "", "measure only the activities whose role and name have this in them")
 	set.IntVar(&plan.Repeats, "repeats", plan.Repeats, "how many times everything is measured")
 	sizes := set.StringArray("sizes", nil, "other sizes of a dimension, as nodes=10,30")
+	base := set.StringArray("base", nil, "another size of a dimension that stands still, as servers=1100")
 	folder := set.String("folder", "", "write readings.csv and a plot of each line into this folder (default: the lines alone, to the screen)")
 	processes := set.Bool("processes", false, "measure fleets with real processes too, whose programs are beside this one")
 	quiet := set.Bool("quiet", false, "don't say what is measured at the moment")
@@ -30,6 +31,14 @@
 		if plan.Sizes, failure = readSizes(*sizes); failure != nil {
 			return failure
 		}
+		stands, failure := readSizes(*base)
+		if failure != nil {
+			return failure
+		}
+		plan.Base = capacity.Sized{}
+		for dimension, sizes := range stands {
+			plan.Base[dimension] = sizes[0]
+		}
 		if !*quiet {
 			plan.Told = func(activity capacity.Activity, dimension capacity.Dimension, size, repeat int) {
 				_, _ = fmt.Fprintf(os.Stderr, "%d: %s: %s, %d %s\n", repeat+1, activity.Role, activity.Name, size, dimension)
--- a/internal/rehearsal/capacity/activity.go
+++ b/internal/rehearsal/capacity/activity.go
@@ -19,12 +19,15 @@
 // Sized are the sizes of all dimensions.
 type Sized map[Dimension]int
 
-// sized are the base sizes with one of them varied.
-func sized(dimension Dimension, size int) Sized {
+// sized are the base sizes, some of which are replaced, with one of them varied.
+func sized(replaced Sized, dimension Dimension, size int) Sized {
 	sizes := Sized{}
 	for other, usual := range Base {
 		sizes[other] = usual
 	}
+	for other, instead := range replaced {
+		sizes[other] = instead
+	}
 	sizes[dimension] = size
 	return sizes
 }
@@ -42,6 +45,8 @@
 	Repeats int
 	// Sizes replaces the sizes of a dimension, for short runs.
 	Sizes map[Dimension][]int
+	// Base replaces what stands still while another dimension is varied.
+	Base Sized
 	// Told is told of each activity and size before it is measured.
 	Told func(activity Activity, dimension Dimension, size, repeat int)
 }
@@ -70,7 +75,7 @@
 					note := func(measure, unit string, value float64) {
 						readings = append(readings, Reading{Role: activity.Role, Activity: activity.Name, Measure: measure, Unit: unit, Dimension: dimension, Size: size, Repeat: repeat, Value: value, Load: machineLoad()})
 					}
-					if failure := activity.Measure(sized(dimension, size), note); failure != nil {
+					if failure := activity.Measure(sized(plan.Base, dimension, size), note); failure != nil {
 						return readings, failure
 					}
 				}
--- a/internal/rehearsal/capacity/activity_test.go
+++ b/internal/rehearsal/capacity/activity_test.go
@@ -44,8 +44,8 @@
 	activities := []Activity{
 		{Role: "courier", Name: "one", Dimensions: []Dimension{Nodes}, Measure: func(sizes Sized, note Note) error {
 			asked = append(asked, sizes[Nodes])
-			if sizes[Servers] != Base[Servers] {
-				test.Errorf("the servers were varied too: %v", sizes)
+			if sizes[Servers] != Base[Servers] || sizes[Routes] != 7 {
+				test.Errorf("other sizes: %v", sizes)
 			}
 			note("m", "us", 1)
 			return nil
@@ -55,7 +55,7 @@
 			return nil
 		}},
 	}
-	readings, failure := Plan{Only: "courier one", Repeats: 2, Sizes: map[Dimension][]int{Nodes: {4, 8}}}.Run(activities)
+	readings, failure := Plan{Only: "courier one", Repeats: 2, Sizes: map[Dimension][]int{Nodes: {4, 8}}, Base: Sized{Routes: 7}}.Run(activities)
 	if failure != nil || len(readings) != 4 || len(asked) != 4 || asked[0] != 4 || asked[3] != 8 || readings[3].Repeat != 1 {
 		test.Errorf("%v, %v, %v", readings, asked, failure)
 	}
--- a/internal/rehearsal/capacity/primary.go
+++ b/internal/rehearsal/capacity/primary.go
@@ -300,7 +300,7 @@
 
 // measureClaims is one claim into a drawer that has so many.
 func measureClaims(sizes Sized, note Note) error {
-	return withCore(sized(Nodes, 3), func(core *core) error {
+	return withCore(sized(nil, Nodes, 3), func(core *core) error {
 		made := time.Now().Truncate(larder.ClaimSpan).Add(larder.ClaimSpan / 2)
 		if failure := core.submit(larder.MoveHorizon(made, 0)); failure != nil {
 			return failure
--- a/internal/rehearsal/capacity/transport.go
+++ b/internal/rehearsal/capacity/transport.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/stove"
 	"seamloom.example/seamloom/internal/trouble"
@@ -70,8 +72,8 @@
 }
 
 // repeated does something so many times and notes what both ends together used of the
-// processor, and what went over the wire beside the content.
-func repeated(note Note, of string, count, content int, bytes *atomic.Int64, act func() error) error {
+// processor, and what went over the wire.
+func repeated(note Note, of string, count int, bytes *atomic.Int64, act func() error) error {
 	if failure := act(); failure != nil {
 		return failure
 	}
@@ -82,20 +84,26 @@
 		}
 	}
 	note("processor time "+of+", both ends", "us", float64((processTime()-used).Microseconds())/float64(count))
-	note("bytes beside the content", "B", float64(bytes.Load()-before)/float64(count)-float64(content))
+	note("bytes over the wire", "B", float64(bytes.Load()-before)/float64(count))
 	return nil
 }
 
-// measureMessage is one message with an answer of the size.
+// measureMessage is one message with an answer of the size, out of a list of servers
+// with their reports.
 func measureMessage(sizes Sized, note Note) error {
-	answer, question := make([]byte, sizes[Bytes]), make([]byte, 400)
+	question := make([]byte, 400)
+	answer, failure := msgpack.Marshal(map[string]any{"servers": ServersOf(1100), "loads": loadsForCalls(1100)})
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	answer = answer[:min(len(answer), sizes[Bytes])]
 	address, bytes, end, failure := counted(hotline.Answerer(func([]byte) ([]byte, error) { return answer, nil }))
 	if failure != nil {
 		return failure
 	}
 	defer end()
 	caller := hotline.NewCaller(nil)
-	return repeated(note, "a message", 300, len(answer)+len(question), bytes, func() error {
+	return repeated(note, "a message", 300, bytes, func() error {
 		_, failure := caller.CallRaw(context.Background(), address, "/hotline/news", question, time.Second)
 		return failure
 	})
@@ -120,7 +128,7 @@
 	defer end()
 	client := &http.Client{Transport: hotline.Transport(nil)}
 	// So many as there are servers, each some times.
-	return repeated(note, "a report", max(200, sizes[Servers]), len(content), bytes, func() error {
+	return repeated(note, "a report", max(200, sizes[Servers]), bytes, func() error {
 		inbound, failure := client.Get("http://" + address + "/v1/load")
 		if failure != nil {
 			return trouble.Wrap(trouble.Unreachable, failure)
