Calls: leaving under traffic and circuits of another life are tested

Cause: taking each protection away in a copy showed two that no test held: a call that ended with its origin gone in a stream, and circuits answered on by another life. The second word for the first (said) was the same guard twice and is gone. Conclusion: no behaviour changed.

--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -150,3 +150,20 @@
 		t.Fatal("something was written")
 	}
 }
+
+func TestACircuitThatAnotherLifeAnsweredOnIsNotUsedAgain(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		circuit.say(whole(421, inbound.Header.Get("Seamloom-Call"), "", "Keep-Alive: timeout=9"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	courier := newCourier(t, scripted)
+	for range 2 {
+		if got := courier.send(t, "id", ""); got.status != 421 || scripted.last().Result != window.Misdirected {
+			t.Fatalf("%+v", got)
+		}
+	}
+	if standin.opened() != 2 {
+		t.Fatalf("%d circuits", standin.opened())
+	}
+}
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -55,10 +55,8 @@
 	// the last event that was.
 	begun     atomic.Bool
 	lastEvent string
-	// broken tells that the answer must not look complete, said that the origin got
-	// one, or the beginning of one.
+	// broken tells that the answer must not look complete, or that there is none.
 	broken bool
-	said   bool
 }
 
 // answer is a failing answer that is kept to be passed on.
@@ -378,7 +376,6 @@
 		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
 	exchange.begun.Store(true)
-	exchange.said = true
 	exchange.writer.WriteHeader(response.StatusCode)
 }
 
@@ -494,7 +491,6 @@
 		exchange.Break()
 		return
 	}
-	exchange.said = true
 	header := exchange.writer.Header()
 	if refusal.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
@@ -525,7 +521,6 @@
 	if kept == nil || exchange.begun.Load() {
 		return false
 	}
-	exchange.said = true
 	header := exchange.writer.Header()
 	copyEndToEnd(header, kept.header)
 	if exchange.inbound.Method != http.MethodHead {
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -310,22 +311,35 @@
 // TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp: an origin that looks gone must not
 // read an empty success.
 func TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
-	courier := newCourier(t, scripted)
-	origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
-	if failure != nil {
-		t.Fatal(failure)
-	}
-	defer func() { _ = origin.Close() }()
-	_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
-	until(t, "the call reaches the server", func() bool { return standin.count() == 1 })
-	_ = origin.(*net.TCPConn).CloseWrite()
-	if text, _ := io.ReadAll(origin); len(text) != 0 {
-		t.Fatalf("got %q", text)
-	}
-	if scripted.last().Result != window.Gone {
-		t.Fatalf("%+v", scripted.last())
+	for name, text := range map[string]string{"before the head": "", "within the stream": stream("id") + chunk(event(1))} {
+		t.Run(name, func(t *testing.T) {
+			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+				circuit.say(text)
+				_, _ = circuit.reader.Peek(1)
+				return false
+			})
+			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			courier := newCourier(t, scripted)
+			origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			defer func() { _ = origin.Close() }()
+			_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
+			reader := bufio.NewReader(origin)
+			if text == "" {
+				until(t, "the call reaches the server", func() bool { return standin.count() == 1 })
+			} else if _, failure := reader.Peek(1); failure != nil {
+				t.Fatal(failure)
+			}
+			_ = origin.(*net.TCPConn).CloseWrite()
+			if got, _ := io.ReadAll(reader); text == "" && len(got) != 0 || strings.HasSuffix(string(got), "0\r\n\r\n") {
+				t.Fatalf("got %q", got)
+			}
+			if scripted.last().Result != window.Gone {
+				t.Fatalf("%+v", scripted.last())
+			}
+		})
 	}
 }
 
--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -161,14 +162,7 @@
 		part := map[bool]string{true: "prefill", false: "decode"}[number < 2]
 		servers = append(servers, unruly(t, fmt.Sprint("life-", number), part, ledger, seed*10+uint64(number)).server)
 	}
-	configuration := menu.Empty()
-	configuration.Services = map[string]menu.Service{"desk": {Name: "desk", Circuits: 300, Engine: menu.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
-		LinkBits: 5e11, TokensAPiece: 5, HandleLife: 5 * time.Second, Models: []string{"m"}}}}
-	shares := []menu.Share{{Service: "desk", Weight: 1}}
-	configuration.Routes = []menu.Route{
-		{Name: "once", Match: menu.Match{Host: "calls.example", PathPrefix: "/once/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true}},
-		{Name: "again", Match: menu.Match{Host: "calls.example", PathPrefix: "/again/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true, Resumable: true}},
-	}
+	configuration := twoRoutes()
 	lifetime, cancel := context.WithCancel(t.Context())
 	turns := threads.New(lifetime, wallclock.New())
 	circuits := NewCircuits(turns.Now, nil)
@@ -233,3 +227,104 @@
 	}
 	until(t, "no call is left", func() bool { return deciding.InFlight() == 0 })
 }
+
+// twoRoutes is a configuration with a route of calls that may run once and one of
+// streams that may go on elsewhere.
+func twoRoutes() *menu.Configuration {
+	configuration := menu.Empty()
+	configuration.Services = map[string]menu.Service{"desk": {Name: "desk", Circuits: 300, Engine: menu.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
+		LinkBits: 5e11, TokensAPiece: 5, HandleLife: 5 * time.Second, Models: []string{"m"}}}}
+	shares := []menu.Share{{Service: "desk", Weight: 1}}
+	configuration.Routes = []menu.Route{
+		{Name: "once", Match: menu.Match{Host: "calls.example", PathPrefix: "/once/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true}},
+		{Name: "again", Match: menu.Match{Host: "calls.example", PathPrefix: "/again/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true, Resumable: true}},
+	}
+	return configuration
+}
+
+// TestLeavingUnderTraffic: while a courier leaves, no call that was read is cut, and
+// after it takes no more, origins are told when to come back.
+func TestLeavingUnderTraffic(t *testing.T) {
+	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+		id := inbound.Header.Get("Seamloom-Call")
+		circuit.say(stream(id) + chunk(event(1)))
+		time.Sleep(30 * time.Millisecond)
+		circuit.say(chunk(event(2)) + "0\r\n\r\n")
+		return true
+	})
+	standin.server.Service, standin.server.Slots, standin.server.Models = "desk", 64, []string{"m"}
+	owner := &tomb.Tomb{}
+	turns := threads.New(owner.Context(context.Background()), wallclock.New())
+	circuits := NewCircuits(turns.Now, nil)
+	conduct := hatch.NewCalls(turns, window.New(window.Options{Courier: "courier-1", District: "north"}), circuits.SetServers)
+	conduct.SetConfiguration(twoRoutes(), larder.Version{Epoch: 1, Number: 1})
+	conduct.SetCouriers(1)
+	conduct.SetServers(turns.Now(), []roster.Server{standin.server})
+	intake, failure := NewIntake(owner.Context(context.Background()), DefaultWords(), circuits, conduct, turns.Now)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	address := freeAddress(t)
+	gate, failure := Open(owner, intake, address, "")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	var mutex sync.Mutex
+	counts := map[string]int{}
+	note := func(what string) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		counts[what]++
+	}
+	var origins sync.WaitGroup
+	for number := range 8 {
+		origins.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for call := 0; ; call++ {
+				id := fmt.Sprintf("%d-%d", number, call)
+				outbound, _ := http.NewRequest(http.MethodPost, "http://"+address+"/once/x", strings.NewReader("x"))
+				outbound.Host = "calls.example"
+				outbound.Header.Set("Seamloom-Call", id)
+				outbound.Header.Set("Seamloom-Limit-Milliseconds", "2000")
+				outbound.Header.Set("Seamloom-Model", "m")
+				outbound.Header.Set("Seamloom-Tokens", "10,2")
+				inbound, failure := client.Do(outbound)
+				if failure != nil {
+					if standin.saw(id) {
+						note("cut: " + failure.Error())
+					}
+					note("away")
+					return
+				}
+				body, failure := io.ReadAll(inbound.Body)
+				_ = inbound.Body.Close()
+				switch {
+				case inbound.StatusCode == 200 && failure == nil && string(body) == joined(1, 2):
+					note("served")
+				case inbound.StatusCode == 503 && inbound.Header.Get("Retry-After") != "":
+					note("refused")
+					if standin.saw(id) {
+						note("cut: refused after it was sent")
+					}
+				default:
+					note(fmt.Sprintf("cut: %d %v %q", inbound.StatusCode, failure, body))
+				}
+			}
+		})
+	}
+	until(t, "calls are served", func() bool { return standin.count() > 40 })
+	conduct.Retire(1500 * time.Millisecond)
+	gate.Close()
+	owner.Kill(nil)
+	_ = owner.Wait()
+	origins.Wait()
+	for what, count := range counts {
+		if strings.HasPrefix(what, "cut") {
+			t.Errorf("%s: %d times", what, count)
+		}
+	}
+	if counts["served"] < 40 || counts["away"] != 8 {
+		t.Error(counts)
+	}
+}
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -132,7 +132,7 @@
 	}
 	served := &exchange{intake: intake, writer: writer, inbound: inbound, call: call, target: target, header: header, body: body}
 	intake.conduct.Serve(call, served)
-	if served.broken || !served.said {
+	if served.broken {
 		// Returning would look like an answer.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -110,6 +110,18 @@
 	return len(standin.calls)
 }
 
+// saw tells whether a call came.
+func (standin *standin) saw(id string) bool {
+	standin.mutex.Lock()
+	defer standin.mutex.Unlock()
+	for _, inbound := range standin.calls {
+		if inbound.Header.Get("Seamloom-Call") == id {
+			return true
+		}
+	}
+	return false
+}
+
 func (standin *standin) opened() int {
 	standin.mutex.Lock()
 	defer standin.mutex.Unlock()
