Hotline: questions travel packed too, without headers that nobody reads

Cause: bytes between zones are dear; three expediters with nothing to do told each other 63 kB a second, mostly the names and seats of charters over and over, and two headers. Ruled out: rarer hellos, on which the patience of takeovers is built. Change: an answer says that packed questions are taken; who does not say so, such as one that was restarted into an older release, is asked plainly. Messages from 160 bytes on are packed. No date, no user agent.

--- a/internal/adapters/hotline/answerer.go
+++ b/internal/adapters/hotline/answerer.go
@@ -25,7 +25,9 @@
 		case inbound.Header.Get(checksumHeader) != checksum(body):
 			failure = trouble.New(trouble.Garbage, "the question's checksum is wrong")
 		default:
-			encoded, failure = answer(body)
+			if body, failure = unpack(body, inbound.Header); failure == nil {
+				encoded, failure = answer(body)
+			}
 		}
 		status := http.StatusOK
 		if failure != nil {
@@ -36,9 +38,13 @@
 			}
 			encoded, _ = msgpack.Marshal(said)
 		}
-		encoded = pack(encoded, inbound, writer.Header())
-		writer.Header().Set("Content-Type", "application/msgpack")
-		writer.Header().Set(checksumHeader, checksum(encoded))
+		header := writer.Header()
+		encoded = pack(encoded, inbound.Header, header)
+		header.Set("Accept-Encoding", packing)
+		header.Set("Content-Type", "application/msgpack")
+		header.Set(checksumHeader, checksum(encoded))
+		// Nobody reads the date, and there are many messages.
+		header["Date"] = nil
 		writer.WriteHeader(status)
 		_, _ = writer.Write(encoded)
 	})
--- a/internal/adapters/hotline/caller.go
+++ b/internal/adapters/hotline/caller.go
@@ -26,6 +26,7 @@
 // Caller calls other processes.
 type Caller struct {
 	client *http.Client
+	takers takers
 }
 
 // NewCaller makes a caller. Detours replace addresses when dialling: the
@@ -66,12 +67,15 @@
 func (caller *Caller) CallRaw(lifetime context.Context, address, path string, body []byte, patience time.Duration) ([]byte, error) {
 	lifetime, end := context.WithTimeout(lifetime, patience)
 	defer end()
+	header := http.Header{"Content-Type": {"application/msgpack"}, "Accept-Encoding": {packing}, "User-Agent": nil}
+	if len(body) >= leastPacked && caller.takers.has(address) {
+		body = packInto(body, header)
+	}
 	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if failure != nil {
 		return nil, trouble.Wrap(trouble.Garbage, failure)
 	}
-	outbound.Header.Set("Content-Type", "application/msgpack")
-	outbound.Header.Set("Accept-Encoding", packing)
+	outbound.Header = header
 	outbound.Header.Set(checksumHeader, checksum(body))
 	inbound, failure := caller.client.Do(outbound)
 	if failure != nil {
@@ -82,6 +86,7 @@
 	if failure != nil {
 		return nil, trouble.Wrap(trouble.Unreachable, failure)
 	}
+	caller.takers.note(address, inbound.Header)
 	if len(answer) > MostBytes {
 		return nil, trouble.New(trouble.Oversize, "an answer of more than the largest size")
 	}
--- a/internal/adapters/hotline/packing.go
+++ b/internal/adapters/hotline/packing.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 
 	"github.com/klauspost/compress/s2"
 
@@ -11,36 +12,74 @@
 
 const (
 	packing = "s2"
-	// leastPacked is the size from which an answer is worth packing.
-	leastPacked = 1 << 10
+	// leastPacked is the size from which a message is worth packing: names of fields
+	// and seats stand in most messages more than once.
+	leastPacked = 160
 )
 
-// pack makes an answer smaller for a caller that takes it so: a configuration of many
-// routes goes to every courier, over links that carry their calls as well.
-func pack(answer []byte, inbound *http.Request, header http.Header) []byte {
-	if len(answer) < leastPacked || !strings.Contains(inbound.Header.Get("Accept-Encoding"), packing) {
-		return answer
+// pack makes a message smaller for a receiver that takes it so, as its header says.
+func pack(message []byte, takes, header http.Header) []byte {
+	if len(message) < leastPacked || !strings.Contains(takes.Get("Accept-Encoding"), packing) {
+		return message
 	}
-	packed := s2.Encode(nil, answer)
-	if len(packed) > len(answer)/8*7 {
-		return answer
+	return packInto(message, header)
+}
+
+func packInto(message []byte, header http.Header) []byte {
+	packed := s2.Encode(nil, message)
+	if len(packed) > len(message)/8*7 {
+		return message
 	}
 	header.Set("Content-Encoding", packing)
 	return packed
 }
 
-// unpack gives back the answer that was packed, if it was.
-func unpack(answer []byte, header http.Header) ([]byte, error) {
+// unpack gives back the message that was packed, if it was.
+func unpack(message []byte, header http.Header) ([]byte, error) {
 	if header.Get("Content-Encoding") != packing {
-		return answer, nil
+		return message, nil
 	}
-	size, failure := s2.DecodedLen(answer)
+	size, failure := s2.DecodedLen(message)
 	if failure != nil {
 		return nil, trouble.Wrap(trouble.Garbage, failure)
 	}
 	if size > MostBytes {
-		return nil, trouble.New(trouble.Oversize, "an answer of more than the largest size")
+		return nil, trouble.New(trouble.Oversize, "a message of more than the largest size")
 	}
-	unpacked, failure := s2.Decode(nil, answer)
+	unpacked, failure := s2.Decode(nil, message)
 	return unpacked, trouble.Wrap(trouble.Garbage, failure)
 }
+
+// takers are the addresses whose last answer said that they take packed questions.
+// One that was restarted into an older release does not say so, and is believed at
+// once.
+type takers struct {
+	mutex     sync.Mutex
+	addresses map[string]bool
+}
+
+// mostTakers bounds the memory: who is forgotten is asked plainly once.
+const mostTakers = 4096
+
+func (takers *takers) has(address string) bool {
+	takers.mutex.Lock()
+	defer takers.mutex.Unlock()
+	return takers.addresses[address]
+}
+
+func (takers *takers) note(address string, answer http.Header) {
+	takes := strings.Contains(answer.Get("Accept-Encoding"), packing)
+	takers.mutex.Lock()
+	defer takers.mutex.Unlock()
+	if takers.addresses[address] == takes {
+		return
+	}
+	if takers.addresses == nil || len(takers.addresses) >= mostTakers {
+		takers.addresses = map[string]bool{}
+	}
+	if takes {
+		takers.addresses[address] = true
+	} else {
+		delete(takers.addresses, address)
+	}
+}
--- a/internal/adapters/hotline/packing_test.go
+++ b/internal/adapters/hotline/packing_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -34,37 +36,65 @@
 	return inbound, failure
 }
 
-func TestLongAnswersTravelPacked(test *testing.T) {
-	server := httptest.NewServer(Answerer(func(body []byte) ([]byte, error) {
+func TestLongMessagesTravelPacked(test *testing.T) {
+	asked := 0
+	answerer := Answerer(func(body []byte) ([]byte, error) {
 		if string(body) == "refuse" {
 			return nil, trouble.New(trouble.Busy, strings.Repeat("busy ", 1000))
 		}
 		return body, nil
+	})
+	older := false
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
+		asked = int(inbound.ContentLength)
+		if !older {
+			answerer.ServeHTTP(writer, inbound)
+			return
+		}
+		// An older release neither packs nor says that it could.
+		body, _ := io.ReadAll(inbound.Body)
+		if inbound.Header.Get("Content-Encoding") != "" {
+			body, _ = msgpack.Marshal(trouble.New(trouble.Garbage, "no question"))
+			writer.Header().Set(checksumHeader, checksum(body))
+			writer.WriteHeader(http.StatusConflict)
+		} else {
+			writer.Header().Set(checksumHeader, checksum(body))
+		}
+		_, _ = writer.Write(body)
 	}))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
-	for _, row := range []struct {
-		name    string
-		body    []byte
-		without bool
-		packed  bool
-	}{
-		{"long", bytes.Repeat([]byte("a route and its services,"), 1000), false, true},
-		{"long, to a caller of an older release", bytes.Repeat([]byte("a route and its services,"), 1000), true, false},
-		{"short", []byte("a route"), false, false},
-		{"nothing", nil, false, false},
-	} {
-		counting := &counted{without: row.without}
-		caller := &Caller{client: &http.Client{Transport: counting}}
-		answer, failure := caller.CallRaw(context.Background(), address, "/", row.body, 5*time.Second)
-		if failure != nil || !bytes.Equal(answer, row.body) {
-			test.Errorf("%s: %d bytes, %v", row.name, len(answer), failure)
+	long := bytes.Repeat([]byte("a route and its services,"), 1000)
+	counting := &counted{}
+	caller := &Caller{client: &http.Client{Transport: counting}}
+	call := func(name string, body []byte, askedPacked, answeredPacked bool) {
+		test.Helper()
+		answer, failure := caller.CallRaw(context.Background(), address, "/", body, 5*time.Second)
+		if failure != nil || !bytes.Equal(answer, body) {
+			test.Errorf("%s: %d bytes, %v", name, len(answer), failure)
 		}
-		if packed := counting.bytes < len(row.body); packed != row.packed {
-			test.Errorf("%s: %d bytes travelled of %d", row.name, counting.bytes, len(row.body))
+		if packed := asked < len(body); packed != askedPacked {
+			test.Errorf("%s: %d bytes were asked of %d", name, asked, len(body))
 		}
+		if packed := counting.bytes < len(body); packed != answeredPacked {
+			test.Errorf("%s: %d bytes were answered of %d", name, counting.bytes, len(body))
+		}
+	}
+	call("the first", long, false, true)
+	call("the next", long, true, true)
+	call("short", []byte("a route"), false, false)
+	call("nothing", nil, false, false)
+	counting.without = true
+	call("from an older release", long, true, false)
+	counting.without = false
+	older = true
+	if _, failure := caller.CallRaw(context.Background(), address, "/", long, 5*time.Second); trouble.KindOf(failure) != trouble.Garbage {
+		test.Errorf("restarted into an older release: %v", failure)
 	}
-	caller := &Caller{client: &http.Client{Transport: &counted{}}}
+	call("to an older release", long, false, false)
+	older = false
+	call("upgraded again", long, false, true)
+	call("and the next", long, true, true)
 	if _, failure := caller.CallRaw(context.Background(), address, "/", []byte("refuse"), 5*time.Second); trouble.KindOf(failure) != trouble.Busy {
 		test.Errorf("a refusal: %v", failure)
 	}
