Platform's ways in the simulated world; joining only, retiring, a primary that hears nobody

Cause: a platform names no nodes, brings blank disks at new addresses, and answers a change while a courier is out of touch. None of that had been seen in virtual time. Seen there: a primary that hears nobody but is still heard renews its keepers' holds for ever, and nobody takes over.

A primary that lost its hold and hears nobody keeps silent for longer than a hold between two tries. world.Ways are a platform's settings; their tests cut, freeze, replace and count.

Ruled out: keepers that refuse a primary by its own word of its hold.

--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -69,7 +69,7 @@
 	}
 	options := hatch.ExpediterOptions{Name: chosen.Name, Address: chosen.Address, District: chosen.District, Seeds: chosen.Seeds, Supported: chosen.Supported(),
 		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, JoinsOnly: !chosen.Bootstrap, Fresh: larder.Identity(uuid.NewString()),
-		AcknowledgeWait: chosen.AcknowledgeWait, Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}}
+		RetireAfter: chosen.RetireAfter, AcknowledgeWait: chosen.AcknowledgeWait, Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}}
 	if reached.Reports != nil {
 		options.Reports = ports.Asking{Reports: reached.Reports, Lifetime: process.lifetime}
 	}
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -60,6 +60,7 @@
 	if kind == roster.Expediter {
 		set.BoolVar(&flags.flagged.Bootstrap, "bootstrap", defaults.Bootstrap, "whether a blank disk may form a first core with the other seeds")
 		set.DurationVar(&flags.flagged.AcknowledgeWait, "acknowledge-wait", defaults.AcknowledgeWait, "how long a committed change waits for couriers that are not heard from; 0: until their holds end")
+		set.DurationVar(&flags.flagged.RetireAfter, "retire-after", defaults.RetireAfter, "how long a node may not be heard from before it is taken out of the record; 0: only operators do so")
 		set.StringVar(&flags.flagged.ControlAddress, "control-address", "", "a further address for operators")
 		set.StringVar(&flags.flagged.DataFolder, "data-folder", "", "folder for all files")
 		set.IntVar(&flags.flagged.BorneLosses, "borne-losses", defaults.BorneLosses, "how many machines with a disk may be lost at once")
@@ -104,7 +105,8 @@
 		}
 	}
 	lengths := map[string][2]*time.Duration{"acknowledge-wait": {&chosen.AcknowledgeWait, &flags.flagged.AcknowledgeWait},
-		"serve-without-hold": {&chosen.ServeWithoutHold, &flags.flagged.ServeWithoutHold}, "grace": {&chosen.Grace, &flags.flagged.Grace}}
+		"serve-without-hold": {&chosen.ServeWithoutHold, &flags.flagged.ServeWithoutHold}, "grace": {&chosen.Grace, &flags.flagged.Grace},
+		"retire-after": {&chosen.RetireAfter, &flags.flagged.RetireAfter}}
 	for name, pair := range lengths {
 		if changed(name) {
 			*pair[0] = *pair[1]
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -52,6 +52,9 @@
 	CallsAddress   string
 	ReadyAddress   string
 	ControlAddress string
+	// RetireAfter is how long a recorded node may not be heard from before it is taken
+	// out of the record by itself; zero: only operators do so.
+	RetireAfter time.Duration
 	// Grace is how long what runs may go on after the process was told to end.
 	Grace time.Duration
 }
@@ -100,7 +103,7 @@
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
 	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses,
 		"most_memory_megabytes": &settings.MostMemory}
-	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace}
+	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter}
 	if target, found := texts[name]; found {
 		text, failure := value.StringBytes()
 		if failure != nil {
@@ -265,7 +268,7 @@
 			wrong(trouble.Contradictory, further.path, "is for the kind "+string(further.kind))
 		}
 	}
-	for path, length := range map[string]time.Duration{"acknowledge_wait": settings.AcknowledgeWait, "serve_without_hold": settings.ServeWithoutHold, "grace": settings.Grace} {
+	for path, length := range map[string]time.Duration{"acknowledge_wait": settings.AcknowledgeWait, "serve_without_hold": settings.ServeWithoutHold, "grace": settings.Grace, "retire_after": settings.RetireAfter} {
 		if length < 0 {
 			wrong(trouble.OutOfRange, path, "must not be negative")
 		}
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -107,6 +107,9 @@
 	name := question.Member.Name
 	courier := question.Member.Kind == roster.Courier
 	arrived := expediter.turns.Now()
+	expediter.mutex.Lock()
+	current.asked[name] = arrived
+	expediter.mutex.Unlock()
 	if courier {
 		current.Holds.Note(arrived, name, question.InForce.Number)
 		expediter.confirmed.Ring()
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -21,6 +21,9 @@
 	JoinsOnly bool
 	// BorneLosses is how many disks may be lost at once; one when it is zero.
 	BorneLosses int
+	// RetireAfter is how long a recorded member may not be heard from before it is
+	// taken out of the record; zero: for ever.
+	RetireAfter time.Duration
 	// AcknowledgeWait is how long a committed change waits for couriers that are not
 	// heard from; zero: for as long as their holds run.
 	AcknowledgeWait time.Duration
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -1,6 +1,7 @@
 package hatch
 
 import (
+	"slices"
 	"time"
 
 	"seamloom.example/seamloom/internal/larder"
@@ -65,6 +66,29 @@
 		expediter.queue(larder.MoveHorizon(expediter.turns.Wall(), step), func(larder.Version, error) {})
 	}
 	expediter.grantDuties(now, current, state)
+	expediter.retireSilent(now, current, state)
+}
+
+// retireSilent takes members out of the record that have been silent for the chosen
+// time. One that comes back is recorded anew, with the flags that it then supports; if
+// it lacks an enabled one it is restricted, as any node that comes late.
+func (expediter *Expediter) retireSilent(now time.Time, current *Reign, state *larder.State) {
+	if expediter.options.RetireAfter <= 0 {
+		return
+	}
+	charter := expediter.steward.Charter()
+	expediter.mutex.Lock()
+	silent := current.silent(now, state, expediter.options.RetireAfter)
+	expediter.mutex.Unlock()
+	for _, name := range silent {
+		// Who has a seat is not forgotten before another has it.
+		if slices.ContainsFunc(charter.Electors(), func(seat larder.Seat) bool { return seat.Name == name }) || charter.Primary.Name == name {
+			continue
+		}
+		expediter.queue(larder.Retire(name), func(version larder.Version, failure error) {
+			expediter.observe("member_retired", "member", name, "version", version.String(), "trouble", failure)
+		})
+	}
 }
 
 // Settling tells whether the members changed too short a time ago for a flag to
--- a/internal/hatch/reign.go
+++ b/internal/hatch/reign.go
@@ -1,6 +1,7 @@
 package hatch
 
 import (
+	"slices"
 	"time"
 
 	"seamloom.example/seamloom/internal/larder"
@@ -17,12 +18,13 @@
 	membersAt   larder.Version
 	settledFrom time.Time
 	horizonAt   time.Time
+	asked       map[string]time.Time
 	state       *larder.State
 	stateAt     larder.Version
 }
 
 func newReign(now time.Time) *Reign {
-	return &Reign{Since: now, Holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), settledFrom: now}
+	return &Reign{Since: now, Holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), asked: map[string]time.Time{}, settledFrom: now}
 }
 
 // candidates are the live couriers that lack no enabled flag, with how long
@@ -38,6 +40,23 @@
 	return live
 }
 
+// silent lists the recorded members that have not asked for news for a time. A new
+// primary takes all to have asked when it began. The caller has the expediter's mutex.
+func (reign *Reign) silent(now time.Time, state *larder.State, length time.Duration) []string {
+	var silent []string
+	for name := range state.Members {
+		last := reign.asked[name]
+		if last.Before(reign.Since) {
+			last = reign.Since
+		}
+		if now.Sub(last) >= length {
+			silent = append(silent, name)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
 // countedTime is how long a courier that is not heard from any more counts among
 // those that share the servers; for as long a new primary counts all that are
 // recorded. The value is ours.
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -7,8 +7,8 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-// form begins the first core: only from the first seed, and only when all
-// three seeds are blank.
+// form begins the first core: only from the first seed, only when all three seeds
+// are blank, and never where there is said to be a core already.
 func (steward *Steward) form() {
 	own := steward.keeper.Seat()
 	steward.mutex.Lock()
@@ -264,6 +264,9 @@
 func (steward *Steward) confirm(charter Charter) bool {
 	own := steward.keeper.Seat()
 	asked := steward.turns.Now()
+	steward.mutex.Lock()
+	steward.confirming = asked
+	steward.mutex.Unlock()
 	confirmed := map[Identity]bool{}
 	var newer Charter
 	outdated := false
@@ -335,6 +338,17 @@
 	steward.observe("stepped_down", "cause", cause, "epoch", newer.Epoch)
 }
 
+// deaf tells whether this primary has lost its hold and hears from nobody. It may
+// still be heard itself: its keepers would go on renewing a hold that it knows nothing
+// of, and the backup could never take over. So it keeps silent for most of the time.
+func (steward *Steward) deaf() bool {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	now := steward.turns.Now()
+	lost := !steward.holdEnds.IsZero() && now.Sub(steward.holdEnds) > 2*holdDrift
+	return lost && now.Sub(steward.greeted) > steward.beat() && now.Sub(steward.confirming) < deafPause
+}
+
 // unheardOf tells whether this primary reaches its backup while no expediter
 // reaches it: its link has failed in one direction, and nodes that ask it are
 // not heard either.
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -22,6 +22,10 @@
 	// unheardPatience is how long a primary may be greeted by nobody, while it
 	// reaches its backup, before it hands over.
 	unheardPatience = 1500 * time.Millisecond
+	// deafPause is how long a primary that hears nobody keeps silent between two tries:
+	// past the holds that its keepers may have renewed, and long enough for the backup
+	// to notice.
+	deafPause = PrimaryHold + 700*time.Millisecond
 	// keeperPatience is how long a keeper may be gone before a newcomer is
 	// admitted in its place.
 	keeperPatience = 4 * time.Second
@@ -67,6 +71,7 @@
 	installFails map[Identity]time.Time
 	shortSince   time.Time
 	diskBusy     time.Time
+	confirming   time.Time
 	greeted      time.Time
 	ledBy        time.Time
 	roundAt      time.Time
@@ -201,6 +206,9 @@
 		// Its keepers are no longer asked, so that the backup may take over.
 		return
 	}
+	if steward.deaf() {
+		return
+	}
 	if steward.confirmDue() {
 		steward.confirm(charter)
 	}
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -44,6 +44,9 @@
 
 // Servers reads the list of servers.
 func (lists lists) Servers() ([]roster.Server, error) {
+	if !lists.world.isExpediter(lists.life.name) {
+		lists.world.listReads = append(lists.world.listReads, lists.world.now)
+	}
 	if failure := lists.reached(); failure != nil {
 		return nil, failure
 	}
@@ -52,6 +55,9 @@
 
 // Nodes reads the list of nodes.
 func (lists lists) Nodes() ([]roster.Node, error) {
+	if lists.world.ways.NoNodes {
+		return nil, trouble.New(trouble.NoSuch, "a list of nodes")
+	}
 	if failure := lists.reached(); failure != nil {
 		return nil, failure
 	}
--- /dev/null
+++ b/internal/rehearsal/world/ways.go
@@ -0,0 +1,32 @@
+package world
+
+import "time"
+
+// Ways are the settings of a fleet on a platform that asks for others than the
+// product's own.
+type Ways struct {
+	AcknowledgeWait  time.Duration
+	ServeWithoutHold time.Duration
+	RetireAfter      time.Duration
+	// JoinOnly lets no blank disk form a first core; FormOnce only those that start
+	// with the fleet.
+	JoinOnly, FormOnce bool
+	// NoNodes: the platform lists servers only.
+	NoNodes bool
+}
+
+// PlatformWays are those of the users' platform.
+//
+// Example:
+//
+//	fleet.SetWays(world.PlatformWays())
+func PlatformWays() Ways {
+	return Ways{AcknowledgeWait: 600 * time.Millisecond, ServeWithoutHold: 24 * time.Hour, RetireAfter: 20 * time.Second, FormOnce: true, NoNodes: true}
+}
+
+// SetWays chooses them, before the fleet starts.
+//
+// Example:
+//
+//	fleet.SetWays(world.Ways{AcknowledgeWait: time.Second})
+func (world *World) SetWays(ways Ways) { world.ways = ways }
--- /dev/null
+++ b/internal/rehearsal/world/ways_test.go
@@ -0,0 +1,313 @@
+//go:build !race
+
+package world
+
+import (
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// begun is a fleet whose nodes all run, with a core and holds.
+func begun(test *testing.T, seed uint64, ways Ways) *World {
+	test.Helper()
+	fleet := New(rehearsal.Sahil(), seed)
+	fleet.SetWays(ways)
+	for _, machine := range fleet.machines {
+		fleet.outside.Go(func() { fleet.start(machine) })
+	}
+	if fleet.since(0, func() bool { return fleet.led() && fleet.held() && fleet.primary().control != nil && fleet.whole() }) < 0 {
+		test.Fatal("the fleet did not begin")
+	}
+	fleet.run(fleet.now + 5*time.Second)
+	return fleet
+}
+
+// cutOff cuts a machine from everybody but those named, both ways.
+func (world *World) cutOff(name string, cut bool, but ...string) {
+	exempt := map[string]bool{name: true, "outside": true}
+	for _, other := range but {
+		exempt[other] = true
+	}
+	for _, other := range world.machines {
+		if !exempt[other.name] {
+			world.link(name, other.name).cut = cut
+			world.link(other.name, name).cut = cut
+		}
+	}
+}
+
+func (world *World) newest() larder.Version {
+	_, view, failure := world.primary().control.Ruling()
+	if failure != nil {
+		return larder.Version{}
+	}
+	return view.VersionOf(larder.MenuDrawer)
+}
+
+// TestAcknowledgementOfAChange cuts a courier off and makes a change. In the
+// product's way the change is answered when the courier's hold is over and it lets
+// nothing in; in the platform's way at once, and the courier goes on. Those in touch
+// have it in force in both, and the one that comes back has it soon.
+func TestAcknowledgementOfAChange(test *testing.T) {
+	for name, ways := range map[string]Ways{"strict": {}, "platform": PlatformWays()} {
+		fleet := begun(test, 3, ways)
+		alone := fleet.machineNamed("courier-2")
+		fleet.cutOff(alone.name, true)
+		fleet.run(fleet.now + 700*time.Millisecond)
+		took := fleet.changed(fleet.now, fleet.nowhere("nowhere", 0))
+		version := fleet.newest()
+		for _, machine := range fleet.nodes(roster.Courier) {
+			if machine != alone && machine.courier.InForce() != version {
+				test.Errorf("%s: %s has %s, and %s was acknowledged", name, machine.name, machine.courier.InForce(), version)
+			}
+		}
+		serves := alone.life.Now().Before(alone.courier.Core().ServesUntil())
+		switch {
+		case name == "strict" && (serves || took < 2*time.Second || took > 5*time.Second):
+			test.Errorf("%s: acknowledged after %s while a courier without the change serves: %v", name, took, serves)
+		case name == "platform" && (!serves || took > ways.AcknowledgeWait+300*time.Millisecond):
+			test.Errorf("%s: acknowledged after %s, the courier alone serves: %v", name, took, serves)
+		}
+		test.Logf("%s: acknowledged after %s", name, took)
+		// A calm change takes milliseconds, and so does its way to one that is back.
+		fleet.cutOff(alone.name, false)
+		back := fleet.since(fleet.now, func() bool { return alone.courier.InForce() == version })
+		calm := fleet.changed(fleet.now, fleet.nowhere("nowhere", 1))
+		if back < 0 || back > 2*time.Second || calm > 300*time.Millisecond {
+			test.Errorf("%s: back after %s, a calm change took %s", name, back, calm)
+		}
+	}
+}
+
+// TestDutiesNeedAHold: a courier that serves without a hold has no duties.
+func TestDutiesNeedAHold(test *testing.T) {
+	fleet := begun(test, 4, PlatformWays())
+	holder := fleet.holder()
+	if !holder.courier.Core().Dutiful() {
+		test.Fatal("the holder has no duties")
+	}
+	fleet.cutOff(holder.name, true)
+	fleet.run(fleet.now + 9*time.Second)
+	if now := holder.life.Now(); !now.Before(holder.courier.Core().ServesUntil()) || now.Before(holder.courier.Core().HoldEnds()) {
+		test.Error("it should serve, without a hold")
+	}
+	if took := fleet.since(fleet.now, func() bool { return fleet.dutiesSettled([]*machine{holder}) }); took < 0 {
+		test.Error("its duties did not move")
+	}
+	// The commands since then are judged: none by the one without a hold.
+	if verdict := rehearsal.Judge(fleet.Book.Entries()); verdict.Violations() > 0 {
+		test.Error(verdict)
+	}
+}
+
+// TestBlankDisksThatOnlyJoinFormNothing starts a whole fleet of them.
+func TestBlankDisksThatOnlyJoinFormNothing(test *testing.T) {
+	fleet := New(rehearsal.Sahil(), 5)
+	fleet.SetWays(Ways{JoinOnly: true})
+	for _, machine := range fleet.machines {
+		fleet.outside.Go(func() { fleet.start(machine) })
+	}
+	fleet.run(30 * time.Second)
+	for _, machine := range fleet.nodes(roster.Expediter) {
+		if !machine.control.Keeper().Charter().Blank() {
+			test.Errorf("%s has the charter %+v", machine.name, machine.control.Keeper().Charter())
+		}
+	}
+}
+
+// TestReplacedExpediterIsTakenIn replaces an expediter by an empty one elsewhere, which
+// knows the old seeds; then another, so that two seeds are gone. There is no list of
+// nodes. Couriers that start with the old seeds find the core, and the records of
+// those who are gone end by themselves.
+func TestReplacedExpediterIsTakenIn(test *testing.T) {
+	ways := PlatformWays()
+	fleet := begun(test, 6, ways)
+	seeds := fleet.machines[0].seeds
+	for number, gone := range []string{"expediter-1", "expediter-2"} {
+		leaving := fleet.machineNamed(gone)
+		fleet.powerOff(gone)
+		leaving.gone = true
+		address := "10.0.9." + string(rune('1'+number)) + ":1"
+		joined := fleet.addMachine(roster.Expediter, "newcomer-"+string(rune('1'+number)), address, leaving.district, seeds)
+		fleet.start(joined)
+		took := fleet.since(fleet.now, func() bool {
+			if joined.control == nil || !fleet.led() {
+				return false
+			}
+			charter := fleet.primary().control.Steward().Charter()
+			return charter.Keeps(joined.control.Keeper().Seat().Identity) && len(charter.Incoming) == 0
+		})
+		if took < 0 || took > 15*time.Second {
+			test.Fatalf("%s is no keeper after %s", joined.name, took)
+		}
+		test.Logf("%s is a keeper after %s", joined.name, took)
+	}
+	late := fleet.machineNamed("courier-3")
+	fleet.kill(late)
+	fleet.start(late)
+	found := fleet.since(fleet.now, func() bool { return late.life.Now().Before(late.courier.Core().HoldEnds()) })
+	if found < 0 || found > 4*time.Second {
+		test.Errorf("a courier whose two seeds are gone found the core after %s", found)
+	}
+	test.Logf("a courier with one seed left found the core after %s", found)
+	retired := fleet.since(fleet.now, func() bool {
+		_, _, state, failure := fleet.primary().control.Read()
+		return failure == nil && len(state.Members) == len(fleet.nodes(""))
+	})
+	if retired < 0 || retired > 2*ways.RetireAfter {
+		test.Errorf("the record still has those who are gone after %s", retired)
+	}
+	if took := fleet.changed(fleet.now, fleet.nowhere("nowhere", 0)); took > time.Second {
+		test.Errorf("a change took %s", took)
+	}
+}
+
+// TestCouriersReadTheListThemselves keeps the list from the expediters, and has a
+// server leave meanwhile: each courier hears of it, without reading often. When
+// nobody can read it, nothing is forgotten.
+func TestCouriersReadTheListThemselves(test *testing.T) {
+	fleet := begun(test, 7, PlatformWays())
+	if reads := len(fleet.listReads); reads > 2*len(fleet.nodes(roster.Courier)) {
+		test.Errorf("couriers read the list %d times before the fleet was calm", reads)
+	}
+	before := len(fleet.listReads)
+	fleet.run(fleet.now + 10*time.Second)
+	if reads := len(fleet.listReads) - before; reads > 0 {
+		test.Errorf("couriers read the list %d times though they have news of it", reads)
+	}
+	for _, machine := range fleet.nodes(roster.Expediter) {
+		fleet.link("platform", machine.name).cut = true
+	}
+	name := fleet.plans[0].Name
+	leaving := fleet.platform.servers[name]
+	leaving.Leaving = true
+	fleet.platform.servers[name] = leaving
+	knows := func(machine *machine) bool {
+		for _, server := range machine.courier.Servers() {
+			if server.Name == name {
+				return server.Leaving
+			}
+		}
+		return false
+	}
+	all := func() bool {
+		for _, machine := range fleet.nodes(roster.Courier) {
+			if !knows(machine) {
+				return false
+			}
+		}
+		return true
+	}
+	took := fleet.since(fleet.now, all)
+	if took < 0 || took > 2500*time.Millisecond {
+		test.Errorf("the leaving server was known everywhere after %s", took)
+	}
+	test.Logf("the leaving server was known everywhere after %s", took)
+	before = len(fleet.listReads)
+	fleet.run(fleet.now + 10*time.Second)
+	if reads, most := len(fleet.listReads)-before, 11*len(fleet.nodes(roster.Courier)); reads > most {
+		test.Errorf("couriers read the list %d times in ten seconds", reads)
+	}
+	// The reads are spread: in no tenth of a second do all read.
+	busiest, count := 0, map[time.Duration]int{}
+	for _, at := range fleet.listReads[before:] {
+		count[at/(100*time.Millisecond)]++
+		busiest = max(busiest, count[at/(100*time.Millisecond)])
+	}
+	if busiest >= len(fleet.nodes(roster.Courier)) {
+		test.Errorf("%d couriers read within a tenth of a second", busiest)
+	}
+	// The expediters come back with an older word, and then nobody reads at all.
+	leaving.Leaving = false
+	fleet.platform.servers[name] = leaving
+	for _, machine := range fleet.nodes(roster.Expediter) {
+		fleet.link("platform", machine.name).cut = false
+	}
+	fleet.run(fleet.now + 5*time.Second)
+	fleet.platform.down = true
+	fleet.run(fleet.now + 10*time.Second)
+	if !all() || len(fleet.machines[4].courier.Servers()) != len(fleet.plans) {
+		test.Errorf("the list is %v", fleet.machines[4].courier.Servers())
+	}
+}
+
+// TestChangesAndNewsAfterThePrimary is lost in each way: how long until a change is
+// acknowledged, and until every courier in touch has news again.
+func TestChangesAndNewsAfterThePrimary(test *testing.T) {
+	ways := map[string]func(fleet *World, primary *machine){
+		"killed":     func(fleet *World, primary *machine) { fleet.kill(primary) },
+		"power lost": func(fleet *World, primary *machine) { fleet.powerOff(primary.name) },
+		"frozen":     func(_ *World, primary *machine) { primary.life.freeze() },
+		"cut off":    func(fleet *World, primary *machine) { fleet.cutOff(primary.name, true) },
+		"cut from the core": func(fleet *World, primary *machine) {
+			fleet.cutOff(primary.name, true, "courier-1", "courier-2", "courier-3", "courier-4", "courier-5", "courier-6", "courier-7")
+		},
+		"its answers lost": func(fleet *World, primary *machine) {
+			for _, other := range fleet.machines {
+				fleet.link(primary.name, other.name).cut = true
+			}
+		},
+		"nobody reaches it": func(fleet *World, primary *machine) {
+			for _, other := range fleet.machines {
+				fleet.link(other.name, primary.name).cut = true
+			}
+		},
+		"stopped": func(fleet *World, primary *machine) {
+			control, life := primary.control, primary.life
+			life.Go(func() { control.Leave(); life.world.outside.Go(func() { fleet.kill(primary) }) })
+		},
+	}
+	for name, lose := range ways {
+		var worstChange, worstNews time.Duration
+		for seed := range uint64(6) {
+			fleet := begun(test, 20+seed, PlatformWays())
+			began, primary := fleet.now, fleet.primary()
+			lose(fleet, primary)
+			heard := map[string]time.Time{}
+			for _, machine := range fleet.nodes(roster.Courier) {
+				heard[machine.name] = machine.courier.Heard()
+			}
+			change := fleet.changedWhereLed(began, fleet.nowhere("nowhere", 0))
+			news := fleet.since(began, func() bool {
+				for _, machine := range fleet.nodes(roster.Courier) {
+					if !machine.courier.Heard().After(heard[machine.name].Add(700 * time.Millisecond)) {
+						return false
+					}
+				}
+				return true
+			})
+			if change < 0 || news < 0 {
+				test.Errorf("%s, seed %d: change %s, news %s", name, seed, change, news)
+			}
+			worstChange, worstNews = max(worstChange, change), max(worstNews, news)
+		}
+		test.Logf("%-18s change acknowledged within %s, news everywhere within %s", name, worstChange, worstNews)
+		if worstChange > 4*time.Second || worstNews > 4500*time.Millisecond {
+			test.Errorf("%s: change after %s, news after %s", name, worstChange, worstNews)
+		}
+	}
+}
+
+// changedWhereLed makes a change at whoever leads, as an operator does whose calls
+// others answer with a word on who that is.
+func (world *World) changedWhereLed(from time.Duration, edit hatch.Edit) time.Duration {
+	over := false
+	world.outside.Go(func() {
+		for ends := world.now + incidentPatience; world.now < ends && !over; world.wait(20, 20) {
+			for _, machine := range world.nodes(roster.Expediter) {
+				if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
+					continue
+				}
+				control := machine.control
+				_, failure := world.outside.ask(machine.name, time.Second, func(*life) (any, error) { return control.Edit(edit) })
+				over = over || failure == nil
+			}
+		}
+	})
+	return world.since(from, func() bool { return over })
+}
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -51,9 +51,13 @@
 	// snapshotBytes are those of whole copies sent.
 	snapshotBytes int
 	fixedParts    bool
-	claiming      map[string]int
-	evacuating    map[string]bool
-	trace         hash.Hash
+	// ways are the settings that a platform asks for.
+	ways Ways
+	// listReads are the moments at which couriers read the list themselves.
+	listReads  []time.Duration
+	claiming   map[string]int
+	evacuating map[string]bool
+	trace      hash.Hash
 	// layout is set when the fleet has several regions.
 	layout *Layout
 	// traffic are the messages between nodes, by path, and those of each node.
@@ -77,6 +81,8 @@
 	life     *life
 	courier  *hatch.Courier
 	control  *hatch.Expediter
+	// starts counts its processes.
+	starts int
 }
 
 var epoch = time.Unix(1_800_000_000, 0).UTC()
@@ -213,6 +219,7 @@
 		return
 	}
 	machine.off = false
+	machine.starts++
 	begun := world.newLife(machine.name, machine.address, machine.drift)
 	machine.life, machine.courier, machine.control = begun, nil, nil
 	supported := recipe.Supported(machine.withheld)
@@ -229,6 +236,7 @@
 	stoves := &stoves{life: begun, running: map[string]*exchange{}}
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported, FixedParts: world.fixedParts}, Address: machine.address,
 		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}}
+	options.ServeWithoutHold = world.ways.ServeWithoutHold
 	if world.layout == nil {
 		options.Pressures = lists{world, begun}
 	}
@@ -249,6 +257,8 @@
 	copies, _ := pantry.OpenFolder(machine.disk, "larder")
 	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
 		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
+	options.AcknowledgeWait, options.RetireAfter = world.ways.AcknowledgeWait, world.ways.RetireAfter
+	options.JoinsOnly = world.ways.JoinOnly || world.ways.FormOnce && machine.starts > 1 || world.ways.FormOnce && world.now > opening
 	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
 	if failure != nil {
 		world.say("%s can't open its disk: %v", machine.name, failure)
