Window: forgetting a prompt at a server that never read one does not end the process

Cause: a call without parts that never reached its server had its prompt forgotten where no prompt was ever kept; the list of kept parts was not there.

Change: nothing kept, nothing to forget.

--- a/internal/window/kept.go
+++ b/internal/window/kept.go
@@ -86,6 +86,10 @@
 func (kept *kept) forget(parts []Part, known int) {
 	kept.mutex.Lock()
 	defer kept.mutex.Unlock()
+	if kept.order == nil {
+		// Nothing was ever read there.
+		return
+	}
 	at := 0
 	for _, part := range parts {
 		at += part.Tokens
