Desk: an inquiry's pair is chosen once, and its planned server asked alone

Cause: an inquiry that needs no claim had its pair chosen twice within one arrival, and at its hand-over a table of all servers' names was made to ask one of them.

Change: the pair that lets it in is taken up; the planned decode server is asked by name.

--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -242,7 +242,7 @@
 		entry.stage = claiming
 		return []Decision{{Kind: ClaimInquiry, ID: inquiry.ID, Inquiry: &settled, NotAfter: settled.Limit}}
 	}
-	return desk.dispatchPrefill(now, shard, entry)
+	return desk.takeUp(now, shard, entry, bid, desk.ServesUntil())
 }
 
 // find locks the shard of an inquiry and returns its ticket if the run is the
--- a/internal/pass/dispatch.go
+++ b/internal/pass/dispatch.go
@@ -42,6 +42,12 @@
 	if !found {
 		return desk.giveUp(now, shard, entry, trouble.Busy)
 	}
+	return desk.takeUp(now, shard, entry, bid, holdEnds)
+}
+
+// takeUp sends a run's prompt to the first server of a pair that was chosen now.
+func (desk *Desk) takeUp(now time.Time, shard *shard, entry *ticket, bid Bid, holdEnds time.Time) []Decision {
+	inquiry := entry.inquiry
 	var decisions []Decision
 	if entry.dispatches == 0 {
 		desk.budget.First()
@@ -105,15 +111,11 @@
 	program := desk.program.Load()
 	allowed := func(server roster.Server) bool { return program.Allows(entry.ruling, server) }
 	source := entry.bid.Prefill.server
-	planned := entry.bid.Decode
-	tried := map[string]bool{}
-	for _, stall := range desk.market.board.Load().stalls {
-		tried[stall.server.Name] = stall.server.Name != planned.server.Name
-	}
+	planned := entry.bid.Decode.server.Name
 	var bid Bid
 	found := false
-	if !entry.tried[planned.server.Name] {
-		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, allowed, tried)
+	if !entry.tried[planned] {
+		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, func(server roster.Server) bool { return server.Name == planned && allowed(server) }, nil)
 	}
 	if !found {
 		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, allowed, entry.tried)
