--- a/cmd/expediter/operator.go
+++ b/cmd/expediter/operator.go
@@ -50,6 +50,7 @@
 	})
 	for _, command := range []*cobra.Command{put, patch} {
 		command.Flags().String("expected", "", "the version that is changed, such as 2.9 (default: the one in force now)")
+		command.Flags().Int64("builds-on", -1, "the revision that is changed, in the place of a version; the file gives a higher one")
 		command.Flags().String("change", "", "an id for this change, to ask for it later (default: a new one)")
 	}
 	evacuate := subcommand("evacuate DISTRICT", "keep new work out of a zone's servers", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
@@ -103,6 +104,10 @@
 	if failure != nil {
 		return trouble.At(trouble.Missing, path, failure.Error())
 	}
+	if revision, _ := command.Flags().GetInt64("builds-on"); revision >= 0 {
+		// Its content is its id: sent again, it is the same change.
+		return operator.call(method, "/v1/configuration", url.Values{"builds_on": {strconv.FormatInt(revision, 10)}}, body)
+	}
 	query := newChange()
 	if id, _ := command.Flags().GetString("change"); id != "" {
 		query.Set("change", id)
@@ -145,7 +150,11 @@
 			if method == http.MethodGet || strings.Contains(last, "connection refused") {
 				continue
 			}
-			return answered{}, &operatorTrouble{code: 3, said: printed("the outcome is unknown: " + last + "; ask with: expediter change " + query.Get("change"))}
+			how := "; ask with: expediter change " + query.Get("change")
+			if query.Get("change") == "" {
+				how = "; send the same change again"
+			}
+			return answered{}, &operatorTrouble{code: 3, said: printed("the outcome is unknown: " + last + how)}
 		}
 		content, failure := io.ReadAll(inbound.Body)
 		_ = inbound.Body.Close()
