--- a/internal/adapters/calls/bench_test.go
+++ b/internal/adapters/calls/bench_test.go
@@ -93,7 +93,7 @@
 	if read {
 		conduct.reader = open(whole(200, "id", `{"handle":"3fa09c41b7d5","tokens":3}`, "Keep-Alive: timeout=9"), 0)
 	}
-	circuits := NewCircuits(time.Now, nil)
+	circuits := NewCircuits(nil)
 	intake, failure := NewIntake(b.Context(), DefaultWords(), circuits, conduct, time.Now)
 	if failure != nil {
 		b.Fatal(failure)
--- a/internal/adapters/calls/circuits.go
+++ b/internal/adapters/calls/circuits.go
@@ -67,11 +67,11 @@
 //
 // Example:
 //
-//	circuits := calls.NewCircuits(turns.Now, nil)
-func NewCircuits(now func() time.Time, detours map[string]string) *Circuits {
+//	circuits := calls.NewCircuits(nil)
+func NewCircuits(detours map[string]string) *Circuits {
 	dialer := &net.Dialer{Timeout: dialPatience, Control: shortPatience,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	circuits := &Circuits{now: now, resting: map[life][]*line{}}
+	circuits := &Circuits{now: time.Now, resting: map[life][]*line{}}
 	circuits.transport = &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: mostHead,
 		DialContext: func(lifetime context.Context, network, address string) (net.Conn, error) {
 			if detour, found := detours[address]; found {
--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -130,7 +130,7 @@
 
 func TestNothingWrittenIsCertain(t *testing.T) {
 	standin := newStandin(t, func(*served, *http.Request) bool { return false })
-	circuits := NewCircuits(time.Now, nil)
+	circuits := NewCircuits(nil)
 	line, failure := circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
 	if failure != nil {
 		t.Fatal(failure)
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -75,7 +75,10 @@
 	lifetime context.Context
 	cancel   context.CancelFunc
 	timer    *time.Timer
-	outcome  window.Outcome
+	// until is the decision's end by the runtime's own clock, which costs no call to
+	// the kernel.
+	until   time.Time
+	outcome window.Outcome
 }
 
 // send sends the call and waits for the head of the answer. When false is given, the
@@ -83,13 +86,14 @@
 func (exchange *exchange) send(decision window.Decision, change func(header http.Header)) (*dispatch, bool) {
 	words := &exchange.intake.words
 	lifetime, cancel := context.WithCancel(exchange.inbound.Context())
-	sent := &dispatch{exchange: exchange, decision: decision, lifetime: lifetime, cancel: cancel}
+	sent := &dispatch{exchange: exchange, decision: decision, lifetime: lifetime, cancel: cancel,
+		until: time.Now().Add(decision.Ends.Sub(exchange.intake.now()))}
 	patience := sent.left()
 	if decision.Patience > 0 {
 		patience = min(patience, decision.Patience)
 	}
 	sent.timer = time.AfterFunc(patience, sent.expire)
-	line, failure := exchange.intake.circuits.take(lifetime, decision.Server, decision.Ends)
+	line, failure := exchange.intake.circuits.take(lifetime, decision.Server, sent.until)
 	if failure != nil {
 		return sent, sent.fail(window.Unreached)
 	}
@@ -100,7 +104,7 @@
 		header[words.Urgency] = []string{strconv.Itoa(decision.Urgency)}
 	}
 	change(header)
-	left := max(1, decision.Ends.Sub(exchange.intake.now()).Milliseconds())
+	left := max(1, time.Until(sent.until).Milliseconds())
 	header[words.Limit] = []string{strconv.FormatInt(left, 10)}
 	outbound := (&http.Request{Method: exchange.inbound.Method, URL: &url.URL{Scheme: "http", Host: decision.Server.Address, Opaque: exchange.target},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header, Host: exchange.inbound.Host,
@@ -131,7 +135,7 @@
 // not waited for either.
 func (sent *dispatch) expire() {
 	sent.cancel()
-	if sent.exchange.begun.Load() && !sent.exchange.intake.now().Before(sent.decision.Ends) {
+	if sent.exchange.begun.Load() && !time.Now().Before(sent.until) {
 		_ = http.NewResponseController(sent.exchange.writer).SetWriteDeadline(time.Now())
 	}
 }
@@ -228,10 +232,10 @@
 	if length > int64(most) {
 		return nil, errOversize
 	}
-	var content []byte
-	if length > 0 {
-		content = make([]byte, 0, length+1)
+	if length < 0 {
+		length = 511
 	}
+	content := make([]byte, 0, length+1)
 	for {
 		if len(content) == cap(content) {
 			if len(content) > most {
@@ -365,7 +369,7 @@
 
 // left is how long the dispatch may go on at the most.
 func (sent *dispatch) left() time.Duration {
-	return sent.decision.Ends.Sub(sent.exchange.intake.now()) + endsMargin
+	return time.Until(sent.until) + endsMargin
 }
 
 // passHead gives the origin the status and the end-to-end headers of an answer.
--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -165,7 +165,7 @@
 	configuration := twoRoutes()
 	lifetime, cancel := context.WithCancel(t.Context())
 	turns := threads.New(lifetime, wallclock.New())
-	circuits := NewCircuits(turns.Now, nil)
+	circuits := NewCircuits(nil)
 	deciding := window.New(window.Options{Courier: "courier-1", District: "north", FurtherTries: window.Allowance{Ratio: 5, Slack: 1000, Span: time.Second}})
 	conduct := hatch.NewCalls(turns, deciding, circuits.SetServers)
 	conduct.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
@@ -255,7 +255,7 @@
 	standin.server.Service, standin.server.Slots, standin.server.Models = "desk", 64, []string{"m"}
 	owner := &tomb.Tomb{}
 	turns := threads.New(owner.Context(context.Background()), wallclock.New())
-	circuits := NewCircuits(turns.Now, nil)
+	circuits := NewCircuits(nil)
 	conduct := hatch.NewCalls(turns, window.New(window.Options{Courier: "courier-1", District: "north"}), circuits.SetServers)
 	conduct.SetConfiguration(twoRoutes(), larder.Version{Epoch: 1, Number: 1})
 	conduct.SetCouriers(1)
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -59,7 +59,11 @@
 //
 //	gate, failure := calls.Open(&process.tomb, intake, chosen.CallsAddress, chosen.ReadyAddress)
 func Open(owner *tomb.Tomb, intake *Intake, address, readyAddress string) (*Gate, error) {
-	gate := &Gate{intake: intake, now: intake.now, guests: map[net.Conn]*guest{}}
+	return open(owner, intake, address, readyAddress, time.Now)
+}
+
+func open(owner *tomb.Tomb, intake *Intake, address, readyAddress string, now func() time.Time) (*Gate, error) {
+	gate := &Gate{intake: intake, now: now, guests: map[net.Conn]*guest{}}
 	serving := &http.Server{Handler: http.HandlerFunc(gate.serveCall), MaxHeaderBytes: mostHeadBytes, ConnState: gate.note, ConnContext: gate.greet}
 	asked := &http.Server{Handler: http.HandlerFunc(gate.tellReady), ReadHeaderTimeout: defaultHeaderPatience, IdleTimeout: defaultIdlePatience}
 	for server, address := range map[*http.Server]string{serving: address, asked: readyAddress} {
--- a/internal/adapters/calls/gate_test.go
+++ b/internal/adapters/calls/gate_test.go
@@ -30,12 +30,12 @@
 func openGate(t *testing.T, scripted *scripted, now func() time.Time) (gate *Gate, address, readyAddress string) {
 	t.Helper()
 	address, readyAddress = freeAddress(t), freeAddress(t)
-	intake, failure := NewIntake(t.Context(), DefaultWords(), NewCircuits(now, nil), scripted, now)
+	intake, failure := NewIntake(t.Context(), DefaultWords(), NewCircuits(nil), scripted, time.Now)
 	if failure != nil {
 		t.Fatal(failure)
 	}
 	owner := &tomb.Tomb{}
-	gate, failure = Open(owner, intake, address, readyAddress)
+	gate, failure = open(owner, intake, address, readyAddress, now)
 	if failure != nil {
 		t.Fatal(failure)
 	}
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -154,7 +154,7 @@
 func (intake *Intake) free(server roster.Server, handle string) {
 	lifetime, cancel := context.WithTimeout(intake.lifetime, freePatience)
 	defer cancel()
-	line, failure := intake.circuits.take(lifetime, server, intake.now().Add(freePatience))
+	line, failure := intake.circuits.take(lifetime, server, time.Now().Add(freePatience))
 	if failure != nil {
 		return
 	}
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -260,7 +260,7 @@
 
 func newCourier(t *testing.T, scripted *scripted) *courier {
 	t.Helper()
-	circuits := NewCircuits(time.Now, nil)
+	circuits := NewCircuits(nil)
 	lifetime, cancel := context.WithCancel(context.Background())
 	intake, failure := NewIntake(lifetime, DefaultWords(), circuits, scripted, time.Now)
 	if failure != nil {
--- a/internal/adapters/courier/calls.go
+++ b/internal/adapters/courier/calls.go
@@ -24,7 +24,7 @@
 	if chosen.CallsAddress == "" && chosen.ReadyAddress == "" {
 		return nil
 	}
-	process.calls.circuits = calls.NewCircuits(turns.Now, chosen.Detours)
+	process.calls.circuits = calls.NewCircuits(chosen.Detours)
 	return func(deciding *window.Window) hatch.Board {
 		process.calls.conduct = hatch.NewCalls(turns, deciding, process.calls.circuits.SetServers)
 		return process.calls.conduct
