Larder: the primary's own next life may lead at once

A keeper that starts holds still for one hold, since it may have given one just before. After a restart of everything nobody led for 1.5 s, though the hold that the old primary had is of use to nobody but itself. A keeper now takes the primary of the charter on its disk for the holder: its next life is promised an epoch at once, all others wait as before. So that the disk always tells whom a keeper confirmed, it confirms only under a charter that it has accepted; a primary brings it first.

Ruled out: a shorter hold (a stalled disk or a busy machine would lose it), and no silence where all say that they have just started (one that is cut off is not heard).

--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -26,7 +26,7 @@
 		seat.District = steward.district
 	}
 	return Hello{Seat: seat, Kind: steward.kind, Blank: steward.keeper.Charter().Blank(), Restricted: steward.restricted,
-		Charter: charter, Leads: leads, HoldLeft: max(left, 0),
+		Charter: charter, Leads: leads, HoldLeft: max(left, 0), Holder: steward.keeper.Holder(),
 		Version: steward.store.Copy().Version(), Damage: steward.store.Copy().Damage()}
 }
 
--- a/internal/larder/hello.go
+++ b/internal/larder/hello.go
@@ -15,6 +15,8 @@
 	Charter    Charter         `msgpack:"charter"`
 	Leads      bool            `msgpack:"leads"`
 	HoldLeft   time.Duration   `msgpack:"hold_left"`
-	Version    Version         `msgpack:"version"`
-	Damage     string          `msgpack:"damage,omitempty"`
+	// Holder is whom the keeper holds still for.
+	Holder  Identity `msgpack:"holder,omitempty"`
+	Version Version  `msgpack:"version"`
+	Damage  string   `msgpack:"damage,omitempty"`
 }
--- a/internal/larder/keeper.go
+++ b/internal/larder/keeper.go
@@ -57,6 +57,7 @@
 		newest := names[len(names)-1]
 		if content, intact := files[newest]; intact && msgpack.Unmarshal(content, &keeper.note) == nil && keeper.note.Identity != "" {
 			keeper.self.Identity = keeper.note.Identity
+			keeper.holder = keeper.note.Charter.Primary.Identity
 			return keeper, false, nil
 		}
 	}
@@ -112,6 +113,17 @@
 	return keeper.holdEnds
 }
 
+// Holder is whom the hold that runs was given to.
+//
+// Example:
+//
+//	if keeper.Holder() == candidate { /* it may stand at once */ }
+func (keeper *Keeper) Holder() Identity {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	return keeper.holder
+}
+
 // Prepare promises an epoch to a candidate, unless a higher or equal one is
 // promised or another primary's hold runs.
 //
@@ -178,7 +190,8 @@
 }
 
 // Confirm gives the primary of the epoch its hold: for that long the keeper
-// promises no other epoch to another candidate.
+// promises no other epoch to another candidate. A charter that it has not accepted
+// must be brought first, so that its disk tells after a restart whom it held still for.
 //
 // Example:
 //
@@ -195,6 +208,10 @@
 		promise.Refusal = trouble.OldEpoch
 		return promise
 	}
+	if epoch > keeper.note.Charter.Epoch {
+		promise.Refusal = trouble.Behind
+		return promise
+	}
 	keeper.holder = primary
 	if ends := now.Add(PrimaryHold); ends.After(keeper.holdEnds) {
 		keeper.holdEnds = ends
--- /dev/null
+++ b/internal/larder/restart_test.go
@@ -0,0 +1,170 @@
+package larder
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// restartAll ends every machine at the same moment and starts them again, in any
+// order and with some time between.
+func (world *world) restartAll() {
+	for _, machine := range world.machines {
+		if machine.up {
+			world.crash(machine)
+		}
+	}
+	world.advance(time.Duration(world.random.IntN(1200)) * time.Millisecond)
+	for _, position := range world.random.Perm(len(world.machines)) {
+		machine := world.machines[position]
+		world.start(machine)
+		world.advance(time.Duration(world.random.IntN(300)) * time.Millisecond)
+		for _, other := range world.machines {
+			if other.up && !other.frozen {
+				other.steward.Tick()
+				world.check()
+			}
+		}
+	}
+}
+
+// TestPrimaryLeadsAgainSoonAfterAllRestarted ends all processes at once, as a loss of
+// power does. The hold that the primary had is of use to nobody else, and its own next
+// life may have it at once.
+func TestPrimaryLeadsAgainSoonAfterAllRestarted(test *testing.T) {
+	world := newWorld(test, 7)
+	if !world.heal(10 * time.Second) {
+		world.fail("no core was formed")
+	}
+	world.calm = true
+	leader := world.whole()
+	world.write(leader)
+	for _, machine := range world.machines {
+		world.crash(machine)
+	}
+	world.advance(400 * time.Millisecond)
+	for _, machine := range world.machines {
+		world.start(machine)
+	}
+	begun := world.clock()
+	for world.whole() == nil {
+		for _, machine := range world.machines {
+			machine.steward.Tick()
+			world.check()
+		}
+		if world.clock().Sub(begun) > 500*time.Millisecond {
+			world.fail("no pair leads %v after all have started", world.clock().Sub(begun))
+		}
+		world.advance(100 * time.Millisecond)
+	}
+	if world.whole() != leader {
+		world.fail("another machine leads")
+	}
+}
+
+// TestOtherCopyWaitsForTheHoldAfterAllRestarted leaves the primary out, which may have
+// kept running for all that the others know.
+func TestOtherCopyWaitsForTheHoldAfterAllRestarted(test *testing.T) {
+	world := newWorld(test, 8)
+	if !world.heal(10 * time.Second) {
+		world.fail("no core was formed")
+	}
+	leader := world.whole()
+	var others []*machine
+	for _, machine := range world.machines {
+		if machine != leader {
+			world.crash(machine)
+			world.start(machine)
+			others = append(others, machine)
+		}
+		world.cut[leader.address+">"+machine.address], world.cut[machine.address+">"+leader.address] = true, true
+	}
+	begun := world.clock()
+	for {
+		for _, machine := range others {
+			machine.steward.Tick()
+			world.check()
+			if !machine.steward.Holds() {
+				continue
+			}
+			if after := world.clock().Sub(begun); after < PrimaryHold {
+				world.fail("%s leads %v after it started", machine.address, after)
+			}
+			return
+		}
+		if world.clock().Sub(begun) > 2*PrimaryHold {
+			world.fail("nobody leads")
+		}
+		world.advance(100 * time.Millisecond)
+	}
+}
+
+// TestKeeperConfirmsOnlyTheCharterOnItsDisk wants a keeper that was away when a charter
+// was granted to take it down first: after a restart its disk is all that tells whom it
+// held still for.
+func TestKeeperConfirmsOnlyTheCharterOnItsDisk(test *testing.T) {
+	now := time.Unix(1000, 0)
+	shelf := newMemoryShelf()
+	keeper, _, failure := OpenKeeper(now, shelf, Seat{Address: "c"}, "c")
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	seats := []Seat{{Identity: "a"}, {Identity: "b"}, keeper.Seat()}
+	old := Charter{Epoch: 4, Primary: seats[0], Backup: seats[1], Keepers: seats}
+	if promise, failure := keeper.Accept(now, old); failure != nil || !promise.Granted {
+		test.Fatalf("%+v, %v", promise, failure)
+	}
+	if promise := keeper.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != trouble.Behind {
+		test.Errorf("a hold under an unknown charter: %+v", promise)
+	}
+	next := Charter{Epoch: 5, Primary: seats[1], Keepers: seats}
+	if promise, failure := keeper.Accept(now, next); failure != nil || !promise.Granted {
+		test.Fatalf("%+v, %v", promise, failure)
+	}
+	if promise := keeper.Confirm(now, 5, "b"); !promise.Granted {
+		test.Errorf("no hold: %+v", promise)
+	}
+	again, _, failure := OpenKeeper(now.Add(time.Second), shelf, Seat{Address: "c"}, "other")
+	if failure != nil || again.Holder() != "b" {
+		test.Fatalf("it holds still for %q, %v", again.Holder(), failure)
+	}
+	if promise, failure := again.Prepare(now.Add(time.Second), 6, "a"); failure != nil || promise.Refusal != trouble.HoldActive {
+		test.Errorf("another candidate: %+v, %v", promise, failure)
+	}
+	if promise, failure := again.Prepare(now.Add(time.Second), 6, "b"); failure != nil || !promise.Granted {
+		test.Errorf("the one that it holds still for: %+v, %v", promise, failure)
+	}
+}
+
+// TestAcceptedWritesSurviveWhenAllRestart mixes the simulated trouble with restarts of
+// all machines at once, and holds both rules after every step.
+func TestAcceptedWritesSurviveWhenAllRestart(test *testing.T) {
+	seeds := uint64(40)
+	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+		seeds = asked
+	}
+	answered := 0
+	for seed := range seeds {
+		world := newWorld(test, 1_000_000+seed)
+		if !world.heal(10 * time.Second) {
+			world.fail("seed %d: no core was formed", seed)
+		}
+		for range 12 {
+			for range 10 + world.random.IntN(40) {
+				world.step()
+			}
+			world.restartAll()
+		}
+		if !world.heal(20 * time.Second) {
+			world.fail("seed %d: the core is not whole again", seed)
+		}
+		answered += world.answered
+	}
+	test.Logf("%d writes were accepted in %d worlds", answered, seeds)
+	if answered < 500 {
+		test.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
+	}
+}
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -51,7 +51,7 @@
 		return
 	}
 	// A candidate that nobody can elect yet would only disturb the primary, so
-	// it asks first whether a quorum has no hold running.
+	// it asks first whether a quorum has no hold running, or one of its own former life.
 	free := map[Identity]bool{}
 	steward.mutex.Lock()
 	restricted := steward.restricted
@@ -66,7 +66,7 @@
 		}
 		return hello, failure
 	}, func(seat Seat, hello Hello, failure error) {
-		if failure == nil && hello.Seat.Identity == seat.Identity && hello.HoldLeft == 0 && !hello.Leads {
+		if failure == nil && hello.Seat.Identity == seat.Identity && !hello.Leads && (hello.HoldLeft == 0 || hello.Holder == own.Identity) {
 			free[seat.Identity] = true
 		}
 	}, func() bool { return charter.Quorum(free) })
@@ -277,7 +277,9 @@
 		promise, failure := steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
 		if failure == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
 			// It was away when the charter was granted.
-			_, _ = steward.peers.Accept(steward.Address(seat), seat.Identity, charter)
+			if _, failure := steward.peers.Accept(steward.Address(seat), seat.Identity, charter); failure == nil {
+				return steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
+			}
 		}
 		return promise, failure
 	}, func(seat Seat, promise Promise, failure error) {
