--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -110,7 +110,7 @@
 	}
 	sort.Slice(seats, func(left, right int) bool { return seats[left].Address < seats[right].Address })
 	answered := 0
-	gather(steward.turns, seats, func(seat Seat) (Hello, error) {
+	gatherWithin(steward.turns, helloPatience, seats, func(seat Seat) (Hello, error) {
 		hello, failure := steward.peers.Hello(seat.Address, own)
 		if failure == nil {
 			steward.note(hello, true)
--- a/internal/larder/gather.go
+++ b/internal/larder/gather.go
@@ -13,6 +13,11 @@
 // gather calls ask for each seat at once and returns when enough is true, or
 // when all have answered. Answers that come later are passed over.
 func gather[Answer any](turns rota.Turns, seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
+	gatherWithin(turns, gatherPatience, seats, ask, take, enough)
+}
+
+// gatherWithin does so for no longer than a patience.
+func gatherWithin[Answer any](turns rota.Turns, patience time.Duration, seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
 	var mutex sync.Mutex
 	bell := turns.NewBell()
 	left := len(seats)
@@ -29,7 +34,7 @@
 			bell.Ring()
 		})
 	}
-	bell.Wait(gatherPatience, func() bool {
+	bell.Wait(patience, func() bool {
 		mutex.Lock()
 		defer mutex.Unlock()
 		closed = left == 0 || enough()
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -38,6 +38,9 @@
 	// installPatience is after how long another candidate is tried beside the one
 	// whose disk takes its time.
 	installPatience = 600 * time.Millisecond
+	// helloPatience is how long a round of hellos is waited for: a machine without
+	// power must not hold up the others' election.
+	helloPatience = 150 * time.Millisecond
 	// shortPatience is how long a primary looks for a copy in the place of one that
 	// is gone before it goes on with fewer, where several backups are wanted.
 	shortPatience = 2 * time.Second
