--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -45,7 +45,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
 	if failure := root.Execute(); failure != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
 		var mistaken mistaken
--- a/cmd/rehearsal/platformday.go
+++ b/cmd/rehearsal/platformday.go
@@ -54,37 +54,99 @@
 		} else if failure := os.MkdirAll(folder, 0o755); failure != nil {
 			return trouble.Wrap(trouble.Disk, failure)
 		}
-		return playPlatformDay(plan, roles, folder)
+		_, failure = playPlatformDay(plan, roles, folder)
+		return failure
 	}
 	return command
 }
 
-func playPlatformDay(plan platformday.Plan, roles []platformday.Role, folder string) error {
+// platformDaysCommand plays drawn days of the platform, one after another.
+func platformDaysCommand() *cobra.Command {
+	var deploy, binaries, folder string
+	var from uint64
+	var count, faults int
+	command := &cobra.Command{Use: "platform-days", Short: "play drawn days of the users' platform, one after another", Args: cobra.NoArgs,
+		Example: "  rehearsal platform-days --from 1 --count 10"}
+	command.Flags().StringVar(&deploy, "deploy", "deploy/system.toml", "the deploy file")
+	command.Flags().StringVar(&binaries, "binaries", "target", "the folder of the programs")
+	command.Flags().StringVar(&folder, "folder", "", "folder for the days that failed (default: a new one)")
+	command.Flags().Uint64Var(&from, "from", 1, "the first seed")
+	command.Flags().IntVar(&count, "count", 5, "how many days")
+	command.Flags().IntVar(&faults, "faults", 5, "how many faults a day has")
+	command.RunE = func(*cobra.Command, []string) error {
+		roles, failure := platformday.ReadRoles(deploy, binaries)
+		if failure != nil {
+			return mistaken{failure}
+		}
+		if folder == "" {
+			if folder, failure = os.MkdirTemp("", "platform-days-"); failure != nil {
+				return trouble.Wrap(trouble.Disk, failure)
+			}
+		}
+		failed := 0
+		for seed := from; seed < from+uint64(count); seed++ {
+			if !playDrawnDay(platformday.DrawPlan(seed, faults), roles, filepath.Join(folder, fmt.Sprintf("day-%d", seed))) {
+				failed++
+			}
+		}
+		if failed > 0 {
+			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d of %d days failed; they are in %s", failed, count, folder))
+		}
+		return nil
+	}
+	return command
+}
+
+// playDrawnDay plays one day and keeps its folder when it fails.
+func playDrawnDay(plan platformday.Plan, roles []platformday.Role, folder string) bool {
+	if failure := os.MkdirAll(folder, 0o755); failure != nil {
+		fmt.Println(failure)
+		return false
+	}
+	text, failure := plan.Text()
+	if failure == nil {
+		failure = os.WriteFile(filepath.Join(folder, "day.toml"), []byte(text), 0o644)
+	}
+	if failure != nil {
+		fmt.Println(failure)
+		return false
+	}
+	verdict, failure := playPlatformDay(plan, roles, folder)
+	if failure != nil {
+		fmt.Printf("seed %d FAILED (%s): %s\n  replay: rehearsal platform-day %s\n", plan.Seed, plan.Title(), failure, filepath.Join(folder, "day.toml"))
+		return false
+	}
+	fmt.Printf("seed %d held, served %.3f (%s)\n", plan.Seed, verdict.Figures.Served(), plan.Title())
+	_ = os.RemoveAll(folder)
+	return true
+}
+
+func playPlatformDay(plan platformday.Plan, roles []platformday.Role, folder string) (platformday.Verdict, error) {
 	day, failure := platformday.NewDay(platformday.SmallSite(), roles, plan.Seed, folder, os.Stderr)
 	if failure != nil {
-		return failure
+		return platformday.Verdict{}, failure
 	}
 	defer day.Close()
 	if failure := day.Begin(40 * time.Second); failure != nil {
-		return failure
+		return platformday.Verdict{}, failure
 	}
 	verdict := day.Run(plan)
 	fmt.Print(verdict)
 	text, failure := json.MarshalIndent(verdict, "", "  ")
 	if failure != nil {
-		return trouble.Wrap(trouble.Malformed, failure)
+		return verdict, trouble.Wrap(trouble.Malformed, failure)
 	}
 	failure = multierr.Combine(os.WriteFile(filepath.Join(folder, "verdict.json"), text, 0o644), os.WriteFile(filepath.Join(folder, "verdict.txt"), []byte(verdict.String()), 0o644),
 		day.Book.Save(filepath.Join(folder, "book.jsonl")), verdict.Figures.Plot(folder, platformday.Marks(day.Book.Events())))
 	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+		return verdict, trouble.Wrap(trouble.Disk, failure)
 	}
 	fmt.Printf("report, logs and plots are in %s\n", folder)
 	if names := day.Crashed(); len(names) > 0 {
-		return trouble.New(trouble.Contradictory, fmt.Sprintf("panicked or raced: %v", names))
+		return verdict, trouble.New(trouble.Contradictory, fmt.Sprintf("panicked or raced: %v", names))
 	}
 	if count := verdict.Violations(); count > 0 {
-		return trouble.New(trouble.Contradictory, fmt.Sprintf("rules were broken %d times", count))
+		return verdict, trouble.New(trouble.Contradictory, fmt.Sprintf("rules were broken %d times", count))
 	}
-	return nil
+	return verdict, nil
 }
--- /dev/null
+++ b/internal/rehearsal/platformday/drawn.go
@@ -0,0 +1,70 @@
+package platformday
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// usualFaults are those that drawn days mix, as strong as days of the platform have them.
+var usualFaults = []Fault{
+	{Kind: "burst", Class: "chat", Times: 1.9, For: 6}, {Kind: "srv_crash", Share: 0.17, For: 4, Service: "desk"}, {Kind: "srv_crash", Share: 0.17, For: 4, How: "dark", Service: "desk"},
+	{Kind: "release", Share: 0.45, Gap: 1}, {Kind: "answer_lost", Share: 0.5, Times: 0.05, For: 4}, {Kind: "garble", Share: 0.6, Times: 0.03, For: 5, How: "extra"},
+	{Kind: "node_kill", Share: 0.3, For: 3}, {Kind: "node_kill", On: "core", Count: 1, For: 3, How: "leader"}, {Kind: "node_freeze", Share: 0.3, For: 3}, {Kind: "roll_term", Share: 0.45, Gap: 1},
+	{Kind: "herd_kill", Share: 0.55, For: 1}, {Kind: "herd_kill", On: "core", For: 1}, {Kind: "seed_turnover"}, {Kind: "replace_core", Times: 2, How: "leader"}, {Kind: "replace_core", Times: 1, How: "planned"},
+	{Kind: "after_ack_wipe", For: 2}, {Kind: "after_ack_kill", For: 2}, {Kind: "config_change", How: "weights"}, {Kind: "config_change", How: "route"}, {Kind: "config_change", How: "timeout"},
+	{Kind: "config_storm", For: 3, Gap: 0.3}, {Kind: "config_race", Count: 3, Gap: 1}, {Kind: "bad_config", Count: 3, Gap: 0.7}, {Kind: "big_config", Count: 150}, {Kind: "evacuate", For: 8},
+	{Kind: "kv_slow", Share: 0.3, Times: 8, For: 5, Service: "desk"}, {Kind: "handle_short", Share: 0.35, For: 4, Service: "desk"}, {Kind: "node_freeze", On: "core", For: 3},
+}
+
+// DrawPlan draws a day with so many faults: the same seed gives the same day.
+//
+// Example:
+//
+//	plan := platformday.DrawPlan(7, 5)
+func DrawPlan(seed uint64, faults int) Plan {
+	random := rand.New(rand.NewPCG(seed, 19))
+	plan := Plan{Name: fmt.Sprintf("drawn-%d", seed), Seed: seed, Length: 24}
+	for _, position := range random.Perm(len(usualFaults))[:min(faults, len(usualFaults))] {
+		fault := usualFaults[position]
+		fault.At = float64(20+random.IntN(160)) / 10
+		plan.Faults = append(plan.Faults, fault)
+	}
+	slices.SortFunc(plan.Faults, func(left, right Fault) int { return int(left.At*10 - right.At*10) })
+	if draw := random.IntN(4); draw > 0 {
+		plan.Closing = &Closing{Kind: []string{"kill_all", "power_off_all", "wipe_after_ack"}[draw-1], Down: 0.5 + random.Float64()}
+	}
+	return plan
+}
+
+// Text writes a plan as a day file, so that it can be played again.
+//
+// Example:
+//
+//	text, failure := plan.Text()
+func (plan Plan) Text() (string, error) {
+	text, failure := toml.Marshal(plan)
+	return string(text), trouble.Wrap(trouble.Malformed, failure)
+}
+
+// Title names the faults of a day in one line.
+//
+// Example:
+//
+//	fmt.Println(plan.Title())
+func (plan Plan) Title() string {
+	var words []string
+	for _, fault := range plan.Faults {
+		words = append(words, strings.TrimSpace(fault.Kind+" "+fault.On+" "+fault.How))
+	}
+	title := strings.Join(words, ", ")
+	if plan.Closing != nil {
+		title += "; closing " + plan.Closing.Kind
+	}
+	return title
+}
--- a/internal/rehearsal/platformday/plan.go
+++ b/internal/rehearsal/platformday/plan.go
@@ -16,35 +16,35 @@
 
 // Plan is a day as its file gives it.
 type Plan struct {
-	Name   string  `toml:"name"`
-	Seed   uint64  `toml:"seed"`
-	Length float64 `toml:"length_s"`
+	Name   string  `toml:"name,omitempty"`
+	Seed   uint64  `toml:"seed,omitempty"`
+	Length float64 `toml:"length_s,omitempty"`
 	// Rate is how many requests come in a second; 0 means the site's.
-	Rate    float64  `toml:"per_s"`
-	Faults  []Fault  `toml:"fault"`
-	Closing *Closing `toml:"closing"`
+	Rate    float64  `toml:"per_s,omitempty"`
+	Faults  []Fault  `toml:"fault,omitempty"`
+	Closing *Closing `toml:"closing,omitempty"`
 }
 
 // Fault is one trouble, or one planned piece of work, of a day.
 type Fault struct {
-	Kind    string  `toml:"kind"`
-	At      float64 `toml:"at"`
-	For     float64 `toml:"for_s"`
-	Share   float64 `toml:"share"`
-	Count   int     `toml:"count"`
-	Times   float64 `toml:"x"`
-	Gap     float64 `toml:"gap_s"`
-	How     string  `toml:"how"`
-	On      string  `toml:"on"`
-	Zone    string  `toml:"zone"`
-	Service string  `toml:"service"`
-	Class   string  `toml:"class"`
+	Kind    string  `toml:"kind,omitempty"`
+	At      float64 `toml:"at,omitempty"`
+	For     float64 `toml:"for_s,omitempty"`
+	Share   float64 `toml:"share,omitempty"`
+	Count   int     `toml:"count,omitempty"`
+	Times   float64 `toml:"x,omitempty"`
+	Gap     float64 `toml:"gap_s,omitempty"`
+	How     string  `toml:"how,omitempty"`
+	On      string  `toml:"on,omitempty"`
+	Zone    string  `toml:"zone,omitempty"`
+	Service string  `toml:"service,omitempty"`
+	Class   string  `toml:"class,omitempty"`
 }
 
 // Closing is the fault at the end of a day, right after a change was acknowledged.
 type Closing struct {
-	Kind string  `toml:"kind"`
-	Down float64 `toml:"down_s"`
+	Kind string  `toml:"kind,omitempty"`
+	Down float64 `toml:"down_s,omitempty"`
 }
 
 // ReadPlan reads a day from a file. Every mistake in it is named.
--- a/internal/rehearsal/platformday/plan_test.go
+++ b/internal/rehearsal/platformday/plan_test.go
@@ -30,3 +30,28 @@
 		test.Errorf("no TOML: %v", mistakes)
 	}
 }
+
+// TestDrawnDaysAreSound draws days, and wants each to be valid, the same for the same seed
+// and the same when it is read from its own file.
+func TestDrawnDaysAreSound(test *testing.T) {
+	kinds := map[string]bool{}
+	for seed := range uint64(60) {
+		plan := DrawPlan(seed, 5)
+		text, failure := plan.Text()
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		again, mistakes := ParsePlan([]byte(text))
+		if mistakes != nil || again.Title() != plan.Title() || DrawPlan(seed, 5).Title() != plan.Title() {
+			test.Fatalf("seed %d: %v\n%s", seed, mistakes, text)
+		}
+		for _, fault := range plan.Faults {
+			kinds[fault.Kind] = true
+		}
+	}
+	for _, kind := range FaultKinds() {
+		if !kinds[kind] {
+			test.Errorf("no day has %s", kind)
+		}
+	}
+}
