--- a/internal/rehearsal/platformday/figures.go
+++ b/internal/rehearsal/platformday/figures.go
@@ -21,6 +21,8 @@
 	Classes map[string]ClassFigures `json:"classes"`
 	Median  time.Duration           `json:"median"`
 	Tail    time.Duration           `json:"ninety_fifth"`
+	// Held is how long refusals took, the 95th of 100: what is given up is told at once.
+	Held time.Duration `json:"refused_after"`
 
 	Probes, Lists, Orders, Moves, Repeats int
 	// ReadForNothing are the tokens under handles that nobody took.
@@ -41,7 +43,7 @@
 func figuresOf(record *record) Figures {
 	figures := Figures{Causes: map[string]int{}, Classes: map[string]ClassFigures{}}
 	var began time.Time
-	var lengths []time.Duration
+	var lengths, held []time.Duration
 	seconds := map[int][]time.Duration{}
 	for _, event := range record.events {
 		switch event.Kind {
@@ -62,6 +64,9 @@
 		}
 	}
 	for _, seen := range record.order {
+		if seen.over && promised(seen.ended.Status) {
+			held = append(held, seen.ended.At.Sub(seen.sent.At))
+		}
 		figures.Repeats += max(0, len(seen.attempts())-1)
 		if seen.sent.Probe || seen.sent.Number > 0 && len(record.requests[seen.sent.Request]) > 0 && record.requests[seen.sent.Request][0] != seen {
 			continue
@@ -115,6 +120,9 @@
 	if len(lengths) > 0 {
 		figures.Median, figures.Tail = lengths[len(lengths)/2], lengths[len(lengths)*95/100]
 	}
+	if slices.Sort(held); len(held) > 0 {
+		figures.Held = held[len(held)*95/100]
+	}
 	for second, own := range seconds {
 		slices.Sort(own)
 		figures.Seconds[second].Median = own[len(own)/2]
@@ -144,8 +152,8 @@
 //	fmt.Print(verdict.Figures)
 func (figures Figures) String() string {
 	var text strings.Builder
-	_, _ = fmt.Fprintf(&text, "owed %d: in time %d, late %d, refused %d, failed %d; served %.3f; first event after %s, 95th of 100 %s\n", figures.Owed, figures.InTime, figures.Late, figures.Refused, figures.Failed,
-		figures.Served(), figures.Median.Round(time.Millisecond), figures.Tail.Round(time.Millisecond))
+	_, _ = fmt.Fprintf(&text, "owed %d: in time %d, late %d, refused %d, failed %d; served %.3f; first event after %s, 95th of 100 %s; refusals within %s\n", figures.Owed, figures.InTime, figures.Late, figures.Refused, figures.Failed,
+		figures.Served(), figures.Median.Round(time.Millisecond), figures.Tail.Round(time.Millisecond), figures.Held.Round(time.Millisecond))
 	for _, name := range slices.Sorted(maps.Keys(figures.Classes)) {
 		class := figures.Classes[name]
 		_, _ = fmt.Fprintf(&text, "  %-12s owed %d, in time %d, late %d\n", name, class.Owed, class.InTime, class.Late)
