--- a/internal/rehearsal/platformday/day.go
+++ b/internal/rehearsal/platformday/day.go
@@ -50,6 +50,9 @@
 //
 //	day, failure := platformday.NewDay(platformday.SmallSite(), roles, 7, folder, os.Stderr)
 func NewDay(site Site, roles []Role, seed uint64, folder string, log io.Writer) (*Day, error) {
+	if left, _ := filepath.Glob(filepath.Join(folder, "edge-*")); len(left) > 0 {
+		return nil, trouble.New(trouble.Contradictory, folder+" holds the disks of another day")
+	}
 	addressRange, ports, failure := takeAddresses()
 	if failure != nil {
 		return nil, failure
@@ -205,13 +208,14 @@
 			}
 		})
 	}
+	// What lasts longer than the day, such as an evacuation, lasts through its closing fault.
 	pause(traffic, seconds(plan.Length))
-	faults.Wait()
 	if plan.Closing != nil {
 		day.close(traffic, *plan.Closing)
 		pause(traffic, day.Site.Terms.Recovery+3*time.Second)
 	}
 	stop()
+	faults.Wait()
 	running.Wait()
 	day.Clients.close()
 	day.Operators.readBack(day.lifetime)
--- a/internal/rehearsal/platformday/day_test.go
+++ b/internal/rehearsal/platformday/day_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
 )
 
 func TestMain(suite *testing.M) {
@@ -54,3 +57,14 @@
 		}
 	}
 }
+
+// TestADayBeginsWithEmptyDisks wants a folder refused that another day left.
+func TestADayBeginsWithEmptyDisks(test *testing.T) {
+	folder := test.TempDir()
+	if failure := os.Mkdir(filepath.Join(folder, "edge-quay-hall-1"), 0o755); failure != nil {
+		test.Fatal(failure)
+	}
+	if _, failure := NewDay(SmallSite(), nil, 1, folder, nil); trouble.KindOf(failure) != trouble.Contradictory {
+		test.Errorf("%v", failure)
+	}
+}
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -496,8 +496,7 @@
 	if zone == "" {
 		zone = day.Site.Zones[day.seed%uint64(len(day.Site.Zones))]
 	}
-	if day.Operators.evacuate(lifetime, zone) {
-		pause(lifetime, fault.lasts())
+	if day.Operators.evacuate(lifetime, zone) && pause(lifetime, fault.lasts()) {
 		day.Operators.takeBack(lifetime, zone)
 	}
 }
--- a/internal/rehearsal/platformday/serverscheckers.go
+++ b/internal/rehearsal/platformday/serverscheckers.go
@@ -143,6 +143,9 @@
 func checkFailback(record *record, finding *rehearsal.Finding) {
 	cold := map[string][]Event{}
 	for _, event := range record.events {
+		if event.Kind == ServerBorn && event.Cold {
+			finding.Looked++
+		}
 		if event.Kind == Arrived && event.Cold && event.Status != 421 {
 			cold[event.Server] = append(cold[event.Server], event)
 		}
@@ -180,6 +183,9 @@
 		case Arrived:
 			begun, evacuated := since[event.Zone]
 			seen := record.tries[event.Try]
+			if len(since) > 0 && !evacuated {
+				finding.Looked++
+			}
 			if !evacuated || event.Status == 421 || seen == nil {
 				continue
 			}
