Larder: a whole core of three greets and renews in quiet rounds, too

Cause: every expediter said hello to all others each 150 ms: 53 hellos a second, 1.5 kB each, and the primary renewed its hold 13 times a second. Ruled out: news (1.2 kB, 3 a second a courier), replication. Change: rounds of 290 ms while the core is whole, as where several losses are borne; an unsettled core looks around as before.

--- a/internal/larder/losses.go
+++ b/internal/larder/losses.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// quietRound is the time between two rounds of hellos and of holds where several
-// backups are wanted: there are more machines then, and each round costs more.
+// quietRound is the time between two rounds of hellos and of holds of a core that is
+// whole. A hold lasts five of them.
 const quietRound = 290 * time.Millisecond
 
 // Bear tells how many machines may be lost at once with all that is on their
@@ -57,9 +57,9 @@
 func (steward *Steward) several() bool { return steward.wanted() > 1 }
 
 // quiet tells whether this expediter was greeted by the primary a moment ago, so
-// that it need not look around. Where one loss is borne, everybody greets everybody.
+// that it need not look around.
 func (steward *Steward) quiet() bool {
-	if !steward.several() || steward.store.Leading() {
+	if steward.store.Leading() {
 		return false
 	}
 	charter := steward.Charter()
@@ -72,7 +72,7 @@
 // rests tells whether this round of hellos is left out: the primary's next one is
 // not due yet, or this expediter is quiet and greeted the primary a moment ago.
 func (steward *Steward) rests() bool {
-	if !steward.several() || steward.unsettled {
+	if steward.unsettled {
 		return false
 	}
 	pause := time.Duration(0)
@@ -90,5 +90,5 @@
 
 // confirmDue tells whether the primary's hold is to be renewed in this round.
 func (steward *Steward) confirmDue() bool {
-	return !steward.several() || steward.unsettled || steward.turns.Now().Sub(steward.confirmedAt) >= quietRound
+	return steward.unsettled || steward.turns.Now().Sub(steward.confirmedAt) >= quietRound
 }
