--- a/internal/hatch/loadsnews.go
+++ b/internal/hatch/loadsnews.go
@@ -21,22 +21,22 @@
 	Server      string
 	Part        string
 	Changing    bool
-	Orders      uint64
+	Orders      uint
 	Waiting     int
 	Running     int
 	MemoryUsed  int
 	MemoryTotal int
 	Handles     int
 	// Age is in milliseconds.
-	Age int64
+	Age int
 }
 
 func reportOf(load window.Load, age time.Duration) loadReport {
-	return loadReport{Server: load.Server, Part: load.Part, Changing: load.Changing, Orders: load.Orders, Waiting: load.Waiting, Running: load.Running,
-		MemoryUsed: load.MemoryUsed, MemoryTotal: load.MemoryTotal, Handles: load.Handles, Age: (load.Age + age).Milliseconds()}
+	return loadReport{Server: load.Server, Part: load.Part, Changing: load.Changing, Orders: uint(load.Orders), Waiting: load.Waiting, Running: load.Running,
+		MemoryUsed: load.MemoryUsed, MemoryTotal: load.MemoryTotal, Handles: load.Handles, Age: int((load.Age + age).Milliseconds())}
 }
 
 func (report loadReport) load(age time.Duration) window.Load {
-	return window.Load{Server: report.Server, Part: report.Part, Changing: report.Changing, Orders: report.Orders, Waiting: report.Waiting, Running: report.Running,
+	return window.Load{Server: report.Server, Part: report.Part, Changing: report.Changing, Orders: uint64(report.Orders), Waiting: report.Waiting, Running: report.Running,
 		MemoryUsed: report.MemoryUsed, MemoryTotal: report.MemoryTotal, Handles: report.Handles, Age: time.Duration(report.Age)*time.Millisecond + age}
 }
