Calls: the window is told when an answer begins; giving up only what can go on

Cause: a server that is stuck was noticed only when its calls ended, and streams were given up on whose long prompts no further try could read. Ruled out: reading the time of the first event from the outcome, which comes with the end. Change: the conduct tells the window at the first event; Silence and Patience are given where the call can go on; a stream that has begun may cost more to go on than one that never ran.

--- a/internal/adapters/calls/bench_test.go
+++ b/internal/adapters/calls/bench_test.go
@@ -71,7 +71,7 @@
 		outcome := exchange.Read(window.Decision{Kind: window.Read, Server: halves.reader, Ends: ends, Urgency: 1})
 		decision.Source = &window.Source{Address: halves.reader.Address, Handle: outcome.Handle}
 	}
-	if outcome := exchange.Run(&halves.route, decision); outcome.Result != window.Complete {
+	if outcome := exchange.Run(&halves.route, decision, func() {}); outcome.Result != window.Complete {
 		panic(outcome.Result)
 	}
 }
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -288,8 +288,8 @@
 //
 // Example:
 //
-//	outcome := exchange.Run(route, decision)
-func (exchange *exchange) Run(route *menu.CallRoute, decision window.Decision) window.Outcome {
+//	outcome := exchange.Run(route, decision, began)
+func (exchange *exchange) Run(route *menu.CallRoute, decision window.Decision, began func()) window.Outcome {
 	words := &exchange.intake.words
 	if exchange.begun.Load() && exchange.lastEvent == "" {
 		// Nothing tells where to go on.
@@ -307,7 +307,7 @@
 		return sent.outcome
 	}
 	if strings.HasPrefix(sent.response.Header.Get("Content-Type"), "text/event-stream") {
-		sent.passEvents(route)
+		sent.passEvents(route, began)
 		return sent.outcome
 	}
 	if exchange.begun.Load() {
@@ -384,7 +384,7 @@
 }
 
 // passEvents passes a stream on, whole event by whole event, each at once.
-func (sent *dispatch) passEvents(route *menu.CallRoute) {
+func (sent *dispatch) passEvents(route *menu.CallRoute, began func()) {
 	exchange, response := sent.exchange, sent.response
 	resumed := exchange.begun.Load()
 	// A stream may go on from another server: its length is then not the first's.
@@ -416,6 +416,7 @@
 		if read > 0 && sent.outcome.First.IsZero() {
 			sent.outcome.First = exchange.intake.now()
 			sent.extend()
+			began()
 		}
 		whole, passed := 0, false
 		for {
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -199,7 +199,7 @@
 		case window.Read:
 			outcome = exchange.Read(decision)
 		case window.Run:
-			outcome = exchange.Run(&scripted.route, decision)
+			outcome = exchange.Run(&scripted.route, decision, func() {})
 		case window.Through:
 			if !exchange.Through() {
 				exchange.Refuse(hatch.Refusal{Cause: window.Broken, Status: http.StatusBadGateway})
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -172,7 +172,7 @@
 				exchange.Free(window.Source{Address: decision.Server.Address, Handle: outcome.Handle})
 			}
 		case window.Run:
-			outcome = exchange.Run(ticket.Route().Calls, decision)
+			outcome = exchange.Run(ticket.Route().Calls, decision, func() { calls.window.Began(calls.turns.Now(), ticket) })
 			before, ran = ran, ran || outcome.Result.MayHaveRun()
 		default:
 			if decision.Kind == window.Through && before && !outcome.Result.MayHaveRun() {
--- a/internal/hatch/calls_test.go
+++ b/internal/hatch/calls_test.go
@@ -30,7 +30,7 @@
 
 func (exchange *scriptedExchange) Read(window.Decision) window.Outcome { return exchange.next("read") }
 
-func (exchange *scriptedExchange) Run(*menu.CallRoute, window.Decision) window.Outcome {
+func (exchange *scriptedExchange) Run(*menu.CallRoute, window.Decision, func()) window.Outcome {
 	return exchange.next("run")
 }
 
--- a/internal/hatch/exchange.go
+++ b/internal/hatch/exchange.go
@@ -13,8 +13,9 @@
 	// Read has the decision's server read the call's prompt.
 	Read(decision window.Decision) window.Outcome
 	// Run has the decision's server make the answer and passes a success on as it
-	// comes. After one that was cut it goes on behind what was passed on.
-	Run(route *menu.CallRoute, decision window.Decision) window.Outcome
+	// comes. After one that was cut it goes on behind what was passed on. Began is told
+	// when the first of a stream comes.
+	Run(route *menu.CallRoute, decision window.Decision, began func()) window.Outcome
 	// Refuse ends the call with a word of our own.
 	Refuse(refusal Refusal)
 	// Through passes the failing answer of the last dispatch to the origin unchanged;
--- a/internal/window/ended.go
+++ b/internal/window/ended.go
@@ -138,7 +138,7 @@
 		mayRead := !ticket.direct && (!further || ticket.counted+1 < ticket.ruling.calls.Tries)
 		kind, way, found = choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(mayRead) })
 	}
-	if !found || !way.sourced && kind == Run && ticket.counted > 0 && way.cost > choice.costs.refusal || ticket.source == nil && choice.late(way) {
+	if !found || !way.sourced && kind == Run && ticket.counted > 0 && way.cost > choice.dearest() || ticket.source == nil && choice.late(way) {
 		return window.end(now, ticket, answer, choice.relief(way, found))
 	}
 	if owed := ticket.counted - ticket.paid; owed > 0 {
@@ -155,6 +155,18 @@
 	return decision
 }
 
+// dearest is what a further run may cost: more where a stream has begun, which would be
+// broken off.
+func (choice *choice) dearest() float64 {
+	if choice.ticket.begun {
+		return begunWorth * choice.costs.refusal
+	}
+	return choice.costs.refusal
+}
+
+// begunWorth is how much more it costs to break a stream off than to refuse a call.
+const begunWorth = 4
+
 // end words the last decision when nothing more is tried.
 func (window *Window) end(now time.Time, ticket *Ticket, answer lastWord, after time.Duration) Decision {
 	late := !now.Before(ticket.ends)
--- a/internal/window/send.go
+++ b/internal/window/send.go
@@ -51,7 +51,7 @@
 			backend.queue(now, span(float64(sent.unread)/pace))
 			choice.ledger.pressure.readDirectly(now, sent.unread)
 		}
-		if ticket.repeatable() && !ticket.begun && (ticket.call.PromptTokens <= easilyRead || ticket.counted+2 < ticket.ruling.calls.Tries) {
+		if ticket.repeatable() && !ticket.begun && choice.goesOn() {
 			decision.Patience = choice.patience(max(runPatience*sent.expected, leastRunPatience))
 		}
 		decision.Silence = choice.silence()
@@ -66,6 +66,13 @@
 	return decision
 }
 
+// goesOn tells whether the call could go on elsewhere if its run were given up: a long
+// prompt is read again only by a reader, which is a try of its own.
+func (choice *choice) goesOn() bool {
+	ticket := choice.ticket
+	return ticket.call.PromptTokens <= easilyRead || ticket.counted+2 < ticket.ruling.calls.Tries
+}
+
 // patience is given only when there is time and leave for another try behind it.
 func (choice *choice) patience(wanted time.Duration) time.Duration {
 	ticket := choice.ticket
--- a/internal/window/silence.go
+++ b/internal/window/silence.go
@@ -14,7 +14,7 @@
 // leave for that.
 func (choice *choice) silence() time.Duration {
 	calls := choice.ticket.ruling.calls
-	if !calls.Streams || !calls.Resumable {
+	if !calls.Streams || !calls.Resumable || !choice.goesOn() {
 		return 0
 	}
 	return choice.patience(max(silentGaps*calls.Gap, leastSilence))
