Calls: endings, results and times are counted

Cause: nothing told operators what becomes of calls. Ruled out: Prometheus' own client library, which brings much that runs and weighs; VictoriaMetrics' speaks the same format. Change: counters and two histograms, at /v1/metrics.

--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -15,7 +15,7 @@
 func asBody(text string) io.ReadCloser { return io.NopCloser(strings.NewReader(text)) }
 
 func TestACircuitThatRestedTooLongIsNotUsed(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x", "Keep-Alive: timeout=2"))
 		return true
 	})
@@ -40,7 +40,7 @@
 }
 
 func TestACircuitThatItsServerClosedIsNotUsed(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return false
 	})
@@ -76,7 +76,7 @@
 	for name, extra := range map[string]string{"bytes": "more bytes", "an answer": whole(200, "id", "again"), "a late answer": "late"} {
 		t.Run(name, func(t *testing.T) {
 			var number atomic.Int64
-			standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+			standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 				id := inbound.Header.Get("Seamloom-Call")
 				if number.Add(1) > 1 {
 					circuit.say(whole(200, id, "mine"))
@@ -108,7 +108,7 @@
 }
 
 func TestCircuitsToAnEarlierLifeAreDropped(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x", "Keep-Alive: timeout=9"))
 		return true
 	})
@@ -129,7 +129,7 @@
 }
 
 func TestNothingWrittenIsCertain(t *testing.T) {
-	standin := newStandin(t, func(*served, *http.Request) bool { return false })
+	standin := newStandin(t, func(*callerCircuit, *http.Request) bool { return false })
 	circuits := NewCircuits(nil)
 	line, failure := circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
 	if failure != nil {
@@ -152,7 +152,7 @@
 }
 
 func TestACircuitThatAnotherLifeAnsweredOnIsNotUsedAgain(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(421, inbound.Header.Get("Seamloom-Call"), "", "Keep-Alive: timeout=9"))
 		return true
 	})
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -43,6 +43,7 @@
 	writer  http.ResponseWriter
 	inbound *http.Request
 	call    *window.Call
+	began   time.Time
 	// target, header and body are the call as it goes on.
 	target string
 	header http.Header
@@ -55,8 +56,8 @@
 	// the last event that was.
 	begun     atomic.Bool
 	lastEvent string
-	// broken tells that the answer must not look complete, or that there is none.
-	broken bool
+	// ending is how the call ended; cut at first, so that no answer is made up.
+	ending ending
 }
 
 // answer is a failing answer that is kept to be passed on.
@@ -146,10 +147,9 @@
 		result = window.Gone
 	}
 	if result == window.Gone {
-		sent.exchange.broken = true
+		sent.exchange.ending = left
 	}
-	sent.outcome.Result = result
-	sent.timer.Stop()
+	sent.note(result)
 	sent.cancel()
 	if sent.line != nil {
 		sent.line.close()
@@ -160,10 +160,16 @@
 	return false
 }
 
-// finish ends a dispatch whose answer was read to its end.
-func (sent *dispatch) finish(result window.Result) {
+// note keeps the result of a dispatch that is over.
+func (sent *dispatch) note(result window.Result) {
 	sent.outcome.Result = result
 	sent.timer.Stop()
+	sent.exchange.intake.meter.dispatched(sent.decision.Kind, result)
+}
+
+// finish ends a dispatch whose answer was read to its end.
+func (sent *dispatch) finish(result window.Result) {
+	sent.note(result)
 	_ = sent.response.Body.Close()
 	if result == window.Misdirected || sent.response.Close {
 		sent.line.close()
@@ -380,6 +386,8 @@
 		header["Content-Length"] = []string{strconv.FormatInt(response.ContentLength, 10)}
 	}
 	exchange.begun.Store(true)
+	exchange.ending = served
+	exchange.intake.meter.first.UpdateDuration(exchange.began)
 	exchange.writer.WriteHeader(response.StatusCode)
 }
 
@@ -496,20 +504,21 @@
 		exchange.Break()
 		return
 	}
+	exchange.ending = ending(refusal.Cause)
 	header := exchange.writer.Header()
 	if refusal.RetryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
 	}
-	refuse(exchange.writer, exchange.intake.words.ID, exchange.call.ID, refusal.Status, string(refusal.Cause))
+	refuse(exchange.writer, exchange.intake.words.ID, exchange.call.ID, refusal.Status, ending(refusal.Cause))
 }
 
 // refuse gives a final word of our own.
-func refuse(writer http.ResponseWriter, idHeader, id string, status int, cause string) {
+func refuse(writer http.ResponseWriter, idHeader, id string, status int, cause ending) {
 	header := writer.Header()
 	if id != "" {
 		header[idHeader] = []string{id}
 	}
-	body := `{"type":"` + cause + `"}`
+	body := `{"type":"` + string(cause) + `"}`
 	header["Content-Type"] = []string{"application/json"}
 	header["Content-Length"] = []string{strconv.Itoa(len(body))}
 	writer.WriteHeader(status)
@@ -526,6 +535,7 @@
 	if kept == nil || exchange.begun.Load() {
 		return false
 	}
+	exchange.ending = through
 	header := exchange.writer.Header()
 	copyEndToEnd(header, kept.header)
 	if exchange.inbound.Method != http.MethodHead {
@@ -541,7 +551,7 @@
 // Example:
 //
 //	exchange.Break()
-func (exchange *exchange) Break() { exchange.broken = true }
+func (exchange *exchange) Break() { exchange.ending = cut }
 
 // Free gives a prompt's memory back, in a thread of its own.
 //
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestACallGoesOnUnchangedAndItsAnswerComesBackUnchanged(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "the body", "Keep-Alive: timeout=4", "X-Other: 7"))
 		return true
 	})
@@ -42,7 +42,7 @@
 }
 
 func TestMethodsWithAndWithoutBodies(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
@@ -90,7 +90,7 @@
 		"a failing one breaks": {"HTTP/1.1 500 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
-			standin := newStandin(t, func(circuit *served, _ *http.Request) bool { circuit.say(given.answer); return false })
+			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool { circuit.say(given.answer); return false })
 			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
 			got := newCourier(t, scripted).send(t, "id", "body")
 			if got.failure != nil || got.status != given.status || scripted.last().Result != given.result {
@@ -121,7 +121,7 @@
 
 func TestAStreamIsPassedOnEventByEvent(t *testing.T) {
 	further := make(chan string)
-	standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id"))
 		for text := range further {
 			circuit.say(text)
@@ -178,7 +178,7 @@
 func TestAStreamThatBreaksOffDoesNotLookComplete(t *testing.T) {
 	for name, ending := range map[string]string{"between events": "", "in an event": chunk("id: 3\nda"), "in a chunk": "20\r\nid: 3"} {
 		t.Run(name, func(t *testing.T) {
-			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 				circuit.say(stream("id") + chunk(joined(1, 2)) + ending)
 				return false
 			})
@@ -192,12 +192,12 @@
 }
 
 func TestAStreamGoesOnAtAnotherServer(t *testing.T) {
-	first := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	first := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id") + chunk(joined(1, 2)+"id: 3\nda"))
 		circuit.reset()
 		return false
 	})
-	second := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	second := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		// The second one repeats an event: it is passed on once.
 		circuit.say(strings.Replace(stream("id"), "seal-id", "other", 1) + chunk(joined(2, 3, 4)) + "0\r\n\r\n")
 		return true
@@ -224,7 +224,7 @@
 
 func TestTwoHalves(t *testing.T) {
 	freed := make(chan string, 1)
-	reader := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	reader := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		if inbound.Method == http.MethodDelete {
 			freed <- inbound.RequestURI
 			circuit.say(whole(200, "", ""))
@@ -233,7 +233,10 @@
 		circuit.say(whole(200, "id", `{"handle":"3fa09c41b7d5","tokens":3}`))
 		return true
 	})
-	runner := newStandin(t, func(circuit *served, _ *http.Request) bool { circuit.say(whole(200, "id", "answer")); return true })
+	runner := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
+		circuit.say(whole(200, "id", "answer"))
+		return true
+	})
 	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
 		ends := time.Now().Add(time.Second)
 		switch number {
@@ -263,7 +266,7 @@
 	for name, text := range map[string]string{"before the head": "", "within the stream": stream("id") + chunk(event(1))} {
 		t.Run(name, func(t *testing.T) {
 			begun, ended := make(chan bool, 1), make(chan bool, 1)
-			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 				circuit.say(text)
 				begun <- true
 				_, _ = circuit.reader.Peek(1)
@@ -292,7 +295,7 @@
 		"ends":     {Ends: time.Now().Add(50 * time.Millisecond)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			standin := newStandin(t, func(circuit *served, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
+			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
 			scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
 				if number > 0 {
 					return lastWord(outcome)
@@ -313,7 +316,7 @@
 func TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp(t *testing.T) {
 	for name, text := range map[string]string{"before the head": "", "within the stream": stream("id") + chunk(event(1))} {
 		t.Run(name, func(t *testing.T) {
-			standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 				circuit.say(text)
 				_, _ = circuit.reader.Peek(1)
 				return false
@@ -344,12 +347,12 @@
 }
 
 func TestASilentStreamGoesOnElsewhere(t *testing.T) {
-	first := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	first := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id") + chunk(joined(1)))
 		_, _ = circuit.reader.Peek(1)
 		return false
 	})
-	second := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	second := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id") + chunk(joined(2)) + "0\r\n\r\n")
 		return true
 	})
@@ -374,7 +377,7 @@
 // taken to be silent meanwhile.
 func TestAnOriginThatDoesNotReadIsNotWaitedFor(t *testing.T) {
 	piece := "id: 1\ndata: " + strings.Repeat("x", 1<<16) + "\n\n"
-	standin := newStandin(t, func(circuit *served, _ *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id"))
 		for range 1000 {
 			if _, failure := io.WriteString(circuit, chunk(piece)); failure != nil {
--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -60,7 +60,7 @@
 	server := newStandin(t, nil)
 	server.server.Name, server.server.Part, server.server.Service, server.server.District, server.server.Slots = name, part, "desk", "north", 64
 	server.server.Models = []string{"m"}
-	server.act = func(circuit *served, inbound *http.Request) bool {
+	server.act = func(circuit *callerCircuit, inbound *http.Request) bool {
 		id := inbound.Header.Get("Seamloom-Call")
 		answer := func(text string) bool { circuit.say(text); return true }
 		switch {
@@ -245,7 +245,7 @@
 // TestLeavingUnderTraffic: while a courier leaves, no call that was read is cut, and
 // after it takes no more, origins are told when to come back.
 func TestLeavingUnderTraffic(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		id := inbound.Header.Get("Seamloom-Call")
 		circuit.say(stream(id) + chunk(event(1)))
 		time.Sleep(30 * time.Millisecond)
--- a/internal/adapters/calls/gate_test.go
+++ b/internal/adapters/calls/gate_test.go
@@ -44,7 +44,7 @@
 }
 
 func TestReadinessAndLeaving(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
@@ -89,7 +89,7 @@
 }
 
 func TestOriginsThatTakeOrRestTooLongAreDismissed(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
@@ -143,7 +143,7 @@
 }
 
 func TestLimitsOnWhatAnOriginSends(t *testing.T) {
-	standin := newStandin(t, func(circuit *served, inbound *http.Request) bool {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -42,6 +42,7 @@
 	now      func() time.Time
 	lifetime context.Context
 	buffers  sync.Pool
+	meter    *meter
 }
 
 // NewIntake makes the handler of opaque calls.
@@ -53,7 +54,7 @@
 	if failure := words.Check(); failure != nil {
 		return nil, failure
 	}
-	intake := &Intake{words: words, circuits: circuits, conduct: conduct, now: now, lifetime: lifetime}
+	intake := &Intake{words: words, circuits: circuits, conduct: conduct, now: now, lifetime: lifetime, meter: newMeter(circuits)}
 	intake.buffers.New = func() any { buffer := make([]byte, copyBuffer); return &buffer }
 	return intake, nil
 }
@@ -82,32 +83,42 @@
 //
 //	server := &http.Server{Handler: intake}
 func (intake *Intake) ServeHTTP(writer http.ResponseWriter, inbound *http.Request) {
+	began := time.Now()
+	how := intake.serve(writer, inbound, began)
+	intake.meter.ended(how, time.Since(began))
+	if how == cut || how == left {
+		// Returning would look like an answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (intake *Intake) serve(writer http.ResponseWriter, inbound *http.Request, began time.Time) ending {
 	arrived := intake.now()
 	words := &intake.words
 	limits := intake.limits()
 	id := inbound.Header.Get(words.ID)
 	if headerBytes(inbound) > limits.HeaderBytes {
-		refuse(writer, words.ID, id, http.StatusRequestHeaderFieldsTooLarge, "oversize")
-		return
+		refuse(writer, words.ID, id, http.StatusRequestHeaderFieldsTooLarge, oversize)
+		return oversize
 	}
 	if inbound.ContentLength > int64(limits.BodyBytes) {
 		writer.Header()["Connection"] = []string{"close"}
-		refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, "oversize")
-		return
+		refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, oversize)
+		return oversize
 	}
 	body, failure := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
 	if failure != nil {
-		var oversize *http.MaxBytesError
+		var tooLarge *http.MaxBytesError
 		switch {
-		case errors.As(failure, &oversize) || failure == errOversize:
-			refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, "oversize")
+		case errors.As(failure, &tooLarge) || failure == errOversize:
+			refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, oversize)
+			return oversize
 		case inbound.Context().Err() != nil:
-			panic(http.ErrAbortHandler)
-		default:
-			writer.Header()["Connection"] = []string{"close"}
-			refuse(writer, words.ID, id, http.StatusBadRequest, "malformed")
+			return left
 		}
-		return
+		writer.Header()["Connection"] = []string{"close"}
+		refuse(writer, words.ID, id, http.StatusBadRequest, malformed)
+		return malformed
 	}
 	noteRead(inbound)
 	call := &window.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(words.Model),
@@ -130,12 +141,9 @@
 	if _, found := header["User-Agent"]; !found {
 		header["User-Agent"] = nil
 	}
-	served := &exchange{intake: intake, writer: writer, inbound: inbound, call: call, target: target, header: header, body: body}
-	intake.conduct.Serve(call, served)
-	if served.broken {
-		// Returning would look like an answer.
-		panic(http.ErrAbortHandler)
-	}
+	exchange := &exchange{intake: intake, writer: writer, inbound: inbound, began: began, call: call, target: target, header: header, body: body, ending: cut}
+	intake.conduct.Serve(call, exchange)
+	return exchange.ending
 }
 
 // headerBytes is about what a head took on the wire.
--- /dev/null
+++ b/internal/adapters/calls/meter.go
@@ -0,0 +1,76 @@
+package calls
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"seamloom.example/seamloom/internal/window"
+)
+
+// meter counts what becomes of calls. It costs nothing while nothing happens.
+type meter struct {
+	set        *metrics.Set
+	endings    map[ending]*metrics.Counter
+	dispatches map[window.DecisionKind]map[window.Result]*metrics.Counter
+	first      *metrics.PrometheusHistogram
+	whole      *metrics.PrometheusHistogram
+}
+
+// ending is how a call ended for its origin: one of these, or the cause of a refusal.
+type ending string
+
+const (
+	served    ending = "served"
+	through   ending = "through"
+	cut       ending = "cut"
+	left      ending = "left"
+	oversize  ending = "oversize"
+	malformed ending = "malformed"
+)
+
+// bounds are of the times in seconds that are told apart.
+var bounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8, 15}
+
+func newMeter(circuits *Circuits) *meter {
+	set := metrics.NewSet()
+	meter := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[window.DecisionKind]map[window.Result]*metrics.Counter{},
+		first: set.NewPrometheusHistogramExt("seamloom_call_first_seconds", bounds), whole: set.NewPrometheusHistogramExt("seamloom_call_seconds", bounds)}
+	for _, how := range []ending{served, through, cut, left, oversize, malformed, ending(window.NoRoute), ending(window.NotReady), ending(window.Full),
+		ending(window.Leaving), ending(window.Late), ending(window.Broken), ending(window.BrokenLate)} {
+		meter.endings[how] = set.NewCounter(`seamloom_calls_total{ending="` + string(how) + `"}`)
+	}
+	for _, kind := range []window.DecisionKind{window.Read, window.Run} {
+		meter.dispatches[kind] = map[window.Result]*metrics.Counter{}
+		for _, result := range []window.Result{window.Unreached, window.NotStarted, window.Misdirected, window.Silent, window.Spoilt, window.Answered, window.Cut, window.Complete, window.Gone} {
+			meter.dispatches[kind][result] = set.NewCounter(`seamloom_call_dispatches_total{kind="` + string(kind) + `",result="` + string(result) + `"}`)
+		}
+	}
+	set.NewGauge("seamloom_call_circuits_opened_total", func() float64 { return float64(circuits.Opened()) })
+	return meter
+}
+
+// ended notes the end of a call and how long it took.
+func (meter *meter) ended(how ending, took time.Duration) {
+	if counter, found := meter.endings[how]; found {
+		counter.Inc()
+	}
+	if how == served {
+		meter.whole.Update(took.Seconds())
+	}
+}
+
+// dispatched notes how a dispatch ended.
+func (meter *meter) dispatched(kind window.DecisionKind, result window.Result) {
+	if counter, found := meter.dispatches[kind][result]; found {
+		counter.Inc()
+	}
+}
+
+// WriteMetrics writes what was counted in the text format of Prometheus.
+//
+// Example:
+//
+//	intake.WriteMetrics(writer)
+func (intake *Intake) WriteMetrics(target io.Writer) { intake.meter.set.WritePrometheus(target) }
--- /dev/null
+++ b/internal/adapters/calls/meter_test.go
@@ -0,0 +1,43 @@
+package calls
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"seamloom.example/seamloom/internal/roster"
+)
+
+func TestWhatBecomesOfCallsIsCounted(t *testing.T) {
+	var number atomic.Int64
+	standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
+		switch number.Add(1) {
+		case 1:
+			circuit.say(whole(200, "id", "x"))
+		case 2:
+			circuit.say(whole(503, "id", "", "Seamloom-Not-Started: 1"))
+		case 3:
+			circuit.say(stream("id") + chunk(event(1)))
+			return false
+		case 4:
+			return false
+		}
+		return true
+	})
+	courier := newCourier(t, &scripted{decide: once(func() roster.Server { return standin.server })})
+	for range 4 {
+		_ = courier.send(t, "id", "")
+	}
+	var text bytes.Buffer
+	courier.intake.WriteMetrics(&text)
+	for _, line := range []string{`seamloom_calls_total{ending="served"} 1`, `seamloom_calls_total{ending="through"} 1`, `seamloom_calls_total{ending="cut"} 1`, `seamloom_calls_total{ending="broken"} 1`,
+		`seamloom_call_dispatches_total{kind="run",result="complete"} 1`, `seamloom_call_dispatches_total{kind="run",result="not_started"} 1`,
+		`seamloom_call_dispatches_total{kind="run",result="cut"} 1`, `seamloom_call_dispatches_total{kind="run",result="silent"} 1`,
+		"seamloom_call_seconds_count 1", "seamloom_call_first_seconds_count 2", "seamloom_call_circuits_opened_total 2"} {
+		if !strings.Contains(text.String(), line+"\n") {
+			t.Errorf("%s is missing in\n%s", line, text.String())
+		}
+	}
+}
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -26,7 +26,7 @@
 	listener net.Listener
 	server   roster.Server
 	// act answers one call on a circuit; false closes the circuit.
-	act func(circuit *served, inbound *http.Request) bool
+	act func(circuit *callerCircuit, inbound *http.Request) bool
 
 	mutex    sync.Mutex
 	calls    []*http.Request
@@ -35,21 +35,21 @@
 	open     []net.Conn
 }
 
-type served struct {
+type callerCircuit struct {
 	net.Conn
 	reader *bufio.Reader
 	number int
 }
 
-func (circuit *served) say(text string) { _, _ = io.WriteString(circuit, text) }
+func (circuit *callerCircuit) say(text string) { _, _ = io.WriteString(circuit, text) }
 
 // reset closes the circuit so that what is on its way is lost.
-func (circuit *served) reset() {
+func (circuit *callerCircuit) reset() {
 	_ = circuit.Conn.(*net.TCPConn).SetLinger(0)
 	_ = circuit.Close()
 }
 
-func newStandin(t *testing.T, act func(circuit *served, inbound *http.Request) bool) *standin {
+func newStandin(t *testing.T, act func(circuit *callerCircuit, inbound *http.Request) bool) *standin {
 	t.Helper()
 	listener, failure := net.Listen("tcp", "127.0.0.1:0")
 	if failure != nil {
@@ -65,7 +65,7 @@
 			}
 			standin.mutex.Lock()
 			standin.circuits++
-			circuit := &served{Conn: connection, reader: bufio.NewReader(connection), number: standin.circuits}
+			circuit := &callerCircuit{Conn: connection, reader: bufio.NewReader(connection), number: standin.circuits}
 			standin.open = append(standin.open, connection)
 			standin.mutex.Unlock()
 			workers.Go(func() { standin.serve(circuit) })
@@ -83,7 +83,7 @@
 	return standin
 }
 
-func (standin *standin) serve(circuit *served) {
+func (standin *standin) serve(circuit *callerCircuit) {
 	defer func() { _ = circuit.Close() }()
 	for {
 		inbound, failure := http.ReadRequest(circuit.reader)
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -120,4 +120,7 @@
 	for _, name := range names {
 		_, _ = io.WriteString(writer, "seamloom_"+name+" "+strconv.FormatInt(counts[name], 10)+"\n")
 	}
+	if process.calls.intake != nil {
+		process.calls.intake.WriteMetrics(writer)
+	}
 }
