--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -1,7 +1,9 @@
 package calls
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -167,3 +169,50 @@
 		t.Fatalf("%d circuits", standin.opened())
 	}
 }
+
+// TestAServerThatAnswersEarlyGetsNoOtherBytes: one that says no before it has read a
+// long body, and reads on later, reads the rest of that body or nothing.
+func TestAServerThatAnswersEarlyGetsNoOtherBytes(t *testing.T) {
+	listener, failure := net.Listen("tcp", "127.0.0.1:0")
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	defer func() { _ = listener.Close() }()
+	rests := make(chan string, 2)
+	go func() {
+		for {
+			connection, failure := listener.Accept()
+			if failure != nil {
+				return
+			}
+			go func() {
+				reader := bufio.NewReader(connection)
+				inbound, failure := http.ReadRequest(reader)
+				if failure != nil {
+					return
+				}
+				_, _ = io.WriteString(connection, whole(503, inbound.Header.Get("Seamloom-Call"), "", "Seamloom-Not-Started: 1"))
+				if inbound.ContentLength < 1000 {
+					_ = connection.Close()
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+				rest, _ := io.ReadAll(reader)
+				rests <- string(rest)
+				_ = connection.Close()
+			}()
+		}
+	}()
+	server := roster.Server{Name: "life-1", Address: listener.Addr().String()}
+	scripted := &scripted{decide: once(func() roster.Server { return server })}
+	courier := newCourier(t, scripted)
+	if got := courier.send(t, "long", strings.Repeat("x", 8<<20)); got.status != 503 || scripted.last().Result != window.NotStarted {
+		t.Fatalf("%+v", got)
+	}
+	if got := courier.send(t, "short", "y"); got.status != 503 {
+		t.Fatalf("%+v", got)
+	}
+	if rest := <-rests; strings.Trim(rest, "x") != "" {
+		t.Fatalf("other bytes: %q", strings.Trim(rest, "x"))
+	}
+}
