--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -183,51 +184,70 @@
 	owner := tomb.Tomb{}
 	owner.Go(func() error { _ = server.Serve(listener); return nil })
 	defer func() { cancel(); _ = server.Close(); owner.Kill(nil); _ = owner.Wait() }()
-	complete := 0
-	for number := range count {
-		route := map[bool]string{true: "once", false: "again"}[number%2 == 0]
-		id := fmt.Sprintf("%s-%d-%d", route, seed, number)
-		outbound, _ := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/"+route+"/x", strings.NewReader("body of "+id))
-		outbound.Host = "calls.example"
-		for name, value := range map[string]string{"Seamloom-Call": id, "Seamloom-Limit-Milliseconds": "2000", "Seamloom-Model": "m", "Seamloom-Tokens": "9000,6",
-			"Seamloom-Parts": "1:5000,2:3000,3:1000"} {
-			outbound.Header.Set(name, value)
-		}
-		got := send(outbound)
-		runs := ledger.runs(id)
-		text := string(got.body)
-		switch {
-		case route == "once" && runs > 1:
-			t.Fatalf("%s ran %d times", id, runs)
-		case got.failure == nil && got.status == 200:
-			complete++
-			var expected string
-			for piece := 1; piece <= pieces; piece++ {
-				expected += "id: " + strconv.Itoa(piece) + "\ndata: " + id + " piece " + strconv.Itoa(piece) + "\n\n"
-			}
-			if text != expected || got.header.Get("X-Seal") != "seal-"+id {
-				t.Fatalf("%s got %q, %v", id, text, got.header)
-			}
-		case got.failure == nil && promises(got.status):
-			if runs > 0 {
-				t.Fatalf("%s was promised not to have run and ran %d times: %+v", id, runs, got)
+	var complete, taken atomic.Int64
+	var origins sync.WaitGroup
+	for range 4 {
+		origins.Go(func() {
+			for {
+				number := int(taken.Add(1)) - 1
+				if number >= count {
+					return
+				}
+				route := map[bool]string{true: "once", false: "again"}[number%2 == 0]
+				id := fmt.Sprintf("%s-%d-%d", route, seed, number)
+				if tryCall(t, listener.Addr().String(), route, id, ledger) {
+					complete.Add(1)
+				}
 			}
-		case got.failure == nil && strings.Contains(got.header.Get("X-Seal"), "seal-") && got.header.Get("X-Seal") != "seal-"+id:
-			t.Fatalf("%s got another's answer: %+v", id, got)
-		}
-		if text != "" && got.status == 200 && !strings.Contains(text, id) {
-			t.Fatalf("%s got %q", id, text)
-		}
+		})
 	}
+	origins.Wait()
 	if len(ledger.wrong) > 0 {
 		t.Fatal(ledger.wrong)
 	}
-	if complete < count/3 {
-		t.Fatalf("only %d of %d calls were complete", complete, count)
+	if complete.Load() < int64(count/3) {
+		t.Fatalf("only %d of %d calls were complete", complete.Load(), count)
 	}
 	until(t, "no call is left", func() bool { return deciding.InFlight() == 0 })
 }
 
+// tryCall sends one call and holds what its origin got against what ran; it tells
+// whether the answer was complete.
+func tryCall(t *testing.T, address, route, id string, ledger *ledger) bool {
+	outbound, _ := http.NewRequest(http.MethodPost, "http://"+address+"/"+route+"/x", strings.NewReader("body of "+id))
+	outbound.Host = "calls.example"
+	for name, value := range map[string]string{"Seamloom-Call": id, "Seamloom-Limit-Milliseconds": "2000", "Seamloom-Model": "m", "Seamloom-Tokens": "9000,6",
+		"Seamloom-Parts": "1:5000,2:3000,3:1000"} {
+		outbound.Header.Set(name, value)
+	}
+	got := send(outbound)
+	runs := ledger.runs(id)
+	text := string(got.body)
+	switch {
+	case route == "once" && runs > 1:
+		t.Errorf("%s ran %d times", id, runs)
+	case got.failure == nil && got.status == 200:
+		var expected string
+		for piece := 1; piece <= pieces; piece++ {
+			expected += "id: " + strconv.Itoa(piece) + "\ndata: " + id + " piece " + strconv.Itoa(piece) + "\n\n"
+		}
+		if text != expected || got.header.Get("X-Seal") != "seal-"+id {
+			t.Errorf("%s got %q, %v", id, text, got.header)
+		}
+		return true
+	case got.failure == nil && promises(got.status):
+		if runs > 0 {
+			t.Errorf("%s was promised not to have run and ran %d times: %+v", id, runs, got)
+		}
+	case got.failure == nil && strings.Contains(got.header.Get("X-Seal"), "seal-") && got.header.Get("X-Seal") != "seal-"+id:
+		t.Errorf("%s got another's answer: %+v", id, got)
+	}
+	if text != "" && got.status == 200 && !strings.Contains(text, id) {
+		t.Errorf("%s got %q", id, text)
+	}
+	return false
+}
+
 // twoRoutes is a configuration with a route of calls that may run once and one of
 // streams that may go on elsewhere.
 func twoRoutes() *menu.Configuration {
