--- a/internal/window/arrive.go
+++ b/internal/window/arrive.go
@@ -62,7 +62,7 @@
 // The measures of refusals. The values are ours.
 const (
 	soon    = 100 * time.Millisecond
-	unready = 250 * time.Millisecond
+	unready = 1200 * time.Millisecond
 	// freeEnough is the part of the places that must be taken before a call is
 	// refused because it would be late.
 	freeEnough     = 0.5
