--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -185,6 +185,9 @@
 	exchange, response := sent.exchange, sent.response
 	words := &exchange.intake.words
 	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if response.StatusCode < 200 || response.StatusCode > 599 {
+		return sent.fail(window.Spoilt)
+	}
 	if id, found := response.Header[words.ID]; found && (len(id) != 1 || id[0] != exchange.call.ID) || !found && success && exchange.call.ID != "" {
 		return sent.fail(window.Spoilt)
 	}
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -85,6 +85,8 @@
 		"nobody's success":     {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", window.Spoilt, 503},
 		"another's failure":    {whole(503, "id-0", "?", "Seamloom-Not-Started: 1"), window.Spoilt, 503},
 		"garbage":              {"\x00\x01 garbage\r\n\r\n", window.Spoilt, 503},
+		"no such status":       {"HTTP/1.1 099 What\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx", window.Spoilt, 503},
+		"another protocol":     {"HTTP/1.1 101 Switching Protocols\r\nSeamloom-Call: id\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nx", window.Spoilt, 503},
 		"nothing":              {"", window.Silent, 503},
 		"a body that breaks":   {"HTTP/1.1 200 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
 		"a failing one breaks": {"HTTP/1.1 500 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -70,7 +70,10 @@
 		if address == "" {
 			continue
 		}
-		listener, failure := net.Listen("tcp", address)
+		// Origins that are gone are noticed by the bounds of calls and of rest; probes
+		// would only cost.
+		listening := net.ListenConfig{KeepAlive: -1}
+		listener, failure := listening.Listen(context.Background(), "tcp", address)
 		if failure != nil {
 			gate.Close()
 			return nil, trouble.Wrap(trouble.Unreachable, failure)
