News cost less: reports at half the pace in calm times, charters only when newer

Cause: on the platform bytes between zones and reports are priced.

Change: while no server has work for more than a sixth of its slots, nothing waits and no part changes, reports are read each 0.6 s; a question of one that follows them is held for 0.8 s, so that a round costs one answer. Who leads tells a charter only to those that have an older one. A courier that reads the list itself pauses longer in a larger fleet.

Ruled out: no reports in calm times (a server that slows down says so there first).

--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -153,6 +153,9 @@
 			return elsewhere()
 		}
 		if latest.VersionOf(larder.MenuDrawer) == answer.Menu {
+			if answer.Charter.Epoch <= question.Charter {
+				answer.Charter = larder.Charter{}
+			}
 			expediter.count(answer)
 			return answer, nil
 		}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -28,8 +28,10 @@
 	board   Board
 	// stirred rings when there is more to do than before, crumbs when records are to
 	// go to a neighbour.
-	stirred     rota.Bell
-	resting     atomic.Int64
+	stirred rota.Bell
+	resting atomic.Int64
+	// couriers is how many share the servers.
+	couriers    atomic.Int64
 	crumbs      rota.Bell
 	followed    *Follower
 	journal     *Journal
@@ -274,6 +276,7 @@
 // takeLists takes what the news says of servers and of those who share them.
 func (courier *Courier) takeLists(news News) {
 	if count := news.Answer.Couriers; count > 0 {
+		courier.couriers.Store(int64(count))
 		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(count)})
 	}
 	if news.Servers != nil {
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -174,7 +174,7 @@
 			now := expediter.turns.Now()
 			if wait > 0 {
 				// A question that is held back counts from when it came.
-				everywhere = now.Sub(committed) >= wait || len(current.behind(now, version, max(wait, newsWait+roundTrip))) == 0
+				everywhere = now.Sub(committed) >= wait || len(current.behind(now, version, max(wait, loadsWait+roundTrip))) == 0
 			} else {
 				everywhere = len(current.Lagging(now, version, state)) == 0
 			}
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -59,6 +59,9 @@
 const (
 	// newsWait is how long the primary holds a question back without news.
 	newsWait = 600 * time.Millisecond
+	// loadsWait is that of a node that follows reports: a little longer than reports
+	// come in calm times, so that each round needs one answer only.
+	loadsWait = newsWait + 200*time.Millisecond
 	// newsPatience is how long one question may take altogether.
 	newsPatience = 1200 * time.Millisecond
 	// searchPatience is how long each address may take while the primary is
@@ -187,12 +190,15 @@
 	for name, drawer := range follower.drawers {
 		have[name] = drawer.Version
 	}
-	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true,
+	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true, Charter: follower.charter.Epoch,
 		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
 	if follower.primary == "" {
 		return question, searchPatience
 	}
 	question.Patience = newsWait
+	if follower.loads {
+		question.Patience = loadsWait
+	}
 	return question, newsPatience
 }
 
--- a/internal/hatch/listreading.go
+++ b/internal/hatch/listreading.go
@@ -17,9 +17,11 @@
 	listPatience      = 1500 * time.Millisecond
 	firstListPatience = 300 * time.Millisecond
 	// ownListPause lies between two reads of its own, and up to ownListSpread more,
-	// so that the fleet does not read all at once.
+	// so that the fleet does not read all at once; ownListShare is added for each
+	// courier, so that a large one reads no more than fifty times a second.
 	ownListPause  = time.Second
 	ownListSpread = 500 * time.Millisecond
+	ownListShare  = 20 * time.Millisecond
 	// pressurePause lies between two reads of a server's load by a courier itself.
 	pressurePause    = 150 * time.Millisecond
 	pressurePatience = 700 * time.Millisecond
@@ -70,7 +72,7 @@
 		}
 		courier.observe("list_read_itself", "servers", len(servers), "trouble", failure)
 		reads++
-		rota.Pause(courier.turns, ownListPause+courier.spread(reads))
+		rota.Pause(courier.turns, ownListPause+time.Duration(courier.couriers.Load())*ownListShare+courier.spread(reads))
 	}
 }
 
--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -38,6 +38,13 @@
 const (
 	listPause   = 500 * time.Millisecond
 	reportPause = 333 * time.Millisecond
+	// calmReportPause lies between two rounds while no server has much to do: then
+	// reports wake nobody whose question would not be answered by then anyway.
+	calmReportPause = newsWait
+	// calmShare is the part of its slots up to which a server has little to do, and
+	// calmRunning that of one which does not tell its slots.
+	calmShare   = 6
+	calmRunning = 8
 	// reportPatience is how long a server may take to report. A round waits no
 	// longer than roundPatience: a late report goes out with the next.
 	reportPatience = 700 * time.Millisecond
@@ -181,6 +188,23 @@
 	}
 }
 
+// calm tells whether all servers reported lately that they have little to do.
+func (lists *lists) calm(now time.Time) bool {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	for _, server := range lists.listing.Servers(now) {
+		reported, found := lists.reports[server.Name]
+		most := calmRunning
+		if server.Slots > 0 {
+			most = server.Slots / calmShare
+		}
+		if found && (reported.load.Waiting > 0 || reported.load.Running > most || reported.load.Changing) {
+			return false
+		}
+	}
+	return true
+}
+
 // readServers reads the platform's list for the fleet for as long as this expediter
 // leads, and at once when it begins to.
 func (expediter *Expediter) readServers() {
@@ -231,7 +255,11 @@
 			expediter.lists.round(expediter.turns.Now())
 			expediter.news.Ring()
 		}
-		if left := reportPause - expediter.turns.Now().Sub(began); left > 0 {
+		pause := reportPause
+		if expediter.lists.calm(expediter.turns.Now()) {
+			pause = calmReportPause
+		}
+		if left := pause - expediter.turns.Now().Sub(began); left > 0 {
 			rota.Pause(expediter.turns, left)
 		}
 	}
--- a/internal/hatch/lists_test.go
+++ b/internal/hatch/lists_test.go
@@ -154,3 +154,26 @@
 		test.Error("the list is not told anew")
 	}
 }
+
+// TestReportsAreReadSeldomWhileServersHaveLittleToDo wants work, waiting or a change of
+// part at one server to be enough for the usual pace.
+func TestReportsAreReadSeldomWhileServersHaveLittleToDo(test *testing.T) {
+	for name, one := range map[string]struct {
+		load window.Load
+		calm bool
+	}{
+		"nothing to do":    {window.Load{Server: "a"}, true},
+		"a little":         {window.Load{Server: "a", Running: 10}, true},
+		"more than a part": {window.Load{Server: "a", Running: 11}, false},
+		"a call waits":     {window.Load{Server: "a", Waiting: 1}, false},
+		"a change of part": {window.Load{Server: "a", Changing: true}, false},
+	} {
+		var known lists
+		known.begin(1)
+		known.take(atNoon(0), []roster.Server{{Name: "a", Slots: 64}, {Name: "b"}})
+		known.note(1, "a", atNoon(0), one.load, nil)
+		if calm := known.calm(atNoon(0)); calm != one.calm {
+			test.Errorf("%s: calm %v", name, calm)
+		}
+	}
+}
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -18,6 +18,9 @@
 	Patience time.Duration             `msgpack:"patience"`
 	// Deltas tells that the node takes what changed instead of the whole.
 	Deltas bool `msgpack:"deltas,omitempty"`
+	// Charter is the epoch of the newest charter that the node has heard of: who leads
+	// tells it only a newer one.
+	Charter uint64 `msgpack:"charter,omitempty"`
 	// Lists tells that the node follows the list of servers, and Loads that it
 	// follows their reports; the marks are of those that it has.
 	Lists     bool   `msgpack:"lists,omitempty"`
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -87,6 +87,7 @@
 
 // Report reads a server's load for all couriers.
 func (lists lists) Report(server roster.Server, patience time.Duration) (window.Load, error) {
+	lists.world.reportReads++
 	load, failure := lists.ask(server, patience)
 	return window.Load{Server: load.Server, Part: string(load.Part), Waiting: load.PrefillWaiting, Running: load.DecodeActive,
 		MemoryUsed: load.MemoryTotal - load.MemoryFree, MemoryTotal: load.MemoryTotal}, failure
--- a/internal/rehearsal/world/ways.go
+++ b/internal/rehearsal/world/ways.go
@@ -1,6 +1,10 @@
 package world
 
-import "time"
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/roster"
+)
 
 // Ways are the settings of a fleet on a platform that asks for others than the
 // product's own.
@@ -13,15 +17,26 @@
 	JoinOnly, FormOnce bool
 	// NoNodes: the platform lists servers only.
 	NoNodes bool
+	// Calls has couriers follow the servers' reports, as those that serve calls do.
+	Calls bool
 }
 
+// deaf is a board on which nothing is done: no calls come in these days.
+type deaf struct{}
+
+// SetServing is not minded.
+func (deaf) SetServing(time.Time) {}
+
+// SetServers is not minded.
+func (deaf) SetServers(time.Time, []roster.Server) {}
+
 // PlatformWays are those of the users' platform.
 //
 // Example:
 //
 //	fleet.SetWays(world.PlatformWays())
 func PlatformWays() Ways {
-	return Ways{AcknowledgeWait: 600 * time.Millisecond, ServeWithoutHold: 24 * time.Hour, RetireAfter: 20 * time.Second, FormOnce: true, NoNodes: true}
+	return Ways{AcknowledgeWait: 600 * time.Millisecond, ServeWithoutHold: 24 * time.Hour, RetireAfter: 20 * time.Second, FormOnce: true, NoNodes: true, Calls: true}
 }
 
 // SetWays chooses them, before the fleet starts.
--- a/internal/rehearsal/world/ways_test.go
+++ b/internal/rehearsal/world/ways_test.go
@@ -236,6 +236,21 @@
 	}
 }
 
+// TestReportsAreReadOnceForTheFleet counts what servers are asked in a calm fleet: by
+// the primary alone, and only while a courier follows reports.
+func TestReportsAreReadOnceForTheFleet(test *testing.T) {
+	for name, ways := range map[string]Ways{"calls": PlatformWays(), "no calls": {}} {
+		fleet := begun(test, 8, ways)
+		before := fleet.reportReads
+		fleet.run(fleet.now + 10*time.Second)
+		each := float64(fleet.reportReads-before) / 10 / float64(len(fleet.plans))
+		test.Logf("%s: %.2f reports a second from each server", name, each)
+		if ways.Calls && (each < 1.4 || each > 3.2) || !ways.Calls && each > 0 {
+			test.Errorf("%s: %.2f reports a second from each server", name, each)
+		}
+	}
+}
+
 // TestChangesAndNewsAfterThePrimary is lost in each way: how long until a change is
 // acknowledged, and until every courier in touch has news again.
 func TestChangesAndNewsAfterThePrimary(test *testing.T) {
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -18,6 +18,7 @@
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/rehearsal"
 	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
 
 	"seamloom.example/seamloom"
 )
@@ -54,10 +55,12 @@
 	// ways are the settings that a platform asks for.
 	ways Ways
 	// listReads are the moments at which couriers read the list themselves.
-	listReads  []time.Duration
-	claiming   map[string]int
-	evacuating map[string]bool
-	trace      hash.Hash
+	listReads []time.Duration
+	// reportReads counts the reports that expediters asked servers for.
+	reportReads int
+	claiming    map[string]int
+	evacuating  map[string]bool
+	trace       hash.Hash
 	// layout is set when the fleet has several regions.
 	layout *Layout
 	// traffic are the messages between nodes, by path, and those of each node.
@@ -237,6 +240,9 @@
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: machine.name, District: machine.district, Supported: supported, FixedParts: world.fixedParts}, Address: machine.address,
 		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}}
 	options.ServeWithoutHold = world.ways.ServeWithoutHold
+	if world.ways.Calls {
+		options.Board = func(*window.Window) hatch.Board { return deaf{} }
+	}
 	if world.layout == nil {
 		options.Pressures = lists{world, begun}
 	}
