Records of servers that are gone end; serving without a hold under test

Cause: each life of a server has a name of its own on the platform, and its duty and order stayed in the larder for ever.

Change: a server that was not on the list for a minute has its duty renewed no more; ten seconds later, when nobody can hold it, duty and order go.

--- a/internal/hatch/courier_test.go
+++ b/internal/hatch/courier_test.go
@@ -9,10 +9,14 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/window"
 )
 
 // hookless are turns that only tell the time.
@@ -78,3 +82,42 @@
 		test.Errorf("a refused inquiry is not said to never run: %+v", line)
 	}
 }
+
+// noted is a board that keeps what it was told.
+type noted struct {
+	until   time.Time
+	servers []roster.Server
+}
+
+func (noted *noted) SetServing(until time.Time)                      { noted.until = until }
+func (noted *noted) SetServers(_ time.Time, servers []roster.Server) { noted.servers = servers }
+
+// TestBoardIsToldUntilWhenItMayServe brings news with and without a hold, and settings.
+func TestBoardIsToldUntilWhenItMayServe(test *testing.T) {
+	board := &noted{until: atNoon(time.Hour)}
+	turns := &movingTurns{Turns: threads.New(context.Background(), wallclock.New()), now: atNoon(0)}
+	options := CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return "one" },
+		Ended: func(*pass.Inquiry, pass.Decision) {}, Board: func(*window.Window) Board { return board }, ServeWithoutHold: time.Minute}
+	courier := NewCourier(turns, nil, nil, nil, options, func(string, ...any) {})
+	if !board.until.IsZero() {
+		test.Errorf("before any hold it serves until %s", board.until)
+	}
+	version := larder.Version{Epoch: 1, Number: 4}
+	drawers := map[string]larder.Drawer{larder.MenuDrawer: {Version: version, Content: menu.Empty().Text}}
+	courier.takeNews(News{Asked: atNoon(0), Answer: NewsAnswer{Leads: true, Menu: version}, Changed: drawers})
+	if !board.until.IsZero() || courier.InForce() != version {
+		test.Errorf("a configuration without a hold: serves until %s with %s", board.until, courier.InForce())
+	}
+	courier.takeNews(News{Asked: atNoon(time.Second), Answer: NewsAnswer{Leads: true, Menu: version, Hold: 4 * time.Second, Couriers: 9},
+		Servers: &Listed{At: atNoon(0), Servers: []roster.Server{{Name: "a"}}}})
+	if !board.until.Equal(atNoon(65*time.Second)) || len(board.servers) != 1 || courier.couriers.Load() != 9 {
+		test.Errorf("serves until %s, servers %v", board.until, board.servers)
+	}
+	courier.SetServeWithoutHold(0)
+	if !board.until.Equal(atNoon(5 * time.Second)) {
+		test.Errorf("after a reload it serves until %s", board.until)
+	}
+	if courier.core.Dutiful() {
+		test.Error("it has duties that nobody gave")
+	}
+}
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -67,6 +67,27 @@
 	}
 	expediter.grantDuties(now, current, state)
 	expediter.retireSilent(now, current, state)
+	expediter.forgetServers(now, current, state)
+}
+
+// listYoung is how old the list may be by which servers are held to be gone.
+const listYoung = 5 * time.Second
+
+// forgetServers takes the records of servers away that are gone for good.
+func (expediter *Expediter) forgetServers(now time.Time, current *Reign, state *larder.State) {
+	if age, read := expediter.lists.age(now); !read || age > listYoung {
+		return
+	}
+	listed := expediter.lists.servers(now)
+	expediter.mutex.Lock()
+	gone := current.gone(now, state, listed)
+	expediter.mutex.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	expediter.queue(larder.ForgetServers(gone, state.Rota.Duties), func(version larder.Version, failure error) {
+		expediter.observe("servers_forgotten", "servers", gone, "version", version.String(), "trouble", failure)
+	})
 }
 
 // retireSilent takes members out of the record that have been silent for the chosen
--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -111,6 +111,14 @@
 	return lists.listing.Servers(now)
 }
 
+// age is how old the list is, if it was ever read.
+func (lists *lists) age(now time.Time) (time.Duration, bool) {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	at := lists.listing.At()
+	return now.Sub(at), !at.IsZero()
+}
+
 // newer tells whether there is a list or a round of reports that the asker has not.
 func (lists *lists) newer(question NewsQuestion) bool {
 	lists.mutex.Lock()
--- a/internal/hatch/reign.go
+++ b/internal/hatch/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"seamloom.example/seamloom/internal/larder"
@@ -19,12 +20,14 @@
 	settledFrom time.Time
 	horizonAt   time.Time
 	asked       map[string]time.Time
-	state       *larder.State
-	stateAt     larder.Version
+	// unlisted is since when a recorded server is not on the platform's list.
+	unlisted map[string]time.Time
+	state    *larder.State
+	stateAt  larder.Version
 }
 
 func newReign(now time.Time) *Reign {
-	return &Reign{Since: now, Holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), asked: map[string]time.Time{}, settledFrom: now}
+	return &Reign{Since: now, Holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), asked: map[string]time.Time{}, unlisted: map[string]time.Time{}, settledFrom: now}
 }
 
 // candidates are the live couriers that lack no enabled flag, with how long
@@ -57,6 +60,53 @@
 	return silent
 }
 
+// A server that has not been on the list for goneTime is gone for good. Its duty is
+// renewed no more then, and its records go when nobody can hold it any more. The
+// values are ours.
+const (
+	goneTime   = time.Minute
+	forgetTime = goneTime + 10*time.Second
+)
+
+// gone lists the recorded servers that were not listed for so long that their records
+// may go, and lets go of the duties of those that were not listed for a while. The
+// caller has the expediter's mutex.
+func (reign *Reign) gone(now time.Time, state *larder.State, listed []roster.Server) []string {
+	recorded := map[string]bool{}
+	for key := range state.Rota.Duties {
+		if name, found := strings.CutPrefix(key, rota.ServerKey("")); found {
+			recorded[name] = true
+		}
+	}
+	for name := range state.Orders.Records {
+		recorded[name] = true
+	}
+	for _, server := range listed {
+		delete(recorded, server.Name)
+	}
+	for name := range reign.unlisted {
+		if !recorded[name] {
+			delete(reign.unlisted, name)
+		}
+	}
+	var gone []string
+	for name := range recorded {
+		since, found := reign.unlisted[name]
+		if !found {
+			reign.unlisted[name] = now
+			continue
+		}
+		if duty, found := state.Rota.Duties[rota.ServerKey(name)]; found && now.Sub(since) >= goneTime {
+			reign.keys.Release(now, duty)
+		}
+		if now.Sub(since) >= forgetTime {
+			gone = append(gone, name)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
 // countedTime is how long a courier that is not heard from any more counts among
 // those that share the servers; for as long a new primary counts all that are
 // recorded. The value is ours.
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -160,6 +160,33 @@
 	}
 }
 
+// ForgetServers takes the duties and orders of servers out of the record that are gone
+// for good. A duty that has changed hands since it was looked at stays.
+//
+// Example:
+//
+//	store.Submit(larder.ForgetServers([]string{"stove-9"}, recorded), done)
+func ForgetServers(names []string, seen map[string]rota.Duty) Change {
+	return func(state *State, _, _ Version) error {
+		for _, name := range names {
+			key := rota.ServerKey(name)
+			duty, found := state.Rota.Duties[key]
+			if found && duty != seen[key] {
+				continue
+			}
+			if found {
+				delete(state.Rota.Duties, key)
+				state.Touch(RotaDrawer)
+			}
+			if _, found := state.Orders.Records[name]; found {
+				delete(state.Orders.Records, name)
+				state.Touch(OrdersDrawer)
+			}
+		}
+		return nil
+	}
+}
+
 // GiveOrders records orders from the holder of the parts duty. Orders under an
 // older fence are refused.
 //
--- a/internal/larder/store_test.go
+++ b/internal/larder/store_test.go
@@ -223,3 +223,21 @@
 		test.Errorf("a deposed primary's write: %v", failure)
 	}
 }
+
+// TestServersAreForgotten takes the records of two servers out, of which one has got
+// another holder meanwhile.
+func TestServersAreForgotten(test *testing.T) {
+	first, second := rota.ServerKey("a"), rota.ServerKey("b")
+	state := &State{Rota: Duties{Duties: map[string]rota.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 2}}, Fence: 2},
+		Orders: Orders{Records: map[string]recipe.Record{"a": {}, "b": {}, "c": {}}}, dirty: map[string]bool{}}
+	seen := map[string]rota.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 1}}
+	if failure := ForgetServers([]string{"a", "b", "c", "d"}, seen)(state, Version{}, Version{}); failure != nil {
+		test.Fatal(failure)
+	}
+	if _, found := state.Rota.Duties[first]; found || state.Rota.Duties[second].Fence != 2 || state.Rota.Fence != 2 {
+		test.Errorf("duties: %+v", state.Rota)
+	}
+	if _, found := state.Orders.Records["b"]; !found || len(state.Orders.Records) != 1 || !state.dirty[RotaDrawer] || !state.dirty[OrdersDrawer] {
+		test.Errorf("orders: %+v, changed %v", state.Orders, state.dirty)
+	}
+}
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -369,3 +369,35 @@
 		test.Errorf("%d tries were saved", saved)
 	}
 }
+
+// TestDeskGoesOnWithoutAHoldAsLongAsItWasTold lets the hold end, and the time without
+// one; a desk that never had a hold lets nothing in.
+func TestDeskGoesOnWithoutAHoldAsLongAsItWasTold(test *testing.T) {
+	arrives := func(desk *Desk, at time.Duration) trouble.Kind {
+		reportLoads(desk, noon.Add(at))
+		if final := find(arrive(desk, noon.Add(at), fmt.Sprint("at ", at, time.Now().UnixNano()), true), Finish); final != nil {
+			return final.Cause
+		}
+		return ""
+	}
+	desk := newTestDesk(test)
+	if cause := arrives(desk, 5*time.Second); cause != trouble.NoHold {
+		test.Errorf("without being told: %q", cause)
+	}
+	desk.SetServeWithoutHold(time.Minute)
+	if cause := arrives(desk, 5*time.Second); cause != "" {
+		test.Errorf("within its time without a hold: %q", cause)
+	}
+	if cause := arrives(desk, 65*time.Second); cause != trouble.NoHold {
+		test.Errorf("after its time without a hold: %q", cause)
+	}
+	if !desk.HoldEnds().Equal(noon.Add(4 * time.Second)) {
+		test.Errorf("the hold ends %s", desk.HoldEnds())
+	}
+	blank := NewDesk(NewMarket("courier-1", "north", false), "north", 100)
+	blank.SetServeWithoutHold(time.Hour)
+	configure(test, blank, 1, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
+	if cause := arrives(blank, 0); cause != trouble.NoHold {
+		test.Errorf("a life without any hold: %q", cause)
+	}
+}
