--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/klauspost/compress/s2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"seamloom.example/seamloom/internal/adapters/threads"
@@ -32,6 +33,8 @@
 	members []roster.Member
 	// have are the versions that a courier in touch has.
 	have map[string]larder.Version
+	// charter is the epoch of the charter that a courier in touch knows.
+	charter uint64
 }
 
 const formPatience = 30 * time.Second
@@ -209,11 +212,11 @@
 // settle has every courier ask until there is nothing new for it.
 func (core *core) settle() error {
 	for range 100 {
-		news, answer, failure := core.ask(0, nil)
+		_, answer, failure := core.ask(0, nil)
 		if failure != nil {
 			return failure
 		}
-		_ = news
+		core.charter = max(core.charter, answer.Charter.Epoch)
 		core.have = map[string]larder.Version{}
 		for name, drawer := range answer.Drawers {
 			core.have[name] = drawer.Version
@@ -235,7 +238,7 @@
 
 // question is what a courier that has those versions asks.
 func (core *core) question(position int, have map[string]larder.Version) []byte {
-	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[larder.MenuDrawer], Deltas: true}
+	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[larder.MenuDrawer], Deltas: true, Charter: core.charter}
 	body, failure := msgpack.Marshal(question)
 	if failure != nil {
 		panic("capacity: " + failure.Error())
@@ -258,6 +261,19 @@
 	return len(encoded), answer, nil
 }
 
+// packed is how long what a courier with those versions is told is on the wire.
+func (core *core) packed(have map[string]larder.Version) (float64, error) {
+	encoded, failure := core.primary().Answers().Answer(hatch.NewsPath, core.question(0, have))
+	return float64(len(s2.Encode(nil, encoded))), failure
+}
+
+// notePacked notes that.
+func (core *core) notePacked(note Note, measure string, have map[string]larder.Version) error {
+	size, failure := core.packed(have)
+	note(measure+", packed", "B", size)
+	return failure
+}
+
 // withCore runs a measurement on a hollow core that is filled to the sizes.
 func withCore(sizes Sized, act func(core *core) error) error {
 	formed, failure := newCore(sizes[Seats])
--- a/internal/rehearsal/capacity/news.go
+++ b/internal/rehearsal/capacity/news.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"seamloom.example/seamloom"
@@ -30,7 +31,7 @@
 // told asks the primary what a courier with the marks is told, and how long both ways
 // are.
 func told(core *core, question hatch.NewsQuestion) (body []byte, answer hatch.NewsAnswer, size int, failure error) {
-	question.Member, question.Have, question.InForce, question.Deltas = core.members[0], core.have, core.have[larder.MenuDrawer], true
+	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[larder.MenuDrawer], true, core.charter
 	if body, failure = msgpack.Marshal(question); failure != nil {
 		return nil, answer, 0, trouble.Wrap(trouble.Garbage, failure)
 	}
@@ -41,9 +42,14 @@
 	return body, answer, len(body) + len(encoded), failure
 }
 
-// telling measures answering a question.
+// telling measures answering a question, and how long the answer is packed.
 func telling(core *core, note Note, of string, body []byte) error {
 	answers := core.primary().Answers()
+	encoded, failure := answers.Answer(hatch.NewsPath, body)
+	if failure != nil {
+		return failure
+	}
+	note("bytes "+of+", packed", "B", float64(len(s2.Encode(nil, encoded))))
 	var broken error
 	noteCost(note, of, Meter{}.Measure(func(int) {
 		if _, failure := answers.Answer(hatch.NewsPath, body); failure != nil {
--- a/internal/rehearsal/capacity/primary.go
+++ b/internal/rehearsal/capacity/primary.go
@@ -69,7 +69,7 @@
 				over := make(chan struct{})
 				defer close(over)
 				for position := range core.members {
-					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[larder.MenuDrawer], Deltas: true, Patience: 2 * time.Second}
+					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[larder.MenuDrawer], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
 					body, failure := msgpack.Marshal(question)
 					if failure != nil {
 						return trouble.Wrap(trouble.Garbage, failure)
@@ -151,6 +151,9 @@
 			return failure
 		}
 		note("bytes a courier that comes anew", "B", float64(whole))
+		if failure := core.notePacked(note, "bytes a courier that comes anew", nil); failure != nil {
+			return failure
+		}
 		for _, change := range []struct {
 			of   string
 			edit func([]byte) ([]byte, error)
@@ -184,6 +187,9 @@
 				}
 			}))
 			note("bytes a courier, "+change.of, "B", float64(bytes)/float64(len(bodies)))
+			if failure := core.notePacked(note, "bytes a courier, "+change.of, before); failure != nil {
+				return failure
+			}
 			if broken != nil {
 				return broken
 			}
@@ -223,7 +229,7 @@
 			return trouble.New(trouble.Unsorted, "there is no news of the member")
 		}
 		note("bytes to each node a registration", "B", float64(with))
-		return nil
+		return core.notePacked(note, "bytes to each node a registration", core.have)
 	})
 }
 
@@ -263,6 +269,9 @@
 			return trouble.New(trouble.Unsorted, "there is no news of the order")
 		}
 		note("bytes to each node an order", "B", float64(size))
+		if failure := core.notePacked(note, "bytes to each node an order", core.have); failure != nil {
+			return failure
+		}
 		body := core.question(0, core.have)
 		answers := core.primary().Answers()
 		noteCost(note, "a courier", Meter{}.Measure(func(int) { _, _ = answers.Answer(hatch.NewsPath, body) }))
