Duties: a round looks only at the servers whose keys the courier has

Cause: ten times a second each courier with any duty gathered the reports of all servers, though the parts are looked at twice a second by one courier and a server's key needs one report. At 1,100 servers on 330 nodes nearly every courier has a key.

Change: a key's report is looked up by name; all reports are gathered when the balance is due, by the parts' holder alone, and not at all where calls decide the parts.

--- a/core.go
+++ b/core.go
@@ -277,11 +277,11 @@
 		return nil
 	}
 	core.nextTurn = now.Add(100 * time.Millisecond)
-	servers, loads := core.market.Loads(now)
+	servers := core.market.Listing()
 	var decisions []Decision
 	for _, duty := range core.duties {
 		if duty.Key == rota.PartsKey {
-			if orders := core.balanced(now, servers, loads); len(orders) > 0 {
+			if orders := core.balanced(now); len(orders) > 0 {
 				decisions = append(decisions, Decision{Kind: pass.GiveOrders, Duty: duty, Orders: orders, NotAfter: core.dutyEnds})
 			}
 			continue
@@ -297,7 +297,7 @@
 			decisions = append(decisions, core.commandFor(now, name, duty, order, servers)...)
 			continue
 		}
-		load, reported := loads[name]
+		load, reported := core.market.Load(now, name)
 		if !isServer || !ordered || !reported || now.Sub(core.commanded[name]) < time.Second {
 			continue
 		}
@@ -329,8 +329,12 @@
 
 // balanced are the orders that the parts duty gives now: by the work of calls where the
 // list says what servers do, by the market's reports otherwise.
-func (core *Core) balanced(now time.Time, servers []Server, loads map[string]Load) []Order {
+func (core *Core) balanced(now time.Time) []Order {
 	if !core.calls.Divided() {
+		if !core.balance.Due(now) {
+			return nil
+		}
+		servers, loads := core.market.Loads(now)
 		return core.balance.Decide(now, servers, loads, core.orders, core.evacuated.Evacuated)
 	}
 	if core.options.FixedParts {
--- a/internal/pass/balance.go
+++ b/internal/pass/balance.go
@@ -41,6 +41,14 @@
 //	balance := pass.NewBalance(false)
 func NewBalance(fixed bool) *Balance { return &Balance{needs: map[Part]int{}, fixed: fixed} }
 
+// Due tells whether enough time has passed since Decide was asked last for it to look
+// at the servers again.
+//
+// Example:
+//
+//	if balance.Due(now) { orders = balance.Decide(now, servers, loads, standing, evacuated) }
+func (balance *Balance) Due(now time.Time) bool { return now.Sub(balance.lastAsked) >= balanceBeat }
+
 // Decide gives the orders that are needed now. Evacuated and leaving servers
 // count for nothing; a leaving one is told to drain.
 //
@@ -48,7 +56,7 @@
 //
 //	orders := balance.Decide(now, servers, loads, standing, evacuated)
 func (balance *Balance) Decide(now time.Time, servers []roster.Server, loads map[string]Load, standing map[string]recipe.Order, evacuated func(string) bool) []recipe.Order {
-	if now.Sub(balance.lastAsked) < balanceBeat {
+	if !balance.Due(now) {
 		return nil
 	}
 	balance.lastAsked = now
--- a/internal/pass/market.go
+++ b/internal/pass/market.go
@@ -291,6 +291,30 @@
 	return min(relief, 10*time.Second)
 }
 
+// Listing is the platform's list as it was taken last.
+//
+// Example:
+//
+//	servers := market.Listing()
+func (market *Market) Listing() []roster.Server { return market.board.Load().listing }
+
+// Load is the report that counts now of one server, if it has one.
+//
+// Example:
+//
+//	load, reported := market.Load(now, "stove-1")
+func (market *Market) Load(now time.Time, server string) (Load, bool) {
+	stall, found := market.board.Load().byName[server]
+	if !found {
+		return Load{}, false
+	}
+	report := stall.report.Load()
+	if report == nil || now.Sub(report.at) > reportFresh {
+		return Load{}, false
+	}
+	return report.load, true
+}
+
 // Loads lists the servers with the reports that count now.
 //
 // Example:
