--- a/internal/rehearsal/world/layout.go
+++ b/internal/rehearsal/world/layout.go
@@ -22,9 +22,6 @@
 	// lie in three regions, if there are so many.
 	Expediters  int
 	BorneLosses int
-	// AcknowledgeWait is how long a change waits for nodes that are not heard from; zero:
-	// for as long as their holds run.
-	AcknowledgeWait time.Duration
 	// Routes is how many routes the configuration has.
 	Routes int
 }
@@ -115,13 +112,6 @@
 	return world.layout.BorneLosses
 }
 
-func (world *World) acknowledgeWait() time.Duration {
-	if world.layout == nil {
-		return 0
-	}
-	return world.layout.AcknowledgeWait
-}
-
 // listExpediters are the nodes that the expediters of a laid-out fleet are told of;
 // couriers are told of none.
 func (world *World) listExpediters() []roster.Node {
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -262,7 +262,7 @@
 	keeping, _ := pantry.OpenFolder(machine.disk, "keeper")
 	copies, _ := pantry.OpenFolder(machine.disk, "larder")
 	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
-		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), AcknowledgeWait: world.acknowledgeWait(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
+		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
 	options.AcknowledgeWait, options.RetireAfter = world.ways.AcknowledgeWait, world.ways.RetireAfter
 	options.JoinsOnly = world.ways.JoinOnly || world.ways.FormOnce && machine.starts > 1 || world.ways.FormOnce && world.now > opening
 	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
