--- a/cmd/rehearsal/regions.go
+++ b/cmd/rehearsal/regions.go
@@ -23,7 +23,7 @@
 	set.IntVar(&layout.Servers, "servers", layout.Servers, "how many listed servers, each with a duty; none of them works")
 	set.IntVar(&layout.Expediters, "expediters", layout.Expediters, "how many expediters")
 	set.IntVar(&layout.BorneLosses, "borne-losses", layout.BorneLosses, "how many disks may be lost at once")
-	wait := set.Duration( "acknowledge-wait", 0, "how long a change waits for nodes that are not heard from (default: for as long as their holds run)")
+	wait := set.Duration("acknowledge-wait", 0, "how long a change waits for nodes that are not heard from (default: for as long as their holds run)")
 	set.IntVar(&layout.Routes, "routes", layout.Routes, "how many routes the configuration has")
 	set.DurationVar(&layout.Between, "between", layout.Between, "how long a message takes from one region to another")
 	seed := set.Uint64("seed", 1, "the same seed gives the same figures")
