--- a/internal/rehearsal/platformday/clients.go
+++ b/internal/rehearsal/platformday/clients.go
@@ -20,6 +20,7 @@
 	random *rand.Rand
 	times  float64
 	bursts string
+	abuses bool
 }
 
 // client is one of them: it keeps circuits, or opens a new one for each try.
@@ -48,6 +49,13 @@
 	clients.bursts, clients.times = class, times
 }
 
+// abuse has clients try again at once and often, or end that.
+func (clients *Clients) abuse(on bool) {
+	clients.mutex.Lock()
+	defer clients.mutex.Unlock()
+	clients.abuses = on
+}
+
 // next draws the pause until the next request, and that request and its client.
 func (clients *Clients) next() (time.Duration, *request, *client) {
 	clients.mutex.Lock()
@@ -68,6 +76,9 @@
 		}
 	}
 	class := clients.site.Classes[chosen]
+	if clients.abuses {
+		class.Retries = 6
+	}
 	gap := time.Duration(clients.random.ExpFloat64() / (clients.site.Rate * total) * float64(time.Second))
 	route := "r-" + class.Name
 	rule := RouteRule{Host: class.Name + ".example", Prefix: "/" + class.Name + "/", Class: class.Name}
@@ -110,6 +121,9 @@
 		if !comes || number >= one.class.Retries {
 			return
 		}
+		if one.class.Retries > 3 {
+			wait = 5 * time.Millisecond
+		}
 		if !pause(context.Background(), wait) {
 			return
 		}
--- a/internal/rehearsal/platformday/drawn.go
+++ b/internal/rehearsal/platformday/drawn.go
@@ -20,6 +20,8 @@
 	{Kind: "after_ack_wipe", For: 2}, {Kind: "after_ack_kill", For: 2}, {Kind: "config_change", How: "weights"}, {Kind: "config_change", How: "route"}, {Kind: "config_change", How: "timeout"},
 	{Kind: "config_storm", For: 3, Gap: 0.3}, {Kind: "config_race", Count: 3, Gap: 1}, {Kind: "bad_config", Count: 3, Gap: 0.7}, {Kind: "big_config", Count: 150}, {Kind: "evacuate", For: 8},
 	{Kind: "kv_slow", Share: 0.3, Times: 8, For: 5, Service: "desk"}, {Kind: "handle_short", Share: 0.35, For: 4, Service: "desk"}, {Kind: "node_freeze", On: "core", For: 3},
+	{Kind: "zone_loss", For: 3}, {Kind: "srv_flap", Share: 0.1, For: 6, Gap: 0.8, Service: "desk"}, {Kind: "srv_grey", Share: 0.2, Times: 0.5, For: 5, Service: "desk"},
+	{Kind: "srv_lying_health", Share: 0.3, For: 5}, {Kind: "retry_abuse", For: 5}, {Kind: "srv_crash", Share: 0.1, How: "gone", Service: "desk"},
 }
 
 // DrawPlan draws a day with so many faults: the same seed gives the same day.
--- a/internal/rehearsal/platformday/exchange.go
+++ b/internal/rehearsal/platformday/exchange.go
@@ -228,6 +228,13 @@
 				panic(http.ErrAbortHandler)
 			}
 			if !begun {
+				if exchange.spoiling == failed {
+					exchange.leave()
+					ended.Status, ended.Cause = http.StatusInternalServerError, "failed"
+					exchange.head(writer.Header())
+					writer.WriteHeader(http.StatusInternalServerError)
+					return
+				}
 				if exchange.spoiling == garbage || exchange.spoiling == extraLate {
 					exchange.answerBadly(writer, &ended)
 					return
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -19,6 +19,7 @@
 	"seed_turnover": (*Day).turnSeedsOver, "replace_core": (*Day).replaceCore, "after_ack_wipe": (*Day).wipeAfterAnswer, "after_ack_kill": (*Day).wipeAfterAnswer,
 	"config_change": (*Day).changeOnce, "config_storm": (*Day).storm, "config_race": (*Day).race, "bad_config": (*Day).sendInvalid, "big_config": (*Day).growConfiguration,
 	"kv_slow": (*Day).slowMoves, "handle_short": (*Day).lapseHandles, "evacuate": (*Day).evacuateZone,
+	"zone_loss": (*Day).loseZone, "srv_flap": (*Day).flap, "srv_grey": (*Day).failInPart, "srv_lying_health": (*Day).lieAboutHealth, "retry_abuse": (*Day).abuseRetries,
 }
 
 // closings are the kinds of closing faults.
@@ -67,6 +68,7 @@
 		phase := server.playing()
 		day.ServerPool.remove(server)
 		if fault.says("gone") {
+			day.passAddressOn(lifetime, server)
 			continue
 		}
 		if pause(lifetime, fault.lasts()) {
@@ -90,13 +92,85 @@
 		if _, failure := day.ServerPool.add(day.Site.shapeOf(server.Service), server.Zone, server.playing(), true); failure != nil {
 			return
 		}
-		leaving.Go(func() { day.ServerPool.drain(server, day.Directory, time.Second) })
+		leaving.Go(func() {
+			day.ServerPool.drain(server, time.Second)
+			day.passAddressOn(lifetime, server)
+		})
 		if !pause(lifetime, fault.gap()) {
 			return
 		}
 	}
 }
 
+// passAddressOn has a server of another service begin where one has ended.
+func (day *Day) passAddressOn(lifetime context.Context, old *modelServer) {
+	if !pause(lifetime, day.Site.Terms.AddressReuse) {
+		return
+	}
+	for _, service := range day.Site.Services {
+		if service.Name != old.Service {
+			_, _ = day.ServerPool.addAt(old.Address, service, old.Zone, stageDecode, true)
+			return
+		}
+	}
+}
+
+// flap has servers go down and come up again, by turns.
+func (day *Day) flap(lifetime context.Context, fault Fault) {
+	ends := time.Now().Add(fault.lasts())
+	servers := day.drawn(fault, 0.1)
+	for time.Now().Before(ends) {
+		for position, server := range servers {
+			phase := server.playing()
+			day.ServerPool.remove(server)
+			if !pause(lifetime, fault.gap()) {
+				return
+			}
+			if next, failure := day.ServerPool.addAt(server.Address, day.Site.shapeOf(server.Service), server.Zone, phase, true); failure == nil {
+				servers[position] = next
+			}
+		}
+		if !pause(lifetime, fault.gap()) {
+			return
+		}
+	}
+}
+
+func (day *Day) failInPart(lifetime context.Context, fault Fault) {
+	day.misbehaveFor(lifetime, fault, 0.2, func(misbehaviour *misbehaviour) { misbehaviour.fails = fault.timesOr(0.5) })
+}
+
+func (day *Day) lieAboutHealth(lifetime context.Context, fault Fault) {
+	day.misbehaveFor(lifetime, fault, 0.3, func(misbehaviour *misbehaviour) { misbehaviour.lies = true })
+}
+
+// abuseRetries has clients try again at once and often.
+func (day *Day) abuseRetries(lifetime context.Context, fault Fault) {
+	day.Clients.abuse(true)
+	pause(lifetime, fault.lasts())
+	day.Clients.abuse(false)
+}
+
+// loseZone takes a zone's machines and servers away for a while.
+func (day *Day) loseZone(lifetime context.Context, fault Fault) {
+	back := day.loseCore(true)
+	defer back()
+	zone := fault.Zone
+	if zone == "" {
+		zone = day.Site.Zones[day.seed%uint64(len(day.Site.Zones))]
+	}
+	servers := slices.DeleteFunc(day.ServerPool.all(), func(server *modelServer) bool { return server.Zone != zone })
+	phases := make([]string, len(servers))
+	for position, server := range servers {
+		phases[position] = server.playing()
+		day.ServerPool.remove(server)
+	}
+	day.bounceAll(slices.DeleteFunc(day.all(), func(machine *Machine) bool { return machine.Zone != zone }), fault.lasts())
+	for position, server := range servers {
+		_, _ = day.ServerPool.add(day.Site.shapeOf(server.Service), zone, phases[position], true)
+	}
+}
+
 func (day *Day) loseAnswers(lifetime context.Context, fault Fault) {
 	day.misbehaveFor(lifetime, fault, 0.5, func(misbehaviour *misbehaviour) { misbehaviour.loses = fault.timesOr(0.03) })
 }
@@ -497,6 +571,11 @@
 		zone = day.Site.Zones[day.seed%uint64(len(day.Site.Zones))]
 	}
 	if day.Operators.evacuate(lifetime, zone) && pause(lifetime, fault.lasts()) {
+		for _, server := range day.ServerPool.all() {
+			if server.Zone == zone {
+				server.cool()
+			}
+		}
 		day.Operators.takeBack(lifetime, zone)
 	}
 }
--- a/internal/rehearsal/platformday/misbehaviour.go
+++ b/internal/rehearsal/platformday/misbehaviour.go
@@ -14,6 +14,10 @@
 	spoils float64
 	loses  float64
 	late   bool
+	// fails is the share of requests that it fails with a status of its own, and lies says
+	// that its health answers are the reverse of the truth.
+	fails float64
+	lies  bool
 }
 
 // spoiling is what becomes of one answer.
@@ -25,6 +29,7 @@
 	garbage
 	extraLate
 	lost
+	failed
 )
 
 // draw chooses what becomes of an answer.
@@ -38,6 +43,8 @@
 			return extraLate
 		}
 		return []spoiling{brokenOff, garbage}[random.IntN(2)]
+	case draw < misbehaviour.loses+misbehaviour.spoils+misbehaviour.fails:
+		return failed
 	}
 	return unspoilt
 }
--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -245,7 +245,7 @@
 	if left := time.Until(server.coldUntil); left > 0 {
 		writer.Header().Set(headerCold, strconv.FormatInt(left.Milliseconds(), 10))
 	}
-	if server.draining || len(server.engine.waiting) >= server.shape.Queue {
+	if (server.draining || len(server.engine.waiting) >= server.shape.Queue) != server.misbehaviour.lies {
 		writer.Header().Set(headerNotRun, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -259,6 +259,13 @@
 	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(server.shape.Idle.Seconds())))
 }
 
+// cool makes the server cold again.
+func (server *modelServer) cool() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.coldUntil = time.Now().Add(server.shape.Cold)
+}
+
 // overrun counts what comes while the server is cold; well above its rate it falls over.
 func (server *modelServer) overrun(now time.Time) (cold, falls bool) {
 	if !now.Before(server.coldUntil) {
--- a/internal/rehearsal/platformday/modelserver_test.go
+++ b/internal/rehearsal/platformday/modelserver_test.go
@@ -232,7 +232,7 @@
 	}
 	leaving := bench.pool.all()[0]
 	began := time.Now()
-	go bench.pool.drain(leaving, bench.directory, time.Hour)
+	go bench.pool.drain(leaving, time.Hour)
 	for states[leaving.ID] != stateDraining {
 		if time.Since(began) > 5*time.Second {
 			test.Fatal("the list never shows the server leaving")
--- a/internal/rehearsal/platformday/serverpool.go
+++ b/internal/rehearsal/platformday/serverpool.go
@@ -48,7 +48,12 @@
 
 // add begins a server.
 func (pool *ServerPool) add(service ServiceShape, zone, phase string, cold bool) (*modelServer, error) {
-	server, failure := startServer(pool, service, zone, phase, pool.place(), cold)
+	return pool.addAt(pool.place(), service, zone, phase, cold)
+}
+
+// addAt begins a server at an address.
+func (pool *ServerPool) addAt(address string, service ServiceShape, zone, phase string, cold bool) (*modelServer, error) {
+	server, failure := startServer(pool, service, zone, phase, address, cold)
 	if failure != nil {
 		return nil, failure
 	}
@@ -123,7 +128,7 @@
 }
 
 // drain lets a server leave: it is listed as leaving, and ends some time later.
-func (pool *ServerPool) drain(server *modelServer, directory *Directory, last time.Duration) {
+func (pool *ServerPool) drain(server *modelServer, last time.Duration) {
 	server.mutex.Lock()
 	server.draining = true
 	server.mutex.Unlock()
