--- a/internal/window/account.go
+++ b/internal/window/account.go
@@ -16,7 +16,10 @@
 	// readUntil is when the prompts that this courier's runs read there are read.
 	readUntil atomic.Int64
 
+	// heard is the latest word of the server's load, report the latest that it gave when
+	// it was asked.
 	heard     atomic.Pointer[heard]
+	report    atomic.Pointer[reported]
 	coldUntil atomic.Int64
 	// trust is in the server as such, hands in the memory that it hands over, takes in
 	// its taking of memory; handed is when it last handed some over.
@@ -37,6 +40,12 @@
 	drops    drops
 }
 
+// reported is what a server said when it was asked.
+type reported struct {
+	load Load
+	at   time.Time
+}
+
 // heard is the latest word of a server's load.
 type heard struct {
 	load Load
@@ -77,6 +86,7 @@
 // hear takes a report.
 func (account *account) hear(now time.Time, load Load) {
 	at := now.Add(-load.Age)
+	account.report.Store(&reported{load: load, at: at})
 	earlier := account.heard.Load()
 	if earlier != nil && at.Before(earlier.at) {
 		return
@@ -94,14 +104,19 @@
 }
 
 // answered takes what an answer said of the server's load.
-func (account *account) answered(now time.Time, load AnswerLoad) {
+//
+// The call itself was among those that ran when the answer was made.
+func (account *account) answered(at time.Time, load AnswerLoad) {
 	earlier := account.heard.Load()
-	next := &heard{at: now}
+	if earlier != nil && at.Before(earlier.at) {
+		return
+	}
+	next := &heard{at: at}
 	if earlier != nil {
 		next.load = earlier.load
 	}
 	next.load.Running, next.load.Waiting = load.Running, load.Waiting
-	own := float64(account.reading.Load() + account.running.Load())
+	own := float64(account.reading.Load() + account.running.Load() + 1)
 	next.others = max(0, float64(load.Running+load.Waiting)-own)
 	if earlier != nil {
 		next.others = smooth(earlier.others, next.others)
--- a/internal/window/board.go
+++ b/internal/window/board.go
@@ -85,3 +85,21 @@
 func (board *board) warmth(server uint64) time.Duration {
 	return warmMargin + time.Duration(weigh(board.courier, server)%uint64(warmSpread))
 }
+
+// pressed is how many readers of a service had a call when they last reported, and how
+// many calls the runners had.
+func (board *board) pressed(now time.Time, service string) (busy, running float64) {
+	for _, backend := range board.byService[service] {
+		report := backend.report.Load()
+		if report == nil || now.Sub(report.at) > pressureSpan {
+			continue
+		}
+		calls := float64(report.load.Running + report.load.Waiting)
+		if backend.reads() {
+			busy += min(1, calls)
+		} else {
+			running += calls
+		}
+	}
+	return busy, running
+}
--- a/internal/window/ended.go
+++ b/internal/window/ended.go
@@ -15,7 +15,11 @@
 	ticket.settle(now, outcome)
 	ticket.dispatch = dispatch{}
 	if outcome.Load != nil {
-		sent.backend.answered(now, *outcome.Load)
+		at := now
+		if !outcome.First.IsZero() && outcome.First.Before(at) {
+			at = outcome.First
+		}
+		sent.backend.answered(at, *outcome.Load)
 	}
 	if outcome.Warming > 0 {
 		sent.backend.coolUntil(now.Add(outcome.Warming + window.board.Load().warmth(sent.backend.key)))
--- a/internal/window/pools.go
+++ b/internal/window/pools.go
@@ -23,6 +23,8 @@
 	towards string
 	ordered time.Time
 	last    string
+	// idle is since when the servers have nothing to do.
+	idle time.Time
 }
 
 // The measures of the pools. The values are ours.
@@ -32,10 +34,12 @@
 	poolsRest  = 3 * time.Second
 	// turnRest is the rest before an order that takes the last one back.
 	turnRest = 12 * time.Second
-	// readersBusy is the part of the readers that may be busy, readersIdle what must be
+	// readersPressed is the part of the readers at which more are wanted, readersBusy the
+	// part that is busy when there are enough, readersIdle what must be
 	// left of it when one reader less does the same.
-	readersBusy = 0.38
-	readersIdle = 0.35
+	readersBusy    = 0.38
+	readersPressed = 0.5
+	readersIdle    = 0.35
 	// slotsUsed is the part of the runners' slots that may be used, slotsPressed the
 	// part at which a reader is taken back for them.
 	slotsUsed    = 0.3
@@ -46,6 +50,11 @@
 	// sharedOrders is how many servers there are for each order given at once.
 	sharedOrders = 4
 	partPatience = 20 * time.Second
+	// A service that has been idle for idleSpan, all but idle calls, gets readers for half
+	// of its servers: parts that change under traffic cost the memory of what moves, and
+	// reading is what fills up first.
+	idleSpan = 3 * time.Second
+	idle     = 0.05
 )
 
 // NewPools starts without memory.
@@ -140,15 +149,22 @@
 		return give(readers, decode, "no server makes answers", 1)
 	}
 	ledger := window.ledger(service.Name)
-	busy, running, known := ledger.pressure.now(now, ledger.pace.tokens(), window.sharers())
+	busy, running, known := ledger.pressure.now(now)
 	if !known {
 		return nil
 	}
+	all := len(readers) + len(runners)
+	if busy+running > idle {
+		pool.idle = time.Time{}
+	} else if pool.idle.IsZero() {
+		pool.idle = now
+	} else if even := (all + 1) / 2; now.Sub(pool.idle) >= idleSpan && len(readers) < even {
+		return give(runners, prefill, "the service is idle and too few servers read prompts", even-len(readers))
+	}
 	slots := float64(service.Engine.Slots)
 	if slots == 0 {
 		slots = unknownSlots
 	}
-	all := len(readers) + len(runners)
 	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), int(math.Ceil(float64(all)*fewestRunners))), all-1)
 	wanted := min(max(1, int(math.Ceil(busy/readersBusy))), all-leastRunners)
 	pressed := running > slotsPressed*slots*float64(len(runners))
@@ -158,7 +174,7 @@
 	switch {
 	case len(readers) > 1 && (urgent || pressed && busy < readersIdle*float64(len(readers)-1)):
 		part = decode
-	case wanted > len(readers) && busy > readersBusy*float64(len(readers)):
+	case wanted > len(readers) && busy > readersPressed*float64(len(readers)):
 		part = prefill
 	}
 	if part == "" || part != pool.towards {
--- a/internal/window/pools_test.go
+++ b/internal/window/pools_test.go
@@ -122,3 +122,21 @@
 		test.Errorf("%d orders", managed.orders)
 	}
 }
+
+// TestIdleServiceIsDividedEvenly wants half of an idle service's servers to read, by
+// orders given once and before there is traffic, and none for a moment without work.
+func TestIdleServiceIsDividedEvenly(test *testing.T) {
+	day := newPoolDay(9)
+	day.last(20*time.Second, 0, 0)
+	if day.readers() != 5 || day.orders != 1 {
+		test.Errorf("%d readers by %d orders", day.readers(), day.orders)
+	}
+	day = newPoolDay(9)
+	for range 10 {
+		day.last(2*time.Second, 0, 0)
+		day.last(800*time.Millisecond, 1, 5)
+	}
+	if day.orders != 0 {
+		test.Errorf("%d orders in moments without work", day.orders)
+	}
+}
--- a/internal/window/pressure.go
+++ b/internal/window/pressure.go
@@ -7,7 +7,7 @@
 )
 
 // pressure is how much a service's servers have to do, as a mean over the last
-// seconds: from reports of all servers, and from what this courier has read.
+// seconds, by the reports of all of them.
 type pressure struct {
 	mutex sync.Mutex
 	// busy is how many readers had a call when they reported, running how many calls
@@ -15,12 +15,8 @@
 	busy    float64
 	running float64
 	heard   time.Time
-	// tokens is the sum of what this courier had read, older ones counting less.
-	tokens float64
-	sent   time.Time
-	since  time.Time
-	// direct is the same of what runners read themselves, lapsed when memory that was
-	// read for a run could not be had.
+	// direct is the sum of what this courier has runners read themselves, older ones
+	// counting less, lapsed when memory that was read for a run could not be had.
 	direct     float64
 	directSent time.Time
 	lapsed     time.Time
@@ -33,17 +29,6 @@
 	return math.Exp(-float64(max(0, age)) / float64(pressureSpan))
 }
 
-// read counts tokens that a server is given to read.
-func (pressure *pressure) read(now time.Time, tokens int) {
-	pressure.mutex.Lock()
-	defer pressure.mutex.Unlock()
-	if pressure.since.IsZero() {
-		pressure.since = now
-	}
-	pressure.tokens = pressure.tokens*faded(now.Sub(pressure.sent)) + float64(tokens)
-	pressure.sent = now
-}
-
 // readDirectly counts tokens that a runner is given to read itself.
 func (pressure *pressure) readDirectly(now time.Time, tokens int) {
 	pressure.mutex.Lock()
@@ -83,19 +68,12 @@
 	pressure.heard = now
 }
 
-// now is the demand: how many readers are kept busy, by reports and by the tokens of
-// this courier and as many others like it, and how many calls run.
-func (pressure *pressure) now(now time.Time, pace float64, couriers int) (busy, running float64, known bool) {
+// now is the demand: how many readers are kept busy and how many calls run.
+func (pressure *pressure) now(now time.Time) (busy, running float64, known bool) {
 	pressure.mutex.Lock()
 	defer pressure.mutex.Unlock()
 	if pressure.heard.IsZero() || now.Sub(pressure.heard) > pressureSpan {
 		return 0, 0, false
 	}
-	span := pressureSpan.Seconds()
-	if watched := now.Sub(pressure.since).Seconds(); !pressure.since.IsZero() {
-		// What has not been watched for long has not summed up yet.
-		span *= max(1-math.Exp(-watched/span), 0.2)
-	}
-	own := pressure.tokens * faded(now.Sub(pressure.sent)) / span / (pace * 1000) * float64(couriers)
-	return max(pressure.busy, (pressure.busy+own)/2), pressure.running, true
+	return pressure.busy, pressure.running, true
 }
--- a/internal/window/send.go
+++ b/internal/window/send.go
@@ -23,9 +23,6 @@
 		decision.Free, ticket.spent = ticket.spent, nil
 	}
 	sent := &ticket.dispatch
-	if offer.unread > 0 {
-		choice.ledger.pressure.read(now, offer.unread)
-	}
 	if kind == Read {
 		sent.tokens = ticket.call.PromptTokens
 		backend.reading.Add(1)
--- a/internal/window/sweep_test.go
+++ b/internal/window/sweep_test.go
@@ -9,7 +9,8 @@
 	"time"
 )
 
-// score is a world's worth less prices, as a share of what was owed: of memory moved, of
+// score is a world's worth, with the worst seconds and the worst class counting by
+// themselves, less prices, as a share of what was owed: of memory moved, of
 // bodies between districts, of shared parts read again by the thousand tokens, and of
 // what a dispatch costs the courier.
 func (world *world) score() float64 {
@@ -19,7 +20,11 @@
 		earned += tally.earned
 	}
 	prices := 0.36*(world.nearMoves+2*world.farMoves) + world.crossing*world.crossed + 0.15*float64(world.sharedAgain)/1000 + 0.001*float64(world.dispatches)
-	return (earned - prices) / owed
+	class := 1.0
+	for _, tally := range world.tally {
+		class = min(class, tally.earned/tally.owed)
+	}
+	return 0.65*earned/owed + 0.22*world.worst() + 0.13*class - prices/owed
 }
 
 // TestSweep compares costs; it runs when SWEEP is set.
@@ -30,7 +35,7 @@
 	run := func(name string, change func(*costs)) {
 		text, sum := fmt.Sprintf("%-28s", name), 0.0
 		for _, site := range []site{nine(), twelve()} {
-			for _, factor := range []float64{1, 1.4} {
+			for _, factor := range []float64{0.6, 1, 1.4} {
 				score, again, aim, chat, crossed, moved, orders := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 				const seeds = 6
 				worlds := make([]*world, seeds)
@@ -41,6 +46,7 @@
 						defer waiting.Done()
 						worlds[seed] = site.world(seed+10, func(calls *Window) { change(&calls.costs) })
 						worlds[seed].pool(NewPools())
+						worlds[seed].run(noon.Add(lead))
 						site.play(worlds[seed], factor, 30*time.Second)
 					}()
 				}
@@ -54,16 +60,13 @@
 					crossed += world.crossed * 1000 / seeds
 					moved += world.farMoves / (world.nearMoves + world.farMoves) / seeds
 				}
-				sum += score / 4
+				sum += score / 6
 				text += fmt.Sprintf(" | %.4f %.3f %.3f %4.0fk %2.0fMB %.2f %.1f", score, aim, chat, again, crossed, moved, orders)
 			}
 		}
 		fmt.Printf("%.4f %s\n", sum, text)
 	}
 	run("standard", func(*costs) {})
-	for _, value := range []float64{300} {
-		run(fmt.Sprintf("again %v", value), func(costs *costs) { costs.again = value })
-	}
 }
 
 // TestSweepTroubles prints how days of trouble go over several seeds; it runs when
@@ -87,10 +90,12 @@
 			waiting.Add(1)
 			go func() {
 				defer waiting.Done()
-				worlds[seed] = newWorld(uint64(seed+50), 9, 9, nil)
+				site := nine()
+				worlds[seed] = site.world(uint64(seed+50), nil)
 				worlds[seed].pool(NewPools())
+				worlds[seed].run(noon.Add(lead))
 				days[name](worlds[seed])
-				day(worlds[seed], 1, 30*time.Second)
+				site.play(worlds[seed], 1, 30*time.Second)
 			}()
 		}
 		waiting.Wait()
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -1,6 +1,7 @@
 package window
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,7 @@
 //	calls.SetLoads(now, loads)
 func (window *Window) SetLoads(now time.Time, loads []Load) {
 	board := window.board.Load()
-	var sums []pressed
+	var services []string
 	for _, load := range loads {
 		backend, found := board.byName[load.Server]
 		if !found {
@@ -127,10 +128,13 @@
 		if at := now.Add(-load.Age).UnixNano(); at > window.reported.Load() {
 			window.reported.Store(at)
 		}
-		sums = add(sums, backend, load)
+		if service := backend.server.Service; service != "" && !slices.Contains(services, service) {
+			services = append(services, service)
+		}
 	}
-	for _, sum := range sums {
-		window.ledger(sum.service).pressure.reported(now, sum.busy, sum.running)
+	for _, service := range services {
+		busy, running := board.pressed(now, service)
+		window.ledger(service).pressure.reported(now, busy, running)
 	}
 }
 
@@ -156,32 +160,6 @@
 // server. The value is ours.
 const orderShows = 4 * time.Second
 
-// pressed is what a service's servers reported together.
-type pressed struct {
-	service       string
-	busy, running float64
-}
-
-func add(sums []pressed, backend *backend, load Load) []pressed {
-	position := -1
-	for at := range sums {
-		if sums[at].service == backend.server.Service {
-			position = at
-		}
-	}
-	if position < 0 {
-		position = len(sums)
-		sums = append(sums, pressed{service: backend.server.Service})
-	}
-	calls := float64(load.Running + load.Waiting)
-	if backend.reads() {
-		sums[position].busy += min(1, calls)
-	} else {
-		sums[position].running += calls
-	}
-	return sums
-}
-
 // SetCouriers tells how many couriers share the servers.
 //
 // Example:
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -54,6 +54,17 @@
 	return list
 }
 
+// zoned lists so many servers, of each district's the first ones readers.
+func zoned(count, readers int) []roster.Server {
+	list := divided(count, 0)
+	for position := range list {
+		if position < 3*readers {
+			list[position].Part = prefill
+		}
+	}
+	return list
+}
+
 func opened(count int) *Window {
 	calls := New(Options{Courier: "courier-1", District: "north"})
 	calls.SetCouriers(9)
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -37,6 +37,7 @@
 	ordered                       map[string]string
 	tells                         bool
 	crossing                      float64
+	owedAt, earnedAt              [60]float64
 	onLost                        func(*asked, Decision)
 	onLate                        func(*asked, time.Duration)
 }
@@ -82,11 +83,11 @@
 }
 
 func nine() site {
-	return site{name: "nine", couriers: 9, list: servers(9), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 1500}
+	return site{name: "nine", couriers: 9, list: zoned(9, 1), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 1500}
 }
 
 func twelve() site {
-	site := site{name: "twelve", couriers: 10, list: servers(12), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 6900}
+	site := site{name: "twelve", couriers: 10, list: zoned(12, 2), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 6900}
 	site.engine.step, site.engine.perRunning, site.engine.readPace, site.engine.first, site.engine.setup = 3.79, 0.0893, 56.6, 16, 5
 	site.engine.stride, site.engine.memory, site.engine.linkBitsAMilli, site.engine.reportLag = 9, 319_972, 370e6, 200*time.Millisecond
 	site.long.perSecond, site.long.chains[1].things, site.long.late = 30.4, 172, 1.5
@@ -103,11 +104,15 @@
 	return world
 }
 
+// lead is how long the machines are up before traffic starts.
+const lead = 8 * time.Second
+
+// play gives the world so much of the site's usual traffic for so long from now on.
 func (site site) play(world *world, factor float64, length time.Duration) {
 	long, chat := site.long, site.chat
 	long.perSecond *= factor
 	chat.perSecond *= factor
-	until := noon.Add(length)
+	until := world.now.Add(length)
 	world.traffic(long, until)
 	world.traffic(chat, until)
 	world.run(until.Add(10 * time.Second))
@@ -678,11 +683,34 @@
 	tally := world.tallyOf(class.name)
 	tally.calls++
 	tally.owed += class.worth
+	world.owedAt[world.second(world.now)] += class.worth
 	number := world.random.IntN(len(world.windows))
 	ticket, decision := world.windows[number].Arrive(world.now, call)
 	world.follow(&asked{class: class, call: call, at: world.now, courier: number, ticket: ticket}, decision)
 }
 
+func (world *world) second(at time.Time) int {
+	return min(int(at.Sub(noon)/time.Second), len(world.owedAt)-1)
+}
+
+// worst is the share earned in the two worst spans of three seconds.
+func (world *world) worst() float64 {
+	const length = 3
+	var shares []float64
+	for start := 0; start+length <= len(world.owedAt); start += length {
+		owed, earned := 0.0, 0.0
+		for second := start; second < start+length; second++ {
+			owed += world.owedAt[second]
+			earned += world.earnedAt[second]
+		}
+		if owed > 0 {
+			shares = append(shares, earned/owed)
+		}
+	}
+	sort.Float64s(shares)
+	return (shares[0] + shares[1]) / 2
+}
+
 // thing is one shared part of a class's prompts, the same each time.
 func (world *world) thing(class class, depth int, thing uint64) Part {
 	link := class.chains[depth]
@@ -744,6 +772,7 @@
 		case took <= asked.class.aim && asked.longest <= asked.class.gap:
 			tally.inAim++
 			tally.earned += asked.class.worth
+			world.earnedAt[world.second(asked.at)] += asked.class.worth
 		default:
 			if asked.longest > asked.class.gap {
 				tally.paused++
@@ -753,6 +782,7 @@
 				world.onLate(asked, took)
 			}
 			tally.earned += asked.class.late
+			world.earnedAt[world.second(asked.at)] += asked.class.late
 		}
 	default:
 		tally.broken++
