--- /dev/null
+++ b/internal/rehearsal/world/calls.go
@@ -0,0 +1,313 @@
+package world
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// CallTally is what became of a day's opaque calls.
+type CallTally struct {
+	Sent, Complete, Refused, Failed, Broken int
+	// Runs counts what servers began, Sendings what reached them.
+	Runs       int
+	Violations []string
+	// Last counts the calls of the day's last seconds, Returned those of them that
+	// were complete.
+	Last, Returned int
+}
+
+func (tally *CallTally) violate(format string, values ...any) {
+	tally.Violations = append(tally.Violations, fmt.Sprintf(format, values...))
+}
+
+// worldCall is one opaque call, as its origin knows it.
+type worldCall struct {
+	world      *World
+	call       *window.Call
+	pieces     int
+	repeatable bool
+	runs       int
+	// promised tells that the origin was told that the call never runs.
+	promised bool
+}
+
+// ran notes that a server began the call.
+func (call *worldCall) ran(server string) {
+	call.runs++
+	call.world.calls.Runs++
+	if call.runs > 1 && !call.repeatable {
+		call.world.calls.violate("%s runs once more, at %s", call.call.ID, server)
+	}
+	if call.promised {
+		call.world.calls.violate("%s was promised never to run and runs at %s", call.call.ID, server)
+	}
+}
+
+const (
+	callLimit  = 8 * time.Second
+	callMargin = 60 * time.Millisecond
+)
+
+// callRoutes is the part of a configuration's routes that serves opaque calls: streams
+// that may go on elsewhere, and such that may not.
+func (world *World) callRoutes() string {
+	text := ""
+	for _, resumable := range []bool{false, true} {
+		name := map[bool]string{false: "once", true: "again"}[resumable]
+		text += `"calls-` + name + `":{"match":{"host":"calls","path_prefix":"/` + name + `/"},"calls":{"shares":[{"service":"` + world.deployment.Short.Service +
+			`"}],"limit_milliseconds":` + strconv.Itoa(int(callLimit/time.Millisecond)) + `,"aim_milliseconds":500,"gap_milliseconds":250,"tries":2,"streams":true,"sticky":true,"resumable":` +
+			strconv.FormatBool(resumable) + `}},`
+	}
+	return text
+}
+
+// prepareCalls gives a courier what serves opaque calls, where the world has them.
+func (world *World) prepareCalls(machine *machine, begun *life, options *hatch.CourierOptions) {
+	machine.calls = nil
+	if !world.ways.Calls {
+		return
+	}
+	options.Board = func(deciding *window.Window) hatch.Board {
+		machine.calls = hatch.NewCalls(begun, deciding, func([]roster.Server) {})
+		return machine.calls
+	}
+}
+
+// originsOfCalls send opaque calls until the moment.
+func (world *World) originsOfCalls(until time.Duration) {
+	for number := 0; world.now < until; number++ {
+		world.outside.NewBell().Wait(min(time.Second, time.Duration(world.random.ExpFloat64()/20*float64(time.Second))), never)
+		call := &worldCall{world: world, repeatable: world.random.IntN(2) == 0, pieces: 3 + world.random.IntN(40)}
+		call.call = &window.Call{ID: "call-" + strconv.Itoa(number), Host: "calls", Path: "/once/x", PromptTokens: 100 + world.random.IntN(12_000), OutputTokens: 400,
+			Parts: []window.Part{{ID: 1, Tokens: 50}, {ID: uint64(10 + world.random.IntN(30)), Tokens: 40}, {ID: uint64(1000 + number), Tokens: 10}}}
+		if call.repeatable {
+			call.call.Path = "/again/x"
+		}
+		district := world.deployment.Districts[world.random.IntN(len(world.deployment.Districts))]
+		last := world.now > until-5*time.Second
+		world.outside.Go(func() { world.originOfCall(call, district, last) })
+	}
+}
+
+// originOfCall sends one call to a courier and holds what comes back against what ran.
+func (world *World) originOfCall(call *worldCall, district string, last bool) {
+	tally := world.calls
+	machine := world.courierFor(district)
+	if machine == nil || machine.calls == nil {
+		return
+	}
+	tally.Sent++
+	if last {
+		tally.Last++
+	}
+	there, conduct := machine.life, machine.calls
+	exchange := &callExchange{life: there, call: call, replies: newPipe(world, machine.name, "outside", world.outside)}
+	world.carry("outside", machine.name, nil, func() {
+		if there.ended {
+			exchange.replies.snap()
+			return
+		}
+		forget := there.atEnd(exchange.replies.snap)
+		world.after(0, there, func() {
+			there.Go(func() {
+				defer forget()
+				call.call.Ends = there.Now().Add(callLimit)
+				conduct.Serve(call.call, exchange)
+				exchange.replies.put(callOver{})
+			})
+		})
+	})
+	leaves := world.random.IntN(30) == 0
+	passed := 0
+	for {
+		message, found := exchange.replies.take(callLimit+3*time.Second, never)
+		if !found || leaves && passed > 1 {
+			exchange.left = true
+			if exchange.under != nil {
+				exchange.under.replies.bell.Ring()
+			}
+			tally.Broken++
+			return
+		}
+		switch said := message.(type) {
+		case callPieceSent:
+			passed++
+			if said.id != call.call.ID || said.number != passed {
+				tally.violate("%s got piece %d of %s in the place of %d", call.call.ID, said.number, said.id, passed)
+			}
+		case callStreamEnd:
+			if passed != call.pieces {
+				tally.violate("%s is complete with %d pieces of %d", call.call.ID, passed, call.pieces)
+			}
+			tally.Complete++
+			if last {
+				tally.Returned++
+			}
+		case hatch.Refusal:
+			if said.Status == http.StatusBadGateway || said.Status == http.StatusGatewayTimeout {
+				tally.Failed++
+				break
+			}
+			tally.Refused++
+			call.promised = true
+			if call.runs > 0 {
+				tally.violate("%s was refused with %d and had run", call.call.ID, said.Status)
+			}
+		case callOver:
+			return
+		}
+	}
+}
+
+// callOver is the end of what a courier does for a call.
+type callOver struct{}
+
+// callExchange is one call between its origin and the servers, over the world's links.
+type callExchange struct {
+	life    *life
+	call    *worldCall
+	replies *pipe
+	under   *callSending
+	passed  int
+	kept    *callRefusal
+	left    bool
+}
+
+// wait takes the next message of a sending within a patience.
+func (exchange *callExchange) wait(sending *callSending, patience time.Duration) (any, bool) {
+	return sending.replies.take(max(patience, time.Millisecond), func() bool { return exchange.left })
+}
+
+// patience is how long a decision lets its server say nothing.
+func (exchange *callExchange) patience(decision window.Decision) time.Duration {
+	left := decision.Ends.Sub(exchange.life.Now()) + callMargin
+	if decision.Patience > 0 {
+		left = min(left, decision.Patience)
+	}
+	return left
+}
+
+// lost is the result of a sending that brought nothing usable.
+func (exchange *callExchange) lost(sending *callSending) window.Result {
+	switch {
+	case exchange.left:
+		return window.Gone
+	case sending.refused:
+		return window.Unreached
+	case exchange.passed > 0:
+		return window.Cut
+	}
+	return window.Silent
+}
+
+// refused is the result of a server's promise.
+func (exchange *callExchange) refused(said callRefusal) window.Outcome {
+	exchange.kept = &said
+	if said.status == misdirected {
+		return window.Outcome{Result: window.Misdirected, Status: said.status}
+	}
+	return window.Outcome{Result: window.NotStarted, Status: said.status}
+}
+
+// Read has a server read the prompt.
+func (exchange *callExchange) Read(decision window.Decision) window.Outcome {
+	sending := exchange.send(decision.Server, func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, _ func(any) bool) any {
+		return there.read(top, circuit, exchange.call, decision.Server.Name)
+	})
+	if sending == nil {
+		return window.Outcome{Result: window.Unreached}
+	}
+	exchange.under = sending
+	defer sending.stop()
+	message, found := exchange.wait(sending, exchange.patience(decision))
+	switch said := message.(type) {
+	case callRead:
+		return window.Outcome{Result: window.Complete, Handle: said.handle, First: exchange.life.Now()}
+	case callRefusal:
+		return exchange.refused(said)
+	}
+	if !found && !sending.refused && !exchange.left {
+		return window.Outcome{Result: window.Silent}
+	}
+	return window.Outcome{Result: exchange.lost(sending)}
+}
+
+// Run has a server make the answer and passes it on.
+func (exchange *callExchange) Run(_ *menu.CallRoute, decision window.Decision, began func()) window.Outcome {
+	last := exchange.passed
+	sending := exchange.send(decision.Server, func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) any {
+		return there.run(top, circuit, exchange.call, decision.Server.Name, decision.Source, last, send)
+	})
+	if sending == nil {
+		return window.Outcome{Result: window.Unreached}
+	}
+	exchange.under = sending
+	defer sending.stop()
+	outcome := window.Outcome{}
+	patience := exchange.patience(decision)
+	for {
+		message, found := exchange.wait(sending, patience)
+		if !found {
+			outcome.Result = exchange.lost(sending)
+			return outcome
+		}
+		if outcome.First.IsZero() {
+			if last > 0 {
+				exchange.life.world.tempt("a stream of a call that went on elsewhere")
+			}
+			outcome.First = exchange.life.Now()
+			began()
+		}
+		switch said := message.(type) {
+		case callPieceSent:
+			exchange.passed = said.number
+			if !exchange.replies.put(said) {
+				outcome.Result = window.Gone
+				return outcome
+			}
+			patience = decision.Ends.Sub(exchange.life.Now()) + callMargin
+			if decision.Silence > 0 {
+				patience = min(patience, decision.Silence)
+			}
+		case callRefusal:
+			return exchange.refused(said)
+		case callStreamEnd:
+			exchange.replies.put(said)
+			outcome.Result = window.Complete
+			return outcome
+		}
+	}
+}
+
+// Refuse ends the call with a word of the courier's own.
+func (exchange *callExchange) Refuse(refusal hatch.Refusal) { exchange.replies.put(refusal) }
+
+// Through passes a server's promise on.
+func (exchange *callExchange) Through() bool {
+	if exchange.kept == nil || exchange.passed > 0 {
+		return false
+	}
+	exchange.replies.put(hatch.Refusal{Status: exchange.kept.status})
+	return true
+}
+
+// Break ends the answer without its end.
+func (exchange *callExchange) Break() { exchange.replies.snap() }
+
+// Free gives a prompt's memory back.
+func (exchange *callExchange) Free(source window.Source) {
+	world, to := exchange.life.world, exchange.life.world.nameAt(source.Address)
+	world.carry(exchange.life.name, to, nil, func() {
+		if there := world.callServerAt(source.Address); there != nil {
+			delete(there.handles, source.Handle)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/world/callservers.go
@@ -0,0 +1,189 @@
+package world
+
+import (
+	"net/http"
+	"time"
+
+	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/window"
+)
+
+// callServer is what a model server does for opaque calls, beside the product's own
+// orders: it reads prompts and makes streams, in the part that it has.
+type callServer struct {
+	world   *World
+	name    string
+	reading int
+	running int
+	handles map[string]*callMemory
+}
+
+// callMemory is a prompt's memory that waits to be taken.
+type callMemory struct {
+	id     string
+	lapses time.Duration
+}
+
+// The stand-in's measures.
+const (
+	callReads     = 8
+	callRuns      = 64
+	callTokens    = 50 // read in a millisecond
+	callPiece     = 8 * time.Millisecond
+	callHandle    = 5 * time.Second
+	misdirected   = http.StatusMisdirectedRequest
+	callFetchTime = 3 * time.Millisecond
+)
+
+// refusal is a promise of a server: it did not begin and never will.
+type callRefusal struct{ status int }
+
+// callRead is the answer to a reading.
+type callRead struct{ handle string }
+
+// callPieceSent is one event of a stream, callStreamEnd its end.
+type callPieceSent struct {
+	id     string
+	number int
+}
+
+type callStreamEnd struct{}
+
+// read reads a prompt and keeps its memory.
+func (server *callServer) read(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, call *worldCall, name string) any {
+	switch {
+	case name != server.name || top.Part() != "prefill":
+		return callRefusal{misdirected}
+	case server.reading >= callReads:
+		return callRefusal{http.StatusServiceUnavailable}
+	}
+	server.reading++
+	defer func() { server.reading-- }()
+	if !circuit.Pause(time.Duration(call.call.PromptTokens/callTokens) * time.Millisecond) {
+		return nil
+	}
+	handle := server.world.nonce()
+	server.handles[handle] = &callMemory{id: call.call.ID, lapses: server.world.now + callHandle}
+	return callRead{handle}
+}
+
+// run makes a stream, behind the event that its origin had last.
+func (server *callServer) run(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, call *worldCall, name string, source *window.Source, last int, send func(any) bool) any {
+	switch {
+	case name != server.name || top.Part() != "decode":
+		return callRefusal{misdirected}
+	case server.running >= callRuns:
+		return callRefusal{http.StatusServiceUnavailable}
+	}
+	server.running++
+	defer func() { server.running-- }()
+	if source != nil {
+		there := server.world.callServerAt(source.Address)
+		memory := (*callMemory)(nil)
+		if there != nil && !server.world.link(server.name, there.name).cut {
+			memory = there.handles[source.Handle]
+		}
+		if !circuit.Pause(callFetchTime) {
+			return nil
+		}
+		if server.world.random.IntN(200) == 0 {
+			memory = nil
+		}
+		if memory == nil || memory.lapses < server.world.now || there.handles[source.Handle] == nil {
+			server.world.tempt("a call's memory that could not be had")
+			return callRefusal{http.StatusServiceUnavailable}
+		}
+		delete(there.handles, source.Handle)
+		if memory.id != call.call.ID {
+			server.world.calls.violate("%s goes on from the memory of %s", call.call.ID, memory.id)
+		}
+	}
+	call.ran(server.name)
+	if server.world.random.IntN(100) == 0 {
+		server.world.tempt("a call that began and broke before its first event")
+		return nil
+	}
+	if source == nil && !circuit.Pause(time.Duration(2*call.call.PromptTokens/callTokens)*time.Millisecond) {
+		return nil
+	}
+	for number := last + 1; number <= call.pieces; number++ {
+		for top.Dark() && circuit.Pause(time.Second) {
+		}
+		if !circuit.Pause(callPiece) || !send(callPieceSent{call.call.ID, number}) {
+			return nil
+		}
+	}
+	return callStreamEnd{}
+}
+
+// callServerAt is the server that has an address now.
+func (world *World) callServerAt(address string) *callServer {
+	there := world.servers[world.nameAt(address)]
+	if there == nil || there.life.ended || there.life.address != address {
+		return nil
+	}
+	return there.calls
+}
+
+// send sends a call to a server and gives what it answers to the pipe; nil means
+// that certainly nothing went.
+func (exchange *callExchange) send(server roster.Server, serve func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) any) *callSending {
+	world, here := exchange.life.world, exchange.life
+	to := world.nameAt(server.Address)
+	sending := &callSending{replies: newPipe(world, to, here.name, here)}
+	arrive := func() {
+		there := world.servers[to]
+		if there == nil || there.life.ended || there.life.address != server.Address {
+			sending.refused = true
+			sending.replies.snap()
+			return
+		}
+		circuit := rehearsal.NewCircuit(there.life)
+		forgetServer := there.life.atEnd(sending.replies.snap)
+		sending.hangUp = func() { world.carry(here.name, to, there.life, circuit.Close) }
+		forgetCourier := here.atEnd(sending.hangUp)
+		there.life.Go(func() {
+			defer forgetCourier()
+			if there.top.Dark() {
+				circuit.Pause(time.Minute)
+				return
+			}
+			answer := serve(there.calls, there.top, circuit, func(message any) bool { return !sending.quit && sending.replies.put(message) })
+			forgetServer()
+			switch {
+			case answer == nil:
+				sending.replies.snap()
+			case world.loseAnswers > 0 && world.random.Float64() < world.loseAnswers:
+				world.tempt("a call's answer lost after the work")
+				sending.replies.snap()
+			default:
+				sending.replies.put(answer)
+			}
+		})
+	}
+	if !world.carry(here.name, to, nil, arrive) {
+		if world.random.IntN(2) == 0 {
+			// The circuit did not come up.
+			here.NewBell().Wait(300*time.Millisecond, never)
+			return nil
+		}
+		world.tempt("a call lost on a circuit that was up")
+	}
+	return sending
+}
+
+// callSending is one sending of a call.
+type callSending struct {
+	replies *pipe
+	refused bool
+	quit    bool
+	hangUp  func()
+}
+
+func (sending *callSending) stop() {
+	sending.quit = true
+	if sending.hangUp != nil {
+		sending.hangUp()
+	}
+}
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -55,6 +55,8 @@
 	Whole       bool
 	Temptations map[string]int
 	Steps       uint64
+	// Calls is what became of opaque calls.
+	Calls CallTally
 }
 
 // Failed tells whether something happened that must not.
@@ -131,6 +133,9 @@
 		})
 	}
 	world.outside.Go(func() { world.callers(ends) })
+	if world.ways.Calls {
+		world.outside.Go(func() { world.originsOfCalls(ends) })
+	}
 	world.outside.Go(func() { world.operate(ends) })
 	world.outside.Go(func() { world.watchPrimaries(ends + evening) })
 	if day.Swings {
@@ -156,7 +161,7 @@
 			break
 		}
 	}
-	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Twice: world.twice, Temptations: world.temptations, Steps: world.acted}
+	result := Result{Verdict: rehearsal.Judge(world.Book.Entries()), Whole: world.whole(), Twice: world.twice, Temptations: world.temptations, Steps: world.acted, Calls: *world.calls}
 	result.Turns, result.Flaps = turns(world.Book.Entries())
 	for _, life := range world.lives {
 		if !life.ended {
--- a/internal/rehearsal/world/operators.go
+++ b/internal/rehearsal/world/operators.go
@@ -115,6 +115,9 @@
 	if before := rehearsal.EditionOf(read.text); before > 0 {
 		patch = strings.Replace(patch, `"routes":{`, `"routes":{"edition-`+strconv.Itoa(before)+`":null,`, 1)
 	}
+	if world.ways.Calls {
+		patch = strings.Replace(patch, `"routes":{`, `"routes":{`+world.callRoutes(), 1)
+	}
 	outcome := world.edit(hatch.Edit{Change: "edition-" + strconv.Itoa(edition), Digest: patch, Expected: &read.version,
 		Apply: func(text []byte) ([]byte, error) { return menu.Merge(text, []byte(patch)) }})
 	kinds := map[string]rehearsal.EntryKind{"accepted": rehearsal.EditionAccepted, "refused": rehearsal.EditionRefused, "unknown": rehearsal.EditionUnknown}
--- a/internal/rehearsal/world/stoves.go
+++ b/internal/rehearsal/world/stoves.go
@@ -262,6 +262,8 @@
 	plan rehearsal.ServerPlan
 	life *life
 	top  *rehearsal.Stovetop
+	// calls is what it does for opaque calls.
+	calls *callServer
 }
 
 // fetchFrom takes a prompt's memory over from another server.
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -61,6 +61,8 @@
 	claiming    map[string]int
 	evacuating  map[string]bool
 	trace       hash.Hash
+	// calls is what becomes of opaque calls.
+	calls *CallTally
 	// layout is set when the fleet has several regions.
 	layout *Layout
 	// traffic are the messages between nodes, by path, and those of each node.
@@ -84,6 +86,8 @@
 	life     *life
 	courier  *hatch.Courier
 	control  *hatch.Expediter
+	// calls serves opaque calls, where the world has them.
+	calls *hatch.Calls
 	// starts counts its processes.
 	starts int
 }
@@ -98,7 +102,7 @@
 func New(deployment rehearsal.Deployment, seed uint64) *World {
 	world := &World{deployment: deployment, random: rand.New(rand.NewPCG(seed, 0x5ea)), byAddress: map[string]string{}, lives: map[string]*life{},
 		servers: map[string]*server{}, links: map[[2]string]*link{}, temptations: map[string]int{}, seenKeys: map[string]bool{}, claiming: map[string]int{}, evacuating: map[string]bool{},
-		trace: sha256.New(), traffic: map[string]Traffic{}, Log: func(string) {}}
+		calls: &CallTally{}, trace: sha256.New(), traffic: map[string]Traffic{}, Log: func(string) {}}
 	world.Book = &rehearsal.Book{Clock: func() time.Time { return epoch.Add(world.now) }}
 	world.platform.servers = map[string]roster.Server{}
 	world.outside = world.newLife("outside", "outside", 0)
@@ -205,7 +209,8 @@
 	address := "10.1." + strconv.FormatUint(world.nonces>>8, 10) + "." + strconv.FormatUint(world.nonces&0xff, 10) + ":1"
 	begun := world.newLife(plan.Name, address, 0)
 	world.byAddress[address] = plan.Name
-	world.servers[plan.Name] = &server{plan: plan, life: begun, top: rehearsal.NewStovetop(plan, world.Book, begun, world.nonce, world.fetchFrom(begun))}
+	world.servers[plan.Name] = &server{plan: plan, life: begun, top: rehearsal.NewStovetop(plan, world.Book, begun, world.nonce, world.fetchFrom(begun)),
+		calls: &callServer{world: world, name: plan.Name, handles: map[string]*callMemory{}}}
 	world.platform.servers[plan.Name] = roster.Server{Name: plan.Name, Address: address, District: plan.District}
 }
 
@@ -246,6 +251,7 @@
 	if world.layout == nil {
 		options.Pressures = lists{world, begun}
 	}
+	world.prepareCalls(machine, begun, &options)
 	courier := hatch.NewCourier(begun, wire{begun}, stoves, &passing{life: begun}, options, observe)
 	machine.courier = courier
 	begun.answer = courier.Answers().Answer
