--- a/internal/window/sweep_test.go
+++ b/internal/window/sweep_test.go
@@ -32,9 +32,13 @@
 	if os.Getenv("SWEEP") == "" {
 		test.Skip("compares costs by hand")
 	}
+	sites := []site{nine(), twelve()}
+	if os.Getenv("SWEEP") == "large" {
+		sites = []site{sixty()}
+	}
 	run := func(name string, change func(*costs)) {
 		text, sum := fmt.Sprintf("%-28s", name), 0.0
-		for _, site := range []site{nine(), twelve()} {
+		for _, site := range sites {
 			for _, factor := range []float64{0.6, 1, 1.4} {
 				score, again, aim, chat, crossed, moved, orders := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 				const seeds = 6
@@ -60,7 +64,7 @@
 					crossed += world.crossed * 1000 / seeds
 					moved += world.farMoves / (world.nearMoves + world.farMoves) / seeds
 				}
-				sum += score / 6
+				sum += score / float64(3*len(sites))
 				text += fmt.Sprintf(" | %.4f %.3f %.3f %4.0fk %2.0fMB %.2f %.1f", score, aim, chat, again, crossed, moved, orders)
 			}
 		}
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -97,6 +97,16 @@
 	return site
 }
 
+func sixty() site {
+	site := site{name: "sixty", couriers: 85, list: zoned(60, 8), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 2200}
+	site.engine.memory, site.engine.stride = 276_487, 14
+	site.long.perSecond, site.long.chains[1].things, site.long.bytes, site.long.aim = 136, 512, 9200, 500*time.Millisecond
+	site.long.pieces, site.long.mostPieces, site.long.gap = 3.72, 14.9, 300*time.Millisecond
+	site.chat.perSecond, site.chat.chains[0].things, site.chat.chains[1].things, site.chat.bytes = 171, 80, 968, 830
+	site.chat.pieces, site.chat.mostPieces, site.chat.aim, site.chat.gap = 20.8, 68.1, 600*time.Millisecond, 300*time.Millisecond
+	return site
+}
+
 // world is a site in virtual time, with so much of its traffic for so long.
 func (site site) world(seed uint64, shape func(*Window)) *world {
 	world := dividedWorld(seed, site.couriers, append([]roster.Server(nil), site.list...), shape)
