--- a/internal/rehearsal/platformday/clients.go
+++ b/internal/rehearsal/platformday/clients.go
@@ -108,13 +108,13 @@
 		circuit, failure := clients.circuit(one, sender, number)
 		var again *try
 		if failure != nil {
-			clients.book.Note(Event{Kind: TryEnded, Request: one.id, Class: one.class.Name, Route: one.route, Number: number, Repeatable: one.class.Resumable, Aim: one.class.Aim, Began: one.began, Cause: "no circuit: " + failure.Error()})
+			clients.book.Note(Event{Kind: TryEnded, Request: one.id, Class: one.class.Name, Route: one.route, Number: number, Repeatable: one.class.repeats(), Aim: one.class.Aim, Began: one.began, Cause: "no circuit: " + failure.Error()})
 			again = &try{one: one, unread: true}
 		} else {
 			again = one.send(circuit, number, behind, clients.book)
 			clients.rest(sender, circuit, again)
 		}
-		if spans := again.event.Spans; len(spans) > 0 {
+		if spans := again.event.Spans; len(spans) > 0 && one.class.Resumable {
 			behind = spans[len(spans)-1].To
 		}
 		wait, comes := again.comesBack()
@@ -145,7 +145,7 @@
 	case try.unread:
 		return usual, true
 	}
-	return usual, try.one.class.Resumable
+	return usual, try.one.class.repeats()
 }
 
 // circuit takes up a resting circuit, or opens one to a machine of the client's zone: a
--- a/internal/rehearsal/platformday/command.go
+++ b/internal/rehearsal/platformday/command.go
@@ -74,7 +74,10 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	page := serverPage{ID: server.ID, Backend: server.Service, Address: server.Address, Zone: server.Zone, Revision: "v1", Slots: server.shape.Slots, State: stateServing,
-		Phase: server.phase, ModelIDs: server.models()}
+		Phase: server.phase}
+	if server.shape.Plain == 0 {
+		page.ModelIDs = server.models()
+	}
 	if server.draining {
 		page.State = stateDraining
 	}
--- a/internal/rehearsal/platformday/directory.go
+++ b/internal/rehearsal/platformday/directory.go
@@ -32,8 +32,8 @@
 	Slots    int         `json:"slots"`
 	State    string      `json:"state"`
 	ColdLeft int64       `json:"coldLeftMs"`
-	Phase    string      `json:"phase"`
-	ModelIDs []modelPage `json:"modelIds"`
+	Phase    string      `json:"phase,omitempty"`
+	ModelIDs []modelPage `json:"modelIds,omitempty"`
 }
 
 // Directory is the platform's list of servers, which is some time behind.
--- a/internal/rehearsal/platformday/edition.go
+++ b/internal/rehearsal/platformday/edition.go
@@ -49,7 +49,7 @@
 
 // idleRule is a route that only the kit's probes use.
 func idleRule(site Site, name string) (string, RouteRule) {
-	class := site.Classes[len(site.Classes)-1]
+	class := site.Classes[1]
 	return name, RouteRule{Host: name + ".example", Prefix: "/" + name + "/", Class: class.Name, Deadline: int(class.Deadline.Milliseconds()), Services: map[string]int{class.Service: 1}}
 }
 
@@ -91,8 +91,15 @@
 		class := site.classOf(rule.Class)
 		page := map[string]any{
 			"name": name, "host": rule.Host, "pathPrefix": rule.Prefix, "routeKind": "streaming", "deadlineMs": rule.Deadline,
-			"targetMs": class.Aim.Milliseconds(), "priority": class.Priority, "maxTries": class.MaxTries, "sticky": true,
-			"resumable": class.Resumable, "tokenGapMs": class.Pause.Milliseconds(),
+			"targetMs": class.Aim.Milliseconds(), "priority": class.Priority, "maxTries": class.MaxTries,
+		}
+		switch {
+		case class.Repeatable:
+			page["routeKind"] = "idempotent"
+		case class.Plain:
+			page["routeKind"] = "mutating"
+		default:
+			page["sticky"], page["resumable"], page["tokenGapMs"] = true, class.Resumable, class.Pause.Milliseconds()
 		}
 		services := slices.Sorted(maps.Keys(rule.Services))
 		if len(services) == 1 && rule.Services[services[0]] == 1 {
@@ -113,12 +120,15 @@
 	pages := []any{}
 	for _, service := range site.Services {
 		shape := service.Engine
-		pages = append(pages, map[string]any{
+		page := map[string]any{
 			"name": service.Name, "healthPath": pathHealth, "maxConns": shape.Connections, "protocol": "h1", "tls": false,
 			"coldStartS": shape.Cold.Seconds(), "coldPerS": shape.ColdPerSecond,
-			"runtime": map[string]any{"slots": shape.Slots, "kvCapacity": shape.Capacity, "kvTokenBytes": int(shape.TokenBytes), "linkMbps": shape.LinkMegabits,
-				"stride": 1, "handleTtlS": shape.HandleLife.Seconds(), "roleSwitchS": shape.Switch.Seconds(), "modelIds": []any{map[string]any{"name": modelName}}},
-		})
+		}
+		if shape.Plain == 0 {
+			page["runtime"] = map[string]any{"slots": shape.Slots, "kvCapacity": shape.Capacity, "kvTokenBytes": int(shape.TokenBytes), "linkMbps": shape.LinkMegabits,
+				"stride": 1, "handleTtlS": shape.HandleLife.Seconds(), "roleSwitchS": shape.Switch.Seconds(), "modelIds": []any{map[string]any{"name": modelName}}}
+		}
+		pages = append(pages, page)
 	}
 	return pages
 }
--- a/internal/rehearsal/platformday/engine.go
+++ b/internal/rehearsal/platformday/engine.go
@@ -19,6 +19,9 @@
 	Cold                      time.Duration
 	ColdPerSecond             float64
 	Idle                      time.Duration
+	// Plain: the server has no engine of a model; it works on a request for so many steps
+	// and answers it whole.
+	Plain int
 }
 
 // engine works in batches: each step makes one token of every request that is being
--- a/internal/rehearsal/platformday/exchange.go
+++ b/internal/rehearsal/platformday/exchange.go
@@ -53,7 +53,7 @@
 	if expected := header.Get(headerExpected); expected != "" && expected != strconv.Itoa(server.revision) {
 		return http.StatusMisdirectedRequest
 	}
-	if exchange.event.Stage != server.phase {
+	if exchange.event.Stage != server.phase && server.shape.Plain == 0 {
 		return http.StatusMisdirectedRequest
 	}
 	return 0
@@ -100,7 +100,11 @@
 	if given, failure := strconv.Atoi(exchange.header.Get(headerUrgency)); failure == nil {
 		urgency = given
 	}
-	exchange.one = &work{onlyRead: exchange.event.Stage == stagePrefill, model: exchange.header.Get(headerModel), chain: chain, most: tokensOf(exchange.event.Digest, max(1, most)),
+	most = tokensOf(exchange.event.Digest, max(1, most))
+	if server.shape.Plain > 0 {
+		most = server.shape.Plain
+	}
+	exchange.one = &work{onlyRead: exchange.event.Stage == stagePrefill, model: exchange.header.Get(headerModel), chain: chain, most: most,
 		made: exchange.behind, urgency: urgency, arrived: now}
 	if exchange.event.Deadline > 0 {
 		exchange.one.ends = now.Add(exchange.event.Deadline)
@@ -139,6 +143,10 @@
 		exchange.answerRead(writer)
 		return
 	}
+	if exchange.server.shape.Plain > 0 {
+		exchange.answerWhole(writer)
+		return
+	}
 	exchange.answerStream(writer)
 }
 
@@ -284,6 +292,62 @@
 	}
 }
 
+// answerWhole answers a plain request once its work is done.
+func (exchange *exchange) answerWhole(writer http.ResponseWriter) {
+	ended := exchange.event
+	ended.Kind, ended.Seal = RunEnded, exchange.seal
+	defer func() { exchange.server.pool.book.Note(ended) }()
+	made, _, ending := exchange.await(1 << 30)
+	if exchange.server.silent() {
+		<-exchange.server.lifetime.Done()
+		ended.Cause = "dark"
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case ending == "left":
+		ended.Cause = ending
+		panic(http.ErrAbortHandler)
+	case ending != "" && !exchange.ran:
+		ended.Cause = ending
+		exchange.turnAway(writer, http.StatusServiceUnavailable)
+		return
+	case ending != "":
+		ended.Cause, ended.Status = ending, http.StatusGatewayTimeout
+	case exchange.spoiling == failed:
+		ended.Cause, ended.Status = "failed", http.StatusInternalServerError
+	case exchange.spoiling == lost:
+		ended.Cause = "answer lost"
+		panic(http.ErrAbortHandler)
+	case exchange.spoiling == garbage || exchange.spoiling == extraLate:
+		exchange.answerBadly(writer, &ended)
+		return
+	default:
+		ended.Complete, ended.Status, ended.Tokens = true, http.StatusOK, made
+	}
+	text := exchange.wholeText(made)
+	exchange.head(writer.Header())
+	writer.Header().Set("Content-Type", "application/json")
+	if ended.Status == http.StatusOK {
+		writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	}
+	writer.WriteHeader(ended.Status)
+	if ended.Status != http.StatusOK {
+		return
+	}
+	if exchange.spoiling == brokenOff {
+		ended.Cause, ended.Complete = "broken off", false
+		_, _ = writer.Write([]byte(text[:len(text)/2]))
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = writer.Write([]byte(text))
+}
+
+// wholeText is the body of a plain answer.
+func (exchange *exchange) wholeText(made int) string {
+	return fmt.Sprintf("{\"answer\":\"/%s/%s/1-%d\"}%s", exchange.event.Digest, exchange.seal, made, strings.Repeat(" ", 400))
+}
+
 // leave takes the request out of the engine.
 func (exchange *exchange) leave() {
 	exchange.server.mutex.Lock()
@@ -320,7 +384,11 @@
 		_ = head.Write(circuit)
 		_, _ = circuit.Write([]byte("\r\n"))
 		body := httputil.NewChunkedWriter(circuit)
-		_, _ = body.Write([]byte(exchange.spanText(exchange.behind+1, made)))
+		if exchange.server.shape.Plain > 0 {
+			_, _ = body.Write([]byte(exchange.wholeText(made)))
+		} else {
+			_, _ = body.Write([]byte(exchange.spanText(exchange.behind+1, made)))
+		}
 		_ = body.Close()
 		_, _ = circuit.Write([]byte("\r\n"))
 	}
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -108,7 +108,7 @@
 		return
 	}
 	for _, service := range day.Site.Services {
-		if service.Name != old.Service {
+		if service.Name != old.Service && service.Engine.Plain == 0 {
 			_, _ = day.ServerPool.addAt(old.Address, service, old.Zone, stageDecode, true)
 			return
 		}
@@ -418,7 +418,7 @@
 	case "weights":
 		rule.Services = map[string]int{day.Site.Services[0].Name: 90, day.Site.Services[1].Name: 10}
 	case "route":
-		rule.Services = map[string]int{day.Site.Services[next.Revision%len(day.Site.Services)].Name: 1}
+		rule.Services = map[string]int{day.Site.Services[next.Revision%2].Name: 1}
 	case "timeout":
 		rule.Deadline = int(class.Deadline.Milliseconds()) - 100*(next.Revision%5)
 	default:
--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -98,10 +98,12 @@
 		server.coldUntil = time.Now().Add(service.Engine.Cold)
 	}
 	mux := goji.NewMux()
-	mux.HandleFunc(pat.Get(pathReport), server.tellReport)
 	mux.HandleFunc(pat.Get(pathHealth), server.tellHealth)
-	mux.HandleFunc(pat.Post(pathOrder), server.takeOrder)
-	mux.HandleFunc(pat.Delete(pathHandle+":handle"), server.freeHandle)
+	if service.Engine.Plain == 0 {
+		mux.HandleFunc(pat.Get(pathReport), server.tellReport)
+		mux.HandleFunc(pat.Post(pathOrder), server.takeOrder)
+		mux.HandleFunc(pat.Delete(pathHandle+":handle"), server.freeHandle)
+	}
 	mux.HandleFunc(pat.New("/*"), server.serve)
 	server.server = &http.Server{Handler: server.shade(mux), IdleTimeout: service.Engine.Idle, BaseContext: func(net.Listener) context.Context { return server.lifetime }, ConnState: server.countCircuits}
 	pool.book.Note(Event{Kind: ServerBorn, Server: server.ID, Service: server.Service, Zone: zone, Cold: cold})
@@ -255,7 +257,9 @@
 
 func (server *modelServer) tellLoad(header http.Header) {
 	header.Set(headerLoad, fmt.Sprintf("%d,%d,%d", len(server.engine.running), len(server.engine.waiting), server.shape.Slots))
-	header.Set(headerRevision, strconv.Itoa(server.revision))
+	if server.shape.Plain == 0 {
+		header.Set(headerRevision, strconv.Itoa(server.revision))
+	}
 	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(server.shape.Idle.Seconds())))
 }
 
--- a/internal/rehearsal/platformday/passthrough_test.go
+++ b/internal/rehearsal/platformday/passthrough_test.go
@@ -122,7 +122,7 @@
 		}
 		var fitting []serverPage
 		for _, page := range through.servers {
-			if page.Backend == fields["backend"] && page.Phase == stageDecode && page.State == stateServing {
+			if page.Backend == fields["backend"] && page.Phase != stagePrefill && page.State == stateServing {
 				fitting = append(fitting, page)
 			}
 		}
--- a/internal/rehearsal/platformday/request.go
+++ b/internal/rehearsal/platformday/request.go
@@ -42,14 +42,20 @@
 	}
 	own := class.OwnTokens/2 + random.IntN(max(1, class.OwnTokens))
 	chain = append(chain, fmt.Sprintf("%x:%d", random.Uint32(), own))
+	if class.Plain {
+		chain = nil
+	}
+	one.tokens = fmt.Sprintf("%d,%d", total+own, 1+class.MostTokens/2+random.IntN(max(1, class.MostTokens)))
 	one.parts = strings.Join(chain, ",")
-	one.tokens = fmt.Sprintf("%d,%d", total+own, 1+class.MostTokens/2+random.IntN(class.MostTokens))
 	one.body = []byte(`{"ask":"` + one.id + `","text":"` + strings.Repeat("menu ", max(0, class.BodyBytes-60)/5) + `"}`)
 	return one
 }
 
 // header writes what a try says, save its own id and deadline.
 func (one *request) header() http.Header {
+	if one.class.Plain {
+		return http.Header{"Content-Type": {"application/json"}}
+	}
 	return http.Header{headerModel: {modelName}, headerTokens: {one.tokens}, headerParts: {one.parts}, "Content-Type": {"application/json"}}
 }
 
@@ -60,6 +66,9 @@
 
 // patience is the silence after which the client gives a stream up.
 func (one *request) patience() time.Duration {
+	if one.class.Plain {
+		return one.class.Deadline
+	}
 	return max(2*time.Second, 4*one.class.Aim, 8*one.class.Pause)
 }
 
--- a/internal/rehearsal/platformday/serverpool.go
+++ b/internal/rehearsal/platformday/serverpool.go
@@ -27,7 +27,9 @@
 	for _, service := range site.Services {
 		for number := range service.PerZone * len(site.Zones) {
 			phase := stageDecode
-			if number < service.Readers {
+			if service.Engine.Plain > 0 {
+				phase = ""
+			} else if number < service.Readers {
 				phase = stagePrefill
 			}
 			if _, failure := pool.add(service, site.Zones[number%len(site.Zones)], phase, false); failure != nil {
--- a/internal/rehearsal/platformday/site.go
+++ b/internal/rehearsal/platformday/site.go
@@ -38,9 +38,12 @@
 	Deadline  time.Duration
 	Pause     time.Duration
 	Resumable bool
-	MaxTries  int
-	Priority  int
-	Retries   int
+	// Plain requests are answered whole; Repeatable tells which of these may run again.
+	Plain      bool
+	Repeatable bool
+	MaxTries   int
+	Priority   int
+	Retries    int
 	// Shared are the parts that requests have in common, from the widest: how many there
 	// are, and of how many tokens.
 	Shared     []SharedPart
@@ -65,19 +68,26 @@
 		HandleLife: 5 * time.Second, Switch: 1500 * time.Millisecond, ReportLag: 100 * time.Millisecond,
 		Cold: 3 * time.Second, ColdPerSecond: 12, Idle: 15 * time.Second,
 	}
+	till := Shape{Slots: 8, Queue: 24, Connections: 120, Step: 4 * time.Millisecond, TokensPerMillisecond: 57, Chunk: 1, Block: 16, Capacity: 4096, Plain: 5,
+		Cold: 3 * time.Second, ColdPerSecond: 12, Idle: 8 * time.Second}
 	return Site{
 		Region: "coast", Zones: []string{"quay-hall", "hill-hall", "mill-hall"}, Plain: 1, Terms: UsualTerms(), Clients: 6, Rate: 20,
 		ListLag: 800 * time.Millisecond, ListRate: 40,
-		Services: []ServiceShape{{Name: "desk", PerZone: 2, Readers: 2, Engine: engine}, {Name: "annexe", PerZone: 1, Readers: 1, Engine: engine}},
+		Services: []ServiceShape{{Name: "desk", PerZone: 2, Readers: 2, Engine: engine}, {Name: "annexe", PerZone: 1, Readers: 1, Engine: engine}, {Name: "till", PerZone: 1, Engine: till}},
 		Classes: []Class{
 			{Name: "verdict", Service: "desk", Share: 0.45, Aim: 400 * time.Millisecond, Deadline: 3 * time.Second, Pause: 250 * time.Millisecond, Resumable: true,
 				MaxTries: 2, Priority: 0, Retries: 1, Shared: []SharedPart{{4, 2520}, {40, 3780}}, OwnTokens: 2890, MostTokens: 8, BodyBytes: 18_000},
 			{Name: "chat", Service: "desk", Share: 0.55, Aim: 500 * time.Millisecond, Deadline: 8 * time.Second, Pause: 250 * time.Millisecond,
 				MaxTries: 2, Priority: 1, Retries: 1, Shared: []SharedPart{{40, 119}, {80, 79}}, OwnTokens: 628, MostTokens: 40, BodyBytes: 1700},
+			{Name: "purchase", Service: "till", Share: 0.1, Plain: true, Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, MaxTries: 2, Priority: 0, Retries: 1, BodyBytes: 900},
+			{Name: "stock", Service: "till", Share: 0.1, Plain: true, Repeatable: true, Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, MaxTries: 3, Priority: 2, Retries: 2, BodyBytes: 100},
 		},
 	}
 }
 
+// repeats tells whether a request of the kind may run more than once.
+func (class Class) repeats() bool { return class.Resumable || class.Repeatable }
+
 // shapeOf finds a service of the site.
 func (site Site) shapeOf(service string) ServiceShape {
 	for _, shape := range site.Services {
--- a/internal/rehearsal/platformday/try.go
+++ b/internal/rehearsal/platformday/try.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"os"
@@ -31,7 +32,7 @@
 func (one *request) send(circuit *circuit, number, behind int, book *Book) *try {
 	try := &try{one: one, id: strings.ReplaceAll(uuid.NewString(), "-", "")[:16], number: number, behind: behind}
 	try.event = Event{Kind: TrySent, Machine: circuit.machine, Try: try.id, Request: one.id, Class: one.class.Name, Route: one.route, Number: number,
-		Repeatable: one.class.Resumable, Probe: one.probe, Digest: one.digest(), Deadline: one.left(), Aim: one.class.Aim, Began: one.began, Behind: behind, At: time.Now()}
+		Repeatable: one.class.repeats(), Probe: one.probe, Digest: one.digest(), Deadline: one.left(), Aim: one.class.Aim, Began: one.began, Behind: behind, At: time.Now()}
 	outbound, failure := http.NewRequest(http.MethodPost, "http://"+one.rule.Host+one.path, bytes.NewReader(one.body))
 	if failure != nil {
 		try.event.Cause = failure.Error()
@@ -102,6 +103,8 @@
 	}
 	if answer.StatusCode/100 != 2 {
 		_, failure = io.Copy(io.Discard, answer.Body)
+	} else if try.one.class.Plain {
+		failure = try.readWhole(answer.Body)
 	} else {
 		failure = try.readStream(circuit, answer.Body)
 	}
@@ -128,6 +131,22 @@
 	causeLeft     = "the client left"
 )
 
+// readWhole reads a plain answer.
+func (try *try) readWhole(body io.Reader) error {
+	text, failure := io.ReadAll(body)
+	if failure != nil {
+		return failure
+	}
+	var page struct{ Answer string }
+	span := Span{ID: -1}
+	if json.Unmarshal(text, &page) == nil {
+		span.read(strings.TrimPrefix(page.Answer, "/"))
+		span.ID = span.To
+	}
+	try.event.First, try.event.Spans = time.Now(), []Span{span}
+	return nil
+}
+
 // readStream reads events as they come.
 func (try *try) readStream(circuit *circuit, body io.Reader) error {
 	lines := bufio.NewReader(body)
