Window: a cold home learns its chains while few calls come

Cause: after a server was replaced, its chains went to the next reader for three seconds, and moved again when the new one was warm: both read them.

--- a/internal/window/choice.go
+++ b/internal/window/choice.go
@@ -344,8 +344,6 @@
 // belief is how surely a server keeps the call's shared parts by the home rule.
 func (choice *choice) belief(backend *backend) float64 {
 	switch {
-	case backend.cold(choice.now):
-		return 0
 	case backend == choice.home:
 		return choice.costs.home
 	case backend == choice.nextHome:
--- a/internal/window/failures_test.go
+++ b/internal/window/failures_test.go
@@ -151,3 +151,38 @@
 		test.Error("the server gets no calls any more")
 	}
 }
+
+// TestColdHomeLearnsItsChains wants a home that came back cold to get the calls of its
+// chains as far as its rate allows, not the next reader all of them.
+func TestColdHomeLearnsItsChains(test *testing.T) {
+	home := ""
+	var chains []uint64
+	for chain := uint64(1000); len(chains) < 20; chain++ {
+		if _, decision := opened(9).Arrive(noon, longCall("a", chain)); home == "" || decision.Server.Name == home {
+			home = decision.Server.Name
+			chains = append(chains, chain)
+		}
+	}
+	calls := opened(9)
+	calls.SetCouriers(1)
+	list := servers(9)
+	for position := range list {
+		if list[position].Name == home {
+			list[position].Address, list[position].Warming = "10.9.9.9:8080", 3*time.Second
+		}
+	}
+	calls.SetServers(noon, list)
+	calls.Arrive(noon, longCall("first", 1))
+	got, now := 0, noon
+	for number, chain := range chains {
+		now = now.Add(150 * time.Millisecond)
+		ticket, decision := calls.Arrive(now, longCall(fmt.Sprint(number), chain))
+		if decision.Server.Name == home {
+			got++
+		}
+		calls.Ended(now, ticket, Outcome{Result: Complete, Handle: "h"})
+	}
+	if got < 15 {
+		test.Errorf("%d of %d calls went to the cold home", got, len(chains))
+	}
+}
