--- a/internal/window/pools.go
+++ b/internal/window/pools.go
@@ -44,8 +44,10 @@
 	// part at which a reader is taken back for them.
 	slotsUsed    = 0.3
 	slotsPressed = 0.5
-	// fewestRunners is the part of the servers that make answers in any case: the parts
-	// are late to follow when more answers are wanted.
+	// keptRunners is the part of the servers that no order takes from making answers: two
+	// servers that go dark must leave enough of them, since the parts are late to follow.
+	// Below fewestRunners, whatever the pressure, a reader makes answers again.
+	keptRunners   = 0.4
 	fewestRunners = 0.3
 	// sharedOrders is how many servers there are for each order given at once.
 	sharedOrders = 4
@@ -112,9 +114,10 @@
 
 func (pool *pool) decide(now time.Time, window *Window, program *Program, service *menu.Service) []recipe.Order {
 	var readers, runners []*backend
+	reported := window.reported.Load()
 	for _, backend := range window.board.Load().byService[service.Name] {
 		switch {
-		case backend.cold(now):
+		case backend.cold(now), backend.silent(reported):
 		case backend.server.Leaving || program.evacuations[backend.server.District]:
 		case backend.changing():
 			return nil
@@ -165,11 +168,11 @@
 	if slots == 0 {
 		slots = unknownSlots
 	}
-	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), int(math.Ceil(float64(all)*fewestRunners))), all-1)
+	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), int(math.Ceil(float64(all)*keptRunners))), all-1)
 	wanted := min(max(1, int(math.Ceil(busy/readersBusy))), all-leastRunners)
 	pressed := running > slotsPressed*slots*float64(len(runners))
-	// Runners went away and those that are left have no slots for all: that can't wait.
-	urgent := pressed && len(runners) < int(math.Ceil(float64(all)*fewestRunners))
+	// Runners went away and those that are left are few: that can't wait.
+	urgent := len(runners) < int(math.Ceil(float64(all)*fewestRunners))
 	part := ""
 	switch {
 	case len(readers) > 1 && (urgent || pressed && busy < readersIdle*float64(len(readers)-1)):
