Pools: 55 in a hundred of an idle service's servers read

Cause: twelve servers had half of theirs as readers already and were late when prompts pressed. Ruled out: six in ten (slow links leave three runners too few), a learned size of others' reads (within noise).

--- a/internal/window/pools.go
+++ b/internal/window/pools.go
@@ -52,11 +52,12 @@
 	// sharedOrders is how many servers there are for each order given at once.
 	sharedOrders = 4
 	partPatience = 20 * time.Second
-	// A service that has been idle for idleSpan, all but idle calls, gets readers for half
-	// of its servers: parts that change under traffic cost the memory of what moves, and
+	// A service that has been idle for idleSpan, all but idle calls, gets idleReaders of
+	// its servers as readers: parts that change under traffic cost the memory of what moves, and
 	// reading is what fills up first.
-	idleSpan = 3 * time.Second
-	idle     = 0.05
+	idleSpan    = 3 * time.Second
+	idle        = 0.05
+	idleReaders = 0.55
 )
 
 // NewPools starts without memory.
@@ -161,7 +162,7 @@
 		pool.idle = time.Time{}
 	} else if pool.idle.IsZero() {
 		pool.idle = now
-	} else if even := (all + 1) / 2; now.Sub(pool.idle) >= idleSpan && len(readers) < even {
+	} else if even := int(math.Ceil(float64(all) * idleReaders)); now.Sub(pool.idle) >= idleSpan && len(readers) < even {
 		return give(runners, prefill, "the service is idle and too few servers read prompts", even-len(readers))
 	}
 	slots := float64(service.Engine.Slots)
