--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"seamloom.example/seamloom/internal/rehearsal/capacity"
+	"seamloom.example/seamloom/internal/rehearsal/platformday"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -25,6 +26,8 @@
 	base := set.StringArray("base", nil, "another size of a dimension that stands still, as servers=1100")
 	folder := set.String("folder", "", "write readings.csv and a plot of each line into this folder (default: the lines alone, to the screen)")
 	processes := set.Bool("processes", false, "measure fleets with real processes too, whose programs are beside this one")
+	platform := set.String("platform", "", "measure the programs of the deploy file too, which are in this folder")
+	deploy := set.String("deploy", "deploy/system.toml", "the deploy file")
 	quiet := set.Bool("quiet", false, "don't say what is measured at the moment")
 	command.RunE = func(*cobra.Command, []string) error {
 		var failure error
@@ -52,6 +55,13 @@
 			}
 			activities = append(activities, capacity.FleetActivities(binaries)...)
 		}
+		if *platform != "" {
+			roles, failure := platformday.ReadRoles(*deploy, *platform)
+			if failure != nil {
+				return mistaken{failure}
+			}
+			activities = append(activities, capacity.PlatformActivities(roles)...)
+		}
 		readings, failure := plan.Run(activities)
 		if failure != nil {
 			return failure
--- a/internal/rehearsal/capacity/fleet.go
+++ b/internal/rehearsal/capacity/fleet.go
@@ -29,7 +29,7 @@
 )
 
 // watched is how long a fleet over loopback is looked at.
-const watched = 6 * time.Second
+var watched = 6 * time.Second
 
 // FleetActivities are measured with real processes, whose programs are in a folder.
 //
