Removals: the protections of opaque calls

Cause: none of them was among those that are taken away to see a test fail. Two were not seen at first: an ended circuit's refusal was hidden by its closed connection, and the conduct's guard of promises by the window's, so each has a test of its own now; the conduct's two guards stand in one place. Conclusion: no behaviour changed.

--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -151,6 +151,20 @@
 	if wrote, _ := line.circuit.end(); !wrote {
 		t.Fatal("something was written")
 	}
+	// One whose call's end has come takes nothing, though it is up.
+	line, failure = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if line.circuit.begin(time.Now().Add(-time.Second)) {
+		t.Fatal("a call began after its end")
+	}
+	if _, failure := line.circuit.Write([]byte("GET")); failure == nil {
+		t.Fatal("a circuit that was not begun took bytes")
+	}
+	if wrote, _ := line.circuit.end(); wrote {
+		t.Fatal("nothing was written")
+	}
 }
 
 func TestACircuitThatAnotherLifeAnsweredOnIsNotUsedAgain(t *testing.T) {
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -175,31 +175,28 @@
 			outcome = exchange.Run(ticket.Route().Calls, decision, func() { calls.window.Began(calls.turns.Now(), ticket) })
 			before, ran = ran, ran || outcome.Result.MayHaveRun()
 		default:
-			if decision.Kind == window.Through && before && !outcome.Result.MayHaveRun() {
-				// The last server's promise is not the whole truth.
-				decision = window.Decision{Kind: window.Refuse, Cause: window.Broken}
-			}
-			conclude(exchange, decision, ran)
+			conclude(exchange, decision, ran, before && !outcome.Result.MayHaveRun())
 			return
 		}
 		decision = calls.window.Ended(calls.turns.Now(), ticket, outcome)
 	}
 }
 
-// conclude gives the origin the last word.
-func conclude(exchange Exchange, decision window.Decision, ran bool) {
+// conclude gives the origin the last word. Whatever was decided, no promise is given of
+// what may have run: not our own, and not that of the last server when an earlier one may
+// have begun, which partly tells.
+func conclude(exchange Exchange, decision window.Decision, ran, partly bool) {
 	switch decision.Kind {
 	case window.Done:
 	case window.Break:
 		exchange.Break()
 	case window.Through:
-		if !exchange.Through() {
+		if partly || !exchange.Through() {
 			exchange.Refuse(Refusal{Cause: window.Broken, Status: http.StatusBadGateway})
 		}
 	default:
 		refusal := Refusal{Cause: decision.Cause, RetryAfter: decision.RetryAfter}
 		if ran && refusal.Cause.NeverRan() {
-			// Whatever was decided: no promise is given of what may have run.
 			refusal = Refusal{Cause: window.Broken}
 		}
 		refusal.Status = statusOf(refusal.Cause)
--- a/internal/hatch/calls_test.go
+++ b/internal/hatch/calls_test.go
@@ -141,3 +141,17 @@
 		t.Fatalf("%+v", exchange.refused)
 	}
 }
+
+// TestTheLastWordPromisesNothingOfWhatMayHaveRun whatever was decided.
+func TestTheLastWordPromisesNothingOfWhatMayHaveRun(t *testing.T) {
+	exchange := &scriptedExchange{kept: true}
+	conclude(exchange, window.Decision{Kind: window.Refuse, Cause: window.Full, RetryAfter: time.Second}, true, false)
+	if exchange.refused.Status != 502 || exchange.refused.RetryAfter != 0 {
+		t.Errorf("a refusal after a run: %+v", exchange.refused)
+	}
+	exchange = &scriptedExchange{kept: true}
+	conclude(exchange, window.Decision{Kind: window.Through}, true, true)
+	if exchange.refused.Status != 502 {
+		t.Errorf("a promise of the last server after another's run: %+v, %v", exchange.refused, exchange.done)
+	}
+}
