Larder: a keeper that promised a higher epoch is noticed even when it answers last

A keeper that had stood in vain and missed a charter refuses holds of older epochs. The primary noted that only when the refusal came before a quorum of confirmations, which with a slow keeper is never: it counted as a keeper and confirmed nobody.

--- a/internal/larder/restart_test.go
+++ b/internal/larder/restart_test.go
@@ -168,3 +168,32 @@
 		test.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
 	}
 }
+
+// TestKeeperThatPromisedMoreIsTakenInAgain has each keeper in turn promise an epoch that
+// nobody used, while the others are a quorum without it and answer sooner.
+func TestKeeperThatPromisedMoreIsTakenInAgain(test *testing.T) {
+	for number := range 3 {
+		world := newWorld(test, 9)
+		if !world.heal(10 * time.Second) {
+			world.fail("no core was formed")
+		}
+		world.calm = true
+		leader, ahead := world.whole(), world.machines[number]
+		if failure := ahead.keeper.Learn(leader.steward.Charter().Epoch + 20); failure != nil {
+			test.Fatal(failure)
+		}
+		takenIn := func() bool {
+			charter := leader.steward.Charter()
+			return charter.Epoch > 20 && ahead.keeper.Charter().Epoch == charter.Epoch && leader.steward.Holds()
+		}
+		for begun := world.clock(); !takenIn(); world.advance(100 * time.Millisecond) {
+			for _, machine := range world.machines {
+				machine.steward.Tick()
+				world.check()
+			}
+			if world.clock().Sub(begun) > 5*time.Second {
+				world.fail("the charter is %+v, that of %s %+v", leader.steward.Charter(), ahead.address, ahead.keeper.Charter())
+			}
+		}
+	}
+}
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -272,9 +272,14 @@
 	outdated := false
 	gather(steward.turns, charter.Electors(), func(seat Seat) (Promise, error) {
 		if seat.Identity == own.Identity {
-			return steward.keeper.Confirm(asked, charter.Epoch, own.Identity), nil
+			promise := steward.keeper.Confirm(asked, charter.Epoch, own.Identity)
+			steward.noteOvertaken(promise)
+			return promise, nil
 		}
 		promise, failure := steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
+		if failure == nil {
+			steward.noteOvertaken(promise)
+		}
 		if failure == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
 			// It was away when the charter was granted.
 			if _, failure := steward.peers.Accept(steward.Address(seat), seat.Identity, charter); failure == nil {
@@ -293,6 +298,10 @@
 			newer = promise.Charter
 		}
 	}, func() bool { return charter.Quorum(confirmed) })
+	if overtaken := steward.overtakenTo(); overtaken > charter.Epoch {
+		outdated = true
+		steward.ballot = max(steward.ballot, overtaken)
+	}
 	if newer.Epoch > charter.Epoch && newer.Primary.Identity != own.Identity {
 		steward.resign("deposed", newer)
 		return false
@@ -313,6 +322,23 @@
 	return true
 }
 
+// noteOvertaken notes that a keeper has promised an epoch and confirms no lower one. It
+// is noted as the answer comes, since a quorum may be there before it in each round.
+func (steward *Steward) noteOvertaken(promise Promise) {
+	if promise.Refusal != trouble.OldEpoch {
+		return
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	steward.overtaken = max(steward.overtaken, promise.Promised)
+}
+
+func (steward *Steward) overtakenTo() uint64 {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	return steward.overtaken
+}
+
 // regrant asks for the same charter under a higher epoch, when a keeper has
 // promised one that nobody was granted and so can't confirm the present one.
 func (steward *Steward) regrant(charter Charter) {
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -84,6 +84,8 @@
 	leaving      bool
 	backoff      time.Time
 	ballot       uint64
+	// overtaken is the highest epoch that a keeper told when it refused a hold.
+	overtaken uint64
 }
 
 // acquaintance is another expediter: when it was heard last, and when it
