Couriers without any configuration serve by the copies until there is a primary

After a restart of everything a courier had nothing to serve by until a primary led and its news came, and looked for it one address after another, half a second for each that is dark. It now asks all that it knows at once. Where serve_without_hold is set, it takes the configuration that every copy in sync holds, as the newest charter told by a quorum of keepers names them: what was acknowledged is on all of them. No hold comes with it and no duty, nothing is acknowledged by it; the primary confirms or replaces it, and an older one is never gone back to. The list of servers comes with it, read once by the expediters.

Ruled out: the newest copy (a change under way on one copy may lose its race), and any single copy (one out of the pair is old).

--- a/core.go
+++ b/core.go
@@ -70,6 +70,9 @@
 		}
 	case pass.MenuReceived:
 		core.applyMenu(event)
+	case pass.MenuLent:
+		core.applyMenu(event)
+		core.desk.ServeFrom(event.At)
 	case pass.HoldRenewed:
 		core.applyHold(event)
 	case pass.FlagsRead:
--- /dev/null
+++ b/internal/hatch/copies.go
@@ -0,0 +1,73 @@
+package hatch
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+)
+
+// copies are what expediters that are not primary said of their copies, by address.
+type copies struct {
+	said map[string]copySaid
+}
+
+type copySaid struct {
+	at      time.Time
+	charter larder.Charter
+	copied  CopyNews
+}
+
+// copyFresh is how long an answer counts.
+const copyFresh = time.Second
+
+// note takes an answer; one without word of a copy takes back what was said before.
+func (copies *copies) note(address string, at time.Time, answer NewsAnswer) {
+	if answer.Copy == nil {
+		delete(copies.said, address)
+		return
+	}
+	if copies.said == nil {
+		copies.said = map[string]copySaid{}
+	}
+	copies.said[address] = copySaid{at: at, charter: answer.Charter, copied: *answer.Copy}
+}
+
+// choose gives the configuration that may be served before there is a primary, and
+// where it lies. What was acknowledged is on every copy that the newest charter names,
+// so it takes the oldest among them, and only when each has spoken or is lost, and when
+// a quorum of the keepers has told the charter.
+func (copies *copies) choose(now time.Time) (address string, version larder.Version, found bool) {
+	var charter larder.Charter
+	spoken := map[larder.Identity]bool{}
+	at := map[larder.Identity]string{}
+	for place, said := range copies.said {
+		if now.Sub(said.at) > copyFresh {
+			continue
+		}
+		if said.charter.Epoch > charter.Epoch {
+			charter = said.charter
+		}
+		spoken[said.copied.Identity], at[said.copied.Identity] = true, place
+	}
+	if charter.Blank() || !charter.Quorum(spoken) {
+		return "", version, false
+	}
+	for _, seat := range charter.Copies() {
+		if !spoken[seat.Identity] {
+			if another, heard := copies.said[seat.Address]; heard && now.Sub(another.at) <= copyFresh {
+				// Another disk is at its address: its own is lost.
+				continue
+			}
+			return "", version, false
+		}
+		said := copies.said[at[seat.Identity]].copied
+		if said.Damaged {
+			// It can't lead, and is replaced.
+			continue
+		}
+		if !found || said.Menu.Before(version) {
+			address, version, found = at[seat.Identity], said.Menu, true
+		}
+	}
+	return address, version, found && version != (larder.Version{})
+}
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -99,7 +99,7 @@
 // answerNews registers the node if needed, waits for news, and grants a hold
 // for the configuration that the answer confirms.
 func (expediter *Expediter) answerNews(question NewsQuestion) (NewsAnswer, error) {
-	elsewhere := func() (NewsAnswer, error) { return NewsAnswer{Charter: expediter.steward.Charter()}, nil }
+	elsewhere := func() (NewsAnswer, error) { return expediter.elsewhere(question), nil }
 	current, view, failure := expediter.Ruling()
 	if failure != nil {
 		return elsewhere()
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -171,6 +171,7 @@
 //	courier.SetServeWithoutHold(time.Minute)
 func (courier *Courier) SetServeWithoutHold(length time.Duration) {
 	courier.core.SetServeWithoutHold(length)
+	courier.followed.SetProvisional(length > 0)
 	courier.showServing()
 }
 
@@ -238,6 +239,10 @@
 // takeNews puts a configuration in force before it uses the hold that
 // confirms it.
 func (courier *Courier) takeNews(news News) {
+	if news.Provisional {
+		courier.takeProvisional(news)
+		return
+	}
 	if drawer, found := news.Changed[larder.MenuDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
 		courier.observe("configuration_in_force", "version", drawer.Version.String())
@@ -254,16 +259,7 @@
 	if _, found := news.Changed[larder.OrdersDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.OrdersRead, Orders: courier.core.ReadOrders(state.Orders.Records)})
 	}
-	if _, found := news.Changed[larder.MembersDrawer]; found {
-		courier.mutex.Lock()
-		courier.members = state.Members
-		courier.mutex.Unlock()
-		if news.Answer.Couriers == 0 {
-			// An older release's primary does not count them.
-			courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(len(couriersOf(state.Members)))})
-		}
-		courier.setContacts()
-	}
+	courier.takeMembers(news, state)
 	courier.takeLists(news)
 	if news.Answer.Hold > 0 {
 		courier.Apply(pass.Event{Kind: pass.HoldRenewed, HoldEnds: news.Asked.Add(news.Answer.Hold), Epoch: news.Answer.Menu.Epoch,
@@ -273,6 +269,39 @@
 	}
 }
 
+// takeProvisional serves by what the copies hold, before there is a primary: what the
+// configuration is read by comes first. It is no hold, and allows no duty.
+func (courier *Courier) takeProvisional(news News) {
+	state, failure := larder.ReadState(news.Changed)
+	if failure != nil {
+		courier.observe("news_unreadable", "cause", failure)
+		return
+	}
+	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
+	courier.takeMembers(news, state)
+	courier.takeLists(news)
+	drawer := news.Changed[larder.MenuDrawer]
+	courier.Apply(pass.Event{Kind: pass.MenuLent, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
+	courier.showServing()
+	courier.stir()
+	courier.observe("configuration_lent", "version", drawer.Version.String())
+}
+
+// takeMembers takes the recorded members, if there are others.
+func (courier *Courier) takeMembers(news News, state *larder.State) {
+	if _, found := news.Changed[larder.MembersDrawer]; !found {
+		return
+	}
+	courier.mutex.Lock()
+	courier.members = state.Members
+	courier.mutex.Unlock()
+	if news.Answer.Couriers == 0 {
+		// Nobody counts them: an older release's primary, or a copy.
+		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(len(couriersOf(state.Members)))})
+	}
+	courier.setContacts()
+}
+
 // takeLists takes what the news says of servers and of those who share them.
 func (courier *Courier) takeLists(news News) {
 	if count := news.Answer.Couriers; count > 0 {
--- a/internal/hatch/fleet_test.go
+++ b/internal/hatch/fleet_test.go
@@ -57,6 +57,8 @@
 	mutex  sync.Mutex
 	nodes  map[string]*Expediter
 	shelfs map[string]*memoryShelf
+	// keeping are the shelves of the keepers.
+	keeping map[string]*memoryShelf
 }
 
 // CallRaw answers at once.
@@ -88,19 +90,20 @@
 	test.Helper()
 	lifetime, end := context.WithCancel(context.Background())
 	test.Cleanup(end)
-	formed := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}}
+	formed := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}, keeping: map[string]*memoryShelf{}}
 	turns := threads.New(lifetime, wallclock.New())
 	changed := turns.NewBell()
 	for number := range 3 {
 		address := "m" + strconv.Itoa(number)
-		copies := &memoryShelf{files: map[string][]byte{}}
+		copies, keeping := &memoryShelf{files: map[string][]byte{}}, &memoryShelf{files: map[string][]byte{}}
 		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil), Fresh: larder.Identity("disk-" + address)}
-		node, _, failure := OpenExpediter(wrap(turns), formed, &memoryShelf{files: map[string][]byte{}}, copies, options, func(string, ...any) { changed.Ring() })
+		node, _, failure := OpenExpediter(wrap(turns), formed, keeping, copies, options, func(string, ...any) { changed.Ring() })
 		if failure != nil {
 			test.Fatal(failure)
 		}
 		formed.mutex.Lock()
 		formed.nodes[address], formed.shelfs[address] = node, copies
+		formed.keeping[address] = keeping
 		formed.mutex.Unlock()
 	}
 	for _, node := range formed.nodes {
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -33,6 +33,11 @@
 	heard      time.Time
 	dark       map[string]time.Time
 
+	// provisional tells that a configuration may be taken from copies, unconfirmed is
+	// the version of one that no primary has confirmed yet.
+	provisional bool
+	unconfirmed larder.Version
+
 	lists, loads bool
 	listMark     uint64
 	loadsMark    uint64
@@ -44,6 +49,8 @@
 	Asked   time.Time
 	Answer  NewsAnswer
 	Changed map[string]larder.Drawer
+	// Provisional tells that the drawers are those of a copy and no primary's word.
+	Provisional bool
 	// Servers is the list as the primary has it, if it has one.
 	Servers *Listed
 	// Loads are the servers' reports, if there are newer ones.
@@ -168,6 +175,10 @@
 //
 //	turns.Go(followed.Run)
 func (follower *Follower) Run() {
+	first := newSearch(follower.turns)
+	for follower.turns.Alive() && follower.unled() {
+		follower.look(first)
+	}
 	for follower.turns.Alive() {
 		asked := follower.turns.Now()
 		var answer NewsAnswer
@@ -192,7 +203,8 @@
 	}
 	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true, Charter: follower.charter.Epoch,
 		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
-	if follower.primary == "" {
+	if follower.primary == "" || follower.heard.IsZero() {
+		question.Provisional = follower.provisional && len(have) == 0
 		return question, searchPatience
 	}
 	question.Patience = newsWait
@@ -224,7 +236,7 @@
 			return
 		}
 	}
-	if answer.Menu.Before(follower.drawers[larder.MenuDrawer].Version) {
+	if have := follower.drawers[larder.MenuDrawer].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
 		follower.mutex.Unlock()
 		return
 	}
--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -26,6 +26,8 @@
 	asking    map[string]bool
 	wantedAt  time.Time
 	failedFor string
+	// readAt is when this expediter last began to read for couriers without a primary.
+	readAt time.Time
 }
 
 // report is one server's, with when it was asked for.
@@ -93,6 +95,28 @@
 	return lists.epoch != 0
 }
 
+// readsNow tells whether the list is to be read for couriers without a primary, and
+// notes that it is.
+func (lists *lists) readsNow(now time.Time) bool {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	if lists.epoch != 0 || now.Sub(lists.readAt) < listPause || now.Sub(lists.listing.At()) < listPause {
+		return false
+	}
+	lists.readAt = now
+	return true
+}
+
+// fresh is the list without a mark, if it is not older than a courier would bear.
+func (lists *lists) fresh(now time.Time) *ServersNews {
+	lists.mutex.Lock()
+	defer lists.mutex.Unlock()
+	if at := lists.listing.At(); at.IsZero() || now.Sub(at) >= listPatience {
+		return nil
+	}
+	return &ServersNews{Age: now.Sub(lists.listing.At()), Sent: true, Servers: lists.listing.Servers(now)}
+}
+
 // take takes a list and tells whether it changed anything.
 func (lists *lists) take(at time.Time, servers []roster.Server) bool {
 	lists.mutex.Lock()
@@ -234,6 +258,39 @@
 	}
 }
 
+// provisionalPatience is how long a courier that fetches a configuration from a copy
+// waits for the list that is being read. The value is ours.
+const provisionalPatience = 150 * time.Millisecond
+
+// provisionalServers is the list of servers for couriers that have no primary. It is
+// read when the first of them asks, so that they need not all read it themselves, and
+// told to who fetches a configuration.
+func (expediter *Expediter) provisionalServers(fetches bool) *ServersNews {
+	if expediter.options.Directory == nil {
+		return nil
+	}
+	if expediter.lists.readsNow(expediter.turns.Now()) {
+		expediter.turns.Go(func() {
+			asked := expediter.turns.Now()
+			servers, failure := expediter.options.Directory.Servers()
+			if failure == nil {
+				expediter.lists.take(asked, servers)
+				expediter.news.Ring()
+			}
+			expediter.noteListTrouble(failure)
+		})
+	}
+	if !fetches {
+		return nil
+	}
+	var told *ServersNews
+	expediter.news.Wait(provisionalPatience, func() bool {
+		told = expediter.lists.fresh(expediter.turns.Now())
+		return told != nil
+	})
+	return told
+}
+
 // noteListTrouble logs that the list can't be read, and that it can again, once.
 func (expediter *Expediter) noteListTrouble(failure error) {
 	cause := ""
--- a/internal/hatch/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -25,4 +25,6 @@
 	Couriers int          `msgpack:"couriers,omitempty"`
 	Servers  *ServersNews `msgpack:"servers,omitempty"`
 	Loads    *LoadsNews   `msgpack:"loads,omitempty"`
+	// Copy is what an expediter that is not primary says of its own copy.
+	Copy *CopyNews `msgpack:"copy,omitempty"`
 }
--- /dev/null
+++ b/internal/hatch/search_test.go
@@ -0,0 +1,144 @@
+package hatch
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom"
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/pass"
+	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// oneServer is a directory.
+type oneServer struct{}
+
+func (oneServer) Servers() ([]roster.Server, error) {
+	return []roster.Server{{Name: "server-1", Address: "10.0.0.1:80", Service: "desk"}}, nil
+}
+func (oneServer) Nodes() ([]roster.Node, error) { return nil, trouble.New(trouble.NoSuch, "none") }
+
+// restarted opens a core's disks again, in expediters that do nothing by themselves:
+// all have just started and nobody is primary. The blank ones have lost their disks.
+func restarted(test *testing.T, turns rota.Turns, before *core, blank ...string) *core {
+	test.Helper()
+	after := &core{nodes: map[string]*Expediter{}}
+	for address, copies := range before.shelfs {
+		keeping := before.keeping[address]
+		if slices.Contains(blank, address) {
+			copies, keeping = &memoryShelf{files: map[string][]byte{}}, &memoryShelf{files: map[string][]byte{}}
+		}
+		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil),
+			Fresh: larder.Identity("next disk-" + address), Directory: oneServer{}}
+		node, _, failure := OpenExpediter(turns, after, keeping, copies, options, func(string, ...any) {})
+		if failure != nil {
+			test.Fatal(failure)
+		}
+		after.nodes[address] = node
+	}
+	return after
+}
+
+// newCourierAt starts a courier that follows a core; told rings with its events.
+func newCourierAt(turns rota.Turns, line Hotline, without time.Duration, told rota.Bell) *Courier {
+	courier := NewCourier(turns, line, nil, nil, CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)},
+		Address: "c1", Seeds: []string{"m0", "m1", "m2"}, ServeWithoutHold: without, Nonce: func() string { return "nonce" },
+		Directory: oneServer{}, Ended: func(*pass.Inquiry, pass.Decision) {}}, func(string, ...any) { told.Ring() })
+	turns.Go(courier.followed.Run)
+	return courier
+}
+
+func setConfiguration(test *testing.T, primary *Expediter, text string) larder.Version {
+	test.Helper()
+	version, failure := primary.Edit(Edit{Apply: func([]byte) ([]byte, error) { return []byte(text), nil }})
+	if failure != nil {
+		test.Fatal(failure)
+	}
+	return version
+}
+
+// TestCourierServesByTheCopiesBeforeThereIsAPrimary restarts a courier and a whole core
+// that has no primary yet.
+func TestCourierServesByTheCopiesBeforeThereIsAPrimary(test *testing.T) {
+	before, primary := newCore(test, func(turns rota.Turns) rota.Turns { return turns })
+	version := setConfiguration(test, primary, `{"routes":{"a":{"to":{"refuse":true}}}}`)
+	charter := primary.Steward().Charter()
+	for _, row := range []struct {
+		name    string
+		without time.Duration
+		blank   []string
+		dark    string
+		served  bool
+	}{
+		{"all are there", time.Minute, nil, "", true},
+		{"a hold is needed", 0, nil, "", false},
+		{"the primary's disk is lost", time.Minute, []string{charter.Primary.Address}, "", true},
+		{"the primary is dark", time.Minute, nil, charter.Primary.Address, false},
+	} {
+		lifetime, end := context.WithCancel(context.Background())
+		turns := threads.New(lifetime, wallclock.New())
+		core := restarted(test, turns, before, row.blank...)
+		if row.dark != "" {
+			core.nodes[row.dark] = nil
+		}
+		told := turns.NewBell()
+		courier := newCourierAt(turns, core, row.without, told)
+		patience := 5 * time.Second
+		if !row.served {
+			patience = 400 * time.Millisecond
+		}
+		told.Wait(patience, func() bool { return courier.InForce() == version && len(courier.Servers()) == 1 })
+		until := courier.Core().ServesUntil()
+		if row.served != (courier.InForce() == version) || row.served != until.After(turns.Now()) {
+			test.Errorf("%s: %s in force, serves until %v", row.name, courier.InForce(), until)
+		}
+		if row.served && len(courier.Servers()) != 1 {
+			test.Errorf("%s: no list of servers came with it", row.name)
+		}
+		if !courier.Core().HoldEnds().IsZero() || !courier.Heard().IsZero() {
+			test.Errorf("%s: a copy gave a hold", row.name)
+		}
+		end()
+	}
+}
+
+// TestPrimaryConfirmsOrReplacesAProvisionalConfiguration lets the primary come back,
+// with the configuration that was lent, a newer one, or an older one, which nobody may
+// go back to.
+func TestPrimaryConfirmsOrReplacesAProvisionalConfiguration(test *testing.T) {
+	turns := threads.New(test.Context(), wallclock.New())
+	lent := larder.Drawer{Version: larder.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
+	newer := larder.Drawer{Version: larder.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
+	for _, row := range []struct {
+		name    string
+		answer  NewsAnswer
+		inForce larder.Version
+		hold    bool
+	}{
+		{"the same", NewsAnswer{Leads: true, Menu: lent.Version, Hold: time.Second}, lent.Version, true},
+		{"newer", NewsAnswer{Leads: true, Menu: newer.Version, Hold: time.Second, Drawers: map[string]larder.Drawer{larder.MenuDrawer: newer}}, newer.Version, true},
+		{"older", NewsAnswer{Leads: true, Menu: larder.Version{Epoch: 3, Number: 5}, Hold: time.Second}, lent.Version, false},
+	} {
+		courier := NewCourier(turns, nil, nil, nil, CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)},
+			ServeWithoutHold: time.Minute, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
+		courier.followed.drawers[larder.MenuDrawer], courier.followed.unconfirmed = lent, lent.Version
+		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]larder.Drawer{larder.MenuDrawer: lent}, Provisional: true})
+		if courier.InForce() != lent.Version || courier.Core().Dutiful() {
+			test.Fatalf("%s: %s in force", row.name, courier.InForce())
+		}
+		courier.followed.takeAnswer(turns.Now(), row.answer)
+		if courier.InForce() != row.inForce || courier.Core().HoldEnds().IsZero() == row.hold {
+			test.Errorf("%s: %s in force, hold until %v", row.name, courier.InForce(), courier.Core().HoldEnds())
+		}
+		if courier.Heard().IsZero() || !courier.Core().ServesUntil().After(turns.Now()) {
+			test.Errorf("%s: the primary was not heard", row.name)
+		}
+	}
+}
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -22,11 +22,13 @@
 	holdEnds atomic.Pointer[time.Time]
 	// withoutHold is how long the desk goes on after its last hold.
 	withoutHold atomic.Int64
-	passOn      atomic.Bool
-	draining    atomic.Bool
-	inFlight    atomic.Int64
-	service     sync.Map
-	tallies     Tallies
+	// lentAt is when a configuration was lent to it before its first hold.
+	lentAt   atomic.Pointer[time.Time]
+	passOn   atomic.Bool
+	draining atomic.Bool
+	inFlight atomic.Int64
+	service  sync.Map
+	tallies  Tallies
 }
 
 type shard struct {
@@ -124,14 +126,25 @@
 //	desk.SetServeWithoutHold(time.Minute)
 func (desk *Desk) SetServeWithoutHold(length time.Duration) { desk.withoutHold.Store(int64(length)) }
 
-// ServesUntil is until when the desk lets in; without any hold in its life it lets
-// nothing in.
+// ServeFrom has the desk let in before its first hold, under a configuration that no
+// primary has confirmed in its life, for as long as it goes on without a hold.
+//
+// Example:
+//
+//	desk.ServeFrom(now)
+func (desk *Desk) ServeFrom(now time.Time) { desk.lentAt.CompareAndSwap(nil, &now) }
+
+// ServesUntil is until when the desk lets in; without any hold in its life, and no
+// configuration lent to it, it lets nothing in.
 //
 // Example:
 //
 //	if now.Before(desk.ServesUntil()) { ... }
 func (desk *Desk) ServesUntil() time.Time {
 	ends := desk.HoldEnds()
+	if lent := desk.lentAt.Load(); ends.IsZero() && lent != nil && desk.withoutHold.Load() > 0 {
+		ends = *lent
+	}
 	if ends.IsZero() {
 		return ends
 	}
--- a/internal/pass/eventkind.go
+++ b/internal/pass/eventkind.go
@@ -5,10 +5,12 @@
 
 // The kinds of event.
 const (
-	Ticked          EventKind = "ticked"
-	ServersListed   EventKind = "servers_listed"
-	LoadReported    EventKind = "load_reported"
-	MenuReceived    EventKind = "menu_received"
+	Ticked        EventKind = "ticked"
+	ServersListed EventKind = "servers_listed"
+	LoadReported  EventKind = "load_reported"
+	MenuReceived  EventKind = "menu_received"
+	// MenuLent brings a configuration that no primary has confirmed in this life.
+	MenuLent        EventKind = "menu_lent"
 	HoldRenewed     EventKind = "hold_renewed"
 	FlagsRead       EventKind = "flags_read"
 	OrdersRead      EventKind = "orders_read"
