A machine without power does not hold up the first search nor an election

An address is asked once more after 150 ms while a call to it hangs; a candidate waits 150 ms for hellos and counts those that came after the round before.

--- a/internal/hatch/search.go
+++ b/internal/hatch/search.go
@@ -13,12 +13,18 @@
 type search struct {
 	mutex   sync.Mutex
 	bell    rota.Bell
-	asking  map[string]bool
+	asking  map[string]*asking
 	copies  copies
 	leading *ledNews
 	rounds  int
 }
 
+// asking is what is under way to one address.
+type asking struct {
+	calls int
+	since time.Time
+}
+
 // ledNews is a primary's answer, and when it was asked for.
 type ledNews struct {
 	asked  time.Time
@@ -28,28 +34,42 @@
 const (
 	// searchRound is how long one round waits for an answer that ends it.
 	searchRound = 100 * time.Millisecond
+	// askAgain is after how long an address that has not answered is asked once more: a
+	// call to a machine without power hangs, also when it is back. No more than
+	// mostAsking are under way to one address.
+	askAgain   = 150 * time.Millisecond
+	mostAsking = 3
 	// viaRounds is after how many rounds in vain neighbours are asked to relay.
 	viaRounds = 4
 )
 
 func newSearch(turns rota.Turns) *search {
-	return &search{bell: turns.NewBell(), asking: map[string]bool{}}
+	return &search{bell: turns.NewBell(), asking: map[string]*asking{}}
 }
 
-// begin notes that an address is asked, unless it is being asked already.
-func (search *search) begin(address string) bool {
+// begin notes that an address is asked, unless it was asked just now.
+func (search *search) begin(address string, now time.Time) bool {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
-	if address == "" || search.asking[address] {
+	if address == "" {
+		return false
+	}
+	current := search.asking[address]
+	if current == nil {
+		current = &asking{}
+		search.asking[address] = current
+	}
+	if current.calls > 0 && now.Sub(current.since) < askAgain || current.calls >= mostAsking {
 		return false
 	}
-	search.asking[address] = true
+	current.calls++
+	current.since = now
 	return true
 }
 
 func (search *search) end(address string, asked, now time.Time, answer NewsAnswer, failure error) {
 	search.mutex.Lock()
-	delete(search.asking, address)
+	search.asking[address].calls--
 	switch {
 	case failure != nil:
 	case answer.Leads:
@@ -109,7 +129,7 @@
 	search.rounds++
 	question, patience := follower.question()
 	for _, address := range follower.candidates() {
-		if !search.begin(address) {
+		if !search.begin(address, follower.turns.Now()) {
 			continue
 		}
 		follower.turns.Go(func() {
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -56,7 +56,8 @@
 	steward.mutex.Lock()
 	restricted := steward.restricted
 	steward.mutex.Unlock()
-	gather(steward.turns, charter.Electors(), func(seat Seat) (Hello, error) {
+	stands := func(hello Hello) bool { return !hello.Leads && (hello.HoldLeft == 0 || hello.Holder == own.Identity) }
+	gatherWithin(steward.turns, helloPatience, charter.Electors(), func(seat Seat) (Hello, error) {
 		if seat.Identity == own.Identity {
 			return steward.Own(), nil
 		}
@@ -66,10 +67,18 @@
 		}
 		return hello, failure
 	}, func(seat Seat, hello Hello, failure error) {
-		if failure == nil && hello.Seat.Identity == seat.Identity && !hello.Leads && (hello.HoldLeft == 0 || hello.Holder == own.Identity) {
-			free[seat.Identity] = true
+		if failure == nil && hello.Seat.Identity == seat.Identity {
+			free[seat.Identity] = stands(hello)
 		}
 	}, func() bool { return charter.Quorum(free) })
+	for _, seat := range charter.Electors() {
+		// One that is slow has told it in the round before.
+		if _, told := free[seat.Identity]; !told {
+			if hello, alive := steward.alive(seat.Identity, slowAnswer); alive {
+				free[seat.Identity] = stands(hello)
+			}
+		}
+	}
 	if !charter.Quorum(free) {
 		steward.freeFrom = time.Time{}
 		return
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -41,6 +41,8 @@
 	// helloPatience is how long a round of hellos is waited for: a machine without
 	// power must not hold up the others' election.
 	helloPatience = 150 * time.Millisecond
+	// slowAnswer is how long a hello that came after its round counts in the next.
+	slowAnswer = 450 * time.Millisecond
 	// shortPatience is how long a primary looks for a copy in the place of one that
 	// is gone before it goes on with fewer, where several backups are wanted.
 	shortPatience = 2 * time.Second
