Window: many threads under the race detector; what is too dear comes back at once

Cause: a call whose memory could not be had, and that is not read at a busy runner, was told to come back after half of what that run would have taken; as a new call it is read elsewhere at once. Ruled out: reading it again within the try (tries run out).

--- a/internal/window/ended.go
+++ b/internal/window/ended.go
@@ -142,7 +142,11 @@
 		mayRead := !ticket.direct && (!further || ticket.counted+1 < ticket.ruling.calls.Tries)
 		kind, way, found = choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(mayRead) })
 	}
-	if !found || !way.sourced && kind == Run && ticket.counted > 0 && way.cost > choice.dearest() || ticket.source == nil && choice.late(way) {
+	if found && !way.sourced && kind == Run && ticket.counted > 0 && way.cost > choice.dearest() {
+		// There is room for the call as a new one, which may be read elsewhere.
+		return window.end(now, ticket, answer, shortestRelief)
+	}
+	if !found || ticket.source == nil && choice.late(way) {
 		return window.end(now, ticket, answer, choice.relief(way, found))
 	}
 	if owed := ticket.counted - ticket.paid; owed > 0 {
--- a/internal/window/failures_test.go
+++ b/internal/window/failures_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// TestWhatIsTooDearComesBackAtOnce has a long prompt's memory fail to come while all
+// runners are busy: reading it there would hold up many, so that the call is sent away
+// to come back at once, with the promise that it never ran.
+func TestWhatIsTooDearComesBackAtOnce(test *testing.T) {
+	calls := opened(9)
+	var loads []Load
+	for _, server := range servers(9) {
+		load := Load{Server: server.Name, Part: server.Part, MemoryTotal: 295_740}
+		if load.Part == decode {
+			load.Running = 30
+		}
+		loads = append(loads, load)
+	}
+	calls.SetLoads(noon, loads)
+	ticket, _ := calls.Arrive(noon, longCall("a", 77))
+	calls.Ended(noon.Add(100*time.Millisecond), ticket, Outcome{Result: Complete, Handle: "h"})
+	decision := calls.Ended(noon.Add(110*time.Millisecond), ticket, Outcome{Result: NotStarted, Status: 503})
+	if decision.Kind != Refuse || decision.Cause != Full || decision.RetryAfter != shortestRelief || len(decision.Free) != 1 {
+		test.Errorf("%+v", decision)
+	}
+}
+
 // TestGivingUpHasATryBehindIt wants patience only where the purse has paid for another
 // try, and the payment back when it was not needed.
 func TestGivingUpHasATryBehindIt(test *testing.T) {
--- /dev/null
+++ b/internal/window/threads_test.go
@@ -0,0 +1,70 @@
+package window
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestManyThreads has calls come and end in many threads while lists, reports, orders
+// and configurations change, and wants nothing left over; the race detector looks on.
+func TestManyThreads(test *testing.T) {
+	calls, pools := opened(9), NewPools()
+	var waiting sync.WaitGroup
+	for thread := range 8 {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			for number := range 300 {
+				now := noon.Add(time.Duration(number) * 10 * time.Millisecond)
+				call := longCall(fmt.Sprintf("%d-%d", thread, number), uint64(number%17))
+				if number%2 == 0 {
+					call = chatCall(call.ID)
+				}
+				ticket, decision := calls.Arrive(now, call)
+				for step := 0; ticket != nil && (decision.Kind == Read || decision.Kind == Run); step++ {
+					outcome := Outcome{Result: Complete, Handle: "h", First: now, Load: &AnswerLoad{Running: 3, Slots: 64}}
+					if (number+step)%5 == 0 {
+						outcome.Result = []Result{Unreached, NotStarted, Silent, Cut, Answered}[(number+thread)%5]
+						outcome.Status = 500
+					}
+					if decision.Kind == Run {
+						calls.Began(now, ticket)
+					}
+					decision = calls.Ended(now.Add(5*time.Millisecond), ticket, outcome)
+				}
+			}
+		}()
+	}
+	waiting.Add(1)
+	go func() {
+		defer waiting.Done()
+		for number := range 100 {
+			now := noon.Add(time.Duration(number) * 30 * time.Millisecond)
+			list := servers(9)
+			list[number%9].Leaving = number%3 == 0
+			list[(number+4)%9].Warming = time.Duration(number%2) * time.Second
+			calls.SetServers(now, list)
+			calls.SetProgram(Compile(plan(nil), 1, uint64(number+2)))
+			calls.SetCouriers(1 + number%12)
+			calls.SetOrders(now, map[string]string{list[number%9].Name: prefill})
+			var loads []Load
+			for _, server := range list {
+				loads = append(loads, Load{Server: server.Name, Part: server.Part, Running: number % 5, MemoryTotal: 295_740})
+			}
+			calls.SetLoads(now, loads)
+			pools.Decide(now, calls)
+			calls.InFlight()
+		}
+	}()
+	waiting.Wait()
+	if left := calls.InFlight(); left != 0 {
+		test.Errorf("%d calls in flight", left)
+	}
+	for _, backend := range calls.board.Load().all {
+		if backend.reading.Load() != 0 || backend.running.Load() != 0 || backend.readings.pending.Load() != 0 || backend.begins.pending.Load() != 0 {
+			test.Errorf("%s keeps work on its account", backend.server.Name)
+		}
+	}
+}
