--- a/internal/window/pools.go
+++ b/internal/window/pools.go
@@ -35,8 +35,8 @@
 	// turnRest is the rest before an order that takes the last one back.
 	turnRest = 12 * time.Second
 	// readersPressed is the part of the readers at which more are wanted, readersBusy the
-	// part that is busy when there are enough, readersIdle what must be
-	// left of it when one reader less does the same.
+	// part that is busy when there are enough, readersIdle what must be left of it when
+	// one reader less does the same.
 	readersBusy    = 0.38
 	readersPressed = 0.5
 	readersIdle    = 0.35
@@ -53,8 +53,8 @@
 	sharedOrders = 4
 	partPatience = 20 * time.Second
 	// A service that has been idle for idleSpan, all but idle calls, gets idleReaders of
-	// its servers as readers: parts that change under traffic cost the memory of what moves, and
-	// reading is what fills up first.
+	// its servers as readers: parts that change under traffic cost the memory of what
+	// moves, and reading is what fills up first.
 	idleSpan    = 3 * time.Second
 	idle        = 0.05
 	idleReaders = 0.55
