--- a/internal/rehearsal/platformday/processes_test.go
+++ b/internal/rehearsal/platformday/processes_test.go
@@ -39,6 +39,7 @@
 	{"answers", 0.7, []string{"REFUSED", "GONE"}},
 	{"operators", 0.7, []string{"EVAC", "CONFIG acknowledged", "CONFIG later routes", "ACKS"}},
 	{"losses", 0.6, []string{"RECOVER", "CONFIG read back"}},
+	{"grown", 0.7, []string{"FAILBACK", "MIXED answers"}},
 	{"wiped", 0.5, []string{"RECOVER", "EVAC"}},
 }
 
