--- /dev/null
+++ b/internal/rehearsal/world/waydays_test.go
@@ -0,0 +1,96 @@
+//go:build !race
+
+package world
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/rehearsal"
+)
+
+// touch is a day's record of changes that were answered, and of couriers that did
+// without one of them for too long though they had news.
+type touch struct {
+	world *World
+	// answered are the configurations' versions and when they were answered.
+	answered map[larder.Version]time.Duration
+	late     int
+}
+
+// The bounds that bind those in touch. A courier is in touch that has had news within
+// the last second.
+const (
+	applyTime = 2 * time.Second
+	newsTime  = time.Second
+)
+
+// take notes the answers that the trace tells of.
+func (touch *touch) take(line string) {
+	if !strings.Contains(line, " configuration_accepted ") {
+		return
+	}
+	for _, machine := range touch.world.machines {
+		if machine.control != nil && machine.life != nil && !machine.life.ended && machine.control.Steward().Holds() {
+			touch.answered[machine.control.Store().View().VersionOf(larder.MenuDrawer)] = touch.world.now
+		}
+	}
+}
+
+// watch looks at every courier, over and over.
+func (touch *touch) watch() {
+	world := touch.world
+	for {
+		var due larder.Version
+		for version, at := range touch.answered {
+			if world.now-at > applyTime && due.Before(version) {
+				due = version
+			}
+		}
+		for _, machine := range world.machines {
+			if machine.courier == nil || machine.gone || machine.life.ended || machine.life.frozen || machine.life.Now().Sub(machine.courier.Heard()) > newsTime {
+				continue
+			}
+			if has := machine.courier.InForce(); has != (larder.Version{}) && has.Before(due) {
+				touch.late++
+				world.say("%s is in touch and has %s, %s is due", machine.name, has, due)
+			}
+		}
+		world.outside.NewBell().Wait(50*time.Millisecond, never)
+	}
+}
+
+// TestDaysInThePlatformsWays runs days of all faults with couriers that go on without a
+// hold and changes that wait for those in touch alone. What is given up is the bound for
+// couriers out of touch; everything else holds, and the bound for those in touch.
+func TestDaysInThePlatformsWays(test *testing.T) {
+	ways := PlatformWays()
+	// Who is retired counts no more for new formats, which is weighed elsewhere.
+	ways.RetireAfter = 0
+	first, count := seeds(test, 24)
+	for seed := first; seed < first+count; seed++ {
+		test.Run("", func(test *testing.T) {
+			test.Parallel()
+			deployment := rehearsal.Sahil()
+			if seed%2 == 1 {
+				deployment = rehearsal.Kochloeffel()
+			}
+			fleet := New(deployment, seed)
+			fleet.SetWays(ways)
+			touching := &touch{world: fleet, answered: map[larder.Version]time.Duration{}}
+			fleet.Log = touching.take
+			fleet.outside.Go(touching.watch)
+			result := fleet.Run(DefaultDay())
+			if touching.late > 0 || !result.Whole || result.Twice > 0 || len(touching.answered) < 5 {
+				test.Errorf("seed %d: %d looks at a courier in touch without an answered change, whole %v, two primaries at once %d times, %d changes", seed, touching.late, result.Whole, result.Twice, len(touching.answered))
+			}
+			for _, finding := range result.Verdict.Findings {
+				if finding.Violations > 0 && finding.Checker != "an accepted configuration is in force" {
+					test.Errorf("seed %d: %s, %d times", seed, finding.Checker, finding.Violations)
+				}
+			}
+		})
+	}
+}
