--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/multierr"
 
 	"seamloom.example/seamloom/internal/rehearsal/capacity"
 	"seamloom.example/seamloom/internal/rehearsal/platformday"
@@ -62,18 +63,14 @@
 			}
 			activities = append(activities, capacity.PlatformActivities(roles)...)
 		}
-		readings, failure := plan.Run(activities)
-		if failure != nil {
-			return failure
-		}
+		readings, broken := plan.Run(activities)
+		// What was read before something failed is kept.
 		fits := capacity.FitAll(readings)
-		if failure := capacity.WriteFits(os.Stdout, fits); failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
-		}
-		if *folder == "" {
-			return nil
+		broken = multierr.Append(broken, trouble.Wrap(trouble.Disk, capacity.WriteFits(os.Stdout, fits)))
+		if *folder != "" {
+			broken = multierr.Append(broken, saveCapacity(*folder, readings, fits))
 		}
-		return saveCapacity(*folder, readings, fits)
+		return broken
 	}
 	return command
 }
