Window: servers of a district that comes back count as cold at first

Ruled out: the courier's part of a cold server's rate; once the list showed the servers cold they got 1 to 5 calls in half a second. Stand-ins without an engine answer reports with 404. Conclusion: the rule holds whatever became of the servers meanwhile.

--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -99,7 +99,12 @@
 	}
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get(pathHealth), server.tellHealth)
-	if service.Engine.Plain == 0 {
+	if service.Engine.Plain > 0 {
+		mux.HandleFunc(pat.Get(pathReport), func(writer http.ResponseWriter, _ *http.Request) {
+			server.pool.book.Note(Event{Kind: Probed, Server: server.ID, Stage: pathReport})
+			writer.WriteHeader(http.StatusNotFound)
+		})
+	} else {
 		mux.HandleFunc(pat.Get(pathReport), server.tellReport)
 		mux.HandleFunc(pat.Post(pathOrder), server.takeOrder)
 		mux.HandleFunc(pat.Delete(pathHandle+":handle"), server.freeHandle)
--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -151,4 +151,6 @@
 		Edits: []Edit{{"internal/adapters/calls/intake.go", "	if how == cut || how == left {", "	if how == cut {"}}},
 	{Name: "a circuit that rested too long is not used", Never: spliced, Package: "./internal/adapters/calls", Test: "TestACircuitThatRestedTooLongIsNotUsed",
 		Edits: []Edit{{"internal/adapters/calls/circuit.go", "(!circuit.restedAt.IsZero() && now.Sub(circuit.restedAt) > circuit.rests)", "false"}}},
+	{Name: "servers of a district that comes back count as cold", Never: cold, Package: "./internal/window", Test: "TestServersOfADistrictThatComesBackCountAsCold",
+		Edits: []Edit{{"internal/window/choice.go", "	window.cool(now)\n", ""}}},
 }
--- a/internal/window/choice.go
+++ b/internal/window/choice.go
@@ -61,6 +61,7 @@
 
 func (window *Window) weighing(now time.Time, ticket *Ticket) *choice {
 	program := window.program.Load()
+	window.cool(now)
 	service := ticket.service
 	if current, found := program.services[service.Name]; found {
 		service = current
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -22,6 +22,8 @@
 	inFlight atomic.Int64
 	// tells is whether the conduct tells when answers begin.
 	tells atomic.Bool
+	// returned are districts that came back since the last call, or none.
+	returned atomic.Pointer[returned]
 	// reported is when the latest report was made.
 	reported atomic.Int64
 
@@ -70,6 +72,7 @@
 		if program == nil || !program.later(current) {
 			return false
 		}
+		window.returning(current, program)
 		if window.program.CompareAndSwap(current, program) {
 			return true
 		}
