--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -88,8 +88,11 @@
 	if damage := copied.Damage(); damage != "" {
 		observe("copy_damaged", "damage", damage)
 	}
+	keeper.Guard(rota.NewLock(turns))
+	copied.Guard(rota.NewLock(turns))
 	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
 		news: turns.NewBell(), reigns: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
+	expediter.store.Guard(rota.NewLock(turns))
 	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
 	if options.JoinsOnly {
 		expediter.steward.JoinOnly()
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -13,7 +13,10 @@
 //
 //	answer := steward.Own()
 func (steward *Steward) Own() Hello {
-	charter := steward.keeper.Charter()
+	// These may wait for the disk, and nobody may wait for them.
+	charter, seat := steward.keeper.Charter(), steward.keeper.Seat()
+	blank, holder := charter.Blank(), steward.keeper.Holder()
+	version, damage := steward.store.Copy().Version(), steward.store.Copy().Damage()
 	left := steward.keeper.HoldEnds().Sub(steward.turns.Now())
 	leads := steward.Holds()
 	steward.mutex.Lock()
@@ -21,13 +24,12 @@
 	if steward.charter.Epoch > charter.Epoch {
 		charter = steward.charter
 	}
-	seat := steward.keeper.Seat()
 	if steward.borne > 1 {
 		seat.District = steward.district
 	}
-	return Hello{Seat: seat, Kind: steward.kind, Blank: steward.keeper.Charter().Blank(), Restricted: steward.restricted,
-		Charter: charter, Leads: leads, HoldLeft: max(left, 0), Holder: steward.keeper.Holder(),
-		Version: steward.store.Copy().Version(), Damage: steward.store.Copy().Damage()}
+	return Hello{Seat: seat, Kind: steward.kind, Blank: blank, Restricted: steward.restricted,
+		Charter: charter, Leads: leads, HoldLeft: max(left, 0), Holder: holder,
+		Version: version, Damage: damage}
 }
 
 // Greet takes another's hello and answers it.
--- a/internal/larder/copy.go
+++ b/internal/larder/copy.go
@@ -15,7 +15,7 @@
 // drawers that the version changed. Files whose drawers are all newer
 // elsewhere are removed.
 type Copy struct {
-	mutex   sync.Mutex
+	mutex   sync.Locker
 	shelf   Shelf
 	version Version
 	drawers map[string]Drawer
@@ -35,7 +35,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	copied := &Copy{shelf: shelf, drawers: map[string]Drawer{}, places: map[string]Version{}, files: map[string]bool{}}
+	copied := &Copy{mutex: &sync.Mutex{}, shelf: shelf, drawers: map[string]Drawer{}, places: map[string]Version{}, files: map[string]bool{}}
 	batches := map[Version]Batch{}
 	var newest Batch
 	for name, content := range files {
@@ -70,6 +70,14 @@
 	return copied, nil
 }
 
+// Guard chooses the copy's lock, which is held while it waits for the disk. It comes
+// before any other use.
+//
+// Example:
+//
+//	copied.Guard(rota.NewLock(turns))
+func (copied *Copy) Guard(lock sync.Locker) { copied.mutex = lock }
+
 // Damage says what is wrong with the copy, or nothing.
 //
 // Example:
--- a/internal/larder/keeper.go
+++ b/internal/larder/keeper.go
@@ -18,7 +18,7 @@
 // Keeper is an epoch witness. It keeps only the charter and the highest epoch
 // that it has promised, both synced before it answers.
 type Keeper struct {
-	mutex    sync.Mutex
+	mutex    sync.Locker
 	shelf    Shelf
 	self     Seat
 	note     keeperNote
@@ -46,7 +46,7 @@
 	if failure != nil {
 		return nil, false, failure
 	}
-	keeper := &Keeper{shelf: shelf, self: seat, holdEnds: now.Add(PrimaryHold)}
+	keeper := &Keeper{mutex: &sync.Mutex{}, shelf: shelf, self: seat, holdEnds: now.Add(PrimaryHold)}
 	var names []string
 	for name := range files {
 		names = append(names, name)
@@ -69,16 +69,20 @@
 	return keeper, true, keeper.save(keeper.note)
 }
 
-// Seat is the keeper's own seat.
+// Guard chooses the keeper's lock, which is held while it waits for the disk. It comes
+// before any other use.
+//
+// Example:
+//
+//	keeper.Guard(rota.NewLock(turns))
+func (keeper *Keeper) Guard(lock sync.Locker) { keeper.mutex = lock }
+
+// Seat is the keeper's own seat, which stays.
 //
 // Example:
 //
 //	keeper.Seat().Identity
-func (keeper *Keeper) Seat() Seat {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.self
-}
+func (keeper *Keeper) Seat() Seat { return keeper.self }
 
 // Charter is the newest charter that the keeper has accepted.
 //
--- a/internal/larder/store.go
+++ b/internal/larder/store.go
@@ -21,7 +21,7 @@
 // primary, the working state and the changes that wait. One batch is under way
 // at a time; changes that arrive meanwhile share the next one and its sync.
 type Store struct {
-	mutex    sync.Mutex
+	mutex    sync.Locker
 	copied   *Copy
 	keeper   *Keeper
 	leading  bool
@@ -43,9 +43,17 @@
 //
 //	store := larder.NewStore(copied, keeper)
 func NewStore(copied *Copy, keeper *Keeper) *Store {
-	return &Store{copied: copied, keeper: keeper}
+	return &Store{mutex: &sync.Mutex{}, copied: copied, keeper: keeper}
 }
 
+// Guard chooses the store's lock, which is held while it waits for the disk. It comes
+// before any other use.
+//
+// Example:
+//
+//	store.Guard(rota.NewLock(turns))
+func (store *Store) Guard(lock sync.Locker) { store.mutex = lock }
+
 // Lead makes the store the primary of an epoch: it takes its own copy as the
 // committed state, under a first version of the new epoch, and shows it.
 //
--- /dev/null
+++ b/internal/rehearsal/world/core.go
@@ -0,0 +1,456 @@
+package world
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/roster"
+)
+
+// CoreLayouts are the cores that are rehearsed by themselves, with a few couriers: one
+// that bears one loss, and two that bear two machines or one zone.
+//
+// Example:
+//
+//	layout := world.CoreLayouts()["six in three zones"]
+func CoreLayouts() map[string]Layout {
+	layout := func(expediters, borne int, zones ...string) Layout {
+		return Layout{Zones: [][]string{zones}, Couriers: 4, Expediters: expediters, BorneLosses: borne, Routes: 20}
+	}
+	return map[string]Layout{
+		"three in three zones": layout(3, 1, "one", "two", "three"),
+		"six in three zones":   layout(6, 2, "one", "two", "three"),
+		"eight in four zones":  layout(8, 2, "one", "two", "three", "four"),
+	}
+}
+
+// CoreTrial is what a core went through.
+type CoreTrial struct {
+	// Took is until the next change was acknowledged, counted from the trouble, or from
+	// when everything came back that the trouble took at once.
+	Took time.Duration
+	// Lost are acknowledged changes that were not read back.
+	Lost []string
+	// Twice counts the moments at which two expediters led.
+	Twice int
+	// Whole tells whether the core became whole again.
+	Whole bool
+}
+
+// Failed tells whether something happened that must not.
+//
+// Example:
+//
+//	if trial.Failed() { test.Error(trial) }
+func (trial CoreTrial) Failed() bool {
+	return trial.Took < 0 || len(trial.Lost) > 0 || trial.Twice > 0 || !trial.Whole
+}
+
+// coreTrouble is one trouble of a core; it tells from when on the next change counts.
+type coreTrouble struct {
+	name string
+	// losses is from how many borne losses on the trouble is to be borne.
+	losses int
+	run    func(world *World) (from time.Duration)
+}
+
+func coreTroubles() []coreTrouble {
+	return []coreTrouble{
+		{"a disk is wiped, the others lose their power", 1, func(world *World) time.Duration { return world.wipeAmidPowerLoss(1) }},
+		{"the primary's disk is wiped", 1, func(world *World) time.Duration {
+			primary := world.primary()
+			world.wipe(primary)
+			return world.back(primary, 200, 1500)
+		}},
+		{"a new machine first, then the old one in order", 1, func(world *World) time.Duration {
+			old := world.anyNode(roster.Expediter)
+			world.join(old)
+			world.run(world.now + 3*time.Second)
+			return world.leaveForGood(old)
+		}},
+		{"a new machine for the primary, first", 1, func(world *World) time.Duration {
+			old := world.primary()
+			world.join(old)
+			world.run(world.now + 3*time.Second)
+			return world.leaveForGood(old)
+		}},
+		{"a new machine in the place of one that is gone", 1, func(world *World) time.Duration { return world.replaceGone(world.anyNode(roster.Expediter)) }},
+		{"a new machine in the place of the first seed", 1, func(world *World) time.Duration {
+			return world.replaceGone(world.machineNamed("expediter-1"))
+		}},
+		{"a new machine in the primary's place", 1, func(world *World) time.Duration { return world.replaceGone(world.primary()) }},
+		{"a new machine while the primary is heard by nobody", 1, func(world *World) time.Duration {
+			old := world.backup()
+			world.oneWay(world.primary(), false)
+			return world.replaceGone(old)
+		}},
+		{"a new machine while the primary hears nobody", 1, func(world *World) time.Duration {
+			old := world.backup()
+			world.oneWay(world.primary(), true)
+			return world.replaceGone(old)
+		}},
+		{"the primary's disk hangs", 1, func(world *World) time.Duration { return world.hang(world.primary()) }},
+		{"the backup's disk hangs", 1, func(world *World) time.Duration { return world.hang(world.backup()) }},
+		{"the primary's disk is slow", 1, func(world *World) time.Duration { return world.slowDisk(world.primary()) }},
+		{"the backup's disk is slow", 1, func(world *World) time.Duration { return world.slowDisk(world.backup()) }},
+		{"all processes are killed at once", 1, func(world *World) time.Duration {
+			var killed []*machine
+			for _, machine := range world.nodes(roster.Expediter) {
+				world.kill(machine)
+				killed = append(killed, machine)
+			}
+			world.run(world.now + time.Duration(100+world.random.IntN(900))*time.Millisecond)
+			for _, machine := range killed {
+				world.start(machine)
+			}
+			return world.now
+		}},
+		{"all power is lost", 1, func(world *World) time.Duration { return world.wipeAmidPowerLoss(0) }},
+		{"the primary is killed and another stopped in order", 1, func(world *World) time.Duration {
+			primary := world.primary()
+			from := world.now
+			world.kill(primary)
+			var others []*machine
+			for _, machine := range world.nodes(roster.Expediter) {
+				if machine != primary {
+					others = append(others, machine)
+				}
+			}
+			other := others[world.random.IntN(len(others))]
+			world.outside.Go(func() { world.stopFor(other, 200, 1000) })
+			world.outside.Go(func() {
+				world.wait(200, 1000)
+				world.start(primary)
+			})
+			return from
+		}},
+		{"the primary is frozen", 1, func(world *World) time.Duration {
+			primary := world.primary()
+			from := world.now
+			primary.life.freeze()
+			world.outside.Go(func() {
+				world.wait(500, 5000)
+				if primary.life.frozen {
+					primary.life.wake()
+				}
+			})
+			return from
+		}},
+		{"two disks are wiped, the others go on", 2, func(world *World) time.Duration {
+			from := world.now
+			for _, machine := range world.anyTwo() {
+				world.wipe(machine)
+				world.outside.Go(func() {
+					world.wait(200, 6000)
+					world.start(machine)
+				})
+			}
+			return from
+		}},
+		{"two disks are wiped, the others lose their power", 2, func(world *World) time.Duration { return world.wipeAmidPowerLoss(2) }},
+		{"the primary's disk is wiped, then another's during the repair", 2, func(world *World) time.Duration {
+			primary := world.primary()
+			from := world.now
+			world.wipe(primary)
+			world.run(world.now + time.Duration(world.random.IntN(4000))*time.Millisecond)
+			second := world.primary()
+			if world.random.IntN(2) == 0 {
+				second = world.anyNode(roster.Expediter)
+			}
+			if second != primary {
+				world.wipe(second)
+			}
+			world.outside.Go(func() {
+				world.wait(500, 6000)
+				world.start(primary)
+				world.start(second)
+			})
+			return from
+		}},
+		{"a zone loses its power", 2, func(world *World) time.Duration { return world.loseCoreZone(false) }},
+		{"a zone is lost for good", 2, func(world *World) time.Duration { return world.loseCoreZone(true) }},
+		{"a zone is cut off", 2, func(world *World) time.Duration {
+			zone := world.primary().district
+			from := world.now
+			world.outside.Go(func() {
+				world.cutFor(func(from, to string) bool {
+					here, there := world.machineNamed(from), world.machineNamed(to)
+					return here != nil && there != nil && (here.district == zone) != (there.district == zone)
+				})
+			})
+			return from
+		}},
+	}
+}
+
+// CoreTroubles names the troubles that a core of so many borne losses is to bear.
+//
+// Example:
+//
+//	for _, name := range world.CoreTroubles(2) { ... }
+func CoreTroubles(losses int) []string {
+	var names []string
+	for _, trouble := range coreTroubles() {
+		if trouble.losses <= losses {
+			names = append(names, trouble.name)
+		}
+	}
+	return names
+}
+
+// TryCore lets a core form, brings the trouble about right after an acknowledged change,
+// and tells how it went.
+//
+// Example:
+//
+//	trial := world.NewLaidOut(world.CoreLayouts()["six in three zones"], 7).TryCore("all power is lost")
+func (world *World) TryCore(trouble string) CoreTrial {
+	world.diskSync = time.Duration(2+3*world.random.IntN(2)) * time.Millisecond
+	for _, machine := range world.machines {
+		if machine.disk != nil {
+			machine.disk.sync = world.diskSync
+		}
+		world.outside.Go(func() {
+			world.wait(0, 400)
+			world.start(machine)
+		})
+	}
+	world.outside.Go(func() { world.watchPrimaries(time.Hour) })
+	trial := CoreTrial{Took: -1}
+	world.run(world.now + 500*time.Millisecond)
+	if world.changed(world.now, world.configuration()) < 0 || world.since(world.now, world.whole) < 0 {
+		return trial
+	}
+	world.ways.JoinOnly = true
+	marks := &marks{world: world}
+	for range 3 + world.random.IntN(3) {
+		marks.next(world.now)
+		world.run(world.now + time.Duration(world.random.IntN(700))*time.Millisecond)
+		world.since(world.now, world.whole)
+	}
+	marks.next(world.now)
+	for _, known := range coreTroubles() {
+		if known.name == trouble {
+			world.say("trouble: %s", trouble)
+			trial.Took = marks.next(known.run(world))
+		}
+	}
+	world.say("acknowledged after %s", trial.Took)
+	// Everything comes back, and the core is to be whole by itself.
+	world.run(world.now + 6*time.Second)
+	world.mend()
+	trial.Whole = world.since(world.now, world.whole) >= 0
+	for range 2 {
+		marks.next(world.now)
+	}
+	trial.Lost, trial.Twice = marks.lost(), world.twice
+	return trial
+}
+
+// marks are changes that each leave something in the configuration by which it is known
+// later that they are there.
+type marks struct {
+	world        *World
+	acknowledged []string
+	asked        int
+}
+
+// next asks for changes, a new one every tenth of a second, until one is acknowledged,
+// and tells how long that took.
+func (marks *marks) next(from time.Duration) time.Duration {
+	world, over := marks.world, false
+	world.outside.Go(func() {
+		for ends := world.now + incidentPatience; world.now < ends && !over; world.wait(100, 100) {
+			marks.asked++
+			mark := "mark-" + strconv.Itoa(marks.asked)
+			world.outside.Go(func() {
+				edit := hatch.Edit{Change: mark, Digest: mark, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, mark, "rehearsal") }}
+				if world.editSomewhere(edit) {
+					over = true
+					marks.acknowledged = append(marks.acknowledged, mark)
+				}
+			})
+		}
+	})
+	return world.since(from, func() bool { return over })
+}
+
+// editSomewhere has every expediter that leads carry a change out.
+func (world *World) editSomewhere(edit hatch.Edit) bool {
+	for _, machine := range world.nodes(roster.Expediter) {
+		if machine.life == nil || machine.life.ended || machine.control == nil || !machine.control.Steward().Holds() {
+			continue
+		}
+		control := machine.control
+		_, failure := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) { return control.Edit(edit) })
+		if failure == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// lost reads the configuration back and names the acknowledged changes that it lacks.
+func (marks *marks) lost() []string {
+	var text []byte
+	read := false
+	marks.world.outside.Go(func() {
+		for ends := marks.world.now + incidentPatience; marks.world.now < ends && !read; marks.world.wait(100, 100) {
+			var found menuRead
+			found, read = marks.world.readMenu(false)
+			text = found.text
+		}
+	})
+	marks.world.since(marks.world.now, func() bool { return read })
+	var lost []string
+	for _, mark := range marks.acknowledged {
+		if !strings.Contains(string(text), `"`+mark+`"`) {
+			lost = append(lost, mark)
+		}
+	}
+	return lost
+}
+
+// wipe takes a machine's power and disk.
+func (world *World) wipe(machine *machine) {
+	world.say("%s loses its disk", machine.name)
+	world.powerOff(machine.name)
+	machine.disk = newDisk(world)
+}
+
+func (world *World) back(machine *machine, least, most int) time.Duration {
+	from := world.now
+	world.outside.Go(func() {
+		world.wait(least, most)
+		world.start(machine)
+	})
+	return from
+}
+
+// wipeAmidPowerLoss wipes some disks while all machines of the core lose their power;
+// those with their disks come back a second later, the wiped ones with them or later.
+func (world *World) wipeAmidPowerLoss(wiped int) time.Duration {
+	machines := world.nodes(roster.Expediter)
+	world.random.Shuffle(len(machines), func(left, right int) { machines[left], machines[right] = machines[right], machines[left] })
+	if wiped > 0 && world.random.IntN(2) == 0 {
+		// The one that answered last is among them.
+		primary := world.primary()
+		for position := range machines {
+			if machines[position] == primary {
+				machines[0], machines[position] = machines[position], machines[0]
+			}
+		}
+	}
+	for position, machine := range machines {
+		if position < wiped {
+			world.wipe(machine)
+		} else {
+			world.powerOff(machine.name)
+		}
+	}
+	world.run(world.now + time.Second)
+	late := world.random.IntN(2) * 5000
+	for position, machine := range machines {
+		if position < wiped && late > 0 {
+			world.back(machine, 0, late)
+		} else {
+			world.start(machine)
+		}
+	}
+	return world.now
+}
+
+// join adds an empty machine beside another, at a new address.
+func (world *World) join(old *machine) *machine {
+	number := strconv.Itoa(len(world.machines) + 1)
+	var seeds []string
+	for _, other := range world.nodes(roster.Expediter) {
+		if other != old && len(seeds) < 3 {
+			seeds = append(seeds, other.address)
+		}
+	}
+	added := world.addMachine(roster.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, append(seeds, old.address)[:3])
+	world.start(added)
+	return added
+}
+
+// leaveForGood stops an expediter in order and takes it away.
+func (world *World) leaveForGood(old *machine) time.Duration {
+	from := world.now
+	control, stopping := old.control, old.life
+	world.outside.Go(func() {
+		left := false
+		stopping.Go(func() {
+			control.Leave()
+			left = true
+		})
+		for range 20 {
+			world.wait(100, 100)
+			if left {
+				break
+			}
+		}
+		world.powerOff(old.name)
+		old.gone = true
+	})
+	return from
+}
+
+// replaceGone takes a machine away and puts an empty one at a new address in its place.
+func (world *World) replaceGone(old *machine) time.Duration {
+	from := world.now
+	world.powerOff(old.name)
+	old.gone = true
+	world.outside.Go(func() {
+		world.wait(0, 2000)
+		world.join(old)
+	})
+	return from
+}
+
+// oneWay cuts a machine off in one direction for some seconds.
+func (world *World) oneWay(machine *machine, inwards bool) {
+	world.outside.Go(func() { world.isolate(machine.name, inwards, !inwards) })
+}
+
+// hang lets no sync of a disk end for 3.5 s.
+func (world *World) hang(machine *machine) time.Duration {
+	machine.disk.hangs = world.now + 3500*time.Millisecond
+	return world.now
+}
+
+// slowDisk makes a disk 25 to 30 times as slow.
+func (world *World) slowDisk(machine *machine) time.Duration {
+	machine.disk.slow = 25 + world.random.IntN(6)
+	return world.now
+}
+
+func (world *World) anyTwo() []*machine {
+	machines := world.nodes(roster.Expediter)
+	world.random.Shuffle(len(machines), func(left, right int) { machines[left], machines[right] = machines[right], machines[left] })
+	return machines[:2]
+}
+
+// loseCoreZone takes a zone's machines, and for good their disks with them.
+func (world *World) loseCoreZone(disks bool) time.Duration {
+	zone := world.layout.zones()[world.random.IntN(len(world.layout.zones()))]
+	if world.random.IntN(2) == 0 {
+		zone = world.primary().district
+	}
+	from := world.now
+	for _, machine := range world.nodes(roster.Expediter) {
+		if machine.district != zone {
+			continue
+		}
+		if disks {
+			world.wipe(machine)
+		} else {
+			world.powerOff(machine.name)
+		}
+		world.back(machine, 4000, 6000)
+	}
+	return from
+}
--- /dev/null
+++ b/internal/rehearsal/world/core_test.go
@@ -0,0 +1,61 @@
+//go:build !race
+
+package world
+
+import (
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowestAcknowledgement is the longest that a core may take to acknowledge a change
+// after a trouble, or after everything came back that it took.
+const slowestAcknowledgement = 5 * time.Second
+
+// TestCoreBearsItsLosses brings about every trouble of every core over some seeds, and
+// wants each acknowledged change read back, one primary at a time, a change
+// acknowledged soon, and the core whole again.
+func TestCoreBearsItsLosses(test *testing.T) {
+	first, count := seeds(test, 4)
+	for name, layout := range CoreLayouts() {
+		for _, trouble := range CoreTroubles(layout.BorneLosses) {
+			test.Run(name+"/"+trouble, func(test *testing.T) {
+				var took []time.Duration
+				for seed, trial := range tryCores(layout, trouble, first, count) {
+					took = append(took, trial.Took)
+					if trial.Failed() || trial.Took > slowestAcknowledgement {
+						test.Errorf("seed %d: %+v", first+uint64(seed), trial)
+					}
+				}
+				slices.Sort(took)
+				test.Logf("%s, %s, %d seeds: median %s, worst %s", name, trouble, count, took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+			})
+		}
+	}
+}
+
+// tryCores runs seeds side by side.
+func tryCores(layout Layout, trouble string, first, count uint64) []CoreTrial {
+	trials := make([]CoreTrial, count)
+	var working sync.WaitGroup
+	var mutex sync.Mutex
+	next := uint64(0)
+	for range min(4, runtime.GOMAXPROCS(0)) {
+		working.Go(func() {
+			for {
+				mutex.Lock()
+				seed := next
+				next++
+				mutex.Unlock()
+				if seed >= count {
+					return
+				}
+				trials[seed] = NewLaidOut(layout, first+seed).TryCore(trouble)
+			}
+		})
+	}
+	working.Wait()
+	return trials
+}
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -277,7 +277,7 @@
 			continue
 		}
 		if machine.disk != nil {
-			machine.disk.full, machine.disk.damage, machine.disk.powerFailsIn = false, 0, 0
+			machine.disk.full, machine.disk.damage, machine.disk.powerFailsIn, machine.disk.slow = false, 0, 0, 0
 		}
 		if machine.life != nil && machine.life.frozen && !machine.life.ended {
 			machine.life.wake()
--- a/internal/rehearsal/world/disk.go
+++ b/internal/rehearsal/world/disk.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 )
 
 // disk is one machine's disk in memory. What was not synced is gone when the
@@ -23,10 +24,26 @@
 	// none when it is zero.
 	powerFailsIn int
 	owner        *life
+	// sync is how long a sync takes, slow how many times as long it takes now, and
+	// hangs until when none ends.
+	sync  time.Duration
+	slow  int
+	hangs time.Duration
 }
 
 func newDisk(world *World) *disk {
-	return &disk{world: world, names: map[string][]byte{}, seen: map[string][]byte{}}
+	return &disk{world: world, names: map[string][]byte{}, seen: map[string][]byte{}, sync: world.diskSync}
+}
+
+// spend lets the thread wait as long as a sync takes.
+func (disk *disk) spend() {
+	length := disk.sync * time.Duration(max(disk.slow, 1))
+	length = max(length, disk.hangs-disk.world.now)
+	thread := disk.world.running
+	if length <= 0 || thread == nil || disk.owner != thread.life {
+		return
+	}
+	disk.owner.NewBell().Wait(length, never)
 }
 
 // lose forgets what was not synced.
@@ -60,6 +77,7 @@
 
 // WriteSynced writes a file; its name lasts from the folder's sync on.
 func (disk *disk) WriteSynced(path string, content []byte) error {
+	disk.spend()
 	disk.act("a write")
 	if disk.full {
 		return syscall.ENOSPC
@@ -78,6 +96,7 @@
 
 // SyncFolder makes a folder's names last.
 func (disk *disk) SyncFolder(path string) error {
+	disk.spend()
 	disk.act("a folder's sync")
 	if disk.full {
 		return syscall.ENOSPC
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -300,13 +300,14 @@
 			continue
 		}
 		charter := machine.control.Steward().Charter()
-		if charter.Backup.Empty() || len(charter.Incoming) > 0 || len(charter.Keepers) != 1+2*max(1, world.borneLosses()) {
+		borne := max(world.borneLosses(), 1)
+		if len(charter.Backups()) != borne || len(charter.Incoming) > 0 || len(charter.Keepers) != 2*borne+1 {
 			return false
 		}
-		for _, seat := range charter.Keepers {
+		for _, seat := range append(charter.Backups(), charter.Keepers...) {
 			there := world.machineNamed(world.nameAt(seat.Address))
 			if there == nil || there.life == nil || there.life.ended || there.life.frozen || there.control == nil ||
-				there.control.Keeper().Seat().Identity != seat.Identity || there.control.Keeper().Charter().Epoch != charter.Epoch {
+				there.control.Keeper().Seat().Identity != seat.Identity || charter.Keeps(seat.Identity) && there.control.Keeper().Charter().Epoch != charter.Epoch {
 				return false
 			}
 		}
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -6,6 +6,7 @@
 	"iter"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"seamloom.example/seamloom/internal/rota"
@@ -161,6 +162,38 @@
 	life.backlog = nil
 }
 
+// lock is held by one of a life's threads while it waits for the disk. The world
+// looks past it: nothing runs while it looks.
+type lock struct {
+	bell    *bell
+	held    bool
+	visited bool
+}
+
+// NewLock makes a lock.
+func (life *life) NewLock() sync.Locker { return &lock{bell: &bell{life: life}} }
+
+// Lock waits until nobody holds the lock.
+func (lock *lock) Lock() {
+	if thread := lock.bell.life.world.running; thread == nil || thread.life != lock.bell.life || lock.bell.life.ended {
+		lock.visited = true
+		return
+	}
+	for !lock.bell.Wait(time.Hour, func() bool { return !lock.held }) {
+	}
+	lock.held = true
+}
+
+// Unlock lets the next have it.
+func (lock *lock) Unlock() {
+	if lock.visited {
+		lock.visited = false
+		return
+	}
+	lock.held = false
+	lock.bell.Ring()
+}
+
 // NewBell makes a bell.
 func (life *life) NewBell() rota.Bell { return &bell{life: life} }
 
--- a/internal/rehearsal/world/links.go
+++ b/internal/rehearsal/world/links.go
@@ -134,6 +134,9 @@
 	world.tapMessage(path, body)
 	world.countSnapshot(path, body)
 	content, failure := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
+		if there.answer == nil {
+			return nil, trouble.New(trouble.Unreachable, "nobody listens yet")
+		}
 		answer, failure := there.answer(path, body)
 		world.countTraffic(path, len(body)+len(answer))
 		if failure != nil {
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -67,7 +67,11 @@
 	layout *Layout
 	// traffic are the messages between nodes, by path, and those of each node.
 	traffic map[string]Traffic
-	Log     func(line string)
+	// diskSync is how long a sync of a new disk takes.
+	diskSync time.Duration
+	// formed tells that a first core was formed: blank disks only join it.
+	formed bool
+	Log    func(line string)
 }
 
 // machine is where a node runs: it has an address, perhaps a disk, and settings
--- /dev/null
+++ b/internal/rota/locks.go
@@ -0,0 +1,23 @@
+package rota
+
+import "sync"
+
+// Locks is what turns offer beside when their threads run one at a time: what waits
+// for a disk holds a lock meanwhile, and whoever waits for the lock must give the turn
+// back. Real threads need only a mutex.
+type Locks interface {
+	// NewLock makes a lock.
+	NewLock() sync.Locker
+}
+
+// NewLock makes a lock for whoever waits for a disk.
+//
+// Example:
+//
+//	lock := rota.NewLock(turns)
+func NewLock(turns Turns) sync.Locker {
+	if locks, offered := turns.(Locks); offered {
+		return locks.NewLock()
+	}
+	return &sync.Mutex{}
+}
