--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -221,8 +221,9 @@
 
 func (expediter *Expediter) tick() {
 	expediter.steward.Tick()
-	expediter.mutex.Lock()
+	// It may wait for the disk, and nobody may wait for that here.
 	leading := expediter.store.Leading()
+	expediter.mutex.Lock()
 	begun, ended := leading && expediter.reign == nil, !leading && expediter.reign != nil
 	if begun {
 		expediter.reign = newReign(expediter.turns.Now())
