Larder: a primary whose hold was not confirmed asks again only those who answer

Cause: a primary that hears nobody but is heard kept its keepers' holds running, so that changes were acknowledged again after 3.1 s, with a second machine gone after 3.8 s. Change: without a confirmed hold it asks only when a quorum answered a hello just now.

--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -348,6 +348,19 @@
 	return steward.overtaken
 }
 
+// reaches tells whether a quorum of keepers has answered a hello a moment ago. A primary
+// whose last question was not confirmed asks no more until they do: what it asks may
+// arrive though the answers do not.
+func (steward *Steward) reaches(charter Charter) bool {
+	reached := map[Identity]bool{steward.keeper.Seat().Identity: true}
+	for _, seat := range charter.Electors() {
+		if _, alive := steward.alive(seat.Identity, staleAnswer); alive {
+			reached[seat.Identity] = true
+		}
+	}
+	return charter.Quorum(reached)
+}
+
 // regrant asks for the same charter under a higher epoch, when a keeper has
 // promised one that nobody was granted and so can't confirm the present one.
 func (steward *Steward) regrant(charter Charter) {
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -72,6 +72,7 @@
 
 	unsettled    bool
 	outrun       bool
+	unconfirmed  bool
 	backupFails  map[Identity]time.Time
 	installFails map[Identity]time.Time
 	shortSince   time.Time
@@ -213,11 +214,11 @@
 		// Its keepers are no longer asked, so that the backup may take over.
 		return
 	}
-	if steward.deaf() {
+	if steward.deaf() || steward.unconfirmed && !steward.reaches(charter) {
 		return
 	}
 	if steward.confirmDue() {
-		steward.confirm(charter)
+		steward.unconfirmed = !steward.confirm(charter)
 	}
 	if !steward.store.Leading() {
 		return
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -69,7 +69,7 @@
 	traffic map[string]Traffic
 	// diskSync is how long a sync of a new disk takes.
 	diskSync time.Duration
-	Log    func(line string)
+	Log      func(line string)
 }
 
 // machine is where a node runs: it has an address, perhaps a disk, and settings
