Larder tests: machines that end in the middle end under the world's own thread

Cause: two threads that bring copies both had their sender lose power and disk, and wrote the world's plain variables: the race detector said so in TestTwoLossesAtOnce. Ruled out: the larder (the writes are the test world's). Change: power goes at once, by an atomic; the disk is taken by the world's thread before the machine starts again; a call meets one life of a machine. What is wanted is unchanged.

--- a/internal/larder/restart_test.go
+++ b/internal/larder/restart_test.go
@@ -13,7 +13,7 @@
 // order and with some time between.
 func (world *world) restartAll() {
 	for _, machine := range world.machines {
-		if machine.up {
+		if machine.up.Load() {
 			world.crash(machine)
 		}
 	}
@@ -23,7 +23,7 @@
 		world.start(machine)
 		world.advance(time.Duration(world.random.IntN(300)) * time.Millisecond)
 		for _, other := range world.machines {
-			if other.up && !other.frozen {
+			if other.up.Load() && !other.frozen {
 				other.steward.Tick()
 				world.check()
 			}
--- a/internal/larder/several_test.go
+++ b/internal/larder/several_test.go
@@ -34,7 +34,7 @@
 	world.spare--
 	world.wiped++
 	world.mutex.Lock()
-	machine.up = false
+	machine.up.Store(false)
 	world.mutex.Unlock()
 	machine.keeping = newMemoryShelf()
 	world.say("%s loses its disk", machine.address)
@@ -55,7 +55,7 @@
 		district := world.pick().district
 		lost := world.random.IntN(2) == 0
 		for _, machine := range world.machines {
-			if machine.district == district && machine.up {
+			if machine.district == district && machine.up.Load() {
 				if !lost || !world.wipe(machine) {
 					world.crash(machine)
 				}
@@ -91,7 +91,7 @@
 		world.wipe(world.pick())
 	}
 	for _, machine := range world.machines {
-		if machine.up {
+		if machine.up.Load() {
 			world.crash(machine)
 		}
 	}
@@ -184,9 +184,10 @@
 
 // tick lets time pass, and all who run do what is due.
 func (world *world) tick(length time.Duration) {
+	world.takeDisks()
 	world.advance(length)
 	for _, machine := range world.machines {
-		if machine.up && !machine.frozen {
+		if machine.up.Load() && !machine.frozen {
 			machine.steward.Tick()
 			world.check()
 		}
@@ -227,7 +228,7 @@
 						}
 					}
 					for _, machine := range world.machines {
-						if machine.up && others {
+						if machine.up.Load() && others {
 							world.crash(machine)
 						}
 					}
@@ -235,7 +236,7 @@
 					for range 200 {
 						// The wiped come back later than the others.
 						for _, machine := range world.machines {
-							if !machine.up && !containsMachine(world.machines, pair, machine) {
+							if !machine.up.Load() && !containsMachine(world.machines, pair, machine) {
 								world.start(machine)
 							}
 						}
@@ -260,7 +261,7 @@
 // leader is who may answer now.
 func (world *world) leader() *machine {
 	for _, machine := range world.machines {
-		if machine.up && !machine.frozen && machine.steward.Holds() {
+		if machine.up.Load() && !machine.frozen && machine.steward.Holds() {
 			return machine
 		}
 	}
@@ -317,7 +318,7 @@
 		world.installs = func(from string) {
 			for _, machine := range world.machines {
 				if machine.address == from && machine.store.Leading() && ended.CompareAndSwap(false, true) {
-					world.wipe(machine)
+					world.endInTheMiddle(machine, true)
 				}
 			}
 		}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 	keeper   *Keeper
 	store    *Store
 	steward  *Steward
-	up       bool
+	up       atomic.Bool
 	frozen   bool
 	lives    int
 }
@@ -118,8 +119,10 @@
 	log      []string
 	// borne is how many disks may be lost at once, and spare how many may be lost
 	// now, since the core was whole.
-	borne     int
-	spare     int
+	borne int
+	spare int
+	// losing are machines whose disk is to be taken.
+	losing    []*machine
 	districts int
 	seeds     []string
 	offered   int
@@ -157,6 +160,7 @@
 }
 
 func (world *world) start(machine *machine) {
+	world.takeDisks()
 	machine.lives++
 	seat := Seat{Address: machine.address, Name: machine.address}
 	keeper, blank, failure := OpenKeeper(world.clock(), machine.keeping, seat, Identity(machine.address+"/"+strconv.Itoa(machine.lives)))
@@ -181,7 +185,8 @@
 	steward.SetBackupList(world.borne > 1)
 	world.mutex.Lock()
 	machine.keeper, machine.store, machine.steward = keeper, store, steward
-	machine.up, machine.frozen = true, false
+	machine.up.Store(true)
+	machine.frozen = false
 	world.mutex.Unlock()
 	world.say("%s starts, blank %v, version %s", machine.address, blank, copied.Version())
 }
@@ -195,26 +200,32 @@
 	life int
 }
 
-func (wire *wire) reach(address string) (*machine, error) {
+// reached is one life of a machine, as a call meets it.
+type reached struct {
+	keeper  *Keeper
+	store   *Store
+	steward *Steward
+}
+
+func (wire *wire) reach(address string) (*reached, error) {
 	world := wire.world
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	for _, machine := range world.machines {
-		if wire.life > 0 && machine.address == wire.from && (!machine.up || machine.lives != wire.life) {
+		if wire.life > 0 && machine.address == wire.from && (!machine.up.Load() || machine.lives != wire.life) {
 			return nil, trouble.New(trouble.Unreachable, "the sender has ended")
 		}
 	}
 	for _, machine := range world.machines {
-		if machine.address == address && machine.up && !machine.frozen && !world.cut[wire.from+">"+address] {
+		if machine.address == address && machine.up.Load() && !machine.frozen && !world.cut[wire.from+">"+address] {
 			// A late call reaches the life that it was sent to.
-			alive := *machine
-			return &alive, nil
+			return &reached{keeper: machine.keeper, store: machine.store, steward: machine.steward}, nil
 		}
 	}
 	return nil, trouble.New(trouble.Unreachable, address)
 }
 
-func (wire *wire) keeperAt(address string, identity Identity) (*machine, error) {
+func (wire *wire) keeperAt(address string, identity Identity) (*reached, error) {
 	machine, failure := wire.reach(address)
 	if failure == nil && machine.keeper.Seat().Identity != identity {
 		return nil, trouble.New(trouble.NotAdmitted, "another disk")
@@ -290,16 +301,39 @@
 		return
 	}
 	for _, machine := range world.machines {
-		if machine.address != wire.from || !machine.up {
+		if machine.address != wire.from || !machine.up.Load() {
 			continue
 		}
-		world.crash(machine)
-		if drawn == 0 && world.spare > 0 {
-			world.spare--
-			world.wiped++
-			world.say("%s loses its disk in the middle", machine.address)
-			machine.keeping = newMemoryShelf()
+		world.endInTheMiddle(machine, drawn == 0)
+	}
+}
+
+// endInTheMiddle has a machine lose its power at once, in whatever thread. Its disk is
+// lost before it starts again: the world's own thread takes that away.
+func (world *world) endInTheMiddle(machine *machine, wiped bool) {
+	world.crash(machine)
+	if !wiped {
+		return
+	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.losing = append(world.losing, machine)
+}
+
+// takeDisks takes the disks that were lost in the middle of something.
+func (world *world) takeDisks() {
+	world.mutex.Lock()
+	losing := world.losing
+	world.losing = nil
+	world.mutex.Unlock()
+	for _, machine := range losing {
+		if world.spare == 0 {
+			continue
 		}
+		world.spare--
+		world.wiped++
+		world.say("%s loses its disk in the middle", machine.address)
+		machine.keeping = newMemoryShelf()
 	}
 }
 
@@ -391,7 +425,7 @@
 
 func (world *world) crash(machine *machine) {
 	world.mutex.Lock()
-	machine.up = false
+	machine.up.Store(false)
 	world.mutex.Unlock()
 	world.say("%s crashes", machine.address)
 }
@@ -400,7 +434,7 @@
 // disk that is at its address now, so that one more loss can be borne.
 func (world *world) whole() *machine {
 	for _, machine := range world.machines {
-		if !machine.up || machine.frozen || !machine.steward.Holds() || machine.steward.unsettled {
+		if !machine.up.Load() || machine.frozen || !machine.steward.Holds() || machine.steward.unsettled {
 			continue
 		}
 		charter := machine.steward.Charter()
@@ -411,7 +445,7 @@
 		inDistrict := map[string]int{}
 		most := 0
 		for _, other := range world.machines {
-			if !other.up {
+			if !other.up.Load() {
 				continue
 			}
 			if hasSeat(charter.Backups(), other.keeper.Seat().Identity) {
@@ -435,7 +469,7 @@
 func (world *world) check() {
 	var holders []string
 	for _, machine := range world.machines {
-		if !machine.up || machine.frozen || !machine.steward.Holds() {
+		if !machine.up.Load() || machine.frozen || !machine.steward.Holds() {
 			continue
 		}
 		holders = append(holders, machine.address)
@@ -466,10 +500,11 @@
 }
 
 func (world *world) step() {
+	world.takeDisks()
 	world.advance(time.Duration(20+world.random.IntN(120)) * time.Millisecond)
 	for _, position := range world.random.Perm(len(world.machines)) {
 		machine := world.machines[position]
-		if machine.up && !machine.frozen {
+		if machine.up.Load() && !machine.frozen {
 			machine.steward.Tick()
 			world.check()
 			if world.random.IntN(3) == 0 {
@@ -484,11 +519,11 @@
 	machine := world.machines[world.random.IntN(len(world.machines))]
 	switch world.random.IntN(60) {
 	case 0:
-		if machine.up {
+		if machine.up.Load() {
 			world.crash(machine)
 		}
 	case 1, 2, 3:
-		if !machine.up {
+		if !machine.up.Load() {
 			world.start(machine)
 		}
 	case 4:
@@ -502,11 +537,11 @@
 		world.cut = map[string]bool{}
 		world.mutex.Unlock()
 	case 8:
-		if world.whole() != nil && machine.up && world.wipe(machine) {
+		if world.whole() != nil && machine.up.Load() && world.wipe(machine) {
 			world.start(machine)
 		}
 	case 9:
-		if machine.up {
+		if machine.up.Load() {
 			world.mutex.Lock()
 			machine.frozen = !machine.frozen
 			world.mutex.Unlock()
@@ -531,7 +566,7 @@
 	}
 	world.mutex.Unlock()
 	for _, machine := range world.machines {
-		if !machine.up {
+		if !machine.up.Load() {
 			world.start(machine)
 		}
 	}
@@ -751,7 +786,7 @@
 		for range 60 {
 			world.advance(100 * time.Millisecond)
 			for _, machine := range world.machines {
-				if machine.up {
+				if machine.up.Load() {
 					machine.steward.Tick()
 				}
 			}
