Signals stay caught while a process drains; drain counts both kinds of request

Cause: Signals.Wait handed the signals back when SIGTERM came, so that a SIGHUP or a second SIGTERM during the drain had its default effect and ended the process under its streams. The drain's log and its last wait counted inquiries only, not opaque calls. Ruled out: the drain's length (the cut came with SIGHUP, 0.3 s after SIGTERM of a grace of 8 s). Change: signals are caught to the end; one count for both kinds; the margin at the end of the grace is an eighth of it, 1 s at most, so that what is cut off there was at work in its last sixth whatever the grace is. The new test of signals ends the test process on the old code.

--- a/core.go
+++ b/core.go
@@ -239,6 +239,14 @@
 //	drained := core.InFlight() == 0
 func (core *Core) InFlight() int { return core.desk.InFlight() }
 
+// InFlightRequests counts the requests of both kinds, inquiries and opaque calls, that
+// have not ended.
+//
+// Example:
+//
+//	drained := core.InFlightRequests() == 0
+func (core *Core) InFlightRequests() int { return core.desk.InFlight() + core.calls.InFlight() }
+
 // Dutiful tells whether the courier has duties.
 //
 // Example:
--- a/internal/adapters/courier/calls_test.go
+++ b/internal/adapters/courier/calls_test.go
@@ -4,6 +4,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,6 +72,70 @@
 	}
 }
 
+const heldRoute = `{"services":{"desk":{"engine":{"slots":64,"memory_tokens":295740}}},
+"routes":{"held":{"match":{"host":"ask.example","path_prefix":"/"},"calls":{"shares":[{"service":"desk","weight":1}],"limit_milliseconds":30000,"tries":1}}}}`
+
+// TestDrainCountsAndAwaitsCallsUnderWay drains a courier while a model server holds a
+// call's answer back.
+func TestDrainCountsAndAwaitsCallsUnderWay(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
+		close(begun)
+		<-release
+		writer.Header().Set("Seamloom-Call", inbound.Header.Get("Seamloom-Call"))
+		_, _ = io.WriteString(writer, "done")
+	}))
+	defer server.Close()
+	chosen := settings.Defaults(roster.Courier)
+	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
+	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), freeAddress(t)
+	chosen.Seeds = []string{freeAddress(t), freeAddress(t), freeAddress(t)}
+	chosen.Platform = freeAddress(t)
+	var logged strings.Builder
+	process, err := Start(chosen, program.Logger(&logged, "info", "courier-1"), wallclock.New(), Ports{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	configuration, err := menu.Check([]byte(heldRoute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	process.calls.conduct.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
+	process.calls.conduct.SetServing(time.Now().Add(time.Hour))
+	process.calls.conduct.SetServers(time.Now(), []roster.Server{{Name: "stove-1", Address: strings.TrimPrefix(server.URL, "http://"), Service: "desk", Part: "decode", Slots: 64}})
+	answered := make(chan string, 1)
+	go func() {
+		outbound, _ := http.NewRequest(http.MethodPost, "http://"+chosen.CallsAddress+"/x", strings.NewReader("q"))
+		outbound.Host = "ask.example"
+		outbound.Header.Set("Seamloom-Call", "one")
+		inbound, err := http.DefaultClient.Do(outbound)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		content, _ := io.ReadAll(inbound.Body)
+		answered <- string(content)
+	}()
+	<-begun
+	drained := make(chan error, 1)
+	go func() { drained <- process.Drain(20 * time.Second) }()
+	for !process.calls.conduct.Leaving() {
+		runtime.Gosched()
+	}
+	close(release)
+	if got := <-answered; got != "done" {
+		t.Errorf("the call under way got %q", got)
+	}
+	if err := <-drained; err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range []string{`"msg":"draining","node":"courier-1","in_flight":1`, `"msg":"drained","node":"courier-1","in_flight":0`} {
+		if !strings.Contains(logged.String(), line) {
+			t.Errorf("%s is not logged:\n%s", line, logged.String())
+		}
+	}
+}
+
 func TestAnAddressThatIsTakenEndsTheStart(t *testing.T) {
 	taken, failure := net.Listen("tcp", "127.0.0.1:0")
 	if failure != nil {
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -142,14 +142,15 @@
 //	failure := process.Drain(10 * time.Second)
 func (process *Process) Drain(patience time.Duration) error {
 	process.conduct.Apply(pass.Event{Kind: pass.DrainStarted})
-	process.logger.Info("draining", "in_flight", process.conduct.Core().InFlight())
+	process.logger.Info("draining", "in_flight", process.conduct.Core().InFlightRequests())
 	ends := process.clock.Now().Add(patience)
 	ticker := time.NewTicker(tickPause)
 	defer ticker.Stop()
 	process.retireCalls(patience)
-	for process.conduct.Core().InFlight() > 0 && process.clock.Now().Before(ends) {
+	for process.conduct.Core().InFlightRequests() > 0 && process.clock.Now().Before(ends) {
 		<-ticker.C
 	}
+	process.logger.Info("drained", "in_flight", process.conduct.Core().InFlightRequests())
 	process.tomb.Kill(nil)
 	return process.tomb.Wait()
 }
--- a/internal/adapters/program/signals.go
+++ b/internal/adapters/program/signals.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// Signals are those that a process acts on. They are caught from its very start, so
-// that none that comes while it still starts ends it.
+// Signals are those that a process acts on. They are caught from its very start to its
+// very end: their default effect would end a process that still starts, or that still
+// serves what is under way after it was told to end.
 type Signals struct {
 	caught chan os.Signal
 }
@@ -30,13 +31,12 @@
 // Wait handles signals until the process is to end: SIGHUP reloads, SIGTERM and
 // SIGINT return true. A settings file, if one is named, is also looked at now and
 // then, and a change of it reloads. It returns false when the process ended by
-// itself.
+// itself. What is caught after that has no effect: the process ends within its grace.
 //
 // Example:
 //
 //	if signals.Wait(process.Dead(), "courier.json", reload) { process.Stop() }
 func (signals *Signals) Wait(dead <-chan struct{}, file string, reload func()) bool {
-	defer signal.Stop(signals.caught)
 	var looks <-chan time.Time
 	seen := lookAt(file)
 	if file != "" {
--- a/internal/adapters/program/signals_test.go
+++ b/internal/adapters/program/signals_test.go
@@ -50,3 +50,28 @@
 		test.Error("nobody asked it to end")
 	}
 }
+
+// TestSignalsStayCaughtAfterTheEndBegan sends, while the process drains, what would end
+// it by default: this test's own process would be gone.
+func TestSignalsStayCaughtAfterTheEndBegan(t *testing.T) {
+	signals := CatchSignals()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if !signals.Wait(nil, "", func() {}) {
+		t.Fatal("a signal to end is no end by itself")
+	}
+	for _, late := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+		if err := syscall.Kill(os.Getpid(), late); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case caught := <-signals.caught:
+			if caught != late {
+				t.Errorf("%v was caught instead of %v", caught, late)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%v is not caught any more", late)
+		}
+	}
+}
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -117,9 +117,11 @@
 	// noticePause is how long it takes those who ask whether a courier is ready to
 	// send no more: two questions in a row, one a second.
 	noticePause = 2500 * time.Millisecond
-	// leaveMargin is kept of the grace for ending the process.
-	leaveMargin  = time.Second
-	leavingPause = 20 * time.Millisecond
+	// leaveMarginShare is the part of the grace that is kept for ending the process: an
+	// eighth, so that what is cut off at the end was at work in the last sixth.
+	leaveMarginShare = 8
+	mostLeaveMargin  = time.Second
+	leavingPause     = 20 * time.Millisecond
 )
 
 // Retire has the courier leave: it is not ready from now on, serves what still comes
@@ -130,7 +132,7 @@
 //
 //	conduct.Retire(8 * time.Second)
 func (calls *Calls) Retire(grace time.Duration) {
-	ends := calls.turns.Now().Add(max(grace-leaveMargin, grace/2))
+	ends := calls.turns.Now().Add(grace - min(mostLeaveMargin, grace/leaveMarginShare))
 	calls.Leave()
 	rota.Pause(calls.turns, min(noticePause, grace/3))
 	calls.window.Drain()
