A client's connection is dismissed under the rule that admits its requests

Cause: Gate.dismiss looked at a connection's state, let go of its lock and closed; a request that was read between was passed on to a server and cut. Ruled out: the length of the rest (the close came 17 ms after the request). Change: the look marks the connection, and a request is passed on only when it is admitted under the same mutex; one that crosses the mark gets 503 with the time to come back on the connection, which then ends. A rested connection ends by its next read; one that never sent a head is closed as before. Known: a request line in two segments that crosses the mark between them may get the library's 400.

--- /dev/null
+++ b/internal/adapters/calls/clientconnection.go
@@ -0,0 +1,60 @@
+package calls
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/menu"
+)
+
+// clientConnection is the state of one connection of a client. Its mutex decides
+// between a request that is about to be passed on and the connection's dismissal:
+// whichever comes first excludes the other.
+type clientConnection struct {
+	mutex sync.Mutex
+	state http.ConnState
+	since time.Time
+	// admitted tells that the present request was read whole and may be passed on.
+	admitted bool
+	// dismissed tells that the connection is to end and passes nothing on any more.
+	dismissed bool
+}
+
+// enter notes that the connection changed its state.
+func (connection *clientConnection) enter(state http.ConnState, now time.Time) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.state, connection.since, connection.admitted = state, now, false
+}
+
+// admit tells whether the request that was read whole may be passed on. From then on
+// until its answer is over the connection is not dismissed.
+func (connection *clientConnection) admit() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.admitted = !connection.dismissed
+	return connection.admitted
+}
+
+// dismissIfLate tells whether the client took or rested too long, and has the
+// connection pass nothing on from then on. It gives the state in which that was found.
+func (connection *clientConnection) dismissIfLate(now time.Time, limits menu.Limits) (http.ConnState, bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.admitted && now.Sub(connection.since) > connection.patience(limits) {
+		connection.dismissed = true
+	}
+	return connection.state, connection.dismissed
+}
+
+// patience is how long the connection may stay in its state. The caller has the mutex.
+func (connection *clientConnection) patience(limits menu.Limits) time.Duration {
+	switch connection.state {
+	case http.StateNew:
+		return limits.HeaderPatience
+	case http.StateIdle:
+		return limits.IdlePatience
+	}
+	return bodyPatience
+}
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -10,7 +10,6 @@
 
 	"gopkg.in/tomb.v2"
 
-	"seamloom.example/seamloom/internal/menu"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -29,27 +28,17 @@
 	now     func() time.Time
 	servers []*http.Server
 
-	mutex  sync.Mutex
-	guests map[net.Conn]*guest
+	mutex       sync.Mutex
+	connections map[net.Conn]*clientConnection
 }
 
-// guest is an origin's circuit.
-type guest struct {
-	mutex sync.Mutex
-	state http.ConnState
-	read  bool
-	since time.Time
-}
-
-type guestKey struct{}
+type clientConnectionKey struct{}
 
-// noteRead tells that a call was read whole: from here on its origin owes nothing.
-func noteRead(inbound *http.Request) {
-	if guest, found := inbound.Context().Value(guestKey{}).(*guest); found {
-		guest.mutex.Lock()
-		guest.read = true
-		guest.mutex.Unlock()
-	}
+// admit tells whether a request that was read whole may be passed on: not when its
+// connection was dismissed meanwhile. One that came in another way is always admitted.
+func admit(inbound *http.Request) bool {
+	connection, found := inbound.Context().Value(clientConnectionKey{}).(*clientConnection)
+	return !found || connection.admit()
 }
 
 // Open listens on the address for calls and on the one for readiness; either may be
@@ -63,7 +52,7 @@
 }
 
 func open(owner *tomb.Tomb, intake *Intake, address, readyAddress string, now func() time.Time) (*Gate, error) {
-	gate := &Gate{intake: intake, now: now, guests: map[net.Conn]*guest{}}
+	gate := &Gate{intake: intake, now: now, connections: map[net.Conn]*clientConnection{}}
 	serving := &http.Server{Handler: http.HandlerFunc(gate.serveCall), MaxHeaderBytes: mostHeadBytes, ConnState: gate.note, ConnContext: gate.greet}
 	asked := &http.Server{Handler: http.HandlerFunc(gate.tellReady), ReadHeaderTimeout: defaultHeaderPatience, IdleTimeout: defaultIdlePatience}
 	for server, address := range map[*http.Server]string{serving: address, asked: readyAddress} {
@@ -121,29 +110,26 @@
 }
 
 func (gate *Gate) greet(lifetime context.Context, connection net.Conn) context.Context {
-	arrived := &guest{since: gate.now()}
+	arrived := &clientConnection{since: gate.now()}
 	gate.mutex.Lock()
-	gate.guests[connection] = arrived
+	gate.connections[connection] = arrived
 	gate.mutex.Unlock()
-	return context.WithValue(lifetime, guestKey{}, arrived)
+	return context.WithValue(lifetime, clientConnectionKey{}, arrived)
 }
 
 func (gate *Gate) note(connection net.Conn, state http.ConnState) {
 	gate.mutex.Lock()
-	known := gate.guests[connection]
+	known := gate.connections[connection]
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(gate.guests, connection)
+		delete(gate.connections, connection)
 	}
 	gate.mutex.Unlock()
-	if known == nil {
-		return
+	if known != nil {
+		known.enter(state, gate.now())
 	}
-	known.mutex.Lock()
-	known.state, known.since, known.read = state, gate.now(), false
-	known.mutex.Unlock()
 }
 
-// watch closes the circuits of origins that take or rest too long.
+// watch dismisses the connections of clients that take or rest too long.
 func (gate *Gate) watch(dying <-chan struct{}) {
 	ticker := time.NewTicker(watchPause)
 	defer ticker.Stop()
@@ -157,32 +143,25 @@
 	}
 }
 
+// dismiss ends the connections of clients that take or rest too long. One that rests
+// ends by itself when its next read fails, and never under a request: one that crosses
+// the dismissal is refused on the connection and was not passed on. One whose first head
+// takes too long has no request, and is closed.
 func (gate *Gate) dismiss() {
 	limits, now := gate.intake.limits(), gate.now()
-	var late []net.Conn
+	dismissed := map[net.Conn]http.ConnState{}
 	gate.mutex.Lock()
-	for connection, known := range gate.guests {
-		if known.late(now, limits) {
-			late = append(late, connection)
+	for connection, known := range gate.connections {
+		if state, late := known.dismissIfLate(now, limits); late {
+			dismissed[connection] = state
 		}
 	}
 	gate.mutex.Unlock()
-	for _, connection := range late {
-		_ = connection.Close()
-	}
-}
-
-func (guest *guest) late(now time.Time, limits menu.Limits) bool {
-	guest.mutex.Lock()
-	defer guest.mutex.Unlock()
-	rested := now.Sub(guest.since)
-	switch guest.state {
-	case http.StateNew:
-		return rested > limits.HeaderPatience
-	case http.StateIdle:
-		return rested > limits.IdlePatience
-	case http.StateActive:
-		return !guest.read && rested > bodyPatience
+	for connection, state := range dismissed {
+		if state == http.StateNew {
+			_ = connection.Close()
+			continue
+		}
+		_ = connection.SetReadDeadline(time.Unix(1, 0))
 	}
-	return false
 }
--- a/internal/adapters/calls/gate_test.go
+++ b/internal/adapters/calls/gate_test.go
@@ -115,7 +115,7 @@
 		gate.mutex.Lock()
 		defer gate.mutex.Unlock()
 		states := map[http.ConnState]int{}
-		for _, known := range gate.guests {
+		for _, known := range gate.connections {
 			known.mutex.Lock()
 			states[known.state]++
 			known.mutex.Unlock()
@@ -167,3 +167,50 @@
 		t.Fatalf("%d calls went on", standin.count())
 	}
 }
+
+// TestARequestThatCrossesADismissalIsRefused lets a connection rest too long, and sends a
+// request on it that the gate has read whole when the connection is dismissed: it gets
+// the promise that it never runs, and no server sees it.
+func TestARequestThatCrossesADismissalIsRefused(t *testing.T) {
+	standin := newStandin(t, func(circuit *callerCircuit, inbound *http.Request) bool {
+		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
+		return true
+	})
+	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
+	gate, address, _ := openGate(t, scripted, time.Now)
+	client, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	_, _ = io.WriteString(client, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 2\r\n\r\nx")
+	var known *clientConnection
+	until(t, "the head is read", func() bool {
+		gate.mutex.Lock()
+		defer gate.mutex.Unlock()
+		for _, known = range gate.connections {
+			known.mutex.Lock()
+			active := known.state == http.StateActive
+			known.mutex.Unlock()
+			if active {
+				return true
+			}
+		}
+		return false
+	})
+	// The dismissal has decided; the connection's reads do not fail yet.
+	known.mutex.Lock()
+	known.dismissed = true
+	known.mutex.Unlock()
+	_, _ = io.WriteString(client, "x")
+	inbound, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if inbound.StatusCode != http.StatusServiceUnavailable || !inbound.Close || inbound.Header.Get("Retry-After") == "" {
+		t.Errorf("%d %v", inbound.StatusCode, inbound.Header)
+	}
+	if standin.count() != 0 {
+		t.Error("the request was passed on")
+	}
+}
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -21,6 +21,9 @@
 	defaultBodyBytes      = 16 << 20
 	defaultHeaderPatience = 5 * time.Second
 	defaultIdlePatience   = 60 * time.Second
+	// dismissedRetry is after how many seconds a call may come back that crossed the
+	// end of its connection: a new connection serves it at once.
+	dismissedRetry = "0.010"
 )
 
 // Conduct serves one call from its arrival to its end.
@@ -107,6 +110,12 @@
 		return oversize
 	}
 	body, failure := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
+	if !admit(inbound) {
+		writer.Header()["Connection"] = []string{"close"}
+		writer.Header()["Retry-After"] = []string{dismissedRetry}
+		refuse(writer, words.ID, id, http.StatusServiceUnavailable, dismissed)
+		return dismissed
+	}
 	if failure != nil {
 		var tooLarge *http.MaxBytesError
 		switch {
@@ -120,7 +129,6 @@
 		refuse(writer, words.ID, id, http.StatusBadRequest, malformed)
 		return malformed
 	}
-	noteRead(inbound)
 	call := &window.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(words.Model),
 		Parts: readParts(inbound.Header.Get(words.Parts)), Bytes: len(body), Resumes: inbound.Header.Get(lastEventHeader) != ""}
 	target := inbound.RequestURI
--- a/internal/adapters/calls/meter.go
+++ b/internal/adapters/calls/meter.go
@@ -28,6 +28,8 @@
 	left      ending = "left"
 	oversize  ending = "oversize"
 	malformed ending = "malformed"
+	// dismissed is a call that crossed the end of its connection.
+	dismissed ending = "dismissed"
 )
 
 // bounds are of the times in seconds that are told apart.
@@ -37,7 +39,7 @@
 	set := metrics.NewSet()
 	meter := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[window.DecisionKind]map[window.Result]*metrics.Counter{},
 		first: set.NewPrometheusHistogramExt("seamloom_call_first_seconds", bounds), whole: set.NewPrometheusHistogramExt("seamloom_call_seconds", bounds)}
-	for _, how := range []ending{served, through, cut, left, oversize, malformed, ending(window.NoRoute), ending(window.NotReady), ending(window.Full),
+	for _, how := range []ending{served, through, cut, left, oversize, malformed, dismissed, ending(window.NoRoute), ending(window.NotReady), ending(window.Full),
 		ending(window.Leaving), ending(window.Late), ending(window.Broken), ending(window.BrokenLate)} {
 		meter.endings[how] = set.NewCounter(`seamloom_calls_total{ending="` + string(how) + `"}`)
 	}
