Nodes look for a lost primary everywhere at once; memberships reach them with each change

Ruled out: the election, the primary (it answered others), the acknowledgement's wait. Change: whoever loses its primary searches as at its start: all known expediters at once, 0.5 s each, three other couriers a round for the charter that they know, and relays beside them. A courier's charter is taken by expediters too, though it has no seat; an expediter that reaches no majority greets the recorded members, from its own disk at its start. A question that is held back is answered when the membership changes. Bound: 0.8 s for which a question is held back + 0.3 s margin, then one or two rounds of 0.1 s: below 1.4 s, of the 2 s that a configuration may take. The new test does not end on the old code: none of its follower finds the core.

--- /dev/null
+++ b/internal/hatch/ask.go
@@ -0,0 +1,196 @@
+package hatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// leadsAnswer is the part that all answers of expediters have in common.
+type leadsAnswer struct {
+	Leads   bool           `msgpack:"leads"`
+	Charter larder.Charter `msgpack:"charter"`
+}
+
+// Ask sends a message to the primary, wherever it is, or through a neighbour
+// when it can't be reached. The answer must say whether its giver leads. Each
+// address is given the patience; altogether it ends by a moment, if one is given.
+//
+// Example:
+//
+//	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second, ends)
+func (follower *Follower) Ask(path string, question, answer any, patience time.Duration, ends time.Time) error {
+	body, failure := msgpack.Marshal(question)
+	if failure != nil {
+		return trouble.Wrap(trouble.Garbage, failure)
+	}
+	reply, failure := follower.AskRaw(path, body, patience, ends)
+	if failure != nil && unheard(failure) {
+		reply, failure = follower.viaNeighbour(path, body, patience, ends)
+	}
+	if failure != nil {
+		return failure
+	}
+	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(reply, answer))
+}
+
+// unheard tells whether a failure says only that no primary was reached, and
+// not what the primary said.
+func unheard(failure error) bool {
+	switch trouble.KindOf(failure) {
+	case trouble.Unreachable, trouble.Garbage, trouble.NoPrimary:
+		return true
+	}
+	return false
+}
+
+// AskRaw sends an encoded message to the primary without a neighbour's help.
+//
+// Example:
+//
+//	reply, failure := followed.AskRaw(path, body, time.Second, time.Time{})
+func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
+	asked := map[string]bool{}
+	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
+	for _, address := range follower.candidates() {
+		for address != "" && !asked[address] && follower.turns.Alive() && follower.left(patience, ends) > 0 {
+			asked[address] = true
+			reply, failure := follower.line.CallRaw(address, path, body, follower.left(patience, ends))
+			if failure != nil {
+				last = failure
+				if !unheard(failure) {
+					return nil, failure
+				}
+				follower.forget(address)
+				break
+			}
+			var said leadsAnswer
+			if failure := msgpack.Unmarshal(reply, &said); failure != nil {
+				last = trouble.Wrap(trouble.Garbage, failure)
+				break
+			}
+			follower.learn(address, said)
+			if said.Leads {
+				return reply, nil
+			}
+			last = trouble.New(trouble.NoPrimary, "no expediter leads")
+			address = said.Charter.Primary.Address
+		}
+	}
+	return nil, last
+}
+
+// learnCharter takes a charter that is newer than the one known.
+func (follower *Follower) learnCharter(charter larder.Charter) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if charter.Epoch > follower.charter.Epoch {
+		follower.charter = charter
+	}
+}
+
+func (follower *Follower) learn(address string, said leadsAnswer) {
+	follower.learnCharter(said.Charter)
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if said.Leads {
+		follower.primary = address
+	} else if follower.primary == address {
+		follower.primary = ""
+	}
+}
+
+func (follower *Follower) forget(address string) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.dark[address] = follower.turns.Now()
+	if follower.primary == address {
+		follower.primary = ""
+	}
+}
+
+func (follower *Follower) candidates() []string {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	candidates := []string{follower.primary, follower.charter.Primary.Address}
+	for _, backup := range follower.charter.Backups() {
+		candidates = append(candidates, backup.Address)
+	}
+	for _, seat := range follower.charter.Electors() {
+		candidates = append(candidates, seat.Address)
+	}
+	candidates = append(candidates, follower.seeds...)
+	candidates = append(candidates, follower.contacts...)
+	// Who did not answer just now is asked after all others.
+	sort.SliceStable(candidates, func(left, right int) bool {
+		return !follower.isDark(candidates[left]) && follower.isDark(candidates[right])
+	})
+	return candidates
+}
+
+func (follower *Follower) isDark(address string) bool {
+	since, found := follower.dark[address]
+	return found && follower.turns.Now().Sub(since) < darkTime
+}
+
+// left is how long a call may take that is given so much patience and must end
+// by a moment, if one is given.
+func (follower *Follower) left(patience time.Duration, ends time.Time) time.Duration {
+	if ends.IsZero() {
+		return patience
+	}
+	return min(patience, ends.Sub(follower.turns.Now()))
+}
+
+func (follower *Follower) viaNeighbour(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
+	follower.mutex.Lock()
+	relays := append([]string(nil), follower.peers[:min(neighbours, len(follower.peers))]...)
+	follower.mutex.Unlock()
+	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
+	for _, address := range relays {
+		if follower.left(patience, ends) <= 0 {
+			break
+		}
+		var reply []byte
+		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, follower.left(patience+200*time.Millisecond, ends))
+		if failure == nil || !unheard(failure) {
+			return reply, failure
+		}
+		last = failure
+	}
+	return nil, last
+}
+
+// Relay passes another node's message to the primary that this node knows.
+//
+// Example:
+//
+//	reply, failure := followed.Relay(question)
+func (follower *Follower) Relay(question RelayQuestion) ([]byte, error) {
+	switch question.Path {
+	case NewsPath, ClaimPath, OrdersPath:
+	default:
+		return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
+	}
+	address, known := follower.knownPrimary()
+	if !known {
+		return nil, trouble.New(trouble.NoPrimary, "this node knows no primary")
+	}
+	reply, err := follower.line.CallRaw(address, question.Path, question.Body, relayPatience)
+	if err != nil {
+		return nil, err
+	}
+	var said leadsAnswer
+	if err := msgpack.Unmarshal(reply, &said); err != nil {
+		return nil, trouble.Wrap(trouble.Garbage, err)
+	}
+	follower.learn(address, said)
+	if !said.Leads {
+		return nil, trouble.New(trouble.NoPrimary, "the primary that this node knew leads no more")
+	}
+	return reply, nil
+}
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -216,6 +216,13 @@
 	return drawers
 }
 
+// newerCharter tells whether the membership has changed since the asker heard of it: who
+// belongs to the core, and where, is to reach every node while it can. An older release
+// does not tell what it has heard of, and is told with its next answer.
+func (expediter *Expediter) newerCharter(question NewsQuestion) bool {
+	return question.Charter != 0 && expediter.steward.Charter().Epoch > question.Charter
+}
+
 // awaitNews returns the view as soon as it has news for the question, or when
 // its patience ends; nil when this expediter is not primary any more.
 func (expediter *Expediter) awaitNews(question NewsQuestion) *larder.View {
@@ -227,7 +234,7 @@
 			return true
 		}
 		seen = view
-		return len(newer(view, question.Have)) > 0 || expediter.lists.newer(question)
+		return len(newer(view, question.Have)) > 0 || expediter.lists.newer(question) || expediter.newerCharter(question)
 	})
 	if !expediter.turns.Alive() {
 		return nil
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -347,11 +347,11 @@
 		}
 	}
 	courier.mutex.Unlock()
-	var addresses []string
-	for _, member := range courier.neighbours() {
-		addresses = append(addresses, member.Address)
+	var peers []string
+	for _, member := range courier.nearest(len(names)) {
+		peers = append(peers, member.Address)
 	}
-	courier.followed.SetContacts(contacts, addresses)
+	courier.followed.SetContacts(contacts, peers)
 }
 
 // couriersOf are the names of the couriers among recorded members.
@@ -365,12 +365,13 @@
 	return names
 }
 
-func (courier *Courier) neighbours() []roster.Member {
+// nearest are the other recorded couriers, by rendezvous, no more than so many.
+func (courier *Courier) nearest(most int) []roster.Member {
 	courier.mutex.Lock()
 	defer courier.mutex.Unlock()
 	names := couriersOf(courier.members)
 	var members []roster.Member
-	for _, name := range roster.Neighbours(courier.options.Courier, names, neighbours) {
+	for _, name := range roster.Neighbours(courier.options.Courier, names, most) {
 		members = append(members, courier.members[name])
 	}
 	return members
@@ -392,7 +393,7 @@
 	if len(records) == 0 {
 		return
 	}
-	for _, member := range courier.neighbours() {
+	for _, member := range courier.nearest(neighbours) {
 		var answer bool
 		if Call(courier.line, member.Address, CrumbsPath, records, &answer, actPatience) == nil {
 			return
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -1,6 +1,8 @@
 package hatch
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +43,12 @@
 
 	acknowledgeWait atomic.Int64
 
-	mutex    sync.Mutex
-	reign    *Reign
+	mutex sync.Mutex
+	reign *Reign
+	// epoch is that of the newest charter that was told to those who ask for news.
+	epoch    uint64
+	nodes    []string
+	members  map[string]roster.Member
 	mending  bool
 	mendedAt time.Time
 	editing  bool
@@ -102,6 +108,8 @@
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
 	expediter.followed.Follow(options.Directory != nil, false)
 	expediter.SetAcknowledgeWait(options.AcknowledgeWait)
+	// Who was recorded when this disk was written last may know where the core is now.
+	expediter.takeMembers(News{Changed: copied.Drawers()})
 	expediter.answers = expediter.table()
 	return expediter, blank, nil
 }
@@ -171,14 +179,51 @@
 
 // setNodes takes the platform's list of nodes.
 func (expediter *Expediter) setNodes(nodes []roster.Node) {
-	var contacts []string
+	var addresses []string
 	for _, node := range nodes {
 		if node.Kind == roster.Expediter && node.Address != expediter.options.Address {
-			contacts = append(contacts, node.Address)
+			addresses = append(addresses, node.Address)
 		}
 	}
+	expediter.mutex.Lock()
+	expediter.nodes = addresses
+	expediter.mutex.Unlock()
+	expediter.setContacts()
+}
+
+// setMembers takes the recorded members.
+func (expediter *Expediter) setMembers(members map[string]roster.Member) {
+	expediter.mutex.Lock()
+	expediter.members = members
+	expediter.mutex.Unlock()
+	expediter.setContacts()
+}
+
+// setContacts names the other expediters that the platform or the record knows, and the
+// recorded couriers, the nearest first: when the seeds and all that this expediter knew
+// are replaced, one of these tells where the core is.
+func (expediter *Expediter) setContacts() {
+	expediter.mutex.Lock()
+	contacts := slices.Clone(expediter.nodes)
+	var recorded []string
+	for _, name := range slices.Sorted(maps.Keys(expediter.members)) {
+		if member := expediter.members[name]; member.Kind == roster.Expediter && name != expediter.options.Name {
+			recorded = append(recorded, member.Address)
+		}
+	}
+	var peers []string
+	for _, name := range roster.Ranked(expediter.options.Name, couriersOf(expediter.members)) {
+		peers = append(peers, expediter.members[name].Address)
+	}
+	expediter.mutex.Unlock()
 	expediter.steward.SetContacts(contacts)
-	expediter.followed.SetContacts(contacts, nil)
+	expediter.steward.SetRecorded(append(slices.Clone(recorded), peers...))
+	for _, address := range recorded {
+		if !slices.Contains(contacts, address) {
+			contacts = append(contacts, address)
+		}
+	}
+	expediter.followed.SetContacts(contacts, peers)
 }
 
 // Keeper is the epoch keeper on this disk.
@@ -223,7 +268,10 @@
 	expediter.steward.Tick()
 	// It may wait for the disk, and nobody may wait for that here.
 	leading := expediter.store.Leading()
+	epoch := expediter.steward.Charter().Epoch
 	expediter.mutex.Lock()
+	moved := epoch != expediter.epoch
+	expediter.epoch = epoch
 	begun, ended := leading && expediter.reign == nil, !leading && expediter.reign != nil
 	if begun {
 		expediter.reign = newReign(expediter.turns.Now())
@@ -238,6 +286,8 @@
 	}
 	if ended {
 		expediter.lists.end()
+	}
+	if ended || moved {
 		expediter.news.Ring()
 	}
 }
@@ -441,6 +491,7 @@
 	if news.Servers != nil && !expediter.lists.leading() {
 		expediter.lists.take(news.Servers.At, news.Servers.Servers)
 	}
+	expediter.takeMembers(news)
 	drawer, found := news.Changed[larder.FlagsDrawer]
 	if !found {
 		return
@@ -456,6 +507,20 @@
 	expediter.observe("flags_read", "enabled", state.Flags.Enabled, "lacking", lacking)
 }
 
+// takeMembers takes the recorded members from news, or from the own copy.
+func (expediter *Expediter) takeMembers(news News) {
+	drawer, found := news.Changed[larder.MembersDrawer]
+	if !found {
+		return
+	}
+	state, err := larder.ReadState(map[string]larder.Drawer{larder.MembersDrawer: drawer})
+	if err != nil {
+		expediter.observe("members_unreadable", "cause", err)
+		return
+	}
+	expediter.setMembers(state.Members)
+}
+
 // Supported is the node's own list of flags.
 //
 // Example:
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -1,16 +1,12 @@
 package hatch
 
 import (
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
 	"seamloom.example/seamloom/internal/window"
 )
 
@@ -23,15 +19,15 @@
 	inForce func() larder.Version
 	take    func(News)
 
-	mutex      sync.Mutex
-	primary    string
-	seeds      []string
-	contacts   []string
-	neighbours []string
-	drawers    map[string]larder.Drawer
-	charter    larder.Charter
-	heard      time.Time
-	dark       map[string]time.Time
+	mutex    sync.Mutex
+	primary  string
+	seeds    []string
+	contacts []string
+	peers    []string
+	drawers  map[string]larder.Drawer
+	charter  larder.Charter
+	heard    time.Time
+	dark     map[string]time.Time
 
 	// provisional tells that a configuration may be taken from copies, unconfirmed is
 	// the version of one that no primary has confirmed yet.
@@ -69,8 +65,11 @@
 	// loadsWait is that of a node that follows reports: a little longer than reports
 	// come in calm times, so that each round needs one answer only.
 	loadsWait = newsWait + 200*time.Millisecond
-	// newsPatience is how long one question may take altogether.
-	newsPatience = 1200 * time.Millisecond
+	// answerMargin is how much longer than the primary may hold a question back the
+	// answer may take. After that the primary counts as silent.
+	answerMargin = 300 * time.Millisecond
+	// relayPatience is how long the primary may take to answer a relayed message.
+	relayPatience = 1200 * time.Millisecond
 	// searchPatience is how long each address may take while the primary is
 	// looked for. It leaves room for a registration's sync.
 	searchPatience = 500 * time.Millisecond
@@ -113,16 +112,16 @@
 	follower.listMark = 0
 }
 
-// SetContacts gives the expediters' addresses that the platform lists, and the
-// neighbours that may relay.
+// SetContacts gives the expediters' addresses that the platform or the record lists,
+// and the other couriers, the nearest first: they may relay, and tell where the core is.
 //
 // Example:
 //
-//	followed.SetContacts(expediters, neighbours)
-func (follower *Follower) SetContacts(contacts, neighbours []string) {
+//	followed.SetContacts(expediters, couriers)
+func (follower *Follower) SetContacts(contacts, peers []string) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.contacts, follower.neighbours = contacts, neighbours
+	follower.contacts, follower.peers = contacts, peers
 }
 
 // SetSeeds exchanges the seeds, after a reload.
@@ -169,52 +168,85 @@
 	return follower.drawers[name]
 }
 
-// Run asks until the process ends.
+// Run asks until the process ends: the primary while it answers, and all that may know
+// it while it does not.
 //
 // Example:
 //
 //	turns.Go(followed.Run)
 func (follower *Follower) Run() {
-	first := newSearch(follower.turns)
-	for follower.turns.Alive() && follower.unled() {
-		follower.look(first)
-	}
 	for follower.turns.Alive() {
-		asked := follower.turns.Now()
-		var answer NewsAnswer
-		question, patience := follower.question()
-		if failure := follower.Ask(NewsPath, question, &answer, patience, time.Time{}); failure == nil {
-			follower.takeAnswer(asked, answer)
+		if address, known := follower.knownPrimary(); known {
+			follower.poll(address)
 			continue
 		}
-		rota.Pause(follower.turns, retryPause)
+		follower.search()
 	}
 }
 
-// question asks a primary that is known to hold it back until there is news;
-// one that is still looked for is to answer at once, so that those who are dark
-// cost little time.
-func (follower *Follower) question() (NewsQuestion, time.Duration) {
+// knownPrimary is the address of the primary that answered last, until it is silent or
+// says that it leads no more.
+func (follower *Follower) knownPrimary() (string, bool) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	have := map[string]larder.Version{}
-	for name, drawer := range follower.drawers {
-		have[name] = drawer.Version
+	return follower.primary, follower.primary != "" && !follower.heard.IsZero()
+}
+
+// poll asks the primary once and takes its answer. One that is silent is looked for
+// anew: its successor may have been elected.
+func (follower *Follower) poll(address string) {
+	question := follower.pollQuestion()
+	asked := follower.turns.Now()
+	var answer NewsAnswer
+	err := Call(follower.line, address, NewsPath, question, &answer, question.Patience+answerMargin)
+	if err != nil {
+		if unheard(err) {
+			follower.forget(address)
+			return
+		}
+		rota.Pause(follower.turns, retryPause)
+		return
 	}
-	question := NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true, Charter: follower.charter.Epoch,
-		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
-	if follower.primary == "" || follower.heard.IsZero() {
-		question.Provisional = follower.provisional && len(have) == 0
-		return question, searchPatience
+	follower.learn(address, leadsAnswer{Leads: answer.Leads, Charter: answer.Charter})
+	if answer.Leads && !follower.takeAnswer(asked, answer) {
+		rota.Pause(follower.turns, retryPause)
 	}
+}
+
+// searchQuestion is to be answered at once, so that those who are dark cost little time.
+func (follower *Follower) searchQuestion() NewsQuestion {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	question := follower.question()
+	question.Provisional = follower.provisional && len(question.Have) == 0
+	return question
+}
+
+// pollQuestion is held back by the primary until there is news.
+func (follower *Follower) pollQuestion() NewsQuestion {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	question := follower.question()
 	question.Patience = newsWait
 	if follower.loads {
 		question.Patience = loadsWait
 	}
-	return question, newsPatience
+	return question
 }
 
-func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) {
+// question tells what the node has. The caller has the mutex.
+func (follower *Follower) question() NewsQuestion {
+	have := map[string]larder.Version{}
+	for name, drawer := range follower.drawers {
+		have[name] = drawer.Version
+	}
+	return NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true, Charter: follower.charter.Epoch,
+		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
+}
+
+// takeAnswer takes a primary's answer and tells whether it did: an older primary's word
+// is passed over, since versions never go back.
+func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) bool {
 	follower.mutex.Lock()
 	for name, delta := range answer.Deltas {
 		drawer, fits := delta.apply(follower.drawers[name])
@@ -222,7 +254,7 @@
 			// The next question asks for the whole; this answer's hold is not used.
 			delete(follower.drawers, name)
 			follower.mutex.Unlock()
-			return
+			return false
 		}
 		if answer.Drawers == nil {
 			answer.Drawers = map[string]larder.Drawer{}
@@ -231,14 +263,13 @@
 	}
 	for name, drawer := range answer.Drawers {
 		if drawer.Version.Before(follower.drawers[name].Version) {
-			// An older primary's word: versions never go back.
 			follower.mutex.Unlock()
-			return
+			return false
 		}
 	}
 	if have := follower.drawers[larder.MenuDrawer].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
 		follower.mutex.Unlock()
-		return
+		return false
 	}
 	for name, drawer := range answer.Drawers {
 		follower.drawers[name] = drawer
@@ -248,6 +279,7 @@
 	follower.takeLists(&news)
 	follower.mutex.Unlock()
 	follower.take(news)
+	return true
 }
 
 // takeLists takes the list of servers and their reports out of an answer. The caller
@@ -275,164 +307,3 @@
 		}
 	}
 }
-
-// leadsAnswer is the part that all answers of expediters have in common.
-type leadsAnswer struct {
-	Leads   bool           `msgpack:"leads"`
-	Charter larder.Charter `msgpack:"charter"`
-}
-
-// Ask sends a message to the primary, wherever it is, or through a neighbour
-// when it can't be reached. The answer must say whether its giver leads. Each
-// address is given the patience; altogether it ends by a moment, if one is given.
-//
-// Example:
-//
-//	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second, ends)
-func (follower *Follower) Ask(path string, question, answer any, patience time.Duration, ends time.Time) error {
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
-	}
-	reply, failure := follower.AskRaw(path, body, patience, ends)
-	if failure != nil && unheard(failure) {
-		reply, failure = follower.viaNeighbour(path, body, patience, ends)
-	}
-	if failure != nil {
-		return failure
-	}
-	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(reply, answer))
-}
-
-// unheard tells whether a failure says only that no primary was reached, and
-// not what the primary said.
-func unheard(failure error) bool {
-	switch trouble.KindOf(failure) {
-	case trouble.Unreachable, trouble.Garbage, trouble.NoPrimary:
-		return true
-	}
-	return false
-}
-
-// AskRaw sends an encoded message to the primary without a neighbour's help.
-//
-// Example:
-//
-//	reply, failure := followed.AskRaw(path, body, time.Second, time.Time{})
-func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
-	asked := map[string]bool{}
-	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
-	for _, address := range follower.candidates() {
-		for address != "" && !asked[address] && follower.turns.Alive() && follower.left(patience, ends) > 0 {
-			asked[address] = true
-			reply, failure := follower.line.CallRaw(address, path, body, follower.left(patience, ends))
-			if failure != nil {
-				last = failure
-				if !unheard(failure) {
-					return nil, failure
-				}
-				follower.forget(address)
-				break
-			}
-			var said leadsAnswer
-			if failure := msgpack.Unmarshal(reply, &said); failure != nil {
-				last = trouble.Wrap(trouble.Garbage, failure)
-				break
-			}
-			follower.learn(address, said)
-			if said.Leads {
-				return reply, nil
-			}
-			last = trouble.New(trouble.NoPrimary, "no expediter leads")
-			address = said.Charter.Primary.Address
-		}
-	}
-	return nil, last
-}
-
-func (follower *Follower) learn(address string, said leadsAnswer) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	if said.Charter.Epoch > follower.charter.Epoch {
-		follower.charter = said.Charter
-	}
-	if said.Leads {
-		follower.primary = address
-	} else if follower.primary == address {
-		follower.primary = ""
-	}
-}
-
-func (follower *Follower) forget(address string) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	follower.dark[address] = follower.turns.Now()
-	if follower.primary == address {
-		follower.primary = ""
-	}
-}
-
-func (follower *Follower) candidates() []string {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	candidates := []string{follower.primary, follower.charter.Primary.Address}
-	for _, backup := range follower.charter.Backups() {
-		candidates = append(candidates, backup.Address)
-	}
-	for _, seat := range follower.charter.Electors() {
-		candidates = append(candidates, seat.Address)
-	}
-	candidates = append(candidates, follower.seeds...)
-	candidates = append(candidates, follower.contacts...)
-	// Who did not answer just now is asked after all others.
-	sort.SliceStable(candidates, func(left, right int) bool {
-		return !follower.isDark(candidates[left]) && follower.isDark(candidates[right])
-	})
-	return candidates
-}
-
-func (follower *Follower) isDark(address string) bool {
-	since, found := follower.dark[address]
-	return found && follower.turns.Now().Sub(since) < darkTime
-}
-
-// left is how long a call may take that is given so much patience and must end
-// by a moment, if one is given.
-func (follower *Follower) left(patience time.Duration, ends time.Time) time.Duration {
-	if ends.IsZero() {
-		return patience
-	}
-	return min(patience, ends.Sub(follower.turns.Now()))
-}
-
-func (follower *Follower) viaNeighbour(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
-	follower.mutex.Lock()
-	neighbours := append([]string(nil), follower.neighbours...)
-	follower.mutex.Unlock()
-	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
-	for _, address := range neighbours {
-		if follower.left(patience, ends) <= 0 {
-			break
-		}
-		var reply []byte
-		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, follower.left(patience+200*time.Millisecond, ends))
-		if failure == nil || !unheard(failure) {
-			return reply, failure
-		}
-		last = failure
-	}
-	return nil, last
-}
-
-// Relay passes another node's message to the primary.
-//
-// Example:
-//
-//	reply, failure := followed.Relay(question)
-func (follower *Follower) Relay(question RelayQuestion) ([]byte, error) {
-	switch question.Path {
-	case NewsPath, ClaimPath, OrdersPath:
-		return follower.AskRaw(question.Path, question.Body, newsPatience, time.Time{})
-	}
-	return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
-}
--- /dev/null
+++ b/internal/hatch/follower_test.go
@@ -0,0 +1,141 @@
+package hatch
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// darkLine is a network on which some addresses answer news and all others say nothing,
+// as machines without power do.
+type darkLine struct {
+	mutex   sync.Mutex
+	answers map[string]NewsAnswer
+	closed  chan struct{}
+}
+
+func (line *darkLine) set(address string, answer *NewsAnswer) {
+	line.mutex.Lock()
+	defer line.mutex.Unlock()
+	if answer == nil {
+		delete(line.answers, address)
+		return
+	}
+	line.answers[address] = *answer
+}
+
+func (line *darkLine) CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error) {
+	line.mutex.Lock()
+	answer, lit := line.answers[address]
+	line.mutex.Unlock()
+	if !lit || path != NewsPath {
+		select {
+		case <-time.After(patience):
+		case <-line.closed:
+		}
+		return nil, trouble.New(trouble.Unreachable, address)
+	}
+	var question NewsQuestion
+	if err := msgpack.Unmarshal(body, &question); err != nil {
+		return nil, err
+	}
+	if answer.Leads && question.Patience > 0 {
+		select {
+		case <-time.After(question.Patience / 20):
+		case <-line.closed:
+		}
+	}
+	return msgpack.Marshal(answer)
+}
+
+func seats(prefix string) larder.Charter {
+	seat := func(number int) larder.Seat {
+		name := fmt.Sprintf("%s%d", prefix, number)
+		return larder.Seat{Identity: larder.Identity("disk " + name), Address: name, Name: name}
+	}
+	return larder.Charter{Primary: seat(0), Backup: seat(1), Keepers: []larder.Seat{seat(0), seat(1), seat(2)}}
+}
+
+// TestFollowerFindsACoreOfWhichAllMachinesWereReplaced loses a primary, while every
+// address that the follower knows of the core is dark, its seeds too. One courier of many
+// knows the present core. The follower notices the silence and has the new primary's word
+// within less time than a configuration may take to be in force.
+func TestFollowerFindsACoreOfWhichAllMachinesWereReplaced(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, row := range []struct {
+		name string
+		// lit are the peers that answer with the newer charter, of so many.
+		peers int
+		lit   int
+	}{
+		{"the nearest courier knows", 9, 0},
+		{"one of nine couriers knows", 9, 7},
+		{"one of thirty couriers knows", 30, 20},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			line := &darkLine{answers: map[string]NewsAnswer{}, closed: make(chan struct{})}
+			defer close(line.closed)
+			turns := threads.New(t.Context(), wallclock.New())
+			taken := make(chan larder.Version, 1000)
+			follower := NewFollower(turns, line, roster.Member{Name: "courier-1", Kind: roster.Courier}, []string{"old0", "old1", "old2"},
+				func() larder.Version { return larder.Version{} }, func(news News) { taken <- news.Answer.Menu })
+			follower.Follow(true, true)
+			var peers []string
+			for number := range row.peers {
+				peers = append(peers, fmt.Sprintf("courier%d", number))
+			}
+			follower.SetContacts([]string{"old3", "old4", "old5", "old6"}, peers)
+			before, after := seats("old"), seats("new")
+			before.Epoch, after.Epoch = 4, 19
+			line.set("old0", &NewsAnswer{Leads: true, Charter: before, Menu: larder.Version{Epoch: 4, Number: 9}, Hold: time.Second})
+			turns.Go(follower.Run)
+			<-taken
+			line.set(fmt.Sprintf("courier%d", row.lit), &NewsAnswer{Charter: after})
+			newest := larder.Version{Epoch: 19, Number: 33}
+			line.set("new0", &NewsAnswer{Leads: true, Charter: after, Menu: newest, Hold: time.Second})
+			lost := time.Now()
+			line.set("old0", nil)
+			for found := false; !found; {
+				select {
+				case version := <-taken:
+					found = version == newest
+				case <-time.After(5 * bound):
+					t.Fatal("the new primary is not found")
+				}
+			}
+			if took := time.Since(lost); took > bound {
+				t.Errorf("the new primary was found after %v", took)
+			}
+		})
+	}
+}
+
+// TestFollowerHearsOfAMembershipBeforeItIsNeeded wants a question that is held back to be
+// answered when the membership changes, with the new charter.
+func TestFollowerHearsOfAMembershipBeforeItIsNeeded(t *testing.T) {
+	_, primary := newCore(t, func(turns rota.Turns) rota.Turns { return turns })
+	charter := primary.Steward().Charter()
+	known := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier}, Charter: charter.Epoch - 1}
+	if !primary.newerCharter(known) {
+		t.Error("a question by an older charter is held back")
+	}
+	known.Charter = charter.Epoch
+	if primary.newerCharter(known) {
+		t.Error("a question by the newest charter is answered for nothing")
+	}
+	known.Charter = 0
+	if primary.newerCharter(known) {
+		t.Error("an older release's question, which tells no charter, is never held back")
+	}
+}
--- a/internal/hatch/search.go
+++ b/internal/hatch/search.go
@@ -4,12 +4,14 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/rota"
 )
 
-// search is a node's first look for the primary in its life: all known addresses are
-// asked at once, since any of them may be dark.
+// search is one look for the primary, at a node's start or after the primary was lost.
+// All known addresses are asked at once, since any of them may be dark.
 type search struct {
 	mutex   sync.Mutex
 	bell    rota.Bell
@@ -36,11 +38,17 @@
 	searchRound = 100 * time.Millisecond
 	// askAgain is after how long an address that has not answered is asked once more: a
 	// call to a machine without power hangs, also when it is back. No more than
-	// mostAsking are under way to one address.
-	askAgain   = 150 * time.Millisecond
-	mostAsking = 3
-	// viaRounds is after how many rounds in vain neighbours are asked to relay.
-	viaRounds = 4
+	// mostAsking are under way to one address. A search of more than eagerRounds goes
+	// on with the longer time: a node that is cut off for long asks less.
+	askAgain        = 150 * time.Millisecond
+	askAgainPatient = 300 * time.Millisecond
+	eagerRounds     = 30
+	mostAsking      = 3
+	// peersPerRound is how many other couriers are asked in each round after the first
+	// where the core is. The rounds go through all of them in turn.
+	peersPerRound = 3
+	// relayRounds is after how many rounds in vain neighbours are asked to relay.
+	relayRounds = 4
 )
 
 func newSearch(turns rota.Turns) *search {
@@ -59,7 +67,11 @@
 		current = &asking{}
 		search.asking[address] = current
 	}
-	if current.calls > 0 && now.Sub(current.since) < askAgain || current.calls >= mostAsking {
+	again := askAgain
+	if search.rounds > eagerRounds {
+		again = askAgainPatient
+	}
+	if current.calls > 0 && now.Sub(current.since) < again || current.calls >= mostAsking {
 		return false
 	}
 	current.calls++
@@ -67,20 +79,35 @@
 	return true
 }
 
-func (search *search) end(address string, asked, now time.Time, answer NewsAnswer, failure error) {
+// end notes the end of a call to an address.
+func (search *search) end(address string, asked, now time.Time, answer NewsAnswer, err error) {
 	search.mutex.Lock()
 	search.asking[address].calls--
-	switch {
-	case failure != nil:
-	case answer.Leads:
-		search.leading = &ledNews{asked: asked, answer: answer}
-	default:
-		search.copies.note(address, now, answer)
-	}
 	search.mutex.Unlock()
+	if err == nil {
+		search.note(address, asked, now, answer)
+	}
 	search.bell.Ring()
 }
 
+// note takes an answer: a primary's, or what another says of its copy.
+func (search *search) note(address string, asked, now time.Time, answer NewsAnswer) {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	if answer.Leads {
+		search.leading = &ledNews{asked: asked, answer: answer}
+		return
+	}
+	search.copies.note(address, now, answer)
+}
+
+// led tells whether a primary has answered.
+func (search *search) led() bool {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	return search.leading != nil
+}
+
 // take gives a primary's answer, if there is one, once.
 func (search *search) take() *ledNews {
 	search.mutex.Lock()
@@ -116,86 +143,128 @@
 	return follower.provisional && !has
 }
 
-// unled tells whether no primary has answered in this life.
-func (follower *Follower) unled() bool {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	return follower.heard.IsZero()
+// search looks for the primary until its answer was taken.
+func (follower *Follower) search() {
+	search := newSearch(follower.turns)
+	for follower.turns.Alive() && !follower.searchOnce(search) {
+	}
 }
 
-// look makes one round of the search.
-func (follower *Follower) look(search *search) {
+// searchOnce makes one round of the search and tells whether it ended it.
+func (follower *Follower) searchOnce(search *search) bool {
 	began := follower.turns.Now()
+	follower.askCore(search)
+	if search.rounds > 0 {
+		follower.askPeers(search)
+	}
 	search.rounds++
-	question, patience := follower.question()
-	for _, address := range follower.candidates() {
-		if !search.begin(address, follower.turns.Now()) {
-			continue
+	if search.rounds%relayRounds == 0 {
+		follower.askRelays(search)
+	}
+	follower.awaitRound(search)
+	if leading := search.take(); leading != nil && follower.takeAnswer(leading.asked, leading.answer) {
+		return true
+	}
+	if follower.lacks() {
+		if address, version, found := search.choose(follower.turns.Now()); found {
+			follower.fetch(address, version)
 		}
-		follower.turns.Go(func() {
-			asked := follower.turns.Now()
-			var answer NewsAnswer
-			failure := Call(follower.line, address, NewsPath, question, &answer, patience)
-			if failure == nil {
-				follower.learn(address, leadsAnswer{Leads: answer.Leads, Charter: answer.Charter})
-			}
-			search.end(address, asked, follower.turns.Now(), answer, failure)
-		})
 	}
+	if left := retryPause - follower.turns.Now().Sub(began); left > 0 {
+		rota.Pause(follower.turns, left)
+	}
+	return false
+}
+
+// awaitRound waits for an answer that ends a round.
+func (follower *Follower) awaitRound(search *search) {
 	search.bell.Wait(searchRound, func() bool {
-		search.mutex.Lock()
-		leads := search.leading != nil
-		search.mutex.Unlock()
-		if leads || !follower.lacks() {
-			return leads
+		if search.led() || !follower.lacks() {
+			return search.led()
 		}
 		_, _, found := search.choose(follower.turns.Now())
 		return found
 	})
-	if leading := search.take(); leading != nil {
-		follower.takeAnswer(leading.asked, leading.answer)
-		return
+}
+
+// askCore asks all addresses that may have an expediter.
+func (follower *Follower) askCore(search *search) {
+	question := follower.searchQuestion()
+	for _, address := range follower.candidates() {
+		follower.askOne(search, address, question)
 	}
-	if follower.lacks() {
-		if address, version, found := search.choose(follower.turns.Now()); found {
-			follower.fetch(address, version)
-		}
+}
+
+// askPeers asks a few couriers, others in each round: one that has followed the core
+// longer knows who belongs to it now.
+func (follower *Follower) askPeers(search *search) {
+	question := follower.searchQuestion()
+	question.Provisional = false
+	follower.mutex.Lock()
+	peers := follower.peers
+	follower.mutex.Unlock()
+	for position := range min(peersPerRound, len(peers)) {
+		next := (search.rounds-1)*peersPerRound + position
+		follower.askOne(search, peers[next%len(peers)], question)
 	}
-	if search.rounds%viaRounds == 0 && follower.askNeighbours(question) {
+}
+
+// askOne asks an address in a thread of its own, unless it was asked just now.
+func (follower *Follower) askOne(search *search, address string, question NewsQuestion) {
+	if !search.begin(address, follower.turns.Now()) {
 		return
 	}
-	if left := retryPause - follower.turns.Now().Sub(began); left > 0 {
-		rota.Pause(follower.turns, left)
-	}
+	follower.turns.Go(func() {
+		asked := follower.turns.Now()
+		var answer NewsAnswer
+		err := Call(follower.line, address, NewsPath, question, &answer, searchPatience)
+		if err == nil {
+			follower.learn(address, leadsAnswer{Leads: answer.Leads, Charter: answer.Charter})
+		}
+		search.end(address, asked, follower.turns.Now(), answer, err)
+	})
 }
 
-// askNeighbours has a neighbour that is known relay the question, and tells whether it
-// was answered.
-func (follower *Follower) askNeighbours(question NewsQuestion) bool {
+// askRelays has the nearest couriers pass the question on to the primary that they know:
+// the path to it may be cut for this node alone.
+func (follower *Follower) askRelays(search *search) {
+	question := follower.searchQuestion()
+	question.Provisional = false
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return
+	}
 	follower.mutex.Lock()
-	known := len(follower.neighbours) > 0
+	relays := append([]string(nil), follower.peers[:min(neighbours, len(follower.peers))]...)
 	follower.mutex.Unlock()
-	if !known {
-		return false
+	for _, address := range relays {
+		follower.turns.Go(func() { follower.askRelay(search, address, body) })
 	}
+}
+
+func (follower *Follower) askRelay(search *search, address string, body []byte) {
 	asked := follower.turns.Now()
-	question.Provisional = false
+	var reply []byte
+	if Call(follower.line, address, RelayPath, RelayQuestion{Path: NewsPath, Body: body}, &reply, relayPatience) != nil {
+		return
+	}
 	var answer NewsAnswer
-	if failure := follower.Ask(NewsPath, question, &answer, searchPatience, time.Time{}); failure != nil {
-		return false
+	if msgpack.Unmarshal(reply, &answer) != nil || !answer.Leads {
+		return
 	}
-	follower.takeAnswer(asked, answer)
-	return true
+	follower.learnCharter(answer.Charter)
+	search.note(address, asked, follower.turns.Now(), answer)
+	search.bell.Ring()
 }
 
 // fetch takes the configuration of a version from the copy at an address. It gives no
 // hold, and nothing is acknowledged by it.
 func (follower *Follower) fetch(address string, version larder.Version) {
-	question, patience := follower.question()
+	question := follower.searchQuestion()
 	question.Wanted = version
 	asked := follower.turns.Now()
 	var answer NewsAnswer
-	if failure := Call(follower.line, address, NewsPath, question, &answer, patience); failure != nil {
+	if err := Call(follower.line, address, NewsPath, question, &answer, searchPatience); err != nil {
 		return
 	}
 	if answer.Leads {
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -53,12 +53,17 @@
 	return steward.Own()
 }
 
+// note takes a hello. A node that keeps nothing has no seat, but may know of a newer
+// charter.
 func (steward *Steward) note(hello Hello, answered bool) {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if hello.Charter.Epoch > steward.charter.Epoch {
+		steward.charter = hello.Charter
+	}
 	if hello.Seat.Empty() || hello.Seat.Identity == steward.keeper.Seat().Identity {
 		return
 	}
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
 	known, found := steward.known[hello.Seat.Identity]
 	if !found {
 		known = &acquaintance{}
@@ -68,9 +73,6 @@
 	if answered {
 		known.answered = known.lastSeen
 	}
-	if hello.Charter.Epoch > steward.charter.Epoch {
-		steward.charter = hello.Charter
-	}
 }
 
 // greetAll says hello to every address that may have an expediter.
@@ -103,6 +105,9 @@
 		}
 	}
 	steward.mutex.Unlock()
+	for _, address := range steward.strangers() {
+		addresses[address] = true
+	}
 	delete(addresses, own.Seat.Address)
 	// One waits here only for those who should answer: the others' hellos are
 	// noted whenever they come.
@@ -125,6 +130,27 @@
 	}, func() bool { return answered >= 2 })
 }
 
+// strangersPerRound is how many recorded members are greeted in a round while no majority
+// of the witnesses answers. The rounds go through all of them in turn.
+const strangersPerRound = 3
+
+// strangers are recorded members to be greeted now: none while a majority of the
+// witnesses answers.
+func (steward *Steward) strangers() []string {
+	charter := steward.Charter()
+	if !charter.Blank() && steward.reaches(charter) {
+		return nil
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	var strangers []string
+	for range min(strangersPerRound, len(steward.recordedAt)) {
+		strangers = append(strangers, steward.recordedAt[steward.nextPeer%len(steward.recordedAt)])
+		steward.nextPeer++
+	}
+	return strangers
+}
+
 func (steward *Steward) seenAt(address string) (Seat, bool) {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -65,6 +65,8 @@
 	restricted bool
 	known      map[Identity]*acquaintance
 	contacts   []string
+	recordedAt []string
+	nextPeer   int
 	borne      int
 	district   string
 	backupList bool
@@ -169,6 +171,18 @@
 	steward.contacts = addresses
 }
 
+// SetRecorded gives the addresses of the recorded members, the likeliest to know the
+// core first. They are greeted while no majority of the witnesses answers.
+//
+// Example:
+//
+//	steward.SetRecorded(addresses)
+func (steward *Steward) SetRecorded(addresses []string) {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	steward.recordedAt = addresses
+}
+
 // Charter is the newest charter that this expediter has heard of.
 //
 // Example:
