--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -227,7 +227,7 @@
 		}
 	}
 	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Change: id, Type: trouble.NoSuch,
-		Detail: "the change is not among the last " + strconv.Itoa(larder.MostChangeNotes) + " that were accepted"})
+		Detail: "the change is not among those accepted in the last " + larder.ChangeRetention.String()})
 }
 
 func (process *Process) retire(writer http.ResponseWriter, inbound *http.Request) {
--- a/internal/larder/changenote.go
+++ b/internal/larder/changenote.go
@@ -1,5 +1,7 @@
 package larder
 
+import "time"
+
 // ChangeNote remembers a configuration change by its id, so that an operator
 // whose change had an unknown outcome can find out.
 type ChangeNote struct {
@@ -7,7 +9,47 @@
 	Version Version `msgpack:"version" json:"version"`
 	// Digest tells the same change sent again from another under its id.
 	Digest string `msgpack:"digest" json:"digest"`
+	// At is the time of the change by the claims' horizon, which follows the wall clock
+	// no faster than twice the monotonic one. It is zero for a change that was noted
+	// before there was a horizon, or by an older release, until the horizon moves.
+	At time.Time `msgpack:"at,omitempty" json:"at,omitempty"`
 }
 
-// MostChangeNotes bounds how many changes are remembered.
-const MostChangeNotes = 256
+const (
+	// ChangeRetention is how long an accepted change is remembered at least: it may be
+	// sent again for as long, whatever else was accepted since.
+	ChangeRetention = Retention
+	// MostChangeNotes bounds the memory. Changes beyond it wait until older ones may be
+	// forgotten; none is forgotten for its number.
+	MostChangeNotes = 8192
+)
+
+// changeTime is when a change that is accepted now counts as made.
+func (state *State) changeTime() time.Time {
+	if state.Horizon.IsZero() {
+		return time.Time{}
+	}
+	return state.Horizon.Add(Retention)
+}
+
+// forgetChanges lets go of the notes that are older than their retention, after the
+// horizon has moved.
+func (state *State) forgetChanges() {
+	kept := make([]ChangeNote, 0, len(state.Changes))
+	changed := false
+	for _, note := range state.Changes {
+		switch {
+		case note.At.IsZero():
+			note.At = state.changeTime()
+			changed = true
+		case note.At.Before(state.changeTime().Add(-ChangeRetention)):
+			changed = true
+			continue
+		}
+		kept = append(kept, note)
+	}
+	if changed {
+		state.Changes = kept
+		state.Touch(ChangesDrawer)
+	}
+}
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -53,13 +53,13 @@
 			// What it wants holds already.
 			return nil
 		}
+		if id != "" && len(state.Changes) >= MostChangeNotes {
+			return trouble.New(trouble.Busy, "too many changes were accepted lately; ask again")
+		}
 		state.Menu = prepared.text
 		state.Touch(MenuDrawer)
 		if id != "" {
-			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version, Digest: digest})
-			if excess := len(state.Changes) - MostChangeNotes; excess > 0 {
-				state.Changes = state.Changes[excess:]
-			}
+			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version, Digest: digest, At: state.changeTime()})
 			state.Touch(ChangesDrawer)
 		}
 		return nil
@@ -274,6 +274,7 @@
 		if state.Horizon.IsZero() {
 			state.Horizon = goal
 			state.Touch(HorizonDrawer)
+			state.forgetChanges()
 			return nil
 		}
 		if furthest := state.Horizon.Add(step); goal.After(furthest) {
@@ -284,6 +285,7 @@
 		}
 		state.Horizon = goal
 		state.Touch(HorizonDrawer)
+		state.forgetChanges()
 		for drawer := range state.Claims {
 			if claimsDrawerEnds(drawer).Before(goal) {
 				delete(state.Claims, drawer)
--- /dev/null
+++ b/internal/larder/changes_test.go
@@ -0,0 +1,177 @@
+package larder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/trouble"
+)
+
+// order is one operator's change: what it builds on, and a word that tells it from others.
+type order struct {
+	builds, gives uint64
+	word          int
+}
+
+func (order order) id() string { return fmt.Sprintf("order-%d-%d-%d", order.builds, order.gives, order.word) }
+
+func (order order) apply(text []byte) ([]byte, error) {
+	return menu.Revise(text, order.builds, func([]byte) ([]byte, error) {
+		return fmt.Appendf(nil, `{"revision":%d,"annotations":{"word":%d}}`, order.gives, order.word), nil
+	})
+}
+
+// changeModel is a configuration's state with its changes, and what an observer knows.
+type changeModel struct {
+	state    *State
+	number   uint64
+	menuAt   Version
+	revision uint64
+	wall     time.Time
+	// accepted tells when each order was accepted, by the model's own clock.
+	accepted map[string]time.Time
+	// winners are the orders that were accepted on each base.
+	winners map[uint64]string
+	orders  []order
+}
+
+func newChangeModel() *changeModel {
+	model := &changeModel{state: NewState(), wall: time.Unix(2_000_000_000, 0), accepted: map[string]time.Time{}, winners: map[uint64]string{}}
+	_ = MoveHorizon(model.wall, 0)(model.state, Version{}, Version{})
+	return model
+}
+
+// submit carries an order out in its turn, as the primary does.
+func (model *changeModel) submit(order order) error {
+	model.number++
+	version := Version{Epoch: 1, Number: model.number}
+	err := ChangeMenu(order.id(), order.id(), nil, PreparedMenu{}, order.apply)(model.state, version, model.menuAt)
+	if model.state.dirty[MenuDrawer] {
+		model.menuAt = version
+	}
+	model.state.dirty = map[string]bool{}
+	return err
+}
+
+// restart has another primary begin from what the disks hold.
+func (model *changeModel) restart(t *rapid.T) {
+	for _, name := range []string{MenuDrawer, ChangesDrawer, HorizonDrawer} {
+		model.state.Touch(name)
+	}
+	drawers, _, err := model.state.pack(model.menuAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if model.state, err = ReadState(drawers); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOrdersAreAcceptedOnceAndAgain draws histories of orders, of which several build on one
+// revision, sent again in any order, with takeovers and hours between: exactly one order
+// on each base is accepted, it is accepted again for the retention whatever came since, and
+// nothing is made twice.
+func TestOrdersAreAcceptedOnceAndAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := newChangeModel()
+		t.Repeat(map[string]func(*rapid.T){
+			"new order": func(t *rapid.T) {
+				sent := order{builds: model.revision, gives: model.revision + rapid.Uint64Range(1, 3).Draw(t, "step"), word: rapid.IntRange(0, 5).Draw(t, "word")}
+				if rapid.IntRange(0, 3).Draw(t, "base") == 0 && len(model.orders) > 0 {
+					sent.builds = model.orders[rapid.IntRange(0, len(model.orders)-1).Draw(t, "old")].builds
+				}
+				model.send(t, sent)
+			},
+			"again": func(t *rapid.T) {
+				if len(model.orders) > 0 {
+					model.send(t, model.orders[rapid.IntRange(0, len(model.orders)-1).Draw(t, "which")])
+				}
+			},
+			"hundreds of others": func(t *rapid.T) {
+				if model.number > 300 {
+					t.Skip("once in a history")
+				}
+				for range 300 {
+					model.send(t, order{builds: model.revision, gives: model.revision + 1, word: 9})
+				}
+			},
+			"takeover": func(t *rapid.T) { model.restart(t) },
+			"time": func(t *rapid.T) {
+				passed := time.Duration(rapid.IntRange(1, 240).Draw(t, "seconds")) * time.Second
+				model.wall = model.wall.Add(passed)
+				_ = MoveHorizon(model.wall, 2*passed)(model.state, Version{}, Version{})
+			},
+		})
+	})
+}
+
+// send submits an order and holds its end against what may be.
+func (model *changeModel) send(t *rapid.T, sent order) {
+	at, taken := model.accepted[sent.id()]
+	before := model.menuAt
+	err := model.submit(sent)
+	switch {
+	case taken && model.wall.Sub(at) < ChangeRetention && err != nil:
+		t.Fatalf("%s was accepted %v ago and is refused: %v", sent.id(), model.wall.Sub(at), err)
+	case taken && model.menuAt != before:
+		t.Fatalf("%s was made twice", sent.id())
+	case taken || err != nil:
+		return
+	}
+	if winner, won := model.winners[sent.builds]; won {
+		t.Fatalf("%s and %s were both accepted on %d", winner, sent.id(), sent.builds)
+	}
+	if sent.builds != model.revision {
+		t.Fatalf("%s was accepted on %d", sent.id(), model.revision)
+	}
+	model.accepted[sent.id()], model.winners[sent.builds] = model.wall, sent.id()
+	model.revision = sent.gives
+	model.orders = append(model.orders, sent)
+}
+
+// TestChangesBeyondTheBoundWait wants no note forgotten for its number.
+func TestChangesBeyondTheBoundWait(t *testing.T) {
+	model := newChangeModel()
+	first := order{gives: 1}
+	if err := model.submit(first); err != nil {
+		t.Fatal(err)
+	}
+	for number := range MostChangeNotes - 1 {
+		note := ChangeNote{ID: fmt.Sprint("other-", number), At: model.state.changeTime()}
+		model.state.Changes = append(model.state.Changes, note)
+	}
+	next := order{builds: 1, gives: 2}
+	if err := model.submit(next); trouble.KindOf(err) != trouble.Busy {
+		t.Errorf("beyond the bound: %v", err)
+	}
+	if err := model.submit(first); err != nil {
+		t.Errorf("the first one, sent again: %v", err)
+	}
+	later := model.wall.Add(ChangeRetention + time.Minute)
+	_ = MoveHorizon(later, time.Hour)(model.state, Version{}, Version{})
+	if err := model.submit(next); err != nil {
+		t.Errorf("after the retention: %v", err)
+	}
+	if count := len(model.state.Changes); count != 1 {
+		t.Errorf("%d notes are kept", count)
+	}
+}
+
+// TestNotesOfAnOlderReleaseAreKept gives the state notes without a time.
+func TestNotesOfAnOlderReleaseAreKept(t *testing.T) {
+	state := NewState()
+	state.Changes = []ChangeNote{{ID: "old", Digest: "d", Version: Version{Epoch: 1, Number: 1}}}
+	start := time.Unix(2_000_000_000, 0)
+	_ = MoveHorizon(start, 0)(state, Version{}, Version{})
+	if len(state.Changes) != 1 || state.Changes[0].At.IsZero() {
+		t.Fatalf("%+v", state.Changes)
+	}
+	_ = MoveHorizon(start.Add(ChangeRetention/2), time.Hour)(state, Version{}, Version{})
+	if len(state.Changes) != 1 {
+		t.Fatalf("%+v", state.Changes)
+	}
+}
