--- a/internal/hatch/edit_test.go
+++ b/internal/hatch/edit_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -160,3 +162,31 @@
 	}
 	formed.mustBe(test, primary, `"north"`)
 }
+
+// leapingTurns is a clock that can be moved ahead, as a process that was frozen finds it.
+type leapingTurns struct {
+	rota.Turns
+	ahead *atomic.Int64
+}
+
+func (turns leapingTurns) Now() time.Time {
+	return turns.Turns.Now().Add(time.Duration(turns.ahead.Load()))
+}
+
+// TestARefusalNeedsTheLease freezes the primary after it began a batch and before it
+// answers: whatever it found, its state may be an old one by then.
+func TestARefusalNeedsTheLease(t *testing.T) {
+	ahead := &atomic.Int64{}
+	_, primary := newCore(t, func(turns rota.Turns) rota.Turns { return leapingTurns{Turns: turns, ahead: ahead} })
+	refusal := trouble.New(trouble.RevisionConflict, "7")
+	if _, err := primary.submit(func(*larder.State, larder.Version, larder.Version) error { return refusal }, time.Second); trouble.KindOf(err) != trouble.RevisionConflict {
+		t.Fatalf("with the lease: %v", err)
+	}
+	_, err := primary.submit(func(*larder.State, larder.Version, larder.Version) error {
+		ahead.Store(int64(10 * time.Second))
+		return refusal
+	}, time.Second)
+	if kind := trouble.KindOf(err); kind != trouble.Unknown {
+		t.Errorf("without the lease: %v", err)
+	}
+}
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -477,10 +477,13 @@
 	switch {
 	case !answered:
 		return larder.Version{}, trouble.New(trouble.Unknown, "the change was not synced on both copies in time")
-	case failure != nil:
+	case trouble.KindOf(failure) == trouble.NotPrimary:
 		return version, failure
 	case !expediter.steward.Holds():
+		// A refusal is an answer too: without the lease it may rest on an old state.
 		return version, trouble.New(trouble.Unknown, "the hold ran out while the change was under way")
+	case failure != nil:
+		return version, failure
 	}
 	return version, nil
 }
