Who leaves hands over copy and seat first; the core's waits follow from the catch-up bound

A primary that handed over left its successor alone. And a witness that was gone was replaced after a fixed 4 s, 60 to 160 ms before the budget allowed the next loss. Ruled out: the order of grants (old and new majority agree, as before). Change: a hello says that its sender is leaving; the primary copies ahead, then exchanges copy and seat; the leaver serves as both until the charter names it no more, for the grace less 1.5 s at most, 1 s for a seat that nobody comes for. The leaver stays a copy in the charter that it hands over by, and leads again if it is the last one. larder.Timing derives lease, round, silences from the setting catch_up (platform: catchUpS); the lease that a witness gives travels with its confirmation. Repair is 3.3 s of 4 s, margin 0.7 s; logged at the start. Before, the new tests: 8 s of patience do not release the backup. Every first loss, kind, second loss at the bound on 3, 6 and 8 disks under catch_up 2, 4 and 8 s: nothing lost, somebody leads.

--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -68,7 +68,7 @@
 		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
 	}
 	options := hatch.ExpediterOptions{Name: chosen.Name, Address: chosen.Address, District: chosen.District, Seeds: chosen.Seeds, Supported: chosen.Supported(),
-		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, JoinsOnly: !chosen.Bootstrap, Fresh: larder.Identity(uuid.NewString()),
+		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, CatchUp: chosen.CatchUp, JoinsOnly: !chosen.Bootstrap, Fresh: larder.Identity(uuid.NewString()),
 		RetireAfter: chosen.RetireAfter, AcknowledgeWait: chosen.AcknowledgeWait, Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}}
 	if reached.Reports != nil {
 		options.Reports = ports.Asking{Reports: reached.Reports, Lifetime: process.lifetime}
@@ -114,14 +114,21 @@
 
 func (process *Process) observe(event string, detail ...any) { process.logger.Info(event, detail...) }
 
-// Stop hands over, if this is the primary, and ends the process. What was not
-// answered yet has no known outcome.
+// stopMargin is kept of the grace for ending the process.
+const stopMargin = 1500 * time.Millisecond
+
+// Stop hands over the lead, the copy and the witness's seat, goes on as before until that
+// is done or the grace is nearly over, and ends the process. What was not answered yet has
+// no known outcome.
 //
 // Example:
 //
 //	failure := process.Stop()
 func (process *Process) Stop() error {
-	process.conduct.Leave()
+	process.mutex.Lock()
+	grace := process.chosen.Grace
+	process.mutex.Unlock()
+	process.conduct.Leave(max(grace-stopMargin, grace/2))
 	process.tomb.Kill(nil)
 	return process.tomb.Wait()
 }
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -60,6 +60,7 @@
 	if kind == roster.Expediter {
 		set.BoolVar(&flags.flagged.Bootstrap, "bootstrap", defaults.Bootstrap, "whether a blank disk may form a first core with the other seeds")
 		set.DurationVar(&flags.flagged.AcknowledgeWait, "acknowledge-wait", defaults.AcknowledgeWait, "how long a committed change waits for couriers that are not heard from; 0: until their holds end")
+		set.DurationVar(&flags.flagged.CatchUp, "catch-up", defaults.CatchUp, "how long a machine with a disk counts as lost after its return; the core's waits are derived from it")
 		set.DurationVar(&flags.flagged.RetireAfter, "retire-after", defaults.RetireAfter, "how long a node may not be heard from before it is taken out of the record; 0: only operators do so")
 		set.StringVar(&flags.flagged.ControlAddress, "control-address", "", "a further address for operators")
 		set.StringVar(&flags.flagged.DataFolder, "data-folder", "", "folder for all files")
@@ -106,7 +107,7 @@
 	}
 	lengths := map[string][2]*time.Duration{"acknowledge-wait": {&chosen.AcknowledgeWait, &flags.flagged.AcknowledgeWait},
 		"serve-without-hold": {&chosen.ServeWithoutHold, &flags.flagged.ServeWithoutHold}, "grace": {&chosen.Grace, &flags.flagged.Grace},
-		"retire-after": {&chosen.RetireAfter, &flags.flagged.RetireAfter}}
+		"retire-after": {&chosen.RetireAfter, &flags.flagged.RetireAfter}, "catch-up": {&chosen.CatchUp, &flags.flagged.CatchUp}}
 	for name, pair := range lengths {
 		if changed(name) {
 			*pair[0] = *pair[1]
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/multierr"
 
+	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/roster"
 	"seamloom.example/seamloom/internal/trouble"
@@ -55,6 +56,9 @@
 	// RetireAfter is how long a recorded node may not be heard from before it is taken
 	// out of the record by itself; zero: only operators do so.
 	RetireAfter time.Duration
+	// CatchUp is how long a machine with a disk counts as lost after its return or after
+	// its successor's start: the waits of the core are derived from it.
+	CatchUp time.Duration
 	// Grace is how long what runs may go on after the process was told to end.
 	Grace time.Duration
 }
@@ -62,13 +66,17 @@
 // DefaultGrace is the grace of a process that was told nothing else.
 const DefaultGrace = 20 * time.Second
 
+// shortestCatchUp is the shortest bound that can be chosen: a lease and an election take
+// most of a second each.
+const shortestCatchUp = 500 * time.Millisecond
+
 // Defaults are the settings before file and flags.
 //
 // Example:
 //
 //	chosen := settings.Defaults(roster.Courier)
 func Defaults(kind roster.NodeKind) Settings {
-	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, Grace: DefaultGrace}
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, CatchUp: larder.DefaultCatchUp, Grace: DefaultGrace}
 }
 
 // ReadFile takes the settings of a JSON file over those given.
@@ -103,7 +111,7 @@
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
 	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses,
 		"most_memory_megabytes": &settings.MostMemory}
-	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter}
+	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter, "catch_up": &settings.CatchUp}
 	if target, found := texts[name]; found {
 		text, failure := value.StringBytes()
 		if failure != nil {
@@ -241,6 +249,9 @@
 	if settings.BorneLosses < 1 || settings.BorneLosses > 3 {
 		wrong(trouble.OutOfRange, "borne_losses", "is 1, 2 or 3")
 	}
+	if settings.CatchUp < shortestCatchUp {
+		wrong(trouble.OutOfRange, "catch_up", "must be at least "+shortestCatchUp.String())
+	}
 	for position, flag := range settings.Withhold {
 		if !recipe.Supported(nil).Has(recipe.Flag(flag)) {
 			wrong(trouble.OutOfRange, "withhold_flags/"+strconv.Itoa(position), "this build has no flag "+flag)
--- a/internal/hatch/edit_test.go
+++ b/internal/hatch/edit_test.go
@@ -96,7 +96,7 @@
 	if _, failure := primary.Edit(edit); failure != nil {
 		test.Fatal(failure)
 	}
-	primary.Leave()
+	primary.Leave(5 * time.Second)
 	var next *Expediter
 	waited := primary.turns.NewBell()
 	for range 200 {
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -63,8 +63,8 @@
 	// idlePause lies between two looks when there is nothing to do.
 	idlePause = time.Second
 	mendPause = time.Second
-	// leavePatience is how long a primary tries to hand over before it ends.
-	leavePatience = 1500 * time.Millisecond
+	// leavePause lies between two looks of an expediter that leaves.
+	leavePause = 20 * time.Millisecond
 	// horizonPause is the time between two moves of the claims' horizon.
 	horizonPause = 10 * time.Second
 )
@@ -103,7 +103,10 @@
 	if options.JoinsOnly {
 		expediter.steward.JoinOnly()
 	}
+	timing := larder.TimingFor(options.CatchUp)
+	expediter.steward.SetTiming(timing)
 	expediter.steward.Bear(options.BorneLosses, options.District)
+	observe("timing", "catch_up", timing.CatchUp.String(), "lease", timing.Lease.String(), "repair", timing.Repair().String(), "margin", timing.Margin().String())
 	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
 	expediter.followed.Follow(options.Directory != nil, false)
@@ -145,17 +148,20 @@
 	return rounds
 }
 
-// Leave hands over, if this is the primary, and returns when that is done or
-// its patience ended. What was not answered yet has no known outcome.
+// Leave hands over what this expediter has, the lead, its copy and its witness's seat, and
+// returns when nothing depends on it any more or the patience ends. It goes on as before
+// until then. What was not answered yet has no known outcome.
 //
 // Example:
 //
-//	core.Leave()
-func (expediter *Expediter) Leave() {
+//	core.Leave(5 * time.Second)
+func (expediter *Expediter) Leave(patience time.Duration) {
+	ends := expediter.turns.Now().Add(patience)
 	expediter.steward.Leave()
-	for ends := expediter.turns.Now().Add(leavePatience); expediter.store.Leading() && expediter.turns.Now().Before(ends); {
-		rota.Pause(expediter.turns, 20*time.Millisecond)
+	for !expediter.steward.Released() && expediter.turns.Now().Before(ends) {
+		rota.Pause(expediter.turns, leavePause)
 	}
+	expediter.observe("left", "released", expediter.steward.Released())
 }
 
 // SetSeeds exchanges the seeds, after a reload.
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -27,6 +27,9 @@
 	// AcknowledgeWait is how long a committed change waits for couriers that are not
 	// heard from; zero: for as long as their holds run.
 	AcknowledgeWait time.Duration
+	// CatchUp is how long a machine counts as lost after its return or after its
+	// successor's start; the core's waits are derived from it. Zero: the default.
+	CatchUp time.Duration
 	// Fresh is the identity that a blank disk takes.
 	Fresh larder.Identity
 	// Directory reads the platform's lists, and Reports the servers' loads, for the
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -29,7 +29,7 @@
 	}
 	return Hello{Seat: seat, Kind: steward.kind, Blank: blank, Restricted: steward.restricted,
 		Charter: charter, Leads: leads, HoldLeft: max(left, 0), Holder: holder,
-		Version: version, Damage: damage}
+		Version: version, Damage: damage, Leaving: steward.leaving}
 }
 
 // Greet takes another's hello and answers it.
--- a/internal/larder/changes_test.go
+++ b/internal/larder/changes_test.go
@@ -17,7 +17,9 @@
 	word          int
 }
 
-func (order order) id() string { return fmt.Sprintf("order-%d-%d-%d", order.builds, order.gives, order.word) }
+func (order order) id() string {
+	return fmt.Sprintf("order-%d-%d-%d", order.builds, order.gives, order.word)
+}
 
 func (order order) apply(text []byte) ([]byte, error) {
 	return menu.Revise(text, order.builds, func([]byte) ([]byte, error) {
--- a/internal/larder/hello.go
+++ b/internal/larder/hello.go
@@ -19,4 +19,6 @@
 	Holder  Identity `msgpack:"holder,omitempty"`
 	Version Version  `msgpack:"version"`
 	Damage  string   `msgpack:"damage,omitempty"`
+	// Leaving tells that the process is about to end and hands over what it has.
+	Leaving bool `msgpack:"leaving,omitempty"`
 }
--- a/internal/larder/keeper.go
+++ b/internal/larder/keeper.go
@@ -11,7 +11,7 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-// PrimaryHold is how long a keeper holds still for the primary it confirmed.
+// PrimaryHold is how long a keeper holds still at most for the primary it confirmed.
 // The value is ours.
 const PrimaryHold = 1500 * time.Millisecond
 
@@ -22,6 +22,7 @@
 	shelf    Shelf
 	self     Seat
 	note     keeperNote
+	lease    time.Duration
 	holder   Identity
 	holdEnds time.Time
 }
@@ -46,7 +47,7 @@
 	if failure != nil {
 		return nil, false, failure
 	}
-	keeper := &Keeper{mutex: &sync.Mutex{}, shelf: shelf, self: seat, holdEnds: now.Add(PrimaryHold)}
+	keeper := &Keeper{mutex: &sync.Mutex{}, shelf: shelf, self: seat, lease: PrimaryHold, holdEnds: now.Add(PrimaryHold)}
 	var names []string
 	for name := range files {
 		names = append(names, name)
@@ -77,6 +78,18 @@
 //	keeper.Guard(rota.NewLock(turns))
 func (keeper *Keeper) Guard(lock sync.Locker) { keeper.mutex = lock }
 
+// SetLease chooses how long the keeper holds still for a primary, no longer than
+// PrimaryHold: for that long it keeps still at its start, whatever it was told before.
+//
+// Example:
+//
+//	keeper.SetLease(timing.Lease)
+func (keeper *Keeper) SetLease(lease time.Duration) {
+	keeper.mutex.Lock()
+	defer keeper.mutex.Unlock()
+	keeper.lease = min(lease, PrimaryHold)
+}
+
 // Seat is the keeper's own seat, which stays.
 //
 // Example:
@@ -217,10 +230,11 @@
 		return promise
 	}
 	keeper.holder = primary
-	if ends := now.Add(PrimaryHold); ends.After(keeper.holdEnds) {
+	if ends := now.Add(keeper.lease); ends.After(keeper.holdEnds) {
 		keeper.holdEnds = ends
 	}
 	promise.Granted = true
+	promise.Lease = keeper.lease
 	return promise
 }
 
--- a/internal/larder/losses.go
+++ b/internal/larder/losses.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// quietRound is the time between two rounds of hellos and of holds of a core that is
-// whole. A hold lasts five of them.
-const quietRound = 290 * time.Millisecond
-
 // Bear tells how many machines may be lost at once with all that is on their
 // disks, and in which district this one is. With one loss, the default, there
 // is one backup and there are three keepers; with more, as many backups as losses,
@@ -66,7 +62,7 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	return charter.Primary.Identity != steward.keeper.Seat().Identity && !steward.ledBy.IsZero() &&
-		steward.turns.Now().Sub(steward.ledBy) < quietRound+2*quietRound/3
+		steward.turns.Now().Sub(steward.ledBy) < steward.timing.Round*5/3
 }
 
 // rests tells whether this round of hellos is left out: the primary's next one is
@@ -77,9 +73,9 @@
 	}
 	pause := time.Duration(0)
 	if steward.store.Leading() {
-		pause = quietRound
+		pause = steward.timing.Round
 	} else if steward.quiet() {
-		pause = 2 * quietRound
+		pause = 2 * steward.timing.Round
 	}
 	if now := steward.turns.Now(); now.Sub(steward.roundAt) >= pause {
 		steward.roundAt = now
@@ -90,5 +86,5 @@
 
 // confirmDue tells whether the primary's hold is to be renewed in this round.
 func (steward *Steward) confirmDue() bool {
-	return steward.unsettled || steward.turns.Now().Sub(steward.confirmedAt) >= quietRound
+	return steward.unsettled || steward.turns.Now().Sub(steward.confirmedAt) >= steward.timing.Round
 }
--- a/internal/larder/pairing.go
+++ b/internal/larder/pairing.go
@@ -56,14 +56,14 @@
 
 func (steward *Steward) fails(backup Identity) bool {
 	since, known := steward.backupFails[backup]
-	return known && steward.turns.Now().Sub(since) > backupPatience
+	return known && steward.turns.Now().Sub(since) > steward.timing.BackupSilence
 }
 
 // healthy lists the backups that answer, whole and in time.
 func (steward *Steward) healthy(charter Charter) []Seat {
 	var healthy []Seat
 	for _, seat := range charter.Backups() {
-		hello, seen := steward.alive(seat.Identity, backupPatience+steward.beat())
+		hello, seen := steward.alive(seat.Identity, steward.timing.BackupSilence+steward.timing.Beat)
 		if seen && hello.Damage == "" && !hello.Restricted && !steward.failing(seat.Identity) {
 			healthy = append(healthy, seat)
 		}
@@ -71,6 +71,18 @@
 	return healthy
 }
 
+// anyLeaves tells whether one of the backups has said that it is about to end.
+func (steward *Steward) anyLeaves(backups []Seat) bool {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	for _, seat := range backups {
+		if known, found := steward.known[seat.Identity]; found && known.hello.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // ensureBackups keeps as many copies in sync as are wanted: whoever takes the place
 // of one that is gone gets a snapshot while commits stand still, and counts from
 // the grant of the next charter on.
@@ -82,7 +94,7 @@
 	steward.mutex.Unlock()
 	healthy := steward.healthy(charter)
 	whole := !charter.Backup.Empty() && !steward.unsettled && len(healthy) == len(charter.Backups())
-	if whole && len(healthy) >= wanted && !steward.crowded(charter, wanted) {
+	if whole && len(healthy) >= wanted && !steward.anyLeaves(healthy) && !steward.crowded(charter, wanted) {
 		if restricted {
 			steward.handOver(charter)
 		}
@@ -165,7 +177,7 @@
 	if steward.shortSince.IsZero() {
 		steward.shortSince = now
 	}
-	return now.Sub(steward.shortSince) >= shortPatience
+	return now.Sub(steward.shortSince) >= steward.timing.FewerCopies
 }
 
 // mayGrant tells whether the installed copies may be the backups: there are no
@@ -180,8 +192,12 @@
 // asGoodAsItGets tells whether the backups that are there are those that would be
 // chosen now, and none is dead, damaged or failing.
 func (steward *Steward) asGoodAsItGets(charter Charter, healthy, candidates []Seat, wanted int) bool {
-	if len(candidates) == 0 || wanted == 1 {
-		return len(candidates) == 0
+	if len(candidates) == 0 {
+		return true
+	}
+	if wanted == 1 {
+		// A backup that leaves stays until another can be had.
+		return candidates[0].Identity == charter.Backup.Identity && hasSeat(healthy, charter.Backup.Identity)
 	}
 	chosen := candidates[:min(wanted, len(candidates))]
 	for _, seat := range chosen {
@@ -194,7 +210,7 @@
 			continue
 		}
 		// One that is only restricted, while no other can be had, may stay.
-		hello, alive := steward.alive(seat.Identity, backupPatience+steward.beat())
+		hello, alive := steward.alive(seat.Identity, steward.timing.BackupSilence+steward.timing.Beat)
 		if !alive || hello.Damage != "" || steward.failing(seat.Identity) {
 			return false
 		}
@@ -268,9 +284,9 @@
 			break
 		}
 		// Every install ends by itself, later than any patience of this steward.
-		over := bell.Wait(PrimaryHold/5, func() bool { return running() < before })
+		over := bell.Wait(steward.timing.Lease/5, func() bool { return running() < before })
 		now := steward.turns.Now()
-		if now.Sub(confirmed) >= PrimaryHold/5 {
+		if now.Sub(confirmed) >= steward.timing.Lease/5 {
 			confirmed = now
 			steward.confirm(charter)
 		}
@@ -280,7 +296,7 @@
 		if begun < len(candidates) {
 			begin()
 			latest = now
-		} else if (well > 0 || !steward.unsettled) && now.Sub(latest) > shortPatience {
+		} else if (well > 0 || !steward.unsettled) && now.Sub(latest) > steward.timing.FewerCopies {
 			break
 		}
 	}
@@ -347,7 +363,7 @@
 func (steward *Steward) rank(charter Charter, known *acquaintance, several bool) (int, bool) {
 	now := steward.turns.Now()
 	identity, silence := known.hello.Seat.Identity, now.Sub(known.answered)
-	if known.hello.Kind != roster.Expediter || silence >= backupPatience+steward.beat() {
+	if known.hello.Kind != roster.Expediter || silence >= steward.timing.BackupSilence+steward.timing.Beat {
 		return 0, false
 	}
 	failing := steward.fails(identity)
@@ -374,6 +390,10 @@
 	if failed, tried := steward.installFails[identity]; tried && now.Sub(failed) < applicantFresh {
 		rank += 6
 	}
+	if known.hello.Leaving {
+		// It has everything and ends soon: better than nobody.
+		rank += 9
+	}
 	if silence > staleAnswer {
 		// It may be gone already.
 		rank += 12
--- a/internal/larder/promise.go
+++ b/internal/larder/promise.go
@@ -1,6 +1,10 @@
 package larder
 
-import "seamloom.example/seamloom/internal/trouble"
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/trouble"
+)
 
 // Promise is a keeper's answer.
 type Promise struct {
@@ -9,4 +13,7 @@
 	Refusal  trouble.Kind `msgpack:"refusal,omitempty"`
 	Promised uint64       `msgpack:"promised"`
 	Charter  Charter      `msgpack:"charter"`
+	// Lease is how long the keeper holds still for the primary that it confirmed. An
+	// older release does not tell; its lease is PrimaryHold.
+	Lease time.Duration `msgpack:"lease,omitempty"`
 }
--- a/internal/larder/seating.go
+++ b/internal/larder/seating.go
@@ -59,20 +59,33 @@
 	return false
 }
 
-func (steward *Steward) exchange(charter Charter) ([]Seat, bool) {
-	var gone Seat
-	own := steward.keeper.Seat().Identity
+// vacantSeat is a keeper's seat that another should have: that of one that is gone, or
+// else of one that is about to end.
+func (steward *Steward) vacantSeat(charter Charter) (Seat, bool) {
+	var vacant Seat
 	for _, seat := range charter.Keepers {
-		if seat.Identity == own {
+		if seat.Identity == steward.keeper.Seat().Identity {
 			continue
 		}
-		if _, alive := steward.alive(seat.Identity, keeperPatience); !alive || steward.replaced(seat) {
-			gone = seat
+		hello, alive := steward.alive(seat.Identity, steward.timing.WitnessSilence)
+		if !alive || steward.replaced(seat) {
+			return seat, true
+		}
+		if hello.Leaving {
+			vacant = seat
 		}
 	}
-	if gone.Empty() {
+	return vacant, !vacant.Empty()
+}
+
+// exchange plans the next keepers where one loss is borne: whoever is gone or leaves gives
+// way to an expediter that is there.
+func (steward *Steward) exchange(charter Charter) ([]Seat, bool) {
+	gone, found := steward.vacantSeat(charter)
+	if !found {
 		return nil, false
 	}
+	own := steward.keeper.Seat().Identity
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	var newcomer Seat
@@ -83,7 +96,7 @@
 	for _, identity := range steward.acquaintances() {
 		known := steward.known[identity]
 		hello := known.hello
-		if hello.Kind != roster.Expediter || charter.Keeps(hello.Seat.Identity) || steward.turns.Now().Sub(known.answered) > applicantFresh {
+		if hello.Kind != roster.Expediter || hello.Leaving || charter.Keeps(hello.Seat.Identity) || steward.turns.Now().Sub(known.answered) > applicantFresh {
 			continue
 		}
 		if newcomer.Empty() || hello.Seat.Address == gone.Address || hello.Seat.Identity < newcomer.Identity {
@@ -108,18 +121,18 @@
 // had, and no district has so many that its loss would leave no majority.
 func (steward *Steward) spread(charter Charter, wanted int) ([]Seat, bool) {
 	steward.mutex.Lock()
-	settled := steward.turns.Now().Sub(steward.leadsFrom) >= keeperPatience
+	settled := steward.turns.Now().Sub(steward.leadsFrom) >= steward.timing.WitnessSilence
 	steward.mutex.Unlock()
 	plan := keeperPlan{wanted: wanted}
 	for _, seat := range charter.Keepers {
-		_, alive := steward.alive(seat.Identity, keeperPatience)
+		said, alive := steward.alive(seat.Identity, steward.timing.WitnessSilence)
 		if seat.Identity == steward.keeper.Seat().Identity {
 			seat, alive = steward.recorded(steward.keeper.Seat()), true
 		} else if hello, known := steward.alive(seat.Identity, time.Minute); known {
 			seat = steward.recorded(hello.Seat)
 		}
 		// A primary that has just begun has not heard from everybody yet.
-		plan.keepers = append(plan.keepers, plannedKeeper{seat: seat, gone: !alive && settled || steward.replaced(seat)})
+		plan.keepers = append(plan.keepers, plannedKeeper{seat: seat, gone: !alive && settled || alive && said.Leaving || steward.replaced(seat)})
 	}
 	if own := steward.keeper.Seat(); !charter.Keeps(own.Identity) {
 		plan.spares = append(plan.spares, steward.recorded(own))
@@ -127,7 +140,7 @@
 	steward.mutex.Lock()
 	for _, identity := range steward.acquaintances() {
 		known := steward.known[identity]
-		if known.hello.Kind == roster.Expediter && !charter.Keeps(identity) && steward.turns.Now().Sub(known.answered) <= staleAnswer {
+		if known.hello.Kind == roster.Expediter && !known.hello.Leaving && !charter.Keeps(identity) && steward.turns.Now().Sub(known.answered) <= staleAnswer {
 			plan.spares = append(plan.spares, known.hello.Seat)
 		}
 	}
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -121,6 +121,8 @@
 	// now, since the core was whole.
 	borne int
 	spare int
+	// catchUp is the bound that the core's waits are derived from.
+	catchUp time.Duration
 	// losing are machines whose disk is to be taken.
 	losing    []*machine
 	districts int
@@ -181,6 +183,7 @@
 	if world.borne > 1 && (machine.lives > 1 || world.formed) {
 		steward.JoinOnly()
 	}
+	steward.SetTiming(TimingFor(world.catchUp))
 	steward.Bear(world.borne, machine.district)
 	steward.SetBackupList(world.borne > 1)
 	world.mutex.Lock()
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -44,10 +44,7 @@
 	if !charter.InSync(own.Identity) || steward.store.Copy().Damage() != "" || now.Before(steward.backoff) {
 		return
 	}
-	steward.mutex.Lock()
-	leaving := steward.leaving
-	steward.mutex.Unlock()
-	if leaving || steward.quiet() {
+	if steward.quiet() || steward.isLeaving() && steward.otherInSyncAlive(charter) {
 		return
 	}
 	// A candidate that nobody can elect yet would only disturb the primary, so
@@ -129,9 +126,12 @@
 // remaining are the copies that stay in sync beside a new primary. Of a pair none
 // does: the new primary is alone until it has another, and shows what it has. Of
 // more all do, since a second loss must find them: nothing is shown until they are
-// the same.
+// the same. So does the old primary of a pair that handed over and is still there.
 func (steward *Steward) remaining(charter Charter) []Seat {
 	if len(charter.Copies()) < 3 {
+		if _, alive := steward.alive(charter.Backup.Identity, staleAnswer); alive && charter.Primary.Identity == steward.keeper.Seat().Identity {
+			return charter.Backups()
+		}
 		return nil
 	}
 	var others []Seat
@@ -277,6 +277,7 @@
 	steward.confirming = asked
 	steward.mutex.Unlock()
 	confirmed := map[Identity]bool{}
+	lease := steward.timing.Lease
 	var newer Charter
 	outdated := false
 	gather(steward.turns, charter.Electors(), func(seat Seat) (Promise, error) {
@@ -301,6 +302,9 @@
 			return
 		}
 		confirmed[seat.Identity] = promise.Granted
+		if promise.Granted && promise.Lease > 0 {
+			lease = min(lease, promise.Lease)
+		}
 		outdated = outdated || promise.Refusal == trouble.OldEpoch
 		steward.ballot = max(steward.ballot, promise.Promised)
 		if promise.Charter.Epoch > newer.Epoch {
@@ -326,7 +330,7 @@
 	steward.outrun = outdated
 	steward.confirmedAt = asked
 	steward.mutex.Lock()
-	steward.holdEnds = asked.Add(PrimaryHold - holdDrift)
+	steward.holdEnds = asked.Add(lease - holdDrift)
 	steward.mutex.Unlock()
 	return true
 }
@@ -396,7 +400,7 @@
 	defer steward.mutex.Unlock()
 	now := steward.turns.Now()
 	lost := !steward.holdEnds.IsZero() && now.Sub(steward.holdEnds) > 2*holdDrift
-	return lost && now.Sub(steward.greeted) > steward.beat() && now.Sub(steward.confirming) < deafPause
+	return lost && now.Sub(steward.greeted) > steward.timing.Beat && now.Sub(steward.confirming) < steward.timing.Lease+deafMargin
 }
 
 // unheardOf tells whether this primary reaches its backup while no expediter
@@ -408,7 +412,7 @@
 	}
 	reached := false
 	for _, backup := range charter.Backups() {
-		if _, alive := steward.alive(backup.Identity, steward.beat()); alive {
+		if _, alive := steward.alive(backup.Identity, steward.timing.Beat); alive {
 			reached = true
 		}
 	}
@@ -447,8 +451,9 @@
 			return base, false
 		}
 		var others []Seat
-		if len(base.Copies()) > 2 {
+		if len(base.Copies()) > 2 || steward.isLeaving() {
 			// All stay in sync: the successor answers nothing before they are the same.
+			// One that leaves counts until another has its place.
 			for _, seat := range append(base.Backups(), base.Primary) {
 				if seat.Identity != next.Identity {
 					others = append(others, seat)
@@ -473,7 +478,7 @@
 func (steward *Steward) successor(charter Charter) (Seat, bool) {
 	for _, backup := range charter.Backups() {
 		hello, failure := steward.peers.Hello(steward.Address(backup), steward.Own())
-		if failure == nil && hello.Seat.Identity == backup.Identity && hello.Damage == "" && !(len(charter.Further) > 0 && hello.Restricted) {
+		if failure == nil && hello.Seat.Identity == backup.Identity && hello.Damage == "" && !hello.Leaving && !(len(charter.Further) > 0 && hello.Restricted) {
 			return backup, true
 		}
 		steward.observe("not_handed_over", "backup", backup.Name, "cause", failure)
--- a/internal/larder/steward.go
+++ b/internal/larder/steward.go
@@ -13,22 +13,16 @@
 	// holdDrift is taken off the primary's own hold for clocks that run at
 	// different speeds.
 	holdDrift = 150 * time.Millisecond
-	// backupPatience is how long the backup may not answer before the third
-	// expediter takes its place.
-	backupPatience = 700 * time.Millisecond
 	// diskPatience is how long one write to the primary's own disk may take
 	// before it lets the backup take over.
 	diskPatience = 1500 * time.Millisecond
 	// unheardPatience is how long a primary may be greeted by nobody, while it
 	// reaches its backup, before it hands over.
 	unheardPatience = 1500 * time.Millisecond
-	// deafPause is how long a primary that hears nobody keeps silent between two tries:
-	// past the holds that its keepers may have renewed, and long enough for the backup
-	// to notice.
-	deafPause = PrimaryHold + 700*time.Millisecond
-	// keeperPatience is how long a keeper may be gone before a newcomer is
-	// admitted in its place.
-	keeperPatience = 4 * time.Second
+	// deafMargin is how much longer than a lease a primary that hears nobody keeps silent
+	// between two tries: past the holds that its keepers may have renewed, and long enough
+	// for the backup to notice.
+	deafMargin = 700 * time.Millisecond
 	// applicantFresh is how long a newcomer's hello counts.
 	applicantFresh = 3 * time.Second
 	// staleAnswer is after which silence a candidate is tried after the others.
@@ -41,11 +35,11 @@
 	// helloPatience is how long a round of hellos is waited for: a machine without
 	// power must not hold up the others' election.
 	helloPatience = 150 * time.Millisecond
+	// seatPatience is how long an expediter that leaves waits for another to take its
+	// witness's seat, once its copy does not count any more.
+	seatPatience = time.Second
 	// slowAnswer is how long a hello that came after its round counts in the next.
 	slowAnswer = 450 * time.Millisecond
-	// shortPatience is how long a primary looks for a copy in the place of one that
-	// is gone before it goes on with fewer, where several backups are wanted.
-	shortPatience = 2 * time.Second
 )
 
 // Steward decides who is primary, backup and keeper, from one expediter's
@@ -58,6 +52,7 @@
 	store   *Store
 	peers   Peers
 	observe func(event string, detail ...any)
+	timing  Timing
 
 	mutex      sync.Mutex
 	holdEnds   time.Time
@@ -87,6 +82,7 @@
 	freeFrom     time.Time
 	leadsFrom    time.Time
 	leaving      bool
+	copyLeftAt   time.Time
 	backoff      time.Time
 	ballot       uint64
 	// overtaken is the highest epoch that a keeper told when it refused a hold.
@@ -108,7 +104,7 @@
 //	steward := larder.NewSteward(turns, seeds, keeper, store, peers, observe)
 func NewSteward(turns rota.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
 	return &Steward{turns: turns, seeds: seeds, kind: roster.Expediter, keeper: keeper, store: store, peers: peers,
-		observe: observe, known: map[Identity]*acquaintance{}, borne: 1, backupFails: map[Identity]time.Time{}, installFails: map[Identity]time.Time{}}
+		observe: observe, timing: TimingFor(DefaultCatchUp), known: map[Identity]*acquaintance{}, borne: 1, backupFails: map[Identity]time.Time{}, installFails: map[Identity]time.Time{}}
 }
 
 // Holds tells whether this expediter is primary at this moment: its own hold
@@ -135,16 +131,53 @@
 	steward.restricted = restricted
 }
 
-// Leave makes this expediter hand over, if it is primary, and stand no more:
-// its process is about to end.
+// Leave makes this expediter hand over what it has, and stand no more while another can:
+// its process is about to end. The primary is told at once.
 //
 // Example:
 //
 //	steward.Leave()
+//	for !steward.Released() { pause() }
 func (steward *Steward) Leave() {
 	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
 	steward.leaving = true
+	steward.mutex.Unlock()
+	primary := steward.Charter().Primary
+	if primary.Empty() || primary.Identity == steward.keeper.Seat().Identity {
+		return
+	}
+	if hello, err := steward.peers.Hello(steward.Address(primary), steward.Own()); err == nil {
+		steward.note(hello, true)
+	}
+}
+
+// Released tells whether nothing depends on this expediter any more: it leads not, no
+// charter counts its copy, and another has its witness's seat. A seat for which nobody
+// came for a while goes with it.
+//
+// Example:
+//
+//	if steward.Released() { end() }
+func (steward *Steward) Released() bool {
+	own, charter := steward.keeper.Seat().Identity, steward.Charter()
+	if steward.store.Leading() || charter.InSync(own) {
+		return false
+	}
+	if !charter.Keeps(own) {
+		return true
+	}
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if steward.copyLeftAt.IsZero() {
+		steward.copyLeftAt = steward.turns.Now()
+	}
+	return len(charter.Incoming) == 0 && steward.turns.Now().Sub(steward.copyLeftAt) >= seatPatience
+}
+
+func (steward *Steward) isLeaving() bool {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	return steward.leaving
 }
 
 // JoinOnly keeps this expediter from forming a first core: there is one already,
@@ -237,10 +270,7 @@
 	if !steward.store.Leading() {
 		return
 	}
-	steward.mutex.Lock()
-	leaving := steward.leaving
-	steward.mutex.Unlock()
-	if leaving && !charter.Backup.Empty() && !steward.unsettled {
+	if steward.isLeaving() && !charter.Backup.Empty() && !steward.unsettled {
 		steward.handOver(charter)
 		return
 	}
@@ -256,8 +286,15 @@
 	steward.ensureKeepers()
 }
 
-// beat is the time between two rounds of hellos, at most.
-func (steward *Steward) beat() time.Duration { return 800 * time.Millisecond }
+// SetTiming chooses the waits of the core. It comes before any other use.
+//
+// Example:
+//
+//	steward.SetTiming(larder.TimingFor(2 * time.Second))
+func (steward *Steward) SetTiming(timing Timing) {
+	steward.timing = timing
+	steward.keeper.SetLease(timing.Lease)
+}
 
 // SetSeeds exchanges the seeds, after a reload.
 //
--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -17,6 +17,7 @@
 	formats  = "a new format before every member reads it"
 	returns  = "service does not return"
 	held     = "a given-up inquiry is held back"
+	cut      = "a request is cut around planned work"
 )
 
 // All lists the protections, with the test that guards each.
@@ -153,4 +154,22 @@
 		Edits: []Edit{{"internal/adapters/calls/circuit.go", "(!circuit.restedAt.IsZero() && now.Sub(circuit.restedAt) > circuit.rests)", "false"}}},
 	{Name: "servers of a district that comes back count as cold", Never: cold, Package: "./internal/window", Test: "TestServersOfADistrictThatComesBackCountAsCold",
 		Edits: []Edit{{"internal/window/choice.go", "	window.cool(now)\n", ""}}},
+	{Name: "signals stay caught while a process drains", Never: cut, Package: "./internal/adapters/program", Test: "TestSignalsStayCaughtAfterTheEndBegan",
+		Edits: []Edit{{"internal/adapters/program/signals.go", "	var looks <-chan time.Time\n", "	defer signal.Stop(signals.caught)\n	var looks <-chan time.Time\n"}}},
+	{Name: "a request is admitted under the rule that dismisses its connection", Never: cut, Package: "./internal/adapters/calls", Test: "TestNoInterleavingPassesARequestOnAndClosesItsConnection",
+		Edits: []Edit{{"internal/adapters/calls/clientconnection.go", "	connection.admitted = !connection.dismissed\n", "	connection.admitted = true\n"}}},
+	{Name: "a lost primary is looked for at other couriers too", Never: inForce, Package: "./internal/hatch", Test: "TestFollowerFindsACoreOfWhichAllMachinesWereReplaced",
+		Edits: []Edit{{"internal/hatch/search.go", "	if search.rounds > 0 {\n		follower.askPeers(search)", "	if false {\n		follower.askPeers(search)"}}},
+	{Name: "an accepted change is remembered for its time", Never: losing, Package: "./internal/larder", Test: "TestOrdersAreAcceptedOnceAndAgain",
+		Edits: []Edit{{"internal/larder/changenote.go", "	return state.Horizon.Add(Retention)\n", "	return state.Horizon\n"}}},
+	{Name: "a refusal needs the lease", Never: losing, Package: "./internal/hatch", Test: "TestARefusalNeedsTheLease",
+		Edits: []Edit{{"internal/hatch/expediter.go", "	case trouble.KindOf(failure) == trouble.NotPrimary:\n", "	case failure != nil:\n"}}},
+	{Name: "an expediter that leaves says so and is replaced first", Never: read, Package: "./internal/larder", Test: "TestWhoLeavesHandsOverBeforeItEnds",
+		Edits: []Edit{{"internal/larder/acquaintance.go", "Leaving: steward.leaving}", "Leaving: false}"}}},
+	{Name: "a primary that leaves counts as a copy until it is replaced", Never: read, Package: "./internal/larder", Test: "TestWhoLeavesHandsOverBeforeItEnds",
+		Edits: []Edit{{"internal/larder/standing.go", "len(base.Copies()) > 2 || steward.isLeaving()", "len(base.Copies()) > 2"}}},
+	{Name: "the last copy leads though it was about to leave", Never: read, Package: "./internal/larder", Test: "TestWhoLeavesAsTheLastCopyLeadsAgain",
+		Edits: []Edit{{"internal/larder/standing.go", "steward.isLeaving() && steward.otherInSyncAlive(charter)", "steward.isLeaving()"}}},
+	{Name: "witnesses that are gone are replaced within the bound", Never: read, Package: "./internal/larder", Test: "TestSecondLossMayComeAfterTheCatchUp",
+		Edits: []Edit{{"internal/larder/timing.go", "min(max(catchUp/4, shortestWitnessSilence), longestWitnessSilence)", "4 * time.Second"}}},
 }
--- a/internal/rehearsal/world/core.go
+++ b/internal/rehearsal/world/core.go
@@ -16,6 +16,10 @@
 // Example:
 //
 //	layout := world.CoreLayouts()["six in three zones"]
+//
+// leavePatience is how long an expediter that is stopped may hand over.
+const leavePatience = 3 * time.Second
+
 func CoreLayouts() map[string]Layout {
 	layout := func(expediters, borne int, zones ...string) Layout {
 		return Layout{Zones: [][]string{zones}, Couriers: 4, Expediters: expediters, BorneLosses: borne, Routes: 20}
@@ -401,7 +405,7 @@
 	world.outside.Go(func() {
 		left := false
 		stopping.Go(func() {
-			control.Leave()
+			control.Leave(leavePatience)
 			left = true
 		})
 		for range 20 {
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -237,7 +237,7 @@
 	world.say("%s is stopped", machine.name)
 	left := false
 	stopping.Go(func() {
-		control.Leave()
+		control.Leave(leavePatience)
 		left = true
 	})
 	for range 30 {
--- a/internal/rehearsal/world/ways_test.go
+++ b/internal/rehearsal/world/ways_test.go
@@ -274,7 +274,7 @@
 		},
 		"stopped": func(fleet *World, primary *machine) {
 			control, life := primary.control, primary.life
-			life.Go(func() { control.Leave(); life.world.outside.Go(func() { fleet.kill(primary) }) })
+			life.Go(func() { control.Leave(leavePatience); life.world.outside.Go(func() { fleet.kill(primary) }) })
 		},
 	}
 	for name, lose := range ways {
