--- a/internal/adapters/program/signals_test.go
+++ b/internal/adapters/program/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -52,8 +53,12 @@
 }
 
 // TestSignalsStayCaughtAfterTheEndBegan sends, while the process drains, what would end
-// it by default: this test's own process would be gone.
+// it by default.
 func TestSignalsStayCaughtAfterTheEndBegan(t *testing.T) {
+	// Without the process's own care these would end the test itself.
+	others := make(chan os.Signal, 8)
+	signal.Notify(others, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(others)
 	signals := CatchSignals()
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -854,30 +854,38 @@
 	world.fail("nobody leads, though the backup has everything")
 }
 
-// TestPrimaryDoesNotHandOverToADeadBackup stops the primary in order right after
-// the backup's machine went for good: the copy that is left must not be given up.
+// TestPrimaryDoesNotHandOverToADeadBackup has the primary hand over, since it is stopped in
+// order or lacks a flag, right after the backup's machine went for good: the copy that is
+// left must not be given up.
 func TestPrimaryDoesNotHandOverToADeadBackup(test *testing.T) {
-	world := newWorld(test, 5)
-	if !world.heal(10 * time.Second) {
-		world.fail("no core was formed")
-	}
-	world.calm = true
-	leader := world.whole()
-	world.write(leader)
-	for _, machine := range world.machines {
-		if machine.keeper.Seat().Identity == leader.steward.Charter().Backup.Identity {
-			world.crash(machine)
-			machine.keeping, machine.copies = newMemoryShelf(), newMemoryShelf()
-		}
-	}
-	leader.steward.Leave()
-	for range 5 {
-		leader.steward.Tick()
-		world.advance(100 * time.Millisecond)
-	}
-	world.crash(leader)
-	if !world.heal(20 * time.Second) {
-		world.fail("the core is not whole again: %+v", leader.keeper.Charter())
+	for name, begin := range map[string]func(steward *Steward){
+		"leaving":    func(steward *Steward) { steward.Leave() },
+		"restricted": func(steward *Steward) { steward.SetRestricted(true) },
+	} {
+		test.Run(name, func(test *testing.T) {
+			world := newWorld(test, 5)
+			if !world.heal(10 * time.Second) {
+				world.fail("no core was formed")
+			}
+			world.calm = true
+			leader := world.whole()
+			world.write(leader)
+			for _, machine := range world.machines {
+				if machine.keeper.Seat().Identity == leader.steward.Charter().Backup.Identity {
+					world.crash(machine)
+					machine.keeping, machine.copies = newMemoryShelf(), newMemoryShelf()
+				}
+			}
+			begin(leader.steward)
+			for range 5 {
+				leader.steward.Tick()
+				world.advance(100 * time.Millisecond)
+			}
+			world.crash(leader)
+			if !world.heal(20 * time.Second) {
+				world.fail("the core is not whole again: %+v", leader.keeper.Charter())
+			}
+			world.check()
+		})
 	}
-	world.check()
 }
