A ballot decides by itself; every state of bounded cores is explored over it

Cause: the election's rules stood inside the code that sends its messages, where nothing could enumerate them. Change: ballot holds promises, the newest charter, proposal and acceptance; the steward sends and gathers. On the way the model itself was wrong twice (a confirmation outlived its lease; a primary wrote on after a ballot that failed), which the product does not do: its lease runs from when it asked, and commits stay stopped until a charter is granted.

--- /dev/null
+++ b/internal/larder/ballot.go
@@ -0,0 +1,88 @@
+package larder
+
+import "seamloom.example/seamloom/internal/trouble"
+
+// ballot is one candidate's try at the next charter, as far as it has got: promises of an
+// epoch by a majority of the witnesses, by which the newest charter is found, then the
+// acceptance of the one made from it. It decides and sends nothing.
+type ballot struct {
+	candidate Identity
+	epoch     uint64
+	// base is the newest charter that was told; newest is that of the round under way.
+	base, newest Charter
+	asked        map[Identity]bool
+	promised     map[Identity]bool
+	accepted     map[Identity]bool
+	// highest is the highest epoch that any witness has told.
+	highest uint64
+	next    Charter
+}
+
+func newBallot(candidate Identity, epoch uint64, base Charter) *ballot {
+	return &ballot{candidate: candidate, epoch: epoch, base: base, newest: base,
+		asked: map[Identity]bool{}, promised: map[Identity]bool{}, accepted: map[Identity]bool{}}
+}
+
+// unasked lists the witnesses of the base that were not asked for a promise, and notes
+// that they are asked now.
+func (ballot *ballot) unasked() []Seat {
+	var seats []Seat
+	for _, seat := range ballot.base.Electors() {
+		if !ballot.asked[seat.Identity] {
+			ballot.asked[seat.Identity] = true
+			seats = append(seats, seat)
+		}
+	}
+	return seats
+}
+
+// takePromise takes a witness's answer to the question for a promise.
+func (ballot *ballot) takePromise(witness Identity, promise Promise) {
+	ballot.highest = max(ballot.highest, promise.Promised)
+	if promise.Charter.Epoch > ballot.newest.Epoch {
+		ballot.newest = promise.Charter
+	}
+	ballot.promised[witness] = ballot.promised[witness] || promise.Granted
+}
+
+// hasPromises tells whether a majority of the base's witnesses has promised the epoch.
+func (ballot *ballot) hasPromises() bool { return ballot.base.Quorum(ballot.promised) }
+
+// rebase goes on from the newest charter that was told, and tells whether that is another
+// one than before, whose witnesses are then to be asked as well.
+func (ballot *ballot) rebase() bool {
+	moved := ballot.newest.Epoch != ballot.base.Epoch
+	ballot.base = ballot.newest
+	return moved
+}
+
+// propose makes the next charter from the newest one, if that allows it.
+func (ballot *ballot) propose(make func(base Charter) (Charter, bool)) error {
+	if !ballot.hasPromises() {
+		return trouble.New(trouble.NoPrimary, "no quorum of the newest keepers promised the epoch")
+	}
+	next, may := make(ballot.base)
+	if !may {
+		return trouble.New(trouble.Deposed, "the newest charter does not allow it")
+	}
+	next.Epoch = ballot.epoch
+	ballot.next = next
+	return nil
+}
+
+// acceptors lists the witnesses of the base and of the proposed charter, each once.
+func (ballot *ballot) acceptors() []Seat {
+	return Charter{Keepers: ballot.base.Electors(), Incoming: ballot.next.Electors()}.Electors()
+}
+
+// takeAcceptance takes a witness's answer to the proposed charter.
+func (ballot *ballot) takeAcceptance(witness Identity, promise Promise) {
+	ballot.highest = max(ballot.highest, promise.Promised)
+	ballot.accepted[witness] = promise.Granted
+}
+
+// isGranted tells whether majorities of the base's witnesses and of the proposed ones have
+// accepted: membership changes by agreement of both.
+func (ballot *ballot) isGranted() bool {
+	return ballot.base.Quorum(ballot.accepted) && ballot.next.Quorum(ballot.accepted)
+}
--- /dev/null
+++ b/internal/larder/explore_test.go
@@ -0,0 +1,637 @@
+package larder
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// noShelf keeps nothing: the exploration clones what a witness has in memory.
+type noShelf struct{}
+
+func (noShelf) Save(string, []byte) error                  { return nil }
+func (noShelf) Load() (map[string][]byte, []string, error) { return nil, nil, nil }
+func (noShelf) Remove([]string) error                      { return nil }
+
+// coreMember is one machine of the explored core: its witness is the product's Keeper, its
+// candidacy the product's ballot; its copy is a number, that of the last write it holds.
+type coreMember struct {
+	keeper  *Keeper
+	version int
+	up      bool
+	lives   int
+	// ballot is the candidacy under way, and plan what it is to make of the base.
+	ballot *ballot
+	plan   string
+	// charter is the one that it leads by, if it leads; unsynced tells of a write that is
+	// on its own copy only.
+	leads     bool
+	charter   Charter
+	confirmed map[Identity]bool
+	lease     bool
+	unsynced  bool
+	// unsettled tells that a ballot of its own was begun and not granted: what the core
+	// has agreed on is not known, and nothing is written until it is.
+	unsettled bool
+}
+
+func (member *coreMember) identity() Identity { return member.keeper.self.Identity }
+
+// lateMessage is a request whose answer nobody waits for any more.
+type lateMessage struct {
+	to      int
+	charter Charter
+	epoch   uint64
+	from    Identity
+}
+
+// coreState is one state of the exploration.
+type coreState struct {
+	members []*coreMember
+	late    []lateMessage
+	acked   int
+	newest  Charter
+	// What may still happen.
+	ballots, crashes, restarts, wipes, writes, delays int
+}
+
+// explorer visits every state that can be reached, once each.
+type explorer struct {
+	seen map[[16]byte]struct{}
+	// forgetful has witnesses forget their promises, leaseless has leases given without a
+	// majority: the known bad variants.
+	forgetful, leaseless bool
+	broken                        string
+	limit                         int
+}
+
+var explorationNow = time.Unix(1_000_000, 0)
+
+func cloneSet(set map[Identity]bool) map[Identity]bool {
+	copied := make(map[Identity]bool, len(set))
+	for identity, in := range set {
+		copied[identity] = in
+	}
+	return copied
+}
+
+func (state *coreState) clone() *coreState {
+	next := *state
+	next.late = slices.Clone(state.late)
+	next.members = make([]*coreMember, len(state.members))
+	for position, old := range state.members {
+		copied := *old
+		keeper := &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: old.keeper.self, note: old.keeper.note, lease: old.keeper.lease, holder: old.keeper.holder, holdEnds: old.keeper.holdEnds}
+		keeper.note.Sequence = 0
+		copied.keeper = keeper
+		copied.confirmed = cloneSet(old.confirmed)
+		if old.ballot != nil {
+			ballot := *old.ballot
+			ballot.asked, ballot.promised, ballot.accepted = cloneSet(ballot.asked), cloneSet(ballot.promised), cloneSet(ballot.accepted)
+			copied.ballot = &ballot
+		}
+		next.members[position] = &copied
+	}
+	return &next
+}
+
+func appendSeats(text []byte, seats ...Seat) []byte {
+	for _, seat := range seats {
+		text = append(append(text, seat.Identity...), ',')
+	}
+	return append(text, ';')
+}
+
+func appendCharter(text []byte, charter Charter) []byte {
+	text = append(text, byte(charter.Epoch))
+	text = appendSeats(text, charter.Primary, charter.Backup)
+	text = appendSeats(text, charter.Further...)
+	text = appendSeats(text, charter.Keepers...)
+	return appendSeats(text, charter.Incoming...)
+}
+
+func appendFlags(text []byte, flags ...bool) []byte {
+	for _, flag := range flags {
+		if flag {
+			text = append(text, '1')
+		} else {
+			text = append(text, '0')
+		}
+	}
+	return text
+}
+
+func appendSet(text []byte, set map[Identity]bool) []byte {
+	names := make([]string, 0, len(set))
+	for identity, in := range set {
+		names = append(names, string(appendFlags([]byte(identity), in)))
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		text = append(append(text, name...), ',')
+	}
+	return append(text, ';')
+}
+
+// key tells one state from another.
+func (state *coreState) key() [16]byte {
+	text := make([]byte, 0, 1024)
+	for _, member := range state.members {
+		keeper := member.keeper
+		text = append(append(append(text, keeper.self.Identity...), byte(keeper.note.Promised), byte(member.version)), keeper.holder...)
+		text = appendCharter(text, keeper.note.Charter)
+		text = appendFlags(text, keeper.holdEnds.IsZero(), member.up, member.leads, member.lease, member.unsynced, member.unsettled)
+		text = append(text, member.plan...)
+		text = appendCharter(text, member.charter)
+		text = appendSet(text, member.confirmed)
+		if ballot := member.ballot; ballot != nil {
+			text = append(text, byte(ballot.epoch))
+			text = appendCharter(appendCharter(appendCharter(text, ballot.base), ballot.newest), ballot.next)
+			text = appendSet(appendSet(appendSet(text, ballot.asked), ballot.promised), ballot.accepted)
+		}
+	}
+	for _, message := range state.late {
+		text = append(append(text, byte(message.to), byte(message.epoch)), message.from...)
+		text = appendCharter(text, message.charter)
+	}
+	text = append(text, byte(state.acked), byte(state.ballots), byte(state.crashes), byte(state.restarts), byte(state.wipes), byte(state.writes), byte(state.delays))
+	text = appendCharter(text, state.newest)
+	hash := fnv.New128a()
+	_, _ = hash.Write(text)
+	return [16]byte(hash.Sum(nil))
+}
+
+// newCoreState is a core that is whole, with one acknowledged write: the first machine
+// leads, the second is its backup.
+func newCoreState(witnesses int) *coreState {
+	state := &coreState{acked: 1}
+	var seats []Seat
+	for number := range witnesses {
+		seats = append(seats, Seat{Identity: Identity(fmt.Sprintf("d%d", number)), Address: fmt.Sprintf("m%d", number)})
+	}
+	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
+	for number, seat := range seats {
+		keeper := &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: seat, lease: PrimaryHold, holder: seats[0].Identity, holdEnds: explorationNow.Add(PrimaryHold),
+			note: keeperNote{Identity: seat.Identity, Promised: 1, Charter: charter}}
+		member := &coreMember{keeper: keeper, up: true, confirmed: map[Identity]bool{}}
+		if number < 2 {
+			member.version = 1
+		}
+		state.members = append(state.members, member)
+	}
+	leader := state.members[0]
+	leader.leads, leader.charter, leader.lease = true, charter, true
+	for _, seat := range seats {
+		leader.confirmed[seat.Identity] = true
+	}
+	state.newest = charter
+	return state
+}
+
+// at finds the machine that has an identity's disk and is up.
+func (state *coreState) at(identity Identity) (int, *coreMember) {
+	for position, member := range state.members {
+		if member.identity() == identity && member.up {
+			return position, member
+		}
+	}
+	return -1, nil
+}
+
+// check holds what must be so in every state.
+func (state *coreState) check() string {
+	holders, durable := 0, false
+	for _, member := range state.members {
+		if member.up && member.lease {
+			holders++
+			if member.version < state.acked {
+				return fmt.Sprintf("%s has the lease with write %d, and %d was acknowledged", member.identity(), member.version, state.acked)
+			}
+		}
+		durable = durable || state.newest.InSync(member.identity()) && member.version >= state.acked
+	}
+	switch {
+	case holders > 1:
+		return "two primaries have the lease"
+	case !durable:
+		return fmt.Sprintf("no copy of the newest charter has the acknowledged write %d", state.acked)
+	}
+	return ""
+}
+
+// explore visits what can follow a state.
+func (explorer *explorer) explore(state *coreState) {
+	if explorer.broken != "" || len(explorer.seen) >= explorer.limit {
+		return
+	}
+	key := state.key()
+	if _, known := explorer.seen[key]; known {
+		return
+	}
+	explorer.seen[key] = struct{}{}
+	if explorer.broken = state.check(); explorer.broken != "" {
+		return
+	}
+	for position := range state.members {
+		explorer.exploreMember(state, position)
+	}
+	for position := range state.late {
+		next := state.clone()
+		message := next.late[position]
+		next.late = slices.Delete(next.late, position, position+1)
+		next.deliverLate(explorer, message)
+		explorer.explore(next)
+	}
+}
+
+func (state *coreState) deliverLate(explorer *explorer, message lateMessage) {
+	member := state.members[message.to]
+	if !member.up {
+		return
+	}
+	if message.charter.Epoch > 0 {
+		explorer.accept(member, message.charter)
+		return
+	}
+	_, _ = member.keeper.Prepare(explorationNow, message.epoch, message.from)
+}
+
+func (explorer *explorer) accept(member *coreMember, charter Charter) Promise {
+	if explorer.forgetful {
+		member.keeper.note.Promised = member.keeper.note.Charter.Epoch
+	}
+	promise, _ := member.keeper.Accept(explorationNow, charter)
+	return promise
+}
+
+// exploreMember follows all that one machine can do, or that can happen to it.
+func (explorer *explorer) exploreMember(state *coreState, position int) {
+	branch := func(act func(next *coreState, member *coreMember)) {
+		next := state.clone()
+		act(next, next.members[position])
+		explorer.explore(next)
+	}
+	member := state.members[position]
+	if !member.up {
+		if state.restarts > 0 {
+			branch(func(next *coreState, member *coreMember) { next.restarts--; next.restart(member) })
+		}
+		if state.wipes > 0 && state.mayWipe(position) {
+			branch(func(next *coreState, member *coreMember) { next.wipe(member) })
+		}
+		return
+	}
+	if state.crashes > 0 {
+		branch(func(next *coreState, member *coreMember) { next.crashes--; member.fall() })
+	}
+	if !member.keeper.holdEnds.IsZero() && !state.leaseHeldBy(member.keeper.holder) {
+		branch(func(next *coreState, member *coreMember) { next.expire(member) })
+	}
+	if member.lease {
+		branch(func(_ *coreState, member *coreMember) {
+			member.lease = false
+			clear(member.confirmed)
+		})
+	}
+	if member.ballot != nil {
+		explorer.exploreBallot(state, position)
+		return
+	}
+	if state.ballots > 0 {
+		explorer.exploreCandidacy(state, position, branch)
+	}
+	if member.leads {
+		explorer.exploreLeader(state, position, branch)
+	}
+}
+
+// leaseHeldBy tells whether the holder's own lease runs: it ends before the witnesses'.
+func (state *coreState) leaseHeldBy(holder Identity) bool {
+	_, member := state.at(holder)
+	return member != nil && member.lease
+}
+
+// expire ends the lease that a witness gave. A confirmation that is older than that counts
+// no more for its holder, whose lease runs from when it asked.
+func (state *coreState) expire(witness *coreMember) {
+	witness.keeper.holdEnds = time.Time{}
+	if _, holder := state.at(witness.keeper.holder); holder != nil {
+		delete(holder.confirmed, witness.identity())
+	}
+}
+
+// mayWipe bounds losses to what may be borne: all others are there, and a pair leads.
+func (state *coreState) mayWipe(position int) bool {
+	for other, member := range state.members {
+		if other != position && !member.up {
+			return false
+		}
+	}
+	return !state.newest.Backup.Empty() && len(state.newest.Incoming) == 0
+}
+
+func (member *coreMember) fall() {
+	member.up, member.leads, member.lease, member.unsynced, member.unsettled, member.ballot, member.plan = false, false, false, false, false, nil, ""
+	member.charter = Charter{}
+	clear(member.confirmed)
+}
+
+// restart reads the disk again: the witness keeps still for one lease.
+func (state *coreState) restart(member *coreMember) {
+	member.up = true
+	member.keeper.holder = member.keeper.note.Charter.Primary.Identity
+	member.keeper.holdEnds = explorationNow.Add(PrimaryHold)
+}
+
+// wipe gives the machine an empty disk, which is a new identity.
+func (state *coreState) wipe(member *coreMember) {
+	state.wipes--
+	member.lives++
+	seat := Seat{Identity: Identity(fmt.Sprintf("%s'", member.identity())), Address: member.keeper.self.Address}
+	member.keeper = &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: seat, lease: PrimaryHold, note: keeperNote{Identity: seat.Identity}}
+	member.version = 0
+}
+
+// exploreCandidacy begins each ballot that a machine could begin.
+func (explorer *explorer) exploreCandidacy(state *coreState, position int, branch func(func(*coreState, *coreMember))) {
+	member := state.members[position]
+	begin := func(next *coreState, member *coreMember, plan string) {
+		next.ballots--
+		member.begin(plan)
+	}
+	if !member.leads && member.keeper.note.Charter.InSync(member.identity()) {
+		branch(func(next *coreState, member *coreMember) { begin(next, member, "takeover") })
+	}
+	if !member.leads {
+		return
+	}
+	_, backup := state.at(member.charter.Backup.Identity)
+	for other, candidate := range state.members {
+		if other == position || !candidate.up || backup != nil && !member.unsettled {
+			continue
+		}
+		branch(func(next *coreState, member *coreMember) {
+			installed := next.members[other]
+			if installed.keeper.Learn(member.charter.Epoch) != nil || installed.leads {
+				return
+			}
+			installed.version = member.version
+			member.unsynced = false
+			begin(next, member, "pair "+string(installed.identity()))
+		})
+	}
+	if vacant, newcomer := state.exchangeOf(member.charter); backup != nil && !member.unsettled && !newcomer.Empty() {
+		branch(func(next *coreState, member *coreMember) {
+			begin(next, member, "exchange "+string(vacant)+" "+string(newcomer.Identity))
+		})
+	}
+	if backup != nil && !member.unsettled && len(member.charter.Incoming) > 0 {
+		branch(func(next *coreState, member *coreMember) { begin(next, member, "complete") })
+	}
+}
+
+// exchangeOf finds a witness whose disk is gone and a machine that has no seat.
+func (state *coreState) exchangeOf(charter Charter) (Identity, Seat) {
+	if len(charter.Incoming) > 0 {
+		return "", Seat{}
+	}
+	for _, seat := range charter.Keepers {
+		gone := true
+		for _, member := range state.members {
+			gone = gone && member.identity() != seat.Identity
+		}
+		if !gone {
+			continue
+		}
+		for _, member := range state.members {
+			if member.up && !charter.Keeps(member.identity()) {
+				return seat.Identity, member.keeper.self
+			}
+		}
+	}
+	return "", Seat{}
+}
+
+// begin starts a ballot as the product does: with a vow on the own disk.
+func (member *coreMember) begin(plan string) {
+	base := member.keeper.note.Charter
+	if member.leads && member.charter.Epoch > base.Epoch {
+		base = member.charter
+	}
+	epoch := max(base.Epoch, member.keeper.note.Promised) + 1
+	if member.keeper.Vow(explorationNow, epoch, member.identity()) != nil {
+		return
+	}
+	member.ballot, member.plan, member.unsettled = newBallot(member.identity(), epoch, base), plan, member.leads
+	if base.Keeps(member.identity()) {
+		member.ballot.asked[member.identity()] = true
+		member.ballot.takePromise(member.identity(), Promise{Granted: true, Charter: member.keeper.note.Charter})
+	}
+}
+
+// make is what the plan makes of the newest charter.
+func (member *coreMember) make(state *coreState) func(base Charter) (Charter, bool) {
+	own := member.keeper.self
+	words := strings.Fields(member.plan)
+	led := member.charter
+	return func(base Charter) (Charter, bool) {
+		switch words[0] {
+		case "takeover":
+			return base.With(own, nil), base.InSync(own.Identity)
+		case "pair":
+			for _, other := range state.members {
+				if string(other.identity()) == words[1] {
+					return base.With(own, []Seat{other.keeper.self}), base.Primary.Identity == own.Identity
+				}
+			}
+			return base, false
+		case "exchange":
+			next := base
+			next.Incoming = nil
+			for _, seat := range base.Keepers {
+				if string(seat.Identity) == words[1] {
+					for _, other := range state.members {
+						if string(other.identity()) == words[2] {
+							seat = other.keeper.self
+						}
+					}
+				}
+				next.Incoming = append(next.Incoming, seat)
+			}
+			return next, base.Epoch == led.Epoch && base.Primary.Identity == own.Identity
+		}
+		next := base
+		next.Keepers, next.Incoming = base.Incoming, nil
+		return next, base.Epoch == led.Epoch && base.Primary.Identity == own.Identity && len(base.Incoming) > 0
+	}
+}
+
+// exploreBallot follows each message that a ballot can send now: answered, delayed, or
+// none, since the ballot may be given up at any time.
+func (explorer *explorer) exploreBallot(state *coreState, position int) {
+	branch := func(act func(next *coreState, member *coreMember)) {
+		next := state.clone()
+		act(next, next.members[position])
+		explorer.explore(next)
+	}
+	candidate := state.members[position]
+	branch(func(_ *coreState, member *coreMember) { member.ballot, member.plan = nil, "" })
+	accepting := candidate.ballot.next.Epoch > 0
+	seats := candidate.ballot.base.Electors()
+	if accepting {
+		seats = candidate.ballot.acceptors()
+	}
+	for _, seat := range seats {
+		if _, answered := candidate.ballot.accepted[seat.Identity]; accepting && answered || !accepting && candidate.ballot.asked[seat.Identity] {
+			continue
+		}
+		to, reached := state.at(seat.Identity)
+		if reached == nil {
+			continue
+		}
+		branch(func(next *coreState, member *coreMember) {
+			if accepting {
+				member.ballot.takeAcceptance(seat.Identity, explorer.accept(next.members[to], member.ballot.next))
+			} else {
+				member.ballot.asked[seat.Identity] = true
+				promise, _ := next.members[to].keeper.Prepare(explorationNow, member.ballot.epoch, member.identity())
+				member.ballot.takePromise(seat.Identity, promise)
+			}
+			explorer.advance(next, member)
+		})
+		if state.delays > 0 {
+			branch(func(next *coreState, member *coreMember) {
+				next.delays--
+				message := lateMessage{to: to, epoch: member.ballot.epoch, from: member.identity()}
+				if accepting {
+					message.charter = member.ballot.next
+					member.ballot.accepted[seat.Identity] = false
+				} else {
+					member.ballot.asked[seat.Identity] = true
+				}
+				next.late = append(next.late, message)
+			})
+		}
+	}
+}
+
+// advance takes a ballot to its next stage as soon as it may.
+func (explorer *explorer) advance(state *coreState, member *coreMember) {
+	ballot := member.ballot
+	if ballot.next.Epoch == 0 {
+		if !ballot.hasPromises() || ballot.rebase() || !ballot.hasPromises() {
+			return
+		}
+		if ballot.propose(member.make(state)) != nil {
+			member.ballot, member.plan = nil, ""
+		}
+		return
+	}
+	if !ballot.isGranted() {
+		return
+	}
+	if ballot.next.Epoch > state.newest.Epoch {
+		state.newest = ballot.next
+	}
+	member.leads, member.charter, member.ballot, member.plan = true, ballot.next, nil, ""
+	member.lease, member.unsettled = false, false
+	clear(member.confirmed)
+}
+
+// exploreLeader follows what a primary does: it renews its lease and writes.
+func (explorer *explorer) exploreLeader(state *coreState, position int, branch func(func(*coreState, *coreMember))) {
+	leader := state.members[position]
+	for _, seat := range leader.charter.Electors() {
+		to, reached := state.at(seat.Identity)
+		if reached == nil || leader.confirmed[seat.Identity] {
+			continue
+		}
+		branch(func(next *coreState, member *coreMember) {
+			keeper := next.members[to].keeper
+			if keeper.note.Charter.Epoch < member.charter.Epoch {
+				explorer.accept(next.members[to], member.charter)
+			}
+			if promise := keeper.Confirm(explorationNow, member.charter.Epoch, member.identity()); promise.Granted {
+				member.confirmed[seat.Identity] = true
+			}
+			member.lease = member.lease || member.charter.Quorum(member.confirmed) || explorer.leaseless && len(member.confirmed) > 0
+		})
+	}
+	if !leader.lease || leader.unsettled || leader.charter.Backup.Empty() {
+		return
+	}
+	if !leader.unsynced && state.writes > 0 {
+		branch(func(next *coreState, member *coreMember) {
+			next.writes--
+			member.version++
+			member.unsynced = true
+		})
+	}
+	if to, backup := state.at(leader.charter.Backup.Identity); backup != nil && leader.unsynced {
+		branch(func(next *coreState, member *coreMember) {
+			copied := next.members[to]
+			if copied.leads || copied.keeper.Learn(member.charter.Epoch) != nil || copied.version != member.version-1 && copied.version != member.version {
+				return
+			}
+			copied.version = member.version
+			member.unsynced = false
+			next.acked = max(next.acked, member.version)
+		})
+	}
+}
+
+// TestElectionAndReplicationExplored visits every state that bounded cores can reach with
+// crashes, a lost disk, an exchanged witness and delayed messages, over the product's own
+// witnesses, charters and ballots. Each known bad variant is found.
+func TestElectionAndReplicationExplored(t *testing.T) {
+	const mostStates = 300_000
+	three := func(ballots, crashes, restarts, wipes, writes, delays int) *coreState {
+		state := newCoreState(3)
+		state.ballots, state.crashes, state.restarts = ballots, crashes, restarts
+		state.wipes, state.writes, state.delays = wipes, writes, delays
+		return state
+	}
+	// Five witnesses and three copies, of which the primary's machine is gone and two stand.
+	five := newCoreState(5)
+	five.ballots, five.delays = 2, 0
+	charter := five.newest.With(five.newest.Primary, []Seat{five.members[1].keeper.self, five.members[2].keeper.self})
+	five.newest = charter
+	five.members[2].version = 1
+	for _, member := range five.members {
+		member.keeper.note.Charter = charter
+		member.keeper.holdEnds = time.Time{}
+	}
+	five.members[0].fall()
+	for _, row := range []struct {
+		name     string
+		explorer explorer
+		from     *coreState
+		found    bool
+	}{
+		{"a takeover and a delayed message", explorer{}, three(1, 1, 0, 0, 1, 1), false},
+		{"two takeovers, one of a machine that is back", explorer{}, three(2, 1, 1, 0, 0, 0), false},
+		{"a lost disk and a new pair", explorer{}, three(1, 1, 1, 1, 1, 0), false},
+		{"a lost disk and its witness's exchange", explorer{}, three(2, 1, 1, 1, 0, 0), false},
+		{"five witnesses, two candidates", explorer{}, five, false},
+		{"witnesses that forget their promises", explorer{forgetful: true}, three(2, 1, 1, 0, 0, 1), true},
+		{"the lease of one witness", explorer{leaseless: true}, three(2, 0, 0, 0, 1, 0), true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			explorer := row.explorer
+			explorer.seen, explorer.limit = map[[16]byte]struct{}{}, mostStates
+			explorer.explore(row.from)
+			t.Logf("%d states, exhausted %v: %s", len(explorer.seen), len(explorer.seen) < explorer.limit, explorer.broken)
+			if row.found != (explorer.broken != "") {
+				t.Errorf("%d states: %q", len(explorer.seen), explorer.broken)
+			}
+			if !row.found && len(explorer.seen) >= explorer.limit {
+				t.Errorf("the exploration is not whole after %d states", len(explorer.seen))
+			}
+		})
+	}
+}
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -183,90 +183,78 @@
 // stand asks for the next epoch: first for promises, by which the newest
 // charter is found, then for acceptance of the charter made from it.
 func (steward *Steward) stand(make func(base Charter) (Charter, bool)) (Charter, error) {
-	own := steward.keeper.Seat()
 	base := steward.keeper.Charter()
 	if known := steward.Charter(); known.Epoch > base.Epoch {
 		base = known
 	}
-	ballot := max(base.Epoch, steward.keeper.Promised(), steward.ballot) + 1
-	if failure := steward.store.Vow(steward.turns.Now(), ballot, own.Identity); failure != nil {
-		return base, failure
+	own := steward.keeper.Seat().Identity
+	ballot := newBallot(own, max(base.Epoch, steward.keeper.Promised(), steward.ballot)+1, base)
+	if err := steward.store.Vow(steward.turns.Now(), ballot.epoch, own); err != nil {
+		return base, err
 	}
-	granted := map[Identity]bool{}
-	asked := map[Identity]bool{}
 	for {
-		var seats []Seat
-		for _, seat := range base.Electors() {
-			if !asked[seat.Identity] {
-				asked[seat.Identity] = true
-				seats = append(seats, seat)
-			}
-		}
+		seats := ballot.unasked()
 		if len(seats) == 0 {
 			break
 		}
-		current, newest := base, base
-		highest := uint64(0)
-		gather(steward.turns, seats, func(seat Seat) (Promise, error) {
-			if seat.Identity == own.Identity {
-				// The vow has promised this epoch on the own disk already.
-				return Promise{Keeper: own.Identity, Granted: true, Charter: steward.keeper.Charter()}, nil
-			}
-			promise, failure := steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot, own.Identity)
-			if failure == nil && promise.Refusal == trouble.NotAdmitted && current.Keeps(seat.Identity) {
-				// It was named a keeper and has not heard of it.
-				if _, failure := steward.peers.Accept(steward.Address(seat), seat.Identity, current); failure == nil {
-					return steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot, own.Identity)
-				}
-			}
-			return promise, failure
-		}, func(seat Seat, promise Promise, failure error) {
-			if failure != nil {
-				return
-			}
-			highest = max(highest, promise.Promised)
-			if promise.Charter.Epoch > newest.Epoch {
-				newest = promise.Charter
-			}
-			granted[seat.Identity] = granted[seat.Identity] || promise.Granted
-		}, func() bool { return current.Quorum(granted) })
-		steward.ballot = max(steward.ballot, highest)
-		if !current.Quorum(granted) {
-			return newest, trouble.New(trouble.NoPrimary, "no quorum of keepers promised the epoch")
+		steward.gatherPromises(ballot, seats)
+		steward.ballot = max(steward.ballot, ballot.highest)
+		if !ballot.hasPromises() {
+			return ballot.newest, trouble.New(trouble.NoPrimary, "no quorum of keepers promised the epoch")
 		}
-		if newest.Epoch == base.Epoch {
+		if !ballot.rebase() {
 			break
 		}
-		base = newest
 	}
-	if !base.Quorum(granted) {
-		return base, trouble.New(trouble.NoPrimary, "no quorum of the newest keepers promised the epoch")
+	if err := ballot.propose(make); err != nil {
+		return ballot.base, err
 	}
-	next, may := make(base)
-	if !may {
-		return base, trouble.New(trouble.Deposed, "the newest charter does not allow it")
+	steward.gatherAcceptances(ballot)
+	steward.ballot = max(steward.ballot, ballot.highest)
+	if !ballot.isGranted() {
+		return ballot.base, trouble.New(trouble.Unknown, "no quorum of keepers accepted the charter")
 	}
-	next.Epoch = ballot
-	accepted := map[Identity]bool{}
-	seats := Charter{Keepers: base.Electors(), Incoming: next.Electors()}.Electors()
+	steward.mutex.Lock()
+	steward.charter = ballot.next
+	steward.mutex.Unlock()
+	return ballot.next, nil
+}
+
+// gatherPromises asks witnesses for their promise until a majority has given it.
+func (steward *Steward) gatherPromises(ballot *ballot, seats []Seat) {
+	current := ballot.base
 	gather(steward.turns, seats, func(seat Seat) (Promise, error) {
-		if seat.Identity == own.Identity {
-			return steward.keeper.Accept(steward.turns.Now(), next)
+		if seat.Identity == ballot.candidate {
+			// The vow has promised this epoch on the own disk already.
+			return Promise{Keeper: seat.Identity, Granted: true, Charter: steward.keeper.Charter()}, nil
 		}
-		return steward.peers.Accept(steward.Address(seat), seat.Identity, next)
-	}, func(seat Seat, promise Promise, failure error) {
-		if failure == nil {
-			steward.ballot = max(steward.ballot, promise.Promised)
-			accepted[seat.Identity] = promise.Granted
+		promise, err := steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot.epoch, ballot.candidate)
+		if err == nil && promise.Refusal == trouble.NotAdmitted && current.Keeps(seat.Identity) {
+			// It was named a keeper and has not heard of it.
+			if _, err := steward.peers.Accept(steward.Address(seat), seat.Identity, current); err == nil {
+				return steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot.epoch, ballot.candidate)
+			}
 		}
-	}, func() bool { return base.Quorum(accepted) && next.Quorum(accepted) })
-	if !base.Quorum(accepted) || !next.Quorum(accepted) {
-		return base, trouble.New(trouble.Unknown, "no quorum of keepers accepted the charter")
-	}
-	steward.mutex.Lock()
-	steward.charter = next
-	steward.mutex.Unlock()
-	return next, nil
+		return promise, err
+	}, func(seat Seat, promise Promise, err error) {
+		if err == nil {
+			ballot.takePromise(seat.Identity, promise)
+		}
+	}, ballot.hasPromises)
+}
+
+// gatherAcceptances has the proposed charter accepted, until majorities have done so.
+func (steward *Steward) gatherAcceptances(ballot *ballot) {
+	gather(steward.turns, ballot.acceptors(), func(seat Seat) (Promise, error) {
+		if seat.Identity == ballot.candidate {
+			return steward.keeper.Accept(steward.turns.Now(), ballot.next)
+		}
+		return steward.peers.Accept(steward.Address(seat), seat.Identity, ballot.next)
+	}, func(seat Seat, promise Promise, err error) {
+		if err == nil {
+			ballot.takeAcceptance(seat.Identity, promise)
+		}
+	}, ballot.isGranted)
 }
 
 // confirm renews the primary's own hold from a quorum of keepers.
