A search asks only who leads; content comes from the primary once, with time for it

Ruled out: the election (a primary 0.5 s after the machines are back). Change: the search's question is brief: who leads, and the copies' versions; the first question to a primary that was found has 1.2 s, 2 s where there is no configuration. Who answered without leading is asked again after 0.15 s and 1 ms for each courier; other couriers are asked only while no expediter answers, relays only while the charter's primary does not.

--- a/internal/hatch/ask.go
+++ b/internal/hatch/ask.go
@@ -97,10 +97,11 @@
 	follower.learnCharter(said.Charter)
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	if said.Leads {
-		follower.primary = address
-	} else if follower.primary == address {
-		follower.primary = ""
+	switch {
+	case said.Leads && follower.primary != address:
+		follower.primary, follower.current = address, false
+	case !said.Leads && follower.primary == address:
+		follower.primary, follower.current = "", false
 	}
 }
 
@@ -109,7 +110,7 @@
 	defer follower.mutex.Unlock()
 	follower.dark[address] = follower.turns.Now()
 	if follower.primary == address {
-		follower.primary = ""
+		follower.primary, follower.current = "", false
 	}
 }
 
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -104,6 +104,9 @@
 	if failure != nil {
 		return elsewhere()
 	}
+	if question.Brief {
+		return NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer)}, nil
+	}
 	name := question.Member.Name
 	courier := question.Member.Kind == roster.Courier
 	arrived := expediter.turns.Now()
--- a/internal/hatch/delta_test.go
+++ b/internal/hatch/delta_test.go
@@ -47,7 +47,7 @@
 	delta := makeDelta(first, second)
 	delta.Checksum++
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{larder.MenuDrawer: delta}})
-	question := follower.pollQuestion()
+	question, _ := follower.pollQuestion()
 	if _, told := question.Have[larder.MenuDrawer]; told || taken != 1 {
 		test.Fatalf("a delta that does not fit was taken: %d answers, the node says that it has %v", taken, question.Have)
 	}
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -19,8 +19,10 @@
 	inForce func() larder.Version
 	take    func(News)
 
-	mutex    sync.Mutex
-	primary  string
+	mutex   sync.Mutex
+	primary string
+	// current tells that the present primary has answered in full.
+	current  bool
 	seeds    []string
 	contacts []string
 	peers    []string
@@ -68,6 +70,11 @@
 	// answerMargin is how much longer than the primary may hold a question back the
 	// answer may take. After that the primary counts as silent.
 	answerMargin = 300 * time.Millisecond
+	// firstPatience is how long a primary that was just found may take to answer, and
+	// wholePatience how long when the node has no configuration yet: a large one goes to
+	// the whole fleet at once then.
+	firstPatience = 1200 * time.Millisecond
+	wholePatience = 2 * time.Second
 	// relayPatience is how long the primary may take to answer a relayed message.
 	relayPatience = 1200 * time.Millisecond
 	// searchPatience is how long each address may take while the primary is
@@ -189,16 +196,16 @@
 func (follower *Follower) knownPrimary() (string, bool) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	return follower.primary, follower.primary != "" && !follower.heard.IsZero()
+	return follower.primary, follower.primary != ""
 }
 
 // poll asks the primary once and takes its answer. One that is silent is looked for
 // anew: its successor may have been elected.
 func (follower *Follower) poll(address string) {
-	question := follower.pollQuestion()
+	question, patience := follower.pollQuestion()
 	asked := follower.turns.Now()
 	var answer NewsAnswer
-	err := Call(follower.line, address, NewsPath, question, &answer, question.Patience+answerMargin)
+	err := Call(follower.line, address, NewsPath, question, &answer, patience)
 	if err != nil {
 		if unheard(err) {
 			follower.forget(address)
@@ -213,6 +220,14 @@
 	}
 }
 
+// briefQuestion asks only who leads, and what the copies are like: a whole fleet asks it at
+// once after a loss.
+func (follower *Follower) briefQuestion() NewsQuestion {
+	question := follower.searchQuestion()
+	question.Brief = true
+	return question
+}
+
 // searchQuestion is to be answered at once, so that those who are dark cost little time.
 func (follower *Follower) searchQuestion() NewsQuestion {
 	follower.mutex.Lock()
@@ -222,16 +237,24 @@
 	return question
 }
 
-// pollQuestion is held back by the primary until there is news.
-func (follower *Follower) pollQuestion() NewsQuestion {
+// pollQuestion is held back by the primary until there is news. The first one to a primary
+// is answered at once; it may bring a whole configuration.
+func (follower *Follower) pollQuestion() (NewsQuestion, time.Duration) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	question := follower.question()
+	_, has := follower.drawers[larder.MenuDrawer]
+	switch {
+	case !follower.current && !has:
+		return question, wholePatience
+	case !follower.current:
+		return question, firstPatience
+	}
 	question.Patience = newsWait
 	if follower.loads {
 		question.Patience = loadsWait
 	}
-	return question
+	return question, question.Patience + answerMargin
 }
 
 // question tells what the node has. The caller has the mutex.
@@ -275,6 +298,7 @@
 		follower.drawers[name] = drawer
 	}
 	follower.heard = follower.turns.Now()
+	follower.current = follower.primary != ""
 	news := News{Asked: asked, Answer: answer, Changed: answer.Drawers}
 	follower.takeLists(&news)
 	follower.mutex.Unlock()
--- a/internal/hatch/follower_test.go
+++ b/internal/hatch/follower_test.go
@@ -12,7 +12,6 @@
 	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
 	"seamloom.example/seamloom/internal/trouble"
 )
 
@@ -124,7 +123,7 @@
 // TestFollowerHearsOfAMembershipBeforeItIsNeeded wants a question that is held back to be
 // answered when the membership changes, with the new charter.
 func TestFollowerHearsOfAMembershipBeforeItIsNeeded(t *testing.T) {
-	_, primary := newCore(t, func(turns rota.Turns) rota.Turns { return turns })
+	_, primary := newCore(t, plain)
 	charter := primary.Steward().Charter()
 	known := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier}, Charter: charter.Epoch - 1}
 	if !primary.newerCharter(known) {
@@ -139,3 +138,20 @@
 		t.Error("an older release's question, which tells no charter, is never held back")
 	}
 }
+
+// TestABriefQuestionIsAnsweredWithoutContent asks a primary only whether it leads: nobody is
+// recorded by that, no lease is given, and no configuration goes out.
+func TestABriefQuestionIsAnsweredWithoutContent(t *testing.T) {
+	_, primary := newCore(t, plain)
+	question := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier, Address: "c1"}, Brief: true}
+	answer, err := primary.answerNews(question)
+	if err != nil || !answer.Leads || answer.Charter.Blank() {
+		t.Fatalf("%+v %v", answer, err)
+	}
+	if len(answer.Drawers) > 0 || answer.Hold > 0 {
+		t.Errorf("content or a lease: %+v", answer)
+	}
+	if _, _, state, _ := primary.Read(); len(state.Members) > 0 && state.Members["courier-1"].Name != "" {
+		t.Error("the asker was recorded")
+	}
+}
--- a/internal/hatch/lists_test.go
+++ b/internal/hatch/lists_test.go
@@ -135,7 +135,7 @@
 	if len(heard.Loads) != 1 || heard.Loads[0].Age != 400*time.Millisecond {
 		test.Errorf("the report is %+v", heard.Loads)
 	}
-	if question := follower.pollQuestion(); question.ListMark != 5 || question.LoadsMark != 9 || !question.Lists || !question.Loads {
+	if question, _ := follower.pollQuestion(); question.ListMark != 5 || question.LoadsMark != 9 || !question.Lists || !question.Loads {
 		test.Errorf("asks with %+v", question)
 	}
 	// A confirmation makes it younger; another mark without the list says nothing.
@@ -150,7 +150,7 @@
 		test.Errorf("a list that was not told was taken: %+v", heard.Servers)
 	}
 	follower.ForgetList()
-	if question := follower.pollQuestion(); question.ListMark != 0 {
+	if question, _ := follower.pollQuestion(); question.ListMark != 0 {
 		test.Error("the list is not told anew")
 	}
 }
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -27,6 +27,9 @@
 	ListMark  uint64 `msgpack:"list_mark,omitempty"`
 	Loads     bool   `msgpack:"loads,omitempty"`
 	LoadsMark uint64 `msgpack:"loads_mark,omitempty"`
+	// Brief asks only who leads: the answer has no content and no hold. An older release
+	// answers it in full.
+	Brief bool `msgpack:"brief,omitempty"`
 	// Provisional tells that the node has no configuration in its life and would take
 	// the one of the copies while there is no primary; Wanted is the version that is to
 	// be sent.
--- a/internal/hatch/search.go
+++ b/internal/hatch/search.go
@@ -21,10 +21,14 @@
 	rounds  int
 }
 
-// asking is what is under way to one address.
+// asking is what is under way to one address, and what came of it last.
 type asking struct {
 	calls int
 	since time.Time
+	// epoch is that of the newest charter known when the address was asked last.
+	epoch uint64
+	// answered is when it answered last without leading.
+	answered time.Time
 }
 
 // ledNews is a primary's answer, and when it was asked for.
@@ -44,10 +48,18 @@
 	askAgainPatient = 300 * time.Millisecond
 	eagerRounds     = 30
 	mostAsking      = 3
-	// peersPerRound is how many other couriers are asked in each round after the first
-	// where the core is. The rounds go through all of them in turn.
+	// answeredPause is after how long one that answered without leading is asked again,
+	// and answeredShare is added for each courier: the whole fleet asks the core at once.
+	// One that a newer charter names as primary is asked without a pause.
+	answeredPause = 150 * time.Millisecond
+	answeredShare = time.Millisecond
+	// coreSilence is after how long without any expediter's answer others are asked.
+	coreSilence = 250 * time.Millisecond
+	// peersPerRound is how many other couriers are then asked in each round where the
+	// core is. The rounds go through all of them in turn.
 	peersPerRound = 3
-	// relayRounds is after how many rounds in vain neighbours are asked to relay.
+	// relayRounds is after how many rounds in vain neighbours are asked to relay, if the
+	// primary that the charter names does not answer.
 	relayRounds = 4
 )
 
@@ -56,7 +68,7 @@
 }
 
 // begin notes that an address is asked, unless it was asked just now.
-func (search *search) begin(address string, now time.Time) bool {
+func (search *search) begin(address string, now time.Time, charter larder.Charter, fleet int) bool {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	if address == "" {
@@ -67,22 +79,37 @@
 		current = &asking{}
 		search.asking[address] = current
 	}
-	again := askAgain
-	if search.rounds > eagerRounds {
-		again = askAgainPatient
-	}
-	if current.calls > 0 && now.Sub(current.since) < again || current.calls >= mostAsking {
+	named := charter.Epoch > current.epoch && charter.Primary.Address == address
+	if current.calls >= mostAsking || !named && now.Before(search.due(current, fleet)) {
 		return false
 	}
 	current.calls++
-	current.since = now
+	current.since, current.epoch = now, charter.Epoch
 	return true
 }
 
+// due is when an address may be asked again. The caller has the mutex.
+func (search *search) due(current *asking, fleet int) time.Time {
+	if !current.answered.IsZero() && !current.answered.Before(current.since) {
+		return current.answered.Add(answeredPause + time.Duration(fleet)*answeredShare)
+	}
+	if current.calls == 0 {
+		return time.Time{}
+	}
+	if search.rounds > eagerRounds {
+		return current.since.Add(askAgainPatient)
+	}
+	return current.since.Add(askAgain)
+}
+
 // end notes the end of a call to an address.
 func (search *search) end(address string, asked, now time.Time, answer NewsAnswer, err error) {
 	search.mutex.Lock()
-	search.asking[address].calls--
+	current := search.asking[address]
+	current.calls--
+	if err == nil && !answer.Leads {
+		current.answered = now
+	}
 	search.mutex.Unlock()
 	if err == nil {
 		search.note(address, asked, now, answer)
@@ -90,6 +117,18 @@
 	search.bell.Ring()
 }
 
+// answeredWithin tells whether one of the addresses has answered a moment ago.
+func (search *search) answeredWithin(addresses []string, now time.Time, length time.Duration) bool {
+	search.mutex.Lock()
+	defer search.mutex.Unlock()
+	for _, address := range addresses {
+		if current := search.asking[address]; current != nil && !current.answered.IsZero() && now.Sub(current.answered) <= length {
+			return true
+		}
+	}
+	return false
+}
+
 // note takes an answer: a primary's, or what another says of its copy.
 func (search *search) note(address string, asked, now time.Time, answer NewsAnswer) {
 	search.mutex.Lock()
@@ -143,7 +182,7 @@
 	return follower.provisional && !has
 }
 
-// search looks for the primary until its answer was taken.
+// search looks for the primary until one is known, or its answer was taken by a relay.
 func (follower *Follower) search() {
 	search := newSearch(follower.turns)
 	for follower.turns.Alive() && !follower.searchOnce(search) {
@@ -153,16 +192,23 @@
 // searchOnce makes one round of the search and tells whether it ended it.
 func (follower *Follower) searchOnce(search *search) bool {
 	began := follower.turns.Now()
-	follower.askCore(search)
-	if search.rounds > 0 {
-		follower.askPeers(search)
+	candidates := follower.candidates()
+	question := follower.briefQuestion()
+	for _, address := range candidates {
+		follower.askOne(search, address, question)
+	}
+	if search.rounds > 0 && !search.answeredWithin(candidates, began, coreSilence) {
+		follower.askPeers(search, question)
 	}
 	search.rounds++
-	if search.rounds%relayRounds == 0 {
+	if search.rounds%relayRounds == 0 && !search.answeredWithin([]string{follower.Charter().Primary.Address}, began, coreSilence) {
 		follower.askRelays(search)
 	}
 	follower.awaitRound(search)
-	if leading := search.take(); leading != nil && follower.takeAnswer(leading.asked, leading.answer) {
+	if _, known := follower.knownPrimary(); known {
+		return true
+	}
+	if leading := search.take(); leading != nil && leading.answer.Hold > 0 && follower.takeAnswer(leading.asked, leading.answer) {
 		return true
 	}
 	if follower.lacks() {
@@ -187,18 +233,9 @@
 	})
 }
 
-// askCore asks all addresses that may have an expediter.
-func (follower *Follower) askCore(search *search) {
-	question := follower.searchQuestion()
-	for _, address := range follower.candidates() {
-		follower.askOne(search, address, question)
-	}
-}
-
 // askPeers asks a few couriers, others in each round: one that has followed the core
 // longer knows who belongs to it now.
-func (follower *Follower) askPeers(search *search) {
-	question := follower.searchQuestion()
+func (follower *Follower) askPeers(search *search, question NewsQuestion) {
 	question.Provisional = false
 	follower.mutex.Lock()
 	peers := follower.peers
@@ -211,7 +248,10 @@
 
 // askOne asks an address in a thread of its own, unless it was asked just now.
 func (follower *Follower) askOne(search *search, address string, question NewsQuestion) {
-	if !search.begin(address, follower.turns.Now()) {
+	follower.mutex.Lock()
+	charter, fleet := follower.charter, len(follower.peers)
+	follower.mutex.Unlock()
+	if !search.begin(address, follower.turns.Now(), charter, fleet) {
 		return
 	}
 	follower.turns.Go(func() {
@@ -264,7 +304,7 @@
 	question.Wanted = version
 	asked := follower.turns.Now()
 	var answer NewsAnswer
-	if err := Call(follower.line, address, NewsPath, question, &answer, searchPatience); err != nil {
+	if err := Call(follower.line, address, NewsPath, question, &answer, firstPatience); err != nil {
 		return
 	}
 	if answer.Leads {
