--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -28,11 +28,9 @@
 
 // ledger is what servers did, by the id of each call.
 type ledger struct {
-	mutex  sync.Mutex
-	ran    map[string]int
-	began  map[string]bool
-	wrong  []string
-	readAt map[string]string
+	mutex sync.Mutex
+	ran   map[string]int
+	wrong []string
 }
 
 func (ledger *ledger) run(id string) {
--- a/internal/hatch/loadsnews.go
+++ b/internal/hatch/loadsnews.go
@@ -16,7 +16,8 @@
 // loadReport is one server's report, as short as it can be: three times a second it
 // goes to every courier.
 type loadReport struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // The encoder reads the tag.
+	//lint:ignore U1000 The encoder reads the tag.
+	_msgpack struct{} `msgpack:",as_array"`
 
 	Server      string
 	Part        string
--- a/internal/rehearsal/platformday/keptparts.go
+++ b/internal/rehearsal/platformday/keptparts.go
@@ -56,17 +56,6 @@
 	return tokens
 }
 
-// places is how much room the missing parts need.
-func (memory *keptParts) places(model string, chain []part) int {
-	places := 0
-	for position, name := range chainNames(model, chain) {
-		if memory.parts[name] == nil {
-			places += memory.rounded(chain[position].tokens)
-		}
-	}
-	return places
-}
-
 // pinned is what can't give way.
 func (memory *keptParts) pinned() int {
 	pinned := memory.fixed
--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -41,7 +41,6 @@
 	// turning: an order is in progress.
 	turning   bool
 	orders    int
-	fence     uint64
 	revision  int
 	draining  bool
 	coldUntil time.Time
--- a/internal/rehearsal/platformday/passthrough_test.go
+++ b/internal/rehearsal/platformday/passthrough_test.go
@@ -26,7 +26,6 @@
 	mutex   sync.Mutex
 	current map[string]any
 	text    []byte
-	base    string
 	servers []serverPage
 	turn    atomic.Int64
 }
--- a/internal/window/world_test.go
+++ b/internal/window/world_test.go
@@ -212,7 +212,6 @@
 	last     time.Time
 	longest  time.Duration
 	tokens   int
-	priority int
 	first    func()
 	ended    func(Result)
 	gone     bool
