--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -19,9 +19,9 @@
 			"Settings come from a JSON file (--settings) and from flags, which go over it.\n" +
 			"SIGTERM drains and ends; SIGHUP reads the settings again."}
 	root.AddCommand(serveCommand(), streamCommand())
-	if failure := root.Execute(); failure != nil {
-		program.Explain(os.Stderr, failure)
-		os.Exit(program.ExitCode(failure))
+	if err := root.Execute(); err != nil {
+		program.Explain(os.Stderr, err)
+		os.Exit(program.ExitCode(err))
 	}
 }
 
@@ -38,9 +38,9 @@
 		}
 		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := courier.Start(chosen, logger, wallclock.New(), courier.Ports{})
-		if failure != nil {
-			return failure
+		process, err := courier.Start(chosen, logger, wallclock.New(), courier.Ports{})
+		if err != nil {
+			return err
 		}
 		if !signals.Wait(process.Dead(), flags.File(), func() { reload(flags, process) }) {
 			logger.Error("ended_by_itself")
--- a/cmd/courier/stream.go
+++ b/cmd/courier/stream.go
@@ -40,16 +40,16 @@
 			continue
 		}
 		var event seamloom.Event
-		if failure := json.Unmarshal(lines.Bytes(), &event); failure != nil {
-			return trouble.At(trouble.Malformed, "standard input", failure.Error())
+		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
+			return trouble.At(trouble.Malformed, "standard input", err.Error())
 		}
 		for _, decision := range core.Apply(event) {
-			if failure := encoder.Encode(decision); failure != nil {
-				return trouble.Wrap(trouble.Unreachable, failure)
+			if err := encoder.Encode(decision); err != nil {
+				return trouble.Wrap(trouble.Unreachable, err)
 			}
 		}
-		if failure := written.Flush(); failure != nil {
-			return trouble.Wrap(trouble.Unreachable, failure)
+		if err := written.Flush(); err != nil {
+			return trouble.Wrap(trouble.Unreachable, err)
 		}
 	}
 	return trouble.Wrap(trouble.Malformed, lines.Err())
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -19,12 +19,12 @@
 			"The other subcommands speak to any expediter (--to) and read or change the fleet."}
 	root.AddCommand(serveCommand())
 	root.AddCommand(operatorCommands()...)
-	if failure := root.Execute(); failure != nil {
-		code := program.ExitCode(failure)
-		if coded, found := failure.(*operatorTrouble); found {
+	if err := root.Execute(); err != nil {
+		code := program.ExitCode(err)
+		if coded, found := err.(*operatorTrouble); found {
 			code = coded.code
 		} else {
-			program.Explain(os.Stderr, failure)
+			program.Explain(os.Stderr, err)
 		}
 		os.Exit(code)
 	}
@@ -44,9 +44,9 @@
 		}
 		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
-		if failure != nil {
-			return failure
+		process, err := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
+		if err != nil {
+			return err
 		}
 		if !signals.Wait(process.Dead(), flags.File(), func() {
 			next, mistakes := flags.Read()
--- a/cmd/expediter/operator.go
+++ b/cmd/expediter/operator.go
@@ -24,7 +24,7 @@
 	said string
 }
 
-func (failure *operatorTrouble) Error() string { return failure.said }
+func (err *operatorTrouble) Error() string { return err.said }
 
 // operator speaks to one of the expediters.
 type operator struct {
@@ -55,9 +55,9 @@
 	}
 	evacuate := subcommand("evacuate DISTRICT", "keep new work out of a zone's servers", cobra.ExactArgs(1), func(operator *operator, command *cobra.Command, arguments []string) error {
 		reason, _ := command.Flags().GetString("reason")
-		body, failure := json.Marshal(map[string]string{"reason": reason})
-		if failure != nil {
-			return trouble.Wrap(trouble.Malformed, failure)
+		body, err := json.Marshal(map[string]string{"reason": reason})
+		if err != nil {
+			return trouble.Wrap(trouble.Malformed, err)
 		}
 		return operator.call(http.MethodPost, "/v1/evacuations/"+url.PathEscape(arguments[0]), newChange(), body)
 	})
@@ -95,14 +95,14 @@
 
 func (operator *operator) change(command *cobra.Command, method, path string) error {
 	var body []byte
-	var failure error
+	var err error
 	if path == "-" {
-		body, failure = io.ReadAll(os.Stdin)
+		body, err = io.ReadAll(os.Stdin)
 	} else {
-		body, failure = os.ReadFile(path)
+		body, err = os.ReadFile(path)
 	}
-	if failure != nil {
-		return trouble.At(trouble.Missing, path, failure.Error())
+	if err != nil {
+		return trouble.At(trouble.Missing, path, err.Error())
 	}
 	if revision, _ := command.Flags().GetInt64("builds-on"); revision >= 0 {
 		// Its content is its id: sent again, it is the same change.
@@ -114,14 +114,14 @@
 	}
 	expected, _ := command.Flags().GetString("expected")
 	if expected == "" {
-		answered, failure := operator.ask(http.MethodGet, "/v1/configuration", nil, nil)
-		if failure != nil {
-			return failure
+		answered, err := operator.ask(http.MethodGet, "/v1/configuration", nil, nil)
+		if err != nil {
+			return err
 		}
 		var current struct {
 			Version string `json:"version"`
 		}
-		if failure := json.Unmarshal(answered.body, &current); failure != nil || current.Version == "" {
+		if err := json.Unmarshal(answered.body, &current); err != nil || current.Version == "" {
 			return operator.show(answered)
 		}
 		expected = current.Version
@@ -140,13 +140,13 @@
 func (operator *operator) ask(method, path string, query url.Values, body []byte) (answered, error) {
 	last := "no address"
 	for _, address := range operator.addresses {
-		outbound, failure := http.NewRequest(method, "http://"+address+path+"?"+query.Encode(), bytes.NewReader(body))
-		if failure != nil {
-			return answered{}, trouble.Wrap(trouble.Malformed, failure)
+		outbound, err := http.NewRequest(method, "http://"+address+path+"?"+query.Encode(), bytes.NewReader(body))
+		if err != nil {
+			return answered{}, trouble.Wrap(trouble.Malformed, err)
 		}
-		inbound, failure := operator.client.Do(outbound)
-		if failure != nil {
-			last = failure.Error()
+		inbound, err := operator.client.Do(outbound)
+		if err != nil {
+			last = err.Error()
 			if method == http.MethodGet || strings.Contains(last, "connection refused") {
 				continue
 			}
@@ -156,10 +156,10 @@
 			}
 			return answered{}, &operatorTrouble{code: 3, said: printed("the outcome is unknown: " + last + how)}
 		}
-		content, failure := io.ReadAll(inbound.Body)
+		content, err := io.ReadAll(inbound.Body)
 		_ = inbound.Body.Close()
-		if failure != nil {
-			return answered{}, &operatorTrouble{code: 3, said: printed("the answer broke off: " + failure.Error())}
+		if err != nil {
+			return answered{}, &operatorTrouble{code: 3, said: printed("the answer broke off: " + err.Error())}
 		}
 		return answered{status: inbound.StatusCode, body: content}, nil
 	}
@@ -172,9 +172,9 @@
 }
 
 func (operator *operator) call(method, path string, query url.Values, body []byte) error {
-	answered, failure := operator.ask(method, path, query, body)
-	if failure != nil {
-		return failure
+	answered, err := operator.ask(method, path, query, body)
+	if err != nil {
+		return err
 	}
 	return operator.show(answered)
 }
--- a/cmd/expediter/status.go
+++ b/cmd/expediter/status.go
@@ -37,9 +37,9 @@
 // showStatus prints the status for people, with a line for each thing that wants
 // looking at.
 func (operator *operator) showStatus(asJSON bool) error {
-	answered, failure := operator.ask(http.MethodGet, "/v1/status", nil, nil)
-	if failure != nil {
-		return failure
+	answered, err := operator.ask(http.MethodGet, "/v1/status", nil, nil)
+	if err != nil {
+		return err
 	}
 	var status statusAnswer
 	if asJSON || answered.status != http.StatusOK || json.Unmarshal(answered.body, &status) != nil {
--- a/cmd/expediter/usage.go
+++ b/cmd/expediter/usage.go
@@ -23,17 +23,17 @@
 		default:
 			return trouble.At(trouble.OutOfRange, "format", "is csv or parquet, not \""+format+"\"")
 		}
-		rows, failure := operator.usage()
-		if failure != nil {
-			return failure
+		rows, err := operator.usage()
+		if err != nil {
+			return err
 		}
-		file, failure := os.Create(arguments[0])
-		if failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		file, err := os.Create(arguments[0])
+		if err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
-		if failure := write(file, rows); failure != nil {
+		if err := write(file, rows); err != nil {
 			_ = file.Close()
-			return failure
+			return err
 		}
 		return trouble.Wrap(trouble.Disk, file.Close())
 	})
@@ -42,9 +42,9 @@
 }
 
 func (operator *operator) usage() ([]usage.Row, error) {
-	answered, failure := operator.ask(http.MethodGet, "/v1/status", nil, nil)
-	if failure != nil {
-		return nil, failure
+	answered, err := operator.ask(http.MethodGet, "/v1/status", nil, nil)
+	if err != nil {
+		return nil, err
 	}
 	if answered.status != http.StatusOK {
 		return nil, operator.show(answered)
@@ -56,24 +56,24 @@
 			Running bool   `json:"running"`
 		} `json:"members"`
 	}
-	if failure := json.Unmarshal(answered.body, &status); failure != nil {
-		return nil, trouble.Wrap(trouble.Garbage, failure)
+	if err := json.Unmarshal(answered.body, &status); err != nil {
+		return nil, trouble.Wrap(trouble.Garbage, err)
 	}
 	var all []usage.Row
 	for name, member := range status.Members {
 		if member.Kind != "courier" || !member.Running {
 			continue
 		}
-		inbound, failure := operator.client.Get("http://" + member.Address + "/v1/usage")
-		if failure != nil {
-			printed(name + " did not tell its usage: " + failure.Error())
+		inbound, err := operator.client.Get("http://" + member.Address + "/v1/usage")
+		if err != nil {
+			printed(name + " did not tell its usage: " + err.Error())
 			continue
 		}
 		var rows []usage.Row
-		failure = json.NewDecoder(inbound.Body).Decode(&rows)
+		err = json.NewDecoder(inbound.Body).Decode(&rows)
 		_ = inbound.Body.Close()
-		if failure != nil {
-			return nil, trouble.Wrap(trouble.Garbage, failure)
+		if err != nil {
+			return nil, trouble.Wrap(trouble.Garbage, err)
 		}
 		all = append(all, rows...)
 	}
--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -31,13 +31,13 @@
 	deploy := set.String("deploy", "deploy/system.toml", "the deploy file")
 	quiet := set.Bool("quiet", false, "don't say what is measured at the moment")
 	command.RunE = func(*cobra.Command, []string) error {
-		var failure error
-		if plan.Sizes, failure = readSizes(*sizes); failure != nil {
-			return failure
+		var err error
+		if plan.Sizes, err = readSizes(*sizes); err != nil {
+			return err
 		}
-		stands, failure := readSizes(*base)
-		if failure != nil {
-			return failure
+		stands, err := readSizes(*base)
+		if err != nil {
+			return err
 		}
 		plan.Base = capacity.Sized{}
 		for dimension, sizes := range stands {
@@ -57,9 +57,9 @@
 			activities = append(activities, capacity.FleetActivities(binaries)...)
 		}
 		if *platform != "" {
-			roles, failure := platformday.ReadRoles(*deploy, *platform)
-			if failure != nil {
-				return mistaken{failure}
+			roles, err := platformday.ReadRoles(*deploy, *platform)
+			if err != nil {
+				return mistaken{err}
 			}
 			activities = append(activities, capacity.PlatformActivities(roles)...)
 		}
@@ -84,8 +84,8 @@
 			return nil, trouble.New(trouble.NoSuch, "no dimension "+name)
 		}
 		for _, entry := range strings.Split(list, ",") {
-			size, failure := strconv.Atoi(entry)
-			if failure != nil || size < 1 {
+			size, err := strconv.Atoi(entry)
+			if err != nil || size < 1 {
 				return nil, trouble.At(trouble.OutOfRange, name, "needs sizes such as 10,30")
 			}
 			sizes[capacity.Dimension(name)] = append(sizes[capacity.Dimension(name)], size)
@@ -95,20 +95,20 @@
 }
 
 func saveCapacity(folder string, readings []capacity.Reading, fits []capacity.Fit) error {
-	if failure := os.MkdirAll(folder, 0o755); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
-	file, failure := os.Create(filepath.Join(folder, "readings.csv"))
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	file, err := os.Create(filepath.Join(folder, "readings.csv"))
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	defer func() { _ = file.Close() }()
-	if failure := capacity.WriteCSV(file, readings); failure != nil {
-		return failure
+	if err := capacity.WriteCSV(file, readings); err != nil {
+		return err
 	}
 	for _, fit := range fits {
-		if failure := fit.Plot(readings, folder); failure != nil {
-			return failure
+		if err := fit.Plot(readings, folder); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/cmd/rehearsal/each.go
+++ b/cmd/rehearsal/each.go
@@ -23,9 +23,9 @@
 	command.Flags().DurationVar(&chosen.length, "length", 20*time.Second, "how long each day is")
 	parallel := command.Flags().Int("parallel", 1, "how many fleets run at once")
 	command.RunE = func(*cobra.Command, []string) error {
-		base, failure := os.MkdirTemp("", "each-")
-		if failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		base, err := os.MkdirTemp("", "each-")
+		if err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 		var names []string
 		for _, name := range rehearsal.FaultNames() {
@@ -48,13 +48,13 @@
 					}
 					today := *chosen
 					today.faults, today.folder = names[number], filepath.Join(base, names[number])
-					verdict, failure := today.run(io.Discard)
+					verdict, err := today.run(io.Discard)
 					mutex.Lock()
 					floor := rehearsal.FloorOf(names[number])
-					if failure != nil || verdict.Violations() > 0 || verdict.Share < floor {
+					if err != nil || verdict.Violations() > 0 || verdict.Share < floor {
 						failed++
 					}
-					fmt.Printf("| %s | %s | %.3f | %.2f | %s | %d | %v |\n", chosen.deployment, names[number], verdict.Share, floor, verdict.Gap.Round(10*time.Millisecond), verdict.Violations(), failure)
+					fmt.Printf("| %s | %s | %.3f | %.2f | %s | %d | %v |\n", chosen.deployment, names[number], verdict.Share, floor, verdict.Gap.Round(10*time.Millisecond), verdict.Violations(), err)
 					if verdict.Violations() > 0 {
 						fmt.Print(verdict)
 					}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -46,10 +46,10 @@
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
-	if failure := root.Execute(); failure != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", failure)
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", err)
 		var mistaken mistaken
-		if errors.As(failure, &mistaken) {
+		if errors.As(err, &mistaken) {
 			os.Exit(2)
 		}
 		os.Exit(1)
@@ -83,21 +83,21 @@
 		deployment.Servers = chosen.servers
 	}
 	if chosen.folder == "" {
-		folder, failure := os.MkdirTemp("", "rehearsal-")
-		if failure != nil {
-			return nil, trouble.Wrap(trouble.Disk, failure)
+		folder, err := os.MkdirTemp("", "rehearsal-")
+		if err != nil {
+			return nil, trouble.Wrap(trouble.Disk, err)
 		}
 		chosen.folder = folder
-	} else if failure := os.MkdirAll(chosen.folder, 0o755); failure != nil {
-		return nil, trouble.Wrap(trouble.Disk, failure)
+	} else if err := os.MkdirAll(chosen.folder, 0o755); err != nil {
+		return nil, trouble.Wrap(trouble.Disk, err)
 	}
-	fleet, failure := rehearsal.NewFleet(deployment, chosen.folder, chosen.binaries, map[string]any{"market": chosen.market})
-	if failure != nil {
-		return nil, failure
+	fleet, err := rehearsal.NewFleet(deployment, chosen.folder, chosen.binaries, map[string]any{"market": chosen.market})
+	if err != nil {
+		return nil, err
 	}
 	if chosen.linked {
-		if failure := fleet.LinkNodes(); failure != nil {
-			return nil, failure
+		if err := fleet.LinkNodes(); err != nil {
+			return nil, err
 		}
 	}
 	if chosen.staged {
@@ -107,9 +107,9 @@
 		fleet.Mix(chosen.older)
 	}
 	began := time.Now()
-	if failure := fleet.Begin(30 * time.Second); failure != nil {
+	if err := fleet.Begin(30 * time.Second); err != nil {
 		fleet.Close()
-		return nil, failure
+		return nil, err
 	}
 	_, _ = fmt.Fprintf(os.Stderr, "the fleet was ready in %s\n", time.Since(began).Round(time.Millisecond))
 	return fleet, nil
@@ -126,15 +126,15 @@
 	configured := command.Flags().Bool("configured", true, "put the deployment's first configuration")
 	load := command.Flags().Bool("load", false, "let callers send inquiries")
 	command.RunE = func(*cobra.Command, []string) error {
-		fleet, failure := chosen.start()
-		if failure != nil {
-			return failure
+		fleet, err := chosen.start()
+		if err != nil {
+			return err
 		}
 		defer fleet.Close()
 		day := rehearsal.NewDay(fleet, chosen.seed, os.Stderr)
 		if *configured {
-			if failure := day.Open(); failure != nil {
-				return failure
+			if err := day.Open(); err != nil {
+				return err
 			}
 		}
 		fmt.Print(fleet.Describe())
@@ -162,14 +162,14 @@
 	command.Flags().Float64Var(&chosen.once, "once", 0.3, "the share of inquiries that may not be repeated")
 	command.Flags().BoolVar(&chosen.asJSON, "json", false, "print the verdict as JSON")
 	command.RunE = func(*cobra.Command, []string) error {
-		verdict, failure := chosen.run(os.Stderr)
-		if failure != nil {
-			return failure
+		verdict, err := chosen.run(os.Stderr)
+		if err != nil {
+			return err
 		}
 		if chosen.asJSON {
-			encoded, failure := json.MarshalIndent(verdict, "", "  ")
-			if failure != nil {
-				return trouble.Wrap(trouble.Malformed, failure)
+			encoded, err := json.MarshalIndent(verdict, "", "  ")
+			if err != nil {
+				return trouble.Wrap(trouble.Malformed, err)
 			}
 			fmt.Println(string(encoded))
 		} else {
@@ -206,16 +206,16 @@
 		chosen.linked = chosen.linked || fault.Links
 		chosen.staged = chosen.staged || fault.Staged
 	}
-	fleet, failure := chosen.start()
-	if failure != nil {
-		return verdict, failure
+	fleet, err := chosen.start()
+	if err != nil {
+		return verdict, err
 	}
 	defer fleet.Close()
 	day := rehearsal.NewDay(fleet, chosen.seed, log)
 	day.Long, day.Short = chosen.long, chosen.short
 	day.Callers.Once = chosen.once
-	if failure := day.Open(); failure != nil {
-		return verdict, failure
+	if err := day.Open(); err != nil {
+		return verdict, err
 	}
 	lifetime, end := interrupted()
 	defer end()
--- a/cmd/rehearsal/platformday.go
+++ b/cmd/rehearsal/platformday.go
@@ -43,19 +43,19 @@
 		if mistakes != nil {
 			return mistaken{mistakes}
 		}
-		roles, failure := platformday.ReadRoles(deploy, binaries)
-		if failure != nil {
-			return mistaken{failure}
+		roles, err := platformday.ReadRoles(deploy, binaries)
+		if err != nil {
+			return mistaken{err}
 		}
 		if folder == "" {
-			if folder, failure = os.MkdirTemp("", "platform-day-"); failure != nil {
-				return trouble.Wrap(trouble.Disk, failure)
+			if folder, err = os.MkdirTemp("", "platform-day-"); err != nil {
+				return trouble.Wrap(trouble.Disk, err)
 			}
-		} else if failure := os.MkdirAll(folder, 0o755); failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		} else if err := os.MkdirAll(folder, 0o755); err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
-		_, failure = playPlatformDay(plan, roles, folder)
-		return failure
+		_, err = playPlatformDay(plan, roles, folder)
+		return err
 	}
 	return command
 }
@@ -74,13 +74,13 @@
 	command.Flags().IntVar(&count, "count", 5, "how many days")
 	command.Flags().IntVar(&faults, "faults", 5, "how many faults a day has")
 	command.RunE = func(*cobra.Command, []string) error {
-		roles, failure := platformday.ReadRoles(deploy, binaries)
-		if failure != nil {
-			return mistaken{failure}
+		roles, err := platformday.ReadRoles(deploy, binaries)
+		if err != nil {
+			return mistaken{err}
 		}
 		if folder == "" {
-			if folder, failure = os.MkdirTemp("", "platform-days-"); failure != nil {
-				return trouble.Wrap(trouble.Disk, failure)
+			if folder, err = os.MkdirTemp("", "platform-days-"); err != nil {
+				return trouble.Wrap(trouble.Disk, err)
 			}
 		}
 		failed := 0
@@ -99,21 +99,21 @@
 
 // playDrawnDay plays one day and keeps its folder when it fails.
 func playDrawnDay(plan platformday.Plan, roles []platformday.Role, folder string) bool {
-	if failure := os.MkdirAll(folder, 0o755); failure != nil {
-		fmt.Println(failure)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		fmt.Println(err)
 		return false
 	}
-	text, failure := plan.Text()
-	if failure == nil {
-		failure = os.WriteFile(filepath.Join(folder, "day.toml"), []byte(text), 0o644)
+	text, err := plan.Text()
+	if err == nil {
+		err = os.WriteFile(filepath.Join(folder, "day.toml"), []byte(text), 0o644)
 	}
-	if failure != nil {
-		fmt.Println(failure)
+	if err != nil {
+		fmt.Println(err)
 		return false
 	}
-	verdict, failure := playPlatformDay(plan, roles, folder)
-	if failure != nil {
-		fmt.Printf("seed %d FAILED (%s): %s\n  replay: rehearsal platform-day %s\n", plan.Seed, plan.Title(), failure, filepath.Join(folder, "day.toml"))
+	verdict, err := playPlatformDay(plan, roles, folder)
+	if err != nil {
+		fmt.Printf("seed %d FAILED (%s): %s\n  replay: rehearsal platform-day %s\n", plan.Seed, plan.Title(), err, filepath.Join(folder, "day.toml"))
 		return false
 	}
 	fmt.Printf("seed %d held, served %.3f (%s)\n", plan.Seed, verdict.Figures.Served(), plan.Title())
@@ -122,24 +122,24 @@
 }
 
 func playPlatformDay(plan platformday.Plan, roles []platformday.Role, folder string) (platformday.Verdict, error) {
-	day, failure := platformday.NewDay(platformday.SmallSite(), roles, plan.Seed, folder, os.Stderr)
-	if failure != nil {
-		return platformday.Verdict{}, failure
+	day, err := platformday.NewDay(platformday.SmallSite(), roles, plan.Seed, folder, os.Stderr)
+	if err != nil {
+		return platformday.Verdict{}, err
 	}
 	defer day.Close()
-	if failure := day.Begin(40 * time.Second); failure != nil {
-		return platformday.Verdict{}, failure
+	if err := day.Begin(40 * time.Second); err != nil {
+		return platformday.Verdict{}, err
 	}
 	verdict := day.Run(plan)
 	fmt.Print(verdict)
-	text, failure := json.MarshalIndent(verdict, "", "  ")
-	if failure != nil {
-		return verdict, trouble.Wrap(trouble.Malformed, failure)
+	text, err := json.MarshalIndent(verdict, "", "  ")
+	if err != nil {
+		return verdict, trouble.Wrap(trouble.Malformed, err)
 	}
-	failure = multierr.Combine(os.WriteFile(filepath.Join(folder, "verdict.json"), text, 0o644), os.WriteFile(filepath.Join(folder, "verdict.txt"), []byte(verdict.String()), 0o644),
+	err = multierr.Combine(os.WriteFile(filepath.Join(folder, "verdict.json"), text, 0o644), os.WriteFile(filepath.Join(folder, "verdict.txt"), []byte(verdict.String()), 0o644),
 		day.Book.Save(filepath.Join(folder, "book.jsonl")), verdict.Figures.Plot(folder, platformday.Marks(day.Book.Events())))
-	if failure != nil {
-		return verdict, trouble.Wrap(trouble.Disk, failure)
+	if err != nil {
+		return verdict, trouble.Wrap(trouble.Disk, err)
 	}
 	fmt.Printf("report, logs and plots are in %s\n", folder)
 	if names := day.Crashed(); len(names) > 0 {
--- a/cmd/rehearsal/removals.go
+++ b/cmd/rehearsal/removals.go
@@ -31,13 +31,13 @@
 	match := command.Flags().String("match", "", "only removals whose name matches this expression")
 	source := command.Flags().String("source", ".", "the folder of the source")
 	command.RunE = func(*cobra.Command, []string) error {
-		chosen, failure := regexp.Compile(*match)
-		if failure != nil {
-			return trouble.Wrap(trouble.Malformed, failure)
+		chosen, err := regexp.Compile(*match)
+		if err != nil {
+			return trouble.Wrap(trouble.Malformed, err)
 		}
-		scratch, failure := os.MkdirTemp("", "removals-")
-		if failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		scratch, err := os.MkdirTemp("", "removals-")
+		if err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 		defer func() { _ = os.RemoveAll(scratch) }()
 		failed := 0
@@ -45,10 +45,10 @@
 			if !chosen.MatchString(removal.Name) {
 				continue
 			}
-			said, failure := tryRemoval(removal, *source, filepath.Join(scratch, fmt.Sprint(number)))
-			if failure != nil {
+			said, err := tryRemoval(removal, *source, filepath.Join(scratch, fmt.Sprint(number)))
+			if err != nil {
 				failed++
-				text := failure.Error()
+				text := err.Error()
 				said = "NOT SEEN: " + text[:min(len(text), 400)]
 			}
 			fmt.Printf("%-66s | %-44s | %s\n", removal.Name, removal.Never, said)
@@ -63,19 +63,19 @@
 
 // tryRemoval tells how the test saw the removal.
 func tryRemoval(removal removals.Removal, source, folder string) (string, error) {
-	if failure := os.CopyFS(folder, os.DirFS(source)); failure != nil {
-		return "", trouble.Wrap(trouble.Disk, failure)
+	if err := os.CopyFS(folder, os.DirFS(source)); err != nil {
+		return "", trouble.Wrap(trouble.Disk, err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	if failure := removal.Apply(folder); failure != nil {
-		return "", failure
+	if err := removal.Apply(folder); err != nil {
+		return "", err
 	}
-	if output, failure := runIn(folder, "go", "vet", "./internal/hatch", "./internal/larder", "./internal/pass", "./internal/rota", "./internal/adapters/..."); failure != nil {
+	if output, err := runIn(folder, "go", "vet", "./internal/hatch", "./internal/larder", "./internal/pass", "./internal/rota", "./internal/adapters/..."); err != nil {
 		return "", trouble.New(trouble.Malformed, "without it the source does not build: "+output)
 	}
 	if !removal.Worlds {
-		output, failure := runIn(folder, "go", "test", "-count=1", "-run", "^("+removal.Test+")", removal.Package)
-		if failure == nil {
+		output, err := runIn(folder, "go", "test", "-count=1", "-run", "^("+removal.Test+")", removal.Package)
+		if err == nil {
 			return "", trouble.New(trouble.Missing, removal.Test+" passes without it")
 		}
 		if !strings.Contains(output, "--- FAIL: "+removal.Test) {
@@ -84,9 +84,9 @@
 		return removal.Test + " fails", nil
 	}
 	arguments := append([]string{"run", "./cmd/rehearsal", "worlds", "--from", "1", "--count", "600", "--until-broken", removal.Finds}, removal.Flags...)
-	output, failure := runIn(folder, "go", arguments...)
+	output, err := runIn(folder, "go", arguments...)
 	found := regexp.MustCompile(`after (\d+) days seed (\d+) FAILED`).FindStringSubmatch(output)
-	if failure == nil || found == nil {
+	if err == nil || found == nil {
 		return "", trouble.New(trouble.Missing, "no simulated day fails without it")
 	}
 	return fmt.Sprintf("worlds: seed %s fails, after %s days", found[2], found[1]), nil
@@ -99,6 +99,6 @@
 	command.Dir = folder
 	var output bytes.Buffer
 	command.Stdout, command.Stderr = &output, &output
-	failure := command.Run()
-	return output.String(), failure
+	err := command.Run()
+	return output.String(), err
 }
--- a/cmd/rehearsal/season.go
+++ b/cmd/rehearsal/season.go
@@ -46,9 +46,9 @@
 	command.RunE = func(*cobra.Command, []string) error {
 		base := chosen.folder
 		if base == "" {
-			folder, failure := os.MkdirTemp("", "season-")
-			if failure != nil {
-				return trouble.Wrap(trouble.Disk, failure)
+			folder, err := os.MkdirTemp("", "season-")
+			if err != nil {
+				return trouble.Wrap(trouble.Disk, err)
 			}
 			base = folder
 		}
@@ -59,11 +59,11 @@
 			today.seed, today.faults, today.closing = seed, strings.Join(names, ","), closing
 			today.folder = filepath.Join(base, fmt.Sprintf("%s-%d", chosen.deployment, seed))
 			today.length = time.Duration(len(names)+1) * 11 * time.Second
-			verdict, failure := today.run(os.Stderr)
+			verdict, err := today.run(os.Stderr)
 			line := fmt.Sprintf("seed %d %s then %s: ", seed, today.faults, closing)
 			switch {
-			case failure != nil:
-				line += failure.Error()
+			case err != nil:
+				line += err.Error()
 				failed++
 			case verdict.Violations() > 0 || verdict.Share < *floor:
 				line += fmt.Sprintf("FAILED, %d violations, complete %.3f\n%s", verdict.Violations(), verdict.Share, verdict)
--- a/cmd/rehearsal/stage.go
+++ b/cmd/rehearsal/stage.go
@@ -30,18 +30,18 @@
 		faults := func() rehearsal.NodeFaults { return rehearsal.ReadNodeFaults(*path) }
 		clock := wallclock.Over(func() time.Time { return time.Now().Add(faults().Jump) })
 		if kind == roster.Courier {
-			process, failure := courier.Start(chosen, logger, clock, courier.Ports{})
-			if failure != nil {
-				return failure
+			process, err := courier.Start(chosen, logger, clock, courier.Ports{})
+			if err != nil {
+				return err
 			}
 			if program.Wait(process.Dead(), func() {}) {
 				return process.Drain(10 * time.Second)
 			}
 			return trouble.New(trouble.Unsorted, "ended by itself")
 		}
-		process, failure := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock, expediter.Ports{})
-		if failure != nil {
-			return failure
+		process, err := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock, expediter.Ports{})
+		if err != nil {
+			return err
 		}
 		if program.Wait(process.Dead(), func() {
 			if next, mistakes := flags.Read(); mistakes == nil {
--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -49,8 +49,8 @@
 			fleet.Log = func(line string) { fmt.Println(line) }
 			result := fleet.Run(campaign.Day)
 			if *book != "" {
-				if failure := fleet.Book.Save(*book); failure != nil {
-					return failure
+				if err := fleet.Book.Save(*book); err != nil {
+					return err
 				}
 			}
 			fmt.Printf("%swhole at the end: %v, digest %s\n", result.Verdict, result.Whole, fleet.Trace())
--- a/cmd/taster/main.go
+++ b/cmd/taster/main.go
@@ -75,8 +75,8 @@
 	root.Flags().BoolVar(&taster.asPatch, "patch", false, "FILE is a merge patch (RFC 7396) for the configuration in force")
 	root.Flags().BoolVar(&taster.asJSON, "json", false, "print JSON")
 	root.Flags().StringVar(&taster.expected, "expected", "", "the version that the proposal was written for")
-	if failure := root.Execute(); failure != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "taster:", failure)
+	if err := root.Execute(); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "taster:", err)
 		os.Exit(wrongUse)
 	}
 	os.Exit(code)
@@ -119,37 +119,37 @@
 
 func (taster *taster) check(path string) (int, report) {
 	var text []byte
-	var failure error
+	var err error
 	if path == "-" {
-		text, failure = io.ReadAll(os.Stdin)
+		text, err = io.ReadAll(os.Stdin)
 	} else {
-		text, failure = os.ReadFile(path)
+		text, err = os.ReadFile(path)
 	}
-	if failure == nil {
-		failure = fastjson.ValidateBytes(text)
+	if err == nil {
+		err = fastjson.ValidateBytes(text)
 	}
-	if failure != nil {
-		return malformed, report{Result: "malformed", Detail: failure.Error(), Remarks: []menu.Remark{{Level: menu.ErrorLevel, Trouble: *trouble.At(trouble.Malformed, "/", failure.Error())}}}
+	if err != nil {
+		return malformed, report{Result: "malformed", Detail: err.Error(), Remarks: []menu.Remark{{Level: menu.ErrorLevel, Trouble: *trouble.At(trouble.Malformed, "/", err.Error())}}}
 	}
 	var before current
 	var fleet status
-	if failure := taster.read("/v1/configuration", &before); failure != nil {
-		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	if err := taster.read("/v1/configuration", &before); err != nil {
+		return unreachable, report{Result: "unreachable", Detail: err.Error()}
 	}
-	if failure := taster.read("/v1/status", &fleet); failure != nil {
-		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	if err := taster.read("/v1/status", &fleet); err != nil {
+		return unreachable, report{Result: "unreachable", Detail: err.Error()}
 	}
 	if taster.asPatch {
-		if text, failure = menu.Merge(before.Configuration, text); failure != nil {
-			return malformed, report{Result: "malformed", Detail: failure.Error(), Version: before.Version}
+		if text, err = menu.Merge(before.Configuration, text); err != nil {
+			return malformed, report{Result: "malformed", Detail: err.Error(), Version: before.Version}
 		}
 	}
 	inForce, _ := menu.Check(before.Configuration)
 	said := report{Result: "fine", Version: before.Version, Remarks: menu.Taste(text, inForce, taster.facts(fleet))}
 	// What was checked against must still be in force when the answer is given.
 	var after current
-	if failure := taster.read("/v1/configuration", &after); failure != nil {
-		return unreachable, report{Result: "unreachable", Detail: failure.Error()}
+	if err := taster.read("/v1/configuration", &after); err != nil {
+		return unreachable, report{Result: "unreachable", Detail: err.Error()}
 	}
 	if after.Version != before.Version || (taster.expected != "" && taster.expected != after.Version) {
 		said.Result, said.Detail = "raced", "the configuration in force is "+after.Version
@@ -171,14 +171,14 @@
 func (taster *taster) read(path string, target any) error {
 	var last error = trouble.New(trouble.Unreachable, "no address")
 	for _, address := range taster.addresses {
-		inbound, failure := taster.client.Get("http://" + address + path)
-		if failure != nil {
-			last = trouble.Wrap(trouble.Unreachable, failure)
+		inbound, err := taster.client.Get("http://" + address + path)
+		if err != nil {
+			last = trouble.Wrap(trouble.Unreachable, err)
 			continue
 		}
-		failure = json.NewDecoder(inbound.Body).Decode(target)
+		err = json.NewDecoder(inbound.Body).Decode(target)
 		_ = inbound.Body.Close()
-		if inbound.StatusCode == http.StatusOK && failure == nil {
+		if inbound.StatusCode == http.StatusOK && err == nil {
 			return nil
 		}
 		last = trouble.New(trouble.Unreachable, fmt.Sprintf("%s answers %d", address, inbound.StatusCode))
@@ -214,7 +214,7 @@
 	for position, server := range fleet.Servers {
 		asking.Go(func() {
 			known := menu.ServerFacts{Name: server.Name, District: server.District, Leaving: server.Leaving}
-			if load, failure := stoves.Load(lifetime, server.Address); failure == nil {
+			if load, err := stoves.Load(lifetime, server.Address); err == nil {
 				known.Reported, known.Part, known.Active, known.Slots = true, string(load.Part), load.DecodeActive, load.DecodeSlots
 				known.Leaving = known.Leaving || load.Leaving
 			}
--- a/core.go
+++ b/core.go
@@ -123,8 +123,8 @@
 }
 
 func (core *Core) applyMenu(event Event) {
-	configuration, failure := menu.Check(event.Menu)
-	if failure != nil {
+	configuration, err := menu.Check(event.Menu)
+	if err != nil {
 		// A configuration is checked before it is accepted; one that this build
 		// can't read leaves the courier without a hold for it.
 		core.rejected.Add(1)
@@ -362,7 +362,7 @@
 func (core *Core) ReadOrders(records map[string]recipe.Record) map[string]Order {
 	orders := map[string]Order{}
 	for server, record := range records {
-		if order, failure := recipe.ReadOrder(record, core.options.Supported); failure == nil {
+		if order, err := recipe.ReadOrder(record, core.options.Supported); err == nil {
 			orders[server] = order
 		}
 	}
--- a/core_calls_test.go
+++ b/core_calls_test.go
@@ -39,7 +39,7 @@
 }
 
 // TestCoreFollowsCalls drives an opaque call by events from its arrival to its end.
-func TestCoreFollowsCalls(test *testing.T) {
+func TestCoreFollowsCalls(t *testing.T) {
 	now := time.Unix(3_000_000, 0)
 	core := callCore(now)
 	step := func(event Event) window.Decision {
@@ -47,33 +47,33 @@
 		event.At = now
 		decisions := core.Apply(event)
 		if len(decisions) != 1 || decisions[0].Kind != pass.CallDecided || decisions[0].ID != "one" || decisions[0].Call == nil {
-			test.Fatalf("%s: %+v", event.Kind, decisions)
+			t.Fatalf("%s: %+v", event.Kind, decisions)
 		}
 		return *decisions[0].Call
 	}
 	call := &Call{ID: "one", Host: "ask.example", Path: "/x", PromptTokens: 9000, OutputTokens: 50, Parts: []CallPart{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}}
 	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Kind != window.Read {
-		test.Fatalf("arrived: %+v", decision)
+		t.Fatalf("arrived: %+v", decision)
 	}
 	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete, Handle: "h"}}); decision.Kind != window.Run || decision.Source == nil {
-		test.Fatalf("read: %+v", decision)
+		t.Fatalf("read: %+v", decision)
 	}
 	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decision.Kind != window.Done {
-		test.Fatalf("run: %+v", decision)
+		t.Fatalf("run: %+v", decision)
 	}
 	if decisions := core.Apply(Event{Kind: pass.CallEnded, At: now, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decisions != nil || core.Calls().InFlight() != 0 {
-		test.Fatalf("a call that is over: %+v", decisions)
+		t.Fatalf("a call that is over: %+v", decisions)
 	}
 	call.Host = "nobody.example"
 	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Cause != window.NoRoute {
-		test.Fatalf("no route: %+v", decision)
+		t.Fatalf("no route: %+v", decision)
 	}
 }
 
 // TestHolderGivesPartsByTheWorkOfCalls has readers pressed, wants an order from the
 // holder of the parts duty, and one command from the holder of the server's until the
 // server says that it has the part.
-func TestHolderGivesPartsByTheWorkOfCalls(test *testing.T) {
+func TestHolderGivesPartsByTheWorkOfCalls(t *testing.T) {
 	now := time.Unix(3_000_000, 0)
 	core := callCore(now)
 	part := map[string]string{}
@@ -104,18 +104,18 @@
 			case pass.Command:
 				commands[decision.Server]++
 				if decision.Duty.Fence != 9 || string(decision.Part) != orders[decision.Server].Part || !decision.NotAfter.Equal(now.Add(time.Second)) {
-					test.Fatalf("%+v", decision)
+					t.Fatalf("%+v", decision)
 				}
 				part[decision.Server] = string(decision.Part)
 			}
 		}
 	}
 	if len(orders) != 2 || len(commands) != 2 {
-		test.Errorf("orders %v, commands %v", orders, commands)
+		t.Errorf("orders %v, commands %v", orders, commands)
 	}
 	for server, count := range commands {
 		if count != 1 {
-			test.Errorf("%s was commanded %d times", server, count)
+			t.Errorf("%s was commanded %d times", server, count)
 		}
 	}
 }
--- a/core_test.go
+++ b/core_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestSameEventsGiveTheSameDecisions feeds two cores one long random stream.
-func TestSameEventsGiveTheSameDecisions(test *testing.T) {
+func TestSameEventsGiveTheSameDecisions(t *testing.T) {
 	random := rand.New(rand.NewPCG(8, 8))
 	cores := []*Core{}
 	for range 2 {
@@ -31,9 +31,9 @@
 		var texts []string
 		for _, core := range cores {
 			decisions := core.Apply(event)
-			encoded, failure := json.Marshal(decisions)
-			if failure != nil {
-				test.Fatal(failure)
+			encoded, err := json.Marshal(decisions)
+			if err != nil {
+				t.Fatal(err)
 			}
 			texts = append(texts, string(encoded))
 			if core == cores[0] {
@@ -47,7 +47,7 @@
 			}
 		}
 		if texts[0] != texts[1] {
-			test.Fatalf("%+v:\n%s\n%s", event, texts[0], texts[1])
+			t.Fatalf("%+v:\n%s\n%s", event, texts[0], texts[1])
 		}
 	}
 	feed(Event{Kind: pass.ServersListed, Servers: servers})
@@ -85,14 +85,14 @@
 	}
 	for _, kind := range []pass.DecisionKind{pass.ClaimInquiry, pass.DispatchPrefill, pass.DispatchDecode, pass.SendPiece, pass.Finish, pass.Cancel, pass.NoteRetry, pass.GiveOrders} {
 		if seen[kind] == 0 {
-			test.Errorf("the stream brought about no %s", kind)
+			t.Errorf("the stream brought about no %s", kind)
 		}
 	}
 }
 
 // TestNewHolderTellsTheServerItsFence wants one command for each new fence, even
 // when the server has the part already, and none without the duty's hold.
-func TestNewHolderTellsTheServerItsFence(test *testing.T) {
+func TestNewHolderTellsTheServerItsFence(t *testing.T) {
 	core := New(Options{Courier: "courier-1", District: "north", Supported: Supported(nil)})
 	now := time.Unix(3_000_000, 0)
 	core.Apply(Event{Kind: pass.ServersListed, At: now, Servers: []Server{{Name: "s", Address: "s", District: "north"}}})
@@ -114,11 +114,11 @@
 		return count
 	}
 	if first, second := commands(4), commands(9); first != 1 || second != 1 {
-		test.Errorf("%d commands under the first fence, %d under the second", first, second)
+		t.Errorf("%d commands under the first fence, %d under the second", first, second)
 	}
 	core.Apply(Event{Kind: pass.OrdersRead, At: now, Orders: map[string]Order{"s": {Server: "s", Part: "prefill"}}})
 	now = now.Add(5 * time.Second)
 	if late := commands(0); late != 0 {
-		test.Errorf("%d commands after the hold ran out", late)
+		t.Errorf("%d commands after the hold ran out", late)
 	}
 }
--- a/examples/embedded/calls.go
+++ b/examples/embedded/calls.go
@@ -30,8 +30,8 @@
 		now = now.Add(100 * time.Millisecond)
 		event.At = now
 		for _, decision := range core.Apply(event) {
-			if failure := encoder.Encode(decision); failure != nil {
-				return failure
+			if err := encoder.Encode(decision); err != nil {
+				return err
 			}
 		}
 	}
--- a/examples/embedded/main.go
+++ b/examples/embedded/main.go
@@ -14,8 +14,8 @@
 
 func main() {
 	for _, story := range []func(io.Writer) error{tell, tellCall} {
-		if failure := story(os.Stdout); failure != nil {
-			_, _ = io.WriteString(os.Stderr, failure.Error()+"\n")
+		if err := story(os.Stdout); err != nil {
+			_, _ = io.WriteString(os.Stderr, err.Error()+"\n")
 			os.Exit(1)
 		}
 	}
@@ -45,8 +45,8 @@
 		now = now.Add(10 * time.Millisecond)
 		event.At = now
 		for _, decision := range core.Apply(event) {
-			if failure := encoder.Encode(decision); failure != nil {
-				return failure
+			if err := encoder.Encode(decision); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/adapters/calls/bench_test.go
+++ b/internal/adapters/calls/bench_test.go
@@ -19,8 +19,8 @@
 // measured is the courier.
 func scan(listener net.Listener, answer []byte, pieces int) {
 	for {
-		connection, failure := listener.Accept()
-		if failure != nil {
+		connection, err := listener.Accept()
+		if err != nil {
 			return
 		}
 		go func() {
@@ -29,8 +29,8 @@
 			for {
 				length := 0
 				for {
-					line, failure := reader.ReadSlice('\n')
-					if failure != nil {
+					line, err := reader.ReadSlice('\n')
+					if err != nil {
 						return
 					}
 					if text, found := strings.CutPrefix(string(line), "Content-Length: "); found {
@@ -40,7 +40,7 @@
 						break
 					}
 				}
-				if _, failure := reader.Discard(length); failure != nil {
+				if _, err := reader.Discard(length); err != nil {
 					return
 				}
 				if pieces == 0 {
@@ -78,9 +78,9 @@
 
 func benchmarkCalls(b *testing.B, read bool, pieces, size int) {
 	open := func(answer string, pieces int) roster.Server {
-		listener, failure := net.Listen("tcp", "127.0.0.1:0")
-		if failure != nil {
-			b.Fatal(failure)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
 		}
 		b.Cleanup(func() { _ = listener.Close() })
 		go scan(listener, []byte(answer), pieces)
@@ -94,20 +94,20 @@
 		conduct.reader = open(whole(200, "id", `{"handle":"3fa09c41b7d5","tokens":3}`, "Keep-Alive: timeout=9"), 0)
 	}
 	circuits := NewCircuits(nil)
-	intake, failure := NewIntake(b.Context(), DefaultWords(), circuits, conduct, time.Now)
-	if failure != nil {
-		b.Fatal(failure)
+	intake, err := NewIntake(b.Context(), DefaultWords(), circuits, conduct, time.Now)
+	if err != nil {
+		b.Fatal(err)
 	}
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		b.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
 	}
 	server := &http.Server{Handler: intake}
 	go func() { _ = server.Serve(listener) }()
 	b.Cleanup(func() { _ = server.Close() })
-	origin, failure := net.Dial("tcp", listener.Addr().String())
-	if failure != nil {
-		b.Fatal(failure)
+	origin, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
 	}
 	request := "POST /chat/x HTTP/1.1\r\nHost: calls.example\r\nSeamloom-Call: id\r\nSeamloom-Model: m\r\nSeamloom-Tokens: 1460,80\r\nSeamloom-Parts: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n" +
 		"Seamloom-Limit-Milliseconds: 3000\r\nContent-Length: " + strconv.Itoa(size) + "\r\n\r\n" + strings.Repeat("x", size)
@@ -115,12 +115,12 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		_, _ = io.WriteString(origin, request)
-		inbound, failure := http.ReadResponse(reader, nil)
-		if failure != nil {
-			b.Fatal(failure)
+		inbound, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			b.Fatal(err)
 		}
-		if _, failure := io.Copy(io.Discard, inbound.Body); failure != nil {
-			b.Fatal(failure)
+		if _, err := io.Copy(io.Discard, inbound.Body); err != nil {
+			b.Fatal(err)
 		}
 	}
 }
--- a/internal/adapters/calls/chain.go
+++ b/internal/adapters/calls/chain.go
@@ -28,8 +28,8 @@
 		if !found || len(parts) == mostParts {
 			return nil
 		}
-		number, failure := strconv.ParseUint(id, 16, 64)
-		if failure != nil {
+		number, err := strconv.ParseUint(id, 16, 64)
+		if err != nil {
 			if id == "" {
 				return nil
 			}
@@ -38,8 +38,8 @@
 			_, _ = digest.Write([]byte(id))
 			number = digest.Sum64()
 		}
-		count, failure := readCount(tokens)
-		if failure != nil {
+		count, err := readCount(tokens)
+		if err != nil {
 			return nil
 		}
 		parts = append(parts, window.Part{ID: number, Tokens: count})
@@ -50,20 +50,20 @@
 // readTokens reads the prompt's tokens and the most tokens out.
 func readTokens(text string) (prompt, output int) {
 	first, second, _ := strings.Cut(text, ",")
-	prompt, failure := readCount(first)
-	if failure != nil {
+	prompt, err := readCount(first)
+	if err != nil {
 		return 0, 0
 	}
-	output, failure = readCount(second)
-	if failure != nil {
+	output, err = readCount(second)
+	if err != nil {
 		return prompt, 0
 	}
 	return prompt, output
 }
 
 func readCount(text string) (int, error) {
-	count, failure := strconv.ParseUint(strings.TrimSpace(text), 10, 31)
-	return int(min(count, mostTokens)), failure
+	count, err := strconv.ParseUint(strings.TrimSpace(text), 10, 31)
+	return int(min(count, mostTokens)), err
 }
 
 // readLoad reads running, waiting and slots.
@@ -72,8 +72,8 @@
 	for position := range counts {
 		var entry string
 		entry, text, _ = strings.Cut(text, ",")
-		count, failure := readCount(entry)
-		if failure != nil {
+		count, err := readCount(entry)
+		if err != nil {
 			return nil
 		}
 		counts[position] = count
--- a/internal/adapters/calls/circuit.go
+++ b/internal/adapters/calls/circuit.go
@@ -80,12 +80,12 @@
 	}
 	circuit.writing = true
 	circuit.mutex.Unlock()
-	written, failure := circuit.Conn.Write(content)
+	written, err := circuit.Conn.Write(content)
 	circuit.mutex.Lock()
 	circuit.writing = false
 	circuit.wrote = circuit.wrote || written > 0
 	circuit.mutex.Unlock()
-	return written, failure
+	return written, err
 }
 
 // Read receives.
@@ -94,11 +94,11 @@
 //
 //	read, failure := circuit.Read(buffer)
 func (circuit *circuit) Read(buffer []byte) (int, error) {
-	read, failure := circuit.Conn.Read(buffer)
+	read, err := circuit.Conn.Read(buffer)
 	if read > 0 {
 		circuit.mutex.Lock()
 		circuit.heard = true
 		circuit.mutex.Unlock()
 	}
-	return read, failure
+	return read, err
 }
--- a/internal/adapters/calls/circuits.go
+++ b/internal/adapters/calls/circuits.go
@@ -77,9 +77,9 @@
 			if detour, found := detours[address]; found {
 				address = detour
 			}
-			connection, failure := dialer.DialContext(lifetime, network, address)
-			if failure != nil {
-				return nil, failure
+			connection, err := dialer.DialContext(lifetime, network, address)
+			if err != nil {
+				return nil, err
 			}
 			circuit := lifetime.Value(circuitKey{}).(*circuit)
 			circuit.Conn = connection
@@ -90,13 +90,13 @@
 
 // shortPatience has a dead circuit show soon.
 func shortPatience(_, _ string, raw syscall.RawConn) error {
-	var failure error
+	var err error
 	if outer := raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(circuitPatience/time.Millisecond))
+		err = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(circuitPatience/time.Millisecond))
 	}); outer != nil {
 		return outer
 	}
-	return failure
+	return err
 }
 
 // take gives a resting circuit that is still good, or opens one. Failing means that
@@ -114,9 +114,9 @@
 		rested.close()
 	}
 	circuit := &circuit{now: circuits.now}
-	client, failure := circuits.transport.NewClientConn(context.WithValue(lifetime, circuitKey{}, circuit), "http", server.Address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	client, err := circuits.transport.NewClientConn(context.WithValue(lifetime, circuitKey{}, circuit), "http", server.Address)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	circuits.mutex.Lock()
 	circuits.opened++
@@ -237,7 +237,7 @@
 	for _, text := range header["Keep-Alive"] {
 		for entry := range strings.SplitSeq(text, ",") {
 			if seconds, found := strings.CutPrefix(strings.TrimSpace(entry), "timeout="); found {
-				if count, failure := strconv.ParseUint(seconds, 10, 16); failure == nil {
+				if count, err := strconv.ParseUint(seconds, 10, 16); err == nil {
 					return max(0, time.Duration(count)*time.Second-restsMargin)
 				}
 			}
--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -133,33 +133,33 @@
 func TestNothingWrittenIsCertain(t *testing.T) {
 	standin := newStandin(t, func(*callerCircuit, *http.Request) bool { return false })
 	circuits := NewCircuits(nil)
-	line, failure := circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
-	if failure != nil {
-		t.Fatal(failure)
+	line, err := circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
 	}
 	if wrote, _ := line.circuit.end(); wrote {
 		t.Fatal("nothing was written")
 	}
-	if _, failure := line.circuit.Write([]byte("x")); failure == nil {
+	if _, err := line.circuit.Write([]byte("x")); err == nil {
 		t.Fatal("an ended circuit took bytes")
 	}
-	line, failure = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
-	if failure != nil {
-		t.Fatal(failure)
+	line, err = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
 	}
 	_, _ = line.circuit.Write([]byte("GET"))
 	if wrote, _ := line.circuit.end(); !wrote {
 		t.Fatal("something was written")
 	}
 	// One whose call's end has come takes nothing, though it is up.
-	line, failure = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
-	if failure != nil {
-		t.Fatal(failure)
+	line, err = circuits.take(t.Context(), standin.server, time.Now().Add(time.Second))
+	if err != nil {
+		t.Fatal(err)
 	}
 	if line.circuit.begin(time.Now().Add(-time.Second)) {
 		t.Fatal("a call began after its end")
 	}
-	if _, failure := line.circuit.Write([]byte("GET")); failure == nil {
+	if _, err := line.circuit.Write([]byte("GET")); err == nil {
 		t.Fatal("a circuit that was not begun took bytes")
 	}
 	if wrote, _ := line.circuit.end(); wrote {
@@ -187,22 +187,22 @@
 // TestAServerThatAnswersEarlyGetsNoOtherBytes: one that says no before it has read a
 // long body, and reads on later, reads the rest of that body or nothing.
 func TestAServerThatAnswersEarlyGetsNoOtherBytes(t *testing.T) {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
 	rests := make(chan string, 2)
 	go func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			go func() {
 				reader := bufio.NewReader(connection)
-				inbound, failure := http.ReadRequest(reader)
-				if failure != nil {
+				inbound, err := http.ReadRequest(reader)
+				if err != nil {
 					return
 				}
 				_, _ = io.WriteString(connection, whole(503, inbound.Header.Get("Seamloom-Call"), "", "Seamloom-Not-Started: 1"))
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -94,8 +94,8 @@
 		patience = min(patience, decision.Patience)
 	}
 	sent.timer = time.AfterFunc(patience, sent.expire)
-	line, failure := exchange.intake.circuits.take(lifetime, decision.Server, sent.until)
-	if failure != nil {
+	line, err := exchange.intake.circuits.take(lifetime, decision.Server, sent.until)
+	if err != nil {
 		return sent, sent.fail(window.Unreached)
 	}
 	sent.line = line
@@ -118,8 +118,8 @@
 		path, query, asked := strings.Cut(exchange.target, "?")
 		outbound.URL = &url.URL{Scheme: "http", Host: decision.Server.Address, Path: exchange.inbound.URL.Path, RawPath: path, RawQuery: query, ForceQuery: asked}
 	}
-	sent.response, failure = line.client.RoundTrip(outbound)
-	if failure != nil {
+	sent.response, err = line.client.RoundTrip(outbound)
+	if err != nil {
 		wrote, heard := line.circuit.end()
 		switch {
 		case !wrote:
@@ -196,15 +196,15 @@
 		sent.outcome.Load = readLoad(load[0])
 	}
 	if warming := response.Header[words.Warming]; len(warming) == 1 {
-		if count, failure := readCount(warming[0]); failure == nil {
+		if count, err := readCount(warming[0]); err == nil {
 			sent.outcome.Warming = time.Duration(count) * time.Millisecond
 		}
 	}
 	if success {
 		return true
 	}
-	body, failure := readBounded(response.Body, response.ContentLength, mostKept)
-	if failure != nil {
+	body, err := readBounded(response.Body, response.ContentLength, mostKept)
+	if err != nil {
 		return sent.fail(window.Silent)
 	}
 	sent.outcome.First = exchange.intake.now()
@@ -252,13 +252,13 @@
 			}
 			content = append(content, 0)[:len(content)]
 		}
-		read, failure := body.Read(content[len(content):cap(content)])
+		read, err := body.Read(content[len(content):cap(content)])
 		content = content[:len(content)+read]
-		if failure == io.EOF {
+		if err == io.EOF {
 			return content, nil
 		}
-		if failure != nil {
-			return content, failure
+		if err != nil {
+			return content, err
 		}
 	}
 }
@@ -277,8 +277,8 @@
 	if !success {
 		return sent.outcome
 	}
-	body, failure := readBounded(sent.response.Body, sent.response.ContentLength, mostReadAnswer)
-	if failure != nil {
+	body, err := readBounded(sent.response.Body, sent.response.ContentLength, mostReadAnswer)
+	if err != nil {
 		sent.fail(window.Silent)
 		return sent.outcome
 	}
@@ -333,18 +333,18 @@
 // when it is too large for that, as it comes.
 func (sent *dispatch) passWhole() {
 	exchange, response := sent.exchange, sent.response
-	body, failure := readBounded(response.Body, response.ContentLength, mostKept)
+	body, err := readBounded(response.Body, response.ContentLength, mostKept)
 	sent.outcome.First = exchange.intake.now()
-	if failure == nil {
+	if err == nil {
 		exchange.passHead(response)
-		if _, failure := exchange.writer.Write(body); failure != nil && failure != http.ErrBodyNotAllowed {
+		if _, err := exchange.writer.Write(body); err != nil && err != http.ErrBodyNotAllowed {
 			sent.fail(window.Gone)
 			return
 		}
 		sent.finish(window.Complete)
 		return
 	}
-	if failure != errOversize {
+	if err != errOversize {
 		sent.fail(window.Silent)
 		return
 	}
@@ -352,21 +352,21 @@
 	exchange.passHead(response)
 	buffer := make([]byte, copyBuffer)
 	for {
-		if _, failure := exchange.writer.Write(body); failure != nil {
+		if _, err := exchange.writer.Write(body); err != nil {
 			sent.fail(window.Gone)
 			return
 		}
-		read, failure := response.Body.Read(buffer)
+		read, err := response.Body.Read(buffer)
 		body = buffer[:read]
-		if failure == io.EOF {
-			if _, failure := exchange.writer.Write(body); failure != nil {
+		if err == io.EOF {
+			if _, err := exchange.writer.Write(body); err != nil {
 				sent.fail(window.Gone)
 				return
 			}
 			sent.finish(window.Complete)
 			return
 		}
-		if failure != nil {
+		if err != nil {
 			sent.fail(window.Cut)
 			return
 		}
@@ -450,14 +450,14 @@
 			if !exchange.begun.Load() {
 				exchange.passHead(response)
 			}
-			if _, failure := exchange.writer.Write(event); failure != nil {
+			if _, err := exchange.writer.Write(event); err != nil {
 				sent.fail(window.Gone)
 				return
 			}
 			passed = true
 		}
 		if passed && ended != io.EOF {
-			if failure := flusher.Flush(); failure != nil {
+			if err := flusher.Flush(); err != nil {
 				sent.fail(window.Gone)
 				return
 			}
@@ -489,9 +489,9 @@
 // behind tells whether an event comes after another, by their ids: as numbers, or else
 // it is another one.
 func behind(id, last string) bool {
-	number, failure := strconv.ParseUint(id, 10, 64)
+	number, err := strconv.ParseUint(id, 10, 64)
 	earlier, trouble := strconv.ParseUint(last, 10, 64)
-	if failure != nil || trouble != nil {
+	if err != nil || trouble != nil {
 		return id != last
 	}
 	return number > earlier
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -136,9 +136,9 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	answered := make(chan *http.Response)
 	go func() {
-		inbound, failure := client.Do(courier.request(t, http.MethodPost, "/", "id", "body"))
-		if failure != nil {
-			t.Error(failure)
+		inbound, err := client.Do(courier.request(t, http.MethodPost, "/", "id", "body"))
+		if err != nil {
+			t.Error(err)
 		}
 		answered <- inbound
 	}()
@@ -150,10 +150,10 @@
 		t.Helper()
 		var got string
 		for len(got) < len(text) {
-			read, failure := inbound.Body.Read(buffer)
+			read, err := inbound.Body.Read(buffer)
 			got += string(buffer[:read])
-			if failure != nil {
-				t.Fatal(failure)
+			if err != nil {
+				t.Fatal(err)
 			}
 		}
 		if got != text {
@@ -168,8 +168,8 @@
 	further <- chunk("data: x\n\n")
 	expect("id: 4\ndata: x\n\n")
 	close(further)
-	if read, failure := inbound.Body.Read(buffer); read != 0 || failure == nil || failure.Error() != "EOF" {
-		t.Fatalf("%d %v", read, failure)
+	if read, err := inbound.Body.Read(buffer); read != 0 || err == nil || err.Error() != "EOF" {
+		t.Fatalf("%d %v", read, err)
 	}
 	until(t, "the call ends", func() bool { return scripted.active.Load() == 0 })
 	if scripted.last().Result != window.Complete || inbound.Header.Get("X-Seal") != "seal-id" {
@@ -325,17 +325,17 @@
 			})
 			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
 			courier := newCourier(t, scripted)
-			origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
-			if failure != nil {
-				t.Fatal(failure)
+			origin, err := net.Dial("tcp", courier.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
 			}
 			defer func() { _ = origin.Close() }()
 			_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
 			reader := bufio.NewReader(origin)
 			if text == "" {
 				until(t, "the call reaches the server", func() bool { return standin.count() == 1 })
-			} else if _, failure := reader.Peek(1); failure != nil {
-				t.Fatal(failure)
+			} else if _, err := reader.Peek(1); err != nil {
+				t.Fatal(err)
 			}
 			_ = origin.(*net.TCPConn).CloseWrite()
 			if got, _ := io.ReadAll(reader); text == "" && len(got) != 0 || strings.HasSuffix(string(got), "0\r\n\r\n") {
@@ -382,7 +382,7 @@
 	standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool {
 		circuit.say(stream("id"))
 		for range 1000 {
-			if _, failure := io.WriteString(circuit, chunk(piece)); failure != nil {
+			if _, err := io.WriteString(circuit, chunk(piece)); err != nil {
 				return false
 			}
 		}
@@ -397,9 +397,9 @@
 		return lastWord(outcome)
 	}}
 	courier := newCourier(t, scripted)
-	origin, failure := net.Dial("tcp", courier.Listener.Addr().String())
-	if failure != nil {
-		t.Fatal(failure)
+	origin, err := net.Dial("tcp", courier.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = origin.Close() }()
 	_, _ = io.WriteString(origin, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -170,13 +170,13 @@
 	conduct.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
 	conduct.SetCouriers(1)
 	conduct.SetServers(turns.Now(), servers)
-	intake, failure := NewIntake(lifetime, DefaultWords(), circuits, conduct, turns.Now)
-	if failure != nil {
-		t.Fatal(failure)
+	intake, err := NewIntake(lifetime, DefaultWords(), circuits, conduct, turns.Now)
+	if err != nil {
+		t.Fatal(err)
 	}
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	server := &http.Server{Handler: intake}
 	owner := tomb.Tomb{}
@@ -278,14 +278,14 @@
 	conduct.SetConfiguration(twoRoutes(), larder.Version{Epoch: 1, Number: 1})
 	conduct.SetCouriers(1)
 	conduct.SetServers(turns.Now(), []roster.Server{standin.server})
-	intake, failure := NewIntake(owner.Context(context.Background()), DefaultWords(), circuits, conduct, turns.Now)
-	if failure != nil {
-		t.Fatal(failure)
+	intake, err := NewIntake(owner.Context(context.Background()), DefaultWords(), circuits, conduct, turns.Now)
+	if err != nil {
+		t.Fatal(err)
 	}
 	address := freeAddress(t)
-	gate, failure := Open(owner, intake, address, "")
-	if failure != nil {
-		t.Fatal(failure)
+	gate, err := Open(owner, intake, address, "")
+	if err != nil {
+		t.Fatal(err)
 	}
 	var mutex sync.Mutex
 	counts := map[string]int{}
@@ -307,18 +307,18 @@
 				outbound.Header.Set("Seamloom-Limit-Milliseconds", "2000")
 				outbound.Header.Set("Seamloom-Model", "m")
 				outbound.Header.Set("Seamloom-Tokens", "10,2")
-				inbound, failure := client.Do(outbound)
-				if failure != nil {
+				inbound, err := client.Do(outbound)
+				if err != nil {
 					if standin.saw(id) {
-						note("cut: " + failure.Error())
+						note("cut: " + err.Error())
 					}
 					note("away")
 					return
 				}
-				body, failure := io.ReadAll(inbound.Body)
+				body, err := io.ReadAll(inbound.Body)
 				_ = inbound.Body.Close()
 				switch {
-				case inbound.StatusCode == 200 && failure == nil && string(body) == joined(1, 2):
+				case inbound.StatusCode == 200 && err == nil && string(body) == joined(1, 2):
 					note("served")
 				case inbound.StatusCode == 503 && inbound.Header.Get("Retry-After") != "":
 					note("refused")
@@ -326,7 +326,7 @@
 						note("cut: refused after it was sent")
 					}
 				default:
-					note(fmt.Sprintf("cut: %d %v %q", inbound.StatusCode, failure, body))
+					note(fmt.Sprintf("cut: %d %v %q", inbound.StatusCode, err, body))
 				}
 			}
 		})
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -62,15 +62,15 @@
 		// Origins that are gone are noticed by the bounds of calls and of rest; probes
 		// would only cost.
 		listening := net.ListenConfig{KeepAlive: -1}
-		listener, failure := listening.Listen(context.Background(), "tcp", address)
-		if failure != nil {
+		listener, err := listening.Listen(context.Background(), "tcp", address)
+		if err != nil {
 			gate.Close()
-			return nil, trouble.Wrap(trouble.Unreachable, failure)
+			return nil, trouble.Wrap(trouble.Unreachable, err)
 		}
 		gate.servers = append(gate.servers, server)
 		owner.Go(func() error {
-			if failure := server.Serve(listener); failure != http.ErrServerClosed {
-				return trouble.Wrap(trouble.Unreachable, failure)
+			if err := server.Serve(listener); err != http.ErrServerClosed {
+				return trouble.Wrap(trouble.Unreachable, err)
 			}
 			return nil
 		})
--- a/internal/adapters/calls/gate_test.go
+++ b/internal/adapters/calls/gate_test.go
@@ -19,9 +19,9 @@
 // freeAddress is one that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
@@ -30,14 +30,14 @@
 func openGate(t *testing.T, scripted *scripted, now func() time.Time) (gate *Gate, address, readyAddress string) {
 	t.Helper()
 	address, readyAddress = freeAddress(t), freeAddress(t)
-	intake, failure := NewIntake(t.Context(), DefaultWords(), NewCircuits(nil), scripted, time.Now)
-	if failure != nil {
-		t.Fatal(failure)
+	intake, err := NewIntake(t.Context(), DefaultWords(), NewCircuits(nil), scripted, time.Now)
+	if err != nil {
+		t.Fatal(err)
 	}
 	owner := &tomb.Tomb{}
-	gate, failure = open(owner, intake, address, readyAddress, now)
-	if failure != nil {
-		t.Fatal(failure)
+	gate, err = open(owner, intake, address, readyAddress, now)
+	if err != nil {
+		t.Fatal(err)
 	}
 	t.Cleanup(func() { owner.Kill(nil); gate.Close(); _ = owner.Wait() })
 	return gate, address, readyAddress
@@ -52,9 +52,9 @@
 	_, address, readyAddress := openGate(t, scripted, time.Now)
 	ask := func(status int) {
 		t.Helper()
-		inbound, failure := http.Get("http://" + readyAddress + "/any")
-		if failure != nil {
-			t.Fatal(failure)
+		inbound, err := http.Get("http://" + readyAddress + "/any")
+		if err != nil {
+			t.Fatal(err)
 		}
 		_ = inbound.Body.Close()
 		if inbound.StatusCode != status {
@@ -62,18 +62,18 @@
 		}
 	}
 	ask(200)
-	circuit, failure := net.Dial("tcp", address)
-	if failure != nil {
-		t.Fatal(failure)
+	circuit, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = circuit.Close() }()
 	reader := bufio.NewReader(circuit)
 	call := func() *http.Response {
 		t.Helper()
 		_, _ = io.WriteString(circuit, "POST /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
-		inbound, failure := http.ReadResponse(reader, nil)
-		if failure != nil {
-			t.Fatal(failure)
+		inbound, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
 		}
 		_, _ = io.ReadAll(inbound.Body)
 		return inbound
@@ -96,19 +96,19 @@
 	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
 	var ahead atomic.Int64
 	gate, address, _ := openGate(t, scripted, func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) })
-	slow, failure := net.Dial("tcp", address)
-	if failure != nil {
-		t.Fatal(failure)
+	slow, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
 	}
 	_, _ = io.WriteString(slow, "POST /x HT")
-	resting, failure := net.Dial("tcp", address)
-	if failure != nil {
-		t.Fatal(failure)
+	resting, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
 	}
 	_, _ = io.WriteString(resting, "GET /x HTTP/1.1\r\nHost: h\r\nSeamloom-Call: id\r\n\r\n")
-	inbound, failure := http.ReadResponse(bufio.NewReader(resting), nil)
-	if failure != nil {
-		t.Fatal(failure)
+	inbound, err := http.ReadResponse(bufio.NewReader(resting), nil)
+	if err != nil {
+		t.Fatal(err)
 	}
 	_ = inbound.Body.Close()
 	until(t, "both are known", func() bool {
@@ -125,20 +125,20 @@
 	ahead.Store(int64(4 * time.Second))
 	gate.dismiss()
 	_ = slow.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if _, failure := slow.Read(make([]byte, 1)); failure == nil || strings.Contains(failure.Error(), "timeout") {
-		t.Fatal("a head that takes too long is waited for", failure)
+	if _, err := slow.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Fatal("a head that takes too long is waited for", err)
 	}
 	ahead.Store(int64(13 * time.Second))
 	gate.dismiss()
 	_ = resting.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
-	if _, failure := resting.Read(make([]byte, 1)); failure == nil || !strings.Contains(failure.Error(), "timeout") {
-		t.Fatal("dismissed while it may rest", failure)
+	if _, err := resting.Read(make([]byte, 1)); err == nil || !strings.Contains(err.Error(), "timeout") {
+		t.Fatal("dismissed while it may rest", err)
 	}
 	ahead.Store(int64(16 * time.Second))
 	gate.dismiss()
 	_ = resting.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if _, failure := resting.Read(make([]byte, 1)); failure == nil || strings.Contains(failure.Error(), "timeout") {
-		t.Fatal("an origin that rests too long is kept", failure)
+	if _, err := resting.Read(make([]byte, 1)); err == nil || strings.Contains(err.Error(), "timeout") {
+		t.Fatal("an origin that rests too long is kept", err)
 	}
 }
 
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -54,8 +54,8 @@
 //
 //	intake, failure := calls.NewIntake(lifetime, calls.DefaultWords(), circuits, conduct, turns.Now)
 func NewIntake(lifetime context.Context, words Words, circuits *Circuits, conduct Conduct, now func() time.Time) (*Intake, error) {
-	if failure := words.Check(); failure != nil {
-		return nil, failure
+	if err := words.Check(); err != nil {
+		return nil, err
 	}
 	intake := &Intake{words: words, circuits: circuits, conduct: conduct, now: now, lifetime: lifetime, meter: newMeter(circuits)}
 	intake.buffers.New = func() any { buffer := make([]byte, copyBuffer); return &buffer }
@@ -109,17 +109,17 @@
 		refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, oversize)
 		return oversize
 	}
-	body, failure := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
+	body, err := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
 	if !admit(inbound) {
 		writer.Header()["Connection"] = []string{"close"}
 		writer.Header()["Retry-After"] = []string{dismissedRetry}
 		refuse(writer, words.ID, id, http.StatusServiceUnavailable, dismissed)
 		return dismissed
 	}
-	if failure != nil {
+	if err != nil {
 		var tooLarge *http.MaxBytesError
 		switch {
-		case errors.As(failure, &tooLarge) || failure == errOversize:
+		case errors.As(err, &tooLarge) || err == errOversize:
 			refuse(writer, words.ID, id, http.StatusRequestEntityTooLarge, oversize)
 			return oversize
 		case inbound.Context().Err() != nil:
@@ -137,7 +137,7 @@
 	}
 	call.Path, _, _ = strings.Cut(target, "?")
 	call.PromptTokens, call.OutputTokens = readTokens(inbound.Header.Get(words.Tokens))
-	if left, failure := readCount(inbound.Header.Get(words.Limit)); failure == nil {
+	if left, err := readCount(inbound.Header.Get(words.Limit)); err == nil {
 		call.Ends = arrived.Add(time.Duration(left) * time.Millisecond)
 	}
 	header := make(http.Header, len(inbound.Header)+4)
@@ -170,8 +170,8 @@
 func (intake *Intake) free(server roster.Server, handle string) {
 	lifetime, cancel := context.WithTimeout(intake.lifetime, freePatience)
 	defer cancel()
-	line, failure := intake.circuits.take(lifetime, server, time.Now().Add(freePatience))
-	if failure != nil {
+	line, err := intake.circuits.take(lifetime, server, time.Now().Add(freePatience))
+	if err != nil {
 		return
 	}
 	header := http.Header{"User-Agent": nil}
@@ -180,14 +180,14 @@
 	}
 	outbound := (&http.Request{Method: http.MethodDelete, URL: &url.URL{Scheme: "http", Host: server.Address, Path: intake.words.HandlePath + handle},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header, Host: server.Address, Body: http.NoBody}).WithContext(lifetime)
-	response, failure := line.client.RoundTrip(outbound)
-	if failure != nil {
+	response, err := line.client.RoundTrip(outbound)
+	if err != nil {
 		line.close()
 		return
 	}
-	_, failure = readBounded(response.Body, response.ContentLength, mostReadAnswer)
+	_, err = readBounded(response.Body, response.ContentLength, mostReadAnswer)
 	_ = response.Body.Close()
-	if failure != nil || response.Close {
+	if err != nil || response.Close {
 		line.close()
 		return
 	}
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -51,16 +51,16 @@
 
 func newStandin(t *testing.T, act func(circuit *callerCircuit, inbound *http.Request) bool) *standin {
 	t.Helper()
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	standin := &standin{listener: listener, act: act, server: roster.Server{Name: "life-1", Address: listener.Addr().String()}}
 	var workers sync.WaitGroup
 	workers.Go(func() {
 		for {
-			connection, failure := listener.Accept()
-			if failure != nil {
+			connection, err := listener.Accept()
+			if err != nil {
 				return
 			}
 			standin.mutex.Lock()
@@ -86,12 +86,12 @@
 func (standin *standin) serve(circuit *callerCircuit) {
 	defer func() { _ = circuit.Close() }()
 	for {
-		inbound, failure := http.ReadRequest(circuit.reader)
-		if failure != nil {
+		inbound, err := http.ReadRequest(circuit.reader)
+		if err != nil {
 			return
 		}
-		body, failure := io.ReadAll(inbound.Body)
-		if failure != nil {
+		body, err := io.ReadAll(inbound.Body)
+		if err != nil {
 			return
 		}
 		standin.mutex.Lock()
@@ -262,9 +262,9 @@
 	t.Helper()
 	circuits := NewCircuits(nil)
 	lifetime, cancel := context.WithCancel(context.Background())
-	intake, failure := NewIntake(lifetime, DefaultWords(), circuits, scripted, time.Now)
-	if failure != nil {
-		t.Fatal(failure)
+	intake, err := NewIntake(lifetime, DefaultWords(), circuits, scripted, time.Now)
+	if err != nil {
+		t.Fatal(err)
 	}
 	server := httptest.NewServer(intake)
 	server.Config.ErrorLog = nil
@@ -274,9 +274,9 @@
 
 func (courier *courier) request(t *testing.T, method, path, id, body string, headers ...string) *http.Request {
 	t.Helper()
-	outbound, failure := http.NewRequest(method, courier.URL+path, strings.NewReader(body))
-	if failure != nil {
-		t.Fatal(failure)
+	outbound, err := http.NewRequest(method, courier.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
 	}
 	outbound.Host = "calls.example"
 	outbound.Header.Set("Seamloom-Call", id)
@@ -297,13 +297,13 @@
 
 func send(outbound *http.Request) reply {
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
-	inbound, failure := client.Do(outbound)
-	if failure != nil {
-		return reply{failure: failure}
+	inbound, err := client.Do(outbound)
+	if err != nil {
+		return reply{failure: err}
 	}
-	body, failure := io.ReadAll(inbound.Body)
+	body, err := io.ReadAll(inbound.Body)
 	_ = inbound.Body.Close()
-	return reply{status: inbound.StatusCode, header: inbound.Header, body: body, failure: failure}
+	return reply{status: inbound.StatusCode, header: inbound.Header, body: body, failure: err}
 }
 
 func (courier *courier) send(t *testing.T, id, body string, headers ...string) reply {
--- a/internal/adapters/courier/calls.go
+++ b/internal/adapters/courier/calls.go
@@ -40,9 +40,9 @@
 	if reached.Words != nil {
 		words = *reached.Words
 	}
-	intake, failure := calls.NewIntake(process.lifetime, words, process.calls.circuits, process.calls.conduct, turns.Now)
+	intake, err := calls.NewIntake(process.lifetime, words, process.calls.circuits, process.calls.conduct, turns.Now)
 	process.calls.intake = intake
-	return failure
+	return err
 }
 
 // openCalls begins to listen for calls.
@@ -50,9 +50,9 @@
 	if process.calls.intake == nil {
 		return nil
 	}
-	gate, failure := calls.Open(&process.tomb, process.calls.intake, process.chosen.CallsAddress, process.chosen.ReadyAddress)
+	gate, err := calls.Open(&process.tomb, process.calls.intake, process.chosen.CallsAddress, process.chosen.ReadyAddress)
 	process.calls.gate = gate
-	return failure
+	return err
 }
 
 // retireCalls lets the calls under way end, within the grace.
--- a/internal/adapters/courier/calls_test.go
+++ b/internal/adapters/courier/calls_test.go
@@ -20,9 +20,9 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
@@ -30,9 +30,9 @@
 
 func get(t *testing.T, address string) *http.Response {
 	t.Helper()
-	inbound, failure := http.Get("http://" + address + "/x")
-	if failure != nil {
-		t.Fatal(failure)
+	inbound, err := http.Get("http://" + address + "/x")
+	if err != nil {
+		t.Fatal(err)
 	}
 	_ = inbound.Body.Close()
 	return inbound
@@ -44,9 +44,9 @@
 	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), freeAddress(t)
 	chosen.Seeds = []string{freeAddress(t), freeAddress(t), freeAddress(t)}
 	chosen.Platform = freeAddress(t)
-	process, failure := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{})
-	if failure != nil {
-		t.Fatal(failure)
+	process, err := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{})
+	if err != nil {
+		t.Fatal(err)
 	}
 	// Nothing is known yet: not ready, and no call is let in.
 	if status := get(t, chosen.ReadyAddress).StatusCode; status != http.StatusServiceUnavailable {
@@ -64,10 +64,10 @@
 	if inbound := get(t, chosen.CallsAddress); inbound.StatusCode != http.StatusNotFound {
 		t.Fatalf("%+v", inbound)
 	}
-	if failure := process.Drain(300 * time.Millisecond); failure != nil {
-		t.Fatal(failure)
+	if err := process.Drain(300 * time.Millisecond); err != nil {
+		t.Fatal(err)
 	}
-	if _, failure := net.Dial("tcp", chosen.CallsAddress); failure == nil {
+	if _, err := net.Dial("tcp", chosen.CallsAddress); err == nil {
 		t.Fatal("a process that ended listens")
 	}
 }
@@ -137,18 +137,18 @@
 }
 
 func TestAnAddressThatIsTakenEndsTheStart(t *testing.T) {
-	taken, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		t.Fatal(failure)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = taken.Close() }()
 	chosen := settings.Defaults(roster.Courier)
 	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
 	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), taken.Addr().String()
-	if _, failure := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{}); failure == nil {
+	if _, err := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{}); err == nil {
 		t.Fatal("started at an address that is taken")
 	}
-	if _, failure := net.Dial("tcp", chosen.CallsAddress); failure == nil {
+	if _, err := net.Dial("tcp", chosen.CallsAddress); err == nil {
 		t.Fatal("a process that did not start listens")
 	}
 }
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -44,14 +44,14 @@
 // serveInquiry takes an inquiry from its origin, or from a restricted courier
 // that passed it on; one that was passed on is not passed on again.
 func (process *Process) serveInquiry(writer http.ResponseWriter, inbound *http.Request, passage *hatch.Passage) {
-	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, hatch.MostInquiryBytes))
-	if failure != nil {
-		refuse(writer, trouble.At(trouble.Oversize, "/", failure.Error()))
+	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, hatch.MostInquiryBytes))
+	if err != nil {
+		refuse(writer, trouble.At(trouble.Oversize, "/", err.Error()))
 		return
 	}
-	inquiry, failure := hatch.ReadInquiry(process.clock.Now(), body)
-	if failure != nil {
-		refuse(writer, failure)
+	inquiry, err := hatch.ReadInquiry(process.clock.Now(), body)
+	if err != nil {
+		refuse(writer, err)
 		return
 	}
 	origin := &reply{writer: writer, flusher: http.NewResponseController(writer), inbound: inbound}
@@ -63,17 +63,17 @@
 	writer.Header().Set("Content-Type", "application/msgpack")
 	encoder := msgpack.NewEncoder(writer)
 	process.conduct.Serve(arrival, &hatch.RecordReply{Inquiry: inquiry.ID, Writer: process.chosen.Name, Left: origin.WhenLeft, Send: func(record recipe.Record) error {
-		if failure := encoder.Encode(record); failure != nil {
-			return failure
+		if err := encoder.Encode(record); err != nil {
+			return err
 		}
 		return origin.flusher.Flush()
 	}})
 }
 
 // refuse answers what is no inquiry.
-func refuse(writer http.ResponseWriter, failure error) {
+func refuse(writer http.ResponseWriter, err error) {
 	never := false
-	line := hatch.ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(failure), Detail: failure.Error()}
+	line := hatch.ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(err), Detail: err.Error()}
 	status := http.StatusBadRequest
 	if line.Type == trouble.Oversize {
 		status = http.StatusRequestEntityTooLarge
--- a/internal/adapters/courier/passing.go
+++ b/internal/adapters/courier/passing.go
@@ -46,14 +46,14 @@
 	defer end()
 	whenLeft(end)
 	lifetime = httptrace.WithClientTrace(lifetime, &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+hatch.PassPath, bytes.NewReader(body))
-	if failure != nil {
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+hatch.PassPath, bytes.NewReader(body))
+	if err != nil {
 		return false
 	}
 	outbound.Header.Set(passageHeader, passage.Nonce)
 	outbound.Header.Set(incarnationHeader, passage.Incarnation)
-	answered, failure := passing.client.Do(outbound)
-	if failure != nil {
+	answered, err := passing.client.Do(outbound)
+	if err != nil {
 		return touched.Load()
 	}
 	defer func() { _ = answered.Body.Close() }()
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -87,14 +87,14 @@
 	process.conduct = hatch.NewCourier(turns, hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime},
 		commanding(kitchen, reached.Orders),
 		&passing{client: &http.Client{Transport: hotline.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
-	if failure := process.takeCalls(turns, reached); failure != nil {
-		return nil, failure
+	if err := process.takeCalls(turns, reached); err != nil {
+		return nil, err
 	}
-	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
-		return nil, failure
+	if err := program.Serve(&process.tomb, chosen.Address, process.mux()); err != nil {
+		return nil, err
 	}
-	if failure := process.openCalls(); failure != nil {
-		return nil, process.giveUp(failure)
+	if err := process.openCalls(); err != nil {
+		return nil, process.giveUp(err)
 	}
 	for _, round := range process.conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
@@ -174,7 +174,7 @@
 	process.mutex.Unlock()
 	process.conduct.SetSeeds(seeds)
 	process.conduct.SetServeWithoutHold(without)
-	if parsed, failure := log.ParseLevel(level); failure == nil {
+	if parsed, err := log.ParseLevel(level); err == nil {
 		process.logger.SetLevel(parsed)
 	}
 	process.logger.Info("reloaded", "needs_restart", stays)
--- a/internal/adapters/courier/reply.go
+++ b/internal/adapters/courier/reply.go
@@ -38,8 +38,8 @@
 //
 //	failure := reply.Line(line)
 func (reply *reply) Line(line []byte) error {
-	if _, failure := reply.writer.Write(line); failure != nil {
-		return failure
+	if _, err := reply.writer.Write(line); err != nil {
+		return err
 	}
 	return reply.flusher.Flush()
 }
--- a/internal/adapters/directory/directory.go
+++ b/internal/adapters/directory/directory.go
@@ -39,8 +39,8 @@
 	var list struct {
 		Servers []roster.Server `json:"servers"`
 	}
-	failure := directory.read(lifetime, "http://"+address+"/v1/servers", &list)
-	return list.Servers, failure
+	err := directory.read(lifetime, "http://"+address+"/v1/servers", &list)
+	return list.Servers, err
 }
 
 // Nodes reads the node list.
@@ -52,20 +52,20 @@
 	var list struct {
 		Nodes []roster.Node `json:"nodes"`
 	}
-	failure := directory.read(lifetime, "http://"+address+"/v1/nodes", &list)
-	return list.Nodes, failure
+	err := directory.read(lifetime, "http://"+address+"/v1/nodes", &list)
+	return list.Nodes, err
 }
 
 func (directory *Directory) read(lifetime context.Context, location string, target any) error {
 	lifetime, end := context.WithTimeout(lifetime, patience)
 	defer end()
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodGet, location, nil)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodGet, location, nil)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	inbound, failure := directory.client.Do(outbound)
-	if failure != nil {
-		return trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := directory.client.Do(outbound)
+	if err != nil {
+		return trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
--- a/internal/adapters/expediter/fleet.go
+++ b/internal/adapters/expediter/fleet.go
@@ -25,9 +25,9 @@
 //
 //	text, failure := process.Configuration()
 func (process *Process) Configuration() ([]byte, error) {
-	_, _, state, failure := process.conduct.Read()
-	if failure != nil {
-		return nil, failure
+	_, _, state, err := process.conduct.Read()
+	if err != nil {
+		return nil, err
 	}
 	return state.Menu, nil
 }
@@ -39,7 +39,7 @@
 //
 //	if leads, elsewhere := process.Leads(); !leads && elsewhere != "" { ... }
 func (process *Process) Leads() (leads bool, elsewhere string) {
-	if _, _, failure := process.conduct.Ruling(); failure == nil {
+	if _, _, err := process.conduct.Ruling(); err == nil {
 		return true, ""
 	}
 	address := process.conduct.Steward().Charter().Primary.Address
--- a/internal/adapters/expediter/forwarding.go
+++ b/internal/adapters/expediter/forwarding.go
@@ -15,7 +15,7 @@
 // onPrimary carries the call out here, or passes it to the primary once.
 func (process *Process) onPrimary(answer http.HandlerFunc) http.HandlerFunc {
 	return func(writer http.ResponseWriter, inbound *http.Request) {
-		if _, _, failure := process.conduct.Ruling(); failure == nil {
+		if _, _, err := process.conduct.Ruling(); err == nil {
 			answer(writer, inbound)
 			return
 		}
@@ -29,9 +29,9 @@
 }
 
 func (process *Process) forward(writer http.ResponseWriter, inbound *http.Request, address string) {
-	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
-	if failure != nil {
-		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: failure.Error()})
+	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	if err != nil {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: err.Error()})
 		return
 	}
 	query := inbound.URL.Query()
@@ -43,15 +43,15 @@
 	location.Scheme, location.Host, location.RawQuery = "http", address, query.Encode()
 	var touched atomic.Bool
 	lifetime := httptrace.WithClientTrace(inbound.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
-	outbound, failure := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
-	if failure != nil {
-		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: failure.Error()})
+	outbound, err := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
+	if err != nil {
+		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: err.Error()})
 		return
 	}
 	outbound.Header.Set(forwardedHeader, "1")
 	outbound.Header.Set("If-Match", inbound.Header.Get("If-Match"))
-	answered, failure := process.operatorsClient.Do(outbound)
-	if failure != nil {
+	answered, err := process.operatorsClient.Do(outbound)
+	if err != nil {
 		if reads || !touched.Load() {
 			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary can't be reached; ask again"})
 			return
@@ -60,8 +60,8 @@
 		return
 	}
 	defer func() { _ = answered.Body.Close() }()
-	content, failure := io.ReadAll(answered.Body)
-	if failure != nil {
+	content, err := io.ReadAll(answered.Body)
+	if err != nil {
 		if reads {
 			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary's answer broke off; ask again"})
 			return
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -65,9 +65,9 @@
 
 // readable is the committed state for a read; without one the call is answered.
 func (process *Process) readable(writer http.ResponseWriter) (*hatch.Reign, *larder.View, *larder.State, bool) {
-	current, view, state, failure := process.conduct.Read()
-	if failure != nil {
-		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
+	current, view, state, err := process.conduct.Read()
+	if err != nil {
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(err), Detail: err.Error()})
 		return nil, nil, nil, false
 	}
 	return current, view, state, true
@@ -94,11 +94,11 @@
 		return nil, trouble.At(trouble.Missing, "expected", "the version that is changed is needed, such as expected=2.9")
 	}
 	var version larder.Version
-	var failure error
-	if version.Epoch, failure = strconv.ParseUint(epoch, 10, 64); failure == nil {
-		version.Number, failure = strconv.ParseUint(number, 10, 64)
+	var err error
+	if version.Epoch, err = strconv.ParseUint(epoch, 10, 64); err == nil {
+		version.Number, err = strconv.ParseUint(number, 10, 64)
 	}
-	if failure != nil {
+	if err != nil {
 		return nil, trouble.At(trouble.Malformed, "expected", "a version is two numbers, such as 2.9")
 	}
 	return &version, nil
@@ -107,9 +107,9 @@
 func (process *Process) putConfiguration(writer http.ResponseWriter, inbound *http.Request) {
 	process.edit(writer, inbound, true, func(_, body []byte) ([]byte, error) {
 		// fastjson writes the text anew, so that what is kept is compact.
-		value, failure := fastjson.ParseBytes(body)
-		if failure != nil {
-			return nil, &menu.Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Malformed, "/", failure.Error())}}
+		value, err := fastjson.ParseBytes(body)
+		if err != nil {
+			return nil, &menu.Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Malformed, "/", err.Error())}}
 		}
 		return value.MarshalTo(nil), nil
 	})
@@ -117,12 +117,12 @@
 
 func (process *Process) patchConfiguration(writer http.ResponseWriter, inbound *http.Request) {
 	process.edit(writer, inbound, true, func(text, body []byte) ([]byte, error) {
-		merged, failure := menu.Merge(text, body)
+		merged, err := menu.Merge(text, body)
 		var found *trouble.Trouble
-		if stderrors.As(failure, &found) {
+		if stderrors.As(err, &found) {
 			return nil, &menu.Findings{Troubles: []*trouble.Trouble{found}}
 		}
-		return merged, failure
+		return merged, err
 	})
 }
 
@@ -142,24 +142,24 @@
 // edit changes the configuration and answers "accepted" only when it is in
 // force everywhere.
 func (process *Process) edit(writer http.ResponseWriter, inbound *http.Request, versioned bool, edit func(text, body []byte) ([]byte, error)) {
-	body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
-	if failure != nil {
-		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Failures: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", failure.Error())}})
+	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	if err != nil {
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Failures: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", err.Error())}})
 		return
 	}
 	var expected *larder.Version
 	var builds *uint64
 	if on := inbound.URL.Query().Get("builds_on"); versioned && on != "" {
-		revision, failure := strconv.ParseUint(on, 10, 64)
-		if failure != nil {
+		revision, err := strconv.ParseUint(on, 10, 64)
+		if err != nil {
 			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: "builds_on is the number of a revision, such as 5"})
 			return
 		}
 		builds = &revision
 	}
 	if versioned && builds == nil {
-		if expected, failure = expectedVersion(inbound); failure != nil {
-			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(failure), Detail: failure.Error()})
+		if expected, err = expectedVersion(inbound); err != nil {
+			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(err), Detail: err.Error()})
 			return
 		}
 	}
@@ -167,10 +167,10 @@
 	if change == "" && builds == nil {
 		change = uuid.NewString()
 	}
-	version, failure := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected, Builds: builds, Sound: !versioned,
+	version, err := process.conduct.Edit(hatch.Edit{Change: change, Digest: digestOf(inbound, body), Expected: expected, Builds: builds, Sound: !versioned,
 		Apply: func(text []byte) ([]byte, error) { return edit(text, body) }})
-	if failure != nil {
-		process.answerChangeTrouble(writer, change, failure)
+	if err != nil {
+		process.answerChangeTrouble(writer, change, err)
 		return
 	}
 	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String(), Change: change})
@@ -190,14 +190,14 @@
 	return hex.EncodeToString(digest.Sum(nil)[:16])
 }
 
-func (process *Process) answerChangeTrouble(writer http.ResponseWriter, change string, failure error) {
+func (process *Process) answerChangeTrouble(writer http.ResponseWriter, change string, err error) {
 	var findings *menu.Findings
-	if stderrors.As(failure, &findings) {
+	if stderrors.As(err, &findings) {
 		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: "refused", Change: change, Failures: findings.Troubles})
 		return
 	}
 	said := &trouble.Trouble{}
-	_ = stderrors.As(failure, &said)
+	_ = stderrors.As(err, &said)
 	switch said.Kind {
 	case trouble.VersionConflict:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Version: said.Detail, Detail: "the configuration is at another version"})
@@ -208,7 +208,7 @@
 	case trouble.Busy:
 		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
 	case trouble.NotPrimary, trouble.NoPrimary:
-		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: failure.Error()})
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: err.Error()})
 	default:
 		answerUnknown(writer, change)
 	}
@@ -232,17 +232,17 @@
 
 func (process *Process) retire(writer http.ResponseWriter, inbound *http.Request) {
 	name := pat.Param(inbound, "name")
-	version, failure := process.conduct.Retire(name)
-	if trouble.KindOf(failure) == trouble.HoldActive {
-		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: trouble.DetailOf(failure)})
+	version, err := process.conduct.Retire(name)
+	if trouble.KindOf(err) == trouble.HoldActive {
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: trouble.DetailOf(err)})
 		return
 	}
-	if trouble.KindOf(failure) == trouble.NoSuch {
-		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: failure.Error()})
+	if trouble.KindOf(err) == trouble.NoSuch {
+		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: err.Error()})
 		return
 	}
-	if failure != nil {
-		process.answerChangeTrouble(writer, "", failure)
+	if err != nil {
+		process.answerChangeTrouble(writer, "", err)
 		return
 	}
 	answerJSON(writer, http.StatusOK, operatorAnswer{Outcome: "accepted", Version: version.String()})
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -56,13 +56,13 @@
 	process := &Process{logger: logger, clock: clock, chosen: chosen,
 		operatorsClient: &http.Client{Transport: hotline.Transport(chosen.Detours), Timeout: forwardPatience}}
 	process.lifetime = process.tomb.Context(context.Background())
-	keeping, failure := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
-	if failure != nil {
-		return nil, failure
+	keeping, err := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
+	if err != nil {
+		return nil, err
 	}
-	copies, failure := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "larder"))
-	if failure != nil {
-		return nil, failure
+	copies, err := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "larder"))
+	if err != nil {
+		return nil, err
 	}
 	if reached.Directory == nil {
 		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
@@ -74,13 +74,13 @@
 		options.Reports = ports.Asking{Reports: reached.Reports, Lifetime: process.lifetime}
 	}
 	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime}
-	conduct, blank, failure := hatch.OpenExpediter(threads.New(process.lifetime, clock), line, keeping, copies, options, process.observe)
-	if failure != nil {
-		return nil, failure
+	conduct, blank, err := hatch.OpenExpediter(threads.New(process.lifetime, clock), line, keeping, copies, options, process.observe)
+	if err != nil {
+		return nil, err
 	}
 	process.conduct = conduct
-	if failure := program.Serve(&process.tomb, chosen.Address, process.mux()); failure != nil {
-		return nil, failure
+	if err := program.Serve(&process.tomb, chosen.Address, process.mux()); err != nil {
+		return nil, err
 	}
 	for _, round := range conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
@@ -152,7 +152,7 @@
 	process.mutex.Unlock()
 	process.conduct.SetSeeds(seeds)
 	process.conduct.SetAcknowledgeWait(wait)
-	if parsed, failure := log.ParseLevel(level); failure == nil {
+	if parsed, err := log.ParseLevel(level); err == nil {
 		process.logger.SetLevel(parsed)
 	}
 	process.logger.Info("reloaded", "needs_restart", stays)
--- a/internal/adapters/expediter/status.go
+++ b/internal/adapters/expediter/status.go
@@ -29,7 +29,7 @@
 	}
 	orders := map[string]recipe.Order{}
 	for server, record := range state.Orders.Records {
-		if order, failure := recipe.ReadOrder(record, process.conduct.Supported()); failure == nil {
+		if order, err := recipe.ReadOrder(record, process.conduct.Supported()); err == nil {
 			orders[server] = order
 		}
 	}
@@ -52,8 +52,8 @@
 
 // horizon is the age before which claims are forgotten.
 func (process *Process) horizon(view *larder.View) time.Time {
-	state, failure := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
-	if failure != nil {
+	state, err := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
+	if err != nil {
 		return time.Time{}
 	}
 	return state.Horizon
--- a/internal/adapters/hotline/answerer.go
+++ b/internal/adapters/hotline/answerer.go
@@ -17,24 +17,24 @@
 //	mux.Handle(pat.Post(path), hotline.Answerer(answer))
 func Answerer(answer func(body []byte) ([]byte, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
-		body, failure := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, MostBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, MostBytes))
 		var encoded []byte
 		switch {
-		case failure != nil:
-			failure = trouble.Wrap(trouble.Oversize, failure)
+		case err != nil:
+			err = trouble.Wrap(trouble.Oversize, err)
 		case inbound.Header.Get(checksumHeader) != checksum(body):
-			failure = trouble.New(trouble.Garbage, "the question's checksum is wrong")
+			err = trouble.New(trouble.Garbage, "the question's checksum is wrong")
 		default:
-			if body, failure = unpack(body, inbound.Header); failure == nil {
-				encoded, failure = answer(body)
+			if body, err = unpack(body, inbound.Header); err == nil {
+				encoded, err = answer(body)
 			}
 		}
 		status := http.StatusOK
-		if failure != nil {
+		if err != nil {
 			status = http.StatusConflict
 			said := &trouble.Trouble{}
-			if !stderrors.As(failure, &said) {
-				said = trouble.New(trouble.Unsorted, failure.Error())
+			if !stderrors.As(err, &said) {
+				said = trouble.New(trouble.Unsorted, err.Error())
 			}
 			encoded, _ = msgpack.Marshal(said)
 		}
--- a/internal/adapters/hotline/caller.go
+++ b/internal/adapters/hotline/caller.go
@@ -71,20 +71,20 @@
 	if len(body) >= leastPacked && caller.takers.has(address) {
 		body = packInto(body, header)
 	}
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Garbage, failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Garbage, err)
 	}
 	outbound.Header = header
 	outbound.Header.Set(checksumHeader, checksum(body))
-	inbound, failure := caller.client.Do(outbound)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := caller.client.Do(outbound)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	answer, failure := io.ReadAll(io.LimitReader(inbound.Body, MostBytes+1))
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	answer, err := io.ReadAll(io.LimitReader(inbound.Body, MostBytes+1))
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	caller.takers.note(address, inbound.Header)
 	if len(answer) > MostBytes {
@@ -93,8 +93,8 @@
 	if inbound.Header.Get(checksumHeader) != checksum(answer) {
 		return nil, trouble.New(trouble.Garbage, "the answer's checksum is wrong")
 	}
-	if answer, failure = unpack(answer, inbound.Header); failure != nil {
-		return nil, failure
+	if answer, err = unpack(answer, inbound.Header); err != nil {
+		return nil, err
 	}
 	if inbound.StatusCode == http.StatusOK {
 		return answer, nil
--- a/internal/adapters/hotline/packing.go
+++ b/internal/adapters/hotline/packing.go
@@ -39,15 +39,15 @@
 	if header.Get("Content-Encoding") != packing {
 		return message, nil
 	}
-	size, failure := s2.DecodedLen(message)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Garbage, failure)
+	size, err := s2.DecodedLen(message)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Garbage, err)
 	}
 	if size > MostBytes {
 		return nil, trouble.New(trouble.Oversize, "a message of more than the largest size")
 	}
-	unpacked, failure := s2.Decode(nil, message)
-	return unpacked, trouble.Wrap(trouble.Garbage, failure)
+	unpacked, err := s2.Decode(nil, message)
+	return unpacked, trouble.Wrap(trouble.Garbage, err)
 }
 
 // takers are the addresses whose last answer said that they take packed questions.
--- a/internal/adapters/hotline/packing_test.go
+++ b/internal/adapters/hotline/packing_test.go
@@ -25,18 +25,18 @@
 	if counting.without {
 		outbound.Header.Del("Accept-Encoding")
 	}
-	inbound, failure := (&http.Transport{DisableCompression: true, DisableKeepAlives: true}).RoundTrip(outbound)
-	if failure != nil {
-		return nil, failure
+	inbound, err := (&http.Transport{DisableCompression: true, DisableKeepAlives: true}).RoundTrip(outbound)
+	if err != nil {
+		return nil, err
 	}
-	content, failure := io.ReadAll(inbound.Body)
+	content, err := io.ReadAll(inbound.Body)
 	_ = inbound.Body.Close()
 	counting.bytes = len(content)
 	inbound.Body = io.NopCloser(bytes.NewReader(content))
-	return inbound, failure
+	return inbound, err
 }
 
-func TestLongMessagesTravelPacked(test *testing.T) {
+func TestLongMessagesTravelPacked(t *testing.T) {
 	asked := 0
 	answerer := Answerer(func(body []byte) ([]byte, error) {
 		if string(body) == "refuse" {
@@ -68,16 +68,16 @@
 	counting := &counted{}
 	caller := &Caller{client: &http.Client{Transport: counting}}
 	call := func(name string, body []byte, askedPacked, answeredPacked bool) {
-		test.Helper()
-		answer, failure := caller.CallRaw(context.Background(), address, "/", body, 5*time.Second)
-		if failure != nil || !bytes.Equal(answer, body) {
-			test.Errorf("%s: %d bytes, %v", name, len(answer), failure)
+		t.Helper()
+		answer, err := caller.CallRaw(context.Background(), address, "/", body, 5*time.Second)
+		if err != nil || !bytes.Equal(answer, body) {
+			t.Errorf("%s: %d bytes, %v", name, len(answer), err)
 		}
 		if packed := asked < len(body); packed != askedPacked {
-			test.Errorf("%s: %d bytes were asked of %d", name, asked, len(body))
+			t.Errorf("%s: %d bytes were asked of %d", name, asked, len(body))
 		}
 		if packed := counting.bytes < len(body); packed != answeredPacked {
-			test.Errorf("%s: %d bytes were answered of %d", name, counting.bytes, len(body))
+			t.Errorf("%s: %d bytes were answered of %d", name, counting.bytes, len(body))
 		}
 	}
 	call("the first", long, false, true)
@@ -88,23 +88,23 @@
 	call("from an older release", long, true, false)
 	counting.without = false
 	older = true
-	if _, failure := caller.CallRaw(context.Background(), address, "/", long, 5*time.Second); trouble.KindOf(failure) != trouble.Garbage {
-		test.Errorf("restarted into an older release: %v", failure)
+	if _, err := caller.CallRaw(context.Background(), address, "/", long, 5*time.Second); trouble.KindOf(err) != trouble.Garbage {
+		t.Errorf("restarted into an older release: %v", err)
 	}
 	call("to an older release", long, false, false)
 	older = false
 	call("upgraded again", long, false, true)
 	call("and the next", long, true, true)
-	if _, failure := caller.CallRaw(context.Background(), address, "/", []byte("refuse"), 5*time.Second); trouble.KindOf(failure) != trouble.Busy {
-		test.Errorf("a refusal: %v", failure)
+	if _, err := caller.CallRaw(context.Background(), address, "/", []byte("refuse"), 5*time.Second); trouble.KindOf(err) != trouble.Busy {
+		t.Errorf("a refusal: %v", err)
 	}
 }
 
-func TestWhatWasNeverPackedIsGarbage(test *testing.T) {
+func TestWhatWasNeverPackedIsGarbage(t *testing.T) {
 	header := http.Header{"Content-Encoding": {packing}}
 	for _, answer := range [][]byte{nil, []byte("no packing"), {0xff, 0xff, 0xff, 0xff, 0x0f}} {
-		if _, failure := unpack(answer, header); failure == nil {
-			test.Errorf("%q was unpacked", answer)
+		if _, err := unpack(answer, header); err == nil {
+			t.Errorf("%q was unpacked", answer)
 		}
 	}
 }
--- a/internal/adapters/pantry/folder.go
+++ b/internal/adapters/pantry/folder.go
@@ -32,8 +32,8 @@
 //
 //	shelf, failure := pantry.OpenFolder(pantry.RealDisk{}, "/var/lib/seamloom/larder")
 func OpenFolder(disk Disk, path string) (*Folder, error) {
-	if failure := disk.MakeFolder(path); failure != nil {
-		return nil, trouble.Wrap(trouble.Disk, failure)
+	if err := disk.MakeFolder(path); err != nil {
+		return nil, trouble.Wrap(trouble.Disk, err)
 	}
 	return &Folder{path: path, disk: disk}, nil
 }
@@ -49,11 +49,11 @@
 	binary.BigEndian.PutUint32(framed[len(magic):], crc32.Checksum(content, castagnoli))
 	framed = append(framed, content...)
 	path := filepath.Join(folder.path, name)
-	if failure := folder.disk.WriteSynced(path+asideSuffix, framed); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if err := folder.disk.WriteSynced(path+asideSuffix, framed); err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
-	if failure := folder.disk.Rename(path+asideSuffix, path); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if err := folder.disk.Rename(path+asideSuffix, path); err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	return trouble.Wrap(trouble.Disk, folder.disk.SyncFolder(folder.path))
 }
@@ -65,9 +65,9 @@
 //
 //	files, damaged, failure := folder.Load()
 func (folder *Folder) Load() (map[string][]byte, []string, error) {
-	names, failure := folder.disk.List(folder.path)
-	if failure != nil {
-		return nil, nil, trouble.Wrap(trouble.Disk, failure)
+	names, err := folder.disk.List(folder.path)
+	if err != nil {
+		return nil, nil, trouble.Wrap(trouble.Disk, err)
 	}
 	files := map[string][]byte{}
 	var damaged []string
@@ -77,8 +77,8 @@
 			_ = folder.disk.Remove(path)
 			continue
 		}
-		framed, failure := folder.disk.Read(path)
-		if failure != nil || len(framed) < headerSize || string(framed[:len(magic)]) != magic ||
+		framed, err := folder.disk.Read(path)
+		if err != nil || len(framed) < headerSize || string(framed[:len(magic)]) != magic ||
 			binary.BigEndian.Uint32(framed[len(magic):]) != crc32.Checksum(framed[headerSize:], castagnoli) {
 			damaged = append(damaged, name)
 			continue
@@ -95,8 +95,8 @@
 //	failure := folder.Remove([]string{"version-1"})
 func (folder *Folder) Remove(names []string) error {
 	for _, name := range names {
-		if failure := folder.disk.Remove(filepath.Join(folder.path, name)); failure != nil && !os.IsNotExist(failure) {
-			return trouble.Wrap(trouble.Disk, failure)
+		if err := folder.disk.Remove(filepath.Join(folder.path, name)); err != nil && !os.IsNotExist(err) {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	return nil
--- a/internal/adapters/pantry/realdisk.go
+++ b/internal/adapters/pantry/realdisk.go
@@ -18,17 +18,17 @@
 //
 //	failure := pantry.RealDisk{}.WriteSynced("/var/lib/seamloom/note", content)
 func (RealDisk) WriteSynced(path string, content []byte) error {
-	file, failure := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
-	if failure != nil {
-		return failure
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return err
 	}
-	if _, failure := file.Write(content); failure != nil {
+	if _, err := file.Write(content); err != nil {
 		_ = file.Close()
-		return failure
+		return err
 	}
-	if failure := file.Sync(); failure != nil {
+	if err := file.Sync(); err != nil {
 		_ = file.Close()
-		return failure
+		return err
 	}
 	return file.Close()
 }
@@ -46,13 +46,13 @@
 //
 //	failure := pantry.RealDisk{}.SyncFolder("/var/lib/seamloom")
 func (RealDisk) SyncFolder(path string) error {
-	folder, failure := os.Open(path)
-	if failure != nil {
-		return failure
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
 	}
-	if failure := folder.Sync(); failure != nil {
+	if err := folder.Sync(); err != nil {
 		_ = folder.Close()
-		return failure
+		return err
 	}
 	return folder.Close()
 }
@@ -63,14 +63,14 @@
 //
 //	names, failure := pantry.RealDisk{}.List("/var/lib/seamloom")
 func (RealDisk) List(path string) ([]string, error) {
-	entries, failure := os.ReadDir(path)
+	entries, err := os.ReadDir(path)
 	var names []string
 	for _, entry := range entries {
 		if !entry.IsDir() {
 			names = append(names, entry.Name())
 		}
 	}
-	return names, failure
+	return names, err
 }
 
 // Read reads a whole file.
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -143,8 +143,8 @@
 //
 //	logger := program.Logger(os.Stderr, "info", "courier-1")
 func Logger(target io.Writer, level, node string) *log.Logger {
-	parsed, failure := log.ParseLevel(level)
-	if failure != nil {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
 		parsed = log.InfoLevel
 	}
 	logger := log.NewWithOptions(target, log.Options{Formatter: log.JSONFormatter, ReportTimestamp: true, Level: parsed,
@@ -170,8 +170,8 @@
 // Example:
 //
 //	os.Exit(program.ExitCode(failure))
-func ExitCode(failure error) int {
-	switch trouble.KindOf(failure) {
+func ExitCode(err error) int {
+	switch trouble.KindOf(err) {
 	case trouble.Disk, trouble.Unreachable, trouble.Damaged:
 		return 1
 	}
@@ -205,14 +205,14 @@
 //
 //	failure := program.Serve(&process.tomb, "127.0.0.1:7101", mux)
 func Serve(owner *tomb.Tomb, address string, handler http.Handler) error {
-	listener, failure := net.Listen("tcp", address)
-	if failure != nil {
-		return trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return trouble.Wrap(trouble.Unreachable, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	owner.Go(func() error {
-		if failure := server.Serve(listener); failure != http.ErrServerClosed {
-			return trouble.Wrap(trouble.Unreachable, failure)
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return trouble.Wrap(trouble.Unreachable, err)
 		}
 		return nil
 	})
--- a/internal/adapters/program/signals.go
+++ b/internal/adapters/program/signals.go
@@ -73,8 +73,8 @@
 	if file == "" {
 		return fileState{}
 	}
-	found, failure := os.Stat(file)
-	if failure != nil {
+	found, err := os.Stat(file)
+	if err != nil {
 		return fileState{}
 	}
 	return fileState{changed: found.ModTime(), size: found.Size()}
--- a/internal/adapters/program/signals_test.go
+++ b/internal/adapters/program/signals_test.go
@@ -10,45 +10,45 @@
 )
 
 // TestSignalsReloadAndEnd sends signals to the test's own process.
-func TestSignalsReloadAndEnd(test *testing.T) {
+func TestSignalsReloadAndEnd(t *testing.T) {
 	signals := CatchSignals()
 	// This one comes while the process still starts.
-	if failure := syscall.Kill(os.Getpid(), syscall.SIGHUP); failure != nil {
-		test.Fatal(failure)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
 	}
 	reloads := make(chan struct{}, 8)
 	ended := make(chan bool)
-	file := filepath.Join(test.TempDir(), "settings.json")
-	if failure := os.WriteFile(file, []byte("{}"), 0o644); failure != nil {
-		test.Fatal(failure)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(file, []byte("{}"), 0o644); err != nil {
+		t.Fatal(err)
 	}
 	go func() { ended <- signals.Wait(nil, file, func() { reloads <- struct{}{} }) }()
 	await := func(what string) {
-		test.Helper()
+		t.Helper()
 		select {
 		case <-reloads:
 		case <-time.After(4 * filePause):
-			test.Fatal("no reload after " + what)
+			t.Fatal("no reload after " + what)
 		}
 	}
 	await("a signal at the start")
-	if failure := os.WriteFile(file, []byte("{ }"), 0o644); failure != nil {
-		test.Fatal(failure)
+	if err := os.WriteFile(file, []byte("{ }"), 0o644); err != nil {
+		t.Fatal(err)
 	}
 	await("a change without a signal")
-	if failure := syscall.Kill(os.Getpid(), syscall.SIGTERM); failure != nil {
-		test.Fatal(failure)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
 	}
 	if !<-ended {
-		test.Error("a signal to end is no end by itself")
+		t.Error("a signal to end is no end by itself")
 	}
 }
 
-func TestProcessThatEndsByItself(test *testing.T) {
+func TestProcessThatEndsByItself(t *testing.T) {
 	dead := make(chan struct{})
 	close(dead)
 	if CatchSignals().Wait(dead, "", func() {}) {
-		test.Error("nobody asked it to end")
+		t.Error("nobody asked it to end")
 	}
 }
 
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -85,16 +85,16 @@
 //
 //	failure := chosen.ReadFile("courier.json")
 func (settings *Settings) ReadFile(path string) error {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
-		return trouble.At(trouble.Missing, "settings file", failure.Error())
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return trouble.At(trouble.Missing, "settings file", err.Error())
 	}
-	root, failure := fastjson.ParseBytes(text)
-	if failure != nil {
-		return trouble.At(trouble.Malformed, path, failure.Error())
+	root, err := fastjson.ParseBytes(text)
+	if err != nil {
+		return trouble.At(trouble.Malformed, path, err.Error())
 	}
-	object, failure := root.Object()
-	if failure != nil {
+	object, err := root.Object()
+	if err != nil {
 		return trouble.At(trouble.WrongType, path, "an object is needed")
 	}
 	var mistakes error
@@ -113,50 +113,50 @@
 		"most_memory_megabytes": &settings.MostMemory}
 	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter, "catch_up": &settings.CatchUp}
 	if target, found := texts[name]; found {
-		text, failure := value.StringBytes()
-		if failure != nil {
+		text, err := value.StringBytes()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "a text is needed")
 		}
 		*target = string(text)
 		return nil
 	}
 	if target, found := numbers[name]; found {
-		number, failure := value.Int()
-		if failure != nil {
+		number, err := value.Int()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "a whole number is needed")
 		}
 		*target = number
 		return nil
 	}
 	if target, found := lengths[name]; found {
-		text, failure := value.StringBytes()
-		if failure != nil {
+		text, err := value.StringBytes()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "a text such as 1s or 250ms is needed")
 		}
-		length, failure := time.ParseDuration(string(text))
-		if failure != nil {
+		length, err := time.ParseDuration(string(text))
+		if err != nil {
 			return trouble.At(trouble.Malformed, name, "a length of time such as 1s or 250ms is needed, not \""+string(text)+"\"")
 		}
 		*target = length
 		return nil
 	}
 	if name == "bootstrap" {
-		chosen, failure := value.Bool()
-		if failure != nil {
+		chosen, err := value.Bool()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "true or false is needed")
 		}
 		settings.Bootstrap = chosen
 		return nil
 	}
 	if target, found := lists[name]; found {
-		entries, failure := value.Array()
-		if failure != nil {
+		entries, err := value.Array()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "a list of texts is needed")
 		}
 		*target = nil
 		for position, entry := range entries {
-			text, failure := entry.StringBytes()
-			if failure != nil {
+			text, err := entry.StringBytes()
+			if err != nil {
 				return trouble.At(trouble.WrongType, name+"/"+strconv.Itoa(position), "a text is needed")
 			}
 			*target = append(*target, string(text))
@@ -164,15 +164,15 @@
 		return nil
 	}
 	if name == "detours" {
-		object, failure := value.Object()
-		if failure != nil {
+		object, err := value.Object()
+		if err != nil {
 			return trouble.At(trouble.WrongType, name, "an object is needed")
 		}
 		settings.Detours = map[string]string{}
 		var mistakes error
 		object.Visit(func(key []byte, value *fastjson.Value) {
-			text, failure := value.StringBytes()
-			if failure != nil {
+			text, err := value.StringBytes()
+			if err != nil {
 				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, name+"/"+string(key), "an address is needed"))
 				return
 			}
@@ -217,7 +217,7 @@
 	}
 	settings.checkFurther(addresses, wrong)
 	for path, address := range addresses {
-		if parsed, failure := netip.ParseAddrPort(address); failure != nil || parsed.Port() == 0 {
+		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
 			wrong(trouble.Malformed, path, "needs an IP number and a port, such as 127.0.0.1:7101, not \""+address+"\"")
 		}
 	}
--- a/internal/adapters/settings/settings_test.go
+++ b/internal/adapters/settings/settings_test.go
@@ -23,48 +23,48 @@
 
 // TestDefaultsKeepTheStrictConduct wants settings that say nothing of holds to
 // mean that holds are waited for, and that nothing is let in without one.
-func TestDefaultsKeepTheStrictConduct(test *testing.T) {
+func TestDefaultsKeepTheStrictConduct(t *testing.T) {
 	for _, kind := range []roster.NodeKind{roster.Courier, roster.Expediter} {
 		chosen := sound(kind)
-		if failure := chosen.Check(); failure != nil {
-			test.Errorf("%s: %v", kind, failure)
+		if err := chosen.Check(); err != nil {
+			t.Errorf("%s: %v", kind, err)
 		}
 		if chosen.AcknowledgeWait != 0 || chosen.ServeWithoutHold != 0 || !chosen.Bootstrap || chosen.Grace != 20*time.Second {
-			test.Errorf("%s: %+v", kind, chosen)
+			t.Errorf("%s: %+v", kind, chosen)
 		}
 	}
 }
 
 // TestFileGivesTheNewFields reads each new field from a file, and each in a form
 // that it can't have.
-func TestFileGivesTheNewFields(test *testing.T) {
-	path := filepath.Join(test.TempDir(), "settings.json")
+func TestFileGivesTheNewFields(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
 	read := func(text string) (Settings, error) {
-		if failure := os.WriteFile(path, []byte(text), 0o600); failure != nil {
-			test.Fatal(failure)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
 		}
 		chosen := sound(roster.Courier)
-		failure := chosen.ReadFile(path)
-		return chosen, failure
+		err := chosen.ReadFile(path)
+		return chosen, err
 	}
-	chosen, failure := read(`{"bootstrap":false,"acknowledge_wait":"1s","serve_without_hold":"90s","grace":"8s",
+	chosen, err := read(`{"bootstrap":false,"acknowledge_wait":"1s","serve_without_hold":"90s","grace":"8s",
 		"calls_address":"10.0.0.1:80","ready_address":"10.0.0.1:81","control_address":"10.0.0.1:82"}`)
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if chosen.Bootstrap || chosen.AcknowledgeWait != time.Second || chosen.ServeWithoutHold != 90*time.Second || chosen.Grace != 8*time.Second ||
 		chosen.CallsAddress != "10.0.0.1:80" || chosen.ReadyAddress != "10.0.0.1:81" || chosen.ControlAddress != "10.0.0.1:82" {
-		test.Errorf("%+v", chosen)
+		t.Errorf("%+v", chosen)
 	}
 	for _, wrong := range []string{`{"bootstrap":"yes"}`, `{"acknowledge_wait":1}`, `{"acknowledge_wait":"soon"}`, `{"grace":true}`, `{"calls_address":5}`} {
-		if _, failure := read(wrong); failure == nil {
-			test.Errorf("%s was taken", wrong)
+		if _, err := read(wrong); err == nil {
+			t.Errorf("%s was taken", wrong)
 		}
 	}
 }
 
 // TestCheckNamesWhatIsWrong brings each mistake about the new fields.
-func TestCheckNamesWhatIsWrong(test *testing.T) {
+func TestCheckNamesWhatIsWrong(t *testing.T) {
 	for path, mistake := range map[string]func(*Settings){
 		"acknowledge_wait":   func(chosen *Settings) { chosen.AcknowledgeWait = -1 },
 		"serve_without_hold": func(chosen *Settings) { chosen.ServeWithoutHold = -1 },
@@ -76,28 +76,28 @@
 	} {
 		chosen := sound(roster.Courier)
 		mistake(&chosen)
-		if failure := chosen.Check(); failure == nil || !strings.Contains(failure.Error(), path) {
-			test.Errorf("%s: %v", path, failure)
+		if err := chosen.Check(); err == nil || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", path, err)
 		}
 	}
 	joining := sound(roster.Expediter)
 	joining.Bootstrap, joining.Seeds = false, joining.Seeds[:1]
-	if failure := joining.Check(); failure != nil {
-		test.Errorf("one seed is enough to join: %v", failure)
+	if err := joining.Check(); err != nil {
+		t.Errorf("one seed is enough to join: %v", err)
 	}
 	joining.Bootstrap = true
 	if joining.Check() == nil {
-		test.Error("a first core was to be formed with one seed")
+		t.Error("a first core was to be formed with one seed")
 	}
 }
 
 // TestReloadTakesLengthsAndLeavesAddresses changes fields while the process runs.
-func TestReloadTakesLengthsAndLeavesAddresses(test *testing.T) {
+func TestReloadTakesLengthsAndLeavesAddresses(t *testing.T) {
 	chosen := sound(roster.Courier)
 	next := chosen
 	next.AcknowledgeWait, next.ServeWithoutHold, next.Grace, next.CallsAddress = time.Second, time.Minute, 8*time.Second, "127.0.0.1:9"
 	stays := chosen.Reload(next)
 	if !slices.Equal(stays, []string{"CallsAddress"}) || chosen.Grace != 8*time.Second || chosen.ServeWithoutHold != time.Minute || chosen.AcknowledgeWait != time.Second || chosen.CallsAddress != "" {
-		test.Errorf("stays %v, %+v", stays, chosen)
+		t.Errorf("stays %v, %+v", stays, chosen)
 	}
 }
--- a/internal/adapters/stove/fuzz_test.go
+++ b/internal/adapters/stove/fuzz_test.go
@@ -30,17 +30,17 @@
 	client := New(context.Background(), threads.New(context.Background(), wallclock.New()), &http.Transport{})
 	decision := pass.Decision{ID: "one", Run: 1, Address: server.Listener.Addr().String(), Inquiry: &pass.Inquiry{ID: "one"}}
 	may := func() bool { return true }
-	fuzzing.Fuzz(func(test *testing.T, said int, content []byte) {
+	fuzzing.Fuzz(func(t *testing.T, said int, content []byte) {
 		status, body = said, content
-		if load, failure := client.Load(context.Background(), decision.Address); failure != nil {
-			if trouble.KindOf(failure) == trouble.Unsorted {
-				test.Fatalf("an untyped failure: %v", failure)
+		if load, err := client.Load(context.Background(), decision.Address); err != nil {
+			if trouble.KindOf(err) == trouble.Unsorted {
+				t.Fatalf("an untyped failure: %v", err)
 			}
 		} else if load.PrefillRoom < 0 || load.DecodeSlots < 0 || load.MemoryFree < 0 {
-			test.Fatalf("%q passed as %+v", content, load)
+			t.Fatalf("%q passed as %+v", content, load)
 		}
 		if outcome, handle, _ := client.Prefill(decision, may); outcome == pass.Done && handle == "" {
-			test.Fatalf("%q is done without memory", content)
+			t.Fatalf("%q is done without memory", content)
 		}
 		_, _, _ = client.Decode(decision, may, func(piece int, text string) {})
 	})
--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/stove/stove.go
@@ -72,10 +72,10 @@
 
 // post sends an order. Begun tells whether any of it may have reached the
 // server: if not, the server certainly did not start.
-func (stove *Stove) post(lifetime context.Context, address, path string, order any, may func() bool) (inbound *http.Response, begun bool, failure error) {
-	content, failure := json.Marshal(order)
-	if failure != nil {
-		return nil, false, trouble.Wrap(trouble.Garbage, failure)
+func (stove *Stove) post(lifetime context.Context, address, path string, order any, may func() bool) (inbound *http.Response, begun bool, err error) {
+	content, err := json.Marshal(order)
+	if err != nil {
+		return nil, false, trouble.Wrap(trouble.Garbage, err)
 	}
 	return Post(lifetime, stove.client, "http://"+address+path, http.Header{"Content-Type": {"application/json"}}, content, may)
 }
@@ -86,20 +86,20 @@
 // Example:
 //
 //	inbound, begun, failure := stove.Post(lifetime, client, "http://127.0.0.1:7201/v1/part", header, content, may)
-func Post(lifetime context.Context, client *http.Client, location string, header http.Header, content []byte, may func() bool) (inbound *http.Response, begun bool, failure error) {
+func Post(lifetime context.Context, client *http.Client, location string, header http.Header, content []byte, may func() bool) (inbound *http.Response, begun bool, err error) {
 	if !may() {
 		return nil, false, tooLate
 	}
 	var touched atomic.Bool
 	body := renew(content, may, &touched)
 	first, _ := body()
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, location, first)
-	if failure != nil {
-		return nil, false, trouble.Wrap(trouble.Garbage, failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, location, first)
+	if err != nil {
+		return nil, false, trouble.Wrap(trouble.Garbage, err)
 	}
 	outbound.ContentLength, outbound.GetBody, outbound.Header = int64(len(content)), body, header
-	inbound, failure = client.Do(outbound)
-	return inbound, touched.Load(), trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err = client.Do(outbound)
+	return inbound, touched.Load(), trouble.Wrap(trouble.Unreachable, err)
 }
 
 // refusal is what a server says with any status but 200.
@@ -129,13 +129,13 @@
 //	outcome, handle, detail := stove.Prefill(decision, may)
 func (stove *Stove) Prefill(decision pass.Decision, may func() bool) (pass.Outcome, string, string) {
 	inquiry := decision.Inquiry
-	inbound, written, failure := stove.post(stove.beginRun(decision), decision.Address, "/v1/prefill", PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
+	inbound, written, err := stove.post(stove.beginRun(decision), decision.Address, "/v1/prefill", PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
 		Prompt: inquiry.Prompt, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens}, may)
-	if failure != nil {
+	if err != nil {
 		if !written {
-			return pass.NotStarted, "", failure.Error()
+			return pass.NotStarted, "", err.Error()
 		}
-		return pass.Uncertain, "", failure.Error()
+		return pass.Uncertain, "", err.Error()
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
@@ -143,7 +143,7 @@
 		return outcome, "", detail
 	}
 	var answer PrefillAnswer
-	if failure := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&answer); failure != nil || answer.Handle == "" {
+	if err := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&answer); err != nil || answer.Handle == "" {
 		return pass.Uncertain, "", "the answer broke off"
 	}
 	if answer.Inquiry != inquiry.ID || answer.Run != decision.Run {
@@ -160,13 +160,13 @@
 //	outcome, pieces, detail := stove.Decode(decision, may, func(piece int, text string) { ... })
 func (stove *Stove) Decode(decision pass.Decision, may func() bool, take func(piece int, text string)) (pass.Outcome, int, string) {
 	inquiry := decision.Inquiry
-	inbound, written, failure := stove.post(stove.beginRun(decision), decision.Address, "/v1/decode", DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
+	inbound, written, err := stove.post(stove.beginRun(decision), decision.Address, "/v1/decode", DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
 		Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces}, may)
-	if failure != nil {
+	if err != nil {
 		if !written {
-			return pass.NotStarted, 0, failure.Error()
+			return pass.NotStarted, 0, err.Error()
 		}
-		return pass.Uncertain, 0, failure.Error()
+		return pass.Uncertain, 0, err.Error()
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
@@ -177,7 +177,7 @@
 	lines.Buffer(make([]byte, 0, 4096), MostLine)
 	for lines.Scan() {
 		var line StreamLine
-		if failure := json.Unmarshal(lines.Bytes(), &line); failure != nil {
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
 			return pass.Uncertain, 0, "a line that is no JSON"
 		}
 		if line.Inquiry != inquiry.ID || line.Run != decision.Run {
@@ -201,8 +201,8 @@
 	stove.turns.Go(func() {
 		lifetime, end := context.WithTimeout(stove.lifetime, time.Second)
 		defer end()
-		inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/cancel", CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}, func() bool { return true })
-		if failure == nil {
+		inbound, _, err := stove.post(lifetime, decision.Address, "/v1/cancel", CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}, func() bool { return true })
+		if err == nil {
 			_ = inbound.Body.Close()
 		}
 	})
@@ -221,9 +221,9 @@
 		order.Cause = decision.Order.Cause
 	}
 	return stove.Within(decision, func(lifetime context.Context) error {
-		inbound, _, failure := stove.post(lifetime, decision.Address, "/v1/part", order, may)
-		if failure != nil {
-			return failure
+		inbound, _, err := stove.post(lifetime, decision.Address, "/v1/part", order, may)
+		if err != nil {
+			return err
 		}
 		defer func() { _ = inbound.Body.Close() }()
 		if inbound.StatusCode != http.StatusOK {
@@ -263,21 +263,21 @@
 //	load, failure := stove.Load(lifetime, "127.0.0.1:7201")
 func (stove *Stove) Load(lifetime context.Context, address string) (pass.Load, error) {
 	var load pass.Load
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodGet, "http://"+address+"/v1/load", nil)
-	if failure != nil {
-		return load, trouble.Wrap(trouble.Garbage, failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return load, trouble.Wrap(trouble.Garbage, err)
 	}
-	inbound, failure := stove.client.Do(outbound)
-	if failure != nil {
-		return load, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := stove.client.Do(outbound)
+	if err != nil {
+		return load, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	var report LoadReport
-	if failure := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&report); failure != nil {
-		return load, trouble.Wrap(trouble.Garbage, failure)
+	if err := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&report); err != nil {
+		return load, trouble.Wrap(trouble.Garbage, err)
 	}
-	if failure := report.Check(); failure != nil {
-		return load, failure
+	if err := report.Check(); err != nil {
+		return load, err
 	}
 	return report.Load(), nil
 }
--- a/internal/adapters/stove/stove_test.go
+++ b/internal/adapters/stove/stove_test.go
@@ -16,7 +16,7 @@
 // TestOrderThatWaitedTooLongDoesNotLeave has the circuit come about only after
 // the order may not go any more: nothing may reach the server, and the outcome
 // is certain.
-func TestOrderThatWaitedTooLongDoesNotLeave(test *testing.T) {
+func TestOrderThatWaitedTooLongDoesNotLeave(t *testing.T) {
 	var orders atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
 		buffer := make([]byte, 1)
@@ -30,11 +30,11 @@
 	may.Store(true)
 	waits := true
 	transport := &http.Transport{DialContext: func(lifetime context.Context, network, address string) (net.Conn, error) {
-		circuit, failure := (&net.Dialer{}).DialContext(lifetime, network, address)
+		circuit, err := (&net.Dialer{}).DialContext(lifetime, network, address)
 		if waits {
 			may.Store(false)
 		}
-		return circuit, failure
+		return circuit, err
 	}}
 	stove := New(context.Background(), threads.New(context.Background(), wallclock.New()), transport)
 	decision := pass.Decision{ID: "one", Run: 1, Address: server.Listener.Addr().String(), Inquiry: &pass.Inquiry{ID: "one"}}
@@ -47,12 +47,12 @@
 	} {
 		may.Store(true)
 		if outcome := order(); outcome != pass.NotStarted || orders.Load() != 0 {
-			test.Errorf("the outcome is %s, and %d orders came", outcome, orders.Load())
+			t.Errorf("the outcome is %s, and %d orders came", outcome, orders.Load())
 		}
 	}
 	waits = false
 	may.Store(true)
 	if outcome, _, _ := stove.Prefill(decision, may.Load); outcome == pass.NotStarted || orders.Load() != 1 {
-		test.Errorf("an order in time: %s, and %d orders came", outcome, orders.Load())
+		t.Errorf("an order in time: %s, and %d orders came", outcome, orders.Load())
 	}
 }
--- a/internal/adapters/usage/export.go
+++ b/internal/adapters/usage/export.go
@@ -20,13 +20,13 @@
 //	failure := usage.WriteCSV(file, rows)
 func WriteCSV(target io.Writer, rows []Row) error {
 	writer := csv.NewWriter(target)
-	if failure := writer.Write(Columns); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if err := writer.Write(Columns); err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	for _, row := range rows {
-		if failure := writer.Write([]string{row.Minute, row.Courier, row.Service, row.Origin, row.Final, strconv.FormatInt(row.Inquiries, 10),
-			strconv.FormatInt(row.PromptTokens, 10), strconv.FormatInt(row.Pieces, 10)}); failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		if err := writer.Write([]string{row.Minute, row.Courier, row.Service, row.Origin, row.Final, strconv.FormatInt(row.Inquiries, 10),
+			strconv.FormatInt(row.PromptTokens, 10), strconv.FormatInt(row.Pieces, 10)}); err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	writer.Flush()
--- a/internal/adapters/usage/export_test.go
+++ b/internal/adapters/usage/export_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestBothFormatsGiveTheSameRowsBack counts inquiries and reads both files.
-func TestBothFormatsGiveTheSameRowsBack(test *testing.T) {
+func TestBothFormatsGiveTheSameRowsBack(t *testing.T) {
 	ledger := NewLedger()
 	noon := time.Date(2026, 1, 2, 12, 0, 10, 0, time.UTC)
 	for range 3 {
@@ -20,21 +20,21 @@
 	ledger.Note(noon.Add(time.Minute), Row{Courier: "courier-1", Service: "chat", Origin: "a,b", Final: "refused", PromptTokens: 80})
 	rows := ledger.Rows()
 	if len(rows) != 2 || rows[0].Inquiries != 3 || rows[0].PromptTokens != 240 || rows[0].Pieces != 15 || rows[0].Minute != "2026-01-02T12:00:00Z" {
-		test.Fatalf("%+v", rows)
+		t.Fatalf("%+v", rows)
 	}
 	var table, columns bytes.Buffer
-	if failure := WriteCSV(&table, rows); failure != nil {
-		test.Fatal(failure)
+	if err := WriteCSV(&table, rows); err != nil {
+		t.Fatal(err)
 	}
-	lines, failure := csv.NewReader(&table).ReadAll()
-	if failure != nil || len(lines) != 3 || !reflect.DeepEqual(lines[0], Columns) || lines[1][3] != "a,b" || lines[1][6] != "240" {
-		test.Errorf("%v, %v", lines, failure)
+	lines, err := csv.NewReader(&table).ReadAll()
+	if err != nil || len(lines) != 3 || !reflect.DeepEqual(lines[0], Columns) || lines[1][3] != "a,b" || lines[1][6] != "240" {
+		t.Errorf("%v, %v", lines, err)
 	}
-	if failure := WriteParquet(&columns, rows); failure != nil {
-		test.Fatal(failure)
+	if err := WriteParquet(&columns, rows); err != nil {
+		t.Fatal(err)
 	}
-	read, failure := parquet.Read[Row](bytes.NewReader(columns.Bytes()), int64(columns.Len()))
-	if failure != nil || !reflect.DeepEqual(read, rows) {
-		test.Errorf("%+v, %v", read, failure)
+	read, err := parquet.Read[Row](bytes.NewReader(columns.Bytes()), int64(columns.Len()))
+	if err != nil || !reflect.DeepEqual(read, rows) {
+		t.Errorf("%+v, %v", read, err)
 	}
 }
--- a/internal/adapters/wallclock/clock.go
+++ b/internal/adapters/wallclock/clock.go
@@ -49,8 +49,8 @@
 
 func sinceBoot() time.Duration {
 	var moment unix.Timespec
-	if failure := unix.ClockGettime(unix.CLOCK_BOOTTIME, &moment); failure != nil {
-		panic("wallclock: the machine has no boot-time clock: " + failure.Error())
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &moment); err != nil {
+		panic("wallclock: the machine has no boot-time clock: " + err.Error())
 	}
 	return time.Duration(moment.Nano())
 }
--- a/internal/hatch/ask.go
+++ b/internal/hatch/ask.go
@@ -24,24 +24,24 @@
 //
 //	failure := followed.Ask(hatch.ClaimPath, question, &answer, time.Second, ends)
 func (follower *Follower) Ask(path string, question, answer any, patience time.Duration, ends time.Time) error {
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	reply, failure := follower.AskRaw(path, body, patience, ends)
-	if failure != nil && unheard(failure) {
-		reply, failure = follower.viaNeighbour(path, body, patience, ends)
+	reply, err := follower.AskRaw(path, body, patience, ends)
+	if err != nil && unheard(err) {
+		reply, err = follower.viaNeighbour(path, body, patience, ends)
 	}
-	if failure != nil {
-		return failure
+	if err != nil {
+		return err
 	}
 	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(reply, answer))
 }
 
 // unheard tells whether a failure says only that no primary was reached, and
 // not what the primary said.
-func unheard(failure error) bool {
-	switch trouble.KindOf(failure) {
+func unheard(err error) bool {
+	switch trouble.KindOf(err) {
 	case trouble.Unreachable, trouble.Garbage, trouble.NoPrimary:
 		return true
 	}
@@ -59,18 +59,18 @@
 	for _, address := range follower.candidates() {
 		for address != "" && !asked[address] && follower.turns.Alive() && follower.left(patience, ends) > 0 {
 			asked[address] = true
-			reply, failure := follower.line.CallRaw(address, path, body, follower.left(patience, ends))
-			if failure != nil {
-				last = failure
-				if !unheard(failure) {
-					return nil, failure
+			reply, err := follower.line.CallRaw(address, path, body, follower.left(patience, ends))
+			if err != nil {
+				last = err
+				if !unheard(err) {
+					return nil, err
 				}
 				follower.forget(address)
 				break
 			}
 			var said leadsAnswer
-			if failure := msgpack.Unmarshal(reply, &said); failure != nil {
-				last = trouble.Wrap(trouble.Garbage, failure)
+			if err := msgpack.Unmarshal(reply, &said); err != nil {
+				last = trouble.Wrap(trouble.Garbage, err)
 				break
 			}
 			follower.learn(address, said)
@@ -157,11 +157,11 @@
 			break
 		}
 		var reply []byte
-		failure := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, follower.left(patience+200*time.Millisecond, ends))
-		if failure == nil || !unheard(failure) {
-			return reply, failure
+		err := Call(follower.line, address, RelayPath, RelayQuestion{Path: path, Body: body}, &reply, follower.left(patience+200*time.Millisecond, ends))
+		if err == nil || !unheard(err) {
+			return reply, err
 		}
-		last = failure
+		last = err
 	}
 	return nil, last
 }
--- a/internal/hatch/copies_test.go
+++ b/internal/hatch/copies_test.go
@@ -10,7 +10,7 @@
 // TestProvisionalConfigurationIsOnEveryCopyInSync wants the oldest configuration among
 // the copies that the newest charter names, and none before each of them has spoken or
 // is known to be lost and a quorum of the keepers has.
-func TestProvisionalConfigurationIsOnEveryCopyInSync(test *testing.T) {
+func TestProvisionalConfigurationIsOnEveryCopyInSync(t *testing.T) {
 	now := time.Unix(1000, 0)
 	seat := func(name string) larder.Seat {
 		return larder.Seat{Identity: larder.Identity("disk " + name), Address: name}
@@ -59,7 +59,7 @@
 		}
 		address, chosen, found := told.choose(now)
 		if chosen != row.version && found || found != (row.version != larder.Version{}) || row.address != "" && address != row.address {
-			test.Errorf("%s: %s at %q, %v", row.name, chosen, address, found)
+			t.Errorf("%s: %s at %q, %v", row.name, chosen, address, found)
 		}
 	}
 }
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -28,38 +28,38 @@
 	return Answers{
 		HelloPath: answering(func(hello larder.Hello) (larder.Hello, error) { return expediter.steward.Greet(hello), nil }),
 		PreparePath: answering(func(question keeperQuestion) (larder.Promise, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return larder.Promise{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return larder.Promise{}, err
 			}
 			return expediter.keeper.Prepare(expediter.turns.Now(), question.Epoch, question.From)
 		}),
 		AcceptPath: answering(func(question keeperQuestion) (larder.Promise, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return larder.Promise{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return larder.Promise{}, err
 			}
 			return expediter.keeper.Accept(expediter.turns.Now(), question.Charter)
 		}),
 		ConfirmPath: answering(func(question keeperQuestion) (larder.Promise, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return larder.Promise{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return larder.Promise{}, err
 			}
 			return expediter.keeper.Confirm(expediter.turns.Now(), question.Epoch, question.From), nil
 		}),
 		ReplicatePath: answering(func(question replicateQuestion) (nothing, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return nothing{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return nothing{}, err
 			}
 			return nothing{}, expediter.store.Replicate(question.Epoch, question.Batch)
 		}),
 		InstallPath: answering(func(question installQuestion) (nothing, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return nothing{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return nothing{}, err
 			}
 			return nothing{}, expediter.store.Install(question.Snapshot)
 		}),
 		RefreshPath: answering(func(question installQuestion) (nothing, error) {
-			if failure := expediter.mine(question.To); failure != nil {
-				return nothing{}, failure
+			if err := expediter.mine(question.To); err != nil {
+				return nothing{}, err
 			}
 			return nothing{}, expediter.store.Refresh(question.Snapshot)
 		}),
@@ -83,14 +83,14 @@
 
 // led carries out a node's change if this expediter is primary.
 func (expediter *Expediter) led(change larder.Change) (LedAnswer, error) {
-	if _, _, failure := expediter.Ruling(); failure != nil {
+	if _, _, err := expediter.Ruling(); err != nil {
 		return LedAnswer{Charter: expediter.steward.Charter()}, nil
 	}
-	_, failure := expediter.submit(change, claimPatience)
-	if trouble.KindOf(failure) == trouble.NotPrimary {
+	_, err := expediter.submit(change, claimPatience)
+	if trouble.KindOf(err) == trouble.NotPrimary {
 		return LedAnswer{Charter: expediter.steward.Charter()}, nil
 	}
-	return LedAnswer{Leads: true}, failure
+	return LedAnswer{Leads: true}, err
 }
 
 // followedDrawers are those that nodes follow.
@@ -100,8 +100,8 @@
 // for the configuration that the answer confirms.
 func (expediter *Expediter) answerNews(question NewsQuestion) (NewsAnswer, error) {
 	elsewhere := func() (NewsAnswer, error) { return expediter.elsewhere(question), nil }
-	current, view, failure := expediter.Ruling()
-	if failure != nil {
+	current, view, err := expediter.Ruling()
+	if err != nil {
 		return elsewhere()
 	}
 	if question.Brief {
@@ -117,15 +117,15 @@
 		current.Holds.Note(arrived, name, question.InForce.Number)
 		expediter.confirmed.Ring()
 	}
-	state, failure := expediter.state(current, view)
-	if failure != nil {
-		return NewsAnswer{}, failure
+	state, err := expediter.state(current, view)
+	if err != nil {
+		return NewsAnswer{}, err
 	}
 	if recorded, found := state.Members[name]; !found || !recorded.Same(question.Member) {
 		member := question.Member
 		member.Since = expediter.turns.Wall()
-		if _, failure := expediter.submit(larder.Register(member), registerPatience); failure != nil {
-			return NewsAnswer{}, failure
+		if _, err := expediter.submit(larder.Register(member), registerPatience); err != nil {
+			return NewsAnswer{}, err
 		}
 	}
 	for {
@@ -138,9 +138,9 @@
 		answer.Held = now.Sub(arrived)
 		expediter.lists.tell(now, question, &answer)
 		if courier {
-			state, failure := expediter.state(current, view)
-			if failure != nil {
-				return NewsAnswer{}, failure
+			state, err := expediter.state(current, view)
+			if err != nil {
+				return NewsAnswer{}, err
 			}
 			// From here the courier may act for as long as the hold says,
 			// counted from when it asked, which was earlier.
@@ -231,8 +231,8 @@
 func (expediter *Expediter) awaitNews(question NewsQuestion) *larder.View {
 	var seen *larder.View
 	expediter.news.Wait(min(max(question.Patience, 0), mostNewsWait), func() bool {
-		_, view, failure := expediter.Ruling()
-		if failure != nil {
+		_, view, err := expediter.Ruling()
+		if err != nil {
 			seen = nil
 			return true
 		}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -247,9 +247,9 @@
 		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
 		courier.observe("configuration_in_force", "version", drawer.Version.String())
 	}
-	state, failure := larder.ReadState(news.Changed)
-	if failure != nil {
-		courier.observe("news_unreadable", "cause", failure)
+	state, err := larder.ReadState(news.Changed)
+	if err != nil {
+		courier.observe("news_unreadable", "cause", err)
 		return
 	}
 	if _, found := news.Changed[larder.FlagsDrawer]; found {
@@ -272,9 +272,9 @@
 // takeProvisional serves by what the copies hold, before there is a primary: what the
 // configuration is read by comes first. It is no hold, and allows no duty.
 func (courier *Courier) takeProvisional(news News) {
-	state, failure := larder.ReadState(news.Changed)
-	if failure != nil {
-		courier.observe("news_unreadable", "cause", failure)
+	state, err := larder.ReadState(news.Changed)
+	if err != nil {
+		courier.observe("news_unreadable", "cause", err)
 		return
 	}
 	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
--- a/internal/hatch/courier_test.go
+++ b/internal/hatch/courier_test.go
@@ -31,17 +31,17 @@
 func (lines *lines) Begin(int, int) {}
 func (lines *lines) Line(content []byte) error {
 	var line ReplyLine
-	failure := json.Unmarshal(content, &line)
+	err := json.Unmarshal(content, &line)
 	lines.said = append(lines.said, line)
-	return failure
+	return err
 }
 func (lines *lines) WhenLeft(func()) {}
 
 // newTestCourier is a courier that knows its configuration's absence only: it
 // refuses everything, at once.
-func newTestCourier(test *testing.T, nonce string) *Courier {
+func newTestCourier(t *testing.T, nonce string) *Courier {
 	lifetime, end := context.WithCancel(context.Background())
-	test.Cleanup(end)
+	t.Cleanup(end)
 	options := CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return nonce },
 		Ended: func(*pass.Inquiry, pass.Decision) {}}
 	courier := NewCourier(threads.New(lifetime, wallclock.New()), nil, nil, nil, options, func(string, ...any) {})
@@ -52,34 +52,34 @@
 // TestPassingOnIsTakenOnce brings one passing-on twice, and one to another life
 // of the courier than it was meant for. Only the first may be decided on; of the
 // others nobody knows here what became.
-func TestPassingOnIsTakenOnce(test *testing.T) {
-	courier := newTestCourier(test, "this life")
+func TestPassingOnIsTakenOnce(t *testing.T) {
+	courier := newTestCourier(t, "this life")
 	serve := func(passage Passage) ReplyLine {
 		reply := &lines{}
 		courier.Serve(Arrival{Inquiry: &pass.Inquiry{ID: "one", Service: "chat"}, Passage: &passage}, reply)
 		return reply.said[0]
 	}
 	if first := serve(Passage{Nonce: "first", Incarnation: "this life"}); first.Type != trouble.NoHold || first.Final != pass.Refused {
-		test.Errorf("the first was not decided on: %+v", first)
+		t.Errorf("the first was not decided on: %+v", first)
 	}
 	for name, passage := range map[string]Passage{"again": {Nonce: "first", Incarnation: "this life"}, "another life": {Nonce: "second", Incarnation: "an earlier life"}} {
 		if line := serve(passage); line.Final != pass.Unknown || line.Type != trouble.Duplicate {
-			test.Errorf("%s: %+v", name, line)
+			t.Errorf("%s: %+v", name, line)
 		}
 	}
 	if line := serve(Passage{}); line.Type != trouble.NoHold {
-		test.Errorf("an older release's passing-on was not taken: %+v", line)
+		t.Errorf("an older release's passing-on was not taken: %+v", line)
 	}
 }
 
 // TestTakenIDIsNotSaidToHaveNeverRun wants no word on whether an id ran that
 // another arrival took, and the word where it is certain.
-func TestTakenIDIsNotSaidToHaveNeverRun(test *testing.T) {
+func TestTakenIDIsNotSaidToHaveNeverRun(t *testing.T) {
 	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: trouble.Duplicate}); line.Ran != nil {
-		test.Errorf("an id that is taken is said to have run or not: %+v", line)
+		t.Errorf("an id that is taken is said to have run or not: %+v", line)
 	}
 	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: trouble.Busy}); line.Ran == nil || *line.Ran {
-		test.Errorf("a refused inquiry is not said to never run: %+v", line)
+		t.Errorf("a refused inquiry is not said to never run: %+v", line)
 	}
 }
 
@@ -93,31 +93,31 @@
 func (noted *noted) SetServers(_ time.Time, servers []roster.Server) { noted.servers = servers }
 
 // TestBoardIsToldUntilWhenItMayServe brings news with and without a hold, and settings.
-func TestBoardIsToldUntilWhenItMayServe(test *testing.T) {
+func TestBoardIsToldUntilWhenItMayServe(t *testing.T) {
 	board := &noted{until: atNoon(time.Hour)}
 	turns := &movingTurns{Turns: threads.New(context.Background(), wallclock.New()), now: atNoon(0)}
 	options := CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return "one" },
 		Ended: func(*pass.Inquiry, pass.Decision) {}, Board: func(*window.Window) Board { return board }, ServeWithoutHold: time.Minute}
 	courier := NewCourier(turns, nil, nil, nil, options, func(string, ...any) {})
 	if !board.until.IsZero() {
-		test.Errorf("before any hold it serves until %s", board.until)
+		t.Errorf("before any hold it serves until %s", board.until)
 	}
 	version := larder.Version{Epoch: 1, Number: 4}
 	drawers := map[string]larder.Drawer{larder.MenuDrawer: {Version: version, Content: menu.Empty().Text}}
 	courier.takeNews(News{Asked: atNoon(0), Answer: NewsAnswer{Leads: true, Menu: version}, Changed: drawers})
 	if !board.until.IsZero() || courier.InForce() != version {
-		test.Errorf("a configuration without a hold: serves until %s with %s", board.until, courier.InForce())
+		t.Errorf("a configuration without a hold: serves until %s with %s", board.until, courier.InForce())
 	}
 	courier.takeNews(News{Asked: atNoon(time.Second), Answer: NewsAnswer{Leads: true, Menu: version, Hold: 4 * time.Second, Couriers: 9},
 		Servers: &Listed{At: atNoon(0), Servers: []roster.Server{{Name: "a"}}}})
 	if !board.until.Equal(atNoon(65*time.Second)) || len(board.servers) != 1 || courier.couriers.Load() != 9 {
-		test.Errorf("serves until %s, servers %v", board.until, board.servers)
+		t.Errorf("serves until %s, servers %v", board.until, board.servers)
 	}
 	courier.SetServeWithoutHold(0)
 	if !board.until.Equal(atNoon(5 * time.Second)) {
-		test.Errorf("after a reload it serves until %s", board.until)
+		t.Errorf("after a reload it serves until %s", board.until)
 	}
 	if courier.core.Dutiful() {
-		test.Error("it has duties that nobody gave")
+		t.Error("it has duties that nobody gave")
 	}
 }
--- a/internal/hatch/decisions.go
+++ b/internal/hatch/decisions.go
@@ -94,8 +94,8 @@
 	if courier.core.Restricted() {
 		return
 	}
-	record, failure := recipe.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
-	if failure == nil {
+	record, err := recipe.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
+	if err == nil {
 		courier.journal.append(record, true)
 		courier.crumbs.Ring()
 	}
@@ -105,8 +105,8 @@
 	if courier.core.Restricted() {
 		return
 	}
-	record, failure := recipe.WriteEntry(recipe.RetryRecord, recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
-	if failure == nil {
+	record, err := recipe.WriteEntry(recipe.RetryRecord, recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
+	if err == nil {
 		courier.journal.append(record, true)
 		courier.crumbs.Ring()
 	}
@@ -117,25 +117,25 @@
 		return
 	}
 	var answer LedAnswer
-	failure := courier.followed.Ask(OrdersPath, OrdersQuestion{Duty: decision.Duty, Orders: decision.Orders, Supported: courier.options.Supported}, &answer, actPatience, decision.NotAfter)
-	courier.observe("orders_given", "orders", decision.Orders, "trouble", failure)
+	err := courier.followed.Ask(OrdersPath, OrdersQuestion{Duty: decision.Duty, Orders: decision.Orders, Supported: courier.options.Supported}, &answer, actPatience, decision.NotAfter)
+	courier.observe("orders_given", "orders", decision.Orders, "trouble", err)
 }
 
 func (courier *Courier) command(decision pass.Decision) {
 	if courier.core.Restricted() {
 		return
 	}
-	failure := courier.stove.Command(decision, func() bool { return courier.mayAct(decision) })
-	courier.observe("commanded", "server", decision.Server, "part", decision.Part, "fence", decision.Duty.Fence, "trouble", failure)
+	err := courier.stove.Command(decision, func() bool { return courier.mayAct(decision) })
+	courier.observe("commanded", "server", decision.Server, "part", decision.Part, "fence", decision.Duty.Fence, "trouble", err)
 }
 
 // claim asks the primary for an inquiry's id until it is answered, its limit
 // comes, or its origin has had the final word. Asking again is safe: the nonce
 // tells this arrival's own claim.
 func (courier *Courier) claim(decision pass.Decision) {
-	made, failure := MadeAt(decision.ID)
+	made, err := MadeAt(decision.ID)
 	event := pass.Event{Kind: pass.ClaimAnswered, ID: decision.ID, Outcome: pass.NotStarted}
-	if failure != nil {
+	if err != nil {
 		courier.Apply(event)
 		return
 	}
@@ -146,14 +146,14 @@
 	ends := courier.turns.Now().Add(claimTime)
 	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(ends) && courier.turns.Now().Before(courier.core.ServesUntil()) {
 		var answer LedAnswer
-		failure := courier.followed.Ask(ClaimPath, question, &answer, time.Second, ends)
-		switch kind := trouble.KindOf(failure); {
-		case failure == nil && answer.Leads:
+		err := courier.followed.Ask(ClaimPath, question, &answer, time.Second, ends)
+		switch kind := trouble.KindOf(err); {
+		case err == nil && answer.Leads:
 			event.Outcome = pass.Done
 		case kind == trouble.Duplicate:
-			event.Outcome, event.Detail = pass.Duplicate, failure.Error()
+			event.Outcome, event.Detail = pass.Duplicate, err.Error()
 		case kind == trouble.TooOld || kind == trouble.TooNew:
-			event.Outcome, event.Detail = pass.TooOld, failure.Error()
+			event.Outcome, event.Detail = pass.TooOld, err.Error()
 		default:
 			rota.Pause(courier.turns, claimPause)
 			continue
--- a/internal/hatch/delta_test.go
+++ b/internal/hatch/delta_test.go
@@ -11,7 +11,7 @@
 
 // TestDeltasGiveTheVeryContent edits large contents at random and wants each
 // back, byte for byte, and no delta to fit another base.
-func TestDeltasGiveTheVeryContent(test *testing.T) {
+func TestDeltasGiveTheVeryContent(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	base := larder.Drawer{Version: larder.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("0123456789abcdef"), 2000)}
 	for number := range uint64(200) {
@@ -22,14 +22,14 @@
 		delta := makeDelta(base, target)
 		made, fits := delta.apply(base)
 		if !fits || !bytes.Equal(made.Content, target.Content) || made.Version != target.Version {
-			test.Fatalf("edit %d at %d: fits %v, %d bytes of %d", number, at, fits, len(made.Content), len(target.Content))
+			t.Fatalf("edit %d at %d: fits %v, %d bytes of %d", number, at, fits, len(made.Content), len(target.Content))
 		}
 		if len(delta.Middle) > 600 {
-			test.Fatalf("edit %d sends %d bytes", number, len(delta.Middle))
+			t.Fatalf("edit %d sends %d bytes", number, len(delta.Middle))
 		}
 		if other := (larder.Drawer{Version: base.Version, Content: append([]byte("x"), base.Content...)}); at > 0 {
 			if _, fits := delta.apply(other); fits {
-				test.Fatalf("edit %d fits another content", number)
+				t.Fatalf("edit %d fits another content", number)
 			}
 		}
 		base = target
@@ -38,7 +38,7 @@
 
 // TestFollowerAsksAnewWhenADeltaDoesNotFit gives a node a delta whose checksum is
 // wrong: it must not take it, and must ask for the whole.
-func TestFollowerAsksAnewWhenADeltaDoesNotFit(test *testing.T) {
+func TestFollowerAsksAnewWhenADeltaDoesNotFit(t *testing.T) {
 	taken := 0
 	follower := NewFollower(hookless{}, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(News) { taken++ })
 	first := larder.Drawer{Version: larder.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("a"), 5000)}
@@ -49,12 +49,12 @@
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{larder.MenuDrawer: delta}})
 	question, _ := follower.pollQuestion()
 	if _, told := question.Have[larder.MenuDrawer]; told || taken != 1 {
-		test.Fatalf("a delta that does not fit was taken: %d answers, the node says that it has %v", taken, question.Have)
+		t.Fatalf("a delta that does not fit was taken: %d answers, the node says that it has %v", taken, question.Have)
 	}
 	delta.Checksum--
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: first.Version, Drawers: map[string]larder.Drawer{larder.MenuDrawer: first}})
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{larder.MenuDrawer: delta}})
 	if got := follower.Drawer(larder.MenuDrawer); got.Version != second.Version || !bytes.Equal(got.Content, second.Content) {
-		test.Fatalf("the node has %s after the delta", got.Version)
+		t.Fatalf("the node has %s after the delta", got.Version)
 	}
 }
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -42,12 +42,12 @@
 	if edit.Builds != nil {
 		edit = edit.revising()
 	}
-	current, version, failure := expediter.change(edit)
-	if failure != nil {
-		return version, failure
+	current, version, err := expediter.change(edit)
+	if err != nil {
+		return version, err
 	}
 	// The same change sent again is answered with the version that holds now.
-	if _, view, failure := expediter.Ruling(); failure == nil && view.VersionOf(larder.MenuDrawer).Before(version) {
+	if _, view, err := expediter.Ruling(); err == nil && view.VersionOf(larder.MenuDrawer).Before(version) {
 		version = view.VersionOf(larder.MenuDrawer)
 	}
 	if !expediter.awaitInForce(current, version) {
@@ -73,9 +73,9 @@
 func (expediter *Expediter) change(edit Edit) (*Reign, larder.Version, error) {
 	ends := expediter.turns.Now().Add(changePatience)
 	for {
-		current, view, failure := expediter.Ruling()
-		if failure != nil {
-			return nil, larder.Version{}, failure
+		current, view, err := expediter.Ruling()
+		if err != nil {
+			return nil, larder.Version{}, err
 		}
 		drawer, found := view.Drawers[larder.MenuDrawer]
 		if !found {
@@ -86,7 +86,7 @@
 			if !expediter.takeEditTurn(ends) {
 				return nil, larder.Version{}, trouble.New(trouble.Busy, "other changes of this large configuration go first; ask again")
 			}
-			if _, newest, failure := expediter.Ruling(); failure == nil {
+			if _, newest, err := expediter.Ruling(); err == nil {
 				drawer = newest.Drawers[larder.MenuDrawer]
 			}
 		}
@@ -94,12 +94,12 @@
 		if !expediter.noted(current, view, edit) {
 			prepared = larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
 		}
-		version, failure := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
+		version, err := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
 		if large {
 			expediter.giveEditTurn()
 		}
-		if trouble.KindOf(failure) != trouble.Moved {
-			return current, version, failure
+		if trouble.KindOf(err) != trouble.Moved {
+			return current, version, err
 		}
 		if !expediter.turns.Now().Before(ends) {
 			return nil, larder.Version{}, trouble.New(trouble.Busy, "the configuration changes faster than this change can be made; ask again")
@@ -110,8 +110,8 @@
 // noted tells whether the very change was committed before: then it is answered in
 // its turn, and need not be prepared.
 func (expediter *Expediter) noted(current *Reign, view *larder.View, edit Edit) bool {
-	state, failure := expediter.state(current, view)
-	if failure != nil || edit.Change == "" {
+	state, err := expediter.state(current, view)
+	if err != nil || edit.Change == "" {
 		return false
 	}
 	for _, note := range state.Changes {
@@ -161,13 +161,13 @@
 		lost := false
 		// Holds run out without a ring: the wait is cut into short ones.
 		over := expediter.confirmed.Wait(50*time.Millisecond, func() bool {
-			ruling, view, failure := expediter.Ruling()
-			if failure != nil || ruling != current {
+			ruling, view, err := expediter.Ruling()
+			if err != nil || ruling != current {
 				lost = true
 				return true
 			}
-			state, failure := expediter.state(current, view)
-			if failure != nil {
+			state, err := expediter.state(current, view)
+			if err != nil {
 				lost = true
 				return true
 			}
@@ -193,9 +193,9 @@
 //
 //	version, failure := core.Retire("courier-9")
 func (expediter *Expediter) Retire(name string) (larder.Version, error) {
-	current, _, failure := expediter.Ruling()
-	if failure != nil {
-		return larder.Version{}, failure
+	current, _, err := expediter.Ruling()
+	if err != nil {
+		return larder.Version{}, err
 	}
 	if _, live := current.Holds.Live(expediter.turns.Now())[name]; live {
 		return larder.Version{}, trouble.New(trouble.HoldActive, name+" is running; stop it first")
--- a/internal/hatch/edit_test.go
+++ b/internal/hatch/edit_test.go
@@ -26,17 +26,17 @@
 	return Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, district, "") }}
 }
 
-func (core *core) mustBe(test *testing.T, primary *Expediter, want string) larder.Version {
-	test.Helper()
-	_, view, state, failure := primary.Read()
-	if failure != nil || !strings.Contains(string(state.Menu), want) {
-		test.Fatalf("%v: no %s in the configuration", failure, want)
+func (core *core) mustBe(t *testing.T, primary *Expediter, want string) larder.Version {
+	t.Helper()
+	_, view, state, err := primary.Read()
+	if err != nil || !strings.Contains(string(state.Menu), want) {
+		t.Fatalf("%v: no %s in the configuration", err, want)
 	}
 	return view.VersionOf(larder.MenuDrawer)
 }
 
-func TestEditsBuildOnRevisions(test *testing.T) {
-	formed, primary := newCore(test, plain)
+func TestEditsBuildOnRevisions(t *testing.T) {
+	formed, primary := newCore(t, plain)
 	for _, row := range []struct {
 		name string
 		edit Edit
@@ -50,22 +50,22 @@
 		{"one on an old base", revision(3, 12, "d"), trouble.RevisionConflict},
 		{"one on a base that is not there yet", revision(11, 12, "d"), trouble.RevisionConflict},
 	} {
-		if _, failure := primary.Edit(row.edit); (failure == nil) != (row.kind == "") || row.kind != "" && trouble.KindOf(failure) != row.kind {
-			test.Errorf("%s: %v", row.name, failure)
+		if _, err := primary.Edit(row.edit); (err == nil) != (row.kind == "") || row.kind != "" && trouble.KindOf(err) != row.kind {
+			t.Errorf("%s: %v", row.name, err)
 		}
 	}
-	formed.mustBe(test, primary, `"word":"c"`)
+	formed.mustBe(t, primary, `"word":"c"`)
 	var findings *menu.Findings
 	for name, edit := range map[string]Edit{"not above": revision(10, 10, "e"), "below": revision(10, 4, "e")} {
-		if _, failure := primary.Edit(edit); !stderrors.As(failure, &findings) || findings.Troubles[0].Path != "/revision" {
-			test.Errorf("%s: %v", name, failure)
+		if _, err := primary.Edit(edit); !stderrors.As(err, &findings) || findings.Troubles[0].Path != "/revision" {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
-	formed.mustBe(test, primary, `"word":"c"`)
+	formed.mustBe(t, primary, `"word":"c"`)
 }
 
-func TestOneOfManyRacingEditsWins(test *testing.T) {
-	formed, primary := newCore(test, plain)
+func TestOneOfManyRacingEditsWins(t *testing.T) {
+	formed, primary := newCore(t, plain)
 	for builds := range uint64(6) {
 		var group sync.WaitGroup
 		ended := make([]error, 8)
@@ -74,27 +74,27 @@
 		}
 		group.Wait()
 		winner := -1
-		for position, failure := range ended {
+		for position, err := range ended {
 			switch {
-			case failure == nil && winner < 0:
+			case err == nil && winner < 0:
 				winner = position
-			case trouble.KindOf(failure) != trouble.RevisionConflict:
-				test.Fatalf("on %d: %v", builds, ended)
+			case trouble.KindOf(err) != trouble.RevisionConflict:
+				t.Fatalf("on %d: %v", builds, ended)
 			}
 		}
 		if winner < 0 {
-			test.Fatalf("on %d nobody won", builds)
+			t.Fatalf("on %d nobody won", builds)
 		}
-		formed.mustBe(test, primary, fmt.Sprintf(`"word":"racer-%d"`, winner))
+		formed.mustBe(t, primary, fmt.Sprintf(`"word":"racer-%d"`, winner))
 	}
 }
 
 // TestAcceptedEditIsAcceptedAgainByTheNextPrimary hands over and sends again.
-func TestAcceptedEditIsAcceptedAgainByTheNextPrimary(test *testing.T) {
-	formed, primary := newCore(test, plain)
+func TestAcceptedEditIsAcceptedAgainByTheNextPrimary(t *testing.T) {
+	formed, primary := newCore(t, plain)
 	edit := revision(0, 1, "again")
-	if _, failure := primary.Edit(edit); failure != nil {
-		test.Fatal(failure)
+	if _, err := primary.Edit(edit); err != nil {
+		t.Fatal(err)
 	}
 	primary.Leave(5 * time.Second)
 	var next *Expediter
@@ -102,7 +102,7 @@
 	for range 200 {
 		waited.Wait(20*time.Millisecond, func() bool { return false })
 		for _, node := range formed.nodes {
-			if _, _, failure := node.Ruling(); failure == nil && node != primary && !node.Steward().Charter().Backup.Empty() {
+			if _, _, err := node.Ruling(); err == nil && node != primary && !node.Steward().Charter().Backup.Empty() {
 				next = node
 			}
 		}
@@ -111,29 +111,29 @@
 		}
 	}
 	if next == nil {
-		test.Fatal("nobody leads after the first has left")
+		t.Fatal("nobody leads after the first has left")
 	}
-	if _, failure := next.Edit(edit); failure != nil {
-		test.Fatalf("sent again to the next primary: %v", failure)
+	if _, err := next.Edit(edit); err != nil {
+		t.Fatalf("sent again to the next primary: %v", err)
 	}
-	if _, failure := next.Edit(revision(0, 9, "late")); trouble.KindOf(failure) != trouble.RevisionConflict {
-		test.Fatalf("on an old base: %v", failure)
+	if _, err := next.Edit(revision(0, 9, "late")); trouble.KindOf(err) != trouble.RevisionConflict {
+		t.Fatalf("on an old base: %v", err)
 	}
-	formed.mustBe(test, next, `"word":"again"`)
+	formed.mustBe(t, next, `"word":"again"`)
 }
 
-func TestEvacuationThatHoldsIsNotMadeAgain(test *testing.T) {
-	formed, primary := newCore(test, plain)
-	if _, failure := primary.Edit(revision(0, 1, "a")); failure != nil {
-		test.Fatal(failure)
+func TestEvacuationThatHoldsIsNotMadeAgain(t *testing.T) {
+	formed, primary := newCore(t, plain)
+	if _, err := primary.Edit(revision(0, 1, "a")); err != nil {
+		t.Fatal(err)
 	}
-	if _, failure := primary.Edit(evacuation("north")); failure != nil {
-		test.Fatal(failure)
+	if _, err := primary.Edit(evacuation("north")); err != nil {
+		t.Fatal(err)
 	}
-	first := formed.mustBe(test, primary, `"evacuations":{"north"`)
+	first := formed.mustBe(t, primary, `"evacuations":{"north"`)
 	for range 3 {
-		if version, failure := primary.Edit(evacuation("north")); failure != nil || version != first {
-			test.Fatalf("begun again: %s, not %s: %v", version, first, failure)
+		if version, err := primary.Edit(evacuation("north")); err != nil || version != first {
+			t.Fatalf("begun again: %s, not %s: %v", version, first, err)
 		}
 	}
 	// A replacement keeps it, and both may be under way at once.
@@ -143,24 +143,24 @@
 	group.Go(func() { _, failures[1] = primary.Edit(evacuation("south")) })
 	group.Go(func() { _, failures[2] = primary.Edit(evacuation("north")) })
 	group.Wait()
-	if failure := stderrors.Join(failures[:]...); failure != nil {
-		test.Fatal(failure)
+	if err := stderrors.Join(failures[:]...); err != nil {
+		t.Fatal(err)
 	}
 	_, _, state, _ := primary.Read()
-	configuration, failure := menu.Check(state.Menu)
-	if failure != nil || configuration.Revision != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
-		test.Fatalf("%s: %v", state.Menu, failure)
+	configuration, err := menu.Check(state.Menu)
+	if err != nil || configuration.Revision != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
+		t.Fatalf("%s: %v", state.Menu, err)
 	}
 	lift := Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Restore(text, "north") }}
 	for range 2 {
-		if _, failure := primary.Edit(lift); failure != nil {
-			test.Fatal(failure)
+		if _, err := primary.Edit(lift); err != nil {
+			t.Fatal(err)
 		}
 	}
-	if _, failure := primary.Edit(evacuation("north")); failure != nil {
-		test.Fatal(failure)
+	if _, err := primary.Edit(evacuation("north")); err != nil {
+		t.Fatal(err)
 	}
-	formed.mustBe(test, primary, `"north"`)
+	formed.mustBe(t, primary, `"north"`)
 }
 
 // leapingTurns is a clock that can be moved ahead, as a process that was frozen finds it.
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -77,19 +77,19 @@
 //	core, blank, failure := hatch.OpenExpediter(turns, line, keeping, copies, options, observe)
 func OpenExpediter(turns rota.Turns, line Hotline, keeping, copies larder.Shelf, options ExpediterOptions, observe func(string, ...any)) (*Expediter, bool, error) {
 	seat := larder.Seat{Address: options.Address, Name: options.Name}
-	keeper, blank, failure := larder.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
-	if failure != nil {
-		return nil, false, failure
+	keeper, blank, err := larder.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
+	if err != nil {
+		return nil, false, err
 	}
 	if blank {
 		// Whatever copy lies here belonged to an identity that is gone.
-		if failure := empty(copies); failure != nil {
-			return nil, true, failure
+		if err := empty(copies); err != nil {
+			return nil, true, err
 		}
 	}
-	copied, failure := larder.OpenCopy(copies)
-	if failure != nil {
-		return nil, blank, failure
+	copied, err := larder.OpenCopy(copies)
+	if err != nil {
+		return nil, blank, err
 	}
 	if damage := copied.Damage(); damage != "" {
 		observe("copy_damaged", "damage", damage)
@@ -118,9 +118,9 @@
 }
 
 func empty(shelf larder.Shelf) error {
-	files, damaged, failure := shelf.Load()
-	if failure != nil {
-		return failure
+	files, damaged, err := shelf.Load()
+	if err != nil {
+		return err
 	}
 	for name := range files {
 		damaged = append(damaged, name)
@@ -323,13 +323,13 @@
 //
 //	reign, view, state, failure := core.Read()
 func (expediter *Expediter) Read() (*Reign, *larder.View, *larder.State, error) {
-	current, view, failure := expediter.Ruling()
-	if failure != nil {
-		return nil, nil, nil, failure
+	current, view, err := expediter.Ruling()
+	if err != nil {
+		return nil, nil, nil, err
 	}
-	state, failure := expediter.state(current, view)
-	if failure != nil {
-		return nil, nil, nil, failure
+	state, err := expediter.state(current, view)
+	if err != nil {
+		return nil, nil, nil, err
 	}
 	if !expediter.steward.Holds() {
 		return nil, nil, nil, trouble.New(trouble.NoPrimary, "the hold ran out")
@@ -352,9 +352,9 @@
 			drawers[name] = drawer
 		}
 	}
-	state, failure := larder.ReadState(drawers)
-	if failure != nil {
-		return nil, failure
+	state, err := larder.ReadState(drawers)
+	if err != nil {
+		return nil, err
 	}
 	current.state, current.stateAt = state, view.Version
 	return state, nil
@@ -404,20 +404,20 @@
 	bell := expediter.turns.NewBell()
 	expediter.turns.Go(func() {
 		expediter.steward.OwnDisk(true)
-		failure := expediter.store.KeepOwn(batch)
-		expediter.steward.OwnDisk(failure != nil)
+		err := expediter.store.KeepOwn(batch)
+		expediter.steward.OwnDisk(err != nil)
 		mutex.Lock()
-		own, kept = failure, true
+		own, kept = err, true
 		mutex.Unlock()
 		bell.Ring()
 	})
 	var missing error
 	waits := 0
 	replicate := func(backup larder.Seat) {
-		failure := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(backup), backup.Identity, charter.Epoch, batch)
-		expediter.steward.BackupAnswered(backup.Identity, failure == nil)
+		err := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(backup), backup.Identity, charter.Epoch, batch)
+		expediter.steward.BackupAnswered(backup.Identity, err == nil)
 		mutex.Lock()
-		missing = multierr.Append(missing, failure)
+		missing = multierr.Append(missing, err)
 		mutex.Unlock()
 	}
 	for _, further := range charter.Further {
@@ -464,12 +464,12 @@
 func (expediter *Expediter) submit(change larder.Change, patience time.Duration) (larder.Version, error) {
 	var mutex sync.Mutex
 	var version larder.Version
-	var failure error
+	var err error
 	answered := false
 	bell := expediter.turns.NewBell()
 	expediter.queue(change, func(committed larder.Version, ended error) {
 		mutex.Lock()
-		version, failure, answered = committed, ended, true
+		version, err, answered = committed, ended, true
 		mutex.Unlock()
 		bell.Ring()
 	})
@@ -483,13 +483,13 @@
 	switch {
 	case !answered:
 		return larder.Version{}, trouble.New(trouble.Unknown, "the change was not synced on both copies in time")
-	case trouble.KindOf(failure) == trouble.NotPrimary:
-		return version, failure
+	case trouble.KindOf(err) == trouble.NotPrimary:
+		return version, err
 	case !expediter.steward.Holds():
 		// A refusal is an answer too: without the lease it may rest on an old state.
 		return version, trouble.New(trouble.Unknown, "the hold ran out while the change was under way")
-	case failure != nil:
-		return version, failure
+	case err != nil:
+		return version, err
 	}
 	return version, nil
 }
@@ -505,9 +505,9 @@
 	if !found {
 		return
 	}
-	state, failure := larder.ReadState(map[string]larder.Drawer{larder.FlagsDrawer: drawer})
-	if failure != nil {
-		expediter.observe("flags_unreadable", "cause", failure)
+	state, err := larder.ReadState(map[string]larder.Drawer{larder.FlagsDrawer: drawer})
+	if err != nil {
+		expediter.observe("flags_unreadable", "cause", err)
 		return
 	}
 	lacking := expediter.options.Supported.Lacks(state.Flags.Enabled)
--- a/internal/hatch/expediter_test.go
+++ b/internal/hatch/expediter_test.go
@@ -21,30 +21,30 @@
 
 // TestAnswerWaitsForBothDisks lets the primary's own disk fail, and wants no
 // change accepted that is only on the backup's.
-func TestAnswerWaitsForBothDisks(test *testing.T) {
-	formed, primary := newCore(test, plain)
-	if _, failure := primary.Edit(Edit{Change: "one", Apply: edition("one")}); failure != nil {
-		test.Fatal(failure)
+func TestAnswerWaitsForBothDisks(t *testing.T) {
+	formed, primary := newCore(t, plain)
+	if _, err := primary.Edit(Edit{Change: "one", Apply: edition("one")}); err != nil {
+		t.Fatal(err)
 	}
 	formed.shelfs[primary.options.Address].failing.Store(true)
-	if version, failure := primary.Edit(Edit{Change: "two", Apply: edition("two")}); failure == nil {
-		test.Fatalf("version %s was accepted, though the own disk takes nothing", version)
+	if version, err := primary.Edit(Edit{Change: "two", Apply: edition("two")}); err == nil {
+		t.Fatalf("version %s was accepted, though the own disk takes nothing", version)
 	}
 }
 
 // TestGrantSeesAConfigurationThatComesMeanwhile commits a configuration between
 // the look at the newest one and the noting of the grant: the answer must
 // confirm the newer one, or the change would not wait for this courier.
-func TestGrantSeesAConfigurationThatComesMeanwhile(test *testing.T) {
+func TestGrantSeesAConfigurationThatComesMeanwhile(t *testing.T) {
 	hooks := map[rota.Turns]*hookedTurns{}
-	_, primary := newCore(test, func(turns rota.Turns) rota.Turns {
+	_, primary := newCore(t, func(turns rota.Turns) rota.Turns {
 		hooked := &hookedTurns{Turns: turns}
 		hooks[hooked] = hooked
 		return hooked
 	})
 	question := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier, Address: "c1"}, Have: map[string]larder.Version{}}
-	if _, failure := primary.answerNews(question); failure != nil {
-		test.Fatal(failure)
+	if _, err := primary.answerNews(question); err != nil {
+		t.Fatal(err)
 	}
 	asked, committed := 0, false
 	hook := func() {
@@ -58,23 +58,23 @@
 		if asked++; asked != 2 {
 			return
 		}
-		_, failure := primary.submit(larder.ChangeMenu("meanwhile", "", nil, larder.PreparedMenu{}, edition("meanwhile")), changePatience)
-		committed = failure == nil
+		_, err := primary.submit(larder.ChangeMenu("meanwhile", "", nil, larder.PreparedMenu{}, edition("meanwhile")), changePatience)
+		committed = err == nil
 	}
 	question.Patience = 0
 	hooks[primary.turns].hook.Store(&hook)
-	answer, failure := primary.answerNews(question)
-	if failure != nil || !committed {
-		test.Fatalf("committed meanwhile: %v, %v", committed, failure)
+	answer, err := primary.answerNews(question)
+	if err != nil || !committed {
+		t.Fatalf("committed meanwhile: %v, %v", committed, err)
 	}
 	if latest := primary.store.View().VersionOf(larder.MenuDrawer); answer.Menu != latest && answer.Leads {
-		test.Fatalf("the hold confirms version %s, and %s was committed before it was granted", answer.Menu, latest)
+		t.Fatalf("the hold confirms version %s, and %s was committed before it was granted", answer.Menu, latest)
 	}
 }
 
 // TestFollowerPassesOlderNewsOver brings a node an older primary's word after a
 // newer one's.
-func TestFollowerPassesOlderNewsOver(test *testing.T) {
+func TestFollowerPassesOlderNewsOver(t *testing.T) {
 	taken := 0
 	follower := NewFollower(hookless{}, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(News) { taken++ })
 	newer, older := larder.Version{Epoch: 3, Number: 9}, larder.Version{Epoch: 2, Number: 8}
@@ -85,26 +85,26 @@
 	follower.takeAnswer(hookless{}.Now(), news(older))
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: older})
 	if got := follower.Drawer(larder.MenuDrawer).Version; taken != 1 || got != newer {
-		test.Fatalf("%d answers were taken, the node has %s", taken, got)
+		t.Fatalf("%d answers were taken, the node has %s", taken, got)
 	}
 }
 
 // TestMessagesThatAreNoneHaveATypedAnswer gives every path what it does not
 // understand.
-func TestMessagesThatAreNoneHaveATypedAnswer(test *testing.T) {
-	_, primary := newCore(test, plain)
-	strange, failure := msgpack.Marshal([]string{"no question"})
-	if failure != nil {
-		test.Fatal(failure)
+func TestMessagesThatAreNoneHaveATypedAnswer(t *testing.T) {
+	_, primary := newCore(t, plain)
+	strange, err := msgpack.Marshal([]string{"no question"})
+	if err != nil {
+		t.Fatal(err)
 	}
 	for path, answer := range primary.Answers() {
 		for _, body := range [][]byte{nil, []byte("garbage"), strange} {
-			if _, failure := answer(body); trouble.KindOf(failure) == trouble.Unsorted {
-				test.Errorf("%s: %v", path, failure)
+			if _, err := answer(body); trouble.KindOf(err) == trouble.Unsorted {
+				t.Errorf("%s: %v", path, err)
 			}
 		}
 	}
-	if _, failure := primary.Answers().Answer("/nowhere", nil); trouble.KindOf(failure) != trouble.NoSuch {
-		test.Errorf("an unknown path: %v", failure)
+	if _, err := primary.Answers().Answer("/nowhere", nil); trouble.KindOf(err) != trouble.NoSuch {
+		t.Errorf("an unknown path: %v", err)
 	}
 }
--- a/internal/hatch/fleet_test.go
+++ b/internal/hatch/fleet_test.go
@@ -86,10 +86,10 @@
 }
 
 // newCore forms a core and returns its primary.
-func newCore(test *testing.T, wrap func(rota.Turns) rota.Turns) (*core, *Expediter) {
-	test.Helper()
+func newCore(t *testing.T, wrap func(rota.Turns) rota.Turns) (*core, *Expediter) {
+	t.Helper()
 	lifetime, end := context.WithCancel(context.Background())
-	test.Cleanup(end)
+	t.Cleanup(end)
 	formed := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}, keeping: map[string]*memoryShelf{}}
 	turns := threads.New(lifetime, wallclock.New())
 	changed := turns.NewBell()
@@ -97,9 +97,9 @@
 		address := "m" + strconv.Itoa(number)
 		copies, keeping := &memoryShelf{files: map[string][]byte{}}, &memoryShelf{files: map[string][]byte{}}
 		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil), Fresh: larder.Identity("disk-" + address)}
-		node, _, failure := OpenExpediter(wrap(turns), formed, keeping, copies, options, func(string, ...any) { changed.Ring() })
-		if failure != nil {
-			test.Fatal(failure)
+		node, _, err := OpenExpediter(wrap(turns), formed, keeping, copies, options, func(string, ...any) { changed.Ring() })
+		if err != nil {
+			t.Fatal(err)
 		}
 		formed.mutex.Lock()
 		formed.nodes[address], formed.shelfs[address] = node, copies
@@ -116,7 +116,7 @@
 		// The bell rings with each step of the core; a pair makes it writable.
 		changed.Wait(100*time.Millisecond, func() bool {
 			for _, node := range formed.nodes {
-				if _, _, failure := node.Ruling(); failure == nil && !node.Steward().Charter().Backup.Empty() {
+				if _, _, err := node.Ruling(); err == nil && !node.Steward().Charter().Backup.Empty() {
 					primary = node
 				}
 			}
@@ -126,6 +126,6 @@
 			return formed, primary
 		}
 	}
-	test.Fatal("no core was formed")
+	t.Fatal("no core was formed")
 	return nil, nil
 }
--- a/internal/hatch/fuzz_test.go
+++ b/internal/hatch/fuzz_test.go
@@ -21,16 +21,16 @@
 		`{"id":"01a3185c-affe-7c59-b76c-8c48a0ebeefa","service":"chat","repeatable":false,"prefix_tokens":9,"prompt_tokens":2}`} {
 		fuzzing.Add([]byte(body))
 	}
-	fuzzing.Fuzz(func(test *testing.T, body []byte) {
-		inquiry, failure := ReadInquiry(time.Unix(1, 0), body)
-		if failure != nil {
-			if inquiry == nil && trouble.KindOf(failure) == trouble.Unsorted {
-				test.Fatalf("%q: an untyped failure: %v", body, failure)
+	fuzzing.Fuzz(func(t *testing.T, body []byte) {
+		inquiry, err := ReadInquiry(time.Unix(1, 0), body)
+		if err != nil {
+			if inquiry == nil && trouble.KindOf(err) == trouble.Unsorted {
+				t.Fatalf("%q: an untyped failure: %v", body, err)
 			}
 			return
 		}
 		if inquiry.ID == "" || inquiry.Service == "" || inquiry.Pieces < 1 || inquiry.PromptTokens < 0 || inquiry.PrefixTokens < 0 || inquiry.PrefixTokens > inquiry.PromptTokens {
-			test.Fatalf("%q passed as %+v", body, inquiry)
+			t.Fatalf("%q passed as %+v", body, inquiry)
 		}
 	})
 }
@@ -43,24 +43,24 @@
 	end()
 	lone := &core{nodes: map[string]*Expediter{}, shelfs: map[string]*memoryShelf{}}
 	keeping := &memoryShelf{files: map[string][]byte{}}
-	node, _, failure := OpenExpediter(threads.New(ended, wallclock.New()), lone, keeping, &memoryShelf{files: map[string][]byte{}}, ExpediterOptions{Name: "a", Address: "a", Fresh: "disk-a"}, func(string, ...any) {})
-	if failure != nil {
-		fuzzing.Fatal(failure)
+	node, _, err := OpenExpediter(threads.New(ended, wallclock.New()), lone, keeping, &memoryShelf{files: map[string][]byte{}}, ExpediterOptions{Name: "a", Address: "a", Fresh: "disk-a"}, func(string, ...any) {})
+	if err != nil {
+		fuzzing.Fatal(err)
 	}
 	paths := []string{HelloPath, PreparePath, AcceptPath, ConfirmPath, ReplicatePath, InstallPath, RefreshPath, NewsPath, ClaimPath, OrdersPath}
 	for number := range paths {
 		for _, seed := range []any{larder.Hello{}, keeperQuestion{To: "disk-a", Epoch: 1}, replicateQuestion{To: "disk-a"}, NewsQuestion{}, []recipe.Record{{}}} {
-			body, failure := msgpack.Marshal(seed)
-			if failure != nil {
-				fuzzing.Fatal(failure)
+			body, err := msgpack.Marshal(seed)
+			if err != nil {
+				fuzzing.Fatal(err)
 			}
 			fuzzing.Add(number, body)
 		}
 	}
-	fuzzing.Fuzz(func(test *testing.T, number int, body []byte) {
+	fuzzing.Fuzz(func(t *testing.T, number int, body []byte) {
 		path := paths[max(number, -number)%len(paths)]
-		if _, failure := node.Answers().Answer(path, body); failure != nil && trouble.KindOf(failure) == trouble.Unsorted {
-			test.Fatalf("%s %x: an untyped failure: %v", path, body, failure)
+		if _, err := node.Answers().Answer(path, body); err != nil && trouble.KindOf(err) == trouble.Unsorted {
+			t.Fatalf("%s %x: an untyped failure: %v", path, body, err)
 		}
 	})
 }
--- a/internal/hatch/hotline.go
+++ b/internal/hatch/hotline.go
@@ -24,13 +24,13 @@
 //
 //	failure := hatch.Call(line, address, hatch.HelloPath, own, &answer, time.Second)
 func Call(line Hotline, address, path string, question, answer any, patience time.Duration) error {
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	answered, failure := line.CallRaw(address, path, body, patience)
-	if failure != nil || answer == nil {
-		return failure
+	answered, err := line.CallRaw(address, path, body, patience)
+	if err != nil || answer == nil {
+		return err
 	}
 	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(answered, answer))
 }
@@ -41,15 +41,15 @@
 func answering[Question, Answer any](answer func(question Question) (Answer, error)) answerer {
 	return func(body []byte) ([]byte, error) {
 		var question Question
-		if failure := msgpack.Unmarshal(body, &question); failure != nil {
-			return nil, trouble.Wrap(trouble.Garbage, failure)
+		if err := msgpack.Unmarshal(body, &question); err != nil {
+			return nil, trouble.Wrap(trouble.Garbage, err)
 		}
-		said, failure := answer(question)
-		if failure != nil {
-			return nil, failure
+		said, err := answer(question)
+		if err != nil {
+			return nil, err
 		}
-		encoded, failure := msgpack.Marshal(said)
-		return encoded, trouble.Wrap(trouble.Garbage, failure)
+		encoded, err := msgpack.Marshal(said)
+		return encoded, trouble.Wrap(trouble.Garbage, err)
 	}
 }
 
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -26,13 +26,13 @@
 // housekeep does what a primary does without being asked: enable flags, give
 // duties, forget old claims.
 func (expediter *Expediter) housekeep() {
-	current, view, failure := expediter.Ruling()
-	if failure != nil {
+	current, view, err := expediter.Ruling()
+	if err != nil {
 		return
 	}
-	state, failure := expediter.state(current, view)
-	if failure != nil {
-		expediter.observe("state_unreadable", "cause", failure)
+	state, err := expediter.state(current, view)
+	if err != nil {
+		expediter.observe("state_unreadable", "cause", err)
 		return
 	}
 	now := expediter.turns.Now()
@@ -55,8 +55,8 @@
 	if settled && !restricted && len(state.Members) > 0 {
 		for _, flag := range supported {
 			if !state.Flags.Enabled.Has(flag) && len(state.Lacking(flag)) == 0 {
-				expediter.queue(larder.EnableFlags(supported), func(version larder.Version, failure error) {
-					expediter.observe("flags_enabled", "version", version.String(), "trouble", failure)
+				expediter.queue(larder.EnableFlags(supported), func(version larder.Version, err error) {
+					expediter.observe("flags_enabled", "version", version.String(), "trouble", err)
 				})
 				break
 			}
@@ -85,8 +85,8 @@
 	if len(gone) == 0 {
 		return
 	}
-	expediter.queue(larder.ForgetServers(gone, state.Rota.Duties), func(version larder.Version, failure error) {
-		expediter.observe("servers_forgotten", "servers", gone, "version", version.String(), "trouble", failure)
+	expediter.queue(larder.ForgetServers(gone, state.Rota.Duties), func(version larder.Version, err error) {
+		expediter.observe("servers_forgotten", "servers", gone, "version", version.String(), "trouble", err)
 	})
 }
 
@@ -106,8 +106,8 @@
 		if slices.ContainsFunc(charter.Electors(), func(seat larder.Seat) bool { return seat.Name == name }) || charter.Primary.Name == name {
 			continue
 		}
-		expediter.queue(larder.Retire(name), func(version larder.Version, failure error) {
-			expediter.observe("member_retired", "member", name, "version", version.String(), "trouble", failure)
+		expediter.queue(larder.Retire(name), func(version larder.Version, err error) {
+			expediter.observe("member_retired", "member", name, "version", version.String(), "trouble", err)
 		})
 	}
 }
@@ -133,21 +133,21 @@
 	if len(grants) == 0 {
 		return
 	}
-	expediter.queue(larder.GrantDuties(grants, state.Rota.Duties), func(version larder.Version, failure error) {
-		expediter.observe("duties_granted", "version", version.String(), "grants", grants, "trouble", failure)
+	expediter.queue(larder.GrantDuties(grants, state.Rota.Duties), func(version larder.Version, err error) {
+		expediter.observe("duties_granted", "version", version.String(), "grants", grants, "trouble", err)
 	})
 }
 
 // sweep reads the own files again, and finds the copies that no read has
 // mended.
 func (expediter *Expediter) sweep() {
-	if mended, failure := expediter.store.Copy().Sweep(); mended > 0 || failure != nil {
-		expediter.observe("copy_swept", "mended", mended, "trouble", failure)
+	if mended, err := expediter.store.Copy().Sweep(); mended > 0 || err != nil {
+		expediter.observe("copy_swept", "mended", mended, "trouble", err)
 	}
-	if mended, failure := expediter.keeper.Sweep(); mended || failure != nil {
-		expediter.observe("keeper_swept", "mended", mended, "trouble", failure)
+	if mended, err := expediter.keeper.Sweep(); mended || err != nil {
+		expediter.observe("keeper_swept", "mended", mended, "trouble", err)
 	}
-	if _, view, failure := expediter.Ruling(); failure == nil {
+	if _, view, err := expediter.Ruling(); err == nil {
 		expediter.mendCopies(view)
 	}
 }
@@ -176,7 +176,7 @@
 	epoch := expediter.steward.Charter().Epoch
 	for _, seat := range expediter.steward.OldCopies(view.Version) {
 		question := installQuestion{To: seat.Identity, Snapshot: larder.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
-		failure := Call(expediter.line, expediter.steward.Address(seat), RefreshPath, question, nil, installPatience)
-		expediter.observe("copy_mended", "at", seat.Name, "version", view.Version.String(), "trouble", failure)
+		err := Call(expediter.line, expediter.steward.Address(seat), RefreshPath, question, nil, installPatience)
+		expediter.observe("copy_mended", "at", seat.Name, "version", view.Version.String(), "trouble", err)
 	}
 }
--- a/internal/hatch/inquirybody.go
+++ b/internal/hatch/inquirybody.go
@@ -26,12 +26,12 @@
 //
 //	inquiry, failure := hatch.ReadInquiry(turns.Now(), body)
 func ReadInquiry(now time.Time, body []byte) (*pass.Inquiry, error) {
-	root, failure := fastjson.ParseBytes(body)
-	if failure != nil || !utf8.Valid(body) {
+	root, err := fastjson.ParseBytes(body)
+	if err != nil || !utf8.Valid(body) {
 		return nil, trouble.At(trouble.Malformed, "/", "the body is no JSON")
 	}
-	object, failure := root.Object()
-	if failure != nil {
+	object, err := root.Object()
+	if err != nil {
 		return nil, trouble.At(trouble.WrongType, "/", "an object is needed")
 	}
 	inquiry := &pass.Inquiry{Repeatable: true, PromptTokens: -1, Pieces: 1}
@@ -42,22 +42,22 @@
 	object.Visit(func(key []byte, value *fastjson.Value) {
 		name := string(key)
 		if target, found := texts[name]; found {
-			text, failure := value.StringBytes()
-			if failure != nil {
+			text, err := value.StringBytes()
+			if err != nil {
 				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a text is needed"))
 				return
 			}
 			*target = string(text)
 		} else if target, found := numbers[name]; found {
-			number, failure := value.Int()
-			if failure != nil || number < 0 || number > 100_000_000 {
+			number, err := value.Int()
+			if err != nil || number < 0 || number > 100_000_000 {
 				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a whole number that is not negative is needed"))
 				return
 			}
 			*target = number
 		} else if name == "repeatable" {
-			repeatable, failure := value.Bool()
-			if failure != nil {
+			repeatable, err := value.Bool()
+			if err != nil {
 				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/repeatable", "true or false is needed"))
 				return
 			}
@@ -75,8 +75,8 @@
 	if inquiry.ID == "" || len(inquiry.ID) > 128 {
 		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/id", "an id of at most 128 bytes is needed"))
 	} else if !inquiry.Repeatable {
-		if _, failure := MadeAt(inquiry.ID); failure != nil {
-			mistakes = multierr.Append(mistakes, failure)
+		if _, err := MadeAt(inquiry.ID); err != nil {
+			mistakes = multierr.Append(mistakes, err)
 		}
 	}
 	if inquiry.PromptTokens < 0 {
@@ -101,8 +101,8 @@
 //
 //	made, failure := hatch.MadeAt(id)
 func MadeAt(id string) (time.Time, error) {
-	parsed, failure := uuid.Parse(id)
-	if failure != nil || parsed.Version() != 7 {
+	parsed, err := uuid.Parse(id)
+	if err != nil || parsed.Version() != 7 {
 		return time.Time{}, trouble.At(trouble.Malformed, "/id", "an inquiry that may not be repeated has a UUID of version 7 as its id")
 	}
 	seconds, nanoseconds := parsed.Time().UnixTime()
--- a/internal/hatch/journal.go
+++ b/internal/hatch/journal.go
@@ -71,11 +71,11 @@
 		}
 		switch record.Kind {
 		case recipe.PairRecord:
-			if pair, failure := recipe.ReadPair(record, supported); failure == nil {
+			if pair, err := recipe.ReadPair(record, supported); err == nil {
 				folded.Pairs = append(folded.Pairs, pair)
 			}
 		case recipe.RetryRecord:
-			if entry, failure := recipe.ReadEntry(record); failure == nil {
+			if entry, err := recipe.ReadEntry(record); err == nil {
 				folded.Retries = append(folded.Retries, entry)
 			}
 		}
--- a/internal/hatch/listreading.go
+++ b/internal/hatch/listreading.go
@@ -64,13 +64,13 @@
 			continue
 		}
 		asked := courier.turns.Now()
-		servers, failure := courier.options.Directory.Servers()
-		if failure == nil {
+		servers, err := courier.options.Directory.Servers()
+		if err == nil {
 			courier.takeServers(asked, servers)
 			// Whatever list the primary has is told anew, since this one differs.
 			courier.followed.ForgetList()
 		}
-		courier.observe("list_read_itself", "servers", len(servers), "trouble", failure)
+		courier.observe("list_read_itself", "servers", len(servers), "trouble", err)
 		reads++
 		rota.Pause(courier.turns, ownListPause+time.Duration(courier.couriers.Load())*ownListShare+courier.spread(reads))
 	}
@@ -94,11 +94,11 @@
 // readNodes reads the platform's list of nodes, where there is one.
 func (courier *Courier) readNodes() {
 	for courier.turns.Alive() {
-		nodes, failure := courier.options.Directory.Nodes()
-		if trouble.KindOf(failure) == trouble.NoSuch {
+		nodes, err := courier.options.Directory.Nodes()
+		if trouble.KindOf(err) == trouble.NoSuch {
 			return
 		}
-		if failure == nil {
+		if err == nil {
 			courier.setNodes(nodes)
 		}
 		rota.Pause(courier.turns, nodesPause)
@@ -136,8 +136,8 @@
 	}
 	for courier.turns.Alive() && watched() {
 		began := courier.turns.Now()
-		load, failure := courier.options.Pressures.Pressure(server, pressurePatience)
-		if failure == nil && load.Server == server.Name {
+		load, err := courier.options.Pressures.Pressure(server, pressurePatience)
+		if err == nil && load.Server == server.Name {
 			courier.Apply(pass.Event{Kind: pass.LoadReported, Load: &load})
 		}
 		if left := pressurePause - courier.turns.Now().Sub(began); left > 0 {
