--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -194,14 +194,14 @@
 }
 
 // note takes a server's answer, or that there was none.
-func (lists *lists) note(epoch uint64, server string, at time.Time, load window.Load, failure error) {
+func (lists *lists) note(epoch uint64, server string, at time.Time, load window.Load, err error) {
 	lists.mutex.Lock()
 	defer lists.mutex.Unlock()
 	if lists.epoch != epoch {
 		return
 	}
 	delete(lists.asking, server)
-	if failure == nil && load.Server == server && !at.Before(lists.reports[server].at) {
+	if err == nil && load.Server == server && !at.Before(lists.reports[server].at) {
 		lists.reports[server] = report{load: load, at: at}
 	}
 }
@@ -246,12 +246,12 @@
 			continue
 		}
 		asked := expediter.turns.Now()
-		servers, failure := expediter.options.Directory.Servers()
+		servers, err := expediter.options.Directory.Servers()
 		// A list that could not be read leaves what is known as it is.
-		if failure == nil && expediter.lists.take(asked, servers) {
+		if err == nil && expediter.lists.take(asked, servers) {
 			expediter.news.Ring()
 		}
-		expediter.noteListTrouble(failure)
+		expediter.noteListTrouble(err)
 		if left := listPause - expediter.turns.Now().Sub(asked); left > 0 {
 			rota.Pause(expediter.turns, left)
 		}
@@ -272,12 +272,12 @@
 	if expediter.lists.readsNow(expediter.turns.Now()) {
 		expediter.turns.Go(func() {
 			asked := expediter.turns.Now()
-			servers, failure := expediter.options.Directory.Servers()
-			if failure == nil {
+			servers, err := expediter.options.Directory.Servers()
+			if err == nil {
 				expediter.lists.take(asked, servers)
 				expediter.news.Ring()
 			}
-			expediter.noteListTrouble(failure)
+			expediter.noteListTrouble(err)
 		})
 	}
 	if !fetches {
@@ -292,17 +292,17 @@
 }
 
 // noteListTrouble logs that the list can't be read, and that it can again, once.
-func (expediter *Expediter) noteListTrouble(failure error) {
+func (expediter *Expediter) noteListTrouble(err error) {
 	cause := ""
-	if failure != nil {
-		cause = string(trouble.KindOf(failure))
+	if err != nil {
+		cause = string(trouble.KindOf(err))
 	}
 	expediter.lists.mutex.Lock()
 	told := expediter.lists.failedFor == cause
 	expediter.lists.failedFor = cause
 	expediter.lists.mutex.Unlock()
 	if !told {
-		expediter.observe("list_read", "trouble", failure)
+		expediter.observe("list_read", "trouble", err)
 	}
 }
 
@@ -341,8 +341,8 @@
 	for _, server := range servers {
 		expediter.turns.Go(func() {
 			asked := expediter.turns.Now()
-			load, failure := expediter.options.Reports.Report(server, reportPatience)
-			expediter.lists.note(epoch, server.Name, asked, load, failure)
+			load, err := expediter.options.Reports.Report(server, reportPatience)
+			expediter.lists.note(epoch, server.Name, asked, load, err)
 			mutex.Lock()
 			left--
 			last := left == 0
@@ -362,11 +362,11 @@
 // readNodes reads the platform's list of nodes, where there is one.
 func (expediter *Expediter) readNodes() {
 	for expediter.turns.Alive() {
-		nodes, failure := expediter.options.Directory.Nodes()
-		if trouble.KindOf(failure) == trouble.NoSuch {
+		nodes, err := expediter.options.Directory.Nodes()
+		if trouble.KindOf(err) == trouble.NoSuch {
 			return
 		}
-		if failure == nil {
+		if err == nil {
 			expediter.setNodes(nodes)
 		}
 		rota.Pause(expediter.turns, nodesPause)
--- a/internal/hatch/lists_test.go
+++ b/internal/hatch/lists_test.go
@@ -18,37 +18,37 @@
 func atNoon(length time.Duration) time.Time { return listNoon.Add(length) }
 
 // TestListsTellWhatTheAskerLacks follows a list and a report through their marks.
-func TestListsTellWhatTheAskerLacks(test *testing.T) {
+func TestListsTellWhatTheAskerLacks(t *testing.T) {
 	var known lists
 	asker := NewsQuestion{Lists: true, Loads: true}
 	if known.newer(asker) {
-		test.Error("nothing is known, and is news")
+		t.Error("nothing is known, and is news")
 	}
 	known.take(atNoon(0), []roster.Server{{Name: "a", Warming: 2 * time.Second}})
 	if known.newer(asker) {
-		test.Error("who does not lead has news")
+		t.Error("who does not lead has news")
 	}
 	known.begin(7)
 	var answer NewsAnswer
 	known.tell(atNoon(500*time.Millisecond), asker, &answer)
 	if answer.Servers == nil || !answer.Servers.Sent || answer.Servers.Age != 500*time.Millisecond || answer.Servers.Servers[0].Warming != 1500*time.Millisecond || answer.Loads != nil {
-		test.Fatalf("%+v", answer.Servers)
+		t.Fatalf("%+v", answer.Servers)
 	}
 	asker.ListMark = answer.Servers.Mark
 	if known.newer(asker) {
-		test.Error("the same list is news")
+		t.Error("the same list is news")
 	}
 	answer = NewsAnswer{}
 	known.tell(atNoon(time.Second), asker, &answer)
 	if answer.Servers == nil || answer.Servers.Sent || answer.Servers.Mark != asker.ListMark {
-		test.Errorf("the list was told again: %+v", answer.Servers)
+		t.Errorf("the list was told again: %+v", answer.Servers)
 	}
 	// A courier asked, so reports are read, each server once at a time.
 	if wanted := known.wanted(atNoon(time.Second)); len(wanted) != 1 {
-		test.Errorf("wanted %v", wanted)
+		t.Errorf("wanted %v", wanted)
 	}
 	if wanted := known.wanted(atNoon(time.Second)); len(wanted) != 0 {
-		test.Errorf("asked again while it is being asked: %v", wanted)
+		t.Errorf("asked again while it is being asked: %v", wanted)
 	}
 	known.note(6, "a", atNoon(time.Second), window.Load{Server: "a"}, nil)
 	known.note(7, "a", atNoon(time.Second), window.Load{Server: "another"}, nil)
@@ -56,22 +56,22 @@
 	answer = NewsAnswer{}
 	known.tell(atNoon(time.Second), asker, &answer)
 	if answer.Loads == nil || len(answer.Loads.Lines) != 0 {
-		test.Errorf("a report of another reign or server was told: %+v", answer.Loads)
+		t.Errorf("a report of another reign or server was told: %+v", answer.Loads)
 	}
 	known.wanted(atNoon(time.Second))
 	known.note(7, "a", atNoon(time.Second), window.Load{Server: "a", Running: 3, Age: 100 * time.Millisecond}, nil)
 	known.round(atNoon(1100 * time.Millisecond))
 	if !known.newer(asker) {
-		test.Error("a round of reports is no news")
+		t.Error("a round of reports is no news")
 	}
 	answer = NewsAnswer{}
 	known.tell(atNoon(1200*time.Millisecond), asker, &answer)
 	if answer.Loads == nil || len(answer.Loads.Lines) != 1 || answer.Loads.Lines[0].load(50*time.Millisecond) != (window.Load{Server: "a", Running: 3, Age: 350 * time.Millisecond}) {
-		test.Errorf("%+v", answer.Loads)
+		t.Errorf("%+v", answer.Loads)
 	}
 	asker.LoadsMark = answer.Loads.Mark
 	if known.newer(asker) {
-		test.Error("the same round is news")
+		t.Error("the same round is news")
 	}
 	// A server that does not report any more is left out after a while.
 	known.wanted(atNoon(4 * time.Second))
@@ -80,32 +80,32 @@
 	answer = NewsAnswer{}
 	known.tell(atNoon(4200*time.Millisecond), asker, &answer)
 	if answer.Loads == nil || len(answer.Loads.Lines) != 0 {
-		test.Errorf("an old report is told: %+v", answer.Loads)
+		t.Errorf("an old report is told: %+v", answer.Loads)
 	}
 	if wanted := known.wanted(atNoon(10 * time.Second)); len(wanted) != 0 {
-		test.Errorf("nobody follows reports, and %v are read", wanted)
+		t.Errorf("nobody follows reports, and %v are read", wanted)
 	}
 	// The next reign's marks are others, though the list is the same.
 	known.end()
 	known.begin(8)
 	if !known.newer(asker) {
-		test.Error("the next reign's list has the old one's mark")
+		t.Error("the next reign's list has the old one's mark")
 	}
 	if known.newer(NewsQuestion{}) {
-		test.Error("who follows no lists has news of them")
+		t.Error("who follows no lists has news of them")
 	}
 }
 
 // TestReportTravelsShort wants one server's report to stay a few dozen bytes.
-func TestReportTravelsShort(test *testing.T) {
+func TestReportTravelsShort(t *testing.T) {
 	line := reportOf(window.Load{Server: "i-7f3a91c2", Part: "decode", Changing: true, Orders: 2, Waiting: 100, Running: 60, MemoryUsed: 200_000, MemoryTotal: 319_972, Handles: 12}, 240*time.Millisecond)
-	body, failure := msgpack.Marshal(line)
-	if failure != nil || len(body) > 48 {
-		test.Errorf("%d bytes, %v", len(body), failure)
+	body, err := msgpack.Marshal(line)
+	if err != nil || len(body) > 48 {
+		t.Errorf("%d bytes, %v", len(body), err)
 	}
 	var read loadReport
-	if failure := msgpack.Unmarshal(body, &read); failure != nil || read != line {
-		test.Errorf("%+v, %v", read, failure)
+	if err := msgpack.Unmarshal(body, &read); err != nil || read != line {
+		t.Errorf("%+v, %v", read, err)
 	}
 }
 
@@ -119,7 +119,7 @@
 
 // TestFollowerTakesNothingForYoungerThanItIs: an age counts from the moment at which
 // the question surely had not been answered.
-func TestFollowerTakesNothingForYoungerThanItIs(test *testing.T) {
+func TestFollowerTakesNothingForYoungerThanItIs(t *testing.T) {
 	turns := &movingTurns{now: atNoon(0)}
 	var heard News
 	follower := NewFollower(turns, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(news News) { heard = news })
@@ -130,34 +130,34 @@
 		Loads: &LoadsNews{Mark: 9, Lines: lines}}
 	follower.takeAnswer(atNoon(0), answer)
 	if heard.Servers == nil || !heard.Servers.At.Equal(atNoon(300*time.Millisecond)) {
-		test.Errorf("the list was read at %+v", heard.Servers)
+		t.Errorf("the list was read at %+v", heard.Servers)
 	}
 	if len(heard.Loads) != 1 || heard.Loads[0].Age != 400*time.Millisecond {
-		test.Errorf("the report is %+v", heard.Loads)
+		t.Errorf("the report is %+v", heard.Loads)
 	}
 	if question, _ := follower.pollQuestion(); question.ListMark != 5 || question.LoadsMark != 9 || !question.Lists || !question.Loads {
-		test.Errorf("asks with %+v", question)
+		t.Errorf("asks with %+v", question)
 	}
 	// A confirmation makes it younger; another mark without the list says nothing.
 	turns.now = atNoon(1200 * time.Millisecond)
 	answer.Servers, answer.Loads = &ServersNews{Mark: 5, Age: 100 * time.Millisecond}, nil
 	follower.takeAnswer(atNoon(800*time.Millisecond), NewsAnswer{Leads: true, Servers: answer.Servers})
 	if heard.Servers == nil || !heard.Servers.At.Equal(atNoon(700*time.Millisecond)) || len(heard.Servers.Servers) != 1 {
-		test.Errorf("confirmed as %+v", heard.Servers)
+		t.Errorf("confirmed as %+v", heard.Servers)
 	}
 	follower.takeAnswer(atNoon(800*time.Millisecond), NewsAnswer{Leads: true, Servers: &ServersNews{Mark: 6}})
 	if heard.Servers != nil {
-		test.Errorf("a list that was not told was taken: %+v", heard.Servers)
+		t.Errorf("a list that was not told was taken: %+v", heard.Servers)
 	}
 	follower.ForgetList()
 	if question, _ := follower.pollQuestion(); question.ListMark != 0 {
-		test.Error("the list is not told anew")
+		t.Error("the list is not told anew")
 	}
 }
 
 // TestReportsAreReadSeldomWhileServersHaveLittleToDo wants work, waiting or a change of
 // part at one server to be enough for the usual pace.
-func TestReportsAreReadSeldomWhileServersHaveLittleToDo(test *testing.T) {
+func TestReportsAreReadSeldomWhileServersHaveLittleToDo(t *testing.T) {
 	for name, one := range map[string]struct {
 		load window.Load
 		calm bool
@@ -173,7 +173,7 @@
 		known.take(atNoon(0), []roster.Server{{Name: "a", Slots: 64}, {Name: "b"}})
 		known.note(1, "a", atNoon(0), one.load, nil)
 		if calm := known.calm(atNoon(0)); calm != one.calm {
-			test.Errorf("%s: calm %v", name, calm)
+			t.Errorf("%s: calm %v", name, calm)
 		}
 	}
 }
--- a/internal/hatch/passing.go
+++ b/internal/hatch/passing.go
@@ -67,8 +67,8 @@
 			passage := Passage{Nonce: courier.nonce()}
 			if !arrival.Inquiry.Repeatable {
 				var said Incarnation
-				failure := Call(courier.line, member.Address, IncarnationPath, nothing{}, &said, incarnationPatience)
-				if trouble.KindOf(failure) == trouble.Unreachable && !courier.old(failure) {
+				err := Call(courier.line, member.Address, IncarnationPath, nothing{}, &said, incarnationPatience)
+				if trouble.KindOf(err) == trouble.Unreachable && !courier.old(err) {
 					continue
 				}
 				passage.Incarnation = said.Incarnation
@@ -87,8 +87,8 @@
 }
 
 // old tells whether a failure is that of a release which knows no such path.
-func (courier *Courier) old(failure error) bool {
-	return failure != nil && trouble.KindOf(failure) == trouble.Unreachable && trouble.DetailOf(failure) == "status 404"
+func (courier *Courier) old(err error) bool {
+	return err != nil && trouble.KindOf(err) == trouble.Unreachable && trouble.DetailOf(err) == "status 404"
 }
 
 // recordCopy gives the lines of stream records on as they come. A reply that
@@ -101,12 +101,12 @@
 }
 
 func (copied *recordCopy) take(record recipe.Record) bool {
-	message, failure := recipe.ReadStreamMessage(record)
+	message, err := recipe.ReadStreamMessage(record)
 	var line ReplyLine
-	if failure == nil {
-		failure = json.Unmarshal(message.Line, &line)
+	if err == nil {
+		err = json.Unmarshal(message.Line, &line)
 	}
-	if failure != nil || record.Number != uint64(copied.lines+1) || message.Inquiry != copied.inquiry {
+	if err != nil || record.Number != uint64(copied.lines+1) || message.Inquiry != copied.inquiry {
 		return false
 	}
 	if copied.lines == 0 {
@@ -114,7 +114,7 @@
 	}
 	copied.lines++
 	copied.ended = line.Final != ""
-	if failure := copied.reply.Line(message.Line); failure != nil {
+	if err := copied.reply.Line(message.Line); err != nil {
 		copied.ended = true
 	}
 	return !copied.ended
--- a/internal/hatch/peers.go
+++ b/internal/hatch/peers.go
@@ -17,14 +17,14 @@
 
 func (peers *peers) Hello(address string, own larder.Hello) (larder.Hello, error) {
 	var answer larder.Hello
-	failure := Call(peers.line, address, HelloPath, own, &answer, peerPatience)
-	return answer, failure
+	err := Call(peers.line, address, HelloPath, own, &answer, peerPatience)
+	return answer, err
 }
 
 func (peers *peers) ask(address, path string, question keeperQuestion) (larder.Promise, error) {
 	var promise larder.Promise
-	failure := Call(peers.line, address, path, question, &promise, peerPatience)
-	return promise, failure
+	err := Call(peers.line, address, path, question, &promise, peerPatience)
+	return promise, err
 }
 
 func (peers *peers) Prepare(address string, keeper larder.Identity, epoch uint64, candidate larder.Identity) (larder.Promise, error) {
--- a/internal/hatch/recordreply.go
+++ b/internal/hatch/recordreply.go
@@ -33,9 +33,9 @@
 //	failure := reply.Line(line)
 func (reply *RecordReply) Line(line []byte) error {
 	reply.number++
-	record, failure := recipe.WriteStreamMessage(recipe.StreamMessage{Inquiry: reply.Inquiry, Line: line, Status: reply.status, Retry: reply.retry}, reply.Writer, reply.number)
-	if failure != nil {
-		return failure
+	record, err := recipe.WriteStreamMessage(recipe.StreamMessage{Inquiry: reply.Inquiry, Line: line, Status: reply.status, Retry: reply.retry}, reply.Writer, reply.number)
+	if err != nil {
+		return err
 	}
 	return reply.Send(record)
 }
--- a/internal/hatch/reign_test.go
+++ b/internal/hatch/reign_test.go
@@ -14,7 +14,7 @@
 // TestRecordsOfGoneServersEnd lets a server vanish from the list, come back, and vanish
 // for good: its duty is renewed until it is held to be gone, and its records go only
 // when nobody can hold it any more.
-func TestRecordsOfGoneServersEnd(test *testing.T) {
+func TestRecordsOfGoneServersEnd(t *testing.T) {
 	reign := newReign(atNoon(0))
 	duty := rota.Duty{Key: rota.ServerKey("a"), Holder: "courier-1", Fence: 3}
 	state := &larder.State{Rota: larder.Duties{Duties: map[string]rota.Duty{duty.Key: duty, rota.PartsKey: {Key: rota.PartsKey}}},
@@ -32,29 +32,29 @@
 	at(50*time.Second, listed)
 	at(60*time.Second, listed[1:])
 	if gone := at(115*time.Second, listed[1:]); len(gone) > 0 || !renewed(115*time.Second) {
-		test.Errorf("a server that was back is gone: %v", gone)
+		t.Errorf("a server that was back is gone: %v", gone)
 	}
 	if gone := at(121*time.Second, listed[1:]); len(gone) > 0 || renewed(121*time.Second) {
-		test.Errorf("gone %v, or its duty is still renewed", gone)
+		t.Errorf("gone %v, or its duty is still renewed", gone)
 	}
 	if gone := at(131*time.Second, listed[1:]); !slices.Equal(gone, []string{"a"}) {
-		test.Errorf("gone: %v", gone)
+		t.Errorf("gone: %v", gone)
 	}
 	if terms := rota.DefaultTerms(); forgetTime-goneTime < terms.Hold+terms.Drift+terms.Rest {
-		test.Error("a duty may still be held when its record goes")
+		t.Error("a duty may still be held when its record goes")
 	}
 }
 
 // TestSilentMembersAreThoseThatAskedNobody counts from the reign's beginning.
-func TestSilentMembersAreThoseThatAskedNobody(test *testing.T) {
+func TestSilentMembersAreThoseThatAskedNobody(t *testing.T) {
 	reign := newReign(atNoon(0))
 	state := &larder.State{Members: map[string]roster.Member{"a": {}, "b": {}, "c": {}}}
 	reign.asked["a"] = atNoon(50 * time.Second)
 	reign.asked["b"] = atNoon(-time.Minute)
 	if silent := reign.silent(atNoon(59*time.Second), state, time.Minute); len(silent) > 0 {
-		test.Errorf("silent: %v", silent)
+		t.Errorf("silent: %v", silent)
 	}
 	if silent := reign.silent(atNoon(time.Minute), state, time.Minute); !slices.Equal(silent, []string{"b", "c"}) {
-		test.Errorf("silent: %v", silent)
+		t.Errorf("silent: %v", silent)
 	}
 }
--- a/internal/hatch/search_test.go
+++ b/internal/hatch/search_test.go
@@ -27,8 +27,8 @@
 
 // restarted opens a core's disks again, in expediters that do nothing by themselves:
 // all have just started and nobody is primary. The blank ones have lost their disks.
-func restarted(test *testing.T, turns rota.Turns, before *core, blank ...string) *core {
-	test.Helper()
+func restarted(t *testing.T, turns rota.Turns, before *core, blank ...string) *core {
+	t.Helper()
 	after := &core{nodes: map[string]*Expediter{}}
 	for address, copies := range before.shelfs {
 		keeping := before.keeping[address]
@@ -37,9 +37,9 @@
 		}
 		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil),
 			Fresh: larder.Identity("next disk-" + address), Directory: oneServer{}}
-		node, _, failure := OpenExpediter(turns, after, keeping, copies, options, func(string, ...any) {})
-		if failure != nil {
-			test.Fatal(failure)
+		node, _, err := OpenExpediter(turns, after, keeping, copies, options, func(string, ...any) {})
+		if err != nil {
+			t.Fatal(err)
 		}
 		after.nodes[address] = node
 	}
@@ -55,20 +55,20 @@
 	return courier
 }
 
-func setConfiguration(test *testing.T, primary *Expediter, text string) larder.Version {
-	test.Helper()
-	version, failure := primary.Edit(Edit{Apply: func([]byte) ([]byte, error) { return []byte(text), nil }})
-	if failure != nil {
-		test.Fatal(failure)
+func setConfiguration(t *testing.T, primary *Expediter, text string) larder.Version {
+	t.Helper()
+	version, err := primary.Edit(Edit{Apply: func([]byte) ([]byte, error) { return []byte(text), nil }})
+	if err != nil {
+		t.Fatal(err)
 	}
 	return version
 }
 
 // TestCourierServesByTheCopiesBeforeThereIsAPrimary restarts a courier and a whole core
 // that has no primary yet.
-func TestCourierServesByTheCopiesBeforeThereIsAPrimary(test *testing.T) {
-	before, primary := newCore(test, func(turns rota.Turns) rota.Turns { return turns })
-	version := setConfiguration(test, primary, `{"routes":{"a":{"to":{"refuse":true}}}}`)
+func TestCourierServesByTheCopiesBeforeThereIsAPrimary(t *testing.T) {
+	before, primary := newCore(t, func(turns rota.Turns) rota.Turns { return turns })
+	version := setConfiguration(t, primary, `{"routes":{"a":{"to":{"refuse":true}}}}`)
 	charter := primary.Steward().Charter()
 	for _, row := range []struct {
 		name    string
@@ -84,7 +84,7 @@
 	} {
 		lifetime, end := context.WithCancel(context.Background())
 		turns := threads.New(lifetime, wallclock.New())
-		core := restarted(test, turns, before, row.blank...)
+		core := restarted(t, turns, before, row.blank...)
 		if row.dark != "" {
 			core.nodes[row.dark] = nil
 		}
@@ -97,13 +97,13 @@
 		told.Wait(patience, func() bool { return courier.InForce() == version && len(courier.Servers()) == 1 })
 		until := courier.Core().ServesUntil()
 		if row.served != (courier.InForce() == version) || row.served != until.After(turns.Now()) {
-			test.Errorf("%s: %s in force, serves until %v", row.name, courier.InForce(), until)
+			t.Errorf("%s: %s in force, serves until %v", row.name, courier.InForce(), until)
 		}
 		if row.served && len(courier.Servers()) != 1 {
-			test.Errorf("%s: no list of servers came with it", row.name)
+			t.Errorf("%s: no list of servers came with it", row.name)
 		}
 		if !courier.Core().HoldEnds().IsZero() || !courier.Heard().IsZero() {
-			test.Errorf("%s: a copy gave a hold", row.name)
+			t.Errorf("%s: a copy gave a hold", row.name)
 		}
 		end()
 	}
@@ -112,8 +112,8 @@
 // TestPrimaryConfirmsOrReplacesAProvisionalConfiguration lets the primary come back,
 // with the configuration that was lent, a newer one, or an older one, which nobody may
 // go back to.
-func TestPrimaryConfirmsOrReplacesAProvisionalConfiguration(test *testing.T) {
-	turns := threads.New(test.Context(), wallclock.New())
+func TestPrimaryConfirmsOrReplacesAProvisionalConfiguration(t *testing.T) {
+	turns := threads.New(t.Context(), wallclock.New())
 	lent := larder.Drawer{Version: larder.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
 	newer := larder.Drawer{Version: larder.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
 	for _, row := range []struct {
@@ -131,14 +131,14 @@
 		courier.followed.drawers[larder.MenuDrawer], courier.followed.unconfirmed = lent, lent.Version
 		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]larder.Drawer{larder.MenuDrawer: lent}, Provisional: true})
 		if courier.InForce() != lent.Version || courier.Core().Dutiful() {
-			test.Fatalf("%s: %s in force", row.name, courier.InForce())
+			t.Fatalf("%s: %s in force", row.name, courier.InForce())
 		}
 		courier.followed.takeAnswer(turns.Now(), row.answer)
 		if courier.InForce() != row.inForce || courier.Core().HoldEnds().IsZero() == row.hold {
-			test.Errorf("%s: %s in force, hold until %v", row.name, courier.InForce(), courier.Core().HoldEnds())
+			t.Errorf("%s: %s in force, hold until %v", row.name, courier.InForce(), courier.Core().HoldEnds())
 		}
 		if courier.Heard().IsZero() || !courier.Core().ServesUntil().After(turns.Now()) {
-			test.Errorf("%s: the primary was not heard", row.name)
+			t.Errorf("%s: the primary was not heard", row.name)
 		}
 	}
 }
--- a/internal/hatch/signpost.go
+++ b/internal/hatch/signpost.go
@@ -73,7 +73,7 @@
 		asked[address] = true
 		var hello larder.Hello
 		// A hello from nobody is answered, and leaves no trace.
-		if failure := Call(signpost.line, address, HelloPath, larder.Hello{}, &hello, min(signpostPatience, left)); failure == nil && signpost.learn(address, hello) {
+		if err := Call(signpost.line, address, HelloPath, larder.Hello{}, &hello, min(signpostPatience, left)); err == nil && signpost.learn(address, hello) {
 			return address
 		}
 	}
--- a/internal/hatch/signpost_test.go
+++ b/internal/hatch/signpost_test.go
@@ -7,15 +7,15 @@
 	"seamloom.example/seamloom/internal/larder"
 )
 
-func TestSignpostFindsThePrimaryAndLeavesNoTrace(test *testing.T) {
-	formed, primary := newCore(test, plain)
+func TestSignpostFindsThePrimaryAndLeavesNoTrace(t *testing.T) {
+	formed, primary := newCore(t, plain)
 	signpost := NewSignpost(primary.turns, formed, []string{"m2", "gone", "m1"})
 	if found := signpost.Leader(); found != primary.options.Address {
-		test.Fatalf("found %q, not %q", found, primary.options.Address)
+		t.Fatalf("found %q, not %q", found, primary.options.Address)
 	}
 	for _, node := range formed.nodes {
 		if node.Steward().Sees("") {
-			test.Errorf("%s knows the signpost", node.options.Address)
+			t.Errorf("%s knows the signpost", node.options.Address)
 		}
 	}
 	// The primary goes; it is asked first, then the others.
@@ -31,15 +31,15 @@
 			return
 		}
 	}
-	test.Fatalf("found %q after the primary went", found)
+	t.Fatalf("found %q after the primary went", found)
 }
 
-func TestSignpostThatReachesNobody(test *testing.T) {
-	formed, primary := newCore(test, plain)
+func TestSignpostThatReachesNobody(t *testing.T) {
+	formed, primary := newCore(t, plain)
 	if found := NewSignpost(primary.turns, formed, []string{"gone"}).Leader(); found != "" {
-		test.Errorf("found %q", found)
+		t.Errorf("found %q", found)
 	}
 	if greeted := primary.Steward().Greet(larder.Hello{}); greeted.Seat.Empty() {
-		test.Error("a hello from nobody has no answer")
+		t.Error("a hello from nobody has no answer")
 	}
 }
--- a/internal/larder/acquaintance.go
+++ b/internal/larder/acquaintance.go
@@ -83,7 +83,7 @@
 	}
 	if steward.quiet() {
 		primary := steward.Charter().Primary
-		if hello, failure := steward.peers.Hello(steward.Address(primary), own); failure == nil {
+		if hello, err := steward.peers.Hello(steward.Address(primary), own); err == nil {
 			steward.note(hello, true)
 		}
 		return
@@ -118,13 +118,13 @@
 	sort.Slice(seats, func(left, right int) bool { return seats[left].Address < seats[right].Address })
 	answered := 0
 	gatherWithin(steward.turns, helloPatience, seats, func(seat Seat) (Hello, error) {
-		hello, failure := steward.peers.Hello(seat.Address, own)
-		if failure == nil {
+		hello, err := steward.peers.Hello(seat.Address, own)
+		if err == nil {
 			steward.note(hello, true)
 		}
-		return hello, failure
-	}, func(_ Seat, _ Hello, failure error) {
-		if failure == nil {
+		return hello, err
+	}, func(_ Seat, _ Hello, err error) {
+		if err == nil {
 			answered++
 		}
 	}, func() bool { return answered >= 2 })
--- a/internal/larder/changes.go
+++ b/internal/larder/changes.go
@@ -203,9 +203,9 @@
 			return trouble.New(trouble.Restricted, "this node may not write orders")
 		}
 		for _, order := range orders {
-			record, failure := recipe.WriteOrder(order, duty.Holder, state.Orders.Number+1, enabled)
-			if failure != nil {
-				return failure
+			record, err := recipe.WriteOrder(order, duty.Holder, state.Orders.Number+1, enabled)
+			if err != nil {
+				return err
 			}
 			state.Orders.Number++
 			state.Orders.Records[order.Server] = record
@@ -239,18 +239,18 @@
 		}
 		drawer := claimsDrawer(made)
 		if record, found := state.Claims[drawer][entry.Inquiry]; found {
-			earlier, failure := recipe.ReadEntry(record)
-			if failure != nil {
-				return failure
+			earlier, err := recipe.ReadEntry(record)
+			if err != nil {
+				return err
 			}
 			if earlier.Courier == entry.Courier && earlier.Cause == entry.Cause {
 				return nil
 			}
 			return trouble.New(trouble.Duplicate, "taken by "+earlier.Courier+" at "+earlier.At.UTC().Format(time.RFC3339Nano))
 		}
-		record, failure := recipe.WriteEntry(recipe.RecoverRecord, entry)
-		if failure != nil {
-			return failure
+		record, err := recipe.WriteEntry(recipe.RecoverRecord, entry)
+		if err != nil {
+			return err
 		}
 		if state.Claims[drawer] == nil {
 			state.Claims[drawer] = map[string]recipe.Record{}
--- a/internal/larder/copy.go
+++ b/internal/larder/copy.go
@@ -31,9 +31,9 @@
 //
 //	copied, failure := larder.OpenCopy(shelf)
 func OpenCopy(shelf Shelf) (*Copy, error) {
-	files, damaged, failure := shelf.Load()
-	if failure != nil {
-		return nil, failure
+	files, damaged, err := shelf.Load()
+	if err != nil {
+		return nil, err
 	}
 	copied := &Copy{mutex: &sync.Mutex{}, shelf: shelf, drawers: map[string]Drawer{}, places: map[string]Version{}, files: map[string]bool{}}
 	batches := map[Version]Batch{}
@@ -153,8 +153,8 @@
 	copied.drawers = map[string]Drawer{}
 	copied.places = map[string]Version{}
 	copied.damage = "a rewrite was broken off"
-	if failure := copied.keep(Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}); failure != nil {
-		return failure
+	if err := copied.keep(Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}); err != nil {
+		return err
 	}
 	copied.damage = ""
 	return nil
@@ -188,9 +188,9 @@
 	if copied.damage != "" || copied.version == (Version{}) {
 		return 0, nil
 	}
-	files, damaged, failure := copied.shelf.Load()
-	if failure != nil {
-		return 0, failure
+	files, damaged, err := copied.shelf.Load()
+	if err != nil {
+		return 0, err
 	}
 	lost := len(damaged)
 	for _, place := range copied.places {
@@ -220,13 +220,13 @@
 		delete(places, name)
 	}
 	batch.Places = places
-	encoded, failure := msgpack.Marshal(batch)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := msgpack.Marshal(batch)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	file := fileName(batch.Version)
-	if failure := copied.shelf.Save(file, encoded); failure != nil {
-		return failure
+	if err := copied.shelf.Save(file, encoded); err != nil {
+		return err
 	}
 	copied.files[file] = true
 	copied.version = batch.Version
--- a/internal/larder/gather.go
+++ b/internal/larder/gather.go
@@ -24,10 +24,10 @@
 	closed := false
 	for _, seat := range seats {
 		turns.Go(func() {
-			answer, failure := ask(seat)
+			answer, err := ask(seat)
 			mutex.Lock()
 			if !closed {
-				take(seat, answer, failure)
+				take(seat, answer, err)
 			}
 			left--
 			mutex.Unlock()
--- a/internal/larder/keeper.go
+++ b/internal/larder/keeper.go
@@ -43,9 +43,9 @@
 //
 //	keeper, blank, failure := larder.OpenKeeper(now, shelf, seat, fresh)
 func OpenKeeper(now time.Time, shelf Shelf, seat Seat, fresh Identity) (*Keeper, bool, error) {
-	files, damaged, failure := shelf.Load()
-	if failure != nil {
-		return nil, false, failure
+	files, damaged, err := shelf.Load()
+	if err != nil {
+		return nil, false, err
 	}
 	keeper := &Keeper{mutex: &sync.Mutex{}, shelf: shelf, self: seat, lease: PrimaryHold, holdEnds: now.Add(PrimaryHold)}
 	var names []string
@@ -64,8 +64,8 @@
 	}
 	keeper.note = keeperNote{Identity: fresh, Sequence: uint64(len(names))}
 	keeper.self.Identity = fresh
-	if failure := shelf.Remove(names); failure != nil {
-		return nil, true, failure
+	if err := shelf.Remove(names); err != nil {
+		return nil, true, err
 	}
 	return keeper, true, keeper.save(keeper.note)
 }
@@ -161,8 +161,8 @@
 	default:
 		note := keeper.note
 		note.Promised = epoch
-		if failure := keeper.save(note); failure != nil {
-			return promise, failure
+		if err := keeper.save(note); err != nil {
+			return promise, err
 		}
 		promise.Granted = true
 		promise.Promised = epoch
@@ -191,8 +191,8 @@
 		note := keeper.note
 		note.Promised = charter.Epoch
 		note.Charter = charter
-		if failure := keeper.save(note); failure != nil {
-			return promise, failure
+		if err := keeper.save(note); err != nil {
+			return promise, err
 		}
 		if keeper.holder != charter.Primary.Identity {
 			// Whoever could propose another primary knew the old hold to be over
@@ -267,9 +267,9 @@
 func (keeper *Keeper) Sweep() (bool, error) {
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
-	files, _, failure := keeper.shelf.Load()
-	if failure != nil {
-		return false, failure
+	files, _, err := keeper.shelf.Load()
+	if err != nil {
+		return false, err
 	}
 	if _, intact := files[noteName(keeper.note.Sequence)]; intact {
 		return false, nil
@@ -300,12 +300,12 @@
 func (keeper *Keeper) save(note keeperNote) error {
 	old := keeper.note.Sequence
 	note.Sequence = old + 1
-	encoded, failure := msgpack.Marshal(note)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := msgpack.Marshal(note)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	if failure := keeper.shelf.Save(noteName(note.Sequence), encoded); failure != nil {
-		return failure
+	if err := keeper.shelf.Save(noteName(note.Sequence), encoded); err != nil {
+		return err
 	}
 	keeper.note = note
 	// The older file only takes room: that it stays is no failure.
--- a/internal/larder/pairing.go
+++ b/internal/larder/pairing.go
@@ -123,7 +123,7 @@
 		// No backup can be had; the epoch is still asked for, so that reads and
 		// holds go on from this copy.
 		alone := len(candidates) == 0 && steward.short()
-		won, failure := steward.stand(func(base Charter) (Charter, bool) {
+		won, err := steward.stand(func(base Charter) (Charter, bool) {
 			if base.Primary.Identity != steward.keeper.Seat().Identity {
 				return base, false
 			}
@@ -133,9 +133,9 @@
 			base.Primary = steward.recorded(steward.keeper.Seat())
 			return base, true
 		})
-		if trouble.KindOf(failure) == trouble.Deposed {
+		if trouble.KindOf(err) == trouble.Deposed {
 			steward.resign("deposed", won)
-		} else if failure == nil {
+		} else if err == nil {
 			if won.Backup.Empty() {
 				steward.store.Show(won.Epoch)
 			} else {
@@ -148,15 +148,15 @@
 
 // grantPair asks for the charter in which the installed copies are the backups.
 func (steward *Steward) grantPair(installed []Seat) {
-	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+	won, err := steward.stand(func(base Charter) (Charter, bool) {
 		if base.Primary.Identity != steward.keeper.Seat().Identity {
 			return base, false
 		}
 		return base.With(steward.recorded(steward.keeper.Seat()), installed), true
 	})
-	if failure != nil {
-		steward.observe("pair_not_granted", "backups", installed, "cause", failure)
-		if trouble.KindOf(failure) == trouble.Deposed {
+	if err != nil {
+		steward.observe("pair_not_granted", "backups", installed, "cause", err)
+		if trouble.KindOf(err) == trouble.Deposed {
 			steward.resign("deposed", won)
 		}
 		return
@@ -249,9 +249,9 @@
 		seat := candidates[begun]
 		begun++
 		steward.turns.Go(func() {
-			failure := steward.peers.Install(steward.Address(seat), seat.Identity, snapshot)
+			err := steward.peers.Install(steward.Address(seat), seat.Identity, snapshot)
 			mutex.Lock()
-			ended[seat.Identity] = failure
+			ended[seat.Identity] = err
 			mutex.Unlock()
 			bell.Ring()
 		})
@@ -261,7 +261,7 @@
 		defer mutex.Unlock()
 		var installed []Seat
 		for _, seat := range candidates {
-			if failure, over := ended[seat.Identity]; over && failure == nil && len(installed) < wanted {
+			if err, over := ended[seat.Identity]; over && err == nil && len(installed) < wanted {
 				installed = append(installed, seat)
 			}
 		}
@@ -313,11 +313,11 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	for _, seat := range tried {
-		failure, over := ended[seat.Identity]
+		err, over := ended[seat.Identity]
 		delete(steward.installFails, seat.Identity)
-		if failure != nil || !over {
+		if err != nil || !over {
 			steward.installFails[seat.Identity] = steward.turns.Now()
-			steward.observe("install_failed", "backup", seat.Name, "cause", failure)
+			steward.observe("install_failed", "backup", seat.Name, "cause", err)
 		}
 	}
 }
--- a/internal/larder/preparedmenu.go
+++ b/internal/larder/preparedmenu.go
@@ -22,9 +22,9 @@
 //
 //	prepared := larder.PrepareMenu(menuVersion, text, edit, false)
 func PrepareMenu(base Version, text []byte, edit func(text []byte) ([]byte, error), sound bool) PreparedMenu {
-	edited, failure := edit(text)
-	if failure == nil && !sound {
-		_, failure = menu.Check(edited)
+	edited, err := edit(text)
+	if err == nil && !sound {
+		_, err = menu.Check(edited)
 	}
-	return PreparedMenu{made: true, base: base, text: edited, failure: failure}
+	return PreparedMenu{made: true, base: base, text: edited, failure: err}
 }
--- a/internal/larder/restart_test.go
+++ b/internal/larder/restart_test.go
@@ -34,8 +34,8 @@
 // TestPrimaryLeadsAgainSoonAfterAllRestarted ends all processes at once, as a loss of
 // power does. The hold that the primary had is of use to nobody else, and its own next
 // life may have it at once.
-func TestPrimaryLeadsAgainSoonAfterAllRestarted(test *testing.T) {
-	world := newWorld(test, 7)
+func TestPrimaryLeadsAgainSoonAfterAllRestarted(t *testing.T) {
+	world := newWorld(t, 7)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -67,8 +67,8 @@
 
 // TestOtherCopyWaitsForTheHoldAfterAllRestarted leaves the primary out, which may have
 // kept running for all that the others know.
-func TestOtherCopyWaitsForTheHoldAfterAllRestarted(test *testing.T) {
-	world := newWorld(test, 8)
+func TestOtherCopyWaitsForTheHoldAfterAllRestarted(t *testing.T) {
+	world := newWorld(t, 8)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -105,50 +105,50 @@
 // TestKeeperConfirmsOnlyTheCharterOnItsDisk wants a keeper that was away when a charter
 // was granted to take it down first: after a restart its disk is all that tells whom it
 // held still for.
-func TestKeeperConfirmsOnlyTheCharterOnItsDisk(test *testing.T) {
+func TestKeeperConfirmsOnlyTheCharterOnItsDisk(t *testing.T) {
 	now := time.Unix(1000, 0)
 	shelf := newMemoryShelf()
-	keeper, _, failure := OpenKeeper(now, shelf, Seat{Address: "c"}, "c")
-	if failure != nil {
-		test.Fatal(failure)
+	keeper, _, err := OpenKeeper(now, shelf, Seat{Address: "c"}, "c")
+	if err != nil {
+		t.Fatal(err)
 	}
 	seats := []Seat{{Identity: "a"}, {Identity: "b"}, keeper.Seat()}
 	old := Charter{Epoch: 4, Primary: seats[0], Backup: seats[1], Keepers: seats}
-	if promise, failure := keeper.Accept(now, old); failure != nil || !promise.Granted {
-		test.Fatalf("%+v, %v", promise, failure)
+	if promise, err := keeper.Accept(now, old); err != nil || !promise.Granted {
+		t.Fatalf("%+v, %v", promise, err)
 	}
 	if promise := keeper.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != trouble.Behind {
-		test.Errorf("a hold under an unknown charter: %+v", promise)
+		t.Errorf("a hold under an unknown charter: %+v", promise)
 	}
 	next := Charter{Epoch: 5, Primary: seats[1], Keepers: seats}
-	if promise, failure := keeper.Accept(now, next); failure != nil || !promise.Granted {
-		test.Fatalf("%+v, %v", promise, failure)
+	if promise, err := keeper.Accept(now, next); err != nil || !promise.Granted {
+		t.Fatalf("%+v, %v", promise, err)
 	}
 	if promise := keeper.Confirm(now, 5, "b"); !promise.Granted {
-		test.Errorf("no hold: %+v", promise)
+		t.Errorf("no hold: %+v", promise)
 	}
-	again, _, failure := OpenKeeper(now.Add(time.Second), shelf, Seat{Address: "c"}, "other")
-	if failure != nil || again.Holder() != "b" {
-		test.Fatalf("it holds still for %q, %v", again.Holder(), failure)
+	again, _, err := OpenKeeper(now.Add(time.Second), shelf, Seat{Address: "c"}, "other")
+	if err != nil || again.Holder() != "b" {
+		t.Fatalf("it holds still for %q, %v", again.Holder(), err)
 	}
-	if promise, failure := again.Prepare(now.Add(time.Second), 6, "a"); failure != nil || promise.Refusal != trouble.HoldActive {
-		test.Errorf("another candidate: %+v, %v", promise, failure)
+	if promise, err := again.Prepare(now.Add(time.Second), 6, "a"); err != nil || promise.Refusal != trouble.HoldActive {
+		t.Errorf("another candidate: %+v, %v", promise, err)
 	}
-	if promise, failure := again.Prepare(now.Add(time.Second), 6, "b"); failure != nil || !promise.Granted {
-		test.Errorf("the one that it holds still for: %+v, %v", promise, failure)
+	if promise, err := again.Prepare(now.Add(time.Second), 6, "b"); err != nil || !promise.Granted {
+		t.Errorf("the one that it holds still for: %+v, %v", promise, err)
 	}
 }
 
 // TestAcceptedWritesSurviveWhenAllRestart mixes the simulated trouble with restarts of
 // all machines at once, and holds both rules after every step.
-func TestAcceptedWritesSurviveWhenAllRestart(test *testing.T) {
+func TestAcceptedWritesSurviveWhenAllRestart(t *testing.T) {
 	seeds := uint64(40)
-	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+	if asked, err := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); err == nil {
 		seeds = asked
 	}
 	answered := 0
 	for seed := range seeds {
-		world := newWorld(test, 1_000_000+seed)
+		world := newWorld(t, 1_000_000+seed)
 		if !world.heal(10 * time.Second) {
 			world.fail("seed %d: no core was formed", seed)
 		}
@@ -163,24 +163,24 @@
 		}
 		answered += world.answered
 	}
-	test.Logf("%d writes were accepted in %d worlds", answered, seeds)
+	t.Logf("%d writes were accepted in %d worlds", answered, seeds)
 	if answered < 500 {
-		test.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
+		t.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
 	}
 }
 
 // TestKeeperThatPromisedMoreIsTakenInAgain has each keeper in turn promise an epoch that
 // nobody used, while the others are a quorum without it and answer sooner.
-func TestKeeperThatPromisedMoreIsTakenInAgain(test *testing.T) {
+func TestKeeperThatPromisedMoreIsTakenInAgain(t *testing.T) {
 	for number := range 3 {
-		world := newWorld(test, 9)
+		world := newWorld(t, 9)
 		if !world.heal(10 * time.Second) {
 			world.fail("no core was formed")
 		}
 		world.calm = true
 		leader, ahead := world.whole(), world.machines[number]
-		if failure := ahead.keeper.Learn(leader.steward.Charter().Epoch + 20); failure != nil {
-			test.Fatal(failure)
+		if err := ahead.keeper.Learn(leader.steward.Charter().Epoch + 20); err != nil {
+			t.Fatal(err)
 		}
 		takenIn := func() bool {
 			charter := leader.steward.Charter()
--- a/internal/larder/seating.go
+++ b/internal/larder/seating.go
@@ -27,12 +27,12 @@
 		}
 		next.Incoming = incoming
 	}
-	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+	won, err := steward.stand(func(base Charter) (Charter, bool) {
 		// Only the charter that this steward has seen granted may be built on.
 		return next, base.Epoch == charter.Epoch && base.Primary.Identity == charter.Primary.Identity
 	})
-	if failure != nil {
-		steward.observe("keepers_not_granted", "cause", failure)
+	if err != nil {
+		steward.observe("keepers_not_granted", "cause", err)
 		steward.unsettled = true
 		return
 	}
--- a/internal/larder/several_test.go
+++ b/internal/larder/several_test.go
@@ -13,7 +13,7 @@
 var severalWorlds = []struct{ machines, districts int }{{6, 3}, {8, 4}}
 
 func simulatedSeeds(usual uint64) uint64 {
-	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+	if asked, err := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); err == nil {
 		return asked
 	}
 	return usual
@@ -134,18 +134,18 @@
 // TestTwoLossesAtOnce drives cores that bear two losses through lost disks, two at
 // once or one while the other is being made good, lost and cut districts, power lost
 // everywhere, exchanged machines, and all faults of the smaller core.
-func TestTwoLossesAtOnce(test *testing.T) {
+func TestTwoLossesAtOnce(t *testing.T) {
 	for _, shape := range severalWorlds {
 		for share := range uint64(shares) {
-			test.Run(strconv.Itoa(shape.machines)+"/"+strconv.FormatUint(share, 10), func(test *testing.T) {
-				test.Parallel()
+			t.Run(strconv.Itoa(shape.machines)+"/"+strconv.FormatUint(share, 10), func(t *testing.T) {
+				t.Parallel()
 				answered, wiped := 0, 0
 				for seed := share; seed < simulatedSeeds(24); seed += shares {
-					world := newWorldOf(test, seed, shape.machines, shape.districts, 2)
+					world := newWorldOf(t, seed, shape.machines, shape.districts, 2)
 					world.bearLosses(seed)
 					answered, wiped = answered+world.answered, wiped+world.wiped
 				}
-				test.Logf("%d writes were accepted, disks were lost %d times", answered, wiped)
+				t.Logf("%d writes were accepted, disks were lost %d times", answered, wiped)
 			})
 		}
 	}
@@ -209,12 +209,12 @@
 // TestEveryPairOfDisksLost wipes every two disks right after an answer, while the
 // others go on or lose their power, too, and wants the answered change and a core
 // that is whole again; likewise every district, whose two machines are such a pair.
-func TestEveryPairOfDisksLost(test *testing.T) {
+func TestEveryPairOfDisksLost(t *testing.T) {
 	for _, shape := range severalWorlds {
 		for seed := range simulatedSeeds(2) {
 			for _, others := range []bool{false, true} {
-				for _, pair := range newWorldOf(test, seed, shape.machines, shape.districts, 2).losses() {
-					world := newWorldOf(test, seed, shape.machines, shape.districts, 2)
+				for _, pair := range newWorldOf(t, seed, shape.machines, shape.districts, 2).losses() {
+					world := newWorldOf(t, seed, shape.machines, shape.districts, 2)
 					world.calm = true
 					if !world.heal(15 * time.Second) {
 						world.fail("no core was formed")
@@ -279,8 +279,8 @@
 
 // TestPairOfDisksIsLostByAPair shows that the test above can fail: a core that bears
 // one loss does not bear two.
-func TestPairOfDisksIsLostByAPair(test *testing.T) {
-	world := newWorldOf(test, 1, 6, 3, 1)
+func TestPairOfDisksIsLostByAPair(t *testing.T) {
+	world := newWorldOf(t, 1, 6, 3, 1)
 	world.calm = true
 	if !world.heal(15 * time.Second) {
 		world.fail("no core was formed")
@@ -304,9 +304,9 @@
 // TestSecondLossInTheMiddleOfATakeover loses the primary's disk right after an answer,
 // and the successor's when it has been granted the epoch and before it has brought
 // anybody its copy: the third copy must still count as in sync.
-func TestSecondLossInTheMiddleOfATakeover(test *testing.T) {
+func TestSecondLossInTheMiddleOfATakeover(t *testing.T) {
 	for _, shape := range severalWorlds {
-		world := newWorldOf(test, 1, shape.machines, shape.districts, 2)
+		world := newWorldOf(t, 1, shape.machines, shape.districts, 2)
 		world.calm = true
 		if !world.heal(15 * time.Second) {
 			world.fail("no core was formed")
--- a/internal/larder/simulation_test.go
+++ b/internal/larder/simulation_test.go
@@ -134,11 +134,11 @@
 	installs func(from string)
 }
 
-func newWorld(test *testing.T, seed uint64) *world { return newWorldOf(test, seed, 3, 3, 1) }
+func newWorld(t *testing.T, seed uint64) *world { return newWorldOf(t, seed, 3, 3, 1) }
 
 // newWorldOf is a core of machines in districts, which bears some losses at once.
-func newWorldOf(test *testing.T, seed uint64, machines, districts, borne int) *world {
-	world := &world{test: test, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}, borne: borne, districts: districts,
+func newWorldOf(t *testing.T, seed uint64, machines, districts, borne int) *world {
+	world := &world{test: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)), cut: map[string]bool{}, borne: borne, districts: districts,
 		seeds: []string{"m0", "m1", "m2"}}
 	for number := range machines {
 		world.machines = append(world.machines, &machine{address: "m" + strconv.Itoa(number), district: "d" + strconv.Itoa(number%districts), keeping: newMemoryShelf(), copies: newMemoryShelf()})
@@ -165,16 +165,16 @@
 	world.takeDisks()
 	machine.lives++
 	seat := Seat{Address: machine.address, Name: machine.address}
-	keeper, blank, failure := OpenKeeper(world.clock(), machine.keeping, seat, Identity(machine.address+"/"+strconv.Itoa(machine.lives)))
-	if failure != nil {
-		world.test.Fatal(failure)
+	keeper, blank, err := OpenKeeper(world.clock(), machine.keeping, seat, Identity(machine.address+"/"+strconv.Itoa(machine.lives)))
+	if err != nil {
+		world.test.Fatal(err)
 	}
 	if blank {
 		machine.copies = newMemoryShelf()
 	}
-	copied, failure := OpenCopy(machine.copies)
-	if failure != nil {
-		world.test.Fatal(failure)
+	copied, err := OpenCopy(machine.copies)
+	if err != nil {
+		world.test.Fatal(err)
 	}
 	store := NewStore(copied, keeper)
 	steward := NewSteward(threads{world.clock}, world.seeds, keeper, store, &wire{world: world, from: machine.address, life: machine.lives}, func(event string, detail ...any) {
@@ -229,49 +229,49 @@
 }
 
 func (wire *wire) keeperAt(address string, identity Identity) (*reached, error) {
-	machine, failure := wire.reach(address)
-	if failure == nil && machine.keeper.Seat().Identity != identity {
+	machine, err := wire.reach(address)
+	if err == nil && machine.keeper.Seat().Identity != identity {
 		return nil, trouble.New(trouble.NotAdmitted, "another disk")
 	}
-	return machine, failure
+	return machine, err
 }
 
 func (wire *wire) Hello(address string, own Hello) (Hello, error) {
-	machine, failure := wire.reach(address)
-	if failure != nil {
-		return Hello{}, failure
+	machine, err := wire.reach(address)
+	if err != nil {
+		return Hello{}, err
 	}
 	return machine.steward.Greet(own), nil
 }
 
 func (wire *wire) Prepare(address string, keeper Identity, epoch uint64, candidate Identity) (Promise, error) {
-	machine, failure := wire.keeperAt(address, keeper)
-	if failure != nil {
-		return Promise{}, failure
+	machine, err := wire.keeperAt(address, keeper)
+	if err != nil {
+		return Promise{}, err
 	}
 	return machine.keeper.Prepare(wire.world.clock(), epoch, candidate)
 }
 
 func (wire *wire) Accept(address string, keeper Identity, charter Charter) (Promise, error) {
-	machine, failure := wire.keeperAt(address, keeper)
-	if failure != nil {
-		return Promise{}, failure
+	machine, err := wire.keeperAt(address, keeper)
+	if err != nil {
+		return Promise{}, err
 	}
 	return machine.keeper.Accept(wire.world.clock(), charter)
 }
 
 func (wire *wire) Confirm(address string, keeper Identity, epoch uint64, primary Identity) (Promise, error) {
-	machine, failure := wire.keeperAt(address, keeper)
-	if failure != nil {
-		return Promise{}, failure
+	machine, err := wire.keeperAt(address, keeper)
+	if err != nil {
+		return Promise{}, err
 	}
 	return machine.keeper.Confirm(wire.world.clock(), epoch, primary), nil
 }
 
 func (wire *wire) Replicate(address string, backup Identity, epoch uint64, batch Batch) error {
-	machine, failure := wire.keeperAt(address, backup)
-	if failure != nil {
-		return failure
+	machine, err := wire.keeperAt(address, backup)
+	if err != nil {
+		return err
 	}
 	wire.world.again(func() { _ = machine.store.Replicate(epoch, batch) })
 	return machine.store.Replicate(epoch, batch)
@@ -279,9 +279,9 @@
 
 func (wire *wire) Install(address string, backup Identity, snapshot Snapshot) error {
 	wire.mayEnd()
-	machine, failure := wire.keeperAt(address, backup)
-	if failure != nil {
-		return failure
+	machine, err := wire.keeperAt(address, backup)
+	if err != nil {
+		return err
 	}
 	wire.world.again(func() { _ = machine.store.Install(snapshot) })
 	return machine.store.Install(snapshot)
@@ -364,8 +364,8 @@
 }
 
 func editionIn(text []byte) int {
-	configuration, failure := menu.Check(text)
-	if failure != nil {
+	configuration, err := menu.Check(text)
+	if err != nil {
 		return -1
 	}
 	edition := 0
@@ -385,8 +385,8 @@
 	edition := world.tried
 	machine.store.Submit(ChangeMenu("", "", nil, PreparedMenu{}, func([]byte) ([]byte, error) {
 		return []byte(`{"routes":{"` + strconv.Itoa(edition) + `":{"to":{"refuse":true}}}}`), nil
-	}), func(version Version, failure error) {
-		if failure == nil && machine.steward.Holds() {
+	}), func(version Version, err error) {
+		if err == nil && machine.steward.Holds() {
 			world.answered++
 			world.accepted = max(world.accepted, edition)
 		}
@@ -408,9 +408,9 @@
 	}
 	synced := true
 	for _, backup := range charter.Backups() {
-		failure := (&wire{world: world, from: machine.address}).Replicate(backup.Address, backup.Identity, charter.Epoch, batch)
-		machine.steward.BackupAnswered(backup.Identity, failure == nil)
-		synced = synced && failure == nil
+		err := (&wire{world: world, from: machine.address}).Replicate(backup.Address, backup.Identity, charter.Epoch, batch)
+		machine.steward.BackupAnswered(backup.Identity, err == nil)
+		synced = synced && err == nil
 		if !world.calm && world.random.IntN(50) == 0 {
 			world.crash(machine)
 			return
@@ -476,9 +476,9 @@
 			continue
 		}
 		holders = append(holders, machine.address)
-		state, failure := machine.store.View().State()
-		if failure != nil {
-			world.fail("%s: %v", machine.address, failure)
+		state, err := machine.store.View().State()
+		if err != nil {
+			world.fail("%s: %v", machine.address, err)
 		}
 		if edition := editionIn(state.Menu); edition < world.accepted {
 			world.fail("%s shows edition %d and %d was accepted", machine.address, edition, world.accepted)
@@ -589,14 +589,14 @@
 
 // TestAcceptedWritesSurviveAndOnePrimaryAnswers drives cores through crashes,
 // cuts, freezes and lost disks, and holds both rules after every step.
-func TestAcceptedWritesSurviveAndOnePrimaryAnswers(test *testing.T) {
+func TestAcceptedWritesSurviveAndOnePrimaryAnswers(t *testing.T) {
 	seeds := uint64(60)
-	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+	if asked, err := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); err == nil {
 		seeds = asked
 	}
 	answered := 0
 	for seed := range seeds {
-		world := newWorld(test, seed)
+		world := newWorld(t, seed)
 		if !world.heal(10 * time.Second) {
 			world.fail("seed %d: no core was formed", seed)
 		}
@@ -608,16 +608,16 @@
 		}
 		answered += world.answered
 	}
-	test.Logf("%d writes were accepted in %d worlds", answered, seeds)
+	t.Logf("%d writes were accepted in %d worlds", answered, seeds)
 	if answered < 1000 {
-		test.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
+		t.Fatalf("only %d writes were accepted in all worlds: the test shows nothing", answered)
 	}
 }
 
 // TestSimulationSeesASecondPrimary shows that the rule can fail: a keeper that
 // forgets its hold lets two machines answer at once.
-func TestSimulationSeesASecondPrimary(test *testing.T) {
-	world := newWorld(test, 1)
+func TestSimulationSeesASecondPrimary(t *testing.T) {
+	world := newWorld(t, 1)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -649,14 +649,14 @@
 		}
 	}
 	if holders != 2 {
-		test.Fatalf("the seeded fault made %d primaries, so the check of one shows nothing", holders)
+		t.Fatalf("the seeded fault made %d primaries, so the check of one shows nothing", holders)
 	}
 }
 
 // TestRestrictedPrimaryHandsOver restricts the primary, and wants another to
 // lead with everything that was accepted, and the restricted one to be neither.
-func TestRestrictedPrimaryHandsOver(test *testing.T) {
-	world := newWorld(test, 2)
+func TestRestrictedPrimaryHandsOver(t *testing.T) {
+	world := newWorld(t, 2)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -682,57 +682,57 @@
 
 // TestSweepMendsFilesThatBecameDamaged damages files of a copy and of a keeper
 // that are in use, and wants both whole after a sweep.
-func TestSweepMendsFilesThatBecameDamaged(test *testing.T) {
+func TestSweepMendsFilesThatBecameDamaged(t *testing.T) {
 	shelf := newMemoryShelf()
-	copied, failure := OpenCopy(shelf)
-	if failure != nil {
-		test.Fatal(failure)
+	copied, err := OpenCopy(shelf)
+	if err != nil {
+		t.Fatal(err)
 	}
 	for number, drawer := range []string{"menu", "flags"} {
 		version := Version{Epoch: 1, Number: uint64(number + 1)}
-		if failure := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(drawer)}}}); failure != nil {
-			test.Fatal(failure)
+		if err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(drawer)}}}); err != nil {
+			t.Fatal(err)
 		}
 	}
 	delete(shelf.files, fileName(Version{1, 1}))
-	if mended, failure := copied.Sweep(); mended != 1 || failure != nil {
-		test.Fatalf("%d files were mended: %v", mended, failure)
+	if mended, err := copied.Sweep(); mended != 1 || err != nil {
+		t.Fatalf("%d files were mended: %v", mended, err)
 	}
-	reopened, failure := OpenCopy(shelf)
-	if failure != nil || reopened.Damage() != "" || string(reopened.Drawers()["menu"].Content) != "menu" {
-		test.Fatalf("after the sweep: %q, %v", reopened.Damage(), failure)
+	reopened, err := OpenCopy(shelf)
+	if err != nil || reopened.Damage() != "" || string(reopened.Drawers()["menu"].Content) != "menu" {
+		t.Fatalf("after the sweep: %q, %v", reopened.Damage(), err)
 	}
 	if older := reopened.Refresh(Snapshot{Epoch: 1, Version: Version{1, 1}}); trouble.KindOf(older) != trouble.Behind || len(reopened.Drawers()) != 2 {
-		test.Fatalf("an older snapshot was taken: %v", older)
+		t.Fatalf("an older snapshot was taken: %v", older)
 	}
 	keeping := newMemoryShelf()
-	keeper, _, failure := OpenKeeper(time.Unix(0, 0), keeping, Seat{Address: "a"}, "a/1")
-	if failure != nil {
-		test.Fatal(failure)
+	keeper, _, err := OpenKeeper(time.Unix(0, 0), keeping, Seat{Address: "a"}, "a/1")
+	if err != nil {
+		t.Fatal(err)
 	}
-	if _, failure := keeper.Accept(time.Unix(1, 0), Charter{Epoch: 1, Primary: keeper.Seat(), Keepers: []Seat{keeper.Seat()}}); failure != nil {
-		test.Fatal(failure)
+	if _, err := keeper.Accept(time.Unix(1, 0), Charter{Epoch: 1, Primary: keeper.Seat(), Keepers: []Seat{keeper.Seat()}}); err != nil {
+		t.Fatal(err)
 	}
 	keeping.files = map[string][]byte{}
-	if mended, failure := keeper.Sweep(); !mended || failure != nil {
-		test.Fatalf("the keeper's note was not mended: %v", failure)
+	if mended, err := keeper.Sweep(); !mended || err != nil {
+		t.Fatalf("the keeper's note was not mended: %v", err)
 	}
-	if again, blank, failure := OpenKeeper(time.Unix(2, 0), keeping, Seat{Address: "a"}, "a/2"); failure != nil || blank || again.Charter().Epoch != 1 {
-		test.Fatalf("after the sweep the keeper is blank: %v, %v", blank, failure)
+	if again, blank, err := OpenKeeper(time.Unix(2, 0), keeping, Seat{Address: "a"}, "a/2"); err != nil || blank || again.Charter().Epoch != 1 {
+		t.Fatalf("after the sweep the keeper is blank: %v, %v", blank, err)
 	}
 }
 
-func TestCopyKeepsOneFileForEachVersionStillNeeded(test *testing.T) {
+func TestCopyKeepsOneFileForEachVersionStillNeeded(t *testing.T) {
 	shelf := newMemoryShelf()
-	copied, failure := OpenCopy(shelf)
-	if failure != nil {
-		test.Fatal(failure)
+	copied, err := OpenCopy(shelf)
+	if err != nil {
+		t.Fatal(err)
 	}
 	write := func(number uint64, drawer, content string) {
 		version := Version{Epoch: 1, Number: number}
-		failure := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(content)}}})
-		if failure != nil {
-			test.Fatal(failure)
+		err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(content)}}})
+		if err != nil {
+			t.Fatal(err)
 		}
 	}
 	write(1, "menu", "a")
@@ -744,30 +744,30 @@
 	}
 	sort.Strings(names)
 	if len(names) != 2 || names[0] != fileName(Version{1, 1}) || names[1] != fileName(Version{1, 3}) {
-		test.Fatalf("files left: %v", names)
+		t.Fatalf("files left: %v", names)
 	}
 	delete(shelf.files, names[0])
-	reopened, failure := OpenCopy(shelf)
-	if failure != nil || reopened.Damage() == "" {
-		test.Fatalf("a copy without a file that it needs opened undamaged: %v", failure)
+	reopened, err := OpenCopy(shelf)
+	if err != nil || reopened.Damage() == "" {
+		t.Fatalf("a copy without a file that it needs opened undamaged: %v", err)
 	}
-	if failure := reopened.Write(Batch{Version: Version{1, 4}, Base: reopened.Version()}); trouble.KindOf(failure) != trouble.Damaged {
-		test.Fatalf("a damaged copy took a write: %v", failure)
+	if err := reopened.Write(Batch{Version: Version{1, 4}, Base: reopened.Version()}); trouble.KindOf(err) != trouble.Damaged {
+		t.Fatalf("a damaged copy took a write: %v", err)
 	}
-	if failure := reopened.Rewrite(Snapshot{Epoch: 2, Version: Version{2, 4}, Drawers: copied.Drawers()}); failure != nil || reopened.Damage() != "" {
-		test.Fatalf("a damaged copy was not replaced: %v", failure)
+	if err := reopened.Rewrite(Snapshot{Epoch: 2, Version: Version{2, 4}, Drawers: copied.Drawers()}); err != nil || reopened.Damage() != "" {
+		t.Fatalf("a damaged copy was not replaced: %v", err)
 	}
-	again, failure := OpenCopy(shelf)
-	if failure != nil || again.Damage() != "" || string(again.Drawers()["menu"].Content) != "a" || string(again.Drawers()["flags"].Content) != "c" {
-		test.Fatalf("the replaced copy reads %v, %q, %v", again.Drawers(), again.Damage(), failure)
+	again, err := OpenCopy(shelf)
+	if err != nil || again.Damage() != "" || string(again.Drawers()["menu"].Content) != "a" || string(again.Drawers()["flags"].Content) != "c" {
+		t.Fatalf("the replaced copy reads %v, %q, %v", again.Drawers(), again.Damage(), err)
 	}
 }
 
 // TestRestrictedExpediterIsABackupBeforeNone restricts all but the primary,
 // ends the backup, and wants the pair whole with the restricted one that is
 // left, and with the capable one as soon as it is back.
-func TestRestrictedExpediterIsABackupBeforeNone(test *testing.T) {
-	world := newWorld(test, 3)
+func TestRestrictedExpediterIsABackupBeforeNone(t *testing.T) {
+	world := newWorld(t, 3)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -818,8 +818,8 @@
 // TestRestrictedTakesOverFromADamagedCopy restarts the primary on a copy that
 // has become damaged while its backup is restricted: the backup must lead, since
 // it has everything and the other can't.
-func TestRestrictedTakesOverFromADamagedCopy(test *testing.T) {
-	world := newWorld(test, 4)
+func TestRestrictedTakesOverFromADamagedCopy(t *testing.T) {
+	world := newWorld(t, 4)
 	if !world.heal(10 * time.Second) {
 		world.fail("no core was formed")
 	}
@@ -857,13 +857,13 @@
 // TestPrimaryDoesNotHandOverToADeadBackup has the primary hand over, since it is stopped in
 // order or lacks a flag, right after the backup's machine went for good: the copy that is
 // left must not be given up.
-func TestPrimaryDoesNotHandOverToADeadBackup(test *testing.T) {
+func TestPrimaryDoesNotHandOverToADeadBackup(t *testing.T) {
 	for name, begin := range map[string]func(steward *Steward){
 		"leaving":    func(steward *Steward) { steward.Leave() },
 		"restricted": func(steward *Steward) { steward.SetRestricted(true) },
 	} {
-		test.Run(name, func(test *testing.T) {
-			world := newWorld(test, 5)
+		t.Run(name, func(t *testing.T) {
+			world := newWorld(t, 5)
 			if !world.heal(10 * time.Second) {
 				world.fail("no core was formed")
 			}
--- a/internal/larder/standing.go
+++ b/internal/larder/standing.go
@@ -26,8 +26,8 @@
 		seats = append(seats, steward.recorded(seat))
 	}
 	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
-	if _, failure := steward.keeper.Accept(steward.turns.Now(), charter); failure != nil {
-		steward.observe("formation_failed", "cause", failure)
+	if _, err := steward.keeper.Accept(steward.turns.Now(), charter); err != nil {
+		steward.observe("formation_failed", "cause", err)
 		return
 	}
 	for _, seat := range seats[1:] {
@@ -58,13 +58,13 @@
 		if seat.Identity == own.Identity {
 			return steward.Own(), nil
 		}
-		hello, failure := steward.peers.Hello(steward.Address(seat), steward.Own())
-		if failure == nil {
+		hello, err := steward.peers.Hello(steward.Address(seat), steward.Own())
+		if err == nil {
 			steward.note(hello, true)
 		}
-		return hello, failure
-	}, func(seat Seat, hello Hello, failure error) {
-		if failure == nil && hello.Seat.Identity == seat.Identity {
+		return hello, err
+	}, func(seat Seat, hello Hello, err error) {
+		if err == nil && hello.Seat.Identity == seat.Identity {
 			free[seat.Identity] = stands(hello)
 		}
 	}, func() bool { return charter.Quorum(free) })
@@ -91,13 +91,13 @@
 			return
 		}
 	}
-	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+	won, err := steward.stand(func(base Charter) (Charter, bool) {
 		if !base.InSync(own.Identity) {
 			return base, false
 		}
 		return base.With(steward.recorded(own), steward.remaining(base)), true
 	})
-	if failure != nil {
+	if err != nil {
 		// Two candidates part by different patience.
 		spread := time.Duration(roster.Weight("backoff", string(own.Identity))%300) * time.Millisecond
 		steward.backoff = steward.turns.Now().Add(150*time.Millisecond + spread)
@@ -107,8 +107,8 @@
 	if !won.Backup.Empty() {
 		lead = steward.store.LeadHidden
 	}
-	if failure := lead(won.Epoch); failure != nil {
-		steward.observe("lead_failed", "cause", failure)
+	if err := lead(won.Epoch); err != nil {
+		steward.observe("lead_failed", "cause", err)
 		return
 	}
 	steward.unsettled = steward.store.Hidden()
@@ -274,19 +274,19 @@
 			steward.noteOvertaken(promise)
 			return promise, nil
 		}
-		promise, failure := steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
-		if failure == nil {
+		promise, err := steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
+		if err == nil {
 			steward.noteOvertaken(promise)
 		}
-		if failure == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
+		if err == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
 			// It was away when the charter was granted.
-			if _, failure := steward.peers.Accept(steward.Address(seat), seat.Identity, charter); failure == nil {
+			if _, err := steward.peers.Accept(steward.Address(seat), seat.Identity, charter); err == nil {
 				return steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
 			}
 		}
-		return promise, failure
-	}, func(seat Seat, promise Promise, failure error) {
-		if failure != nil {
+		return promise, err
+	}, func(seat Seat, promise Promise, err error) {
+		if err != nil {
 			return
 		}
 		confirmed[seat.Identity] = promise.Granted
@@ -357,11 +357,11 @@
 // promised one that nobody was granted and so can't confirm the present one.
 func (steward *Steward) regrant(charter Charter) {
 	steward.outrun = false
-	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+	won, err := steward.stand(func(base Charter) (Charter, bool) {
 		return base, base.Epoch == charter.Epoch && base.Primary.Identity == charter.Primary.Identity
 	})
-	if failure != nil {
-		steward.observe("not_regranted", "cause", failure)
+	if err != nil {
+		steward.observe("not_regranted", "cause", err)
 		steward.unsettled = true
 		return
 	}
@@ -434,7 +434,7 @@
 	steward.mutex.Lock()
 	steward.holdEnds = time.Time{}
 	steward.mutex.Unlock()
-	won, failure := steward.stand(func(base Charter) (Charter, bool) {
+	won, err := steward.stand(func(base Charter) (Charter, bool) {
 		if base.Primary.Identity != steward.keeper.Seat().Identity || !hasSeat(base.Backups(), next.Identity) {
 			return base, false
 		}
@@ -450,7 +450,7 @@
 		}
 		return base.With(next, others), true
 	})
-	if failure != nil {
+	if err != nil {
 		steward.unsettled = true
 		return
 	}
@@ -465,11 +465,11 @@
 // sync with it, the only other one of a pair.
 func (steward *Steward) successor(charter Charter) (Seat, bool) {
 	for _, backup := range charter.Backups() {
-		hello, failure := steward.peers.Hello(steward.Address(backup), steward.Own())
-		if failure == nil && hello.Seat.Identity == backup.Identity && hello.Damage == "" && !hello.Leaving && !(len(charter.Further) > 0 && hello.Restricted) {
+		hello, err := steward.peers.Hello(steward.Address(backup), steward.Own())
+		if err == nil && hello.Seat.Identity == backup.Identity && hello.Damage == "" && !hello.Leaving && !(len(charter.Further) > 0 && hello.Restricted) {
 			return backup, true
 		}
-		steward.observe("not_handed_over", "backup", backup.Name, "cause", failure)
+		steward.observe("not_handed_over", "backup", backup.Name, "cause", err)
 	}
 	return Seat{}, false
 }
--- a/internal/larder/state.go
+++ b/internal/larder/state.go
@@ -46,7 +46,7 @@
 func ReadState(drawers map[string]Drawer) (*State, error) {
 	state := NewState()
 	for name, drawer := range drawers {
-		var failure error
+		var err error
 		if len(drawer.Content) == 0 {
 			continue
 		}
@@ -54,26 +54,26 @@
 		case MenuDrawer:
 			state.Menu = drawer.Content
 		case MembersDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Members)
+			err = msgpack.Unmarshal(drawer.Content, &state.Members)
 		case FlagsDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Flags)
+			err = msgpack.Unmarshal(drawer.Content, &state.Flags)
 		case RotaDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Rota)
+			err = msgpack.Unmarshal(drawer.Content, &state.Rota)
 		case OrdersDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Orders)
+			err = msgpack.Unmarshal(drawer.Content, &state.Orders)
 		case ChangesDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Changes)
+			err = msgpack.Unmarshal(drawer.Content, &state.Changes)
 		case HorizonDrawer:
-			failure = msgpack.Unmarshal(drawer.Content, &state.Horizon)
+			err = msgpack.Unmarshal(drawer.Content, &state.Horizon)
 		default:
 			if strings.HasPrefix(name, ClaimsPrefix) {
 				claims := map[string]recipe.Record{}
-				failure = msgpack.Unmarshal(drawer.Content, &claims)
+				err = msgpack.Unmarshal(drawer.Content, &claims)
 				state.Claims[name] = claims
 			}
 		}
-		if failure != nil {
-			return nil, trouble.Wrap(trouble.Garbage, failure)
+		if err != nil {
+			return nil, trouble.Wrap(trouble.Garbage, err)
 		}
 	}
 	return state, nil
@@ -117,9 +117,9 @@
 			}
 			value = claims
 		}
-		content, failure := msgpack.Marshal(value)
-		if failure != nil {
-			return nil, nil, trouble.Wrap(trouble.Garbage, failure)
+		content, err := msgpack.Marshal(value)
+		if err != nil {
+			return nil, nil, trouble.Wrap(trouble.Garbage, err)
 		}
 		drawers[name] = Drawer{Version: version, Content: content}
 	}
--- a/internal/larder/store.go
+++ b/internal/larder/store.go
@@ -82,13 +82,13 @@
 	}
 	base := store.copied.Version()
 	stamped := Version{Epoch: epoch, Number: base.Number + 1}
-	if failure := store.copied.Write(Batch{Version: stamped, Base: base}); failure != nil {
-		return failure
+	if err := store.copied.Write(Batch{Version: stamped, Base: base}); err != nil {
+		return err
 	}
 	drawers := store.copied.Drawers()
-	working, failure := ReadState(drawers)
-	if failure != nil {
-		return failure
+	working, err := ReadState(drawers)
+	if err != nil {
+		return err
 	}
 	store.leading, store.frozen, store.epoch, store.working = true, hidden, epoch, working
 	store.hidden.Store(hidden)
@@ -200,10 +200,10 @@
 			menuVersion = version
 		}
 	}
-	drawers, removed, failure := store.working.pack(version)
-	if failure != nil {
+	drawers, removed, err := store.working.pack(version)
+	if err != nil {
 		for position := range store.riding {
-			store.riding[position].failure = failure
+			store.riding[position].failure = err
 		}
 	}
 	store.batch = &Batch{Version: version, Base: view.Version, Drawers: drawers, Removed: removed}
@@ -372,8 +372,8 @@
 func (store *Store) Replicate(epoch uint64, batch Batch) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if failure := store.follow(epoch); failure != nil {
-		return failure
+	if err := store.follow(epoch); err != nil {
+		return err
 	}
 	return store.copied.Write(batch)
 }
@@ -386,8 +386,8 @@
 func (store *Store) Install(snapshot Snapshot) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if failure := store.follow(snapshot.Epoch); failure != nil {
-		return failure
+	if err := store.follow(snapshot.Epoch); err != nil {
+		return err
 	}
 	return store.copied.Rewrite(snapshot)
 }
@@ -400,8 +400,8 @@
 func (store *Store) Refresh(snapshot Snapshot) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if failure := store.follow(snapshot.Epoch); failure != nil {
-		return failure
+	if err := store.follow(snapshot.Epoch); err != nil {
+		return err
 	}
 	return store.copied.Refresh(snapshot)
 }
--- a/internal/menu/calls_test.go
+++ b/internal/menu/calls_test.go
@@ -8,44 +8,44 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-func TestRoutesOfCallsAreRead(test *testing.T) {
-	configuration, failure := Check([]byte(`{"revision":7,"limits":{"header_bytes":16384,"body_bytes":4194304,"header_patience_milliseconds":3000,"idle_patience_milliseconds":15000},
+func TestRoutesOfCallsAreRead(t *testing.T) {
+	configuration, err := Check([]byte(`{"revision":7,"limits":{"header_bytes":16384,"body_bytes":4194304,"header_patience_milliseconds":3000,"idle_patience_milliseconds":15000},
 		"annotations":{"from":["anything",1e400]},
 		"services":{"desk":{"health":"/health","circuits":360,"warming":{"length_milliseconds":3000,"per_second":12.5},"ids_used_once":true,"annotations":{},
 			"engine":{"slots":64,"memory_tokens":319972,"token_bytes":18432,"link_bits":370e9,"tokens_a_piece":9,"handle_life_milliseconds":5000,"part_change_milliseconds":1700,"models":["m/1"]}}},
 		"routes":{"r":{"match":{"host":"Nony24.example","path_prefix":"/lohu930/"},"annotations":{"x":null},
 			"calls":{"shares":[{"service":"desk","weight":90},{"service":"desk","weight":10}],"limit_milliseconds":3000,"aim_milliseconds":400,"gap_milliseconds":250,
 				"rank":1,"tries":2,"streams":true,"repeatable":true,"resumable":true,"sticky":true}}}}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	if configuration.Revision != 7 || configuration.Limits != (Limits{HeaderBytes: 16384, BodyBytes: 4194304, HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}) {
-		test.Errorf("revision %d, limits %+v", configuration.Revision, configuration.Limits)
+		t.Errorf("revision %d, limits %+v", configuration.Revision, configuration.Limits)
 	}
 	service := configuration.Services["desk"]
 	if service.Health != "/health" || service.Circuits != 360 || service.Warming != (Warming{Length: 3 * time.Second, PerSecond: 12.5}) || !service.IDsUsedOnce {
-		test.Errorf("service %+v", service)
+		t.Errorf("service %+v", service)
 	}
 	if engine := service.Engine; engine.Slots != 64 || engine.MemoryTokens != 319972 || engine.TokenBytes != 18432 || engine.LinkBits != 370e9 || engine.TokensAPiece != 9 ||
 		engine.HandleLife != 5*time.Second || engine.PartChange != 1700*time.Millisecond || len(engine.Models) != 1 || engine.Models[0] != "m/1" {
-		test.Errorf("engine %+v", engine)
+		t.Errorf("engine %+v", engine)
 	}
 	route := configuration.Routes[0]
 	if route.Match != (Match{Host: "nony24.example", PathPrefix: "/lohu930/"}) {
-		test.Errorf("match %+v", route.Match)
+		t.Errorf("match %+v", route.Match)
 	}
 	calls := *route.Calls
 	if len(calls.Shares) != 2 || calls.Shares[0] != (Share{Service: "desk", Weight: 90}) || calls.Shares[1] != (Share{Service: "desk", Weight: 10}) {
-		test.Errorf("shares %+v", calls.Shares)
+		t.Errorf("shares %+v", calls.Shares)
 	}
 	calls.Shares = nil
 	if calls.Limit != 3*time.Second || calls.Aim != 400*time.Millisecond || calls.Gap != 250*time.Millisecond || calls.Rank != 1 || calls.Tries != 2 ||
 		!calls.Streams || !calls.Repeatable || !calls.Resumable || !calls.Sticky {
-		test.Errorf("calls %+v", calls)
+		t.Errorf("calls %+v", calls)
 	}
 }
 
-func TestInvalidRoutesOfCallsAreNamedWithPathAndType(test *testing.T) {
+func TestInvalidRoutesOfCallsAreNamedWithPathAndType(t *testing.T) {
 	for _, row := range []struct {
 		name, routes, path string
 		kind               trouble.Kind
@@ -68,10 +68,10 @@
 		{"an unknown field", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}],"colour":1}}`, "/routes/a/calls/colour", trouble.UnknownField},
 		{"annotations of another type", `"a":{"match":{"host":"h","path_prefix":"/"},"annotations":[],"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/annotations", trouble.WrongType},
 	} {
-		_, failure := Check([]byte(`{"services":{"desk":{}},"routes":{` + row.routes + `}}`))
+		_, err := Check([]byte(`{"services":{"desk":{}},"routes":{` + row.routes + `}}`))
 		var findings *Findings
-		if !stderrors.As(failure, &findings) {
-			test.Errorf("%s: no findings, %v", row.name, failure)
+		if !stderrors.As(err, &findings) {
+			t.Errorf("%s: no findings, %v", row.name, err)
 			continue
 		}
 		found := false
@@ -79,16 +79,16 @@
 			found = found || entry.Path == row.path && entry.Kind == row.kind
 		}
 		if !found {
-			test.Errorf("%s: no %s at %s in %v", row.name, row.kind, row.path, findings.Troubles)
+			t.Errorf("%s: no %s at %s in %v", row.name, row.kind, row.path, findings.Troubles)
 		}
 	}
 }
 
-func TestTasteKnowsRoutesOfCalls(test *testing.T) {
+func TestTasteKnowsRoutesOfCalls(t *testing.T) {
 	remarks := Taste([]byte(`{"services":{"desk":{}},"routes":{"all":{"order":0,"match":{"service":"desk"},"to":{}},
 		"a":{"order":1,"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}}}`), nil,
 		Facts{Servers: []ServerFacts{{Name: "s", District: "north"}}})
 	if len(remarks) != 0 {
-		test.Errorf("remarks %v", remarks)
+		t.Errorf("remarks %v", remarks)
 	}
 }
--- a/internal/menu/check.go
+++ b/internal/menu/check.go
@@ -41,15 +41,15 @@
 		return nil, findings
 	}
 	// The validator is stricter than the parser, which takes anything for a number.
-	if failure := fastjson.ValidateBytes(text); failure != nil {
-		findings.add(trouble.Malformed, "/", failure.Error())
+	if err := fastjson.ValidateBytes(text); err != nil {
+		findings.add(trouble.Malformed, "/", err.Error())
 		return nil, findings
 	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
-	root, failure := parser.ParseBytes(text)
-	if failure != nil {
-		findings.add(trouble.Malformed, "/", failure.Error())
+	root, err := parser.ParseBytes(text)
+	if err != nil {
+		findings.add(trouble.Malformed, "/", err.Error())
 		return nil, findings
 	}
 	checker := &checker{findings: findings, configuration: Empty(), places: map[callPlace]string{}}
@@ -179,8 +179,8 @@
 }
 
 func (checker *checker) revision(value *fastjson.Value, at place) {
-	revision, failure := value.Uint64()
-	if failure != nil {
+	revision, err := value.Uint64()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a whole number is needed")
 		return
 	}
@@ -402,8 +402,8 @@
 }
 
 func (checker *checker) shares(calls *CallRoute, value *fastjson.Value, at place) {
-	entries, failure := value.Array()
-	if failure != nil {
+	entries, err := value.Array()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a list of services with their weights is needed")
 		return
 	}
@@ -486,8 +486,8 @@
 		if name != "reason" {
 			return false
 		}
-		text, failure := value.StringBytes()
-		if failure != nil {
+		text, err := value.StringBytes()
+		if err != nil {
 			checker.findings.add(trouble.WrongType, at.String(), "a text is needed")
 		}
 		evacuation.Reason = string(text)
@@ -497,8 +497,8 @@
 }
 
 func (checker *checker) whole(target *int, least, most int, value *fastjson.Value, at place) {
-	number, failure := value.Int()
-	if failure != nil {
+	number, err := value.Int()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a whole number is needed")
 		return
 	}
@@ -518,8 +518,8 @@
 }
 
 func (checker *checker) fraction(target *float64, value *fastjson.Value, at place) {
-	number, failure := value.Float64()
-	if failure != nil {
+	number, err := value.Float64()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a number is needed")
 		return
 	}
@@ -532,8 +532,8 @@
 
 // text takes a text without spaces or control characters.
 func (checker *checker) text(value *fastjson.Value, at place) (string, bool) {
-	text, failure := value.StringBytes()
-	if failure != nil {
+	text, err := value.StringBytes()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a text is needed")
 		return "", false
 	}
@@ -576,8 +576,8 @@
 }
 
 func (checker *checker) texts(target *[]string, value *fastjson.Value, at place) {
-	entries, failure := value.Array()
-	if failure != nil {
+	entries, err := value.Array()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a list of texts is needed")
 		return
 	}
@@ -589,8 +589,8 @@
 }
 
 func (checker *checker) boolean(target *bool, value *fastjson.Value, at place) {
-	decided, failure := value.Bool()
-	if failure != nil {
+	decided, err := value.Bool()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "true or false is needed")
 		return
 	}
@@ -598,8 +598,8 @@
 }
 
 func (checker *checker) name(target *string, value *fastjson.Value, at place) {
-	text, failure := value.StringBytes()
-	if failure != nil {
+	text, err := value.StringBytes()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a name is needed")
 		return
 	}
@@ -611,8 +611,8 @@
 }
 
 func (checker *checker) names(target *[]string, value *fastjson.Value, at place) {
-	entries, failure := value.Array()
-	if failure != nil {
+	entries, err := value.Array()
+	if err != nil {
 		checker.findings.add(trouble.WrongType, at.String(), "a list of names is needed")
 		return
 	}
--- a/internal/menu/check_test.go
+++ b/internal/menu/check_test.go
@@ -7,11 +7,11 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-func TestCheckNamesEveryFailureWithPathAndType(test *testing.T) {
-	_, failure := Check([]byte(`{"services":{"chat":{"tries":0,"colour":1},"chat":{}},"routes":{"a":{"to":{"refuse":true,"districts":["n"]}},"b":{}},"evacuations":{"n":{"reason":5}},"x":1}`))
+func TestCheckNamesEveryFailureWithPathAndType(t *testing.T) {
+	_, err := Check([]byte(`{"services":{"chat":{"tries":0,"colour":1},"chat":{}},"routes":{"a":{"to":{"refuse":true,"districts":["n"]}},"b":{}},"evacuations":{"n":{"reason":5}},"x":1}`))
 	var findings *Findings
-	if !stderrors.As(failure, &findings) {
-		test.Fatalf("no findings: %v", failure)
+	if !stderrors.As(err, &findings) {
+		t.Fatalf("no findings: %v", err)
 	}
 	found := map[string]trouble.Kind{}
 	for _, entry := range findings.Troubles {
@@ -21,16 +21,16 @@
 		"/services/chat": trouble.Contradictory, "/routes/a/to": trouble.Contradictory, "/routes/b/to": trouble.Missing,
 		"/evacuations/n/reason": trouble.WrongType, "/x": trouble.UnknownField} {
 		if found[path] != kind {
-			test.Errorf("%s: %q, not %q", path, found[path], kind)
+			t.Errorf("%s: %q, not %q", path, found[path], kind)
 		}
 	}
 	if len(found) != 7 {
-		test.Errorf("%d failures: %v", len(found), found)
+		t.Errorf("%d failures: %v", len(found), found)
 	}
 }
 
 // TestMergeFollowsTheStandard uses cases of the kinds that RFC 7396 lists.
-func TestMergeFollowsTheStandard(test *testing.T) {
+func TestMergeFollowsTheStandard(t *testing.T) {
 	for _, row := range [][3]string{
 		{`{"a":"b"}`, `{"a":"c"}`, `{"a":"c"}`},
 		{`{"a":"b"}`, `{"b":"c"}`, `{"a":"b","b":"c"}`},
@@ -41,31 +41,31 @@
 		{`{"e":null}`, `{"a":1}`, `{"e":null,"a":1}`},
 		{`{}`, `{"a":{"bb":{"ccc":null}}}`, `{"a":{"bb":{}}}`},
 	} {
-		merged, failure := Merge([]byte(row[0]), []byte(row[1]))
-		if failure != nil || string(merged) != row[2] {
-			test.Errorf("%s and %s make %s, not %s (%v)", row[0], row[1], merged, row[2], failure)
+		merged, err := Merge([]byte(row[0]), []byte(row[1]))
+		if err != nil || string(merged) != row[2] {
+			t.Errorf("%s and %s make %s, not %s (%v)", row[0], row[1], merged, row[2], err)
 		}
 	}
-	if _, failure := Merge([]byte(`{}`), []byte(`[]`)); trouble.KindOf(failure) != trouble.WrongType {
-		test.Errorf("a list was merged: %v", failure)
+	if _, err := Merge([]byte(`{}`), []byte(`[]`)); trouble.KindOf(err) != trouble.WrongType {
+		t.Errorf("a list was merged: %v", err)
 	}
 }
 
-func TestTwoEvacuationsDoNotUndoEachOther(test *testing.T) {
-	text, failure := Evacuate([]byte(`{}`), "north", "one")
-	if failure == nil {
-		text, failure = Evacuate(text, "south", "two")
+func TestTwoEvacuationsDoNotUndoEachOther(t *testing.T) {
+	text, err := Evacuate([]byte(`{}`), "north", "one")
+	if err == nil {
+		text, err = Evacuate(text, "south", "two")
 	}
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if configuration, failure := Check(text); failure != nil || len(configuration.Evacuations) != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
-		test.Fatalf("%s: %v", text, failure)
+	if configuration, err := Check(text); err != nil || len(configuration.Evacuations) != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
+		t.Fatalf("%s: %v", text, err)
 	}
-	if text, failure = Restore(text, "north"); failure != nil {
-		test.Fatal(failure)
+	if text, err = Restore(text, "north"); err != nil {
+		t.Fatal(err)
 	}
-	if configuration, failure := Check(text); failure != nil || configuration.Evacuated("north") || !configuration.Evacuated("south") {
-		test.Fatalf("%s: %v", text, failure)
+	if configuration, err := Check(text); err != nil || configuration.Evacuated("north") || !configuration.Evacuated("south") {
+		t.Fatalf("%s: %v", text, err)
 	}
 }
--- a/internal/menu/configuration.go
+++ b/internal/menu/configuration.go
@@ -60,8 +60,8 @@
 //
 //	text, failure := menu.Evacuate(configuration.Text, "north", "power work")
 func Evacuate(text []byte, district, reason string) ([]byte, error) {
-	if current, evacuated, failure := evacuationOf(text, district); failure != nil || evacuated && current == reason {
-		return text, failure
+	if current, evacuated, err := evacuationOf(text, district); err != nil || evacuated && current == reason {
+		return text, err
 	}
 	arena := &fastjson.Arena{}
 	evacuation := arena.NewObject()
@@ -76,20 +76,20 @@
 //
 //	text, failure := menu.Restore(configuration.Text, "north")
 func Restore(text []byte, district string) ([]byte, error) {
-	if _, evacuated, failure := evacuationOf(text, district); failure != nil || !evacuated {
-		return text, failure
+	if _, evacuated, err := evacuationOf(text, district); err != nil || !evacuated {
+		return text, err
 	}
 	arena := &fastjson.Arena{}
 	return mergeOne(text, arena, district, arena.NewNull())
 }
 
 // evacuationOf tells whether the text has the district evacuated, and why.
-func evacuationOf(text []byte, district string) (reason string, evacuated bool, failure error) {
+func evacuationOf(text []byte, district string) (reason string, evacuated bool, err error) {
 	parser := parsers.Get()
 	defer parsers.Put(parser)
-	root, failure := parser.ParseBytes(text)
-	if failure != nil {
-		return "", false, trouble.At(trouble.Malformed, "/", failure.Error())
+	root, err := parser.ParseBytes(text)
+	if err != nil {
+		return "", false, trouble.At(trouble.Malformed, "/", err.Error())
 	}
 	found := root.Get("evacuations", district)
 	return string(found.GetStringBytes("reason")), found != nil, nil
@@ -102,13 +102,13 @@
 	patch.Set("evacuations", evacuations)
 	// Only what is added is checked: the rest was, when it was taken.
 	if value.Type() != fastjson.TypeNull {
-		if _, failure := Check(patch.MarshalTo(nil)); failure != nil {
-			return nil, failure
+		if _, err := Check(patch.MarshalTo(nil)); err != nil {
+			return nil, err
 		}
 	}
-	merged, failure := Merge(text, patch.MarshalTo(nil))
-	if failure == nil && len(merged) > MostBytes {
+	merged, err := Merge(text, patch.MarshalTo(nil))
+	if err == nil && len(merged) > MostBytes {
 		return nil, &Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")}}
 	}
-	return merged, failure
+	return merged, err
 }
--- a/internal/menu/fuzz_test.go
+++ b/internal/menu/fuzz_test.go
@@ -9,18 +9,18 @@
 	fuzzing.Add([]byte(`{`), []byte(`[]`))
 	fuzzing.Add([]byte(`{"services":{"a":{"tries":1e99}}}`), []byte(`{"services":{"a":{"tries":"3"}}}`))
 	fuzzing.Add([]byte("{\"routes\":{\"\xff\":{}}}"), []byte(`{"a":{"a":{"a":{"a":{}}}}}`))
-	fuzzing.Fuzz(func(test *testing.T, text, patch []byte) {
-		configuration, failure := Check(text)
-		if failure == nil {
+	fuzzing.Fuzz(func(t *testing.T, text, patch []byte) {
+		configuration, err := Check(text)
+		if err == nil {
 			if _, again := Check(configuration.Text); again != nil {
-				test.Fatalf("%q passed and does not pass again: %v", text, again)
+				t.Fatalf("%q passed and does not pass again: %v", text, again)
 			}
 		}
-		merged, failure := Merge(text, patch)
-		if failure == nil {
+		merged, err := Merge(text, patch)
+		if err == nil {
 			_, _ = Check(merged)
 		}
-		if evacuated, failure := Evacuate(text, string(patch), "because"); failure == nil {
+		if evacuated, err := Evacuate(text, string(patch), "because"); err == nil {
 			_, _ = Check(evacuated)
 		}
 	})
--- a/internal/menu/large_test.go
+++ b/internal/menu/large_test.go
@@ -22,22 +22,22 @@
 	text := large(8000)
 	benchmark.Run("check", func(benchmark *testing.B) {
 		for range benchmark.N {
-			if _, failure := Check(text); failure != nil {
-				benchmark.Fatal(failure)
+			if _, err := Check(text); err != nil {
+				benchmark.Fatal(err)
 			}
 		}
 	})
 	benchmark.Run("evacuate", func(benchmark *testing.B) {
 		for range benchmark.N {
-			if _, failure := Evacuate(text, "south", "because"); failure != nil {
-				benchmark.Fatal(failure)
+			if _, err := Evacuate(text, "south", "because"); err != nil {
+				benchmark.Fatal(err)
 			}
 		}
 	})
 	benchmark.Run("merge", func(benchmark *testing.B) {
 		for range benchmark.N {
-			if _, failure := Merge(text, []byte(`{"routes":{"all":{"order":8}}}`)); failure != nil {
-				benchmark.Fatal(failure)
+			if _, err := Merge(text, []byte(`{"routes":{"all":{"order":8}}}`)); err != nil {
+				benchmark.Fatal(err)
 			}
 		}
 	})
--- a/internal/menu/merge.go
+++ b/internal/menu/merge.go
@@ -16,13 +16,13 @@
 	targetParser, patchParser := parsers.Get(), parsers.Get()
 	defer parsers.Put(targetParser)
 	defer parsers.Put(patchParser)
-	target, failure := targetParser.ParseBytes(text)
-	if failure != nil {
-		return nil, trouble.At(trouble.Malformed, "/", failure.Error())
+	target, err := targetParser.ParseBytes(text)
+	if err != nil {
+		return nil, trouble.At(trouble.Malformed, "/", err.Error())
 	}
-	change, failure := patchParser.ParseBytes(patch)
-	if failure != nil {
-		return nil, trouble.At(trouble.Malformed, "/", failure.Error())
+	change, err := patchParser.ParseBytes(patch)
+	if err != nil {
+		return nil, trouble.At(trouble.Malformed, "/", err.Error())
 	}
 	if change.Type() != fastjson.TypeObject {
 		return nil, trouble.At(trouble.WrongType, "/", "a partial configuration is an object")
--- a/internal/menu/revise.go
+++ b/internal/menu/revise.go
@@ -18,23 +18,23 @@
 func Revise(text []byte, builds uint64, edit func(text []byte) ([]byte, error)) ([]byte, error) {
 	parser := parsers.Get()
 	defer parsers.Put(parser)
-	root, failure := parser.ParseBytes(text)
-	if failure != nil {
-		return nil, trouble.At(trouble.Malformed, "/", failure.Error())
+	root, err := parser.ParseBytes(text)
+	if err != nil {
+		return nil, trouble.At(trouble.Malformed, "/", err.Error())
 	}
 	current := root.GetUint64("revision")
 	if current != builds {
 		return nil, trouble.New(trouble.RevisionConflict, strconv.FormatUint(current, 10))
 	}
-	edited, failure := edit(text)
-	if failure != nil {
-		return nil, failure
+	edited, err := edit(text)
+	if err != nil {
+		return nil, err
 	}
 	nextParser := parsers.Get()
 	defer parsers.Put(nextParser)
-	next, failure := nextParser.ParseBytes(edited)
-	if failure != nil {
-		return nil, finding(trouble.Malformed, "/", failure.Error())
+	next, err := nextParser.ParseBytes(edited)
+	if err != nil {
+		return nil, finding(trouble.Malformed, "/", err.Error())
 	}
 	if next.Type() != fastjson.TypeObject {
 		return nil, finding(trouble.WrongType, "/", "an object is needed, not "+next.Type().String())
@@ -43,9 +43,9 @@
 	if given == nil {
 		return nil, finding(trouble.Missing, "/revision", "a change that builds on a revision gives the next one")
 	}
-	revision, failure := given.Uint64()
+	revision, err := given.Uint64()
 	switch {
-	case failure != nil:
+	case err != nil:
 		return nil, finding(trouble.WrongType, "/revision", "a whole number is needed")
 	case revision <= current:
 		return nil, finding(trouble.OutOfRange, "/revision", "the revision must be above "+strconv.FormatUint(current, 10))
--- a/internal/menu/revise_test.go
+++ b/internal/menu/revise_test.go
@@ -7,7 +7,7 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-func TestReviseBuildsOnOneRevisionAndRises(test *testing.T) {
+func TestReviseBuildsOnOneRevisionAndRises(t *testing.T) {
 	to := func(text string) func([]byte) ([]byte, error) {
 		return func([]byte) ([]byte, error) { return []byte(text), nil }
 	}
@@ -28,17 +28,17 @@
 		{"unreadable", `{"revision":3}`, `{"revision":4`, "", 3, trouble.Malformed},
 		{"a list", `{"revision":3}`, `[]`, "", 3, trouble.WrongType},
 	} {
-		text, failure := Revise([]byte(row.current), row.builds, to(row.next))
+		text, err := Revise([]byte(row.current), row.builds, to(row.next))
 		kind := trouble.Kind("")
 		var findings *Findings
 		switch {
-		case stderrors.As(failure, &findings):
+		case stderrors.As(err, &findings):
 			kind = findings.Troubles[0].Kind
-		case failure != nil:
-			kind = trouble.KindOf(failure)
+		case err != nil:
+			kind = trouble.KindOf(err)
 		}
 		if kind != row.kind || string(text) != row.want {
-			test.Errorf("%s: %s, %v", row.name, text, failure)
+			t.Errorf("%s: %s, %v", row.name, text, err)
 		}
 	}
 }
--- a/internal/menu/taste.go
+++ b/internal/menu/taste.go
@@ -29,9 +29,9 @@
 //
 //	remarks := menu.Taste(proposed, current, facts)
 func Taste(proposed []byte, current *Configuration, facts Facts) []Remark {
-	configuration, failure := Check(proposed)
+	configuration, err := Check(proposed)
 	var findings *Findings
-	if stderrors.As(failure, &findings) {
+	if stderrors.As(err, &findings) {
 		var remarks []Remark
 		for _, finding := range findings.Troubles {
 			remarks = append(remarks, Remark{Level: ErrorLevel, Trouble: *finding})
--- a/internal/menu/taste_test.go
+++ b/internal/menu/taste_test.go
@@ -6,13 +6,13 @@
 	"seamloom.example/seamloom/internal/trouble"
 )
 
-func TestTasteWarnsOfWhatTheFleetWouldTake(test *testing.T) {
+func TestTasteWarnsOfWhatTheFleetWouldTake(t *testing.T) {
 	facts := Facts{Couriers: 3, Stopped: []string{"courier-1", "courier-2"}, Restricted: []string{"courier-3"}, Blocked: []string{"pair_price"}, Servers: []ServerFacts{
 		{Name: "a", District: "north", Reported: true, Part: "prefill", Slots: 10},
 		{Name: "b", District: "south", Reported: true, Part: "decode", Slots: 10, Active: 9}}}
-	current, failure := Check([]byte(`{"services":{"old":{}}}`))
-	if failure != nil {
-		test.Fatal(failure)
+	current, err := Check([]byte(`{"services":{"old":{}}}`))
+	if err != nil {
+		t.Fatal(err)
 	}
 	remarks := Taste([]byte(`{"services":{"chat":{},"lost":{}},"routes":{
 		"all":{"order":1,"match":{"service":"chat"},"to":{"districts":["west"]}},
@@ -21,7 +21,7 @@
 	found := map[string]bool{}
 	for _, remark := range remarks {
 		if remark.Level != WarningLevel {
-			test.Errorf("%+v is no warning", remark)
+			t.Errorf("%+v is no warning", remark)
 		}
 		found[string(remark.Kind)+" "+remark.Path] = true
 	}
@@ -29,13 +29,13 @@
 		"never_reached /routes/late", "no_part_left /evacuations", "little_room /evacuations", "no_route_to_service /services/lost",
 		"service_disappears /services/old", "mixed_formats /", "few_couriers /"} {
 		if !found[want] {
-			test.Errorf("no %s in %v", want, found)
+			t.Errorf("no %s in %v", want, found)
 		}
 	}
 	if remarks := Taste([]byte(`{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`), nil, Facts{Couriers: 3, Servers: facts.Servers}); len(remarks) != 0 {
-		test.Errorf("a good configuration: %v", remarks)
+		t.Errorf("a good configuration: %v", remarks)
 	}
 	if remarks := Taste([]byte(`{"x":1}`), nil, facts); len(remarks) != 1 || remarks[0].Level != ErrorLevel || remarks[0].Kind != trouble.UnknownField {
-		test.Errorf("an error: %v", remarks)
+		t.Errorf("an error: %v", remarks)
 	}
 }
--- a/internal/pass/balance_test.go
+++ b/internal/pass/balance_test.go
@@ -9,7 +9,7 @@
 
 // TestBalanceFollowsASwingWithoutFlapping lets prompts pile up and then
 // answers, and wants few turns, never below one server of each part.
-func TestBalanceFollowsASwingWithoutFlapping(test *testing.T) {
+func TestBalanceFollowsASwingWithoutFlapping(t *testing.T) {
 	balance := NewBalance(false)
 	var servers []roster.Server
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
@@ -47,29 +47,29 @@
 	}
 	round(0, 0)
 	if count(Prefill) != 2 || count(Decode) != 3 {
-		test.Fatalf("first parts: %v", standing)
+		t.Fatalf("first parts: %v", standing)
 	}
 	turns = 0
 	for range 80 {
 		round(30_000, 1)
 	}
 	if count(Decode) != 1 {
-		test.Errorf("while prompts pile up: %v", standing)
+		t.Errorf("while prompts pile up: %v", standing)
 	}
 	if turns > 3 {
-		test.Errorf("%d turns in one swing", turns)
+		t.Errorf("%d turns in one swing", turns)
 	}
 	for range 120 {
 		round(0, 15)
 	}
 	if count(Prefill) != 1 {
-		test.Errorf("while answers pile up: %v", standing)
+		t.Errorf("while answers pile up: %v", standing)
 	}
 	turns = 0
 	for number := range 40 {
 		round(30_000*(number%2), 8)
 	}
 	if turns != 0 {
-		test.Errorf("%d turns without a lasting need", turns)
+		t.Errorf("%d turns without a lasting need", turns)
 	}
 }
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -222,9 +222,9 @@
 	if program == nil || !now.Before(desk.ServesUntil()) {
 		return desk.refuse(inquiry, trouble.NoHold, "the configuration in force is not confirmed", time.Second)
 	}
-	ruling, failure := program.Rule(inquiry, desk.district)
-	if failure != nil {
-		return desk.refuse(inquiry, failure.Kind, failure.Detail, 0)
+	ruling, err := program.Rule(inquiry, desk.district)
+	if err != nil {
+		return desk.refuse(inquiry, err.Kind, err.Detail, 0)
 	}
 	if desk.inFlight.Load() >= desk.most || desk.serviceCount(inquiry.Service).Load() >= int64(ruling.Service.InFlight) {
 		return desk.refuse(inquiry, trouble.Busy, "the courier has as many inquiries as it takes", desk.market.Relief(now))
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -13,14 +13,14 @@
 var noon = time.Unix(2_000_000, 0)
 
 // newTestDesk is a desk with two prefill and two decode servers and a hold.
-func newTestDesk(test *testing.T) *Desk {
-	test.Helper()
+func newTestDesk(t *testing.T) *Desk {
+	t.Helper()
 	market := NewMarket("courier-1", "north", false)
 	market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south"},
 		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
 	desk := NewDesk(market, "north", 100)
 	reportLoads(desk, noon)
-	configure(test, desk, 1, `{"services":{"chat":{"tries":3}},"routes":{"all":{"to":{}}}}`)
+	configure(t, desk, 1, `{"services":{"chat":{"tries":3}},"routes":{"all":{"to":{}}}}`)
 	desk.Renew(noon.Add(4*time.Second), 1, 1)
 	return desk
 }
@@ -34,11 +34,11 @@
 	}
 }
 
-func configure(test *testing.T, desk *Desk, number uint64, text string) bool {
-	test.Helper()
-	configuration, failure := menu.Check([]byte(text))
-	if failure != nil {
-		test.Fatal(failure)
+func configure(t *testing.T, desk *Desk, number uint64, text string) bool {
+	t.Helper()
+	configuration, err := menu.Check([]byte(text))
+	if err != nil {
+		t.Fatal(err)
 	}
 	return desk.SetProgram(Compile(configuration, 1, number))
 }
@@ -63,97 +63,97 @@
 	}
 }
 
-func TestInquiryThatMayNotBeRepeatedIsDispatchedAgainOnlyIfCertainlyNotStarted(test *testing.T) {
+func TestInquiryThatMayNotBeRepeatedIsDispatchedAgainOnlyIfCertainlyNotStarted(t *testing.T) {
 	for outcome, want := range map[Outcome]Final{Uncertain: Unknown, Broken: Failed} {
-		desk := newTestDesk(test)
+		desk := newTestDesk(t)
 		earn(desk)
 		if find(arrive(desk, noon, "one", false), ClaimInquiry) == nil {
-			test.Fatal("not claimed before its dispatch")
+			t.Fatal("not claimed before its dispatch")
 		}
 		if find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill) == nil {
-			test.Fatal("not dispatched after its claim")
+			t.Fatal("not dispatched after its claim")
 		}
 		decisions := desk.Prefilled(noon, "one", 1, outcome, "")
 		if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != want {
-			test.Errorf("after %s: %+v", outcome, decisions)
+			t.Errorf("after %s: %+v", outcome, decisions)
 		}
 	}
-	desk := newTestDesk(test)
+	desk := newTestDesk(t)
 	earn(desk)
 	arrive(desk, noon, "one", false)
 	first := find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill)
 	second := find(desk.Prefilled(noon, "one", 1, NotStarted, ""), DispatchPrefill)
 	if second == nil || second.Server == first.Server {
-		test.Errorf("not tried elsewhere though it certainly did not start: %+v", second)
+		t.Errorf("not tried elsewhere though it certainly did not start: %+v", second)
 	}
 }
 
-func TestNothingIsDispatchedPastItsLimitOrWithoutAHold(test *testing.T) {
-	desk := newTestDesk(test)
+func TestNothingIsDispatchedPastItsLimitOrWithoutAHold(t *testing.T) {
+	desk := newTestDesk(t)
 	if final := find(arrive(desk, noon.Add(4*time.Second), "late", true), Finish); final == nil || final.Cause != trouble.NoHold {
-		test.Errorf("let in without a hold: %+v", final)
+		t.Errorf("let in without a hold: %+v", final)
 	}
 	inquiry := &Inquiry{ID: "one", Service: "chat", Repeatable: false, PromptTokens: 500, Pieces: 3, Limit: noon.Add(time.Second)}
 	desk.Arrive(noon, inquiry)
 	decisions := desk.Claimed(noon.Add(time.Second), "one", Done, "")
 	if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != Refused {
-		test.Errorf("after the limit: %+v", decisions)
+		t.Errorf("after the limit: %+v", decisions)
 	}
 	// A prompt that was read while the hold ran out waits for the next one.
 	arrive(desk, noon, "two", true)
 	after := noon.Add(4 * time.Second)
 	if decisions := desk.Prefilled(after, "two", 1, Done, "handle"); len(decisions) != 0 {
-		test.Errorf("dispatched without a hold: %+v", decisions)
+		t.Errorf("dispatched without a hold: %+v", decisions)
 	}
 	reportLoads(desk, after)
 	desk.Renew(after.Add(4*time.Second), 1, 1)
 	if decode := find(desk.Tick(after), DispatchDecode); decode == nil || decode.Handle != "handle" || !decode.NotAfter.Equal(after.Add(4*time.Second)) {
-		test.Errorf("not dispatched under the new hold: %+v", decode)
+		t.Errorf("not dispatched under the new hold: %+v", decode)
 	}
 }
 
 // TestGivenUpInquiryIsAnsweredAtOnce lets the hold stay away: the caller is told
 // soon, long before the limit, and when to come back.
-func TestGivenUpInquiryIsAnsweredAtOnce(test *testing.T) {
-	desk := newTestDesk(test)
+func TestGivenUpInquiryIsAnsweredAtOnce(t *testing.T) {
+	desk := newTestDesk(t)
 	arrive(desk, noon, "one", false)
 	after := noon.Add(4 * time.Second)
 	if decisions := desk.Claimed(after, "one", Done, ""); len(decisions) != 0 {
-		test.Errorf("without a hold: %+v", decisions)
+		t.Errorf("without a hold: %+v", decisions)
 	}
 	if decisions := desk.Tick(after.Add(holdPatience)); len(decisions) != 0 {
-		test.Errorf("given up early: %+v", decisions)
+		t.Errorf("given up early: %+v", decisions)
 	}
 	final := find(desk.Tick(after.Add(holdPatience+time.Millisecond)), Finish)
 	if final == nil || final.Final != Refused || final.Cause != trouble.NoHold || final.Retry == 0 {
-		test.Errorf("when no hold comes: %+v", final)
+		t.Errorf("when no hold comes: %+v", final)
 	}
 }
 
-func TestStreamIsNeverSplicedAndNeverRunAgainAfterItsFirstPiece(test *testing.T) {
-	desk := newTestDesk(test)
+func TestStreamIsNeverSplicedAndNeverRunAgainAfterItsFirstPiece(t *testing.T) {
+	desk := newTestDesk(t)
 	earn(desk)
 	arrive(desk, noon, "one", true)
 	desk.Prefilled(noon, "one", 1, Done, "handle")
 	if piece := find(desk.Piece(noon, "one", 1, 1, "a"), SendPiece); piece == nil {
-		test.Fatal("the first piece was not sent")
+		t.Fatal("the first piece was not sent")
 	}
 	if late := desk.Piece(noon, "one", 2, 2, "b"); len(late) != 0 {
-		test.Errorf("a piece of another run was taken: %+v", late)
+		t.Errorf("a piece of another run was taken: %+v", late)
 	}
 	decisions := desk.Decoded(noon, "one", 1, Uncertain, 0)
 	if final := find(decisions, Finish); find(decisions, DispatchPrefill) != nil || final == nil || final.Final != Failed || final.Pieces != 1 {
-		test.Errorf("after the first piece: %+v", decisions)
+		t.Errorf("after the first piece: %+v", decisions)
 	}
 	arrive(desk, noon, "two", true)
 	desk.Prefilled(noon, "two", 1, Done, "handle")
 	if final := find(desk.Piece(noon, "two", 1, 2, "b"), Finish); final == nil || final.Final != Failed {
-		test.Errorf("a stream with a missing piece went on: %+v", final)
+		t.Errorf("a stream with a missing piece went on: %+v", final)
 	}
 }
 
-func TestExtraTriesStayWithinTheBudget(test *testing.T) {
-	desk := newTestDesk(test)
+func TestExtraTriesStayWithinTheBudget(t *testing.T) {
+	desk := newTestDesk(t)
 	extra := 0
 	for number := range 100 {
 		id := fmt.Sprint(number)
@@ -167,31 +167,31 @@
 		}
 	}
 	if first, counted := desk.budget.Counts(); extra == 0 || extra != counted || extra*5 > first {
-		test.Errorf("%d extra tries (%d counted) for %d first ones", extra, counted, first)
+		t.Errorf("%d extra tries (%d counted) for %d first ones", extra, counted, first)
 	}
 }
 
 // TestARunAfterALostHandOverCostsTwoTries: it asks a prefill and a decode server
 // again.
-func TestARunAfterALostHandOverCostsTwoTries(test *testing.T) {
-	desk := newTestDesk(test)
+func TestARunAfterALostHandOverCostsTwoTries(t *testing.T) {
+	desk := newTestDesk(t)
 	earn(desk)
 	arrive(desk, noon, "one", true)
 	desk.Prefilled(noon, "one", 1, Done, "handle")
 	if find(desk.Decoded(noon, "one", 1, Lapsed, 0), DispatchPrefill) == nil {
-		test.Fatal("a lapsed handle was not made anew")
+		t.Fatal("a lapsed handle was not made anew")
 	}
 	if _, extra := desk.budget.Counts(); extra != 2 {
-		test.Errorf("the run cost %d tries", extra)
+		t.Errorf("the run cost %d tries", extra)
 	}
 }
 
 // TestCouriersShareAColdServersRoom: what seven couriers may send to a cold
 // server between two reports stays within its room.
-func TestCouriersShareAColdServersRoom(test *testing.T) {
+func TestCouriersShareAColdServersRoom(t *testing.T) {
 	sent := 0
 	for courier := range 7 {
-		desk := newTestDesk(test)
+		desk := newTestDesk(t)
 		desk.market.SetCouriers(7)
 		desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
 		desk.market.Report(noon, Load{Server: "p1", Part: Prefill, Age: time.Second, PrefillRate: 20_000, PrefillRoom: 12, LinkRate: 400_000})
@@ -203,68 +203,68 @@
 		}
 	}
 	if sent == 0 || sent > 8 {
-		test.Errorf("seven couriers sent %d prompts to a server one second old", sent)
+		t.Errorf("seven couriers sent %d prompts to a server one second old", sent)
 	}
 }
 
-func TestConfigurationInForceNeverGoesBack(test *testing.T) {
-	desk := newTestDesk(test)
-	if !configure(test, desk, 5, `{"services":{},"routes":{}}`) {
-		test.Fatal("a newer configuration was not taken")
+func TestConfigurationInForceNeverGoesBack(t *testing.T) {
+	desk := newTestDesk(t)
+	if !configure(t, desk, 5, `{"services":{},"routes":{}}`) {
+		t.Fatal("a newer configuration was not taken")
 	}
-	if configure(test, desk, 4, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`) {
-		test.Error("an older configuration was taken")
+	if configure(t, desk, 4, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`) {
+		t.Error("an older configuration was taken")
 	}
 	if desk.Renew(noon.Add(time.Hour), 1, 1) {
-		test.Error("a hold for another configuration was taken")
+		t.Error("a hold for another configuration was taken")
 	}
 	if final := find(arrive(desk, noon, "one", true), Finish); final == nil || final.Cause != trouble.UnknownService {
-		test.Errorf("%+v", final)
+		t.Errorf("%+v", final)
 	}
 }
 
-func TestEvacuatedAndLeavingServersGetNoWork(test *testing.T) {
-	desk := newTestDesk(test)
-	configure(test, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{}}}`)
+func TestEvacuatedAndLeavingServersGetNoWork(t *testing.T) {
+	desk := newTestDesk(t)
+	configure(t, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{}}}`)
 	desk.Renew(noon.Add(4*time.Second), 1, 2)
 	if dispatched := find(arrive(desk, noon, "one", true), DispatchPrefill); dispatched == nil || dispatched.Server != "p2" {
-		test.Errorf("with north evacuated: %+v", dispatched)
+		t.Errorf("with north evacuated: %+v", dispatched)
 	}
 	if decode := find(desk.Prefilled(noon, "one", 1, Done, "handle"), DispatchDecode); decode == nil || decode.Server != "d2" {
-		test.Errorf("with north evacuated: %+v", decode)
+		t.Errorf("with north evacuated: %+v", decode)
 	}
 	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south", Leaving: true},
 		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
 	if final := find(arrive(desk, noon, "two", true), Finish); final == nil || final.Final != Refused {
-		test.Errorf("with the last server leaving: %+v", final)
+		t.Errorf("with the last server leaving: %+v", final)
 	}
-	configure(test, desk, 3, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{},"south":{}}}`)
+	configure(t, desk, 3, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{},"south":{}}}`)
 	desk.Renew(noon.Add(4*time.Second), 1, 3)
 	if final := find(arrive(desk, noon, "three", true), Finish); final == nil || final.Cause != trouble.Evacuated || final.Retry == 0 {
-		test.Errorf("with every district evacuated: %+v", final)
+		t.Errorf("with every district evacuated: %+v", final)
 	}
 }
 
-func TestRoutesAreAskedInTheirOrder(test *testing.T) {
-	configuration, failure := menu.Check([]byte(`{"services":{"chat":{}},"routes":{
+func TestRoutesAreAskedInTheirOrder(t *testing.T) {
+	configuration, err := menu.Check([]byte(`{"services":{"chat":{}},"routes":{
 		"z-first":{"order":1,"match":{"service":"chat","prompt_tokens_at_least":1000},"to":{"refuse":true}},
 		"a-second":{"order":2,"match":{"origin":"vip"},"to":{"districts":["south"]}},
 		"b-third":{"order":2,"to":{"districts":["north"]}}}}`))
-	if failure != nil {
-		test.Fatal(failure)
+	if err != nil {
+		t.Fatal(err)
 	}
 	program := Compile(configuration, 1, 1)
 	for origin, tokens := range map[string]int{"vip": 10, "other": 10, "long": 1000} {
 		ruling, refusal := program.Rule(&Inquiry{Service: "chat", Origin: origin, PromptTokens: tokens}, "north")
 		want := map[string]string{"vip": "a-second", "other": "b-third", "long": "z-first"}[origin]
 		if ruling == nil || ruling.Route != want || (refusal != nil) != (origin == "long") {
-			test.Errorf("%s: %+v, %v", origin, ruling, refusal)
+			t.Errorf("%s: %+v, %v", origin, ruling, refusal)
 		}
 	}
 }
 
-func TestColdServerIsOfferedLittle(test *testing.T) {
-	desk := newTestDesk(test)
+func TestColdServerIsOfferedLittle(t *testing.T) {
+	desk := newTestDesk(t)
 	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
 	desk.market.Report(noon, Load{Server: "p1", Part: Prefill, PrefillRate: 20_000, PrefillRoom: 20, LinkRate: 400_000})
 	desk.market.Report(noon, Load{Server: "d1", Part: Decode, Age: time.Hour, DecodeSlots: 100, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
@@ -275,69 +275,69 @@
 		}
 	}
 	if dispatched == 0 || dispatched > 3 {
-		test.Errorf("a server that has just started was given %d prompts at once", dispatched)
+		t.Errorf("a server that has just started was given %d prompts at once", dispatched)
 	}
 }
 
 // TestLateNewsOfAnOlderRun lets the answer to a given-up run come after the next
 // one has begun.
-func TestLateNewsOfAnOlderRun(test *testing.T) {
-	desk := newTestDesk(test)
+func TestLateNewsOfAnOlderRun(t *testing.T) {
+	desk := newTestDesk(t)
 	earn(desk)
 	arrive(desk, noon, "one", true)
 	if find(desk.Prefilled(noon, "one", 1, Broken, ""), DispatchPrefill) == nil {
-		test.Fatal("no second run")
+		t.Fatal("no second run")
 	}
 	if late := desk.Prefilled(noon, "one", 1, Done, "old memory"); len(late) != 0 {
-		test.Errorf("late news of the first run led to %+v", late)
+		t.Errorf("late news of the first run led to %+v", late)
 	}
 }
 
 // TestHandleIsUsedByItsOwnRun wants the second run's decode to take the second
 // run's memory.
-func TestHandleIsUsedByItsOwnRun(test *testing.T) {
-	desk := newTestDesk(test)
+func TestHandleIsUsedByItsOwnRun(t *testing.T) {
+	desk := newTestDesk(t)
 	earn(desk)
 	arrive(desk, noon, "one", true)
 	if decode := find(desk.Prefilled(noon, "one", 1, Done, "first"), DispatchDecode); decode == nil || decode.Handle != "first" {
-		test.Fatalf("the first decode: %+v", decode)
+		t.Fatalf("the first decode: %+v", decode)
 	}
 	if find(desk.Decoded(noon, "one", 1, Lapsed, 0), DispatchPrefill) == nil {
-		test.Fatal("no second run after the handle lapsed")
+		t.Fatal("no second run after the handle lapsed")
 	}
 	if decode := find(desk.Prefilled(noon, "one", 2, Done, "second"), DispatchDecode); decode == nil || decode.Handle != "second" {
-		test.Errorf("the second decode: %+v", decode)
+		t.Errorf("the second decode: %+v", decode)
 	}
 }
 
 // TestServerWithoutAFreshReportIsOfferedNothing lets all reports grow old.
-func TestServerWithoutAFreshReportIsOfferedNothing(test *testing.T) {
-	desk := newTestDesk(test)
+func TestServerWithoutAFreshReportIsOfferedNothing(t *testing.T) {
+	desk := newTestDesk(t)
 	late := noon.Add(reportFresh + time.Millisecond)
 	if decisions := arrive(desk, late, "one", true); find(decisions, DispatchPrefill) != nil {
-		test.Errorf("work went to a server that does not report: %+v", decisions)
+		t.Errorf("work went to a server that does not report: %+v", decisions)
 	}
 }
 
 // TestHoldOfAnotherVersionLetsNothingIn renews a hold for a configuration that
 // is not the one in force.
-func TestHoldOfAnotherVersionLetsNothingIn(test *testing.T) {
-	desk := newTestDesk(test)
-	configure(test, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
+func TestHoldOfAnotherVersionLetsNothingIn(t *testing.T) {
+	desk := newTestDesk(t)
+	configure(t, desk, 2, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
 	later := noon.Add(5 * time.Second)
 	reportLoads(desk, later)
 	desk.Renew(later.Add(4*time.Second), 1, 1)
 	if decisions := arrive(desk, later, "one", true); find(decisions, DispatchPrefill) != nil {
-		test.Errorf("let in under a hold for an older configuration: %+v", decisions)
+		t.Errorf("let in under a hold for an older configuration: %+v", decisions)
 	}
 }
 
 // TestDarkServerEndsWhatMayNotBeRepeated leaves an inquiry that may not be
 // repeated at a server that reports no more: nothing further can be known, so it
 // is told at once. At one that is slow and reports, it goes on.
-func TestDarkServerEndsWhatMayNotBeRepeated(test *testing.T) {
+func TestDarkServerEndsWhatMayNotBeRepeated(t *testing.T) {
 	for name, reports := range map[string]bool{"slow": true, "dark": false} {
-		desk := newTestDesk(test)
+		desk := newTestDesk(t)
 		arrive(desk, noon, "one", false)
 		dispatch := find(desk.Claimed(noon, "one", Done, ""), DispatchPrefill)
 		late := noon.Add(3500 * time.Millisecond)
@@ -346,17 +346,17 @@
 		}
 		final := find(desk.Tick(late), Finish)
 		if reports && final != nil {
-			test.Errorf("%s: ended, though %s reports: %+v", name, dispatch.Server, final)
+			t.Errorf("%s: ended, though %s reports: %+v", name, dispatch.Server, final)
 		}
 		if !reports && (final == nil || final.Final != Unknown) {
-			test.Errorf("%s: not told: %+v", name, final)
+			t.Errorf("%s: not told: %+v", name, final)
 		}
 	}
 }
 
 // TestBudgetSavesTwoTriesAndNoMore lets a courier work long without trouble: a
 // loss must not bring a burst of tries that were saved in the quiet.
-func TestBudgetSavesTwoTriesAndNoMore(test *testing.T) {
+func TestBudgetSavesTwoTriesAndNoMore(t *testing.T) {
 	budget := &Budget{}
 	for range 1000 {
 		budget.First()
@@ -366,13 +366,13 @@
 		saved++
 	}
 	if saved != 2 {
-		test.Errorf("%d tries were saved", saved)
+		t.Errorf("%d tries were saved", saved)
 	}
 }
 
 // TestDeskGoesOnWithoutAHoldAsLongAsItWasTold lets the hold end, and the time without
 // one; a desk that never had a hold lets nothing in.
-func TestDeskGoesOnWithoutAHoldAsLongAsItWasTold(test *testing.T) {
+func TestDeskGoesOnWithoutAHoldAsLongAsItWasTold(t *testing.T) {
 	arrives := func(desk *Desk, at time.Duration) trouble.Kind {
 		reportLoads(desk, noon.Add(at))
 		if final := find(arrive(desk, noon.Add(at), fmt.Sprint("at ", at, time.Now().UnixNano()), true), Finish); final != nil {
@@ -380,24 +380,24 @@
 		}
 		return ""
 	}
-	desk := newTestDesk(test)
+	desk := newTestDesk(t)
 	if cause := arrives(desk, 5*time.Second); cause != trouble.NoHold {
-		test.Errorf("without being told: %q", cause)
+		t.Errorf("without being told: %q", cause)
 	}
 	desk.SetServeWithoutHold(time.Minute)
 	if cause := arrives(desk, 5*time.Second); cause != "" {
-		test.Errorf("within its time without a hold: %q", cause)
+		t.Errorf("within its time without a hold: %q", cause)
 	}
 	if cause := arrives(desk, 65*time.Second); cause != trouble.NoHold {
-		test.Errorf("after its time without a hold: %q", cause)
+		t.Errorf("after its time without a hold: %q", cause)
 	}
 	if !desk.HoldEnds().Equal(noon.Add(4 * time.Second)) {
-		test.Errorf("the hold ends %s", desk.HoldEnds())
+		t.Errorf("the hold ends %s", desk.HoldEnds())
 	}
 	blank := NewDesk(NewMarket("courier-1", "north", false), "north", 100)
 	blank.SetServeWithoutHold(time.Hour)
-	configure(test, blank, 1, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
+	configure(t, blank, 1, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
 	if cause := arrives(blank, 0); cause != trouble.NoHold {
-		test.Errorf("a life without any hold: %q", cause)
+		t.Errorf("a life without any hold: %q", cause)
 	}
 }
--- a/internal/pass/market_test.go
+++ b/internal/pass/market_test.go
@@ -54,7 +54,7 @@
 // TestMarketIsTradedByManyThreads has threads bid, reserve and release while
 // reports and lists are replaced. The race detector watches; room that is
 // reserved must be given back whole.
-func TestMarketIsTradedByManyThreads(test *testing.T) {
+func TestMarketIsTradedByManyThreads(t *testing.T) {
 	market := newTestMarket(12)
 	var trading sync.WaitGroup
 	for thread := range 8 {
@@ -87,7 +87,7 @@
 	trading.Wait()
 	for _, stall := range market.board.Load().stalls {
 		if left := stall.promised.Load(); left != 0 {
-			test.Errorf("%s has %d rooms promised to nobody", stall.server.Name, left)
+			t.Errorf("%s has %d rooms promised to nobody", stall.server.Name, left)
 		}
 	}
 }
--- a/internal/pass/offer_test.go
+++ b/internal/pass/offer_test.go
@@ -41,7 +41,7 @@
 
 // TestChoiceIsThatOfEveryPair has drawn markets, with equal asks and with very
 // different ones, give the pair that pricing every pair gives.
-func TestChoiceIsThatOfEveryPair(test *testing.T) {
+func TestChoiceIsThatOfEveryPair(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 1))
 	chosen, none := 0, 0
 	for day := range 400 {
@@ -74,7 +74,7 @@
 			want, wanted := everyPair(market, now, inquiry, ruling, allowed, tried)
 			got, found := market.Choose(now, inquiry, ruling, allowed, tried)
 			if found != wanted || got != want {
-				test.Fatalf("day %d, inquiry %d: got %v, want %v", day, number, got, want)
+				t.Fatalf("day %d, inquiry %d: got %v, want %v", day, number, got, want)
 			}
 			if !found {
 				none++
@@ -86,6 +86,6 @@
 		}
 	}
 	if chosen < 1000 || none < 100 {
-		test.Errorf("%d choices and %d without a pair say little", chosen, none)
+		t.Errorf("%d choices and %d without a pair say little", chosen, none)
 	}
 }
--- a/internal/pass/program_test.go
+++ b/internal/pass/program_test.go
@@ -24,9 +24,9 @@
 func BenchmarkRoutes(benchmark *testing.B) {
 	for _, count := range []int{10, 1000, 8000} {
 		text := manyRoutes(count)
-		configuration, failure := menu.Check(text)
-		if failure != nil {
-			benchmark.Fatal(failure)
+		configuration, err := menu.Check(text)
+		if err != nil {
+			benchmark.Fatal(err)
 		}
 		benchmark.Run(fmt.Sprintf("check-and-compile-%d", count), func(benchmark *testing.B) {
 			benchmark.ReportMetric(float64(len(text)), "bytes")
--- a/internal/recipe/entry.go
+++ b/internal/recipe/entry.go
@@ -29,6 +29,6 @@
 //	entry, failure := recipe.ReadEntry(record)
 func ReadEntry(record Record) (Entry, error) {
 	var entry Entry
-	_, failure := record.readNewest(nil, format{"", "entry", &entry})
-	return entry, failure
+	_, err := record.readNewest(nil, format{"", "entry", &entry})
+	return entry, err
 }
--- a/internal/recipe/format.go
+++ b/internal/recipe/format.go
@@ -16,8 +16,8 @@
 		if format.flag != "" && !enabled.Has(format.flag) {
 			continue
 		}
-		if failure := record.Put(format.key, format.value); failure != nil {
-			return failure
+		if err := record.Put(format.key, format.value); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -30,8 +30,8 @@
 		if format.flag != "" && !supported.Has(format.flag) {
 			continue
 		}
-		if found, failure := record.Read(format.key, format.value); found || failure != nil {
-			return format.key, failure
+		if found, err := record.Read(format.key, format.value); found || err != nil {
+			return format.key, err
 		}
 	}
 	return "", trouble.New(trouble.Garbage, "a record of kind "+string(record.Kind)+" without a format that this build reads")
--- a/internal/recipe/order.go
+++ b/internal/recipe/order.go
@@ -38,9 +38,9 @@
 func ReadOrder(record Record, supported List) (Order, error) {
 	var order Order
 	var first orderFirst
-	key, failure := record.readNewest(supported, format{OrderPatience, "order_v2", &order}, format{"", "order", &first})
+	key, err := record.readNewest(supported, format{OrderPatience, "order_v2", &order}, format{"", "order", &first})
 	if key == "order" {
 		order = Order{Server: first.Server, Part: first.Part, Patience: DefaultPatience}
 	}
-	return order, failure
+	return order, err
 }
--- a/internal/recipe/pair.go
+++ b/internal/recipe/pair.go
@@ -39,9 +39,9 @@
 func ReadPair(record Record, supported List) (Pair, error) {
 	var pair Pair
 	var first pairFirst
-	key, failure := record.readNewest(supported, format{PairPrice, "pair_v2", &pair}, format{"", "pair", &first})
+	key, err := record.readNewest(supported, format{PairPrice, "pair_v2", &pair}, format{"", "pair", &first})
 	if key == "pair" {
 		pair = Pair{Inquiry: first.Inquiry, Run: first.Run, Prefill: first.Prefill, Decode: first.Decode}
 	}
-	return pair, failure
+	return pair, err
 }
--- a/internal/recipe/record.go
+++ b/internal/recipe/record.go
@@ -34,9 +34,9 @@
 //
 //	failure := record.Put("order", recipe.Order{Part: "decode"})
 func (record *Record) Put(key string, value any) error {
-	encoded, failure := msgpack.Marshal(value)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := msgpack.Marshal(value)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	record.Features[key] = encoded
 	return nil
@@ -53,8 +53,8 @@
 	if !found {
 		return false, nil
 	}
-	if failure := msgpack.Unmarshal(encoded, value); failure != nil {
-		return false, trouble.Wrap(trouble.Garbage, failure)
+	if err := msgpack.Unmarshal(encoded, value); err != nil {
+		return false, trouble.Wrap(trouble.Garbage, err)
 	}
 	return true, nil
 }
--- a/internal/recipe/streammessage.go
+++ b/internal/recipe/streammessage.go
@@ -25,6 +25,6 @@
 //	message, failure := recipe.ReadStreamMessage(record)
 func ReadStreamMessage(record Record) (StreamMessage, error) {
 	var message StreamMessage
-	_, failure := record.readNewest(nil, format{"", "stream", &message})
-	return message, failure
+	_, err := record.readNewest(nil, format{"", "stream", &message})
+	return message, err
 }
--- a/internal/rehearsal/book.go
+++ b/internal/rehearsal/book.go
@@ -58,15 +58,15 @@
 //
 //	failure := book.Save("book.jsonl")
 func (book *Book) Save(path string) error {
-	file, failure := os.Create(path)
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	file, err := os.Create(path)
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	encoder := json.NewEncoder(file)
 	for _, entry := range book.Entries() {
-		if failure := encoder.Encode(entry); failure != nil {
+		if err := encoder.Encode(entry); err != nil {
 			_ = file.Close()
-			return trouble.Wrap(trouble.Disk, failure)
+			return trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	return trouble.Wrap(trouble.Disk, file.Close())
--- a/internal/rehearsal/callers.go
+++ b/internal/rehearsal/callers.go
@@ -193,12 +193,12 @@
 	entry.Kind = Replied
 	lifetime, end := context.WithTimeout(lifetime, time.Duration(question.Limit)*time.Millisecond+5*time.Second)
 	defer end()
-	status, retry, failure := callers.read(lifetime, address, question, &entry, leaves)
+	status, retry, err := callers.read(lifetime, address, question, &entry, leaves)
 	entry.Status = status
 	entry.Took = time.Since(began)
-	if failure != nil && entry.Final == "" {
-		entry.Cause = failure.Error()
-		if trouble.KindOf(failure) == trouble.OriginLeft {
+	if err != nil && entry.Final == "" {
+		entry.Cause = err.Error()
+		if trouble.KindOf(err) == trouble.OriginLeft {
 			entry.Cause = CallerLeft
 		}
 	}
@@ -207,17 +207,17 @@
 }
 
 func (callers *Callers) read(lifetime context.Context, address string, question Question, entry *Entry, leaves int) (int, time.Duration, error) {
-	body, failure := json.Marshal(question)
-	if failure != nil {
-		return 0, 0, trouble.Wrap(trouble.Malformed, failure)
+	body, err := json.Marshal(question)
+	if err != nil {
+		return 0, 0, trouble.Wrap(trouble.Malformed, err)
 	}
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+"/v1/inquiries", bytes.NewReader(body))
-	if failure != nil {
-		return 0, 0, trouble.Wrap(trouble.Malformed, failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+"/v1/inquiries", bytes.NewReader(body))
+	if err != nil {
+		return 0, 0, trouble.Wrap(trouble.Malformed, err)
 	}
-	inbound, failure := callers.client.Do(outbound)
-	if failure != nil {
-		return 0, 0, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := callers.client.Do(outbound)
+	if err != nil {
+		return 0, 0, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	lines := bufio.NewScanner(inbound.Body)
@@ -226,8 +226,8 @@
 			return inbound.StatusCode, 0, trouble.New(trouble.OriginLeft, CallerLeft)
 		}
 		var line hatch.ReplyLine
-		if failure := json.Unmarshal(lines.Bytes(), &line); failure != nil {
-			return inbound.StatusCode, 0, trouble.Wrap(trouble.Garbage, failure)
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return inbound.StatusCode, 0, trouble.Wrap(trouble.Garbage, err)
 		}
 		if line.Final != "" {
 			entry.Final, entry.Pieces, entry.Cause = string(line.Final), line.Pieces, string(line.Type)
--- a/internal/rehearsal/capacity/activity.go
+++ b/internal/rehearsal/capacity/activity.go
@@ -75,8 +75,8 @@
 					note := func(measure, unit string, value float64) {
 						readings = append(readings, Reading{Role: activity.Role, Activity: activity.Name, Measure: measure, Unit: unit, Dimension: dimension, Size: size, Repeat: repeat, Value: value, Load: machineLoad()})
 					}
-					if failure := activity.Measure(sized(plan.Base, dimension, size), note); failure != nil {
-						return readings, failure
+					if err := activity.Measure(sized(plan.Base, dimension, size), note); err != nil {
+						return readings, err
 					}
 				}
 			}
--- a/internal/rehearsal/capacity/activity_test.go
+++ b/internal/rehearsal/capacity/activity_test.go
@@ -10,27 +10,27 @@
 
 // TestEveryActivityIsMeasured runs each at a tiny size and wants figures that are
 // some.
-func TestEveryActivityIsMeasured(test *testing.T) {
+func TestEveryActivityIsMeasured(t *testing.T) {
 	for _, activity := range Activities() {
-		test.Run(activity.Role+" "+activity.Name, func(test *testing.T) {
-			test.Parallel()
-			readings, failure := Plan{Sizes: tiny}.Run([]Activity{activity})
-			if failure != nil {
-				test.Fatal(failure)
+		t.Run(activity.Role+" "+activity.Name, func(t *testing.T) {
+			t.Parallel()
+			readings, err := Plan{Sizes: tiny}.Run([]Activity{activity})
+			if err != nil {
+				t.Fatal(err)
 			}
 			if len(readings) == 0 {
-				test.Fatal("nothing was read")
+				t.Fatal("nothing was read")
 			}
 			seen := map[Series]bool{}
 			for _, reading := range readings {
 				if math.IsNaN(reading.Value) || math.IsInf(reading.Value, 0) || (reading.Unit == "us" && reading.Value < 0) {
-					test.Errorf("%+v", reading)
+					t.Errorf("%+v", reading)
 				}
 				if reading.Unit == "B" && reading.Value <= 0 && len(reading.Measure) > 5 && reading.Measure[:5] == "bytes" {
-					test.Errorf("no bytes: %+v", reading)
+					t.Errorf("no bytes: %+v", reading)
 				}
 				if seen[reading.Series()] {
-					test.Errorf("read twice at one size: %+v", reading)
+					t.Errorf("read twice at one size: %+v", reading)
 				}
 				seen[reading.Series()] = true
 			}
@@ -39,24 +39,24 @@
 }
 
 // TestPlanMeasuresWhatIsAskedFor looks at names, sizes and repeats.
-func TestPlanMeasuresWhatIsAskedFor(test *testing.T) {
+func TestPlanMeasuresWhatIsAskedFor(t *testing.T) {
 	var asked []int
 	activities := []Activity{
 		{Role: "courier", Name: "one", Dimensions: []Dimension{Nodes}, Measure: func(sizes Sized, note Note) error {
 			asked = append(asked, sizes[Nodes])
 			if sizes[Servers] != Base[Servers] || sizes[Routes] != 7 {
-				test.Errorf("other sizes: %v", sizes)
+				t.Errorf("other sizes: %v", sizes)
 			}
 			note("m", "us", 1)
 			return nil
 		}},
 		{Role: "courier", Name: "other", Dimensions: []Dimension{Nodes}, Measure: func(Sized, Note) error {
-			test.Error("another activity was measured")
+			t.Error("another activity was measured")
 			return nil
 		}},
 	}
-	readings, failure := Plan{Only: "courier one", Repeats: 2, Sizes: map[Dimension][]int{Nodes: {4, 8}}, Base: Sized{Routes: 7}}.Run(activities)
-	if failure != nil || len(readings) != 4 || len(asked) != 4 || asked[0] != 4 || asked[3] != 8 || readings[3].Repeat != 1 {
-		test.Errorf("%v, %v, %v", readings, asked, failure)
+	readings, err := Plan{Only: "courier one", Repeats: 2, Sizes: map[Dimension][]int{Nodes: {4, 8}}, Base: Sized{Routes: 7}}.Run(activities)
+	if err != nil || len(readings) != 4 || len(asked) != 4 || asked[0] != 4 || asked[3] != 8 || readings[3].Repeat != 1 {
+		t.Errorf("%v, %v, %v", readings, asked, err)
 	}
 }
--- a/internal/rehearsal/capacity/calls.go
+++ b/internal/rehearsal/capacity/calls.go
@@ -60,9 +60,9 @@
 }
 
 func newWindow(sizes Sized) (*window.Window, error) {
-	configuration, failure := menu.Check(CallsConfiguration(sizes))
-	if failure != nil {
-		return nil, failure
+	configuration, err := menu.Check(CallsConfiguration(sizes))
+	if err != nil {
+		return nil, err
 	}
 	calls := window.New(window.Options{Courier: "courier-1", District: districtOf(0)})
 	calls.SetCouriers(sizes[Nodes])
@@ -92,9 +92,9 @@
 
 // measureCall is one opaque call's way through the window, from its arrival to its end.
 func measureCall(sizes Sized, note Note) error {
-	calls, failure := newWindow(sizes)
-	if failure != nil {
-		return failure
+	calls, err := newWindow(sizes)
+	if err != nil {
+		return err
 	}
 	var broken error
 	done := 0
@@ -131,9 +131,9 @@
 	note("configuration", "B", float64(len(text)))
 	var broken error
 	noteCost(note, "a configuration", Meter{}.Measure(func(int) {
-		configuration, failure := menu.Check(text)
-		if failure != nil {
-			broken = failure
+		configuration, err := menu.Check(text)
+		if err != nil {
+			broken = err
 			return
 		}
 		window.Compile(configuration, 1, 1)
@@ -143,19 +143,19 @@
 
 // measureTakingForCalls is the list and the reports, as the window takes them.
 func measureTakingForCalls(sizes Sized, note Note) error {
-	calls, failure := newWindow(sizes)
-	if failure != nil {
-		return failure
+	calls, err := newWindow(sizes)
+	if err != nil {
+		return err
 	}
 	servers, loads := ServersOf(sizes[Servers]), loadsForCalls(sizes[Servers])
-	encoded, failure := msgpack.Marshal(loads)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := msgpack.Marshal(loads)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	note("bytes of all reports", "B", float64(len(encoded)))
-	list, failure := msgpack.Marshal(servers)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	list, err := msgpack.Marshal(servers)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	note("bytes of the list", "B", float64(len(list)))
 	noteCost(note, "all reports read and taken", Meter{}.Measure(func(int) {
--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -59,10 +59,10 @@
 		copies := newShelf()
 		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: recipe.Supported(nil),
 			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists, Reports: formed.lists}
-		seat, _, failure := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
-		if failure != nil {
+		seat, _, err := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
+		if err != nil {
 			end()
-			return nil, failure
+			return nil, err
 		}
 		formed.line.join(node.Address, seat.Answers())
 		formed.seats, formed.shelves = append(formed.seats, seat), append(formed.shelves, copies)
@@ -87,18 +87,18 @@
 	if primary == nil || primary.Steward().Charter().Backup.Empty() {
 		return false
 	}
-	_, view, failure := primary.Ruling()
-	if failure != nil {
+	_, view, err := primary.Ruling()
+	if err != nil {
 		return false
 	}
-	state, failure := view.State()
-	return failure == nil && len(state.Members) == len(core.seats) && len(state.Flags.Enabled) > 0
+	state, err := view.State()
+	return err == nil && len(state.Members) == len(core.seats) && len(state.Flags.Enabled) > 0
 }
 
 // primary is the expediter that leads.
 func (core *core) primary() *hatch.Expediter {
 	for _, seat := range core.seats {
-		if _, _, failure := seat.Ruling(); failure == nil {
+		if _, _, err := seat.Ruling(); err == nil {
 			return seat
 		}
 	}
@@ -118,12 +118,12 @@
 // submit has a change committed and waits for it.
 func (core *core) submit(change larder.Change) error {
 	var mutex sync.Mutex
-	var failure error
+	var err error
 	over := false
 	bell := core.turns.NewBell()
 	core.primary().Store().Submit(change, func(_ larder.Version, ended error) {
 		mutex.Lock()
-		failure, over = ended, true
+		err, over = ended, true
 		mutex.Unlock()
 		bell.Ring()
 	})
@@ -134,19 +134,19 @@
 	}) {
 		return trouble.New(trouble.Unknown, "a change of the hollow core took too long")
 	}
-	return failure
+	return err
 }
 
 // claim has a courier take an inquiry's id, over the wire.
 func (core *core) claim(made time.Time, nonce string) error {
 	question := hatch.ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: uuid.Must(uuid.NewV7()).String(), Courier: "courier-217", Cause: nonce, At: made}}
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	encoded, failure := core.primary().Answers().Answer(hatch.ClaimPath, body)
-	if failure != nil {
-		return failure
+	encoded, err := core.primary().Answers().Answer(hatch.ClaimPath, body)
+	if err != nil {
+		return err
 	}
 	var answer hatch.LedAnswer
 	if msgpack.Unmarshal(encoded, &answer) != nil || !answer.Leads {
@@ -164,15 +164,15 @@
 	for number, server := range ServersOf(sizes[Servers]) {
 		key := rota.ServerKey(server.Name)
 		duties[key] = rota.Duty{Key: key, Holder: core.holder(key), Fence: uint64(number + 2)}
-		record, failure := recipe.WriteOrder(recipe.Order{Server: server.Name, Part: string(partOf(number)), Patience: 20 * time.Second, Cause: "prompts wait while answers have room"},
+		record, err := recipe.WriteOrder(recipe.Order{Server: server.Name, Part: string(partOf(number)), Patience: 20 * time.Second, Cause: "prompts wait while answers have room"},
 			"courier-1", uint64(number+1), recipe.Supported(nil))
-		if failure != nil {
-			return failure
+		if err != nil {
+			return err
 		}
 		orders[server.Name] = record
 	}
 	text := Configuration(sizes, 1)
-	failure := core.submit(func(state *larder.State, _, _ larder.Version) error {
+	err := core.submit(func(state *larder.State, _, _ larder.Version) error {
 		for _, member := range core.members {
 			state.Members[member.Name] = member
 		}
@@ -185,8 +185,8 @@
 		}
 		return nil
 	})
-	if failure != nil {
-		return failure
+	if err != nil {
+		return err
 	}
 	core.lists.set(ServersOf(sizes[Servers]))
 	for ends := core.turns.Now().Add(formPatience); len(core.primary().Servers()) != sizes[Servers]; rota.Pause(core.turns, 20*time.Millisecond) {
@@ -212,9 +212,9 @@
 // settle has every courier ask until there is nothing new for it.
 func (core *core) settle() error {
 	for range 100 {
-		_, answer, failure := core.ask(0, nil)
-		if failure != nil {
-			return failure
+		_, answer, err := core.ask(0, nil)
+		if err != nil {
+			return err
 		}
 		core.charter = max(core.charter, answer.Charter.Epoch)
 		core.have = map[string]larder.Version{}
@@ -223,9 +223,9 @@
 		}
 		quiet := true
 		for position := range core.members {
-			_, answer, failure := core.ask(position, core.have)
-			if failure != nil {
-				return failure
+			_, answer, err := core.ask(position, core.have)
+			if err != nil {
+				return err
 			}
 			quiet = quiet && len(answer.Drawers) == 0 && len(answer.Deltas) == 0
 		}
@@ -239,21 +239,21 @@
 // question is what a courier that has those versions asks.
 func (core *core) question(position int, have map[string]larder.Version) []byte {
 	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[larder.MenuDrawer], Deltas: true, Charter: core.charter}
-	body, failure := msgpack.Marshal(question)
-	if failure != nil {
-		panic("capacity: " + failure.Error())
+	body, err := msgpack.Marshal(question)
+	if err != nil {
+		panic("capacity: " + err.Error())
 	}
 	return body
 }
 
 // ask has a courier ask the primary.
-func (core *core) ask(position int, have map[string]larder.Version) (size int, answer hatch.NewsAnswer, failure error) {
-	encoded, failure := core.primary().Answers().Answer(hatch.NewsPath, core.question(position, have))
-	if failure != nil {
-		return 0, answer, failure
+func (core *core) ask(position int, have map[string]larder.Version) (size int, answer hatch.NewsAnswer, err error) {
+	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, core.question(position, have))
+	if err != nil {
+		return 0, answer, err
 	}
-	if failure := msgpack.Unmarshal(encoded, &answer); failure != nil {
-		return 0, answer, trouble.Wrap(trouble.Garbage, failure)
+	if err := msgpack.Unmarshal(encoded, &answer); err != nil {
+		return 0, answer, trouble.Wrap(trouble.Garbage, err)
 	}
 	if !answer.Leads {
 		return 0, answer, trouble.New(trouble.NoPrimary, "the hollow core has lost its primary")
@@ -263,26 +263,26 @@
 
 // packed is how long what a courier with those versions is told is on the wire.
 func (core *core) packed(have map[string]larder.Version) (float64, error) {
-	encoded, failure := core.primary().Answers().Answer(hatch.NewsPath, core.question(0, have))
-	return float64(len(s2.Encode(nil, encoded))), failure
+	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, core.question(0, have))
+	return float64(len(s2.Encode(nil, encoded))), err
 }
 
 // notePacked notes that.
 func (core *core) notePacked(note Note, measure string, have map[string]larder.Version) error {
-	size, failure := core.packed(have)
+	size, err := core.packed(have)
 	note(measure+", packed", "B", size)
-	return failure
+	return err
 }
 
 // withCore runs a measurement on a hollow core that is filled to the sizes.
 func withCore(sizes Sized, act func(core *core) error) error {
-	formed, failure := newCore(sizes[Seats])
-	if failure != nil {
-		return failure
+	formed, err := newCore(sizes[Seats])
+	if err != nil {
+		return err
 	}
 	defer formed.end()
-	if failure := formed.seed(sizes); failure != nil {
-		return failure
+	if err := formed.seed(sizes); err != nil {
+		return err
 	}
 	return act(formed)
 }
--- a/internal/rehearsal/capacity/courier.go
+++ b/internal/rehearsal/capacity/courier.go
@@ -141,23 +141,23 @@
 	note("memory of the list and all reports", "B", heap()-before)
 	load := loadOf(0)
 	noteCost(note, "a report", Meter{}.Measure(func(int) { market.Report(noon, load) }))
-	encoded, failure := json.Marshal(load)
+	encoded, err := json.Marshal(load)
 	note("bytes of a report as JSON", "B", float64(len(encoded)))
-	return failure
+	return err
 }
 
 // measureTakingList is the server list, as each reading of it brings it whole.
 func measureTakingList(sizes Sized, note Note) error {
 	market := pass.NewMarket("courier-1", districtOf(0), false)
 	servers := ServersOf(sizes[Servers])
-	encoded, failure := json.Marshal(map[string]any{"servers": servers})
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := json.Marshal(map[string]any{"servers": servers})
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	note("bytes of the list as JSON", "B", float64(len(encoded)))
-	packed, failure := msgpack.Marshal(servers)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	packed, err := msgpack.Marshal(servers)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	note("bytes of the list as msgpack", "B", float64(len(packed)))
 	noteCost(note, "a list read and taken", Meter{}.Measure(func(int) {
@@ -239,12 +239,12 @@
 
 // following has a courier's conduct follow a canned primary, and tells what one
 // answer costs it.
-func following(answers []hatch.NewsAnswer) (cost Cost, failure error) {
+func following(answers []hatch.NewsAnswer) (cost Cost, err error) {
 	line := &canned{}
 	for _, answer := range answers {
-		encoded, failure := msgpack.Marshal(answer)
-		if failure != nil {
-			return cost, trouble.Wrap(trouble.Garbage, failure)
+		encoded, err := msgpack.Marshal(answer)
+		if err != nil {
+			return cost, trouble.Wrap(trouble.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
@@ -264,37 +264,37 @@
 
 // everything is what the primary of a fleet of the sizes answers a courier that comes
 // anew.
-func everything(sizes Sized) (answer hatch.NewsAnswer, failure error) {
-	failure = withCore(sizes, func(core *core) error {
-		var failure error
-		_, answer, failure = core.ask(0, nil)
-		return failure
+func everything(sizes Sized) (answer hatch.NewsAnswer, err error) {
+	err = withCore(sizes, func(core *core) error {
+		var err error
+		_, answer, err = core.ask(0, nil)
+		return err
 	})
-	return answer, failure
+	return answer, err
 }
 
 // measureFollowing is a question and an answer without news.
 func measureFollowing(sizes Sized, note Note) error {
 	var answers []hatch.NewsAnswer
 	bytes := 0
-	if failure := withCore(sizes, func(core *core) error {
+	if err := withCore(sizes, func(core *core) error {
 		for position := range core.members {
-			size, answer, failure := core.ask(position, core.have)
-			if failure != nil {
-				return failure
+			size, answer, err := core.ask(position, core.have)
+			if err != nil {
+				return err
 			}
 			answers = append(answers, answer)
 			bytes += size
 		}
 		note("bytes of the question", "B", float64(len(core.question(0, core.have))))
 		return nil
-	}); failure != nil {
-		return failure
+	}); err != nil {
+		return err
 	}
-	cost, failure := following(answers)
+	cost, err := following(answers)
 	noteCost(note, "a question", cost)
 	note("bytes of the answer", "B", float64(bytes)/float64(len(answers)))
-	return failure
+	return err
 }
 
 // changing follows two answers in turn, each with a newer version of one drawer, and
@@ -309,9 +309,9 @@
 	// Each pass through the answers is by a life of its own: versions never go back.
 	line := &canned{}
 	for _, answer := range answers {
-		encoded, failure := msgpack.Marshal(answer)
-		if failure != nil {
-			return trouble.Wrap(trouble.Garbage, failure)
+		encoded, err := msgpack.Marshal(answer)
+		if err != nil {
+			return trouble.Wrap(trouble.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
@@ -331,8 +331,8 @@
 // measureTakingMenu is a new configuration, read, checked and compiled.
 func measureTakingMenu(sizes Sized, note Note) error {
 	text := Configuration(sizes, 1)
-	if failure := changing(note, "a configuration", larder.MenuDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: text} }); failure != nil {
-		return failure
+	if err := changing(note, "a configuration", larder.MenuDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: text} }); err != nil {
+		return err
 	}
 	before := heap()
 	decider := newDecider(sizes)
@@ -349,9 +349,9 @@
 	for _, member := range membersOf(sizes[Nodes]) {
 		members[member.Name] = member
 	}
-	content, failure := msgpack.Marshal(members)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	content, err := msgpack.Marshal(members)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	note("bytes of the members", "B", float64(len(content)))
 	return changing(note, "a record of members", larder.MembersDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: content} })
@@ -359,9 +359,9 @@
 
 // measureTakingOrders is a new record of the orders.
 func measureTakingOrders(sizes Sized, note Note) error {
-	answer, failure := everything(sizes)
-	if failure != nil {
-		return failure
+	answer, err := everything(sizes)
+	if err != nil {
+		return err
 	}
 	content := answer.Drawers[larder.OrdersDrawer].Content
 	note("bytes of the orders", "B", float64(len(content)))
@@ -370,18 +370,18 @@
 
 // measurePassing is an inquiry that a restricted courier gives to a capable one.
 func measurePassing(sizes Sized, note Note) error {
-	answer, failure := everything(sizes)
-	if failure != nil {
-		return failure
+	answer, err := everything(sizes)
+	if err != nil {
+		return err
 	}
-	content, failure := msgpack.Marshal(larder.Flags{Enabled: recipe.Supported(nil)})
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	content, err := msgpack.Marshal(larder.Flags{Enabled: recipe.Supported(nil)})
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	answer.Drawers[larder.FlagsDrawer] = larder.Drawer{Version: larder.Version{Epoch: 99, Number: 99}, Content: content}
-	encoded, failure := msgpack.Marshal(answer)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	encoded, err := msgpack.Marshal(answer)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	line := &canned{answers: [][]byte{encoded}}
 	life := &shortLife{Threads: newTurns(), line: line, ends: 1}
--- a/internal/rehearsal/capacity/fit.go
+++ b/internal/rehearsal/capacity/fit.go
@@ -122,13 +122,13 @@
 //
 //	failure := capacity.WriteFits(os.Stdout, capacity.FitAll(readings))
 func WriteFits(target io.Writer, fits []Fit) error {
-	if _, failure := fmt.Fprintln(target, "| role | activity | measure | at 0 | slope, for each | residual | bend | at | measured | spread |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"); failure != nil {
-		return failure
+	if _, err := fmt.Fprintln(target, "| role | activity | measure | at 0 | slope, for each | residual | bend | at | measured | spread |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"); err != nil {
+		return err
 	}
 	for _, fit := range fits {
-		if _, failure := fmt.Fprintf(target, "| %s | %s | %s, %s | %.4g | %.4g, %s | %.2f | %.2f | %d | %.4g | %.2f |\n", fit.Role, fit.Activity, fit.Measure, fit.Unit,
-			fit.Intercept, fit.Slope, fit.Dimension, fit.Residual, fit.Bend, fit.Largest, fit.Mean, fit.Spread); failure != nil {
-			return failure
+		if _, err := fmt.Fprintf(target, "| %s | %s | %s, %s | %.4g | %.4g, %s | %.2f | %.2f | %d | %.4g | %.2f |\n", fit.Role, fit.Activity, fit.Measure, fit.Unit,
+			fit.Intercept, fit.Slope, fit.Dimension, fit.Residual, fit.Bend, fit.Largest, fit.Mean, fit.Spread); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/rehearsal/capacity/fleet.go
+++ b/internal/rehearsal/capacity/fleet.go
@@ -56,10 +56,10 @@
 
 // CallRaw calls and counts.
 func (line hollowLine) CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error) {
-	answer, failure := line.Line.CallRaw(address, path, body, patience)
+	answer, err := line.Line.CallRaw(address, path, body, patience)
 	line.messages.Add(1)
 	line.bytes.Add(int64(len(body) + len(answer)))
-	return answer, failure
+	return answer, err
 }
 
 // hollowFleet is a core of real expediters with hollow couriers before it.
@@ -74,22 +74,22 @@
 
 // newFleet starts real expediters and, in this process, so many hollow couriers.
 func newFleet(binaries string, couriers, servers, realCouriers int) (*hollowFleet, error) {
-	folder, failure := os.MkdirTemp("", "capacity-")
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Disk, failure)
+	folder, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Disk, err)
 	}
 	deployment := rehearsal.Sahil()
 	deployment.Couriers, deployment.Servers = realCouriers, servers
-	laid, failure := rehearsal.NewFleet(deployment, folder, binaries, map[string]any{"flag_settle_milliseconds": 500, "log_level": "warn"})
-	if failure != nil {
-		return nil, failure
+	laid, err := rehearsal.NewFleet(deployment, folder, binaries, map[string]any{"flag_settle_milliseconds": 500, "log_level": "warn"})
+	if err != nil {
+		return nil, err
 	}
 	lifetime, end := context.WithCancel(context.Background())
 	fleet := &hollowFleet{Fleet: laid, end: func() { end(); laid.Close(); _ = os.RemoveAll(folder) }}
 	for _, node := range laid.Nodes() {
-		if failure := node.Begin(); failure != nil {
+		if err := node.Begin(); err != nil {
 			fleet.end()
-			return nil, failure
+			return nil, err
 		}
 	}
 	if !rehearsal.Await(formPatience, func() bool { return laid.Primary() != nil }) {
@@ -140,14 +140,14 @@
 	if primary == nil {
 		return 0, trouble.New(trouble.NoPrimary, "the primary is gone")
 	}
-	outbound, failure := http.NewRequest(method, "http://"+primary.Node.Address+path, strings.NewReader(body))
-	if failure != nil {
-		return 0, trouble.Wrap(trouble.Garbage, failure)
+	outbound, err := http.NewRequest(method, "http://"+primary.Node.Address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, trouble.Wrap(trouble.Garbage, err)
 	}
 	outbound.Header.Set("Content-Type", "application/json")
-	inbound, failure := operator.Do(outbound)
-	if failure != nil {
-		return 0, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := operator.Do(outbound)
+	if err != nil {
+		return 0, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
@@ -163,12 +163,12 @@
 	var read struct {
 		Version string `json:"version"`
 	}
-	if _, failure := fleet.ask(http.MethodGet, "/v1/configuration", "", &read); failure != nil {
-		return failure
+	if _, err := fleet.ask(http.MethodGet, "/v1/configuration", "", &read); err != nil {
+		return err
 	}
 	var said any
-	_, failure := fleet.ask(http.MethodPut, "/v1/configuration?expected="+read.Version, string(text), &said)
-	return failure
+	_, err := fleet.ask(http.MethodPut, "/v1/configuration?expected="+read.Version, string(text), &said)
+	return err
 }
 
 // change has the primary take a small change, which it answers when it is in force at
@@ -185,13 +185,13 @@
 // measureFleet looks at a core that hollow couriers follow: at rest, under single
 // changes, and under changes without pause.
 func measureFleet(binaries string, sizes Sized, note Note) error {
-	fleet, failure := newFleet(binaries, sizes[Nodes], sizes[Servers], 0)
-	if failure != nil {
-		return failure
+	fleet, err := newFleet(binaries, sizes[Nodes], sizes[Servers], 0)
+	if err != nil {
+		return err
 	}
 	defer fleet.end()
-	if failure := fleet.put(Configuration(sizes, 1)); failure != nil {
-		return failure
+	if err := fleet.put(Configuration(sizes, 1)); err != nil {
+		return err
 	}
 	rota.Pause(fleet.turns, 2*time.Second)
 	look := func(of string, act func() error) error {
@@ -201,15 +201,15 @@
 		}
 		var before []consumption
 		for _, node := range fleet.Expediters {
-			used, failure := consumed(node.Number())
-			if failure != nil {
-				return failure
+			used, err := consumed(node.Number())
+			if err != nil {
+				return err
 			}
 			before = append(before, used)
 		}
 		own, messages, bytes, began := processTime(), fleet.messages.Load(), fleet.bytes.Load(), time.Now()
-		if failure := act(); failure != nil {
-			return failure
+		if err := act(); err != nil {
+			return err
 		}
 		took := time.Since(began)
 		note("messages to the primary, "+of, "a second", float64(fleet.messages.Load()-messages)/took.Seconds())
@@ -219,9 +219,9 @@
 			note("processor of a hollow courier, "+of, "% of a core", 100*float64(processTime()-own)/float64(took)/float64(sizes[Nodes]))
 		}
 		for position, node := range fleet.Expediters {
-			used, failure := consumed(node.Number())
-			if failure != nil {
-				return failure
+			used, err := consumed(node.Number())
+			if err != nil {
+				return err
 			}
 			switch {
 			case node == primary:
@@ -232,15 +232,15 @@
 		}
 		return nil
 	}
-	if failure := look("at rest", func() error { rota.Pause(fleet.turns, watched); return nil }); failure != nil {
-		return failure
+	if err := look("at rest", func() error { rota.Pause(fleet.turns, watched); return nil }); err != nil {
+		return err
 	}
 	var took, worst time.Duration
 	const changes = 15
 	for number := range changes {
-		length, failure := fleet.change("nowhere", number)
-		if failure != nil {
-			return failure
+		length, err := fleet.change("nowhere", number)
+		if err != nil {
+			return err
 		}
 		took += length
 		worst = max(worst, length)
@@ -248,13 +248,13 @@
 	note("time until a change is in force everywhere", "ms", float64(took.Microseconds())/1000/changes)
 	note("time until a change is in force everywhere, longest of fifteen", "ms", float64(worst.Microseconds())/1000)
 	var accepted atomic.Int64
-	failure = look("in a storm of eight operators", func() error {
+	err = look("in a storm of eight operators", func() error {
 		ends := time.Now().Add(watched)
 		var working sync.WaitGroup
 		for operator := range 8 {
 			working.Go(func() {
 				for number := 0; time.Now().Before(ends); number++ {
-					if _, failure := fleet.change("nowhere-"+strconv.Itoa(operator), number); failure == nil {
+					if _, err := fleet.change("nowhere-"+strconv.Itoa(operator), number); err == nil {
 						accepted.Add(1)
 					}
 				}
@@ -264,14 +264,14 @@
 		return nil
 	})
 	note("changes accepted in a storm of eight operators", "a second", float64(accepted.Load())/watched.Seconds())
-	return failure
+	return err
 }
 
 // measureCourier looks at one real courier before stand-in servers, without traffic.
 func measureCourier(binaries string, sizes Sized, note Note) error {
-	fleet, failure := newFleet(binaries, 0, sizes[Servers], 1)
-	if failure != nil {
-		return failure
+	fleet, err := newFleet(binaries, 0, sizes[Servers], 1)
+	if err != nil {
+		return err
 	}
 	defer fleet.end()
 	courier := fleet.Couriers[0]
@@ -279,14 +279,14 @@
 		return trouble.New(trouble.NoHold, "the courier is not ready")
 	}
 	rota.Pause(fleet.turns, 3*time.Second)
-	before, failure := consumed(courier.Number())
-	if failure != nil {
-		return failure
+	before, err := consumed(courier.Number())
+	if err != nil {
+		return err
 	}
 	rota.Pause(fleet.turns, watched)
-	after, failure := consumed(courier.Number())
-	if failure != nil {
-		return failure
+	after, err := consumed(courier.Number())
+	if err != nil {
+		return err
 	}
 	noteProcess(note, "courier", before, after)
 	return nil
@@ -299,13 +299,13 @@
 //
 //	binaries, found := capacity.BinariesBeside()
 func BinariesBeside() (string, bool) {
-	own, failure := os.Executable()
-	if failure != nil {
+	own, err := os.Executable()
+	if err != nil {
 		return "", false
 	}
 	folder := filepath.Dir(own)
 	for _, name := range []string{"courier", "expediter"} {
-		if _, failure := os.Stat(filepath.Join(folder, name)); failure != nil {
+		if _, err := os.Stat(filepath.Join(folder, name)); err != nil {
 			return "", false
 		}
 	}
--- a/internal/rehearsal/capacity/line.go
+++ b/internal/rehearsal/capacity/line.go
@@ -42,7 +42,7 @@
 	if !found {
 		return nil, trouble.New(trouble.Unreachable, "nobody is at "+address)
 	}
-	answer, failure := answers.Answer(path, body)
+	answer, err := answers.Answer(path, body)
 	line.mutex.Lock()
 	defer line.mutex.Unlock()
 	count := line.paths[path]
@@ -52,7 +52,7 @@
 	if len(body) > len(line.capture[path]) {
 		line.capture[path] = body
 	}
-	return answer, failure
+	return answer, err
 }
 
 // counts are the traffic by path so far.
--- a/internal/rehearsal/capacity/meter.go
+++ b/internal/rehearsal/capacity/meter.go
@@ -74,8 +74,8 @@
 
 func usage(who int) time.Duration {
 	var used unix.Rusage
-	if failure := unix.Getrusage(who, &used); failure != nil {
-		panic("capacity: " + failure.Error())
+	if err := unix.Getrusage(who, &used); err != nil {
+		panic("capacity: " + err.Error())
 	}
 	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
 }
@@ -91,8 +91,8 @@
 
 // machineLoad is the machine's one-minute mean of runnable threads for each core.
 func machineLoad() float64 {
-	text, failure := os.ReadFile("/proc/loadavg")
-	if failure != nil {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
 		return 0
 	}
 	mean, _ := strconv.ParseFloat(strings.Fields(string(text))[0], 64)
--- a/internal/rehearsal/capacity/news.go
+++ b/internal/rehearsal/capacity/news.go
@@ -30,30 +30,30 @@
 
 // told asks the primary what a courier with the marks is told, and how long both ways
 // are.
-func told(core *core, question hatch.NewsQuestion) (body []byte, answer hatch.NewsAnswer, size int, failure error) {
+func told(core *core, question hatch.NewsQuestion) (body []byte, answer hatch.NewsAnswer, size int, err error) {
 	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[larder.MenuDrawer], true, core.charter
-	if body, failure = msgpack.Marshal(question); failure != nil {
-		return nil, answer, 0, trouble.Wrap(trouble.Garbage, failure)
+	if body, err = msgpack.Marshal(question); err != nil {
+		return nil, answer, 0, trouble.Wrap(trouble.Garbage, err)
 	}
-	encoded, failure := core.primary().Answers().Answer(hatch.NewsPath, body)
-	if failure == nil {
-		failure = trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(encoded, &answer))
+	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, body)
+	if err == nil {
+		err = trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(encoded, &answer))
 	}
-	return body, answer, len(body) + len(encoded), failure
+	return body, answer, len(body) + len(encoded), err
 }
 
 // telling measures answering a question, and how long the answer is packed.
 func telling(core *core, note Note, of string, body []byte) error {
 	answers := core.primary().Answers()
-	encoded, failure := answers.Answer(hatch.NewsPath, body)
-	if failure != nil {
-		return failure
+	encoded, err := answers.Answer(hatch.NewsPath, body)
+	if err != nil {
+		return err
 	}
 	note("bytes "+of+", packed", "B", float64(len(s2.Encode(nil, encoded))))
 	var broken error
 	noteCost(note, of, Meter{}.Measure(func(int) {
-		if _, failure := answers.Answer(hatch.NewsPath, body); failure != nil {
-			broken = failure
+		if _, err := answers.Answer(hatch.NewsPath, body); err != nil {
+			broken = err
 		}
 	}))
 	return broken
@@ -63,20 +63,20 @@
 // has this one.
 func measureTellingList(sizes Sized, note Note) error {
 	return withCore(sizes, func(core *core) error {
-		body, answer, size, failure := told(core, hatch.NewsQuestion{Lists: true})
-		if failure != nil {
-			return failure
+		body, answer, size, err := told(core, hatch.NewsQuestion{Lists: true})
+		if err != nil {
+			return err
 		}
 		if answer.Servers == nil || len(answer.Servers.Servers) != sizes[Servers] {
 			return trouble.New(trouble.Unsorted, "the list is not told")
 		}
 		note("bytes a courier, list changed", "B", float64(size))
-		if failure := telling(core, note, "a courier, list changed", body); failure != nil {
-			return failure
+		if err := telling(core, note, "a courier, list changed", body); err != nil {
+			return err
 		}
-		body, answer, size, failure = told(core, hatch.NewsQuestion{Lists: true, ListMark: answer.Servers.Mark})
-		if failure != nil {
-			return failure
+		body, answer, size, err = told(core, hatch.NewsQuestion{Lists: true, ListMark: answer.Servers.Mark})
+		if err != nil {
+			return err
 		}
 		if answer.Servers == nil || answer.Servers.Sent {
 			return trouble.New(trouble.Unsorted, "the list is told again")
@@ -87,11 +87,11 @@
 }
 
 // heardLoads waits until the primary has read a report of every server.
-func heardLoads(core *core, servers int) (body []byte, answer hatch.NewsAnswer, size int, failure error) {
+func heardLoads(core *core, servers int) (body []byte, answer hatch.NewsAnswer, size int, err error) {
 	for ends := core.turns.Now().Add(formPatience); ; rota.Pause(core.turns, 50*time.Millisecond) {
-		body, answer, size, failure = told(core, hatch.NewsQuestion{Lists: true, Loads: true})
-		if failure != nil || answer.Loads != nil && len(answer.Loads.Lines) == servers {
-			return body, answer, size, failure
+		body, answer, size, err = told(core, hatch.NewsQuestion{Lists: true, Loads: true})
+		if err != nil || answer.Loads != nil && len(answer.Loads.Lines) == servers {
+			return body, answer, size, err
 		}
 		if core.turns.Now().After(ends) {
 			return body, answer, size, trouble.New(trouble.Unsorted, "the hollow core has not read all reports")
@@ -103,13 +103,13 @@
 // of reports.
 func measureTellingLoads(sizes Sized, note Note) error {
 	return withCore(sizes, func(core *core) error {
-		_, answer, _, failure := heardLoads(core, sizes[Servers])
-		if failure != nil {
-			return failure
+		_, answer, _, err := heardLoads(core, sizes[Servers])
+		if err != nil {
+			return err
 		}
-		body, answer, size, failure := told(core, hatch.NewsQuestion{Lists: true, ListMark: answer.Servers.Mark, Loads: true})
-		if failure != nil {
-			return failure
+		body, answer, size, err := told(core, hatch.NewsQuestion{Lists: true, ListMark: answer.Servers.Mark, Loads: true})
+		if err != nil {
+			return err
 		}
 		if answer.Servers.Sent || len(answer.Loads.Lines) != sizes[Servers] {
 			return trouble.New(trouble.Unsorted, "not the reports alone are told")
@@ -137,9 +137,9 @@
 func hearing(note Note, of string, first hatch.NewsAnswer, answers []hatch.NewsAnswer) error {
 	line := &canned{}
 	for _, answer := range append([]hatch.NewsAnswer{first}, answers...) {
-		encoded, failure := msgpack.Marshal(answer)
-		if failure != nil {
-			return trouble.Wrap(trouble.Garbage, failure)
+		encoded, err := msgpack.Marshal(answer)
+		if err != nil {
+			return trouble.Wrap(trouble.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
@@ -165,15 +165,15 @@
 
 // measureHearingList is a list that changed in one server, and news without a change.
 func measureHearingList(sizes Sized, note Note) error {
-	first, failure := everything(sizes)
-	if failure != nil {
-		return failure
+	first, err := everything(sizes)
+	if err != nil {
+		return err
 	}
 	servers := ServersOf(sizes[Servers])
 	first.Servers = &hatch.ServersNews{Mark: 1, Sent: true, Servers: servers}
 	quiet := hatch.NewsAnswer{Leads: true, Charter: first.Charter, Menu: first.Menu, Hold: first.Hold, Couriers: sizes[Nodes], Servers: &hatch.ServersNews{Mark: 1}}
-	if failure := hearing(note, "news, list as it was", first, []hatch.NewsAnswer{quiet}); failure != nil {
-		return failure
+	if err := hearing(note, "news, list as it was", first, []hatch.NewsAnswer{quiet}); err != nil {
+		return err
 	}
 	var changed []hatch.NewsAnswer
 	for number := range 2 {
@@ -188,18 +188,18 @@
 
 // measureHearingLoads is a round of reports.
 func measureHearingLoads(sizes Sized, note Note) error {
-	first, failure := everything(sizes)
-	if failure != nil {
-		return failure
+	first, err := everything(sizes)
+	if err != nil {
+		return err
 	}
 	first.Servers = &hatch.ServersNews{Mark: 1, Sent: true, Servers: ServersOf(sizes[Servers])}
 	var loads *hatch.LoadsNews
-	if failure := withCore(sizes, func(core *core) error {
-		_, answer, _, failure := heardLoads(core, sizes[Servers])
+	if err := withCore(sizes, func(core *core) error {
+		_, answer, _, err := heardLoads(core, sizes[Servers])
 		loads = answer.Loads
-		return failure
-	}); failure != nil {
-		return failure
+		return err
+	}); err != nil {
+		return err
 	}
 	var rounds []hatch.NewsAnswer
 	for number := range 4 {
--- a/internal/rehearsal/capacity/platform.go
+++ b/internal/rehearsal/capacity/platform.go
@@ -23,9 +23,9 @@
 
 // measurePlatform starts a deployment of three zones and looks at its processes.
 func measurePlatform(roles []platformday.Role, sizes Sized, note Note) error {
-	folder, failure := os.MkdirTemp("", "capacity-")
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	folder, err := os.MkdirTemp("", "capacity-")
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	site := platformday.SmallSite()
@@ -34,29 +34,29 @@
 	site.Services[1].PerZone = max(1, sizes[Servers]/zones/3)
 	site.Services[0].PerZone = max(2, (sizes[Servers]+zones-1)/zones-site.Services[1].PerZone)
 	site.Services[0].Readers = max(1, site.Services[0].PerZone*zones/5)
-	day, failure := platformday.NewDay(site, roles, 1, folder, io.Discard)
-	if failure != nil {
-		return failure
+	day, err := platformday.NewDay(site, roles, 1, folder, io.Discard)
+	if err != nil {
+		return err
 	}
 	defer day.Close()
-	if failure := day.Begin(formPatience); failure != nil {
-		return failure
+	if err := day.Begin(formPatience); err != nil {
+		return err
 	}
 	// Servers are cold at first, and pools settle.
 	time.Sleep(8 * time.Second)
 	running := day.Running()
 	before := map[int]consumption{}
 	for _, one := range running {
-		if before[one.Number], failure = consumed(one.Number); failure != nil {
-			return failure
+		if before[one.Number], err = consumed(one.Number); err != nil {
+			return err
 		}
 	}
 	time.Sleep(watched)
 	sums, most, counts := map[string]consumption{}, map[string]consumption{}, map[string]int{}
 	for _, one := range running {
-		after, failure := consumed(one.Number)
-		if failure != nil {
-			return failure
+		after, err := consumed(one.Number)
+		if err != nil {
+			return err
 		}
 		used := consumption{processor: after.processor - before[one.Number].processor, moved: after.moved - before[one.Number].moved, resident: after.resident}
 		sum, highest := sums[one.Role], most[one.Role]
--- a/internal/rehearsal/capacity/plot.go
+++ b/internal/rehearsal/capacity/plot.go
@@ -40,9 +40,9 @@
 			points = append(points, plotter.XY{X: float64(reading.Size), Y: reading.Value})
 		}
 	}
-	scatter, failure := plotter.NewScatter(points)
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	line := plotter.NewFunction(func(size float64) float64 { return fit.Intercept + fit.Slope*size })
 	line.XMin, line.XMax = 0, float64(fit.Largest)
--- a/internal/rehearsal/capacity/primary.go
+++ b/internal/rehearsal/capacity/primary.go
@@ -38,17 +38,17 @@
 		largest := 0
 		for position := range bodies {
 			bodies[position] = core.question(position, core.have)
-			size, _, failure := core.ask(position, core.have)
-			if failure != nil {
-				return failure
+			size, _, err := core.ask(position, core.have)
+			if err != nil {
+				return err
 			}
 			largest += size
 		}
 		answers := core.primary().Answers()
 		var broken error
 		noteCost(note, "a question", Meter{}.Measure(func(number int) {
-			if _, failure := answers.Answer(hatch.NewsPath, bodies[number%len(bodies)]); failure != nil {
-				broken = failure
+			if _, err := answers.Answer(hatch.NewsPath, bodies[number%len(bodies)]); err != nil {
+				broken = err
 			}
 		}))
 		note("bytes a question and answer", "B", float64(len(bodies[0]))+float64(largest)/float64(len(bodies)))
@@ -70,9 +70,9 @@
 				defer close(over)
 				for position := range core.members {
 					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[larder.MenuDrawer], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
-					body, failure := msgpack.Marshal(question)
-					if failure != nil {
-						return trouble.Wrap(trouble.Garbage, failure)
+					body, err := msgpack.Marshal(question)
+					if err != nil {
+						return trouble.Wrap(trouble.Garbage, err)
 					}
 					answers := core.primary().Answers()
 					parked.Go(func() {
@@ -90,21 +90,21 @@
 			rota.Pause(core.turns, 300*time.Millisecond)
 			before := processTime()
 			for number := range commits {
-				if failure := core.claim(time.Now(), strconv.Itoa(number)); failure != nil {
-					return failure
+				if err := core.claim(time.Now(), strconv.Itoa(number)); err != nil {
+					return err
 				}
 			}
 			used = processTime() - before
 			return nil
 		})
 	}
-	without, failure := cost(false)
-	if failure != nil {
-		return failure
+	without, err := cost(false)
+	if err != nil {
+		return err
 	}
-	with, failure := cost(true)
+	with, err := cost(true)
 	note("processor time a commit, all waiting", "us", max(0, float64((with-without).Microseconds()))/commits)
-	return failure
+	return err
 }
 
 // onePlace is an edit of one tenant's route.
@@ -130,12 +130,12 @@
 	return withCore(sizes, func(core *core) error {
 		own := core.shelves[core.place(core.primary())]
 		before, went := own.saved.Load(), core.line.counts()[hatch.ReplicatePath]
-		edited, failure := onePlace(1)(text)
-		if failure != nil {
-			return failure
+		edited, err := onePlace(1)(text)
+		if err != nil {
+			return err
 		}
-		if failure := core.submit(larder.ChangeMenu("one", "one", nil, larder.PreparedMenu{}, func([]byte) ([]byte, error) { return edited, nil })); failure != nil {
-			return failure
+		if err := core.submit(larder.ChangeMenu("one", "one", nil, larder.PreparedMenu{}, func([]byte) ([]byte, error) { return edited, nil })); err != nil {
+			return err
 		}
 		note("written to each disk an edit", "B", float64(own.saved.Load()-before))
 		note("sent to the backup an edit", "B", float64(core.line.counts()[hatch.ReplicatePath].Bytes-went.Bytes))
@@ -146,13 +146,13 @@
 // measureChangeNews is the answer to a question that has the version before.
 func measureChangeNews(sizes Sized, note Note) error {
 	return withCore(sizes, func(core *core) error {
-		whole, _, failure := core.ask(0, nil)
-		if failure != nil {
-			return failure
+		whole, _, err := core.ask(0, nil)
+		if err != nil {
+			return err
 		}
 		note("bytes a courier that comes anew", "B", float64(whole))
-		if failure := core.notePacked(note, "bytes a courier that comes anew", nil); failure != nil {
-			return failure
+		if err := core.notePacked(note, "bytes a courier that comes anew", nil); err != nil {
+			return err
 		}
 		for _, change := range []struct {
 			of   string
@@ -160,18 +160,18 @@
 		}{{"changed in one place", onePlace(1)}, {"changed at both ends", twoPlaces(1)}} {
 			before := core.have
 			// The primary has shown the version before, so that it knows what changed.
-			if _, _, failure := core.ask(0, nil); failure != nil {
-				return failure
+			if _, _, err := core.ask(0, nil); err != nil {
+				return err
 			}
-			if failure := core.submit(larder.ChangeMenu("", "", nil, larder.PreparedMenu{}, change.edit)); failure != nil {
-				return failure
+			if err := core.submit(larder.ChangeMenu("", "", nil, larder.PreparedMenu{}, change.edit)); err != nil {
+				return err
 			}
 			var bodies [][]byte
 			bytes := 0
 			for position := range core.members {
-				size, answer, failure := core.ask(position, before)
-				if failure != nil {
-					return failure
+				size, answer, err := core.ask(position, before)
+				if err != nil {
+					return err
 				}
 				if len(answer.Deltas)+len(answer.Drawers) == 0 {
 					return trouble.New(trouble.Unsorted, "there is no news of the change")
@@ -182,19 +182,19 @@
 			answers := core.primary().Answers()
 			var broken error
 			noteCost(note, "a courier, "+change.of, Meter{}.Measure(func(number int) {
-				if _, failure := answers.Answer(hatch.NewsPath, bodies[number%len(bodies)]); failure != nil {
-					broken = failure
+				if _, err := answers.Answer(hatch.NewsPath, bodies[number%len(bodies)]); err != nil {
+					broken = err
 				}
 			}))
 			note("bytes a courier, "+change.of, "B", float64(bytes)/float64(len(bodies)))
-			if failure := core.notePacked(note, "bytes a courier, "+change.of, before); failure != nil {
-				return failure
+			if err := core.notePacked(note, "bytes a courier, "+change.of, before); err != nil {
+				return err
 			}
 			if broken != nil {
 				return broken
 			}
-			if failure := core.settle(); failure != nil {
-				return failure
+			if err := core.settle(); err != nil {
+				return err
 			}
 		}
 		return nil
@@ -208,22 +208,22 @@
 		own := core.shelves[core.place(core.primary())]
 		before := own.saved.Load()
 		joined := membersOf(sizes[Nodes] + 1)[sizes[Nodes]]
-		state, failure := stateOf(core)
-		if failure != nil {
-			return failure
+		state, err := stateOf(core)
+		if err != nil {
+			return err
 		}
 		noteCost(note, "a registration", Meter{}.Measure(func(int) {
 			state.Members[joined.Name] = joined
 			encoded, _ := msgpack.Marshal(state.Members)
 			_ = len(encoded)
 		}))
-		if failure := core.submit(larder.Register(joined)); failure != nil {
-			return failure
+		if err := core.submit(larder.Register(joined)); err != nil {
+			return err
 		}
 		note("written to each disk a registration", "B", float64(own.saved.Load()-before))
-		with, answer, failure := core.ask(0, core.have)
-		if failure != nil {
-			return failure
+		with, answer, err := core.ask(0, core.have)
+		if err != nil {
+			return err
 		}
 		if _, found := answer.Drawers[larder.MembersDrawer]; !found {
 			return trouble.New(trouble.Unsorted, "there is no news of the member")
@@ -234,9 +234,9 @@
 }
 
 func stateOf(core *core) (*larder.State, error) {
-	_, view, failure := core.primary().Ruling()
-	if failure != nil {
-		return nil, failure
+	_, view, err := core.primary().Ruling()
+	if err != nil {
+		return nil, err
 	}
 	return view.State()
 }
@@ -248,29 +248,29 @@
 		own := core.shelves[core.place(core.primary())]
 		before := own.saved.Load()
 		order := recipe.Order{Server: "stove-1", Part: "decode", Patience: 20 * time.Second, Cause: "prompts wait while answers have room"}
-		record, failure := recipe.WriteOrder(order, "courier-1", 9999, recipe.Supported(nil))
-		if failure != nil {
-			return failure
+		record, err := recipe.WriteOrder(order, "courier-1", 9999, recipe.Supported(nil))
+		if err != nil {
+			return err
 		}
-		if failure := core.submit(func(state *larder.State, _, _ larder.Version) error {
+		if err := core.submit(func(state *larder.State, _, _ larder.Version) error {
 			state.Orders.Records[order.Server] = record
 			state.Orders.Number++
 			state.Touch(larder.OrdersDrawer)
 			return nil
-		}); failure != nil {
-			return failure
+		}); err != nil {
+			return err
 		}
 		note("written to each disk an order", "B", float64(own.saved.Load()-before))
-		size, answer, failure := core.ask(0, core.have)
-		if failure != nil {
-			return failure
+		size, answer, err := core.ask(0, core.have)
+		if err != nil {
+			return err
 		}
 		if _, found := answer.Drawers[larder.OrdersDrawer]; !found {
 			return trouble.New(trouble.Unsorted, "there is no news of the order")
 		}
 		note("bytes to each node an order", "B", float64(size))
-		if failure := core.notePacked(note, "bytes to each node an order", core.have); failure != nil {
-			return failure
+		if err := core.notePacked(note, "bytes to each node an order", core.have); err != nil {
+			return err
 		}
 		body := core.question(0, core.have)
 		answers := core.primary().Answers()
@@ -302,50 +302,50 @@
 	noteCost(note, "giving every key", Meter{Most: 20}.Measure(func(int) {
 		rota.NewKeys(rota.DefaultTerms()).Vacant(now, wanted, map[string]rota.Duty{}, holds.Live(now))
 	}))
-	content, failure := msgpack.Marshal(larder.Duties{Duties: recorded})
+	content, err := msgpack.Marshal(larder.Duties{Duties: recorded})
 	note("state of all duties", "B", float64(len(content)))
-	return failure
+	return err
 }
 
 // measureClaims is one claim into a drawer that has so many.
 func measureClaims(sizes Sized, note Note) error {
 	return withCore(sized(nil, Nodes, 3), func(core *core) error {
 		made := time.Now().Truncate(larder.ClaimSpan).Add(larder.ClaimSpan / 2)
-		if failure := core.submit(larder.MoveHorizon(made, 0)); failure != nil {
-			return failure
+		if err := core.submit(larder.MoveHorizon(made, 0)); err != nil {
+			return err
 		}
-		if failure := core.submit(func(state *larder.State, _, _ larder.Version) error { return fillClaims(state, made, sizes[Claims]) }); failure != nil {
-			return failure
+		if err := core.submit(func(state *larder.State, _, _ larder.Version) error { return fillClaims(state, made, sizes[Claims]) }); err != nil {
+			return err
 		}
 		own := core.shelves[core.place(core.primary())]
 		before, went := own.saved.Load(), core.line.counts()[hatch.ReplicatePath]
 		used := processTime()
 		const count = 20
 		for range count {
-			if failure := core.claim(made, "0f8fad5b-d9cb-469f-a165-70867728950e"); failure != nil {
-				return failure
+			if err := core.claim(made, "0f8fad5b-d9cb-469f-a165-70867728950e"); err != nil {
+				return err
 			}
 		}
 		note("processor time a claim, all copies", "us", float64((processTime()-used).Microseconds())/count)
 		note("written to each disk a claim alone", "B", float64(own.saved.Load()-before)/count)
 		note("sent to the backup a claim alone", "B", float64(core.line.counts()[hatch.ReplicatePath].Bytes-went.Bytes)/count)
-		state, failure := stateOf(core)
-		if failure != nil {
-			return failure
+		state, err := stateOf(core)
+		if err != nil {
+			return err
 		}
 		empty := heap()
-		kept, failure := (&larder.View{Drawers: mustView(core).Drawers}).State()
+		kept, err := (&larder.View{Drawers: mustView(core).Drawers}).State()
 		note("memory of the decoded claims", "B", heap()-empty)
 		if kept == nil || state == nil {
 			return trouble.New(trouble.Unsorted, "the claims can't be read")
 		}
-		return failure
+		return err
 	})
 }
 
 func mustView(core *core) *larder.View {
-	_, view, failure := core.primary().Ruling()
-	if failure != nil {
+	_, view, err := core.primary().Ruling()
+	if err != nil {
 		return &larder.View{}
 	}
 	return view
@@ -355,14 +355,14 @@
 func measureSweep(sizes Sized, note Note) error {
 	return withCore(sizes, func(core *core) error {
 		made := time.Now()
-		if failure := core.submit(func(state *larder.State, version, menuVersion larder.Version) error {
+		if err := core.submit(func(state *larder.State, version, menuVersion larder.Version) error {
 			state.Horizon = made.Add(-larder.Retention)
-			if failure := fillClaims(state, made, sizes[Claims]); failure != nil {
-				return failure
+			if err := fillClaims(state, made, sizes[Claims]); err != nil {
+				return err
 			}
 			return nil
-		}); failure != nil {
-			return failure
+		}); err != nil {
+			return err
 		}
 		position := core.place(core.primary())
 		size := 0
@@ -373,8 +373,8 @@
 		copied := core.primary().Store().Copy()
 		var broken error
 		noteCost(note, "a sweep, files in memory", Meter{}.Measure(func(int) {
-			if _, failure := copied.Sweep(); failure != nil {
-				broken = failure
+			if _, err := copied.Sweep(); err != nil {
+				broken = err
 			}
 		}))
 		return broken
--- a/internal/rehearsal/capacity/process.go
+++ b/internal/rehearsal/capacity/process.go
@@ -25,16 +25,16 @@
 func consumed(number int) (consumption, error) {
 	used := consumption{at: time.Now()}
 	folder := "/proc/" + strconv.Itoa(number) + "/"
-	text, failure := os.ReadFile(folder + "stat")
-	if failure != nil {
-		return used, trouble.Wrap(trouble.Unreachable, failure)
+	text, err := os.ReadFile(folder + "stat")
+	if err != nil {
+		return used, trouble.Wrap(trouble.Unreachable, err)
 	}
 	// The name, in brackets, may have blanks in it.
 	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
 	for _, position := range []int{11, 12} {
-		ticks, failure := strconv.Atoi(fields[position])
-		if failure != nil {
-			return used, trouble.Wrap(trouble.Garbage, failure)
+		ticks, err := strconv.Atoi(fields[position])
+		if err != nil {
+			return used, trouble.Wrap(trouble.Garbage, err)
 		}
 		used.processor += time.Duration(ticks) * clockTick
 	}
@@ -45,8 +45,8 @@
 
 // procField is the number behind a name in one of the files of /proc.
 func procField(path, name string) float64 {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
+	text, err := os.ReadFile(path)
+	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(text)) {
--- a/internal/rehearsal/capacity/reading.go
+++ b/internal/rehearsal/capacity/reading.go
@@ -51,9 +51,9 @@
 //
 //	readings, failure := capacity.ReadCSV(file)
 func ReadCSV(source io.Reader) ([]Reading, error) {
-	lines, failure := csv.NewReader(source).ReadAll()
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Garbage, failure)
+	lines, err := csv.NewReader(source).ReadAll()
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Garbage, err)
 	}
 	var readings []Reading
 	for position, line := range lines {
@@ -63,11 +63,11 @@
 		if position == 0 {
 			continue
 		}
-		size, failure := strconv.Atoi(line[5])
+		size, err := strconv.Atoi(line[5])
 		repeat, again := strconv.Atoi(line[6])
 		value, third := strconv.ParseFloat(line[7], 64)
 		load, fourth := strconv.ParseFloat(line[8], 64)
-		for _, mistake := range []error{failure, again, third, fourth} {
+		for _, mistake := range []error{err, again, third, fourth} {
 			if mistake != nil {
 				return nil, trouble.At(trouble.Malformed, "line "+strconv.Itoa(position+1), mistake.Error())
 			}
--- a/internal/rehearsal/capacity/seat.go
+++ b/internal/rehearsal/capacity/seat.go
@@ -35,9 +35,9 @@
 		Epoch uint64          `msgpack:"epoch"`
 		Batch larder.Batch    `msgpack:"batch"`
 	}
-	copied, failure := larder.OpenCopy(newShelf())
-	if failure != nil {
-		return failure
+	copied, err := larder.OpenCopy(newShelf())
+	if err != nil {
+		return err
 	}
 	var broken error
 	base := larder.Version{}
@@ -47,16 +47,16 @@
 		for name, drawer := range drawers {
 			batch.Drawers[name] = larder.Drawer{Version: version, Content: drawer.Content}
 		}
-		body, failure := msgpack.Marshal(question{To: "identity", Epoch: 1, Batch: batch})
-		if failure != nil {
-			broken = failure
+		body, err := msgpack.Marshal(question{To: "identity", Epoch: 1, Batch: batch})
+		if err != nil {
+			broken = err
 		}
 		var asked question
-		if failure := msgpack.Unmarshal(body, &asked); failure != nil {
-			broken = failure
+		if err := msgpack.Unmarshal(body, &asked); err != nil {
+			broken = err
 		}
-		if failure := copied.Write(asked.Batch); failure != nil {
-			broken = failure
+		if err := copied.Write(asked.Batch); err != nil {
+			broken = err
 		}
 		base = version
 	})
@@ -73,13 +73,13 @@
 	state := larder.NewState()
 	now := time.Now()
 	state.Horizon = now.Add(-larder.Retention)
-	if failure := fillClaims(state, now, sizes[Claims]); failure != nil {
-		return failure
+	if err := fillClaims(state, now, sizes[Claims]); err != nil {
+		return err
 	}
 	for name, claims := range state.Claims {
-		content, failure := msgpack.Marshal(claims)
-		if failure != nil {
-			return trouble.Wrap(trouble.Garbage, failure)
+		content, err := msgpack.Marshal(claims)
+		if err != nil {
+			return trouble.Wrap(trouble.Garbage, err)
 		}
 		note("bytes of the drawer", "B", float64(len(content)))
 		return replica(note, map[string]larder.Drawer{name: {Content: content}})
@@ -89,9 +89,9 @@
 
 // measureKeeping is what a keeper answers the primary and the others.
 func measureKeeping(sizes Sized, note Note) error {
-	formed, failure := newCore(sizes[Seats])
-	if failure != nil {
-		return failure
+	formed, err := newCore(sizes[Seats])
+	if err != nil {
+		return err
 	}
 	defer formed.end()
 	rota.Pause(formed.turns, 600*time.Millisecond)
@@ -109,9 +109,9 @@
 
 // measureHellos counts what the seats say to each other while nothing happens.
 func measureHellos(sizes Sized, note Note) error {
-	formed, failure := newCore(sizes[Seats])
-	if failure != nil {
-		return failure
+	formed, err := newCore(sizes[Seats])
+	if err != nil {
+		return err
 	}
 	defer formed.end()
 	const length = 3 * time.Second
@@ -136,18 +136,18 @@
 	state := larder.NewState()
 	now := time.Now()
 	state.Horizon = now.Add(-larder.Retention)
-	if failure := fillClaims(state, now, sizes[Claims]); failure != nil {
-		return failure
+	if err := fillClaims(state, now, sizes[Claims]); err != nil {
+		return err
 	}
 	drawers := map[string]larder.Drawer{larder.MenuDrawer: {Content: Configuration(sizes, 1)}}
 	for name, claims := range state.Claims {
-		content, failure := msgpack.Marshal(claims)
-		if failure != nil {
-			return trouble.Wrap(trouble.Garbage, failure)
+		content, err := msgpack.Marshal(claims)
+		if err != nil {
+			return trouble.Wrap(trouble.Garbage, err)
 		}
 		drawers[name] = larder.Drawer{Content: content}
 	}
-	encoded, failure := msgpack.Marshal(larder.Snapshot{Drawers: drawers})
+	encoded, err := msgpack.Marshal(larder.Snapshot{Drawers: drawers})
 	note("bytes", "B", float64(len(encoded)))
-	return failure
+	return err
 }
--- a/internal/rehearsal/capacity/shape_test.go
+++ b/internal/rehearsal/capacity/shape_test.go
@@ -8,23 +8,23 @@
 
 // TestHollowConfigurationsAreSound checks both kinds as an operator's would be, and
 // the edits that are made of them.
-func TestHollowConfigurationsAreSound(test *testing.T) {
+func TestHollowConfigurationsAreSound(t *testing.T) {
 	sizes := Sized{Routes: 40, Tenants: 9, Models: 3}
-	configuration, failure := menu.Check(Configuration(sizes, 1))
-	if failure != nil || len(configuration.Routes) != 40+9+2 || len(configuration.Services) != 3+1 {
-		test.Errorf("%v", failure)
+	configuration, err := menu.Check(Configuration(sizes, 1))
+	if err != nil || len(configuration.Routes) != 40+9+2 || len(configuration.Services) != 3+1 {
+		t.Errorf("%v", err)
 	}
 	for _, edit := range []func([]byte) ([]byte, error){onePlace(1), twoPlaces(1)} {
-		edited, failure := edit(Configuration(sizes, 1))
-		if failure == nil {
-			_, failure = menu.Check(edited)
+		edited, err := edit(Configuration(sizes, 1))
+		if err == nil {
+			_, err = menu.Check(edited)
 		}
-		if failure != nil {
-			test.Error(failure)
+		if err != nil {
+			t.Error(err)
 		}
 	}
-	calls, failure := menu.Check(CallsConfiguration(sizes))
-	if failure != nil || len(calls.Routes) != 18 || len(calls.Services) != 3 {
-		test.Errorf("%v", failure)
+	calls, err := menu.Check(CallsConfiguration(sizes))
+	if err != nil || len(calls.Routes) != 18 || len(calls.Services) != 3 {
+		t.Errorf("%v", err)
 	}
 }
--- a/internal/rehearsal/capacity/transport.go
+++ b/internal/rehearsal/capacity/transport.go
@@ -33,9 +33,9 @@
 
 // Accept takes a circuit.
 func (listener *countedCircuits) Accept() (net.Conn, error) {
-	circuit, failure := listener.Listener.Accept()
-	if failure != nil {
-		return nil, failure
+	circuit, err := listener.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
 	return &countedCircuit{Conn: circuit, bytes: &listener.bytes}, nil
 }
@@ -47,23 +47,23 @@
 
 // Read reads and counts.
 func (circuit *countedCircuit) Read(content []byte) (int, error) {
-	count, failure := circuit.Conn.Read(content)
+	count, err := circuit.Conn.Read(content)
 	circuit.bytes.Add(int64(count))
-	return count, failure
+	return count, err
 }
 
 // Write writes and counts.
 func (circuit *countedCircuit) Write(content []byte) (int, error) {
-	count, failure := circuit.Conn.Write(content)
+	count, err := circuit.Conn.Write(content)
 	circuit.bytes.Add(int64(count))
-	return count, failure
+	return count, err
 }
 
 // counted serves a handler on loopback and counts its bytes.
-func counted(handler http.Handler) (address string, bytes *atomic.Int64, end func(), failure error) {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		return "", nil, nil, trouble.Wrap(trouble.Unreachable, failure)
+func counted(handler http.Handler) (address string, bytes *atomic.Int64, end func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	circuits := &countedCircuits{Listener: listener}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
@@ -74,13 +74,13 @@
 // repeated does something so many times and notes what both ends together used of the
 // processor, and what went over the wire.
 func repeated(note Note, of string, count int, bytes *atomic.Int64, act func() error) error {
-	if failure := act(); failure != nil {
-		return failure
+	if err := act(); err != nil {
+		return err
 	}
 	before, used := bytes.Load(), processTime()
 	for range count {
-		if failure := act(); failure != nil {
-			return failure
+		if err := act(); err != nil {
+			return err
 		}
 	}
 	note("processor time "+of+", both ends", "us", float64((processTime()-used).Microseconds())/float64(count))
@@ -92,20 +92,20 @@
 // with their reports.
 func measureMessage(sizes Sized, note Note) error {
 	question := make([]byte, 400)
-	answer, failure := msgpack.Marshal(map[string]any{"servers": ServersOf(1100), "loads": loadsForCalls(1100)})
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	answer, err := msgpack.Marshal(map[string]any{"servers": ServersOf(1100), "loads": loadsForCalls(1100)})
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	answer = answer[:min(len(answer), sizes[Bytes])]
-	address, bytes, end, failure := counted(hotline.Answerer(func([]byte) ([]byte, error) { return answer, nil }))
-	if failure != nil {
-		return failure
+	address, bytes, end, err := counted(hotline.Answerer(func([]byte) ([]byte, error) { return answer, nil }))
+	if err != nil {
+		return err
 	}
 	defer end()
 	caller := hotline.NewCaller(nil)
 	return repeated(note, "a message", 300, bytes, func() error {
-		_, failure := caller.CallRaw(context.Background(), address, "/hotline/news", question, time.Second)
-		return failure
+		_, err := caller.CallRaw(context.Background(), address, "/hotline/news", question, time.Second)
+		return err
 	})
 }
 
@@ -113,30 +113,30 @@
 // there are; the dimension is there for the sum.
 func measureReport(sizes Sized, note Note) error {
 	load := loadOf(0)
-	content, failure := json.Marshal(stove.LoadReport{Server: load.Server, Incarnation: load.Incarnation, Part: string(load.Part), AgeMilliseconds: 3_600_000, PrefillQueueTokens: 1200, PrefillRate: load.PrefillRate,
+	content, err := json.Marshal(stove.LoadReport{Server: load.Server, Incarnation: load.Incarnation, Part: string(load.Part), AgeMilliseconds: 3_600_000, PrefillQueueTokens: 1200, PrefillRate: load.PrefillRate,
 		PrefillRoom: load.PrefillRoom, DecodeSlots: load.DecodeSlots, PieceTimeMicroseconds: 8000, MemoryFree: load.MemoryFree, MemoryTotal: load.MemoryTotal, LinkRate: load.LinkRate, Prefixes: load.Prefixes})
-	if failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	if err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
-	address, bytes, end, failure := counted(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+	address, bytes, end, err := counted(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "application/json")
 		_, _ = writer.Write(content)
 	}))
-	if failure != nil {
-		return failure
+	if err != nil {
+		return err
 	}
 	defer end()
 	client := &http.Client{Transport: hotline.Transport(nil)}
 	// So many as there are servers, each some times.
 	return repeated(note, "a report", max(200, sizes[Servers]), bytes, func() error {
-		inbound, failure := client.Get("http://" + address + "/v1/load")
-		if failure != nil {
-			return trouble.Wrap(trouble.Unreachable, failure)
+		inbound, err := client.Get("http://" + address + "/v1/load")
+		if err != nil {
+			return trouble.Wrap(trouble.Unreachable, err)
 		}
 		defer func() { _ = inbound.Body.Close() }()
 		var report stove.LoadReport
-		failure = json.NewDecoder(inbound.Body).Decode(&report)
+		err = json.NewDecoder(inbound.Body).Decode(&report)
 		_, _ = io.Copy(io.Discard, inbound.Body)
-		return trouble.Wrap(trouble.Garbage, failure)
+		return trouble.Wrap(trouble.Garbage, err)
 	})
 }
--- a/internal/rehearsal/checkers_test.go
+++ b/internal/rehearsal/checkers_test.go
@@ -45,11 +45,11 @@
 
 // TestEachCheckerCatchesASeededViolation seeds one violation for each checker
 // and wants that checker, and no clean book, to speak.
-func TestEachCheckerCatchesASeededViolation(test *testing.T) {
+func TestEachCheckerCatchesASeededViolation(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	at := func(milliseconds int) time.Time { return start.Add(time.Duration(milliseconds) * time.Millisecond) }
 	if verdict := Judge(cleanDay(start)); verdict.Violations() != 0 {
-		test.Fatalf("a clean day is judged broken:\n%s", verdict)
+		t.Fatalf("a clean day is judged broken:\n%s", verdict)
 	}
 	seeded := map[string][]Entry{
 		"no second run":                                      {{At: at(5100), Kind: PrefillStarted, Inquiry: "one", Run: 2, Server: "stove-2"}},
@@ -70,7 +70,7 @@
 		"service returns after a closing fault":              {{At: at(10000), Kind: ClosingFault, Cause: "another end"}},
 	}
 	if len(seeded) != len(checkers) {
-		test.Fatalf("%d violations for %d checkers", len(seeded), len(checkers))
+		t.Fatalf("%d violations for %d checkers", len(seeded), len(checkers))
 	}
 	// The subtler ones.
 	quiet := func(count int) (entries []Entry) {
@@ -105,7 +105,7 @@
 			book.Note(entry)
 		}
 		if verdict := Judge(book.Entries()); verdict.Finding(hidden.checker).Violations == 0 {
-			test.Errorf("%s does not see %+v", hidden.checker, hidden.entries[len(hidden.entries)-1])
+			t.Errorf("%s does not see %+v", hidden.checker, hidden.entries[len(hidden.entries)-1])
 		}
 	}
 	for checker, entries := range seeded {
@@ -114,7 +114,7 @@
 			book.Note(entry)
 		}
 		if verdict := Judge(book.Entries()); verdict.Finding(checker).Violations == 0 {
-			test.Errorf("%s does not see its seeded violation", checker)
+			t.Errorf("%s does not see its seeded violation", checker)
 		}
 	}
 }
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -71,8 +71,8 @@
 	if node == nil {
 		return false
 	}
-	current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
-	if failure != nil || current.Status != http.StatusOK {
+	current, err := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+	if err != nil || current.Status != http.StatusOK {
 		return false
 	}
 	return day.Operators.PutEdition(node, day.takeEdition(), current).Outcome == "accepted"
