--- a/internal/rehearsal/days_test.go
+++ b/internal/rehearsal/days_test.go
@@ -41,39 +41,39 @@
 
 // TestDays runs each plan and holds every line of what must never happen
 // against it.
-func TestDays(test *testing.T) {
+func TestDays(t *testing.T) {
 	for _, plan := range dayPlans {
-		test.Run(plan.name, func(test *testing.T) {
-			fleet, failure := NewFleet(plan.deployment, test.TempDir(), binaries, nil)
-			if failure != nil {
-				test.Fatal(failure)
+		t.Run(plan.name, func(t *testing.T) {
+			fleet, err := NewFleet(plan.deployment, t.TempDir(), binaries, nil)
+			if err != nil {
+				t.Fatal(err)
 			}
-			guard(test, fleet)
-			chosen := named(test, plan.faults...)
+			guard(t, fleet)
+			chosen := named(t, plan.faults...)
 			for _, fault := range chosen {
 				if fault.Links && fleet.Links == nil {
-					if failure := fleet.LinkNodes(); failure != nil {
-						test.Fatal(failure)
+					if err := fleet.LinkNodes(); err != nil {
+						t.Fatal(err)
 					}
 				}
 				if fault.Staged {
 					fleet.Stage()
 				}
 			}
-			if failure := fleet.Begin(40 * time.Second); failure != nil {
-				test.Fatal(failure)
+			if err := fleet.Begin(40 * time.Second); err != nil {
+				t.Fatal(err)
 			}
-			day := openDay(test, fleet, plan.seed)
+			day := openDay(t, fleet, plan.seed)
 			verdict := day.Run(context.Background(), plan.length, chosen)
-			wantClean(test, verdict, plan.floor)
+			wantClean(t, verdict, plan.floor)
 			for _, checker := range plan.shows {
 				if verdict.Finding(checker).Looked == 0 {
-					test.Errorf("%s had nothing to look at", checker)
+					t.Errorf("%s had nothing to look at", checker)
 				}
 			}
 			// The pair is whole again without an operator.
 			if !Await(25*time.Second, fleet.CoreIsWhole) {
-				test.Error("the core is not whole at the end of the day")
+				t.Error("the core is not whole at the end of the day")
 			}
 		})
 	}
@@ -82,11 +82,11 @@
 // TestReadsMendTheCopyThatIsOut stops the expediter that is neither primary nor
 // backup, changes the configuration, and wants its copy mended soon after it is
 // back: by the reads of operators, with the sweep five seconds away at most.
-func TestReadsMendTheCopyThatIsOut(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 34)
+func TestReadsMendTheCopyThatIsOut(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 34)
 	if !Await(15*time.Second, fleet.CoreIsWhole) {
-		test.Fatal("the core is not whole")
+		t.Fatal("the core is not whole")
 	}
 	primary, backup := fleet.Primary(), day.seat("backup")
 	var third *NodeProcess
@@ -97,100 +97,100 @@
 	}
 	third.Kill()
 	if !Await(10*time.Second, day.NextEdition) {
-		test.Fatal("no edition was accepted")
+		t.Fatal("no edition was accepted")
 	}
-	if failure := third.Begin(); failure != nil {
-		test.Fatal(failure)
+	if err := third.Begin(); err != nil {
+		t.Fatal(err)
 	}
 	if !Await(15*time.Second, func() bool {
 		day.Operators.ReadEdition(primary)
 		return third.Metric("seamloom_copy_number") >= primary.Metric("seamloom_copy_number")-3 && third.Metric("seamloom_copy_number") > 0
 	}) {
-		test.Errorf("the third copy is at %d, the primary at %d", third.Metric("seamloom_copy_number"), primary.Metric("seamloom_copy_number"))
+		t.Errorf("the third copy is at %d, the primary at %d", third.Metric("seamloom_copy_number"), primary.Metric("seamloom_copy_number"))
 	}
 }
 
 // TestEveryFaultOfTheBriefHasANameAndRuns wants no fault without a body.
-func TestEveryFaultOfTheBriefHasANameAndRuns(test *testing.T) {
+func TestEveryFaultOfTheBriefHasANameAndRuns(t *testing.T) {
 	for _, name := range FaultNames() {
 		if fault, found := FaultNamed(name); !found || fault.Run == nil || fault.Name != name {
-			test.Errorf("%s: %+v", name, fault)
+			t.Errorf("%s: %+v", name, fault)
 		}
 	}
 }
 
 // TestServiceReturnsAfterClosingFaults ends days with herds, a cold start and
 // the loss of a zone, and wants complete replies within the limit each time.
-func TestServiceReturnsAfterClosingFaults(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 31)
-	for _, fault := range named(test, "herd-couriers", "herd-expediters", "cold-start", "lose-zone") {
+func TestServiceReturnsAfterClosingFaults(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 31)
+	for _, fault := range named(t, "herd-couriers", "herd-expediters", "cold-start", "lose-zone") {
 		if !Await(10*time.Second, day.NextEdition) {
-			test.Fatalf("before %s: no edition was accepted", fault.Name)
+			t.Fatalf("before %s: no edition was accepted", fault.Name)
 		}
 		verdict := day.Close(context.Background(), fault)
 		if finding := verdict.Finding("service returns after a closing fault"); finding.Violations > 0 {
-			test.Errorf("%s: %+v", fault.Name, finding)
+			t.Errorf("%s: %+v", fault.Name, finding)
 		}
-		if failure := fleet.AwaitReady(30 * time.Second); failure != nil {
-			test.Fatal(failure)
+		if err := fleet.AwaitReady(30 * time.Second); err != nil {
+			t.Fatal(err)
 		}
 	}
-	wantClean(test, Judge(fleet.Book.Entries()), 0.5)
+	wantClean(t, Judge(fleet.Book.Entries()), 0.5)
 }
 
 // TestCoreIsReplacedByEmptyMachinesAtNewAddresses replaces all three, with
 // configuration changes under way, and then restarts a courier that was only
 // ever told of the old ones.
-func TestCoreIsReplacedByEmptyMachinesAtNewAddresses(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 32)
-	verdict := day.Run(context.Background(), 45*time.Second, named(test, "replace-core"))
-	wantClean(test, verdict, 0.85)
+func TestCoreIsReplacedByEmptyMachinesAtNewAddresses(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 32)
+	verdict := day.Run(context.Background(), 45*time.Second, named(t, "replace-core"))
+	wantClean(t, verdict, 0.85)
 	for _, node := range fleet.Nodes()[:3] {
 		if node.Running() {
-			test.Errorf("%s still runs", node.Node.Name)
+			t.Errorf("%s still runs", node.Node.Name)
 		}
 	}
 	if !Await(20*time.Second, fleet.CoreIsWhole) {
-		test.Fatal("the new core is not whole")
+		t.Fatal("the new core is not whole")
 	}
 	if !Await(10*time.Second, day.NextEdition) {
-		test.Error("the new core takes no configuration")
+		t.Error("the new core takes no configuration")
 	}
 	courier := fleet.Couriers[0]
 	courier.Kill()
-	if failure := courier.Begin(); failure != nil {
-		test.Fatal(failure)
+	if err := courier.Begin(); err != nil {
+		t.Fatal(err)
 	}
 	if !Await(15*time.Second, courier.Ready) {
-		test.Error("a courier that was told only of the old core does not find the new one")
+		t.Error("a courier that was told only of the old core does not find the new one")
 	}
 }
 
 // TestTasterAnswersEachCase runs the checker against a fleet, as scripts do.
-func TestTasterAnswersEachCase(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 33)
+func TestTasterAnswersEachCase(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 33)
 	before, _ := day.Operators.ReadEdition(fleet.Expediters[0])
-	folder := test.TempDir()
+	folder := t.TempDir()
 	good := strings.Replace(fleet.Deployment.Configuration(7), `"routes":{`, `"evacuations":{},"routes":{`, 1)
 	taste := func(text string, arguments ...string) (int, report) {
 		path := filepath.Join(folder, "proposed.json")
-		if failure := os.WriteFile(path, []byte(text), 0o644); failure != nil {
-			test.Fatal(failure)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
 		}
 		command := exec.Command(filepath.Join(binaries, "taster"), append([]string{path, "--json", "--to", fleet.Expediters[1].Node.Address}, arguments...)...)
 		output, _ := command.Output()
 		var said report
-		if failure := json.Unmarshal(output, &said); failure != nil {
-			test.Fatalf("%v: %s", failure, output)
+		if err := json.Unmarshal(output, &said); err != nil {
+			t.Fatalf("%v: %s", err, output)
 		}
 		return command.ProcessState.ExitCode(), said
 	}
 	// The fleet enables its flags a moment after it has begun.
 	if !Await(20*time.Second, func() bool { return enabledFlags(fleet) == len(recipe.Supported(nil)) }) {
-		test.Fatal("the flags were not enabled")
+		t.Fatal("the flags were not enabled")
 	}
 	for name, want := range map[string]struct {
 		text      string
@@ -211,11 +211,11 @@
 			found = found || remark.Type == want.kind
 		}
 		if code != want.code || !found {
-			test.Errorf("%s: exit %d, %+v", name, code, said)
+			t.Errorf("%s: exit %d, %+v", name, code, said)
 		}
 	}
 	if after, _ := day.Operators.ReadEdition(fleet.Expediters[2]); after.Version != before.Version {
-		test.Errorf("tasting changed the configuration: %s became %s", before.Version, after.Version)
+		t.Errorf("tasting changed the configuration: %s became %s", before.Version, after.Version)
 	}
 }
 
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -114,8 +114,8 @@
 }
 
 func (day *Day) begin(node *NodeProcess) {
-	if failure := node.Begin(); failure != nil {
-		day.Say("%s did not begin: %v", node.Node.Name, failure)
+	if err := node.Begin(); err != nil {
+		day.Say("%s did not begin: %v", node.Node.Name, err)
 	}
 }
 
@@ -158,7 +158,7 @@
 		return nil
 	}
 	var status map[string]any
-	if _, failure := primary.ReadJSON("/v1/status", &status); failure != nil {
+	if _, err := primary.ReadJSON("/v1/status", &status); err != nil {
 		return nil
 	}
 	seat, _ := status[name].(map[string]any)
@@ -203,8 +203,8 @@
 		return
 	}
 	primary.Kill()
-	if failure := primary.WipeDisk(); failure != nil {
-		day.Say("%v", failure)
+	if err := primary.WipeDisk(); err != nil {
+		day.Say("%v", err)
 	}
 	day.Say("%s has lost its disk", primary.Node.Name)
 	pauseFor(lifetime, time.Second)
@@ -218,8 +218,8 @@
 		return
 	}
 	primary.Kill()
-	if failure := primary.WipeDisk(); failure != nil {
-		day.Say("%v", failure)
+	if err := primary.WipeDisk(); err != nil {
+		day.Say("%v", err)
 	}
 	day.begin(primary)
 	next := day.primary()
@@ -306,7 +306,7 @@
 	var status struct {
 		Duties map[string]struct{ Holder string }
 	}
-	if _, failure := primary.ReadJSON("/v1/status", &status); failure != nil {
+	if _, err := primary.ReadJSON("/v1/status", &status); err != nil {
 		return nil
 	}
 	for _, node := range day.running(roster.Courier) {
@@ -389,8 +389,8 @@
 	day.Say("crash %s", name)
 	day.Fleet.Server(name).Crash()
 	pauseFor(lifetime, 1500*time.Millisecond)
-	if failure := day.Fleet.Replace(name); failure != nil {
-		day.Say("replacement failed: %v", failure)
+	if err := day.Fleet.Replace(name); err != nil {
+		day.Say("replacement failed: %v", err)
 	}
 }
 
@@ -574,7 +574,7 @@
 			for going() {
 				for _, method := range []string{http.MethodPost, http.MethodDelete} {
 					if node := day.anyExpediter(); node != nil {
-						if answer, failure := day.Operators.Call(node, method, path, nil, ""); failure == nil && answer.Outcome == "accepted" {
+						if answer, err := day.Operators.Call(node, method, path, nil, ""); err == nil && answer.Outcome == "accepted" {
 							accepted.Add(1)
 						}
 					}
@@ -599,8 +599,8 @@
 		if node == nil || !pauseFor(lifetime, 100*time.Millisecond) {
 			return
 		}
-		current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
-		if failure != nil || current.Status != http.StatusOK {
+		current, err := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+		if err != nil || current.Status != http.StatusOK {
 			continue
 		}
 		var racing sync.WaitGroup
@@ -646,12 +646,12 @@
 			if node == nil {
 				return false
 			}
-			current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
-			if failure != nil {
+			current, err := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+			if err != nil {
 				return false
 			}
-			answer, failure := day.Operators.Call(node, http.MethodPatch, "/v1/configuration", url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}, `{"routes":{`+routes+`}}`)
-			return failure == nil && answer.Outcome == "accepted"
+			answer, err := day.Operators.Call(node, http.MethodPatch, "/v1/configuration", url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}, `{"routes":{`+routes+`}}`)
+			return err == nil && answer.Outcome == "accepted"
 		})
 		day.Say("a configuration of %d bytes was accepted: %v", len(routes), accepted)
 		if routes == many.String() {
@@ -672,8 +672,8 @@
 	}
 	for _, node := range day.running("") {
 		node.Set("seeds", []string{couriers[day.draw(len(couriers)/2)], couriers[len(couriers)/2+day.draw(len(couriers)/2)], expediters[day.draw(len(expediters))]})
-		if failure := node.WriteSettings(); failure != nil {
-			day.Say("%v", failure)
+		if err := node.WriteSettings(); err != nil {
+			day.Say("%v", err)
 		}
 		node.Signal(syscall.SIGHUP)
 	}
@@ -695,9 +695,9 @@
 				seeds = append(seeds, other.Node.Address)
 			}
 		}
-		addresses, failure := freeAddresses(1)
-		if failure != nil {
-			day.Say("%v", failure)
+		addresses, err := freeAddresses(1)
+		if err != nil {
+			day.Say("%v", err)
 			return
 		}
 		old.Kill()
--- a/internal/rehearsal/faultydisk.go
+++ b/internal/rehearsal/faultydisk.go
@@ -63,8 +63,8 @@
 //
 //	failure := disk.WriteSynced("note", content)
 func (disk *FaultyDisk) WriteSynced(path string, content []byte) error {
-	if failure := disk.act(true); failure != nil {
-		return failure
+	if err := disk.act(true); err != nil {
+		return err
 	}
 	return disk.real.WriteSynced(path, content)
 }
@@ -88,15 +88,15 @@
 //
 //	failure := disk.SyncFolder("larder")
 func (disk *FaultyDisk) SyncFolder(path string) error {
-	if failure := disk.act(true); failure != nil {
-		return failure
+	if err := disk.act(true); err != nil {
+		return err
 	}
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
 	for to, from := range disk.renamed {
 		if filepath.Dir(to) == path {
-			if failure := disk.real.Rename(from, to); failure != nil {
-				return failure
+			if err := disk.real.Rename(from, to); err != nil {
+				return err
 			}
 			delete(disk.renamed, to)
 		}
@@ -116,7 +116,7 @@
 //
 //	names, failure := disk.List("larder")
 func (disk *FaultyDisk) List(path string) ([]string, error) {
-	names, failure := disk.real.List(path)
+	names, err := disk.real.List(path)
 	disk.mutex.Lock()
 	defer disk.mutex.Unlock()
 	seen := map[string]bool{}
@@ -135,7 +135,7 @@
 		}
 	}
 	sort.Strings(left)
-	return left, failure
+	return left, err
 }
 
 // Read reads a file; a damaged disk gives the larder's files with a wrong byte.
@@ -144,8 +144,8 @@
 //
 //	content, failure := disk.Read("note")
 func (disk *FaultyDisk) Read(path string) ([]byte, error) {
-	if failure := disk.act(false); failure != nil {
-		return nil, failure
+	if err := disk.act(false); err != nil {
+		return nil, err
 	}
 	disk.mutex.Lock()
 	source, found := disk.renamed[path]
@@ -153,11 +153,11 @@
 	if !found {
 		source = path
 	}
-	content, failure := disk.real.Read(source)
+	content, err := disk.real.Read(source)
 	if disk.faults().Disk == "damage" && strings.Contains(path, "larder") && len(content) > 0 {
 		content[len(content)/2] ^= 0x40
 	}
-	return content, failure
+	return content, err
 }
 
 // Remove waits in memory for the folder's sync.
--- a/internal/rehearsal/faultydisk_test.go
+++ b/internal/rehearsal/faultydisk_test.go
@@ -12,68 +12,68 @@
 // TestDiskForgetsWhatWasNotSynced saves through a faulty disk, loses power, and
 // wants what was saved to be there; then it renames without a sync and wants
 // that to be gone, so that a program that forgot one would be seen.
-func TestDiskForgetsWhatWasNotSynced(test *testing.T) {
-	path := filepath.Join(test.TempDir(), "larder")
+func TestDiskForgetsWhatWasNotSynced(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "larder")
 	well := func() NodeFaults { return NodeFaults{} }
 	disk := NewFaultyDisk(well)
-	folder, failure := pantry.OpenFolder(disk, path)
-	if failure != nil {
-		test.Fatal(failure)
+	folder, err := pantry.OpenFolder(disk, path)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if failure := folder.Save("version-1", []byte("one")); failure != nil {
-		test.Fatal(failure)
+	if err := folder.Save("version-1", []byte("one")); err != nil {
+		t.Fatal(err)
 	}
-	if failure := disk.WriteSynced(filepath.Join(path, "version-2.aside"), []byte("two")); failure != nil {
-		test.Fatal(failure)
+	if err := disk.WriteSynced(filepath.Join(path, "version-2.aside"), []byte("two")); err != nil {
+		t.Fatal(err)
 	}
-	if failure := disk.Rename(filepath.Join(path, "version-2.aside"), filepath.Join(path, "version-2")); failure != nil {
-		test.Fatal(failure)
+	if err := disk.Rename(filepath.Join(path, "version-2.aside"), filepath.Join(path, "version-2")); err != nil {
+		t.Fatal(err)
 	}
 	if names, _ := disk.List(path); len(names) != 2 {
-		test.Errorf("before the power loss the process sees %v", names)
+		t.Errorf("before the power loss the process sees %v", names)
 	}
-	after, failure := pantry.OpenFolder(NewFaultyDisk(well), path)
-	if failure != nil {
-		test.Fatal(failure)
+	after, err := pantry.OpenFolder(NewFaultyDisk(well), path)
+	if err != nil {
+		t.Fatal(err)
 	}
-	files, damaged, failure := after.Load()
-	if failure != nil || len(damaged) != 0 || len(files) != 1 || string(files["version-1"]) != "one" {
-		test.Errorf("after the power loss: %v, damaged %v, %v", files, damaged, failure)
+	files, damaged, err := after.Load()
+	if err != nil || len(damaged) != 0 || len(files) != 1 || string(files["version-1"]) != "one" {
+		t.Errorf("after the power loss: %v, damaged %v, %v", files, damaged, err)
 	}
 }
 
 // TestDamageIsNamedAndAFullDiskRefuses truncates and alters files.
-func TestDamageIsNamedAndAFullDiskRefuses(test *testing.T) {
-	path := filepath.Join(test.TempDir(), "larder")
-	folder, failure := pantry.OpenFolder(pantry.RealDisk{}, path)
-	if failure != nil {
-		test.Fatal(failure)
+func TestDamageIsNamedAndAFullDiskRefuses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "larder")
+	folder, err := pantry.OpenFolder(pantry.RealDisk{}, path)
+	if err != nil {
+		t.Fatal(err)
 	}
 	for _, name := range []string{"whole", "short", "altered"} {
-		if failure := folder.Save(name, []byte("content of "+name)); failure != nil {
-			test.Fatal(failure)
+		if err := folder.Save(name, []byte("content of "+name)); err != nil {
+			t.Fatal(err)
 		}
 	}
-	altered, failure := os.ReadFile(filepath.Join(path, "altered"))
-	if failure != nil {
-		test.Fatal(failure)
+	altered, err := os.ReadFile(filepath.Join(path, "altered"))
+	if err != nil {
+		t.Fatal(err)
 	}
 	altered[len(altered)-1]++
-	if failure := os.WriteFile(filepath.Join(path, "altered"), altered, 0o644); failure != nil {
-		test.Fatal(failure)
+	if err := os.WriteFile(filepath.Join(path, "altered"), altered, 0o644); err != nil {
+		t.Fatal(err)
 	}
-	if failure := os.Truncate(filepath.Join(path, "short"), 6); failure != nil {
-		test.Fatal(failure)
+	if err := os.Truncate(filepath.Join(path, "short"), 6); err != nil {
+		t.Fatal(err)
 	}
-	files, damaged, failure := folder.Load()
-	if failure != nil || len(files) != 1 || string(files["whole"]) != "content of whole" || len(damaged) != 2 {
-		test.Errorf("%v, damaged %v, %v", files, damaged, failure)
+	files, damaged, err := folder.Load()
+	if err != nil || len(files) != 1 || string(files["whole"]) != "content of whole" || len(damaged) != 2 {
+		t.Errorf("%v, damaged %v, %v", files, damaged, err)
 	}
-	full, failure := pantry.OpenFolder(NewFaultyDisk(func() NodeFaults { return NodeFaults{Disk: "full"} }), path)
-	if failure != nil {
-		test.Fatal(failure)
+	full, err := pantry.OpenFolder(NewFaultyDisk(func() NodeFaults { return NodeFaults{Disk: "full"} }), path)
+	if err != nil {
+		t.Fatal(err)
 	}
-	if failure := full.Save("more", []byte("more")); trouble.KindOf(failure) != trouble.Disk {
-		test.Errorf("a full disk took a file: %v", failure)
+	if err := full.Save("more", []byte("more")); trouble.KindOf(err) != trouble.Disk {
+		t.Errorf("a full disk took a file: %v", err)
 	}
 }
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -42,20 +42,20 @@
 //	fleet, failure := rehearsal.NewFleet(rehearsal.Sahil(), folder, "bin", nil)
 func NewFleet(deployment Deployment, folder, binaries string, extra map[string]any) (*Fleet, error) {
 	book := &Book{}
-	platform, failure := StartPlatform(book)
-	if failure != nil {
-		return nil, failure
+	platform, err := StartPlatform(book)
+	if err != nil {
+		return nil, err
 	}
 	fleet := &Fleet{Deployment: deployment, Book: book, Platform: platform, folder: folder, binaries: binaries, extra: extra, plans: map[string]ServerPlan{}}
 	for position := range deployment.Servers {
 		district := deployment.Districts[position%len(deployment.Districts)]
-		if _, failure := fleet.AddServer(DefaultPlan("stove-"+strconv.Itoa(position+1), district)); failure != nil {
-			return nil, failure
+		if _, err := fleet.AddServer(DefaultPlan("stove-"+strconv.Itoa(position+1), district)); err != nil {
+			return nil, err
 		}
 	}
-	addresses, failure := freeAddresses(3 + deployment.Couriers)
-	if failure != nil {
-		return nil, failure
+	addresses, err := freeAddresses(3 + deployment.Couriers)
+	if err != nil {
+		return nil, err
 	}
 	seeds := addresses[:3]
 	for position, address := range addresses {
@@ -76,8 +76,8 @@
 	var addresses []string
 	for range 50 * count {
 		address := "127.0.0.1:" + strconv.Itoa(10_000+rand.IntN(22_000))
-		listener, failure := net.Listen("tcp", address)
-		if failure != nil || slices.Contains(addresses, address) {
+		listener, err := net.Listen("tcp", address)
+		if err != nil || slices.Contains(addresses, address) {
 			continue
 		}
 		_ = listener.Close()
@@ -94,9 +94,9 @@
 //
 //	server, failure := fleet.AddServer(rehearsal.DefaultPlan("stove-10", "north"))
 func (fleet *Fleet) AddServer(plan ServerPlan) (*StandIn, error) {
-	standIn, failure := StartStandIn(plan, "127.0.0.1:0", fleet.Book)
-	if failure != nil {
-		return nil, failure
+	standIn, err := StartStandIn(plan, "127.0.0.1:0", fleet.Book)
+	if err != nil {
+		return nil, err
 	}
 	fleet.mutex.Lock()
 	fleet.standIns = append(fleet.standIns, standIn)
@@ -165,12 +165,12 @@
 //	failure := fleet.Begin(20 * time.Second)
 func (fleet *Fleet) Begin(patience time.Duration) error {
 	for _, node := range fleet.Nodes() {
-		if failure := node.Begin(); failure != nil {
-			return failure
+		if err := node.Begin(); err != nil {
+			return err
 		}
 	}
-	if failure := fleet.AwaitReady(patience); failure != nil {
-		return failure
+	if err := fleet.AwaitReady(patience); err != nil {
+		return err
 	}
 	withheld, _ := fleet.extra["withhold_flags"].([]string)
 	for _, node := range fleet.Nodes() {
@@ -277,7 +277,7 @@
 		if node.Node.Kind != roster.Expediter || !node.Running() {
 			continue
 		}
-		if _, failure := node.ReadJSON("/v1/ready", &ready); failure == nil && ready.Leads {
+		if _, err := node.ReadJSON("/v1/ready", &ready); err == nil && ready.Leads {
 			return node
 		}
 	}
@@ -302,8 +302,8 @@
 	if !found {
 		return trouble.New(trouble.NoSuch, "no server "+name)
 	}
-	_, failure := fleet.AddServer(plan)
-	return failure
+	_, err := fleet.AddServer(plan)
+	return err
 }
 
 // ServerNames lists the stand-in servers.
@@ -412,7 +412,7 @@
 		}
 		Incoming []struct{} `json:"incoming_keepers"`
 	}
-	if code, failure := primary.ReadJSON("/v1/status", &status); failure != nil || code != http.StatusOK {
+	if code, err := primary.ReadJSON("/v1/status", &status); err != nil || code != http.StatusOK {
 		return false
 	}
 	if status.Backup.Name == "" || len(status.Incoming) > 0 || len(status.Keepers) != 3 {
@@ -423,8 +423,8 @@
 		for _, node := range fleet.Nodes() {
 			var ready struct{ Identity string }
 			if node.Node.Name == seat.Name && node.Running() {
-				_, failure := node.ReadJSON("/v1/ready", &ready)
-				alive = failure == nil && ready.Identity == seat.Identity
+				_, err := node.ReadJSON("/v1/ready", &ready)
+				alive = err == nil && ready.Identity == seat.Identity
 			}
 		}
 		if !alive {
--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -49,9 +49,9 @@
 // TestConfigurationHistoryIsLinearizable lets operators race each other at
 // different expediters while primaries are killed, and has porcupine judge
 // what they read.
-func TestConfigurationHistoryIsLinearizable(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 5)
+func TestConfigurationHistoryIsLinearizable(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 5)
 	began := time.Now()
 	var mutex sync.Mutex
 	var history []porcupine.Operation
@@ -76,9 +76,9 @@
 			for time.Now().Before(ends) {
 				node := fleet.Expediters[random.IntN(3)]
 				from := time.Since(began)
-				current, failure := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
-				if failure != nil || current.Status != http.StatusOK {
-					pauseFor(test.Context(), 50*time.Millisecond)
+				current, err := day.Operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+				if err != nil || current.Status != http.StatusOK {
+					pauseFor(t.Context(), 50*time.Millisecond)
 					continue
 				}
 				seen := EditionOf(current.Configuration)
@@ -86,14 +86,14 @@
 				next := fresh()
 				from = time.Since(began)
 				query := url.Values{"expected": {current.Version}, "change": {uuid.NewString()}}
-				answer, failure := day.Operators.Call(fleet.Expediters[random.IntN(3)], http.MethodPut, "/v1/configuration", query, fleet.Deployment.Configuration(next))
+				answer, err := day.Operators.Call(fleet.Expediters[random.IntN(3)], http.MethodPut, "/v1/configuration", query, fleet.Deployment.Configuration(next))
 				to, outcome := time.Since(began), "unknown"
 				switch {
-				case failure == nil && answer.Outcome == "accepted":
+				case err == nil && answer.Outcome == "accepted":
 					outcome = "accepted"
-				case failure == nil && answer.Type == "version_conflict":
+				case err == nil && answer.Type == "version_conflict":
 					outcome = "conflict"
-				case failure == nil && answer.Outcome == "not_accepted":
+				case err == nil && answer.Outcome == "not_accepted":
 					continue
 				default:
 					to = never
@@ -103,12 +103,12 @@
 		})
 	}
 	for range 2 {
-		pauseFor(test.Context(), 6*time.Second)
+		pauseFor(t.Context(), 6*time.Second)
 		if primary := fleet.Primary(); primary != nil {
 			primary.Kill()
-			pauseFor(test.Context(), time.Second)
-			if failure := primary.Begin(); failure != nil {
-				test.Error(failure)
+			pauseFor(t.Context(), time.Second)
+			if err := primary.Begin(); err != nil {
+				t.Error(err)
 			}
 		}
 	}
@@ -119,17 +119,17 @@
 			accepted++
 		}
 	}
-	test.Logf("%d operations, %d accepted changes", len(history), accepted)
+	t.Logf("%d operations, %d accepted changes", len(history), accepted)
 	if accepted < 10 {
-		test.Errorf("only %d changes were accepted: the history shows nothing", accepted)
+		t.Errorf("only %d changes were accepted: the history shows nothing", accepted)
 	}
 	if result := porcupine.CheckOperationsTimeout(register, history, time.Minute); result != porcupine.Ok {
-		test.Errorf("the history is not that of one register: %v", result)
+		t.Errorf("the history is not that of one register: %v", result)
 	}
 	// The check itself can fail: a read of something long replaced is seen.
 	stale := append(append([]porcupine.Operation(nil), history...), porcupine.Operation{ClientId: 9, Input: registerInput{read: true},
 		Output: registerOutput{edition: 1}, Call: time.Since(began).Nanoseconds(), Return: time.Since(began).Nanoseconds() + 1})
 	if result := porcupine.CheckOperationsTimeout(register, stale, time.Minute); result == porcupine.Ok {
-		test.Error("porcupine does not see a stale read")
+		t.Error("porcupine does not see a stale read")
 	}
 }
--- a/internal/rehearsal/input_test.go
+++ b/internal/rehearsal/input_test.go
@@ -18,25 +18,25 @@
 	"seamloom.example/seamloom/internal/hatch"
 )
 
-func post(test *testing.T, address, path, body string) (int, http.Header, string) {
-	test.Helper()
-	inbound, failure := (&http.Client{Timeout: 20 * time.Second}).Post("http://"+address+path, "application/json", bytes.NewReader([]byte(body)))
-	if failure != nil {
-		test.Fatal(failure)
+func post(t *testing.T, address, path, body string) (int, http.Header, string) {
+	t.Helper()
+	inbound, err := (&http.Client{Timeout: 20 * time.Second}).Post("http://"+address+path, "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	content, failure := io.ReadAll(inbound.Body)
-	if failure != nil {
-		test.Fatal(failure)
+	content, err := io.ReadAll(inbound.Body)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return inbound.StatusCode, inbound.Header, string(content)
 }
 
 // TestBadInputIsRefusedWithItsReason sends what callers and operators must not
 // send, to a running fleet, and wants each refused by type and nothing changed.
-func TestBadInputIsRefusedWithItsReason(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 6)
+func TestBadInputIsRefusedWithItsReason(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 6)
 	front := fleet.Couriers[0].Node.Address
 	for name, want := range map[string]struct {
 		body   string
@@ -53,25 +53,25 @@
 		"too long a prompt":      {`{"id":"a","service":"rider-chat","prompt_tokens":90000000}`, 400, "out_of_range"},
 		"a body that is too big": {`{"id":"a","service":"rider-chat","prompt":"` + strings.Repeat("x", hatch.MostInquiryBytes) + `"}`, 413, "oversize"},
 	} {
-		status, _, body := post(test, front, "/v1/inquiries", want.body)
+		status, _, body := post(t, front, "/v1/inquiries", want.body)
 		if status != want.status || !strings.Contains(body, `"type":"`+want.kind+`"`) || !strings.Contains(body, `"ran":false`) {
-			test.Errorf("%s: %d %.200s", name, status, body)
+			t.Errorf("%s: %d %.200s", name, status, body)
 		}
 	}
 	// The same id of an inquiry that may not be repeated, at another courier.
 	id := hatch.NewInquiryID()
 	once := `{"id":"` + id + `","service":"rider-chat","repeatable":false,"prompt_tokens":80,"pieces":3}`
-	if status, _, body := post(test, front, "/v1/inquiries", once); status != 200 || !strings.Contains(body, `"final":"complete"`) {
-		test.Errorf("an inquiry that may not be repeated: %d %s", status, body)
+	if status, _, body := post(t, front, "/v1/inquiries", once); status != 200 || !strings.Contains(body, `"final":"complete"`) {
+		t.Errorf("an inquiry that may not be repeated: %d %s", status, body)
 	}
 	for _, node := range fleet.Couriers[:3] {
-		if status, _, body := post(test, node.Node.Address, "/v1/inquiries", once); status != 409 || !strings.Contains(body, "duplicate_inquiry") {
-			test.Errorf("a used id at %s: %d %s", node.Node.Name, status, body)
+		if status, _, body := post(t, node.Node.Address, "/v1/inquiries", once); status != 409 || !strings.Contains(body, "duplicate_inquiry") {
+			t.Errorf("a used id at %s: %d %s", node.Node.Name, status, body)
 		}
 	}
 	old := "017f22e2-79b0-7cc3-98c4-dc0c0c07398f"
-	if status, _, body := post(test, front, "/v1/inquiries", strings.Replace(once, id, old, 1)); status != 409 || !strings.Contains(body, "inquiry_too_old") {
-		test.Errorf("an id from years ago: %d %s", status, body)
+	if status, _, body := post(t, front, "/v1/inquiries", strings.Replace(once, id, old, 1)); status != 409 || !strings.Contains(body, "inquiry_too_old") {
+		t.Errorf("an id from years ago: %d %s", status, body)
 	}
 	before, edition := day.Operators.ReadEdition(fleet.Expediters[0])
 	for name, want := range map[string]struct {
@@ -87,26 +87,26 @@
 		"too big":              {http.MethodPut, `{"services":{"a":{"` + strings.Repeat("x", 17<<20) + `":1}}}`, before.Version, 422, []string{"oversize"}},
 	} {
 		for _, node := range fleet.Expediters {
-			outbound, failure := http.NewRequest(want.method, "http://"+node.Node.Address+"/v1/configuration?"+url.Values{"expected": {want.expected}}.Encode(), strings.NewReader(want.body))
-			if failure != nil {
-				test.Fatal(failure)
+			outbound, err := http.NewRequest(want.method, "http://"+node.Node.Address+"/v1/configuration?"+url.Values{"expected": {want.expected}}.Encode(), strings.NewReader(want.body))
+			if err != nil {
+				t.Fatal(err)
 			}
-			inbound, failure := day.Operators.client.Do(outbound)
-			if failure != nil {
-				test.Errorf("%s: %v", name, failure)
+			inbound, err := day.Operators.client.Do(outbound)
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
 				continue
 			}
 			content, _ := io.ReadAll(inbound.Body)
 			_ = inbound.Body.Close()
 			for _, kind := range want.kinds {
 				if inbound.StatusCode != want.status || !strings.Contains(string(content), kind) {
-					test.Errorf("%s at %s: %d %.300s", name, node.Node.Name, inbound.StatusCode, content)
+					t.Errorf("%s at %s: %d %.300s", name, node.Node.Name, inbound.StatusCode, content)
 				}
 			}
 		}
 	}
 	if after, still := day.Operators.ReadEdition(fleet.Expediters[1]); after.Version != before.Version || still != edition {
-		test.Errorf("refused changes took effect: %s became %s", before.Version, after.Version)
+		t.Errorf("refused changes took effect: %s became %s", before.Version, after.Version)
 	}
 	defer func() {
 		// Two of three are gone: no change is accepted, and that is said; callers
@@ -114,52 +114,52 @@
 		fleet.Expediters[0].Kill()
 		fleet.Expediters[1].Kill()
 		if !Await(12*time.Second, func() bool {
-			answer, failure := day.Operators.Call(fleet.Expediters[2], http.MethodPut, "/v1/configuration", url.Values{"expected": {before.Version}}, `{}`)
-			return failure == nil && answer.Status == http.StatusServiceUnavailable && answer.Outcome == "not_accepted" && answer.Type == "no_primary"
+			answer, err := day.Operators.Call(fleet.Expediters[2], http.MethodPut, "/v1/configuration", url.Values{"expected": {before.Version}}, `{}`)
+			return err == nil && answer.Status == http.StatusServiceUnavailable && answer.Outcome == "not_accepted" && answer.Type == "no_primary"
 		}) {
-			test.Error("without a core a change is not answered 503, not accepted")
+			t.Error("without a core a change is not answered 503, not accepted")
 		}
 		refusal := func() bool {
 			began := time.Now()
-			status, header, body := post(test, front, "/v1/inquiries", `{"id":"late","service":"rider-chat","pieces":1}`)
+			status, header, body := post(t, front, "/v1/inquiries", `{"id":"late","service":"rider-chat","pieces":1}`)
 			return status == http.StatusServiceUnavailable && strings.Contains(body, "no_hold") && header.Get("Retry-After") != "" && time.Since(began) < 2*time.Second
 		}
 		if !Await(12*time.Second, refusal) {
-			test.Error("without a core a caller is not refused at once with the time to come back")
+			t.Error("without a core a caller is not refused at once with the time to come back")
 		}
 	}()
 	// Garbage between the processes.
 	for _, node := range fleet.Nodes() {
 		for _, path := range []string{"/hotline/news", "/hotline/hello", "/hotline/larder/replicate", "/hotline/relay"} {
-			if status, _, _ := post(test, node.Node.Address, path, "\x93garbage"); status == 200 {
-				test.Errorf("%s took garbage at %s", node.Node.Name, path)
+			if status, _, _ := post(t, node.Node.Address, path, "\x93garbage"); status == 200 {
+				t.Errorf("%s took garbage at %s", node.Node.Name, path)
 			}
 		}
 		if !node.Ready() {
-			test.Errorf("%s is not ready after garbage", node.Node.Name)
+			t.Errorf("%s is not ready after garbage", node.Node.Name)
 		}
 	}
 }
 
 // TestCallersLeavingCancelsTheirWork closes a caller's circuit in the middle of
 // a reply and wants the server to stop soon, long before it would be done.
-func TestCallersLeavingCancelsTheirWork(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	openDay(test, fleet, 7)
+func TestCallersLeavingCancelsTheirWork(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	openDay(t, fleet, 7)
 	lifetime, leave := context.WithCancel(context.Background())
 	defer leave()
 	body := `{"id":"leaver","service":"rider-chat","prompt_tokens":80,"pieces":500}`
-	outbound, failure := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+fleet.Couriers[0].Node.Address+"/v1/inquiries", strings.NewReader(body))
-	if failure != nil {
-		test.Fatal(failure)
+	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+fleet.Couriers[0].Node.Address+"/v1/inquiries", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
 	}
-	inbound, failure := http.DefaultClient.Do(outbound)
-	if failure != nil {
-		test.Fatal(failure)
+	inbound, err := http.DefaultClient.Do(outbound)
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	if _, failure := inbound.Body.Read(make([]byte, 10)); failure != nil {
-		test.Fatal(failure)
+	if _, err := inbound.Body.Read(make([]byte, 10)); err != nil {
+		t.Fatal(err)
 	}
 	active := func() int {
 		count := 0
@@ -169,29 +169,29 @@
 		return count
 	}
 	if active() != 1 {
-		test.Fatalf("%d answers are under way", active())
+		t.Fatalf("%d answers are under way", active())
 	}
 	leave()
 	if !Await(2*time.Second, func() bool { return active() == 0 }) {
-		test.Error("the server goes on for a caller that has left")
+		t.Error("the server goes on for a caller that has left")
 	}
 }
 
 // TestOperatorsCommandLine uses the subcommands as scripts do.
-func TestOperatorsCommandLine(test *testing.T) {
-	fleet := startFleet(test, Sahil(), nil)
-	day := openDay(test, fleet, 8)
+func TestOperatorsCommandLine(t *testing.T) {
+	fleet := startFleet(t, Sahil(), nil)
+	day := openDay(t, fleet, 8)
 	var addresses []string
 	for _, node := range fleet.Expediters {
 		addresses = append(addresses, node.Node.Address)
 	}
-	file := filepath.Join(test.TempDir(), "usage.parquet")
+	file := filepath.Join(t.TempDir(), "usage.parquet")
 	run := func(arguments ...string) (int, string) {
 		command := exec.Command(filepath.Join(binaries, "expediter"), append(arguments, "--to", strings.Join(addresses, ","))...)
 		output, _ := command.CombinedOutput()
 		return command.ProcessState.ExitCode(), string(output)
 	}
-	patch := filepath.Join(test.TempDir(), "patch.json")
+	patch := filepath.Join(t.TempDir(), "patch.json")
 	expected := ""
 	for _, step := range []struct {
 		arguments []string
@@ -226,8 +226,8 @@
 		{[]string{"usage", file, "--format", "parquet"}, "", 0, ""},
 		{[]string{"usage", file, "--format", "cloth"}, "", 2, "csv or parquet"},
 	} {
-		if failure := os.WriteFile(patch, []byte(step.text), 0o644); failure != nil {
-			test.Fatal(failure)
+		if err := os.WriteFile(patch, []byte(step.text), 0o644); err != nil {
+			t.Fatal(err)
 		}
 		for position, argument := range step.arguments {
 			if argument == "VERSION" {
@@ -240,59 +240,59 @@
 			}
 		}
 		if code, output := run(step.arguments...); code != step.code || !strings.Contains(output, step.shows) {
-			test.Errorf("%v: exit %d, not %d, or no %q in\n%.400s", step.arguments, code, step.code, step.shows, output)
+			t.Errorf("%v: exit %d, not %d, or no %q in\n%.400s", step.arguments, code, step.code, step.shows, output)
 		}
 	}
-	if written, failure := os.Stat(file); failure != nil || written.Size() == 0 {
-		test.Errorf("no usage file: %v", failure)
+	if written, err := os.Stat(file); err != nil || written.Size() == 0 {
+		t.Errorf("no usage file: %v", err)
 	}
 	addresses = []string{"127.0.0.1:9"}
 	if code, output := run("get"); code != 4 {
-		test.Errorf("no expediter: exit %d\n%s", code, output)
+		t.Errorf("no expediter: exit %d\n%s", code, output)
 	}
 }
 
 // TestSettingsNameAllMistakesAtOnce starts programs with bad settings.
-func TestSettingsNameAllMistakesAtOnce(test *testing.T) {
-	output, failure := exec.Command(filepath.Join(binaries, "courier"), "serve", "--name", "not a name", "--address", "here", "--seeds", "127.0.0.1:1,127.0.0.1:1", "--market", "bazaar").CombinedOutput()
-	exit, ended := failure.(*exec.ExitError)
+func TestSettingsNameAllMistakesAtOnce(t *testing.T) {
+	output, err := exec.Command(filepath.Join(binaries, "courier"), "serve", "--name", "not a name", "--address", "here", "--seeds", "127.0.0.1:1,127.0.0.1:1", "--market", "bazaar").CombinedOutput()
+	exit, ended := err.(*exec.ExitError)
 	if !ended || exit.ExitCode() != 2 {
-		test.Fatalf("bad settings ended with %v", failure)
+		t.Fatalf("bad settings ended with %v", err)
 	}
 	for _, mistake := range []string{"name", "address", "district", "seeds", "platform", "market", "stands twice"} {
 		if !strings.Contains(string(output), mistake) {
-			test.Errorf("%q is not named in:\n%s", mistake, output)
+			t.Errorf("%q is not named in:\n%s", mistake, output)
 		}
 	}
 	if strings.Contains(string(output), "panic") {
-		test.Errorf("a panic:\n%s", output)
+		t.Errorf("a panic:\n%s", output)
 	}
-	if output, failure := exec.Command(filepath.Join(binaries, "expediter"), "--help").CombinedOutput(); failure != nil || !strings.Contains(string(output), "evacuate") {
-		test.Errorf("help: %v\n%s", failure, output)
+	if output, err := exec.Command(filepath.Join(binaries, "expediter"), "--help").CombinedOutput(); err != nil || !strings.Contains(string(output), "evacuate") {
+		t.Errorf("help: %v\n%s", err, output)
 	}
 }
 
 // TestProgramsThatCannotStartSayWhy starts programs on a busy address, with a
 // data folder that is none, and on a full disk: each ends at once, with its reason
 // and its exit code.
-func TestProgramsThatCannotStartSayWhy(test *testing.T) {
-	folder := test.TempDir()
-	busy, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		test.Fatal(failure)
+func TestProgramsThatCannotStartSayWhy(t *testing.T) {
+	folder := t.TempDir()
+	busy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer func() { _ = busy.Close() }()
-	addresses, failure := freeAddresses(1)
-	if failure != nil {
-		test.Fatal(failure)
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		t.Fatal(err)
 	}
 	file := filepath.Join(folder, "a-file")
-	if failure := os.WriteFile(file, nil, 0o644); failure != nil {
-		test.Fatal(failure)
+	if err := os.WriteFile(file, nil, 0o644); err != nil {
+		t.Fatal(err)
 	}
 	faults := filepath.Join(folder, "faults")
-	if failure := (NodeFaults{Disk: "full"}).Write(faults); failure != nil {
-		test.Fatal(failure)
+	if err := (NodeFaults{Disk: "full"}).Write(faults); err != nil {
+		t.Fatal(err)
 	}
 	common := func(address string) []string {
 		return []string{"--name", "node-1", "--address", address, "--district", "harbour", "--seeds", "127.0.0.1:1,127.0.0.1:2,127.0.0.1:3", "--platform", "127.0.0.1:4"}
@@ -309,8 +309,8 @@
 		command := exec.Command(filepath.Join(binaries, want.program), want.arguments...)
 		var output strings.Builder
 		command.Stdout, command.Stderr = &output, &output
-		if failure := command.Start(); failure != nil {
-			test.Fatal(failure)
+		if err := command.Start(); err != nil {
+			t.Fatal(err)
 		}
 		ended := make(chan error, 1)
 		go func() { ended <- command.Wait() }()
@@ -319,46 +319,46 @@
 		case <-ended:
 		case <-stuck.C:
 			_ = command.Process.Kill()
-			test.Errorf("%s: stuck", name)
+			t.Errorf("%s: stuck", name)
 		}
 		stuck.Stop()
 		if code := command.ProcessState.ExitCode(); code != 1 || !strings.Contains(output.String(), want.says) || strings.Contains(output.String(), "panic") {
-			test.Errorf("%s: exit code %d:\n%s", name, code, output.String())
+			t.Errorf("%s: exit code %d:\n%s", name, code, output.String())
 		}
 	}
 }
 
 // TestFleetStartsWithoutAPlatform starts a fleet while the platform is down, and
 // wants it ready soon after that is back.
-func TestFleetStartsWithoutAPlatform(test *testing.T) {
-	fleet, failure := NewFleet(Sahil(), test.TempDir(), binaries, nil)
-	if failure != nil {
-		test.Fatal(failure)
+func TestFleetStartsWithoutAPlatform(t *testing.T) {
+	fleet, err := NewFleet(Sahil(), t.TempDir(), binaries, nil)
+	if err != nil {
+		t.Fatal(err)
 	}
-	guard(test, fleet)
+	guard(t, fleet)
 	fleet.Platform.SetDown(true)
 	for _, node := range fleet.Nodes() {
-		if failure := node.Begin(); failure != nil {
-			test.Fatal(failure)
+		if err := node.Begin(); err != nil {
+			t.Fatal(err)
 		}
 	}
 	if !Await(20*time.Second, func() bool { return fleet.Primary() != nil }) {
-		test.Fatal("without a platform there is no primary")
+		t.Fatal("without a platform there is no primary")
 	}
 	for _, node := range fleet.Nodes() {
 		if !node.Running() {
-			test.Errorf("%s ended", node.Node.Name)
+			t.Errorf("%s ended", node.Node.Name)
 		}
 	}
 	fleet.Platform.SetDown(false)
-	if failure := fleet.AwaitReady(20 * time.Second); failure != nil {
-		test.Fatal(failure)
+	if err := fleet.AwaitReady(20 * time.Second); err != nil {
+		t.Fatal(err)
 	}
 }
 
 // TestStreamGivesTheSameDecisionsForTheSameEvents runs the bare core as a
 // program, twice.
-func TestStreamGivesTheSameDecisionsForTheSameEvents(test *testing.T) {
+func TestStreamGivesTheSameDecisionsForTheSameEvents(t *testing.T) {
 	events := strings.Join([]string{
 		`{"event":"servers_listed","at":"2026-01-02T18:00:00Z","servers":[{"name":"a","address":"10.0.0.1:80","district":"north"},{"name":"b","address":"10.0.0.2:80","district":"north"}]}`,
 		`{"event":"load_reported","at":"2026-01-02T18:00:00Z","load":{"server":"a","part":"prefill","age":3600000000000,"prefill_rate":20000,"prefill_room":8,"link_rate":400000}}`,
@@ -373,24 +373,24 @@
 	for range 2 {
 		command := exec.Command(filepath.Join(binaries, "courier"), "stream", "--name", "courier-1", "--district", "north")
 		command.Stdin = strings.NewReader(events)
-		output, failure := command.Output()
-		if failure != nil {
-			test.Fatal(failure)
+		output, err := command.Output()
+		if err != nil {
+			t.Fatal(err)
 		}
 		outputs = append(outputs, string(output))
 	}
 	if outputs[0] != outputs[1] {
-		test.Errorf("two runs differ:\n%s\n%s", outputs[0], outputs[1])
+		t.Errorf("two runs differ:\n%s\n%s", outputs[0], outputs[1])
 	}
 	var kinds []string
 	for _, line := range strings.Split(strings.TrimSpace(outputs[0]), "\n") {
 		var decision struct{ Decision string }
-		if failure := json.Unmarshal([]byte(line), &decision); failure != nil {
-			test.Fatal(failure)
+		if err := json.Unmarshal([]byte(line), &decision); err != nil {
+			t.Fatal(err)
 		}
 		kinds = append(kinds, decision.Decision)
 	}
 	if got := strings.Join(kinds, " "); got != "note_pair prefill decode" {
-		test.Errorf("decisions: %s", got)
+		t.Errorf("decisions: %s", got)
 	}
 }
--- a/internal/rehearsal/links.go
+++ b/internal/rehearsal/links.go
@@ -31,9 +31,9 @@
 			}
 		}
 		for name, address := range targets {
-			relay, failure := StartRelay(address)
-			if failure != nil {
-				return failure
+			relay, err := StartRelay(address)
+			if err != nil {
+				return err
 			}
 			fleet.Links.relays[[2]string{from.Node.Name, name}] = relay
 			detours[address] = relay.Address()
--- a/internal/rehearsal/nodefaults.go
+++ b/internal/rehearsal/nodefaults.go
@@ -26,7 +26,7 @@
 //	faults := rehearsal.ReadNodeFaults("expediter-1.faults")
 func ReadNodeFaults(path string) NodeFaults {
 	var faults NodeFaults
-	if text, failure := os.ReadFile(path); failure == nil {
+	if text, err := os.ReadFile(path); err == nil {
 		_ = json.Unmarshal(text, &faults)
 	}
 	return faults
@@ -38,12 +38,12 @@
 //
 //	failure := rehearsal.NodeFaults{Disk: "full"}.Write("expediter-1.faults")
 func (faults NodeFaults) Write(path string) error {
-	text, failure := json.Marshal(faults)
-	if failure != nil {
-		return trouble.Wrap(trouble.Malformed, failure)
+	text, err := json.Marshal(faults)
+	if err != nil {
+		return trouble.Wrap(trouble.Malformed, err)
 	}
-	if failure := os.WriteFile(path+".new", text, 0o644); failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	return trouble.Wrap(trouble.Disk, os.Rename(path+".new", path))
 }
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -38,13 +38,13 @@
 //
 //	failure := node.Begin()
 func (node *NodeProcess) Begin() error {
-	if failure := node.WriteSettings(); failure != nil {
-		return failure
+	if err := node.WriteSettings(); err != nil {
+		return err
 	}
 	settingsPath := node.settingsPath()
-	logFile, failure := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	logFile, err := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	command := exec.Command(node.binary, "serve", "--settings", settingsPath)
 	if node.staged {
@@ -53,9 +53,9 @@
 	command.Stdout, command.Stderr = logFile, logFile
 	// The node ends with the rehearsal, however that ends.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if failure := command.Start(); failure != nil {
+	if err := command.Start(); err != nil {
 		_ = logFile.Close()
-		return trouble.Wrap(trouble.Unreachable, failure)
+		return trouble.Wrap(trouble.Unreachable, err)
 	}
 	ended := make(chan struct{})
 	node.mutex.Lock()
@@ -80,9 +80,9 @@
 //
 //	failure := node.WriteSettings()
 func (node *NodeProcess) WriteSettings() error {
-	text, failure := json.MarshalIndent(node.settings, "", "  ")
-	if failure != nil {
-		return trouble.Wrap(trouble.Malformed, failure)
+	text, err := json.MarshalIndent(node.settings, "", "  ")
+	if err != nil {
+		return trouble.Wrap(trouble.Malformed, err)
 	}
 	return trouble.Wrap(trouble.Disk, os.WriteFile(node.settingsPath(), text, 0o644))
 }
@@ -217,8 +217,8 @@
 //
 //	if node.Ready() { ... }
 func (node *NodeProcess) Ready() bool {
-	inbound, failure := probe.Get("http://" + node.Node.Address + "/v1/ready")
-	if failure != nil {
+	inbound, err := probe.Get("http://" + node.Node.Address + "/v1/ready")
+	if err != nil {
 		return false
 	}
 	_ = inbound.Body.Close()
@@ -231,9 +231,9 @@
 //
 //	failure := node.ReadJSON("/v1/status", &status)
 func (node *NodeProcess) ReadJSON(path string, target any) (int, error) {
-	inbound, failure := probe.Get("http://" + node.Node.Address + path)
-	if failure != nil {
-		return 0, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := probe.Get("http://" + node.Node.Address + path)
+	if err != nil {
+		return 0, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	return inbound.StatusCode, trouble.Wrap(trouble.Garbage, json.NewDecoder(inbound.Body).Decode(target))
@@ -245,16 +245,16 @@
 //
 //	batches := node.Metric("seamloom_synced_batches_total")
 func (node *NodeProcess) Metric(name string) int {
-	inbound, failure := probe.Get("http://" + node.Node.Address + "/v1/metrics")
-	if failure != nil {
+	inbound, err := probe.Get("http://" + node.Node.Address + "/v1/metrics")
+	if err != nil {
 		return -1
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	lines := bufio.NewScanner(inbound.Body)
 	for lines.Scan() {
 		if value, found := strings.CutPrefix(lines.Text(), name+" "); found {
-			number, failure := strconv.Atoi(value)
-			if failure == nil {
+			number, err := strconv.Atoi(value)
+			if err == nil {
 				return number
 			}
 		}
--- a/internal/rehearsal/operators.go
+++ b/internal/rehearsal/operators.go
@@ -48,18 +48,18 @@
 //
 //	answer, failure := operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
 func (operators *Operators) Call(node *NodeProcess, method, path string, query url.Values, body string) (Answer, error) {
-	outbound, failure := http.NewRequest(method, "http://"+node.Node.Address+path+"?"+query.Encode(), bytes.NewReader([]byte(body)))
-	if failure != nil {
-		return Answer{}, trouble.Wrap(trouble.Malformed, failure)
+	outbound, err := http.NewRequest(method, "http://"+node.Node.Address+path+"?"+query.Encode(), bytes.NewReader([]byte(body)))
+	if err != nil {
+		return Answer{}, trouble.Wrap(trouble.Malformed, err)
 	}
-	inbound, failure := operators.client.Do(outbound)
-	if failure != nil {
-		return Answer{}, trouble.Wrap(trouble.Unreachable, failure)
+	inbound, err := operators.client.Do(outbound)
+	if err != nil {
+		return Answer{}, trouble.Wrap(trouble.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	content, failure := io.ReadAll(inbound.Body)
+	content, err := io.ReadAll(inbound.Body)
 	answer := Answer{Status: inbound.StatusCode}
-	if failure != nil || json.Unmarshal(content, &answer) != nil {
+	if err != nil || json.Unmarshal(content, &answer) != nil {
 		return answer, trouble.New(trouble.Garbage, string(content))
 	}
 	return answer, nil
@@ -79,14 +79,14 @@
 	if before := EditionOf(current.Configuration); before > 0 {
 		patch = strings.Replace(patch, `"routes":{`, `"routes":{"edition-`+strconv.Itoa(before)+`":null,`, 1)
 	}
-	answer, failure := operators.Call(node, http.MethodPatch, "/v1/configuration", query, patch)
+	answer, err := operators.Call(node, http.MethodPatch, "/v1/configuration", query, patch)
 	entry := Entry{Kind: EditionUnknown, Edition: edition, Courier: node.Node.Name, Status: answer.Status}
 	switch {
-	case failure == nil && answer.Outcome == "accepted":
+	case err == nil && answer.Outcome == "accepted":
 		entry.Kind = EditionAccepted
-	case failure == nil && answer.Outcome == "not_accepted":
+	case err == nil && answer.Outcome == "not_accepted":
 		entry.Kind = EditionRefused
-	case failure != nil && strings.Contains(failure.Error(), "connection refused"):
+	case err != nil && strings.Contains(err.Error(), "connection refused"):
 		entry.Kind = EditionRefused
 	}
 	entry.Cause = answer.Version
@@ -101,8 +101,8 @@
 //	answer, edition := operators.ReadEdition(node)
 func (operators *Operators) ReadEdition(node *NodeProcess) (Answer, int) {
 	began := time.Now()
-	answer, failure := operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
-	if failure != nil || answer.Status != http.StatusOK {
+	answer, err := operators.Call(node, http.MethodGet, "/v1/configuration", nil, "")
+	if err != nil || answer.Status != http.StatusOK {
 		return answer, -1
 	}
 	edition := EditionOf(answer.Configuration)
@@ -140,8 +140,8 @@
 //	accepted := operators.Evacuate(node, "north")
 func (operators *Operators) Evacuate(node *NodeProcess, district string) bool {
 	operators.fleet.Book.Note(Entry{Kind: EvacuationAsked, District: district})
-	answer, failure := operators.Call(node, http.MethodPost, "/v1/evacuations/"+url.PathEscape(district), nil, `{"reason":"rehearsal"}`)
-	if failure == nil && answer.Outcome == "accepted" {
+	answer, err := operators.Call(node, http.MethodPost, "/v1/evacuations/"+url.PathEscape(district), nil, `{"reason":"rehearsal"}`)
+	if err == nil && answer.Outcome == "accepted" {
 		operators.fleet.Book.Note(Entry{Kind: Evacuated, District: district})
 		return true
 	}
@@ -156,8 +156,8 @@
 //	operators.Restore(node, "north")
 func (operators *Operators) Restore(node *NodeProcess, district string) bool {
 	operators.fleet.Book.Note(Entry{Kind: RestoreAsked, District: district})
-	answer, failure := operators.Call(node, http.MethodDelete, "/v1/evacuations/"+url.PathEscape(district), nil, "")
-	return failure == nil && answer.Outcome == "accepted"
+	answer, err := operators.Call(node, http.MethodDelete, "/v1/evacuations/"+url.PathEscape(district), nil, "")
+	return err == nil && answer.Outcome == "accepted"
 }
 
 // LookAtEditions asks every running courier, as a caller, which edition is in
@@ -175,8 +175,8 @@
 func (operators *Operators) lookAtEdition(node *NodeProcess) {
 	began := time.Now()
 	body := `{"id":"` + uuid.NewString() + `","service":"edition","pieces":1,"prompt_tokens":1}`
-	inbound, failure := probe.Post("http://"+node.Node.Address+"/v1/inquiries", "application/json", bytes.NewReader([]byte(body)))
-	if failure != nil {
+	inbound, err := probe.Post("http://"+node.Node.Address+"/v1/inquiries", "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
 		return
 	}
 	defer func() { _ = inbound.Body.Close() }()
--- a/internal/rehearsal/platform.go
+++ b/internal/rehearsal/platform.go
@@ -32,9 +32,9 @@
 //
 //	platform, failure := rehearsal.StartPlatform(book)
 func StartPlatform(book *Book) (*Platform, error) {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	platform := &Platform{book: book, address: listener.Addr().String(), servers: map[string]roster.Server{}, nodes: map[string]roster.Node{}}
 	mux := goji.NewMux()
--- a/internal/rehearsal/platformday/addressrange.go
+++ b/internal/rehearsal/platformday/addressrange.go
@@ -30,8 +30,8 @@
 		first := 20_000 + rand.IntN(100)*100
 		chosen := ports{front: strconv.Itoa(first), ready: strconv.Itoa(first + 1), control: strconv.Itoa(first + 2), list: strconv.Itoa(first + 3), server: strconv.Itoa(first + 4), free: []int{first + 20, first + 35}}
 		prefix := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
-		held, failure := net.Listen("tcp", prefix+"250:19999")
-		if failure != nil {
+		held, err := net.Listen("tcp", prefix+"250:19999")
+		if err != nil {
 			continue
 		}
 		return &addressRange{prefix: prefix, held: held}, chosen, nil
--- a/internal/rehearsal/platformday/balancer.go
+++ b/internal/rehearsal/platformday/balancer.go
@@ -66,8 +66,8 @@
 }
 
 func (balancer *Balancer) ask(address string) int {
-	answer, failure := balancer.client.Get("http://" + address + pathReady)
-	if failure != nil {
+	answer, err := balancer.client.Get("http://" + address + pathReady)
+	if err != nil {
 		return 0
 	}
 	_ = answer.Body.Close()
--- a/internal/rehearsal/platformday/balancer_test.go
+++ b/internal/rehearsal/platformday/balancer_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestMachinesThatMissTwiceGetNoClients has machines of two zones answer and fall silent.
-func TestMachinesThatMissTwiceGetNoClients(test *testing.T) {
+func TestMachinesThatMissTwiceGetNoClients(t *testing.T) {
 	balancer := newBalancer(&Book{})
 	ready := map[string]*atomic.Bool{}
 	for _, machine := range []string{"east-1", "east-2", "east-3", "west-1"} {
@@ -21,7 +21,7 @@
 				writer.WriteHeader(http.StatusServiceUnavailable)
 			}
 		}))
-		test.Cleanup(server.Close)
+		t.Cleanup(server.Close)
 		balancer.open(target{machine: machine, zone: machine[:4], ready: strings.TrimPrefix(server.URL, "http://")})
 	}
 	names := func() string {
@@ -32,33 +32,33 @@
 		return strings.Join(text, " ")
 	}
 	if !balancer.allReady() || names() != "east-1 east-2 east-3" {
-		test.Fatalf("all are ready: %s", names())
+		t.Fatalf("all are ready: %s", names())
 	}
 	ready["east-1"].Store(false)
 	balancer.askAll()
 	if names() != "east-1 east-2 east-3" {
-		test.Errorf("after one miss: %s", names())
+		t.Errorf("after one miss: %s", names())
 	}
 	balancer.askAll()
 	if names() != "east-2 east-3" {
-		test.Errorf("after two misses: %s", names())
+		t.Errorf("after two misses: %s", names())
 	}
 	ready["east-2"].Store(false)
 	balancer.askAll()
 	balancer.askAll()
 	if names() != "east-1 east-2 east-3" {
-		test.Errorf("fewer than half are in: %s", names())
+		t.Errorf("fewer than half are in: %s", names())
 	}
 	ready["east-3"].Store(false)
 	balancer.askAll()
 	balancer.askAll()
 	if names() != "west-1" {
-		test.Errorf("none is in: %s", names())
+		t.Errorf("none is in: %s", names())
 	}
 	ready["east-1"].Store(true)
 	ready["east-2"].Store(true)
 	balancer.askAll()
 	if names() != "east-1 east-2" {
-		test.Errorf("two are back: %s", names())
+		t.Errorf("two are back: %s", names())
 	}
 }
--- a/internal/rehearsal/platformday/book.go
+++ b/internal/rehearsal/platformday/book.go
@@ -53,15 +53,15 @@
 //
 //	failure := book.Save("book.jsonl")
 func (book *Book) Save(path string) error {
-	file, failure := os.Create(path)
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	file, err := os.Create(path)
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	encoder := json.NewEncoder(file)
 	for _, event := range book.Events() {
-		if failure := encoder.Encode(event); failure != nil {
+		if err := encoder.Encode(event); err != nil {
 			_ = file.Close()
-			return trouble.Wrap(trouble.Disk, failure)
+			return trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	return trouble.Wrap(trouble.Disk, file.Close())
--- a/internal/rehearsal/platformday/checkers_test.go
+++ b/internal/rehearsal/platformday/checkers_test.go
@@ -65,7 +65,7 @@
 
 // TestEachCheckerCatchesASeededViolation seeds one violation for each checker, and wants
 // that checker to speak, and none on a clean day.
-func TestEachCheckerCatchesASeededViolation(test *testing.T) {
+func TestEachCheckerCatchesASeededViolation(t *testing.T) {
 	day := seeded{start: time.Unix(1_700_000_000, 0)}
 	judge := func(events []Event) Verdict {
 		book := &Book{}
@@ -75,7 +75,7 @@
 		return Judge(book.Events(), SmallSite())
 	}
 	if verdict := judge(day.clean()); verdict.Violations() != 0 {
-		test.Fatalf("a clean day is judged broken:\n%s", verdict)
+		t.Fatalf("a clean day is judged broken:\n%s", verdict)
 	}
 	// call changes one event of a call.
 	call := func(position int, change func(event *Event)) []Event {
@@ -180,19 +180,19 @@
 	for _, checker := range checkers {
 		seeds, found := cases[checker.name]
 		if !found {
-			test.Errorf("no violation is seeded for %s", checker.name)
+			t.Errorf("no violation is seeded for %s", checker.name)
 			continue
 		}
 		verdict := judge(append(day.clean(), seeds...))
 		if verdict.Finding(checker.name).Violations == 0 {
-			test.Errorf("%s does not see its violation:\n%s", checker.name, verdict)
+			t.Errorf("%s does not see its violation:\n%s", checker.name, verdict)
 		}
 	}
 }
 
 // TestOutOfTouchMachinesAreNotBoundByTime kills the machine shortly before what would
 // break a rule.
-func TestOutOfTouchMachinesAreNotBoundByTime(test *testing.T) {
+func TestOutOfTouchMachinesAreNotBoundByTime(t *testing.T) {
 	day := seeded{start: time.Unix(1_700_000_000, 0)}
 	events := append(day.clean(),
 		Event{At: day.at(23_200), Kind: Arrived, Try: "one", Server: "i-old", Service: "desk", Zone: "quay-hall", Stage: stageDecode, Deadline: time.Millisecond},
@@ -202,6 +202,6 @@
 		book.Note(event)
 	}
 	if finding := Judge(book.Events(), SmallSite()).Finding("DRAIN servers"); finding.Violations != 0 || finding.Looked == 0 {
-		test.Errorf("%+v", finding)
+		t.Errorf("%+v", finding)
 	}
 }
--- a/internal/rehearsal/platformday/circuit.go
+++ b/internal/rehearsal/platformday/circuit.go
@@ -22,9 +22,9 @@
 
 // dial connects to a machine; it gets a second to come up.
 func dial(to target) (*circuit, error) {
-	connection, failure := net.DialTimeout("tcp", to.front, time.Second)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	connection, err := net.DialTimeout("tcp", to.front, time.Second)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	return &circuit{Conn: connection, reader: bufio.NewReaderSize(connection, 4096), machine: to.machine}, nil
 }
@@ -35,12 +35,12 @@
 		return false, true
 	}
 	_ = circuit.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
-	_, failure := circuit.reader.Peek(1)
+	_, err := circuit.reader.Peek(1)
 	_ = circuit.SetReadDeadline(time.Time{})
-	if failure == nil {
+	if err == nil {
 		return false, true
 	}
-	return errors.Is(failure, os.ErrDeadlineExceeded), false
+	return errors.Is(err, os.ErrDeadlineExceeded), false
 }
 
 var errNoMachine = trouble.New(trouble.Unreachable, "no machine takes clients")
--- a/internal/rehearsal/platformday/clients.go
+++ b/internal/rehearsal/platformday/clients.go
@@ -105,10 +105,10 @@
 		if one.left() <= 0 {
 			return
 		}
-		circuit, failure := clients.circuit(one, sender, number)
+		circuit, err := clients.circuit(one, sender, number)
 		var again *try
-		if failure != nil {
-			clients.book.Note(Event{Kind: TryEnded, Request: one.id, Class: one.class.Name, Route: one.route, Number: number, Repeatable: one.class.repeats(), Aim: one.class.Aim, Began: one.began, Cause: "no circuit: " + failure.Error()})
+		if err != nil {
+			clients.book.Note(Event{Kind: TryEnded, Request: one.id, Class: one.class.Name, Route: one.route, Number: number, Repeatable: one.class.repeats(), Aim: one.class.Aim, Began: one.began, Cause: "no circuit: " + err.Error()})
 			again = &try{one: one, unread: true}
 		} else {
 			again = one.send(circuit, number, behind, clients.book)
@@ -221,8 +221,8 @@
 	one := newRequest(class, route, rule, clients.random)
 	clients.mutex.Unlock()
 	one.probe, one.leaves = true, false
-	circuit, failure := dial(to)
-	if failure != nil {
+	circuit, err := dial(to)
+	if err != nil {
 		return
 	}
 	defer func() { _ = circuit.Close() }()
--- a/internal/rehearsal/platformday/command.go
+++ b/internal/rehearsal/platformday/command.go
@@ -18,7 +18,7 @@
 // takeOrder takes an order up, or says why not.
 func (server *modelServer) takeOrder(writer http.ResponseWriter, inbound *http.Request) {
 	var asked command
-	failure := json.NewDecoder(inbound.Body).Decode(&asked)
+	err := json.NewDecoder(inbound.Body).Decode(&asked)
 	event := Event{Kind: Ordered, Server: server.ID, Service: server.Service, Zone: server.Zone, Owner: asked.Owner, Stage: asked.Phase}
 	if asked.Fence != nil {
 		event.Fence = *asked.Fence
@@ -29,7 +29,7 @@
 	switch {
 	case target != "" && target != server.ID:
 		event.Status = http.StatusMisdirectedRequest
-	case failure != nil, asked.Owner == "", asked.Fence == nil, asked.Kind != "phase", asked.Phase != stagePrefill && asked.Phase != stageDecode:
+	case err != nil, asked.Owner == "", asked.Fence == nil, asked.Kind != "phase", asked.Phase != stagePrefill && asked.Phase != stageDecode:
 		event.Status = http.StatusBadRequest
 	case asked.Expected != nil && *asked.Expected != server.orders, server.turning:
 		event.Status = http.StatusConflict
--- a/internal/rehearsal/platformday/day.go
+++ b/internal/rehearsal/platformday/day.go
@@ -53,17 +53,17 @@
 	if left, _ := filepath.Glob(filepath.Join(folder, "edge-*")); len(left) > 0 {
 		return nil, trouble.New(trouble.Contradictory, folder+" holds the disks of another day")
 	}
-	addressRange, ports, failure := takeAddresses()
-	if failure != nil {
-		return nil, failure
+	addressRange, ports, err := takeAddresses()
+	if err != nil {
+		return nil, err
 	}
 	day := &Day{Site: site, Book: &Book{}, roles: roles, folder: folder, log: log, addressRange: addressRange, ports: ports, seed: seed, random: rand.New(rand.NewPCG(seed, 1))}
 	day.lifetime, day.end = context.WithCancel(context.Background())
-	if day.ServerPool, failure = startServerPool(day.Book, site, seed, func() string { return addressRange.address() + ":" + ports.server }); failure != nil {
-		return nil, failure
+	if day.ServerPool, err = startServerPool(day.Book, site, seed, func() string { return addressRange.address() + ":" + ports.server }); err != nil {
+		return nil, err
 	}
-	if day.Directory, failure = startDirectory(day.Book, day.ServerPool, site, addressRange.address()+":"+ports.list); failure != nil {
-		return nil, failure
+	if day.Directory, err = startDirectory(day.Book, day.ServerPool, site, addressRange.address()+":"+ports.list); err != nil {
+		return nil, err
 	}
 	day.Balancer = newBalancer(day.Book)
 	day.Clients = newClients(day.Book, site, day.Balancer, seed)
@@ -152,8 +152,8 @@
 //	failure := day.Begin(30 * time.Second)
 func (day *Day) Begin(patience time.Duration) error {
 	for _, machine := range day.all() {
-		if failure := machine.up(); failure != nil {
-			return failure
+		if err := machine.up(); err != nil {
+			return err
 		}
 		if machine.serves("edge") {
 			day.Balancer.open(machine.target())
--- a/internal/rehearsal/platformday/day_test.go
+++ b/internal/rehearsal/platformday/day_test.go
@@ -31,47 +31,47 @@
 }
 
 // throughDay lays out the site with one machine, on which the pass-through runs.
-func throughDay(test *testing.T, folder string) *Day {
-	test.Helper()
-	own, failure := os.Executable()
-	if failure != nil {
-		test.Fatal(failure)
+func throughDay(t *testing.T, folder string) *Day {
+	t.Helper()
+	own, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
 	}
 	role := Role{Name: "through", Run: own, Share: 1, On: "edge", Serves: []string{"edge", "control"}, binaries: ""}
 	role.binaries = own[:len(own)-len("/platformday.test")]
-	day, failure := NewDay(oneMachine(), []Role{role}, 5, folder, test.Output())
-	if failure != nil {
-		test.Fatal(failure)
+	day, err := NewDay(oneMachine(), []Role{role}, 5, folder, t.Output())
+	if err != nil {
+		t.Fatal(err)
 	}
 	return day
 }
 
 // TestStandInsAgreeWithEachOther plays a quiet day around the pass-through: nothing is
 // broken that such a thing can hold.
-func TestStandInsAgreeWithEachOther(test *testing.T) {
-	day := throughDay(test, test.TempDir())
+func TestStandInsAgreeWithEachOther(t *testing.T) {
+	day := throughDay(t, t.TempDir())
 	defer day.Close()
-	if failure := day.Begin(20 * time.Second); failure != nil {
-		test.Fatal(failure, day.Logs(10))
+	if err := day.Begin(20 * time.Second); err != nil {
+		t.Fatal(err, day.Logs(10))
 	}
 	verdict := day.Run(Plan{Length: 6})
 	if verdict.Violations() > 0 || verdict.Figures.Served() < 0.95 {
-		test.Errorf("a quiet day:\n%s", verdict)
+		t.Errorf("a quiet day:\n%s", verdict)
 	}
 	for _, checker := range []string{"MIXED answers", "UNASKED", "TWICE", "ORDER", "CONFIG read back", "ACKS"} {
 		if verdict.Finding(checker).Looked == 0 {
-			test.Errorf("%s had nothing to look at", checker)
+			t.Errorf("%s had nothing to look at", checker)
 		}
 	}
 }
 
 // TestADayBeginsWithEmptyDisks wants a folder refused that another day left.
-func TestADayBeginsWithEmptyDisks(test *testing.T) {
-	folder := test.TempDir()
-	if failure := os.Mkdir(filepath.Join(folder, "edge-quay-hall-1"), 0o755); failure != nil {
-		test.Fatal(failure)
+func TestADayBeginsWithEmptyDisks(t *testing.T) {
+	folder := t.TempDir()
+	if err := os.Mkdir(filepath.Join(folder, "edge-quay-hall-1"), 0o755); err != nil {
+		t.Fatal(err)
 	}
-	if _, failure := NewDay(SmallSite(), nil, 1, folder, nil); trouble.KindOf(failure) != trouble.Contradictory {
-		test.Errorf("%v", failure)
+	if _, err := NewDay(SmallSite(), nil, 1, folder, nil); trouble.KindOf(err) != trouble.Contradictory {
+		t.Errorf("%v", err)
 	}
 }
--- a/internal/rehearsal/platformday/directory.go
+++ b/internal/rehearsal/platformday/directory.go
@@ -60,9 +60,9 @@
 
 // startDirectory begins the list at an address.
 func startDirectory(book *Book, pool *ServerPool, site Site, address string) (*Directory, error) {
-	listener, failure := net.Listen("tcp", address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	directory := &Directory{Address: address, book: book, pool: pool, site: site}
 	mux := goji.NewMux()
--- a/internal/rehearsal/platformday/drawn.go
+++ b/internal/rehearsal/platformday/drawn.go
@@ -50,8 +50,8 @@
 //
 //	text, failure := plan.Text()
 func (plan Plan) Text() (string, error) {
-	text, failure := toml.Marshal(plan)
-	return string(text), trouble.Wrap(trouble.Malformed, failure)
+	text, err := toml.Marshal(plan)
+	return string(text), trouble.Wrap(trouble.Malformed, err)
 }
 
 // Title names the faults of a day in one line.
--- a/internal/rehearsal/platformday/edition.go
+++ b/internal/rehearsal/platformday/edition.go
@@ -161,8 +161,8 @@
 // samePage tells whether a configuration that was read says the same as one that was
 // sent; the order of named items says nothing.
 func samePage(sent map[string]any, read []byte) bool {
-	text, failure := json.Marshal(sent)
-	if failure != nil {
+	text, err := json.Marshal(sent)
+	if err != nil {
 		return false
 	}
 	var left, right map[string]any
--- a/internal/rehearsal/platformday/engine_test.go
+++ b/internal/rehearsal/platformday/engine_test.go
@@ -10,8 +10,8 @@
 }
 
 // drive steps an engine until a request is over, and gives the time that took.
-func drive(test *testing.T, engine *engine, now time.Time, one *work) time.Duration {
-	test.Helper()
+func drive(t *testing.T, engine *engine, now time.Time, one *work) time.Duration {
+	t.Helper()
 	began := now
 	for range 10_000 {
 		if one.stage == over {
@@ -21,58 +21,58 @@
 		now = now.Add(length)
 		engine.apply(now, pieces)
 	}
-	test.Fatal("the request is never over")
+	t.Fatal("the request is never over")
 	return 0
 }
 
 // TestKeptPartsAreNotReadAgain reads a chain twice, and once more after others took
 // its room.
-func TestKeptPartsAreNotReadAgain(test *testing.T) {
+func TestKeptPartsAreNotReadAgain(t *testing.T) {
 	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
 	chain := []part{{"shared", 100}, {"own", 50}}
 	first := &work{model: "m", chain: chain, most: 2, arrived: now}
 	engine.enter(first)
-	cold := drive(test, engine, now, first)
+	cold := drive(t, engine, now, first)
 	second := &work{model: "m", chain: chain, most: 2, arrived: now}
 	engine.enter(second)
-	if warm := drive(test, engine, now, second); cold < 15*time.Millisecond || warm > 3*time.Millisecond {
-		test.Errorf("cold %s, warm %s", cold, warm)
+	if warm := drive(t, engine, now, second); cold < 15*time.Millisecond || warm > 3*time.Millisecond {
+		t.Errorf("cold %s, warm %s", cold, warm)
 	}
 	if tokens := engine.memory.missing("m", []part{{"shared", 100}, {"other", 50}}); tokens != 50 {
-		test.Errorf("%d tokens are missing of a chain with another end", tokens)
+		t.Errorf("%d tokens are missing of a chain with another end", tokens)
 	}
 	if tokens := engine.memory.missing("m2", chain); tokens != 150 {
-		test.Errorf("%d tokens are missing for another model", tokens)
+		t.Errorf("%d tokens are missing for another model", tokens)
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		filler := &work{model: "m", chain: []part{{id, 120}}, most: 1, arrived: now}
 		engine.enter(filler)
-		drive(test, engine, now, filler)
+		drive(t, engine, now, filler)
 	}
 	if tokens := engine.memory.missing("m", chain); tokens != 150 {
-		test.Errorf("%d tokens are missing after others took the room", tokens)
+		t.Errorf("%d tokens are missing after others took the room", tokens)
 	}
 	if engine.memory.kept > 400 || engine.memory.fixed != 0 || engine.memory.pinned() != 0 {
-		test.Errorf("kept %d, fixed %d, pinned %d", engine.memory.kept, engine.memory.fixed, engine.memory.pinned())
+		t.Errorf("kept %d, fixed %d, pinned %d", engine.memory.kept, engine.memory.fixed, engine.memory.pinned())
 	}
 }
 
 // TestMemoryPressurePutsTheNewestBack runs two requests whose tokens don't both fit.
-func TestMemoryPressurePutsTheNewestBack(test *testing.T) {
+func TestMemoryPressurePutsTheNewestBack(t *testing.T) {
 	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
 	older := &work{model: "m", chain: []part{{"a", 150}}, most: 80, arrived: now}
 	newer := &work{model: "m", chain: []part{{"b", 150}}, most: 80, arrived: now.Add(time.Second)}
 	if !engine.enter(older) || !engine.enter(newer) {
-		test.Fatal("not let in")
+		t.Fatal("not let in")
 	}
-	drive(test, engine, now, newer)
+	drive(t, engine, now, newer)
 	if engine.preemptions == 0 || older.stage != over || older.ending != "" || newer.made != 80 {
-		test.Errorf("put back %d times; older %+v newer %+v", engine.preemptions, older, newer)
+		t.Errorf("put back %d times; older %+v newer %+v", engine.preemptions, older, newer)
 	}
 }
 
 // TestUrgentRequestsTakeThePlaceOfOthers fills the queue.
-func TestUrgentRequestsTakeThePlaceOfOthers(test *testing.T) {
+func TestUrgentRequestsTakeThePlaceOfOthers(t *testing.T) {
 	engine, now := newEngine(smallShape()), time.Unix(1000, 0)
 	var usual []*work
 	for number := range 2 {
@@ -81,20 +81,20 @@
 		engine.enter(one)
 	}
 	if engine.enter(&work{model: "m", most: 1, urgency: 5, arrived: now.Add(time.Second)}) {
-		test.Error("a full server let another in")
+		t.Error("a full server let another in")
 	}
 	urgent := &work{model: "m", most: 1, urgency: 0, arrived: now.Add(time.Second)}
 	if !engine.enter(urgent) || usual[1].stage != over || usual[1].ending == "" || engine.waiting[0] != urgent {
-		test.Errorf("the urgent request did not take a place: %+v", usual[1])
+		t.Errorf("the urgent request did not take a place: %+v", usual[1])
 	}
 	if engine.enter(&work{model: "m", most: 500, arrived: now}) {
-		test.Error("a request larger than the memory was let in")
+		t.Error("a request larger than the memory was let in")
 	}
 	late := &work{model: "m", most: 1, arrived: now, ends: now.Add(-time.Second)}
 	engine.waiting = nil
 	engine.enter(late)
 	engine.apply(now, nil)
 	if late.stage != over || late.ending != "deadline" || late.begun {
-		test.Errorf("a request past its deadline: %+v", late)
+		t.Errorf("a request past its deadline: %+v", late)
 	}
 }
--- a/internal/rehearsal/platformday/exchange.go
+++ b/internal/rehearsal/platformday/exchange.go
@@ -33,8 +33,8 @@
 func newExchange(server *modelServer, inbound *http.Request, body []byte) *exchange {
 	header := inbound.Header
 	exchange := &exchange{server: server, header: header, body: body, source: header.Get(headerSource)}
-	deadline, failure := strconv.ParseFloat(header.Get(headerDeadline), 64)
-	if failure != nil {
+	deadline, err := strconv.ParseFloat(header.Get(headerDeadline), 64)
+	if err != nil {
 		deadline = 0
 	}
 	exchange.behind, _ = strconv.Atoi(header.Get(headerLastEvent))
@@ -97,7 +97,7 @@
 	_, asked, _ := strings.Cut(exchange.header.Get(headerTokens), ",")
 	most, _ := strconv.Atoi(asked)
 	urgency := 5
-	if given, failure := strconv.Atoi(exchange.header.Get(headerUrgency)); failure == nil {
+	if given, err := strconv.Atoi(exchange.header.Get(headerUrgency)); err == nil {
 		urgency = given
 	}
 	most = tokensOf(exchange.event.Digest, max(1, most))
@@ -358,8 +358,8 @@
 // answerBadly writes by hand: bytes that are no answer, or a whole answer with another
 // one behind it where the next answer should come.
 func (exchange *exchange) answerBadly(writer http.ResponseWriter, ended *Event) {
-	circuit, buffered, failure := http.NewResponseController(writer).Hijack()
-	if failure != nil {
+	circuit, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = circuit.Close() }()
@@ -396,8 +396,8 @@
 	ended.Complete, ended.Status, ended.Tokens = true, http.StatusOK, made
 	// The extra answer comes once the next request is here, whole, and the circuit stays
 	// open behind it: a reset would take the answer away again.
-	next, failure := http.ReadRequest(buffered.Reader)
-	if failure != nil {
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, next.Body)
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -89,7 +89,7 @@
 	var leaving sync.WaitGroup
 	defer leaving.Wait()
 	for _, server := range day.drawn(fault, 0.5) {
-		if _, failure := day.ServerPool.add(day.Site.shapeOf(server.Service), server.Zone, server.playing(), true); failure != nil {
+		if _, err := day.ServerPool.add(day.Site.shapeOf(server.Service), server.Zone, server.playing(), true); err != nil {
 			return
 		}
 		leaving.Go(func() {
@@ -126,7 +126,7 @@
 			if !pause(lifetime, fault.gap()) {
 				return
 			}
-			if next, failure := day.ServerPool.addAt(server.Address, day.Site.shapeOf(server.Service), server.Zone, phase, true); failure == nil {
+			if next, err := day.ServerPool.addAt(server.Address, day.Site.shapeOf(server.Service), server.Zone, phase, true); err == nil {
 				servers[position] = next
 			}
 		}
--- a/internal/rehearsal/platformday/machine.go
+++ b/internal/rehearsal/platformday/machine.go
@@ -87,17 +87,17 @@
 
 // write writes the settings file of a role.
 func (machine *Machine) write(role Role) (string, error) {
-	text, failure := json.MarshalIndent(machine.settings(role), "", "  ")
-	if failure != nil {
-		return "", trouble.Wrap(trouble.Malformed, failure)
+	text, err := json.MarshalIndent(machine.settings(role), "", "  ")
+	if err != nil {
+		return "", trouble.Wrap(trouble.Malformed, err)
 	}
 	path := filepath.Join(machine.folder, role.Name+".json")
-	if failure := os.MkdirAll(machine.folder, 0o755); failure != nil {
-		return "", trouble.Wrap(trouble.Disk, failure)
+	if err := os.MkdirAll(machine.folder, 0o755); err != nil {
+		return "", trouble.Wrap(trouble.Disk, err)
 	}
 	if machine.Core {
-		if failure := os.MkdirAll(machine.disk(role), 0o755); failure != nil {
-			return "", trouble.Wrap(trouble.Disk, failure)
+		if err := os.MkdirAll(machine.disk(role), 0o755); err != nil {
+			return "", trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	return path, trouble.Wrap(trouble.Disk, os.WriteFile(path, text, 0o644))
@@ -107,8 +107,8 @@
 func (machine *Machine) up() error {
 	machine.day.Book.Note(Event{Kind: MachineUp, Machine: machine.Name, Zone: machine.Zone, Core: machine.Core})
 	for _, process := range machine.processes {
-		if failure := process.start(); failure != nil {
-			return failure
+		if err := process.start(); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -168,8 +168,8 @@
 	machine.seeds, machine.first = seeds, false
 	machine.mutex.Unlock()
 	for _, process := range machine.processes {
-		if _, failure := machine.write(process.role); failure != nil {
-			return failure
+		if _, err := machine.write(process.role); err != nil {
+			return err
 		}
 		process.signal(syscall.SIGHUP)
 	}
--- a/internal/rehearsal/platformday/machine_test.go
+++ b/internal/rehearsal/platformday/machine_test.go
@@ -9,30 +9,30 @@
 
 // TestAMachineThatIsUpIsNotStartedTwice brings one machine up twice, as a roll and a
 // closing fault at the same time do, and wants one process that ends with the day.
-func TestAMachineThatIsUpIsNotStartedTwice(test *testing.T) {
-	day := throughDay(test, test.TempDir())
+func TestAMachineThatIsUpIsNotStartedTwice(t *testing.T) {
+	day := throughDay(t, t.TempDir())
 	defer day.Close()
 	machine := day.all()[0]
-	if failure := day.Begin(20 * time.Second); failure != nil {
-		test.Fatal(failure)
+	if err := day.Begin(20 * time.Second); err != nil {
+		t.Fatal(err)
 	}
 	first := machine.processes[0].command.Process.Pid
-	if failure := machine.up(); failure != nil {
-		test.Fatal(failure)
+	if err := machine.up(); err != nil {
+		t.Fatal(err)
 	}
 	if second := machine.processes[0].command.Process.Pid; second != first {
-		test.Errorf("process %d runs beside %d", second, first)
+		t.Errorf("process %d runs beside %d", second, first)
 	}
 	machine.kill()
 	for _, event := range day.Book.Events() {
 		if event.Kind == EndedByItself {
-			test.Errorf("%+v", event)
+			t.Errorf("%+v", event)
 		}
 	}
 	if text := machine.processes[0].logged(); strings.Contains(text, "in use") {
-		test.Error(text)
+		t.Error(text)
 	}
-	if _, failure := os.Stat(machine.processes[0].log()); failure != nil {
-		test.Error(failure)
+	if _, err := os.Stat(machine.processes[0].log()); err != nil {
+		t.Error(err)
 	}
 }
--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -84,9 +84,9 @@
 
 // startServer begins a model server at an address.
 func startServer(pool *ServerPool, service ServiceShape, zone, phase, address string, cold bool) (*modelServer, error) {
-	listener, failure := net.Listen("tcp", address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	server := &modelServer{ID: "i-" + uuid.NewString()[:8], Service: service.Name, Zone: zone, Address: address, pool: pool, shape: service.Engine,
 		engine: newEngine(service.Engine), phase: phase, revision: 1, handles: map[string]*handle{}, random: rand.New(rand.NewPCG(pool.seed, uint64(pool.count())))}
@@ -288,8 +288,8 @@
 
 // serve takes a request of a client, or one that is only to be read.
 func (server *modelServer) serve(writer http.ResponseWriter, inbound *http.Request) {
-	body, failure := io.ReadAll(inbound.Body)
-	if failure != nil {
+	body, err := io.ReadAll(inbound.Body)
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	exchange := newExchange(server, inbound, body)
--- a/internal/rehearsal/platformday/operators.go
+++ b/internal/rehearsal/platformday/operators.go
@@ -103,21 +103,21 @@
 	}
 	patience, end := context.WithTimeout(lifetime, time.Second+time.Duration(len(body)>>16)*100*time.Millisecond)
 	defer end()
-	outbound, failure := http.NewRequestWithContext(patience, method, "http://"+node+path, bytes.NewReader(body))
-	if failure != nil {
-		return answer{}, failure
+	outbound, err := http.NewRequestWithContext(patience, method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
 	}
 	if header != nil {
 		outbound.Header = header.Clone()
 	}
-	inbound, failure := operators.client.Do(outbound)
-	if failure != nil {
-		return answer{}, failure
+	inbound, err := operators.client.Do(outbound)
+	if err != nil {
+		return answer{}, err
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	read, failure := io.ReadAll(inbound.Body)
-	if failure != nil {
-		return answer{}, failure
+	read, err := io.ReadAll(inbound.Body)
+	if err != nil {
+		return answer{}, err
 	}
 	return answer{status: inbound.StatusCode, body: read, node: inbound.Request.URL.Host}, nil
 }
--- a/internal/rehearsal/platformday/passthrough_test.go
+++ b/internal/rehearsal/platformday/passthrough_test.go
@@ -33,8 +33,8 @@
 // runPassThrough is the process of that stand-in, in the test's own program.
 func runPassThrough() {
 	through := &passThrough{}
-	text, failure := os.ReadFile(os.Getenv(settingsName))
-	if failure != nil || json.Unmarshal(text, &through.settings) != nil {
+	text, err := os.ReadFile(os.Getenv(settingsName))
+	if err != nil || json.Unmarshal(text, &through.settings) != nil {
 		os.Exit(1)
 	}
 	go through.readList()
@@ -66,18 +66,18 @@
 		var all []serverPage
 		token := ""
 		for {
-			answer, failure := http.Get("http://" + through.settings.PlatformApi.Address + pathServers + "?pageToken=" + token)
-			if failure != nil {
+			answer, err := http.Get("http://" + through.settings.PlatformApi.Address + pathServers + "?pageToken=" + token)
+			if err != nil {
 				break
 			}
 			var page struct {
 				Servers   []serverPage
 				NextToken *string
 			}
-			failure = json.NewDecoder(answer.Body).Decode(&page)
+			err = json.NewDecoder(answer.Body).Decode(&page)
 			_ = answer.Body.Close()
 			all = append(all, page.Servers...)
-			if failure != nil || page.NextToken == nil {
+			if err != nil || page.NextToken == nil {
 				break
 			}
 			token = *page.NextToken
--- a/internal/rehearsal/platformday/plan.go
+++ b/internal/rehearsal/platformday/plan.go
@@ -53,9 +53,9 @@
 //
 //	plan, mistakes := platformday.ReadPlan("day.toml")
 func ReadPlan(path string) (Plan, error) {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
-		return Plan{}, trouble.Wrap(trouble.Disk, failure)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Plan{}, trouble.Wrap(trouble.Disk, err)
 	}
 	return ParsePlan(text)
 }
@@ -68,16 +68,16 @@
 func ParsePlan(text []byte) (Plan, error) {
 	var plan Plan
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if failure := decoder.Decode(&plan); failure != nil {
+	if err := decoder.Decode(&plan); err != nil {
 		var strict *toml.StrictMissingError
 		var mistakes error
-		if errors.As(failure, &strict) {
+		if errors.As(err, &strict) {
 			for _, missing := range strict.Errors {
 				mistakes = multierr.Append(mistakes, trouble.At(trouble.UnknownField, "/"+strings.Join(missing.Key(), "/"), "no such field"))
 			}
 			return plan, mistakes
 		}
-		return plan, trouble.Wrap(trouble.Malformed, failure)
+		return plan, trouble.Wrap(trouble.Malformed, err)
 	}
 	return plan, plan.Check()
 }
--- a/internal/rehearsal/platformday/plan_test.go
+++ b/internal/rehearsal/platformday/plan_test.go
@@ -8,10 +8,10 @@
 )
 
 // TestPlansAreChecked wants each mistake of a day file named by its place.
-func TestPlansAreChecked(test *testing.T) {
+func TestPlansAreChecked(t *testing.T) {
 	plan, mistakes := ParsePlan([]byte("name = \"good\"\nseed = 3\nlength_s = 20\n[[fault]]\nkind = \"node_kill\"\nat = 4\nfor_s = 2.5\nshare = 0.2\n[closing]\nkind = \"kill_all\"\ndown_s = 1\n"))
 	if mistakes != nil || plan.Faults[0].Kind != "node_kill" || plan.Closing.Down != 1 {
-		test.Fatalf("%+v %v", plan, mistakes)
+		t.Fatalf("%+v %v", plan, mistakes)
 	}
 	_, mistakes = ParsePlan([]byte("length_s = 2\n[[fault]]\nkind = \"no_such\"\nat = 900\nshare = 2\ncount = 1\non = \"moon\"\n[closing]\nkind = \"flood\"\n"))
 	text := ""
@@ -20,30 +20,30 @@
 	}
 	for _, wanted := range []string{"out_of_range at /length_s", "no_such at /fault/0/kind", "out_of_range at /fault/0/at", "out_of_range at /fault/0/share", "no_such at /fault/0/on", "contradictory at /fault/0/count", "no_such at /closing/kind"} {
 		if !strings.Contains(text, wanted) {
-			test.Errorf("%s is not among\n%s", wanted, text)
+			t.Errorf("%s is not among\n%s", wanted, text)
 		}
 	}
 	if _, mistakes := ParsePlan([]byte("length_s = 20\n[[fault]]\nkind = \"burst\"\nwhen = 3\n")); mistakes == nil || !strings.Contains(mistakes.Error(), "unknown_field at /fault/when") {
-		test.Errorf("an unknown field: %v", mistakes)
+		t.Errorf("an unknown field: %v", mistakes)
 	}
 	if _, mistakes := ParsePlan([]byte("length_s = [")); mistakes == nil || !strings.Contains(mistakes.Error(), "malformed") {
-		test.Errorf("no TOML: %v", mistakes)
+		t.Errorf("no TOML: %v", mistakes)
 	}
 }
 
 // TestDrawnDaysAreSound draws days, and wants each to be valid, the same for the same seed
 // and the same when it is read from its own file.
-func TestDrawnDaysAreSound(test *testing.T) {
+func TestDrawnDaysAreSound(t *testing.T) {
 	kinds := map[string]bool{}
 	for seed := range uint64(60) {
 		plan := DrawPlan(seed, 5)
-		text, failure := plan.Text()
-		if failure != nil {
-			test.Fatal(failure)
+		text, err := plan.Text()
+		if err != nil {
+			t.Fatal(err)
 		}
 		again, mistakes := ParsePlan([]byte(text))
 		if mistakes != nil || again.Title() != plan.Title() || DrawPlan(seed, 5).Title() != plan.Title() {
-			test.Fatalf("seed %d: %v\n%s", seed, mistakes, text)
+			t.Fatalf("seed %d: %v\n%s", seed, mistakes, text)
 		}
 		for _, fault := range plan.Faults {
 			kinds[fault.Kind] = true
@@ -51,7 +51,7 @@
 	}
 	for _, kind := range FaultKinds() {
 		if !kinds[kind] {
-			test.Errorf("no day has %s", kind)
+			t.Errorf("no day has %s", kind)
 		}
 	}
 }
--- a/internal/rehearsal/platformday/plots.go
+++ b/internal/rehearsal/platformday/plots.go
@@ -58,8 +58,8 @@
 		count("refused", func(second Second) float64 { return float64(second.Refused) }, blue),
 		count("failed", func(second Second) float64 { return float64(second.Failed) }, red),
 	}
-	if failure := draw(filepath.Join(folder, "requests.png"), "Requests by the second in which they began", "requests", ends, marks); failure != nil {
-		return failure
+	if err := draw(filepath.Join(folder, "requests.png"), "Requests by the second in which they began", "requests", ends, marks); err != nil {
+		return err
 	}
 	firsts := []series{count("median", func(second Second) float64 { return float64(second.Median.Milliseconds()) }, green)}
 	return draw(filepath.Join(folder, "first-event.png"), "Time to the first event", "milliseconds", firsts, marks)
@@ -78,9 +78,9 @@
 	picture.Legend.Top = true
 	top := 1.0
 	for _, one := range lines {
-		line, failure := plotter.NewLine(one.points)
-		if failure != nil {
-			return trouble.Wrap(trouble.Malformed, failure)
+		line, err := plotter.NewLine(one.points)
+		if err != nil {
+			return trouble.Wrap(trouble.Malformed, err)
 		}
 		line.Color, line.Width = one.shade, vg.Points(1.5)
 		picture.Add(line)
@@ -91,9 +91,9 @@
 	}
 	labels := plotter.XYLabels{}
 	for _, mark := range marks {
-		line, failure := plotter.NewLine(plotter.XYs{{X: mark.Second, Y: 0}, {X: mark.Second, Y: top}})
-		if failure != nil {
-			return trouble.Wrap(trouble.Malformed, failure)
+		line, err := plotter.NewLine(plotter.XYs{{X: mark.Second, Y: 0}, {X: mark.Second, Y: top}})
+		if err != nil {
+			return trouble.Wrap(trouble.Malformed, err)
 		}
 		line.Color, line.Dashes = color.Gray{120}, []vg.Length{vg.Points(2), vg.Points(2)}
 		picture.Add(line)
@@ -101,9 +101,9 @@
 		labels.Labels = append(labels.Labels, mark.Name)
 	}
 	if len(labels.Labels) > 0 {
-		names, failure := plotter.NewLabels(labels)
-		if failure != nil {
-			return trouble.Wrap(trouble.Malformed, failure)
+		names, err := plotter.NewLabels(labels)
+		if err != nil {
+			return trouble.Wrap(trouble.Malformed, err)
 		}
 		picture.Add(names)
 	}
--- a/internal/rehearsal/platformday/plots_test.go
+++ b/internal/rehearsal/platformday/plots_test.go
@@ -9,19 +9,19 @@
 )
 
 // TestPlotsAreDrawn draws a day of three seconds.
-func TestPlotsAreDrawn(test *testing.T) {
-	folder := test.TempDir()
+func TestPlotsAreDrawn(t *testing.T) {
+	folder := t.TempDir()
 	figures := Figures{Seconds: []Second{{InTime: 5, Median: 80 * time.Millisecond}, {InTime: 2, Late: 3, Median: time.Second}, {Failed: 1, Refused: 4}}}
-	if failure := figures.Plot(folder, []Mark{{1, "node_kill"}}); failure != nil {
-		test.Fatal(failure)
+	if err := figures.Plot(folder, []Mark{{1, "node_kill"}}); err != nil {
+		t.Fatal(err)
 	}
 	for _, name := range []string{"requests.png", "first-event.png"} {
-		file, failure := os.Open(filepath.Join(folder, name))
-		if failure != nil {
-			test.Fatal(failure)
+		file, err := os.Open(filepath.Join(folder, name))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if picture, failure := png.Decode(file); failure != nil || picture.Bounds().Dx() < 300 {
-			test.Errorf("%s: %v", name, failure)
+		if picture, err := png.Decode(file); err != nil || picture.Bounds().Dx() < 300 {
+			t.Errorf("%s: %v", name, err)
 		}
 		_ = file.Close()
 	}
--- a/internal/rehearsal/platformday/process.go
+++ b/internal/rehearsal/platformday/process.go
@@ -52,13 +52,13 @@
 
 // launch begins the program with its settings of this moment.
 func (process *process) launch() error {
-	path, failure := process.machine.write(process.role)
-	if failure != nil {
-		return failure
+	path, err := process.machine.write(process.role)
+	if err != nil {
+		return err
 	}
-	log, failure := os.OpenFile(process.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if failure != nil {
-		return trouble.Wrap(trouble.Disk, failure)
+	log, err := os.OpenFile(process.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return trouble.Wrap(trouble.Disk, err)
 	}
 	words := process.role.words()
 	command := exec.Command(words[0], words[1:]...)
@@ -68,9 +68,9 @@
 	}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if failure := command.Start(); failure != nil {
+	if err := command.Start(); err != nil {
 		_ = log.Close()
-		return trouble.Wrap(trouble.Unreachable, failure)
+		return trouble.Wrap(trouble.Unreachable, err)
 	}
 	ended := make(chan struct{})
 	process.command, process.ended = command, ended
--- a/internal/rehearsal/platformday/processes_test.go
+++ b/internal/rehearsal/platformday/processes_test.go
@@ -12,13 +12,13 @@
 
 // built are the product's programs for the platform, with the race detector, built once.
 var built = sync.OnceValues(func() (string, error) {
-	folder, failure := os.MkdirTemp("", "seamloom-platform-")
-	if failure != nil {
-		return "", failure
+	folder, err := os.MkdirTemp("", "seamloom-platform-")
+	if err != nil {
+		return "", err
 	}
-	output, failure := exec.Command("go", "build", "-race", "-o", folder+string(filepath.Separator), "seamloom.example/seamloom/platform/cmd/...").CombinedOutput()
-	if failure != nil {
-		return folder, fmt.Errorf("%w: %s", failure, output)
+	output, err := exec.Command("go", "build", "-race", "-o", folder+string(filepath.Separator), "seamloom.example/seamloom/platform/cmd/...").CombinedOutput()
+	if err != nil {
+		return folder, fmt.Errorf("%w: %s", err, output)
 	}
 	return folder, nil
 })
@@ -45,58 +45,58 @@
 
 // TestDaysOfThePlatform plays a day for each family of rules around the product's own
 // programs, and wants no rule broken.
-func TestDaysOfThePlatform(test *testing.T) {
-	binaries, failure := built()
-	if failure != nil {
-		test.Fatal(failure)
+func TestDaysOfThePlatform(t *testing.T) {
+	binaries, err := built()
+	if err != nil {
+		t.Fatal(err)
 	}
-	test.Cleanup(func() { _ = os.RemoveAll(binaries) })
+	t.Cleanup(func() { _ = os.RemoveAll(binaries) })
 	for _, family := range familyDays {
-		test.Run(family.name, func(test *testing.T) { playFamily(test, family, binaries) })
+		t.Run(family.name, func(t *testing.T) { playFamily(t, family, binaries) })
 	}
 }
 
-func playFamily(test *testing.T, family familyDay, binaries string) {
+func playFamily(t *testing.T, family familyDay, binaries string) {
 	plan, mistakes := ReadPlan(filepath.Join("days", family.name+".toml"))
 	if mistakes != nil {
-		test.Fatal(mistakes)
+		t.Fatal(mistakes)
 	}
 	// With the race detector on a busy machine the day has less traffic; the rules are the
 	// same.
 	plan.Rate = 14
-	roles, failure := ReadRoles("../../../deploy/system.toml", binaries)
-	if failure != nil {
-		test.Fatal(failure)
+	roles, err := ReadRoles("../../../deploy/system.toml", binaries)
+	if err != nil {
+		t.Fatal(err)
 	}
-	day, failure := NewDay(SmallSite(), roles, plan.Seed, test.TempDir(), test.Output())
-	if failure != nil {
-		test.Fatal(failure)
+	day, err := NewDay(SmallSite(), roles, plan.Seed, t.TempDir(), t.Output())
+	if err != nil {
+		t.Fatal(err)
 	}
 	defer day.Close()
 	defer func() {
 		if names := day.Crashed(); len(names) > 0 {
-			test.Errorf("panicked or raced: %v", names)
+			t.Errorf("panicked or raced: %v", names)
 		}
-		if test.Failed() {
+		if t.Failed() {
 			for name, log := range day.Logs(8) {
-				test.Logf("%s:\n%s", name, log)
+				t.Logf("%s:\n%s", name, log)
 			}
 		}
 	}()
-	if failure := day.Begin(60 * time.Second); failure != nil {
-		test.Fatal(failure)
+	if err := day.Begin(60 * time.Second); err != nil {
+		t.Fatal(err)
 	}
 	verdict := day.Run(plan)
-	test.Log(verdict)
+	t.Log(verdict)
 	if verdict.Violations() > 0 {
-		test.Errorf("rules were broken %d times", verdict.Violations())
+		t.Errorf("rules were broken %d times", verdict.Violations())
 	}
 	if served := verdict.Figures.Served(); served < family.floor {
-		test.Errorf("%.3f of the requests were served, %.2f are wanted", served, family.floor)
+		t.Errorf("%.3f of the requests were served, %.2f are wanted", served, family.floor)
 	}
 	for _, checker := range family.shows {
 		if verdict.Finding(checker).Looked == 0 {
-			test.Errorf("%s had nothing to look at", checker)
+			t.Errorf("%s had nothing to look at", checker)
 		}
 	}
 }
--- a/internal/rehearsal/platformday/role.go
+++ b/internal/rehearsal/platformday/role.go
@@ -32,16 +32,16 @@
 //
 //	roles, failure := platformday.ReadRoles("deploy/system.toml", "target")
 func ReadRoles(path, binaries string) ([]Role, error) {
-	text, failure := os.ReadFile(path)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Disk, failure)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Disk, err)
 	}
 	var file struct {
 		Build string          `toml:"build"`
 		Roles map[string]Role `toml:"roles"`
 	}
-	if failure := toml.Unmarshal(text, &file); failure != nil {
-		return nil, trouble.Wrap(trouble.Malformed, failure)
+	if err := toml.Unmarshal(text, &file); err != nil {
+		return nil, trouble.Wrap(trouble.Malformed, err)
 	}
 	var roles []Role
 	for name, role := range file.Roles {
--- a/internal/rehearsal/platformday/serverpool.go
+++ b/internal/rehearsal/platformday/serverpool.go
@@ -32,9 +32,9 @@
 			} else if number < service.Readers {
 				phase = stagePrefill
 			}
-			if _, failure := pool.add(service, site.Zones[number%len(site.Zones)], phase, false); failure != nil {
+			if _, err := pool.add(service, site.Zones[number%len(site.Zones)], phase, false); err != nil {
 				pool.close()
-				return nil, failure
+				return nil, err
 			}
 		}
 	}
@@ -55,9 +55,9 @@
 
 // addAt begins a server at an address.
 func (pool *ServerPool) addAt(address string, service ServiceShape, zone, phase string, cold bool) (*modelServer, error) {
-	server, failure := startServer(pool, service, zone, phase, address, cold)
-	if failure != nil {
-		return nil, failure
+	server, err := startServer(pool, service, zone, phase, address, cold)
+	if err != nil {
+		return nil, err
 	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
--- a/internal/rehearsal/platformday/try.go
+++ b/internal/rehearsal/platformday/try.go
@@ -33,9 +33,9 @@
 	try := &try{one: one, id: strings.ReplaceAll(uuid.NewString(), "-", "")[:16], number: number, behind: behind}
 	try.event = Event{Kind: TrySent, Machine: circuit.machine, Try: try.id, Request: one.id, Class: one.class.Name, Route: one.route, Number: number,
 		Repeatable: one.class.repeats(), Probe: one.probe, Digest: one.digest(), Deadline: one.left(), Aim: one.class.Aim, Began: one.began, Behind: behind, At: time.Now()}
-	outbound, failure := http.NewRequest(http.MethodPost, "http://"+one.rule.Host+one.path, bytes.NewReader(one.body))
-	if failure != nil {
-		try.event.Cause = failure.Error()
+	outbound, err := http.NewRequest(http.MethodPost, "http://"+one.rule.Host+one.path, bytes.NewReader(one.body))
+	if err != nil {
+		try.event.Cause = err.Error()
 		return try
 	}
 	outbound.Header = one.header()
@@ -51,11 +51,11 @@
 	book.Note(try.event)
 	_ = circuit.SetDeadline(one.began.Add(one.class.Deadline))
 	writer := bufio.NewWriterSize(circuit, 32<<10)
-	if failure := outbound.Write(writer); failure != nil {
-		try.ends(failure)
-	} else if failure := writer.Flush(); failure != nil {
+	if err := outbound.Write(writer); err != nil {
+		try.ends(err)
+	} else if err := writer.Flush(); err != nil {
 		try.unread = true
-		try.ends(failure)
+		try.ends(err)
 	} else {
 		try.read(circuit, outbound)
 	}
@@ -67,13 +67,13 @@
 }
 
 // ends notes why the answer isn't whole.
-func (try *try) ends(failure error) {
+func (try *try) ends(err error) {
 	try.event.Complete = false
-	if errors.Is(failure, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		try.event.GaveUp, try.event.Cause = true, "silence"
 		return
 	}
-	try.event.Cause = failure.Error()
+	try.event.Cause = err.Error()
 }
 
 // listen sets how long the client waits for the next bytes.
@@ -87,10 +87,10 @@
 
 func (try *try) read(circuit *circuit, outbound *http.Request) {
 	try.listen(circuit)
-	answer, failure := http.ReadResponse(circuit.reader, outbound)
-	if failure != nil {
-		try.ends(failure)
-		if strings.Contains(failure.Error(), "malformed") {
+	answer, err := http.ReadResponse(circuit.reader, outbound)
+	if err != nil {
+		try.ends(err)
+		if strings.Contains(err.Error(), "malformed") {
 			try.event.Cause = causeNoAnswer
 		}
 		return
@@ -102,14 +102,14 @@
 		try.retry = time.Duration(seconds * float64(time.Second))
 	}
 	if answer.StatusCode/100 != 2 {
-		_, failure = io.Copy(io.Discard, answer.Body)
+		_, err = io.Copy(io.Discard, answer.Body)
 	} else if try.one.class.Plain {
-		failure = try.readWhole(answer.Body)
+		err = try.readWhole(answer.Body)
 	} else {
-		failure = try.readStream(circuit, answer.Body)
+		err = try.readStream(circuit, answer.Body)
 	}
-	if failure != nil {
-		try.ends(failure)
+	if err != nil {
+		try.ends(err)
 		return
 	}
 	try.event.Complete = true
@@ -120,7 +120,7 @@
 // restsFor is how long a client takes up a resting circuit again.
 func restsFor(keepAlive string) time.Duration {
 	_, seconds, found := strings.Cut(keepAlive, "timeout=")
-	if count, failure := strconv.Atoi(strings.TrimRight(seconds, " ,;")); found && failure == nil {
+	if count, err := strconv.Atoi(strings.TrimRight(seconds, " ,;")); found && err == nil {
 		return time.Duration(count) * time.Second * 4 / 5
 	}
 	return 5 * time.Second
@@ -133,9 +133,9 @@
 
 // readWhole reads a plain answer.
 func (try *try) readWhole(body io.Reader) error {
-	text, failure := io.ReadAll(body)
-	if failure != nil {
-		return failure
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return err
 	}
 	var page struct{ Answer string }
 	span := Span{ID: -1}
@@ -153,10 +153,10 @@
 	span, last := Span{ID: -1}, time.Now()
 	for {
 		try.listen(circuit)
-		line, failure := lines.ReadString('\n')
+		line, err := lines.ReadString('\n')
 		line = strings.TrimRight(line, "\r\n")
 		switch {
-		case failure == nil && line == "" && span.ID >= 0:
+		case err == nil && line == "" && span.ID >= 0:
 			now := time.Now()
 			if try.event.First.IsZero() {
 				try.event.First = now
@@ -175,11 +175,11 @@
 		case strings.HasPrefix(line, "data: "):
 			span.read(line[6:])
 		}
-		if failure == io.EOF {
+		if err == io.EOF {
 			return nil
 		}
-		if failure != nil {
-			return failure
+		if err != nil {
+			return err
 		}
 	}
 }
--- a/internal/rehearsal/platformday/work.go
+++ b/internal/rehearsal/platformday/work.go
@@ -20,8 +20,8 @@
 	var chain []part
 	for _, one := range strings.Split(text, ",") {
 		id, tokens, found := strings.Cut(one, ":")
-		count, failure := strconv.Atoi(tokens)
-		if !found || failure != nil || count < 0 {
+		count, err := strconv.Atoi(tokens)
+		if !found || err != nil || count < 0 {
 			return nil, false
 		}
 		chain = append(chain, part{id: id, tokens: count})
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -28,9 +28,9 @@
 //
 //	relay, failure := rehearsal.StartRelay("127.0.0.1:7101")
 func StartRelay(target string) (*Relay, error) {
-	listener, failure := net.Listen("tcp", "127.0.0.1:0")
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	relay := &Relay{target: target, listener: listener, circuits: map[net.Conn]bool{}}
 	relay.changed = sync.NewCond(&relay.mutex)
@@ -105,8 +105,8 @@
 
 func (relay *Relay) accept() {
 	for {
-		caller, failure := relay.listener.Accept()
-		if failure != nil {
+		caller, err := relay.listener.Accept()
+		if err != nil {
 			return
 		}
 		go relay.carry(caller)
@@ -119,8 +119,8 @@
 	if !relay.pass() {
 		return
 	}
-	target, failure := net.Dial("tcp", relay.target)
-	if failure != nil {
+	target, err := net.Dial("tcp", relay.target)
+	if err != nil {
 		return
 	}
 	relay.keep(target, true)
@@ -130,7 +130,7 @@
 	duplicate := relay.duplicate
 	relay.mutex.Unlock()
 	if duplicate {
-		if second, failure := net.Dial("tcp", relay.target); failure == nil {
+		if second, err := net.Dial("tcp", relay.target); err == nil {
 			relay.keep(second, true)
 			defer relay.keep(second, false)
 			targets = append(targets, second)
@@ -172,16 +172,16 @@
 func (relay *Relay) copy(from net.Conn, to []net.Conn) {
 	chunk := make([]byte, 64<<10)
 	for {
-		count, failure := from.Read(chunk)
+		count, err := from.Read(chunk)
 		if count > 0 {
 			relay.pass()
 			for _, circuit := range to {
-				if _, failure := circuit.Write(chunk[:count]); failure != nil && circuit == to[0] {
+				if _, err := circuit.Write(chunk[:count]); err != nil && circuit == to[0] {
 					return
 				}
 			}
 		}
-		if failure != nil {
+		if err != nil {
 			return
 		}
 	}
--- a/internal/rehearsal/removals/list_test.go
+++ b/internal/rehearsal/removals/list_test.go
@@ -7,17 +7,17 @@
 
 // TestEveryRemovalStillApplies makes each edit in a copy: a protection that has
 // moved must be found again by whoever moved it.
-func TestEveryRemovalStillApplies(test *testing.T) {
+func TestEveryRemovalStillApplies(t *testing.T) {
 	for _, removal := range All {
-		folder := test.TempDir()
-		if failure := os.CopyFS(folder+"/internal", os.DirFS("../..")); failure != nil {
-			test.Fatal(failure)
+		folder := t.TempDir()
+		if err := os.CopyFS(folder+"/internal", os.DirFS("../..")); err != nil {
+			t.Fatal(err)
 		}
-		if failure := removal.Apply(folder); failure != nil {
-			test.Errorf("%s: %v", removal.Name, failure)
+		if err := removal.Apply(folder); err != nil {
+			t.Errorf("%s: %v", removal.Name, err)
 		}
 		if (removal.Test == "") != removal.Worlds || (removal.Package == "") != removal.Worlds {
-			test.Errorf("%s names no test, or two", removal.Name)
+			t.Errorf("%s names no test, or two", removal.Name)
 		}
 	}
 }
--- a/internal/rehearsal/removals/removal.go
+++ b/internal/rehearsal/removals/removal.go
@@ -43,15 +43,15 @@
 func (removal Removal) Apply(folder string) error {
 	for _, edit := range removal.Edits {
 		path := filepath.Join(folder, edit.File)
-		content, failure := os.ReadFile(path)
-		if failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 		if count := strings.Count(string(content), edit.Old); count != 1 {
 			return trouble.At(trouble.NoSuch, edit.File, "the protection stands there other than once: "+edit.Old)
 		}
-		if failure := os.WriteFile(path, []byte(strings.Replace(string(content), edit.Old, edit.New, 1)), 0o644); failure != nil {
-			return trouble.Wrap(trouble.Disk, failure)
+		if err := os.WriteFile(path, []byte(strings.Replace(string(content), edit.Old, edit.New, 1)), 0o644); err != nil {
+			return trouble.Wrap(trouble.Disk, err)
 		}
 	}
 	return nil
--- a/internal/rehearsal/standin.go
+++ b/internal/rehearsal/standin.go
@@ -37,9 +37,9 @@
 //
 //	server, failure := rehearsal.StartStandIn(plan, "127.0.0.1:0", book)
 func StartStandIn(plan ServerPlan, address string, book *Book) (*StandIn, error) {
-	listener, failure := net.Listen("tcp", address)
-	if failure != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, failure)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trouble.Wrap(trouble.Unreachable, err)
 	}
 	standIn := &StandIn{address: listener.Addr().String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	standIn.lifetime, standIn.end = context.WithCancel(context.Background())
@@ -73,8 +73,8 @@
 func takes[Order any](standIn *StandIn, act func(circuit *Circuit, order Order, writer http.ResponseWriter)) http.HandlerFunc {
 	return func(writer http.ResponseWriter, inbound *http.Request) {
 		var order Order
-		content, failure := io.ReadAll(inbound.Body)
-		if failure != nil || json.Unmarshal(content, &order) != nil {
+		content, err := io.ReadAll(inbound.Body)
+		if err != nil || json.Unmarshal(content, &order) != nil {
 			say(writer, http.StatusBadRequest, Refusal{Type: "malformed"})
 			return
 		}
@@ -143,8 +143,8 @@
 		if line.Piece == 1 {
 			writer.Header().Set("Content-Type", "application/jsonl")
 		}
-		if failure := encoder.Encode(line); failure != nil {
-			return failure
+		if err := encoder.Encode(line); err != nil {
+			return err
 		}
 		return flusher.Flush()
 	})
@@ -156,18 +156,18 @@
 // fetchMemory takes a prompt's memory over from the server that read the
 // prompt.
 func (standIn *StandIn) fetchMemory(_ *Circuit, address string, question MemoryQuestion) (MemoryAnswer, int) {
-	body, failure := json.Marshal(question)
-	if failure != nil {
+	body, err := json.Marshal(question)
+	if err != nil {
 		return MemoryAnswer{}, http.StatusBadRequest
 	}
 	asking, end := context.WithTimeout(standIn.lifetime, 2*time.Second)
 	defer end()
-	outbound, failure := http.NewRequestWithContext(asking, http.MethodPost, "http://"+address+"/v1/memory", bytes.NewReader(body))
-	if failure != nil {
+	outbound, err := http.NewRequestWithContext(asking, http.MethodPost, "http://"+address+"/v1/memory", bytes.NewReader(body))
+	if err != nil {
 		return MemoryAnswer{}, http.StatusBadRequest
 	}
-	inbound, failure := standIn.client.Do(outbound)
-	if failure != nil {
+	inbound, err := standIn.client.Do(outbound)
+	if err != nil {
 		return MemoryAnswer{}, http.StatusBadGateway
 	}
 	defer func() { _ = inbound.Body.Close() }()
--- a/internal/rehearsal/upgrade_test.go
+++ b/internal/rehearsal/upgrade_test.go
@@ -18,20 +18,20 @@
 }
 
 // restart stops a node in an orderly way and begins it as another release.
-func restart(test *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
-	test.Helper()
+func restart(t *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
+	t.Helper()
 	node.Stop(25 * time.Second)
-	begin(test, fleet, node, withheld)
+	begin(t, fleet, node, withheld)
 }
 
-func begin(test *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
-	test.Helper()
+func begin(t *testing.T, fleet *Fleet, node *NodeProcess, withheld []string) {
+	t.Helper()
 	node.Set("withhold_flags", append([]string{}, withheld...))
-	if failure := node.Begin(); failure != nil {
-		test.Fatal(failure)
+	if err := node.Begin(); err != nil {
+		t.Fatal(err)
 	}
 	if !Await(20*time.Second, node.Ready) {
-		test.Fatalf("%s is not ready again", node.Node.Name)
+		t.Fatalf("%s is not ready again", node.Node.Name)
 	}
 	if len(withheld) == 0 {
 		fleet.noteMember(node, oldRelease...)
@@ -51,7 +51,7 @@
 		if !node.Running() {
 			continue
 		}
-		if code, failure := node.ReadJSON("/v1/flags", &answer); failure == nil && code == http.StatusOK {
+		if code, err := node.ReadJSON("/v1/flags", &answer); err == nil && code == http.StatusOK {
 			count := 0
 			for _, flag := range answer.Flags {
 				if flag.Enabled {
@@ -69,14 +69,14 @@
 // the last one stopped, and wants the flags enabled by the nodes themselves
 // only when it is back; then a node of the older release starts restricted and
 // still serves.
-func TestRollingUpgradeEnablesFlagsOnlyWithTheLastMember(test *testing.T) {
-	fleet := startFleet(test, Sahil(), map[string]any{"withhold_flags": oldRelease, "flag_settle_milliseconds": 1000})
+func TestRollingUpgradeEnablesFlagsOnlyWithTheLastMember(t *testing.T) {
+	fleet := startFleet(t, Sahil(), map[string]any{"withhold_flags": oldRelease, "flag_settle_milliseconds": 1000})
 	for _, node := range fleet.Nodes() {
 		fleet.noteMember(node)
 	}
 	day := NewDay(fleet, 4, io.Discard)
-	if failure := day.Open(); failure != nil {
-		test.Fatal(failure)
+	if err := day.Open(); err != nil {
+		t.Fatal(err)
 	}
 	lifetime, end := context.WithCancel(context.Background())
 	defer end()
@@ -88,53 +88,53 @@
 	nodes := fleet.Nodes()
 	last := nodes[len(nodes)-1]
 	for _, node := range nodes[:len(nodes)-1] {
-		restart(test, fleet, node, nil)
+		restart(t, fleet, node, nil)
 	}
 	back := fleet.Couriers[1]
-	restart(test, fleet, back, oldRelease)
-	restart(test, fleet, back, nil)
+	restart(t, fleet, back, oldRelease)
+	restart(t, fleet, back, nil)
 	last.Kill()
 	// Long past the settling time the stopped member still counts.
 	pauseFor(lifetime, 4*time.Second)
 	if enabled := enabledFlags(fleet); enabled != 0 {
-		test.Fatalf("%d flags are enabled while a recorded member that is stopped lacks them", enabled)
+		t.Fatalf("%d flags are enabled while a recorded member that is stopped lacks them", enabled)
 	}
 	// A member of the older release joins meanwhile, and stops for good.
-	addresses, failure := freeAddresses(1)
-	if failure != nil {
-		test.Fatal(failure)
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		t.Fatal(err)
 	}
 	var seeds []string
 	for _, node := range fleet.Expediters {
 		seeds = append(seeds, node.Node.Address)
 	}
 	newcomer := fleet.AddNode("courier", "courier-8", addresses[0], fleet.Deployment.Districts[0], seeds)
-	begin(test, fleet, newcomer, oldRelease)
+	begin(t, fleet, newcomer, oldRelease)
 	newcomer.Kill()
-	begin(test, fleet, last, nil)
+	begin(t, fleet, last, nil)
 	pauseFor(lifetime, 4*time.Second)
 	if enabled := enabledFlags(fleet); enabled != 0 {
-		test.Fatalf("%d flags are enabled while a member that joined and stopped lacks them", enabled)
+		t.Fatalf("%d flags are enabled while a member that joined and stopped lacks them", enabled)
 	}
 	if !Await(15*time.Second, func() bool {
-		answer, failure := day.Operators.Call(fleet.Expediters[0], http.MethodPost, "/v1/members/courier-8/retire", nil, "")
-		return failure == nil && answer.Outcome == "accepted"
+		answer, err := day.Operators.Call(fleet.Expediters[0], http.MethodPost, "/v1/members/courier-8/retire", nil, "")
+		return err == nil && answer.Outcome == "accepted"
 	}) {
-		test.Fatal("a stopped member could not be retired")
+		t.Fatal("a stopped member could not be retired")
 	}
 	fleet.noteMember(newcomer, oldRelease...)
 	everyFlag := len(recipe.Supported(nil))
 	if !Await(15*time.Second, func() bool { return enabledFlags(fleet) == everyFlag }) {
-		test.Fatalf("the flags were not enabled when the last member was recorded: %d", enabledFlags(fleet))
+		t.Fatalf("the flags were not enabled when the last member was recorded: %d", enabledFlags(fleet))
 	}
 	// An older release comes back to a fleet that has gone on.
-	restart(test, fleet, last, oldRelease)
+	restart(t, fleet, last, oldRelease)
 	var ready struct{ Restricted bool }
 	if !Await(10*time.Second, func() bool {
-		_, failure := last.ReadJSON("/v1/ready", &ready)
-		return failure == nil && ready.Restricted
+		_, err := last.ReadJSON("/v1/ready", &ready)
+		return err == nil && ready.Restricted
 	}) {
-		test.Fatal("a node that lacks an enabled flag does not say that it is restricted")
+		t.Fatal("a node that lacks an enabled flag does not say that it is restricted")
 	}
 	complete := 0
 	others := NewCallers(fleet, 5, 0.3)
@@ -143,16 +143,16 @@
 		if reply := others.Send(lifetime, last.Node.Address, question, entry); reply.Final == "complete" {
 			complete++
 		} else {
-			test.Logf("restricted: %s %s", reply.Final, reply.Cause)
+			t.Logf("restricted: %s %s", reply.Final, reply.Cause)
 		}
 	}
 	if complete < 8 {
-		test.Errorf("a restricted courier completed %d of 10 inquiries", complete)
+		t.Errorf("a restricted courier completed %d of 10 inquiries", complete)
 	}
 	if enabled := enabledFlags(fleet); enabled != everyFlag {
-		test.Errorf("flags were disabled again: %d of %d are left", enabled, everyFlag)
+		t.Errorf("flags were disabled again: %d of %d are left", enabled, everyFlag)
 	}
 	end()
 	traffic.Wait()
-	wantClean(test, Judge(fleet.Book.Entries()), 0.9)
+	wantClean(t, Judge(fleet.Book.Entries()), 0.9)
 }
--- a/internal/rehearsal/world/callers.go
+++ b/internal/rehearsal/world/callers.go
@@ -145,8 +145,8 @@
 		world.after(0, there, func() {
 			there.Go(func() {
 				defer forget()
-				inquiry, failure := hatch.ReadInquiry(there.Now(), body)
-				if failure != nil {
+				inquiry, err := hatch.ReadInquiry(there.Now(), body)
+				if err != nil {
 					return
 				}
 				if !inquiry.Repeatable {
@@ -201,8 +201,8 @@
 	}
 	detail := ""
 	there.Go(func() {
-		inquiry, failure := hatch.ReadInquiry(there.Now(), body)
-		if failure != nil {
+		inquiry, err := hatch.ReadInquiry(there.Now(), body)
+		if err != nil {
 			return
 		}
 		// The moment of asking is that at which the courier takes it up.
@@ -229,8 +229,8 @@
 // Line reads the line.
 func (looker *looker) Line(content []byte) error {
 	var line hatch.ReplyLine
-	if failure := json.Unmarshal(content, &line); failure != nil {
-		return trouble.Wrap(trouble.Garbage, failure)
+	if err := json.Unmarshal(content, &line); err != nil {
+		return trouble.Wrap(trouble.Garbage, err)
 	}
 	looker.take(line)
 	return nil
--- a/internal/rehearsal/world/calls_test.go
+++ b/internal/rehearsal/world/calls_test.go
@@ -12,8 +12,8 @@
 // calls as well, by the platform's ways and by the product's own: no call that may run
 // once runs twice, no promise is broken, no stream lacks a piece, and service returns
 // after the closing fault.
-func TestCallsInVirtualTime(test *testing.T) {
-	first, count := seeds(test, 10)
+func TestCallsInVirtualTime(t *testing.T) {
+	first, count := seeds(t, 10)
 	tempted := map[string]int{}
 	for seed := first; seed < first+count; seed++ {
 		fleet := New(rehearsal.Sahil(), seed)
@@ -25,17 +25,17 @@
 		fleet.SetWays(ways)
 		result := fleet.Run(DefaultDay())
 		calls := result.Calls
-		test.Logf("seed %d: %d sent, %d complete, %d refused, %d failed, %d broken, %d runs, last %d of %d", seed, calls.Sent, calls.Complete, calls.Refused, calls.Failed, calls.Broken, calls.Runs, calls.Returned, calls.Last)
+		t.Logf("seed %d: %d sent, %d complete, %d refused, %d failed, %d broken, %d runs, last %d of %d", seed, calls.Sent, calls.Complete, calls.Refused, calls.Failed, calls.Broken, calls.Runs, calls.Returned, calls.Last)
 		for _, violation := range calls.Violations {
-			test.Errorf("seed %d: %s", seed, violation)
+			t.Errorf("seed %d: %s", seed, violation)
 		}
 		// By the platform's ways a change does not wait for who is out of touch: that
 		// rule of the product's own is judged by its own ways.
 		if seed%2 == 1 && result.Failed() || !result.Whole || result.Twice > 0 {
-			test.Errorf("seed %d, whole %v\n%s", seed, result.Whole, result.Verdict)
+			t.Errorf("seed %d, whole %v\n%s", seed, result.Whole, result.Verdict)
 		}
 		if calls.Complete < calls.Sent/2 || calls.Returned < calls.Last/2 {
-			test.Errorf("seed %d: only %d of %d calls were complete, of the last %d of %d", seed, calls.Complete, calls.Sent, calls.Returned, calls.Last)
+			t.Errorf("seed %d: only %d of %d calls were complete, of the last %d of %d", seed, calls.Complete, calls.Sent, calls.Returned, calls.Last)
 		}
 		for what, times := range result.Temptations {
 			tempted[what] += times
@@ -44,7 +44,7 @@
 	for _, what := range []string{"a call's memory that could not be had", "a call's answer lost after the work", "a stream of a call that went on elsewhere",
 		"a call that began and broke before its first event"} {
 		if tempted[what] == 0 && count >= 10 {
-			test.Errorf("never occurred: %s", what)
+			t.Errorf("never occurred: %s", what)
 		}
 	}
 }
--- a/internal/rehearsal/world/core.go
+++ b/internal/rehearsal/world/core.go
@@ -306,8 +306,8 @@
 			continue
 		}
 		control := machine.control
-		_, failure := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) { return control.Edit(edit) })
-		if failure == nil {
+		_, err := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) { return control.Edit(edit) })
+		if err == nil {
 			return true
 		}
 	}
--- a/internal/rehearsal/world/core_test.go
+++ b/internal/rehearsal/world/core_test.go
@@ -17,20 +17,20 @@
 // TestCoreBearsItsLosses brings about every trouble of every core over some seeds, and
 // wants each acknowledged change read back, one primary at a time, a change
 // acknowledged soon, and the core whole again.
-func TestCoreBearsItsLosses(test *testing.T) {
-	first, count := seeds(test, 4)
+func TestCoreBearsItsLosses(t *testing.T) {
+	first, count := seeds(t, 4)
 	for name, layout := range CoreLayouts() {
 		for _, trouble := range CoreTroubles(layout.BorneLosses) {
-			test.Run(name+"/"+trouble, func(test *testing.T) {
+			t.Run(name+"/"+trouble, func(t *testing.T) {
 				var took []time.Duration
 				for seed, trial := range tryCores(layout, trouble, first, count) {
 					took = append(took, trial.Took)
 					if trial.Failed() || trial.Took > slowestAcknowledgement {
-						test.Errorf("seed %d: %+v", first+uint64(seed), trial)
+						t.Errorf("seed %d: %+v", first+uint64(seed), trial)
 					}
 				}
 				slices.Sort(took)
-				test.Logf("%s, %s, %d seeds: median %s, worst %s", name, trouble, count, took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
+				t.Logf("%s, %s, %d seeds: median %s, worst %s", name, trouble, count, took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
 			})
 		}
 	}
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -210,7 +210,7 @@
 		if machine.life == nil || machine.life.ended || machine.control == nil {
 			continue
 		}
-		if _, _, state, failure := machine.control.Read(); failure == nil {
+		if _, _, state, err := machine.control.Read(); err == nil {
 			if holder := world.machineNamed(state.Rota.Duties["parts"].Holder); holder != nil && !holder.gone {
 				return holder
 			}
--- a/internal/rehearsal/world/incident.go
+++ b/internal/rehearsal/world/incident.go
@@ -177,7 +177,7 @@
 func (world *World) led() bool {
 	for _, machine := range world.nodes(roster.Expediter) {
 		if machine.life != nil && !machine.life.ended && machine.control != nil {
-			if _, _, failure := machine.control.Ruling(); failure == nil {
+			if _, _, err := machine.control.Ruling(); err == nil {
 				return true
 			}
 		}
@@ -210,12 +210,12 @@
 	if primary.control == nil {
 		return false
 	}
-	_, view, failure := primary.control.Ruling()
-	if failure != nil {
+	_, view, err := primary.control.Ruling()
+	if err != nil {
 		return false
 	}
-	state, failure := view.State()
-	if failure != nil || len(state.Rota.Duties) < len(world.platform.servers)+1 {
+	state, err := view.State()
+	if err != nil || len(state.Rota.Duties) < len(world.platform.servers)+1 {
 		return false
 	}
 	names := map[string]bool{}
@@ -347,8 +347,8 @@
 //
 //	failure := world.WriteIncidents(os.Stdout, incidents)
 func WriteIncidents(target io.Writer, incidents []Incident) error {
-	if _, failure := fmt.Fprintln(target, "| what | times | led again | duties moved | change in force, mean | longest | all held | core whole | looked at | messages | bytes | at rest in this time, messages | bytes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"); failure != nil {
-		return failure
+	if _, err := fmt.Fprintln(target, "| what | times | led again | duties moved | change in force, mean | longest | all held | core whole | looked at | messages | bytes | at rest in this time, messages | bytes |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"); err != nil {
+		return err
 	}
 	told := func(length time.Duration) string {
 		switch {
@@ -360,10 +360,10 @@
 		return strconv.FormatFloat(length.Seconds(), 'f', 2, 64) + " s"
 	}
 	for _, incident := range incidents {
-		if _, failure := fmt.Fprintf(target, "| %s | %d | %s | %s | %s | %s | %s | %s | %s | %d | %d kB | %d | %d kB |\n", incident.Name, incident.Times, told(incident.Led), told(incident.Moved),
+		if _, err := fmt.Fprintf(target, "| %s | %d | %s | %s | %s | %s | %s | %s | %s | %d | %d kB | %d | %d kB |\n", incident.Name, incident.Times, told(incident.Led), told(incident.Moved),
 			told(incident.InForceMean), told(incident.InForce), told(incident.Held), told(incident.Whole), told(incident.Span), incident.Traffic.Messages, incident.Traffic.Bytes/1000,
-			incident.Rest.Messages, incident.Rest.Bytes/1000); failure != nil {
-			return failure
+			incident.Rest.Messages, incident.Rest.Bytes/1000); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/rehearsal/world/links.go
+++ b/internal/rehearsal/world/links.go
@@ -58,7 +58,7 @@
 	bell     *bell
 	over     bool
 	content  any
-	failure  error
+	err      error
 }
 
 // broken tells the caller that the circuit broke, if that can be heard.
@@ -70,11 +70,11 @@
 	})
 }
 
-func (call *call) finish(content any, failure error) {
+func (call *call) finish(content any, err error) {
 	if call.over {
 		return
 	}
-	call.over, call.content, call.failure = true, content, failure
+	call.over, call.content, call.err = true, content, err
 	call.bell.Ring()
 }
 
@@ -105,12 +105,12 @@
 		// The question lies there until the process runs.
 		world.after(0, there, func() {
 			there.Go(func() {
-				content, failure := serve(there)
+				content, err := serve(there)
 				if !first {
 					return
 				}
 				forget()
-				world.carry(to, here.name, here, func() { asked.finish(content, failure) })
+				world.carry(to, here.name, here, func() { asked.finish(content, err) })
 			})
 		})
 	}
@@ -122,7 +122,7 @@
 	if !asked.bell.Wait(patience, func() bool { return asked.over }) {
 		return nil, trouble.New(trouble.Unreachable, "no answer in time")
 	}
-	return asked.content, asked.failure
+	return asked.content, asked.err
 }
 
 // wire is the hotline of a life.
@@ -133,20 +133,20 @@
 	world := wire.life.world
 	world.tapMessage(path, body)
 	world.countSnapshot(path, body)
-	content, failure := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
+	content, err := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
 		if there.answer == nil {
 			return nil, trouble.New(trouble.Unreachable, "nobody listens yet")
 		}
-		answer, failure := there.answer(path, body)
+		answer, err := there.answer(path, body)
 		world.countTraffic(path, len(body)+len(answer))
-		if failure != nil {
-			// A failure crosses the wire as its kind and detail.
-			return nil, trouble.New(trouble.KindOf(failure), trouble.DetailOf(failure))
+		if err != nil {
+			// A err crosses the wire as its kind and detail.
+			return nil, trouble.New(trouble.KindOf(err), trouble.DetailOf(err))
 		}
 		return answer, nil
 	})
-	if failure != nil {
-		return nil, failure
+	if err != nil {
+		return nil, err
 	}
 	return content.([]byte), nil
 }
--- a/internal/rehearsal/world/operators.go
+++ b/internal/rehearsal/world/operators.go
@@ -24,26 +24,26 @@
 		if machine.kind != roster.Expediter || machine.gone {
 			continue
 		}
-		content, failure := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) {
+		content, err := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) {
 			if machine.control == nil {
 				return nil, trouble.New(trouble.NoPrimary, "the disk is being opened")
 			}
 			return serve(machine.control)
 		})
-		if failure == nil {
+		if err == nil {
 			return content, nil
 		}
-		switch trouble.KindOf(failure) {
+		switch trouble.KindOf(err) {
 		case trouble.NoPrimary, trouble.NotPrimary:
-			last = failure
+			last = err
 			continue
 		case trouble.Unreachable:
-			if trouble.DetailOf(failure) == "nobody listens" {
-				last = failure
+			if trouble.DetailOf(err) == "nobody listens" {
+				last = err
 				continue
 			}
 		}
-		return nil, failure
+		return nil, err
 	}
 	return nil, last
 }
@@ -56,14 +56,14 @@
 // readMenu reads the configuration as an operator does, and notes its edition.
 func (world *World) readMenu(note bool) (menuRead, bool) {
 	began := world.now
-	content, failure := world.atPrimary(func(control *hatch.Expediter) (any, error) {
-		_, view, state, failure := control.Read()
-		if failure != nil {
-			return nil, failure
+	content, err := world.atPrimary(func(control *hatch.Expediter) (any, error) {
+		_, view, state, err := control.Read()
+		if err != nil {
+			return nil, err
 		}
 		return menuRead{view.VersionOf(larder.MenuDrawer), state.Menu}, nil
 	})
-	if failure != nil {
+	if err != nil {
 		return menuRead{}, false
 	}
 	read := content.(menuRead)
@@ -75,11 +75,11 @@
 
 // edit asks for a change, and tells "accepted", "refused" or "unknown".
 func (world *World) edit(edit hatch.Edit) string {
-	_, failure := world.atPrimary(func(control *hatch.Expediter) (any, error) { return control.Edit(edit) })
+	_, err := world.atPrimary(func(control *hatch.Expediter) (any, error) { return control.Edit(edit) })
 	switch {
-	case failure == nil:
+	case err == nil:
 		return "accepted"
-	case trouble.KindOf(failure) == trouble.Unknown, trouble.KindOf(failure) == trouble.Unreachable && trouble.DetailOf(failure) != "nobody listens":
+	case trouble.KindOf(err) == trouble.Unknown, trouble.KindOf(err) == trouble.Unreachable && trouble.DetailOf(err) != "nobody listens":
 		world.tempt("a change with an unknown outcome")
 		return "unknown"
 	}
--- a/internal/rehearsal/world/passing.go
+++ b/internal/rehearsal/world/passing.go
@@ -50,8 +50,8 @@
 		world.after(0, target, func() {
 			target.Go(func() {
 				defer forget()
-				inquiry, failure := hatch.ReadInquiry(target.Now(), body)
-				if failure != nil {
+				inquiry, err := hatch.ReadInquiry(target.Now(), body)
+				if err != nil {
 					return
 				}
 				reply.Inquiry = inquiry.ID
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -47,8 +47,8 @@
 	if !lists.world.isExpediter(lists.life.name) {
 		lists.world.listReads = append(lists.world.listReads, lists.world.now)
 	}
-	if failure := lists.reached(); failure != nil {
-		return nil, failure
+	if err := lists.reached(); err != nil {
+		return nil, err
 	}
 	return lists.world.platform.listServers(), nil
 }
@@ -58,8 +58,8 @@
 	if lists.world.ways.NoNodes {
 		return nil, trouble.New(trouble.NoSuch, "a list of nodes")
 	}
-	if failure := lists.reached(); failure != nil {
-		return nil, failure
+	if err := lists.reached(); err != nil {
+		return nil, err
 	}
 	if lists.world.layout != nil {
 		if !lists.world.isExpediter(lists.life.name) {
@@ -71,11 +71,11 @@
 }
 
 func (lists lists) ask(server roster.Server, patience time.Duration) (pass.Load, error) {
-	content, failure := lists.life.askServer(server.Address, patience, func(top *rehearsal.Stovetop) (int, any) {
+	content, err := lists.life.askServer(server.Address, patience, func(top *rehearsal.Stovetop) (int, any) {
 		return http.StatusOK, top.Load()
 	})
-	if failure != nil {
-		return pass.Load{}, failure
+	if err != nil {
+		return pass.Load{}, err
 	}
 	return content.(stove.LoadReport).Load(), nil
 }
@@ -88,7 +88,7 @@
 // Report reads a server's load for all couriers.
 func (lists lists) Report(server roster.Server, patience time.Duration) (window.Load, error) {
 	lists.world.reportReads++
-	load, failure := lists.ask(server, patience)
+	load, err := lists.ask(server, patience)
 	return window.Load{Server: load.Server, Part: string(load.Part), Waiting: load.PrefillWaiting, Running: load.DecodeActive,
-		MemoryUsed: load.MemoryTotal - load.MemoryFree, MemoryTotal: load.MemoryTotal}, failure
+		MemoryUsed: load.MemoryTotal - load.MemoryFree, MemoryTotal: load.MemoryTotal}, err
 }
--- a/internal/rehearsal/world/repair.go
+++ b/internal/rehearsal/world/repair.go
@@ -90,8 +90,8 @@
 		}
 	}
 	copied := machine.control.Store().Copy()
-	_, view, failure := world.primary().control.Ruling()
-	return files > 0 && failure == nil && copied.Damage() == "" && copied.Version().Number+8 >= view.Version.Number
+	_, view, err := world.primary().control.Ruling()
+	return files > 0 && err == nil && copied.Damage() == "" && copied.Version().Number+8 >= view.Version.Number
 }
 
 // countSnapshot adds what a whole copy costs on its way.
--- a/internal/rehearsal/world/stoves.go
+++ b/internal/rehearsal/world/stoves.go
@@ -212,8 +212,8 @@
 	if decision.Order != nil {
 		order.Cause = decision.Order.Cause
 	}
-	_, failure := stoves.life.askServer(decision.Address, time.Second, func(top *rehearsal.Stovetop) (int, any) { return top.TakePart(order) })
-	return failure
+	_, err := stoves.life.askServer(decision.Address, time.Second, func(top *rehearsal.Stovetop) (int, any) { return top.TakePart(order) })
+	return err
 }
 
 // Cancel breaks a run's circuit and has the server stop it.
@@ -270,12 +270,12 @@
 func (world *World) fetchFrom(here *life) rehearsal.Fetch {
 	return func(_ *rehearsal.Circuit, address string, question rehearsal.MemoryQuestion) (rehearsal.MemoryAnswer, int) {
 		status := http.StatusBadGateway
-		content, failure := here.askServer(address, 2*time.Second, func(top *rehearsal.Stovetop) (int, any) {
+		content, err := here.askServer(address, 2*time.Second, func(top *rehearsal.Stovetop) (int, any) {
 			given, content := top.GiveMemory(question)
 			status = given
 			return http.StatusOK, content
 		})
-		if failure != nil {
+		if err != nil {
 			return rehearsal.MemoryAnswer{}, http.StatusBadGateway
 		}
 		given, _ := content.(rehearsal.MemoryAnswer)
--- a/internal/rehearsal/world/taps.go
+++ b/internal/rehearsal/world/taps.go
@@ -44,8 +44,8 @@
 	if !strings.HasPrefix(name, "larder/") || len(framed) < 8 || msgpack.Unmarshal(framed[8:], &batch) != nil {
 		return
 	}
-	state, failure := larder.ReadState(batch.Drawers)
-	if failure != nil {
+	state, err := larder.ReadState(batch.Drawers)
+	if err != nil {
 		return
 	}
 	for _, flag := range state.Flags.Enabled {
--- a/internal/rehearsal/world/waydays_test.go
+++ b/internal/rehearsal/world/waydays_test.go
@@ -65,14 +65,14 @@
 // TestDaysInThePlatformsWays runs days of all faults with couriers that go on without a
 // hold and changes that wait for those in touch alone. What is given up is the bound for
 // couriers out of touch; everything else holds, and the bound for those in touch.
-func TestDaysInThePlatformsWays(test *testing.T) {
+func TestDaysInThePlatformsWays(t *testing.T) {
 	ways := PlatformWays()
 	// Who is retired counts no more for new formats, which is weighed elsewhere.
 	ways.RetireAfter = 0
-	first, count := seeds(test, 24)
+	first, count := seeds(t, 24)
 	for seed := first; seed < first+count; seed++ {
-		test.Run("", func(test *testing.T) {
-			test.Parallel()
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
 			deployment := rehearsal.Sahil()
 			if seed%2 == 1 {
 				deployment = rehearsal.Kochloeffel()
@@ -84,11 +84,11 @@
 			fleet.outside.Go(touching.watch)
 			result := fleet.Run(DefaultDay())
 			if touching.late > 0 || !result.Whole || result.Twice > 0 || len(touching.answered) < 5 {
-				test.Errorf("seed %d: %d looks at a courier in touch without an answered change, whole %v, two primaries at once %d times, %d changes", seed, touching.late, result.Whole, result.Twice, len(touching.answered))
+				t.Errorf("seed %d: %d looks at a courier in touch without an answered change, whole %v, two primaries at once %d times, %d changes", seed, touching.late, result.Whole, result.Twice, len(touching.answered))
 			}
 			for _, finding := range result.Verdict.Findings {
 				if finding.Violations > 0 && finding.Checker != "an accepted configuration is in force" {
-					test.Errorf("seed %d: %s, %d times", seed, finding.Checker, finding.Violations)
+					t.Errorf("seed %d: %s, %d times", seed, finding.Checker, finding.Violations)
 				}
 			}
 		})
--- a/internal/rehearsal/world/ways_test.go
+++ b/internal/rehearsal/world/ways_test.go
@@ -13,15 +13,15 @@
 )
 
 // begun is a fleet whose nodes all run, with a core and holds.
-func begun(test *testing.T, seed uint64, ways Ways) *World {
-	test.Helper()
+func begun(t *testing.T, seed uint64, ways Ways) *World {
+	t.Helper()
 	fleet := New(rehearsal.Sahil(), seed)
 	fleet.SetWays(ways)
 	for _, machine := range fleet.machines {
 		fleet.outside.Go(func() { fleet.start(machine) })
 	}
 	if fleet.since(0, func() bool { return fleet.led() && fleet.held() && fleet.primary().control != nil && fleet.whole() }) < 0 {
-		test.Fatal("the fleet did not begin")
+		t.Fatal("the fleet did not begin")
 	}
 	fleet.run(fleet.now + 5*time.Second)
 	return fleet
@@ -42,8 +42,8 @@
 }
 
 func (world *World) newest() larder.Version {
-	_, view, failure := world.primary().control.Ruling()
-	if failure != nil {
+	_, view, err := world.primary().control.Ruling()
+	if err != nil {
 		return larder.Version{}
 	}
 	return view.VersionOf(larder.MenuDrawer)
@@ -53,9 +53,9 @@
 // product's way the change is answered when the courier's hold is over and it lets
 // nothing in; in the platform's way at once, and the courier goes on. Those in touch
 // have it in force in both, and the one that comes back has it soon.
-func TestAcknowledgementOfAChange(test *testing.T) {
+func TestAcknowledgementOfAChange(t *testing.T) {
 	for name, ways := range map[string]Ways{"strict": {}, "platform": PlatformWays()} {
-		fleet := begun(test, 3, ways)
+		fleet := begun(t, 3, ways)
 		alone := fleet.machineNamed("courier-2")
 		fleet.cutOff(alone.name, true)
 		fleet.run(fleet.now + 700*time.Millisecond)
@@ -63,50 +63,50 @@
 		version := fleet.newest()
 		for _, machine := range fleet.nodes(roster.Courier) {
 			if machine != alone && machine.courier.InForce() != version {
-				test.Errorf("%s: %s has %s, and %s was acknowledged", name, machine.name, machine.courier.InForce(), version)
+				t.Errorf("%s: %s has %s, and %s was acknowledged", name, machine.name, machine.courier.InForce(), version)
 			}
 		}
 		serves := alone.life.Now().Before(alone.courier.Core().ServesUntil())
 		switch {
 		case name == "strict" && (serves || took < 2*time.Second || took > 5*time.Second):
-			test.Errorf("%s: acknowledged after %s while a courier without the change serves: %v", name, took, serves)
+			t.Errorf("%s: acknowledged after %s while a courier without the change serves: %v", name, took, serves)
 		case name == "platform" && (!serves || took > ways.AcknowledgeWait+300*time.Millisecond):
-			test.Errorf("%s: acknowledged after %s, the courier alone serves: %v", name, took, serves)
+			t.Errorf("%s: acknowledged after %s, the courier alone serves: %v", name, took, serves)
 		}
-		test.Logf("%s: acknowledged after %s", name, took)
+		t.Logf("%s: acknowledged after %s", name, took)
 		// A calm change takes milliseconds, and so does its way to one that is back.
 		fleet.cutOff(alone.name, false)
 		back := fleet.since(fleet.now, func() bool { return alone.courier.InForce() == version })
 		calm := fleet.changed(fleet.now, fleet.nowhere("nowhere", 1))
 		if back < 0 || back > 2*time.Second || calm > 300*time.Millisecond {
-			test.Errorf("%s: back after %s, a calm change took %s", name, back, calm)
+			t.Errorf("%s: back after %s, a calm change took %s", name, back, calm)
 		}
 	}
 }
 
 // TestDutiesNeedAHold: a courier that serves without a hold has no duties.
-func TestDutiesNeedAHold(test *testing.T) {
-	fleet := begun(test, 4, PlatformWays())
+func TestDutiesNeedAHold(t *testing.T) {
+	fleet := begun(t, 4, PlatformWays())
 	holder := fleet.holder()
 	if !holder.courier.Core().Dutiful() {
-		test.Fatal("the holder has no duties")
+		t.Fatal("the holder has no duties")
 	}
 	fleet.cutOff(holder.name, true)
 	fleet.run(fleet.now + 9*time.Second)
 	if now := holder.life.Now(); !now.Before(holder.courier.Core().ServesUntil()) || now.Before(holder.courier.Core().HoldEnds()) {
-		test.Error("it should serve, without a hold")
+		t.Error("it should serve, without a hold")
 	}
 	if took := fleet.since(fleet.now, func() bool { return fleet.dutiesSettled([]*machine{holder}) }); took < 0 {
-		test.Error("its duties did not move")
+		t.Error("its duties did not move")
 	}
 	// The commands since then are judged: none by the one without a hold.
 	if verdict := rehearsal.Judge(fleet.Book.Entries()); verdict.Violations() > 0 {
-		test.Error(verdict)
+		t.Error(verdict)
 	}
 }
 
 // TestBlankDisksThatOnlyJoinFormNothing starts a whole fleet of them.
-func TestBlankDisksThatOnlyJoinFormNothing(test *testing.T) {
+func TestBlankDisksThatOnlyJoinFormNothing(t *testing.T) {
 	fleet := New(rehearsal.Sahil(), 5)
 	fleet.SetWays(Ways{JoinOnly: true})
 	for _, machine := range fleet.machines {
@@ -115,7 +115,7 @@
 	fleet.run(30 * time.Second)
 	for _, machine := range fleet.nodes(roster.Expediter) {
 		if !machine.control.Keeper().Charter().Blank() {
-			test.Errorf("%s has the charter %+v", machine.name, machine.control.Keeper().Charter())
+			t.Errorf("%s has the charter %+v", machine.name, machine.control.Keeper().Charter())
 		}
 	}
 }
@@ -124,9 +124,9 @@
 // knows the old seeds; then another, so that two seeds are gone. There is no list of
 // nodes. Couriers that start with the old seeds find the core, and the records of
 // those who are gone end by themselves.
-func TestReplacedExpediterIsTakenIn(test *testing.T) {
+func TestReplacedExpediterIsTakenIn(t *testing.T) {
 	ways := PlatformWays()
-	fleet := begun(test, 6, ways)
+	fleet := begun(t, 6, ways)
 	seeds := fleet.machines[0].seeds
 	for number, gone := range []string{"expediter-1", "expediter-2"} {
 		leaving := fleet.machineNamed(gone)
@@ -143,42 +143,42 @@
 			return charter.Keeps(joined.control.Keeper().Seat().Identity) && len(charter.Incoming) == 0
 		})
 		if took < 0 || took > 15*time.Second {
-			test.Fatalf("%s is no keeper after %s", joined.name, took)
+			t.Fatalf("%s is no keeper after %s", joined.name, took)
 		}
-		test.Logf("%s is a keeper after %s", joined.name, took)
+		t.Logf("%s is a keeper after %s", joined.name, took)
 	}
 	late := fleet.machineNamed("courier-3")
 	fleet.kill(late)
 	fleet.start(late)
 	found := fleet.since(fleet.now, func() bool { return late.life.Now().Before(late.courier.Core().HoldEnds()) })
 	if found < 0 || found > 4*time.Second {
-		test.Errorf("a courier whose two seeds are gone found the core after %s", found)
+		t.Errorf("a courier whose two seeds are gone found the core after %s", found)
 	}
-	test.Logf("a courier with one seed left found the core after %s", found)
+	t.Logf("a courier with one seed left found the core after %s", found)
 	retired := fleet.since(fleet.now, func() bool {
-		_, _, state, failure := fleet.primary().control.Read()
-		return failure == nil && len(state.Members) == len(fleet.nodes(""))
+		_, _, state, err := fleet.primary().control.Read()
+		return err == nil && len(state.Members) == len(fleet.nodes(""))
 	})
 	if retired < 0 || retired > 2*ways.RetireAfter {
-		test.Errorf("the record still has those who are gone after %s", retired)
+		t.Errorf("the record still has those who are gone after %s", retired)
 	}
 	if took := fleet.changed(fleet.now, fleet.nowhere("nowhere", 0)); took > time.Second {
-		test.Errorf("a change took %s", took)
+		t.Errorf("a change took %s", took)
 	}
 }
 
 // TestCouriersReadTheListThemselves keeps the list from the expediters, and has a
 // server leave meanwhile: each courier hears of it, without reading often. When
 // nobody can read it, nothing is forgotten.
-func TestCouriersReadTheListThemselves(test *testing.T) {
-	fleet := begun(test, 7, PlatformWays())
+func TestCouriersReadTheListThemselves(t *testing.T) {
+	fleet := begun(t, 7, PlatformWays())
 	if reads := len(fleet.listReads); reads > 2*len(fleet.nodes(roster.Courier)) {
-		test.Errorf("couriers read the list %d times before the fleet was calm", reads)
+		t.Errorf("couriers read the list %d times before the fleet was calm", reads)
 	}
 	before := len(fleet.listReads)
 	fleet.run(fleet.now + 10*time.Second)
 	if reads := len(fleet.listReads) - before; reads > 0 {
-		test.Errorf("couriers read the list %d times though they have news of it", reads)
+		t.Errorf("couriers read the list %d times though they have news of it", reads)
 	}
 	for _, machine := range fleet.nodes(roster.Expediter) {
 		fleet.link("platform", machine.name).cut = true
@@ -205,13 +205,13 @@
 	}
 	took := fleet.since(fleet.now, all)
 	if took < 0 || took > 2500*time.Millisecond {
-		test.Errorf("the leaving server was known everywhere after %s", took)
+		t.Errorf("the leaving server was known everywhere after %s", took)
 	}
-	test.Logf("the leaving server was known everywhere after %s", took)
+	t.Logf("the leaving server was known everywhere after %s", took)
 	before = len(fleet.listReads)
 	fleet.run(fleet.now + 10*time.Second)
 	if reads, most := len(fleet.listReads)-before, 11*len(fleet.nodes(roster.Courier)); reads > most {
-		test.Errorf("couriers read the list %d times in ten seconds", reads)
+		t.Errorf("couriers read the list %d times in ten seconds", reads)
 	}
 	// The reads are spread: in no tenth of a second do all read.
 	busiest, count := 0, map[time.Duration]int{}
@@ -220,7 +220,7 @@
 		busiest = max(busiest, count[at/(100*time.Millisecond)])
 	}
 	if busiest >= len(fleet.nodes(roster.Courier)) {
-		test.Errorf("%d couriers read within a tenth of a second", busiest)
+		t.Errorf("%d couriers read within a tenth of a second", busiest)
 	}
 	// The expediters come back with an older word, and then nobody reads at all.
 	leaving.Leaving = false
@@ -232,28 +232,28 @@
 	fleet.platform.down = true
 	fleet.run(fleet.now + 10*time.Second)
 	if !all() || len(fleet.machines[4].courier.Servers()) != len(fleet.plans) {
-		test.Errorf("the list is %v", fleet.machines[4].courier.Servers())
+		t.Errorf("the list is %v", fleet.machines[4].courier.Servers())
 	}
 }
 
 // TestReportsAreReadOnceForTheFleet counts what servers are asked in a calm fleet: by
 // the primary alone, and only while a courier follows reports.
-func TestReportsAreReadOnceForTheFleet(test *testing.T) {
+func TestReportsAreReadOnceForTheFleet(t *testing.T) {
 	for name, ways := range map[string]Ways{"calls": PlatformWays(), "no calls": {}} {
-		fleet := begun(test, 8, ways)
+		fleet := begun(t, 8, ways)
 		before := fleet.reportReads
 		fleet.run(fleet.now + 10*time.Second)
 		each := float64(fleet.reportReads-before) / 10 / float64(len(fleet.plans))
-		test.Logf("%s: %.2f reports a second from each server", name, each)
+		t.Logf("%s: %.2f reports a second from each server", name, each)
 		if ways.Calls && (each < 1.4 || each > 3.2) || !ways.Calls && each > 0 {
-			test.Errorf("%s: %.2f reports a second from each server", name, each)
+			t.Errorf("%s: %.2f reports a second from each server", name, each)
 		}
 	}
 }
 
 // TestChangesAndNewsAfterThePrimary is lost in each way: how long until a change is
 // acknowledged, and until every courier in touch has news again.
-func TestChangesAndNewsAfterThePrimary(test *testing.T) {
+func TestChangesAndNewsAfterThePrimary(t *testing.T) {
 	ways := map[string]func(fleet *World, primary *machine){
 		"killed":     func(fleet *World, primary *machine) { fleet.kill(primary) },
 		"power lost": func(fleet *World, primary *machine) { fleet.powerOff(primary.name) },
@@ -280,7 +280,7 @@
 	for name, lose := range ways {
 		var worstChange, worstNews time.Duration
 		for seed := range uint64(6) {
-			fleet := begun(test, 20+seed, PlatformWays())
+			fleet := begun(t, 20+seed, PlatformWays())
 			began, primary := fleet.now, fleet.primary()
 			lose(fleet, primary)
 			heard := map[string]time.Time{}
@@ -297,13 +297,13 @@
 				return true
 			})
 			if change < 0 || news < 0 {
-				test.Errorf("%s, seed %d: change %s, news %s", name, seed, change, news)
+				t.Errorf("%s, seed %d: change %s, news %s", name, seed, change, news)
 			}
 			worstChange, worstNews = max(worstChange, change), max(worstNews, news)
 		}
-		test.Logf("%-18s change acknowledged within %s, news everywhere within %s", name, worstChange, worstNews)
+		t.Logf("%-18s change acknowledged within %s, news everywhere within %s", name, worstChange, worstNews)
 		if worstChange > 4*time.Second || worstNews > 4500*time.Millisecond {
-			test.Errorf("%s: change after %s, news after %s", name, worstChange, worstNews)
+			t.Errorf("%s: change after %s, news after %s", name, worstChange, worstNews)
 		}
 	}
 }
@@ -319,8 +319,8 @@
 					continue
 				}
 				control := machine.control
-				_, failure := world.outside.ask(machine.name, time.Second, func(*life) (any, error) { return control.Edit(edit) })
-				over = over || failure == nil
+				_, err := world.outside.ask(machine.name, time.Second, func(*life) (any, error) { return control.Edit(edit) })
+				over = over || err == nil
 			}
 		}
 	})
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -273,9 +273,9 @@
 		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
 	options.AcknowledgeWait, options.RetireAfter = world.ways.AcknowledgeWait, world.ways.RetireAfter
 	options.JoinsOnly = world.ways.JoinOnly || world.ways.FormOnce && machine.starts > 1 || world.ways.FormOnce && world.now > opening
-	control, blank, failure := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
-	if failure != nil {
-		world.say("%s can't open its disk: %v", machine.name, failure)
+	control, blank, err := hatch.OpenExpediter(begun, wire{begun}, keeping, copies, options, observe)
+	if err != nil {
+		world.say("%s can't open its disk: %v", machine.name, err)
 		begun.end()
 		return
 	}
--- a/internal/rehearsal/world/world_test.go
+++ b/internal/rehearsal/world/world_test.go
@@ -23,12 +23,12 @@
 // it; it keeps a shadow for each coroutine and runs out of memory.
 const usualSeeds = 240
 
-func seeds(test *testing.T, usual uint64) (first, count uint64) {
+func seeds(t *testing.T, usual uint64) (first, count uint64) {
 	count = usual
-	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); failure == nil {
+	if asked, err := strconv.ParseUint(os.Getenv("SEAMLOOM_SEEDS"), 10, 32); err == nil {
 		count = asked
 	}
-	if asked, failure := strconv.ParseUint(os.Getenv("SEAMLOOM_FIRST"), 10, 32); failure == nil {
+	if asked, err := strconv.ParseUint(os.Getenv("SEAMLOOM_FIRST"), 10, 32); err == nil {
 		first = asked
 	}
 	return first, count
@@ -36,29 +36,29 @@
 
 // TestDaysInVirtualTime runs a fixed few hundred seeds of both deployments, and
 // wants each temptation that the brief's rules are about to have occurred.
-func TestDaysInVirtualTime(test *testing.T) {
-	first, count := seeds(test, usualSeeds)
+func TestDaysInVirtualTime(t *testing.T) {
+	first, count := seeds(t, usualSeeds)
 	tally := (&Campaign{First: first, Count: count, Day: DefaultDay()}).Run(func(seed uint64, result Result) {
 		if result.Failed() {
-			test.Errorf("seed %d, whole %v\n%s", seed, result.Whole, result.Verdict)
+			t.Errorf("seed %d, whole %v\n%s", seed, result.Whole, result.Verdict)
 		}
 	})
-	test.Logf("%d days, %d replies, complete %.3f, lowest %.3f, temptations %v", tally.Days, tally.Replies, tally.Share, tally.Lowest, tally.Temptations)
+	t.Logf("%d days, %d replies, complete %.3f, lowest %.3f, temptations %v", tally.Days, tally.Replies, tally.Share, tally.Lowest, tally.Temptations)
 	if count < 200 {
 		return
 	}
 	for _, what := range Wanted {
 		if tally.Temptations[what] == 0 {
-			test.Errorf("never occurred: %s", what)
+			t.Errorf("never occurred: %s", what)
 		}
 	}
 	if tally.Share < 0.75 {
-		test.Errorf("only %.3f of the replies are complete", tally.Share)
+		t.Errorf("only %.3f of the replies are complete", tally.Share)
 	}
 }
 
 // TestSameSeedSameTrace wants the same seed to give the same day, step by step.
-func TestSameSeedSameTrace(test *testing.T) {
+func TestSameSeedSameTrace(t *testing.T) {
 	for seed := range uint64(6) {
 		var lines [2][]string
 		var traces [2]string
@@ -73,39 +73,39 @@
 		}
 		for position := range lines[0] {
 			if position >= len(lines[1]) || lines[0][position] != lines[1][position] {
-				test.Errorf("seed %d parts at\n%s\n%s", seed, lines[0][position], lines[1][min(position, len(lines[1])-1)])
+				t.Errorf("seed %d parts at\n%s\n%s", seed, lines[0][position], lines[1][min(position, len(lines[1])-1)])
 				break
 			}
 		}
-		test.Fatalf("seed %d gave two traces of %d and %d lines", seed, len(lines[0]), len(lines[1]))
+		t.Fatalf("seed %d gave two traces of %d and %d lines", seed, len(lines[0]), len(lines[1]))
 	}
 }
 
 // TestFirstCoreForms troubles the first core while it forms, one disk's loss
 // included, and wants one core, whole, that takes changes, without an operator.
-func TestFirstCoreForms(test *testing.T) {
+func TestFirstCoreForms(t *testing.T) {
 	day := DefaultDay()
 	day.Faulty, day.Forming = time.Second, true
-	first, count := seeds(test, usualSeeds/4)
+	first, count := seeds(t, usualSeeds/4)
 	tally := (&Campaign{First: first, Count: count, Day: day}).Run(func(seed uint64, result Result) {
 		if result.Failed() {
-			test.Errorf("seed %d, whole %v, two at once %d\n%s", seed, result.Whole, result.Twice, result.Verdict)
+			t.Errorf("seed %d, whole %v, two at once %d\n%s", seed, result.Whole, result.Twice, result.Verdict)
 		}
 	})
-	test.Logf("%d days, temptations %v", tally.Days, tally.Temptations)
+	t.Logf("%d days, temptations %v", tally.Days, tally.Temptations)
 }
 
 // TestRepairMakesEveryCopyWhole brings about each loss, with reads and with the
 // sweep alone, and wants every copy whole without an operator's repair. The times
 // are in docs/measurements.md.
-func TestRepairMakesEveryCopyWhole(test *testing.T) {
+func TestRepairMakesEveryCopyWhole(t *testing.T) {
 	for _, loss := range Losses {
 		for _, reads := range []bool{true, false} {
 			took, bytes, mended := New(rehearsal.Sahil(), 11).Repair(loss, reads)
-			test.Logf("%s, reads %v: whole after %s, %d bytes of snapshots", loss, reads, took, bytes)
+			t.Logf("%s, reads %v: whole after %s, %d bytes of snapshots", loss, reads, took, bytes)
 			// A whole copy has about 12 kB here; a handful of them mends anything.
 			if !mended || took > 15*time.Second || bytes > 100_000 {
-				test.Errorf("%s, reads %v: mended %v after %s, with %d bytes", loss, reads, mended, took, bytes)
+				t.Errorf("%s, reads %v: mended %v after %s, with %d bytes", loss, reads, mended, took, bytes)
 			}
 		}
 	}
--- a/internal/roster/listing_test.go
+++ b/internal/roster/listing_test.go
@@ -23,75 +23,75 @@
 
 // TestLeavingIsNotForgotten brings a late read, and one from another reader, after
 // a server's leaving was seen.
-func TestLeavingIsNotForgotten(test *testing.T) {
+func TestLeavingIsNotForgotten(t *testing.T) {
 	var listing Listing
 	listing.Take(after(0), []Server{{Name: "a"}, {Name: "b"}})
 	if !listing.Take(after(time.Second), []Server{{Name: "a", Leaving: true}, {Name: "b"}}) {
-		test.Error("a leaving server is no change")
+		t.Error("a leaving server is no change")
 	}
 	listing.Take(after(500*time.Millisecond), []Server{{Name: "a"}, {Name: "b"}})
 	if listing.Take(after(2*time.Second), []Server{{Name: "a"}, {Name: "b"}}) {
-		test.Error("an older word counted as a change")
+		t.Error("an older word counted as a change")
 	}
 	if got := names(listing.Servers(after(2 * time.Second))); got != "a! b " {
-		test.Errorf("the list is %s", got)
+		t.Errorf("the list is %s", got)
 	}
 }
 
 // TestVanishedServerComesBackOnlyWithLaterWord wants a server that has vanished to
 // stay away while reads that lag may still name it, and no longer.
-func TestVanishedServerComesBackOnlyWithLaterWord(test *testing.T) {
+func TestVanishedServerComesBackOnlyWithLaterWord(t *testing.T) {
 	var listing Listing
 	listing.Take(after(0), []Server{{Name: "a"}, {Name: "b"}})
 	if !listing.Take(after(time.Second), []Server{{Name: "b"}}) {
-		test.Error("a vanished server is no change")
+		t.Error("a vanished server is no change")
 	}
 	if listing.Take(after(1500*time.Millisecond), []Server{{Name: "a"}, {Name: "b"}}) || len(listing.Servers(after(0))) != 1 {
-		test.Error("a read that lags brought a vanished server back")
+		t.Error("a read that lags brought a vanished server back")
 	}
 	if !listing.Take(after(3*time.Second), []Server{{Name: "a"}, {Name: "b"}}) {
-		test.Error("a server that one read lacked is lost for good")
+		t.Error("a server that one read lacked is lost for good")
 	}
 }
 
 // TestWarmingRunsOut wants a cold server's time to go on between reads, and its
 // turning cold again to be a change.
-func TestWarmingRunsOut(test *testing.T) {
+func TestWarmingRunsOut(t *testing.T) {
 	var listing Listing
 	listing.Take(after(0), []Server{{Name: "a", Warming: 3 * time.Second}})
 	if left := listing.Servers(after(time.Second))[0].Warming; left != 2*time.Second {
-		test.Errorf("left to warm: %s", left)
+		t.Errorf("left to warm: %s", left)
 	}
 	if listing.Take(after(time.Second), []Server{{Name: "a", Warming: 1950 * time.Millisecond}}) {
-		test.Error("the same end told again is a change")
+		t.Error("the same end told again is a change")
 	}
 	if listing.Take(after(5*time.Second), []Server{{Name: "a"}}) {
-		test.Error("a server that has become warm is a change")
+		t.Error("a server that has become warm is a change")
 	}
 	if !listing.Take(after(6*time.Second), []Server{{Name: "a", Warming: 3 * time.Second}}) {
-		test.Error("a server that turned cold again is no change")
+		t.Error("a server that turned cold again is no change")
 	}
 }
 
 // TestConfirmationMakesTheListYounger and changes nothing else.
-func TestConfirmationMakesTheListYounger(test *testing.T) {
+func TestConfirmationMakesTheListYounger(t *testing.T) {
 	var listing Listing
 	listing.Confirm(after(time.Second))
 	if !listing.At().IsZero() {
-		test.Error("a list that was never read was confirmed")
+		t.Error("a list that was never read was confirmed")
 	}
 	listing.Take(after(0), []Server{{Name: "a"}})
 	listing.Confirm(after(time.Second))
 	listing.Confirm(after(500 * time.Millisecond))
 	if !listing.At().Equal(after(time.Second)) || len(listing.Servers(after(0))) != 1 {
-		test.Errorf("read at %s", listing.At())
+		t.Errorf("read at %s", listing.At())
 	}
 }
 
 // TestEmptyListIsAList: a list that was read and is empty is one, and the first.
-func TestEmptyListIsAList(test *testing.T) {
+func TestEmptyListIsAList(t *testing.T) {
 	var listing Listing
 	if !listing.Take(after(0), nil) || listing.At().IsZero() {
-		test.Error("the first list is no change")
+		t.Error("the first list is no change")
 	}
 }
--- a/internal/roster/rendezvous_test.go
+++ b/internal/roster/rendezvous_test.go
@@ -9,7 +9,7 @@
 
 // TestRankedWeighsAsItIsDefined compares the order with one that weighs the names
 // anew for each comparison, and the heaviest with its first.
-func TestRankedWeighsAsItIsDefined(test *testing.T) {
+func TestRankedWeighsAsItIsDefined(t *testing.T) {
 	for count := range 40 {
 		var names []string
 		for number := range count {
@@ -22,14 +22,14 @@
 				return leftWeight > rightWeight || (leftWeight == rightWeight && want[left] < want[right])
 			})
 			if got := Ranked(key, names); !slices.Equal(got, want) {
-				test.Fatalf("%q of %d: %v, want %v", key, count, got, want)
+				t.Fatalf("%q of %d: %v, want %v", key, count, got, want)
 			}
 			first := ""
 			if count > 0 {
 				first = want[0]
 			}
 			if got := Heaviest(key, slices.Values(names)); got != first {
-				test.Fatalf("%q of %d: the heaviest is %q, want %q", key, count, got, first)
+				t.Fatalf("%q of %d: the heaviest is %q, want %q", key, count, got, first)
 			}
 		}
 	}
--- a/internal/roster/weigher.go
+++ b/internal/roster/weigher.go
@@ -26,10 +26,10 @@
 //
 //	weigher.Weight("courier-2") == roster.Weight("server/stove-1", "courier-2")
 func (weigher Weigher) Weight(name string) uint64 {
-	cloned, failure := weigher.keyed.Clone()
-	if failure != nil {
+	cloned, err := weigher.keyed.Clone()
+	if err != nil {
 		// A digest in memory has nothing that could fail.
-		panic("roster: " + failure.Error())
+		panic("roster: " + err.Error())
 	}
 	digest := cloned.(hash.Hash64)
 	_, _ = digest.Write([]byte(name))
--- a/internal/rota/keys_test.go
+++ b/internal/rota/keys_test.go
@@ -7,7 +7,7 @@
 
 // TestSuccessorWaitsPastTheOldHold lets a holder vanish and wants the next one
 // to be named only three seconds after everything the old one may still do.
-func TestSuccessorWaitsPastTheOldHold(test *testing.T) {
+func TestSuccessorWaitsPastTheOldHold(t *testing.T) {
 	terms := DefaultTerms()
 	start := time.Unix(1000, 0)
 	keys := NewKeys(terms)
@@ -15,34 +15,34 @@
 	live := map[string]time.Duration{"a": time.Minute, "b": time.Minute}
 	grants := keys.Vacant(start, wanted, nil, live)
 	if len(grants) != 1 {
-		test.Fatalf("grants: %v", grants)
+		t.Fatalf("grants: %v", grants)
 	}
 	duty := grants[0]
 	duty.Fence = 1
 	recorded := map[string]Duty{duty.Key: duty}
 	renewed := start.Add(time.Second)
 	if mine := keys.Renew(renewed, duty.Holder, recorded, live); len(mine) != 1 {
-		test.Fatalf("the holder was not renewed: %v", mine)
+		t.Fatalf("the holder was not renewed: %v", mine)
 	}
 	delete(live, duty.Holder)
 	free := renewed.Add(terms.Hold + 3*time.Second)
 	if early := keys.Vacant(free, wanted, recorded, live); len(early) != 0 {
-		test.Errorf("a successor was named within three seconds of the old hold: %v", early)
+		t.Errorf("a successor was named within three seconds of the old hold: %v", early)
 	}
 	if late := keys.Vacant(free.Add(time.Second), wanted, recorded, live); len(late) != 1 || late[0].Holder == duty.Holder {
-		test.Errorf("no successor was named: %v", late)
+		t.Errorf("no successor was named: %v", late)
 	}
 	// A new primary knows nothing of renewals and waits from its own start.
 	again := NewKeys(terms)
 	again.Vacant(free, wanted, recorded, live)
 	if early := again.Vacant(free.Add(terms.Hold+3*time.Second), wanted, recorded, live); len(early) != 0 {
-		test.Errorf("a new primary cut the old one's hold short: %v", early)
+		t.Errorf("a new primary cut the old one's hold short: %v", early)
 	}
 }
 
 // TestGrantIsNotRepeatedBeforeItsHolderHasAsked: a key that was given lies with
 // its holder until the hold that it might take has run out.
-func TestGrantIsNotRepeatedBeforeItsHolderHasAsked(test *testing.T) {
+func TestGrantIsNotRepeatedBeforeItsHolderHasAsked(t *testing.T) {
 	terms := DefaultTerms()
 	keys := NewKeys(terms)
 	now := time.Unix(1000, 0)
@@ -52,17 +52,17 @@
 	for range 20 {
 		now = now.Add(300 * time.Millisecond)
 		if again := keys.Vacant(now, []string{PartsKey}, recorded, live); len(again) != 0 {
-			test.Fatalf("given again: %v", again)
+			t.Fatalf("given again: %v", again)
 		}
 	}
 	if late := keys.Vacant(now.Add(terms.Hold+terms.Drift+terms.Rest), []string{PartsKey}, recorded, live); len(late) != 1 {
-		test.Errorf("a key that nobody took is lost: %v", late)
+		t.Errorf("a key that nobody took is lost: %v", late)
 	}
 }
 
 // TestLaggingHonoursTheOldPrimarysHolds wants a change to wait for couriers
 // that only the old primary has spoken with.
-func TestLaggingHonoursTheOldPrimarysHolds(test *testing.T) {
+func TestLaggingHonoursTheOldPrimarysHolds(t *testing.T) {
 	start := time.Unix(1000, 0)
 	holds := NewHolds(DefaultTerms(), start)
 	recorded := []string{"a", "b", "c"}
@@ -70,21 +70,21 @@
 	holds.Grant(now, "a", 7)
 	holds.Grant(now, "b", 6)
 	if lagging := holds.Lagging(now, 7, recorded); len(lagging) != 2 || lagging[0] != "b" || lagging[1] != "c" {
-		test.Errorf("lagging: %v", lagging)
+		t.Errorf("lagging: %v", lagging)
 	}
 	holds.Note(now, "b", 7)
 	holds.Note(now, "c", 5)
 	if lagging := holds.Lagging(now, 7, recorded); len(lagging) != 1 || lagging[0] != "c" {
-		test.Errorf("lagging: %v", lagging)
+		t.Errorf("lagging: %v", lagging)
 	}
 	if lagging := holds.Lagging(start.Add(5*time.Second), 7, recorded); len(lagging) != 0 {
-		test.Errorf("a hold that ran out is still waited for: %v", lagging)
+		t.Errorf("a hold that ran out is still waited for: %v", lagging)
 	}
 }
 
 // TestHolderIsNotRenewedOnceItsKeyIsGivenAway brings the old holder back between
 // the choice of the next one and its record: it must not command any more.
-func TestHolderIsNotRenewedOnceItsKeyIsGivenAway(test *testing.T) {
+func TestHolderIsNotRenewedOnceItsKeyIsGivenAway(t *testing.T) {
 	terms := DefaultTerms()
 	keys := NewKeys(terms)
 	noon := time.Unix(1000, 0)
@@ -92,21 +92,21 @@
 	recorded := map[string]Duty{key: {Key: key, Holder: "courier-1", Fence: 4}}
 	both := map[string]time.Duration{"courier-1": time.Minute}
 	if len(keys.Renew(noon, "courier-1", recorded, both)) != 1 {
-		test.Fatal("the holder was not renewed at first")
+		t.Fatal("the holder was not renewed at first")
 	}
 	late := noon.Add(terms.Hold + terms.Drift + terms.Rest)
 	if grants := keys.Vacant(late, []string{key}, recorded, map[string]time.Duration{"courier-2": time.Minute}); len(grants) != 1 {
-		test.Fatalf("the key was not given to the next: %v", grants)
+		t.Fatalf("the key was not given to the next: %v", grants)
 	}
 	// Nobody has been live for long: whoever holds may go on, as far as settling
 	// goes.
 	both = map[string]time.Duration{"courier-1": time.Second, "courier-2": time.Second}
 	for name := range both {
 		if renewed := keys.Renew(late.Add(time.Second), name, recorded, both); len(renewed) != 0 {
-			test.Errorf("%s may command while the key is on its way: %v", name, renewed)
+			t.Errorf("%s may command while the key is on its way: %v", name, renewed)
 		}
 	}
 	if again := keys.Vacant(late.Add(2*time.Second), []string{key}, recorded, both); len(again) != 1 {
-		test.Errorf("a grant that got lost is not made again: %v", again)
+		t.Errorf("a grant that got lost is not made again: %v", again)
 	}
 }
--- a/internal/trouble/trouble.go
+++ b/internal/trouble/trouble.go
@@ -68,9 +68,9 @@
 // Example:
 //
 //	if trouble.KindOf(failure) == trouble.VersionConflict { ... }
-func KindOf(failure error) Kind {
+func KindOf(err error) Kind {
 	var typed *Trouble
-	if stderrors.As(failure, &typed) {
+	if stderrors.As(err, &typed) {
 		return typed.Kind
 	}
 	return Unsorted
@@ -81,9 +81,9 @@
 // Example:
 //
 //	if trouble.DetailOf(failure) == "status 404" { ... }
-func DetailOf(failure error) string {
+func DetailOf(err error) string {
 	var typed *Trouble
-	if stderrors.As(failure, &typed) {
+	if stderrors.As(err, &typed) {
 		return typed.Detail
 	}
 	return ""
--- a/internal/window/bounds_test.go
+++ b/internal/window/bounds_test.go
@@ -36,7 +36,7 @@
 // TestFurtherTriesStayInTheBudget has all that couriers send fail in ways that want a
 // further try, with starts of couriers between, and wants no span of ten seconds with
 // more further tries than are allowed.
-func TestFurtherTriesStayInTheBudget(test *testing.T) {
+func TestFurtherTriesStayInTheBudget(t *testing.T) {
 	for _, couriers := range []int{1, 3, 9, 30, 85} {
 		for seed := range uint64(4) {
 			random := rand.New(rand.NewPCG(seed, 5))
@@ -81,10 +81,10 @@
 			}
 			most, beside := extra.most(allowance.Span, asked)
 			if allowed := allowance.Ratio*float64(beside) + allowance.Slack; float64(most) > allowed {
-				test.Errorf("%d couriers: %d further tries for %d calls in a span, %.0f allowed", couriers, most, beside, allowed)
+				t.Errorf("%d couriers: %d further tries for %d calls in a span, %.0f allowed", couriers, most, beside, allowed)
 			}
 			if len(extra) == 0 {
-				test.Errorf("%d couriers tried nothing further", couriers)
+				t.Errorf("%d couriers tried nothing further", couriers)
 			}
 		}
 	}
@@ -94,7 +94,7 @@
 // wants no second with more calls at one of them than it stands.
 // A server that becomes warm is the emptiest of all, and every courier learns it at the
 // same moment, which the list tells a little too early.
-func TestServersThatAreWarmAgainAreNotRunTo(test *testing.T) {
+func TestServersThatAreWarmAgainAreNotRunTo(t *testing.T) {
 	const couriers, early = 72, 300 * time.Millisecond
 	var windows []*Window
 	for number := range couriers {
@@ -141,14 +141,14 @@
 		}
 	}
 	if most, _ := sent.most(time.Second, nil); most > 19 {
-		test.Errorf("a cold server got %d calls in a second", most)
+		t.Errorf("a cold server got %d calls in a second", most)
 	}
 	if later == 0 {
-		test.Error("a warm server gets nothing")
+		t.Error("a warm server gets nothing")
 	}
 }
 
-func TestColdServersGetFewCalls(test *testing.T) {
+func TestColdServersGetFewCalls(t *testing.T) {
 	for _, couriers := range []int{1, 3, 9, 30, 85} {
 		for _, known := range []bool{true, false} {
 			var windows []*Window
@@ -187,11 +187,11 @@
 			}
 			for name, arrivals := range sent {
 				if most, _ := arrivals.most(time.Second, nil); most > 19 {
-					test.Errorf("%d couriers, known %v: %s got %d calls in a second", couriers, known, name, most)
+					t.Errorf("%d couriers, known %v: %s got %d calls in a second", couriers, known, name, most)
 				}
 			}
 			if total == 0 && known {
-				test.Errorf("%d couriers: nothing was sent", couriers)
+				t.Errorf("%d couriers: nothing was sent", couriers)
 			}
 		}
 	}
@@ -199,7 +199,7 @@
 
 // TestHomesAgree wants couriers to come to the same reader for a chain without talk,
 // and few chains to move when a server leaves.
-func TestHomesAgree(test *testing.T) {
+func TestHomesAgree(t *testing.T) {
 	home := func(courier, district string, count int, without string, chain uint64) string {
 		calls := New(Options{Courier: courier, District: district})
 		calls.SetProgram(Compile(plan(nil), 1, 1))
@@ -220,7 +220,7 @@
 	for chain := range uint64(chains) {
 		first, second := home("courier-1", "north", 20, "", chain), home("courier-2", "west", 20, "", chain)
 		if first != second {
-			test.Fatalf("chain %d: %s and %s", chain, first, second)
+			t.Fatalf("chain %d: %s and %s", chain, first, second)
 		}
 		counts[first]++
 		if home("courier-1", "north", 20, "stove-0", chain) != first {
@@ -234,10 +234,10 @@
 		}
 	}
 	if moved > chains*2/readers {
-		test.Errorf("%d of %d chains moved when one of %d readers left", moved, chains, readers)
+		t.Errorf("%d of %d chains moved when one of %d readers left", moved, chains, readers)
 	}
 	if len(counts) < readers {
-		test.Errorf("%d homes of %d readers", len(counts), readers)
+		t.Errorf("%d homes of %d readers", len(counts), readers)
 	}
 }
 
--- a/internal/window/failures_test.go
+++ b/internal/window/failures_test.go
@@ -12,38 +12,38 @@
 
 // TestMemoryThatDidNotComeIsNotKept has a runner fail to fetch a prompt's memory, and
 // wants nobody to believe that it keeps the prompt.
-func TestMemoryThatDidNotComeIsNotKept(test *testing.T) {
+func TestMemoryThatDidNotComeIsNotKept(t *testing.T) {
 	calls := opened(9)
 	call := longCall("a", 77)
 	ticket, decision := calls.Arrive(noon, call)
 	if decision.Kind != Read {
-		test.Fatalf("%+v", decision)
+		t.Fatalf("%+v", decision)
 	}
 	decision = calls.Ended(noon.Add(100*time.Millisecond), ticket, Outcome{Result: Complete, Handle: "h"})
 	runner := calls.board.Load().byName[decision.Server.Name]
 	if runner.kept.prefix(call.Parts) != 0 {
-		test.Error("kept before it came")
+		t.Error("kept before it came")
 	}
 	decision = calls.Ended(noon.Add(110*time.Millisecond), ticket, Outcome{Result: NotStarted, Status: 503})
 	if runner.kept.prefix(call.Parts) != 0 {
-		test.Error("kept though it never came")
+		t.Error("kept though it never came")
 	}
 	if decision.Kind == Run && len(decision.Free) != 1 {
-		test.Errorf("the memory is not given back: %+v", decision)
+		t.Errorf("the memory is not given back: %+v", decision)
 	}
 	// A read that failed leaves nothing either, but what was there before.
 	ticket, decision = calls.Arrive(noon, longCall("b", 78))
 	reader := calls.board.Load().byName[decision.Server.Name]
 	calls.Ended(noon.Add(time.Second), ticket, Outcome{Result: Silent})
 	if kept := reader.kept.prefix(longCall("b", 78).Parts); kept > 2520 {
-		test.Errorf("%d tokens kept of a read that failed", kept)
+		t.Errorf("%d tokens kept of a read that failed", kept)
 	}
 }
 
 // TestWhatIsTooDearComesBackAtOnce has a long prompt's memory fail to come while all
 // runners are busy: reading it there would hold up many, so that the call is sent away
 // to come back at once, with the promise that it never ran.
-func TestWhatIsTooDearComesBackAtOnce(test *testing.T) {
+func TestWhatIsTooDearComesBackAtOnce(t *testing.T) {
 	calls := opened(9)
 	var loads []Load
 	for _, server := range servers(9) {
@@ -58,13 +58,13 @@
 	calls.Ended(noon.Add(100*time.Millisecond), ticket, Outcome{Result: Complete, Handle: "h"})
 	decision := calls.Ended(noon.Add(110*time.Millisecond), ticket, Outcome{Result: NotStarted, Status: 503})
 	if decision.Kind != Refuse || decision.Cause != Full || decision.RetryAfter != shortestRelief || len(decision.Free) != 1 {
-		test.Errorf("%+v", decision)
+		t.Errorf("%+v", decision)
 	}
 }
 
 // TestGivingUpHasATryBehindIt wants patience only where the purse has paid for another
 // try, and the payment back when it was not needed.
-func TestGivingUpHasATryBehindIt(test *testing.T) {
+func TestGivingUpHasATryBehindIt(t *testing.T) {
 	calls := opened(9)
 	calls.SetCouriers(1)
 	program := Compile(plan(func(configuration *menu.Configuration) { configuration.Routes[0].Calls.Tries = 4 }), 1, 2)
@@ -83,12 +83,12 @@
 		}
 	}
 	if patient == 0 || patient > 10 {
-		test.Fatalf("%d of 40 calls are given up on", patient)
+		t.Fatalf("%d of 40 calls are given up on", patient)
 	}
 	for _, ticket := range tickets {
 		decision := calls.Ended(now.Add(time.Second), ticket, Outcome{Result: Silent})
 		if decision.Kind != Read && decision.Kind != Run {
-			test.Errorf("no try behind giving up: %+v", decision)
+			t.Errorf("no try behind giving up: %+v", decision)
 		}
 		calls.Ended(now.Add(time.Second), ticket, Outcome{Result: Gone})
 	}
@@ -96,7 +96,7 @@
 
 // TestUnneededTryIsPaidBack has calls end well that a try was paid for, many more than
 // the purse holds.
-func TestUnneededTryIsPaidBack(test *testing.T) {
+func TestUnneededTryIsPaidBack(t *testing.T) {
 	calls := opened(9)
 	calls.SetCouriers(1)
 	now, patient := noon.Add(10*time.Second), 0
@@ -113,13 +113,13 @@
 		}
 	}
 	if patient < 45 {
-		test.Errorf("%d of 50 calls had a try behind them", patient)
+		t.Errorf("%d of 50 calls had a try behind them", patient)
 	}
 }
 
 // TestSilentServersAreLeft wants no calls at a server that reports no more, and none at
 // one from which nothing comes, while others are well.
-func TestSilentServersAreLeft(test *testing.T) {
+func TestSilentServersAreLeft(t *testing.T) {
 	calls := opened(9)
 	report := func(now time.Time, without string) {
 		var loads []Load
@@ -136,31 +136,31 @@
 	now := noon.Add(2 * time.Second)
 	report(now, home)
 	if _, decision = calls.Arrive(now, longCall("b", 77)); decision.Server.Name == home {
-		test.Error("a call to a server that reports no more")
+		t.Error("a call to a server that reports no more")
 	}
 	calls = opened(9)
 	ticket, decision := calls.Arrive(noon, longCall("a", 77))
 	calls.Arrive(noon, longCall("b", 77))
 	now = noon.Add(900 * time.Millisecond)
 	if _, second := calls.Arrive(now, longCall("c", 77)); second.Server.Name == decision.Server.Name {
-		test.Error("a call to a server from which nothing comes")
+		t.Error("a call to a server from which nothing comes")
 	}
 	calls.Ended(now, ticket, Outcome{Result: Complete, Handle: "h"})
 	if _, second := calls.Arrive(now, longCall("d", 77)); second.Server.Name != decision.Server.Name {
-		test.Error("the home is left though something came")
+		t.Error("the home is left though something came")
 	}
 }
 
 // TestOrderedServersGetNothing wants no calls at a server that was ordered to take
 // another part, before any report shows it.
-func TestOrderedServersGetNothing(test *testing.T) {
+func TestOrderedServersGetNothing(t *testing.T) {
 	calls := opened(9)
 	_, decision := calls.Arrive(noon, chatCall("a"))
 	ordered := decision.Server.Name
 	calls.SetOrders(noon, map[string]string{ordered: prefill})
 	for number := range 50 {
 		if _, decision = calls.Arrive(noon.Add(time.Second), chatCall(fmt.Sprint(number))); decision.Server.Name == ordered {
-			test.Fatal("a call to a server that changes its part")
+			t.Fatal("a call to a server that changes its part")
 		}
 	}
 	// An order that was never carried out is forgotten.
@@ -170,13 +170,13 @@
 		found = found || decision.Server.Name == ordered
 	}
 	if !found {
-		test.Error("the server gets no calls any more")
+		t.Error("the server gets no calls any more")
 	}
 }
 
 // TestColdHomeLearnsItsChains wants a home that came back cold to get the calls of its
 // chains as far as its rate allows, not the next reader all of them.
-func TestColdHomeLearnsItsChains(test *testing.T) {
+func TestColdHomeLearnsItsChains(t *testing.T) {
 	home := ""
 	var chains []uint64
 	for chain := uint64(1000); len(chains) < 20; chain++ {
@@ -205,6 +205,6 @@
 		calls.Ended(now, ticket, Outcome{Result: Complete, Handle: "h"})
 	}
 	if got < 15 {
-		test.Errorf("%d of %d calls went to the cold home", got, len(chains))
+		t.Errorf("%d of %d calls went to the cold home", got, len(chains))
 	}
 }
--- a/internal/window/history_test.go
+++ b/internal/window/history_test.go
@@ -39,8 +39,8 @@
 	steps                 int
 }
 
-func newHistory(test *testing.T, seed uint64) *history {
-	history := &history{test: test, random: rand.New(rand.NewPCG(seed, 11)), now: noon, list: servers(9), evacuees: map[string]bool{}, number: 1,
+func newHistory(t *testing.T, seed uint64) *history {
+	history := &history{test: t, random: rand.New(rand.NewPCG(seed, 11)), now: noon, list: servers(9), evacuees: map[string]bool{}, number: 1,
 		calls: New(Options{Courier: "courier-1", District: "north", FurtherTries: Allowance{Ratio: 0.2, Slack: 200, Span: 10 * time.Second}})}
 	history.calls.SetCouriers(3)
 	history.configure()
@@ -284,17 +284,17 @@
 }
 
 // TestHistories plays many random histories, each twice.
-func TestHistories(test *testing.T) {
+func TestHistories(t *testing.T) {
 	seeds := uint64(100)
 	if testing.Short() {
 		seeds = 30
 	}
 	for seed := range seeds {
-		first, second := newHistory(test, seed), newHistory(test, seed)
+		first, second := newHistory(t, seed), newHistory(t, seed)
 		first.play(1500)
 		second.play(1500)
 		if !reflect.DeepEqual(first.log, second.log) {
-			test.Fatalf("seed %d: the same events gave other decisions", seed)
+			t.Fatalf("seed %d: the same events gave other decisions", seed)
 		}
 	}
 }
--- a/internal/window/pools_test.go
+++ b/internal/window/pools_test.go
@@ -62,19 +62,19 @@
 
 // TestPoolsFollowTheWork lets prompts pile up, then answers, and then lets both come
 // and go, and wants few orders and some of each part.
-func TestPoolsFollowTheWork(test *testing.T) {
+func TestPoolsFollowTheWork(t *testing.T) {
 	day := newPoolDay(9)
 	day.last(10*time.Second, 0, 5)
 	if day.orders != 0 {
-		test.Errorf("%d orders without a need", day.orders)
+		t.Errorf("%d orders without a need", day.orders)
 	}
 	day.last(30*time.Second, 4, 5)
 	if day.readers() != 5 || day.orders != 1 {
-		test.Errorf("while prompts pile up: %d readers by %d orders", day.readers(), day.orders)
+		t.Errorf("while prompts pile up: %d readers by %d orders", day.readers(), day.orders)
 	}
 	day.last(60*time.Second, 0, 60)
 	if day.readers() > 2 || day.readers() < 1 {
-		test.Errorf("while answers pile up: %d readers", day.readers())
+		t.Errorf("while answers pile up: %d readers", day.readers())
 	}
 	before := day.orders
 	for range 40 {
@@ -82,13 +82,13 @@
 		day.last(1200*time.Millisecond, 0, 20)
 	}
 	if day.orders > before {
-		test.Errorf("%d orders without a lasting need", day.orders-before)
+		t.Errorf("%d orders without a lasting need", day.orders-before)
 	}
 }
 
 // TestPoolsBearDarkRunners has two of three runners go dark while prompts pile up: the
 // one that is left can't wait for its answers to pile up, too.
-func TestPoolsBearDarkRunners(test *testing.T) {
+func TestPoolsBearDarkRunners(t *testing.T) {
 	day := newPoolDay(9)
 	runners := 0
 	for _, server := range servers(9) {
@@ -108,20 +108,20 @@
 	before := day.readers()
 	day.reporting(7*time.Second, 4, 20)
 	if day.readers() >= before {
-		test.Errorf("%d of %d readers while one runner is left", day.readers(), before)
+		t.Errorf("%d of %d readers while one runner is left", day.readers(), before)
 	}
 }
 
 // TestPoolsKeepOneOfEach wants a reader and a runner while two servers are open, and
 // the readers in all districts.
-func TestPoolsKeepOneOfEach(test *testing.T) {
+func TestPoolsKeepOneOfEach(t *testing.T) {
 	day := newPoolDay(9)
 	for name := range day.parts {
 		day.parts[name] = decode
 	}
 	day.last(time.Second, 0, 1)
 	if day.readers() != 1 {
-		test.Errorf("%d readers of none", day.readers())
+		t.Errorf("%d readers of none", day.readers())
 	}
 	day.last(30*time.Second, 1, 1)
 	districts := map[string]int{}
@@ -131,40 +131,40 @@
 		}
 	}
 	if len(districts) != 3 || districts["north"] > 2 || districts["south"] > 2 || districts["west"] > 2 {
-		test.Errorf("readers by district: %v", districts)
+		t.Errorf("readers by district: %v", districts)
 	}
 	for name := range day.parts {
 		day.parts[name] = prefill
 	}
 	day.last(4*time.Second, 1, 1)
 	if day.readers() == 9 {
-		test.Error("no server makes answers")
+		t.Error("no server makes answers")
 	}
 }
 
 // TestPoolsHelpThePressed plays more traffic than the parts were made for, with and
 // without orders.
-func TestPoolsHelpThePressed(test *testing.T) {
+func TestPoolsHelpThePressed(t *testing.T) {
 	left, managed := newWorld(3, 9, 9, nil), newWorld(3, 9, 9, nil)
 	managed.pool(NewPools())
 	day(left, 1.4, 30*time.Second)
 	day(managed, 1.4, 30*time.Second)
-	test.Logf("left alone\n%s\nwith %d orders\n%s", left, managed.orders, managed)
+	t.Logf("left alone\n%s\nwith %d orders\n%s", left, managed.orders, managed)
 	if managed.score() <= left.score() {
-		test.Errorf("%.4f with orders, %.4f without", managed.score(), left.score())
+		t.Errorf("%.4f with orders, %.4f without", managed.score(), left.score())
 	}
 	if managed.orders > 4 {
-		test.Errorf("%d orders", managed.orders)
+		t.Errorf("%d orders", managed.orders)
 	}
 }
 
 // TestIdleServiceIsDividedEvenly wants half of an idle service's servers to read, by
 // orders given once and before there is traffic, and none for a moment without work.
-func TestIdleServiceIsDividedEvenly(test *testing.T) {
+func TestIdleServiceIsDividedEvenly(t *testing.T) {
 	day := newPoolDay(9)
 	day.last(20*time.Second, 0, 0)
 	if day.readers() != 5 || day.orders != 1 {
-		test.Errorf("%d readers by %d orders", day.readers(), day.orders)
+		t.Errorf("%d readers by %d orders", day.readers(), day.orders)
 	}
 	day = newPoolDay(9)
 	for range 10 {
@@ -172,6 +172,6 @@
 		day.last(800*time.Millisecond, 1, 5)
 	}
 	if day.orders != 0 {
-		test.Errorf("%d orders in moments without work", day.orders)
+		t.Errorf("%d orders in moments without work", day.orders)
 	}
 }
--- a/internal/window/returned_test.go
+++ b/internal/window/returned_test.go
@@ -11,7 +11,7 @@
 // TestServersOfADistrictThatComesBackCountAsCold takes an evacuation back, and wants the
 // district's servers to get no more in the next second than cold ones stand: they may
 // have become cold while nobody used them, and the list tells that later.
-func TestServersOfADistrictThatComesBackCountAsCold(test *testing.T) {
+func TestServersOfADistrictThatComesBackCountAsCold(t *testing.T) {
 	calls := New(Options{Courier: "courier-1", District: "north", FurtherTries: Allowance{Ratio: 0.2, Slack: 200, Span: 10 * time.Second}})
 	calls.SetCouriers(1)
 	list := servers(9)
@@ -31,13 +31,13 @@
 	arrive := func(number int, now time.Time) string {
 		ticket, decision := calls.Arrive(now, &Call{ID: "call-" + strconv.Itoa(number), Host: "chat.example", Path: "/one", Model: "m", PromptTokens: 300, OutputTokens: 30, Ends: now.Add(8 * time.Second)})
 		if ticket == nil {
-			test.Fatalf("call %d was refused: %+v", number, decision)
+			t.Fatalf("call %d was refused: %+v", number, decision)
 		}
 		return decision.Server.Name
 	}
 	for number := range 100 {
 		if server := arrive(number, noon); north[server] {
-			test.Fatalf("%s is in an evacuated district", server)
+			t.Fatalf("%s is in an evacuated district", server)
 		}
 	}
 	back := noon.Add(time.Second)
@@ -48,7 +48,7 @@
 	}
 	for server, count := range counts {
 		if north[server] && count > 12 {
-			test.Errorf("%s got %d calls in the first second after its district came back", server, count)
+			t.Errorf("%s got %d calls in the first second after its district came back", server, count)
 		}
 	}
 	// Long after it nothing of that is left.
@@ -64,6 +64,6 @@
 		}
 	}
 	if most <= 12 {
-		test.Errorf("a minute later the district's servers got %d calls a second at most", most)
+		t.Errorf("a minute later the district's servers got %d calls a second at most", most)
 	}
 }
--- a/internal/window/simulation_test.go
+++ b/internal/window/simulation_test.go
@@ -18,26 +18,26 @@
 
 // TestUsualTraffic plays the usual traffic, less and more, and wants most answers in
 // aim and few shared parts read again. The floors are a little under what was measured.
-func TestUsualTraffic(test *testing.T) {
+func TestUsualTraffic(t *testing.T) {
 	for _, want := range []struct {
 		factor, long, chat float64
 		again              int
 	}{{0.6, 0.9, 0.97, 250_000}, {1, 0.87, 0.96, 450_000}, {1.4, 0.78, 0.92, 900_000}} {
 		world := newWorld(1, 9, 9, nil)
 		day(world, want.factor, 30*time.Second)
-		test.Logf("x%.1f\n%s", want.factor, world)
+		t.Logf("x%.1f\n%s", want.factor, world)
 		for name, floor := range map[string]float64{"long": want.long, "chat": want.chat} {
 			tally := world.tally[name]
 			if share := float64(tally.inAim) / float64(tally.calls); share < floor {
-				test.Errorf("%s: %.3f in aim at x%.1f", name, share, want.factor)
+				t.Errorf("%s: %.3f in aim at x%.1f", name, share, want.factor)
 			}
 		}
 		if world.sharedAgain > want.again {
-			test.Errorf("%d shared tokens read again at x%.1f", world.sharedAgain, want.factor)
+			t.Errorf("%d shared tokens read again at x%.1f", world.sharedAgain, want.factor)
 		}
 		for number, calls := range world.windows {
 			if calls.InFlight() != 0 {
-				test.Errorf("courier %d has %d calls in flight at the end", number, calls.InFlight())
+				t.Errorf("courier %d has %d calls in flight at the end", number, calls.InFlight())
 			}
 		}
 	}
--- a/internal/window/sweep_test.go
+++ b/internal/window/sweep_test.go
@@ -28,9 +28,9 @@
 }
 
 // TestSweep compares costs; it runs when SWEEP is set.
-func TestSweep(test *testing.T) {
+func TestSweep(t *testing.T) {
 	if os.Getenv("SWEEP") == "" {
-		test.Skip("compares costs by hand")
+		t.Skip("compares costs by hand")
 	}
 	sites := []site{nine(), twelve()}
 	if os.Getenv("SWEEP") == "large" {
@@ -75,9 +75,9 @@
 
 // TestSweepTroubles prints how days of trouble go over several seeds; it runs when
 // SWEEP is set.
-func TestSweepTroubles(test *testing.T) {
+func TestSweepTroubles(t *testing.T) {
 	if os.Getenv("SWEEP") == "" {
-		test.Skip("compares costs by hand")
+		t.Skip("compares costs by hand")
 	}
 	days := troubles()
 	var names []string
--- a/internal/window/threads_test.go
+++ b/internal/window/threads_test.go
@@ -9,7 +9,7 @@
 
 // TestManyThreads has calls come and end in many threads while lists, reports, orders
 // and configurations change, and wants nothing left over; the race detector looks on.
-func TestManyThreads(test *testing.T) {
+func TestManyThreads(t *testing.T) {
 	calls, pools := opened(9), NewPools()
 	var waiting sync.WaitGroup
 	for thread := range 8 {
@@ -60,11 +60,11 @@
 	}()
 	waiting.Wait()
 	if left := calls.InFlight(); left != 0 {
-		test.Errorf("%d calls in flight", left)
+		t.Errorf("%d calls in flight", left)
 	}
 	for _, backend := range calls.board.Load().all {
 		if backend.reading.Load() != 0 || backend.running.Load() != 0 || backend.readings.pending.Load() != 0 || backend.begins.pending.Load() != 0 {
-			test.Errorf("%s keeps work on its account", backend.server.Name)
+			t.Errorf("%s keeps work on its account", backend.server.Name)
 		}
 	}
 }
--- a/internal/window/troubles_test.go
+++ b/internal/window/troubles_test.go
@@ -53,26 +53,26 @@
 
 // TestTroubles plays days on which servers crash, go dark, slow down, are replaced or
 // lose handles, and wants most calls served and nothing cut that could go on.
-func TestTroubles(test *testing.T) {
+func TestTroubles(t *testing.T) {
 	floors := map[string]float64{"calm": 0.9, "crash": 0.85, "dark": 0.8, "short handles": 0.85, "slow links": 0.78, "slow servers": 0.85, "release": 0.85, "chats": 0.85}
 	for name, trouble := range troubles() {
-		test.Run(name, func(test *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			world := newWorld(5, 9, 9, nil)
 			world.pool(NewPools())
 			trouble(world)
 			day(world, 1, 30*time.Second)
-			test.Logf("%d orders\n%s", world.orders, world)
+			t.Logf("%d orders\n%s", world.orders, world)
 			owed, earned := 0.0, 0.0
 			for _, tally := range world.tally {
 				owed += tally.owed
 				earned += tally.earned
 			}
 			if earned/owed < floors[name] {
-				test.Errorf("%.3f of the worth", earned/owed)
+				t.Errorf("%.3f of the worth", earned/owed)
 			}
 			for number, calls := range world.windows {
 				if calls.InFlight() != 0 {
-					test.Errorf("courier %d has %d calls in flight at the end", number, calls.InFlight())
+					t.Errorf("courier %d has %d calls in flight at the end", number, calls.InFlight())
 				}
 			}
 		})
--- a/internal/window/window_test.go
+++ b/internal/window/window_test.go
@@ -85,25 +85,25 @@
 
 // TestTwoHalves follows one long call through a reader and a runner, and one chat
 // straight through a runner.
-func TestTwoHalves(test *testing.T) {
+func TestTwoHalves(t *testing.T) {
 	calls := opened(9)
 	ticket, decision := calls.Arrive(noon, longCall("a", 77))
 	if ticket == nil || decision.Kind != Read || decision.Server.Part != prefill {
-		test.Fatalf("a long prompt: %+v", decision)
+		t.Fatalf("a long prompt: %+v", decision)
 	}
 	decision = calls.Ended(noon.Add(180*time.Millisecond), ticket, Outcome{Result: Complete, Handle: "h"})
 	if decision.Kind != Run || decision.Server.Part != decode || decision.Source == nil || decision.Source.Handle != "h" {
-		test.Fatalf("after the read: %+v", decision)
+		t.Fatalf("after the read: %+v", decision)
 	}
 	decision = calls.Ended(noon.Add(600*time.Millisecond), ticket, Outcome{Result: Complete, First: noon.Add(200 * time.Millisecond)})
 	if decision.Kind != Done || calls.InFlight() != 0 {
-		test.Fatalf("after the run: %+v, %d in flight", decision, calls.InFlight())
+		t.Fatalf("after the run: %+v, %d in flight", decision, calls.InFlight())
 	}
 	ticket, decision = calls.Arrive(noon, chatCall("b"))
 	if ticket == nil || decision.Kind != Run || decision.Server.Part != decode || decision.Source != nil || decision.Urgency != 1 {
-		test.Fatalf("a chat: %+v", decision)
+		t.Fatalf("a chat: %+v", decision)
 	}
 	if decision = calls.Ended(noon.Add(time.Second), ticket, Outcome{Result: Silent}); decision.Kind != Refuse || decision.Cause != Broken {
-		test.Fatalf("a chat that may have run: %+v", decision)
+		t.Fatalf("a chat that may have run: %+v", decision)
 	}
 }
--- a/seamloom.go
+++ b/seamloom.go
@@ -59,6 +59,6 @@
 //
 //	if failure := seamloom.CheckConfiguration(text); failure != nil { ... }
 func CheckConfiguration(text []byte) error {
-	_, failure := menu.Check(text)
-	return failure
+	_, err := menu.Check(text)
+	return err
 }
