--- a/cmd/courier/main.go
+++ b/cmd/courier/main.go
@@ -10,7 +10,7 @@
 	"seamloom.example/seamloom/internal/adapters/courier"
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 func main() {
@@ -29,7 +29,7 @@
 	command := &cobra.Command{Use: "serve", Short: "run the daemon", Args: cobra.NoArgs,
 		Example: "  courier serve --name courier-1 --address 127.0.0.1:7201 --district north \\\n" +
 			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
-	flags := program.AddFlags(command, roster.Courier)
+	flags := program.AddFlags(command, membership.Courier)
 	command.RunE = func(*cobra.Command, []string) error {
 		signals := program.CatchSignals()
 		chosen, mistakes := flags.Read()
--- a/cmd/courier/stream.go
+++ b/cmd/courier/stream.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"seamloom.example/seamloom"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // mostEventLine bounds one event on standard input.
@@ -41,16 +41,16 @@
 		}
 		var event seamloom.Event
 		if err := json.Unmarshal(lines.Bytes(), &event); err != nil {
-			return trouble.At(trouble.Malformed, "standard input", err.Error())
+			return failure.At(failure.Malformed, "standard input", err.Error())
 		}
 		for _, decision := range core.Apply(event) {
 			if err := encoder.Encode(decision); err != nil {
-				return trouble.Wrap(trouble.Unreachable, err)
+				return failure.Wrap(failure.Unreachable, err)
 			}
 		}
 		if err := written.Flush(); err != nil {
-			return trouble.Wrap(trouble.Unreachable, err)
+			return failure.Wrap(failure.Unreachable, err)
 		}
 	}
-	return trouble.Wrap(trouble.Malformed, lines.Err())
+	return failure.Wrap(failure.Malformed, lines.Err())
 }
--- a/cmd/expediter/main.go
+++ b/cmd/expediter/main.go
@@ -7,10 +7,10 @@
 	"github.com/spf13/cobra"
 
 	"seamloom.example/seamloom/internal/adapters/expediter"
-	"seamloom.example/seamloom/internal/adapters/pantry"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/storage"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 func main() {
@@ -35,7 +35,7 @@
 		Long: "serve runs one control-plane daemon. SIGTERM ends it; SIGHUP reads the settings again.",
 		Example: "  expediter serve --name expediter-1 --address 127.0.0.1:7101 --district north --data-folder /var/lib/seamloom \\\n" +
 			"    --seeds 127.0.0.1:7101,127.0.0.1:7102,127.0.0.1:7103 --platform 127.0.0.1:7000"}
-	flags := program.AddFlags(command, roster.Expediter)
+	flags := program.AddFlags(command, membership.Expediter)
 	command.RunE = func(*cobra.Command, []string) error {
 		signals := program.CatchSignals()
 		chosen, mistakes := flags.Read()
@@ -44,7 +44,7 @@
 		}
 		program.LimitMemory(chosen.MostMemory)
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
-		process, err := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
+		process, err := expediter.Start(chosen, logger, storage.RealDisk{}, wallclock.New(), expediter.Ports{})
 		if err != nil {
 			return err
 		}
--- a/cmd/expediter/operator.go
+++ b/cmd/expediter/operator.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // operatorTrouble ends a subcommand with a code that scripts can tell apart:
@@ -57,7 +57,7 @@
 		reason, _ := command.Flags().GetString("reason")
 		body, err := json.Marshal(map[string]string{"reason": reason})
 		if err != nil {
-			return trouble.Wrap(trouble.Malformed, err)
+			return failure.Wrap(failure.Malformed, err)
 		}
 		return operator.call(http.MethodPost, "/v1/evacuations/"+url.PathEscape(arguments[0]), newChange(), body)
 	})
@@ -102,7 +102,7 @@
 		body, err = os.ReadFile(path)
 	}
 	if err != nil {
-		return trouble.At(trouble.Missing, path, err.Error())
+		return failure.At(failure.Missing, path, err.Error())
 	}
 	if revision, _ := command.Flags().GetInt64("builds-on"); revision >= 0 {
 		// Its content is its id: sent again, it is the same change.
@@ -142,7 +142,7 @@
 	for _, address := range operator.addresses {
 		outbound, err := http.NewRequest(method, "http://"+address+path+"?"+query.Encode(), bytes.NewReader(body))
 		if err != nil {
-			return answered{}, trouble.Wrap(trouble.Malformed, err)
+			return answered{}, failure.Wrap(failure.Malformed, err)
 		}
 		inbound, err := operator.client.Do(outbound)
 		if err != nil {
--- a/cmd/expediter/usage.go
+++ b/cmd/expediter/usage.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"seamloom.example/seamloom/internal/adapters/usage"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // usageCommand gathers every running courier's ledger into one file.
@@ -21,7 +21,7 @@
 		case "parquet":
 			write = usage.WriteParquet
 		default:
-			return trouble.At(trouble.OutOfRange, "format", "is csv or parquet, not \""+format+"\"")
+			return failure.At(failure.OutOfRange, "format", "is csv or parquet, not \""+format+"\"")
 		}
 		rows, err := operator.usage()
 		if err != nil {
@@ -29,13 +29,13 @@
 		}
 		file, err := os.Create(arguments[0])
 		if err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 		if err := write(file, rows); err != nil {
 			_ = file.Close()
 			return err
 		}
-		return trouble.Wrap(trouble.Disk, file.Close())
+		return failure.Wrap(failure.Disk, file.Close())
 	})
 	command.Flags().String("format", "csv", "csv or parquet")
 	return command
@@ -57,7 +57,7 @@
 		} `json:"members"`
 	}
 	if err := json.Unmarshal(answered.body, &status); err != nil {
-		return nil, trouble.Wrap(trouble.Garbage, err)
+		return nil, failure.Wrap(failure.Garbage, err)
 	}
 	var all []usage.Row
 	for name, member := range status.Members {
@@ -73,7 +73,7 @@
 		err = json.NewDecoder(inbound.Body).Decode(&rows)
 		_ = inbound.Body.Close()
 		if err != nil {
-			return nil, trouble.Wrap(trouble.Garbage, err)
+			return nil, failure.Wrap(failure.Garbage, err)
 		}
 		all = append(all, rows...)
 	}
--- a/cmd/rehearsal/capacity.go
+++ b/cmd/rehearsal/capacity.go
@@ -10,9 +10,9 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/multierr"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/capacity"
 	"seamloom.example/seamloom/internal/rehearsal/platformday"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // capacityCommand measures what control costs as a fleet grows.
@@ -52,7 +52,7 @@
 		if *processes {
 			binaries, found := capacity.BinariesBeside()
 			if !found {
-				return trouble.New(trouble.Missing, "courier and expediter are not beside this program")
+				return failure.New(failure.Missing, "courier and expediter are not beside this program")
 			}
 			activities = append(activities, capacity.FleetActivities(binaries)...)
 		}
@@ -66,7 +66,7 @@
 		readings, broken := plan.Run(activities)
 		// What was read before something failed is kept.
 		fits := capacity.FitAll(readings)
-		broken = multierr.Append(broken, trouble.Wrap(trouble.Disk, capacity.WriteFits(os.Stdout, fits)))
+		broken = multierr.Append(broken, failure.Wrap(failure.Disk, capacity.WriteFits(os.Stdout, fits)))
 		if *folder != "" {
 			broken = multierr.Append(broken, saveCapacity(*folder, readings, fits))
 		}
@@ -81,12 +81,12 @@
 	for _, text := range texts {
 		name, list, _ := strings.Cut(text, "=")
 		if _, found := capacity.Sizes[capacity.Dimension(name)]; !found {
-			return nil, trouble.New(trouble.NoSuch, "no dimension "+name)
+			return nil, failure.New(failure.NoSuch, "no dimension "+name)
 		}
 		for _, entry := range strings.Split(list, ",") {
 			size, err := strconv.Atoi(entry)
 			if err != nil || size < 1 {
-				return nil, trouble.At(trouble.OutOfRange, name, "needs sizes such as 10,30")
+				return nil, failure.At(failure.OutOfRange, name, "needs sizes such as 10,30")
 			}
 			sizes[capacity.Dimension(name)] = append(sizes[capacity.Dimension(name)], size)
 		}
@@ -96,11 +96,11 @@
 
 func saveCapacity(folder string, readings []capacity.Reading, fits []capacity.Fit) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	file, err := os.Create(filepath.Join(folder, "readings.csv"))
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	defer func() { _ = file.Close() }()
 	if err := capacity.WriteCSV(file, readings); err != nil {
--- a/cmd/rehearsal/each.go
+++ b/cmd/rehearsal/each.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // eachCommand runs every fault alone, in a day of its own.
@@ -25,7 +25,7 @@
 	command.RunE = func(*cobra.Command, []string) error {
 		base, err := os.MkdirTemp("", "each-")
 		if err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 		var names []string
 		for _, name := range rehearsal.FaultNames() {
@@ -64,7 +64,7 @@
 		}
 		working.Wait()
 		if failed > 0 {
-			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d of %d days failed; logs are in %s", failed, len(names), base))
+			return failure.New(failure.Contradictory, fmt.Sprintf("%d of %d days failed; logs are in %s", failed, len(names), base))
 		}
 		return os.RemoveAll(base)
 	}
--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -18,9 +18,9 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 type plan struct {
@@ -45,7 +45,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(roster.Courier), stageCommand(roster.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(membership.Courier), stageCommand(membership.Expediter))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", err)
 		var mistaken mistaken
@@ -74,7 +74,7 @@
 func (chosen *plan) start() (*rehearsal.Fleet, error) {
 	deployment, found := rehearsal.DeploymentNamed(chosen.deployment)
 	if !found {
-		return nil, trouble.New(trouble.NoSuch, "no deployment "+chosen.deployment)
+		return nil, failure.New(failure.NoSuch, "no deployment "+chosen.deployment)
 	}
 	if chosen.couriers > 0 {
 		deployment.Couriers = chosen.couriers
@@ -85,11 +85,11 @@
 	if chosen.folder == "" {
 		folder, err := os.MkdirTemp("", "rehearsal-")
 		if err != nil {
-			return nil, trouble.Wrap(trouble.Disk, err)
+			return nil, failure.Wrap(failure.Disk, err)
 		}
 		chosen.folder = folder
 	} else if err := os.MkdirAll(chosen.folder, 0o755); err != nil {
-		return nil, trouble.Wrap(trouble.Disk, err)
+		return nil, failure.Wrap(failure.Disk, err)
 	}
 	fleet, err := rehearsal.NewFleet(deployment, chosen.folder, chosen.binaries, map[string]any{"market": chosen.market})
 	if err != nil {
@@ -169,7 +169,7 @@
 		if chosen.asJSON {
 			encoded, err := json.MarshalIndent(verdict, "", "  ")
 			if err != nil {
-				return trouble.Wrap(trouble.Malformed, err)
+				return failure.Wrap(failure.Malformed, err)
 			}
 			fmt.Println(string(encoded))
 		} else {
@@ -177,7 +177,7 @@
 		}
 		_, _ = fmt.Fprintln(os.Stderr, "the book and the logs are in", chosen.folder)
 		if verdict.Violations() > 0 {
-			return trouble.New(trouble.Contradictory, "something happened that must never happen")
+			return failure.New(failure.Contradictory, "something happened that must never happen")
 		}
 		return nil
 	}
@@ -194,13 +194,13 @@
 		}
 		fault, found := rehearsal.FaultNamed(name)
 		if !found {
-			return verdict, trouble.New(trouble.NoSuch, "no fault "+name)
+			return verdict, failure.New(failure.NoSuch, "no fault "+name)
 		}
 		faults = append(faults, fault)
 	}
 	closing, closes := rehearsal.FaultNamed(chosen.closing)
 	if chosen.closing != "" && !closes {
-		return verdict, trouble.New(trouble.NoSuch, "no fault "+chosen.closing)
+		return verdict, failure.New(failure.NoSuch, "no fault "+chosen.closing)
 	}
 	for _, fault := range append([]rehearsal.Fault{closing}, faults...) {
 		chosen.linked = chosen.linked || fault.Links
--- a/cmd/rehearsal/platformday.go
+++ b/cmd/rehearsal/platformday.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/multierr"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/platformday"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // mistaken is what the caller wrote wrongly: the program ends with 2.
@@ -49,10 +49,10 @@
 		}
 		if folder == "" {
 			if folder, err = os.MkdirTemp("", "platform-day-"); err != nil {
-				return trouble.Wrap(trouble.Disk, err)
+				return failure.Wrap(failure.Disk, err)
 			}
 		} else if err := os.MkdirAll(folder, 0o755); err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 		_, err = playPlatformDay(plan, roles, folder)
 		return err
@@ -80,7 +80,7 @@
 		}
 		if folder == "" {
 			if folder, err = os.MkdirTemp("", "platform-days-"); err != nil {
-				return trouble.Wrap(trouble.Disk, err)
+				return failure.Wrap(failure.Disk, err)
 			}
 		}
 		failed := 0
@@ -90,7 +90,7 @@
 			}
 		}
 		if failed > 0 {
-			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d of %d days failed; they are in %s", failed, count, folder))
+			return failure.New(failure.Contradictory, fmt.Sprintf("%d of %d days failed; they are in %s", failed, count, folder))
 		}
 		return nil
 	}
@@ -134,19 +134,19 @@
 	fmt.Print(verdict)
 	text, err := json.MarshalIndent(verdict, "", "  ")
 	if err != nil {
-		return verdict, trouble.Wrap(trouble.Malformed, err)
+		return verdict, failure.Wrap(failure.Malformed, err)
 	}
 	err = multierr.Combine(os.WriteFile(filepath.Join(folder, "verdict.json"), text, 0o644), os.WriteFile(filepath.Join(folder, "verdict.txt"), []byte(verdict.String()), 0o644),
 		day.Book.Save(filepath.Join(folder, "book.jsonl")), verdict.Figures.Plot(folder, platformday.Marks(day.Book.Events())))
 	if err != nil {
-		return verdict, trouble.Wrap(trouble.Disk, err)
+		return verdict, failure.Wrap(failure.Disk, err)
 	}
 	fmt.Printf("report, logs and plots are in %s\n", folder)
 	if names := day.Crashed(); len(names) > 0 {
-		return verdict, trouble.New(trouble.Contradictory, fmt.Sprintf("panicked or raced: %v", names))
+		return verdict, failure.New(failure.Contradictory, fmt.Sprintf("panicked or raced: %v", names))
 	}
 	if count := verdict.Violations(); count > 0 {
-		return verdict, trouble.New(trouble.Contradictory, fmt.Sprintf("rules were broken %d times", count))
+		return verdict, failure.New(failure.Contradictory, fmt.Sprintf("rules were broken %d times", count))
 	}
 	return verdict, nil
 }
--- a/cmd/rehearsal/regions.go
+++ b/cmd/rehearsal/regions.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/world"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // regionsCommand lets a large fleet of several regions meet what a year brings, in
@@ -33,7 +33,7 @@
 	command.RunE = func(*cobra.Command, []string) error {
 		debug.SetGCPercent(400)
 		if layout.Expediters < 3 || layout.Couriers < 1 {
-			return trouble.New(trouble.OutOfRange, "a fleet has three expediters at least, and a courier")
+			return failure.New(failure.OutOfRange, "a fleet has three expediters at least, and a courier")
 		}
 		fleet := world.NewLaidOut(layout, *seed)
 		fleet.SetWays(world.Ways{AcknowledgeWait: *wait})
@@ -43,7 +43,7 @@
 		began := time.Now()
 		incidents := fleet.Incidents(*lost, *losses)
 		_, _ = fmt.Fprintf(os.Stderr, "%d couriers, %d expediters, %d servers: took %s\n", layout.Couriers, layout.Expediters, layout.Servers, time.Since(began).Round(time.Second))
-		return trouble.Wrap(trouble.Disk, world.WriteIncidents(os.Stdout, incidents))
+		return failure.Wrap(failure.Disk, world.WriteIncidents(os.Stdout, incidents))
 	}
 	return command
 }
--- a/cmd/rehearsal/removals.go
+++ b/cmd/rehearsal/removals.go
@@ -13,8 +13,8 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/removals"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // removalPatience bounds one removal's test.
@@ -33,11 +33,11 @@
 	command.RunE = func(*cobra.Command, []string) error {
 		chosen, err := regexp.Compile(*match)
 		if err != nil {
-			return trouble.Wrap(trouble.Malformed, err)
+			return failure.Wrap(failure.Malformed, err)
 		}
 		scratch, err := os.MkdirTemp("", "removals-")
 		if err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 		defer func() { _ = os.RemoveAll(scratch) }()
 		failed := 0
@@ -54,7 +54,7 @@
 			fmt.Printf("%-66s | %-44s | %s\n", removal.Name, removal.Never, said)
 		}
 		if failed > 0 {
-			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d protections can go without a test seeing it", failed))
+			return failure.New(failure.Contradictory, fmt.Sprintf("%d protections can go without a test seeing it", failed))
 		}
 		return nil
 	}
@@ -64,22 +64,22 @@
 // tryRemoval tells how the test saw the removal.
 func tryRemoval(removal removals.Removal, source, folder string) (string, error) {
 	if err := os.CopyFS(folder, os.DirFS(source)); err != nil {
-		return "", trouble.Wrap(trouble.Disk, err)
+		return "", failure.Wrap(failure.Disk, err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	if err := removal.Apply(folder); err != nil {
 		return "", err
 	}
-	if output, err := runIn(folder, "go", "vet", "./internal/hatch", "./internal/larder", "./internal/pass", "./internal/rota", "./internal/adapters/..."); err != nil {
-		return "", trouble.New(trouble.Malformed, "without it the source does not build: "+output)
+	if output, err := runIn(folder, "go", "vet", "./internal/hatch", "./internal/replication", "./internal/pass", "./internal/lease", "./internal/adapters/..."); err != nil {
+		return "", failure.New(failure.Malformed, "without it the source does not build: "+output)
 	}
 	if !removal.Worlds {
 		output, err := runIn(folder, "go", "test", "-count=1", "-run", "^("+removal.Test+")", removal.Package)
 		if err == nil {
-			return "", trouble.New(trouble.Missing, removal.Test+" passes without it")
+			return "", failure.New(failure.Missing, removal.Test+" passes without it")
 		}
 		if !strings.Contains(output, "--- FAIL: "+removal.Test) {
-			return "", trouble.New(trouble.Malformed, removal.Test+" did not run: "+output)
+			return "", failure.New(failure.Malformed, removal.Test+" did not run: "+output)
 		}
 		return removal.Test + " fails", nil
 	}
@@ -87,7 +87,7 @@
 	output, err := runIn(folder, "go", arguments...)
 	found := regexp.MustCompile(`after (\d+) days seed (\d+) FAILED`).FindStringSubmatch(output)
 	if err == nil || found == nil {
-		return "", trouble.New(trouble.Missing, "no simulated day fails without it")
+		return "", failure.New(failure.Missing, "no simulated day fails without it")
 	}
 	return fmt.Sprintf("worlds: seed %s fails, after %s days", found[2], found[1]), nil
 }
--- a/cmd/rehearsal/season.go
+++ b/cmd/rehearsal/season.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // own lists the faults that only one deployment sees.
@@ -48,7 +48,7 @@
 		if base == "" {
 			folder, err := os.MkdirTemp("", "season-")
 			if err != nil {
-				return trouble.Wrap(trouble.Disk, err)
+				return failure.Wrap(failure.Disk, err)
 			}
 			base = folder
 		}
@@ -76,7 +76,7 @@
 			fmt.Println(line)
 		}
 		if failed > 0 {
-			return trouble.New(trouble.Contradictory, fmt.Sprintf("%d of %d days failed; logs are in %s", failed, *days, base))
+			return failure.New(failure.Contradictory, fmt.Sprintf("%d of %d days failed; logs are in %s", failed, *days, base))
 		}
 		return nil
 	}
--- a/cmd/rehearsal/stage.go
+++ b/cmd/rehearsal/stage.go
@@ -10,14 +10,14 @@
 	"seamloom.example/seamloom/internal/adapters/expediter"
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // stageCommand runs a node with a faulty disk and a wall clock that jumps, both
 // told by a faults file.
-func stageCommand(kind roster.NodeKind) *cobra.Command {
+func stageCommand(kind membership.NodeKind) *cobra.Command {
 	command := &cobra.Command{Use: "stage-" + string(kind), Short: "run one " + string(kind) + " with a faulty disk and clock", Args: cobra.NoArgs, Hidden: true}
 	flags := program.AddFlags(command, kind)
 	path := command.Flags().String("faults", "", "the faults file")
@@ -29,7 +29,7 @@
 		logger := program.Logger(os.Stderr, chosen.LogLevel, chosen.Name)
 		faults := func() rehearsal.NodeFaults { return rehearsal.ReadNodeFaults(*path) }
 		clock := wallclock.Over(func() time.Time { return time.Now().Add(faults().Jump) })
-		if kind == roster.Courier {
+		if kind == membership.Courier {
 			process, err := courier.Start(chosen, logger, clock, courier.Ports{})
 			if err != nil {
 				return err
@@ -37,7 +37,7 @@
 			if program.Wait(process.Dead(), func() {}) {
 				return process.Drain(10 * time.Second)
 			}
-			return trouble.New(trouble.Unsorted, "ended by itself")
+			return failure.New(failure.Unsorted, "ended by itself")
 		}
 		process, err := expediter.Start(chosen, logger, rehearsal.NewFaultyDisk(faults), clock, expediter.Ports{})
 		if err != nil {
@@ -50,7 +50,7 @@
 		}) {
 			return process.Stop()
 		}
-		return trouble.New(trouble.Unsorted, "ended by itself")
+		return failure.New(failure.Unsorted, "ended by itself")
 	}
 	return command
 }
--- a/cmd/rehearsal/worlds.go
+++ b/cmd/rehearsal/worlds.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/world"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // worldsCommand runs many days in virtual time, or replays one.
@@ -38,10 +38,10 @@
 	command.RunE = func(*cobra.Command, []string) error {
 		debug.SetGCPercent(400)
 		if _, found := campaign.DeploymentOf(campaign.First); !found {
-			return trouble.New(trouble.NoSuch, "no deployment "+campaign.Deployment)
+			return failure.New(failure.NoSuch, "no deployment "+campaign.Deployment)
 		}
 		if campaign.Day.Only != "" && !slices.Contains(world.FaultNames(), campaign.Day.Only) {
-			return trouble.New(trouble.NoSuch, "no fault "+campaign.Day.Only)
+			return failure.New(failure.NoSuch, "no fault "+campaign.Day.Only)
 		}
 		if *trace {
 			deployment, _ := campaign.DeploymentOf(campaign.First)
@@ -107,7 +107,7 @@
 
 func broken(failed bool) error {
 	if failed {
-		return trouble.New(trouble.Contradictory, "something happened that must never happen")
+		return failure.New(failure.Contradictory, "something happened that must never happen")
 	}
 	return nil
 }
--- a/cmd/taster/main.go
+++ b/cmd/taster/main.go
@@ -16,14 +16,14 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fastjson"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
-	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // The exit codes, for scripts.
@@ -39,10 +39,10 @@
 
 // report is what taster prints.
 type report struct {
-	Result  string        `json:"result"`
-	Version string        `json:"checked_against,omitempty"`
-	Remarks []menu.Remark `json:"remarks"`
-	Detail  string        `json:"detail,omitempty"`
+	Result  string          `json:"result"`
+	Version string          `json:"checked_against,omitempty"`
+	Remarks []config.Remark `json:"remarks"`
+	Detail  string          `json:"detail,omitempty"`
 }
 
 type taster struct {
@@ -85,7 +85,7 @@
 func (taster *taster) print(said report) {
 	if taster.asJSON {
 		if said.Remarks == nil {
-			said.Remarks = []menu.Remark{}
+			said.Remarks = []config.Remark{}
 		}
 		encoded, _ := json.MarshalIndent(said, "", "  ")
 		fmt.Println(string(encoded))
@@ -99,16 +99,16 @@
 
 // status is the part of an expediter's status that a tasting needs.
 type status struct {
-	Configuration string          `json:"configuration_version"`
-	Servers       []roster.Server `json:"servers"`
+	Configuration string              `json:"configuration_version"`
+	Servers       []membership.Server `json:"servers"`
 	Members       map[string]struct {
-		Kind       roster.NodeKind `json:"kind"`
-		Running    bool            `json:"running"`
-		Restricted bool            `json:"restricted"`
+		Kind       membership.NodeKind `json:"kind"`
+		Running    bool                `json:"running"`
+		Restricted bool                `json:"restricted"`
 	} `json:"members"`
 	Flags []struct {
-		Name    recipe.Flag `json:"name"`
-		Enabled bool        `json:"enabled"`
+		Name    formats.Flag `json:"name"`
+		Enabled bool         `json:"enabled"`
 	} `json:"flags"`
 }
 
@@ -129,7 +129,7 @@
 		err = fastjson.ValidateBytes(text)
 	}
 	if err != nil {
-		return malformed, report{Result: "malformed", Detail: err.Error(), Remarks: []menu.Remark{{Level: menu.ErrorLevel, Trouble: *trouble.At(trouble.Malformed, "/", err.Error())}}}
+		return malformed, report{Result: "malformed", Detail: err.Error(), Remarks: []config.Remark{{Level: config.ErrorLevel, Trouble: *failure.At(failure.Malformed, "/", err.Error())}}}
 	}
 	var before current
 	var fleet status
@@ -140,12 +140,12 @@
 		return unreachable, report{Result: "unreachable", Detail: err.Error()}
 	}
 	if taster.asPatch {
-		if text, err = menu.Merge(before.Configuration, text); err != nil {
+		if text, err = config.Merge(before.Configuration, text); err != nil {
 			return malformed, report{Result: "malformed", Detail: err.Error(), Version: before.Version}
 		}
 	}
-	inForce, _ := menu.Check(before.Configuration)
-	said := report{Result: "fine", Version: before.Version, Remarks: menu.Taste(text, inForce, taster.facts(fleet))}
+	inForce, _ := config.Check(before.Configuration)
+	said := report{Result: "fine", Version: before.Version, Remarks: config.Taste(text, inForce, taster.facts(fleet))}
 	// What was checked against must still be in force when the answer is given.
 	var after current
 	if err := taster.read("/v1/configuration", &after); err != nil {
@@ -156,7 +156,7 @@
 		return raced, said
 	}
 	for _, remark := range said.Remarks {
-		if remark.Level == menu.ErrorLevel {
+		if remark.Level == config.ErrorLevel {
 			said.Result = "errors"
 			return failures, said
 		}
@@ -169,11 +169,11 @@
 }
 
 func (taster *taster) read(path string, target any) error {
-	var last error = trouble.New(trouble.Unreachable, "no address")
+	var last error = failure.New(failure.Unreachable, "no address")
 	for _, address := range taster.addresses {
 		inbound, err := taster.client.Get("http://" + address + path)
 		if err != nil {
-			last = trouble.Wrap(trouble.Unreachable, err)
+			last = failure.Wrap(failure.Unreachable, err)
 			continue
 		}
 		err = json.NewDecoder(inbound.Body).Decode(target)
@@ -181,16 +181,16 @@
 		if inbound.StatusCode == http.StatusOK && err == nil {
 			return nil
 		}
-		last = trouble.New(trouble.Unreachable, fmt.Sprintf("%s answers %d", address, inbound.StatusCode))
+		last = failure.New(failure.Unreachable, fmt.Sprintf("%s answers %d", address, inbound.StatusCode))
 	}
 	return last
 }
 
 // facts asks every listed server for its pressure.
-func (taster *taster) facts(fleet status) menu.Facts {
-	var facts menu.Facts
+func (taster *taster) facts(fleet status) config.Facts {
+	var facts config.Facts
 	for name, member := range fleet.Members {
-		if member.Kind != roster.Courier {
+		if member.Kind != membership.Courier {
 			continue
 		}
 		facts.Couriers++
@@ -208,12 +208,12 @@
 	}
 	lifetime, end := context.WithTimeout(context.Background(), 2*time.Second)
 	defer end()
-	stoves := stove.New(lifetime, threads.New(lifetime, wallclock.New()), hotline.Transport(nil))
-	facts.Servers = make([]menu.ServerFacts, len(fleet.Servers))
+	stoves := modelserver.New(lifetime, threads.New(lifetime, wallclock.New()), rpc.Transport(nil))
+	facts.Servers = make([]config.ServerFacts, len(fleet.Servers))
 	var asking sync.WaitGroup
 	for position, server := range fleet.Servers {
 		asking.Go(func() {
-			known := menu.ServerFacts{Name: server.Name, District: server.District, Leaving: server.Leaving}
+			known := config.ServerFacts{Name: server.Name, District: server.District, Leaving: server.Leaving}
 			if load, err := stoves.Load(lifetime, server.Address); err == nil {
 				known.Reported, known.Part, known.Active, known.Slots = true, string(load.Part), load.DecodeActive, load.DecodeSlots
 				known.Leaving = known.Leaving || load.Leaving
--- a/core.go
+++ b/core.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Core is one courier's deterministic core. Apply may be called from several
@@ -21,8 +21,8 @@
 	market   *pass.Market
 	desk     *pass.Desk
 	balance  *pass.Balance
-	calls    *window.Window
-	pools    *window.Pools
+	calls    *scheduler.Window
+	pools    *scheduler.Pools
 	enabled  atomic.Pointer[FlagList]
 	rejected atomic.Int64
 
@@ -30,11 +30,11 @@
 	duties    []Duty
 	dutyEnds  time.Time
 	orders    map[string]Order
-	evacuated *menu.Configuration
+	evacuated *config.Configuration
 	commanded map[string]time.Time
 	announced map[string]uint64
 	nextTurn  time.Time
-	tickets   map[string]*window.Ticket
+	tickets   map[string]*scheduler.Ticket
 }
 
 // New makes a core.
@@ -48,8 +48,8 @@
 	}
 	market := pass.NewMarket(options.Courier, options.District, options.LeastLoaded)
 	return &Core{options: options, market: market, desk: pass.NewDesk(market, options.District, options.MostInquiries),
-		calls: window.New(window.Options{Courier: options.Courier, District: options.District, FurtherTries: options.FurtherTries}), pools: window.NewPools(), tickets: map[string]*window.Ticket{},
-		balance: pass.NewBalance(options.FixedParts), orders: map[string]Order{}, evacuated: menu.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
+		calls: scheduler.New(scheduler.Options{Courier: options.Courier, District: options.District, FurtherTries: options.FurtherTries}), pools: scheduler.NewPools(), tickets: map[string]*scheduler.Ticket{},
+		balance: pass.NewBalance(options.FixedParts), orders: map[string]Order{}, evacuated: config.Empty(), commanded: map[string]time.Time{}, announced: map[string]uint64{}}
 }
 
 // Apply takes one event and returns what is to be done now.
@@ -123,14 +123,14 @@
 }
 
 func (core *Core) applyMenu(event Event) {
-	configuration, err := menu.Check(event.Menu)
+	configuration, err := config.Check(event.Menu)
 	if err != nil {
 		// A configuration is checked before it is accepted; one that this build
 		// can't read leaves the courier without a hold for it.
 		core.rejected.Add(1)
 		return
 	}
-	core.calls.SetProgram(window.Compile(configuration, event.Epoch, event.Number))
+	core.calls.SetProgram(scheduler.Compile(configuration, event.Epoch, event.Number))
 	if core.desk.SetProgram(pass.Compile(configuration, event.Epoch, event.Number)) {
 		core.mutex.Lock()
 		core.evacuated = configuration
@@ -152,7 +152,7 @@
 // Example:
 //
 //	ticket, decision := core.Calls().Arrive(now, call)
-func (core *Core) Calls() *window.Window { return core.calls }
+func (core *Core) Calls() *scheduler.Window { return core.calls }
 
 func (core *Core) callArrived(event Event) []Decision {
 	ticket, decision := core.calls.Arrive(event.At, event.Call)
@@ -172,7 +172,7 @@
 		return nil
 	}
 	decision := core.calls.Ended(event.At, ticket, *event.Result)
-	if decision.Kind != window.Read && decision.Kind != window.Run {
+	if decision.Kind != scheduler.Read && decision.Kind != scheduler.Run {
 		core.mutex.Lock()
 		delete(core.tickets, event.ID)
 		core.mutex.Unlock()
@@ -213,7 +213,7 @@
 //
 // Example:
 //
-//	record, failure := recipe.WritePair(pair, name, core.Enabled())
+//	record, failure := formats.WritePair(pair, name, core.Enabled())
 func (core *Core) Enabled() FlagList {
 	if enabled := core.enabled.Load(); enabled != nil {
 		return *enabled
@@ -291,13 +291,13 @@
 	servers := core.market.Listing()
 	var decisions []Decision
 	for _, duty := range core.duties {
-		if duty.Key == rota.PartsKey {
+		if duty.Key == lease.PartsKey {
 			if orders := core.balanced(now); len(orders) > 0 {
 				decisions = append(decisions, Decision{Kind: pass.GiveOrders, Duty: duty, Orders: orders, NotAfter: core.dutyEnds})
 			}
 			continue
 		}
-		name, isServer := strings.CutPrefix(duty.Key, rota.ServerKey(""))
+		name, isServer := strings.CutPrefix(duty.Key, lease.ServerKey(""))
 		order, ordered := core.orders[name]
 		if part, changing, listed := core.calls.Part(name); isServer && ordered && listed {
 			// A listed part needs an order only when it is another one: orders have a
@@ -359,10 +359,10 @@
 // Example:
 //
 //	orders := core.ReadOrders(records)
-func (core *Core) ReadOrders(records map[string]recipe.Record) map[string]Order {
+func (core *Core) ReadOrders(records map[string]formats.Record) map[string]Order {
 	orders := map[string]Order{}
 	for server, record := range records {
-		if order, err := recipe.ReadOrder(record, core.options.Supported); err == nil {
+		if order, err := formats.ReadOrder(record, core.options.Supported); err == nil {
 			orders[server] = order
 		}
 	}
--- a/core_calls_test.go
+++ b/core_calls_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 const callMenu = `{"services":{"desk":{"engine":{"slots":64,"memory_tokens":295740}}},
@@ -42,7 +42,7 @@
 func TestCoreFollowsCalls(t *testing.T) {
 	now := time.Unix(3_000_000, 0)
 	core := callCore(now)
-	step := func(event Event) window.Decision {
+	step := func(event Event) scheduler.Decision {
 		now = now.Add(10 * time.Millisecond)
 		event.At = now
 		decisions := core.Apply(event)
@@ -52,20 +52,20 @@
 		return *decisions[0].Call
 	}
 	call := &Call{ID: "one", Host: "ask.example", Path: "/x", PromptTokens: 9000, OutputTokens: 50, Parts: []CallPart{{ID: 1, Tokens: 6000}, {ID: 2, Tokens: 3000}}}
-	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Kind != window.Read {
+	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Kind != scheduler.Read {
 		t.Fatalf("arrived: %+v", decision)
 	}
-	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete, Handle: "h"}}); decision.Kind != window.Run || decision.Source == nil {
+	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: scheduler.Complete, Handle: "h"}}); decision.Kind != scheduler.Run || decision.Source == nil {
 		t.Fatalf("read: %+v", decision)
 	}
-	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decision.Kind != window.Done {
+	if decision := step(Event{Kind: pass.CallEnded, ID: "one", Result: &CallOutcome{Result: scheduler.Complete}}); decision.Kind != scheduler.Done {
 		t.Fatalf("run: %+v", decision)
 	}
-	if decisions := core.Apply(Event{Kind: pass.CallEnded, At: now, ID: "one", Result: &CallOutcome{Result: window.Complete}}); decisions != nil || core.Calls().InFlight() != 0 {
+	if decisions := core.Apply(Event{Kind: pass.CallEnded, At: now, ID: "one", Result: &CallOutcome{Result: scheduler.Complete}}); decisions != nil || core.Calls().InFlight() != 0 {
 		t.Fatalf("a call that is over: %+v", decisions)
 	}
 	call.Host = "nobody.example"
-	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Cause != window.NoRoute {
+	if decision := step(Event{Kind: pass.CallArrived, Call: call}); decision.Cause != scheduler.NoRoute {
 		t.Fatalf("no route: %+v", decision)
 	}
 }
@@ -83,14 +83,14 @@
 	for range 150 {
 		now = now.Add(100 * time.Millisecond)
 		var loads []CallLoad
-		duties := []Duty{{Key: rota.PartsKey, Holder: "courier-1", Fence: 4}}
+		duties := []Duty{{Key: lease.PartsKey, Holder: "courier-1", Fence: 4}}
 		for _, server := range callServers(callServerCount) {
 			load := CallLoad{Server: server.Name, Part: server.Part, Changing: changing[server.Name], Running: 3, MemoryTotal: 295_740}
 			if part[server.Name] != "" {
 				load.Part = part[server.Name]
 			}
 			loads = append(loads, load)
-			duties = append(duties, Duty{Key: rota.ServerKey(server.Name), Holder: "courier-1", Fence: 9})
+			duties = append(duties, Duty{Key: lease.ServerKey(server.Name), Holder: "courier-1", Fence: 9})
 		}
 		core.Apply(Event{Kind: pass.LoadsReported, At: now, Loads: loads})
 		core.Apply(Event{Kind: pass.HoldRenewed, At: now, HoldEnds: now.Add(time.Second), Duties: duties})
--- a/core_test.go
+++ b/core_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/rota"
 )
 
 // TestSameEventsGiveTheSameDecisions feeds two cores one long random stream.
@@ -57,7 +57,7 @@
 	for number := range 4000 {
 		now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
 		if number%20 == 0 {
-			feed(Event{Kind: pass.HoldRenewed, HoldEnds: now.Add(4 * time.Second), Epoch: 1, Number: 1, Duties: []Duty{{Key: rota.PartsKey, Holder: "courier-1", Fence: 1}}})
+			feed(Event{Kind: pass.HoldRenewed, HoldEnds: now.Add(4 * time.Second), Epoch: 1, Number: 1, Duties: []Duty{{Key: lease.PartsKey, Holder: "courier-1", Fence: 1}}})
 			for position, server := range servers {
 				part := []pass.Part{pass.Prefill, pass.Decode}[position/2%2]
 				feed(Event{Kind: pass.LoadReported, Load: &Load{Server: server.Name, Part: part, Age: time.Hour, PrefillRate: 20_000, PrefillRoom: 8,
@@ -103,7 +103,7 @@
 			now = now.Add(200 * time.Millisecond)
 			core.Apply(Event{Kind: pass.LoadReported, At: now, Load: &Load{Server: "s", Part: pass.Decode}})
 			if fence > 0 {
-				core.Apply(Event{Kind: pass.HoldRenewed, At: now, HoldEnds: now.Add(time.Second), Duties: []Duty{{Key: rota.ServerKey("s"), Holder: "courier-1", Fence: fence}}})
+				core.Apply(Event{Kind: pass.HoldRenewed, At: now, HoldEnds: now.Add(time.Second), Duties: []Duty{{Key: lease.ServerKey("s"), Holder: "courier-1", Fence: fence}}})
 			}
 			for _, decision := range core.Apply(Event{Kind: pass.Ticked, At: now}) {
 				if decision.Kind == pass.Command && decision.Duty.Fence == fence && decision.NotAfter.Equal(now.Add(time.Second)) {
--- a/internal/adapters/calls/bench_test.go
+++ b/internal/adapters/calls/bench_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // scan answers calls on raw circuits with as little work as possible, so that what is
@@ -60,31 +60,31 @@
 // halves is a conduct that has each call read at one server and run at another.
 type halves struct {
 	scripted
-	reader, runner roster.Server
+	reader, runner membership.Server
 }
 
 // Serve reads and runs.
-func (halves *halves) Serve(_ *window.Call, exchange hatch.Exchange) {
+func (halves *halves) Serve(_ *scheduler.Call, exchange hatch.Exchange) {
 	ends := time.Now().Add(5 * time.Second)
-	decision := window.Decision{Kind: window.Run, Server: halves.runner, Ends: ends, Urgency: 1}
+	decision := scheduler.Decision{Kind: scheduler.Run, Server: halves.runner, Ends: ends, Urgency: 1}
 	if halves.reader.Address != "" {
-		outcome := exchange.Read(window.Decision{Kind: window.Read, Server: halves.reader, Ends: ends, Urgency: 1})
-		decision.Source = &window.Source{Address: halves.reader.Address, Handle: outcome.Handle}
+		outcome := exchange.Read(scheduler.Decision{Kind: scheduler.Read, Server: halves.reader, Ends: ends, Urgency: 1})
+		decision.Source = &scheduler.Source{Address: halves.reader.Address, Handle: outcome.Handle}
 	}
-	if outcome := exchange.Run(&halves.route, decision, func() {}); outcome.Result != window.Complete {
+	if outcome := exchange.Run(&halves.route, decision, func() {}); outcome.Result != scheduler.Complete {
 		panic(outcome.Result)
 	}
 }
 
 func benchmarkCalls(b *testing.B, read bool, pieces, size int) {
-	open := func(answer string, pieces int) roster.Server {
+	open := func(answer string, pieces int) membership.Server {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
 		b.Cleanup(func() { _ = listener.Close() })
 		go scan(listener, []byte(answer), pieces)
-		return roster.Server{Name: "life", Address: listener.Addr().String()}
+		return membership.Server{Name: "life", Address: listener.Addr().String()}
 	}
 	conduct := &halves{runner: open(stream("id", "Keep-Alive: timeout=9", "X-Weight: 1"), pieces)}
 	if pieces == 0 {
--- a/internal/adapters/calls/circuit.go
+++ b/internal/adapters/calls/circuit.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // circuit is one connection to a model server. It knows for certain whether anything
@@ -65,7 +65,7 @@
 	return wrote, heard
 }
 
-var errShut = trouble.New(trouble.Unreachable, "the circuit takes no more calls")
+var errShut = failure.New(failure.Unreachable, "the circuit takes no more calls")
 
 // Write sends, unless the circuit was shut before.
 //
--- a/internal/adapters/calls/circuits.go
+++ b/internal/adapters/calls/circuits.go
@@ -12,8 +12,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // The patience with servers' circuits. The values are ours.
@@ -52,7 +52,7 @@
 // life is one life of a server at an address.
 type life struct{ name, address string }
 
-func lifeOf(server roster.Server) life { return life{name: server.Name, address: server.Address} }
+func lifeOf(server membership.Server) life { return life{name: server.Name, address: server.Address} }
 
 // line is a circuit with its HTTP/1.1 client.
 type line struct {
@@ -101,7 +101,7 @@
 
 // take gives a resting circuit that is still good, or opens one. Failing means that
 // nothing was sent.
-func (circuits *Circuits) take(lifetime context.Context, server roster.Server, ends time.Time) (*line, error) {
+func (circuits *Circuits) take(lifetime context.Context, server membership.Server, ends time.Time) (*line, error) {
 	key := lifeOf(server)
 	for {
 		rested := circuits.pop(key)
@@ -116,7 +116,7 @@
 	circuit := &circuit{now: circuits.now}
 	client, err := circuits.transport.NewClientConn(context.WithValue(lifetime, circuitKey{}, circuit), "http", server.Address)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	circuits.mutex.Lock()
 	circuits.opened++
@@ -196,7 +196,7 @@
 // Example:
 //
 //	circuits.SetServers(servers)
-func (circuits *Circuits) SetServers(servers []roster.Server) {
+func (circuits *Circuits) SetServers(servers []membership.Server) {
 	listed := make(map[life]bool, len(servers))
 	for _, server := range servers {
 		listed[lifeOf(server)] = true
--- a/internal/adapters/calls/circuits_test.go
+++ b/internal/adapters/calls/circuits_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 func asBody(text string) io.ReadCloser { return io.NopCloser(strings.NewReader(text)) }
@@ -22,11 +22,11 @@
 		return true
 	})
 	var ahead atomic.Int64
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
 	courier.circuits.now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
-	scripted.decide = func(number int, outcome window.Outcome) window.Decision {
-		decision := once(func() roster.Server { return standin.server })(number, outcome)
+	scripted.decide = func(number int, outcome scheduler.Outcome) scheduler.Decision {
+		decision := once(func() membership.Server { return standin.server })(number, outcome)
 		decision.Ends = decision.Ends.Add(time.Hour)
 		return decision
 	}
@@ -46,11 +46,11 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return false
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
 	for number := range 20 {
 		got := courier.send(t, "id", "body")
-		if got.status != 200 && scripted.last().Result != window.Silent {
+		if got.status != 200 && scripted.last().Result != scheduler.Silent {
 			t.Fatalf("%d: %+v %+v", number, got, scripted.last())
 		}
 		until(t, "the circuit is seen closed", func() bool { return !restingGood(courier.circuits) })
@@ -93,13 +93,13 @@
 				circuit.say(whole(200, id, "again"))
 				return true
 			})
-			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 			courier := newCourier(t, scripted)
 			if got := courier.send(t, "first", "body"); string(got.body) != "mine" {
 				t.Fatalf("%+v", got)
 			}
 			got := courier.send(t, "second", "body")
-			if got.status == 200 && string(got.body) != "mine" || got.status != 200 && (extra != "late" || scripted.last().Result != window.Spoilt) {
+			if got.status == 200 && string(got.body) != "mine" || got.status != 200 && (extra != "late" || scripted.last().Result != scheduler.Spoilt) {
 				t.Fatalf("%+v %+v", got, scripted.last())
 			}
 			if got := courier.send(t, "third", "body"); string(got.body) != "mine" {
@@ -114,13 +114,13 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x", "Keep-Alive: timeout=9"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
-	courier.circuits.SetServers([]roster.Server{standin.server})
+	courier.circuits.SetServers([]membership.Server{standin.server})
 	_ = courier.send(t, "id", "")
 	next := standin.server
 	next.Name = "life-2"
-	courier.circuits.SetServers([]roster.Server{next})
+	courier.circuits.SetServers([]membership.Server{next})
 	if restingGood(courier.circuits) {
 		t.Fatal("a circuit to a life that is gone still rests")
 	}
@@ -172,10 +172,10 @@
 		circuit.say(whole(421, inbound.Header.Get("Seamloom-Call"), "", "Keep-Alive: timeout=9"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
 	for range 2 {
-		if got := courier.send(t, "id", ""); got.status != 421 || scripted.last().Result != window.Misdirected {
+		if got := courier.send(t, "id", ""); got.status != 421 || scripted.last().Result != scheduler.Misdirected {
 			t.Fatalf("%+v", got)
 		}
 	}
@@ -217,10 +217,10 @@
 			}()
 		}
 	}()
-	server := roster.Server{Name: "life-1", Address: listener.Addr().String()}
-	scripted := &scripted{decide: once(func() roster.Server { return server })}
+	server := membership.Server{Name: "life-1", Address: listener.Addr().String()}
+	scripted := &scripted{decide: once(func() membership.Server { return server })}
 	courier := newCourier(t, scripted)
-	if got := courier.send(t, "long", strings.Repeat("x", 8<<20)); got.status != 503 || scripted.last().Result != window.NotStarted {
+	if got := courier.send(t, "long", strings.Repeat("x", 8<<20)); got.status != 503 || scripted.last().Result != scheduler.NotStarted {
 		t.Fatalf("%+v", got)
 	}
 	if got := courier.send(t, "short", "y"); got.status != 503 {
--- a/internal/adapters/calls/clientconnection.go
+++ b/internal/adapters/calls/clientconnection.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // clientConnection is the state of one connection of a client. Its mutex decides
@@ -39,7 +39,7 @@
 
 // dismissIfLate tells whether the client took or rested too long, and has the
 // connection pass nothing on from then on. It gives the state in which that was found.
-func (connection *clientConnection) dismissIfLate(now time.Time, limits menu.Limits) (http.ConnState, bool) {
+func (connection *clientConnection) dismissIfLate(now time.Time, limits config.Limits) (http.ConnState, bool) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	if !connection.admitted && now.Sub(connection.since) > connection.patience(limits) {
@@ -49,7 +49,7 @@
 }
 
 // patience is how long the connection may stay in its state. The caller has the mutex.
-func (connection *clientConnection) patience(limits menu.Limits) time.Duration {
+func (connection *clientConnection) patience(limits config.Limits) time.Duration {
 	switch connection.state {
 	case http.StateNew:
 		return limits.HeaderPatience
--- a/internal/adapters/calls/clientconnection_test.go
+++ b/internal/adapters/calls/clientconnection_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // connectionModel is one connection of a client with a request on its way, and the gate's
@@ -24,14 +24,14 @@
 
 // dismissalDecision is how the dismissing thread decides; the bad variant looks first and
 // acts later, without telling the connection.
-type dismissalDecision func(model *connectionModel, now time.Time, limits menu.Limits) bool
+type dismissalDecision func(model *connectionModel, now time.Time, limits config.Limits) bool
 
-func markedDismissal(model *connectionModel, now time.Time, limits menu.Limits) bool {
+func markedDismissal(model *connectionModel, now time.Time, limits config.Limits) bool {
 	_, late := model.connection.dismissIfLate(now, limits)
 	return late
 }
 
-func unmarkedDismissal(model *connectionModel, now time.Time, limits menu.Limits) bool {
+func unmarkedDismissal(model *connectionModel, now time.Time, limits config.Limits) bool {
 	return !model.connection.admitted && now.Sub(model.connection.since) > model.connection.patience(limits)
 }
 
@@ -60,7 +60,7 @@
 	model.served++
 }
 
-func (model *connectionModel) stepDismissal(now time.Time, limits menu.Limits, decide dismissalDecision) {
+func (model *connectionModel) stepDismissal(now time.Time, limits config.Limits, decide dismissalDecision) {
 	switch model.dismissal {
 	case 0:
 		model.decided = decide(model, now, limits)
@@ -73,7 +73,7 @@
 // explore runs all interleavings and counts them, and those in which a request was passed
 // on and its connection closed before the answer.
 func exploreConnection(model *connectionModel, decide dismissalDecision) (interleavings, broken int) {
-	limits := menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}
+	limits := config.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}
 	now := time.Unix(100, 0)
 	if model.served == servedSteps && model.dismissal == dismissalSteps {
 		if model.passed && model.closed {
--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -14,10 +14,10 @@
 
 	"github.com/valyala/fastjson"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // The bounds of answers. The values are ours.
@@ -42,7 +42,7 @@
 	intake  *Intake
 	writer  http.ResponseWriter
 	inbound *http.Request
-	call    *window.Call
+	call    *scheduler.Call
 	began   time.Time
 	// target, header and body are the call as it goes on.
 	target string
@@ -50,7 +50,7 @@
 	body   []byte
 
 	// reader is the server that read the prompt last.
-	reader roster.Server
+	reader membership.Server
 	kept   *answer
 	// begun tells that something of an answer was passed on, lastEvent is the id of
 	// the last event that was.
@@ -70,7 +70,7 @@
 // dispatch is one sending of the call to one server.
 type dispatch struct {
 	exchange *exchange
-	decision window.Decision
+	decision scheduler.Decision
 	line     *line
 	response *http.Response
 	lifetime context.Context
@@ -79,12 +79,12 @@
 	// until is the decision's end by the runtime's own clock, which costs no call to
 	// the kernel.
 	until   time.Time
-	outcome window.Outcome
+	outcome scheduler.Outcome
 }
 
 // send sends the call and waits for the head of the answer. When false is given, the
 // dispatch is over and its outcome is set.
-func (exchange *exchange) send(decision window.Decision, change func(header http.Header)) (*dispatch, bool) {
+func (exchange *exchange) send(decision scheduler.Decision, change func(header http.Header)) (*dispatch, bool) {
 	words := &exchange.intake.words
 	lifetime, cancel := context.WithCancel(exchange.inbound.Context())
 	sent := &dispatch{exchange: exchange, decision: decision, lifetime: lifetime, cancel: cancel,
@@ -96,7 +96,7 @@
 	sent.timer = time.AfterFunc(patience, sent.expire)
 	line, err := exchange.intake.circuits.take(lifetime, decision.Server, sent.until)
 	if err != nil {
-		return sent, sent.fail(window.Unreached)
+		return sent, sent.fail(scheduler.Unreached)
 	}
 	sent.line = line
 	header := maps.Clone(exchange.header)
@@ -123,11 +123,11 @@
 		wrote, heard := line.circuit.end()
 		switch {
 		case !wrote:
-			return sent, sent.fail(window.Unreached)
+			return sent, sent.fail(scheduler.Unreached)
 		case heard && lifetime.Err() == nil:
-			return sent, sent.fail(window.Spoilt)
+			return sent, sent.fail(scheduler.Spoilt)
 		}
-		return sent, sent.fail(window.Silent)
+		return sent, sent.fail(scheduler.Silent)
 	}
 	return sent, sent.readHead()
 }
@@ -142,11 +142,11 @@
 }
 
 // fail ends a dispatch whose answer can't be used; the circuit goes with it.
-func (sent *dispatch) fail(result window.Result) bool {
+func (sent *dispatch) fail(result scheduler.Result) bool {
 	if sent.exchange.inbound.Context().Err() != nil {
-		result = window.Gone
+		result = scheduler.Gone
 	}
-	if result == window.Gone {
+	if result == scheduler.Gone {
 		sent.exchange.ending = left
 	}
 	sent.note(result)
@@ -161,17 +161,17 @@
 }
 
 // note keeps the result of a dispatch that is over.
-func (sent *dispatch) note(result window.Result) {
+func (sent *dispatch) note(result scheduler.Result) {
 	sent.outcome.Result = result
 	sent.timer.Stop()
 	sent.exchange.intake.meter.dispatched(sent.decision.Kind, result)
 }
 
 // finish ends a dispatch whose answer was read to its end.
-func (sent *dispatch) finish(result window.Result) {
+func (sent *dispatch) finish(result scheduler.Result) {
 	sent.note(result)
 	_ = sent.response.Body.Close()
-	if result == window.Misdirected || sent.response.Close {
+	if result == scheduler.Misdirected || sent.response.Close {
 		sent.line.close()
 	} else {
 		sent.exchange.intake.circuits.give(sent.line, readRests(sent.response.Header))
@@ -186,10 +186,10 @@
 	words := &exchange.intake.words
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if response.StatusCode < 200 || response.StatusCode > 599 {
-		return sent.fail(window.Spoilt)
+		return sent.fail(scheduler.Spoilt)
 	}
 	if id, found := response.Header[words.ID]; found && (len(id) != 1 || id[0] != exchange.call.ID) || !found && success && exchange.call.ID != "" {
-		return sent.fail(window.Spoilt)
+		return sent.fail(scheduler.Spoilt)
 	}
 	sent.outcome.Status = response.StatusCode
 	if load := response.Header[words.Load]; len(load) == 1 {
@@ -205,17 +205,17 @@
 	}
 	body, err := readBounded(response.Body, response.ContentLength, mostKept)
 	if err != nil {
-		return sent.fail(window.Silent)
+		return sent.fail(scheduler.Silent)
 	}
 	sent.outcome.First = exchange.intake.now()
-	result := window.Answered
+	result := scheduler.Answered
 	switch _, never := response.Header[words.NotStarted]; {
 	case response.StatusCode == http.StatusMisdirectedRequest:
-		result = window.Misdirected
+		result = scheduler.Misdirected
 	case never:
-		result = window.NotStarted
+		result = scheduler.NotStarted
 	}
-	if result == window.Answered && promises(response.StatusCode) {
+	if result == scheduler.Answered && promises(response.StatusCode) {
 		// The status would promise what the server did not: it goes no further.
 		exchange.kept = nil
 	} else {
@@ -268,7 +268,7 @@
 // Example:
 //
 //	outcome := exchange.Read(decision)
-func (exchange *exchange) Read(decision window.Decision) window.Outcome {
+func (exchange *exchange) Read(decision scheduler.Decision) scheduler.Outcome {
 	words := &exchange.intake.words
 	exchange.reader = decision.Server
 	sent, success := exchange.send(decision, func(header http.Header) {
@@ -279,17 +279,17 @@
 	}
 	body, err := readBounded(sent.response.Body, sent.response.ContentLength, mostReadAnswer)
 	if err != nil {
-		sent.fail(window.Silent)
+		sent.fail(scheduler.Silent)
 		return sent.outcome
 	}
 	handle := fastjson.GetString(body, words.HandleField)
 	if handle == "" || strings.ContainsAny(handle, "/?#% \r\n") {
-		sent.fail(window.Spoilt)
+		sent.fail(scheduler.Spoilt)
 		return sent.outcome
 	}
 	sent.outcome.First = exchange.intake.now()
 	sent.outcome.Handle = handle
-	sent.finish(window.Complete)
+	sent.finish(scheduler.Complete)
 	return sent.outcome
 }
 
@@ -298,11 +298,11 @@
 // Example:
 //
 //	outcome := exchange.Run(route, decision, began)
-func (exchange *exchange) Run(route *menu.CallRoute, decision window.Decision, began func()) window.Outcome {
+func (exchange *exchange) Run(route *config.CallRoute, decision scheduler.Decision, began func()) scheduler.Outcome {
 	words := &exchange.intake.words
 	if exchange.begun.Load() && exchange.lastEvent == "" {
 		// Nothing tells where to go on.
-		return window.Outcome{Result: window.Cut}
+		return scheduler.Outcome{Result: scheduler.Cut}
 	}
 	sent, success := exchange.send(decision, func(header http.Header) {
 		if decision.Source != nil {
@@ -320,7 +320,7 @@
 		return sent.outcome
 	}
 	if exchange.begun.Load() {
-		sent.fail(window.Spoilt)
+		sent.fail(scheduler.Spoilt)
 		return sent.outcome
 	}
 	sent.passWhole()
@@ -338,14 +338,14 @@
 	if err == nil {
 		exchange.passHead(response)
 		if _, err := exchange.writer.Write(body); err != nil && err != http.ErrBodyNotAllowed {
-			sent.fail(window.Gone)
+			sent.fail(scheduler.Gone)
 			return
 		}
-		sent.finish(window.Complete)
+		sent.finish(scheduler.Complete)
 		return
 	}
 	if err != errOversize {
-		sent.fail(window.Silent)
+		sent.fail(scheduler.Silent)
 		return
 	}
 	sent.extend()
@@ -353,21 +353,21 @@
 	buffer := make([]byte, copyBuffer)
 	for {
 		if _, err := exchange.writer.Write(body); err != nil {
-			sent.fail(window.Gone)
+			sent.fail(scheduler.Gone)
 			return
 		}
 		read, err := response.Body.Read(buffer)
 		body = buffer[:read]
 		if err == io.EOF {
 			if _, err := exchange.writer.Write(body); err != nil {
-				sent.fail(window.Gone)
+				sent.fail(scheduler.Gone)
 				return
 			}
-			sent.finish(window.Complete)
+			sent.finish(scheduler.Complete)
 			return
 		}
 		if err != nil {
-			sent.fail(window.Cut)
+			sent.fail(scheduler.Cut)
 			return
 		}
 	}
@@ -395,7 +395,7 @@
 }
 
 // passEvents passes a stream on, whole event by whole event, each at once.
-func (sent *dispatch) passEvents(route *menu.CallRoute, began func()) {
+func (sent *dispatch) passEvents(route *config.CallRoute, began func()) {
 	exchange, response := sent.exchange, sent.response
 	resumed := exchange.begun.Load()
 	// A stream may go on from another server: its length is then not the first's.
@@ -451,14 +451,14 @@
 				exchange.passHead(response)
 			}
 			if _, err := exchange.writer.Write(event); err != nil {
-				sent.fail(window.Gone)
+				sent.fail(scheduler.Gone)
 				return
 			}
 			passed = true
 		}
 		if passed && ended != io.EOF {
 			if err := flusher.Flush(); err != nil {
-				sent.fail(window.Gone)
+				sent.fail(scheduler.Gone)
 				return
 			}
 		}
@@ -466,7 +466,7 @@
 			if !exchange.begun.Load() {
 				exchange.passHead(response)
 			}
-			sent.finish(window.Complete)
+			sent.finish(scheduler.Complete)
 			return
 		}
 		if ended != nil {
@@ -480,10 +480,10 @@
 // breakOff ends a dispatch whose success broke off.
 func (sent *dispatch) breakOff() {
 	if sent.exchange.begun.Load() {
-		sent.fail(window.Cut)
+		sent.fail(scheduler.Cut)
 		return
 	}
-	sent.fail(window.Silent)
+	sent.fail(scheduler.Silent)
 }
 
 // behind tells whether an event comes after another, by their ids: as numbers, or else
@@ -501,7 +501,7 @@
 //
 // Example:
 //
-//	exchange.Refuse(hatch.Refusal{Cause: window.Full, Status: 503, RetryAfter: 100 * time.Millisecond})
+//	exchange.Refuse(hatch.Refusal{Cause: scheduler.Full, Status: 503, RetryAfter: 100 * time.Millisecond})
 func (exchange *exchange) Refuse(refusal hatch.Refusal) {
 	if exchange.begun.Load() {
 		exchange.Break()
@@ -561,10 +561,10 @@
 // Example:
 //
 //	exchange.Free(source)
-func (exchange *exchange) Free(source window.Source) {
+func (exchange *exchange) Free(source scheduler.Source) {
 	server := exchange.reader
 	if server.Address != source.Address {
-		server = roster.Server{Address: source.Address}
+		server = membership.Server{Address: source.Address}
 	}
 	go exchange.intake.free(server, source.Handle)
 }
--- a/internal/adapters/calls/exchange_test.go
+++ b/internal/adapters/calls/exchange_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 func TestACallGoesOnUnchangedAndItsAnswerComesBackUnchanged(t *testing.T) {
@@ -18,7 +18,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "the body", "Keep-Alive: timeout=4", "X-Other: 7"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
 	body := strings.Repeat("0123456789", 9000)
 	outbound := courier.request(t, http.MethodPost, "/chat//a%2fb/../c?x=%20y&&z", "id-1", body, "X-Kept", "yes", "Connection", "X-Dropped", "X-Dropped", "no",
@@ -36,7 +36,7 @@
 		t.Fatalf("headers: %v", inbound.Header)
 	}
 	call := scripted.calls[0]
-	if call.Model != "m" || call.PromptTokens != 1460 || call.OutputTokens != 80 || len(call.Parts) != 2 || call.Parts[0] != (window.Part{ID: 0x5c1e07a2, Tokens: 800}) || call.Path != "/chat//a%2fb/../c" || call.Bytes != len(body) {
+	if call.Model != "m" || call.PromptTokens != 1460 || call.OutputTokens != 80 || len(call.Parts) != 2 || call.Parts[0] != (scheduler.Part{ID: 0x5c1e07a2, Tokens: 800}) || call.Path != "/chat//a%2fb/../c" || call.Bytes != len(body) {
 		t.Fatalf("the call was misread: %+v", call)
 	}
 }
@@ -46,7 +46,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
-	courier := newCourier(t, &scripted{decide: once(func() roster.Server { return standin.server })})
+	courier := newCourier(t, &scripted{decide: once(func() membership.Server { return standin.server })})
 	for number, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
 		got := send(courier.request(t, method, "//twice", "id", "", "Idempotency-Key", "key"))
 		if got.status != 200 {
@@ -73,27 +73,27 @@
 func TestFailingAnswersAreSorted(t *testing.T) {
 	for name, given := range map[string]struct {
 		answer string
-		result window.Result
+		result scheduler.Result
 		status int
 	}{
-		"full":                 {whole(503, "id", "busy", "Seamloom-Not-Started: 1", "Seamloom-Load: 3,1,8", "Retry-After: 0.2"), window.NotStarted, 503},
-		"another life":         {whole(421, "id", ""), window.Misdirected, 421},
-		"its own failure":      {whole(500, "id", "oops"), window.Answered, 500},
-		"its own time":         {whole(504, "id", ""), window.Answered, 504},
-		"a promise not given":  {whole(503, "id", "?"), window.Answered, 502},
-		"another call's":       {whole(200, "id-0", "?"), window.Spoilt, 503},
-		"nobody's success":     {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", window.Spoilt, 503},
-		"another's failure":    {whole(503, "id-0", "?", "Seamloom-Not-Started: 1"), window.Spoilt, 503},
-		"garbage":              {"\x00\x01 garbage\r\n\r\n", window.Spoilt, 503},
-		"no such status":       {"HTTP/1.1 099 What\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx", window.Spoilt, 503},
-		"another protocol":     {"HTTP/1.1 101 Switching Protocols\r\nSeamloom-Call: id\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nx", window.Spoilt, 503},
-		"nothing":              {"", window.Silent, 503},
-		"a body that breaks":   {"HTTP/1.1 200 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
-		"a failing one breaks": {"HTTP/1.1 500 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", window.Silent, 503},
+		"full":                 {whole(503, "id", "busy", "Seamloom-Not-Started: 1", "Seamloom-Load: 3,1,8", "Retry-After: 0.2"), scheduler.NotStarted, 503},
+		"another life":         {whole(421, "id", ""), scheduler.Misdirected, 421},
+		"its own failure":      {whole(500, "id", "oops"), scheduler.Answered, 500},
+		"its own time":         {whole(504, "id", ""), scheduler.Answered, 504},
+		"a promise not given":  {whole(503, "id", "?"), scheduler.Answered, 502},
+		"another call's":       {whole(200, "id-0", "?"), scheduler.Spoilt, 503},
+		"nobody's success":     {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", scheduler.Spoilt, 503},
+		"another's failure":    {whole(503, "id-0", "?", "Seamloom-Not-Started: 1"), scheduler.Spoilt, 503},
+		"garbage":              {"\x00\x01 garbage\r\n\r\n", scheduler.Spoilt, 503},
+		"no such status":       {"HTTP/1.1 099 What\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx", scheduler.Spoilt, 503},
+		"another protocol":     {"HTTP/1.1 101 Switching Protocols\r\nSeamloom-Call: id\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nx", scheduler.Spoilt, 503},
+		"nothing":              {"", scheduler.Silent, 503},
+		"a body that breaks":   {"HTTP/1.1 200 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", scheduler.Silent, 503},
+		"a failing one breaks": {"HTTP/1.1 500 OK\r\nSeamloom-Call: id\r\nContent-Length: 10\r\n\r\nx", scheduler.Silent, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
 			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool { circuit.say(given.answer); return false })
-			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 			got := newCourier(t, scripted).send(t, "id", "body")
 			if got.failure != nil || got.status != given.status || scripted.last().Result != given.result {
 				t.Fatalf("%+v, %+v", got, scripted.last())
@@ -101,10 +101,10 @@
 			if standin.count() != 1 {
 				t.Fatalf("sent %d times", standin.count())
 			}
-			if name == "full" && (got.header.Get("Retry-After") != "0.2" || got.header.Get("X-Seal") != "seal-id" || string(got.body) != "busy" || *scripted.last().Load != (window.AnswerLoad{Running: 3, Waiting: 1, Slots: 8})) {
+			if name == "full" && (got.header.Get("Retry-After") != "0.2" || got.header.Get("X-Seal") != "seal-id" || string(got.body) != "busy" || *scripted.last().Load != (scheduler.AnswerLoad{Running: 3, Waiting: 1, Slots: 8})) {
 				t.Fatalf("%+v, %+v", got, scripted.last().Load)
 			}
-			if given.result == window.Spoilt && got.header.Get("X-Seal") != "" {
+			if given.result == scheduler.Spoilt && got.header.Get("X-Seal") != "" {
 				t.Fatal("a word of our own bears a server's seal")
 			}
 		})
@@ -114,9 +114,9 @@
 func TestNobodyListensIsUnreached(t *testing.T) {
 	standin := newStandin(t, nil)
 	_ = standin.listener.Close()
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	newCourier(t, scripted).send(t, "id", "body")
-	if scripted.last().Result != window.Unreached {
+	if scripted.last().Result != scheduler.Unreached {
 		t.Fatalf("%+v", scripted.last())
 	}
 }
@@ -131,7 +131,7 @@
 		circuit.say("0\r\n\r\n")
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	courier := newCourier(t, scripted)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	answered := make(chan *http.Response)
@@ -172,7 +172,7 @@
 		t.Fatalf("%d %v", read, err)
 	}
 	until(t, "the call ends", func() bool { return scripted.active.Load() == 0 })
-	if scripted.last().Result != window.Complete || inbound.Header.Get("X-Seal") != "seal-id" {
+	if scripted.last().Result != scheduler.Complete || inbound.Header.Get("X-Seal") != "seal-id" {
 		t.Fatalf("%+v", scripted.last())
 	}
 }
@@ -184,9 +184,9 @@
 				circuit.say(stream("id") + chunk(joined(1, 2)) + ending)
 				return false
 			})
-			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 			got := newCourier(t, scripted).send(t, "id", "body")
-			if got.failure == nil || string(got.body) != joined(1, 2) || scripted.last().Result != window.Cut {
+			if got.failure == nil || string(got.body) != joined(1, 2) || scripted.last().Result != scheduler.Cut {
 				t.Fatalf("%+v, %+v", got, scripted.last())
 			}
 		})
@@ -204,12 +204,12 @@
 		circuit.say(strings.Replace(stream("id"), "seal-id", "other", 1) + chunk(joined(2, 3, 4)) + "0\r\n\r\n")
 		return true
 	})
-	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
-		run := window.Decision{Kind: window.Run, Server: first.server, Ends: time.Now().Add(time.Second), Urgency: 3}
+	scripted := &scripted{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
+		run := scheduler.Decision{Kind: scheduler.Run, Server: first.server, Ends: time.Now().Add(time.Second), Urgency: 3}
 		switch {
 		case number == 0:
 			return run
-		case number == 1 && outcome.Result == window.Cut:
+		case number == 1 && outcome.Result == scheduler.Cut:
 			run.Server = second.server
 			return run
 		}
@@ -239,15 +239,15 @@
 		circuit.say(whole(200, "id", "answer"))
 		return true
 	})
-	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+	scripted := &scripted{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
 		ends := time.Now().Add(time.Second)
 		switch number {
 		case 0:
-			return window.Decision{Kind: window.Read, Server: reader.server, Ends: ends, Urgency: -1}
+			return scheduler.Decision{Kind: scheduler.Read, Server: reader.server, Ends: ends, Urgency: -1}
 		case 1:
-			return window.Decision{Kind: window.Run, Server: runner.server, Ends: ends, Urgency: -1, Source: &window.Source{Address: reader.server.Address, Handle: outcome.Handle}}
+			return scheduler.Decision{Kind: scheduler.Run, Server: runner.server, Ends: ends, Urgency: -1, Source: &scheduler.Source{Address: reader.server.Address, Handle: outcome.Handle}}
 		}
-		return window.Decision{Kind: window.Done, Free: []window.Source{{Address: reader.server.Address, Handle: "left over"}}}
+		return scheduler.Decision{Kind: scheduler.Done, Free: []scheduler.Source{{Address: reader.server.Address, Handle: "left over"}}}
 	}}
 	got := newCourier(t, scripted).send(t, "id", "body")
 	if got.status != 200 || string(got.body) != "answer" {
@@ -275,7 +275,7 @@
 				ended <- true
 				return false
 			})
-			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 			courier := newCourier(t, scripted)
 			go func() {
 				<-begun
@@ -284,7 +284,7 @@
 			_ = courier.send(t, "id", "body")
 			<-ended
 			until(t, "the call ends", func() bool { return scripted.active.Load() == 0 && scripted.last().Result != "" })
-			if scripted.last().Result != window.Gone {
+			if scripted.last().Result != scheduler.Gone {
 				t.Fatalf("%+v", scripted.last())
 			}
 		})
@@ -292,21 +292,21 @@
 }
 
 func TestPatienceAndEnds(t *testing.T) {
-	for name, decision := range map[string]window.Decision{
+	for name, decision := range map[string]scheduler.Decision{
 		"patience": {Ends: time.Now().Add(time.Hour), Patience: 20 * time.Millisecond},
 		"ends":     {Ends: time.Now().Add(50 * time.Millisecond)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			standin := newStandin(t, func(circuit *callerCircuit, _ *http.Request) bool { _, _ = circuit.reader.Peek(1); return false })
-			scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+			scripted := &scripted{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
 				if number > 0 {
 					return lastWord(outcome)
 				}
-				decision.Kind, decision.Server = window.Run, standin.server
+				decision.Kind, decision.Server = scheduler.Run, standin.server
 				return decision
 			}}
 			got := newCourier(t, scripted).send(t, "id", "body")
-			if got.status != 503 || scripted.last().Result != window.Silent && scripted.last().Result != window.Unreached {
+			if got.status != 503 || scripted.last().Result != scheduler.Silent && scripted.last().Result != scheduler.Unreached {
 				t.Fatalf("%+v %+v", got, scripted.last())
 			}
 		})
@@ -323,7 +323,7 @@
 				_, _ = circuit.reader.Peek(1)
 				return false
 			})
-			scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+			scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 			courier := newCourier(t, scripted)
 			origin, err := net.Dial("tcp", courier.Listener.Addr().String())
 			if err != nil {
@@ -341,7 +341,7 @@
 			if got, _ := io.ReadAll(reader); text == "" && len(got) != 0 || strings.HasSuffix(string(got), "0\r\n\r\n") {
 				t.Fatalf("got %q", got)
 			}
-			if scripted.last().Result != window.Gone {
+			if scripted.last().Result != scheduler.Gone {
 				t.Fatalf("%+v", scripted.last())
 			}
 		})
@@ -358,12 +358,12 @@
 		circuit.say(stream("id") + chunk(joined(2)) + "0\r\n\r\n")
 		return true
 	})
-	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
-		run := window.Decision{Kind: window.Run, Server: first.server, Ends: time.Now().Add(5 * time.Second), Silence: 30 * time.Millisecond, Urgency: -1}
+	scripted := &scripted{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
+		run := scheduler.Decision{Kind: scheduler.Run, Server: first.server, Ends: time.Now().Add(5 * time.Second), Silence: 30 * time.Millisecond, Urgency: -1}
 		switch {
 		case number == 0:
 			return run
-		case number == 1 && outcome.Result == window.Cut:
+		case number == 1 && outcome.Result == scheduler.Cut:
 			run.Server = second.server
 			return run
 		}
@@ -389,10 +389,10 @@
 		return false
 	})
 	var ends time.Time
-	scripted := &scripted{decide: func(number int, outcome window.Outcome) window.Decision {
+	scripted := &scripted{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
 		if number == 0 {
 			ends = time.Now().Add(300 * time.Millisecond)
-			return window.Decision{Kind: window.Run, Server: standin.server, Ends: ends, Silence: 30 * time.Millisecond, Urgency: -1}
+			return scheduler.Decision{Kind: scheduler.Run, Server: standin.server, Ends: ends, Silence: 30 * time.Millisecond, Urgency: -1}
 		}
 		return lastWord(outcome)
 	}}
--- a/internal/adapters/calls/fleet_test.go
+++ b/internal/adapters/calls/fleet_test.go
@@ -19,11 +19,11 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // ledger is what servers did, by the id of each call.
@@ -156,7 +156,7 @@
 
 func tryFleet(t *testing.T, seed uint64, count int) {
 	ledger := &ledger{ran: map[string]int{}}
-	var servers []roster.Server
+	var servers []membership.Server
 	for number := range 4 {
 		part := map[bool]string{true: "prefill", false: "decode"}[number < 2]
 		servers = append(servers, unruly(t, fmt.Sprint("life-", number), part, ledger, seed*10+uint64(number)).server)
@@ -165,9 +165,9 @@
 	lifetime, cancel := context.WithCancel(t.Context())
 	turns := threads.New(lifetime, wallclock.New())
 	circuits := NewCircuits(nil)
-	deciding := window.New(window.Options{Courier: "courier-1", District: "north", FurtherTries: window.Allowance{Ratio: 5, Slack: 1000, Span: time.Second}})
+	deciding := scheduler.New(scheduler.Options{Courier: "courier-1", District: "north", FurtherTries: scheduler.Allowance{Ratio: 5, Slack: 1000, Span: time.Second}})
 	conduct := hatch.NewCalls(turns, deciding, circuits.SetServers)
-	conduct.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
+	conduct.SetConfiguration(configuration, replication.Version{Epoch: 1, Number: 1})
 	conduct.SetCouriers(1)
 	conduct.SetServers(turns.Now(), servers)
 	intake, err := NewIntake(lifetime, DefaultWords(), circuits, conduct, turns.Now)
@@ -248,14 +248,14 @@
 
 // twoRoutes is a configuration with a route of calls that may run once and one of
 // streams that may go on elsewhere.
-func twoRoutes() *menu.Configuration {
-	configuration := menu.Empty()
-	configuration.Services = map[string]menu.Service{"desk": {Name: "desk", Circuits: 300, Engine: menu.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
+func twoRoutes() *config.Configuration {
+	configuration := config.Empty()
+	configuration.Services = map[string]config.Service{"desk": {Name: "desk", Circuits: 300, Engine: config.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
 		LinkBits: 5e11, TokensAPiece: 5, HandleLife: 5 * time.Second, Models: []string{"m"}}}}
-	shares := []menu.Share{{Service: "desk", Weight: 1}}
-	configuration.Routes = []menu.Route{
-		{Name: "once", Match: menu.Match{Host: "calls.example", PathPrefix: "/once/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true}},
-		{Name: "again", Match: menu.Match{Host: "calls.example", PathPrefix: "/again/"}, Calls: &menu.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true, Resumable: true}},
+	shares := []config.Share{{Service: "desk", Weight: 1}}
+	configuration.Routes = []config.Route{
+		{Name: "once", Match: config.Match{Host: "calls.example", PathPrefix: "/once/"}, Calls: &config.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true}},
+		{Name: "again", Match: config.Match{Host: "calls.example", PathPrefix: "/again/"}, Calls: &config.CallRoute{Shares: shares, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 3, Streams: true, Resumable: true}},
 	}
 	return configuration
 }
@@ -274,10 +274,10 @@
 	owner := &tomb.Tomb{}
 	turns := threads.New(owner.Context(context.Background()), wallclock.New())
 	circuits := NewCircuits(nil)
-	conduct := hatch.NewCalls(turns, window.New(window.Options{Courier: "courier-1", District: "north"}), circuits.SetServers)
-	conduct.SetConfiguration(twoRoutes(), larder.Version{Epoch: 1, Number: 1})
+	conduct := hatch.NewCalls(turns, scheduler.New(scheduler.Options{Courier: "courier-1", District: "north"}), circuits.SetServers)
+	conduct.SetConfiguration(twoRoutes(), replication.Version{Epoch: 1, Number: 1})
 	conduct.SetCouriers(1)
-	conduct.SetServers(turns.Now(), []roster.Server{standin.server})
+	conduct.SetServers(turns.Now(), []membership.Server{standin.server})
 	intake, err := NewIntake(owner.Context(context.Background()), DefaultWords(), circuits, conduct, turns.Now)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/adapters/calls/gate.go
+++ b/internal/adapters/calls/gate.go
@@ -10,7 +10,7 @@
 
 	"gopkg.in/tomb.v2"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // The patience with origins. The values are ours.
@@ -65,12 +65,12 @@
 		listener, err := listening.Listen(context.Background(), "tcp", address)
 		if err != nil {
 			gate.Close()
-			return nil, trouble.Wrap(trouble.Unreachable, err)
+			return nil, failure.Wrap(failure.Unreachable, err)
 		}
 		gate.servers = append(gate.servers, server)
 		owner.Go(func() error {
 			if err := server.Serve(listener); err != http.ErrServerClosed {
-				return trouble.Wrap(trouble.Unreachable, err)
+				return failure.Wrap(failure.Unreachable, err)
 			}
 			return nil
 		})
--- a/internal/adapters/calls/gate_test.go
+++ b/internal/adapters/calls/gate_test.go
@@ -12,8 +12,8 @@
 
 	"gopkg.in/tomb.v2"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // freeAddress is one that nobody listens on.
@@ -48,7 +48,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server })}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server })}
 	_, address, readyAddress := openGate(t, scripted, time.Now)
 	ask := func(status int) {
 		t.Helper()
@@ -93,7 +93,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server }), limits: config.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
 	var ahead atomic.Int64
 	gate, address, _ := openGate(t, scripted, func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) })
 	slow, err := net.Dial("tcp", address)
@@ -147,7 +147,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderBytes: 1000, BodyBytes: 100}}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server }), limits: config.Limits{HeaderBytes: 1000, BodyBytes: 100}}
 	courier := newCourier(t, scripted)
 	for status, outbound := range map[int]*http.Request{
 		200: courier.request(t, http.MethodPost, "/", "id", strings.Repeat("x", 100)),
@@ -176,7 +176,7 @@
 		circuit.say(whole(200, inbound.Header.Get("Seamloom-Call"), "x"))
 		return true
 	})
-	scripted := &scripted{decide: once(func() roster.Server { return standin.server }), limits: menu.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
+	scripted := &scripted{decide: once(func() membership.Server { return standin.server }), limits: config.Limits{HeaderPatience: 3 * time.Second, IdlePatience: 15 * time.Second}}
 	gate, address, _ := openGate(t, scripted, time.Now)
 	client, err := net.Dial("tcp", address)
 	if err != nil {
--- a/internal/adapters/calls/intake.go
+++ b/internal/adapters/calls/intake.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // The limits that hold when the configuration has none. The values are ours.
@@ -28,9 +28,9 @@
 
 // Conduct serves one call from its arrival to its end.
 type Conduct interface {
-	Serve(call *window.Call, exchange hatch.Exchange)
+	Serve(call *scheduler.Call, exchange hatch.Exchange)
 	// Limits bound what an origin may send.
-	Limits() menu.Limits
+	Limits() config.Limits
 	// Ready tells whether calls are welcome, Leaving that circuits are to end with the
 	// answer under way.
 	Ready() bool
@@ -63,7 +63,7 @@
 }
 
 // limits are the bounds in force, with defaults for what nobody said.
-func (intake *Intake) limits() menu.Limits {
+func (intake *Intake) limits() config.Limits {
 	limits := intake.conduct.Limits()
 	if limits.HeaderBytes == 0 {
 		limits.HeaderBytes = defaultHeaderBytes
@@ -129,7 +129,7 @@
 		refuse(writer, words.ID, id, http.StatusBadRequest, malformed)
 		return malformed
 	}
-	call := &window.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(words.Model),
+	call := &scheduler.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(words.Model),
 		Parts: readParts(inbound.Header.Get(words.Parts)), Bytes: len(body), Resumes: inbound.Header.Get(lastEventHeader) != ""}
 	target := inbound.RequestURI
 	if !strings.HasPrefix(target, "/") {
@@ -167,7 +167,7 @@
 
 // free gives a prompt's memory back. That it fails is no harm: memory that nobody
 // takes lapses.
-func (intake *Intake) free(server roster.Server, handle string) {
+func (intake *Intake) free(server membership.Server, handle string) {
 	lifetime, cancel := context.WithTimeout(intake.lifetime, freePatience)
 	defer cancel()
 	line, err := intake.circuits.take(lifetime, server, time.Now().Add(freePatience))
--- a/internal/adapters/calls/meter.go
+++ b/internal/adapters/calls/meter.go
@@ -6,14 +6,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // meter counts what becomes of calls. It costs nothing while nothing happens.
 type meter struct {
 	set        *metrics.Set
 	endings    map[ending]*metrics.Counter
-	dispatches map[window.DecisionKind]map[window.Result]*metrics.Counter
+	dispatches map[scheduler.DecisionKind]map[scheduler.Result]*metrics.Counter
 	first      *metrics.PrometheusHistogram
 	whole      *metrics.PrometheusHistogram
 }
@@ -37,15 +37,15 @@
 
 func newMeter(circuits *Circuits) *meter {
 	set := metrics.NewSet()
-	meter := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[window.DecisionKind]map[window.Result]*metrics.Counter{},
+	meter := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[scheduler.DecisionKind]map[scheduler.Result]*metrics.Counter{},
 		first: set.NewPrometheusHistogramExt("seamloom_call_first_seconds", bounds), whole: set.NewPrometheusHistogramExt("seamloom_call_seconds", bounds)}
-	for _, how := range []ending{served, through, cut, left, oversize, malformed, dismissed, ending(window.NoRoute), ending(window.NotReady), ending(window.Full),
-		ending(window.Leaving), ending(window.Late), ending(window.Broken), ending(window.BrokenLate)} {
+	for _, how := range []ending{served, through, cut, left, oversize, malformed, dismissed, ending(scheduler.NoRoute), ending(scheduler.NotReady), ending(scheduler.Full),
+		ending(scheduler.Leaving), ending(scheduler.Late), ending(scheduler.Broken), ending(scheduler.BrokenLate)} {
 		meter.endings[how] = set.NewCounter(`seamloom_calls_total{ending="` + string(how) + `"}`)
 	}
-	for _, kind := range []window.DecisionKind{window.Read, window.Run} {
-		meter.dispatches[kind] = map[window.Result]*metrics.Counter{}
-		for _, result := range []window.Result{window.Unreached, window.NotStarted, window.Misdirected, window.Silent, window.Spoilt, window.Answered, window.Cut, window.Complete, window.Gone} {
+	for _, kind := range []scheduler.DecisionKind{scheduler.Read, scheduler.Run} {
+		meter.dispatches[kind] = map[scheduler.Result]*metrics.Counter{}
+		for _, result := range []scheduler.Result{scheduler.Unreached, scheduler.NotStarted, scheduler.Misdirected, scheduler.Silent, scheduler.Spoilt, scheduler.Answered, scheduler.Cut, scheduler.Complete, scheduler.Gone} {
 			meter.dispatches[kind][result] = set.NewCounter(`seamloom_call_dispatches_total{kind="` + string(kind) + `",result="` + string(result) + `"}`)
 		}
 	}
@@ -64,7 +64,7 @@
 }
 
 // dispatched notes how a dispatch ended.
-func (meter *meter) dispatched(kind window.DecisionKind, result window.Result) {
+func (meter *meter) dispatched(kind scheduler.DecisionKind, result scheduler.Result) {
 	if counter, found := meter.dispatches[kind][result]; found {
 		counter.Inc()
 	}
--- a/internal/adapters/calls/meter_test.go
+++ b/internal/adapters/calls/meter_test.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"testing"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 func TestWhatBecomesOfCallsIsCounted(t *testing.T) {
@@ -26,7 +26,7 @@
 		}
 		return true
 	})
-	courier := newCourier(t, &scripted{decide: once(func() roster.Server { return standin.server })})
+	courier := newCourier(t, &scripted{decide: once(func() membership.Server { return standin.server })})
 	for range 4 {
 		_ = courier.send(t, "id", "")
 	}
--- a/internal/adapters/calls/standin_test.go
+++ b/internal/adapters/calls/standin_test.go
@@ -15,16 +15,16 @@
 	"testing"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // standin is a model server that speaks as a test says.
 type standin struct {
 	listener net.Listener
-	server   roster.Server
+	server   membership.Server
 	// act answers one call on a circuit; false closes the circuit.
 	act func(circuit *callerCircuit, inbound *http.Request) bool
 
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	standin := &standin{listener: listener, act: act, server: roster.Server{Name: "life-1", Address: listener.Addr().String()}}
+	standin := &standin{listener: listener, act: act, server: membership.Server{Name: "life-1", Address: listener.Addr().String()}}
 	var workers sync.WaitGroup
 	workers.Go(func() {
 		for {
@@ -163,18 +163,18 @@
 // scripted is a conduct that has one server run each call, and gives what the last
 // dispatch told.
 type scripted struct {
-	limits   menu.Limits
-	decide   func(number int, outcome window.Outcome) window.Decision
-	route    menu.CallRoute
+	limits   config.Limits
+	decide   func(number int, outcome scheduler.Outcome) scheduler.Decision
+	route    config.CallRoute
 	mutex    sync.Mutex
-	outcomes []window.Outcome
-	calls    []*window.Call
+	outcomes []scheduler.Outcome
+	calls    []*scheduler.Call
 	active   atomic.Int64
 	leaving  atomic.Bool
 }
 
 // Limits bound what an origin may send.
-func (scripted *scripted) Limits() menu.Limits { return scripted.limits }
+func (scripted *scripted) Limits() config.Limits { return scripted.limits }
 
 // Ready tells whether calls are welcome.
 func (scripted *scripted) Ready() bool { return !scripted.leaving.Load() }
@@ -183,35 +183,35 @@
 func (scripted *scripted) Leaving() bool { return scripted.leaving.Load() }
 
 // Serve carries the script out.
-func (scripted *scripted) Serve(call *window.Call, exchange hatch.Exchange) {
+func (scripted *scripted) Serve(call *scheduler.Call, exchange hatch.Exchange) {
 	scripted.active.Add(1)
 	defer scripted.active.Add(-1)
 	scripted.mutex.Lock()
 	scripted.calls = append(scripted.calls, call)
 	scripted.mutex.Unlock()
-	var outcome window.Outcome
+	var outcome scheduler.Outcome
 	for number := 0; ; number++ {
 		decision := scripted.decide(number, outcome)
 		for _, source := range decision.Free {
 			exchange.Free(source)
 		}
 		switch decision.Kind {
-		case window.Read:
+		case scheduler.Read:
 			outcome = exchange.Read(decision)
-		case window.Run:
+		case scheduler.Run:
 			outcome = exchange.Run(&scripted.route, decision, func() {})
-		case window.Through:
+		case scheduler.Through:
 			if !exchange.Through() {
-				exchange.Refuse(hatch.Refusal{Cause: window.Broken, Status: http.StatusBadGateway})
+				exchange.Refuse(hatch.Refusal{Cause: scheduler.Broken, Status: http.StatusBadGateway})
 			}
 			return
-		case window.Break:
+		case scheduler.Break:
 			exchange.Break()
 			return
-		case window.Refuse:
+		case scheduler.Refuse:
 			exchange.Refuse(hatch.Refusal{Cause: decision.Cause, Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter})
 			return
-		case window.Done:
+		case scheduler.Done:
 			return
 		}
 		scripted.mutex.Lock()
@@ -220,35 +220,35 @@
 	}
 }
 
-func (scripted *scripted) last() window.Outcome {
+func (scripted *scripted) last() scheduler.Outcome {
 	scripted.mutex.Lock()
 	defer scripted.mutex.Unlock()
 	if len(scripted.outcomes) == 0 {
-		return window.Outcome{}
+		return scheduler.Outcome{}
 	}
 	return scripted.outcomes[len(scripted.outcomes)-1]
 }
 
 // once runs a call at one server and passes on what comes.
-func once(server func() roster.Server) func(number int, outcome window.Outcome) window.Decision {
-	return func(number int, outcome window.Outcome) window.Decision {
+func once(server func() membership.Server) func(number int, outcome scheduler.Outcome) scheduler.Decision {
+	return func(number int, outcome scheduler.Outcome) scheduler.Decision {
 		if number == 0 {
-			return window.Decision{Kind: window.Run, Server: server(), Ends: time.Now().Add(5 * time.Second), Urgency: -1}
+			return scheduler.Decision{Kind: scheduler.Run, Server: server(), Ends: time.Now().Add(5 * time.Second), Urgency: -1}
 		}
 		return lastWord(outcome)
 	}
 }
 
-func lastWord(outcome window.Outcome) window.Decision {
+func lastWord(outcome scheduler.Outcome) scheduler.Decision {
 	switch outcome.Result {
-	case window.Complete, window.Gone:
-		return window.Decision{Kind: window.Done}
-	case window.Cut:
-		return window.Decision{Kind: window.Break}
-	case window.Answered, window.NotStarted, window.Misdirected:
-		return window.Decision{Kind: window.Through}
+	case scheduler.Complete, scheduler.Gone:
+		return scheduler.Decision{Kind: scheduler.Done}
+	case scheduler.Cut:
+		return scheduler.Decision{Kind: scheduler.Break}
+	case scheduler.Answered, scheduler.NotStarted, scheduler.Misdirected:
+		return scheduler.Decision{Kind: scheduler.Through}
 	}
-	return window.Decision{Kind: window.Refuse, Cause: window.Broken}
+	return scheduler.Decision{Kind: scheduler.Refuse, Cause: scheduler.Broken}
 }
 
 type courier struct {
--- a/internal/adapters/calls/words.go
+++ b/internal/adapters/calls/words.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/multierr"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Words are the names by which origins, couriers and model servers speak of a call:
@@ -73,11 +73,11 @@
 		switch name {
 		case "StageRead", "HandlePath", "HandleField":
 			if text == "" {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "words/"+name, "a word is needed"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.Missing, "words/"+name, "a word is needed"))
 			}
 		default:
 			if text == "" || http.CanonicalHeaderKey(text) != text {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.Malformed, "words/"+name, "needs a header in canonical case, not \""+text+"\""))
+				mistakes = multierr.Append(mistakes, failure.At(failure.Malformed, "words/"+name, "needs a header in canonical case, not \""+text+"\""))
 			}
 		}
 	}
--- a/internal/adapters/courier/calls.go
+++ b/internal/adapters/courier/calls.go
@@ -6,7 +6,7 @@
 	"seamloom.example/seamloom/internal/adapters/calls"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // counterCalls are what serves opaque calls in a process, if its settings name an
@@ -19,13 +19,13 @@
 }
 
 // prepareCalls makes the conduct of opaque calls over the core's window.
-func (process *Process) prepareCalls(turns *threads.Threads) func(deciding *window.Window) hatch.Board {
+func (process *Process) prepareCalls(turns *threads.Threads) func(deciding *scheduler.Window) hatch.Board {
 	chosen := process.chosen
 	if chosen.CallsAddress == "" && chosen.ReadyAddress == "" {
 		return nil
 	}
 	process.calls.circuits = calls.NewCircuits(chosen.Detours)
-	return func(deciding *window.Window) hatch.Board {
+	return func(deciding *scheduler.Window) hatch.Board {
 		process.calls.conduct = hatch.NewCalls(turns, deciding, process.calls.circuits.SetServers)
 		return process.calls.conduct
 	}
--- a/internal/adapters/courier/calls_test.go
+++ b/internal/adapters/courier/calls_test.go
@@ -13,9 +13,9 @@
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 func freeAddress(t *testing.T) string {
@@ -39,7 +39,7 @@
 }
 
 func TestACourierServesCallsAndSaysWhenItIsReady(t *testing.T) {
-	chosen := settings.Defaults(roster.Courier)
+	chosen := settings.Defaults(membership.Courier)
 	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
 	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), freeAddress(t)
 	chosen.Seeds = []string{freeAddress(t), freeAddress(t), freeAddress(t)}
@@ -55,9 +55,9 @@
 	if inbound := get(t, chosen.CallsAddress); inbound.StatusCode != http.StatusServiceUnavailable || inbound.Header.Get("Retry-After") == "" {
 		t.Fatalf("%+v", inbound)
 	}
-	process.calls.conduct.SetConfiguration(menu.Empty(), larder.Version{Epoch: 1, Number: 1})
+	process.calls.conduct.SetConfiguration(config.Empty(), replication.Version{Epoch: 1, Number: 1})
 	process.calls.conduct.SetServing(time.Now().Add(time.Hour))
-	process.calls.conduct.SetServers(time.Now(), []roster.Server{{Name: "stove-1", Address: freeAddress(t)}})
+	process.calls.conduct.SetServers(time.Now(), []membership.Server{{Name: "stove-1", Address: freeAddress(t)}})
 	if status := get(t, chosen.ReadyAddress).StatusCode; status != http.StatusOK {
 		t.Fatalf("not ready with %d", status)
 	}
@@ -86,7 +86,7 @@
 		_, _ = io.WriteString(writer, "done")
 	}))
 	defer server.Close()
-	chosen := settings.Defaults(roster.Courier)
+	chosen := settings.Defaults(membership.Courier)
 	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
 	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), freeAddress(t)
 	chosen.Seeds = []string{freeAddress(t), freeAddress(t), freeAddress(t)}
@@ -96,13 +96,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	configuration, err := menu.Check([]byte(heldRoute))
+	configuration, err := config.Check([]byte(heldRoute))
 	if err != nil {
 		t.Fatal(err)
 	}
-	process.calls.conduct.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
+	process.calls.conduct.SetConfiguration(configuration, replication.Version{Epoch: 1, Number: 1})
 	process.calls.conduct.SetServing(time.Now().Add(time.Hour))
-	process.calls.conduct.SetServers(time.Now(), []roster.Server{{Name: "stove-1", Address: strings.TrimPrefix(server.URL, "http://"), Service: "desk", Part: "decode", Slots: 64}})
+	process.calls.conduct.SetServers(time.Now(), []membership.Server{{Name: "stove-1", Address: strings.TrimPrefix(server.URL, "http://"), Service: "desk", Part: "decode", Slots: 64}})
 	answered := make(chan string, 1)
 	go func() {
 		outbound, _ := http.NewRequest(http.MethodPost, "http://"+chosen.CallsAddress+"/x", strings.NewReader("q"))
@@ -142,7 +142,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = taken.Close() }()
-	chosen := settings.Defaults(roster.Courier)
+	chosen := settings.Defaults(membership.Courier)
 	chosen.Name, chosen.District, chosen.Address = "courier-1", "north", freeAddress(t)
 	chosen.CallsAddress, chosen.ReadyAddress = freeAddress(t), taken.Addr().String()
 	if _, err := Start(chosen, program.Logger(io.Discard, "error", "courier-1"), wallclock.New(), Ports{}); err == nil {
--- a/internal/adapters/courier/commands.go
+++ b/internal/adapters/courier/commands.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 
+	"seamloom.example/seamloom/internal/adapters/modelserver"
 	"seamloom.example/seamloom/internal/adapters/ports"
-	"seamloom.example/seamloom/internal/adapters/stove"
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
 )
 
 // commanding has servers commanded by a platform's own orders, if there are any.
-func commanding(kitchen *stove.Stove, orders ports.Orders) hatch.Stove {
+func commanding(kitchen *modelserver.Stove, orders ports.Orders) hatch.Stove {
 	if orders == nil {
 		return kitchen
 	}
@@ -19,7 +19,7 @@
 
 // orderly is a client to model servers whose parts are ordered in a platform's way.
 type orderly struct {
-	*stove.Stove
+	*modelserver.Stove
 	orders ports.Orders
 }
 
--- a/internal/adapters/courier/counter.go
+++ b/internal/adapters/courier/counter.go
@@ -11,11 +11,11 @@
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/rpc"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 func (process *Process) mux() http.Handler {
@@ -36,7 +36,7 @@
 	mux.HandleFunc(pat.Get("/v1/ready"), process.getReady)
 	mux.HandleFunc(pat.Get("/v1/metrics"), process.getMetrics)
 	for path, answer := range process.conduct.Answers() {
-		mux.Handle(pat.Post(path), hotline.Answerer(answer))
+		mux.Handle(pat.Post(path), rpc.Answerer(answer))
 	}
 	return mux
 }
@@ -46,7 +46,7 @@
 func (process *Process) serveInquiry(writer http.ResponseWriter, inbound *http.Request, passage *hatch.Passage) {
 	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, hatch.MostInquiryBytes))
 	if err != nil {
-		refuse(writer, trouble.At(trouble.Oversize, "/", err.Error()))
+		refuse(writer, failure.At(failure.Oversize, "/", err.Error()))
 		return
 	}
 	inquiry, err := hatch.ReadInquiry(process.clock.Now(), body)
@@ -62,7 +62,7 @@
 	}
 	writer.Header().Set("Content-Type", "application/msgpack")
 	encoder := msgpack.NewEncoder(writer)
-	process.conduct.Serve(arrival, &hatch.RecordReply{Inquiry: inquiry.ID, Writer: process.chosen.Name, Left: origin.WhenLeft, Send: func(record recipe.Record) error {
+	process.conduct.Serve(arrival, &hatch.RecordReply{Inquiry: inquiry.ID, Writer: process.chosen.Name, Left: origin.WhenLeft, Send: func(record formats.Record) error {
 		if err := encoder.Encode(record); err != nil {
 			return err
 		}
@@ -73,9 +73,9 @@
 // refuse answers what is no inquiry.
 func refuse(writer http.ResponseWriter, err error) {
 	never := false
-	line := hatch.ReplyLine{Final: pass.Refused, Ran: &never, Type: trouble.KindOf(err), Detail: err.Error()}
+	line := hatch.ReplyLine{Final: pass.Refused, Ran: &never, Type: failure.KindOf(err), Detail: err.Error()}
 	status := http.StatusBadRequest
-	if line.Type == trouble.Oversize {
+	if line.Type == failure.Oversize {
 		status = http.StatusRequestEntityTooLarge
 	}
 	answerJSON(writer, status, line)
@@ -84,7 +84,7 @@
 func (process *Process) getTrace(writer http.ResponseWriter, inbound *http.Request) {
 	folded, found := process.conduct.Journal().Fold(pat.Param(inbound, "id"), process.supported)
 	if !found {
-		answerJSON(writer, http.StatusNotFound, hatch.ReplyLine{Inquiry: folded.Inquiry, Type: trouble.NoSuch, Detail: "this courier's journal has nothing of it"})
+		answerJSON(writer, http.StatusNotFound, hatch.ReplyLine{Inquiry: folded.Inquiry, Type: failure.NoSuch, Detail: "this courier's journal has nothing of it"})
 		return
 	}
 	answerJSON(writer, http.StatusOK, folded)
--- a/internal/adapters/courier/passing.go
+++ b/internal/adapters/courier/passing.go
@@ -11,9 +11,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/rpc"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/recipe"
 )
 
 // The headers that mark one passing-on.
@@ -39,7 +39,7 @@
 // Example:
 //
 //	begun := passing.Pass(address, passage, body, reply.WhenLeft, take)
-func (passing *passing) Pass(address string, passage hatch.Passage, body []byte, whenLeft func(act func()), take func(record recipe.Record) bool) bool {
+func (passing *passing) Pass(address string, passage hatch.Passage, body []byte, whenLeft func(act func()), take func(record formats.Record) bool) bool {
 	var touched atomic.Bool
 	// The circuit closes when the reply is over or its origin is gone.
 	lifetime, end := context.WithCancel(passing.lifetime)
@@ -57,9 +57,9 @@
 		return touched.Load()
 	}
 	defer func() { _ = answered.Body.Close() }()
-	decoder := msgpack.NewDecoder(io.LimitReader(answered.Body, hotline.MostBytes))
+	decoder := msgpack.NewDecoder(io.LimitReader(answered.Body, rpc.MostBytes))
 	for {
-		var record recipe.Record
+		var record formats.Record
 		if decoder.Decode(&record) != nil || !take(record) {
 			return true
 		}
--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -16,18 +16,18 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/calls"
 	"seamloom.example/seamloom/internal/adapters/directory"
-	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
 	"seamloom.example/seamloom/internal/adapters/ports"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/adapters/settings"
-	"seamloom.example/seamloom/internal/adapters/stove"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/usage"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Process is one courier.
@@ -37,7 +37,7 @@
 	logger    *log.Logger
 	clock     *wallclock.Clock
 	conduct   *hatch.Courier
-	supported recipe.List
+	supported formats.List
 	ledger    *usage.Ledger
 	calls     counterCalls
 
@@ -60,7 +60,7 @@
 	CallsOnly bool
 	// FurtherTries bounds what all couriers send beyond the first dispatch of each
 	// opaque call.
-	FurtherTries window.Allowance
+	FurtherTries scheduler.Allowance
 }
 
 // Start listens and begins to work.
@@ -74,9 +74,9 @@
 	process.lifetime = process.tomb.Context(context.Background())
 	turns := threads.New(process.lifetime, clock)
 	if reached.Directory == nil {
-		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
+		reached.Directory = directory.New(rpc.Transport(chosen.Detours))
 	}
-	kitchen := stove.New(process.lifetime, turns, hotline.Transport(chosen.Detours))
+	kitchen := modelserver.New(process.lifetime, turns, rpc.Transport(chosen.Detours))
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 		Supported: supported, LeastLoaded: chosen.Market == "least_loaded", FurtherTries: reached.FurtherTries}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
 		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: process.prepareCalls(turns),
@@ -84,9 +84,9 @@
 	if !reached.CallsOnly {
 		options.Pressures = kitchen
 	}
-	process.conduct = hatch.NewCourier(turns, hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime},
+	process.conduct = hatch.NewCourier(turns, rpc.Line{Caller: rpc.NewCaller(chosen.Detours), Lifetime: process.lifetime},
 		commanding(kitchen, reached.Orders),
-		&passing{client: &http.Client{Transport: hotline.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
+		&passing{client: &http.Client{Transport: rpc.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
 	if err := process.takeCalls(turns, reached); err != nil {
 		return nil, err
 	}
--- a/internal/adapters/directory/directory.go
+++ b/internal/adapters/directory/directory.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Directory asks one platform.
@@ -25,7 +25,7 @@
 //
 // Example:
 //
-//	platform := directory.New(hotline.Transport(nil))
+//	platform := directory.New(rpc.Transport(nil))
 func New(transport http.RoundTripper) *Directory {
 	return &Directory{client: &http.Client{Transport: transport}}
 }
@@ -35,9 +35,9 @@
 // Example:
 //
 //	servers, failure := platform.Servers(lifetime, "127.0.0.1:7000")
-func (directory *Directory) Servers(lifetime context.Context, address string) ([]roster.Server, error) {
+func (directory *Directory) Servers(lifetime context.Context, address string) ([]membership.Server, error) {
 	var list struct {
-		Servers []roster.Server `json:"servers"`
+		Servers []membership.Server `json:"servers"`
 	}
 	err := directory.read(lifetime, "http://"+address+"/v1/servers", &list)
 	return list.Servers, err
@@ -48,9 +48,9 @@
 // Example:
 //
 //	nodes, failure := platform.Nodes(lifetime, "127.0.0.1:7000")
-func (directory *Directory) Nodes(lifetime context.Context, address string) ([]roster.Node, error) {
+func (directory *Directory) Nodes(lifetime context.Context, address string) ([]membership.Node, error) {
 	var list struct {
-		Nodes []roster.Node `json:"nodes"`
+		Nodes []membership.Node `json:"nodes"`
 	}
 	err := directory.read(lifetime, "http://"+address+"/v1/nodes", &list)
 	return list.Nodes, err
@@ -61,15 +61,15 @@
 	defer end()
 	outbound, err := http.NewRequestWithContext(lifetime, http.MethodGet, location, nil)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	inbound, err := directory.client.Do(outbound)
 	if err != nil {
-		return trouble.Wrap(trouble.Unreachable, err)
+		return failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
-		return trouble.New(trouble.Unreachable, "the platform answers "+strconv.Itoa(inbound.StatusCode))
+		return failure.New(failure.Unreachable, "the platform answers "+strconv.Itoa(inbound.StatusCode))
 	}
-	return trouble.Wrap(trouble.Garbage, json.NewDecoder(io.LimitReader(inbound.Body, 4<<20)).Decode(target))
+	return failure.Wrap(failure.Garbage, json.NewDecoder(io.LimitReader(inbound.Body, 4<<20)).Decode(target))
 }
--- a/internal/adapters/expediter/flags.go
+++ b/internal/adapters/expediter/flags.go
@@ -3,22 +3,22 @@
 import (
 	"net/http"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
-func (process *Process) flagAnswers(current *hatch.Reign, state *larder.State) []flagAnswer {
+func (process *Process) flagAnswers(current *hatch.Reign, state *replication.State) []flagAnswer {
 	now := process.clock.Now()
 	live := current.Holds.Live(now)
 	settling := process.conduct.Settling(current)
 	var answers []flagAnswer
-	for _, description := range recipe.Book() {
+	for _, description := range formats.Book() {
 		answer := flagAnswer{Description: description, Enabled: state.Flags.Enabled.Has(description.Name), Lacking: state.Lacking(description.Name)}
 		for _, name := range answer.Lacking {
-			if _, running := live[name]; !running && state.Members[name].Kind == roster.Courier {
+			if _, running := live[name]; !running && state.Members[name].Kind == membership.Courier {
 				answer.Stopped = append(answer.Stopped, name)
 			}
 		}
@@ -55,5 +55,5 @@
 			return
 		}
 	}
-	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: "no flag " + name})
+	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: failure.NoSuch, Detail: "no flag " + name})
 }
--- a/internal/adapters/expediter/fleet.go
+++ b/internal/adapters/expediter/fleet.go
@@ -5,7 +5,7 @@
 
 	"seamloom.example/seamloom/internal/adapters/program"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Edit changes the configuration if this expediter is primary, and returns once the
@@ -14,7 +14,7 @@
 // Example:
 //
 //	version, failure := process.Edit(hatch.Edit{Builds: &revision, Digest: digest, Apply: replace})
-func (process *Process) Edit(edit hatch.Edit) (larder.Version, error) {
+func (process *Process) Edit(edit hatch.Edit) (replication.Version, error) {
 	return process.conduct.Edit(edit)
 }
 
--- a/internal/adapters/expediter/forwarding.go
+++ b/internal/adapters/expediter/forwarding.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 
 	"github.com/google/uuid"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // onPrimary carries the call out here, or passes it to the primary once.
@@ -21,7 +21,7 @@
 		}
 		address := process.conduct.Steward().Charter().Primary.Address
 		if inbound.Header.Get(forwardedHeader) != "" || address == "" || address == process.conduct.Keeper().Seat().Address {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: failure.NoPrimary, Detail: "no expediter is primary at this moment; ask again"})
 			return
 		}
 		process.forward(writer, inbound, address)
@@ -29,9 +29,9 @@
 }
 
 func (process *Process) forward(writer http.ResponseWriter, inbound *http.Request, address string) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, config.MostBytes+1))
 	if err != nil {
-		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Detail: err.Error()})
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: failure.Oversize, Detail: err.Error()})
 		return
 	}
 	query := inbound.URL.Query()
@@ -45,7 +45,7 @@
 	lifetime := httptrace.WithClientTrace(inbound.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { touched.Store(true) }})
 	outbound, err := http.NewRequestWithContext(lifetime, inbound.Method, location.String(), bytes.NewReader(body))
 	if err != nil {
-		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: err.Error()})
+		answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: failure.Malformed, Detail: err.Error()})
 		return
 	}
 	outbound.Header.Set(forwardedHeader, "1")
@@ -53,7 +53,7 @@
 	answered, err := process.operatorsClient.Do(outbound)
 	if err != nil {
 		if reads || !touched.Load() {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary can't be reached; ask again"})
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: failure.NoPrimary, Detail: "the primary can't be reached; ask again"})
 			return
 		}
 		answerUnknown(writer, query.Get("change"))
@@ -63,7 +63,7 @@
 	content, err := io.ReadAll(answered.Body)
 	if err != nil {
 		if reads {
-			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Detail: "the primary's answer broke off; ask again"})
+			answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: failure.NoPrimary, Detail: "the primary's answer broke off; ask again"})
 			return
 		}
 		answerUnknown(writer, query.Get("change"))
@@ -75,6 +75,6 @@
 }
 
 func answerUnknown(writer http.ResponseWriter, change string) {
-	answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "unknown", Type: trouble.Unknown, Change: change,
+	answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "unknown", Type: failure.Unknown, Change: change,
 		Detail: "it can't be known yet whether the change was accepted", How: "GET /v1/changes/" + change})
 }
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -16,12 +16,12 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const (
@@ -57,17 +57,17 @@
 	Outcome  string             `json:"outcome"`
 	Version  string             `json:"version,omitempty"`
 	Change   string             `json:"change,omitempty"`
-	Type     trouble.Kind       `json:"type,omitempty"`
+	Type     failure.Kind       `json:"type,omitempty"`
 	Detail   string             `json:"detail,omitempty"`
-	Failures []*trouble.Trouble `json:"failures,omitempty"`
+	Failures []*failure.Trouble `json:"failures,omitempty"`
 	How      string             `json:"how,omitempty"`
 }
 
 // readable is the committed state for a read; without one the call is answered.
-func (process *Process) readable(writer http.ResponseWriter) (*hatch.Reign, *larder.View, *larder.State, bool) {
+func (process *Process) readable(writer http.ResponseWriter) (*hatch.Reign, *replication.View, *replication.State, bool) {
 	current, view, state, err := process.conduct.Read()
 	if err != nil {
-		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(err), Detail: err.Error()})
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: failure.KindOf(err), Detail: err.Error()})
 		return nil, nil, nil, false
 	}
 	return current, view, state, true
@@ -78,28 +78,28 @@
 	if !readable {
 		return
 	}
-	version := view.VersionOf(larder.MenuDrawer).String()
+	version := view.VersionOf(replication.MenuDrawer).String()
 	writer.Header().Set("ETag", `"`+version+`"`)
 	answerJSON(writer, http.StatusOK, map[string]any{"version": version, "configuration": json.RawMessage(state.Menu)})
 }
 
 // expectedVersion reads the version that the operator changes from.
-func expectedVersion(inbound *http.Request) (*larder.Version, error) {
+func expectedVersion(inbound *http.Request) (*replication.Version, error) {
 	text := inbound.URL.Query().Get("expected")
 	if text == "" {
 		text = strings.Trim(inbound.Header.Get("If-Match"), `"`)
 	}
 	epoch, number, found := strings.Cut(text, ".")
 	if !found {
-		return nil, trouble.At(trouble.Missing, "expected", "the version that is changed is needed, such as expected=2.9")
+		return nil, failure.At(failure.Missing, "expected", "the version that is changed is needed, such as expected=2.9")
 	}
-	var version larder.Version
+	var version replication.Version
 	var err error
 	if version.Epoch, err = strconv.ParseUint(epoch, 10, 64); err == nil {
 		version.Number, err = strconv.ParseUint(number, 10, 64)
 	}
 	if err != nil {
-		return nil, trouble.At(trouble.Malformed, "expected", "a version is two numbers, such as 2.9")
+		return nil, failure.At(failure.Malformed, "expected", "a version is two numbers, such as 2.9")
 	}
 	return &version, nil
 }
@@ -109,7 +109,7 @@
 		// fastjson writes the text anew, so that what is kept is compact.
 		value, err := fastjson.ParseBytes(body)
 		if err != nil {
-			return nil, &menu.Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Malformed, "/", err.Error())}}
+			return nil, &config.Findings{Troubles: []*failure.Trouble{failure.At(failure.Malformed, "/", err.Error())}}
 		}
 		return value.MarshalTo(nil), nil
 	})
@@ -117,10 +117,10 @@
 
 func (process *Process) patchConfiguration(writer http.ResponseWriter, inbound *http.Request) {
 	process.edit(writer, inbound, true, func(text, body []byte) ([]byte, error) {
-		merged, err := menu.Merge(text, body)
-		var found *trouble.Trouble
+		merged, err := config.Merge(text, body)
+		var found *failure.Trouble
 		if stderrors.As(err, &found) {
-			return nil, &menu.Findings{Troubles: []*trouble.Trouble{found}}
+			return nil, &config.Findings{Troubles: []*failure.Trouble{found}}
 		}
 		return merged, err
 	})
@@ -130,36 +130,36 @@
 	district := pat.Param(inbound, "district")
 	process.edit(writer, inbound, false, func(text, body []byte) ([]byte, error) {
 		reason := fastjson.GetString(body, "reason")
-		return menu.Evacuate(text, district, reason)
+		return config.Evacuate(text, district, reason)
 	})
 }
 
 func (process *Process) restore(writer http.ResponseWriter, inbound *http.Request) {
 	district := pat.Param(inbound, "district")
-	process.edit(writer, inbound, false, func(text, _ []byte) ([]byte, error) { return menu.Restore(text, district) })
+	process.edit(writer, inbound, false, func(text, _ []byte) ([]byte, error) { return config.Restore(text, district) })
 }
 
 // edit changes the configuration and answers "accepted" only when it is in
 // force everywhere.
 func (process *Process) edit(writer http.ResponseWriter, inbound *http.Request, versioned bool, edit func(text, body []byte) ([]byte, error)) {
-	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, menu.MostBytes+1))
+	body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, config.MostBytes+1))
 	if err != nil {
-		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: trouble.Oversize, Failures: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", err.Error())}})
+		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: failure.Oversize, Failures: []*failure.Trouble{failure.At(failure.Oversize, "/", err.Error())}})
 		return
 	}
-	var expected *larder.Version
+	var expected *replication.Version
 	var builds *uint64
 	if on := inbound.URL.Query().Get("builds_on"); versioned && on != "" {
 		revision, err := strconv.ParseUint(on, 10, 64)
 		if err != nil {
-			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.Malformed, Detail: "builds_on is the number of a revision, such as 5"})
+			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: failure.Malformed, Detail: "builds_on is the number of a revision, such as 5"})
 			return
 		}
 		builds = &revision
 	}
 	if versioned && builds == nil {
 		if expected, err = expectedVersion(inbound); err != nil {
-			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: trouble.KindOf(err), Detail: err.Error()})
+			answerJSON(writer, http.StatusBadRequest, operatorAnswer{Outcome: "not_accepted", Type: failure.KindOf(err), Detail: err.Error()})
 			return
 		}
 	}
@@ -191,24 +191,24 @@
 }
 
 func (process *Process) answerChangeTrouble(writer http.ResponseWriter, change string, err error) {
-	var findings *menu.Findings
+	var findings *config.Findings
 	if stderrors.As(err, &findings) {
 		answerJSON(writer, http.StatusUnprocessableEntity, operatorAnswer{Outcome: "not_accepted", Type: "refused", Change: change, Failures: findings.Troubles})
 		return
 	}
-	said := &trouble.Trouble{}
+	said := &failure.Trouble{}
 	_ = stderrors.As(err, &said)
 	switch said.Kind {
-	case trouble.VersionConflict:
+	case failure.VersionConflict:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Version: said.Detail, Detail: "the configuration is at another version"})
-	case trouble.RevisionConflict:
+	case failure.RevisionConflict:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: "the configuration is at revision " + said.Detail})
-	case trouble.Duplicate:
+	case failure.Duplicate:
 		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
-	case trouble.Busy:
+	case failure.Busy:
 		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: said.Kind, Change: change, Detail: said.Detail})
-	case trouble.NotPrimary, trouble.NoPrimary:
-		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoPrimary, Change: change, Detail: err.Error()})
+	case failure.NotPrimary, failure.NoPrimary:
+		answerJSON(writer, http.StatusServiceUnavailable, operatorAnswer{Outcome: "not_accepted", Type: failure.NoPrimary, Change: change, Detail: err.Error()})
 	default:
 		answerUnknown(writer, change)
 	}
@@ -226,19 +226,19 @@
 			return
 		}
 	}
-	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Change: id, Type: trouble.NoSuch,
-		Detail: "the change is not among those accepted in the last " + larder.ChangeRetention.String()})
+	answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Change: id, Type: failure.NoSuch,
+		Detail: "the change is not among those accepted in the last " + replication.ChangeRetention.String()})
 }
 
 func (process *Process) retire(writer http.ResponseWriter, inbound *http.Request) {
 	name := pat.Param(inbound, "name")
 	version, err := process.conduct.Retire(name)
-	if trouble.KindOf(err) == trouble.HoldActive {
-		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: trouble.HoldActive, Detail: trouble.DetailOf(err)})
+	if failure.KindOf(err) == failure.HoldActive {
+		answerJSON(writer, http.StatusConflict, operatorAnswer{Outcome: "not_accepted", Type: failure.HoldActive, Detail: failure.DetailOf(err)})
 		return
 	}
-	if trouble.KindOf(err) == trouble.NoSuch {
-		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: trouble.NoSuch, Detail: err.Error()})
+	if failure.KindOf(err) == failure.NoSuch {
+		answerJSON(writer, http.StatusNotFound, operatorAnswer{Outcome: "not_accepted", Type: failure.NoSuch, Detail: err.Error()})
 		return
 	}
 	if err != nil {
@@ -250,7 +250,7 @@
 
 // flagAnswer is what operators read of a flag.
 type flagAnswer struct {
-	recipe.Description
+	formats.Description
 	Enabled  bool     `json:"enabled"`
 	Lacking  []string `json:"lacking,omitempty"`
 	Stopped  []string `json:"lacking_and_stopped,omitempty"`
@@ -260,7 +260,7 @@
 
 // memberAnswer is what operators read of a member.
 type memberAnswer struct {
-	roster.Member
+	membership.Member
 	Running    bool `json:"running"`
 	Restricted bool `json:"restricted"`
 }
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -16,15 +16,15 @@
 	"gopkg.in/tomb.v2"
 
 	"seamloom.example/seamloom/internal/adapters/directory"
-	"seamloom.example/seamloom/internal/adapters/hotline"
-	"seamloom.example/seamloom/internal/adapters/pantry"
 	"seamloom.example/seamloom/internal/adapters/ports"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/adapters/settings"
+	"seamloom.example/seamloom/internal/adapters/storage"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Process is one expediter.
@@ -51,29 +51,29 @@
 //
 // Example:
 //
-//	process, failure := expediter.Start(chosen, logger, pantry.RealDisk{}, wallclock.New(), expediter.Ports{})
-func Start(chosen settings.Settings, logger *log.Logger, disk pantry.Disk, clock *wallclock.Clock, reached Ports) (*Process, error) {
+//	process, failure := expediter.Start(chosen, logger, storage.RealDisk{}, wallclock.New(), expediter.Ports{})
+func Start(chosen settings.Settings, logger *log.Logger, disk storage.Disk, clock *wallclock.Clock, reached Ports) (*Process, error) {
 	process := &Process{logger: logger, clock: clock, chosen: chosen,
-		operatorsClient: &http.Client{Transport: hotline.Transport(chosen.Detours), Timeout: forwardPatience}}
+		operatorsClient: &http.Client{Transport: rpc.Transport(chosen.Detours), Timeout: forwardPatience}}
 	process.lifetime = process.tomb.Context(context.Background())
-	keeping, err := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
+	keeping, err := storage.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
 	if err != nil {
 		return nil, err
 	}
-	copies, err := pantry.OpenFolder(disk, filepath.Join(chosen.DataFolder, "larder"))
+	copies, err := storage.OpenFolder(disk, filepath.Join(chosen.DataFolder, "larder"))
 	if err != nil {
 		return nil, err
 	}
 	if reached.Directory == nil {
-		reached.Directory = directory.New(hotline.Transport(chosen.Detours))
+		reached.Directory = directory.New(rpc.Transport(chosen.Detours))
 	}
 	options := hatch.ExpediterOptions{Name: chosen.Name, Address: chosen.Address, District: chosen.District, Seeds: chosen.Seeds, Supported: chosen.Supported(),
-		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, CatchUp: chosen.CatchUp, JoinsOnly: !chosen.Bootstrap, Fresh: larder.Identity(uuid.NewString()),
+		FlagSettle: time.Duration(chosen.FlagSettle) * time.Millisecond, BorneLosses: chosen.BorneLosses, CatchUp: chosen.CatchUp, JoinsOnly: !chosen.Bootstrap, Fresh: replication.Identity(uuid.NewString()),
 		RetireAfter: chosen.RetireAfter, AcknowledgeWait: chosen.AcknowledgeWait, Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}}
 	if reached.Reports != nil {
 		options.Reports = ports.Asking{Reports: reached.Reports, Lifetime: process.lifetime}
 	}
-	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: process.lifetime}
+	line := rpc.Line{Caller: rpc.NewCaller(chosen.Detours), Lifetime: process.lifetime}
 	conduct, blank, err := hatch.OpenExpediter(threads.New(process.lifetime, clock), line, keeping, copies, options, process.observe)
 	if err != nil {
 		return nil, err
@@ -92,7 +92,7 @@
 func (process *Process) mux() http.Handler {
 	mux := goji.NewMux()
 	for path, answer := range process.conduct.Answers() {
-		mux.Handle(pat.Post(path), hotline.Answerer(answer))
+		mux.Handle(pat.Post(path), rpc.Answerer(answer))
 	}
 	process.operatorRoutes(mux)
 	return mux
--- a/internal/adapters/expediter/signpost.go
+++ b/internal/adapters/expediter/signpost.go
@@ -7,14 +7,14 @@
 	"github.com/charmbracelet/log"
 	"gopkg.in/tomb.v2"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
 	"seamloom.example/seamloom/internal/adapters/program"
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/adapters/settings"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Signpost is the process that stands in for an expediter on a machine without a disk:
@@ -32,7 +32,7 @@
 func StartSignpost(chosen settings.Settings, logger *log.Logger, clock *wallclock.Clock) *Signpost {
 	signpost := &Signpost{}
 	lifetime := signpost.tomb.Context(context.Background())
-	line := hotline.Line{Caller: hotline.NewCaller(chosen.Detours), Lifetime: lifetime}
+	line := rpc.Line{Caller: rpc.NewCaller(chosen.Detours), Lifetime: lifetime}
 	signpost.conduct = hatch.NewSignpost(threads.New(lifetime, clock), line, chosen.Seeds)
 	signpost.tomb.Go(func() error {
 		<-signpost.tomb.Dying()
@@ -56,8 +56,8 @@
 // Example:
 //
 //	_, failure := signpost.Edit(edit) // no_primary
-func (signpost *Signpost) Edit(hatch.Edit) (larder.Version, error) {
-	return larder.Version{}, trouble.New(trouble.NoPrimary, "nothing is kept here")
+func (signpost *Signpost) Edit(hatch.Edit) (replication.Version, error) {
+	return replication.Version{}, failure.New(failure.NoPrimary, "nothing is kept here")
 }
 
 // Configuration is not kept here.
@@ -66,7 +66,7 @@
 //
 //	_, failure := signpost.Configuration() // no_primary
 func (signpost *Signpost) Configuration() ([]byte, error) {
-	return nil, trouble.New(trouble.NoPrimary, "nothing is kept here")
+	return nil, failure.New(failure.NoPrimary, "nothing is kept here")
 }
 
 // Leads is never true; it gives the hotline address of the primary, if one is found.
--- a/internal/adapters/expediter/status.go
+++ b/internal/adapters/expediter/status.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 func (process *Process) getStatus(writer http.ResponseWriter, _ *http.Request) {
@@ -22,14 +22,14 @@
 	members := map[string]memberAnswer{}
 	for name, member := range state.Members {
 		_, running := live[name]
-		if member.Kind == roster.Expediter {
+		if member.Kind == membership.Expediter {
 			running = process.conduct.Steward().Sees(member.Address)
 		}
 		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
 	}
-	orders := map[string]recipe.Order{}
+	orders := map[string]formats.Order{}
 	for server, record := range state.Orders.Records {
-		if order, err := recipe.ReadOrder(record, process.conduct.Supported()); err == nil {
+		if order, err := formats.ReadOrder(record, process.conduct.Supported()); err == nil {
 			orders[server] = order
 		}
 	}
@@ -43,16 +43,16 @@
 		"holds_live_milliseconds": holds,
 		"servers":                 servers, "claims_horizon": process.horizon(view),
 		"primary": charter.Primary, "backup": charter.Backup, "further_backups": charter.Further, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
-		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(larder.MenuDrawer).String(),
+		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(replication.MenuDrawer).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
-		"lagging":        current.Lagging(now, view.VersionOf(larder.MenuDrawer), state),
+		"lagging":        current.Lagging(now, view.VersionOf(replication.MenuDrawer), state),
 		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.Since).Milliseconds(),
 	})
 }
 
 // horizon is the age before which claims are forgotten.
-func (process *Process) horizon(view *larder.View) time.Time {
-	state, err := larder.ReadState(map[string]larder.Drawer{larder.HorizonDrawer: view.Drawers[larder.HorizonDrawer]})
+func (process *Process) horizon(view *replication.View) time.Time {
+	state, err := replication.ReadState(map[string]replication.Drawer{replication.HorizonDrawer: view.Drawers[replication.HorizonDrawer]})
 	if err != nil {
 		return time.Time{}
 	}
--- a/internal/adapters/stove/cancelorder.go
+++ b/internal/adapters/modelserver/cancelorder.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // CancelOrder is the body of POST /v1/cancel.
 type CancelOrder struct {
--- a/internal/adapters/stove/decodeorder.go
+++ b/internal/adapters/modelserver/decodeorder.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // DecodeOrder is the body of POST /v1/decode. Source is the address of the
 // server that read the prompt, from which its memory is fetched.
--- a/internal/adapters/stove/fuzz_test.go
+++ b/internal/adapters/modelserver/fuzz_test.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // FuzzServerAnswers has a server answer anything with any status: no panic, a
@@ -33,7 +33,7 @@
 	fuzzing.Fuzz(func(t *testing.T, said int, content []byte) {
 		status, body = said, content
 		if load, err := client.Load(context.Background(), decision.Address); err != nil {
-			if trouble.KindOf(err) == trouble.Unsorted {
+			if failure.KindOf(err) == failure.Unsorted {
 				t.Fatalf("an untyped failure: %v", err)
 			}
 		} else if load.PrefillRoom < 0 || load.DecodeSlots < 0 || load.MemoryFree < 0 {
--- a/internal/adapters/stove/guardedbody.go
+++ b/internal/adapters/modelserver/guardedbody.go
@@ -1,11 +1,11 @@
-package stove
+package modelserver
 
 import (
 	"bytes"
 	"io"
 	"sync/atomic"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // guardedBody is an order on its way. Whether it may still go is asked when its
@@ -17,7 +17,7 @@
 	begun  *atomic.Bool
 }
 
-var tooLate = trouble.New(trouble.LimitPassed, "the order may not go any more")
+var tooLate = failure.New(failure.LimitPassed, "the order may not go any more")
 
 // Read gives the next bytes, the first of them only if they may still go.
 //
--- a/internal/adapters/stove/loadreport.go
+++ b/internal/adapters/modelserver/loadreport.go
@@ -1,11 +1,11 @@
-package stove
+package modelserver
 
 import (
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // LoadReport is the answer to GET /v1/load.
@@ -44,19 +44,19 @@
 		"link_tokens_per_second": report.LinkRate}
 	for name, number := range numbers {
 		if number < 0 || number > mostReported {
-			return trouble.At(trouble.OutOfRange, "/"+name, strconv.Itoa(number))
+			return failure.At(failure.OutOfRange, "/"+name, strconv.Itoa(number))
 		}
 	}
 	for prefix, tokens := range report.Prefixes {
 		if tokens < 0 {
-			return trouble.At(trouble.OutOfRange, "/prefixes/"+prefix, strconv.Itoa(tokens))
+			return failure.At(failure.OutOfRange, "/prefixes/"+prefix, strconv.Itoa(tokens))
 		}
 	}
 	switch pass.Part(report.Part) {
 	case pass.Prefill, pass.Decode, pass.Drain, pass.NoPart:
 		return nil
 	}
-	return trouble.At(trouble.OutOfRange, "/part", report.Part)
+	return failure.At(failure.OutOfRange, "/part", report.Part)
 }
 
 // Load is the report in the core's terms.
--- a/internal/adapters/stove/partorder.go
+++ b/internal/adapters/modelserver/partorder.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // PartOrder is the body of POST /v1/part.
 type PartOrder struct {
--- a/internal/adapters/stove/prefillanswer.go
+++ b/internal/adapters/modelserver/prefillanswer.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // PrefillAnswer is the answer to POST /v1/prefill.
 type PrefillAnswer struct {
--- a/internal/adapters/stove/prefillorder.go
+++ b/internal/adapters/modelserver/prefillorder.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // PrefillOrder is the body of POST /v1/prefill.
 type PrefillOrder struct {
--- a/internal/adapters/stove/stove.go
+++ b/internal/adapters/modelserver/stove.go
@@ -1,6 +1,6 @@
-// Package stove speaks with model servers over HTTP/1.1 and JSON. The protocol
+// Package modelserver speaks with model servers over HTTP/1.1 and JSON. The protocol
 // is written down in docs/protocol.md.
-package stove
+package modelserver
 
 import (
 	"bufio"
@@ -13,17 +13,17 @@
 	"sync/atomic"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // Stove is the client to all model servers.
 type Stove struct {
 	client   *http.Client
 	lifetime context.Context
-	turns    rota.Turns
+	turns    lease.Turns
 
 	mutex   sync.Mutex
 	running map[string]context.CancelFunc
@@ -33,8 +33,8 @@
 //
 // Example:
 //
-//	stove := stove.New(lifetime, turns, hotline.Transport(nil))
-func New(lifetime context.Context, turns rota.Turns, transport http.RoundTripper) *Stove {
+//	stove := modelserver.New(lifetime, turns, rpc.Transport(nil))
+func New(lifetime context.Context, turns lease.Turns, transport http.RoundTripper) *Stove {
 	return &Stove{client: &http.Client{Transport: transport}, lifetime: lifetime, turns: turns, running: map[string]context.CancelFunc{}}
 }
 
@@ -57,7 +57,7 @@
 //
 // Example:
 //
-//	stove.EndRun("inquiry-1", 1)
+//	modelserver.EndRun("inquiry-1", 1)
 func (stove *Stove) EndRun(id string, run int) {
 	stove.mutex.Lock()
 	defer stove.mutex.Unlock()
@@ -75,7 +75,7 @@
 func (stove *Stove) post(lifetime context.Context, address, path string, order any, may func() bool) (inbound *http.Response, begun bool, err error) {
 	content, err := json.Marshal(order)
 	if err != nil {
-		return nil, false, trouble.Wrap(trouble.Garbage, err)
+		return nil, false, failure.Wrap(failure.Garbage, err)
 	}
 	return Post(lifetime, stove.client, "http://"+address+path, http.Header{"Content-Type": {"application/json"}}, content, may)
 }
@@ -85,7 +85,7 @@
 //
 // Example:
 //
-//	inbound, begun, failure := stove.Post(lifetime, client, "http://127.0.0.1:7201/v1/part", header, content, may)
+//	inbound, begun, failure := modelserver.Post(lifetime, client, "http://127.0.0.1:7201/v1/part", header, content, may)
 func Post(lifetime context.Context, client *http.Client, location string, header http.Header, content []byte, may func() bool) (inbound *http.Response, begun bool, err error) {
 	if !may() {
 		return nil, false, tooLate
@@ -95,11 +95,11 @@
 	first, _ := body()
 	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, location, first)
 	if err != nil {
-		return nil, false, trouble.Wrap(trouble.Garbage, err)
+		return nil, false, failure.Wrap(failure.Garbage, err)
 	}
 	outbound.ContentLength, outbound.GetBody, outbound.Header = int64(len(content)), body, header
 	inbound, err = client.Do(outbound)
-	return inbound, touched.Load(), trouble.Wrap(trouble.Unreachable, err)
+	return inbound, touched.Load(), failure.Wrap(failure.Unreachable, err)
 }
 
 // refusal is what a server says with any status but 200.
@@ -126,7 +126,7 @@
 //
 // Example:
 //
-//	outcome, handle, detail := stove.Prefill(decision, may)
+//	outcome, handle, detail := modelserver.Prefill(decision, may)
 func (stove *Stove) Prefill(decision pass.Decision, may func() bool) (pass.Outcome, string, string) {
 	inquiry := decision.Inquiry
 	inbound, written, err := stove.post(stove.beginRun(decision), decision.Address, "/v1/prefill", PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
@@ -157,7 +157,7 @@
 //
 // Example:
 //
-//	outcome, pieces, detail := stove.Decode(decision, may, func(piece int, text string) { ... })
+//	outcome, pieces, detail := modelserver.Decode(decision, may, func(piece int, text string) { ... })
 func (stove *Stove) Decode(decision pass.Decision, may func() bool, take func(piece int, text string)) (pass.Outcome, int, string) {
 	inquiry := decision.Inquiry
 	inbound, written, err := stove.post(stove.beginRun(decision), decision.Address, "/v1/decode", DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run,
@@ -195,7 +195,7 @@
 //
 // Example:
 //
-//	stove.Cancel(decision)
+//	modelserver.Cancel(decision)
 func (stove *Stove) Cancel(decision pass.Decision) {
 	stove.EndRun(decision.ID, decision.Run)
 	stove.turns.Go(func() {
@@ -213,7 +213,7 @@
 //
 // Example:
 //
-//	failure := stove.Command(decision, may)
+//	failure := modelserver.Command(decision, may)
 func (stove *Stove) Command(decision pass.Decision, may func() bool) error {
 	order := PartOrder{Part: string(decision.Part), Fence: decision.Duty.Fence, Holder: decision.Duty.Holder}
 	if decision.Order != nil {
@@ -227,7 +227,7 @@
 		}
 		defer func() { _ = inbound.Body.Close() }()
 		if inbound.StatusCode != http.StatusOK {
-			return trouble.New(trouble.NotHolder, "status "+strconv.Itoa(inbound.StatusCode))
+			return failure.New(failure.NotHolder, "status "+strconv.Itoa(inbound.StatusCode))
 		}
 		return nil
 	})
@@ -238,7 +238,7 @@
 //
 // Example:
 //
-//	failure := stove.Within(decision, func(lifetime context.Context) error { return send(lifetime) })
+//	failure := modelserver.Within(decision, func(lifetime context.Context) error { return send(lifetime) })
 func (stove *Stove) Within(decision pass.Decision, act func(lifetime context.Context) error) error {
 	lifetime, end := context.WithTimeout(stove.lifetime, min(time.Second, decision.NotAfter.Sub(stove.turns.Now())))
 	defer end()
@@ -249,8 +249,8 @@
 //
 // Example:
 //
-//	load, failure := stove.Pressure(server, 700*time.Millisecond)
-func (stove *Stove) Pressure(server roster.Server, patience time.Duration) (pass.Load, error) {
+//	load, failure := modelserver.Pressure(server, 700*time.Millisecond)
+func (stove *Stove) Pressure(server membership.Server, patience time.Duration) (pass.Load, error) {
 	lifetime, end := context.WithTimeout(stove.lifetime, patience)
 	defer end()
 	return stove.Load(lifetime, server.Address)
@@ -260,21 +260,21 @@
 //
 // Example:
 //
-//	load, failure := stove.Load(lifetime, "127.0.0.1:7201")
+//	load, failure := modelserver.Load(lifetime, "127.0.0.1:7201")
 func (stove *Stove) Load(lifetime context.Context, address string) (pass.Load, error) {
 	var load pass.Load
 	outbound, err := http.NewRequestWithContext(lifetime, http.MethodGet, "http://"+address+"/v1/load", nil)
 	if err != nil {
-		return load, trouble.Wrap(trouble.Garbage, err)
+		return load, failure.Wrap(failure.Garbage, err)
 	}
 	inbound, err := stove.client.Do(outbound)
 	if err != nil {
-		return load, trouble.Wrap(trouble.Unreachable, err)
+		return load, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	var report LoadReport
 	if err := json.NewDecoder(io.LimitReader(inbound.Body, MostLine)).Decode(&report); err != nil {
-		return load, trouble.Wrap(trouble.Garbage, err)
+		return load, failure.Wrap(failure.Garbage, err)
 	}
 	if err := report.Check(); err != nil {
 		return load, err
--- a/internal/adapters/stove/stove_test.go
+++ b/internal/adapters/modelserver/stove_test.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 import (
 	"context"
--- a/internal/adapters/stove/streamline.go
+++ b/internal/adapters/modelserver/streamline.go
@@ -1,4 +1,4 @@
-package stove
+package modelserver
 
 // StreamLine is one line of the answer to POST /v1/decode. The last one has
 // Done and the number of all pieces.
--- a/internal/adapters/ports/ports.go
+++ b/internal/adapters/ports/ports.go
@@ -6,21 +6,21 @@
 	"context"
 	"time"
 
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Directory reads the lists that the platform has at an address. Where there is no
 // list of nodes, Nodes fails with the kind NoSuch and is not called again.
 type Directory interface {
-	Servers(lifetime context.Context, address string) ([]roster.Server, error)
-	Nodes(lifetime context.Context, address string) ([]roster.Node, error)
+	Servers(lifetime context.Context, address string) ([]membership.Server, error)
+	Nodes(lifetime context.Context, address string) ([]membership.Node, error)
 }
 
 // Reports asks a model server for its load.
 type Reports interface {
-	Report(lifetime context.Context, server roster.Server) (window.Load, error)
+	Report(lifetime context.Context, server membership.Server) (scheduler.Load, error)
 }
 
 // Orders commands a model server to take a part, under the fence of its key's
@@ -42,7 +42,7 @@
 // Example:
 //
 //	servers, failure := here.Servers()
-func (here Here) Servers() ([]roster.Server, error) {
+func (here Here) Servers() ([]membership.Server, error) {
 	return here.Directory.Servers(here.Lifetime, here.Address())
 }
 
@@ -51,7 +51,7 @@
 // Example:
 //
 //	nodes, failure := here.Nodes()
-func (here Here) Nodes() ([]roster.Node, error) {
+func (here Here) Nodes() ([]membership.Node, error) {
 	return here.Directory.Nodes(here.Lifetime, here.Address())
 }
 
@@ -66,7 +66,7 @@
 // Example:
 //
 //	load, failure := asking.Report(server, 700*time.Millisecond)
-func (asking Asking) Report(server roster.Server, patience time.Duration) (window.Load, error) {
+func (asking Asking) Report(server membership.Server, patience time.Duration) (scheduler.Load, error) {
 	lifetime, end := context.WithTimeout(asking.Lifetime, patience)
 	defer end()
 	return asking.Reports.Report(lifetime, server)
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -17,13 +17,13 @@
 	"gopkg.in/tomb.v2"
 
 	"seamloom.example/seamloom/internal/adapters/settings"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Flags holds the settings flags of one command.
 type Flags struct {
-	kind     roster.NodeKind
+	kind     membership.NodeKind
 	command  *cobra.Command
 	file     string
 	flagged  settings.Settings
@@ -35,8 +35,8 @@
 //
 // Example:
 //
-//	flags := program.AddFlags(command, roster.Courier)
-func AddFlags(command *cobra.Command, kind roster.NodeKind) *Flags {
+//	flags := program.AddFlags(command, membership.Courier)
+func AddFlags(command *cobra.Command, kind membership.NodeKind) *Flags {
 	flags := &Flags{kind: kind, command: command}
 	defaults := settings.Defaults(kind)
 	set := command.Flags()
@@ -57,7 +57,7 @@
 		}
 		return pflag.NormalizedName(name)
 	})
-	if kind == roster.Expediter {
+	if kind == membership.Expediter {
 		set.BoolVar(&flags.flagged.Bootstrap, "bootstrap", defaults.Bootstrap, "whether a blank disk may form a first core with the other seeds")
 		set.DurationVar(&flags.flagged.AcknowledgeWait, "acknowledge-wait", defaults.AcknowledgeWait, "how long a committed change waits for couriers that are not heard from; 0: until their holds end")
 		set.DurationVar(&flags.flagged.CatchUp, "catch-up", defaults.CatchUp, "how long a machine with a disk counts as lost after its return; the core's waits are derived from it")
@@ -171,8 +171,8 @@
 //
 //	os.Exit(program.ExitCode(failure))
 func ExitCode(err error) int {
-	switch trouble.KindOf(err) {
-	case trouble.Disk, trouble.Unreachable, trouble.Damaged:
+	switch failure.KindOf(err) {
+	case failure.Disk, failure.Unreachable, failure.Damaged:
 		return 1
 	}
 	return 2
@@ -207,12 +207,12 @@
 func Serve(owner *tomb.Tomb, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return trouble.Wrap(trouble.Unreachable, err)
+		return failure.Wrap(failure.Unreachable, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
 	owner.Go(func() error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
-			return trouble.Wrap(trouble.Unreachable, err)
+			return failure.Wrap(failure.Unreachable, err)
 		}
 		return nil
 	})
@@ -221,7 +221,7 @@
 		shutdown, end := context.WithTimeout(context.Background(), time.Second)
 		defer end()
 		_ = server.Shutdown(shutdown)
-		return trouble.Wrap(trouble.Unreachable, server.Close())
+		return failure.Wrap(failure.Unreachable, server.Close())
 	})
 	return nil
 }
--- a/internal/adapters/hotline/answerer.go
+++ b/internal/adapters/rpc/answerer.go
@@ -1,4 +1,4 @@
-package hotline
+package rpc
 
 import (
 	stderrors "errors"
@@ -7,23 +7,23 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Answerer makes an HTTP handler of what answers encoded messages.
 //
 // Example:
 //
-//	mux.Handle(pat.Post(path), hotline.Answerer(answer))
+//	mux.Handle(pat.Post(path), rpc.Answerer(answer))
 func Answerer(answer func(body []byte) ([]byte, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, inbound *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(writer, inbound.Body, MostBytes))
 		var encoded []byte
 		switch {
 		case err != nil:
-			err = trouble.Wrap(trouble.Oversize, err)
+			err = failure.Wrap(failure.Oversize, err)
 		case inbound.Header.Get(checksumHeader) != checksum(body):
-			err = trouble.New(trouble.Garbage, "the question's checksum is wrong")
+			err = failure.New(failure.Garbage, "the question's checksum is wrong")
 		default:
 			if body, err = unpack(body, inbound.Header); err == nil {
 				encoded, err = answer(body)
@@ -32,9 +32,9 @@
 		status := http.StatusOK
 		if err != nil {
 			status = http.StatusConflict
-			said := &trouble.Trouble{}
+			said := &failure.Trouble{}
 			if !stderrors.As(err, &said) {
-				said = trouble.New(trouble.Unsorted, err.Error())
+				said = failure.New(failure.Unsorted, err.Error())
 			}
 			encoded, _ = msgpack.Marshal(said)
 		}
--- a/internal/adapters/hotline/caller.go
+++ b/internal/adapters/rpc/caller.go
@@ -1,6 +1,6 @@
-// Package hotline carries msgpack messages over HTTP between seamloom's own
+// Package rpc carries msgpack messages over HTTP between seamloom's own
 // processes. Each message has a checksum and a bounded size.
-package hotline
+package rpc
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // MostBytes is the largest message. It leaves room for the largest
@@ -34,7 +34,7 @@
 //
 // Example:
 //
-//	caller := hotline.NewCaller(nil)
+//	caller := rpc.NewCaller(nil)
 func NewCaller(detours map[string]string) *Caller {
 	return &Caller{client: &http.Client{Transport: Transport(detours)}}
 }
@@ -43,7 +43,7 @@
 //
 // Example:
 //
-//	client := &http.Client{Transport: hotline.Transport(nil)}
+//	client := &http.Client{Transport: rpc.Transport(nil)}
 func Transport(detours map[string]string) *http.Transport {
 	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
 	return &http.Transport{
@@ -73,25 +73,25 @@
 	}
 	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Garbage, err)
+		return nil, failure.Wrap(failure.Garbage, err)
 	}
 	outbound.Header = header
 	outbound.Header.Set(checksumHeader, checksum(body))
 	inbound, err := caller.client.Do(outbound)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(inbound.Body, MostBytes+1))
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	caller.takers.note(address, inbound.Header)
 	if len(answer) > MostBytes {
-		return nil, trouble.New(trouble.Oversize, "an answer of more than the largest size")
+		return nil, failure.New(failure.Oversize, "an answer of more than the largest size")
 	}
 	if inbound.Header.Get(checksumHeader) != checksum(answer) {
-		return nil, trouble.New(trouble.Garbage, "the answer's checksum is wrong")
+		return nil, failure.New(failure.Garbage, "the answer's checksum is wrong")
 	}
 	if answer, err = unpack(answer, inbound.Header); err != nil {
 		return nil, err
@@ -99,9 +99,9 @@
 	if inbound.StatusCode == http.StatusOK {
 		return answer, nil
 	}
-	said := &trouble.Trouble{}
+	said := &failure.Trouble{}
 	if msgpack.Unmarshal(answer, said) != nil || said.Kind == "" {
-		return nil, trouble.New(trouble.Unreachable, "status "+strconv.Itoa(inbound.StatusCode))
+		return nil, failure.New(failure.Unreachable, "status "+strconv.Itoa(inbound.StatusCode))
 	}
 	return nil, said
 }
--- a/internal/adapters/hotline/line.go
+++ b/internal/adapters/rpc/line.go
@@ -1,4 +1,4 @@
-package hotline
+package rpc
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 //
 // Example:
 //
-//	line := hotline.Line{Caller: hotline.NewCaller(nil), Lifetime: lifetime}
+//	line := rpc.Line{Caller: rpc.NewCaller(nil), Lifetime: lifetime}
 //	answer, failure := line.CallRaw(address, path, body, time.Second)
 func (line Line) CallRaw(address, path string, body []byte, patience time.Duration) ([]byte, error) {
 	return line.Caller.CallRaw(line.Lifetime, address, path, body, patience)
--- a/internal/adapters/hotline/packing.go
+++ b/internal/adapters/rpc/packing.go
@@ -1,4 +1,4 @@
-package hotline
+package rpc
 
 import (
 	"net/http"
@@ -7,7 +7,7 @@
 
 	"github.com/klauspost/compress/s2"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 const (
@@ -41,13 +41,13 @@
 	}
 	size, err := s2.DecodedLen(message)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Garbage, err)
+		return nil, failure.Wrap(failure.Garbage, err)
 	}
 	if size > MostBytes {
-		return nil, trouble.New(trouble.Oversize, "a message of more than the largest size")
+		return nil, failure.New(failure.Oversize, "a message of more than the largest size")
 	}
 	unpacked, err := s2.Decode(nil, message)
-	return unpacked, trouble.Wrap(trouble.Garbage, err)
+	return unpacked, failure.Wrap(failure.Garbage, err)
 }
 
 // takers are the addresses whose last answer said that they take packed questions.
--- a/internal/adapters/hotline/packing_test.go
+++ b/internal/adapters/rpc/packing_test.go
@@ -1,4 +1,4 @@
-package hotline
+package rpc
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // counted counts the bytes of the answers that it passes on.
@@ -40,7 +40,7 @@
 	asked := 0
 	answerer := Answerer(func(body []byte) ([]byte, error) {
 		if string(body) == "refuse" {
-			return nil, trouble.New(trouble.Busy, strings.Repeat("busy ", 1000))
+			return nil, failure.New(failure.Busy, strings.Repeat("busy ", 1000))
 		}
 		return body, nil
 	})
@@ -54,7 +54,7 @@
 		// An older release neither packs nor says that it could.
 		body, _ := io.ReadAll(inbound.Body)
 		if inbound.Header.Get("Content-Encoding") != "" {
-			body, _ = msgpack.Marshal(trouble.New(trouble.Garbage, "no question"))
+			body, _ = msgpack.Marshal(failure.New(failure.Garbage, "no question"))
 			writer.Header().Set(checksumHeader, checksum(body))
 			writer.WriteHeader(http.StatusConflict)
 		} else {
@@ -88,14 +88,14 @@
 	call("from an older release", long, true, false)
 	counting.without = false
 	older = true
-	if _, err := caller.CallRaw(context.Background(), address, "/", long, 5*time.Second); trouble.KindOf(err) != trouble.Garbage {
+	if _, err := caller.CallRaw(context.Background(), address, "/", long, 5*time.Second); failure.KindOf(err) != failure.Garbage {
 		t.Errorf("restarted into an older release: %v", err)
 	}
 	call("to an older release", long, false, false)
 	older = false
 	call("upgraded again", long, false, true)
 	call("and the next", long, true, true)
-	if _, err := caller.CallRaw(context.Background(), address, "/", []byte("refuse"), 5*time.Second); trouble.KindOf(err) != trouble.Busy {
+	if _, err := caller.CallRaw(context.Background(), address, "/", []byte("refuse"), 5*time.Second); failure.KindOf(err) != failure.Busy {
 		t.Errorf("a refusal: %v", err)
 	}
 }
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -13,15 +13,15 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/multierr"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Settings are what a process is told of its place.
 type Settings struct {
-	Kind          roster.NodeKind
+	Kind          membership.NodeKind
 	Name          string
 	Address       string
 	District      string
@@ -74,9 +74,9 @@
 //
 // Example:
 //
-//	chosen := settings.Defaults(roster.Courier)
-func Defaults(kind roster.NodeKind) Settings {
-	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, CatchUp: larder.DefaultCatchUp, Grace: DefaultGrace}
+//	chosen := settings.Defaults(membership.Courier)
+func Defaults(kind membership.NodeKind) Settings {
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, CatchUp: replication.DefaultCatchUp, Grace: DefaultGrace}
 }
 
 // ReadFile takes the settings of a JSON file over those given.
@@ -87,15 +87,15 @@
 func (settings *Settings) ReadFile(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return trouble.At(trouble.Missing, "settings file", err.Error())
+		return failure.At(failure.Missing, "settings file", err.Error())
 	}
 	root, err := fastjson.ParseBytes(text)
 	if err != nil {
-		return trouble.At(trouble.Malformed, path, err.Error())
+		return failure.At(failure.Malformed, path, err.Error())
 	}
 	object, err := root.Object()
 	if err != nil {
-		return trouble.At(trouble.WrongType, path, "an object is needed")
+		return failure.At(failure.WrongType, path, "an object is needed")
 	}
 	var mistakes error
 	object.Visit(func(key []byte, value *fastjson.Value) {
@@ -115,7 +115,7 @@
 	if target, found := texts[name]; found {
 		text, err := value.StringBytes()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "a text is needed")
+			return failure.At(failure.WrongType, name, "a text is needed")
 		}
 		*target = string(text)
 		return nil
@@ -123,7 +123,7 @@
 	if target, found := numbers[name]; found {
 		number, err := value.Int()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "a whole number is needed")
+			return failure.At(failure.WrongType, name, "a whole number is needed")
 		}
 		*target = number
 		return nil
@@ -131,11 +131,11 @@
 	if target, found := lengths[name]; found {
 		text, err := value.StringBytes()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "a text such as 1s or 250ms is needed")
+			return failure.At(failure.WrongType, name, "a text such as 1s or 250ms is needed")
 		}
 		length, err := time.ParseDuration(string(text))
 		if err != nil {
-			return trouble.At(trouble.Malformed, name, "a length of time such as 1s or 250ms is needed, not \""+string(text)+"\"")
+			return failure.At(failure.Malformed, name, "a length of time such as 1s or 250ms is needed, not \""+string(text)+"\"")
 		}
 		*target = length
 		return nil
@@ -143,7 +143,7 @@
 	if name == "bootstrap" {
 		chosen, err := value.Bool()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "true or false is needed")
+			return failure.At(failure.WrongType, name, "true or false is needed")
 		}
 		settings.Bootstrap = chosen
 		return nil
@@ -151,13 +151,13 @@
 	if target, found := lists[name]; found {
 		entries, err := value.Array()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "a list of texts is needed")
+			return failure.At(failure.WrongType, name, "a list of texts is needed")
 		}
 		*target = nil
 		for position, entry := range entries {
 			text, err := entry.StringBytes()
 			if err != nil {
-				return trouble.At(trouble.WrongType, name+"/"+strconv.Itoa(position), "a text is needed")
+				return failure.At(failure.WrongType, name+"/"+strconv.Itoa(position), "a text is needed")
 			}
 			*target = append(*target, string(text))
 		}
@@ -166,21 +166,21 @@
 	if name == "detours" {
 		object, err := value.Object()
 		if err != nil {
-			return trouble.At(trouble.WrongType, name, "an object is needed")
+			return failure.At(failure.WrongType, name, "an object is needed")
 		}
 		settings.Detours = map[string]string{}
 		var mistakes error
 		object.Visit(func(key []byte, value *fastjson.Value) {
 			text, err := value.StringBytes()
 			if err != nil {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, name+"/"+string(key), "an address is needed"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.WrongType, name+"/"+string(key), "an address is needed"))
 				return
 			}
 			settings.Detours[string(key)] = string(text)
 		})
 		return mistakes
 	}
-	return trouble.At(trouble.UnknownField, name, "no such setting")
+	return failure.At(failure.UnknownField, name, "no such setting")
 }
 
 var nameShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
@@ -192,12 +192,12 @@
 //	if failure := chosen.Check(); failure != nil { fmt.Fprintln(os.Stderr, failure) }
 func (settings *Settings) Check() error {
 	var mistakes error
-	wrong := func(kind trouble.Kind, path, detail string) {
-		mistakes = multierr.Append(mistakes, trouble.At(kind, path, detail))
+	wrong := func(kind failure.Kind, path, detail string) {
+		mistakes = multierr.Append(mistakes, failure.At(kind, path, detail))
 	}
 	for path, name := range map[string]string{"name": settings.Name, "district": settings.District} {
 		if !nameShape.MatchString(name) {
-			wrong(trouble.Missing, path, "needs a name of letters, digits, dots, dashes and underscores, 64 at most")
+			wrong(failure.Missing, path, "needs a name of letters, digits, dots, dashes and underscores, 64 at most")
 		}
 	}
 	addresses := map[string]string{"address": settings.Address, "platform": settings.Platform}
@@ -205,83 +205,83 @@
 	for position, seed := range settings.Seeds {
 		addresses["seeds/"+strconv.Itoa(position)] = seed
 		if seen[seed] {
-			wrong(trouble.Contradictory, "seeds/"+strconv.Itoa(position), "the seed "+seed+" stands twice")
+			wrong(failure.Contradictory, "seeds/"+strconv.Itoa(position), "the seed "+seed+" stands twice")
 		}
 		seen[seed] = true
 	}
 	switch count := len(settings.Seeds); {
 	case settings.Bootstrap && count != 3:
-		wrong(trouble.OutOfRange, "seeds", "three seeds are needed, there are "+strconv.Itoa(count))
+		wrong(failure.OutOfRange, "seeds", "three seeds are needed, there are "+strconv.Itoa(count))
 	case count < 1 || count > 3:
-		wrong(trouble.OutOfRange, "seeds", "one to three seeds are needed, there are "+strconv.Itoa(count))
+		wrong(failure.OutOfRange, "seeds", "one to three seeds are needed, there are "+strconv.Itoa(count))
 	}
 	settings.checkFurther(addresses, wrong)
 	for path, address := range addresses {
 		if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
-			wrong(trouble.Malformed, path, "needs an IP number and a port, such as 127.0.0.1:7101, not \""+address+"\"")
+			wrong(failure.Malformed, path, "needs an IP number and a port, such as 127.0.0.1:7101, not \""+address+"\"")
 		}
 	}
 	switch settings.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
-		wrong(trouble.OutOfRange, "log_level", "is debug, info, warn or error, not \""+settings.LogLevel+"\"")
+		wrong(failure.OutOfRange, "log_level", "is debug, info, warn or error, not \""+settings.LogLevel+"\"")
 	}
-	if settings.Kind == roster.Expediter && settings.DataFolder == "" {
-		wrong(trouble.Missing, "data_folder", "an expediter keeps files")
+	if settings.Kind == membership.Expediter && settings.DataFolder == "" {
+		wrong(failure.Missing, "data_folder", "an expediter keeps files")
 	}
-	if settings.Kind != roster.Expediter && settings.DataFolder != "" {
-		wrong(trouble.Contradictory, "data_folder", "a "+string(settings.Kind)+" keeps no files")
+	if settings.Kind != membership.Expediter && settings.DataFolder != "" {
+		wrong(failure.Contradictory, "data_folder", "a "+string(settings.Kind)+" keeps no files")
 	}
-	if settings.Kind == roster.Courier {
+	if settings.Kind == membership.Courier {
 		if settings.Market != "pair" && settings.Market != "least_loaded" {
-			wrong(trouble.OutOfRange, "market", "is pair or least_loaded, not \""+settings.Market+"\"")
+			wrong(failure.OutOfRange, "market", "is pair or least_loaded, not \""+settings.Market+"\"")
 		}
 		if settings.MostInquiries < 1 {
-			wrong(trouble.OutOfRange, "most_inquiries", "must be at least 1")
+			wrong(failure.OutOfRange, "most_inquiries", "must be at least 1")
 		}
 	}
 	if settings.FlagSettle < 0 {
-		wrong(trouble.OutOfRange, "flag_settle_milliseconds", "must not be negative")
+		wrong(failure.OutOfRange, "flag_settle_milliseconds", "must not be negative")
 	}
 	if settings.MostMemory < 0 {
-		wrong(trouble.OutOfRange, "most_memory_megabytes", "must not be negative")
+		wrong(failure.OutOfRange, "most_memory_megabytes", "must not be negative")
 	}
 	if settings.BorneLosses < 1 || settings.BorneLosses > 3 {
-		wrong(trouble.OutOfRange, "borne_losses", "is 1, 2 or 3")
+		wrong(failure.OutOfRange, "borne_losses", "is 1, 2 or 3")
 	}
 	if settings.CatchUp < shortestCatchUp {
-		wrong(trouble.OutOfRange, "catch_up", "must be at least "+shortestCatchUp.String())
+		wrong(failure.OutOfRange, "catch_up", "must be at least "+shortestCatchUp.String())
 	}
 	for position, flag := range settings.Withhold {
-		if !recipe.Supported(nil).Has(recipe.Flag(flag)) {
-			wrong(trouble.OutOfRange, "withhold_flags/"+strconv.Itoa(position), "this build has no flag "+flag)
+		if !formats.Supported(nil).Has(formats.Flag(flag)) {
+			wrong(failure.OutOfRange, "withhold_flags/"+strconv.Itoa(position), "this build has no flag "+flag)
 		}
 	}
 	return mistakes
 }
 
 // checkFurther checks the further addresses and the lengths of time.
-func (settings *Settings) checkFurther(addresses map[string]string, wrong func(kind trouble.Kind, path, detail string)) {
+func (settings *Settings) checkFurther(addresses map[string]string, wrong func(kind failure.Kind, path, detail string)) {
 	taken := map[string]string{settings.Address: "address"}
 	for _, further := range []struct {
 		path, address string
-		kind          roster.NodeKind
-	}{{"calls_address", settings.CallsAddress, roster.Courier}, {"ready_address", settings.ReadyAddress, roster.Courier}, {"control_address", settings.ControlAddress, roster.Expediter}} {
+		kind          membership.NodeKind
+	}{{"calls_address", settings.CallsAddress, membership.Courier}, {"ready_address", settings.ReadyAddress, membership.Courier}, {"control_address", settings.ControlAddress, membership.Expediter}} {
 		if further.address == "" {
 			continue
 		}
 		addresses[further.path] = further.address
 		if other, found := taken[further.address]; found {
-			wrong(trouble.Contradictory, further.path, "is the same as "+other)
+			wrong(failure.Contradictory, further.path, "is the same as "+other)
 		}
 		taken[further.address] = further.path
-		if settings.Kind != further.kind && !(settings.Kind == roster.Signpost && further.kind == roster.Expediter) {
-			wrong(trouble.Contradictory, further.path, "is for the kind "+string(further.kind))
+		if settings.Kind != further.kind && !(settings.Kind == membership.Signpost && further.kind == membership.Expediter) {
+			wrong(failure.Contradictory, further.path, "is for the kind "+string(further.kind))
 		}
 	}
 	for path, length := range map[string]time.Duration{"acknowledge_wait": settings.AcknowledgeWait, "serve_without_hold": settings.ServeWithoutHold, "grace": settings.Grace, "retire_after": settings.RetireAfter} {
 		if length < 0 {
-			wrong(trouble.OutOfRange, path, "must not be negative")
+			wrong(failure.OutOfRange, path, "must not be negative")
 		}
 	}
 }
@@ -291,12 +291,12 @@
 // Example:
 //
 //	core := seamloom.New(seamloom.Options{Supported: chosen.Supported()})
-func (settings *Settings) Supported() recipe.List {
-	var withheld recipe.List
+func (settings *Settings) Supported() formats.List {
+	var withheld formats.List
 	for _, flag := range settings.Withhold {
-		withheld = append(withheld, recipe.Flag(flag))
+		withheld = append(withheld, formats.Flag(flag))
 	}
-	return recipe.Supported(withheld)
+	return formats.Supported(withheld)
 }
 
 // Reload takes from the next settings what may change while the process runs,
--- a/internal/adapters/pantry/disk.go
+++ b/internal/adapters/storage/disk.go
@@ -1,4 +1,4 @@
-package pantry
+package storage
 
 // Disk is the port in front of the file system; rehearsals put a faulty one
 // there that forgets what was not synced, stalls, fills or returns damage.
--- a/internal/adapters/pantry/folder.go
+++ b/internal/adapters/storage/folder.go
@@ -1,6 +1,6 @@
-// Package pantry keeps files on a disk: one for each version, written aside,
+// Package storage keeps files on a disk: one for each version, written aside,
 // synced, renamed, and the folder synced.
-package pantry
+package storage
 
 import (
 	"encoding/binary"
@@ -9,7 +9,7 @@
 	"path/filepath"
 	"strings"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Folder is one folder under the data folder. Each file carries a checksum.
@@ -30,10 +30,10 @@
 //
 // Example:
 //
-//	shelf, failure := pantry.OpenFolder(pantry.RealDisk{}, "/var/lib/seamloom/larder")
+//	shelf, failure := storage.OpenFolder(storage.RealDisk{}, "/var/lib/seamloom/larder")
 func OpenFolder(disk Disk, path string) (*Folder, error) {
 	if err := disk.MakeFolder(path); err != nil {
-		return nil, trouble.Wrap(trouble.Disk, err)
+		return nil, failure.Wrap(failure.Disk, err)
 	}
 	return &Folder{path: path, disk: disk}, nil
 }
@@ -50,12 +50,12 @@
 	framed = append(framed, content...)
 	path := filepath.Join(folder.path, name)
 	if err := folder.disk.WriteSynced(path+asideSuffix, framed); err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	if err := folder.disk.Rename(path+asideSuffix, path); err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
-	return trouble.Wrap(trouble.Disk, folder.disk.SyncFolder(folder.path))
+	return failure.Wrap(failure.Disk, folder.disk.SyncFolder(folder.path))
 }
 
 // Load reads every file; those with a wrong checksum are named as damaged.
@@ -67,7 +67,7 @@
 func (folder *Folder) Load() (map[string][]byte, []string, error) {
 	names, err := folder.disk.List(folder.path)
 	if err != nil {
-		return nil, nil, trouble.Wrap(trouble.Disk, err)
+		return nil, nil, failure.Wrap(failure.Disk, err)
 	}
 	files := map[string][]byte{}
 	var damaged []string
@@ -96,7 +96,7 @@
 func (folder *Folder) Remove(names []string) error {
 	for _, name := range names {
 		if err := folder.disk.Remove(filepath.Join(folder.path, name)); err != nil && !os.IsNotExist(err) {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 	}
 	return nil
--- a/internal/adapters/pantry/realdisk.go
+++ b/internal/adapters/storage/realdisk.go
@@ -1,4 +1,4 @@
-package pantry
+package storage
 
 import "os"
 
@@ -9,14 +9,14 @@
 //
 // Example:
 //
-//	failure := pantry.RealDisk{}.MakeFolder("/var/lib/seamloom")
+//	failure := storage.RealDisk{}.MakeFolder("/var/lib/seamloom")
 func (RealDisk) MakeFolder(path string) error { return os.MkdirAll(path, 0o755) }
 
 // WriteSynced writes a file and syncs it.
 //
 // Example:
 //
-//	failure := pantry.RealDisk{}.WriteSynced("/var/lib/seamloom/note", content)
+//	failure := storage.RealDisk{}.WriteSynced("/var/lib/seamloom/note", content)
 func (RealDisk) WriteSynced(path string, content []byte) error {
 	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
 	if err != nil {
@@ -37,14 +37,14 @@
 //
 // Example:
 //
-//	failure := pantry.RealDisk{}.Rename("note.aside", "note")
+//	failure := storage.RealDisk{}.Rename("note.aside", "note")
 func (RealDisk) Rename(from, to string) error { return os.Rename(from, to) }
 
 // SyncFolder syncs a folder, so that a rename in it lasts.
 //
 // Example:
 //
-//	failure := pantry.RealDisk{}.SyncFolder("/var/lib/seamloom")
+//	failure := storage.RealDisk{}.SyncFolder("/var/lib/seamloom")
 func (RealDisk) SyncFolder(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
@@ -61,7 +61,7 @@
 //
 // Example:
 //
-//	names, failure := pantry.RealDisk{}.List("/var/lib/seamloom")
+//	names, failure := storage.RealDisk{}.List("/var/lib/seamloom")
 func (RealDisk) List(path string) ([]string, error) {
 	entries, err := os.ReadDir(path)
 	var names []string
@@ -77,12 +77,12 @@
 //
 // Example:
 //
-//	content, failure := pantry.RealDisk{}.Read("note")
+//	content, failure := storage.RealDisk{}.Read("note")
 func (RealDisk) Read(path string) ([]byte, error) { return os.ReadFile(path) }
 
 // Remove deletes a file.
 //
 // Example:
 //
-//	failure := pantry.RealDisk{}.Remove("note")
+//	failure := storage.RealDisk{}.Remove("note")
 func (RealDisk) Remove(path string) error { return os.Remove(path) }
--- a/internal/adapters/threads/threads.go
+++ b/internal/adapters/threads/threads.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // Threads are those of one process, for as long as it lives.
@@ -57,6 +57,6 @@
 // Example:
 //
 //	news := turns.NewBell()
-func (threads *Threads) NewBell() rota.Bell {
+func (threads *Threads) NewBell() lease.Bell {
 	return &bell{lifetime: threads.lifetime, next: make(chan struct{})}
 }
--- a/internal/adapters/usage/export.go
+++ b/internal/adapters/usage/export.go
@@ -7,7 +7,7 @@
 
 	"github.com/parquet-go/parquet-go"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Columns are the names of a row's fields, in order, in both formats.
@@ -21,16 +21,16 @@
 func WriteCSV(target io.Writer, rows []Row) error {
 	writer := csv.NewWriter(target)
 	if err := writer.Write(Columns); err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	for _, row := range rows {
 		if err := writer.Write([]string{row.Minute, row.Courier, row.Service, row.Origin, row.Final, strconv.FormatInt(row.Inquiries, 10),
 			strconv.FormatInt(row.PromptTokens, 10), strconv.FormatInt(row.Pieces, 10)}); err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 	}
 	writer.Flush()
-	return trouble.Wrap(trouble.Disk, writer.Error())
+	return failure.Wrap(failure.Disk, writer.Error())
 }
 
 // WriteParquet writes rows with their schema.
@@ -39,5 +39,5 @@
 //
 //	failure := usage.WriteParquet(file, rows)
 func WriteParquet(target io.Writer, rows []Row) error {
-	return trouble.Wrap(trouble.Disk, parquet.Write(target, rows))
+	return failure.Wrap(failure.Disk, parquet.Write(target, rows))
 }
--- a/internal/menu/calls_test.go
+++ b/internal/config/calls_test.go
@@ -1,11 +1,11 @@
-package menu
+package config
 
 import (
 	stderrors "errors"
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 func TestRoutesOfCallsAreRead(t *testing.T) {
@@ -48,25 +48,25 @@
 func TestInvalidRoutesOfCallsAreNamedWithPathAndType(t *testing.T) {
 	for _, row := range []struct {
 		name, routes, path string
-		kind               trouble.Kind
+		kind               failure.Kind
 	}{
-		{"unknown service", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"},{"service":"other"}]}}`, "/routes/a/calls/shares/1/service", trouble.Contradictory},
-		{"the same place", `"a":{"match":{"host":"h","path_prefix":"/p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}},"b":{"match":{"host":"H","path_prefix":"/p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/b/match", trouble.Contradictory},
-		{"no weight", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk","weight":0},{"service":"desk","weight":0}]}}`, "/routes/a/calls/shares", trouble.OutOfRange},
-		{"no shares", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[]}}`, "/routes/a/calls/shares", trouble.OutOfRange},
-		{"shares missing", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1}}`, "/routes/a/calls/shares", trouble.Missing},
-		{"weight below 0", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk","weight":-1}]}}`, "/routes/a/calls/shares/0/weight", trouble.OutOfRange},
-		{"limit 0", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":0,"shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", trouble.OutOfRange},
-		{"limit missing", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", trouble.Missing},
-		{"limit of another type", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":"1","shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", trouble.WrongType},
-		{"host without prefix", `"a":{"match":{"host":"h"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", trouble.Missing},
-		{"prefix without host", `"a":{"match":{"path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/host", trouble.Missing},
-		{"prefix without first slash", `"a":{"match":{"host":"h","path_prefix":"p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", trouble.OutOfRange},
-		{"prefix without last slash", `"a":{"match":{"host":"h","path_prefix":"/p"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", trouble.OutOfRange},
-		{"a host on a route of inquiries", `"a":{"match":{"host":"h","path_prefix":"/"},"to":{}}`, "/routes/a/calls", trouble.Missing},
-		{"other conditions", `"a":{"match":{"host":"h","path_prefix":"/","origin":"o"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match", trouble.Contradictory},
-		{"an unknown field", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}],"colour":1}}`, "/routes/a/calls/colour", trouble.UnknownField},
-		{"annotations of another type", `"a":{"match":{"host":"h","path_prefix":"/"},"annotations":[],"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/annotations", trouble.WrongType},
+		{"unknown service", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"},{"service":"other"}]}}`, "/routes/a/calls/shares/1/service", failure.Contradictory},
+		{"the same place", `"a":{"match":{"host":"h","path_prefix":"/p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}},"b":{"match":{"host":"H","path_prefix":"/p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/b/match", failure.Contradictory},
+		{"no weight", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk","weight":0},{"service":"desk","weight":0}]}}`, "/routes/a/calls/shares", failure.OutOfRange},
+		{"no shares", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[]}}`, "/routes/a/calls/shares", failure.OutOfRange},
+		{"shares missing", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1}}`, "/routes/a/calls/shares", failure.Missing},
+		{"weight below 0", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk","weight":-1}]}}`, "/routes/a/calls/shares/0/weight", failure.OutOfRange},
+		{"limit 0", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":0,"shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", failure.OutOfRange},
+		{"limit missing", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", failure.Missing},
+		{"limit of another type", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":"1","shares":[{"service":"desk"}]}}`, "/routes/a/calls/limit_milliseconds", failure.WrongType},
+		{"host without prefix", `"a":{"match":{"host":"h"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", failure.Missing},
+		{"prefix without host", `"a":{"match":{"path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/host", failure.Missing},
+		{"prefix without first slash", `"a":{"match":{"host":"h","path_prefix":"p/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", failure.OutOfRange},
+		{"prefix without last slash", `"a":{"match":{"host":"h","path_prefix":"/p"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match/path_prefix", failure.OutOfRange},
+		{"a host on a route of inquiries", `"a":{"match":{"host":"h","path_prefix":"/"},"to":{}}`, "/routes/a/calls", failure.Missing},
+		{"other conditions", `"a":{"match":{"host":"h","path_prefix":"/","origin":"o"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/match", failure.Contradictory},
+		{"an unknown field", `"a":{"match":{"host":"h","path_prefix":"/"},"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}],"colour":1}}`, "/routes/a/calls/colour", failure.UnknownField},
+		{"annotations of another type", `"a":{"match":{"host":"h","path_prefix":"/"},"annotations":[],"calls":{"limit_milliseconds":1,"shares":[{"service":"desk"}]}}`, "/routes/a/annotations", failure.WrongType},
 	} {
 		_, err := Check([]byte(`{"services":{"desk":{}},"routes":{` + row.routes + `}}`))
 		var findings *Findings
