--- a/internal/menu/check.go
+++ b/internal/config/check.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // parsers are used again: what they read is copied before they go back.
@@ -29,27 +29,27 @@
 //
 // Example:
 //
-//	configuration, failure := menu.Check([]byte(`{"services":{"chat":{}}}`))
+//	configuration, failure := config.Check([]byte(`{"services":{"chat":{}}}`))
 func Check(text []byte) (*Configuration, error) {
 	findings := &Findings{}
 	if len(text) > MostBytes {
-		findings.add(trouble.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")
+		findings.add(failure.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")
 		return nil, findings
 	}
 	if !utf8.Valid(text) {
-		findings.add(trouble.Malformed, "/", "the text is not UTF-8")
+		findings.add(failure.Malformed, "/", "the text is not UTF-8")
 		return nil, findings
 	}
 	// The validator is stricter than the parser, which takes anything for a number.
 	if err := fastjson.ValidateBytes(text); err != nil {
-		findings.add(trouble.Malformed, "/", err.Error())
+		findings.add(failure.Malformed, "/", err.Error())
 		return nil, findings
 	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	root, err := parser.ParseBytes(text)
 	if err != nil {
-		findings.add(trouble.Malformed, "/", err.Error())
+		findings.add(failure.Malformed, "/", err.Error())
 		return nil, findings
 	}
 	checker := &checker{findings: findings, configuration: Empty(), places: map[callPlace]string{}}
@@ -102,7 +102,7 @@
 // tells whether it knows the name.
 func (checker *checker) fields(value *fastjson.Value, at place, visit func(name string, field *fastjson.Value, at place) bool) bool {
 	if value.Type() != fastjson.TypeObject {
-		checker.findings.add(trouble.WrongType, at.String(), "an object is needed, not "+value.Type().String())
+		checker.findings.add(failure.WrongType, at.String(), "an object is needed, not "+value.Type().String())
 		return false
 	}
 	object := value.GetObject()
@@ -116,7 +116,7 @@
 		name := string(key)
 		here := at.field(name)
 		if many[name] || (many == nil && slices.Contains(seen, name)) {
-			checker.findings.add(trouble.Contradictory, here.String(), "the field stands twice")
+			checker.findings.add(failure.Contradictory, here.String(), "the field stands twice")
 			return
 		}
 		if many != nil {
@@ -125,7 +125,7 @@
 			seen = append(seen, name)
 		}
 		if !visit(name, field, here) {
-			checker.findings.add(trouble.UnknownField, here.String(), "no such field")
+			checker.findings.add(failure.UnknownField, here.String(), "no such field")
 		}
 	})
 	return true
@@ -135,7 +135,7 @@
 func (checker *checker) named(value *fastjson.Value, at place, visit func(name string, field *fastjson.Value, at place)) {
 	checker.fields(value, at, func(name string, field *fastjson.Value, at place) bool {
 		if !isName(name) {
-			checker.findings.add(trouble.OutOfRange, at.String(), nameRule)
+			checker.findings.add(failure.OutOfRange, at.String(), nameRule)
 			return true
 		}
 		visit(name, field, at)
@@ -165,14 +165,14 @@
 	})
 	for _, route := range checker.configuration.Routes {
 		if _, found := checker.configuration.Services[route.Match.Service]; route.Match.Service != "" && !found {
-			checker.findings.add(trouble.Contradictory, place{}.field("routes").field(route.Name).field("match").field("service").String(), "no service "+route.Match.Service)
+			checker.findings.add(failure.Contradictory, place{}.field("routes").field(route.Name).field("match").field("service").String(), "no service "+route.Match.Service)
 		}
 		if route.Calls == nil {
 			continue
 		}
 		for position, share := range route.Calls.Shares {
 			if _, found := checker.configuration.Services[share.Service]; share.Service != "" && !found {
-				checker.findings.add(trouble.Contradictory, place{}.field("routes").field(route.Name).field("calls").field("shares").field(strconv.Itoa(position)).field("service").String(), "no service "+share.Service)
+				checker.findings.add(failure.Contradictory, place{}.field("routes").field(route.Name).field("calls").field("shares").field(strconv.Itoa(position)).field("service").String(), "no service "+share.Service)
 			}
 		}
 	}
@@ -181,7 +181,7 @@
 func (checker *checker) revision(value *fastjson.Value, at place) {
 	revision, err := value.Uint64()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a whole number is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a whole number is needed")
 		return
 	}
 	checker.configuration.Revision = revision
@@ -209,7 +209,7 @@
 // annotations are kept for those who wrote them, and never read.
 func (checker *checker) annotations(value *fastjson.Value, at place) {
 	if value.Type() != fastjson.TypeObject {
-		checker.findings.add(trouble.WrongType, at.String(), "an object is needed, not "+value.Type().String())
+		checker.findings.add(failure.WrongType, at.String(), "an object is needed, not "+value.Type().String())
 	}
 }
 
@@ -317,13 +317,13 @@
 		return
 	}
 	if !seenTo && route.Calls == nil {
-		checker.findings.add(trouble.Missing, at.field("to").String(), "a route says where its inquiries go")
+		checker.findings.add(failure.Missing, at.field("to").String(), "a route says where its inquiries go")
 	}
 	if route.To.Refuse && len(route.To.Districts) > 0 {
-		checker.findings.add(trouble.Contradictory, at.field("to").String(), "a route that refuses names no districts")
+		checker.findings.add(failure.Contradictory, at.field("to").String(), "a route that refuses names no districts")
 	}
 	if below := route.Match.PromptTokensBelow; below > 0 && route.Match.PromptTokensAtLeast >= below {
-		checker.findings.add(trouble.Contradictory, at.field("match").String(), "no prompt is at least "+
+		checker.findings.add(failure.Contradictory, at.field("match").String(), "no prompt is at least "+
 			strconv.Itoa(route.Match.PromptTokensAtLeast)+" and below "+strconv.Itoa(below))
 	}
 	checker.place(&route, at)
@@ -336,25 +336,25 @@
 	match := &route.Match
 	if route.Calls == nil {
 		if match.Host != "" || match.PathPrefix != "" {
-			checker.findings.add(trouble.Missing, at.field("calls").String(), "a route with a host and a path prefix says how its calls are served")
+			checker.findings.add(failure.Missing, at.field("calls").String(), "a route with a host and a path prefix says how its calls are served")
 		}
 		return
 	}
 	if match.Host == "" {
-		checker.findings.add(trouble.Missing, at.field("match").field("host").String(), "a route of calls names a host")
+		checker.findings.add(failure.Missing, at.field("match").field("host").String(), "a route of calls names a host")
 	}
 	if match.PathPrefix == "" {
-		checker.findings.add(trouble.Missing, at.field("match").field("path_prefix").String(), "a route of calls names a path prefix")
+		checker.findings.add(failure.Missing, at.field("match").field("path_prefix").String(), "a route of calls names a path prefix")
 	}
 	if match.Service != "" || match.District != "" || match.Origin != "" || match.Prefix != "" || match.PromptTokensAtLeast > 0 || match.PromptTokensBelow > 0 {
-		checker.findings.add(trouble.Contradictory, at.field("match").String(), "a route of calls matches by host and path prefix only")
+		checker.findings.add(failure.Contradictory, at.field("match").String(), "a route of calls matches by host and path prefix only")
 	}
 	if match.Host == "" || match.PathPrefix == "" {
 		return
 	}
 	here := callPlace{host: match.Host, prefix: match.PathPrefix}
 	if other, found := checker.places[here]; found {
-		checker.findings.add(trouble.Contradictory, at.field("match").String(), "the route "+other+" has the same host and path prefix")
+		checker.findings.add(failure.Contradictory, at.field("match").String(), "the route "+other+" has the same host and path prefix")
 		return
 	}
 	checker.places[here] = route.Name
@@ -394,17 +394,17 @@
 		return
 	}
 	if !seenShares {
-		checker.findings.add(trouble.Missing, at.field("shares").String(), "a route of calls says which services serve it")
+		checker.findings.add(failure.Missing, at.field("shares").String(), "a route of calls says which services serve it")
 	}
 	if !seenLimit {
-		checker.findings.add(trouble.Missing, at.field("limit_milliseconds").String(), "a route of calls says how long a call is held")
+		checker.findings.add(failure.Missing, at.field("limit_milliseconds").String(), "a route of calls says how long a call is held")
 	}
 }
 
 func (checker *checker) shares(calls *CallRoute, value *fastjson.Value, at place) {
 	entries, err := value.Array()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a list of services with their weights is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a list of services with their weights is needed")
 		return
 	}
 	sum := 0
@@ -424,13 +424,13 @@
 			return true
 		})
 		if share.Service == "" {
-			checker.findings.add(trouble.Missing, here.field("service").String(), "a share names a service")
+			checker.findings.add(failure.Missing, here.field("service").String(), "a share names a service")
 		}
 		sum += share.Weight
 		calls.Shares = append(calls.Shares, share)
 	}
 	if sum == 0 {
-		checker.findings.add(trouble.OutOfRange, at.String(), "the weights must not add up to 0")
+		checker.findings.add(failure.OutOfRange, at.String(), "the weights must not add up to 0")
 	}
 }
 
@@ -488,7 +488,7 @@
 		}
 		text, err := value.StringBytes()
 		if err != nil {
-			checker.findings.add(trouble.WrongType, at.String(), "a text is needed")
+			checker.findings.add(failure.WrongType, at.String(), "a text is needed")
 		}
 		evacuation.Reason = string(text)
 		return true
@@ -499,11 +499,11 @@
 func (checker *checker) whole(target *int, least, most int, value *fastjson.Value, at place) {
 	number, err := value.Int()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a whole number is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a whole number is needed")
 		return
 	}
 	if number < least || number > most {
-		checker.findings.add(trouble.OutOfRange, at.String(), "the number must be from "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
+		checker.findings.add(failure.OutOfRange, at.String(), "the number must be from "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
 		return
 	}
 	*target = number
@@ -520,11 +520,11 @@
 func (checker *checker) fraction(target *float64, value *fastjson.Value, at place) {
 	number, err := value.Float64()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a number is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a number is needed")
 		return
 	}
 	if !(number >= 0 && number <= math.MaxInt64) {
-		checker.findings.add(trouble.OutOfRange, at.String(), "the number must not be negative, nor beyond all measure")
+		checker.findings.add(failure.OutOfRange, at.String(), "the number must not be negative, nor beyond all measure")
 		return
 	}
 	*target = number
@@ -534,11 +534,11 @@
 func (checker *checker) text(value *fastjson.Value, at place) (string, bool) {
 	text, err := value.StringBytes()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a text is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a text is needed")
 		return "", false
 	}
 	if len(text) == 0 || len(text) > longestText || bytes.ContainsFunc(text, func(letter rune) bool { return letter <= ' ' || letter == 0x7f }) {
-		checker.findings.add(trouble.OutOfRange, at.String(), "the text has a letter at least, "+strconv.Itoa(longestText)+" bytes at most, and no spaces")
+		checker.findings.add(failure.OutOfRange, at.String(), "the text has a letter at least, "+strconv.Itoa(longestText)+" bytes at most, and no spaces")
 		return "", false
 	}
 	return string(text), true
@@ -557,7 +557,7 @@
 		return
 	}
 	if !strings.HasPrefix(text, "/") || !strings.HasSuffix(text, "/") {
-		checker.findings.add(trouble.OutOfRange, at.String(), "a path prefix begins and ends with a slash")
+		checker.findings.add(failure.OutOfRange, at.String(), "a path prefix begins and ends with a slash")
 		return
 	}
 	*target = text
@@ -569,7 +569,7 @@
 		return
 	}
 	if !strings.HasPrefix(text, "/") {
-		checker.findings.add(trouble.OutOfRange, at.String(), "a path begins with a slash")
+		checker.findings.add(failure.OutOfRange, at.String(), "a path begins with a slash")
 		return
 	}
 	*target = text
@@ -578,7 +578,7 @@
 func (checker *checker) texts(target *[]string, value *fastjson.Value, at place) {
 	entries, err := value.Array()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a list of texts is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a list of texts is needed")
 		return
 	}
 	for position, entry := range entries {
@@ -591,7 +591,7 @@
 func (checker *checker) boolean(target *bool, value *fastjson.Value, at place) {
 	decided, err := value.Bool()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "true or false is needed")
+		checker.findings.add(failure.WrongType, at.String(), "true or false is needed")
 		return
 	}
 	*target = decided
@@ -600,11 +600,11 @@
 func (checker *checker) name(target *string, value *fastjson.Value, at place) {
 	text, err := value.StringBytes()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a name is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a name is needed")
 		return
 	}
 	if !isName(string(text)) {
-		checker.findings.add(trouble.OutOfRange, at.String(), nameRule)
+		checker.findings.add(failure.OutOfRange, at.String(), nameRule)
 		return
 	}
 	*target = string(text)
@@ -613,7 +613,7 @@
 func (checker *checker) names(target *[]string, value *fastjson.Value, at place) {
 	entries, err := value.Array()
 	if err != nil {
-		checker.findings.add(trouble.WrongType, at.String(), "a list of names is needed")
+		checker.findings.add(failure.WrongType, at.String(), "a list of names is needed")
 		return
 	}
 	for position, entry := range entries {
@@ -621,7 +621,7 @@
 		here := at.field(strconv.Itoa(position))
 		checker.name(&name, entry, here)
 		if name != "" && slices.Contains(*target, name) {
-			checker.findings.add(trouble.Contradictory, here.String(), "the name stands twice")
+			checker.findings.add(failure.Contradictory, here.String(), "the name stands twice")
 		}
 		*target = append(*target, name)
 	}
--- a/internal/menu/check_test.go
+++ b/internal/config/check_test.go
@@ -1,10 +1,10 @@
-package menu
+package config
 
 import (
 	stderrors "errors"
 	"testing"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 func TestCheckNamesEveryFailureWithPathAndType(t *testing.T) {
@@ -13,13 +13,13 @@
 	if !stderrors.As(err, &findings) {
 		t.Fatalf("no findings: %v", err)
 	}
-	found := map[string]trouble.Kind{}
+	found := map[string]failure.Kind{}
 	for _, entry := range findings.Troubles {
 		found[entry.Path] = entry.Kind
 	}
-	for path, kind := range map[string]trouble.Kind{"/services/chat/tries": trouble.OutOfRange, "/services/chat/colour": trouble.UnknownField,
-		"/services/chat": trouble.Contradictory, "/routes/a/to": trouble.Contradictory, "/routes/b/to": trouble.Missing,
-		"/evacuations/n/reason": trouble.WrongType, "/x": trouble.UnknownField} {
+	for path, kind := range map[string]failure.Kind{"/services/chat/tries": failure.OutOfRange, "/services/chat/colour": failure.UnknownField,
+		"/services/chat": failure.Contradictory, "/routes/a/to": failure.Contradictory, "/routes/b/to": failure.Missing,
+		"/evacuations/n/reason": failure.WrongType, "/x": failure.UnknownField} {
 		if found[path] != kind {
 			t.Errorf("%s: %q, not %q", path, found[path], kind)
 		}
@@ -46,7 +46,7 @@
 			t.Errorf("%s and %s make %s, not %s (%v)", row[0], row[1], merged, row[2], err)
 		}
 	}
-	if _, err := Merge([]byte(`{}`), []byte(`[]`)); trouble.KindOf(err) != trouble.WrongType {
+	if _, err := Merge([]byte(`{}`), []byte(`[]`)); failure.KindOf(err) != failure.WrongType {
 		t.Errorf("a list was merged: %v", err)
 	}
 }
--- a/internal/menu/configuration.go
+++ b/internal/config/configuration.go
@@ -1,6 +1,6 @@
-// Package menu owns the operators' configuration: services, routes and
+// Package config owns the operators' configuration: services, routes and
 // evacuations, how they are checked, and how a partial one is merged.
-package menu
+package config
 
 import (
 	"strconv"
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fastjson"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Configuration is a checked configuration. Text is its JSON.
@@ -38,7 +38,7 @@
 //
 // Example:
 //
-//	configuration := menu.Empty()
+//	configuration := config.Empty()
 func Empty() *Configuration {
 	return &Configuration{Text: []byte(`{}`), Services: map[string]Service{}, Evacuations: map[string]Evacuation{}}
 }
@@ -58,7 +58,7 @@
 //
 // Example:
 //
-//	text, failure := menu.Evacuate(configuration.Text, "north", "power work")
+//	text, failure := config.Evacuate(configuration.Text, "north", "power work")
 func Evacuate(text []byte, district, reason string) ([]byte, error) {
 	if current, evacuated, err := evacuationOf(text, district); err != nil || evacuated && current == reason {
 		return text, err
@@ -74,7 +74,7 @@
 //
 // Example:
 //
-//	text, failure := menu.Restore(configuration.Text, "north")
+//	text, failure := config.Restore(configuration.Text, "north")
 func Restore(text []byte, district string) ([]byte, error) {
 	if _, evacuated, err := evacuationOf(text, district); err != nil || !evacuated {
 		return text, err
@@ -89,7 +89,7 @@
 	defer parsers.Put(parser)
 	root, err := parser.ParseBytes(text)
 	if err != nil {
-		return "", false, trouble.At(trouble.Malformed, "/", err.Error())
+		return "", false, failure.At(failure.Malformed, "/", err.Error())
 	}
 	found := root.Get("evacuations", district)
 	return string(found.GetStringBytes("reason")), found != nil, nil
@@ -108,7 +108,7 @@
 	}
 	merged, err := Merge(text, patch.MarshalTo(nil))
 	if err == nil && len(merged) > MostBytes {
-		return nil, &Findings{Troubles: []*trouble.Trouble{trouble.At(trouble.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")}}
+		return nil, &Findings{Troubles: []*failure.Trouble{failure.At(failure.Oversize, "/", "a configuration has at most "+strconv.Itoa(MostBytes)+" bytes")}}
 	}
 	return merged, err
 }
--- a/internal/menu/evacuation.go
+++ b/internal/config/evacuation.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 // Evacuation keeps work out of a district's servers until it is lifted.
 type Evacuation struct {
--- a/internal/menu/facts.go
+++ b/internal/config/facts.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 // Facts are what a tasting knows of the fleet as it is.
 type Facts struct {
--- a/internal/menu/findings.go
+++ b/internal/config/findings.go
@@ -1,10 +1,10 @@
-package menu
+package config
 
-import "seamloom.example/seamloom/internal/trouble"
+import "seamloom.example/seamloom/internal/failure"
 
 // Findings are all the failures that a check met, each with path and type.
 type Findings struct {
-	Troubles []*trouble.Trouble `json:"failures"`
+	Troubles []*failure.Trouble `json:"failures"`
 }
 
 // MostFindings bounds how many failures one check reports.
@@ -22,8 +22,8 @@
 	return "several failures, the first: " + findings.Troubles[0].Error()
 }
 
-func (findings *Findings) add(kind trouble.Kind, path, detail string) {
+func (findings *Findings) add(kind failure.Kind, path, detail string) {
 	if len(findings.Troubles) < MostFindings {
-		findings.Troubles = append(findings.Troubles, trouble.At(kind, path, detail))
+		findings.Troubles = append(findings.Troubles, failure.At(kind, path, detail))
 	}
 }
--- a/internal/menu/large_test.go
+++ b/internal/config/large_test.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 import (
 	"fmt"
--- a/internal/menu/match.go
+++ b/internal/config/match.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 // Match is the condition of a route. An empty field matches everything.
 type Match struct {
--- a/internal/menu/merge.go
+++ b/internal/config/merge.go
@@ -1,9 +1,9 @@
-package menu
+package config
 
 import (
 	"github.com/valyala/fastjson"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Merge applies a JSON merge patch (RFC 7396) to a configuration's text. The
@@ -11,21 +11,21 @@
 //
 // Example:
 //
-//	text, failure := menu.Merge(current, []byte(`{"routes":{"chat":null}}`))
+//	text, failure := config.Merge(current, []byte(`{"routes":{"chat":null}}`))
 func Merge(text, patch []byte) ([]byte, error) {
 	targetParser, patchParser := parsers.Get(), parsers.Get()
 	defer parsers.Put(targetParser)
 	defer parsers.Put(patchParser)
 	target, err := targetParser.ParseBytes(text)
 	if err != nil {
-		return nil, trouble.At(trouble.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", err.Error())
 	}
 	change, err := patchParser.ParseBytes(patch)
 	if err != nil {
-		return nil, trouble.At(trouble.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", err.Error())
 	}
 	if change.Type() != fastjson.TypeObject {
-		return nil, trouble.At(trouble.WrongType, "/", "a partial configuration is an object")
+		return nil, failure.At(failure.WrongType, "/", "a partial configuration is an object")
 	}
 	return appendMerged(nil, target, change), nil
 }
--- a/internal/menu/remark.go
+++ b/internal/config/remark.go
@@ -1,12 +1,12 @@
-package menu
+package config
 
-import "seamloom.example/seamloom/internal/trouble"
+import "seamloom.example/seamloom/internal/failure"
 
 // Remark is one thing that a tasting found: an error, which the fleet would
 // refuse, or a warning, which it would take.
 type Remark struct {
 	Level string `json:"level"`
-	trouble.Trouble
+	failure.Trouble
 }
 
 // The levels of a remark.
--- a/internal/menu/revise.go
+++ b/internal/config/revise.go
@@ -1,11 +1,11 @@
-package menu
+package config
 
 import (
 	"strconv"
 
 	"github.com/valyala/fastjson"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Revise makes the next revision of a configuration's text: the edit is made only
@@ -14,17 +14,17 @@
 //
 // Example:
 //
-//	next, failure := menu.Revise(current, 5, func([]byte) ([]byte, error) { return proposed, nil })
+//	next, failure := config.Revise(current, 5, func([]byte) ([]byte, error) { return proposed, nil })
 func Revise(text []byte, builds uint64, edit func(text []byte) ([]byte, error)) ([]byte, error) {
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	root, err := parser.ParseBytes(text)
 	if err != nil {
-		return nil, trouble.At(trouble.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", err.Error())
 	}
 	current := root.GetUint64("revision")
 	if current != builds {
-		return nil, trouble.New(trouble.RevisionConflict, strconv.FormatUint(current, 10))
+		return nil, failure.New(failure.RevisionConflict, strconv.FormatUint(current, 10))
 	}
 	edited, err := edit(text)
 	if err != nil {
@@ -34,21 +34,21 @@
 	defer parsers.Put(nextParser)
 	next, err := nextParser.ParseBytes(edited)
 	if err != nil {
-		return nil, finding(trouble.Malformed, "/", err.Error())
+		return nil, finding(failure.Malformed, "/", err.Error())
 	}
 	if next.Type() != fastjson.TypeObject {
-		return nil, finding(trouble.WrongType, "/", "an object is needed, not "+next.Type().String())
+		return nil, finding(failure.WrongType, "/", "an object is needed, not "+next.Type().String())
 	}
 	given := next.Get("revision")
 	if given == nil {
-		return nil, finding(trouble.Missing, "/revision", "a change that builds on a revision gives the next one")
+		return nil, finding(failure.Missing, "/revision", "a change that builds on a revision gives the next one")
 	}
 	revision, err := given.Uint64()
 	switch {
 	case err != nil:
-		return nil, finding(trouble.WrongType, "/revision", "a whole number is needed")
+		return nil, finding(failure.WrongType, "/revision", "a whole number is needed")
 	case revision <= current:
-		return nil, finding(trouble.OutOfRange, "/revision", "the revision must be above "+strconv.FormatUint(current, 10))
+		return nil, finding(failure.OutOfRange, "/revision", "the revision must be above "+strconv.FormatUint(current, 10))
 	}
 	evacuations := root.Get("evacuations")
 	if evacuations == nil || next.Exists("evacuations") {
@@ -58,6 +58,6 @@
 	return next.MarshalTo(make([]byte, 0, len(edited)+64)), nil
 }
 
-func finding(kind trouble.Kind, path, detail string) *Findings {
-	return &Findings{Troubles: []*trouble.Trouble{trouble.At(kind, path, detail)}}
+func finding(kind failure.Kind, path, detail string) *Findings {
+	return &Findings{Troubles: []*failure.Trouble{failure.At(kind, path, detail)}}
 }
--- a/internal/menu/revise_test.go
+++ b/internal/config/revise_test.go
@@ -1,10 +1,10 @@
-package menu
+package config
 
 import (
 	stderrors "errors"
 	"testing"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 func TestReviseBuildsOnOneRevisionAndRises(t *testing.T) {
@@ -14,28 +14,28 @@
 	for _, row := range []struct {
 		name, current, next, want string
 		builds                    uint64
-		kind                      trouble.Kind
+		kind                      failure.Kind
 	}{
 		{"the first", `{}`, `{"revision":3}`, `{"revision":3}`, 0, ""},
 		{"a later one", `{"revision":3}`, `{"revision":9,"services":{}}`, `{"revision":9,"services":{}}`, 3, ""},
 		{"evacuations stay", `{"revision":3,"evacuations":{"n":{"reason":"r"}}}`, `{"revision":4}`, `{"revision":4,"evacuations":{"n":{"reason":"r"}}}`, 3, ""},
 		{"evacuations that are named count", `{"revision":3,"evacuations":{"n":{}}}`, `{"revision":4,"evacuations":{}}`, `{"revision":4,"evacuations":{}}`, 3, ""},
-		{"another base", `{"revision":3}`, `{"revision":9}`, "", 2, trouble.RevisionConflict},
-		{"the first again", `{"revision":3}`, `{"revision":9}`, "", 0, trouble.RevisionConflict},
-		{"not above", `{"revision":3}`, `{"revision":3}`, "", 3, trouble.OutOfRange},
-		{"none", `{"revision":3}`, `{}`, "", 3, trouble.Missing},
-		{"no whole number", `{"revision":3}`, `{"revision":3.5}`, "", 3, trouble.WrongType},
-		{"unreadable", `{"revision":3}`, `{"revision":4`, "", 3, trouble.Malformed},
-		{"a list", `{"revision":3}`, `[]`, "", 3, trouble.WrongType},
+		{"another base", `{"revision":3}`, `{"revision":9}`, "", 2, failure.RevisionConflict},
+		{"the first again", `{"revision":3}`, `{"revision":9}`, "", 0, failure.RevisionConflict},
+		{"not above", `{"revision":3}`, `{"revision":3}`, "", 3, failure.OutOfRange},
+		{"none", `{"revision":3}`, `{}`, "", 3, failure.Missing},
+		{"no whole number", `{"revision":3}`, `{"revision":3.5}`, "", 3, failure.WrongType},
+		{"unreadable", `{"revision":3}`, `{"revision":4`, "", 3, failure.Malformed},
+		{"a list", `{"revision":3}`, `[]`, "", 3, failure.WrongType},
 	} {
 		text, err := Revise([]byte(row.current), row.builds, to(row.next))
-		kind := trouble.Kind("")
+		kind := failure.Kind("")
 		var findings *Findings
 		switch {
 		case stderrors.As(err, &findings):
 			kind = findings.Troubles[0].Kind
 		case err != nil:
-			kind = trouble.KindOf(err)
+			kind = failure.KindOf(err)
 		}
 		if kind != row.kind || string(text) != row.want {
 			t.Errorf("%s: %s, %v", row.name, text, err)
--- a/internal/menu/target.go
+++ b/internal/config/target.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 // Target is what a route does: the districts whose servers may be used (none
 // named means all), whether the courier's own district is preferred, or that
--- a/internal/menu/taste.go
+++ b/internal/config/taste.go
@@ -1,4 +1,4 @@
-package menu
+package config
 
 import (
 	stderrors "errors"
@@ -6,20 +6,20 @@
 	"strconv"
 	"strings"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // The kinds of warning.
 const (
-	UnknownDistrict trouble.Kind = "unknown_district"
-	NoServersLeft   trouble.Kind = "no_servers_left"
-	NoPartLeft      trouble.Kind = "no_part_left"
-	LittleRoom      trouble.Kind = "little_room"
-	NeverReached    trouble.Kind = "never_reached"
-	NoRouteTo       trouble.Kind = "no_route_to_service"
-	MixedFormats    trouble.Kind = "mixed_formats"
-	FewCouriers     trouble.Kind = "few_couriers"
-	Shrinks         trouble.Kind = "service_disappears"
+	UnknownDistrict failure.Kind = "unknown_district"
+	NoServersLeft   failure.Kind = "no_servers_left"
+	NoPartLeft      failure.Kind = "no_part_left"
+	LittleRoom      failure.Kind = "little_room"
+	NeverReached    failure.Kind = "never_reached"
+	NoRouteTo       failure.Kind = "no_route_to_service"
+	MixedFormats    failure.Kind = "mixed_formats"
+	FewCouriers     failure.Kind = "few_couriers"
+	Shrinks         failure.Kind = "service_disappears"
 )
 
 // Taste checks a proposed configuration against the fleet as it is and the
@@ -27,7 +27,7 @@
 //
 // Example:
 //
-//	remarks := menu.Taste(proposed, current, facts)
+//	remarks := config.Taste(proposed, current, facts)
 func Taste(proposed []byte, current *Configuration, facts Facts) []Remark {
 	configuration, err := Check(proposed)
 	var findings *Findings
@@ -60,8 +60,8 @@
 	remarks       []Remark
 }
 
-func (tasting *tasting) warn(kind trouble.Kind, path, detail string) {
-	tasting.remarks = append(tasting.remarks, Remark{Level: WarningLevel, Trouble: *trouble.At(kind, path, detail)})
+func (tasting *tasting) warn(kind failure.Kind, path, detail string) {
+	tasting.remarks = append(tasting.remarks, Remark{Level: WarningLevel, Trouble: *failure.At(kind, path, detail)})
 }
 
 func (tasting *tasting) evacuations() {
--- a/internal/menu/taste_test.go
+++ b/internal/config/taste_test.go
@@ -1,9 +1,9 @@
-package menu
+package config
 
 import (
 	"testing"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 func TestTasteWarnsOfWhatTheFleetWouldTake(t *testing.T) {
@@ -35,7 +35,7 @@
 	if remarks := Taste([]byte(`{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`), nil, Facts{Couriers: 3, Servers: facts.Servers}); len(remarks) != 0 {
 		t.Errorf("a good configuration: %v", remarks)
 	}
-	if remarks := Taste([]byte(`{"x":1}`), nil, facts); len(remarks) != 1 || remarks[0].Level != ErrorLevel || remarks[0].Kind != trouble.UnknownField {
+	if remarks := Taste([]byte(`{"x":1}`), nil, facts); len(remarks) != 1 || remarks[0].Level != ErrorLevel || remarks[0].Kind != failure.UnknownField {
 		t.Errorf("an error: %v", remarks)
 	}
 }
--- a/internal/trouble/kind.go
+++ b/internal/failure/kind.go
@@ -1,4 +1,4 @@
-package trouble
+package failure
 
 // Kind names a sort of trouble; it is also the word that callers and operators
 // read as "type" in JSON.
--- a/internal/trouble/trouble.go
+++ b/internal/failure/trouble.go
@@ -1,5 +1,5 @@
-// Package trouble gives every failure in seamloom a type.
-package trouble
+// Package failure gives every failure in seamloom a type.
+package failure
 
 import (
 	stderrors "errors"
@@ -19,7 +19,7 @@
 //
 // Example:
 //
-//	trouble.New(trouble.NoPrimary, "ask again").Error() // "no_primary: ask again"
+//	failure.New(failure.NoPrimary, "ask again").Error() // "no_primary: ask again"
 func (trouble *Trouble) Error() string {
 	text := string(trouble.Kind)
 	if trouble.Path != "" {
@@ -35,14 +35,14 @@
 //
 // Example:
 //
-//	return trouble.New(trouble.NoHold, "the courier's hold ran out")
+//	return failure.New(failure.NoHold, "the courier's hold ran out")
 func New(kind Kind, detail string) *Trouble { return &Trouble{Kind: kind, Detail: detail} }
 
 // At makes a trouble about the value at a path.
 //
 // Example:
 //
-//	return trouble.At(trouble.WrongType, "/routes/chat/order", "a whole number is needed")
+//	return failure.At(failure.WrongType, "/routes/chat/order", "a whole number is needed")
 func At(kind Kind, path, detail string) *Trouble {
 	return &Trouble{Kind: kind, Path: path, Detail: detail}
 }
@@ -51,7 +51,7 @@
 //
 // Example:
 //
-//	return trouble.Wrap(trouble.Disk, cause)
+//	return failure.Wrap(failure.Disk, cause)
 func Wrap(kind Kind, cause error) error {
 	if cause == nil {
 		return nil
@@ -67,7 +67,7 @@
 //
 // Example:
 //
-//	if trouble.KindOf(failure) == trouble.VersionConflict { ... }
+//	if failure.KindOf(failure) == failure.VersionConflict { ... }
 func KindOf(err error) Kind {
 	var typed *Trouble
 	if stderrors.As(err, &typed) {
@@ -80,7 +80,7 @@
 //
 // Example:
 //
-//	if trouble.DetailOf(failure) == "status 404" { ... }
+//	if failure.DetailOf(failure) == "status 404" { ... }
 func DetailOf(err error) string {
 	var typed *Trouble
 	if stderrors.As(err, &typed) {
--- a/internal/recipe/description.go
+++ b/internal/formats/description.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 // Description tells operators what a flag changes.
 type Description struct {
@@ -17,5 +17,5 @@
 //
 // Example:
 //
-//	for _, description := range recipe.Book() { fmt.Println(description.Name) }
+//	for _, description := range formats.Book() { fmt.Println(description.Name) }
 func Book() []Description { return append([]Description(nil), book...) }
--- a/internal/recipe/entry.go
+++ b/internal/formats/entry.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 import "time"
 
@@ -16,7 +16,7 @@
 //
 // Example:
 //
-//	record, failure := recipe.WriteEntry(recipe.RecoverRecord, entry)
+//	record, failure := formats.WriteEntry(formats.RecoverRecord, entry)
 func WriteEntry(kind RecordKind, entry Entry) (Record, error) {
 	record := NewRecord(kind, entry.Inquiry, entry.Courier, uint64(entry.Run))
 	return record, record.Put("entry", entry)
@@ -26,7 +26,7 @@
 //
 // Example:
 //
-//	entry, failure := recipe.ReadEntry(record)
+//	entry, failure := formats.ReadEntry(record)
 func ReadEntry(record Record) (Entry, error) {
 	var entry Entry
 	_, err := record.readNewest(nil, format{"", "entry", &entry})
--- a/internal/recipe/flag.go
+++ b/internal/formats/flag.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 // Flag names one breaking change of a record format.
 type Flag string
--- a/internal/recipe/format.go
+++ b/internal/formats/format.go
@@ -1,6 +1,6 @@
-package recipe
+package formats
 
-import "seamloom.example/seamloom/internal/trouble"
+import "seamloom.example/seamloom/internal/failure"
 
 // format is one key of a record's features map, with the flag that allows it;
 // the first format of a record needs none.
@@ -34,5 +34,5 @@
 			return format.key, err
 		}
 	}
-	return "", trouble.New(trouble.Garbage, "a record of kind "+string(record.Kind)+" without a format that this build reads")
+	return "", failure.New(failure.Garbage, "a record of kind "+string(record.Kind)+" without a format that this build reads")
 }
--- a/internal/recipe/list.go
+++ b/internal/formats/list.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 import "sort"
 
@@ -10,8 +10,8 @@
 //
 // Example:
 //
-//	recipe.Supported(nil)                                // every flag of the build
-//	recipe.Supported(recipe.List{recipe.OrderPatience})  // the release before it
+//	formats.Supported(nil)                                // every flag of the build
+//	formats.Supported(formats.List{formats.OrderPatience})  // the release before it
 func Supported(withheld List) List {
 	supported := List{}
 	for _, description := range book {
@@ -26,7 +26,7 @@
 //
 // Example:
 //
-//	enabled.Has(recipe.PairPrice)
+//	enabled.Has(formats.PairPrice)
 func (list List) Has(flag Flag) bool {
 	for _, entry := range list {
 		if entry == flag {
@@ -55,7 +55,7 @@
 //
 // Example:
 //
-//	enabled = enabled.With(recipe.PairPrice)
+//	enabled = enabled.With(formats.PairPrice)
 func (list List) With(flags ...Flag) List {
 	joined := append(List(nil), list...)
 	for _, flag := range flags {
--- a/internal/recipe/order.go
+++ b/internal/formats/order.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 import "time"
 
@@ -24,7 +24,7 @@
 //
 // Example:
 //
-//	record, failure := recipe.WriteOrder(order, "courier-1", 9, enabled)
+//	record, failure := formats.WriteOrder(order, "courier-1", 9, enabled)
 func WriteOrder(order Order, writer string, number uint64, enabled List) (Record, error) {
 	record := NewRecord(OrderRecord, order.Server, writer, number)
 	return record, record.putFormats(enabled, format{"", "order", orderFirst{Server: order.Server, Part: order.Part}}, format{OrderPatience, "order_v2", order})
@@ -34,7 +34,7 @@
 //
 // Example:
 //
-//	order, failure := recipe.ReadOrder(record, supported)
+//	order, failure := formats.ReadOrder(record, supported)
 func ReadOrder(record Record, supported List) (Order, error) {
 	var order Order
 	var first orderFirst
--- a/internal/recipe/pair.go
+++ b/internal/formats/pair.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 import "time"
 
@@ -24,7 +24,7 @@
 //
 // Example:
 //
-//	record, failure := recipe.WritePair(pair, "courier-1", enabled)
+//	record, failure := formats.WritePair(pair, "courier-1", enabled)
 func WritePair(pair Pair, writer string, enabled List) (Record, error) {
 	record := NewRecord(PairRecord, pair.Inquiry, writer, uint64(pair.Run))
 	first := pairFirst{Inquiry: pair.Inquiry, Run: pair.Run, Prefill: pair.Prefill, Decode: pair.Decode}
@@ -35,7 +35,7 @@
 //
 // Example:
 //
-//	pair, failure := recipe.ReadPair(record, supported)
+//	pair, failure := formats.ReadPair(record, supported)
 func ReadPair(record Record, supported List) (Pair, error) {
 	var pair Pair
 	var first pairFirst
--- a/internal/recipe/record.go
+++ b/internal/formats/record.go
@@ -1,12 +1,12 @@
-// Package recipe owns record formats: the flags, the supported lists and the
+// Package formats owns record formats: the flags, the supported lists and the
 // records' codecs. Every record has fixed fields, which never change, and a
 // features map, in which a new format is a new key beside the old one.
-package recipe
+package formats
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Record is what nodes write for each other. Kind, Key, Writer and Number are
@@ -23,7 +23,7 @@
 //
 // Example:
 //
-//	record := recipe.NewRecord(recipe.OrderRecord, "stove-1", "courier-2", 7)
+//	record := formats.NewRecord(formats.OrderRecord, "stove-1", "courier-2", 7)
 func NewRecord(kind RecordKind, key, writer string, number uint64) Record {
 	return Record{Kind: kind, Key: key, Writer: writer, Number: number, Features: map[string]msgpack.RawMessage{}}
 }
@@ -32,11 +32,11 @@
 //
 // Example:
 //
-//	failure := record.Put("order", recipe.Order{Part: "decode"})
+//	failure := record.Put("order", formats.Order{Part: "decode"})
 func (record *Record) Put(key string, value any) error {
 	encoded, err := msgpack.Marshal(value)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	record.Features[key] = encoded
 	return nil
@@ -54,7 +54,7 @@
 		return false, nil
 	}
 	if err := msgpack.Unmarshal(encoded, value); err != nil {
-		return false, trouble.Wrap(trouble.Garbage, err)
+		return false, failure.Wrap(failure.Garbage, err)
 	}
 	return true, nil
 }
--- a/internal/recipe/record_test.go
+++ b/internal/formats/record_test.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 import (
 	"testing"
--- a/internal/recipe/streammessage.go
+++ b/internal/formats/streammessage.go
@@ -1,4 +1,4 @@
-package recipe
+package formats
 
 // StreamMessage is one line of a reply on its way between two nodes.
 type StreamMessage struct {
@@ -12,7 +12,7 @@
 //
 // Example:
 //
-//	record, failure := recipe.WriteStreamMessage(message, "courier-1", 4)
+//	record, failure := formats.WriteStreamMessage(message, "courier-1", 4)
 func WriteStreamMessage(message StreamMessage, writer string, number uint64) (Record, error) {
 	record := NewRecord(StreamRecord, message.Inquiry, writer, number)
 	return record, record.Put("stream", message)
@@ -22,7 +22,7 @@
 //
 // Example:
 //
-//	message, failure := recipe.ReadStreamMessage(record)
+//	message, failure := formats.ReadStreamMessage(record)
 func ReadStreamMessage(record Record) (StreamMessage, error) {
 	var message StreamMessage
 	_, err := record.readNewest(nil, format{"", "stream", &message})
--- a/internal/hatch/ask.go
+++ b/internal/hatch/ask.go
@@ -6,14 +6,14 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // leadsAnswer is the part that all answers of expediters have in common.
 type leadsAnswer struct {
-	Leads   bool           `msgpack:"leads"`
-	Charter larder.Charter `msgpack:"charter"`
+	Leads   bool                `msgpack:"leads"`
+	Charter replication.Charter `msgpack:"charter"`
 }
 
 // Ask sends a message to the primary, wherever it is, or through a neighbour
@@ -26,7 +26,7 @@
 func (follower *Follower) Ask(path string, question, answer any, patience time.Duration, ends time.Time) error {
 	body, err := msgpack.Marshal(question)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	reply, err := follower.AskRaw(path, body, patience, ends)
 	if err != nil && unheard(err) {
@@ -35,14 +35,14 @@
 	if err != nil {
 		return err
 	}
-	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(reply, answer))
+	return failure.Wrap(failure.Garbage, msgpack.Unmarshal(reply, answer))
 }
 
 // unheard tells whether a failure says only that no primary was reached, and
 // not what the primary said.
 func unheard(err error) bool {
-	switch trouble.KindOf(err) {
-	case trouble.Unreachable, trouble.Garbage, trouble.NoPrimary:
+	switch failure.KindOf(err) {
+	case failure.Unreachable, failure.Garbage, failure.NoPrimary:
 		return true
 	}
 	return false
@@ -55,7 +55,7 @@
 //	reply, failure := followed.AskRaw(path, body, time.Second, time.Time{})
 func (follower *Follower) AskRaw(path string, body []byte, patience time.Duration, ends time.Time) ([]byte, error) {
 	asked := map[string]bool{}
-	var last error = trouble.New(trouble.NoPrimary, "no expediter is known")
+	var last error = failure.New(failure.NoPrimary, "no expediter is known")
 	for _, address := range follower.candidates() {
 		for address != "" && !asked[address] && follower.turns.Alive() && follower.left(patience, ends) > 0 {
 			asked[address] = true
@@ -70,14 +70,14 @@
 			}
 			var said leadsAnswer
 			if err := msgpack.Unmarshal(reply, &said); err != nil {
-				last = trouble.Wrap(trouble.Garbage, err)
+				last = failure.Wrap(failure.Garbage, err)
 				break
 			}
 			follower.learn(address, said)
 			if said.Leads {
 				return reply, nil
 			}
-			last = trouble.New(trouble.NoPrimary, "no expediter leads")
+			last = failure.New(failure.NoPrimary, "no expediter leads")
 			address = said.Charter.Primary.Address
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 // learnCharter takes a charter that is newer than the one known.
-func (follower *Follower) learnCharter(charter larder.Charter) {
+func (follower *Follower) learnCharter(charter replication.Charter) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if charter.Epoch > follower.charter.Epoch {
@@ -151,7 +151,7 @@
 	follower.mutex.Lock()
 	relays := append([]string(nil), follower.peers[:min(neighbours, len(follower.peers))]...)
 	follower.mutex.Unlock()
-	var last error = trouble.New(trouble.NoPrimary, "no neighbour is known")
+	var last error = failure.New(failure.NoPrimary, "no neighbour is known")
 	for _, address := range relays {
 		if follower.left(patience, ends) <= 0 {
 			break
@@ -175,11 +175,11 @@
 	switch question.Path {
 	case NewsPath, ClaimPath, OrdersPath:
 	default:
-		return nil, trouble.New(trouble.NoSuch, "no such path to relay: "+question.Path)
+		return nil, failure.New(failure.NoSuch, "no such path to relay: "+question.Path)
 	}
 	address, known := follower.knownPrimary()
 	if !known {
-		return nil, trouble.New(trouble.NoPrimary, "this node knows no primary")
+		return nil, failure.New(failure.NoPrimary, "this node knows no primary")
 	}
 	reply, err := follower.line.CallRaw(address, question.Path, question.Body, relayPatience)
 	if err != nil {
@@ -187,11 +187,11 @@
 	}
 	var said leadsAnswer
 	if err := msgpack.Unmarshal(reply, &said); err != nil {
-		return nil, trouble.Wrap(trouble.Garbage, err)
+		return nil, failure.Wrap(failure.Garbage, err)
 	}
 	follower.learn(address, said)
 	if !said.Leads {
-		return nil, trouble.New(trouble.NoPrimary, "the primary that this node knew leads no more")
+		return nil, failure.New(failure.NoPrimary, "the primary that this node knew leads no more")
 	}
 	return reply, nil
 }
--- a/internal/hatch/board.go
+++ b/internal/hatch/board.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Board is who serves opaque calls beside the core's window. A courier tells it what
@@ -13,5 +13,5 @@
 	// and what it goes on without one.
 	SetServing(until time.Time)
 	// SetServers tells which servers there are, before the window knows them.
-	SetServers(now time.Time, servers []roster.Server)
+	SetServers(now time.Time, servers []membership.Server)
 }
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -5,21 +5,21 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Calls is the conduct of opaque calls at one courier: it has the window decide on
 // each, carries the decisions out, and tells the window how they ended. One thread
 // serves one call.
 type Calls struct {
-	turns  rota.Turns
-	window *window.Window
+	turns  lease.Turns
+	window *scheduler.Window
 	// listed is told which servers there are, before any call is sent to them.
-	listed  func(servers []roster.Server)
+	listed  func(servers []membership.Server)
 	servers atomic.Int64
 	leaving atomic.Bool
 	// serving is until when calls are let in; nil: nobody bounds it.
@@ -30,8 +30,8 @@
 //
 // Example:
 //
-//	conduct := hatch.NewCalls(turns, window.New(options), circuits.SetServers)
-func NewCalls(turns rota.Turns, window *window.Window, listed func(servers []roster.Server)) *Calls {
+//	conduct := hatch.NewCalls(turns, scheduler.New(options), circuits.SetServers)
+func NewCalls(turns lease.Turns, window *scheduler.Window, listed func(servers []membership.Server)) *Calls {
 	return &Calls{turns: turns, window: window, listed: listed}
 }
 
@@ -40,8 +40,8 @@
 // Example:
 //
 //	conduct.SetConfiguration(configuration, version)
-func (calls *Calls) SetConfiguration(configuration *menu.Configuration, version larder.Version) {
-	calls.window.SetProgram(window.Compile(configuration, version.Epoch, version.Number))
+func (calls *Calls) SetConfiguration(configuration *config.Configuration, version replication.Version) {
+	calls.window.SetProgram(scheduler.Compile(configuration, version.Epoch, version.Number))
 }
 
 // SetServing bounds until when calls are let in.
@@ -66,7 +66,7 @@
 // Example:
 //
 //	conduct.SetServers(turns.Now(), servers)
-func (calls *Calls) SetServers(now time.Time, servers []roster.Server) {
+func (calls *Calls) SetServers(now time.Time, servers []membership.Server) {
 	calls.listed(servers)
 	calls.window.SetServers(now, servers)
 	calls.servers.Store(int64(len(servers)))
@@ -77,7 +77,9 @@
 // Example:
 //
 //	conduct.SetLoads(turns.Now(), loads)
-func (calls *Calls) SetLoads(now time.Time, loads []window.Load) { calls.window.SetLoads(now, loads) }
+func (calls *Calls) SetLoads(now time.Time, loads []scheduler.Load) {
+	calls.window.SetLoads(now, loads)
+}
 
 // SetCouriers tells how many couriers share the servers.
 //
@@ -134,10 +136,10 @@
 func (calls *Calls) Retire(grace time.Duration) {
 	ends := calls.turns.Now().Add(grace - min(mostLeaveMargin, grace/leaveMarginShare))
 	calls.Leave()
-	rota.Pause(calls.turns, min(noticePause, grace/3))
+	lease.Pause(calls.turns, min(noticePause, grace/3))
 	calls.window.Drain()
 	for calls.turns.Alive() && calls.window.InFlight() > 0 && calls.turns.Now().Before(ends) {
-		rota.Pause(calls.turns, leavingPause)
+		lease.Pause(calls.turns, leavingPause)
 	}
 }
 
@@ -146,34 +148,34 @@
 // Example:
 //
 //	most := conduct.Limits().BodyBytes
-func (calls *Calls) Limits() menu.Limits { return calls.window.Limits() }
+func (calls *Calls) Limits() config.Limits { return calls.window.Limits() }
 
 // Serve serves one call and returns when it is over.
 //
 // Example:
 //
 //	conduct.Serve(call, exchange)
-func (calls *Calls) Serve(call *window.Call, exchange Exchange) {
+func (calls *Calls) Serve(call *scheduler.Call, exchange Exchange) {
 	if !calls.serves() {
-		exchange.Refuse(Refusal{Cause: window.NotReady, Status: statusOf(window.NotReady), RetryAfter: unheldRetry})
+		exchange.Refuse(Refusal{Cause: scheduler.NotReady, Status: statusOf(scheduler.NotReady), RetryAfter: unheldRetry})
 		return
 	}
 	ticket, decision := calls.window.Arrive(calls.turns.Now(), call)
 	// ran tells that a server may have begun the call, before that an earlier one than
 	// the last may have.
 	ran, before := false, false
-	var outcome window.Outcome
+	var outcome scheduler.Outcome
 	for {
 		for _, source := range decision.Free {
 			exchange.Free(source)
 		}
 		switch decision.Kind {
-		case window.Read:
+		case scheduler.Read:
 			outcome = exchange.Read(decision)
-			if outcome.Handle != "" && outcome.Result != window.Complete {
-				exchange.Free(window.Source{Address: decision.Server.Address, Handle: outcome.Handle})
+			if outcome.Handle != "" && outcome.Result != scheduler.Complete {
+				exchange.Free(scheduler.Source{Address: decision.Server.Address, Handle: outcome.Handle})
 			}
-		case window.Run:
+		case scheduler.Run:
 			outcome = exchange.Run(ticket.Route().Calls, decision, func() { calls.window.Began(calls.turns.Now(), ticket) })
 			before, ran = ran, ran || outcome.Result.MayHaveRun()
 		default:
@@ -187,19 +189,19 @@
 // conclude gives the origin the last word. Whatever was decided, no promise is given of
 // what may have run: not our own, and not that of the last server when an earlier one may
 // have begun, which partly tells.
-func conclude(exchange Exchange, decision window.Decision, ran, partly bool) {
+func conclude(exchange Exchange, decision scheduler.Decision, ran, partly bool) {
 	switch decision.Kind {
-	case window.Done:
-	case window.Break:
+	case scheduler.Done:
+	case scheduler.Break:
 		exchange.Break()
-	case window.Through:
+	case scheduler.Through:
 		if partly || !exchange.Through() {
-			exchange.Refuse(Refusal{Cause: window.Broken, Status: http.StatusBadGateway})
+			exchange.Refuse(Refusal{Cause: scheduler.Broken, Status: http.StatusBadGateway})
 		}
 	default:
 		refusal := Refusal{Cause: decision.Cause, RetryAfter: decision.RetryAfter}
 		if ran && refusal.Cause.NeverRan() {
-			refusal = Refusal{Cause: window.Broken}
+			refusal = Refusal{Cause: scheduler.Broken}
 		}
 		refusal.Status = statusOf(refusal.Cause)
 		exchange.Refuse(refusal)
@@ -208,13 +210,13 @@
 
 // statusOf is the status of a refusal. 503 promises that the call has not run and
 // never will; 502 and 504 promise nothing.
-func statusOf(cause window.Cause) int {
+func statusOf(cause scheduler.Cause) int {
 	switch cause {
-	case window.NoRoute:
+	case scheduler.NoRoute:
 		return http.StatusNotFound
-	case window.Broken:
+	case scheduler.Broken:
 		return http.StatusBadGateway
-	case window.BrokenLate:
+	case scheduler.BrokenLate:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusServiceUnavailable
--- a/internal/hatch/calls_test.go
+++ b/internal/hatch/calls_test.go
@@ -6,31 +6,33 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // scriptedExchange answers dispatches as a test says and notes what is done.
 type scriptedExchange struct {
-	outcomes []window.Outcome
+	outcomes []scheduler.Outcome
 	kept     bool
 	done     []string
 	refused  Refusal
-	freed    []window.Source
+	freed    []scheduler.Source
 }
 
-func (exchange *scriptedExchange) next(kind string) window.Outcome {
+func (exchange *scriptedExchange) next(kind string) scheduler.Outcome {
 	exchange.done = append(exchange.done, kind)
 	outcome := exchange.outcomes[0]
 	exchange.outcomes = exchange.outcomes[1:]
 	return outcome
 }
 
-func (exchange *scriptedExchange) Read(window.Decision) window.Outcome { return exchange.next("read") }
+func (exchange *scriptedExchange) Read(scheduler.Decision) scheduler.Outcome {
+	return exchange.next("read")
+}
 
-func (exchange *scriptedExchange) Run(*menu.CallRoute, window.Decision, func()) window.Outcome {
+func (exchange *scriptedExchange) Run(*config.CallRoute, scheduler.Decision, func()) scheduler.Outcome {
 	return exchange.next("run")
 }
 
@@ -45,54 +47,54 @@
 
 func (exchange *scriptedExchange) Break() { exchange.done = append(exchange.done, "break") }
 
-func (exchange *scriptedExchange) Free(source window.Source) {
+func (exchange *scriptedExchange) Free(source scheduler.Source) {
 	exchange.freed = append(exchange.freed, source)
 }
 
 func newCalls(t *testing.T, parts ...string) (*Calls, *threads.Threads) {
 	t.Helper()
 	turns := threads.New(t.Context(), wallclock.New())
-	calls := NewCalls(turns, window.New(window.Options{Courier: "courier-1", District: "north", FurtherTries: window.Allowance{Ratio: 9, Slack: 1000, Span: time.Second}}), func([]roster.Server) {})
-	configuration := menu.Empty()
-	configuration.Services = map[string]menu.Service{"desk": {Name: "desk", Circuits: 300, Engine: menu.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
+	calls := NewCalls(turns, scheduler.New(scheduler.Options{Courier: "courier-1", District: "north", FurtherTries: scheduler.Allowance{Ratio: 9, Slack: 1000, Span: time.Second}}), func([]membership.Server) {})
+	configuration := config.Empty()
+	configuration.Services = map[string]config.Service{"desk": {Name: "desk", Circuits: 300, Engine: config.Engine{Slots: 64, MemoryTokens: 300_000, TokenBytes: 18_000,
 		LinkBits: 5e11, TokensAPiece: 5, HandleLife: 5 * time.Second, Models: []string{"m"}}}}
 	configuration.Limits.BodyBytes = 7
 	for name, repeatable := range map[string]bool{"once": false, "again": true} {
-		configuration.Routes = append(configuration.Routes, menu.Route{Name: name, Match: menu.Match{Host: "h", PathPrefix: "/" + name + "/"},
-			Calls: &menu.CallRoute{Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 2, Repeatable: repeatable}})
+		configuration.Routes = append(configuration.Routes, config.Route{Name: name, Match: config.Match{Host: "h", PathPrefix: "/" + name + "/"},
+			Calls: &config.CallRoute{Shares: []config.Share{{Service: "desk", Weight: 1}}, Limit: 3 * time.Second, Aim: 400 * time.Millisecond, Tries: 2, Repeatable: repeatable}})
 	}
-	calls.SetConfiguration(configuration, larder.Version{Epoch: 1, Number: 1})
-	var servers []roster.Server
+	calls.SetConfiguration(configuration, replication.Version{Epoch: 1, Number: 1})
+	var servers []membership.Server
 	for _, part := range parts {
 		name := "stove-" + string(rune('a'+len(servers)))
-		servers = append(servers, roster.Server{Name: name, Address: name + ":1", District: "north", Service: "desk", Part: part, Slots: 64, Models: []string{"m"}})
+		servers = append(servers, membership.Server{Name: name, Address: name + ":1", District: "north", Service: "desk", Part: part, Slots: 64, Models: []string{"m"}})
 	}
 	calls.SetCouriers(1)
 	calls.SetServers(turns.Now(), servers)
 	return calls, turns
 }
 
-func arriving(path string) *window.Call {
-	return &window.Call{ID: "id", Host: "h", Path: path, Model: "m", PromptTokens: 100, OutputTokens: 10, Ends: time.Now().Add(2 * time.Second)}
+func arriving(path string) *scheduler.Call {
+	return &scheduler.Call{ID: "id", Host: "h", Path: path, Model: "m", PromptTokens: 100, OutputTokens: 10, Ends: time.Now().Add(2 * time.Second)}
 }
 
 func TestCallsGiveNoPromiseOfWhatMayHaveRun(t *testing.T) {
 	for name, given := range map[string]struct {
 		path     string
-		outcomes []window.Outcome
+		outcomes []scheduler.Outcome
 		kept     bool
 		status   int
 		last     string
 	}{
 		"no route":                     {"/none/", nil, false, 404, "refuse"},
-		"never reached":                {"/once/", []window.Outcome{{Result: window.Unreached}, {Result: window.Unreached}, {Result: window.Unreached}}, false, 503, "refuse"},
-		"silent once":                  {"/once/", []window.Outcome{{Result: window.Silent}}, false, 502, "refuse"},
-		"silent, then shed":            {"/again/", []window.Outcome{{Result: window.Silent}, {Result: window.NotStarted, Status: 503}}, true, 502, "refuse"},
-		"its own failure":              {"/once/", []window.Outcome{{Result: window.Answered, Status: 500}}, true, 0, "through"},
-		"its own that can't be passed": {"/once/", []window.Outcome{{Result: window.Answered, Status: 503}}, false, 502, "refuse"},
-		"a cut":                        {"/once/", []window.Outcome{{Result: window.Cut}}, false, 0, "break"},
-		"complete":                     {"/once/", []window.Outcome{{Result: window.Complete}}, false, 0, "run"},
-		"the origin left":              {"/once/", []window.Outcome{{Result: window.Gone}}, false, 0, "run"},
+		"never reached":                {"/once/", []scheduler.Outcome{{Result: scheduler.Unreached}, {Result: scheduler.Unreached}, {Result: scheduler.Unreached}}, false, 503, "refuse"},
+		"silent once":                  {"/once/", []scheduler.Outcome{{Result: scheduler.Silent}}, false, 502, "refuse"},
+		"silent, then shed":            {"/again/", []scheduler.Outcome{{Result: scheduler.Silent}, {Result: scheduler.NotStarted, Status: 503}}, true, 502, "refuse"},
+		"its own failure":              {"/once/", []scheduler.Outcome{{Result: scheduler.Answered, Status: 500}}, true, 0, "through"},
+		"its own that can't be passed": {"/once/", []scheduler.Outcome{{Result: scheduler.Answered, Status: 503}}, false, 502, "refuse"},
+		"a cut":                        {"/once/", []scheduler.Outcome{{Result: scheduler.Cut}}, false, 0, "break"},
+		"complete":                     {"/once/", []scheduler.Outcome{{Result: scheduler.Complete}}, false, 0, "run"},
+		"the origin left":              {"/once/", []scheduler.Outcome{{Result: scheduler.Gone}}, false, 0, "run"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			calls, _ := newCalls(t, "decode", "decode", "decode")
@@ -115,9 +117,9 @@
 	calls, _ := newCalls(t, "prefill", "decode")
 	call := arriving("/once/")
 	call.PromptTokens = 9000
-	exchange := &scriptedExchange{outcomes: []window.Outcome{{Result: window.Complete, Handle: "h1"}, {Result: window.Gone}}}
+	exchange := &scriptedExchange{outcomes: []scheduler.Outcome{{Result: scheduler.Complete, Handle: "h1"}, {Result: scheduler.Gone}}}
 	calls.Serve(call, exchange)
-	if len(exchange.done) != 2 || len(exchange.freed) != 1 || exchange.freed[0] != (window.Source{Address: "stove-a:1", Handle: "h1"}) {
+	if len(exchange.done) != 2 || len(exchange.freed) != 1 || exchange.freed[0] != (scheduler.Source{Address: "stove-a:1", Handle: "h1"}) {
 		t.Fatalf("%v %v", exchange.done, exchange.freed)
 	}
 }
@@ -127,7 +129,7 @@
 	if calls.Ready() {
 		t.Fatal("ready without servers")
 	}
-	calls.SetServers(turns.Now(), []roster.Server{{Name: "stove-1", Address: "a:1"}})
+	calls.SetServers(turns.Now(), []membership.Server{{Name: "stove-1", Address: "a:1"}})
 	if !calls.Ready() || calls.Limits().BodyBytes != 7 {
 		t.Fatal("not ready")
 	}
@@ -137,7 +139,7 @@
 	}
 	exchange := &scriptedExchange{}
 	calls.Serve(arriving("/once/"), exchange)
-	if exchange.refused.Status != 503 || exchange.refused.Cause != window.Leaving {
+	if exchange.refused.Status != 503 || exchange.refused.Cause != scheduler.Leaving {
 		t.Fatalf("%+v", exchange.refused)
 	}
 }
@@ -145,12 +147,12 @@
 // TestTheLastWordPromisesNothingOfWhatMayHaveRun whatever was decided.
 func TestTheLastWordPromisesNothingOfWhatMayHaveRun(t *testing.T) {
 	exchange := &scriptedExchange{kept: true}
-	conclude(exchange, window.Decision{Kind: window.Refuse, Cause: window.Full, RetryAfter: time.Second}, true, false)
+	conclude(exchange, scheduler.Decision{Kind: scheduler.Refuse, Cause: scheduler.Full, RetryAfter: time.Second}, true, false)
 	if exchange.refused.Status != 502 || exchange.refused.RetryAfter != 0 {
 		t.Errorf("a refusal after a run: %+v", exchange.refused)
 	}
 	exchange = &scriptedExchange{kept: true}
-	conclude(exchange, window.Decision{Kind: window.Through}, true, true)
+	conclude(exchange, scheduler.Decision{Kind: scheduler.Through}, true, true)
 	if exchange.refused.Status != 502 {
 		t.Errorf("a promise of the last server after another's run: %+v, %v", exchange.refused, exchange.done)
 	}
--- a/internal/hatch/copies.go
+++ b/internal/hatch/copies.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // copies are what expediters that are not primary said of their copies, by address.
@@ -13,7 +13,7 @@
 
 type copySaid struct {
 	at      time.Time
-	charter larder.Charter
+	charter replication.Charter
 	copied  CopyNews
 }
 
@@ -36,10 +36,10 @@
 // where it lies. What was acknowledged is on every copy that the newest charter names,
 // so it takes the oldest among them, and only when each has spoken or is lost, and when
 // a quorum of the keepers has told the charter.
-func (copies *copies) choose(now time.Time) (address string, version larder.Version, found bool) {
-	var charter larder.Charter
-	spoken := map[larder.Identity]bool{}
-	at := map[larder.Identity]string{}
+func (copies *copies) choose(now time.Time) (address string, version replication.Version, found bool) {
+	var charter replication.Charter
+	spoken := map[replication.Identity]bool{}
+	at := map[replication.Identity]string{}
 	for place, said := range copies.said {
 		if now.Sub(said.at) > copyFresh {
 			continue
@@ -69,5 +69,5 @@
 			address, version, found = at[seat.Identity], said.Menu, true
 		}
 	}
-	return address, version, found && version != (larder.Version{})
+	return address, version, found && version != (replication.Version{})
 }
--- a/internal/hatch/copynews.go
+++ b/internal/hatch/copynews.go
@@ -1,32 +1,32 @@
 package hatch
 
-import "seamloom.example/seamloom/internal/larder"
+import "seamloom.example/seamloom/internal/replication"
 
 // CopyNews is what an expediter that is not primary says of the copy on its disk, to
 // a courier that has no configuration in its life.
 type CopyNews struct {
-	Identity larder.Identity `msgpack:"identity"`
-	Damaged  bool            `msgpack:"damaged,omitempty"`
+	Identity replication.Identity `msgpack:"identity"`
+	Damaged  bool                 `msgpack:"damaged,omitempty"`
 	// Menu is the version of the copy's configuration.
-	Menu larder.Version `msgpack:"menu"`
+	Menu replication.Version `msgpack:"menu"`
 	// Drawers are what a courier needs to serve, when it asked for this version.
-	Drawers map[string]larder.Drawer `msgpack:"drawers,omitempty"`
+	Drawers map[string]replication.Drawer `msgpack:"drawers,omitempty"`
 }
 
 // provisionalDrawers are those that a courier has from a copy. Orders and duties are
 // not among them: they need a primary.
-var provisionalDrawers = []string{larder.MenuDrawer, larder.MembersDrawer, larder.FlagsDrawer}
+var provisionalDrawers = []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer}
 
 // copyNews tells of the own copy, with its drawers if their version is the wanted one.
-func (expediter *Expediter) copyNews(wanted larder.Version) *CopyNews {
+func (expediter *Expediter) copyNews(wanted replication.Version) *CopyNews {
 	copied := expediter.store.Copy()
 	news := &CopyNews{Identity: expediter.keeper.Seat().Identity, Damaged: copied.Damage() != ""}
 	drawers := copied.Drawers()
-	news.Menu = drawers[larder.MenuDrawer].Version
-	if news.Damaged || wanted == (larder.Version{}) || news.Menu != wanted {
+	news.Menu = drawers[replication.MenuDrawer].Version
+	if news.Damaged || wanted == (replication.Version{}) || news.Menu != wanted {
 		return news
 	}
-	news.Drawers = map[string]larder.Drawer{}
+	news.Drawers = map[string]replication.Drawer{}
 	for _, name := range provisionalDrawers {
 		if drawer, found := drawers[name]; found {
 			news.Drawers[name] = drawer
@@ -43,7 +43,7 @@
 		return answer
 	}
 	if question.Lists {
-		answer.Servers = expediter.provisionalServers(question.Wanted != (larder.Version{}))
+		answer.Servers = expediter.provisionalServers(question.Wanted != (replication.Version{}))
 	}
 	answer.Copy = expediter.copyNews(question.Wanted)
 	return answer
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const (
@@ -26,22 +26,22 @@
 
 func (expediter *Expediter) table() Answers {
 	return Answers{
-		HelloPath: answering(func(hello larder.Hello) (larder.Hello, error) { return expediter.steward.Greet(hello), nil }),
-		PreparePath: answering(func(question keeperQuestion) (larder.Promise, error) {
+		HelloPath: answering(func(hello replication.Hello) (replication.Hello, error) { return expediter.steward.Greet(hello), nil }),
+		PreparePath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
-				return larder.Promise{}, err
+				return replication.Promise{}, err
 			}
 			return expediter.keeper.Prepare(expediter.turns.Now(), question.Epoch, question.From)
 		}),
-		AcceptPath: answering(func(question keeperQuestion) (larder.Promise, error) {
+		AcceptPath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
-				return larder.Promise{}, err
+				return replication.Promise{}, err
 			}
 			return expediter.keeper.Accept(expediter.turns.Now(), question.Charter)
 		}),
-		ConfirmPath: answering(func(question keeperQuestion) (larder.Promise, error) {
+		ConfirmPath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
-				return larder.Promise{}, err
+				return replication.Promise{}, err
 			}
 			return expediter.keeper.Confirm(expediter.turns.Now(), question.Epoch, question.From), nil
 		}),
@@ -65,36 +65,36 @@
 		}),
 		NewsPath: answering(expediter.answerNews),
 		ClaimPath: answering(func(question ClaimQuestion) (LedAnswer, error) {
-			return expediter.led(larder.Claim(question.Made, question.Entry))
+			return expediter.led(replication.Claim(question.Made, question.Entry))
 		}),
 		OrdersPath: answering(func(question OrdersQuestion) (LedAnswer, error) {
-			return expediter.led(larder.GiveOrders(question.Duty, question.Orders, question.Supported))
+			return expediter.led(replication.GiveOrders(question.Duty, question.Orders, question.Supported))
 		}),
 	}
 }
 
 // mine guards against messages for another disk at the same address.
-func (expediter *Expediter) mine(identity larder.Identity) error {
+func (expediter *Expediter) mine(identity replication.Identity) error {
 	if own := expediter.keeper.Seat().Identity; identity != own {
-		return trouble.New(trouble.NotAdmitted, "another disk is at this address now")
+		return failure.New(failure.NotAdmitted, "another disk is at this address now")
 	}
 	return nil
 }
 
 // led carries out a node's change if this expediter is primary.
-func (expediter *Expediter) led(change larder.Change) (LedAnswer, error) {
+func (expediter *Expediter) led(change replication.Change) (LedAnswer, error) {
 	if _, _, err := expediter.Ruling(); err != nil {
 		return LedAnswer{Charter: expediter.steward.Charter()}, nil
 	}
 	_, err := expediter.submit(change, claimPatience)
-	if trouble.KindOf(err) == trouble.NotPrimary {
+	if failure.KindOf(err) == failure.NotPrimary {
 		return LedAnswer{Charter: expediter.steward.Charter()}, nil
 	}
 	return LedAnswer{Leads: true}, err
 }
 
 // followedDrawers are those that nodes follow.
-var followedDrawers = []string{larder.MenuDrawer, larder.MembersDrawer, larder.FlagsDrawer, larder.OrdersDrawer}
+var followedDrawers = []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer, replication.OrdersDrawer}
 
 // answerNews registers the node if needed, waits for news, and grants a hold
 // for the configuration that the answer confirms.
@@ -105,10 +105,10 @@
 		return elsewhere()
 	}
 	if question.Brief {
-		return NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer)}, nil
+		return NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(replication.MenuDrawer)}, nil
 	}
 	name := question.Member.Name
-	courier := question.Member.Kind == roster.Courier
+	courier := question.Member.Kind == membership.Courier
 	arrived := expediter.turns.Now()
 	expediter.mutex.Lock()
 	current.asked[name] = arrived
@@ -124,7 +124,7 @@
 	if recorded, found := state.Members[name]; !found || !recorded.Same(question.Member) {
 		member := question.Member
 		member.Since = expediter.turns.Wall()
-		if _, err := expediter.submit(larder.Register(member), registerPatience); err != nil {
+		if _, err := expediter.submit(replication.Register(member), registerPatience); err != nil {
 			return NewsAnswer{}, err
 		}
 	}
@@ -132,7 +132,7 @@
 		if view = expediter.awaitNews(question); view == nil {
 			return elsewhere()
 		}
-		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(larder.MenuDrawer), Drawers: newer(view, question.Have)}
+		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(replication.MenuDrawer), Drawers: newer(view, question.Have)}
 		answer.shorten(question, current)
 		now := expediter.turns.Now()
 		answer.Held = now.Sub(arrived)
@@ -145,7 +145,7 @@
 			// From here the courier may act for as long as the hold says,
 			// counted from when it asked, which was earlier.
 			current.Holds.Grant(now, name, question.InForce.Number)
-			answer.Hold = rota.DefaultTerms().Hold
+			answer.Hold = lease.DefaultTerms().Hold
 			answer.Duties = current.keys.Renew(now, name, state.Rota.Duties, current.candidates(now, state))
 			answer.Couriers = current.couriers(now, state)
 		}
@@ -155,9 +155,9 @@
 		if latest == nil || !expediter.steward.Holds() {
 			return elsewhere()
 		}
-		if latest.VersionOf(larder.MenuDrawer) == answer.Menu {
+		if latest.VersionOf(replication.MenuDrawer) == answer.Menu {
 			if answer.Charter.Epoch <= question.Charter {
-				answer.Charter = larder.Charter{}
+				answer.Charter = replication.Charter{}
 			}
 			expediter.count(answer)
 			return answer, nil
@@ -168,16 +168,16 @@
 // shorten sends what changed of the configuration instead of all of it, if the
 // node takes that and has a version that was shown here.
 func (answer *NewsAnswer) shorten(question NewsQuestion, current *Reign) {
-	drawer, found := answer.Drawers[larder.MenuDrawer]
+	drawer, found := answer.Drawers[replication.MenuDrawer]
 	if !found {
 		return
 	}
-	delta, made := current.editions.towards(drawer, question.Have[larder.MenuDrawer])
+	delta, made := current.editions.towards(drawer, question.Have[replication.MenuDrawer])
 	if !made || !question.Deltas {
 		return
 	}
-	delete(answer.Drawers, larder.MenuDrawer)
-	answer.Deltas = map[string]Delta{larder.MenuDrawer: delta}
+	delete(answer.Drawers, replication.MenuDrawer)
+	answer.Deltas = map[string]Delta{replication.MenuDrawer: delta}
 }
 
 // count adds an answer's drawers to what news has cost.
@@ -185,7 +185,7 @@
 	expediter.newsAnswers.Add(1)
 	for name, drawer := range answer.Drawers {
 		expediter.newsBytes.Add(uint64(len(drawer.Content)))
-		if name == larder.MenuDrawer {
+		if name == replication.MenuDrawer {
 			expediter.menusSent.Add(1)
 		}
 	}
@@ -195,14 +195,14 @@
 	}
 }
 
-func newer(view *larder.View, have map[string]larder.Version) map[string]larder.Drawer {
-	drawers := map[string]larder.Drawer{}
+func newer(view *replication.View, have map[string]replication.Version) map[string]replication.Drawer {
+	drawers := map[string]replication.Drawer{}
 	for _, name := range followedDrawers {
 		drawer, found := view.Drawers[name]
 		switch {
-		case !found && name == larder.MenuDrawer:
+		case !found && name == replication.MenuDrawer:
 			// A fleet that was given no configuration has the empty one.
-			drawer = larder.Drawer{Content: menu.Empty().Text}
+			drawer = replication.Drawer{Content: config.Empty().Text}
 			if _, told := have[name]; told {
 				continue
 			}
@@ -210,7 +210,7 @@
 			if _, told := have[name]; told {
 				continue
 			}
-			drawer = larder.Drawer{}
+			drawer = replication.Drawer{}
 		}
 		if version, told := have[name]; !told || version.Before(drawer.Version) {
 			drawers[name] = drawer
@@ -228,8 +228,8 @@
 
 // awaitNews returns the view as soon as it has news for the question, or when
 // its patience ends; nil when this expediter is not primary any more.
-func (expediter *Expediter) awaitNews(question NewsQuestion) *larder.View {
-	var seen *larder.View
+func (expediter *Expediter) awaitNews(question NewsQuestion) *replication.View {
+	var seen *replication.View
 	expediter.news.Wait(min(max(question.Patience, 0), mostNewsWait), func() bool {
 		_, view, err := expediter.Ruling()
 		if err != nil {
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -7,18 +7,18 @@
 	"time"
 
 	"seamloom.example/seamloom"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Courier is the data plane's conduct at one node: it follows the primary, has
 // inquiries decided by the core, and carries the decisions out.
 type Courier struct {
-	turns   rota.Turns
+	turns   lease.Turns
 	line    Hotline
 	stove   Stove
 	passing Passing
@@ -28,11 +28,11 @@
 	board   Board
 	// stirred rings when there is more to do than before, crumbs when records are to
 	// go to a neighbour.
-	stirred rota.Bell
+	stirred lease.Bell
 	resting atomic.Int64
 	// couriers is how many share the servers.
 	couriers    atomic.Int64
-	crumbs      rota.Bell
+	crumbs      lease.Bell
 	followed    *Follower
 	journal     *Journal
 	answers     Answers
@@ -42,11 +42,11 @@
 	mutex   sync.Mutex
 	streams map[string]*stream
 	tokens  map[string]string
-	members map[string]roster.Member
-	nodes   []roster.Node
+	members map[string]membership.Member
+	nodes   []membership.Node
 
 	listMutex sync.Mutex
-	listing   roster.Listing
+	listing   membership.Listing
 	watched   map[string]bool
 }
 
@@ -74,11 +74,11 @@
 // Example:
 //
 //	courier := hatch.NewCourier(turns, line, stove, passing, options, observe)
-func NewCourier(turns rota.Turns, line Hotline, stove Stove, passing Passing, options CourierOptions, observe func(string, ...any)) *Courier {
+func NewCourier(turns lease.Turns, line Hotline, stove Stove, passing Passing, options CourierOptions, observe func(string, ...any)) *Courier {
 	courier := &Courier{turns: turns, line: line, stove: stove, passing: passing, options: options, observe: observe,
 		core: seamloom.New(options.Options), stirred: turns.NewBell(), crumbs: turns.NewBell(), journal: newJournal(), incarnation: options.Nonce(),
-		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]roster.Member{}, watched: map[string]bool{}}
-	member := roster.Member{Name: options.Courier, Kind: roster.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
+		streams: map[string]*stream{}, tokens: map[string]string{}, members: map[string]membership.Member{}, watched: map[string]bool{}}
+	member := membership.Member{Name: options.Courier, Kind: membership.Courier, Address: options.Address, District: options.District, Supported: options.Supported}
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
 	if options.Board != nil {
 		courier.board = options.Board(courier.core.Calls())
@@ -187,9 +187,9 @@
 // Example:
 //
 //	version := courier.InForce()
-func (courier *Courier) InForce() larder.Version {
+func (courier *Courier) InForce() replication.Version {
 	epoch, number := courier.core.InForce()
-	return larder.Version{Epoch: epoch, Number: number}
+	return replication.Version{Epoch: epoch, Number: number}
 }
 
 // Apply feeds one event to the core and carries its decisions out.
@@ -216,7 +216,7 @@
 func (courier *Courier) table() Answers {
 	return Answers{
 		RelayPath: answering(courier.followed.Relay),
-		CrumbsPath: answering(func(records []recipe.Record) (bool, error) {
+		CrumbsPath: answering(func(records []formats.Record) (bool, error) {
 			for _, record := range records {
 				courier.journal.append(record, false)
 			}
@@ -224,8 +224,8 @@
 		}),
 		// A courier may stand among another process's seeds: it says where the
 		// core is.
-		HelloPath: answering(func(larder.Hello) (larder.Hello, error) {
-			return larder.Hello{Kind: roster.Courier, Charter: courier.followed.Charter()}, nil
+		HelloPath: answering(func(replication.Hello) (replication.Hello, error) {
+			return replication.Hello{Kind: membership.Courier, Charter: courier.followed.Charter()}, nil
 		}),
 		NewsPath: answering(func(NewsQuestion) (NewsAnswer, error) {
 			return NewsAnswer{Charter: courier.followed.Charter()}, nil
@@ -243,20 +243,20 @@
 		courier.takeProvisional(news)
 		return
 	}
-	if drawer, found := news.Changed[larder.MenuDrawer]; found {
+	if drawer, found := news.Changed[replication.MenuDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
 		courier.observe("configuration_in_force", "version", drawer.Version.String())
 	}
-	state, err := larder.ReadState(news.Changed)
+	state, err := replication.ReadState(news.Changed)
 	if err != nil {
 		courier.observe("news_unreadable", "cause", err)
 		return
 	}
-	if _, found := news.Changed[larder.FlagsDrawer]; found {
+	if _, found := news.Changed[replication.FlagsDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
 		courier.observe("flags_read", "enabled", state.Flags.Enabled, "restricted", courier.core.Restricted())
 	}
-	if _, found := news.Changed[larder.OrdersDrawer]; found {
+	if _, found := news.Changed[replication.OrdersDrawer]; found {
 		courier.Apply(pass.Event{Kind: pass.OrdersRead, Orders: courier.core.ReadOrders(state.Orders.Records)})
 	}
 	courier.takeMembers(news, state)
@@ -272,7 +272,7 @@
 // takeProvisional serves by what the copies hold, before there is a primary: what the
 // configuration is read by comes first. It is no hold, and allows no duty.
 func (courier *Courier) takeProvisional(news News) {
-	state, err := larder.ReadState(news.Changed)
+	state, err := replication.ReadState(news.Changed)
 	if err != nil {
 		courier.observe("news_unreadable", "cause", err)
 		return
@@ -280,7 +280,7 @@
 	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
 	courier.takeMembers(news, state)
 	courier.takeLists(news)
-	drawer := news.Changed[larder.MenuDrawer]
+	drawer := news.Changed[replication.MenuDrawer]
 	courier.Apply(pass.Event{Kind: pass.MenuLent, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
 	courier.showServing()
 	courier.stir()
@@ -288,8 +288,8 @@
 }
 
 // takeMembers takes the recorded members, if there are others.
-func (courier *Courier) takeMembers(news News, state *larder.State) {
-	if _, found := news.Changed[larder.MembersDrawer]; !found {
+func (courier *Courier) takeMembers(news News, state *replication.State) {
+	if _, found := news.Changed[replication.MembersDrawer]; !found {
 		return
 	}
 	courier.mutex.Lock()
@@ -317,7 +317,7 @@
 }
 
 // setNodes takes the platform's list of nodes.
-func (courier *Courier) setNodes(nodes []roster.Node) {
+func (courier *Courier) setNodes(nodes []membership.Node) {
 	courier.mutex.Lock()
 	courier.nodes = nodes
 	courier.mutex.Unlock()
@@ -331,7 +331,7 @@
 	courier.mutex.Lock()
 	var contacts []string
 	for _, node := range courier.nodes {
-		if node.Kind == roster.Expediter {
+		if node.Kind == membership.Expediter {
 			contacts = append(contacts, node.Address)
 		}
 	}
@@ -342,7 +342,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		member := courier.members[name]
-		if member.Kind == roster.Expediter && !slices.Contains(contacts, member.Address) {
+		if member.Kind == membership.Expediter && !slices.Contains(contacts, member.Address) {
 			contacts = append(contacts, member.Address)
 		}
 	}
@@ -355,10 +355,10 @@
 }
 
 // couriersOf are the names of the couriers among recorded members.
-func couriersOf(members map[string]roster.Member) []string {
+func couriersOf(members map[string]membership.Member) []string {
 	var names []string
 	for name, member := range members {
-		if member.Kind == roster.Courier {
+		if member.Kind == membership.Courier {
 			names = append(names, name)
 		}
 	}
@@ -366,12 +366,12 @@
 }
 
 // nearest are the other recorded couriers, by rendezvous, no more than so many.
-func (courier *Courier) nearest(most int) []roster.Member {
+func (courier *Courier) nearest(most int) []membership.Member {
 	courier.mutex.Lock()
 	defer courier.mutex.Unlock()
 	names := couriersOf(courier.members)
-	var members []roster.Member
-	for _, name := range roster.Neighbours(courier.options.Courier, names, most) {
+	var members []membership.Member
+	for _, name := range membership.Neighbours(courier.options.Courier, names, most) {
 		members = append(members, courier.members[name])
 	}
 	return members
@@ -382,7 +382,7 @@
 	for courier.turns.Alive() {
 		courier.crumbs.Wait(restTick, courier.journal.outgoing)
 		courier.dropCrumbs()
-		rota.Pause(courier.turns, crumbsPause)
+		lease.Pause(courier.turns, crumbsPause)
 	}
 }
 
@@ -412,7 +412,7 @@
 func (courier *Courier) Serve(arrival Arrival, reply Reply) {
 	inquiry := arrival.Inquiry
 	if !courier.meant(arrival) {
-		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Duplicate, Detail: "this passing-on was brought before, or to another life of this courier"})
+		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: failure.Duplicate, Detail: "this passing-on was brought before, or to another life of this courier"})
 		return
 	}
 	stream := newStream(courier.turns)
@@ -423,7 +423,7 @@
 	}
 	courier.mutex.Unlock()
 	if busy {
-		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Refused, Type: trouble.Duplicate, Detail: "the inquiry is under way"})
+		sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Refused, Type: failure.Duplicate, Detail: "the inquiry is under way"})
 		return
 	}
 	defer func() {
@@ -464,9 +464,9 @@
 				// The process ends in the middle: what happened to the run is
 				// not known here any more.
 				if stream.sent == 0 {
-					sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: trouble.Draining})
+					sayLine(reply, ReplyLine{Inquiry: inquiry.ID, Final: pass.Unknown, Type: failure.Draining})
 				} else {
-					_ = reply.Line(ReplyLine{Inquiry: inquiry.ID, Final: pass.Failed, Type: trouble.Draining, Pieces: stream.sent}.encode())
+					_ = reply.Line(ReplyLine{Inquiry: inquiry.ID, Final: pass.Failed, Type: failure.Draining, Pieces: stream.sent}.encode())
 				}
 				return
 			}
--- a/internal/hatch/courier_test.go
+++ b/internal/hatch/courier_test.go
@@ -9,18 +9,18 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // hookless are turns that only tell the time.
-type hookless struct{ rota.Turns }
+type hookless struct{ lease.Turns }
 
 func (hookless) Now() time.Time  { return time.Unix(2_000_000, 0) }
 func (hookless) Wall() time.Time { return time.Unix(2_000_000, 0) }
@@ -45,7 +45,7 @@
 	options := CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return nonce },
 		Ended: func(*pass.Inquiry, pass.Decision) {}}
 	courier := NewCourier(threads.New(lifetime, wallclock.New()), nil, nil, nil, options, func(string, ...any) {})
-	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: recipe.List{}})
+	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: formats.List{}})
 	return courier
 }
 
@@ -59,15 +59,15 @@
 		courier.Serve(Arrival{Inquiry: &pass.Inquiry{ID: "one", Service: "chat"}, Passage: &passage}, reply)
 		return reply.said[0]
 	}
-	if first := serve(Passage{Nonce: "first", Incarnation: "this life"}); first.Type != trouble.NoHold || first.Final != pass.Refused {
+	if first := serve(Passage{Nonce: "first", Incarnation: "this life"}); first.Type != failure.NoHold || first.Final != pass.Refused {
 		t.Errorf("the first was not decided on: %+v", first)
 	}
 	for name, passage := range map[string]Passage{"again": {Nonce: "first", Incarnation: "this life"}, "another life": {Nonce: "second", Incarnation: "an earlier life"}} {
-		if line := serve(passage); line.Final != pass.Unknown || line.Type != trouble.Duplicate {
+		if line := serve(passage); line.Final != pass.Unknown || line.Type != failure.Duplicate {
 			t.Errorf("%s: %+v", name, line)
 		}
 	}
-	if line := serve(Passage{}); line.Type != trouble.NoHold {
+	if line := serve(Passage{}); line.Type != failure.NoHold {
 		t.Errorf("an older release's passing-on was not taken: %+v", line)
 	}
 }
@@ -75,10 +75,10 @@
 // TestTakenIDIsNotSaidToHaveNeverRun wants no word on whether an id ran that
 // another arrival took, and the word where it is certain.
 func TestTakenIDIsNotSaidToHaveNeverRun(t *testing.T) {
-	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: trouble.Duplicate}); line.Ran != nil {
+	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: failure.Duplicate}); line.Ran != nil {
 		t.Errorf("an id that is taken is said to have run or not: %+v", line)
 	}
-	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: trouble.Busy}); line.Ran == nil || *line.Ran {
+	if line := lineOf(pass.Decision{Kind: pass.Finish, Final: pass.Refused, Cause: failure.Busy}); line.Ran == nil || *line.Ran {
 		t.Errorf("a refused inquiry is not said to never run: %+v", line)
 	}
 }
@@ -86,30 +86,30 @@
 // noted is a board that keeps what it was told.
 type noted struct {
 	until   time.Time
-	servers []roster.Server
+	servers []membership.Server
 }
 
-func (noted *noted) SetServing(until time.Time)                      { noted.until = until }
-func (noted *noted) SetServers(_ time.Time, servers []roster.Server) { noted.servers = servers }
+func (noted *noted) SetServing(until time.Time)                          { noted.until = until }
+func (noted *noted) SetServers(_ time.Time, servers []membership.Server) { noted.servers = servers }
 
 // TestBoardIsToldUntilWhenItMayServe brings news with and without a hold, and settings.
 func TestBoardIsToldUntilWhenItMayServe(t *testing.T) {
 	board := &noted{until: atNoon(time.Hour)}
 	turns := &movingTurns{Turns: threads.New(context.Background(), wallclock.New()), now: atNoon(0)}
 	options := CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return "one" },
-		Ended: func(*pass.Inquiry, pass.Decision) {}, Board: func(*window.Window) Board { return board }, ServeWithoutHold: time.Minute}
+		Ended: func(*pass.Inquiry, pass.Decision) {}, Board: func(*scheduler.Window) Board { return board }, ServeWithoutHold: time.Minute}
 	courier := NewCourier(turns, nil, nil, nil, options, func(string, ...any) {})
 	if !board.until.IsZero() {
 		t.Errorf("before any hold it serves until %s", board.until)
 	}
-	version := larder.Version{Epoch: 1, Number: 4}
-	drawers := map[string]larder.Drawer{larder.MenuDrawer: {Version: version, Content: menu.Empty().Text}}
+	version := replication.Version{Epoch: 1, Number: 4}
+	drawers := map[string]replication.Drawer{replication.MenuDrawer: {Version: version, Content: config.Empty().Text}}
 	courier.takeNews(News{Asked: atNoon(0), Answer: NewsAnswer{Leads: true, Menu: version}, Changed: drawers})
 	if !board.until.IsZero() || courier.InForce() != version {
 		t.Errorf("a configuration without a hold: serves until %s with %s", board.until, courier.InForce())
 	}
 	courier.takeNews(News{Asked: atNoon(time.Second), Answer: NewsAnswer{Leads: true, Menu: version, Hold: 4 * time.Second, Couriers: 9},
-		Servers: &Listed{At: atNoon(0), Servers: []roster.Server{{Name: "a"}}}})
+		Servers: &Listed{At: atNoon(0), Servers: []membership.Server{{Name: "a"}}}})
 	if !board.until.Equal(atNoon(65*time.Second)) || len(board.servers) != 1 || courier.couriers.Load() != 9 {
 		t.Errorf("serves until %s, servers %v", board.until, board.servers)
 	}
--- a/internal/hatch/courieroptions.go
+++ b/internal/hatch/courieroptions.go
@@ -5,7 +5,7 @@
 
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // CourierOptions say which courier a core is.
@@ -19,7 +19,7 @@
 	Pressures Pressures
 	// Board makes who serves opaque calls over the core's window; none: this courier
 	// takes no calls, and follows no reports.
-	Board func(deciding *window.Window) Board
+	Board func(deciding *scheduler.Window) Board
 	// ServeWithoutHold is how long the courier goes on letting in after its last hold.
 	ServeWithoutHold time.Duration
 	// Nonce gives a text that is new each time.
--- a/internal/hatch/decisions.go
+++ b/internal/hatch/decisions.go
@@ -4,10 +4,10 @@
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // carryOut does one decision. What waits for others runs in its own thread and
@@ -94,7 +94,7 @@
 	if courier.core.Restricted() {
 		return
 	}
-	record, err := recipe.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
+	record, err := formats.WritePair(*decision.Pair, courier.options.Courier, courier.core.Enabled())
 	if err == nil {
 		courier.journal.append(record, true)
 		courier.crumbs.Ring()
@@ -105,7 +105,7 @@
 	if courier.core.Restricted() {
 		return
 	}
-	record, err := recipe.WriteEntry(recipe.RetryRecord, recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
+	record, err := formats.WriteEntry(formats.RetryRecord, formats.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: decision.Run, At: courier.turns.Wall()})
 	if err == nil {
 		courier.journal.append(record, true)
 		courier.crumbs.Ring()
@@ -139,7 +139,7 @@
 		courier.Apply(event)
 		return
 	}
-	question := ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: 1,
+	question := ClaimQuestion{Made: made, Entry: formats.Entry{Inquiry: decision.ID, Courier: courier.options.Courier, Run: 1,
 		At: courier.turns.Wall(), Cause: courier.nonce()}}
 	// Without a hold there would be no dispatch: then the caller is told at once
 	// that the inquiry never ran, and when to come back.
@@ -147,15 +147,15 @@
 	for courier.turns.Alive() && courier.mayAct(decision) && courier.turns.Now().Before(ends) && courier.turns.Now().Before(courier.core.ServesUntil()) {
 		var answer LedAnswer
 		err := courier.followed.Ask(ClaimPath, question, &answer, time.Second, ends)
-		switch kind := trouble.KindOf(err); {
+		switch kind := failure.KindOf(err); {
 		case err == nil && answer.Leads:
 			event.Outcome = pass.Done
-		case kind == trouble.Duplicate:
+		case kind == failure.Duplicate:
 			event.Outcome, event.Detail = pass.Duplicate, err.Error()
-		case kind == trouble.TooOld || kind == trouble.TooNew:
+		case kind == failure.TooOld || kind == failure.TooNew:
 			event.Outcome, event.Detail = pass.TooOld, err.Error()
 		default:
-			rota.Pause(courier.turns, claimPause)
+			lease.Pause(courier.turns, claimPause)
 			continue
 		}
 		break
--- a/internal/hatch/delta.go
+++ b/internal/hatch/delta.go
@@ -4,18 +4,18 @@
 	"bytes"
 	"hash/crc32"
 
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Delta is what changed in a drawer since a version that the node has: all but
 // the middle is the same.
 type Delta struct {
-	Base     larder.Version `msgpack:"base"`
-	Version  larder.Version `msgpack:"version"`
-	Prefix   int            `msgpack:"prefix"`
-	Suffix   int            `msgpack:"suffix"`
-	Middle   []byte         `msgpack:"middle"`
-	Checksum uint32         `msgpack:"checksum"`
+	Base     replication.Version `msgpack:"base"`
+	Version  replication.Version `msgpack:"version"`
+	Prefix   int                 `msgpack:"prefix"`
+	Suffix   int                 `msgpack:"suffix"`
+	Middle   []byte              `msgpack:"middle"`
+	Checksum uint32              `msgpack:"checksum"`
 }
 
 // leastDelta is the size from which a drawer is worth a delta.
@@ -24,7 +24,7 @@
 var deltaTable = crc32.MakeTable(crc32.Castagnoli)
 
 // makeDelta compares two contents from both ends.
-func makeDelta(base, target larder.Drawer) Delta {
+func makeDelta(base, target replication.Drawer) Delta {
 	least := min(len(base.Content), len(target.Content))
 	prefix := 0
 	// Blocks first: a large content is mostly the same.
@@ -43,14 +43,14 @@
 }
 
 // apply makes the new content of the old one; false means that it does not fit.
-func (delta Delta) apply(base larder.Drawer) (larder.Drawer, bool) {
+func (delta Delta) apply(base replication.Drawer) (replication.Drawer, bool) {
 	length := len(base.Content)
 	if delta.Base != base.Version || delta.Prefix < 0 || delta.Suffix < 0 || delta.Prefix > length || delta.Suffix > length-delta.Prefix {
-		return larder.Drawer{}, false
+		return replication.Drawer{}, false
 	}
 	content := make([]byte, 0, delta.Prefix+len(delta.Middle)+delta.Suffix)
 	content = append(content, base.Content[:delta.Prefix]...)
 	content = append(content, delta.Middle...)
 	content = append(content, base.Content[length-delta.Suffix:]...)
-	return larder.Drawer{Version: delta.Version, Content: content}, crc32.Checksum(content, deltaTable) == delta.Checksum
+	return replication.Drawer{Version: delta.Version, Content: content}, crc32.Checksum(content, deltaTable) == delta.Checksum
 }
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Edit is one operator's change of the configuration.
@@ -15,7 +15,7 @@
 	Change string
 	Digest string
 	// Expected is the version that it is made from, if it insists on one.
-	Expected *larder.Version
+	Expected *replication.Version
 	// Builds is the revision that it builds on, if it insists on one; it then gives
 	// a higher one, and its digest is its id if it has none.
 	Builds *uint64
@@ -38,7 +38,7 @@
 // Example:
 //
 //	version, failure := core.Edit(hatch.Edit{Change: id, Digest: digest, Apply: evacuate})
-func (expediter *Expediter) Edit(edit Edit) (larder.Version, error) {
+func (expediter *Expediter) Edit(edit Edit) (replication.Version, error) {
 	if edit.Builds != nil {
 		edit = edit.revising()
 	}
@@ -47,11 +47,11 @@
 		return version, err
 	}
 	// The same change sent again is answered with the version that holds now.
-	if _, view, err := expediter.Ruling(); err == nil && view.VersionOf(larder.MenuDrawer).Before(version) {
-		version = view.VersionOf(larder.MenuDrawer)
+	if _, view, err := expediter.Ruling(); err == nil && view.VersionOf(replication.MenuDrawer).Before(version) {
+		version = view.VersionOf(replication.MenuDrawer)
 	}
 	if !expediter.awaitInForce(current, version) {
-		return version, trouble.New(trouble.Unknown, "it can't be known yet whether the change is in force")
+		return version, failure.New(failure.Unknown, "it can't be known yet whether the change is in force")
 	}
 	expediter.observe("configuration_accepted", "version", version.String(), "change", edit.Change)
 	return version, nil
@@ -60,7 +60,7 @@
 // revising is an edit that checks the revision it builds on each time it is made.
 func (edit Edit) revising() Edit {
 	builds, apply := *edit.Builds, edit.Apply
-	edit.Apply = func(text []byte) ([]byte, error) { return menu.Revise(text, builds, apply) }
+	edit.Apply = func(text []byte) ([]byte, error) { return config.Revise(text, builds, apply) }
 	if edit.Change == "" {
 		edit.Change = "revision-" + edit.Digest
 	}
@@ -70,46 +70,46 @@
 // change prepares an edit for the newest configuration and submits it, again when
 // that has moved meanwhile. Edits of a large configuration are prepared one after
 // another, so that one whose turn it is need not be made again.
-func (expediter *Expediter) change(edit Edit) (*Reign, larder.Version, error) {
+func (expediter *Expediter) change(edit Edit) (*Reign, replication.Version, error) {
 	ends := expediter.turns.Now().Add(changePatience)
 	for {
 		current, view, err := expediter.Ruling()
 		if err != nil {
-			return nil, larder.Version{}, err
+			return nil, replication.Version{}, err
 		}
-		drawer, found := view.Drawers[larder.MenuDrawer]
+		drawer, found := view.Drawers[replication.MenuDrawer]
 		if !found {
-			drawer.Content = menu.Empty().Text
+			drawer.Content = config.Empty().Text
 		}
-		large := len(drawer.Content) >= larder.LargeMenu
+		large := len(drawer.Content) >= replication.LargeMenu
 		if large {
 			if !expediter.takeEditTurn(ends) {
-				return nil, larder.Version{}, trouble.New(trouble.Busy, "other changes of this large configuration go first; ask again")
+				return nil, replication.Version{}, failure.New(failure.Busy, "other changes of this large configuration go first; ask again")
 			}
 			if _, newest, err := expediter.Ruling(); err == nil {
-				drawer = newest.Drawers[larder.MenuDrawer]
+				drawer = newest.Drawers[replication.MenuDrawer]
 			}
 		}
-		var prepared larder.PreparedMenu
+		var prepared replication.PreparedMenu
 		if !expediter.noted(current, view, edit) {
-			prepared = larder.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
+			prepared = replication.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
 		}
-		version, err := expediter.submit(larder.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
+		version, err := expediter.submit(replication.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
 		if large {
 			expediter.giveEditTurn()
 		}
-		if trouble.KindOf(err) != trouble.Moved {
+		if failure.KindOf(err) != failure.Moved {
 			return current, version, err
 		}
 		if !expediter.turns.Now().Before(ends) {
-			return nil, larder.Version{}, trouble.New(trouble.Busy, "the configuration changes faster than this change can be made; ask again")
+			return nil, replication.Version{}, failure.New(failure.Busy, "the configuration changes faster than this change can be made; ask again")
 		}
 	}
 }
 
 // noted tells whether the very change was committed before: then it is answered in
 // its turn, and need not be prepared.
-func (expediter *Expediter) noted(current *Reign, view *larder.View, edit Edit) bool {
+func (expediter *Expediter) noted(current *Reign, view *replication.View, edit Edit) bool {
 	state, err := expediter.state(current, view)
 	if err != nil || edit.Change == "" {
 		return false
@@ -152,7 +152,7 @@
 // awaitInForce waits until every courier that has a hold has confirmed the
 // version, or its hold ran out; where a wait is chosen, until every courier that was
 // heard from within it has, or the wait has passed. Its own hold is checked last.
-func (expediter *Expediter) awaitInForce(current *Reign, version larder.Version) bool {
+func (expediter *Expediter) awaitInForce(current *Reign, version replication.Version) bool {
 	everywhere := false
 	committed := expediter.turns.Now()
 	wait := time.Duration(expediter.acknowledgeWait.Load())
@@ -192,13 +192,13 @@
 // Example:
 //
 //	version, failure := core.Retire("courier-9")
-func (expediter *Expediter) Retire(name string) (larder.Version, error) {
+func (expediter *Expediter) Retire(name string) (replication.Version, error) {
 	current, _, err := expediter.Ruling()
 	if err != nil {
-		return larder.Version{}, err
+		return replication.Version{}, err
 	}
 	if _, live := current.Holds.Live(expediter.turns.Now())[name]; live {
-		return larder.Version{}, trouble.New(trouble.HoldActive, name+" is running; stop it first")
+		return replication.Version{}, failure.New(failure.HoldActive, name+" is running; stop it first")
 	}
-	return expediter.submit(larder.Retire(name), changePatience)
+	return expediter.submit(replication.Retire(name), changePatience)
 }
--- a/internal/hatch/edit_test.go
+++ b/internal/hatch/edit_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // revision is an edit that builds on one revision and gives the next, told from others
@@ -23,16 +23,16 @@
 }
 
 func evacuation(district string) Edit {
-	return Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, district, "") }}
+	return Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return config.Evacuate(text, district, "") }}
 }
 
-func (core *core) mustBe(t *testing.T, primary *Expediter, want string) larder.Version {
+func (core *core) mustBe(t *testing.T, primary *Expediter, want string) replication.Version {
 	t.Helper()
 	_, view, state, err := primary.Read()
 	if err != nil || !strings.Contains(string(state.Menu), want) {
 		t.Fatalf("%v: no %s in the configuration", err, want)
 	}
-	return view.VersionOf(larder.MenuDrawer)
+	return view.VersionOf(replication.MenuDrawer)
 }
 
 func TestEditsBuildOnRevisions(t *testing.T) {
@@ -40,22 +40,22 @@
 	for _, row := range []struct {
 		name string
 		edit Edit
-		kind trouble.Kind
+		kind failure.Kind
 	}{
 		{"the first", revision(0, 3, "a"), ""},
 		{"it again", revision(0, 3, "a"), ""},
-		{"another with its number", revision(0, 3, "b"), trouble.RevisionConflict},
+		{"another with its number", revision(0, 3, "b"), failure.RevisionConflict},
 		{"a later one", revision(3, 10, "c"), ""},
 		{"the first once more", revision(0, 3, "a"), ""},
-		{"one on an old base", revision(3, 12, "d"), trouble.RevisionConflict},
-		{"one on a base that is not there yet", revision(11, 12, "d"), trouble.RevisionConflict},
+		{"one on an old base", revision(3, 12, "d"), failure.RevisionConflict},
+		{"one on a base that is not there yet", revision(11, 12, "d"), failure.RevisionConflict},
 	} {
-		if _, err := primary.Edit(row.edit); (err == nil) != (row.kind == "") || row.kind != "" && trouble.KindOf(err) != row.kind {
+		if _, err := primary.Edit(row.edit); (err == nil) != (row.kind == "") || row.kind != "" && failure.KindOf(err) != row.kind {
 			t.Errorf("%s: %v", row.name, err)
 		}
 	}
 	formed.mustBe(t, primary, `"word":"c"`)
-	var findings *menu.Findings
+	var findings *config.Findings
 	for name, edit := range map[string]Edit{"not above": revision(10, 10, "e"), "below": revision(10, 4, "e")} {
 		if _, err := primary.Edit(edit); !stderrors.As(err, &findings) || findings.Troubles[0].Path != "/revision" {
 			t.Errorf("%s: %v", name, err)
@@ -78,7 +78,7 @@
 			switch {
 			case err == nil && winner < 0:
 				winner = position
-			case trouble.KindOf(err) != trouble.RevisionConflict:
+			case failure.KindOf(err) != failure.RevisionConflict:
 				t.Fatalf("on %d: %v", builds, ended)
 			}
 		}
@@ -116,7 +116,7 @@
 	if _, err := next.Edit(edit); err != nil {
 		t.Fatalf("sent again to the next primary: %v", err)
 	}
-	if _, err := next.Edit(revision(0, 9, "late")); trouble.KindOf(err) != trouble.RevisionConflict {
+	if _, err := next.Edit(revision(0, 9, "late")); failure.KindOf(err) != failure.RevisionConflict {
 		t.Fatalf("on an old base: %v", err)
 	}
 	formed.mustBe(t, next, `"word":"again"`)
@@ -147,11 +147,11 @@
 		t.Fatal(err)
 	}
 	_, _, state, _ := primary.Read()
-	configuration, err := menu.Check(state.Menu)
+	configuration, err := config.Check(state.Menu)
 	if err != nil || configuration.Revision != 2 || !configuration.Evacuated("north") || !configuration.Evacuated("south") {
 		t.Fatalf("%s: %v", state.Menu, err)
 	}
-	lift := Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Restore(text, "north") }}
+	lift := Edit{Sound: true, Apply: func(text []byte) ([]byte, error) { return config.Restore(text, "north") }}
 	for range 2 {
 		if _, err := primary.Edit(lift); err != nil {
 			t.Fatal(err)
@@ -165,7 +165,7 @@
 
 // leapingTurns is a clock that can be moved ahead, as a process that was frozen finds it.
 type leapingTurns struct {
-	rota.Turns
+	lease.Turns
 	ahead *atomic.Int64
 }
 
@@ -177,16 +177,16 @@
 // answers: whatever it found, its state may be an old one by then.
 func TestARefusalNeedsTheLease(t *testing.T) {
 	ahead := &atomic.Int64{}
-	_, primary := newCore(t, func(turns rota.Turns) rota.Turns { return leapingTurns{Turns: turns, ahead: ahead} })
-	refusal := trouble.New(trouble.RevisionConflict, "7")
-	if _, err := primary.submit(func(*larder.State, larder.Version, larder.Version) error { return refusal }, time.Second); trouble.KindOf(err) != trouble.RevisionConflict {
+	_, primary := newCore(t, func(turns lease.Turns) lease.Turns { return leapingTurns{Turns: turns, ahead: ahead} })
+	refusal := failure.New(failure.RevisionConflict, "7")
+	if _, err := primary.submit(func(*replication.State, replication.Version, replication.Version) error { return refusal }, time.Second); failure.KindOf(err) != failure.RevisionConflict {
 		t.Fatalf("with the lease: %v", err)
 	}
-	_, err := primary.submit(func(*larder.State, larder.Version, larder.Version) error {
+	_, err := primary.submit(func(*replication.State, replication.Version, replication.Version) error {
 		ahead.Store(int64(10 * time.Second))
 		return refusal
 	}, time.Second)
-	if kind := trouble.KindOf(err); kind != trouble.Unknown {
+	if kind := failure.KindOf(err); kind != failure.Unknown {
 		t.Errorf("without the lease: %v", err)
 	}
 }
--- a/internal/hatch/editions.go
+++ b/internal/hatch/editions.go
@@ -3,16 +3,16 @@
 import (
 	"sync"
 
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // editions are the configurations that a primary has shown lately, so that a
 // node which has one of them is sent only what changed.
 type editions struct {
 	mutex sync.Mutex
-	shown []larder.Drawer
+	shown []replication.Drawer
 	// made are the deltas towards the newest one, by the version they start from.
-	made map[larder.Version]Delta
+	made map[replication.Version]Delta
 }
 
 // mostEditions bounds the memory, and mostEditionBytes their size together.
@@ -22,7 +22,7 @@
 )
 
 // towards gives the delta from the version that a node has to the newest.
-func (editions *editions) towards(newest larder.Drawer, have larder.Version) (Delta, bool) {
+func (editions *editions) towards(newest replication.Drawer, have replication.Version) (Delta, bool) {
 	editions.mutex.Lock()
 	defer editions.mutex.Unlock()
 	if len(newest.Content) < leastDelta {
@@ -30,7 +30,7 @@
 	}
 	if count := len(editions.shown); count == 0 || editions.shown[count-1].Version != newest.Version {
 		editions.shown = append(editions.shown, newest)
-		editions.made = map[larder.Version]Delta{}
+		editions.made = map[replication.Version]Delta{}
 		size := 0
 		for _, drawer := range editions.shown {
 			size += len(drawer.Content)
--- a/internal/hatch/exchange.go
+++ b/internal/hatch/exchange.go
@@ -3,19 +3,19 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Exchange is the port to one opaque call: to its origin on one side and to model
 // servers on the other. It is used by one thread, one act after the other.
 type Exchange interface {
 	// Read has the decision's server read the call's prompt.
-	Read(decision window.Decision) window.Outcome
+	Read(decision scheduler.Decision) scheduler.Outcome
 	// Run has the decision's server make the answer and passes a success on as it
 	// comes. After one that was cut it goes on behind what was passed on. Began is told
 	// when the first of a stream comes.
-	Run(route *menu.CallRoute, decision window.Decision, began func()) window.Outcome
+	Run(route *config.CallRoute, decision scheduler.Decision, began func()) scheduler.Outcome
 	// Refuse ends the call with a word of our own.
 	Refuse(refusal Refusal)
 	// Through passes the failing answer of the last dispatch to the origin unchanged;
@@ -24,12 +24,12 @@
 	// Break ends the answer so that the origin sees that it is not complete.
 	Break()
 	// Free gives a prompt's memory back that nobody will take.
-	Free(source window.Source)
+	Free(source scheduler.Source)
 }
 
 // Refusal is a final word of our own on a call.
 type Refusal struct {
-	Cause  window.Cause
+	Cause  scheduler.Cause
 	Status int
 	// RetryAfter is when to come back; zero if that is not said.
 	RetryAfter time.Duration
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -9,32 +9,32 @@
 
 	"go.uber.org/multierr"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Expediter is the control plane's conduct at one node: the copy and the epoch
 // keeper on its disk, and, while it is primary, the answers to nodes and
 // operators.
 type Expediter struct {
-	turns     rota.Turns
+	turns     lease.Turns
 	line      Hotline
 	options   ExpediterOptions
 	observe   func(event string, detail ...any)
-	keeper    *larder.Keeper
-	store     *larder.Store
-	steward   *larder.Steward
+	keeper    *replication.Keeper
+	store     *replication.Store
+	steward   *replication.Steward
 	followed  *Follower
 	answers   Answers
-	news      rota.Bell
-	reigns    rota.Bell
+	news      lease.Bell
+	reigns    lease.Bell
 	lists     lists
-	work      rota.Bell
-	confirmed rota.Bell
-	edits     rota.Bell
+	work      lease.Bell
+	confirmed lease.Bell
+	edits     lease.Bell
 
 	submitted   atomic.Uint64
 	newsAnswers atomic.Uint64
@@ -48,7 +48,7 @@
 	// epoch is that of the newest charter that was told to those who ask for news.
 	epoch    uint64
 	nodes    []string
-	members  map[string]roster.Member
+	members  map[string]membership.Member
 	mending  bool
 	mendedAt time.Time
 	editing  bool
@@ -75,9 +75,9 @@
 // Example:
 //
 //	core, blank, failure := hatch.OpenExpediter(turns, line, keeping, copies, options, observe)
-func OpenExpediter(turns rota.Turns, line Hotline, keeping, copies larder.Shelf, options ExpediterOptions, observe func(string, ...any)) (*Expediter, bool, error) {
-	seat := larder.Seat{Address: options.Address, Name: options.Name}
-	keeper, blank, err := larder.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
+func OpenExpediter(turns lease.Turns, line Hotline, keeping, copies replication.Shelf, options ExpediterOptions, observe func(string, ...any)) (*Expediter, bool, error) {
+	seat := replication.Seat{Address: options.Address, Name: options.Name}
+	keeper, blank, err := replication.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
 	if err != nil {
 		return nil, false, err
 	}
@@ -87,28 +87,28 @@
 			return nil, true, err
 		}
 	}
-	copied, err := larder.OpenCopy(copies)
+	copied, err := replication.OpenCopy(copies)
 	if err != nil {
 		return nil, blank, err
 	}
 	if damage := copied.Damage(); damage != "" {
 		observe("copy_damaged", "damage", damage)
 	}
-	keeper.Guard(rota.NewLock(turns))
-	copied.Guard(rota.NewLock(turns))
-	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: larder.NewStore(copied, keeper),
+	keeper.Guard(lease.NewLock(turns))
+	copied.Guard(lease.NewLock(turns))
+	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: replication.NewStore(copied, keeper),
 		news: turns.NewBell(), reigns: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
-	expediter.store.Guard(rota.NewLock(turns))
-	expediter.steward = larder.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
+	expediter.store.Guard(lease.NewLock(turns))
+	expediter.steward = replication.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
 	if options.JoinsOnly {
 		expediter.steward.JoinOnly()
 	}
-	timing := larder.TimingFor(options.CatchUp)
+	timing := replication.TimingFor(options.CatchUp)
 	expediter.steward.SetTiming(timing)
 	expediter.steward.Bear(options.BorneLosses, options.District)
 	observe("timing", "catch_up", timing.CatchUp.String(), "lease", timing.Lease.String(), "repair", timing.Repair().String(), "margin", timing.Margin().String())
-	member := roster.Member{Name: options.Name, Kind: roster.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
-	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() larder.Version { return larder.Version{} }, expediter.takeNews)
+	member := membership.Member{Name: options.Name, Kind: membership.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
+	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() replication.Version { return replication.Version{} }, expediter.takeNews)
 	expediter.followed.Follow(options.Directory != nil, false)
 	expediter.SetAcknowledgeWait(options.AcknowledgeWait)
 	// Who was recorded when this disk was written last may know where the core is now.
@@ -117,7 +117,7 @@
 	return expediter, blank, nil
 }
 
-func empty(shelf larder.Shelf) error {
+func empty(shelf replication.Shelf) error {
 	files, damaged, err := shelf.Load()
 	if err != nil {
 		return err
@@ -135,7 +135,7 @@
 //	for _, round := range core.Rounds() { turns.Go(round) }
 func (expediter *Expediter) Rounds() []func() {
 	every := func(pause time.Duration, task func()) func() {
-		return func() { rota.Every(expediter.turns, pause, task) }
+		return func() { lease.Every(expediter.turns, pause, task) }
 	}
 	rounds := []func(){every(tickPause, expediter.tick), expediter.keepHouse, every(sweepPause, expediter.sweep),
 		expediter.commit, expediter.followed.Run}
@@ -159,7 +159,7 @@
 	ends := expediter.turns.Now().Add(patience)
 	expediter.steward.Leave()
 	for !expediter.steward.Released() && expediter.turns.Now().Before(ends) {
-		rota.Pause(expediter.turns, leavePause)
+		lease.Pause(expediter.turns, leavePause)
 	}
 	expediter.observe("left", "released", expediter.steward.Released())
 }
@@ -179,15 +179,15 @@
 // Example:
 //
 //	servers := core.Servers()
-func (expediter *Expediter) Servers() []roster.Server {
+func (expediter *Expediter) Servers() []membership.Server {
 	return expediter.lists.servers(expediter.turns.Now())
 }
 
 // setNodes takes the platform's list of nodes.
-func (expediter *Expediter) setNodes(nodes []roster.Node) {
+func (expediter *Expediter) setNodes(nodes []membership.Node) {
 	var addresses []string
 	for _, node := range nodes {
-		if node.Kind == roster.Expediter && node.Address != expediter.options.Address {
+		if node.Kind == membership.Expediter && node.Address != expediter.options.Address {
 			addresses = append(addresses, node.Address)
 		}
 	}
@@ -198,7 +198,7 @@
 }
 
 // setMembers takes the recorded members.
-func (expediter *Expediter) setMembers(members map[string]roster.Member) {
+func (expediter *Expediter) setMembers(members map[string]membership.Member) {
 	expediter.mutex.Lock()
 	expediter.members = members
 	expediter.mutex.Unlock()
@@ -213,12 +213,12 @@
 	contacts := slices.Clone(expediter.nodes)
 	var recorded []string
 	for _, name := range slices.Sorted(maps.Keys(expediter.members)) {
-		if member := expediter.members[name]; member.Kind == roster.Expediter && name != expediter.options.Name {
+		if member := expediter.members[name]; member.Kind == membership.Expediter && name != expediter.options.Name {
 			recorded = append(recorded, member.Address)
 		}
 	}
 	var peers []string
-	for _, name := range roster.Ranked(expediter.options.Name, couriersOf(expediter.members)) {
+	for _, name := range membership.Ranked(expediter.options.Name, couriersOf(expediter.members)) {
 		peers = append(peers, expediter.members[name].Address)
 	}
 	expediter.mutex.Unlock()
@@ -237,21 +237,21 @@
 // Example:
 //
 //	identity := core.Keeper().Seat().Identity
-func (expediter *Expediter) Keeper() *larder.Keeper { return expediter.keeper }
+func (expediter *Expediter) Keeper() *replication.Keeper { return expediter.keeper }
 
 // Store is this disk's part in the larder.
 //
 // Example:
 //
 //	batches, changes := core.Store().Work()
-func (expediter *Expediter) Store() *larder.Store { return expediter.store }
+func (expediter *Expediter) Store() *replication.Store { return expediter.store }
 
 // Steward decides who is primary, from this node's point of view.
 //
 // Example:
 //
 //	leads := core.Steward().Holds()
-func (expediter *Expediter) Steward() *larder.Steward { return expediter.steward }
+func (expediter *Expediter) Steward() *replication.Steward { return expediter.steward }
 
 // Heard is when a primary answered this node last.
 //
@@ -304,13 +304,13 @@
 // Example:
 //
 //	reign, view, failure := core.Ruling()
-func (expediter *Expediter) Ruling() (*Reign, *larder.View, error) {
+func (expediter *Expediter) Ruling() (*Reign, *replication.View, error) {
 	expediter.mutex.Lock()
 	current := expediter.reign
 	expediter.mutex.Unlock()
 	view := expediter.store.View()
 	if current == nil || view == nil || !expediter.steward.Holds() {
-		return nil, nil, trouble.New(trouble.NoPrimary, "this expediter is not primary")
+		return nil, nil, failure.New(failure.NoPrimary, "this expediter is not primary")
 	}
 	return current, view, nil
 }
@@ -322,7 +322,7 @@
 // Example:
 //
 //	reign, view, state, failure := core.Read()
-func (expediter *Expediter) Read() (*Reign, *larder.View, *larder.State, error) {
+func (expediter *Expediter) Read() (*Reign, *replication.View, *replication.State, error) {
 	current, view, err := expediter.Ruling()
 	if err != nil {
 		return nil, nil, nil, err
@@ -332,27 +332,27 @@
 		return nil, nil, nil, err
 	}
 	if !expediter.steward.Holds() {
-		return nil, nil, nil, trouble.New(trouble.NoPrimary, "the hold ran out")
+		return nil, nil, nil, failure.New(failure.NoPrimary, "the hold ran out")
 	}
 	expediter.turns.Go(func() { expediter.mendCopies(view) })
 	return current, view, state, nil
 }
 
 // state is the committed state, decoded once for each version.
-func (expediter *Expediter) state(current *Reign, view *larder.View) (*larder.State, error) {
+func (expediter *Expediter) state(current *Reign, view *replication.View) (*replication.State, error) {
 	expediter.mutex.Lock()
 	defer expediter.mutex.Unlock()
 	if current.state != nil && current.stateAt == view.Version {
 		return current.state, nil
 	}
 	// Claims are many and asked for nowhere but in their own changes.
-	drawers := map[string]larder.Drawer{}
-	for _, name := range []string{larder.MenuDrawer, larder.MembersDrawer, larder.FlagsDrawer, larder.RotaDrawer, larder.OrdersDrawer, larder.ChangesDrawer} {
+	drawers := map[string]replication.Drawer{}
+	for _, name := range []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer, replication.RotaDrawer, replication.OrdersDrawer, replication.ChangesDrawer} {
 		if drawer, found := view.Drawers[name]; found {
 			drawers[name] = drawer
 		}
 	}
-	state, err := larder.ReadState(drawers)
+	state, err := replication.ReadState(drawers)
 	if err != nil {
 		return nil, err
 	}
@@ -397,7 +397,7 @@
 }
 
 // sync brings a batch to all disks at once and tells whether it is on each.
-func (expediter *Expediter) sync(charter larder.Charter, batch larder.Batch) bool {
+func (expediter *Expediter) sync(charter replication.Charter, batch replication.Batch) bool {
 	var mutex sync.Mutex
 	var own error
 	kept := false
@@ -413,7 +413,7 @@
 	})
 	var missing error
 	waits := 0
-	replicate := func(backup larder.Seat) {
+	replicate := func(backup replication.Seat) {
 		err := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(backup), backup.Identity, charter.Epoch, batch)
 		expediter.steward.BackupAnswered(backup.Identity, err == nil)
 		mutex.Lock()
@@ -453,7 +453,7 @@
 }
 
 // queue hands a change to the next batch.
-func (expediter *Expediter) queue(change larder.Change, done larder.Done) {
+func (expediter *Expediter) queue(change replication.Change, done replication.Done) {
 	expediter.store.Submit(change, done)
 	expediter.submitted.Add(1)
 	expediter.work.Ring()
@@ -461,13 +461,13 @@
 
 // submit waits until a change is synced on every copy in sync. When that can't be
 // known in time the outcome is called unknown.
-func (expediter *Expediter) submit(change larder.Change, patience time.Duration) (larder.Version, error) {
+func (expediter *Expediter) submit(change replication.Change, patience time.Duration) (replication.Version, error) {
 	var mutex sync.Mutex
-	var version larder.Version
+	var version replication.Version
 	var err error
 	answered := false
 	bell := expediter.turns.NewBell()
-	expediter.queue(change, func(committed larder.Version, ended error) {
+	expediter.queue(change, func(committed replication.Version, ended error) {
 		mutex.Lock()
 		version, err, answered = committed, ended, true
 		mutex.Unlock()
@@ -482,12 +482,12 @@
 	defer mutex.Unlock()
 	switch {
 	case !answered:
-		return larder.Version{}, trouble.New(trouble.Unknown, "the change was not synced on both copies in time")
-	case trouble.KindOf(err) == trouble.NotPrimary:
+		return replication.Version{}, failure.New(failure.Unknown, "the change was not synced on both copies in time")
+	case failure.KindOf(err) == failure.NotPrimary:
 		return version, err
 	case !expediter.steward.Holds():
 		// A refusal is an answer too: without the lease it may rest on an old state.
-		return version, trouble.New(trouble.Unknown, "the hold ran out while the change was under way")
+		return version, failure.New(failure.Unknown, "the hold ran out while the change was under way")
 	case err != nil:
 		return version, err
 	}
@@ -501,28 +501,28 @@
 		expediter.lists.take(news.Servers.At, news.Servers.Servers)
 	}
 	expediter.takeMembers(news)
-	drawer, found := news.Changed[larder.FlagsDrawer]
+	drawer, found := news.Changed[replication.FlagsDrawer]
 	if !found {
 		return
 	}
-	state, err := larder.ReadState(map[string]larder.Drawer{larder.FlagsDrawer: drawer})
+	state, err := replication.ReadState(map[string]replication.Drawer{replication.FlagsDrawer: drawer})
 	if err != nil {
 		expediter.observe("flags_unreadable", "cause", err)
 		return
 	}
 	lacking := expediter.options.Supported.Lacks(state.Flags.Enabled)
 	expediter.steward.SetRestricted(len(lacking) > 0)
-	expediter.steward.SetBackupList(state.Flags.Enabled.Has(recipe.BackupList))
+	expediter.steward.SetBackupList(state.Flags.Enabled.Has(formats.BackupList))
 	expediter.observe("flags_read", "enabled", state.Flags.Enabled, "lacking", lacking)
 }
 
 // takeMembers takes the recorded members from news, or from the own copy.
 func (expediter *Expediter) takeMembers(news News) {
-	drawer, found := news.Changed[larder.MembersDrawer]
+	drawer, found := news.Changed[replication.MembersDrawer]
 	if !found {
 		return
 	}
-	state, err := larder.ReadState(map[string]larder.Drawer{larder.MembersDrawer: drawer})
+	state, err := replication.ReadState(map[string]replication.Drawer{replication.MembersDrawer: drawer})
 	if err != nil {
 		expediter.observe("members_unreadable", "cause", err)
 		return
@@ -534,5 +534,5 @@
 //
 // Example:
 //
-//	order, failure := recipe.ReadOrder(record, core.Supported())
-func (expediter *Expediter) Supported() recipe.List { return expediter.options.Supported }
+//	order, failure := formats.ReadOrder(record, core.Supported())
+func (expediter *Expediter) Supported() formats.List { return expediter.options.Supported }
--- a/internal/hatch/expediter_test.go
+++ b/internal/hatch/expediter_test.go
@@ -7,13 +7,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
-func plain(turns rota.Turns) rota.Turns { return turns }
+func plain(turns lease.Turns) lease.Turns { return turns }
 
 func edition(name string) func([]byte) ([]byte, error) {
 	return func([]byte) ([]byte, error) { return []byte(`{"routes":{"` + name + `":{"to":{"refuse":true}}}}`), nil }
@@ -36,13 +36,13 @@
 // the look at the newest one and the noting of the grant: the answer must
 // confirm the newer one, or the change would not wait for this courier.
 func TestGrantSeesAConfigurationThatComesMeanwhile(t *testing.T) {
-	hooks := map[rota.Turns]*hookedTurns{}
-	_, primary := newCore(t, func(turns rota.Turns) rota.Turns {
+	hooks := map[lease.Turns]*hookedTurns{}
+	_, primary := newCore(t, func(turns lease.Turns) lease.Turns {
 		hooked := &hookedTurns{Turns: turns}
 		hooks[hooked] = hooked
 		return hooked
 	})
-	question := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier, Address: "c1"}, Have: map[string]larder.Version{}}
+	question := NewsQuestion{Member: membership.Member{Name: "courier-1", Kind: membership.Courier, Address: "c1"}, Have: map[string]replication.Version{}}
 	if _, err := primary.answerNews(question); err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +58,7 @@
 		if asked++; asked != 2 {
 			return
 		}
-		_, err := primary.submit(larder.ChangeMenu("meanwhile", "", nil, larder.PreparedMenu{}, edition("meanwhile")), changePatience)
+		_, err := primary.submit(replication.ChangeMenu("meanwhile", "", nil, replication.PreparedMenu{}, edition("meanwhile")), changePatience)
 		committed = err == nil
 	}
 	question.Patience = 0
@@ -67,7 +67,7 @@
 	if err != nil || !committed {
 		t.Fatalf("committed meanwhile: %v, %v", committed, err)
 	}
-	if latest := primary.store.View().VersionOf(larder.MenuDrawer); answer.Menu != latest && answer.Leads {
+	if latest := primary.store.View().VersionOf(replication.MenuDrawer); answer.Menu != latest && answer.Leads {
 		t.Fatalf("the hold confirms version %s, and %s was committed before it was granted", answer.Menu, latest)
 	}
 }
@@ -76,15 +76,15 @@
 // newer one's.
 func TestFollowerPassesOlderNewsOver(t *testing.T) {
 	taken := 0
-	follower := NewFollower(hookless{}, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(News) { taken++ })
-	newer, older := larder.Version{Epoch: 3, Number: 9}, larder.Version{Epoch: 2, Number: 8}
-	news := func(version larder.Version) NewsAnswer {
-		return NewsAnswer{Leads: true, Menu: version, Drawers: map[string]larder.Drawer{larder.MenuDrawer: {Version: version}}}
+	follower := NewFollower(hookless{}, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(News) { taken++ })
+	newer, older := replication.Version{Epoch: 3, Number: 9}, replication.Version{Epoch: 2, Number: 8}
+	news := func(version replication.Version) NewsAnswer {
+		return NewsAnswer{Leads: true, Menu: version, Drawers: map[string]replication.Drawer{replication.MenuDrawer: {Version: version}}}
 	}
 	follower.takeAnswer(hookless{}.Now(), news(newer))
 	follower.takeAnswer(hookless{}.Now(), news(older))
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: older})
-	if got := follower.Drawer(larder.MenuDrawer).Version; taken != 1 || got != newer {
+	if got := follower.Drawer(replication.MenuDrawer).Version; taken != 1 || got != newer {
 		t.Fatalf("%d answers were taken, the node has %s", taken, got)
 	}
 }
@@ -99,12 +99,12 @@
 	}
 	for path, answer := range primary.Answers() {
 		for _, body := range [][]byte{nil, []byte("garbage"), strange} {
-			if _, err := answer(body); trouble.KindOf(err) == trouble.Unsorted {
+			if _, err := answer(body); failure.KindOf(err) == failure.Unsorted {
 				t.Errorf("%s: %v", path, err)
 			}
 		}
 	}
-	if _, err := primary.Answers().Answer("/nowhere", nil); trouble.KindOf(err) != trouble.NoSuch {
+	if _, err := primary.Answers().Answer("/nowhere", nil); failure.KindOf(err) != failure.NoSuch {
 		t.Errorf("an unknown path: %v", err)
 	}
 }
--- a/internal/hatch/expediteroptions.go
+++ b/internal/hatch/expediteroptions.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // ExpediterOptions say which expediter a core is.
@@ -13,7 +13,7 @@
 	Address   string
 	District  string
 	Seeds     []string
-	Supported recipe.List
+	Supported formats.List
 	// FlagSettle is how long the members must not change before a flag is
 	// enabled.
 	FlagSettle time.Duration
@@ -31,7 +31,7 @@
 	// successor's start; the core's waits are derived from it. Zero: the default.
 	CatchUp time.Duration
 	// Fresh is the identity that a blank disk takes.
-	Fresh larder.Identity
+	Fresh replication.Identity
 	// Directory reads the platform's lists, and Reports the servers' loads, for the
 	// whole fleet while this expediter is primary.
 	Directory Directory
--- a/internal/hatch/fleet_test.go
+++ b/internal/hatch/fleet_test.go
@@ -10,10 +10,10 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // memoryShelf is a folder in memory that can be told to fail.
@@ -25,7 +25,7 @@
 
 func (shelf *memoryShelf) Save(name string, content []byte) error {
 	if shelf.failing.Load() {
-		return trouble.New(trouble.Disk, "the disk fails")
+		return failure.New(failure.Disk, "the disk fails")
 	}
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
@@ -67,14 +67,14 @@
 	node := core.nodes[address]
 	core.mutex.Unlock()
 	if node == nil {
-		return nil, trouble.New(trouble.Unreachable, address)
+		return nil, failure.New(failure.Unreachable, address)
 	}
 	return node.Answers().Answer(path, body)
 }
 
 // hookedTurns has something done whenever the time is asked for.
 type hookedTurns struct {
-	rota.Turns
+	lease.Turns
 	hook atomic.Pointer[func()]
 }
 
@@ -86,7 +86,7 @@
 }
 
 // newCore forms a core and returns its primary.
-func newCore(t *testing.T, wrap func(rota.Turns) rota.Turns) (*core, *Expediter) {
+func newCore(t *testing.T, wrap func(lease.Turns) lease.Turns) (*core, *Expediter) {
 	t.Helper()
 	lifetime, end := context.WithCancel(context.Background())
 	t.Cleanup(end)
@@ -96,7 +96,7 @@
 	for number := range 3 {
 		address := "m" + strconv.Itoa(number)
 		copies, keeping := &memoryShelf{files: map[string][]byte{}}, &memoryShelf{files: map[string][]byte{}}
-		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil), Fresh: larder.Identity("disk-" + address)}
+		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: formats.Supported(nil), Fresh: replication.Identity("disk-" + address)}
 		node, _, err := OpenExpediter(wrap(turns), formed, keeping, copies, options, func(string, ...any) { changed.Ring() })
 		if err != nil {
 			t.Fatal(err)
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -4,19 +4,19 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Follower keeps one node up to date: it asks the primary with the versions that
 // it has and is answered when there is news.
 type Follower struct {
-	turns   rota.Turns
+	turns   lease.Turns
 	line    Hotline
-	member  roster.Member
-	inForce func() larder.Version
+	member  membership.Member
+	inForce func() replication.Version
 	take    func(News)
 
 	mutex   sync.Mutex
@@ -26,39 +26,39 @@
 	seeds    []string
 	contacts []string
 	peers    []string
-	drawers  map[string]larder.Drawer
-	charter  larder.Charter
+	drawers  map[string]replication.Drawer
+	charter  replication.Charter
 	heard    time.Time
 	dark     map[string]time.Time
 
 	// provisional tells that a configuration may be taken from copies, unconfirmed is
 	// the version of one that no primary has confirmed yet.
 	provisional bool
-	unconfirmed larder.Version
+	unconfirmed replication.Version
 
 	lists, loads bool
 	listMark     uint64
 	loadsMark    uint64
-	listing      roster.Listing
+	listing      membership.Listing
 }
 
 // News is one answer of the primary, as the node takes it.
 type News struct {
 	Asked   time.Time
 	Answer  NewsAnswer
-	Changed map[string]larder.Drawer
+	Changed map[string]replication.Drawer
 	// Provisional tells that the drawers are those of a copy and no primary's word.
 	Provisional bool
 	// Servers is the list as the primary has it, if it has one.
 	Servers *Listed
 	// Loads are the servers' reports, if there are newer ones.
-	Loads []window.Load
+	Loads []scheduler.Load
 }
 
 // Listed is a list of servers and when it was read.
 type Listed struct {
 	At      time.Time
-	Servers []roster.Server
+	Servers []membership.Server
 }
 
 const (
@@ -92,9 +92,9 @@
 // Example:
 //
 //	followed := hatch.NewFollower(turns, line, member, seeds, inForce, take)
-func NewFollower(turns rota.Turns, line Hotline, member roster.Member, seeds []string, inForce func() larder.Version, take func(News)) *Follower {
+func NewFollower(turns lease.Turns, line Hotline, member membership.Member, seeds []string, inForce func() replication.Version, take func(News)) *Follower {
 	return &Follower{turns: turns, line: line, member: member, seeds: seeds, inForce: inForce, take: take,
-		drawers: map[string]larder.Drawer{}, dark: map[string]time.Time{}}
+		drawers: map[string]replication.Drawer{}, dark: map[string]time.Time{}}
 }
 
 // Follow chooses whether the list of servers and their reports are followed, too.
@@ -147,7 +147,7 @@
 // Example:
 //
 //	charter := followed.Charter()
-func (follower *Follower) Charter() larder.Charter {
+func (follower *Follower) Charter() replication.Charter {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	return follower.charter
@@ -168,8 +168,8 @@
 //
 // Example:
 //
-//	content := followed.Drawer(larder.OrdersDrawer).Content
-func (follower *Follower) Drawer(name string) larder.Drawer {
+//	content := followed.Drawer(replication.OrdersDrawer).Content
+func (follower *Follower) Drawer(name string) replication.Drawer {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	return follower.drawers[name]
@@ -211,12 +211,12 @@
 			follower.forget(address)
 			return
 		}
-		rota.Pause(follower.turns, retryPause)
+		lease.Pause(follower.turns, retryPause)
 		return
 	}
 	follower.learn(address, leadsAnswer{Leads: answer.Leads, Charter: answer.Charter})
 	if answer.Leads && !follower.takeAnswer(asked, answer) {
-		rota.Pause(follower.turns, retryPause)
+		lease.Pause(follower.turns, retryPause)
 	}
 }
 
@@ -243,7 +243,7 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	question := follower.question()
-	_, has := follower.drawers[larder.MenuDrawer]
+	_, has := follower.drawers[replication.MenuDrawer]
 	switch {
 	case !follower.current && !has:
 		return question, wholePatience
@@ -259,7 +259,7 @@
 
 // question tells what the node has. The caller has the mutex.
 func (follower *Follower) question() NewsQuestion {
-	have := map[string]larder.Version{}
+	have := map[string]replication.Version{}
 	for name, drawer := range follower.drawers {
 		have[name] = drawer.Version
 	}
@@ -280,7 +280,7 @@
 			return false
 		}
 		if answer.Drawers == nil {
-			answer.Drawers = map[string]larder.Drawer{}
+			answer.Drawers = map[string]replication.Drawer{}
 		}
 		answer.Drawers[name] = drawer
 	}
@@ -290,7 +290,7 @@
 			return false
 		}
 	}
-	if have := follower.drawers[larder.MenuDrawer].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
+	if have := follower.drawers[replication.MenuDrawer].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
 		follower.mutex.Unlock()
 		return false
 	}
@@ -314,7 +314,7 @@
 	if said := news.Answer.Servers; said != nil {
 		at := told.Add(-said.Age)
 		if said.Sent {
-			follower.listing = roster.Listing{}
+			follower.listing = membership.Listing{}
 			follower.listing.Take(at, said.Servers)
 			follower.listMark = said.Mark
 		}
--- a/internal/hatch/follower_test.go
+++ b/internal/hatch/follower_test.go
@@ -10,9 +10,9 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // darkLine is a network on which some addresses answer news and all others say nothing,
@@ -42,7 +42,7 @@
 		case <-time.After(patience):
 		case <-line.closed:
 		}
-		return nil, trouble.New(trouble.Unreachable, address)
+		return nil, failure.New(failure.Unreachable, address)
 	}
 	var question NewsQuestion
 	if err := msgpack.Unmarshal(body, &question); err != nil {
@@ -57,12 +57,12 @@
 	return msgpack.Marshal(answer)
 }
 
-func seats(prefix string) larder.Charter {
-	seat := func(number int) larder.Seat {
+func seats(prefix string) replication.Charter {
+	seat := func(number int) replication.Seat {
 		name := fmt.Sprintf("%s%d", prefix, number)
-		return larder.Seat{Identity: larder.Identity("disk " + name), Address: name, Name: name}
+		return replication.Seat{Identity: replication.Identity("disk " + name), Address: name, Name: name}
 	}
-	return larder.Charter{Primary: seat(0), Backup: seat(1), Keepers: []larder.Seat{seat(0), seat(1), seat(2)}}
+	return replication.Charter{Primary: seat(0), Backup: seat(1), Keepers: []replication.Seat{seat(0), seat(1), seat(2)}}
 }
 
 // TestFollowerFindsACoreOfWhichAllMachinesWereReplaced loses a primary, while every
@@ -86,9 +86,9 @@
 			line := &darkLine{answers: map[string]NewsAnswer{}, closed: make(chan struct{})}
 			defer close(line.closed)
 			turns := threads.New(t.Context(), wallclock.New())
-			taken := make(chan larder.Version, 1000)
-			follower := NewFollower(turns, line, roster.Member{Name: "courier-1", Kind: roster.Courier}, []string{"old0", "old1", "old2"},
-				func() larder.Version { return larder.Version{} }, func(news News) { taken <- news.Answer.Menu })
+			taken := make(chan replication.Version, 1000)
+			follower := NewFollower(turns, line, membership.Member{Name: "courier-1", Kind: membership.Courier}, []string{"old0", "old1", "old2"},
+				func() replication.Version { return replication.Version{} }, func(news News) { taken <- news.Answer.Menu })
 			follower.Follow(true, true)
 			var peers []string
 			for number := range row.peers {
@@ -97,11 +97,11 @@
 			follower.SetContacts([]string{"old3", "old4", "old5", "old6"}, peers)
 			before, after := seats("old"), seats("new")
 			before.Epoch, after.Epoch = 4, 19
-			line.set("old0", &NewsAnswer{Leads: true, Charter: before, Menu: larder.Version{Epoch: 4, Number: 9}, Hold: time.Second})
+			line.set("old0", &NewsAnswer{Leads: true, Charter: before, Menu: replication.Version{Epoch: 4, Number: 9}, Hold: time.Second})
 			turns.Go(follower.Run)
 			<-taken
 			line.set(fmt.Sprintf("courier%d", row.lit), &NewsAnswer{Charter: after})
-			newest := larder.Version{Epoch: 19, Number: 33}
+			newest := replication.Version{Epoch: 19, Number: 33}
 			line.set("new0", &NewsAnswer{Leads: true, Charter: after, Menu: newest, Hold: time.Second})
 			lost := time.Now()
 			line.set("old0", nil)
@@ -125,7 +125,7 @@
 func TestFollowerHearsOfAMembershipBeforeItIsNeeded(t *testing.T) {
 	_, primary := newCore(t, plain)
 	charter := primary.Steward().Charter()
-	known := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier}, Charter: charter.Epoch - 1}
+	known := NewsQuestion{Member: membership.Member{Name: "courier-1", Kind: membership.Courier}, Charter: charter.Epoch - 1}
 	if !primary.newerCharter(known) {
 		t.Error("a question by an older charter is held back")
 	}
@@ -143,7 +143,7 @@
 // recorded by that, no lease is given, and no configuration goes out.
 func TestABriefQuestionIsAnsweredWithoutContent(t *testing.T) {
 	_, primary := newCore(t, plain)
-	question := NewsQuestion{Member: roster.Member{Name: "courier-1", Kind: roster.Courier, Address: "c1"}, Brief: true}
+	question := NewsQuestion{Member: membership.Member{Name: "courier-1", Kind: membership.Courier, Address: "c1"}, Brief: true}
 	answer, err := primary.answerNews(question)
 	if err != nil || !answer.Leads || answer.Charter.Blank() {
 		t.Fatalf("%+v %v", answer, err)
--- a/internal/hatch/fuzz_test.go
+++ b/internal/hatch/fuzz_test.go
@@ -9,9 +9,9 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // FuzzReadInquiry gives bodies that may be anything: no panic, a typed answer,
@@ -24,7 +24,7 @@
 	fuzzing.Fuzz(func(t *testing.T, body []byte) {
 		inquiry, err := ReadInquiry(time.Unix(1, 0), body)
 		if err != nil {
-			if inquiry == nil && trouble.KindOf(err) == trouble.Unsorted {
+			if inquiry == nil && failure.KindOf(err) == failure.Unsorted {
 				t.Fatalf("%q: an untyped failure: %v", body, err)
 			}
 			return
@@ -49,7 +49,7 @@
 	}
 	paths := []string{HelloPath, PreparePath, AcceptPath, ConfirmPath, ReplicatePath, InstallPath, RefreshPath, NewsPath, ClaimPath, OrdersPath}
 	for number := range paths {
-		for _, seed := range []any{larder.Hello{}, keeperQuestion{To: "disk-a", Epoch: 1}, replicateQuestion{To: "disk-a"}, NewsQuestion{}, []recipe.Record{{}}} {
+		for _, seed := range []any{replication.Hello{}, keeperQuestion{To: "disk-a", Epoch: 1}, replicateQuestion{To: "disk-a"}, NewsQuestion{}, []formats.Record{{}}} {
 			body, err := msgpack.Marshal(seed)
 			if err != nil {
 				fuzzing.Fatal(err)
@@ -59,7 +59,7 @@
 	}
 	fuzzing.Fuzz(func(t *testing.T, number int, body []byte) {
 		path := paths[max(number, -number)%len(paths)]
-		if _, err := node.Answers().Answer(path, body); err != nil && trouble.KindOf(err) == trouble.Unsorted {
+		if _, err := node.Answers().Answer(path, body); err != nil && failure.KindOf(err) == failure.Unsorted {
 			t.Fatalf("%s %x: an untyped failure: %v", path, body, err)
 		}
 	})
--- a/internal/hatch/hotline.go
+++ b/internal/hatch/hotline.go
@@ -9,7 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Hotline is the port to other processes. A call ends within its patience; a
@@ -26,13 +26,13 @@
 func Call(line Hotline, address, path string, question, answer any, patience time.Duration) error {
 	body, err := msgpack.Marshal(question)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	answered, err := line.CallRaw(address, path, body, patience)
 	if err != nil || answer == nil {
 		return err
 	}
-	return trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(answered, answer))
+	return failure.Wrap(failure.Garbage, msgpack.Unmarshal(answered, answer))
 }
 
 // answerer turns an encoded question into an encoded answer.
@@ -42,14 +42,14 @@
 	return func(body []byte) ([]byte, error) {
 		var question Question
 		if err := msgpack.Unmarshal(body, &question); err != nil {
-			return nil, trouble.Wrap(trouble.Garbage, err)
+			return nil, failure.Wrap(failure.Garbage, err)
 		}
 		said, err := answer(question)
 		if err != nil {
 			return nil, err
 		}
 		encoded, err := msgpack.Marshal(said)
-		return encoded, trouble.Wrap(trouble.Garbage, err)
+		return encoded, failure.Wrap(failure.Garbage, err)
 	}
 }
 
@@ -64,7 +64,7 @@
 func (answers Answers) Answer(path string, body []byte) ([]byte, error) {
 	answer, found := answers[path]
 	if !found {
-		return nil, trouble.New(trouble.NoSuch, "no such path: "+path)
+		return nil, failure.New(failure.NoSuch, "no such path: "+path)
 	}
 	return answer(body)
 }
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // keepHouse does so for as long as this expediter leads, and rests while it does not.
@@ -18,7 +18,7 @@
 		next := expediter.turns.Now().Add(housekeepingPause)
 		expediter.housekeep()
 		if left := next.Sub(expediter.turns.Now()); left > 0 {
-			rota.Pause(expediter.turns, left)
+			lease.Pause(expediter.turns, left)
 		}
 	}
 }
@@ -37,7 +37,7 @@
 	}
 	now := expediter.turns.Now()
 	expediter.mutex.Lock()
-	if version := view.VersionOf(larder.MembersDrawer); version != current.membersAt {
+	if version := view.VersionOf(replication.MembersDrawer); version != current.membersAt {
 		current.membersAt, current.settledFrom = version, now
 	}
 	settled := now.Sub(current.settledFrom) >= expediter.options.FlagSettle
@@ -55,7 +55,7 @@
 	if settled && !restricted && len(state.Members) > 0 {
 		for _, flag := range supported {
 			if !state.Flags.Enabled.Has(flag) && len(state.Lacking(flag)) == 0 {
-				expediter.queue(larder.EnableFlags(supported), func(version larder.Version, err error) {
+				expediter.queue(replication.EnableFlags(supported), func(version replication.Version, err error) {
 					expediter.observe("flags_enabled", "version", version.String(), "trouble", err)
 				})
 				break
@@ -63,7 +63,7 @@
 		}
 	}
 	if horizonDue && !restricted {
-		expediter.queue(larder.MoveHorizon(expediter.turns.Wall(), step), func(larder.Version, error) {})
+		expediter.queue(replication.MoveHorizon(expediter.turns.Wall(), step), func(replication.Version, error) {})
 	}
 	expediter.grantDuties(now, current, state)
 	expediter.retireSilent(now, current, state)
@@ -74,7 +74,7 @@
 const listYoung = 5 * time.Second
 
 // forgetServers takes the records of servers away that are gone for good.
-func (expediter *Expediter) forgetServers(now time.Time, current *Reign, state *larder.State) {
+func (expediter *Expediter) forgetServers(now time.Time, current *Reign, state *replication.State) {
 	if age, read := expediter.lists.age(now); !read || age > listYoung {
 		return
 	}
@@ -85,7 +85,7 @@
 	if len(gone) == 0 {
 		return
 	}
-	expediter.queue(larder.ForgetServers(gone, state.Rota.Duties), func(version larder.Version, err error) {
+	expediter.queue(replication.ForgetServers(gone, state.Rota.Duties), func(version replication.Version, err error) {
 		expediter.observe("servers_forgotten", "servers", gone, "version", version.String(), "trouble", err)
 	})
 }
@@ -93,7 +93,7 @@
 // retireSilent takes members out of the record that have been silent for the chosen
 // time. One that comes back is recorded anew, with the flags that it then supports; if
 // it lacks an enabled one it is restricted, as any node that comes late.
-func (expediter *Expediter) retireSilent(now time.Time, current *Reign, state *larder.State) {
+func (expediter *Expediter) retireSilent(now time.Time, current *Reign, state *replication.State) {
 	if expediter.options.RetireAfter <= 0 {
 		return
 	}
@@ -103,10 +103,10 @@
 	expediter.mutex.Unlock()
 	for _, name := range silent {
 		// Who has a seat is not forgotten before another has it.
-		if slices.ContainsFunc(charter.Electors(), func(seat larder.Seat) bool { return seat.Name == name }) || charter.Primary.Name == name {
+		if slices.ContainsFunc(charter.Electors(), func(seat replication.Seat) bool { return seat.Name == name }) || charter.Primary.Name == name {
 			continue
 		}
-		expediter.queue(larder.Retire(name), func(version larder.Version, err error) {
+		expediter.queue(replication.Retire(name), func(version replication.Version, err error) {
 			expediter.observe("member_retired", "member", name, "version", version.String(), "trouble", err)
 		})
 	}
@@ -124,16 +124,16 @@
 	return expediter.turns.Now().Sub(current.settledFrom) < expediter.options.FlagSettle
 }
 
-func (expediter *Expediter) grantDuties(now time.Time, current *Reign, state *larder.State) {
-	wanted := []string{rota.PartsKey}
+func (expediter *Expediter) grantDuties(now time.Time, current *Reign, state *replication.State) {
+	wanted := []string{lease.PartsKey}
 	for _, server := range expediter.Servers() {
-		wanted = append(wanted, rota.ServerKey(server.Name))
+		wanted = append(wanted, lease.ServerKey(server.Name))
 	}
 	grants := current.keys.Vacant(now, wanted, state.Rota.Duties, current.candidates(now, state))
 	if len(grants) == 0 {
 		return
 	}
-	expediter.queue(larder.GrantDuties(grants, state.Rota.Duties), func(version larder.Version, err error) {
+	expediter.queue(replication.GrantDuties(grants, state.Rota.Duties), func(version replication.Version, err error) {
 		expediter.observe("duties_granted", "version", version.String(), "grants", grants, "trouble", err)
 	})
 }
@@ -157,7 +157,7 @@
 // sweep. One round runs at a time, and a second lies between two: under steady
 // writes a copy out of the pair is always a little old, and a whole one goes out
 // each time.
-func (expediter *Expediter) mendCopies(view *larder.View) {
+func (expediter *Expediter) mendCopies(view *replication.View) {
 	now := expediter.turns.Now()
 	expediter.mutex.Lock()
 	rests := expediter.mending || now.Sub(expediter.mendedAt) < mendPause
@@ -175,7 +175,7 @@
 	}()
 	epoch := expediter.steward.Charter().Epoch
 	for _, seat := range expediter.steward.OldCopies(view.Version) {
-		question := installQuestion{To: seat.Identity, Snapshot: larder.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
+		question := installQuestion{To: seat.Identity, Snapshot: replication.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
 		err := Call(expediter.line, expediter.steward.Address(seat), RefreshPath, question, nil, installPatience)
 		expediter.observe("copy_mended", "at", seat.Name, "version", view.Version.String(), "trouble", err)
 	}
--- a/internal/hatch/inquirybody.go
+++ b/internal/hatch/inquirybody.go
@@ -9,8 +9,8 @@
 	"github.com/valyala/fastjson"
 	"go.uber.org/multierr"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // MostInquiryBytes bounds an inquiry's body.
@@ -28,11 +28,11 @@
 func ReadInquiry(now time.Time, body []byte) (*pass.Inquiry, error) {
 	root, err := fastjson.ParseBytes(body)
 	if err != nil || !utf8.Valid(body) {
-		return nil, trouble.At(trouble.Malformed, "/", "the body is no JSON")
+		return nil, failure.At(failure.Malformed, "/", "the body is no JSON")
 	}
 	object, err := root.Object()
 	if err != nil {
-		return nil, trouble.At(trouble.WrongType, "/", "an object is needed")
+		return nil, failure.At(failure.WrongType, "/", "an object is needed")
 	}
 	inquiry := &pass.Inquiry{Repeatable: true, PromptTokens: -1, Pieces: 1}
 	limit := 0
@@ -44,36 +44,36 @@
 		if target, found := texts[name]; found {
 			text, err := value.StringBytes()
 			if err != nil {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a text is needed"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.WrongType, "/"+name, "a text is needed"))
 				return
 			}
 			*target = string(text)
 		} else if target, found := numbers[name]; found {
 			number, err := value.Int()
 			if err != nil || number < 0 || number > 100_000_000 {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/"+name, "a whole number that is not negative is needed"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.WrongType, "/"+name, "a whole number that is not negative is needed"))
 				return
 			}
 			*target = number
 		} else if name == "repeatable" {
 			repeatable, err := value.Bool()
 			if err != nil {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.WrongType, "/repeatable", "true or false is needed"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.WrongType, "/repeatable", "true or false is needed"))
 				return
 			}
 			inquiry.Repeatable = repeatable
 		} else {
-			mistakes = multierr.Append(mistakes, trouble.At(trouble.UnknownField, "/"+name, "no such field"))
+			mistakes = multierr.Append(mistakes, failure.At(failure.UnknownField, "/"+name, "no such field"))
 		}
 	})
 	if mistakes != nil {
 		return nil, mistakes
 	}
 	if inquiry.Service == "" {
-		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/service", "the service is needed"))
+		mistakes = multierr.Append(mistakes, failure.At(failure.Missing, "/service", "the service is needed"))
 	}
 	if inquiry.ID == "" || len(inquiry.ID) > 128 {
-		mistakes = multierr.Append(mistakes, trouble.At(trouble.Missing, "/id", "an id of at most 128 bytes is needed"))
+		mistakes = multierr.Append(mistakes, failure.At(failure.Missing, "/id", "an id of at most 128 bytes is needed"))
 	} else if !inquiry.Repeatable {
 		if _, err := MadeAt(inquiry.ID); err != nil {
 			mistakes = multierr.Append(mistakes, err)
@@ -83,10 +83,10 @@
 		inquiry.PromptTokens = len(inquiry.Prompt)/tokenBytes + 1
 	}
 	if inquiry.PrefixTokens > inquiry.PromptTokens {
-		mistakes = multierr.Append(mistakes, trouble.At(trouble.Contradictory, "/prefix_tokens", "the prefix is longer than the prompt, "+strconv.Itoa(inquiry.PromptTokens)))
+		mistakes = multierr.Append(mistakes, failure.At(failure.Contradictory, "/prefix_tokens", "the prefix is longer than the prompt, "+strconv.Itoa(inquiry.PromptTokens)))
 	}
 	if inquiry.Pieces < 1 {
-		mistakes = multierr.Append(mistakes, trouble.At(trouble.OutOfRange, "/pieces", "at least one piece is needed"))
+		mistakes = multierr.Append(mistakes, failure.At(failure.OutOfRange, "/pieces", "at least one piece is needed"))
 	}
 	if limit > 0 {
 		inquiry.Limit = now.Add(time.Duration(limit) * time.Millisecond)
@@ -103,7 +103,7 @@
 func MadeAt(id string) (time.Time, error) {
 	parsed, err := uuid.Parse(id)
 	if err != nil || parsed.Version() != 7 {
-		return time.Time{}, trouble.At(trouble.Malformed, "/id", "an inquiry that may not be repeated has a UUID of version 7 as its id")
+		return time.Time{}, failure.At(failure.Malformed, "/id", "an inquiry that may not be repeated has a UUID of version 7 as its id")
 	}
 	seconds, nanoseconds := parsed.Time().UnixTime()
 	return time.Unix(seconds, nanoseconds), nil
--- a/internal/hatch/installquestion.go
+++ b/internal/hatch/installquestion.go
@@ -1,9 +1,9 @@
 package hatch
 
-import "seamloom.example/seamloom/internal/larder"
+import "seamloom.example/seamloom/internal/replication"
 
 // installQuestion brings a whole copy.
 type installQuestion struct {
-	To       larder.Identity `msgpack:"to"`
-	Snapshot larder.Snapshot `msgpack:"snapshot"`
+	To       replication.Identity `msgpack:"to"`
+	Snapshot replication.Snapshot `msgpack:"snapshot"`
 }
--- a/internal/hatch/journal.go
+++ b/internal/hatch/journal.go
@@ -3,24 +3,24 @@
 import (
 	"sync"
 
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/formats"
 )
 
 // Journal keeps the newest records of this courier and of those that name it
 // their neighbour, and folds what is known of one inquiry.
 type Journal struct {
 	mutex   sync.Mutex
-	records []recipe.Record
+	records []formats.Record
 	next    int
-	outbox  []recipe.Record
+	outbox  []formats.Record
 }
 
 const mostRecords = 16384
 
-func newJournal() *Journal { return &Journal{records: make([]recipe.Record, 0, mostRecords)} }
+func newJournal() *Journal { return &Journal{records: make([]formats.Record, 0, mostRecords)} }
 
 // append notes a record; own ones also go to a neighbour.
-func (journal *Journal) append(record recipe.Record, own bool) {
+func (journal *Journal) append(record formats.Record, own bool) {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	if len(journal.records) < mostRecords {
@@ -41,7 +41,7 @@
 	return len(journal.outbox) > 0
 }
 
-func (journal *Journal) takeOutbox() []recipe.Record {
+func (journal *Journal) takeOutbox() []formats.Record {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	outbox := journal.outbox
@@ -51,9 +51,9 @@
 
 // Trace is what a journal knows of one inquiry.
 type Trace struct {
-	Inquiry string         `json:"inquiry"`
-	Pairs   []recipe.Pair  `json:"pairs"`
-	Retries []recipe.Entry `json:"retries,omitempty"`
+	Inquiry string          `json:"inquiry"`
+	Pairs   []formats.Pair  `json:"pairs"`
+	Retries []formats.Entry `json:"retries,omitempty"`
 }
 
 // Fold tells what is known of one inquiry.
@@ -61,7 +61,7 @@
 // Example:
 //
 //	folded, found := journal.Fold("inquiry-1", supported)
-func (journal *Journal) Fold(inquiry string, supported recipe.List) (Trace, bool) {
+func (journal *Journal) Fold(inquiry string, supported formats.List) (Trace, bool) {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	folded := Trace{Inquiry: inquiry}
@@ -70,12 +70,12 @@
 			continue
 		}
 		switch record.Kind {
-		case recipe.PairRecord:
-			if pair, err := recipe.ReadPair(record, supported); err == nil {
+		case formats.PairRecord:
+			if pair, err := formats.ReadPair(record, supported); err == nil {
 				folded.Pairs = append(folded.Pairs, pair)
 			}
-		case recipe.RetryRecord:
-			if entry, err := recipe.ReadEntry(record); err == nil {
+		case formats.RetryRecord:
+			if entry, err := formats.ReadEntry(record); err == nil {
 				folded.Retries = append(folded.Retries, entry)
 			}
 		}
--- a/internal/hatch/ledanswer.go
+++ b/internal/hatch/ledanswer.go
@@ -1,9 +1,9 @@
 package hatch
 
-import "seamloom.example/seamloom/internal/larder"
+import "seamloom.example/seamloom/internal/replication"
 
 // LedAnswer says whether its giver leads, and nothing besides.
 type LedAnswer struct {
-	Leads   bool           `msgpack:"leads"`
-	Charter larder.Charter `msgpack:"charter"`
+	Leads   bool                `msgpack:"leads"`
+	Charter replication.Charter `msgpack:"charter"`
 }
--- a/internal/hatch/listreading.go
+++ b/internal/hatch/listreading.go
@@ -4,10 +4,10 @@
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // A courier has the list of servers from the primary. The values are ours.
@@ -32,14 +32,14 @@
 // Example:
 //
 //	ready := len(courier.Servers()) > 0
-func (courier *Courier) Servers() []roster.Server {
+func (courier *Courier) Servers() []membership.Server {
 	courier.listMutex.Lock()
 	defer courier.listMutex.Unlock()
 	return courier.listing.Servers(courier.turns.Now())
 }
 
 // takeServers takes a list that was read at a moment, by whomever.
-func (courier *Courier) takeServers(at time.Time, servers []roster.Server) {
+func (courier *Courier) takeServers(at time.Time, servers []membership.Server) {
 	courier.listMutex.Lock()
 	defer courier.listMutex.Unlock()
 	if !courier.listing.Take(at, servers) {
@@ -60,7 +60,7 @@
 	for reads := 0; courier.turns.Alive(); {
 		if left := courier.listDue(began).Sub(courier.turns.Now()); left > 0 {
 			// Clocks are coarse: a pause of nothing would be made over and over.
-			rota.Pause(courier.turns, max(left, time.Millisecond))
+			lease.Pause(courier.turns, max(left, time.Millisecond))
 			continue
 		}
 		asked := courier.turns.Now()
@@ -72,7 +72,7 @@
 		}
 		courier.observe("list_read_itself", "servers", len(servers), "trouble", err)
 		reads++
-		rota.Pause(courier.turns, ownListPause+time.Duration(courier.couriers.Load())*ownListShare+courier.spread(reads))
+		lease.Pause(courier.turns, ownListPause+time.Duration(courier.couriers.Load())*ownListShare+courier.spread(reads))
 	}
 }
 
@@ -88,26 +88,26 @@
 
 // spread is a length of time that differs from courier to courier.
 func (courier *Courier) spread(reads int) time.Duration {
-	return time.Duration(roster.Weight("read "+strconv.Itoa(reads), courier.options.Courier) % uint64(ownListSpread))
+	return time.Duration(membership.Weight("read "+strconv.Itoa(reads), courier.options.Courier) % uint64(ownListSpread))
 }
 
 // readNodes reads the platform's list of nodes, where there is one.
 func (courier *Courier) readNodes() {
 	for courier.turns.Alive() {
 		nodes, err := courier.options.Directory.Nodes()
-		if trouble.KindOf(err) == trouble.NoSuch {
+		if failure.KindOf(err) == failure.NoSuch {
 			return
 		}
 		if err == nil {
 			courier.setNodes(nodes)
 		}
-		rota.Pause(courier.turns, nodesPause)
+		lease.Pause(courier.turns, nodesPause)
 	}
 }
 
 // watchPressures has each listed server's load read for the market of inquiries. The
 // caller has the list's mutex.
-func (courier *Courier) watchPressures(servers []roster.Server) {
+func (courier *Courier) watchPressures(servers []membership.Server) {
 	if courier.options.Pressures == nil {
 		return
 	}
@@ -128,7 +128,7 @@
 }
 
 // watchPressure reads one server's load until it is listed no more.
-func (courier *Courier) watchPressure(key string, server roster.Server) {
+func (courier *Courier) watchPressure(key string, server membership.Server) {
 	watched := func() bool {
 		courier.listMutex.Lock()
 		defer courier.listMutex.Unlock()
@@ -141,7 +141,7 @@
 			courier.Apply(pass.Event{Kind: pass.LoadReported, Load: &load})
 		}
 		if left := pressurePause - courier.turns.Now().Sub(began); left > 0 {
-			rota.Pause(courier.turns, left)
+			lease.Pause(courier.turns, left)
 		}
 	}
 }
--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // lists is what an expediter knows of the platform's list of servers and of their
@@ -17,7 +17,7 @@
 // the news, so that they lead with it at once.
 type lists struct {
 	mutex   sync.Mutex
-	listing roster.Listing
+	listing membership.Listing
 	// epoch is that of the reign whose marks these are, and zero outside of one.
 	epoch     uint64
 	changes   uint64
@@ -32,7 +32,7 @@
 
 // report is one server's, with when it was asked for.
 type report struct {
-	load window.Load
+	load scheduler.Load
 	at   time.Time
 }
 
@@ -118,7 +118,7 @@
 }
 
 // take takes a list and tells whether it changed anything.
-func (lists *lists) take(at time.Time, servers []roster.Server) bool {
+func (lists *lists) take(at time.Time, servers []membership.Server) bool {
 	lists.mutex.Lock()
 	defer lists.mutex.Unlock()
 	changed := lists.listing.Take(at, servers)
@@ -129,7 +129,7 @@
 }
 
 // servers is the list as it is known now.
-func (lists *lists) servers(now time.Time) []roster.Server {
+func (lists *lists) servers(now time.Time) []membership.Server {
 	lists.mutex.Lock()
 	defer lists.mutex.Unlock()
 	return lists.listing.Servers(now)
@@ -177,13 +177,13 @@
 
 // wanted lists the servers to ask for a report now: those listed that are not being
 // asked, if a courier follows reports.
-func (lists *lists) wanted(now time.Time) []roster.Server {
+func (lists *lists) wanted(now time.Time) []membership.Server {
 	lists.mutex.Lock()
 	defer lists.mutex.Unlock()
 	if lists.epoch == 0 || lists.wantedAt.IsZero() || now.Sub(lists.wantedAt) > wantedTime {
 		return nil
 	}
-	var wanted []roster.Server
+	var wanted []membership.Server
 	for _, server := range lists.listing.Servers(now) {
 		if !lists.asking[server.Name] {
 			lists.asking[server.Name] = true
@@ -194,7 +194,7 @@
 }
 
 // note takes a server's answer, or that there was none.
-func (lists *lists) note(epoch uint64, server string, at time.Time, load window.Load, err error) {
+func (lists *lists) note(epoch uint64, server string, at time.Time, load scheduler.Load, err error) {
 	lists.mutex.Lock()
 	defer lists.mutex.Unlock()
 	if lists.epoch != epoch {
@@ -253,7 +253,7 @@
 		}
 		expediter.noteListTrouble(err)
 		if left := listPause - expediter.turns.Now().Sub(asked); left > 0 {
-			rota.Pause(expediter.turns, left)
+			lease.Pause(expediter.turns, left)
 		}
 	}
 }
@@ -295,7 +295,7 @@
 func (expediter *Expediter) noteListTrouble(err error) {
 	cause := ""
 	if err != nil {
-		cause = string(trouble.KindOf(err))
+		cause = string(failure.KindOf(err))
 	}
 	expediter.lists.mutex.Lock()
 	told := expediter.lists.failedFor == cause
@@ -325,13 +325,13 @@
 			pause = calmReportPause
 		}
 		if left := pause - expediter.turns.Now().Sub(began); left > 0 {
-			rota.Pause(expediter.turns, left)
+			lease.Pause(expediter.turns, left)
 		}
 	}
 }
 
 // askAll asks servers at once and waits for those that answer soon.
-func (expediter *Expediter) askAll(servers []roster.Server) {
+func (expediter *Expediter) askAll(servers []membership.Server) {
 	expediter.lists.mutex.Lock()
 	epoch := expediter.lists.epoch
 	expediter.lists.mutex.Unlock()
@@ -363,12 +363,12 @@
 func (expediter *Expediter) readNodes() {
 	for expediter.turns.Alive() {
 		nodes, err := expediter.options.Directory.Nodes()
-		if trouble.KindOf(err) == trouble.NoSuch {
+		if failure.KindOf(err) == failure.NoSuch {
 			return
 		}
 		if err == nil {
 			expediter.setNodes(nodes)
 		}
-		rota.Pause(expediter.turns, nodesPause)
+		lease.Pause(expediter.turns, nodesPause)
 	}
 }
--- a/internal/hatch/lists_test.go
+++ b/internal/hatch/lists_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 var listNoon = time.Unix(2_000_000, 0)
@@ -24,7 +24,7 @@
 	if known.newer(asker) {
 		t.Error("nothing is known, and is news")
 	}
-	known.take(atNoon(0), []roster.Server{{Name: "a", Warming: 2 * time.Second}})
+	known.take(atNoon(0), []membership.Server{{Name: "a", Warming: 2 * time.Second}})
 	if known.newer(asker) {
 		t.Error("who does not lead has news")
 	}
@@ -50,8 +50,8 @@
 	if wanted := known.wanted(atNoon(time.Second)); len(wanted) != 0 {
 		t.Errorf("asked again while it is being asked: %v", wanted)
 	}
-	known.note(6, "a", atNoon(time.Second), window.Load{Server: "a"}, nil)
-	known.note(7, "a", atNoon(time.Second), window.Load{Server: "another"}, nil)
+	known.note(6, "a", atNoon(time.Second), scheduler.Load{Server: "a"}, nil)
+	known.note(7, "a", atNoon(time.Second), scheduler.Load{Server: "another"}, nil)
 	known.round(atNoon(time.Second))
 	answer = NewsAnswer{}
 	known.tell(atNoon(time.Second), asker, &answer)
@@ -59,14 +59,14 @@
 		t.Errorf("a report of another reign or server was told: %+v", answer.Loads)
 	}
 	known.wanted(atNoon(time.Second))
-	known.note(7, "a", atNoon(time.Second), window.Load{Server: "a", Running: 3, Age: 100 * time.Millisecond}, nil)
+	known.note(7, "a", atNoon(time.Second), scheduler.Load{Server: "a", Running: 3, Age: 100 * time.Millisecond}, nil)
 	known.round(atNoon(1100 * time.Millisecond))
 	if !known.newer(asker) {
 		t.Error("a round of reports is no news")
 	}
 	answer = NewsAnswer{}
 	known.tell(atNoon(1200*time.Millisecond), asker, &answer)
-	if answer.Loads == nil || len(answer.Loads.Lines) != 1 || answer.Loads.Lines[0].load(50*time.Millisecond) != (window.Load{Server: "a", Running: 3, Age: 350 * time.Millisecond}) {
+	if answer.Loads == nil || len(answer.Loads.Lines) != 1 || answer.Loads.Lines[0].load(50*time.Millisecond) != (scheduler.Load{Server: "a", Running: 3, Age: 350 * time.Millisecond}) {
 		t.Errorf("%+v", answer.Loads)
 	}
 	asker.LoadsMark = answer.Loads.Mark
@@ -75,7 +75,7 @@
 	}
 	// A server that does not report any more is left out after a while.
 	known.wanted(atNoon(4 * time.Second))
-	known.note(7, "a", atNoon(4*time.Second), window.Load{}, trouble.New(trouble.Unreachable, ""))
+	known.note(7, "a", atNoon(4*time.Second), scheduler.Load{}, failure.New(failure.Unreachable, ""))
 	known.round(atNoon(4200 * time.Millisecond))
 	answer = NewsAnswer{}
 	known.tell(atNoon(4200*time.Millisecond), asker, &answer)
@@ -98,7 +98,7 @@
 
 // TestReportTravelsShort wants one server's report to stay a few dozen bytes.
 func TestReportTravelsShort(t *testing.T) {
-	line := reportOf(window.Load{Server: "i-7f3a91c2", Part: "decode", Changing: true, Orders: 2, Waiting: 100, Running: 60, MemoryUsed: 200_000, MemoryTotal: 319_972, Handles: 12}, 240*time.Millisecond)
+	line := reportOf(scheduler.Load{Server: "i-7f3a91c2", Part: "decode", Changing: true, Orders: 2, Waiting: 100, Running: 60, MemoryUsed: 200_000, MemoryTotal: 319_972, Handles: 12}, 240*time.Millisecond)
 	body, err := msgpack.Marshal(line)
 	if err != nil || len(body) > 48 {
 		t.Errorf("%d bytes, %v", len(body), err)
@@ -111,7 +111,7 @@
 
 // movingTurns tell a time that the test moves.
 type movingTurns struct {
-	rota.Turns
+	lease.Turns
 	now time.Time
 }
 
@@ -122,11 +122,11 @@
 func TestFollowerTakesNothingForYoungerThanItIs(t *testing.T) {
 	turns := &movingTurns{now: atNoon(0)}
 	var heard News
-	follower := NewFollower(turns, nil, roster.Member{}, nil, func() larder.Version { return larder.Version{} }, func(news News) { heard = news })
+	follower := NewFollower(turns, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(news News) { heard = news })
 	follower.Follow(true, true)
 	turns.now = atNoon(800 * time.Millisecond)
-	lines := []loadReport{reportOf(window.Load{Server: "a"}, 200*time.Millisecond)}
-	answer := NewsAnswer{Leads: true, Held: 600 * time.Millisecond, Servers: &ServersNews{Mark: 5, Age: 300 * time.Millisecond, Sent: true, Servers: []roster.Server{{Name: "a"}}},
+	lines := []loadReport{reportOf(scheduler.Load{Server: "a"}, 200*time.Millisecond)}
+	answer := NewsAnswer{Leads: true, Held: 600 * time.Millisecond, Servers: &ServersNews{Mark: 5, Age: 300 * time.Millisecond, Sent: true, Servers: []membership.Server{{Name: "a"}}},
 		Loads: &LoadsNews{Mark: 9, Lines: lines}}
 	follower.takeAnswer(atNoon(0), answer)
 	if heard.Servers == nil || !heard.Servers.At.Equal(atNoon(300*time.Millisecond)) {
@@ -159,18 +159,18 @@
 // part at one server to be enough for the usual pace.
 func TestReportsAreReadSeldomWhileServersHaveLittleToDo(t *testing.T) {
 	for name, one := range map[string]struct {
-		load window.Load
+		load scheduler.Load
 		calm bool
 	}{
-		"nothing to do":    {window.Load{Server: "a"}, true},
-		"a little":         {window.Load{Server: "a", Running: 10}, true},
-		"more than a part": {window.Load{Server: "a", Running: 11}, false},
-		"a call waits":     {window.Load{Server: "a", Waiting: 1}, false},
-		"a change of part": {window.Load{Server: "a", Changing: true}, false},
+		"nothing to do":    {scheduler.Load{Server: "a"}, true},
+		"a little":         {scheduler.Load{Server: "a", Running: 10}, true},
+		"more than a part": {scheduler.Load{Server: "a", Running: 11}, false},
+		"a call waits":     {scheduler.Load{Server: "a", Waiting: 1}, false},
+		"a change of part": {scheduler.Load{Server: "a", Changing: true}, false},
 	} {
 		var known lists
 		known.begin(1)
-		known.take(atNoon(0), []roster.Server{{Name: "a", Slots: 64}, {Name: "b"}})
+		known.take(atNoon(0), []membership.Server{{Name: "a", Slots: 64}, {Name: "b"}})
 		known.note(1, "a", atNoon(0), one.load, nil)
 		if calm := known.calm(atNoon(0)); calm != one.calm {
 			t.Errorf("%s: calm %v", name, calm)
--- a/internal/hatch/loadsnews.go
+++ b/internal/hatch/loadsnews.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // LoadsNews are the servers' reports as the primary read them last. Its mark tells
@@ -32,12 +32,12 @@
 	Age int
 }
 
-func reportOf(load window.Load, age time.Duration) loadReport {
+func reportOf(load scheduler.Load, age time.Duration) loadReport {
 	return loadReport{Server: load.Server, Part: load.Part, Changing: load.Changing, Orders: uint(load.Orders), Waiting: load.Waiting, Running: load.Running,
 		MemoryUsed: load.MemoryUsed, MemoryTotal: load.MemoryTotal, Handles: load.Handles, Age: int((load.Age + age).Milliseconds())}
 }
 
-func (report loadReport) load(age time.Duration) window.Load {
-	return window.Load{Server: report.Server, Part: report.Part, Changing: report.Changing, Orders: uint64(report.Orders), Waiting: report.Waiting, Running: report.Running,
+func (report loadReport) load(age time.Duration) scheduler.Load {
+	return scheduler.Load{Server: report.Server, Part: report.Part, Changing: report.Changing, Orders: uint64(report.Orders), Waiting: report.Waiting, Running: report.Running,
 		MemoryUsed: report.MemoryUsed, MemoryTotal: report.MemoryTotal, Handles: report.Handles, Age: time.Duration(report.Age)*time.Millisecond + age}
 }
--- a/internal/hatch/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -3,21 +3,21 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // NewsAnswer is what the primary answers: the drawers that are newer, and a
 // hold that confirms the configuration's version. Who is not primary answers
 // with the charter alone.
 type NewsAnswer struct {
-	Leads   bool                     `msgpack:"leads"`
-	Charter larder.Charter           `msgpack:"charter"`
-	Drawers map[string]larder.Drawer `msgpack:"drawers,omitempty"`
-	Deltas  map[string]Delta         `msgpack:"deltas,omitempty"`
-	Menu    larder.Version           `msgpack:"menu"`
-	Hold    time.Duration            `msgpack:"hold"`
-	Duties  []rota.Duty              `msgpack:"duties,omitempty"`
+	Leads   bool                          `msgpack:"leads"`
+	Charter replication.Charter           `msgpack:"charter"`
+	Drawers map[string]replication.Drawer `msgpack:"drawers,omitempty"`
+	Deltas  map[string]Delta              `msgpack:"deltas,omitempty"`
+	Menu    replication.Version           `msgpack:"menu"`
+	Hold    time.Duration                 `msgpack:"hold"`
+	Duties  []lease.Duty                  `msgpack:"duties,omitempty"`
 	// Held is how long the question was held back, so that ages are counted from
 	// no earlier than they were told.
 	Held time.Duration `msgpack:"held,omitempty"`
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -3,19 +3,19 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // NewsQuestion is what a node asks the primary, over and over: what it is,
 // which versions it has, and which configuration it has in force.
 type NewsQuestion struct {
-	Member   roster.Member             `msgpack:"member"`
-	Have     map[string]larder.Version `msgpack:"have"`
-	InForce  larder.Version            `msgpack:"in_force"`
-	Released []rota.Duty               `msgpack:"released,omitempty"`
-	Patience time.Duration             `msgpack:"patience"`
+	Member   membership.Member              `msgpack:"member"`
+	Have     map[string]replication.Version `msgpack:"have"`
+	InForce  replication.Version            `msgpack:"in_force"`
+	Released []lease.Duty                   `msgpack:"released,omitempty"`
+	Patience time.Duration                  `msgpack:"patience"`
 	// Deltas tells that the node takes what changed instead of the whole.
 	Deltas bool `msgpack:"deltas,omitempty"`
 	// Charter is the epoch of the newest charter that the node has heard of: who leads
@@ -33,6 +33,6 @@
 	// Provisional tells that the node has no configuration in its life and would take
 	// the one of the copies while there is no primary; Wanted is the version that is to
 	// be sent.
-	Provisional bool           `msgpack:"provisional,omitempty"`
-	Wanted      larder.Version `msgpack:"wanted,omitempty"`
+	Provisional bool                `msgpack:"provisional,omitempty"`
+	Wanted      replication.Version `msgpack:"wanted,omitempty"`
 }
--- a/internal/hatch/ordersquestion.go
+++ b/internal/hatch/ordersquestion.go
@@ -1,14 +1,14 @@
 package hatch
 
 import (
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // OrdersQuestion gives orders under the parts duty.
 type OrdersQuestion struct {
-	Duty   rota.Duty      `msgpack:"duty"`
-	Orders []recipe.Order `msgpack:"orders"`
+	Duty   lease.Duty      `msgpack:"duty"`
+	Orders []formats.Order `msgpack:"orders"`
 	// Supported is the writer's own list.
-	Supported recipe.List `msgpack:"supported"`
+	Supported formats.List `msgpack:"supported"`
 }
--- a/internal/hatch/passing.go
+++ b/internal/hatch/passing.go
@@ -5,10 +5,10 @@
 	"net/http"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // Passing is the port by which an inquiry goes on to another courier.
@@ -16,7 +16,7 @@
 	// Pass sends the inquiry's body with its passage, and gives the records of
 	// the reply to take, as they come, until take says no or the origin has
 	// left. Begun is false only when certainly nothing of it has left.
-	Pass(address string, passage Passage, body []byte, whenLeft func(act func()), take func(record recipe.Record) bool) (begun bool)
+	Pass(address string, passage Passage, body []byte, whenLeft func(act func()), take func(record formats.Record) bool) (begun bool)
 }
 
 // Passage marks one passing-on: a link may bring it twice, and to another
@@ -39,18 +39,18 @@
 
 // capable lists the couriers that lack no enabled flag, this inquiry's own
 // order first.
-func (courier *Courier) capable(inquiry string) []roster.Member {
+func (courier *Courier) capable(inquiry string) []membership.Member {
 	enabled := courier.core.Enabled()
 	courier.mutex.Lock()
 	defer courier.mutex.Unlock()
 	var names []string
 	for name, member := range courier.members {
-		if member.Kind == roster.Courier && name != courier.options.Courier && !member.Restricted(enabled) {
+		if member.Kind == membership.Courier && name != courier.options.Courier && !member.Restricted(enabled) {
 			names = append(names, name)
 		}
 	}
-	var members []roster.Member
-	for _, name := range roster.Ranked(inquiry, names) {
+	var members []membership.Member
+	for _, name := range membership.Ranked(inquiry, names) {
 		members = append(members, courier.members[name])
 	}
 	return members
@@ -61,14 +61,14 @@
 // begun.
 func (courier *Courier) passOn(arrival Arrival, reply Reply) {
 	never := false
-	refused := ReplyLine{Inquiry: arrival.Inquiry.ID, Final: pass.Refused, Ran: &never, Type: trouble.Restricted, Detail: "this courier lacks an enabled flag and no capable one was reached", RetryAfterSeconds: 1}
+	refused := ReplyLine{Inquiry: arrival.Inquiry.ID, Final: pass.Refused, Ran: &never, Type: failure.Restricted, Detail: "this courier lacks an enabled flag and no capable one was reached", RetryAfterSeconds: 1}
 	if arrival.Passage == nil {
 		for _, member := range courier.capable(arrival.Inquiry.ID) {
 			passage := Passage{Nonce: courier.nonce()}
 			if !arrival.Inquiry.Repeatable {
 				var said Incarnation
 				err := Call(courier.line, member.Address, IncarnationPath, nothing{}, &said, incarnationPatience)
-				if trouble.KindOf(err) == trouble.Unreachable && !courier.old(err) {
+				if failure.KindOf(err) == failure.Unreachable && !courier.old(err) {
 					continue
 				}
 				passage.Incarnation = said.Incarnation
@@ -88,7 +88,7 @@
 
 // old tells whether a failure is that of a release which knows no such path.
 func (courier *Courier) old(err error) bool {
-	return err != nil && trouble.KindOf(err) == trouble.Unreachable && trouble.DetailOf(err) == "status 404"
+	return err != nil && failure.KindOf(err) == failure.Unreachable && failure.DetailOf(err) == "status 404"
 }
 
 // recordCopy gives the lines of stream records on as they come. A reply that
@@ -100,8 +100,8 @@
 	ended   bool
 }
 
-func (copied *recordCopy) take(record recipe.Record) bool {
-	message, err := recipe.ReadStreamMessage(record)
+func (copied *recordCopy) take(record formats.Record) bool {
+	message, err := formats.ReadStreamMessage(record)
 	var line ReplyLine
 	if err == nil {
 		err = json.Unmarshal(message.Line, &line)
@@ -121,7 +121,7 @@
 }
 
 func (copied *recordCopy) breakOff() {
-	broken := ReplyLine{Inquiry: copied.inquiry, Type: trouble.Unreachable, Detail: "the reply broke off between two couriers"}
+	broken := ReplyLine{Inquiry: copied.inquiry, Type: failure.Unreachable, Detail: "the reply broke off between two couriers"}
 	if copied.lines == 0 {
 		broken.Final = pass.Unknown
 		copied.reply.Begin(http.StatusGatewayTimeout, 0)
--- a/internal/hatch/recordreply.go
+++ b/internal/hatch/recordreply.go
@@ -1,6 +1,6 @@
 package hatch
 
-import "seamloom.example/seamloom/internal/recipe"
+import "seamloom.example/seamloom/internal/formats"
 
 // RecordReply turns the lines of a reply into stream records, for the courier
 // that passed the inquiry on.
@@ -8,7 +8,7 @@
 	Inquiry string
 	Writer  string
 	// Send brings a record to that courier.
-	Send func(record recipe.Record) error
+	Send func(record formats.Record) error
 	// Left is how its origin's leaving is heard.
 	Left func(act func())
 
@@ -33,7 +33,7 @@
 //	failure := reply.Line(line)
 func (reply *RecordReply) Line(line []byte) error {
 	reply.number++
-	record, err := recipe.WriteStreamMessage(recipe.StreamMessage{Inquiry: reply.Inquiry, Line: line, Status: reply.status, Retry: reply.retry}, reply.Writer, reply.number)
+	record, err := formats.WriteStreamMessage(formats.StreamMessage{Inquiry: reply.Inquiry, Line: line, Status: reply.status, Retry: reply.retry}, reply.Writer, reply.number)
 	if err != nil {
 		return err
 	}
--- a/internal/hatch/reign.go
+++ b/internal/hatch/reign.go
@@ -5,38 +5,38 @@
 	"strings"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Reign is what a primary remembers for as long as it is primary.
 type Reign struct {
 	Since       time.Time
-	Holds       *rota.Holds
-	keys        *rota.Keys
+	Holds       *lease.Holds
+	keys        *lease.Keys
 	editions    editions
-	membersAt   larder.Version
+	membersAt   replication.Version
 	settledFrom time.Time
 	horizonAt   time.Time
 	asked       map[string]time.Time
 	// unlisted is since when a recorded server is not on the platform's list.
 	unlisted map[string]time.Time
-	state    *larder.State
-	stateAt  larder.Version
+	state    *replication.State
+	stateAt  replication.Version
 }
 
 func newReign(now time.Time) *Reign {
-	return &Reign{Since: now, Holds: rota.NewHolds(rota.DefaultTerms(), now), keys: rota.NewKeys(rota.DefaultTerms()), asked: map[string]time.Time{}, unlisted: map[string]time.Time{}, settledFrom: now}
+	return &Reign{Since: now, Holds: lease.NewHolds(lease.DefaultTerms(), now), keys: lease.NewKeys(lease.DefaultTerms()), asked: map[string]time.Time{}, unlisted: map[string]time.Time{}, settledFrom: now}
 }
 
 // candidates are the live couriers that lack no enabled flag, with how long
 // each has been live.
-func (reign *Reign) candidates(now time.Time, state *larder.State) map[string]time.Duration {
+func (reign *Reign) candidates(now time.Time, state *replication.State) map[string]time.Duration {
 	live := reign.Holds.Live(now)
 	for name := range live {
 		member, found := state.Members[name]
-		if !found || member.Kind != roster.Courier || member.Restricted(state.Flags.Enabled) {
+		if !found || member.Kind != membership.Courier || member.Restricted(state.Flags.Enabled) {
 			delete(live, name)
 		}
 	}
@@ -45,7 +45,7 @@
 
 // silent lists the recorded members that have not asked for news for a time. A new
 // primary takes all to have asked when it began. The caller has the expediter's mutex.
-func (reign *Reign) silent(now time.Time, state *larder.State, length time.Duration) []string {
+func (reign *Reign) silent(now time.Time, state *replication.State, length time.Duration) []string {
 	var silent []string
 	for name := range state.Members {
 		last := reign.asked[name]
@@ -71,10 +71,10 @@
 // gone lists the recorded servers that were not listed for so long that their records
 // may go, and lets go of the duties of those that were not listed for a while. The
 // caller has the expediter's mutex.
-func (reign *Reign) gone(now time.Time, state *larder.State, listed []roster.Server) []string {
+func (reign *Reign) gone(now time.Time, state *replication.State, listed []membership.Server) []string {
 	recorded := map[string]bool{}
 	for key := range state.Rota.Duties {
-		if name, found := strings.CutPrefix(key, rota.ServerKey("")); found {
+		if name, found := strings.CutPrefix(key, lease.ServerKey("")); found {
 			recorded[name] = true
 		}
 	}
@@ -96,7 +96,7 @@
 			reign.unlisted[name] = now
 			continue
 		}
-		if duty, found := state.Rota.Duties[rota.ServerKey(name)]; found && now.Sub(since) >= goneTime {
+		if duty, found := state.Rota.Duties[lease.ServerKey(name)]; found && now.Sub(since) >= goneTime {
 			reign.keys.Release(now, duty)
 		}
 		if now.Sub(since) >= forgetTime {
@@ -113,7 +113,7 @@
 const countedTime = 10 * time.Second
 
 // couriers is how many couriers share the servers.
-func (reign *Reign) couriers(now time.Time, state *larder.State) int {
+func (reign *Reign) couriers(now time.Time, state *replication.State) int {
 	heard := len(reign.Holds.HeardWithin(now, countedTime))
 	if now.Sub(reign.Since) >= countedTime {
 		return heard
@@ -123,7 +123,7 @@
 
 // behind lists the couriers that were heard from within a time and have not
 // confirmed a version.
-func (reign *Reign) behind(now time.Time, version larder.Version, within time.Duration) []string {
+func (reign *Reign) behind(now time.Time, version replication.Version, within time.Duration) []string {
 	return reign.Holds.Behind(now, version.Number, within)
 }
 
@@ -133,6 +133,6 @@
 // Example:
 //
 //	everywhere := len(reign.Lagging(now, version, state)) == 0
-func (reign *Reign) Lagging(now time.Time, version larder.Version, state *larder.State) []string {
+func (reign *Reign) Lagging(now time.Time, version replication.Version, state *replication.State) []string {
 	return reign.Holds.Lagging(now, version.Number, couriersOf(state.Members))
 }
--- a/internal/hatch/reign_test.go
+++ b/internal/hatch/reign_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // TestRecordsOfGoneServersEnd lets a server vanish from the list, come back, and vanish
@@ -16,15 +16,15 @@
 // when nobody can hold it any more.
 func TestRecordsOfGoneServersEnd(t *testing.T) {
 	reign := newReign(atNoon(0))
-	duty := rota.Duty{Key: rota.ServerKey("a"), Holder: "courier-1", Fence: 3}
-	state := &larder.State{Rota: larder.Duties{Duties: map[string]rota.Duty{duty.Key: duty, rota.PartsKey: {Key: rota.PartsKey}}},
-		Orders: larder.Orders{Records: map[string]recipe.Record{"a": {}, "b": {}}}}
+	duty := lease.Duty{Key: lease.ServerKey("a"), Holder: "courier-1", Fence: 3}
+	state := &replication.State{Rota: replication.Duties{Duties: map[string]lease.Duty{duty.Key: duty, lease.PartsKey: {Key: lease.PartsKey}}},
+		Orders: replication.Orders{Records: map[string]formats.Record{"a": {}, "b": {}}}}
 	candidates := map[string]time.Duration{"courier-1": time.Minute}
 	renewed := func(at time.Duration) bool {
-		return len(reign.keys.Renew(atNoon(at), "courier-1", map[string]rota.Duty{duty.Key: duty}, candidates)) > 0
+		return len(reign.keys.Renew(atNoon(at), "courier-1", map[string]lease.Duty{duty.Key: duty}, candidates)) > 0
 	}
-	listed := []roster.Server{{Name: "a"}, {Name: "b"}}
-	at := func(length time.Duration, servers []roster.Server) []string {
+	listed := []membership.Server{{Name: "a"}, {Name: "b"}}
+	at := func(length time.Duration, servers []membership.Server) []string {
 		return reign.gone(atNoon(length), state, servers)
 	}
 	at(0, listed)
@@ -40,7 +40,7 @@
 	if gone := at(131*time.Second, listed[1:]); !slices.Equal(gone, []string{"a"}) {
 		t.Errorf("gone: %v", gone)
 	}
-	if terms := rota.DefaultTerms(); forgetTime-goneTime < terms.Hold+terms.Drift+terms.Rest {
+	if terms := lease.DefaultTerms(); forgetTime-goneTime < terms.Hold+terms.Drift+terms.Rest {
 		t.Error("a duty may still be held when its record goes")
 	}
 }
@@ -48,7 +48,7 @@
 // TestSilentMembersAreThoseThatAskedNobody counts from the reign's beginning.
 func TestSilentMembersAreThoseThatAskedNobody(t *testing.T) {
 	reign := newReign(atNoon(0))
-	state := &larder.State{Members: map[string]roster.Member{"a": {}, "b": {}, "c": {}}}
+	state := &replication.State{Members: map[string]membership.Member{"a": {}, "b": {}, "c": {}}}
 	reign.asked["a"] = atNoon(50 * time.Second)
 	reign.asked["b"] = atNoon(-time.Minute)
 	if silent := reign.silent(atNoon(59*time.Second), state, time.Minute); len(silent) > 0 {
--- a/internal/hatch/replicatequestion.go
+++ b/internal/hatch/replicatequestion.go
@@ -1,10 +1,10 @@
 package hatch
 
-import "seamloom.example/seamloom/internal/larder"
+import "seamloom.example/seamloom/internal/replication"
 
 // replicateQuestion brings a version to the backup.
 type replicateQuestion struct {
-	To    larder.Identity `msgpack:"to"`
-	Epoch uint64          `msgpack:"epoch"`
-	Batch larder.Batch    `msgpack:"batch"`
+	To    replication.Identity `msgpack:"to"`
+	Epoch uint64               `msgpack:"epoch"`
+	Batch replication.Batch    `msgpack:"batch"`
 }
--- a/internal/hatch/replyline.go
+++ b/internal/hatch/replyline.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // ReplyLine is one line of a reply: a numbered piece, or the final line.
@@ -18,7 +18,7 @@
 	Final   pass.Final   `json:"final,omitempty"`
 	Pieces  int          `json:"pieces,omitempty"`
 	Ran     *bool        `json:"ran,omitempty"`
-	Type    trouble.Kind `json:"type,omitempty"`
+	Type    failure.Kind `json:"type,omitempty"`
 	Detail  string       `json:"detail,omitempty"`
 	// RetryAfterSeconds says when to come back; it stands in the header too.
 	RetryAfterSeconds int `json:"retry_after_seconds,omitempty"`
@@ -34,7 +34,7 @@
 	case pass.Refused:
 		// Of an id that is taken nobody says here whether it ran: the arrival
 		// that took it may have.
-		if decision.Cause != trouble.Duplicate {
+		if decision.Cause != failure.Duplicate {
 			never := false
 			line.Ran = &never
 		}
@@ -67,15 +67,15 @@
 		return http.StatusBadGateway
 	}
 	switch line.Type {
-	case trouble.UnknownService, trouble.NoRoute:
+	case failure.UnknownService, failure.NoRoute:
 		return http.StatusNotFound
-	case trouble.RouteRefuses:
+	case failure.RouteRefuses:
 		return http.StatusForbidden
-	case trouble.OutOfRange, trouble.TooNew:
+	case failure.OutOfRange, failure.TooNew:
 		return http.StatusBadRequest
-	case trouble.Duplicate, trouble.TooOld:
+	case failure.Duplicate, failure.TooOld:
 		return http.StatusConflict
-	case trouble.Busy, trouble.BudgetSpent:
+	case failure.Busy, failure.BudgetSpent:
 		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
