--- a/internal/hatch/search.go
+++ b/internal/hatch/search.go
@@ -6,15 +6,15 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // search is one look for the primary, at a node's start or after the primary was lost.
 // All known addresses are asked at once, since any of them may be dark.
 type search struct {
 	mutex   sync.Mutex
-	bell    rota.Bell
+	bell    lease.Bell
 	asking  map[string]*asking
 	copies  copies
 	leading *ledNews
@@ -63,12 +63,12 @@
 	relayRounds = 4
 )
 
-func newSearch(turns rota.Turns) *search {
+func newSearch(turns lease.Turns) *search {
 	return &search{bell: turns.NewBell(), asking: map[string]*asking{}}
 }
 
 // begin notes that an address is asked, unless it was asked just now.
-func (search *search) begin(address string, now time.Time, charter larder.Charter, fleet int) bool {
+func (search *search) begin(address string, now time.Time, charter replication.Charter, fleet int) bool {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	if address == "" {
@@ -156,7 +156,7 @@
 	return leading
 }
 
-func (search *search) choose(now time.Time) (string, larder.Version, bool) {
+func (search *search) choose(now time.Time) (string, replication.Version, bool) {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	return search.copies.choose(now)
@@ -178,7 +178,7 @@
 func (follower *Follower) lacks() bool {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	_, has := follower.drawers[larder.MenuDrawer]
+	_, has := follower.drawers[replication.MenuDrawer]
 	return follower.provisional && !has
 }
 
@@ -217,7 +217,7 @@
 		}
 	}
 	if left := retryPause - follower.turns.Now().Sub(began); left > 0 {
-		rota.Pause(follower.turns, left)
+		lease.Pause(follower.turns, left)
 	}
 	return false
 }
@@ -299,7 +299,7 @@
 
 // fetch takes the configuration of a version from the copy at an address. It gives no
 // hold, and nothing is acknowledged by it.
-func (follower *Follower) fetch(address string, version larder.Version) {
+func (follower *Follower) fetch(address string, version replication.Version) {
 	question := follower.searchQuestion()
 	question.Wanted = version
 	asked := follower.turns.Now()
@@ -312,16 +312,16 @@
 		follower.takeAnswer(asked, answer)
 		return
 	}
-	if answer.Copy == nil || answer.Copy.Drawers[larder.MenuDrawer].Version != version {
+	if answer.Copy == nil || answer.Copy.Drawers[replication.MenuDrawer].Version != version {
 		return
 	}
 	follower.mutex.Lock()
-	if _, has := follower.drawers[larder.MenuDrawer]; has || !follower.provisional {
+	if _, has := follower.drawers[replication.MenuDrawer]; has || !follower.provisional {
 		follower.mutex.Unlock()
 		return
 	}
 	// The primary need not send again what is the same; all else it tells itself.
-	follower.drawers[larder.MenuDrawer] = answer.Copy.Drawers[larder.MenuDrawer]
+	follower.drawers[replication.MenuDrawer] = answer.Copy.Drawers[replication.MenuDrawer]
 	follower.unconfirmed = version
 	news := News{Asked: asked, Answer: NewsAnswer{Servers: answer.Servers}, Changed: answer.Copy.Drawers, Provisional: true}
 	follower.takeLists(&news)
--- a/internal/hatch/search_test.go
+++ b/internal/hatch/search_test.go
@@ -9,25 +9,25 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // oneServer is a directory.
 type oneServer struct{}
 
-func (oneServer) Servers() ([]roster.Server, error) {
-	return []roster.Server{{Name: "server-1", Address: "10.0.0.1:80", Service: "desk"}}, nil
+func (oneServer) Servers() ([]membership.Server, error) {
+	return []membership.Server{{Name: "server-1", Address: "10.0.0.1:80", Service: "desk"}}, nil
 }
-func (oneServer) Nodes() ([]roster.Node, error) { return nil, trouble.New(trouble.NoSuch, "none") }
+func (oneServer) Nodes() ([]membership.Node, error) { return nil, failure.New(failure.NoSuch, "none") }
 
 // restarted opens a core's disks again, in expediters that do nothing by themselves:
 // all have just started and nobody is primary. The blank ones have lost their disks.
-func restarted(t *testing.T, turns rota.Turns, before *core, blank ...string) *core {
+func restarted(t *testing.T, turns lease.Turns, before *core, blank ...string) *core {
 	t.Helper()
 	after := &core{nodes: map[string]*Expediter{}}
 	for address, copies := range before.shelfs {
@@ -35,8 +35,8 @@
 		if slices.Contains(blank, address) {
 			copies, keeping = &memoryShelf{files: map[string][]byte{}}, &memoryShelf{files: map[string][]byte{}}
 		}
-		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: recipe.Supported(nil),
-			Fresh: larder.Identity("next disk-" + address), Directory: oneServer{}}
+		options := ExpediterOptions{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: formats.Supported(nil),
+			Fresh: replication.Identity("next disk-" + address), Directory: oneServer{}}
 		node, _, err := OpenExpediter(turns, after, keeping, copies, options, func(string, ...any) {})
 		if err != nil {
 			t.Fatal(err)
@@ -47,7 +47,7 @@
 }
 
 // newCourierAt starts a courier that follows a core; told rings with its events.
-func newCourierAt(turns rota.Turns, line Hotline, without time.Duration, told rota.Bell) *Courier {
+func newCourierAt(turns lease.Turns, line Hotline, without time.Duration, told lease.Bell) *Courier {
 	courier := NewCourier(turns, line, nil, nil, CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)},
 		Address: "c1", Seeds: []string{"m0", "m1", "m2"}, ServeWithoutHold: without, Nonce: func() string { return "nonce" },
 		Directory: oneServer{}, Ended: func(*pass.Inquiry, pass.Decision) {}}, func(string, ...any) { told.Ring() })
@@ -55,7 +55,7 @@
 	return courier
 }
 
-func setConfiguration(t *testing.T, primary *Expediter, text string) larder.Version {
+func setConfiguration(t *testing.T, primary *Expediter, text string) replication.Version {
 	t.Helper()
 	version, err := primary.Edit(Edit{Apply: func([]byte) ([]byte, error) { return []byte(text), nil }})
 	if err != nil {
@@ -67,7 +67,7 @@
 // TestCourierServesByTheCopiesBeforeThereIsAPrimary restarts a courier and a whole core
 // that has no primary yet.
 func TestCourierServesByTheCopiesBeforeThereIsAPrimary(t *testing.T) {
-	before, primary := newCore(t, func(turns rota.Turns) rota.Turns { return turns })
+	before, primary := newCore(t, func(turns lease.Turns) lease.Turns { return turns })
 	version := setConfiguration(t, primary, `{"routes":{"a":{"to":{"refuse":true}}}}`)
 	charter := primary.Steward().Charter()
 	for _, row := range []struct {
@@ -114,22 +114,22 @@
 // go back to.
 func TestPrimaryConfirmsOrReplacesAProvisionalConfiguration(t *testing.T) {
 	turns := threads.New(t.Context(), wallclock.New())
-	lent := larder.Drawer{Version: larder.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
-	newer := larder.Drawer{Version: larder.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
+	lent := replication.Drawer{Version: replication.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
+	newer := replication.Drawer{Version: replication.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
 	for _, row := range []struct {
 		name    string
 		answer  NewsAnswer
-		inForce larder.Version
+		inForce replication.Version
 		hold    bool
 	}{
 		{"the same", NewsAnswer{Leads: true, Menu: lent.Version, Hold: time.Second}, lent.Version, true},
-		{"newer", NewsAnswer{Leads: true, Menu: newer.Version, Hold: time.Second, Drawers: map[string]larder.Drawer{larder.MenuDrawer: newer}}, newer.Version, true},
-		{"older", NewsAnswer{Leads: true, Menu: larder.Version{Epoch: 3, Number: 5}, Hold: time.Second}, lent.Version, false},
+		{"newer", NewsAnswer{Leads: true, Menu: newer.Version, Hold: time.Second, Drawers: map[string]replication.Drawer{replication.MenuDrawer: newer}}, newer.Version, true},
+		{"older", NewsAnswer{Leads: true, Menu: replication.Version{Epoch: 3, Number: 5}, Hold: time.Second}, lent.Version, false},
 	} {
 		courier := NewCourier(turns, nil, nil, nil, CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)},
 			ServeWithoutHold: time.Minute, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
-		courier.followed.drawers[larder.MenuDrawer], courier.followed.unconfirmed = lent, lent.Version
-		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]larder.Drawer{larder.MenuDrawer: lent}, Provisional: true})
+		courier.followed.drawers[replication.MenuDrawer], courier.followed.unconfirmed = lent, lent.Version
+		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]replication.Drawer{replication.MenuDrawer: lent}, Provisional: true})
 		if courier.InForce() != lent.Version || courier.Core().Dutiful() {
 			t.Fatalf("%s: %s in force", row.name, courier.InForce())
 		}
--- a/internal/hatch/serversnews.go
+++ b/internal/hatch/serversnews.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // ServersNews is what the primary knows of the platform's list: how old it is, and
 // the list itself for who has another one. Its mark tells one list from another.
 type ServersNews struct {
-	Mark    uint64          `msgpack:"mark"`
-	Age     time.Duration   `msgpack:"age"`
-	Sent    bool            `msgpack:"sent,omitempty"`
-	Servers []roster.Server `msgpack:"servers,omitempty"`
+	Mark    uint64              `msgpack:"mark"`
+	Age     time.Duration       `msgpack:"age"`
+	Sent    bool                `msgpack:"sent,omitempty"`
+	Servers []membership.Server `msgpack:"servers,omitempty"`
 }
--- a/internal/hatch/signpost.go
+++ b/internal/hatch/signpost.go
@@ -4,19 +4,19 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Signpost is the control plane's conduct at a node without a disk: it keeps nothing
 // and belongs to no core, but knows which expediter is primary when it is asked.
 type Signpost struct {
-	turns rota.Turns
+	turns lease.Turns
 	line  Hotline
 
 	mutex   sync.Mutex
 	seeds   []string
-	charter larder.Charter
+	charter replication.Charter
 	leader  string
 	asked   time.Time
 }
@@ -35,7 +35,7 @@
 // Example:
 //
 //	signpost := hatch.NewSignpost(turns, line, chosen.Seeds)
-func NewSignpost(turns rota.Turns, line Hotline, seeds []string) *Signpost {
+func NewSignpost(turns lease.Turns, line Hotline, seeds []string) *Signpost {
 	return &Signpost{turns: turns, line: line, seeds: seeds}
 }
 
@@ -71,9 +71,9 @@
 			break
 		}
 		asked[address] = true
-		var hello larder.Hello
+		var hello replication.Hello
 		// A hello from nobody is answered, and leaves no trace.
-		if err := Call(signpost.line, address, HelloPath, larder.Hello{}, &hello, min(signpostPatience, left)); err == nil && signpost.learn(address, hello) {
+		if err := Call(signpost.line, address, HelloPath, replication.Hello{}, &hello, min(signpostPatience, left)); err == nil && signpost.learn(address, hello) {
 			return address
 		}
 	}
@@ -101,7 +101,7 @@
 }
 
 // learn takes an answer and tells whether its giver leads.
-func (signpost *Signpost) learn(address string, hello larder.Hello) bool {
+func (signpost *Signpost) learn(address string, hello replication.Hello) bool {
 	signpost.mutex.Lock()
 	defer signpost.mutex.Unlock()
 	if hello.Charter.Epoch > signpost.charter.Epoch {
--- a/internal/hatch/signpost_test.go
+++ b/internal/hatch/signpost_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 func TestSignpostFindsThePrimaryAndLeavesNoTrace(t *testing.T) {
@@ -39,7 +39,7 @@
 	if found := NewSignpost(primary.turns, formed, []string{"gone"}).Leader(); found != "" {
 		t.Errorf("found %q", found)
 	}
-	if greeted := primary.Steward().Greet(larder.Hello{}); greeted.Seat.Empty() {
+	if greeted := primary.Steward().Greet(replication.Hello{}); greeted.Seat.Empty() {
 		t.Error("a hello from nobody has no answer")
 	}
 }
--- a/internal/hatch/stream.go
+++ b/internal/hatch/stream.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/rota"
 )
 
 // stream carries one inquiry's decisions to the thread that answers its
@@ -16,10 +16,10 @@
 	last   *pass.Decision
 	sent   int
 	left   bool
-	bell   rota.Bell
+	bell   lease.Bell
 }
 
-func newStream(turns rota.Turns) *stream {
+func newStream(turns lease.Turns) *stream {
 	return &stream{pieces: map[int]pass.Decision{}, bell: turns.NewBell()}
 }
 
--- a/internal/rota/bell.go
+++ b/internal/lease/bell.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import "time"
 
@@ -16,7 +16,7 @@
 //
 // Example:
 //
-//	rota.Pause(turns, 80*time.Millisecond)
+//	lease.Pause(turns, 80*time.Millisecond)
 func Pause(turns Turns, length time.Duration) {
 	turns.NewBell().Wait(length, func() bool { return false })
 }
@@ -26,7 +26,7 @@
 //
 // Example:
 //
-//	turns.Go(func() { rota.Every(turns, time.Second, sweep) })
+//	turns.Go(func() { lease.Every(turns, time.Second, sweep) })
 func Every(turns Turns, pause time.Duration, task func()) {
 	for turns.Alive() {
 		next := turns.Now().Add(pause)
--- a/internal/rota/duty.go
+++ b/internal/lease/duty.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 // Duty is one key that one node has at a time, with the fence of its hold.
 type Duty struct {
@@ -14,5 +14,5 @@
 //
 // Example:
 //
-//	rota.ServerKey("stove-1") // "server/stove-1"
+//	lease.ServerKey("stove-1") // "server/stove-1"
 func ServerKey(server string) string { return "server/" + server }
--- a/internal/rota/holds.go
+++ b/internal/lease/holds.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import (
 	"sort"
@@ -27,7 +27,7 @@
 //
 // Example:
 //
-//	holds := rota.NewHolds(rota.DefaultTerms(), now)
+//	holds := lease.NewHolds(lease.DefaultTerms(), now)
 func NewHolds(terms Terms, since time.Time) *Holds {
 	return &Holds{terms: terms, since: since, holders: map[string]*holderState{}}
 }
--- a/internal/rota/keys.go
+++ b/internal/lease/keys.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import (
 	"sort"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Keys is the primary's memory of when each duty's hold ends. Which node has a
@@ -26,7 +26,7 @@
 //
 // Example:
 //
-//	keys := rota.NewKeys(rota.DefaultTerms())
+//	keys := lease.NewKeys(lease.DefaultTerms())
 func NewKeys(terms Terms) *Keys {
 	return &Keys{terms: terms, renewed: map[string]time.Time{}, released: map[string]time.Time{}, given: map[string]bool{}}
 }
@@ -122,7 +122,7 @@
 // desired is the live node with the heaviest weight for the key. A key that
 // somebody has moves only to a node that has been live for some time.
 func (keys *Keys) desired(key string, candidates map[string]time.Duration, settledOnly bool) string {
-	return roster.Heaviest(key, func(yield func(string) bool) {
+	return membership.Heaviest(key, func(yield func(string) bool) {
 		for name, age := range candidates {
 			if (!settledOnly || age >= keys.terms.Settled) && !yield(name) {
 				return
--- a/internal/rota/keys_test.go
+++ b/internal/lease/keys_test.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import (
 	"testing"
--- a/internal/rota/locks.go
+++ b/internal/lease/locks.go
@@ -1,4 +1,4 @@
-package rota
+package lease
 
 import "sync"
 
@@ -14,7 +14,7 @@
 //
 // Example:
 //
-//	lock := rota.NewLock(turns)
+//	lock := lease.NewLock(turns)
 func NewLock(turns Turns) sync.Locker {
 	if locks, offered := turns.(Locks); offered {
 		return locks.NewLock()
--- a/internal/rota/terms.go
+++ b/internal/lease/terms.go
@@ -1,7 +1,7 @@
-// Package rota owns duties cut by key over the live nodes, the holds that
+// Package lease owns duties cut by key over the live nodes, the holds that
 // nodes have, and the fences under which a key changes hands. Time is an
 // input everywhere.
-package rota
+package lease
 
 import "time"
 
@@ -23,7 +23,7 @@
 //
 // Example:
 //
-//	holds := rota.NewHolds(rota.DefaultTerms())
+//	holds := lease.NewHolds(lease.DefaultTerms())
 func DefaultTerms() Terms {
 	return Terms{Hold: 4 * time.Second, Drift: 200 * time.Millisecond, Rest: 3300 * time.Millisecond, Settled: 8 * time.Second}
 }
--- a/internal/roster/listing.go
+++ b/internal/membership/listing.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 import (
 	"slices"
@@ -34,7 +34,7 @@
 //
 // Example:
 //
-//	if listing.Take(now, servers) { window.SetServers(now, listing.Servers(now)) }
+//	if listing.Take(now, servers) { scheduler.SetServers(now, listing.Servers(now)) }
 func (listing *Listing) Take(at time.Time, servers []Server) bool {
 	if !listing.at.IsZero() && at.Before(listing.at) {
 		return false
--- a/internal/roster/member.go
+++ b/internal/membership/member.go
@@ -1,19 +1,19 @@
-package roster
+package membership
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/formats"
 )
 
 // Member is a node as it is recorded, running or stopped.
 type Member struct {
-	Name      string      `msgpack:"name" json:"name"`
-	Kind      NodeKind    `msgpack:"kind" json:"kind"`
-	Address   string      `msgpack:"address" json:"address"`
-	District  string      `msgpack:"district" json:"district"`
-	Supported recipe.List `msgpack:"supported" json:"supported"`
-	Since     time.Time   `msgpack:"since" json:"since"`
+	Name      string       `msgpack:"name" json:"name"`
+	Kind      NodeKind     `msgpack:"kind" json:"kind"`
+	Address   string       `msgpack:"address" json:"address"`
+	District  string       `msgpack:"district" json:"district"`
+	Supported formats.List `msgpack:"supported" json:"supported"`
+	Since     time.Time    `msgpack:"since" json:"since"`
 }
 
 // Restricted tells whether the member lacks an enabled flag.
@@ -21,7 +21,7 @@
 // Example:
 //
 //	if member.Restricted(enabled) { ... }
-func (member Member) Restricted(enabled recipe.List) bool {
+func (member Member) Restricted(enabled formats.List) bool {
 	return len(member.Supported.Lacks(enabled)) > 0
 }
 
--- a/internal/roster/node.go
+++ b/internal/membership/node.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 // Node is a node as the platform lists it.
 type Node struct {
--- a/internal/roster/nodekind.go
+++ b/internal/membership/nodekind.go
@@ -1,6 +1,6 @@
-// Package roster owns who there is: servers and nodes, the neighbours that
+// Package membership owns who there is: servers and nodes, the neighbours that
 // rendezvous hashing names, and who is live.
-package roster
+package membership
 
 // NodeKind tells data plane from control plane.
 type NodeKind string
--- a/internal/roster/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 import (
 	"hash/fnv"
@@ -10,7 +10,7 @@
 //
 // Example:
 //
-//	roster.Weight("server/stove-1", "courier-2")
+//	membership.Weight("server/stove-1", "courier-2")
 func Weight(key, name string) uint64 {
 	digest := fnv.New64a()
 	_, _ = digest.Write([]byte(key))
@@ -33,7 +33,7 @@
 //
 // Example:
 //
-//	neighbours := roster.Ranked("courier-1", names)[:3]
+//	neighbours := membership.Ranked("courier-1", names)[:3]
 func Ranked(key string, names []string) []string {
 	ranked := append([]string(nil), names...)
 	weights := make([]uint64, len(ranked))
@@ -71,7 +71,7 @@
 //
 // Example:
 //
-//	holder := roster.Heaviest("server/stove-1", maps.Keys(live))
+//	holder := membership.Heaviest("server/stove-1", maps.Keys(live))
 func Heaviest(key string, names iter.Seq[string]) string {
 	heaviest, most := "", uint64(0)
 	for name := range names {
@@ -86,7 +86,7 @@
 //
 // Example:
 //
-//	roster.Neighbours("courier-1", names, 3)
+//	membership.Neighbours("courier-1", names, 3)
 func Neighbours(self string, names []string, count int) []string {
 	var others []string
 	for _, name := range names {
--- a/internal/roster/rendezvous_test.go
+++ b/internal/membership/rendezvous_test.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 import (
 	"slices"
--- a/internal/roster/weigher.go
+++ b/internal/membership/weigher.go
@@ -1,4 +1,4 @@
-package roster
+package membership
 
 import (
 	"hash"
@@ -12,7 +12,7 @@
 //
 // Example:
 //
-//	weigher := roster.NewWeigher("server/stove-1")
+//	weigher := membership.NewWeigher("server/stove-1")
 func NewWeigher(key string) Weigher {
 	digest := fnv.New64a()
 	_, _ = digest.Write([]byte(key))
@@ -24,7 +24,7 @@
 //
 // Example:
 //
-//	weigher.Weight("courier-2") == roster.Weight("server/stove-1", "courier-2")
+//	weigher.Weight("courier-2") == membership.Weight("server/stove-1", "courier-2")
 func (weigher Weigher) Weight(name string) uint64 {
 	cloned, err := weigher.keyed.Clone()
 	if err != nil {
--- a/internal/pass/balance.go
+++ b/internal/pass/balance.go
@@ -4,8 +4,8 @@
 	"sort"
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Balance decides which servers take which part. It changes one server at a
@@ -55,27 +55,27 @@
 // Example:
 //
 //	orders := balance.Decide(now, servers, loads, standing, evacuated)
-func (balance *Balance) Decide(now time.Time, servers []roster.Server, loads map[string]Load, standing map[string]recipe.Order, evacuated func(string) bool) []recipe.Order {
+func (balance *Balance) Decide(now time.Time, servers []membership.Server, loads map[string]Load, standing map[string]formats.Order, evacuated func(string) bool) []formats.Order {
 	if !balance.Due(now) {
 		return nil
 	}
 	balance.lastAsked = now
-	var orders []recipe.Order
-	var prefill, decode, vacant []roster.Server
-	part := func(server roster.Server) Part {
+	var orders []formats.Order
+	var prefill, decode, vacant []membership.Server
+	part := func(server membership.Server) Part {
 		if order, found := standing[server.Name]; found {
 			return Part(order.Part)
 		}
 		return NoPart
 	}
-	ordered := append([]roster.Server(nil), servers...)
+	ordered := append([]membership.Server(nil), servers...)
 	sort.Slice(ordered, func(left, right int) bool { return ordered[left].Name < ordered[right].Name })
 	for _, server := range ordered {
 		load, reported := loads[server.Name]
 		switch {
 		case server.Leaving || (reported && load.Leaving):
 			if reported && part(server) != Drain {
-				orders = append(orders, recipe.Order{Server: server.Name, Part: string(Drain), Patience: switchPatience, Cause: "the platform takes the server away"})
+				orders = append(orders, formats.Order{Server: server.Name, Part: string(Drain), Patience: switchPatience, Cause: "the platform takes the server away"})
 			}
 		case !reported:
 		case part(server) == Prefill:
@@ -90,13 +90,13 @@
 			vacant = append(vacant, server)
 		}
 	}
-	give := func(server roster.Server, to Part, cause string) {
-		orders = append(orders, recipe.Order{Server: server.Name, Part: string(to), Patience: switchPatience, Cause: cause})
+	give := func(server membership.Server, to Part, cause string) {
+		orders = append(orders, formats.Order{Server: server.Name, Part: string(to), Patience: switchPatience, Cause: cause})
 	}
 	// Servers without a part come first: two of five read prompts, each
 	// district in turn.
 	sort.SliceStable(vacant, func(left, right int) bool {
-		return roster.Weight("first part", vacant[left].Name) > roster.Weight("first part", vacant[right].Name)
+		return membership.Weight("first part", vacant[left].Name) > membership.Weight("first part", vacant[right].Name)
 	})
 	prefills, decodes := len(prefill), len(decode)
 	inDistrict := map[string]int{}
@@ -166,7 +166,7 @@
 }
 
 // pressures are the mean backlog of prompts and the share of slots in use.
-func pressures(prefill, decode []roster.Server, loads map[string]Load) (time.Duration, float64) {
+func pressures(prefill, decode []membership.Server, loads map[string]Load) (time.Duration, float64) {
 	var backlog time.Duration
 	for _, server := range prefill {
 		backlog += seconds(loads[server.Name].PrefillQueueTokens, loads[server.Name].PrefillRate)
@@ -179,9 +179,9 @@
 	return backlog / time.Duration(len(prefill)), float64(active) / float64(max(slots, 1))
 }
 
-func lightest(servers []roster.Server, loads map[string]Load) roster.Server {
+func lightest(servers []membership.Server, loads map[string]Load) membership.Server {
 	best := servers[0]
-	weigh := func(server roster.Server) int {
+	weigh := func(server membership.Server) int {
 		load := loads[server.Name]
 		return load.PrefillQueueTokens + 1000*(load.DecodeActive+load.PrefillWaiting)
 	}
--- a/internal/pass/balance_test.go
+++ b/internal/pass/balance_test.go
@@ -3,19 +3,19 @@
 import (
 	"testing"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // TestBalanceFollowsASwingWithoutFlapping lets prompts pile up and then
 // answers, and wants few turns, never below one server of each part.
 func TestBalanceFollowsASwingWithoutFlapping(t *testing.T) {
 	balance := NewBalance(false)
-	var servers []roster.Server
+	var servers []membership.Server
 	for _, name := range []string{"a", "b", "c", "d", "e"} {
-		servers = append(servers, roster.Server{Name: name, District: "north"})
+		servers = append(servers, membership.Server{Name: name, District: "north"})
 	}
-	standing := map[string]recipe.Order{}
+	standing := map[string]formats.Order{}
 	now := noon
 	turns := 0
 	round := func(backlog int, active int) {
--- a/internal/pass/budget.go
+++ b/internal/pass/budget.go
@@ -34,7 +34,7 @@
 //
 // Example:
 //
-//	if !budget.Extra(1) { return trouble.BudgetSpent }
+//	if !budget.Extra(1) { return failure.BudgetSpent }
 func (budget *Budget) Extra(count int) bool {
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
--- a/internal/pass/decision.go
+++ b/internal/pass/decision.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Decision is one thing to be done. NotAfter is checked again just before the
@@ -29,17 +29,17 @@
 	Piece  int          `json:"piece,omitempty"`
 	Text   string       `json:"text,omitempty"`
 	Final  Final        `json:"final,omitempty"`
-	Cause  trouble.Kind `json:"cause,omitempty"`
+	Cause  failure.Kind `json:"cause,omitempty"`
 	Detail string       `json:"detail,omitempty"`
 	Pieces int          `json:"pieces,omitempty"`
 	// Retry is when the caller may come back.
 	Retry time.Duration `json:"retry,omitempty"`
 
-	Part   Part           `json:"part,omitempty"`
-	Duty   rota.Duty      `json:"duty,omitzero"`
-	Order  *recipe.Order  `json:"order,omitempty"`
-	Orders []recipe.Order `json:"orders,omitempty"`
-	Pair   *recipe.Pair   `json:"pair,omitempty"`
+	Part   Part            `json:"part,omitempty"`
+	Duty   lease.Duty      `json:"duty,omitzero"`
+	Order  *formats.Order  `json:"order,omitempty"`
+	Orders []formats.Order `json:"orders,omitempty"`
+	Pair   *formats.Pair   `json:"pair,omitempty"`
 	// Call is what is next with the opaque call ID.
-	Call *window.Decision `json:"call,omitempty"`
+	Call *scheduler.Decision `json:"call,omitempty"`
 }
--- a/internal/pass/desk.go
+++ b/internal/pass/desk.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Desk follows every inquiry of one courier from its arrival to its final
@@ -213,21 +213,21 @@
 func (desk *Desk) Arrive(now time.Time, inquiry *Inquiry) []Decision {
 	desk.tallies.Arrived.Add(1)
 	if desk.draining.Load() {
-		return desk.refuse(inquiry, trouble.Draining, "this courier is leaving", time.Second)
+		return desk.refuse(inquiry, failure.Draining, "this courier is leaving", time.Second)
 	}
 	if desk.passOn.Load() {
 		return []Decision{{Kind: PassOn, ID: inquiry.ID, Inquiry: inquiry}}
 	}
 	program := desk.program.Load()
 	if program == nil || !now.Before(desk.ServesUntil()) {
-		return desk.refuse(inquiry, trouble.NoHold, "the configuration in force is not confirmed", time.Second)
+		return desk.refuse(inquiry, failure.NoHold, "the configuration in force is not confirmed", time.Second)
 	}
 	ruling, err := program.Rule(inquiry, desk.district)
 	if err != nil {
 		return desk.refuse(inquiry, err.Kind, err.Detail, 0)
 	}
 	if desk.inFlight.Load() >= desk.most || desk.serviceCount(inquiry.Service).Load() >= int64(ruling.Service.InFlight) {
-		return desk.refuse(inquiry, trouble.Busy, "the courier has as many inquiries as it takes", desk.market.Relief(now))
+		return desk.refuse(inquiry, failure.Busy, "the courier has as many inquiries as it takes", desk.market.Relief(now))
 	}
 	settled := *inquiry
 	settled.Limit = ruling.limit(now, inquiry.Limit)
@@ -235,18 +235,18 @@
 	bid, found := desk.choose(now, entry)
 	if !found {
 		if desk.nowhere(program, ruling) {
-			return desk.refuse(inquiry, trouble.Evacuated, "every district that the route names is evacuated", 5*time.Second)
+			return desk.refuse(inquiry, failure.Evacuated, "every district that the route names is evacuated", 5*time.Second)
 		}
-		return desk.refuse(inquiry, trouble.Busy, "no pair of servers has room", desk.market.Relief(now))
+		return desk.refuse(inquiry, failure.Busy, "no pair of servers has room", desk.market.Relief(now))
 	}
 	if now.Add(bid.Price).After(settled.Limit) {
-		return desk.refuse(inquiry, trouble.Busy, "no pair of servers would be in time", desk.market.Relief(now))
+		return desk.refuse(inquiry, failure.Busy, "no pair of servers would be in time", desk.market.Relief(now))
 	}
 	shard := desk.shard(inquiry.ID)
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	if _, found := shard.tickets[inquiry.ID]; found {
-		return desk.refuse(inquiry, trouble.Duplicate, "the inquiry is under way", 0)
+		return desk.refuse(inquiry, failure.Duplicate, "the inquiry is under way", 0)
 	}
 	shard.tickets[inquiry.ID] = entry
 	desk.inFlight.Add(1)
@@ -288,12 +288,12 @@
 	if outcome == Done {
 		return desk.dispatchPrefill(now, shard, entry)
 	}
-	cause := trouble.NoPrimary
+	cause := failure.NoPrimary
 	switch outcome {
 	case Duplicate:
-		cause = trouble.Duplicate
+		cause = failure.Duplicate
 	case TooOld:
-		cause = trouble.TooOld
+		cause = failure.TooOld
 	}
 	decisions := desk.finish(now, shard, entry, Refused, cause)
 	decisions[0].Detail = detail
@@ -347,7 +347,7 @@
 	entry.everRan = true
 	if piece != entry.pieces+1 {
 		desk.market.Avoid(now, entry.bid.Decode.server.Name)
-		return append(desk.cancelCurrent(entry), desk.finish(now, shard, entry, Failed, trouble.ServerFailed)...)
+		return append(desk.cancelCurrent(entry), desk.finish(now, shard, entry, Failed, failure.ServerFailed)...)
 	}
 	entry.pieces = piece
 	entry.patience = now.Add(piecePatience)
@@ -371,7 +371,7 @@
 	server := entry.bid.Decode.server.Name
 	if outcome == Done {
 		if pieces != entry.pieces {
-			return desk.finish(now, shard, entry, Failed, trouble.ServerFailed)
+			return desk.finish(now, shard, entry, Failed, failure.ServerFailed)
 		}
 		return desk.finish(now, shard, entry, Complete, "")
 	}
@@ -379,7 +379,7 @@
 		desk.market.Avoid(now, server)
 	}
 	if entry.pieces > 0 {
-		return desk.finish(now, shard, entry, Failed, trouble.ServerFailed)
+		return desk.finish(now, shard, entry, Failed, failure.ServerFailed)
 	}
 	entry.tried[server] = true
 	switch outcome {
--- a/internal/pass/desk_test.go
+++ b/internal/pass/desk_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 var noon = time.Unix(2_000_000, 0)
@@ -16,7 +16,7 @@
 func newTestDesk(t *testing.T) *Desk {
 	t.Helper()
 	market := NewMarket("courier-1", "north", false)
-	market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south"},
+	market.List([]membership.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south"},
 		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
 	desk := NewDesk(market, "north", 100)
 	reportLoads(desk, noon)
@@ -36,7 +36,7 @@
 
 func configure(t *testing.T, desk *Desk, number uint64, text string) bool {
 	t.Helper()
-	configuration, err := menu.Check([]byte(text))
+	configuration, err := config.Check([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,7 +90,7 @@
 
 func TestNothingIsDispatchedPastItsLimitOrWithoutAHold(t *testing.T) {
 	desk := newTestDesk(t)
-	if final := find(arrive(desk, noon.Add(4*time.Second), "late", true), Finish); final == nil || final.Cause != trouble.NoHold {
+	if final := find(arrive(desk, noon.Add(4*time.Second), "late", true), Finish); final == nil || final.Cause != failure.NoHold {
 		t.Errorf("let in without a hold: %+v", final)
 	}
 	inquiry := &Inquiry{ID: "one", Service: "chat", Repeatable: false, PromptTokens: 500, Pieces: 3, Limit: noon.Add(time.Second)}
@@ -125,7 +125,7 @@
 		t.Errorf("given up early: %+v", decisions)
 	}
 	final := find(desk.Tick(after.Add(holdPatience+time.Millisecond)), Finish)
-	if final == nil || final.Final != Refused || final.Cause != trouble.NoHold || final.Retry == 0 {
+	if final == nil || final.Final != Refused || final.Cause != failure.NoHold || final.Retry == 0 {
 		t.Errorf("when no hold comes: %+v", final)
 	}
 }
@@ -193,7 +193,7 @@
 	for courier := range 7 {
 		desk := newTestDesk(t)
 		desk.market.SetCouriers(7)
-		desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
+		desk.market.List([]membership.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
 		desk.market.Report(noon, Load{Server: "p1", Part: Prefill, Age: time.Second, PrefillRate: 20_000, PrefillRoom: 12, LinkRate: 400_000})
 		desk.market.Report(noon, Load{Server: "d1", Part: Decode, Age: time.Hour, DecodeSlots: 100, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
 		for number := range 10 {
@@ -218,7 +218,7 @@
 	if desk.Renew(noon.Add(time.Hour), 1, 1) {
 		t.Error("a hold for another configuration was taken")
 	}
-	if final := find(arrive(desk, noon, "one", true), Finish); final == nil || final.Cause != trouble.UnknownService {
+	if final := find(arrive(desk, noon, "one", true), Finish); final == nil || final.Cause != failure.UnknownService {
 		t.Errorf("%+v", final)
 	}
 }
@@ -233,20 +233,20 @@
 	if decode := find(desk.Prefilled(noon, "one", 1, Done, "handle"), DispatchDecode); decode == nil || decode.Server != "d2" {
 		t.Errorf("with north evacuated: %+v", decode)
 	}
-	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south", Leaving: true},
+	desk.market.List([]membership.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "p2", Address: "p2", District: "south", Leaving: true},
 		{Name: "d1", Address: "d1", District: "north"}, {Name: "d2", Address: "d2", District: "south"}})
 	if final := find(arrive(desk, noon, "two", true), Finish); final == nil || final.Final != Refused {
 		t.Errorf("with the last server leaving: %+v", final)
 	}
 	configure(t, desk, 3, `{"services":{"chat":{}},"routes":{"all":{"to":{}}},"evacuations":{"north":{},"south":{}}}`)
 	desk.Renew(noon.Add(4*time.Second), 1, 3)
-	if final := find(arrive(desk, noon, "three", true), Finish); final == nil || final.Cause != trouble.Evacuated || final.Retry == 0 {
+	if final := find(arrive(desk, noon, "three", true), Finish); final == nil || final.Cause != failure.Evacuated || final.Retry == 0 {
 		t.Errorf("with every district evacuated: %+v", final)
 	}
 }
 
 func TestRoutesAreAskedInTheirOrder(t *testing.T) {
-	configuration, err := menu.Check([]byte(`{"services":{"chat":{}},"routes":{
+	configuration, err := config.Check([]byte(`{"services":{"chat":{}},"routes":{
 		"z-first":{"order":1,"match":{"service":"chat","prompt_tokens_at_least":1000},"to":{"refuse":true}},
 		"a-second":{"order":2,"match":{"origin":"vip"},"to":{"districts":["south"]}},
 		"b-third":{"order":2,"to":{"districts":["north"]}}}}`))
@@ -265,7 +265,7 @@
 
 func TestColdServerIsOfferedLittle(t *testing.T) {
 	desk := newTestDesk(t)
-	desk.market.List([]roster.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
+	desk.market.List([]membership.Server{{Name: "p1", Address: "p1", District: "north"}, {Name: "d1", Address: "d1", District: "north"}})
 	desk.market.Report(noon, Load{Server: "p1", Part: Prefill, PrefillRate: 20_000, PrefillRoom: 20, LinkRate: 400_000})
 	desk.market.Report(noon, Load{Server: "d1", Part: Decode, Age: time.Hour, DecodeSlots: 100, PieceTime: time.Millisecond, MemoryFree: 100_000, LinkRate: 400_000})
 	dispatched := 0
@@ -373,7 +373,7 @@
 // TestDeskGoesOnWithoutAHoldAsLongAsItWasTold lets the hold end, and the time without
 // one; a desk that never had a hold lets nothing in.
 func TestDeskGoesOnWithoutAHoldAsLongAsItWasTold(t *testing.T) {
-	arrives := func(desk *Desk, at time.Duration) trouble.Kind {
+	arrives := func(desk *Desk, at time.Duration) failure.Kind {
 		reportLoads(desk, noon.Add(at))
 		if final := find(arrive(desk, noon.Add(at), fmt.Sprint("at ", at, time.Now().UnixNano()), true), Finish); final != nil {
 			return final.Cause
@@ -381,14 +381,14 @@
 		return ""
 	}
 	desk := newTestDesk(t)
-	if cause := arrives(desk, 5*time.Second); cause != trouble.NoHold {
+	if cause := arrives(desk, 5*time.Second); cause != failure.NoHold {
 		t.Errorf("without being told: %q", cause)
 	}
 	desk.SetServeWithoutHold(time.Minute)
 	if cause := arrives(desk, 5*time.Second); cause != "" {
 		t.Errorf("within its time without a hold: %q", cause)
 	}
-	if cause := arrives(desk, 65*time.Second); cause != trouble.NoHold {
+	if cause := arrives(desk, 65*time.Second); cause != failure.NoHold {
 		t.Errorf("after its time without a hold: %q", cause)
 	}
 	if !desk.HoldEnds().Equal(noon.Add(4 * time.Second)) {
@@ -397,7 +397,7 @@
 	blank := NewDesk(NewMarket("courier-1", "north", false), "north", 100)
 	blank.SetServeWithoutHold(time.Hour)
 	configure(t, blank, 1, `{"services":{"chat":{}},"routes":{"all":{"to":{}}}}`)
-	if cause := arrives(blank, 0); cause != trouble.NoHold {
+	if cause := arrives(blank, 0); cause != failure.NoHold {
 		t.Errorf("a life without any hold: %q", cause)
 	}
 }
--- a/internal/pass/dispatch.go
+++ b/internal/pass/dispatch.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // nowhere tells whether evacuations leave a route no listed server.
@@ -21,7 +21,7 @@
 
 func (desk *Desk) choose(now time.Time, entry *ticket) (Bid, bool) {
 	program := desk.program.Load()
-	return desk.market.Choose(now, entry.inquiry, entry.ruling, func(server roster.Server) bool {
+	return desk.market.Choose(now, entry.inquiry, entry.ruling, func(server membership.Server) bool {
 		return program.Allows(entry.ruling, server)
 	}, entry.tried)
 }
@@ -31,7 +31,7 @@
 func (desk *Desk) dispatchPrefill(now time.Time, shard *shard, entry *ticket) []Decision {
 	inquiry := entry.inquiry
 	if !now.Before(inquiry.Limit) {
-		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+		return desk.giveUp(now, shard, entry, failure.LimitPassed)
 	}
 	holdEnds := desk.ServesUntil()
 	if !now.Before(holdEnds) {
@@ -40,7 +40,7 @@
 	entry.holdless = time.Time{}
 	bid, found := desk.choose(now, entry)
 	if !found {
-		return desk.giveUp(now, shard, entry, trouble.Busy)
+		return desk.giveUp(now, shard, entry, failure.Busy)
 	}
 	return desk.takeUp(now, shard, entry, bid, holdEnds)
 }
@@ -57,7 +57,7 @@
 			cost = 2
 		}
 		if entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(cost) {
-			return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
+			return desk.giveUp(now, shard, entry, failure.BudgetSpent)
 		}
 		entry.answering = false
 		decisions = append(decisions, Decision{Kind: NoteRetry, ID: inquiry.ID, Run: entry.run + 1})
@@ -68,7 +68,7 @@
 	entry.reserved = true
 	desk.market.Reserve(bid, inquiry)
 	entry.patience = now.Add(leastPatience + 4*bid.Price)
-	pair := &recipe.Pair{Inquiry: inquiry.ID, Run: entry.run, Prefill: bid.Prefill.server.Name, Decode: bid.Decode.server.Name, Price: bid.Price, HandOver: bid.HandOver}
+	pair := &formats.Pair{Inquiry: inquiry.ID, Run: entry.run, Prefill: bid.Prefill.server.Name, Decode: bid.Decode.server.Name, Price: bid.Price, HandOver: bid.HandOver}
 	return append(decisions,
 		Decision{Kind: NotePair, ID: inquiry.ID, Run: entry.run, Pair: pair},
 		Decision{Kind: DispatchPrefill, ID: inquiry.ID, Run: entry.run, Inquiry: inquiry, NotAfter: earlier(inquiry.Limit, holdEnds),
@@ -82,7 +82,7 @@
 		entry.holdless = now
 	}
 	if now.Sub(entry.holdless) > holdPatience {
-		return desk.giveUp(now, shard, entry, trouble.NoHold)
+		return desk.giveUp(now, shard, entry, failure.NoHold)
 	}
 	entry.stage = stage
 	return nil
@@ -100,7 +100,7 @@
 func (desk *Desk) dispatchDecode(now time.Time, shard *shard, entry *ticket, extra bool) []Decision {
 	inquiry := entry.inquiry
 	if !now.Before(inquiry.Limit) {
-		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+		return desk.giveUp(now, shard, entry, failure.LimitPassed)
 	}
 	holdEnds := desk.ServesUntil()
 	if !now.Before(holdEnds) {
@@ -109,13 +109,13 @@
 	entry.holdless = time.Time{}
 	desk.release(entry)
 	program := desk.program.Load()
-	allowed := func(server roster.Server) bool { return program.Allows(entry.ruling, server) }
+	allowed := func(server membership.Server) bool { return program.Allows(entry.ruling, server) }
 	source := entry.bid.Prefill.server
 	planned := entry.bid.Decode.server.Name
 	var bid Bid
 	found := false
 	if !entry.tried[planned] {
-		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, func(server roster.Server) bool { return server.Name == planned && allowed(server) }, nil)
+		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, func(server membership.Server) bool { return server.Name == planned && allowed(server) }, nil)
 	}
 	if !found {
 		bid, found = desk.market.ChooseDecode(now, inquiry, source.Name, allowed, entry.tried)
@@ -126,10 +126,10 @@
 			entry.stage = handing
 			return nil
 		}
-		return desk.giveUp(now, shard, entry, trouble.Busy)
+		return desk.giveUp(now, shard, entry, failure.Busy)
 	}
 	if extra && (entry.dispatches >= entry.ruling.Service.Tries || !desk.budget.Extra(1)) {
-		return desk.giveUp(now, shard, entry, trouble.BudgetSpent)
+		return desk.giveUp(now, shard, entry, failure.BudgetSpent)
 	}
 	var decisions []Decision
 	if extra {
@@ -158,7 +158,7 @@
 		if outcome == Uncertain {
 			final = Unknown
 		}
-		return desk.finish(now, shard, entry, final, trouble.ServerFailed)
+		return desk.finish(now, shard, entry, final, failure.ServerFailed)
 	}
 	return desk.dispatchPrefill(now, shard, entry)
 }
--- a/internal/pass/ending.go
+++ b/internal/pass/ending.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
-func (desk *Desk) refuse(inquiry *Inquiry, cause trouble.Kind, detail string, retry time.Duration) []Decision {
+func (desk *Desk) refuse(inquiry *Inquiry, cause failure.Kind, detail string, retry time.Duration) []Decision {
 	desk.tallies.Refused.Add(1)
 	return []Decision{{Kind: Finish, ID: inquiry.ID, Final: Refused, Cause: cause, Detail: detail, Retry: retry}}
 }
 
 // giveUp ends an inquiry that gets no further dispatch, with the word that is
 // certain: refused when it never ran, unknown when a server may be running it.
-func (desk *Desk) giveUp(now time.Time, shard *shard, entry *ticket, cause trouble.Kind) []Decision {
+func (desk *Desk) giveUp(now time.Time, shard *shard, entry *ticket, cause failure.Kind) []Decision {
 	final := Failed
 	switch {
 	case !entry.everRan && !entry.started:
@@ -39,7 +39,7 @@
 	return []Decision{{Kind: Cancel, ID: entry.inquiry.ID, Run: entry.run, Server: stall.server.Name, Address: stall.server.Address}}
 }
 
-func (desk *Desk) finish(now time.Time, shard *shard, entry *ticket, final Final, cause trouble.Kind) []Decision {
+func (desk *Desk) finish(now time.Time, shard *shard, entry *ticket, final Final, cause failure.Kind) []Decision {
 	desk.release(entry)
 	delete(shard.tickets, entry.inquiry.ID)
 	desk.inFlight.Add(-1)
@@ -64,7 +64,7 @@
 	}
 	defer shard.mutex.Unlock()
 	entry.started = entry.started || entry.stage == prefilling || entry.stage == decoding
-	return desk.giveUp(now, shard, entry, trouble.OriginLeft)
+	return desk.giveUp(now, shard, entry, failure.OriginLeft)
 }
 
 // Tick ends what has lost its limit or its patience, and goes on with what
@@ -90,7 +90,7 @@
 	dispatched := entry.stage == prefilling || entry.stage == decoding
 	if !now.Before(entry.inquiry.Limit) {
 		entry.started = entry.started || dispatched
-		return desk.giveUp(now, shard, entry, trouble.LimitPassed)
+		return desk.giveUp(now, shard, entry, failure.LimitPassed)
 	}
 	switch entry.stage {
 	case ready:
@@ -115,13 +115,13 @@
 		}
 		// Whether it ran can't be known any more, and waiting would not tell.
 		entry.started = true
-		return desk.giveUp(now, shard, entry, trouble.ServerFailed)
+		return desk.giveUp(now, shard, entry, failure.ServerFailed)
 	}
 	desk.market.Avoid(now, stall.server.Name)
 	decisions := desk.cancelCurrent(entry)
 	entry.everRan = true
 	if entry.pieces > 0 {
-		return append(decisions, desk.finish(now, shard, entry, Failed, trouble.ServerFailed)...)
+		return append(decisions, desk.finish(now, shard, entry, Failed, failure.ServerFailed)...)
 	}
 	desk.release(entry)
 	entry.tried[stall.server.Name] = true
--- a/internal/pass/event.go
+++ b/internal/pass/event.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // Event is one thing that happened, at a time. Which fields it has besides
@@ -24,21 +24,21 @@
 	Piece  int    `json:"piece,omitempty"`
 	Text   string `json:"text,omitempty"`
 
-	Servers []roster.Server `json:"servers,omitempty"`
-	Load    *Load           `json:"load,omitempty"`
-	Server  string          `json:"server,omitempty"`
+	Servers []membership.Server `json:"servers,omitempty"`
+	Load    *Load               `json:"load,omitempty"`
+	Server  string              `json:"server,omitempty"`
 
 	// Call arrived, Result is how its dispatch ended, Loads are what servers of calls
 	// reported.
-	Call   *window.Call    `json:"call,omitempty"`
-	Result *window.Outcome `json:"result,omitempty"`
-	Loads  []window.Load   `json:"loads,omitempty"`
+	Call   *scheduler.Call    `json:"call,omitempty"`
+	Result *scheduler.Outcome `json:"result,omitempty"`
+	Loads  []scheduler.Load   `json:"loads,omitempty"`
 
-	HoldEnds time.Time               `json:"hold_ends,omitzero"`
-	Number   uint64                  `json:"number,omitempty"`
-	Epoch    uint64                  `json:"epoch,omitempty"`
-	Menu     []byte                  `json:"menu,omitempty"`
-	Enabled  recipe.List             `json:"enabled,omitempty"`
-	Duties   []rota.Duty             `json:"duties,omitempty"`
-	Orders   map[string]recipe.Order `json:"orders,omitempty"`
+	HoldEnds time.Time                `json:"hold_ends,omitzero"`
+	Number   uint64                   `json:"number,omitempty"`
+	Epoch    uint64                   `json:"epoch,omitempty"`
+	Menu     []byte                   `json:"menu,omitempty"`
+	Enabled  formats.List             `json:"enabled,omitempty"`
+	Duties   []lease.Duty             `json:"duties,omitempty"`
+	Orders   map[string]formats.Order `json:"orders,omitempty"`
 }
--- a/internal/pass/market.go
+++ b/internal/pass/market.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Market finds the pair of servers for an inquiry as a whole: the prefill
@@ -25,7 +25,7 @@
 type board struct {
 	stalls  []*Stall
 	byName  map[string]*Stall
-	listing []roster.Server
+	listing []membership.Server
 }
 
 // NewMarket makes a courier's market. A plain one picks the least loaded
@@ -63,7 +63,7 @@
 // Example:
 //
 //	market.List(servers)
-func (market *Market) List(servers []roster.Server) {
+func (market *Market) List(servers []membership.Server) {
 	market.mutex.Lock()
 	defer market.mutex.Unlock()
 	old := market.board.Load()
@@ -95,7 +95,7 @@
 
 // reports tells whether a server is listed and reported a moment ago, leaving or
 // not.
-func (market *Market) reports(now time.Time, server roster.Server) bool {
+func (market *Market) reports(now time.Time, server membership.Server) bool {
 	stall, found := market.board.Load().byName[server.Name]
 	if !found || stall.server.Address != server.Address {
 		return false
@@ -138,7 +138,7 @@
 // Example:
 //
 //	bid, found := market.Choose(now, inquiry, ruling, allowed, nil)
-func (market *Market) Choose(now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+func (market *Market) Choose(now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(membership.Server) bool, tried map[string]bool) (Bid, bool) {
 	asked := offers.Get().(*offerBook)
 	defer offers.Put(asked)
 	asked.clear()
@@ -164,7 +164,7 @@
 // Example:
 //
 //	bid, found := market.ChooseDecode(now, inquiry, prefill, allowed, tried)
-func (market *Market) ChooseDecode(now time.Time, inquiry *Inquiry, source string, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+func (market *Market) ChooseDecode(now time.Time, inquiry *Inquiry, source string, allowed func(membership.Server) bool, tried map[string]bool) (Bid, bool) {
 	current := market.board.Load()
 	prefill, found := current.byName[source]
 	if !found {
@@ -296,7 +296,7 @@
 // Example:
 //
 //	servers := market.Listing()
-func (market *Market) Listing() []roster.Server { return market.board.Load().listing }
+func (market *Market) Listing() []membership.Server { return market.board.Load().listing }
 
 // Load is the report that counts now of one server, if it has one.
 //
@@ -320,7 +320,7 @@
 // Example:
 //
 //	for _, load := range market.Loads(now) { ... }
-func (market *Market) Loads(now time.Time) ([]roster.Server, map[string]Load) {
+func (market *Market) Loads(now time.Time) ([]membership.Server, map[string]Load) {
 	current := market.board.Load()
 	loads := map[string]Load{}
 	for _, stall := range current.stalls {
--- a/internal/pass/market_test.go
+++ b/internal/pass/market_test.go
@@ -6,15 +6,15 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // newTestMarket has so many servers, two of five of which read prompts.
 func newTestMarket(count int) *Market {
 	market := NewMarket("courier-1", "north", false)
-	var servers []roster.Server
+	var servers []membership.Server
 	for number := range count {
-		servers = append(servers, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[number%3]})
+		servers = append(servers, membership.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[number%3]})
 	}
 	market.List(servers)
 	market.SetCouriers(7)
@@ -33,7 +33,7 @@
 	}
 }
 
-func anywhere(roster.Server) bool { return true }
+func anywhere(membership.Server) bool { return true }
 
 // BenchmarkChoose is what the market costs an inquiry.
 func BenchmarkChoose(benchmark *testing.B) {
--- a/internal/pass/offer.go
+++ b/internal/pass/offer.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // offer is what one server asks for its half of an inquiry.
@@ -89,7 +89,7 @@
 	}
 	for _, prefill := range book.prefill {
 		least := prefill.ask + prefill.least(inquiry)
-		var weigher roster.Weigher
+		var weigher membership.Weigher
 		weighs := false
 		for _, decode := range book.decode {
 			if worse(least+decode.ask, prefill.position, decode.position) {
@@ -101,7 +101,7 @@
 				continue
 			}
 			if !weighs {
-				weigher, weighs = roster.NewWeigher(inquiry.ID+"/"+prefill.stall.server.Name), true
+				weigher, weighs = membership.NewWeigher(inquiry.ID+"/"+prefill.stall.server.Name), true
 			}
 			noise := float64(weigher.Weight(decode.stall.server.Name)%1024) / 1024
 			price := float64(sum+floor) * (1 + spread*noise)
--- a/internal/pass/offer_test.go
+++ b/internal/pass/offer_test.go
@@ -6,12 +6,12 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // everyPair is the choice as its definition says it: every pair is priced, and the
 // first of the lowest is taken.
-func everyPair(market *Market, now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(roster.Server) bool, tried map[string]bool) (Bid, bool) {
+func everyPair(market *Market, now time.Time, inquiry *Inquiry, ruling *Ruling, allowed func(membership.Server) bool, tried map[string]bool) (Bid, bool) {
 	var best Bid
 	bestPrice, found := 0.0, false
 	stalls := market.board.Load().stalls
@@ -27,7 +27,7 @@
 			}
 			handOver := newOffer(prefill, 0, 0).handOver(newOffer(decode, 0, 0), inquiry)
 			sum := prefillAsk + handOver + decodeAsk
-			price := float64(sum+5*time.Millisecond) * (1 + spread*float64(roster.Weight(inquiry.ID+"/"+prefill.server.Name, decode.server.Name)%1024)/1024)
+			price := float64(sum+5*time.Millisecond) * (1 + spread*float64(membership.Weight(inquiry.ID+"/"+prefill.server.Name, decode.server.Name)%1024)/1024)
 			if market.plain {
 				price = float64(prefill.fresh(now).load.PrefillWaiting)*1000 + float64(decode.fresh(now).load.DecodeActive)
 			}
@@ -47,9 +47,9 @@
 	for day := range 400 {
 		market := NewMarket("courier-1", "north", day%5 == 4)
 		market.SetCouriers(1 + random.IntN(9))
-		var servers []roster.Server
+		var servers []membership.Server
 		for number := range 1 + random.IntN(60) {
-			servers = append(servers, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[random.IntN(3)], Leaving: random.IntN(15) == 0})
+			servers = append(servers, membership.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprint(number), District: []string{"north", "south", "east"}[random.IntN(3)], Leaving: random.IntN(15) == 0})
 		}
 		market.List(servers)
 		alike := day%2 == 0
@@ -69,7 +69,7 @@
 			now := noon.Add(time.Duration(random.IntN(1600)) * time.Millisecond)
 			inquiry := &Inquiry{ID: fmt.Sprintf("%d-%d", day, number), PromptTokens: 1 + random.IntN(6000), Prefix: "shared", PrefixTokens: 800, Pieces: 1 + random.IntN(40)}
 			ruling := &Ruling{HomeFirst: number%2 == 0}
-			allowed := func(server roster.Server) bool { return number%3 != 0 || server.District != "east" }
+			allowed := func(server membership.Server) bool { return number%3 != 0 || server.District != "east" }
 			tried := map[string]bool{"stove-1": number%4 == 0}
 			want, wanted := everyPair(market, now, inquiry, ruling, allowed, tried)
 			got, found := market.Choose(now, inquiry, ruling, allowed, tried)
--- a/internal/pass/program.go
+++ b/internal/pass/program.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Program is a configuration compiled for the inquiry's path: for each service
@@ -19,7 +19,7 @@
 }
 
 type compiledService struct {
-	service menu.Service
+	service config.Service
 	steps   []step
 }
 
@@ -36,7 +36,7 @@
 // Example:
 //
 //	program := pass.Compile(configuration, version.Epoch, version.Number)
-func Compile(configuration *menu.Configuration, epoch, number uint64) *Program {
+func Compile(configuration *config.Configuration, epoch, number uint64) *Program {
 	program := &Program{epoch: epoch, number: number, services: map[string]*compiledService{}, evacuations: map[string]bool{}}
 	for district := range configuration.Evacuations {
 		program.evacuations[district] = true
@@ -59,7 +59,7 @@
 	return program
 }
 
-func (compiled *compiledService) add(route menu.Route) {
+func (compiled *compiledService) add(route config.Route) {
 	first := len(compiled.steps)
 	need := func(wanted bool, code opcode, text string, number int) {
 		if wanted {
@@ -94,16 +94,16 @@
 // Example:
 //
 //	ruling, failure := program.Rule(inquiry, "north")
-func (program *Program) Rule(inquiry *Inquiry, district string) (*Ruling, *trouble.Trouble) {
+func (program *Program) Rule(inquiry *Inquiry, district string) (*Ruling, *failure.Trouble) {
 	compiled, found := program.services[inquiry.Service]
 	if !found {
-		return nil, trouble.New(trouble.UnknownService, inquiry.Service)
+		return nil, failure.New(failure.UnknownService, inquiry.Service)
 	}
 	if inquiry.PromptTokens > compiled.service.MaxPromptTokens {
-		return nil, trouble.At(trouble.OutOfRange, "/prompt_tokens", "the service takes fewer tokens")
+		return nil, failure.At(failure.OutOfRange, "/prompt_tokens", "the service takes fewer tokens")
 	}
 	if inquiry.Pieces > compiled.service.MaxPieces {
-		return nil, trouble.At(trouble.OutOfRange, "/pieces", "the service makes fewer pieces")
+		return nil, failure.At(failure.OutOfRange, "/pieces", "the service makes fewer pieces")
 	}
 	for position := 0; position < len(compiled.steps); {
 		step := &compiled.steps[position]
@@ -120,7 +120,7 @@
 		case needBelow:
 			holds = inquiry.PromptTokens < step.number
 		case actRefuse:
-			return step.ruling, trouble.New(trouble.RouteRefuses, step.ruling.Route)
+			return step.ruling, failure.New(failure.RouteRefuses, step.ruling.Route)
 		case actSend:
 			return step.ruling, nil
 		}
@@ -130,7 +130,7 @@
 			position = step.next
 		}
 	}
-	return nil, trouble.New(trouble.NoRoute, "no route matches the inquiry")
+	return nil, failure.New(failure.NoRoute, "no route matches the inquiry")
 }
 
 // Allows tells whether work may go to a server under the ruling.
@@ -138,7 +138,7 @@
 // Example:
 //
 //	if program.Allows(ruling, server) { ... }
-func (program *Program) Allows(ruling *Ruling, server roster.Server) bool {
+func (program *Program) Allows(ruling *Ruling, server membership.Server) bool {
 	return !program.evacuations[server.District] && (ruling.Districts == nil || ruling.Districts[server.District])
 }
 
--- a/internal/pass/program_test.go
+++ b/internal/pass/program_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // manyRoutes is a configuration in which the last of many routes matches.
@@ -24,14 +24,14 @@
 func BenchmarkRoutes(benchmark *testing.B) {
 	for _, count := range []int{10, 1000, 8000} {
 		text := manyRoutes(count)
-		configuration, err := menu.Check(text)
+		configuration, err := config.Check(text)
 		if err != nil {
 			benchmark.Fatal(err)
 		}
 		benchmark.Run(fmt.Sprintf("check-and-compile-%d", count), func(benchmark *testing.B) {
 			benchmark.ReportMetric(float64(len(text)), "bytes")
 			for benchmark.Loop() {
-				configuration, _ := menu.Check(text)
+				configuration, _ := config.Check(text)
 				Compile(configuration, 1, 1)
 			}
 		})
--- a/internal/pass/ruling.go
+++ b/internal/pass/ruling.go
@@ -1,11 +1,11 @@
 package pass
 
-import "seamloom.example/seamloom/internal/menu"
+import "seamloom.example/seamloom/internal/config"
 
 // Ruling is what the route that matched says of an inquiry.
 type Ruling struct {
 	Route     string
-	Service   menu.Service
+	Service   config.Service
 	Districts map[string]bool
 	HomeFirst bool
 }
--- a/internal/pass/stall.go
+++ b/internal/pass/stall.go
@@ -4,14 +4,14 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Stall is one server's place in the market: what it is, its last load report,
 // and this courier's own work that the report can't show yet. Its counters are
 // atomics, so that several threads may trade at once.
 type Stall struct {
-	server roster.Server
+	server membership.Server
 	report atomic.Pointer[report]
 	avoid  atomic.Int64
 	// promised counts the inquiries whose prompts are being read for this
--- a/internal/rehearsal/book.go
+++ b/internal/rehearsal/book.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Book is the record of one rehearsal, in the order in which things happened
@@ -60,14 +60,14 @@
 func (book *Book) Save(path string) error {
 	file, err := os.Create(path)
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	encoder := json.NewEncoder(file)
 	for _, entry := range book.Entries() {
 		if err := encoder.Encode(entry); err != nil {
 			_ = file.Close()
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 	}
-	return trouble.Wrap(trouble.Disk, file.Close())
+	return failure.Wrap(failure.Disk, file.Close())
 }
--- a/internal/rehearsal/callers.go
+++ b/internal/rehearsal/callers.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Callers are the stand-ins of restaurants, riders and cooks: they send
@@ -113,7 +113,7 @@
 		switch {
 		case reply.Cause == CallerLeft, reply.Final == "complete" && !habit.persists:
 			return
-		case reply.Final == "refused" && reply.Cause != string(trouble.Duplicate) && habit.obeys:
+		case reply.Final == "refused" && reply.Cause != string(failure.Duplicate) && habit.obeys:
 			pause = retry
 		case reply.Final != "" && !habit.persists:
 			return
@@ -131,7 +131,7 @@
 // pick is the node that the platform hands a client of the district to: one of
 // its own that is up, or any other.
 func (callers *Callers) pick(district string, draw int) *NodeProcess {
-	running := callers.fleet.Running(roster.Courier)
+	running := callers.fleet.Running(membership.Courier)
 	var near []*NodeProcess
 	for _, node := range running {
 		if node.Node.District == district {
@@ -198,7 +198,7 @@
 	entry.Took = time.Since(began)
 	if err != nil && entry.Final == "" {
 		entry.Cause = err.Error()
-		if trouble.KindOf(err) == trouble.OriginLeft {
+		if failure.KindOf(err) == failure.OriginLeft {
 			entry.Cause = CallerLeft
 		}
 	}
@@ -209,25 +209,25 @@
 func (callers *Callers) read(lifetime context.Context, address string, question Question, entry *Entry, leaves int) (int, time.Duration, error) {
 	body, err := json.Marshal(question)
 	if err != nil {
-		return 0, 0, trouble.Wrap(trouble.Malformed, err)
+		return 0, 0, failure.Wrap(failure.Malformed, err)
 	}
 	outbound, err := http.NewRequestWithContext(lifetime, http.MethodPost, "http://"+address+"/v1/inquiries", bytes.NewReader(body))
 	if err != nil {
-		return 0, 0, trouble.Wrap(trouble.Malformed, err)
+		return 0, 0, failure.Wrap(failure.Malformed, err)
 	}
 	inbound, err := callers.client.Do(outbound)
 	if err != nil {
-		return 0, 0, trouble.Wrap(trouble.Unreachable, err)
+		return 0, 0, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	lines := bufio.NewScanner(inbound.Body)
 	for lines.Scan() {
 		if leaves == len(entry.Texts) {
-			return inbound.StatusCode, 0, trouble.New(trouble.OriginLeft, CallerLeft)
+			return inbound.StatusCode, 0, failure.New(failure.OriginLeft, CallerLeft)
 		}
 		var line hatch.ReplyLine
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
-			return inbound.StatusCode, 0, trouble.Wrap(trouble.Garbage, err)
+			return inbound.StatusCode, 0, failure.Wrap(failure.Garbage, err)
 		}
 		if line.Final != "" {
 			entry.Final, entry.Pieces, entry.Cause = string(line.Final), line.Pieces, string(line.Type)
@@ -235,5 +235,5 @@
 		}
 		entry.Texts = append(entry.Texts, strconv.Itoa(line.Piece)+"|"+line.Text)
 	}
-	return inbound.StatusCode, 0, trouble.Wrap(trouble.Unreachable, lines.Err())
+	return inbound.StatusCode, 0, failure.Wrap(failure.Unreachable, lines.Err())
 }
--- a/internal/rehearsal/capacity/calls.go
+++ b/internal/rehearsal/capacity/calls.go
@@ -7,9 +7,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 func callActivities() []Activity {
@@ -50,23 +50,23 @@
 }
 
 // loadsForCalls are the servers' reports as they travel with the news.
-func loadsForCalls(count int) []window.Load {
-	var loads []window.Load
+func loadsForCalls(count int) []scheduler.Load {
+	var loads []scheduler.Load
 	for number := range count {
-		loads = append(loads, window.Load{Server: "stove-" + strconv.Itoa(number+1), Part: string(partOf(number)), Orders: uint64(number % 7), Waiting: number % 5, Running: (number * 7) % 50,
+		loads = append(loads, scheduler.Load{Server: "stove-" + strconv.Itoa(number+1), Part: string(partOf(number)), Orders: uint64(number % 7), Waiting: number % 5, Running: (number * 7) % 50,
 			MemoryUsed: (number * 3571) % 150_000, MemoryTotal: 295_740, Handles: number % 9, Age: time.Duration(number%400) * time.Millisecond})
 	}
 	return loads
 }
 
-func newWindow(sizes Sized) (*window.Window, error) {
-	configuration, err := menu.Check(CallsConfiguration(sizes))
+func newWindow(sizes Sized) (*scheduler.Window, error) {
+	configuration, err := config.Check(CallsConfiguration(sizes))
 	if err != nil {
 		return nil, err
 	}
-	calls := window.New(window.Options{Courier: "courier-1", District: districtOf(0)})
+	calls := scheduler.New(scheduler.Options{Courier: "courier-1", District: districtOf(0)})
 	calls.SetCouriers(sizes[Nodes])
-	calls.SetProgram(window.Compile(configuration, 1, 1))
+	calls.SetProgram(scheduler.Compile(configuration, 1, 1))
 	calls.SetServers(noon, ServersOf(sizes[Servers]))
 	calls.SetLoads(noon, loadsForCalls(sizes[Servers]))
 	return calls, nil
@@ -74,7 +74,7 @@
 
 // newCall is one of the mix: every third has a long prompt of which most is shared.
 // Tenants whose model no server has don't call.
-func newCall(number int, sizes Sized) *window.Call {
+func newCall(number int, sizes Sized) *scheduler.Call {
 	place := number % sizes[Tenants]
 	if place%Base[Models] >= max(1, sizes[Servers]/5) {
 		place -= place % Base[Models]
@@ -83,11 +83,11 @@
 	model := "model-" + strconv.Itoa(place%Base[Models]+1)
 	id := "call-" + strconv.Itoa(number)
 	if number%3 == 0 {
-		return &window.Call{ID: id, Host: tenant, Path: "/ask/one", Model: model, PromptTokens: 9190, OutputTokens: 52, Bytes: 18_000, Ends: noon.Add(time.Hour),
-			Parts: []window.Part{{ID: 1, Tokens: 2520}, {ID: uint64(100 + number%40), Tokens: 3780}, {ID: uint64(1_000_000 + number), Tokens: 2890}}}
+		return &scheduler.Call{ID: id, Host: tenant, Path: "/ask/one", Model: model, PromptTokens: 9190, OutputTokens: 52, Bytes: 18_000, Ends: noon.Add(time.Hour),
+			Parts: []scheduler.Part{{ID: 1, Tokens: 2520}, {ID: uint64(100 + number%40), Tokens: 3780}, {ID: uint64(1_000_000 + number), Tokens: 2890}}}
 	}
-	return &window.Call{ID: id, Host: tenant, Path: "/talk", Model: model, PromptTokens: 826, OutputTokens: 290, Bytes: 1700, Ends: noon.Add(time.Hour),
-		Parts: []window.Part{{ID: 2, Tokens: 119}, {ID: 3, Tokens: 79}, {ID: uint64(1_000_000 + number), Tokens: 628}}}
+	return &scheduler.Call{ID: id, Host: tenant, Path: "/talk", Model: model, PromptTokens: 826, OutputTokens: 290, Bytes: 1700, Ends: noon.Add(time.Hour),
+		Parts: []scheduler.Part{{ID: 2, Tokens: 119}, {ID: 3, Tokens: 79}, {ID: uint64(1_000_000 + number), Tokens: 628}}}
 }
 
 // measureCall is one opaque call's way through the window, from its arrival to its end.
@@ -105,22 +105,22 @@
 		call := newCall(number, sizes)
 		call.Ends = now.Add(time.Minute)
 		ticket, decision := calls.Arrive(now, call)
-		for ticket != nil && (decision.Kind == window.Read || decision.Kind == window.Run) {
-			outcome := window.Outcome{Result: window.Complete, Status: 200, First: now}
-			if decision.Kind == window.Read {
+		for ticket != nil && (decision.Kind == scheduler.Read || decision.Kind == scheduler.Run) {
+			outcome := scheduler.Outcome{Result: scheduler.Complete, Status: 200, First: now}
+			if decision.Kind == scheduler.Read {
 				outcome.Handle = "handle"
 			}
 			decision = calls.Ended(now, ticket, outcome)
 		}
-		if decision.Kind != window.Done {
-			broken = trouble.New(trouble.Busy, "the hollow call was not served: "+string(decision.Kind)+" "+string(decision.Cause))
+		if decision.Kind != scheduler.Done {
+			broken = failure.New(failure.Busy, "the hollow call was not served: "+string(decision.Kind)+" "+string(decision.Cause))
 		}
 		done++
 	})
 	noteCost(note, "a call, in the deciding core", cost)
 	note("memory of the window after many calls", "B", heap()-before)
 	if calls.InFlight() != 0 {
-		return trouble.New(trouble.Unsorted, "calls are under way after their end")
+		return failure.New(failure.Unsorted, "calls are under way after their end")
 	}
 	return broken
 }
@@ -131,12 +131,12 @@
 	note("configuration", "B", float64(len(text)))
 	var broken error
 	noteCost(note, "a configuration", Meter{}.Measure(func(int) {
-		configuration, err := menu.Check(text)
+		configuration, err := config.Check(text)
 		if err != nil {
 			broken = err
 			return
 		}
-		window.Compile(configuration, 1, 1)
+		scheduler.Compile(configuration, 1, 1)
 	}))
 	return broken
 }
@@ -150,16 +150,16 @@
 	servers, loads := ServersOf(sizes[Servers]), loadsForCalls(sizes[Servers])
 	encoded, err := msgpack.Marshal(loads)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of all reports", "B", float64(len(encoded)))
 	list, err := msgpack.Marshal(servers)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of the list", "B", float64(len(list)))
 	noteCost(note, "all reports read and taken", Meter{}.Measure(func(int) {
-		var taken []window.Load
+		var taken []scheduler.Load
 		if msgpack.Unmarshal(encoded, &taken) == nil {
 			calls.SetLoads(noon, taken)
 		}
--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -12,12 +12,12 @@
 
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // core is a hollow control plane: expediters in one process, with their copies in
@@ -30,9 +30,9 @@
 	shelves []*shelf
 	lists   *lists
 	// members are the couriers that the seed registered.
-	members []roster.Member
+	members []membership.Member
 	// have are the versions that a courier in touch has.
-	have map[string]larder.Version
+	have map[string]replication.Version
 	// charter is the epoch of the charter that a courier in touch knows.
 	charter uint64
 }
@@ -43,12 +43,12 @@
 func newCore(seats int) (*core, error) {
 	lifetime, end := context.WithCancel(context.Background())
 	formed := &core{line: newLine(), turns: threads.New(lifetime, wallclock.New()), end: end}
-	var nodes []roster.Node
+	var nodes []membership.Node
 	var seeds []string
 	for number := range seats {
 		name := "expediter-" + strconv.Itoa(number+1)
 		address := "10.0.0." + strconv.Itoa(number+1) + ":7100"
-		nodes = append(nodes, roster.Node{Name: name, Kind: roster.Expediter, Address: address, District: districtOf(number)})
+		nodes = append(nodes, membership.Node{Name: name, Kind: membership.Expediter, Address: address, District: districtOf(number)})
 		if number < 3 {
 			seeds = append(seeds, address)
 		}
@@ -57,8 +57,8 @@
 	changed := formed.turns.NewBell()
 	for _, node := range nodes {
 		copies := newShelf()
-		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: recipe.Supported(nil),
-			Fresh: larder.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists, Reports: formed.lists}
+		options := hatch.ExpediterOptions{Name: node.Name, Address: node.Address, District: node.District, Seeds: seeds, Supported: formats.Supported(nil),
+			Fresh: replication.Identity("identity-of-" + node.Name + "-0123456789ab"), Directory: formed.lists, Reports: formed.lists}
 		seat, _, err := hatch.OpenExpediter(formed.turns, formed.line, newShelf(), copies, options, func(string, ...any) { changed.Ring() })
 		if err != nil {
 			end()
@@ -75,7 +75,7 @@
 	for ends := formed.turns.Now().Add(formPatience); !formed.whole(); changed.Wait(50*time.Millisecond, formed.whole) {
 		if formed.turns.Now().After(ends) {
 			end()
-			return nil, trouble.New(trouble.NoPrimary, "the hollow core was not formed")
+			return nil, failure.New(failure.NoPrimary, "the hollow core was not formed")
 		}
 	}
 	return formed, nil
@@ -116,12 +116,12 @@
 }
 
 // submit has a change committed and waits for it.
-func (core *core) submit(change larder.Change) error {
+func (core *core) submit(change replication.Change) error {
 	var mutex sync.Mutex
 	var err error
 	over := false
 	bell := core.turns.NewBell()
-	core.primary().Store().Submit(change, func(_ larder.Version, ended error) {
+	core.primary().Store().Submit(change, func(_ replication.Version, ended error) {
 		mutex.Lock()
 		err, over = ended, true
 		mutex.Unlock()
@@ -132,17 +132,17 @@
 		defer mutex.Unlock()
 		return over
 	}) {
-		return trouble.New(trouble.Unknown, "a change of the hollow core took too long")
+		return failure.New(failure.Unknown, "a change of the hollow core took too long")
 	}
 	return err
 }
 
 // claim has a courier take an inquiry's id, over the wire.
 func (core *core) claim(made time.Time, nonce string) error {
-	question := hatch.ClaimQuestion{Made: made, Entry: recipe.Entry{Inquiry: uuid.Must(uuid.NewV7()).String(), Courier: "courier-217", Cause: nonce, At: made}}
+	question := hatch.ClaimQuestion{Made: made, Entry: formats.Entry{Inquiry: uuid.Must(uuid.NewV7()).String(), Courier: "courier-217", Cause: nonce, At: made}}
 	body, err := msgpack.Marshal(question)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	encoded, err := core.primary().Answers().Answer(hatch.ClaimPath, body)
 	if err != nil {
@@ -150,7 +150,7 @@
 	}
 	var answer hatch.LedAnswer
 	if msgpack.Unmarshal(encoded, &answer) != nil || !answer.Leads {
-		return trouble.New(trouble.NoPrimary, "the hollow core has lost its primary")
+		return failure.New(failure.NoPrimary, "the hollow core has lost its primary")
 	}
 	return nil
 }
@@ -159,28 +159,28 @@
 // take their duties.
 func (core *core) seed(sizes Sized) error {
 	core.members = membersOf(sizes[Nodes])
-	duties := map[string]rota.Duty{rota.PartsKey: {Key: rota.PartsKey, Holder: core.holder(rota.PartsKey), Fence: 1}}
-	orders := map[string]recipe.Record{}
+	duties := map[string]lease.Duty{lease.PartsKey: {Key: lease.PartsKey, Holder: core.holder(lease.PartsKey), Fence: 1}}
+	orders := map[string]formats.Record{}
 	for number, server := range ServersOf(sizes[Servers]) {
-		key := rota.ServerKey(server.Name)
-		duties[key] = rota.Duty{Key: key, Holder: core.holder(key), Fence: uint64(number + 2)}
-		record, err := recipe.WriteOrder(recipe.Order{Server: server.Name, Part: string(partOf(number)), Patience: 20 * time.Second, Cause: "prompts wait while answers have room"},
-			"courier-1", uint64(number+1), recipe.Supported(nil))
+		key := lease.ServerKey(server.Name)
+		duties[key] = lease.Duty{Key: key, Holder: core.holder(key), Fence: uint64(number + 2)}
+		record, err := formats.WriteOrder(formats.Order{Server: server.Name, Part: string(partOf(number)), Patience: 20 * time.Second, Cause: "prompts wait while answers have room"},
+			"courier-1", uint64(number+1), formats.Supported(nil))
 		if err != nil {
 			return err
 		}
 		orders[server.Name] = record
 	}
 	text := Configuration(sizes, 1)
-	err := core.submit(func(state *larder.State, _, _ larder.Version) error {
+	err := core.submit(func(state *replication.State, _, _ replication.Version) error {
 		for _, member := range core.members {
 			state.Members[member.Name] = member
 		}
 		state.Menu = text
-		state.Flags.Enabled = recipe.Supported(nil)
-		state.Rota = larder.Duties{Duties: duties, Fence: uint64(len(duties) + 1)}
-		state.Orders = larder.Orders{Records: orders, Number: uint64(len(orders))}
-		for _, drawer := range []string{larder.MembersDrawer, larder.MenuDrawer, larder.FlagsDrawer, larder.RotaDrawer, larder.OrdersDrawer} {
+		state.Flags.Enabled = formats.Supported(nil)
+		state.Rota = replication.Duties{Duties: duties, Fence: uint64(len(duties) + 1)}
+		state.Orders = replication.Orders{Records: orders, Number: uint64(len(orders))}
+		for _, drawer := range []string{replication.MembersDrawer, replication.MenuDrawer, replication.FlagsDrawer, replication.RotaDrawer, replication.OrdersDrawer} {
 			state.Touch(drawer)
 		}
 		return nil
@@ -189,9 +189,9 @@
 		return err
 	}
 	core.lists.set(ServersOf(sizes[Servers]))
-	for ends := core.turns.Now().Add(formPatience); len(core.primary().Servers()) != sizes[Servers]; rota.Pause(core.turns, 20*time.Millisecond) {
+	for ends := core.turns.Now().Add(formPatience); len(core.primary().Servers()) != sizes[Servers]; lease.Pause(core.turns, 20*time.Millisecond) {
 		if core.turns.Now().After(ends) {
-			return trouble.New(trouble.Unsorted, "the hollow core has not read its list of servers")
+			return failure.New(failure.Unsorted, "the hollow core has not read its list of servers")
 		}
 	}
 	return core.settle()
@@ -199,7 +199,7 @@
 
 // holder is whom rendezvous hashing names for a key.
 func (core *core) holder(key string) string {
-	weigher := roster.NewWeigher(key)
+	weigher := membership.NewWeigher(key)
 	holder, heaviest := "", uint64(0)
 	for _, member := range core.members {
 		if weight := weigher.Weight(member.Name); weight >= heaviest {
@@ -217,7 +217,7 @@
 			return err
 		}
 		core.charter = max(core.charter, answer.Charter.Epoch)
-		core.have = map[string]larder.Version{}
+		core.have = map[string]replication.Version{}
 		for name, drawer := range answer.Drawers {
 			core.have[name] = drawer.Version
 		}
@@ -233,12 +233,12 @@
 			return nil
 		}
 	}
-	return trouble.New(trouble.Unsorted, "the hollow core does not come to rest")
+	return failure.New(failure.Unsorted, "the hollow core does not come to rest")
 }
 
 // question is what a courier that has those versions asks.
-func (core *core) question(position int, have map[string]larder.Version) []byte {
-	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[larder.MenuDrawer], Deltas: true, Charter: core.charter}
+func (core *core) question(position int, have map[string]replication.Version) []byte {
+	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[replication.MenuDrawer], Deltas: true, Charter: core.charter}
 	body, err := msgpack.Marshal(question)
 	if err != nil {
 		panic("capacity: " + err.Error())
@@ -247,28 +247,28 @@
 }
 
 // ask has a courier ask the primary.
-func (core *core) ask(position int, have map[string]larder.Version) (size int, answer hatch.NewsAnswer, err error) {
+func (core *core) ask(position int, have map[string]replication.Version) (size int, answer hatch.NewsAnswer, err error) {
 	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, core.question(position, have))
 	if err != nil {
 		return 0, answer, err
 	}
 	if err := msgpack.Unmarshal(encoded, &answer); err != nil {
-		return 0, answer, trouble.Wrap(trouble.Garbage, err)
+		return 0, answer, failure.Wrap(failure.Garbage, err)
 	}
 	if !answer.Leads {
-		return 0, answer, trouble.New(trouble.NoPrimary, "the hollow core has lost its primary")
+		return 0, answer, failure.New(failure.NoPrimary, "the hollow core has lost its primary")
 	}
 	return len(encoded), answer, nil
 }
 
 // packed is how long what a courier with those versions is told is on the wire.
-func (core *core) packed(have map[string]larder.Version) (float64, error) {
+func (core *core) packed(have map[string]replication.Version) (float64, error) {
 	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, core.question(0, have))
 	return float64(len(s2.Encode(nil, encoded))), err
 }
 
 // notePacked notes that.
-func (core *core) notePacked(note Note, measure string, have map[string]larder.Version) error {
+func (core *core) notePacked(note Note, measure string, have map[string]replication.Version) error {
 	size, err := core.packed(have)
 	note(measure+", packed", "B", size)
 	return err
--- a/internal/rehearsal/capacity/courier.go
+++ b/internal/rehearsal/capacity/courier.go
@@ -12,13 +12,13 @@
 	"seamloom.example/seamloom"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const (
@@ -48,8 +48,8 @@
 // newDecider is a courier's deciding core that knows a fleet of the sizes, and has
 // a hold.
 func newDecider(sizes Sized) *seamloom.Core {
-	decider := seamloom.New(seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil), MostInquiries: 1 << 20})
-	decider.Apply(pass.Event{Kind: pass.FlagsRead, At: noon, Enabled: recipe.Supported(nil)})
+	decider := seamloom.New(seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: formats.Supported(nil), MostInquiries: 1 << 20})
+	decider.Apply(pass.Event{Kind: pass.FlagsRead, At: noon, Enabled: formats.Supported(nil)})
 	decider.Apply(pass.Event{Kind: pass.ServersListed, At: noon, Servers: ServersOf(sizes[Servers])})
 	for number := range sizes[Servers] {
 		load := loadOf(number)
@@ -94,7 +94,7 @@
 		arrived := decider.Apply(pass.Event{Kind: pass.InquiryArrived, At: noon, Inquiry: inquiry})
 		run := arrived[len(arrived)-1].Run
 		if run == 0 {
-			broken = trouble.New(trouble.Busy, "the hollow inquiry was not let in: "+arrived[0].Detail)
+			broken = failure.New(failure.Busy, "the hollow inquiry was not let in: "+arrived[0].Detail)
 			return
 		}
 		answering := decider.Apply(pass.Event{Kind: pass.PrefillAnswered, At: noon, ID: inquiry.ID, Run: run, Outcome: pass.Done, Handle: "handle"})
@@ -118,14 +118,14 @@
 		market.Report(noon, loadOf(number))
 	}
 	ruling := &pass.Ruling{HomeFirst: true}
-	anywhere := func(roster.Server) bool { return true }
+	anywhere := func(membership.Server) bool { return true }
 	found := true
 	noteCost(note, "a choice", Meter{}.Measure(func(number int) {
 		_, chosen := market.Choose(noon, newInquiry(number, sizes[Pieces], sizes[Models]), ruling, anywhere, nil)
 		found = found && chosen
 	}))
 	if !found {
-		return trouble.New(trouble.Busy, "the hollow market has no pair")
+		return failure.New(failure.Busy, "the hollow market has no pair")
 	}
 	return nil
 }
@@ -152,17 +152,17 @@
 	servers := ServersOf(sizes[Servers])
 	encoded, err := json.Marshal(map[string]any{"servers": servers})
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of the list as JSON", "B", float64(len(encoded)))
 	packed, err := msgpack.Marshal(servers)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of the list as msgpack", "B", float64(len(packed)))
 	noteCost(note, "a list read and taken", Meter{}.Measure(func(int) {
 		var list struct {
-			Servers []roster.Server `json:"servers"`
+			Servers []membership.Server `json:"servers"`
 		}
 		if json.Unmarshal(encoded, &list) == nil {
 			market.List(list.Servers)
@@ -185,11 +185,11 @@
 func measureHolder(sizes Sized, note Note) error {
 	decider := newDecider(sizes)
 	formed := &core{members: membersOf(sizes[Nodes])}
-	own := []seamloom.Duty{{Key: rota.PartsKey, Holder: "courier-1", Fence: 1}}
+	own := []seamloom.Duty{{Key: lease.PartsKey, Holder: "courier-1", Fence: 1}}
 	orders := map[string]seamloom.Order{}
 	for number, server := range ServersOf(sizes[Servers]) {
 		orders[server.Name] = seamloom.Order{Server: server.Name, Part: string(partOf(number))}
-		if key := rota.ServerKey(server.Name); formed.holder(key) == "courier-1" {
+		if key := lease.ServerKey(server.Name); formed.holder(key) == "courier-1" {
 			own = append(own, seamloom.Duty{Key: key, Holder: "courier-1", Fence: uint64(number + 2)})
 		}
 	}
@@ -244,12 +244,12 @@
 	for _, answer := range answers {
 		encoded, err := msgpack.Marshal(answer)
 		if err != nil {
-			return cost, trouble.Wrap(trouble.Garbage, err)
+			return cost, failure.Wrap(failure.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
 	life := &shortLife{Threads: newTurns(), line: line}
-	conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
+	conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: formats.Supported(nil)},
 		Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
 	follow := conduct.Rounds()[2]
 	cost = Meter{}.Measure(func(int) {
@@ -299,26 +299,26 @@
 
 // changing follows two answers in turn, each with a newer version of one drawer, and
 // tells what one costs.
-func changing(note Note, of, name string, versions func(number uint64) larder.Drawer) error {
+func changing(note Note, of, name string, versions func(number uint64) replication.Drawer) error {
 	var answers []hatch.NewsAnswer
 	for number := range uint64(64) {
 		drawer := versions(number + 1)
-		drawer.Version = larder.Version{Epoch: 1, Number: number + 1}
-		answers = append(answers, hatch.NewsAnswer{Leads: true, Drawers: map[string]larder.Drawer{name: drawer}, Menu: larder.Version{Epoch: 1, Number: number + 1}})
+		drawer.Version = replication.Version{Epoch: 1, Number: number + 1}
+		answers = append(answers, hatch.NewsAnswer{Leads: true, Drawers: map[string]replication.Drawer{name: drawer}, Menu: replication.Version{Epoch: 1, Number: number + 1}})
 	}
 	// Each pass through the answers is by a life of its own: versions never go back.
 	line := &canned{}
 	for _, answer := range answers {
 		encoded, err := msgpack.Marshal(answer)
 		if err != nil {
-			return trouble.Wrap(trouble.Garbage, err)
+			return failure.Wrap(failure.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
 	cost := Meter{Most: 8}.Measure(func(int) {
 		line.asked.Store(0)
 		life := &shortLife{Threads: newTurns(), line: line, ends: int64(len(answers))}
-		conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
+		conduct := hatch.NewCourier(life, line, nil, nil, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: formats.Supported(nil)},
 			Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
 		conduct.Rounds()[2]()
 	})
@@ -331,30 +331,30 @@
 // measureTakingMenu is a new configuration, read, checked and compiled.
 func measureTakingMenu(sizes Sized, note Note) error {
 	text := Configuration(sizes, 1)
-	if err := changing(note, "a configuration", larder.MenuDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: text} }); err != nil {
+	if err := changing(note, "a configuration", replication.MenuDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: text} }); err != nil {
 		return err
 	}
 	before := heap()
 	decider := newDecider(sizes)
 	note("memory of the core with it", "B", heap()-before)
 	if epoch, _ := decider.InForce(); epoch != 1 {
-		return trouble.New(trouble.Unsorted, "the configuration is not in force")
+		return failure.New(failure.Unsorted, "the configuration is not in force")
 	}
 	return nil
 }
 
 // measureTakingMembers is a new record of the members.
 func measureTakingMembers(sizes Sized, note Note) error {
-	members := map[string]roster.Member{}
+	members := map[string]membership.Member{}
 	for _, member := range membersOf(sizes[Nodes]) {
 		members[member.Name] = member
 	}
 	content, err := msgpack.Marshal(members)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of the members", "B", float64(len(content)))
-	return changing(note, "a record of members", larder.MembersDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: content} })
+	return changing(note, "a record of members", replication.MembersDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: content} })
 }
 
 // measureTakingOrders is a new record of the orders.
@@ -363,9 +363,9 @@
 	if err != nil {
 		return err
 	}
-	content := answer.Drawers[larder.OrdersDrawer].Content
+	content := answer.Drawers[replication.OrdersDrawer].Content
 	note("bytes of the orders", "B", float64(len(content)))
-	return changing(note, "a record of orders", larder.OrdersDrawer, func(uint64) larder.Drawer { return larder.Drawer{Content: content} })
+	return changing(note, "a record of orders", replication.OrdersDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: content} })
 }
 
 // measurePassing is an inquiry that a restricted courier gives to a capable one.
@@ -374,27 +374,27 @@
 	if err != nil {
 		return err
 	}
-	content, err := msgpack.Marshal(larder.Flags{Enabled: recipe.Supported(nil)})
+	content, err := msgpack.Marshal(replication.Flags{Enabled: formats.Supported(nil)})
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
-	answer.Drawers[larder.FlagsDrawer] = larder.Drawer{Version: larder.Version{Epoch: 99, Number: 99}, Content: content}
+	answer.Drawers[replication.FlagsDrawer] = replication.Drawer{Version: replication.Version{Epoch: 99, Number: 99}, Content: content}
 	encoded, err := msgpack.Marshal(answer)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	line := &canned{answers: [][]byte{encoded}}
 	life := &shortLife{Threads: newTurns(), line: line, ends: 1}
 	passed := &takenOver{}
 	conduct := hatch.NewCourier(life, line, nil, passed, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0),
-		Supported: recipe.Supported(recipe.List{recipe.OrderPatience})}, Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
+		Supported: formats.Supported(formats.List{formats.OrderPatience})}, Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
 	conduct.Rounds()[2]()
 	life.ends = 1 << 40
 	noteCost(note, "an inquiry, circuits not counted", Meter{}.Measure(func(number int) {
 		conduct.Serve(hatch.Arrival{Inquiry: newInquiry(number, 1, 1), Body: []byte("{}")}, silent{})
 	}))
 	if passed.count == 0 {
-		return trouble.New(trouble.Unsorted, "nothing was passed on")
+		return failure.New(failure.Unsorted, "nothing was passed on")
 	}
 	return nil
 }
@@ -403,7 +403,7 @@
 type takenOver struct{ count int }
 
 // Pass takes it.
-func (passed *takenOver) Pass(string, hatch.Passage, []byte, func(func()), func(recipe.Record) bool) bool {
+func (passed *takenOver) Pass(string, hatch.Passage, []byte, func(func()), func(formats.Record) bool) bool {
 	passed.count++
 	return true
 }
--- a/internal/rehearsal/capacity/fleet.go
+++ b/internal/rehearsal/capacity/fleet.go
@@ -15,17 +15,17 @@
 	"github.com/google/uuid"
 
 	"seamloom.example/seamloom"
-	"seamloom.example/seamloom/internal/adapters/hotline"
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // watched is how long a fleet over loopback is looked at.
@@ -49,7 +49,7 @@
 
 // hollowLine is the hotline of one hollow courier over loopback; it counts bodies.
 type hollowLine struct {
-	hotline.Line
+	rpc.Line
 	messages *atomic.Int64
 	bytes    *atomic.Int64
 }
@@ -66,7 +66,7 @@
 type hollowFleet struct {
 	*rehearsal.Fleet
 	end      context.CancelFunc
-	turns    rota.Turns
+	turns    lease.Turns
 	couriers []*hatch.Courier
 	messages atomic.Int64
 	bytes    atomic.Int64
@@ -76,7 +76,7 @@
 func newFleet(binaries string, couriers, servers, realCouriers int) (*hollowFleet, error) {
 	folder, err := os.MkdirTemp("", "capacity-")
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Disk, err)
+		return nil, failure.Wrap(failure.Disk, err)
 	}
 	deployment := rehearsal.Sahil()
 	deployment.Couriers, deployment.Servers = realCouriers, servers
@@ -94,7 +94,7 @@
 	}
 	if !rehearsal.Await(formPatience, func() bool { return laid.Primary() != nil }) {
 		fleet.end()
-		return nil, trouble.New(trouble.NoPrimary, "no primary came up")
+		return nil, failure.New(failure.NoPrimary, "no primary came up")
 	}
 	var seeds []string
 	for _, node := range laid.Expediters {
@@ -102,23 +102,23 @@
 	}
 	fleet.turns = threads.New(lifetime, wallclock.New())
 	for position, member := range membersOf(couriers) {
-		line := hollowLine{Line: hotline.Line{Caller: hotline.NewCaller(nil), Lifetime: lifetime}, messages: &fleet.messages, bytes: &fleet.bytes}
-		conduct := hatch.NewCourier(fleet.turns, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: member.Name, District: member.District, Supported: recipe.Supported(nil)},
+		line := hollowLine{Line: rpc.Line{Caller: rpc.NewCaller(nil), Lifetime: lifetime}, messages: &fleet.messages, bytes: &fleet.bytes}
+		conduct := hatch.NewCourier(fleet.turns, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: member.Name, District: member.District, Supported: formats.Supported(nil)},
 			Address: member.Address, Seeds: seeds, Nonce: uuid.NewString, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{},
 			Board: boardOf(fleet.turns)}, func(string, ...any) {})
-		laid.Platform.ListNode(roster.Node{Name: member.Name, Kind: roster.Courier, Address: member.Address, District: member.District})
+		laid.Platform.ListNode(membership.Node{Name: member.Name, Kind: membership.Courier, Address: member.Address, District: member.District})
 		fleet.couriers = append(fleet.couriers, conduct)
 		// Only the news is followed: ticks and crumbs cost without it.
 		follow := conduct.Rounds()[2]
 		fleet.turns.Go(func() {
 			// They don't come all in one moment.
-			rota.Pause(fleet.turns, time.Duration(position)*2*time.Millisecond)
+			lease.Pause(fleet.turns, time.Duration(position)*2*time.Millisecond)
 			follow()
 		})
 	}
 	if !rehearsal.Await(formPatience, fleet.held) {
 		fleet.end()
-		return nil, trouble.New(trouble.NoHold, "the hollow couriers have no holds")
+		return nil, failure.New(failure.NoHold, "the hollow couriers have no holds")
 	}
 	return fleet, nil
 }
@@ -138,22 +138,22 @@
 	began := time.Now()
 	primary := fleet.Primary()
 	if primary == nil {
-		return 0, trouble.New(trouble.NoPrimary, "the primary is gone")
+		return 0, failure.New(failure.NoPrimary, "the primary is gone")
 	}
 	outbound, err := http.NewRequest(method, "http://"+primary.Node.Address+path, strings.NewReader(body))
 	if err != nil {
-		return 0, trouble.Wrap(trouble.Garbage, err)
+		return 0, failure.Wrap(failure.Garbage, err)
 	}
 	outbound.Header.Set("Content-Type", "application/json")
 	inbound, err := operator.Do(outbound)
 	if err != nil {
-		return 0, trouble.Wrap(trouble.Unreachable, err)
+		return 0, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	if inbound.StatusCode != http.StatusOK {
-		return 0, trouble.New(trouble.Unknown, method+" "+path+" was answered with status "+strconv.Itoa(inbound.StatusCode))
+		return 0, failure.New(failure.Unknown, method+" "+path+" was answered with status "+strconv.Itoa(inbound.StatusCode))
 	}
-	return time.Since(began), trouble.Wrap(trouble.Garbage, json.NewDecoder(inbound.Body).Decode(target))
+	return time.Since(began), failure.Wrap(failure.Garbage, json.NewDecoder(inbound.Body).Decode(target))
 }
 
 var operator = &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
@@ -193,11 +193,11 @@
 	if err := fleet.put(Configuration(sizes, 1)); err != nil {
 		return err
 	}
-	rota.Pause(fleet.turns, 2*time.Second)
+	lease.Pause(fleet.turns, 2*time.Second)
 	look := func(of string, act func() error) error {
 		primary := fleet.Primary()
 		if primary == nil {
-			return trouble.New(trouble.NoPrimary, "the primary is gone")
+			return failure.New(failure.NoPrimary, "the primary is gone")
 		}
 		var before []consumption
 		for _, node := range fleet.Expediters {
@@ -232,7 +232,7 @@
 		}
 		return nil
 	}
-	if err := look("at rest", func() error { rota.Pause(fleet.turns, watched); return nil }); err != nil {
+	if err := look("at rest", func() error { lease.Pause(fleet.turns, watched); return nil }); err != nil {
 		return err
 	}
 	var took, worst time.Duration
@@ -276,14 +276,14 @@
 	defer fleet.end()
 	courier := fleet.Couriers[0]
 	if !rehearsal.Await(formPatience, courier.Ready) {
-		return trouble.New(trouble.NoHold, "the courier is not ready")
+		return failure.New(failure.NoHold, "the courier is not ready")
 	}
-	rota.Pause(fleet.turns, 3*time.Second)
+	lease.Pause(fleet.turns, 3*time.Second)
 	before, err := consumed(courier.Number())
 	if err != nil {
 		return err
 	}
-	rota.Pause(fleet.turns, watched)
+	lease.Pause(fleet.turns, watched)
 	after, err := consumed(courier.Number())
 	if err != nil {
 		return err
@@ -313,9 +313,9 @@
 }
 
 // boardOf makes the conduct of calls over a core's window, without circuits.
-func boardOf(turns rota.Turns) func(deciding *window.Window) hatch.Board {
-	return func(deciding *window.Window) hatch.Board {
-		return hatch.NewCalls(turns, deciding, func([]roster.Server) {})
+func boardOf(turns lease.Turns) func(deciding *scheduler.Window) hatch.Board {
+	return func(deciding *scheduler.Window) hatch.Board {
+		return hatch.NewCalls(turns, deciding, func([]membership.Server) {})
 	}
 }
 
--- a/internal/rehearsal/capacity/line.go
+++ b/internal/rehearsal/capacity/line.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // traffic is what went over one path.
@@ -40,7 +40,7 @@
 	answers, found := line.nodes[address]
 	line.mutex.Unlock()
 	if !found {
-		return nil, trouble.New(trouble.Unreachable, "nobody is at "+address)
+		return nil, failure.New(failure.Unreachable, "nobody is at "+address)
 	}
 	answer, err := answers.Answer(path, body)
 	line.mutex.Lock()
--- a/internal/rehearsal/capacity/news.go
+++ b/internal/rehearsal/capacity/news.go
@@ -7,13 +7,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"seamloom.example/seamloom"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const readerRole = "reader of the list"
@@ -31,13 +31,13 @@
 // told asks the primary what a courier with the marks is told, and how long both ways
 // are.
 func told(core *core, question hatch.NewsQuestion) (body []byte, answer hatch.NewsAnswer, size int, err error) {
-	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[larder.MenuDrawer], true, core.charter
+	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[replication.MenuDrawer], true, core.charter
 	if body, err = msgpack.Marshal(question); err != nil {
-		return nil, answer, 0, trouble.Wrap(trouble.Garbage, err)
+		return nil, answer, 0, failure.Wrap(failure.Garbage, err)
 	}
 	encoded, err := core.primary().Answers().Answer(hatch.NewsPath, body)
 	if err == nil {
-		err = trouble.Wrap(trouble.Garbage, msgpack.Unmarshal(encoded, &answer))
+		err = failure.Wrap(failure.Garbage, msgpack.Unmarshal(encoded, &answer))
 	}
 	return body, answer, len(body) + len(encoded), err
 }
@@ -68,7 +68,7 @@
 			return err
 		}
 		if answer.Servers == nil || len(answer.Servers.Servers) != sizes[Servers] {
-			return trouble.New(trouble.Unsorted, "the list is not told")
+			return failure.New(failure.Unsorted, "the list is not told")
 		}
 		note("bytes a courier, list changed", "B", float64(size))
 		if err := telling(core, note, "a courier, list changed", body); err != nil {
@@ -79,7 +79,7 @@
 			return err
 		}
 		if answer.Servers == nil || answer.Servers.Sent {
-			return trouble.New(trouble.Unsorted, "the list is told again")
+			return failure.New(failure.Unsorted, "the list is told again")
 		}
 		note("bytes a courier, list as it was", "B", float64(size))
 		return telling(core, note, "a courier, list as it was", body)
@@ -88,13 +88,13 @@
 
 // heardLoads waits until the primary has read a report of every server.
 func heardLoads(core *core, servers int) (body []byte, answer hatch.NewsAnswer, size int, err error) {
-	for ends := core.turns.Now().Add(formPatience); ; rota.Pause(core.turns, 50*time.Millisecond) {
+	for ends := core.turns.Now().Add(formPatience); ; lease.Pause(core.turns, 50*time.Millisecond) {
 		body, answer, size, err = told(core, hatch.NewsQuestion{Lists: true, Loads: true})
 		if err != nil || answer.Loads != nil && len(answer.Loads.Lines) == servers {
 			return body, answer, size, err
 		}
 		if core.turns.Now().After(ends) {
-			return body, answer, size, trouble.New(trouble.Unsorted, "the hollow core has not read all reports")
+			return body, answer, size, failure.New(failure.Unsorted, "the hollow core has not read all reports")
 		}
 	}
 }
@@ -112,7 +112,7 @@
 			return err
 		}
 		if answer.Servers.Sent || len(answer.Loads.Lines) != sizes[Servers] {
-			return trouble.New(trouble.Unsorted, "not the reports alone are told")
+			return failure.New(failure.Unsorted, "not the reports alone are told")
 		}
 		note("bytes a courier and round", "B", float64(size))
 		return telling(core, note, "a courier and round", body)
@@ -123,13 +123,13 @@
 type noList struct{}
 
 // Servers can't be read.
-func (noList) Servers() ([]roster.Server, error) {
-	return nil, trouble.New(trouble.Unreachable, "the platform")
+func (noList) Servers() ([]membership.Server, error) {
+	return nil, failure.New(failure.Unreachable, "the platform")
 }
 
 // Nodes are not listed.
-func (noList) Nodes() ([]roster.Node, error) {
-	return nil, trouble.New(trouble.NoSuch, "a list of nodes")
+func (noList) Nodes() ([]membership.Node, error) {
+	return nil, failure.New(failure.NoSuch, "a list of nodes")
 }
 
 // hearing has a courier that takes calls follow answers, and tells what one costs. The
@@ -139,12 +139,12 @@
 	for _, answer := range append([]hatch.NewsAnswer{first}, answers...) {
 		encoded, err := msgpack.Marshal(answer)
 		if err != nil {
-			return trouble.Wrap(trouble.Garbage, err)
+			return failure.Wrap(failure.Garbage, err)
 		}
 		line.answers = append(line.answers, encoded)
 	}
 	life := &shortLife{Threads: newTurns(), line: line, ends: 1}
-	conduct := hatch.NewCourier(life, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: recipe.Supported(nil)},
+	conduct := hatch.NewCourier(life, line, hollowStove{}, &takenOver{}, hatch.CourierOptions{Options: seamloom.Options{Courier: "courier-1", District: districtOf(0), Supported: formats.Supported(nil)},
 		Address: "10.1.0.1:7101", Seeds: []string{"10.0.0.1:7100"}, Nonce: func() string { return "nonce" }, Ended: func(*pass.Inquiry, pass.Decision) {}, Directory: noList{}, Board: boardOf(life)}, func(string, ...any) {})
 	// The third round follows the news.
 	follow := conduct.Rounds()[2]
@@ -158,7 +158,7 @@
 	cost.Processor, cost.Bytes = time.Duration(float64(cost.Processor)/share), cost.Bytes/share
 	noteCost(note, of, cost)
 	if len(conduct.Servers()) == 0 {
-		return trouble.New(trouble.Unsorted, "the courier has not taken the list")
+		return failure.New(failure.Unsorted, "the courier has not taken the list")
 	}
 	return nil
 }
@@ -177,7 +177,7 @@
 	}
 	var changed []hatch.NewsAnswer
 	for number := range 2 {
-		list := append([]roster.Server(nil), servers...)
+		list := append([]membership.Server(nil), servers...)
 		list[0].Leaving = number == 0
 		answer := quiet
 		answer.Servers = &hatch.ServersNews{Mark: uint64(number + 2), Sent: true, Servers: list}
@@ -212,7 +212,7 @@
 // measureReadingList is joining what is read to what is known.
 func measureReadingList(sizes Sized, note Note) error {
 	servers := ServersOf(sizes[Servers])
-	listing := roster.Listing{}
+	listing := membership.Listing{}
 	now := noon
 	noteCost(note, "a list as it was, reading not counted", Meter{}.Measure(func(int) {
 		now = now.Add(500 * time.Millisecond)
--- a/internal/rehearsal/capacity/platform.go
+++ b/internal/rehearsal/capacity/platform.go
@@ -5,8 +5,8 @@
 	"os"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/rehearsal/platformday"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // PlatformActivities are measured with the programs of a platform's deploy file, on
@@ -25,7 +25,7 @@
 func measurePlatform(roles []platformday.Role, sizes Sized, note Note) error {
 	folder, err := os.MkdirTemp("", "capacity-")
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	site := platformday.SmallSite()
--- a/internal/rehearsal/capacity/plot.go
+++ b/internal/rehearsal/capacity/plot.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 var unnamed = regexp.MustCompile(`[^a-z0-9]+`)
@@ -42,11 +42,11 @@
 	}
 	scatter, err := plotter.NewScatter(points)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	line := plotter.NewFunction(func(size float64) float64 { return fit.Intercept + fit.Slope*size })
 	line.XMin, line.XMax = 0, float64(fit.Largest)
 	drawn.Add(plotter.NewGrid(), scatter, line)
 	drawn.X.Min, drawn.X.Max = 0, float64(fit.Largest)
-	return trouble.Wrap(trouble.Disk, drawn.Save(11*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, fit.File())))
+	return failure.Wrap(failure.Disk, drawn.Save(11*vg.Centimeter, 8*vg.Centimeter, filepath.Join(folder, fit.File())))
 }
--- a/internal/rehearsal/capacity/primary.go
+++ b/internal/rehearsal/capacity/primary.go
@@ -7,12 +7,12 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const primaryRole = "expediter as primary"
@@ -69,10 +69,10 @@
 				over := make(chan struct{})
 				defer close(over)
 				for position := range core.members {
-					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[larder.MenuDrawer], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
+					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[replication.MenuDrawer], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
 					body, err := msgpack.Marshal(question)
 					if err != nil {
-						return trouble.Wrap(trouble.Garbage, err)
+						return failure.Wrap(failure.Garbage, err)
 					}
 					answers := core.primary().Answers()
 					parked.Go(func() {
@@ -87,7 +87,7 @@
 					})
 				}
 			}
-			rota.Pause(core.turns, 300*time.Millisecond)
+			lease.Pause(core.turns, 300*time.Millisecond)
 			before := processTime()
 			for number := range commits {
 				if err := core.claim(time.Now(), strconv.Itoa(number)); err != nil {
@@ -110,21 +110,21 @@
 // onePlace is an edit of one tenant's route.
 func onePlace(edition int) func([]byte) ([]byte, error) {
 	patch := []byte(`{"routes":{"tenant-1":{"order":` + strconv.Itoa(1000+edition) + `}}}`)
-	return func(text []byte) ([]byte, error) { return menu.Merge(text, patch) }
+	return func(text []byte) ([]byte, error) { return config.Merge(text, patch) }
 }
 
 // twoPlaces is an edit that takes a route at the beginning away and adds one at the
 // end.
 func twoPlaces(edition int) func([]byte) ([]byte, error) {
 	patch := []byte(`{"routes":{"edition-` + strconv.Itoa(1_000_000+edition) + `":null,"edition-` + strconv.Itoa(1_000_001+edition) + `":{"order":0,"match":{"service":"edition"},"to":{"refuse":true}}}}`)
-	return func(text []byte) ([]byte, error) { return menu.Merge(text, patch) }
+	return func(text []byte) ([]byte, error) { return config.Merge(text, patch) }
 }
 
 // measureEdit is what an edit costs before it is written, and what it writes.
 func measureEdit(sizes Sized, note Note) error {
 	text := Configuration(sizes, 1)
 	noteCost(note, "an edit", Meter{}.Measure(func(int) {
-		larder.PrepareMenu(larder.Version{Epoch: 1, Number: 1}, text, onePlace(1), false)
+		replication.PrepareMenu(replication.Version{Epoch: 1, Number: 1}, text, onePlace(1), false)
 	}))
 	note("configuration", "B", float64(len(text)))
 	return withCore(sizes, func(core *core) error {
@@ -134,7 +134,7 @@
 		if err != nil {
 			return err
 		}
-		if err := core.submit(larder.ChangeMenu("one", "one", nil, larder.PreparedMenu{}, func([]byte) ([]byte, error) { return edited, nil })); err != nil {
+		if err := core.submit(replication.ChangeMenu("one", "one", nil, replication.PreparedMenu{}, func([]byte) ([]byte, error) { return edited, nil })); err != nil {
 			return err
 		}
 		note("written to each disk an edit", "B", float64(own.saved.Load()-before))
@@ -163,7 +163,7 @@
 			if _, _, err := core.ask(0, nil); err != nil {
 				return err
 			}
-			if err := core.submit(larder.ChangeMenu("", "", nil, larder.PreparedMenu{}, change.edit)); err != nil {
+			if err := core.submit(replication.ChangeMenu("", "", nil, replication.PreparedMenu{}, change.edit)); err != nil {
 				return err
 			}
 			var bodies [][]byte
@@ -174,7 +174,7 @@
 					return err
 				}
 				if len(answer.Deltas)+len(answer.Drawers) == 0 {
-					return trouble.New(trouble.Unsorted, "there is no news of the change")
+					return failure.New(failure.Unsorted, "there is no news of the change")
 				}
 				bodies = append(bodies, core.question(position, before))
 				bytes += size + len(bodies[position])
@@ -217,7 +217,7 @@
 			encoded, _ := msgpack.Marshal(state.Members)
 			_ = len(encoded)
 		}))
-		if err := core.submit(larder.Register(joined)); err != nil {
+		if err := core.submit(replication.Register(joined)); err != nil {
 			return err
 		}
 		note("written to each disk a registration", "B", float64(own.saved.Load()-before))
@@ -225,15 +225,15 @@
 		if err != nil {
 			return err
 		}
-		if _, found := answer.Drawers[larder.MembersDrawer]; !found {
-			return trouble.New(trouble.Unsorted, "there is no news of the member")
+		if _, found := answer.Drawers[replication.MembersDrawer]; !found {
+			return failure.New(failure.Unsorted, "there is no news of the member")
 		}
 		note("bytes to each node a registration", "B", float64(with))
 		return core.notePacked(note, "bytes to each node a registration", core.have)
 	})
 }
 
-func stateOf(core *core) (*larder.State, error) {
+func stateOf(core *core) (*replication.State, error) {
 	_, view, err := core.primary().Ruling()
 	if err != nil {
 		return nil, err
@@ -247,15 +247,15 @@
 	return withCore(sizes, func(core *core) error {
 		own := core.shelves[core.place(core.primary())]
 		before := own.saved.Load()
-		order := recipe.Order{Server: "stove-1", Part: "decode", Patience: 20 * time.Second, Cause: "prompts wait while answers have room"}
-		record, err := recipe.WriteOrder(order, "courier-1", 9999, recipe.Supported(nil))
+		order := formats.Order{Server: "stove-1", Part: "decode", Patience: 20 * time.Second, Cause: "prompts wait while answers have room"}
+		record, err := formats.WriteOrder(order, "courier-1", 9999, formats.Supported(nil))
 		if err != nil {
 			return err
 		}
-		if err := core.submit(func(state *larder.State, _, _ larder.Version) error {
+		if err := core.submit(func(state *replication.State, _, _ replication.Version) error {
 			state.Orders.Records[order.Server] = record
 			state.Orders.Number++
-			state.Touch(larder.OrdersDrawer)
+			state.Touch(replication.OrdersDrawer)
 			return nil
 		}); err != nil {
 			return err
@@ -265,8 +265,8 @@
 		if err != nil {
 			return err
 		}
-		if _, found := answer.Drawers[larder.OrdersDrawer]; !found {
-			return trouble.New(trouble.Unsorted, "there is no news of the order")
+		if _, found := answer.Drawers[replication.OrdersDrawer]; !found {
+			return failure.New(failure.Unsorted, "there is no news of the order")
 		}
 		note("bytes to each node an order", "B", float64(size))
 		if err := core.notePacked(note, "bytes to each node an order", core.have); err != nil {
@@ -285,24 +285,24 @@
 	now := time.Unix(1_800_000_000, 0)
 	members := membersOf(sizes[Nodes])
 	formed := &core{members: members}
-	holds := rota.NewHolds(rota.DefaultTerms(), now)
+	holds := lease.NewHolds(lease.DefaultTerms(), now)
 	for _, member := range members {
 		holds.Grant(now, member.Name, 1)
 	}
-	wanted := []string{rota.PartsKey}
-	recorded := map[string]rota.Duty{}
+	wanted := []string{lease.PartsKey}
+	recorded := map[string]lease.Duty{}
 	for number, server := range ServersOf(sizes[Servers]) {
-		key := rota.ServerKey(server.Name)
+		key := lease.ServerKey(server.Name)
 		wanted = append(wanted, key)
-		recorded[key] = rota.Duty{Key: key, Holder: formed.holder(key), Fence: uint64(number + 1)}
+		recorded[key] = lease.Duty{Key: key, Holder: formed.holder(key), Fence: uint64(number + 1)}
 	}
-	recorded[rota.PartsKey] = rota.Duty{Key: rota.PartsKey, Holder: members[0].Name, Fence: 9999}
-	keys := rota.NewKeys(rota.DefaultTerms())
+	recorded[lease.PartsKey] = lease.Duty{Key: lease.PartsKey, Holder: members[0].Name, Fence: 9999}
+	keys := lease.NewKeys(lease.DefaultTerms())
 	noteCost(note, "a round", Meter{}.Measure(func(int) { keys.Vacant(now, wanted, recorded, holds.Live(now)) }))
 	noteCost(note, "giving every key", Meter{Most: 20}.Measure(func(int) {
-		rota.NewKeys(rota.DefaultTerms()).Vacant(now, wanted, map[string]rota.Duty{}, holds.Live(now))
+		lease.NewKeys(lease.DefaultTerms()).Vacant(now, wanted, map[string]lease.Duty{}, holds.Live(now))
 	}))
-	content, err := msgpack.Marshal(larder.Duties{Duties: recorded})
+	content, err := msgpack.Marshal(replication.Duties{Duties: recorded})
 	note("state of all duties", "B", float64(len(content)))
 	return err
 }
@@ -310,11 +310,13 @@
 // measureClaims is one claim into a drawer that has so many.
 func measureClaims(sizes Sized, note Note) error {
 	return withCore(sized(nil, Nodes, 3), func(core *core) error {
-		made := time.Now().Truncate(larder.ClaimSpan).Add(larder.ClaimSpan / 2)
-		if err := core.submit(larder.MoveHorizon(made, 0)); err != nil {
+		made := time.Now().Truncate(replication.ClaimSpan).Add(replication.ClaimSpan / 2)
+		if err := core.submit(replication.MoveHorizon(made, 0)); err != nil {
 			return err
 		}
-		if err := core.submit(func(state *larder.State, _, _ larder.Version) error { return fillClaims(state, made, sizes[Claims]) }); err != nil {
+		if err := core.submit(func(state *replication.State, _, _ replication.Version) error {
+			return fillClaims(state, made, sizes[Claims])
+		}); err != nil {
 			return err
 		}
 		own := core.shelves[core.place(core.primary())]
@@ -334,19 +336,19 @@
 			return err
 		}
 		empty := heap()
-		kept, err := (&larder.View{Drawers: mustView(core).Drawers}).State()
+		kept, err := (&replication.View{Drawers: mustView(core).Drawers}).State()
 		note("memory of the decoded claims", "B", heap()-empty)
 		if kept == nil || state == nil {
-			return trouble.New(trouble.Unsorted, "the claims can't be read")
+			return failure.New(failure.Unsorted, "the claims can't be read")
 		}
 		return err
 	})
 }
 
-func mustView(core *core) *larder.View {
+func mustView(core *core) *replication.View {
 	_, view, err := core.primary().Ruling()
 	if err != nil {
-		return &larder.View{}
+		return &replication.View{}
 	}
 	return view
 }
@@ -355,8 +357,8 @@
 func measureSweep(sizes Sized, note Note) error {
 	return withCore(sizes, func(core *core) error {
 		made := time.Now()
-		if err := core.submit(func(state *larder.State, version, menuVersion larder.Version) error {
-			state.Horizon = made.Add(-larder.Retention)
+		if err := core.submit(func(state *replication.State, version, menuVersion replication.Version) error {
+			state.Horizon = made.Add(-replication.Retention)
 			if err := fillClaims(state, made, sizes[Claims]); err != nil {
 				return err
 			}
--- a/internal/rehearsal/capacity/process.go
+++ b/internal/rehearsal/capacity/process.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // consumption is what a process has used so far.
@@ -27,14 +27,14 @@
 	folder := "/proc/" + strconv.Itoa(number) + "/"
 	text, err := os.ReadFile(folder + "stat")
 	if err != nil {
-		return used, trouble.Wrap(trouble.Unreachable, err)
+		return used, failure.Wrap(failure.Unreachable, err)
 	}
 	// The name, in brackets, may have blanks in it.
 	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
 	for _, position := range []int{11, 12} {
 		ticks, err := strconv.Atoi(fields[position])
 		if err != nil {
-			return used, trouble.Wrap(trouble.Garbage, err)
+			return used, failure.Wrap(failure.Garbage, err)
 		}
 		used.processor += time.Duration(ticks) * clockTick
 	}
--- a/internal/rehearsal/capacity/reading.go
+++ b/internal/rehearsal/capacity/reading.go
@@ -8,7 +8,7 @@
 	"io"
 	"strconv"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Reading is one figure of one run.
@@ -42,7 +42,7 @@
 			strconv.Itoa(reading.Repeat), strconv.FormatFloat(reading.Value, 'g', 6, 64), strconv.FormatFloat(reading.Load, 'f', 2, 64)})
 	}
 	writer.Flush()
-	return trouble.Wrap(trouble.Disk, writer.Error())
+	return failure.Wrap(failure.Disk, writer.Error())
 }
 
 // ReadCSV reads what WriteCSV wrote.
@@ -53,12 +53,12 @@
 func ReadCSV(source io.Reader) ([]Reading, error) {
 	lines, err := csv.NewReader(source).ReadAll()
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Garbage, err)
+		return nil, failure.Wrap(failure.Garbage, err)
 	}
 	var readings []Reading
 	for position, line := range lines {
 		if len(line) != len(columns) {
-			return nil, trouble.At(trouble.Malformed, "line "+strconv.Itoa(position+1), "needs "+strconv.Itoa(len(columns))+" columns")
+			return nil, failure.At(failure.Malformed, "line "+strconv.Itoa(position+1), "needs "+strconv.Itoa(len(columns))+" columns")
 		}
 		if position == 0 {
 			continue
@@ -69,7 +69,7 @@
 		load, fourth := strconv.ParseFloat(line[8], 64)
 		for _, mistake := range []error{err, again, third, fourth} {
 			if mistake != nil {
-				return nil, trouble.At(trouble.Malformed, "line "+strconv.Itoa(position+1), mistake.Error())
+				return nil, failure.At(failure.Malformed, "line "+strconv.Itoa(position+1), mistake.Error())
 			}
 		}
 		readings = append(readings, Reading{Role: line[0], Activity: line[1], Measure: line[2], Unit: line[3], Dimension: Dimension(line[4]), Size: size, Repeat: repeat, Value: value, Load: load})
--- a/internal/rehearsal/capacity/seat.go
+++ b/internal/rehearsal/capacity/seat.go
@@ -5,10 +5,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 const (
@@ -29,23 +29,23 @@
 
 // replica measures taking one batch as a backup does: reading it from the wire and
 // writing it to its copy.
-func replica(note Note, drawers map[string]larder.Drawer) error {
+func replica(note Note, drawers map[string]replication.Drawer) error {
 	type question struct {
-		To    larder.Identity `msgpack:"to"`
-		Epoch uint64          `msgpack:"epoch"`
-		Batch larder.Batch    `msgpack:"batch"`
+		To    replication.Identity `msgpack:"to"`
+		Epoch uint64               `msgpack:"epoch"`
+		Batch replication.Batch    `msgpack:"batch"`
 	}
-	copied, err := larder.OpenCopy(newShelf())
+	copied, err := replication.OpenCopy(newShelf())
 	if err != nil {
 		return err
 	}
 	var broken error
-	base := larder.Version{}
+	base := replication.Version{}
 	cost := Meter{}.Measure(func(number int) {
-		version := larder.Version{Epoch: 1, Number: uint64(number + 1)}
-		batch := larder.Batch{Version: version, Base: base, Drawers: map[string]larder.Drawer{}}
+		version := replication.Version{Epoch: 1, Number: uint64(number + 1)}
+		batch := replication.Batch{Version: version, Base: base, Drawers: map[string]replication.Drawer{}}
 		for name, drawer := range drawers {
-			batch.Drawers[name] = larder.Drawer{Version: version, Content: drawer.Content}
+			batch.Drawers[name] = replication.Drawer{Version: version, Content: drawer.Content}
 		}
 		body, err := msgpack.Marshal(question{To: "identity", Epoch: 1, Batch: batch})
 		if err != nil {
@@ -65,26 +65,26 @@
 }
 
 func measureReplica(sizes Sized, note Note) error {
-	return replica(note, map[string]larder.Drawer{larder.MenuDrawer: {Content: Configuration(sizes, 1)}})
+	return replica(note, map[string]replication.Drawer{replication.MenuDrawer: {Content: Configuration(sizes, 1)}})
 }
 
 // measureClaimsReplica takes a drawer of claims.
 func measureClaimsReplica(sizes Sized, note Note) error {
-	state := larder.NewState()
+	state := replication.NewState()
 	now := time.Now()
-	state.Horizon = now.Add(-larder.Retention)
+	state.Horizon = now.Add(-replication.Retention)
 	if err := fillClaims(state, now, sizes[Claims]); err != nil {
 		return err
 	}
 	for name, claims := range state.Claims {
 		content, err := msgpack.Marshal(claims)
 		if err != nil {
-			return trouble.Wrap(trouble.Garbage, err)
+			return failure.Wrap(failure.Garbage, err)
 		}
 		note("bytes of the drawer", "B", float64(len(content)))
-		return replica(note, map[string]larder.Drawer{name: {Content: content}})
+		return replica(note, map[string]replication.Drawer{name: {Content: content}})
 	}
-	return trouble.New(trouble.Missing, "no claims were made")
+	return failure.New(failure.Missing, "no claims were made")
 }
 
 // measureKeeping is what a keeper answers the primary and the others.
@@ -94,12 +94,12 @@
 		return err
 	}
 	defer formed.end()
-	rota.Pause(formed.turns, 600*time.Millisecond)
+	lease.Pause(formed.turns, 600*time.Millisecond)
 	formed.line.mutex.Lock()
 	confirm, hello := formed.line.capture[hatch.ConfirmPath], formed.line.capture[hatch.HelloPath]
 	formed.line.mutex.Unlock()
 	if len(confirm) == 0 || len(hello) == 0 {
-		return trouble.New(trouble.Missing, "the hollow core says nothing")
+		return failure.New(failure.Missing, "the hollow core says nothing")
 	}
 	answers := formed.primary().Answers()
 	noteCost(note, "a hello", Meter{}.Measure(func(int) { _, _ = answers.Answer(hatch.HelloPath, hello) }))
@@ -115,9 +115,9 @@
 	}
 	defer formed.end()
 	const length = 3 * time.Second
-	rota.Pause(formed.turns, time.Second)
+	lease.Pause(formed.turns, time.Second)
 	before, used, began := formed.line.counts(), processTime(), time.Now()
-	rota.Pause(formed.turns, length)
+	lease.Pause(formed.turns, length)
 	after, took := formed.line.counts(), time.Since(began)
 	messages, bytes := 0, 0
 	for path, count := range after {
@@ -133,21 +133,21 @@
 
 // measureSnapshot is a whole copy, as a new backup or a mended one takes it.
 func measureSnapshot(sizes Sized, note Note) error {
-	state := larder.NewState()
+	state := replication.NewState()
 	now := time.Now()
-	state.Horizon = now.Add(-larder.Retention)
+	state.Horizon = now.Add(-replication.Retention)
 	if err := fillClaims(state, now, sizes[Claims]); err != nil {
 		return err
 	}
-	drawers := map[string]larder.Drawer{larder.MenuDrawer: {Content: Configuration(sizes, 1)}}
+	drawers := map[string]replication.Drawer{replication.MenuDrawer: {Content: Configuration(sizes, 1)}}
 	for name, claims := range state.Claims {
 		content, err := msgpack.Marshal(claims)
 		if err != nil {
-			return trouble.Wrap(trouble.Garbage, err)
+			return failure.Wrap(failure.Garbage, err)
 		}
-		drawers[name] = larder.Drawer{Content: content}
+		drawers[name] = replication.Drawer{Content: content}
 	}
-	encoded, err := msgpack.Marshal(larder.Snapshot{Drawers: drawers})
+	encoded, err := msgpack.Marshal(replication.Snapshot{Drawers: drawers})
 	note("bytes", "B", float64(len(encoded)))
 	return err
 }
--- a/internal/rehearsal/capacity/shape.go
+++ b/internal/rehearsal/capacity/shape.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
 )
 
 // districts are the zones of the fleet: four regions with eleven zones.
@@ -16,11 +16,11 @@
 func districtOf(number int) string { return districts[number%len(districts)] }
 
 // membersOf are the couriers of a fleet.
-func membersOf(count int) []roster.Member {
-	var members []roster.Member
+func membersOf(count int) []membership.Member {
+	var members []membership.Member
 	for number := range count {
-		members = append(members, roster.Member{Name: "courier-" + strconv.Itoa(number+1), Kind: roster.Courier, Address: "10.1." + strconv.Itoa(number/250) + "." + strconv.Itoa(number%250+1) + ":7101",
-			District: districtOf(number), Supported: recipe.Supported(nil), Since: time.Unix(1_800_000_000, 0)})
+		members = append(members, membership.Member{Name: "courier-" + strconv.Itoa(number+1), Kind: membership.Courier, Address: "10.1." + strconv.Itoa(number/250) + "." + strconv.Itoa(number%250+1) + ":7101",
+			District: districtOf(number), Supported: formats.Supported(nil), Since: time.Unix(1_800_000_000, 0)})
 	}
 	return members
 }
@@ -30,10 +30,10 @@
 // Example:
 //
 //	servers := capacity.ServersOf(1100)
-func ServersOf(count int) []roster.Server {
-	var servers []roster.Server
+func ServersOf(count int) []membership.Server {
+	var servers []membership.Server
 	for number := range count {
-		servers = append(servers, roster.Server{Name: "stove-" + strconv.Itoa(number+1), Address: "10.2." + strconv.Itoa(number/250) + "." + strconv.Itoa(number%250+1) + ":8000",
+		servers = append(servers, membership.Server{Name: "stove-" + strconv.Itoa(number+1), Address: "10.2." + strconv.Itoa(number/250) + "." + strconv.Itoa(number%250+1) + ":8000",
 			District: districtOf(number), Service: modelOf(modelAt(number)), Part: string(partOf(number)), Models: []string{"model-" + strconv.Itoa(modelAt(number)+1)}, Slots: 16})
 	}
 	return servers
--- a/internal/rehearsal/capacity/transport.go
+++ b/internal/rehearsal/capacity/transport.go
@@ -11,9 +11,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/adapters/hotline"
-	"seamloom.example/seamloom/internal/adapters/stove"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
+	"seamloom.example/seamloom/internal/adapters/rpc"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 const everyRole = "every node"
@@ -63,7 +63,7 @@
 func counted(handler http.Handler) (address string, bytes *atomic.Int64, end func(), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, nil, trouble.Wrap(trouble.Unreachable, err)
+		return "", nil, nil, failure.Wrap(failure.Unreachable, err)
 	}
 	circuits := &countedCircuits{Listener: listener}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
@@ -94,15 +94,15 @@
 	question := make([]byte, 400)
 	answer, err := msgpack.Marshal(map[string]any{"servers": ServersOf(1100), "loads": loadsForCalls(1100)})
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	answer = answer[:min(len(answer), sizes[Bytes])]
-	address, bytes, end, err := counted(hotline.Answerer(func([]byte) ([]byte, error) { return answer, nil }))
+	address, bytes, end, err := counted(rpc.Answerer(func([]byte) ([]byte, error) { return answer, nil }))
 	if err != nil {
 		return err
 	}
 	defer end()
-	caller := hotline.NewCaller(nil)
+	caller := rpc.NewCaller(nil)
 	return repeated(note, "a message", 300, bytes, func() error {
 		_, err := caller.CallRaw(context.Background(), address, "/hotline/news", question, time.Second)
 		return err
@@ -113,10 +113,10 @@
 // there are; the dimension is there for the sum.
 func measureReport(sizes Sized, note Note) error {
 	load := loadOf(0)
-	content, err := json.Marshal(stove.LoadReport{Server: load.Server, Incarnation: load.Incarnation, Part: string(load.Part), AgeMilliseconds: 3_600_000, PrefillQueueTokens: 1200, PrefillRate: load.PrefillRate,
+	content, err := json.Marshal(modelserver.LoadReport{Server: load.Server, Incarnation: load.Incarnation, Part: string(load.Part), AgeMilliseconds: 3_600_000, PrefillQueueTokens: 1200, PrefillRate: load.PrefillRate,
 		PrefillRoom: load.PrefillRoom, DecodeSlots: load.DecodeSlots, PieceTimeMicroseconds: 8000, MemoryFree: load.MemoryFree, MemoryTotal: load.MemoryTotal, LinkRate: load.LinkRate, Prefixes: load.Prefixes})
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	address, bytes, end, err := counted(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.Header().Set("Content-Type", "application/json")
@@ -126,17 +126,17 @@
 		return err
 	}
 	defer end()
-	client := &http.Client{Transport: hotline.Transport(nil)}
+	client := &http.Client{Transport: rpc.Transport(nil)}
 	// So many as there are servers, each some times.
 	return repeated(note, "a report", max(200, sizes[Servers]), bytes, func() error {
 		inbound, err := client.Get("http://" + address + "/v1/load")
 		if err != nil {
-			return trouble.Wrap(trouble.Unreachable, err)
+			return failure.Wrap(failure.Unreachable, err)
 		}
 		defer func() { _ = inbound.Body.Close() }()
-		var report stove.LoadReport
+		var report modelserver.LoadReport
 		err = json.NewDecoder(inbound.Body).Decode(&report)
 		_, _ = io.Copy(io.Discard, inbound.Body)
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	})
 }
--- a/internal/rehearsal/circuit.go
+++ b/internal/rehearsal/circuit.go
@@ -4,12 +4,12 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // Circuit is one call under way at a stand-in: it may be closed by either side.
 type Circuit struct {
-	bell   rota.Bell
+	bell   lease.Bell
 	mutex  sync.Mutex
 	closed bool
 }
@@ -19,7 +19,7 @@
 // Example:
 //
 //	circuit := rehearsal.NewCircuit(turns)
-func NewCircuit(turns rota.Turns) *Circuit { return &Circuit{bell: turns.NewBell()} }
+func NewCircuit(turns lease.Turns) *Circuit { return &Circuit{bell: turns.NewBell()} }
 
 // Close ends what is done for the circuit.
 //
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Day is one rehearsal: a fleet under steady traffic with swings, operators at
@@ -57,7 +57,7 @@
 	if Await(15*time.Second, func() bool { return day.NextEdition() }) {
 		return nil
 	}
-	return trouble.New(trouble.NoPrimary, "the first configuration was not accepted")
+	return failure.New(failure.NoPrimary, "the first configuration was not accepted")
 }
 
 // NextEdition reads the configuration at any expediter and puts the next
@@ -88,7 +88,7 @@
 func (day *Day) anyExpediter() *NodeProcess {
 	day.mutex.Lock()
 	defer day.mutex.Unlock()
-	running := day.Fleet.Running(roster.Expediter)
+	running := day.Fleet.Running(membership.Expediter)
 	if len(running) == 0 {
 		return nil
 	}
@@ -156,7 +156,7 @@
 //
 //	day.EndOfDayRead()
 func (day *Day) EndOfDayRead() {
-	for _, node := range day.Fleet.Running(roster.Expediter) {
+	for _, node := range day.Fleet.Running(membership.Expediter) {
 		Await(12*time.Second, func() bool {
 			_, edition := day.Operators.ReadEdition(node)
 			return edition >= 0
--- a/internal/rehearsal/faults.go
+++ b/internal/rehearsal/faults.go
@@ -15,7 +15,7 @@
 
 	"github.com/google/uuid"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Fault is one thing that fails in a day, with what it needs of the fleet.
@@ -28,7 +28,7 @@
 
 // faults are all that the brief names under "What fails".
 var faults = map[string]Fault{
-	"kill-courier":         {Run: killOne(roster.Courier, time.Second)},
+	"kill-courier":         {Run: killOne(membership.Courier, time.Second)},
 	"kill-primary":         {Run: killPrimary(4 * time.Second)},
 	"kill-backup":          {Run: killSeat("backup", 4*time.Second)},
 	"power-loss":           {Staged: true, Run: powerLoss},
@@ -42,8 +42,8 @@
 	"freeze-primary":       {Run: freeze("primary", 6*time.Second)},
 	"freeze-courier":       {Run: freeze("courier", 6*time.Second)},
 	"freeze-holder":        {Run: freeze("holder", 9*time.Second)},
-	"herd-couriers":        {Run: herd(roster.Courier)},
-	"herd-expediters":      {Run: herd(roster.Expediter)},
+	"herd-couriers":        {Run: herd(membership.Courier)},
+	"herd-expediters":      {Run: herd(membership.Expediter)},
 	"cold-start":           {Run: herd("")},
 	"lose-zone":            {Run: loseZone},
 	"crash-server":         {Run: crashServer},
@@ -109,7 +109,7 @@
 	return day.random.IntN(count)
 }
 
-func (day *Day) running(kind roster.NodeKind) []*NodeProcess {
+func (day *Day) running(kind membership.NodeKind) []*NodeProcess {
 	return day.Fleet.Running(kind)
 }
 
@@ -119,7 +119,7 @@
 	}
 }
 
-func killOne(kind roster.NodeKind, away time.Duration) func(context.Context, *Day) {
+func killOne(kind membership.NodeKind, away time.Duration) func(context.Context, *Day) {
 	return func(lifetime context.Context, day *Day) {
 		nodes := day.running(kind)
 		day.killFor(lifetime, nodes[day.draw(len(nodes))], away)
@@ -277,7 +277,7 @@
 
 func freeze(role string, length time.Duration) func(context.Context, *Day) {
 	return func(lifetime context.Context, day *Day) {
-		nodes := day.running(roster.Courier)
+		nodes := day.running(membership.Courier)
 		node := nodes[day.draw(len(nodes))]
 		switch role {
 		case "primary":
@@ -309,7 +309,7 @@
 	if _, err := primary.ReadJSON("/v1/status", &status); err != nil {
 		return nil
 	}
-	for _, node := range day.running(roster.Courier) {
+	for _, node := range day.running(membership.Courier) {
 		if node.Node.Name == status.Duties["parts"].Holder {
 			return node
 		}
@@ -317,7 +317,7 @@
 	return nil
 }
 
-func herd(kind roster.NodeKind) func(context.Context, *Day) {
+func herd(kind membership.NodeKind) func(context.Context, *Day) {
 	return func(lifetime context.Context, day *Day) {
 		nodes := day.running(kind)
 		day.Say("kill %d nodes", len(nodes))
@@ -418,7 +418,7 @@
 func leaveServer(lifetime context.Context, day *Day) {
 	name := day.anyServer()
 	server := day.Fleet.Server(name)
-	listed := roster.Server{Name: name, Address: server.Address(), District: server.plan.District, Leaving: true}
+	listed := membership.Server{Name: name, Address: server.Address(), District: server.plan.District, Leaving: true}
 	switch day.draw(3) {
 	case 0:
 		day.Say("%s leaves by the list", name)
@@ -501,7 +501,7 @@
 }
 
 func isolateCourier(lifetime context.Context, day *Day) {
-	nodes := day.running(roster.Courier)
+	nodes := day.running(membership.Courier)
 	name := nodes[day.draw(len(nodes))].Node.Name
 	day.Say("isolate %s", name)
 	day.darken(lifetime, 7*time.Second, func(from, to string) bool { return from == name || to == name })
@@ -664,10 +664,10 @@
 // exchangeSeeds gives every node other seeds and has it read them.
 func exchangeSeeds(_ context.Context, day *Day) {
 	var expediters, couriers []string
-	for _, node := range day.running(roster.Expediter) {
+	for _, node := range day.running(membership.Expediter) {
 		expediters = append(expediters, node.Node.Address)
 	}
-	for _, node := range day.running(roster.Courier) {
+	for _, node := range day.running(membership.Courier) {
 		couriers = append(couriers, node.Node.Address)
 	}
 	for _, node := range day.running("") {
@@ -683,14 +683,14 @@
 // replaceCore replaces every expediter by an empty one at a new address, one
 // after another.
 func replaceCore(lifetime context.Context, day *Day) {
-	for number, old := range day.running(roster.Expediter) {
+	for number, old := range day.running(membership.Expediter) {
 		seeds := []string{}
-		for _, other := range day.running(roster.Expediter) {
+		for _, other := range day.running(membership.Expediter) {
 			if other != old && len(seeds) < 2 {
 				seeds = append(seeds, other.Node.Address)
 			}
 		}
-		for _, other := range day.running(roster.Courier) {
+		for _, other := range day.running(membership.Courier) {
 			if len(seeds) < 3 {
 				seeds = append(seeds, other.Node.Address)
 			}
@@ -703,7 +703,7 @@
 		old.Kill()
 		_ = old.WipeDisk()
 		day.Fleet.Platform.UnlistNode(old.Node.Name)
-		fresh := day.Fleet.AddNode(roster.Expediter, fmt.Sprintf("expediter-%d", 11+number), addresses[0], old.Node.District, seeds)
+		fresh := day.Fleet.AddNode(membership.Expediter, fmt.Sprintf("expediter-%d", 11+number), addresses[0], old.Node.District, seeds)
 		fresh.staged = old.staged
 		day.begin(fresh)
 		day.Say("%s gives way to %s: whole again %v", old.Node.Name, fresh.Node.Name, Await(25*time.Second, day.Fleet.CoreIsWhole))
--- a/internal/rehearsal/faultydisk.go
+++ b/internal/rehearsal/faultydisk.go
@@ -8,14 +8,14 @@
 	"syscall"
 	"time"
 
-	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/adapters/storage"
 )
 
 // FaultyDisk stands in front of a real one. A rename or a removal reaches the
 // real disk only with the sync of its folder, so that a killed process loses
 // what it did not sync. It slows, stalls, fills and returns damage as told.
 type FaultyDisk struct {
-	real   pantry.RealDisk
+	real   storage.RealDisk
 	faults func() NodeFaults
 
 	mutex   sync.Mutex
--- a/internal/rehearsal/faultydisk_test.go
+++ b/internal/rehearsal/faultydisk_test.go
@@ -5,8 +5,8 @@
 	"path/filepath"
 	"testing"
 
-	"seamloom.example/seamloom/internal/adapters/pantry"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/adapters/storage"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // TestDiskForgetsWhatWasNotSynced saves through a faulty disk, loses power, and
@@ -16,7 +16,7 @@
 	path := filepath.Join(t.TempDir(), "larder")
 	well := func() NodeFaults { return NodeFaults{} }
 	disk := NewFaultyDisk(well)
-	folder, err := pantry.OpenFolder(disk, path)
+	folder, err := storage.OpenFolder(disk, path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +32,7 @@
 	if names, _ := disk.List(path); len(names) != 2 {
 		t.Errorf("before the power loss the process sees %v", names)
 	}
-	after, err := pantry.OpenFolder(NewFaultyDisk(well), path)
+	after, err := storage.OpenFolder(NewFaultyDisk(well), path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +45,7 @@
 // TestDamageIsNamedAndAFullDiskRefuses truncates and alters files.
 func TestDamageIsNamedAndAFullDiskRefuses(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "larder")
-	folder, err := pantry.OpenFolder(pantry.RealDisk{}, path)
+	folder, err := storage.OpenFolder(storage.RealDisk{}, path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,11 +69,11 @@
 	if err != nil || len(files) != 1 || string(files["whole"]) != "content of whole" || len(damaged) != 2 {
 		t.Errorf("%v, damaged %v, %v", files, damaged, err)
 	}
-	full, err := pantry.OpenFolder(NewFaultyDisk(func() NodeFaults { return NodeFaults{Disk: "full"} }), path)
+	full, err := storage.OpenFolder(NewFaultyDisk(func() NodeFaults { return NodeFaults{Disk: "full"} }), path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := full.Save("more", []byte("more")); trouble.KindOf(err) != trouble.Disk {
+	if err := full.Save("more", []byte("more")); failure.KindOf(err) != failure.Disk {
 		t.Errorf("a full disk took a file: %v", err)
 	}
 }
--- a/internal/rehearsal/fleet.go
+++ b/internal/rehearsal/fleet.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Fleet is a whole deployment on one machine: nodes as processes, and
@@ -59,9 +59,9 @@
 	}
 	seeds := addresses[:3]
 	for position, address := range addresses {
-		kind, name := roster.Expediter, "expediter-"+strconv.Itoa(position+1)
+		kind, name := membership.Expediter, "expediter-"+strconv.Itoa(position+1)
 		if position >= 3 {
-			kind, name = roster.Courier, "courier-"+strconv.Itoa(position-2)
+			kind, name = membership.Courier, "courier-"+strconv.Itoa(position-2)
 		}
 		district := deployment.Districts[position%len(deployment.Districts)]
 		fleet.AddNode(kind, name, address, district, seeds)
@@ -85,7 +85,7 @@
 			return addresses, nil
 		}
 	}
-	return nil, trouble.New(trouble.Unreachable, "no free addresses")
+	return nil, failure.New(failure.Unreachable, "no free addresses")
 }
 
 // AddServer starts a stand-in server and lists it with the platform.
@@ -102,7 +102,7 @@
 	fleet.standIns = append(fleet.standIns, standIn)
 	fleet.plans[plan.Name] = plan
 	fleet.mutex.Unlock()
-	fleet.Platform.ListServer(roster.Server{Name: plan.Name, Address: standIn.Address(), District: plan.District})
+	fleet.Platform.ListServer(membership.Server{Name: plan.Name, Address: standIn.Address(), District: plan.District})
 	return standIn, nil
 }
 
@@ -110,20 +110,20 @@
 //
 // Example:
 //
-//	node := fleet.AddNode(roster.Courier, "courier-8", address, "north", seeds)
-func (fleet *Fleet) AddNode(kind roster.NodeKind, name, address, district string, seeds []string) *NodeProcess {
-	node := &NodeProcess{Node: roster.Node{Name: name, Kind: kind, Address: address, District: district}, folder: fleet.folder,
+//	node := fleet.AddNode(membership.Courier, "courier-8", address, "north", seeds)
+func (fleet *Fleet) AddNode(kind membership.NodeKind, name, address, district string, seeds []string) *NodeProcess {
+	node := &NodeProcess{Node: membership.Node{Name: name, Kind: kind, Address: address, District: district}, folder: fleet.folder,
 		binary: filepath.Join(fleet.binaries, string(kind)), settings: map[string]any{"name": name, "address": address, "district": district,
 			"seeds": seeds, "platform": fleet.Platform.Address()}}
 	for setting, value := range fleet.extra {
-		if setting == "market" && kind != roster.Courier {
+		if setting == "market" && kind != membership.Courier {
 			continue
 		}
 		node.settings[setting] = value
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	if kind == roster.Expediter {
+	if kind == membership.Expediter {
 		node.settings["data_folder"] = filepath.Join(fleet.folder, name+"-disk")
 		fleet.Expediters = append(fleet.Expediters, node)
 	} else {
@@ -175,7 +175,7 @@
 	withheld, _ := fleet.extra["withhold_flags"].([]string)
 	for _, node := range fleet.Nodes() {
 		var flags []string
-		for _, flag := range recipe.Supported(nil) {
+		for _, flag := range formats.Supported(nil) {
 			if !slices.Contains(withheld, string(flag)) {
 				flags = append(flags, string(flag))
 			}
@@ -200,8 +200,8 @@
 //
 // Example:
 //
-//	for _, node := range fleet.Running(roster.Courier) { ... }
-func (fleet *Fleet) Running(kind roster.NodeKind) []*NodeProcess {
+//	for _, node := range fleet.Running(membership.Courier) { ... }
+func (fleet *Fleet) Running(kind membership.NodeKind) []*NodeProcess {
 	var running []*NodeProcess
 	for _, node := range fleet.Nodes() {
 		if (kind == "" || node.Node.Kind == kind) && node.Running() {
@@ -239,7 +239,7 @@
 	}) {
 		return nil
 	}
-	return trouble.New(trouble.Unreachable, "not ready in "+patience.String()+": "+missing)
+	return failure.New(failure.Unreachable, "not ready in "+patience.String()+": "+missing)
 }
 
 // Await looks again and again until the condition holds or the patience ends.
@@ -274,7 +274,7 @@
 		var ready struct {
 			Leads bool `json:"leads"`
 		}
-		if node.Node.Kind != roster.Expediter || !node.Running() {
+		if node.Node.Kind != membership.Expediter || !node.Running() {
 			continue
 		}
 		if _, err := node.ReadJSON("/v1/ready", &ready); err == nil && ready.Leads {
@@ -300,7 +300,7 @@
 	}
 	fleet.mutex.Unlock()
 	if !found {
-		return trouble.New(trouble.NoSuch, "no server "+name)
+		return failure.New(failure.NoSuch, "no server "+name)
 	}
 	_, err := fleet.AddServer(plan)
 	return err
--- a/internal/rehearsal/links.go
+++ b/internal/rehearsal/links.go
@@ -1,6 +1,6 @@
 package rehearsal
 
-import "seamloom.example/seamloom/internal/roster"
+import "seamloom.example/seamloom/internal/membership"
 
 // Links are the relays between the nodes of a fleet, one for each direction in
 // which circuits are opened.
@@ -25,7 +25,7 @@
 				targets[to.Node.Name] = to.Node.Address
 			}
 		}
-		if from.Node.Kind == roster.Courier {
+		if from.Node.Kind == membership.Courier {
 			for _, name := range fleet.ServerNames() {
 				targets[name] = fleet.Server(name).Address()
 			}
--- a/internal/rehearsal/nodefaults.go
+++ b/internal/rehearsal/nodefaults.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // NodeFaults is what a staged node reads from its faults file before each act
@@ -40,10 +40,10 @@
 func (faults NodeFaults) Write(path string) error {
 	text, err := json.Marshal(faults)
 	if err != nil {
-		return trouble.Wrap(trouble.Malformed, err)
+		return failure.Wrap(failure.Malformed, err)
 	}
 	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
-	return trouble.Wrap(trouble.Disk, os.Rename(path+".new", path))
+	return failure.Wrap(failure.Disk, os.Rename(path+".new", path))
 }
--- a/internal/rehearsal/nodeprocess.go
+++ b/internal/rehearsal/nodeprocess.go
@@ -13,13 +13,13 @@
 	"syscall"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // NodeProcess is one courier or expediter as a process of its own.
 type NodeProcess struct {
-	Node     roster.Node
+	Node     membership.Node
 	binary   string
 	folder   string
 	settings map[string]any
@@ -44,7 +44,7 @@
 	settingsPath := node.settingsPath()
 	logFile, err := os.OpenFile(node.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	command := exec.Command(node.binary, "serve", "--settings", settingsPath)
 	if node.staged {
@@ -55,7 +55,7 @@
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		_ = logFile.Close()
-		return trouble.Wrap(trouble.Unreachable, err)
+		return failure.Wrap(failure.Unreachable, err)
 	}
 	ended := make(chan struct{})
 	node.mutex.Lock()
@@ -82,9 +82,9 @@
 func (node *NodeProcess) WriteSettings() error {
 	text, err := json.MarshalIndent(node.settings, "", "  ")
 	if err != nil {
-		return trouble.Wrap(trouble.Malformed, err)
+		return failure.Wrap(failure.Malformed, err)
 	}
-	return trouble.Wrap(trouble.Disk, os.WriteFile(node.settingsPath(), text, 0o644))
+	return failure.Wrap(failure.Disk, os.WriteFile(node.settingsPath(), text, 0o644))
 }
 
 // LogPath is the file that the process logs to.
@@ -199,9 +199,9 @@
 func (node *NodeProcess) WipeDisk() error {
 	folder, found := node.settings["data_folder"].(string)
 	if !found || !strings.HasPrefix(folder, node.folder) {
-		return trouble.New(trouble.Missing, "the node has no disk")
+		return failure.New(failure.Missing, "the node has no disk")
 	}
-	return trouble.Wrap(trouble.Disk, os.RemoveAll(folder))
+	return failure.Wrap(failure.Disk, os.RemoveAll(folder))
 }
 
 // Set changes a setting for the next start.
@@ -233,10 +233,10 @@
 func (node *NodeProcess) ReadJSON(path string, target any) (int, error) {
 	inbound, err := probe.Get("http://" + node.Node.Address + path)
 	if err != nil {
-		return 0, trouble.Wrap(trouble.Unreachable, err)
+		return 0, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	return inbound.StatusCode, trouble.Wrap(trouble.Garbage, json.NewDecoder(inbound.Body).Decode(target))
+	return inbound.StatusCode, failure.Wrap(failure.Garbage, json.NewDecoder(inbound.Body).Decode(target))
 }
 
 // Metric reads one of the process's metrics; -1 when it can't be had.
--- a/internal/rehearsal/operators.go
+++ b/internal/rehearsal/operators.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/uuid"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Operators are the stand-ins of those who change the fleet. They write down
@@ -50,17 +50,17 @@
 func (operators *Operators) Call(node *NodeProcess, method, path string, query url.Values, body string) (Answer, error) {
 	outbound, err := http.NewRequest(method, "http://"+node.Node.Address+path+"?"+query.Encode(), bytes.NewReader([]byte(body)))
 	if err != nil {
-		return Answer{}, trouble.Wrap(trouble.Malformed, err)
+		return Answer{}, failure.Wrap(failure.Malformed, err)
 	}
 	inbound, err := operators.client.Do(outbound)
 	if err != nil {
-		return Answer{}, trouble.Wrap(trouble.Unreachable, err)
+		return Answer{}, failure.Wrap(failure.Unreachable, err)
 	}
 	defer func() { _ = inbound.Body.Close() }()
 	content, err := io.ReadAll(inbound.Body)
 	answer := Answer{Status: inbound.StatusCode}
 	if err != nil || json.Unmarshal(content, &answer) != nil {
-		return answer, trouble.New(trouble.Garbage, string(content))
+		return answer, failure.New(failure.Garbage, string(content))
 	}
 	return answer, nil
 }
@@ -167,7 +167,7 @@
 //
 //	operators.LookAtEditions()
 func (operators *Operators) LookAtEditions() {
-	for _, node := range operators.fleet.Running(roster.Courier) {
+	for _, node := range operators.fleet.Running(membership.Courier) {
 		operators.lookAtEdition(node)
 	}
 }
--- a/internal/rehearsal/platform.go
+++ b/internal/rehearsal/platform.go
@@ -10,8 +10,8 @@
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Platform is the stand-in of what lists servers and nodes.
@@ -21,8 +21,8 @@
 	server  *http.Server
 
 	mutex   sync.Mutex
-	servers map[string]roster.Server
-	nodes   map[string]roster.Node
+	servers map[string]membership.Server
+	nodes   map[string]membership.Node
 	down    bool
 }
 
@@ -34,9 +34,9 @@
 func StartPlatform(book *Book) (*Platform, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
-	platform := &Platform{book: book, address: listener.Addr().String(), servers: map[string]roster.Server{}, nodes: map[string]roster.Node{}}
+	platform := &Platform{book: book, address: listener.Addr().String(), servers: map[string]membership.Server{}, nodes: map[string]membership.Node{}}
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get("/v1/servers"), func(writer http.ResponseWriter, _ *http.Request) {
 		say(writer, http.StatusOK, map[string]any{"servers": platform.listServers()})
@@ -91,8 +91,8 @@
 //
 // Example:
 //
-//	platform.ListServer(roster.Server{Name: "stove-1", Address: address, District: "north"})
-func (platform *Platform) ListServer(server roster.Server) {
+//	platform.ListServer(membership.Server{Name: "stove-1", Address: address, District: "north"})
+func (platform *Platform) ListServer(server membership.Server) {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
 	platform.servers[server.Name] = server
@@ -117,8 +117,8 @@
 //
 // Example:
 //
-//	platform.ListNode(roster.Node{Name: "courier-1", Kind: roster.Courier, Address: address})
-func (platform *Platform) ListNode(node roster.Node) {
+//	platform.ListNode(membership.Node{Name: "courier-1", Kind: membership.Courier, Address: address})
+func (platform *Platform) ListNode(node membership.Node) {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
 	platform.nodes[node.Name] = node
@@ -135,10 +135,10 @@
 	delete(platform.nodes, name)
 }
 
-func (platform *Platform) listServers() []roster.Server {
+func (platform *Platform) listServers() []membership.Server {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
-	servers := []roster.Server{}
+	servers := []membership.Server{}
 	for _, server := range platform.servers {
 		servers = append(servers, server)
 	}
@@ -146,10 +146,10 @@
 	return servers
 }
 
-func (platform *Platform) listNodes() []roster.Node {
+func (platform *Platform) listNodes() []membership.Node {
 	platform.mutex.Lock()
 	defer platform.mutex.Unlock()
-	nodes := []roster.Node{}
+	nodes := []membership.Node{}
 	for _, node := range platform.nodes {
 		nodes = append(nodes, node)
 	}
--- a/internal/rehearsal/platformday/addressrange.go
+++ b/internal/rehearsal/platformday/addressrange.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"sync/atomic"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // ports are alike on all machines of a day.
@@ -36,7 +36,7 @@
 		}
 		return &addressRange{prefix: prefix, held: held}, chosen, nil
 	}
-	return nil, ports{}, trouble.New(trouble.Busy, "no free range of loopback addresses")
+	return nil, ports{}, failure.New(failure.Busy, "no free range of loopback addresses")
 }
 
 // address gives the next address of the range.
--- a/internal/rehearsal/platformday/book.go
+++ b/internal/rehearsal/platformday/book.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Book is the record of one day.
@@ -55,14 +55,14 @@
 func (book *Book) Save(path string) error {
 	file, err := os.Create(path)
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	encoder := json.NewEncoder(file)
 	for _, event := range book.Events() {
 		if err := encoder.Encode(event); err != nil {
 			_ = file.Close()
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 	}
-	return trouble.Wrap(trouble.Disk, file.Close())
+	return failure.Wrap(failure.Disk, file.Close())
 }
--- a/internal/rehearsal/platformday/circuit.go
+++ b/internal/rehearsal/platformday/circuit.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // circuit is a client's connection to a machine. One request at a time uses it.
@@ -24,7 +24,7 @@
 func dial(to target) (*circuit, error) {
 	connection, err := net.DialTimeout("tcp", to.front, time.Second)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	return &circuit{Conn: connection, reader: bufio.NewReaderSize(connection, 4096), machine: to.machine}, nil
 }
@@ -43,4 +43,4 @@
 	return errors.Is(err, os.ErrDeadlineExceeded), false
 }
 
-var errNoMachine = trouble.New(trouble.Unreachable, "no machine takes clients")
+var errNoMachine = failure.New(failure.Unreachable, "no machine takes clients")
--- a/internal/rehearsal/platformday/day.go
+++ b/internal/rehearsal/platformday/day.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Day is a whole deployment on this computer, through one day.
@@ -51,7 +51,7 @@
 //	day, failure := platformday.NewDay(platformday.SmallSite(), roles, 7, folder, os.Stderr)
 func NewDay(site Site, roles []Role, seed uint64, folder string, log io.Writer) (*Day, error) {
 	if left, _ := filepath.Glob(filepath.Join(folder, "edge-*")); len(left) > 0 {
-		return nil, trouble.New(trouble.Contradictory, folder+" holds the disks of another day")
+		return nil, failure.New(failure.Contradictory, folder+" holds the disks of another day")
 	}
 	addressRange, ports, err := takeAddresses()
 	if err != nil {
@@ -164,12 +164,12 @@
 	defer end()
 	first := FirstEdition(day.Site)
 	if given := day.Operators.propose(waiting, Edition{}, first, false, false, nil); given.outcome != acknowledged {
-		return trouble.New(trouble.Unreachable, fmt.Sprintf("the first configuration was never acknowledged: %s %d", given.outcome, given.status))
+		return failure.New(failure.Unreachable, fmt.Sprintf("the first configuration was never acknowledged: %s %d", given.outcome, given.status))
 	}
 	taken := time.Since(began)
 	for len(day.Balancer.all()) > 0 && !day.Balancer.allReady() {
 		if !pause(waiting, 50*time.Millisecond) {
-			return trouble.New(trouble.Unreachable, "not all machines are ready in "+patience.String())
+			return failure.New(failure.Unreachable, "not all machines are ready in "+patience.String())
 		}
 	}
 	day.say("the first configuration was taken after %s, all were ready after %s", taken.Round(time.Millisecond), time.Since(began).Round(time.Millisecond))
--- a/internal/rehearsal/platformday/day_test.go
+++ b/internal/rehearsal/platformday/day_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 func TestMain(suite *testing.M) {
@@ -71,7 +71,7 @@
 	if err := os.Mkdir(filepath.Join(folder, "edge-quay-hall-1"), 0o755); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := NewDay(SmallSite(), nil, 1, folder, nil); trouble.KindOf(err) != trouble.Contradictory {
+	if _, err := NewDay(SmallSite(), nil, 1, folder, nil); failure.KindOf(err) != failure.Contradictory {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/rehearsal/platformday/directory.go
+++ b/internal/rehearsal/platformday/directory.go
@@ -12,7 +12,7 @@
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // directoryBeat is how often the directory snapshots at the servers; listPage how many one
@@ -62,7 +62,7 @@
 func startDirectory(book *Book, pool *ServerPool, site Site, address string) (*Directory, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	directory := &Directory{Address: address, book: book, pool: pool, site: site}
 	mux := goji.NewMux()
--- a/internal/rehearsal/platformday/drawn.go
+++ b/internal/rehearsal/platformday/drawn.go
@@ -8,7 +8,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // usualFaults are those that drawn days mix, as strong as days of the platform have them.
@@ -51,7 +51,7 @@
 //	text, failure := plan.Text()
 func (plan Plan) Text() (string, error) {
 	text, err := toml.Marshal(plan)
-	return string(text), trouble.Wrap(trouble.Malformed, err)
+	return string(text), failure.Wrap(failure.Malformed, err)
 }
 
 // Title names the faults of a day in one line.
--- a/internal/rehearsal/platformday/machine.go
+++ b/internal/rehearsal/platformday/machine.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Machine is one machine of the deployment, and the processes on it.
@@ -89,18 +89,18 @@
 func (machine *Machine) write(role Role) (string, error) {
 	text, err := json.MarshalIndent(machine.settings(role), "", "  ")
 	if err != nil {
-		return "", trouble.Wrap(trouble.Malformed, err)
+		return "", failure.Wrap(failure.Malformed, err)
 	}
 	path := filepath.Join(machine.folder, role.Name+".json")
 	if err := os.MkdirAll(machine.folder, 0o755); err != nil {
-		return "", trouble.Wrap(trouble.Disk, err)
+		return "", failure.Wrap(failure.Disk, err)
 	}
 	if machine.Core {
 		if err := os.MkdirAll(machine.disk(role), 0o755); err != nil {
-			return "", trouble.Wrap(trouble.Disk, err)
+			return "", failure.Wrap(failure.Disk, err)
 		}
 	}
-	return path, trouble.Wrap(trouble.Disk, os.WriteFile(path, text, 0o644))
+	return path, failure.Wrap(failure.Disk, os.WriteFile(path, text, 0o644))
 }
 
 // up starts the processes.
@@ -125,7 +125,7 @@
 
 // wipe takes the disk's content away; the processes must have ended.
 func (machine *Machine) wipe() error {
-	return trouble.Wrap(trouble.Disk, os.RemoveAll(filepath.Join(machine.folder, "data")))
+	return failure.Wrap(failure.Disk, os.RemoveAll(filepath.Join(machine.folder, "data")))
 }
 
 // stop sends SIGTERM, and SIGKILL after the time of grace.
--- a/internal/rehearsal/platformday/modelserver.go
+++ b/internal/rehearsal/platformday/modelserver.go
@@ -16,7 +16,7 @@
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // modelServer is one life of a model server.
@@ -86,7 +86,7 @@
 func startServer(pool *ServerPool, service ServiceShape, zone, phase, address string, cold bool) (*modelServer, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	server := &modelServer{ID: "i-" + uuid.NewString()[:8], Service: service.Name, Zone: zone, Address: address, pool: pool, shape: service.Engine,
 		engine: newEngine(service.Engine), phase: phase, revision: 1, handles: map[string]*handle{}, random: rand.New(rand.NewPCG(pool.seed, uint64(pool.count())))}
--- a/internal/rehearsal/platformday/plan.go
+++ b/internal/rehearsal/platformday/plan.go
@@ -11,7 +11,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"go.uber.org/multierr"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Plan is a day as its file gives it.
@@ -55,7 +55,7 @@
 func ReadPlan(path string) (Plan, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Plan{}, trouble.Wrap(trouble.Disk, err)
+		return Plan{}, failure.Wrap(failure.Disk, err)
 	}
 	return ParsePlan(text)
 }
@@ -73,11 +73,11 @@
 		var mistakes error
 		if errors.As(err, &strict) {
 			for _, missing := range strict.Errors {
-				mistakes = multierr.Append(mistakes, trouble.At(trouble.UnknownField, "/"+strings.Join(missing.Key(), "/"), "no such field"))
+				mistakes = multierr.Append(mistakes, failure.At(failure.UnknownField, "/"+strings.Join(missing.Key(), "/"), "no such field"))
 			}
 			return plan, mistakes
 		}
-		return plan, trouble.Wrap(trouble.Malformed, err)
+		return plan, failure.Wrap(failure.Malformed, err)
 	}
 	return plan, plan.Check()
 }
@@ -88,45 +88,45 @@
 //
 //	mistakes := plan.Check()
 func (plan Plan) Check() (mistakes error) {
-	wrong := func(kind trouble.Kind, path, detail string) {
-		mistakes = multierr.Append(mistakes, trouble.At(kind, path, detail))
+	wrong := func(kind failure.Kind, path, detail string) {
+		mistakes = multierr.Append(mistakes, failure.At(kind, path, detail))
 	}
 	if plan.Length < 5 || plan.Length > 600 {
-		wrong(trouble.OutOfRange, "/length_s", "5 to 600 seconds")
+		wrong(failure.OutOfRange, "/length_s", "5 to 600 seconds")
 	}
 	if plan.Rate < 0 || plan.Rate > 500 {
-		wrong(trouble.OutOfRange, "/per_s", "0 to 500 requests a second")
+		wrong(failure.OutOfRange, "/per_s", "0 to 500 requests a second")
 	}
 	for position, fault := range plan.Faults {
 		path := fmt.Sprintf("/fault/%d/", position)
 		if _, found := faultBodies[fault.Kind]; !found {
-			wrong(trouble.NoSuch, path+"kind", "none of "+strings.Join(FaultKinds(), ", "))
+			wrong(failure.NoSuch, path+"kind", "none of "+strings.Join(FaultKinds(), ", "))
 		}
 		if fault.At < 0 || fault.At > plan.Length {
-			wrong(trouble.OutOfRange, path+"at", "within the day's length")
+			wrong(failure.OutOfRange, path+"at", "within the day's length")
 		}
 		if fault.For < 0 || fault.For > 600 {
-			wrong(trouble.OutOfRange, path+"for_s", "0 to 600 seconds")
+			wrong(failure.OutOfRange, path+"for_s", "0 to 600 seconds")
 		}
 		if fault.Share < 0 || fault.Share > 1 {
-			wrong(trouble.OutOfRange, path+"share", "0 to 1")
+			wrong(failure.OutOfRange, path+"share", "0 to 1")
 		}
 		if fault.Count < 0 || fault.Gap < 0 || fault.Times < 0 {
-			wrong(trouble.OutOfRange, path+"count", "count, gap_s and x are not negative")
+			wrong(failure.OutOfRange, path+"count", "count, gap_s and x are not negative")
 		}
 		if fault.On != "" && fault.On != "core" && fault.On != "front" {
-			wrong(trouble.NoSuch, path+"on", "core or front")
+			wrong(failure.NoSuch, path+"on", "core or front")
 		}
 		if fault.Share > 0 && fault.Count > 0 {
-			wrong(trouble.Contradictory, path+"count", "share or count, not both")
+			wrong(failure.Contradictory, path+"count", "share or count, not both")
 		}
 	}
 	if plan.Closing != nil {
 		if _, found := closings[plan.Closing.Kind]; !found {
-			wrong(trouble.NoSuch, "/closing/kind", "kill_all, power_off_all or wipe_after_ack")
+			wrong(failure.NoSuch, "/closing/kind", "kill_all, power_off_all or wipe_after_ack")
 		}
 		if plan.Closing.Down < 0 || plan.Closing.Down > 60 {
-			wrong(trouble.OutOfRange, "/closing/down_s", "0 to 60 seconds")
+			wrong(failure.OutOfRange, "/closing/down_s", "0 to 60 seconds")
 		}
 	}
 	return mistakes
--- a/internal/rehearsal/platformday/plots.go
+++ b/internal/rehearsal/platformday/plots.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Mark is a moment of a day that a plot shows, such as the beginning of a fault.
@@ -80,7 +80,7 @@
 	for _, one := range lines {
 		line, err := plotter.NewLine(one.points)
 		if err != nil {
-			return trouble.Wrap(trouble.Malformed, err)
+			return failure.Wrap(failure.Malformed, err)
 		}
 		line.Color, line.Width = one.shade, vg.Points(1.5)
 		picture.Add(line)
@@ -93,7 +93,7 @@
 	for _, mark := range marks {
 		line, err := plotter.NewLine(plotter.XYs{{X: mark.Second, Y: 0}, {X: mark.Second, Y: top}})
 		if err != nil {
-			return trouble.Wrap(trouble.Malformed, err)
+			return failure.Wrap(failure.Malformed, err)
 		}
 		line.Color, line.Dashes = color.Gray{120}, []vg.Length{vg.Points(2), vg.Points(2)}
 		picture.Add(line)
@@ -103,9 +103,9 @@
 	if len(labels.Labels) > 0 {
 		names, err := plotter.NewLabels(labels)
 		if err != nil {
-			return trouble.Wrap(trouble.Malformed, err)
+			return failure.Wrap(failure.Malformed, err)
 		}
 		picture.Add(names)
 	}
-	return trouble.Wrap(trouble.Disk, picture.Save(24*vg.Centimeter, 11*vg.Centimeter, path))
+	return failure.Wrap(failure.Disk, picture.Save(24*vg.Centimeter, 11*vg.Centimeter, path))
 }
--- a/internal/rehearsal/platformday/process.go
+++ b/internal/rehearsal/platformday/process.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // process is one role on one machine. When it ends by itself it is started again.
@@ -58,7 +58,7 @@
 	}
 	log, err := os.OpenFile(process.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return trouble.Wrap(trouble.Disk, err)
+		return failure.Wrap(failure.Disk, err)
 	}
 	words := process.role.words()
 	command := exec.Command(words[0], words[1:]...)
@@ -70,7 +70,7 @@
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		_ = log.Close()
-		return trouble.Wrap(trouble.Unreachable, err)
+		return failure.Wrap(failure.Unreachable, err)
 	}
 	ended := make(chan struct{})
 	process.command, process.ended = command, ended
--- a/internal/rehearsal/platformday/role.go
+++ b/internal/rehearsal/platformday/role.go
@@ -10,7 +10,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Role is a program of the deploy file, and where it runs.
@@ -34,19 +34,19 @@
 func ReadRoles(path, binaries string) ([]Role, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Disk, err)
+		return nil, failure.Wrap(failure.Disk, err)
 	}
 	var file struct {
 		Build string          `toml:"build"`
 		Roles map[string]Role `toml:"roles"`
 	}
 	if err := toml.Unmarshal(text, &file); err != nil {
-		return nil, trouble.Wrap(trouble.Malformed, err)
+		return nil, failure.Wrap(failure.Malformed, err)
 	}
 	var roles []Role
 	for name, role := range file.Roles {
 		if role.Run == "" || len(role.Serves) == 0 && role.Share == 0 && role.Count == 0 {
-			return nil, trouble.At(trouble.Missing, "/roles/"+name, "a role needs run, and share or count")
+			return nil, failure.At(failure.Missing, "/roles/"+name, "a role needs run, and share or count")
 		}
 		role.Name, role.binaries = name, binaries
 		roles = append(roles, role)
--- a/internal/rehearsal/relay.go
+++ b/internal/rehearsal/relay.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Relay is one faulty link: a loopback listener that carries circuits from one
@@ -30,7 +30,7 @@
 func StartRelay(target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	relay := &Relay{target: target, listener: listener, circuits: map[net.Conn]bool{}}
 	relay.changed = sync.NewCond(&relay.mutex)
--- a/internal/rehearsal/removals/removal.go
+++ b/internal/rehearsal/removals/removal.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"strings"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Edit replaces a text that stands once in a file.
@@ -45,13 +45,13 @@
 		path := filepath.Join(folder, edit.File)
 		content, err := os.ReadFile(path)
 		if err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 		if count := strings.Count(string(content), edit.Old); count != 1 {
-			return trouble.At(trouble.NoSuch, edit.File, "the protection stands there other than once: "+edit.Old)
+			return failure.At(failure.NoSuch, edit.File, "the protection stands there other than once: "+edit.Old)
 		}
 		if err := os.WriteFile(path, []byte(strings.Replace(string(content), edit.Old, edit.New, 1)), 0o644); err != nil {
-			return trouble.Wrap(trouble.Disk, err)
+			return failure.Wrap(failure.Disk, err)
 		}
 	}
 	return nil
--- a/internal/rehearsal/standin.go
+++ b/internal/rehearsal/standin.go
@@ -13,11 +13,11 @@
 	"goji.io"
 	"goji.io/pat"
 
-	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
 	"seamloom.example/seamloom/internal/adapters/threads"
 	"seamloom.example/seamloom/internal/adapters/wallclock"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // StandIn is a model server for rehearsals behind HTTP.
@@ -25,7 +25,7 @@
 	*Stovetop
 	address  string
 	client   *http.Client
-	turns    rota.Turns
+	turns    lease.Turns
 	lifetime context.Context
 	end      context.CancelFunc
 	server   *http.Server
@@ -39,7 +39,7 @@
 func StartStandIn(plan ServerPlan, address string, book *Book) (*StandIn, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, trouble.Wrap(trouble.Unreachable, err)
+		return nil, failure.Wrap(failure.Unreachable, err)
 	}
 	standIn := &StandIn{address: listener.Addr().String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	standIn.lifetime, standIn.end = context.WithCancel(context.Background())
@@ -47,7 +47,7 @@
 	standIn.Stovetop = NewStovetop(plan, book, standIn.turns, uuid.NewString, standIn.fetchMemory)
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get("/v1/load"), func(writer http.ResponseWriter, _ *http.Request) { say(writer, http.StatusOK, standIn.Load()) })
-	mux.HandleFunc(pat.Post("/v1/prefill"), takes(standIn, func(circuit *Circuit, order stove.PrefillOrder, writer http.ResponseWriter) {
+	mux.HandleFunc(pat.Post("/v1/prefill"), takes(standIn, func(circuit *Circuit, order modelserver.PrefillOrder, writer http.ResponseWriter) {
 		status, content := standIn.Prefill(circuit, order)
 		say(writer, status, content)
 	}))
@@ -56,11 +56,11 @@
 		status, content := standIn.GiveMemory(question)
 		say(writer, status, content)
 	}))
-	mux.HandleFunc(pat.Post("/v1/cancel"), takes(standIn, func(_ *Circuit, order stove.CancelOrder, writer http.ResponseWriter) {
+	mux.HandleFunc(pat.Post("/v1/cancel"), takes(standIn, func(_ *Circuit, order modelserver.CancelOrder, writer http.ResponseWriter) {
 		standIn.Cancel(order)
 		say(writer, http.StatusOK, map[string]bool{"cancelled": true})
 	}))
-	mux.HandleFunc(pat.Post("/v1/part"), takes(standIn, func(_ *Circuit, order stove.PartOrder, writer http.ResponseWriter) {
+	mux.HandleFunc(pat.Post("/v1/part"), takes(standIn, func(_ *Circuit, order modelserver.PartOrder, writer http.ResponseWriter) {
 		status, content := standIn.TakePart(order)
 		say(writer, status, content)
 	}))
@@ -136,10 +136,10 @@
 	}
 }
 
-func (standIn *StandIn) decode(circuit *Circuit, order stove.DecodeOrder, writer http.ResponseWriter) {
+func (standIn *StandIn) decode(circuit *Circuit, order modelserver.DecodeOrder, writer http.ResponseWriter) {
 	flusher := http.NewResponseController(writer)
 	encoder := json.NewEncoder(writer)
-	status, content := standIn.Decode(circuit, order, func(line stove.StreamLine) error {
+	status, content := standIn.Decode(circuit, order, func(line modelserver.StreamLine) error {
 		if line.Piece == 1 {
 			writer.Header().Set("Content-Type", "application/jsonl")
 		}
--- a/internal/rehearsal/stovetop.go
+++ b/internal/rehearsal/stovetop.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/adapters/stove"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // Stovetop is what a stand-in model server does, whatever carries its calls: a
@@ -17,11 +17,11 @@
 type Stovetop struct {
 	plan        ServerPlan
 	book        *Book
-	turns       rota.Turns
+	turns       lease.Turns
 	fetch       Fetch
 	nonce       func() string
 	incarnation string
-	free        rota.Bell
+	free        lease.Bell
 
 	mutex       sync.Mutex
 	born        time.Time
@@ -78,7 +78,7 @@
 // Example:
 //
 //	top := rehearsal.NewStovetop(plan, book, turns, uuid.NewString, fetch)
-func NewStovetop(plan ServerPlan, book *Book, turns rota.Turns, nonce func() string, fetch Fetch) *Stovetop {
+func NewStovetop(plan ServerPlan, book *Book, turns lease.Turns, nonce func() string, fetch Fetch) *Stovetop {
 	book.Note(Entry{Kind: ServerBorn, Server: plan.Name, District: plan.District})
 	return &Stovetop{plan: plan, book: book, turns: turns, fetch: fetch, nonce: nonce, incarnation: nonce(), free: turns.NewBell(), born: turns.Now(),
 		handles: map[string]*promptMemory{}, prefixes: map[string]int{}, runs: map[string]*Circuit{}, taken: map[string]bool{}, slowLink: 1}
@@ -197,7 +197,7 @@
 // Example:
 //
 //	report := top.Load()
-func (top *Stovetop) Load() stove.LoadReport {
+func (top *Stovetop) Load() modelserver.LoadReport {
 	top.mutex.Lock()
 	defer top.mutex.Unlock()
 	top.sweepHandles()
@@ -209,7 +209,7 @@
 	for name, tokens := range top.prefixes {
 		prefixes[name] = tokens
 	}
-	return stove.LoadReport{Server: top.plan.Name, Incarnation: top.incarnation, Part: top.part, Leaving: top.leaving,
+	return modelserver.LoadReport{Server: top.plan.Name, Incarnation: top.incarnation, Part: top.part, Leaving: top.leaving,
 		AgeMilliseconds: int(top.age().Milliseconds()), PrefillQueueTokens: waiting, PrefillRate: top.plan.PrefillRate,
 		PrefillWaiting: len(top.queue), PrefillRoom: top.plan.PrefillRoom, DecodeActive: top.active, DecodeSlots: top.plan.DecodeSlots,
 		PieceTimeMicroseconds: int(top.plan.PieceTime.Microseconds()), MemoryFree: top.plan.Memory - top.memory,
@@ -260,7 +260,7 @@
 // Example:
 //
 //	status, content := top.Prefill(circuit, order)
-func (top *Stovetop) Prefill(circuit *Circuit, order stove.PrefillOrder) (int, any) {
+func (top *Stovetop) Prefill(circuit *Circuit, order modelserver.PrefillOrder) (int, any) {
 	top.mutex.Lock()
 	if top.again("prefill", order.Order, order.Inquiry, order.Run) {
 		top.mutex.Unlock()
@@ -323,7 +323,7 @@
 	}
 	handle := top.nonce()
 	top.handles[handle] = &promptMemory{inquiry: order.Inquiry, run: order.Run, order: order.Order, tokens: order.PromptTokens, lapses: top.turns.Now().Add(top.plan.HandleLife)}
-	return http.StatusOK, stove.PrefillAnswer{Inquiry: order.Inquiry, Run: order.Run, Handle: handle}
+	return http.StatusOK, modelserver.PrefillAnswer{Inquiry: order.Inquiry, Run: order.Run, Handle: handle}
 }
 
 func removeOne(queue []int, tokens int) []int {
@@ -380,7 +380,7 @@
 // Example:
 //
 //	status, content := top.Decode(circuit, order, send)
-func (top *Stovetop) Decode(circuit *Circuit, order stove.DecodeOrder, send func(line stove.StreamLine) error) (int, any) {
+func (top *Stovetop) Decode(circuit *Circuit, order modelserver.DecodeOrder, send func(line modelserver.StreamLine) error) (int, any) {
 	top.mutex.Lock()
 	if top.again("decode", order.Order, order.Inquiry, order.Run) {
 		top.mutex.Unlock()
@@ -442,7 +442,7 @@
 	return inquiry + "/" + run + "/" + strconv.Itoa(piece)
 }
 
-func (top *Stovetop) stream(circuit *Circuit, order stove.DecodeOrder, send func(line stove.StreamLine) error) {
+func (top *Stovetop) stream(circuit *Circuit, order modelserver.DecodeOrder, send func(line modelserver.StreamLine) error) {
 	run := strconv.Itoa(order.Run) + order.Order
 	for piece := 1; piece <= order.Pieces; piece++ {
 		top.mutex.Lock()
@@ -454,11 +454,11 @@
 		if !circuit.Pause(length) {
 			return
 		}
-		if send(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Piece: piece, Text: PieceText(order.Inquiry, run, piece)}) != nil {
+		if send(modelserver.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Piece: piece, Text: PieceText(order.Inquiry, run, piece)}) != nil {
 			return
 		}
 	}
-	_ = send(stove.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Done: true, Pieces: order.Pieces})
+	_ = send(modelserver.StreamLine{Inquiry: order.Inquiry, Run: order.Run, Done: true, Pieces: order.Pieces})
 }
 
 // Cancel stops a run and lets go of its memory.
@@ -466,7 +466,7 @@
 // Example:
 //
 //	top.Cancel(order)
-func (top *Stovetop) Cancel(order stove.CancelOrder) {
+func (top *Stovetop) Cancel(order modelserver.CancelOrder) {
 	top.mutex.Lock()
 	circuit := top.runs[runName(order.Inquiry, order.Run, order.Order)]
 	for name, held := range top.handles {
@@ -486,7 +486,7 @@
 // Example:
 //
 //	status, content := top.TakePart(order)
-func (top *Stovetop) TakePart(order stove.PartOrder) (int, any) {
+func (top *Stovetop) TakePart(order modelserver.PartOrder) (int, any) {
 	top.mutex.Lock()
 	defer top.mutex.Unlock()
 	entry := Entry{Kind: Commanded, Server: top.plan.Name, Holder: order.Holder, Fence: order.Fence, Part: order.Part, Cause: order.Cause}
--- a/internal/rehearsal/verdict.go
+++ b/internal/rehearsal/verdict.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Verdict is what all checkers say of a book, with how the replies ended.
@@ -39,7 +39,7 @@
 		}
 		// What the callers brought about themselves says nothing of the fleet: they
 		// left, or sent an id again that was taken.
-		own := entry.Cause == CallerLeft || (entry.Arrival > 0 && entry.Cause == string(trouble.Duplicate))
+		own := entry.Cause == CallerLeft || (entry.Arrival > 0 && entry.Cause == string(failure.Duplicate))
 		if !own {
 			total++
 		}
--- a/internal/rehearsal/world/callers.go
+++ b/internal/rehearsal/world/callers.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // callers send inquiries at the world's rates until it says stop. The platform
@@ -43,7 +43,7 @@
 		reply, retry := world.send(machine, district, question, arrival)
 		again, pause := world.random.IntN(4), time.Duration(world.random.IntN(300))*time.Millisecond
 		switch {
-		case reply.Final == "refused" && reply.Cause != string(trouble.Duplicate) && again < 2:
+		case reply.Final == "refused" && reply.Cause != string(failure.Duplicate) && again < 2:
 			if again == 0 {
 				pause = retry
 			}
@@ -65,7 +65,7 @@
 func (world *World) courierFor(district string) *machine {
 	var near, any []*machine
 	for _, machine := range world.machines {
-		if machine.kind == roster.Courier && machine.life != nil && !machine.life.ended && !machine.gone {
+		if machine.kind == membership.Courier && machine.life != nil && !machine.life.ended && !machine.gone {
 			any = append(any, machine)
 			if machine.district == district {
 				near = append(near, machine)
@@ -96,7 +96,7 @@
 // Line sends one line.
 func (origin *origin) Line(line []byte) error {
 	if origin.left || !origin.pipe.put(string(line)) {
-		return trouble.New(trouble.Unreachable, "the origin is gone")
+		return failure.New(failure.Unreachable, "the origin is gone")
 	}
 	return nil
 }
@@ -208,7 +208,7 @@
 		// The moment of asking is that at which the courier takes it up.
 		began = world.now
 		conduct.Serve(hatch.Arrival{Inquiry: inquiry, Body: body}, &looker{take: func(line hatch.ReplyLine) {
-			if line.Type == trouble.RouteRefuses {
+			if line.Type == failure.RouteRefuses {
 				detail = line.Detail
 			}
 			if number, found := strings.CutPrefix(detail, "edition-"); found {
@@ -230,7 +230,7 @@
 func (looker *looker) Line(content []byte) error {
 	var line hatch.ReplyLine
 	if err := json.Unmarshal(content, &line); err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	looker.take(line)
 	return nil
--- a/internal/rehearsal/world/calls.go
+++ b/internal/rehearsal/world/calls.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // CallTally is what became of a day's opaque calls.
@@ -31,7 +31,7 @@
 // worldCall is one opaque call, as its origin knows it.
 type worldCall struct {
 	world      *World
-	call       *window.Call
+	call       *scheduler.Call
 	pieces     int
 	repeatable bool
 	runs       int
@@ -75,8 +75,8 @@
 	if !world.ways.Calls {
 		return
 	}
-	options.Board = func(deciding *window.Window) hatch.Board {
-		machine.calls = hatch.NewCalls(begun, deciding, func([]roster.Server) {})
+	options.Board = func(deciding *scheduler.Window) hatch.Board {
+		machine.calls = hatch.NewCalls(begun, deciding, func([]membership.Server) {})
 		return machine.calls
 	}
 }
@@ -86,8 +86,8 @@
 	for number := 0; world.now < until; number++ {
 		world.outside.NewBell().Wait(min(time.Second, time.Duration(world.random.ExpFloat64()/20*float64(time.Second))), never)
 		call := &worldCall{world: world, repeatable: world.random.IntN(2) == 0, pieces: 3 + world.random.IntN(40)}
-		call.call = &window.Call{ID: "call-" + strconv.Itoa(number), Host: "calls", Path: "/once/x", PromptTokens: 100 + world.random.IntN(12_000), OutputTokens: 400,
-			Parts: []window.Part{{ID: 1, Tokens: 50}, {ID: uint64(10 + world.random.IntN(30)), Tokens: 40}, {ID: uint64(1000 + number), Tokens: 10}}}
+		call.call = &scheduler.Call{ID: "call-" + strconv.Itoa(number), Host: "calls", Path: "/once/x", PromptTokens: 100 + world.random.IntN(12_000), OutputTokens: 400,
+			Parts: []scheduler.Part{{ID: 1, Tokens: 50}, {ID: uint64(10 + world.random.IntN(30)), Tokens: 40}, {ID: uint64(1000 + number), Tokens: 10}}}
 		if call.repeatable {
 			call.call.Path = "/again/x"
 		}
@@ -187,7 +187,7 @@
 }
 
 // patience is how long a decision lets its server say nothing.
-func (exchange *callExchange) patience(decision window.Decision) time.Duration {
+func (exchange *callExchange) patience(decision scheduler.Decision) time.Duration {
 	left := decision.Ends.Sub(exchange.life.Now()) + callMargin
 	if decision.Patience > 0 {
 		left = min(left, decision.Patience)
@@ -196,62 +196,62 @@
 }
 
 // lost is the result of a sending that brought nothing usable.
-func (exchange *callExchange) lost(sending *callSending) window.Result {
+func (exchange *callExchange) lost(sending *callSending) scheduler.Result {
 	switch {
 	case exchange.left:
-		return window.Gone
+		return scheduler.Gone
 	case sending.refused:
-		return window.Unreached
+		return scheduler.Unreached
 	case exchange.passed > 0:
-		return window.Cut
+		return scheduler.Cut
 	}
-	return window.Silent
+	return scheduler.Silent
 }
 
 // refused is the result of a server's promise.
-func (exchange *callExchange) refused(said callRefusal) window.Outcome {
+func (exchange *callExchange) refused(said callRefusal) scheduler.Outcome {
 	exchange.kept = &said
 	if said.status == misdirected {
-		return window.Outcome{Result: window.Misdirected, Status: said.status}
+		return scheduler.Outcome{Result: scheduler.Misdirected, Status: said.status}
 	}
-	return window.Outcome{Result: window.NotStarted, Status: said.status}
+	return scheduler.Outcome{Result: scheduler.NotStarted, Status: said.status}
 }
 
 // Read has a server read the prompt.
-func (exchange *callExchange) Read(decision window.Decision) window.Outcome {
+func (exchange *callExchange) Read(decision scheduler.Decision) scheduler.Outcome {
 	sending := exchange.send(decision.Server, func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, _ func(any) bool) any {
 		return there.read(top, circuit, exchange.call, decision.Server.Name)
 	})
 	if sending == nil {
-		return window.Outcome{Result: window.Unreached}
+		return scheduler.Outcome{Result: scheduler.Unreached}
 	}
 	exchange.under = sending
 	defer sending.stop()
 	message, found := exchange.wait(sending, exchange.patience(decision))
 	switch said := message.(type) {
 	case callRead:
-		return window.Outcome{Result: window.Complete, Handle: said.handle, First: exchange.life.Now()}
+		return scheduler.Outcome{Result: scheduler.Complete, Handle: said.handle, First: exchange.life.Now()}
 	case callRefusal:
 		return exchange.refused(said)
 	}
 	if !found && !sending.refused && !exchange.left {
-		return window.Outcome{Result: window.Silent}
+		return scheduler.Outcome{Result: scheduler.Silent}
 	}
-	return window.Outcome{Result: exchange.lost(sending)}
+	return scheduler.Outcome{Result: exchange.lost(sending)}
 }
 
 // Run has a server make the answer and passes it on.
-func (exchange *callExchange) Run(_ *menu.CallRoute, decision window.Decision, began func()) window.Outcome {
+func (exchange *callExchange) Run(_ *config.CallRoute, decision scheduler.Decision, began func()) scheduler.Outcome {
 	last := exchange.passed
 	sending := exchange.send(decision.Server, func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) any {
 		return there.run(top, circuit, exchange.call, decision.Server.Name, decision.Source, last, send)
 	})
 	if sending == nil {
-		return window.Outcome{Result: window.Unreached}
+		return scheduler.Outcome{Result: scheduler.Unreached}
 	}
 	exchange.under = sending
 	defer sending.stop()
-	outcome := window.Outcome{}
+	outcome := scheduler.Outcome{}
 	patience := exchange.patience(decision)
 	for {
 		message, found := exchange.wait(sending, patience)
@@ -270,7 +270,7 @@
 		case callPieceSent:
 			exchange.passed = said.number
 			if !exchange.replies.put(said) {
-				outcome.Result = window.Gone
+				outcome.Result = scheduler.Gone
 				return outcome
 			}
 			patience = decision.Ends.Sub(exchange.life.Now()) + callMargin
@@ -281,7 +281,7 @@
 			return exchange.refused(said)
 		case callStreamEnd:
 			exchange.replies.put(said)
-			outcome.Result = window.Complete
+			outcome.Result = scheduler.Complete
 			return outcome
 		}
 	}
@@ -303,7 +303,7 @@
 func (exchange *callExchange) Break() { exchange.replies.snap() }
 
 // Free gives a prompt's memory back.
-func (exchange *callExchange) Free(source window.Source) {
+func (exchange *callExchange) Free(source scheduler.Source) {
 	world, to := exchange.life.world, exchange.life.world.nameAt(source.Address)
 	world.carry(exchange.life.name, to, nil, func() {
 		if there := world.callServerAt(source.Address); there != nil {
--- a/internal/rehearsal/world/callservers.go
+++ b/internal/rehearsal/world/callservers.go
@@ -4,9 +4,9 @@
 	"net/http"
 	"time"
 
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // callServer is what a model server does for opaque calls, beside the product's own
@@ -69,7 +69,7 @@
 }
 
 // run makes a stream, behind the event that its origin had last.
-func (server *callServer) run(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, call *worldCall, name string, source *window.Source, last int, send func(any) bool) any {
+func (server *callServer) run(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, call *worldCall, name string, source *scheduler.Source, last int, send func(any) bool) any {
 	switch {
 	case name != server.name || top.Part() != "decode":
 		return callRefusal{misdirected}
@@ -128,7 +128,7 @@
 
 // send sends a call to a server and gives what it answers to the pipe; nil means
 // that certainly nothing went.
-func (exchange *callExchange) send(server roster.Server, serve func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) any) *callSending {
+func (exchange *callExchange) send(server membership.Server, serve func(there *callServer, top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) any) *callSending {
 	world, here := exchange.life.world, exchange.life
 	to := world.nameAt(server.Address)
 	sending := &callSending{replies: newPipe(world, to, here.name, here)}
