--- a/internal/rehearsal/world/core.go
+++ b/internal/rehearsal/world/core.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // CoreLayouts are the cores that are rehearsed by themselves, with a few couriers: one
@@ -70,7 +70,7 @@
 			return world.back(primary, 200, 1500)
 		}},
 		{"a new machine first, then the old one in order", 1, func(world *World) time.Duration {
-			old := world.anyNode(roster.Expediter)
+			old := world.anyNode(membership.Expediter)
 			world.join(old)
 			world.run(world.now + 3*time.Second)
 			return world.leaveForGood(old)
@@ -81,7 +81,7 @@
 			world.run(world.now + 3*time.Second)
 			return world.leaveForGood(old)
 		}},
-		{"a new machine in the place of one that is gone", 1, func(world *World) time.Duration { return world.replaceGone(world.anyNode(roster.Expediter)) }},
+		{"a new machine in the place of one that is gone", 1, func(world *World) time.Duration { return world.replaceGone(world.anyNode(membership.Expediter)) }},
 		{"a new machine in the place of the first seed", 1, func(world *World) time.Duration {
 			return world.replaceGone(world.machineNamed("expediter-1"))
 		}},
@@ -102,7 +102,7 @@
 		{"the backup's disk is slow", 1, func(world *World) time.Duration { return world.slowDisk(world.backup()) }},
 		{"all processes are killed at once", 1, func(world *World) time.Duration {
 			var killed []*machine
-			for _, machine := range world.nodes(roster.Expediter) {
+			for _, machine := range world.nodes(membership.Expediter) {
 				world.kill(machine)
 				killed = append(killed, machine)
 			}
@@ -118,7 +118,7 @@
 			from := world.now
 			world.kill(primary)
 			var others []*machine
-			for _, machine := range world.nodes(roster.Expediter) {
+			for _, machine := range world.nodes(membership.Expediter) {
 				if machine != primary {
 					others = append(others, machine)
 				}
@@ -161,7 +161,7 @@
 			world.run(world.now + time.Duration(world.random.IntN(4000))*time.Millisecond)
 			second := world.primary()
 			if world.random.IntN(2) == 0 {
-				second = world.anyNode(roster.Expediter)
+				second = world.anyNode(membership.Expediter)
 			}
 			if second != primary {
 				world.wipe(second)
@@ -288,7 +288,7 @@
 			marks.asked++
 			mark := "mark-" + strconv.Itoa(marks.asked)
 			world.outside.Go(func() {
-				edit := hatch.Edit{Change: mark, Digest: mark, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, mark, "rehearsal") }}
+				edit := hatch.Edit{Change: mark, Digest: mark, Apply: func(text []byte) ([]byte, error) { return config.Evacuate(text, mark, "rehearsal") }}
 				if world.editSomewhere(edit) {
 					over = true
 					marks.acknowledged = append(marks.acknowledged, mark)
@@ -301,7 +301,7 @@
 
 // editSomewhere has every expediter that leads carry a change out.
 func (world *World) editSomewhere(edit hatch.Edit) bool {
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.life == nil || machine.life.ended || machine.control == nil || !machine.control.Steward().Holds() {
 			continue
 		}
@@ -354,7 +354,7 @@
 // wipeAmidPowerLoss wipes some disks while all machines of the core lose their power;
 // those with their disks come back a second later, the wiped ones with them or later.
 func (world *World) wipeAmidPowerLoss(wiped int) time.Duration {
-	machines := world.nodes(roster.Expediter)
+	machines := world.nodes(membership.Expediter)
 	world.random.Shuffle(len(machines), func(left, right int) { machines[left], machines[right] = machines[right], machines[left] })
 	if wiped > 0 && world.random.IntN(2) == 0 {
 		// The one that answered last is among them.
@@ -388,12 +388,12 @@
 func (world *World) join(old *machine) *machine {
 	number := strconv.Itoa(len(world.machines) + 1)
 	var seeds []string
-	for _, other := range world.nodes(roster.Expediter) {
+	for _, other := range world.nodes(membership.Expediter) {
 		if other != old && len(seeds) < 3 {
 			seeds = append(seeds, other.address)
 		}
 	}
-	added := world.addMachine(roster.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, append(seeds, old.address)[:3])
+	added := world.addMachine(membership.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, append(seeds, old.address)[:3])
 	world.start(added)
 	return added
 }
@@ -469,7 +469,7 @@
 }
 
 func (world *World) anyTwo() []*machine {
-	machines := world.nodes(roster.Expediter)
+	machines := world.nodes(membership.Expediter)
 	world.random.Shuffle(len(machines), func(left, right int) { machines[left], machines[right] = machines[right], machines[left] })
 	return machines[:2]
 }
@@ -481,7 +481,7 @@
 		zone = world.primary().district
 	}
 	from := world.now
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.district != zone {
 			continue
 		}
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -4,10 +4,10 @@
 	"strings"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // Day is how a world's day goes.
@@ -86,8 +86,8 @@
 	return false
 }
 
-func newIdentity(world *World, machine *machine) larder.Identity {
-	return larder.Identity(machine.name + "/" + world.nonce())
+func newIdentity(world *World, machine *machine) replication.Identity {
+	return replication.Identity(machine.name + "/" + world.nonce())
 }
 
 // Run lets a day pass and judges it.
@@ -107,14 +107,14 @@
 	if world.random.IntN(2) == 0 {
 		for _, machine := range world.machines {
 			if world.random.IntN(3) == 0 {
-				machine.withheld = recipe.List{recipe.BackupList, recipe.OrderPatience, recipe.PairPrice}
+				machine.withheld = formats.List{formats.BackupList, formats.OrderPatience, formats.PairPrice}
 			}
 		}
 	}
 	for _, machine := range world.machines {
 		world.outside.Go(func() {
 			world.wait(0, 400)
-			if day.Forming && machine.kind == roster.Expediter {
+			if day.Forming && machine.kind == membership.Expediter {
 				world.wait(0, 4000)
 			}
 			world.start(machine)
@@ -294,9 +294,9 @@
 	world.Book.Note(rehearsal.Entry{Kind: rehearsal.ClosingFault, Cause: kind})
 	switch kind {
 	case "herd of couriers":
-		world.herd(roster.Courier)
+		world.herd(membership.Courier)
 	case "herd of expediters":
-		world.herd(roster.Expediter)
+		world.herd(membership.Expediter)
 	case "cold start":
 		world.herd("")
 	case "zone":
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -4,9 +4,9 @@
 	"strconv"
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
 )
 
 // fault is one thing that fails, with how often it is drawn.
@@ -21,34 +21,34 @@
 // others.
 func faults() []fault {
 	return []fault{
-		{"kill a courier", 6, func(world *World) { world.killFor(world.anyNode(roster.Courier), 100, 4000) }},
-		{"a courier stays away", 5, func(world *World) { world.killFor(world.anyNode(roster.Courier), 8000, 12000) }},
+		{"kill a courier", 6, func(world *World) { world.killFor(world.anyNode(membership.Courier), 100, 4000) }},
+		{"a courier stays away", 5, func(world *World) { world.killFor(world.anyNode(membership.Courier), 8000, 12000) }},
 		{"the holder of the parts stays away", 3, func(world *World) { world.killFor(world.holder(), 8000, 12000) }},
-		{"kill an expediter", 6, func(world *World) { world.killFor(world.anyNode(roster.Expediter), 100, 5000) }},
+		{"kill an expediter", 6, func(world *World) { world.killFor(world.anyNode(membership.Expediter), 100, 5000) }},
 		{"kill the primary", 4, func(world *World) { world.killFor(world.primary(), 50, 5000) }},
 		{"power off a machine", 4, func(world *World) { world.powerOffFor(world.anyNode(""), 500, 6000) }},
 		{"power fails at a disk's act", 8, powerFails},
 		{"a disk is lost", 5, loseDisk},
 		{"a full disk", 2, func(world *World) {
-			machine := world.anyNode(roster.Expediter)
+			machine := world.anyNode(membership.Expediter)
 			machine.disk.full = true
 			world.wait(500, 4000)
 			machine.disk.full = false
 		}},
 		{"a damaged file", 3, func(world *World) {
-			machine := world.anyNode(roster.Expediter)
+			machine := world.anyNode(membership.Expediter)
 			machine.disk.damage = 1 + world.random.IntN(2)
 			world.killFor(machine, 100, 500)
 		}},
-		{"an expediter is stopped in order", 3, func(world *World) { world.stopFor(world.anyNode(roster.Expediter), 200, 3000) }},
+		{"an expediter is stopped in order", 3, func(world *World) { world.stopFor(world.anyNode(membership.Expediter), 200, 3000) }},
 		{"the primary hands over while a courier is cut off", 3, func(world *World) {
-			name := world.anyNode(roster.Courier).name
+			name := world.anyNode(membership.Courier).name
 			world.outside.Go(func() { world.isolate(name, true, true) })
 			world.wait(50, 400)
 			world.stopFor(world.primary(), 200, 3000)
 		}},
-		{"freeze a courier", 6, func(world *World) { world.freezeFor(world.anyNode(roster.Courier)) }},
-		{"freeze an expediter", 3, func(world *World) { world.freezeFor(world.anyNode(roster.Expediter)) }},
+		{"freeze a courier", 6, func(world *World) { world.freezeFor(world.anyNode(membership.Courier)) }},
+		{"freeze an expediter", 3, func(world *World) { world.freezeFor(world.anyNode(membership.Expediter)) }},
 		{"freeze the primary", 4, func(world *World) { world.freezeFor(world.primary()) }},
 		{"freeze the holder of the parts", 4, func(world *World) { world.freezeFor(world.holder()) }},
 		{"a wall clock jumps", 3, func(world *World) {
@@ -60,7 +60,7 @@
 		{"isolate the primary", 3, func(world *World) { world.isolate(world.primary().name, true, true) }},
 		{"one way", 5, func(world *World) {
 			inwards := world.random.IntN(2) == 0
-			world.isolate(world.anyNode(roster.Expediter).name, inwards, !inwards)
+			world.isolate(world.anyNode(membership.Expediter).name, inwards, !inwards)
 		}},
 		{"two expediters cut", 4, cutPair},
 		{"the core cut from the couriers", 2, func(world *World) {
@@ -75,8 +75,8 @@
 			world.wait(2000, 5000)
 			world.slowDials = 0
 		}},
-		{"a herd of couriers", 1, func(world *World) { world.herd(roster.Courier) }},
-		{"a herd of expediters", 1, func(world *World) { world.herd(roster.Expediter) }},
+		{"a herd of couriers", 1, func(world *World) { world.herd(membership.Courier) }},
+		{"a herd of expediters", 1, func(world *World) { world.herd(membership.Expediter) }},
 		{"all at once", 1, func(world *World) { world.herd("") }},
 		{"a zone is lost", 2, loseZone},
 		{"a server crashes", 5, func(world *World) { world.crashFor(world.anyServer(), 0, 2500) }},
@@ -160,7 +160,7 @@
 	return world.deployment.Districts[world.random.IntN(len(world.deployment.Districts))]
 }
 
-func (world *World) nodes(kind roster.NodeKind) []*machine {
+func (world *World) nodes(kind membership.NodeKind) []*machine {
 	var found []*machine
 	for _, machine := range world.machines {
 		if !machine.gone && (kind == "" || machine.kind == kind) {
@@ -170,7 +170,7 @@
 	return found
 }
 
-func (world *World) anyNode(kind roster.NodeKind) *machine {
+func (world *World) anyNode(kind membership.NodeKind) *machine {
 	found := world.nodes(kind)
 	return found[world.random.IntN(len(found))]
 }
@@ -191,22 +191,22 @@
 
 func (world *World) isExpediter(name string) bool {
 	machine := world.machineNamed(name)
-	return machine != nil && machine.kind == roster.Expediter
+	return machine != nil && machine.kind == membership.Expediter
 }
 
 // primary is the expediter that holds, or any.
 func (world *World) primary() *machine {
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.life != nil && !machine.life.ended && machine.control != nil && machine.control.Steward().Holds() {
 			return machine
 		}
 	}
-	return world.anyNode(roster.Expediter)
+	return world.anyNode(membership.Expediter)
 }
 
 // holder is the courier that decides the parts, or any.
 func (world *World) holder() *machine {
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.life == nil || machine.life.ended || machine.control == nil {
 			continue
 		}
@@ -216,7 +216,7 @@
 			}
 		}
 	}
-	return world.anyNode(roster.Courier)
+	return world.anyNode(membership.Courier)
 }
 
 func (world *World) killFor(machine *machine, least, most int) {
@@ -261,7 +261,7 @@
 // loseOneWhileForming takes one machine away within the first moments of a core:
 // its power fails at one of its disk's first acts, or its whole disk is lost.
 func (world *World) loseOneWhileForming() {
-	machine := world.anyNode(roster.Expediter)
+	machine := world.anyNode(membership.Expediter)
 	if world.random.IntN(2) == 0 {
 		machine.disk.powerFailsIn = 1 + world.random.IntN(14)
 		world.wait(1000, 6000)
@@ -284,7 +284,7 @@
 
 // powerFails has the power fail before one of the disk's next acts.
 func powerFails(world *World) {
-	machine := world.anyNode(roster.Expediter)
+	machine := world.anyNode(membership.Expediter)
 	machine.disk.powerFailsIn = 1 + world.random.IntN(12)
 	world.wait(2000, 5000)
 	machine.disk.powerFailsIn = 0
@@ -295,7 +295,7 @@
 // whole tells whether a primary with a backup leads and every keeper is the
 // disk that runs at its address, so that one more disk may be lost.
 func (world *World) whole() bool {
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
 			continue
 		}
@@ -322,7 +322,7 @@
 	if !world.whole() {
 		return
 	}
-	machine := world.anyNode(roster.Expediter)
+	machine := world.anyNode(membership.Expediter)
 	if world.random.IntN(2) == 0 {
 		machine = world.primary()
 		world.nextEdition(1)
@@ -395,7 +395,7 @@
 }
 
 func cutPair(world *World) {
-	found := world.nodes(roster.Expediter)
+	found := world.nodes(membership.Expediter)
 	first := world.random.IntN(len(found))
 	left, right := found[first].name, found[(first+1)%len(found)].name
 	oneWay := world.random.IntN(3) == 0
@@ -435,7 +435,7 @@
 // the work.
 func badServerLinks(world *World) {
 	var links []*link
-	for _, machine := range world.nodes(roster.Courier) {
+	for _, machine := range world.nodes(membership.Courier) {
 		for _, plan := range world.plans {
 			if world.random.IntN(3) == 0 {
 				links = append(links, world.link(machine.name, plan.Name), world.link(plan.Name, machine.name))
@@ -450,7 +450,7 @@
 	world.loseAnswers = 0
 }
 
-func (world *World) herd(kind roster.NodeKind) {
+func (world *World) herd(kind membership.NodeKind) {
 	world.say("a herd is killed: %s", kind)
 	var killed []*machine
 	for _, machine := range world.nodes(kind) {
@@ -537,13 +537,13 @@
 		return
 	}
 	if len(machine.withheld) == 0 && !world.faultsOver {
-		machine.withheld = recipe.List{recipe.BackupList, recipe.OrderPatience, recipe.PairPrice}
+		machine.withheld = formats.List{formats.BackupList, formats.OrderPatience, formats.PairPrice}
 		world.tempt("a node restarted as an older release")
 	} else {
 		machine.withheld = nil
 		world.tempt("a node restarted as a newer release")
 	}
-	if world.anyWithheld() && !world.seenKeys["flag/"+string(recipe.PairPrice)] {
+	if world.anyWithheld() && !world.seenKeys["flag/"+string(formats.PairPrice)] {
 		world.tempt("a member stopped while flags wait for an older one")
 	}
 	world.kill(machine)
@@ -562,13 +562,13 @@
 
 // courierJoins adds a courier, of the older release at times.
 func courierJoins(world *World) {
-	if len(world.nodes(roster.Courier)) > world.deployment.Couriers+2 {
+	if len(world.nodes(membership.Courier)) > world.deployment.Couriers+2 {
 		return
 	}
 	number := strconv.Itoa(len(world.machines) + 1)
-	added := world.addMachine(roster.Courier, "courier-"+number, "10.0.1."+number+":1", world.anyDistrict(), world.machines[0].seeds)
+	added := world.addMachine(membership.Courier, "courier-"+number, "10.0.1."+number+":1", world.anyDistrict(), world.machines[0].seeds)
 	if world.random.IntN(3) == 0 {
-		added.withheld = recipe.List{recipe.PairPrice}
+		added.withheld = formats.List{formats.PairPrice}
 	}
 	world.start(added)
 }
@@ -578,7 +578,7 @@
 	if !world.whole() {
 		return
 	}
-	old := world.anyNode(roster.Expediter)
+	old := world.anyNode(membership.Expediter)
 	var seeds []string
 	for _, other := range world.nodes("") {
 		if other != old && len(seeds) < 3 {
@@ -590,7 +590,7 @@
 	world.tempt("a core machine replaced")
 	world.powerOff(old.name)
 	old.gone = true
-	added := world.addMachine(roster.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, seeds)
+	added := world.addMachine(membership.Expediter, "expediter-"+number, "10.0.2."+number+":1", old.district, seeds)
 	world.start(added)
 }
 
@@ -599,9 +599,9 @@
 	for _, machine := range world.nodes("") {
 		var seeds []string
 		for range 2 {
-			seeds = append(seeds, world.anyNode(roster.Courier).address)
+			seeds = append(seeds, world.anyNode(membership.Courier).address)
 		}
-		seeds = append(seeds, world.anyNode(roster.Expediter).address)
+		seeds = append(seeds, world.anyNode(membership.Expediter).address)
 		machine.seeds = seeds
 		if machine.life == nil || machine.life.ended {
 			continue
--- a/internal/rehearsal/world/incident.go
+++ b/internal/rehearsal/world/incident.go
@@ -7,9 +7,9 @@
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Incident is what happened to a laid-out fleet, how long each answer to it took, and
@@ -106,7 +106,7 @@
 	})
 	record(Incident{Name: "a node restarted", Times: 2 * losses}, func(incident *Incident) {
 		for range incident.Times {
-			machine := world.anyNode(roster.Courier)
+			machine := world.anyNode(membership.Courier)
 			world.kill(machine)
 			world.run(world.now + 300*time.Millisecond)
 			began := world.now
@@ -117,14 +117,14 @@
 	})
 	record(Incident{Name: "a node's machine lost", Times: losses}, func(incident *Incident) {
 		for range incident.Times {
-			world.lose(incident, []*machine{world.anyNode(roster.Courier)}, 15*time.Second)
+			world.lose(incident, []*machine{world.anyNode(membership.Courier)}, 15*time.Second)
 		}
 	})
 	record(Incident{Name: "the primary's machine lost"}, func(incident *Incident) { world.lose(incident, []*machine{world.primary()}, lost) })
 	record(Incident{Name: "the backup's machine lost"}, func(incident *Incident) { world.lose(incident, []*machine{world.backup()}, lost) })
 	record(Incident{Name: "a rack of ten nodes and the backup lost"}, func(incident *Incident) {
 		gone := []*machine{world.backup()}
-		for _, machine := range world.nodes(roster.Courier) {
+		for _, machine := range world.nodes(membership.Courier) {
 			if machine.district == gone[0].district && len(gone) < 11 {
 				gone = append(gone, machine)
 			}
@@ -175,7 +175,7 @@
 
 // led tells whether an expediter leads.
 func (world *World) led() bool {
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		if machine.life != nil && !machine.life.ended && machine.control != nil {
 			if _, _, err := machine.control.Ruling(); err == nil {
 				return true
@@ -191,12 +191,12 @@
 	if machine := world.machineNamed(world.nameAt(charter.Backup.Address)); machine != nil {
 		return machine
 	}
-	return world.anyNode(roster.Expediter)
+	return world.anyNode(membership.Expediter)
 }
 
 // held tells whether every courier that runs has a hold.
 func (world *World) held() bool {
-	for _, machine := range world.nodes(roster.Courier) {
+	for _, machine := range world.nodes(membership.Courier) {
 		if machine.life != nil && !machine.life.ended && !machine.life.Now().Before(machine.courier.Core().HoldEnds()) {
 			return false
 		}
@@ -233,9 +233,9 @@
 // nowhere is a change that takes nothing away: it evacuates a zone that is not there,
 // or restores it.
 func (world *World) nowhere(name string, number int) hatch.Edit {
-	edit := hatch.Edit{Change: name + "-" + world.nonce(), Digest: name, Sound: true, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, name, "rehearsal") }}
+	edit := hatch.Edit{Change: name + "-" + world.nonce(), Digest: name, Sound: true, Apply: func(text []byte) ([]byte, error) { return config.Evacuate(text, name, "rehearsal") }}
 	if number%2 == 1 {
-		edit.Apply = func(text []byte) ([]byte, error) { return menu.Restore(text, name) }
+		edit.Apply = func(text []byte) ([]byte, error) { return config.Restore(text, name) }
 	}
 	return edit
 }
--- a/internal/rehearsal/world/layout.go
+++ b/internal/rehearsal/world/layout.go
@@ -4,8 +4,8 @@
 	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
 )
 
 // Layout is a fleet of several regions, whose control alone is rehearsed: servers are
@@ -80,15 +80,15 @@
 		seeds = append(seeds, "10.0.0."+strconv.Itoa(position+1)+":1")
 	}
 	for position := range layout.Expediters {
-		world.addMachine(roster.Expediter, "expediter-"+strconv.Itoa(position+1), "10.0.0."+strconv.Itoa(position+1)+":1", zones[position%len(zones)], seeds)
+		world.addMachine(membership.Expediter, "expediter-"+strconv.Itoa(position+1), "10.0.0."+strconv.Itoa(position+1)+":1", zones[position%len(zones)], seeds)
 	}
 	for position := range layout.Couriers {
 		address := "10.2." + strconv.Itoa(position/250) + "." + strconv.Itoa(position%250+1) + ":1"
-		world.addMachine(roster.Courier, "courier-"+strconv.Itoa(position+1), address, zones[position%len(zones)], seeds)
+		world.addMachine(membership.Courier, "courier-"+strconv.Itoa(position+1), address, zones[position%len(zones)], seeds)
 	}
 	for position := range layout.Servers {
 		name := "stove-" + strconv.Itoa(position+1)
-		world.platform.servers[name] = roster.Server{Name: name, Address: "10.3." + strconv.Itoa(position/250) + "." + strconv.Itoa(position%250+1) + ":1", District: zones[position%len(zones)]}
+		world.platform.servers[name] = membership.Server{Name: name, Address: "10.3." + strconv.Itoa(position/250) + "." + strconv.Itoa(position%250+1) + ":1", District: zones[position%len(zones)]}
 	}
 	return world
 }
@@ -114,10 +114,10 @@
 
 // listExpediters are the nodes that the expediters of a laid-out fleet are told of;
 // couriers are told of none.
-func (world *World) listExpediters() []roster.Node {
-	var nodes []roster.Node
+func (world *World) listExpediters() []membership.Node {
+	var nodes []membership.Node
 	for _, node := range world.listNodes() {
-		if node.Kind == roster.Expediter {
+		if node.Kind == membership.Expediter {
 			nodes = append(nodes, node)
 		}
 	}
--- a/internal/rehearsal/world/life.go
+++ b/internal/rehearsal/world/life.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // life is one process from its start to its end. It is the process's threads
@@ -195,7 +195,7 @@
 }
 
 // NewBell makes a bell.
-func (life *life) NewBell() rota.Bell { return &bell{life: life} }
+func (life *life) NewBell() lease.Bell { return &bell{life: life} }
 
 // bell is a bell under the world's clock.
 type bell struct {
--- a/internal/rehearsal/world/links.go
+++ b/internal/rehearsal/world/links.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // link is one direction between two machines.
@@ -66,7 +66,7 @@
 
 func (call *call) fail(detail string) {
 	call.caller.world.carry(call.to, call.from, call.caller, func() {
-		call.finish(nil, trouble.New(trouble.Unreachable, detail))
+		call.finish(nil, failure.New(failure.Unreachable, detail))
 	})
 }
 
@@ -95,7 +95,7 @@
 				return
 			}
 			// No circuit comes about.
-			world.after(dialPatience, here, func() { asked.finish(nil, trouble.New(trouble.Unreachable, "nobody listens")) })
+			world.after(dialPatience, here, func() { asked.finish(nil, failure.New(failure.Unreachable, "nobody listens")) })
 			return
 		}
 		forget := func() {}
@@ -120,7 +120,7 @@
 		world.after(time.Duration(world.random.IntN(2500))*time.Millisecond, nil, func() { arrive(false) })
 	}
 	if !asked.bell.Wait(patience, func() bool { return asked.over }) {
-		return nil, trouble.New(trouble.Unreachable, "no answer in time")
+		return nil, failure.New(failure.Unreachable, "no answer in time")
 	}
 	return asked.content, asked.err
 }
@@ -135,13 +135,13 @@
 	world.countSnapshot(path, body)
 	content, err := wire.life.ask(world.nameAt(address), patience, func(there *life) (any, error) {
 		if there.answer == nil {
-			return nil, trouble.New(trouble.Unreachable, "nobody listens yet")
+			return nil, failure.New(failure.Unreachable, "nobody listens yet")
 		}
 		answer, err := there.answer(path, body)
 		world.countTraffic(path, len(body)+len(answer))
 		if err != nil {
 			// A err crosses the wire as its kind and detail.
-			return nil, trouble.New(trouble.KindOf(err), trouble.DetailOf(err))
+			return nil, failure.New(failure.KindOf(err), failure.DetailOf(err))
 		}
 		return answer, nil
 	})
--- a/internal/rehearsal/world/operators.go
+++ b/internal/rehearsal/world/operators.go
@@ -5,12 +5,12 @@
 	"strings"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // operatorPatience is how long an operator waits for an answer.
@@ -19,26 +19,26 @@
 // atPrimary has an operator ask the expediters, one after another, until one
 // leads. Whoever asks is outside, with a whole link to each.
 func (world *World) atPrimary(serve func(control *hatch.Expediter) (any, error)) (any, error) {
-	var last error = trouble.New(trouble.NoPrimary, "no expediter runs")
+	var last error = failure.New(failure.NoPrimary, "no expediter runs")
 	for _, machine := range world.machines {
-		if machine.kind != roster.Expediter || machine.gone {
+		if machine.kind != membership.Expediter || machine.gone {
 			continue
 		}
 		content, err := world.outside.ask(machine.name, operatorPatience, func(*life) (any, error) {
 			if machine.control == nil {
-				return nil, trouble.New(trouble.NoPrimary, "the disk is being opened")
+				return nil, failure.New(failure.NoPrimary, "the disk is being opened")
 			}
 			return serve(machine.control)
 		})
 		if err == nil {
 			return content, nil
 		}
-		switch trouble.KindOf(err) {
-		case trouble.NoPrimary, trouble.NotPrimary:
+		switch failure.KindOf(err) {
+		case failure.NoPrimary, failure.NotPrimary:
 			last = err
 			continue
-		case trouble.Unreachable:
-			if trouble.DetailOf(err) == "nobody listens" {
+		case failure.Unreachable:
+			if failure.DetailOf(err) == "nobody listens" {
 				last = err
 				continue
 			}
@@ -49,7 +49,7 @@
 }
 
 type menuRead struct {
-	version larder.Version
+	version replication.Version
 	text    []byte
 }
 
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return menuRead{view.VersionOf(larder.MenuDrawer), state.Menu}, nil
+		return menuRead{view.VersionOf(replication.MenuDrawer), state.Menu}, nil
 	})
 	if err != nil {
 		return menuRead{}, false
@@ -79,7 +79,7 @@
 	switch {
 	case err == nil:
 		return "accepted"
-	case trouble.KindOf(err) == trouble.Unknown, trouble.KindOf(err) == trouble.Unreachable && trouble.DetailOf(err) != "nobody listens":
+	case failure.KindOf(err) == failure.Unknown, failure.KindOf(err) == failure.Unreachable && failure.DetailOf(err) != "nobody listens":
 		world.tempt("a change with an unknown outcome")
 		return "unknown"
 	}
@@ -119,7 +119,7 @@
 		patch = strings.Replace(patch, `"routes":{`, `"routes":{`+world.callRoutes(), 1)
 	}
 	outcome := world.edit(hatch.Edit{Change: "edition-" + strconv.Itoa(edition), Digest: patch, Expected: &read.version,
-		Apply: func(text []byte) ([]byte, error) { return menu.Merge(text, []byte(patch)) }})
+		Apply: func(text []byte) ([]byte, error) { return config.Merge(text, []byte(patch)) }})
 	kinds := map[string]rehearsal.EntryKind{"accepted": rehearsal.EditionAccepted, "refused": rehearsal.EditionRefused, "unknown": rehearsal.EditionUnknown}
 	world.Book.Note(rehearsal.Entry{Kind: kinds[outcome], Edition: edition})
 	return outcome == "accepted"
@@ -141,7 +141,7 @@
 		world.tempt("answers under way at an evacuation")
 	}
 	world.Book.Note(rehearsal.Entry{Kind: rehearsal.EvacuationAsked, District: district})
-	outcome := world.edit(hatch.Edit{Change: "evacuate-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return menu.Evacuate(text, district, "rehearsal") }})
+	outcome := world.edit(hatch.Edit{Change: "evacuate-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return config.Evacuate(text, district, "rehearsal") }})
 	world.say("evacuate %s: %s", district, outcome)
 	if outcome == "accepted" {
 		world.Book.Note(rehearsal.Entry{Kind: rehearsal.Evacuated, District: district})
@@ -149,7 +149,7 @@
 	world.outside.NewBell().Wait(length, never)
 	for range 40 {
 		world.Book.Note(rehearsal.Entry{Kind: rehearsal.RestoreAsked, District: district})
-		if world.edit(hatch.Edit{Change: "restore-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return menu.Restore(text, district) }}) == "accepted" {
+		if world.edit(hatch.Edit{Change: "restore-" + world.nonce(), Digest: district, Apply: func(text []byte) ([]byte, error) { return config.Restore(text, district) }}) == "accepted" {
 			return
 		}
 		world.outside.NewBell().Wait(700*time.Millisecond, never)
@@ -162,7 +162,7 @@
 	world.outside.Go(func() {
 		for world.now < until {
 			for _, machine := range world.machines {
-				if machine.kind == roster.Courier {
+				if machine.kind == membership.Courier {
 					world.lookAtEdition(machine)
 				}
 			}
--- a/internal/rehearsal/world/passing.go
+++ b/internal/rehearsal/world/passing.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 func endedHere(*pass.Inquiry, pass.Decision) {}
@@ -15,7 +15,7 @@
 type passing struct{ life *life }
 
 // Pass sends an inquiry on and gives the records of its reply to take.
-func (passing *passing) Pass(address string, passage hatch.Passage, body []byte, whenLeft func(act func()), take func(record recipe.Record) bool) bool {
+func (passing *passing) Pass(address string, passage hatch.Passage, body []byte, whenLeft func(act func()), take func(record formats.Record) bool) bool {
 	here, world := passing.life, passing.life.world
 	to := world.nameAt(address)
 	replies := newPipe(world, to, here.name, here)
@@ -39,10 +39,10 @@
 				whenLeft(func() { world.carry(here.name, to, target, act) })
 				here.atEnd(func() { world.carry(here.name, to, target, act) })
 			}
-		}, Send: func(record recipe.Record) error {
+		}, Send: func(record formats.Record) error {
 			world.tapRecord(record, "on a wire")
 			if first && (left || !replies.put(record)) {
-				return trouble.New(trouble.Unreachable, "the courier is gone")
+				return failure.New(failure.Unreachable, "the courier is gone")
 			}
 			return nil
 		}}
@@ -74,7 +74,7 @@
 		if !found {
 			return !refused
 		}
-		if !take(message.(recipe.Record)) {
+		if !take(message.(formats.Record)) {
 			left = true
 			return true
 		}
--- a/internal/rehearsal/world/platform.go
+++ b/internal/rehearsal/world/platform.go
@@ -6,22 +6,22 @@
 	"slices"
 	"time"
 
-	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // platform is what lists servers and nodes.
 type platform struct {
-	servers map[string]roster.Server
+	servers map[string]membership.Server
 	down    bool
 }
 
-func (platform *platform) listServers() []roster.Server {
-	servers := []roster.Server{}
+func (platform *platform) listServers() []membership.Server {
+	servers := []membership.Server{}
 	for _, name := range slices.Sorted(maps.Keys(platform.servers)) {
 		servers = append(servers, platform.servers[name])
 	}
@@ -37,13 +37,13 @@
 
 func (lists lists) reached() error {
 	if lists.world.platform.down || lists.world.link("platform", lists.life.name).cut {
-		return trouble.New(trouble.Unreachable, "the platform")
+		return failure.New(failure.Unreachable, "the platform")
 	}
 	return nil
 }
 
 // Servers reads the list of servers.
-func (lists lists) Servers() ([]roster.Server, error) {
+func (lists lists) Servers() ([]membership.Server, error) {
 	if !lists.world.isExpediter(lists.life.name) {
 		lists.world.listReads = append(lists.world.listReads, lists.world.now)
 	}
@@ -54,41 +54,41 @@
 }
 
 // Nodes reads the list of nodes.
-func (lists lists) Nodes() ([]roster.Node, error) {
+func (lists lists) Nodes() ([]membership.Node, error) {
 	if lists.world.ways.NoNodes {
-		return nil, trouble.New(trouble.NoSuch, "a list of nodes")
+		return nil, failure.New(failure.NoSuch, "a list of nodes")
 	}
 	if err := lists.reached(); err != nil {
 		return nil, err
 	}
 	if lists.world.layout != nil {
 		if !lists.world.isExpediter(lists.life.name) {
-			return nil, trouble.New(trouble.NoSuch, "a list of nodes")
+			return nil, failure.New(failure.NoSuch, "a list of nodes")
 		}
 		return lists.world.listExpediters(), nil
 	}
 	return lists.world.listNodes(), nil
 }
 
-func (lists lists) ask(server roster.Server, patience time.Duration) (pass.Load, error) {
+func (lists lists) ask(server membership.Server, patience time.Duration) (pass.Load, error) {
 	content, err := lists.life.askServer(server.Address, patience, func(top *rehearsal.Stovetop) (int, any) {
 		return http.StatusOK, top.Load()
 	})
 	if err != nil {
 		return pass.Load{}, err
 	}
-	return content.(stove.LoadReport).Load(), nil
+	return content.(modelserver.LoadReport).Load(), nil
 }
 
 // Pressure reads a server's load for the market of inquiries.
-func (lists lists) Pressure(server roster.Server, patience time.Duration) (pass.Load, error) {
+func (lists lists) Pressure(server membership.Server, patience time.Duration) (pass.Load, error) {
 	return lists.ask(server, patience)
 }
 
 // Report reads a server's load for all couriers.
-func (lists lists) Report(server roster.Server, patience time.Duration) (window.Load, error) {
+func (lists lists) Report(server membership.Server, patience time.Duration) (scheduler.Load, error) {
 	lists.world.reportReads++
 	load, err := lists.ask(server, patience)
-	return window.Load{Server: load.Server, Part: string(load.Part), Waiting: load.PrefillWaiting, Running: load.DecodeActive,
+	return scheduler.Load{Server: load.Server, Part: string(load.Part), Waiting: load.PrefillWaiting, Running: load.DecodeActive,
 		MemoryUsed: load.MemoryTotal - load.MemoryFree, MemoryTotal: load.MemoryTotal}, err
 }
--- a/internal/rehearsal/world/repair.go
+++ b/internal/rehearsal/world/repair.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Losses are what Repair brings about at the expediter out of the pair, and at
@@ -36,7 +36,7 @@
 	var out *machine
 	primary := world.primary()
 	charter := primary.control.Steward().Charter()
-	for _, machine := range world.nodes(roster.Expediter) {
+	for _, machine := range world.nodes(membership.Expediter) {
 		backup := machine.control.Keeper().Seat().Identity == charter.Backup.Identity
 		if machine != primary && backup == (loss == "the backup's wiped disk") {
 			out = machine
--- a/internal/rehearsal/world/stoves.go
+++ b/internal/rehearsal/world/stoves.go
@@ -5,10 +5,10 @@
 	"strconv"
 	"time"
 
-	"seamloom.example/seamloom/internal/adapters/stove"
+	"seamloom.example/seamloom/internal/adapters/modelserver"
+	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/pass"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/trouble"
 )
 
 // stoves are the circuits of one courier to the model servers.
@@ -148,7 +148,7 @@
 // Prefill has a server read a prompt.
 func (stoves *stoves) Prefill(decision pass.Decision, may func() bool) (pass.Outcome, string, string) {
 	inquiry := decision.Inquiry
-	order := stove.PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens}
+	order := modelserver.PrefillOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, PromptTokens: inquiry.PromptTokens, Prefix: inquiry.Prefix, PrefixTokens: inquiry.PrefixTokens}
 	begun := stoves.order(decision, may, func(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, _ func(any) bool) (int, any) {
 		return top.Prefill(circuit, order)
 	})
@@ -159,7 +159,7 @@
 	if !found {
 		return begun.lostOutcome(), "", "the circuit broke"
 	}
-	if answer, well := message.(ended).content.(stove.PrefillAnswer); well {
+	if answer, well := message.(ended).content.(modelserver.PrefillAnswer); well {
 		return pass.Done, answer.Handle, ""
 	}
 	outcome, detail := refusalOf(message.(ended))
@@ -169,11 +169,11 @@
 // Decode has a server answer.
 func (stoves *stoves) Decode(decision pass.Decision, may func() bool, take func(piece int, text string)) (pass.Outcome, int, string) {
 	inquiry := decision.Inquiry
-	order := stove.DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces}
+	order := modelserver.DecodeOrder{Inquiry: inquiry.ID, Order: decision.Token, Run: decision.Run, Handle: decision.Handle, Source: decision.SourceAddress, Pieces: inquiry.Pieces}
 	begun := stoves.order(decision, may, func(top *rehearsal.Stovetop, circuit *rehearsal.Circuit, send func(any) bool) (int, any) {
-		return top.Decode(circuit, order, func(line stove.StreamLine) error {
+		return top.Decode(circuit, order, func(line modelserver.StreamLine) error {
 			if !send(line) {
-				return trouble.New(trouble.Unreachable, "the courier is gone")
+				return failure.New(failure.Unreachable, "the courier is gone")
 			}
 			return nil
 		})
@@ -187,7 +187,7 @@
 			return begun.lostOutcome(), 0, "the stream broke off"
 		}
 		switch said := message.(type) {
-		case stove.StreamLine:
+		case modelserver.StreamLine:
 			if said.Done {
 				return pass.Done, said.Pieces, ""
 			}
@@ -206,9 +206,9 @@
 func (stoves *stoves) Command(decision pass.Decision, may func() bool) error {
 	stoves.dial()
 	if !may() {
-		return trouble.New(trouble.LimitPassed, "the command may not go any more")
+		return failure.New(failure.LimitPassed, "the command may not go any more")
 	}
-	order := stove.PartOrder{Part: string(decision.Part), Fence: decision.Duty.Fence, Holder: decision.Duty.Holder}
+	order := modelserver.PartOrder{Part: string(decision.Part), Fence: decision.Duty.Fence, Holder: decision.Duty.Holder}
 	if decision.Order != nil {
 		order.Cause = decision.Order.Cause
 	}
@@ -219,7 +219,7 @@
 // Cancel breaks a run's circuit and has the server stop it.
 func (stoves *stoves) Cancel(decision pass.Decision) {
 	stoves.EndRun(decision.ID, decision.Run)
-	order := stove.CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}
+	order := modelserver.CancelOrder{Inquiry: decision.ID, Order: decision.Token, Run: decision.Run}
 	stoves.life.Go(func() {
 		_, _ = stoves.life.askServer(decision.Address, time.Second, func(top *rehearsal.Stovetop) (int, any) {
 			top.Cancel(order)
@@ -243,15 +243,15 @@
 	return here.ask(to, patience, func(there *life) (any, error) {
 		server := world.servers[to]
 		if server == nil || server.life != there || there.address != address {
-			return nil, trouble.New(trouble.Unreachable, "another server is there")
+			return nil, failure.New(failure.Unreachable, "another server is there")
 		}
 		if server.top.Dark() {
 			rehearsal.NewCircuit(there).Pause(time.Minute)
-			return nil, trouble.New(trouble.Unreachable, "dark")
+			return nil, failure.New(failure.Unreachable, "dark")
 		}
 		status, content := serve(server.top)
 		if status != http.StatusOK {
-			return content, trouble.New(trouble.NotHolder, "status "+strconv.Itoa(status))
+			return content, failure.New(failure.NotHolder, "status "+strconv.Itoa(status))
 		}
 		return content, nil
 	})
--- a/internal/rehearsal/world/taps.go
+++ b/internal/rehearsal/world/taps.go
@@ -6,16 +6,16 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
-	"seamloom.example/seamloom/internal/recipe"
 	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // The taps read records as they are written, on wires and disks, and note each
 // key of their features that is new.
 
-func (world *World) tapRecord(record recipe.Record, where string) {
+func (world *World) tapRecord(record formats.Record, where string) {
 	for key := range record.Features {
 		name := string(record.Kind) + "/" + key + "/" + where
 		if world.seenKeys[name] {
@@ -30,7 +30,7 @@
 	if path != hatch.CrumbsPath {
 		return
 	}
-	var records []recipe.Record
+	var records []formats.Record
 	if msgpack.Unmarshal(body, &records) == nil {
 		for _, record := range records {
 			world.tapRecord(record, "on a wire")
@@ -40,11 +40,11 @@
 
 // tapFile reads what a version's file holds, framed as the pantry frames it.
 func (world *World) tapFile(name string, framed []byte) {
-	var batch larder.Batch
+	var batch replication.Batch
 	if !strings.HasPrefix(name, "larder/") || len(framed) < 8 || msgpack.Unmarshal(framed[8:], &batch) != nil {
 		return
 	}
-	state, err := larder.ReadState(batch.Drawers)
+	state, err := replication.ReadState(batch.Drawers)
 	if err != nil {
 		return
 	}
@@ -69,7 +69,7 @@
 // noteMember writes down what a member's release reads.
 func (world *World) noteMember(machine *machine) {
 	var flags []string
-	for _, flag := range recipe.Supported(machine.withheld) {
+	for _, flag := range formats.Supported(machine.withheld) {
 		flags = append(flags, string(flag))
 	}
 	world.Book.Note(rehearsal.Entry{Kind: rehearsal.MemberKnown, Holder: machine.name, Flags: flags})
--- a/internal/rehearsal/world/waydays_test.go
+++ b/internal/rehearsal/world/waydays_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/larder"
 	"seamloom.example/seamloom/internal/rehearsal"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // touch is a day's record of changes that were answered, and of couriers that did
@@ -16,7 +16,7 @@
 type touch struct {
 	world *World
 	// answered are the configurations' versions and when they were answered.
-	answered map[larder.Version]time.Duration
+	answered map[replication.Version]time.Duration
 	late     int
 }
 
@@ -34,7 +34,7 @@
 	}
 	for _, machine := range touch.world.machines {
 		if machine.control != nil && machine.life != nil && !machine.life.ended && machine.control.Steward().Holds() {
-			touch.answered[machine.control.Store().View().VersionOf(larder.MenuDrawer)] = touch.world.now
+			touch.answered[machine.control.Store().View().VersionOf(replication.MenuDrawer)] = touch.world.now
 		}
 	}
 }
@@ -43,7 +43,7 @@
 func (touch *touch) watch() {
 	world := touch.world
 	for {
-		var due larder.Version
+		var due replication.Version
 		for version, at := range touch.answered {
 			if world.now-at > applyTime && due.Before(version) {
 				due = version
@@ -53,7 +53,7 @@
 			if machine.courier == nil || machine.gone || machine.life.ended || machine.life.frozen || machine.life.Now().Sub(machine.courier.Heard()) > newsTime {
 				continue
 			}
-			if has := machine.courier.InForce(); has != (larder.Version{}) && has.Before(due) {
+			if has := machine.courier.InForce(); has != (replication.Version{}) && has.Before(due) {
 				touch.late++
 				world.say("%s is in touch and has %s, %s is due", machine.name, has, due)
 			}
@@ -79,7 +79,7 @@
 			}
 			fleet := New(deployment, seed)
 			fleet.SetWays(ways)
-			touching := &touch{world: fleet, answered: map[larder.Version]time.Duration{}}
+			touching := &touch{world: fleet, answered: map[replication.Version]time.Duration{}}
 			fleet.Log = touching.take
 			fleet.outside.Go(touching.watch)
 			result := fleet.Run(DefaultDay())
--- a/internal/rehearsal/world/ways.go
+++ b/internal/rehearsal/world/ways.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Ways are the settings of a fleet on a platform that asks for others than the
@@ -28,7 +28,7 @@
 func (deaf) SetServing(time.Time) {}
 
 // SetServers is not minded.
-func (deaf) SetServers(time.Time, []roster.Server) {}
+func (deaf) SetServers(time.Time, []membership.Server) {}
 
 // PlatformWays are those of the users' platform.
 //
--- a/internal/rehearsal/world/ways_test.go
+++ b/internal/rehearsal/world/ways_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/larder"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/replication"
 )
 
 // begun is a fleet whose nodes all run, with a core and holds.
@@ -41,12 +41,12 @@
 	}
 }
 
-func (world *World) newest() larder.Version {
+func (world *World) newest() replication.Version {
 	_, view, err := world.primary().control.Ruling()
 	if err != nil {
-		return larder.Version{}
+		return replication.Version{}
 	}
-	return view.VersionOf(larder.MenuDrawer)
+	return view.VersionOf(replication.MenuDrawer)
 }
 
 // TestAcknowledgementOfAChange cuts a courier off and makes a change. In the
@@ -61,7 +61,7 @@
 		fleet.run(fleet.now + 700*time.Millisecond)
 		took := fleet.changed(fleet.now, fleet.nowhere("nowhere", 0))
 		version := fleet.newest()
-		for _, machine := range fleet.nodes(roster.Courier) {
+		for _, machine := range fleet.nodes(membership.Courier) {
 			if machine != alone && machine.courier.InForce() != version {
 				t.Errorf("%s: %s has %s, and %s was acknowledged", name, machine.name, machine.courier.InForce(), version)
 			}
@@ -113,7 +113,7 @@
 		fleet.outside.Go(func() { fleet.start(machine) })
 	}
 	fleet.run(30 * time.Second)
-	for _, machine := range fleet.nodes(roster.Expediter) {
+	for _, machine := range fleet.nodes(membership.Expediter) {
 		if !machine.control.Keeper().Charter().Blank() {
 			t.Errorf("%s has the charter %+v", machine.name, machine.control.Keeper().Charter())
 		}
@@ -133,7 +133,7 @@
 		fleet.powerOff(gone)
 		leaving.gone = true
 		address := "10.0.9." + string(rune('1'+number)) + ":1"
-		joined := fleet.addMachine(roster.Expediter, "newcomer-"+string(rune('1'+number)), address, leaving.district, seeds)
+		joined := fleet.addMachine(membership.Expediter, "newcomer-"+string(rune('1'+number)), address, leaving.district, seeds)
 		fleet.start(joined)
 		took := fleet.since(fleet.now, func() bool {
 			if joined.control == nil || !fleet.led() {
@@ -172,7 +172,7 @@
 // nobody can read it, nothing is forgotten.
 func TestCouriersReadTheListThemselves(t *testing.T) {
 	fleet := begun(t, 7, PlatformWays())
-	if reads := len(fleet.listReads); reads > 2*len(fleet.nodes(roster.Courier)) {
+	if reads := len(fleet.listReads); reads > 2*len(fleet.nodes(membership.Courier)) {
 		t.Errorf("couriers read the list %d times before the fleet was calm", reads)
 	}
 	before := len(fleet.listReads)
@@ -180,7 +180,7 @@
 	if reads := len(fleet.listReads) - before; reads > 0 {
 		t.Errorf("couriers read the list %d times though they have news of it", reads)
 	}
-	for _, machine := range fleet.nodes(roster.Expediter) {
+	for _, machine := range fleet.nodes(membership.Expediter) {
 		fleet.link("platform", machine.name).cut = true
 	}
 	name := fleet.plans[0].Name
@@ -196,7 +196,7 @@
 		return false
 	}
 	all := func() bool {
-		for _, machine := range fleet.nodes(roster.Courier) {
+		for _, machine := range fleet.nodes(membership.Courier) {
 			if !knows(machine) {
 				return false
 			}
@@ -210,7 +210,7 @@
 	t.Logf("the leaving server was known everywhere after %s", took)
 	before = len(fleet.listReads)
 	fleet.run(fleet.now + 10*time.Second)
-	if reads, most := len(fleet.listReads)-before, 11*len(fleet.nodes(roster.Courier)); reads > most {
+	if reads, most := len(fleet.listReads)-before, 11*len(fleet.nodes(membership.Courier)); reads > most {
 		t.Errorf("couriers read the list %d times in ten seconds", reads)
 	}
 	// The reads are spread: in no tenth of a second do all read.
@@ -219,13 +219,13 @@
 		count[at/(100*time.Millisecond)]++
 		busiest = max(busiest, count[at/(100*time.Millisecond)])
 	}
-	if busiest >= len(fleet.nodes(roster.Courier)) {
+	if busiest >= len(fleet.nodes(membership.Courier)) {
 		t.Errorf("%d couriers read within a tenth of a second", busiest)
 	}
 	// The expediters come back with an older word, and then nobody reads at all.
 	leaving.Leaving = false
 	fleet.platform.servers[name] = leaving
-	for _, machine := range fleet.nodes(roster.Expediter) {
+	for _, machine := range fleet.nodes(membership.Expediter) {
 		fleet.link("platform", machine.name).cut = false
 	}
 	fleet.run(fleet.now + 5*time.Second)
@@ -284,12 +284,12 @@
 			began, primary := fleet.now, fleet.primary()
 			lose(fleet, primary)
 			heard := map[string]time.Time{}
-			for _, machine := range fleet.nodes(roster.Courier) {
+			for _, machine := range fleet.nodes(membership.Courier) {
 				heard[machine.name] = machine.courier.Heard()
 			}
 			change := fleet.changedWhereLed(began, fleet.nowhere("nowhere", 0))
 			news := fleet.since(began, func() bool {
-				for _, machine := range fleet.nodes(roster.Courier) {
+				for _, machine := range fleet.nodes(membership.Courier) {
 					if !machine.courier.Heard().After(heard[machine.name].Add(700 * time.Millisecond)) {
 						return false
 					}
@@ -314,7 +314,7 @@
 	over := false
 	world.outside.Go(func() {
 		for ends := world.now + incidentPatience; world.now < ends && !over; world.wait(20, 20) {
-			for _, machine := range world.nodes(roster.Expediter) {
+			for _, machine := range world.nodes(membership.Expediter) {
 				if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
 					continue
 				}
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -13,12 +13,12 @@
 
 	"github.com/google/uuid"
 
-	"seamloom.example/seamloom/internal/adapters/pantry"
+	"seamloom.example/seamloom/internal/adapters/storage"
+	"seamloom.example/seamloom/internal/formats"
 	"seamloom.example/seamloom/internal/hatch"
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/rehearsal"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 
 	"seamloom.example/seamloom"
 )
@@ -76,11 +76,11 @@
 // that its next process reads.
 type machine struct {
 	name     string
-	kind     roster.NodeKind
+	kind     membership.NodeKind
 	address  string
 	district string
 	seeds    []string
-	withheld recipe.List
+	withheld formats.List
 	disk     *disk
 	drift    float64
 	off      bool
@@ -106,7 +106,7 @@
 		servers: map[string]*server{}, links: map[[2]string]*link{}, temptations: map[string]int{}, seenKeys: map[string]bool{}, claiming: map[string]int{}, evacuating: map[string]bool{},
 		calls: &CallTally{}, trace: sha256.New(), traffic: map[string]Traffic{}, Log: func(string) {}}
 	world.Book = &rehearsal.Book{Clock: func() time.Time { return epoch.Add(world.now) }}
-	world.platform.servers = map[string]roster.Server{}
+	world.platform.servers = map[string]membership.Server{}
 	world.outside = world.newLife("outside", "outside", 0)
 	for position := range deployment.Servers {
 		district := deployment.Districts[position%len(deployment.Districts)]
@@ -120,17 +120,17 @@
 		district := deployment.Districts[position%len(deployment.Districts)]
 		address := "10.0.0." + strconv.Itoa(position+1) + ":1"
 		if position < 3 {
-			world.addMachine(roster.Expediter, "expediter-"+strconv.Itoa(position+1), address, district, seeds)
+			world.addMachine(membership.Expediter, "expediter-"+strconv.Itoa(position+1), address, district, seeds)
 		} else {
-			world.addMachine(roster.Courier, "courier-"+strconv.Itoa(position-2), address, district, seeds)
+			world.addMachine(membership.Courier, "courier-"+strconv.Itoa(position-2), address, district, seeds)
 		}
 	}
 	return world
 }
 
-func (world *World) addMachine(kind roster.NodeKind, name, address, district string, seeds []string) *machine {
+func (world *World) addMachine(kind membership.NodeKind, name, address, district string, seeds []string) *machine {
 	added := &machine{name: name, kind: kind, address: address, district: district, seeds: seeds, drift: (world.random.Float64() - 0.5) / 25}
-	if kind == roster.Expediter {
+	if kind == membership.Expediter {
 		added.disk = newDisk(world)
 	}
 	world.machines = append(world.machines, added)
@@ -213,7 +213,7 @@
 	world.byAddress[address] = plan.Name
 	world.servers[plan.Name] = &server{plan: plan, life: begun, top: rehearsal.NewStovetop(plan, world.Book, begun, world.nonce, world.fetchFrom(begun)),
 		calls: &callServer{world: world, name: plan.Name, handles: map[string]*callMemory{}}}
-	world.platform.servers[plan.Name] = roster.Server{Name: plan.Name, Address: address, District: plan.District}
+	world.platform.servers[plan.Name] = membership.Server{Name: plan.Name, Address: address, District: plan.District}
 }
 
 func (world *World) crashServer(name string) {
@@ -232,14 +232,14 @@
 	machine.starts++
 	begun := world.newLife(machine.name, machine.address, machine.drift)
 	machine.life, machine.courier, machine.control = begun, nil, nil
-	supported := recipe.Supported(machine.withheld)
+	supported := formats.Supported(machine.withheld)
 	world.say("%s starts, %d flags", machine.name, len(supported))
 	if len(machine.withheld) == 0 {
 		// From here on it reads the new formats.
 		world.noteMember(machine)
 	}
 	observe := func(event string, detail ...any) { world.say("%s %s %v", machine.name, event, detail) }
-	if machine.kind == roster.Expediter {
+	if machine.kind == membership.Expediter {
 		begun.Go(func() { world.runExpediter(machine, begun, supported, observe) })
 		return
 	}
@@ -248,7 +248,7 @@
 		Seeds: machine.seeds, Nonce: world.nonce, Ended: endedHere, Directory: lists{world, begun}}
 	options.ServeWithoutHold = world.ways.ServeWithoutHold
 	if world.ways.Calls {
-		options.Board = func(*window.Window) hatch.Board { return deaf{} }
+		options.Board = func(*scheduler.Window) hatch.Board { return deaf{} }
 	}
 	if world.layout == nil {
 		options.Pressures = lists{world, begun}
@@ -265,10 +265,10 @@
 	}
 }
 
-func (world *World) runExpediter(machine *machine, begun *life, supported recipe.List, observe func(string, ...any)) {
+func (world *World) runExpediter(machine *machine, begun *life, supported formats.List, observe func(string, ...any)) {
 	machine.disk.owner = begun
-	keeping, _ := pantry.OpenFolder(machine.disk, "keeper")
-	copies, _ := pantry.OpenFolder(machine.disk, "larder")
+	keeping, _ := storage.OpenFolder(machine.disk, "keeper")
+	copies, _ := storage.OpenFolder(machine.disk, "larder")
 	options := hatch.ExpediterOptions{Name: machine.name, Address: machine.address, District: machine.district, Seeds: machine.seeds, Supported: supported,
 		FlagSettle: 2 * time.Second, BorneLosses: world.borneLosses(), Fresh: newIdentity(world, machine), Directory: lists{world, begun}, Reports: lists{world, begun}}
 	options.AcknowledgeWait, options.RetireAfter = world.ways.AcknowledgeWait, world.ways.RetireAfter
@@ -326,11 +326,11 @@
 	}
 }
 
-func (world *World) listNodes() []roster.Node {
-	var nodes []roster.Node
+func (world *World) listNodes() []membership.Node {
+	var nodes []membership.Node
 	for _, machine := range world.machines {
 		if !machine.gone {
-			nodes = append(nodes, roster.Node{Name: machine.name, Kind: machine.kind, Address: machine.address, District: machine.district})
+			nodes = append(nodes, membership.Node{Name: machine.name, Kind: machine.kind, Address: machine.address, District: machine.district})
 		}
 	}
 	return nodes
--- a/internal/larder/acquaintance.go
+++ b/internal/replication/acquaintance.go
@@ -1,10 +1,10 @@
-package larder
+package replication
 
 import (
 	"sort"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Own is the hello that this expediter says.
@@ -164,7 +164,7 @@
 	if found == nil || steward.turns.Now().Sub(found.lastSeen) > applicantFresh {
 		return Seat{}, false
 	}
-	return found.hello.Seat, found.hello.Blank && found.hello.Kind == roster.Expediter
+	return found.hello.Seat, found.hello.Blank && found.hello.Kind == membership.Expediter
 }
 
 func (steward *Steward) alive(identity Identity, fresh time.Duration) (Hello, bool) {
--- a/internal/larder/ballot.go
+++ b/internal/replication/ballot.go
@@ -1,6 +1,6 @@
-package larder
+package replication
 
-import "seamloom.example/seamloom/internal/trouble"
+import "seamloom.example/seamloom/internal/failure"
 
 // ballot is one candidate's try at the next charter, as far as it has got: promises of an
 // epoch by a majority of the witnesses, by which the newest charter is found, then the
@@ -59,11 +59,11 @@
 // propose makes the next charter from the newest one, if that allows it.
 func (ballot *ballot) propose(make func(base Charter) (Charter, bool)) error {
 	if !ballot.hasPromises() {
-		return trouble.New(trouble.NoPrimary, "no quorum of the newest keepers promised the epoch")
+		return failure.New(failure.NoPrimary, "no quorum of the newest keepers promised the epoch")
 	}
 	next, may := make(ballot.base)
 	if !may {
-		return trouble.New(trouble.Deposed, "the newest charter does not allow it")
+		return failure.New(failure.Deposed, "the newest charter does not allow it")
 	}
 	next.Epoch = ballot.epoch
 	ballot.next = next
--- a/internal/larder/batch.go
+++ b/internal/replication/batch.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Batch is one version on its way to disk and backup: the drawers it changes
 // and those it takes away. Places is filled in by the copy that keeps it: the
--- a/internal/larder/changes.go
+++ b/internal/replication/changes.go
@@ -1,13 +1,13 @@
-package larder
+package replication
 
 import (
 	"bytes"
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Change alters the state in its turn, one after another, as the version that
@@ -22,8 +22,8 @@
 //
 // Example:
 //
-//	prepared := larder.PrepareMenu(menuVersion, text, edit, false)
-//	store.Submit(larder.ChangeMenu("change-1", digest, &expected, prepared, edit), done)
+//	prepared := replication.PrepareMenu(menuVersion, text, edit, false)
+//	store.Submit(replication.ChangeMenu("change-1", digest, &expected, prepared, edit), done)
 func ChangeMenu(id, digest string, expected *Version, prepared PreparedMenu, edit func(text []byte) ([]byte, error)) Change {
 	return func(state *State, version, menuVersion Version) error {
 		for _, note := range state.Changes {
@@ -35,14 +35,14 @@
 				// accepted, and saying anything else would be wrong.
 				return nil
 			}
-			return trouble.New(trouble.Duplicate, "another change with the id "+id+" was accepted as version "+note.Version.String())
+			return failure.New(failure.Duplicate, "another change with the id "+id+" was accepted as version "+note.Version.String())
 		}
 		if expected != nil && *expected != menuVersion {
-			return trouble.New(trouble.VersionConflict, menuVersion.String())
+			return failure.New(failure.VersionConflict, menuVersion.String())
 		}
 		if !prepared.made || prepared.base != menuVersion {
 			if prepared.made && len(state.Menu) >= LargeMenu {
-				return trouble.New(trouble.Moved, menuVersion.String())
+				return failure.New(failure.Moved, menuVersion.String())
 			}
 			prepared = PrepareMenu(menuVersion, state.Menu, edit, false)
 		}
@@ -54,7 +54,7 @@
 			return nil
 		}
 		if id != "" && len(state.Changes) >= MostChangeNotes {
-			return trouble.New(trouble.Busy, "too many changes were accepted lately; ask again")
+			return failure.New(failure.Busy, "too many changes were accepted lately; ask again")
 		}
 		state.Menu = prepared.text
 		state.Touch(MenuDrawer)
@@ -70,8 +70,8 @@
 //
 // Example:
 //
-//	store.Submit(larder.Register(member), done)
-func Register(member roster.Member) Change {
+//	store.Submit(replication.Register(member), done)
+func Register(member membership.Member) Change {
 	return func(state *State, _, _ Version) error {
 		if recorded, found := state.Members[member.Name]; found && recorded.Same(member) {
 			return nil
@@ -86,11 +86,11 @@
 //
 // Example:
 //
-//	store.Submit(larder.Retire("courier-9"), done)
+//	store.Submit(replication.Retire("courier-9"), done)
 func Retire(name string) Change {
 	return func(state *State, _, _ Version) error {
 		if _, found := state.Members[name]; !found {
-			return trouble.New(trouble.NoSuch, "no member "+name)
+			return failure.New(failure.NoSuch, "no member "+name)
 		}
 		delete(state.Members, name)
 		state.Touch(MembersDrawer)
@@ -103,8 +103,8 @@
 //
 // Example:
 //
-//	store.Submit(larder.EnableFlags(supported), done)
-func EnableFlags(supported recipe.List) Change {
+//	store.Submit(replication.EnableFlags(supported), done)
+func EnableFlags(supported formats.List) Change {
 	return func(state *State, _, _ Version) error {
 		enabled := state.Flags.Enabled
 		for _, flag := range supported {
@@ -124,8 +124,8 @@
 //
 // Example:
 //
-//	blockers := state.Lacking(recipe.PairPrice)
-func (state *State) Lacking(flag recipe.Flag) []string {
+//	blockers := state.Lacking(formats.PairPrice)
+func (state *State) Lacking(flag formats.Flag) []string {
 	var lacking []string
 	for name, member := range state.Members {
 		if !member.Supported.Has(flag) {
@@ -140,8 +140,8 @@
 //
 // Example:
 //
-//	store.Submit(larder.GrantDuties(grants, recorded), done)
-func GrantDuties(grants []rota.Duty, seen map[string]rota.Duty) Change {
+//	store.Submit(replication.GrantDuties(grants, recorded), done)
+func GrantDuties(grants []lease.Duty, seen map[string]lease.Duty) Change {
 	return func(state *State, _, _ Version) error {
 		for _, grant := range grants {
 			if state.Rota.Duties[grant.Key] != seen[grant.Key] {
@@ -165,11 +165,11 @@
 //
 // Example:
 //
-//	store.Submit(larder.ForgetServers([]string{"stove-9"}, recorded), done)
-func ForgetServers(names []string, seen map[string]rota.Duty) Change {
+//	store.Submit(replication.ForgetServers([]string{"stove-9"}, recorded), done)
+func ForgetServers(names []string, seen map[string]lease.Duty) Change {
 	return func(state *State, _, _ Version) error {
 		for _, name := range names {
-			key := rota.ServerKey(name)
+			key := lease.ServerKey(name)
 			duty, found := state.Rota.Duties[key]
 			if found && duty != seen[key] {
 				continue
@@ -192,18 +192,18 @@
 //
 // Example:
 //
-//	store.Submit(larder.GiveOrders(duty, orders, supported), done)
-func GiveOrders(duty rota.Duty, orders []recipe.Order, supported recipe.List) Change {
+//	store.Submit(replication.GiveOrders(duty, orders, supported), done)
+func GiveOrders(duty lease.Duty, orders []formats.Order, supported formats.List) Change {
 	return func(state *State, _, _ Version) error {
-		if state.Rota.Duties[rota.PartsKey] != duty {
-			return trouble.New(trouble.NotHolder, "the duty "+rota.PartsKey+" has changed hands")
+		if state.Rota.Duties[lease.PartsKey] != duty {
+			return failure.New(failure.NotHolder, "the duty "+lease.PartsKey+" has changed hands")
 		}
 		enabled := state.Flags.Enabled
 		if len(supported.Lacks(enabled)) > 0 {
-			return trouble.New(trouble.Restricted, "this node may not write orders")
+			return failure.New(failure.Restricted, "this node may not write orders")
 		}
 		for _, order := range orders {
-			record, err := recipe.WriteOrder(order, duty.Holder, state.Orders.Number+1, enabled)
+			record, err := formats.WriteOrder(order, duty.Holder, state.Orders.Number+1, enabled)
 			if err != nil {
 				return err
 			}
@@ -225,35 +225,35 @@
 //
 // Example:
 //
-//	store.Submit(larder.Claim(made, entry), done)
-func Claim(made time.Time, entry recipe.Entry) Change {
+//	store.Submit(replication.Claim(made, entry), done)
+func Claim(made time.Time, entry formats.Entry) Change {
 	return func(state *State, _, _ Version) error {
 		if state.Horizon.IsZero() {
-			return trouble.New(trouble.NoPrimary, "the larder was formed a moment ago; ask again")
+			return failure.New(failure.NoPrimary, "the larder was formed a moment ago; ask again")
 		}
 		if made.Before(state.Horizon) {
-			return trouble.New(trouble.TooOld, "inquiries that may not be repeated are remembered from "+state.Horizon.UTC().Format(time.RFC3339))
+			return failure.New(failure.TooOld, "inquiries that may not be repeated are remembered from "+state.Horizon.UTC().Format(time.RFC3339))
 		}
 		if made.After(state.Horizon.Add(Retention + time.Hour)) {
-			return trouble.New(trouble.TooNew, "the inquiry's id is from the future")
+			return failure.New(failure.TooNew, "the inquiry's id is from the future")
 		}
 		drawer := claimsDrawer(made)
 		if record, found := state.Claims[drawer][entry.Inquiry]; found {
-			earlier, err := recipe.ReadEntry(record)
+			earlier, err := formats.ReadEntry(record)
 			if err != nil {
 				return err
 			}
 			if earlier.Courier == entry.Courier && earlier.Cause == entry.Cause {
 				return nil
 			}
-			return trouble.New(trouble.Duplicate, "taken by "+earlier.Courier+" at "+earlier.At.UTC().Format(time.RFC3339Nano))
+			return failure.New(failure.Duplicate, "taken by "+earlier.Courier+" at "+earlier.At.UTC().Format(time.RFC3339Nano))
 		}
-		record, err := recipe.WriteEntry(recipe.RecoverRecord, entry)
+		record, err := formats.WriteEntry(formats.RecoverRecord, entry)
 		if err != nil {
 			return err
 		}
 		if state.Claims[drawer] == nil {
-			state.Claims[drawer] = map[string]recipe.Record{}
+			state.Claims[drawer] = map[string]formats.Record{}
 		}
 		state.Claims[drawer][entry.Inquiry] = record
 		state.Touch(drawer)
@@ -267,7 +267,7 @@
 //
 // Example:
 //
-//	store.Submit(larder.MoveHorizon(wallClock, 2*elapsed), done)
+//	store.Submit(replication.MoveHorizon(wallClock, 2*elapsed), done)
 func MoveHorizon(wall time.Time, step time.Duration) Change {
 	return func(state *State, _, _ Version) error {
 		goal := wall.Add(-Retention)
--- a/internal/larder/changes_test.go
+++ b/internal/replication/changes_test.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 
 	"pgregory.net/rapid"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // order is one operator's change: what it builds on, and a word that tells it from others.
@@ -22,7 +22,7 @@
 }
 
 func (order order) apply(text []byte) ([]byte, error) {
-	return menu.Revise(text, order.builds, func([]byte) ([]byte, error) {
+	return config.Revise(text, order.builds, func([]byte) ([]byte, error) {
 		return fmt.Appendf(nil, `{"revision":%d,"annotations":{"word":%d}}`, order.gives, order.word), nil
 	})
 }
@@ -147,7 +147,7 @@
 		model.state.Changes = append(model.state.Changes, note)
 	}
 	next := order{builds: 1, gives: 2}
-	if err := model.submit(next); trouble.KindOf(err) != trouble.Busy {
+	if err := model.submit(next); failure.KindOf(err) != failure.Busy {
 		t.Errorf("beyond the bound: %v", err)
 	}
 	if err := model.submit(first); err != nil {
--- a/internal/larder/charter.go
+++ b/internal/replication/charter.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Charter is what the epoch keepers keep: who is primary and who is in sync
 // with it, and who the keepers are. While a keeper is exchanged, Incoming is
@@ -57,7 +57,7 @@
 //
 // Example:
 //
-//	next := charter.With(own, []larder.Seat{first, second})
+//	next := charter.With(own, []replication.Seat{first, second})
 func (charter Charter) With(primary Seat, backups []Seat) Charter {
 	charter.Primary, charter.Backup, charter.Further = primary, Seat{}, nil
 	if len(backups) > 0 {
@@ -97,7 +97,7 @@
 //
 // Example:
 //
-//	won := charter.Quorum(map[larder.Identity]bool{"a": true, "b": true})
+//	won := charter.Quorum(map[replication.Identity]bool{"a": true, "b": true})
 func (charter Charter) Quorum(granted map[Identity]bool) bool {
 	return majority(charter.Keepers, granted) && (len(charter.Incoming) == 0 || majority(charter.Incoming, granted))
 }
--- a/internal/larder/copy.go
+++ b/internal/replication/copy.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Copy is one disk's copy of the larder: a file for each version, holding the
@@ -29,7 +29,7 @@
 //
 // Example:
 //
-//	copied, failure := larder.OpenCopy(shelf)
+//	copied, failure := replication.OpenCopy(shelf)
 func OpenCopy(shelf Shelf) (*Copy, error) {
 	files, damaged, err := shelf.Load()
 	if err != nil {
@@ -75,7 +75,7 @@
 //
 // Example:
 //
-//	copied.Guard(rota.NewLock(turns))
+//	copied.Guard(lease.NewLock(turns))
 func (copied *Copy) Guard(lock sync.Locker) { copied.mutex = lock }
 
 // Damage says what is wrong with the copy, or nothing.
@@ -125,13 +125,13 @@
 	copied.mutex.Lock()
 	defer copied.mutex.Unlock()
 	if copied.damage != "" {
-		return trouble.New(trouble.Damaged, copied.damage)
+		return failure.New(failure.Damaged, copied.damage)
 	}
 	if batch.Version == copied.version {
 		return nil
 	}
 	if batch.Base != copied.version || !copied.version.Before(batch.Version) {
-		return trouble.New(trouble.Behind, fmt.Sprintf("the copy is at %s, the batch follows %s", copied.version, batch.Base))
+		return failure.New(failure.Behind, fmt.Sprintf("the copy is at %s, the batch follows %s", copied.version, batch.Base))
 	}
 	return copied.keep(batch)
 }
@@ -171,7 +171,7 @@
 	older := copied.version.Before(snapshot.Version)
 	copied.mutex.Unlock()
 	if !older {
-		return trouble.New(trouble.Behind, "the copy is as new as the snapshot")
+		return failure.New(failure.Behind, "the copy is as new as the snapshot")
 	}
 	return copied.Rewrite(snapshot)
 }
@@ -222,7 +222,7 @@
 	batch.Places = places
 	encoded, err := msgpack.Marshal(batch)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	file := fileName(batch.Version)
 	if err := copied.shelf.Save(file, encoded); err != nil {
--- a/internal/larder/drawer.go
+++ b/internal/replication/drawer.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Drawer is one named part of the larder's content, at the version that wrote
 // it last.
--- /dev/null
+++ b/internal/replication/hello.go
@@ -0,0 +1,24 @@
+package replication
+
+import (
+	"time"
+
+	"seamloom.example/seamloom/internal/membership"
+)
+
+// Hello is what expediters tell each other of themselves.
+type Hello struct {
+	Seat       Seat                `msgpack:"seat"`
+	Kind       membership.NodeKind `msgpack:"kind"`
+	Blank      bool                `msgpack:"blank"`
+	Restricted bool                `msgpack:"restricted"`
+	Charter    Charter             `msgpack:"charter"`
+	Leads      bool                `msgpack:"leads"`
+	HoldLeft   time.Duration       `msgpack:"hold_left"`
+	// Holder is whom the keeper holds still for.
+	Holder  Identity `msgpack:"holder,omitempty"`
+	Version Version  `msgpack:"version"`
+	Damage  string   `msgpack:"damage,omitempty"`
+	// Leaving tells that the process is about to end and hands over what it has.
+	Leaving bool `msgpack:"leaving,omitempty"`
+}
--- a/internal/larder/keeper.go
+++ b/internal/replication/keeper.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // PrimaryHold is how long a keeper holds still at most for the primary it confirmed.
@@ -41,7 +41,7 @@
 //
 // Example:
 //
-//	keeper, blank, failure := larder.OpenKeeper(now, shelf, seat, fresh)
+//	keeper, blank, failure := replication.OpenKeeper(now, shelf, seat, fresh)
 func OpenKeeper(now time.Time, shelf Shelf, seat Seat, fresh Identity) (*Keeper, bool, error) {
 	files, damaged, err := shelf.Load()
 	if err != nil {
@@ -75,7 +75,7 @@
 //
 // Example:
 //
-//	keeper.Guard(rota.NewLock(turns))
+//	keeper.Guard(lease.NewLock(turns))
 func (keeper *Keeper) Guard(lock sync.Locker) { keeper.mutex = lock }
 
 // SetLease chooses how long the keeper holds still for a primary, no longer than
@@ -153,11 +153,11 @@
 	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
 	switch {
 	case keeper.note.Charter.Blank():
-		promise.Refusal = trouble.NotAdmitted
+		promise.Refusal = failure.NotAdmitted
 	case epoch <= keeper.note.Promised:
-		promise.Refusal = trouble.OldEpoch
+		promise.Refusal = failure.OldEpoch
 	case now.Before(keeper.holdEnds) && keeper.holder != candidate:
-		promise.Refusal = trouble.HoldActive
+		promise.Refusal = failure.HoldActive
 	default:
 		note := keeper.note
 		note.Promised = epoch
@@ -182,11 +182,11 @@
 	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
 	switch {
 	case charter.Epoch < keeper.note.Promised || charter.Epoch < keeper.note.Charter.Epoch:
-		promise.Refusal = trouble.OldEpoch
+		promise.Refusal = failure.OldEpoch
 	case keeper.note.Charter.Blank() && !charter.Keeps(keeper.self.Identity):
-		promise.Refusal = trouble.NotAdmitted
+		promise.Refusal = failure.NotAdmitted
 	case charter.Epoch == keeper.note.Charter.Epoch && charter.Primary.Identity != keeper.note.Charter.Primary.Identity:
-		promise.Refusal = trouble.OldEpoch
+		promise.Refusal = failure.OldEpoch
 	default:
 		note := keeper.note
 		note.Promised = charter.Epoch
@@ -218,15 +218,15 @@
 	defer keeper.mutex.Unlock()
 	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
 	if keeper.note.Charter.Blank() {
-		promise.Refusal = trouble.NotAdmitted
+		promise.Refusal = failure.NotAdmitted
 		return promise
 	}
 	if epoch < keeper.note.Promised || epoch < keeper.note.Charter.Epoch {
-		promise.Refusal = trouble.OldEpoch
+		promise.Refusal = failure.OldEpoch
 		return promise
 	}
 	if epoch > keeper.note.Charter.Epoch {
-		promise.Refusal = trouble.Behind
+		promise.Refusal = failure.Behind
 		return promise
 	}
 	keeper.holder = primary
@@ -248,10 +248,10 @@
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	if epoch <= keeper.note.Promised {
-		return trouble.New(trouble.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
 	}
 	if now.Before(keeper.holdEnds) && keeper.holder != candidate {
-		return trouble.New(trouble.HoldActive, "another primary's hold runs")
+		return failure.New(failure.HoldActive, "another primary's hold runs")
 	}
 	note := keeper.note
 	note.Promised = epoch
@@ -287,7 +287,7 @@
 	keeper.mutex.Lock()
 	defer keeper.mutex.Unlock()
 	if epoch < keeper.note.Promised {
-		return trouble.New(trouble.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
 	}
 	if epoch == keeper.note.Promised {
 		return nil
@@ -302,7 +302,7 @@
 	note.Sequence = old + 1
 	encoded, err := msgpack.Marshal(note)
 	if err != nil {
-		return trouble.Wrap(trouble.Garbage, err)
+		return failure.Wrap(failure.Garbage, err)
 	}
 	if err := keeper.shelf.Save(noteName(note.Sequence), encoded); err != nil {
 		return err
--- a/internal/larder/keeperplan.go
+++ b/internal/replication/keeperplan.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // keeperPlan chooses keepers from those that are, of which some may be gone, and
 // from spares that are there.
--- a/internal/larder/leaving_test.go
+++ b/internal/replication/leaving_test.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"fmt"
--- a/internal/larder/losses.go
+++ b/internal/replication/losses.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import "time"
 
@@ -22,7 +22,7 @@
 //
 // Example:
 //
-//	steward.SetBackupList(enabled.Has(recipe.BackupList))
+//	steward.SetBackupList(enabled.Has(formats.BackupList))
 func (steward *Steward) SetBackupList(enabled bool) {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
--- /dev/null
+++ b/internal/replication/orders.go
@@ -0,0 +1,9 @@
+package replication
+
+import "seamloom.example/seamloom/internal/formats"
+
+// Orders are the standing orders, one for each server, and the last number.
+type Orders struct {
+	Records map[string]formats.Record `msgpack:"records"`
+	Number  uint64                    `msgpack:"number"`
+}
--- a/internal/larder/pairing.go
+++ b/internal/replication/pairing.go
@@ -1,12 +1,12 @@
-package larder
+package replication
 
 import (
 	"sort"
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // OwnDisk tells the steward that a write to the own disk begins or has ended.
@@ -133,7 +133,7 @@
 			base.Primary = steward.recorded(steward.keeper.Seat())
 			return base, true
 		})
-		if trouble.KindOf(err) == trouble.Deposed {
+		if failure.KindOf(err) == failure.Deposed {
 			steward.resign("deposed", won)
 		} else if err == nil {
 			if won.Backup.Empty() {
@@ -156,7 +156,7 @@
 	})
 	if err != nil {
 		steward.observe("pair_not_granted", "backups", installed, "cause", err)
-		if trouble.KindOf(err) == trouble.Deposed {
+		if failure.KindOf(err) == failure.Deposed {
 			steward.resign("deposed", won)
 		}
 		return
@@ -363,7 +363,7 @@
 func (steward *Steward) rank(charter Charter, known *acquaintance, several bool) (int, bool) {
 	now := steward.turns.Now()
 	identity, silence := known.hello.Seat.Identity, now.Sub(known.answered)
-	if known.hello.Kind != roster.Expediter || silence >= steward.timing.BackupSilence+steward.timing.Beat {
+	if known.hello.Kind != membership.Expediter || silence >= steward.timing.BackupSilence+steward.timing.Beat {
 		return 0, false
 	}
 	failing := steward.fails(identity)
@@ -454,7 +454,7 @@
 	for _, identity := range steward.acquaintances() {
 		known := steward.known[identity]
 		fresh := steward.turns.Now().Sub(known.lastSeen) < applicantFresh && !steward.superseded(known)
-		if fresh && known.hello.Kind == roster.Expediter && !charter.InSync(identity) && known.hello.Version.Before(version) {
+		if fresh && known.hello.Kind == membership.Expediter && !charter.InSync(identity) && known.hello.Version.Before(version) {
 			old = append(old, known.hello.Seat)
 		}
 	}
--- a/internal/larder/peers.go
+++ b/internal/replication/peers.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Peers is the port to the other expediters. Each call ends by itself, within
 // a few hundred milliseconds when the other does not answer.
--- a/internal/larder/preparedmenu.go
+++ b/internal/replication/preparedmenu.go
@@ -1,6 +1,6 @@
-package larder
+package replication
 
-import "seamloom.example/seamloom/internal/menu"
+import "seamloom.example/seamloom/internal/config"
 
 // PreparedMenu is what an edit makes of one version of the configuration,
 // checked.
@@ -20,11 +20,11 @@
 //
 // Example:
 //
-//	prepared := larder.PrepareMenu(menuVersion, text, edit, false)
+//	prepared := replication.PrepareMenu(menuVersion, text, edit, false)
 func PrepareMenu(base Version, text []byte, edit func(text []byte) ([]byte, error), sound bool) PreparedMenu {
 	edited, err := edit(text)
 	if err == nil && !sound {
-		_, err = menu.Check(edited)
+		_, err = config.Check(edited)
 	}
 	return PreparedMenu{made: true, base: base, text: edited, failure: err}
 }
--- a/internal/larder/promise.go
+++ b/internal/replication/promise.go
@@ -1,16 +1,16 @@
-package larder
+package replication
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Promise is a keeper's answer.
 type Promise struct {
 	Keeper   Identity     `msgpack:"keeper"`
 	Granted  bool         `msgpack:"granted"`
-	Refusal  trouble.Kind `msgpack:"refusal,omitempty"`
+	Refusal  failure.Kind `msgpack:"refusal,omitempty"`
 	Promised uint64       `msgpack:"promised"`
 	Charter  Charter      `msgpack:"charter"`
 	// Lease is how long the keeper holds still for the primary that it confirmed. An
--- a/internal/larder/restart_test.go
+++ b/internal/replication/restart_test.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"os"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // restartAll ends every machine at the same moment and starts them again, in any
@@ -117,7 +117,7 @@
 	if promise, err := keeper.Accept(now, old); err != nil || !promise.Granted {
 		t.Fatalf("%+v, %v", promise, err)
 	}
-	if promise := keeper.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != trouble.Behind {
+	if promise := keeper.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != failure.Behind {
 		t.Errorf("a hold under an unknown charter: %+v", promise)
 	}
 	next := Charter{Epoch: 5, Primary: seats[1], Keepers: seats}
@@ -131,7 +131,7 @@
 	if err != nil || again.Holder() != "b" {
 		t.Fatalf("it holds still for %q, %v", again.Holder(), err)
 	}
-	if promise, err := again.Prepare(now.Add(time.Second), 6, "a"); err != nil || promise.Refusal != trouble.HoldActive {
+	if promise, err := again.Prepare(now.Add(time.Second), 6, "a"); err != nil || promise.Refusal != failure.HoldActive {
 		t.Errorf("another candidate: %+v, %v", promise, err)
 	}
 	if promise, err := again.Prepare(now.Add(time.Second), 6, "b"); err != nil || !promise.Granted {
--- a/internal/larder/seat.go
+++ b/internal/replication/seat.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Identity names one disk. A process that finds its disk blank takes a new one.
 type Identity string
--- a/internal/larder/seating.go
+++ b/internal/replication/seating.go
@@ -1,9 +1,9 @@
-package larder
+package replication
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // ensureKeepers exchanges a keeper that is gone for an expediter that is
@@ -51,7 +51,7 @@
 		address, lastSeen = known.hello.Seat.Address, known.lastSeen
 	}
 	for identity, other := range steward.known {
-		if identity != seat.Identity && other.hello.Kind == roster.Expediter && other.hello.Seat.Address == address &&
+		if identity != seat.Identity && other.hello.Kind == membership.Expediter && other.hello.Seat.Address == address &&
 			other.answered.After(lastSeen) && steward.turns.Now().Sub(other.answered) <= applicantFresh {
 			return true
 		}
@@ -96,7 +96,7 @@
 	for _, identity := range steward.acquaintances() {
 		known := steward.known[identity]
 		hello := known.hello
-		if hello.Kind != roster.Expediter || hello.Leaving || charter.Keeps(hello.Seat.Identity) || steward.turns.Now().Sub(known.answered) > applicantFresh {
+		if hello.Kind != membership.Expediter || hello.Leaving || charter.Keeps(hello.Seat.Identity) || steward.turns.Now().Sub(known.answered) > applicantFresh {
 			continue
 		}
 		if newcomer.Empty() || hello.Seat.Address == gone.Address || hello.Seat.Identity < newcomer.Identity {
@@ -140,7 +140,7 @@
 	steward.mutex.Lock()
 	for _, identity := range steward.acquaintances() {
 		known := steward.known[identity]
-		if known.hello.Kind == roster.Expediter && !known.hello.Leaving && !charter.Keeps(identity) && steward.turns.Now().Sub(known.answered) <= staleAnswer {
+		if known.hello.Kind == membership.Expediter && !known.hello.Leaving && !charter.Keeps(identity) && steward.turns.Now().Sub(known.answered) <= staleAnswer {
 			plan.spares = append(plan.spares, known.hello.Seat)
 		}
 	}
--- a/internal/larder/shelf.go
+++ b/internal/replication/shelf.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Shelf is the port to one folder of a disk. Save returns only when the file
 // is synced under its name; files are never changed in place.
--- a/internal/larder/simulation_test.go
+++ b/internal/replication/simulation_test.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"fmt"
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/lease"
 )
 
 // memoryShelf is a disk in memory: what is saved is synced, unless the disk is
@@ -30,7 +30,7 @@
 	shelf.mutex.Lock()
 	defer shelf.mutex.Unlock()
 	if shelf.failing {
-		return trouble.New(trouble.Disk, "the disk fails")
+		return failure.New(failure.Disk, "the disk fails")
 	}
 	shelf.files[name] = append([]byte(nil), content...)
 	return nil
@@ -62,7 +62,7 @@
 func (threads threads) Wall() time.Time { return threads.now() }
 func (threads threads) Go(act func())   { go act() }
 func (threads threads) Alive() bool     { return true }
-func (threads threads) NewBell() rota.Bell {
+func (threads threads) NewBell() lease.Bell {
 	bell := &condition{}
 	bell.rung = sync.NewCond(&bell.mutex)
 	return bell
@@ -216,7 +216,7 @@
 	defer world.mutex.Unlock()
 	for _, machine := range world.machines {
 		if wire.life > 0 && machine.address == wire.from && (!machine.up.Load() || machine.lives != wire.life) {
-			return nil, trouble.New(trouble.Unreachable, "the sender has ended")
+			return nil, failure.New(failure.Unreachable, "the sender has ended")
 		}
 	}
 	for _, machine := range world.machines {
@@ -225,13 +225,13 @@
 			return &reached{keeper: machine.keeper, store: machine.store, steward: machine.steward}, nil
 		}
 	}
-	return nil, trouble.New(trouble.Unreachable, address)
+	return nil, failure.New(failure.Unreachable, address)
 }
 
 func (wire *wire) keeperAt(address string, identity Identity) (*reached, error) {
 	machine, err := wire.reach(address)
 	if err == nil && machine.keeper.Seat().Identity != identity {
-		return nil, trouble.New(trouble.NotAdmitted, "another disk")
+		return nil, failure.New(failure.NotAdmitted, "another disk")
 	}
 	return machine, err
 }
@@ -364,7 +364,7 @@
 }
 
 func editionIn(text []byte) int {
-	configuration, err := menu.Check(text)
+	configuration, err := config.Check(text)
 	if err != nil {
 		return -1
 	}
@@ -702,7 +702,7 @@
 	if err != nil || reopened.Damage() != "" || string(reopened.Drawers()["menu"].Content) != "menu" {
 		t.Fatalf("after the sweep: %q, %v", reopened.Damage(), err)
 	}
-	if older := reopened.Refresh(Snapshot{Epoch: 1, Version: Version{1, 1}}); trouble.KindOf(older) != trouble.Behind || len(reopened.Drawers()) != 2 {
+	if older := reopened.Refresh(Snapshot{Epoch: 1, Version: Version{1, 1}}); failure.KindOf(older) != failure.Behind || len(reopened.Drawers()) != 2 {
 		t.Fatalf("an older snapshot was taken: %v", older)
 	}
 	keeping := newMemoryShelf()
@@ -751,7 +751,7 @@
 	if err != nil || reopened.Damage() == "" {
 		t.Fatalf("a copy without a file that it needs opened undamaged: %v", err)
 	}
-	if err := reopened.Write(Batch{Version: Version{1, 4}, Base: reopened.Version()}); trouble.KindOf(err) != trouble.Damaged {
+	if err := reopened.Write(Batch{Version: Version{1, 4}, Base: reopened.Version()}); failure.KindOf(err) != failure.Damaged {
 		t.Fatalf("a damaged copy took a write: %v", err)
 	}
 	if err := reopened.Rewrite(Snapshot{Epoch: 2, Version: Version{2, 4}, Drawers: copied.Drawers()}); err != nil || reopened.Damage() != "" {
--- a/internal/larder/snapshot.go
+++ b/internal/replication/snapshot.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // Snapshot is a whole copy on its way to a new backup.
 type Snapshot struct {
--- a/internal/larder/standing.go
+++ b/internal/replication/standing.go
@@ -1,10 +1,10 @@
-package larder
+package replication
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // form begins the first core: only from the first seed, only when all three seeds
@@ -99,7 +99,7 @@
 	})
 	if err != nil {
 		// Two candidates part by different patience.
-		spread := time.Duration(roster.Weight("backoff", string(own.Identity))%300) * time.Millisecond
+		spread := time.Duration(membership.Weight("backoff", string(own.Identity))%300) * time.Millisecond
 		steward.backoff = steward.turns.Now().Add(150*time.Millisecond + spread)
 		return
 	}
@@ -200,7 +200,7 @@
 		steward.gatherPromises(ballot, seats)
 		steward.ballot = max(steward.ballot, ballot.highest)
 		if !ballot.hasPromises() {
-			return ballot.newest, trouble.New(trouble.NoPrimary, "no quorum of keepers promised the epoch")
+			return ballot.newest, failure.New(failure.NoPrimary, "no quorum of keepers promised the epoch")
 		}
 		if !ballot.rebase() {
 			break
@@ -212,7 +212,7 @@
 	steward.gatherAcceptances(ballot)
 	steward.ballot = max(steward.ballot, ballot.highest)
 	if !ballot.isGranted() {
-		return ballot.base, trouble.New(trouble.Unknown, "no quorum of keepers accepted the charter")
+		return ballot.base, failure.New(failure.Unknown, "no quorum of keepers accepted the charter")
 	}
 	steward.mutex.Lock()
 	steward.charter = ballot.next
@@ -229,7 +229,7 @@
 			return Promise{Keeper: seat.Identity, Granted: true, Charter: steward.keeper.Charter()}, nil
 		}
 		promise, err := steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot.epoch, ballot.candidate)
-		if err == nil && promise.Refusal == trouble.NotAdmitted && current.Keeps(seat.Identity) {
+		if err == nil && promise.Refusal == failure.NotAdmitted && current.Keeps(seat.Identity) {
 			// It was named a keeper and has not heard of it.
 			if _, err := steward.peers.Accept(steward.Address(seat), seat.Identity, current); err == nil {
 				return steward.peers.Prepare(steward.Address(seat), seat.Identity, ballot.epoch, ballot.candidate)
@@ -278,7 +278,7 @@
 		if err == nil {
 			steward.noteOvertaken(promise)
 		}
-		if err == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != trouble.OldEpoch {
+		if err == nil && promise.Charter.Epoch < charter.Epoch && promise.Refusal != failure.OldEpoch {
 			// It was away when the charter was granted.
 			if _, err := steward.peers.Accept(steward.Address(seat), seat.Identity, charter); err == nil {
 				return steward.peers.Confirm(steward.Address(seat), seat.Identity, charter.Epoch, own.Identity)
@@ -293,7 +293,7 @@
 		if promise.Granted && promise.Lease > 0 {
 			lease = min(lease, promise.Lease)
 		}
-		outdated = outdated || promise.Refusal == trouble.OldEpoch
+		outdated = outdated || promise.Refusal == failure.OldEpoch
 		steward.ballot = max(steward.ballot, promise.Promised)
 		if promise.Charter.Epoch > newer.Epoch {
 			newer = promise.Charter
@@ -326,7 +326,7 @@
 // noteOvertaken notes that a keeper has promised an epoch and confirms no lower one. It
 // is noted as the answer comes, since a quorum may be there before it in each round.
 func (steward *Steward) noteOvertaken(promise Promise) {
-	if promise.Refusal != trouble.OldEpoch {
+	if promise.Refusal != failure.OldEpoch {
 		return
 	}
 	steward.mutex.Lock()
--- a/internal/larder/state.go
+++ b/internal/replication/state.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import (
 	"sort"
@@ -8,23 +8,23 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // State is the larder's content as the primary works on it. Changes check
 // first and then alter, so that a refused change leaves nothing behind.
 type State struct {
 	Menu    []byte
-	Members map[string]roster.Member
+	Members map[string]membership.Member
 	Flags   Flags
 	Rota    Duties
 	Orders  Orders
 	Changes []ChangeNote
 	Horizon time.Time
-	Claims  map[string]map[string]recipe.Record
+	Claims  map[string]map[string]formats.Record
 	dirty   map[string]bool
 }
 
@@ -32,17 +32,17 @@
 //
 // Example:
 //
-//	state := larder.NewState()
+//	state := replication.NewState()
 func NewState() *State {
-	return &State{Menu: []byte(`{}`), Members: map[string]roster.Member{}, Rota: Duties{Duties: map[string]rota.Duty{}},
-		Orders: Orders{Records: map[string]recipe.Record{}}, Claims: map[string]map[string]recipe.Record{}, dirty: map[string]bool{}}
+	return &State{Menu: []byte(`{}`), Members: map[string]membership.Member{}, Rota: Duties{Duties: map[string]lease.Duty{}},
+		Orders: Orders{Records: map[string]formats.Record{}}, Claims: map[string]map[string]formats.Record{}, dirty: map[string]bool{}}
 }
 
 // ReadState decodes the drawers of a copy.
 //
 // Example:
 //
-//	state, failure := larder.ReadState(copied.Drawers())
+//	state, failure := replication.ReadState(copied.Drawers())
 func ReadState(drawers map[string]Drawer) (*State, error) {
 	state := NewState()
 	for name, drawer := range drawers {
@@ -67,13 +67,13 @@
 			err = msgpack.Unmarshal(drawer.Content, &state.Horizon)
 		default:
 			if strings.HasPrefix(name, ClaimsPrefix) {
-				claims := map[string]recipe.Record{}
+				claims := map[string]formats.Record{}
 				err = msgpack.Unmarshal(drawer.Content, &claims)
 				state.Claims[name] = claims
 			}
 		}
 		if err != nil {
-			return nil, trouble.Wrap(trouble.Garbage, err)
+			return nil, failure.Wrap(failure.Garbage, err)
 		}
 	}
 	return state, nil
@@ -84,7 +84,7 @@
 // Example:
 //
 //	state.Menu = text
-//	state.Touch(larder.MenuDrawer)
+//	state.Touch(replication.MenuDrawer)
 func (state *State) Touch(drawer string) { state.dirty[drawer] = true }
 
 // pack encodes the changed drawers and forgets that they were changed.
@@ -119,7 +119,7 @@
 		}
 		content, err := msgpack.Marshal(value)
 		if err != nil {
-			return nil, nil, trouble.Wrap(trouble.Garbage, err)
+			return nil, nil, failure.Wrap(failure.Garbage, err)
 		}
 		drawers[name] = Drawer{Version: version, Content: content}
 	}
--- a/internal/larder/steward.go
+++ b/internal/replication/steward.go
@@ -1,11 +1,11 @@
-package larder
+package replication
 
 import (
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // The steward's lengths of time. The values are ours.
@@ -45,9 +45,9 @@
 // Steward decides who is primary, backup and keeper, from one expediter's
 // point of view. Tick is called by one thread, over and over.
 type Steward struct {
-	turns   rota.Turns
+	turns   lease.Turns
 	seeds   []string
-	kind    roster.NodeKind
+	kind    membership.NodeKind
 	keeper  *Keeper
 	store   *Store
 	peers   Peers
@@ -101,9 +101,9 @@
 //
 // Example:
 //
-//	steward := larder.NewSteward(turns, seeds, keeper, store, peers, observe)
-func NewSteward(turns rota.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
-	return &Steward{turns: turns, seeds: seeds, kind: roster.Expediter, keeper: keeper, store: store, peers: peers,
+//	steward := replication.NewSteward(turns, seeds, keeper, store, peers, observe)
+func NewSteward(turns lease.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
+	return &Steward{turns: turns, seeds: seeds, kind: membership.Expediter, keeper: keeper, store: store, peers: peers,
 		observe: observe, timing: TimingFor(DefaultCatchUp), known: map[Identity]*acquaintance{}, borne: 1, backupFails: map[Identity]time.Time{}, installFails: map[Identity]time.Time{}}
 }
 
@@ -112,7 +112,7 @@
 //
 // Example:
 //
-//	if !steward.Holds() { return trouble.New(trouble.NoPrimary, "") }
+//	if !steward.Holds() { return failure.New(failure.NoPrimary, "") }
 func (steward *Steward) Holds() bool {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
@@ -290,7 +290,7 @@
 //
 // Example:
 //
-//	steward.SetTiming(larder.TimingFor(2 * time.Second))
+//	steward.SetTiming(replication.TimingFor(2 * time.Second))
 func (steward *Steward) SetTiming(timing Timing) {
 	steward.timing = timing
 	steward.keeper.SetLease(timing.Lease)
--- a/internal/larder/store.go
+++ b/internal/replication/store.go
@@ -1,11 +1,11 @@
-package larder
+package replication
 
 import (
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // Done is told how a change ended: the committed version, or the trouble.
@@ -41,7 +41,7 @@
 //
 // Example:
 //
-//	store := larder.NewStore(copied, keeper)
+//	store := replication.NewStore(copied, keeper)
 func NewStore(copied *Copy, keeper *Keeper) *Store {
 	return &Store{mutex: &sync.Mutex{}, copied: copied, keeper: keeper}
 }
@@ -51,7 +51,7 @@
 //
 // Example:
 //
-//	store.Guard(rota.NewLock(turns))
+//	store.Guard(lease.NewLock(turns))
 func (store *Store) Guard(lock sync.Locker) { store.mutex = lock }
 
 // Lead makes the store the primary of an epoch: it takes its own copy as the
@@ -78,7 +78,7 @@
 		return nil
 	}
 	if damage := store.copied.Damage(); damage != "" {
-		return trouble.New(trouble.Damaged, damage)
+		return failure.New(failure.Damaged, damage)
 	}
 	base := store.copied.Version()
 	stamped := Version{Epoch: epoch, Number: base.Number + 1}
@@ -121,10 +121,10 @@
 	store.hidden.Store(false)
 	store.mutex.Unlock()
 	for _, rider := range riding {
-		rider.done(Version{}, trouble.New(trouble.Unknown, "the primary changed while the change was under way"))
+		rider.done(Version{}, failure.New(failure.Unknown, "the primary changed while the change was under way"))
 	}
 	for _, waiting := range pending {
-		waiting.done(Version{}, trouble.New(trouble.NotPrimary, "the change was not accepted"))
+		waiting.done(Version{}, failure.New(failure.NotPrimary, "the change was not accepted"))
 	}
 }
 
@@ -152,12 +152,12 @@
 //
 // Example:
 //
-//	store.Submit(larder.Register(member), func(version larder.Version, failure error) { ... })
+//	store.Submit(replication.Register(member), func(version replication.Version, failure error) { ... })
 func (store *Store) Submit(change Change, done Done) {
 	store.mutex.Lock()
 	if !store.leading {
 		store.mutex.Unlock()
-		done(Version{}, trouble.New(trouble.NotPrimary, "the change was not accepted"))
+		done(Version{}, failure.New(failure.NotPrimary, "the change was not accepted"))
 		return
 	}
 	store.pending = append(store.pending, ticket{change: change, done: done})
@@ -408,7 +408,7 @@
 
 func (store *Store) follow(epoch uint64) error {
 	if store.leading {
-		return trouble.New(trouble.OldEpoch, "this copy leads")
+		return failure.New(failure.OldEpoch, "this copy leads")
 	}
 	return store.keeper.Learn(epoch)
 }
--- a/internal/larder/store_test.go
+++ b/internal/replication/store_test.go
@@ -1,14 +1,14 @@
-package larder
+package replication
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/trouble"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // newLeader is a store that leads, whose batches the test commits itself.
@@ -55,7 +55,7 @@
 var evening = time.UnixMilli(1_800_000_000_000)
 
 func claim(id, nonce string) Change {
-	return Claim(evening, recipe.Entry{Inquiry: id, Courier: "courier-1", Run: 1, At: evening, Cause: nonce})
+	return Claim(evening, formats.Entry{Inquiry: id, Courier: "courier-1", Run: 1, At: evening, Cause: nonce})
 }
 
 // TestClaimsShareOneSync lets a hundred claims come while one sync is under
@@ -67,9 +67,9 @@
 	}
 	store.Submit(claim("first", "n"), func(Version, error) {})
 	batch, _ := store.Begin()
-	outcomes := map[trouble.Kind]int{}
+	outcomes := map[failure.Kind]int{}
 	for number := range 100 {
-		store.Submit(claim(fmt.Sprint(number%50), fmt.Sprint(number)), func(_ Version, err error) { outcomes[trouble.KindOf(err)]++ })
+		store.Submit(claim(fmt.Sprint(number%50), fmt.Sprint(number)), func(_ Version, err error) { outcomes[failure.KindOf(err)]++ })
 	}
 	if again, _ := store.Begin(); again.Version != batch.Version {
 		t.Fatalf("a second batch is under way: %s and %s", batch.Version, again.Version)
@@ -80,7 +80,7 @@
 	before, _ := store.Work()
 	commit(t, store)
 	after, _ := store.Work()
-	if after-before != 1 || outcomes[trouble.Duplicate] != 50 || outcomes[trouble.Unsorted] != 50 {
+	if after-before != 1 || outcomes[failure.Duplicate] != 50 || outcomes[failure.Unsorted] != 50 {
 		t.Errorf("%d syncs, outcomes %v", after-before, outcomes)
 	}
 }
@@ -100,7 +100,7 @@
 	if err := do(t, store, first); err != nil || store.View().VersionOf(MenuDrawer) != version {
 		t.Errorf("the same change again: %v, version %s became %s", err, version, store.View().VersionOf(MenuDrawer))
 	}
-	if err := do(t, store, ChangeMenu("change-1", "digest-2", &version, PreparedMenu{}, put(`{}`))); trouble.KindOf(err) != trouble.Duplicate {
+	if err := do(t, store, ChangeMenu("change-1", "digest-2", &version, PreparedMenu{}, put(`{}`))); failure.KindOf(err) != failure.Duplicate {
 		t.Errorf("another change under the same id: %v", err)
 	}
 }
@@ -109,7 +109,7 @@
 // wants no claim forgotten early and no new one refused.
 func TestClaimsAreKeptThroughClockJumps(t *testing.T) {
 	store := newLeader(t)
-	if err := do(t, store, claim("early", "n")); trouble.KindOf(err) != trouble.NoPrimary {
+	if err := do(t, store, claim("early", "n")); failure.KindOf(err) != failure.NoPrimary {
 		t.Errorf("a claim before there is a horizon: %v", err)
 	}
 	for _, step := range []Change{MoveHorizon(evening, 0), claim("one", "n"), claim("one", "n"), MoveHorizon(evening.Add(48*time.Hour), 2*time.Second), claim("two", "n"), MoveHorizon(evening.Add(-48*time.Hour), 2*time.Second), claim("three", "n")} {
@@ -117,10 +117,10 @@
 			t.Fatal(err)
 		}
 	}
-	if err := do(t, store, claim("one", "another arrival")); trouble.KindOf(err) != trouble.Duplicate {
+	if err := do(t, store, claim("one", "another arrival")); failure.KindOf(err) != failure.Duplicate {
 		t.Errorf("after the jumps a used id is taken: %v", err)
 	}
-	if err := do(t, store, Claim(evening.Add(-Retention-time.Minute), recipe.Entry{Inquiry: "old"})); trouble.KindOf(err) != trouble.TooOld {
+	if err := do(t, store, Claim(evening.Add(-Retention-time.Minute), formats.Entry{Inquiry: "old"})); failure.KindOf(err) != failure.TooOld {
 		t.Errorf("an id older than the horizon: %v", err)
 	}
 	for range 400 {
@@ -133,7 +133,7 @@
 			t.Errorf("the drawer %s is kept for ever", name)
 		}
 	}
-	if err := do(t, store, claim("one", "much later")); trouble.KindOf(err) != trouble.TooOld {
+	if err := do(t, store, claim("one", "much later")); failure.KindOf(err) != failure.TooOld {
 		t.Errorf("a forgotten id is taken again: %v", err)
 	}
 }
@@ -142,53 +142,53 @@
 // turn with the enabling of flags.
 func TestFlagsWaitForEveryRecordedMember(t *testing.T) {
 	store := newLeader(t)
-	supported := recipe.Supported(nil)
-	older := recipe.Supported(recipe.List{recipe.OrderPatience})
-	enabled := func() recipe.List {
+	supported := formats.Supported(nil)
+	older := formats.Supported(formats.List{formats.OrderPatience})
+	enabled := func() formats.List {
 		state, err := store.View().State()
 		if err != nil {
 			t.Fatal(err)
 		}
 		return state.Flags.Enabled
 	}
-	member := func(name string, list recipe.List) Change {
-		return Register(roster.Member{Name: name, Kind: roster.Courier, Supported: list})
+	member := func(name string, list formats.List) Change {
+		return Register(membership.Member{Name: name, Kind: membership.Courier, Supported: list})
 	}
 	for _, step := range []Change{member("a", supported), member("b", older), EnableFlags(supported)} {
 		if err := do(t, store, step); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if got := enabled(); got.Has(recipe.OrderPatience) || !got.Has(recipe.PairPrice) {
+	if got := enabled(); got.Has(formats.OrderPatience) || !got.Has(formats.PairPrice) {
 		t.Errorf("with b of the older release: %v", got)
 	}
 	// Registration and enabling in one version: the one that comes first counts.
 	store.Submit(member("b", supported), func(Version, error) {})
 	store.Submit(member("c", older), func(Version, error) {})
-	if err := do(t, store, EnableFlags(supported)); err != nil || enabled().Has(recipe.OrderPatience) {
+	if err := do(t, store, EnableFlags(supported)); err != nil || enabled().Has(formats.OrderPatience) {
 		t.Errorf("enabled though c was recorded just before: %v", err)
 	}
 	if err := do(t, store, Retire("c")); err != nil {
 		t.Fatal(err)
 	}
-	if err := do(t, store, EnableFlags(supported)); err != nil || !enabled().Has(recipe.OrderPatience) {
+	if err := do(t, store, EnableFlags(supported)); err != nil || !enabled().Has(formats.OrderPatience) {
 		t.Errorf("not enabled after c was retired: %v", err)
 	}
 	if err := do(t, store, member("c", older)); err != nil || len(enabled()) != len(supported) {
 		t.Errorf("a flag was disabled again: %v", enabled())
 	}
 	// A restricted node gets no duty, and may write no orders.
-	if err := do(t, store, GrantDuties([]rota.Duty{{Key: rota.PartsKey, Holder: "c"}}, nil)); err != nil {
+	if err := do(t, store, GrantDuties([]lease.Duty{{Key: lease.PartsKey, Holder: "c"}}, nil)); err != nil {
 		t.Fatal(err)
 	}
 	state, _ := store.View().State()
-	if _, found := state.Rota.Duties[rota.PartsKey]; found {
+	if _, found := state.Rota.Duties[lease.PartsKey]; found {
 		t.Error("a restricted node was given a duty")
 	}
-	if err := do(t, store, GiveOrders(rota.Duty{}, []recipe.Order{{Server: "s", Part: "decode"}}, older)); trouble.KindOf(err) != trouble.Restricted {
+	if err := do(t, store, GiveOrders(lease.Duty{}, []formats.Order{{Server: "s", Part: "decode"}}, older)); failure.KindOf(err) != failure.Restricted {
 		t.Errorf("a restricted node wrote orders: %v", err)
 	}
-	if err := do(t, store, GiveOrders(rota.Duty{Key: rota.PartsKey, Holder: "x", Fence: 9}, nil, supported)); trouble.KindOf(err) != trouble.NotHolder {
+	if err := do(t, store, GiveOrders(lease.Duty{Key: lease.PartsKey, Holder: "x", Fence: 9}, nil, supported)); failure.KindOf(err) != failure.NotHolder {
 		t.Errorf("orders under a fence that is not in force: %v", err)
 	}
 }
@@ -219,7 +219,7 @@
 	if err := store.Replicate(4, Batch{Version: Version{4, 1}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := store.Replicate(3, Batch{Version: Version{4, 2}, Base: Version{4, 1}}); trouble.KindOf(err) != trouble.OldEpoch {
+	if err := store.Replicate(3, Batch{Version: Version{4, 2}, Base: Version{4, 1}}); failure.KindOf(err) != failure.OldEpoch {
 		t.Errorf("a deposed primary's write: %v", err)
 	}
 }
@@ -227,10 +227,10 @@
 // TestServersAreForgotten takes the records of two servers out, of which one has got
 // another holder meanwhile.
 func TestServersAreForgotten(t *testing.T) {
-	first, second := rota.ServerKey("a"), rota.ServerKey("b")
-	state := &State{Rota: Duties{Duties: map[string]rota.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 2}}, Fence: 2},
-		Orders: Orders{Records: map[string]recipe.Record{"a": {}, "b": {}, "c": {}}}, dirty: map[string]bool{}}
-	seen := map[string]rota.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 1}}
+	first, second := lease.ServerKey("a"), lease.ServerKey("b")
+	state := &State{Rota: Duties{Duties: map[string]lease.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 2}}, Fence: 2},
+		Orders: Orders{Records: map[string]formats.Record{"a": {}, "b": {}, "c": {}}}, dirty: map[string]bool{}}
+	seen := map[string]lease.Duty{first: {Key: first, Fence: 1}, second: {Key: second, Fence: 1}}
 	if err := ForgetServers([]string{"a", "b", "c", "d"}, seen)(state, Version{}, Version{}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/larder/timing.go
+++ b/internal/replication/timing.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import "time"
 
@@ -48,7 +48,7 @@
 //
 // Example:
 //
-//	timing := larder.TimingFor(2 * time.Second)
+//	timing := replication.TimingFor(2 * time.Second)
 func TimingFor(catchUp time.Duration) Timing {
 	if catchUp <= 0 {
 		catchUp = DefaultCatchUp
--- a/internal/larder/version.go
+++ b/internal/replication/version.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 import "strconv"
 
@@ -13,7 +13,7 @@
 //
 // Example:
 //
-//	larder.Version{Epoch: 2, Number: 9}.Before(larder.Version{Epoch: 3, Number: 1}) // true
+//	replication.Version{Epoch: 2, Number: 9}.Before(replication.Version{Epoch: 3, Number: 1}) // true
 func (version Version) Before(other Version) bool {
 	if version.Epoch != other.Epoch {
 		return version.Epoch < other.Epoch
@@ -25,7 +25,7 @@
 //
 // Example:
 //
-//	larder.Version{Epoch: 2, Number: 9}.String() // "2.9"
+//	replication.Version{Epoch: 2, Number: 9}.String() // "2.9"
 func (version Version) String() string {
 	return strconv.FormatUint(version.Epoch, 10) + "." + strconv.FormatUint(version.Number, 10)
 }
--- a/internal/larder/view.go
+++ b/internal/replication/view.go
@@ -1,4 +1,4 @@
-package larder
+package replication
 
 // View is one committed state, never altered once it is shown.
 type View struct {
@@ -10,7 +10,7 @@
 //
 // Example:
 //
-//	view.VersionOf(larder.MenuDrawer)
+//	view.VersionOf(replication.MenuDrawer)
 func (view *View) VersionOf(drawer string) Version { return view.Drawers[drawer].Version }
 
 // State decodes the view.
--- a/internal/window/arrive.go
+++ b/internal/scheduler/arrive.go
@@ -1,17 +1,17 @@
-package window
+package scheduler
 
 import (
 	"cmp"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // Arrive lets a call in, or refuses it; then there is no ticket.
 //
 // Example:
 //
-//	ticket, decision := calls.Arrive(now, &window.Call{ID: id, Host: host, Path: path, Ends: ends})
+//	ticket, decision := calls.Arrive(now, &scheduler.Call{ID: id, Host: host, Path: path, Ends: ends})
 func (window *Window) Arrive(now time.Time, call *Call) (*Ticket, Decision) {
 	left := call.Ends.Sub(now)
 	if window.draining.Load() {
@@ -27,7 +27,7 @@
 	}
 	limit := ruling.calls.Limit
 	if limit <= 0 {
-		limit = cmp.Or(service.Limit, menu.DefaultLimit)
+		limit = cmp.Or(service.Limit, config.DefaultLimit)
 	}
 	ends := now.Add(limit)
 	if !call.Ends.IsZero() && call.Ends.Before(ends) {
--- a/internal/window/backend.go
+++ b/internal/scheduler/backend.go
@@ -1,16 +1,16 @@
-package window
+package scheduler
 
 import (
 	"slices"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // backend is a listed model server as this courier sees it. It is replaced with each
 // list; its account goes on as long as the server has the same name and address.
 type backend struct {
-	server roster.Server
+	server membership.Server
 	key    uint64
 	place  int
 	*account
--- a/internal/window/board.go
+++ b/internal/scheduler/board.go
@@ -1,10 +1,10 @@
-package window
+package scheduler
 
 import (
 	"sort"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // board is all listed servers. It is never altered; a new list is a new board.
@@ -24,10 +24,10 @@
 }
 
 // next is the board of a new list; servers that stay keep their accounts.
-func (old *board) next(now time.Time, servers []roster.Server) *board {
+func (old *board) next(now time.Time, servers []membership.Server) *board {
 	next := newBoard()
 	next.courier = old.courier
-	sorted := append([]roster.Server(nil), servers...)
+	sorted := append([]membership.Server(nil), servers...)
 	sort.Slice(sorted, func(left, right int) bool { return sorted[left].Name < sorted[right].Name })
 	var everywhere []*backend
 	for _, server := range sorted {
--- a/internal/window/bounds_test.go
+++ b/internal/scheduler/bounds_test.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // arrivals are the moments of what is bounded over a span of time.
@@ -47,7 +47,7 @@
 			start := func(number int) *Window {
 				calls := New(Options{Courier: fmt.Sprintf("courier-%d", number), District: "north", FurtherTries: allowance})
 				calls.SetCouriers(couriers)
-				calls.SetProgram(Compile(plan(func(configuration *menu.Configuration) { configuration.Routes[0].Calls.Tries = 5 }), 1, 1))
+				calls.SetProgram(Compile(plan(func(configuration *config.Configuration) { configuration.Routes[0].Calls.Tries = 5 }), 1, 1))
 				calls.SetServers(noon, servers(9))
 				return calls
 			}
--- a/internal/window/call.go
+++ b/internal/scheduler/call.go
@@ -1,8 +1,8 @@
-// Package window follows calls: inquiries whose method, path and body are the
+// Package scheduler follows calls: inquiries whose method, path and body are the
 // origin's and are passed on to model servers unchanged. It decides where a prompt
 // is read and where its answer is made, what is tried again and what is refused. It
 // does no input or output and reads no clock.
-package window
+package scheduler
 
 import "time"
 
--- a/internal/window/choice.go
+++ b/internal/scheduler/choice.go
@@ -1,10 +1,10 @@
-package window
+package scheduler
 
 import (
 	"math"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // choice finds the server for a call's next dispatch. Costs and times are in
@@ -15,7 +15,7 @@
 	program  *Program
 	now      time.Time
 	ticket   *Ticket
-	service  *menu.Service
+	service  *config.Service
 	ledger   *ledger
 	backends []*backend
 	sharers  int
--- a/internal/window/costs.go
+++ b/internal/scheduler/costs.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 // costs turn into milliseconds what a way costs beside its time. They were tuned in
 // the package's simulated world.
--- a/internal/window/decision.go
+++ b/internal/scheduler/decision.go
@@ -1,9 +1,9 @@
-package window
+package scheduler
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // DecisionKind names what is to be done next with a call.
@@ -57,11 +57,11 @@
 
 // Decision is the next thing to be done with a call.
 type Decision struct {
-	Kind       DecisionKind  `json:"kind"`
-	Cause      Cause         `json:"cause,omitempty"`
-	RetryAfter time.Duration `json:"retry_after,omitempty"`
-	Server     roster.Server `json:"server,omitzero"`
-	Source     *Source       `json:"source,omitempty"`
+	Kind       DecisionKind      `json:"kind"`
+	Cause      Cause             `json:"cause,omitempty"`
+	RetryAfter time.Duration     `json:"retry_after,omitempty"`
+	Server     membership.Server `json:"server,omitzero"`
+	Source     *Source           `json:"source,omitempty"`
 	// Ends is when the server's work is to end at the latest: what is left of it
 	// travels as the server's limit.
 	Ends time.Time `json:"ends,omitzero"`
--- a/internal/window/ended.go
+++ b/internal/scheduler/ended.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import "time"
 
@@ -6,7 +6,7 @@
 //
 // Example:
 //
-//	decision = calls.Ended(now, ticket, window.Outcome{Result: window.Complete, Handle: handle})
+//	decision = calls.Ended(now, ticket, scheduler.Outcome{Result: scheduler.Complete, Handle: handle})
 func (window *Window) Ended(now time.Time, ticket *Ticket, outcome Outcome) Decision {
 	if ticket.ended || ticket.dispatch.backend == nil {
 		return Decision{Kind: Done}
--- a/internal/window/failures_test.go
+++ b/internal/scheduler/failures_test.go
@@ -1,11 +1,11 @@
-package window
+package scheduler
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // These are failures that the simulated world showed, each by itself.
@@ -67,7 +67,7 @@
 func TestGivingUpHasATryBehindIt(t *testing.T) {
 	calls := opened(9)
 	calls.SetCouriers(1)
-	program := Compile(plan(func(configuration *menu.Configuration) { configuration.Routes[0].Calls.Tries = 4 }), 1, 2)
+	program := Compile(plan(func(configuration *config.Configuration) { configuration.Routes[0].Calls.Tries = 4 }), 1, 2)
 	calls.SetProgram(program)
 	patient := 0
 	var tickets []*Ticket
--- a/internal/window/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // history drives one window with random events and judges each decision by what a
@@ -18,7 +18,7 @@
 	random   *rand.Rand
 	calls    *Window
 	now      time.Time
-	list     []roster.Server
+	list     []membership.Server
 	evacuees map[string]bool
 	number   uint64
 	open     []*followed
@@ -30,7 +30,7 @@
 	call     *Call
 	ticket   *Ticket
 	decision Decision
-	route    *menu.CallRoute
+	route    *config.CallRoute
 	// arrivals are dispatches that may have reached a server, taken the reads that a
 	// server took up, runs those that may have run.
 	arrivals, taken, runs int
@@ -49,15 +49,15 @@
 }
 
 func (history *history) configure() {
-	history.calls.SetProgram(Compile(plan(func(configuration *menu.Configuration) {
+	history.calls.SetProgram(Compile(plan(func(configuration *config.Configuration) {
 		for district := range history.evacuees {
-			configuration.Evacuations = map[string]menu.Evacuation{district: {}}
+			configuration.Evacuations = map[string]config.Evacuation{district: {}}
 		}
 		configuration.Routes[0].Calls.Tries = 3
-		configuration.Routes = append(configuration.Routes, menu.Route{Name: "plain", Match: menu.Match{Host: "plain.example", PathPrefix: "/"},
-			Calls: &menu.CallRoute{Shares: []menu.Share{{Service: "desk", Weight: 3}, {Service: "other", Weight: 1}}, Limit: 5 * time.Second, Tries: 3}},
-			menu.Route{Name: "again", Match: menu.Match{Host: "again.example", PathPrefix: "/"},
-				Calls: &menu.CallRoute{Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 5 * time.Second, Tries: 2, Repeatable: true}})
+		configuration.Routes = append(configuration.Routes, config.Route{Name: "plain", Match: config.Match{Host: "plain.example", PathPrefix: "/"},
+			Calls: &config.CallRoute{Shares: []config.Share{{Service: "desk", Weight: 3}, {Service: "other", Weight: 1}}, Limit: 5 * time.Second, Tries: 3}},
+			config.Route{Name: "again", Match: config.Match{Host: "again.example", PathPrefix: "/"},
+				Calls: &config.CallRoute{Shares: []config.Share{{Service: "desk", Weight: 1}}, Limit: 5 * time.Second, Tries: 2, Repeatable: true}})
 	}), 1, history.number))
 	history.number++
 }
@@ -238,7 +238,7 @@
 }
 
 func (history *history) relist() {
-	next := append([]roster.Server(nil), history.list...)
+	next := append([]membership.Server(nil), history.list...)
 	position := history.random.IntN(len(next))
 	switch history.random.IntN(4) {
 	case 0:
--- a/internal/window/opcode.go
+++ b/internal/scheduler/opcode.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 // opcode is one instruction of a compiled route.
 type opcode uint8
--- a/internal/window/options.go
+++ b/internal/scheduler/options.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import "time"
 
@@ -24,7 +24,7 @@
 //
 // Example:
 //
-//	options.FurtherTries = window.DefaultAllowance()
+//	options.FurtherTries = scheduler.DefaultAllowance()
 func DefaultAllowance() Allowance { return Allowance{Ratio: 0.2, Slack: 10, Span: 10 * time.Second} }
 
 func (options Options) checked() Options {
--- a/internal/window/pools.go
+++ b/internal/scheduler/pools.go
@@ -1,12 +1,12 @@
-package window
+package scheduler
 
 import (
 	"math"
 	"sync"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/recipe"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/formats"
 )
 
 // Pools decides how many servers of a service read prompts and how many make answers.
@@ -64,7 +64,7 @@
 //
 // Example:
 //
-//	pools := window.NewPools()
+//	pools := scheduler.NewPools()
 func NewPools() *Pools { return &Pools{services: map[string]*pool{}} }
 
 // Divided tells whether the list says of servers what part they have.
@@ -93,7 +93,7 @@
 // Example:
 //
 //	orders := pools.Decide(now, calls)
-func (pools *Pools) Decide(now time.Time, window *Window) []recipe.Order {
+func (pools *Pools) Decide(now time.Time, window *Window) []formats.Order {
 	pools.mutex.Lock()
 	defer pools.mutex.Unlock()
 	program := window.program.Load()
@@ -101,7 +101,7 @@
 		return nil
 	}
 	pools.asked = now
-	var orders []recipe.Order
+	var orders []formats.Order
 	for _, name := range program.names {
 		found, known := pools.services[name]
 		if !known {
@@ -113,7 +113,7 @@
 	return orders
 }
 
-func (pool *pool) decide(now time.Time, window *Window, program *Program, service *menu.Service) []recipe.Order {
+func (pool *pool) decide(now time.Time, window *Window, program *Program, service *config.Service) []formats.Order {
 	var readers, runners []*backend
 	reported := window.reported.Load()
 	for _, backend := range window.board.Load().byService[service.Name] {
@@ -131,12 +131,12 @@
 	if len(readers)+len(runners) < 2 {
 		return nil
 	}
-	give := func(from []*backend, part, cause string, count int) []recipe.Order {
+	give := func(from []*backend, part, cause string, count int) []formats.Order {
 		pool.seen, pool.towards, pool.ordered, pool.last = 0, "", now, part
-		var orders []recipe.Order
+		var orders []formats.Order
 		for range count {
 			chosen := lightest(from, readers, part)
-			orders = append(orders, recipe.Order{Server: chosen.server.Name, Part: part, Patience: partPatience, Cause: cause})
+			orders = append(orders, formats.Order{Server: chosen.server.Name, Part: part, Patience: partPatience, Cause: cause})
 			if from, readers, runners = moved(chosen, part, readers, runners); len(from) < 2 {
 				break
 			}
--- a/internal/window/program.go
+++ b/internal/scheduler/program.go
@@ -1,11 +1,11 @@
-package window
+package scheduler
 
 import (
 	"sort"
 	"strings"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Program is a configuration compiled for the calls' path: for each host the steps of
@@ -15,10 +15,10 @@
 	epoch       uint64
 	number      uint64
 	hosts       map[string][]step
-	services    map[string]*menu.Service
+	services    map[string]*config.Service
 	names       []string
 	evacuations map[string]bool
-	limits      menu.Limits
+	limits      config.Limits
 }
 
 // step is one instruction of a host's routes.
@@ -32,8 +32,8 @@
 
 // ruling is what the route that matched says of its calls.
 type ruling struct {
-	route  *menu.Route
-	calls  *menu.CallRoute
+	route  *config.Route
+	calls  *config.CallRoute
 	shares []share
 	total  uint64
 	// districts are those whose servers may be used; nil means all.
@@ -45,7 +45,7 @@
 }
 
 type share struct {
-	service *menu.Service
+	service *config.Service
 	upTo    uint64
 }
 
@@ -53,9 +53,9 @@
 //
 // Example:
 //
-//	program := window.Compile(configuration, version.Epoch, version.Number)
-func Compile(configuration *menu.Configuration, epoch, number uint64) *Program {
-	program := &Program{epoch: epoch, number: number, hosts: map[string][]step{}, services: map[string]*menu.Service{},
+//	program := scheduler.Compile(configuration, version.Epoch, version.Number)
+func Compile(configuration *config.Configuration, epoch, number uint64) *Program {
+	program := &Program{epoch: epoch, number: number, hosts: map[string][]step{}, services: map[string]*config.Service{},
 		evacuations: map[string]bool{}, limits: configuration.Limits}
 	for district := range configuration.Evacuations {
 		program.evacuations[district] = true
@@ -66,7 +66,7 @@
 		program.names = append(program.names, name)
 	}
 	sort.Strings(program.names)
-	byHost := map[string][]*menu.Route{}
+	byHost := map[string][]*config.Route{}
 	for position := range configuration.Routes {
 		route := &configuration.Routes[position]
 		if route.Calls != nil && route.Match.Host != "" {
@@ -91,7 +91,7 @@
 	return program
 }
 
-func (program *Program) steps(route *menu.Route, at int) []step {
+func (program *Program) steps(route *config.Route, at int) []step {
 	ruling := &ruling{route: route, calls: route.Calls}
 	for _, part := range route.Calls.Shares {
 		service, found := program.services[part.Service]
@@ -117,7 +117,7 @@
 }
 
 // rule interprets the program for one call: its route and the service that serves it.
-func (program *Program) rule(call *Call) (*ruling, *menu.Service) {
+func (program *Program) rule(call *Call) (*ruling, *config.Service) {
 	steps := program.hosts[hostOf(call.Host)]
 	for position := 0; position < len(steps); {
 		step := &steps[position]
@@ -131,7 +131,7 @@
 		case actSend:
 			return step.ruling, step.ruling.shares[0].service
 		case actShare:
-			spot := roster.Weight(step.ruling.route.Name, call.ID) % step.ruling.total
+			spot := membership.Weight(step.ruling.route.Name, call.ID) % step.ruling.total
 			for _, share := range step.ruling.shares {
 				if spot < share.upTo {
 					return step.ruling, share.service
--- a/internal/window/rendezvous.go
+++ b/internal/scheduler/rendezvous.go
@@ -1,9 +1,9 @@
-package window
+package scheduler
 
-import "seamloom.example/seamloom/internal/roster"
+import "seamloom.example/seamloom/internal/membership"
 
 // nameKey is the number that stands for a server's name in rendezvous.
-func nameKey(name string) uint64 { return roster.Weight("window", name) }
+func nameKey(name string) uint64 { return membership.Weight("window", name) }
 
 // weigh is the rendezvous weight of a server for a chain: the same at every courier.
 func weigh(chain, server uint64) uint64 {
@@ -19,7 +19,7 @@
 func (call *Call) chain() uint64 {
 	switch length := len(call.Parts); length {
 	case 0:
-		return roster.Weight("call", call.ID)
+		return membership.Weight("call", call.ID)
 	case 1:
 		return call.Parts[0].ID
 	default:
--- a/internal/window/returned.go
+++ b/internal/scheduler/returned.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import "time"
 
--- a/internal/window/returned_test.go
+++ b/internal/scheduler/returned_test.go
@@ -1,11 +1,11 @@
-package window
+package scheduler
 
 import (
 	"strconv"
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // TestServersOfADistrictThatComesBackCountAsCold takes an evacuation back, and wants the
@@ -17,9 +17,9 @@
 	list := servers(9)
 	calls.SetServers(noon, list)
 	compile := func(number uint64, evacuated bool) *Program {
-		return Compile(plan(func(configuration *menu.Configuration) {
+		return Compile(plan(func(configuration *config.Configuration) {
 			if evacuated {
-				configuration.Evacuations = map[string]menu.Evacuation{"north": {}}
+				configuration.Evacuations = map[string]config.Evacuation{"north": {}}
 			}
 		}), 1, number)
 	}
--- a/internal/window/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -1,9 +1,9 @@
-package window
+package scheduler
 
 import (
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
 )
 
 // Ticket is what a window knows of one call that it let in. One thread holds it at a
@@ -11,7 +11,7 @@
 type Ticket struct {
 	call    *Call
 	ruling  *ruling
-	service *menu.Service
+	service *config.Service
 	// mark is a number that stands for the call's id.
 	mark    uint64
 	arrived time.Time
@@ -65,7 +65,7 @@
 // Example:
 //
 //	gap := ticket.Route().Calls.Gap
-func (ticket *Ticket) Route() *menu.Route { return ticket.ruling.route }
+func (ticket *Ticket) Route() *config.Route { return ticket.ruling.route }
 
 func (ticket *Ticket) avoids(backend *backend) bool {
 	for _, avoided := range ticket.avoided {
--- a/internal/window/window.go
+++ b/internal/scheduler/window.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import (
 	"slices"
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Window follows the calls of one courier. Its methods may be called from several
@@ -50,7 +50,7 @@
 //
 // Example:
 //
-//	calls := window.New(window.Options{Courier: "courier-1", District: "north"})
+//	calls := scheduler.New(scheduler.Options{Courier: "courier-1", District: "north"})
 func New(options Options) *Window {
 	window := &Window{options: options.checked(), costs: standardCosts()}
 	first := newBoard()
@@ -65,7 +65,7 @@
 //
 // Example:
 //
-//	if calls.SetProgram(window.Compile(configuration, epoch, number)) { ... }
+//	if calls.SetProgram(scheduler.Compile(configuration, epoch, number)) { ... }
 func (window *Window) SetProgram(program *Program) bool {
 	for {
 		current := window.program.Load()
@@ -96,11 +96,11 @@
 // Example:
 //
 //	most := calls.Limits().BodyBytes
-func (window *Window) Limits() menu.Limits {
+func (window *Window) Limits() config.Limits {
 	if program := window.program.Load(); program != nil {
 		return program.limits
 	}
-	return menu.Limits{}
+	return config.Limits{}
 }
 
 // SetServers takes the list of servers.
@@ -108,7 +108,7 @@
 // Example:
 //
 //	calls.SetServers(now, servers)
-func (window *Window) SetServers(now time.Time, servers []roster.Server) {
+func (window *Window) SetServers(now time.Time, servers []membership.Server) {
 	window.mutex.Lock()
 	defer window.mutex.Unlock()
 	window.board.Store(window.board.Load().next(now, servers))
--- a/internal/window/window_test.go
+++ b/internal/scheduler/window_test.go
@@ -1,31 +1,31 @@
-package window
+package scheduler
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"seamloom.example/seamloom/internal/menu"
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
 // plan is a configuration with one split service, a route of long prompts whose
 // streams may go on elsewhere and one of chats that may run once.
-func plan(change func(*menu.Configuration)) *menu.Configuration {
-	service := menu.Service{Name: "desk", Limit: 30 * time.Second, Circuits: 370,
-		Warming: menu.Warming{Length: 3 * time.Second, PerSecond: 12},
-		Engine: menu.Engine{Slots: 64, MemoryTokens: 295_740, TokenBytes: 18_432, LinkBits: 550e9, TokensAPiece: 11,
+func plan(change func(*config.Configuration)) *config.Configuration {
+	service := config.Service{Name: "desk", Limit: 30 * time.Second, Circuits: 370,
+		Warming: config.Warming{Length: 3 * time.Second, PerSecond: 12},
+		Engine: config.Engine{Slots: 64, MemoryTokens: 295_740, TokenBytes: 18_432, LinkBits: 550e9, TokensAPiece: 11,
 			HandleLife: 5 * time.Second, PartChange: 1500 * time.Millisecond, Models: []string{"m"}}}
-	configuration := menu.Empty()
-	configuration.Services = map[string]menu.Service{"desk": service, "other": {Name: "other"}}
-	configuration.Routes = []menu.Route{
-		{Name: "long", Match: menu.Match{Host: "long.example", PathPrefix: "/ask/"}, Calls: &menu.CallRoute{
-			Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 3 * time.Second, Aim: 400 * time.Millisecond,
+	configuration := config.Empty()
+	configuration.Services = map[string]config.Service{"desk": service, "other": {Name: "other"}}
+	configuration.Routes = []config.Route{
+		{Name: "long", Match: config.Match{Host: "long.example", PathPrefix: "/ask/"}, Calls: &config.CallRoute{
+			Shares: []config.Share{{Service: "desk", Weight: 1}}, Limit: 3 * time.Second, Aim: 400 * time.Millisecond,
 			Gap: 250 * time.Millisecond, Rank: 0, Tries: 2, Streams: true, Resumable: true, Sticky: true}},
-		{Name: "chat", Match: menu.Match{Host: "chat.example", PathPrefix: "/"}, Calls: &menu.CallRoute{
-			Shares: []menu.Share{{Service: "desk", Weight: 1}}, Limit: 8 * time.Second, Aim: 500 * time.Millisecond,
+		{Name: "chat", Match: config.Match{Host: "chat.example", PathPrefix: "/"}, Calls: &config.CallRoute{
+			Shares: []config.Share{{Service: "desk", Weight: 1}}, Limit: 8 * time.Second, Aim: 500 * time.Millisecond,
 			Gap: 250 * time.Millisecond, Rank: 1, Tries: 1, Streams: true, Sticky: true}},
 	}
 	if change != nil {
@@ -35,12 +35,12 @@
 }
 
 // servers lists so many servers over three districts, four in ten of them readers.
-func servers(count int) []roster.Server { return divided(count, 4) }
+func servers(count int) []membership.Server { return divided(count, 4) }
 
 // divided lists so many servers, so many in ten of them readers.
-func divided(count, tenths int) []roster.Server {
+func divided(count, tenths int) []membership.Server {
 	districts := []string{"north", "south", "west"}
-	var list []roster.Server
+	var list []membership.Server
 	readers := 0
 	for number := range count {
 		part := decode
@@ -48,14 +48,14 @@
 			part = prefill
 			readers++
 		}
-		list = append(list, roster.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprintf("10.0.%d.%d:8080", number/250, number%250),
+		list = append(list, membership.Server{Name: fmt.Sprintf("stove-%d", number), Address: fmt.Sprintf("10.0.%d.%d:8080", number/250, number%250),
 			District: districts[number%3], Service: "desk", Part: part, Slots: 64, Models: []string{"m"}})
 	}
 	return list
 }
 
 // zoned lists so many servers, of each district's the first ones readers.
-func zoned(count, readers int) []roster.Server {
+func zoned(count, readers int) []membership.Server {
 	list := divided(count, 0)
 	for position := range list {
 		if position < 3*readers {
--- a/internal/window/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -1,4 +1,4 @@
-package window
+package scheduler
 
 import (
 	"container/heap"
@@ -9,7 +9,7 @@
 	"sort"
 	"time"
 
-	"seamloom.example/seamloom/internal/roster"
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // world is a small fleet in virtual time: couriers with a window each, servers that
@@ -23,7 +23,7 @@
 	windows  []*Window
 	places   []string
 	servers  map[string]*worldServer
-	list     []roster.Server
+	list     []membership.Server
 	tally    map[string]*classTally
 	seen     map[uint64]bool
 
@@ -75,7 +75,7 @@
 type site struct {
 	name     string
 	couriers int
-	list     []roster.Server
+	list     []membership.Server
 	engine   engineSheet
 	long     class
 	chat     class
@@ -109,7 +109,7 @@
 
 // world is a site in virtual time, with so much of its traffic for so long.
 func (site site) world(seed uint64, shape func(*Window)) *world {
-	world := dividedWorld(seed, site.couriers, append([]roster.Server(nil), site.list...), shape)
+	world := dividedWorld(seed, site.couriers, append([]membership.Server(nil), site.list...), shape)
 	world.engine, world.crossing = site.engine, site.crossing
 	return world
 }
@@ -171,7 +171,7 @@
 // worldServer is one server of the world.
 type worldServer struct {
 	world    *world
-	listed   roster.Server
+	listed   membership.Server
 	part     string
 	down     bool
 	dark     bool
@@ -488,7 +488,7 @@
 	return dividedWorld(seed, couriers, servers(count), shape)
 }
 
-func dividedWorld(seed uint64, couriers int, list []roster.Server, shape func(*Window)) *world {
+func dividedWorld(seed uint64, couriers int, list []membership.Server, shape func(*Window)) *world {
 	world := &world{now: noon, random: rand.New(rand.NewPCG(seed, 7)), engine: sheet(), servers: map[string]*worldServer{},
 		tally: map[string]*classTally{}, seen: map[uint64]bool{}, ways: map[string]*wayTally{}, ordered: map[string]string{}, news: 400 * time.Millisecond}
 	world.list = list
@@ -545,7 +545,7 @@
 		return
 	}
 	name := names[0]
-	world.list = append([]roster.Server(nil), world.list...)
+	world.list = append([]membership.Server(nil), world.list...)
 	for position := range world.list {
 		if world.list[position].Name == name {
 			world.list[position].Leaving = true
@@ -556,14 +556,14 @@
 	world.after(milliseconds(pause), func() { world.release(names[1:], pause) })
 }
 
-func (world *world) start(listed roster.Server) {
+func (world *world) start(listed membership.Server) {
 	world.servers[listed.Name] = &worldServer{world: world, listed: listed, part: listed.Part, handles: map[string]int{}}
 	world.servers[listed.Name].empty()
 }
 
 // relist takes a server off the list or puts one on it.
-func (world *world) relist(gone string, fresh *roster.Server) {
-	var next []roster.Server
+func (world *world) relist(gone string, fresh *membership.Server) {
+	var next []membership.Server
 	for _, server := range world.list {
 		if server.Name != gone {
 			next = append(next, server)
@@ -578,7 +578,7 @@
 
 // announce has the couriers know the list a while later.
 func (world *world) announce() {
-	list := append([]roster.Server(nil), world.list...)
+	list := append([]membership.Server(nil), world.list...)
 	world.after(800, func() {
 		for _, calls := range world.windows {
 			calls.SetServers(world.now, list)
--- a/options.go
+++ b/options.go
@@ -1,6 +1,6 @@
 package seamloom
 
-import "seamloom.example/seamloom/internal/window"
+import "seamloom.example/seamloom/internal/scheduler"
 
 // Options say which courier a core decides for.
 type Options struct {
@@ -16,8 +16,8 @@
 	// FixedParts leaves every server the part that it was given first.
 	FixedParts bool
 	// FurtherTries bounds what all couriers send beyond the first dispatch of each
-	// opaque call; what is left out is window.DefaultAllowance.
-	FurtherTries window.Allowance
+	// opaque call; what is left out is scheduler.DefaultAllowance.
+	FurtherTries scheduler.Allowance
 }
 
 // DefaultMostInquiries is how many inquiries a courier lets in at once.
--- a/seamloom.go
+++ b/seamloom.go
@@ -5,12 +5,12 @@
 package seamloom
 
 import (
-	"seamloom.example/seamloom/internal/menu"
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/formats"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
 	"seamloom.example/seamloom/internal/pass"
-	"seamloom.example/seamloom/internal/recipe"
-	"seamloom.example/seamloom/internal/roster"
-	"seamloom.example/seamloom/internal/rota"
-	"seamloom.example/seamloom/internal/window"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // The types of the stream. They are documented where they are made.
@@ -24,26 +24,26 @@
 	// Load is a model server's report of its pressure.
 	Load = pass.Load
 	// Server is a model server as the platform lists it.
-	Server = roster.Server
+	Server = membership.Server
 	// Duty is a key that this node holds, with its fence.
-	Duty = rota.Duty
+	Duty = lease.Duty
 	// Order is what a model server is to do.
-	Order = recipe.Order
+	Order = formats.Order
 	// Call is one opaque inquiry: its method, path and body are passed on unchanged.
-	Call = window.Call
+	Call = scheduler.Call
 	// CallPart is one part of a call's prompt.
-	CallPart = window.Part
+	CallPart = scheduler.Part
 	// CallOutcome is how a dispatch of a call ended, CallDecision what is next.
-	CallOutcome  = window.Outcome
-	CallDecision = window.Decision
+	CallOutcome  = scheduler.Outcome
+	CallDecision = scheduler.Decision
 	// CallLoad is what a server of calls reported of itself.
-	CallLoad = window.Load
+	CallLoad = scheduler.Load
 	// Allowance bounds further tries.
-	Allowance = window.Allowance
+	Allowance = scheduler.Allowance
 	// Flag names one breaking change of a record format.
-	Flag = recipe.Flag
+	Flag = formats.Flag
 	// FlagList is a set of flags.
-	FlagList = recipe.List
+	FlagList = formats.List
 )
 
 // Supported is the list of flags that this build supports, less the withheld.
@@ -51,7 +51,7 @@
 // Example:
 //
 //	core := seamloom.New(seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)})
-func Supported(withheld FlagList) FlagList { return recipe.Supported(withheld) }
+func Supported(withheld FlagList) FlagList { return formats.Supported(withheld) }
 
 // CheckConfiguration tells every failure of a configuration's text, or nil.
 //
@@ -59,6 +59,6 @@
 //
 //	if failure := seamloom.CheckConfiguration(text); failure != nil { ... }
 func CheckConfiguration(text []byte) error {
-	_, err := menu.Check(text)
+	_, err := config.Check(text)
 	return err
 }
