--- a/internal/adapters/expediter/fleet.go
+++ b/internal/adapters/expediter/fleet.go
@@ -42,8 +42,8 @@
 	if _, _, err := process.conduct.Ruling(); err == nil {
 		return true, ""
 	}
-	address := process.conduct.Steward().Charter().Primary.Address
-	if address == process.conduct.Keeper().Seat().Address {
+	address := process.conduct.Coordinator().Charter().Primary.Address
+	if address == process.conduct.Witness().Replica().Address {
 		return false, ""
 	}
 	return false, address
--- a/internal/adapters/expediter/operators.go
+++ b/internal/adapters/expediter/operators.go
@@ -78,7 +78,7 @@
 	if !readable {
 		return
 	}
-	version := view.VersionOf(replication.MenuDrawer).String()
+	version := view.VersionOf(replication.ConfigurationSection).String()
 	writer.Header().Set("ETag", `"`+version+`"`)
 	answerJSON(writer, http.StatusOK, map[string]any{"version": version, "configuration": json.RawMessage(state.Menu)})
 }
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -85,7 +85,7 @@
 	for _, round := range conduct.Rounds() {
 		process.tomb.Go(func() error { round(); return nil })
 	}
-	logger.Info("listening", "address", chosen.Address, "identity", string(conduct.Keeper().Seat().Identity), "blank", blank)
+	logger.Info("listening", "address", chosen.Address, "identity", string(conduct.Witness().Replica().Identity), "blank", blank)
 	return process, nil
 }
 
--- a/internal/adapters/expediter/status.go
+++ b/internal/adapters/expediter/status.go
@@ -18,12 +18,12 @@
 	}
 	now := process.clock.Now()
 	live := current.Holds.Live(now)
-	charter := process.conduct.Steward().Charter()
+	charter := process.conduct.Coordinator().Charter()
 	members := map[string]memberAnswer{}
 	for name, member := range state.Members {
 		_, running := live[name]
 		if member.Kind == membership.Expediter {
-			running = process.conduct.Steward().Sees(member.Address)
+			running = process.conduct.Coordinator().Sees(member.Address)
 		}
 		members[name] = memberAnswer{Member: member, Running: running, Restricted: member.Restricted(state.Flags.Enabled)}
 	}
@@ -42,17 +42,17 @@
 	answerJSON(writer, http.StatusOK, map[string]any{
 		"holds_live_milliseconds": holds,
 		"servers":                 servers, "claims_horizon": process.horizon(view),
-		"primary": charter.Primary, "backup": charter.Backup, "further_backups": charter.Further, "keepers": charter.Keepers, "incoming_keepers": charter.Incoming,
-		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(replication.MenuDrawer).String(),
+		"primary": charter.Primary, "backup": charter.Backup, "further_backups": charter.Further, "keepers": charter.Witnesses, "incoming_keepers": charter.Incoming,
+		"epoch": charter.Epoch, "version": view.Version.String(), "configuration_version": view.VersionOf(replication.ConfigurationSection).String(),
 		"members": members, "flags": process.flagAnswers(current, state), "duties": state.Rota.Duties, "orders": orders,
-		"lagging":        current.Lagging(now, view.VersionOf(replication.MenuDrawer), state),
+		"lagging":        current.Lagging(now, view.VersionOf(replication.ConfigurationSection), state),
 		"synced_batches": batches, "answered_changes": changes, "primary_since_milliseconds": now.Sub(current.Since).Milliseconds(),
 	})
 }
 
 // horizon is the age before which claims are forgotten.
 func (process *Process) horizon(view *replication.View) time.Time {
-	state, err := replication.ReadState(map[string]replication.Drawer{replication.HorizonDrawer: view.Drawers[replication.HorizonDrawer]})
+	state, err := replication.ReadState(map[string]replication.Section{replication.HorizonSection: view.Drawers[replication.HorizonSection]})
 	if err != nil {
 		return time.Time{}
 	}
@@ -65,13 +65,13 @@
 	if silence > 3*time.Second {
 		status = http.StatusServiceUnavailable
 	}
-	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.conduct.Steward().Holds(), "identity": process.conduct.Keeper().Seat().Identity, "epoch": process.conduct.Steward().Charter().Epoch})
+	answerJSON(writer, status, map[string]any{"ready": status == http.StatusOK, "leads": process.conduct.Coordinator().Holds(), "identity": process.conduct.Witness().Replica().Identity, "epoch": process.conduct.Coordinator().Charter().Epoch})
 }
 
 func (process *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
 	batches, changes := process.conduct.Store().Work()
 	leads := 0
-	if process.conduct.Steward().Holds() {
+	if process.conduct.Coordinator().Holds() {
 		leads = 1
 	}
 	version := process.conduct.Store().Copy().Version()
@@ -84,7 +84,7 @@
 	for _, line := range []struct {
 		name  string
 		value uint64
-	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.conduct.Steward().Charter().Epoch}, {"seamloom_copy_number", version.Number},
+	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", process.conduct.Coordinator().Charter().Epoch}, {"seamloom_copy_number", version.Number},
 		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
 		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
 		{"seamloom_configurations_sent_total", menus}} {
--- a/internal/hatch/ask.go
+++ b/internal/hatch/ask.go
@@ -12,8 +12,8 @@
 
 // leadsAnswer is the part that all answers of expediters have in common.
 type leadsAnswer struct {
-	Leads   bool                `msgpack:"leads"`
-	Charter replication.Charter `msgpack:"charter"`
+	Leads   bool                   `msgpack:"leads"`
+	Charter replication.Membership `msgpack:"charter"`
 }
 
 // Ask sends a message to the primary, wherever it is, or through a neighbour
@@ -85,7 +85,7 @@
 }
 
 // learnCharter takes a charter that is newer than the one known.
-func (follower *Follower) learnCharter(charter replication.Charter) {
+func (follower *Follower) learnCharter(charter replication.Membership) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if charter.Epoch > follower.charter.Epoch {
@@ -121,8 +121,8 @@
 	for _, backup := range follower.charter.Backups() {
 		candidates = append(candidates, backup.Address)
 	}
-	for _, seat := range follower.charter.Electors() {
-		candidates = append(candidates, seat.Address)
+	for _, replica := range follower.charter.Electors() {
+		candidates = append(candidates, replica.Address)
 	}
 	candidates = append(candidates, follower.seeds...)
 	candidates = append(candidates, follower.contacts...)
--- a/internal/hatch/copies.go
+++ b/internal/hatch/copies.go
@@ -13,7 +13,7 @@
 
 type copySaid struct {
 	at      time.Time
-	charter replication.Charter
+	charter replication.Membership
 	copied  CopyNews
 }
 
@@ -37,7 +37,7 @@
 // so it takes the oldest among them, and only when each has spoken or is lost, and when
 // a quorum of the keepers has told the charter.
 func (copies *copies) choose(now time.Time) (address string, version replication.Version, found bool) {
-	var charter replication.Charter
+	var charter replication.Membership
 	spoken := map[replication.Identity]bool{}
 	at := map[replication.Identity]string{}
 	for place, said := range copies.said {
@@ -52,21 +52,21 @@
 	if charter.Blank() || !charter.Quorum(spoken) {
 		return "", version, false
 	}
-	for _, seat := range charter.Copies() {
-		if !spoken[seat.Identity] {
-			if another, heard := copies.said[seat.Address]; heard && now.Sub(another.at) <= copyFresh {
+	for _, replica := range charter.Copies() {
+		if !spoken[replica.Identity] {
+			if another, heard := copies.said[replica.Address]; heard && now.Sub(another.at) <= copyFresh {
 				// Another disk is at its address: its own is lost.
 				continue
 			}
 			return "", version, false
 		}
-		said := copies.said[at[seat.Identity]].copied
+		said := copies.said[at[replica.Identity]].copied
 		if said.Damaged {
 			// It can't lead, and is replaced.
 			continue
 		}
 		if !found || said.Menu.Before(version) {
-			address, version, found = at[seat.Identity], said.Menu, true
+			address, version, found = at[replica.Identity], said.Menu, true
 		}
 	}
 	return address, version, found && version != (replication.Version{})
--- a/internal/hatch/copies_test.go
+++ b/internal/hatch/copies_test.go
@@ -12,23 +12,23 @@
 // is known to be lost and a quorum of the keepers has.
 func TestProvisionalConfigurationIsOnEveryCopyInSync(t *testing.T) {
 	now := time.Unix(1000, 0)
-	seat := func(name string) replication.Seat {
-		return replication.Seat{Identity: replication.Identity("disk " + name), Address: name}
+	replica := func(name string) replication.Replica {
+		return replication.Replica{Identity: replication.Identity("disk " + name), Address: name}
 	}
-	keepers := []replication.Seat{seat("a"), seat("b"), seat("c")}
-	pair := replication.Charter{Epoch: 4, Primary: seat("a"), Backup: seat("b"), Keepers: keepers}
-	alone := replication.Charter{Epoch: 5, Primary: seat("b"), Keepers: keepers}
-	five := replication.Charter{Epoch: 6, Primary: seat("a"), Backup: seat("b"), Further: []replication.Seat{seat("d")},
-		Keepers: append(append([]replication.Seat{}, keepers...), seat("d"), seat("e"))}
+	keepers := []replication.Replica{replica("a"), replica("b"), replica("c")}
+	pair := replication.Membership{Epoch: 4, Primary: replica("a"), Backup: replica("b"), Witnesses: keepers}
+	alone := replication.Membership{Epoch: 5, Primary: replica("b"), Witnesses: keepers}
+	five := replication.Membership{Epoch: 6, Primary: replica("a"), Backup: replica("b"), Further: []replication.Replica{replica("d")},
+		Witnesses: append(append([]replication.Replica{}, keepers...), replica("d"), replica("e"))}
 	version := func(number uint64) replication.Version { return replication.Version{Epoch: 3, Number: number} }
-	says := func(name string, charter replication.Charter, number uint64) NewsAnswer {
+	says := func(name string, charter replication.Membership, number uint64) NewsAnswer {
 		return NewsAnswer{Charter: charter, Copy: &CopyNews{Identity: replication.Identity("disk " + name), Menu: version(number)}}
 	}
 	damaged := says("b", pair, 9)
 	damaged.Copy.Damaged = true
-	other := says("another", replication.Charter{}, 0)
+	other := says("another", replication.Membership{}, 0)
 	other.Copy.Menu = replication.Version{}
-	blank := replication.Charter{}
+	blank := replication.Membership{}
 	for _, row := range []struct {
 		name    string
 		said    map[string]NewsAnswer
--- a/internal/hatch/copynews.go
+++ b/internal/hatch/copynews.go
@@ -10,26 +10,26 @@
 	// Menu is the version of the copy's configuration.
 	Menu replication.Version `msgpack:"menu"`
 	// Drawers are what a courier needs to serve, when it asked for this version.
-	Drawers map[string]replication.Drawer `msgpack:"drawers,omitempty"`
+	Drawers map[string]replication.Section `msgpack:"drawers,omitempty"`
 }
 
 // provisionalDrawers are those that a courier has from a copy. Orders and duties are
 // not among them: they need a primary.
-var provisionalDrawers = []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer}
+var provisionalDrawers = []string{replication.ConfigurationSection, replication.MembersSection, replication.FlagsSection}
 
 // copyNews tells of the own copy, with its drawers if their version is the wanted one.
 func (expediter *Expediter) copyNews(wanted replication.Version) *CopyNews {
 	copied := expediter.store.Copy()
-	news := &CopyNews{Identity: expediter.keeper.Seat().Identity, Damaged: copied.Damage() != ""}
-	drawers := copied.Drawers()
-	news.Menu = drawers[replication.MenuDrawer].Version
+	news := &CopyNews{Identity: expediter.witness.Replica().Identity, Damaged: copied.Damage() != ""}
+	sections := copied.Drawers()
+	news.Menu = sections[replication.ConfigurationSection].Version
 	if news.Damaged || wanted == (replication.Version{}) || news.Menu != wanted {
 		return news
 	}
-	news.Drawers = map[string]replication.Drawer{}
+	news.Drawers = map[string]replication.Section{}
 	for _, name := range provisionalDrawers {
-		if drawer, found := drawers[name]; found {
-			news.Drawers[name] = drawer
+		if section, found := sections[name]; found {
+			news.Drawers[name] = section
 		}
 	}
 	return news
@@ -38,7 +38,7 @@
 // elsewhere is the answer of an expediter that is not primary. The charter is read
 // before the copy: a copy that the charter names is then no older than its grant.
 func (expediter *Expediter) elsewhere(question NewsQuestion) NewsAnswer {
-	answer := NewsAnswer{Charter: expediter.steward.Charter()}
+	answer := NewsAnswer{Charter: expediter.coordinator.Charter()}
 	if !question.Provisional {
 		return answer
 	}
--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -26,24 +26,26 @@
 
 func (expediter *Expediter) table() Answers {
 	return Answers{
-		HelloPath: answering(func(hello replication.Hello) (replication.Hello, error) { return expediter.steward.Greet(hello), nil }),
+		HelloPath: answering(func(hello replication.Hello) (replication.Hello, error) {
+			return expediter.coordinator.Greet(hello), nil
+		}),
 		PreparePath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
 				return replication.Promise{}, err
 			}
-			return expediter.keeper.Prepare(expediter.turns.Now(), question.Epoch, question.From)
+			return expediter.witness.Prepare(expediter.turns.Now(), question.Epoch, question.From)
 		}),
 		AcceptPath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
 				return replication.Promise{}, err
 			}
-			return expediter.keeper.Accept(expediter.turns.Now(), question.Charter)
+			return expediter.witness.Accept(expediter.turns.Now(), question.Charter)
 		}),
 		ConfirmPath: answering(func(question keeperQuestion) (replication.Promise, error) {
 			if err := expediter.mine(question.To); err != nil {
 				return replication.Promise{}, err
 			}
-			return expediter.keeper.Confirm(expediter.turns.Now(), question.Epoch, question.From), nil
+			return expediter.witness.Confirm(expediter.turns.Now(), question.Epoch, question.From), nil
 		}),
 		ReplicatePath: answering(func(question replicateQuestion) (nothing, error) {
 			if err := expediter.mine(question.To); err != nil {
@@ -75,7 +77,7 @@
 
 // mine guards against messages for another disk at the same address.
 func (expediter *Expediter) mine(identity replication.Identity) error {
-	if own := expediter.keeper.Seat().Identity; identity != own {
+	if own := expediter.witness.Replica().Identity; identity != own {
 		return failure.New(failure.NotAdmitted, "another disk is at this address now")
 	}
 	return nil
@@ -84,17 +86,17 @@
 // led carries out a node's change if this expediter is primary.
 func (expediter *Expediter) led(change replication.Change) (LedAnswer, error) {
 	if _, _, err := expediter.Ruling(); err != nil {
-		return LedAnswer{Charter: expediter.steward.Charter()}, nil
+		return LedAnswer{Charter: expediter.coordinator.Charter()}, nil
 	}
 	_, err := expediter.submit(change, claimPatience)
 	if failure.KindOf(err) == failure.NotPrimary {
-		return LedAnswer{Charter: expediter.steward.Charter()}, nil
+		return LedAnswer{Charter: expediter.coordinator.Charter()}, nil
 	}
 	return LedAnswer{Leads: true}, err
 }
 
 // followedDrawers are those that nodes follow.
-var followedDrawers = []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer, replication.OrdersDrawer}
+var followedDrawers = []string{replication.ConfigurationSection, replication.MembersSection, replication.FlagsSection, replication.OrdersSection}
 
 // answerNews registers the node if needed, waits for news, and grants a hold
 // for the configuration that the answer confirms.
@@ -105,7 +107,7 @@
 		return elsewhere()
 	}
 	if question.Brief {
-		return NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(replication.MenuDrawer)}, nil
+		return NewsAnswer{Leads: true, Charter: expediter.coordinator.Charter(), Menu: view.VersionOf(replication.ConfigurationSection)}, nil
 	}
 	name := question.Member.Name
 	courier := question.Member.Kind == membership.Courier
@@ -132,7 +134,7 @@
 		if view = expediter.awaitNews(question); view == nil {
 			return elsewhere()
 		}
-		answer := NewsAnswer{Leads: true, Charter: expediter.steward.Charter(), Menu: view.VersionOf(replication.MenuDrawer), Drawers: newer(view, question.Have)}
+		answer := NewsAnswer{Leads: true, Charter: expediter.coordinator.Charter(), Menu: view.VersionOf(replication.ConfigurationSection), Drawers: newer(view, question.Have)}
 		answer.shorten(question, current)
 		now := expediter.turns.Now()
 		answer.Held = now.Sub(arrived)
@@ -152,12 +154,12 @@
 		// The grant is noted before this look: a configuration committed since
 		// is either seen here, or its change sees the grant and waits for it.
 		latest := expediter.store.View()
-		if latest == nil || !expediter.steward.Holds() {
+		if latest == nil || !expediter.coordinator.Holds() {
 			return elsewhere()
 		}
-		if latest.VersionOf(replication.MenuDrawer) == answer.Menu {
+		if latest.VersionOf(replication.ConfigurationSection) == answer.Menu {
 			if answer.Charter.Epoch <= question.Charter {
-				answer.Charter = replication.Charter{}
+				answer.Charter = replication.Membership{}
 			}
 			expediter.count(answer)
 			return answer, nil
@@ -168,24 +170,24 @@
 // shorten sends what changed of the configuration instead of all of it, if the
 // node takes that and has a version that was shown here.
 func (answer *NewsAnswer) shorten(question NewsQuestion, current *Reign) {
-	drawer, found := answer.Drawers[replication.MenuDrawer]
+	section, found := answer.Drawers[replication.ConfigurationSection]
 	if !found {
 		return
 	}
-	delta, made := current.editions.towards(drawer, question.Have[replication.MenuDrawer])
+	delta, made := current.editions.towards(section, question.Have[replication.ConfigurationSection])
 	if !made || !question.Deltas {
 		return
 	}
-	delete(answer.Drawers, replication.MenuDrawer)
-	answer.Deltas = map[string]Delta{replication.MenuDrawer: delta}
+	delete(answer.Drawers, replication.ConfigurationSection)
+	answer.Deltas = map[string]Delta{replication.ConfigurationSection: delta}
 }
 
 // count adds an answer's drawers to what news has cost.
 func (expediter *Expediter) count(answer NewsAnswer) {
 	expediter.newsAnswers.Add(1)
-	for name, drawer := range answer.Drawers {
-		expediter.newsBytes.Add(uint64(len(drawer.Content)))
-		if name == replication.MenuDrawer {
+	for name, section := range answer.Drawers {
+		expediter.newsBytes.Add(uint64(len(section.Content)))
+		if name == replication.ConfigurationSection {
 			expediter.menusSent.Add(1)
 		}
 	}
@@ -195,14 +197,14 @@
 	}
 }
 
-func newer(view *replication.View, have map[string]replication.Version) map[string]replication.Drawer {
-	drawers := map[string]replication.Drawer{}
+func newer(view *replication.View, have map[string]replication.Version) map[string]replication.Section {
+	sections := map[string]replication.Section{}
 	for _, name := range followedDrawers {
-		drawer, found := view.Drawers[name]
+		section, found := view.Drawers[name]
 		switch {
-		case !found && name == replication.MenuDrawer:
+		case !found && name == replication.ConfigurationSection:
 			// A fleet that was given no configuration has the empty one.
-			drawer = replication.Drawer{Content: config.Empty().Text}
+			section = replication.Section{Content: config.Empty().Text}
 			if _, told := have[name]; told {
 				continue
 			}
@@ -210,20 +212,20 @@
 			if _, told := have[name]; told {
 				continue
 			}
-			drawer = replication.Drawer{}
+			section = replication.Section{}
 		}
-		if version, told := have[name]; !told || version.Before(drawer.Version) {
-			drawers[name] = drawer
+		if version, told := have[name]; !told || version.Before(section.Version) {
+			sections[name] = section
 		}
 	}
-	return drawers
+	return sections
 }
 
 // newerCharter tells whether the membership has changed since the asker heard of it: who
 // belongs to the core, and where, is to reach every node while it can. An older release
 // does not tell what it has heard of, and is told with its next answer.
 func (expediter *Expediter) newerCharter(question NewsQuestion) bool {
-	return question.Charter != 0 && expediter.steward.Charter().Epoch > question.Charter
+	return question.Charter != 0 && expediter.coordinator.Charter().Epoch > question.Charter
 }
 
 // awaitNews returns the view as soon as it has news for the question, or when
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -243,20 +243,20 @@
 		courier.takeProvisional(news)
 		return
 	}
-	if drawer, found := news.Changed[replication.MenuDrawer]; found {
-		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
-		courier.observe("configuration_in_force", "version", drawer.Version.String())
+	if section, found := news.Changed[replication.ConfigurationSection]; found {
+		courier.Apply(pass.Event{Kind: pass.MenuReceived, Menu: section.Content, Epoch: section.Version.Epoch, Number: section.Version.Number})
+		courier.observe("configuration_in_force", "version", section.Version.String())
 	}
 	state, err := replication.ReadState(news.Changed)
 	if err != nil {
 		courier.observe("news_unreadable", "cause", err)
 		return
 	}
-	if _, found := news.Changed[replication.FlagsDrawer]; found {
+	if _, found := news.Changed[replication.FlagsSection]; found {
 		courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
 		courier.observe("flags_read", "enabled", state.Flags.Enabled, "restricted", courier.core.Restricted())
 	}
-	if _, found := news.Changed[replication.OrdersDrawer]; found {
+	if _, found := news.Changed[replication.OrdersSection]; found {
 		courier.Apply(pass.Event{Kind: pass.OrdersRead, Orders: courier.core.ReadOrders(state.Orders.Records)})
 	}
 	courier.takeMembers(news, state)
@@ -280,16 +280,16 @@
 	courier.Apply(pass.Event{Kind: pass.FlagsRead, Enabled: state.Flags.Enabled})
 	courier.takeMembers(news, state)
 	courier.takeLists(news)
-	drawer := news.Changed[replication.MenuDrawer]
-	courier.Apply(pass.Event{Kind: pass.MenuLent, Menu: drawer.Content, Epoch: drawer.Version.Epoch, Number: drawer.Version.Number})
+	section := news.Changed[replication.ConfigurationSection]
+	courier.Apply(pass.Event{Kind: pass.MenuLent, Menu: section.Content, Epoch: section.Version.Epoch, Number: section.Version.Number})
 	courier.showServing()
 	courier.stir()
-	courier.observe("configuration_lent", "version", drawer.Version.String())
+	courier.observe("configuration_lent", "version", section.Version.String())
 }
 
 // takeMembers takes the recorded members, if there are others.
 func (courier *Courier) takeMembers(news News, state *replication.State) {
-	if _, found := news.Changed[replication.MembersDrawer]; !found {
+	if _, found := news.Changed[replication.MembersSection]; !found {
 		return
 	}
 	courier.mutex.Lock()
--- a/internal/hatch/courier_test.go
+++ b/internal/hatch/courier_test.go
@@ -103,8 +103,8 @@
 		t.Errorf("before any hold it serves until %s", board.until)
 	}
 	version := replication.Version{Epoch: 1, Number: 4}
-	drawers := map[string]replication.Drawer{replication.MenuDrawer: {Version: version, Content: config.Empty().Text}}
-	courier.takeNews(News{Asked: atNoon(0), Answer: NewsAnswer{Leads: true, Menu: version}, Changed: drawers})
+	sections := map[string]replication.Section{replication.ConfigurationSection: {Version: version, Content: config.Empty().Text}}
+	courier.takeNews(News{Asked: atNoon(0), Answer: NewsAnswer{Leads: true, Menu: version}, Changed: sections})
 	if !board.until.IsZero() || courier.InForce() != version {
 		t.Errorf("a configuration without a hold: serves until %s with %s", board.until, courier.InForce())
 	}
--- a/internal/hatch/delta.go
+++ b/internal/hatch/delta.go
@@ -24,7 +24,7 @@
 var deltaTable = crc32.MakeTable(crc32.Castagnoli)
 
 // makeDelta compares two contents from both ends.
-func makeDelta(base, target replication.Drawer) Delta {
+func makeDelta(base, target replication.Section) Delta {
 	least := min(len(base.Content), len(target.Content))
 	prefix := 0
 	// Blocks first: a large content is mostly the same.
@@ -43,14 +43,14 @@
 }
 
 // apply makes the new content of the old one; false means that it does not fit.
-func (delta Delta) apply(base replication.Drawer) (replication.Drawer, bool) {
+func (delta Delta) apply(base replication.Section) (replication.Section, bool) {
 	length := len(base.Content)
 	if delta.Base != base.Version || delta.Prefix < 0 || delta.Suffix < 0 || delta.Prefix > length || delta.Suffix > length-delta.Prefix {
-		return replication.Drawer{}, false
+		return replication.Section{}, false
 	}
 	content := make([]byte, 0, delta.Prefix+len(delta.Middle)+delta.Suffix)
 	content = append(content, base.Content[:delta.Prefix]...)
 	content = append(content, delta.Middle...)
 	content = append(content, base.Content[length-delta.Suffix:]...)
-	return replication.Drawer{Version: delta.Version, Content: content}, crc32.Checksum(content, deltaTable) == delta.Checksum
+	return replication.Section{Version: delta.Version, Content: content}, crc32.Checksum(content, deltaTable) == delta.Checksum
 }
--- a/internal/hatch/delta_test.go
+++ b/internal/hatch/delta_test.go
@@ -13,12 +13,12 @@
 // back, byte for byte, and no delta to fit another base.
 func TestDeltasGiveTheVeryContent(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	base := replication.Drawer{Version: replication.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("0123456789abcdef"), 2000)}
+	base := replication.Section{Version: replication.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("0123456789abcdef"), 2000)}
 	for number := range uint64(200) {
 		at, gone := random.IntN(len(base.Content)), random.IntN(200)
 		end := min(at+gone, len(base.Content))
 		content := append(append(bytes.Clone(base.Content[:at]), bytes.Repeat([]byte{byte(random.IntN(256))}, random.IntN(300))...), base.Content[end:]...)
-		target := replication.Drawer{Version: replication.Version{Epoch: 1, Number: number + 2}, Content: content}
+		target := replication.Section{Version: replication.Version{Epoch: 1, Number: number + 2}, Content: content}
 		delta := makeDelta(base, target)
 		made, fits := delta.apply(base)
 		if !fits || !bytes.Equal(made.Content, target.Content) || made.Version != target.Version {
@@ -27,7 +27,7 @@
 		if len(delta.Middle) > 600 {
 			t.Fatalf("edit %d sends %d bytes", number, len(delta.Middle))
 		}
-		if other := (replication.Drawer{Version: base.Version, Content: append([]byte("x"), base.Content...)}); at > 0 {
+		if other := (replication.Section{Version: base.Version, Content: append([]byte("x"), base.Content...)}); at > 0 {
 			if _, fits := delta.apply(other); fits {
 				t.Fatalf("edit %d fits another content", number)
 			}
@@ -41,20 +41,20 @@
 func TestFollowerAsksAnewWhenADeltaDoesNotFit(t *testing.T) {
 	taken := 0
 	follower := NewFollower(hookless{}, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(News) { taken++ })
-	first := replication.Drawer{Version: replication.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("a"), 5000)}
-	second := replication.Drawer{Version: replication.Version{Epoch: 1, Number: 2}, Content: append(bytes.Repeat([]byte("a"), 5000), 'b')}
-	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: first.Version, Drawers: map[string]replication.Drawer{replication.MenuDrawer: first}})
+	first := replication.Section{Version: replication.Version{Epoch: 1, Number: 1}, Content: bytes.Repeat([]byte("a"), 5000)}
+	second := replication.Section{Version: replication.Version{Epoch: 1, Number: 2}, Content: append(bytes.Repeat([]byte("a"), 5000), 'b')}
+	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: first.Version, Drawers: map[string]replication.Section{replication.ConfigurationSection: first}})
 	delta := makeDelta(first, second)
 	delta.Checksum++
-	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{replication.MenuDrawer: delta}})
+	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{replication.ConfigurationSection: delta}})
 	question, _ := follower.pollQuestion()
-	if _, told := question.Have[replication.MenuDrawer]; told || taken != 1 {
+	if _, told := question.Have[replication.ConfigurationSection]; told || taken != 1 {
 		t.Fatalf("a delta that does not fit was taken: %d answers, the node says that it has %v", taken, question.Have)
 	}
 	delta.Checksum--
-	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: first.Version, Drawers: map[string]replication.Drawer{replication.MenuDrawer: first}})
-	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{replication.MenuDrawer: delta}})
-	if got := follower.Drawer(replication.MenuDrawer); got.Version != second.Version || !bytes.Equal(got.Content, second.Content) {
+	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: first.Version, Drawers: map[string]replication.Section{replication.ConfigurationSection: first}})
+	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: second.Version, Deltas: map[string]Delta{replication.ConfigurationSection: delta}})
+	if got := follower.Drawer(replication.ConfigurationSection); got.Version != second.Version || !bytes.Equal(got.Content, second.Content) {
 		t.Fatalf("the node has %s after the delta", got.Version)
 	}
 }
--- a/internal/hatch/edit.go
+++ b/internal/hatch/edit.go
@@ -47,8 +47,8 @@
 		return version, err
 	}
 	// The same change sent again is answered with the version that holds now.
-	if _, view, err := expediter.Ruling(); err == nil && view.VersionOf(replication.MenuDrawer).Before(version) {
-		version = view.VersionOf(replication.MenuDrawer)
+	if _, view, err := expediter.Ruling(); err == nil && view.VersionOf(replication.ConfigurationSection).Before(version) {
+		version = view.VersionOf(replication.ConfigurationSection)
 	}
 	if !expediter.awaitInForce(current, version) {
 		return version, failure.New(failure.Unknown, "it can't be known yet whether the change is in force")
@@ -77,22 +77,22 @@
 		if err != nil {
 			return nil, replication.Version{}, err
 		}
-		drawer, found := view.Drawers[replication.MenuDrawer]
+		section, found := view.Drawers[replication.ConfigurationSection]
 		if !found {
-			drawer.Content = config.Empty().Text
+			section.Content = config.Empty().Text
 		}
-		large := len(drawer.Content) >= replication.LargeMenu
+		large := len(section.Content) >= replication.LargeMenu
 		if large {
 			if !expediter.takeEditTurn(ends) {
 				return nil, replication.Version{}, failure.New(failure.Busy, "other changes of this large configuration go first; ask again")
 			}
 			if _, newest, err := expediter.Ruling(); err == nil {
-				drawer = newest.Drawers[replication.MenuDrawer]
+				section = newest.Drawers[replication.ConfigurationSection]
 			}
 		}
 		var prepared replication.PreparedMenu
 		if !expediter.noted(current, view, edit) {
-			prepared = replication.PrepareMenu(drawer.Version, drawer.Content, edit.Apply, edit.Sound)
+			prepared = replication.PrepareMenu(section.Version, section.Content, edit.Apply, edit.Sound)
 		}
 		version, err := expediter.submit(replication.ChangeMenu(edit.Change, edit.Digest, edit.Expected, prepared, edit.Apply), changePatience)
 		if large {
@@ -181,7 +181,7 @@
 			return everywhere
 		})
 		if over || !expediter.turns.Alive() {
-			return everywhere && !lost && expediter.steward.Holds()
+			return everywhere && !lost && expediter.coordinator.Holds()
 		}
 	}
 	return false
--- a/internal/hatch/edit_test.go
+++ b/internal/hatch/edit_test.go
@@ -32,7 +32,7 @@
 	if err != nil || !strings.Contains(string(state.Menu), want) {
 		t.Fatalf("%v: no %s in the configuration", err, want)
 	}
-	return view.VersionOf(replication.MenuDrawer)
+	return view.VersionOf(replication.ConfigurationSection)
 }
 
 func TestEditsBuildOnRevisions(t *testing.T) {
@@ -102,7 +102,7 @@
 	for range 200 {
 		waited.Wait(20*time.Millisecond, func() bool { return false })
 		for _, node := range formed.nodes {
-			if _, _, err := node.Ruling(); err == nil && node != primary && !node.Steward().Charter().Backup.Empty() {
+			if _, _, err := node.Ruling(); err == nil && node != primary && !node.Coordinator().Charter().Backup.Empty() {
 				next = node
 			}
 		}
--- a/internal/hatch/editions.go
+++ b/internal/hatch/editions.go
@@ -10,7 +10,7 @@
 // node which has one of them is sent only what changed.
 type editions struct {
 	mutex sync.Mutex
-	shown []replication.Drawer
+	shown []replication.Section
 	// made are the deltas towards the newest one, by the version they start from.
 	made map[replication.Version]Delta
 }
@@ -22,7 +22,7 @@
 )
 
 // towards gives the delta from the version that a node has to the newest.
-func (editions *editions) towards(newest replication.Drawer, have replication.Version) (Delta, bool) {
+func (editions *editions) towards(newest replication.Section, have replication.Version) (Delta, bool) {
 	editions.mutex.Lock()
 	defer editions.mutex.Unlock()
 	if len(newest.Content) < leastDelta {
@@ -32,8 +32,8 @@
 		editions.shown = append(editions.shown, newest)
 		editions.made = map[replication.Version]Delta{}
 		size := 0
-		for _, drawer := range editions.shown {
-			size += len(drawer.Content)
+		for _, section := range editions.shown {
+			size += len(section.Content)
 		}
 		for len(editions.shown) > 1 && (len(editions.shown) > mostEditions || size > mostEditionBytes) {
 			size -= len(editions.shown[0].Content)
@@ -43,9 +43,9 @@
 	if delta, found := editions.made[have]; found {
 		return delta, true
 	}
-	for _, drawer := range editions.shown {
-		if drawer.Version == have && have != newest.Version {
-			delta := makeDelta(drawer, newest)
+	for _, section := range editions.shown {
+		if section.Version == have && have != newest.Version {
+			delta := makeDelta(section, newest)
 			editions.made[have] = delta
 			return delta, len(delta.Middle) < len(newest.Content)/2
 		}
--- a/internal/hatch/expediter.go
+++ b/internal/hatch/expediter.go
@@ -20,21 +20,21 @@
 // keeper on its disk, and, while it is primary, the answers to nodes and
 // operators.
 type Expediter struct {
-	turns     lease.Turns
-	line      Hotline
-	options   ExpediterOptions
-	observe   func(event string, detail ...any)
-	keeper    *replication.Keeper
-	store     *replication.Store
-	steward   *replication.Steward
-	followed  *Follower
-	answers   Answers
-	news      lease.Bell
-	reigns    lease.Bell
-	lists     lists
-	work      lease.Bell
-	confirmed lease.Bell
-	edits     lease.Bell
+	turns       lease.Turns
+	line        Hotline
+	options     ExpediterOptions
+	observe     func(event string, detail ...any)
+	witness     *replication.Witness
+	store       *replication.Store
+	coordinator *replication.Coordinator
+	followed    *Follower
+	answers     Answers
+	news        lease.Bell
+	reigns      lease.Bell
+	lists       lists
+	work        lease.Bell
+	confirmed   lease.Bell
+	edits       lease.Bell
 
 	submitted   atomic.Uint64
 	newsAnswers atomic.Uint64
@@ -76,8 +76,8 @@
 //
 //	core, blank, failure := hatch.OpenExpediter(turns, line, keeping, copies, options, observe)
 func OpenExpediter(turns lease.Turns, line Hotline, keeping, copies replication.Shelf, options ExpediterOptions, observe func(string, ...any)) (*Expediter, bool, error) {
-	seat := replication.Seat{Address: options.Address, Name: options.Name}
-	keeper, blank, err := replication.OpenKeeper(turns.Now(), keeping, seat, options.Fresh)
+	replica := replication.Replica{Address: options.Address, Name: options.Name}
+	witness, blank, err := replication.OpenWitness(turns.Now(), keeping, replica, options.Fresh)
 	if err != nil {
 		return nil, false, err
 	}
@@ -94,18 +94,18 @@
 	if damage := copied.Damage(); damage != "" {
 		observe("copy_damaged", "damage", damage)
 	}
-	keeper.Guard(lease.NewLock(turns))
+	witness.Guard(lease.NewLock(turns))
 	copied.Guard(lease.NewLock(turns))
-	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, keeper: keeper, store: replication.NewStore(copied, keeper),
+	expediter := &Expediter{turns: turns, line: line, options: options, observe: observe, witness: witness, store: replication.NewStore(copied, witness),
 		news: turns.NewBell(), reigns: turns.NewBell(), work: turns.NewBell(), confirmed: turns.NewBell(), edits: turns.NewBell()}
 	expediter.store.Guard(lease.NewLock(turns))
-	expediter.steward = replication.NewSteward(turns, options.Seeds, keeper, expediter.store, &peers{line: line}, observe)
+	expediter.coordinator = replication.NewCoordinator(turns, options.Seeds, witness, expediter.store, &peers{line: line}, observe)
 	if options.JoinsOnly {
-		expediter.steward.JoinOnly()
+		expediter.coordinator.JoinOnly()
 	}
 	timing := replication.TimingFor(options.CatchUp)
-	expediter.steward.SetTiming(timing)
-	expediter.steward.Bear(options.BorneLosses, options.District)
+	expediter.coordinator.SetTiming(timing)
+	expediter.coordinator.Bear(options.BorneLosses, options.District)
 	observe("timing", "catch_up", timing.CatchUp.String(), "lease", timing.Lease.String(), "repair", timing.Repair().String(), "margin", timing.Margin().String())
 	member := membership.Member{Name: options.Name, Kind: membership.Expediter, Address: options.Address, District: options.District, Supported: options.Supported}
 	expediter.followed = NewFollower(turns, line, member, options.Seeds, func() replication.Version { return replication.Version{} }, expediter.takeNews)
@@ -157,11 +157,11 @@
 //	core.Leave(5 * time.Second)
 func (expediter *Expediter) Leave(patience time.Duration) {
 	ends := expediter.turns.Now().Add(patience)
-	expediter.steward.Leave()
-	for !expediter.steward.Released() && expediter.turns.Now().Before(ends) {
+	expediter.coordinator.Leave()
+	for !expediter.coordinator.Released() && expediter.turns.Now().Before(ends) {
 		lease.Pause(expediter.turns, leavePause)
 	}
-	expediter.observe("left", "released", expediter.steward.Released())
+	expediter.observe("left", "released", expediter.coordinator.Released())
 }
 
 // SetSeeds exchanges the seeds, after a reload.
@@ -170,7 +170,7 @@
 //
 //	core.SetSeeds(chosen.Seeds)
 func (expediter *Expediter) SetSeeds(seeds []string) {
-	expediter.steward.SetSeeds(seeds)
+	expediter.coordinator.SetSeeds(seeds)
 	expediter.followed.SetSeeds(seeds)
 }
 
@@ -222,8 +222,8 @@
 		peers = append(peers, expediter.members[name].Address)
 	}
 	expediter.mutex.Unlock()
-	expediter.steward.SetContacts(contacts)
-	expediter.steward.SetRecorded(append(slices.Clone(recorded), peers...))
+	expediter.coordinator.SetContacts(contacts)
+	expediter.coordinator.SetRecorded(append(slices.Clone(recorded), peers...))
 	for _, address := range recorded {
 		if !slices.Contains(contacts, address) {
 			contacts = append(contacts, address)
@@ -232,12 +232,12 @@
 	expediter.followed.SetContacts(contacts, peers)
 }
 
-// Keeper is the epoch keeper on this disk.
+// Witness is the epoch keeper on this disk.
 //
 // Example:
 //
-//	identity := core.Keeper().Seat().Identity
-func (expediter *Expediter) Keeper() *replication.Keeper { return expediter.keeper }
+//	identity := core.Witness().Seat().Identity
+func (expediter *Expediter) Witness() *replication.Witness { return expediter.witness }
 
 // Store is this disk's part in the larder.
 //
@@ -246,12 +246,12 @@
 //	batches, changes := core.Store().Work()
 func (expediter *Expediter) Store() *replication.Store { return expediter.store }
 
-// Steward decides who is primary, from this node's point of view.
+// Coordinator decides who is primary, from this node's point of view.
 //
 // Example:
 //
-//	leads := core.Steward().Holds()
-func (expediter *Expediter) Steward() *replication.Steward { return expediter.steward }
+//	leads := core.Coordinator().Holds()
+func (expediter *Expediter) Coordinator() *replication.Coordinator { return expediter.coordinator }
 
 // Heard is when a primary answered this node last.
 //
@@ -271,10 +271,10 @@
 }
 
 func (expediter *Expediter) tick() {
-	expediter.steward.Tick()
+	expediter.coordinator.Tick()
 	// It may wait for the disk, and nobody may wait for that here.
 	leading := expediter.store.Leading()
-	epoch := expediter.steward.Charter().Epoch
+	epoch := expediter.coordinator.Charter().Epoch
 	expediter.mutex.Lock()
 	moved := epoch != expediter.epoch
 	expediter.epoch = epoch
@@ -287,7 +287,7 @@
 	}
 	expediter.mutex.Unlock()
 	if begun {
-		expediter.lists.begin(expediter.steward.Charter().Epoch)
+		expediter.lists.begin(expediter.coordinator.Charter().Epoch)
 		expediter.reigns.Ring()
 	}
 	if ended {
@@ -309,7 +309,7 @@
 	current := expediter.reign
 	expediter.mutex.Unlock()
 	view := expediter.store.View()
-	if current == nil || view == nil || !expediter.steward.Holds() {
+	if current == nil || view == nil || !expediter.coordinator.Holds() {
 		return nil, nil, failure.New(failure.NoPrimary, "this expediter is not primary")
 	}
 	return current, view, nil
@@ -331,7 +331,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	if !expediter.steward.Holds() {
+	if !expediter.coordinator.Holds() {
 		return nil, nil, nil, failure.New(failure.NoPrimary, "the hold ran out")
 	}
 	expediter.turns.Go(func() { expediter.mendCopies(view) })
@@ -346,13 +346,13 @@
 		return current.state, nil
 	}
 	// Claims are many and asked for nowhere but in their own changes.
-	drawers := map[string]replication.Drawer{}
-	for _, name := range []string{replication.MenuDrawer, replication.MembersDrawer, replication.FlagsDrawer, replication.RotaDrawer, replication.OrdersDrawer, replication.ChangesDrawer} {
-		if drawer, found := view.Drawers[name]; found {
-			drawers[name] = drawer
+	sections := map[string]replication.Section{}
+	for _, name := range []string{replication.ConfigurationSection, replication.MembersSection, replication.FlagsSection, replication.DutiesSection, replication.OrdersSection, replication.ChangesSection} {
+		if section, found := view.Drawers[name]; found {
+			sections[name] = section
 		}
 	}
-	state, err := replication.ReadState(drawers)
+	state, err := replication.ReadState(sections)
 	if err != nil {
 		return nil, err
 	}
@@ -376,8 +376,8 @@
 }
 
 func (expediter *Expediter) commitOne() bool {
-	charter := expediter.steward.Charter()
-	if charter.Backup.Empty() || !expediter.steward.Holds() {
+	charter := expediter.coordinator.Charter()
+	if charter.Backup.Empty() || !expediter.coordinator.Holds() {
 		return false
 	}
 	batch, found := expediter.store.Begin()
@@ -397,15 +397,15 @@
 }
 
 // sync brings a batch to all disks at once and tells whether it is on each.
-func (expediter *Expediter) sync(charter replication.Charter, batch replication.Batch) bool {
+func (expediter *Expediter) sync(charter replication.Membership, batch replication.Batch) bool {
 	var mutex sync.Mutex
 	var own error
 	kept := false
 	bell := expediter.turns.NewBell()
 	expediter.turns.Go(func() {
-		expediter.steward.OwnDisk(true)
+		expediter.coordinator.OwnDisk(true)
 		err := expediter.store.KeepOwn(batch)
-		expediter.steward.OwnDisk(err != nil)
+		expediter.coordinator.OwnDisk(err != nil)
 		mutex.Lock()
 		own, kept = err, true
 		mutex.Unlock()
@@ -413,9 +413,9 @@
 	})
 	var missing error
 	waits := 0
-	replicate := func(backup replication.Seat) {
-		err := (&peers{line: expediter.line}).Replicate(expediter.steward.Address(backup), backup.Identity, charter.Epoch, batch)
-		expediter.steward.BackupAnswered(backup.Identity, err == nil)
+	replicate := func(backup replication.Replica) {
+		err := (&peers{line: expediter.line}).Replicate(expediter.coordinator.Address(backup), backup.Identity, charter.Epoch, batch)
+		expediter.coordinator.BackupAnswered(backup.Identity, err == nil)
 		mutex.Lock()
 		missing = multierr.Append(missing, err)
 		mutex.Unlock()
@@ -485,7 +485,7 @@
 		return replication.Version{}, failure.New(failure.Unknown, "the change was not synced on both copies in time")
 	case failure.KindOf(err) == failure.NotPrimary:
 		return version, err
-	case !expediter.steward.Holds():
+	case !expediter.coordinator.Holds():
 		// A refusal is an answer too: without the lease it may rest on an old state.
 		return version, failure.New(failure.Unknown, "the hold ran out while the change was under way")
 	case err != nil:
@@ -501,28 +501,28 @@
 		expediter.lists.take(news.Servers.At, news.Servers.Servers)
 	}
 	expediter.takeMembers(news)
-	drawer, found := news.Changed[replication.FlagsDrawer]
+	section, found := news.Changed[replication.FlagsSection]
 	if !found {
 		return
 	}
-	state, err := replication.ReadState(map[string]replication.Drawer{replication.FlagsDrawer: drawer})
+	state, err := replication.ReadState(map[string]replication.Section{replication.FlagsSection: section})
 	if err != nil {
 		expediter.observe("flags_unreadable", "cause", err)
 		return
 	}
 	lacking := expediter.options.Supported.Lacks(state.Flags.Enabled)
-	expediter.steward.SetRestricted(len(lacking) > 0)
-	expediter.steward.SetBackupList(state.Flags.Enabled.Has(formats.BackupList))
+	expediter.coordinator.SetRestricted(len(lacking) > 0)
+	expediter.coordinator.SetBackupList(state.Flags.Enabled.Has(formats.BackupList))
 	expediter.observe("flags_read", "enabled", state.Flags.Enabled, "lacking", lacking)
 }
 
 // takeMembers takes the recorded members from news, or from the own copy.
 func (expediter *Expediter) takeMembers(news News) {
-	drawer, found := news.Changed[replication.MembersDrawer]
+	section, found := news.Changed[replication.MembersSection]
 	if !found {
 		return
 	}
-	state, err := replication.ReadState(map[string]replication.Drawer{replication.MembersDrawer: drawer})
+	state, err := replication.ReadState(map[string]replication.Section{replication.MembersSection: section})
 	if err != nil {
 		expediter.observe("members_unreadable", "cause", err)
 		return
--- a/internal/hatch/expediter_test.go
+++ b/internal/hatch/expediter_test.go
@@ -67,7 +67,7 @@
 	if err != nil || !committed {
 		t.Fatalf("committed meanwhile: %v, %v", committed, err)
 	}
-	if latest := primary.store.View().VersionOf(replication.MenuDrawer); answer.Menu != latest && answer.Leads {
+	if latest := primary.store.View().VersionOf(replication.ConfigurationSection); answer.Menu != latest && answer.Leads {
 		t.Fatalf("the hold confirms version %s, and %s was committed before it was granted", answer.Menu, latest)
 	}
 }
@@ -79,12 +79,12 @@
 	follower := NewFollower(hookless{}, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(News) { taken++ })
 	newer, older := replication.Version{Epoch: 3, Number: 9}, replication.Version{Epoch: 2, Number: 8}
 	news := func(version replication.Version) NewsAnswer {
-		return NewsAnswer{Leads: true, Menu: version, Drawers: map[string]replication.Drawer{replication.MenuDrawer: {Version: version}}}
+		return NewsAnswer{Leads: true, Menu: version, Drawers: map[string]replication.Section{replication.ConfigurationSection: {Version: version}}}
 	}
 	follower.takeAnswer(hookless{}.Now(), news(newer))
 	follower.takeAnswer(hookless{}.Now(), news(older))
 	follower.takeAnswer(hookless{}.Now(), NewsAnswer{Leads: true, Menu: older})
-	if got := follower.Drawer(replication.MenuDrawer).Version; taken != 1 || got != newer {
+	if got := follower.Drawer(replication.ConfigurationSection).Version; taken != 1 || got != newer {
 		t.Fatalf("%d answers were taken, the node has %s", taken, got)
 	}
 }
--- a/internal/hatch/fleet_test.go
+++ b/internal/hatch/fleet_test.go
@@ -116,7 +116,7 @@
 		// The bell rings with each step of the core; a pair makes it writable.
 		changed.Wait(100*time.Millisecond, func() bool {
 			for _, node := range formed.nodes {
-				if _, _, err := node.Ruling(); err == nil && !node.Steward().Charter().Backup.Empty() {
+				if _, _, err := node.Ruling(); err == nil && !node.Coordinator().Charter().Backup.Empty() {
 					primary = node
 				}
 			}
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -26,8 +26,8 @@
 	seeds    []string
 	contacts []string
 	peers    []string
-	drawers  map[string]replication.Drawer
-	charter  replication.Charter
+	drawers  map[string]replication.Section
+	charter  replication.Membership
 	heard    time.Time
 	dark     map[string]time.Time
 
@@ -46,7 +46,7 @@
 type News struct {
 	Asked   time.Time
 	Answer  NewsAnswer
-	Changed map[string]replication.Drawer
+	Changed map[string]replication.Section
 	// Provisional tells that the drawers are those of a copy and no primary's word.
 	Provisional bool
 	// Servers is the list as the primary has it, if it has one.
@@ -94,7 +94,7 @@
 //	followed := hatch.NewFollower(turns, line, member, seeds, inForce, take)
 func NewFollower(turns lease.Turns, line Hotline, member membership.Member, seeds []string, inForce func() replication.Version, take func(News)) *Follower {
 	return &Follower{turns: turns, line: line, member: member, seeds: seeds, inForce: inForce, take: take,
-		drawers: map[string]replication.Drawer{}, dark: map[string]time.Time{}}
+		drawers: map[string]replication.Section{}, dark: map[string]time.Time{}}
 }
 
 // Follow chooses whether the list of servers and their reports are followed, too.
@@ -147,7 +147,7 @@
 // Example:
 //
 //	charter := followed.Charter()
-func (follower *Follower) Charter() replication.Charter {
+func (follower *Follower) Charter() replication.Membership {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	return follower.charter
@@ -169,7 +169,7 @@
 // Example:
 //
 //	content := followed.Drawer(replication.OrdersDrawer).Content
-func (follower *Follower) Drawer(name string) replication.Drawer {
+func (follower *Follower) Drawer(name string) replication.Section {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	return follower.drawers[name]
@@ -243,7 +243,7 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	question := follower.question()
-	_, has := follower.drawers[replication.MenuDrawer]
+	_, has := follower.drawers[replication.ConfigurationSection]
 	switch {
 	case !follower.current && !has:
 		return question, wholePatience
@@ -260,8 +260,8 @@
 // question tells what the node has. The caller has the mutex.
 func (follower *Follower) question() NewsQuestion {
 	have := map[string]replication.Version{}
-	for name, drawer := range follower.drawers {
-		have[name] = drawer.Version
+	for name, section := range follower.drawers {
+		have[name] = section.Version
 	}
 	return NewsQuestion{Member: follower.member, Have: have, InForce: follower.inForce(), Deltas: true, Charter: follower.charter.Epoch,
 		Lists: follower.lists, ListMark: follower.listMark, Loads: follower.loads, LoadsMark: follower.loadsMark}
@@ -272,7 +272,7 @@
 func (follower *Follower) takeAnswer(asked time.Time, answer NewsAnswer) bool {
 	follower.mutex.Lock()
 	for name, delta := range answer.Deltas {
-		drawer, fits := delta.apply(follower.drawers[name])
+		section, fits := delta.apply(follower.drawers[name])
 		if !fits {
 			// The next question asks for the whole; this answer's hold is not used.
 			delete(follower.drawers, name)
@@ -280,22 +280,22 @@
 			return false
 		}
 		if answer.Drawers == nil {
-			answer.Drawers = map[string]replication.Drawer{}
+			answer.Drawers = map[string]replication.Section{}
 		}
-		answer.Drawers[name] = drawer
+		answer.Drawers[name] = section
 	}
-	for name, drawer := range answer.Drawers {
-		if drawer.Version.Before(follower.drawers[name].Version) {
+	for name, section := range answer.Drawers {
+		if section.Version.Before(follower.drawers[name].Version) {
 			follower.mutex.Unlock()
 			return false
 		}
 	}
-	if have := follower.drawers[replication.MenuDrawer].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
+	if have := follower.drawers[replication.ConfigurationSection].Version; answer.Menu.Before(have) && have != follower.unconfirmed {
 		follower.mutex.Unlock()
 		return false
 	}
-	for name, drawer := range answer.Drawers {
-		follower.drawers[name] = drawer
+	for name, section := range answer.Drawers {
+		follower.drawers[name] = section
 	}
 	follower.heard = follower.turns.Now()
 	follower.current = follower.primary != ""
--- a/internal/hatch/follower_test.go
+++ b/internal/hatch/follower_test.go
@@ -57,12 +57,12 @@
 	return msgpack.Marshal(answer)
 }
 
-func seats(prefix string) replication.Charter {
-	seat := func(number int) replication.Seat {
+func seats(prefix string) replication.Membership {
+	replica := func(number int) replication.Replica {
 		name := fmt.Sprintf("%s%d", prefix, number)
-		return replication.Seat{Identity: replication.Identity("disk " + name), Address: name, Name: name}
+		return replication.Replica{Identity: replication.Identity("disk " + name), Address: name, Name: name}
 	}
-	return replication.Charter{Primary: seat(0), Backup: seat(1), Keepers: []replication.Seat{seat(0), seat(1), seat(2)}}
+	return replication.Membership{Primary: replica(0), Backup: replica(1), Witnesses: []replication.Replica{replica(0), replica(1), replica(2)}}
 }
 
 // TestFollowerFindsACoreOfWhichAllMachinesWereReplaced loses a primary, while every
@@ -124,7 +124,7 @@
 // answered when the membership changes, with the new charter.
 func TestFollowerHearsOfAMembershipBeforeItIsNeeded(t *testing.T) {
 	_, primary := newCore(t, plain)
-	charter := primary.Steward().Charter()
+	charter := primary.Coordinator().Charter()
 	known := NewsQuestion{Member: membership.Member{Name: "courier-1", Kind: membership.Courier}, Charter: charter.Epoch - 1}
 	if !primary.newerCharter(known) {
 		t.Error("a question by an older charter is held back")
--- a/internal/hatch/housekeeping.go
+++ b/internal/hatch/housekeeping.go
@@ -37,7 +37,7 @@
 	}
 	now := expediter.turns.Now()
 	expediter.mutex.Lock()
-	if version := view.VersionOf(replication.MembersDrawer); version != current.membersAt {
+	if version := view.VersionOf(replication.MembersSection); version != current.membersAt {
 		current.membersAt, current.settledFrom = version, now
 	}
 	settled := now.Sub(current.settledFrom) >= expediter.options.FlagSettle
@@ -97,13 +97,13 @@
 	if expediter.options.RetireAfter <= 0 {
 		return
 	}
-	charter := expediter.steward.Charter()
+	charter := expediter.coordinator.Charter()
 	expediter.mutex.Lock()
 	silent := current.silent(now, state, expediter.options.RetireAfter)
 	expediter.mutex.Unlock()
 	for _, name := range silent {
 		// Who has a seat is not forgotten before another has it.
-		if slices.ContainsFunc(charter.Electors(), func(seat replication.Seat) bool { return seat.Name == name }) || charter.Primary.Name == name {
+		if slices.ContainsFunc(charter.Electors(), func(replica replication.Replica) bool { return replica.Name == name }) || charter.Primary.Name == name {
 			continue
 		}
 		expediter.queue(replication.Retire(name), func(version replication.Version, err error) {
@@ -144,7 +144,7 @@
 	if mended, err := expediter.store.Copy().Sweep(); mended > 0 || err != nil {
 		expediter.observe("copy_swept", "mended", mended, "trouble", err)
 	}
-	if mended, err := expediter.keeper.Sweep(); mended || err != nil {
+	if mended, err := expediter.witness.Sweep(); mended || err != nil {
 		expediter.observe("keeper_swept", "mended", mended, "trouble", err)
 	}
 	if _, view, err := expediter.Ruling(); err == nil {
@@ -173,10 +173,10 @@
 		defer expediter.mutex.Unlock()
 		expediter.mending = false
 	}()
-	epoch := expediter.steward.Charter().Epoch
-	for _, seat := range expediter.steward.OldCopies(view.Version) {
-		question := installQuestion{To: seat.Identity, Snapshot: replication.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
-		err := Call(expediter.line, expediter.steward.Address(seat), RefreshPath, question, nil, installPatience)
-		expediter.observe("copy_mended", "at", seat.Name, "version", view.Version.String(), "trouble", err)
+	epoch := expediter.coordinator.Charter().Epoch
+	for _, replica := range expediter.coordinator.OldCopies(view.Version) {
+		question := installQuestion{To: replica.Identity, Snapshot: replication.Snapshot{Epoch: epoch, Version: view.Version, Drawers: view.Drawers}}
+		err := Call(expediter.line, expediter.coordinator.Address(replica), RefreshPath, question, nil, installPatience)
+		expediter.observe("copy_mended", "at", replica.Name, "version", view.Version.String(), "trouble", err)
 	}
 }
--- a/internal/hatch/newsanswer.go
+++ b/internal/hatch/newsanswer.go
@@ -11,13 +11,13 @@
 // hold that confirms the configuration's version. Who is not primary answers
 // with the charter alone.
 type NewsAnswer struct {
-	Leads   bool                          `msgpack:"leads"`
-	Charter replication.Charter           `msgpack:"charter"`
-	Drawers map[string]replication.Drawer `msgpack:"drawers,omitempty"`
-	Deltas  map[string]Delta              `msgpack:"deltas,omitempty"`
-	Menu    replication.Version           `msgpack:"menu"`
-	Hold    time.Duration                 `msgpack:"hold"`
-	Duties  []lease.Duty                  `msgpack:"duties,omitempty"`
+	Leads   bool                           `msgpack:"leads"`
+	Charter replication.Membership         `msgpack:"charter"`
+	Drawers map[string]replication.Section `msgpack:"drawers,omitempty"`
+	Deltas  map[string]Delta               `msgpack:"deltas,omitempty"`
+	Menu    replication.Version            `msgpack:"menu"`
+	Hold    time.Duration                  `msgpack:"hold"`
+	Duties  []lease.Duty                   `msgpack:"duties,omitempty"`
 	// Held is how long the question was held back, so that ages are counted from
 	// no earlier than they were told.
 	Held time.Duration `msgpack:"held,omitempty"`
--- a/internal/hatch/peers.go
+++ b/internal/hatch/peers.go
@@ -27,16 +27,16 @@
 	return promise, err
 }
 
-func (peers *peers) Prepare(address string, keeper replication.Identity, epoch uint64, candidate replication.Identity) (replication.Promise, error) {
-	return peers.ask(address, PreparePath, keeperQuestion{To: keeper, From: candidate, Epoch: epoch})
+func (peers *peers) Prepare(address string, witness replication.Identity, epoch uint64, candidate replication.Identity) (replication.Promise, error) {
+	return peers.ask(address, PreparePath, keeperQuestion{To: witness, From: candidate, Epoch: epoch})
 }
 
-func (peers *peers) Accept(address string, keeper replication.Identity, charter replication.Charter) (replication.Promise, error) {
-	return peers.ask(address, AcceptPath, keeperQuestion{To: keeper, Charter: charter})
+func (peers *peers) Accept(address string, witness replication.Identity, charter replication.Membership) (replication.Promise, error) {
+	return peers.ask(address, AcceptPath, keeperQuestion{To: witness, Charter: charter})
 }
 
-func (peers *peers) Confirm(address string, keeper replication.Identity, epoch uint64, primary replication.Identity) (replication.Promise, error) {
-	return peers.ask(address, ConfirmPath, keeperQuestion{To: keeper, From: primary, Epoch: epoch})
+func (peers *peers) Confirm(address string, witness replication.Identity, epoch uint64, primary replication.Identity) (replication.Promise, error) {
+	return peers.ask(address, ConfirmPath, keeperQuestion{To: witness, From: primary, Epoch: epoch})
 }
 
 func (peers *peers) Replicate(address string, backup replication.Identity, epoch uint64, batch replication.Batch) error {
--- a/internal/hatch/search.go
+++ b/internal/hatch/search.go
@@ -68,7 +68,7 @@
 }
 
 // begin notes that an address is asked, unless it was asked just now.
-func (search *search) begin(address string, now time.Time, charter replication.Charter, fleet int) bool {
+func (search *search) begin(address string, now time.Time, charter replication.Membership, fleet int) bool {
 	search.mutex.Lock()
 	defer search.mutex.Unlock()
 	if address == "" {
@@ -178,7 +178,7 @@
 func (follower *Follower) lacks() bool {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	_, has := follower.drawers[replication.MenuDrawer]
+	_, has := follower.drawers[replication.ConfigurationSection]
 	return follower.provisional && !has
 }
 
@@ -312,16 +312,16 @@
 		follower.takeAnswer(asked, answer)
 		return
 	}
-	if answer.Copy == nil || answer.Copy.Drawers[replication.MenuDrawer].Version != version {
+	if answer.Copy == nil || answer.Copy.Drawers[replication.ConfigurationSection].Version != version {
 		return
 	}
 	follower.mutex.Lock()
-	if _, has := follower.drawers[replication.MenuDrawer]; has || !follower.provisional {
+	if _, has := follower.drawers[replication.ConfigurationSection]; has || !follower.provisional {
 		follower.mutex.Unlock()
 		return
 	}
 	// The primary need not send again what is the same; all else it tells itself.
-	follower.drawers[replication.MenuDrawer] = answer.Copy.Drawers[replication.MenuDrawer]
+	follower.drawers[replication.ConfigurationSection] = answer.Copy.Drawers[replication.ConfigurationSection]
 	follower.unconfirmed = version
 	news := News{Asked: asked, Answer: NewsAnswer{Servers: answer.Servers}, Changed: answer.Copy.Drawers, Provisional: true}
 	follower.takeLists(&news)
--- a/internal/hatch/search_test.go
+++ b/internal/hatch/search_test.go
@@ -69,7 +69,7 @@
 func TestCourierServesByTheCopiesBeforeThereIsAPrimary(t *testing.T) {
 	before, primary := newCore(t, func(turns lease.Turns) lease.Turns { return turns })
 	version := setConfiguration(t, primary, `{"routes":{"a":{"to":{"refuse":true}}}}`)
-	charter := primary.Steward().Charter()
+	charter := primary.Coordinator().Charter()
 	for _, row := range []struct {
 		name    string
 		without time.Duration
@@ -114,8 +114,8 @@
 // go back to.
 func TestPrimaryConfirmsOrReplacesAProvisionalConfiguration(t *testing.T) {
 	turns := threads.New(t.Context(), wallclock.New())
-	lent := replication.Drawer{Version: replication.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
-	newer := replication.Drawer{Version: replication.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
+	lent := replication.Section{Version: replication.Version{Epoch: 3, Number: 7}, Content: []byte(`{"routes":{"a":{"to":{"refuse":true}}}}`)}
+	newer := replication.Section{Version: replication.Version{Epoch: 4, Number: 9}, Content: []byte(`{"routes":{"b":{"to":{"refuse":true}}}}`)}
 	for _, row := range []struct {
 		name    string
 		answer  NewsAnswer
@@ -123,13 +123,13 @@
 		hold    bool
 	}{
 		{"the same", NewsAnswer{Leads: true, Menu: lent.Version, Hold: time.Second}, lent.Version, true},
-		{"newer", NewsAnswer{Leads: true, Menu: newer.Version, Hold: time.Second, Drawers: map[string]replication.Drawer{replication.MenuDrawer: newer}}, newer.Version, true},
+		{"newer", NewsAnswer{Leads: true, Menu: newer.Version, Hold: time.Second, Drawers: map[string]replication.Section{replication.ConfigurationSection: newer}}, newer.Version, true},
 		{"older", NewsAnswer{Leads: true, Menu: replication.Version{Epoch: 3, Number: 5}, Hold: time.Second}, lent.Version, false},
 	} {
 		courier := NewCourier(turns, nil, nil, nil, CourierOptions{Options: seamloom.Options{Courier: "courier-1", Supported: seamloom.Supported(nil)},
 			ServeWithoutHold: time.Minute, Nonce: func() string { return "nonce" }}, func(string, ...any) {})
-		courier.followed.drawers[replication.MenuDrawer], courier.followed.unconfirmed = lent, lent.Version
-		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]replication.Drawer{replication.MenuDrawer: lent}, Provisional: true})
+		courier.followed.drawers[replication.ConfigurationSection], courier.followed.unconfirmed = lent, lent.Version
+		courier.takeNews(News{Asked: turns.Now(), Changed: map[string]replication.Section{replication.ConfigurationSection: lent}, Provisional: true})
 		if courier.InForce() != lent.Version || courier.Core().Dutiful() {
 			t.Fatalf("%s: %s in force", row.name, courier.InForce())
 		}
--- a/internal/hatch/signpost.go
+++ b/internal/hatch/signpost.go
@@ -16,7 +16,7 @@
 
 	mutex   sync.Mutex
 	seeds   []string
-	charter replication.Charter
+	charter replication.Membership
 	leader  string
 	asked   time.Time
 }
@@ -89,8 +89,8 @@
 	signpost.mutex.Lock()
 	defer signpost.mutex.Unlock()
 	candidates := []string{signpost.leader, signpost.charter.Primary.Address}
-	for _, seat := range signpost.charter.Electors() {
-		candidates = append(candidates, seat.Address)
+	for _, replica := range signpost.charter.Electors() {
+		candidates = append(candidates, replica.Address)
 	}
 	for _, address := range append(candidates, signpost.seeds...) {
 		if address != "" && !asked[address] {
--- a/internal/hatch/signpost_test.go
+++ b/internal/hatch/signpost_test.go
@@ -14,7 +14,7 @@
 		t.Fatalf("found %q, not %q", found, primary.options.Address)
 	}
 	for _, node := range formed.nodes {
-		if node.Steward().Sees("") {
+		if node.Coordinator().Sees("") {
 			t.Errorf("%s knows the signpost", node.options.Address)
 		}
 	}
@@ -39,7 +39,7 @@
 	if found := NewSignpost(primary.turns, formed, []string{"gone"}).Leader(); found != "" {
 		t.Errorf("found %q", found)
 	}
-	if greeted := primary.Steward().Greet(replication.Hello{}); greeted.Seat.Empty() {
+	if greeted := primary.Coordinator().Greet(replication.Hello{}); greeted.Seat.Empty() {
 		t.Error("a hello from nobody has no answer")
 	}
 }
--- a/internal/rehearsal/capacity/core.go
+++ b/internal/rehearsal/capacity/core.go
@@ -84,7 +84,7 @@
 // whole tells whether the core has a primary and a backup, and every seat is recorded.
 func (core *core) whole() bool {
 	primary := core.primary()
-	if primary == nil || primary.Steward().Charter().Backup.Empty() {
+	if primary == nil || primary.Coordinator().Charter().Backup.Empty() {
 		return false
 	}
 	_, view, err := primary.Ruling()
@@ -180,7 +180,7 @@
 		state.Flags.Enabled = formats.Supported(nil)
 		state.Rota = replication.Duties{Duties: duties, Fence: uint64(len(duties) + 1)}
 		state.Orders = replication.Orders{Records: orders, Number: uint64(len(orders))}
-		for _, drawer := range []string{replication.MembersDrawer, replication.MenuDrawer, replication.FlagsDrawer, replication.RotaDrawer, replication.OrdersDrawer} {
+		for _, drawer := range []string{replication.MembersSection, replication.ConfigurationSection, replication.FlagsSection, replication.DutiesSection, replication.OrdersSection} {
 			state.Touch(drawer)
 		}
 		return nil
@@ -238,7 +238,7 @@
 
 // question is what a courier that has those versions asks.
 func (core *core) question(position int, have map[string]replication.Version) []byte {
-	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[replication.MenuDrawer], Deltas: true, Charter: core.charter}
+	question := hatch.NewsQuestion{Member: core.members[position%len(core.members)], Have: have, InForce: have[replication.ConfigurationSection], Deltas: true, Charter: core.charter}
 	body, err := msgpack.Marshal(question)
 	if err != nil {
 		panic("capacity: " + err.Error())
--- a/internal/rehearsal/capacity/courier.go
+++ b/internal/rehearsal/capacity/courier.go
@@ -299,12 +299,12 @@
 
 // changing follows two answers in turn, each with a newer version of one drawer, and
 // tells what one costs.
-func changing(note Note, of, name string, versions func(number uint64) replication.Drawer) error {
+func changing(note Note, of, name string, versions func(number uint64) replication.Section) error {
 	var answers []hatch.NewsAnswer
 	for number := range uint64(64) {
 		drawer := versions(number + 1)
 		drawer.Version = replication.Version{Epoch: 1, Number: number + 1}
-		answers = append(answers, hatch.NewsAnswer{Leads: true, Drawers: map[string]replication.Drawer{name: drawer}, Menu: replication.Version{Epoch: 1, Number: number + 1}})
+		answers = append(answers, hatch.NewsAnswer{Leads: true, Drawers: map[string]replication.Section{name: drawer}, Menu: replication.Version{Epoch: 1, Number: number + 1}})
 	}
 	// Each pass through the answers is by a life of its own: versions never go back.
 	line := &canned{}
@@ -331,7 +331,7 @@
 // measureTakingMenu is a new configuration, read, checked and compiled.
 func measureTakingMenu(sizes Sized, note Note) error {
 	text := Configuration(sizes, 1)
-	if err := changing(note, "a configuration", replication.MenuDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: text} }); err != nil {
+	if err := changing(note, "a configuration", replication.ConfigurationSection, func(uint64) replication.Section { return replication.Section{Content: text} }); err != nil {
 		return err
 	}
 	before := heap()
@@ -354,7 +354,7 @@
 		return failure.Wrap(failure.Garbage, err)
 	}
 	note("bytes of the members", "B", float64(len(content)))
-	return changing(note, "a record of members", replication.MembersDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: content} })
+	return changing(note, "a record of members", replication.MembersSection, func(uint64) replication.Section { return replication.Section{Content: content} })
 }
 
 // measureTakingOrders is a new record of the orders.
@@ -363,9 +363,9 @@
 	if err != nil {
 		return err
 	}
-	content := answer.Drawers[replication.OrdersDrawer].Content
+	content := answer.Drawers[replication.OrdersSection].Content
 	note("bytes of the orders", "B", float64(len(content)))
-	return changing(note, "a record of orders", replication.OrdersDrawer, func(uint64) replication.Drawer { return replication.Drawer{Content: content} })
+	return changing(note, "a record of orders", replication.OrdersSection, func(uint64) replication.Section { return replication.Section{Content: content} })
 }
 
 // measurePassing is an inquiry that a restricted courier gives to a capable one.
@@ -378,7 +378,7 @@
 	if err != nil {
 		return failure.Wrap(failure.Garbage, err)
 	}
-	answer.Drawers[replication.FlagsDrawer] = replication.Drawer{Version: replication.Version{Epoch: 99, Number: 99}, Content: content}
+	answer.Drawers[replication.FlagsSection] = replication.Section{Version: replication.Version{Epoch: 99, Number: 99}, Content: content}
 	encoded, err := msgpack.Marshal(answer)
 	if err != nil {
 		return failure.Wrap(failure.Garbage, err)
--- a/internal/rehearsal/capacity/news.go
+++ b/internal/rehearsal/capacity/news.go
@@ -31,7 +31,7 @@
 // told asks the primary what a courier with the marks is told, and how long both ways
 // are.
 func told(core *core, question hatch.NewsQuestion) (body []byte, answer hatch.NewsAnswer, size int, err error) {
-	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[replication.MenuDrawer], true, core.charter
+	question.Member, question.Have, question.InForce, question.Deltas, question.Charter = core.members[0], core.have, core.have[replication.ConfigurationSection], true, core.charter
 	if body, err = msgpack.Marshal(question); err != nil {
 		return nil, answer, 0, failure.Wrap(failure.Garbage, err)
 	}
--- a/internal/rehearsal/capacity/primary.go
+++ b/internal/rehearsal/capacity/primary.go
@@ -69,7 +69,7 @@
 				over := make(chan struct{})
 				defer close(over)
 				for position := range core.members {
-					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[replication.MenuDrawer], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
+					question := hatch.NewsQuestion{Member: core.members[position], Have: core.have, InForce: core.have[replication.ConfigurationSection], Deltas: true, Charter: core.charter, Patience: 2 * time.Second}
 					body, err := msgpack.Marshal(question)
 					if err != nil {
 						return failure.Wrap(failure.Garbage, err)
@@ -225,7 +225,7 @@
 		if err != nil {
 			return err
 		}
-		if _, found := answer.Drawers[replication.MembersDrawer]; !found {
+		if _, found := answer.Drawers[replication.MembersSection]; !found {
 			return failure.New(failure.Unsorted, "there is no news of the member")
 		}
 		note("bytes to each node a registration", "B", float64(with))
@@ -255,7 +255,7 @@
 		if err := core.submit(func(state *replication.State, _, _ replication.Version) error {
 			state.Orders.Records[order.Server] = record
 			state.Orders.Number++
-			state.Touch(replication.OrdersDrawer)
+			state.Touch(replication.OrdersSection)
 			return nil
 		}); err != nil {
 			return err
@@ -265,7 +265,7 @@
 		if err != nil {
 			return err
 		}
-		if _, found := answer.Drawers[replication.OrdersDrawer]; !found {
+		if _, found := answer.Drawers[replication.OrdersSection]; !found {
 			return failure.New(failure.Unsorted, "there is no news of the order")
 		}
 		note("bytes to each node an order", "B", float64(size))
--- a/internal/rehearsal/capacity/seat.go
+++ b/internal/rehearsal/capacity/seat.go
@@ -29,7 +29,7 @@
 
 // replica measures taking one batch as a backup does: reading it from the wire and
 // writing it to its copy.
-func replica(note Note, drawers map[string]replication.Drawer) error {
+func replica(note Note, drawers map[string]replication.Section) error {
 	type question struct {
 		To    replication.Identity `msgpack:"to"`
 		Epoch uint64               `msgpack:"epoch"`
@@ -43,9 +43,9 @@
 	base := replication.Version{}
 	cost := Meter{}.Measure(func(number int) {
 		version := replication.Version{Epoch: 1, Number: uint64(number + 1)}
-		batch := replication.Batch{Version: version, Base: base, Drawers: map[string]replication.Drawer{}}
+		batch := replication.Batch{Version: version, Base: base, Drawers: map[string]replication.Section{}}
 		for name, drawer := range drawers {
-			batch.Drawers[name] = replication.Drawer{Version: version, Content: drawer.Content}
+			batch.Drawers[name] = replication.Section{Version: version, Content: drawer.Content}
 		}
 		body, err := msgpack.Marshal(question{To: "identity", Epoch: 1, Batch: batch})
 		if err != nil {
@@ -65,7 +65,7 @@
 }
 
 func measureReplica(sizes Sized, note Note) error {
-	return replica(note, map[string]replication.Drawer{replication.MenuDrawer: {Content: Configuration(sizes, 1)}})
+	return replica(note, map[string]replication.Section{replication.ConfigurationSection: {Content: Configuration(sizes, 1)}})
 }
 
 // measureClaimsReplica takes a drawer of claims.
@@ -82,7 +82,7 @@
 			return failure.Wrap(failure.Garbage, err)
 		}
 		note("bytes of the drawer", "B", float64(len(content)))
-		return replica(note, map[string]replication.Drawer{name: {Content: content}})
+		return replica(note, map[string]replication.Section{name: {Content: content}})
 	}
 	return failure.New(failure.Missing, "no claims were made")
 }
@@ -139,13 +139,13 @@
 	if err := fillClaims(state, now, sizes[Claims]); err != nil {
 		return err
 	}
-	drawers := map[string]replication.Drawer{replication.MenuDrawer: {Content: Configuration(sizes, 1)}}
+	drawers := map[string]replication.Section{replication.ConfigurationSection: {Content: Configuration(sizes, 1)}}
 	for name, claims := range state.Claims {
 		content, err := msgpack.Marshal(claims)
 		if err != nil {
 			return failure.Wrap(failure.Garbage, err)
 		}
-		drawers[name] = replication.Drawer{Content: content}
+		drawers[name] = replication.Section{Content: content}
 	}
 	encoded, err := msgpack.Marshal(replication.Snapshot{Drawers: drawers})
 	note("bytes", "B", float64(len(encoded)))
--- a/internal/rehearsal/world/core.go
+++ b/internal/rehearsal/world/core.go
@@ -302,7 +302,7 @@
 // editSomewhere has every expediter that leads carry a change out.
 func (world *World) editSomewhere(edit hatch.Edit) bool {
 	for _, machine := range world.nodes(membership.Expediter) {
-		if machine.life == nil || machine.life.ended || machine.control == nil || !machine.control.Steward().Holds() {
+		if machine.life == nil || machine.life.ended || machine.control == nil || !machine.control.Coordinator().Holds() {
 			continue
 		}
 		control := machine.control
--- a/internal/rehearsal/world/day.go
+++ b/internal/rehearsal/world/day.go
@@ -231,7 +231,7 @@
 	for world.now < until {
 		holders := 0
 		for _, machine := range world.machines {
-			if machine.life != nil && !machine.life.ended && !machine.life.frozen && machine.control != nil && machine.control.Steward().Holds() {
+			if machine.life != nil && !machine.life.ended && !machine.life.frozen && machine.control != nil && machine.control.Coordinator().Holds() {
 				holders++
 			}
 		}
--- a/internal/rehearsal/world/faults.go
+++ b/internal/rehearsal/world/faults.go
@@ -197,7 +197,7 @@
 // primary is the expediter that holds, or any.
 func (world *World) primary() *machine {
 	for _, machine := range world.nodes(membership.Expediter) {
-		if machine.life != nil && !machine.life.ended && machine.control != nil && machine.control.Steward().Holds() {
+		if machine.life != nil && !machine.life.ended && machine.control != nil && machine.control.Coordinator().Holds() {
 			return machine
 		}
 	}
@@ -231,7 +231,7 @@
 		return
 	}
 	stopping, control := machine.life, machine.control
-	if control.Steward().Holds() {
+	if control.Coordinator().Holds() {
 		world.tempt("a primary handed over")
 	}
 	world.say("%s is stopped", machine.name)
@@ -296,18 +296,18 @@
 // disk that runs at its address, so that one more disk may be lost.
 func (world *World) whole() bool {
 	for _, machine := range world.nodes(membership.Expediter) {
-		if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
+		if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Coordinator().Holds() {
 			continue
 		}
-		charter := machine.control.Steward().Charter()
+		charter := machine.control.Coordinator().Charter()
 		borne := max(world.borneLosses(), 1)
-		if len(charter.Backups()) != borne || len(charter.Incoming) > 0 || len(charter.Keepers) != 2*borne+1 {
+		if len(charter.Backups()) != borne || len(charter.Incoming) > 0 || len(charter.Witnesses) != 2*borne+1 {
 			return false
 		}
-		for _, seat := range append(charter.Backups(), charter.Keepers...) {
+		for _, seat := range append(charter.Backups(), charter.Witnesses...) {
 			there := world.machineNamed(world.nameAt(seat.Address))
 			if there == nil || there.life == nil || there.life.ended || there.life.frozen || there.control == nil ||
-				there.control.Keeper().Seat().Identity != seat.Identity || charter.Keeps(seat.Identity) && there.control.Keeper().Charter().Epoch != charter.Epoch {
+				there.control.Witness().Replica().Identity != seat.Identity || charter.Keeps(seat.Identity) && there.control.Witness().Charter().Epoch != charter.Epoch {
 				return false
 			}
 		}
--- a/internal/rehearsal/world/incident.go
+++ b/internal/rehearsal/world/incident.go
@@ -187,7 +187,7 @@
 
 // backup is the machine of the primary's backup.
 func (world *World) backup() *machine {
-	charter := world.primary().control.Steward().Charter()
+	charter := world.primary().control.Coordinator().Charter()
 	if machine := world.machineNamed(world.nameAt(charter.Backup.Address)); machine != nil {
 		return machine
 	}
--- a/internal/rehearsal/world/operators.go
+++ b/internal/rehearsal/world/operators.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return menuRead{view.VersionOf(replication.MenuDrawer), state.Menu}, nil
+		return menuRead{view.VersionOf(replication.ConfigurationSection), state.Menu}, nil
 	})
 	if err != nil {
 		return menuRead{}, false
--- a/internal/rehearsal/world/repair.go
+++ b/internal/rehearsal/world/repair.go
@@ -35,9 +35,9 @@
 	world.run(opening)
 	var out *machine
 	primary := world.primary()
-	charter := primary.control.Steward().Charter()
+	charter := primary.control.Coordinator().Charter()
 	for _, machine := range world.nodes(membership.Expediter) {
-		backup := machine.control.Keeper().Seat().Identity == charter.Backup.Identity
+		backup := machine.control.Witness().Replica().Identity == charter.Backup.Identity
 		if machine != primary && backup == (loss == "the backup's wiped disk") {
 			out = machine
 		}
--- a/internal/rehearsal/world/waydays_test.go
+++ b/internal/rehearsal/world/waydays_test.go
@@ -33,8 +33,8 @@
 		return
 	}
 	for _, machine := range touch.world.machines {
-		if machine.control != nil && machine.life != nil && !machine.life.ended && machine.control.Steward().Holds() {
-			touch.answered[machine.control.Store().View().VersionOf(replication.MenuDrawer)] = touch.world.now
+		if machine.control != nil && machine.life != nil && !machine.life.ended && machine.control.Coordinator().Holds() {
+			touch.answered[machine.control.Store().View().VersionOf(replication.ConfigurationSection)] = touch.world.now
 		}
 	}
 }
--- a/internal/rehearsal/world/ways_test.go
+++ b/internal/rehearsal/world/ways_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return replication.Version{}
 	}
-	return view.VersionOf(replication.MenuDrawer)
+	return view.VersionOf(replication.ConfigurationSection)
 }
 
 // TestAcknowledgementOfAChange cuts a courier off and makes a change. In the
@@ -114,8 +114,8 @@
 	}
 	fleet.run(30 * time.Second)
 	for _, machine := range fleet.nodes(membership.Expediter) {
-		if !machine.control.Keeper().Charter().Blank() {
-			t.Errorf("%s has the charter %+v", machine.name, machine.control.Keeper().Charter())
+		if !machine.control.Witness().Charter().Blank() {
+			t.Errorf("%s has the charter %+v", machine.name, machine.control.Witness().Charter())
 		}
 	}
 }
@@ -139,8 +139,8 @@
 			if joined.control == nil || !fleet.led() {
 				return false
 			}
-			charter := fleet.primary().control.Steward().Charter()
-			return charter.Keeps(joined.control.Keeper().Seat().Identity) && len(charter.Incoming) == 0
+			charter := fleet.primary().control.Coordinator().Charter()
+			return charter.Keeps(joined.control.Witness().Replica().Identity) && len(charter.Incoming) == 0
 		})
 		if took < 0 || took > 15*time.Second {
 			t.Fatalf("%s is no keeper after %s", joined.name, took)
@@ -315,7 +315,7 @@
 	world.outside.Go(func() {
 		for ends := world.now + incidentPatience; world.now < ends && !over; world.wait(20, 20) {
 			for _, machine := range world.nodes(membership.Expediter) {
-				if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Steward().Holds() {
+				if machine.life == nil || machine.life.ended || machine.life.frozen || machine.control == nil || !machine.control.Coordinator().Holds() {
 					continue
 				}
 				control := machine.control
--- a/internal/rehearsal/world/world.go
+++ b/internal/rehearsal/world/world.go
@@ -301,7 +301,7 @@
 	if machine.courier != nil && machine.courier.Core().InFlight() > 0 {
 		world.tempt("inquiries under way at a kill")
 	}
-	if machine.control != nil && machine.control.Steward().Holds() {
+	if machine.control != nil && machine.control.Coordinator().Holds() {
 		world.tempt("a primary killed under its hold")
 	}
 	world.say("%s is killed", machine.name)
--- a/internal/replication/acquaintance.go
+++ b/internal/replication/acquaintance.go
@@ -12,24 +12,24 @@
 // Example:
 //
 //	answer := steward.Own()
-func (steward *Steward) Own() Hello {
+func (coordinator *Coordinator) Own() Hello {
 	// These may wait for the disk, and nobody may wait for them.
-	charter, seat := steward.keeper.Charter(), steward.keeper.Seat()
-	blank, holder := charter.Blank(), steward.keeper.Holder()
-	version, damage := steward.store.Copy().Version(), steward.store.Copy().Damage()
-	left := steward.keeper.HoldEnds().Sub(steward.turns.Now())
-	leads := steward.Holds()
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if steward.charter.Epoch > charter.Epoch {
-		charter = steward.charter
-	}
-	if steward.borne > 1 {
-		seat.District = steward.district
-	}
-	return Hello{Seat: seat, Kind: steward.kind, Blank: blank, Restricted: steward.restricted,
+	charter, replica := coordinator.witness.Charter(), coordinator.witness.Replica()
+	blank, holder := charter.Blank(), coordinator.witness.Holder()
+	version, damage := coordinator.store.Copy().Version(), coordinator.store.Copy().Damage()
+	left := coordinator.witness.HoldEnds().Sub(coordinator.turns.Now())
+	leads := coordinator.Holds()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if coordinator.charter.Epoch > charter.Epoch {
+		charter = coordinator.charter
+	}
+	if coordinator.borne > 1 {
+		replica.District = coordinator.district
+	}
+	return Hello{Seat: replica, Kind: coordinator.kind, Blank: blank, Restricted: coordinator.restricted,
 		Charter: charter, Leads: leads, HoldLeft: max(left, 0), Holder: holder,
-		Version: version, Damage: damage, Leaving: steward.leaving}
+		Version: version, Damage: damage, Leaving: coordinator.leaving}
 }
 
 // Greet takes another's hello and answers it.
@@ -37,93 +37,93 @@
 // Example:
 //
 //	answer := steward.Greet(hello)
-func (steward *Steward) Greet(hello Hello) Hello {
+func (coordinator *Coordinator) Greet(hello Hello) Hello {
 	if hello.Seat.Empty() {
 		// Somebody who only wants to know who leads.
-		return steward.Own()
+		return coordinator.Own()
 	}
-	steward.note(hello, false)
-	charter := steward.Charter()
-	steward.mutex.Lock()
-	steward.greeted = steward.turns.Now()
+	coordinator.note(hello, false)
+	charter := coordinator.Charter()
+	coordinator.mutex.Lock()
+	coordinator.greeted = coordinator.turns.Now()
 	if hello.Leads && hello.Seat.Identity == charter.Primary.Identity {
-		steward.ledBy = steward.greeted
+		coordinator.ledBy = coordinator.greeted
 	}
-	steward.mutex.Unlock()
-	return steward.Own()
+	coordinator.mutex.Unlock()
+	return coordinator.Own()
 }
 
 // note takes a hello. A node that keeps nothing has no seat, but may know of a newer
 // charter.
-func (steward *Steward) note(hello Hello, answered bool) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if hello.Charter.Epoch > steward.charter.Epoch {
-		steward.charter = hello.Charter
+func (coordinator *Coordinator) note(hello Hello, answered bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if hello.Charter.Epoch > coordinator.charter.Epoch {
+		coordinator.charter = hello.Charter
 	}
-	if hello.Seat.Empty() || hello.Seat.Identity == steward.keeper.Seat().Identity {
+	if hello.Seat.Empty() || hello.Seat.Identity == coordinator.witness.Replica().Identity {
 		return
 	}
-	known, found := steward.known[hello.Seat.Identity]
+	known, found := coordinator.known[hello.Seat.Identity]
 	if !found {
 		known = &acquaintance{}
-		steward.known[hello.Seat.Identity] = known
+		coordinator.known[hello.Seat.Identity] = known
 	}
-	known.hello, known.lastSeen = hello, steward.turns.Now()
+	known.hello, known.lastSeen = hello, coordinator.turns.Now()
 	if answered {
 		known.answered = known.lastSeen
 	}
 }
 
 // greetAll says hello to every address that may have an expediter.
-func (steward *Steward) greetAll() {
-	own := steward.Own()
-	if steward.rests() {
+func (coordinator *Coordinator) greetAll() {
+	own := coordinator.Own()
+	if coordinator.rests() {
 		return
 	}
-	if steward.quiet() {
-		primary := steward.Charter().Primary
-		if hello, err := steward.peers.Hello(steward.Address(primary), own); err == nil {
-			steward.note(hello, true)
+	if coordinator.quiet() {
+		primary := coordinator.Charter().Primary
+		if hello, err := coordinator.peers.Hello(coordinator.Address(primary), own); err == nil {
+			coordinator.note(hello, true)
 		}
 		return
 	}
 	addresses := map[string]bool{}
-	for _, seat := range steward.Charter().Electors() {
-		addresses[seat.Address] = true
+	for _, replica := range coordinator.Charter().Electors() {
+		addresses[replica.Address] = true
 	}
-	steward.mutex.Lock()
-	for _, address := range steward.seeds {
+	coordinator.mutex.Lock()
+	for _, address := range coordinator.seeds {
 		addresses[address] = true
 	}
-	for _, address := range steward.contacts {
+	for _, address := range coordinator.contacts {
 		addresses[address] = true
 	}
-	for _, known := range steward.known {
-		if steward.turns.Now().Sub(known.lastSeen) < time.Minute {
+	for _, known := range coordinator.known {
+		if coordinator.turns.Now().Sub(known.lastSeen) < time.Minute {
 			addresses[known.hello.Seat.Address] = true
 		}
 	}
-	steward.mutex.Unlock()
-	for _, address := range steward.strangers() {
+	coordinator.mutex.Unlock()
+	for _, address := range coordinator.strangers() {
 		addresses[address] = true
 	}
 	delete(addresses, own.Seat.Address)
 	// One waits here only for those who should answer: the others' hellos are
 	// noted whenever they come.
-	var seats []Seat
+	var replicas []Replica
 	for address := range addresses {
-		seats = append(seats, Seat{Address: address})
+		replicas = append(replicas, Replica{Address: address})
 	}
-	sort.Slice(seats, func(left, right int) bool { return seats[left].Address < seats[right].Address })
+	sort.Slice(replicas, func(left, right int) bool { return replicas[left].Address < replicas[right].Address })
 	answered := 0
-	gatherWithin(steward.turns, helloPatience, seats, func(seat Seat) (Hello, error) {
-		hello, err := steward.peers.Hello(seat.Address, own)
+	gatherWithin(coordinator.turns, helloPatience, replicas, func(replica Replica) (Hello, error) {
+		hello, err := coordinator.peers.Hello(replica.Address, own)
 		if err == nil {
-			steward.note(hello, true)
+			coordinator.note(hello, true)
 		}
 		return hello, err
-	}, func(_ Seat, _ Hello, err error) {
+	}, func(_ Replica, _ Hello, err error) {
 		if err == nil {
 			answered++
 		}
@@ -136,42 +136,42 @@
 
 // strangers are recorded members to be greeted now: none while a majority of the
 // witnesses answers.
-func (steward *Steward) strangers() []string {
-	charter := steward.Charter()
-	if !charter.Blank() && steward.reaches(charter) {
+func (coordinator *Coordinator) strangers() []string {
+	charter := coordinator.Charter()
+	if !charter.Blank() && coordinator.reaches(charter) {
 		return nil
 	}
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
 	var strangers []string
-	for range min(strangersPerRound, len(steward.recordedAt)) {
-		strangers = append(strangers, steward.recordedAt[steward.nextPeer%len(steward.recordedAt)])
-		steward.nextPeer++
+	for range min(strangersPerRound, len(coordinator.recordedAt)) {
+		strangers = append(strangers, coordinator.recordedAt[coordinator.nextPeer%len(coordinator.recordedAt)])
+		coordinator.nextPeer++
 	}
 	return strangers
 }
 
-func (steward *Steward) seenAt(address string) (Seat, bool) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
+func (coordinator *Coordinator) seenAt(address string) (Replica, bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
 	var found *acquaintance
-	for _, identity := range steward.acquaintances() {
-		known := steward.known[identity]
+	for _, identity := range coordinator.acquaintances() {
+		known := coordinator.known[identity]
 		if known.hello.Seat.Address == address && (found == nil || known.lastSeen.After(found.lastSeen)) {
 			found = known
 		}
 	}
-	if found == nil || steward.turns.Now().Sub(found.lastSeen) > applicantFresh {
-		return Seat{}, false
+	if found == nil || coordinator.turns.Now().Sub(found.lastSeen) > applicantFresh {
+		return Replica{}, false
 	}
 	return found.hello.Seat, found.hello.Blank && found.hello.Kind == membership.Expediter
 }
 
-func (steward *Steward) alive(identity Identity, fresh time.Duration) (Hello, bool) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	known, found := steward.known[identity]
-	if !found || steward.turns.Now().Sub(known.answered) > fresh {
+func (coordinator *Coordinator) alive(identity Identity, fresh time.Duration) (Hello, bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	known, found := coordinator.known[identity]
+	if !found || coordinator.turns.Now().Sub(known.answered) > fresh {
 		return Hello{}, false
 	}
 	return known.hello, true
@@ -182,13 +182,13 @@
 // Example:
 //
 //	address := steward.Address(charter.Backup)
-func (steward *Steward) Address(seat Seat) string {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if known, found := steward.known[seat.Identity]; found {
+func (coordinator *Coordinator) Address(replica Replica) string {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if known, found := coordinator.known[replica.Identity]; found {
 		return known.hello.Seat.Address
 	}
-	return seat.Address
+	return replica.Address
 }
 
 // Sees tells whether an expediter at the address was heard a moment ago.
@@ -196,14 +196,14 @@
 // Example:
 //
 //	running := steward.Sees("127.0.0.1:7102")
-func (steward *Steward) Sees(address string) bool {
-	if address == steward.keeper.Seat().Address {
+func (coordinator *Coordinator) Sees(address string) bool {
+	if address == coordinator.witness.Replica().Address {
 		return true
 	}
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	for _, known := range steward.known {
-		if known.hello.Seat.Address == address && steward.turns.Now().Sub(known.lastSeen) < applicantFresh {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	for _, known := range coordinator.known {
+		if known.hello.Seat.Address == address && coordinator.turns.Now().Sub(known.lastSeen) < applicantFresh {
 			return true
 		}
 	}
@@ -212,9 +212,9 @@
 
 // acquaintances are the identities that were ever heard, in order, so that the
 // same messages lead to the same choices. The caller has the mutex.
-func (steward *Steward) acquaintances() []Identity {
-	identities := make([]Identity, 0, len(steward.known))
-	for identity := range steward.known {
+func (coordinator *Coordinator) acquaintances() []Identity {
+	identities := make([]Identity, 0, len(coordinator.known))
+	for identity := range coordinator.known {
 		identities = append(identities, identity)
 	}
 	sort.Slice(identities, func(left, right int) bool { return identities[left] < identities[right] })
--- a/internal/replication/ballot.go
+++ b/internal/replication/ballot.go
@@ -9,31 +9,31 @@
 	candidate Identity
 	epoch     uint64
 	// base is the newest charter that was told; newest is that of the round under way.
-	base, newest Charter
+	base, newest Membership
 	asked        map[Identity]bool
 	promised     map[Identity]bool
 	accepted     map[Identity]bool
 	// highest is the highest epoch that any witness has told.
 	highest uint64
-	next    Charter
+	next    Membership
 }
 
-func newBallot(candidate Identity, epoch uint64, base Charter) *ballot {
+func newBallot(candidate Identity, epoch uint64, base Membership) *ballot {
 	return &ballot{candidate: candidate, epoch: epoch, base: base, newest: base,
 		asked: map[Identity]bool{}, promised: map[Identity]bool{}, accepted: map[Identity]bool{}}
 }
 
 // unasked lists the witnesses of the base that were not asked for a promise, and notes
 // that they are asked now.
-func (ballot *ballot) unasked() []Seat {
-	var seats []Seat
-	for _, seat := range ballot.base.Electors() {
-		if !ballot.asked[seat.Identity] {
-			ballot.asked[seat.Identity] = true
-			seats = append(seats, seat)
+func (ballot *ballot) unasked() []Replica {
+	var replicas []Replica
+	for _, replica := range ballot.base.Electors() {
+		if !ballot.asked[replica.Identity] {
+			ballot.asked[replica.Identity] = true
+			replicas = append(replicas, replica)
 		}
 	}
-	return seats
+	return replicas
 }
 
 // takePromise takes a witness's answer to the question for a promise.
@@ -57,7 +57,7 @@
 }
 
 // propose makes the next charter from the newest one, if that allows it.
-func (ballot *ballot) propose(make func(base Charter) (Charter, bool)) error {
+func (ballot *ballot) propose(make func(base Membership) (Membership, bool)) error {
 	if !ballot.hasPromises() {
 		return failure.New(failure.NoPrimary, "no quorum of the newest keepers promised the epoch")
 	}
@@ -71,8 +71,8 @@
 }
 
 // acceptors lists the witnesses of the base and of the proposed charter, each once.
-func (ballot *ballot) acceptors() []Seat {
-	return Charter{Keepers: ballot.base.Electors(), Incoming: ballot.next.Electors()}.Electors()
+func (ballot *ballot) acceptors() []Replica {
+	return Membership{Witnesses: ballot.base.Electors(), Incoming: ballot.next.Electors()}.Electors()
 }
 
 // takeAcceptance takes a witness's answer to the proposed charter.
--- a/internal/replication/batch.go
+++ b/internal/replication/batch.go
@@ -7,7 +7,7 @@
 type Batch struct {
 	Version Version            `msgpack:"version"`
 	Base    Version            `msgpack:"base"`
-	Drawers map[string]Drawer  `msgpack:"drawers"`
+	Drawers map[string]Section `msgpack:"drawers"`
 	Removed []string           `msgpack:"removed,omitempty"`
 	Places  map[string]Version `msgpack:"places,omitempty"`
 }
--- a/internal/replication/changenote.go
+++ b/internal/replication/changenote.go
@@ -50,6 +50,6 @@
 	}
 	if changed {
 		state.Changes = kept
-		state.Touch(ChangesDrawer)
+		state.Touch(ChangesSection)
 	}
 }
--- a/internal/replication/changes.go
+++ b/internal/replication/changes.go
@@ -57,10 +57,10 @@
 			return failure.New(failure.Busy, "too many changes were accepted lately; ask again")
 		}
 		state.Menu = prepared.text
-		state.Touch(MenuDrawer)
+		state.Touch(ConfigurationSection)
 		if id != "" {
 			state.Changes = append(append([]ChangeNote(nil), state.Changes...), ChangeNote{ID: id, Version: version, Digest: digest, At: state.changeTime()})
-			state.Touch(ChangesDrawer)
+			state.Touch(ChangesSection)
 		}
 		return nil
 	}
@@ -77,7 +77,7 @@
 			return nil
 		}
 		state.Members[member.Name] = member
-		state.Touch(MembersDrawer)
+		state.Touch(MembersSection)
 		return nil
 	}
 }
@@ -93,7 +93,7 @@
 			return failure.New(failure.NoSuch, "no member "+name)
 		}
 		delete(state.Members, name)
-		state.Touch(MembersDrawer)
+		state.Touch(MembersSection)
 		return nil
 	}
 }
@@ -114,7 +114,7 @@
 		}
 		if len(enabled) != len(state.Flags.Enabled) {
 			state.Flags.Enabled = enabled
-			state.Touch(FlagsDrawer)
+			state.Touch(FlagsSection)
 		}
 		return nil
 	}
@@ -154,7 +154,7 @@
 			state.Rota.Fence++
 			grant.Fence = state.Rota.Fence
 			state.Rota.Duties[grant.Key] = grant
-			state.Touch(RotaDrawer)
+			state.Touch(DutiesSection)
 		}
 		return nil
 	}
@@ -176,11 +176,11 @@
 			}
 			if found {
 				delete(state.Rota.Duties, key)
-				state.Touch(RotaDrawer)
+				state.Touch(DutiesSection)
 			}
 			if _, found := state.Orders.Records[name]; found {
 				delete(state.Orders.Records, name)
-				state.Touch(OrdersDrawer)
+				state.Touch(OrdersSection)
 			}
 		}
 		return nil
@@ -209,7 +209,7 @@
 			}
 			state.Orders.Number++
 			state.Orders.Records[order.Server] = record
-			state.Touch(OrdersDrawer)
+			state.Touch(OrdersSection)
 		}
 		return nil
 	}
@@ -237,8 +237,8 @@
 		if made.After(state.Horizon.Add(Retention + time.Hour)) {
 			return failure.New(failure.TooNew, "the inquiry's id is from the future")
 		}
-		drawer := claimsDrawer(made)
-		if record, found := state.Claims[drawer][entry.Inquiry]; found {
+		section := claimsDrawer(made)
+		if record, found := state.Claims[section][entry.Inquiry]; found {
 			earlier, err := formats.ReadEntry(record)
 			if err != nil {
 				return err
@@ -252,11 +252,11 @@
 		if err != nil {
 			return err
 		}
-		if state.Claims[drawer] == nil {
-			state.Claims[drawer] = map[string]formats.Record{}
+		if state.Claims[section] == nil {
+			state.Claims[section] = map[string]formats.Record{}
 		}
-		state.Claims[drawer][entry.Inquiry] = record
-		state.Touch(drawer)
+		state.Claims[section][entry.Inquiry] = record
+		state.Touch(section)
 		return nil
 	}
 }
@@ -273,7 +273,7 @@
 		goal := wall.Add(-Retention)
 		if state.Horizon.IsZero() {
 			state.Horizon = goal
-			state.Touch(HorizonDrawer)
+			state.Touch(HorizonSection)
 			state.forgetChanges()
 			return nil
 		}
@@ -284,12 +284,12 @@
 			return nil
 		}
 		state.Horizon = goal
-		state.Touch(HorizonDrawer)
+		state.Touch(HorizonSection)
 		state.forgetChanges()
-		for drawer := range state.Claims {
-			if claimsDrawerEnds(drawer).Before(goal) {
-				delete(state.Claims, drawer)
-				state.Touch(drawer)
+		for section := range state.Claims {
+			if claimsDrawerEnds(section).Before(goal) {
+				delete(state.Claims, section)
+				state.Touch(section)
 			}
 		}
 		return nil
--- a/internal/replication/changes_test.go
+++ b/internal/replication/changes_test.go
@@ -52,7 +52,7 @@
 	model.number++
 	version := Version{Epoch: 1, Number: model.number}
 	err := ChangeMenu(order.id(), order.id(), nil, PreparedMenu{}, order.apply)(model.state, version, model.menuAt)
-	if model.state.dirty[MenuDrawer] {
+	if model.state.dirty[ConfigurationSection] {
 		model.menuAt = version
 	}
 	model.state.dirty = map[string]bool{}
@@ -61,14 +61,14 @@
 
 // restart has another primary begin from what the disks hold.
 func (model *changeModel) restart(t *rapid.T) {
-	for _, name := range []string{MenuDrawer, ChangesDrawer, HorizonDrawer} {
+	for _, name := range []string{ConfigurationSection, ChangesSection, HorizonSection} {
 		model.state.Touch(name)
 	}
-	drawers, _, err := model.state.pack(model.menuAt)
+	sections, _, err := model.state.pack(model.menuAt)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if model.state, err = ReadState(drawers); err != nil {
+	if model.state, err = ReadState(sections); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/replication/steward.go
+++ b/internal/replication/coordinator.go
@@ -42,13 +42,13 @@
 	slowAnswer = 450 * time.Millisecond
 )
 
-// Steward decides who is primary, backup and keeper, from one expediter's
+// Coordinator decides who is primary, backup and keeper, from one expediter's
 // point of view. Tick is called by one thread, over and over.
-type Steward struct {
+type Coordinator struct {
 	turns   lease.Turns
 	seeds   []string
 	kind    membership.NodeKind
-	keeper  *Keeper
+	witness *Witness
 	store   *Store
 	peers   Peers
 	observe func(event string, detail ...any)
@@ -56,7 +56,7 @@
 
 	mutex      sync.Mutex
 	holdEnds   time.Time
-	charter    Charter
+	charter    Membership
 	restricted bool
 	known      map[Identity]*acquaintance
 	contacts   []string
@@ -97,13 +97,13 @@
 	answered time.Time
 }
 
-// NewSteward makes the steward of one expediter.
+// NewCoordinator makes the steward of one expediter.
 //
 // Example:
 //
-//	steward := replication.NewSteward(turns, seeds, keeper, store, peers, observe)
-func NewSteward(turns lease.Turns, seeds []string, keeper *Keeper, store *Store, peers Peers, observe func(string, ...any)) *Steward {
-	return &Steward{turns: turns, seeds: seeds, kind: membership.Expediter, keeper: keeper, store: store, peers: peers,
+//	steward := replication.NewCoordinator(turns, seeds, keeper, store, peers, observe)
+func NewCoordinator(turns lease.Turns, seeds []string, witness *Witness, store *Store, peers Peers, observe func(string, ...any)) *Coordinator {
+	return &Coordinator{turns: turns, seeds: seeds, kind: membership.Expediter, witness: witness, store: store, peers: peers,
 		observe: observe, timing: TimingFor(DefaultCatchUp), known: map[Identity]*acquaintance{}, borne: 1, backupFails: map[Identity]time.Time{}, installFails: map[Identity]time.Time{}}
 }
 
@@ -113,10 +113,10 @@
 // Example:
 //
 //	if !steward.Holds() { return failure.New(failure.NoPrimary, "") }
-func (steward *Steward) Holds() bool {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	return steward.turns.Now().Before(steward.holdEnds) && steward.store.View() != nil
+func (coordinator *Coordinator) Holds() bool {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	return coordinator.turns.Now().Before(coordinator.holdEnds) && coordinator.store.View() != nil
 }
 
 // SetRestricted tells the steward whether its node lacks an enabled flag; a
@@ -125,10 +125,10 @@
 // Example:
 //
 //	steward.SetRestricted(true)
-func (steward *Steward) SetRestricted(restricted bool) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.restricted = restricted
+func (coordinator *Coordinator) SetRestricted(restricted bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.restricted = restricted
 }
 
 // Leave makes this expediter hand over what it has, and stand no more while another can:
@@ -138,16 +138,16 @@
 //
 //	steward.Leave()
 //	for !steward.Released() { pause() }
-func (steward *Steward) Leave() {
-	steward.mutex.Lock()
-	steward.leaving = true
-	steward.mutex.Unlock()
-	primary := steward.Charter().Primary
-	if primary.Empty() || primary.Identity == steward.keeper.Seat().Identity {
+func (coordinator *Coordinator) Leave() {
+	coordinator.mutex.Lock()
+	coordinator.leaving = true
+	coordinator.mutex.Unlock()
+	primary := coordinator.Charter().Primary
+	if primary.Empty() || primary.Identity == coordinator.witness.Replica().Identity {
 		return
 	}
-	if hello, err := steward.peers.Hello(steward.Address(primary), steward.Own()); err == nil {
-		steward.note(hello, true)
+	if hello, err := coordinator.peers.Hello(coordinator.Address(primary), coordinator.Own()); err == nil {
+		coordinator.note(hello, true)
 	}
 }
 
@@ -158,26 +158,26 @@
 // Example:
 //
 //	if steward.Released() { end() }
-func (steward *Steward) Released() bool {
-	own, charter := steward.keeper.Seat().Identity, steward.Charter()
-	if steward.store.Leading() || charter.InSync(own) {
+func (coordinator *Coordinator) Released() bool {
+	own, charter := coordinator.witness.Replica().Identity, coordinator.Charter()
+	if coordinator.store.Leading() || charter.InSync(own) {
 		return false
 	}
 	if !charter.Keeps(own) {
 		return true
 	}
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if steward.copyLeftAt.IsZero() {
-		steward.copyLeftAt = steward.turns.Now()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if coordinator.copyLeftAt.IsZero() {
+		coordinator.copyLeftAt = coordinator.turns.Now()
 	}
-	return len(charter.Incoming) == 0 && steward.turns.Now().Sub(steward.copyLeftAt) >= seatPatience
+	return len(charter.Incoming) == 0 && coordinator.turns.Now().Sub(coordinator.copyLeftAt) >= seatPatience
 }
 
-func (steward *Steward) isLeaving() bool {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	return steward.leaving
+func (coordinator *Coordinator) isLeaving() bool {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	return coordinator.leaving
 }
 
 // JoinOnly keeps this expediter from forming a first core: there is one already,
@@ -186,10 +186,10 @@
 // Example:
 //
 //	steward.JoinOnly()
-func (steward *Steward) JoinOnly() {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.joinsOnly = true
+func (coordinator *Coordinator) JoinOnly() {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.joinsOnly = true
 }
 
 // SetContacts gives addresses besides the seeds and the charter's to say hello
@@ -198,10 +198,10 @@
 // Example:
 //
 //	steward.SetContacts(addresses)
-func (steward *Steward) SetContacts(addresses []string) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.contacts = addresses
+func (coordinator *Coordinator) SetContacts(addresses []string) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.contacts = addresses
 }
 
 // SetRecorded gives the addresses of the recorded members, the likeliest to know the
@@ -210,10 +210,10 @@
 // Example:
 //
 //	steward.SetRecorded(addresses)
-func (steward *Steward) SetRecorded(addresses []string) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.recordedAt = addresses
+func (coordinator *Coordinator) SetRecorded(addresses []string) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.recordedAt = addresses
 }
 
 // Charter is the newest charter that this expediter has heard of.
@@ -221,14 +221,14 @@
 // Example:
 //
 //	primary := steward.Charter().Primary
-func (steward *Steward) Charter() Charter {
-	own := steward.keeper.Charter()
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if own.Epoch >= steward.charter.Epoch {
+func (coordinator *Coordinator) Charter() Membership {
+	own := coordinator.witness.Charter()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if own.Epoch >= coordinator.charter.Epoch {
 		return own
 	}
-	return steward.charter
+	return coordinator.charter
 }
 
 // Tick does the next thing that is due.
@@ -236,54 +236,54 @@
 // Example:
 //
 //	for alive { steward.Tick(); pause() }
-func (steward *Steward) Tick() {
-	steward.greetAll()
+func (coordinator *Coordinator) Tick() {
+	coordinator.greetAll()
 	switch {
-	case steward.keeper.Charter().Blank() && steward.Charter().Blank():
-		steward.form()
-	case steward.store.Leading():
-		steward.lead()
+	case coordinator.witness.Charter().Blank() && coordinator.Charter().Blank():
+		coordinator.form()
+	case coordinator.store.Leading():
+		coordinator.lead()
 	default:
-		steward.watch()
+		coordinator.watch()
 	}
 }
 
 // lead is what the primary does: renew its hold, keep a backup in sync, keep
 // three keepers, and hand over when it is restricted.
-func (steward *Steward) lead() {
-	charter := steward.Charter()
-	own := steward.keeper.Seat()
+func (coordinator *Coordinator) lead() {
+	charter := coordinator.Charter()
+	own := coordinator.witness.Replica()
 	if charter.Primary.Identity != own.Identity {
-		steward.resign("deposed", charter)
+		coordinator.resign("deposed", charter)
 		return
 	}
-	if steward.ownDiskStalls() {
+	if coordinator.ownDiskStalls() {
 		// Its keepers are no longer asked, so that the backup may take over.
 		return
 	}
-	if steward.deaf() || steward.unconfirmed && !steward.reaches(charter) {
+	if coordinator.deaf() || coordinator.unconfirmed && !coordinator.reaches(charter) {
 		return
 	}
-	if steward.confirmDue() {
-		steward.unconfirmed = !steward.confirm(charter)
+	if coordinator.confirmDue() {
+		coordinator.unconfirmed = !coordinator.confirm(charter)
 	}
-	if !steward.store.Leading() {
+	if !coordinator.store.Leading() {
 		return
 	}
-	if steward.isLeaving() && !charter.Backup.Empty() && !steward.unsettled {
-		steward.handOver(charter)
+	if coordinator.isLeaving() && !charter.Backup.Empty() && !coordinator.unsettled {
+		coordinator.handOver(charter)
 		return
 	}
-	if steward.unheardOf(charter) {
-		steward.observe("hands_over", "cause", "nobody reaches this expediter")
-		steward.handOver(charter)
+	if coordinator.unheardOf(charter) {
+		coordinator.observe("hands_over", "cause", "nobody reaches this expediter")
+		coordinator.handOver(charter)
 		return
 	}
-	if steward.outrun && !steward.unsettled {
-		steward.regrant(charter)
+	if coordinator.outrun && !coordinator.unsettled {
+		coordinator.regrant(charter)
 	}
-	steward.ensureBackups()
-	steward.ensureKeepers()
+	coordinator.ensureBackups()
+	coordinator.ensureWitnesses()
 }
 
 // SetTiming chooses the waits of the core. It comes before any other use.
@@ -291,9 +291,9 @@
 // Example:
 //
 //	steward.SetTiming(replication.TimingFor(2 * time.Second))
-func (steward *Steward) SetTiming(timing Timing) {
-	steward.timing = timing
-	steward.keeper.SetLease(timing.Lease)
+func (coordinator *Coordinator) SetTiming(timing Timing) {
+	coordinator.timing = timing
+	coordinator.witness.SetLease(timing.Lease)
 }
 
 // SetSeeds exchanges the seeds, after a reload.
@@ -301,8 +301,8 @@
 // Example:
 //
 //	steward.SetSeeds(chosen.Seeds)
-func (steward *Steward) SetSeeds(seeds []string) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.seeds = seeds
+func (coordinator *Coordinator) SetSeeds(seeds []string) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.seeds = seeds
 }
--- a/internal/replication/copy.go
+++ b/internal/replication/copy.go
@@ -18,7 +18,7 @@
 	mutex   sync.Locker
 	shelf   Shelf
 	version Version
-	drawers map[string]Drawer
+	drawers map[string]Section
 	places  map[string]Version
 	files   map[string]bool
 	damage  string
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	copied := &Copy{mutex: &sync.Mutex{}, shelf: shelf, drawers: map[string]Drawer{}, places: map[string]Version{}, files: map[string]bool{}}
+	copied := &Copy{mutex: &sync.Mutex{}, shelf: shelf, drawers: map[string]Section{}, places: map[string]Version{}, files: map[string]bool{}}
 	batches := map[Version]Batch{}
 	var newest Batch
 	for name, content := range files {
@@ -52,12 +52,12 @@
 	}
 	copied.version = newest.Version
 	for name, place := range newest.Places {
-		drawer, found := batches[place].Drawers[name]
+		section, found := batches[place].Drawers[name]
 		if !found {
 			copied.damage = fmt.Sprintf("the file of version %s is missing, which holds %s", place, name)
 			continue
 		}
-		copied.drawers[name] = drawer
+		copied.drawers[name] = section
 		copied.places[name] = place
 	}
 	if len(damaged) > 0 {
@@ -105,14 +105,14 @@
 // Example:
 //
 //	drawers := copied.Drawers()
-func (copied *Copy) Drawers() map[string]Drawer {
+func (copied *Copy) Drawers() map[string]Section {
 	copied.mutex.Lock()
 	defer copied.mutex.Unlock()
-	drawers := make(map[string]Drawer, len(copied.drawers))
-	for name, drawer := range copied.drawers {
-		drawers[name] = drawer
+	sections := make(map[string]Section, len(copied.drawers))
+	for name, section := range copied.drawers {
+		sections[name] = section
 	}
-	return drawers
+	return sections
 }
 
 // Write syncs a batch to disk and takes it up. The same batch again changes
@@ -150,7 +150,7 @@
 	// A copy may hold one version more than the snapshot: a batch that was
 	// synced here and never answered. It is still under way at the primary, so
 	// that finding it again after a crash is harmless.
-	copied.drawers = map[string]Drawer{}
+	copied.drawers = map[string]Section{}
 	copied.places = map[string]Version{}
 	copied.damage = "a rewrite was broken off"
 	if err := copied.keep(Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}); err != nil {
@@ -231,8 +231,8 @@
 	copied.files[file] = true
 	copied.version = batch.Version
 	copied.places = places
-	for name, drawer := range batch.Drawers {
-		copied.drawers[name] = drawer
+	for name, section := range batch.Drawers {
+		copied.drawers[name] = section
 	}
 	for _, name := range batch.Removed {
 		delete(copied.drawers, name)
--- a/internal/replication/explore_test.go
+++ b/internal/replication/explore_test.go
@@ -20,7 +20,7 @@
 // coreMember is one machine of the explored core: its witness is the product's Keeper, its
 // candidacy the product's ballot; its copy is a number, that of the last write it holds.
 type coreMember struct {
-	keeper  *Keeper
+	keeper  *Witness
 	version int
 	up      bool
 	lives   int
@@ -30,7 +30,7 @@
 	// charter is the one that it leads by, if it leads; unsynced tells of a write that is
 	// on its own copy only.
 	leads     bool
-	charter   Charter
+	charter   Membership
 	confirmed map[Identity]bool
 	lease     bool
 	unsynced  bool
@@ -44,7 +44,7 @@
 // lateMessage is a request whose answer nobody waits for any more.
 type lateMessage struct {
 	to      int
-	charter Charter
+	charter Membership
 	epoch   uint64
 	from    Identity
 }
@@ -54,7 +54,7 @@
 	members []*coreMember
 	late    []lateMessage
 	acked   int
-	newest  Charter
+	newest  Membership
 	// What may still happen.
 	ballots, crashes, restarts, wipes, writes, delays int
 }
@@ -85,9 +85,9 @@
 	next.members = make([]*coreMember, len(state.members))
 	for position, old := range state.members {
 		copied := *old
-		keeper := &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: old.keeper.self, note: old.keeper.note, lease: old.keeper.lease, holder: old.keeper.holder, holdEnds: old.keeper.holdEnds}
-		keeper.note.Sequence = 0
-		copied.keeper = keeper
+		witness := &Witness{mutex: &sync.Mutex{}, shelf: noShelf{}, self: old.keeper.self, note: old.keeper.note, lease: old.keeper.lease, holder: old.keeper.holder, holdEnds: old.keeper.holdEnds}
+		witness.note.Sequence = 0
+		copied.keeper = witness
 		copied.confirmed = cloneSet(old.confirmed)
 		if old.ballot != nil {
 			ballot := *old.ballot
@@ -99,18 +99,18 @@
 	return &next
 }
 
-func appendSeats(text []byte, seats ...Seat) []byte {
-	for _, seat := range seats {
-		text = append(append(text, seat.Identity...), ',')
+func appendSeats(text []byte, replicas ...Replica) []byte {
+	for _, replica := range replicas {
+		text = append(append(text, replica.Identity...), ',')
 	}
 	return append(text, ';')
 }
 
-func appendCharter(text []byte, charter Charter) []byte {
+func appendCharter(text []byte, charter Membership) []byte {
 	text = append(text, byte(charter.Epoch))
 	text = appendSeats(text, charter.Primary, charter.Backup)
 	text = appendSeats(text, charter.Further...)
-	text = appendSeats(text, charter.Keepers...)
+	text = appendSeats(text, charter.Witnesses...)
 	return appendSeats(text, charter.Incoming...)
 }
 
@@ -141,10 +141,10 @@
 func (state *coreState) key() [16]byte {
 	text := make([]byte, 0, 1024)
 	for _, member := range state.members {
-		keeper := member.keeper
-		text = append(append(append(text, keeper.self.Identity...), byte(keeper.note.Promised), byte(member.version)), keeper.holder...)
-		text = appendCharter(text, keeper.note.Charter)
-		text = appendFlags(text, keeper.holdEnds.IsZero(), member.up, member.leads, member.lease, member.unsynced, member.unsettled)
+		witness := member.keeper
+		text = append(append(append(text, witness.self.Identity...), byte(witness.note.Promised), byte(member.version)), witness.holder...)
+		text = appendCharter(text, witness.note.Charter)
+		text = appendFlags(text, witness.holdEnds.IsZero(), member.up, member.leads, member.lease, member.unsynced, member.unsettled)
 		text = append(text, member.plan...)
 		text = appendCharter(text, member.charter)
 		text = appendSet(text, member.confirmed)
@@ -169,15 +169,15 @@
 // leads, the second is its backup.
 func newCoreState(witnesses int) *coreState {
 	state := &coreState{acked: 1}
-	var seats []Seat
+	var replicas []Replica
 	for number := range witnesses {
-		seats = append(seats, Seat{Identity: Identity(fmt.Sprintf("d%d", number)), Address: fmt.Sprintf("m%d", number)})
+		replicas = append(replicas, Replica{Identity: Identity(fmt.Sprintf("d%d", number)), Address: fmt.Sprintf("m%d", number)})
 	}
-	charter := Charter{Epoch: 1, Primary: seats[0], Backup: seats[1], Keepers: seats}
-	for number, seat := range seats {
-		keeper := &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: seat, lease: PrimaryHold, holder: seats[0].Identity, holdEnds: explorationNow.Add(PrimaryHold),
-			note: keeperNote{Identity: seat.Identity, Promised: 1, Charter: charter}}
-		member := &coreMember{keeper: keeper, up: true, confirmed: map[Identity]bool{}}
+	charter := Membership{Epoch: 1, Primary: replicas[0], Backup: replicas[1], Witnesses: replicas}
+	for number, replica := range replicas {
+		witness := &Witness{mutex: &sync.Mutex{}, shelf: noShelf{}, self: replica, lease: PrimaryHold, holder: replicas[0].Identity, holdEnds: explorationNow.Add(PrimaryHold),
+			note: witnessNote{Identity: replica.Identity, Promised: 1, Charter: charter}}
+		member := &coreMember{keeper: witness, up: true, confirmed: map[Identity]bool{}}
 		if number < 2 {
 			member.version = 1
 		}
@@ -185,8 +185,8 @@
 	}
 	leader := state.members[0]
 	leader.leads, leader.charter, leader.lease = true, charter, true
-	for _, seat := range seats {
-		leader.confirmed[seat.Identity] = true
+	for _, replica := range replicas {
+		leader.confirmed[replica.Identity] = true
 	}
 	state.newest = charter
 	return state
@@ -260,7 +260,7 @@
 	_, _ = member.keeper.Prepare(explorationNow, message.epoch, message.from)
 }
 
-func (explorer *explorer) accept(member *coreMember, charter Charter) Promise {
+func (explorer *explorer) accept(member *coreMember, charter Membership) Promise {
 	if explorer.forgetful {
 		member.keeper.note.Promised = member.keeper.note.Charter.Epoch
 	}
@@ -336,7 +336,7 @@
 
 func (member *coreMember) fall() {
 	member.up, member.leads, member.lease, member.unsynced, member.unsettled, member.ballot, member.plan = false, false, false, false, false, nil, ""
-	member.charter = Charter{}
+	member.charter = Membership{}
 	clear(member.confirmed)
 }
 
@@ -351,8 +351,8 @@
 func (state *coreState) wipe(member *coreMember) {
 	state.wipes--
 	member.lives++
-	seat := Seat{Identity: Identity(fmt.Sprintf("%s'", member.identity())), Address: member.keeper.self.Address}
-	member.keeper = &Keeper{mutex: &sync.Mutex{}, shelf: noShelf{}, self: seat, lease: PrimaryHold, note: keeperNote{Identity: seat.Identity}}
+	replica := Replica{Identity: Identity(fmt.Sprintf("%s'", member.identity())), Address: member.keeper.self.Address}
+	member.keeper = &Witness{mutex: &sync.Mutex{}, shelf: noShelf{}, self: replica, lease: PrimaryHold, note: witnessNote{Identity: replica.Identity}}
 	member.version = 0
 }
 
@@ -395,25 +395,25 @@
 }
 
 // exchangeOf finds a witness whose disk is gone and a machine that has no seat.
-func (state *coreState) exchangeOf(charter Charter) (Identity, Seat) {
+func (state *coreState) exchangeOf(charter Membership) (Identity, Replica) {
 	if len(charter.Incoming) > 0 {
-		return "", Seat{}
+		return "", Replica{}
 	}
-	for _, seat := range charter.Keepers {
+	for _, replica := range charter.Witnesses {
 		gone := true
 		for _, member := range state.members {
-			gone = gone && member.identity() != seat.Identity
+			gone = gone && member.identity() != replica.Identity
 		}
 		if !gone {
 			continue
 		}
 		for _, member := range state.members {
 			if member.up && !charter.Keeps(member.identity()) {
-				return seat.Identity, member.keeper.self
+				return replica.Identity, member.keeper.self
 			}
 		}
 	}
-	return "", Seat{}
+	return "", Replica{}
 }
 
 // begin starts a ballot as the product does: with a vow on the own disk.
@@ -434,38 +434,38 @@
 }
 
 // make is what the plan makes of the newest charter.
-func (member *coreMember) make(state *coreState) func(base Charter) (Charter, bool) {
+func (member *coreMember) make(state *coreState) func(base Membership) (Membership, bool) {
 	own := member.keeper.self
 	words := strings.Fields(member.plan)
 	led := member.charter
-	return func(base Charter) (Charter, bool) {
+	return func(base Membership) (Membership, bool) {
 		switch words[0] {
 		case "takeover":
 			return base.With(own, nil), base.InSync(own.Identity)
 		case "pair":
 			for _, other := range state.members {
 				if string(other.identity()) == words[1] {
-					return base.With(own, []Seat{other.keeper.self}), base.Primary.Identity == own.Identity
+					return base.With(own, []Replica{other.keeper.self}), base.Primary.Identity == own.Identity
 				}
 			}
 			return base, false
 		case "exchange":
 			next := base
 			next.Incoming = nil
-			for _, seat := range base.Keepers {
-				if string(seat.Identity) == words[1] {
+			for _, replica := range base.Witnesses {
+				if string(replica.Identity) == words[1] {
 					for _, other := range state.members {
 						if string(other.identity()) == words[2] {
-							seat = other.keeper.self
+							replica = other.keeper.self
 						}
 					}
 				}
-				next.Incoming = append(next.Incoming, seat)
+				next.Incoming = append(next.Incoming, replica)
 			}
 			return next, base.Epoch == led.Epoch && base.Primary.Identity == own.Identity
 		}
 		next := base
-		next.Keepers, next.Incoming = base.Incoming, nil
+		next.Witnesses, next.Incoming = base.Incoming, nil
 		return next, base.Epoch == led.Epoch && base.Primary.Identity == own.Identity && len(base.Incoming) > 0
 	}
 }
@@ -481,25 +481,25 @@
 	candidate := state.members[position]
 	branch(func(_ *coreState, member *coreMember) { member.ballot, member.plan = nil, "" })
 	accepting := candidate.ballot.next.Epoch > 0
-	seats := candidate.ballot.base.Electors()
+	replicas := candidate.ballot.base.Electors()
 	if accepting {
-		seats = candidate.ballot.acceptors()
+		replicas = candidate.ballot.acceptors()
 	}
-	for _, seat := range seats {
-		if _, answered := candidate.ballot.accepted[seat.Identity]; accepting && answered || !accepting && candidate.ballot.asked[seat.Identity] {
+	for _, replica := range replicas {
+		if _, answered := candidate.ballot.accepted[replica.Identity]; accepting && answered || !accepting && candidate.ballot.asked[replica.Identity] {
 			continue
 		}
-		to, reached := state.at(seat.Identity)
+		to, reached := state.at(replica.Identity)
 		if reached == nil {
 			continue
 		}
 		branch(func(next *coreState, member *coreMember) {
 			if accepting {
-				member.ballot.takeAcceptance(seat.Identity, explorer.accept(next.members[to], member.ballot.next))
+				member.ballot.takeAcceptance(replica.Identity, explorer.accept(next.members[to], member.ballot.next))
 			} else {
-				member.ballot.asked[seat.Identity] = true
+				member.ballot.asked[replica.Identity] = true
 				promise, _ := next.members[to].keeper.Prepare(explorationNow, member.ballot.epoch, member.identity())
-				member.ballot.takePromise(seat.Identity, promise)
+				member.ballot.takePromise(replica.Identity, promise)
 			}
 			explorer.advance(next, member)
 		})
@@ -509,9 +509,9 @@
 				message := lateMessage{to: to, epoch: member.ballot.epoch, from: member.identity()}
 				if accepting {
 					message.charter = member.ballot.next
-					member.ballot.accepted[seat.Identity] = false
+					member.ballot.accepted[replica.Identity] = false
 				} else {
-					member.ballot.asked[seat.Identity] = true
+					member.ballot.asked[replica.Identity] = true
 				}
 				next.late = append(next.late, message)
 			})
@@ -545,18 +545,18 @@
 // exploreLeader follows what a primary does: it renews its lease and writes.
 func (explorer *explorer) exploreLeader(state *coreState, position int, branch func(func(*coreState, *coreMember))) {
 	leader := state.members[position]
-	for _, seat := range leader.charter.Electors() {
-		to, reached := state.at(seat.Identity)
-		if reached == nil || leader.confirmed[seat.Identity] {
+	for _, replica := range leader.charter.Electors() {
+		to, reached := state.at(replica.Identity)
+		if reached == nil || leader.confirmed[replica.Identity] {
 			continue
 		}
 		branch(func(next *coreState, member *coreMember) {
-			keeper := next.members[to].keeper
-			if keeper.note.Charter.Epoch < member.charter.Epoch {
+			witness := next.members[to].keeper
+			if witness.note.Charter.Epoch < member.charter.Epoch {
 				explorer.accept(next.members[to], member.charter)
 			}
-			if promise := keeper.Confirm(explorationNow, member.charter.Epoch, member.identity()); promise.Granted {
-				member.confirmed[seat.Identity] = true
+			if promise := witness.Confirm(explorationNow, member.charter.Epoch, member.identity()); promise.Granted {
+				member.confirmed[replica.Identity] = true
 			}
 			member.lease = member.lease || member.charter.Quorum(member.confirmed) || explorer.leaseless && len(member.confirmed) > 0
 		})
@@ -598,7 +598,7 @@
 	// Five witnesses and three copies, of which the primary's machine is gone and two stand.
 	five := newCoreState(5)
 	five.ballots, five.delays = 2, 0
-	charter := five.newest.With(five.newest.Primary, []Seat{five.members[1].keeper.self, five.members[2].keeper.self})
+	charter := five.newest.With(five.newest.Primary, []Replica{five.members[1].keeper.self, five.members[2].keeper.self})
 	five.newest = charter
 	five.members[2].version = 1
 	for _, member := range five.members {
--- a/internal/replication/fuzz_test.go
+++ b/internal/replication/fuzz_test.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		fuzzing.Fatal(err)
 	}
-	if err := copied.Write(Batch{Version: Version{1, 1}, Drawers: map[string]Drawer{MenuDrawer: {Version: Version{1, 1}, Content: []byte(`{}`)}}}); err != nil {
+	if err := copied.Write(Batch{Version: Version{1, 1}, Drawers: map[string]Section{ConfigurationSection: {Version: Version{1, 1}, Content: []byte(`{}`)}}}); err != nil {
 		fuzzing.Fatal(err)
 	}
 	for name, content := range shelf.files {
@@ -29,15 +29,15 @@
 			return
 		}
 		if copied.Damage() == "" {
-			for drawer := range copied.Drawers() {
-				if _, found := copied.Drawers()[drawer]; !found {
-					t.Fatalf("%s is missing from an undamaged copy", drawer)
+			for section := range copied.Drawers() {
+				if _, found := copied.Drawers()[section]; !found {
+					t.Fatalf("%s is missing from an undamaged copy", section)
 				}
 			}
 		}
 		_, _ = ReadState(copied.Drawers())
-		if keeper, _, err := OpenKeeper(time.Unix(0, 0), shelf, Seat{Address: "a"}, "a/1"); err == nil {
-			_, _ = keeper.Prepare(time.Unix(9, 0), 7, "b")
+		if witness, _, err := OpenWitness(time.Unix(0, 0), shelf, Replica{Address: "a"}, "a/1"); err == nil {
+			_, _ = witness.Prepare(time.Unix(9, 0), 7, "b")
 		}
 	})
 }
--- a/internal/replication/gather.go
+++ b/internal/replication/gather.go
@@ -12,22 +12,22 @@
 
 // gather calls ask for each seat at once and returns when enough is true, or
 // when all have answered. Answers that come later are passed over.
-func gather[Answer any](turns lease.Turns, seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
-	gatherWithin(turns, gatherPatience, seats, ask, take, enough)
+func gather[Answer any](turns lease.Turns, replicas []Replica, ask func(Replica) (Answer, error), take func(Replica, Answer, error), enough func() bool) {
+	gatherWithin(turns, gatherPatience, replicas, ask, take, enough)
 }
 
 // gatherWithin does so for no longer than a patience.
-func gatherWithin[Answer any](turns lease.Turns, patience time.Duration, seats []Seat, ask func(Seat) (Answer, error), take func(Seat, Answer, error), enough func() bool) {
+func gatherWithin[Answer any](turns lease.Turns, patience time.Duration, replicas []Replica, ask func(Replica) (Answer, error), take func(Replica, Answer, error), enough func() bool) {
 	var mutex sync.Mutex
 	bell := turns.NewBell()
-	left := len(seats)
+	left := len(replicas)
 	closed := false
-	for _, seat := range seats {
+	for _, replica := range replicas {
 		turns.Go(func() {
-			answer, err := ask(seat)
+			answer, err := ask(replica)
 			mutex.Lock()
 			if !closed {
-				take(seat, answer, err)
+				take(replica, answer, err)
 			}
 			left--
 			mutex.Unlock()
--- a/internal/replication/hello.go
+++ b/internal/replication/hello.go
@@ -8,11 +8,11 @@
 
 // Hello is what expediters tell each other of themselves.
 type Hello struct {
-	Seat       Seat                `msgpack:"seat"`
+	Seat       Replica             `msgpack:"seat"`
 	Kind       membership.NodeKind `msgpack:"kind"`
 	Blank      bool                `msgpack:"blank"`
 	Restricted bool                `msgpack:"restricted"`
-	Charter    Charter             `msgpack:"charter"`
+	Charter    Membership          `msgpack:"charter"`
 	Leads      bool                `msgpack:"leads"`
 	HoldLeft   time.Duration       `msgpack:"hold_left"`
 	// Holder is whom the keeper holds still for.
--- a/internal/replication/leaving_test.go
+++ b/internal/replication/leaving_test.go
@@ -68,7 +68,7 @@
 	if leader == nil || !machine.up.Load() {
 		return ""
 	}
-	charter, identity := leader.steward.Charter(), machine.keeper.Seat().Identity
+	charter, identity := leader.steward.Charter(), machine.keeper.Replica().Identity
 	switch {
 	case machine == leader:
 		return primaryRole
@@ -136,7 +136,7 @@
 // copiesOfTheNewest counts the machines that are up, count as copies, and hold every
 // acknowledged write.
 func (world *world) copiesOfTheNewest() int {
-	var charter Charter
+	var charter Membership
 	for _, machine := range world.machines {
 		if known := machine.keeper.Charter(); machine.up.Load() && known.Epoch > charter.Epoch {
 			charter = known
@@ -144,7 +144,7 @@
 	}
 	count := 0
 	for _, machine := range world.machines {
-		if machine.up.Load() && charter.InSync(machine.keeper.Seat().Identity) && editionIn(machine.store.Copy().Drawers()[MenuDrawer].Content) >= world.accepted {
+		if machine.up.Load() && charter.InSync(machine.keeper.Replica().Identity) && editionIn(machine.store.Copy().Drawers()[ConfigurationSection].Content) >= world.accepted {
 			count++
 		}
 	}
@@ -201,7 +201,7 @@
 	leaver := world.inRole(backupRole)
 	began := world.clock()
 	leaver.steward.Leave()
-	if !world.run(3*time.Second, func() bool { return !world.leader().steward.Charter().InSync(leaver.keeper.Seat().Identity) }) {
+	if !world.run(3*time.Second, func() bool { return !world.leader().steward.Charter().InSync(leaver.keeper.Replica().Identity) }) {
 		world.fail("the backup that leaves is not replaced")
 	}
 	if took := world.clock().Sub(began); took > time.Second {
--- a/internal/replication/losses.go
+++ b/internal/replication/losses.go
@@ -11,10 +11,10 @@
 // Example:
 //
 //	steward.Bear(2, "medina")
-func (steward *Steward) Bear(losses int, district string) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.borne, steward.district = max(losses, 1), district
+func (coordinator *Coordinator) Bear(losses int, district string) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.borne, coordinator.district = max(losses, 1), district
 }
 
 // SetBackupList tells whether the flag backup_list is enabled: whether every
@@ -23,68 +23,68 @@
 // Example:
 //
 //	steward.SetBackupList(enabled.Has(formats.BackupList))
-func (steward *Steward) SetBackupList(enabled bool) {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	steward.backupList = enabled
+func (coordinator *Coordinator) SetBackupList(enabled bool) {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	coordinator.backupList = enabled
 }
 
 // wanted is how many backups there should be.
-func (steward *Steward) wanted() int {
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	if !steward.backupList {
+func (coordinator *Coordinator) wanted() int {
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	if !coordinator.backupList {
 		return 1
 	}
-	return steward.borne
+	return coordinator.borne
 }
 
 // recorded is a seat as it may stand in a charter now.
-func (steward *Steward) recorded(seat Seat) Seat {
+func (coordinator *Coordinator) recorded(replica Replica) Replica {
 	switch {
-	case !steward.several():
-		seat.District = ""
-	case seat.Identity == steward.keeper.Seat().Identity:
-		seat.District = steward.district
+	case !coordinator.several():
+		replica.District = ""
+	case replica.Identity == coordinator.witness.Replica().Identity:
+		replica.District = coordinator.district
 	}
-	return seat
+	return replica
 }
 
-func (steward *Steward) several() bool { return steward.wanted() > 1 }
+func (coordinator *Coordinator) several() bool { return coordinator.wanted() > 1 }
 
 // quiet tells whether this expediter was greeted by the primary a moment ago, so
 // that it need not look around.
-func (steward *Steward) quiet() bool {
-	if steward.store.Leading() {
+func (coordinator *Coordinator) quiet() bool {
+	if coordinator.store.Leading() {
 		return false
 	}
-	charter := steward.Charter()
-	steward.mutex.Lock()
-	defer steward.mutex.Unlock()
-	return charter.Primary.Identity != steward.keeper.Seat().Identity && !steward.ledBy.IsZero() &&
-		steward.turns.Now().Sub(steward.ledBy) < steward.timing.Round*5/3
+	charter := coordinator.Charter()
+	coordinator.mutex.Lock()
+	defer coordinator.mutex.Unlock()
+	return charter.Primary.Identity != coordinator.witness.Replica().Identity && !coordinator.ledBy.IsZero() &&
+		coordinator.turns.Now().Sub(coordinator.ledBy) < coordinator.timing.Round*5/3
 }
 
 // rests tells whether this round of hellos is left out: the primary's next one is
 // not due yet, or this expediter is quiet and greeted the primary a moment ago.
-func (steward *Steward) rests() bool {
-	if steward.unsettled {
+func (coordinator *Coordinator) rests() bool {
+	if coordinator.unsettled {
 		return false
 	}
 	pause := time.Duration(0)
-	if steward.store.Leading() {
-		pause = steward.timing.Round
-	} else if steward.quiet() {
-		pause = 2 * steward.timing.Round
+	if coordinator.store.Leading() {
+		pause = coordinator.timing.Round
+	} else if coordinator.quiet() {
+		pause = 2 * coordinator.timing.Round
 	}
-	if now := steward.turns.Now(); now.Sub(steward.roundAt) >= pause {
-		steward.roundAt = now
+	if now := coordinator.turns.Now(); now.Sub(coordinator.roundAt) >= pause {
+		coordinator.roundAt = now
 		return false
 	}
 	return true
 }
 
 // confirmDue tells whether the primary's hold is to be renewed in this round.
-func (steward *Steward) confirmDue() bool {
-	return steward.unsettled || steward.turns.Now().Sub(steward.confirmedAt) >= steward.timing.Round
+func (coordinator *Coordinator) confirmDue() bool {
+	return coordinator.unsettled || coordinator.turns.Now().Sub(coordinator.confirmedAt) >= coordinator.timing.Round
 }
--- /dev/null
+++ b/internal/replication/membership.go
@@ -0,0 +1,122 @@
+package replication
+
+// Membership is what the epoch keepers keep: who is primary and who is in sync
+// with it, and who the keepers are. While a keeper is exchanged, Incoming is
+// the next set, and both sets must agree to everything. Further are the backups
+// beside the first; they are written only under the flag backup_list.
+type Membership struct {
+	Epoch     uint64    `msgpack:"epoch" json:"epoch"`
+	Primary   Replica   `msgpack:"primary" json:"primary"`
+	Backup    Replica   `msgpack:"backup" json:"backup"`
+	Further   []Replica `msgpack:"further_backups,omitempty" json:"further_backups,omitempty"`
+	Witnesses []Replica `msgpack:"keepers" json:"keepers"`
+	Incoming  []Replica `msgpack:"incoming,omitempty" json:"incoming,omitempty"`
+}
+
+// Blank tells whether there is no charter yet.
+//
+// Example:
+//
+//	if keeper.Charter().Blank() { ... }
+func (charter Membership) Blank() bool { return charter.Epoch == 0 }
+
+// InSync tells whether the copy of the identity has everything answered.
+//
+// Example:
+//
+//	if charter.InSync(identity) { /* it may take over */ }
+func (charter Membership) InSync(identity Identity) bool {
+	return identity != "" && hasReplica(charter.Copies(), identity)
+}
+
+// Backups lists the copies that every write is synced on besides the primary's.
+//
+// Example:
+//
+//	for _, backup := range charter.Backups() { replicate(backup) }
+func (charter Membership) Backups() []Replica {
+	if charter.Backup.Empty() {
+		return nil
+	}
+	return append([]Replica{charter.Backup}, charter.Further...)
+}
+
+// Copies lists all copies in sync, the primary's first.
+//
+// Example:
+//
+//	several := len(charter.Copies()) > 2
+func (charter Membership) Copies() []Replica {
+	if charter.Primary.Empty() {
+		return nil
+	}
+	return append([]Replica{charter.Primary}, charter.Backups()...)
+}
+
+// With is the charter with other copies.
+//
+// Example:
+//
+//	next := charter.With(own, []replication.Seat{first, second})
+func (charter Membership) With(primary Replica, backups []Replica) Membership {
+	charter.Primary, charter.Backup, charter.Further = primary, Replica{}, nil
+	if len(backups) > 0 {
+		charter.Backup = backups[0]
+	}
+	if len(backups) > 1 {
+		charter.Further = append([]Replica(nil), backups[1:]...)
+	}
+	return charter
+}
+
+// Electors lists the keepers of both sets, each once.
+//
+// Example:
+//
+//	for _, seat := range charter.Electors() { ask(seat) }
+func (charter Membership) Electors() []Replica {
+	electors := append([]Replica(nil), charter.Witnesses...)
+	for _, replica := range charter.Incoming {
+		if !hasReplica(electors, replica.Identity) {
+			electors = append(electors, replica)
+		}
+	}
+	return electors
+}
+
+// Keeps tells whether the identity is a keeper of either set.
+//
+// Example:
+//
+//	if charter.Keeps(identity) { ... }
+func (charter Membership) Keeps(identity Identity) bool {
+	return hasReplica(charter.Witnesses, identity) || hasReplica(charter.Incoming, identity)
+}
+
+// Quorum tells whether those who granted are a majority of each set.
+//
+// Example:
+//
+//	won := charter.Quorum(map[replication.Identity]bool{"a": true, "b": true})
+func (charter Membership) Quorum(granted map[Identity]bool) bool {
+	return majority(charter.Witnesses, granted) && (len(charter.Incoming) == 0 || majority(charter.Incoming, granted))
+}
+
+func majority(replicas []Replica, granted map[Identity]bool) bool {
+	count := 0
+	for _, replica := range replicas {
+		if granted[replica.Identity] {
+			count++
+		}
+	}
+	return count*2 > len(replicas)
+}
+
+func hasReplica(replicas []Replica, identity Identity) bool {
+	for _, replica := range replicas {
+		if replica.Identity == identity {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/replication/seat.go
+++ b/internal/replication/replica.go
@@ -3,9 +3,9 @@
 // Identity names one disk. A process that finds its disk blank takes a new one.
 type Identity string
 
-// Seat is an expediter in a charter: whose disk, and where it is reached. The
+// Replica is an expediter in a charter: whose disk, and where it is reached. The
 // district is told only where more than one loss is to be borne.
-type Seat struct {
+type Replica struct {
 	Identity Identity `msgpack:"identity" json:"identity"`
 	Address  string   `msgpack:"address" json:"address"`
 	Name     string   `msgpack:"name" json:"name"`
@@ -17,4 +17,4 @@
 // Example:
 //
 //	solo := charter.Backup.Empty()
-func (seat Seat) Empty() bool { return seat.Identity == "" }
+func (replica Replica) Empty() bool { return replica.Identity == "" }
--- a/internal/replication/restart_test.go
+++ b/internal/replication/restart_test.go
@@ -108,26 +108,26 @@
 func TestKeeperConfirmsOnlyTheCharterOnItsDisk(t *testing.T) {
 	now := time.Unix(1000, 0)
 	shelf := newMemoryShelf()
-	keeper, _, err := OpenKeeper(now, shelf, Seat{Address: "c"}, "c")
+	witness, _, err := OpenWitness(now, shelf, Replica{Address: "c"}, "c")
 	if err != nil {
 		t.Fatal(err)
 	}
-	seats := []Seat{{Identity: "a"}, {Identity: "b"}, keeper.Seat()}
-	old := Charter{Epoch: 4, Primary: seats[0], Backup: seats[1], Keepers: seats}
-	if promise, err := keeper.Accept(now, old); err != nil || !promise.Granted {
+	replicas := []Replica{{Identity: "a"}, {Identity: "b"}, witness.Replica()}
+	old := Membership{Epoch: 4, Primary: replicas[0], Backup: replicas[1], Witnesses: replicas}
+	if promise, err := witness.Accept(now, old); err != nil || !promise.Granted {
 		t.Fatalf("%+v, %v", promise, err)
 	}
-	if promise := keeper.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != failure.Behind {
+	if promise := witness.Confirm(now, 5, "b"); promise.Granted || promise.Refusal != failure.Behind {
 		t.Errorf("a hold under an unknown charter: %+v", promise)
 	}
-	next := Charter{Epoch: 5, Primary: seats[1], Keepers: seats}
-	if promise, err := keeper.Accept(now, next); err != nil || !promise.Granted {
+	next := Membership{Epoch: 5, Primary: replicas[1], Witnesses: replicas}
+	if promise, err := witness.Accept(now, next); err != nil || !promise.Granted {
 		t.Fatalf("%+v, %v", promise, err)
 	}
-	if promise := keeper.Confirm(now, 5, "b"); !promise.Granted {
+	if promise := witness.Confirm(now, 5, "b"); !promise.Granted {
 		t.Errorf("no hold: %+v", promise)
 	}
-	again, _, err := OpenKeeper(now.Add(time.Second), shelf, Seat{Address: "c"}, "other")
+	again, _, err := OpenWitness(now.Add(time.Second), shelf, Replica{Address: "c"}, "other")
 	if err != nil || again.Holder() != "b" {
 		t.Fatalf("it holds still for %q, %v", again.Holder(), err)
 	}
--- a/internal/replication/several_test.go
+++ b/internal/replication/several_test.go
@@ -288,7 +288,7 @@
 	leader := world.acknowledge()
 	backup := leader.steward.Charter().Backup.Identity
 	for _, machine := range world.machines {
-		if machine == leader || machine.keeper.Seat().Identity == backup {
+		if machine == leader || machine.keeper.Replica().Identity == backup {
 			world.crash(machine)
 			machine.keeping = newMemoryShelf()
 		}
--- a/internal/replication/simulation_test.go
+++ b/internal/replication/simulation_test.go
@@ -95,9 +95,9 @@
 	district string
 	keeping  *memoryShelf
 	copies   *memoryShelf
-	keeper   *Keeper
+	keeper   *Witness
 	store    *Store
-	steward  *Steward
+	steward  *Coordinator
 	up       atomic.Bool
 	frozen   bool
 	lives    int
@@ -164,8 +164,8 @@
 func (world *world) start(machine *machine) {
 	world.takeDisks()
 	machine.lives++
-	seat := Seat{Address: machine.address, Name: machine.address}
-	keeper, blank, err := OpenKeeper(world.clock(), machine.keeping, seat, Identity(machine.address+"/"+strconv.Itoa(machine.lives)))
+	replica := Replica{Address: machine.address, Name: machine.address}
+	witness, blank, err := OpenWitness(world.clock(), machine.keeping, replica, Identity(machine.address+"/"+strconv.Itoa(machine.lives)))
 	if err != nil {
 		world.test.Fatal(err)
 	}
@@ -176,18 +176,18 @@
 	if err != nil {
 		world.test.Fatal(err)
 	}
-	store := NewStore(copied, keeper)
-	steward := NewSteward(threads{world.clock}, world.seeds, keeper, store, &wire{world: world, from: machine.address, life: machine.lives}, func(event string, detail ...any) {
+	store := NewStore(copied, witness)
+	coordinator := NewCoordinator(threads{world.clock}, world.seeds, witness, store, &wire{world: world, from: machine.address, life: machine.lives}, func(event string, detail ...any) {
 		world.say("%s %s %v", machine.address, event, detail)
 	})
 	if world.borne > 1 && (machine.lives > 1 || world.formed) {
-		steward.JoinOnly()
+		coordinator.JoinOnly()
 	}
-	steward.SetTiming(TimingFor(world.catchUp))
-	steward.Bear(world.borne, machine.district)
-	steward.SetBackupList(world.borne > 1)
+	coordinator.SetTiming(TimingFor(world.catchUp))
+	coordinator.Bear(world.borne, machine.district)
+	coordinator.SetBackupList(world.borne > 1)
 	world.mutex.Lock()
-	machine.keeper, machine.store, machine.steward = keeper, store, steward
+	machine.keeper, machine.store, machine.steward = witness, store, coordinator
 	machine.up.Store(true)
 	machine.frozen = false
 	world.mutex.Unlock()
@@ -205,9 +205,9 @@
 
 // reached is one life of a machine, as a call meets it.
 type reached struct {
-	keeper  *Keeper
+	keeper  *Witness
 	store   *Store
-	steward *Steward
+	steward *Coordinator
 }
 
 func (wire *wire) reach(address string) (*reached, error) {
@@ -230,7 +230,7 @@
 
 func (wire *wire) keeperAt(address string, identity Identity) (*reached, error) {
 	machine, err := wire.reach(address)
-	if err == nil && machine.keeper.Seat().Identity != identity {
+	if err == nil && machine.keeper.Replica().Identity != identity {
 		return nil, failure.New(failure.NotAdmitted, "another disk")
 	}
 	return machine, err
@@ -244,24 +244,24 @@
 	return machine.steward.Greet(own), nil
 }
 
-func (wire *wire) Prepare(address string, keeper Identity, epoch uint64, candidate Identity) (Promise, error) {
-	machine, err := wire.keeperAt(address, keeper)
+func (wire *wire) Prepare(address string, witness Identity, epoch uint64, candidate Identity) (Promise, error) {
+	machine, err := wire.keeperAt(address, witness)
 	if err != nil {
 		return Promise{}, err
 	}
 	return machine.keeper.Prepare(wire.world.clock(), epoch, candidate)
 }
 
-func (wire *wire) Accept(address string, keeper Identity, charter Charter) (Promise, error) {
-	machine, err := wire.keeperAt(address, keeper)
+func (wire *wire) Accept(address string, witness Identity, charter Membership) (Promise, error) {
+	machine, err := wire.keeperAt(address, witness)
 	if err != nil {
 		return Promise{}, err
 	}
 	return machine.keeper.Accept(wire.world.clock(), charter)
 }
 
-func (wire *wire) Confirm(address string, keeper Identity, epoch uint64, primary Identity) (Promise, error) {
-	machine, err := wire.keeperAt(address, keeper)
+func (wire *wire) Confirm(address string, witness Identity, epoch uint64, primary Identity) (Promise, error) {
+	machine, err := wire.keeperAt(address, witness)
 	if err != nil {
 		return Promise{}, err
 	}
@@ -441,7 +441,7 @@
 			continue
 		}
 		charter := machine.steward.Charter()
-		if len(charter.Backups()) != world.borne || len(charter.Incoming) > 0 || len(charter.Keepers) != 2*world.borne+1 {
+		if len(charter.Backups()) != world.borne || len(charter.Incoming) > 0 || len(charter.Witnesses) != 2*world.borne+1 {
 			continue
 		}
 		healthy, there := 0, 0
@@ -451,10 +451,10 @@
 			if !other.up.Load() {
 				continue
 			}
-			if hasSeat(charter.Backups(), other.keeper.Seat().Identity) {
+			if hasReplica(charter.Backups(), other.keeper.Replica().Identity) {
 				there++
 			}
-			if hasSeat(charter.Keepers, other.keeper.Seat().Identity) && other.keeper.Charter().Epoch == charter.Epoch {
+			if hasReplica(charter.Witnesses, other.keeper.Replica().Identity) && other.keeper.Charter().Epoch == charter.Epoch {
 				healthy++
 				inDistrict[other.district]++
 				most = max(most, inDistrict[other.district])
@@ -630,7 +630,7 @@
 	}
 	var backup *machine
 	for _, machine := range world.machines {
-		if machine.keeper.Seat().Identity == charter.Backup.Identity {
+		if machine.keeper.Replica().Identity == charter.Backup.Identity {
 			backup = machine
 		}
 	}
@@ -673,7 +673,7 @@
 			world.check()
 		}
 		leader := world.whole()
-		if leader != nil && leader != first && leader.steward.Charter().Backup.Identity != first.keeper.Seat().Identity {
+		if leader != nil && leader != first && leader.steward.Charter().Backup.Identity != first.keeper.Replica().Identity {
 			return
 		}
 	}
@@ -688,9 +688,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for number, drawer := range []string{"menu", "flags"} {
+	for number, section := range []string{"menu", "flags"} {
 		version := Version{Epoch: 1, Number: uint64(number + 1)}
-		if err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(drawer)}}}); err != nil {
+		if err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Section{section: {Version: version, Content: []byte(section)}}}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -706,18 +706,18 @@
 		t.Fatalf("an older snapshot was taken: %v", older)
 	}
 	keeping := newMemoryShelf()
-	keeper, _, err := OpenKeeper(time.Unix(0, 0), keeping, Seat{Address: "a"}, "a/1")
+	witness, _, err := OpenWitness(time.Unix(0, 0), keeping, Replica{Address: "a"}, "a/1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := keeper.Accept(time.Unix(1, 0), Charter{Epoch: 1, Primary: keeper.Seat(), Keepers: []Seat{keeper.Seat()}}); err != nil {
+	if _, err := witness.Accept(time.Unix(1, 0), Membership{Epoch: 1, Primary: witness.Replica(), Witnesses: []Replica{witness.Replica()}}); err != nil {
 		t.Fatal(err)
 	}
 	keeping.files = map[string][]byte{}
-	if mended, err := keeper.Sweep(); !mended || err != nil {
+	if mended, err := witness.Sweep(); !mended || err != nil {
 		t.Fatalf("the keeper's note was not mended: %v", err)
 	}
-	if again, blank, err := OpenKeeper(time.Unix(2, 0), keeping, Seat{Address: "a"}, "a/2"); err != nil || blank || again.Charter().Epoch != 1 {
+	if again, blank, err := OpenWitness(time.Unix(2, 0), keeping, Replica{Address: "a"}, "a/2"); err != nil || blank || again.Charter().Epoch != 1 {
 		t.Fatalf("after the sweep the keeper is blank: %v, %v", blank, err)
 	}
 }
@@ -728,9 +728,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	write := func(number uint64, drawer, content string) {
+	write := func(number uint64, section, content string) {
 		version := Version{Epoch: 1, Number: number}
-		err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Drawer{drawer: {Version: version, Content: []byte(content)}}})
+		err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: map[string]Section{section: {Version: version, Content: []byte(content)}}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -777,7 +777,7 @@
 	for _, machine := range world.machines {
 		switch {
 		case machine == leader:
-		case machine.keeper.Seat().Identity == leader.steward.Charter().Backup.Identity:
+		case machine.keeper.Replica().Identity == leader.steward.Charter().Backup.Identity:
 			backup = machine
 		default:
 			third = machine
@@ -795,7 +795,7 @@
 			}
 			world.write(leader)
 			world.check()
-			if leader.steward.Holds() && leader.steward.Charter().Backup.Identity == with.keeper.Seat().Identity {
+			if leader.steward.Holds() && leader.steward.Charter().Backup.Identity == with.keeper.Replica().Identity {
 				return true
 			}
 		}
@@ -828,7 +828,7 @@
 	world.write(leader)
 	backup := leader.steward.Charter().Backup.Identity
 	for _, machine := range world.machines {
-		if machine.keeper.Seat().Identity == backup {
+		if machine.keeper.Replica().Identity == backup {
 			machine.steward.SetRestricted(true)
 		}
 	}
@@ -858,9 +858,9 @@
 // order or lacks a flag, right after the backup's machine went for good: the copy that is
 // left must not be given up.
 func TestPrimaryDoesNotHandOverToADeadBackup(t *testing.T) {
-	for name, begin := range map[string]func(steward *Steward){
-		"leaving":    func(steward *Steward) { steward.Leave() },
-		"restricted": func(steward *Steward) { steward.SetRestricted(true) },
+	for name, begin := range map[string]func(coordinator *Coordinator){
+		"leaving":    func(coordinator *Coordinator) { coordinator.Leave() },
+		"restricted": func(coordinator *Coordinator) { coordinator.SetRestricted(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			world := newWorld(t, 5)
@@ -871,7 +871,7 @@
 			leader := world.whole()
 			world.write(leader)
 			for _, machine := range world.machines {
-				if machine.keeper.Seat().Identity == leader.steward.Charter().Backup.Identity {
+				if machine.keeper.Replica().Identity == leader.steward.Charter().Backup.Identity {
 					world.crash(machine)
 					machine.keeping, machine.copies = newMemoryShelf(), newMemoryShelf()
 				}
--- a/internal/replication/state.go
+++ b/internal/replication/state.go
@@ -43,32 +43,32 @@
 // Example:
 //
 //	state, failure := replication.ReadState(copied.Drawers())
-func ReadState(drawers map[string]Drawer) (*State, error) {
+func ReadState(sections map[string]Section) (*State, error) {
 	state := NewState()
-	for name, drawer := range drawers {
+	for name, section := range sections {
 		var err error
-		if len(drawer.Content) == 0 {
+		if len(section.Content) == 0 {
 			continue
 		}
 		switch name {
-		case MenuDrawer:
-			state.Menu = drawer.Content
-		case MembersDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Members)
-		case FlagsDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Flags)
-		case RotaDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Rota)
-		case OrdersDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Orders)
-		case ChangesDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Changes)
-		case HorizonDrawer:
-			err = msgpack.Unmarshal(drawer.Content, &state.Horizon)
+		case ConfigurationSection:
+			state.Menu = section.Content
+		case MembersSection:
+			err = msgpack.Unmarshal(section.Content, &state.Members)
+		case FlagsSection:
+			err = msgpack.Unmarshal(section.Content, &state.Flags)
+		case DutiesSection:
+			err = msgpack.Unmarshal(section.Content, &state.Rota)
+		case OrdersSection:
+			err = msgpack.Unmarshal(section.Content, &state.Orders)
+		case ChangesSection:
+			err = msgpack.Unmarshal(section.Content, &state.Changes)
+		case HorizonSection:
+			err = msgpack.Unmarshal(section.Content, &state.Horizon)
 		default:
 			if strings.HasPrefix(name, ClaimsPrefix) {
 				claims := map[string]formats.Record{}
-				err = msgpack.Unmarshal(drawer.Content, &claims)
+				err = msgpack.Unmarshal(section.Content, &claims)
 				state.Claims[name] = claims
 			}
 		}
@@ -85,29 +85,29 @@
 //
 //	state.Menu = text
 //	state.Touch(replication.MenuDrawer)
-func (state *State) Touch(drawer string) { state.dirty[drawer] = true }
+func (state *State) Touch(section string) { state.dirty[section] = true }
 
 // pack encodes the changed drawers and forgets that they were changed.
-func (state *State) pack(version Version) (map[string]Drawer, []string, error) {
-	drawers := map[string]Drawer{}
+func (state *State) pack(version Version) (map[string]Section, []string, error) {
+	sections := map[string]Section{}
 	var removed []string
 	for name := range state.dirty {
 		var value any
 		switch name {
-		case MenuDrawer:
-			drawers[name] = Drawer{Version: version, Content: state.Menu}
+		case ConfigurationSection:
+			sections[name] = Section{Version: version, Content: state.Menu}
 			continue
-		case MembersDrawer:
+		case MembersSection:
 			value = state.Members
-		case FlagsDrawer:
+		case FlagsSection:
 			value = state.Flags
-		case RotaDrawer:
+		case DutiesSection:
 			value = state.Rota
-		case OrdersDrawer:
+		case OrdersSection:
 			value = state.Orders
-		case ChangesDrawer:
+		case ChangesSection:
 			value = state.Changes
-		case HorizonDrawer:
+		case HorizonSection:
 			value = state.Horizon
 		default:
 			claims, found := state.Claims[name]
@@ -121,11 +121,11 @@
 		if err != nil {
 			return nil, nil, failure.Wrap(failure.Garbage, err)
 		}
-		drawers[name] = Drawer{Version: version, Content: content}
+		sections[name] = Section{Version: version, Content: content}
 	}
 	state.dirty = map[string]bool{}
 	sort.Strings(removed)
-	return drawers, removed, nil
+	return sections, removed, nil
 }
 
 // ClaimSpan is how much time of inquiry ids one claims drawer covers.
--- a/internal/replication/store.go
+++ b/internal/replication/store.go
@@ -23,7 +23,7 @@
 type Store struct {
 	mutex    sync.Locker
 	copied   *Copy
-	keeper   *Keeper
+	witness  *Witness
 	leading  bool
 	frozen   bool
 	hidden   atomic.Bool
@@ -42,8 +42,8 @@
 // Example:
 //
 //	store := replication.NewStore(copied, keeper)
-func NewStore(copied *Copy, keeper *Keeper) *Store {
-	return &Store{mutex: &sync.Mutex{}, copied: copied, keeper: keeper}
+func NewStore(copied *Copy, witness *Witness) *Store {
+	return &Store{mutex: &sync.Mutex{}, copied: copied, witness: witness}
 }
 
 // Guard chooses the store's lock, which is held while it waits for the disk. It comes
@@ -85,14 +85,14 @@
 	if err := store.copied.Write(Batch{Version: stamped, Base: base}); err != nil {
 		return err
 	}
-	drawers := store.copied.Drawers()
-	working, err := ReadState(drawers)
+	sections := store.copied.Drawers()
+	working, err := ReadState(sections)
 	if err != nil {
 		return err
 	}
 	store.leading, store.frozen, store.epoch, store.working = true, hidden, epoch, working
 	store.hidden.Store(hidden)
-	store.view.Store(&View{Version: stamped, Drawers: drawers})
+	store.view.Store(&View{Version: stamped, Drawers: sections})
 	return nil
 }
 
@@ -181,9 +181,9 @@
 	if store.batch != nil {
 		if store.batch.Version != version {
 			store.batch.Version = version
-			for name, drawer := range store.batch.Drawers {
-				drawer.Version = version
-				store.batch.Drawers[name] = drawer
+			for name, section := range store.batch.Drawers {
+				section.Version = version
+				store.batch.Drawers[name] = section
 			}
 		}
 		return *store.batch, true
@@ -192,21 +192,21 @@
 		return Batch{}, false
 	}
 	store.riding, store.pending = store.pending, nil
-	menuVersion := view.VersionOf(MenuDrawer)
+	menuVersion := view.VersionOf(ConfigurationSection)
 	for position := range store.riding {
 		rider := &store.riding[position]
 		rider.failure = rider.change(store.working, version, menuVersion)
-		if store.working.dirty[MenuDrawer] {
+		if store.working.dirty[ConfigurationSection] {
 			menuVersion = version
 		}
 	}
-	drawers, removed, err := store.working.pack(version)
+	sections, removed, err := store.working.pack(version)
 	if err != nil {
 		for position := range store.riding {
 			store.riding[position].failure = err
 		}
 	}
-	store.batch = &Batch{Version: version, Base: view.Version, Drawers: drawers, Removed: removed}
+	store.batch = &Batch{Version: version, Base: view.Version, Drawers: sections, Removed: removed}
 	return *store.batch, true
 }
 
@@ -256,17 +256,17 @@
 }
 
 func (view *View) after(batch Batch) *View {
-	drawers := make(map[string]Drawer, len(view.Drawers)+len(batch.Drawers))
-	for name, drawer := range view.Drawers {
-		drawers[name] = drawer
+	sections := make(map[string]Section, len(view.Drawers)+len(batch.Drawers))
+	for name, section := range view.Drawers {
+		sections[name] = section
 	}
-	for name, drawer := range batch.Drawers {
-		drawers[name] = drawer
+	for name, section := range batch.Drawers {
+		sections[name] = section
 	}
 	for _, name := range batch.Removed {
-		delete(drawers, name)
+		delete(sections, name)
 	}
-	return &View{Version: batch.Version, Drawers: drawers}
+	return &View{Version: batch.Version, Drawers: sections}
 }
 
 // Work counts the synced batches and the changes answered by them.
@@ -410,7 +410,7 @@
 	if store.leading {
 		return failure.New(failure.OldEpoch, "this copy leads")
 	}
-	return store.keeper.Learn(epoch)
+	return store.witness.Learn(epoch)
 }
 
 // Vow promises the epoch on the store's own disk, between two writes of an
@@ -422,7 +422,7 @@
 func (store *Store) Vow(now time.Time, epoch uint64, candidate Identity) error {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	return store.keeper.Vow(now, epoch, candidate)
+	return store.witness.Vow(now, epoch, candidate)
 }
 
 // Copy is the store's copy, for status and for candidates' checks.
--- a/internal/replication/store_test.go
+++ b/internal/replication/store_test.go
@@ -14,7 +14,7 @@
 // newLeader is a store that leads, whose batches the test commits itself.
 func newLeader(t *testing.T) *Store {
 	t.Helper()
-	keeper, _, err := OpenKeeper(time.Unix(0, 0), newMemoryShelf(), Seat{Address: "a"}, "a/1")
+	witness, _, err := OpenWitness(time.Unix(0, 0), newMemoryShelf(), Replica{Address: "a"}, "a/1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	store := NewStore(copied, keeper)
+	store := NewStore(copied, witness)
 	if err := store.Lead(1); err != nil {
 		t.Fatal(err)
 	}
@@ -96,9 +96,9 @@
 	if err := do(t, store, first); err != nil {
 		t.Fatal(err)
 	}
-	version := store.View().VersionOf(MenuDrawer)
-	if err := do(t, store, first); err != nil || store.View().VersionOf(MenuDrawer) != version {
-		t.Errorf("the same change again: %v, version %s became %s", err, version, store.View().VersionOf(MenuDrawer))
+	version := store.View().VersionOf(ConfigurationSection)
+	if err := do(t, store, first); err != nil || store.View().VersionOf(ConfigurationSection) != version {
+		t.Errorf("the same change again: %v, version %s became %s", err, version, store.View().VersionOf(ConfigurationSection))
 	}
 	if err := do(t, store, ChangeMenu("change-1", "digest-2", &version, PreparedMenu{}, put(`{}`))); failure.KindOf(err) != failure.Duplicate {
 		t.Errorf("another change under the same id: %v", err)
@@ -207,7 +207,7 @@
 // TestBackupRefusesAnOlderEpoch brings a backup a write of a primary whose epoch
 // is over.
 func TestBackupRefusesAnOlderEpoch(t *testing.T) {
-	keeper, _, err := OpenKeeper(time.Unix(0, 0), newMemoryShelf(), Seat{Address: "a"}, "a/1")
+	witness, _, err := OpenWitness(time.Unix(0, 0), newMemoryShelf(), Replica{Address: "a"}, "a/1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -215,7 +215,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	store := NewStore(copied, keeper)
+	store := NewStore(copied, witness)
 	if err := store.Replicate(4, Batch{Version: Version{4, 1}}); err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +237,7 @@
 	if _, found := state.Rota.Duties[first]; found || state.Rota.Duties[second].Fence != 2 || state.Rota.Fence != 2 {
 		t.Errorf("duties: %+v", state.Rota)
 	}
-	if _, found := state.Orders.Records["b"]; !found || len(state.Orders.Records) != 1 || !state.dirty[RotaDrawer] || !state.dirty[OrdersDrawer] {
+	if _, found := state.Orders.Records["b"]; !found || len(state.Orders.Records) != 1 || !state.dirty[DutiesSection] || !state.dirty[OrdersSection] {
 		t.Errorf("orders: %+v, changed %v", state.Orders, state.dirty)
 	}
 }
--- a/internal/replication/view.go
+++ b/internal/replication/view.go
@@ -3,7 +3,7 @@
 // View is one committed state, never altered once it is shown.
 type View struct {
 	Version Version
-	Drawers map[string]Drawer
+	Drawers map[string]Section
 }
 
 // VersionOf is the version that a drawer had its last change in.
@@ -11,7 +11,7 @@
 // Example:
 //
 //	view.VersionOf(replication.MenuDrawer)
-func (view *View) VersionOf(drawer string) Version { return view.Drawers[drawer].Version }
+func (view *View) VersionOf(section string) Version { return view.Drawers[section].Version }
 
 // State decodes the view.
 //
--- a/internal/replication/keeper.go
+++ b/internal/replication/witness.go
@@ -15,39 +15,39 @@
 // The value is ours.
 const PrimaryHold = 1500 * time.Millisecond
 
-// Keeper is an epoch witness. It keeps only the charter and the highest epoch
+// Witness is an epoch witness. It keeps only the charter and the highest epoch
 // that it has promised, both synced before it answers.
-type Keeper struct {
+type Witness struct {
 	mutex    sync.Locker
 	shelf    Shelf
-	self     Seat
-	note     keeperNote
+	self     Replica
+	note     witnessNote
 	lease    time.Duration
 	holder   Identity
 	holdEnds time.Time
 }
 
-type keeperNote struct {
-	Identity Identity `msgpack:"identity"`
-	Sequence uint64   `msgpack:"sequence"`
-	Promised uint64   `msgpack:"promised"`
-	Charter  Charter  `msgpack:"charter"`
+type witnessNote struct {
+	Identity Identity   `msgpack:"identity"`
+	Sequence uint64     `msgpack:"sequence"`
+	Promised uint64     `msgpack:"promised"`
+	Charter  Membership `msgpack:"charter"`
 }
 
-// OpenKeeper reads the keeper's note from its shelf. When there is none, or
+// OpenWitness reads the keeper's note from its shelf. When there is none, or
 // the newest is damaged, the disk counts as blank and fresh is the identity
 // that it takes. A keeper that starts holds still for one hold, since it may
 // have confirmed a primary just before it stopped.
 //
 // Example:
 //
-//	keeper, blank, failure := replication.OpenKeeper(now, shelf, seat, fresh)
-func OpenKeeper(now time.Time, shelf Shelf, seat Seat, fresh Identity) (*Keeper, bool, error) {
+//	keeper, blank, failure := replication.OpenWitness(now, shelf, seat, fresh)
+func OpenWitness(now time.Time, shelf Shelf, replica Replica, fresh Identity) (*Witness, bool, error) {
 	files, damaged, err := shelf.Load()
 	if err != nil {
 		return nil, false, err
 	}
-	keeper := &Keeper{mutex: &sync.Mutex{}, shelf: shelf, self: seat, lease: PrimaryHold, holdEnds: now.Add(PrimaryHold)}
+	witness := &Witness{mutex: &sync.Mutex{}, shelf: shelf, self: replica, lease: PrimaryHold, holdEnds: now.Add(PrimaryHold)}
 	var names []string
 	for name := range files {
 		names = append(names, name)
@@ -56,18 +56,18 @@
 	sort.Strings(names)
 	if len(names) > 0 {
 		newest := names[len(names)-1]
-		if content, intact := files[newest]; intact && msgpack.Unmarshal(content, &keeper.note) == nil && keeper.note.Identity != "" {
-			keeper.self.Identity = keeper.note.Identity
-			keeper.holder = keeper.note.Charter.Primary.Identity
-			return keeper, false, nil
+		if content, intact := files[newest]; intact && msgpack.Unmarshal(content, &witness.note) == nil && witness.note.Identity != "" {
+			witness.self.Identity = witness.note.Identity
+			witness.holder = witness.note.Charter.Primary.Identity
+			return witness, false, nil
 		}
 	}
-	keeper.note = keeperNote{Identity: fresh, Sequence: uint64(len(names))}
-	keeper.self.Identity = fresh
+	witness.note = witnessNote{Identity: fresh, Sequence: uint64(len(names))}
+	witness.self.Identity = fresh
 	if err := shelf.Remove(names); err != nil {
 		return nil, true, err
 	}
-	return keeper, true, keeper.save(keeper.note)
+	return witness, true, witness.save(witness.note)
 }
 
 // Guard chooses the keeper's lock, which is held while it waits for the disk. It comes
@@ -76,7 +76,7 @@
 // Example:
 //
 //	keeper.Guard(lease.NewLock(turns))
-func (keeper *Keeper) Guard(lock sync.Locker) { keeper.mutex = lock }
+func (witness *Witness) Guard(lock sync.Locker) { witness.mutex = lock }
 
 // SetLease chooses how long the keeper holds still for a primary, no longer than
 // PrimaryHold: for that long it keeps still at its start, whatever it was told before.
@@ -84,28 +84,28 @@
 // Example:
 //
 //	keeper.SetLease(timing.Lease)
-func (keeper *Keeper) SetLease(lease time.Duration) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	keeper.lease = min(lease, PrimaryHold)
+func (witness *Witness) SetLease(lease time.Duration) {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	witness.lease = min(lease, PrimaryHold)
 }
 
-// Seat is the keeper's own seat, which stays.
+// Replica is the keeper's own seat, which stays.
 //
 // Example:
 //
-//	keeper.Seat().Identity
-func (keeper *Keeper) Seat() Seat { return keeper.self }
+//	keeper.Replica().Identity
+func (witness *Witness) Replica() Replica { return witness.self }
 
 // Charter is the newest charter that the keeper has accepted.
 //
 // Example:
 //
 //	charter := keeper.Charter()
-func (keeper *Keeper) Charter() Charter {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.note.Charter
+func (witness *Witness) Charter() Membership {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	return witness.note.Charter
 }
 
 // Promised is the highest epoch that the keeper has promised.
@@ -113,10 +113,10 @@
 // Example:
 //
 //	next := keeper.Promised() + 1
-func (keeper *Keeper) Promised() uint64 {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.note.Promised
+func (witness *Witness) Promised() uint64 {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	return witness.note.Promised
 }
 
 // HoldEnds tells when the hold that the keeper gave a primary runs out.
@@ -124,10 +124,10 @@
 // Example:
 //
 //	if keeper.HoldEnds().Before(now) { /* nobody is primary here */ }
-func (keeper *Keeper) HoldEnds() time.Time {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.holdEnds
+func (witness *Witness) HoldEnds() time.Time {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	return witness.holdEnds
 }
 
 // Holder is whom the hold that runs was given to.
@@ -135,10 +135,10 @@
 // Example:
 //
 //	if keeper.Holder() == candidate { /* it may stand at once */ }
-func (keeper *Keeper) Holder() Identity {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	return keeper.holder
+func (witness *Witness) Holder() Identity {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	return witness.holder
 }
 
 // Prepare promises an epoch to a candidate, unless a higher or equal one is
@@ -147,21 +147,21 @@
 // Example:
 //
 //	promise := keeper.Prepare(now, 4, candidate)
-func (keeper *Keeper) Prepare(now time.Time, epoch uint64, candidate Identity) (Promise, error) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
+func (witness *Witness) Prepare(now time.Time, epoch uint64, candidate Identity) (Promise, error) {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	promise := Promise{Witness: witness.self.Identity, Promised: witness.note.Promised, Charter: witness.note.Charter}
 	switch {
-	case keeper.note.Charter.Blank():
+	case witness.note.Charter.Blank():
 		promise.Refusal = failure.NotAdmitted
-	case epoch <= keeper.note.Promised:
+	case epoch <= witness.note.Promised:
 		promise.Refusal = failure.OldEpoch
-	case now.Before(keeper.holdEnds) && keeper.holder != candidate:
+	case now.Before(witness.holdEnds) && witness.holder != candidate:
 		promise.Refusal = failure.HoldActive
 	default:
-		note := keeper.note
+		note := witness.note
 		note.Promised = epoch
-		if err := keeper.save(note); err != nil {
+		if err := witness.save(note); err != nil {
 			return promise, err
 		}
 		promise.Granted = true
@@ -176,28 +176,28 @@
 // Example:
 //
 //	promise, failure := keeper.Accept(now, charter)
-func (keeper *Keeper) Accept(now time.Time, charter Charter) (Promise, error) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
+func (witness *Witness) Accept(now time.Time, charter Membership) (Promise, error) {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	promise := Promise{Witness: witness.self.Identity, Promised: witness.note.Promised, Charter: witness.note.Charter}
 	switch {
-	case charter.Epoch < keeper.note.Promised || charter.Epoch < keeper.note.Charter.Epoch:
+	case charter.Epoch < witness.note.Promised || charter.Epoch < witness.note.Charter.Epoch:
 		promise.Refusal = failure.OldEpoch
-	case keeper.note.Charter.Blank() && !charter.Keeps(keeper.self.Identity):
+	case witness.note.Charter.Blank() && !charter.Keeps(witness.self.Identity):
 		promise.Refusal = failure.NotAdmitted
-	case charter.Epoch == keeper.note.Charter.Epoch && charter.Primary.Identity != keeper.note.Charter.Primary.Identity:
+	case charter.Epoch == witness.note.Charter.Epoch && charter.Primary.Identity != witness.note.Charter.Primary.Identity:
 		promise.Refusal = failure.OldEpoch
 	default:
-		note := keeper.note
+		note := witness.note
 		note.Promised = charter.Epoch
 		note.Charter = charter
-		if err := keeper.save(note); err != nil {
+		if err := witness.save(note); err != nil {
 			return promise, err
 		}
-		if keeper.holder != charter.Primary.Identity {
+		if witness.holder != charter.Primary.Identity {
 			// Whoever could propose another primary knew the old hold to be over
 			// at a quorum, or had it and gave it up.
-			keeper.holder, keeper.holdEnds = charter.Primary.Identity, time.Time{}
+			witness.holder, witness.holdEnds = charter.Primary.Identity, time.Time{}
 		}
 		promise.Granted = true
 		promise.Promised = charter.Epoch
@@ -213,28 +213,28 @@
 // Example:
 //
 //	promise := keeper.Confirm(now, 4, primary)
-func (keeper *Keeper) Confirm(now time.Time, epoch uint64, primary Identity) Promise {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	promise := Promise{Keeper: keeper.self.Identity, Promised: keeper.note.Promised, Charter: keeper.note.Charter}
-	if keeper.note.Charter.Blank() {
+func (witness *Witness) Confirm(now time.Time, epoch uint64, primary Identity) Promise {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	promise := Promise{Witness: witness.self.Identity, Promised: witness.note.Promised, Charter: witness.note.Charter}
+	if witness.note.Charter.Blank() {
 		promise.Refusal = failure.NotAdmitted
 		return promise
 	}
-	if epoch < keeper.note.Promised || epoch < keeper.note.Charter.Epoch {
+	if epoch < witness.note.Promised || epoch < witness.note.Charter.Epoch {
 		promise.Refusal = failure.OldEpoch
 		return promise
 	}
-	if epoch > keeper.note.Charter.Epoch {
+	if epoch > witness.note.Charter.Epoch {
 		promise.Refusal = failure.Behind
 		return promise
 	}
-	keeper.holder = primary
-	if ends := now.Add(keeper.lease); ends.After(keeper.holdEnds) {
-		keeper.holdEnds = ends
+	witness.holder = primary
+	if ends := now.Add(witness.lease); ends.After(witness.holdEnds) {
+		witness.holdEnds = ends
 	}
 	promise.Granted = true
-	promise.Lease = keeper.lease
+	promise.Lease = witness.lease
 	return promise
 }
 
@@ -244,18 +244,18 @@
 // Example:
 //
 //	failure := keeper.Vow(now, 4, keeper.Seat().Identity)
-func (keeper *Keeper) Vow(now time.Time, epoch uint64, candidate Identity) error {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	if epoch <= keeper.note.Promised {
-		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+func (witness *Witness) Vow(now time.Time, epoch uint64, candidate Identity) error {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	if epoch <= witness.note.Promised {
+		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", witness.note.Promised))
 	}
-	if now.Before(keeper.holdEnds) && keeper.holder != candidate {
+	if now.Before(witness.holdEnds) && witness.holder != candidate {
 		return failure.New(failure.HoldActive, "another primary's hold runs")
 	}
-	note := keeper.note
+	note := witness.note
 	note.Promised = epoch
-	return keeper.save(note)
+	return witness.save(note)
 }
 
 // Sweep reads the keeper's note again, and writes it anew when the file has
@@ -264,17 +264,17 @@
 // Example:
 //
 //	mended, failure := keeper.Sweep()
-func (keeper *Keeper) Sweep() (bool, error) {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	files, _, err := keeper.shelf.Load()
+func (witness *Witness) Sweep() (bool, error) {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	files, _, err := witness.shelf.Load()
 	if err != nil {
 		return false, err
 	}
-	if _, intact := files[noteName(keeper.note.Sequence)]; intact {
+	if _, intact := files[noteName(witness.note.Sequence)]; intact {
 		return false, nil
 	}
-	return true, keeper.save(keeper.note)
+	return true, witness.save(witness.note)
 }
 
 // Learn takes the identity's promise as a backup: it must never again serve an
@@ -283,33 +283,33 @@
 // Example:
 //
 //	failure := keeper.Learn(message.Epoch)
-func (keeper *Keeper) Learn(epoch uint64) error {
-	keeper.mutex.Lock()
-	defer keeper.mutex.Unlock()
-	if epoch < keeper.note.Promised {
-		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", keeper.note.Promised))
+func (witness *Witness) Learn(epoch uint64) error {
+	witness.mutex.Lock()
+	defer witness.mutex.Unlock()
+	if epoch < witness.note.Promised {
+		return failure.New(failure.OldEpoch, fmt.Sprintf("epoch %d is promised", witness.note.Promised))
 	}
-	if epoch == keeper.note.Promised {
+	if epoch == witness.note.Promised {
 		return nil
 	}
-	note := keeper.note
+	note := witness.note
 	note.Promised = epoch
-	return keeper.save(note)
+	return witness.save(note)
 }
 
-func (keeper *Keeper) save(note keeperNote) error {
-	old := keeper.note.Sequence
+func (witness *Witness) save(note witnessNote) error {
+	old := witness.note.Sequence
 	note.Sequence = old + 1
 	encoded, err := msgpack.Marshal(note)
 	if err != nil {
 		return failure.Wrap(failure.Garbage, err)
 	}
-	if err := keeper.shelf.Save(noteName(note.Sequence), encoded); err != nil {
+	if err := witness.shelf.Save(noteName(note.Sequence), encoded); err != nil {
 		return err
 	}
-	keeper.note = note
+	witness.note = note
 	// The older file only takes room: that it stays is no failure.
-	_ = keeper.shelf.Remove([]string{noteName(old)})
+	_ = witness.shelf.Remove([]string{noteName(old)})
 	return nil
 }
 
--- a/internal/replication/keeperplan.go
+++ b/internal/replication/witnessplan.go
@@ -1,21 +1,21 @@
 package replication
 
-// keeperPlan chooses keepers from those that are, of which some may be gone, and
+// witnessPlan chooses keepers from those that are, of which some may be gone, and
 // from spares that are there.
-type keeperPlan struct {
-	keepers []plannedKeeper
-	spares  []Seat
+type witnessPlan struct {
+	keepers []plannedWitness
+	spares  []Replica
 	wanted  int
 }
 
-type plannedKeeper struct {
-	seat Seat
+type plannedWitness struct {
+	seat Replica
 	gone bool
 }
 
 // next gives the next keepers, or tells that nothing is to be done. Their number
 // stays odd.
-func (plan *keeperPlan) next() ([]Seat, bool) {
+func (plan *witnessPlan) next() ([]Replica, bool) {
 	changed := false
 	for position := range plan.keepers {
 		if !plan.keepers[position].gone {
@@ -27,37 +27,37 @@
 			spare, found = plan.bestSpare()
 		}
 		if found {
-			plan.keepers[position] = plannedKeeper{seat: plan.take(spare)}
+			plan.keepers[position] = plannedWitness{seat: plan.take(spare)}
 			changed = true
 		}
 	}
 	for len(plan.keepers)+2 <= plan.wanted && len(plan.spares) >= 2 {
 		for range 2 {
 			best, _ := plan.bestSpare()
-			plan.keepers = append(plan.keepers, plannedKeeper{seat: plan.take(best)})
+			plan.keepers = append(plan.keepers, plannedWitness{seat: plan.take(best)})
 		}
 		changed = true
 	}
 	// A district may have as many as leave a majority when it goes.
 	most := (len(plan.keepers) - 1) / 2
 	for position := range plan.keepers {
-		seat := plan.keepers[position].seat
-		if seat.District == "" || plan.inDistrict(seat.District) <= most {
+		replica := plan.keepers[position].seat
+		if replica.District == "" || plan.inDistrict(replica.District) <= most {
 			continue
 		}
 		if spare, found := plan.bestSpare(); found && plan.inDistrict(plan.spares[spare].District) < most {
-			plan.keepers[position] = plannedKeeper{seat: plan.take(spare)}
+			plan.keepers[position] = plannedWitness{seat: plan.take(spare)}
 			changed = true
 		}
 	}
-	var seats []Seat
-	for _, keeper := range plan.keepers {
-		seats = append(seats, keeper.seat)
+	var replicas []Replica
+	for _, witness := range plan.keepers {
+		replicas = append(replicas, witness.seat)
 	}
-	return seats, changed
+	return replicas, changed
 }
 
-func (plan *keeperPlan) spareAt(address string) (int, bool) {
+func (plan *witnessPlan) spareAt(address string) (int, bool) {
 	for position, spare := range plan.spares {
 		if spare.Address == address {
 			return position, true
@@ -67,7 +67,7 @@
 }
 
 // bestSpare is the first one of the district with the fewest keepers.
-func (plan *keeperPlan) bestSpare() (int, bool) {
+func (plan *witnessPlan) bestSpare() (int, bool) {
 	best, found := 0, false
 	for position, spare := range plan.spares {
 		if !found || plan.inDistrict(spare.District) < plan.inDistrict(plan.spares[best].District) {
@@ -77,17 +77,17 @@
 	return best, found
 }
 
-func (plan *keeperPlan) take(position int) Seat {
+func (plan *witnessPlan) take(position int) Replica {
 	taken := plan.spares[position]
 	plan.spares = append(plan.spares[:position:position], plan.spares[position+1:]...)
 	return taken
 }
 
 // inDistrict counts the keepers of a district that are not gone.
-func (plan *keeperPlan) inDistrict(district string) int {
+func (plan *witnessPlan) inDistrict(district string) int {
 	count := 0
-	for _, keeper := range plan.keepers {
-		if keeper.seat.District == district && !keeper.gone {
+	for _, witness := range plan.keepers {
+		if witness.seat.District == district && !witness.gone {
 			count++
 		}
 	}
