A signpost asks all members at once and follows the membership

Cause: it asked one address after another, 0.3 s each, and learnt of the core only when an operator asked: after several replacements all that it knew could be gone. Change: all at once, twice; a look each 2 s. Test: it finds the primary with seeds that are gone.

--- a/internal/adapters/expediter/signpost.go
+++ b/internal/adapters/expediter/signpost.go
@@ -35,7 +35,7 @@
 	line := rpc.Line{Caller: rpc.NewCaller(chosen.Detours), Lifetime: lifetime}
 	signpost.conduct = hatch.NewSignpost(threads.New(lifetime, clock), line, chosen.Seeds)
 	signpost.tomb.Go(func() error {
-		<-signpost.tomb.Dying()
+		signpost.conduct.Run()
 		return nil
 	})
 	logger.Info("no_disk", "what", "operators are sent on to the primary; nothing is kept here")
--- a/internal/hatch/signpost.go
+++ b/internal/hatch/signpost.go
@@ -1,6 +1,7 @@
 package hatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,20 +15,24 @@
 	turns lease.Turns
 	line  Hotline
 
-	mutex   sync.Mutex
-	seeds   []string
-	charter replication.Membership
-	leader  string
-	asked   time.Time
+	mutex      sync.Mutex
+	seeds      []string
+	membership replication.Membership
+	leader     string
+	asked      time.Time
 }
 
 const (
-	// signpostPatience is how long one expediter may take to say who leads, and
-	// signpostSearch how long the whole search may take.
+	// signpostPatience is how long each expediter may take to say who leads: all are
+	// asked at once.
 	signpostPatience = 300 * time.Millisecond
-	signpostSearch   = 700 * time.Millisecond
+	// signpostSearches is how often the search goes on with what it has just learnt.
+	signpostSearches = 2
 	// signpostFresh is how long an answer is believed.
 	signpostFresh = 500 * time.Millisecond
+	// signpostRefresh lies between two looks at the membership while nobody asks: what is
+	// known of it must not outlive the machines that it names.
+	signpostRefresh = 2 * time.Second
 )
 
 // NewSignpost makes a signpost that begins its search at the seeds.
@@ -50,6 +55,15 @@
 	signpost.seeds = seeds
 }
 
+// Run follows the membership until the process ends.
+//
+// Example:
+//
+//	turns.Go(signpost.Run)
+func (signpost *Signpost) Run() {
+	lease.Every(signpost.turns, signpostRefresh, func() { signpost.Leader() })
+}
+
 // Leader is the address of the expediter that is primary, or empty if none says so.
 //
 // Example:
@@ -57,24 +71,15 @@
 //	address := signpost.Leader()
 func (signpost *Signpost) Leader() string {
 	signpost.mutex.Lock()
-	if now := signpost.turns.Now(); signpost.leader != "" && now.Sub(signpost.asked) < signpostFresh {
-		defer signpost.mutex.Unlock()
-		return signpost.leader
-	}
+	known, fresh := signpost.leader, signpost.turns.Now().Sub(signpost.asked) < signpostFresh
 	signpost.mutex.Unlock()
-	ends := signpost.turns.Now().Add(signpostSearch)
+	if known != "" && fresh {
+		return known
+	}
 	asked := map[string]bool{}
-	for signpost.turns.Alive() {
-		address := signpost.next(asked)
-		left := ends.Sub(signpost.turns.Now())
-		if address == "" || left <= 0 {
-			break
-		}
-		asked[address] = true
-		var hello replication.Hello
-		// A hello from nobody is answered, and leaves no trace.
-		if err := Call(signpost.line, address, HelloPath, replication.Hello{}, &hello, min(signpostPatience, left)); err == nil && signpost.learn(address, hello) {
-			return address
+	for range signpostSearches {
+		if leader := signpost.askAll(signpost.unasked(asked)); leader != "" {
+			return leader
 		}
 	}
 	signpost.mutex.Lock()
@@ -83,29 +88,61 @@
 	return ""
 }
 
-// next is the address to be asked now: who led last, then those of the newest charter,
-// then the seeds.
-func (signpost *Signpost) next(asked map[string]bool) string {
+// unasked are the addresses that may know, and were not asked in this search: who led
+// last, those of the newest membership, the seeds.
+func (signpost *Signpost) unasked(asked map[string]bool) []string {
 	signpost.mutex.Lock()
 	defer signpost.mutex.Unlock()
-	candidates := []string{signpost.leader, signpost.charter.Primary.Address}
-	for _, replica := range signpost.charter.Electors() {
+	candidates := []string{signpost.leader, signpost.membership.Primary.Address}
+	for _, replica := range slices.Concat(signpost.membership.Copies(), signpost.membership.Electors()) {
 		candidates = append(candidates, replica.Address)
 	}
+	var addresses []string
 	for _, address := range append(candidates, signpost.seeds...) {
 		if address != "" && !asked[address] {
-			return address
+			asked[address] = true
+			addresses = append(addresses, address)
 		}
 	}
-	return ""
+	return addresses
+}
+
+// askAll asks all addresses at once, and gives the first that leads.
+func (signpost *Signpost) askAll(addresses []string) string {
+	var mutex sync.Mutex
+	bell := signpost.turns.NewBell()
+	left, leader := len(addresses), ""
+	for _, address := range addresses {
+		signpost.turns.Go(func() {
+			var hello replication.Hello
+			// A hello from nobody is answered, and leaves no trace.
+			err := Call(signpost.line, address, HelloPath, replication.Hello{}, &hello, signpostPatience)
+			leads := err == nil && signpost.learn(address, hello)
+			mutex.Lock()
+			left--
+			if leads {
+				leader = address
+			}
+			mutex.Unlock()
+			bell.Ring()
+		})
+	}
+	bell.Wait(signpostPatience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return leader != "" || left == 0
+	})
+	mutex.Lock()
+	defer mutex.Unlock()
+	return leader
 }
 
 // learn takes an answer and tells whether its giver leads.
 func (signpost *Signpost) learn(address string, hello replication.Hello) bool {
 	signpost.mutex.Lock()
 	defer signpost.mutex.Unlock()
-	if hello.Charter.Epoch > signpost.charter.Epoch {
-		signpost.charter = hello.Charter
+	if hello.Charter.Epoch > signpost.membership.Epoch {
+		signpost.membership = hello.Charter
 	}
 	if hello.Leads {
 		signpost.leader, signpost.asked = address, signpost.turns.Now()
--- a/internal/hatch/signpost_test.go
+++ b/internal/hatch/signpost_test.go
@@ -34,6 +34,21 @@
 	t.Fatalf("found %q after the primary went", found)
 }
 
+// TestSignpostOutlivesItsSeeds knows the members of the core, so that it finds the primary
+// when the addresses that it was told are gone.
+func TestSignpostOutlivesItsSeeds(t *testing.T) {
+	formed, primary := newCore(t, plain)
+	signpost := NewSignpost(primary.turns, formed, []string{"m0", "m1", "m2"})
+	signpost.Leader()
+	signpost.SetSeeds([]string{"gone", "dark", "old"})
+	signpost.mutex.Lock()
+	signpost.leader = ""
+	signpost.mutex.Unlock()
+	if found := signpost.Leader(); found != primary.options.Address {
+		t.Errorf("found %q, not %q", found, primary.options.Address)
+	}
+}
+
 func TestSignpostThatReachesNobody(t *testing.T) {
 	formed, primary := newCore(t, plain)
 	if found := NewSignpost(primary.turns, formed, []string{"gone"}).Leader(); found != "" {
