--- a/internal/replication/batch.go
+++ b/internal/replication/batch.go
@@ -10,4 +10,8 @@
 	Drawers map[string]Section `msgpack:"drawers"`
 	Removed []string           `msgpack:"removed,omitempty"`
 	Places  map[string]Version `msgpack:"places,omitempty"`
+	// Voids is the version of the copy that a snapshot of an older one replaced: files of
+	// versions above this one and up to that are no part of the copy any more, though a
+	// loss of power may bring them back. An older release does not know it.
+	Voids Version `msgpack:"voids,omitempty"`
 }
--- a/internal/replication/copy.go
+++ b/internal/replication/copy.go
@@ -22,6 +22,8 @@
 	places  map[string]Version
 	files   map[string]bool
 	damage  string
+	// highest is the highest version of any file that was seen here.
+	highest Version
 }
 
 // OpenCopy reads a copy from its shelf. A copy with a damaged or missing file
@@ -37,7 +39,6 @@
 	}
 	copied := &Copy{mutex: &sync.Mutex{}, shelf: shelf, drawers: map[string]Section{}, places: map[string]Version{}, files: map[string]bool{}}
 	batches := map[Version]Batch{}
-	var newest Batch
 	for name, content := range files {
 		copied.files[name] = true
 		var batch Batch
@@ -46,10 +47,9 @@
 			continue
 		}
 		batches[batch.Version] = batch
-		if newest.Version.Before(batch.Version) {
-			newest = batch
-		}
+		copied.note(batch.Version)
 	}
+	newest := newestOf(batches)
 	copied.version = newest.Version
 	for name, place := range newest.Places {
 		section, found := batches[place].Drawers[name]
@@ -70,6 +70,32 @@
 	return copied, nil
 }
 
+// note remembers a version whose file is on the shelf, or may come back to it.
+func (copied *Copy) note(version Version) {
+	if copied.highest.Before(version) {
+		copied.highest = version
+	}
+}
+
+// newestOf is the newest version that no snapshot has made void.
+func newestOf(batches map[Version]Batch) Batch {
+	void := func(version Version) bool {
+		for _, snapshot := range batches {
+			if snapshot.Version.Before(version) && !snapshot.Voids.Before(version) {
+				return true
+			}
+		}
+		return false
+	}
+	var newest Batch
+	for version, batch := range batches {
+		if newest.Version.Before(version) && !void(version) {
+			newest = batch
+		}
+	}
+	return newest
+}
+
 // Guard chooses the copy's lock, which is held while it waits for the disk. It comes
 // before any other use.
 //
@@ -148,12 +174,15 @@
 		return nil
 	}
 	// A copy may hold one version more than the snapshot: a batch that was
-	// synced here and never answered. It is still under way at the primary, so
-	// that finding it again after a crash is harmless.
+	// synced here and never answered. Its file may come back after a loss of power.
+	batch := Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}
+	if snapshot.Version.Before(copied.highest) {
+		batch.Voids = copied.highest
+	}
 	copied.drawers = map[string]Section{}
 	copied.places = map[string]Version{}
 	copied.damage = "a rewrite was broken off"
-	if err := copied.keep(Batch{Version: snapshot.Version, Drawers: snapshot.Drawers}); err != nil {
+	if err := copied.keep(batch); err != nil {
 		return err
 	}
 	copied.damage = ""
@@ -229,6 +258,7 @@
 		return err
 	}
 	copied.files[file] = true
+	copied.note(batch.Version)
 	copied.version = batch.Version
 	copied.places = places
 	for name, section := range batch.Drawers {
--- /dev/null
+++ b/internal/replication/copy_test.go
@@ -0,0 +1,229 @@
+package replication
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// powerShelf is a folder whose machine may lose power: a file is there for certain once
+// Save has returned; a file that was removed may come back, each by itself.
+type powerShelf struct {
+	files, removed map[string][]byte
+	// loses has the power go in the middle of the next Save, before it returns.
+	loses, keeps bool
+}
+
+var errPower = fmt.Errorf("the power is gone")
+
+func newPowerShelf() *powerShelf {
+	return &powerShelf{files: map[string][]byte{}, removed: map[string][]byte{}}
+}
+
+func (shelf *powerShelf) Save(name string, content []byte) error {
+	if shelf.loses {
+		if shelf.keeps {
+			shelf.files[name] = content
+		}
+		return errPower
+	}
+	shelf.files[name] = content
+	// The folder was synced: what was removed before stays away.
+	clear(shelf.removed)
+	return nil
+}
+
+func (shelf *powerShelf) Load() (map[string][]byte, []string, error) {
+	return maps.Clone(shelf.files), nil, nil
+}
+
+func (shelf *powerShelf) Remove(names []string) error {
+	for _, name := range names {
+		if content, found := shelf.files[name]; found {
+			shelf.removed[name] = content
+			delete(shelf.files, name)
+		}
+	}
+	return nil
+}
+
+// restore brings back some of the files that were removed and not synced away.
+func (shelf *powerShelf) restore(t *rapid.T) {
+	for _, name := range slices.Sorted(maps.Keys(shelf.removed)) {
+		if rapid.Bool().Draw(t, "comes back") {
+			shelf.files[name] = shelf.removed[name]
+		}
+	}
+	clear(shelf.removed)
+	shelf.loses = false
+}
+
+// copyModel is a copy on such a folder, and the contents that it may have after its power
+// was lost: the last that was synced, or one whose sync did not return.
+type copyModel struct {
+	shelf  *powerShelf
+	copied *Copy
+	synced map[string]string
+	at     Version
+	// perhaps is the content of a write that lost its power, by its version.
+	perhaps map[string]string
+	later   Version
+	number  uint64
+	epoch   uint64
+	// history is what each version holds that leads to the present one.
+	history map[Version]map[string]string
+}
+
+// settle takes a version as the present one; those after it never were.
+func (model *copyModel) settle(content map[string]string, version Version) {
+	model.synced, model.at = content, version
+	for other := range model.history {
+		if version.Before(other) {
+			delete(model.history, other)
+		}
+	}
+	model.history[version] = content
+}
+
+func (model *copyModel) content() map[string]string {
+	contents := map[string]string{}
+	for name, section := range model.copied.Drawers() {
+		contents[name] = string(section.Content)
+	}
+	return contents
+}
+
+func (model *copyModel) open(t *rapid.T) {
+	copied, err := OpenCopy(model.shelf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	model.copied = copied
+	got := model.content()
+	switch {
+	case copied.Damage() != "":
+		t.Fatalf("after a loss of power: %s", copied.Damage())
+	case copied.Version() == model.at && maps.Equal(got, model.synced):
+	case model.perhaps != nil && copied.Version() == model.later && maps.Equal(got, model.perhaps):
+		model.settle(model.perhaps, model.later)
+	default:
+		t.Fatalf("%s %v after a loss of power, and %s %v was synced", copied.Version(), got, model.at, model.synced)
+	}
+	model.perhaps = nil
+}
+
+// write keeps a batch or a snapshot, during which the power may go.
+func (model *copyModel) write(t *rapid.T, next map[string]string, version Version, keep func() error) {
+	model.shelf.loses = rapid.IntRange(0, 4).Draw(t, "power") == 0
+	model.shelf.keeps = rapid.Bool().Draw(t, "kept")
+	if err := keep(); err != nil {
+		model.perhaps, model.later = next, version
+		model.shelf.restore(t)
+		model.open(t)
+		return
+	}
+	model.settle(next, version)
+}
+
+// TestACopyOutlivesEveryLossOfPower draws writes, snapshots of an older version than the
+// copy's own, as a backup gets whose last batch was never answered, and losses of power
+// that bring some removed files back: the copy opens whole, with all that was synced.
+func TestACopyOutlivesEveryLossOfPower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := &copyModel{shelf: newPowerShelf(), synced: map[string]string{}, epoch: 1, history: map[Version]map[string]string{}}
+		model.open(t)
+		sections := []string{"a", "b", "c", "d"}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				model.number++
+				version := Version{Epoch: model.epoch, Number: model.at.Number + 1}
+				batch := Batch{Version: version, Base: model.at, Drawers: map[string]Section{}}
+				next := maps.Clone(model.synced)
+				for _, name := range sections {
+					if rapid.Bool().Draw(t, name) {
+						next[name] = fmt.Sprint(model.number)
+						batch.Drawers[name] = Section{Version: version, Content: []byte(next[name])}
+					}
+				}
+				model.write(t, next, version, func() error { return model.copied.Write(batch) })
+			},
+			"snapshot": func(t *rapid.T) {
+				// A version has one content: that of the present one, or of one before it.
+				versions := slices.SortedFunc(maps.Keys(model.history), func(left, right Version) int {
+					return cmp.Or(cmp.Compare(left.Epoch, right.Epoch), cmp.Compare(left.Number, right.Number))
+				})
+				back := rapid.IntRange(0, 2).Draw(t, "back")
+				if len(versions) <= back {
+					return
+				}
+				version := versions[len(versions)-1-back]
+				next := model.history[version]
+				snapshot := Snapshot{Epoch: model.epoch + 1, Version: version, Drawers: map[string]Section{}}
+				for name, content := range next {
+					snapshot.Drawers[name] = Section{Version: version, Content: []byte(content)}
+				}
+				model.epoch++
+				model.write(t, next, version, func() error { return model.copied.Rewrite(snapshot) })
+			},
+			"power": func(t *rapid.T) {
+				model.shelf.restore(t)
+				model.open(t)
+			},
+		})
+	})
+}
+
+// TestManyChangesStayBounded makes up to 10,000 changes, one each 15 s, and looks at what
+// the disk holds and how long the copy takes to open.
+func TestManyChangesStayBounded(t *testing.T) {
+	const (
+		mostFiles = 8
+		mostBytes = 256 << 10
+		mostStart = time.Second
+	)
+	model := newChangeModel()
+	shelf := newMemoryShelf()
+	copied, err := OpenCopy(shelf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for number := 1; number <= 10_000; number++ {
+		sent := order{builds: model.revision, gives: model.revision + 1}
+		version := Version{Epoch: 1, Number: copied.Version().Number + 1}
+		if err := ChangeMenu(sent.id(), sent.id(), nil, PreparedMenu{}, sent.apply)(model.state, version, model.menuAt); err != nil {
+			t.Fatal(err)
+		}
+		model.menuAt, model.revision = version, sent.gives
+		model.wall = model.wall.Add(15 * time.Second)
+		_ = MoveHorizon(model.wall, 30*time.Second)(model.state, version, version)
+		sections, removed, err := model.state.pack(version)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := copied.Write(Batch{Version: version, Base: copied.Version(), Drawers: sections, Removed: removed}); err != nil {
+			t.Fatal(err)
+		}
+		if number != 100 && number != 1000 && number != 10_000 {
+			continue
+		}
+		bytes := 0
+		for _, content := range shelf.files {
+			bytes += len(content)
+		}
+		began := time.Now()
+		again, err := OpenCopy(shelf)
+		took := time.Since(began)
+		t.Logf("after %d changes: %d files, %d bytes, opened in %v", number, len(shelf.files), bytes, took)
+		if err != nil || again.Damage() != "" || again.Version() != copied.Version() {
+			t.Fatalf("%v %s %s", err, again.Damage(), again.Version())
+		}
+		if len(shelf.files) > mostFiles || bytes > mostBytes || took > mostStart {
+			t.Errorf("after %d changes: %d files, %d bytes, opened in %v", number, len(shelf.files), bytes, took)
+		}
+	}
+}
