--- a/cmd/rehearsal/platformday.go
+++ b/cmd/rehearsal/platformday.go
@@ -65,14 +65,16 @@
 	var deploy, binaries, folder string
 	var from uint64
 	var count, faults int
+	var hard bool
 	command := &cobra.Command{Use: "platform-days", Short: "play drawn days of the users' platform, one after another", Args: cobra.NoArgs,
-		Example: "  rehearsal platform-days --from 1 --count 10"}
+		Example: "  rehearsal platform-days --from 1 --count 10\n  rehearsal platform-days --hard --count 3"}
 	command.Flags().StringVar(&deploy, "deploy", "deploy/system.toml", "the deploy file")
 	command.Flags().StringVar(&binaries, "binaries", "target", "the folder of the programs")
 	command.Flags().StringVar(&folder, "folder", "", "folder for the days that failed (default: a new one)")
 	command.Flags().Uint64Var(&from, "from", 1, "the first seed")
 	command.Flags().IntVar(&count, "count", 5, "how many days")
 	command.Flags().IntVar(&faults, "faults", 5, "how many faults a day has")
+	command.Flags().BoolVar(&hard, "hard", false, "dense days: storms and races, losses as soon as the budget allows, stops and reloads at once; 60 or 90 s each")
 	command.RunE = func(*cobra.Command, []string) error {
 		roles, err := platformday.ReadRoles(deploy, binaries)
 		if err != nil {
@@ -85,7 +87,11 @@
 		}
 		failed := 0
 		for seed := from; seed < from+uint64(count); seed++ {
-			if !playDrawnDay(platformday.DrawPlan(seed, faults), roles, filepath.Join(folder, fmt.Sprintf("day-%d", seed))) {
+			plan := platformday.DrawPlan(seed, faults)
+			if hard {
+				plan = platformday.DrawHardPlan(seed)
+			}
+			if !playDrawnDay(plan, roles, filepath.Join(folder, fmt.Sprintf("day-%d", seed))) {
 				failed++
 			}
 		}
--- a/internal/rehearsal/platformday/drawn.go
+++ b/internal/rehearsal/platformday/drawn.go
@@ -1,6 +1,7 @@
 package platformday
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,7 +22,7 @@
 	{Kind: "config_storm", For: 3, Gap: 0.3}, {Kind: "config_race", Count: 3, Gap: 1}, {Kind: "bad_config", Count: 3, Gap: 0.7}, {Kind: "big_config", Count: 150}, {Kind: "evacuate", For: 8},
 	{Kind: "kv_slow", Share: 0.3, Times: 8, For: 5, Service: "desk"}, {Kind: "handle_short", Share: 0.35, For: 4, Service: "desk"}, {Kind: "node_freeze", On: "core", For: 3},
 	{Kind: "zone_loss", For: 3}, {Kind: "srv_flap", Share: 0.1, For: 6, Gap: 0.8, Service: "desk"}, {Kind: "srv_grey", Share: 0.2, Times: 0.5, For: 5, Service: "desk"},
-	{Kind: "srv_lying_health", Share: 0.3, For: 5}, {Kind: "retry_abuse", For: 5}, {Kind: "srv_crash", Share: 0.1, How: "gone", Service: "desk"},
+	{Kind: "srv_lying_health", Share: 0.3, For: 5}, {Kind: "retry_abuse", For: 5}, {Kind: "hup", Share: 0.5, Gap: 0.3}, {Kind: "srv_crash", Share: 0.1, How: "gone", Service: "desk"},
 }
 
 // DrawPlan draws a day with so many faults: the same seed gives the same day.
@@ -44,6 +45,56 @@
 	return plan
 }
 
+// hardFaults are the losses of machines with a disk that hard days ask for, one after
+// another: each comes the moment the site's budget allows it.
+var hardFaults = []Fault{
+	{Kind: "replace_core", Times: 0.2, How: "leader"}, {Kind: "replace_core", Times: 0.2, How: "planned"}, {Kind: "replace_core", Times: 0.2, How: "leader planned"}, {Kind: "replace_core", Times: 1},
+	{Kind: "after_ack_wipe", For: 1}, {Kind: "after_ack_kill", For: 1}, {Kind: "node_kill", On: "core", Count: 1, For: 2, How: "leader"}, {Kind: "node_freeze", On: "core", For: 2},
+	{Kind: "herd_kill", On: "core", For: 1}, {Kind: "zone_loss", For: 1},
+}
+
+// The shape of a hard day. One in longShare is long.
+const (
+	hardLength     = 60
+	longHardLength = 90
+	longShare      = 6
+	hardLosses     = 7
+	hardFrom       = 3.0
+	hardGap        = 0.1
+)
+
+// DrawHardPlan draws a dense day: a storm of changes and races from its start, losses of
+// machines with a disk asked for at once, processes stopped in turn while all are told to
+// read their settings again, and anything else that a day may have beside them. The same
+// seed gives the same day.
+//
+// Example:
+//
+//	plan := platformday.DrawHardPlan(7)
+func DrawHardPlan(seed uint64) Plan {
+	random := rand.New(rand.NewPCG(seed, 23))
+	plan := Plan{Name: fmt.Sprintf("hard-%d", seed), Seed: seed, Length: hardLength}
+	if random.IntN(longShare) == 0 {
+		plan.Length = longHardLength
+	}
+	plan.Faults = []Fault{{Kind: "config_storm", At: 1.5, For: plan.Length * 0.8, Gap: 0.3 + random.Float64()/2}, {Kind: "config_race", At: 5, Count: 4, Gap: 2}}
+	for number := range hardLosses {
+		loss := hardFaults[random.IntN(len(hardFaults))]
+		loss.At = hardFrom + hardGap*float64(number)
+		plan.Faults = append(plan.Faults, loss)
+	}
+	stops := plan.Length * (0.6 + random.Float64()/10)
+	plan.Faults = append(plan.Faults, Fault{Kind: "roll_term", At: stops, Share: 1, Gap: 0.8}, Fault{Kind: "hup", At: stops + 4, Share: 1})
+	for _, position := range random.Perm(len(usualFaults))[:3] {
+		other := usualFaults[position]
+		other.At = 5 + random.Float64()*plan.Length/2
+		plan.Faults = append(plan.Faults, other)
+	}
+	slices.SortStableFunc(plan.Faults, func(left, right Fault) int { return cmp.Compare(left.At, right.At) })
+	plan.Closing = &Closing{Kind: []string{"kill_all", "power_off_all", "wipe_after_ack"}[random.IntN(3)], Down: 1}
+	return plan
+}
+
 // Text writes a plan as a day file, so that it can be played again.
 //
 // Example:
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -20,6 +20,7 @@
 	"config_change": (*Day).changeOnce, "config_storm": (*Day).storm, "config_race": (*Day).race, "bad_config": (*Day).sendInvalid, "big_config": (*Day).growConfiguration,
 	"kv_slow": (*Day).slowMoves, "handle_short": (*Day).lapseHandles, "evacuate": (*Day).evacuateZone,
 	"zone_loss": (*Day).loseZone, "srv_flap": (*Day).flap, "srv_grey": (*Day).failInPart, "srv_lying_health": (*Day).lieAboutHealth, "retry_abuse": (*Day).abuseRetries,
+	"hup": (*Day).reloadAll,
 }
 
 // closings are the kinds of closing faults.
@@ -290,6 +291,18 @@
 	}
 }
 
+// reloadAll tells processes to read their settings again, whatever they are doing.
+func (day *Day) reloadAll(lifetime context.Context, fault Fault) {
+	machines := day.all()
+	count := max(1, int(fault.shareOr(0.3)*float64(len(machines))+0.5))
+	for _, machine := range machines[:count] {
+		machine.reload()
+		if fault.Gap > 0 && !pause(lifetime, fault.gap()) {
+			return
+		}
+	}
+}
+
 // killHerd kills many processes at once, whatever the core may lose; they come back with
 // their disks.
 func (day *Day) killHerd(_ context.Context, fault Fault) {
--- a/internal/rehearsal/platformday/machine.go
+++ b/internal/rehearsal/platformday/machine.go
@@ -175,3 +175,10 @@
 	}
 	return nil
 }
+
+// reload tells the processes that their settings files may have changed.
+func (machine *Machine) reload() {
+	for _, process := range machine.processes {
+		process.signal(syscall.SIGHUP)
+	}
+}
