--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -80,7 +80,7 @@
 	options := hatch.CourierOptions{Options: seamloom.Options{Courier: chosen.Name, District: chosen.District, MostInquiries: chosen.MostInquiries,
 		Supported: supported, LeastLoaded: chosen.Market == "least_loaded", FurtherTries: reached.FurtherTries}, Address: chosen.Address, Seeds: chosen.Seeds, Nonce: uuid.NewString, Ended: process.noteEnd,
 		Directory: ports.Here{Directory: reached.Directory, Lifetime: process.lifetime, Address: process.platform}, Board: process.prepareCalls(turns),
-		ServeWithoutHold: chosen.ServeWithoutHold}
+		ServeWithoutHold: chosen.ServeWithoutHold, ApplyWithin: chosen.ApplyWithin}
 	if !reached.CallsOnly {
 		options.Pressures = kitchen
 	}
--- a/internal/adapters/program/program.go
+++ b/internal/adapters/program/program.go
@@ -67,6 +67,7 @@
 		set.IntVar(&flags.flagged.BorneLosses, "borne-losses", defaults.BorneLosses, "how many machines with a disk may be lost at once")
 		set.IntVar(&flags.flagged.FlagSettle, "flag-settle-milliseconds", defaults.FlagSettle, "how long the members must not change before a feature flag is enabled")
 	} else {
+		set.DurationVar(&flags.flagged.ApplyWithin, "apply-within", defaults.ApplyWithin, "how soon after its acknowledgement a change has to be in force here")
 		set.DurationVar(&flags.flagged.ServeWithoutHold, "serve-without-hold", defaults.ServeWithoutHold, "how long a courier goes on letting in after its last hold")
 		set.StringVar(&flags.flagged.CallsAddress, "calls-address", "", "a further address for opaque calls")
 		set.StringVar(&flags.flagged.ReadyAddress, "ready-address", "", "a further address that tells whether the courier is ready")
@@ -107,7 +108,8 @@
 	}
 	lengths := map[string][2]*time.Duration{"acknowledge-wait": {&chosen.AcknowledgeWait, &flags.flagged.AcknowledgeWait},
 		"serve-without-hold": {&chosen.ServeWithoutHold, &flags.flagged.ServeWithoutHold}, "grace": {&chosen.Grace, &flags.flagged.Grace},
-		"retire-after": {&chosen.RetireAfter, &flags.flagged.RetireAfter}, "catch-up": {&chosen.CatchUp, &flags.flagged.CatchUp}}
+		"retire-after": {&chosen.RetireAfter, &flags.flagged.RetireAfter}, "catch-up": {&chosen.CatchUp, &flags.flagged.CatchUp},
+		"apply-within": {&chosen.ApplyWithin, &flags.flagged.ApplyWithin}}
 	for name, pair := range lengths {
 		if changed(name) {
 			*pair[0] = *pair[1]
--- a/internal/adapters/settings/settings.go
+++ b/internal/adapters/settings/settings.go
@@ -56,6 +56,9 @@
 	// RetireAfter is how long a recorded node may not be heard from before it is taken
 	// out of the record by itself; zero: only operators do so.
 	RetireAfter time.Duration
+	// ApplyWithin is how soon after its acknowledgement a change has to be in force at a
+	// courier that reaches the core: it bounds how long a silent primary is believed.
+	ApplyWithin time.Duration
 	// CatchUp is how long a machine with a disk counts as lost after its return or after
 	// its successor's start: the waits of the core are derived from it.
 	CatchUp time.Duration
@@ -66,6 +69,13 @@
 // DefaultGrace is the grace of a process that was told nothing else.
 const DefaultGrace = 20 * time.Second
 
+// defaultApplyWithin is the brief's two seconds; shortestApplyWithin leaves a question and
+// its answer time to cross.
+const (
+	defaultApplyWithin  = 2 * time.Second
+	shortestApplyWithin = 500 * time.Millisecond
+)
+
 // shortestCatchUp is the shortest bound that can be chosen: a lease and an election take
 // most of a second each.
 const shortestCatchUp = 500 * time.Millisecond
@@ -76,7 +86,7 @@
 //
 //	chosen := settings.Defaults(membership.Courier)
 func Defaults(kind membership.NodeKind) Settings {
-	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, CatchUp: replication.DefaultCatchUp, Grace: DefaultGrace}
+	return Settings{Kind: kind, LogLevel: "info", Market: "pair", MostInquiries: 512, FlagSettle: 5000, BorneLosses: 1, Bootstrap: true, CatchUp: replication.DefaultCatchUp, ApplyWithin: defaultApplyWithin, Grace: DefaultGrace}
 }
 
 // ReadFile takes the settings of a JSON file over those given.
@@ -111,7 +121,7 @@
 	lists := map[string]*[]string{"seeds": &settings.Seeds, "withhold_flags": &settings.Withhold}
 	numbers := map[string]*int{"most_inquiries": &settings.MostInquiries, "flag_settle_milliseconds": &settings.FlagSettle, "borne_losses": &settings.BorneLosses,
 		"most_memory_megabytes": &settings.MostMemory}
-	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter, "catch_up": &settings.CatchUp}
+	lengths := map[string]*time.Duration{"acknowledge_wait": &settings.AcknowledgeWait, "serve_without_hold": &settings.ServeWithoutHold, "grace": &settings.Grace, "retire_after": &settings.RetireAfter, "catch_up": &settings.CatchUp, "apply_within": &settings.ApplyWithin}
 	if target, found := texts[name]; found {
 		text, err := value.StringBytes()
 		if err != nil {
@@ -249,6 +259,9 @@
 	if settings.BorneLosses < 1 || settings.BorneLosses > 3 {
 		wrong(failure.OutOfRange, "borne_losses", "is 1, 2 or 3")
 	}
+	if settings.ApplyWithin < shortestApplyWithin {
+		wrong(failure.OutOfRange, "apply_within", "must be at least "+shortestApplyWithin.String())
+	}
 	if settings.CatchUp < shortestCatchUp {
 		wrong(failure.OutOfRange, "catch_up", "must be at least "+shortestCatchUp.String())
 	}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -84,6 +84,7 @@
 		courier.board = options.Board(courier.core.Calls())
 	}
 	courier.followed.Follow(options.Directory != nil, courier.board != nil)
+	courier.followed.SetApplyWithin(options.ApplyWithin)
 	courier.SetServeWithoutHold(options.ServeWithoutHold)
 	courier.answers = courier.table()
 	return courier
--- a/internal/hatch/courieroptions.go
+++ b/internal/hatch/courieroptions.go
@@ -10,6 +10,9 @@
 
 // CourierOptions say which courier a core is.
 type CourierOptions struct {
+	// ApplyWithin is how soon after its acknowledgement a change has to be in force here;
+	// zero: the default.
+	ApplyWithin time.Duration
 	seamloom.Options
 	Address string
 	Seeds   []string
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -36,6 +36,9 @@
 	provisional bool
 	unconfirmed replication.Version
 
+	// applyWithin is how soon a change has to be in force after its acknowledgement.
+	applyWithin time.Duration
+
 	lists, loads bool
 	listMark     uint64
 	loadsMark    uint64
@@ -94,7 +97,36 @@
 //	followed := hatch.NewFollower(turns, line, member, seeds, inForce, take)
 func NewFollower(turns lease.Turns, line Hotline, member membership.Member, seeds []string, inForce func() replication.Version, take func(News)) *Follower {
 	return &Follower{turns: turns, line: line, member: member, seeds: seeds, inForce: inForce, take: take,
-		drawers: map[string]replication.Section{}, dark: map[string]time.Time{}}
+		drawers: map[string]replication.Section{}, dark: map[string]time.Time{}, applyWithin: DefaultApplyWithin}
+}
+
+// DefaultApplyWithin is how soon a change has to be in force when nobody said.
+const DefaultApplyWithin = 2 * time.Second
+
+// SetApplyWithin tells how soon after its acknowledgement a change has to be in force: a
+// primary's silence is noticed within eleven twentieths of that, 1.1 s at most, and the rest
+// is left to find the next one. Zero means the default.
+//
+// Example:
+//
+//	followed.SetApplyWithin(time.Second)
+func (follower *Follower) SetApplyWithin(bound time.Duration) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.applyWithin = bound
+	if bound <= 0 {
+		follower.applyWithin = DefaultApplyWithin
+	}
+}
+
+// waits are how long a question may be held back, and how much longer its answer may take.
+// The caller has the mutex.
+func (follower *Follower) waits() (held, margin time.Duration) {
+	held = newsWait
+	if follower.loads {
+		held = loadsWait
+	}
+	return min(held, follower.applyWithin*2/5), min(answerMargin, follower.applyWithin*3/20)
 }
 
 // Follow chooses whether the list of servers and their reports are followed, too.
@@ -250,11 +282,9 @@
 	case !follower.current:
 		return question, firstPatience
 	}
-	question.Patience = newsWait
-	if follower.loads {
-		question.Patience = loadsWait
-	}
-	return question, question.Patience + answerMargin
+	held, margin := follower.waits()
+	question.Patience = held
+	return question, held + margin
 }
 
 // question tells what the node has. The caller has the mutex.
--- a/internal/rehearsal/platformday/day.go
+++ b/internal/rehearsal/platformday/day.go
@@ -74,7 +74,7 @@
 		}
 	}
 	seeds := day.controls(0)
-	seeds = seeds[:min(3, len(seeds))]
+	seeds = seeds[:min(seedCount, len(seeds))]
 	for _, machine := range day.all() {
 		machine.seeds, machine.first = seeds, true
 	}
--- a/internal/rehearsal/platformday/faults.go
+++ b/internal/rehearsal/platformday/faults.go
@@ -333,7 +333,7 @@
 	seeds := day.controls(day.Site.Terms.SeedLag)
 	slices.Reverse(seeds)
 	for _, machine := range day.all() {
-		_ = machine.retell(seeds[:min(3, len(seeds))])
+		_ = machine.retell(seeds[:min(seedCount, len(seeds))])
 	}
 }
 
--- a/internal/rehearsal/platformday/machine.go
+++ b/internal/rehearsal/platformday/machine.go
@@ -103,8 +103,12 @@
 	return path, failure.Wrap(failure.Disk, os.WriteFile(path, text, 0o644))
 }
 
+// seedCount is how many seeds a settings file names at the most.
+const seedCount = 3
+
 // up starts the processes.
 func (machine *Machine) up() error {
+	machine.renewSeeds()
 	machine.day.Book.Note(Event{Kind: MachineUp, Machine: machine.Name, Zone: machine.Zone, Core: machine.Core})
 	for _, process := range machine.processes {
 		if err := process.start(); err != nil {
@@ -114,6 +118,17 @@
 	return nil
 }
 
+// renewSeeds names those that serve control now, as the settings of the moment do. At the
+// first start of the whole system all have the same.
+func (machine *Machine) renewSeeds() {
+	seeds := machine.day.controls(machine.day.Site.Terms.SeedLag)
+	machine.mutex.Lock()
+	defer machine.mutex.Unlock()
+	if !machine.first && len(seeds) > 0 {
+		machine.seeds = seeds[:min(seedCount, len(seeds))]
+	}
+}
+
 // kill ends all processes at once.
 func (machine *Machine) kill() {
 	machine.day.Book.Note(Event{Kind: MachineKilled, Machine: machine.Name, Core: machine.Core})
--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -171,5 +171,5 @@
 	{Name: "the last copy leads though it was about to leave", Never: read, Package: "./internal/replication", Test: "TestWhoLeavesAsTheLastCopyLeadsAgain",
 		Edits: []Edit{{"internal/replication/election.go", "coordinator.isLeaving() && coordinator.otherInSyncAlive(charter)", "coordinator.isLeaving()"}}},
 	{Name: "witnesses that are gone are replaced within the bound", Never: read, Package: "./internal/replication", Test: "TestSecondLossMayComeAfterTheCatchUp",
-		Edits: []Edit{{"internal/replication/timing.go", "min(max(catchUp/4, shortestWitnessSilence), longestWitnessSilence)", "4 * time.Second"}}},
+		Edits: []Edit{{"internal/replication/timing.go", "min(max(catchUp/5, shortestWitnessSilence), longestWitnessSilence)", "4 * time.Second"}}},
 }
--- a/internal/replication/timing.go
+++ b/internal/replication/timing.go
@@ -35,7 +35,7 @@
 	ExchangeTime = 400 * time.Millisecond
 
 	shortestLease          = 600 * time.Millisecond
-	shortestWitnessSilence = 600 * time.Millisecond
+	shortestWitnessSilence = 400 * time.Millisecond
 	longestWitnessSilence  = time.Second
 	longestRound           = 290 * time.Millisecond
 	longestBeat            = 800 * time.Millisecond
@@ -60,7 +60,7 @@
 		Round:          min(lease/5, longestRound),
 		Beat:           min(lease*8/15, longestBeat),
 		BackupSilence:  min(lease*7/15, longestBackupSilence),
-		WitnessSilence: min(max(catchUp/4, shortestWitnessSilence), longestWitnessSilence),
+		WitnessSilence: min(max(catchUp/5, shortestWitnessSilence), longestWitnessSilence),
 		FewerCopies:    min(catchUp/2, longestFewerCopies),
 	}
 }
--- /dev/null
+++ b/internal/replication/timing_test.go
@@ -0,0 +1,53 @@
+package replication
+
+import (
+	"testing"
+	"time"
+)
+
+// TestTimingFollowsTheBound wants every bound from 2 s on to leave a margin, and no wait to
+// be longer than the default's.
+func TestTimingFollowsTheBound(t *testing.T) {
+	usual := TimingFor(0)
+	if usual.CatchUp != DefaultCatchUp || usual.Lease != PrimaryHold {
+		t.Errorf("the default is %+v", usual)
+	}
+	for _, row := range []struct {
+		bound, margin time.Duration
+	}{{2 * time.Second, 0}, {3 * time.Second, 400 * time.Millisecond}, {4 * time.Second, 900 * time.Millisecond}, {8 * time.Second, 4 * time.Second}} {
+		timing := TimingFor(row.bound)
+		if timing.Margin() < row.margin {
+			t.Errorf("%v: repaired after %v, a margin of %v", row.bound, timing.Repair(), timing.Margin())
+		}
+		if timing.Lease > usual.Lease || timing.Round > usual.Round || timing.WitnessSilence > longestWitnessSilence {
+			t.Errorf("%v: %+v", row.bound, timing)
+		}
+		if timing.Lease < 4*timing.Round || timing.Lease <= 2*holdDrift {
+			t.Errorf("%v: a lease of %v is renewed each %v", row.bound, timing.Lease, timing.Round)
+		}
+	}
+}
+
+// TestPrimaryHoldsNoLongerThanItsWitnesses gives the primary a longer lease than its
+// witnesses, as settings that differ would.
+func TestPrimaryHoldsNoLongerThanItsWitnesses(t *testing.T) {
+	world := calmWorld(t, coreShapes[0], 6, DefaultCatchUp)
+	leader := world.leader()
+	short := TimingFor(2 * time.Second)
+	for _, machine := range world.machines {
+		if machine != leader {
+			machine.keeper.SetLease(short.Lease)
+		}
+	}
+	leader.steward.Tick()
+	world.advance(short.Lease)
+	if !leader.steward.Holds() {
+		return
+	}
+	// What it holds was given before the witnesses' leases were shortened, at most.
+	world.run(time.Second, nil)
+	world.advance(short.Lease)
+	if leader.steward.Holds() {
+		world.fail("the primary holds for longer than its witnesses hold still")
+	}
+}
