--- a/internal/adapters/courier/process.go
+++ b/internal/adapters/courier/process.go
@@ -86,7 +86,7 @@
 	}
 	process.conduct = hatch.NewCourier(turns, rpc.Line{Caller: rpc.NewCaller(chosen.Detours), Lifetime: process.lifetime},
 		commanding(kitchen, reached.Orders),
-		&passing{client: &http.Client{Transport: rpc.Transport(chosen.Detours)}, lifetime: process.lifetime}, options, process.observe)
+		&passing{client: rpc.NewClient(rpc.Transport(chosen.Detours)), lifetime: process.lifetime}, options, process.observe)
 	if err := process.takeCalls(turns, reached); err != nil {
 		return nil, err
 	}
--- a/internal/adapters/expediter/process.go
+++ b/internal/adapters/expediter/process.go
@@ -54,7 +54,8 @@
 //	process, failure := expediter.Start(chosen, logger, storage.RealDisk{}, wallclock.New(), expediter.Ports{})
 func Start(chosen settings.Settings, logger *log.Logger, disk storage.Disk, clock *wallclock.Clock, reached Ports) (*Process, error) {
 	process := &Process{logger: logger, clock: clock, chosen: chosen,
-		operatorsClient: &http.Client{Transport: rpc.Transport(chosen.Detours), Timeout: forwardPatience}}
+		operatorsClient: rpc.NewClient(rpc.Transport(chosen.Detours))}
+	process.operatorsClient.Timeout = forwardPatience
 	process.lifetime = process.tomb.Context(context.Background())
 	keeping, err := storage.OpenFolder(disk, filepath.Join(chosen.DataFolder, "keeper"))
 	if err != nil {
--- a/internal/adapters/modelserver/stove.go
+++ b/internal/adapters/modelserver/stove.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"seamloom.example/seamloom/internal/adapters/rpc"
 	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/membership"
@@ -35,7 +36,7 @@
 //
 //	stove := modelserver.New(lifetime, turns, rpc.Transport(nil))
 func New(lifetime context.Context, turns lease.Turns, transport http.RoundTripper) *Stove {
-	return &Stove{client: &http.Client{Transport: transport}, lifetime: lifetime, turns: turns, running: map[string]context.CancelFunc{}}
+	return &Stove{client: rpc.NewClient(transport), lifetime: lifetime, turns: turns, running: map[string]context.CancelFunc{}}
 }
 
 func runKey(id string, run int) string { return id + "#" + strconv.Itoa(run) }
--- a/internal/adapters/rpc/caller.go
+++ b/internal/adapters/rpc/caller.go
@@ -36,7 +36,18 @@
 //
 //	caller := rpc.NewCaller(nil)
 func NewCaller(detours map[string]string) *Caller {
-	return &Caller{client: &http.Client{Transport: Transport(detours)}}
+	return &Caller{client: NewClient(Transport(detours))}
+}
+
+// NewClient makes the HTTP client for calls between processes and to model servers. It
+// sends nothing twice: a redirection is an answer like any other, and the transport sends
+// a POST again only when nothing of it was written.
+//
+// Example:
+//
+//	client := rpc.NewClient(rpc.Transport(nil))
+func NewClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Transport is a plain HTTP/1.1 transport that follows the detours.
