--- a/internal/replication/explore_test.go
+++ b/internal/replication/explore_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package replication
 
 import (
