Capacity kit: a canned primary answers the courier's search before what is measured

Ruled out: the couriers (the search takes no content by design). Change: the first question of all is answered by who leads, and not counted.

--- a/internal/rehearsal/capacity/courier.go
+++ b/internal/rehearsal/capacity/courier.go
@@ -217,10 +217,15 @@
 type canned struct {
 	answers [][]byte
 	asked   atomic.Int64
+	found   atomic.Bool
 }
 
-// CallRaw gives the next answer.
+// CallRaw gives the next answer. The first question of all is that of the courier's search:
+// it asks only who leads, and is not counted.
 func (canned *canned) CallRaw(_, _ string, _ []byte, _ time.Duration) ([]byte, error) {
+	if !canned.found.Swap(true) {
+		return msgpack.Marshal(hatch.NewsAnswer{Leads: true})
+	}
 	number := canned.asked.Add(1) - 1
 	return canned.answers[int(number)%len(canned.answers)], nil
 }
