Scheduler: reading at runners by the routes' pauses; idle connections first

And a call opened a new connection in about half of all dispatches: 90 routers before 90 servers meet a server again after some 12 s, servers close after 10 s. Change: the room is a part of the shortest pause that a route to the service allows; a server without an idle connection costs 15 ms more.

--- a/internal/adapters/calls/exchange.go
+++ b/internal/adapters/calls/exchange.go
@@ -174,7 +174,8 @@
 	if result == scheduler.Misdirected || sent.response.Close {
 		sent.line.close()
 	} else {
-		sent.exchange.intake.circuits.give(sent.line, readRests(sent.response.Header))
+		sent.outcome.Rests = readRests(sent.response.Header)
+		sent.exchange.intake.circuits.give(sent.line, sent.outcome.Rests)
 	}
 	sent.cancel()
 }
--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -36,8 +36,10 @@
 	due      atomic.Pointer[string]
 	dueUntil atomic.Int64
 	slow     slowness
-	kept     kept
-	drops    drops
+	// idle are the connections that the next calls may use.
+	idle  connections
+	kept  kept
+	drops drops
 }
 
 // reported is what a server said when it was asked.
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -195,6 +195,9 @@
 	if backend.cold(choice.now) {
 		cost += choice.costs.cold
 	}
+	if !backend.idle.available(choice.now) {
+		cost += choice.costs.connection
+	}
 	cost += min(choice.costs.stuck*choice.stuck(backend), choice.costs.distrust)
 	if backend.silent(choice.window.reported.Load()) {
 		cost += choice.costs.distrust
@@ -211,6 +214,23 @@
 	return max(over, 0)
 }
 
+// pauseRoom is for how many milliseconds reading may hold up the tokens of others: a
+// part of the shortest pause that a route to the service allows.
+func (choice *choice) pauseRoom() float64 {
+	gap, found := choice.program.gaps[choice.service.Name]
+	if !found {
+		gap = unsaidGap
+	}
+	return milliseconds(gap) * pauseShare
+}
+
+const (
+	// pauseShare leaves the rest of the pause to the usual time between two events.
+	pauseShare = 0.8
+	// unsaidGap is the pause where no route says one.
+	unsaidGap = 200 * time.Millisecond
+)
+
 // usualStuck is for how many milliseconds nothing may come from a server that is well.
 const usualStuck = 150
 
@@ -232,7 +252,7 @@
 	ahead := milliseconds(backend.queued(choice.now))
 	if backend.splits() {
 		pace /= 2
-		held := (ahead + unread/pace) * choice.held / choice.costs.pauseRoom
+		held := (ahead + unread/pace) * choice.held / choice.pauseRoom()
 		cost += held * held * choice.costs.pauseHarm * (1 + busy)
 	}
 	cost += choice.costs.again * again / 1000
--- a/internal/scheduler/costs.go
+++ b/internal/scheduler/costs.go
@@ -25,10 +25,11 @@
 	// distrust and cold are for servers that failed or are cold.
 	distrust float64
 	cold     float64
-	// pauseRoom is how long reading may hold up the tokens of others, pauseHarm what
-	// each of them loses when it is filled.
-	pauseRoom float64
+	// pauseHarm is what each other call loses when reading holds its tokens up for as long
+	// as its route allows.
 	pauseHarm float64
+	// connection is for a server to which a new connection has to be opened.
+	connection float64
 	// fullness is for a server whose places are all taken, by the square.
 	fullness float64
 	// spread is how far apart equal servers are set.
@@ -47,5 +48,5 @@
 
 func standardCosts() costs {
 	return costs{crossingKilobyte: 4, moveThousand: 1.2, moveFar: 2.5, again: 150, second: 10, lastTry: 60, wasted: 10, refusal: 1500, stuck: 3, distrust: 2000, cold: 60,
-		pauseRoom: 90, pauseHarm: 60, fullness: 60, spread: 4, waitWeight: 1, home: 0.8, next: 0.25, runner: 0.5, awayThousand: 3}
+		pauseHarm: 60, connection: 15, fullness: 60, spread: 4, waitWeight: 1, home: 0.8, next: 0.25, runner: 0.5, awayThousand: 3}
 }
--- a/internal/scheduler/outcome.go
+++ b/internal/scheduler/outcome.go
@@ -51,6 +51,9 @@
 	Load *AnswerLoad `json:"load,omitempty"`
 	// Warming is how long the server says it stays cold.
 	Warming time.Duration `json:"warming,omitempty"`
+	// Rests is how long the connection stays open for further calls; zero if it was
+	// closed.
+	Rests time.Duration `json:"rests,omitempty"`
 	// First is when the first event or byte of the answer came; zero if none did.
 	First time.Time `json:"first,omitzero"`
 }
--- a/internal/scheduler/program.go
+++ b/internal/scheduler/program.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/membership"
@@ -19,6 +20,8 @@
 	names       []string
 	evacuations map[string]bool
 	limits      config.Limits
+	// gaps are the shortest pauses between events that the routes to a service allow.
+	gaps map[string]time.Duration
 }
 
 // step is one instruction of a host's routes.
@@ -56,7 +59,7 @@
 //	program := scheduler.Compile(configuration, version.Epoch, version.Number)
 func Compile(configuration *config.Configuration, epoch, number uint64) *Program {
 	program := &Program{epoch: epoch, number: number, hosts: map[string][]step{}, services: map[string]*config.Service{},
-		evacuations: map[string]bool{}, limits: configuration.Limits}
+		evacuations: map[string]bool{}, limits: configuration.Limits, gaps: map[string]time.Duration{}}
 	for district := range configuration.Evacuations {
 		program.evacuations[district] = true
 	}
@@ -98,6 +101,7 @@
 		if found && part.Weight > 0 {
 			ruling.total += uint64(part.Weight)
 			ruling.shares = append(ruling.shares, share{service: service, upTo: ruling.total})
+			program.narrow(service.Name, route.Calls.Gap)
 		}
 	}
 	if len(route.To.Districts) > 0 {
@@ -116,6 +120,13 @@
 	return []step{{code: needPrefix, text: route.Match.PathPrefix, next: at + 2}, action}
 }
 
+// narrow notes the longest pause between events that a route to a service allows.
+func (program *Program) narrow(service string, gap time.Duration) {
+	if known, found := program.gaps[service]; gap > 0 && (!found || gap < known) {
+		program.gaps[service] = gap
+	}
+}
+
 // rule interprets the program for one call: its route and the service that serves it.
 func (program *Program) rule(call *Call) (*ruling, *config.Service) {
 	steps := program.hosts[hostOf(call.Host)]
--- a/internal/scheduler/send.go
+++ b/internal/scheduler/send.go
@@ -23,6 +23,7 @@
 		decision.Free, ticket.spent = ticket.spent, nil
 	}
 	sent := &ticket.dispatch
+	backend.idle.take(now)
 	if kind == Read {
 		sent.tokens = ticket.call.PromptTokens
 		backend.reading.Add(1)
@@ -108,6 +109,7 @@
 		}
 	}
 	backend.account.memory.Add(-int64(sent.tokens))
+	backend.idle.give(now, outcome.Rests)
 	if sent.source == nil && !sent.began && outcome.Result != Complete && outcome.Result != Cut {
 		backend.kept.forget(ticket.call.Parts, sent.known)
 	}
--- a/internal/scheduler/sweep_test.go
+++ b/internal/scheduler/sweep_test.go
@@ -19,7 +19,8 @@
 		owed += tally.owed
 		earned += tally.earned
 	}
-	prices := 0.36*(world.nearMoves+2*world.farMoves) + world.crossing*world.crossed + 0.15*float64(world.sharedAgain)/1000 + 0.001*float64(world.dispatches)
+	prices := world.prices.move*(world.nearMoves+2*world.farMoves) + world.crossing*world.crossed + world.prices.again*float64(world.sharedAgain)/1000 +
+		world.prices.connection*float64(world.opened)
 	class := 1.0
 	for _, tally := range world.tally {
 		class = min(class, tally.earned/tally.owed)
@@ -36,6 +37,9 @@
 	if os.Getenv("SWEEP") == "large" {
 		sites = []site{sixty()}
 	}
+	if os.Getenv("SWEEP") == "ninety" {
+		sites = []site{ninety()}
+	}
 	run := func(name string, change func(*costs)) {
 		text, sum := fmt.Sprintf("%-28s", name), 0.0
 		for _, site := range sites {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/membership"
 )
 
@@ -30,13 +31,15 @@
 	sharedRead, sharedAgain, read int
 	nearMoves, farMoves           float64
 	crossed                       float64
-	orders, dispatches            int
+	orders, dispatches, opened    int
+	idle                          map[connectionEnds]*connections
 	news                          time.Duration
 	calls                         int
 	ways                          map[string]*wayTally
 	ordered                       map[string]string
 	tells                         bool
 	crossing                      float64
+	prices                        prices
 	owedAt, earnedAt              [60]float64
 	onLost                        func(*asked, Decision)
 	onLate                        func(*asked, time.Duration)
@@ -54,6 +57,15 @@
 	return found
 }
 
+// connectionEnds are a courier and a server that connections are between.
+type connectionEnds struct {
+	courier int
+	server  string
+}
+
+// keptOpen is how long servers keep an idle connection.
+const keptOpen = 9700 * time.Millisecond
+
 // engineSheet is what servers are made of.
 type engineSheet struct {
 	step, perRunning, perThousand float64
@@ -70,6 +82,10 @@
 		reportLag: 100 * time.Millisecond, inDistrict: 0.2, betweenDistricts: 0.9}
 }
 
+// prices are what a gigabyte of memory moved, a thousand shared tokens read again and a
+// new connection cost, in worth.
+type prices struct{ move, again, connection float64 }
+
 // site is a deployment: its servers, its traffic, and the price of a gigabyte of bodies
 // between districts.
 type site struct {
@@ -80,14 +96,41 @@
 	long     class
 	chat     class
 	crossing float64
+	prices   prices
+	// configure changes the configuration, if it is given.
+	configure func(*config.Configuration)
+}
+
+// ninety is a deployment whose engines read slowly and whose long prompts may run once.
+func ninety() site {
+	site := site{name: "ninety", couriers: 90, list: zoned(90, 12), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 1800, prices: prices{0.05, 0.16, 0.06}}
+	site.engine = engineSheet{step: 6.12, perRunning: 0.0234, perThousand: 0.0131, readPace: 32.4, pairs: 1.18, first: 64, setup: 3.3,
+		piece: 2048, memory: 198_631, stride: 8, slots: 48, bytesAToken: 131_072, linkBitsAMilli: 630e6,
+		reportLag: 100 * time.Millisecond, inDistrict: 0.2, betweenDistricts: 0.9}
+	site.long.perSecond, site.long.chains[1].things, site.long.chains[1].skew, site.long.ownMost = 130, 735, 0.3, 18_300
+	site.long.pieces, site.long.spread, site.long.mostPieces, site.long.bytes = 6.51, 1.4, 26, 9200
+	site.long.worth, site.long.late, site.long.aim, site.long.deadline, site.long.gap = 2, 0.6, 800*time.Millisecond, 4*time.Second, 200*time.Millisecond
+	site.chat.perSecond, site.chat.chains[1].things, site.chat.chains[1].skew, site.chat.bytes = 163, 922, 0.3, 830
+	site.chat.pieces, site.chat.mostPieces = 36.4, 119
+	site.chat.worth, site.chat.late, site.chat.aim, site.chat.deadline, site.chat.gap = 3, 0.9, 400*time.Millisecond, 12*time.Second, 200*time.Millisecond
+	site.configure = func(configuration *config.Configuration) {
+		service := configuration.Services["desk"]
+		service.Warming = config.Warming{}
+		service.Engine.Slots, service.Engine.MemoryTokens, service.Engine.TokenBytes, service.Engine.LinkBits, service.Engine.TokensAPiece = 48, 198_631, 131_072, 630e9, 8
+		configuration.Services["desk"] = service
+		long, chat := configuration.Routes[0].Calls, configuration.Routes[1].Calls
+		long.Limit, long.Aim, long.Gap, long.Rank, long.Tries, long.Resumable = site.long.deadline, site.long.aim, site.long.gap, 1, 1, false
+		chat.Limit, chat.Aim, chat.Gap, chat.Rank, chat.Tries, chat.Resumable = site.chat.deadline, site.chat.aim, site.chat.gap, 0, 2, true
+	}
+	return site
 }
 
 func nine() site {
-	return site{name: "nine", couriers: 9, list: zoned(9, 1), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 1500}
+	return site{name: "nine", couriers: 9, list: zoned(9, 1), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 1500, prices: prices{0.36, 0.15, 0.012}}
 }
 
 func twelve() site {
-	site := site{name: "twelve", couriers: 10, list: zoned(12, 2), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 6900}
+	site := site{name: "twelve", couriers: 10, list: zoned(12, 2), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 6900, prices: prices{0.36, 0.15, 0.012}}
 	site.engine.step, site.engine.perRunning, site.engine.readPace, site.engine.first, site.engine.setup = 3.79, 0.0893, 56.6, 16, 5
 	site.engine.stride, site.engine.memory, site.engine.linkBitsAMilli, site.engine.reportLag = 9, 319_972, 370e6, 200*time.Millisecond
 	site.long.perSecond, site.long.chains[1].things, site.long.late = 30.4, 172, 1.5
@@ -98,7 +141,7 @@
 }
 
 func sixty() site {
-	site := site{name: "sixty", couriers: 85, list: zoned(60, 8), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 2200}
+	site := site{name: "sixty", couriers: 85, list: zoned(60, 8), engine: sheet(), long: longClass(), chat: chatClass(), crossing: 2200, prices: prices{0.36, 0.15, 0.012}}
 	site.engine.memory, site.engine.stride = 276_487, 14
 	site.long.perSecond, site.long.chains[1].things, site.long.bytes, site.long.aim = 136, 512, 9200, 500*time.Millisecond
 	site.long.pieces, site.long.mostPieces, site.long.gap = 3.72, 14.9, 300*time.Millisecond
@@ -109,8 +152,8 @@
 
 // world is a site in virtual time, with so much of its traffic for so long.
 func (site site) world(seed uint64, shape func(*Window)) *world {
-	world := dividedWorld(seed, site.couriers, append([]membership.Server(nil), site.list...), shape)
-	world.engine, world.crossing = site.engine, site.crossing
+	world := dividedWorld(seed, site.couriers, append([]membership.Server(nil), site.list...), site.configure, shape)
+	world.engine, world.crossing, world.prices = site.engine, site.crossing, site.prices
 	return world
 }
 
@@ -463,18 +506,29 @@
 type chainLink struct {
 	mean, spread, most float64
 	things             int
+	// skew is the power by which those asked most often are asked more often; zero is
+	// all alike.
+	skew float64
+}
+
+// draw is one of the link's things.
+func (link chainLink) draw(random *rand.Rand) uint64 {
+	if link.skew == 0 {
+		return uint64(random.IntN(link.things))
+	}
+	return min(uint64(float64(link.things)*math.Pow(random.Float64(), 1/(1-link.skew))), uint64(link.things-1))
 }
 
 func longClass() class {
 	return class{name: "long", host: "long.example", path: "/ask/", perSecond: 22.2,
-		chains: []chainLink{{2520, 0.4, 6290, 4}, {3780, 0.7, 11300, 84}}, own: 2890, ownSpread: 1, ownMost: 39600,
+		chains: []chainLink{{2520, 0.4, 6290, 4, 0}, {3780, 0.7, 11300, 84, 0}}, own: 2890, ownSpread: 1, ownMost: 39600,
 		pieces: 4.73, spread: 1.4, mostPieces: 18.9, bytes: 18000, worth: 3, late: 0.9,
 		aim: 400 * time.Millisecond, deadline: 3 * time.Second, gap: 250 * time.Millisecond}
 }
 
 func chatClass() class {
 	return class{name: "chat", host: "chat.example", path: "/", perSecond: 28,
-		chains: []chainLink{{119, 0.4, 298, 40}, {79.4, 0.7, 238, 158}}, own: 628, ownSpread: 1, ownMost: 3310,
+		chains: []chainLink{{119, 0.4, 298, 40, 0}, {79.4, 0.7, 238, 158, 0}}, own: 628, ownSpread: 1, ownMost: 3310,
 		pieces: 26.5, spread: 0.69, mostPieces: 86.7, bytes: 1700, worth: 2, late: 0.6,
 		aim: 500 * time.Millisecond, deadline: 8 * time.Second, gap: 250 * time.Millisecond}
 }
@@ -485,12 +539,12 @@
 }
 
 func newWorld(seed uint64, couriers, count int, shape func(*Window)) *world {
-	return dividedWorld(seed, couriers, servers(count), shape)
+	return dividedWorld(seed, couriers, servers(count), nil, shape)
 }
 
-func dividedWorld(seed uint64, couriers int, list []membership.Server, shape func(*Window)) *world {
+func dividedWorld(seed uint64, couriers int, list []membership.Server, configure func(*config.Configuration), shape func(*Window)) *world {
 	world := &world{now: noon, random: rand.New(rand.NewPCG(seed, 7)), engine: sheet(), servers: map[string]*worldServer{},
-		tally: map[string]*classTally{}, seen: map[uint64]bool{}, ways: map[string]*wayTally{}, ordered: map[string]string{}, news: 400 * time.Millisecond}
+		tally: map[string]*classTally{}, seen: map[uint64]bool{}, ways: map[string]*wayTally{}, idle: map[connectionEnds]*connections{}, ordered: map[string]string{}, news: 400 * time.Millisecond}
 	world.list = list
 	for _, listed := range world.list {
 		world.servers[listed.Name] = &worldServer{world: world, listed: listed, part: listed.Part}
@@ -501,7 +555,7 @@
 		calls := New(Options{Courier: fmt.Sprintf("courier-%d", number), District: districts[number%3],
 			FurtherTries: Allowance{Ratio: 0.2, Slack: 58, Span: 10 * time.Second}})
 		calls.SetCouriers(couriers)
-		calls.SetProgram(Compile(plan(nil), 1, 1))
+		calls.SetProgram(Compile(plan(configure), 1, 1))
 		calls.SetServers(noon, world.list)
 		if shape != nil {
 			shape(calls)
@@ -674,7 +728,7 @@
 	call := &Call{ID: id, Host: class.host, Path: class.path + "x", Model: "m", Ends: world.now.Add(class.deadline)}
 	parent := uint64(0)
 	for depth, link := range class.chains {
-		thing := uint64(world.random.IntN(link.things))
+		thing := link.draw(world.random)
 		if depth > 0 {
 			// A deeper thing lies under one of those above.
 			parent = thing % uint64(class.chains[depth-1].things)
@@ -823,6 +877,16 @@
 	way := world.way(asked.courier, server)
 	asked.log += fmt.Sprintf("%s %s +%dms unread %d expected %v; ", decision.Kind, decision.Server.Name, world.now.Sub(asked.at).Milliseconds(), asked.ticket.dispatch.unread, asked.ticket.dispatch.expected)
 	world.dispatches++
+	ends := connectionEnds{asked.courier, decision.Server.Name}
+	idle, known := world.idle[ends]
+	if !known {
+		idle = &connections{}
+		world.idle[ends] = idle
+	}
+	if !idle.available(world.now) {
+		world.opened++
+	}
+	idle.take(world.now)
 	if way != world.engine.inDistrict {
 		world.crossed += float64(asked.call.Bytes) / 1e9
 	}
@@ -833,6 +897,10 @@
 			return
 		}
 		done = true
+		if outcome.Result == Complete {
+			outcome.Rests = keptOpen
+			idle.give(world.now, keptOpen)
+		}
 		if job_ != nil {
 			job_.gone = true
 			asked.longest = max(asked.longest, job_.longest)
