Routers ask what others have servers read before they send a prompt there

Cause: what binds is stale knowledge. Without an answer in 30 ms the reports do, and the keeper is passed over for 2 s.

--- /dev/null
+++ b/internal/backlog/ledger.go
@@ -0,0 +1,104 @@
+package backlog
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Lease is how long a router's share of a count lasts when nothing more is heard of it. It
+// is longer than a read takes on a server that is well.
+const Lease = 3 * time.Second
+
+// Ledger keeps the counts of the groups that a router was asked for. The zero value is
+// ready to use.
+type Ledger struct {
+	mutex  sync.Mutex
+	groups map[string]map[holding]*share
+	swept  time.Time
+}
+
+// holding is what one router has one server read.
+type holding struct{ server, router string }
+
+type share struct {
+	tokens  int
+	expires time.Time
+}
+
+// Apply counts a question's changes, answers it and counts its intent.
+//
+// Example:
+//
+//	answer := ledger.Apply(now, backlog.Question{Router: "router-1", Group: "desk/north/0", Asks: true})
+func (ledger *Ledger) Apply(now time.Time, question Question) Answer {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if now.Sub(ledger.swept) >= Lease {
+		ledger.sweep(now)
+	}
+	for _, change := range question.Changes {
+		ledger.count(now, question, change)
+	}
+	var answer Answer
+	if question.Asks {
+		answer.Counts = ledger.counts(now, question.Group)
+	}
+	if question.Intent != nil {
+		ledger.count(now, question, *question.Intent)
+	}
+	return answer
+}
+
+func (ledger *Ledger) count(now time.Time, question Question, change Change) {
+	if ledger.groups == nil {
+		ledger.groups = map[string]map[holding]*share{}
+	}
+	group, found := ledger.groups[question.Group]
+	if !found {
+		group = map[holding]*share{}
+		ledger.groups[question.Group] = group
+	}
+	holder := holding{server: change.Server, router: question.Router}
+	held, found := group[holder]
+	if !found || !now.Before(held.expires) {
+		held = &share{}
+		group[holder] = held
+	}
+	held.tokens += change.Tokens
+	held.expires = now.Add(Lease)
+	if held.tokens <= 0 {
+		delete(group, holder)
+	}
+}
+
+// counts sums the shares of each server, the servers in order.
+func (ledger *Ledger) counts(now time.Time, group string) []Change {
+	sums := map[string]int{}
+	for holder, held := range ledger.groups[group] {
+		if now.Before(held.expires) {
+			sums[holder.server] += held.tokens
+		}
+	}
+	counts := make([]Change, 0, len(sums))
+	for server, tokens := range sums {
+		counts = append(counts, Change{Server: server, Tokens: tokens})
+	}
+	sort.Slice(counts, func(left, right int) bool { return counts[left].Server < counts[right].Server })
+	return counts
+}
+
+// sweep forgets shares that lapsed.
+func (ledger *Ledger) sweep(now time.Time) {
+	ledger.swept = now
+	for name, group := range ledger.groups {
+		for holder, held := range group {
+			if !now.Before(held.expires) {
+				delete(group, holder)
+			}
+		}
+		if len(group) == 0 {
+			delete(ledger.groups, name)
+		}
+	}
+}
--- a/internal/hatch/board.go
+++ b/internal/hatch/board.go
@@ -12,6 +12,8 @@
 	// SetServing tells until when calls may be let in: not beyond the courier's hold
 	// and what it goes on without one.
 	SetServing(until time.Time)
+	// SetKeepers gives the way to those who keep counts of what servers read.
+	SetKeepers(keepers *CountKeepers)
 	// SetServers tells which servers there are, before the window knows them.
 	SetServers(now time.Time, servers []membership.Server)
 }
--- a/internal/hatch/calls.go
+++ b/internal/hatch/calls.go
@@ -24,6 +24,8 @@
 	leaving atomic.Bool
 	// serving is until when calls are let in; nil: nobody bounds it.
 	serving atomic.Pointer[time.Time]
+	// keepers are asked for counts before reads; nil: nobody is.
+	keepers *CountKeepers
 }
 
 // NewCalls makes the conduct over a window. Listed is told which servers there are.
@@ -51,6 +53,14 @@
 //	conduct.SetServing(holdEnds)
 func (calls *Calls) SetServing(until time.Time) { calls.serving.Store(&until) }
 
+// SetKeepers gives the way to those who keep counts of what servers read, before any call
+// comes.
+//
+// Example:
+//
+//	conduct.SetKeepers(keepers)
+func (calls *Calls) SetKeepers(keepers *CountKeepers) { calls.keepers = keepers }
+
 // serves tells whether calls may be let in now.
 func (calls *Calls) serves() bool {
 	until := calls.serving.Load()
@@ -166,10 +176,16 @@
 	ran, before := false, false
 	var outcome scheduler.Outcome
 	for {
+		if calls.keepers != nil {
+			calls.keepers.NoteChanges()
+		}
 		for _, source := range decision.Free {
 			exchange.Free(source)
 		}
 		switch decision.Kind {
+		case scheduler.Ask:
+			decision = calls.told(ticket, decision)
+			continue
 		case scheduler.Read:
 			outcome = exchange.Read(decision)
 			if outcome.Handle != "" && outcome.Result != scheduler.Complete {
@@ -221,3 +237,9 @@
 	}
 	return http.StatusServiceUnavailable
 }
+
+// told asks the keepers of counts and has the window go on with their answers.
+func (calls *Calls) told(ticket *scheduler.Ticket, decision scheduler.Decision) scheduler.Decision {
+	answers := calls.keepers.Ask(decision.Questions)
+	return calls.window.Told(calls.turns.Now(), ticket, answers)
+}
--- /dev/null
+++ b/internal/hatch/countkeepers.go
@@ -0,0 +1,204 @@
+package hatch
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/backlog"
+	"seamloom.example/seamloom/internal/lease"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
+)
+
+// CountKeepers reach the nodes that keep the counts of what all nodes have model servers
+// read, and are one of them. The keeper of a group is the recorded node of the group's
+// zone that rendezvous hashing puts first, but for those that did not answer lately. Two
+// nodes may take different ones for the keeper for a while: the counts are hints.
+type CountKeepers struct {
+	turns  lease.Turns
+	line   Hotline
+	window *scheduler.Window
+	// self is this node's name, life this life of it.
+	self, life string
+	ledger     backlog.Ledger
+	changed    lease.Bell
+
+	mutex  sync.Mutex
+	nodes  map[string]membership.Member
+	ranked map[string][]membership.Member
+	silent map[string]time.Time
+}
+
+// The patience with keepers. The values are ours.
+const (
+	// countPatience is how long an answer is waited for: longer than a healthy keeper
+	// in the same region takes, and short beside the aim of a call.
+	countPatience = 30 * time.Millisecond
+	// keeperSilence is how long a keeper that did not answer is passed over.
+	keeperSilence = 2 * time.Second
+	// changesPause lets the changes of a moment go in one message.
+	changesPause = 2 * time.Millisecond
+)
+
+// NewCountKeepers makes the keepers' side and the asking side of one life of a node.
+//
+// Example:
+//
+//	keepers := hatch.NewCountKeepers(turns, line, core.Calls(), "courier-1", nonce())
+func NewCountKeepers(turns lease.Turns, line Hotline, window *scheduler.Window, self, life string) *CountKeepers {
+	return &CountKeepers{turns: turns, line: line, window: window, self: self, life: life, changed: turns.NewBell(),
+		ranked: map[string][]membership.Member{}, silent: map[string]time.Time{}}
+}
+
+// SetNodes tells which nodes of the data plane are recorded.
+//
+// Example:
+//
+//	keepers.SetNodes(members)
+func (keepers *CountKeepers) SetNodes(members map[string]membership.Member) {
+	nodes := map[string]membership.Member{}
+	for name, member := range members {
+		if member.Kind == membership.Courier {
+			nodes[name] = member
+		}
+	}
+	keepers.mutex.Lock()
+	defer keepers.mutex.Unlock()
+	keepers.nodes = nodes
+	keepers.ranked = map[string][]membership.Member{}
+}
+
+// Answer answers a question of another node.
+//
+// Example:
+//
+//	answer, failure := keepers.Answer(question)
+func (keepers *CountKeepers) Answer(question backlog.Question) (backlog.Answer, error) {
+	return keepers.ledger.Apply(keepers.turns.Now(), question), nil
+}
+
+// Ask brings questions to their keepers, all at once, and gives the answers that come in
+// time, by group.
+//
+// Example:
+//
+//	decision = window.Told(turns.Now(), ticket, keepers.Ask(decision.Questions))
+func (keepers *CountKeepers) Ask(questions []backlog.Question) map[string]backlog.Answer {
+	answers := make(map[string]backlog.Answer, len(questions))
+	var mutex sync.Mutex
+	left := len(questions) - 1
+	done := keepers.turns.NewBell()
+	ask := func(question backlog.Question) {
+		answer, answered := keepers.bring(question)
+		mutex.Lock()
+		defer mutex.Unlock()
+		if answered {
+			answers[question.Group] = answer
+		}
+	}
+	for _, question := range questions[1:] {
+		keepers.turns.Go(func() {
+			ask(question)
+			mutex.Lock()
+			left--
+			mutex.Unlock()
+			done.Ring()
+		})
+	}
+	ask(questions[0])
+	done.Wait(countPatience, func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return left == 0
+	})
+	mutex.Lock()
+	defer mutex.Unlock()
+	complete := make(map[string]backlog.Answer, len(answers))
+	for group, answer := range answers {
+		complete[group] = answer
+	}
+	return complete
+}
+
+// bring has the keeper of a question's group answer it.
+func (keepers *CountKeepers) bring(question backlog.Question) (answer backlog.Answer, answered bool) {
+	question.Router = keepers.life
+	keeper, found := keepers.keeper(question.Group)
+	if !found {
+		return answer, false
+	}
+	if keeper.Name == keepers.self {
+		return keepers.ledger.Apply(keepers.turns.Now(), question), true
+	}
+	if err := Call(keepers.line, keeper.Address, CountsPath, question, &answer, countPatience); err != nil {
+		keepers.mutex.Lock()
+		keepers.silent[keeper.Address] = keepers.turns.Now()
+		keepers.mutex.Unlock()
+		return answer, false
+	}
+	return answer, true
+}
+
+// keeper is the node that keeps a group's counts.
+func (keepers *CountKeepers) keeper(group string) (membership.Member, bool) {
+	now := keepers.turns.Now()
+	keepers.mutex.Lock()
+	defer keepers.mutex.Unlock()
+	ranked, known := keepers.ranked[group]
+	if !known {
+		ranked = keepers.rank(group)
+		keepers.ranked[group] = ranked
+	}
+	for _, node := range ranked {
+		if silent, found := keepers.silent[node.Address]; !found || now.Sub(silent) >= keeperSilence {
+			return node, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// rank orders the nodes for a group: those of its zone, or all if there are none.
+func (keepers *CountKeepers) rank(group string) []membership.Member {
+	zone := ""
+	if parts := strings.Split(group, "/"); len(parts) >= 2 {
+		zone = parts[len(parts)-2]
+	}
+	var near, all []string
+	for name, node := range keepers.nodes {
+		all = append(all, name)
+		if node.District == zone {
+			near = append(near, name)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	var ranked []membership.Member
+	for _, name := range membership.Ranked(group, all) {
+		ranked = append(ranked, keepers.nodes[name])
+	}
+	return ranked
+}
+
+// NoteChanges has the keepers told, soon, of what changed by a decision.
+func (keepers *CountKeepers) NoteChanges() {
+	if keepers.window.HasChanges() {
+		keepers.changed.Ring()
+	}
+}
+
+// Tell brings changes to the keepers whenever there are any.
+//
+// Example:
+//
+//	turns.Go(keepers.Tell)
+func (keepers *CountKeepers) Tell() {
+	for keepers.turns.Alive() {
+		keepers.changed.Wait(restTick, keepers.window.HasChanges)
+		lease.Pause(keepers.turns, changesPause)
+		for group, changes := range keepers.window.TakeChanges() {
+			keepers.bring(backlog.Question{Group: group, Changes: changes})
+		}
+	}
+}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -38,6 +38,7 @@
 	answers     Answers
 	passages    passages
 	incarnation string
+	keepers     *CountKeepers
 
 	mutex   sync.Mutex
 	streams map[string]*stream
@@ -82,6 +83,9 @@
 	courier.followed = NewFollower(turns, line, member, options.Seeds, courier.InForce, courier.takeNews)
 	if options.Board != nil {
 		courier.board = options.Board(courier.core.Calls())
+		courier.keepers = NewCountKeepers(turns, line, courier.core.Calls(), options.Courier, courier.incarnation)
+		courier.core.Calls().SetAsks(true)
+		courier.board.SetKeepers(courier.keepers)
 	}
 	courier.followed.Follow(options.Directory != nil, courier.board != nil)
 	courier.followed.SetApplyWithin(options.ApplyWithin)
@@ -104,6 +108,9 @@
 	if courier.options.Directory != nil {
 		rounds = append(rounds, courier.readList, courier.readNodes)
 	}
+	if courier.keepers != nil {
+		rounds = append(rounds, courier.keepers.Tell)
+	}
 	return rounds
 }
 
@@ -215,7 +222,7 @@
 func (courier *Courier) Answers() Answers { return courier.answers }
 
 func (courier *Courier) table() Answers {
-	return Answers{
+	answers := Answers{
 		RelayPath: answering(courier.followed.Relay),
 		CrumbsPath: answering(func(records []formats.Record) (bool, error) {
 			for _, record := range records {
@@ -235,6 +242,10 @@
 			return Incarnation{Incarnation: courier.incarnation}, nil
 		}),
 	}
+	if courier.keepers != nil {
+		answers[CountsPath] = answering(courier.keepers.Answer)
+	}
+	return answers
 }
 
 // takeNews puts a configuration in force before it uses the hold that
@@ -296,6 +307,9 @@
 	courier.mutex.Lock()
 	courier.members = state.Members
 	courier.mutex.Unlock()
+	if courier.keepers != nil {
+		courier.keepers.SetNodes(state.Members)
+	}
 	if news.Answer.Couriers == 0 {
 		// Nobody counts them: an older release's primary, or a copy.
 		courier.Apply(pass.Event{Kind: pass.CouriersCounted, Number: uint64(len(couriersOf(state.Members)))})
--- a/internal/hatch/courier_test.go
+++ b/internal/hatch/courier_test.go
@@ -89,6 +89,8 @@
 	servers []membership.Server
 }
 
+func (*noted) SetKeepers(*CountKeepers) {}
+
 func (noted *noted) SetServing(until time.Time)                          { noted.until = until }
 func (noted *noted) SetServers(_ time.Time, servers []membership.Server) { noted.servers = servers }
 
--- a/internal/hatch/paths.go
+++ b/internal/hatch/paths.go
@@ -7,6 +7,7 @@
 	OrdersPath      = "/hotline/orders"
 	RelayPath       = "/hotline/relay"
 	PassPath        = "/hotline/pass"
+	CountsPath      = "/hotline/counts"
 	CrumbsPath      = "/hotline/crumbs"
 	HelloPath       = "/hotline/hello"
 	IncarnationPath = "/hotline/incarnation"
--- a/internal/rehearsal/world/ways.go
+++ b/internal/rehearsal/world/ways.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"seamloom.example/seamloom/internal/hatch"
 	"seamloom.example/seamloom/internal/membership"
 )
 
@@ -27,6 +28,9 @@
 // SetServing is not minded.
 func (deaf) SetServing(time.Time) {}
 
+// SetKeepers takes no notice.
+func (deaf) SetKeepers(*hatch.CountKeepers) {}
+
 // SetServers is not minded.
 func (deaf) SetServers(time.Time, []membership.Server) {}
 
--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -36,6 +36,8 @@
 	due      atomic.Pointer[string]
 	dueUntil atomic.Int64
 	slow     slowness
+	// told is the latest count of what all routers have the server read.
+	told atomic.Pointer[told]
 	// idle are the connections that the next calls may use.
 	idle  connections
 	kept  kept
--- a/internal/scheduler/arrive.go
+++ b/internal/scheduler/arrive.go
@@ -40,14 +40,28 @@
 		return nil, refusal(NotReady, unready, ends.Sub(now))
 	}
 	ticket := &Ticket{call: call, ruling: ruling, service: service, mark: nameKey(call.ID), arrived: now, ends: ends}
-	choice := window.weighing(now, ticket)
+	window.inFlight.Add(1)
+	decision := window.begin(now, ticket, window.weighing(now, ticket), true)
+	if decision.Kind == Refuse {
+		return nil, decision
+	}
+	return ticket, decision
+}
+
+// begin finds a call's first dispatch, or refuses it. It may ask for counts first.
+func (window *Window) begin(now time.Time, ticket *Ticket, choice *choice, mayAsk bool) Decision {
+	if mayAsk {
+		kind, best, found := choice.cheapest(true)
+		if questions := choice.questions(kind, best); found && len(questions) > 0 {
+			return Decision{Kind: Ask, Questions: questions}
+		}
+	}
 	kind, way, found := choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(true) })
 	if !found || choice.late(way) {
-		return nil, refusal(Full, choice.relief(way, found), ends.Sub(now))
+		return window.finish(now, ticket, refusal(Full, choice.relief(way, found), ticket.ends.Sub(now)))
 	}
-	window.inFlight.Add(1)
 	choice.ledger.purse.first(now, window.options.FurtherTries, choice.sharers)
-	return ticket, choice.send(kind, way)
+	return choice.send(kind, way)
 }
 
 // late tells that a call would not begin in time, and that this is for want of places:
--- a/internal/scheduler/backend.go
+++ b/internal/scheduler/backend.go
@@ -13,6 +13,8 @@
 	server membership.Server
 	key    uint64
 	place  int
+	// group names the servers whose counts one router keeps.
+	group string
 	*account
 }
 
--- a/internal/scheduler/board.go
+++ b/internal/scheduler/board.go
@@ -57,6 +57,7 @@
 			next.byService[server.Service] = append(next.byService[server.Service], listed)
 		}
 	}
+	next.nameGroups()
 	if len(everywhere) > 0 {
 		for service, listed := range next.byService {
 			next.byService[service] = append(listed, everywhere...)
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -302,7 +302,7 @@
 	}
 	unread, again := choice.unread(backend)
 	pace := choice.pace / backend.slow.factor(choice.now)
-	ahead := float64(backend.readingTokens.Load()) + backend.others()*othersRead
+	ahead := choice.ahead(backend)
 	time := readsCost + (ahead+unread)/pace + choice.tight(backend, call.PromptTokens)
 	cost := choice.burdens(backend) + choice.spread(backend) + choice.costs.second + choice.risk(backend) + time + (choice.costs.waitWeight-1)*ahead/pace
 	cost += choice.costs.again * again / 1000
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"seamloom.example/seamloom/internal/backlog"
 	"seamloom.example/seamloom/internal/membership"
 )
 
@@ -13,6 +14,8 @@
 	// Refuse ends the call with a word of our own: Cause says which, RetryAfter when
 	// to come back.
 	Refuse DecisionKind = "refuse"
+	// Ask has the keepers of counts asked Questions; Told takes the answers.
+	Ask DecisionKind = "ask"
 	// Read has Server read the prompt.
 	Read DecisionKind = "read"
 	// Run has Server make the answer, with the prompt's memory from Source if there
@@ -73,6 +76,8 @@
 	Silence time.Duration `json:"silence,omitempty"`
 	// Urgency is passed to the server, 0 first; -1 leaves it out.
 	Urgency int `json:"urgency,omitempty"`
+	// Questions are for the keepers of counts, each for the one of its group.
+	Questions []backlog.Question `json:"-"`
 	// Free are handles that will not be taken and are to be given back.
 	Free []Source `json:"free,omitempty"`
 }
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -12,7 +12,7 @@
 		return Decision{Kind: Done}
 	}
 	sent := ticket.dispatch
-	ticket.settle(now, outcome)
+	ticket.settle(now, outcome, window)
 	ticket.dispatch = dispatch{}
 	if outcome.Load != nil {
 		at := now
@@ -203,6 +203,7 @@
 		ticket.source = nil
 	}
 	decision.Free, ticket.spent = ticket.spent, nil
+	window.unbook(ticket)
 	ticket.ended = true
 	window.inFlight.Add(-1)
 	return decision
--- a/internal/scheduler/send.go
+++ b/internal/scheduler/send.go
@@ -26,11 +26,13 @@
 	backend.idle.take(now)
 	if kind == Read {
 		sent.tokens = ticket.call.PromptTokens
+		choice.book(backend, sent.unread)
 		backend.reading.Add(1)
 		backend.readings.wait(now)
 		backend.readingTokens.Add(int64(sent.unread))
 		decision.Patience = choice.patience(max(readPatience*sent.expected, leastReadPatience))
 	} else {
+		choice.window.unbook(ticket)
 		sent.tokens = ticket.tokens()
 		if offer.sourced {
 			sent.source, ticket.source = ticket.source, nil
@@ -95,10 +97,11 @@
 }
 
 // settle takes a dispatch off the accounts.
-func (ticket *Ticket) settle(now time.Time, outcome Outcome) {
+func (ticket *Ticket) settle(now time.Time, outcome Outcome, window *Window) {
 	sent := &ticket.dispatch
 	backend := sent.backend
 	if sent.kind == Read {
+		window.unbook(ticket)
 		backend.reading.Add(-1)
 		backend.readingTokens.Add(-int64(sent.unread))
 		arrive(&backend.readings, now, outcome.came())
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -35,6 +35,8 @@
 	reader *backend
 	source *Source
 	spent  []Source
+	// booked is what a keeper counts for the call.
+	booked *booking
 	// avoided were tried for this call in vain.
 	avoided []*backend
 	ended   bool
--- a/internal/scheduler/window.go
+++ b/internal/scheduler/window.go
@@ -27,6 +27,10 @@
 	// reported is when the latest report was made.
 	reported atomic.Int64
 
+	// asks is whether counts are asked for before reads, outbox what keepers are to know.
+	asks   atomic.Bool
+	outbox outbox
+
 	// mutex guards what replaces the board and the ledgers' map.
 	mutex   sync.Mutex
 	ledgers atomic.Pointer[map[string]*ledger]
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -7,8 +7,10 @@
 	"math"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"time"
 
+	"seamloom.example/seamloom/internal/backlog"
 	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/membership"
 )
@@ -33,6 +35,8 @@
 	crossed                       float64
 	orders, dispatches, opened    int
 	idle                          map[connectionEnds]*connections
+	ledger                        backlog.Ledger
+	asked, toldOf                 int
 	news                          time.Duration
 	calls                         int
 	ways                          map[string]*wayTally
@@ -811,11 +815,14 @@
 }
 
 func (world *world) follow(asked *asked, decision Decision) {
+	world.tell(asked.courier)
 	tally := world.tallyOf(asked.class.name)
 	for _, source := range decision.Free {
 		world.free(source)
 	}
 	switch decision.Kind {
+	case Ask:
+		world.consult(asked, decision)
 	case Read, Run:
 		world.dispatch(asked, decision)
 	case Refuse:
@@ -852,6 +859,42 @@
 	}
 }
 
+// consult brings a call's questions to the keepers of counts and back.
+func (world *world) consult(asked *asked, decision Decision) {
+	router := strconv.Itoa(asked.courier)
+	answers := map[string]backlog.Answer{}
+	world.after(askTakes/2, func() {
+		for _, question := range decision.Questions {
+			question.Router = router
+			answers[question.Group] = world.ledger.Apply(world.now, question)
+			world.asked++
+		}
+	})
+	world.after(askTakes, func() {
+		world.follow(asked, world.windows[asked.courier].Told(world.now, asked.ticket, answers))
+	})
+}
+
+// askTakes is how many milliseconds a question to a keeper takes there and back, tellAfter
+// how long it takes until a change is told of.
+const (
+	askTakes  = 3.0
+	tellAfter = 2.0
+)
+
+// tell brings a router's changes to the keepers of counts.
+func (world *world) tell(courier int) {
+	if !world.windows[courier].HasChanges() {
+		return
+	}
+	world.after(tellAfter, func() {
+		for group, changes := range world.windows[courier].TakeChanges() {
+			world.ledger.Apply(world.now, backlog.Question{Router: strconv.Itoa(courier), Group: group, Changes: changes})
+			world.toldOf++
+		}
+	})
+}
+
 // rank tells which reader of the call's chain a server is.
 func (world *world) rank(call *Call, server *worldServer) string {
 	rank := 0
