--- a/cmd/rehearsal/main.go
+++ b/cmd/rehearsal/main.go
@@ -45,7 +45,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "rehearsal", Short: "seamloom's test kit", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), capacityCommand(), regionsCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(membership.Courier), stageCommand(membership.Expediter))
+	root.AddCommand(fleetCommand(), runCommand(), seasonCommand(), worldsCommand(), removalsCommand(), eachCommand(), regionsCommand(), compareCommand(), platformDayCommand(), platformDaysCommand(), stageCommand(membership.Courier), stageCommand(membership.Expediter))
 	if err := root.Execute(); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "rehearsal:", err)
 		var mistaken mistaken
--- /dev/null
+++ b/internal/rehearsal/compare/plot.go
@@ -0,0 +1,33 @@
+package compare
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"seamloom.example/seamloom/internal/failure"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// SavePlot draws the difference of each day's worth.
+//
+// Example:
+//
+//	failure := comparison.SavePlot("worth.png")
+func (comparison Comparison) SavePlot(file string) error {
+	drawing := plot.New()
+	drawing.Title.Text = "worth, after less before, day by day"
+	drawing.Y.Label.Text = "difference"
+	bars, err := plotter.NewBarChart(plotter.Values(comparison.Worth), plotWidth/vg.Length(2*max(1, len(comparison.Worth))))
+	if err != nil {
+		return failure.Wrap(failure.Garbage, err)
+	}
+	drawing.Add(bars, plotter.NewGrid())
+	drawing.NominalX(comparison.Days...)
+	return failure.Wrap(failure.Disk, drawing.Save(plotWidth, plotHeight, file))
+}
