Failing servers are told of; the retry budget is that of a sliding span

The purse held one try at the most (0.45 of the slack over 90 routers), so that a second failure in a row lost its call while the fleet's budget was hardly used; and each router found each failing server out for itself. A failure of a call that may run once did not even count against its server. Change: the budget counts calls and further tries over the span and allows what they and the router's share of the slack come to, at once; tries that may be needed are reserved out of half of it. Routers tell the primary which servers failed their calls; what routers of two zones report is ejected for 1.5 s and tried again by an eighth of them (`internal/outlier`). A 5xx counts against its server whatever the call's kind. The second reader of a chain is believed more (0.5), the room for reading at runners is 0.6 of the pause. TestUnneededTryIsPaidBack fills the new budget by its age; TestSilentServersAreLeft takes what was read elsewhere away again before it asks whether the home is left.

--- a/internal/hatch/counter.go
+++ b/internal/hatch/counter.go
@@ -116,6 +116,7 @@
 	current.asked[name] = arrived
 	expediter.mutex.Unlock()
 	if courier {
+		expediter.lists.noteFailing(arrived, question)
 		current.Holds.Note(arrived, name, question.InForce.Number)
 		expediter.confirmed.Ring()
 	}
--- /dev/null
+++ b/internal/hatch/countkeepers_test.go
@@ -0,0 +1,183 @@
+package hatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/adapters/threads"
+	"seamloom.example/seamloom/internal/adapters/wallclock"
+	"seamloom.example/seamloom/internal/backlog"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
+)
+
+// keeperLine joins keepers by direct calls; those that are down don't answer.
+type keeperLine struct {
+	mutex   sync.Mutex
+	keepers map[string]*CountKeepers
+	down    map[string]bool
+	calls   atomic.Int64
+}
+
+func (line *keeperLine) CallRaw(address, path string, body []byte, _ time.Duration) ([]byte, error) {
+	line.calls.Add(1)
+	line.mutex.Lock()
+	keeper, down := line.keepers[address], line.down[address]
+	line.mutex.Unlock()
+	if down || keeper == nil || path != CountsPath {
+		return nil, failure.New(failure.Unreachable, "nobody answers")
+	}
+	var question backlog.Question
+	if err := msgpack.Unmarshal(body, &question); err != nil {
+		return nil, failure.Wrap(failure.Garbage, err)
+	}
+	answer, err := keeper.Answer(question)
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(answer)
+}
+
+// keeperFleet is six nodes in two zones.
+func keeperFleet(t *testing.T) (*keeperLine, map[string]*CountKeepers) {
+	t.Helper()
+	turns := threads.New(t.Context(), wallclock.New())
+	line := &keeperLine{keepers: map[string]*CountKeepers{}, down: map[string]bool{}}
+	members := map[string]membership.Member{"expediter-1": {Name: "expediter-1", Kind: membership.Expediter, Address: "e1", District: "north"}}
+	all := map[string]*CountKeepers{}
+	for position, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		zone := []string{"north", "south"}[position%2]
+		members[name] = membership.Member{Name: name, Kind: membership.Courier, Address: "at-" + name, District: zone}
+		all[name] = NewCountKeepers(turns, line, scheduler.New(scheduler.Options{Courier: name, District: zone}), name, "life-of-"+name)
+		line.keepers["at-"+name] = all[name]
+	}
+	for _, keepers := range all {
+		keepers.SetNodes(members)
+	}
+	return line, all
+}
+
+func asks(group, server string, tokens int) []backlog.Question {
+	return []backlog.Question{{Group: group, Asks: true, Intent: &backlog.Change{Server: server, Tokens: tokens}}}
+}
+
+// TestNodesAgreeOnTheKeeper has every node see what the others intend, in a group of its
+// own zone and in one of the other.
+func TestNodesAgreeOnTheKeeper(t *testing.T) {
+	_, all := keeperFleet(t)
+	for _, group := range []string{"desk/north/0", "desk/south/1", "desk/elsewhere/0"} {
+		want := 0
+		for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+			answer, answered := all[name].Ask(asks(group, "s", 100))[group]
+			if !answered {
+				t.Fatalf("%s has no answer for %s", name, group)
+			}
+			got := 0
+			for _, count := range answer.Counts {
+				got += count.Tokens
+			}
+			if got != want {
+				t.Errorf("%s is told of %d tokens in %s, want %d", name, got, group, want)
+			}
+			want += 100
+		}
+	}
+}
+
+// TestKeeperInTheZone has the keeper of a group be a node of the group's zone.
+func TestKeeperInTheZone(t *testing.T) {
+	_, all := keeperFleet(t)
+	for _, group := range []string{"desk/north/0", "desk/north/1", "desk/north/2"} {
+		if keeper, found := all["b"].keeper(group); !found || keeper.District != "north" || keeper.Kind != membership.Courier {
+			t.Errorf("%s is kept by %+v", group, keeper)
+		}
+	}
+}
+
+// TestSilentKeeperIsPassedOver has a keeper die: the call that meets it has no answer, the
+// next ones have the next keeper's, and the dead one is not asked again for a while.
+func TestSilentKeeperIsPassedOver(t *testing.T) {
+	line, all := keeperFleet(t)
+	const group = "desk/north/0"
+	first, _ := all["b"].keeper(group)
+	line.mutex.Lock()
+	line.down[first.Address] = true
+	line.mutex.Unlock()
+	if answers := all["b"].Ask(asks(group, "s", 100)); len(answers) != 0 {
+		t.Errorf("a dead keeper answers: %v", answers)
+	}
+	before := line.calls.Load()
+	for range 5 {
+		if answers := all["b"].Ask(asks(group, "s", 100)); len(answers) != 1 {
+			t.Error("no answer of the next keeper")
+		}
+	}
+	if asked := line.calls.Load() - before; asked > 5 {
+		t.Errorf("%d messages for 5 questions", asked)
+	}
+	if next, _ := all["b"].keeper(group); next.Name == first.Name {
+		t.Error("the dead keeper is still the keeper")
+	}
+}
+
+// TestSeveralGroupsAtOnce has one ask bring all answers that there are.
+func TestSeveralGroupsAtOnce(t *testing.T) {
+	line, all := keeperFleet(t)
+	line.mutex.Lock()
+	for _, name := range []string{"b", "d", "f"} {
+		line.down["at-"+name] = true
+	}
+	line.mutex.Unlock()
+	questions := append(asks("desk/north/0", "s", 1), asks("desk/south/0", "s", 1)...)
+	answers := all["a"].Ask(questions)
+	if _, found := answers["desk/north/0"]; !found || len(answers) != 1 {
+		t.Errorf("%v", answers)
+	}
+}
+
+// readingExchange looks on while a prompt is read.
+type readingExchange struct {
+	scriptedExchange
+	during func()
+}
+
+func (exchange *readingExchange) Read(decision scheduler.Decision) scheduler.Outcome {
+	exchange.during()
+	return exchange.scriptedExchange.Read(decision)
+}
+
+// TestCallsAskBeforeReads has a call counted while its prompt is read, and not after.
+func TestCallsAskBeforeReads(t *testing.T) {
+	_, all := keeperFleet(t)
+	calls, _ := newCalls(t, "prefill", "decode")
+	calls.window.SetAsks(true)
+	keepers := all["a"]
+	keepers.window = calls.window
+	calls.SetKeepers(keepers)
+	counted := func() []backlog.Change {
+		return all["b"].Ask([]backlog.Question{{Group: "desk/north/0", Asks: true}})["desk/north/0"].Counts
+	}
+	exchange := &readingExchange{scriptedExchange: scriptedExchange{outcomes: []scheduler.Outcome{{Result: scheduler.Complete, Handle: "h"}, {Result: scheduler.Complete}}}}
+	exchange.during = func() {
+		if counts := counted(); len(counts) != 1 || counts[0].Server != "stove-a" || counts[0].Tokens != 9000 {
+			t.Errorf("while the prompt is read: %v", counts)
+		}
+	}
+	call := arriving("/once/")
+	call.PromptTokens = 9000
+	calls.Serve(call, exchange)
+	for group, changes := range calls.window.TakeChanges() {
+		keepers.bring(backlog.Question{Group: group, Changes: changes})
+	}
+	if counts := counted(); len(counts) != 0 {
+		t.Errorf("after the prompt was read: %v", counts)
+	}
+	if len(exchange.done) != 2 {
+		t.Errorf("done: %v", exchange.done)
+	}
+}
--- a/internal/hatch/courier.go
+++ b/internal/hatch/courier.go
@@ -85,6 +85,7 @@
 		courier.board = options.Board(courier.core.Calls())
 		courier.keepers = NewCountKeepers(turns, line, courier.core.Calls(), options.Courier, courier.incarnation)
 		courier.core.Calls().SetAsks(true)
+		courier.followed.TellFailing(courier.core.Calls().TakeFailing)
 		courier.board.SetKeepers(courier.keepers)
 	}
 	courier.followed.Follow(options.Directory != nil, courier.board != nil)
@@ -327,6 +328,7 @@
 		courier.takeServers(news.Servers.At, news.Servers.Servers)
 	}
 	if len(news.Loads) > 0 {
+		courier.core.Calls().SetOutliers(courier.turns.Now(), news.Outliers)
 		courier.Apply(pass.Event{Kind: pass.LoadsReported, Loads: news.Loads})
 	}
 }
--- a/internal/hatch/follower.go
+++ b/internal/hatch/follower.go
@@ -6,6 +6,7 @@
 
 	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/outlier"
 	"seamloom.example/seamloom/internal/replication"
 	"seamloom.example/seamloom/internal/scheduler"
 )
@@ -39,6 +40,9 @@
 	// applyWithin is how soon a change has to be in force after its acknowledgement.
 	applyWithin time.Duration
 
+	// failing gives the servers that failed requests lately; nil: nobody knows.
+	failing func() []string
+
 	lists, loads bool
 	listMark     uint64
 	loadsMark    uint64
@@ -54,8 +58,10 @@
 	Provisional bool
 	// Servers is the list as the primary has it, if it has one.
 	Servers *Listed
-	// Loads are the servers' reports, if there are newer ones.
-	Loads []scheduler.Load
+	// Loads are the servers' reports, if there are newer ones, Outliers what comes with
+	// them.
+	Loads    []scheduler.Load
+	Outliers outlier.Advice
 }
 
 // Listed is a list of servers and when it was read.
@@ -140,6 +146,17 @@
 	follower.lists, follower.loads = lists, loads
 }
 
+// TellFailing gives the way to the servers that failed requests lately: each is told once.
+//
+// Example:
+//
+//	followed.TellFailing(core.Calls().TakeFailing)
+func (follower *Follower) TellFailing(failing func() []string) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.failing = failing
+}
+
 // ForgetList has the primary tell its list of servers anew.
 //
 // Example:
@@ -284,6 +301,9 @@
 	}
 	held, margin := follower.waits()
 	question.Patience = held
+	if follower.failing != nil {
+		question.Failing = follower.failing()
+	}
 	return question, held + margin
 }
 
@@ -355,6 +375,7 @@
 	}
 	if said := news.Answer.Loads; said != nil && follower.loads {
 		follower.loadsMark = said.Mark
+		news.Outliers = said.Outliers
 		late := follower.turns.Now().Sub(told)
 		for _, line := range said.Lines {
 			news.Loads = append(news.Loads, line.load(late))
--- a/internal/hatch/lists.go
+++ b/internal/hatch/lists.go
@@ -9,6 +9,7 @@
 	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/lease"
 	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/outlier"
 	"seamloom.example/seamloom/internal/scheduler"
 )
 
@@ -25,6 +26,7 @@
 	reports   map[string]report
 	asking    map[string]bool
 	wantedAt  time.Time
+	outliers  outlier.Detector
 	failedFor string
 	// readAt is when this expediter last began to read for couriers without a primary.
 	readAt time.Time
@@ -165,7 +167,7 @@
 		}
 	}
 	if current := lists.reportsMark(); question.Loads && current != 0 && current != question.LoadsMark {
-		answer.Loads = &LoadsNews{Mark: current}
+		answer.Loads = &LoadsNews{Mark: current, Outliers: lists.outliers.Advice(now)}
 		for _, reported := range lists.reports {
 			if age := now.Sub(reported.at); age < reportKept {
 				answer.Loads.Lines = append(answer.Loads.Lines, reportOf(reported.load, age))
@@ -175,6 +177,18 @@
 	}
 }
 
+// noteFailing takes what a node met at servers.
+func (lists *lists) noteFailing(now time.Time, question NewsQuestion) {
+	if !question.Loads {
+		return
+	}
+	reporter := outlier.Reporter{Name: question.Member.Name, Zone: question.Member.District}
+	lists.outliers.Seen(reporter)
+	if len(question.Failing) > 0 {
+		lists.outliers.Report(now, reporter, question.Failing, len(lists.servers(now)))
+	}
+}
+
 // wanted lists the servers to ask for a report now: those listed that are not being
 // asked, if a courier follows reports.
 func (lists *lists) wanted(now time.Time) []membership.Server {
--- a/internal/hatch/loadsnews.go
+++ b/internal/hatch/loadsnews.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"seamloom.example/seamloom/internal/outlier"
 	"seamloom.example/seamloom/internal/scheduler"
 )
 
@@ -11,6 +12,8 @@
 type LoadsNews struct {
 	Mark  uint64       `msgpack:"mark"`
 	Lines []loadReport `msgpack:"lines"`
+	// Outliers are the servers that are better left alone, by what all nodes met there.
+	Outliers outlier.Advice `msgpack:"outliers,omitempty"`
 }
 
 // loadReport is one server's report, as short as it can be: three times a second it
--- a/internal/hatch/newsquestion.go
+++ b/internal/hatch/newsquestion.go
@@ -27,6 +27,8 @@
 	ListMark  uint64 `msgpack:"list_mark,omitempty"`
 	Loads     bool   `msgpack:"loads,omitempty"`
 	LoadsMark uint64 `msgpack:"loads_mark,omitempty"`
+	// Failing are the servers that failed requests of this node since its last question.
+	Failing []string `msgpack:"failing,omitempty"`
 	// Brief asks only who leads: the answer has no content and no hold. An older release
 	// answers it in full.
 	Brief bool `msgpack:"brief,omitempty"`
--- /dev/null
+++ b/internal/outlier/detector.go
@@ -0,0 +1,170 @@
+// Package outlier finds model servers that fail the requests of several routers, whatever
+// their health checks say, so that the other routers need not find out by themselves. What
+// it tells is advice: a router that has better knowledge of its own keeps to that.
+package outlier
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// The measures of the detection. The values are ours.
+const (
+	// window is how far back reports count together.
+	window = 1200 * time.Millisecond
+	// leastReporters and leastZones are how many routers, and of how many zones, have to
+	// report a server: the routers of one zone may have lost the way to it.
+	leastReporters = 2
+	leastZones     = 2
+	// firstEjection is how long a server is left alone at first, twice as long each time
+	// that it fails its trial, up to longestEjection.
+	firstEjection   = 1500 * time.Millisecond
+	longestEjection = 6 * time.Second
+	// trial is how long a few routers try a server before all use it again.
+	trial = time.Second
+	// memory is how long after a server's return its ejections are remembered.
+	memory = 10 * time.Second
+	// mostEjected is the part of the servers that may be ejected at a time: when more
+	// fail, something else is broken.
+	mostEjected = 3
+)
+
+// Reporter is a router that reports.
+type Reporter struct{ Name, Zone string }
+
+// Advice lists the servers that are ejected, and those on trial, in order.
+type Advice struct {
+	Ejected []string `msgpack:"ejected,omitempty"`
+	Trial   []string `msgpack:"trial,omitempty"`
+}
+
+// Detector collects the reports of all routers. The zero value is ready to use.
+type Detector struct {
+	mutex   sync.Mutex
+	servers map[string]*server
+	// zones are the zones that ever asked or reported.
+	zones map[string]bool
+}
+
+type server struct {
+	reports map[Reporter]time.Time
+	// ejections counts the ejections in a row; until is the end of the latest.
+	ejections int
+	until     time.Time
+}
+
+// Seen notes that a router is there, whether it reports anything or not.
+//
+// Example:
+//
+//	detector.Seen(outlier.Reporter{Name: "router-1", Zone: "north"})
+func (detector *Detector) Seen(reporter Reporter) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	if detector.zones == nil {
+		detector.zones = map[string]bool{}
+	}
+	detector.zones[reporter.Zone] = true
+}
+
+// Report takes which servers failed a router's requests lately. Listed is how many servers
+// there are.
+//
+// Example:
+//
+//	detector.Report(now, reporter, []string{"server-7"}, 90)
+func (detector *Detector) Report(now time.Time, reporter Reporter, failing []string, listed int) {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	for _, name := range failing {
+		detector.report(now, reporter, name, listed)
+	}
+}
+
+func (detector *Detector) report(now time.Time, reporter Reporter, name string, listed int) {
+	known, found := detector.servers[name]
+	if !found {
+		known = &server{reports: map[Reporter]time.Time{}}
+		if detector.servers == nil {
+			detector.servers = map[string]*server{}
+		}
+		detector.servers[name] = known
+	}
+	if now.Before(known.until) {
+		// What was under way before the ejection tells nothing new.
+		return
+	}
+	known.reports[reporter] = now
+	if !known.onTrial(now) && !detector.agreed(now, known) || detector.ejected(now) >= max(1, listed/mostEjected) {
+		return
+	}
+	length := min(firstEjection<<min(known.ejections, 8), longestEjection)
+	known.ejections++
+	known.until = now.Add(length)
+	clear(known.reports)
+}
+
+// onTrial tells whether the server's last ejection ended a moment ago.
+func (server *server) onTrial(now time.Time) bool {
+	return server.ejections > 0 && !now.Before(server.until) && now.Before(server.until.Add(trial))
+}
+
+// agreed tells whether enough routers of enough zones reported the server.
+func (detector *Detector) agreed(now time.Time, server *server) bool {
+	zones, reporters := map[string]bool{}, 0
+	for reporter, at := range server.reports {
+		if now.Sub(at) > window {
+			delete(server.reports, reporter)
+			continue
+		}
+		zones[reporter.Zone] = true
+		reporters++
+	}
+	return reporters >= leastReporters && len(zones) >= min(leastZones, len(detector.zones))
+}
+
+func (detector *Detector) ejected(now time.Time) int {
+	count := 0
+	for _, known := range detector.servers {
+		if now.Before(known.until) {
+			count++
+		}
+	}
+	return count
+}
+
+// Advice tells what routers should do now.
+//
+// Example:
+//
+//	answer.Outliers = detector.Advice(now)
+func (detector *Detector) Advice(now time.Time) Advice {
+	detector.mutex.Lock()
+	defer detector.mutex.Unlock()
+	var advice Advice
+	for name, known := range detector.servers {
+		switch {
+		case now.Before(known.until):
+			advice.Ejected = append(advice.Ejected, name)
+		case known.onTrial(now):
+			advice.Trial = append(advice.Trial, name)
+		case known.ejections > 0 && now.Before(known.until.Add(memory)):
+		case !known.lately(now):
+			delete(detector.servers, name)
+		}
+	}
+	sort.Strings(advice.Ejected)
+	sort.Strings(advice.Trial)
+	return advice
+}
+
+// lately tells whether any report still counts.
+func (server *server) lately(now time.Time) bool {
+	for _, at := range server.reports {
+		if now.Sub(at) <= window {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -38,6 +38,8 @@
 	slow     slowness
 	// told is the latest count of what all routers have the server read.
 	told atomic.Pointer[told]
+	// outlierUntil is how long the server counts as one that fails other routers.
+	outlierUntil atomic.Int64
 	// idle are the connections that the next calls may use.
 	idle  connections
 	kept  kept
--- a/internal/scheduler/arrive.go
+++ b/internal/scheduler/arrive.go
@@ -60,7 +60,7 @@
 	if !found || choice.late(way) {
 		return window.finish(now, ticket, refusal(Full, choice.relief(way, found), ticket.ends.Sub(now)))
 	}
-	choice.ledger.purse.first(now, window.options.FurtherTries, choice.sharers)
+	choice.ledger.retries.first(now, window.options.FurtherTries)
 	return choice.send(kind, way)
 }
 
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -191,6 +191,8 @@
 	}
 	if backend.trust.doubted(choice.now, backend.running.Load()+backend.reading.Load()) {
 		cost += choice.costs.distrust
+	} else if backend.outlier(choice.now) {
+		cost += choice.costs.outlier
 	}
 	if backend.cold(choice.now) {
 		cost += choice.costs.cold
@@ -226,7 +228,7 @@
 
 const (
 	// pauseShare leaves the rest of the pause to the usual time between two events.
-	pauseShare = 0.8
+	pauseShare = 0.6
 	// unsaidGap is the pause where no route says one.
 	unsaidGap = 200 * time.Millisecond
 )
--- a/internal/scheduler/costs.go
+++ b/internal/scheduler/costs.go
@@ -22,8 +22,10 @@
 	refusal float64
 	// stuck is for each millisecond that nothing has come from a server for too long.
 	stuck float64
-	// distrust and cold are for servers that failed or are cold.
+	// distrust, outlier and cold are for servers that failed this router or others, or are
+	// cold.
 	distrust float64
+	outlier  float64
 	cold     float64
 	// pauseHarm is what each other call loses when reading holds its tokens up for as long
 	// as its route allows.
@@ -47,6 +49,6 @@
 }
 
 func standardCosts() costs {
-	return costs{crossingKilobyte: 4, moveThousand: 1.2, moveFar: 2.5, again: 150, second: 10, lastTry: 60, wasted: 10, refusal: 1500, stuck: 3, distrust: 2000, cold: 60,
-		pauseHarm: 60, connection: 15, fullness: 60, spread: 4, waitWeight: 1, home: 0.8, next: 0.25, runner: 0.5, awayThousand: 3}
+	return costs{crossingKilobyte: 4, moveThousand: 1.2, moveFar: 2.5, again: 150, second: 10, lastTry: 60, wasted: 10, refusal: 1500, stuck: 3, distrust: 2000, outlier: 1000, cold: 60,
+		pauseHarm: 60, connection: 15, fullness: 60, spread: 4, waitWeight: 1, home: 0.8, next: 0.5, runner: 0.5, awayThousand: 3}
 }
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -75,7 +75,7 @@
 			ticket.counted++
 		}
 	}
-	backend.trust.fail(now)
+	window.failed(now, backend, outcome.Result)
 	ticket.avoided = append(ticket.avoided, backend)
 	return window.next(now, ticket, lastWord{})
 }
@@ -106,10 +106,13 @@
 		}
 	case Answered:
 		ticket.ran = true
-		if !ticket.repeatable() || outcome.Status < 500 {
+		if outcome.Status < 500 {
+			return window.finish(now, ticket, Decision{Kind: Through})
+		}
+		window.failed(now, backend, outcome.Result)
+		if !ticket.repeatable() {
 			return window.finish(now, ticket, Decision{Kind: Through})
 		}
-		backend.trust.fail(now)
 		ticket.avoided = append(ticket.avoided, backend)
 		return window.next(now, ticket, lastWord{Kind: Through})
 	case Cut:
@@ -117,7 +120,7 @@
 	default:
 		ticket.ran = true
 	}
-	backend.trust.fail(now)
+	window.failed(now, backend, outcome.Result)
 	ticket.avoided = append(ticket.avoided, backend)
 	return window.next(now, ticket, lastWord{})
 }
@@ -149,11 +152,8 @@
 	if !found || ticket.source == nil && choice.late(way) {
 		return window.end(now, ticket, answer, choice.relief(way, found))
 	}
-	if owed := ticket.counted - ticket.paid; owed > 0 {
-		if !choice.ledger.purse.spend(now, owed, window.options.FurtherTries, choice.sharers) {
-			return window.end(now, ticket, answer, soon)
-		}
-		ticket.paid += owed
+	if !choice.pay() {
+		return window.end(now, ticket, answer, soon)
 	}
 	decision := choice.send(kind, way)
 	if kind == Read && ticket.taken {
@@ -163,6 +163,24 @@
 	return decision
 }
 
+// pay counts what the call was sent beyond its first try and has not paid for yet, a
+// reserved try first.
+func (choice *choice) pay() bool {
+	ticket, allowance := choice.ticket, choice.window.options.FurtherTries
+	owed := ticket.counted - ticket.paid
+	if owed > 0 && ticket.reserved {
+		choice.ledger.retries.redeem(choice.now, allowance)
+		ticket.reserved = false
+		ticket.paid++
+		owed--
+	}
+	if !choice.ledger.retries.spend(choice.now, owed, allowance, choice.sharers) {
+		return false
+	}
+	ticket.paid = max(ticket.paid, ticket.counted)
+	return true
+}
+
 // dearest is what a further run may cost: more where a stream has begun, which would be
 // broken off.
 func (choice *choice) dearest() float64 {
@@ -195,8 +213,9 @@
 
 // finish gives back memory that nobody takes and forgets the call.
 func (window *Window) finish(now time.Time, ticket *Ticket, decision Decision) Decision {
-	if unused := ticket.paid - max(0, ticket.counted-1); unused > 0 && ticket.reserved {
-		window.ledger(ticket.service.Name).purse.refund(now, unused, window.options.FurtherTries, window.sharers())
+	if ticket.reserved {
+		ticket.reserved = false
+		window.ledger(ticket.service.Name).retries.release()
 	}
 	if ticket.source != nil {
 		ticket.spent = append(ticket.spent, *ticket.source)
@@ -212,10 +231,10 @@
 // learn takes how long a dispatch took to its answer's beginning.
 func (window *Window) learn(now time.Time, ticket *Ticket, sent dispatch, first time.Time) {
 	backend := sent.backend
-	backend.trust.succeed()
+	backend.trust.succeed(now)
 	if sent.source != nil && ticket.reader != nil {
-		backend.takes.succeed()
-		ticket.reader.hands.succeed()
+		backend.takes.succeed(now)
+		ticket.reader.hands.succeed(now)
 		ticket.reader.handed.Store(now.UnixNano())
 		if !sent.began {
 			window.keeps(ticket, &sent)
--- a/internal/scheduler/failures_test.go
+++ b/internal/scheduler/failures_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// TestGivingUpHasATryBehindIt wants patience only where the purse has paid for another
-// try, and the payment back when it was not needed.
+// TestGivingUpHasATryBehindIt wants patience only where the retry budget has kept
+// another try, and the try back when it was not needed.
 func TestGivingUpHasATryBehindIt(t *testing.T) {
 	calls := opened(9)
 	calls.SetCouriers(1)
@@ -95,13 +95,13 @@
 }
 
 // TestUnneededTryIsPaidBack has calls end well that a try was paid for, many more than
-// the purse holds.
+// the budget holds.
 func TestUnneededTryIsPaidBack(t *testing.T) {
 	calls := opened(9)
 	calls.SetCouriers(1)
 	now, patient := noon.Add(10*time.Second), 0
 	ledger := calls.ledger("desk")
-	ledger.purse.refund(now, 3, calls.options.FurtherTries, 1)
+	ledger.retries.since = now.Add(-calls.options.FurtherTries.Span)
 	for number := range 50 {
 		ticket, decision := calls.Arrive(now, longCall(fmt.Sprint(number), uint64(number)))
 		if decision.Patience > 0 {
@@ -142,9 +142,12 @@
 	ticket, decision := calls.Arrive(noon, longCall("a", 77))
 	calls.Arrive(noon, longCall("b", 77))
 	now = noon.Add(900 * time.Millisecond)
-	if _, second := calls.Arrive(now, longCall("c", 77)); second.Server.Name == decision.Server.Name {
+	away, second := calls.Arrive(now, longCall("c", 77))
+	if second.Server.Name == decision.Server.Name {
 		t.Error("a call to a server from which nothing comes")
 	}
+	// What was read elsewhere meanwhile draws nothing there: the client left.
+	calls.Ended(now, away, Outcome{Result: Gone})
 	calls.Ended(now, ticket, Outcome{Result: Complete, Handle: "h"})
 	if _, second := calls.Arrive(now, longCall("d", 77)); second.Server.Name != decision.Server.Name {
 		t.Error("the home is left though something came")
--- /dev/null
+++ b/internal/scheduler/outliers.go
@@ -0,0 +1,100 @@
+package scheduler
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"seamloom.example/seamloom/internal/outlier"
+)
+
+// What other routers met at a server counts for this one where it has no better knowledge
+// of its own. The values are ours.
+const (
+	// adviceLasts is how long advice holds when no more news comes.
+	adviceLasts = 3 * time.Second
+	// ownWord is how long a success of this router's own outweighs advice.
+	ownWord = time.Second
+	// trialShare is the part of the routers that use a server on trial, one of so many.
+	trialShare = 8
+)
+
+// failures are the servers that failed since they were last told of.
+type failures struct {
+	mutex   sync.Mutex
+	servers map[string]bool
+}
+
+func (failures *failures) add(server string) {
+	failures.mutex.Lock()
+	defer failures.mutex.Unlock()
+	if failures.servers == nil {
+		failures.servers = map[string]bool{}
+	}
+	failures.servers[server] = true
+}
+
+// TakeFailing are the servers that failed calls since it was last asked, in order.
+//
+// Example:
+//
+//	question.Failing = calls.TakeFailing()
+func (window *Window) TakeFailing() []string {
+	window.failures.mutex.Lock()
+	defer window.failures.mutex.Unlock()
+	if len(window.failures.servers) == 0 {
+		return nil
+	}
+	servers := make([]string, 0, len(window.failures.servers))
+	for server := range window.failures.servers {
+		servers = append(servers, server)
+	}
+	window.failures.servers = nil
+	sort.Strings(servers)
+	return servers
+}
+
+// SetOutliers takes the advice that comes of what all routers met.
+//
+// Example:
+//
+//	calls.SetOutliers(now, answer.Outliers)
+func (window *Window) SetOutliers(now time.Time, advice outlier.Advice) {
+	board := window.board.Load()
+	until := now.Add(adviceLasts).UnixNano()
+	avoided := make(map[string]bool, len(advice.Ejected)+len(advice.Trial))
+	for _, name := range advice.Ejected {
+		avoided[name] = true
+	}
+	for _, name := range advice.Trial {
+		if backend, found := board.byName[name]; found && !window.tries(backend) {
+			avoided[name] = true
+		}
+	}
+	for _, backend := range board.all {
+		if avoided[backend.server.Name] {
+			backend.outlierUntil.Store(until)
+		} else if backend.outlierUntil.Load() != 0 {
+			backend.outlierUntil.Store(0)
+		}
+	}
+}
+
+// tries tells whether this router is one of those that use a server on trial.
+func (window *Window) tries(backend *backend) bool {
+	return window.sharers() <= trialShare || weigh(nameKey(window.options.Courier), backend.key)%trialShare == 0
+}
+
+// outlier tells whether other routers failed at the server and this one knows no better.
+func (backend *backend) outlier(now time.Time) bool {
+	return now.UnixNano() < backend.outlierUntil.Load() && now.UnixNano()-backend.trust.succeeded.Load() > int64(ownWord)
+}
+
+// failed notes that a server failed a call. One that turns calls away, or is not the one
+// that was meant, fails nobody else for that.
+func (window *Window) failed(now time.Time, backend *backend, result Result) {
+	backend.trust.fail(now)
+	if result != NotStarted && result != Misdirected {
+		window.failures.add(backend.server.Name)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/outliers_test.go
@@ -0,0 +1,100 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/outlier"
+)
+
+// TestOutliersAreLeft wants no call at a server that failed other routers, until they say
+// so no more.
+func TestOutliersAreLeft(t *testing.T) {
+	calls := opened(9)
+	ticket, decision := calls.Arrive(noon, chatCall("first"))
+	bad := decision.Server.Name
+	calls.Ended(noon, ticket, Outcome{Result: Gone})
+	calls.SetOutliers(noon, outlier.Advice{Ejected: []string{bad}})
+	count := func(now time.Time) int {
+		sent := 0
+		for number := range 40 {
+			now = now.Add(20 * time.Millisecond)
+			call := chatCall(fmt.Sprint(now.UnixNano(), number))
+			call.Parts = call.Parts[2:]
+			ticket, decision := calls.Arrive(now, call)
+			if decision.Server.Name == bad {
+				sent++
+			}
+			calls.Ended(now, ticket, Outcome{Result: Complete, First: now})
+		}
+		return sent
+	}
+	if sent := count(noon); sent != 0 {
+		t.Errorf("%d calls at an outlier", sent)
+	}
+	calls.SetOutliers(noon.Add(time.Second), outlier.Advice{})
+	if sent := count(noon.Add(time.Second)); sent == 0 {
+		t.Error("no calls at a server that is no outlier any more")
+	}
+	calls.SetOutliers(noon.Add(2*time.Second), outlier.Advice{Ejected: []string{bad}})
+	if sent := count(noon.Add(2*time.Second + adviceLasts)); sent == 0 {
+		t.Error("old advice still holds")
+	}
+}
+
+// TestOwnWordOutweighsAdvice has a router that a server serves well go on using it.
+func TestOwnWordOutweighsAdvice(t *testing.T) {
+	calls := opened(9)
+	backend := calls.board.Load().byName["stove-5"]
+	backend.trust.succeed(noon)
+	calls.SetOutliers(noon, outlier.Advice{Ejected: []string{"stove-5"}})
+	if backend.outlier(noon.Add(ownWord)) {
+		t.Error("a server that serves this router well is an outlier")
+	}
+	if !backend.outlier(noon.Add(ownWord + 1)) {
+		t.Error("an old success outweighs the others' word")
+	}
+}
+
+// TestFailingServersAreTold has a server that fails calls told of once, also when the call
+// may not be repeated, and one that turns calls away not at all.
+func TestFailingServersAreTold(t *testing.T) {
+	calls := opened(9)
+	ticket, decision := calls.Arrive(noon, chatCall("a"))
+	failing := decision.Server.Name
+	decision = calls.Ended(noon, ticket, Outcome{Result: Answered, Status: 500, First: noon})
+	if decision.Kind != Through {
+		t.Fatalf("%+v", decision)
+	}
+	if told := calls.TakeFailing(); !slices.Equal(told, []string{failing}) {
+		t.Errorf("told of %v", told)
+	}
+	ticket, decision = calls.Arrive(noon, chatCall("b"))
+	if decision.Server.Name == failing {
+		t.Error("the next call goes to the server that has just failed one")
+	}
+	calls.Ended(noon, ticket, Outcome{Result: NotStarted, Status: 503})
+	if told := calls.TakeFailing(); len(told) != 0 {
+		t.Errorf("told of %v", told)
+	}
+}
+
+// TestFewRoutersTry has a server on trial used by some routers only.
+func TestFewRoutersTry(t *testing.T) {
+	trying := 0
+	for number := range 90 {
+		calls := New(Options{Courier: fmt.Sprint("courier-", number), District: "north"})
+		calls.SetCouriers(90)
+		calls.SetProgram(Compile(plan(nil), 1, 1))
+		calls.SetServers(noon, servers(9))
+		calls.SetOutliers(noon, outlier.Advice{Trial: []string{"stove-5"}})
+		if !calls.board.Load().byName["stove-5"].outlier(noon) {
+			trying++
+		}
+	}
+	if trying < 3 || trying > 25 {
+		t.Errorf("%d of 90 routers try", trying)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/retrybudget.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"sync"
+	"time"
+)
+
+// retryBudget bounds what one router sends for a service beyond the first dispatch of each
+// call, so that all routers together stay in the allowance: in any span a part of its own
+// calls of that span, and its share of the slack. A burst of failures may use all of it at
+// once. The zero value is ready to use; it has no slack at first, since the router may have
+// been restarted after it had used its share.
+type retryBudget struct {
+	mutex sync.Mutex
+	// since is when the budget was first used, slot the number of the newest slot.
+	since time.Time
+	slot  int64
+	slots [budgetSlots]budgetSlot
+	// reserved are further tries that calls under way may need.
+	reserved int
+}
+
+// budgetSlot counts what happened in a part of the span.
+type budgetSlot struct{ first, further int }
+
+// The measures of the budget: how many slots a span has, and how much of the ratio and of
+// the slack is used. What is left is for slots that are partly outside of the span, and for
+// routers that are not counted yet. The values are ours.
+const (
+	budgetSlots     = 25
+	ratioUsed       = 0.85
+	slackUsed       = 0.6
+	reservableShare = 0.5
+)
+
+// first counts a call's first dispatch.
+func (budget *retryBudget) first(now time.Time, allowance Allowance) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.turn(now, allowance).first++
+}
+
+// spend counts so many further tries, or tells that there is no room for them.
+func (budget *retryBudget) spend(now time.Time, count int, allowance Allowance, routers int) bool {
+	if count <= 0 {
+		return true
+	}
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	slot := budget.turn(now, allowance)
+	if budget.used()+float64(count) > budget.room(now, allowance, routers) {
+		return false
+	}
+	slot.further += count
+	return true
+}
+
+// reserve keeps a further try for a call that may need one, out of a part of the budget:
+// the rest is for calls that do need one.
+func (budget *retryBudget) reserve(now time.Time, allowance Allowance, routers int) bool {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.turn(now, allowance)
+	if budget.used()+1 > reservableShare*budget.room(now, allowance, routers) {
+		return false
+	}
+	budget.reserved++
+	return true
+}
+
+// redeem counts a reserved try as sent.
+func (budget *retryBudget) redeem(now time.Time, allowance Allowance) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.turn(now, allowance).further++
+	budget.reserved--
+}
+
+// release gives a reserved try back.
+func (budget *retryBudget) release() {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.reserved--
+}
+
+// used is what of the room is taken.
+func (budget *retryBudget) used() float64 {
+	used := budget.reserved
+	for _, slot := range budget.slots {
+		used += slot.further
+	}
+	return float64(used)
+}
+
+// room is how many further tries the span allows.
+func (budget *retryBudget) room(now time.Time, allowance Allowance, routers int) float64 {
+	calls := 0
+	for _, slot := range budget.slots {
+		calls += slot.first
+	}
+	share := allowance.Slack * slackUsed / float64(max(1, routers))
+	grown := min(1, now.Sub(budget.since).Seconds()/allowance.Span.Seconds())
+	return allowance.Ratio*ratioUsed*float64(calls) + share*grown
+}
+
+// turn goes on to the slot of now and empties those that are outside of the span.
+func (budget *retryBudget) turn(now time.Time, allowance Allowance) *budgetSlot {
+	if budget.since.IsZero() {
+		budget.since = now
+	}
+	// One slot less than there are makes a span, so that the oldest is outside of it.
+	length := allowance.Span / (budgetSlots - 1)
+	current := now.Sub(budget.since).Nanoseconds() / length.Nanoseconds()
+	for steps := 0; budget.slot < current && steps < budgetSlots; steps++ {
+		budget.slot++
+		budget.slots[budget.slot%budgetSlots] = budgetSlot{}
+	}
+	budget.slot = max(budget.slot, current)
+	return &budget.slots[budget.slot%budgetSlots]
+}
--- a/internal/scheduler/send.go
+++ b/internal/scheduler/send.go
@@ -80,14 +80,11 @@
 	if wanted > left*2/3 || ticket.counted+1 >= ticket.ruling.calls.Tries {
 		return 0
 	}
-	// The further try is paid now: giving up without one behind it would lose the call.
-	if ticket.paid <= ticket.counted {
-		if !choice.ledger.purse.spend(choice.now, 1, choice.window.options.FurtherTries, choice.sharers) {
-			return 0
-		}
-		ticket.paid++
-		ticket.reserved = true
+	// The further try is reserved now: giving up without one behind it would lose the call.
+	if !ticket.reserved && !choice.ledger.retries.reserve(choice.now, choice.window.options.FurtherTries, choice.sharers) {
+		return 0
 	}
+	ticket.reserved = true
 	return wanted
 }
 
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -20,7 +20,8 @@
 	// dispatch is what is under way now.
 	dispatch dispatch
 	// counted is how many dispatches count as tries: all that reached a server but
-	// the first read that one took up. paid is how many of them the purse paid.
+	// the first read that one took up. paid is how many of them the retry budget
+	// has counted.
 	counted int
 	paid    int
 	// taken tells that a server took up a read, ran that the call may have run,
@@ -40,7 +41,7 @@
 	// avoided were tried for this call in vain.
 	avoided []*backend
 	ended   bool
-	// reserved tells that a further try was paid before it was needed.
+	// reserved tells that a further try is kept in the retry budget.
 	reserved bool
 }
 
--- a/internal/scheduler/trust.go
+++ b/internal/scheduler/trust.go
@@ -10,6 +10,8 @@
 type trust struct {
 	failures atomic.Int64
 	until    atomic.Int64
+	// succeeded is when a call last went well.
+	succeeded atomic.Int64
 }
 
 // The measures of trust. The values are ours.
@@ -33,7 +35,8 @@
 	}
 }
 
-func (trust *trust) succeed() {
+func (trust *trust) succeed(now time.Time) {
+	trust.succeeded.Store(now.UnixNano())
 	if trust.failures.Load() != 0 {
 		trust.failures.Store(0)
 		trust.until.Store(0)
--- a/internal/scheduler/window.go
+++ b/internal/scheduler/window.go
@@ -30,6 +30,8 @@
 	// asks is whether counts are asked for before reads, outbox what keepers are to know.
 	asks   atomic.Bool
 	outbox outbox
+	// failures are for the others to know.
+	failures failures
 
 	// mutex guards what replaces the board and the ledgers' map.
 	mutex   sync.Mutex
@@ -38,10 +40,10 @@
 
 // ledger is what the window keeps for one service.
 type ledger struct {
-	purse purse
-	pace  pace
-	runs  lasting
-	begin begin
+	retries retryBudget
+	pace    pace
+	runs    lasting
+	begin   begin
 	// pressure is what the parts of its servers go by.
 	pressure pressure
 }
