Pools: two thirds of a large service read prompts; small ones keep four runners

Change: a third, four at the least where that is under 45% of all; an idle service gets as many readers as orders may make. Tests: those of the pools, unchanged.

--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -44,20 +44,22 @@
 	// part at which a reader is taken back for them.
 	slotsUsed    = 0.3
 	slotsPressed = 0.5
-	// keptRunners is the part of the servers that no order takes from making answers: two
+	// keptShare is the part of the servers that no order takes from making answers, and
+	// keptFew how many of them in a small service, where it is under keptMost of all: two
 	// servers that go dark must leave enough of them, since the parts are late to follow.
 	// Below fewestRunners, whatever the pressure, a reader makes answers again.
-	keptRunners   = 0.4
+	keptShare     = 0.33
+	keptFew       = 4
+	keptMost      = 0.45
 	fewestRunners = 0.3
 	// sharedOrders is how many servers there are for each order given at once.
 	sharedOrders = 4
 	partPatience = 20 * time.Second
-	// A service that has been idle for idleSpan, all but idle calls, gets idleReaders of
-	// its servers as readers: parts that change under traffic cost the memory of what
-	// moves, and reading is what fills up first.
-	idleSpan    = 3 * time.Second
-	idle        = 0.05
-	idleReaders = 0.55
+	// A service that has been idle for idleSpan, all but idle calls, gets as many readers as
+	// orders may make: parts that change under traffic cost the memory of what moves, and
+	// reading is what fills up first, since nothing is kept at the start.
+	idleSpan = 3 * time.Second
+	idle     = 0.05
 )
 
 // NewPools starts without memory.
@@ -162,14 +164,14 @@
 		pool.idle = time.Time{}
 	} else if pool.idle.IsZero() {
 		pool.idle = now
-	} else if even := int(math.Ceil(float64(all) * idleReaders)); now.Sub(pool.idle) >= idleSpan && len(readers) < even {
+	} else if even := all - keptRunners(all); now.Sub(pool.idle) >= idleSpan && len(readers) < even {
 		return give(runners, prefill, "the service is idle and too few servers read prompts", even-len(readers))
 	}
 	slots := float64(service.Engine.Slots)
 	if slots == 0 {
 		slots = unknownSlots
 	}
-	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), int(math.Ceil(float64(all)*keptRunners))), all-1)
+	leastRunners := min(max(1, int(math.Ceil(running/(slotsUsed*slots))), keptRunners(all)), all-1)
 	wanted := min(max(1, int(math.Ceil(busy/readersBusy))), all-leastRunners)
 	pressed := running > slotsPressed*slots*float64(len(runners))
 	// Runners went away and those that are left are few: that can't wait.
@@ -197,6 +199,12 @@
 	return give(readers, decode, "answers wait while prompts have room", 1)
 }
 
+// keptRunners is how many of so many servers no order takes from making answers.
+func keptRunners(all int) int {
+	few := min(keptFew, int(math.Ceil(float64(all)*keptMost)))
+	return max(few, int(math.Ceil(float64(all)*keptShare)))
+}
+
 // lightest is the server that is best given the part: in the district that has the
 // fewest with it for its size, with the least to do.
 func lightest(from, readers []*backend, part string) *backend {
