Rename in scheduler: route rule, rate limit, service state, mean duration; exchange in three

No behaviour changes. The file of a call's exchange (580 lines) is cut by job: sending, passing on, last words. The service's state is no ledger any more, since the backlog has one. The removal that names a moved line follows it.

--- /dev/null
+++ b/internal/adapters/calls/passing.go
@@ -0,0 +1,157 @@
+package calls
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/scheduler"
+)
+
+// passWhole passes an answer on that is no stream: at once when it is all there, or,
+// when it is too large for that, as it comes.
+func (sent *dispatch) passWhole() {
+	exchange, response := sent.exchange, sent.response
+	body, err := readBounded(response.Body, response.ContentLength, mostKept)
+	sent.outcome.First = exchange.intake.now()
+	if err == nil {
+		exchange.passHead(response)
+		if _, err := exchange.writer.Write(body); err != nil && err != http.ErrBodyNotAllowed {
+			sent.fail(scheduler.Gone)
+			return
+		}
+		sent.finish(scheduler.Complete)
+		return
+	}
+	if err != errOversize {
+		sent.fail(scheduler.Silent)
+		return
+	}
+	sent.extend()
+	exchange.passHead(response)
+	buffer := make([]byte, copyBuffer)
+	for {
+		if _, err := exchange.writer.Write(body); err != nil {
+			sent.fail(scheduler.Gone)
+			return
+		}
+		read, err := response.Body.Read(buffer)
+		body = buffer[:read]
+		if err == io.EOF {
+			if _, err := exchange.writer.Write(body); err != nil {
+				sent.fail(scheduler.Gone)
+				return
+			}
+			sent.finish(scheduler.Complete)
+			return
+		}
+		if err != nil {
+			sent.fail(scheduler.Cut)
+			return
+		}
+	}
+}
+
+// passEvents passes a stream on, whole event by whole event, each at once.
+func (sent *dispatch) passEvents(route *config.CallRoute, began func()) {
+	exchange, response := sent.exchange, sent.response
+	resumed := exchange.begun.Load()
+	// A stream may go on from another server: its length is then not the first's.
+	response.ContentLength = -1
+	delete(response.Header, "Content-Length")
+	flusher := http.NewResponseController(exchange.writer)
+	buffered := exchange.intake.buffers.Get().(*[]byte)
+	defer exchange.intake.buffers.Put(buffered)
+	text := (*buffered)[:0]
+	for {
+		if len(text) == cap(text) {
+			if len(text) >= mostEvent {
+				sent.breakOff()
+				return
+			}
+			text = append(text, make([]byte, len(text))...)[:len(text)]
+		}
+		silence := sent.decision.Silence
+		if silence > 0 && exchange.begun.Load() {
+			sent.timer.Reset(min(silence, sent.left()))
+		} else {
+			silence = 0
+		}
+		read, ended := response.Body.Read(text[len(text):cap(text)])
+		if silence > 0 {
+			sent.extend()
+		}
+		text = text[:len(text)+read]
+		if read > 0 && sent.outcome.First.IsZero() {
+			sent.outcome.First = exchange.intake.now()
+			sent.extend()
+			began()
+		}
+		whole, passed := 0, false
+		for {
+			length := eventEnd(text[whole:])
+			if length < 0 {
+				if ended != io.EOF || whole == len(text) {
+					break
+				}
+				// The rest of a stream that ended well is the server's as well.
+				length = len(text) - whole
+			}
+			event := text[whole : whole+length]
+			whole += length
+			if id, found := eventID(event); found {
+				if resumed && !behind(id, exchange.lastEvent) {
+					continue
+				}
+				exchange.lastEvent = id
+			}
+			if !exchange.begun.Load() {
+				exchange.passHead(response)
+			}
+			if _, err := exchange.writer.Write(event); err != nil {
+				sent.fail(scheduler.Gone)
+				return
+			}
+			passed = true
+		}
+		if passed && ended != io.EOF {
+			if err := flusher.Flush(); err != nil {
+				sent.fail(scheduler.Gone)
+				return
+			}
+		}
+		if ended == io.EOF {
+			if !exchange.begun.Load() {
+				exchange.passHead(response)
+			}
+			sent.finish(scheduler.Complete)
+			return
+		}
+		if ended != nil {
+			sent.breakOff()
+			return
+		}
+		text = text[:copy(text, text[whole:])]
+	}
+}
+
+// breakOff ends a dispatch whose success broke off.
+func (sent *dispatch) breakOff() {
+	if sent.exchange.begun.Load() {
+		sent.fail(scheduler.Cut)
+		return
+	}
+	sent.fail(scheduler.Silent)
+}
+
+// behind tells whether an event comes after another, by their ids: as numbers, or else
+// it is another one.
+func behind(id, last string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	earlier, trouble := strconv.ParseUint(last, 10, 64)
+	if err != nil || trouble != nil {
+		return id != last
+	}
+	return number > earlier
+}
--- a/internal/rehearsal/removals/list.go
+++ b/internal/rehearsal/removals/list.go
@@ -147,7 +147,7 @@
 	{Name: "an answer with another call's id is spoilt", Never: spliced, Package: "./internal/adapters/calls", Test: "TestWhatFollowsAWholeAnswerBelongsToNoCall",
 		Edits: []Edit{{"internal/adapters/calls/exchange.go", "found && (len(id) != 1 || id[0] != exchange.call.ID)", "found && id == nil"}}},
 	{Name: "events that were passed on are left out", Never: spliced, Package: "./internal/adapters/calls", Test: "TestAStreamGoesOnAtAnotherServer",
-		Edits: []Edit{{"internal/adapters/calls/exchange.go", "				if resumed && !behind(id, exchange.lastEvent) {", "				if resumed && id == \"never\" {"}}},
+		Edits: []Edit{{"internal/adapters/calls/passing.go", "				if resumed && !behind(id, exchange.lastEvent) {", "				if resumed && id == \"never\" {"}}},
 	{Name: "no answer is made up for an origin that left", Never: spliced, Package: "./internal/adapters/calls", Test: "TestAnOriginThatClosedItsHalfGetsNoAnswerMadeUp",
 		Edits: []Edit{{"internal/adapters/calls/intake.go", "	if how == cut || how == left {", "	if how == cut {"}}},
 	{Name: "a circuit that rested too long is not used", Never: spliced, Package: "./internal/adapters/calls", Test: "TestACircuitThatRestedTooLongIsNotUsed",
--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -41,9 +41,9 @@
 	// outlierUntil is how long the server counts as one that fails other routers.
 	outlierUntil atomic.Int64
 	// idle are the connections that the next calls may use.
-	idle  connections
-	kept  kept
-	drops drops
+	idle      connections
+	kept      kept
+	rateLimit rateLimit
 }
 
 // reported is what a server said when it was asked.
--- a/internal/scheduler/arrive.go
+++ b/internal/scheduler/arrive.go
@@ -21,11 +21,11 @@
 	if program == nil {
 		return nil, refusal(NotReady, unready, left)
 	}
-	ruling, service := program.rule(call)
-	if ruling == nil {
+	routeRule, service := program.rule(call)
+	if routeRule == nil {
 		return nil, Decision{Kind: Refuse, Cause: NoRoute}
 	}
-	limit := ruling.calls.Limit
+	limit := routeRule.calls.Limit
 	if limit <= 0 {
 		limit = cmp.Or(service.Limit, config.DefaultLimit)
 	}
@@ -39,7 +39,7 @@
 	if len(window.board.Load().all) == 0 {
 		return nil, refusal(NotReady, unready, ends.Sub(now))
 	}
-	ticket := &Ticket{call: call, ruling: ruling, service: service, mark: nameKey(call.ID), arrived: now, ends: ends}
+	ticket := &Ticket{call: call, routeRule: routeRule, service: service, mark: nameKey(call.ID), arrived: now, ends: ends}
 	window.inFlight.Add(1)
 	decision := window.begin(now, ticket, window.weighing(now, ticket), true)
 	if decision.Kind == Refuse {
@@ -62,7 +62,7 @@
 		full.Reason = NoPlace
 		return window.finish(now, ticket, full)
 	}
-	choice.ledger.retries.first(now, window.options.FurtherTries)
+	choice.serviceState.retries.first(now, window.options.FurtherTries)
 	return choice.send(kind, way)
 }
 
@@ -97,7 +97,7 @@
 
 // relief is when a place is expected.
 func (choice *choice) relief(best offer, found bool) time.Duration {
-	after := milliseconds(choice.ledger.runs.mean()) / 2
+	after := milliseconds(choice.serviceState.runs.mean()) / 2
 	if found {
 		after = best.time / 2
 	} else if choice.soonest < after {
--- a/internal/scheduler/bounds_test.go
+++ b/internal/scheduler/bounds_test.go
@@ -209,7 +209,7 @@
 		}
 		calls.SetServers(noon, list)
 		call := longCall("a", chain)
-		choice := calls.weighing(noon, &Ticket{call: call, ruling: calls.program.Load().hosts["long.example"][1].ruling,
+		choice := calls.weighing(noon, &Ticket{call: call, routeRule: calls.program.Load().hosts["long.example"][1].routeRule,
 			service: calls.program.Load().services["desk"], ends: noon.Add(time.Second)})
 		choice.homes()
 		return choice.home.server.Name + " " + choice.runnerHome.server.Name
--- a/internal/scheduler/choice.go
+++ b/internal/scheduler/choice.go
@@ -10,15 +10,15 @@
 // choice finds the server for a call's next dispatch. Costs and times are in
 // milliseconds; what is priced otherwise is turned into them.
 type choice struct {
-	window   *Window
-	costs    costs
-	program  *Program
-	now      time.Time
-	ticket   *Ticket
-	service  *config.Service
-	ledger   *ledger
-	backends []*backend
-	sharers  int
+	window       *Window
+	costs        costs
+	program      *Program
+	now          time.Time
+	ticket       *Ticket
+	service      *config.Service
+	serviceState *serviceState
+	backends     []*backend
+	routerCount  int
 
 	chain                      uint64
 	home, nextHome, runnerHome *backend
@@ -66,18 +66,18 @@
 	if current, found := program.services[service.Name]; found {
 		service = current
 	}
-	ledger := window.ledger(service.Name)
-	choice := &choice{window: window, costs: window.costs, program: program, now: now, ticket: ticket, service: service, ledger: ledger,
-		backends: window.board.Load().of(service.Name), sharers: window.sharers(),
-		chain: ticket.call.chain(), shared: ticket.call.shared(), pace: ledger.pace.tokens(), soonest: math.Inf(1)}
-	choice.begin = ledger.begin.milliseconds()
+	serviceState := window.serviceState(service.Name)
+	choice := &choice{window: window, costs: window.costs, program: program, now: now, ticket: ticket, service: service, serviceState: serviceState,
+		backends: window.board.Load().of(service.Name), routerCount: window.routerCount(),
+		chain: ticket.call.chain(), shared: ticket.call.shared(), pace: serviceState.pace.tokens(), soonest: math.Inf(1)}
+	choice.begin = serviceState.begin.milliseconds()
 	choice.crowd()
 	return choice
 }
 
 // crowd weighs what runners are given to read by all couriers, as this one does it.
 func (choice *choice) crowd() {
-	tokens, lapsing := choice.ledger.pressure.directly(choice.now)
+	tokens, lapsing := choice.serviceState.pressure.directly(choice.now)
 	choice.lapsing = lapsing
 	runners := 0
 	for _, backend := range choice.backends {
@@ -85,7 +85,7 @@
 			runners++
 		}
 	}
-	used := tokens * float64(choice.sharers) / float64(max(runners, 1)) / (choice.pace * 1000 / 2)
+	used := tokens * float64(choice.routerCount) / float64(max(runners, 1)) / (choice.pace * 1000 / 2)
 	choice.held = 1 / (1 - min(used, mostHeld))
 }
 
@@ -95,7 +95,7 @@
 // open tells whether work of the call may be sent to a server at all.
 func (choice *choice) open(backend *backend) bool {
 	return !choice.ticket.avoids(backend) && !backend.server.Leaving && !backend.changing() && !backend.expectedToChange(choice.now) && !choice.program.evacuations[backend.server.District] &&
-		choice.ticket.ruling.allows(backend.server.District) && backend.has(choice.ticket.call.Model)
+		choice.ticket.routeRule.allows(backend.server.District) && backend.has(choice.ticket.call.Model)
 }
 
 // now there are room and leave for one more call at a server: cold ones take few.
@@ -105,7 +105,7 @@
 	}
 	if backend.cold(choice.now) {
 		rate, takes := choice.coldRate(backend)
-		if !takes || choice.warmOnly || !backend.drops.ready(choice.now, rate) {
+		if !takes || choice.warmOnly || !backend.rateLimit.ready(choice.now, rate) {
 			choice.soonest = min(choice.soonest, 1000/max(rate, 0.5))
 			return false
 		}
@@ -120,16 +120,16 @@
 	if perSecond <= 0 {
 		return 1, true
 	}
-	if choice.sharers <= fewSharers {
-		return perSecond * coldUsed / float64(choice.sharers), true
+	if choice.routerCount <= fewRouters {
+		return perSecond * coldUsed / float64(choice.routerCount), true
 	}
-	own := weigh(nameKey(choice.window.options.Courier), backend.key) % uint64(choice.sharers)
-	return perSecond * coldUsed / fewSharers, own < chosenSharers
+	own := weigh(nameKey(choice.window.options.Courier), backend.key) % uint64(choice.routerCount)
+	return perSecond * coldUsed / fewRouters, own < chosenRouters
 }
 
 const (
-	fewSharers    = 6
-	chosenSharers = 3
+	fewRouters    = 6
+	chosenRouters = 3
 	coldUsed      = 0.8
 )
 
@@ -154,7 +154,7 @@
 	if float64(used+tokens) <= memoryUsed*float64(total) {
 		return 0
 	}
-	return milliseconds(choice.ledger.runs.mean())
+	return milliseconds(choice.serviceState.runs.mean())
 }
 
 func (choice *choice) slots(backend *backend) float64 {
@@ -180,7 +180,7 @@
 	if busy < slots {
 		return 0
 	}
-	return (busy - slots + 1) / slots * milliseconds(choice.ledger.runs.mean())
+	return (busy - slots + 1) / slots * milliseconds(choice.serviceState.runs.mean())
 }
 
 // burdens are costs that any work at a server has.
@@ -315,7 +315,7 @@
 // risk is that of a run that can't get the memory that was read for it: a call with one
 // try is lost then.
 func (choice *choice) risk(reader *backend) float64 {
-	if !choice.lapsing || choice.now.UnixNano()-reader.handed.Load() < int64(handedLately) || choice.ticket.counted+1 < choice.ticket.ruling.calls.Tries {
+	if !choice.lapsing || choice.now.UnixNano()-reader.handed.Load() < int64(handedLately) || choice.ticket.counted+1 < choice.ticket.routeRule.calls.Tries {
 		return 0
 	}
 	return choice.costs.lastTry
@@ -390,7 +390,7 @@
 		if !found || !best.backend.cold(choice.now) {
 			return kind, best, found
 		}
-		if rate, _ := choice.coldRate(best.backend); best.backend.drops.take(choice.now, rate) {
+		if rate, _ := choice.coldRate(best.backend); best.backend.rateLimit.take(choice.now, rate) {
 			return kind, best, found
 		}
 		choice.warmOnly = true
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -88,7 +88,7 @@
 	switch outcome.Result {
 	case Complete:
 		window.learn(now, ticket, sent, outcome.First)
-		window.ledger(ticket.service.Name).runs.note(now.Sub(sent.sent))
+		window.serviceState(ticket.service.Name).runs.note(now.Sub(sent.sent))
 		return window.finish(now, ticket, Decision{Kind: Done})
 	case Unreached, Misdirected:
 		ticket.source = sent.source
@@ -99,7 +99,7 @@
 			// The memory may be gone, or the server be full: it reads the prompt itself.
 			ticket.spent = append(ticket.spent, *sent.source)
 			ticket.direct = true
-			window.ledger(ticket.service.Name).pressure.lapse(now)
+			window.serviceState(ticket.service.Name).pressure.lapse(now)
 			ticket.reader.hands.fail(now)
 			backend.takes.failOften(now)
 			return window.next(now, ticket, lastWord{})
@@ -142,7 +142,7 @@
 	} else {
 		// A further read is paid as well and takes a try of its own.
 		further := ticket.taken || ticket.begun
-		mayRead := !ticket.direct && (!further || ticket.counted+1 < ticket.ruling.calls.Tries)
+		mayRead := !ticket.direct && (!further || ticket.counted+1 < ticket.routeRule.calls.Tries)
 		kind, way, found = choice.find(func() (DecisionKind, offer, bool) { return choice.cheapest(mayRead) })
 	}
 	if found && !way.sourced && kind == Run && ticket.counted > 0 && way.cost > choice.dearest() {
@@ -169,12 +169,12 @@
 	ticket, allowance := choice.ticket, choice.window.options.FurtherTries
 	owed := ticket.counted - ticket.paid
 	if owed > 0 && ticket.reserved {
-		choice.ledger.retries.redeem(choice.now, allowance)
+		choice.serviceState.retries.redeem(choice.now, allowance)
 		ticket.reserved = false
 		ticket.paid++
 		owed--
 	}
-	if !choice.ledger.retries.spend(choice.now, owed, allowance, choice.sharers) {
+	if !choice.serviceState.retries.spend(choice.now, owed, allowance, choice.routerCount) {
 		return false
 	}
 	ticket.paid = max(ticket.paid, ticket.counted)
@@ -196,11 +196,11 @@
 // exhausted tells why the call is tried no more, or nothing if it may be.
 func (ticket *Ticket) exhausted(now time.Time) Reason {
 	switch {
-	case ticket.ran && !ticket.repeatable(), ticket.begun && !ticket.ruling.calls.Resumable:
+	case ticket.ran && !ticket.repeatable(), ticket.begun && !ticket.routeRule.calls.Resumable:
 		return MayHaveRun
 	case !now.Before(ticket.ends):
 		return TimeUsed
-	case ticket.counted >= max(1, ticket.ruling.calls.Tries):
+	case ticket.counted >= max(1, ticket.routeRule.calls.Tries):
 		return TriesUsed
 	}
 	return ""
@@ -235,7 +235,7 @@
 func (window *Window) finish(now time.Time, ticket *Ticket, decision Decision) Decision {
 	if ticket.reserved {
 		ticket.reserved = false
-		window.ledger(ticket.service.Name).retries.release()
+		window.serviceState(ticket.service.Name).retries.release()
 	}
 	if ticket.source != nil {
 		ticket.spent = append(ticket.spent, *ticket.source)
@@ -266,11 +266,11 @@
 	}
 	took := first.Sub(sent.sent)
 	if sent.kind == Read {
-		window.ledger(ticket.service.Name).pace.note(sent.unread, took)
+		window.serviceState(ticket.service.Name).pace.note(sent.unread, took)
 	}
 	if sent.kind == Run {
-		ledger := window.ledger(ticket.service.Name)
-		ledger.begin.note(milliseconds(took-sent.expected) + ledger.begin.milliseconds())
+		serviceState := window.serviceState(ticket.service.Name)
+		serviceState.begin.note(milliseconds(took-sent.expected) + serviceState.begin.milliseconds())
 	}
 	if sent.expected > 0 {
 		ratio := float64(took) / float64(sent.expected+slack)
--- a/internal/scheduler/failures_test.go
+++ b/internal/scheduler/failures_test.go
@@ -100,8 +100,8 @@
 	calls := opened(9)
 	calls.SetCouriers(1)
 	now, patient := noon.Add(10*time.Second), 0
-	ledger := calls.ledger("desk")
-	ledger.retries.since = now.Add(-calls.options.FurtherTries.Span)
+	serviceState := calls.serviceState("desk")
+	serviceState.retries.since = now.Add(-calls.options.FurtherTries.Span)
 	for number := range 50 {
 		ticket, decision := calls.Arrive(now, longCall(fmt.Sprint(number), uint64(number)))
 		if decision.Patience > 0 {
--- a/internal/scheduler/pools.go
+++ b/internal/scheduler/pools.go
@@ -154,8 +154,8 @@
 	case len(runners) == 0:
 		return give(readers, decode, "no server makes answers", 1)
 	}
-	ledger := window.ledger(service.Name)
-	busy, running, known := ledger.pressure.now(now)
+	serviceState := window.serviceState(service.Name)
+	busy, running, known := serviceState.pressure.now(now)
 	if !known {
 		return nil
 	}
--- a/internal/scheduler/program.go
+++ b/internal/scheduler/program.go
@@ -29,12 +29,12 @@
 	code opcode
 	text string
 	// next is where a need that does not hold goes on.
-	next   int
-	ruling *ruling
+	next      int
+	routeRule *routeRule
 }
 
-// ruling is what the route that matched says of its calls.
-type ruling struct {
+// routeRule is what the route that matched says of its calls.
+type routeRule struct {
 	route  *config.Route
 	calls  *config.CallRoute
 	shares []share
@@ -43,8 +43,8 @@
 	districts map[string]bool
 }
 
-func (ruling *ruling) allows(district string) bool {
-	return ruling.districts == nil || ruling.districts[district]
+func (routeRule *routeRule) allows(district string) bool {
+	return routeRule.districts == nil || routeRule.districts[district]
 }
 
 type share struct {
@@ -95,26 +95,26 @@
 }
 
 func (program *Program) steps(route *config.Route, at int) []step {
-	ruling := &ruling{route: route, calls: route.Calls}
+	routeRule := &routeRule{route: route, calls: route.Calls}
 	for _, part := range route.Calls.Shares {
 		service, found := program.services[part.Service]
 		if found && part.Weight > 0 {
-			ruling.total += uint64(part.Weight)
-			ruling.shares = append(ruling.shares, share{service: service, upTo: ruling.total})
+			routeRule.total += uint64(part.Weight)
+			routeRule.shares = append(routeRule.shares, share{service: service, upTo: routeRule.total})
 			program.narrow(service.Name, route.Calls.Gap)
 		}
 	}
 	if len(route.To.Districts) > 0 {
-		ruling.districts = map[string]bool{}
+		routeRule.districts = map[string]bool{}
 		for _, district := range route.To.Districts {
-			ruling.districts[district] = true
+			routeRule.districts[district] = true
 		}
 	}
-	action := step{code: actSend, ruling: ruling}
+	action := step{code: actSend, routeRule: routeRule}
 	switch {
-	case route.To.Refuse || len(ruling.shares) == 0:
+	case route.To.Refuse || len(routeRule.shares) == 0:
 		action.code = actRefuse
-	case len(ruling.shares) > 1:
+	case len(routeRule.shares) > 1:
 		action.code = actShare
 	}
 	return []step{{code: needPrefix, text: route.Match.PathPrefix, next: at + 2}, action}
@@ -128,7 +128,7 @@
 }
 
 // rule interprets the program for one call: its route and the service that serves it.
-func (program *Program) rule(call *Call) (*ruling, *config.Service) {
+func (program *Program) rule(call *Call) (*routeRule, *config.Service) {
 	steps := program.hosts[hostOf(call.Host)]
 	for position := 0; position < len(steps); {
 		step := &steps[position]
@@ -140,12 +140,12 @@
 			}
 			position++
 		case actSend:
-			return step.ruling, step.ruling.shares[0].service
+			return step.routeRule, step.routeRule.shares[0].service
 		case actShare:
-			spot := membership.Weight(step.ruling.route.Name, call.ID) % step.ruling.total
-			for _, share := range step.ruling.shares {
+			spot := membership.Weight(step.routeRule.route.Name, call.ID) % step.routeRule.total
+			for _, share := range step.routeRule.shares {
 				if spot < share.upTo {
-					return step.ruling, share.service
+					return step.routeRule, share.service
 				}
 			}
 		case actRefuse:
--- a/internal/scheduler/send.go
+++ b/internal/scheduler/send.go
@@ -18,7 +18,7 @@
 	ticket, backend := choice.ticket, offer.backend
 	now := choice.now
 	ticket.dispatch = dispatch{backend: backend, kind: kind, sent: now, unread: offer.unread, expected: span(offer.own)}
-	decision := Decision{Kind: kind, Server: backend.server, Ends: ticket.ends, Urgency: ticket.ruling.calls.Rank}
+	decision := Decision{Kind: kind, Server: backend.server, Ends: ticket.ends, Urgency: ticket.routeRule.calls.Rank}
 	if len(ticket.spent) > 0 {
 		decision.Free, ticket.spent = ticket.spent, nil
 	}
@@ -49,7 +49,7 @@
 				pace /= 2
 			}
 			backend.queue(now, span(float64(sent.unread)/pace))
-			choice.ledger.pressure.readDirectly(now, sent.unread)
+			choice.serviceState.pressure.readDirectly(now, sent.unread)
 		}
 		if ticket.repeatable() && !ticket.begun && choice.goesOn() {
 			decision.Patience = choice.patience(max(runPatience*sent.expected, leastRunPatience))
@@ -70,18 +70,18 @@
 // prompt is read again only by a reader, which is a try of its own.
 func (choice *choice) goesOn() bool {
 	ticket := choice.ticket
-	return ticket.call.PromptTokens <= easilyRead || ticket.counted+2 < ticket.ruling.calls.Tries
+	return ticket.call.PromptTokens <= easilyRead || ticket.counted+2 < ticket.routeRule.calls.Tries
 }
 
 // patience is given only when there is time and leave for another try behind it.
 func (choice *choice) patience(wanted time.Duration) time.Duration {
 	ticket := choice.ticket
 	left := ticket.ends.Sub(choice.now)
-	if wanted > left*2/3 || ticket.counted+1 >= ticket.ruling.calls.Tries {
+	if wanted > left*2/3 || ticket.counted+1 >= ticket.routeRule.calls.Tries {
 		return 0
 	}
 	// The further try is reserved now: giving up without one behind it would lose the call.
-	if !ticket.reserved && !choice.ledger.retries.reserve(choice.now, choice.window.options.FurtherTries, choice.sharers) {
+	if !ticket.reserved && !choice.serviceState.retries.reserve(choice.now, choice.window.options.FurtherTries, choice.routerCount) {
 		return 0
 	}
 	ticket.reserved = true
@@ -90,7 +90,7 @@
 
 // keeps notes that a server keeps a call's prompt.
 func (window *Window) keeps(ticket *Ticket, sent *dispatch) {
-	sent.backend.kept.note(ticket.call.Parts, sent.room, window.sharers(), window.mostKept())
+	sent.backend.kept.note(ticket.call.Parts, sent.room, window.routerCount(), window.mostKept())
 }
 
 // settle takes a dispatch off the accounts.
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -13,7 +13,7 @@
 // silence is given where the stream may go on at another server, and there is time and
 // leave for that.
 func (choice *choice) silence() time.Duration {
-	calls := choice.ticket.ruling.calls
+	calls := choice.ticket.routeRule.calls
 	if !calls.Streams || !calls.Resumable || !choice.goesOn() {
 		return 0
 	}
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -9,9 +9,9 @@
 // Ticket is what a window knows of one call that it let in. One thread holds it at a
 // time.
 type Ticket struct {
-	call    *Call
-	ruling  *ruling
-	service *config.Service
+	call      *Call
+	routeRule *routeRule
+	service   *config.Service
 	// mark is a number that stands for the call's id.
 	mark    uint64
 	arrived time.Time
@@ -68,7 +68,7 @@
 // Example:
 //
 //	gap := ticket.Route().Calls.Gap
-func (ticket *Ticket) Route() *config.Route { return ticket.ruling.route }
+func (ticket *Ticket) Route() *config.Route { return ticket.routeRule.route }
 
 func (ticket *Ticket) avoids(backend *backend) bool {
 	for _, avoided := range ticket.avoided {
@@ -81,7 +81,7 @@
 
 // repeatable tells whether the call may run more than once.
 func (ticket *Ticket) repeatable() bool {
-	return ticket.ruling.calls.Repeatable || ticket.ruling.calls.Streams && ticket.ruling.calls.Resumable
+	return ticket.routeRule.calls.Repeatable || ticket.routeRule.calls.Streams && ticket.routeRule.calls.Resumable
 }
 
 // tokens is the memory that the call takes up at the server that makes its answer.
--- a/internal/scheduler/window.go
+++ b/internal/scheduler/window.go
@@ -34,15 +34,15 @@
 	failures failures
 
 	// mutex guards what replaces the board and the ledgers' map.
-	mutex   sync.Mutex
-	ledgers atomic.Pointer[map[string]*ledger]
+	mutex         sync.Mutex
+	serviceStates atomic.Pointer[map[string]*serviceState]
 }
 
-// ledger is what the window keeps for one service.
-type ledger struct {
+// serviceState is what the window keeps for one service.
+type serviceState struct {
 	retries retryBudget
 	pace    pace
-	runs    lasting
+	runs    meanDuration
 	begin   begin
 	// pressure is what the parts of its servers go by.
 	pressure pressure
@@ -50,7 +50,7 @@
 
 // unknownCouriers is how many couriers are taken to share the servers while nobody
 // said how many there are.
-const unknownCouriers = 100
+const unknownRouters = 100
 
 // New makes a window that knows nothing yet.
 //
@@ -62,7 +62,7 @@
 	first := newBoard()
 	first.courier = nameKey(options.Courier)
 	window.board.Store(first)
-	window.ledgers.Store(&map[string]*ledger{})
+	window.serviceStates.Store(&map[string]*serviceState{})
 	return window
 }
 
@@ -143,7 +143,7 @@
 	}
 	for _, service := range services {
 		busy, running := board.pressed(now, service)
-		window.ledger(service).pressure.reported(now, busy, running)
+		window.serviceState(service).pressure.reported(now, busy, running)
 	}
 }
 
@@ -176,11 +176,11 @@
 //	calls.SetCouriers(9)
 func (window *Window) SetCouriers(count int) { window.couriers.Store(int64(count)) }
 
-func (window *Window) sharers() int {
+func (window *Window) routerCount() int {
 	if count := window.couriers.Load(); count > 0 {
 		return int(count)
 	}
-	return unknownCouriers
+	return unknownRouters
 }
 
 // Drain lets no further calls in.
@@ -197,23 +197,23 @@
 //	drained := calls.InFlight() == 0
 func (window *Window) InFlight() int { return int(window.inFlight.Load()) }
 
-// ledger is the service's; it is made once.
-func (window *Window) ledger(service string) *ledger {
-	if found, known := (*window.ledgers.Load())[service]; known {
+// serviceState is the service's; it is made once.
+func (window *Window) serviceState(service string) *serviceState {
+	if found, known := (*window.serviceStates.Load())[service]; known {
 		return found
 	}
 	window.mutex.Lock()
 	defer window.mutex.Unlock()
-	current := *window.ledgers.Load()
+	current := *window.serviceStates.Load()
 	if found, known := current[service]; known {
 		return found
 	}
-	next := make(map[string]*ledger, len(current)+1)
+	next := make(map[string]*serviceState, len(current)+1)
 	for name, known := range current {
 		next[name] = known
 	}
-	made := &ledger{}
+	made := &serviceState{}
 	next[service] = made
-	window.ledgers.Store(&next)
+	window.serviceStates.Store(&next)
 	return made
 }
