--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -42,3 +42,32 @@
 		}
 	}
 }
+
+// TestCountsOfWhatOthersHaveRead plays ninety routers before slow engines, with and without
+// counts: without them each router sees its own calls only, and runs to the readers that the
+// others have just filled.
+func TestCountsOfWhatOthersHaveRead(t *testing.T) {
+	play := func(asks bool) *world {
+		site := ninety()
+		world := site.world(4, func(calls *Window) { calls.SetAsks(asks) })
+		world.pool(NewPools())
+		world.run(noon.Add(lead))
+		site.play(world, 1, 6*time.Second)
+		return world
+	}
+	alone, counted := play(false), play(true)
+	t.Logf("without\n%s\nwith\n%s", alone, counted)
+	inAim := func(world *world, class string) float64 {
+		return float64(world.tally[class].inAim) / float64(world.tally[class].calls)
+	}
+	for class, better := range map[string]float64{"long": 0.03, "chat": 0.03} {
+		if before, after := inAim(alone, class), inAim(counted, class); after < before+better {
+			t.Errorf("%s: %.3f in aim without counts, %.3f with them", class, before, after)
+		}
+	}
+	for number, calls := range counted.windows {
+		if calls.InFlight() != 0 {
+			t.Errorf("router %d has %d calls in flight at the end", number, calls.InFlight())
+		}
+	}
+}
