--- a/internal/rehearsal/world/world_test.go
+++ b/internal/rehearsal/world/world_test.go
@@ -12,9 +12,14 @@
 	"seamloom.example/seamloom/internal/rehearsal"
 )
 
+// mostMemory is what the worlds may take before the collector rests no more: without it the
+// package took 14 GB beside other work, and was killed for want of memory.
+const mostMemory = 4 << 30
+
 // TestMain lets the collector rest: a world is young and dies whole.
 func TestMain(suite *testing.M) {
 	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(mostMemory)
 	os.Exit(suite.Run())
 }
 
