Tenants: keys are checked, stay at the router, and name the tenant to servers

Cause: the product had no tenants; X-Key was an unknown header and went on like any other. Class: a field of the request that is passed on unread. Change: `tenants` in the product's configuration (keys, limit, rank, header_value), read and checked; two tenants with one key are invalid, named without the key; the field without an entry still asks for keys. The scheduler finds the tenant by the key's digest on the ordinary path (admit), by the configuration in force for each request, also on kept connections; without a known key the answer is 401, before the body is read (Conduct.Screen). Key and tenant headers of clients are dropped; the tenant's name is set by the router. Ruled out: hashing keys on disk, since the read-back must return them.

--- a/internal/adapters/proxy/exchange.go
+++ b/internal/adapters/proxy/exchange.go
@@ -103,6 +103,9 @@
 	if decision.Priority >= 0 {
 		header[protocol.Urgency] = []string{strconv.Itoa(decision.Priority)}
 	}
+	if decision.Tenant != "" {
+		header[protocol.Tenant] = []string{decision.Tenant}
+	}
 	change(header)
 	remaining := max(1, time.Until(sent.deadline).Milliseconds())
 	header[protocol.Limit] = []string{strconv.FormatInt(remaining, 10)}
--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -29,6 +29,8 @@
 // Conduct serves one call from its arrival to its end.
 type Conduct interface {
 	Serve(call *scheduler.Call, e dataplane.Exchange)
+	// Screen tells whether a call is refused by its head alone: its body need not be read then.
+	Screen(call *scheduler.Call) (refusal dataplane.Refusal, refused bool)
 	// Limits bound what an origin may send.
 	Limits() config.Limits
 	// Ready tells whether calls are welcome, Leaving that connections are to end with the
@@ -101,6 +103,11 @@
 		refuse(writer, protocol.ID, id, http.StatusRequestEntityTooLarge, endOversize)
 		return endOversize
 	}
+	call := i.newCall(inbound, arrived)
+	if refusal, refused := i.conduct.Screen(call); refused {
+		refuse(writer, protocol.ID, id, refusal.Status, ending(refusal.Cause))
+		return ending(refusal.Cause)
+	}
 	body, err := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
 	if !admit(inbound) {
 		writer.Header()["Connection"] = []string{"close"}
@@ -121,29 +128,47 @@
 		refuse(writer, protocol.ID, id, http.StatusBadRequest, endMalformed)
 		return endMalformed
 	}
-	call := &scheduler.Call{ID: id, Host: inbound.Host, Model: inbound.Header.Get(protocol.Model),
-		Segments: readParts(inbound.Header.Get(protocol.Parts)), Bytes: len(body), Resumes: inbound.Header.Get(lastEventHeader) != ""}
-	target := inbound.RequestURI
-	if !strings.HasPrefix(target, "/") {
-		target = inbound.URL.RequestURI()
-	}
-	call.Path, _, _ = strings.Cut(target, "?")
-	call.PromptTokens, call.OutputTokens = readTokens(inbound.Header.Get(protocol.Tokens))
-	if remaining, err := readCount(inbound.Header.Get(protocol.Limit)); err == nil {
+	call.Bytes = len(body)
+	e := &exchange{handler: i, writer: writer, inbound: inbound, began: began, call: call, target: requestTarget(inbound),
+		header: i.forwardedHeader(inbound.Header), body: body, ending: endCut}
+	i.conduct.Serve(call, e)
+	return e.ending
+}
+
+// newCall reads a call's head.
+func (i *Handler) newCall(inbound *http.Request, arrived time.Time) *scheduler.Call {
+	protocol, header := &i.protocol, inbound.Header
+	call := &scheduler.Call{ID: header.Get(protocol.ID), Host: inbound.Host, Key: header.Get(protocol.Key), Model: header.Get(protocol.Model),
+		Segments: readParts(header.Get(protocol.Parts)), Resumes: header.Get(lastEventHeader) != ""}
+	call.Path, _, _ = strings.Cut(requestTarget(inbound), "?")
+	call.PromptTokens, call.OutputTokens = readTokens(header.Get(protocol.Tokens))
+	if remaining, err := readCount(header.Get(protocol.Limit)); err == nil {
 		call.Deadline = arrived.Add(time.Duration(remaining) * time.Millisecond)
 	}
-	header := make(http.Header, len(inbound.Header)+4)
-	copyEndToEnd(header, inbound.Header, protocol.ID, protocol.Limit, protocol.Model, protocol.Tokens, protocol.Parts)
-	// These are for a router to say, whatever an origin sent.
-	for _, ours := range [...]string{protocol.Target, protocol.Stage, protocol.Source, protocol.Urgency, "Expect"} {
+	return call
+}
+
+// requestTarget is the path and query of a request, as they were sent.
+func requestTarget(inbound *http.Request) string {
+	if strings.HasPrefix(inbound.RequestURI, "/") {
+		return inbound.RequestURI
+	}
+	return inbound.URL.RequestURI()
+}
+
+// forwardedHeader is what goes on to a server of a client's header.
+func (i *Handler) forwardedHeader(inbound http.Header) http.Header {
+	protocol := &i.protocol
+	header := make(http.Header, len(inbound)+4)
+	copyEndToEnd(header, inbound, protocol.ID, protocol.Limit, protocol.Model, protocol.Tokens, protocol.Parts)
+	// These are for a router to say, whatever an origin sent; the key is for nobody else to see.
+	for _, ours := range [...]string{protocol.Target, protocol.Stage, protocol.Source, protocol.Urgency, protocol.Key, protocol.Tenant, "Expect"} {
 		delete(header, ours)
 	}
 	if _, found := header["User-Agent"]; !found {
 		header["User-Agent"] = nil
 	}
-	e := &exchange{handler: i, writer: writer, inbound: inbound, began: began, call: call, target: target, header: header, body: body, ending: endCut}
-	i.conduct.Serve(call, e)
-	return e.ending
+	return header
 }
 
 // headerBytes is about what a head took on the wire.
--- a/internal/adapters/proxy/protocol.go
+++ b/internal/adapters/proxy/protocol.go
@@ -35,6 +35,10 @@
 	StageRead string
 	// Source is the header that names a prompt's memory: address, slash, handle.
 	Source string
+	// Key is the header with the client's secret, which goes no further; Tenant the one by which
+	// a server is told whose client sent the call.
+	Key    string
+	Tenant string
 	// Urgency is the header with the rank among a server's calls, 0 first.
 	Urgency string
 	// NotStarted is the header by which a server promises that it did not begin and
@@ -54,6 +58,7 @@
 func DefaultProtocol() Protocol {
 	return Protocol{ID: "Seamloom-Call", Limit: "Seamloom-Limit-Milliseconds", Model: "Seamloom-Model", Tokens: "Seamloom-Tokens",
 		Parts: "Seamloom-Parts", Target: "Seamloom-Server", Stage: "Seamloom-Stage", StageRead: "prefill", Source: "Seamloom-Source",
+		Key: "Seamloom-Key", Tenant: "Seamloom-Tenant",
 		Urgency: "Seamloom-Urgency", NotStarted: "Seamloom-Not-Started", Load: "Seamloom-Load", Warming: "Seamloom-Warming-Milliseconds",
 		HandlePath: "/v1/handles/", HandleField: "handle"}
 }
--- a/internal/adapters/proxy/standin_test.go
+++ b/internal/adapters/proxy/standin_test.go
@@ -182,6 +182,11 @@
 // Leaving tells that connections are to end.
 func (s *scripted) Leaving() bool { return s.leaving.Load() }
 
+// Screen refuses nothing by its head.
+func (s *scripted) Screen(*scheduler.Call) (dataplane.Refusal, bool) {
+	return dataplane.Refusal{}, false
+}
+
 // Serve carries the script out.
 func (s *scripted) Serve(call *scheduler.Call, e dataplane.Exchange) {
 	s.active.Add(1)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -85,6 +85,8 @@
 			c.revision(value, at)
 		case "limits":
 			c.limits(value, at)
+		case "tenants":
+			c.tenants(value, at)
 		case "annotations":
 			c.annotations(value, at)
 		default:
--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -1,4 +1,4 @@
-// Package config is the operators' configuration: services, routes and evacuations. It
+// Package config is the operators' configuration: services, routes, tenants and evacuations. It
 // checks a configuration (Check), merges a partial one into it (Merge), builds the next
 // revision (Revise) and compares a proposed one with the state of the fleet
 // (ValidateAgainst). It is pure: the control plane stores and distributes what it makes,
@@ -21,6 +21,8 @@
 	Revision uint64
 	// Limits bound what a caller may send.
 	Limits Limits
+	// Tenants are those whose clients may send opaque calls; nil: calls need no key.
+	Tenants map[string]Tenant
 }
 
 // Limits bound what a caller may send; a zero means the product's default.
--- a/internal/config/routes.go
+++ b/internal/config/routes.go
@@ -46,6 +46,8 @@
 	// Sticky states that calls share parts of their prompts, so that a server's prefix
 	// cache is worth returning to.
 	Sticky bool
+	// Public states that calls need no key, where the configuration has tenants.
+	Public bool
 }
 
 // Share is a service and its weight among the shares of a route.
@@ -188,6 +190,8 @@
 			c.boolean(&calls.Resumable, value, at)
 		case "sticky":
 			c.boolean(&calls.Sticky, value, at)
+		case "public":
+			c.boolean(&calls.Public, value, at)
 		default:
 			return false
 		}
--- /dev/null
+++ b/internal/config/tenants_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+
+	"seamloom.example/seamloom/internal/failure"
+)
+
+func TestTenantsAreRead(t *testing.T) {
+	configuration, err := Check([]byte(`{"tenants":{"school":{"keys":["k1","k2"],"per_second":4.5,"burst":9,"rank":0},` +
+		`"plain":{"keys":["k3","k3"],"header_value":"Ä School","annotations":{"sent":1}},"idle":{}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	zero := 0
+	want := map[string]Tenant{
+		"school": {Name: "school", HeaderValue: "school", Keys: []string{"k1", "k2"}, Limit: RateLimit{PerSecond: 4.5, Burst: 9}, Priority: &zero},
+		"plain":  {Name: "plain", HeaderValue: "Ä School", Keys: []string{"k3"}},
+		"idle":   {Name: "idle", HeaderValue: "idle"},
+	}
+	if !reflect.DeepEqual(configuration.Tenants, want) {
+		t.Errorf("%+v", configuration.Tenants)
+	}
+	if !configuration.Tenants["plain"].Limit.Unlimited() || configuration.Tenants["school"].Limit.Unlimited() {
+		t.Error("a limit without a rate is none")
+	}
+}
+
+// TestNoTenantsIsNotAnEmptyList has calls need a key as soon as the field is there: taking the last tenant
+// away must not let everybody in.
+func TestNoTenantsIsNotAnEmptyList(t *testing.T) {
+	without, err := Check([]byte(`{}`))
+	if err != nil || without.Tenants != nil {
+		t.Errorf("%v, %v", without, err)
+	}
+	empty, err := Check([]byte(`{"tenants":{}}`))
+	if err != nil || empty.Tenants == nil {
+		t.Errorf("%v, %v", empty, err)
+	}
+}
+
+// TestInvalidTenantsAreNamedWithoutTheirKeys has each mistake named by its path; no key stands in an error.
+func TestInvalidTenantsAreNamedWithoutTheirKeys(t *testing.T) {
+	const secret = "a-secret-key"
+	for text, want := range map[string]failure.Error{
+		`{"tenants":[]}`:                                  {Code: failure.WrongType, Path: "/tenants"},
+		`{"tenants":{"a":[]}}`:                            {Code: failure.WrongType, Path: "/tenants/a"},
+		`{"tenants":{"a":{"keys":"` + secret + `"}}}`:     {Code: failure.WrongType, Path: "/tenants/a/keys"},
+		`{"tenants":{"a":{"keys":[1]}}}`:                  {Code: failure.WrongType, Path: "/tenants/a/keys/0"},
+		`{"tenants":{"a":{"keys":["` + secret + `\n"]}}}`: {Code: failure.OutOfRange, Path: "/tenants/a/keys/0"},
+		`{"tenants":{"a":{"keys":[""]}}}`:                 {Code: failure.OutOfRange, Path: "/tenants/a/keys/0"},
+		`{"tenants":{"a":{"per_second":-1}}}`:             {Code: failure.OutOfRange, Path: "/tenants/a/per_second"},
+		`{"tenants":{"a":{"burst":"x"}}}`:                 {Code: failure.WrongType, Path: "/tenants/a/burst"},
+		`{"tenants":{"a":{"rank":1.5}}}`:                  {Code: failure.WrongType, Path: "/tenants/a/rank"},
+		`{"tenants":{"a":{"header_value":" x"}}}`:         {Code: failure.OutOfRange, Path: "/tenants/a/header_value"},
+		`{"tenants":{"a":{"key":["` + secret + `"]}}}`:    {Code: failure.UnknownField, Path: "/tenants/a/key"},
+		`{"tenants":{"a":{},"a":{}}}`:                     {Code: failure.Contradictory, Path: "/tenants/a"},
+		`{"tenants":{"a b":{}}}`:                          {Code: failure.OutOfRange, Path: "/tenants/a b"},
+		`{"tenants":{"a":{"keys":["` + secret + `"]},"b":{"keys":["x","` + secret + `"]}}}`: {Code: failure.Contradictory, Path: "/tenants/b/keys/1"},
+	} {
+		_, err := Check([]byte(text))
+		var validation *ValidationError
+		if !errors.As(err, &validation) || len(validation.Errors) != 1 {
+			t.Errorf("%s: %v", text, err)
+			continue
+		}
+		if got := validation.Errors[0]; got.Code != want.Code || got.Path != want.Path {
+			t.Errorf("%s: %s at %s", text, got.Code, got.Path)
+		}
+		if strings.Contains(err.Error(), secret) {
+			t.Errorf("the error shows the key: %v", err)
+		}
+	}
+}
--- a/internal/dataplane/calls.go
+++ b/internal/dataplane/calls.go
@@ -134,6 +134,18 @@
 // Limits bound what a client may send.
 func (c *Calls) Limits() config.Limits { return c.window.Limits() }
 
+// Screen tells whether a call is refused by its host, path and key alone, before its body is read.
+func (c *Calls) Screen(call *scheduler.Call) (Refusal, bool) {
+	if !c.serves() {
+		return Refusal{}, false
+	}
+	decision, refused := c.window.Screen(call)
+	if !refused {
+		return Refusal{}, false
+	}
+	return Refusal{Cause: decision.Cause, Status: statusOf(decision.Cause), RetryAfter: decision.RetryAfter}, true
+}
+
 // Serve serves one call and returns when it is over.
 func (c *Calls) Serve(call *scheduler.Call, exchange Exchange) {
 	if !c.serves() {
@@ -203,6 +215,8 @@
 	switch cause {
 	case scheduler.NoRoute:
 		return http.StatusNotFound
+	case scheduler.Unauthenticated:
+		return http.StatusUnauthorized
 	case scheduler.OutcomeUnknown:
 		return http.StatusBadGateway
 	case scheduler.OutcomeUnknownLate:
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -18,9 +18,9 @@
 	if routes == nil {
 		return nil, refusal(NotReady, retryAfterUnready, left)
 	}
-	r, service := routes.rule(call)
-	if r == nil {
-		return nil, Decision{Kind: Refuse, Cause: NoRoute}
+	r, service, tenant, refused := routes.admit(call)
+	if refused.Kind == Refuse {
+		return nil, refused
 	}
 	limit := r.calls.Timeout
 	if limit <= 0 {
@@ -40,6 +40,7 @@
 		call:      call,
 		routeRule: r,
 		service:   service,
+		tenant:    tenant,
 		key:       nameKey(call.ID),
 		deadline:  deadline,
 	}
--- a/internal/scheduler/call.go
+++ b/internal/scheduler/call.go
@@ -14,6 +14,8 @@
 	// Host and Path find the route.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Key is the client's secret, by which its tenant is found; empty if it showed none.
+	Key string `json:"key,omitempty"`
 	// Model names the weights wanted; empty for any.
 	Model string `json:"model,omitempty"`
 	// Segments is the chain of segments that the prompt consists of, in order; the last one is
@@ -63,6 +65,8 @@
 	call      *Call
 	routeRule *routeRule
 	service   *config.Service
+	// tenant is whose client sent the call; nil if calls need no key or it showed none.
+	tenant *config.Tenant
 	// key stands for the call's id in rendezvous hashing.
 	key      uint64
 	deadline time.Time
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -27,6 +27,8 @@
 	StreamTimeout time.Duration `json:"silence,omitempty"`
 	// Priority is passed to the server, 0 first; -1 leaves it out.
 	Priority int `json:"urgency,omitempty"`
+	// Tenant is how the server is told whose client sent the call; empty: it is not told.
+	Tenant string `json:"tenant,omitempty"`
 	// BacklogRequests are for the owners of backlog counts, each for the owner of its group.
 	BacklogRequests []backlog.Request `json:"-"`
 	// Release are KV caches that no run will take and that are to be given back.
@@ -64,6 +66,8 @@
 	NoRoute Cause = "no_route"
 	// NotReady: the router knows no configuration or no servers yet.
 	NotReady Cause = "not_ready"
+	// Unauthenticated: the call's key is unknown, or it has none and its route is not public.
+	Unauthenticated Cause = "unauthenticated"
 	// Saturated: no server has capacity in time.
 	Saturated Cause = "full"
 	// Draining: the router admits no more calls.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -16,7 +16,8 @@
 		Kind:     kind,
 		Server:   b.server,
 		Deadline: state.deadline,
-		Priority: state.routeRule.calls.Priority,
+		Priority: state.priority(),
+		Tenant:   state.tenantHeader(),
 	}
 	if len(state.releasable) > 0 {
 		decision.Release, state.releasable = state.releasable, nil
--- a/internal/scheduler/routetable.go
+++ b/internal/scheduler/routetable.go
@@ -23,6 +23,8 @@
 	serviceNames []string
 	evacuations  map[string]bool
 	limits       config.Limits
+	// tenants find the tenants of keys; nil if calls need no key.
+	tenants *tenantTable
 	// gaps are the shortest gaps between events that the routes to a service allow.
 	gaps map[string]time.Duration
 }
@@ -55,6 +57,7 @@
 		services:    map[string]*config.Service{},
 		evacuations: map[string]bool{},
 		limits:      configuration.Limits,
+		tenants:     compileTenants(configuration.Tenants),
 		gaps:        map[string]time.Duration{},
 	}
 	for zone := range configuration.Evacuations {
