Limits of tenants hold over all routers: batches of tokens, granted by a quorum of witnesses

Callers would have seen: a tenant's limit counted by each router for itself, or not at all (QUOTA). Class: a bound on a sum that each node keeps alone. Change: internal/quota. Each witness of the control plane counts in a ledger what it granted; a router spends a token only when a quorum of witnesses has granted it, asks ahead by its own demand, reports what it spent, gives back what it wants no more; what it holds lapses with it. Witnesses grant by the membership they have accepted last, so that an older set can't grant beside a newer one; one that starts or joins begins with empty buckets. No log, no order between witnesses: grants commute. Half of a bucket is kept for calls that wait, so that tokens held ahead don't starve another router. A call without a token is refused with 429 and when to come back, before its body is read where the denial is known; 503 if no quorum answered in 200 ms.

--- a/internal/adapters/proxy/meter.go
+++ b/internal/adapters/proxy/meter.go
@@ -40,7 +40,7 @@
 	set := metrics.NewSet()
 	m := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[scheduler.DecisionKind]map[scheduler.Result]*metrics.Counter{},
 		timeToFirst: set.NewPrometheusHistogramExt("seamloom_call_first_seconds", latencyBuckets), duration: set.NewPrometheusHistogramExt("seamloom_call_seconds", latencyBuckets)}
-	for _, how := range []ending{endServed, endForwardedFailure, endCut, endClientGone, endOversize, endMalformed, endDismissed, ending(scheduler.NoRoute), ending(scheduler.Unauthenticated), ending(scheduler.NotReady), ending(scheduler.Saturated),
+	for _, how := range []ending{endServed, endForwardedFailure, endCut, endClientGone, endOversize, endMalformed, endDismissed, ending(scheduler.NoRoute), ending(scheduler.Unauthenticated), ending(scheduler.OverLimit), ending(scheduler.NotReady), ending(scheduler.Saturated),
 		ending(scheduler.Draining), ending(scheduler.DeadlinePassed), ending(scheduler.OutcomeUnknown), ending(scheduler.OutcomeUnknownLate)} {
 		m.endings[how] = set.NewCounter(`seamloom_calls_total{ending="` + string(how) + `"}`)
 	}
--- a/internal/adapters/router/process.go
+++ b/internal/adapters/router/process.go
@@ -59,6 +59,8 @@
 	// Retries bounds what all routers send beyond the first dispatch of each
 	// opaque call.
 	Retries scheduler.RetryAllowance
+	// QuotaTolerance is how far the calls of a tenant may go beyond its limit.
+	QuotaTolerance dataplane.QuotaTolerance
 }
 
 // Start listens and begins to work.
@@ -89,6 +91,7 @@
 		CallService:       process.prepareCalls(rt),
 		ServeWithoutLease: chosen.ServeWithoutLease,
 		ApplyWithin:       chosen.ApplyWithin,
+		QuotaTolerance:    reached.QuotaTolerance,
 	}
 	if !reached.CallsOnly {
 		options.LoadReader = servers
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -14,6 +14,7 @@
 	"seamloom.example/seamloom/internal/features"
 	"seamloom.example/seamloom/internal/follower"
 	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/quota"
 	"seamloom.example/seamloom/internal/replication"
 	"seamloom.example/seamloom/internal/runtime"
 	"seamloom.example/seamloom/internal/wire"
@@ -34,6 +35,7 @@
 	updated       runtime.Cond
 	termBegan     runtime.Cond
 	serverList    serverList
+	ledger        *quota.Ledger
 	pending       runtime.Cond
 	confirmations runtime.Cond
 	editDone      runtime.Cond
@@ -121,6 +123,7 @@
 		pending:       rt.NewCond(),
 		confirmations: rt.NewCond(),
 		editDone:      rt.NewCond(),
+		ledger:        quota.NewLedger(rt.Now()),
 	}
 	controller.store.SetLock(runtime.NewLock(rt))
 	controller.newCoordinator()
--- a/internal/controlplane/handlers.go
+++ b/internal/controlplane/handlers.go
@@ -59,6 +59,7 @@
 			}
 			return wire.Empty{}, c.store.CatchUp(question.Snapshot)
 		}),
+		wire.QuotaPath:   wire.HandlerFor(c.serveQuota),
 		wire.UpdatesPath: wire.HandlerFor(c.serveUpdate),
 		wire.ClaimPath: wire.HandlerFor(func(question wire.ClaimRequest) (wire.LeaderResponse, error) {
 			return c.submitAsLeader(replication.ClaimRequest(question.Made, question.Entry))
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -146,6 +146,7 @@
 func (c *Controller) tick() {
 	c.coordinator.Tick()
 	c.noticeWait()
+	c.resetLedger()
 	// It may wait for the disk, and nobody may wait for that here.
 	leading := c.store.Leading()
 	epoch := c.coordinator.Membership().Epoch
--- a/internal/dataplane/calls.go
+++ b/internal/dataplane/calls.go
@@ -27,6 +27,8 @@
 	servingUntil atomic.Pointer[time.Time]
 	// countOwners are asked for counts before prefills; nil: no counts are asked for.
 	countOwners *CountOwners
+	// quotas keep the limits of tenants; nil: none are kept.
+	quotas *Quotas
 }
 
 // NewCalls serves calls over a scheduler. OnServers is called with each list of servers.
@@ -42,6 +44,9 @@
 // SetServing bounds until when calls are admitted.
 func (c *Calls) SetServing(until time.Time) { c.servingUntil.Store(&until) }
 
+// SetQuotas sets who keeps the limits of tenants, before the first call.
+func (c *Calls) SetQuotas(quotas *Quotas) { c.quotas = quotas }
+
 // SetCountOwners sets the owners of the counts of what servers prefill, before the first call.
 func (c *Calls) SetCountOwners(owners *CountOwners) { c.countOwners = owners }
 
@@ -139,11 +144,20 @@
 	if !c.serves() {
 		return Refusal{}, false
 	}
-	decision, refused := c.window.Screen(call)
+	screening := c.window.Screen(call)
+	decision, refused := screening.Refused, screening.Refused.Kind == scheduler.Refuse
+	if !refused && c.quotas != nil && screening.Limited() {
+		decision, refused = c.quotas.Denied(screening.Limit.Tenant)
+	}
 	if !refused {
 		return Refusal{}, false
 	}
-	return Refusal{Cause: decision.Cause, Status: statusOf(decision.Cause), RetryAfter: decision.RetryAfter}, true
+	return refusalOf(decision), true
+}
+
+// refusalOf is our own response for a decision to refuse.
+func refusalOf(decision scheduler.Decision) Refusal {
+	return Refusal{Cause: decision.Cause, Status: statusOf(decision.Cause), RetryAfter: decision.RetryAfter}
 }
 
 // Serve serves one call and returns when it is over.
@@ -152,7 +166,15 @@
 		exchange.Refuse(Refusal{Cause: scheduler.NotReady, Status: statusOf(scheduler.NotReady), RetryAfter: noLeaseRetryAfter})
 		return
 	}
+	tenant, refused := c.acquireToken(call)
+	if refused.Kind == scheduler.Refuse {
+		exchange.Refuse(refusalOf(refused))
+		return
+	}
 	state, decision := c.window.Arrive(c.runtime.Now(), call)
+	if state == nil && tenant != "" {
+		c.quotas.GiveBack(tenant)
+	}
 	// mayHaveRun tells that a server may have begun the call, before that one before the last
 	// server may have.
 	mayHaveRun, before := false, false
@@ -187,6 +209,19 @@
 	}
 }
 
+// acquireToken spends a token of the limit of a call's tenant, if it has one, or gives the decision that
+// refuses the call.
+func (c *Calls) acquireToken(call *scheduler.Call) (tenant string, refused scheduler.Decision) {
+	if c.quotas == nil {
+		return "", scheduler.Decision{}
+	}
+	screening := c.window.Screen(call)
+	if !screening.Limited() {
+		return "", scheduler.Decision{}
+	}
+	return screening.Limit.Tenant, c.quotas.Acquire(screening.Limit, call.Deadline)
+}
+
 // conclude sends the client the final response. Its invariant: no response says that a call has
 // not run which may have run. So after a run our own refusal promises nothing, and the last
 // server's error is not passed through when an earlier server may have begun (ranBefore).
@@ -217,6 +252,8 @@
 		return http.StatusNotFound
 	case scheduler.Unauthenticated:
 		return http.StatusUnauthorized
+	case scheduler.OverLimit:
+		return http.StatusTooManyRequests
 	case scheduler.OutcomeUnknown:
 		return http.StatusBadGateway
 	case scheduler.OutcomeUnknownLate:
--- a/internal/dataplane/exchange.go
+++ b/internal/dataplane/exchange.go
@@ -46,6 +46,8 @@
 	SetServing(until time.Time)
 	// SetCountOwners gives the way to those who keep counts of what servers read.
 	SetCountOwners(owners *CountOwners)
+	// SetQuotas gives who keeps the limits of tenants over all routers.
+	SetQuotas(quotas *Quotas)
 	// SetServers sets the list of servers, before the scheduler knows it.
 	SetServers(now time.Time, servers []membership.Server)
 }
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -32,6 +32,8 @@
 	// ServeWithoutLease is for how long the router goes on admitting requests after its last
 	// lease ended; zero: it does not, and takes no provisional configuration.
 	ServeWithoutLease time.Duration
+	// QuotaTolerance is how far the calls of a tenant may go beyond its limit.
+	QuotaTolerance QuotaTolerance
 	// Nonce gives a unique string.
 	Nonce func() string
 	// OnEnded is called with the final decision on each request.
--- a/internal/dataplane/router.go
+++ b/internal/dataplane/router.go
@@ -44,6 +44,7 @@
 	seenForwardings seenForwardings
 	incarnation     string
 	countOwners     *CountOwners
+	quotas          *Quotas
 
 	mutex   sync.Mutex
 	streams map[string]*stream
@@ -101,6 +102,8 @@
 		router.core.Calls().SetBacklogQueries(true)
 		router.follower.SetFailing(router.core.Calls().TakeFailures)
 		router.callService.SetCountOwners(router.countOwners)
+		router.quotas = NewQuotas(rt, client, options.QuotaTolerance, router.incarnation, router.follower.Membership, router.follower.LearnMembership)
+		router.callService.SetQuotas(router.quotas)
 	}
 	router.follower.Follow(options.Directory != nil, router.callService != nil)
 	router.setContacts()
@@ -121,7 +124,7 @@
 		loops = append(loops, r.readList, r.readNodes)
 	}
 	if r.countOwners != nil {
-		loops = append(loops, r.countOwners.Run)
+		loops = append(loops, r.countOwners.Run, r.quotas.Run)
 	}
 	return loops
 }
--- a/internal/dataplane/router_test.go
+++ b/internal/dataplane/router_test.go
@@ -84,6 +84,9 @@
 	servers []membership.Server
 }
 
+// SetQuotas notes nothing.
+func (*noted) SetQuotas(*Quotas) {}
+
 func (*noted) SetCountOwners(*CountOwners) {}
 
 func (n *noted) SetServing(until time.Time)                          { n.until = until }
--- a/internal/follower/ask.go
+++ b/internal/follower/ask.go
@@ -79,6 +79,9 @@
 	return nil, last
 }
 
+// LearnMembership takes a membership that came with another message, if it is newer than the one known.
+func (f *Follower) LearnMembership(membership replication.Membership) { f.learnMembership(membership) }
+
 // learnMembership takes a membership that is newer than the one known.
 func (f *Follower) learnMembership(membership replication.Membership) {
 	f.mutex.Lock()
--- /dev/null
+++ b/internal/quota/allowances.go
@@ -0,0 +1,327 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Member names a member of the group.
+type Member string
+
+// Quorum reports whether those members are enough to grant.
+type Quorum func(members map[Member]bool) bool
+
+// How a router asks ahead.
+const (
+	// demandSpan is the span over which a router's demand is averaged.
+	demandSpan = time.Second
+	// aheadSpan is for how long a router wants to hold tokens by its demand.
+	aheadSpan = 1500 * time.Millisecond
+	// maxAhead bounds the tokens that a router holds of one subject.
+	maxAhead = 64
+	// minDenial is how long a denial is answered without asking again. Tokens that flow in meanwhile are
+	// not lost: the members' buckets keep them.
+	minDenial = 50 * time.Millisecond
+	// askAgain is how long the answers to a request are waited for before a call that waits is asked for again.
+	askAgain  = 60 * time.Millisecond
+	maxDenial = 250 * time.Millisecond
+	// forgetAfter is how long a subject is remembered that nobody spends.
+	forgetAfter = 30 * time.Second
+)
+
+// Allowances is what one router may spend: for each subject the tokens that a quorum of members has granted
+// and that the router has not spent.
+type Allowances struct {
+	mutex    sync.Mutex
+	router   string
+	sequence uint64
+	sent     map[Member]uint64
+	subjects map[string]*allowance
+	sweptAt  time.Time
+}
+
+// allowance is a router's share of one subject.
+type allowance struct {
+	limit   Limit
+	spent   uint64
+	members map[Member]memberGrant
+	// demand is an average of tokens wanted a second, as of demandAt.
+	demand   float64
+	demandAt time.Time
+	waiting  uint64
+	// unasked is set while a call waits that no request was made for yet.
+	unasked bool
+	// askedAt is when the subject was last in a request.
+	askedAt time.Time
+	// deniedUntil ends the last denial.
+	deniedUntil time.Time
+}
+
+// memberGrant is the newest grant of one member.
+type memberGrant struct {
+	sequence uint64
+	granted  uint64
+	expires  time.Time
+	wait     time.Duration
+}
+
+// NewAllowances makes the allowances of one incarnation of a router.
+func NewAllowances(router string) *Allowances {
+	return &Allowances{router: router, sent: map[Member]uint64{}, subjects: map[string]*allowance{}}
+}
+
+// Verdict is what became of a claim.
+type Verdict int
+
+// The verdicts.
+const (
+	// Pending: no quorum has answered yet.
+	Pending Verdict = iota
+	// Taken: the token is spent.
+	Taken
+	// Denied: a quorum has no token left.
+	Denied
+)
+
+// Claim is one call's claim to a token of a subject. It ends with Try's verdict Taken or Denied, or with Cancel.
+type Claim struct {
+	allowances *Allowances
+	subject    *allowance
+	// since is the first request whose answers count as answers to the claim; zero: none was needed yet.
+	since uint64
+	wait  time.Duration
+}
+
+// Claim begins a claim to a token.
+func (a *Allowances) Claim(now time.Time, name string, limit Limit) *Claim {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if now.Sub(a.sweptAt) >= forgetAfter {
+		a.sweep(now)
+	}
+	s, found := a.subjects[name]
+	if !found {
+		s = &allowance{members: map[Member]memberGrant{}, demandAt: now}
+		a.subjects[name] = s
+	}
+	if !found || s.limit.Revision.before(limit.Revision) {
+		s.limit = limit
+	}
+	s.want(now)
+	return &Claim{allowances: a, subject: s}
+}
+
+// Try takes a token if the router has one.
+func (c *Claim) Try(now time.Time, quorum Quorum) Verdict {
+	c.allowances.mutex.Lock()
+	defer c.allowances.mutex.Unlock()
+	s := c.subject
+	if s.usable(now, quorum) > s.spent {
+		s.spent++
+		c.endWaiting()
+		return Taken
+	}
+	if c.since == 0 {
+		if now.Before(s.deniedUntil) {
+			c.wait = s.deniedUntil.Sub(now)
+			return Denied
+		}
+		c.since = c.allowances.sequence + 1
+		s.waiting++
+		s.unasked = true
+		return Pending
+	}
+	wait, answered := s.answered(c.since, quorum)
+	if !answered {
+		return Pending
+	}
+	c.wait = wait
+	s.deniedUntil = now.Add(min(max(wait, minDenial), maxDenial))
+	c.endWaiting()
+	return Denied
+}
+
+// Wait is how long it takes at least until there may be a token, after a denial.
+func (c *Claim) Wait() time.Duration { return c.wait }
+
+// Cancel ends a claim that nobody waits for any more.
+func (c *Claim) Cancel() {
+	c.allowances.mutex.Lock()
+	defer c.allowances.mutex.Unlock()
+	c.endWaiting()
+}
+
+func (c *Claim) endWaiting() {
+	if c.since != 0 {
+		c.subject.waiting--
+		c.since = 0
+	}
+}
+
+// GiveBack returns a token that was taken for a call that no server was sent.
+func (a *Allowances) GiveBack(name string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	s, found := a.subjects[name]
+	if !found {
+		return
+	}
+	for member, grant := range s.members {
+		grant.granted++
+		s.members[member] = grant
+	}
+}
+
+// usable is up to how many tokens, counted from the router's start, a quorum lets the router spend.
+func (s *allowance) usable(now time.Time, quorum Quorum) uint64 {
+	valid := make([]Member, 0, len(s.members))
+	for member, grant := range s.members {
+		if now.Before(grant.expires) {
+			valid = append(valid, member)
+		}
+	}
+	slices.SortFunc(valid, func(left, right Member) int { return cmp.Compare(s.members[right].granted, s.members[left].granted) })
+	granting := make(map[Member]bool, len(valid))
+	for _, member := range valid {
+		granting[member] = true
+		if quorum(granting) {
+			return s.members[member].granted
+		}
+	}
+	return 0
+}
+
+// answered reports whether a quorum has answered a request from since on, and how long the quickest of
+// them need until they have a token.
+func (s *allowance) answered(since uint64, quorum Quorum) (time.Duration, bool) {
+	answering := map[Member]bool{}
+	wait := maxDenial
+	for member, grant := range s.members {
+		if grant.sequence >= since {
+			answering[member] = true
+			wait = min(wait, grant.wait)
+		}
+	}
+	return wait, quorum(answering)
+}
+
+// want counts a call in the demand.
+func (s *allowance) want(now time.Time) {
+	s.demand = s.demandNow(now) + 1/demandSpan.Seconds()
+	s.demandAt = now
+}
+
+// demandNow is the average demand in tokens a second.
+func (s *allowance) demandNow(now time.Time) float64 {
+	return s.demand * math.Exp(-now.Sub(s.demandAt).Seconds()/demandSpan.Seconds())
+}
+
+// ahead is how many tokens the router wants to hold beside those that calls wait for.
+func (s *allowance) ahead(now time.Time) uint64 {
+	return uint64(min(maxAhead, max(0, math.Floor(s.demandNow(now)*aheadSpan.Seconds()-0.6))))
+}
+
+// due reports whether the subject belongs into a request: a call waits, or the router holds less than half of
+// what it wants to, and the last request was not just now.
+func (s *allowance) due(now time.Time, quorum Quorum) bool {
+	if s.waiting > 0 {
+		return s.unasked || now.Sub(s.askedAt) >= askAgain
+	}
+	if now.Before(s.deniedUntil) || now.Sub(s.askedAt) < minDenial {
+		return false
+	}
+	held := uint64(0)
+	if usable := s.usable(now, quorum); usable > s.spent {
+		held = usable - s.spent
+	}
+	return held*2 < s.ahead(now)
+}
+
+// Denied reports whether a claim would be denied now without asking, and how long that lasts.
+func (a *Allowances) Denied(now time.Time, name string, quorum Quorum) (time.Duration, bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	s, found := a.subjects[name]
+	if !found || !now.Before(s.deniedUntil) || s.usable(now, quorum) > s.spent {
+		return 0, false
+	}
+	return s.deniedUntil.Sub(now), true
+}
+
+// Due reports whether there is anything to ask for.
+func (a *Allowances) Due(now time.Time, quorum Quorum) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, s := range a.subjects {
+		if s.due(now, quorum) {
+			return true
+		}
+	}
+	return false
+}
+
+// Request makes the next request, to these members; it has no wants if there is nothing to ask for.
+func (a *Allowances) Request(now time.Time, members []Member, quorum Quorum) Request {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.sequence++
+	request := Request{Router: a.router, Sequence: a.sequence}
+	for name, s := range a.subjects {
+		if !s.due(now, quorum) {
+			continue
+		}
+		s.askedAt, s.unasked = now, false
+		hold := s.waiting + s.ahead(now)
+		s.yield(members, hold)
+		request.Wants = append(request.Wants, Want{Subject: name, Limit: s.limit, Spent: s.spent, Hold: hold, Need: s.waiting})
+	}
+	slices.SortFunc(request.Wants, func(left, right Want) int { return cmp.Compare(left.Subject, right.Subject) })
+	for _, member := range members {
+		a.sent[member] = a.sequence
+	}
+	return request
+}
+
+// yield gives up what a request says that the router wants no more, before it is sent: the members may grant
+// it to others from then on.
+func (s *allowance) yield(members []Member, hold uint64) {
+	for _, member := range members {
+		grant, found := s.members[member]
+		if found && grant.granted > s.spent+hold {
+			grant.granted = s.spent + hold
+			s.members[member] = grant
+		}
+	}
+}
+
+// Granted takes a member's response to a request that was sent at a moment. One to an older request than the
+// newest that the member was sent is passed over.
+func (a *Allowances) Granted(member Member, sentAt time.Time, request Request, response Response) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.sent[member] != request.Sequence || len(response.Grants) != len(request.Wants) {
+		return
+	}
+	for i, want := range request.Wants {
+		s, found := a.subjects[want.Subject]
+		if !found {
+			continue
+		}
+		grant := response.Grants[i]
+		s.members[member] = memberGrant{sequence: request.Sequence, granted: grant.Granted, wait: grant.Wait,
+			expires: sentAt.Add(BatchTTL - time.Duration(clockDrift*float64(BatchTTL)))}
+	}
+}
+
+// sweep forgets subjects that nobody has spent for a while, whose grants are long over.
+func (a *Allowances) sweep(now time.Time) {
+	a.sweptAt = now
+	for name, s := range a.subjects {
+		if s.waiting == 0 && now.Sub(s.demandAt) >= forgetAfter {
+			delete(a.subjects, name)
+		}
+	}
+}
--- a/internal/replication/witness.go
+++ b/internal/replication/witness.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -48,6 +49,8 @@
 	lease       time.Duration
 	leaseHolder Identity
 	leaseEnds   time.Time
+	// accepted is the newest membership on the disk, for readers that can't wait for the disk.
+	accepted atomic.Pointer[Membership]
 }
 
 // witnessRecord is what a witness stores; Sequence numbers the files, of which the newest counts.
@@ -84,6 +87,8 @@
 		if content, intact := files[newest]; intact && msgpack.Unmarshal(content, &witness.record) == nil && witness.record.Identity != "" {
 			witness.self.Identity = witness.record.Identity
 			witness.leaseHolder = witness.record.Membership.Primary.Identity
+			accepted := witness.record.Membership
+			witness.accepted.Store(&accepted)
 			return witness, false, nil
 		}
 	}
@@ -117,6 +122,15 @@
 	return w.record.Membership
 }
 
+// AcceptedMembership returns the newest membership that the witness accepted, without waiting for a write
+// that is under way: that one's vote has not been sent.
+func (w *Witness) AcceptedMembership() Membership {
+	if accepted := w.accepted.Load(); accepted != nil {
+		return *accepted
+	}
+	return Membership{}
+}
+
 // Promised returns the highest epoch that the witness promised.
 func (w *Witness) Promised() uint64 {
 	w.mutex.Lock()
@@ -285,6 +299,7 @@
 		return err
 	}
 	w.record = record
+	w.accepted.Store(&record.Membership)
 	// An older file that stays only takes space.
 	_ = w.storage.Remove([]string{recordName(old)})
 	return nil
--- a/internal/scheduler/decision.go
+++ b/internal/scheduler/decision.go
@@ -68,6 +68,8 @@
 	NotReady Cause = "not_ready"
 	// Unauthenticated: the call's key is unknown, or it has none and its route is not public.
 	Unauthenticated Cause = "unauthenticated"
+	// OverLimit: the call's tenant has sent as many calls as its limit allows.
+	OverLimit Cause = "over_limit"
 	// Saturated: no server has capacity in time.
 	Saturated Cause = "full"
 	// Draining: the router admits no more calls.
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -56,15 +56,36 @@
 	return t.tenant.HeaderValue
 }
 
-// Screen decides by a call's host, path and key alone whether it is refused, before its body is read:
-// the second result is true for a refusal.
-func (s *Scheduler) Screen(call *Call) (Decision, bool) {
+// TenantLimit is the limit of a call's tenant over all routers, with the version of the configuration that
+// has it.
+type TenantLimit struct {
+	Tenant        string
+	Limit         config.RateLimit
+	Epoch, Number uint64
+}
+
+// Screening is what a call's host, path and key alone say of it: Refused is the decision that refuses it, of
+// the kind Refuse, or Limit bounds it if it has a tenant.
+type Screening struct {
+	Refused Decision
+	Limit   TenantLimit
+}
+
+// Limited reports whether the call counts against a limit.
+func (s Screening) Limited() bool { return s.Limit.Tenant != "" && !s.Limit.Limit.Unlimited() }
+
+// Screen looks at a call's host, path and key by the configuration in force.
+func (s *Scheduler) Screen(call *Call) Screening {
 	routes := s.routes.Load()
 	if routes == nil {
-		return Decision{}, false
+		return Screening{}
+	}
+	_, _, tenant, refused := routes.admit(call)
+	screening := Screening{Refused: refused}
+	if tenant != nil {
+		screening.Limit = TenantLimit{Tenant: tenant.Name, Limit: tenant.Limit, Epoch: routes.epoch, Number: routes.number}
 	}
-	_, _, _, refused := routes.admit(call)
-	return refused, refused.Kind == Refuse
+	return screening
 }
 
 // admit finds the route of a call, its service and its tenant, or the decision that refuses it.
--- a/internal/testbed/simulation/settings.go
+++ b/internal/testbed/simulation/settings.go
@@ -30,9 +30,12 @@
 // SetServing is not minded.
 func (ignoringBoard) SetServing(time.Time) {}
 
-// SetCountOwners takes no notice.
+// SetCountOwners is not needed.
 func (ignoringBoard) SetCountOwners(*dataplane.CountOwners) {}
 
+// SetQuotas is not needed: requests of this protocol have no tenants.
+func (ignoringBoard) SetQuotas(*dataplane.Quotas) {}
+
 // SetServers is not minded.
 func (ignoringBoard) SetServers(time.Time, []membership.Server) {}
 
--- a/internal/wire/paths.go
+++ b/internal/wire/paths.go
@@ -8,6 +8,7 @@
 	RelayPath       = "/hotline/relay"
 	ForwardPath     = "/hotline/pass"
 	CountsPath      = "/hotline/counts"
+	QuotaPath       = "/hotline/quota"
 	RecordsPath     = "/hotline/crumbs"
 	HelloPath       = "/hotline/hello"
 	IncarnationPath = "/hotline/incarnation"
