Limits of tenants: each limit is asked of one small group, all witnesses only when it is late

Change: for each tenant the routers ask the fewest witnesses that are a quorum, the same ones by rendezvous hashing, so that each sees all that is spent; all are asked when the quorum has not answered in 40 ms. A subject has one request under way.

--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"sync"
 	"time"
 
 	"seamloom.example/seamloom/internal/config"
@@ -38,6 +37,8 @@
 	quotaCallTimeout = 120 * time.Millisecond
 	// quotaIdleInterval lies between two looks at what is to be asked for while no call comes.
 	quotaIdleInterval = time.Second
+	// quotaBusyInterval is that while a call waits.
+	quotaBusyInterval = 20 * time.Millisecond
 	// quotaUnknownRetryAfter is after how long a call may come back that got no answer in time.
 	quotaUnknownRetryAfter = 100 * time.Millisecond
 )
@@ -55,9 +56,6 @@
 	// wanted wakes the thread that asks, answered the calls that wait.
 	wanted   runtime.Cond
 	answered runtime.Cond
-
-	mutex    sync.Mutex
-	inFlight map[quota.Member]bool
 }
 
 // NewQuotas makes the part of one incarnation of a router.
@@ -65,7 +63,7 @@
 	learn func(replication.Membership),
 ) *Quotas {
 	return &Quotas{runtime: rt, client: client, tolerance: tolerance, allowances: quota.NewAllowances(incarnation), membership: membership, learn: learn,
-		wanted: rt.NewCond(), answered: rt.NewCond(), inFlight: map[quota.Member]bool{}}
+		wanted: rt.NewCond(), answered: rt.NewCond()}
 }
 
 // quorumOf tells whether members are a quorum of a membership.
@@ -123,76 +121,55 @@
 	}
 }
 
-// due tells whether there is something to ask for, and a quorum that has no request to answer.
+// due tells whether there is something to ask for.
 func (q *Quotas) due() bool {
-	membership := q.membership()
-	quorum := quorumOf(membership)
-	free := map[quota.Member]bool{}
-	for _, witness := range q.free(membership) {
-		free[quota.Member(witness.Identity)] = true
-	}
-	return quorum(free) && q.allowances.Due(q.runtime.Now(), quorum)
-}
-
-// free lists the witnesses that have no request to answer.
-func (q *Quotas) free(membership replication.Membership) []replication.Replica {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	var free []replication.Replica
-	for _, witness := range membership.Voters() {
-		if !q.inFlight[quota.Member(witness.Identity)] {
-			free = append(free, witness)
-		}
-	}
-	return free
+	return q.allowances.Due(q.runtime.Now(), quorumOf(q.membership()))
 }
 
 // Run asks the witnesses whenever there is something to ask for.
 func (q *Quotas) Run() {
 	for q.runtime.Alive() {
-		if q.wanted.Wait(quotaIdleInterval, q.due) {
+		interval := quotaIdleInterval
+		if q.allowances.Waiting() {
+			interval = quotaBusyInterval
+		}
+		if q.wanted.Wait(interval, q.due) {
 			q.ask()
 		}
 	}
 }
 
-// ask sends a request to all witnesses that have none to answer, each in a thread of its own.
+// ask sends the requests that are due, each in a thread of its own.
 func (q *Quotas) ask() {
 	membership := q.membership()
-	witnesses := q.free(membership)
-	members := make([]quota.Member, 0, len(witnesses))
-	q.mutex.Lock()
-	for _, witness := range witnesses {
+	replicas := map[quota.Member]replication.Replica{}
+	group := quota.Group{Quorum: quorumOf(membership)}
+	for _, witness := range membership.Voters() {
 		member := quota.Member(witness.Identity)
-		members = append(members, member)
-		q.inFlight[member] = true
+		replicas[member] = witness
+		group.Members = append(group.Members, member)
 	}
-	q.mutex.Unlock()
 	sentAt := q.runtime.Now()
-	request := q.allowances.Request(sentAt, members, quorumOf(membership))
-	for _, witness := range witnesses {
-		q.runtime.Go(func() { q.askWitness(membership.Epoch, witness, sentAt, request) })
+	requests := q.allowances.Requests(sentAt, group)
+	for _, member := range group.Members {
+		if request, asked := requests[member]; asked {
+			q.runtime.Go(func() { q.askWitness(membership.Epoch, replicas[member], sentAt, request) })
+		}
 	}
 }
 
 // askWitness sends a request to one witness and takes its response.
 func (q *Quotas) askWitness(epoch uint64, witness replication.Replica, sentAt time.Time, request quota.Request) {
-	member := quota.Member(witness.Identity)
 	var response wire.QuotaResponse
-	var err error
-	if len(request.Wants) > 0 {
-		err = wire.Call(q.client, witness.Address, wire.QuotaPath, wire.QuotaRequest{To: witness.Identity, Epoch: epoch, Request: request}, &response, quotaCallTimeout)
+	err := wire.Call(q.client, witness.Address, wire.QuotaPath, wire.QuotaRequest{To: witness.Identity, Epoch: epoch, Request: request}, &response, quotaCallTimeout)
+	if err != nil {
+		return
 	}
-	q.mutex.Lock()
-	delete(q.inFlight, member)
-	q.mutex.Unlock()
-	switch {
-	case err != nil:
-	case !response.Membership.Blank():
+	if !response.Membership.Blank() {
 		q.learn(response.Membership)
-	default:
-		q.allowances.Granted(member, sentAt, request, response.Response)
+		return
 	}
+	q.allowances.Granted(quota.Member(witness.Identity), sentAt, request, response.Response)
 	q.answered.Broadcast()
-	q.wanted.Broadcast()
+	q.wake()
 }
--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"seamloom.example/seamloom/internal/membership"
 )
 
 // Member names a member of the group.
@@ -14,6 +16,29 @@
 // Quorum reports whether those members are enough to grant.
 type Quorum func(members map[Member]bool) bool
 
+// Group is who grants.
+type Group struct {
+	Members []Member
+	Quorum  Quorum
+}
+
+// preferred are the members that routers ask for a subject first: the fewest that are a quorum, the same for
+// all routers, so that each of them sees all that is spent.
+func (g Group) preferred(subject string) []Member {
+	ranked := slices.Clone(g.Members)
+	slices.SortFunc(ranked, func(left, right Member) int {
+		return cmp.Compare(membership.Weight(subject, string(right)), membership.Weight(subject, string(left)))
+	})
+	enough := map[Member]bool{}
+	for i, member := range ranked {
+		enough[member] = true
+		if g.Quorum(enough) {
+			return ranked[:i+1]
+		}
+	}
+	return ranked
+}
+
 // How a router asks ahead.
 const (
 	// demandSpan is the span over which a router's demand is averaged.
@@ -25,8 +50,8 @@
 	// minDenial is how long a denial is answered without asking again. Tokens that flow in meanwhile are
 	// not lost: the members' buckets keep them.
 	minDenial = 50 * time.Millisecond
-	// askAgain is how long the answers to a request are waited for before a call that waits is asked for again.
-	askAgain  = 60 * time.Millisecond
+	// askAgain is how long the answers to a request are waited for before all members are asked.
+	askAgain  = 40 * time.Millisecond
 	maxDenial = 250 * time.Millisecond
 	// forgetAfter is how long a subject is remembered that nobody spends.
 	forgetAfter = 30 * time.Second
@@ -38,7 +63,6 @@
 	mutex    sync.Mutex
 	router   string
 	sequence uint64
-	sent     map[Member]uint64
 	subjects map[string]*allowance
 	sweptAt  time.Time
 }
@@ -48,6 +72,9 @@
 	limit   Limit
 	spent   uint64
 	members map[Member]memberGrant
+	// sent is the newest request that each member was sent, asked the newest of all.
+	sent  map[Member]uint64
+	asked uint64
 	// demand is an average of tokens wanted a second, as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -70,7 +97,7 @@
 
 // NewAllowances makes the allowances of one incarnation of a router.
 func NewAllowances(router string) *Allowances {
-	return &Allowances{router: router, sent: map[Member]uint64{}, subjects: map[string]*allowance{}}
+	return &Allowances{router: router, subjects: map[string]*allowance{}}
 }
 
 // Verdict is what became of a claim.
@@ -104,7 +131,7 @@
 	}
 	s, found := a.subjects[name]
 	if !found {
-		s = &allowance{members: map[Member]memberGrant{}, demandAt: now}
+		s = &allowance{members: map[Member]memberGrant{}, sent: map[Member]uint64{}, demandAt: now}
 		a.subjects[name] = s
 	}
 	if !found || s.limit.Revision.before(limit.Revision) {
@@ -221,14 +248,15 @@
 
 // ahead is how many tokens the router wants to hold beside those that calls wait for.
 func (s *allowance) ahead(now time.Time) uint64 {
-	return uint64(min(maxAhead, max(0, math.Floor(s.demandNow(now)*aheadSpan.Seconds()-0.6))))
+	return uint64(min(maxAhead, max(0, math.Ceil(s.demandNow(now)*aheadSpan.Seconds()-1))))
 }
 
-// due reports whether the subject belongs into a request: a call waits, or the router holds less than half of
-// what it wants to, and the last request was not just now.
+// due reports whether the subject belongs into a request: a call waits that was not asked for, or whose answers
+// are late; or the router holds less than half of what it wants to, and did not ask just now.
 func (s *allowance) due(now time.Time, quorum Quorum) bool {
 	if s.waiting > 0 {
-		return s.unasked || now.Sub(s.askedAt) >= askAgain
+		late := now.Sub(s.askedAt) >= askAgain
+		return late || s.unasked && s.settled(quorum)
 	}
 	if now.Before(s.deniedUntil) || now.Sub(s.askedAt) < minDenial {
 		return false
@@ -240,6 +268,15 @@
 	return held*2 < s.ahead(now)
 }
 
+// settled reports whether a quorum has answered the newest request, if there was one.
+func (s *allowance) settled(quorum Quorum) bool {
+	if s.asked == 0 {
+		return true
+	}
+	_, answered := s.answered(s.asked, quorum)
+	return answered
+}
+
 // Denied reports whether a claim would be denied now without asking, and how long that lasts.
 func (a *Allowances) Denied(now time.Time, name string, quorum Quorum) (time.Duration, bool) {
 	a.mutex.Lock()
@@ -263,26 +300,53 @@
 	return false
 }
 
-// Request makes the next request, to these members; it has no wants if there is nothing to ask for.
-func (a *Allowances) Request(now time.Time, members []Member, quorum Quorum) Request {
+// Waiting reports whether a call waits for a token.
+func (a *Allowances) Waiting() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, s := range a.subjects {
+		if s.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Requests makes the next requests, by member; none if there is nothing to ask for.
+func (a *Allowances) Requests(now time.Time, group Group) map[Member]Request {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.sequence++
-	request := Request{Router: a.router, Sequence: a.sequence}
+	requests := map[Member]Request{}
 	for name, s := range a.subjects {
-		if !s.due(now, quorum) {
+		if !s.due(now, group.Quorum) {
 			continue
 		}
-		s.askedAt, s.unasked = now, false
-		hold := s.waiting + s.ahead(now)
-		s.yield(members, hold)
-		request.Wants = append(request.Wants, Want{Subject: name, Limit: s.limit, Spent: s.spent, Hold: hold, Need: s.waiting})
+		members := group.preferred(name)
+		if s.waiting > 0 && !s.settled(group.Quorum) {
+			members = group.Members
+		}
+		want := s.ask(now, a.sequence, members)
+		want.Subject = name
+		for _, member := range members {
+			request := requests[member]
+			request.Router, request.Sequence = a.router, a.sequence
+			request.Wants = append(request.Wants, want)
+			requests[member] = request
+		}
 	}
-	slices.SortFunc(request.Wants, func(left, right Want) int { return cmp.Compare(left.Subject, right.Subject) })
+	return requests
+}
+
+// ask makes the want of a request to these members.
+func (s *allowance) ask(now time.Time, sequence uint64, members []Member) Want {
+	s.askedAt, s.asked, s.unasked = now, sequence, false
+	hold := s.waiting + s.ahead(now)
+	s.yield(members, hold)
 	for _, member := range members {
-		a.sent[member] = a.sequence
+		s.sent[member] = sequence
 	}
-	return request
+	return Want{Limit: s.limit, Spent: s.spent, Hold: hold, Need: s.waiting}
 }
 
 // yield gives up what a request says that the router wants no more, before it is sent: the members may grant
@@ -302,12 +366,12 @@
 func (a *Allowances) Granted(member Member, sentAt time.Time, request Request, response Response) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.sent[member] != request.Sequence || len(response.Grants) != len(request.Wants) {
+	if len(response.Grants) != len(request.Wants) {
 		return
 	}
 	for i, want := range request.Wants {
 		s, found := a.subjects[want.Subject]
-		if !found {
+		if !found || s.sent[member] != request.Sequence {
 			continue
 		}
 		grant := response.Grants[i]
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -126,8 +126,7 @@
 		return
 	}
 	sentAt := w.now
-	request := a.Request(w.now, w.members, w.quorum())
-	for _, member := range w.members {
+	for member, request := range a.Requests(w.now, Group{Members: w.members, Quorum: w.quorum()}) {
 		copies := 1
 		if w.random.IntN(30) == 0 {
 			copies = 2
