--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -44,7 +44,9 @@
 	// demandSpan is the span over which a router's demand is averaged.
 	demandSpan = time.Second
 	// aheadSpan is for how long a router wants to hold tokens by its demand.
-	aheadSpan = 1500 * time.Millisecond
+	aheadSpan = 3 * time.Second
+	// One part in lowShare of what a router wants to hold is what it may be down to before it asks ahead.
+	lowShare = 4
 	// maxAhead bounds the tokens that a router holds of one subject.
 	maxAhead = 64
 	// minDenial is how long a denial is answered without asking again. Tokens that flow in meanwhile are
@@ -75,6 +77,9 @@
 	// sent is the newest request that each member was sent, asked the newest of all.
 	sent  map[Member]uint64
 	asked uint64
+	// askedMembers is how many members that one went to, askAll whether the next goes to all.
+	askedMembers int
+	askAll       bool
 	// demand is an average of tokens wanted a second, as of demandAt.
 	demand   float64
 	demandAt time.Time
@@ -119,7 +124,9 @@
 	subject    *allowance
 	// since is the first request whose answers count as answers to the claim; zero: none was needed yet.
 	since uint64
-	wait  time.Duration
+	// askedAll is set once that request goes to all members.
+	askedAll bool
+	wait     time.Duration
 }
 
 // Claim begins a claim to a token.
@@ -156,13 +163,20 @@
 			c.wait = s.deniedUntil.Sub(now)
 			return Denied
 		}
-		c.since = c.allowances.sequence + 1
 		s.waiting++
-		s.unasked = true
+		c.askNext()
 		return Pending
 	}
-	wait, answered := s.answered(c.since, quorum)
-	if !answered {
+	wait, answers := s.answers(c.since)
+	switch {
+	case !quorum(answers):
+		return Pending
+	case !c.askedAll:
+		// A member that has just started has nothing to grant: others may make a quorum that has.
+		c.askedAll, s.askAll = true, true
+		c.askNext()
+		return Pending
+	case len(answers) < s.askedMembers && now.Sub(s.askedAt) < askAgain:
 		return Pending
 	}
 	c.wait = wait
@@ -171,6 +185,12 @@
 	return Denied
 }
 
+// askNext has the answers to the next request count.
+func (c *Claim) askNext() {
+	c.since = c.allowances.sequence + 1
+	c.subject.unasked = true
+}
+
 // Wait is how long it takes at least until there may be a token, after a denial.
 func (c *Claim) Wait() time.Duration { return c.wait }
 
@@ -221,9 +241,9 @@
 	return 0
 }
 
-// answered reports whether a quorum has answered a request from since on, and how long the quickest of
-// them need until they have a token.
-func (s *allowance) answered(since uint64, quorum Quorum) (time.Duration, bool) {
+// answers are the members that have answered a request from since on, and how long the quickest of them needs
+// until it has a token.
+func (s *allowance) answers(since uint64) (time.Duration, map[Member]bool) {
 	answering := map[Member]bool{}
 	wait := maxDenial
 	for member, grant := range s.members {
@@ -232,7 +252,7 @@
 			wait = min(wait, grant.wait)
 		}
 	}
-	return wait, quorum(answering)
+	return wait, answering
 }
 
 // want counts a call in the demand.
@@ -252,7 +272,7 @@
 }
 
 // due reports whether the subject belongs into a request: a call waits that was not asked for, or whose answers
-// are late; or the router holds less than half of what it wants to, and did not ask just now.
+// are late; or the router holds few of what it wants to, and did not ask just now.
 func (s *allowance) due(now time.Time, quorum Quorum) bool {
 	if s.waiting > 0 {
 		late := now.Sub(s.askedAt) >= askAgain
@@ -265,7 +285,7 @@
 	if usable := s.usable(now, quorum); usable > s.spent {
 		held = usable - s.spent
 	}
-	return held*2 < s.ahead(now)
+	return held*lowShare < s.ahead(now)
 }
 
 // settled reports whether a quorum has answered the newest request, if there was one.
@@ -273,8 +293,8 @@
 	if s.asked == 0 {
 		return true
 	}
-	_, answered := s.answered(s.asked, quorum)
-	return answered
+	_, answers := s.answers(s.asked)
+	return quorum(answers)
 }
 
 // Denied reports whether a claim would be denied now without asking, and how long that lasts.
@@ -323,7 +343,7 @@
 			continue
 		}
 		members := group.preferred(name)
-		if s.waiting > 0 && !s.settled(group.Quorum) {
+		if s.askAll || s.waiting > 0 && !s.settled(group.Quorum) {
 			members = group.Members
 		}
 		want := s.ask(now, a.sequence, members)
@@ -340,7 +360,7 @@
 
 // ask makes the want of a request to these members.
 func (s *allowance) ask(now time.Time, sequence uint64, members []Member) Want {
-	s.askedAt, s.asked, s.unasked = now, sequence, false
+	s.askedAt, s.asked, s.askedMembers, s.unasked, s.askAll = now, sequence, len(members), false, false
 	hold := s.waiting + s.ahead(now)
 	s.yield(members, hold)
 	for _, member := range members {
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -33,7 +33,7 @@
 
 // BatchTTL is how long a member's grants to a router last after the router's last request, by the
 // member's clock from when the request came and by the router's from when it was sent, less clockDrift.
-const BatchTTL = 4 * time.Second
+const BatchTTL = 8 * time.Second
 
 // clockDrift is the part of BatchTTL by which clocks of two machines may run apart over it.
 const clockDrift = 0.02
