--- a/internal/testbed/fleet/checkers_requests.go
+++ b/internal/testbed/fleet/checkers_requests.go
@@ -130,67 +130,88 @@
 	attemptsSaved  = 2
 )
 
+// attempt is one dispatch: the first of its request, or an extra one.
+type attempt struct {
+	at    time.Time
+	extra bool
+}
+
+// attemptCounts are first and extra dispatches.
+type attemptCounts struct{ first, extra int }
+
+func (a *attemptCounts) add(extra bool, count int) {
+	if extra {
+		a.extra += count
+	} else {
+		a.first += count
+	}
+}
+
+// attemptsLog sorts the dispatches of a day into first and extra ones.
+type attemptsLog struct {
+	asked, sent map[string]int
+	routers     map[string]bool
+	// recent are the dispatches of the window that ends with the last one.
+	recent        []attempt
+	total, window attemptCounts
+}
+
+// note takes an entry; it returns false for one that is no dispatch that counts.
+func (l *attemptsLog) note(entry Entry) bool {
+	switch entry.Kind {
+	case Sent:
+		l.sent[entry.Request]++
+		l.routers[entry.Router] = true
+		return false
+	case PrefillAsked, DecodeAsked:
+	default:
+		return false
+	}
+	key := string(entry.Kind) + entry.Request
+	l.asked[key]++
+	extra := l.asked[key] > max(1, l.sent[entry.Request])
+	if !extra && entry.Kind == DecodeAsked {
+		return false
+	}
+	l.recent = append(l.recent, attempt{entry.At, extra})
+	l.total.add(extra, 1)
+	l.window.add(extra, 1)
+	for entry.At.Sub(l.recent[0].at) > attemptsWindow {
+		l.window.add(l.recent[0].extra, -1)
+		l.recent = l.recent[1:]
+	}
+	return true
+}
+
+// saved is how many extra tries may stand beside a fifth.
+func (l *attemptsLog) saved() int { return attemptsSaved * len(l.routers) }
+
 // checkAttempts: extra dispatches, counted where they arrive, stay under a fifth
 // of the first ones, in the whole and in each window. An id that its client
 // sends again has a first dispatch again.
 func checkAttempts(entries []Entry) Finding {
 	finding := Finding{Checker: "extra tries stay under a fifth", Limit: strconv.FormatFloat(attemptsShare, 'f', 2, 64)}
-	type dispatch struct {
-		at    time.Time
-		extra bool
-	}
-	var window []dispatch
-	asked, sent := map[string]int{}, map[string]int{}
-	routers := map[string]bool{}
-	first, extra, recentFirst, recentExtra := 0, 0, 0, 0
+	log := &attemptsLog{asked: map[string]int{}, sent: map[string]int{}, routers: map[string]bool{}}
 	worst := 0.0
 	for _, entry := range entries {
-		switch entry.Kind {
-		case Sent:
-			sent[entry.Request]++
-			routers[entry.Router] = true
-			continue
-		case PrefillAsked, DecodeAsked:
-		default:
+		if !log.note(entry) {
 			continue
 		}
-		key := string(entry.Kind) + entry.Request
-		asked[key]++
-		isExtra := asked[key] > max(1, sent[entry.Request])
-		if !isExtra && entry.Kind == DecodeAsked {
-			continue
-		}
-		window = append(window, dispatch{entry.At, isExtra})
-		if isExtra {
-			extra++
-			recentExtra++
-		} else {
-			first++
-			recentFirst++
-		}
-		for entry.At.Sub(window[0].at) > attemptsWindow {
-			if window[0].extra {
-				recentExtra--
-			} else {
-				recentFirst--
-			}
-			window = window[1:]
-		}
-		saved := attemptsSaved * len(routers)
-		if recentExtra > saved {
-			worst = max(worst, float64(recentExtra-saved)/float64(max(recentFirst, 1)))
+		window, saved := log.window, log.saved()
+		if window.extra > saved {
+			worst = max(worst, float64(window.extra-saved)/float64(max(window.first, 1)))
 		}
 		// A retried run asks twice, at a prefill and at a decode server: both count.
-		if float64(recentExtra) > attemptsShare*float64(recentFirst)+float64(saved) {
-			finding.Violate(fmt.Sprintf("%d extra tries for %d first ones within %s", recentExtra, recentFirst,
-				attemptsWindow))
+		if float64(window.extra) > attemptsShare*float64(window.first)+float64(saved) {
+			finding.Violate(fmt.Sprintf("%d extra tries for %d first ones within %s", window.extra, window.first, attemptsWindow))
 		}
 	}
-	finding.Looked = first
-	share := float64(extra) / float64(max(first, 1))
+	total := log.total
+	finding.Looked = total.first
+	share := float64(total.extra) / float64(max(total.first, 1))
 	finding.Worst = strconv.FormatFloat(share, 'f', 3, 64) + ", in a window " + strconv.FormatFloat(worst, 'f', 3, 64)
-	if float64(extra) > attemptsShare*float64(first)+float64(attemptsSaved*len(routers)) {
-		finding.Violate(fmt.Sprintf("%d extra tries for %d first ones", extra, first))
+	if float64(total.extra) > attemptsShare*float64(total.first)+float64(log.saved()) {
+		finding.Violate(fmt.Sprintf("%d extra tries for %d first ones", total.extra, total.first))
 	}
 	return finding
 }
--- a/internal/testbed/fleet/engine.go
+++ b/internal/testbed/fleet/engine.go
@@ -413,44 +413,16 @@
 	order modelserver.DecodeRequest,
 	send func(line modelserver.DecodeChunk) error,
 ) (int, any) {
-	e.mutex.Lock()
-	if e.repeated("decode", order.Order, order.Request, order.Run) {
-		e.mutex.Unlock()
-		return http.StatusConflict, Refusal{Started: true, Type: "duplicate_order"}
-	}
-	e.events.Append(Entry{
-		Kind:    DecodeAsked,
-		Server:  e.plan.Name,
-		Zone:    e.plan.Zone,
-		Request: order.Request,
-		Run:     order.Run,
-		Depth:   e.active,
-		Age:     e.age(),
-	})
-	refusal, status := "", http.StatusTooManyRequests
-	switch {
-	case e.part != "decode":
-		refusal, status = "wrong_part", http.StatusServiceUnavailable
-	case e.active >= 2*e.plan.DecodeSlots:
-		refusal = "slots_full"
-	case e.memory+order.Chunks > e.plan.Memory:
-		refusal = "memory_full"
+	if status, refusal := e.beginDecode(connection, order); status != http.StatusOK {
+		return status, refusal
 	}
-	if refusal != "" {
-		e.mutex.Unlock()
-		return status, Refusal{Type: refusal}
-	}
-	e.active++
-	key := runName(order.Request, order.Run, order.Order)
-	e.runs[key] = connection
-	e.mutex.Unlock()
 	memory := 0
 	defer func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
 		e.active--
 		e.memory -= memory
-		delete(e.runs, key)
+		delete(e.runs, runName(order.Request, order.Run, order.Order))
 	}()
 	given, status := e.fetch(connection, order.Source, MemoryQuestion{
 		Handle:  order.Handle,
@@ -477,6 +449,35 @@
 	return http.StatusOK, nil
 }
 
+// beginDecode counts an order as active, or refuses it.
+func (e *Engine) beginDecode(connection *Connection, order modelserver.DecodeRequest) (int, Refusal) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.repeated("decode", order.Order, order.Request, order.Run) {
+		return http.StatusConflict, Refusal{Started: true, Type: "duplicate_order"}
+	}
+	e.events.Append(Entry{
+		Kind:    DecodeAsked,
+		Server:  e.plan.Name,
+		Zone:    e.plan.Zone,
+		Request: order.Request,
+		Run:     order.Run,
+		Depth:   e.active,
+		Age:     e.age(),
+	})
+	switch {
+	case e.part != "decode":
+		return http.StatusServiceUnavailable, Refusal{Type: "wrong_part"}
+	case e.active >= 2*e.plan.DecodeSlots:
+		return http.StatusTooManyRequests, Refusal{Type: "slots_full"}
+	case e.memory+order.Chunks > e.plan.Memory:
+		return http.StatusTooManyRequests, Refusal{Type: "memory_full"}
+	}
+	e.active++
+	e.runs[runName(order.Request, order.Run, order.Order)] = connection
+	return http.StatusOK, Refusal{}
+}
+
 // ChunkText is the text of one chunk, by which its reader can tell whose it is
 // and which run made it.
 func ChunkText(request, run string, chunk int) string {
--- a/internal/testbed/simulation/incident.go
+++ b/internal/testbed/simulation/incident.go
@@ -38,112 +38,138 @@
 // brings; lost is how long machines and links stay away, losses how many machines of
 // nodes are lost one after another.
 func (w *World) Incidents(lost time.Duration, losses int) []Incident {
-	var incidents []Incident
-	var rest, none Traffic
-	restSpan := time.Duration(0)
-	record := func(incident Incident, act func(incident *Incident)) {
-		before, began := w.sum(), w.now
-		act(&incident)
-		after := w.sum()
-		incident.Span = w.now - began
-		incident.Traffic = Traffic{after.Messages - before.Messages, after.Bytes - before.Bytes}
-		if restSpan > 0 && rest != none {
-			share := float64(incident.Span) / float64(restSpan)
-			incident.Rest = Traffic{int(float64(rest.Messages) * share), int(float64(rest.Bytes) * share)}
-		}
-		incident.Times = max(incident.Times, 1)
-		incidents = append(incidents, incident)
-		w.Log(fmt.Sprintf("%+v", incident))
-	}
-	record(Incident{Name: "the fleet starts"}, func(incident *Incident) {
-		began := w.now
-		for _, m := range w.machines {
-			w.outside.Go(func() {
-				w.wait(0, 2000)
-				w.start(m)
-			})
-		}
-		w.run(w.now + 2100*time.Millisecond)
-		incident.Led = w.since(began, w.hasLeader)
-		incident.Held = w.since(began, w.allHaveLeases)
-		incident.Whole = w.since(began, w.coreComplete)
-		incident.InForce = w.changed(w.now, w.configuration())
-		// Duties are given, and those who came late take theirs over.
-		w.since(w.now, func() bool { return w.rolesSettled(nil) })
-		w.run(w.now + 20*time.Second)
-	})
-	record(Incident{Name: "at rest"}, func(*Incident) { w.run(w.now + 10*time.Second) })
-	rest, restSpan = incidents[1].Traffic, incidents[1].Span
-	record(Incident{Name: "single changes", Times: 20}, func(incident *Incident) {
-		for range incident.Times {
-			w.change(incident)
-			w.run(w.now + 200*time.Millisecond)
-		}
-	})
-	record(Incident{Name: "a storm of eight operators, 10 s"}, func(incident *Incident) {
-		ends := w.now + 10*time.Second
-		left := 8
-		incident.Times = 0
-		for operator := range 8 {
-			w.outside.Go(func() {
-				for number := 0; w.now < ends; number++ {
-					began := w.now
-					if w.edit(w.nowhere("storm-"+strconv.Itoa(operator), number)) == "accepted" {
-						incident.Times++
-						incident.InForceMean += w.now - began
-						incident.InForce = max(incident.InForce, w.now-began)
-					}
-				}
-				left--
-			})
-		}
-		w.since(w.now, func() bool { return left == 0 })
-		incident.InForceMean /= time.Duration(max(incident.Times, 1))
-	})
-	record(Incident{Name: "a node restarted", Times: 2 * losses}, func(incident *Incident) {
-		for range incident.Times {
-			m := w.anyNode(membership.Router)
-			w.kill(m)
-			w.run(w.now + 300*time.Millisecond)
-			began := w.now
-			w.start(m)
-			incident.Held = later(incident.Held, w.since(began, w.allHaveLeases))
-			w.run(w.now + 500*time.Millisecond)
-		}
-	})
-	record(Incident{Name: "a node's machine lost", Times: losses}, func(incident *Incident) {
+	log := &incidentLog{world: w}
+	log.record(Incident{Name: "the fleet starts"}, w.startFleet)
+	log.record(Incident{Name: "at rest"}, func(*Incident) { w.run(w.now + 10*time.Second) })
+	log.rest = log.incidents[1]
+	log.record(Incident{Name: "single changes", Times: 20}, w.changeOneByOne)
+	log.record(Incident{Name: "a storm of eight operators, 10 s"}, w.stormOfChanges)
+	log.record(Incident{Name: "a node restarted", Times: 2 * losses}, w.restartNodes)
+	log.record(Incident{Name: "a node's machine lost", Times: losses}, func(incident *Incident) {
 		for range incident.Times {
 			w.lose(incident, []*machine{w.anyNode(membership.Router)}, 15*time.Second)
 		}
 	})
-	record(Incident{Name: "the primary's machine lost"},
+	log.record(Incident{Name: "the primary's machine lost"},
 		func(incident *Incident) { w.lose(incident, []*machine{w.primary()}, lost) })
-	record(Incident{Name: "the backup's machine lost"},
+	log.record(Incident{Name: "the backup's machine lost"},
 		func(incident *Incident) { w.lose(incident, []*machine{w.backup()}, lost) })
-	record(Incident{Name: "a rack of ten nodes and the backup lost"}, func(incident *Incident) {
-		gone := []*machine{w.backup()}
-		for _, m := range w.nodes(membership.Router) {
-			if m.zone == gone[0].zone && len(gone) < 11 {
-				gone = append(gone, m)
-			}
-		}
-		w.lose(incident, gone, lost)
-	})
-	record(Incident{Name: "the primary's zone lost"}, func(incident *Incident) {
+	log.record(Incident{Name: "a rack of ten nodes and the backup lost"},
+		func(incident *Incident) { w.lose(incident, w.rackOfBackup(), lost) })
+	log.record(Incident{Name: "the primary's zone lost"}, func(incident *Incident) {
 		w.lose(incident, w.inZones([]string{w.primary().zone}), lost)
 	})
-	record(Incident{Name: "a region without the primary apart"}, func(incident *Incident) {
+	log.record(Incident{Name: "a region without the primary apart"}, func(incident *Incident) {
 		w.apart(incident, func(region int) bool {
 			return region == (w.layout.region(w.primary().zone)+1)%len(w.layout.Zones)
 		}, lost)
 	})
-	record(Incident{Name: "the primary's region apart"}, func(incident *Incident) {
+	log.record(Incident{Name: "the primary's region apart"}, func(incident *Incident) {
 		own := w.layout.region(w.primary().zone)
 		w.apart(incident, func(region int) bool { return region == own }, lost)
 	})
-	record(Incident{Name: "all regions apart"}, func(incident *Incident) { w.apart(incident, nil, lost) })
+	log.record(Incident{Name: "all regions apart"}, func(incident *Incident) { w.apart(incident, nil, lost) })
 	w.endAll()
-	return incidents
+	return log.incidents
+}
+
+// incidentLog records incidents and what was said meanwhile.
+type incidentLog struct {
+	world     *World
+	incidents []Incident
+	// rest is the incident "at rest", once it is recorded.
+	rest Incident
+}
+
+// record has an incident happen.
+func (l *incidentLog) record(incident Incident, act func(incident *Incident)) {
+	before, began := l.world.sum(), l.world.now
+	act(&incident)
+	after := l.world.sum()
+	incident.Span = l.world.now - began
+	incident.Traffic = Traffic{after.Messages - before.Messages, after.Bytes - before.Bytes}
+	if l.rest.Span > 0 && l.rest.Traffic != (Traffic{}) {
+		share := float64(incident.Span) / float64(l.rest.Span)
+		incident.Rest = Traffic{int(float64(l.rest.Traffic.Messages) * share), int(float64(l.rest.Traffic.Bytes) * share)}
+	}
+	incident.Times = max(incident.Times, 1)
+	l.incidents = append(l.incidents, incident)
+	l.world.Log(fmt.Sprintf("%+v", incident))
+}
+
+// startFleet starts all machines within two seconds.
+func (w *World) startFleet(incident *Incident) {
+	began := w.now
+	for _, m := range w.machines {
+		w.outside.Go(func() {
+			w.wait(0, 2000)
+			w.start(m)
+		})
+	}
+	w.run(w.now + 2100*time.Millisecond)
+	incident.Led = w.since(began, w.hasLeader)
+	incident.Held = w.since(began, w.allHaveLeases)
+	incident.Whole = w.since(began, w.coreComplete)
+	incident.InForce = w.changed(w.now, w.configuration())
+	// Roles are given, and those who came late take theirs over.
+	w.since(w.now, func() bool { return w.rolesSettled(nil) })
+	w.run(w.now + 20*time.Second)
+}
+
+// changeOneByOne makes changes with a pause between them.
+func (w *World) changeOneByOne(incident *Incident) {
+	for range incident.Times {
+		w.change(incident)
+		w.run(w.now + 200*time.Millisecond)
+	}
+}
+
+// stormOfChanges has eight operators make changes for ten seconds.
+func (w *World) stormOfChanges(incident *Incident) {
+	const operators = 8
+	ends := w.now + 10*time.Second
+	left := operators
+	incident.Times = 0
+	for operator := range operators {
+		w.outside.Go(func() {
+			for number := 0; w.now < ends; number++ {
+				began := w.now
+				if w.edit(w.nowhere("storm-"+strconv.Itoa(operator), number)) == "accepted" {
+					incident.Times++
+					incident.InForceMean += w.now - began
+					incident.InForce = max(incident.InForce, w.now-began)
+				}
+			}
+			left--
+		})
+	}
+	w.since(w.now, func() bool { return left == 0 })
+	incident.InForceMean /= time.Duration(max(incident.Times, 1))
+}
+
+// restartNodes kills routers and starts them again at once.
+func (w *World) restartNodes(incident *Incident) {
+	for range incident.Times {
+		m := w.anyNode(membership.Router)
+		w.kill(m)
+		w.run(w.now + 300*time.Millisecond)
+		began := w.now
+		w.start(m)
+		incident.Held = later(incident.Held, w.since(began, w.allHaveLeases))
+		w.run(w.now + 500*time.Millisecond)
+	}
+}
+
+// rackOfBackup is the backup's machine and ten routers of its zone.
+func (w *World) rackOfBackup() []*machine {
+	const routers = 10
+	rack := []*machine{w.backup()}
+	for _, m := range w.nodes(membership.Router) {
+		if m.zone == rack[0].zone && len(rack) <= routers {
+			rack = append(rack, m)
+		}
+	}
+	return rack
 }
 
 func later(left, right time.Duration) time.Duration {
