Updates: followers are sent changes of the server list and loads, not the whole

Change: a poll says that its node takes changes. A node of the same term and not too far behind is sent the servers that changed and the names that are gone, and the differences of the loads' numbers, made once for all nodes. Changes fit only the revision that they name; any others are dropped and the next poll asks for the whole. Older releases, on either side, send and get what they did. The list is kept in the order of names, so that all nodes have one order either way.

--- a/internal/controlplane/serverlist.go
+++ b/internal/controlplane/serverlist.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,13 +21,14 @@
 	listing membership.ServerList
 	// epoch is that of the term, and zero while this controller does not lead.
 	epoch        uint64
-	changes      uint64
 	reportRounds uint64
 	reports      map[string]report
-	polling      map[string]bool
-	followedAt   time.Time
-	outliers     outlier.Detector
-	lastError    string
+	// rounds are the last ones of reading, the newest last.
+	rounds     []reportRound
+	polling    map[string]bool
+	followedAt time.Time
+	outliers   outlier.Detector
+	lastError  string
 	// readAt is when this controller last began to read for routers without a primary.
 	readAt time.Time
 }
@@ -39,6 +39,18 @@
 	at   time.Time
 }
 
+// reportRound is the reports as they were at the end of a round of reading.
+type reportRound struct {
+	revision uint64
+	endedAt  time.Time
+	reports  []wire.LoadReport
+	// changes are those to the newest round, if a node needed them.
+	changes *wire.LoadChanges
+}
+
+// maxRounds is how many rounds back a node may be to be sent only the changes.
+const maxRounds = 8
+
 // The intervals of reading. The values are ours.
 const (
 	listInterval   = 500 * time.Millisecond
@@ -64,11 +76,15 @@
 // an epoch has one primary.
 func revisionOf(epoch, count uint64) uint64 { return epoch<<32 | count&0xffffffff }
 
+func splitRevision(revision uint64) (epoch, count uint64) {
+	return revision >> 32, revision & 0xffffffff
+}
+
 func (l *serverList) revision() uint64 {
 	if l.epoch == 0 || l.listing.At().IsZero() {
 		return 0
 	}
-	return revisionOf(l.epoch, l.changes)
+	return revisionOf(l.epoch, l.listing.Changes())
 }
 
 func (l *serverList) reportsRevision() uint64 {
@@ -82,7 +98,7 @@
 func (l *serverList) beginTerm(epoch uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.epoch, l.changes, l.reportRounds, l.reports, l.polling = epoch, 1, 0, map[string]report{}, map[string]bool{}
+	l.epoch, l.reportRounds, l.rounds, l.reports, l.polling = epoch, 0, nil, map[string]report{}, map[string]bool{}
 }
 
 func (l *serverList) endTerm() {
@@ -123,11 +139,7 @@
 func (l *serverList) update(at time.Time, servers []membership.Server) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	changed := l.listing.Update(at, servers)
-	if changed {
-		l.changes++
-	}
-	return changed
+	return l.listing.Update(at, servers)
 }
 
 // servers is the list as it is known now.
@@ -161,20 +173,64 @@
 		l.followedAt = now
 	}
 	if current := l.revision(); request.WantServers && current != 0 {
-		response.Servers = &wire.ServersUpdate{Revision: current, Age: now.Sub(l.listing.At())}
-		if current != request.ServersRevision {
-			response.Servers.Sent, response.Servers.Servers = true, l.listing.Servers(now)
-		}
+		response.Servers = l.serversUpdate(now, current, request)
 	}
 	if current := l.reportsRevision(); request.WantLoads && current != 0 && current != request.LoadsRevision {
-		response.Loads = &wire.LoadsUpdate{Revision: current, Outliers: l.outliers.Advice(now)}
-		for _, reported := range l.reports {
-			if age := now.Sub(reported.at); age < reportTTL {
-				response.Loads.Reports = append(response.Loads.Reports, wire.NewLoadReport(reported.load, age))
-			}
+		response.Loads = l.loadsUpdate(now, request)
+	}
+}
+
+// serversUpdate confirms the list of a node, or has its changes since, or the list itself. The
+// caller has the mutex.
+func (l *serverList) serversUpdate(now time.Time, current uint64, request wire.UpdateRequest) *wire.ServersUpdate {
+	update := &wire.ServersUpdate{Revision: current, Age: now.Sub(l.listing.At())}
+	if current == request.ServersRevision {
+		return update
+	}
+	if epoch, change := splitRevision(request.ServersRevision); request.AcceptChanges && epoch == l.epoch {
+		if changed, removed, known := l.listing.ChangesSince(now, change); known {
+			update.Changes = &wire.ServerChanges{Base: request.ServersRevision, Changed: changed, Removed: removed}
+			return update
 		}
-		slices.SortFunc(response.Loads.Reports, func(left, right wire.LoadReport) int { return strings.Compare(left.Server, right.Server) })
 	}
+	update.Sent, update.Servers = true, l.listing.Servers(now)
+	return update
+}
+
+// loadsUpdate has the changes of the newest round from that of a node, or all of its reports. The
+// caller has the mutex.
+func (l *serverList) loadsUpdate(now time.Time, request wire.UpdateRequest) *wire.LoadsUpdate {
+	newest := l.rounds[len(l.rounds)-1]
+	age := int(now.Sub(newest.endedAt).Milliseconds())
+	update := &wire.LoadsUpdate{Revision: newest.revision, Age: age, Outliers: l.outliers.Advice(now)}
+	if request.AcceptChanges {
+		if update.Changes = l.loadChanges(request.LoadsRevision); update.Changes != nil {
+			return update
+		}
+	}
+	update.Reports = slices.Clone(newest.reports)
+	for position := range update.Reports {
+		update.Reports[position].Age += age
+	}
+	return update
+}
+
+// loadChanges are the changes from an earlier round to the newest; nil if it is not remembered.
+// They are made once for all nodes. The caller has the mutex.
+func (l *serverList) loadChanges(revision uint64) *wire.LoadChanges {
+	newest := l.rounds[len(l.rounds)-1]
+	for position := range l.rounds {
+		round := &l.rounds[position]
+		if round.revision != revision {
+			continue
+		}
+		if round.changes == nil {
+			changes := wire.NewLoadChanges(revision, round.reports, newest.reports)
+			round.changes = &changes
+		}
+		return round.changes
+	}
+	return nil
 }
 
 // recordFailing takes a node's report of the servers that failed its requests.
@@ -231,6 +287,21 @@
 	}
 	if l.epoch != 0 {
 		l.reportRounds++
+		l.recordRound(now)
+	}
+}
+
+// recordRound remembers the reports as they are now. The caller has the mutex.
+func (l *serverList) recordRound(now time.Time) {
+	round := reportRound{revision: l.reportsRevision(), endedAt: now}
+	for _, reported := range l.reports {
+		round.reports = append(round.reports, wire.NewLoadReport(reported.load, now.Sub(reported.at)))
+	}
+	wire.SortReports(round.reports)
+	l.rounds = append(l.rounds, round)
+	l.rounds = slices.Delete(l.rounds, 0, max(0, len(l.rounds)-maxRounds))
+	for position := range l.rounds {
+		l.rounds[position].changes = nil
 	}
 }
 
--- /dev/null
+++ b/internal/follower/changes_test.go
@@ -0,0 +1,122 @@
+package follower
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/replication"
+	"seamloom.example/seamloom/internal/runtime/runtimetest"
+	"seamloom.example/seamloom/internal/wire"
+)
+
+// listSource is a primary's list with all of its revisions.
+type listSource struct {
+	epoch   uint64
+	list    membership.ServerList
+	sent    map[uint64][]membership.Server
+	reports map[uint64][]wire.LoadReport
+	round   uint64
+}
+
+func (s *listSource) revision(count uint64) uint64 { return s.epoch<<32 | count }
+
+// change replaces some servers and has a round of reports.
+func (s *listSource) change(random *rand.Rand, now time.Time) {
+	var servers []membership.Server
+	s.round++
+	var reports []wire.LoadReport
+	for number := range 10 {
+		if name := fmt.Sprintf("server-%d", number); random.Intn(4) > 0 {
+			servers = append(servers, membership.Server{Name: name, Leaving: random.Intn(20) == 0, Slots: random.Intn(3)})
+			reports = append(reports, wire.LoadReport{Server: name, Running: random.Intn(16)})
+		}
+	}
+	s.list.Update(now, servers)
+	s.sent[s.revision(s.list.Changes())] = s.list.Servers(now)
+	s.reports[s.revision(s.round)] = reports
+}
+
+// respond answers a request as a primary does, complete or with changes.
+func (s *listSource) respond(now time.Time, request wire.UpdateRequest, complete bool) wire.UpdateResponse {
+	current := s.revision(s.list.Changes())
+	servers := &wire.ServersUpdate{Revision: current}
+	changed, removed, known := s.list.ChangesSince(now, request.ServersRevision&0xffffffff)
+	switch {
+	case request.ServersRevision == current:
+	case !complete && known && request.ServersRevision>>32 == s.epoch:
+		servers.Changes = &wire.ServerChanges{Base: request.ServersRevision, Changed: changed, Removed: removed}
+	default:
+		servers.Sent, servers.Servers = true, s.list.Servers(now)
+	}
+	newest := s.reports[s.revision(s.round)]
+	loads := &wire.LoadsUpdate{Revision: s.revision(s.round)}
+	if base, found := s.reports[request.LoadsRevision]; found && !complete {
+		changes := wire.NewLoadChanges(request.LoadsRevision, base, newest)
+		loads.Changes = &changes
+	} else {
+		loads.Reports = newest
+	}
+	return wire.UpdateResponse{Leads: true, Servers: servers, Loads: loads}
+}
+
+// TestServersComeNotBackByOlderChanges has responses lost, repeated and late, from changing
+// primaries, and wants the list and the reports to be those of the revision that the node names,
+// and of the newest after each request that was answered.
+func TestServersComeNotBackByOlderChanges(t *testing.T) {
+	for seed := range int64(100) {
+		random := rand.New(rand.NewSource(seed))
+		rt := &runtimetest.Moving{Time: runtimetest.AtNoon(0)}
+		var applied Update
+		follower := New(rt, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(update Update) { applied = update })
+		follower.Follow(true, true)
+		source := &listSource{epoch: 1, sent: map[uint64][]membership.Server{}, reports: map[uint64][]wire.LoadReport{}}
+		sent, reports := source.sent, source.reports
+		source.change(random, rt.Time)
+		var responses []wire.UpdateResponse
+		for range 200 {
+			rt.Time = rt.Time.Add(300 * time.Millisecond)
+			switch random.Intn(6) {
+			case 0, 1:
+				source.change(random, rt.Time)
+			case 2:
+				if random.Intn(5) == 0 {
+					source = &listSource{epoch: source.epoch + 1, sent: sent, reports: reports}
+					source.change(random, rt.Time)
+				}
+			}
+			request, _ := follower.pollRequest()
+			if !request.AcceptChanges {
+				t.Fatal("changes are not accepted")
+			}
+			response := source.respond(rt.Time, request, random.Intn(8) == 0)
+			responses = append(responses, response)
+			switch random.Intn(4) {
+			case 0:
+				continue
+			case 1:
+				// A late response comes, or one again.
+				response = responses[random.Intn(len(responses))]
+			}
+			follower.Apply(rt.Time, response)
+			if applied.Servers != nil && !reflect.DeepEqual(applied.Servers.Servers, sent[follower.serversRevision]) {
+				t.Fatalf("seed %d: the list of revision %x is\n%+v\nwant\n%+v", seed, follower.serversRevision, applied.Servers.Servers, sent[follower.serversRevision])
+			}
+			if follower.loadsRevision != 0 && len(follower.reports)+len(reports[follower.loadsRevision]) > 0 &&
+				!reflect.DeepEqual(follower.reports, reports[follower.loadsRevision]) {
+				t.Fatalf("seed %d: the reports are not those of their round", seed)
+			}
+		}
+		for range 2 {
+			// The second request may ask for all, after changes that did not fit.
+			request, _ := follower.pollRequest()
+			follower.Apply(rt.Time, source.respond(rt.Time, request, false))
+		}
+		if !reflect.DeepEqual(applied.Servers.Servers, source.list.Servers(rt.Time)) {
+			t.Fatalf("seed %d: the last list is not the newest", seed)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -7,6 +7,7 @@
 package follower
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	serversRevision        uint64
 	loadsRevision          uint64
 	listing                membership.ServerList
+	// reports are those of the round LoadsRevision, with their ages as of its end.
+	reports []wire.LoadReport
 }
 
 // Update is one response of the primary, as the node applies it.
@@ -65,10 +68,11 @@
 	Provisional bool
 	// Servers is the list as the primary has it, if it has one.
 	Servers *ServerList
-	// Loads are the servers' reports, if there are newer ones, Outliers what comes with
-	// them.
-	Loads    []scheduler.Load
-	Outliers outlier.Advice
+	// Loads are the servers' reports, if there are newer ones, LoadsReadAt is the end of the
+	// round in which they were read, and Outliers what comes with them.
+	Loads       []scheduler.Load
+	LoadsReadAt time.Time
+	Outliers    outlier.Advice
 }
 
 // ServerList is a list of servers and when it was read.
@@ -299,7 +303,7 @@
 	for name, section := range f.sections {
 		have[name] = section.Version
 	}
-	return wire.UpdateRequest{Member: f.member, Have: have, InForce: f.inForce(), AcceptDeltas: true, Membership: f.membership.Epoch,
+	return wire.UpdateRequest{Member: f.member, Have: have, InForce: f.inForce(), AcceptDeltas: true, AcceptChanges: true, Membership: f.membership.Epoch,
 		WantServers: f.wantServers, ServersRevision: f.serversRevision, WantLoads: f.wantLoads, LoadsRevision: f.loadsRevision}
 }
 
@@ -350,22 +354,58 @@
 	respondedAt := update.RequestedAt.Add(update.Response.Waited)
 	if list := update.Response.Servers; list != nil {
 		at := respondedAt.Add(-list.Age)
-		if list.Sent {
-			f.listing = membership.ServerList{}
-			f.listing.Update(at, list.Servers)
-			f.serversRevision = list.Revision
-		}
+		f.applyServers(at, list)
 		if list.Revision == f.serversRevision {
 			f.listing.Confirm(at)
 			update.Servers = &ServerList{ReadAt: at, Servers: f.listing.Servers(at)}
 		}
 	}
-	if loads := update.Response.Loads; loads != nil && f.wantLoads {
-		f.loadsRevision = loads.Revision
+	if loads := update.Response.Loads; loads != nil && f.wantLoads && f.applyReports(loads) {
 		update.Outliers = loads.Outliers
-		delay := f.runtime.Now().Sub(respondedAt)
-		for _, report := range loads.Reports {
+		update.LoadsReadAt = respondedAt.Add(-time.Duration(loads.Age) * time.Millisecond)
+		delay := f.runtime.Now().Sub(update.LoadsReadAt)
+		for _, report := range f.reports {
 			update.Loads = append(update.Loads, report.Load(delay))
 		}
 	}
 }
+
+// applyServers takes a list that was sent, or its changes. Changes of another list than the
+// follower's are dropped, and the next request asks for the complete one.
+func (f *Follower) applyServers(at time.Time, list *wire.ServersUpdate) {
+	servers := list.Servers
+	switch {
+	case list.Sent:
+	case list.Changes == nil:
+		return
+	case f.serversRevision == 0 || list.Changes.Base != f.serversRevision:
+		f.serversRevision = 0
+		return
+	default:
+		servers = list.Changes.Apply(f.listing.Servers(at))
+	}
+	f.listing = membership.ServerList{}
+	f.listing.Update(at, servers)
+	f.serversRevision = list.Revision
+}
+
+// applyReports takes a round of reports, or its changes from the follower's round, and tells
+// whether it did. After changes that do not fit the next request asks for all reports.
+func (f *Follower) applyReports(loads *wire.LoadsUpdate) bool {
+	reports, fits := slices.Clone(loads.Reports), true
+	for position := range reports {
+		reports[position].Age -= loads.Age
+	}
+	if loads.Changes != nil {
+		fits = false
+		if f.loadsRevision != 0 && loads.Changes.Base == f.loadsRevision {
+			reports, fits = loads.Changes.Apply(f.reports)
+		}
+	}
+	if !fits {
+		f.loadsRevision, f.reports = 0, nil
+		return false
+	}
+	f.loadsRevision, f.reports = loads.Revision, reports
+	return true
+}
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -42,6 +43,10 @@
 	leaving map[string]bool
 	// removed is when a removed server was first missing.
 	removed map[string]time.Time
+	// changes counts the changes, and changedIn is the last one of each server that is listed
+	// or was removed within the last maxChanges.
+	changes   uint64
+	changedIn map[string]uint64
 }
 
 const (
@@ -52,6 +57,8 @@
 	removedRetention = time.Minute
 	// minWarmingChange is the least change of the end of a server's warming that counts as one.
 	minWarmingChange = 300 * time.Millisecond
+	// maxChanges is how many changes back ChangesSince reaches.
+	maxChanges = 32
 )
 
 // Update takes over a list that was read at a moment and tells whether anything changed that
@@ -62,7 +69,7 @@
 	}
 	first := l.at.IsZero()
 	if l.leaving == nil {
-		l.leaving, l.removed = map[string]bool{}, map[string]time.Time{}
+		l.leaving, l.removed, l.changedIn = map[string]bool{}, map[string]time.Time{}, map[string]uint64{}
 	}
 	before := map[string]Server{}
 	for _, server := range l.servers {
@@ -70,7 +77,7 @@
 	}
 	var next []Server
 	warmAt := map[string]time.Time{}
-	changed := false
+	changed := map[string]bool{}
 	for _, server := range servers {
 		if removed, found := l.removed[server.Name]; found && at.Sub(removed) < listLag {
 			continue
@@ -85,24 +92,67 @@
 		earlier, known := before[server.Name]
 		delete(before, server.Name)
 		if !known || !earlier.equal(server) {
-			changed = true
+			changed[server.Name] = true
 		}
 		// Each read reports the same end a little differently.
 		if old := l.warmAt[server.Name]; known && until.Sub(old).Abs() < minWarmingChange {
 			until = old
 		} else if known && (until.After(at) || old.After(at)) {
-			changed = true
+			changed[server.Name] = true
 		}
 		warmAt[server.Name] = until
 		next = append(next, server)
 	}
 	for name := range before {
-		changed = true
+		changed[name] = true
 		l.removed[name] = at
 	}
 	l.forget(at)
+	// All nodes have one order, whether they were sent the list or its changes.
+	slices.SortStableFunc(next, func(left, right Server) int { return strings.Compare(left.Name, right.Name) })
 	l.at, l.servers, l.warmAt = at, next, warmAt
-	return changed || first
+	if len(changed) == 0 && !first {
+		return false
+	}
+	l.recordChange(changed)
+	return true
+}
+
+// recordChange counts a change of the named servers.
+func (l *ServerList) recordChange(names map[string]bool) {
+	l.changes++
+	for name := range names {
+		l.changedIn[name] = l.changes
+	}
+	for name, number := range l.changedIn {
+		if _, listed := l.warmAt[name]; !listed && number+maxChanges < l.changes {
+			delete(l.changedIn, name)
+		}
+	}
+}
+
+// Changes is how many changes the list has seen.
+func (l *ServerList) Changes() uint64 { return l.changes }
+
+// ChangesSince gives the servers that are new or differ from those after an earlier change, as
+// counted by Changes, and the names of those that were removed since. False means that so old a
+// change is not remembered.
+func (l *ServerList) ChangesSince(now time.Time, change uint64) (changed []Server, removed []string, known bool) {
+	if change == 0 || change > l.changes || change+maxChanges < l.changes {
+		return nil, nil, false
+	}
+	for _, server := range l.Servers(now) {
+		if l.changedIn[server.Name] > change {
+			changed = append(changed, server)
+		}
+	}
+	for name, number := range l.changedIn {
+		if _, listed := l.warmAt[name]; !listed && number > change {
+			removed = append(removed, name)
+		}
+	}
+	slices.Sort(removed)
+	return changed, removed, true
 }
 
 // forget drops the removed servers whose retention has passed.
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -78,6 +78,8 @@
 		Edits: []Edit{{"internal/dataplane/router.go", "	r.follower.SetProvisional(length > 0)", "	r.follower.SetProvisional(true)"}}},
 	{Name: "an older primary's news is passed over", Never: back, Package: "./internal/follower", Test: "TestFollowerPassesOlderUpdateOver",
 		Edits: []Edit{{"internal/follower/follower.go", "if section.Version.Before(f.sections[name].Version) {", "if section.Version.Before(f.sections[name+\"?\"].Version) {"}, {"internal/follower/follower.go", "if have := f.sections[replication.ConfigurationSection].Version; response.Configuration.Before(have) && have != f.unconfirmed {", "if false {"}}},
+	{Name: "changes of the list of servers apply only to their base", Never: leaving, Package: "./internal/follower", Test: "TestServersComeNotBackByOlderChanges",
+		Edits: []Edit{{"internal/follower/follower.go", "case f.serversRevision == 0 || list.Changes.Base != f.serversRevision:", "case f.serversRevision == 0:"}}},
 	{Name: "a change of a configuration is checked by its checksum", Never: back, Package: "./internal/follower", Test: "TestFollowerAsksAnewWhenADeltaDoesNotFit",
 		Edits: []Edit{{"internal/wire/delta.go", "crc32.Checksum(content, deltaTable) == d.Checksum", "true"}}},
 	{Name: "a change names the version that it changes", Never: losing, Worlds: true, Finds: "reads are never older",
--- /dev/null
+++ b/internal/wire/changes_test.go
@@ -0,0 +1,141 @@
+package wire_test
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/wire"
+)
+
+var changesNoon = time.Unix(1000, 0)
+
+// TestChangesOfTheServerListGiveTheWholeList replaces, removes, restores and warms servers at
+// random, and wants the changes since each remembered list to give the newest.
+func TestChangesOfTheServerListGiveTheWholeList(t *testing.T) {
+	for seed := range int64(200) {
+		random := rand.New(rand.NewSource(seed))
+		var list membership.ServerList
+		earlier := map[uint64][]membership.Server{}
+		for step := range 80 {
+			now := changesNoon.Add(time.Duration(step) * 700 * time.Millisecond)
+			var read []membership.Server
+			for number := range 12 {
+				if random.Intn(6) == 0 {
+					continue
+				}
+				server := membership.Server{Name: fmt.Sprintf("server-%d", number), Leaving: random.Intn(30) == 0, Slots: 16 + random.Intn(20)/19}
+				if random.Intn(40) == 0 {
+					server.Warming = 3 * time.Second
+				}
+				read = append(read, server)
+			}
+			random.Shuffle(len(read), func(left, right int) { read[left], read[right] = read[right], read[left] })
+			if random.Intn(3) > 0 {
+				list.Update(now, read)
+			}
+			want := list.Servers(now)
+			for change, servers := range earlier {
+				changed, removed, known := list.ChangesSince(now, change)
+				if !known {
+					if change+32 >= list.Changes() {
+						t.Fatalf("seed %d: change %d of %d is not remembered", seed, change, list.Changes())
+					}
+					continue
+				}
+				got := wire.ServerChanges{Changed: changed, Removed: removed}.Apply(servers)
+				if !sameServers(got, want) {
+					t.Fatalf("seed %d, step %d: since change %d\n%+v\nwhole\n%+v", seed, step, change, got, want)
+				}
+			}
+			if list.Changes() > 0 {
+				earlier[list.Changes()] = want
+			}
+		}
+		if _, _, known := list.ChangesSince(changesNoon, list.Changes()+1); known {
+			t.Fatal("a change to come is known")
+		}
+	}
+}
+
+// sameServers compares lists but for the time that warming servers have left, which runs out.
+func sameServers(got, want []membership.Server) bool {
+	if len(got) != len(want) {
+		return false
+	}
+	for position := range got {
+		left, right := got[position], want[position]
+		left.Warming, right.Warming = 0, 0
+		if !reflect.DeepEqual(left, right) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestChangesOfLoadsGiveAllReports wants the changes between two rounds to lead from one to the
+// other, whatever differs, and those that were cut short to fit nothing.
+func TestChangesOfLoadsGiveAllReports(t *testing.T) {
+	for seed := range int64(500) {
+		random := rand.New(rand.NewSource(seed))
+		base, target := randomReports(random), randomReports(random)
+		changes := wire.NewLoadChanges(1, base, target)
+		got, fits := changes.Apply(base)
+		if !fits || len(got) != len(target) || len(got) > 0 && !reflect.DeepEqual(got, target) {
+			t.Fatalf("seed %d: %v\n%+v\nwant\n%+v", seed, fits, got, target)
+		}
+		if length := len(changes.Differences); length > 0 {
+			changes.Differences = changes.Differences[:length-1]
+			if _, fits := changes.Apply(base); fits {
+				t.Fatalf("seed %d: changes that were cut short fit", seed)
+			}
+		}
+	}
+}
+
+func randomReports(random *rand.Rand) []wire.LoadReport {
+	var reports []wire.LoadReport
+	for number := range 20 {
+		if random.Intn(4) == 0 {
+			continue
+		}
+		report := wire.LoadReport{Server: fmt.Sprintf("server-%02d", number), Part: "decode", Running: random.Intn(3),
+			Waiting: random.Intn(2), MemoryUsed: random.Intn(2) * random.Intn(1<<30), MemoryTotal: 1 << 30, Age: random.Intn(900)}
+		if random.Intn(10) == 0 {
+			report.Part, report.Changing, report.Orders = "prefill", true, uint(random.Intn(9))
+		}
+		reports = append(reports, report)
+	}
+	wire.SortReports(reports)
+	return reports
+}
+
+// TestUpdatesWithoutChangesAreEncodedAsBefore wants no new key in what an older release is sent.
+func TestUpdatesWithoutChangesAreEncodedAsBefore(t *testing.T) {
+	type earlierServers struct {
+		Revision uint64              `msgpack:"mark"`
+		Age      time.Duration       `msgpack:"age"`
+		Sent     bool                `msgpack:"sent,omitempty"`
+		Servers  []membership.Server `msgpack:"servers,omitempty"`
+	}
+	servers := []membership.Server{{Name: "a", Warming: time.Second}}
+	now := encode(t, wire.ServersUpdate{Revision: 7, Age: time.Second, Sent: true, Servers: servers})
+	before := encode(t, earlierServers{Revision: 7, Age: time.Second, Sent: true, Servers: servers})
+	if string(now) != string(before) {
+		t.Errorf("%x\nbefore\n%x", now, before)
+	}
+}
+
+func encode(t *testing.T, message any) []byte {
+	t.Helper()
+	encoded, err := msgpack.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/wire/serverchanges.go
@@ -0,0 +1,39 @@
+package wire
+
+import (
+	"slices"
+	"strings"
+
+	"seamloom.example/seamloom/internal/membership"
+)
+
+// ServerChanges are what differs between two revisions of the list of servers.
+type ServerChanges struct {
+	// Base is the revision from which they lead to that of the update.
+	Base uint64 `msgpack:"base"`
+	// Changed are the servers that are new or listed differently, with their warming as of
+	// the age of the update.
+	Changed []membership.Server `msgpack:"changed,omitempty"`
+	Removed []string            `msgpack:"removed,omitempty"`
+}
+
+// Apply gives the list after the changes, in the order of names, from the list of revision Base.
+func (c ServerChanges) Apply(base []membership.Server) []membership.Server {
+	servers := map[string]membership.Server{}
+	for _, server := range base {
+		servers[server.Name] = server
+	}
+	// A server that was removed and listed again is in both.
+	for _, name := range c.Removed {
+		delete(servers, name)
+	}
+	for _, server := range c.Changed {
+		servers[server.Name] = server
+	}
+	list := make([]membership.Server, 0, len(servers))
+	for _, server := range servers {
+		list = append(list, server)
+	}
+	slices.SortFunc(list, func(left, right membership.Server) int { return strings.Compare(left.Name, right.Name) })
+	return list
+}
--- a/internal/wire/updates.go
+++ b/internal/wire/updates.go
@@ -31,6 +31,9 @@
 	ServersRevision uint64 `msgpack:"list_mark,omitempty"`
 	WantLoads       bool   `msgpack:"loads,omitempty"`
 	LoadsRevision   uint64 `msgpack:"loads_mark,omitempty"`
+	// AcceptChanges: the node accepts ServerChanges and LoadChanges from the revisions that it
+	// has, instead of the complete list and reports.
+	AcceptChanges bool `msgpack:"changes,omitempty"`
 	// Failing are the servers that failed requests of this node since its last request.
 	Failing []string `msgpack:"failing,omitempty"`
 	// LeaderOnly asks only who leads: the response has no sections and no lease. An older
@@ -76,26 +79,31 @@
 	Sections map[string]replication.Section `msgpack:"drawers,omitempty"`
 }
 
-// ServersUpdate is the platform's list of servers as the primary knows it: its age, and the
-// list itself (Sent) for a node that has another revision.
+// ServersUpdate is the platform's list of servers as the primary knows it: its age, and for a
+// node that has another revision the changes from that one, or the list itself (Sent).
 type ServersUpdate struct {
 	Revision uint64              `msgpack:"mark"`
 	Age      time.Duration       `msgpack:"age"`
 	Sent     bool                `msgpack:"sent,omitempty"`
 	Servers  []membership.Server `msgpack:"servers,omitempty"`
+	Changes  *ServerChanges      `msgpack:"changes,omitempty"`
 }
 
-// LoadsUpdate has the servers' load reports as the primary read them last. Each round of
-// reading is a revision.
+// LoadsUpdate has the servers' load reports as the primary read them last: all of them, or the
+// changes from a round that the node has. Each round of reading is a revision.
 type LoadsUpdate struct {
 	Revision uint64       `msgpack:"mark"`
 	Reports  []LoadReport `msgpack:"lines"`
+	Changes  *LoadChanges `msgpack:"changes,omitempty"`
+	// Age is the time in milliseconds from the end of the round to the response. The ages of
+	// Reports include it, those of Changes do not.
+	Age int `msgpack:"age,omitempty"`
 	// Outliers are the servers to avoid, by the failures that all nodes reported there.
 	Outliers outlier.Advice `msgpack:"outliers,omitempty"`
 }
 
-// LoadReport is one server's load. It is encoded as an array, without names, since it goes
-// to every router three times a second.
+// LoadReport is one server's load. It is encoded as an array, without names, since many of
+// them go to every router.
 type LoadReport struct {
 	//lint:ignore U1000 The encoder reads the tag.
 	_msgpack struct{} `msgpack:",as_array"`
