Edits: the log line and the metrics tell how long each phase took

One line for each edit that is acknowledged or answered "unknown", one for each batch that takes 250 ms or more to sync, and sums as metrics. No logic changes. The mutation of the acknowledgement's wait names the new line.

--- a/internal/adapters/controller/status.go
+++ b/internal/adapters/controller/status.go
@@ -94,11 +94,19 @@
 	if p.controller.Store().LocalReplica().Damage() != "" {
 		damaged = 1
 	}
+	edits := p.controller.ChangeCounts()
+	milliseconds := func(length time.Duration) uint64 { return uint64(length.Milliseconds()) }
 	writer.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	for _, metric := range []struct {
 		name  string
 		value uint64
-	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", p.controller.Coordinator().Membership().Epoch}, {"seamloom_copy_number", version.Number},
+	}{{"seamloom_edits_accepted_total", edits.Accepted}, {"seamloom_edits_unconfirmed_total", edits.Unconfirmed},
+		{"seamloom_edits_unknown_total", edits.Unknown},
+		{`seamloom_edit_phase_milliseconds_total{phase="preparation"}`, milliseconds(edits.Preparation)},
+		{`seamloom_edit_phase_milliseconds_total{phase="commit"}`, milliseconds(edits.Commit)},
+		{`seamloom_edit_phase_milliseconds_total{phase="own_disk"}`, milliseconds(edits.OwnDisk)},
+		{`seamloom_edit_phase_milliseconds_total{phase="slowest_backup"}`, milliseconds(edits.SlowestBackup)},
+		{`seamloom_edit_phase_milliseconds_total{phase="confirmation"}`, milliseconds(edits.Confirmation)}, {"seamloom_leads", uint64(leads)}, {"seamloom_epoch", p.controller.Coordinator().Membership().Epoch}, {"seamloom_copy_number", version.Number},
 		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
 		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
 		{"seamloom_configurations_sent_total", configurations}, {"seamloom_waiting_for_core", uint64(waiting)}} {
--- a/internal/controlplane/commit.go
+++ b/internal/controlplane/commit.go
@@ -36,9 +36,14 @@
 	if !found || batch.Version.Epoch != membership.Epoch {
 		return false
 	}
-	if !batch.Empty() && !c.sync(membership, batch) {
+	timing := batchTiming{version: batch.Version, bytes: batch.Size(), began: c.runtime.Now()}
+	if !batch.Empty() && !c.sync(membership, batch, &timing) {
 		return false
 	}
+	timing.visible = c.runtime.Now()
+	if !batch.Empty() {
+		c.batchTimings.record(timing)
+	}
 	if !c.store.Commit(batch) {
 		return false
 	}
@@ -59,21 +64,25 @@
 	// waiting counts the backups whose write has not ended, missing are the errors of the others.
 	waiting int
 	missing error
+	// ownTook and backups are how long the ended writes took.
+	ownTook time.Duration
+	backups []backupTiming
 }
 
 // endBackup notes the end of a write to a backup.
-func (w *writes) endBackup(err error) {
+func (w *writes) endBackup(timing backupTiming, err error) {
 	w.mutex.Lock()
 	w.waiting--
+	w.backups = append(w.backups, timing)
 	w.missing = multierr.Append(w.missing, err)
 	w.mutex.Unlock()
 	w.cond.Broadcast()
 }
 
 // endOwn notes the end of the write to the own disk.
-func (w *writes) endOwn(err error) {
+func (w *writes) endOwn(took time.Duration, err error) {
 	w.mutex.Lock()
-	w.ownEnded, w.own = true, err
+	w.ownEnded, w.own, w.ownTook = true, err, took
 	w.mutex.Unlock()
 	w.cond.Broadcast()
 }
@@ -87,21 +96,22 @@
 
 // sync sends a batch to all disks at once and tells whether it is on each. It waits for the own disk
 // however long that takes, since nothing else is written while it stalls, and for the backups until
-// others have their place: a call to a machine without power ends long after that.
-func (c *Controller) sync(membership replication.Membership, batch replication.Batch) bool {
-	under := &writes{cond: c.runtime.NewCond(), waiting: len(membership.Backups())}
+// others have their place: a call to a machine without power ends long after that. It notes in the
+// timing how long each write took.
+func (c *Controller) sync(membership replication.Membership, batch replication.Batch, timing *batchTiming) bool {
+	under, began := &writes{cond: c.runtime.NewCond(), waiting: len(membership.Backups())}, timing.began
 	c.runtime.Go(func() {
 		c.coordinator.SetDiskBusy(true)
 		err := c.store.WriteLocal(batch)
 		c.coordinator.SetDiskBusy(err != nil)
-		under.endOwn(err)
+		under.endOwn(c.runtime.Now().Sub(began), err)
 	})
 	for _, backup := range membership.Backups() {
 		c.runtime.Go(func() {
 			c.coordinator.RecordBackupWrite(backup.Identity)
 			err := (&peers{client: c.client}).Replicate(c.coordinator.Address(backup), backup.Identity, membership.Epoch, batch)
 			c.coordinator.RecordBackupResult(backup.Identity, err == nil)
-			under.endBackup(err)
+			under.endBackup(backupTiming{name: backup.Name, took: c.runtime.Now().Sub(began)}, err)
 		})
 	}
 	for {
@@ -116,6 +126,11 @@
 	}
 	under.mutex.Lock()
 	defer under.mutex.Unlock()
+	timing.ownDisk, timing.backups = under.ownTook, under.backups
+	if took := c.runtime.Now().Sub(began); took >= slowBatch {
+		c.observe("batch_slow", "version", batch.Version.String(), "took", took.String(), "own_disk", timing.ownDisk.String(),
+			"backups", timing.backupTimes(), "bytes", timing.bytes)
+	}
 	if under.missing != nil || under.own != nil {
 		c.observe("write_not_synced", "version", batch.Version.String(), "backup", under.missing, "own", under.own)
 		return false
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -46,6 +46,8 @@
 	configurationsSent atomic.Uint64
 
 	acknowledgeWait atomic.Int64
+	batchTimings    batchTimings
+	changeMeter     changeMeter
 	joining         joinNotices
 
 	mutex sync.Mutex
--- a/internal/controlplane/core_test.go
+++ b/internal/controlplane/core_test.go
@@ -64,6 +64,15 @@
 	// dark is the address of a machine without power: a call to it hangs until the test is over.
 	dark string
 	over <-chan struct{}
+	// observer is called for the log events of all controllers, if there is one.
+	observer atomic.Pointer[func(event string, detail ...any)]
+}
+
+// observe passes a log event on to the observer.
+func (c *core) observe(event string, detail ...any) {
+	if observer := c.observer.Load(); observer != nil {
+		(*observer)(event, detail...)
+	}
 }
 
 // CallRaw answers at once.
@@ -111,7 +120,10 @@
 		address := "m" + strconv.Itoa(number)
 		m, keeping := &memoryStorage{files: map[string][]byte{}}, &memoryStorage{files: map[string][]byte{}}
 		options := Options{Name: address, Address: address, Seeds: []string{"m0", "m1", "m2"}, Supported: features.Supported(nil), Fresh: replication.Identity("disk-" + address)}
-		node, _, err := Open(wrap(rt), formed, keeping, m, options, func(string, ...any) { changed.Broadcast() })
+		node, _, err := Open(wrap(rt), formed, keeping, m, options, func(event string, detail ...any) {
+			formed.observe(event, detail...)
+			changed.Broadcast()
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/controlplane/edit.go
+++ b/internal/controlplane/edit.go
@@ -43,18 +43,26 @@
 	if edit.BaseRevision != nil {
 		edit = edit.withRevisionCheck()
 	}
-	current, version, err := c.change(edit)
+	phases := editPhases{received: c.runtime.Now()}
+	current, version, err := c.change(edit, &phases)
 	if err != nil {
+		if failure.CodeOf(err) == failure.Unknown {
+			c.observeEdit(editUnknown, edit, version, phases.endedAt(c.runtime.Now()))
+		}
 		return version, err
 	}
+	phases.committed = c.runtime.Now()
 	// The same change sent again is answered with the version that holds now.
 	if _, view, err := c.Leading(); err == nil && view.VersionOf(replication.ConfigurationSection).Before(version) {
 		version = view.VersionOf(replication.ConfigurationSection)
 	}
-	if !c.awaitInForce(current, version) {
+	confirmed, inForce := c.awaitInForce(current, version)
+	phases.confirmation = confirmed
+	if !inForce {
+		c.observeEdit(editUnknown, edit, version, phases)
 		return version, failure.New(failure.Unknown, "it can't be known yet whether the change is in force")
 	}
-	c.observe("configuration_accepted", "version", version.String(), "change", edit.Change)
+	c.observeEdit(editAccepted, edit, version, phases)
 	return version, nil
 }
 
@@ -71,7 +79,7 @@
 // change prepares an edit for the newest configuration and submits it, again when
 // that has moved meanwhile. Edits of a large configuration are prepared one after
 // another, so that one whose turn it is need not be made again.
-func (c *Controller) change(edit Edit) (*Term, replication.Version, error) {
+func (c *Controller) change(edit Edit, phases *editPhases) (*Term, replication.Version, error) {
 	deadline := c.runtime.Now().Add(changeTimeout)
 	for {
 		current, view, err := c.Leading()
@@ -99,6 +107,7 @@
 		if edit.Order != nil {
 			change = c.orderedChange(current, *edit.Order, change)
 		}
+		phases.submitted = c.runtime.Now()
 		version, err := c.submit(change, changeTimeout)
 		if large {
 			c.endEdit()
@@ -145,10 +154,13 @@
 // that no router admits by an older one. With SetAcknowledgeWait it waits only for the routers
 // that polled within that time, and no longer than that. This controller's own lease is checked
 // last: a deposed primary may not know of all routers' leases.
-func (c *Controller) awaitInForce(current *Term, version replication.Version) bool {
+func (c *Controller) awaitInForce(current *Term, version replication.Version) (confirmation, bool) {
+	var waited confirmation
 	everywhere := false
 	committed := c.runtime.Now()
 	wait := time.Duration(c.acknowledgeWait.Load())
+	// A poll that is held back counts from when it came.
+	heardWithin := max(wait, follower.LoadsWait+roundTrip)
 	deadline := committed.Add(inForceTimeout)
 	for c.runtime.Now().Before(deadline) {
 		lost := false
@@ -165,19 +177,25 @@
 				return true
 			}
 			now := c.runtime.Now()
+			var unconfirmed []string
 			if wait > 0 {
-				// A poll that is held back counts from when it came.
-				everywhere = now.Sub(committed) >= wait || len(current.behind(now, version, max(wait, follower.LoadsWait+roundTrip))) == 0
+				unconfirmed = current.behind(now, version, heardWithin)
+				everywhere = now.Sub(committed) >= wait || len(unconfirmed) == 0
 			} else {
-				everywhere = len(current.Lagging(now, version, state)) == 0
+				unconfirmed = current.Lagging(now, version, state)
+				everywhere = len(unconfirmed) == 0
 			}
+			waited.note(unconfirmed)
 			return everywhere
 		})
 		if over || !c.runtime.Alive() {
-			return everywhere && !lost && c.coordinator.HasLease()
+			waited.ended = c.runtime.Now()
+			waited.routers = len(current.Grants.SeenWithin(waited.ended, heardWithin))
+			return waited, everywhere && !lost && c.coordinator.HasLease()
 		}
 	}
-	return false
+	waited.ended = c.runtime.Now()
+	return waited, false
 }
 
 // Retire takes a stopped member out of the record.
--- a/internal/replication/version.go
+++ b/internal/replication/version.go
@@ -57,6 +57,15 @@
 // Empty tells whether a batch changes nothing and needs no sync.
 func (b Batch) Empty() bool { return len(b.Sections) == 0 && len(b.Removed) == 0 }
 
+// Size is the length of its sections' contents in bytes.
+func (b Batch) Size() int {
+	size := 0
+	for _, section := range b.Sections {
+		size += len(section.Content)
+	}
+	return size
+}
+
 // Snapshot is a complete committed state on its way to a replica that is not in sync.
 type Snapshot struct {
 	// Epoch is the primary's; Version may be of an older one.
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -63,7 +63,7 @@
 	{Name: "a courier lets in only under a hold", Never: closed, Worlds: true, Finds: "an accepted configuration is in force",
 		Edits: []Edit{{"internal/auction/dispatcher.go", "	if routes == nil || !now.Before(d.ServesUntil()) {", "	if routes == nil {"}}},
 	{Name: "a change is accepted when every courier has it", Never: inForce, Worlds: true, Finds: "an accepted configuration is in force",
-		Edits: []Edit{{"internal/controlplane/edit.go", "	if !c.awaitInForce(current, version) {", "	if current == nil {"}}},
+		Edits: []Edit{{"internal/controlplane/edit.go", "confirmed, inForce := c.awaitInForce(current, version)", "confirmed, inForce := confirmation{}, current != nil"}}},
 	{Name: "a new primary honours the old one's holds", Never: inForce, Worlds: true, Finds: "an accepted configuration is in force", Flags: []string{"--count", "1500"},
 		Edits: []Edit{{"internal/lease/router.go", "	if now.Before(r.leadsSince.Add(r.timing.Lease + r.timing.Drift)) {", "	if false {"}}},
 	{Name: "a grant looks at the configuration again", Never: inForce, Package: "./internal/controlplane", Test: "TestGrantSeesAConfigurationThatComesMeanwhile",
