Edits sent again: no batch and no new wait for what is committed

Cause: the caller's next call went through a batch of its own, behind one that took 1.2 s, and then waited the whole acknowledge_wait anew, so that where routers lag no answer fits in the second that callers wait. Change: an edit that is committed under its id needs no batch, and acknowledge_wait counts from the commit.

--- a/internal/controlplane/commit.go
+++ b/internal/controlplane/commit.go
@@ -47,6 +47,9 @@
 	if !c.store.Commit(batch) {
 		return false
 	}
+	if _, found := batch.Sections[replication.ConfigurationSection]; found {
+		c.recordConfigurationCommit(batch.Version)
+	}
 	if !batch.Empty() {
 		c.updated.Broadcast()
 	}
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -59,6 +59,14 @@
 	repairing  bool
 	repairedAt time.Time
 	editing    bool
+	// configurationCommit is the newest commit of a configuration in this process.
+	configurationCommit configurationCommit
+}
+
+// configurationCommit is when a version of the configuration became visible.
+type configurationCommit struct {
+	version replication.Version
+	at      time.Time
 }
 
 // The intervals of a controller's loops. The values are ours.
--- a/internal/controlplane/edit.go
+++ b/internal/controlplane/edit.go
@@ -90,6 +90,10 @@
 		if !found {
 			section.Content = config.Empty().Text
 		}
+		if accepted, found := c.committedChange(edit, view); found {
+			phases.submitted = c.runtime.Now()
+			return current, accepted, nil
+		}
 		large := len(section.Content) >= replication.LargeConfiguration
 		if large {
 			if !c.beginEdit(deadline) {
@@ -127,6 +131,16 @@
 	return found && record.Digest == edit.Digest
 }
 
+// committedChange returns the version of an edit that was committed before under its id. It needs no batch:
+// the next one may stall for seconds. An order is judged anew by its connection.
+func (c *Controller) committedChange(edit Edit, view *replication.View) (replication.Version, bool) {
+	record, found := c.store.AcceptedChange(edit.Change)
+	if !found || record.Digest != edit.Digest || edit.Order != nil || view.Version.Before(record.Version) {
+		return replication.Version{}, false
+	}
+	return record.Version, true
+}
+
 func (c *Controller) beginEdit(deadline time.Time) bool {
 	return c.editDone.Wait(deadline.Sub(c.runtime.Now()), func() bool {
 		c.mutex.Lock()
@@ -152,16 +166,16 @@
 
 // awaitInForce waits until every router has acknowledged the version or its lease has ended: after
 // that no router admits by an older one. With SetAcknowledgeWait it waits only for the routers
-// that polled within that time, and no longer than that. This controller's own lease is checked
+// that polled within that time, and no longer than that after the commit: an edit that is sent again
+// does not wait anew. This controller's own lease is checked
 // last: a deposed primary may not know of all routers' leases.
 func (c *Controller) awaitInForce(current *Term, version replication.Version) (confirmation, bool) {
 	var waited confirmation
 	everywhere := false
-	committed := c.runtime.Now()
+	committed, deadline := c.committedAt(version), c.runtime.Now().Add(inForceTimeout)
 	wait := time.Duration(c.acknowledgeWait.Load())
 	// A poll that is held back counts from when it came.
 	heardWithin := max(wait, follower.LoadsWait+roundTrip)
-	deadline := committed.Add(inForceTimeout)
 	for c.runtime.Now().Before(deadline) {
 		lost := false
 		// Leases end without a broadcast: the wait is cut into short ones.
@@ -198,6 +212,24 @@
 	return waited, false
 }
 
+// committedAt returns a moment at which the configuration's version was visible: when this controller
+// committed it or a newer one, and now if it has not.
+func (c *Controller) committedAt(version replication.Version) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.configurationCommit.version.Before(version) {
+		return c.configurationCommit.at
+	}
+	return c.runtime.Now()
+}
+
+// recordConfigurationCommit remembers when a version of the configuration became visible.
+func (c *Controller) recordConfigurationCommit(version replication.Version) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.configurationCommit = configurationCommit{version: version, at: c.runtime.Now()}
+}
+
 // Retire takes a stopped member out of the record.
 func (c *Controller) Retire(name string) (replication.Version, error) {
 	current, _, err := c.Leading()
