--- a/internal/controlplane/housekeeping.go
+++ b/internal/controlplane/housekeeping.go
@@ -122,7 +122,12 @@
 	return c.runtime.Now().Sub(current.membersStableSince) < c.options.FlagStableTime
 }
 
+// grantRoles grants the roles that nobody has, in few batches: while servers are replaced one after
+// another, an edit would wait behind each.
 func (c *Controller) grantRoles(now time.Time, current *Term, state *replication.State) {
+	if !current.roleGrantDue(now) {
+		return
+	}
 	wanted := []string{lease.PartsKey}
 	for _, server := range c.Servers() {
 		wanted = append(wanted, lease.ServerKey(server.Name))
@@ -131,7 +136,9 @@
 	if len(grants) == 0 {
 		return
 	}
+	current.beginRoleGrant(now)
 	c.queue(replication.GrantRoles(grants, state.Roles.Roles), func(version replication.Version, err error) {
+		current.endRoleGrant()
 		c.observe("roles_granted", "version", version.String(), "grants", grants, "error", err)
 	})
 }
--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"seamloom.example/seamloom/internal/failure"
@@ -24,6 +25,7 @@
 	// unlisted is since when a recorded server is not on the platform's list.
 	unlistedSince map[string]time.Time
 	zoneOrders    *zoneOrders
+	roleGrant     roleGrant
 	state         *replication.State
 	stateVersion  replication.Version
 }
@@ -40,6 +42,39 @@
 	}
 }
 
+// roleGrantInterval is the least time between two batches that grant roles: a server without a role's
+// holder goes on serving and is only commanded later.
+const roleGrantInterval = time.Second
+
+// roleGrant is the last grant of roles of a term.
+type roleGrant struct {
+	mutex   sync.Mutex
+	at      time.Time
+	pending bool
+}
+
+// roleGrantDue tells whether roles may be granted: the last grant was committed, or failed, and was made
+// long enough ago.
+func (t *Term) roleGrantDue(now time.Time) bool {
+	t.roleGrant.mutex.Lock()
+	defer t.roleGrant.mutex.Unlock()
+	return !t.roleGrant.pending && (t.roleGrant.at.IsZero() || now.Sub(t.roleGrant.at) >= roleGrantInterval)
+}
+
+// beginRoleGrant notes that a grant of roles is queued.
+func (t *Term) beginRoleGrant(now time.Time) {
+	t.roleGrant.mutex.Lock()
+	defer t.roleGrant.mutex.Unlock()
+	t.roleGrant.at, t.roleGrant.pending = now, true
+}
+
+// endRoleGrant notes that its outcome is known.
+func (t *Term) endRoleGrant() {
+	t.roleGrant.mutex.Lock()
+	defer t.roleGrant.mutex.Unlock()
+	t.roleGrant.pending = false
+}
+
 // candidates are the live routers that lack no enabled flag, with how long
 // each has been live.
 func (t *Term) candidates(now time.Time, state *replication.State) map[string]time.Duration {
