Commits wake polls only when they change a section that polls follow

Each batch of roles, of the horizon or of records of changes woke the polls of 300 routers, which found nothing and slept again.

--- a/internal/controlplane/commit.go
+++ b/internal/controlplane/commit.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -50,12 +51,20 @@
 	if _, found := batch.Sections[replication.ConfigurationSection]; found {
 		c.recordConfigurationCommit(batch.Version)
 	}
-	if !batch.Empty() {
+	if followed(batch) {
 		c.updated.Broadcast()
 	}
 	return true
 }
 
+// followed tells whether a batch changes a section that polls wait for.
+func followed(batch replication.Batch) bool {
+	return slices.ContainsFunc(followedSections, func(name string) bool {
+		_, found := batch.Sections[name]
+		return found || slices.Contains(batch.Removed, name)
+	})
+}
+
 // writes are the writes of one batch to all disks of a membership.
 type writes struct {
 	cond runtime.Cond
