A warming server gets calls from a fixed number of routers, chosen by their names

Cause: each of more than six routers drew by itself whether it sends to a warming server (rendezvous weight modulo the number of routers below 3). Three do on average, ten by chance; each had a bucket of one at 1.17 calls a second, so two calls in the worst second. A bound on a sum that nobody keeps: class "limits over all routers".

Change: the senders are exactly the first K routers for the server by rendezvous hashing over the recorded routers' names (members section, SetRouters), K = ceil(p/burst), burst = ceil(p/n), each at 0.8 p/K. A sender sends at most burst calls in a second, also if one leaves 0.25 s late; the sum stays in 1.5 p + 5 where lists of routers differ (doc comment of warmingShares). Without names a router of more than six sends nothing there. Up to six routers nothing changes. Two tests of warming servers now give the names too, as the data plane does; their bounds are as they were.

Property: lists of 7 to 330 routers that differ by three, rates 1 to 40 by 0.1, also with the three as the server's first: none above the bound.

Routers of an older release beside newer ones draw as before; their part comes on top.

--- a/internal/dataplane/router_test.go
+++ b/internal/dataplane/router_test.go
@@ -121,3 +121,17 @@
 		t.Error("it has duties that nobody gave")
 	}
 }
+
+// TestRecordedRoutersReachTheScheduler wants the scheduler to know the names of the recorded
+// routers, by which those that send to a warming server are chosen.
+func TestRecordedRoutersReachTheScheduler(t *testing.T) {
+	rt := &runtimetest.Moving{Runtime: osruntime.New(context.Background(), osruntime.NewClock()), Time: runtimetest.AtNoon(0)}
+	options := Options{Options: seamloom.Options{Router: "courier-1", Supported: seamloom.Supported(nil)}, Nonce: func() string { return "one" },
+		OnEnded: func(*auction.Request, auction.Decision) {}, CallService: func(*scheduler.Scheduler) CallService { return &noted{} }}
+	router := NewRouter(rt, nil, nil, nil, options, func(string, ...any) {})
+	state := &replication.State{Members: map[string]membership.Member{"a": {Name: "a", Kind: membership.Router}, "b": {Name: "b", Kind: membership.Router}, "c": {Name: "c", Kind: membership.Controller}}}
+	router.applyMembers(follower.Update{Response: wire.UpdateResponse{Routers: 9}, Changed: map[string]replication.Section{replication.MembersSection: {}}}, state)
+	if known := router.core.Calls().RecordedRouters(); known != 2 {
+		t.Errorf("%d routers are known", known)
+	}
+}
--- a/internal/dataplane/updates.go
+++ b/internal/dataplane/updates.go
@@ -71,9 +71,11 @@
 	if r.countOwners != nil {
 		r.countOwners.SetMembers(state.Members)
 	}
+	names := membership.RouterNames(state.Members)
+	r.core.Calls().SetRouters(names)
 	if update.Response.Routers == 0 {
 		// There is no count in the response: it is an older release's primary's, or a copy's.
-		r.Apply(auction.Event{Kind: auction.RoutersCounted, Number: uint64(len(membership.RouterNames(state.Members)))})
+		r.Apply(auction.Event{Kind: auction.RoutersCounted, Number: uint64(len(names))})
 	}
 	r.setContacts()
 }
--- a/internal/scheduler/backend.go
+++ b/internal/scheduler/backend.go
@@ -109,6 +109,8 @@
 	idleConnections idleConnections
 	prefixes        prefixCache
 	rateLimit       rateLimit
+	// rank is this router's for the server, by the latest list of routers that was asked for it.
+	rank atomic.Pointer[routerRank]
 }
 
 func newServerState() *serverState { return &serverState{} }
--- a/internal/scheduler/bounds_test.go
+++ b/internal/scheduler/bounds_test.go
@@ -98,8 +98,9 @@
 	const routers, early = 72, 300 * time.Millisecond
 	var windows []*Scheduler
 	for number := range routers {
-		calls := New(Options{Router: fmt.Sprintf("courier-%d", number), Zone: "north"})
+		calls := New(Options{Router: routerNames(routers, "courier")[number], Zone: "north"})
 		calls.SetRouterCount(routers)
+		calls.SetRouters(routerNames(routers, "courier"))
 		calls.SetRouteTable(Compile(plan(nil), 1, 1))
 		windows = append(windows, calls)
 	}
@@ -159,9 +160,10 @@
 		for _, known := range []bool{true, false} {
 			var windows []*Scheduler
 			for number := range routers {
-				calls := New(Options{Router: fmt.Sprintf("courier-%d", number), Zone: "north"})
+				calls := New(Options{Router: routerNames(routers, "courier")[number], Zone: "north"})
 				if known {
 					calls.SetRouterCount(routers)
+					calls.SetRouters(routerNames(routers, "courier"))
 				}
 				calls.SetRouteTable(Compile(plan(nil), 1, 1))
 				list := servers(9)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,8 +42,10 @@
 	routes   atomic.Pointer[RouteTable]
 	snapshot atomic.Pointer[snapshot]
 	routers  atomic.Int64
-	draining atomic.Bool
-	inFlight atomic.Int64
+	// routerList is the recorded routers; nil until they are known.
+	routerList atomic.Pointer[routerList]
+	draining   atomic.Bool
+	inFlight   atomic.Int64
 	// reportsFirstEvents is whether Began was ever called.
 	reportsFirstEvents atomic.Bool
 	// returnedZones are zones that came back since the last cycle; nil if none did.
--- a/internal/scheduler/threads_test.go
+++ b/internal/scheduler/threads_test.go
@@ -48,6 +48,7 @@
 			calls.SetServers(now, list)
 			calls.SetRouteTable(Compile(plan(nil), 1, uint64(number+2)))
 			calls.SetRouterCount(1 + number%12)
+			calls.SetRouters(routerNames(1+number%12, "courier"))
 			calls.SetRoleOrders(now, map[string]string{list[number%9].Name: prefill})
 			var loads []Load
 			for _, server := range list {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -612,6 +612,7 @@
 		calls := New(Options{Router: fmt.Sprintf("courier-%d", number), Zone: zones[number%3],
 			Retries: RetryAllowance{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}})
 		calls.SetRouterCount(routers)
+		calls.SetRouters(routerNames(routers, "courier"))
 		calls.SetRouteTable(Compile(plan(configure), 1, 1))
 		calls.SetServers(noon, w.list)
 		if shape != nil {
