Limits of tenants: outcomes are counted per tenant, and asking costs less

Cause of the cost: each call looked at all tenants of the router and built maps of members for each; a tenant whose bucket is under its reserve was asked for ahead 20 times a second in vain; each denial took two rounds, 3 and 5 messages. Change: a group compares its members' grants without maps; a call looks at its own tenant only; a pause after requests ahead in vain doubles up to 800 ms; a tenant denied lately is asked of all members at once. The tests' own quorum is the product's group now; their bounds are as before.

--- a/internal/adapters/router/api.go
+++ b/internal/adapters/router/api.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -131,4 +132,21 @@
 	if p.proxy.handler != nil {
 		p.proxy.handler.WriteMetrics(writer)
 	}
+	if quotas := p.router.Quotas(); quotas != nil {
+		writeQuotaMetrics(writer, quotas)
+	}
+}
+
+// writeQuotaMetrics writes how the calls of tenants with limits ended, and what was asked of witnesses for them.
+func writeQuotaMetrics(target io.Writer, quotas *dataplane.Quotas) {
+	requests, wants := quotas.Traffic()
+	_, _ = fmt.Fprintf(target, "seamloom_quota_requests_total %d\nseamloom_quota_wants_total %d\n", requests, wants)
+	for _, counts := range quotas.Counts() {
+		for _, outcome := range []struct {
+			name  string
+			calls uint64
+		}{{"held", counts.Held}, {"asked", counts.Asked}, {"denied", counts.Denied}, {"unknown", counts.Unknown}} {
+			_, _ = fmt.Fprintf(target, "seamloom_tenant_calls_total{tenant=%q,token=%q} %d\n", counts.Subject, outcome.name, outcome.calls)
+		}
+	}
 }
--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"sync/atomic"
 	"time"
 
 	"seamloom.example/seamloom/internal/config"
@@ -53,6 +54,8 @@
 	// membership is the newest that the router knows; learn takes one from a witness.
 	membership func() replication.Membership
 	learn      func(replication.Membership)
+	observe    func(event string, detail ...any)
+	known      atomic.Pointer[quotaGroup]
 	// wanted wakes the thread that asks, answered the calls that wait.
 	wanted   runtime.Cond
 	answered runtime.Cond
@@ -60,21 +63,40 @@
 
 // NewQuotas makes the part of one incarnation of a router.
 func NewQuotas(rt runtime.Runtime, client wire.Client, tolerance QuotaTolerance, incarnation string, membership func() replication.Membership,
-	learn func(replication.Membership),
+	learn func(replication.Membership), observe func(event string, detail ...any),
 ) *Quotas {
-	return &Quotas{runtime: rt, client: client, tolerance: tolerance, allowances: quota.NewAllowances(incarnation), membership: membership, learn: learn,
+	return &Quotas{runtime: rt, client: client, tolerance: tolerance, allowances: quota.NewAllowances(incarnation), membership: membership, learn: learn, observe: observe,
 		wanted: rt.NewCond(), answered: rt.NewCond()}
 }
 
-// quorumOf tells whether members are a quorum of a membership.
-func quorumOf(membership replication.Membership) quota.Quorum {
-	return func(members map[quota.Member]bool) bool {
-		granted := make(map[replication.Identity]bool, len(members))
-		for member := range members {
-			granted[replication.Identity(member)] = true
-		}
-		return !membership.Blank() && membership.HasQuorum(granted)
+// group is who grants by the newest membership.
+func (q *Quotas) group() quota.Group { return q.groupOf(q.membership()) }
+
+// groupOf is who grants by a membership. It is made anew only when that changes.
+func (q *Quotas) groupOf(membership replication.Membership) quota.Group {
+	if known := q.known.Load(); known != nil && known.epoch == membership.Epoch {
+		return known.group
 	}
+	known := &quotaGroup{epoch: membership.Epoch}
+	if !membership.Blank() {
+		known.group = quota.NewGroup(membersOf(membership.Witnesses), membersOf(membership.Incoming))
+	}
+	q.known.Store(known)
+	return known.group
+}
+
+// quotaGroup is who grants by the membership of an epoch.
+type quotaGroup struct {
+	epoch uint64
+	group quota.Group
+}
+
+func membersOf(replicas []replication.Replica) []quota.Member {
+	members := make([]quota.Member, 0, len(replicas))
+	for _, replica := range replicas {
+		members = append(members, quota.Member(replica.Identity))
+	}
+	return members
 }
 
 // Acquire spends a token of a tenant's limit, or gives the decision that refuses the call; its kind is empty
@@ -83,15 +105,18 @@
 	now := q.runtime.Now()
 	claim := q.allowances.Claim(now, limit.Tenant, quota.Limit{PerSecond: limit.Limit.PerSecond, Capacity: q.tolerance.capacity(limit.Limit),
 		Revision: quota.Revision{Epoch: limit.Epoch, Number: limit.Number}})
-	verdict := claim.Try(now, quorumOf(q.membership()))
-	q.wake()
+	group := q.group()
+	verdict := claim.Try(now, group)
+	if claim.Due(now, group) {
+		q.wanted.Broadcast()
+	}
 	if verdict == quota.Pending {
 		timeout := quotaTimeout
 		if !deadline.IsZero() {
 			timeout = max(0, min(timeout, deadline.Sub(now)))
 		}
 		q.answered.Wait(timeout, func() bool {
-			verdict = claim.Try(q.runtime.Now(), quorumOf(q.membership()))
+			verdict = claim.Try(q.runtime.Now(), q.group())
 			return verdict != quota.Pending
 		})
 	}
@@ -107,23 +132,16 @@
 
 // Denied gives the decision that refuses a call at once, because its tenant was denied a token just now.
 func (q *Quotas) Denied(tenant string) (scheduler.Decision, bool) {
-	wait, denied := q.allowances.Denied(q.runtime.Now(), tenant, quorumOf(q.membership()))
+	wait, denied := q.allowances.Denied(q.runtime.Now(), tenant, q.group())
 	return scheduler.Decision{Kind: scheduler.Refuse, Cause: scheduler.OverLimit, RetryAfter: wait}, denied
 }
 
 // GiveBack returns the token of a call that was sent to no server.
 func (q *Quotas) GiveBack(tenant string) { q.allowances.GiveBack(tenant) }
 
-// wake wakes the thread that asks if there is anything to ask for.
-func (q *Quotas) wake() {
-	if q.due() {
-		q.wanted.Broadcast()
-	}
-}
-
 // due tells whether there is something to ask for.
 func (q *Quotas) due() bool {
-	return q.allowances.Due(q.runtime.Now(), quorumOf(q.membership()))
+	return q.allowances.Due(q.runtime.Now(), q.group())
 }
 
 // Run asks the witnesses whenever there is something to ask for.
@@ -136,24 +154,35 @@
 		if q.wanted.Wait(interval, q.due) {
 			q.ask()
 		}
+		q.logDenials()
+	}
+}
+
+// logDenials logs which tenants begin to be denied, and for which that is over.
+func (q *Quotas) logDenials() {
+	for _, change := range q.allowances.DenialChanges(q.runtime.Now()) {
+		if change.Over {
+			q.observe("tenant_within_limit", "tenant", change.Subject, "denied", change.Count)
+		} else {
+			q.observe("tenant_over_limit", "tenant", change.Subject, "denied", change.Count)
+		}
 	}
 }
 
+// Counts lists how the calls of tenants with limits ended at this router.
+func (q *Quotas) Counts() []quota.Counts { return q.allowances.Counts() }
+
+// Traffic is how many requests went to witnesses, and for how many tenants in sum.
+func (q *Quotas) Traffic() (requests, wants uint64) { return q.allowances.Traffic() }
+
 // ask sends the requests that are due, each in a thread of its own.
 func (q *Quotas) ask() {
 	membership := q.membership()
-	replicas := map[quota.Member]replication.Replica{}
-	group := quota.Group{Quorum: quorumOf(membership)}
-	for _, witness := range membership.Voters() {
-		member := quota.Member(witness.Identity)
-		replicas[member] = witness
-		group.Members = append(group.Members, member)
-	}
 	sentAt := q.runtime.Now()
-	requests := q.allowances.Requests(sentAt, group)
-	for _, member := range group.Members {
-		if request, asked := requests[member]; asked {
-			q.runtime.Go(func() { q.askWitness(membership.Epoch, replicas[member], sentAt, request) })
+	requests := q.allowances.Requests(sentAt, q.groupOf(membership))
+	for _, witness := range membership.Voters() {
+		if request, asked := requests[quota.Member(witness.Identity)]; asked {
+			q.runtime.Go(func() { q.askWitness(membership.Epoch, witness, sentAt, request) })
 		}
 	}
 }
@@ -169,7 +198,9 @@
 		q.learn(response.Membership)
 		return
 	}
-	q.allowances.Granted(quota.Member(witness.Identity), sentAt, request, response.Response)
+	due := q.allowances.Granted(q.runtime.Now(), q.group(), quota.Member(witness.Identity), sentAt, request, response.Response)
 	q.answered.Broadcast()
-	q.wake()
+	if due {
+		q.wanted.Broadcast()
+	}
 }
--- a/internal/dataplane/router.go
+++ b/internal/dataplane/router.go
@@ -102,7 +102,7 @@
 		router.core.Calls().SetBacklogQueries(true)
 		router.follower.SetFailing(router.core.Calls().TakeFailures)
 		router.callService.SetCountOwners(router.countOwners)
-		router.quotas = NewQuotas(rt, client, options.QuotaTolerance, router.incarnation, router.follower.Membership, router.follower.LearnMembership)
+		router.quotas = NewQuotas(rt, client, options.QuotaTolerance, router.incarnation, router.follower.Membership, router.follower.LearnMembership, observe)
 		router.callService.SetQuotas(router.quotas)
 	}
 	router.follower.Follow(options.Directory != nil, router.callService != nil)
@@ -167,6 +167,9 @@
 // Follower is the part that follows the primary.
 func (r *Router) Follower() *follower.Follower { return r.follower }
 
+// Quotas keep the limits of tenants over all routers; nil at a router without a call service.
+func (r *Router) Quotas() *Quotas { return r.quotas }
+
 // Heard is when a response of a primary was applied last.
 func (r *Router) Heard() time.Time { return r.follower.Heard() }
 
--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -13,26 +13,79 @@
 // Member names a member of the group.
 type Member string
 
-// Quorum reports whether those members are enough to grant.
-type Quorum func(members map[Member]bool) bool
-
-// Group is who grants.
+// Group is who grants: the members of one set, or of two while one replaces the other. A quorum is a majority
+// of each set. The zero Group has no quorum.
 type Group struct {
-	Members []Member
-	Quorum  Quorum
+	members []Member
+	sets    [][]Member
+}
+
+// NewGroup makes the group of these sets; empty ones are left out.
+func NewGroup(sets ...[]Member) Group {
+	var group Group
+	for _, set := range sets {
+		if len(set) == 0 {
+			continue
+		}
+		group.sets = append(group.sets, slices.Clone(set))
+		for _, member := range set {
+			if !slices.Contains(group.members, member) {
+				group.members = append(group.members, member)
+			}
+		}
+	}
+	return group
+}
+
+// Members lists the members of all sets, each once.
+func (g Group) Members() []Member { return g.members }
+
+// isQuorum reports whether the members for which has holds are a majority of each set.
+func (g Group) isQuorum(has func(Member) bool) bool {
+	for _, set := range g.sets {
+		count := 0
+		for _, member := range set {
+			if has(member) {
+				count++
+			}
+		}
+		if count*2 <= len(set) {
+			return false
+		}
+	}
+	return len(g.sets) > 0
+}
+
+// usualSetSize is up to how many members of a set are compared without allocating.
+const usualSetSize = 9
+
+// quorumValue is the highest value that the values of a quorum all reach.
+func (g Group) quorumValue(valueOf func(Member) uint64) uint64 {
+	if len(g.sets) == 0 {
+		return 0
+	}
+	lowest := uint64(math.MaxUint64)
+	for _, set := range g.sets {
+		var buffer [usualSetSize]uint64
+		values := buffer[:0]
+		for _, member := range set {
+			values = append(values, valueOf(member))
+		}
+		slices.Sort(values)
+		lowest = min(lowest, values[(len(values)-1)/2])
+	}
+	return lowest
 }
 
 // preferred are the members that routers ask for a subject first: the fewest that are a quorum, the same for
 // all routers, so that each of them sees all that is spent.
 func (g Group) preferred(subject string) []Member {
-	ranked := slices.Clone(g.Members)
+	ranked := slices.Clone(g.members)
 	slices.SortFunc(ranked, func(left, right Member) int {
 		return cmp.Compare(membership.Weight(subject, string(right)), membership.Weight(subject, string(left)))
 	})
-	enough := map[Member]bool{}
-	for i, member := range ranked {
-		enough[member] = true
-		if g.Quorum(enough) {
+	for i := range ranked {
+		if g.isQuorum(func(member Member) bool { return slices.Contains(ranked[:i+1], member) }) {
 			return ranked[:i+1]
 		}
 	}
@@ -55,6 +108,8 @@
 	// askAgain is how long the answers to a request are waited for before all members are asked.
 	askAgain  = 40 * time.Millisecond
 	maxDenial = 250 * time.Millisecond
+	// maxAheadPause is the longest pause between two requests ahead of which the first brought nothing.
+	maxAheadPause = 800 * time.Millisecond
 	// forgetAfter is how long a subject is remembered that nobody spends.
 	forgetAfter = 30 * time.Second
 )
@@ -67,6 +122,9 @@
 	sequence uint64
 	subjects map[string]*allowance
 	sweptAt  time.Time
+	// waiting is how many calls wait for tokens.
+	waiting uint64
+	counts  counts
 }
 
 // allowance is a router's share of one subject.
@@ -88,8 +146,13 @@
 	unasked bool
 	// askedAt is when the subject was last in a request.
 	askedAt time.Time
+	// aheadPause lies between two requests ahead, usableAsked is what was usable at the last one.
+	aheadPause  time.Duration
+	usableAsked uint64
 	// deniedUntil ends the last denial.
 	deniedUntil time.Time
+	denials     denials
+	counted     *Counts
 }
 
 // memberGrant is the newest grant of one member.
@@ -138,7 +201,7 @@
 	}
 	s, found := a.subjects[name]
 	if !found {
-		s = &allowance{members: map[Member]memberGrant{}, sent: map[Member]uint64{}, demandAt: now}
+		s = &allowance{members: map[Member]memberGrant{}, sent: map[Member]uint64{}, demandAt: now, aheadPause: minDenial, counted: a.counts.of(name)}
 		a.subjects[name] = s
 	}
 	if !found || s.limit.Revision.before(limit.Revision) {
@@ -149,42 +212,76 @@
 }
 
 // Try takes a token if the router has one.
-func (c *Claim) Try(now time.Time, quorum Quorum) Verdict {
+func (c *Claim) Try(now time.Time, group Group) Verdict {
 	c.allowances.mutex.Lock()
 	defer c.allowances.mutex.Unlock()
 	s := c.subject
-	if s.usable(now, quorum) > s.spent {
-		s.spent++
-		c.endWaiting()
-		return Taken
+	if s.usable(now, group) > s.spent {
+		return c.take()
 	}
 	if c.since == 0 {
 		if now.Before(s.deniedUntil) {
-			c.wait = s.deniedUntil.Sub(now)
-			return Denied
+			return c.deny(now, s.deniedUntil.Sub(now))
 		}
-		s.waiting++
-		c.askNext()
+		c.await(now)
 		return Pending
 	}
-	wait, answers := s.answers(c.since)
-	switch {
-	case !quorum(answers):
+	if !s.answered(c.since, group) {
 		return Pending
-	case !c.askedAll:
+	}
+	answers, wait := s.answers(c.since)
+	switch {
+	case !c.askedAll && s.askedMembers < len(group.members):
 		// A member that has just started has nothing to grant: others may make a quorum that has.
 		c.askedAll, s.askAll = true, true
 		c.askNext()
 		return Pending
-	case len(answers) < s.askedMembers && now.Sub(s.askedAt) < askAgain:
+	case answers < s.askedMembers && now.Sub(s.askedAt) < askAgain:
 		return Pending
 	}
+	wait = min(max(wait, minDenial), maxDenial)
+	s.deniedUntil = now.Add(wait)
+	return c.deny(now, wait)
+}
+
+// take spends a token.
+func (c *Claim) take() Verdict {
+	c.subject.spent++
+	if c.since == 0 {
+		c.subject.counted.Held++
+	} else {
+		c.subject.counted.Asked++
+	}
+	c.endWaiting()
+	return Taken
+}
+
+// deny ends the claim without a token.
+func (c *Claim) deny(now time.Time, wait time.Duration) Verdict {
 	c.wait = wait
-	s.deniedUntil = now.Add(min(max(wait, minDenial), maxDenial))
+	c.subject.deny(now)
 	c.endWaiting()
 	return Denied
 }
 
+// await has the claim wait for the answers to a request. One of a subject that was denied lately goes to all
+// members at once: the few would deny it again.
+func (c *Claim) await(now time.Time) {
+	c.subject.waiting++
+	c.allowances.waiting++
+	if now.Sub(c.subject.deniedUntil) < maxDenial {
+		c.askedAll, c.subject.askAll = true, true
+	}
+	c.askNext()
+}
+
+// Due reports whether the claim's subject is to be asked for.
+func (c *Claim) Due(now time.Time, group Group) bool {
+	c.allowances.mutex.Lock()
+	defer c.allowances.mutex.Unlock()
+	return c.subject.due(now, group)
+}
+
 // askNext has the answers to the next request count.
 func (c *Claim) askNext() {
 	c.since = c.allowances.sequence + 1
@@ -198,12 +295,14 @@
 func (c *Claim) Cancel() {
 	c.allowances.mutex.Lock()
 	defer c.allowances.mutex.Unlock()
+	c.subject.counted.Unknown++
 	c.endWaiting()
 }
 
 func (c *Claim) endWaiting() {
 	if c.since != 0 {
 		c.subject.waiting--
+		c.allowances.waiting--
 		c.since = 0
 	}
 }
@@ -223,36 +322,31 @@
 }
 
 // usable is up to how many tokens, counted from the router's start, a quorum lets the router spend.
-func (s *allowance) usable(now time.Time, quorum Quorum) uint64 {
-	valid := make([]Member, 0, len(s.members))
-	for member, grant := range s.members {
-		if now.Before(grant.expires) {
-			valid = append(valid, member)
+func (s *allowance) usable(now time.Time, group Group) uint64 {
+	return group.quorumValue(func(member Member) uint64 {
+		if grant, found := s.members[member]; found && now.Before(grant.expires) {
+			return grant.granted
 		}
-	}
-	slices.SortFunc(valid, func(left, right Member) int { return cmp.Compare(s.members[right].granted, s.members[left].granted) })
-	granting := make(map[Member]bool, len(valid))
-	for _, member := range valid {
-		granting[member] = true
-		if quorum(granting) {
-			return s.members[member].granted
-		}
-	}
-	return 0
+		return 0
+	})
 }
 
-// answers are the members that have answered a request from since on, and how long the quickest of them needs
+// answered reports whether a quorum has answered a request from since on.
+func (s *allowance) answered(since uint64, group Group) bool {
+	return group.isQuorum(func(member Member) bool { return s.members[member].sequence >= since })
+}
+
+// answers are how many members have answered a request from since on, and how long the quickest of them needs
 // until it has a token.
-func (s *allowance) answers(since uint64) (time.Duration, map[Member]bool) {
-	answering := map[Member]bool{}
-	wait := maxDenial
-	for member, grant := range s.members {
+func (s *allowance) answers(since uint64) (count int, wait time.Duration) {
+	wait = maxDenial
+	for _, grant := range s.members {
 		if grant.sequence >= since {
-			answering[member] = true
+			count++
 			wait = min(wait, grant.wait)
 		}
 	}
-	return wait, answering
+	return count, wait
 }
 
 // want counts a call in the demand.
@@ -273,47 +367,47 @@
 
 // due reports whether the subject belongs into a request: a call waits that was not asked for, or whose answers
 // are late; or the router holds few of what it wants to, and did not ask just now.
-func (s *allowance) due(now time.Time, quorum Quorum) bool {
+func (s *allowance) due(now time.Time, group Group) bool {
 	if s.waiting > 0 {
 		late := now.Sub(s.askedAt) >= askAgain
-		return late || s.unasked && s.settled(quorum)
+		return late || s.unasked && s.settled(group)
 	}
-	if now.Before(s.deniedUntil) || now.Sub(s.askedAt) < minDenial {
+	if now.Before(s.deniedUntil) || now.Sub(s.askedAt) < s.aheadPause {
 		return false
 	}
 	held := uint64(0)
-	if usable := s.usable(now, quorum); usable > s.spent {
+	if usable := s.usable(now, group); usable > s.spent {
 		held = usable - s.spent
 	}
 	return held*lowShare < s.ahead(now)
 }
 
 // settled reports whether a quorum has answered the newest request, if there was one.
-func (s *allowance) settled(quorum Quorum) bool {
+func (s *allowance) settled(group Group) bool {
 	if s.asked == 0 {
 		return true
 	}
-	_, answers := s.answers(s.asked)
-	return quorum(answers)
+	return s.answered(s.asked, group)
 }
 
 // Denied reports whether a claim would be denied now without asking, and how long that lasts.
-func (a *Allowances) Denied(now time.Time, name string, quorum Quorum) (time.Duration, bool) {
+func (a *Allowances) Denied(now time.Time, name string, group Group) (time.Duration, bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	s, found := a.subjects[name]
-	if !found || !now.Before(s.deniedUntil) || s.usable(now, quorum) > s.spent {
+	if !found || !now.Before(s.deniedUntil) || s.usable(now, group) > s.spent {
 		return 0, false
 	}
+	s.deny(now)
 	return s.deniedUntil.Sub(now), true
 }
 
 // Due reports whether there is anything to ask for.
-func (a *Allowances) Due(now time.Time, quorum Quorum) bool {
+func (a *Allowances) Due(now time.Time, group Group) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, s := range a.subjects {
-		if s.due(now, quorum) {
+		if s.due(now, group) {
 			return true
 		}
 	}
@@ -324,12 +418,7 @@
 func (a *Allowances) Waiting() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for _, s := range a.subjects {
-		if s.waiting > 0 {
-			return true
-		}
-	}
-	return false
+	return a.waiting > 0
 }
 
 // Requests makes the next requests, by member; none if there is nothing to ask for.
@@ -339,14 +428,16 @@
 	a.sequence++
 	requests := map[Member]Request{}
 	for name, s := range a.subjects {
-		if !s.due(now, group.Quorum) {
+		if !s.due(now, group) {
 			continue
 		}
 		members := group.preferred(name)
-		if s.askAll || s.waiting > 0 && !s.settled(group.Quorum) {
-			members = group.Members
+		if s.askAll || s.waiting > 0 && !s.settled(group) {
+			members = group.members
 		}
+		s.pace(now, group)
 		want := s.ask(now, a.sequence, members)
+		a.counts.wants++
 		want.Subject = name
 		for _, member := range members {
 			request := requests[member]
@@ -355,9 +446,21 @@
 			requests[member] = request
 		}
 	}
+	a.counts.requests += uint64(len(requests))
 	return requests
 }
 
+// pace doubles the pause between requests ahead when the last one brought nothing, as from members whose
+// buckets are low: they keep what is left for calls that wait.
+func (s *allowance) pace(now time.Time, group Group) {
+	usable := s.usable(now, group)
+	s.aheadPause = min(2*s.aheadPause, maxAheadPause)
+	if s.waiting > 0 || usable > s.usableAsked {
+		s.aheadPause = minDenial
+	}
+	s.usableAsked = usable
+}
+
 // ask makes the want of a request to these members.
 func (s *allowance) ask(now time.Time, sequence uint64, members []Member) Want {
 	s.askedAt, s.asked, s.askedMembers, s.unasked, s.askAll = now, sequence, len(members), false, false
@@ -382,12 +485,13 @@
 }
 
 // Granted takes a member's response to a request that was sent at a moment. One to an older request than the
-// newest that the member was sent is passed over.
-func (a *Allowances) Granted(member Member, sentAt time.Time, request Request, response Response) {
+// newest that the member was sent is passed over. It reports whether one of its subjects is to be asked for
+// again at once.
+func (a *Allowances) Granted(now time.Time, group Group, member Member, sentAt time.Time, request Request, response Response) (due bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if len(response.Grants) != len(request.Wants) {
-		return
+		return false
 	}
 	for i, want := range request.Wants {
 		s, found := a.subjects[want.Subject]
@@ -397,7 +501,9 @@
 		grant := response.Grants[i]
 		s.members[member] = memberGrant{sequence: request.Sequence, granted: grant.Granted, wait: grant.Wait,
 			expires: sentAt.Add(BatchTTL - time.Duration(clockDrift*float64(BatchTTL)))}
+		due = due || s.due(now, group)
 	}
+	return due
 }
 
 // sweep forgets subjects that nobody has spent for a while, whose grants are long over.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -9,11 +9,6 @@
 
 var noon = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
-// majorityOf is the quorum of a group of a size.
-func majorityOf(size int) Quorum {
-	return func(members map[Member]bool) bool { return len(members)*2 > size }
-}
-
 func wantOf(spent, hold uint64, limit Limit) []Want {
 	return []Want{{Subject: "a", Limit: limit, Spent: spent, Hold: hold, Need: hold}}
 }
@@ -96,7 +91,7 @@
 	return w
 }
 
-func (w *spendingWorld) quorum() Quorum { return majorityOf(len(w.members)) }
+func (w *spendingWorld) group() Group { return NewGroup(w.members) }
 
 func (w *spendingWorld) later(run func()) {
 	if w.random.Float64() < w.loss {
@@ -122,11 +117,11 @@
 }
 
 func (w *spendingWorld) ask(a *Allowances) {
-	if !a.Due(w.now, w.quorum()) {
+	if !a.Due(w.now, w.group()) {
 		return
 	}
 	sentAt := w.now
-	for member, request := range a.Requests(w.now, Group{Members: w.members, Quorum: w.quorum()}) {
+	for member, request := range a.Requests(w.now, w.group()) {
 		copies := 1
 		if w.random.IntN(30) == 0 {
 			copies = 2
@@ -134,7 +129,7 @@
 		for range copies {
 			w.later(func() {
 				response := w.ledgers[member].Apply(w.now, request)
-				w.later(func() { a.Granted(member, sentAt, request, response) })
+				w.later(func() { a.Granted(w.now, w.group(), member, sentAt, request, response) })
 			})
 		}
 	}
@@ -158,7 +153,7 @@
 			break
 		}
 		for key, c := range open {
-			switch verdict := c.claim.Try(w.now, w.quorum()); {
+			switch verdict := c.claim.Try(w.now, w.group()); {
 			case verdict == Taken:
 				w.spent = append(w.spent, w.now)
 				delete(open, key)
