Limits of tenants: a token that witnesses were told is spent is not given back

A tenant could get more than its limit: a call that was turned away after its token gave it back at the router, though witnesses had been told that it is spent and had let another flow in. Each such call was worth one token too many until the next grant, and the next report took one too many off. Change: only tokens that nobody was told of are given back. TestATokenThatWasReportedIsNotGivenBack fails before ("a token that was reported as spent was spent again").

--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -129,9 +129,11 @@
 
 // allowance is a router's share of one subject.
 type allowance struct {
-	limit   Limit
-	spent   uint64
-	members map[Member]memberGrant
+	limit Limit
+	spent uint64
+	// reported is the part of spent that members were told of.
+	reported uint64
+	members  map[Member]memberGrant
 	// sent is the newest request that each member was sent, asked the newest of all.
 	sent  map[Member]uint64
 	asked uint64
@@ -307,17 +309,13 @@
 	}
 }
 
-// GiveBack returns a token that was taken for a call that no server was sent.
+// GiveBack returns a token that was taken for a call that no server was sent. One that the members were told is
+// spent stays spent: they may have granted it anew.
 func (a *Allowances) GiveBack(name string) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	s, found := a.subjects[name]
-	if !found {
-		return
-	}
-	for member, grant := range s.members {
-		grant.granted++
-		s.members[member] = grant
+	if s, found := a.subjects[name]; found && s.spent > s.reported {
+		s.spent--
 	}
 }
 
@@ -464,6 +462,7 @@
 // ask makes the want of a request to these members.
 func (s *allowance) ask(now time.Time, sequence uint64, members []Member) Want {
 	s.askedAt, s.asked, s.askedMembers, s.unasked, s.askAll = now, sequence, len(members), false, false
+	s.reported = s.spent
 	hold := s.waiting + s.ahead(now)
 	s.yield(members, hold)
 	for _, member := range members {
--- a/internal/quota/allowances_test.go
+++ b/internal/quota/allowances_test.go
@@ -27,6 +27,33 @@
 	return NewGroup(members), ledgers
 }
 
+// TestATokenThatWasReportedIsNotGivenBack guards against QUOTA: a token that members were told is spent, and that
+// flows into their buckets again, could be spent later by the router that gave it back.
+func TestATokenThatWasReportedIsNotGivenBack(t *testing.T) {
+	group, ledgers := groupOf(3, noon.Add(-time.Hour))
+	limit := Limit{PerSecond: 0.001, Capacity: 1}
+	router := NewAllowances("r")
+	claim := router.Claim(noon, "a", limit)
+	claim.Try(noon, group)
+	exchange(noon, router, group, ledgers)
+	if verdict := claim.Try(noon, group); verdict != Taken {
+		t.Fatalf("verdict %d", verdict)
+	}
+	router.GiveBack("a")
+	if verdict := router.Claim(noon, "a", limit).Try(noon, group); verdict != Taken {
+		t.Errorf("a token that nobody was told of is not there again: verdict %d", verdict)
+	}
+	other := router.Claim(noon, "a", limit)
+	if verdict := other.Try(noon, group); verdict != Pending {
+		t.Errorf("a second token: verdict %d", verdict)
+	}
+	exchange(noon, router, group, ledgers)
+	router.GiveBack("a")
+	if verdict := router.Claim(noon, "a", limit).Try(noon, group); verdict == Taken {
+		t.Error("a token that was reported as spent was spent again")
+	}
+}
+
 // TestAskingAheadInVainIsPaced guards against routers that ask 20 times a second for tokens ahead which a low bucket
 // keeps for calls that wait.
 func TestAskingAheadInVainIsPaced(t *testing.T) {
