Calls over a tenant's limit are told when to come back, also when refused by the head

Callers saw: 429 without Retry-After where a call was refused before its body was read, so a client that waits as it is told had nothing to wait for. Cause: the handler's refusal by the head (Screen) wrote the status only; the other path (exchange.Refuse) sets the header. Change: both set it. TestRefusalsByTheHeadSayWhenToComeBack got no header before.

--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -105,6 +105,7 @@
 	}
 	call := i.newCall(inbound, arrived)
 	if refusal, refused := i.conduct.Screen(call); refused {
+		setRetryAfter(writer.Header(), refusal.RetryAfter)
 		refuse(writer, protocol.ID, id, refusal.Status, ending(refusal.Cause))
 		return ending(refusal.Cause)
 	}
--- a/internal/adapters/proxy/reply.go
+++ b/internal/adapters/proxy/reply.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"seamloom.example/seamloom/internal/dataplane"
 	"seamloom.example/seamloom/internal/membership"
@@ -17,13 +18,17 @@
 		return
 	}
 	e.ending = ending(refusal.Cause)
-	header := e.writer.Header()
-	if refusal.RetryAfter > 0 {
-		header["Retry-After"] = []string{strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)}
-	}
+	setRetryAfter(e.writer.Header(), refusal.RetryAfter)
 	refuse(e.writer, e.handler.protocol.ID, e.call.ID, refusal.Status, ending(refusal.Cause))
 }
 
+// setRetryAfter tells after how long a refused call may come back, if that is known.
+func setRetryAfter(header http.Header, after time.Duration) {
+	if after > 0 {
+		header["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
+	}
+}
+
 // refuse gives a final word of our own.
 func refuse(writer http.ResponseWriter, idHeader, id string, status int, cause ending) {
 	header := writer.Header()
--- a/internal/adapters/proxy/tenants_test.go
+++ b/internal/adapters/proxy/tenants_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"seamloom.example/seamloom/internal/adapters/osruntime"
 	"seamloom.example/seamloom/internal/config"
@@ -180,3 +181,27 @@
 		}
 	}
 }
+
+// screening refuses each call by its head.
+type screening struct {
+	*scripted
+	refusal dataplane.Refusal
+}
+
+// Screen refuses the call.
+func (s *screening) Screen(*scheduler.Call) (dataplane.Refusal, bool) { return s.refusal, true }
+
+// TestRefusalsByTheHeadSayWhenToComeBack guards against a 429 without Retry-After: a call refused before its
+// body was read lost the time after which its tenant is within the limit again.
+func TestRefusalsByTheHeadSayWhenToComeBack(t *testing.T) {
+	conduct := &screening{scripted: &scripted{}, refusal: dataplane.Refusal{Cause: scheduler.OverLimit, Status: http.StatusTooManyRequests, RetryAfter: 250 * time.Millisecond}}
+	handler, err := NewHandler(t.Context(), DefaultProtocol(), NewPool(nil), conduct, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/once/x", strings.NewReader("prompt")))
+	if got := recorder.Header().Get("Retry-After"); recorder.Code != http.StatusTooManyRequests || got != "0.250" {
+		t.Errorf("status %d, Retry-After %q", recorder.Code, got)
+	}
+}
