Metrics: calls refused for their keys are counted by cause, no key or an unknown one

What could not be told apart: a client that shows no key, and a router whose configuration lacks a key that is in force elsewhere (late or cut off: DENIED, CONFIG). Both were calls_total of the ending unauthenticated. Now key_missing and key_unknown; the answer's type stays unauthenticated, and no key or digest is in the metrics (tested).

--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -107,7 +107,7 @@
 	if refusal, refused := i.conduct.Screen(call); refused {
 		setRetryAfter(writer.Header(), refusal.RetryAfter)
 		refuse(writer, protocol.ID, id, refusal.Status, ending(refusal.Cause))
-		return ending(refusal.Cause)
+		return endingOf(refusal.Cause, call)
 	}
 	body, err := readBounded(http.MaxBytesReader(writer, inbound.Body, int64(limits.BodyBytes)), inbound.ContentLength, limits.BodyBytes)
 	if !admit(inbound) {
--- a/internal/adapters/proxy/meter.go
+++ b/internal/adapters/proxy/meter.go
@@ -31,8 +31,23 @@
 	endMalformed        ending = "malformed"
 	// dismissed is a call that crossed the end of its connection.
 	endDismissed ending = "dismissed"
+	// The two ways in which a call is unauthenticated: it shows no key, or one that the
+	// configuration in force does not hold.
+	endKeyMissing ending = "key_missing"
+	endKeyUnknown ending = "key_unknown"
 )
 
+// endingOf is how a refused call is counted.
+func endingOf(cause scheduler.Cause, call *scheduler.Call) ending {
+	switch {
+	case cause != scheduler.Unauthenticated:
+		return ending(cause)
+	case call.Key == "":
+		return endKeyMissing
+	}
+	return endKeyUnknown
+}
+
 // latencyBuckets are the upper bounds of the latency histograms, in seconds.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8, 15}
 
@@ -40,7 +55,7 @@
 	set := metrics.NewSet()
 	m := &meter{set: set, endings: map[ending]*metrics.Counter{}, dispatches: map[scheduler.DecisionKind]map[scheduler.Result]*metrics.Counter{},
 		timeToFirst: set.NewPrometheusHistogramExt("seamloom_call_first_seconds", latencyBuckets), duration: set.NewPrometheusHistogramExt("seamloom_call_seconds", latencyBuckets)}
-	for _, how := range []ending{endServed, endForwardedFailure, endCut, endClientGone, endOversize, endMalformed, endDismissed, ending(scheduler.NoRoute), ending(scheduler.Unauthenticated), ending(scheduler.OverLimit), ending(scheduler.NotReady), ending(scheduler.Saturated),
+	for _, how := range []ending{endServed, endForwardedFailure, endCut, endClientGone, endOversize, endMalformed, endDismissed, ending(scheduler.NoRoute), endKeyMissing, endKeyUnknown, ending(scheduler.OverLimit), ending(scheduler.NotReady), ending(scheduler.Saturated),
 		ending(scheduler.Draining), ending(scheduler.DeadlinePassed), ending(scheduler.OutcomeUnknown), ending(scheduler.OutcomeUnknownLate)} {
 		m.endings[how] = set.NewCounter(`seamloom_calls_total{ending="` + string(how) + `"}`)
 	}
--- a/internal/adapters/proxy/reply.go
+++ b/internal/adapters/proxy/reply.go
@@ -17,7 +17,7 @@
 		e.Break()
 		return
 	}
-	e.ending = ending(refusal.Cause)
+	e.ending = endingOf(refusal.Cause, e.call)
 	setRetryAfter(e.writer.Header(), refusal.RetryAfter)
 	refuse(e.writer, e.handler.protocol.ID, e.call.ID, refusal.Status, ending(refusal.Cause))
 }
--- a/internal/adapters/proxy/tenants_test.go
+++ b/internal/adapters/proxy/tenants_test.go
@@ -21,6 +21,7 @@
 type tenantRouter struct {
 	server  *standin
 	conduct *dataplane.Calls
+	handler *Handler
 	address string
 	version uint64
 	sent    int
@@ -44,6 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.handler = handler
 	front := httptest.NewServer(handler)
 	r.address = front.Listener.Addr().String()
 	t.Cleanup(func() { front.Close(); cancel() })
@@ -182,6 +184,26 @@
 	}
 }
 
+// TestRefusalsForKeysAreCountedByCause guards against a stale configuration looking like a client without
+// a key: both were one count, so that a key that had not arrived yet could not be told from the metrics.
+func TestRefusalsForKeysAreCountedByCause(t *testing.T) {
+	r := newTenantRouter(t)
+	r.configure(config.Tenant{Name: "school", Keys: []string{"key-1"}})
+	r.call(t, "/once/x", http.Header{})
+	r.call(t, "/once/x", http.Header{"Seamloom-Key": {"secret-9"}})
+	r.call(t, "/once/x", http.Header{"Seamloom-Key": {"secret-8"}})
+	var text strings.Builder
+	r.handler.WriteMetrics(&text)
+	for _, want := range []string{`seamloom_calls_total{ending="key_missing"} 1`, `seamloom_calls_total{ending="key_unknown"} 2`} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
+	if strings.Contains(text.String(), "secret-") {
+		t.Error("the metrics show a key")
+	}
+}
+
 // screening refuses each call by its head.
 type screening struct {
 	*scripted
