Upgrades: tenants that an earlier release stored unread are in force when they are read

Callers would see: after an upgrade, calls without a key are served until the operator's next change (UNASKED, ROUTE), since a release without tenants stored them, and which routes are public, among the annotations, and the router checks keys by the product's own field. Cause: a stored text is read by config.Check alone, in a release that understands more of what was sent than the one that stored it. A text that can't be translated is not put in force: a router without a configuration answers 503, and goes on with its present one otherwise. Ruled out: tenants {} in its place, since 401 is final for clients. A rejected configuration was logged as configuration_in_force; it is configuration_rejected now, with the version that is in force.

--- a/core.go
+++ b/core.go
@@ -177,7 +177,7 @@
 }
 
 func (c *Core) applyConfiguration(event Event) {
-	configuration, err := config.Check(event.Configuration)
+	configuration, err := c.readConfiguration(event.Configuration)
 	if err != nil {
 		// A configuration is checked before it is accepted; one that this build can't
 		// read leaves the router without a lease that confirms its version.
@@ -192,6 +192,17 @@
 	}
 }
 
+// readConfiguration reads a stored configuration.
+func (c *Core) readConfiguration(text []byte) (*config.Configuration, error) {
+	if c.options.StoredConfiguration != nil {
+		var err error
+		if text, err = c.options.StoredConfiguration(text); err != nil {
+			return nil, err
+		}
+	}
+	return config.Check(text)
+}
+
 func (c *Core) applyLease(event Event) {
 	c.dispatcher.Renew(event.LeaseEnds, event.Epoch, event.Number)
 	c.mutex.Lock()
--- /dev/null
+++ b/core_configuration_test.go
@@ -0,0 +1,33 @@
+package seamloom
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"seamloom.example/seamloom/internal/auction"
+)
+
+// TestAStoredConfigurationThatIsRefusedIsNotInForce guards against calls without a key being served by a
+// stored configuration whose tenants can't be read, and against reading a stored text as if it were present.
+func TestAStoredConfigurationThatIsRefusedIsNotInForce(t *testing.T) {
+	stored := func(text []byte) ([]byte, error) {
+		if string(text) == `{"revision":2}` {
+			return nil, errors.New("refused")
+		}
+		return []byte(`{"tenants":{"school":{"keys":["key-1"]}}}`), nil
+	}
+	core := New(Options{Router: "router-1", Supported: Supported(nil), StoredConfiguration: stored})
+	now := time.Unix(3_000_000, 0)
+	core.Apply(Event{Kind: auction.ConfigurationReceived, At: now, Configuration: []byte(`{"revision":2}`), Epoch: 1, Number: 1})
+	if epoch, number := core.InForce(); epoch != 0 || number != 0 {
+		t.Errorf("version %d.%d is in force", epoch, number)
+	}
+	if core.Counts()["unreadable_configurations"] != 1 {
+		t.Error("the refusal is not counted")
+	}
+	core.Apply(Event{Kind: auction.ConfigurationReceived, At: now, Configuration: []byte(`{"revision":3}`), Epoch: 1, Number: 2})
+	if _, number := core.InForce(); number != 2 || len(core.configuration.Tenants) != 1 {
+		t.Errorf("version %d is in force, with tenants %v", number, core.configuration.Tenants)
+	}
+}
--- a/internal/adapters/router/process.go
+++ b/internal/adapters/router/process.go
@@ -59,6 +59,8 @@
 	// Retries bounds what all routers send beyond the first dispatch of each
 	// opaque call.
 	Retries scheduler.RetryAllowance
+	// StoredConfiguration translates what earlier releases stored; nil: nothing needs it.
+	StoredConfiguration func(text []byte) ([]byte, error)
 	// QuotaTolerance is how far the calls of a tenant may go beyond its limit.
 	QuotaTolerance dataplane.QuotaTolerance
 }
@@ -81,6 +83,8 @@
 			Supported:   supported,
 			LeastLoaded: chosen.Market == "least_loaded",
 			Retries:     reached.Retries,
+
+			StoredConfiguration: reached.StoredConfiguration,
 		},
 		Address:           chosen.Address,
 		Seeds:             chosen.Seeds,
--- a/internal/dataplane/updates.go
+++ b/internal/dataplane/updates.go
@@ -18,7 +18,7 @@
 	}
 	if section, found := update.Changed[replication.ConfigurationSection]; found {
 		r.Apply(auction.Event{Kind: auction.ConfigurationReceived, Configuration: section.Content, Epoch: section.Version.Epoch, Number: section.Version.Number})
-		r.observe("configuration_in_force", "version", section.Version.String())
+		r.observeConfiguration(section.Version)
 	}
 	state, err := replication.ReadState(update.Changed)
 	if err != nil {
@@ -42,6 +42,15 @@
 	}
 }
 
+// observeConfiguration logs whether a configuration that came is in force, or this build could not read it.
+func (r *Router) observeConfiguration(version replication.Version) {
+	if inForce := r.InForce(); inForce != version {
+		r.observe("configuration_rejected", "version", version.String(), "in_force", inForce.String())
+		return
+	}
+	r.observe("configuration_in_force", "version", version.String())
+}
+
 // applyProvisional serves by a copy's configuration, before there is a primary. The flags by
 // which the configuration is read come first. It gives no lease and allows no role.
 func (r *Router) applyProvisional(update follower.Update) {
--- a/options.go
+++ b/options.go
@@ -16,6 +16,10 @@
 	LeastLoaded bool
 	// FixedRoles leaves every server the role that it was given first, for comparison.
 	FixedRoles bool
+	// StoredConfiguration gives the configuration that a stored text stands for, where earlier
+	// releases of the program stored it otherwise; nil: the text itself. A text that it refuses
+	// is not put in force.
+	StoredConfiguration func(text []byte) ([]byte, error)
 	// Retries bounds what all routers send beyond the first dispatch of each opaque call;
 	// fields that are left out are those of scheduler.DefaultRetryAllowance.
 	Retries RetryAllowance
