--- a/internal/adapters/proxy/tenants_test.go
+++ b/internal/adapters/proxy/tenants_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"seamloom.example/seamloom/internal/adapters/osruntime"
 	"seamloom.example/seamloom/internal/config"
@@ -20,6 +21,7 @@
 type tenantRouter struct {
 	server  *standin
 	conduct *dataplane.Calls
+	handler *Handler
 	address string
 	version uint64
 	sent    int
@@ -43,6 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.handler = handler
 	front := httptest.NewServer(handler)
 	r.address = front.Listener.Addr().String()
 	t.Cleanup(func() { front.Close(); cancel() })
@@ -180,3 +183,47 @@
 		}
 	}
 }
+
+// TestRefusalsForKeysAreCountedByCause guards against a stale configuration looking like a client without
+// a key: both were one count, so that a key that had not arrived yet could not be told from the metrics.
+func TestRefusalsForKeysAreCountedByCause(t *testing.T) {
+	r := newTenantRouter(t)
+	r.configure(config.Tenant{Name: "school", Keys: []string{"key-1"}})
+	r.call(t, "/once/x", http.Header{})
+	r.call(t, "/once/x", http.Header{"Seamloom-Key": {"secret-9"}})
+	r.call(t, "/once/x", http.Header{"Seamloom-Key": {"secret-8"}})
+	var text strings.Builder
+	r.handler.WriteMetrics(&text)
+	for _, want := range []string{`seamloom_calls_total{ending="key_missing"} 1`, `seamloom_calls_total{ending="key_unknown"} 2`} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
+	if strings.Contains(text.String(), "secret-") {
+		t.Error("the metrics show a key")
+	}
+}
+
+// screening refuses each call by its head.
+type screening struct {
+	*scripted
+	refusal dataplane.Refusal
+}
+
+// Screen refuses the call.
+func (s *screening) Screen(*scheduler.Call) (dataplane.Refusal, bool) { return s.refusal, true }
+
+// TestRefusalsByTheHeadSayWhenToComeBack guards against a 429 without Retry-After: a call refused before its
+// body was read lost the time after which its tenant is within the limit again.
+func TestRefusalsByTheHeadSayWhenToComeBack(t *testing.T) {
+	conduct := &screening{scripted: &scripted{}, refusal: dataplane.Refusal{Cause: scheduler.OverLimit, Status: http.StatusTooManyRequests, RetryAfter: 250 * time.Millisecond}}
+	handler, err := NewHandler(t.Context(), DefaultProtocol(), NewPool(nil), conduct, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/once/x", strings.NewReader("prompt")))
+	if got := recorder.Header().Get("Retry-After"); recorder.Code != http.StatusTooManyRequests || got != "0.250" {
+		t.Errorf("status %d, Retry-After %q", recorder.Code, got)
+	}
+}
