Routers' own reads of the server list are spread by the fleet's and the list's size

Class: a crowd that is set off by lateness and makes it worse. Change: a router's own read waits for its place in a span of 0.5 ms for each router and listed server (38 s for 300 and 256, 0.1 s for 10 and 9), so that all together read no more than the platform answers.

--- a/internal/dataplane/serverlist.go
+++ b/internal/dataplane/serverlist.go
@@ -17,11 +17,15 @@
 	// firstListTimeout is how long a router that has no list waits for the primary's.
 	firstListTimeout = 300 * time.Millisecond
 	// ownListInterval lies between two reads of its own, and up to ownListJitter more,
-	// so that the fleet does not read all at once; ownListPerRouter is added for each
-	// router, so that a large one reads no more than fifty times a second.
-	ownListInterval  = time.Second
-	ownListJitter    = 500 * time.Millisecond
-	ownListPerRouter = 20 * time.Millisecond
+	// so that the fleet does not read all at once.
+	ownListInterval = time.Second
+	ownListJitter   = 500 * time.Millisecond
+	// ownListPerEntry is the time for each router and listed server over which the reads of all routers are
+	// spread: each read takes a call for each page of the list, and the platform answers a few calls a second to
+	// all nodes together. The primary's reads must not fail for them.
+	ownListPerEntry = 500 * time.Microsecond
+	// unknownRouters is how many routers are taken to read until their number is known.
+	unknownRouters = 100
 	// loadInterval lies between two reads of a server's load by a router itself.
 	loadInterval = 150 * time.Millisecond
 	loadTimeout  = 700 * time.Millisecond
@@ -68,7 +72,7 @@
 		}
 		r.observe("list_read_directly", "servers", len(servers), "error", err)
 		reads++
-		runtime.Sleep(r.runtime, ownListInterval+time.Duration(r.routers.Load())*ownListPerRouter+r.jitter(reads))
+		runtime.Sleep(r.runtime, ownListInterval+max(ownListSpread(int(r.routers.Load()), len(servers)), r.jitter(reads)))
 	}
 }
 
@@ -77,11 +81,25 @@
 	r.listMutex.Lock()
 	defer r.listMutex.Unlock()
 	if at := r.listing.At(); !at.IsZero() {
-		return at.Add(discovery.ListTimeout + r.jitter(0)/4)
+		spread := ownListSpread(int(r.routers.Load()), r.listing.Len())
+		return at.Add(discovery.ListTimeout + r.ownReadDelay(spread))
 	}
 	return began.Add(firstListTimeout + r.jitter(0))
 }
 
+// ownListSpread is the span over which the routers read a list themselves that grows old.
+func ownListSpread(routers, servers int) time.Duration {
+	if routers == 0 {
+		routers = unknownRouters
+	}
+	return max(ownListJitter/4, time.Duration(routers*servers)*ownListPerEntry)
+}
+
+// ownReadDelay is this router's place in a span over which the routers' reads are spread.
+func (r *Router) ownReadDelay(spread time.Duration) time.Duration {
+	return time.Duration(membership.Weight("own read", r.options.Router) % uint64(spread))
+}
+
 // jitter is a length of time that differs from router to router.
 func (r *Router) jitter(reads int) time.Duration {
 	return time.Duration(membership.Weight("read "+strconv.Itoa(reads), r.options.Router) % uint64(ownListJitter))
--- a/internal/membership/servers.go
+++ b/internal/membership/servers.go
@@ -175,6 +175,9 @@
 // At is when the list was read; zero if it never was.
 func (l *ServerList) At() time.Time { return l.at }
 
+// Len is how many servers are listed.
+func (l *ServerList) Len() int { return len(l.servers) }
+
 // Servers is the list, with each server's warming as it is now.
 func (l *ServerList) Servers(now time.Time) []Server {
 	servers := slices.Clone(l.servers)
