Metrics: ages of updates by kind at routers, bytes sent by kind at the primary

Change: `seamloom_update_age_seconds{kind}` at each router (servers, loads, configuration) when an update is applied, `seamloom_update_bytes_total{kind}` at the primary, and `list_read_directly` logs the age of the list, the silence since the primary's last response and the length of the read.

--- a/internal/adapters/controller/status.go
+++ b/internal/adapters/controller/status.go
@@ -86,6 +86,7 @@
 	}
 	version := p.controller.Store().LocalReplica().Version()
 	answers, bytesSent, configurations := p.controller.UpdateCounts()
+	sent := p.controller.UpdateBytes()
 	waiting := 0
 	if wait, _ := p.controller.WaitingFor(); wait != replication.CoreKnown {
 		waiting = 1
@@ -101,7 +102,9 @@
 	}{{"seamloom_leads", uint64(leads)}, {"seamloom_epoch", p.controller.Coordinator().Membership().Epoch}, {"seamloom_copy_number", version.Number},
 		{"seamloom_copy_damaged", uint64(damaged)}, {"seamloom_synced_batches_total", batches}, {"seamloom_answered_changes_total", changes},
 		{"seamloom_news_answers_total", answers}, {"seamloom_news_drawer_bytes_total", bytesSent},
-		{"seamloom_configurations_sent_total", configurations}, {"seamloom_waiting_for_core", uint64(waiting)}} {
+		{"seamloom_configurations_sent_total", configurations}, {"seamloom_waiting_for_core", uint64(waiting)},
+		{`seamloom_update_bytes_total{kind="servers"}`, sent.Servers}, {`seamloom_update_bytes_total{kind="loads"}`, sent.Loads},
+		{`seamloom_update_bytes_total{kind="configuration"}`, sent.Configuration}, {`seamloom_update_bytes_total{kind="other"}`, sent.OtherSections}} {
 		_, _ = io.WriteString(writer, metric.name+" "+strconv.FormatUint(metric.value, 10)+"\n")
 	}
 }
--- a/internal/adapters/router/api.go
+++ b/internal/adapters/router/api.go
@@ -128,6 +128,7 @@
 	for _, name := range names {
 		_, _ = io.WriteString(writer, "seamloom_"+name+" "+strconv.FormatInt(counts[name], 10)+"\n")
 	}
+	p.ages.write(writer)
 	if p.proxy.handler != nil {
 		p.proxy.handler.WriteMetrics(writer)
 	}
--- a/internal/adapters/router/process.go
+++ b/internal/adapters/router/process.go
@@ -38,6 +38,7 @@
 	supported features.List
 	usage     *usage.Meter
 	proxy     callProxy
+	ages      *updateAges
 
 	mutex    sync.Mutex
 	settings settings.Settings
@@ -66,7 +67,7 @@
 // Start listens and begins to work.
 func Start(chosen settings.Settings, logger *log.Logger, clock *osruntime.Clock, reached Ports) (*Process, error) {
 	supported := chosen.Supported()
-	process := &Process{logger: logger, clock: clock, settings: chosen, supported: supported, usage: usage.NewMeter()}
+	process := &Process{logger: logger, clock: clock, settings: chosen, supported: supported, usage: usage.NewMeter(), ages: newUpdateAges()}
 	process.ctx = process.tomb.Context(context.Background())
 	rt := osruntime.New(process.ctx, clock)
 	if reached.Directory == nil {
@@ -85,6 +86,7 @@
 		Address:           chosen.Address,
 		Seeds:             chosen.Seeds,
 		Neighbours:        chosen.Neighbours,
+		ObserveAge:        process.ages.observe,
 		Nonce:             uuid.NewString,
 		OnEnded:           process.recordUsage,
 		Directory:         ports.FixedDirectory{Directory: reached.Directory, Context: process.ctx, Address: process.platform},
--- a/internal/controlplane/controller.go
+++ b/internal/controlplane/controller.go
@@ -43,6 +43,7 @@
 	submitted          atomic.Uint64
 	updateAnswers      atomic.Uint64
 	updateBytes        atomic.Uint64
+	configurationBytes atomic.Uint64
 	configurationsSent atomic.Uint64
 
 	acknowledgeWait atomic.Int64
@@ -241,5 +242,19 @@
 	return c.updateAnswers.Load(), c.updateBytes.Load(), c.configurationsSent.Load()
 }
 
+// UpdateBytes are the bytes of responses to polls by what they bring, before compression:
+// contents of configurations and of other sections, encoded lists of servers and loads.
+type UpdateBytes struct {
+	Configuration, OtherSections, Servers, Loads uint64
+}
+
+// UpdateBytes counts the bytes of responses to polls by what they bring.
+func (c *Controller) UpdateBytes() UpdateBytes {
+	configuration := c.configurationBytes.Load()
+	sent := UpdateBytes{Configuration: configuration, OtherSections: c.updateBytes.Load() - configuration}
+	sent.Servers, sent.Loads = c.serverList.sentBytes()
+	return sent
+}
+
 // Supported is the node's own list of flags.
 func (c *Controller) Supported() features.List { return c.options.Supported }
--- a/internal/controlplane/serverlist.go
+++ b/internal/controlplane/serverlist.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"seamloom.example/seamloom/internal/discovery"
 	"seamloom.example/seamloom/internal/follower"
 	"seamloom.example/seamloom/internal/membership"
@@ -29,6 +31,11 @@
 	followedAt time.Time
 	outliers   outlier.Detector
 	lastError  string
+	// sizes are the encoded sizes of what was sent, serversBytes and loadsBytes what all of it
+	// took before compression.
+	sizes        map[sizeKey]int
+	serversBytes uint64
+	loadsBytes   uint64
 	// readAt is when this controller last began to read for routers without a primary.
 	readAt time.Time
 }
@@ -165,6 +172,59 @@
 		request.WantLoads && l.reportsRevision() != 0 && l.reportsRevision() != request.LoadsRevision
 }
 
+// sizeKey names an update of the list or the loads: the changes from base, or all if that is zero.
+type sizeKey struct {
+	loads          bool
+	revision, base uint64
+}
+
+// maxSizes bounds the memory for sizes.
+const maxSizes = 256
+
+// sizeOf is the encoded size of an update, which is measured once for all nodes. The caller has
+// the mutex.
+func (l *serverList) sizeOf(key sizeKey, update any) uint64 {
+	if size, found := l.sizes[key]; found {
+		return uint64(size)
+	}
+	encoded, err := msgpack.Marshal(update)
+	if err != nil {
+		return 0
+	}
+	if l.sizes == nil || len(l.sizes) >= maxSizes {
+		l.sizes = map[sizeKey]int{}
+	}
+	l.sizes[key] = len(encoded)
+	return uint64(len(encoded))
+}
+
+// sentBytes are the encoded bytes of lists and of loads that were sent.
+func (l *serverList) sentBytes() (servers, loads uint64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.serversBytes, l.loadsBytes
+}
+
+// countBytes counts the bytes of a response's list and loads. The caller has the mutex.
+func (l *serverList) countBytes(response *wire.UpdateResponse) {
+	if servers := response.Servers; servers != nil {
+		key := sizeKey{revision: servers.Revision, base: servers.Revision}
+		if servers.Sent {
+			key.base = 0
+		} else if servers.Changes != nil {
+			key.base = servers.Changes.Base
+		}
+		l.serversBytes += l.sizeOf(key, servers)
+	}
+	if loads := response.Loads; loads != nil {
+		key := sizeKey{loads: true, revision: loads.Revision}
+		if loads.Changes != nil {
+			key.base = loads.Changes.Base
+		}
+		l.loadsBytes += l.sizeOf(key, loads)
+	}
+}
+
 // fill adds to a response what the node wants and does not have.
 func (l *serverList) fill(now time.Time, request wire.UpdateRequest, response *wire.UpdateResponse) {
 	l.mutex.Lock()
@@ -178,6 +238,7 @@
 	if current := l.reportsRevision(); request.WantLoads && current != 0 && current != request.LoadsRevision {
 		response.Loads = l.loadsUpdate(now, request)
 	}
+	l.countBytes(response)
 }
 
 // serversUpdate confirms the list of a node, or has its changes since, or the list itself. The
--- a/internal/controlplane/updatebytes_test.go
+++ b/internal/controlplane/updatebytes_test.go
@@ -181,3 +181,31 @@
 		t.Errorf("a node too far behind: %+v, %+v", response.Servers, response.Loads)
 	}
 }
+
+// TestBytesAreCountedByKind wants what was sent of lists and of loads to be counted apart, with the
+// size that it has.
+func TestBytesAreCountedByKind(t *testing.T) {
+	var known serverList
+	known.update(runtimetest.AtNoon(0), []membership.Server{{Name: "server-a"}})
+	known.beginTerm(7)
+	known.endPoll(7, "server-a", runtimetest.AtNoon(0), scheduler.Load{Server: "server-a"}, nil)
+	known.endRound(runtimetest.AtNoon(0))
+	var servers, loads uint64
+	for range 2 {
+		var response wire.UpdateResponse
+		known.fill(runtimetest.AtNoon(0), wire.UpdateRequest{WantServers: true, WantLoads: true}, &response)
+		for _, part := range []struct {
+			sum    *uint64
+			update any
+		}{{&servers, response.Servers}, {&loads, response.Loads}} {
+			encoded, err := msgpack.Marshal(part.update)
+			if err != nil {
+				t.Fatal(err)
+			}
+			*part.sum += uint64(len(encoded))
+		}
+	}
+	if gotServers, gotLoads := known.sentBytes(); gotServers != servers || gotLoads != loads || servers == 0 || loads == 0 {
+		t.Errorf("servers %d of %d, loads %d of %d", gotServers, servers, gotLoads, loads)
+	}
+}
--- a/internal/controlplane/updates.go
+++ b/internal/controlplane/updates.go
@@ -133,11 +133,13 @@
 	for name, section := range response.Sections {
 		c.updateBytes.Add(uint64(len(section.Content)))
 		if name == replication.ConfigurationSection {
+			c.configurationBytes.Add(uint64(len(section.Content)))
 			c.configurationsSent.Add(1)
 		}
 	}
 	for _, delta := range response.Deltas {
 		c.updateBytes.Add(uint64(len(delta.Middle)))
+		c.configurationBytes.Add(uint64(len(delta.Middle)))
 		c.configurationsSent.Add(1)
 	}
 }
--- a/internal/dataplane/options.go
+++ b/internal/dataplane/options.go
@@ -34,6 +34,8 @@
 	ServeWithoutLease time.Duration
 	// QuotaTolerance is how far the calls of a tenant may go beyond its limit.
 	QuotaTolerance QuotaTolerance
+	// ObserveAge is called with how old an update is when it is applied; nil: nobody observes.
+	ObserveAge func(kind UpdateKind, age time.Duration)
 	// Nonce gives a unique string.
 	Nonce func() string
 	// OnEnded is called with the final decision on each request.
--- a/internal/dataplane/serverlist.go
+++ b/internal/dataplane/serverlist.go
@@ -60,13 +60,15 @@
 			continue
 		}
 		asked := r.runtime.Now()
+		age := r.listAge(asked)
 		servers, err := r.options.Directory.Servers()
 		if err == nil {
 			r.applyServers(asked, servers)
 			// The next primary is to send its list, whatever revision it has.
 			r.follower.ForgetList()
 		}
-		r.observe("list_read_directly", "servers", len(servers), "error", err)
+		r.observe("list_read_directly", "servers", len(servers), "error", err,
+			"age", age.String(), "silence", asked.Sub(r.Heard()).String(), "took", r.runtime.Now().Sub(asked).String())
 		reads++
 		runtime.Sleep(r.runtime, ownListInterval+time.Duration(r.routers.Load())*ownListPerRouter+r.jitter(reads))
 	}
@@ -82,6 +84,16 @@
 	return began.Add(firstListTimeout + r.jitter(0))
 }
 
+// listAge is how old the list is; zero if there is none.
+func (r *Router) listAge(now time.Time) time.Duration {
+	r.listMutex.Lock()
+	defer r.listMutex.Unlock()
+	if r.listing.At().IsZero() {
+		return 0
+	}
+	return now.Sub(r.listing.At())
+}
+
 // jitter is a length of time that differs from router to router.
 func (r *Router) jitter(reads int) time.Duration {
 	return time.Duration(membership.Weight("read "+strconv.Itoa(reads), r.options.Router) % uint64(ownListJitter))
--- a/internal/dataplane/updates.go
+++ b/internal/dataplane/updates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"seamloom.example/seamloom/internal/auction"
 	"seamloom.example/seamloom/internal/follower"
@@ -9,6 +10,29 @@
 	"seamloom.example/seamloom/internal/replication"
 )
 
+// UpdateKind is what an update brings, among those whose ages are observed apart.
+type UpdateKind string
+
+const (
+	// ServersUpdated is the list of servers, new or confirmed; its age counts from when the
+	// platform was asked for it.
+	ServersUpdated UpdateKind = "servers"
+	// LoadsUpdated is a round of load reports; its age counts from the end of the round.
+	LoadsUpdated UpdateKind = "loads"
+	// ConfigurationUpdated is a configuration; its age counts from the primary's response.
+	ConfigurationUpdated UpdateKind = "configuration"
+)
+
+// UpdateKinds are all kinds of updates whose ages are observed.
+var UpdateKinds = []UpdateKind{ServersUpdated, LoadsUpdated, ConfigurationUpdated}
+
+// observeAge observes how old something is that is applied now.
+func (r *Router) observeAge(kind UpdateKind, since time.Time) {
+	if r.options.ObserveAge != nil {
+		r.options.ObserveAge(kind, r.runtime.Now().Sub(since))
+	}
+}
+
 // applyUpdate applies an update of the follower. The configuration is put in force before the
 // lease that confirms it is used: under a lease nothing is admitted by an older version.
 func (r *Router) applyUpdate(update follower.Update) {
@@ -19,6 +43,7 @@
 	if section, found := update.Changed[replication.ConfigurationSection]; found {
 		r.Apply(auction.Event{Kind: auction.ConfigurationReceived, Configuration: section.Content, Epoch: section.Version.Epoch, Number: section.Version.Number})
 		r.observe("configuration_in_force", "version", section.Version.String())
+		r.observeAge(ConfigurationUpdated, update.RequestedAt.Add(update.Response.Waited))
 	}
 	state, err := replication.ReadState(update.Changed)
 	if err != nil {
@@ -86,8 +111,10 @@
 	}
 	if update.Servers != nil {
 		r.applyServers(update.Servers.ReadAt, update.Servers.Servers)
+		r.observeAge(ServersUpdated, update.Servers.ReadAt)
 	}
 	if len(update.Loads) > 0 {
+		r.observeAge(LoadsUpdated, update.LoadsReadAt)
 		r.core.Calls().SetOutliers(r.runtime.Now(), update.Outliers)
 		r.Apply(auction.Event{Kind: auction.LoadsReported, Loads: update.Loads})
 	}
