Follower: a cold server is cold for as long as the primary says, however old its list

Routers took cold servers for warm too early by the age of the list: up to half a second in calm, more when updates are late.

Cause: the primary sends the warming that is left as of its response, beside the age of the list. The follower counted both from the reading of the list, so that the age was taken off twice.

Change: the warming is put back to the moment of reading where the response is taken. Before: a server with 2 s left in a list of 700 ms was warm after 1.3 s (TestColdServersAreNotTakenForWarmTooEarly fails there, for whole lists, changes and confirmations).

--- a/internal/follower/changes_test.go
+++ b/internal/follower/changes_test.go
@@ -120,3 +120,28 @@
 		}
 	}
 }
+
+// TestColdServersAreNotTakenForWarmTooEarly wants a server to warm up for as long as the primary
+// says, however old its list is, from the whole list and from changes.
+func TestColdServersAreNotTakenForWarmTooEarly(t *testing.T) {
+	const age, left = 700 * time.Millisecond, 2 * time.Second
+	rt := &runtimetest.Moving{Time: runtimetest.AtNoon(0)}
+	var applied Update
+	follower := New(rt, nil, membership.Member{}, nil, func() replication.Version { return replication.Version{} }, func(update Update) { applied = update })
+	follower.Follow(true, false)
+	cold := []membership.Server{{Name: "server-a", Warming: left}}
+	for _, row := range []struct {
+		name    string
+		servers wire.ServersUpdate
+	}{
+		{"a whole list", wire.ServersUpdate{Revision: 5, Age: age, Sent: true, Servers: cold}},
+		{"changes", wire.ServersUpdate{Revision: 6, Age: age, Changes: &wire.ServerChanges{Base: 5, Changed: cold}}},
+		{"a confirmation", wire.ServersUpdate{Revision: 6, Age: age}},
+	} {
+		follower.Apply(rt.Time, wire.UpdateResponse{Leads: true, Servers: &row.servers})
+		warm := applied.Servers.ReadAt.Add(applied.Servers.Servers[0].Warming)
+		if !warm.Equal(rt.Time.Add(left)) {
+			t.Errorf("%s: warm after %v, the primary said %v", row.name, warm.Sub(rt.Time), left)
+		}
+	}
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -373,7 +373,7 @@
 // applyServers takes a list that was sent, or its changes. Changes of another list than the
 // follower's are dropped, and the next request asks for the complete one.
 func (f *Follower) applyServers(at time.Time, list *wire.ServersUpdate) {
-	servers := list.Servers
+	servers := warmingAtReading(list.Servers, list.Age)
 	switch {
 	case list.Sent:
 	case list.Changes == nil:
@@ -382,13 +382,27 @@
 		f.serversRevision = 0
 		return
 	default:
-		servers = list.Changes.Apply(f.listing.Servers(at))
+		changes := *list.Changes
+		changes.Changed = warmingAtReading(changes.Changed, list.Age)
+		servers = changes.Apply(f.listing.Servers(at))
 	}
 	f.listing = membership.ServerList{}
 	f.listing.Update(at, servers)
 	f.serversRevision = list.Revision
 }
 
+// warmingAtReading gives servers with their warming as of when the list was read. A response has
+// it as of when it was made.
+func warmingAtReading(servers []membership.Server, age time.Duration) []membership.Server {
+	servers = slices.Clone(servers)
+	for position := range servers {
+		if servers[position].Warming > 0 {
+			servers[position].Warming += age
+		}
+	}
+	return servers
+}
+
 // applyReports takes a round of reports, or its changes from the follower's round, and tells
 // whether it did. After changes that do not fit the next request asks for all reports.
 func (f *Follower) applyReports(loads *wire.LoadsUpdate) bool {
