Loads: rounds of reports come as seldom as their bytes to all nodes need

Change: after a round the primary waits as long as the bytes of the last one need at 3 MiB a second before compression, and 333 ms at least. List, configuration and orders wake polls at once as before.

--- a/internal/controlplane/readers.go
+++ b/internal/controlplane/readers.go
@@ -100,11 +100,7 @@
 			c.serverList.endRound(c.runtime.Now())
 			c.updated.Broadcast()
 		}
-		pause := reportInterval
-		if c.serverList.idle(c.runtime.Now()) {
-			pause = idleReportInterval
-		}
-		if left := pause - c.runtime.Now().Sub(began); left > 0 {
+		if left := c.serverList.reportPause(c.runtime.Now()) - c.runtime.Now().Sub(began); left > 0 {
 			runtime.Sleep(c.runtime, left)
 		}
 	}
--- a/internal/controlplane/serverlist.go
+++ b/internal/controlplane/serverlist.go
@@ -36,6 +36,10 @@
 	sizes        map[sizeKey]int
 	serversBytes uint64
 	loadsBytes   uint64
+	// loadsBytesBefore is loadsBytes at the end of the last round, roundBytes what the round
+	// before that took.
+	loadsBytesBefore uint64
+	roundBytes       uint64
 	// readAt is when this controller last began to read for routers without a primary.
 	readAt time.Time
 }
@@ -69,6 +73,9 @@
 	// idleRunning that of one which does not tell its slots.
 	idleSlotShare = 6
 	idleRunning   = 8
+	// loadsBytesPerSecond bounds what all nodes are sent of loads, before compression, by longer
+	// intervals: a quarter of a link of 100 Mbit/s, so that nothing waits behind loads.
+	loadsBytesPerSecond = 3 << 20
 	// reportTimeout is how long a server may take to report. A round waits no
 	// longer than roundTimeout: a late report goes out with the next.
 	reportTimeout = 700 * time.Millisecond
@@ -346,6 +353,7 @@
 			delete(l.reports, name)
 		}
 	}
+	l.roundBytes, l.loadsBytesBefore = l.loadsBytes-l.loadsBytesBefore, l.loadsBytes
 	if l.epoch != 0 {
 		l.reportRounds++
 		l.recordRound(now)
@@ -366,6 +374,17 @@
 	}
 }
 
+// reportPause is the time from the beginning of a round of reports to that of the next.
+func (l *serverList) reportPause(now time.Time) time.Duration {
+	pause := reportInterval
+	if l.idle(now) {
+		pause = idleReportInterval
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(pause, time.Duration(l.roundBytes)*time.Second/loadsBytesPerSecond)
+}
+
 // calm tells whether all servers reported lately that they have little to do.
 func (l *serverList) idle(now time.Time) bool {
 	l.mutex.Lock()
--- a/internal/controlplane/updatebytes_test.go
+++ b/internal/controlplane/updatebytes_test.go
@@ -209,3 +209,48 @@
 		t.Errorf("servers %d of %d, loads %d of %d", gotServers, servers, gotLoads, loads)
 	}
 }
+
+// TestLoadsOfManyNodesStayUnderTheirShareOfTheLink lets nodes of an older release, which are sent all
+// reports, poll after each round, and wants the rounds to come as seldom as their bytes need.
+func TestLoadsOfManyNodesStayUnderTheirShareOfTheLink(t *testing.T) {
+	for _, row := range []struct {
+		nodes   int
+		changes bool
+		slower  bool
+	}{{3, false, false}, {incidentFollowers, true, false}, {incidentFollowers, false, true}} {
+		random := rand.New(rand.NewSource(1))
+		var known serverList
+		var servers []membership.Server
+		for number := range incidentServers {
+			servers = append(servers, incidentServer(number))
+		}
+		known.update(runtimetest.AtNoon(0), servers)
+		known.beginTerm(7)
+		request := wire.UpdateRequest{WantLoads: true, AcceptChanges: row.changes}
+		at := time.Duration(0)
+		for range 10 {
+			now := runtimetest.AtNoon(at)
+			for _, server := range servers {
+				known.endPoll(7, server.Name, now, busyLoad(random, server.Name), nil)
+			}
+			known.endRound(now)
+			var response wire.UpdateResponse
+			for range row.nodes {
+				response = wire.UpdateResponse{}
+				known.fill(now, request, &response)
+			}
+			request.LoadsRevision = response.Loads.Revision
+			at += known.reportPause(now)
+		}
+		_, sent := known.sentBytes()
+		perSecond := float64(sent) / at.Seconds()
+		t.Logf("%+v: %.2f MB/s, a round every %v", row, perSecond/1e6, at/10)
+		// The first round is sent before its size is known.
+		if first := float64(sent) / 10 / at.Seconds(); perSecond > loadsBytesPerSecond+first {
+			t.Errorf("%+v: %.2f MB/s", row, perSecond/1e6)
+		}
+		if slower := at/10 > reportInterval*5/4; slower != row.slower {
+			t.Errorf("%+v: a round every %v", row, at/10)
+		}
+	}
+}
--- a/internal/dataplane/serverlist.go
+++ b/internal/dataplane/serverlist.go
@@ -68,7 +68,7 @@
 			r.follower.ForgetList()
 		}
 		r.observe("list_read_directly", "servers", len(servers), "error", err,
-			"age", age.String(), "silence", asked.Sub(r.Heard()).String(), "took", r.runtime.Now().Sub(asked).String())
+			"age", age.String(), "silence", r.silence(asked).String(), "took", r.runtime.Now().Sub(asked).String())
 		reads++
 		runtime.Sleep(r.runtime, ownListInterval+time.Duration(r.routers.Load())*ownListPerRouter+r.jitter(reads))
 	}
@@ -84,6 +84,14 @@
 	return began.Add(firstListTimeout + r.jitter(0))
 }
 
+// silence is the time since the primary's last response; zero if there was none.
+func (r *Router) silence(now time.Time) time.Duration {
+	if heard := r.Heard(); !heard.IsZero() {
+		return now.Sub(heard)
+	}
+	return 0
+}
+
 // listAge is how old the list is; zero if there is none.
 func (r *Router) listAge(now time.Time) time.Duration {
 	r.listMutex.Lock()
