Servers of a zone that comes back count as cold for as long as they may be

What callers would see: after an evacuation is taken back the zone's servers may have gone cold shortly before (PROTOCOL). A router counted them as warming for 1.6 s, a guess at how soon list and configuration arrive; on a large fleet news are up to 4 s old, and the servers stay cold for 3 s. From 1.6 s on the router sends at full rate to servers that the list will show as cold later (FAILBACK).

Cause: a guess of news' age in place of the bound that the configuration states.

Change: they count as warming for the service's configured slow start, 1.6 s at least.

Price: where the servers did not go cold, they take few calls 1.4 s longer (3 s of slow start).

--- a/internal/scheduler/warming.go
+++ b/internal/scheduler/warming.go
@@ -20,10 +20,20 @@
 	return warmMargin + time.Duration(rendezvousWeight(sn.router, server)%uint64(warmSpread))
 }
 
-// warmingAfterReturn is how long the servers of a zone count as warming after its evacuation was
-// taken back: they may have gone cold while nobody used them, and the list shows that only
-// later. The value is ours, above the time that list and configuration take to arrive.
-const warmingAfterReturn = 1600 * time.Millisecond
+// minWarmingAfterReturn is how long the servers of a zone count as warming at least after its
+// evacuation was taken back. The value is ours.
+const minWarmingAfterReturn = 1600 * time.Millisecond
+
+// warmingAfterReturn is how long the servers of a service count as warming after the evacuation of
+// their zone was taken back: they may have gone cold shortly before it, and the list may show that
+// only when it is over.
+func (rt *RouteTable) warmingAfterReturn(service string) time.Duration {
+	duration := minWarmingAfterReturn
+	if found, known := rt.services[service]; known {
+		duration = max(duration, found.Warming.Duration)
+	}
+	return duration
+}
 
 // returnedZones are zones whose evacuation was taken back since the last cycle.
 type returnedZones map[string]bool
@@ -55,9 +65,10 @@
 	if zones == nil || !s.returnedZones.CompareAndSwap(zones, nil) {
 		return
 	}
+	routes := s.routes.Load()
 	for _, b := range s.snapshot.Load().all {
 		if (*zones)[b.server.Zone] {
-			b.markWarmingUntil(now.Add(warmingAfterReturn))
+			b.markWarmingUntil(now.Add(routes.warmingAfterReturn(b.server.Service)))
 		}
 	}
 }
--- a/internal/scheduler/warming_test.go
+++ b/internal/scheduler/warming_test.go
@@ -82,6 +82,37 @@
 	}
 }
 
+// TestReturnedZoneIsNotFloodedBeforeTheListTells takes an evacuation back, sends no further list,
+// and wants the zone's servers to stay in the bound for as long as they may be cold.
+func TestReturnedZoneIsNotFloodedBeforeTheListTells(t *testing.T) {
+	calls := New(Options{Router: "router", Zone: "north"})
+	calls.SetRouterCount(1)
+	list := servers(9)
+	calls.SetServers(noon, list)
+	evacuated := plan(func(configuration *config.Configuration) {
+		configuration.Evacuations = map[string]config.Evacuation{"north": {}}
+	})
+	calls.SetRouteTable(Compile(evacuated, 1, 1))
+	calls.Arrive(noon, chatCall("before"))
+	calls.SetRouteTable(Compile(plan(nil), 1, 2))
+	warming := evacuated.Services["desk"].Warming
+	sent := map[string]arrivals{}
+	for now := noon; now.Before(noon.Add(warming.Duration)); now = now.Add(2 * time.Millisecond) {
+		state, decision := calls.Arrive(now, chatCall(now.String()))
+		if state != nil && decision.Server.Zone == "north" {
+			sent[decision.Server.Name] = append(sent[decision.Server.Name], now)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("nothing was sent to the zone")
+	}
+	for name, moments := range sent {
+		if most, _ := moments.most(time.Second, nil); float64(most) > warmingBound(warming.RequestsPerSecond) {
+			t.Errorf("%s got %d calls in a second", name, most)
+		}
+	}
+}
+
 // warmingFleet is the schedulers of routers that know one another and list the same servers.
 func warmingFleet(names []string, perSecond float64, list []membership.Server) []*Scheduler {
 	routes := Compile(plan(func(configuration *config.Configuration) {
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -158,6 +158,8 @@
 		Edits: []Edit{{"internal/adapters/proxy/conn.go", "(!c.idleSince.IsZero() && now.Sub(c.idleSince) > c.keepAlive)", "false"}}},
 	{Name: "servers of a district that comes back count as cold", Never: cold, Package: "./internal/scheduler", Test: "TestServersOfAZoneThatComesBackCountAsWarming",
 		Edits: []Edit{{"internal/scheduler/cycle.go", "	s.warmReturnedZones(now)\n", ""}}},
+	{Name: "servers of a district that comes back count as cold until they can't be", Never: cold, Package: "./internal/scheduler", Test: "TestReturnedZoneIsNotFloodedBeforeTheListTells",
+		Edits: []Edit{{"internal/scheduler/warming.go", "		duration = max(duration, found.Warming.Duration)\n", "		duration = max(duration, found.Warming.Duration/3)\n"}}},
 	{Name: "few routers send to one cold server", Never: cold, Package: "./internal/scheduler", Test: "TestWarmingServerIsNotFloodedByManySenders",
 		Edits: []Edit{{"internal/scheduler/warming.go", "	return rate, b.warmingRank(routers) < senders\n", "	return rate, rendezvousWeight(nameKey(c.scheduler.options.Router), b.key)%uint64(recorded) < uint64(senders)\n"}}},
 	{Name: "the senders to a cold server share its rate", Never: cold, Package: "./internal/scheduler", Test: "TestWarmingSendersStayInTheBoundWithDifferingLists",
