Storage: only their owner reads stored files, which hold the keys of tenants

What any user of a controller's machine could see: keys of tenants, since the configuration is stored as it was sent (the read-back must return it) in files of mode 0644 in directories of mode 0755. Change: 0600 and 0700. Files of earlier releases keep their mode until they are written next; a directory that exists keeps its own. TestStoredFilesAreReadByTheirOwnerOnly saw 0644 and 0755 before.

--- a/internal/adapters/storage/directory_test.go
+++ b/internal/adapters/storage/directory_test.go
@@ -6,6 +6,23 @@
 	"testing"
 )
 
+// TestStoredFilesAreReadByTheirOwnerOnly guards against keys of tenants that any user of the machine can read.
+func TestStoredFilesAreReadByTheirOwnerOnly(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	directory, err := OpenDirectory(OSDisk{}, path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := directory.Save("menu", []byte("key")); err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]os.FileMode{path: 0o700, filepath.Join(path, "menu"): 0o600} {
+		if info, err := os.Stat(name); err != nil || info.Mode().Perm() != want {
+			t.Errorf("%s: %v, %v", name, info.Mode(), err)
+		}
+	}
+}
+
 // TestDirectoryTellsDamagedFilesFromSound saves files on the machine's disk, damages one,
 // and leaves one under its temporary name, as a loss of power may.
 func TestDirectoryTellsDamagedFilesFromSound(t *testing.T) {
--- a/internal/adapters/storage/disk.go
+++ b/internal/adapters/storage/disk.go
@@ -20,12 +20,18 @@
 // OSDisk is the machine's file system.
 type OSDisk struct{}
 
+// The modes of what is stored: configurations hold the keys of tenants, which nobody else may read.
+const (
+	directoryMode = 0o700
+	fileMode      = 0o600
+)
+
 // MakeDirectory makes a directory and its parents.
-func (OSDisk) MakeDirectory(path string) error { return os.MkdirAll(path, 0o755) }
+func (OSDisk) MakeDirectory(path string) error { return os.MkdirAll(path, directoryMode) }
 
 // WriteSynced writes a file and syncs it.
 func (OSDisk) WriteSynced(path string, content []byte) error {
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o644)
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return err
 	}
