Test of late orders: its control without connections shows harm in each history

Cause: the control's copies ran beside the next order, so that whether one took effect between an answer and the reads was left to the scheduler of the machine. Now the control's copy arrives between them, always; the guarded part is as it was, and both wants are the same.

--- a/internal/controlplane/zoneorders_test.go
+++ b/internal/controlplane/zoneorders_test.go
@@ -141,7 +141,8 @@
 }
 
 // orderHistory lets an operator evacuate and restore a zone while copies of its earlier orders
-// arrive late, and returns what it saw. Guarded orders have their connection with them.
+// arrive late, and returns what it saw. Guarded orders have their connection with them. An unguarded copy
+// arrives between an order's answer and the next reads, so that its harm shows in each history.
 func orderHistory(t *testing.T, primary *Controller, zone string, guarded bool) []porcupine.Operation {
 	t.Helper()
 	began := time.Now()
@@ -167,7 +168,11 @@
 		})
 		sent = append(sent, order)
 		copied := sent[random.IntN(len(sent))]
-		late.Go(func() { _, _ = primary.Edit(copied.Edit()) })
+		if guarded {
+			late.Go(func() { _, _ = primary.Edit(copied.Edit()) })
+		} else if _, err := primary.Edit(copied.Edit()); err != nil {
+			t.Errorf("a copy without its connection: %v", err)
+		}
 		for range 3 {
 			observe(zoneInput{read: true}, func() bool {
 				_, _, state, err := primary.Read()
