Polls: candidates for roles and the number of routers are collected once in 100 ms, not for each poll

Cause, one of several: each poll copied and sorted the tables of all 300 routers. A router that has just come may get its first role 100 ms later; a changed state (members, flags) is seen at once. TestPollsDoNotCollectAllRouters.

--- a/internal/controlplane/term.go
+++ b/internal/controlplane/term.go
@@ -26,6 +26,7 @@
 	unlistedSince map[string]time.Time
 	zoneOrders    *zoneOrders
 	roleGrant     roleGrant
+	routerTable   routerTable
 	state         *replication.State
 	stateVersion  replication.Version
 }
@@ -75,9 +76,44 @@
 	t.roleGrant.pending = false
 }
 
+// candidatesTTL is how long the candidates for roles and the number of routers are kept: each poll asks
+// for both, and a router that has just come may wait as long for its first role.
+const candidatesTTL = 100 * time.Millisecond
+
+// routerTable is what polls ask of all routers at a moment and a state.
+type routerTable struct {
+	mutex sync.Mutex
+	at    time.Time
+	state *replication.State
+	// candidates are not altered once they are there.
+	candidates map[string]time.Duration
+	// heard and recorded count the routers heard lately and those among the members.
+	heard, recorded int
+}
+
+// collect returns the candidates and the numbers of routers heard lately and recorded, collected anew when
+// they are old or the state has changed.
+func (t *Term) collect(now time.Time, state *replication.State) (candidates map[string]time.Duration, heard, recorded int) {
+	t.routerTable.mutex.Lock()
+	defer t.routerTable.mutex.Unlock()
+	table := &t.routerTable
+	if table.candidates == nil || table.state != state || now.Sub(table.at) >= candidatesTTL {
+		table.at, table.state = now, state
+		table.candidates = t.collectCandidates(now, state)
+		table.heard = len(t.Grants.SeenWithin(now, routerCountTime))
+		table.recorded = len(membership.RouterNames(state.Members))
+	}
+	return table.candidates, table.heard, table.recorded
+}
+
 // candidates are the live routers that lack no enabled flag, with how long
-// each has been live.
+// each has been live. The map is shared.
 func (t *Term) candidates(now time.Time, state *replication.State) map[string]time.Duration {
+	candidates, _, _ := t.collect(now, state)
+	return candidates
+}
+
+func (t *Term) collectCandidates(now time.Time, state *replication.State) map[string]time.Duration {
 	live := t.Grants.Live(now)
 	for name := range live {
 		member, found := state.Members[name]
@@ -159,11 +195,11 @@
 
 // routers is how many routers share the servers.
 func (t *Term) routers(now time.Time, state *replication.State) int {
-	heard := len(t.Grants.SeenWithin(now, routerCountTime))
+	_, heard, recorded := t.collect(now, state)
 	if now.Sub(t.Since) >= routerCountTime {
 		return heard
 	}
-	return max(heard, len(membership.RouterNames(state.Members)))
+	return max(heard, recorded)
 }
 
 // behind lists the routers that were heard from within a time and have not
--- a/internal/controlplane/term_test.go
+++ b/internal/controlplane/term_test.go
@@ -1,6 +1,8 @@
 package controlplane
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -59,3 +61,41 @@
 		t.Errorf("silent: %v", silent)
 	}
 }
+
+// TestPollsDoNotCollectAllRouters wants the candidates for roles and the number of routers to cost a poll
+// nothing while they are fresh, and to be collected anew when they are old or the state has changed.
+func TestPollsDoNotCollectAllRouters(t *testing.T) {
+	noon := runtimetest.AtNoon(0)
+	term := newTerm(noon)
+	members := map[string]membership.Member{}
+	for number := range 300 {
+		name := fmt.Sprint("router-", number)
+		members[name] = membership.Member{Name: name, Kind: membership.Router}
+		term.Grants.Grant(noon, name, 1)
+	}
+	state := &replication.State{Members: members}
+	now := noon.Add(routerCountTime)
+	for name := range members {
+		term.Grants.Grant(now, name, 1)
+	}
+	look := func(state *replication.State) (candidates, routers int) {
+		return len(term.candidates(now, state)), term.routers(now, state)
+	}
+	if candidates, routers := look(state); candidates != 300 || routers != 300 {
+		t.Fatalf("%d candidates, %d routers", candidates, routers)
+	}
+	if allocations := testing.AllocsPerRun(100, func() { look(state) }); allocations > 0 {
+		t.Errorf("%v allocations a poll", allocations)
+	}
+	fewer := &replication.State{Members: maps.Clone(members)}
+	delete(fewer.Members, "router-7")
+	if candidates, _ := look(fewer); candidates != 299 {
+		t.Errorf("%d candidates after a member was removed", candidates)
+	}
+	term.Grants.Grant(now, "router-new", 1)
+	fewer.Members["router-new"] = membership.Member{Name: "router-new", Kind: membership.Router}
+	now = now.Add(candidatesTTL)
+	if candidates, routers := look(fewer); candidates != 300 || routers != 301 {
+		t.Errorf("%d candidates, %d routers, after one has come", candidates, routers)
+	}
+}
