Tenants are accepted once no recorded member lacks the flag for them

Callers would see: in a fleet of mixed releases, a router of an earlier release refuses the unknown field tenants, keeps its older configuration, and serves calls that show no key (UNASKED, ROUTE) until what it may serve without a lease has run out. Cause: a new format was written without a flag of its own. The commit of a configuration that has tenants, over one that has none, is refused as not_supported (503, to be sent again) while a recorded member lacks the flag; it needs not be enabled, since the first configuration comes before flags are (FlagStableTime). Later changes, such as a key that is taken away, and evacuations are not held up by such a member: it can't read the present configuration either. A core whose build withholds the flag refuses such a configuration, as the earlier release does.

--- a/core.go
+++ b/core.go
@@ -8,6 +8,8 @@
 	"seamloom.example/seamloom/internal/auction"
 	"seamloom.example/seamloom/internal/codec"
 	"seamloom.example/seamloom/internal/config"
+	"seamloom.example/seamloom/internal/failure"
+	"seamloom.example/seamloom/internal/features"
 	"seamloom.example/seamloom/internal/scheduler"
 )
 
@@ -200,7 +202,12 @@
 			return nil, err
 		}
 	}
-	return config.Check(text)
+	configuration, err := config.Check(text)
+	if err == nil && configuration.Tenants != nil && !c.options.Supported.Has(features.Tenants) {
+		// A build without tenants would serve calls that show no key.
+		return nil, failure.New(failure.NotSupported, "the configuration has tenants")
+	}
+	return configuration, err
 }
 
 func (c *Core) applyLease(event Event) {
--- a/core_configuration_test.go
+++ b/core_configuration_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"seamloom.example/seamloom/internal/auction"
+	"seamloom.example/seamloom/internal/features"
 )
 
 // TestAStoredConfigurationThatIsRefusedIsNotInForce guards against calls without a key being served by a
@@ -31,3 +32,17 @@
 		t.Errorf("version %d is in force, with tenants %v", number, core.configuration.Tenants)
 	}
 }
+
+// TestACoreWithoutTenantsKeepsItsConfiguration guards against an older build serving calls without a key: it
+// refuses a configuration with tenants as an unknown field.
+func TestACoreWithoutTenantsKeepsItsConfiguration(t *testing.T) {
+	core := New(Options{Router: "router-1", Supported: Supported(FlagList{features.Tenants})})
+	now := time.Unix(3_000_000, 0)
+	for number, text := range []string{`{"revision":1}`, `{"revision":2,"tenants":{}}`, `{"revision":3}`} {
+		core.Apply(Event{Kind: auction.ConfigurationReceived, At: now, Configuration: []byte(text), Epoch: 1, Number: uint64(number + 1)})
+		want := []uint64{1, 1, 3}[number]
+		if _, inForce := core.InForce(); inForce != want {
+			t.Errorf("after %s version %d is in force, want %d", text, inForce, want)
+		}
+	}
+}
--- a/internal/adapters/controller/operators.go
+++ b/internal/adapters/controller/operators.go
@@ -241,7 +241,7 @@
 	case failure.LateOrder:
 		writer.Header().Set("Connection", "close")
 		writeJSON(writer, http.StatusServiceUnavailable, changeResponse{Outcome: "not_accepted", Type: failed.Code, Change: change, Detail: failed.Detail})
-	case failure.Busy:
+	case failure.Busy, failure.NotSupported:
 		writeJSON(writer, http.StatusServiceUnavailable, changeResponse{Outcome: "not_accepted", Type: failed.Code, Change: change, Detail: failed.Detail})
 	case failure.NotPrimary, failure.NoPrimary:
 		writeJSON(writer, http.StatusServiceUnavailable, changeResponse{Outcome: "not_accepted", Type: failure.NoPrimary, Change: change, Detail: err.Error()})
--- a/internal/failure/code.go
+++ b/internal/failure/code.go
@@ -91,6 +91,8 @@
 	Evacuated Code = "every_district_evacuated"
 	// Busy: no capacity now; ask again later.
 	Busy Code = "busy"
+	// NotSupported: a recorded member lacks a flag that the change needs; ask again later.
+	NotSupported Code = "not_supported"
 	// ServerFailed: the model server failed the request.
 	ServerFailed Code = "server_failed"
 	// BudgetSpent: the retry budget is used up.
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -27,6 +27,9 @@
 	// ChangeSections lets the records of accepted changes lie in sections "changes/N" of a bounded
 	// size, in the place of one section that grows with their number.
 	ChangeSections Flag = "change_sections"
+	// Tenants lets a configuration have tenants. It need not be enabled for that: such a configuration is
+	// accepted while every recorded member supports it, since the first one comes before flags are enabled.
+	Tenants Flag = "tenants"
 )
 
 // Description tells operators what a flag changes, as the section "From an operator point
@@ -63,6 +66,12 @@
 		Since: "0.2",
 		Text:  "pair records gain the key pair_v2: the price at which the pair was chosen and its share for the hand-over",
 	},
+	{
+		Name:  Tenants,
+		Since: "0.5",
+		Text: "configurations gain the key tenants and routes of calls the key public: calls show a key, and servers are told " +
+			"its tenant; such a configuration is accepted as soon as no recorded member lacks the flag",
+	},
 }
 
 // Descriptions lists the flags that this build knows, in order of name.
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -7,6 +7,6 @@
 	fmt.Println(older)
 	fmt.Println(older.Lacks(List{OrderPatience, PairPrice}))
 	// Output:
-	// [backup_list change_sections pair_price]
+	// [backup_list change_sections pair_price tenants]
 	// [order_patience]
 }
--- a/internal/replication/configuration.go
+++ b/internal/replication/configuration.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"slices"
+	"strings"
 
 	"seamloom.example/seamloom/internal/config"
 	"seamloom.example/seamloom/internal/failure"
@@ -14,7 +16,9 @@
 	prepared bool
 	base     Version
 	text     []byte
-	err      error
+	// needs are the flags that every recorded member must support to read the text.
+	needs features.List
+	err   error
 }
 
 // LargeConfiguration is the size in bytes from which a configuration is not edited and
@@ -30,10 +34,37 @@
 	sound bool,
 ) PreparedConfiguration {
 	edited, err := edit(text)
+	var needs features.List
 	if err == nil && !sound {
-		_, err = config.Check(edited)
+		var checked *config.Configuration
+		checked, err = config.Check(edited)
+		needs = neededFlags(checked)
 	}
-	return PreparedConfiguration{prepared: true, base: base, text: edited, err: err}
+	return PreparedConfiguration{prepared: true, base: base, text: edited, needs: needs, err: err}
+}
+
+// neededFlags are the flags that a node must support to read a configuration.
+func neededFlags(configuration *config.Configuration) features.List {
+	if configuration == nil || configuration.Tenants == nil {
+		return nil
+	}
+	return features.List{features.Tenants}
+}
+
+// checkReadable wants every recorded member to support the flags that the next configuration needs and the
+// present one does not: one that can't read it would go on by its older one. A member that can't read the
+// present one is no reason to refuse the next. The error has the code NotSupported.
+func (s *State) checkReadable(needs features.List) error {
+	for _, flag := range needs {
+		if lacking := s.Lacking(flag); len(lacking) > 0 {
+			if present, err := config.Check(s.Configuration); err == nil && neededFlags(present).Has(flag) {
+				continue
+			}
+			slices.Sort(lacking)
+			return failure.New(failure.NotSupported, "members without "+string(flag)+": "+strings.Join(lacking, ", ")+"; ask again when they are upgraded or retired")
+		}
+	}
+	return nil
 }
 
 // ChangeConfiguration replaces the configuration's text by what edit makes of it. An edit
@@ -43,7 +74,8 @@
 // The codes: VersionConflict when an expected version is given and is not the current one;
 // ConfigurationMoved when a large configuration is no longer at the version the edit was prepared for;
 // Duplicate when another change was accepted under the id; Busy when there are
-// MaxChangeRecords; and those of the edit and of the check.
+// MaxChangeRecords; NotSupported while a recorded member can't read the text; and those of the edit
+// and of the check.
 func ChangeConfiguration(
 	id, digest string,
 	expected *Version,
@@ -72,6 +104,9 @@
 		if prepared.err != nil {
 			return prepared.err
 		}
+		if err := state.checkReadable(prepared.needs); err != nil {
+			return err
+		}
 		if id == "" && bytes.Equal(prepared.text, state.Configuration) {
 			// The configuration is as wanted already.
 			return nil
