Errors of configurations that are not JSON name the place and show no text, which may hold keys

What operators' tools and logs saw: an error of the JSON reader quotes the text around the mistake, so that a key of a tenant could stand in the answer of a call, in configcheck's report, or in a log. Change: config.SyntaxDetail names the byte. TestErrorsShowNoKey lists mistakes around a key; a missing comma between two keys had both quoted before.

--- a/cmd/configcheck/main.go
+++ b/cmd/configcheck/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -124,8 +125,8 @@
 	} else {
 		text, err = os.ReadFile(path)
 	}
-	if err == nil {
-		err = fastjson.ValidateBytes(text)
+	if err == nil && fastjson.ValidateBytes(text) != nil {
+		err = errors.New(config.SyntaxDetail(text))
 	}
 	if err != nil {
 		return malformed, report{Result: "malformed", Detail: err.Error(), Remarks: []config.Diagnostic{{Level: config.LevelError, Error: *failure.At(failure.Malformed, "/", err.Error())}}}
--- a/internal/adapters/controller/operators.go
+++ b/internal/adapters/controller/operators.go
@@ -103,7 +103,7 @@
 		// fastjson writes the text anew, so that what is kept is compact.
 		value, err := fastjson.ParseBytes(body)
 		if err != nil {
-			return nil, &config.ValidationError{Errors: []*failure.Error{failure.At(failure.Malformed, "/", err.Error())}}
+			return nil, &config.ValidationError{Errors: []*failure.Error{failure.At(failure.Malformed, "/", config.SyntaxDetail(body))}}
 		}
 		return value.MarshalTo(nil), nil
 	})
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -34,14 +34,14 @@
 	}
 	// The validator is stricter than the parser, which takes anything for a number.
 	if err := fastjson.ValidateBytes(text); err != nil {
-		failures.add(failure.Malformed, "/", err.Error())
+		failures.add(failure.Malformed, "/", SyntaxDetail(text))
 		return nil, failures
 	}
 	parser := parsers.Get()
 	defer parsers.Put(parser)
 	root, err := parser.ParseBytes(text)
 	if err != nil {
-		failures.add(failure.Malformed, "/", err.Error())
+		failures.add(failure.Malformed, "/", SyntaxDetail(text))
 		return nil, failures
 	}
 	c := &checker{failures: failures, configuration: Empty(), hostPaths: map[hostPath]string{}}
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"encoding/json"
+	"errors"
+	"strconv"
 	"strings"
 
 	"seamloom.example/seamloom/internal/failure"
@@ -29,6 +32,16 @@
 	return &ValidationError{Errors: []*failure.Error{failure.At(code, path, detail)}}
 }
 
+// SyntaxDetail says where a text that can't be read breaks off being JSON. It shows nothing of the text, which
+// may hold keys.
+func SyntaxDetail(text []byte) string {
+	var syntax *json.SyntaxError
+	if err := json.Unmarshal(text, new(json.RawMessage)); errors.As(err, &syntax) {
+		return "the text is not JSON at byte " + strconv.FormatInt(syntax.Offset, 10)
+	}
+	return "the text is not JSON"
+}
+
 func (f *ValidationError) add(code failure.Code, path, detail string) {
 	if len(f.Errors) < MaxErrors {
 		f.Errors = append(f.Errors, failure.At(code, path, detail))
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -14,11 +14,11 @@
 	defer parsers.Put(patchParser)
 	target, err := targetParser.ParseBytes(text)
 	if err != nil {
-		return nil, failure.At(failure.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", SyntaxDetail(text))
 	}
 	change, err := patchParser.ParseBytes(patch)
 	if err != nil {
-		return nil, failure.At(failure.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", SyntaxDetail(patch))
 	}
 	if change.Type() != fastjson.TypeObject {
 		return nil, failure.At(failure.WrongType, "/", "a partial configuration is an object")
--- a/internal/config/revise.go
+++ b/internal/config/revise.go
@@ -18,7 +18,7 @@
 	defer parsers.Put(parser)
 	root, err := parser.ParseBytes(text)
 	if err != nil {
-		return nil, failure.At(failure.Malformed, "/", err.Error())
+		return nil, failure.At(failure.Malformed, "/", SyntaxDetail(text))
 	}
 	current := root.GetUint64("revision")
 	if current != base {
@@ -32,7 +32,7 @@
 	defer parsers.Put(nextParser)
 	next, err := nextParser.ParseBytes(edited)
 	if err != nil {
-		return nil, invalid(failure.Malformed, "/", err.Error())
+		return nil, invalid(failure.Malformed, "/", SyntaxDetail(edited))
 	}
 	if next.Type() != fastjson.TypeObject {
 		return nil, invalid(failure.WrongType, "/", "an object is needed, not "+next.Type().String())
--- a/internal/config/tenants_test.go
+++ b/internal/config/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"strings"
 	"testing"
@@ -75,3 +76,24 @@
 		}
 	}
 }
+
+// TestErrorsShowNoKey guards against keys in the answers of operators' calls and in logs: an error of the JSON
+// reader quoted the text around the mistake.
+func TestErrorsShowNoKey(t *testing.T) {
+	for _, text := range []string{
+		`{"tenants":{"a":{"keys":["secret-1" "secret-2"]}}}`,
+		`{"tenants":{"a":{"keys":[secret-1]}}}`,
+		`{"tenants":{"a":{"keys":"secret-1"}}}`,
+		`{"tenants":{"a":{"keys":[" secret-1"]}}}`,
+		`{"tenants":{"a":{"keys":["secret-1"]},"b":{"keys":["secret-1"]}}}`,
+		`{"tenants":{"a":{"keys":["secret-1"],"rank":"secret-1"}}}`,
+	} {
+		_, err := Check([]byte(text))
+		if err == nil || strings.Contains(fmt.Sprintf("%v %+v", err, err.(*ValidationError).Errors), "secret") {
+			t.Errorf("%s: %v", text, err)
+		}
+		if _, err := Merge([]byte(`{}`), []byte(text)); err != nil && strings.Contains(err.Error(), "secret") {
+			t.Errorf("merging %s: %v", text, err)
+		}
+	}
+}
