Loads: rounds of two terms in one epoch have different revisions

A primary that lost its lease and led again in the same epoch counted its rounds of load reports from one again. A router with a round of before would have been sent the changes from another round of the same number, and have taken wrong loads for true. The list's revisions have gone on over terms since the list counts its own changes.

Change: the count of rounds goes on from term to term. TestRoundsOfTwoTermsInOneEpochAreNotMixed fails without it: changes from the other round are sent.

--- a/internal/controlplane/serverlist.go
+++ b/internal/controlplane/serverlist.go
@@ -102,17 +102,17 @@
 }
 
 func (l *serverList) reportsRevision() uint64 {
-	if l.epoch == 0 || l.reportRounds == 0 {
+	if l.epoch == 0 || len(l.rounds) == 0 {
 		return 0
 	}
-	return revisionOf(l.epoch, l.reportRounds)
+	return l.rounds[len(l.rounds)-1].revision
 }
 
 // beginTerm starts the revisions of a term, with the list that is known; endTerm ends them.
 func (l *serverList) beginTerm(epoch uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.epoch, l.reportRounds, l.rounds, l.reports, l.polling = epoch, 0, nil, map[string]report{}, map[string]bool{}
+	l.epoch, l.rounds, l.reports, l.polling = epoch, nil, map[string]report{}, map[string]bool{}
 }
 
 func (l *serverList) endTerm() {
@@ -362,7 +362,7 @@
 
 // recordRound remembers the reports as they are now. The caller has the mutex.
 func (l *serverList) recordRound(now time.Time) {
-	round := reportRound{revision: l.reportsRevision(), endedAt: now}
+	round := reportRound{revision: revisionOf(l.epoch, l.reportRounds), endedAt: now}
 	for _, reported := range l.reports {
 		round.reports = append(round.reports, wire.NewLoadReport(reported.load, now.Sub(reported.at)))
 	}
--- a/internal/controlplane/updatebytes_test.go
+++ b/internal/controlplane/updatebytes_test.go
@@ -254,3 +254,31 @@
 		}
 	}
 }
+
+// TestRoundsOfTwoTermsInOneEpochAreNotMixed loses the lease and leads again in the same epoch: a node that has
+// a round of before is not sent changes from a later one that is counted alike.
+func TestRoundsOfTwoTermsInOneEpochAreNotMixed(t *testing.T) {
+	var known serverList
+	known.update(runtimetest.AtNoon(0), []membership.Server{{Name: "server-a"}, {Name: "server-b"}})
+	round := func(second int, server string) {
+		at := runtimetest.AtNoon(time.Duration(second) * time.Second)
+		known.endPoll(7, server, at, scheduler.Load{Server: server, Running: second}, nil)
+		known.endRound(at)
+	}
+	known.beginTerm(7)
+	round(1, "server-a")
+	request := wire.UpdateRequest{WantServers: true, WantLoads: true, AcceptChanges: true, ServersRevision: known.revision(), LoadsRevision: known.reportsRevision()}
+	known.endTerm()
+	known.update(runtimetest.AtNoon(2*time.Second), []membership.Server{{Name: "server-b"}})
+	known.beginTerm(7)
+	round(3, "server-b")
+	round(4, "server-b")
+	var response wire.UpdateResponse
+	known.fill(runtimetest.AtNoon(4*time.Second), request, &response)
+	if response.Loads == nil || response.Loads.Changes != nil || len(response.Loads.Reports) != 1 || response.Loads.Reports[0].Server != "server-b" {
+		t.Errorf("%+v", response.Loads)
+	}
+	if servers := response.Servers; servers.Revision == request.ServersRevision {
+		t.Errorf("the list of before has the revision of the newest: %+v", servers)
+	}
+}
