Metrics that tell many senders to a warming server from late news of its slow start

Change: each router counts its dispatches to servers known to be warming, with the age of its list of servers then (sum and most), the slow starts that it learned of after it had sent calls within them, and how many routers it knows by name. /v1/metrics has them as warming_dispatches, warming_list_age_milliseconds, most_warming_list_age_milliseconds, warming_late_news and recorded_routers.

The test has one case of each.

--- a/core.go
+++ b/core.go
@@ -279,6 +279,7 @@
 func (c *Core) Counts() map[string]int64 {
 	counters := c.dispatcher.Counters()
 	firstDispatches, retries := c.dispatcher.Budget().Counts()
+	warming := c.calls.WarmingCounts()
 	return map[string]int64{
 		"arrived":                   counters.Arrived.Load(),
 		"complete":                  counters.Complete.Load(),
@@ -289,6 +290,12 @@
 		"extra_tries":               int64(retries),
 		"in_flight":                 int64(c.dispatcher.InFlight()),
 		"unreadable_configurations": c.rejected.Load(),
+		"recorded_routers":          int64(c.calls.RecordedRouters()),
+		"warming_dispatches":        warming.Dispatches,
+		// The age of the list of servers at these dispatches, all together and the most of any.
+		"warming_list_age_milliseconds":      warming.ListAge.Milliseconds(),
+		"most_warming_list_age_milliseconds": warming.MostListAge.Milliseconds(),
+		"warming_late_news":                  warming.LateNews,
 	}
 }
 
--- a/internal/dataplane/serverlist.go
+++ b/internal/dataplane/serverlist.go
@@ -38,7 +38,9 @@
 func (r *Router) applyServers(at time.Time, servers []membership.Server) {
 	r.listMutex.Lock()
 	defer r.listMutex.Unlock()
-	if !r.listing.Update(at, servers) {
+	changed := r.listing.Update(at, servers)
+	r.core.Calls().SetListRead(r.listing.At())
+	if !changed {
 		return
 	}
 	now := r.runtime.Now()
--- a/internal/scheduler/backend.go
+++ b/internal/scheduler/backend.go
@@ -87,6 +87,8 @@
 	lastLoad     atomic.Pointer[observedLoad]
 	lastReport   atomic.Pointer[loadReport]
 	warmingUntil atomic.Int64
+	// sentWhileWarm is when a call was last sent there while it counted as warm.
+	sentWhileWarm atomic.Int64
 	// health is of the server as such, kvSendHealth of the KV caches that it hands over,
 	// kvReceiveHealth of its taking them; kvSentAt is when it last handed one over.
 	health          health
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -24,6 +24,7 @@
 	}
 	sent := &state.dispatch
 	b.idleConnections.take(now)
+	c.scheduler.warmingCounts.countDispatch(now, b)
 	if kind == Prefill {
 		c.startPrefill(sent, &decision)
 	} else {
--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -18,9 +18,7 @@
 		}
 		sent.backend.takeResponseLoad(at, *outcome.Load)
 	}
-	if outcome.Warming > 0 {
-		sent.backend.markWarmingUntil(now.Add(outcome.Warming + s.snapshot.Load().warmingMargin(sent.backend.key)))
-	}
+	s.learnWarming(now, sent.backend, outcome.Warming)
 	if outcome.Result == ClientGone {
 		if sent.source != nil {
 			state.releasable = append(state.releasable, *sent.source)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	// owners are still to be sent.
 	queriesBacklog atomic.Bool
 	outbox         outbox
+	warmingCounts  warmingCounts
 	// failures are to be reported to the other routers.
 	failures failures
 
@@ -124,7 +125,13 @@
 func (s *Scheduler) SetServers(now time.Time, servers []membership.Server) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.snapshot.Store(s.snapshot.Load().next(now, servers))
+	current := s.snapshot.Load()
+	for _, server := range servers {
+		if known, found := current.byName[server.Name]; found && known.server.Address == server.Address {
+			s.learnWarming(now, known, server.Warming)
+		}
+	}
+	s.snapshot.Store(current.next(now, servers))
 }
 
 // SetLoads takes load reports of servers; those of servers that aren't listed are left out.
--- a/internal/scheduler/warming_test.go
+++ b/internal/scheduler/warming_test.go
@@ -307,3 +307,44 @@
 		}
 	}
 }
+
+// TestWarmingCountsTellLateNewsFromManySenders sends to a server known to be warming, and to one
+// whose slow start the list tells only afterwards.
+func TestWarmingCountsTellLateNewsFromManySenders(t *testing.T) {
+	list := servers(2)
+	list[0].Leaving, list[1].Part, list[1].Warming = true, decode, time.Second
+	calls := New(Options{Router: "router", Zone: "north"})
+	calls.SetRouterCount(1)
+	calls.SetRouteTable(Compile(plan(nil), 1, 1))
+	calls.SetServers(noon, list)
+	calls.SetListRead(noon)
+	arrive := func(now time.Time) bool {
+		state, decision := calls.Arrive(now, chatCall(now.String()))
+		return state != nil && decision.Server.Name == list[1].Name
+	}
+	if arrive(noon) || !arrive(noon.Add(900*time.Millisecond)) {
+		t.Fatal("a warming server takes a call at the start, or none later")
+	}
+	want := WarmingCounts{Dispatches: 1, ListAge: 900 * time.Millisecond, MostListAge: 900 * time.Millisecond}
+	if got := calls.WarmingCounts(); got != want {
+		t.Errorf("known: %+v", got)
+	}
+	cold := noon.Add(time.Minute)
+	if !arrive(cold.Add(time.Second)) {
+		t.Fatal("a warm server takes no call")
+	}
+	// It has been cold for two of its three seconds.
+	list[1].Warming = time.Second
+	calls.SetServers(cold.Add(2*time.Second), list)
+	calls.SetServers(cold.Add(2100*time.Millisecond), list)
+	want.LateNews = 1
+	if got := calls.WarmingCounts(); got != want {
+		t.Errorf("late: %+v", got)
+	}
+	// This one goes cold after the last call there.
+	list[1].Warming = 3 * time.Second
+	calls.SetServers(cold.Add(time.Minute), list)
+	if got := calls.WarmingCounts(); got != want {
+		t.Errorf("in time: %+v", got)
+	}
+}
