--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -163,7 +163,7 @@
 	header := make(http.Header, len(inbound)+4)
 	copyEndToEnd(header, inbound, protocol.ID, protocol.Limit, protocol.Model, protocol.Tokens, protocol.Parts)
 	// These are for a router to say, whatever an origin sent; the key is for nobody else to see.
-	for _, ours := range [...]string{protocol.Target, protocol.Stage, protocol.Source, protocol.Urgency, protocol.Key, protocol.Tenant, "Expect"} {
+	for _, ours := range [...]string{protocol.Target, protocol.Stage, protocol.Source, protocol.Urgency, protocol.Key, protocol.Tenant, protocol.Revision, "Expect"} {
 		delete(header, ours)
 	}
 	if _, found := header["User-Agent"]; !found {
--- a/internal/adapters/proxy/protocol.go
+++ b/internal/adapters/proxy/protocol.go
@@ -39,6 +39,9 @@
 	// a server is told whose client sent the call.
 	Key    string
 	Tenant string
+	// Revision is the header by which a server is told the version of the weights that it must have. A router
+	// sets none; a client's would have every server answer as if it were another one.
+	Revision string
 	// Urgency is the header with the rank among a server's calls, 0 first.
 	Urgency string
 	// NotStarted is the header by which a server promises that it did not begin and
@@ -58,7 +61,7 @@
 func DefaultProtocol() Protocol {
 	return Protocol{ID: "Seamloom-Call", Limit: "Seamloom-Limit-Milliseconds", Model: "Seamloom-Model", Tokens: "Seamloom-Tokens",
 		Parts: "Seamloom-Parts", Target: "Seamloom-Server", Stage: "Seamloom-Stage", StageRead: "prefill", Source: "Seamloom-Source",
-		Key: "Seamloom-Key", Tenant: "Seamloom-Tenant",
+		Key: "Seamloom-Key", Tenant: "Seamloom-Tenant", Revision: "Seamloom-Revision",
 		Urgency: "Seamloom-Urgency", NotStarted: "Seamloom-Not-Started", Load: "Seamloom-Load", Warming: "Seamloom-Warming-Milliseconds",
 		HandlePath: "/v1/handles/", HandleField: "handle"}
 }
--- a/internal/adapters/proxy/tenants_test.go
+++ b/internal/adapters/proxy/tenants_test.go
@@ -227,3 +227,14 @@
 		t.Errorf("status %d, Retry-After %q", recorder.Code, got)
 	}
 }
+
+// TestAClientNamesNoRevisionOfWeights guards against a client that makes every server answer 421 to its call, which
+// a router takes for servers that are gone.
+func TestAClientNamesNoRevisionOfWeights(t *testing.T) {
+	r := newTenantRouter(t)
+	r.configure(config.Tenant{Name: "school", Keys: []string{"key-1"}})
+	status, got := r.call(t, "/once/x", http.Header{"Seamloom-Key": {"key-1"}, "Seamloom-Revision": {"9"}})
+	if _, passed := got["Seamloom-Revision"]; status != http.StatusOK || passed {
+		t.Errorf("status %d, passed on: %v", status, passed)
+	}
+}
