--- a/cmd/controller/operator.go
+++ b/cmd/controller/operator.go
@@ -89,7 +89,7 @@
 		}
 		return operator.call(http.MethodGet, "/v1/flags", query, nil)
 	})
-	return []*cobra.Command{get, status, put, patch, evacuate, restore, change, retire, flags, usageCommand()}
+	return []*cobra.Command{get, status, put, patch, evacuate, restore, change, retire, flags, tenantsCommand(), usageCommand()}
 }
 
 // zoneOrderQuery gives an order on a zone its id, and the version that it was decided on, if one is
--- a/internal/adapters/controller/operators.go
+++ b/internal/adapters/controller/operators.go
@@ -38,6 +38,7 @@
 	})
 	mux.HandleFunc(pat.Get("/v1/ready"), p.getReady)
 	mux.HandleFunc(pat.Get("/v1/metrics"), p.getMetrics)
+	mux.HandleFunc(pat.Get("/v1/tenants"), p.getTenants)
 }
 
 func writeJSON(writer http.ResponseWriter, status int, content any) {
--- a/internal/adapters/controller/status.go
+++ b/internal/adapters/controller/status.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 
 	"seamloom.example/seamloom/internal/codec"
 	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/quota"
 	"seamloom.example/seamloom/internal/replication"
 )
 
@@ -78,6 +80,23 @@
 	writeJSON(writer, status, content)
 }
 
+// tenantsStatus is what one witness knows of the limits of tenants, and who the witnesses are.
+type tenantsStatus struct {
+	Identity  replication.Identity  `json:"identity"`
+	Epoch     uint64                `json:"epoch"`
+	Witnesses []replication.Replica `json:"witnesses"`
+	Incoming  []replication.Replica `json:"incoming,omitempty"`
+	Tenants   []quota.Status        `json:"tenants"`
+}
+
+// getTenants answers with this controller's own ledger, whoever is primary.
+func (p *Process) getTenants(writer http.ResponseWriter, _ *http.Request) {
+	witness := p.controller.Witness()
+	m := witness.AcceptedMembership()
+	writeJSON(writer, http.StatusOK, tenantsStatus{Identity: witness.Replica().Identity, Epoch: m.Epoch, Witnesses: m.Witnesses,
+		Incoming: m.Incoming, Tenants: p.controller.Quotas()})
+}
+
 func (p *Process) getMetrics(writer http.ResponseWriter, _ *http.Request) {
 	batches, changes := p.controller.Store().CommitCounts()
 	leads := 0
@@ -104,4 +123,25 @@
 		{"seamloom_configurations_sent_total", configurations}, {"seamloom_waiting_for_core", uint64(waiting)}} {
 		_, _ = io.WriteString(writer, metric.name+" "+strconv.FormatUint(metric.value, 10)+"\n")
 	}
+	writeTenantMetrics(writer, p.controller.Quotas())
+}
+
+// writeTenantMetrics writes what this witness granted and refused: the first quota.MaxCounted tenants one by one,
+// the others together.
+func writeTenantMetrics(target io.Writer, statuses []quota.Status) {
+	others := quota.Status{Subject: quota.OtherSubjects}
+	for i, status := range statuses {
+		if i >= quota.MaxCounted {
+			others.Granted += status.Granted
+			others.Refused += status.Refused
+			continue
+		}
+		writeTenantMetric(target, status)
+	}
+	writeTenantMetric(target, others)
+}
+
+func writeTenantMetric(target io.Writer, status quota.Status) {
+	_, _ = fmt.Fprintf(target, "seamloom_tenant_tokens_total{tenant=%q,outcome=\"granted\"} %d\n", status.Subject, status.Granted)
+	_, _ = fmt.Fprintf(target, "seamloom_tenant_tokens_total{tenant=%q,outcome=\"refused\"} %d\n", status.Subject, status.Refused)
 }
