Limits of tenants: a witness counts the debt of a router it first hears from; bounded model

Found by an exhaustive model of 3 members and 2 routers (TestExploredLimitHolds; states: 3,877 with a router's restart, 5,817 with batches that end, 19,118 with a member replaced, 41,090 with losses): if routers reach different majorities, a witness that first heard from a router passed over what it had spent with the others: 5 spent at once, 4 allowed. Change: a router tells by how much its own spending is ahead of the refill; a witness takes that off once. Also: an incoming witness of joint consensus begins to count only after the older set has ended (from reading; no test finds it). Refused counts only tokens that calls waited for. Mutations: three, each found by its test.

--- a/internal/controlplane/quotas.go
+++ b/internal/controlplane/quotas.go
@@ -1,8 +1,11 @@
 package controlplane
 
 import (
+	"slices"
+
 	"seamloom.example/seamloom/internal/failure"
 	"seamloom.example/seamloom/internal/quota"
+	"seamloom.example/seamloom/internal/replication"
 	"seamloom.example/seamloom/internal/wire"
 )
 
@@ -25,10 +28,11 @@
 	return wire.QuotaResponse{Response: c.ledger.Apply(c.runtime.Now(), request.Request)}, nil
 }
 
-// resetLedger keeps the ledger empty for as long as this controller is no witness: what others granted
-// meanwhile it does not know.
+// resetLedger keeps the ledger empty for as long as this controller is no witness, or is one only in the set that
+// comes in: until the older set has ended, it grants without this one.
 func (c *Controller) resetLedger() {
-	if !c.witness.AcceptedMembership().HasVoter(c.witness.Replica().Identity) {
+	self := c.witness.Replica().Identity
+	if !slices.ContainsFunc(c.witness.AcceptedMembership().Witnesses, func(replica replication.Replica) bool { return replica.Identity == self }) {
 		c.ledger.Reset(c.runtime.Now())
 	}
 }
--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -134,6 +134,9 @@
 	// reported is the part of spent that members were told of.
 	reported uint64
 	members  map[Member]memberGrant
+	// debt is by how much the router's own spending, as of debtAt, was ahead of what flows in.
+	debt   float64
+	debtAt time.Time
 	// sent is the newest request that each member was sent, asked the newest of all.
 	sent  map[Member]uint64
 	asked uint64
@@ -219,7 +222,7 @@
 	defer c.allowances.mutex.Unlock()
 	s := c.subject
 	if s.usable(now, group) > s.spent {
-		return c.take()
+		return c.take(now)
 	}
 	if c.since == 0 {
 		if now.Before(s.deniedUntil) {
@@ -247,8 +250,8 @@
 }
 
 // take spends a token.
-func (c *Claim) take() Verdict {
-	c.subject.spent++
+func (c *Claim) take(now time.Time) Verdict {
+	c.subject.spend(now)
 	if c.since == 0 {
 		c.subject.counted.Held++
 	} else {
@@ -316,9 +319,21 @@
 	defer a.mutex.Unlock()
 	if s, found := a.subjects[name]; found && s.spent > s.reported {
 		s.spent--
+		s.debt = max(0, s.debt-1)
 	}
 }
 
+// spend counts a token as spent.
+func (s *allowance) spend(now time.Time) {
+	s.spent++
+	s.debt, s.debtAt = s.debtNow(now)+1, now
+}
+
+// debtNow is the debt at a moment.
+func (s *allowance) debtNow(now time.Time) float64 {
+	return max(0, s.debt-now.Sub(s.debtAt).Seconds()*s.limit.PerSecond)
+}
+
 // usable is up to how many tokens, counted from the router's start, a quorum lets the router spend.
 func (s *allowance) usable(now time.Time, group Group) uint64 {
 	return group.quorumValue(func(member Member) uint64 {
@@ -468,7 +483,7 @@
 	for _, member := range members {
 		s.sent[member] = sequence
 	}
-	return Want{Limit: s.limit, Spent: s.spent, Hold: hold, Need: s.waiting}
+	return Want{Limit: s.limit, Spent: s.spent, Debt: uint64(math.Ceil(s.debtNow(now))), Hold: hold, Need: s.waiting}
 }
 
 // yield gives up what a request says that the router wants no more, before it is sent: the members may grant
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -53,6 +53,9 @@
 	Limit   Limit  `msgpack:"limit"`
 	// Spent is how many tokens the router has spent since it started.
 	Spent uint64 `msgpack:"spent"`
+	// Debt is by how many tokens the router's own spending is ahead of what flows in: a member that first hears
+	// from the router has not counted them.
+	Debt uint64 `msgpack:"debt,omitempty"`
 	// Hold is how many tokens the router wants to hold unspent: more than it has are granted if there
 	// are any, and fewer are taken back.
 	Hold uint64 `msgpack:"hold"`
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -14,8 +14,10 @@
 // together no more than the limit's capacity. So what is spent in any span of t seconds of grants that this
 // member took part in is at most PerSecond*t + Capacity, however late routers spend what they hold.
 type Ledger struct {
-	mutex    sync.Mutex
-	since    time.Time
+	mutex sync.Mutex
+	since time.Time
+	// idle is set from a Reset on until the next request.
+	idle     bool
 	subjects map[string]*subject
 	sweptAt  time.Time
 }
@@ -42,20 +44,31 @@
 
 // NewLedger makes the ledger of a member that begins to count now.
 func NewLedger(now time.Time) *Ledger {
-	return &Ledger{since: now, sweptAt: now, subjects: map[string]*subject{}}
+	l := &Ledger{}
+	l.begin(now)
+	return l
 }
 
-// Reset begins to count anew: the member was no part of the group, which granted without it.
+// begin begins to count.
+func (l *Ledger) begin(now time.Time) {
+	l.idle, l.since, l.sweptAt, l.subjects = false, now, now, map[string]*subject{}
+}
+
+// Reset has the member count anew from the next request on: it is no part of the group, which grants without it.
 func (l *Ledger) Reset(now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.since, l.sweptAt, l.subjects = now, now, map[string]*subject{}
+	l.begin(now)
+	l.idle = true
 }
 
 // Apply serves a request.
 func (l *Ledger) Apply(now time.Time, request Request) Response {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if l.idle {
+		l.begin(now)
+	}
 	if now.Sub(l.sweptAt) >= BatchTTL {
 		l.sweep(now)
 	}
@@ -121,6 +134,8 @@
 	if !found {
 		h = &holder{granted: want.Spent, spent: want.Spent}
 		s.holders[request.Router] = h
+		// A bucket below zero owes already what was spent before the member began.
+		s.level = max(min(s.level, 0), s.level-float64(want.Debt))
 	}
 	if request.Sequence <= h.sequence {
 		return Grant{}, false
@@ -144,7 +159,7 @@
 	s.level -= float64(more)
 	s.granted += more
 	missing := want.Hold - held - more
-	s.refused += missing
+	s.refused += want.Need - min(want.Need, held+more)
 	if missing == 0 {
 		return Grant{Granted: h.granted}, true
 	}
@@ -195,7 +210,7 @@
 	Held float64 `json:"held" msgpack:"held"`
 	// Routers is how many routers hold or asked lately.
 	Routers int `json:"routers" msgpack:"routers"`
-	// Granted and Refused count tokens since the member began to count the subject.
+	// Granted counts tokens, and Refused those that calls waited for in vain, since the member began to count the subject.
 	Granted uint64 `json:"granted" msgpack:"granted"`
 	Refused uint64 `json:"refused" msgpack:"refused"`
 }
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -18,6 +18,7 @@
 	returns  = "service does not return"
 	held     = "a given-up inquiry is held back"
 	cut      = "a request is cut around planned work"
+	limits   = "a tenant gets more than its limit"
 )
 
 // All lists the protections, with the test that guards each.
@@ -220,4 +221,10 @@
 		Edits: []Edit{{"internal/backlog/table.go", "		if now.Before(current.expires) {\n			sums", "		if true {\n			sums"}}},
 	{Name: "a count keeper that is silent is passed over", Never: held, Package: "./internal/dataplane", Test: "TestSilentCountOwnerIsSkipped",
 		Edits: []Edit{{"internal/dataplane/countowners.go", "		c.failedAt[owner.Address] = c.runtime.Now()\n", ""}}},
+	{Name: "a token that was reported as spent is not given back", Never: limits, Package: "./internal/quota", Test: "TestATokenThatWasReportedIsNotGivenBack",
+		Edits: []Edit{{"internal/quota/allowances.go", "found && s.spent > s.reported {", "found && s.spent > 0 {"}}},
+	{Name: "a member that first hears from a router takes its debt off", Never: limits, Package: "./internal/quota", Test: "TestExploredLimitHolds",
+		Edits: []Edit{{"internal/quota/ledger.go", "s.level-float64(want.Debt))", "s.level)"}}},
+	{Name: "a batch ends", Never: limits, Package: "./internal/quota", Test: "TestExploredLimitHolds",
+		Edits: []Edit{{"internal/quota/allowances.go", "found && now.Before(grant.expires) {", "found {"}}},
 }
