The slack of retries is shared with recorded routers that the primary does not hear

Cause: the slack of further tries (BUDGET) was divided by the number of routers that the primary hears. Routers that it does not hear go on under what they knew: those heard take the whole slack among them, the others theirs as before. Same class as the senders to a warming server: a sum that each bounds alone, by a count that may be wrong.

Change: it is divided by the recorded routers where they are more.

The mutation is found.

--- a/internal/scheduler/retry.go
+++ b/internal/scheduler/retry.go
@@ -55,7 +55,7 @@
 		state.paidAttempts++
 		owed--
 	}
-	if !c.serviceState.retries.spend(c.now, owed, allowance, c.routerCount) {
+	if !c.serviceState.retries.spend(c.now, owed, allowance, c.scheduler.budgetShares()) {
 		return false
 	}
 	state.paidAttempts = max(state.paidAttempts, state.attempts)
--- a/internal/scheduler/retrybudget_test.go
+++ b/internal/scheduler/retrybudget_test.go
@@ -95,3 +95,27 @@
 		}
 	}
 }
+
+// TestRetrySlackHoldsWhenThePrimaryHearsFewRouters has a primary that hears 2 of 30 routers: those
+// are told of 2, the others still of 30, and all use up their slack.
+func TestRetrySlackHoldsWhenThePrimaryHearsFewRouters(t *testing.T) {
+	const routers, heard = 30, 2
+	names := routerNames(routers, "router")
+	spent := 0
+	for number, name := range names {
+		calls := New(Options{Router: name})
+		calls.SetRouters(names)
+		calls.SetRouterCount(routers)
+		if number < heard {
+			calls.SetRouterCount(heard)
+		}
+		var budget retryBudget
+		budget.first(noon, tenSeconds)
+		for budget.spend(noon.Add(2*tenSeconds.Window), 1, tenSeconds, calls.budgetShares()) {
+			spent++
+		}
+	}
+	if float64(spent) > tenSeconds.Slack || spent == 0 {
+		t.Errorf("%d retries, %.0f are allowed", spent, tenSeconds.Slack)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -185,6 +185,10 @@
 	return unknownRouters
 }
 
+// budgetShares is by how many routers the slack of retries is divided. Those that the primary does
+// not hear still spend theirs, so that the recorded ones count too.
+func (s *Scheduler) budgetShares() int { return max(s.routerCount(), s.RecordedRouters()) }
+
 // Drain lets no further calls in.
 func (s *Scheduler) Drain() { s.draining.Store(true) }
 
--- a/internal/scheduler/timeout.go
+++ b/internal/scheduler/timeout.go
@@ -29,7 +29,7 @@
 		return 0
 	}
 	// The retry is reserved now: giving up without one behind it would lose the call.
-	if !state.reserved && !c.serviceState.retries.reserve(c.now, c.scheduler.options.Retries, c.routerCount) {
+	if !state.reserved && !c.serviceState.retries.reserve(c.now, c.scheduler.options.Retries, c.scheduler.budgetShares()) {
 		return 0
 	}
 	state.reserved = true
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -222,6 +222,8 @@
 		Edits: []Edit{{"internal/replication/timing.go", "min(max(catchUp/5, minWitnessTimeout), maxWitnessTimeout)", "4 * time.Second"}}},
 	{Name: "further tries of calls stay in the router's share", Never: attempts, Package: "./internal/scheduler", Test: "TestRetriesStayInTheBudget",
 		Edits: []Edit{{"internal/scheduler/retrybudget.go", "	if r.used()+float64(count) > r.allowed(now, allowance, routers) {", "	if false {"}}},
+	{Name: "the slack of retries is shared with recorded routers that are not heard", Never: attempts, Package: "./internal/scheduler", Test: "TestRetrySlackHoldsWhenThePrimaryHearsFewRouters",
+		Edits: []Edit{{"internal/scheduler/scheduler.go", "return max(s.routerCount(), s.RecordedRouters())", "return s.routerCount()"}}},
 	{Name: "a restarted router has no slack", Never: attempts, Package: "./internal/scheduler", Test: "TestBudgetStartsEmpty",
 		Edits: []Edit{{"internal/scheduler/retrybudget.go", "s*grown", "s+0*grown"}}},
 	{Name: "the reports of one zone eject no server", Never: returns, Package: "./internal/outlier", Test: "TestOneZoneIsNotEnough",
