Limits of tenants: late answers of witnesses count, and are not asked for faster

Change: an answer to an older request counts, for no more than the newer requests leave the router (the member may have taken the rest back); the wait for answers doubles twice.

--- a/internal/dataplane/quotas.go
+++ b/internal/dataplane/quotas.go
@@ -33,7 +33,7 @@
 // The timeouts of asking for tokens.
 const (
 	// quotaTimeout is how long a call waits for a token: longer than a healthy quorum takes to answer.
-	quotaTimeout = 300 * time.Millisecond
+	quotaTimeout = 150 * time.Millisecond
 	// quotaCallTimeout is how long a witness's answer is waited for.
 	quotaCallTimeout = 120 * time.Millisecond
 	// quotaIdleInterval lies between two looks at what is to be asked for while no call comes.
--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -108,6 +108,8 @@
 	// askAgain is how long the answers to a request are waited for before all members are asked.
 	askAgain  = 40 * time.Millisecond
 	maxDenial = 250 * time.Millisecond
+	// maxLateAsks is how often the wait for answers doubles before all members are asked again.
+	maxLateAsks = 2
 	// maxAheadPause is the longest pause between two requests ahead of which the first brought nothing.
 	maxAheadPause = 800 * time.Millisecond
 	// forgetAfter is how long a subject is remembered that nobody spends.
@@ -137,9 +139,11 @@
 	// debt is by how much the router's own spending, as of debtAt, was ahead of what flows in.
 	debt   float64
 	debtAt time.Time
-	// sent is the newest request that each member was sent, asked the newest of all.
-	sent  map[Member]uint64
+	// sent are the requests to each member that it has not answered, in order; asked is the newest of all.
+	sent  map[Member][]sentWant
 	asked uint64
+	// lateAsks counts the requests in a row whose answers were late.
+	lateAsks int
 	// askedMembers is how many members that one went to, askAll whether the next goes to all.
 	askedMembers int
 	askAll       bool
@@ -160,6 +164,16 @@
 	counted     *Counts
 }
 
+// sentWant is what a member was told in a request.
+type sentWant struct {
+	sequence uint64
+	// mayHold is up to how many tokens, counted from the router's start, the request leaves the router.
+	mayHold uint64
+}
+
+// maxUnanswered is how many requests to one member may be unanswered: answers to older ones are passed over.
+const maxUnanswered = 8
+
 // memberGrant is the newest grant of one member.
 type memberGrant struct {
 	sequence uint64
@@ -206,7 +220,7 @@
 	}
 	s, found := a.subjects[name]
 	if !found {
-		s = &allowance{members: map[Member]memberGrant{}, sent: map[Member]uint64{}, demandAt: now, aheadPause: minDenial, counted: a.counts.of(name)}
+		s = &allowance{members: map[Member]memberGrant{}, sent: map[Member][]sentWant{}, demandAt: now, aheadPause: minDenial, counted: a.counts.of(name)}
 		a.subjects[name] = s
 	}
 	if !found || s.limit.Revision.before(limit.Revision) {
@@ -382,7 +396,7 @@
 // are late; or the router holds few of what it wants to, and did not ask just now.
 func (s *allowance) due(now time.Time, group Group) bool {
 	if s.waiting > 0 {
-		late := now.Sub(s.askedAt) >= askAgain
+		late := now.Sub(s.askedAt) >= askAgain<<min(s.lateAsks, maxLateAsks)
 		return late || s.unasked && s.settled(group)
 	}
 	if now.Before(s.deniedUntil) || now.Sub(s.askedAt) < s.aheadPause {
@@ -445,9 +459,14 @@
 			continue
 		}
 		members := group.preferred(name)
-		if s.askAll || s.waiting > 0 && !s.settled(group) {
+		late := s.waiting > 0 && !s.settled(group)
+		if s.askAll || late {
 			members = group.members
 		}
+		s.lateAsks++
+		if !late {
+			s.lateAsks = 0
+		}
 		s.pace(now, group)
 		want := s.ask(now, a.sequence, members)
 		a.counts.wants++
@@ -481,7 +500,8 @@
 	hold := s.waiting + s.ahead(now)
 	s.yield(members, hold)
 	for _, member := range members {
-		s.sent[member] = sequence
+		unanswered := append(s.sent[member], sentWant{sequence: sequence, mayHold: s.spent + hold})
+		s.sent[member] = slices.Delete(unanswered, 0, max(0, len(unanswered)-maxUnanswered))
 	}
 	return Want{Limit: s.limit, Spent: s.spent, Debt: uint64(math.Ceil(s.debtNow(now))), Hold: hold, Need: s.waiting}
 }
@@ -498,9 +518,10 @@
 	}
 }
 
-// Granted takes a member's response to a request that was sent at a moment. One to an older request than the
-// newest that the member was sent is passed over. It reports whether one of its subjects is to be asked for
-// again at once.
+// Granted takes a member's response to a request that was sent at a moment. One that comes after the answer to a
+// newer request is passed over; one that comes while newer requests are unanswered counts for no more than those
+// leave the router, since the member may have taken the rest back. It reports whether one of its subjects is to be
+// asked for again at once.
 func (a *Allowances) Granted(now time.Time, group Group, member Member, sentAt time.Time, request Request, response Response) (due bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -509,17 +530,37 @@
 	}
 	for i, want := range request.Wants {
 		s, found := a.subjects[want.Subject]
-		if !found || s.sent[member] != request.Sequence {
+		if !found {
+			continue
+		}
+		mayHold, unanswered := s.answerTo(member, request.Sequence)
+		if !unanswered {
 			continue
 		}
 		grant := response.Grants[i]
-		s.members[member] = memberGrant{sequence: request.Sequence, granted: grant.Granted, wait: grant.Wait,
+		s.members[member] = memberGrant{sequence: request.Sequence, granted: min(grant.Granted, mayHold), wait: grant.Wait,
 			expires: sentAt.Add(BatchTTL - time.Duration(clockDrift*float64(BatchTTL)))}
 		due = due || s.due(now, group)
 	}
 	return due
 }
 
+// answerTo takes a request and the older ones off the unanswered ones of a member, and returns what the newer ones
+// leave the router; false if the request was answered or is not remembered.
+func (s *allowance) answerTo(member Member, sequence uint64) (mayHold uint64, found bool) {
+	unanswered := s.sent[member]
+	position := slices.IndexFunc(unanswered, func(sent sentWant) bool { return sent.sequence == sequence })
+	if position < 0 {
+		return 0, false
+	}
+	mayHold = math.MaxUint64
+	for _, newer := range unanswered[position+1:] {
+		mayHold = min(mayHold, newer.mayHold)
+	}
+	s.sent[member] = slices.Delete(unanswered, 0, position+1)
+	return mayHold, true
+}
+
 // sweep forgets subjects that nobody has spent for a while, whose grants are long over.
 func (a *Allowances) sweep(now time.Time) {
 	a.sweptAt = now
--- a/internal/quota/explore_test.go
+++ b/internal/quota/explore_test.go
@@ -83,7 +83,10 @@
 	copied.sequence, copied.sweptAt = a.sequence, a.sweptAt
 	for name, old := range a.subjects {
 		s := *old
-		s.members, s.sent = maps.Clone(old.members), maps.Clone(old.sent)
+		s.members, s.sent = maps.Clone(old.members), map[Member][]sentWant{}
+		for name, unanswered := range old.sent {
+			s.sent[name] = slices.Clone(unanswered)
+		}
 		copied.subjects[name] = &s
 	}
 	return copied
@@ -162,9 +165,15 @@
 	for _, name := range slices.Sorted(maps.Keys(bucket.members)) {
 		grant := bucket.members[name]
 		w.name(string(name))
-		w.numbers(int64(grant.granted), int64(bucket.sent[name]))
+		w.numbers(int64(grant.granted), int64(grant.sequence))
 		w.time(grant.expires)
 	}
+	for _, name := range slices.Sorted(maps.Keys(bucket.sent)) {
+		w.name(string(name))
+		for _, sent := range bucket.sent[name] {
+			w.numbers(int64(sent.sequence), int64(sent.mayHold))
+		}
+	}
 }
 
 // groupExplorer visits every state that can be reached, once each.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -68,8 +68,9 @@
 	spent   []time.Time
 	pending []delivery
 	denied  int
-	// loss is the part of the messages that get lost.
+	// loss is the part of the messages that get lost, slow what each takes beside its own delay.
 	loss float64
+	slow time.Duration
 }
 
 // delivery is a message on its way.
@@ -97,7 +98,7 @@
 	if w.random.Float64() < w.loss {
 		return
 	}
-	delay := time.Duration(1+w.random.IntN(6)) * time.Millisecond
+	delay := w.slow + time.Duration(1+w.random.IntN(6))*time.Millisecond
 	if w.random.IntN(40) == 0 {
 		delay += time.Duration(w.random.IntN(900)) * time.Millisecond
 	}
@@ -229,3 +230,20 @@
 		}
 	}
 }
+
+// TestSlowWitnessesStillGrant guards against calls that all end without a token while each answer takes longer than
+// the next request is waited for with: the answers were passed over as those to older requests.
+func TestSlowWitnessesStillGrant(t *testing.T) {
+	limit := Limit{PerSecond: 30, Capacity: 60}
+	w := newSpendingWorld(3, 5, 8)
+	w.slow = 45 * time.Millisecond
+	w.play(2*time.Second, 0, limit, false)
+	w.play(15*time.Second, 0.6*limit.PerSecond, limit, false)
+	// Two rounds of answers take as long as a call waits here: a call that needs both may be lost.
+	if w.denied*20 > len(w.spent) {
+		t.Errorf("%d denied, %d served", w.denied, len(w.spent))
+	}
+	if most := w.most(5 * time.Second); float64(most) > 5*limit.PerSecond+limit.Capacity {
+		t.Errorf("%d in 5 s", most)
+	}
+}
