--- a/internal/dataplane/serverlist.go
+++ b/internal/dataplane/serverlist.go
@@ -24,8 +24,10 @@
 	// spread: each read takes a call for each page of the list, and the platform answers a few calls a second to
 	// all nodes together. The primary's reads must not fail for them.
 	ownListPerEntry = 500 * time.Microsecond
-	// unknownRouters is how many routers are taken to read until their number is known.
+	// unknownRouters is how many routers are taken to read until their number is known, unknownServers how many
+	// servers are taken to be listed until a list was read.
 	unknownRouters = 100
+	unknownServers = 50
 	// loadInterval lies between two reads of a server's load by a router itself.
 	loadInterval = 150 * time.Millisecond
 	loadTimeout  = 700 * time.Millisecond
@@ -76,7 +78,7 @@
 		r.observe("list_read_directly", "servers", len(servers), "error", err,
 			"age", age.String(), "silence", r.silence(asked).String(), "took", r.runtime.Now().Sub(asked).String())
 		reads++
-		runtime.Sleep(r.runtime, ownListInterval+max(ownListSpread(int(r.routers.Load()), len(servers)), r.jitter(reads)))
+		runtime.Sleep(r.runtime, ownListInterval+max(ownListSpread(int(r.routers.Load()), len(r.Servers())), r.jitter(reads)))
 	}
 }
 
@@ -96,6 +98,9 @@
 	if routers == 0 {
 		routers = unknownRouters
 	}
+	if servers == 0 {
+		servers = unknownServers
+	}
 	return max(ownListJitter/4, time.Duration(routers*servers)*ownListPerEntry)
 }
 
