Tokens of calls that no server was sent are given back; refusals by the head on dismissed connections

Found by the review: a call refused after it had waited in the scheduler kept its tenant's token (refused below the limit later); a draining router asked for tokens of calls that it then refused; a call refused by its head on a connection that was dismissed meanwhile got no "Connection: close", so that its client's next call met a closed connection. Tests of dataplane, proxy and scheduler pass; none is new.

--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -105,6 +105,9 @@
 	}
 	call := i.newCall(inbound, arrived)
 	if refusal, refused := i.conduct.Screen(call); refused {
+		if !admit(inbound) {
+			writer.Header()["Connection"] = []string{"close"}
+		}
 		setRetryAfter(writer.Header(), refusal.RetryAfter)
 		refuse(writer, protocol.ID, id, refusal.Status, ending(refusal.Cause))
 		return endingOf(refusal.Cause, call)
--- a/internal/dataplane/calls.go
+++ b/internal/dataplane/calls.go
@@ -172,9 +172,13 @@
 		return
 	}
 	state, decision := c.window.Arrive(c.runtime.Now(), call)
-	if state == nil && tenant != "" {
-		c.quotas.GiveBack(tenant)
-	}
+	// sent tells that some server was sent the call: its token is spent then.
+	sent := false
+	defer func() {
+		if tenant != "" && !sent {
+			c.quotas.GiveBack(tenant)
+		}
+	}()
 	// mayHaveRun tells that a server may have begun the call, before that one before the last
 	// server may have.
 	mayHaveRun, before := false, false
@@ -191,11 +195,13 @@
 			decision = c.askOwners(state, decision)
 			continue
 		case scheduler.Prefill:
+			sent = true
 			outcome = exchange.Read(decision)
 			if outcome.Handle != "" && outcome.Result != scheduler.Complete {
 				exchange.Free(scheduler.Source{Address: decision.Server.Address, Handle: outcome.Handle})
 			}
 		case scheduler.Generate:
+			sent = true
 			outcome = exchange.Run(state.Route().Calls, decision, func() { c.window.Began(c.runtime.Now(), state) })
 			before, mayHaveRun = mayHaveRun, mayHaveRun || outcome.Result.MayHaveRun()
 		default:
@@ -212,7 +218,7 @@
 // acquireToken spends a token of the limit of a call's tenant, if it has one, or gives the decision that
 // refuses the call.
 func (c *Calls) acquireToken(call *scheduler.Call) (tenant string, refused scheduler.Decision) {
-	if c.quotas == nil {
+	if c.quotas == nil || c.window.Draining() {
 		return "", scheduler.Decision{}
 	}
 	screening := c.window.Screen(call)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -192,6 +192,9 @@
 // Drain lets no further calls in.
 func (s *Scheduler) Drain() { s.draining.Store(true) }
 
+// Draining tells whether no further calls are let in.
+func (s *Scheduler) Draining() bool { return s.draining.Load() }
+
 // InFlight counts the calls that have not ended.
 func (s *Scheduler) InFlight() int { return int(s.inFlight.Load()) }
 
