--- a/internal/testbed/fleet/upgrade_test.go
+++ b/internal/testbed/fleet/upgrade_test.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-var oldRelease = []string{"backup_list", "change_sections", "order_patience", "pair_price"}
+var oldRelease = []string{"backup_list", "change_sections", "order_patience", "pair_price", "tenants"}
 
 func (f *Fleet) noteMember(node *NodeProcess, flags ...string) {
 	f.Events.Append(Entry{Kind: MemberKnown, Holder: node.Node.Name, Flags: flags})
