--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -149,8 +152,14 @@
 
 // primary returns the machine whose controller answers reads of the configuration itself, or nil.
 func (f *fleet) primary() *machine {
+	client := http.Client{Timeout: time.Second, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	for _, m := range f.machines {
-		if count := strings.Count(f.log(m), `"backups_granted"`); count > 0 {
+		response, err := client.Get("http://" + net.JoinHostPort(m.ip, strconv.Itoa(f.ports.control)) + "/Config.Read")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
 			return m
 		}
 	}
@@ -208,7 +217,7 @@
 func (f *fleet) loseLeader() error {
 	leader := f.primary()
 	if leader == nil {
-		return fmt.Errorf("no primary has a backup")
+		return fmt.Errorf("no primary answers")
 	}
 	backup := f.backupOf(leader)
 	if backup == nil {
@@ -242,19 +251,20 @@
 	return f.start(leader, "controller")
 }
 
-// backupOf returns the machine that the primary's log names as its backup.
+// backupOf returns the machine that the primary's log named last as its backup.
 func (f *fleet) backupOf(leader *machine) *machine {
+	var backup *machine
 	for _, line := range strings.Split(f.log(leader), "\n") {
 		if !strings.Contains(line, `"backups_granted"`) {
 			continue
 		}
 		for _, m := range f.machines {
 			if m != leader && strings.Contains(line, m.ip+":") {
-				return m
+				backup = m
 			}
 		}
 	}
-	return nil
+	return backup
 }
 
 // playCut kills a decode server in the middle of a piece of its answer. The answer has no length and ends with
