--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -91,9 +91,9 @@
 	return nil
 }
 
-// playFirstStart starts the whole system for the first time, the machines 0.15 s after each other, and kills the
-// controller of the first seed once, before the last machine has started. The process is started again 0.3 s
-// later, with bootstrap false. Then the operator sends the first configuration again and again.
+// playFirstStart starts the whole system for the first time, the machines 0.15 s after each other. As the last one
+// starts, the machine of the first seed loses power and its disk. It comes back 1 s later at its old address, with
+// an empty disk and bootstrap false. Then the operator sends the first configuration again and again.
 func (f *fleet) playFirstStart(disturbed bool) (int, error) {
 	if err := f.servePlatform(); err != nil {
 		return 0, err
@@ -108,6 +108,10 @@
 		}
 		if disturbed && i == 2 {
 			f.kill(first, "controller")
+			f.kill(first, "router")
+			if err := f.wipe(first); err != nil {
+				return 0, err
+			}
 		}
 		if err := f.startMachine(m); err != nil {
 			return 0, err
@@ -115,8 +119,8 @@
 	}
 	f.restarted = true
 	if disturbed {
-		time.Sleep(300 * time.Millisecond)
-		if err := f.start(first, "controller"); err != nil {
+		time.Sleep(time.Second)
+		if err := f.startMachine(first); err != nil {
 			return 0, err
 		}
 	}
