--- /dev/null
+++ b/internal/adapters/proxy/bodyend.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// bodyEnd is how the body of a server's response ended. The text is the value of a metric label.
+type bodyEnd string
+
+const (
+	// bodyFramed: the declared length or the last chunk has arrived, which proves that the body is complete.
+	bodyFramed bodyEnd = "framed"
+	// bodyClosed: the server closed the connection where a body without length and chunks may end. Nothing
+	// proves that the body is complete, and nothing shows that it is not.
+	bodyClosed bodyEnd = "closed"
+	// bodyTruncated: the server closed the connection of such a body, and the content shows that its end is missing.
+	bodyTruncated bodyEnd = "truncated"
+	// bodyBroken: the body could not be read to its end.
+	bodyBroken bodyEnd = "broken"
+)
+
+// countBodyEnd counts how the body of the dispatch's response ended, and returns it; err is the error of the last
+// read. Incomplete says that the content lacks its end, which counts only if nothing but the end of the connection
+// marks the end of the body. Bodies that were cut off because the client left are not counted.
+func (d *dispatch) countBodyEnd(err error, incomplete bool) bodyEnd {
+	end := bodyBroken
+	switch {
+	case err != io.EOF:
+	case !d.closeDelimited:
+		end = bodyFramed
+	case incomplete:
+		end = bodyTruncated
+	default:
+		end = bodyClosed
+	}
+	if d.exchange.inbound.Context().Err() == nil {
+		d.exchange.handler.meter.bodyEnds[end].Inc()
+	}
+	return end
+}
+
+// isCloseDelimited reports whether a response has a body with neither a length nor chunks, which ends with its
+// connection (RFC 9112, section 6.3). Such a body ends in the same way if its server crashes.
+func isCloseDelimited(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// isIncompleteEvent reports whether the text behind the last event that eventEnd found in a stream is the beginning
+// of another one. At the end of the stream a CR is a complete line end, so a text that ends with two of them is a
+// complete event, and a lone CR is an empty line between events.
+func isIncompleteEvent(rest []byte) bool {
+	return len(rest) > 0 && string(rest) != "\r" && !bytes.HasSuffix(rest, []byte("\r\r"))
+}
--- a/internal/adapters/proxy/exchange.go
+++ b/internal/adapters/proxy/exchange.go
@@ -77,9 +77,12 @@
 	decision scheduler.Decision
 	conn     *pooledConn
 	response *http.Response
-	ctx      context.Context
-	cancel   context.CancelFunc
-	timer    *time.Timer
+	// closeDelimited means that the response has a body that ends with its connection.
+	closeDelimited bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
 	// deadline is the decision's deadline, converted from the handler's clock to that of time.Now,
 	// which is read without a system call.
 	deadline time.Time
@@ -199,6 +202,7 @@
 // response is read completely, and the dispatch is over.
 func (d *dispatch) readHead() bool {
 	e, response := d.exchange, d.response
+	d.closeDelimited = isCloseDelimited(response)
 	protocol := &e.handler.protocol
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if response.StatusCode < 200 || response.StatusCode > 599 {
@@ -219,7 +223,7 @@
 	if success {
 		return true
 	}
-	body, err := readBounded(response.Body, response.ContentLength, maxBufferedResponse)
+	body, err := d.readBody(maxBufferedResponse)
 	if err != nil {
 		return d.fail(scheduler.TimedOut)
 	}
@@ -285,6 +289,19 @@
 	}
 }
 
+// readBody reads the body of the dispatch's response to its end, as readBounded does.
+func (d *dispatch) readBody(limit int) ([]byte, error) {
+	body, err := readBounded(d.response.Body, d.response.ContentLength, limit)
+	switch err {
+	case nil:
+		d.countBodyEnd(io.EOF, false)
+	case errOversize:
+	default:
+		d.countBodyEnd(err, false)
+	}
+	return body, err
+}
+
 // Prefill has the decision's server prefill the prompt.
 func (e *exchange) Prefill(decision scheduler.Decision) scheduler.Outcome {
 	protocol := &e.handler.protocol
@@ -295,7 +312,7 @@
 	if !success {
 		return attempt.outcome
 	}
-	body, err := readBounded(attempt.response.Body, attempt.response.ContentLength, maxPrefillResponse)
+	body, err := attempt.readBody(maxPrefillResponse)
 	if err != nil {
 		attempt.fail(scheduler.TimedOut)
 		return attempt.outcome
--- a/internal/adapters/proxy/meter.go
+++ b/internal/adapters/proxy/meter.go
@@ -14,6 +14,7 @@
 	set             *metrics.Set
 	endings         map[ending]*metrics.Counter
 	dispatches      map[scheduler.DecisionKind]map[scheduler.Result]*metrics.Counter
+	bodyEnds        map[bodyEnd]*metrics.Counter
 	givenUp         map[scheduler.Reason]*metrics.Counter
 	timeToFirstByte *metrics.PrometheusHistogram
 	duration        *metrics.PrometheusHistogram
@@ -74,6 +75,10 @@
 				`seamloom_call_dispatches_total{kind="` + string(kind) + `",result="` + string(result) + `"}`)
 		}
 	}
+	m.bodyEnds = map[bodyEnd]*metrics.Counter{}
+	for _, end := range []bodyEnd{bodyFramed, bodyClosed, bodyTruncated, bodyBroken} {
+		m.bodyEnds[end] = set.NewCounter(`seamloom_call_body_ends_total{end="` + string(end) + `"}`)
+	}
 	m.givenUp = map[scheduler.Reason]*metrics.Counter{}
 	for _, reason := range []scheduler.Reason{scheduler.NoCapacity, scheduler.AttemptsUsed, scheduler.BudgetUsed,
 		scheduler.MayHaveRun, scheduler.TooCostly, scheduler.DeadlineReached} {
--- a/internal/adapters/proxy/streaming.go
+++ b/internal/adapters/proxy/streaming.go
@@ -14,7 +14,7 @@
 // complete, or, if it exceeds maxBufferedResponse, while it arrives.
 func (d *dispatch) forwardBody() {
 	e, response := d.exchange, d.response
-	body, err := readBounded(response.Body, response.ContentLength, maxBufferedResponse)
+	body, err := d.readBody(maxBufferedResponse)
 	d.outcome.FirstByte = e.handler.now()
 	if err == nil {
 		e.forwardHead(response)
@@ -39,6 +39,9 @@
 		}
 		read, err := response.Body.Read(buffer)
 		body = buffer[:read]
+		if err != nil {
+			d.countBodyEnd(err, false)
+		}
 		if err == io.EOF {
 			if _, err := e.writer.Write(body); err != nil {
 				d.fail(scheduler.ClientGone)
@@ -93,10 +96,11 @@
 			d.extend()
 			onFirstChunk()
 		}
-		consumed, forwarded := 0, false
+		consumed, forwarded, incomplete := 0, false, false
 		for {
 			length := eventEnd(buffer[consumed:])
 			if length < 0 {
+				incomplete = incomplete || isIncompleteEvent(buffer[consumed:])
 				if readErr != io.EOF || consumed == len(buffer) {
 					break
 				}
@@ -126,6 +130,9 @@
 				return
 			}
 		}
+		if readErr != nil {
+			d.countBodyEnd(readErr, incomplete)
+		}
 		if readErr == io.EOF {
 			if !e.headSent.Load() {
 				e.forwardHead(response)
