Proxy: a stream that ends with its connection within an event is broken off

Cause: forwardEvents took the end of the server's connection for the end of the stream, forwarded what was left of an unfinished event ("the stream ended regularly") and ended the dispatch as Complete. For a body with neither a length nor chunks the end of the connection is its only mark, and a crash makes the same mark: the kernel closes the dead process's socket.

Change: at the end of such a body an event without its empty line is evidence of a cut: it is not forwarded, the dispatch ends as Interrupted (TimedOut before the head was forwarded), as a stream does whose last chunk is missing. So it is resumed where it may be, and else the client's connection is closed. With a length or chunks the rest is forwarded as before: these prove the end. A CR at the end of the body ends a line, so streams with CR line ends are still complete.

Why this works: the evidence is in the bytes that came, so no state of the server, no time and no route is asked.

--- a/internal/adapters/proxy/bodyend_test.go
+++ b/internal/adapters/proxy/bodyend_test.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"seamloom.example/seamloom/internal/membership"
+	"seamloom.example/seamloom/internal/scheduler"
 )
 
 // closeDelimitedHead returns the head of a response with neither a length nor chunks, which ends with its connection.
@@ -60,3 +62,112 @@
 		})
 	}
 }
+
+// TestCloseDelimitedStreamCutWithinAnEventDoesNotLookComplete guards against a stream that a server's crash cuts within an
+// event, and that the client gets as a complete one since nothing but the end of the connection marks its end.
+func TestCloseDelimitedStreamCutWithinAnEventDoesNotLookComplete(t *testing.T) {
+	for name, test := range map[string]struct{ complete, tail string }{
+		"within the ID":             {joinedEvents(1, 2), "id: 3"},
+		"within the data":           {joinedEvents(1, 2), "id: 3\ndata: ev"},
+		"before the empty line":     {joinedEvents(1, 2), "id: 3\ndata: event 3\n"},
+		"within the empty line":     {"id: 1\r\ndata: x\r\n\r\n", "id: 2\r\ndata: x\r\n\r"},
+		"within a line end":         {"id: 1\r\ndata: x\r\n\r\n", "id: 2\r"},
+		"before the second CR":      {"id: 1\rdata: x\r\r", "id: 2\rdata: x\r"},
+		"within a comment":          {joinedEvents(1, 2), ": pi"},
+		"within a lone field":       {joinedEvents(1, 2), "d"},
+		"after a field and no text": {joinedEvents(1, 2), "data:"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(closeDelimitedStream("id") + test.complete + test.tail)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.failure == nil || string(got.body) != test.complete || executor.last().Result != scheduler.Interrupted {
+				t.Fatalf("got %+v and outcome %+v, want the complete events, then an aborted response", got, executor.last())
+			}
+		})
+	}
+}
+
+// TestCompleteCloseDelimitedStreamIsForwarded guards against complete streams that are taken for truncated ones:
+// whatever the line ends are, such a stream ends with an empty line.
+func TestCompleteCloseDelimitedStreamIsForwarded(t *testing.T) {
+	for name, text := range map[string]string{
+		"LF":                   joinedEvents(1, 2),
+		"CR LF":                "id: 1\r\ndata: x\r\n\r\n",
+		"CR":                   "id: 1\rdata: x\r\rid: 2\rdata: x\r\r",
+		"CR and an empty line": "id: 1\rdata: x\r\r\r",
+		"a last comment":       joinedEvents(1) + ": end\n\n",
+		"LF and empty lines":   joinedEvents(1) + "\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(closeDelimitedStream("id") + text)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.failure != nil || string(got.body) != text || executor.last().Result != scheduler.Complete {
+				t.Fatalf("got %+v and outcome %+v, want the complete stream", got, executor.last())
+			}
+		})
+	}
+}
+
+// TestFramedStreamWithoutItsLastEmptyLineIsForwarded guards against a stream that is taken for truncated although its
+// last chunk or its length proves that the server sent no more.
+func TestFramedStreamWithoutItsLastEmptyLineIsForwarded(t *testing.T) {
+	text := joinedEvents(1) + "id: 2\ndata: x\n"
+	for name, response := range map[string]string{
+		"chunks": streamHead("id") + chunk(text) + "0\r\n\r\n",
+		"length": responseText(200, "id", text, "Content-Type: text/event-stream"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(response)
+				return true
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.failure != nil || string(got.body) != text || executor.last().Result != scheduler.Complete {
+				t.Fatalf("got %+v and outcome %+v, want the complete stream", got, executor.last())
+			}
+		})
+	}
+}
+
+// TestCloseDelimitedStreamCutWithinAnEventResumes guards against a resumable stream that ends early instead of being
+// resumed, if a crash cuts its first server's part, which ends with its connection, within an event.
+func TestCloseDelimitedStreamCutWithinAnEventResumes(t *testing.T) {
+	first := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+		connection.writeText(closeDelimitedStream("id") + joinedEvents(1, 2) + "id: 3\nda")
+		return false
+	})
+	second := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+		connection.writeText(closeDelimitedStream("id") + joinedEvents(3, 4))
+		return false
+	})
+	executor := &scriptedExecutor{decide: resumeAt(first, second)}
+	got := newRouter(t, executor).send(t, "id", "body")
+	if got.failure != nil || string(got.body) != joinedEvents(1, 2, 3, 4) {
+		t.Fatalf("got %+v, want events 1 to 4 once each", got)
+	}
+	if inbound, _ := second.request(0); inbound.Header.Get("Last-Event-Id") != "2" {
+		t.Fatalf("the second server got headers %v, want the ID of the last complete event", inbound.Header)
+	}
+}
+
+// resumeAt returns a decide function that sends a call to the servers one after the other, as long as no response
+// is complete, with a deadline of five seconds.
+func resumeAt(servers ...*fakeServer) func(number int, outcome scheduler.Outcome) scheduler.Decision {
+	return func(number int, outcome scheduler.Outcome) scheduler.Decision {
+		incomplete := outcome.Result == scheduler.Interrupted || outcome.Result == scheduler.TimedOut
+		if number == 0 || number < len(servers) && incomplete {
+			return scheduler.Decision{Kind: scheduler.Generate, Server: servers[number].record,
+				Deadline: time.Now().Add(5 * time.Second), Priority: -1}
+		}
+		return finalDecision(outcome)
+	}
+}
--- a/internal/adapters/proxy/streaming.go
+++ b/internal/adapters/proxy/streaming.go
@@ -58,7 +58,8 @@
 }
 
 // forwardEvents forwards an event stream. Only complete events are forwarded, each as soon as
-// it has arrived. A resumed stream skips the events that the client already has.
+// it has arrived. A resumed stream skips the events that the client already has. A stream that ends with
+// its connection, within an event, was interrupted: its server crashed or broke it off.
 func (d *dispatch) forwardEvents(route *config.CallRoute, onFirstChunk func()) {
 	e, response := d.exchange, d.response
 	// If an earlier dispatch of the call has forwarded the head, this stream resumes the stream of that dispatch.
@@ -100,12 +101,14 @@
 		for {
 			length := eventEnd(buffer[consumed:])
 			if length < 0 {
-				incomplete = incomplete || isIncompleteEvent(buffer[consumed:])
-				if readErr != io.EOF || consumed == len(buffer) {
+				rest := buffer[consumed:]
+				incomplete = incomplete || isIncompleteEvent(rest)
+				// A length or a last chunk proves that the stream is complete: the rest is forwarded, although no
+				// blank line ends it.
+				if readErr != io.EOF || len(rest) == 0 || incomplete && d.closeDelimited {
 					break
 				}
-				// The stream ended regularly: forward the rest, although no blank line ends it.
-				length = len(buffer) - consumed
+				length = len(rest)
 			}
 			event := buffer[consumed : consumed+length]
 			consumed += length
@@ -124,16 +127,14 @@
 			}
 			forwarded = true
 		}
-		if forwarded && readErr != io.EOF {
+		truncated := readErr != nil && d.countBodyEnd(readErr, incomplete) == bodyTruncated
+		if forwarded && (readErr != io.EOF || truncated) {
 			if err := flusher.Flush(); err != nil {
 				d.fail(scheduler.ClientGone)
 				return
 			}
 		}
-		if readErr != nil {
-			d.countBodyEnd(readErr, incomplete)
-		}
-		if readErr == io.EOF {
+		if readErr == io.EOF && !truncated {
 			if !e.headSent.Load() {
 				e.forwardHead(response)
 			}
@@ -148,7 +149,7 @@
 	}
 }
 
-// failStream ends a dispatch whose event stream was interrupted or contains an event larger than
+// failStream ends a dispatch whose event stream was interrupted or truncated, or contains an event larger than
 // maxEventBytes. The result is Interrupted if the head was already forwarded to the client, and TimedOut
 // otherwise.
 func (d *dispatch) failStream() {
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -846,6 +846,15 @@
 			},
 		},
 	},
+	{
+		Name:      "a stream that ends with its connection within an event does not look complete",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestCloseDelimitedStreamCutWithinAnEventDoesNotLookComplete",
+		Edits: []Edit{
+			{"internal/adapters/proxy/bodyend.go", "	case incomplete:\n", "	case false:\n"},
+		},
+	},
 	{
 		Name:      "events that were already forwarded are skipped",
 		Violation: corruptResponse,
