Proxy: split event streams into events by a reader of their own

Change: eventReader (events.go) reads and splits; forwardEvents forwards. The functions that parse events moved along, unchanged. No decision changes; an event that is too large now counts as a body that is "broken". forwardEvents took a route and did not use it.

--- a/internal/adapters/proxy/bodyend.go
+++ b/internal/adapters/proxy/bodyend.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 )
@@ -21,6 +20,9 @@
 	bodyBroken bodyEnd = "broken"
 )
 
+// isRegular reports whether a body that ended so counts as complete.
+func (b bodyEnd) isRegular() bool { return b == bodyFramed || b == bodyClosed }
+
 // countBodyEnd counts how the body of the dispatch's response ended, and returns it; err is the error of the last
 // read. Incomplete says that the content lacks its end, which counts only if nothing but the end of the connection
 // marks the end of the body. Bodies that were cut off because the client left are not counted.
@@ -46,10 +48,3 @@
 func isCloseDelimited(response *http.Response) bool {
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
-
-// isIncompleteEvent reports whether the text behind the last event that eventEnd found in a stream is the beginning
-// of another one. At the end of the stream a CR is a complete line end, so a text that ends with two of them is a
-// complete event, and a lone CR is an empty line between events.
-func isIncompleteEvent(rest []byte) bool {
-	return len(rest) > 0 && string(rest) != "\r" && !bytes.HasSuffix(rest, []byte("\r\r"))
-}
--- a/internal/adapters/proxy/exchange.go
+++ b/internal/adapters/proxy/exchange.go
@@ -347,7 +347,7 @@
 		return attempt.outcome
 	}
 	if strings.HasPrefix(attempt.response.Header.Get("Content-Type"), "text/event-stream") {
-		attempt.forwardEvents(route, onFirstChunk)
+		attempt.forwardEvents(onFirstChunk)
 		return attempt.outcome
 	}
 	if e.headSent.Load() {
--- a/internal/adapters/proxy/fuzz_test.go
+++ b/internal/adapters/proxy/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 )
@@ -76,3 +77,56 @@
 		text = text[length:]
 	}
 }
+
+// FuzzEventReader checks that the reader returns a stream whose end is proven completely, and one that ends with its
+// connection up to the last event that ends with an empty line, however the text arrives.
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n: note\r\rdata: z"), 7)
+	f.Add([]byte("id: 1\r\ndata: x\r\n\r"), 1)
+	f.Add([]byte("id: 1\rdata: x\r\r\r"), 3)
+	f.Fuzz(func(t *testing.T, text []byte, size int) {
+		if framed, incomplete := readAllEvents(text, size, false); !bytes.Equal(framed, text) || incomplete {
+			t.Fatalf("got %q, incomplete %v, want all of %q", framed, incomplete, text)
+		}
+		closed, incomplete := readAllEvents(text, size, true)
+		rest, found := bytes.CutPrefix(text, closed)
+		if !found || incomplete != (len(rest) > 0) {
+			t.Fatalf("got %q, incomplete %v of %q", closed, incomplete, text)
+		}
+		if incomplete && (eventEnd(rest) >= 0 || bytes.HasSuffix(rest, []byte("\n\n"))) {
+			t.Fatalf("the event %q is complete, but was left out", rest)
+		}
+		if lines := bytes.TrimRight(closed, "\r\n"); len(lines) > 0 && len(closed) < len(lines)+2 {
+			t.Fatalf("the events %q end without an empty line", closed)
+		}
+	})
+}
+
+// readAllEvents returns the events that a reader returns of a body with this text, of which at most size bytes arrive at
+// once, and whether the text after them is incomplete.
+func readAllEvents(text []byte, size int, closeDelimited bool) (events []byte, incomplete bool) {
+	chunks := &chunkReader{text: text, size: max(1, min(size, len(text)))}
+	reader := &eventReader{body: chunks, closeDelimited: closeDelimited, buffer: make([]byte, 0, 8)}
+	for reader.err == nil {
+		reader.read()
+		for event := reader.next(); event != nil; event = reader.next() {
+			events = append(events, event...)
+		}
+	}
+	return events, reader.incomplete()
+}
+
+// chunkReader returns a text in parts of at most size bytes.
+type chunkReader struct {
+	text []byte
+	size int
+}
+
+func (r *chunkReader) Read(buffer []byte) (int, error) {
+	if len(r.text) == 0 {
+		return 0, io.EOF
+	}
+	read := copy(buffer, r.text[:min(r.size, len(r.text))])
+	r.text = r.text[read:]
+	return read, nil
+}
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -863,8 +863,8 @@
 		Edits: []Edit{
 			{
 				"internal/adapters/proxy/streaming.go",
-				"				if resumed && !isAfter(id, e.lastEvent) {",
-				"				if resumed && id == \"never\" {",
+				"			if resumed && !isAfter(id, e.lastEvent) {",
+				"			if resumed && id == \"never\" {",
 			},
 		},
 	},
