Proxy: a stream that ends with its connection before its first event is no answer

What callers saw: a server that crashes after the head of a stream without length or chunks, before its first event: an empty, complete 200. On a resumed stream the same ended the answer as complete, pieces missing.

A stream with no event has no unfinished one either, so that check does not see it.

Change: such a stream is truncated if it has no event with an ID or data. Before the head is forwarded the dispatch ends as TimedOut and another server may answer; a resumed stream is resumed once more. Comments, reconnection delays and empty lines may come before an answer begins: they prove nothing. An empty stream with a length or chunks is complete as before.

The price: a stream that is resumed behind its last event, at a server that sends no length, no chunks and nothing more, can't be told from a crash and is broken off. Without proof the careful way is taken.

--- a/internal/adapters/proxy/bodyend_test.go
+++ b/internal/adapters/proxy/bodyend_test.go
@@ -37,6 +37,7 @@
 		"the connection, after a text":      {http.MethodPost, closeDelimitedHead("id", "text/plain") + "x", bodyClosed},
 		"the connection, after an event":    {http.MethodPost, closeDelimitedStream("id") + joinedEvents(1, 2), bodyClosed},
 		"the connection, within an event":   {http.MethodPost, closeDelimitedStream("id") + event(1) + "id: 2\nda", bodyTruncated},
+		"the connection, before any event":  {http.MethodPost, closeDelimitedStream("id"), bodyTruncated},
 		"the connection, after an error":    {http.MethodPost, strings.Replace(closeDelimitedHead("id", "text/plain"), "200", "500", 1) + "x", bodyClosed},
 		"the connection, after CR and CR":   {http.MethodPost, closeDelimitedStream("id") + "id: 1\rdata: x\r\r", bodyClosed},
 		"the connection, between CR and LF": {http.MethodPost, closeDelimitedStream("id") + "id: 1\r\ndata: x\r\n\r", bodyTruncated},
@@ -171,3 +172,85 @@
 		return finalDecision(outcome)
 	}
 }
+
+// TestCloseDelimitedStreamWithoutAnEventIsNoAnswer guards against an empty success for the client of a server that crashes
+// before the first event of a stream that ends with its connection.
+func TestCloseDelimitedStreamWithoutAnEventIsNoAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		text   string
+		result scheduler.Result
+	}{
+		"nothing":              {"", scheduler.TimedOut},
+		"half an event":        {"id: 1\nda", scheduler.TimedOut},
+		"a comment":            {": ready\n\n", scheduler.Interrupted},
+		"a reconnection delay": {"retry: 50\n\n", scheduler.Interrupted},
+		"empty lines":          {"\n\n", scheduler.Interrupted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(closeDelimitedStream("id") + test.text)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.status == http.StatusOK && got.failure == nil || executor.last().Result != test.result {
+				t.Fatalf("got %+v and outcome %+v, want result %s and no complete success", got, executor.last(), test.result)
+			}
+		})
+	}
+}
+
+// TestResumedStreamWithoutAnEventIsNotComplete guards against a resumed stream that ends early: its next server crashes
+// before its first event, and the end of the connection is taken for the end of the stream.
+func TestResumedStreamWithoutAnEventIsNotComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		last     string
+		complete bool
+	}{
+		"another server is left": {closeDelimitedStream("id") + joinedEvents(3, 4), true},
+		"no server is left":      {closeDelimitedStream("id"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var servers []*fakeServer
+			for _, response := range []string{closeDelimitedStream("id") + joinedEvents(1, 2) + "id", closeDelimitedStream("id"), test.last} {
+				servers = append(servers, newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+					connection.writeText(response)
+					return false
+				}))
+			}
+			executor := &scriptedExecutor{decide: resumeAt(servers...)}
+			got := newRouter(t, executor).send(t, "id", "body")
+			want := joinedEvents(1, 2)
+			if test.complete {
+				want = joinedEvents(1, 2, 3, 4)
+			}
+			if complete := got.failure == nil; complete != test.complete || string(got.body) != want {
+				t.Fatalf("got %+v, want complete %v and %q", got, test.complete, want)
+			}
+			if inbound, _ := servers[2].request(0); inbound.Header.Get("Last-Event-Id") != "2" {
+				t.Fatalf("the last server got headers %v, want the ID of the last forwarded event", inbound.Header)
+			}
+		})
+	}
+}
+
+// TestFramedStreamWithoutAnEventIsComplete guards against an empty stream that is taken for truncated although its length
+// or its last chunk proves it complete, such as one that resumes after its last event.
+func TestFramedStreamWithoutAnEventIsComplete(t *testing.T) {
+	for name, response := range map[string]string{
+		"chunks": streamHead("id") + "0\r\n\r\n",
+		"length": responseText(200, "id", "", "Content-Type: text/event-stream"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(response)
+				return true
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.failure != nil || got.status != http.StatusOK || len(got.body) != 0 || executor.last().Result != scheduler.Complete {
+				t.Fatalf("got %+v and outcome %+v, want an empty success", got, executor.last())
+			}
+		})
+	}
+}
--- a/internal/adapters/proxy/events.go
+++ b/internal/adapters/proxy/events.go
@@ -14,6 +14,8 @@
 	// buffer holds the text that was read; the events before position were returned by next.
 	buffer   []byte
 	position int
+	// hasContent is set once next has returned an event with an ID or data.
+	hasContent bool
 	// err is the error of the last read: io.EOF at the end of the body, errOversize if an event exceeds
 	// maxEventBytes.
 	err error
@@ -43,17 +45,37 @@
 	rest := r.buffer[r.position:]
 	length := eventEnd(rest)
 	if length < 0 {
-		if r.err != io.EOF || len(rest) == 0 || r.closeDelimited && r.incomplete() {
+		if r.err != io.EOF || len(rest) == 0 || r.closeDelimited && isIncompleteEvent(rest) {
 			return nil
 		}
 		length = len(rest)
 	}
 	r.position += length
-	return rest[:length]
+	event := rest[:length]
+	r.hasContent = r.hasContent || hasContent(event)
+	return event
 }
 
-// incomplete reports whether the text behind the last complete event is the beginning of another one.
-func (r *eventReader) incomplete() bool { return isIncompleteEvent(r.buffer[r.position:]) }
+// incomplete reports whether the stream, as far as it has arrived, lacks its end: it has no event with an ID or data,
+// as every answer has, or the text behind its last complete event is the beginning of another one.
+func (r *eventReader) incomplete() bool {
+	return !r.hasContent || isIncompleteEvent(r.buffer[r.position:])
+}
+
+// hasContent reports whether an event has an ID or data. Comments, reconnection delays and empty lines are not
+// part of an answer: servers may send them before it begins.
+func hasContent(event []byte) bool {
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if string(name) == "id" || string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
+// isLineEnd reports whether a character ends a line of an event, alone or with another one.
+func isLineEnd(character rune) bool { return character == '\r' || character == '\n' }
 
 // isIncompleteEvent reports whether the text behind the last event that eventEnd found in a stream is the beginning
 // of another one. At the end of the stream a CR is a complete line end, so a text that ends with two of them is a
--- a/internal/adapters/proxy/fuzz_test.go
+++ b/internal/adapters/proxy/fuzz_test.go
@@ -85,15 +85,15 @@
 	f.Add([]byte("id: 1\r\ndata: x\r\n\r"), 1)
 	f.Add([]byte("id: 1\rdata: x\r\r\r"), 3)
 	f.Fuzz(func(t *testing.T, text []byte, size int) {
-		if framed, incomplete := readAllEvents(text, size, false); !bytes.Equal(framed, text) || incomplete {
-			t.Fatalf("got %q, incomplete %v, want all of %q", framed, incomplete, text)
+		if framed, reader := readAllEvents(text, size, false); !bytes.Equal(framed, text) {
+			t.Fatalf("got %q, incomplete %v, want all of %q", framed, reader.incomplete(), text)
 		}
-		closed, incomplete := readAllEvents(text, size, true)
+		closed, reader := readAllEvents(text, size, true)
 		rest, found := bytes.CutPrefix(text, closed)
-		if !found || incomplete != (len(rest) > 0) {
-			t.Fatalf("got %q, incomplete %v of %q", closed, incomplete, text)
+		if incomplete := len(rest) > 0 || !hasContent(closed); !found || reader.incomplete() != incomplete {
+			t.Fatalf("got %q, incomplete %v of %q, want %v", closed, reader.incomplete(), text, incomplete)
 		}
-		if incomplete && (eventEnd(rest) >= 0 || bytes.HasSuffix(rest, []byte("\n\n"))) {
+		if eventEnd(rest) >= 0 || bytes.HasSuffix(rest, []byte("\n\n")) {
 			t.Fatalf("the event %q is complete, but was left out", rest)
 		}
 		if lines := bytes.TrimRight(closed, "\r\n"); len(lines) > 0 && len(closed) < len(lines)+2 {
@@ -102,18 +102,18 @@
 	})
 }
 
-// readAllEvents returns the events that a reader returns of a body with this text, of which at most size bytes arrive at
-// once, and whether the text after them is incomplete.
-func readAllEvents(text []byte, size int, closeDelimited bool) (events []byte, incomplete bool) {
+// readAllEvents reads a body with this text to its end, of which at most size bytes arrive at once, and returns its
+// events and their reader.
+func readAllEvents(text []byte, size int, closeDelimited bool) (events []byte, reader *eventReader) {
 	chunks := &chunkReader{text: text, size: max(1, min(size, len(text)))}
-	reader := &eventReader{body: chunks, closeDelimited: closeDelimited, buffer: make([]byte, 0, 8)}
+	reader = &eventReader{body: chunks, closeDelimited: closeDelimited, buffer: make([]byte, 0, 8)}
 	for reader.err == nil {
 		reader.read()
 		for event := reader.next(); event != nil; event = reader.next() {
 			events = append(events, event...)
 		}
 	}
-	return events, reader.incomplete()
+	return events, reader
 }
 
 // chunkReader returns a text in parts of at most size bytes.
--- a/internal/adapters/proxy/streaming.go
+++ b/internal/adapters/proxy/streaming.go
@@ -57,7 +57,7 @@
 
 // forwardEvents forwards an event stream. Only complete events are forwarded, each as soon as
 // it has arrived. A resumed stream skips the events that the client already has. A stream that ends with
-// its connection, within an event, was interrupted: its server crashed or broke it off.
+// its connection, within an event or before any, was interrupted: its server crashed or broke it off.
 func (d *dispatch) forwardEvents(onFirstChunk func()) {
 	e, response := d.exchange, d.response
 	// If an earlier dispatch of the call has forwarded the head, this stream resumes the stream of that dispatch.
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -855,6 +855,19 @@
 			{"internal/adapters/proxy/bodyend.go", "	case incomplete:\n", "	case false:\n"},
 		},
 	},
+	{
+		Name:      "a stream that ends with its connection before any event does not look complete",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestCloseDelimitedStreamWithoutAnEventIsNoAnswer",
+		Edits: []Edit{
+			{
+				"internal/adapters/proxy/events.go",
+				"	return !r.hasContent || isIncompleteEvent(",
+				"	return isIncompleteEvent(",
+			},
+		},
+	},
 	{
 		Name:      "events that were already forwarded are skipped",
 		Violation: corruptResponse,
