Proxy: a JSON response that ends with its connection within a value is no answer

What callers saw: a server that crashes within a JSON body without length or chunks: half a body, or none, with the end of a complete answer.

Cause: as for streams: forwardBody took the end of the connection for the end of the body. Found by reading the related paths, then by the tests below.

Change: such a body is truncated if its content type is JSON and the text ends before a value does; the dispatch ends as TimedOut, as for a body that misses bytes of its length. A malformed text is forwarded as before: it may be all that the server sent. The cut body of an error is not forwarded; what its head says (its status, the promise not to run) still counts.

Not covered, and counted as "closed": other content types, and bodies over 1 MiB, which are forwarded while they arrive. A prefill's cut answer was no answer before either: it did not parse (TestCutPrefillHasNoHandle).

--- a/internal/adapters/proxy/bodyend.go
+++ b/internal/adapters/proxy/bodyend.go
@@ -1,8 +1,14 @@
 package proxy
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
+	"mime"
 	"net/http"
+	"strings"
+
+	"seamloom.example/seamloom/internal/failure"
 )
 
 // bodyEnd is how the body of a server's response ended. The text is the value of a metric label.
@@ -48,3 +54,45 @@
 func isCloseDelimited(response *http.Response) bool {
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
+
+// errTruncated reports a body that ended with its connection, and whose content lacks its end.
+var errTruncated = failure.New(failure.Garbage, "the connection ended within the response")
+
+// readBody reads the body of the dispatch's response to its end, as readBounded does. It also fails with
+// errTruncated, and then returns the part of the body that arrived.
+func (d *dispatch) readBody(limit int) ([]byte, error) {
+	body, err := readBounded(d.response.Body, d.response.ContentLength, limit)
+	switch err {
+	case nil:
+		incomplete := d.closeDelimited && isIncompleteJSON(d.response.Header.Get("Content-Type"), body)
+		if d.countBodyEnd(io.EOF, incomplete) == bodyTruncated {
+			return body, errTruncated
+		}
+	case errOversize:
+	default:
+		d.countBodyEnd(err, false)
+	}
+	return body, err
+}
+
+// isIncompleteJSON reports whether a body of this content type is JSON that lacks its end. It is false for a
+// malformed body, which may be all that the server sent.
+func isIncompleteJSON(contentType string, body []byte) bool {
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	if err != nil || mediaType != "application/json" && !strings.HasSuffix(mediaType, "+json") {
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	for values := 0; ; values++ {
+		var value json.RawMessage
+		switch decoder.Decode(&value) {
+		case nil:
+		case io.EOF:
+			return values == 0
+		case io.ErrUnexpectedEOF:
+			return true
+		default:
+			return false
+		}
+	}
+}
--- a/internal/adapters/proxy/bodyend_test.go
+++ b/internal/adapters/proxy/bodyend_test.go
@@ -254,3 +254,83 @@
 		})
 	}
 }
+
+// TestCloseDelimitedJSONThatIsCutDoesNotLookComplete guards against a JSON response that a server's crash cuts, and that
+// the client gets as a complete one since nothing but the end of the connection marks its end. Bodies of which the
+// content shows nothing are forwarded unchanged.
+func TestCloseDelimitedJSONThatIsCutDoesNotLookComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		contentType, body string
+		result            scheduler.Result
+	}{
+		"within a text":       {"application/json", `{"answer":"thre`, scheduler.TimedOut},
+		"within an object":    {"application/json; charset=utf-8", `{"answer":"three"`, scheduler.TimedOut},
+		"within a later one":  {"application/json", "{}\n{", scheduler.TimedOut},
+		"before its begin":    {"application/json", "", scheduler.TimedOut},
+		"a problem":           {"application/problem+json", `{"title"`, scheduler.TimedOut},
+		"complete":            {"application/json", `{"answer":"three"}` + "\n", scheduler.Complete},
+		"several values":      {"application/json", "{}\n{}\n", scheduler.Complete},
+		"malformed, not cut":  {"application/json", `{"answer"}`, scheduler.Complete},
+		"text":                {"text/plain", `{"answer":"thre`, scheduler.Complete},
+		"no text":             {"text/plain", "", scheduler.Complete},
+		"malformed, then cut": {"application/json", `}{"answer`, scheduler.Complete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(closeDelimitedHead("id", test.contentType) + test.body)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			complete := got.failure == nil && got.status == http.StatusOK && string(got.body) == test.body
+			if executor.last().Result != test.result || complete != (test.result == scheduler.Complete) {
+				t.Fatalf("got %+v and outcome %+v, want result %s", got, executor.last(), test.result)
+			}
+		})
+	}
+}
+
+// TestCutErrorKeepsItsStatus guards against the cut body of a server's error that looks complete to the client. What the
+// head says is complete: it still decides whether the call may be retried.
+func TestCutErrorKeepsItsStatus(t *testing.T) {
+	head := strings.Replace(closeDelimitedHead("id", "application/json"), "200 OK", "503 Service Unavailable", 1)
+	for name, test := range map[string]struct {
+		response string
+		result   scheduler.Result
+	}{
+		"an error":                {strings.Replace(head, "503", "500", 1) + `{"type":`, scheduler.ErrorResponse},
+		"a promise":               {strings.Replace(head, "X-Seal", "Seamloom-Not-Started: 1\r\nX-Seal", 1), scheduler.NotStarted},
+		"an error that is no cut": {strings.Replace(head, "503", "500", 1) + `{"type":"x"}`, scheduler.ErrorResponse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(test.response)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			got := newRouter(t, executor).send(t, "id", "body")
+			forwarded := got.header.Get("X-Seal") != ""
+			if executor.last().Result != test.result || forwarded != strings.HasSuffix(test.response, "}") || got.failure != nil {
+				t.Fatalf("got %+v and outcome %+v, want result %s and no cut body", got, executor.last(), test.result)
+			}
+		})
+	}
+}
+
+// TestCutPrefillHasNoHandle guards against a handle that a server's crash cuts, and that is taken for a complete one.
+func TestCutPrefillHasNoHandle(t *testing.T) {
+	server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+		connection.writeText(closeDelimitedHead("id", "application/json") + `{"handle":"3fa09c41`)
+		return false
+	})
+	executor := &scriptedExecutor{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
+		if number == 0 {
+			return scheduler.Decision{Kind: scheduler.Prefill, Server: server.record, Deadline: time.Now().Add(5 * time.Second), Priority: -1}
+		}
+		return finalDecision(outcome)
+	}}
+	_ = newRouter(t, executor).send(t, "id", "body")
+	if outcome := executor.last(); outcome.Result == scheduler.Complete || outcome.Handle != "" {
+		t.Fatalf("got outcome %+v, want no handle", outcome)
+	}
+}
--- a/internal/adapters/proxy/exchange.go
+++ b/internal/adapters/proxy/exchange.go
@@ -224,7 +224,7 @@
 		return true
 	}
 	body, err := d.readBody(maxBufferedResponse)
-	if err != nil {
+	if err != nil && err != errTruncated {
 		return d.fail(scheduler.TimedOut)
 	}
 	d.outcome.FirstByte = e.handler.now()
@@ -235,9 +235,9 @@
 	case notStarted:
 		result = scheduler.NotStarted
 	}
-	if result == scheduler.ErrorResponse && impliesNotRun(response.StatusCode) {
-		// The status would tell the client that the call never ran, which the server did
-		// not promise: the response is not forwarded.
+	if err == errTruncated || result == scheduler.ErrorResponse && impliesNotRun(response.StatusCode) {
+		// The body would look complete, or the status would tell the client that the call never ran,
+		// which the server did not promise: the response is not forwarded.
 		e.failedResponse = nil
 	} else {
 		e.failedResponse = &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -289,19 +289,6 @@
 	}
 }
 
-// readBody reads the body of the dispatch's response to its end, as readBounded does.
-func (d *dispatch) readBody(limit int) ([]byte, error) {
-	body, err := readBounded(d.response.Body, d.response.ContentLength, limit)
-	switch err {
-	case nil:
-		d.countBodyEnd(io.EOF, false)
-	case errOversize:
-	default:
-		d.countBodyEnd(err, false)
-	}
-	return body, err
-}
-
 // Prefill has the decision's server prefill the prompt.
 func (e *exchange) Prefill(decision scheduler.Decision) scheduler.Outcome {
 	protocol := &e.handler.protocol
--- a/internal/adapters/proxy/streaming.go
+++ b/internal/adapters/proxy/streaming.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 
@@ -11,47 +10,50 @@
 // forwardBody forwards a response that is not an event stream: in one piece once it is
 // complete, or, if it exceeds maxBufferedResponse, while it arrives.
 func (d *dispatch) forwardBody() {
-	e, response := d.exchange, d.response
+	e := d.exchange
 	body, err := d.readBody(maxBufferedResponse)
 	d.outcome.FirstByte = e.handler.now()
-	if err == nil {
-		e.forwardHead(response)
+	switch err {
+	case nil:
+		e.forwardHead(d.response)
 		if _, err := e.writer.Write(body); err != nil && err != http.ErrBodyNotAllowed {
 			d.fail(scheduler.ClientGone)
 			return
 		}
 		d.finish(scheduler.Complete)
-		return
-	}
-	if err != errOversize {
+	case errOversize:
+		d.extend()
+		e.forwardHead(d.response)
+		d.copyBody(body)
+	default:
 		d.fail(scheduler.TimedOut)
+	}
+}
+
+// copyBody forwards a body whose beginning was read, while the rest of it arrives. Its content is not checked: the end of
+// the connection counts as its end if it has neither a length nor chunks.
+func (d *dispatch) copyBody(beginning []byte) {
+	writer, body := d.exchange.writer, d.response.Body
+	if _, err := writer.Write(beginning); err != nil {
+		d.fail(scheduler.ClientGone)
 		return
 	}
-	d.extend()
-	e.forwardHead(response)
 	buffer := make([]byte, copyBufferBytes)
 	for {
-		if _, err := e.writer.Write(body); err != nil {
+		read, readErr := body.Read(buffer)
+		if _, err := writer.Write(buffer[:read]); err != nil {
 			d.fail(scheduler.ClientGone)
 			return
 		}
-		read, err := response.Body.Read(buffer)
-		body = buffer[:read]
-		if err != nil {
-			d.countBodyEnd(err, false)
+		if readErr == nil {
+			continue
 		}
-		if err == io.EOF {
-			if _, err := e.writer.Write(body); err != nil {
-				d.fail(scheduler.ClientGone)
-				return
-			}
+		if d.countBodyEnd(readErr, false).isRegular() {
 			d.finish(scheduler.Complete)
-			return
-		}
-		if err != nil {
+		} else {
 			d.fail(scheduler.Interrupted)
-			return
 		}
+		return
 	}
 }
 
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -806,8 +806,8 @@
 		Edits: []Edit{
 			{
 				"internal/adapters/proxy/exchange.go",
-				"	if result == scheduler.ErrorResponse && impliesNotRun(response.StatusCode) {",
-				"	if false {",
+				"|| result == scheduler.ErrorResponse && impliesNotRun(response.StatusCode) {",
+				"{",
 			},
 		},
 	},
@@ -868,6 +868,28 @@
 			},
 		},
 	},
+	{
+		Name:      "a JSON response that ends with its connection within a value does not look complete",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestCloseDelimitedJSONThatIsCutDoesNotLookComplete",
+		Edits: []Edit{
+			{
+				"internal/adapters/proxy/bodyend.go",
+				"		incomplete := d.closeDelimited && isIncompleteJSON(",
+				"		incomplete := false && isIncompleteJSON(",
+			},
+		},
+	},
+	{
+		Name:      "the cut body of an error is not forwarded",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestCutErrorKeepsItsStatus",
+		Edits: []Edit{
+			{"internal/adapters/proxy/exchange.go", "	if err == errTruncated || result", "	if result"},
+		},
+	},
 	{
 		Name:      "events that were already forwarded are skipped",
 		Violation: corruptResponse,
