Emulated platform: servers whose answers end with their connection, and clients that see it

The emulated servers always sent a length or chunks and broke off between events; the emulated clients took the end of a connection for the end of an answer, and did not look at text behind the last whole event.

Change: "garble" takes how = "unframed": the servers' answers have neither a length nor chunks; a share breaks off within an event (within the JSON of a plain answer), closed as by a killed process. A server that crashes between two events resets such a connection: nothing else shows it. A client takes no answer without length and chunks for complete, and notes a stream that ends within an event; ORDER counts that. The pass-through of the package's tests keeps its list of servers when a page of it can't be read.

--- a/internal/testbed/replay/attempt.go
+++ b/internal/testbed/replay/attempt.go
@@ -122,6 +122,10 @@
 		seconds, _ := strconv.ParseFloat(text, 64)
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
+	if isCloseDelimited(response) {
+		a.fail(errors.New(causeNoLength))
+		return
+	}
 	if response.StatusCode/100 != 2 {
 		_, err = io.Copy(io.Discard, response.Body)
 	} else if a.request.class.Plain {
@@ -152,8 +156,15 @@
 const (
 	causeMalformed  = "bytes that are not an HTTP response"
 	causeClientLeft = "the client left"
+	causeNoLength   = "the response has neither a length nor chunks, so nothing proves that it is complete"
 )
 
+// isCloseDelimited reports whether nothing but the end of the connection marks the end of a response. Machines always
+// send a length or chunks, since a client can't tell such an end from a crash.
+func isCloseDelimited(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // readPlain reads the response to a plain request, which is one JSON object.
 func (a *attempt) readPlain(body io.Reader) error {
 	content, err := io.ReadAll(body)
@@ -178,6 +189,9 @@
 	for {
 		a.extendDeadline(connection)
 		line, err := reader.ReadString('\n')
+		if line != "" {
+			a.event.Truncated = strings.TrimRight(line, "\r\n") != ""
+		}
 		line = strings.TrimRight(line, "\r\n")
 		switch {
 		case err == nil && line == "" && span.ID >= 0:
--- a/internal/testbed/replay/checkers_servers.go
+++ b/internal/testbed/replay/checkers_servers.go
@@ -119,7 +119,8 @@
 }
 
 // checkStreamOrder checks that the events of a stream arrive in order, that none is missing and none
-// arrives twice, and that only an idempotent request gets events of more than one run.
+// arrives twice, that no complete stream ends within an event, and that only an idempotent request gets
+// events of more than one run.
 func checkStreamOrder(r *record, finding *fleet.Finding) {
 	for requestID, attempts := range r.requests {
 		last := 0
@@ -138,6 +139,9 @@
 			}
 			if attempt.finished && attempt.ended.Complete && attempt.ended.Status == 200 {
 				finding.Checked++
+				if attempt.ended.Truncated {
+					finding.Violate(fmt.Sprintf("%s: completed within the event after token %d", requestID, last))
+				}
 				if !slices.ContainsFunc(attempt.runEnds,
 					func(end Event) bool { return end.Complete && end.Tokens == last && (run == "" || end.Seal == run) }) {
 					finding.Violate(fmt.Sprintf("%s: completed with %d tokens, but no run completed with that number", requestID, last))
--- a/internal/testbed/replay/drawn.go
+++ b/internal/testbed/replay/drawn.go
@@ -35,6 +35,7 @@
 		Factor: 0.05,
 		For:    4,
 	}, {Kind: "garble", Share: 0.6, Factor: 0.03, For: 5, How: "extra"},
+	{Kind: "garble", Share: 0.6, Factor: 0.1, For: 5, How: "unframed"},
 	{
 		Kind:  "node_kill",
 		Share: 0.3,
--- a/internal/testbed/replay/eventlog.go
+++ b/internal/testbed/replay/eventlog.go
@@ -81,6 +81,8 @@
 	Status   int    `json:"status,omitempty"`
 	Seal     string `json:"seal,omitempty"`
 	Complete bool   `json:"complete,omitempty"`
+	// Truncated means that a stream ended within an event.
+	Truncated bool `json:"truncated,omitempty"`
 	// GaveUp means that the client closed the connection itself. AnsweredAttempt is the ID of the
 	// attempt that the response names.
 	GaveUp          bool    `json:"gave_up,omitempty"`
--- a/internal/testbed/replay/exchange.go
+++ b/internal/testbed/replay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
@@ -31,12 +32,15 @@
 	ran bool
 	// source is the location of the prompt's KV cache, if another server prefilled the prompt.
 	source string
+	// closeDelimited means that the response has neither a length nor chunks and ends with the connection.
+	closeDelimited bool
+	connection     net.Conn
 }
 
 // newExchange reads the headers of a request.
 func newExchange(server *modelServer, inbound *http.Request, body []byte) *exchange {
 	header := inbound.Header
-	e := &exchange{server: server, header: header, body: body, source: header.Get(headerSource)}
+	e := &exchange{server: server, header: header, body: body, source: header.Get(headerSource), connection: connectionOf(inbound)}
 	deadline, err := strconv.ParseFloat(header.Get(headerDeadline), 64)
 	if err != nil {
 		deadline = 0
@@ -210,6 +214,7 @@
 	server.expireHandles(time.Now())
 	writer.Header().Set(headerAttempt, e.event.AttemptID)
 	server.writeLoadHeader(writer.Header())
+	e.omitLength(writer.Header())
 	revision := server.revision
 	server.mutex.Unlock()
 	if e.fault == answerLost {
@@ -231,6 +236,7 @@
 	if server.draining || server.random.IntN(60) == 0 {
 		header.Set("Connection", "close")
 	}
+	e.omitLength(header)
 }
 
 // spanText formats one event of a stream.
@@ -271,11 +277,18 @@
 				if e.fault != answerLost {
 					e.writeHead(writer.Header())
 					writer.WriteHeader(http.StatusOK)
+					e.resetIfAborted()
 				}
 				headWritten = true
 			}
+			text := e.spanText(sent+1, generated)
+			if e.fault == answerCutOff && e.closeDelimited && generated-e.lastEventID > 1 {
+				ended.Cause = "broken off within an event"
+				e.abandon()
+				e.cutWithin(writer, text)
+			}
 			if e.fault != answerLost {
-				_, _ = writer.Write([]byte(e.spanText(sent+1, generated)))
+				_, _ = writer.Write([]byte(text))
 				_ = flusher.Flush()
 			}
 			sent = generated
@@ -298,6 +311,7 @@
 				writer.WriteHeader(http.StatusOK)
 			}
 			ended.Complete, ended.Status, ended.Tokens = true, http.StatusOK, sent
+			e.endRegularly()
 			return
 		case cause == "left" || headWritten:
 			ended.Cause = cause
@@ -350,7 +364,7 @@
 	text := e.plainText(generated)
 	e.writeHead(writer.Header())
 	writer.Header().Set("Content-Type", "application/json")
-	if ended.Status == http.StatusOK {
+	if ended.Status == http.StatusOK && !e.closeDelimited {
 		writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	}
 	writer.WriteHeader(ended.Status)
@@ -359,9 +373,7 @@
 	}
 	if e.fault == answerCutOff {
 		ended.Cause, ended.Complete = "broken off", false
-		_, _ = writer.Write([]byte(text[:len(text)/2]))
-		_ = http.NewResponseController(writer).Flush()
-		panic(http.ErrAbortHandler)
+		e.cutWithin(writer, strings.TrimSpace(text))
 	}
 	_, _ = writer.Write([]byte(text))
 }
--- a/internal/testbed/replay/faults_servers.go
+++ b/internal/testbed/replay/faults_servers.go
@@ -124,10 +124,12 @@
 }
 
 // corruptAnswers makes servers corrupt a share of their responses. With the option "extra", half of
-// these responses are complete, but are sent again in place of the next response.
+// these responses are complete, but are sent again in place of the next response. With the option "unframed",
+// the servers' responses end with their connection.
 func (day *Day) corruptAnswers(lifetime context.Context, fault Fault) {
 	day.misbehaveFor(lifetime, fault, 0.5, func(m *misbehaviour) {
 		m.corruptShare, m.duplicates = fault.factorOr(0.02), fault.hasOption("extra")
+		m.closeDelimited = fault.hasOption("unframed")
 	})
 }
 
--- a/internal/testbed/replay/misbehaviour.go
+++ b/internal/testbed/replay/misbehaviour.go
@@ -15,6 +15,9 @@
 	corruptShare float64
 	lostShare    float64
 	duplicates   bool
+	// closeDelimited means that responses have neither a length nor chunks and end with their connection. Of
+	// these, the streams that are cut off end within an event.
+	closeDelimited bool
 	// failShare is the share of requests that the server fails with status 500. If healthInverted is
 	// set, the server's health responses are the opposite of the truth.
 	failShare      float64
@@ -43,6 +46,9 @@
 		if m.duplicates && random.IntN(2) == 0 {
 			return answerDuplicated
 		}
+		if m.closeDelimited {
+			return answerCutOff
+		}
 		return []answerFault{answerCutOff, answerMalformed}[random.IntN(2)]
 	case draw < m.lostShare+m.corruptShare+m.failShare:
 		return answerFailed
--- a/internal/testbed/replay/modelserver.go
+++ b/internal/testbed/replay/modelserver.go
@@ -127,6 +127,7 @@
 		IdleTimeout: service.Engine.ConnectionIdle,
 		BaseContext: func(net.Listener) context.Context { return server.lifetime },
 		ConnState:   server.countConnections,
+		ConnContext: withConnection,
 	}
 	pool.events.Append(Event{Kind: ServerStarted, Server: server.ID, Service: server.Service, Zone: zone, Cold: cold})
 	go func() { _ = server.server.Serve(listener) }()
@@ -350,6 +351,7 @@
 		return
 	}
 	e.fault = m.misbehaviour.drawFault(m.random)
+	e.closeDelimited = m.misbehaviour.closeDelimited
 	e.submit(now)
 	m.mutex.Unlock()
 	stop := context.AfterFunc(inbound.Context(), func() {
--- a/internal/testbed/replay/passthrough_test.go
+++ b/internal/testbed/replay/passthrough_test.go
@@ -69,7 +69,7 @@
 func (p *passThrough) readList() {
 	for {
 		var all []serverEntry
-		token := ""
+		token, isComplete := "", false
 		for {
 			response, err := http.Get("http://" + p.settings.PlatformAPI.Address + pathServers + "?pageToken=" + token)
 			if err != nil {
@@ -82,14 +82,17 @@
 			err = json.NewDecoder(response.Body).Decode(&page)
 			_ = response.Body.Close()
 			all = append(all, page.Servers...)
-			if err != nil || page.NextToken == nil {
+			isComplete = err == nil && page.NextToken == nil
+			if err != nil || isComplete {
 				break
 			}
 			token = *page.NextToken
 		}
-		p.mutex.Lock()
-		p.servers = all
-		p.mutex.Unlock()
+		if isComplete {
+			p.mutex.Lock()
+			p.servers = all
+			p.mutex.Unlock()
+		}
 		time.Sleep(500 * time.Millisecond)
 	}
 }
