Fleet testbed: a metric of a response that broke off has no value

Cause: Metric scanned lines and ignored the scanner's error; a scanner returns what came before an error as a last line, so that a process killed while it sent "12" had the value 1.

Change: the response is read to its end first; if that fails there is no value (-1, as for a process that does not answer).

TestMetricOfACutResponseIsNotRead failed in 2 of 3 subtests before the change and passes.

--- a/internal/testbed/fleet/nodeprocess.go
+++ b/internal/testbed/fleet/nodeprocess.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
-	"bufio"
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -193,16 +193,20 @@
 	return inbound.StatusCode, failure.Wrap(failure.Garbage, json.NewDecoder(inbound.Body).Decode(target))
 }
 
-// Metric reads the value of one of the process's metrics, or -1 if it can't be read.
+// Metric reads the value of one of the process's metrics, or -1 if it can't be read. A response that broke off
+// gives no value, since it may have ended within a number.
 func (n *NodeProcess) Metric(name string) int {
 	inbound, err := probeClient.Get("http://" + n.Node.Address + "/v1/metrics")
 	if err != nil {
 		return -1
 	}
 	defer func() { _ = inbound.Body.Close() }()
-	lines := bufio.NewScanner(inbound.Body)
-	for lines.Scan() {
-		if value, found := strings.CutPrefix(lines.Text(), name+" "); found {
+	text, err := io.ReadAll(inbound.Body)
+	if err != nil {
+		return -1
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(strings.TrimSuffix(line, "\n"), name+" "); found {
 			number, err := strconv.Atoi(value)
 			if err == nil {
 				return number
