Controller command: a JSON response that ends early has the exit code "unknown"

Cause: send took the end of the connection for the end of a controller's response, printed the half and exited with 0. Our controllers send a length or chunks; what stands between them and an operator may not.

--- a/cmd/controller/operator.go
+++ b/cmd/controller/operator.go
@@ -204,6 +204,10 @@
 		if err != nil {
 			return response{}, &exitError{code: exitUnknown, message: printError("the response is incomplete: " + err.Error())}
 		}
+		// The end of the connection may be all that marks the end of a response, also of one that broke off.
+		if received.Header.Get("Content-Type") == "application/json" && !json.Valid(content) {
+			return response{}, &exitError{code: exitUnknown, message: printError("the response is incomplete: its JSON ends early")}
+		}
 		return response{status: received.StatusCode, body: content}, nil
 	}
 	return response{}, &exitError{code: exitUnreachable, message: printError("no controller responded: " + lastError)}
