Proxy: reset the connection of an HTTP/1.0 client when its response breaks off

What callers saw: a client that speaks HTTP/1.0 gets no chunks, so the end of its connection is the end of its answer. A stream that broke off at the router ended with a regular close: a complete answer, pieces missing.

Found by looking for it on related paths.

Change: a response that is aborted ends with a TCP reset where the client speaks HTTP/1.0. HTTP/1.1 clients have a length or chunks and see the close. A router that is killed within such a stream still leaves a regular close: its kernel makes it (docs/design/proxy.md).

--- a/internal/adapters/proxy/bodyend_test.go
+++ b/internal/adapters/proxy/bodyend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -334,3 +336,39 @@
 		t.Fatalf("got outcome %+v, want no handle", outcome)
 	}
 }
+
+// TestInterruptedStreamIsResetForAnHTTP10Client guards against a stream that breaks off and looks complete to a client that
+// speaks HTTP/1.0: it gets no chunks, so nothing but the end of the connection marks the end of its response.
+func TestInterruptedStreamIsResetForAnHTTP10Client(t *testing.T) {
+	for name, test := range map[string]struct {
+		stream   string
+		complete bool
+	}{
+		"complete":    {streamHead("id") + chunk(joinedEvents(1, 2)) + "0\r\n\r\n", true},
+		"interrupted": {streamHead("id") + chunk(joinedEvents(1, 2)), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(test.stream)
+				return false
+			})
+			executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+			frontend, address, _ := openFrontend(t, executor, time.Now)
+			client, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = client.Close() }()
+			_, _ = io.WriteString(client, "POST /x HTTP/1.0\r\nHost: h\r\nSeamloom-Call: id\r\nContent-Length: 1\r\n\r\nx")
+			got, err := io.ReadAll(client)
+			if test.complete != (err == nil) || test.complete && !strings.HasSuffix(string(got), joinedEvents(1, 2)) {
+				t.Fatalf("got %q and error %v, want complete %v", got, err, test.complete)
+			}
+			waitUntil(t, "the connection is forgotten", func() bool {
+				frontend.mutex.Lock()
+				defer frontend.mutex.Unlock()
+				return len(frontend.connections) == 0
+			})
+		})
+	}
+}
--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -87,10 +88,30 @@
 	if result == endInterrupted || result == endClientGone {
 		// A normal return would complete the response; this panic makes net/http abort the
 		// connection instead.
+		if !inbound.ProtoAtLeast(1, 1) {
+			resetConnection(writer)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// resetConnection closes the client's connection with a TCP reset. HTTP/1.0 has no chunks, so for its clients a
+// regular close would mark the end of a complete response.
+func resetConnection(writer http.ResponseWriter) {
+	connection, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return
+	}
+	raw := connection
+	if tracked, isTracked := connection.(*clientConn); isTracked {
+		raw = tracked.Conn
+	}
+	if tcp, isTCP := raw.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 // serve serves one call and returns how the call ended.
 func (h *Handler) serve(writer http.ResponseWriter, inbound *http.Request, startTime time.Time) ending {
 	arrived := h.now()
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -890,6 +890,15 @@
 			{"internal/adapters/proxy/exchange.go", "	if err == errTruncated || result", "	if result"},
 		},
 	},
+	{
+		Name:      "a response that breaks off does not look complete to an HTTP/1.0 client",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestInterruptedStreamIsResetForAnHTTP10Client",
+		Edits: []Edit{
+			{"internal/adapters/proxy/handler.go", "		if !inbound.ProtoAtLeast(1, 1) {", "		if false {"},
+		},
+	},
 	{
 		Name:      "events that were already forwarded are skipped",
 		Violation: corruptResponse,
