--- a/internal/adapters/proxy/bodyend_test.go
+++ b/internal/adapters/proxy/bodyend_test.go
@@ -162,6 +162,60 @@
 	}
 }
 
+// TestCloseDelimitedStreamThatTheRouterEndsIsNotComplete guards against a stream that looks complete because the router
+// itself closes the connection to its server: after a stalled event stream, or at the deadline.
+func TestCloseDelimitedStreamThatTheRouterEndsIsNotComplete(t *testing.T) {
+	for name, limits := range map[string]struct{ streamTimeout, deadline time.Duration }{
+		"stream timeout": {30 * time.Millisecond, 5 * time.Second},
+		"deadline":       {0, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+				connection.writeText(closeDelimitedStream("id") + joinedEvents(1, 2))
+				_, _ = connection.reader.Peek(1)
+				return false
+			})
+			executor := &scriptedExecutor{decide: func(number int, outcome scheduler.Outcome) scheduler.Decision {
+				if number > 0 {
+					return finalDecision(outcome)
+				}
+				return scheduler.Decision{Kind: scheduler.Generate, Server: server.record, Priority: -1,
+					StreamTimeout: limits.streamTimeout, Deadline: time.Now().Add(limits.deadline)}
+			}}
+			got := newRouter(t, executor).send(t, "id", "body")
+			if got.failure == nil || string(got.body) != joinedEvents(1, 2) || executor.last().Result != scheduler.Interrupted {
+				t.Fatalf("got %+v and outcome %+v, want two events, then an aborted response", got, executor.last())
+			}
+		})
+	}
+}
+
+// TestCloseDelimitedStreamThatIsResetIsNotComplete guards against a reset between two events that is taken for the end of
+// the stream.
+func TestCloseDelimitedStreamThatIsResetIsNotComplete(t *testing.T) {
+	forwarded := make(chan bool)
+	server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+		connection.writeText(closeDelimitedStream("id") + joinedEvents(1, 2))
+		<-forwarded
+		connection.reset()
+		return false
+	})
+	executor := &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })}
+	response, err := http.DefaultClient.Do(newRouter(t, executor).request(t, http.MethodPost, "/", "id", "body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	events := make([]byte, len(joinedEvents(1, 2)))
+	if _, err := io.ReadFull(response.Body, events); err != nil {
+		t.Fatal(err)
+	}
+	close(forwarded)
+	if rest, err := io.ReadAll(response.Body); err == nil || len(rest) > 0 || executor.last().Result != scheduler.Interrupted {
+		t.Fatalf("got %q, error %v and outcome %+v, want an aborted response", rest, err, executor.last())
+	}
+}
+
 // resumeAt returns a decide function that sends a call to the servers one after the other, as long as no response
 // is complete, with a deadline of five seconds.
 func resumeAt(servers ...*fakeServer) func(number int, outcome scheduler.Outcome) scheduler.Decision {
