Proxy tests: the faulty fleet also has servers whose answers end with their connection

Change: three more faults: a complete answer that ends with its connection, one cut within an event, one without an event; for prefills a complete and a cut handle. The checks are the same: a complete answer has all its events.

--- a/internal/adapters/proxy/fleet_test.go
+++ b/internal/adapters/proxy/fleet_test.go
@@ -89,6 +89,12 @@
 			case 4:
 				connection.writeText(responseText(200, id, `{"handle":"h-`+id+`"}`)[:40])
 				return false
+			case 14:
+				connection.writeText(closeDelimitedHead(id, "application/json") + `{"handle":"h-` + id + `"}`)
+				return false
+			case 15:
+				connection.writeText(closeDelimitedHead(id, "application/json") + `{"handle":"h-` + id)
+				return false
 			}
 			return respond(responseText(200, id, `{"handle":"h-`+id+`"}`))
 		}
@@ -100,8 +106,11 @@
 		log.recordRun(id)
 		first, _ := strconv.Atoi(inbound.Header.Get("Last-Event-Id"))
 		text := streamHead(id)
+		events := ""
 		for number := first + 1; number <= eventCount; number++ {
-			text += chunk("id: " + strconv.Itoa(number) + "\ndata: " + id + " event " + strconv.Itoa(number) + "\n\n")
+			event := "id: " + strconv.Itoa(number) + "\ndata: " + id + " event " + strconv.Itoa(number) + "\n\n"
+			text += chunk(event)
+			events += event
 		}
 		text += "0\r\n\r\n"
 		switch behavior {
@@ -139,6 +148,20 @@
 			connection.writeText(text[:middle])
 			time.Sleep(time.Millisecond)
 			return respond(text[middle:])
+		case 14:
+			connection.writeText(closeDelimitedStream(id) + events)
+			return false
+		case 15:
+			// The connection ends within an event.
+			cut := draw(len(events) + 1)
+			for cut > 0 && strings.HasSuffix(events[:cut], "\n\n") {
+				cut--
+			}
+			connection.writeText(closeDelimitedStream(id) + events[:cut])
+			return false
+		case 16:
+			connection.writeText(closeDelimitedStream(id))
+			return false
 		}
 		return respond(text)
 	}
