--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,8 +15,8 @@
 // cases are the cases by name. A case returns a description of what broke the rule, empty if the rule held.
 var cases = map[string]func(f *fleet, disrupted bool) (string, error){
 	"extra-answer": extraAnswer,
-	"options":      options,
 	"silence":      silence,
+	"takeover":     takeover,
 }
 
 func main() { os.Exit(play()) }
