Replication: replicas stay in sync at a takeover until another has the state

Cause: a new primary of a core of two replicas took the other one out of the membership, unless it responded just then, and led alone until a backup was installed. Its disk was the only one that could lead.

Ruled out: time, missing witnesses, the exchange of a silent backup (one grant already).

Change: all replicas in sync stay in the membership at a takeover and at a transfer. The new primary shows and commits nothing until one grant names another replica that has its state. The path that went on alone after ReplacementTimeout is gone. Store.LeadHidden is now the only Lead; the store's unit tests call ResumeCommits, as the grant of a backup does.

Why it works: nothing is acknowledged or shown between the takeover and the grant, so each of the kept replicas still has all that was; the grant takes the right to lead from the old one before the first commit.

The simulated cores also check that nothing shown before is gone.

--- a/internal/replication/backups.go
+++ b/internal/replication/backups.go
@@ -162,32 +162,25 @@
 		}
 	}
 	if c.membershipUnknown && c.witness.Membership().Primary.Identity == c.witness.Replica().Identity {
-		c.grantWithoutBackup(len(candidates) == 0 && c.shortOfReplicas())
+		c.grantUnchangedBackups()
 	}
 }
 
-// grantWithoutBackup proposes the membership again although no backup could be installed, so that
-// reads and leases continue from this replica. It keeps the backups of the membership, unless the
-// store is hidden and dropBackups is set because no other controller is available.
-func (c *Coordinator) grantWithoutBackup(dropBackups bool) {
+// grantUnchangedBackups proposes the membership again because no backup could be installed. The backups
+// stay in it, whether they respond or not: each of them has every acknowledged change and may lead if the
+// primary's disk is lost.
+func (c *Coordinator) grantUnchangedBackups() {
 	granted, err := c.proposeMembership(func(base Membership) (Membership, bool) {
 		if base.Primary.Identity != c.witness.Replica().Identity {
 			return base, false
 		}
-		if c.store.Hidden() && dropBackups {
-			return base.WithReplicas(c.withZone(c.witness.Replica()), nil), true
-		}
 		base.Primary = c.withZone(c.witness.Replica())
 		return base, true
 	})
 	if failure.CodeOf(err) == failure.Deposed {
 		c.stepDown("deposed", granted)
 	} else if err == nil {
-		if granted.Backup.Empty() {
-			c.store.Unhide(granted.Epoch)
-		} else {
-			c.store.SetEpoch(granted.Epoch)
-		}
+		c.store.SetEpoch(granted.Epoch)
 		c.renewLease(granted)
 	}
 }
--- a/internal/replication/campaign.go
+++ b/internal/replication/campaign.go
@@ -74,7 +74,7 @@
 		if !base.InSync(own.Identity) {
 			return base, false
 		}
-		return base.WithReplicas(c.withZone(own), c.backupsAfterTakeover(base)), true
+		return base.WithReplicas(c.withZone(own), base.InSyncExcept(own.Identity)), true
 	})
 	if err != nil {
 		// The jitter, which depends on the identity, keeps candidates that collided from colliding
@@ -123,19 +123,16 @@
 	return m.HasQuorum(permitting)
 }
 
-// takeOver makes this controller lead under the membership that was granted to it. While other
-// replicas count as in sync, the store's state can't be read until each of them has the same state
-// or has left the membership.
+// takeOver makes this controller lead under the membership that was granted to it. The other replicas
+// that were in sync stay in the membership, so that each of them may lead if this disk is lost. The
+// store's state can't be read, and nothing is committed, until the membership names only replicas that
+// have the same state, and at least one besides this one.
 func (c *Coordinator) takeOver(granted Membership) {
-	lead := c.store.Lead
-	if !granted.Backup.Empty() {
-		lead = c.store.LeadHidden
-	}
-	if err := lead(granted.Epoch); err != nil {
+	if err := c.store.Lead(granted.Epoch); err != nil {
 		c.observe("takeover_failed", "cause", err)
 		return
 	}
-	c.membershipUnknown = c.store.Hidden()
+	c.membershipUnknown = true
 	c.shortSince = time.Time{}
 	c.mutex.Lock()
 	c.leadsSince = c.runtime.Now()
@@ -185,29 +182,3 @@
 	}
 	return now.Sub(c.quorumFreeSince) < earlier*candidateStagger
 }
-
-// backupsAfterTakeover returns the replicas that a new primary keeps as backups.
-//
-// With two replicas in sync, the other one is dropped: the new primary has no backup until one is
-// installed, and its state can be read at once. The other one is kept only if it is a backup that
-// responds and the membership already names this controller as primary (by a transfer of leadership,
-// or since before it restarted).
-//
-// With three or more replicas in sync, all others are kept, because a second loss must still leave a
-// complete replica; the state can't be read until all replicas in sync have the same state.
-func (c *Coordinator) backupsAfterTakeover(membership Membership) []Replica {
-	if len(membership.InSyncReplicas()) < 3 {
-		if _, alive := c.alive(membership.Backup.Identity, responseFreshness); alive &&
-			membership.Primary.Identity == c.witness.Replica().Identity {
-			return membership.Backups()
-		}
-		return nil
-	}
-	var others []Replica
-	for _, replica := range append(membership.Backups(), membership.Primary) {
-		if replica.Identity != c.witness.Replica().Identity {
-			others = append(others, replica)
-		}
-	}
-	return others
-}
--- a/internal/replication/explore_test.go
+++ b/internal/replication/explore_test.go
@@ -48,8 +48,10 @@
 	installed     snapshotOrder
 	// membershipUnknown is set from when the machine, as primary, begins a proposal until a proposal of it
 	// is granted: meanwhile the machine does not know on which membership the core has agreed, and writes
-	// nothing.
+	// nothing. A new primary also writes nothing until it has been granted a backup.
 	membershipUnknown bool
+	// hidden is set from a takeover until a backup is granted: readers see nothing meanwhile.
+	hidden bool
 }
 
 // writeInFlight is a write of a primary, under the epoch of its version. It is synced once the
@@ -81,6 +83,8 @@
 	delayed      []delayedMessage
 	acknowledged int
 	newest       Membership
+	// lost counts the disks that were lost. The core is to survive the loss of one.
+	lost int
 	// The numbers of events of each kind that may still happen.
 	proposals, crashes, restarts, wipes, writes, delays, duplicates, transfers int
 }
@@ -103,6 +107,10 @@
 	acceptsOlderSnapshots       injectedFault = "a backup installs snapshots in any order"
 	unfenced                    injectedFault = "a backup checks neither epoch nor order"
 	readsUnsynced               injectedFault = "readers see a write that only the primary has"
+	dropsReplicaAtTakeover      injectedFault = "a new primary drops the other replica before it has a backup"
+	dropsReplicaAtTransfer      injectedFault = "a transfer of leadership drops the old primary"
+	readsBeforeInstallation     injectedFault = "a new primary lets readers see its state before it has a backup"
+	staleReplicaStays           injectedFault = "a replica that lacks the snapshot stays in sync"
 )
 
 // explorer visits every reachable state once.
@@ -206,7 +214,7 @@
 			byte(witness.record.Promised), byte(member.version)), witness.leaseHolder...)
 		text = appendMembership(text, witness.record.Membership)
 		text = appendFlags(text, witness.leaseEnds.IsZero(), member.up, member.leads, member.lease,
-			member.write.synced, member.membershipUnknown)
+			member.write.synced, member.membershipUnknown, member.hidden)
 		text = append(text, byte(member.view), byte(member.write.version), byte(member.write.epoch))
 		if ordered {
 			text = append(text, byte(member.snapshotCount), byte(member.installed.epoch), byte(member.installed.sequence))
@@ -225,7 +233,7 @@
 		text = append(text, byte(message.snapshot))
 		text = appendMembership(text, message.membership)
 	}
-	text = append(text, byte(c.acknowledged), byte(c.proposals), byte(c.crashes), byte(c.restarts),
+	text = append(text, byte(c.acknowledged), byte(c.lost), byte(c.proposals), byte(c.crashes), byte(c.restarts),
 		byte(c.wipes), byte(c.writes), byte(c.delays), byte(c.duplicates), byte(c.transfers))
 	text = appendMembership(text, c.newest)
 	hash := fnv.New128a()
@@ -281,12 +289,15 @@
 // check returns a description of the violated invariant, or an empty string. The invariants are: At
 // most one primary has a lease. The readers of a primary with a lease see every acknowledged write,
 // and no write that is missing on a replica in sync. Every replica in sync of the newest membership
-// has every acknowledged write.
+// has every acknowledged write. If one disk were lost, a replica in sync would be left that has every
+// acknowledged write.
 func (c *coreState) check() string {
 	leaseHolders := 0
 	for _, member := range c.members {
 		if member.up && member.lease {
 			leaseHolders++
+		}
+		if member.up && member.lease && !member.hidden {
 			if member.view < c.acknowledged {
 				return fmt.Sprintf("%s has the lease and shows write %d, but write %d was acknowledged", member.identity(), member.view, c.acknowledged)
 			}
@@ -301,9 +312,38 @@
 	if durable := c.durable(); durable < c.acknowledged {
 		return fmt.Sprintf("a replica in sync of the newest membership has write %d, but write %d was acknowledged", durable, c.acknowledged)
 	}
+	return c.checkReplicas()
+}
+
+// checkReplicas returns a description of a membership on which a takeover could be based and whose
+// complete replicas would all be gone after the loss of one disk, or an empty string.
+func (c *coreState) checkReplicas() string {
+	wanted := max(2-c.lost, 1)
+	for _, member := range c.members {
+		membership := member.witness.record.Membership
+		if membership.Epoch < c.newest.Epoch {
+			continue
+		}
+		if complete := c.completeReplicas(membership); complete < wanted {
+			return fmt.Sprintf("%d replicas of the membership of epoch %d have write %d, want %d after %d lost disks",
+				complete, membership.Epoch, c.acknowledged, wanted, c.lost)
+		}
+	}
 	return ""
 }
 
+// completeReplicas counts the replicas in sync of a membership whose disks exist and have every
+// acknowledged write.
+func (c *coreState) completeReplicas(membership Membership) int {
+	complete := 0
+	for _, member := range c.members {
+		if membership.InSync(member.identity()) && member.version >= c.acknowledged {
+			complete++
+		}
+	}
+	return complete
+}
+
 // String returns the state in one line, for the path to a violation.
 func (c *coreState) String() string {
 	var text strings.Builder
@@ -314,8 +354,8 @@
 			text.WriteString(" down")
 		}
 		if member.leads {
-			fmt.Fprintf(&text, " leads %d with %s shows v%d lease %t unknown %t write %+v", member.membership.Epoch,
-				member.membership.Backup.Identity, member.view, member.lease, member.membershipUnknown, member.write)
+			fmt.Fprintf(&text, " leads %d with %s shows v%d hidden %t lease %t unknown %t write %+v", member.membership.Epoch,
+				member.membership.Backup.Identity, member.view, member.hidden, member.lease, member.membershipUnknown, member.write)
 		}
 		if member.proposal != nil {
 			fmt.Fprintf(&text, " proposes epoch %d for %s", member.proposal.epoch, member.plan)
@@ -452,7 +492,7 @@
 		if state.restarts > 0 {
 			branch(func(next *coreState, member *coreMember) { next.restarts--; next.restart(e, member) })
 		}
-		if state.wipes > 0 && state.canWipe(i) {
+		if state.wipes > 0 {
 			branch(func(next *coreState, member *coreMember) { next.wipe(member) })
 		}
 		return
@@ -497,19 +537,8 @@
 	}
 }
 
-// canWipe reports whether a core has to tolerate the loss of the machine's disk: all other machines
-// are up, there is a backup, and no witness is being replaced.
-func (c *coreState) canWipe(i int) bool {
-	for other, member := range c.members {
-		if other != i && !member.up {
-			return false
-		}
-	}
-	return !c.newest.Backup.Empty() && len(c.newest.Incoming) == 0
-}
-
 func (c *coreMember) crash() {
-	c.up, c.leads, c.lease, c.membershipUnknown, c.proposal, c.plan = false, false, false, false, nil, ""
+	c.up, c.leads, c.lease, c.membershipUnknown, c.hidden, c.proposal, c.plan = false, false, false, false, false, nil, ""
 	c.view, c.write, c.snapshotCount, c.installed = 0, writeInFlight{}, 0, snapshotOrder{}
 	c.membership = Membership{}
 	clear(c.renewedBy)
@@ -530,6 +559,7 @@
 // wipe gives the machine a blank disk, and with it a new identity.
 func (c *coreState) wipe(member *coreMember) {
 	c.wipes--
+	c.lost++
 	member.incarnations++
 	replica := Replica{Identity: Identity(fmt.Sprintf("%s'", member.identity())), Address: member.witness.self.Address}
 	member.witness = &Witness{
@@ -562,7 +592,7 @@
 		}
 		branch(func(next *coreState, member *coreMember) {
 			installed := next.members[other]
-			if e.replicate(installed, member.takeSnapshot(other)) {
+			if e.injectedFault == staleReplicaStays || e.replicate(installed, member.takeSnapshot(other)) {
 				begin(next, member, "pair "+string(installed.identity()))
 			}
 		})
@@ -649,9 +679,17 @@
 	return func(base Membership) (Membership, bool) {
 		switch parts[0] {
 		case "takeover":
-			return base.WithReplicas(own, nil), fault == anyReplicaIsCandidate || base.InSync(own.Identity)
+			others := base.InSyncExcept(own.Identity)
+			if fault == dropsReplicaAtTakeover {
+				others = nil
+			}
+			return base.WithReplicas(own, others), fault == anyReplicaIsCandidate || base.InSync(own.Identity)
 		case "transfer":
-			return base.WithReplicas(base.Backup, []Replica{own}),
+			others := base.InSyncExcept(base.Backup.Identity)
+			if fault == dropsReplicaAtTransfer {
+				others = nil
+			}
+			return base.WithReplicas(base.Backup, others),
 				base.Epoch == led.Epoch && base.Primary.Identity == own.Identity && !base.Backup.Empty()
 		case "pair":
 			for _, other := range state.members {
@@ -755,11 +793,14 @@
 	}
 	transferred := member.plan == "transfer"
 	if !member.leads {
-		// A new primary lets readers see everything that its replica has.
+		// A new primary takes everything that its replica has as committed, but shows nothing yet.
 		member.view, member.write = member.version, writeInFlight{}
+		member.hidden = e.injectedFault != readsBeforeInstallation
+		member.membershipUnknown = true
+	} else {
+		member.hidden, member.membershipUnknown = false, false
 	}
 	member.leads, member.membership, member.proposal, member.plan = !transferred, p.next, nil, ""
-	member.membershipUnknown = false
 	if transferred {
 		member.membership, member.view, member.write = Membership{}, 0, writeInFlight{}
 	}
@@ -852,6 +893,10 @@
 // coreOfThree returns a core of three machines with a budget.
 func coreOfThree(b budget) *coreState { return newCore(3, b) }
 
+// takeoverWithLostDisk is the budget for the returns of three killed machines, of which one is killed
+// once more and may lose its disk.
+var takeoverWithLostDisk = budget{proposals: 2, crashes: 1, restarts: 4, wipes: 1}
+
 // newCore returns a core with a budget and the given number of witnesses, two of which are replicas
 // in sync.
 func newCore(witnesses int, b budget) *coreState {
@@ -877,6 +922,21 @@
 	return five
 }
 
+// allKilled returns a core of three machines that were all killed while a write was in flight, which is
+// on the primary's disk only, on the backup's disk only, or on neither.
+func allKilled(b budget, onPrimary, onBackup bool) *coreState {
+	state := coreOfThree(b)
+	for i, written := range []bool{onPrimary, onBackup} {
+		if written {
+			state.members[i].version++
+		}
+	}
+	for _, member := range state.members {
+		member.crash()
+	}
+	return state
+}
+
 // TestElectionAndReplicationExplored visits every state that limited cores can reach with crashes,
 // a lost disk, a replaced witness, a transfer of leadership, late acknowledgements and delayed
 // messages. It uses the production types Witness, Membership and proposal.
@@ -896,6 +956,8 @@
 			coreOfThree(budget{proposals: 1, crashes: 1, writes: 1, delays: 1, duplicates: 1}),
 		},
 		{"five witnesses, two candidates", fiveWithoutPrimary()},
+		{"all killed, a disk lost during the takeover, a write on the primary", allKilled(takeoverWithLostDisk, true, false)},
+		{"all killed, a disk lost during the takeover, a write on the backup", allKilled(takeoverWithLostDisk, false, true)},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			t.Parallel()
@@ -932,6 +994,10 @@
 		{acceptsOlderSnapshots, budget{proposals: 1, crashes: 1, writes: 1, delays: 1}},
 		{unfenced, budget{proposals: 2, crashes: 1, writes: 1, delays: 1}},
 		{readsUnsynced, budget{proposals: 1, writes: 1}},
+		{dropsReplicaAtTakeover, budget{proposals: 1, crashes: 1}},
+		{dropsReplicaAtTransfer, budget{proposals: 1, transfers: 1}},
+		{readsBeforeInstallation, budget{proposals: 1, crashes: 1, restarts: 1, writes: 1}},
+		{staleReplicaStays, budget{proposals: 2, crashes: 1, writes: 1}},
 	} {
 		t.Run(string(row.injectedFault), func(t *testing.T) {
 			t.Parallel()
@@ -968,6 +1034,9 @@
 		{"three, a lost disk and a transfer", func() *coreState {
 			return newCore(3, budget{proposals: 4, crashes: 2, restarts: 2, wipes: 1, writes: 2, delays: 1, transfers: 1})
 		}},
+		{"three, all killed, a disk lost during the takeover", func() *coreState {
+			return allKilled(budget{proposals: 5, crashes: 2, restarts: 5, wipes: 1, writes: 1, delays: 1}, true, false)
+		}},
 		{"five, writes", func() *coreState {
 			return newCore(5, budget{proposals: 2, crashes: 2, restarts: 1, writes: 2, delays: 3, duplicates: 1})
 		}},
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -40,6 +40,21 @@
 	return append([]Replica{m.Primary}, m.Backups()...)
 }
 
+// InSyncExcept returns the replicas in sync other than the one with the identity: first the backups, then
+// the primary.
+func (m Membership) InSyncExcept(identity Identity) []Replica {
+	if m.Primary.Empty() {
+		return nil
+	}
+	var others []Replica
+	for _, replica := range append(m.Backups(), m.Primary) {
+		if replica.Identity != identity {
+			others = append(others, replica)
+		}
+	}
+	return others
+}
+
 // WithReplicas returns the membership with another primary and other backups.
 func (m Membership) WithReplicas(primary Replica, backups []Replica) Membership {
 	m.Primary, m.Backup, m.FurtherBackups = primary, Replica{}, nil
--- a/internal/replication/renewal.go
+++ b/internal/replication/renewal.go
@@ -7,7 +7,7 @@
 )
 
 // HasLease reports whether this controller may answer as primary at this moment: its own lease is
-// active, the store leads, and its state may be read (see Store.LeadHidden). HasLease is checked last
+// active, the store leads, and its state may be read (see Store.Lead). HasLease is checked last
 // before each response, after all waiting, so that a process that was frozen meanwhile finds its lease
 // expired. docs/design/control-safety.md, point 1.
 func (c *Coordinator) HasLease() bool {
--- a/internal/replication/simulation_test.go
+++ b/internal/replication/simulation_test.go
@@ -179,7 +179,9 @@
 	acknowledgedRevision int
 	submittedRevision    int
 	acknowledgedWrites   int
-	log                  []string
+	// shownRevision is the revision that the last primary with a lease showed.
+	shownRevision int
+	log           []string
 	// tolerated is how many disks may be lost at once. lossesLeft is how many more disks may be lost
 	// before the core has recovered, and lostSpares are the spares whose disks were lost since the
 	// core last recovered.
@@ -474,6 +476,13 @@
 	return revision
 }
 
+// submitRevision submits a configuration with the revision to a machine.
+func (c *cluster) submitRevision(m *machine, revision int, done Done) {
+	m.store.Submit(ChangeConfiguration("", "", nil, PreparedConfiguration{}, func([]byte) ([]byte, error) {
+		return []byte(`{"routes":{"` + strconv.Itoa(revision) + `":{"to":{"refuse":true}}}}`), nil
+	}), done)
+}
+
 // write submits the next revision to a machine and commits it. The machine may crash between any
 // two steps.
 func (c *cluster) write(m *machine) {
@@ -482,9 +491,7 @@
 	}
 	c.submittedRevision++
 	revision := c.submittedRevision
-	m.store.Submit(ChangeConfiguration("", "", nil, PreparedConfiguration{}, func([]byte) ([]byte, error) {
-		return []byte(`{"routes":{"` + strconv.Itoa(revision) + `":{"to":{"refuse":true}}}}`), nil
-	}), func(version Version, err error) {
+	c.submitRevision(m, revision, func(_ Version, err error) {
 		if err == nil && m.coordinator.HasLease() {
 			c.acknowledgedWrites++
 			c.acknowledgedRevision = max(c.acknowledgedRevision, revision)
@@ -570,7 +577,7 @@
 }
 
 // check checks two invariants: at most one machine has the lease, and the machine that has it shows
-// every write that was acknowledged before.
+// every write that was acknowledged or shown before.
 func (c *cluster) check() {
 	var leaders []string
 	for _, m := range c.machines {
@@ -582,9 +589,14 @@
 		if err != nil {
 			c.fail("%s: %v", m.address, err)
 		}
-		if revision := revisionIn(state.Configuration); revision < c.acknowledgedRevision {
+		revision := revisionIn(state.Configuration)
+		if revision < c.acknowledgedRevision {
 			c.fail("%s shows revision %d, but revision %d was acknowledged", m.address, revision, c.acknowledgedRevision)
 		}
+		if revision < c.shownRevision {
+			c.fail("%s shows revision %d, but revision %d was shown before", m.address, revision, c.shownRevision)
+		}
+		c.shownRevision = revision
 	}
 	if len(leaders) > 1 {
 		c.fail("got several primaries at once: %v", leaders)
--- a/internal/replication/store.go
+++ b/internal/replication/store.go
@@ -75,20 +75,14 @@
 func (s *Store) SetLock(lock sync.Locker) { s.mutex = lock }
 
 // Lead makes this store the store of the primary for an epoch: it takes the local replica as the
-// committed state, writes an empty batch with the first version of the epoch, and makes the state
-// readable. The replica must be in sync, so that it has every acknowledged change; it may also have
-// a batch that was never acknowledged, which Lead commits. If the store leads already, Lead only sets
-// the epoch. Codes: Damaged, Disk, Garbage.
-func (s *Store) Lead(epoch uint64) error { return s.lead(epoch, false) }
-
-// LeadHidden is like Lead, for a membership with other replicas in sync. Until ResumeCommits is called,
-// View returns nil and nothing is committed; Unhide makes the state readable without allowing commits.
-// The caller may call either only once each of the other replicas has the same version or is no longer
-// in the membership: before that, one of them could become primary without the unacknowledged batch that
-// this replica may have.
-func (s *Store) LeadHidden(epoch uint64) error { return s.lead(epoch, true) }
-
-func (s *Store) lead(epoch uint64, hidden bool) error {
+// committed state and writes an empty batch with the first version of the epoch. The replica must be in
+// sync, so that it has every acknowledged change; it may also have a batch that was never acknowledged,
+// which Lead commits. Until ResumeCommits is called, View returns nil and nothing else is committed: the
+// caller may call it only once every replica of the membership has this state, and there is at least one
+// besides this one. Before that, another replica could become primary without the unacknowledged batch,
+// or the only disk with it could be lost. If the store leads already, Lead only sets the epoch.
+// Codes: Damaged, Disk, Garbage.
+func (s *Store) Lead(epoch uint64) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.leading {
@@ -108,8 +102,8 @@
 	if err != nil {
 		return err
 	}
-	s.leading, s.paused, s.epoch, s.working = true, hidden, epoch, working
-	s.hidden.Store(hidden)
+	s.leading, s.paused, s.epoch, s.working = true, true, epoch, working
+	s.hidden.Store(true)
 	s.view.Store(&View{Version: stamped, Sections: sections})
 	return nil
 }
@@ -313,15 +307,6 @@
 	s.epoch = epoch
 }
 
-// Unhide sets the granted epoch and makes the state readable, when this replica has become the only
-// one in sync. Commits stay paused.
-func (s *Store) Unhide(epoch uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.hidden.Store(false)
-	s.epoch = epoch
-}
-
 // SetEpoch sets a newly granted epoch while commits stay paused.
 func (s *Store) SetEpoch(epoch uint64) {
 	s.mutex.Lock()
--- a/internal/replication/store_test.go
+++ b/internal/replication/store_test.go
@@ -27,6 +27,7 @@
 	if err := store.Lead(1); err != nil {
 		t.Fatal(err)
 	}
+	store.ResumeCommits(1)
 	return store
 }
 
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -55,18 +55,9 @@
 		if base.Primary.Identity != c.witness.Replica().Identity || !hasReplica(base.Backups(), next.Identity) {
 			return base, false
 		}
-		var others []Replica
-		if len(base.InSyncReplicas()) > 2 || c.isLeaving() {
-			// All replicas stay in sync: the new primary answers no request before each of the
-			// others has the same state or has left the membership. A leaving replica stays in
-			// sync until another one has replaced it.
-			for _, replica := range append(base.Backups(), base.Primary) {
-				if replica.Identity != next.Identity {
-					others = append(others, replica)
-				}
-			}
-		}
-		return base.WithReplicas(next, others), true
+		// All replicas stay in sync: the new primary answers no request before each of the others has
+		// the same state or has been replaced by one that has.
+		return base.WithReplicas(next, base.InSyncExcept(next.Identity)), true
 	})
 	if err != nil {
 		c.membershipUnknown = true
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -682,8 +682,47 @@
 		Edits: []Edit{
 			{
 				"internal/replication/campaign.go",
-				"	if len(membership.InSyncReplicas()) < 3 {\n		if _, alive",
-				"	if len(membership.InSyncReplicas()) < 30 {\n		if _, alive",
+				"base.WithReplicas(c.withZone(own), base.InSyncExcept(own.Identity)), true",
+				"base.WithReplicas(c.withZone(own), nil), true",
+			},
+		},
+	},
+	{
+		Name:      "the other of two replicas stays in sync at a takeover",
+		Violation: staleRead,
+		Package:   "./internal/replication",
+		Test:      "TestAcknowledgedWritesSurviveALostDiskDuringATakeover",
+		Edits: []Edit{
+			{
+				"internal/replication/campaign.go",
+				"base.WithReplicas(c.withZone(own), base.InSyncExcept(own.Identity)), true",
+				"base.WithReplicas(c.withZone(own), nil), true",
+			},
+		},
+	},
+	{
+		Name:      "the old primary stays in sync at a transfer of leadership",
+		Violation: staleRead,
+		Package:   "./internal/replication",
+		Test:      "TestOldPrimaryStaysInSyncAfterATransfer",
+		Edits: []Edit{
+			{
+				"internal/replication/transfer.go",
+				"base.WithReplicas(next, base.InSyncExcept(next.Identity)), true",
+				"base.WithReplicas(next, nil), true",
+			},
+		},
+	},
+	{
+		Name:      "a new primary shows nothing before a backup has it",
+		Violation: staleRead,
+		Package:   "./internal/replication",
+		Test:      "TestNewPrimaryShowsNothingBeforeABackupHasIt",
+		Edits: []Edit{
+			{
+				"internal/replication/store.go",
+				"	s.hidden.Store(true)\n",
+				"	s.hidden.Store(false)\n",
 			},
 		},
 	},
@@ -1271,8 +1310,8 @@
 		Edits: []Edit{
 			{
 				"internal/replication/transfer.go",
-				"len(base.InSyncReplicas()) > 2 || c.isLeaving()",
-				"len(base.InSyncReplicas()) > 2",
+				"base.WithReplicas(next, base.InSyncExcept(next.Identity)), true",
+				"base.WithReplicas(next, nil), true",
 			},
 		},
 	},
