Proxy: no connection carries one ID twice in succession

Cause: a call that a server turned away may go to the same server again, on the connection that was put back last. A server may send its answer a second time in the place of the next; the check of the ID tells calls apart, not two sendings of one call on one connection.

Change: the pool gives a sending no connection whose last request had its ID; that connection stays for other calls. Beside it, found by a test: a release of a handle took a late answer of a call for its own, and a call a late 404 of a release for its answer; both connections are closed now.

Why it works: the extra answer comes in the place of the next one on its connection, and the next one there has another ID. Closing each connection that turned a call away would cost one for each refusal of a full server.

Three tests of the proxy sent different calls with one ID, which no client does ("every try of a client has its own id"), and counted connections: each call has its own ID now, the checks are unchanged.

--- a/internal/adapters/proxy/exchange.go
+++ b/internal/adapters/proxy/exchange.go
@@ -102,7 +102,7 @@
 		timeout = min(timeout, decision.ResponseTimeout)
 	}
 	attempt.timer = time.AfterFunc(timeout, attempt.expire)
-	conn, err := e.handler.pool.get(ctx, decision.Server, attempt.deadline)
+	conn, err := e.handler.pool.get(ctx, decision.Server, e.call.ID, attempt.deadline)
 	if err != nil {
 		return attempt, attempt.fail(scheduler.Unreachable)
 	}
@@ -198,8 +198,8 @@
 
 // readHead checks the head of the response and reports whether the response is a success
 // whose body remains to be read. A response with the ID of another call belongs to that call,
-// so the response is treated as malformed, as is a success without the call's ID. A failed
-// response is read completely, and the dispatch is over.
+// so the response is treated as malformed, as is a success without the call's ID, and any response without
+// an ID that may belong to the request before. A failed response is read completely, and the dispatch is over.
 func (d *dispatch) readHead() bool {
 	e, response := d.exchange, d.response
 	d.closeDelimited = isCloseDelimited(response)
@@ -208,7 +208,11 @@
 	if response.StatusCode < 200 || response.StatusCode > 599 {
 		return d.fail(scheduler.Malformed)
 	}
-	if id, found := response.Header[protocol.ID]; found && (len(id) != 1 || id[0] != e.call.ID) || !found && success && e.call.ID != "" {
+	id, found := response.Header[protocol.ID]
+	if found && (len(id) != 1 || id[0] != e.call.ID) {
+		return d.fail(scheduler.Malformed)
+	}
+	if !found && e.call.ID != "" && (success || d.conn.previousHadNoID()) {
 		return d.fail(scheduler.Malformed)
 	}
 	d.outcome.Status = response.StatusCode
--- a/internal/adapters/proxy/exchange_test.go
+++ b/internal/adapters/proxy/exchange_test.go
@@ -63,7 +63,7 @@
 	})
 	router := newRouter(t, &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })})
 	for number, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
-		got := send(router.request(t, method, "//twice", "id", "", "Idempotency-Key", "key"))
+		got := send(router.request(t, method, "//twice", "id-"+method, "", "Idempotency-Key", "key"))
 		if got.status != 200 {
 			t.Fatalf("%s: got %+v, want status 200", method, got)
 		}
--- a/internal/adapters/proxy/fakeserver_test.go
+++ b/internal/adapters/proxy/fakeserver_test.go
@@ -41,6 +41,8 @@
 	net.Conn
 	reader *bufio.Reader
 	number int
+	// late is an answer that lateAnswers sends again in the place of the next one.
+	late string
 }
 
 func (c *serverConnection) writeText(text string) { _, _ = io.WriteString(c, text) }
--- a/internal/adapters/proxy/fleet_test.go
+++ b/internal/adapters/proxy/fleet_test.go
@@ -177,18 +177,58 @@
 		seeds, _ = strconv.Atoi(text)
 	}
 	for seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { sendCallsToFaultyFleet(t, uint64(seed), 150) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { sendCallsToFaultyFleet(t, uint64(seed), 150, newFaultyServer) })
+	}
+}
+
+// newServerWithoutHandles starts a model server whose decode side turns every second call with a KV cache away, since its
+// handle has lapsed, and sends a copy of that answer in the place of the next one on the connection.
+func newServerWithoutHandles(t *testing.T, name, role string, log *callLog, _ uint64) *fakeServer {
+	var turnedAway atomic.Int64
+	server := newFakeServer(t, func(connection *serverConnection, inbound *http.Request) bool {
+		id := inbound.Header.Get("Seamloom-Call")
+		connection.writeText(connection.late)
+		connection.late = ""
+		switch {
+		case inbound.Method == http.MethodDelete:
+			connection.writeText(responseText(200, id, ""))
+		case inbound.Header.Get("Seamloom-Stage") != "":
+			connection.writeText(responseText(200, id, `{"handle":"h-`+id+`"}`))
+		case inbound.Header.Get("Seamloom-Source") != "" && turnedAway.Add(1)%2 == 0:
+			connection.late = responseText(503, id, "the handle has lapsed", "Seamloom-Not-Started: 1")
+			connection.writeText(connection.late)
+		default:
+			log.recordRun(id)
+			connection.writeText(streamHead(id))
+			for number := 1; number <= eventCount; number++ {
+				connection.writeText(chunk("id: " + strconv.Itoa(number) + "\ndata: " + id + " event " + strconv.Itoa(number) + "\n\n"))
+			}
+			connection.writeText("0\r\n\r\n")
+		}
+		return true
+	})
+	server.record.Name, server.record.Role, server.record.Service, server.record.Zone, server.record.Slots = name, role, "desk", "north", 64
+	server.record.Models = []string{"m"}
+	return server
+}
+
+// TestCallIsNotRefusedWhileItRuns guards against a refusal, or a second run, of a call that a server runs: its handle had
+// lapsed, and a late copy of that answer was taken for the answer to its second sending.
+func TestCallIsNotRefusedWhileItRuns(t *testing.T) {
+	for seed := range 3 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { sendCallsToFaultyFleet(t, uint64(seed), 150, newServerWithoutHandles) })
 	}
 }
 
 // sendCallsToFaultyFleet sends count calls from four clients to four faulty servers. At least a
 // third of the calls must be served.
-func sendCallsToFaultyFleet(t *testing.T, seed uint64, count int) {
+func sendCallsToFaultyFleet(t *testing.T, seed uint64, count int,
+	newServer func(t *testing.T, name, role string, log *callLog, seed uint64) *fakeServer) {
 	log := &callLog{counts: map[string]int{}}
 	var servers []membership.Server
 	for number := range 4 {
 		role := map[bool]string{true: "prefill", false: "decode"}[number < 2]
-		servers = append(servers, newFaultyServer(t, fmt.Sprint("server-", number), role, log, seed*10+uint64(number)).record)
+		servers = append(servers, newServer(t, fmt.Sprint("server-", number), role, log, seed*10+uint64(number)).record)
 	}
 	configuration := twoRoutes()
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/adapters/proxy/handler.go
+++ b/internal/adapters/proxy/handler.go
@@ -217,7 +217,7 @@
 func (h *Handler) releaseHandle(server membership.Server, handle string) {
 	ctx, cancel := context.WithTimeout(h.ctx, releaseTimeout)
 	defer cancel()
-	conn, err := h.pool.get(ctx, server, time.Now().Add(releaseTimeout))
+	conn, err := h.pool.get(ctx, server, "", time.Now().Add(releaseTimeout))
 	if err != nil {
 		return
 	}
@@ -235,7 +235,10 @@
 	}
 	_, err = readBounded(response.Body, response.ContentLength, maxPrefillResponse)
 	_ = response.Body.Close()
-	if err != nil || response.Close {
+	// A response with an ID is a late one to a call that the connection carried before: the response to the
+	// release is still to come.
+	late := response.Header.Get(h.protocol.ID) != ""
+	if err != nil || response.Close || late {
 		conn.close()
 		return
 	}
--- a/internal/adapters/proxy/meter_test.go
+++ b/internal/adapters/proxy/meter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,14 +13,15 @@
 
 func TestCallOutcomesAreCounted(t *testing.T) {
 	var number atomic.Int64
-	server := newFakeServer(t, func(connection *serverConnection, _ *http.Request) bool {
+	server := newFakeServer(t, func(connection *serverConnection, inbound *http.Request) bool {
+		id := inbound.Header.Get("Seamloom-Call")
 		switch number.Add(1) {
 		case 1:
-			connection.writeText(responseText(200, "id", "x"))
+			connection.writeText(responseText(200, id, "x"))
 		case 2:
-			connection.writeText(responseText(503, "id", "", "Seamloom-Not-Started: 1"))
+			connection.writeText(responseText(503, id, "", "Seamloom-Not-Started: 1"))
 		case 3:
-			connection.writeText(streamHead("id") + chunk(event(1)))
+			connection.writeText(streamHead(id) + chunk(event(1)))
 			return false
 		case 4:
 			return false
@@ -27,8 +29,8 @@
 		return true
 	})
 	router := newRouter(t, &scriptedExecutor{decide: runOnce(func() membership.Server { return server.record })})
-	for range 4 {
-		_ = router.send(t, "id", "")
+	for call := range 4 {
+		_ = router.send(t, "id-"+strconv.Itoa(call), "")
 	}
 	var text bytes.Buffer
 	router.handler.WriteMetrics(&text)
--- a/internal/adapters/proxy/pool.go
+++ b/internal/adapters/proxy/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,8 +65,31 @@
 	incarnation incarnation
 	conn        *trackedConn
 	http        *http.ClientConn
+	// request is the request on the connection, previous the one before it.
+	request, previous carriedRequest
 }
 
+// carriedRequest tells which request a connection carried. A server may send a late copy of its answer in the
+// place of the next one.
+type carriedRequest struct {
+	// id is the request's ID, which its answer repeats; empty if it has none.
+	id string
+	// sent is false if there was no such request.
+	sent bool
+}
+
+// mayBeAnsweredAs reports whether a late answer to the request can't be told from an answer to a request with the ID.
+func (r carriedRequest) mayBeAnsweredAs(id string) bool { return r.sent && r.id != "" && r.id == id }
+
+// carry records that the connection carries a request with the ID.
+func (c *pooledConn) carry(id string) {
+	c.previous, c.request = c.request, carriedRequest{id: id, sent: true}
+}
+
+// previousHadNoID reports whether the connection carried a request without an ID just before the present one. An answer
+// without an ID may then be a late copy of the answer to that request.
+func (c *pooledConn) previousHadNoID() bool { return c.previous.sent && c.previous.id == "" }
+
 // trackedConnKey is the context key of the trackedConn whose embedded Conn the dialer sets.
 type trackedConnKey struct{}
 
@@ -103,16 +127,20 @@
 	return err
 }
 
-// get returns an idle connection that is still usable, or opens one, and starts a call with this
-// deadline on it. An error means that nothing was sent.
-func (p *Pool) get(ctx context.Context, server membership.Server, deadline time.Time) (*pooledConn, error) {
+// get returns an idle connection that is still usable, or opens one, and starts a request with this ID (empty for
+// none) and deadline on it. An error means that nothing was sent.
+//
+// Invariant: no connection carries an ID twice in succession. A late copy of the first answer, which repeats the
+// ID, would be taken for the answer to the second request.
+func (p *Pool) get(ctx context.Context, server membership.Server, id string, deadline time.Time) (*pooledConn, error) {
 	key := incarnationOf(server)
 	for {
-		idle := p.popIdle(key)
+		idle := p.popIdle(key, id)
 		if idle == nil {
 			break
 		}
 		if idle.http.Err() == nil && idle.conn.begin(deadline) {
+			idle.carry(id)
 			return idle, nil
 		}
 		idle.close()
@@ -130,21 +158,23 @@
 		opened.close()
 		return nil, errConnClosed
 	}
+	opened.carry(id)
 	return opened, nil
 }
 
-// popIdle removes and returns the connection that became idle last, or nil if there is none.
-func (p *Pool) popIdle(key incarnation) *pooledConn {
+// popIdle removes and returns the connection that became idle last, of those whose last request did not have the ID.
+// It returns nil if there is none.
+func (p *Pool) popIdle(key incarnation, id string) *pooledConn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for position, conn := range slices.Backward(idle) {
+		if !conn.request.mayBeAnsweredAs(id) {
+			p.idle[key] = slices.Delete(idle, position, position+1)
+			return conn
+		}
 	}
-	last := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	p.idle[key] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 // put returns a connection to the pool after a complete response, or closes it if it can't be
--- a/internal/adapters/proxy/pool_test.go
+++ b/internal/adapters/proxy/pool_test.go
@@ -38,7 +38,7 @@
 		connections int
 	}{{0, 1}, {time.Second, 1}, {1800 * time.Millisecond, 2}} {
 		clockOffset.Add(int64(step.idleTime))
-		if got := router.send(t, "id", ""); got.status != 200 || server.connectionCount() != step.connections {
+		if got := router.send(t, "id-"+step.idleTime.String(), ""); got.status != 200 || server.connectionCount() != step.connections {
 			t.Fatalf("after %v of idle time: got %+v and %d connections, want status 200 and %d connections",
 				step.idleTime, got, server.connectionCount(), step.connections)
 		}
@@ -153,7 +153,7 @@
 func TestEndReportsWhetherBytesWereWritten(t *testing.T) {
 	server := newFakeServer(t, func(*serverConnection, *http.Request) bool { return false })
 	pool := NewPool(nil)
-	pooled, err := pool.get(t.Context(), server.record, time.Now().Add(time.Second))
+	pooled, err := pool.get(t.Context(), server.record, "id", time.Now().Add(time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,7 +163,7 @@
 	if _, err := pooled.conn.Write([]byte("x")); err == nil {
 		t.Fatal("a write succeeded on a connection that was ended")
 	}
-	pooled, err = pool.get(t.Context(), server.record, time.Now().Add(time.Second))
+	pooled, err = pool.get(t.Context(), server.record, "id", time.Now().Add(time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,7 +172,7 @@
 		t.Fatal("end reports no written bytes, but some were written")
 	}
 	// A connection that is still open accepts no bytes of a call whose deadline has passed.
-	pooled, err = pool.get(t.Context(), server.record, time.Now().Add(time.Second))
+	pooled, err = pool.get(t.Context(), server.record, "id", time.Now().Add(time.Second))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testbed/mutation/list.go
+++ b/internal/testbed/mutation/list.go
@@ -837,6 +837,24 @@
 			{"internal/adapters/proxy/conn.go", "	if c.closed {", "	if false {"},
 		},
 	},
+	{
+		Name:      "a connection carries no ID twice in succession",
+		Violation: ranAfterRefusal,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestCallIsNotRefusedWhileItRuns",
+		Edits: []Edit{
+			{"internal/adapters/proxy/pool.go", "		if !conn.request.mayBeAnsweredAs(id) {", "		if !conn.request.mayBeAnsweredAs(\"\") {"},
+		},
+	},
+	{
+		Name:      "a late answer to a release belongs to no call",
+		Violation: corruptResponse,
+		Package:   "./internal/adapters/proxy",
+		Test:      "TestLateAnswersAroundTheReleaseOfAHandle",
+		Edits: []Edit{
+			{"internal/adapters/proxy/exchange.go", "(success || d.conn.previousHadNoID())", "success"},
+		},
+	},
 	{
 		Name:      "a status does not claim that a call never ran unless the server said so",
 		Violation: ranAfterRefusal,
--- a/internal/testbed/replay/exchange.go
+++ b/internal/testbed/replay/exchange.go
@@ -93,16 +93,21 @@
 
 // reject responds with a status and the header that says that the request did not run here.
 func (e *exchange) reject(writer http.ResponseWriter, status int) {
+	e.writeRejection(writer.Header(), status)
+	writer.WriteHeader(status)
+}
+
+// writeRejection records that the request is rejected, and sets the headers that say so.
+func (e *exchange) writeRejection(header http.Header, status int) {
 	event := e.event
 	event.Kind, event.Status = RequestRejected, status
 	e.server.pool.events.Append(event)
-	writer.Header().Set(headerAttempt, event.AttemptID)
-	writer.Header().Set(headerServer, e.server.ID)
-	writer.Header().Set(headerNotRun, "1")
+	header.Set(headerAttempt, event.AttemptID)
+	header.Set(headerServer, e.server.ID)
+	header.Set(headerNotRun, "1")
 	e.server.mutex.Lock()
-	e.server.writeLoadHeader(writer.Header())
+	e.server.writeLoadHeader(header)
 	e.server.mutex.Unlock()
-	writer.WriteHeader(status)
 }
 
 // submit passes the request to the engine. If another server prefilled the prompt, the request
@@ -154,7 +159,11 @@
 // answer waits for the engine and writes the response.
 func (e *exchange) answer(writer http.ResponseWriter) {
 	if e.prefillMissing || e.queueFull {
-		e.reject(writer, http.StatusServiceUnavailable)
+		if e.fault == answerDuplicated {
+			e.rejectTwice(writer, http.StatusServiceUnavailable)
+		} else {
+			e.reject(writer, http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if e.event.WorkPhase == phasePrefill {
--- a/internal/testbed/replay/modelserver_test.go
+++ b/internal/testbed/replay/modelserver_test.go
@@ -1,10 +1,13 @@
 package replay
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -278,6 +281,62 @@
 	}
 }
 
+// TestDuplicatedRejectionReplacesTheNextAnswer checks that a rejection for a handle that has lapsed is sent again in the
+// place of the response to the next request on the connection, and that this request runs while its client waits.
+func TestDuplicatedRejectionReplacesTheNextAnswer(t *testing.T) {
+	fixture := startServerFixture(t, SmallSite())
+	server := fixture.inPhase(phaseDecode)
+	server.setMisbehaviour(func(m *misbehaviour) { m.corruptShare, m.duplicates = 1, true })
+	for number := range 40 {
+		connection, err := net.Dial("tcp", server.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		reader := bufio.NewReader(connection)
+		first, second := "own-"+strconv.Itoa(number), "next-"+strconv.Itoa(number)
+		rejection, err := askOn(connection, reader, first, "127.0.0.1:1/none")
+		if err != nil || rejection.StatusCode != http.StatusServiceUnavailable || rejection.Header.Get(headerNotRun) == "" {
+			t.Fatalf("a handle that is gone: got %+v, %v, want 503 and that the request did not run", rejection, err)
+		}
+		duplicate, err := askOn(connection, reader, second, "")
+		if err != nil || duplicate.Header.Get(headerAttempt) != first {
+			continue
+		}
+		if duplicate.StatusCode != http.StatusServiceUnavailable {
+			t.Fatalf("got status %d a second time, want 503", duplicate.StatusCode)
+		}
+		server.mutex.Lock()
+		defer server.mutex.Unlock()
+		for !fixture.hasStarted(second) {
+			server.progress.Wait()
+		}
+		return
+	}
+	t.Error("no rejection was duplicated")
+}
+
+// askOn sends a request on a connection and reads the head of the response.
+func askOn(connection net.Conn, reader *bufio.Reader, attemptID, source string) (*http.Response, error) {
+	outbound, _ := http.NewRequest(http.MethodPost, "http://"+connection.RemoteAddr().String()+"/chat/1", strings.NewReader("{}"))
+	outbound.Header = http.Header{headerAttempt: {attemptID}, headerModel: {modelName}, headerTokens: {"10,2"}, headerParts: {"a:10"},
+		headerDeadline: {"3000"}}
+	if source != "" {
+		outbound.Header.Set(headerSource, source)
+	}
+	if err := outbound.Write(connection); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(reader, outbound)
+}
+
+// hasStarted reports whether the run of a request has started.
+func (f *serverFixture) hasStarted(attemptID string) bool {
+	return slices.ContainsFunc(f.events.Events(), func(event Event) bool {
+		return event.Kind == RunStarted && event.AttemptID == attemptID
+	})
+}
+
 // TestDuplicatedAnswerReplacesTheNextOne checks that the second request on a connection gets the
 // response to the first one again.
 func TestDuplicatedAnswerReplacesTheNextOne(t *testing.T) {
