--- a/internal/replication/proposal.go
+++ b/internal/replication/proposal.go
@@ -7,7 +7,7 @@
 // section 2.2), with the epoch as proposal number: witnesses promise the epoch and report the
 // newest membership that they accepted, then accept the membership that is derived from it. A
 // proposal only holds the state and the rules: Coordinator sends the requests, and the exploration
-// in explore_test.go calls the proposal directly.
+// in exploredcore_test.go calls the proposal directly.
 //
 // Invariant: each granted membership is derived from its base, the membership granted before. To be
 // granted, a membership needs promises of a majority of the base's witnesses, and acceptances of
--- a/internal/testbed/replay/duplicate.go
+++ b/internal/testbed/replay/duplicate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"time"
 )
 
@@ -13,6 +14,66 @@
 // sends an earlier response again.
 const duplicateTimeout = 4 * time.Second
 
+// answerFaulty writes to the raw connection: either bytes that are not an HTTP response, or a
+// complete response, which it sends again in place of the response to the next request.
+func (e *exchange) answerFaulty(writer http.ResponseWriter, ended *Event) {
+	connection, buffered, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(4 * time.Second))
+	if e.fault == answerMalformed {
+		ended.Cause = "spoilt"
+		e.abandon()
+		_, _ = connection.Write([]byte("\x16\x03\x01 no answer at all\r\n\r\n"))
+		return
+	}
+	head := http.Header{}
+	e.writeHead(head)
+	head.Del("Connection")
+	head.Set("Transfer-Encoding", "chunked")
+	generated, _, cause := e.awaitTokens(1 << 30)
+	if cause != "" {
+		ended.Cause = cause
+		return
+	}
+	write := func() {
+		_, _ = connection.Write([]byte("HTTP/1.1 200 OK\r\n"))
+		_ = head.Write(connection)
+		_, _ = connection.Write([]byte("\r\n"))
+		body := httputil.NewChunkedWriter(connection)
+		if e.server.config.PlainSteps > 0 {
+			_, _ = body.Write([]byte(e.plainText(generated)))
+		} else {
+			_, _ = body.Write([]byte(e.spanText(e.lastEventID+1, generated)))
+		}
+		_ = body.Close()
+		_, _ = connection.Write([]byte("\r\n"))
+	}
+	write()
+	ended.Complete, ended.Status, ended.Tokens = true, http.StatusOK, generated
+	// The duplicate is sent once the next request has been read completely. The connection then
+	// stays open: a reset could discard the duplicate before the client reads it.
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, next.Body)
+	e.server.pool.events.Append(Event{
+		Kind:      RequestArrived,
+		Server:    e.server.ID,
+		Service:   e.server.Service,
+		Zone:      e.server.Zone,
+		AttemptID: next.Header.Get(headerAttempt),
+		WorkPhase: phaseOf(next.Header),
+		Cause:     "it got the response to an earlier request",
+	})
+	write()
+	_ = connection.SetDeadline(time.Now().Add(time.Second))
+	_, _ = io.Copy(io.Discard, buffered)
+}
+
 // rejectTwice rejects the request, and sends that response again in the place of the response to the next request on the
 // connection. The next request is run for as long as its client keeps the connection.
 func (e *exchange) rejectTwice(writer http.ResponseWriter, status int) {
