--- a/internal/adapters/proxy/stall_test.go
+++ b/internal/adapters/proxy/stall_test.go
@@ -85,6 +85,29 @@
 	return outbound
 }
 
+// TestSlowServerIsNotLeftBeforeItsFirstEvent wants an answer that has not begun to be waited for in the same way: no other
+// server takes the call over, and the first one answers within the deadline.
+func TestSlowServerIsNotLeftBeforeItsFirstEvent(t *testing.T) {
+	slow := decodeServer(t, "slow", func(connection *serverConnection, inbound *http.Request) bool {
+		// Longer than the minimum of the time in which a run's first event is expected, 1 s.
+		time.Sleep(1500 * time.Millisecond)
+		connection.writeText(streamHead(inbound.Header.Get("Seamloom-Call")) + chunk(joinedEvents(1, 2)) + "0\r\n\r\n")
+		return true
+	})
+	address, callScheduler := startCalls(t, []membership.Server{slow.record}, scheduler.RetryAllowance{Ratio: 5, Slack: 1000, Window: time.Second})
+	results := make(chan reply, 1)
+	go func() { results <- send(resumableCall(address, "call")) }()
+	waitUntil(t, "the slow server has the call", func() bool { return slow.count() == 1 })
+	full := decodeServer(t, "full", func(connection *serverConnection, inbound *http.Request) bool {
+		connection.writeText(responseText(503, inbound.Header.Get("Seamloom-Call"), "full", "Seamloom-Not-Started: 1", "Seamloom-Load: 64,3,64"))
+		return true
+	})
+	callScheduler.SetServers(time.Now(), []membership.Server{slow.record, full.record})
+	if got := <-results; got.failure != nil || got.status != 200 || string(got.body) != joinedEvents(1, 2) {
+		t.Errorf("got %+v, want the two events of the slow server", got)
+	}
+}
+
 // stallRace is a play of a stalled stream against the stream that is to take it over, and the results expected of the
 // second dispatch and of the call.
 type stallRace struct {
